Whole path, thin, as separate processes

Cause: nothing ran yet. One request and one operator's change now go end to end through real processes: caller -> entry host -> target, and operator -> entry host -> log -> fold on all entry hosts. Ruled out: handing events to most through a plain object (it needs a symbol-observable key; found by a crash at start).

--- /dev/null
+++ b/packages/core/src/engine/reduce.ts
@@ -0,0 +1,69 @@
+/** The one reducer: from a state and an event to the effects, through a lookup table of handlers. */
+import {fleetHandlers, tickPublishers} from '../fleet/publishing.js';
+import {createFleetState} from '../fleet/state.js';
+import {logHandlers, tickLog} from '../log/handlers.js';
+import {createLogState} from '../log/state.js';
+import {membershipHandlers, tickMembership} from '../membership/handlers.js';
+import {createMembershipState} from '../membership/state.js';
+import {requestHandlers} from '../requests/handlers.js';
+import {createRequestsState} from '../requests/state.js';
+import {targetHandlers} from '../targets/handlers.js';
+import {createTargetsState} from '../targets/state.js';
+import type {Effect} from '../types/effects.js';
+import type {Event, EventType} from '../types/events.js';
+import type {Handler, HandlerTable} from '../types/handlers.js';
+import type {CoreSettings} from '../types/peers.js';
+import type {State} from '../types/state.js';
+import type {Instant} from '../types/time.js';
+
+const handlers: HandlerTable<EventType> = {
+	...requestHandlers,
+	...targetHandlers,
+	...logHandlers,
+	...fleetHandlers,
+	...membershipHandlers,
+	'clock/ticked': state => [
+		...tickLog(state),
+		...tickPublishers(state),
+		...tickMembership(state),
+		...tickStop(state),
+	],
+	'stop/requested'(state) {
+		state.isStopping = true;
+		return tickStop(state);
+	},
+};
+
+/** The state of an entry host that has just started. */
+export function createState(settings: CoreSettings): State {
+	return {
+		settings,
+		fleet: createFleetState(),
+		log: createLogState(),
+		requests: createRequestsState(),
+		targets: createTargetsState(),
+		membership: createMembershipState(),
+		now: 0 as Instant,
+		isStopping: false,
+	};
+}
+
+/** What an entry host does first. */
+export function listStartEffects(state: State): Effect[] {
+	return [
+		{type: 'peer/keep-links', peers: state.settings.peers},
+		{type: 'log/read', from: state.fleet.nextOffset},
+	];
+}
+
+/** Applies one event to the state, in place, and returns what must be done. Time never runs backwards. */
+export function reduce(state: State, event: Event): Effect[] {
+	state.now = Math.max(state.now, event.at) as Instant;
+	const handle = handlers[event.type] as Handler<EventType>;
+	return handle(state, event);
+}
+
+function tickStop(state: State): Effect[] {
+	const isDone = state.isStopping && state.requests.attempts.size === 0;
+	return isDone ? [{type: 'process/exit'}] : [];
+}
--- /dev/null
+++ b/packages/core/src/fleet/state.ts
@@ -0,0 +1,29 @@
+/** The fleet as folded from the log: equal on every host that has applied the same offset. */
+import type {PoolId, RecordId, ServiceId} from '../types/ids.js';
+import type {LoggedRecord} from '../types/records.js';
+import type {Offset} from '../types/time.js';
+import type {PoolBody, ServiceBody} from './bodies.js';
+
+/** A body in force and the offset that put it there. */
+export type InForce<Body> = {readonly offset: Offset; readonly body: Body};
+
+export type FleetState = {
+	/** Offset of the next record to apply. */
+	nextOffset: Offset;
+	readonly seenRecordIds: Set<RecordId>;
+	readonly pools: Map<PoolId, InForce<PoolBody>>;
+	readonly services: Map<ServiceId, InForce<ServiceBody>>;
+	/** Records whose schema version is unknown here, kept as they came. */
+	readonly setAside: LoggedRecord[];
+};
+
+/** The fleet before the first record. */
+export function createFleetState(): FleetState {
+	return {
+		nextOffset: 0 as Offset,
+		seenRecordIds: new Set(),
+		pools: new Map(),
+		services: new Map(),
+		setAside: [],
+	};
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,20 @@
+/** The platform-free core of rhubarblever: no I/O, no clock, no randomness of its own. */
+export * from './types/ids.js';
+export * from './types/time.js';
+export * from './types/faults.js';
+export * from './types/hosts.js';
+export * from './types/records.js';
+export * from './types/requests.js';
+export * from './types/peers.js';
+export * from './types/events.js';
+export * from './types/effects.js';
+export * from './types/state.js';
+export * from './membership/messages.js';
+export * from './fleet/decoders.js';
+export * from './fleet/apply-record.js';
+export * from './fleet/effects.js';
+export * from './requests/routing-policies.js';
+export * from './engine/reduce.js';
+export * from './engine/event-loop.js';
+export type * from './fleet/state.js';
+export type * from './membership/state.js';
--- /dev/null
+++ b/packages/core/src/targets/handlers.ts
@@ -0,0 +1,49 @@
+/** Follows the host list and the end of each attempt. */
+import {finishAttempt} from '../requests/attempts.js';
+import type {HandlerTable} from '../types/handlers.js';
+import type {ListedHost} from '../types/hosts.js';
+import type {State} from '../types/state.js';
+import type {TargetEvent} from './events.js';
+
+export const targetHandlers: HandlerTable<TargetEvent['type']> = {
+	'hosts/listed'(state, event) {
+		state.targets.listedHosts = event.hosts;
+		for (const listed of event.hosts) {
+			updateTarget(state, listed);
+		}
+
+		removeUnlisted(state, event.hosts);
+		return [];
+	},
+	'hosts/list-failed'() {
+		return [];
+	},
+	'attempt/answered'(state, event) {
+		return finishAttempt(state, event.attemptId, undefined);
+	},
+	'attempt/failed'(state, event) {
+		return finishAttempt(state, event.attemptId, event);
+	},
+};
+
+function updateTarget(state: State, listed: ListedHost): void {
+	if (listed.role !== 'runner') {
+		return;
+	}
+
+	const target = state.targets.targets.get(listed.hostId);
+	if (target) {
+		target.listed = listed;
+	} else {
+		state.targets.targets.set(listed.hostId, {listed, outstanding: 0});
+	}
+}
+
+function removeUnlisted(state: State, hosts: readonly ListedHost[]): void {
+	const listedIds = new Set(hosts.map(host => host.hostId));
+	for (const hostId of state.targets.targets.keys()) {
+		if (!listedIds.has(hostId)) {
+			state.targets.targets.delete(hostId);
+		}
+	}
+}
--- /dev/null
+++ b/packages/core/src/types/state.ts
@@ -0,0 +1,21 @@
+/** The state of an entry host: the fleet, folded from the log and equal on all hosts at one offset, and local slices. */
+import type {FleetState} from '../fleet/state.js';
+import type {LogState} from '../log/state.js';
+import type {MembershipState} from '../membership/state.js';
+import type {RequestsState} from '../requests/state.js';
+import type {TargetsState} from '../targets/state.js';
+import type {CoreSettings} from './peers.js';
+import type {Instant} from './time.js';
+
+/** Owned by the event loop; handlers change it in place, one event at a time. */
+export type State = {
+	readonly settings: CoreSettings;
+	readonly fleet: FleetState;
+	readonly log: LogState;
+	readonly requests: RequestsState;
+	readonly targets: TargetsState;
+	readonly membership: MembershipState;
+	/** The instant of the latest event. */
+	now: Instant;
+	isStopping: boolean;
+};
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,118 @@
+/** One entry host: puts the parts together and runs them until it is told to stop. */
+import {randomInt, randomUUID} from 'node:crypto';
+import type {Server} from 'node:http';
+import {
+	createState, EventLoop, listStartEffects, tickIntervalMs, type Effect, type Event, type Incarnation, type State,
+} from '@rhubarblever/core';
+import type {StatsD} from 'hot-shots';
+import type {Logger} from 'winston';
+import {readClock} from './clock.js';
+import {CallTable} from './http/call-table.js';
+import {createHttpServer, startListening} from './http/http-server.js';
+import {runEffect, type InterpreterContext} from './interpreter.js';
+import {createLogger} from './logger.js';
+import {createMetrics} from './metrics.js';
+import {PeerLinks} from './peers/peer-links.js';
+import {PlatformClient} from './platform/platform-client.js';
+import type {Settings} from './settings.js';
+import {TargetClient} from './targets/target-client.js';
+
+const hostListIntervalMs = 1000;
+
+export class Daemon {
+	static create(settings: Settings, exit: (code: number) => void): Daemon {
+		return new Daemon(settings, exit);
+	}
+
+	readonly logger: Logger;
+	private readonly state: State;
+	private readonly loop: EventLoop;
+	private readonly server: Server;
+	private readonly context: InterpreterContext;
+	private readonly metrics: StatsD;
+	private stopRequests = 0;
+
+	private constructor(private readonly settings: Settings, private readonly exit: (code: number) => void) {
+		this.logger = createLogger(settings.logLevel, settings.self.hostId);
+		this.metrics = createMetrics(settings.metrics, settings.self.hostId);
+		this.state = createState({
+			self: settings.self,
+			incarnation: randomUUID() as Incarnation,
+			peers: settings.peers,
+			routingPolicy: settings.routingPolicy,
+			seed: settings.seed === 0 ? randomInt(1, 2 ** 31) : settings.seed,
+		});
+		this.loop = EventLoop.create(this.state, effect => {
+			this.run(effect);
+		});
+		const push = this.push.bind(this);
+		const calls = CallTable.create(settings.self.hostId);
+		this.context = {
+			calls,
+			push,
+			targets: TargetClient.create(calls, push),
+			platform: PlatformClient.create(settings.platform),
+			peers: PeerLinks.create(settings, push),
+			logger: this.logger,
+			metrics: this.metrics,
+			areInvariantsFatal: settings.areInvariantsFatal,
+			exit: this.end.bind(this),
+		};
+		this.server = createHttpServer({
+			settings, state: this.state, calls, push,
+		});
+		this.context.peers.attach(this.server);
+	}
+
+	/** Listens and starts to follow the platform. */
+	async start(): Promise<void> {
+		await startListening(this.server, this.settings.listen);
+		this.logger.info('listening', {address: this.settings.self.address, availabilityZone: this.settings.self.availabilityZone});
+		for (const effect of listStartEffects(this.state)) {
+			this.run(effect);
+		}
+
+		setInterval(() => {
+			this.push({type: 'clock/ticked', at: readClock()});
+		}, tickIntervalMs);
+		void this.followHostList();
+	}
+
+	/** The first call stops gracefully, the second at once. */
+	requestStop(): void {
+		this.stopRequests += 1;
+		if (this.stopRequests > 1) {
+			this.end(1);
+			return;
+		}
+
+		this.logger.info('stopping');
+		this.push({type: 'stop/requested', at: readClock()});
+	}
+
+	private push(event: Event): void {
+		this.loop.push(event);
+	}
+
+	private run(effect: Effect): void {
+		runEffect(this.context, effect);
+	}
+
+	private async followHostList(): Promise<void> {
+		const result = await this.context.platform.listHosts();
+		this.push(result.match<Event>(
+			hosts => ({type: 'hosts/listed', at: readClock(), hosts}),
+			fault => ({type: 'hosts/list-failed', at: readClock(), fault}),
+		));
+		setTimeout(() => {
+			void this.followHostList();
+		}, hostListIntervalMs);
+	}
+
+	private end(code: number): void {
+		this.logger.info('stopped', {code});
+		this.metrics.close(() => {
+			this.exit(code);
+		});
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/http/call-table.ts
@@ -0,0 +1,105 @@
+/** The open calls of callers and operators: their bodies and the responses that wait for an answer. */
+import type {ServerResponse} from 'node:http';
+import {pipeline} from 'node:stream/promises';
+import {
+	getFaultAnswer, type CallerKey, type Fault, type Instant,
+} from '@rhubarblever/core';
+import type {Dispatcher} from 'undici';
+import {readClock} from '../clock.js';
+
+type OpenCall = {readonly body: Uint8Array; readonly response: ServerResponse};
+
+const passedHeaders = ['content-type', 'content-length'];
+
+export class CallTable {
+	static create(hostId: string): CallTable {
+		return new CallTable(hostId);
+	}
+
+	private readonly calls = new Map<CallerKey, OpenCall>();
+	private callCount = 0;
+
+	private constructor(private readonly hostId: string) {}
+
+	/** Takes a call in and gives it a key. */
+	open(body: Uint8Array, response: ServerResponse): CallerKey {
+		this.callCount += 1;
+		const callerKey = `${this.hostId}-${this.callCount}` as CallerKey;
+		this.calls.set(callerKey, {body, response});
+		response.once('close', () => {
+			this.calls.delete(callerKey);
+		});
+		return callerKey;
+	}
+
+	getBody(callerKey: CallerKey): Uint8Array {
+		return this.calls.get(callerKey)?.body ?? new Uint8Array(0);
+	}
+
+	/** Streams a target's answer to the caller; false if either side cut it short. */
+	async passAnswer(callerKey: CallerKey, answer: Dispatcher.ResponseData): Promise<boolean> {
+		const call = this.calls.get(callerKey);
+		if (!call) {
+			await answer.body.dump();
+			return true;
+		}
+
+		call.response.statusCode = answer.statusCode;
+		for (const name of passedHeaders) {
+			const value = answer.headers[name];
+			if (value !== undefined) {
+				call.response.setHeader(name, value);
+			}
+		}
+
+		try {
+			await pipeline(answer.body, call.response);
+			return true;
+		} catch {
+			return false;
+		}
+	}
+
+	/** Answers with a fault as problem details, with when to come back. */
+	refuse(callerKey: CallerKey, fault: Fault, comeBackAt: Instant): void {
+		const call = this.calls.get(callerKey);
+		if (call) {
+			sendFault(call.response, fault, comeBackAt);
+		}
+	}
+
+	/** Answers with a JSON body. */
+	answer(callerKey: CallerKey, body: unknown): void {
+		const call = this.calls.get(callerKey);
+		if (call) {
+			sendJson(call.response, 200, body);
+		}
+	}
+}
+
+/** Sends a fault as `application/problem+json`; a response that has begun is cut instead. */
+export function sendFault(response: ServerResponse, fault: Fault, comeBackAt: Instant): void {
+	if (response.headersSent) {
+		response.destroy();
+		return;
+	}
+
+	const {family, status, title, comeBack} = getFaultAnswer(fault.kind);
+	const body = JSON.stringify({
+		type: fault.kind, title, status, detail: fault.detail, family,
+	});
+	response.statusCode = status;
+	response.setHeader('content-type', 'application/problem+json');
+	response.setHeader('rhubarblever-not-run', String(family === 'refused'));
+	if (comeBack) {
+		response.setHeader('retry-after', Math.max(1, Math.ceil((comeBackAt - readClock()) / 1000)));
+	}
+
+	response.end(body);
+}
+
+export function sendJson(response: ServerResponse, status: number, body: unknown): void {
+	response.statusCode = status;
+	response.setHeader('content-type', 'application/json');
+	response.end(JSON.stringify(body));
+}
--- /dev/null
+++ b/packages/daemon/src/http/caller-request.ts
@@ -0,0 +1,49 @@
+/** Reads a caller's request from its headers. */
+import type {IncomingHttpHeaders} from 'node:http';
+import {
+	createFault, instantSchema, requestIdSchema, serviceIdSchema, teamIdSchema, workClasses,
+	type CallerKey, type CallerRequest, type Fault, type Instant,
+} from '@rhubarblever/core';
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+
+const defaultDeadlineMs = 30_000;
+
+const headersSchema = z.object({
+	'idempotency-key': requestIdSchema,
+	'rhubarblever-team': teamIdSchema.optional(),
+	'rhubarblever-class': z.enum(workClasses).default('quick'),
+	'rhubarblever-idempotent': z.enum(['true', 'false']).default('false'),
+	'rhubarblever-deadline': z.iso.datetime({offset: true}).transform(text => Date.parse(text)).pipe(instantSchema).optional(),
+});
+
+/** The request of a call, but for its key. */
+export type RequestHead = Omit<CallerRequest, 'callerKey'>;
+
+/** Reads the service from the path and the rest from headers; a missing deadline is 30 s from now. */
+export function readRequestHead(serviceText: string, headers: IncomingHttpHeaders, now: Instant): Result<RequestHead, Fault> {
+	const service = serviceIdSchema.safeParse(serviceText);
+	const parsed = headersSchema.safeParse(headers);
+	if (!service.success) {
+		return err(createFault('bad-request', 'the service name is malformed'));
+	}
+
+	if (!parsed.success) {
+		return err(createFault('bad-request', parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; ')));
+	}
+
+	return ok({
+		requestId: parsed.data['idempotency-key'],
+		service: service.data,
+		team: parsed.data['rhubarblever-team'] ?? teamIdSchema.parse('default'),
+		workClass: parsed.data['rhubarblever-class'],
+		isIdempotent: parsed.data['rhubarblever-idempotent'] === 'true',
+		arrivedAt: now,
+		deadline: parsed.data['rhubarblever-deadline'] ?? (now + defaultDeadlineMs) as Instant,
+	});
+}
+
+/** Joins a request's head with its call's key. */
+export function createCallerRequest(head: RequestHead, callerKey: CallerKey): CallerRequest {
+	return {...head, callerKey};
+}
--- /dev/null
+++ b/packages/daemon/src/http/fleet-view.ts
@@ -0,0 +1,25 @@
+/** The fleet as operators see it. */
+import type {
+	FleetState, HostId, ListedHost, Offset, Peer, State,
+} from '@rhubarblever/core';
+
+export type FleetView = {
+	readonly hostId: HostId;
+	readonly nextOffset: Offset;
+	readonly pools: ReadonlyArray<FleetState['pools'] extends Map<unknown, infer Value> ? Value : never>;
+	readonly services: ReadonlyArray<FleetState['services'] extends Map<unknown, infer Value> ? Value : never>;
+	readonly hosts: readonly ListedHost[];
+	readonly peers: readonly Peer[];
+};
+
+/** A JSON view of what is in force on this entry host. */
+export function describeFleet(state: State): FleetView {
+	return {
+		hostId: state.settings.self.hostId,
+		nextOffset: state.fleet.nextOffset,
+		pools: [...state.fleet.pools.values()],
+		services: [...state.fleet.services.values()],
+		hosts: state.targets.listedHosts,
+		peers: [...state.membership.peers.values()],
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,3 @@
+/** Parts of the daemon that other packages of this project use. */
+export {settingRows, getVariableName, type SettingName} from './settings.js';
+export {version} from './version.js';
--- /dev/null
+++ b/packages/daemon/src/interpreter.ts
@@ -0,0 +1,101 @@
+/** Runs effects, by a lookup table from effect type. */
+import {
+	type Effect, type EffectOf, type EffectType, type Offset,
+} from '@rhubarblever/core';
+import type {StatsD} from 'hot-shots';
+import type {Logger} from 'winston';
+import {readClock} from './clock.js';
+import type {CallTable} from './http/call-table.js';
+import {sendMetric} from './metrics.js';
+import type {PeerLinks} from './peers/peer-links.js';
+import type {PlatformClient} from './platform/platform-client.js';
+import type {TargetClient} from './targets/target-client.js';
+import type {EventSink} from './types.js';
+
+const fleetStream = 'fleet';
+const readRetryMs = 300;
+
+/** What the interpreter works with. */
+export type InterpreterContext = {
+	readonly calls: CallTable;
+	readonly targets: TargetClient;
+	readonly platform: PlatformClient;
+	readonly peers: PeerLinks;
+	readonly logger: Logger;
+	readonly metrics: StatsD;
+	readonly push: EventSink;
+	readonly areInvariantsFatal: boolean;
+	/** Ends the process; the code is its exit code. */
+	readonly exit: (code: number) => void;
+};
+
+type Runner<Type extends EffectType> = (context: InterpreterContext, effect: EffectOf<Type>) => void;
+
+const runners: {readonly [Type in EffectType]: Runner<Type>} = {
+	'line/write'({logger}, effect) {
+		logger.log(effect.level, effect.event, effect.fields);
+	},
+	'metric/send'({metrics}, effect) {
+		sendMetric(metrics, effect);
+	},
+	'invariant/violated'({logger, metrics, areInvariantsFatal, exit}, effect) {
+		logger.error('invariant violated', {name: effect.name, detail: effect.detail});
+		metrics.increment('invariant.violated', 1, {name: effect.name});
+		if (areInvariantsFatal) {
+			exit(70);
+		}
+	},
+	'process/exit'({exit}) {
+		exit(0);
+	},
+	'caller/refuse'({calls}, effect) {
+		calls.refuse(effect.callerKey, effect.fault, effect.comeBackAt);
+	},
+	'attempt/dispatch'({targets}, effect) {
+		void targets.dispatch(effect);
+	},
+	'log/append'(context, effect) {
+		void appendRecords(context, effect);
+	},
+	'log/read'(context, effect) {
+		void readLog(context, effect.from);
+	},
+	'publish/answer'({calls}, effect) {
+		calls.answer(effect.callerKey, {published: effect.published});
+	},
+	'peer/send'({peers}, effect) {
+		peers.send(effect.peer, effect.message);
+	},
+	'peer/keep-links'({peers}, effect) {
+		peers.keepLinks(effect.peers);
+	},
+};
+
+/** Runs one effect. */
+export function runEffect(context: InterpreterContext, effect: Effect): void {
+	const run = runners[effect.type] as Runner<EffectType>;
+	run(context, effect);
+}
+
+async function appendRecords({platform, push}: InterpreterContext, effect: EffectOf<'log/append'>): Promise<void> {
+	const result = await platform.appendRecords(fleetStream, effect.records);
+	const recordIds = effect.records.map(record => record.recordId);
+	push(result.match(
+		() => ({type: 'log/appended' as const, at: readClock(), recordIds}),
+		fault => ({
+			type: 'log/append-failed' as const, at: readClock(), recordIds, fault,
+		}),
+	));
+}
+
+async function readLog({platform, push}: InterpreterContext, from: Offset): Promise<void> {
+	const result = await platform.readLog(fleetStream, from);
+	if (result.isOk()) {
+		push({type: 'log/read', at: readClock(), ...result.value});
+		return;
+	}
+
+	setTimeout(() => {
+		push({type: 'log/read-failed', at: readClock(), fault: result.error});
+	}, readRetryMs);
+}
--- /dev/null
+++ b/packages/daemon/src/peers/peer-links.ts
@@ -0,0 +1,133 @@
+/** Links between entry hosts: ws with msgpackr. Each host dials every other; a link carries messages one way, from the dialling host. */
+import type {IncomingMessage, Server} from 'node:http';
+import type {Duplex} from 'node:stream';
+import {peerMessageSchema, type EntryHost, type HostId, type PeerMessage} from '@rhubarblever/core';
+import {Packr} from 'msgpackr';
+import {WebSocket, WebSocketServer, type RawData} from 'ws';
+import {readClock} from '../clock.js';
+import {hasToken} from '../http/http-server.js';
+import type {Settings} from '../settings.js';
+import type {EventSink} from '../types.js';
+
+const redialMs = 500;
+const handshakeTimeoutMs = 1000;
+const maxMessageBytes = 16 * 1024 * 1024;
+const peerPath = '/v1/peer';
+const hostHeader = 'rhubarblever-host-id';
+
+type OutgoingLink = {readonly peer: EntryHost; socket: WebSocket | undefined; redialTimer: NodeJS.Timeout | undefined};
+
+export class PeerLinks {
+	static create(settings: Settings, push: EventSink): PeerLinks {
+		return new PeerLinks(settings, push);
+	}
+
+	private readonly packr = new Packr({useRecords: false});
+	private readonly links = new Map<HostId, OutgoingLink>();
+	private readonly server = new WebSocketServer({noServer: true, maxPayload: maxMessageBytes});
+	private isClosed = false;
+
+	private constructor(private readonly settings: Settings, private readonly push: EventSink) {}
+
+	/** Takes over upgrades of an HTTP server. */
+	attach(server: Server): void {
+		server.on('upgrade', (request: IncomingMessage, socket: Duplex, head: Buffer) => {
+			const peer = request.headers[hostHeader];
+			if (request.url !== peerPath || typeof peer !== 'string' || !hasToken(request, this.settings.peerToken)) {
+				socket.end('HTTP/1.1 401 Unauthorized\r\n\r\n');
+				return;
+			}
+
+			this.server.handleUpgrade(request, socket, head, link => {
+				this.listen(link, peer as HostId);
+			});
+		});
+	}
+
+	/** Keeps links to these hosts and no others. */
+	keepLinks(peers: readonly EntryHost[]): void {
+		const wanted = new Set(peers.map(peer => peer.hostId));
+		for (const [hostId, link] of this.links) {
+			if (!wanted.has(hostId)) {
+				this.links.delete(hostId);
+				clearTimeout(link.redialTimer);
+				link.socket?.terminate();
+			}
+		}
+
+		for (const peer of peers) {
+			if (!this.links.has(peer.hostId)) {
+				const link: OutgoingLink = {peer, socket: undefined, redialTimer: undefined};
+				this.links.set(peer.hostId, link);
+				this.dial(link);
+			}
+		}
+	}
+
+	/** Sends a message to a linked peer; without a link it is dropped. */
+	send(peer: HostId, message: PeerMessage): void {
+		const socket = this.links.get(peer)?.socket;
+		if (socket?.readyState === WebSocket.OPEN) {
+			socket.send(this.packr.pack(message));
+		}
+	}
+
+	close(): void {
+		this.isClosed = true;
+		this.keepLinks([]);
+		for (const client of this.server.clients) {
+			client.terminate();
+		}
+	}
+
+	private dial(link: OutgoingLink): void {
+		const socket = new WebSocket(`ws://${link.peer.address}${peerPath}`, {
+			handshakeTimeout: handshakeTimeoutMs,
+			maxPayload: maxMessageBytes,
+			headers: {authorization: `Bearer ${this.settings.peerToken}`, [hostHeader]: this.settings.self.hostId},
+		});
+		link.socket = socket;
+		socket.on('open', () => {
+			this.push({type: 'peer/linked', at: readClock(), peer: link.peer.hostId});
+		});
+		socket.on('error', () => {
+			socket.terminate();
+		});
+		socket.on('close', () => {
+			this.push({type: 'peer/unlinked', at: readClock(), peer: link.peer.hostId});
+			this.redial(link);
+		});
+	}
+
+	private redial(link: OutgoingLink): void {
+		if (this.isClosed || this.links.get(link.peer.hostId) !== link) {
+			return;
+		}
+
+		link.redialTimer = setTimeout(() => {
+			this.dial(link);
+		}, redialMs);
+	}
+
+	private listen(socket: WebSocket, peer: HostId): void {
+		socket.on('error', () => {
+			socket.terminate();
+		});
+		socket.on('message', data => {
+			const parsed = peerMessageSchema.safeParse(this.unpack(data));
+			if (parsed.success) {
+				this.push({
+					type: 'peer/message', at: readClock(), peer, message: parsed.data,
+				});
+			}
+		});
+	}
+
+	private unpack(data: RawData): unknown {
+		try {
+			return this.packr.unpack(data as Buffer) as unknown;
+		} catch {
+			return undefined;
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/platform/platform-client.ts
@@ -0,0 +1,75 @@
+/** Calls to the platform over HTTP/JSON: the log and the host list. Faults are values. */
+import {
+	createFault, listedHostSchema, loggedRecordSchema, offsetSchema, type Fault, type ListedHost, type LoggedRecord, type LogRecord, type Offset,
+} from '@rhubarblever/core';
+import {err, ok, type Result} from 'neverthrow';
+import {Agent, request, type Dispatcher} from 'undici';
+import {z} from 'zod';
+
+const callTimeoutMs = 3000;
+const pollWaitMs = 1000;
+const pollLimit = 500;
+
+const logPageSchema = z.object({
+	records: z.array(loggedRecordSchema),
+	firstOffset: offsetSchema,
+	nextOffset: offsetSchema,
+});
+export type LogPage = {
+	readonly records: readonly LoggedRecord[];
+	readonly firstOffset: Offset;
+	readonly nextOffset: Offset;
+};
+
+const hostListSchema = z.object({hosts: z.array(listedHostSchema)});
+
+export class PlatformClient {
+	static create(address: string): PlatformClient {
+		return new PlatformClient(`http://${address}`);
+	}
+
+	private readonly agent = new Agent({connections: 16, headersTimeout: callTimeoutMs, bodyTimeout: callTimeoutMs});
+
+	private constructor(private readonly baseUrl: string) {}
+
+	/** Reads records from `from` on; waits up to a second for the first. */
+	async readLog(stream: string, from: Offset): Promise<Result<LogPage, Fault>> {
+		const path = `/v1/streams/${stream}/records?from=${from}&limit=${pollLimit}&waitMs=${pollWaitMs}`;
+		return this.call('GET', path, undefined, logPageSchema);
+	}
+
+	/** Appends records in one call. A fault does not say that they are not in the log. */
+	async appendRecords(stream: string, records: readonly LogRecord[]): Promise<Result<unknown, Fault>> {
+		return this.call('POST', `/v1/streams/${stream}/records`, {records}, z.unknown());
+	}
+
+	async listHosts(): Promise<Result<readonly ListedHost[], Fault>> {
+		const result = await this.call('GET', '/v1/hosts', undefined, hostListSchema);
+		return result.map(list => list.hosts);
+	}
+
+	async close(): Promise<void> {
+		await this.agent.destroy();
+	}
+
+	private async call<Body>(method: Dispatcher.HttpMethod, path: string, body: unknown, schema: z.ZodType<Body>): Promise<Result<Body, Fault>> {
+		try {
+			const response = await request(this.baseUrl + path, {
+				method,
+				body: body === undefined ? undefined : JSON.stringify(body),
+				headers: {'content-type': 'application/json'},
+				dispatcher: this.agent,
+				signal: AbortSignal.timeout(callTimeoutMs),
+			});
+			const answer: unknown = await response.body.json();
+			if (response.statusCode >= 300) {
+				return err(createFault('log-unavailable', `the platform answered ${response.statusCode}`));
+			}
+
+			const parsed = schema.safeParse(answer);
+			return parsed.success ? ok(parsed.data) : err(createFault('log-unavailable', 'the platform answered in an unknown shape'));
+		} catch (error) {
+			return err(createFault('log-unavailable', (error as Error).message));
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/settings.ts
@@ -0,0 +1,144 @@
+/** Settings of the daemon: each is a flag and an environment variable, checked once at the start. */
+import {
+	availabilityZoneSchema, hostIdSchema, routingPolicies, type AvailabilityZone, type EntryHost, type HostId,
+} from '@rhubarblever/core';
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+
+const addressPattern = /^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/;
+const address = z.string().regex(addressPattern, 'must be IPv4:port');
+const peerPattern = /^([\w.-]+)=([\w.-]+)@(\d{1,3}(?:\.\d{1,3}){3}:\d{1,5})$/;
+const wholeNumber = z.coerce.number().int().nonnegative();
+
+/** One setting: its check, its default (as text) and what it is for. */
+type SettingRow = {readonly schema: z.ZodType; readonly fallback?: string; readonly help: string};
+
+/** All settings, by flag name. The environment variable is RHUBARBLEVER_ and the name in capitals. */
+export const settingRows = {
+	'host-id': {schema: hostIdSchema, help: 'Name of this entry host'},
+	'availability-zone': {schema: availabilityZoneSchema, help: 'Availability zone of this entry host'},
+	'listen': {schema: address, help: 'IPv4:port to listen on for callers, operators and peers'},
+	'platform': {schema: address, help: 'IPv4:port of the platform'},
+	'peers': {schema: z.string(), fallback: '', help: 'Other entry hosts, as host-id=zone@IPv4:port, separated by commas'},
+	'operator-token': {schema: z.string().min(8), help: 'Token that operators must show (at least 8 characters)'},
+	'peer-token': {schema: z.string().min(8), help: 'Token that entry hosts show to each other (at least 8 characters)'},
+	'routing-policy': {
+		schema: z.string().refine(name => Object.hasOwn(routingPolicies, name), 'is not a routing policy'),
+		fallback: 'least-outstanding',
+		help: `How a target is chosen: ${Object.keys(routingPolicies).join(', ')}`,
+	},
+	'metrics': {schema: z.union([address, z.literal('')]), fallback: '', help: 'IPv4:port of a StatsD server; empty sends none'},
+	'log-level': {schema: z.enum(['error', 'warn', 'info', 'debug']), fallback: 'info', help: 'Least level of log lines'},
+	'max-body-bytes': {schema: wholeNumber, fallback: '1048576', help: 'Largest body of a request, in bytes'},
+	'invariants': {schema: z.enum(['count', 'fatal']), fallback: 'count', help: 'What a broken invariant does: count (log and count it) or fatal (exit)'},
+	'seed': {schema: wholeNumber, fallback: '0', help: 'Seed of random choices; 0 takes one from the operating system'},
+} as const satisfies Record<string, SettingRow>;
+
+export type SettingName = keyof typeof settingRows;
+
+export type Settings = {
+	readonly self: EntryHost;
+	readonly peers: readonly EntryHost[];
+	readonly listen: SocketAddress;
+	readonly platform: string;
+	readonly operatorToken: string;
+	readonly peerToken: string;
+	readonly routingPolicy: string;
+	readonly metrics: SocketAddress | undefined;
+	readonly logLevel: string;
+	readonly maxBodyBytes: number;
+	readonly areInvariantsFatal: boolean;
+	readonly seed: number;
+};
+
+export type SocketAddress = {readonly ip: string; readonly port: number};
+
+/** The environment variable of a setting. */
+export function getVariableName(name: SettingName): string {
+	return `RHUBARBLEVER_${name.replaceAll('-', '_').toUpperCase()}`;
+}
+
+/** Reads settings from flags, then the environment, then defaults; on failure, one line for each bad setting. */
+export function readSettings(flags: Readonly<Record<string, unknown>>, environment: NodeJS.ProcessEnv): Result<Settings, string[]> {
+	const faults: string[] = [];
+	const values = new Map<SettingName, string>();
+	for (const name of Object.keys(settingRows) as SettingName[]) {
+		const row: SettingRow = settingRows[name];
+		const text = readText(flags[name]) ?? environment[getVariableName(name)] ?? row.fallback;
+		if (text === undefined) {
+			faults.push(`--${name} (${getVariableName(name)}) is missing: ${row.help}`);
+			continue;
+		}
+
+		const parsed = row.schema.safeParse(text);
+		if (parsed.success) {
+			values.set(name, String(parsed.data));
+		} else {
+			faults.push(`--${name} (${getVariableName(name)}) ${describeFault(parsed.error)}`);
+		}
+	}
+
+	const peers = parsePeers(values.get('peers') ?? '');
+	if (peers.isErr()) {
+		faults.push(peers.error);
+	}
+
+	for (const name of Object.keys(flags)) {
+		if (name !== '_' && !Object.hasOwn(settingRows, name)) {
+			faults.push(`--${name} is not a setting`);
+		}
+	}
+
+	return faults.length > 0 || peers.isErr() ? err(faults) : ok(createSettings(values, peers.value));
+}
+
+/** Splits `ip:port`. */
+export function parseSocketAddress(text: string): SocketAddress {
+	const [ip = '', port = '0'] = text.split(':');
+	return {ip, port: Number(port)};
+}
+
+function readText(flag: unknown): string | undefined {
+	return flag === undefined || typeof flag === 'boolean' ? undefined : String(flag as string | number);
+}
+
+function describeFault(error: z.ZodError): string {
+	return error.issues.map(issue => issue.message).join('; ');
+}
+
+function parsePeers(text: string): Result<EntryHost[], string> {
+	const peers: EntryHost[] = [];
+	for (const part of text.split(',').filter(Boolean)) {
+		const match = peerPattern.exec(part);
+		if (!match) {
+			return err(`--peers (${getVariableName('peers')}) has '${part}', which is not host-id=zone@IPv4:port`);
+		}
+
+		peers.push({
+			hostId: match[1] as HostId,
+			availabilityZone: match[2] as AvailabilityZone,
+			address: match[3] ?? '',
+		});
+	}
+
+	return ok(peers);
+}
+
+function createSettings(values: ReadonlyMap<SettingName, string>, peers: readonly EntryHost[]): Settings {
+	const get = (name: SettingName) => values.get(name) ?? '';
+	const hostId = get('host-id') as HostId;
+	return {
+		self: {hostId, availabilityZone: get('availability-zone') as AvailabilityZone, address: get('listen')},
+		peers: peers.filter(peer => peer.hostId !== hostId),
+		listen: parseSocketAddress(get('listen')),
+		platform: get('platform'),
+		operatorToken: get('operator-token'),
+		peerToken: get('peer-token'),
+		routingPolicy: get('routing-policy'),
+		metrics: get('metrics') === '' ? undefined : parseSocketAddress(get('metrics')),
+		logLevel: get('log-level'),
+		maxBodyBytes: Number(get('max-body-bytes')),
+		areInvariantsFatal: get('invariants') === 'fatal',
+		seed: Number(get('seed')),
+	};
+}
--- /dev/null
+++ b/packages/stand-ins/src/harness/process-group.ts
@@ -0,0 +1,113 @@
+/** Starts real processes for tests, the demo and the bench, and ends them by their ids. */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import process from 'node:process';
+
+/** How a process ended. */
+export type ProcessEnd = {readonly code: number | undefined; readonly signal: string | undefined};
+
+export class RunningProcess {
+	static create(name: string, script: string, flags: readonly string[], environment: NodeJS.ProcessEnv): RunningProcess {
+		const child = spawn(process.execPath, [script, ...flags], {
+			env: {...process.env, ...environment},
+			stdio: ['ignore', 'pipe', 'pipe'],
+		});
+		return new RunningProcess(name, child);
+	}
+
+	/** All that it wrote to standard output and error. */
+	output = '';
+
+	private constructor(readonly name: string, readonly child: ChildProcess) {
+		for (const stream of [child.stdout, child.stderr]) {
+			stream?.setEncoding('utf8');
+			stream?.on('data', (text: string) => {
+				this.output += text;
+			});
+		}
+	}
+
+	get isRunning(): boolean {
+		return this.child.exitCode === null && this.child.signalCode === null;
+	}
+
+	signal(name: NodeJS.Signals): void {
+		this.child.kill(name);
+	}
+
+	/** Resolves when it has ended. */
+	async waitForEnd(): Promise<ProcessEnd> {
+		if (this.isRunning) {
+			await once(this.child, 'exit');
+		}
+
+		return {code: this.child.exitCode ?? undefined, signal: this.child.signalCode ?? undefined};
+	}
+
+	/** Resolves when it has written a text. */
+	async waitForOutput(text: string, timeoutMs: number): Promise<void> {
+		const deadline = Date.now() + timeoutMs;
+		while (!this.output.includes(text)) {
+			if (!this.isRunning || Date.now() > deadline) {
+				throw new Error(`${this.name} did not write '${text}'; it wrote: ${this.output.slice(-2000)}`);
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(20);
+		}
+	}
+}
+
+export class ProcessGroup {
+	static create(): ProcessGroup {
+		return new ProcessGroup();
+	}
+
+	private readonly processes: RunningProcess[] = [];
+
+	private constructor() {
+		process.once('exit', () => {
+			this.killAll();
+		});
+	}
+
+	start(name: string, script: string, flags: readonly string[], environment: NodeJS.ProcessEnv = {}): RunningProcess {
+		const started = RunningProcess.create(name, script, flags, environment);
+		this.processes.push(started);
+		return started;
+	}
+
+	/** Ends all that still run, at once. */
+	async endAll(): Promise<void> {
+		this.killAll();
+		await Promise.all(this.processes.map(async running => running.waitForEnd()));
+	}
+
+	private killAll(): void {
+		for (const running of this.processes) {
+			if (running.isRunning) {
+				running.signal('SIGKILL');
+			}
+		}
+	}
+}
+
+export async function sleep(milliseconds: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+}
+
+/** Polls until a check holds; the timeout only bounds a failing run. */
+export async function waitUntil(what: string, check: () => Promise<boolean>, timeoutMs: number): Promise<void> {
+	const deadline = Date.now() + timeoutMs;
+	// eslint-disable-next-line no-await-in-loop
+	while (!await check().catch(() => false)) {
+		if (Date.now() > deadline) {
+			throw new Error(`waited ${timeoutMs} ms in vain: ${what}`);
+		}
+
+		// eslint-disable-next-line no-await-in-loop
+		await sleep(50);
+	}
+}
