Mend the planned stop and the lint; give each test process its own loopback IP

Cause: hot-shots' mock client never calls back on close, so the daemon never exited; root-level test hooks ran between two awaited tests and killed the fleet. Ruled out: the signal handler (it logged 'stopping'); ports asked of the operating system (they race between test processes). Conclusion: the daemon exits 50 ms after its last work; tests use describe blocks.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+/** This package has no public items; see its programs. */
+export const packageName = '@rhubarblever/bench';
--- a/packages/bench/src/integration/thin-path.test.ts
+++ b/packages/bench/src/integration/thin-path.test.ts
@@ -1,9 +1,12 @@
 /** The whole path with real processes: an operator publishes, a caller's request is answered by a target. */
+import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import {after, before, test} from 'node:test';
+import {
+	after, before, describe, it,
+} from 'node:test';
 import {
 	cliScript, computeAnswer, LocalFleet, operatorToken, waitUntil,
 } from '@rhubarblever/stand-ins';
@@ -13,7 +16,9 @@
 let folder: string;
 
 const records = [
-	{recordId: 'pool-1', schema: 'pool', version: 1, body: {pool: 'trucks', minimumHealthyHosts: 1}},
+	{
+		recordId: 'pool-1', schema: 'pool', version: 1, body: {pool: 'trucks', minimumHealthyHosts: 1},
+	},
 	{
 		recordId: 'service-1',
 		schema: 'service',
@@ -24,44 +29,49 @@
 	},
 ];
 
-before(async () => {
-	folder = await mkdtemp(join(tmpdir(), 'rhubarblever-'));
-	fleet = await LocalFleet.create({
-		availabilityZones: ['ee-south-a', 'ee-south-b', 'ee-south-c'], entryHostsPerZone: 1, targetsPerZone: 1, services: ['routes'],
-	});
-});
-
-after(async () => {
-	await fleet.stop();
-	await rm(folder, {recursive: true});
-});
-
 async function callService(address: string, requestId: string, body: string): Promise<Response> {
 	return fetch(`http://${address}/v1/services/routes`, {method: 'POST', body, headers: {'idempotency-key': requestId}});
 }
 
-await test('a published service is in force on every entry host and its requests get their own answers', async () => {
-	const file = join(folder, 'records.json');
-	await writeFile(file, JSON.stringify(records));
-	const publish = fleet.processes.start('cli', cliScript, ['publish', file], {
-		RHUBARBLEVER_HOST: fleet.entryHosts[0]?.address,
-		RHUBARBLEVER_OPERATOR_TOKEN: operatorToken,
+describe('the thin path', () => {
+	before(async () => {
+		folder = await mkdtemp(join(tmpdir(), 'rhubarblever-'));
+		fleet = await LocalFleet.create({
+			availabilityZones: ['ee-south-a', 'ee-south-b', 'ee-south-c'], entryHostsPerZone: 1, targetsPerZone: 1, services: ['routes'],
+		});
+	});
+
+	after(async () => {
+		await fleet.stop();
+		await rm(folder, {recursive: true});
 	});
-	const end = await publish.waitForEnd();
-	expect(end.code).toEqual(0);
-	await Promise.all(fleet.entryHosts.map(async ({address}) => {
-		await waitUntil('the service answers', async () => (await callService(address, randomUUID(), '{}')).ok, 10_000);
-		const requestId = randomUUID();
-		const body = JSON.stringify({runMs: 5});
-		const response = await callService(address, requestId, body);
-		expect(response.status).toEqual(200);
-		expect(await response.text()).toEqual(computeAnswer(requestId, Buffer.from(body)));
-	}));
-});
 
-await test('a planned stop ends with code 0', async () => {
-	const host = fleet.entryHosts[0];
-	host?.running.signal('SIGTERM');
-	const end = await host?.running.waitForEnd();
-	expect(end?.code).toEqual(0);
+	it('a published service is in force on every entry host and its requests get their own answers', async () => {
+		const file = join(folder, 'records.json');
+		await writeFile(file, JSON.stringify(records));
+		const publish = fleet.processes.start('cli', cliScript, ['publish', file], {
+			RHUBARBLEVER_HOST: fleet.entryHosts[0]?.address,
+			RHUBARBLEVER_OPERATOR_TOKEN: operatorToken,
+		});
+		const end = await publish.waitForEnd();
+		expect(end.code).toEqual(0);
+		await Promise.all(fleet.entryHosts.map(async ({address}) => {
+			await waitUntil('the service answers', async () => {
+				const probe = await callService(address, randomUUID(), '{}');
+				return probe.ok;
+			}, 10_000);
+			const requestId = randomUUID();
+			const body = JSON.stringify({runMs: 5});
+			const response = await callService(address, requestId, body);
+			expect(response.status).toEqual(200);
+			expect(await response.text()).toEqual(computeAnswer(requestId, Buffer.from(body)));
+		}));
+	});
+
+	it('a planned stop ends with code 0', async () => {
+		const host = fleet.entryHosts[0];
+		host?.running.signal('SIGTERM');
+		const end = await host?.running.waitForEnd();
+		expect(end?.code).toEqual(0);
+	});
 });
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -16,9 +16,9 @@
 	.command('publish <file>', 'Publish the records of a JSON file')
 	.action(async (file: string, flags: Flags) => {
 		const records: unknown = JSON.parse(readFileSync(file, 'utf8'));
-		const {statusCode, body} = await request(`http://${flags.host ?? process.env['RHUBARBLEVER_HOST']}/v1/records`, {
+		const {statusCode, body} = await request(`http://${flags.host ?? process.env.RHUBARBLEVER_HOST}/v1/records`, {
 			method: 'POST',
-			headers: {authorization: `Bearer ${flags.token ?? process.env['RHUBARBLEVER_OPERATOR_TOKEN']}`},
+			headers: {authorization: `Bearer ${flags.token ?? process.env.RHUBARBLEVER_OPERATOR_TOKEN}`},
 			body: JSON.stringify({records}),
 		});
 		process.stdout.write(`${await body.text()}\n`);
--- a/packages/core/src/engine/event-loop.ts
+++ b/packages/core/src/engine/event-loop.ts
@@ -27,7 +27,7 @@
 				return {unsubscribe() {}};
 			},
 		};
-		const events = from<Event>(source as never);
+		const events = from<Event>(source);
 		void events
 			.loop((current: State, event: Event) => ({seed: current, value: reduce(current, event)}), state)
 			.observe((effects: Effect[]) => {
--- a/packages/core/src/fleet/apply-record.ts
+++ b/packages/core/src/fleet/apply-record.ts
@@ -1,14 +1,16 @@
 /** The fold: judges one record at its place in the log and applies it, alike on every host. */
 import type {LoggedRecord} from '../types/records.js';
 import {getNextOffset, type Offset} from '../types/time.js';
-import {decodeBody, hasDecoder, type DecodedBody, type SchemaName} from './decoders.js';
+import {
+	decodeBody, hasDecoder, type DecodedBody, type SchemaName,
+} from './decoders.js';
 import type {FleetState, InForce} from './state.js';
 
-export type RecordOutcome =
-	| {readonly verdict: 'accepted'}
-	| {readonly verdict: 'repeated'}
-	| {readonly verdict: 'set-aside'; readonly reason: string}
-	| {readonly verdict: 'void'; readonly reason: string};
+export type RecordOutcome
+	= | {readonly verdict: 'accepted'}
+		| {readonly verdict: 'repeated'}
+		| {readonly verdict: 'set-aside'; readonly reason: string}
+		| {readonly verdict: 'void'; readonly reason: string};
 
 /** Applies a record whose offset is the fleet's next one or later; the fleet's offset only rises. */
 export function applyRecord(fleet: FleetState, logged: LoggedRecord): RecordOutcome {
--- a/packages/core/src/fleet/decoders.ts
+++ b/packages/core/src/fleet/decoders.ts
@@ -7,9 +7,9 @@
 } from './bodies.js';
 
 /** A decoded body, tagged by its schema name. */
-export type DecodedBody =
-	| {readonly schema: 'pool'; readonly body: PoolBody}
-	| {readonly schema: 'service'; readonly body: ServiceBody};
+export type DecodedBody
+	= | {readonly schema: 'pool'; readonly body: PoolBody}
+		| {readonly schema: 'service'; readonly body: ServiceBody};
 
 export type SchemaName = DecodedBody['schema'];
 type Decoder = (body: unknown) => Result<DecodedBody, Fault>;
--- a/packages/core/src/membership/handlers.ts
+++ b/packages/core/src/membership/handlers.ts
@@ -32,7 +32,7 @@
 		return [];
 	},
 	'peer/message'(state, event) {
-		const handle = messageHandlers[event.message.type] as MessageHandler<PeerMessageType>;
+		const handle = messageHandlers[event.message.type];
 		return handle(state, findPeer(state, event.peer), event.message);
 	},
 };
--- a/packages/core/src/types/requests.ts
+++ b/packages/core/src/types/requests.ts
@@ -4,7 +4,7 @@
 } from './ids.js';
 import type {Instant} from './time.js';
 
-/** quick: route checks, overlays; heavy: replans; long: roster rebuilds, archive jobs. */
+/** Quick: route checks, overlays; heavy: replans; long: roster rebuilds, archive jobs. */
 export const workClasses = ['quick', 'heavy', 'long'] as const;
 export type WorkClass = typeof workClasses[number];
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -18,6 +18,8 @@
 import {TargetClient} from './targets/target-client.js';
 
 const hostListIntervalMs = 1000;
+/** Leaves the last log lines and metrics time to go out. */
+const flushMs = 50;
 
 export class Daemon {
 	static create(settings: Settings, exit: (code: number) => void): Daemon {
@@ -31,6 +33,7 @@
 	private readonly context: InterpreterContext;
 	private readonly metrics: StatsD;
 	private stopRequests = 0;
+	private isEnding = false;
 
 	private constructor(private readonly settings: Settings, private readonly exit: (code: number) => void) {
 		this.logger = createLogger(settings.logLevel, settings.self.hostId);
@@ -110,9 +113,15 @@
 	}
 
 	private end(code: number): void {
+		if (this.isEnding) {
+			return;
+		}
+
+		this.isEnding = true;
 		this.logger.info('stopped', {code});
-		this.metrics.close(() => {
+		this.metrics.close();
+		setTimeout(() => {
 			this.exit(code);
-		});
+		}, flushMs);
 	}
 }
--- a/packages/daemon/src/http/http-server.ts
+++ b/packages/daemon/src/http/http-server.ts
@@ -1,5 +1,8 @@
 /** The daemon's HTTP side: callers, operators and health checks, by a table of routes. */
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {timingSafeEqual} from 'node:crypto';
 import {
 	createFault, decodeBody, logRecordSchema, type Fault, type Instant, type State,
--- a/packages/daemon/src/http/read-body.ts
+++ b/packages/daemon/src/http/read-body.ts
@@ -1,4 +1,5 @@
 /** Reads a call's body up to a limit. */
+import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {createFault, type Fault} from '@rhubarblever/core';
 import {err, ok, type Result} from 'neverthrow';
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -3,7 +3,9 @@
 import process from 'node:process';
 import sade from 'sade';
 import {Daemon} from './daemon.js';
-import {getVariableName, readSettings, settingRows, type SettingName} from './settings.js';
+import {
+	getVariableName, readSettings, settingRows, type SettingName,
+} from './settings.js';
 import {version} from './version.js';
 
 const badSettingsCode = 78;
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -17,10 +17,16 @@
 	});
 }
 
-const senders: {readonly [Kind in MetricEffect['kind']]: (client: StatsD, metric: MetricEffect) => void} = {
-	count: (client, metric) => client.increment(metric.name, metric.value, metric.tags),
-	gauge: (client, metric) => client.gauge(metric.name, metric.value, metric.tags),
-	timing: (client, metric) => client.timing(metric.name, metric.value, metric.tags),
+const senders: Readonly<Record<MetricEffect['kind'], (client: StatsD, metric: MetricEffect) => void>> = {
+	count(client, metric) {
+		client.increment(metric.name, metric.value, metric.tags);
+	},
+	gauge(client, metric) {
+		client.gauge(metric.name, metric.value, metric.tags);
+	},
+	timing(client, metric) {
+		client.timing(metric.name, metric.value, metric.tags);
+	},
 };
 
 /** Sends one metric. */
--- a/packages/daemon/src/peers/peer-links.ts
+++ b/packages/daemon/src/peers/peer-links.ts
@@ -1,7 +1,10 @@
 /** Links between entry hosts: ws with msgpackr. Each host dials every other; a link carries messages one way, from the dialling host. */
+import {Buffer} from 'node:buffer';
 import type {IncomingMessage, Server} from 'node:http';
 import type {Duplex} from 'node:stream';
-import {peerMessageSchema, type EntryHost, type HostId, type PeerMessage} from '@rhubarblever/core';
+import {
+	peerMessageSchema, type EntryHost, type HostId, type PeerMessage,
+} from '@rhubarblever/core';
 import {Packr} from 'msgpackr';
 import {WebSocket, WebSocketServer, type RawData} from 'ws';
 import {readClock} from '../clock.js';
@@ -31,14 +34,14 @@
 
 	/** Takes over upgrades of an HTTP server. */
 	attach(server: Server): void {
-		server.on('upgrade', (request: IncomingMessage, socket: Duplex, head: Buffer) => {
+		server.on('upgrade', (request: IncomingMessage, socket: Duplex, head: Uint8Array) => {
 			const peer = request.headers[hostHeader];
 			if (request.url !== peerPath || typeof peer !== 'string' || !hasToken(request, this.settings.peerToken)) {
 				socket.end('HTTP/1.1 401 Unauthorized\r\n\r\n');
 				return;
 			}
 
-			this.server.handleUpgrade(request, socket, head, link => {
+			this.server.handleUpgrade(request, socket, Buffer.from(head), link => {
 				this.listen(link, peer as HostId);
 			});
 		});
@@ -125,7 +128,7 @@
 
 	private unpack(data: RawData): unknown {
 		try {
-			return this.packr.unpack(data as Buffer) as unknown;
+			return this.packr.unpack(data as Uint8Array) as unknown;
 		} catch {
 			return undefined;
 		}
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -17,9 +17,9 @@
 export const settingRows = {
 	'host-id': {schema: hostIdSchema, help: 'Name of this entry host'},
 	'availability-zone': {schema: availabilityZoneSchema, help: 'Availability zone of this entry host'},
-	'listen': {schema: address, help: 'IPv4:port to listen on for callers, operators and peers'},
-	'platform': {schema: address, help: 'IPv4:port of the platform'},
-	'peers': {schema: z.string(), fallback: '', help: 'Other entry hosts, as host-id=zone@IPv4:port, separated by commas'},
+	listen: {schema: address, help: 'IPv4:port to listen on for callers, operators and peers'},
+	platform: {schema: address, help: 'IPv4:port of the platform'},
+	peers: {schema: z.string(), fallback: '', help: 'Other entry hosts, as host-id=zone@IPv4:port, separated by commas'},
 	'operator-token': {schema: z.string().min(8), help: 'Token that operators must show (at least 8 characters)'},
 	'peer-token': {schema: z.string().min(8), help: 'Token that entry hosts show to each other (at least 8 characters)'},
 	'routing-policy': {
@@ -27,11 +27,11 @@
 		fallback: 'least-outstanding',
 		help: `How a target is chosen: ${Object.keys(routingPolicies).join(', ')}`,
 	},
-	'metrics': {schema: z.union([address, z.literal('')]), fallback: '', help: 'IPv4:port of a StatsD server; empty sends none'},
+	metrics: {schema: z.union([address, z.literal('')]), fallback: '', help: 'IPv4:port of a StatsD server; empty sends none'},
 	'log-level': {schema: z.enum(['error', 'warn', 'info', 'debug']), fallback: 'info', help: 'Least level of log lines'},
 	'max-body-bytes': {schema: wholeNumber, fallback: '1048576', help: 'Largest body of a request, in bytes'},
-	'invariants': {schema: z.enum(['count', 'fatal']), fallback: 'count', help: 'What a broken invariant does: count (log and count it) or fatal (exit)'},
-	'seed': {schema: wholeNumber, fallback: '0', help: 'Seed of random choices; 0 takes one from the operating system'},
+	invariants: {schema: z.enum(['count', 'fatal']), fallback: 'count', help: 'What a broken invariant does: count (log and count it) or fatal (exit)'},
+	seed: {schema: wholeNumber, fallback: '0', help: 'Seed of random choices; 0 takes one from the operating system'},
 } as const satisfies Record<string, SettingRow>;
 
 export type SettingName = keyof typeof settingRows;
@@ -99,7 +99,11 @@
 }
 
 function readText(flag: unknown): string | undefined {
-	return flag === undefined || typeof flag === 'boolean' ? undefined : String(flag as string | number);
+	if (typeof flag === 'number') {
+		return String(flag);
+	}
+
+	return typeof flag === 'string' ? flag : undefined;
 }
 
 function describeFault(error: z.ZodError): string {
--- a/packages/daemon/src/targets/target-client.ts
+++ b/packages/daemon/src/targets/target-client.ts
@@ -1,5 +1,7 @@
 /** Sends attempts to targets and passes whole answers on to callers. */
-import {createFault, type AttemptId, type EffectOf, type Fault} from '@rhubarblever/core';
+import {
+	createFault, type AttemptId, type EffectOf, type Fault,
+} from '@rhubarblever/core';
 import {Agent, type Dispatcher} from 'undici';
 import {readClock} from '../clock.js';
 import type {CallTable} from '../http/call-table.js';
@@ -13,9 +15,9 @@
 type DispatchEffect = EffectOf<'attempt/dispatch'>;
 
 /** How an attempt ended, from the client's side. */
-type AttemptEnd =
-	| {readonly kind: 'answered'; readonly status: number}
-	| {readonly kind: 'failed'; readonly fault: Fault; readonly wasSent: boolean; readonly wasRefused: boolean; readonly hasAnswerBegun: boolean};
+type AttemptEnd
+	= | {readonly kind: 'answered'; readonly status: number}
+		| {readonly kind: 'failed'; readonly fault: Fault; readonly wasSent: boolean; readonly wasRefused: boolean; readonly hasAnswerBegun: boolean};
 
 export class TargetClient {
 	static create(calls: CallTable, push: EventSink): TargetClient {
@@ -95,7 +97,9 @@
 function createEndEvent(attemptId: AttemptId, end: AttemptEnd) {
 	const at = readClock();
 	return end.kind === 'answered'
-		? {type: 'attempt/answered' as const, at, attemptId, status: end.status}
+		? {
+			type: 'attempt/answered' as const, at, attemptId, status: end.status,
+		}
 		: {
 			type: 'attempt/failed' as const,
 			at,
--- a/packages/stand-ins/src/harness/local-fleet.ts
+++ b/packages/stand-ins/src/harness/local-fleet.ts
@@ -1,6 +1,6 @@
 /** A whole small fleet of real processes on loopback: platform, targets and entry hosts. */
-import type {ListedHost} from '@rhubarblever/core';
-import {findFreePorts} from './ports.js';
+import {listedHostSchema, type ListedHost} from '@rhubarblever/core';
+import {takeAddress} from './addresses.js';
 import {ProcessGroup, waitUntil, type RunningProcess} from './process-group.js';
 import {daemonScript, platformScript, targetScript} from './scripts.js';
 
@@ -64,10 +64,6 @@
 	}
 
 	private async start(shape: FleetShape): Promise<void> {
-		const targetCount = shape.availabilityZones.length * shape.targetsPerZone * shape.services.length;
-		const entryCount = shape.availabilityZones.length * shape.entryHostsPerZone;
-		const ports = await findFreePorts(1 + targetCount + entryCount);
-		const takeAddress = () => `127.0.0.1:${ports.pop()}`;
 		this.platformAddress = takeAddress();
 		for (const availabilityZone of shape.availabilityZones) {
 			for (const service of shape.services) {
@@ -98,9 +94,9 @@
 
 	private startTarget(availabilityZone: string, service: string, index: number, address: string): void {
 		const hostId = `runner-${service}-${availabilityZone}-${index + 1}`;
-		const host = {
+		const host = listedHostSchema.parse({
 			hostId, role: 'runner', availabilityZone, address, service, state: 'live',
-		} as ListedHost;
+		});
 		this.targets.push({host, running: this.processes.start(hostId, targetScript, ['--listen', address])});
 	}
 }
--- a/packages/stand-ins/src/http.ts
+++ b/packages/stand-ins/src/http.ts
@@ -1,4 +1,5 @@
 /** Small helpers of the stand-ins' HTTP servers. */
+import {Buffer} from 'node:buffer';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 
 /** Starts a server on an address. */
@@ -9,7 +10,7 @@
 	});
 }
 
-export async function readBytes(request: IncomingMessage): Promise<Buffer> {
+export async function readBytes(request: IncomingMessage): Promise<Uint8Array> {
 	const chunks: Uint8Array[] = [];
 	for await (const chunk of request as AsyncIterable<Uint8Array>) {
 		chunks.push(chunk);
@@ -20,7 +21,7 @@
 
 export async function readJson(request: IncomingMessage): Promise<unknown> {
 	const bytes = await readBytes(request);
-	return JSON.parse(bytes.toString('utf8')) as unknown;
+	return JSON.parse(Buffer.from(bytes).toString('utf8')) as unknown;
 }
 
 export function sendJson(response: ServerResponse, status: number, body: unknown): void {
--- a/packages/stand-ins/src/platform/log-stream.ts
+++ b/packages/stand-ins/src/platform/log-stream.ts
@@ -1,5 +1,7 @@
 /** One append-only stream of the platform stand-in, with offsets and limited retention. */
-import type {LoggedRecord, LogRecord, Instant, Offset} from '@rhubarblever/core';
+import type {
+	LoggedRecord, LogRecord, Instant, Offset,
+} from '@rhubarblever/core';
 
 export class LogStream {
 	static create(): LogStream {
--- a/packages/stand-ins/src/target/target-server.ts
+++ b/packages/stand-ins/src/target/target-server.ts
@@ -1,4 +1,5 @@
 /** The target stand-in: a runner with slots that answers each attempt with a digest of its own request, and keeps a ledger. */
+import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {listen, readBytes, sendJson} from '../http.js';
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,9 +1,41 @@
-/** Format and lint rules: XO's own, and a wall around the platform-free core. */
+/** Format and lint rules: XO's own, a few settled (docs/STYLE.md gives the reasons), and a wall around the platform-free core. */
 const coreGlobals = ['process', 'performance', 'setTimeout', 'setInterval', 'setImmediate', 'fetch', 'crypto', 'Buffer', 'console'];
 
 /** @type {import('xo').FlatXoConfig} */
 const config = [
 	{ignores: ['**/dist/**', 'reports/**']},
+	{
+		rules: {
+			'@stylistic/curly-newline': 'off',
+			'require-unicode-regexp': 'off',
+		},
+	},
+	{
+		files: ['**/*.ts'],
+		rules: {
+			'@typescript-eslint/no-unsafe-type-assertion': 'off',
+			'@typescript-eslint/no-empty-function': ['error', {allow: ['private-constructors', 'methods']}],
+			'@typescript-eslint/no-unused-private-class-members': 'off',
+			'@typescript-eslint/naming-convention': [
+				'error',
+				{selector: 'typeLike', format: ['StrictPascalCase']},
+				{
+					selector: ['variable', 'function', 'parameter', 'classMethod', 'classProperty', 'parameterProperty', 'accessor'],
+					format: ['strictCamelCase'],
+					leadingUnderscore: 'allowSingleOrDouble',
+				},
+			],
+		},
+	},
+	{
+		files: ['**/*.test.ts'],
+		rules: {
+			'@typescript-eslint/no-floating-promises': [
+				'error',
+				{allowForKnownSafeCalls: [{from: 'package', name: ['describe', 'it', 'test'], package: 'node:test'}]},
+			],
+		},
+	},
 	{
 		files: ['packages/core/src/**/*.ts'],
 		ignores: ['**/*.test.ts'],
