Service-level burn: objectives as records, counts by the minute, mergeable latencies

Cause: nothing told how much of a service's error budget is spent, nor by what. Change: objective records; each answer to a caller counted by cause in minute buckets and hourly histograms; alarms where both windows of a rule burn (14.4 over 60 and 5 minutes, 6 over 360 and 30); GET /v1/burn per host. Ruled out: counting in the daemon's HTTP side (it would put state outside the reducer, so a replay would not count).

--- /dev/null
+++ b/packages/core/src/burn/observe.ts
@@ -0,0 +1,143 @@
+/** Counts every answer to a caller. It watches events and effects and changes nothing but the burn state. */
+import {build} from 'hdr-histogram-js';
+import type {Effect} from '../types/effects.js';
+import type {Event} from '../types/events.js';
+import type {ServiceId} from '../types/ids.js';
+import type {CallerRequest} from '../types/requests.js';
+import type {State} from '../types/state.js';
+import {addMilliseconds, type Instant} from '../types/time.js';
+import {judgeAlarm} from './rates.js';
+import type {
+	BadCause, BurnBucket, LatencyBucket, ServiceBurn,
+} from './state.js';
+
+const minuteMs = 60_000;
+const hourMs = 3_600_000;
+const keptMinutes = 361;
+const keptHours = 7;
+const checkIntervalMs = 5000;
+const highestLatencyMs = hourMs;
+const firstServerErrorStatus = 500;
+
+/** Notes what an event says of open requests, before its handler runs. */
+export function noteEvent(state: State, event: Event): void {
+	state.burn.since ??= event.at;
+	if (event.type === 'request/arrived' && state.fleet.services.has(event.request.service)) {
+		state.burn.open.set(event.request.callerKey, event.request);
+	} else if (event.type === 'caller/gone') {
+		state.burn.open.delete(event.callerKey);
+	} else if (event.type === 'attempt/answered') {
+		const request = state.requests.attempts.get(event.attemptId)?.request;
+		if (request) {
+			noteAnswer(state, request, event.status >= firstServerErrorStatus ? 'target-error' : undefined);
+		}
+	}
+}
+
+/** Notes the refusals among an event's effects. */
+export function noteEffects(state: State, effects: readonly Effect[]): void {
+	for (const effect of effects) {
+		const request = effect.type === 'caller/refuse' ? state.burn.open.get(effect.callerKey) : undefined;
+		if (request && effect.type === 'caller/refuse') {
+			noteAnswer(state, request, effect.fault.kind);
+		}
+	}
+}
+
+function noteAnswer(state: State, request: CallerRequest, cause: BadCause | undefined): void {
+	if (!state.burn.open.delete(request.callerKey)) {
+		return;
+	}
+
+	const burn = findServiceBurn(state, request.service);
+	const bucket = findBucket(burn, state.now);
+	const latencyMs = state.now - request.arrivedAt;
+	const bound = state.fleet.objectives.get(request.service)?.body.latencyBoundMs ?? Number.POSITIVE_INFINITY;
+	const badCause = cause ?? (latencyMs > bound ? 'too-slow' : undefined);
+	findLatencies(burn, state.now).histogram.recordValue(Math.min(Math.max(1, latencyMs), highestLatencyMs));
+	if (badCause === undefined) {
+		bucket.good += 1;
+		return;
+	}
+
+	bucket.bad += 1;
+	bucket.badByCause.set(badCause, (bucket.badByCause.get(badCause) ?? 0) + 1);
+}
+
+function findServiceBurn(state: State, service: ServiceId): ServiceBurn {
+	const known = state.burn.services.get(service);
+	if (known) {
+		return known;
+	}
+
+	const burn: ServiceBurn = {buckets: [], latencies: [], alarm: 'none'};
+	state.burn.services.set(service, burn);
+	return burn;
+}
+
+function findBucket(burn: ServiceBurn, now: Instant): BurnBucket {
+	const startsAt = (now - (now % minuteMs)) as Instant;
+	const last = burn.buckets.at(-1);
+	if (last && last.startsAt >= startsAt) {
+		return last;
+	}
+
+	const bucket: BurnBucket = {
+		startsAt, good: 0, bad: 0, badByCause: new Map(),
+	};
+	burn.buckets.push(bucket);
+	expireOlder(burn.buckets, now - (keptMinutes * minuteMs));
+	return bucket;
+}
+
+function findLatencies(burn: ServiceBurn, now: Instant): LatencyBucket {
+	const startsAt = (now - (now % hourMs)) as Instant;
+	const last = burn.latencies.at(-1);
+	if (last && last.startsAt >= startsAt) {
+		return last;
+	}
+
+	const histogram = build({
+		bitBucketSize: 32, lowestDiscernibleValue: 1, highestTrackableValue: highestLatencyMs, numberOfSignificantValueDigits: 2,
+	});
+	const bucket = {startsAt, histogram};
+	burn.latencies.push(bucket);
+	expireOlder(burn.latencies, now - (keptHours * hourMs));
+	return bucket;
+}
+
+function expireOlder(buckets: Array<{readonly startsAt: Instant}>, from: number): void {
+	while (buckets[0] && buckets[0].startsAt < from) {
+		buckets.shift();
+	}
+}
+
+/** Checks each objective now and then; a change of alarm is logged, and each alarm is sent as a metric. */
+export function tickBurn(state: State): Effect[] {
+	if (state.now < state.burn.nextCheckAt) {
+		return [];
+	}
+
+	state.burn.nextCheckAt = addMilliseconds(state.now, checkIntervalMs);
+	return [...state.burn.services].flatMap(([service, burn]) => checkService(state, service, burn));
+}
+
+function checkService(state: State, service: ServiceId, burn: ServiceBurn): Effect[] {
+	const objective = state.fleet.objectives.get(service)?.body;
+	if (!objective) {
+		return [];
+	}
+
+	const alarm = judgeAlarm(burn.buckets, state.now, objective.goodShare);
+	const effects: Effect[] = [{
+		type: 'metric/send', kind: 'gauge', name: 'burn.alarm', value: {none: 0, slow: 1, fast: 2}[alarm], tags: {service},
+	}];
+	if (alarm !== burn.alarm) {
+		effects.push({
+			type: 'line/write', level: alarm === 'none' ? 'info' : 'warn', event: 'burn alarm changed', fields: {service, from: burn.alarm, to: alarm},
+		});
+		burn.alarm = alarm;
+	}
+
+	return effects;
+}
--- /dev/null
+++ b/packages/core/src/burn/state.ts
@@ -0,0 +1,44 @@
+/** What this host has answered, per service: counts by the minute and latencies by the hour. */
+import type {Histogram} from 'hdr-histogram-js';
+import type {FaultKind} from '../types/faults.js';
+import type {CallerKey, ServiceId} from '../types/ids.js';
+import type {CallerRequest} from '../types/requests.js';
+import type {Instant} from '../types/time.js';
+
+/** Why an answer counts against the error budget: a fault, a status of the target, or lateness. */
+export type BadCause = FaultKind | 'target-error' | 'too-slow';
+
+/** Answers of one minute. */
+export type BurnBucket = {
+	readonly startsAt: Instant;
+	good: number;
+	bad: number;
+	readonly badByCause: Map<BadCause, number>;
+};
+
+/** Latencies of one hour, in milliseconds. */
+export type LatencyBucket = {readonly startsAt: Instant; readonly histogram: Histogram};
+
+export type BurnAlarm = 'none' | 'slow' | 'fast';
+
+export type ServiceBurn = {
+	readonly buckets: BurnBucket[];
+	readonly latencies: LatencyBucket[];
+	alarm: BurnAlarm;
+};
+
+export type BurnState = {
+	readonly services: Map<ServiceId, ServiceBurn>;
+	/** Requests that were taken on and not yet answered. */
+	readonly open: Map<CallerKey, CallerRequest>;
+	/** Instant of the first event: nothing before it is known here. */
+	since: Instant | undefined;
+	nextCheckAt: Instant;
+};
+
+/** A state without answers. */
+export function createBurnState(): BurnState {
+	return {
+		services: new Map(), open: new Map(), since: undefined, nextCheckAt: 0 as Instant,
+	};
+}
--- a/packages/core/src/engine/reduce.ts
+++ b/packages/core/src/engine/reduce.ts
@@ -1,4 +1,6 @@
 /** The one reducer: from a state and an event to the effects, through a lookup table of handlers. */
+import {noteEffects, noteEvent, tickBurn} from '../burn/observe.js';
+import {createBurnState} from '../burn/state.js';
 import {fleetHandlers, tickPublishers} from '../fleet/publishing.js';
 import {createFleetState} from '../fleet/state.js';
 import {logHandlers, tickLog} from '../log/handlers.js';
@@ -26,6 +28,7 @@
 		...tickLog(state),
 		...tickPublishers(state),
 		...tickMembership(state),
+		...tickBurn(state),
 		...tickStop(state),
 	],
 	'stop/requested'(state) {
@@ -43,6 +46,7 @@
 		requests: createRequestsState(),
 		targets: createTargetsState(),
 		membership: createMembershipState(),
+		burn: createBurnState(),
 		now: 0 as Instant,
 		isStopping: false,
 	};
@@ -60,7 +64,10 @@
 export function reduce(state: State, event: Event): Effect[] {
 	state.now = Math.max(state.now, event.at) as Instant;
 	const handle = handlers[event.type] as Handler<EventType>;
-	return handle(state, event);
+	noteEvent(state, event);
+	const effects = handle(state, event);
+	noteEffects(state, effects);
+	return effects;
 }
 
 function tickStop(state: State): Effect[] {
--- a/packages/core/src/fleet/apply-record.ts
+++ b/packages/core/src/fleet/apply-record.ts
@@ -37,6 +37,7 @@
 
 const appliers: {readonly [Name in SchemaName]: Applier<Name>} = {
 	pool: (fleet, logged, body) => setInForce(fleet.pools, body.pool, logged, body),
+	objective: (fleet, logged, body) => setInForce(fleet.objectives, body.service, logged, body),
 	service: (fleet, logged, body) => setInForce(fleet.services, body.service, logged, body),
 };
 
--- a/packages/core/src/fleet/decoders.ts
+++ b/packages/core/src/fleet/decoders.ts
@@ -1,6 +1,7 @@
 /** Table of decoders from schema name and version to the current shape of a body, so old and new versions are in force side by side. */
 import {err, ok, type Result} from 'neverthrow';
 import type {z} from 'zod';
+import {objectiveBodyV1, type ObjectiveBody} from '../burn/bodies.js';
 import {createFault, type Fault} from '../types/faults.js';
 import {
 	poolBodyV1, poolBodyV2, serviceBodyV1, type PoolBody, type ServiceBody,
@@ -9,6 +10,7 @@
 /** A decoded body, tagged by its schema name. */
 export type DecodedBody
 	= | {readonly schema: 'pool'; readonly body: PoolBody}
+		| {readonly schema: 'objective'; readonly body: ObjectiveBody}
 		| {readonly schema: 'service'; readonly body: ServiceBody};
 
 export type SchemaName = DecodedBody['schema'];
@@ -34,6 +36,7 @@
 		},
 	})),
 	'pool/2': createDecoder(poolBodyV2, body => ({schema: 'pool', body})),
+	'objective/1': createDecoder(objectiveBodyV1, body => ({schema: 'objective', body})),
 	'service/1': createDecoder(serviceBodyV1, body => ({schema: 'service', body})),
 };
 
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -2,6 +2,7 @@
 import type {PoolId, RecordId, ServiceId} from '../types/ids.js';
 import type {LoggedRecord} from '../types/records.js';
 import type {Offset} from '../types/time.js';
+import type {ObjectiveBody} from '../burn/bodies.js';
 import type {PoolBody, ServiceBody} from './bodies.js';
 
 /** A body in force and the offset that put it there. */
@@ -13,6 +14,7 @@
 	readonly seenRecordIds: Set<RecordId>;
 	readonly pools: Map<PoolId, InForce<PoolBody>>;
 	readonly services: Map<ServiceId, InForce<ServiceBody>>;
+	readonly objectives: Map<ServiceId, InForce<ObjectiveBody>>;
 	/** Records whose schema version is unknown here, kept as they came. */
 	readonly setAside: LoggedRecord[];
 };
@@ -24,6 +26,7 @@
 		seenRecordIds: new Set(),
 		pools: new Map(),
 		services: new Map(),
+		objectives: new Map(),
 		setAside: [],
 	};
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -16,5 +16,8 @@
 export * from './requests/routing-policies.js';
 export * from './engine/reduce.js';
 export * from './engine/event-loop.js';
+export * from './burn/rates.js';
+export * from './burn/report.js';
+export type * from './burn/bodies.js';
 export type * from './fleet/state.js';
 export type * from './membership/state.js';
--- a/packages/daemon/src/http/http-server.ts
+++ b/packages/daemon/src/http/http-server.ts
@@ -5,7 +5,7 @@
 } from 'node:http';
 import {timingSafeEqual} from 'node:crypto';
 import {
-	createFault, decodeBody, logRecordSchema, type Fault, type Instant, type State,
+	createFault, decodeBody, describeBurn, logRecordSchema, type Fault, type Instant, type State,
 } from '@rhubarblever/core';
 import {z} from 'zod';
 import {readClock} from '../clock.js';
@@ -58,6 +58,9 @@
 	{
 		method: 'GET', pattern: /^\/v1\/fleet$/, access: 'operator', handle: answerFleet,
 	},
+	{
+		method: 'GET', pattern: /^\/v1\/burn$/, access: 'operator', handle: answerBurn,
+	},
 ];
 
 /** Makes the server; it does not listen yet. */
@@ -182,6 +185,10 @@
 	}
 }
 
+function answerBurn({context, response}: Call): void {
+	sendJson(response, 200, describeBurn(context.state));
+}
+
 function answerFleet({context, response}: Call): void {
 	sendJson(response, 200, describeFleet(context.state));
 }
