--- /dev/null
+++ b/packages/core/src/claims/catch-up.ts
@@ -0,0 +1,212 @@
+/**
+ * A member that has joined votes only when it knows what a majority of the members before it knew.
+ * docs/decisions/at-most-once.md shows why that suffices.
+ */
+import {queueRecord} from '../log/handlers.js';
+import type {Effect} from '../types/effects.js';
+import type {HostId, RecordId} from '../types/ids.js';
+import type {State} from '../types/state.js';
+import {addMilliseconds, type Instant} from '../types/time.js';
+import {
+	countMajority, isMember, type Member, type MemberLife,
+} from './members.js';
+import type {ClaimNoteMessage, ClaimsFetch, ClaimsPage} from './messages.js';
+import type {ClaimExport, ClaimSource} from './state.js';
+import {clockMarginMs, noteClaim} from './votes.js';
+
+const fetchRetryMs = 300;
+const notesPerPage = 1000;
+
+/** Joins the members and copies what they know, until this host may vote. */
+export function tickCatchUp(state: State): Effect[] {
+	if (state.claims.isVoting || !state.log.isReachable) {
+		return state.claims.isVoting ? [] : fetchClaims(state);
+	}
+
+	return [...join(state), ...fetchClaims(state)];
+}
+
+/** Answers a member that has joined, once this host has itself seen that join in the log. */
+export function answerClaimsFetch(state: State, peer: HostId, fetch: ClaimsFetch): Effect[] {
+	if (!state.claims.isVoting || state.fleet.membersOffset <= fetch.joinedAt) {
+		return [];
+	}
+
+	const page = takePage(state, peer, fetch);
+	return page
+		? [{
+			type: 'peer/send',
+			peer,
+			message: {
+				type: 'claims-page',
+				joinedAt: fetch.joinedAt,
+				round: fetch.round,
+				page: page.page,
+				isLast: page.isLast,
+				incarnation: state.settings.incarnation,
+				doubtBefore: state.claims.doubtBefore,
+				notes: page.notes,
+			},
+		}]
+		: [];
+}
+
+/** Takes over a page of claims and asks for the next. */
+export function acceptClaimsPage(state: State, peer: HostId, page: ClaimsPage): Effect[] {
+	const self = getSelf(state);
+	const source = state.claims.sources.get(peer);
+	if (page.joinedAt !== self?.joinedAt || !source || !isNextPage(source, page)) {
+		return [];
+	}
+
+	for (const {requestId, claimId, owner, expiresAt} of page.notes) {
+		noteClaim(state, {requestId, claimId, owner}, expiresAt);
+	}
+
+	state.claims.doubtBefore = Math.max(state.claims.doubtBefore, page.doubtBefore) as Instant;
+	source.nextPage += 1;
+	source.isDone = page.isLast;
+	source.askAgainAt = 0 as Instant;
+	return fetchClaims(state);
+}
+
+function isNextPage(source: ClaimSource, page: ClaimsPage): boolean {
+	return !source.isDone
+		&& source.incarnation === page.incarnation
+		&& source.round === page.round
+		&& source.nextPage === page.page;
+}
+
+function join(state: State): Effect[] {
+	if (state.claims.hasAskedToJoin) {
+		return [];
+	}
+
+	state.claims.hasAskedToJoin = true;
+	const {settings: {self, incarnation}} = state;
+	return queueRecord(state, {
+		recordId: `${incarnation}-joined` as RecordId,
+		schema: 'entry-host-joined',
+		version: 1,
+		body: {
+			hostId: self.hostId, incarnation, availabilityZone: self.availabilityZone, replaces: findGoneMember(state),
+		},
+	});
+}
+
+/** A member that the settings no longer name. */
+function findGoneMember(state: State): HostId | undefined {
+	const {self, peers} = state.settings;
+	const named = new Set([self.hostId, ...peers.map(peer => peer.hostId)]);
+	return [...state.fleet.members.keys()].find(hostId => !named.has(hostId));
+}
+
+function getSelf(state: State): Member | undefined {
+	const {self, incarnation} = state.settings;
+	const member = state.fleet.members.get(self.hostId);
+	return member?.incarnation === incarnation ? member : undefined;
+}
+
+function fetchClaims(state: State): Effect[] {
+	const self = getSelf(state);
+	if (!self || state.claims.isVoting) {
+		return [];
+	}
+
+	const remaining = self.predecessors.filter(life => isMember(state, life));
+	const done = self.predecessors.filter(life => getSource(state, life).isDone);
+	const isDoubtful = remaining.length < countMajority(self.predecessors.length)
+		&& remaining.every(life => getSource(state, life).isDone);
+	if (self.predecessors.length > 0 && done.length < countMajority(self.predecessors.length) && !isDoubtful) {
+		return remaining.flatMap(life => fetchFrom(state, self, life));
+	}
+
+	if (self.predecessors.length > 0 && done.length < countMajority(self.predecessors.length)) {
+		state.claims.doubtBefore = addMilliseconds(state.now, clockMarginMs);
+	}
+
+	state.claims.isVoting = true;
+	state.claims.sources.clear();
+	return [{
+		type: 'line/write',
+		level: 'info',
+		event: 'voting on claims',
+		fields: {knownRequestIds: state.claims.notes.size, doubtBefore: state.claims.doubtBefore},
+	}];
+}
+
+function getSource(state: State, {hostId, incarnation}: MemberLife): ClaimSource {
+	const known = state.claims.sources.get(hostId);
+	if (known?.incarnation === incarnation) {
+		return known;
+	}
+
+	const source: ClaimSource = {
+		incarnation, round: 0, nextPage: 0, isDone: false, askAgainAt: 0 as Instant,
+	};
+	state.claims.sources.set(hostId, source);
+	return source;
+}
+
+function fetchFrom(state: State, self: Member, life: MemberLife): Effect[] {
+	const source = getSource(state, life);
+	if (source.isDone || source.askAgainAt > state.now) {
+		return [];
+	}
+
+	if (source.askAgainAt > 0) {
+		source.round += 1;
+		source.nextPage = 0;
+	}
+
+	source.askAgainAt = addMilliseconds(state.now, fetchRetryMs);
+	return [{
+		type: 'peer/send',
+		peer: life.hostId,
+		message: {
+			type: 'claims-fetch', joinedAt: self.joinedAt, round: source.round, page: source.nextPage,
+		},
+	}];
+}
+
+/** The page asked for: the next one, or the last one again if it was lost. */
+function takePage(state: State, peer: HostId, fetch: ClaimsFetch): ClaimExport | undefined {
+	const {joinedAt, round, page} = fetch;
+	const known = state.claims.exports.get(peer);
+	const copy = known?.joinedAt === joinedAt && known.round === round ? known : startExport(state, peer, fetch);
+	if (page === copy.page + 1 && !copy.isLast) {
+		copy.notes = readNotes(copy);
+		copy.page = page;
+	}
+
+	return copy.page === page ? copy : undefined;
+}
+
+function startExport(state: State, peer: HostId, {joinedAt, round}: ClaimsFetch): ClaimExport {
+	const copy: ClaimExport = {
+		joinedAt, round, iterator: state.claims.notes.entries(), page: -1, isLast: false, notes: [],
+	};
+	state.claims.exports.set(peer, copy);
+	return copy;
+}
+
+/** The iterator of a map goes on rightly while entries are added and deleted. */
+function readNotes(copy: ClaimExport): ClaimNoteMessage[] {
+	const taken: ClaimNoteMessage[] = [];
+	while (taken.length < notesPerPage) {
+		const next = copy.iterator.next();
+		if (next.done) {
+			copy.isLast = true;
+			break;
+		}
+
+		const [requestId, notes] = next.value;
+		for (const {claimId, owner, expiresAt} of notes.filter(note => !note.isReleased)) {
+			taken.push({
+				requestId, claimId, owner, expiresAt,
+			});
+		}
+	}
+
+	return taken;
+}
--- /dev/null
+++ b/packages/core/src/claims/claims.ts
@@ -0,0 +1,222 @@
+/**
+ * The dispatcher's side: a non-idempotent request is claimed before it is dispatched, and a majority of the members must vote for the claim.
+ */
+import {admitRequest} from '../requests/admission.js';
+import {refuseRequest} from '../requests/refusals.js';
+import type {Effect} from '../types/effects.js';
+import type {FaultKind} from '../types/faults.js';
+import type {
+	CallerKey, ClaimId, HostId, RequestId,
+} from '../types/ids.js';
+import type {CallerRequest} from '../types/requests.js';
+import type {State} from '../types/state.js';
+import {addMilliseconds} from '../types/time.js';
+import {
+	countMajority, isHeard, isMember, listVoters,
+} from './members.js';
+import type {ClaimAnswer} from './messages.js';
+import {claimMemoryMs, type OpenClaim} from './state.js';
+import {judgeTally, tallyVotes} from './tally.js';
+import {judgeClaim, releaseNote} from './votes.js';
+
+const askTimeoutMs = 1000;
+const askAgainMs = 100;
+const releaseAgainMs = 500;
+const releaseTimeoutMs = 60_000;
+
+/** Claims a request's id; it is admitted when enough members have voted for the claim, else it is answered. */
+export function claimRequest(state: State, request: CallerRequest): Effect[] {
+	const {requestId} = request;
+	if (state.claims.open.has(requestId) || state.claims.held.has(requestId)) {
+		return refuseRequest(state, request, 'request-in-progress', 'this entry host has taken on a request of this id');
+	}
+
+	const voters = listReachable(state, requestId);
+	if (voters.length < countMajority(state.fleet.members.size)) {
+		return refuseRequest(state, request, 'quorum-unreachable', `${voters.length} of ${state.fleet.members.size} entry hosts can be asked`);
+	}
+
+	const claim = openClaim(state, request);
+	const first = voters.slice(0, countMajority(state.fleet.members.size));
+	const asks = askVoters(state, claim, first);
+	return [...asks, ...decide(state, claim)];
+}
+
+/** Takes back a claim whose request was surely not dispatched, so that a repeat may run. */
+export function releaseClaim(state: State, requestId: RequestId, callerKey: CallerKey): Effect[] {
+	const open = state.claims.open.get(requestId);
+	if (open?.request.callerKey === callerKey) {
+		state.claims.open.delete(requestId);
+		return sendReleases(state, requestId, open.claimId);
+	}
+
+	const held = state.claims.held.get(requestId);
+	if (held?.callerKey !== callerKey) {
+		return [];
+	}
+
+	state.claims.held.delete(requestId);
+	return sendReleases(state, requestId, held.claimId);
+}
+
+/** Invariant: what is dispatched is idempotent, or its id is claimed for this very call. */
+export function judgeDispatch(state: State, request: CallerRequest): Effect[] {
+	return request.isIdempotent || state.claims.held.get(request.requestId)?.callerKey === request.callerKey
+		? []
+		: [{type: 'invariant/violated', name: 'dispatch-has-claim', detail: request.requestId}];
+}
+
+/** Notes a member's vote. */
+export function acceptVote(state: State, peer: HostId, answer: ClaimAnswer): Effect[] {
+	const claim = state.claims.open.get(answer.requestId);
+	if (claim?.claimId !== answer.claimId) {
+		return [];
+	}
+
+	claim.votes.set(peer, answer);
+	return decide(state, claim);
+}
+
+/** Asks again, gives claims up in time, and repeats releases until they are confirmed. */
+export function tickClaims(state: State): Effect[] {
+	const effects: Effect[] = [];
+	for (const claim of state.claims.open.values()) {
+		effects.push(...tickOpenClaim(state, claim));
+	}
+
+	for (const release of state.claims.releases.values()) {
+		if (release.giveUpAt <= state.now || release.unconfirmed.size === 0) {
+			state.claims.releases.delete(release.claimId);
+		} else if (release.sendAgainAt <= state.now) {
+			release.sendAgainAt = addMilliseconds(state.now, releaseAgainMs);
+			effects.push(...[...release.unconfirmed].map(peer => createRelease(peer, release.requestId, release.claimId)));
+		}
+	}
+
+	expireHeld(state);
+	return effects;
+}
+
+function tickOpenClaim(state: State, claim: OpenClaim): Effect[] {
+	if (state.now >= claim.askUntil) {
+		return closeClaim(state, claim, judgeTally(tallyVotes(state, claim), true));
+	}
+
+	const settled = decide(state, claim);
+	if (settled.length > 0 || claim.askAgainAt > state.now) {
+		return settled;
+	}
+
+	claim.askAgainAt = addMilliseconds(state.now, askAgainMs);
+	const missing = listVoters(state, claim.request.requestId).filter(hostId => !hasGranted(state, claim, hostId));
+	const asks = askVoters(state, claim, missing);
+	return [...asks, ...decide(state, claim)];
+}
+
+function hasGranted(state: State, claim: OpenClaim, hostId: HostId): boolean {
+	const vote = claim.votes.get(hostId);
+	return vote?.verdict === 'granted' && isMember(state, {hostId, incarnation: vote.incarnation});
+}
+
+function openClaim(state: State, request: CallerRequest): OpenClaim {
+	state.claims.claimCount += 1;
+	const claim: OpenClaim = {
+		claimId: `${state.settings.incarnation}-${state.claims.claimCount}` as ClaimId,
+		request,
+		askUntil: addMilliseconds(state.now, askTimeoutMs),
+		askAgainAt: addMilliseconds(state.now, askAgainMs),
+		votes: new Map(),
+		asked: new Set(),
+	};
+	state.claims.open.set(request.requestId, claim);
+	return claim;
+}
+
+function decide(state: State, claim: OpenClaim): Effect[] {
+	const tally = tallyVotes(state, claim);
+	const verdict = judgeTally(tally, false);
+	if (verdict === 'held') {
+		return holdClaim(state, claim);
+	}
+
+	if (verdict !== 'open') {
+		return closeClaim(state, claim, verdict);
+	}
+
+	if (!tally.hasRefusal) {
+		return [];
+	}
+
+	const unasked = listVoters(state, claim.request.requestId).filter(hostId => !claim.asked.has(hostId));
+	return unasked.length === 0 ? [] : [...askVoters(state, claim, unasked), ...decide(state, claim)];
+}
+
+function holdClaim(state: State, claim: OpenClaim): Effect[] {
+	const {request, claimId} = claim;
+	state.claims.open.delete(request.requestId);
+	state.claims.held.set(request.requestId, {
+		claimId, callerKey: request.callerKey, expiresAt: addMilliseconds(state.now, claimMemoryMs),
+	});
+	return admitRequest(state, request);
+}
+
+function closeClaim(state: State, {request}: OpenClaim, kind: FaultKind): Effect[] {
+	return [
+		...releaseClaim(state, request.requestId, request.callerKey),
+		...refuseRequest(state, request, kind, 'the claim on this request id did not get a majority of the entry hosts'),
+	];
+}
+
+function askVoters(state: State, claim: OpenClaim, voters: readonly HostId[]): Effect[] {
+	const {claimId, request: {requestId}} = claim;
+	const self = state.settings.self.hostId;
+	const effects: Effect[] = [];
+	for (const hostId of voters) {
+		claim.asked.add(hostId);
+		if (hostId === self) {
+			const vote = judgeClaim(state, {requestId, claimId, owner: self});
+			if (vote) {
+				claim.votes.set(self, vote);
+			}
+		} else {
+			effects.push({type: 'peer/send', peer: hostId, message: {type: 'claim-ask', requestId, claimId}});
+		}
+	}
+
+	return effects;
+}
+
+function sendReleases(state: State, requestId: RequestId, claimId: ClaimId): Effect[] {
+	const self = state.settings.self.hostId;
+	releaseNote(state, {requestId, claimId, owner: self});
+	const others = [...state.fleet.members.keys()].filter(hostId => hostId !== self);
+	state.claims.releases.set(claimId, {
+		requestId,
+		claimId,
+		unconfirmed: new Set(others),
+		giveUpAt: addMilliseconds(state.now, releaseTimeoutMs),
+		sendAgainAt: addMilliseconds(state.now, releaseAgainMs),
+	});
+	return others.map(peer => createRelease(peer, requestId, claimId));
+}
+
+function createRelease(peer: HostId, requestId: RequestId, claimId: ClaimId): Effect {
+	return {type: 'peer/send', peer, message: {type: 'claim-release', requestId, claimId}};
+}
+
+/** Members that can be asked now, in the order of asking. */
+function listReachable(state: State, requestId: RequestId): HostId[] {
+	const {self} = state.settings;
+	const isVoter = state.claims.isVoting && isMember(state, {hostId: self.hostId, incarnation: state.settings.incarnation});
+	return listVoters(state, requestId).filter(hostId => hostId === self.hostId ? isVoter : isHeard(state, hostId));
+}
+
+function expireHeld(state: State): void {
+	for (const [requestId, held] of state.claims.held) {
+		if (held.expiresAt > state.now) {
+			break;
+		}
+
+		state.claims.held.delete(requestId);
+	}
+}
--- /dev/null
+++ b/packages/core/src/claims/members.ts
@@ -0,0 +1,66 @@
+/** The members: entry hosts that vote on claims, agreed through the log. */
+import murmurhash from 'murmurhash';
+import {z} from 'zod';
+import type {FleetState} from '../fleet/state.js';
+import {
+	availabilityZoneSchema, hostIdSchema, incarnationSchema, type HostId, type Incarnation, type RequestId,
+} from '../types/ids.js';
+import type {LoggedRecord} from '../types/records.js';
+import type {State} from '../types/state.js';
+import {getNextOffset, type Offset} from '../types/time.js';
+
+/** Appended by an entry host when it starts. It takes the place of its former incarnation, or of `replaces`, a host that is gone for good. */
+export const entryHostJoinedBodyV1 = z.strictObject({
+	hostId: hostIdSchema,
+	incarnation: incarnationSchema,
+	availabilityZone: availabilityZoneSchema,
+	replaces: hostIdSchema.optional(),
+});
+export type EntryHostJoinedBody = z.infer<typeof entryHostJoinedBodyV1>;
+
+/** One life of an entry host. */
+export type MemberLife = {readonly hostId: HostId; readonly incarnation: Incarnation};
+
+export type Member = EntryHostJoinedBody & {
+	readonly joinedAt: Offset;
+	/** The members just before this one joined: a majority of them must tell it what they know. */
+	readonly predecessors: readonly MemberLife[];
+};
+
+/** Adds a member at its place in the log. */
+export function applyEntryHostJoined(fleet: FleetState, logged: LoggedRecord, body: EntryHostJoinedBody): void {
+	const predecessors = [...fleet.members.values()].map(({hostId, incarnation}) => ({hostId, incarnation}));
+	if (body.replaces !== undefined && !fleet.members.has(body.hostId)) {
+		fleet.members.delete(body.replaces);
+	}
+
+	fleet.members.set(body.hostId, {...body, joinedAt: logged.offset, predecessors});
+	fleet.membersOffset = getNextOffset(logged.offset);
+}
+
+/** How many of `count` are a majority. */
+export function countMajority(count: number): number {
+	return Math.floor(count / 2) + 1;
+}
+
+/** Whether this life of a host is a member by this host's fold. */
+export function isMember(state: State, life: MemberLife): boolean {
+	return state.fleet.members.get(life.hostId)?.incarnation === life.incarnation;
+}
+
+/** Whether another entry host is linked and was heard of late. */
+export function isHeard(state: State, hostId: HostId): boolean {
+	const peer = state.membership.peers.get(hostId);
+	return peer !== undefined && peer.isLinked && peer.heardUntil > state.now;
+}
+
+/** Host ids in the order in which they are asked about a request id; alike on every host. */
+export function listVoters(state: State, requestId: RequestId): HostId[] {
+	return [...state.fleet.members.keys()].toSorted((a, b) => isRankedBefore(requestId, a, b) ? -1 : 1);
+}
+
+/** Whether a host goes before another for a request id. */
+export function isRankedBefore(requestId: RequestId, a: HostId, b: HostId): boolean {
+	const difference = murmurhash.v3(`${requestId} ${a}`) - murmurhash.v3(`${requestId} ${b}`);
+	return difference === 0 ? a < b : difference < 0;
+}
--- /dev/null
+++ b/packages/core/src/claims/messages.ts
@@ -0,0 +1,75 @@
+/** Messages between entry hosts about claims on request ids. */
+import {z} from 'zod';
+import {
+	claimIdSchema, hostIdSchema, incarnationSchema, requestIdSchema,
+} from '../types/ids.js';
+import {instantSchema, offsetSchema} from '../types/time.js';
+
+/** Asks a member to vote for a claim. */
+export const claimAskSchema = z.object({
+	type: z.literal('claim-ask'),
+	requestId: requestIdSchema,
+	claimId: claimIdSchema,
+});
+
+/**
+ * A member's vote. `membersOffset`: how far its fold had followed the members when it voted.
+ * `taken` names the claim that it voted for before; `isHeld` is set by that claim's owner once it may have dispatched.
+ * `doubtful`: the request id is older than what this member can know of.
+ */
+export const claimAnswerSchema = z.object({
+	type: z.literal('claim-answer'),
+	requestId: requestIdSchema,
+	claimId: claimIdSchema,
+	verdict: z.enum(['granted', 'taken', 'doubtful']),
+	incarnation: incarnationSchema,
+	membersOffset: offsetSchema,
+	holder: z.object({claimId: claimIdSchema, owner: hostIdSchema, isHeld: z.boolean()}).optional(),
+});
+
+/** Takes back a claim whose request was surely not dispatched; repeated until it is confirmed. */
+export const claimReleaseSchema = z.object({
+	type: z.literal('claim-release'),
+	requestId: requestIdSchema,
+	claimId: claimIdSchema,
+});
+
+export const claimReleasedSchema = z.object({
+	type: z.literal('claim-released'),
+	claimId: claimIdSchema,
+});
+
+/** A member that has just joined asks for a page of another's claims. `joinedAt` is the offset of its join, `round` counts its starts from the first page. */
+export const claimsFetchSchema = z.object({
+	type: z.literal('claims-fetch'),
+	joinedAt: offsetSchema,
+	round: z.number().int().nonnegative(),
+	page: z.number().int().nonnegative(),
+});
+
+export const claimNoteSchema = z.object({
+	requestId: requestIdSchema,
+	claimId: claimIdSchema,
+	owner: hostIdSchema,
+	expiresAt: instantSchema,
+});
+
+export const claimsPageSchema = z.object({
+	type: z.literal('claims-page'),
+	joinedAt: offsetSchema,
+	round: z.number().int().nonnegative(),
+	page: z.number().int().nonnegative(),
+	isLast: z.boolean(),
+	incarnation: incarnationSchema,
+	doubtBefore: instantSchema,
+	notes: z.array(claimNoteSchema),
+});
+
+export const claimMessageSchemas = [
+	claimAskSchema, claimAnswerSchema, claimReleaseSchema, claimReleasedSchema, claimsFetchSchema, claimsPageSchema,
+] as const;
+
+export type ClaimAnswer = z.infer<typeof claimAnswerSchema>;
+export type ClaimsFetch = z.infer<typeof claimsFetchSchema>;
+export type ClaimNoteMessage = z.infer<typeof claimNoteSchema>;
+export type ClaimsPage = z.infer<typeof claimsPageSchema>;
--- a/packages/core/src/engine/reduce.ts
+++ b/packages/core/src/engine/reduce.ts
@@ -1,6 +1,8 @@
 /** The one reducer: from a state and an event to the effects, through a lookup table of handlers. */
 import {noteEffects, noteEvent, tickBurn} from '../burn/observe.js';
 import {createBurnState} from '../burn/state.js';
+import {tickClaimsDomain} from '../claims/handlers.js';
+import {createClaimsState} from '../claims/state.js';
 import {fleetHandlers, tickPublishers} from '../fleet/publishing.js';
 import {createFleetState} from '../fleet/state.js';
 import {logHandlers, tickLog} from '../log/handlers.js';
@@ -28,6 +30,7 @@
 		...tickLog(state),
 		...tickPublishers(state),
 		...tickMembership(state),
+		...tickClaimsDomain(state),
 		...tickBurn(state),
 		...tickStop(state),
 	],
@@ -46,6 +49,7 @@
 		requests: createRequestsState(),
 		targets: createTargetsState(),
 		membership: createMembershipState(),
+		claims: createClaimsState(),
 		burn: createBurnState(),
 		now: 0 as Instant,
 		isStopping: false,
--- a/packages/core/src/fleet/apply-record.ts
+++ b/packages/core/src/fleet/apply-record.ts
@@ -1,4 +1,5 @@
 /** The fold: judges one record at its place in the log and applies it, alike on every host. */
+import {applyEntryHostJoined} from '../claims/members.js';
 import type {LoggedRecord} from '../types/records.js';
 import {getNextOffset, type Offset} from '../types/time.js';
 import {
@@ -36,6 +37,10 @@
 type Applier<Name extends SchemaName> = (fleet: FleetState, logged: LoggedRecord, body: Extract<DecodedBody, {schema: Name}>['body']) => RecordOutcome;
 
 const appliers: {readonly [Name in SchemaName]: Applier<Name>} = {
+	'entry-host-joined'(fleet, logged, body) {
+		applyEntryHostJoined(fleet, logged, body);
+		return {verdict: 'accepted'};
+	},
 	pool: (fleet, logged, body) => setInForce(fleet.pools, body.pool, logged, body),
 	objective: (fleet, logged, body) => setInForce(fleet.objectives, body.service, logged, body),
 	service: (fleet, logged, body) => setInForce(fleet.services, body.service, logged, body),
--- a/packages/core/src/fleet/decoders.ts
+++ b/packages/core/src/fleet/decoders.ts
@@ -2,6 +2,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {z} from 'zod';
 import {objectiveBodyV1, type ObjectiveBody} from '../burn/bodies.js';
+import {entryHostJoinedBodyV1, type EntryHostJoinedBody} from '../claims/members.js';
 import {createFault, type Fault} from '../types/faults.js';
 import {
 	poolBodyV1, poolBodyV2, serviceBodyV1, type PoolBody, type ServiceBody,
@@ -9,7 +10,8 @@
 
 /** A decoded body, tagged by its schema name. */
 export type DecodedBody
-	= | {readonly schema: 'pool'; readonly body: PoolBody}
+	= | {readonly schema: 'entry-host-joined'; readonly body: EntryHostJoinedBody}
+		| {readonly schema: 'pool'; readonly body: PoolBody}
 		| {readonly schema: 'objective'; readonly body: ObjectiveBody}
 		| {readonly schema: 'service'; readonly body: ServiceBody};
 
@@ -36,6 +38,7 @@
 		},
 	})),
 	'pool/2': createDecoder(poolBodyV2, body => ({schema: 'pool', body})),
+	'entry-host-joined/1': createDecoder(entryHostJoinedBodyV1, body => ({schema: 'entry-host-joined', body})),
 	'objective/1': createDecoder(objectiveBodyV1, body => ({schema: 'objective', body})),
 	'service/1': createDecoder(serviceBodyV1, body => ({schema: 'service', body})),
 };
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -1,5 +1,8 @@
 /** The fleet as folded from the log: equal on every host that has applied the same offset. */
-import type {PoolId, RecordId, ServiceId} from '../types/ids.js';
+import type {Member} from '../claims/members.js';
+import type {
+	HostId, PoolId, RecordId, ServiceId,
+} from '../types/ids.js';
 import type {LoggedRecord} from '../types/records.js';
 import type {Offset} from '../types/time.js';
 import type {ObjectiveBody} from '../burn/bodies.js';
@@ -15,6 +18,10 @@
 	readonly pools: Map<PoolId, InForce<PoolBody>>;
 	readonly services: Map<ServiceId, InForce<ServiceBody>>;
 	readonly objectives: Map<ServiceId, InForce<ObjectiveBody>>;
+	/** Entry hosts that vote on claims, one life of each. */
+	readonly members: Map<HostId, Member>;
+	/** The offset behind the latest record that changed the members. */
+	membersOffset: Offset;
 	/** Records whose schema version is unknown here, kept as they came. */
 	readonly setAside: LoggedRecord[];
 };
@@ -27,6 +34,8 @@
 		pools: new Map(),
 		services: new Map(),
 		objectives: new Map(),
+		members: new Map(),
+		membersOffset: 0 as Offset,
 		setAside: [],
 	};
 }
--- a/packages/core/src/membership/handlers.ts
+++ b/packages/core/src/membership/handlers.ts
@@ -1,4 +1,5 @@
 /** Keeps heartbeat links to the other entry hosts. */
+import {claimMessageHandlers} from '../claims/handlers.js';
 import type {Effect} from '../types/effects.js';
 import type {HandlerTable} from '../types/handlers.js';
 import type {HostId} from '../types/ids.js';
@@ -20,6 +21,7 @@
 		peer.nextOffset = message.nextOffset;
 		return [];
 	},
+	...claimMessageHandlers,
 };
 
 export const membershipHandlers: HandlerTable<MembershipEvent['type']> = {
@@ -32,7 +34,7 @@
 		return [];
 	},
 	'peer/message'(state, event) {
-		const handle = messageHandlers[event.message.type];
+		const handle = messageHandlers[event.message.type] as MessageHandler<PeerMessageType>;
 		return handle(state, findPeer(state, event.peer), event.message);
 	},
 };
--- a/packages/core/src/requests/attempts.ts
+++ b/packages/core/src/requests/attempts.ts
@@ -1,10 +1,12 @@
 /** Dispatches requests to targets and ends their attempts. */
+import {judgeDispatch} from '../claims/claims.js';
 import type {AttemptFailedEvent} from '../targets/events.js';
 import type {Target} from '../targets/state.js';
 import type {Effect} from '../types/effects.js';
 import type {AttemptId} from '../types/ids.js';
 import type {CallerRequest} from '../types/requests.js';
 import type {State} from '../types/state.js';
+import {endRequest} from './refusals.js';
 
 /** Sends a request to a target. */
 export function dispatchAttempt(state: State, request: CallerRequest, target: Target): Effect[] {
@@ -12,7 +14,7 @@
 	const attemptId = `${state.settings.incarnation}-${state.requests.attemptCount}` as AttemptId;
 	state.requests.attempts.set(attemptId, {attemptId, request, target: target.listed.hostId});
 	target.outstanding += 1;
-	return [{
+	return [...judgeDispatch(state, request), {
 		type: 'attempt/dispatch',
 		attemptId,
 		requestId: request.requestId,
@@ -41,10 +43,5 @@
 		return [];
 	}
 
-	return [{
-		type: 'caller/refuse',
-		callerKey: attempt.request.callerKey,
-		fault: failure.fault,
-		comeBackAt: state.now,
-	}];
+	return endRequest(state, attempt.request, failure.fault);
 }
--- a/packages/core/src/types/faults.ts
+++ b/packages/core/src/types/faults.ts
@@ -49,8 +49,8 @@
 	'not-ready': {
 		family: 'refused', status: 503, title: 'This entry host has no fleet state yet', comeBack: true,
 	},
-	'home-unreachable': {
-		family: 'refused', status: 503, title: 'The entry host that guards this request id cannot be asked', comeBack: true,
+	'quorum-unreachable': {
+		family: 'refused', status: 503, title: 'Too few entry hosts can be asked whether this request already runs', comeBack: true,
 	},
 	'log-unavailable': {
 		family: 'refused', status: 503, title: 'The platform log does not answer', comeBack: true,
@@ -58,6 +58,9 @@
 	'request-in-progress': {
 		family: 'unknown', status: 409, title: 'A request of this id was already taken on', comeBack: false,
 	},
+	'claim-forgotten': {
+		family: 'unknown', status: 409, title: 'Whether a request of this id was run is no longer known', comeBack: false,
+	},
 	'append-unknown': {
 		family: 'unknown', status: 504, title: 'The record may be in the log', comeBack: true,
 	},
--- a/packages/core/src/types/ids.ts
+++ b/packages/core/src/types/ids.ts
@@ -12,6 +12,10 @@
 /** One dispatch of a request to a target; an answer must echo it. */
 export type AttemptId = z.infer<typeof attemptIdSchema>;
 
+export const claimIdSchema = idText.brand<'ClaimId'>();
+/** One claim of an entry host on a request id. */
+export type ClaimId = z.infer<typeof claimIdSchema>;
+
 export const callerKeySchema = idText.brand<'CallerKey'>();
 /** One open call of a caller at this entry host; unique within the process. */
 export type CallerKey = z.infer<typeof callerKeySchema>;
--- a/packages/core/src/types/state.ts
+++ b/packages/core/src/types/state.ts
@@ -1,5 +1,6 @@
 /** The state of an entry host: the fleet, folded from the log and equal on all hosts at one offset, and local slices. */
 import type {BurnState} from '../burn/state.js';
+import type {ClaimsState} from '../claims/state.js';
 import type {FleetState} from '../fleet/state.js';
 import type {LogState} from '../log/state.js';
 import type {MembershipState} from '../membership/state.js';
@@ -16,6 +17,7 @@
 	readonly requests: RequestsState;
 	readonly targets: TargetsState;
 	readonly membership: MembershipState;
+	readonly claims: ClaimsState;
 	readonly burn: BurnState;
 	/** The instant of the latest event. */
 	now: Instant;
