Command-line tool: publish, check, diff, list, get, status, report burn

Cause: operators had one raw call. Now each command checks its settings and files first, tells file, record and field of each fault, prints text or JSON, and ends with a documented exit code; the burn report merges all entry hosts that answer and names the others. Ruled out: a parser of our own for files (yaml reads both YAML and JSON and tells the line).

--- /dev/null
+++ b/packages/cli/src/exit-codes.ts
@@ -0,0 +1,16 @@
+/** Exit codes of the command-line tool. */
+export const exitCodes = {
+	done: 0,
+	/** The entry host refused, or a record was judged void. */
+	refused: 1,
+	/** The command line, a setting or a file is wrong; nothing was sent. */
+	usage: 2,
+	/** The records are in the log but not in force everywhere in time. */
+	notInForce: 3,
+	/** `diff` found differences. */
+	differs: 4,
+	/** No entry host answered. */
+	unreachable: 5,
+} as const;
+
+export type ExitCode = typeof exitCodes[keyof typeof exitCodes];
--- /dev/null
+++ b/packages/cli/src/hosts/fleet-answer.ts
@@ -0,0 +1,19 @@
+/** The fleet as an entry host tells it; only what the tool prints is checked. */
+import {hostIdSchema, listedHostSchema, offsetSchema} from '@rhubarblever/core';
+import {z} from 'zod';
+
+const inForceSchema = z.object({offset: offsetSchema, body: z.record(z.string(), z.unknown())});
+
+/** GET /v1/fleet. */
+export const fleetAnswerSchema = z.object({
+	hostId: hostIdSchema,
+	nextOffset: offsetSchema,
+	pools: z.array(inForceSchema).default([]),
+	services: z.array(inForceSchema).default([]),
+	objectives: z.array(inForceSchema).default([]),
+	waves: z.array(inForceSchema).default([]),
+	jobs: z.array(inForceSchema).default([]),
+	hosts: z.array(listedHostSchema).default([]),
+});
+export type FleetAnswer = z.infer<typeof fleetAnswerSchema>;
+export type InForceAnswer = z.infer<typeof inForceSchema>;
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,27 +1,101 @@
 #!/usr/bin/env node
 /** `rhubarblever`: the operators' command-line tool. */
-import {readFileSync} from 'node:fs';
 import process from 'node:process';
+import type {Instant} from '@rhubarblever/core';
+import type {Result} from 'neverthrow';
 import sade from 'sade';
-import {request} from 'undici';
+import {diffFile} from './commands/diff.js';
+import {getItem, listedKinds, listKind} from './commands/list.js';
+import {publishFile} from './commands/publish.js';
+import {reportBurn} from './commands/report-burn.js';
+import {describeStatus} from './commands/status.js';
+import {exitCodes} from './exit-codes.js';
+import type {Failure} from './failure.js';
+import {readRecordsFile} from './files/records-file.js';
+import {readSettings, type CommonFlags, type Settings} from './settings.js';
+import {version} from './version.js';
 
-type Flags = {host?: string; token?: string};
+const defaultWaitSeconds = 10;
 
-const failedCode = 1;
+type PublishFlags = CommonFlags & {readonly wait?: unknown; readonly timeout?: unknown};
+type BurnFlags = CommonFlags & {readonly html?: unknown};
 
-sade('rhubarblever')
-	.version('0.1.0')
-	.option('--host', 'ip:port of an entry host (RHUBARBLEVER_HOST)')
+function finish(result: Result<string, Failure>): void {
+	result.match(
+		text => {
+			process.stdout.write(`${text}\n`);
+			process.exitCode = exitCodes.done;
+		},
+		failure => {
+			process.stderr.write(`${failure.lines.join('\n')}\n`);
+			process.exitCode = failure.exitCode;
+		},
+	);
+}
+
+async function runCommand(flags: CommonFlags, run: (settings: Settings) => Promise<Result<string, Failure>>): Promise<void> {
+	const settings = readSettings(flags, process.env);
+	finish(settings.isErr() ? settings.map(() => '') : await run(settings.value));
+}
+
+function readDeadline(flags: PublishFlags): number | undefined {
+	const seconds = Number(flags.timeout ?? defaultWaitSeconds);
+	return flags.wait === true ? Date.now() + (seconds * 1000) : undefined;
+}
+
+const program = sade('rhubarblever')
+	.version(version)
+	.describe('Operates a fleet managed by rhubarblever. Exit codes: 0 done, 1 refused, 2 usage, 3 not in force everywhere, 4 differs, 5 unreachable.')
+	.option('--host', 'IPv4:port of an entry host (RHUBARBLEVER_HOST)')
 	.option('--token', 'Operator token (RHUBARBLEVER_OPERATOR_TOKEN)')
-	.command('publish <file>', 'Publish the records of a JSON file')
-	.action(async (file: string, flags: Flags) => {
-		const records: unknown = JSON.parse(readFileSync(file, 'utf8'));
-		const {statusCode, body} = await request(`http://${flags.host ?? process.env.RHUBARBLEVER_HOST}/v1/records`, {
-			method: 'POST',
-			headers: {authorization: `Bearer ${flags.token ?? process.env.RHUBARBLEVER_OPERATOR_TOKEN}`},
-			body: JSON.stringify({records}),
-		});
-		process.stdout.write(`${await body.text()}\n`);
-		process.exitCode = statusCode === 200 ? 0 : failedCode;
-	})
-	.parse(process.argv);
+	.option('--json', 'Print JSON for scripts');
+
+program
+	.command('publish <file>', 'Check a YAML or JSON file of records and append them to the log')
+	.option('--wait', 'Wait until the records are in force on every entry host')
+	.option('--timeout', 'Seconds to wait at most', defaultWaitSeconds)
+	.example('publish pools.yaml --wait')
+	.action(async (file: string, flags: PublishFlags) => {
+		await runCommand(flags, async settings => publishFile(settings, {file, waitUntil: readDeadline(flags)}));
+	});
+
+program
+	.command('check <file>', 'Check a file of records without sending anything')
+	.action(async (file: string) => {
+		const records = await readRecordsFile(file);
+		finish(records.map(found => `${file}: ${found.length} records are well-formed`));
+	});
+
+program
+	.command('diff <file>', 'Compare a file of records with what is in force')
+	.action(async (file: string, flags: CommonFlags) => {
+		await runCommand(flags, async settings => diffFile(settings, file));
+	});
+
+program
+	.command('list <kind>', `List what is in force: ${listedKinds.join(', ')}`)
+	.action(async (kind: string, flags: CommonFlags) => {
+		await runCommand(flags, async settings => listKind(settings, kind));
+	});
+
+program
+	.command('get <kind> <id>', 'Show one thing that is in force')
+	.action(async (kind: string, id: string, flags: CommonFlags) => {
+		await runCommand(flags, async settings => getItem(settings, kind, id));
+	});
+
+program
+	.command('status', 'Show every entry host and its place in the log')
+	.action(async (flags: CommonFlags) => {
+		await runCommand(flags, describeStatus);
+	});
+
+program
+	.command('report burn', 'Show what is left of each service\'s error budget')
+	.option('--html', 'Also write the report as a page to this file')
+	.action(async (flags: BurnFlags) => {
+		const htmlPath = typeof flags.html === 'string' ? flags.html : undefined;
+		await runCommand(flags, async settings => reportBurn(settings, htmlPath, Date.now() as Instant));
+	});
+
+program.parse(process.argv);
--- /dev/null
+++ b/packages/cli/src/version.ts
@@ -0,0 +1,2 @@
+/** The version of this release. */
+export const version = '0.1.0';
--- /dev/null
+++ b/packages/daemon/src/http/entry-hosts-view.ts
@@ -0,0 +1,20 @@
+/** The entry hosts that this one knows, itself first. */
+import type {EntryHost, State} from '@rhubarblever/core';
+
+export type EntryHostsView = {readonly entryHosts: readonly EntryHost[]};
+
+/** Entry hosts from the settings and from the platform's host list; the list's addresses win. */
+export function describeEntryHosts(state: State): EntryHostsView {
+	const known = new Map<string, EntryHost>();
+	for (const host of [state.settings.self, ...state.settings.peers]) {
+		known.set(host.hostId, host);
+	}
+
+	for (const {hostId, availabilityZone, address, role} of state.targets.listedHosts) {
+		if (role === 'entry') {
+			known.set(hostId, {hostId, availabilityZone, address});
+		}
+	}
+
+	return {entryHosts: [...known.values()]};
+}
--- a/packages/daemon/src/http/fleet-view.ts
+++ b/packages/daemon/src/http/fleet-view.ts
@@ -8,6 +8,7 @@
 	readonly nextOffset: Offset;
 	readonly pools: ReadonlyArray<FleetState['pools'] extends Map<unknown, infer Value> ? Value : never>;
 	readonly services: ReadonlyArray<FleetState['services'] extends Map<unknown, infer Value> ? Value : never>;
+	readonly objectives: ReadonlyArray<FleetState['objectives'] extends Map<unknown, infer Value> ? Value : never>;
 	readonly hosts: readonly ListedHost[];
 	readonly peers: readonly Peer[];
 };
@@ -19,6 +20,7 @@
 		nextOffset: state.fleet.nextOffset,
 		pools: [...state.fleet.pools.values()],
 		services: [...state.fleet.services.values()],
+		objectives: [...state.fleet.objectives.values()],
 		hosts: state.targets.listedHosts,
 		peers: [...state.membership.peers.values()],
 	};
--- a/packages/daemon/src/http/http-server.ts
+++ b/packages/daemon/src/http/http-server.ts
@@ -14,6 +14,7 @@
 import {sendFault, sendJson, type CallTable} from './call-table.js';
 import {createCallerRequest, readRequestHead} from './caller-request.js';
 import {readBody} from './read-body.js';
+import {describeEntryHosts} from './entry-hosts-view.js';
 import {describeFleet} from './fleet-view.js';
 
 const publishTimeoutMs = 5000;
@@ -58,6 +59,9 @@
 	{
 		method: 'GET', pattern: /^\/v1\/fleet$/, access: 'operator', handle: answerFleet,
 	},
+	{
+		method: 'GET', pattern: /^\/v1\/entry-hosts$/, access: 'operator', handle: answerEntryHosts,
+	},
 	{
 		method: 'GET', pattern: /^\/v1\/burn$/, access: 'operator', handle: answerBurn,
 	},
@@ -185,6 +189,10 @@
 	}
 }
 
+function answerEntryHosts({context, response}: Call): void {
+	sendJson(response, 200, describeEntryHosts(context.state));
+}
+
 function answerBurn({context, response}: Call): void {
 	sendJson(response, 200, describeBurn(context.state));
 }
