--- a/packages/core/src/fleet/apply-record.ts
+++ b/packages/core/src/fleet/apply-record.ts
@@ -1,9 +1,11 @@
 /** The fold: judges one record at its place in the log and applies it, alike on every host. */
 import type {LoggedRecord} from '../types/records.js';
-import {getNextOffset, type Offset} from '../types/time.js';
+import {getNextOffset, type Instant, type Offset} from '../types/time.js';
 import {
 	decodeBody, hasDecoder, type DecodedBody, type SchemaName,
 } from './decoders.js';
+import {computeNextDigest, noteDigest} from './digest.js';
+import {noteRecordId} from './seen-records.js';
 import type {FleetState, InForce} from './state.js';
 
 export type RecordOutcome
@@ -12,27 +14,49 @@
 		| {readonly verdict: 'set-aside'; readonly reason: string}
 		| {readonly verdict: 'void'; readonly reason: string};
 
-/** Applies a record whose offset is the fleet's next one or later; the fleet's offset only rises. */
+const maxSetAside = 1000;
+
+/** Applies the record at the fleet's next offset; whoever calls has checked the offset. */
 export function applyRecord(fleet: FleetState, logged: LoggedRecord): RecordOutcome {
 	fleet.nextOffset = getNextOffset(logged.offset);
+	fleet.clock = Math.max(fleet.clock, logged.at) as Instant;
+	const judged = judgeRecord(fleet, logged);
+	const {verdict} = judged.outcome;
+	const link = {
+		offset: logged.offset, recordId: logged.record.recordId, verdict, body: verdict === 'accepted' ? judged.decoded : undefined,
+	};
+	fleet.digest = computeNextDigest(fleet.digest, link);
+	noteDigest(fleet.recentDigests, {offset: fleet.nextOffset, digest: fleet.digest});
+	return judged.outcome;
+}
+
+type JudgedRecord = {readonly outcome: RecordOutcome; readonly decoded?: DecodedBody};
+
+function judgeRecord(fleet: FleetState, logged: LoggedRecord): JudgedRecord {
 	const {record} = logged;
-	if (fleet.seenRecordIds.has(record.recordId)) {
-		return {verdict: 'repeated'};
+	if (noteRecordId(fleet, logged)) {
+		return {outcome: {verdict: 'repeated'}};
 	}
 
-	fleet.seenRecordIds.add(record.recordId);
 	if (!hasDecoder(record.schema, record.version)) {
-		fleet.setAside.push(logged);
-		return {verdict: 'set-aside', reason: `schema ${record.schema} version ${record.version} is unknown here`};
+		return {outcome: setRecordAside(fleet, logged)};
 	}
 
-	const decoded = decodeBody(record.schema, record.version, record.body);
-	return decoded.match(
-		body => applyBody(fleet, logged, body),
-		fault => ({verdict: 'void', reason: fault.detail}),
+	return decodeBody(record.schema, record.version, record.body).match<JudgedRecord>(
+		decoded => ({outcome: applyBody(fleet, logged, decoded), decoded}),
+		fault => ({outcome: {verdict: 'void', reason: fault.detail}}),
 	);
 }
 
+function setRecordAside(fleet: FleetState, logged: LoggedRecord): RecordOutcome {
+	fleet.setAside.push(logged);
+	if (fleet.setAside.length > maxSetAside) {
+		fleet.setAside.shift();
+	}
+
+	return {verdict: 'set-aside', reason: `schema ${logged.record.schema} version ${logged.record.version} is unknown here`};
+}
+
 type Applier<Name extends SchemaName> = (fleet: FleetState, logged: LoggedRecord, body: Extract<DecodedBody, {schema: Name}>['body']) => RecordOutcome;
 
 const appliers: {readonly [Name in SchemaName]: Applier<Name>} = {
@@ -49,13 +73,19 @@
 function setInForce<Key, Body>(table: Map<Key, InForce<Body>>, key: Key, logged: LoggedRecord, body: Body): RecordOutcome {
 	const current = table.get(key)?.offset;
 	if (isStale(logged.record.basedOn, current)) {
-		return {verdict: 'void', reason: `based on offset ${logged.record.basedOn}, but ${current ?? 'nothing'} is in force`};
+		return {verdict: 'void', reason: describeRace(logged.record.basedOn, current)};
 	}
 
 	table.set(key, {offset: logged.offset, body});
 	return {verdict: 'accepted'};
 }
 
+function describeRace(basedOn: Offset | undefined, current: Offset | undefined): string {
+	return current === undefined
+		? `based on offset ${basedOn}, but nothing is in force`
+		: `based on offset ${basedOn}, but offset ${current} is in force: another change came first`;
+}
+
 function isStale(basedOn: Offset | undefined, current: Offset | undefined): boolean {
 	return basedOn !== undefined && basedOn !== current;
 }
--- a/packages/core/src/fleet/decoders.ts
+++ b/packages/core/src/fleet/decoders.ts
@@ -50,3 +50,8 @@
 	const decoder = hasDecoder(schema, version) ? decoders[`${schema}/${version}`] : undefined;
 	return decoder ? decoder(body) : err(createFault('record-invalid', `schema ${schema} version ${version} is unknown here`));
 }
+
+/** Names and versions known here, as one text: two hosts judge alike only where these are equal. */
+export function describeDecoders(): string {
+	return Object.keys(decoders).toSorted().join(' ');
+}
--- /dev/null
+++ b/packages/core/src/fleet/state-codec.ts
@@ -0,0 +1,43 @@
+/** Encodes the whole fleet state as JSON text for snapshots and for peers, maps and sets included. */
+import {err, ok, type Result} from 'neverthrow';
+import {createFault, type Fault} from '../types/faults.js';
+import {createFleetState, type FleetState} from './state.js';
+
+type Tagged = {readonly $map?: ReadonlyArray<readonly [unknown, unknown]>; readonly $set?: readonly unknown[]};
+
+/** The text of a fleet state. */
+export function encodeFleetState(fleet: FleetState): string {
+	const latest = fleet.recentDigests.slice(-1);
+	return JSON.stringify({...fleet, recentDigests: latest}, (_key, value: unknown) => tagCollection(value));
+}
+
+/** Reads a fleet state; fields that the writer did not know have their first value. */
+export function decodeFleetState(text: string): Result<FleetState, Fault> {
+	try {
+		const decoded = JSON.parse(text, (_key, value: unknown) => createCollection(value)) as Partial<FleetState>;
+		return ok({...createFleetState(), ...decoded});
+	} catch (error) {
+		return err(createFault('record-invalid', `the fleet state is malformed: ${(error as Error).message}`));
+	}
+}
+
+function tagCollection(value: unknown): unknown {
+	if (value instanceof Map) {
+		return {$map: [...(value as Map<unknown, unknown>)]};
+	}
+
+	return value instanceof Set ? {$set: [...(value as Set<unknown>)]} : value;
+}
+
+function createCollection(value: unknown): unknown {
+	if (typeof value !== 'object' || value === null) {
+		return value;
+	}
+
+	const {$map, $set} = value as Tagged;
+	if ($map) {
+		return new Map($map);
+	}
+
+	return $set ? new Set($set) : value;
+}
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -1,21 +1,33 @@
 /** The fleet as folded from the log: equal on every host that has applied the same offset. */
 import type {PoolId, RecordId, ServiceId} from '../types/ids.js';
 import type {LoggedRecord} from '../types/records.js';
-import type {Offset} from '../types/time.js';
 import type {ObjectiveBody} from '../burn/bodies.js';
+import type {Instant, Offset} from '../types/time.js';
 import type {PoolBody, ServiceBody} from './bodies.js';
+import {emptyDigest, type OffsetDigest} from './digest.js';
 
 /** A body in force and the offset that put it there. */
 export type InForce<Body> = {readonly offset: Offset; readonly body: Body};
 
+/** Where a record id was first seen. `at` is the fleet's clock at that offset. */
+export type SeenRecord = {readonly offset: Offset; readonly at: Instant};
+
+/** Plain data, maps and sets only: `state-codec.ts` encodes every field for snapshots. */
 export type FleetState = {
 	/** Offset of the next record to apply. */
 	nextOffset: Offset;
-	readonly seenRecordIds: Set<RecordId>;
+	/** The platform's clock as folded from records: the latest instant seen, so it never runs backwards. */
+	clock: Instant;
+	/** Chain hash over all records applied before `nextOffset`. */
+	digest: string;
+	/** Digests at recent offsets, oldest first; bounded. */
+	readonly recentDigests: OffsetDigest[];
+	/** Record ids in log order, each kept until it is well older than the log's retention. */
+	readonly seenRecordIds: Map<RecordId, SeenRecord>;
 	readonly pools: Map<PoolId, InForce<PoolBody>>;
 	readonly services: Map<ServiceId, InForce<ServiceBody>>;
 	readonly objectives: Map<ServiceId, InForce<ObjectiveBody>>;
-	/** Records whose schema version is unknown here, kept as they came. */
+	/** The latest records whose schema version is unknown here, kept as they came; bounded. */
 	readonly setAside: LoggedRecord[];
 };
 
@@ -23,7 +35,10 @@
 export function createFleetState(): FleetState {
 	return {
 		nextOffset: 0 as Offset,
-		seenRecordIds: new Set(),
+		clock: 0 as Instant,
+		digest: emptyDigest,
+		recentDigests: [{offset: 0 as Offset, digest: emptyDigest}],
+		seenRecordIds: new Map(),
 		pools: new Map(),
 		services: new Map(),
 		objectives: new Map(),
--- a/xo.config.js
+++ b/xo.config.js
@@ -50,6 +50,12 @@
 			],
 		},
 	},
+	{
+		files: ['packages/core/src/**/*.test.ts'],
+		rules: {
+			'no-restricted-imports': 'off',
+		},
+	},
 ];
 
 export default config;
