Thin-path test: write the file in the format that the tool now reads

Cause: the tool's files are {records: [...]}; the first thin test wrote a bare list, so publish ended with code 2 (usage), rightly. The assertion is unchanged (exit code 0, answers by digest).

--- a/packages/bench/src/integration/thin-path.test.ts
+++ b/packages/bench/src/integration/thin-path.test.ts
@@ -48,7 +48,7 @@
 
 	it('a published service is in force on every entry host and its requests get their own answers', async () => {
 		const file = join(folder, 'records.json');
-		await writeFile(file, JSON.stringify(records));
+		await writeFile(file, JSON.stringify({records}));
 		const publish = fleet.processes.start('cli', cliScript, ['publish', file], {
 			RHUBARBLEVER_HOST: fleet.entryHosts[0]?.address,
 			RHUBARBLEVER_OPERATOR_TOKEN: operatorToken,
