Add a fault-injecting proxy and route a local fleet's links through it

One proxy for each directed pair of an entry host and the platform, a peer or a target. The host list is the same for all at the platform, so the platform stand-in gets views: a further address of its own for each entry host, at which the list names that host's proxies.

--- a/packages/stand-ins/src/harness/local-fleet.ts
+++ b/packages/stand-ins/src/harness/local-fleet.ts
@@ -1,25 +1,25 @@
 /** A whole small fleet of real processes on loopback: platform, targets and entry hosts. */
 import {listedHostSchema, type ListedHost} from '@rhubarblever/core';
+import {callJson} from '../http-client.js';
+import type {LedgerEntry} from '../target/target-server.js';
 import {takeAddress} from './addresses.js';
+import {FleetLinks, platformId} from './fleet-links.js';
+import type {
+	FleetShape, LocalEntryHost, LocalTarget, PlannedEntryHost,
+} from './fleet-types.js';
 import {ProcessGroup, waitUntil, type RunningProcess} from './process-group.js';
 import {daemonScript, platformScript, targetScript} from './scripts.js';
 
-export type FleetShape = {
-	readonly availabilityZones: readonly string[];
-	readonly entryHostsPerZone: number;
-	/** Targets of each service in each availability zone. */
-	readonly targetsPerZone: number;
-	readonly services: readonly string[];
+/** A record to publish, as the log's envelope has it. */
+export type PublishableRecord = {
+	readonly recordId: string;
+	readonly schema: string;
+	readonly version: number;
+	readonly basedOn?: number;
+	readonly body: unknown;
 };
 
-export type LocalEntryHost = {
-	readonly hostId: string;
-	readonly availabilityZone: string;
-	readonly address: string;
-	running: RunningProcess;
-};
-
-export type LocalTarget = {readonly host: ListedHost; readonly running: RunningProcess};
+export type TargetLedger = {readonly hostId: string; readonly entries: readonly LedgerEntry[]};
 
 export const operatorToken = 'operator-token-of-tests';
 export const peerToken = 'peer-token-of-tests';
@@ -27,9 +27,9 @@
 
 export class LocalFleet {
 	static async create(shape: FleetShape): Promise<LocalFleet> {
-		const fleet = new LocalFleet();
+		const fleet = new LocalFleet(shape);
 		try {
-			await fleet.start(shape);
+			await fleet.start();
 		} catch (error) {
 			await fleet.stop();
 			throw error;
@@ -39,64 +39,212 @@
 	}
 
 	readonly processes = ProcessGroup.create();
+	readonly links = FleetLinks.create();
 	readonly entryHosts: LocalEntryHost[] = [];
 	readonly targets: LocalTarget[] = [];
 	platformAddress = '';
+	private listedHosts: ListedHost[] = [];
 
-	private constructor() {}
+	private constructor(private readonly shape: FleetShape) {}
 
-	/** The settings of an entry host as environment variables. */
-	describeEnvironment(host: Omit<LocalEntryHost, 'running'>, all: ReadonlyArray<Omit<LocalEntryHost, 'running'>>): NodeJS.ProcessEnv {
-		return {
-			RHUBARBLEVER_HOST_ID: host.hostId,
-			RHUBARBLEVER_AVAILABILITY_ZONE: host.availabilityZone,
-			RHUBARBLEVER_LISTEN: host.address,
-			RHUBARBLEVER_PLATFORM: this.platformAddress,
-			RHUBARBLEVER_PEERS: all.map(peer => `${peer.hostId}=${peer.availabilityZone}@${peer.address}`).join(','),
-			RHUBARBLEVER_OPERATOR_TOKEN: operatorToken,
-			RHUBARBLEVER_PEER_TOKEN: peerToken,
-			RHUBARBLEVER_INVARIANTS: 'fatal',
-		};
+	/** Cuts an availability zone's entry hosts off from the platform. */
+	async cutZoneFromPlatform(zone: string): Promise<void> {
+		const links = this.links.list(link => link.fromZone === zone && link.to === platformId);
+		await Promise.all(links.map(async link => link.proxy.cut()));
+	}
+
+	/** Cuts two availability zones off from each other, both ways. */
+	async cutZones(zoneA: string, zoneB: string): Promise<void> {
+		const links = this.links.list(link =>
+			(link.fromZone === zoneA && link.toZone === zoneB) || (link.fromZone === zoneB && link.toZone === zoneA));
+		await Promise.all(links.map(async link => link.proxy.cut()));
+	}
+
+	/** Ends the faults of all proxied links. */
+	async healAll(): Promise<void> {
+		await Promise.all(this.links.list().map(async link => link.proxy.heal()));
+	}
+
+	/** Kills an entry host at once; the platform's list goes on naming it. */
+	async killEntryHost(index: number): Promise<void> {
+		const {running} = this.getEntryHost(index);
+		running.signal('SIGKILL');
+		await running.waitForEnd();
+	}
+
+	/** Stops an entry host gracefully; the result is its exit code. */
+	async stopEntryHost(index: number): Promise<number | undefined> {
+		const {running} = this.getEntryHost(index);
+		running.signal('SIGTERM');
+		const end = await running.waitForEnd();
+		return end.code;
+	}
+
+	/** Starts a new process at the address of an entry host that has ended; `environment` adds to its settings. */
+	async restartEntryHost(index: number, environment: NodeJS.ProcessEnv = {}): Promise<LocalEntryHost> {
+		const host = this.getEntryHost(index);
+		await host.running.waitForEnd();
+		host.running = await this.startEntryHost(host, environment);
+		return host;
+	}
+
+	/** Adds an entry host to an availability zone and to the platform's list. It is not waited for. */
+	async addEntryHost(zone: string): Promise<LocalEntryHost> {
+		const planned = this.planEntryHost(zone, this.entryHosts.length + 1);
+		this.listedHosts.push(describeEntryHost(planned));
+		const host: LocalEntryHost = {...planned, running: await this.startEntryHost(planned, {})};
+		this.entryHosts.push(host);
+		await this.sendHostList();
+		return host;
+	}
+
+	/** Waits until an entry host answers that it is ready. */
+	async waitForReady(host: LocalEntryHost): Promise<void> {
+		await waitUntil(`${host.hostId} is ready`, async () => {
+			const response = await fetch(`http://${host.address}/readyz`);
+			return response.ok;
+		}, startTimeoutMs);
+	}
+
+	/** Publishes records through an entry host; throws with its answer if it refuses. */
+	async publish(records: readonly PublishableRecord[], entryHost: LocalEntryHost = this.getEntryHost(0)): Promise<unknown> {
+		return callJson('POST', `http://${entryHost.address}/v1/records`, {records}, {authorization: `Bearer ${operatorToken}`});
+	}
+
+	/** The fleet as an entry host tells it to operators. */
+	async fetchFleet(entryHost: LocalEntryHost): Promise<unknown> {
+		return callJson('GET', `http://${entryHost.address}/v1/fleet`, undefined, {authorization: `Bearer ${operatorToken}`});
+	}
+
+	/** The ledgers of all targets that still run. */
+	async readLedgers(): Promise<TargetLedger[]> {
+		return Promise.all(this.targets.filter(target => target.running.isRunning).map(async ({host}) => {
+			const {entries} = await callJson('GET', `http://${host.address}/ledger`) as {entries: LedgerEntry[]};
+			return {hostId: host.hostId, entries};
+		}));
+	}
+
+	/** Changes a line of the platform's host list. */
+	async updateListedHost(hostId: string, changes: Partial<ListedHost>): Promise<void> {
+		this.listedHosts = this.listedHosts.map(host => host.hostId === hostId ? {...host, ...changes} : host);
+		await this.sendHostList();
+	}
+
+	/** Takes a host off the platform's host list. */
+	async removeListedHost(hostId: string): Promise<void> {
+		this.listedHosts = this.listedHosts.filter(host => host.hostId !== hostId);
+		await this.sendHostList();
+	}
+
+	/** Calls the platform directly, past the proxies. */
+	async callPlatform(method: string, path: string, body?: unknown): Promise<unknown> {
+		return callJson(method, `http://${this.platformAddress}${path}`, body);
 	}
 
 	async stop(): Promise<void> {
 		await this.processes.endAll();
+		await this.links.closeAll();
 	}
 
-	private async start(shape: FleetShape): Promise<void> {
-		this.platformAddress = takeAddress();
-		for (const availabilityZone of shape.availabilityZones) {
-			for (const service of shape.services) {
-				for (let index = 0; index < shape.targetsPerZone; index++) {
-					this.startTarget(availabilityZone, service, index, takeAddress());
-				}
-			}
+	private getEntryHost(index: number): LocalEntryHost {
+		const host = this.entryHosts[index];
+		if (!host) {
+			throw new Error(`there is no entry host ${index}`);
 		}
 
+		return host;
+	}
+
+	private async start(): Promise<void> {
+		const {availabilityZones, entryHostsPerZone, hosts = [], platformFlags = []} = this.shape;
+		this.startTargets();
+		const planned = availabilityZones.flatMap(zone =>
+			Array.from({length: entryHostsPerZone}, (_, index) => this.planEntryHost(zone, index + 1)));
+		this.listedHosts = [...this.targets.map(target => target.host), ...planned.map(host => describeEntryHost(host)), ...hosts];
+		this.platformAddress = takeAddress();
 		const platform = this.processes.start('platform', platformScript, [
-			'--listen', this.platformAddress, '--hosts', JSON.stringify(this.targets.map(target => target.host)),
+			'--listen', this.platformAddress, '--hosts', JSON.stringify(this.listedHosts), ...platformFlags,
 		]);
 		await platform.waitForOutput('listening', startTimeoutMs);
-		const planned = shape.availabilityZones.flatMap(availabilityZone =>
-			Array.from({length: shape.entryHostsPerZone}, (_, index) => ({
-				hostId: `entry-${availabilityZone}-${index + 1}`, availabilityZone, address: takeAddress(),
-			})));
-		for (const host of planned) {
-			const running = this.processes.start(host.hostId, daemonScript, [], this.describeEnvironment(host, planned));
-			this.entryHosts.push({...host, running});
-		}
+		this.entryHosts.push(...await Promise.all(planned.map(async host => ({...host, running: await this.startEntryHost(host, {})}))));
+		await Promise.all(this.entryHosts.map(async host => this.waitForReady(host)));
+	}
 
-		await Promise.all(this.entryHosts.map(async host => waitUntil(`${host.hostId} is ready`, async () => {
-			const response = await fetch(`http://${host.address}/readyz`);
-			return response.ok;
-		}, startTimeoutMs)));
+	private planEntryHost(availabilityZone: string, number: number): PlannedEntryHost {
+		return {hostId: `entry-${availabilityZone}-${number}`, availabilityZone, address: takeAddress()};
 	}
 
-	private startTarget(availabilityZone: string, service: string, index: number, address: string): void {
-		const hostId = `runner-${service}-${availabilityZone}-${index + 1}`;
-		const host = listedHostSchema.parse({
-			hostId, role: 'runner', availabilityZone, address, service, state: 'live',
+	private async startEntryHost(host: PlannedEntryHost, environment: NodeJS.ProcessEnv): Promise<RunningProcess> {
+		const platform = this.shape.isProxied ? await this.openPlatformView(host) : this.platformAddress;
+		const entryHosts = this.listedHosts.filter(listed => listed.role === 'entry');
+		const peers = await Promise.all(entryHosts.map(async peer => {
+			const address = await this.findAddress(host, peer);
+			return `${peer.hostId}=${peer.availabilityZone}@${address}`;
+		}));
+		return this.processes.start(host.hostId, daemonScript, [], {
+			RHUBARBLEVER_HOST_ID: host.hostId,
+			RHUBARBLEVER_AVAILABILITY_ZONE: host.availabilityZone,
+			RHUBARBLEVER_LISTEN: host.address,
+			RHUBARBLEVER_PLATFORM: platform,
+			RHUBARBLEVER_PEERS: peers.join(','),
+			RHUBARBLEVER_OPERATOR_TOKEN: operatorToken,
+			RHUBARBLEVER_PEER_TOKEN: peerToken,
+			RHUBARBLEVER_INVARIANTS: 'fatal',
+			...this.shape.environment,
+			...environment,
 		});
-		this.targets.push({host, running: this.processes.start(hostId, targetScript, ['--listen', address])});
 	}
+
+	/** The address at which an entry host reaches another host. */
+	private async findAddress(from: PlannedEntryHost, to: ListedHost): Promise<string> {
+		return this.shape.isProxied && from.hostId !== to.hostId ? this.links.open(from, to) : to.address;
+	}
+
+	/** Gives an entry host a platform address of its own, whose host list names the proxies of its links. */
+	private async openPlatformView(host: PlannedEntryHost): Promise<string> {
+		const listen = this.links.findLink(host.hostId, platformId)?.proxy.targetAddress ?? takeAddress();
+		const reachable = this.listedHosts.filter(listed => listed.role !== 'worker');
+		const addresses = await Promise.all(reachable.map(async listed => [listed.hostId, await this.findAddress(host, listed)] as const));
+		await this.callPlatform('PUT', '/v1/control/views', {listen, addresses: Object.fromEntries(addresses)});
+		return this.links.open(host, {hostId: platformId, availabilityZone: undefined, address: listen});
+	}
+
+	private async sendHostList(): Promise<void> {
+		if (this.shape.isProxied) {
+			await Promise.all(this.entryHosts.map(async host => this.openPlatformView(host)));
+		}
+
+		await this.callPlatform('PUT', '/v1/control/hosts', {hosts: this.listedHosts});
+	}
+
+	private startTargets(): void {
+		const planned = planTargets(this.shape);
+		const {targetsPerProcess = 1, targetFlags = []} = this.shape;
+		for (let index = 0; index < planned.length; index += targetsPerProcess) {
+			const hosts = planned.slice(index, index + targetsPerProcess);
+			const addresses = hosts.map(host => host.address).join(',');
+			const running = this.processes.start(hosts[0]?.hostId ?? 'target', targetScript, ['--listen', addresses, ...targetFlags]);
+			this.targets.push(...hosts.map(host => ({host, running})));
+		}
+	}
+}
+
+function planTargets({
+	availabilityZones, services, targetsPerZone, targetsPerService = targetsPerZone * availabilityZones.length,
+}: FleetShape): ListedHost[] {
+	return services.flatMap(service => Array.from({length: targetsPerService}, (_, index) => {
+		const availabilityZone = availabilityZones[index % availabilityZones.length];
+		return listedHostSchema.parse({
+			hostId: `runner-${service}-${availabilityZone}-${Math.floor(index / availabilityZones.length) + 1}`,
+			role: 'runner',
+			availabilityZone,
+			address: takeAddress(),
+			service,
+			state: 'live',
+		});
+	}));
+}
+
+function describeEntryHost(host: PlannedEntryHost): ListedHost {
+	return listedHostSchema.parse({...host, role: 'entry', state: 'live'});
 }
--- a/packages/stand-ins/src/platform/platform-server.ts
+++ b/packages/stand-ins/src/platform/platform-server.ts
@@ -1,5 +1,7 @@
 /** The platform stand-in: a log with offsets, long-poll reads and a host list, over HTTP/JSON. */
-import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import type {
 	Instant, ListedHost, LogRecord,
 } from '@rhubarblever/core';
@@ -12,6 +14,12 @@
 	readonly hosts: readonly ListedHost[];
 };
 
+/** A further address of the platform, at which the host list names other addresses for hosts: those of proxies. */
+export type HostListView = {
+	readonly listen: string;
+	readonly addresses: Readonly<Record<string, string>>;
+};
+
 export class PlatformServer {
 	static async create(options: PlatformOptions): Promise<PlatformServer> {
 		const platform = new PlatformServer(options);
@@ -21,9 +29,8 @@
 
 	private readonly streams = new Map<string, LogStream>();
 	private hosts: ListedHost[];
-	private readonly server = createServer((request, response) => {
-		void this.answer(request, response);
-	});
+	private readonly views = new Map<string, HostListView>();
+	private readonly server = this.createServer();
 
 	private constructor(options: PlatformOptions) {
 		this.hosts = [...options.hosts];
@@ -48,15 +55,39 @@
 		} else if (streamName) {
 			await this.answerRead(this.getStream(streamName), url, response);
 		} else if (url.pathname === '/v1/hosts') {
-			sendJson(response, 200, {hosts: this.hosts});
+			sendJson(response, 200, {hosts: this.listHosts(request)});
 		} else if (url.pathname === '/v1/control/hosts' && request.method === 'PUT') {
 			this.hosts = (await readJson(request) as {hosts: ListedHost[]}).hosts;
 			sendJson(response, 200, {});
+		} else if (url.pathname === '/v1/control/views' && request.method === 'PUT') {
+			await this.setView(await readJson(request) as HostListView);
+			sendJson(response, 200, {});
 		} else {
 			sendJson(response, 404, {});
 		}
 	}
 
+	/** The host list as it is seen from the address that the caller reached. */
+	private listHosts(request: IncomingMessage): ListedHost[] {
+		const view = this.views.get(`${request.socket.localAddress}:${request.socket.localPort}`);
+		return this.hosts.map(host => ({...host, address: view?.addresses[host.hostId] ?? host.address}));
+	}
+
+	private async setView(view: HostListView): Promise<void> {
+		const isNew = !this.views.has(view.listen);
+		this.views.set(view.listen, view);
+		if (isNew) {
+			const [ip = '', port = ''] = view.listen.split(':');
+			await listen(this.createServer(), ip, Number(port));
+		}
+	}
+
+	private createServer(): Server {
+		return createServer((request, response) => {
+			void this.answer(request, response);
+		});
+	}
+
 	private async answerRead(stream: LogStream, url: URL, response: ServerResponse): Promise<void> {
 		const from = Number(url.searchParams.get('from') ?? 0);
 		const limit = Number(url.searchParams.get('limit') ?? 100);
