--- a/packages/core/src/claims/catch-up.ts
+++ b/packages/core/src/claims/catch-up.ts
@@ -1,5 +1,5 @@
 /**
- * A member that has joined votes only when it knows what a majority of the members before it knew.
+ * A member that has joined votes only when it knows what so many of the members before it knew that no majority of them is left out.
  * docs/decisions/at-most-once.md shows why that suffices.
  */
 import {queueRecord} from '../log/handlers.js';
@@ -8,7 +8,7 @@
 import type {State} from '../types/state.js';
 import {addMilliseconds, type Instant} from '../types/time.js';
 import {
-	countMajority, isMember, type Member, type MemberLife,
+	countOverlap, isMember, type Member, type MemberLife,
 } from './members.js';
 import type {ClaimNoteMessage, ClaimsFetch, ClaimsPage} from './messages.js';
 import type {ClaimExport, ClaimSource} from './state.js';
@@ -113,15 +113,16 @@
 		return [];
 	}
 
+	const needed = self.predecessors.length === 0 ? 0 : countOverlap(self.predecessors.length);
 	const remaining = self.predecessors.filter(life => isMember(state, life));
 	const done = self.predecessors.filter(life => getSource(state, life).isDone);
-	const isDoubtful = remaining.length < countMajority(self.predecessors.length)
+	const isDoubtful = remaining.length < needed
 		&& remaining.every(life => getSource(state, life).isDone);
-	if (self.predecessors.length > 0 && done.length < countMajority(self.predecessors.length) && !isDoubtful) {
+	if (done.length < needed && !isDoubtful) {
 		return remaining.flatMap(life => fetchFrom(state, self, life));
 	}
 
-	if (self.predecessors.length > 0 && done.length < countMajority(self.predecessors.length)) {
+	if (done.length < needed) {
 		state.claims.doubtBefore = addMilliseconds(state.now, clockMarginMs);
 	}
 
--- a/packages/core/src/claims/members.ts
+++ b/packages/core/src/claims/members.ts
@@ -23,7 +23,7 @@
 
 export type Member = EntryHostJoinedBody & {
 	readonly joinedAt: Offset;
-	/** The members just before this one joined: a majority of them must tell it what they know. */
+	/** The members just before this one joined: it copies their claims before it votes. */
 	readonly predecessors: readonly MemberLife[];
 };
 
@@ -43,6 +43,11 @@
 	return Math.floor(count / 2) + 1;
 }
 
+/** How many of `count` members must be asked so that at least one of any majority is among them. */
+export function countOverlap(count: number): number {
+	return count - countMajority(count) + 1;
+}
+
 /** Whether this life of a host is a member by this host's fold. */
 export function isMember(state: State, life: MemberLife): boolean {
 	return state.fleet.members.get(life.hostId)?.incarnation === life.incarnation;
