--- a/packages/core/src/engine/reduce.ts
+++ b/packages/core/src/engine/reduce.ts
@@ -5,8 +5,12 @@
 import {createLogState} from '../log/state.js';
 import {membershipHandlers, tickMembership} from '../membership/handlers.js';
 import {createMembershipState} from '../membership/state.js';
-import {requestHandlers} from '../requests/handlers.js';
+import {
+	requestHandlers, startStop, tickRequests, tickRequestStop,
+} from '../requests/handlers.js';
 import {createRequestsState} from '../requests/state.js';
+import {deliverOwnMessages, tickSlots} from '../slots/handlers.js';
+import {createSlotsState} from '../slots/state.js';
 import {targetHandlers} from '../targets/handlers.js';
 import {createTargetsState} from '../targets/state.js';
 import type {Effect} from '../types/effects.js';
@@ -26,11 +30,13 @@
 		...tickLog(state),
 		...tickPublishers(state),
 		...tickMembership(state),
-		...tickStop(state),
+		...tickSlots(state),
+		...tickRequests(state),
+		...tickRequestStop(state),
 	],
 	'stop/requested'(state) {
 		state.isStopping = true;
-		return tickStop(state);
+		return startStop(state);
 	},
 };
 
@@ -42,6 +48,7 @@
 		log: createLogState(),
 		requests: createRequestsState(),
 		targets: createTargetsState(),
+		slots: createSlotsState(),
 		membership: createMembershipState(),
 		now: 0 as Instant,
 		isStopping: false,
@@ -60,10 +67,5 @@
 export function reduce(state: State, event: Event): Effect[] {
 	state.now = Math.max(state.now, event.at) as Instant;
 	const handle = handlers[event.type] as Handler<EventType>;
-	return handle(state, event);
-}
-
-function tickStop(state: State): Effect[] {
-	const isDone = state.isStopping && state.requests.attempts.size === 0;
-	return isDone ? [{type: 'process/exit'}] : [];
+	return deliverOwnMessages(state, handle(state, event));
 }
--- a/packages/core/src/membership/handlers.ts
+++ b/packages/core/src/membership/handlers.ts
@@ -1,4 +1,5 @@
 /** Keeps heartbeat links to the other entry hosts. */
+import {slotMessageHandlers} from '../slots/handlers.js';
 import type {Effect} from '../types/effects.js';
 import type {HandlerTable} from '../types/handlers.js';
 import type {HostId} from '../types/ids.js';
@@ -14,6 +15,7 @@
 type MessageHandler<Type extends PeerMessageType> = (state: State, peer: Peer, message: PeerMessageOf<Type>) => Effect[];
 
 const messageHandlers: {readonly [Type in PeerMessageType]: MessageHandler<Type>} = {
+	...slotMessageHandlers,
 	heartbeat(state, peer, message) {
 		peer.incarnation = message.incarnation;
 		peer.heardUntil = addMilliseconds(state.now, heartbeatTimeoutMs);
@@ -32,7 +34,7 @@
 		return [];
 	},
 	'peer/message'(state, event) {
-		const handle = messageHandlers[event.message.type];
+		const handle = messageHandlers[event.message.type] as MessageHandler<PeerMessageType>;
 		return handle(state, findPeer(state, event.peer), event.message);
 	},
 };
--- a/packages/core/src/requests/attempts.ts
+++ b/packages/core/src/requests/attempts.ts
@@ -1,50 +1,129 @@
-/** Dispatches requests to targets and ends their attempts. */
-import type {AttemptFailedEvent} from '../targets/events.js';
+/** Dispatches requests to targets, ends their attempts and judges whether to try again. */
+import {drawComeBackAt} from '../slots/come-back.js';
+import type {SlotEnd} from '../slots/messages.js';
+import type {AttemptAnsweredEvent, AttemptFailedEvent} from '../targets/events.js';
 import type {Target} from '../targets/state.js';
 import type {Effect} from '../types/effects.js';
 import type {AttemptId} from '../types/ids.js';
-import type {CallerRequest} from '../types/requests.js';
 import type {State} from '../types/state.js';
+import {getGiveUpAt} from './attempt-timeouts.js';
+import {endRequest, refuseRequest} from './refusals.js';
+import {noteFirstAttempt, takeRetry} from './retry-budget.js';
+import {askForSlot, releaseSlot} from './slot-asks.js';
+import type {Attempt, HeldGrant, OpenRequest} from './state.js';
+
+const firstServerErrorStatus = 500;
+
+/** Sends a request to a granted target. */
+export function dispatchAttempt(state: State, open: OpenRequest, grant: HeldGrant, target: Target): Effect[] {
+	const {request} = open;
+	if (request.deadline <= state.now) {
+		return [
+			...releaseSlot(state, grant, 'withdrawn', 0),
+			...refuseRequest(state, open, 'deadline-unreachable', 'the deadline passed before the request was sent'),
+		];
+	}
 
-/** Sends a request to a target. */
-export function dispatchAttempt(state: State, request: CallerRequest, target: Target): Effect[] {
 	state.requests.attemptCount += 1;
+	open.attemptCount += 1;
+	if (open.attemptCount === 1) {
+		noteFirstAttempt(state.requests, request.service);
+	}
+
 	const attemptId = `${state.settings.incarnation}-${state.requests.attemptCount}` as AttemptId;
-	state.requests.attempts.set(attemptId, {attemptId, request, target: target.listed.hostId});
+	state.requests.attempts.set(attemptId, {
+		attemptId, request, target: target.listed.hostId, grant, startedAt: state.now,
+	});
 	target.outstanding += 1;
-	return [{
-		type: 'attempt/dispatch',
-		attemptId,
-		requestId: request.requestId,
-		callerKey: request.callerKey,
-		target: target.listed.hostId,
-		address: target.listed.address,
-		isIdempotent: request.isIdempotent,
-		giveUpAt: request.deadline,
-	}];
+	return [
+		...judgeDispatch(state, open, grant),
+		{
+			type: 'attempt/dispatch',
+			attemptId,
+			requestId: request.requestId,
+			callerKey: request.callerKey,
+			target: target.listed.hostId,
+			address: target.listed.address,
+			isIdempotent: request.isIdempotent,
+			giveUpAt: getGiveUpAt(state, request, open.attemptCount),
+		},
+	];
 }
 
-/** Ends an attempt; a failed one is answered with its fault. */
-export function finishAttempt(state: State, attemptId: AttemptId, failure: AttemptFailedEvent | undefined): Effect[] {
-	const attempt = state.requests.attempts.get(attemptId);
+/** Ends an attempt whose whole answer was passed on. */
+export function finishAttempt(state: State, event: AttemptAnsweredEvent): Effect[] {
+	const attempt = takeAttempt(state, event.attemptId);
+	if (!attempt) {
+		return [];
+	}
+
+	state.requests.open.delete(attempt.request.callerKey);
+	const end = event.status >= firstServerErrorStatus ? 'failed' : 'answered';
+	return releaseSlot(state, attempt.grant, end, state.now - attempt.startedAt);
+}
+
+/** Ends an attempt without a whole answer: tries again where that is safe, else answers the caller. */
+export function endFailedAttempt(state: State, event: AttemptFailedEvent): Effect[] {
+	const attempt = takeAttempt(state, event.attemptId);
 	if (!attempt) {
 		return [];
 	}
 
+	const release = releaseSlot(state, attempt.grant, getSlotEnd(event), state.now - attempt.startedAt);
+	const open = state.requests.open.get(attempt.request.callerKey);
+	return open ? [...release, ...retryOrEnd(state, open, attempt, event)] : release;
+}
+
+function retryOrEnd(state: State, open: OpenRequest, attempt: Attempt, event: AttemptFailedEvent): Effect[] {
+	const hasSurelyNotRun = event.wasRefused || !event.wasSent;
+	open.latestFault = event.fault;
+	open.avoid.push(attempt.target);
+	if (!hasSurelyNotRun) {
+		open.possibleRun = event.fault;
+	}
+
+	if (event.hasAnswerBegun || !(hasSurelyNotRun || open.request.isIdempotent)) {
+		return endRequest(state, open, event.fault, drawComeBackAt(state, 0));
+	}
+
+	if (open.request.deadline <= state.now) {
+		return refuseRequest(state, open, 'deadline-unreachable', event.fault.detail);
+	}
+
+	return takeRetry(state.requests, open.request.service)
+		? askForSlot(state, open)
+		: refuseRequest(state, open, 'retry-budget-spent', event.fault.detail);
+}
+
+function takeAttempt(state: State, attemptId: AttemptId): Attempt | undefined {
+	const attempt = state.requests.attempts.get(attemptId);
 	state.requests.attempts.delete(attemptId);
-	const target = state.targets.targets.get(attempt.target);
+	const target = attempt && state.targets.targets.get(attempt.target);
 	if (target) {
 		target.outstanding -= 1;
 	}
 
-	if (!failure) {
-		return [];
+	return attempt;
+}
+
+function getSlotEnd(event: AttemptFailedEvent): SlotEnd {
+	if (event.wasRefused) {
+		return 'busy';
+	}
+
+	return event.wasSent ? 'lost' : 'unsent';
+}
+
+/** Invariants: an attempt holds a grant; what may have run is sent again only if it is idempotent. */
+function judgeDispatch(state: State, open: OpenRequest, grant: HeldGrant): Effect[] {
+	const effects: Effect[] = [];
+	if (!state.requests.grants.has(grant.ask.askId)) {
+		effects.push({type: 'invariant/violated', name: 'attempt-has-grant', detail: grant.ask.askId});
+	}
+
+	if (open.possibleRun && !open.request.isIdempotent) {
+		effects.push({type: 'invariant/violated', name: 'retry-of-sent-non-idempotent', detail: open.request.requestId});
 	}
 
-	return [{
-		type: 'caller/refuse',
-		callerKey: attempt.request.callerKey,
-		fault: failure.fault,
-		comeBackAt: state.now,
-	}];
+	return effects;
 }
--- a/packages/core/src/requests/effects.ts
+++ b/packages/core/src/requests/effects.ts
@@ -11,4 +11,7 @@
 	readonly comeBackAt: Instant;
 };
 
-export type RequestEffect = CallerRefuseEffect;
+/** From now on, answers ask callers to close their connections. */
+export type CallersDrainEffect = {readonly type: 'callers/drain'};
+
+export type RequestEffect = CallerRefuseEffect | CallersDrainEffect;
--- a/packages/core/src/requests/handlers.ts
+++ b/packages/core/src/requests/handlers.ts
@@ -1,42 +1,108 @@
-/** Takes requests on: refuses at once what cannot be run, sends the rest to a target. */
+/** Takes requests on: refuses at once what cannot be run, asks for a slot for the rest. */
 import type {Effect} from '../types/effects.js';
 import type {FaultKind} from '../types/faults.js';
 import type {HandlerTable} from '../types/handlers.js';
 import type {CallerRequest} from '../types/requests.js';
 import type {State} from '../types/state.js';
 import {addMilliseconds} from '../types/time.js';
-import {dispatchAttempt} from './attempts.js';
 import type {RequestEvent} from './events.js';
-import {routingPolicies} from './routing-policies.js';
+import {refuseRequest} from './refusals.js';
+import {askForSlot, tickAsks, withdrawAsks} from './slot-asks.js';
+import type {OpenRequest} from './state.js';
 
-const comeBackMs = 500;
+/** Requests of all services that may wait here; the queues at the stewards are bounded apart. */
+const mostOpenRequests = 8192;
+/** Leaves the balancer time to see that this host is not ready. */
+const stopLingerMs = 1500;
+/** What still waits for a slot by then is refused. */
+const stopQueueMs = 3000;
 
 export const requestHandlers: HandlerTable<RequestEvent['type']> = {
 	'request/arrived'(state, event) {
-		const {request} = event;
-		if (state.isStopping) {
-			return refuseRequest(state, request, 'shutting-down', 'this entry host is stopping');
+		const open = createOpenRequest(event.request);
+		const refusal = judgeRequest(state, event.request);
+		if (refusal) {
+			return refuseRequest(state, open, refusal, `${event.request.service}: not taken on`);
 		}
 
-		if (!state.fleet.services.has(request.service)) {
-			return refuseRequest(state, request, 'unknown-service', `service ${request.service} is not in force`);
+		state.requests.open.set(event.request.callerKey, open);
+		return askForSlot(state, open);
+	},
+	'caller/gone'(state, event) {
+		const open = state.requests.open.get(event.callerKey);
+		if (!open) {
+			return [];
 		}
 
-		const target = routingPolicies[state.settings.routingPolicy]?.(state, request.service);
-		return target
-			? dispatchAttempt(state, request, target)
-			: refuseRequest(state, request, 'no-target', `no live target of ${request.service}`);
-	},
-	'caller/gone'() {
-		return [];
+		state.requests.open.delete(event.callerKey);
+		return withdrawAsks(state, open);
 	},
 };
 
-function refuseRequest(state: State, request: CallerRequest, kind: FaultKind, detail: string): Effect[] {
-	return [{
-		type: 'caller/refuse',
-		callerKey: request.callerKey,
-		fault: {kind, detail},
-		comeBackAt: addMilliseconds(state.now, comeBackMs),
-	}];
+/** Refuses what waited past its deadline, and renews the rest. */
+export function tickRequests(state: State): Effect[] {
+	return [...refuseExpired(state), ...tickAsks(state)];
+}
+
+/** Starts a graceful stop. */
+export function startStop(state: State): Effect[] {
+	state.requests.stop ??= {
+		exitAt: addMilliseconds(state.now, stopLingerMs), refuseAt: addMilliseconds(state.now, stopQueueMs),
+	};
+	state.slots.nextGossipAt = state.now;
+	return [{type: 'callers/drain'}];
+}
+
+/** Goes on with a graceful stop: all that runs ends first, then slots are back and the process exits. */
+export function tickRequestStop(state: State): Effect[] {
+	const {stop, open, attempts} = state.requests;
+	if (!stop) {
+		return [];
+	}
+
+	const waiting = stop.refuseAt > state.now ? [] : [...open.values()].filter(({asks}) => asks.size > 0);
+	const refusals = waiting.flatMap(request => [
+		...withdrawAsks(state, request),
+		...refuseRequest(state, request, 'shutting-down', 'this entry host is stopping'),
+	]);
+	const isDone = stop.exitAt <= state.now && open.size === 0 && attempts.size === 0;
+	return isDone ? [...refusals, {type: 'process/exit'}] : refusals;
+}
+
+function judgeRequest(state: State, request: CallerRequest): FaultKind | undefined {
+	if (state.isStopping) {
+		return 'shutting-down';
+	}
+
+	if (!state.fleet.services.has(request.service)) {
+		return 'unknown-service';
+	}
+
+	if (request.deadline <= state.now) {
+		return 'deadline-unreachable';
+	}
+
+	return state.requests.open.size >= mostOpenRequests ? 'queue-full' : undefined;
+}
+
+function createOpenRequest(request: CallerRequest): OpenRequest {
+	return {
+		request,
+		asks: new Map(),
+		askedZones: new Set(),
+		nextZoneAt: request.arrivedAt,
+		attemptCount: 0,
+		avoid: [],
+		possibleRun: undefined,
+		latestFault: undefined,
+	};
+}
+
+function refuseExpired(state: State): Effect[] {
+	return [...state.requests.open.values()]
+		.filter(({asks, request}) => asks.size > 0 && request.deadline <= state.now)
+		.flatMap(open => [
+			...withdrawAsks(state, open),
+			...refuseRequest(state, open, 'deadline-unreachable', 'the deadline passed while it waited'),
+		]);
 }
--- /dev/null
+++ b/packages/core/src/requests/refusals.ts
@@ -0,0 +1,21 @@
+/** Final answers of requests that were given up: a refusal only if no attempt can have run. */
+import {drawComeBackAt} from '../slots/come-back.js';
+import type {Effect} from '../types/effects.js';
+import type {Fault, FaultKind} from '../types/faults.js';
+import type {State} from '../types/state.js';
+import type {Instant} from '../types/time.js';
+import type {OpenRequest} from './state.js';
+
+/** Ends a request with a refusal, or with an unknown outcome if an earlier attempt may have run. */
+export function refuseRequest(state: State, open: OpenRequest, kind: FaultKind, detail: string, comeBackAt?: Instant): Effect[] {
+	const fault: Fault = {kind, detail};
+	return endRequest(state, open, open.possibleRun ?? fault, comeBackAt ?? drawComeBackAt(state, 0));
+}
+
+/** Ends a request with a fault. */
+export function endRequest(state: State, open: OpenRequest, fault: Fault, comeBackAt: Instant): Effect[] {
+	state.requests.open.delete(open.request.callerKey);
+	return [{
+		type: 'caller/refuse', callerKey: open.request.callerKey, fault, comeBackAt,
+	}];
+}
--- /dev/null
+++ b/packages/core/src/requests/retry-budget.ts
@@ -0,0 +1,35 @@
+/** Retry budgets per service, so that retries can't multiply an overload. */
+import type {ServiceId} from '../types/ids.js';
+import type {RequestsState, RetryBudget} from './state.js';
+
+/** Retries earned by one first attempt. */
+const earnedPerFirstAttempt = 0.1;
+const mostTokens = 20;
+
+/** Notes a first attempt. */
+export function noteFirstAttempt(requests: RequestsState, service: ServiceId): void {
+	const budget = getBudget(requests, service);
+	budget.tokens = Math.min(mostTokens, budget.tokens + earnedPerFirstAttempt);
+}
+
+/** Takes one retry, if one is left. */
+export function takeRetry(requests: RequestsState, service: ServiceId): boolean {
+	const budget = getBudget(requests, service);
+	if (budget.tokens < 1) {
+		return false;
+	}
+
+	budget.tokens -= 1;
+	return true;
+}
+
+function getBudget(requests: RequestsState, service: ServiceId): RetryBudget {
+	const known = requests.retryBudgets.get(service);
+	if (known) {
+		return known;
+	}
+
+	const budget = {tokens: mostTokens};
+	requests.retryBudgets.set(service, budget);
+	return budget;
+}
--- a/packages/core/src/requests/routing-policies.ts
+++ b/packages/core/src/requests/routing-policies.ts
@@ -1,19 +1,62 @@
-/** Ways to choose a target, by name. All but the one in the settings' default are baselines for the bench. */
+/** Ways to share slots and choose a target, by name. All but `steward` are baselines for the bench. */
+import {chooseSteward, listLiveEntryHosts} from '../slots/entry-hosts.js';
 import type {Target} from '../targets/state.js';
-import type {ServiceId} from '../types/ids.js';
+import type {AvailabilityZone, HostId, ServiceId} from '../types/ids.js';
 import type {State} from '../types/state.js';
 
-/** Chooses a target of a service, or none. */
-export type RoutingPolicy = (state: State, service: ServiceId) => Target | undefined;
+/** Stands for all zones in a queue that an entry host keeps to itself. */
+export const everyZone = 'every-zone' as AvailabilityZone;
+
+/** A target that has a free slot, and how many of its slots are in use as far as is known. */
+export type FreeTarget = {readonly target: Target; readonly slotsInUse: number};
+
+export type RoutingPolicy = {
+	/** The zones that have a queue of a service. */
+	readonly listZones: (state: State, service: ServiceId) => AvailabilityZone[];
+	/** The entry host that keeps the queue. */
+	readonly chooseSteward: (state: State, service: ServiceId, availabilityZone: AvailabilityZone) => HostId;
+	/** How many slots of one target the queue may use. */
+	readonly countSlots: (state: State, slotsPerRunner: number) => number;
+	/** Orders targets with a free slot: the lowest is taken. */
+	readonly compare: (a: FreeTarget, b: FreeTarget) => number;
+};
+
+const compareLastGrants = (a: FreeTarget, b: FreeTarget) => a.target.lastGrant - b.target.lastGrant;
+const compareSlotsInUse = (a: FreeTarget, b: FreeTarget) => (a.slotsInUse - b.slotsInUse) || compareLastGrants(a, b);
+
+const localPolicy: RoutingPolicy = {
+	listZones: () => [everyZone],
+	chooseSteward: state => state.settings.self.hostId,
+	countSlots: (_state, slotsPerRunner) => slotsPerRunner,
+	compare: compareSlotsInUse,
+};
 
 export const routingPolicies: Readonly<Record<string, RoutingPolicy>> = {
-	'least-outstanding': (state, service) => listLiveTargets(state, service)
-		.toSorted((a, b) => a.outstanding - b.outstanding)
-		.at(0),
+	steward: {
+		listZones: listTargetZones,
+		chooseSteward,
+		countSlots: (_state, slotsPerRunner) => slotsPerRunner,
+		compare: compareSlotsInUse,
+	},
+	'round-robin': {...localPolicy, compare: compareLastGrants},
+	'least-outstanding': localPolicy,
+	'fixed-shares': {
+		...localPolicy,
+		countSlots: (state, slotsPerRunner) => Math.max(1, Math.floor(slotsPerRunner / listLiveEntryHosts(state).length)),
+	},
 };
 
-/** The targets of a service that may get new work. */
-export function listLiveTargets(state: State, service: ServiceId): Target[] {
-	return [...state.targets.targets.values()].filter(target =>
-		target.listed.service === service && target.listed.state === 'live');
+/** The policy in force. */
+export function getRoutingPolicy(state: State): RoutingPolicy {
+	return routingPolicies[state.settings.routingPolicy] ?? localPolicy;
+}
+
+/** The targets of a service in an availability zone, leaving ones too. */
+export function listTargets(state: State, service: ServiceId, availabilityZone: AvailabilityZone): Target[] {
+	return [...state.targets.targets.values()].filter(({listed}) =>
+		listed.service === service && (availabilityZone === everyZone || listed.availabilityZone === availabilityZone));
+}
+
+function listTargetZones(state: State, service: ServiceId): AvailabilityZone[] {
+	return [...new Set(listTargets(state, service, everyZone).map(target => target.listed.availabilityZone))];
 }
--- /dev/null
+++ b/packages/core/src/requests/slot-asks.ts
@@ -0,0 +1,198 @@
+/** The asking side of slots: asks the steward of one zone, then of another, and takes the first grant. */
+import type {SlotAsk, SlotMessage, SlotMessageOf} from '../slots/messages.js';
+import {recordRunTime} from '../slots/run-times.js';
+import {getScopeKey} from '../slots/state.js';
+import {isLeaving} from '../targets/leaving.js';
+import type {Effect} from '../types/effects.js';
+import type {
+	AskId, AvailabilityZone, HostId, ServiceId,
+} from '../types/ids.js';
+import type {State} from '../types/state.js';
+import {addMilliseconds} from '../types/time.js';
+import {dispatchAttempt} from './attempts.js';
+import {refuseRequest} from './refusals.js';
+import {getRoutingPolicy} from './routing-policies.js';
+import type {HeldGrant, OpenRequest} from './state.js';
+
+/** A request that waits longer asks another zone too. */
+const secondZoneAfterMs = 25;
+
+/** Asks for a slot for a request, in the best zone. */
+export function askForSlot(state: State, open: OpenRequest): Effect[] {
+	open.askedZones.clear();
+	const zone = listZonesByWait(state, open)[0];
+	return zone
+		? askZone(state, open, zone)
+		: refuseRequest(state, open, 'no-target', `no target of ${open.request.service} is known here`);
+}
+
+/** Takes a grant up, or hands it back when nothing waits for it. */
+export function acceptGrant(state: State, steward: HostId, message: SlotMessageOf<'slot-grant'>): Effect[] {
+	if (state.requests.grants.has(message.askId)) {
+		return [];
+	}
+
+	const open = findOpenRequest(state, message.askId);
+	const sent = open?.asks.get(message.askId);
+	if (!open || !sent) {
+		return [];
+	}
+
+	const grant: HeldGrant = {ask: sent.ask, steward, target: message.target};
+	removeAsk(state, open, message.askId);
+	const target = state.targets.targets.get(message.target);
+	if (!target || isLeaving(state, message.target)) {
+		open.avoid.push(message.target);
+		return [
+			createRelease(grant, 'withdrawn', 0),
+			...(open.asks.size === 0 ? askForSlot(state, open) : []),
+		];
+	}
+
+	state.requests.grants.set(message.askId, grant);
+	return [
+		...withdrawAsks(state, open),
+		...dispatchAttempt(state, open, grant, target),
+	];
+}
+
+/** Asks another zone, or answers the caller once no zone is left. */
+export function acceptRefusal(state: State, _steward: HostId, message: SlotMessageOf<'slot-refuse'>): Effect[] {
+	const open = findOpenRequest(state, message.askId);
+	if (!open) {
+		return [];
+	}
+
+	removeAsk(state, open, message.askId);
+	if (open.asks.size > 0) {
+		return [];
+	}
+
+	const zone = listZonesByWait(state, open)[0];
+	return zone
+		? askZone(state, open, zone)
+		: refuseRequest(state, open, message.kind, `the queue of ${open.request.service} refused it`, message.comeBackAt);
+}
+
+/** Takes back all asks of a request. */
+export function withdrawAsks(state: State, open: OpenRequest): Effect[] {
+	const effects = [...open.asks.values()].map(({ask, steward}) =>
+		createRelease({ask, steward, target: steward}, 'withdrawn', 0));
+	for (const askId of open.asks.keys()) {
+		removeAsk(state, open, askId);
+	}
+
+	return effects;
+}
+
+/** Gives a slot back. Unit of `runMs`: milliseconds. */
+export function releaseSlot(state: State, grant: HeldGrant, end: SlotMessageOf<'slot-release'>['end'], runMs: number): Effect[] {
+	state.requests.grants.delete(grant.ask.askId);
+	if (end === 'answered') {
+		recordRunTime(state.slots, grant.ask.service, grant.ask.workClass, runMs);
+	}
+
+	return [createRelease(grant, end, runMs)];
+}
+
+/** Asks a second zone for what waits long, and a new steward where the old one is gone. */
+export function tickAsks(state: State): Effect[] {
+	const stewards = new Map<string, HostId>();
+	return [...state.requests.open.values()]
+		.filter(open => open.asks.size > 0)
+		.flatMap(open => [...moveAsks(state, open, stewards), ...askSecondZone(state, open)]);
+}
+
+function askSecondZone(state: State, open: OpenRequest): Effect[] {
+	if (open.nextZoneAt > state.now) {
+		return [];
+	}
+
+	const zone = listZonesByWait(state, open).find(candidate => hasFreeSlot(state, open.request.service, candidate));
+	return zone ? askZone(state, open, zone) : [];
+}
+
+function moveAsks(state: State, open: OpenRequest, stewards: Map<string, HostId>): Effect[] {
+	return [...open.asks.values()].flatMap(sent => {
+		const key = getScopeKey(sent.ask.service, sent.ask.availabilityZone);
+		const steward = stewards.get(key) ?? getRoutingPolicy(state).chooseSteward(state, sent.ask.service, sent.ask.availabilityZone);
+		stewards.set(key, steward);
+		if (steward === sent.steward) {
+			return [];
+		}
+
+		const release = createRelease({ask: sent.ask, steward: sent.steward, target: sent.steward}, 'withdrawn', 0);
+		sent.steward = steward;
+		return [release, createSend(steward, {type: 'slot-ask', ask: sent.ask})];
+	});
+}
+
+function askZone(state: State, open: OpenRequest, availabilityZone: AvailabilityZone): Effect[] {
+	const {request} = open;
+	state.requests.askCount += 1;
+	const ask: SlotAsk = {
+		askId: `${state.settings.incarnation}-${state.requests.askCount}` as AskId,
+		service: request.service,
+		availabilityZone,
+		workClass: request.workClass,
+		team: request.team,
+		deadline: request.deadline,
+		isIdempotent: request.isIdempotent,
+		avoid: [...open.avoid],
+	};
+	const steward = getRoutingPolicy(state).chooseSteward(state, request.service, availabilityZone);
+	open.asks.set(ask.askId, {ask, steward});
+	open.askedZones.add(availabilityZone);
+	open.nextZoneAt = addMilliseconds(state.now, secondZoneAfterMs);
+	state.requests.callersByAsk.set(ask.askId, request.callerKey);
+	return [createSend(steward, {type: 'slot-ask', ask})];
+}
+
+/** The zones not yet asked, the shortest expected wait first; at equal wait this host's own zone. */
+function listZonesByWait(state: State, open: OpenRequest): AvailabilityZone[] {
+	const {service} = open.request;
+	return getRoutingPolicy(state).listZones(state, service)
+		.filter(zone => !open.askedZones.has(zone))
+		.toSorted((a, b) => getZoneCost(state, service, a) - getZoneCost(state, service, b));
+}
+
+function getZoneCost(state: State, service: ServiceId, zone: AvailabilityZone): number {
+	const heard = findHeardLoad(state, service, zone);
+	const ownZoneBonusMs = zone === state.settings.self.availabilityZone ? 0 : secondZoneAfterMs;
+	const isUnusable = heard?.usableTargets === 0;
+	return (heard?.waitMs ?? 0) + ownZoneBonusMs + (isUnusable ? Number.MAX_SAFE_INTEGER / 2 : 0);
+}
+
+function hasFreeSlot(state: State, service: ServiceId, zone: AvailabilityZone): boolean {
+	return (findHeardLoad(state, service, zone)?.freeSlots ?? 0) > 0;
+}
+
+function findHeardLoad(state: State, service: ServiceId, zone: AvailabilityZone) {
+	const heard = state.slots.heardLoads.get(getScopeKey(service, zone));
+	return heard && heard.validUntil > state.now ? heard.load : undefined;
+}
+
+function findOpenRequest(state: State, askId: AskId): OpenRequest | undefined {
+	const callerKey = state.requests.callersByAsk.get(askId);
+	return callerKey ? state.requests.open.get(callerKey) : undefined;
+}
+
+function removeAsk(state: State, open: OpenRequest, askId: AskId): void {
+	open.asks.delete(askId);
+	state.requests.callersByAsk.delete(askId);
+}
+
+function createRelease(grant: HeldGrant, end: SlotMessageOf<'slot-release'>['end'], runMs: number): Effect {
+	return createSend(grant.steward, {
+		type: 'slot-release',
+		askId: grant.ask.askId,
+		service: grant.ask.service,
+		availabilityZone: grant.ask.availabilityZone,
+		end,
+		runMs,
+	});
+}
+
+function createSend(peer: HostId, message: SlotMessage): Effect {
+	return {type: 'peer/send', peer, message};
+}
--- /dev/null
+++ b/packages/core/src/slots/ask-queue.ts
@@ -0,0 +1,102 @@
+/** Order of a queue: earliest deadline first within a class and team, start-time fair queueing between teams. */
+import {workClasses, type WorkClass} from '../types/requests.js';
+import type {State} from '../types/state.js';
+import {countSlotsHeldByClass, countSlotsOfClass, type SlotsInUse} from './capacity.js';
+import type {SlotAsk} from './messages.js';
+import {estimateRunMs} from './run-times.js';
+import type {QueuedAsk, Steward} from './state.js';
+
+const leastChargeMs = 1;
+
+/** The asks that may be granted next, best first: one of each class that is under its limit, the earliest deadline first. */
+export function listNextAsks(steward: Steward, slots: number, inUse: SlotsInUse): QueuedAsk[] {
+	const heads = workClasses
+		.filter(workClass => workClasses.every(wider =>
+			!isWithin(workClass, wider) || countSlotsHeldByClass(inUse, wider) < countSlotsOfClass(slots, wider)))
+		.map(workClass => findHead(steward, workClass));
+	return heads.filter(head => head !== undefined).toSorted((a, b) => a.ask.deadline - b.ask.deadline);
+}
+
+/** Charges a team for a granted ask, so that the other teams come first for a while. */
+export function updateTeamTag(state: State, steward: Steward, ask: SlotAsk): void {
+	const startTag = getStartTag(steward, ask);
+	steward.virtualTime = Math.max(steward.virtualTime, startTag);
+	const chargeMs = Math.max(leastChargeMs, estimateRunMs(state.slots, ask.service, ask.workClass));
+	steward.teamTags.set(ask.team, startTag + chargeMs);
+}
+
+/** Forgets teams whose tag has passed: they count as new. */
+export function expireTeamTags(steward: Steward): void {
+	for (const [team, tag] of steward.teamTags) {
+		if (tag <= steward.virtualTime) {
+			steward.teamTags.delete(team);
+		}
+	}
+}
+
+/**
+ * How long an ask is expected to wait, in milliseconds, from observed run times; 0 if nothing is known.
+ * A team's ask stands behind its own earlier asks and an equal number of each other team's.
+ */
+export function estimateWaitMs(state: State, steward: Steward, ask: SlotAsk, slots: number, inUse: SlotsInUse): number {
+	const free = countSlotsOfClass(slots, ask.workClass) - countSlotsHeldByClass(inUse, ask.workClass);
+	const ahead = countAsksAhead(steward, ask);
+	if (ahead < free && inUse.total < slots) {
+		return 0;
+	}
+
+	const slower = countSlotsHeldByClass(inUse, ask.workClass) - inUse.byClass[ask.workClass];
+	const serving = Math.max(1, countSlotsOfClass(slots, ask.workClass) - (ask.workClass === 'quick' ? slower : 0));
+	return (ahead + 1) * estimateRunMs(state.slots, ask.service, ask.workClass) / serving;
+}
+
+/** Whether a class's slots count towards the limit of another: long work is also heavy, heavy work is not long. */
+function isWithin(workClass: WorkClass, wider: WorkClass): boolean {
+	return workClasses.indexOf(workClass) >= workClasses.indexOf(wider);
+}
+
+function findHead(steward: Steward, workClass: WorkClass): QueuedAsk | undefined {
+	let head: QueuedAsk | undefined;
+	for (const queued of steward.queue.values()) {
+		if (queued.ask.workClass === workClass && (!head || isBefore(steward, queued.ask, head.ask))) {
+			head = queued;
+		}
+	}
+
+	return head;
+}
+
+function isBefore(steward: Steward, a: SlotAsk, b: SlotAsk): boolean {
+	const difference = getStartTag(steward, a) - getStartTag(steward, b);
+	return difference < 0 || (difference === 0 && a.deadline < b.deadline);
+}
+
+function getStartTag(steward: Steward, ask: SlotAsk): number {
+	return Math.max(steward.virtualTime, steward.teamTags.get(ask.team) ?? 0);
+}
+
+function countAsksAhead(steward: Steward, ask: SlotAsk): number {
+	const otherTeams = new Set<string>();
+	let earlierOfTeam = 0;
+	let earlierInAll = 0;
+	let othersInAll = 0;
+	for (const {ask: other} of steward.queue.values()) {
+		if (other.workClass !== ask.workClass || other.askId === ask.askId) {
+			continue;
+		}
+
+		const isEarlier = other.deadline <= ask.deadline;
+		if (other.team === ask.team) {
+			earlierOfTeam += isEarlier ? 1 : 0;
+		} else {
+			otherTeams.add(other.team);
+			othersInAll += 1;
+		}
+
+		earlierInAll += isEarlier ? 1 : 0;
+	}
+
+	return otherTeams.size === 0
+		? earlierInAll
+		: earlierOfTeam + Math.min(othersInAll, (earlierOfTeam + 1) * otherTeams.size);
+}
--- /dev/null
+++ b/packages/core/src/slots/capacity.ts
@@ -0,0 +1,97 @@
+/** How many slots of a queue are in use, and how many each work class may use. */
+import {
+	everyZone, getRoutingPolicy, listTargets, type FreeTarget,
+} from '../requests/routing-policies.js';
+import {isTargetUsable} from '../targets/health.js';
+import type {HostId} from '../types/ids.js';
+import type {WorkClass} from '../types/requests.js';
+import type {State} from '../types/state.js';
+import type {Steward} from './state.js';
+
+/** One part in this many of a queue's slots is kept for quick work. */
+const quickReserveParts = 8;
+const longShareParts = 2;
+/** Entry hosts that a target's connections are divided among: the most there are today and one being replaced. */
+const connectionShares = 10;
+
+export type SlotsInUse = {
+	readonly byTarget: ReadonlyMap<HostId, number>;
+	readonly byClass: Readonly<Record<WorkClass, number>>;
+	readonly total: number;
+};
+
+/** Counts the grants of a queue. */
+export function countSlotsInUse(steward: Steward): SlotsInUse {
+	const byTarget = new Map<HostId, number>();
+	const byClass = {quick: 0, heavy: 0, long: 0};
+	for (const grant of steward.grants.values()) {
+		byTarget.set(grant.target, (byTarget.get(grant.target) ?? 0) + 1);
+		byClass[grant.ask.workClass] += 1;
+	}
+
+	return {byTarget, byClass, total: steward.grants.size};
+}
+
+/** Slots of one target that a queue may use. */
+export function countSlotsPerTarget(state: State, steward: Steward): number {
+	const service = state.fleet.services.get(steward.service);
+	return getRoutingPolicy(state).countSlots(state, service?.body.slotsPerRunner ?? 0);
+}
+
+/** Slots of all usable targets of a queue. */
+export function countSlots(state: State, steward: Steward): number {
+	const targets = listTargets(state, steward.service, steward.availabilityZone);
+	return targets.filter(target => isTargetUsable(state, target)).length * countSlotsPerTarget(state, steward);
+}
+
+/** The most slots that a class, together with the slower ones, may use. */
+export function countSlotsOfClass(slots: number, workClass: WorkClass): number {
+	const withoutReserve = slots > 1 ? slots - Math.ceil(slots / quickReserveParts) : slots;
+	const limits = {quick: slots, heavy: withoutReserve, long: Math.max(1, Math.floor(slots / longShareParts))};
+	return limits[workClass];
+}
+
+/** Slots in use by a class and the slower ones. */
+export function countSlotsHeldByClass(inUse: SlotsInUse, workClass: WorkClass): number {
+	const {heavy, long} = inUse.byClass;
+	const held = {quick: inUse.total, heavy: heavy + long, long};
+	return held[workClass];
+}
+
+/** Usable targets that have a free slot, best first. */
+export function listFreeTargets(state: State, steward: Steward, inUse: SlotsInUse): FreeTarget[] {
+	const slotsPerTarget = countSlotsPerTarget(state, steward);
+	return listTargets(state, steward.service, steward.availabilityZone)
+		.map(target => ({target, slotsInUse: inUse.byTarget.get(target.listed.hostId) ?? 0}))
+		.filter(({target, slotsInUse}) =>
+			isTargetUsable(state, target) && slotsInUse < (target.isOnProbation ? 1 : slotsPerTarget))
+		.toSorted(getRoutingPolicy(state).compare);
+}
+
+/** Connections that one entry host may have to one target. */
+export function countConnectionsPerHost(connectionsPerRunner: number): number {
+	return Math.max(1, Math.floor(connectionsPerRunner / connectionShares));
+}
+
+/** Whether a holder has fewer slots of a target than it may have connections. */
+export function hasConnectionLeft(state: State, steward: Steward, holder: HostId, target: HostId): boolean {
+	const service = state.fleet.services.get(steward.service);
+	const limit = countConnectionsPerHost(service?.body.connectionsPerRunner ?? 0);
+	let held = 0;
+	for (const grant of steward.grants.values()) {
+		held += grant.holder === holder && grant.target === target ? 1 : 0;
+	}
+
+	return held < limit;
+}
+
+/** Whether a service has another target than those of one zone that are not set aside: judged by what other stewards said. */
+export function hasUsableTargetElsewhere(state: State, steward: Steward): boolean {
+	if (steward.availabilityZone === everyZone) {
+		return false;
+	}
+
+	return [...state.slots.heardLoads.values()].some(({load, validUntil}) =>
+		load.service === steward.service && load.availabilityZone !== steward.availabilityZone
+		&& load.usableTargets > 0 && validUntil > state.now);
+}
--- /dev/null
+++ b/packages/core/src/slots/entry-hosts.ts
@@ -0,0 +1,34 @@
+/** Which entry host is the steward of a service's slots in an availability zone: rendezvous hashing over live hosts. */
+import murmurhash from 'murmurhash';
+import {isPeerLive} from '../membership/handlers.js';
+import type {AvailabilityZone, HostId, ServiceId} from '../types/ids.js';
+import type {EntryHost} from '../types/peers.js';
+import type {State} from '../types/state.js';
+import {getScopeKey} from './state.js';
+
+/** Entry hosts that can be reached now and do not stop, this one included. */
+export function listLiveEntryHosts(state: State): EntryHost[] {
+	const peers = state.settings.peers.filter(({hostId}) => {
+		const peer = state.membership.peers.get(hostId);
+		return peer !== undefined && peer.isLinked && isPeerLive(state, peer) && !state.slots.stoppingPeers.has(hostId);
+	});
+	return state.isStopping && peers.length > 0 ? peers : [state.settings.self, ...peers];
+}
+
+/** The steward among live hosts: of the zone's own, or of all if the zone has none. */
+export function chooseSteward(state: State, service: ServiceId, availabilityZone: AvailabilityZone): HostId {
+	const live = listLiveEntryHosts(state);
+	const own = live.filter(host => host.availabilityZone === availabilityZone);
+	const scope = getScopeKey(service, availabilityZone);
+	let chosen = state.settings.self.hostId;
+	let highest = -1;
+	for (const {hostId} of own.length > 0 ? own : live) {
+		const score = murmurhash.v3(`${scope} ${hostId}`);
+		if (score > highest) {
+			highest = score;
+			chosen = hostId;
+		}
+	}
+
+	return chosen;
+}
--- /dev/null
+++ b/packages/core/src/slots/gossip.ts
@@ -0,0 +1,94 @@
+/** What stewards tell every peer of their queues, of leaving targets and of their own stop. */
+import {noteLeaving} from '../targets/leaving.js';
+import type {Effect} from '../types/effects.js';
+import type {HostId} from '../types/ids.js';
+import type {State} from '../types/state.js';
+import {addMilliseconds} from '../types/time.js';
+import {everyZone, getRoutingPolicy} from '../requests/routing-policies.js';
+import {estimateWaitMs} from './ask-queue.js';
+import {countSlots, countSlotsInUse, countSlotsPerTarget} from './capacity.js';
+import type {SlotAsk, SlotMessageOf, ZoneLoad} from './messages.js';
+import {getScopeKey, type Steward} from './state.js';
+
+const gossipIntervalMs = 150;
+const loadLifeMs = 1000;
+
+/** Sends gossip to every linked peer when it is due. */
+export function tickGossip(state: State): Effect[] {
+	if (state.now < state.slots.nextGossipAt) {
+		return [];
+	}
+
+	state.slots.nextGossipAt = addMilliseconds(state.now, gossipIntervalMs);
+	const message: SlotMessageOf<'slot-gossip'> = {
+		type: 'slot-gossip',
+		isStopping: state.isStopping,
+		loads: listOwnLoads(state),
+		leaving: [...state.targets.leaving].map(([hostId, saidAt]) => ({hostId, saidAt})),
+	};
+	noteLoads(state, state.settings.self.hostId, message.loads);
+	return [...state.membership.peers.values()]
+		.filter(peer => peer.isLinked && peer.hostId !== state.settings.self.hostId)
+		.map(peer => ({type: 'peer/send', peer: peer.hostId, message}));
+}
+
+/** Notes what a peer said. */
+export function acceptGossip(state: State, peer: HostId, message: SlotMessageOf<'slot-gossip'>): Effect[] {
+	if (message.isStopping) {
+		state.slots.stoppingPeers.add(peer);
+	} else {
+		state.slots.stoppingPeers.delete(peer);
+	}
+
+	noteLoads(state, peer, message.loads);
+	for (const {hostId, saidAt} of message.leaving) {
+		noteLeaving(state, hostId, saidAt);
+	}
+
+	return [];
+}
+
+function noteLoads(state: State, from: HostId, loads: readonly ZoneLoad[]): void {
+	for (const load of loads) {
+		state.slots.heardLoads.set(getScopeKey(load.service, load.availabilityZone), {
+			load, from, validUntil: addMilliseconds(state.now, loadLifeMs),
+		});
+	}
+}
+
+/** The loads of the queues whose steward this host is now. */
+function listOwnLoads(state: State): ZoneLoad[] {
+	const policy = getRoutingPolicy(state);
+	return [...state.slots.stewards.values()]
+		.filter(({service, availabilityZone}) => availabilityZone !== everyZone
+			&& policy.chooseSteward(state, service, availabilityZone) === state.settings.self.hostId)
+		.map(steward => describeLoad(state, steward));
+}
+
+function describeLoad(state: State, steward: Steward): ZoneLoad {
+	const slots = countSlots(state, steward);
+	const inUse = countSlotsInUse(steward);
+	const slotsPerTarget = countSlotsPerTarget(state, steward);
+	return {
+		service: steward.service,
+		availabilityZone: steward.availabilityZone,
+		freeSlots: slots - inUse.total,
+		queuedAsks: steward.queue.size,
+		waitMs: slots === 0 ? 0 : estimateWaitMs(state, steward, createProbeAsk(state, steward), slots, inUse),
+		usableTargets: slotsPerTarget === 0 ? 0 : slots / slotsPerTarget,
+	};
+}
+
+/** A quick ask behind all others. */
+function createProbeAsk(state: State, {service, availabilityZone}: Steward): SlotAsk {
+	return {
+		askId: 'probe' as SlotAsk['askId'],
+		service,
+		availabilityZone,
+		workClass: 'quick',
+		team: 'probe' as SlotAsk['team'],
+		deadline: addMilliseconds(state.now, Number.MAX_SAFE_INTEGER / 4),
+		isIdempotent: true,
+		avoid: [],
+	};
+}
--- /dev/null
+++ b/packages/core/src/slots/steward.ts
@@ -0,0 +1,295 @@
+/** The steward's side: queues asks, grants free slots, refuses what cannot be served in time. */
+import type {Effect} from '../types/effects.js';
+import type {AskId, HostId} from '../types/ids.js';
+import type {State} from '../types/state.js';
+import {addMilliseconds} from '../types/time.js';
+import {judgeTarget} from '../targets/health.js';
+import {everyZone, listTargets} from '../requests/routing-policies.js';
+import {
+	estimateWaitMs, expireTeamTags, listNextAsks, updateTeamTag,
+} from './ask-queue.js';
+import {
+	countSlots, countSlotsInUse, countSlotsPerTarget, hasConnectionLeft, hasUsableTargetElsewhere, listFreeTargets, type SlotsInUse,
+} from './capacity.js';
+import {drawComeBackAt} from './come-back.js';
+import {listLiveEntryHosts} from './entry-hosts.js';
+import type {
+	RefusalKind, SlotAsk, SlotMessage, SlotMessageOf,
+} from './messages.js';
+import {estimateRunMs, recordRunTime} from './run-times.js';
+import {
+	getScopeKey, type Grant, type QueuedAsk, type Steward,
+} from './state.js';
+
+/** A holder that is silent for this time loses its slots and its place in the queue. */
+export const slotLeaseMs = 1500;
+const settleMs = 400;
+const longestLingerMs = 2000;
+const asksPerSlot = 64;
+const teamShareOfQueue = 0.75;
+
+/** Queues an ask, refuses it at once, or grants it. */
+export function acceptAsk(state: State, holder: HostId, ask: SlotAsk): Effect[] {
+	const steward = getSteward(state, ask);
+	if (steward.queue.has(ask.askId) || steward.grants.has(ask.askId)) {
+		return [];
+	}
+
+	const refusal = judgeAsk(state, steward, ask);
+	if (refusal) {
+		return [refuseAsk(state, steward, {ask, holder}, refusal)];
+	}
+
+	addToQueue(state, steward, holder, ask);
+	return grantSlots(state, steward);
+}
+
+/** Takes a slot or a queued ask back. */
+export function acceptRelease(state: State, holder: HostId, message: SlotMessageOf<'slot-release'>): Effect[] {
+	const steward = getSteward(state, message);
+	steward.queue.delete(message.askId);
+	const grant = steward.grants.get(message.askId);
+	if (!grant || grant.isLingering) {
+		return grantSlots(state, steward);
+	}
+
+	endGrant(state, steward, grant, message.end);
+	const target = state.targets.targets.get(grant.target);
+	if (target) {
+		const others = listTargets(state, steward.service, steward.availabilityZone)
+			.filter(other => other !== target && other.setAsideUntil <= state.now);
+		judgeTarget(state, target, message.end, others.length > 0 || hasUsableTargetElsewhere(state, steward));
+	}
+
+	if (message.end === 'answered' && holder !== state.settings.self.hostId) {
+		recordRunTime(state.slots, message.service, grant.ask.workClass, message.runMs);
+	}
+
+	return grantSlots(state, steward);
+}
+
+/** Renews a holder's leases and repairs what lost messages left different. */
+export function acceptReport(state: State, holder: HostId, message: SlotMessageOf<'slot-report'>): Effect[] {
+	const steward = getSteward(state, message);
+	const effects: Effect[] = [];
+	const heldIds = new Set<AskId>();
+	for (const {ask, target} of message.held) {
+		heldIds.add(ask.askId);
+		steward.queue.delete(ask.askId);
+		steward.grants.set(ask.askId, {
+			ask, holder, target, leaseUntil: addMilliseconds(state.now, slotLeaseMs), isLingering: false,
+		});
+	}
+
+	const queuedIds = new Set<AskId>(message.queued.map(ask => ask.askId));
+	dropUnreported(steward, holder, heldIds, queuedIds);
+	steward.awaitedHosts.delete(holder);
+	for (const ask of message.queued) {
+		effects.push(...acceptReportedAsk(state, steward, holder, ask));
+	}
+
+	return [...effects, ...grantSlots(state, steward)];
+}
+
+/** Drops what lapsed, refuses what can no longer be served in time, and grants what is free. */
+export function tickStewards(state: State): Effect[] {
+	return [...state.slots.stewards.values()].flatMap(steward => {
+		expireLeases(state, steward);
+		expireTeamTags(steward);
+		return [...refuseHopeless(state, steward), ...grantSlots(state, steward)];
+	});
+}
+
+function getSteward(state: State, scope: Pick<SlotAsk, 'service' | 'availabilityZone'>): Steward {
+	const key = getScopeKey(scope.service, scope.availabilityZone);
+	const known = state.slots.stewards.get(key);
+	if (known) {
+		return known;
+	}
+
+	const isLocal = scope.availabilityZone === everyZone;
+	const peers = listLiveEntryHosts(state).map(host => host.hostId).filter(hostId => hostId !== state.settings.self.hostId);
+	const steward: Steward = {
+		service: scope.service,
+		availabilityZone: scope.availabilityZone,
+		queue: new Map(),
+		grants: new Map(),
+		teamTags: new Map(),
+		virtualTime: 0,
+		awaitedHosts: new Set(isLocal ? [] : peers),
+		settleUntil: addMilliseconds(state.now, settleMs),
+	};
+	state.slots.stewards.set(key, steward);
+	return steward;
+}
+
+function judgeAsk(state: State, steward: Steward, ask: SlotAsk): RefusalKind | undefined {
+	const slots = countSlots(state, steward);
+	if (listTargets(state, steward.service, steward.availabilityZone).every(({listed}) =>
+		listed.state === 'leaving' || state.targets.leaving.has(listed.hostId))) {
+		return 'no-target';
+	}
+
+	const limit = Math.max(1, slots) * asksPerSlot;
+	if (steward.queue.size >= limit) {
+		return 'queue-full';
+	}
+
+	const ofTeam = [...steward.queue.values()].filter(queued => queued.ask.team === ask.team);
+	if (ofTeam.length >= limit * teamShareOfQueue) {
+		return 'team-over-quota';
+	}
+
+	return canMeetDeadline(state, steward, ask, slots, countSlotsInUse(steward)) ? undefined : 'deadline-unreachable';
+}
+
+function canMeetDeadline(state: State, steward: Steward, ask: SlotAsk, slots: number, inUse: SlotsInUse): boolean {
+	const runMs = estimateRunMs(state.slots, ask.service, ask.workClass);
+	const waitMs = slots === 0 ? 0 : estimateWaitMs(state, steward, ask, slots, inUse);
+	return state.now + waitMs + runMs <= ask.deadline;
+}
+
+function addToQueue(state: State, steward: Steward, holder: HostId, ask: SlotAsk): void {
+	steward.queue.set(ask.askId, {
+		ask, holder, arrivedAt: state.now, leaseUntil: addMilliseconds(state.now, slotLeaseMs),
+	});
+}
+
+function acceptReportedAsk(state: State, steward: Steward, holder: HostId, ask: SlotAsk): Effect[] {
+	const grant = steward.grants.get(ask.askId);
+	if (grant) {
+		grant.leaseUntil = addMilliseconds(state.now, slotLeaseMs);
+		return [createSend(holder, {type: 'slot-grant', askId: ask.askId, target: grant.target})];
+	}
+
+	const queued = steward.queue.get(ask.askId);
+	if (queued) {
+		queued.leaseUntil = addMilliseconds(state.now, slotLeaseMs);
+		return [];
+	}
+
+	return acceptAsk(state, holder, ask);
+}
+
+function dropUnreported(steward: Steward, holder: HostId, heldIds: ReadonlySet<AskId>, queuedIds: ReadonlySet<AskId>): void {
+	for (const [askId, grant] of steward.grants) {
+		if (grant.holder === holder && !grant.isLingering && !heldIds.has(askId) && !queuedIds.has(askId)) {
+			steward.grants.delete(askId);
+		}
+	}
+
+	for (const [askId, queued] of steward.queue) {
+		if (queued.holder === holder && !queuedIds.has(askId)) {
+			steward.queue.delete(askId);
+		}
+	}
+}
+
+function endGrant(state: State, steward: Steward, grant: Grant, end: SlotMessageOf<'slot-release'>['end']): void {
+	if (end !== 'lost') {
+		steward.grants.delete(grant.ask.askId);
+		return;
+	}
+
+	const runMs = estimateRunMs(state.slots, grant.ask.service, grant.ask.workClass);
+	grant.isLingering = true;
+	grant.leaseUntil = addMilliseconds(state.now, Math.min(longestLingerMs, runMs));
+}
+
+function expireLeases(state: State, steward: Steward): void {
+	for (const [askId, grant] of steward.grants) {
+		if (grant.leaseUntil <= state.now) {
+			steward.grants.delete(askId);
+		}
+	}
+
+	for (const [askId, queued] of steward.queue) {
+		if (queued.leaseUntil <= state.now) {
+			steward.queue.delete(askId);
+		}
+	}
+}
+
+function refuseHopeless(state: State, steward: Steward): Effect[] {
+	const effects: Effect[] = [];
+	for (const queued of steward.queue.values()) {
+		const runMs = estimateRunMs(state.slots, queued.ask.service, queued.ask.workClass);
+		if (state.now + runMs > queued.ask.deadline) {
+			steward.queue.delete(queued.ask.askId);
+			effects.push(refuseAsk(state, steward, queued, 'deadline-unreachable'));
+		}
+	}
+
+	return effects;
+}
+
+function refuseAsk(state: State, steward: Steward, {ask, holder}: Pick<QueuedAsk, 'ask' | 'holder'>, kind: RefusalKind): Effect {
+	const waitMs = estimateWaitMs(state, steward, ask, Math.max(1, countSlots(state, steward)), countSlotsInUse(steward));
+	return createSend(holder, {
+		type: 'slot-refuse', askId: ask.askId, kind, comeBackAt: drawComeBackAt(state, waitMs),
+	});
+}
+
+function grantSlots(state: State, steward: Steward): Effect[] {
+	if (steward.queue.size === 0 || !isSettled(state, steward)) {
+		return [];
+	}
+
+	const effects: Effect[] = [];
+	const slots = countSlots(state, steward);
+	for (let granted = grantOne(state, steward, slots); granted; granted = grantOne(state, steward, slots)) {
+		effects.push(...granted);
+	}
+
+	return effects;
+}
+
+function isSettled(state: State, steward: Steward): boolean {
+	return steward.awaitedHosts.size === 0 || steward.settleUntil <= state.now;
+}
+
+function grantOne(state: State, steward: Steward, slots: number): Effect[] | undefined {
+	const inUse = countSlotsInUse(steward);
+	const free = listFreeTargets(state, steward, inUse);
+	if (free.length === 0) {
+		return undefined;
+	}
+
+	for (const queued of listNextAsks(steward, slots, inUse)) {
+		const {ask, holder} = queued;
+		const open = free.filter(({target}) => hasConnectionLeft(state, steward, holder, target.listed.hostId));
+		const target = (open.find(candidate => !ask.avoid.includes(candidate.target.listed.hostId)) ?? open[0])?.target;
+		if (!target) {
+			continue;
+		}
+
+		steward.queue.delete(ask.askId);
+		steward.grants.set(ask.askId, {
+			ask, holder, target: target.listed.hostId, leaseUntil: addMilliseconds(state.now, slotLeaseMs), isLingering: false,
+		});
+		state.slots.grantCount += 1;
+		target.lastGrant = state.slots.grantCount;
+		updateTeamTag(state, steward, ask);
+		return [
+			...judgeGrant(state, steward, target.listed.hostId),
+			createSend(holder, {type: 'slot-grant', askId: ask.askId, target: target.listed.hostId}),
+		];
+	}
+
+	return undefined;
+}
+
+/** Invariant: a grant never takes a target above its slots as this steward knows them. */
+function judgeGrant(state: State, steward: Steward, target: HostId): Effect[] {
+	const inUse = countSlotsInUse(steward).byTarget.get(target) ?? 0;
+	const slots = countSlotsPerTarget(state, steward);
+	return inUse <= slots
+		? []
+		: [{
+			type: 'invariant/violated', name: 'grants-within-slots', detail: `${inUse} grants on ${target} of ${slots} slots`,
+		}];
+}
+
+function createSend(peer: HostId, message: SlotMessage): Effect {
+	return {type: 'peer/send', peer, message};
+}
--- a/packages/core/src/targets/events.ts
+++ b/packages/core/src/targets/events.ts
@@ -1,7 +1,7 @@
 /** What the daemon tells of targets: the platform's host list and the course of each attempt. */
 import type {Fault} from '../types/faults.js';
 import type {ListedHost} from '../types/hosts.js';
-import type {AttemptId} from '../types/ids.js';
+import type {AttemptId, HostId} from '../types/ids.js';
 import type {Instant} from '../types/time.js';
 
 export type HostsListedEvent = {
@@ -40,4 +40,7 @@
 	readonly hasAnswerBegun: boolean;
 };
 
-export type TargetEvent = HostsListedEvent | HostsListFailedEvent | AttemptAnsweredEvent | AttemptFailedEvent;
+/** A target's own answer said that it is leaving. */
+export type TargetLeavingEvent = {readonly type: 'target/leaving'; readonly at: Instant; readonly target: HostId};
+
+export type TargetEvent = HostsListedEvent | HostsListFailedEvent | AttemptAnsweredEvent | AttemptFailedEvent | TargetLeavingEvent;
--- a/packages/core/src/targets/handlers.ts
+++ b/packages/core/src/targets/handlers.ts
@@ -1,9 +1,12 @@
 /** Follows the host list and the end of each attempt. */
-import {finishAttempt} from '../requests/attempts.js';
+import {endFailedAttempt, finishAttempt} from '../requests/attempts.js';
 import type {HandlerTable} from '../types/handlers.js';
 import type {ListedHost} from '../types/hosts.js';
 import type {State} from '../types/state.js';
+import type {Instant} from '../types/time.js';
 import type {TargetEvent} from './events.js';
+import {noteLeaving} from './leaving.js';
+import type {Target} from './state.js';
 
 export const targetHandlers: HandlerTable<TargetEvent['type']> = {
 	'hosts/listed'(state, event) {
@@ -19,10 +22,14 @@
 		return [];
 	},
 	'attempt/answered'(state, event) {
-		return finishAttempt(state, event.attemptId, undefined);
+		return finishAttempt(state, event);
 	},
 	'attempt/failed'(state, event) {
-		return finishAttempt(state, event.attemptId, event);
+		return endFailedAttempt(state, event);
+	},
+	'target/leaving'(state, event) {
+		noteLeaving(state, event.target, event.at);
+		return [];
 	},
 };
 
@@ -32,13 +39,31 @@
 	}
 
 	const target = state.targets.targets.get(listed.hostId);
+	const wasLeaving = target?.listed.state === 'leaving';
+	if (listed.state === 'leaving') {
+		noteLeaving(state, listed.hostId, state.now);
+	} else if (wasLeaving) {
+		state.targets.leaving.delete(listed.hostId);
+	}
+
 	if (target) {
 		target.listed = listed;
 	} else {
-		state.targets.targets.set(listed.hostId, {listed, outstanding: 0});
+		state.targets.targets.set(listed.hostId, createTarget(listed));
 	}
 }
 
+function createTarget(listed: ListedHost): Target {
+	return {
+		listed,
+		outstanding: 0,
+		failures: 0,
+		setAsideUntil: 0 as Instant,
+		isOnProbation: false,
+		lastGrant: 0,
+	};
+}
+
 function removeUnlisted(state: State, hosts: readonly ListedHost[]): void {
 	const listedIds = new Set(hosts.map(host => host.hostId));
 	for (const hostId of state.targets.targets.keys()) {
--- /dev/null
+++ b/packages/core/src/targets/health.ts
@@ -0,0 +1,50 @@
+/** Sets failing targets aside and tries them again gently: one attempt at a time until one is answered. */
+import type {SlotEnd} from '../slots/messages.js';
+import type {State} from '../types/state.js';
+import {addMilliseconds} from '../types/time.js';
+import type {Target} from './state.js';
+
+const failuresBeforeSetAside = 3;
+const firstSetAsideMs = 500;
+const longestSetAsideMs = 5000;
+/** A target that says it is busy rests for this time. */
+const busyRestMs = 20;
+
+type EndHandler = (state: State, target: Target, maySetAside: boolean) => void;
+
+const endHandlers: Readonly<Record<SlotEnd, EndHandler>> = {
+	answered: noteAnswer,
+	withdrawn() {},
+	busy(state, target) {
+		target.setAsideUntil = addMilliseconds(state.now, busyRestMs);
+	},
+	failed: noteFailure,
+	unsent: noteFailure,
+	lost: noteFailure,
+};
+
+/** Judges a target by how an attempt on it ended. `maySetAside`: other targets of its service can take work. */
+export function judgeTarget(state: State, target: Target, end: SlotEnd, maySetAside: boolean): void {
+	endHandlers[end](state, target, maySetAside);
+}
+
+/** Whether a target may get work now. */
+export function isTargetUsable(state: State, target: Target): boolean {
+	return target.listed.state === 'live' && !state.targets.leaving.has(target.listed.hostId) && target.setAsideUntil <= state.now;
+}
+
+function noteAnswer(_state: State, target: Target): void {
+	target.failures = 0;
+	target.isOnProbation = false;
+}
+
+function noteFailure(state: State, target: Target, maySetAside: boolean): void {
+	target.failures += 1;
+	if (target.failures < failuresBeforeSetAside || !maySetAside) {
+		return;
+	}
+
+	const doublings = target.failures - failuresBeforeSetAside;
+	target.setAsideUntil = addMilliseconds(state.now, Math.min(longestSetAsideMs, firstSetAsideMs * (2 ** doublings)));
+	target.isOnProbation = true;
+}
--- a/packages/core/src/targets/state.ts
+++ b/packages/core/src/targets/state.ts
@@ -1,21 +1,32 @@
 /** The targets this host may send work to. */
 import type {ListedHost} from '../types/hosts.js';
 import type {HostId} from '../types/ids.js';
+import type {Instant} from '../types/time.js';
 
 /** A target as this host sees it. */
 export type Target = {
 	listed: ListedHost;
 	/** Attempts of this host that have not ended. */
 	outstanding: number;
+	/** Failures since the last answer. */
+	failures: number;
+	/** It gets no work before. */
+	setAsideUntil: Instant;
+	/** Set aside after failures and not yet proven: one attempt at a time. */
+	isOnProbation: boolean;
+	/** Number of the last grant, counted over all targets. */
+	lastGrant: number;
 };
 
 export type TargetsState = {
 	readonly targets: Map<HostId, Target>;
+	/** When each leaving target was first said to be leaving; also ones not listed here. */
+	readonly leaving: Map<HostId, Instant>;
 	/** All hosts of the latest list, also workers and entry hosts. */
 	listedHosts: readonly ListedHost[];
 };
 
 /** A state without targets. */
 export function createTargetsState(): TargetsState {
-	return {targets: new Map(), listedHosts: []};
+	return {targets: new Map(), leaving: new Map(), listedHosts: []};
 }
--- a/packages/core/src/types/ids.ts
+++ b/packages/core/src/types/ids.ts
@@ -53,3 +53,7 @@
 export const operationIdSchema = idText.brand<'OperationId'>();
 /** Makes a call to the platform idempotent. */
 export type OperationId = z.infer<typeof operationIdSchema>;
+
+export const askIdSchema = idText.brand<'AskId'>();
+/** One ask for a slot, made by the entry host that holds the request. */
+export type AskId = z.infer<typeof askIdSchema>;
--- a/packages/core/src/types/state.ts
+++ b/packages/core/src/types/state.ts
@@ -3,6 +3,7 @@
 import type {LogState} from '../log/state.js';
 import type {MembershipState} from '../membership/state.js';
 import type {RequestsState} from '../requests/state.js';
+import type {SlotsState} from '../slots/state.js';
 import type {TargetsState} from '../targets/state.js';
 import type {CoreSettings} from './peers.js';
 import type {Instant} from './time.js';
@@ -14,6 +15,7 @@
 	readonly log: LogState;
 	readonly requests: RequestsState;
 	readonly targets: TargetsState;
+	readonly slots: SlotsState;
 	readonly membership: MembershipState;
 	/** The instant of the latest event. */
 	now: Instant;
--- a/packages/daemon/src/http/call-table.ts
+++ b/packages/daemon/src/http/call-table.ts
@@ -18,14 +18,27 @@
 
 	private readonly calls = new Map<CallerKey, OpenCall>();
 	private callCount = 0;
+	private isDraining = false;
 
 	private constructor(private readonly hostId: string) {}
 
+	/** From now on, every answer asks its caller to close the connection. */
+	startDraining(): void {
+		this.isDraining = true;
+		for (const {response} of this.calls.values()) {
+			closeAfterAnswer(response);
+		}
+	}
+
 	/** Takes a call in and gives it a key. */
 	open(body: Uint8Array, response: ServerResponse): CallerKey {
 		this.callCount += 1;
 		const callerKey = `${this.hostId}-${this.callCount}` as CallerKey;
 		this.calls.set(callerKey, {body, response});
+		if (this.isDraining) {
+			closeAfterAnswer(response);
+		}
+
 		response.once('close', () => {
 			this.calls.delete(callerKey);
 		});
@@ -77,6 +90,12 @@
 	}
 }
 
+function closeAfterAnswer(response: ServerResponse): void {
+	if (!response.headersSent) {
+		response.setHeader('connection', 'close');
+	}
+}
+
 /** Sends a fault as `application/problem+json`; a response that has begun is cut instead. */
 export function sendFault(response: ServerResponse, fault: Fault, comeBackAt: Instant): void {
 	if (response.headersSent) {
--- a/packages/daemon/src/interpreter.ts
+++ b/packages/daemon/src/interpreter.ts
@@ -51,6 +51,9 @@
 	'caller/refuse'({calls}, effect) {
 		calls.refuse(effect.callerKey, effect.fault, effect.comeBackAt);
 	},
+	'callers/drain'({calls}) {
+		calls.startDraining();
+	},
 	'attempt/dispatch'({targets}, effect) {
 		void targets.dispatch(effect);
 	},
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -24,7 +24,7 @@
 	'peer-token': {schema: z.string().min(8), help: 'Token that entry hosts show to each other (at least 8 characters)'},
 	'routing-policy': {
 		schema: z.string().refine(name => Object.hasOwn(routingPolicies, name), 'is not a routing policy'),
-		fallback: 'least-outstanding',
+		fallback: 'steward',
 		help: `How a target is chosen: ${Object.keys(routingPolicies).join(', ')}`,
 	},
 	metrics: {schema: z.union([address, z.literal('')]), fallback: '', help: 'IPv4:port of a StatsD server; empty sends none'},
