--- a/packages/core/src/engine/reduce.ts
+++ b/packages/core/src/engine/reduce.ts
@@ -1,4 +1,6 @@
 /** The one reducer: from a state and an event to the effects, through a lookup table of handlers. */
+import {noteEffects, noteEvent, tickBurn} from '../burn/observe.js';
+import {createBurnState} from '../burn/state.js';
 import {fleetHandlers, tickPublishers} from '../fleet/publishing.js';
 import {createFleetState} from '../fleet/state.js';
 import {logHandlers, tickLog} from '../log/handlers.js';
@@ -33,6 +35,7 @@
 		...tickSlots(state),
 		...tickRequests(state),
 		...tickRequestStop(state),
+		...tickBurn(state),
 	],
 	'stop/requested'(state) {
 		state.isStopping = true;
@@ -50,6 +53,7 @@
 		targets: createTargetsState(),
 		slots: createSlotsState(),
 		membership: createMembershipState(),
+		burn: createBurnState(),
 		now: 0 as Instant,
 		isStopping: false,
 	};
@@ -67,5 +71,8 @@
 export function reduce(state: State, event: Event): Effect[] {
 	state.now = Math.max(state.now, event.at) as Instant;
 	const handle = handlers[event.type] as Handler<EventType>;
-	return deliverOwnMessages(state, handle(state, event));
+	noteEvent(state, event);
+	const effects = deliverOwnMessages(state, handle(state, event));
+	noteEffects(state, effects);
+	return effects;
 }
--- a/packages/core/src/requests/refusals.ts
+++ b/packages/core/src/requests/refusals.ts
@@ -7,9 +7,8 @@
 import type {OpenRequest} from './state.js';
 
 /** Ends a request with a refusal, or with an unknown outcome if an earlier attempt may have run. */
-export function refuseRequest(state: State, open: OpenRequest, kind: FaultKind, detail: string, comeBackAt?: Instant): Effect[] {
-	const fault: Fault = {kind, detail};
-	return endRequest(state, open, open.possibleRun ?? fault, comeBackAt ?? drawComeBackAt(state, 0));
+export function refuseRequest(state: State, open: OpenRequest, kind: FaultKind, detail: string): Effect[] {
+	return endRequest(state, open, open.possibleRun ?? {kind, detail}, drawComeBackAt(state, 0));
 }
 
 /** Ends a request with a fault. */
--- a/packages/core/src/slots/ask-queue.ts
+++ b/packages/core/src/slots/ask-queue.ts
@@ -9,10 +9,10 @@
 const leastChargeMs = 1;
 
 /** The asks that may be granted next, best first: one of each class that is under its limit, the earliest deadline first. */
-export function listNextAsks(steward: Steward, slots: number, inUse: SlotsInUse): QueuedAsk[] {
+export function listNextAsks(steward: Steward, inUse: SlotsInUse): QueuedAsk[] {
 	const heads = workClasses
 		.filter(workClass => workClasses.every(wider =>
-			!isWithin(workClass, wider) || countSlotsHeldByClass(inUse, wider) < countSlotsOfClass(slots, wider)))
+			!isWithin(workClass, wider) || countSlotsHeldByClass(inUse, wider) < countSlotsOfClass(inUse.slots, wider)))
 		.map(workClass => findHead(steward, workClass));
 	return heads.filter(head => head !== undefined).toSorted((a, b) => a.ask.deadline - b.ask.deadline);
 }
@@ -38,7 +38,8 @@
  * How long an ask is expected to wait, in milliseconds, from observed run times; 0 if nothing is known.
  * A team's ask stands behind its own earlier asks and an equal number of each other team's.
  */
-export function estimateWaitMs(state: State, steward: Steward, ask: SlotAsk, slots: number, inUse: SlotsInUse): number {
+export function estimateWaitMs(state: State, steward: Steward, ask: SlotAsk, inUse: SlotsInUse): number {
+	const {slots} = inUse;
 	const free = countSlotsOfClass(slots, ask.workClass) - countSlotsHeldByClass(inUse, ask.workClass);
 	const ahead = countAsksAhead(steward, ask);
 	if (ahead < free && inUse.total < slots) {
--- a/packages/core/src/slots/capacity.ts
+++ b/packages/core/src/slots/capacity.ts
@@ -18,10 +18,12 @@
 	readonly byTarget: ReadonlyMap<HostId, number>;
 	readonly byClass: Readonly<Record<WorkClass, number>>;
 	readonly total: number;
+	/** Slots of all usable targets, in use or free. */
+	readonly slots: number;
 };
 
 /** Counts the grants of a queue. */
-export function countSlotsInUse(steward: Steward): SlotsInUse {
+export function countSlotsInUse(state: State, steward: Steward): SlotsInUse {
 	const byTarget = new Map<HostId, number>();
 	const byClass = {quick: 0, heavy: 0, long: 0};
 	for (const grant of steward.grants.values()) {
@@ -29,7 +31,9 @@
 		byClass[grant.ask.workClass] += 1;
 	}
 
-	return {byTarget, byClass, total: steward.grants.size};
+	return {
+		byTarget, byClass, total: steward.grants.size, slots: countSlots(state, steward),
+	};
 }
 
 /** Slots of one target that a queue may use. */
--- a/packages/core/src/slots/gossip.ts
+++ b/packages/core/src/slots/gossip.ts
@@ -6,7 +6,7 @@
 import {addMilliseconds} from '../types/time.js';
 import {everyZone, getRoutingPolicy} from '../requests/routing-policies.js';
 import {estimateWaitMs} from './ask-queue.js';
-import {countSlots, countSlotsInUse, countSlotsPerTarget} from './capacity.js';
+import {countSlotsInUse, countSlotsPerTarget} from './capacity.js';
 import type {SlotAsk, SlotMessageOf, ZoneLoad} from './messages.js';
 import {getScopeKey, type Steward} from './state.js';
 
@@ -66,15 +66,15 @@
 }
 
 function describeLoad(state: State, steward: Steward): ZoneLoad {
-	const slots = countSlots(state, steward);
-	const inUse = countSlotsInUse(steward);
+	const inUse = countSlotsInUse(state, steward);
+	const {slots} = inUse;
 	const slotsPerTarget = countSlotsPerTarget(state, steward);
 	return {
 		service: steward.service,
 		availabilityZone: steward.availabilityZone,
 		freeSlots: slots - inUse.total,
 		queuedAsks: steward.queue.size,
-		waitMs: slots === 0 ? 0 : estimateWaitMs(state, steward, createProbeAsk(state, steward), slots, inUse),
+		waitMs: slots === 0 ? 0 : estimateWaitMs(state, steward, createProbeAsk(state, steward), inUse),
 		usableTargets: slotsPerTarget === 0 ? 0 : slots / slotsPerTarget,
 	};
 }
--- /dev/null
+++ b/packages/core/src/slots/leases.ts
@@ -0,0 +1,37 @@
+/** Leases of grants and queued asks: they lapse when their holder is silent. */
+import type {AskId, HostId} from '../types/ids.js';
+import type {Instant} from '../types/time.js';
+import type {Steward} from './state.js';
+
+/** A holder that is silent for this time loses its slots and its place in the queue. */
+export const slotLeaseMs = 1500;
+
+/** Drops what a holder's full report no longer names. */
+export function removeUnreported(steward: Steward, holder: HostId, heldIds: ReadonlySet<AskId>, queuedIds: ReadonlySet<AskId>): void {
+	for (const [askId, grant] of steward.grants) {
+		if (grant.holder === holder && !grant.isLingering && !heldIds.has(askId) && !queuedIds.has(askId)) {
+			steward.grants.delete(askId);
+		}
+	}
+
+	for (const [askId, queued] of steward.queue) {
+		if (queued.holder === holder && !queuedIds.has(askId)) {
+			steward.queue.delete(askId);
+		}
+	}
+}
+
+/** Drops what has lapsed. */
+export function expireLeases(steward: Steward, now: Instant): void {
+	for (const [askId, grant] of steward.grants) {
+		if (grant.leaseUntil <= now) {
+			steward.grants.delete(askId);
+		}
+	}
+
+	for (const [askId, queued] of steward.queue) {
+		if (queued.leaseUntil <= now) {
+			steward.queue.delete(askId);
+		}
+	}
+}
--- a/packages/core/src/slots/reports.ts
+++ b/packages/core/src/slots/reports.ts
@@ -39,7 +39,7 @@
 			}
 
 			const scope: ReportedSteward = {
-				service, availabilityZone, steward: state.settings.self.hostId, wasEmpty: true,
+				service, availabilityZone, steward: undefined, wasEmpty: true,
 			};
 			state.slots.reported.set(key, scope);
 			return scope;
@@ -89,7 +89,7 @@
 	const {service, availabilityZone, steward} = scope;
 	const holding = holdings.get(getScopeKey(service, availabilityZone)) ?? {queued: [], held: []};
 	const isEmpty = holding.queued.length === 0 && holding.held.length === 0;
-	if (isEmpty && scope.wasEmpty && !isNew) {
+	if (!steward || (isEmpty && scope.wasEmpty && !isNew)) {
 		return [];
 	}
 
--- a/packages/core/src/slots/state.ts
+++ b/packages/core/src/slots/state.ts
@@ -33,7 +33,9 @@
 	/** Start-time fair queueing between teams: the start tag of the next ask of each. */
 	readonly teamTags: Map<TeamId, number>;
 	virtualTime: number;
-	/** Hosts that have not yet reported what they hold. */
+	/** Whether this host was the right steward when last judged; others may still ask it. */
+	isChosen: boolean;
+	/** Hosts, this one included, that have not yet reported what they hold. */
 	readonly awaitedHosts: Set<HostId>;
 	/** Nothing is granted before, unless all awaited hosts have reported. */
 	settleUntil: Instant;
@@ -46,7 +48,7 @@
 export type ReportedSteward = {
 	readonly service: ServiceId;
 	readonly availabilityZone: AvailabilityZone;
-	steward: HostId;
+	steward: HostId | undefined;
 	wasEmpty: boolean;
 };
 
--- a/packages/core/src/slots/steward.ts
+++ b/packages/core/src/slots/steward.ts
@@ -2,27 +2,26 @@
 import type {Effect} from '../types/effects.js';
 import type {AskId, HostId} from '../types/ids.js';
 import type {State} from '../types/state.js';
-import {addMilliseconds} from '../types/time.js';
+import {addMilliseconds, type Instant} from '../types/time.js';
 import {judgeTarget} from '../targets/health.js';
-import {everyZone, listTargets} from '../requests/routing-policies.js';
+import {everyZone, getRoutingPolicy, listTargets} from '../requests/routing-policies.js';
 import {
 	estimateWaitMs, expireTeamTags, listNextAsks, updateTeamTag,
 } from './ask-queue.js';
 import {
-	countSlots, countSlotsInUse, countSlotsPerTarget, hasConnectionLeft, hasUsableTargetElsewhere, listFreeTargets, type SlotsInUse,
+	countSlotsInUse, countSlotsPerTarget, hasConnectionLeft, hasUsableTargetElsewhere, listFreeTargets, type SlotsInUse,
 } from './capacity.js';
 import {drawComeBackAt} from './come-back.js';
 import {listLiveEntryHosts} from './entry-hosts.js';
 import type {
 	RefusalKind, SlotAsk, SlotMessage, SlotMessageOf,
 } from './messages.js';
+import {expireLeases, removeUnreported, slotLeaseMs} from './leases.js';
 import {estimateRunMs, recordRunTime} from './run-times.js';
 import {
 	getScopeKey, type Grant, type QueuedAsk, type Steward,
 } from './state.js';
 
-/** A holder that is silent for this time loses its slots and its place in the queue. */
-export const slotLeaseMs = 1500;
 const settleMs = 400;
 const longestLingerMs = 2000;
 const asksPerSlot = 64;
@@ -82,7 +81,7 @@
 	}
 
 	const queuedIds = new Set<AskId>(message.queued.map(ask => ask.askId));
-	dropUnreported(steward, holder, heldIds, queuedIds);
+	removeUnreported(steward, holder, heldIds, queuedIds);
 	steward.awaitedHosts.delete(holder);
 	for (const ask of message.queued) {
 		effects.push(...acceptReportedAsk(state, steward, holder, ask));
@@ -93,8 +92,9 @@
 
 /** Drops what lapsed, refuses what can no longer be served in time, and grants what is free. */
 export function tickStewards(state: State): Effect[] {
-	return [...state.slots.stewards.values()].flatMap(steward => {
-		expireLeases(state, steward);
+	return [...state.slots.stewards.values()].flatMap(scope => {
+		const steward = getSteward(state, scope);
+		expireLeases(steward, state.now);
 		expireTeamTags(steward);
 		return [...refuseHopeless(state, steward), ...grantSlots(state, steward)];
 	});
@@ -102,35 +102,51 @@
 
 function getSteward(state: State, scope: Pick<SlotAsk, 'service' | 'availabilityZone'>): Steward {
 	const key = getScopeKey(scope.service, scope.availabilityZone);
-	const known = state.slots.stewards.get(key);
-	if (known) {
-		return known;
+	const steward = state.slots.stewards.get(key) ?? createSteward(scope);
+	state.slots.stewards.set(key, steward);
+	const isChosen = getRoutingPolicy(state).chooseSteward(state, scope.service, scope.availabilityZone) === state.settings.self.hostId;
+	if (isChosen && !steward.isChosen) {
+		startSettling(state, steward);
+	}
+
+	steward.isChosen = isChosen;
+	return steward;
+}
+
+/** A steward that is new, or comes back, first hears what is in use. */
+function startSettling(state: State, steward: Steward): void {
+	if (steward.availabilityZone === everyZone) {
+		return;
 	}
 
-	const isLocal = scope.availabilityZone === everyZone;
-	const peers = listLiveEntryHosts(state).map(host => host.hostId).filter(hostId => hostId !== state.settings.self.hostId);
-	const steward: Steward = {
+	steward.settleUntil = addMilliseconds(state.now, settleMs);
+	for (const {hostId} of [...listLiveEntryHosts(state), state.settings.self]) {
+		steward.awaitedHosts.add(hostId);
+	}
+}
+
+function createSteward(scope: Pick<SlotAsk, 'service' | 'availabilityZone'>): Steward {
+	return {
 		service: scope.service,
 		availabilityZone: scope.availabilityZone,
 		queue: new Map(),
 		grants: new Map(),
 		teamTags: new Map(),
 		virtualTime: 0,
-		awaitedHosts: new Set(isLocal ? [] : peers),
-		settleUntil: addMilliseconds(state.now, settleMs),
+		isChosen: false,
+		awaitedHosts: new Set(),
+		settleUntil: 0 as Instant,
 	};
-	state.slots.stewards.set(key, steward);
-	return steward;
 }
 
 function judgeAsk(state: State, steward: Steward, ask: SlotAsk): RefusalKind | undefined {
-	const slots = countSlots(state, steward);
+	const inUse = countSlotsInUse(state, steward);
 	if (listTargets(state, steward.service, steward.availabilityZone).every(({listed}) =>
 		listed.state === 'leaving' || state.targets.leaving.has(listed.hostId))) {
 		return 'no-target';
 	}
 
-	const limit = Math.max(1, slots) * asksPerSlot;
+	const limit = Math.max(1, inUse.slots) * asksPerSlot;
 	if (steward.queue.size >= limit) {
 		return 'queue-full';
 	}
@@ -140,12 +156,12 @@
 		return 'team-over-quota';
 	}
 
-	return canMeetDeadline(state, steward, ask, slots, countSlotsInUse(steward)) ? undefined : 'deadline-unreachable';
+	return canMeetDeadline(state, steward, ask, inUse) ? undefined : 'deadline-unreachable';
 }
 
-function canMeetDeadline(state: State, steward: Steward, ask: SlotAsk, slots: number, inUse: SlotsInUse): boolean {
+function canMeetDeadline(state: State, steward: Steward, ask: SlotAsk, inUse: SlotsInUse): boolean {
 	const runMs = estimateRunMs(state.slots, ask.service, ask.workClass);
-	const waitMs = slots === 0 ? 0 : estimateWaitMs(state, steward, ask, slots, inUse);
+	const waitMs = inUse.slots === 0 ? 0 : estimateWaitMs(state, steward, ask, inUse);
 	return state.now + waitMs + runMs <= ask.deadline;
 }
 
@@ -171,20 +187,6 @@
 	return acceptAsk(state, holder, ask);
 }
 
-function dropUnreported(steward: Steward, holder: HostId, heldIds: ReadonlySet<AskId>, queuedIds: ReadonlySet<AskId>): void {
-	for (const [askId, grant] of steward.grants) {
-		if (grant.holder === holder && !grant.isLingering && !heldIds.has(askId) && !queuedIds.has(askId)) {
-			steward.grants.delete(askId);
-		}
-	}
-
-	for (const [askId, queued] of steward.queue) {
-		if (queued.holder === holder && !queuedIds.has(askId)) {
-			steward.queue.delete(askId);
-		}
-	}
-}
-
 function endGrant(state: State, steward: Steward, grant: Grant, end: SlotMessageOf<'slot-release'>['end']): void {
 	if (end !== 'lost') {
 		steward.grants.delete(grant.ask.askId);
@@ -196,20 +198,6 @@
 	grant.leaseUntil = addMilliseconds(state.now, Math.min(longestLingerMs, runMs));
 }
 
-function expireLeases(state: State, steward: Steward): void {
-	for (const [askId, grant] of steward.grants) {
-		if (grant.leaseUntil <= state.now) {
-			steward.grants.delete(askId);
-		}
-	}
-
-	for (const [askId, queued] of steward.queue) {
-		if (queued.leaseUntil <= state.now) {
-			steward.queue.delete(askId);
-		}
-	}
-}
-
 function refuseHopeless(state: State, steward: Steward): Effect[] {
 	const effects: Effect[] = [];
 	for (const queued of steward.queue.values()) {
@@ -224,7 +212,7 @@
 }
 
 function refuseAsk(state: State, steward: Steward, {ask, holder}: Pick<QueuedAsk, 'ask' | 'holder'>, kind: RefusalKind): Effect {
-	const waitMs = estimateWaitMs(state, steward, ask, Math.max(1, countSlots(state, steward)), countSlotsInUse(steward));
+	const waitMs = estimateWaitMs(state, steward, ask, countSlotsInUse(state, steward));
 	return createSend(holder, {
 		type: 'slot-refuse', askId: ask.askId, kind, comeBackAt: drawComeBackAt(state, waitMs),
 	});
@@ -236,8 +224,7 @@
 	}
 
 	const effects: Effect[] = [];
-	const slots = countSlots(state, steward);
-	for (let granted = grantOne(state, steward, slots); granted; granted = grantOne(state, steward, slots)) {
+	for (let granted = grantOne(state, steward); granted; granted = grantOne(state, steward)) {
 		effects.push(...granted);
 	}
 
@@ -248,14 +235,14 @@
 	return steward.awaitedHosts.size === 0 || steward.settleUntil <= state.now;
 }
 
-function grantOne(state: State, steward: Steward, slots: number): Effect[] | undefined {
-	const inUse = countSlotsInUse(steward);
+function grantOne(state: State, steward: Steward): Effect[] | undefined {
+	const inUse = countSlotsInUse(state, steward);
 	const free = listFreeTargets(state, steward, inUse);
 	if (free.length === 0) {
 		return undefined;
 	}
 
-	for (const queued of listNextAsks(steward, slots, inUse)) {
+	for (const queued of listNextAsks(steward, inUse)) {
 		const {ask, holder} = queued;
 		const open = free.filter(({target}) => hasConnectionLeft(state, steward, holder, target.listed.hostId));
 		const target = (open.find(candidate => !ask.avoid.includes(candidate.target.listed.hostId)) ?? open[0])?.target;
@@ -281,7 +268,7 @@
 
 /** Invariant: a grant never takes a target above its slots as this steward knows them. */
 function judgeGrant(state: State, steward: Steward, target: HostId): Effect[] {
-	const inUse = countSlotsInUse(steward).byTarget.get(target) ?? 0;
+	const inUse = countSlotsInUse(state, steward).byTarget.get(target) ?? 0;
 	const slots = countSlotsPerTarget(state, steward);
 	return inUse <= slots
 		? []
