--- a/packages/daemon/src/http/call-table.ts
+++ b/packages/daemon/src/http/call-table.ts
@@ -1,16 +1,14 @@
 /** The open calls of callers and operators: their bodies and the responses that wait for an answer. */
 import type {ServerResponse} from 'node:http';
-import {pipeline} from 'node:stream/promises';
 import {
 	getFaultAnswer, type CallerKey, type Fault, type Instant,
 } from '@rhubarblever/core';
 import type {Dispatcher} from 'undici';
 import {readClock} from '../clock.js';
+import {sendAnswer, type PassedAnswer} from './pass-answer.js';
 
 type OpenCall = {readonly body: Uint8Array; readonly response: ServerResponse};
 
-const passedHeaders = ['content-type', 'content-length'];
-
 export class CallTable {
 	static create(hostId: string): CallTable {
 		return new CallTable(hostId);
@@ -49,28 +47,15 @@
 		return this.calls.get(callerKey)?.body ?? new Uint8Array(0);
 	}
 
-	/** Streams a target's answer to the caller; false if either side cut it short. */
-	async passAnswer(callerKey: CallerKey, answer: Dispatcher.ResponseData): Promise<boolean> {
+	/** Streams a target's answer to the caller. `isClean`: no bytes came that the answer did not declare. */
+	async passAnswer(callerKey: CallerKey, answer: Dispatcher.ResponseData, isClean: () => boolean): Promise<PassedAnswer> {
 		const call = this.calls.get(callerKey);
-		if (!call) {
-			await answer.body.dump();
-			return true;
-		}
-
-		call.response.statusCode = answer.statusCode;
-		for (const name of passedHeaders) {
-			const value = answer.headers[name];
-			if (value !== undefined) {
-				call.response.setHeader(name, value);
-			}
+		if (call) {
+			return sendAnswer(call.response, answer, isClean);
 		}
 
-		try {
-			await pipeline(answer.body, call.response);
-			return true;
-		} catch {
-			return false;
-		}
+		await answer.body.dump();
+		return {isWhole: true, hasBegun: false};
 	}
 
 	/** Answers with a fault as problem details, with when to come back. */
--- /dev/null
+++ b/packages/daemon/src/targets/target-client.test.ts
@@ -0,0 +1,231 @@
+/** The target client between a real caller and targets that misbehave, as raw TCP servers. */
+import {Buffer} from 'node:buffer';
+import {createServer as createHttpServer, type Server as HttpServer} from 'node:http';
+import {
+	createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
+import {
+	afterEach, beforeEach, describe, it,
+} from 'node:test';
+import type {
+	AttemptId, Event, HostId, Instant, RequestId,
+} from '@rhubarblever/core';
+import {expect} from 'earl';
+import {CallTable} from '../http/call-table.js';
+import {TargetClient} from './target-client.js';
+
+type TargetAnswer = (socket: Socket, attemptId: string, requestNumber: number) => void;
+
+let servers: Array<Server | HttpServer>;
+let sockets: Socket[];
+let events: Event[];
+let calls: CallTable;
+let client: TargetClient;
+let attemptCount: number;
+
+async function startListening(server: Server | HttpServer): Promise<string> {
+	servers.push(server);
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+/** A target that answers each request as told; `connectionCount` counts its sockets. */
+async function startTarget(answer: TargetAnswer): Promise<string> {
+	let requestNumber = 0;
+	return startListening(createServer(socket => {
+		sockets.push(socket);
+		socket.on('error', () => {
+			socket.destroy();
+		});
+		socket.on('data', (chunk: Uint8Array) => {
+			const attemptId = /rhubarblever-attempt-id: (\S+)/i.exec(Buffer.from(chunk).toString('utf8'))?.[1] ?? '';
+			requestNumber += 1;
+			answer(socket, attemptId, requestNumber);
+		});
+	}));
+}
+
+function formatAnswer(attemptId: string, body: string, length = body.length): string {
+	return `HTTP/1.1 200 OK\r\nrhubarblever-attempt-id: ${attemptId}\r\ncontent-length: ${length}\r\n\r\n${body}`;
+}
+
+type Call = {readonly address: string; readonly isIdempotent?: boolean; readonly timeoutMs?: number; readonly body?: string};
+
+/** Makes a call through a caller-side server; the result is what the caller sees. */
+async function makeCall({
+	address, isIdempotent = false, timeoutMs = 2000, body = '',
+}: Call): Promise<{status: number; text: string; event: Event | undefined}> {
+	const front = createHttpServer((_request, response) => {
+		attemptCount += 1;
+		const callerKey = calls.open(Buffer.from(body), response);
+		void client.dispatch({
+			type: 'attempt/dispatch',
+			attemptId: `attempt-${attemptCount}` as AttemptId,
+			requestId: `request-${attemptCount}` as RequestId,
+			callerKey,
+			target: 'runner-1' as HostId,
+			address,
+			isIdempotent,
+			giveUpAt: (Date.now() + timeoutMs) as Instant,
+		}).then(() => {
+			const event = events.at(-1);
+			if (event?.type === 'attempt/failed') {
+				calls.refuse(callerKey, event.fault, event.at);
+			}
+		});
+	});
+	const frontAddress = await startListening(front);
+	const response = await fetch(`http://${frontAddress}/`);
+	const text = await response.text().catch(() => 'cut');
+	return {status: response.status, text, event: events.at(-1)};
+}
+
+function getFailure(event: Event | undefined): Record<string, unknown> {
+	return event?.type === 'attempt/failed'
+		? {
+			kind: event.fault.kind, wasSent: event.wasSent, wasRefused: event.wasRefused, hasAnswerBegun: event.hasAnswerBegun,
+		}
+		: {};
+}
+
+describe('TargetClient', () => {
+	beforeEach(() => {
+		servers = [];
+		sockets = [];
+		events = [];
+		attemptCount = 0;
+		calls = CallTable.create('entry-1');
+		client = TargetClient.create(calls, event => {
+			events.push(event);
+		});
+	});
+
+	afterEach(() => {
+		client.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+
+		for (const server of servers) {
+			server.close();
+			if ('closeAllConnections' in server) {
+				server.closeAllConnections();
+			}
+		}
+	});
+
+	it('passes a whole answer on and uses its connection again', async () => {
+		const address = await startTarget((socket, attemptId) => {
+			socket.write(formatAnswer(attemptId, 'whole'));
+		});
+		for (let index = 0; index < 3; index++) {
+			// eslint-disable-next-line no-await-in-loop
+			const seen = await makeCall({address});
+			expect(seen.text).toEqual('whole');
+		}
+
+		expect(sockets.length).toEqual(1);
+	});
+
+	it('never passes on an answer to another attempt, and closes its connection', async () => {
+		const address = await startTarget((socket, attemptId, requestNumber) => {
+			socket.write(formatAnswer(requestNumber === 1 ? 'attempt-of-another' : attemptId, 'text'));
+		});
+		const crossed = await makeCall({address});
+		expect(crossed.status).toEqual(502);
+		expect(getFailure(crossed.event)).toEqual({
+			kind: 'answer-crossed', wasSent: true, wasRefused: false, hasAnswerBegun: false,
+		});
+		const next = await makeCall({address});
+		expect(next.text).toEqual('text');
+		expect(sockets.length).toEqual(2);
+	});
+
+	it('never passes on an answer shorter or longer than it declared', async () => {
+		const lengths = [8, 3];
+		const address = await startTarget((socket, attemptId, requestNumber) => {
+			socket.end(formatAnswer(attemptId, 'whole', lengths[requestNumber - 1]));
+		});
+		for (const _length of lengths) {
+			// eslint-disable-next-line no-await-in-loop
+			const seen = await makeCall({address});
+			expect(seen.status).toEqual(502);
+			expect(getFailure(seen.event).kind).toEqual('answer-cut');
+		}
+	});
+
+	it('cuts the caller\'s answer when the target\'s is cut after it began', async () => {
+		const address = await startTarget((socket, attemptId) => {
+			socket.write(formatAnswer(attemptId, 'x'.repeat(200_000), 400_000));
+			setTimeout(() => {
+				socket.destroy();
+			}, 200);
+		});
+		const seen = await makeCall({address});
+		expect(seen.text).toEqual('cut');
+		expect(getFailure(seen.event).hasAnswerBegun).toEqual(true);
+	});
+
+	it('a second answer on a connection is never taken for the next request\'s', async () => {
+		const address = await startTarget((socket, attemptId) => {
+			socket.write(formatAnswer(attemptId, `for ${attemptId}`));
+			setTimeout(() => {
+				socket.write(formatAnswer(attemptId, `for ${attemptId}`));
+			}, 20);
+		});
+		for (let index = 1; index <= 5; index++) {
+			// eslint-disable-next-line no-await-in-loop
+			const seen = await makeCall({address});
+			expect([`for attempt-${index}`, '502']).toInclude(seen.status === 200 ? seen.text : String(seen.status));
+		}
+	});
+
+	it('a target that cannot be reached was not sent anything', async () => {
+		const closed = createServer();
+		const address = await startListening(closed);
+		closed.close();
+		const seen = await makeCall({address});
+		expect(getFailure(seen.event)).toEqual({
+			kind: 'no-target', wasSent: false, wasRefused: false, hasAnswerBegun: false,
+		});
+	});
+
+	it('a silent connection and its idle siblings are not used again', async () => {
+		let isSilent = false;
+		const silentSockets = new Set<Socket>();
+		const address = await startTarget((socket, attemptId) => {
+			if (isSilent && silentSockets.size === 0) {
+				for (const open of sockets) {
+					silentSockets.add(open);
+				}
+			}
+
+			if (!silentSockets.has(socket)) {
+				setTimeout(() => {
+					socket.write(formatAnswer(attemptId, 'text'));
+				}, 50);
+			}
+		});
+		await Promise.all(Array.from({length: 4}, async () => makeCall({address})));
+		expect(sockets.length).toEqual(4);
+		isSilent = true;
+		const silent = await makeCall({address, timeoutMs: 300});
+		expect(getFailure(silent.event).kind).toEqual('answer-timeout');
+		const after = await Promise.all(Array.from({length: 4}, async () => makeCall({address})));
+		expect(after.map(seen => seen.text)).toEqual(['text', 'text', 'text', 'text']);
+	});
+
+	it('a non-idempotent request never goes over a connection that was idle for long', async () => {
+		const address = await startTarget((socket, attemptId) => {
+			socket.write(formatAnswer(attemptId, 'text'));
+		});
+		await makeCall({address});
+		await new Promise(resolve => {
+			setTimeout(resolve, 1300);
+		});
+		await makeCall({address});
+		expect(sockets.length).toEqual(2);
+	});
+});
--- a/packages/daemon/src/targets/target-client.ts
+++ b/packages/daemon/src/targets/target-client.ts
@@ -1,112 +1,105 @@
 /** Sends attempts to targets and passes whole answers on to callers. */
-import {
-	createFault, type AttemptId, type EffectOf, type Fault,
-} from '@rhubarblever/core';
-import {Agent, type Dispatcher} from 'undici';
+import {createFault, type EffectOf} from '@rhubarblever/core';
+import type {Dispatcher} from 'undici';
 import {readClock} from '../clock.js';
 import type {CallTable} from '../http/call-table.js';
 import type {EventSink} from '../types.js';
+import {
+	createEndEvent, createFailure, createSendFailure, type AttemptEnd,
+} from './attempt-end.js';
+import {TargetConnections, type TargetConnection} from './target-connections.js';
 
-const connectionsPerTarget = 6;
-const connectTimeoutMs = 1000;
 const attemptHeader = 'rhubarblever-attempt-id';
 const notRunHeader = 'rhubarblever-not-run';
+const leavingHeader = 'rhubarblever-leaving';
 
 type DispatchEffect = EffectOf<'attempt/dispatch'>;
 
-/** How an attempt ended, from the client's side. */
-type AttemptEnd
-	= | {readonly kind: 'answered'; readonly status: number}
-		| {readonly kind: 'failed'; readonly fault: Fault; readonly wasSent: boolean; readonly wasRefused: boolean; readonly hasAnswerBegun: boolean};
-
 export class TargetClient {
 	static create(calls: CallTable, push: EventSink): TargetClient {
 		return new TargetClient(calls, push);
 	}
 
-	private readonly agent = new Agent({connections: connectionsPerTarget, pipelining: 1, connect: {timeout: connectTimeoutMs}});
+	private readonly targets = new Map<string, TargetConnections>();
 
 	private constructor(private readonly calls: CallTable, private readonly push: EventSink) {}
 
 	/** Runs one attempt and raises the event of its end. */
 	async dispatch(effect: DispatchEffect): Promise<void> {
-		const end = await this.runAttempt(effect);
+		const connections = this.getConnections(effect.address);
+		const connection = connections.take(effect.isIdempotent);
+		const end = await this.runAttempt(effect, connection);
+		closeOrRelease(connections, connection, end);
+		if (connections.size === 0) {
+			this.targets.delete(effect.address);
+		}
+
 		this.push(createEndEvent(effect.attemptId, end));
 	}
 
-	async close(): Promise<void> {
-		await this.agent.destroy();
+	/** Closes all connections. */
+	close(): void {
+		for (const connections of this.targets.values()) {
+			connections.closeAll();
+		}
+	}
+
+	private getConnections(address: string): TargetConnections {
+		const connections = this.targets.get(address) ?? TargetConnections.create(address);
+		this.targets.set(address, connections);
+		return connections;
 	}
 
-	private async runAttempt(effect: DispatchEffect): Promise<AttemptEnd> {
-		const body = this.calls.getBody(effect.callerKey);
-		let response: Dispatcher.ResponseData;
+	private async runAttempt(effect: DispatchEffect, connection: TargetConnection): Promise<AttemptEnd> {
+		const giveUp = new AbortController();
+		const timer = setTimeout(() => {
+			giveUp.abort(new DOMException('the target did not answer in time', 'TimeoutError'));
+		}, Math.max(1, effect.giveUpAt - readClock()));
 		try {
-			response = await this.agent.request({
-				origin: `http://${effect.address}`,
+			const response = await connection.client.request({
 				path: '/run',
 				method: 'POST',
-				body,
+				body: this.calls.getBody(effect.callerKey),
 				headers: {[attemptHeader]: effect.attemptId, 'idempotency-key': effect.requestId},
-				signal: AbortSignal.timeout(Math.max(1, effect.giveUpAt - readClock())),
+				signal: giveUp.signal,
 			});
+			clearTimeout(timer);
+			return await this.passResponse(effect, connection, response);
 		} catch (error) {
-			return createSendFailure(error as Error & {code?: string});
+			return createSendFailure(error as Error, connection.hasConnected);
+		} finally {
+			clearTimeout(timer);
 		}
+	}
 
+	private async passResponse(effect: DispatchEffect, connection: TargetConnection, response: Dispatcher.ResponseData): Promise<AttemptEnd> {
 		if (response.headers[attemptHeader] !== effect.attemptId) {
-			response.body.destroy();
-			return createFailure(createFault('answer-crossed', 'the answer names another attempt'), true);
+			response.body.on('error', () => undefined).destroy();
+			return createFailure(createFault('answer-crossed', 'the answer names another attempt'));
+		}
+
+		if (response.headers[leavingHeader] === 'true') {
+			this.push({type: 'target/leaving', at: readClock(), target: effect.target});
 		}
 
 		if (response.headers[notRunHeader] === 'true') {
 			await response.body.dump();
-			return {
-				kind: 'failed',
-				fault: createFault('target-busy', `the target answered ${response.statusCode}`),
-				wasSent: true,
-				wasRefused: true,
-				hasAnswerBegun: false,
-			};
+			return createFailure(createFault('target-busy', `the target answered ${response.statusCode}`), {wasRefused: true});
 		}
 
-		const isWhole = await this.calls.passAnswer(effect.callerKey, response);
-		return isWhole
+		const passed = await this.calls.passAnswer(effect.callerKey, response, () => !connection.hasStrayBytes);
+		return passed.isWhole
 			? {kind: 'answered', status: response.statusCode}
-			: {...createFailure(createFault('answer-cut', 'the answer ended early'), true), hasAnswerBegun: true};
+			: createFailure(createFault('answer-cut', 'the answer did not have the length it declared'), {hasAnswerBegun: passed.hasBegun});
 	}
 }
 
-function createFailure(fault: Fault, wasSent: boolean): Extract<AttemptEnd, {kind: 'failed'}> {
-	return {
-		kind: 'failed', fault, wasSent, wasRefused: false, hasAnswerBegun: false,
-	};
-}
-
-const unsentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
-
-function createSendFailure(error: Error & {code?: string}): AttemptEnd {
-	if (unsentCodes.has(error.code ?? '')) {
-		return createFailure(createFault('no-target', `the target cannot be reached: ${error.code}`), false);
+function closeOrRelease(connections: TargetConnections, connection: TargetConnection, end: AttemptEnd): void {
+	if (end.kind === 'answered' || end.wasRefused) {
+		connections.release(connection);
+	} else if (end.fault.kind === 'answer-crossed' || end.fault.kind === 'answer-cut') {
+		connections.close(connection);
+	} else {
+		connections.closeSilent(connection);
 	}
-
-	const kind = error.name === 'TimeoutError' ? 'answer-timeout' : 'answer-lost';
-	return createFailure(createFault(kind, error.message), true);
-}
-
-function createEndEvent(attemptId: AttemptId, end: AttemptEnd) {
-	const at = readClock();
-	return end.kind === 'answered'
-		? {
-			type: 'attempt/answered' as const, at, attemptId, status: end.status,
-		}
-		: {
-			type: 'attempt/failed' as const,
-			at,
-			attemptId,
-			fault: end.fault,
-			wasSent: end.wasSent,
-			wasRefused: end.wasRefused,
-			hasAnswerBegun: end.hasAnswerBegun,
-		};
 }
