--- a/packages/core/src/engine/event-loop.ts
+++ b/packages/core/src/engine/event-loop.ts
@@ -29,7 +29,7 @@
 		};
 		const events = from<Event>(source);
 		void events
-			.loop((current: State, event: Event) => ({seed: current, value: reduce(current, event)}), state)
+			.loop((current: State, event: Event) => ({seed: current, value: reduceSafely(current, event)}), state)
 			.observe((effects: Effect[]) => {
 				for (const effect of effects) {
 					runEffect(effect);
@@ -60,3 +60,16 @@
 		}
 	}
 }
+
+/** An exception would end the stream for good, so it becomes a violated invariant and the loop goes on. */
+function reduceSafely(state: State, event: Event): Effect[] {
+	try {
+		return reduce(state, event);
+	} catch (error) {
+		return [{type: 'invariant/violated', name: 'handler-throws', detail: `${event.type}: ${describeError(error)}`}];
+	}
+}
+
+function describeError(error: unknown): string {
+	return error instanceof Error ? error.message : 'unknown error';
+}
