--- a/packages/core/src/engine/event-loop.test.ts
+++ b/packages/core/src/engine/event-loop.test.ts
@@ -146,7 +146,11 @@
 		const loop = EventLoop.create(createHost(), effect => {
 			effects.push(effect);
 		});
-		loop.push({type: 'hosts/listed', at: 1 as Instant, hosts: undefined as never}, {type: 'stop/requested', at: 2 as Instant});
+		const events: Event[] = [{type: 'hosts/listed', at: 1 as Instant, hosts: undefined as never}, {type: 'stop/requested', at: 2 as Instant}];
+		for (const event of events) {
+			loop.push(event);
+		}
+
 		expect(effects.map(effect => effect.type)).toEqual(['invariant/violated', 'process/exit']);
 	});
 });
