Platform stand-in: workers, operations, tasks under leases, faults and a ledger

Split by subject (log, host list, workers, operations, tasks, faults, ledger) with a table of routes; bodies are checked with zod, bad ones get status 400 and the reason. Faults never strike the calls of tests under /v1/control.

A reboot cuts the tasks that still run and says so in the ledger (task-cut), so that a test sees a reboot without a drain; a drain past its deadline fails and cuts nothing.

--- /dev/null
+++ b/packages/stand-ins/src/platform/ledger.ts
@@ -0,0 +1,33 @@
+/** What really happened on the platform, in order. Tests judge promises by it. */
+export type PlatformEvent
+	= | 'drain-started' | 'drained' | 'drain-failed' | 'undrained'
+		| 'reboot-started' | 'rebooted' | 'reboot-failed'
+		| 'pool-set' | 'set-pool-failed'
+		| 'worker-added' | 'worker-failed' | 'worker-healed'
+		| 'task-started' | 'task-refused' | 'task-succeeded' | 'task-failed' | 'task-stopped' | 'task-lapsed'
+		| 'task-cut' | 'task-lost' | 'task-out-of-memory';
+
+/** `task-cut`: a reboot ended a running task. `task-lost`: its worker failed. Instants in milliseconds since the epoch. */
+export type PlatformLedgerEntry = {
+	readonly at: number;
+	readonly event: PlatformEvent;
+	readonly hostId: string;
+	readonly pool: string | undefined;
+	readonly operationId?: string;
+	readonly taskId?: string;
+	readonly attempt?: number;
+};
+
+export class PlatformLedger {
+	static create(): PlatformLedger {
+		return new PlatformLedger();
+	}
+
+	readonly entries: PlatformLedgerEntry[] = [];
+
+	private constructor() {}
+
+	note(entry: Omit<PlatformLedgerEntry, 'at'>): void {
+		this.entries.push({at: Date.now(), ...entry});
+	}
+}
--- a/packages/stand-ins/src/platform/platform-server.ts
+++ b/packages/stand-ins/src/platform/platform-server.ts
@@ -1,105 +1,111 @@
-/** The platform stand-in: a log with offsets, long-poll reads and a host list, over HTTP/JSON. */
+/** The HTTP side of the platform stand-in: finds routes, and lets faults strike all calls but those of tests. */
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {
-	Instant, ListedHost, LogRecord,
-} from '@rhubarblever/core';
+import type {ListedHost} from '@rhubarblever/core';
 import {listen, readJson, sendJson} from '../http.js';
-import {LogStream} from './log-stream.js';
+import type {CallFate} from './faults.js';
+import {Platform} from './platform.js';
+import {
+	answerFault, type Route, type RouteAnswer,
+} from './route.js';
+import {routes} from './routes.js';
 
 export type PlatformOptions = {
-	readonly ip: string;
-	readonly port: number;
+	/** `ip:port`. */
+	readonly address: string;
 	readonly hosts: readonly ListedHost[];
 };
 
-/** A further address of the platform, at which the host list names other addresses for hosts: those of proxies. */
-export type HostListView = {
-	readonly listen: string;
-	readonly addresses: Readonly<Record<string, string>>;
+const controlPrefix = '/v1/control/';
+
+/** What is done to a call that an outage meets. */
+const outageHandlers: Readonly<Record<Exclude<CallFate, 'served'>, (response: ServerResponse) => void>> = {
+	reset(response) {
+		response.socket?.resetAndDestroy();
+	},
+	hang() {
+		// The call stays open and is never answered.
+	},
+	unavailable(response) {
+		sendJson(response, 503, {detail: 'the platform is out'});
+	},
 };
 
 export class PlatformServer {
 	static async create(options: PlatformOptions): Promise<PlatformServer> {
-		const platform = new PlatformServer(options);
-		await listen(platform.server, options.ip, options.port);
-		return platform;
+		const server = new PlatformServer();
+		server.platform.hostList.set(options.hosts);
+		await server.listenOn(options.address);
+		return server;
 	}
 
-	private readonly streams = new Map<string, LogStream>();
-	private hosts: ListedHost[];
-	private readonly views = new Map<string, HostListView>();
-	private readonly server = this.createServer();
+	readonly platform = Platform.create();
+
+	private readonly servers: Server[] = [];
+
+	private constructor() {}
 
-	private constructor(options: PlatformOptions) {
-		this.hosts = [...options.hosts];
+	/** Listens on an address, beside those it listens on already. */
+	async listenOn(address: string): Promise<void> {
+		const [ip = '', port = ''] = address.split(':');
+		const server = createServer((request, response) => {
+			void this.answer(request, response);
+		});
+		this.servers.push(server);
+		await listen(server, ip, Number(port));
 	}
 
-	/** The stream of a name, made at its first use. */
-	getStream(name: string): LogStream {
-		const stream = this.streams.get(name) ?? LogStream.create();
-		this.streams.set(name, stream);
-		return stream;
+	/** Stops listening and ends all calls. */
+	close(): void {
+		for (const server of this.servers) {
+			server.close();
+			server.closeAllConnections();
+		}
 	}
 
 	private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const url = new URL(request.url ?? '/', 'http://localhost');
-		const streamName = /^\/v1\/streams\/([\w-]+)\/records$/.exec(url.pathname)?.[1];
-		if (streamName && request.method === 'POST') {
-			const body = await readJson(request) as {records: LogRecord[]};
-			const stream = this.getStream(streamName);
-			const firstOffset = stream.nextOffset;
-			stream.append(body.records, Date.now() as Instant);
-			sendJson(response, 200, {firstOffset, nextOffset: stream.nextOffset});
-		} else if (streamName) {
-			await this.answerRead(this.getStream(streamName), url, response);
-		} else if (url.pathname === '/v1/hosts') {
-			sendJson(response, 200, {hosts: this.listHosts(request)});
-		} else if (url.pathname === '/v1/control/hosts' && request.method === 'PUT') {
-			this.hosts = (await readJson(request) as {hosts: ListedHost[]}).hosts;
-			sendJson(response, 200, {});
-		} else if (url.pathname === '/v1/control/views' && request.method === 'PUT') {
-			await this.setView(await readJson(request) as HostListView);
-			sendJson(response, 200, {});
-		} else {
-			sendJson(response, 404, {});
+		const isControl = url.pathname.startsWith(controlPrefix);
+		const fate = isControl ? 'served' : await this.platform.faults.takeCall();
+		if (fate !== 'served') {
+			outageHandlers[fate](response);
+			return;
 		}
-	}
 
-	/** The host list as it is seen from the address that the caller reached. */
-	private listHosts(request: IncomingMessage): ListedHost[] {
-		const view = this.views.get(`${request.socket.localAddress}:${request.socket.localPort}`);
-		return this.hosts.map(host => ({...host, address: view?.addresses[host.hostId] ?? host.address}));
-	}
-
-	private async setView(view: HostListView): Promise<void> {
-		const isNew = !this.views.has(view.listen);
-		this.views.set(view.listen, view);
-		if (isNew) {
-			const [ip = '', port = ''] = view.listen.split(':');
-			await listen(this.createServer(), ip, Number(port));
+		const answer = await this.handle(request, url);
+		if (!isControl && this.platform.faults.drawAnswerLoss(request.method ?? '')) {
+			response.socket?.resetAndDestroy();
+			return;
 		}
-	}
 
-	private createServer(): Server {
-		return createServer((request, response) => {
-			void this.answer(request, response);
-		});
+		sendJson(response, answer.status, answer.body);
 	}
 
-	private async answerRead(stream: LogStream, url: URL, response: ServerResponse): Promise<void> {
-		const from = Number(url.searchParams.get('from') ?? 0);
-		const limit = Number(url.searchParams.get('limit') ?? 100);
-		const waitMs = Number(url.searchParams.get('waitMs') ?? 0);
-		if (from >= stream.nextOffset) {
-			await stream.waitForAppend(waitMs);
+	private async handle(request: IncomingMessage, url: URL): Promise<RouteAnswer> {
+		const onPath = routes.filter(route => route.pattern.test(url.pathname));
+		const route = onPath.find(candidate => candidate.method === request.method);
+		if (!route) {
+			return onPath.length > 0 ? answerFault(405, 'the path has no such method') : answerFault(404, 'no such path');
+		}
+
+		try {
+			return await this.run(route, request, url);
+		} catch (error) {
+			const detail = (error as Error).message;
+			return error instanceof SyntaxError ? answerFault(400, `the body is not JSON: ${detail}`) : answerFault(500, detail);
 		}
+	}
 
-		sendJson(response, 200, {
-			records: stream.read(from, limit),
-			firstOffset: stream.firstOffset,
-			nextOffset: stream.nextOffset,
+	private async run(route: Route, request: IncomingMessage, url: URL): Promise<RouteAnswer> {
+		const {localAddress, localPort} = request.socket;
+		return route.handle({
+			platform: this.platform,
+			parameters: route.pattern.exec(url.pathname)?.slice(1).map(text => decodeURIComponent(text)) ?? [],
+			query: url.searchParams,
+			body: request.method === 'GET' ? undefined : await readJson(request),
+			reachedAddress: `${localAddress}:${localPort}`,
+			listenOn: async address => this.listenOn(address),
 		});
 	}
 }
--- /dev/null
+++ b/packages/stand-ins/src/platform/tasks.ts
@@ -0,0 +1,131 @@
+/** Tasks on workers, under leases: progress, usage and their ends. */
+import {z} from 'zod';
+import type {PlatformEvent, PlatformLedger} from './ledger.js';
+import {
+	getWorkerState, type Task, type TaskState, type Worker,
+} from './worker.js';
+
+const defaultCores = 64;
+const defaultMemoryBytes = 256 * (1024 ** 3);
+/** A worker that fails everything fails each task after so long. */
+const quickFailureMs = 50;
+
+export const taskStartSchema = z.strictObject({
+	taskId: z.string().min(1),
+	attempt: z.number().int().positive(),
+	leaseUntil: z.number().nonnegative(),
+	cores: z.number().positive(),
+	memoryBytes: z.number().nonnegative(),
+	runMs: z.number().nonnegative(),
+	trueCores: z.number().positive().optional(),
+	trueMemoryBytes: z.number().nonnegative().optional(),
+	willFail: z.boolean().default(false),
+	/** Milliseconds of work that an earlier attempt's checkpoint holds. */
+	checkpointMs: z.number().nonnegative().default(0),
+});
+export type TaskStart = z.infer<typeof taskStartSchema>;
+
+const endEvents: Readonly<Record<Exclude<TaskState, 'running'>, PlatformEvent>> = {
+	succeeded: 'task-succeeded', failed: 'task-failed', stopped: 'task-stopped', lapsed: 'task-lapsed', lost: 'task-lost',
+};
+
+export class TaskTable {
+	static create(ledger: PlatformLedger): TaskTable {
+		return new TaskTable(ledger);
+	}
+
+	private readonly tasks = new Map<string, Task>();
+
+	private constructor(private readonly ledger: PlatformLedger) {}
+
+	/** Starts an attempt on a worker; the same attempt again changes nothing. Undefined if the worker takes none. */
+	start(worker: Worker, start: TaskStart): Task | undefined {
+		const key = `${start.taskId}#${start.attempt}`;
+		const known = this.tasks.get(key);
+		if (known) {
+			return known;
+		}
+
+		if (getWorkerState(worker) !== 'up' || start.leaseUntil <= Date.now()) {
+			this.note('task-refused', worker, start);
+			return undefined;
+		}
+
+		const task: Task = {
+			...start,
+			hostId: worker.listed.hostId,
+			trueCores: start.trueCores ?? start.cores,
+			trueMemoryBytes: start.trueMemoryBytes ?? start.memoryBytes,
+			throttle: 1,
+			doneMs: start.checkpointMs,
+			state: 'running',
+			startedAt: Date.now(),
+			endedAt: undefined,
+		};
+		this.tasks.set(key, task);
+		worker.tasks.add(task);
+		this.note('task-started', worker, task);
+		return task;
+	}
+
+	/** The named attempt of a task, or its latest. */
+	findTask(taskId: string, attempt: number | undefined): Task | undefined {
+		return this.list().findLast(task => task.taskId === taskId && (attempt === undefined || task.attempt === attempt));
+	}
+
+	list(): Task[] {
+		return [...this.tasks.values()];
+	}
+
+	/** Ends a running task; the event defaults to the one of its new state. */
+	end(worker: Worker, task: Task, state: Exclude<TaskState, 'running'>, event: PlatformEvent = endEvents[state]): void {
+		task.state = state;
+		task.endedAt = Date.now();
+		worker.tasks.delete(task);
+		this.note(event, worker, task);
+	}
+
+	/** Lets a worker's tasks go on for some milliseconds. Tasks slow down alike when they want more cores than it has. */
+	tick(worker: Worker, elapsedMs: number): void {
+		const wanted = [...worker.tasks].reduce((sum, task) => sum + (task.trueCores * task.throttle), 0);
+		const speed = Math.min(1, (worker.listed.cores ?? defaultCores) / wanted);
+		for (const task of worker.tasks) {
+			task.doneMs += elapsedMs * speed * task.throttle;
+			this.endIfDue(worker, task);
+		}
+
+		this.endForMemory(worker);
+	}
+
+	private endIfDue(worker: Worker, task: Task): void {
+		const now = Date.now();
+		if (task.leaseUntil <= now) {
+			this.end(worker, task, 'lapsed');
+		} else if (worker.failsTasks && now - task.startedAt >= quickFailureMs) {
+			this.end(worker, task, 'failed');
+		} else if (task.doneMs >= task.runMs) {
+			this.end(worker, task, task.willFail ? 'failed' : 'succeeded');
+		}
+	}
+
+	/** The latest task fails while a worker's tasks use more memory than it has. */
+	private endForMemory(worker: Worker): void {
+		const memoryBytes = worker.listed.memoryBytes ?? defaultMemoryBytes;
+		const tasks = [...worker.tasks];
+		let used = tasks.reduce((sum, task) => sum + task.trueMemoryBytes, 0);
+		for (const task of tasks.toReversed()) {
+			if (used <= memoryBytes) {
+				return;
+			}
+
+			used -= task.trueMemoryBytes;
+			this.end(worker, task, 'failed', 'task-out-of-memory');
+		}
+	}
+
+	private note(event: PlatformEvent, worker: Worker, {taskId, attempt}: {readonly taskId: string; readonly attempt: number}): void {
+		this.ledger.note({
+			event, hostId: worker.listed.hostId, pool: worker.pool, taskId, attempt,
+		});
+	}
+}
