--- a/packages/core/src/engine/reduce.ts
+++ b/packages/core/src/engine/reduce.ts
@@ -7,8 +7,12 @@
 import {createLogState} from '../log/state.js';
 import {membershipHandlers, tickMembership} from '../membership/handlers.js';
 import {createMembershipState} from '../membership/state.js';
-import {requestHandlers} from '../requests/handlers.js';
+import {
+	requestHandlers, startStop, tickRequests, tickRequestStop,
+} from '../requests/handlers.js';
 import {createRequestsState} from '../requests/state.js';
+import {deliverOwnMessages, tickSlots} from '../slots/handlers.js';
+import {createSlotsState} from '../slots/state.js';
 import {targetHandlers} from '../targets/handlers.js';
 import {createTargetsState} from '../targets/state.js';
 import type {Effect} from '../types/effects.js';
@@ -28,12 +32,14 @@
 		...tickLog(state),
 		...tickPublishers(state),
 		...tickMembership(state),
+		...tickSlots(state),
+		...tickRequests(state),
+		...tickRequestStop(state),
 		...tickBurn(state),
-		...tickStop(state),
 	],
 	'stop/requested'(state) {
 		state.isStopping = true;
-		return tickStop(state);
+		return startStop(state);
 	},
 };
 
@@ -45,6 +51,7 @@
 		log: createLogState(),
 		requests: createRequestsState(),
 		targets: createTargetsState(),
+		slots: createSlotsState(),
 		membership: createMembershipState(),
 		burn: createBurnState(),
 		now: 0 as Instant,
@@ -65,12 +72,7 @@
 	state.now = Math.max(state.now, event.at) as Instant;
 	const handle = handlers[event.type] as Handler<EventType>;
 	noteEvent(state, event);
-	const effects = handle(state, event);
+	const effects = deliverOwnMessages(state, handle(state, event));
 	noteEffects(state, effects);
 	return effects;
 }
-
-function tickStop(state: State): Effect[] {
-	const isDone = state.isStopping && state.requests.attempts.size === 0;
-	return isDone ? [{type: 'process/exit'}] : [];
-}
--- a/packages/core/src/types/state.ts
+++ b/packages/core/src/types/state.ts
@@ -4,6 +4,7 @@
 import type {LogState} from '../log/state.js';
 import type {MembershipState} from '../membership/state.js';
 import type {RequestsState} from '../requests/state.js';
+import type {SlotsState} from '../slots/state.js';
 import type {TargetsState} from '../targets/state.js';
 import type {CoreSettings} from './peers.js';
 import type {Instant} from './time.js';
@@ -15,6 +16,7 @@
 	readonly log: LogState;
 	readonly requests: RequestsState;
 	readonly targets: TargetsState;
+	readonly slots: SlotsState;
 	readonly membership: MembershipState;
 	readonly burn: BurnState;
 	/** The instant of the latest event. */
