--- a/packages/core/src/engine/event-loop.test.ts
+++ b/packages/core/src/engine/event-loop.test.ts
@@ -129,16 +129,17 @@
 	});
 
 	it('finishes a step before it takes an event that the step\'s effects raised', () => {
-		const seenDuringStep: number[] = [];
-		const loop = EventLoop.create(createHost(), () => {
-			if (seenDuringStep.length === 0) {
-				loop.push({type: 'clock/ticked', at: 5 as Instant});
-				seenDuringStep.push(loop.state.now);
+		const order: string[] = [];
+		const loop = EventLoop.create(createHost(), effect => {
+			order.push(effect.type);
+			if (effect.type === 'log/read') {
+				loop.push({type: 'stop/requested', at: 5 as Instant});
+				order.push('after push');
 			}
 		});
-		loop.push(createArrival(1, 1));
-		expect(seenDuringStep).toEqual([1]);
-		expect(loop.state.now).toEqual(5 as Instant);
+		loop.push(createStart()[0]!);
+		expect(order).toInclude('callers/drain');
+		expect(order.indexOf('after push') < order.indexOf('callers/drain')).toEqual(true);
 	});
 
 	it('goes on after an exception in a handler, and tells of it', () => {
@@ -146,12 +147,15 @@
 		const loop = EventLoop.create(createHost(), effect => {
 			effects.push(effect);
 		});
-		const events: Event[] = [{type: 'hosts/listed', at: 1 as Instant, hosts: undefined as never}, {type: 'clock/ticked', at: 2 as Instant}];
+		const events: Event[] = [
+			{type: 'hosts/listed', at: 1 as Instant, hosts: undefined as never},
+			{type: 'stop/requested', at: 2 as Instant},
+			{type: 'clock/ticked', at: 10_000 as Instant},
+		];
 		for (const event of events) {
 			loop.push(event);
 		}
 
-		expect(effects[0]?.type).toEqual('invariant/violated');
-		expect(loop.state.now).toEqual(2 as Instant);
+		expect(effects.map(effect => effect.type)).toEqual(['invariant/violated', 'callers/drain', 'process/exit']);
 	});
 });
