--- a/packages/core/src/engine/reduce.ts
+++ b/packages/core/src/engine/reduce.ts
@@ -4,7 +4,10 @@
 import {fleetHandlers, tickPublishers} from '../fleet/publishing.js';
 import {createFleetState} from '../fleet/state.js';
 import {logHandlers, tickLog} from '../log/handlers.js';
+import {tickSnapshots} from '../log/snapshots.js';
+import {tickTail} from '../log/tail.js';
 import {createLogState} from '../log/state.js';
+import {keepLinks, updateEntryHosts} from '../membership/entry-hosts.js';
 import {membershipHandlers, tickMembership} from '../membership/handlers.js';
 import {createMembershipState} from '../membership/state.js';
 import {requestHandlers} from '../requests/handlers.js';
@@ -24,9 +27,13 @@
 	...logHandlers,
 	...fleetHandlers,
 	...membershipHandlers,
+	'hosts/listed': (state, event) => [
+		...targetHandlers['hosts/listed'](state, event),
+		...updateEntryHosts(state, event.hosts),
+	],
 	'clock/ticked': state => [
-		...tickLog(state),
 		...tickPublishers(state),
+		...tickLog(state),
 		...tickMembership(state),
 		...tickBurn(state),
 		...tickStop(state),
@@ -42,7 +49,7 @@
 	return {
 		settings,
 		fleet: createFleetState(),
-		log: createLogState(),
+		log: createLogState(settings.seed),
 		requests: createRequestsState(),
 		targets: createTargetsState(),
 		membership: createMembershipState(),
@@ -54,10 +61,7 @@
 
 /** What an entry host does first. */
 export function listStartEffects(state: State): Effect[] {
-	return [
-		{type: 'peer/keep-links', peers: state.settings.peers},
-		{type: 'log/read', from: state.fleet.nextOffset},
-	];
+	return [...keepLinks(state, []), ...tickSnapshots(state), ...tickTail(state)];
 }
 
 /** Applies one event to the state, in place, and returns what must be done. Time never runs backwards. */
@@ -71,6 +75,6 @@
 }
 
 function tickStop(state: State): Effect[] {
-	const isDone = state.isStopping && state.requests.attempts.size === 0;
+	const isDone = state.isStopping && state.requests.attempts.size === 0 && state.requests.publishers.size === 0;
 	return isDone ? [{type: 'process/exit'}] : [];
 }
--- a/packages/core/src/fleet/publishing.ts
+++ b/packages/core/src/fleet/publishing.ts
@@ -1,11 +1,12 @@
 /** Publishing: an operator's records go to the log, and the answer waits until this host has read them back. */
-import {queueRecord} from '../log/handlers.js';
+import {isLogAway, queueRecord, wasRecordSent} from '../log/appends.js';
 import type {Effect} from '../types/effects.js';
+import {createFault, type Fault, type FaultKind} from '../types/faults.js';
 import type {HandlerTable} from '../types/handlers.js';
 import type {CallerKey, RecordId} from '../types/ids.js';
 import type {LoggedRecord} from '../types/records.js';
 import type {State} from '../types/state.js';
-import type {Instant} from '../types/time.js';
+import {addMilliseconds, type Instant} from '../types/time.js';
 import type {RecordOutcome} from './apply-record.js';
 import type {PublishedRecord} from './effects.js';
 import type {FleetEvent} from './events.js';
@@ -18,18 +19,37 @@
 	readonly published: PublishedRecord[];
 };
 
+const comeBackMs = 1000;
+
 export const fleetHandlers: HandlerTable<FleetEvent['type']> = {
 	'publish/requested'(state, event) {
+		const kind = findRefusal(state);
+		if (kind) {
+			return [createRefusal(state, event.callerKey, {kind, detail: 'nothing was sent to the log'})];
+		}
+
 		state.requests.publishers.set(event.callerKey, {
 			callerKey: event.callerKey,
 			deadline: event.deadline,
 			missing: new Set(event.records.map(record => record.recordId)),
 			published: [],
 		});
-		return event.records.flatMap(record => queueRecord(state, record));
+		return event.records.flatMap(record => queueRecord(state, record, event.deadline));
 	},
 };
 
+function findRefusal(state: State): FaultKind | undefined {
+	if (state.isStopping) {
+		return 'shutting-down';
+	}
+
+	if (state.log.startedFrom === undefined) {
+		return 'not-ready';
+	}
+
+	return isLogAway(state) ? 'log-unavailable' : undefined;
+}
+
 /** Notes a record that was read back; answers the publishers that have all of theirs. */
 export function releaseWaitingPublishers(state: State, logged: LoggedRecord, outcome: RecordOutcome): Effect[] {
 	const effects: Effect[] = [];
@@ -57,13 +77,28 @@
 		}
 
 		state.requests.publishers.delete(publisher.callerKey);
-		effects.push({
-			type: 'caller/refuse',
-			callerKey: publisher.callerKey,
-			fault: {kind: 'append-unknown', detail: 'not read back from the log before the deadline'},
-			comeBackAt: state.now,
-		});
+		effects.push(createRefusal(state, publisher.callerKey, describeMissing(state, publisher)));
+		for (const recordId of publisher.missing) {
+			state.log.pending.delete(recordId);
+		}
 	}
 
 	return effects;
 }
+
+function describeMissing(state: State, publisher: WaitingPublisher): Fault {
+	const missing = [...publisher.missing];
+	const wasAnySent = publisher.published.length > 0 || missing.some(recordId => wasRecordSent(state, recordId));
+	if (!wasAnySent) {
+		return createFault('log-unavailable', 'nothing was sent to the log');
+	}
+
+	const inLog = publisher.published.map(({recordId, offset}) => `${recordId} is at offset ${offset}`).join(', ') || 'none was read back';
+	return createFault('append-unknown', `not read back before the deadline: ${missing.join(', ')}; ${inLog}`);
+}
+
+function createRefusal(state: State, callerKey: CallerKey, fault: Fault): Effect {
+	return {
+		type: 'caller/refuse', callerKey, fault, comeBackAt: addMilliseconds(state.now, comeBackMs),
+	};
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,3 +24,6 @@
 export type * from './burn/bodies.js';
 export type * from './fleet/state.js';
 export type * from './membership/state.js';
+export {isLogAway, queueRecord} from './log/appends.js';
+export {isReady} from './log/start.js';
+export {isPeerLive, listLivePeers} from './membership/liveness.js';
--- a/packages/core/src/log/effects.ts
+++ b/packages/core/src/log/effects.ts
@@ -1,6 +1,6 @@
 /** What the log domain asks of the daemon. */
 import type {LogRecord} from '../types/records.js';
-import type {Offset} from '../types/time.js';
+import type {Instant, Offset} from '../types/time.js';
 
 /** Sends one batch of records to the fleet stream; answered by `log/appended` or `log/append-failed`. */
 export type LogAppendEffect = {
@@ -8,10 +8,29 @@
 	readonly records: readonly LogRecord[];
 };
 
+/** Asks for a `log/flush-due` event at an instant. */
+export type LogFlushEffect = {
+	readonly type: 'log/schedule-flush';
+	readonly at: Instant;
+};
+
 /** Reads the fleet stream from `from` on; answered by `log/read` or `log/read-failed`. */
 export type LogReadEffect = {
 	readonly type: 'log/read';
 	readonly from: Offset;
 };
 
-export type LogEffect = LogAppendEffect | LogReadEffect;
+/** Appends the chunks of a snapshot to the snapshot stream, one after another; answered by `snapshot/written` or `snapshot/write-failed`. */
+export type SnapshotWriteEffect = {
+	readonly type: 'snapshot/write';
+	readonly nextOffset: Offset;
+	readonly records: readonly LogRecord[];
+};
+
+/** Reads the snapshot stream from `from` on; answered by `snapshot/read` or `snapshot/read-failed`. */
+export type SnapshotReadEffect = {
+	readonly type: 'snapshot/read';
+	readonly from: Offset;
+};
+
+export type LogEffect = LogAppendEffect | LogFlushEffect | LogReadEffect | SnapshotWriteEffect | SnapshotReadEffect;
--- a/packages/core/src/log/events.ts
+++ b/packages/core/src/log/events.ts
@@ -34,4 +34,24 @@
 	readonly fault: Fault;
 };
 
-export type LogEvent = LogReadEvent | LogReadFailedEvent | LogAppendedEvent | LogAppendFailedEvent;
+/** The instant of a `log/schedule-flush` effect has come. */
+export type LogFlushDueEvent = {readonly type: 'log/flush-due'; readonly at: Instant};
+
+/** Chunks read from the snapshot stream. */
+export type SnapshotReadEvent = {
+	readonly type: 'snapshot/read';
+	readonly at: Instant;
+	readonly records: readonly LoggedRecord[];
+	readonly firstOffset: Offset;
+	readonly nextOffset: Offset;
+};
+
+export type SnapshotReadFailedEvent = {readonly type: 'snapshot/read-failed'; readonly at: Instant; readonly fault: Fault};
+
+/** All chunks of this host's snapshot are in the log. */
+export type SnapshotWrittenEvent = {readonly type: 'snapshot/written'; readonly at: Instant; readonly nextOffset: Offset};
+
+export type SnapshotWriteFailedEvent = {readonly type: 'snapshot/write-failed'; readonly at: Instant; readonly fault: Fault};
+
+export type LogEvent = LogReadEvent | LogReadFailedEvent | LogAppendedEvent | LogAppendFailedEvent | LogFlushDueEvent
+	| SnapshotReadEvent | SnapshotReadFailedEvent | SnapshotWrittenEvent | SnapshotWriteFailedEvent;
--- a/packages/core/src/log/handlers.ts
+++ b/packages/core/src/log/handlers.ts
@@ -1,74 +1,61 @@
-/** Reads the tail of the log into the fleet and appends this host's own records. */
-import {applyRecord} from '../fleet/apply-record.js';
-import {releaseWaitingPublishers} from '../fleet/publishing.js';
+/** Handlers of the log's events: the tail, appends, and snapshots. */
 import type {Effect} from '../types/effects.js';
 import type {HandlerTable} from '../types/handlers.js';
-import type {LogRecord} from '../types/records.js';
 import type {State} from '../types/state.js';
 import {addMilliseconds} from '../types/time.js';
+import {finishFlush, noteAppendEnd, tickAppends} from './appends.js';
+import {checkOffset} from './applying.js';
+import {tickCatchUp} from './catch-up.js';
+import {tickStart} from './start.js';
 import type {LogEvent} from './events.js';
+import {
+	acceptSnapshotPage, noteSnapshotReadFailure, noteSnapshotWritten, tickSnapshots,
+} from './snapshots.js';
+import {
+	acceptLogPage, noteReadFailure, tickTail, wakeWaitMs,
+} from './tail.js';
 
-const appendRetryMs = 500;
+export {queueRecord} from './appends.js';
 
-/** Queues a record of this host for the log; it is sent at once and again until it is read back. */
-export function queueRecord(state: State, record: LogRecord): Effect[] {
-	state.log.pending.set(record.recordId, {
-		record,
-		retryAt: addMilliseconds(state.now, appendRetryMs),
-		isInFlight: true,
-	});
-	return [{type: 'log/append', records: [record]}];
-}
+/** A process that did not tick for this long was frozen. */
+const frozenMs = 1500;
 
 export const logHandlers: HandlerTable<LogEvent['type']> = {
-	'log/read'(state, event) {
-		state.log.isReachable = true;
-		state.log.lastContactAt = event.at;
-		const effects: Effect[] = [];
-		for (const logged of event.records) {
-			if (logged.offset < state.fleet.nextOffset) {
-				continue;
-			}
-
-			const outcome = applyRecord(state.fleet, logged);
-			state.log.pending.delete(logged.record.recordId);
-			effects.push(...releaseWaitingPublishers(state, logged, outcome));
-		}
-
-		effects.push({type: 'log/read', from: state.fleet.nextOffset});
-		return effects;
-	},
-	'log/read-failed'(state) {
-		state.log.isReachable = false;
-		return [{type: 'log/read', from: state.fleet.nextOffset}];
-	},
-	'log/appended'() {
-		return [];
-	},
-	'log/append-failed'(state, event) {
-		for (const recordId of event.recordIds) {
-			const pending = state.log.pending.get(recordId);
-			if (pending) {
-				pending.isInFlight = false;
-				pending.retryAt = addMilliseconds(event.at, appendRetryMs);
-			}
-		}
-
-		return [];
-	},
+	'log/read': acceptLogPage,
+	'log/read-failed': noteReadFailure,
+	'log/appended': (state, event) => noteAppendEnd(state, event.recordIds, false),
+	'log/append-failed': (state, event) => noteAppendEnd(state, event.recordIds, true),
+	'log/flush-due': finishFlush,
+	'snapshot/read': acceptSnapshotPage,
+	'snapshot/read-failed': noteSnapshotReadFailure,
+	'snapshot/written': (state, event) => noteSnapshotWritten(state, event.nextOffset),
+	'snapshot/write-failed': state => noteSnapshotWritten(state, undefined),
 };
 
-/** Appends again what was not read back in time. */
+/** Does what is due: appends, reads, questions to peers, snapshots. */
 export function tickLog(state: State): Effect[] {
-	const records: LogRecord[] = [];
-	for (const pending of state.log.pending.values()) {
-		if (pending.isInFlight || pending.retryAt > state.now) {
-			continue;
-		}
+	return [
+		...noteTick(state),
+		...tickAppends(state),
+		...tickTail(state),
+		...tickCatchUp(state),
+		...tickSnapshots(state),
+		...tickStart(state),
+		...checkOffset(state),
+	];
+}
 
-		pending.isInFlight = true;
-		records.push(pending.record);
+function noteTick(state: State): Effect[] {
+	const {log} = state;
+	const last = log.lastTickAt ?? state.now;
+	log.lastTickAt = state.now;
+	const pauseMs = state.now - last;
+	if (pauseMs < frozenMs) {
+		return [];
 	}
 
-	return records.length === 0 ? [] : [{type: 'log/append', records}];
+	log.mustCatchUpUntil = addMilliseconds(state.now, wakeWaitMs);
+	return [{
+		type: 'line/write', level: 'warn', event: 'the process was frozen', fields: {pauseMs},
+	}];
 }
--- a/packages/core/src/membership/events.ts
+++ b/packages/core/src/membership/events.ts
@@ -12,4 +12,7 @@
 	readonly message: PeerMessage;
 };
 
-export type MembershipEvent = PeerLinkedEvent | PeerUnlinkedEvent | PeerMessageEvent;
+/** A message of a type that this version does not know, or malformed. */
+export type PeerMessageUnknownEvent = {readonly type: 'peer/message-unknown'; readonly at: Instant; readonly peer: HostId};
+
+export type MembershipEvent = PeerLinkedEvent | PeerUnlinkedEvent | PeerMessageEvent | PeerMessageUnknownEvent;
--- a/packages/core/src/membership/handlers.ts
+++ b/packages/core/src/membership/handlers.ts
@@ -1,39 +1,74 @@
-/** Keeps heartbeat links to the other entry hosts. */
+/** Keeps heartbeat links to the other entry hosts and hands their messages to the domains. */
+import {
+	acceptRecords, acceptStateChunk, answerRecordsRequest, compareHistory, getDecodersChecksum, reportOtherHistory,
+} from '../log/catch-up.js';
+import {noteKnownSnapshot} from '../log/snapshots.js';
+import {targetHandlers} from '../targets/handlers.js';
 import type {Effect} from '../types/effects.js';
 import type {HandlerTable} from '../types/handlers.js';
 import type {HostId} from '../types/ids.js';
 import type {State} from '../types/state.js';
 import {addMilliseconds, type Instant, type Offset} from '../types/time.js';
+import {tickEntryHosts, updateEntryHosts} from './entry-hosts.js';
 import type {MembershipEvent} from './events.js';
-import type {PeerMessageOf, PeerMessageType} from './messages.js';
+import {isPeerCompatible, noteHeartbeat} from './liveness.js';
+import {
+	protocolVersion, type PeerMessage, type PeerMessageOf, type PeerMessageType,
+} from './messages.js';
 import type {Peer} from './state.js';
 
+export {isPeerLive} from './liveness.js';
+
 const heartbeatIntervalMs = 200;
-const heartbeatTimeoutMs = 1000;
 
 type MessageHandler<Type extends PeerMessageType> = (state: State, peer: Peer, message: PeerMessageOf<Type>) => Effect[];
 
 const messageHandlers: {readonly [Type in PeerMessageType]: MessageHandler<Type>} = {
+	hello: acceptHello,
 	heartbeat(state, peer, message) {
-		peer.incarnation = message.incarnation;
-		peer.heardUntil = addMilliseconds(state.now, heartbeatTimeoutMs);
+		noteHeartbeat(state, peer, message);
 		peer.nextOffset = message.nextOffset;
-		return [];
+		if (message.snapshotOffset !== undefined && message.snapshotWrittenAt !== undefined) {
+			noteKnownSnapshot(state, message.snapshotOffset, message.snapshotWrittenAt);
+		}
+
+		return compareHistory(state, peer, message);
 	},
+	'hosts/request': (state, peer) => state.membership.hostsListedAt === undefined
+		? []
+		: [createSend(peer, {type: 'hosts/reply', hosts: [...state.targets.listedHosts]})],
+	'hosts/reply': (state, _peer, message) => state.membership.hostsListedAt === undefined
+		? [
+			...targetHandlers['hosts/listed'](state, {type: 'hosts/listed', at: state.now, hosts: message.hosts}),
+			...updateEntryHosts(state, message.hosts),
+		]
+		: [],
+	'records/request': answerRecordsRequest,
+	'records/reply': (state, _peer, message) => acceptRecords(state, message),
+	'state/chunk': (state, _peer, message) => acceptStateChunk(state, message),
+	'history/differs': (_state, peer, message) => [reportOtherHistory(peer, message.offset)],
 };
 
 export const membershipHandlers: HandlerTable<MembershipEvent['type']> = {
 	'peer/linked'(state, event) {
-		findPeer(state, event.peer).isLinked = true;
-		return [];
+		const peer = findPeer(state, event.peer);
+		peer.isLinked = true;
+		return [createHello(state, peer), createHeartbeat(state, peer)];
 	},
 	'peer/unlinked'(state, event) {
 		findPeer(state, event.peer).isLinked = false;
 		return [];
 	},
 	'peer/message'(state, event) {
-		const handle = messageHandlers[event.message.type];
-		return handle(state, findPeer(state, event.peer), event.message);
+		const peer = findPeer(state, event.peer);
+		const handle = messageHandlers[event.message.type] as MessageHandler<PeerMessageType>;
+		return isPeerCompatible(peer) || event.message.type === 'hello' ? handle(state, peer, event.message) : [];
+	},
+	'peer/message-unknown'(state, event) {
+		state.membership.unknownMessageCount += 1;
+		return [{
+			type: 'metric/send', kind: 'count', name: 'peer.unknown_message', value: 1, tags: {peer: event.peer},
+		}];
 	},
 };
 
@@ -44,22 +79,47 @@
 	}
 
 	state.membership.nextHeartbeatAt = addMilliseconds(state.now, heartbeatIntervalMs);
-	return [...state.membership.peers.values()].filter(peer => peer.isLinked).map(peer => ({
-		type: 'peer/send',
-		peer: peer.hostId,
-		message: {
-			type: 'heartbeat',
-			hostId: state.settings.self.hostId,
-			incarnation: state.settings.incarnation,
-			sentAt: state.now,
-			nextOffset: state.fleet.nextOffset,
-		},
-	}));
+	return [
+		...[...state.membership.peers.values()].filter(peer => peer.isLinked).map(peer => createHeartbeat(state, peer)),
+		...tickEntryHosts(state),
+	];
+}
+
+function acceptHello(_state: State, peer: Peer, message: PeerMessageOf<'hello'>): Effect[] {
+	peer.protocolVersion = message.protocolVersion;
+	if (isPeerCompatible(peer)) {
+		return [];
+	}
+
+	return [{
+		type: 'line/write', level: 'error', event: 'peer of an unknown protocol version', fields: {peer: peer.hostId, protocolVersion: message.protocolVersion},
+	}];
+}
+
+function createHello(state: State, peer: Peer): Effect {
+	const {incarnation, self} = state.settings;
+	return createSend(peer, {
+		type: 'hello', hostId: self.hostId, incarnation, protocolVersion,
+	});
+}
+
+function createHeartbeat(state: State, peer: Peer): Effect {
+	const {known} = state.log.snapshots;
+	return createSend(peer, {
+		type: 'heartbeat',
+		hostId: state.settings.self.hostId,
+		incarnation: state.settings.incarnation,
+		sentAt: state.now,
+		nextOffset: state.fleet.nextOffset,
+		digest: state.fleet.digest,
+		decoders: getDecodersChecksum(),
+		snapshotOffset: known.nextOffset,
+		snapshotWrittenAt: known.writtenAt,
+	});
 }
 
-/** Whether a peer was heard of late. */
-export function isPeerLive(state: State, peer: Peer): boolean {
-	return peer.heardUntil > state.now;
+function createSend(peer: Peer, message: PeerMessage): Effect {
+	return {type: 'peer/send', peer: peer.hostId, message};
 }
 
 function findPeer(state: State, hostId: HostId): Peer {
@@ -72,8 +132,12 @@
 		hostId,
 		isLinked: false,
 		incarnation: undefined,
+		protocolVersion: undefined,
 		heardUntil: 0 as Instant,
 		nextOffset: 0 as Offset,
+		leastDelayMs: undefined,
+		lateSince: undefined,
+		hasOtherHistory: false,
 	};
 	state.membership.peers.set(hostId, peer);
 	return peer;
--- /dev/null
+++ b/packages/core/src/membership/membership.test.ts
@@ -0,0 +1,94 @@
+/** Tests of membership: whom to link, who is live, and versions that differ. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {listStartEffects, reduce} from '../engine/reduce.js';
+import {createTestHost, createTick, listEffects} from '../log/test-fleet.js';
+import {listedHostSchema, type ListedHost} from '../types/hosts.js';
+import type {HostId, Incarnation} from '../types/ids.js';
+import type {State} from '../types/state.js';
+import type {Instant, Offset} from '../types/time.js';
+import {listLivePeers} from './liveness.js';
+
+const peer = 'entry-2' as HostId;
+
+function createListed(hostId: string, state: 'live' | 'leaving' = 'live'): ListedHost {
+	return listedHostSchema.parse({
+		hostId, role: 'entry', availabilityZone: 'zone-a', address: `127.0.0.9:1${hostId.length}${hostId.at(-1)}`, state,
+	});
+}
+
+function beat(state: State, at: number, sentAt: number, nextOffset = 0): void {
+	reduce(state, {
+		type: 'peer/message',
+		at: at as Instant,
+		peer,
+		message: {
+			type: 'heartbeat', hostId: peer, incarnation: 'life-1' as Incarnation, sentAt: sentAt as Instant, nextOffset: nextOffset as Offset,
+		},
+	});
+}
+
+function listLinked(state: State): string[] {
+	return state.membership.linkedHosts.map(host => host.hostId as string).toSorted();
+}
+
+describe('links', () => {
+	it('follow the settings and the host list', () => {
+		const state = createTestHost('entry-1', ['entry-2', 'entry-3']);
+		expect(listEffects(listStartEffects(state), 'peer/keep-links').length).toEqual(1);
+		const effects = reduce(state, {type: 'hosts/listed', at: 1000 as Instant, hosts: ['entry-1', 'entry-2', 'entry-9'].map(id => createListed(id))});
+		expect(listEffects(effects, 'peer/keep-links').length).toEqual(1);
+		expect(listLinked(state)).toEqual(['entry-2', 'entry-3', 'entry-9']);
+		reduce(state, {type: 'hosts/listed', at: 2000 as Instant, hosts: [createListed('entry-1'), createListed('entry-9', 'leaving')]});
+		expect(listLinked(state)).toEqual(['entry-3']);
+	});
+
+	it('stay as they are while the list cannot be had', () => {
+		const state = createTestHost('entry-1');
+		reduce(state, {type: 'hosts/listed', at: 1000 as Instant, hosts: [createListed('entry-9')]});
+		reduce(state, {type: 'hosts/list-failed', at: 2000 as Instant, fault: {kind: 'log-unavailable', detail: 'down'}});
+		expect(listLinked(state)).toEqual(['entry-9']);
+	});
+});
+
+describe('liveness', () => {
+	it('ends a second after the last heartbeat', () => {
+		const state = createTestHost('entry-1');
+		beat(state, 1000, 1000);
+		expect(listLivePeers(state).length).toEqual(1);
+		reduce(state, createTick(2001));
+		expect(listLivePeers(state).length).toEqual(0);
+	});
+
+	it('does not come back by heartbeats that lay in a buffer', () => {
+		const state = createTestHost('entry-1');
+		beat(state, 1000, 500_000);
+		beat(state, 9000, 500_200);
+		expect(listLivePeers(state).length).toEqual(0);
+		beat(state, 9001, 508_000);
+		expect(listLivePeers(state).length).toEqual(1);
+	});
+
+	it('comes back some seconds after the peer\'s clock was set back', () => {
+		const state = createTestHost('entry-1');
+		beat(state, 100_000, 100_000);
+		for (let at = 100_200; at <= 106_000; at += 200) {
+			beat(state, at, at - 50_000);
+		}
+
+		expect(listLivePeers(state).length).toEqual(1);
+	});
+
+	it('is for versions at most one apart', () => {
+		for (const [protocolVersion, count] of [[0, 1], [1, 1], [2, 1], [3, 0]] as const) {
+			const state = createTestHost('entry-1');
+			reduce(state, {
+				type: 'peer/message', at: 1000 as Instant, peer, message: {
+					type: 'hello', hostId: peer, incarnation: 'life-1' as Incarnation, protocolVersion,
+				},
+			});
+			beat(state, 1001, 1001);
+			expect(listLivePeers(state).length).toEqual(count);
+		}
+	});
+});
--- a/packages/core/src/membership/messages.ts
+++ b/packages/core/src/membership/messages.ts
@@ -1,19 +1,59 @@
 /** Messages between entry hosts, checked where they enter a process. */
 import {z} from 'zod';
+import {
+	historyDiffersSchema, recordsReplySchema, recordsRequestSchema, stateChunkSchema,
+} from '../log/messages.js';
+import {listedHostSchema} from '../types/hosts.js';
 import {hostIdSchema, incarnationSchema} from '../types/ids.js';
 import {instantSchema, offsetSchema} from '../types/time.js';
 
-/** Sent on every link several times a second. */
+/** Version of these messages; hosts one version apart understand each other. */
+export const protocolVersion = 1;
+
+/** Sent first on every new link. */
+export const helloSchema = z.object({
+	type: z.literal('hello'),
+	hostId: hostIdSchema,
+	incarnation: incarnationSchema,
+	protocolVersion: z.number().int().nonnegative(),
+});
+
+/** Sent on every link several times a second. Fields that a version back does not send are optional. */
 export const heartbeatSchema = z.object({
 	type: z.literal('heartbeat'),
 	hostId: hostIdSchema,
 	incarnation: incarnationSchema,
 	sentAt: instantSchema,
 	nextOffset: offsetSchema,
+	/** Digest of the sender's fleet before `nextOffset`. */
+	digest: z.string().optional(),
+	/** Checksum of the schema versions that the sender knows; digests are compared only where these are equal. */
+	decoders: z.string().optional(),
+	/** The latest snapshot that the sender knows of. */
+	snapshotOffset: offsetSchema.optional(),
+	snapshotWrittenAt: instantSchema.optional(),
+});
+
+/** Asks for the latest host list, since the platform gave none. */
+export const hostsRequestSchema = z.object({type: z.literal('hosts/request')});
+
+/** The latest host list that the sender had from the platform. */
+export const hostsReplySchema = z.object({
+	type: z.literal('hosts/reply'),
+	hosts: z.array(listedHostSchema),
 });
 
 /** Any message of a peer. Unknown types are counted and dropped, so that versions may differ by one. */
-export const peerMessageSchema = z.discriminatedUnion('type', [heartbeatSchema]);
+export const peerMessageSchema = z.discriminatedUnion('type', [
+	helloSchema,
+	heartbeatSchema,
+	hostsRequestSchema,
+	hostsReplySchema,
+	recordsRequestSchema,
+	recordsReplySchema,
+	stateChunkSchema,
+	historyDiffersSchema,
+]);
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
 export type PeerMessageType = PeerMessage['type'];
 export type PeerMessageOf<Type extends PeerMessageType> = Extract<PeerMessage, {readonly type: Type}>;
--- a/packages/core/src/membership/state.ts
+++ b/packages/core/src/membership/state.ts
@@ -1,22 +1,48 @@
 /** The other entry hosts as this one hears them. */
 import type {HostId, Incarnation} from '../types/ids.js';
+import type {EntryHost} from '../types/peers.js';
 import type {Instant, Offset} from '../types/time.js';
 
 export type Peer = {
 	readonly hostId: HostId;
 	isLinked: boolean;
 	incarnation: Incarnation | undefined;
+	/** Undefined until its hello has come. */
+	protocolVersion: number | undefined;
 	/** A peer that is not heard until then counts as unreachable. */
 	heardUntil: Instant;
 	nextOffset: Offset;
+	/** The least difference between arrival and sending of its heartbeats, clocks' difference included. Unit: milliseconds. */
+	leastDelayMs: number | undefined;
+	/** Since when its heartbeats have come late. */
+	lateSince: Instant | undefined;
+	/** Its history was found to differ from this host's. */
+	hasOtherHistory: boolean;
 };
 
 export type MembershipState = {
 	readonly peers: Map<HostId, Peer>;
 	nextHeartbeatAt: Instant;
+	/** The entry hosts that links are kept to. */
+	linkedHosts: readonly EntryHost[];
+	/** Ids of entry hosts that were on the platform's list once. */
+	readonly everListed: Set<HostId>;
+	/** When a host list last came, from the platform or a peer. */
+	hostsListedAt: Instant | undefined;
+	hostsAskAt: Instant;
+	/** Messages of unknown types, dropped. */
+	unknownMessageCount: number;
 };
 
 /** A state without peers. */
 export function createMembershipState(): MembershipState {
-	return {peers: new Map(), nextHeartbeatAt: 0 as Instant};
+	return {
+		peers: new Map(),
+		nextHeartbeatAt: 0 as Instant,
+		linkedHosts: [],
+		everListed: new Set(),
+		hostsListedAt: undefined,
+		hostsAskAt: 0 as Instant,
+		unknownMessageCount: 0,
+	};
 }
--- a/packages/daemon/src/http/fleet-view.ts
+++ b/packages/daemon/src/http/fleet-view.ts
@@ -3,9 +3,15 @@
 	FleetState, HostId, ListedHost, Offset, Peer, State,
 } from '@rhubarblever/core';
 
+/** A record kept aside. */
+export type SetAsideView = {readonly offset: Offset; readonly schema: string; readonly version: number};
+
 export type FleetView = {
 	readonly hostId: HostId;
 	readonly nextOffset: Offset;
+	readonly digest: string;
+	/** Records of schema versions that are unknown here, by their place in the log. */
+	readonly setAside: readonly SetAsideView[];
 	readonly pools: ReadonlyArray<FleetState['pools'] extends Map<unknown, infer Value> ? Value : never>;
 	readonly services: ReadonlyArray<FleetState['services'] extends Map<unknown, infer Value> ? Value : never>;
 	readonly objectives: ReadonlyArray<FleetState['objectives'] extends Map<unknown, infer Value> ? Value : never>;
@@ -18,6 +24,8 @@
 	return {
 		hostId: state.settings.self.hostId,
 		nextOffset: state.fleet.nextOffset,
+		digest: state.fleet.digest,
+		setAside: state.fleet.setAside.map(({offset, record}) => ({offset, schema: record.schema, version: record.version})),
 		pools: [...state.fleet.pools.values()],
 		services: [...state.fleet.services.values()],
 		objectives: [...state.fleet.objectives.values()],
--- a/packages/daemon/src/http/http-server.ts
+++ b/packages/daemon/src/http/http-server.ts
@@ -5,7 +5,7 @@
 } from 'node:http';
 import {timingSafeEqual} from 'node:crypto';
 import {
-	createFault, decodeBody, describeBurn, logRecordSchema, type Fault, type Instant, type State,
+	createFault, decodeBody, describeBurn, isReady as isStateReady, logRecordSchema, type Fault, type Instant, type State,
 } from '@rhubarblever/core';
 import {z} from 'zod';
 import {readClock} from '../clock.js';
@@ -16,6 +16,7 @@
 import {readBody} from './read-body.js';
 import {describeEntryHosts} from './entry-hosts-view.js';
 import {describeFleet} from './fleet-view.js';
+import {answerInForce} from './in-force.js';
 
 const publishTimeoutMs = 5000;
 const comeBackMs = 1000;
@@ -28,7 +29,8 @@
 	readonly push: EventSink;
 };
 
-type Call = {
+/** One call on its way through a route. */
+export type Call = {
 	readonly context: HttpContext;
 	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
@@ -62,6 +64,9 @@
 	{
 		method: 'GET', pattern: /^\/v1\/entry-hosts$/, access: 'operator', handle: answerEntryHosts,
 	},
+	{
+		method: 'GET', pattern: /^\/v1\/in-force$/, access: 'operator', handle: answerInForce,
+	},
 	{
 		method: 'GET', pattern: /^\/v1\/burn$/, access: 'operator', handle: answerBurn,
 	},
@@ -120,7 +125,7 @@
 }
 
 function answerReadiness({context, response}: Call): void {
-	const isReady = context.state.log.isReachable && !context.state.isStopping;
+	const isReady = isStateReady(context.state);
 	sendJson(response, isReady ? 200 : 503, {isReady});
 }
 
--- a/packages/daemon/src/interpreter.ts
+++ b/packages/daemon/src/interpreter.ts
@@ -9,6 +9,7 @@
 import {sendMetric} from './metrics.js';
 import type {PeerLinks} from './peers/peer-links.js';
 import type {PlatformClient} from './platform/platform-client.js';
+import {readSnapshots, writeSnapshot} from './platform/snapshots.js';
 import type {TargetClient} from './targets/target-client.js';
 import type {EventSink} from './types.js';
 
@@ -54,12 +55,23 @@
 	'attempt/dispatch'({targets}, effect) {
 		void targets.dispatch(effect);
 	},
+	'log/schedule-flush'({push}, effect) {
+		setTimeout(() => {
+			push({type: 'log/flush-due', at: readClock()});
+		}, Math.max(0, effect.at - readClock()));
+	},
 	'log/append'(context, effect) {
 		void appendRecords(context, effect);
 	},
 	'log/read'(context, effect) {
 		void readLog(context, effect.from);
 	},
+	'snapshot/write'({platform, push}, effect) {
+		void writeSnapshot(platform, push, effect);
+	},
+	'snapshot/read'({platform, push}, effect) {
+		void readSnapshots(platform, push, effect.from);
+	},
 	'publish/answer'({calls}, effect) {
 		calls.answer(effect.callerKey, {published: effect.published});
 	},
--- a/packages/daemon/src/peers/peer-links.ts
+++ b/packages/daemon/src/peers/peer-links.ts
@@ -3,7 +3,7 @@
 import type {IncomingMessage, Server} from 'node:http';
 import type {Duplex} from 'node:stream';
 import {
-	peerMessageSchema, type EntryHost, type HostId, type PeerMessage,
+	hostIdSchema, peerMessageSchema, type EntryHost, type HostId, type PeerMessage,
 } from '@rhubarblever/core';
 import {Packr} from 'msgpackr';
 import {WebSocket, WebSocketServer, type RawData} from 'ws';
@@ -11,10 +11,13 @@
 import {hasToken} from '../http/http-server.js';
 import type {Settings} from '../settings.js';
 import type {EventSink} from '../types.js';
+import {listenForSilence} from './peer-socket.js';
 
 const redialMs = 500;
 const handshakeTimeoutMs = 1000;
 const maxMessageBytes = 16 * 1024 * 1024;
+/** What a link may hold back unsent; beyond it messages are dropped. */
+const maxBufferedBytes = 8 * 1024 * 1024;
 const peerPath = '/v1/peer';
 const hostHeader = 'rhubarblever-host-id';
 
@@ -35,14 +38,14 @@
 	/** Takes over upgrades of an HTTP server. */
 	attach(server: Server): void {
 		server.on('upgrade', (request: IncomingMessage, socket: Duplex, head: Uint8Array) => {
-			const peer = request.headers[hostHeader];
-			if (request.url !== peerPath || typeof peer !== 'string' || !hasToken(request, this.settings.peerToken)) {
+			const peer = hostIdSchema.safeParse(request.headers[hostHeader]);
+			if (request.url !== peerPath || !peer.success || !hasToken(request, this.settings.peerToken)) {
 				socket.end('HTTP/1.1 401 Unauthorized\r\n\r\n');
 				return;
 			}
 
 			this.server.handleUpgrade(request, socket, Buffer.from(head), link => {
-				this.listen(link, peer as HostId);
+				this.listen(link, peer.data);
 			});
 		});
 	}
@@ -50,16 +53,15 @@
 	/** Keeps links to these hosts and no others. */
 	keepLinks(peers: readonly EntryHost[]): void {
 		const wanted = new Set(peers.map(peer => peer.hostId));
-		for (const [hostId, link] of this.links) {
+		for (const hostId of this.links.keys()) {
 			if (!wanted.has(hostId)) {
-				this.links.delete(hostId);
-				clearTimeout(link.redialTimer);
-				link.socket?.terminate();
+				this.drop(hostId);
 			}
 		}
 
 		for (const peer of peers) {
-			if (!this.links.has(peer.hostId)) {
+			if (this.links.get(peer.hostId)?.peer.address !== peer.address) {
+				this.drop(peer.hostId);
 				const link: OutgoingLink = {peer, socket: undefined, redialTimer: undefined};
 				this.links.set(peer.hostId, link);
 				this.dial(link);
@@ -70,7 +72,7 @@
 	/** Sends a message to a linked peer; without a link it is dropped. */
 	send(peer: HostId, message: PeerMessage): void {
 		const socket = this.links.get(peer)?.socket;
-		if (socket?.readyState === WebSocket.OPEN) {
+		if (socket?.readyState === WebSocket.OPEN && socket.bufferedAmount < maxBufferedBytes) {
 			socket.send(this.packr.pack(message));
 		}
 	}
@@ -83,6 +85,13 @@
 		}
 	}
 
+	private drop(hostId: HostId): void {
+		const link = this.links.get(hostId);
+		this.links.delete(hostId);
+		clearTimeout(link?.redialTimer);
+		link?.socket?.terminate();
+	}
+
 	private dial(link: OutgoingLink): void {
 		const socket = new WebSocket(`ws://${link.peer.address}${peerPath}`, {
 			handshakeTimeout: handshakeTimeoutMs,
@@ -91,12 +100,17 @@
 		});
 		link.socket = socket;
 		socket.on('open', () => {
+			listenForSilence(socket);
 			this.push({type: 'peer/linked', at: readClock(), peer: link.peer.hostId});
 		});
 		socket.on('error', () => {
 			socket.terminate();
 		});
 		socket.on('close', () => {
+			if (link.socket !== socket) {
+				return;
+			}
+
 			this.push({type: 'peer/unlinked', at: readClock(), peer: link.peer.hostId});
 			this.redial(link);
 		});
@@ -113,6 +127,7 @@
 	}
 
 	private listen(socket: WebSocket, peer: HostId): void {
+		listenForSilence(socket);
 		socket.on('error', () => {
 			socket.terminate();
 		});
@@ -122,6 +137,8 @@
 				this.push({
 					type: 'peer/message', at: readClock(), peer, message: parsed.data,
 				});
+			} else {
+				this.push({type: 'peer/message-unknown', at: readClock(), peer});
 			}
 		});
 	}
--- /dev/null
+++ b/packages/daemon/src/peers/peer-socket.ts
@@ -0,0 +1,28 @@
+/** Watches an open link: one that stays silent though it is pinged is ended, so that it can be dialled anew. */
+import {WebSocket} from 'ws';
+import {readClock} from '../clock.js';
+
+const pingIntervalMs = 400;
+const silenceMs = 1600;
+
+/** Ends a socket on which nothing has come for a while. The socket's own pings make a live peer answer. */
+export function listenForSilence(socket: WebSocket): void {
+	let heardAt = readClock();
+	const hear = () => {
+		heardAt = readClock();
+	};
+
+	socket.on('pong', hear);
+	socket.on('ping', hear);
+	socket.on('message', hear);
+	const timer = setInterval(() => {
+		if (readClock() - heardAt > silenceMs) {
+			socket.terminate();
+		} else if (socket.readyState === WebSocket.OPEN) {
+			socket.ping();
+		}
+	}, pingIntervalMs);
+	socket.on('close', () => {
+		clearInterval(timer);
+	});
+}
--- a/packages/daemon/src/platform/platform-client.ts
+++ b/packages/daemon/src/platform/platform-client.ts
@@ -7,8 +7,11 @@
 import {z} from 'zod';
 
 const callTimeoutMs = 3000;
-const pollWaitMs = 1000;
-const pollLimit = 500;
+
+/** How many records to read at most, and how long to wait for the first. Unit of `waitMs`: milliseconds. */
+export type ReadOptions = {readonly limit: number; readonly waitMs: number};
+
+const pollOptions: ReadOptions = {limit: 500, waitMs: 1000};
 
 const logPageSchema = z.object({
 	records: z.array(loggedRecordSchema),
@@ -32,9 +35,9 @@
 
 	private constructor(private readonly baseUrl: string) {}
 
-	/** Reads records from `from` on; waits up to a second for the first. */
-	async readLog(stream: string, from: Offset): Promise<Result<LogPage, Fault>> {
-		const path = `/v1/streams/${stream}/records?from=${from}&limit=${pollLimit}&waitMs=${pollWaitMs}`;
+	/** Reads records from `from` on; by default waits up to a second for the first. */
+	async readLog(stream: string, from: Offset, {limit, waitMs}: ReadOptions = pollOptions): Promise<Result<LogPage, Fault>> {
+		const path = `/v1/streams/${stream}/records?from=${from}&limit=${limit}&waitMs=${waitMs}`;
 		return this.call('GET', path, undefined, logPageSchema);
 	}
 
