--- a/packages/core/src/engine/reduce.ts
+++ b/packages/core/src/engine/reduce.ts
@@ -4,7 +4,10 @@
 import {fleetHandlers, tickPublishers} from '../fleet/publishing.js';
 import {createFleetState} from '../fleet/state.js';
 import {logHandlers, tickLog} from '../log/handlers.js';
+import {tickSnapshots} from '../log/snapshots.js';
+import {tickTail} from '../log/tail.js';
 import {createLogState} from '../log/state.js';
+import {keepLinks, updateEntryHosts} from '../membership/entry-hosts.js';
 import {membershipHandlers, tickMembership} from '../membership/handlers.js';
 import {createMembershipState} from '../membership/state.js';
 import {
@@ -28,9 +31,13 @@
 	...logHandlers,
 	...fleetHandlers,
 	...membershipHandlers,
+	'hosts/listed': (state, event) => [
+		...targetHandlers['hosts/listed'](state, event),
+		...updateEntryHosts(state, event.hosts),
+	],
 	'clock/ticked': state => [
-		...tickLog(state),
 		...tickPublishers(state),
+		...tickLog(state),
 		...tickMembership(state),
 		...tickSlots(state),
 		...tickRequests(state),
@@ -48,7 +55,7 @@
 	return {
 		settings,
 		fleet: createFleetState(),
-		log: createLogState(),
+		log: createLogState(settings.seed),
 		requests: createRequestsState(),
 		targets: createTargetsState(),
 		slots: createSlotsState(),
@@ -61,10 +68,7 @@
 
 /** What an entry host does first. */
 export function listStartEffects(state: State): Effect[] {
-	return [
-		{type: 'peer/keep-links', peers: state.settings.peers},
-		{type: 'log/read', from: state.fleet.nextOffset},
-	];
+	return [...keepLinks(state, []), ...tickSnapshots(state), ...tickTail(state)];
 }
 
 /** Applies one event to the state, in place, and returns what must be done. Time never runs backwards. */
--- a/packages/core/src/requests/handlers.ts
+++ b/packages/core/src/requests/handlers.ts
@@ -55,7 +55,7 @@
 
 /** Goes on with a graceful stop: all that runs ends first, then slots are back and the process exits. */
 export function tickRequestStop(state: State): Effect[] {
-	const {stop, open, attempts} = state.requests;
+	const {stop, open, attempts, publishers} = state.requests;
 	if (!stop) {
 		return [];
 	}
@@ -65,7 +65,7 @@
 		...withdrawAsks(state, request),
 		...refuseRequest(state, request, 'shutting-down', 'this entry host is stopping'),
 	]);
-	const isDone = stop.exitAt <= state.now && open.size === 0 && attempts.size === 0;
+	const isDone = stop.exitAt <= state.now && open.size === 0 && attempts.size === 0 && publishers.size === 0;
 	return isDone ? [...refusals, {type: 'process/exit'}] : refusals;
 }
 
