Claims: a non-idempotent request is dispatched only with the votes of a majority of the entry hosts

Cause: two entry hosts that got the same request id both dispatched it. Each member votes for the first claim on a request id and for no other; a claim with a majority may be dispatched. Members are agreed by entry-host-joined records in the log. One that joins anew copies the claims of so many of the members before it that no majority is left out, and votes only then; votes carry how far the voter has followed the members. No clock or lease takes part in safety, so a freeze cannot break it. If too many members are lost together, ids older than that are answered claim-forgotten, at once.

Ruled out: a home host per id with take-over by time (needs bounds on freezes, refuses for seconds after each crash); self-votes without rank (repeats to all hosts at once ended with no run).

--- a/packages/core/src/claims/at-most-once.test.ts
+++ b/packages/core/src/claims/at-most-once.test.ts
@@ -83,6 +83,17 @@
 				}
 				: {type: 'log/appended', at: 0 as Instant, recordIds});
 		},
+		'log/schedule-flush': (host, {at}) => {
+			this.deliver(host, Math.max(0, at - this.now), {type: 'log/flush-due', at: 0 as Instant});
+		},
+		'snapshot/read': host => {
+			this.deliver(host, 5, {
+				type: 'snapshot/read', at: 0 as Instant, records: [], firstOffset: 0 as Offset, nextOffset: 0 as Offset,
+			});
+		},
+		'snapshot/write': (host, {nextOffset}) => {
+			this.deliver(host, 5, {type: 'snapshot/written', at: 0 as Instant, nextOffset});
+		},
 		'log/read'(host, {from}) {
 			host.readFrom = from;
 		},
--- a/packages/core/src/claims/catch-up.ts
+++ b/packages/core/src/claims/catch-up.ts
@@ -2,7 +2,7 @@
  * A member that has joined votes only when it knows what so many of the members before it knew that no majority of them is left out.
  * docs/decisions/at-most-once.md shows why that suffices.
  */
-import {queueRecord} from '../log/handlers.js';
+import {queueRecord} from '../log/appends.js';
 import type {Effect} from '../types/effects.js';
 import type {HostId, RecordId} from '../types/ids.js';
 import type {State} from '../types/state.js';
@@ -15,15 +15,13 @@
 import {clockMarginMs, noteClaim} from './votes.js';
 
 const fetchRetryMs = 300;
+/** How long the join record is tried: longer than the platform's log is ever away. */
+const joinTimeoutMs = 7 * 24 * 60 * 60 * 1000;
 const notesPerPage = 1000;
 
 /** Joins the members and copies what they know, until this host may vote. */
 export function tickCatchUp(state: State): Effect[] {
-	if (state.claims.isVoting || !state.log.isReachable) {
-		return state.claims.isVoting ? [] : fetchClaims(state);
-	}
-
-	return [...join(state), ...fetchClaims(state)];
+	return state.claims.isVoting ? [] : [...join(state), ...fetchClaims(state)];
 }
 
 /** Answers a member that has joined, once this host has itself seen that join in the log. */
@@ -78,7 +76,7 @@
 }
 
 function join(state: State): Effect[] {
-	if (state.claims.hasAskedToJoin) {
+	if (state.claims.hasAskedToJoin || !state.log.isSettled || state.membership.hostsListedAt === undefined) {
 		return [];
 	}
 
@@ -91,13 +89,13 @@
 		body: {
 			hostId: self.hostId, incarnation, availabilityZone: self.availabilityZone, replaces: findGoneMember(state),
 		},
-	});
+	}, addMilliseconds(state.now, joinTimeoutMs));
 }
 
-/** A member that the settings no longer name. */
+/** A member that neither the settings nor the platform's host list name any longer. */
 function findGoneMember(state: State): HostId | undefined {
-	const {self, peers} = state.settings;
-	const named = new Set([self.hostId, ...peers.map(peer => peer.hostId)]);
+	const {settings: {self, peers}, membership} = state;
+	const named = new Set([self, ...peers, ...membership.linkedHosts].map(host => host.hostId));
 	return [...state.fleet.members.keys()].find(hostId => !named.has(hostId));
 }
 
--- a/packages/core/src/claims/claims.ts
+++ b/packages/core/src/claims/claims.ts
@@ -1,12 +1,12 @@
 /**
  * The dispatcher's side: a non-idempotent request is claimed before it is dispatched, and a majority of the members must vote for the claim.
  */
-import {admitRequest} from '../requests/admission.js';
+import {admitClaimedRequest} from '../requests/admission.js';
 import {refuseRequest} from '../requests/refusals.js';
 import type {Effect} from '../types/effects.js';
 import type {FaultKind} from '../types/faults.js';
 import type {
-	CallerKey, ClaimId, HostId, RequestId,
+	ClaimId, HostId, RequestId,
 } from '../types/ids.js';
 import type {CallerRequest} from '../types/requests.js';
 import type {State} from '../types/state.js';
@@ -28,12 +28,12 @@
 export function claimRequest(state: State, request: CallerRequest): Effect[] {
 	const {requestId} = request;
 	if (state.claims.open.has(requestId) || state.claims.held.has(requestId)) {
-		return refuseRequest(state, request, 'request-in-progress', 'this entry host has taken on a request of this id');
+		return refuseUnclaimed(state, request, 'request-in-progress', 'this entry host has taken on a request of this id');
 	}
 
 	const voters = listReachable(state, requestId);
 	if (voters.length < countMajority(state.fleet.members.size)) {
-		return refuseRequest(state, request, 'quorum-unreachable', `${voters.length} of ${state.fleet.members.size} entry hosts can be asked`);
+		return refuseUnclaimed(state, request, 'quorum-unreachable', `${voters.length} of ${state.fleet.members.size} entry hosts can be asked`);
 	}
 
 	const claim = openClaim(state, request);
@@ -43,7 +43,7 @@
 }
 
 /** Takes back a claim whose request was surely not dispatched, so that a repeat may run. */
-export function releaseClaim(state: State, requestId: RequestId, callerKey: CallerKey): Effect[] {
+export function releaseClaim(state: State, {requestId, callerKey}: CallerRequest): Effect[] {
 	const open = state.claims.open.get(requestId);
 	if (open?.request.callerKey === callerKey) {
 		state.claims.open.delete(requestId);
@@ -60,7 +60,7 @@
 }
 
 /** Invariant: what is dispatched is idempotent, or its id is claimed for this very call. */
-export function judgeDispatch(state: State, request: CallerRequest): Effect[] {
+export function judgeClaimed(state: State, request: CallerRequest): Effect[] {
 	return request.isIdempotent || state.claims.held.get(request.requestId)?.callerKey === request.callerKey
 		? []
 		: [{type: 'invariant/violated', name: 'dispatch-has-claim', detail: request.requestId}];
@@ -157,13 +157,13 @@
 	state.claims.held.set(request.requestId, {
 		claimId, callerKey: request.callerKey, expiresAt: addMilliseconds(state.now, claimMemoryMs),
 	});
-	return admitRequest(state, request);
+	return admitClaimedRequest(state, request);
 }
 
 function closeClaim(state: State, {request}: OpenClaim, kind: FaultKind): Effect[] {
 	return [
-		...releaseClaim(state, request.requestId, request.callerKey),
-		...refuseRequest(state, request, kind, 'the claim on this request id did not get a majority of the entry hosts'),
+		...releaseClaim(state, request),
+		...refuseUnclaimed(state, request, kind, 'the claim on this request id did not get a majority of the entry hosts'),
 	];
 }
 
@@ -220,3 +220,8 @@
 		state.claims.held.delete(requestId);
 	}
 }
+
+function refuseUnclaimed(state: State, request: CallerRequest, kind: FaultKind, detail: string): Effect[] {
+	const open = state.requests.open.get(request.callerKey);
+	return open ? refuseRequest(state, open, kind, detail) : [];
+}
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -1,7 +1,10 @@
 /** The fleet as folded from the log: equal on every host that has applied the same offset. */
 import type {Member} from '../claims/members.js';
+import type {PlannerLeaseBody} from '../planner/bodies.js';
+import type {FleetHost} from '../pools/state.js';
+import type {Wave} from '../waves/state.js';
 import type {
-	HostId, PoolId, RecordId, ServiceId,
+	HostId, PoolId, RecordId, ServiceId, WaveId,
 } from '../types/ids.js';
 import type {LoggedRecord} from '../types/records.js';
 import type {ObjectiveBody} from '../burn/bodies.js';
@@ -34,6 +37,10 @@
 	readonly members: Map<HostId, Member>;
 	/** The offset behind the latest record that changed the members. */
 	membersOffset: Offset;
+	readonly hosts: Map<HostId, FleetHost>;
+	readonly waves: Map<WaveId, Wave>;
+	/** The planner's lease of the highest term. */
+	plannerLease: PlannerLeaseBody | undefined;
 	/** The latest records whose schema version is unknown here, kept as they came; bounded. */
 	readonly setAside: LoggedRecord[];
 };
@@ -51,6 +58,9 @@
 		objectives: new Map(),
 		members: new Map(),
 		membersOffset: 0 as Offset,
+		hosts: new Map(),
+		waves: new Map(),
+		plannerLease: undefined,
 		setAside: [],
 	};
 }
--- a/packages/core/src/requests/admission.ts
+++ b/packages/core/src/requests/admission.ts
@@ -1,15 +1,12 @@
-/** Lets a request in that is idempotent or whose id is claimed. */
+/** Goes on with a request whose id is claimed. */
+import {releaseClaim} from '../claims/claims.js';
 import type {Effect} from '../types/effects.js';
 import type {CallerRequest} from '../types/requests.js';
 import type {State} from '../types/state.js';
-import {dispatchAttempt} from './attempts.js';
-import {refuseRequest} from './refusals.js';
-import {routingPolicies} from './routing-policies.js';
+import {askForSlot} from './slot-asks.js';
 
-/** Sends a request to a target, or refuses it. */
-export function admitRequest(state: State, request: CallerRequest): Effect[] {
-	const target = routingPolicies[state.settings.routingPolicy]?.(state, request.service);
-	return target
-		? dispatchAttempt(state, request, target)
-		: refuseRequest(state, request, 'no-target', `no live target of ${request.service}`);
+/** Asks for a slot; a request whose caller has gone in the meantime gives its claim back. */
+export function admitClaimedRequest(state: State, request: CallerRequest): Effect[] {
+	const open = state.requests.open.get(request.callerKey);
+	return open ? askForSlot(state, open) : releaseClaim(state, request);
 }
--- a/packages/core/src/requests/refusals.ts
+++ b/packages/core/src/requests/refusals.ts
@@ -1,26 +1,25 @@
-/** Final answers of requests that were given up. */
+/** Final answers of requests that were given up: a refusal only if no attempt can have run. */
 import {releaseClaim} from '../claims/claims.js';
+import {drawComeBackAt} from '../slots/come-back.js';
 import type {Effect} from '../types/effects.js';
 import {getFaultAnswer, type Fault, type FaultKind} from '../types/faults.js';
-import type {CallerRequest} from '../types/requests.js';
 import type {State} from '../types/state.js';
-import {addMilliseconds} from '../types/time.js';
+import type {Instant} from '../types/time.js';
+import type {OpenRequest} from './state.js';
 
-const comeBackMs = 500;
-
-/** Ends a request that was not run with a refusal. */
-export function refuseRequest(state: State, request: CallerRequest, kind: FaultKind, detail: string): Effect[] {
-	return endRequest(state, request, {kind, detail});
+/** Ends a request with a refusal, or with an unknown outcome if an earlier attempt may have run. */
+export function refuseRequest(state: State, open: OpenRequest, kind: FaultKind, detail: string): Effect[] {
+	return endRequest(state, open, open.possibleRun ?? {kind, detail}, drawComeBackAt(state, 0));
 }
 
-/** Ends a request with a fault; what was refused may be claimed again. */
-export function endRequest(state: State, request: CallerRequest, fault: Fault): Effect[] {
-	const wasRefused = getFaultAnswer(fault.kind).family === 'refused';
-	const releases = wasRefused ? releaseClaim(state, request.requestId, request.callerKey) : [];
-	return [...releases, {
-		type: 'caller/refuse',
-		callerKey: request.callerKey,
-		fault,
-		comeBackAt: addMilliseconds(state.now, comeBackMs),
-	}];
+/** Ends a request with a fault. If it was not run, its claim is taken back, so that a repeat may run. */
+export function endRequest(state: State, open: OpenRequest, fault: Fault, comeBackAt: Instant): Effect[] {
+	state.requests.open.delete(open.request.callerKey);
+	const wasRun = open.possibleRun !== undefined || getFaultAnswer(fault.kind).family !== 'refused';
+	return [
+		...wasRun ? [] : releaseClaim(state, open.request),
+		{
+			type: 'caller/refuse', callerKey: open.request.callerKey, fault, comeBackAt,
+		},
+	];
 }
--- /dev/null
+++ b/packages/core/src/slots/slots.test.ts
@@ -0,0 +1,415 @@
+/** Slots over whole entry hosts: their reducers, with messages passed between them by hand. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {createState, reduce} from '../engine/reduce.js';
+import {applyRecord} from '../fleet/apply-record.js';
+import type {Effect, EffectOf} from '../types/effects.js';
+import type {Event} from '../types/events.js';
+import type {ListedHost} from '../types/hosts.js';
+import type {
+	AvailabilityZone, CallerKey, HostId, Incarnation, RecordId, RequestId, ServiceId, TeamId,
+} from '../types/ids.js';
+import type {EntryHost} from '../types/peers.js';
+import type {CallerRequest} from '../types/requests.js';
+import type {State} from '../types/state.js';
+import type {Instant, Offset} from '../types/time.js';
+
+const service = 'routes' as ServiceId;
+const zone = 'ee-south-a' as AvailabilityZone;
+const start = 1_000_000;
+const settledMs = 500;
+
+type Ending = {readonly end: 'answered' | 'refused' | 'unsent' | 'lost'; readonly afterMs: number};
+
+/** Some entry hosts in one zone that share targets; messages arrive at once, time moves by `pass`. */
+class Hosts {
+	static create(count: number, targetCount: number, slotsPerRunner: number): Hosts {
+		return new Hosts(count, targetCount, slotsPerRunner);
+	}
+
+	now = start;
+	readonly states = new Map<HostId, State>();
+	readonly refusals: Array<EffectOf<'caller/refuse'>> = [];
+	readonly violations: Array<EffectOf<'invariant/violated'>> = [];
+	readonly dispatches: Array<EffectOf<'attempt/dispatch'> & {readonly from: HostId}> = [];
+	private requestCount = 0;
+
+	private constructor(count: number, targetCount: number, slotsPerRunner: number) {
+		const all = Array.from({length: count}, (_, index) => ({
+			hostId: `entry-${index + 1}` as HostId, availabilityZone: zone, address: `127.0.0.1:${index + 1}`,
+		}));
+		const targets = Array.from({length: targetCount}, (_, index): ListedHost => ({
+			hostId: `runner-${index + 1}` as HostId, role: 'runner', availabilityZone: zone, address: `127.0.0.2:${index + 1}`, service, state: 'live',
+		}));
+		for (const self of all) {
+			const state = createState({
+				self, incarnation: `${self.hostId}-i` as Incarnation, peers: all.filter(host => host !== self), routingPolicy: 'steward', seed: 1,
+			});
+			state.fleet.services.set(service, {
+				offset: 0 as Offset, body: {
+					service, pool: 'trucks' as never, slotsPerRunner, connectionsPerRunner: 640,
+				},
+			});
+			this.addMembers(state, all);
+			this.states.set(self.hostId, state);
+		}
+
+		for (const hostId of this.states.keys()) {
+			this.push(hostId, {type: 'hosts/listed', at: this.at, hosts: targets});
+			for (const peer of this.states.keys()) {
+				if (peer !== hostId) {
+					this.push(hostId, {type: 'peer/linked', at: this.at, peer});
+				}
+			}
+		}
+
+		this.pass(settledMs);
+	}
+
+	/** The entry hosts have joined the members, so that they vote on the claims of non-idempotent requests. */
+	private addMembers(state: State, hosts: readonly EntryHost[]): void {
+		for (const [index, {hostId, availabilityZone}] of hosts.entries()) {
+			applyRecord(state.fleet, {
+				offset: index as Offset,
+				at: this.at,
+				record: {
+					recordId: `${hostId}-joined` as RecordId,
+					schema: 'entry-host-joined',
+					version: 1,
+					body: {hostId, incarnation: `${hostId}-i`, availabilityZone},
+				},
+			});
+		}
+	}
+
+	get at(): Instant {
+		return this.now as Instant;
+	}
+
+	push(hostId: HostId, event: Event): void {
+		const state = this.states.get(hostId);
+		for (const effect of state ? reduce(state, event) : []) {
+			this.run(hostId, effect);
+		}
+	}
+
+	pass(milliseconds: number): void {
+		for (let passed = 0; passed < milliseconds; passed += 50) {
+			this.now += 50;
+			for (const hostId of this.states.keys()) {
+				this.push(hostId, {type: 'clock/ticked', at: this.at});
+			}
+		}
+	}
+
+	ask(hostId: string, request: Partial<CallerRequest> = {}): CallerKey {
+		this.requestCount += 1;
+		const callerKey = `caller-${this.requestCount}` as CallerKey;
+		this.push(hostId as HostId, {
+			type: 'request/arrived',
+			at: this.at,
+			request: {
+				callerKey,
+				requestId: `request-${this.requestCount}` as RequestId,
+				service,
+				team: 'tartu' as TeamId,
+				workClass: 'quick',
+				isIdempotent: false,
+				arrivedAt: this.at,
+				deadline: (this.now + 60_000) as Instant,
+				...request,
+			},
+		});
+		return callerKey;
+	}
+
+	/** Ends the oldest running attempt. */
+	end(ending: Ending): void {
+		const dispatch = this.dispatches.shift();
+		if (!dispatch) {
+			return;
+		}
+
+		this.now += ending.afterMs;
+		const {attemptId} = dispatch;
+		this.push(dispatch.from, ending.end === 'answered'
+			? {
+				type: 'attempt/answered', at: this.at, attemptId, status: 200,
+			}
+			: {
+				type: 'attempt/failed',
+				at: this.at,
+				attemptId,
+				fault: {kind: {refused: 'target-busy', unsent: 'no-target', lost: 'answer-lost'}[ending.end] as 'no-target', detail: ''},
+				wasSent: ending.end !== 'unsent',
+				wasRefused: ending.end === 'refused',
+				hasAnswerBegun: false,
+			});
+	}
+
+	listRunning(): string[] {
+		return this.dispatches.map(dispatch => dispatch.callerKey);
+	}
+
+	private run(from: HostId, effect: Effect): void {
+		if (effect.type === 'peer/send') {
+			this.push(effect.peer, {
+				type: 'peer/message', at: this.at, peer: from, message: effect.message,
+			});
+		}
+
+		if (effect.type === 'attempt/dispatch') {
+			this.dispatches.push({...effect, from});
+		}
+
+		if (effect.type === 'caller/refuse') {
+			this.refusals.push(effect);
+		}
+
+		if (effect.type === 'invariant/violated') {
+			this.violations.push(effect);
+		}
+	}
+}
+
+const answered: Ending = {end: 'answered', afterMs: 10};
+
+describe('slots shared by entry hosts', () => {
+	it('all hosts together keep to the slots, and each freed slot goes to a waiting request', () => {
+		const hosts = Hosts.create(3, 2, 4);
+		for (let index = 0; index < 30; index++) {
+			hosts.ask(`entry-${(index % 3) + 1}`);
+		}
+
+		expect(hosts.dispatches.length).toEqual(8);
+		hosts.end(answered);
+		expect(hosts.dispatches.length).toEqual(8);
+		for (let index = 0; index < 29; index++) {
+			hosts.end(answered);
+		}
+
+		expect(hosts.dispatches.length).toEqual(0);
+		expect(hosts.refusals).toEqual([]);
+		expect(hosts.violations).toEqual([]);
+	});
+
+	it('after the death of any one host the others settle on the same slots', () => {
+		for (const dead of ['entry-1', 'entry-2', 'entry-3'] as HostId[]) {
+			const hosts = Hosts.create(3, 2, 4);
+			for (let index = 0; index < 60; index++) {
+				hosts.ask(`entry-${(index % 3) + 1}`);
+			}
+
+			hosts.states.delete(dead);
+			const lost = hosts.dispatches.filter(dispatch => dispatch.from === dead).length;
+			for (const hostId of hosts.states.keys()) {
+				hosts.push(hostId, {type: 'peer/unlinked', at: hosts.at, peer: dead});
+			}
+
+			hosts.pass(3000);
+			const running = hosts.dispatches.filter(dispatch => dispatch.from !== dead);
+			expect(running.length).toEqual(8);
+			expect(lost).toBeGreaterThanOrEqual(0);
+			hosts.dispatches.splice(0, hosts.dispatches.length, ...running);
+			for (let index = 0; index < 40; index++) {
+				hosts.end(answered);
+			}
+
+			expect(hosts.dispatches.length).toEqual(0);
+			expect(hosts.refusals).toEqual([]);
+		}
+	});
+
+	it('a host that stops hands its queue over and exits', () => {
+		const hosts = Hosts.create(3, 1, 2);
+		for (let index = 0; index < 12; index++) {
+			hosts.ask(`entry-${(index % 3) + 1}`);
+		}
+
+		hosts.push('entry-1' as HostId, {type: 'stop/requested', at: hosts.at});
+		hosts.pass(1000);
+		for (let index = 0; index < 12; index++) {
+			hosts.end(answered);
+			hosts.pass(50);
+		}
+
+		expect(hosts.refusals).toEqual([]);
+		expect(hosts.dispatches.length).toEqual(0);
+	});
+});
+
+describe('the order of a queue', () => {
+	it('is earliest deadline first within a team', () => {
+		const hosts = Hosts.create(1, 1, 1);
+		hosts.ask('entry-1');
+		const late = hosts.ask('entry-1', {deadline: (hosts.now + 9000) as Instant});
+		const early = hosts.ask('entry-1', {deadline: (hosts.now + 5000) as Instant});
+		hosts.end(answered);
+		expect(hosts.listRunning()).toEqual([early]);
+		hosts.end(answered);
+		expect(hosts.listRunning()).toEqual([late]);
+	});
+
+	it('a team\'s burst does not delay another team\'s single request by more than one turn', () => {
+		const hosts = Hosts.create(2, 1, 1);
+		for (let index = 0; index < 40; index++) {
+			hosts.ask('entry-1', {deadline: (hosts.now + 5000) as Instant});
+		}
+
+		const trickle = hosts.ask('entry-2', {team: 'parnu' as TeamId});
+		hosts.end(answered);
+		hosts.end(answered);
+		hosts.end(answered);
+		expect(hosts.refusals.some(refusal => refusal.callerKey === trickle)).toEqual(false);
+		expect([...hosts.states.values()].some(state => state.requests.open.get(trickle)?.attemptCount === 0)).toEqual(false);
+	});
+
+	it('long work leaves half of the slots, heavy work leaves a reserve for quick work', () => {
+		const hosts = Hosts.create(1, 1, 8);
+		for (let index = 0; index < 20; index++) {
+			hosts.ask('entry-1', {workClass: 'long'});
+		}
+
+		expect(hosts.dispatches.length).toEqual(4);
+		for (let index = 0; index < 20; index++) {
+			hosts.ask('entry-1', {workClass: 'heavy'});
+		}
+
+		expect(hosts.dispatches.length).toEqual(7);
+		const quick = hosts.ask('entry-1');
+		expect(hosts.listRunning().at(-1)).toEqual(quick);
+	});
+
+	it('what cannot meet its deadline by observed run times is refused at once, spread in when to come back', () => {
+		const hosts = Hosts.create(1, 1, 1);
+		for (let index = 0; index < 4; index++) {
+			hosts.ask('entry-1');
+			hosts.end({end: 'answered', afterMs: 100});
+		}
+
+		for (let index = 0; index < 40; index++) {
+			hosts.ask('entry-1', {deadline: (hosts.now + 1000) as Instant});
+		}
+
+		expect(hosts.refusals.length).toBeGreaterThanOrEqual(30);
+		expect(hosts.refusals.every(refusal => refusal.fault.kind === 'deadline-unreachable')).toEqual(true);
+		expect(new Set(hosts.refusals.map(refusal => refusal.comeBackAt)).size).toBeGreaterThanOrEqual(10);
+	});
+
+	it('is bounded', () => {
+		const hosts = Hosts.create(1, 1, 1);
+		for (let index = 0; index < 200; index++) {
+			hosts.ask('entry-1');
+		}
+
+		expect(hosts.refusals.length).toBeGreaterThanOrEqual(200 - 1 - 64);
+	});
+});
+
+describe('retries', () => {
+	it('what was not sent or was refused by the target is sent again, elsewhere', () => {
+		const hosts = Hosts.create(1, 2, 4);
+		hosts.ask('entry-1');
+		const first = hosts.dispatches[0]?.target;
+		hosts.end({end: 'unsent', afterMs: 1});
+		expect(hosts.dispatches.length).toEqual(1);
+		expect(hosts.dispatches[0]?.target).not.toEqual(first);
+		hosts.end({end: 'refused', afterMs: 1});
+		expect(hosts.dispatches.length).toEqual(1);
+		expect(hosts.refusals).toEqual([]);
+	});
+
+	it('a non-idempotent request that may have run is never sent again, and the caller hears so at once', () => {
+		const hosts = Hosts.create(1, 2, 4);
+		hosts.ask('entry-1');
+		hosts.end({end: 'lost', afterMs: 1});
+		expect(hosts.dispatches.length).toEqual(0);
+		expect(hosts.refusals[0]?.fault.kind).toEqual('answer-lost');
+	});
+
+	it('an idempotent request that may have run is never refused as not run', () => {
+		const hosts = Hosts.create(1, 1, 4);
+		hosts.ask('entry-1', {isIdempotent: true});
+		hosts.end({end: 'lost', afterMs: 1});
+		expect(hosts.dispatches.length).toEqual(1);
+		for (let index = 0; index < 40; index++) {
+			hosts.end({end: 'unsent', afterMs: 1});
+		}
+
+		expect(hosts.refusals[0]?.fault.kind).toEqual('answer-lost');
+	});
+
+	it('a budget keeps retries from multiplying an overload', () => {
+		const hosts = Hosts.create(1, 2, 4);
+		let attempts = 0;
+		for (let index = 0; index < 400; index++) {
+			hosts.ask('entry-1');
+			for (let tries = 0; tries < 100 && hosts.dispatches.length > 0; tries++) {
+				attempts += 1;
+				hosts.end({end: 'refused', afterMs: 30});
+			}
+		}
+
+		expect(attempts).toBeLessThanOrEqual(400 + 20 + 40);
+	});
+
+	it('a failing target is set aside and tried again by one request, but never all targets', () => {
+		const hosts = Hosts.create(1, 2, 4);
+		for (let index = 0; index < 12; index++) {
+			hosts.ask('entry-1', {isIdempotent: true});
+			while (hosts.dispatches.length > 0) {
+				hosts.end({end: hosts.dispatches[0]?.target === 'runner-1' ? 'unsent' : 'answered', afterMs: 1});
+			}
+		}
+
+		for (let index = 0; index < 6; index++) {
+			hosts.ask('entry-1');
+		}
+
+		expect(hosts.dispatches.every(dispatch => dispatch.target === 'runner-2')).toEqual(true);
+		hosts.pass(6000);
+		expect(hosts.dispatches.filter(dispatch => dispatch.target === 'runner-1').length).toEqual(1);
+	});
+});
+
+describe('any course of events', () => {
+	it('gives each request at most one final answer and breaks no invariant', () => {
+		const step = fc.oneof(
+			fc.record({
+				kind: fc.constant('ask' as const),
+				host: fc.integer({min: 1, max: 3}),
+				workClass: fc.constantFrom('quick' as const, 'heavy' as const, 'long' as const),
+				isIdempotent: fc.boolean(),
+				deadlineMs: fc.integer({min: 0, max: 3000}),
+			}),
+			fc.record({
+				kind: fc.constant('end' as const),
+				end: fc.constantFrom('answered' as const, 'refused' as const, 'unsent' as const, 'lost' as const),
+				afterMs: fc.integer({min: 0, max: 100}),
+			}),
+			fc.record({kind: fc.constant('pass' as const), milliseconds: fc.integer({min: 0, max: 500})}),
+		);
+		fc.assert(fc.property(fc.array(step, {maxLength: 80}), steps => {
+			const hosts = Hosts.create(3, 2, 2);
+			for (const one of steps) {
+				if (one.kind === 'ask') {
+					hosts.ask(`entry-${one.host}`, {workClass: one.workClass, isIdempotent: one.isIdempotent, deadline: (hosts.now + one.deadlineMs) as Instant});
+				} else if (one.kind === 'end') {
+					hosts.end(one);
+				} else {
+					hosts.pass(one.milliseconds);
+				}
+			}
+
+			hosts.pass(4000);
+			expect(hosts.violations).toEqual([]);
+			const refused = hosts.refusals.map(refusal => refusal.callerKey);
+			expect(new Set(refused).size).toEqual(refused.length);
+			for (const state of hosts.states.values()) {
+				expect([...state.requests.open.values()].every(open => open.asks.size === 0)).toEqual(true);
+				expect(state.requests.callersByAsk.size).toEqual(0);
+			}
+		}), {numRuns: 60, seed: 4});
+	});
+});
--- a/packages/daemon/src/http/call-table.ts
+++ b/packages/daemon/src/http/call-table.ts
@@ -1,16 +1,14 @@
 /** The open calls of callers and operators: their bodies and the responses that wait for an answer. */
 import type {ServerResponse} from 'node:http';
-import {pipeline} from 'node:stream/promises';
 import {
 	getFaultAnswer, type CallerKey, type Fault, type Instant,
 } from '@rhubarblever/core';
 import type {Dispatcher} from 'undici';
 import {readClock} from '../clock.js';
+import {sendAnswer, type PassedAnswer} from './pass-answer.js';
 
 type OpenCall = {readonly body: Uint8Array; readonly response: ServerResponse};
 
-const passedHeaders = ['content-type', 'content-length'];
-
 export class CallTable {
 	static create(hostId: string): CallTable {
 		return new CallTable(hostId);
@@ -18,14 +16,27 @@
 
 	private readonly calls = new Map<CallerKey, OpenCall>();
 	private callCount = 0;
+	private isDraining = false;
 
 	private constructor(private readonly hostId: string) {}
 
+	/** From now on, every answer asks its caller to close the connection. */
+	startDraining(): void {
+		this.isDraining = true;
+		for (const {response} of this.calls.values()) {
+			closeAfterAnswer(response);
+		}
+	}
+
 	/** Takes a call in and gives it a key. */
 	open(body: Uint8Array, response: ServerResponse): CallerKey {
 		this.callCount += 1;
 		const callerKey = `${this.hostId}-${this.callCount}` as CallerKey;
 		this.calls.set(callerKey, {body, response});
+		if (this.isDraining) {
+			closeAfterAnswer(response);
+		}
+
 		response.once('close', () => {
 			this.calls.delete(callerKey);
 		});
@@ -36,28 +47,15 @@
 		return this.calls.get(callerKey)?.body ?? new Uint8Array(0);
 	}
 
-	/** Streams a target's answer to the caller; false if either side cut it short. */
-	async passAnswer(callerKey: CallerKey, answer: Dispatcher.ResponseData): Promise<boolean> {
+	/** Streams a target's answer to the caller. `isClean`: no bytes came that the answer did not declare. */
+	async passAnswer(callerKey: CallerKey, answer: Dispatcher.ResponseData, isClean: () => boolean): Promise<PassedAnswer> {
 		const call = this.calls.get(callerKey);
-		if (!call) {
-			await answer.body.dump();
-			return true;
-		}
-
-		call.response.statusCode = answer.statusCode;
-		for (const name of passedHeaders) {
-			const value = answer.headers[name];
-			if (value !== undefined) {
-				call.response.setHeader(name, value);
-			}
+		if (call) {
+			return sendAnswer(call.response, answer, isClean);
 		}
 
-		try {
-			await pipeline(answer.body, call.response);
-			return true;
-		} catch {
-			return false;
-		}
+		await answer.body.dump();
+		return {isWhole: true, hasBegun: false};
 	}
 
 	/** Answers with a fault as problem details, with when to come back. */
@@ -77,6 +75,12 @@
 	}
 }
 
+function closeAfterAnswer(response: ServerResponse): void {
+	if (!response.headersSent) {
+		response.setHeader('connection', 'close');
+	}
+}
+
 /** Sends a fault as `application/problem+json`; a response that has begun is cut instead. */
 export function sendFault(response: ServerResponse, fault: Fault, comeBackAt: Instant): void {
 	if (response.headersSent) {
