--- a/packages/core/src/slots/slots.test.ts
+++ b/packages/core/src/slots/slots.test.ts
@@ -22,6 +22,22 @@
 
 type Ending = {readonly end: 'answered' | 'refused' | 'unsent' | 'lost'; readonly afterMs: number};
 
+/** The entry hosts have joined the members, so that they vote on the claims of non-idempotent requests. */
+function addMembers(state: State, hosts: readonly EntryHost[]): void {
+	for (const [index, {hostId, availabilityZone}] of hosts.entries()) {
+		applyRecord(state.fleet, {
+			offset: index as Offset,
+			at: start as Instant,
+			record: {
+				recordId: `${hostId}-joined` as RecordId,
+				schema: 'entry-host-joined',
+				version: 1,
+				body: {hostId, incarnation: `${hostId}-i`, availabilityZone},
+			},
+		});
+	}
+}
+
 /** Some entry hosts in one zone that share targets; messages arrive at once, time moves by `pass`. */
 class Hosts {
 	static create(count: number, targetCount: number, slotsPerRunner: number): Hosts {
@@ -51,7 +67,7 @@
 					service, pool: 'trucks' as never, slotsPerRunner, connectionsPerRunner: 640,
 				},
 			});
-			this.addMembers(state, all);
+			addMembers(state, all);
 			this.states.set(self.hostId, state);
 		}
 
@@ -67,22 +83,6 @@
 		this.pass(settledMs);
 	}
 
-	/** The entry hosts have joined the members, so that they vote on the claims of non-idempotent requests. */
-	private addMembers(state: State, hosts: readonly EntryHost[]): void {
-		for (const [index, {hostId, availabilityZone}] of hosts.entries()) {
-			applyRecord(state.fleet, {
-				offset: index as Offset,
-				at: this.at,
-				record: {
-					recordId: `${hostId}-joined` as RecordId,
-					schema: 'entry-host-joined',
-					version: 1,
-					body: {hostId, incarnation: `${hostId}-i`, availabilityZone},
-				},
-			});
-		}
-	}
-
 	get at(): Instant {
 		return this.now as Instant;
 	}
