--- a/packages/daemon/src/targets/target-client.test.ts
+++ b/packages/daemon/src/targets/target-client.test.ts
@@ -168,6 +168,46 @@
 		expect(getFailure(seen.event).hasAnswerBegun).toEqual(true);
 	});
 
+	it('a big answer waits for a slow caller instead of filling memory', async () => {
+		const size = 64 * 1024 * 1024;
+		const buffered = 16 * 1024 * 1024;
+		let written = 0;
+		const address = await startTarget((socket, attemptId) => {
+			socket.write(formatAnswer(attemptId, '', size));
+			const chunk = Buffer.alloc(256 * 1024, 'x');
+			const writeMore = () => {
+				while (written < size) {
+					written += chunk.length;
+					if (!socket.write(chunk)) {
+						socket.once('drain', writeMore);
+						return;
+					}
+				}
+			};
+
+			writeMore();
+		});
+		const front = createHttpServer((_request, response) => {
+			void client.dispatch({
+				type: 'attempt/dispatch',
+				attemptId: 'attempt-big' as AttemptId,
+				requestId: 'request-big' as RequestId,
+				callerKey: calls.open(new Uint8Array(0), response),
+				target: 'runner-1' as HostId,
+				address,
+				isIdempotent: false,
+				giveUpAt: (Date.now() + 10_000) as Instant,
+			});
+		});
+		const response = await fetch(`http://${await startListening(front)}/`);
+		await new Promise(resolve => {
+			setTimeout(resolve, 500);
+		});
+		expect(written).toBeLessThan(buffered);
+		const body = await response.arrayBuffer();
+		expect(body.byteLength).toEqual(size);
+	});
+
 	it('a second answer on a connection is never taken for the next request\'s', async () => {
 		const address = await startTarget((socket, attemptId) => {
 			socket.write(formatAnswer(attemptId, `for ${attemptId}`));
