--- a/packages/bench/src/integration/request-path.test.ts
+++ b/packages/bench/src/integration/request-path.test.ts
@@ -135,6 +135,11 @@
 	return Promise.all(Array.from({length: count}, async (_, index) => callService(hosts[index % hosts.length]!, options)));
 }
 
+async function isServing(host: LocalEntryHost): Promise<boolean> {
+	const seen = await callInTurn([host], 4, {runMs: 20, deadlineMs: 1000});
+	return seen.every(({isOwn}) => isOwn);
+}
+
 async function countStartsByZone(fleet: LocalFleet, from: number): Promise<number[]> {
 	return Promise.all(zones.map(async zone =>
 		countStarts(fleet, ({hostId, startedAt}) => hostId.includes(zone) && startedAt >= from)));
@@ -226,10 +231,7 @@
 	it('a zone cut off goes on with its own targets, and after healing all slots are shared again', async () => {
 		await fleet.cutZones('ee-south-a', 'ee-south-b');
 		await fleet.cutZones('ee-south-a', 'ee-south-c');
-		await Promise.all(fleet.entryHosts.map(async host => waitUntil('requests are answered on each side', async () => {
-			const seen = await Promise.all(Array.from({length: 4}, async () => callService(host, {runMs: 20, deadlineMs: 1000})));
-			return seen.every(({isOwn}) => isOwn);
-		}, settleMs)));
+		await Promise.all(fleet.entryHosts.map(async host => waitUntil('requests are answered on each side', async () => isServing(host), settleMs)));
 		await fleet.healAll();
 		await waitUntil('the slots are kept to again', async () => {
 			const from = Date.now();
