Stewards are chosen among the entry hosts that membership knows, listed ones too

Cause: membership now follows the platform's list; slots still looked at the settings only, so an added entry host could neither be steward nor be counted.

--- a/packages/core/src/slots/entry-hosts.ts
+++ b/packages/core/src/slots/entry-hosts.ts
@@ -8,7 +8,9 @@
 
 /** Entry hosts that can be reached now and do not stop, this one included. */
 export function listLiveEntryHosts(state: State): EntryHost[] {
-	const peers = state.settings.peers.filter(({hostId}) => {
+	const {linkedHosts} = state.membership;
+	const unlisted = state.settings.peers.filter(({hostId}) => !linkedHosts.some(host => host.hostId === hostId));
+	const peers = [...linkedHosts, ...unlisted].filter(({hostId}) => {
 		const peer = state.membership.peers.get(hostId);
 		return peer !== undefined && peer.isLinked && isPeerLive(state, peer) && !state.slots.stoppingPeers.has(hostId);
 	});
