Target stand-in: faults per request and per target, a full ledger, and a control address

A crash is played inside the process (connections reset, runs unfinished), so that the ledger can be read after it.

--- a/packages/stand-ins/src/harness/fleet-types.ts
+++ b/packages/stand-ins/src/harness/fleet-types.ts
@@ -32,4 +32,9 @@
 
 export type LocalEntryHost = PlannedEntryHost & {running: RunningProcess};
 
-export type LocalTarget = {readonly host: ListedHost; readonly running: RunningProcess};
+export type LocalTarget = {
+	readonly host: ListedHost;
+	readonly running: RunningProcess;
+	/** `ip:port` for ledgers and faults, the same for all targets of one process. */
+	readonly controlAddress: string;
+};
--- a/packages/stand-ins/src/harness/local-fleet.ts
+++ b/packages/stand-ins/src/harness/local-fleet.ts
@@ -1,7 +1,8 @@
 /** A whole small fleet of real processes on loopback: platform, targets and entry hosts. */
 import {listedHostSchema, type ListedHost} from '@rhubarblever/core';
 import {callJson} from '../http-client.js';
-import type {LedgerEntry} from '../target/target-server.js';
+import type {TargetLedgerReport} from '../target/target-ledger.js';
+import type {TargetSettings} from '../target/work.js';
 import {takeAddress} from './addresses.js';
 import {FleetLinks, platformId} from './fleet-links.js';
 import type {
@@ -19,7 +20,7 @@
 	readonly body: unknown;
 };
 
-export type TargetLedger = {readonly hostId: string; readonly entries: readonly LedgerEntry[]};
+export type HostLedger = TargetLedgerReport & {readonly hostId: string};
 
 export const operatorToken = 'operator-token-of-tests';
 export const peerToken = 'peer-token-of-tests';
@@ -116,14 +117,29 @@
 		return callJson('GET', `http://${entryHost.address}/v1/fleet`, undefined, {authorization: `Bearer ${operatorToken}`});
 	}
 
-	/** The ledgers of all targets that still run. */
-	async readLedgers(): Promise<TargetLedger[]> {
-		return Promise.all(this.targets.filter(target => target.running.isRunning).map(async ({host}) => {
-			const {entries} = await callJson('GET', `http://${host.address}/ledger`) as {entries: LedgerEntry[]};
-			return {hostId: host.hostId, entries};
+	/** The ledgers of all targets whose processes still run. */
+	async readLedgers(): Promise<HostLedger[]> {
+		return Promise.all(this.targets.filter(target => target.running.isRunning).map(async target => {
+			const ledger = await this.callTarget(target.host.hostId, 'GET', 'ledger') as TargetLedgerReport;
+			return {...ledger, hostId: target.host.hostId};
 		}));
 	}
 
+	/** Sets how a target behaves to all requests; what is left out goes back to its default. */
+	async setTarget(hostId: string, settings: Partial<TargetSettings>): Promise<void> {
+		await this.callTarget(hostId, 'PUT', 'settings', settings);
+	}
+
+	/** Takes a target down as a kill would; its ledger stays readable. */
+	async crashTarget(hostId: string): Promise<void> {
+		await this.callTarget(hostId, 'POST', 'crash', {});
+	}
+
+	/** Brings a target back up. */
+	async startTarget(hostId: string): Promise<void> {
+		await this.callTarget(hostId, 'POST', 'start', {});
+	}
+
 	/** Changes a line of the platform's host list. */
 	async updateListedHost(hostId: string, changes: Partial<ListedHost>): Promise<void> {
 		this.listedHosts = this.listedHosts.map(host => host.hostId === hostId ? {...host, ...changes} : host);
@@ -146,6 +162,15 @@
 		await this.links.closeAll();
 	}
 
+	private async callTarget(hostId: string, method: string, action: string, body?: unknown): Promise<unknown> {
+		const target = this.targets.find(candidate => candidate.host.hostId === hostId);
+		if (!target) {
+			throw new Error(`there is no target ${hostId}`);
+		}
+
+		return callJson(method, `http://${target.controlAddress}/targets/${target.host.address}/${action}`, body);
+	}
+
 	private getEntryHost(index: number): LocalEntryHost {
 		const host = this.entryHosts[index];
 		if (!host) {
@@ -223,8 +248,10 @@
 		for (let index = 0; index < planned.length; index += targetsPerProcess) {
 			const hosts = planned.slice(index, index + targetsPerProcess);
 			const addresses = hosts.map(host => host.address).join(',');
-			const running = this.processes.start(hosts[0]?.hostId ?? 'target', targetScript, ['--listen', addresses, ...targetFlags]);
-			this.targets.push(...hosts.map(host => ({host, running})));
+			const controlAddress = takeAddress();
+			const flags = ['--listen', addresses, '--control', controlAddress, ...targetFlags];
+			const running = this.processes.start(hosts[0]?.hostId ?? 'target', targetScript, flags);
+			this.targets.push(...hosts.map(host => ({host, running, controlAddress})));
 		}
 	}
 }
--- a/packages/stand-ins/src/platform/platform-server.ts
+++ b/packages/stand-ins/src/platform/platform-server.ts
@@ -4,6 +4,7 @@
 } from 'node:http';
 import type {ListedHost} from '@rhubarblever/core';
 import {listen, readJson, sendJson} from '../http.js';
+import {resetSocket} from '../reset-socket.js';
 import type {CallFate} from './faults.js';
 import {Platform} from './platform.js';
 import {
@@ -22,7 +23,9 @@
 /** What is done to a call that an outage meets. */
 const outageHandlers: Readonly<Record<Exclude<CallFate, 'served'>, (response: ServerResponse) => void>> = {
 	reset(response) {
-		response.socket?.resetAndDestroy();
+		if (response.socket) {
+			resetSocket(response.socket);
+		}
 	},
 	hang() {
 		// The call stays open and is never answered.
@@ -75,7 +78,7 @@
 
 		const answer = await this.handle(request, url);
 		if (!isControl && this.platform.faults.drawAnswerLoss(request.method ?? '')) {
-			response.socket?.resetAndDestroy();
+			resetSocket(request.socket);
 			return;
 		}
 
--- a/packages/stand-ins/src/proxy/fault-proxy.ts
+++ b/packages/stand-ins/src/proxy/fault-proxy.ts
@@ -2,6 +2,7 @@
 import {
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
+import {resetSocket} from '../reset-socket.js';
 import {ProxyFlow, type FlowFault} from './proxy-flow.js';
 
 export type FaultProxyOptions = {
@@ -174,12 +175,3 @@
 		});
 	}
 }
-
-/** Resets a socket; one that is already shutting down can only be closed, since libuv refuses to reset it. */
-function resetSocket(socket: Socket): void {
-	if (socket.writableEnded || socket.destroyed) {
-		socket.destroy();
-	} else {
-		socket.resetAndDestroy();
-	}
-}
