--- /dev/null
+++ b/packages/stand-ins/src/load/load-run.ts
@@ -0,0 +1,108 @@
+/** Sends a planned load to entry hosts, open loop: each request goes out at its instant, whatever became of earlier ones. */
+import {Buffer} from 'node:buffer';
+import {Agent, type Dispatcher} from 'undici';
+import {sleep} from '../harness/process-group.js';
+import {isOwnAnswer} from '../target/answer.js';
+import type {PlannedRequest} from './arrivals.js';
+
+/**
+ * What became of a request. `good`: its own whole answer before its deadline. `late`: after it. `wrong`: another answer.
+ * `refused`: not run. `unknown`: may have run. `failed`: ran and failed. `broken`: the entry host gave no whole HTTP answer.
+ */
+export type LoadResult = 'good' | 'late' | 'wrong' | 'refused' | 'unknown' | 'failed' | 'broken';
+
+export type LoadOutcome = {
+	readonly planned: PlannedRequest;
+	readonly result: LoadResult;
+	/** From the planned arrival to the end of the answer. */
+	readonly latencyMs: number;
+	/** The kind of a fault, or the text of a broken call. */
+	readonly reason: string;
+};
+
+export type LoadRunOptions = {
+	/** `ip:port` of each; asked anew for each request, so that hosts may come and go. */
+	readonly listEntryHosts: () => readonly string[];
+	readonly planned: readonly PlannedRequest[];
+	readonly onOutcome?: (outcome: LoadOutcome) => void;
+	/** Ends the load early; requests that are out are waited for. */
+	readonly signal?: AbortSignal;
+};
+
+type Answer = {readonly result: LoadResult; readonly reason: string};
+type Problem = {readonly type?: string; readonly family?: string};
+
+const familyResults: Readonly<Record<string, LoadResult>> = {refused: 'refused', unknown: 'unknown', failed: 'failed'};
+const problemType = 'application/problem+json';
+/** A call is given up on so long after its deadline. */
+const graceMs = 5000;
+
+/** Runs a load to its end; the outcomes are in the order of the plan. */
+export async function runLoad(options: LoadRunOptions): Promise<LoadOutcome[]> {
+	const agent = new Agent({connections: 256, pipelining: 1});
+	const startedAt = Date.now();
+	const calls: Array<Promise<LoadOutcome>> = [];
+	for (const planned of options.planned) {
+		const waitMs = startedAt + planned.arrivalAt - Date.now();
+		if (waitMs > 0) {
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(waitMs);
+		}
+
+		if (options.signal?.aborted) {
+			break;
+		}
+
+		calls.push(callOnce(agent, planned, startedAt, options));
+	}
+
+	const outcomes = await Promise.all(calls);
+	await agent.destroy();
+	return outcomes;
+}
+
+async function callOnce(agent: Agent, planned: PlannedRequest, startedAt: number, options: LoadRunOptions): Promise<LoadOutcome> {
+	const answer = await sendRequest(agent, planned, startedAt, options.listEntryHosts());
+	const latencyMs = Date.now() - startedAt - planned.arrivalAt;
+	const isLate = answer.result === 'good' && startedAt + planned.deadlineAt < Date.now();
+	const outcome: LoadOutcome = {
+		planned, latencyMs, result: isLate ? 'late' : answer.result, reason: answer.reason,
+	};
+	options.onOutcome?.(outcome);
+	return outcome;
+}
+
+async function sendRequest(agent: Agent, planned: PlannedRequest, startedAt: number, entryHosts: readonly string[]): Promise<Answer> {
+	const body = Buffer.from(JSON.stringify({runMs: planned.runMs}));
+	const deadline = Math.round(startedAt + planned.deadlineAt);
+	try {
+		const response = await agent.request({
+			origin: `http://${entryHosts[planned.draw % entryHosts.length]}`,
+			path: `/v1/services/${planned.service}`,
+			method: 'POST',
+			body,
+			headers: {
+				'idempotency-key': planned.requestId,
+				'rhubarblever-team': planned.team,
+				'rhubarblever-class': planned.workClass,
+				'rhubarblever-idempotent': String(planned.isIdempotent),
+				'rhubarblever-deadline': new Date(deadline).toISOString(),
+			},
+			signal: AbortSignal.timeout(Math.max(1, deadline + graceMs - Date.now())),
+		});
+		return await readAnswer(response, planned, body);
+	} catch (error) {
+		return {result: 'broken', reason: (error as Error).message};
+	}
+}
+
+async function readAnswer(response: Dispatcher.ResponseData, planned: PlannedRequest, body: Uint8Array): Promise<Answer> {
+	const bytes = new Uint8Array(await response.body.arrayBuffer());
+	if (response.headers['content-type'] === problemType) {
+		const problem = JSON.parse(Buffer.from(bytes).toString('utf8')) as Problem;
+		return {result: familyResults[problem.family ?? ''] ?? 'broken', reason: problem.type ?? ''};
+	}
+
+	const isOwn = response.statusCode === 200 && isOwnAnswer(bytes, planned.requestId, body);
+	return {result: isOwn ? 'good' : 'wrong', reason: isOwn ? '' : `status ${response.statusCode}`};
+}
