--- /dev/null
+++ b/packages/bench/src/integration/shared-state.test.ts
@@ -0,0 +1,144 @@
+/** Shared state with real processes: outages, cuts, lost answers, retention, and entry hosts replaced. */
+import {describe, it} from 'node:test';
+import {
+	LocalFleet, sleep, waitUntil, type LocalEntryHost, type PublishableRecord,
+} from '@rhubarblever/stand-ins';
+import {expect} from 'earl';
+
+/** The stated target for a change to be in force everywhere. */
+const inForceMs = 10_000;
+const startMs = 30_000;
+
+type FleetView = {
+	readonly nextOffset: number;
+	readonly digest: string;
+	readonly pools: ReadonlyArray<{readonly offset: number; readonly body: {readonly pool: string; readonly budget: {readonly minimumHealthyHosts: number}}}>;
+};
+
+type LogPage = {readonly records: ReadonlyArray<{readonly record: {readonly recordId: string}}>; readonly nextOffset: number};
+
+function createPool(recordId: string, pool: string, minimumHealthyHosts: number): PublishableRecord {
+	return {
+		recordId, schema: 'pool', version: 1, body: {pool, minimumHealthyHosts},
+	};
+}
+
+async function createFleet(): Promise<LocalFleet> {
+	return LocalFleet.create({
+		availabilityZones: ['zone-a', 'zone-b', 'zone-c'], entryHostsPerZone: 1, targetsPerZone: 0, services: [], isProxied: true,
+	});
+}
+
+async function withFleet(run: (fleet: LocalFleet) => Promise<void>): Promise<void> {
+	const fleet = await createFleet();
+	try {
+		await run(fleet);
+	} finally {
+		await fleet.stop();
+	}
+}
+
+async function readView(fleet: LocalFleet, host: LocalEntryHost): Promise<FleetView> {
+	return await fleet.fetchFleet(host) as FleetView;
+}
+
+async function waitForPool(fleet: LocalFleet, host: LocalEntryHost, pool: string, minimum: number, timeoutMs: number): Promise<void> {
+	await waitUntil(`${pool} has ${minimum} on ${host.hostId}`, async () => {
+		const view = await readView(fleet, host);
+		return view.pools.some(({body}) => body.pool === pool && body.budget.minimumHealthyHosts === minimum);
+	}, timeoutMs);
+}
+
+function getHost(fleet: LocalFleet, index: number): LocalEntryHost {
+	const host = fleet.entryHosts[index];
+	if (!host) {
+		throw new Error(`no entry host ${index}`);
+	}
+
+	return host;
+}
+
+describe('shared state', () => {
+	it('stays while all entry hosts are replaced one after another in an outage of the platform', async () => {
+		await withFleet(async fleet => {
+			await fleet.publish([createPool('change-1', 'trucks', 3)]);
+			await Promise.all(fleet.entryHosts.map(async host => waitForPool(fleet, host, 'trucks', 3, inForceMs)));
+			await fleet.callPlatform('PUT', '/v1/control/faults', {outageUntil: Date.now() + 600_000});
+			for (let index = 0; index < 3; index++) {
+				// eslint-disable-next-line no-await-in-loop
+				const fresh = await fleet.addEntryHost(getHost(fleet, index).availabilityZone);
+				// eslint-disable-next-line no-await-in-loop
+				await fleet.waitForReady(fresh);
+				// eslint-disable-next-line no-await-in-loop
+				await fleet.killEntryHost(index);
+				// eslint-disable-next-line no-await-in-loop
+				await fleet.removeListedHost(getHost(fleet, index).hostId);
+			}
+
+			const survivors = fleet.entryHosts.slice(3);
+			for (const host of survivors) {
+				// eslint-disable-next-line no-await-in-loop
+				await waitForPool(fleet, host, 'trucks', 3, inForceMs);
+			}
+
+			await fleet.callPlatform('PUT', '/v1/control/faults', {outageUntil: 0});
+			await waitUntil('a change goes through again', async () => {
+				await fleet.publish([createPool('change-2', 'trucks', 4)], survivors[0]);
+				return true;
+			}, startMs);
+			await Promise.all(survivors.map(async host => waitForPool(fleet, host, 'trucks', 4, inForceMs)));
+		});
+	});
+
+	it('reaches a zone that is cut from the platform through its peers within 10 s', async () => {
+		await withFleet(async fleet => {
+			await fleet.cutZoneFromPlatform('zone-a');
+			await fleet.publish([createPool('change-1', 'trucks', 3)], getHost(fleet, 1));
+			await waitForPool(fleet, getHost(fleet, 0), 'trucks', 3, inForceMs);
+			await fleet.healAll();
+			await fleet.publish([createPool('change-2', 'trucks', 5)], getHost(fleet, 2));
+			await waitForPool(fleet, getHost(fleet, 0), 'trucks', 5, inForceMs);
+			const views = await Promise.all(fleet.entryHosts.map(async host => readView(fleet, host)));
+			expect(new Set(views.map(view => view.digest)).size).toEqual(1);
+		});
+	});
+
+	it('counts a record once though answers to appends are lost', async () => {
+		await withFleet(async fleet => {
+			await fleet.callPlatform('PUT', '/v1/control/faults', {loseAnswers: {probability: 0.7, seed: 3, methods: ['POST']}});
+			const recordIds = Array.from({length: 12}, (_, index) => `change-${index}`);
+			const answers: unknown[] = [];
+			for (const [index, recordId] of recordIds.entries()) {
+				// eslint-disable-next-line no-await-in-loop
+				answers.push(await fleet.publish([createPool(recordId, `pool-${index}`, 1)], getHost(fleet, index % 3)));
+			}
+
+			const verdicts = (answers as Array<{published: Array<{outcome: {verdict: string}}>}>).flatMap(answer => answer.published.map(({outcome}) => outcome.verdict));
+			expect(verdicts).toEqual(recordIds.map(() => 'accepted'));
+			await fleet.callPlatform('PUT', '/v1/control/faults', {loseAnswers: null});
+			await sleep(1000);
+			const page = await fleet.callPlatform('GET', '/v1/streams/fleet/records?from=0&limit=1000') as LogPage;
+			await waitUntil('all have applied the log', async () => {
+				const views = await Promise.all(fleet.entryHosts.map(async host => readView(fleet, host)));
+				return views.every(view => view.nextOffset === page.nextOffset && view.digest === views[0]?.digest && view.pools.length === recordIds.length);
+			}, inForceMs);
+		});
+	});
+
+	it('is whole on a late starter after its records have expired', async () => {
+		await withFleet(async fleet => {
+			await fleet.publish([createPool('change-1', 'trucks', 3), createPool('change-2', 'maps', 2)]);
+			await waitUntil('a snapshot is in the log', async () => {
+				const page = await fleet.callPlatform('GET', '/v1/streams/snapshots/records?from=0&limit=1000') as LogPage;
+				return page.nextOffset > 0;
+			}, startMs);
+			await fleet.callPlatform('PUT', '/v1/control/faults', {retention: {maxRecords: 1}});
+			await fleet.publish([createPool('change-3', 'trucks', 4)]);
+			await Promise.all([0, 1, 2].map(async index => fleet.killEntryHost(index)));
+			const late = await fleet.restartEntryHost(0);
+			await fleet.waitForReady(late);
+			await waitForPool(fleet, late, 'trucks', 4, inForceMs);
+			await waitForPool(fleet, late, 'maps', 2, inForceMs);
+		});
+	});
+});
--- a/packages/core/src/log/appends.test.ts
+++ b/packages/core/src/log/appends.test.ts
@@ -6,7 +6,7 @@
 import type {CallerKey} from '../types/ids.js';
 import type {State} from '../types/state.js';
 import type {Instant, Offset} from '../types/time.js';
-import {queueRecord} from './appends.js';
+import {isLogAway, queueRecord} from './appends.js';
 import {
 	createPage, createPoolRecord, createTestHost, createTestLog, createTick, listEffects, startTestHost,
 } from './test-fleet.js';
@@ -93,6 +93,21 @@
 		expect(state.log.pending.size).toEqual(0);
 	});
 
+	it('whose answers are lost do not make the log count as away once they are read back', () => {
+		const state = createReadyHost();
+		for (let index = 1; index <= 5; index++) {
+			const at = (startAt + (100 * index)) as Instant;
+			const record = createPoolRecord(`change-${index}`);
+			queueRecord(state, record);
+			expect(listEffects(reduce(state, createTick(at)), 'log/append').length).toEqual(1);
+			reduce(state, {
+				type: 'log/append-failed', at, recordIds: [record.recordId], fault: {kind: 'log-unavailable', detail: 'lost'},
+			});
+			reduce(state, createPage(at, [{offset: index as Offset, at, record}], 0, index + 1));
+			expect(isLogAway(state)).toEqual(false);
+		}
+	});
+
 	it('not read back by the deadline are unknown if sent, refused if never sent', () => {
 		const sent = createReadyHost();
 		publish(sent, startAt + 1, ['a']);
--- a/packages/core/src/log/applying.ts
+++ b/packages/core/src/log/applying.ts
@@ -55,7 +55,10 @@
 function applyLogged(state: State, logged: LoggedRecord): Effect[] {
 	const {log} = state;
 	const outcome = applyRecord(state.fleet, logged);
-	log.pending.delete(logged.record.recordId);
+	if (log.pending.delete(logged.record.recordId)) {
+		log.failedAppends = 0;
+	}
+
 	log.snapshots.changedAt ??= state.now;
 	log.recent.push(logged);
 	if (log.recent.length > maxRecentRecords) {
--- a/packages/core/src/membership/entry-hosts.ts
+++ b/packages/core/src/membership/entry-hosts.ts
@@ -23,6 +23,17 @@
 	return keepLinks(state, hosts);
 }
 
+/** Takes in entry hosts that are on no list here yet, as while the platform is away. */
+export function noteGreetedHosts(state: State, hosts: readonly EntryHost[]): Effect[] {
+	for (const host of hosts) {
+		if (host.hostId !== state.settings.self.hostId) {
+			state.membership.greeted.set(host.hostId, {host, greetedAt: state.now});
+		}
+	}
+
+	return keepLinks(state, state.targets.listedHosts);
+}
+
 /** Tells the daemon which links to keep, if that has changed. */
 export function keepLinks(state: State, hosts: readonly ListedHost[]): Effect[] {
 	const {membership} = state;
@@ -39,13 +50,14 @@
 export function tickEntryHosts(state: State): Effect[] {
 	const {membership} = state;
 	removeGonePeers(state);
+	const linkEffects = removeGoneGreeted(state);
 	const peer = listLivePeers(state).find(candidate => candidate.isLinked);
 	if (membership.hostsListedAt !== undefined || state.now < membership.hostsAskAt || !peer) {
-		return [];
+		return linkEffects;
 	}
 
 	membership.hostsAskAt = addMilliseconds(state.now, hostsAskMs);
-	return [{type: 'peer/send', peer: peer.hostId, message: {type: 'hosts/request'}}];
+	return [...linkEffects, {type: 'peer/send', peer: peer.hostId, message: {type: 'hosts/request'}}];
 }
 
 /** Addresses in the settings go before those of the list. */
@@ -56,7 +68,8 @@
 		.filter(host => host.role === 'entry' && host.state === 'live' && host.hostId !== settings.self.hostId)
 		.map<EntryHost>(({hostId, availabilityZone, address}) => named.get(hostId) ?? {hostId, availabilityZone, address});
 	const listedAddresses = new Set(listed.map(host => host.address));
-	const unlisted = settings.peers.filter(peer => !listedAddresses.has(peer.address) && !membership.everListed.has(peer.hostId));
+	const greeted = [...membership.greeted.values()].map(({host}) => host).filter(host => !named.has(host.hostId));
+	const unlisted = [...settings.peers, ...greeted].filter(peer => !listedAddresses.has(peer.address) && !membership.everListed.has(peer.hostId));
 	return [...listed, ...unlisted];
 }
 
@@ -68,3 +81,15 @@
 		}
 	}
 }
+
+function removeGoneGreeted(state: State): Effect[] {
+	const {greeted, peers} = state.membership;
+	for (const [hostId, {greetedAt}] of greeted) {
+		const heardUntil = peers.get(hostId)?.heardUntil ?? 0;
+		if (Math.max(greetedAt, heardUntil) + forgetMs < state.now) {
+			greeted.delete(hostId);
+		}
+	}
+
+	return keepLinks(state, state.targets.listedHosts);
+}
--- a/packages/core/src/membership/handlers.ts
+++ b/packages/core/src/membership/handlers.ts
@@ -9,7 +9,7 @@
 import type {HostId} from '../types/ids.js';
 import type {State} from '../types/state.js';
 import {addMilliseconds, type Instant, type Offset} from '../types/time.js';
-import {tickEntryHosts, updateEntryHosts} from './entry-hosts.js';
+import {noteGreetedHosts, tickEntryHosts, updateEntryHosts} from './entry-hosts.js';
 import type {MembershipEvent} from './events.js';
 import {isPeerCompatible, noteHeartbeat} from './liveness.js';
 import {
@@ -36,11 +36,12 @@
 	},
 	'hosts/request': (state, peer) => state.membership.hostsListedAt === undefined
 		? []
-		: [createSend(peer, {type: 'hosts/reply', hosts: [...state.targets.listedHosts]})],
+		: [createSend(peer, {type: 'hosts/reply', hosts: [...state.targets.listedHosts], entryHosts: [...state.membership.linkedHosts]})],
 	'hosts/reply': (state, _peer, message) => state.membership.hostsListedAt === undefined
 		? [
 			...targetHandlers['hosts/listed'](state, {type: 'hosts/listed', at: state.now, hosts: message.hosts}),
 			...updateEntryHosts(state, message.hosts),
+			...noteGreetedHosts(state, message.entryHosts ?? []),
 		]
 		: [],
 	'records/request': answerRecordsRequest,
@@ -85,10 +86,10 @@
 	];
 }
 
-function acceptHello(_state: State, peer: Peer, message: PeerMessageOf<'hello'>): Effect[] {
+function acceptHello(state: State, peer: Peer, message: PeerMessageOf<'hello'>): Effect[] {
 	peer.protocolVersion = message.protocolVersion;
 	if (isPeerCompatible(peer)) {
-		return [];
+		return message.self ? noteGreetedHosts(state, [message.self]) : [];
 	}
 
 	return [{
@@ -99,7 +100,7 @@
 function createHello(state: State, peer: Peer): Effect {
 	const {incarnation, self} = state.settings;
 	return createSend(peer, {
-		type: 'hello', hostId: self.hostId, incarnation, protocolVersion,
+		type: 'hello', hostId: self.hostId, incarnation, protocolVersion, self,
 	});
 }
 
--- a/packages/core/src/membership/messages.ts
+++ b/packages/core/src/membership/messages.ts
@@ -4,18 +4,22 @@
 	historyDiffersSchema, recordsReplySchema, recordsRequestSchema, stateChunkSchema,
 } from '../log/messages.js';
 import {listedHostSchema} from '../types/hosts.js';
-import {hostIdSchema, incarnationSchema} from '../types/ids.js';
+import {availabilityZoneSchema, hostIdSchema, incarnationSchema} from '../types/ids.js';
 import {instantSchema, offsetSchema} from '../types/time.js';
 
 /** Version of these messages; hosts one version apart understand each other. */
 export const protocolVersion = 1;
 
-/** Sent first on every new link. */
+/** How to reach an entry host. */
+export const entryHostSchema = z.object({hostId: hostIdSchema, availabilityZone: availabilityZoneSchema, address: z.string().max(64)});
+
+/** Sent first on every new link. `self` lets the receiver dial back a host that is on no list yet. */
 export const helloSchema = z.object({
 	type: z.literal('hello'),
 	hostId: hostIdSchema,
 	incarnation: incarnationSchema,
 	protocolVersion: z.number().int().nonnegative(),
+	self: entryHostSchema.optional(),
 });
 
 /** Sent on every link several times a second. Fields that a version back does not send are optional. */
@@ -41,6 +45,8 @@
 export const hostsReplySchema = z.object({
 	type: z.literal('hosts/reply'),
 	hosts: z.array(listedHostSchema),
+	/** Entry hosts that the sender keeps links to, also those on no list. */
+	entryHosts: z.array(entryHostSchema).optional(),
 });
 
 /** Any message of a peer. Unknown types are counted and dropped, so that versions may differ by one. */
--- a/packages/core/src/membership/state.ts
+++ b/packages/core/src/membership/state.ts
@@ -20,11 +20,16 @@
 	hasOtherHistory: boolean;
 };
 
+/** An entry host that a peer told of, or that said hello itself. */
+export type GreetedHost = {readonly host: EntryHost; readonly greetedAt: Instant};
+
 export type MembershipState = {
 	readonly peers: Map<HostId, Peer>;
 	nextHeartbeatAt: Instant;
 	/** The entry hosts that links are kept to. */
 	linkedHosts: readonly EntryHost[];
+	/** Entry hosts learnt from peers, by when they were last told of. */
+	readonly greeted: Map<HostId, GreetedHost>;
 	/** Ids of entry hosts that were on the platform's list once. */
 	readonly everListed: Set<HostId>;
 	/** When a host list last came, from the platform or a peer. */
@@ -40,6 +45,7 @@
 		peers: new Map(),
 		nextHeartbeatAt: 0 as Instant,
 		linkedHosts: [],
+		greeted: new Map(),
 		everListed: new Set(),
 		hostsListedAt: undefined,
 		hostsAskAt: 0 as Instant,
--- a/packages/daemon/src/platform/platform-client.ts
+++ b/packages/daemon/src/platform/platform-client.ts
@@ -1,6 +1,6 @@
 /** Calls to the platform over HTTP/JSON: the log and the host list. Faults are values. */
 import {
-	createFault, listedHostSchema, loggedRecordSchema, offsetSchema, type Fault, type ListedHost, type LoggedRecord, type LogRecord, type Offset,
+	createFault, listedHostSchema, instantSchema, logRecordSchema, offsetSchema, type Fault, type ListedHost, type LoggedRecord, type LogRecord, type Offset,
 } from '@rhubarblever/core';
 import {err, ok, type Result} from 'neverthrow';
 import {Agent, request, type Dispatcher} from 'undici';
@@ -13,8 +13,21 @@
 
 const pollOptions: ReadOptions = {limit: 500, waitMs: 1000};
 
+/** A record that does not match the envelope keeps its place in the log, so that the fold can go past it. */
+const readableRecordSchema = z.object({offset: offsetSchema, at: instantSchema, record: z.unknown()})
+	.transform(({offset, at, record}): LoggedRecord => {
+		const parsed = logRecordSchema.safeParse(record);
+		return {offset, at, record: parsed.success ? parsed.data : createMalformedRecord(offset)};
+	});
+
+function createMalformedRecord(offset: Offset): LogRecord {
+	return logRecordSchema.parse({
+		recordId: `malformed-${offset}`, schema: 'malformed', version: 1, body: null,
+	});
+}
+
 const logPageSchema = z.object({
-	records: z.array(loggedRecordSchema),
+	records: z.array(readableRecordSchema),
 	firstOffset: offsetSchema,
 	nextOffset: offsetSchema,
 });
