--- a/packages/core/src/membership/handlers.ts
+++ b/packages/core/src/membership/handlers.ts
@@ -4,6 +4,7 @@
 } from '../log/catch-up.js';
 import {noteKnownSnapshot} from '../log/snapshots.js';
 import {targetHandlers} from '../targets/handlers.js';
+import {slotMessageHandlers} from '../slots/handlers.js';
 import type {Effect} from '../types/effects.js';
 import type {HandlerTable} from '../types/handlers.js';
 import type {HostId} from '../types/ids.js';
@@ -24,6 +25,7 @@
 type MessageHandler<Type extends PeerMessageType> = (state: State, peer: Peer, message: PeerMessageOf<Type>) => Effect[];
 
 const messageHandlers: {readonly [Type in PeerMessageType]: MessageHandler<Type>} = {
+	...slotMessageHandlers,
 	hello: acceptHello,
 	heartbeat(state, peer, message) {
 		noteHeartbeat(state, peer, message);
--- a/packages/core/src/membership/messages.ts
+++ b/packages/core/src/membership/messages.ts
@@ -5,6 +5,7 @@
 } from '../log/messages.js';
 import {listedHostSchema} from '../types/hosts.js';
 import {availabilityZoneSchema, hostIdSchema, incarnationSchema} from '../types/ids.js';
+import {slotMessageSchemas} from '../slots/messages.js';
 import {instantSchema, offsetSchema} from '../types/time.js';
 
 /** Version of these messages; hosts one version apart understand each other. */
@@ -59,6 +60,7 @@
 	recordsReplySchema,
 	stateChunkSchema,
 	historyDiffersSchema,
+	...slotMessageSchemas,
 ]);
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
 export type PeerMessageType = PeerMessage['type'];
