Request-path test: fill the slots with work of 200 ms instead of 20 ms

Cause: the check that a burst fills at least 7 of each target's 8 slots failed here at 5 and 6 with a machine load of 20: work of 20 ms ends before the callers' own requests have all been sent. The bound (at least 7, at most 8) is unchanged. Ruled out: grants held back (with 200 ms the same burst fills the slots under the same machine load). Conclusion: the check asks for what the steward does, not for the speed of the machine.

--- a/packages/bench/src/integration/request-path.test.ts
+++ b/packages/bench/src/integration/request-path.test.ts
@@ -176,7 +176,7 @@
 	});
 
 	it('all entry hosts together keep to the slots of the targets in a burst, and all is answered', async () => {
-		const seen = await callInTurn(fleet.entryHosts, 300, {runMs: 20});
+		const seen = await callInTurn(fleet.entryHosts, 300, {runMs: 200});
 		expect(seen.filter(({isOwn}) => !isOwn)).toEqual([]);
 		const overlaps = await measureOverlaps(fleet);
 		expect(Math.max(...overlaps)).toBeLessThanOrEqual(slotsPerRunner);
