--- /dev/null
+++ b/packages/bench/src/routing/main.ts
@@ -0,0 +1,40 @@
+#!/usr/bin/env node
+/** The routing bench: `main.js --short --seeds 1,2 --policies steward,round-robin`; prints a table and writes reports/routing.html and .json. */
+import {mkdir, writeFile} from 'node:fs/promises';
+import {join} from 'node:path';
+import process from 'node:process';
+import {routingPolicies} from '@rhubarblever/core';
+import sade from 'sade';
+import {longTimes, shortTimes} from './bench-shape.js';
+import {renderPage} from './chart.js';
+import {runPolicy, type PolicyRun} from './run-policy.js';
+import {renderTable} from './table.js';
+
+type Flags = {
+	readonly short: boolean; readonly seeds: string; readonly policies: string; readonly 'when-full': string; readonly out: string;
+};
+
+sade('routing-bench', true)
+	.option('--short', 'About 20 seconds for each policy and seed, else about 60', false)
+	.option('--seeds', 'Seeds, separated by commas', '1,2,3')
+	.option('--policies', 'Routing policies, separated by commas', Object.keys(routingPolicies).join(','))
+	.option('--when-full', 'What a runner does beyond its slots: refuse or queue', 'queue')
+	.option('--out', 'Folder of the report', 'reports')
+	.action(async (flags: Flags) => {
+		const runs: PolicyRun[] = [];
+		for (const seed of String(flags.seeds).split(',')) {
+			for (const policy of flags.policies.split(',')) {
+				process.stderr.write(`running ${policy}, seed ${seed}\n`);
+				// eslint-disable-next-line no-await-in-loop
+				runs.push(await runPolicy({
+					policy, seed: Number(seed), times: flags.short ? shortTimes : longTimes, whenFull: flags['when-full'],
+				}));
+			}
+		}
+
+		process.stdout.write(`${renderTable(runs)}\n`);
+		await mkdir(flags.out, {recursive: true});
+		await writeFile(join(flags.out, 'routing.html'), renderPage(runs, 'Routing policies under the burst pattern'));
+		await writeFile(join(flags.out, 'routing.json'), `${JSON.stringify(runs, undefined, '\t')}\n`);
+	})
+	.parse(process.argv);
--- /dev/null
+++ b/packages/bench/src/routing/run-policy.ts
@@ -0,0 +1,124 @@
+/** Runs one routing policy under one seeded load with real processes, and measures it. */
+import {randomUUID} from 'node:crypto';
+import {loadavg} from 'node:os';
+import {
+	LocalFleet, planLoad, runLoad, summarizeLoad, waitUntil, type LoadSummary, type PlannedRequest,
+} from '@rhubarblever/stand-ins';
+import {
+	availabilityZones, benchRecords, createLoadShape, entryHostsPerZone, runnersPerService, services, slotsPerService, type BenchTimes,
+} from './bench-shape.js';
+import {scheduleIdeally} from './ideal-schedule.js';
+import {readCpuMs} from './process-times.js';
+
+const warmUpTimeoutMs = 30_000;
+
+export type RunOptions = {
+	readonly policy: string;
+	readonly seed: number;
+	readonly times: BenchTimes;
+	readonly whenFull: string;
+};
+
+export type PolicyRun = {
+	readonly policy: string;
+	readonly seed: number;
+	readonly load: LoadSummary;
+	/** Requests that the ideal schedule answers in time. */
+	readonly idealGood: number;
+	/** The same in the services' own bursts, and what this run answered there. */
+	readonly idealGoodInBursts: number;
+	readonly goodInBursts: number;
+	/** Requests that met a runner whose slots were all taken, and connections beyond its limit. */
+	readonly overfilledSlots: number;
+	readonly overfilledConnections: number;
+	/** The most requests that ran or waited on one runner at once. */
+	readonly peakRequests: number;
+	/** Starts beyond the first of a request id, on any runners: those of idempotent requests are retries, others must not be. */
+	readonly repeatedStarts: number;
+	readonly repeatedNonIdempotentStarts: number;
+	/** Of the machine over the last minute, at the end of the load. */
+	readonly loadAverage: number;
+	/** CPU of all entry hosts. */
+	readonly cpuMsPerThousandRequests: number;
+	/** Bytes between entry hosts, for each host and second. */
+	readonly controlBytesPerHostSecond: number;
+};
+
+/** Starts a fleet, runs the load and stops the fleet. */
+export async function runPolicy(options: RunOptions): Promise<PolicyRun> {
+	const fleet = await LocalFleet.create({
+		availabilityZones,
+		entryHostsPerZone,
+		services,
+		targetsPerZone: 0,
+		targetsPerService: runnersPerService,
+		targetsPerProcess: runnersPerService,
+		targetFlags: ['--when-full', options.whenFull],
+		isPeerTrafficCounted: true,
+		environment: {
+			RHUBARBLEVER_ROUTING_POLICY: options.policy, RHUBARBLEVER_SEED: String(options.seed), RHUBARBLEVER_LOG_LEVEL: 'error', RHUBARBLEVER_INVARIANTS: 'count',
+		},
+	});
+	try {
+		await fleet.publish(benchRecords);
+		await warmUp(fleet);
+		return await measureRun(fleet, options);
+	} finally {
+		await fleet.stop();
+	}
+}
+
+/** Waits until each entry host answers requests of each service. */
+async function warmUp(fleet: LocalFleet): Promise<void> {
+	await Promise.all(fleet.entryHosts.flatMap(host => services.map(async service => {
+		await waitUntil(`${host.hostId} answers ${service}`, async () => {
+			const response = await fetch(`http://${host.address}/v1/services/${service}`, {
+				method: 'POST', body: '{"runMs":1}', headers: {'idempotency-key': `warm-up-${randomUUID()}`},
+			});
+			await response.text();
+			return response.ok;
+		}, warmUpTimeoutMs);
+	})));
+}
+
+async function measureRun(fleet: LocalFleet, {policy, seed, times}: RunOptions): Promise<PolicyRun> {
+	const planned = planLoad(createLoadShape(seed, times));
+	const addresses = fleet.entryHosts.map(host => host.address);
+	const cpuBefore = await sumCpuMs(fleet);
+	const bytesBefore = fleet.peerBytes;
+	const startedAt = Date.now();
+	const outcomes = await runLoad({planned, listEntryHosts: () => addresses});
+	const elapsedSeconds = (Date.now() - startedAt) / 1000;
+	const cpuMs = await sumCpuMs(fleet) - cpuBefore;
+	const controlBytes = fleet.peerBytes - bytesBefore;
+	const ledgers = await fleet.readLedgers();
+	const ideal = scheduleIdeally(planned, slotsPerService);
+	const inBursts = (request: PlannedRequest) => request.phase === 'own-burst';
+	const startedIds = ledgers.flatMap(ledger => ledger.entries.map(entry => entry.requestId));
+	const nonIdempotent = new Set(planned.filter(request => !request.isIdempotent).map(request => request.requestId));
+	return {
+		policy,
+		seed,
+		load: summarizeLoad(outcomes),
+		idealGood: ideal.size,
+		idealGoodInBursts: planned.filter(request => inBursts(request) && ideal.has(request.requestId)).length,
+		goodInBursts: outcomes.filter(outcome => inBursts(outcome.planned) && outcome.result === 'good').length,
+		overfilledSlots: ledgers.reduce((sum, ledger) => sum + ledger.overfilledSlots, 0),
+		overfilledConnections: ledgers.reduce((sum, ledger) => sum + ledger.overfilledConnections, 0),
+		peakRequests: Math.max(...ledgers.map(ledger => ledger.peakRequests)),
+		repeatedStarts: countRepeats(startedIds),
+		repeatedNonIdempotentStarts: countRepeats(startedIds.filter(id => nonIdempotent.has(id))),
+		loadAverage: loadavg()[0] ?? 0,
+		cpuMsPerThousandRequests: cpuMs * 1000 / planned.length,
+		controlBytesPerHostSecond: controlBytes / fleet.entryHosts.length / elapsedSeconds,
+	};
+}
+
+function countRepeats(ids: readonly string[]): number {
+	return ids.length - new Set(ids).size;
+}
+
+async function sumCpuMs(fleet: LocalFleet): Promise<number> {
+	const times = await Promise.all(fleet.entryHosts.map(async host => readCpuMs(host.running.child.pid ?? 0)));
+	return times.reduce((sum, time) => sum + time, 0);
+}
--- /dev/null
+++ b/packages/bench/src/routing/table.ts
@@ -0,0 +1,84 @@
+/** The results of the routing bench as rows and as a text table. */
+import type {WorkClass} from '@rhubarblever/core';
+import type {PolicyRun} from './run-policy.js';
+
+/** One column of the table: its title and the text of a cell. */
+type Column = {readonly title: string; readonly render: (run: PolicyRun) => string};
+
+/** Good answers as a part of what the ideal schedule answers. */
+export function computeGoodputShare(run: PolicyRun): number {
+	return run.load.results.good / run.idealGood;
+}
+
+/** The same for requests in their own service's burst. */
+export function computeBurstGoodputShare(run: PolicyRun): number {
+	return run.goodInBursts / run.idealGoodInBursts;
+}
+
+/** Percentiles of a class over its good answers. */
+export function getLatency(run: PolicyRun, workClass: WorkClass) {
+	const found = run.load.classes.find(candidate => candidate.workClass === workClass);
+	if (!found) {
+		throw new Error(`no class ${workClass}`);
+	}
+
+	return found;
+}
+
+function renderLatency(workClass: WorkClass): Column {
+	return {
+		title: `${workClass} p50/p99 ms`,
+		render(run) {
+			const {latency} = getLatency(run, workClass);
+			return `${latency.p50Ms.toFixed(0)}/${latency.p99Ms.toFixed(0)}`;
+		},
+	};
+}
+
+const columns: readonly Column[] = [
+	{title: 'policy', render: run => run.policy},
+	{title: 'seed', render: run => String(run.seed)},
+	{title: 'sent', render: run => String(run.load.sent)},
+	{title: 'good/ideal %', render: run => renderPercent(computeGoodputShare(run))},
+	{title: 'in bursts %', render: run => renderPercent(computeBurstGoodputShare(run))},
+	renderLatency('quick'),
+	renderLatency('heavy'),
+	renderLatency('long'),
+	{
+		title: 'quick p99 calm/other burst',
+		render(run) {
+			const {phases} = getLatency(run, 'quick');
+			return `${phases.calm.p99Ms.toFixed(0)}/${phases['other-burst'].p99Ms.toFixed(0)}`;
+		},
+	},
+	{title: 'quick added p50 ms', render: run => getLatency(run, 'quick').added.p50Ms.toFixed(1)},
+	{title: 'refused', render: run => String(run.load.results.refused)},
+	{title: 'needed', render: run => String(run.load.sent - run.idealGood)},
+	{title: 'late', render: run => String(run.load.results.late)},
+	{title: 'unknown', render: run => String(run.load.results.unknown)},
+	{title: 'wrong+failed+broken', render: ({load: {results}}) => String(results.wrong + results.failed + results.broken)},
+	{title: 'overfill slots/conns', render: run => `${run.overfilledSlots}/${run.overfilledConnections}`},
+	{title: 'peak on a runner', render: run => String(run.peakRequests)},
+	{title: 'repeated starts: all/non-idempotent', render: run => `${run.repeatedStarts}/${run.repeatedNonIdempotentStarts}`},
+	{title: 'CPU ms/1000', render: run => run.cpuMsPerThousandRequests.toFixed(0)},
+	{title: 'load average of the machine', render: run => run.loadAverage.toFixed(1)},
+	{title: 'control B/host/s', render: run => run.controlBytesPerHostSecond.toFixed(0)},
+];
+
+/** Titles, then one row for each run. */
+export function listRows(runs: readonly PolicyRun[]): string[][] {
+	return [columns.map(column => column.title), ...runs.map(run => columns.map(column => column.render(run)))];
+}
+
+/** The table as text: one line for each measure, one column for each run. */
+export function renderTable(runs: readonly PolicyRun[]): string {
+	const rows = listRows(runs);
+	const titles = rows[0] ?? [];
+	const lines = titles.map((_, place) => rows.map(row => row[place] ?? ''));
+	const widths = rows.map(row => Math.max(...row.map(cell => cell.length)));
+	return lines.map(line => line.map((cell, index) => index === 0 ? cell.padEnd(widths[index] ?? 0) : cell.padStart(widths[index] ?? 0)).join('  ')).join('\n');
+}
+
+function renderPercent(share: number): string {
+	return (share * 100).toFixed(1);
+}
--- a/packages/stand-ins/src/harness/fleet-types.ts
+++ b/packages/stand-ins/src/harness/fleet-types.ts
@@ -12,6 +12,8 @@
 	readonly targetsPerService?: number;
 	/** Routes the calls of entry hosts through fault proxies. */
 	readonly isProxied?: boolean;
+	/** Routes only the calls between entry hosts through proxies, which count their bytes. */
+	readonly isPeerTrafficCounted?: boolean;
 	/** How many targets one process carries. */
 	readonly targetsPerProcess?: number;
 	/** Settings of every entry host beside the harness's own, as environment variables. */
--- a/packages/stand-ins/src/harness/local-fleet.ts
+++ b/packages/stand-ins/src/harness/local-fleet.ts
@@ -45,9 +45,21 @@
 	readonly targets: LocalTarget[] = [];
 	platformAddress = '';
 	private listedHosts: ListedHost[] = [];
+	/** The platform's address of its own for each entry host, by host id. */
+	private readonly viewAddresses = new Map<string, string>();
 
 	private constructor(private readonly shape: FleetShape) {}
 
+	/** Bytes between entry hosts so far, where their calls go through proxies. */
+	get peerBytes(): number {
+		const links = this.links.list(link => link.to.startsWith('entry-'));
+		return links.reduce((sum, link) => sum + link.proxy.forwardedBytes, 0);
+	}
+
+	private get hasViews(): boolean {
+		return this.shape.isProxied ?? this.shape.isPeerTrafficCounted ?? false;
+	}
+
 	/** Cuts an availability zone's entry hosts off from the platform. */
 	async cutZoneFromPlatform(zone: string): Promise<void> {
 		const links = this.links.list(link => link.fromZone === zone && link.to === platformId);
@@ -200,7 +212,7 @@
 	}
 
 	private async startEntryHost(host: PlannedEntryHost, environment: NodeJS.ProcessEnv): Promise<RunningProcess> {
-		const platform = this.shape.isProxied ? await this.openPlatformView(host) : this.platformAddress;
+		const platform = this.hasViews ? await this.openPlatformView(host) : this.platformAddress;
 		const entryHosts = this.listedHosts.filter(listed => listed.role === 'entry');
 		const peers = await Promise.all(entryHosts.map(async peer => {
 			const address = await this.findAddress(host, peer);
@@ -222,20 +234,22 @@
 
 	/** The address at which an entry host reaches another host. */
 	private async findAddress(from: PlannedEntryHost, to: ListedHost): Promise<string> {
-		return this.shape.isProxied && from.hostId !== to.hostId ? this.links.open(from, to) : to.address;
+		const isProxied = this.shape.isProxied ?? (this.shape.isPeerTrafficCounted && to.role === 'entry');
+		return isProxied && from.hostId !== to.hostId ? this.links.open(from, to) : to.address;
 	}
 
 	/** Gives an entry host a platform address of its own, whose host list names the proxies of its links. */
 	private async openPlatformView(host: PlannedEntryHost): Promise<string> {
-		const listen = this.links.findLink(host.hostId, platformId)?.proxy.targetAddress ?? takeAddress();
+		const listen = this.viewAddresses.get(host.hostId) ?? takeAddress();
+		this.viewAddresses.set(host.hostId, listen);
 		const reachable = this.listedHosts.filter(listed => listed.role !== 'worker');
 		const addresses = await Promise.all(reachable.map(async listed => [listed.hostId, await this.findAddress(host, listed)] as const));
 		await this.callPlatform('PUT', '/v1/control/views', {listen, addresses: Object.fromEntries(addresses)});
-		return this.links.open(host, {hostId: platformId, availabilityZone: undefined, address: listen});
+		return this.shape.isProxied ? this.links.open(host, {hostId: platformId, availabilityZone: undefined, address: listen}) : listen;
 	}
 
 	private async sendHostList(): Promise<void> {
-		if (this.shape.isProxied) {
+		if (this.hasViews) {
 			await Promise.all(this.entryHosts.map(async host => this.openPlatformView(host)));
 		}
 
