--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -27,3 +27,7 @@
 export {isLogAway, queueRecord} from './log/appends.js';
 export {isReady} from './log/start.js';
 export {isPeerLive, listLivePeers} from './membership/liveness.js';
+export * from './pools/budget.js';
+export type * from './pools/state.js';
+export * from './waves/state.js';
+export type * from './waves/bodies.js';
