--- a/packages/stand-ins/src/harness/addresses.ts
+++ b/packages/stand-ins/src/harness/addresses.ts
@@ -1,7 +1,8 @@
 /** Loopback addresses for tests: each test process has an IP of its own, made from its process id, so that tests side by side never meet. */
 import process from 'node:process';
 
-const firstPort = 10_000;
+/** Above 10080, which fetch refuses to call. */
+const firstPort = 10_100;
 let nextPort = firstPort;
 
 /** The loopback IP of this test process. */
--- a/packages/stand-ins/src/harness/fleet-types.ts
+++ b/packages/stand-ins/src/harness/fleet-types.ts
@@ -12,6 +12,8 @@
 	readonly targetsPerService?: number;
 	/** Routes the calls of entry hosts through fault proxies. */
 	readonly isProxied?: boolean;
+	/** Routes only the calls between entry hosts through proxies, which count their bytes. */
+	readonly isPeerTrafficCounted?: boolean;
 	/** How many targets one process carries. */
 	readonly targetsPerProcess?: number;
 	/** Settings of every entry host beside the harness's own, as environment variables. */
@@ -32,4 +34,9 @@
 
 export type LocalEntryHost = PlannedEntryHost & {running: RunningProcess};
 
-export type LocalTarget = {readonly host: ListedHost; readonly running: RunningProcess};
+export type LocalTarget = {
+	readonly host: ListedHost;
+	readonly running: RunningProcess;
+	/** `ip:port` for ledgers and faults, the same for all targets of one process. */
+	readonly controlAddress: string;
+};
--- a/packages/stand-ins/src/harness/local-fleet.ts
+++ b/packages/stand-ins/src/harness/local-fleet.ts
@@ -1,7 +1,8 @@
 /** A whole small fleet of real processes on loopback: platform, targets and entry hosts. */
 import {listedHostSchema, type ListedHost} from '@rhubarblever/core';
 import {callJson} from '../http-client.js';
-import type {LedgerEntry} from '../target/target-server.js';
+import type {TargetLedgerReport} from '../target/target-ledger.js';
+import type {TargetSettings} from '../target/work.js';
 import {takeAddress} from './addresses.js';
 import {FleetLinks, platformId} from './fleet-links.js';
 import type {
@@ -19,7 +20,7 @@
 	readonly body: unknown;
 };
 
-export type TargetLedger = {readonly hostId: string; readonly entries: readonly LedgerEntry[]};
+export type HostLedger = TargetLedgerReport & {readonly hostId: string};
 
 export const operatorToken = 'operator-token-of-tests';
 export const peerToken = 'peer-token-of-tests';
@@ -44,9 +45,21 @@
 	readonly targets: LocalTarget[] = [];
 	platformAddress = '';
 	private listedHosts: ListedHost[] = [];
+	/** The platform's address of its own for each entry host, by host id. */
+	private readonly viewAddresses = new Map<string, string>();
 
 	private constructor(private readonly shape: FleetShape) {}
 
+	/** Bytes between entry hosts so far, where their calls go through proxies. */
+	get peerBytes(): number {
+		const links = this.links.list(link => link.to.startsWith('entry-'));
+		return links.reduce((sum, link) => sum + link.proxy.forwardedBytes, 0);
+	}
+
+	private get hasViews(): boolean {
+		return this.shape.isProxied ?? this.shape.isPeerTrafficCounted ?? false;
+	}
+
 	/** Cuts an availability zone's entry hosts off from the platform. */
 	async cutZoneFromPlatform(zone: string): Promise<void> {
 		const links = this.links.list(link => link.fromZone === zone && link.to === platformId);
@@ -116,14 +129,29 @@
 		return callJson('GET', `http://${entryHost.address}/v1/fleet`, undefined, {authorization: `Bearer ${operatorToken}`});
 	}
 
-	/** The ledgers of all targets that still run. */
-	async readLedgers(): Promise<TargetLedger[]> {
-		return Promise.all(this.targets.filter(target => target.running.isRunning).map(async ({host}) => {
-			const {entries} = await callJson('GET', `http://${host.address}/ledger`) as {entries: LedgerEntry[]};
-			return {hostId: host.hostId, entries};
+	/** The ledgers of all targets whose processes still run. */
+	async readLedgers(): Promise<HostLedger[]> {
+		return Promise.all(this.targets.filter(target => target.running.isRunning).map(async target => {
+			const ledger = await this.callTarget(target.host.hostId, 'GET', 'ledger') as TargetLedgerReport;
+			return {...ledger, hostId: target.host.hostId};
 		}));
 	}
 
+	/** Sets how a target behaves to all requests; what is left out goes back to its default. */
+	async setTarget(hostId: string, settings: Partial<TargetSettings>): Promise<void> {
+		await this.callTarget(hostId, 'PUT', 'settings', settings);
+	}
+
+	/** Takes a target down as a kill would; its ledger stays readable. */
+	async crashTarget(hostId: string): Promise<void> {
+		await this.callTarget(hostId, 'POST', 'crash', {});
+	}
+
+	/** Brings a target back up. */
+	async startTarget(hostId: string): Promise<void> {
+		await this.callTarget(hostId, 'POST', 'start', {});
+	}
+
 	/** Changes a line of the platform's host list. */
 	async updateListedHost(hostId: string, changes: Partial<ListedHost>): Promise<void> {
 		this.listedHosts = this.listedHosts.map(host => host.hostId === hostId ? {...host, ...changes} : host);
@@ -146,6 +174,15 @@
 		await this.links.closeAll();
 	}
 
+	private async callTarget(hostId: string, method: string, action: string, body?: unknown): Promise<unknown> {
+		const target = this.targets.find(candidate => candidate.host.hostId === hostId);
+		if (!target) {
+			throw new Error(`there is no target ${hostId}`);
+		}
+
+		return callJson(method, `http://${target.controlAddress}/targets/${target.host.address}/${action}`, body);
+	}
+
 	private getEntryHost(index: number): LocalEntryHost {
 		const host = this.entryHosts[index];
 		if (!host) {
@@ -175,7 +212,7 @@
 	}
 
 	private async startEntryHost(host: PlannedEntryHost, environment: NodeJS.ProcessEnv): Promise<RunningProcess> {
-		const platform = this.shape.isProxied ? await this.openPlatformView(host) : this.platformAddress;
+		const platform = this.hasViews ? await this.openPlatformView(host) : this.platformAddress;
 		const entryHosts = this.listedHosts.filter(listed => listed.role === 'entry');
 		const peers = await Promise.all(entryHosts.map(async peer => {
 			const address = await this.findAddress(host, peer);
@@ -197,20 +234,22 @@
 
 	/** The address at which an entry host reaches another host. */
 	private async findAddress(from: PlannedEntryHost, to: ListedHost): Promise<string> {
-		return this.shape.isProxied && from.hostId !== to.hostId ? this.links.open(from, to) : to.address;
+		const isProxied = this.shape.isProxied ?? (this.shape.isPeerTrafficCounted && to.role === 'entry');
+		return isProxied && from.hostId !== to.hostId ? this.links.open(from, to) : to.address;
 	}
 
 	/** Gives an entry host a platform address of its own, whose host list names the proxies of its links. */
 	private async openPlatformView(host: PlannedEntryHost): Promise<string> {
-		const listen = this.links.findLink(host.hostId, platformId)?.proxy.targetAddress ?? takeAddress();
+		const listen = this.viewAddresses.get(host.hostId) ?? takeAddress();
+		this.viewAddresses.set(host.hostId, listen);
 		const reachable = this.listedHosts.filter(listed => listed.role !== 'worker');
 		const addresses = await Promise.all(reachable.map(async listed => [listed.hostId, await this.findAddress(host, listed)] as const));
 		await this.callPlatform('PUT', '/v1/control/views', {listen, addresses: Object.fromEntries(addresses)});
-		return this.links.open(host, {hostId: platformId, availabilityZone: undefined, address: listen});
+		return this.shape.isProxied ? this.links.open(host, {hostId: platformId, availabilityZone: undefined, address: listen}) : listen;
 	}
 
 	private async sendHostList(): Promise<void> {
-		if (this.shape.isProxied) {
+		if (this.hasViews) {
 			await Promise.all(this.entryHosts.map(async host => this.openPlatformView(host)));
 		}
 
@@ -223,8 +262,10 @@
 		for (let index = 0; index < planned.length; index += targetsPerProcess) {
 			const hosts = planned.slice(index, index + targetsPerProcess);
 			const addresses = hosts.map(host => host.address).join(',');
-			const running = this.processes.start(hosts[0]?.hostId ?? 'target', targetScript, ['--listen', addresses, ...targetFlags]);
-			this.targets.push(...hosts.map(host => ({host, running})));
+			const controlAddress = takeAddress();
+			const flags = ['--listen', addresses, '--control', controlAddress, ...targetFlags];
+			const running = this.processes.start(hosts[0]?.hostId ?? 'target', targetScript, flags);
+			this.targets.push(...hosts.map(host => ({host, running, controlAddress})));
 		}
 	}
 }
