--- /dev/null
+++ b/packages/bench/src/demo/demo.ts
@@ -0,0 +1,67 @@
+/** The state of a running demo: its fleet, the requests that flow, and the screen. */
+import process from 'node:process';
+import {
+	LocalFleet, planLoad, runLoad, type LoadOutcome, type LocalEntryHost,
+} from '@rhubarblever/stand-ins';
+import {demoClasses, demoShape, services} from './demo-fleet.js';
+
+/** Mean requests a second of each service. */
+const meanRate = 20;
+const longestLoadMs = 120_000;
+const seed = 1;
+
+export class Demo {
+	static async create(): Promise<Demo> {
+		return new Demo(await LocalFleet.create(demoShape));
+	}
+
+	readonly outcomes: LoadOutcome[] = [];
+	private readonly startedAt = Date.now();
+	private readonly loadEnd = new AbortController();
+	private load: Promise<unknown> | undefined;
+	private callable: LocalEntryHost[];
+
+	private constructor(readonly fleet: LocalFleet) {
+		this.callable = [...fleet.entryHosts];
+	}
+
+	/** Writes a line to the screen with the seconds since the start. */
+	tell(text: string): void {
+		const seconds = ((Date.now() - this.startedAt) / 1000).toFixed(1).padStart(5);
+		process.stdout.write(`${seconds} s  ${text}\n`);
+	}
+
+	/** Begins to send requests to the entry hosts that are callable, as a balancer would. */
+	startRequests(): void {
+		const planned = planLoad({
+			seed, services, meanRate, durationMs: longestLoadMs, burstMs: 1000, calmMs: longestLoadMs, classes: demoClasses, teams: 2,
+		});
+		this.load = runLoad({
+			planned,
+			signal: this.loadEnd.signal,
+			listEntryHosts: () => this.callable.map(host => host.address),
+			onOutcome: outcome => {
+				this.outcomes.push(outcome);
+			},
+		});
+	}
+
+	/** Sends no more requests and waits for the last answers. */
+	async finishRequests(): Promise<void> {
+		this.loadEnd.abort();
+		await this.load;
+	}
+
+	/** The balancer sends no more requests to a host. */
+	removeCallable(host: LocalEntryHost): void {
+		this.callable = this.callable.filter(other => other.hostId !== host.hostId);
+	}
+
+	addCallable(host: LocalEntryHost): void {
+		this.callable.push(host);
+	}
+
+	listCallable(): readonly LocalEntryHost[] {
+		return this.callable;
+	}
+}
--- /dev/null
+++ b/packages/bench/src/demo/main.ts
@@ -0,0 +1,44 @@
+#!/usr/bin/env node
+/** The demo (`npm run demo`): a small fleet on loopback, told on the screen. Exit code 0 only if all that it told was seen. */
+import process from 'node:process';
+import {Demo} from './demo.js';
+import {
+	changeStep, endStep, publishStep, replaceStep, requestsStep, type Step,
+} from './steps.js';
+
+const interruptedCode = 130;
+
+const steps: readonly Step[] = [publishStep, requestsStep, changeStep, replaceStep, endStep];
+
+/** Runs the steps in turn; false at the first that was not seen. */
+async function runSteps(demo: Demo): Promise<boolean> {
+	for (const [index, step] of steps.entries()) {
+		demo.tell(`${index + 1}. ${step.title}.`);
+		try {
+			// eslint-disable-next-line no-await-in-loop
+			demo.tell(`   Seen: ${await step.run(demo)}.`);
+		} catch (error) {
+			demo.tell(`   NOT SEEN: ${(error as Error).message}`);
+			return false;
+		}
+	}
+
+	return true;
+}
+
+async function runDemo(): Promise<void> {
+	process.stdout.write('Starting three availability zones on loopback: six entry hosts, six targets, six workers, and a stand-in of the platform. Ctrl-C ends it.\n');
+	const demo = await Demo.create();
+	demo.tell('All six entry hosts are ready.');
+	const isSeen = await runSteps(demo);
+	await demo.fleet.stop();
+	demo.tell(isSeen ? 'Done: all of it was seen.' : 'Ended early: not all of it was seen.');
+	process.exitCode = isSeen ? 0 : 1;
+}
+
+process.on('SIGINT', () => {
+	process.stdout.write('\nStopped by Ctrl-C; all processes are ended.\n');
+	process.exit(interruptedCode);
+});
+
+await runDemo();
--- /dev/null
+++ b/packages/bench/src/demo/steps.ts
@@ -0,0 +1,117 @@
+/** The steps of the demo. Each tells what it does and returns what it saw; it throws if it did not see it. */
+import {
+	summarizeLoad, waitUntil, type LoadOutcome,
+} from '@rhubarblever/stand-ins';
+import {
+	changeRecord, firstRecords, guardedPool, minimumAfterChange, services,
+} from './demo-fleet.js';
+import type {Demo} from './demo.js';
+
+export type Step = {
+	readonly title: string;
+	/** Returns what was seen, in a sentence. */
+	readonly run: (demo: Demo) => Promise<string>;
+};
+
+type FleetAnswer = {
+	readonly pools: ReadonlyArray<{readonly body: {readonly pool: string; readonly budget: {readonly minimumHealthyHosts: number}}}>;
+	readonly services: ReadonlyArray<{readonly body: {readonly service: string}}>;
+};
+
+const timeoutMs = 15_000;
+const answersToSee = 100;
+
+/** Waits until every callable entry host's fleet passes a check; the result is the time that took, in milliseconds. */
+async function waitForAll(demo: Demo, what: string, check: (fleet: FleetAnswer) => boolean): Promise<number> {
+	const startedAt = Date.now();
+	await Promise.all(demo.listCallable().map(async host => waitUntil(`${host.hostId}: ${what}`, async () => {
+		const answer = await demo.fleet.fetchFleet(host) as FleetAnswer;
+		return check(answer);
+	}, timeoutMs)));
+	return Date.now() - startedAt;
+}
+
+async function waitForGood(demo: Demo, count: number): Promise<LoadOutcome[]> {
+	const first = demo.outcomes.length;
+	const listGood = () => demo.outcomes.slice(first).filter(outcome => outcome.result === 'good');
+	await waitUntil(`${count} requests have been answered whole`, async () => listGood().length >= count, timeoutMs);
+	return demo.outcomes.slice(first);
+}
+
+function requireTruth(isTrue: boolean, what: string): void {
+	if (!isTrue) {
+		throw new Error(what);
+	}
+}
+
+export const publishStep: Step = {
+	title: 'An operator publishes pools, services and hosts through one entry host; pools come in two schema versions',
+	async run(demo) {
+		await demo.fleet.publish(firstRecords);
+		const tookMs = await waitForAll(demo, 'all services in force', fleet =>
+			services.every(service => fleet.services.some(inForce => inForce.body.service === service)) && fleet.pools.length === 2);
+		return `in force on all ${demo.listCallable().length} entry hosts ${tookMs} ms after the answer`;
+	},
+};
+
+export const requestsStep: Step = {
+	title: 'Dispatchers ask for route checks and replans, through all entry hosts',
+	async run(demo) {
+		demo.startRequests();
+		const outcomes = await waitForGood(demo, answersToSee);
+		const {results, classes} = summarizeLoad(outcomes);
+		requireTruth(results.wrong === 0, `${results.wrong} answers were not the callers' own`);
+		const quick = classes.find(summary => summary.workClass === 'quick');
+		return `${results.good} of ${outcomes.length} requests got their own whole answer in time; half of the quick ones within ${quick?.latency.p50Ms.toFixed(0)} ms`;
+	},
+};
+
+export const changeStep: Step = {
+	title: `An operator raises the healthy hosts that pool ${guardedPool} must keep to ${minimumAfterChange}`,
+	async run(demo) {
+		await demo.fleet.publish([changeRecord]);
+		const tookMs = await waitForAll(demo, 'the change in force', fleet =>
+			fleet.pools.some(({body}) => body.pool === guardedPool && body.budget.minimumHealthyHosts === minimumAfterChange));
+		return `in force on all ${demo.listCallable().length} entry hosts ${tookMs} ms after the answer`;
+	},
+};
+
+export const replaceStep: Step = {
+	title: 'An entry host is replaced while requests flow: it stops gracefully, a new one starts',
+	async run(demo) {
+		const first = demo.outcomes.length;
+		const [leaving] = demo.listCallable();
+		requireTruth(leaving !== undefined, 'no entry host is left');
+		if (!leaving) {
+			return '';
+		}
+
+		demo.removeCallable(leaving);
+		const code = await demo.fleet.stopEntryHost(demo.fleet.entryHosts.indexOf(leaving));
+		requireTruth(code === 0, `${leaving.hostId} ended with code ${code}`);
+		await demo.fleet.removeListedHost(leaving.hostId);
+		const added = await demo.fleet.addEntryHost(leaving.availabilityZone);
+		await demo.fleet.waitForReady(added);
+		demo.addCallable(added);
+		await waitForGood(demo, answersToSee);
+		const {results, reasons} = summarizeLoad(demo.outcomes.slice(first));
+		requireTruth(results.broken + results.failed + results.unknown + results.wrong === 0, `requests were cut or spoilt: ${JSON.stringify(reasons)}`);
+		return `${leaving.hostId} ended with code 0, ${added.hostId} took over; of ${demo.outcomes.length - first} requests meanwhile ${results.good} were answered and none was cut`;
+	},
+};
+
+export const endStep: Step = {
+	title: 'The requests end, and the targets\' own ledgers are read',
+	async run(demo) {
+		await demo.finishRequests();
+		const {sent, results} = summarizeLoad(demo.outcomes);
+		const ledgers = await demo.fleet.readLedgers();
+		const started = ledgers.flatMap(ledger => ledger.entries.map(entry => entry.requestId));
+		const heavy = new Set(demo.outcomes.filter(outcome => !outcome.planned.isIdempotent).map(outcome => outcome.planned.requestId));
+		const heavyStarts = started.filter(id => heavy.has(id));
+		const twice = heavyStarts.length - new Set(heavyStarts).size;
+		requireTruth(twice === 0, `${twice} replans ran twice`);
+		requireTruth(results.wrong === 0, `${results.wrong} answers were not the callers' own`);
+		return `${sent} requests: ${results.good} answered in time, ${results.refused} refused, ${sent - results.good - results.refused} other; no replan of ${heavy.size} ran twice`;
+	},
+};
