--- a/packages/bench/src/integration/shared-state.test.ts
+++ b/packages/bench/src/integration/shared-state.test.ts
@@ -1,7 +1,7 @@
 /** Shared state with real processes: outages, cuts, lost answers, retention, and entry hosts replaced. */
 import {describe, it} from 'node:test';
 import {
-	LocalFleet, sleep, waitUntil, type LocalEntryHost, type PublishableRecord,
+	LocalFleet, operatorToken, sleep, waitUntil, type LocalEntryHost, type PublishableRecord,
 } from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
 
@@ -29,7 +29,7 @@
 	});
 }
 
-async function withFleet(run: (fleet: LocalFleet) => Promise<void>): Promise<void> {
+async function runWithFleet(run: (fleet: LocalFleet) => Promise<void>): Promise<void> {
 	const fleet = await createFleet();
 	try {
 		await run(fleet);
@@ -46,15 +46,29 @@
 	return Promise.all(fleet.entryHosts.map(async host => readView(fleet, host)));
 }
 
-function areEqual(views: readonly FleetView[]): boolean {
+function hasOneState(views: readonly FleetView[]): boolean {
 	return views.every(view => view.nextOffset === views[0]?.nextOffset && view.digest === views[0].digest);
 }
 
+function listMinimums(view: FleetView): number[] {
+	return view.pools.map(({body}) => body.budget.minimumHealthyHosts);
+}
+
 function listVerdicts(answer: unknown): string[] {
 	const {published} = answer as {published: Array<{outcome: {verdict: string}}>};
 	return published.map(({outcome}) => outcome.verdict);
 }
 
+/** Waits until `/v1/in-force` of a host finds all others live. */
+async function waitForLivePeers(fleet: LocalFleet, host: LocalEntryHost): Promise<void> {
+	await waitUntil(`${host.hostId} hears its peers`, async () => {
+		const url = `http://${host.address}/v1/in-force?offset=0`;
+		const response = await fetch(url, {headers: {authorization: `Bearer ${operatorToken}`}});
+		const {hosts} = await response.json() as {hosts: Array<{state: string}>};
+		return hosts.length === fleet.entryHosts.length && hosts.every(({state}) => state === 'in-force');
+	}, inForceMs);
+}
+
 /** Waits until a pool's minimum is in force on an entry host, within the stated target. */
 async function waitForPool(fleet: LocalFleet, host: LocalEntryHost, pool: string, minimum: number): Promise<void> {
 	await waitUntil(`${pool} has ${minimum} on ${host.hostId}`, async () => {
@@ -74,7 +88,7 @@
 
 describe('shared state', () => {
 	it('stays while all entry hosts are replaced one after another in an outage of the platform', async () => {
-		await withFleet(async fleet => {
+		await runWithFleet(async fleet => {
 			await fleet.publish([createPool('change-1', 'trucks', 3)]);
 			await Promise.all(fleet.entryHosts.map(async host => waitForPool(fleet, host, 'trucks', 3)));
 			await fleet.callPlatform('PUT', '/v1/control/faults', {outageUntil: Date.now() + 600_000});
@@ -105,19 +119,19 @@
 	});
 
 	it('reaches a zone that is cut from the platform through its peers within 10 s', async () => {
-		await withFleet(async fleet => {
+		await runWithFleet(async fleet => {
 			await fleet.cutZoneFromPlatform('zone-a');
 			await fleet.publish([createPool('change-1', 'trucks', 3)], getHost(fleet, 1));
 			await waitForPool(fleet, getHost(fleet, 0), 'trucks', 3);
 			await fleet.healAll();
 			await fleet.publish([createPool('change-2', 'trucks', 5)], getHost(fleet, 2));
 			await waitForPool(fleet, getHost(fleet, 0), 'trucks', 5);
-			await waitUntil('digests agree', async () => areEqual(await readViews(fleet)), inForceMs);
+			await waitUntil('digests agree', async () => hasOneState(await readViews(fleet)), inForceMs);
 		});
 	});
 
 	it('counts a record once though answers to appends are lost', async () => {
-		await withFleet(async fleet => {
+		await runWithFleet(async fleet => {
 			await fleet.callPlatform('PUT', '/v1/control/faults', {loseAnswers: {probability: 0.7, seed: 3, methods: ['POST']}});
 			const recordIds = Array.from({length: 12}, (_, index) => `change-${index}`);
 			const answers: unknown[] = [];
@@ -132,13 +146,13 @@
 			const page = await fleet.callPlatform('GET', '/v1/streams/fleet/records?from=0&limit=1000') as LogPage;
 			await waitUntil('all have applied the log', async () => {
 				const views = await readViews(fleet);
-				return areEqual(views) && views[0]?.nextOffset === page.nextOffset && views[0].pools.length === recordIds.length;
+				return hasOneState(views) && views[0]?.nextOffset === page.nextOffset && views[0].pools.length === recordIds.length;
 			}, inForceMs);
 		});
 	});
 
 	it('is whole on a late starter after its records have expired', async () => {
-		await withFleet(async fleet => {
+		await runWithFleet(async fleet => {
 			await fleet.publish([createPool('change-1', 'trucks', 3), createPool('change-2', 'maps', 2)]);
 			await waitUntil('a snapshot is in the log', async () => {
 				const page = await fleet.callPlatform('GET', '/v1/streams/snapshots/records?from=0&limit=1000') as LogPage;
@@ -153,4 +167,54 @@
 			await waitForPool(fleet, late, 'maps', 2);
 		});
 	});
+
+	it('reaches a host whose open links have all gone silent for good, by new ones', async () => {
+		await runWithFleet(async fleet => {
+			const host = getHost(fleet, 0);
+			for (const {proxy} of fleet.links.list(link => link.from === host.hostId || link.to === host.hostId)) {
+				proxy.freeze({scope: 'open'});
+			}
+
+			await fleet.publish([createPool('change-1', 'trucks', 3)], getHost(fleet, 1));
+			await waitForPool(fleet, host, 'trucks', 3);
+			await waitForLivePeers(fleet, host);
+		});
+	});
+
+	it('is unharmed by a process that was frozen and wakes', async () => {
+		await runWithFleet(async fleet => {
+			const host = getHost(fleet, 0);
+			await fleet.publish([createPool('change-1', 'trucks', 3)], host);
+			host.running.signal('SIGSTOP');
+			await fleet.publish([createPool('change-2', 'trucks', 4)], getHost(fleet, 1));
+			await sleep(4000);
+			host.running.signal('SIGCONT');
+			await fleet.waitForReady(host);
+			await waitForPool(fleet, host, 'trucks', 4);
+			await waitForLivePeers(fleet, host);
+			await waitUntil('digests agree', async () => hasOneState(await readViews(fleet)), inForceMs);
+			expect(fleet.entryHosts.map(({running}) => running.isRunning)).toEqual([true, true, true]);
+		});
+	});
+
+	it('goes past records that are not in the shape of a record', async () => {
+		await runWithFleet(async fleet => {
+			await fleet.callPlatform('POST', '/v1/streams/fleet/records', {records: [{nonsense: true}, 'text']});
+			await fleet.publish([createPool('change-1', 'trucks', 3)]);
+			await Promise.all(fleet.entryHosts.map(async host => waitForPool(fleet, host, 'trucks', 3)));
+		});
+	});
+
+	it('does not go back when the platform answers with an old log', async () => {
+		await runWithFleet(async fleet => {
+			await fleet.publish([createPool('change-1', 'trucks', 3), createPool('change-2', 'trucks', 4)]);
+			await Promise.all(fleet.entryHosts.map(async host => waitForPool(fleet, host, 'trucks', 4)));
+			await fleet.callPlatform('PUT', '/v1/control/faults', {staleLogOffset: 1});
+			await fleet.killEntryHost(0);
+			const fresh = await fleet.restartEntryHost(0);
+			await fleet.waitForReady(fresh);
+			const views = await readViews(fleet);
+			expect(views.flatMap(view => listMinimums(view))).toEqual([4, 4, 4]);
+		});
+	});
 });
--- a/packages/core/src/fleet/apply-record.test.ts
+++ b/packages/core/src/fleet/apply-record.test.ts
@@ -25,7 +25,7 @@
 	});
 }
 
-function foldDrafts(fleet: FleetState, drafts: readonly Draft[]): string[] {
+function applyDrafts(fleet: FleetState, drafts: readonly Draft[]): string[] {
 	const first = fleet.nextOffset;
 	return drafts.slice(first).map((draft, index) => applyRecord(fleet, createLogged(first + index, draft)).verdict);
 }
@@ -45,7 +45,7 @@
 describe('the fold', () => {
 	it('drops a repeated record id', () => {
 		const fleet = createFleetState();
-		const verdicts = foldDrafts(fleet, [
+		const verdicts = applyDrafts(fleet, [
 			{...draftDefaults, recordId: 'a', minimum: 1},
 			{...draftDefaults, recordId: 'b', minimum: 2},
 			{...draftDefaults, recordId: 'a', minimum: 3},
@@ -88,11 +88,11 @@
 	it('two folds of one log agree, also from a snapshot in the middle', () => {
 		fc.assert(fc.property(fc.array(draftArbitrary, {maxLength: 40}), fc.nat({max: 40}), (drafts, cut) => {
 			const whole = createFleetState();
-			foldDrafts(whole, drafts);
+			applyDrafts(whole, drafts);
 			const half = createFleetState();
-			foldDrafts(half, drafts.slice(0, cut));
+			applyDrafts(half, drafts.slice(0, cut));
 			const restored = decodeFleetState(encodeFleetState(half))._unsafeUnwrap();
-			foldDrafts(restored, drafts);
+			applyDrafts(restored, drafts);
 			expect(encodeFleetState(restored)).toEqual(encodeFleetState(whole));
 			expect(findDigest(restored.recentDigests, restored.nextOffset)).toEqual(whole.digest);
 			expect(findDigest(whole.recentDigests, half.nextOffset)).toEqual(half.digest);
--- a/packages/core/src/fleet/state-codec.ts
+++ b/packages/core/src/fleet/state-codec.ts
@@ -8,7 +8,7 @@
 /** The text of a fleet state. */
 export function encodeFleetState(fleet: FleetState): string {
 	const latest = fleet.recentDigests.slice(-1);
-	return JSON.stringify({...fleet, recentDigests: latest}, (_key, value: unknown) => tagCollection(value));
+	return JSON.stringify({...fleet, recentDigests: latest}, (_key, value: unknown) => encodeCollection(value));
 }
 
 /** Reads a fleet state; fields that the writer did not know have their first value. */
@@ -21,7 +21,7 @@
 	}
 }
 
-function tagCollection(value: unknown): unknown {
+function encodeCollection(value: unknown): unknown {
 	if (value instanceof Map) {
 		return {$map: [...(value as Map<unknown, unknown>)]};
 	}
--- a/packages/core/src/log/catch-up.test.ts
+++ b/packages/core/src/log/catch-up.test.ts
@@ -30,7 +30,7 @@
 		}
 
 		for (let at = fromAt; at <= untilAt; at += 50) {
-			this.deliver(at);
+			this.sendWaiting(at);
 			for (const state of this.hosts) {
 				this.take(state, reduce(state, createTick(at)));
 			}
@@ -41,7 +41,7 @@
 		return this.hosts.find(host => host !== state) ?? state;
 	}
 
-	private deliver(at: number): void {
+	private sendWaiting(at: number): void {
 		const {waiting} = this;
 		this.waiting = [];
 		for (const {from, to, text} of waiting) {
@@ -59,7 +59,7 @@
 	}
 }
 
-function failReads(state: State, at: number): void {
+function reportReadFailures(state: State, at: number): void {
 	reduce(state, {type: 'log/read-failed', at: at as Instant, fault: {kind: 'log-unavailable', detail: 'down'}});
 	reduce(state, {type: 'snapshot/read-failed', at: at as Instant, fault: {kind: 'log-unavailable', detail: 'down'}});
 }
@@ -74,7 +74,7 @@
 		startTestHost(whole, log.slice(0, 5), 1000);
 		const pair = TestPair.create(cut, whole);
 		pair.run(1050, 3000);
-		failReads(cut, 3000);
+		reportReadFailures(cut, 3000);
 		reduce(whole, createPage(3000, log.slice(5), 0, 300));
 		pair.run(3050, 13_000);
 		expect(cut.fleet.nextOffset as number).toEqual(300);
@@ -88,7 +88,7 @@
 		startTestHost(whole, log, 1000);
 		reduce(whole, {type: 'hosts/listed', at: 1000 as Instant, hosts: []});
 		listStartEffects(fresh);
-		failReads(fresh, 1000);
+		reportReadFailures(fresh, 1000);
 		const pair = TestPair.create(fresh, whole);
 		pair.run(2550, 6000);
 		expect([isReady(fresh), fresh.log.startedFrom, fresh.fleet.nextOffset as number]).toEqual([true, 'peer', 300]);
--- a/packages/core/src/log/catch-up.ts
+++ b/packages/core/src/log/catch-up.ts
@@ -38,7 +38,7 @@
 	}
 
 	const isDue = state.now >= catchUp.askAt && state.now >= addMilliseconds(catchUp.behindSince, getPatienceMs(state));
-	return isDue ? askPeer(state, ahead) : [];
+	return isDue ? requestRecords(state, ahead) : [];
 }
 
 /** Answers a peer's question with records, or with the whole state where the records are not kept. */
@@ -102,7 +102,7 @@
 	return log.isReachable && !log.isGapped && log.isSettled ? patienceMs : 0;
 }
 
-function askPeer(state: State, ahead: readonly Peer[]): Effect[] {
+function requestRecords(state: State, ahead: readonly Peer[]): Effect[] {
 	const {catchUp} = state.log;
 	const others = ahead.filter(peer => peer.hostId !== catchUp.askedPeer);
 	const [chosen] = (others.length > 0 ? others : ahead).toSorted((left, right) => right.nextOffset - left.nextOffset);
--- a/packages/core/src/log/never-reverts.test.ts
+++ b/packages/core/src/log/never-reverts.test.ts
@@ -6,9 +6,11 @@
 import {applyRecord} from '../fleet/apply-record.js';
 import {createFleetState} from '../fleet/state.js';
 import type {Effect} from '../types/effects.js';
+import type {Incarnation} from '../types/ids.js';
 import type {LoggedRecord} from '../types/records.js';
 import type {State} from '../types/state.js';
 import type {Instant, Offset} from '../types/time.js';
+import {applyLoggedRecords} from './applying.js';
 import {createSnapshotChunks} from './snapshot-chunks.js';
 import {isReady} from './start.js';
 import {
@@ -17,7 +19,7 @@
 
 const log = createTestLog(40);
 
-function foldLog(count: number) {
+function createFoldedFleet(count: number) {
 	const fleet = createFleetState();
 	for (const logged of log.slice(0, count)) {
 		applyRecord(fleet, logged);
@@ -27,7 +29,7 @@
 }
 
 function createSnapshotRecords(count: number): LoggedRecord[] {
-	return createSnapshotChunks(foldLog(count), `snapshot-${count}`).map((chunk, index) => ({
+	return createSnapshotChunks(createFoldedFleet(count), `snapshot-${count}`).map((chunk, index) => ({
 		offset: index as Offset, at: 1000 as Instant, record: {...createPoolRecord(`chunk-${count}-${index}`), schema: 'snapshot', body: chunk},
 	}));
 }
@@ -41,6 +43,18 @@
 	return effects;
 }
 
+/** Heartbeats of all peers, none of which knows of a snapshot. */
+function sendHeartbeats(state: State, at: number): void {
+	for (const {hostId} of state.settings.peers) {
+		const heartbeat = {
+			type: 'heartbeat' as const, hostId, incarnation: 'life-1' as Incarnation, sentAt: at as Instant, nextOffset: 40 as Offset,
+		};
+		reduce(state, {
+			type: 'peer/message', at: at as Instant, peer: hostId, message: heartbeat,
+		});
+	}
+}
+
 describe('the applied offset', () => {
 	it('never falls and follows the true history, whatever pages come', () => {
 		const page = fc.record({
@@ -59,7 +73,7 @@
 				const effects = [...reduce(state, event), ...reduce(state, createTick(at))];
 				expect(listEffects(effects, 'invariant/violated')).toEqual([]);
 				expect(state.fleet.nextOffset).toBeGreaterThanOrEqual(before);
-				expect(state.fleet.digest).toEqual(foldLog(state.fleet.nextOffset).digest);
+				expect(state.fleet.digest).toEqual(createFoldedFleet(state.fleet.nextOffset).digest);
 			}
 		}), {seed: 11, numRuns: 200});
 	});
@@ -73,12 +87,26 @@
 		reduce(state, createSnapshotPage(1250, createSnapshotRecords(25)));
 		expect(state.fleet.nextOffset as number).toEqual(25);
 		reduce(state, createPage(1300, log.slice(25, 30), 20, 30));
-		expect(state.fleet.digest).toEqual(foldLog(30).digest);
+		expect(state.fleet.digest).toEqual(createFoldedFleet(30).digest);
 		reduce(state, createSnapshotPage(1350, createSnapshotRecords(10)));
 		expect(state.fleet.nextOffset as number).toEqual(30);
 	});
 });
 
+describe('a log that ends before what was applied', () => {
+	it('is told of only if it ended before where the read began', () => {
+		const state = createTestHost('entry-1');
+		startTestHost(state, log.slice(0, 5), 1000);
+		reduce(state, createTick(1100));
+		applyLoggedRecords(state, log.slice(5, 8));
+		const late = reduce(state, createPage(1200, [], 0, 5));
+		expect([state.log.isShortened, listEffects(late, 'line/write').length]).toEqual([false, 0]);
+		reduce(state, createTick(1300));
+		const shortened = reduce(state, createPage(1400, [], 0, 5));
+		expect([state.log.isShortened, listEffects(shortened, 'line/write').length]).toEqual([true, 1]);
+	});
+});
+
 describe('a starting host', () => {
 	it('does not start from a log without its first records, but from the snapshot', () => {
 		const state = createTestHost('entry-1');
@@ -137,6 +165,26 @@
 });
 
 describe('snapshots', () => {
+	it('have their first one written by one host of nine, also the first after a start', () => {
+		const ids = Array.from({length: 9}, (_, index) => `entry-${index}`);
+		const hosts = ids.map(id => createTestHost(id, ids.filter(other => other !== id)));
+		for (const state of hosts) {
+			startTestHost(state, log, 1_000_000);
+		}
+
+		const writers = hosts.filter(state => {
+			for (let at = 1_000_050; at <= 1_011_500; at += 50) {
+				sendHeartbeats(state, at);
+				if (listEffects(reduce(state, createTick(at)), 'snapshot/write').length > 0) {
+					return true;
+				}
+			}
+
+			return false;
+		});
+		expect(writers.length).toEqual(1);
+	});
+
 	it('are written some seconds after a change, by the first in rank, and again before they expire', () => {
 		const state = createTestHost('entry-1');
 		startTestHost(state, log, 1000);
--- a/packages/core/src/log/snapshot-chunks.ts
+++ b/packages/core/src/log/snapshot-chunks.ts
@@ -52,10 +52,10 @@
 	}
 
 	assembly.delete(chunk.snapshotId);
-	return joinChunks([...parts.values()].toSorted((left, right) => left.index - right.index), chunk);
+	return mergeChunks([...parts.values()].toSorted((left, right) => left.index - right.index), chunk);
 }
 
-function joinChunks(parts: readonly SnapshotChunk[], head: SnapshotChunk): FleetState | undefined {
+function mergeChunks(parts: readonly SnapshotChunk[], head: SnapshotChunk): FleetState | undefined {
 	const text = parts.map(part => part.text).join('');
 	if (computeChecksum(text) !== head.checksum) {
 		return undefined;
--- a/packages/core/src/log/snapshots.ts
+++ b/packages/core/src/log/snapshots.ts
@@ -122,7 +122,7 @@
 
 function computeDueAt(state: State): Instant {
 	const {known, changedAt} = state.log.snapshots;
-	const refreshAt = known.writtenAt + refreshMs;
+	const refreshAt = known.nextOffset === 0 ? Number.POSITIVE_INFINITY : known.writtenAt + refreshMs;
 	if (changedAt === undefined || state.fleet.nextOffset === known.nextOffset) {
 		return refreshAt as Instant;
 	}
@@ -134,9 +134,9 @@
 
 /** How many live hosts come before this one for the next snapshot. */
 function computeRank(state: State): number {
-	const weigh = (hostId: string) => murmurhash.v3(`${hostId} ${state.log.snapshots.known.nextOffset}`);
-	const own = weigh(state.settings.self.hostId);
-	return listLivePeers(state).filter(peer => weigh(peer.hostId) > own).length;
+	const computeWeight = (hostId: string) => murmurhash.v3(`${hostId} ${state.log.snapshots.known.nextOffset}`);
+	const own = computeWeight(state.settings.self.hostId);
+	return listLivePeers(state).filter(peer => computeWeight(peer.hostId) > own).length;
 }
 
 function writeSnapshot(state: State): Effect[] {
--- a/packages/core/src/log/state.ts
+++ b/packages/core/src/log/state.ts
@@ -67,6 +67,8 @@
 	isReachable: boolean;
 	isReading: boolean;
 	readStartedAt: Instant;
+	/** From where the read in flight asks; peers may bring this host further meanwhile. */
+	readFrom: Offset;
 	readAt: Instant;
 	/** Records between this host's state and the log's first are gone. */
 	isGapped: boolean;
@@ -105,6 +107,7 @@
 		isReachable: false,
 		isReading: false,
 		readStartedAt: 0 as Instant,
+		readFrom: 0 as Offset,
 		readAt: 0 as Instant,
 		isGapped: false,
 		isShortened: false,
--- a/packages/core/src/log/tail.ts
+++ b/packages/core/src/log/tail.ts
@@ -59,6 +59,7 @@
 
 	log.isReading = true;
 	log.readStartedAt = state.now;
+	log.readFrom = state.fleet.nextOffset;
 	return [{type: 'log/read', from: state.fleet.nextOffset}];
 }
 
@@ -67,7 +68,7 @@
 	const wasGapped = log.isGapped;
 	const wasShortened = log.isShortened;
 	log.isGapped = page.firstOffset > fleet.nextOffset;
-	log.isShortened = page.nextOffset < fleet.nextOffset;
+	log.isShortened = page.nextOffset < log.readFrom;
 	const fields = {nextOffset: fleet.nextOffset, logFirstOffset: page.firstOffset, logNextOffset: page.nextOffset};
 	const effects: Effect[] = [];
 	if (log.isGapped && !wasGapped) {
--- a/packages/core/src/membership/membership.test.ts
+++ b/packages/core/src/membership/membership.test.ts
@@ -17,7 +17,7 @@
 	});
 }
 
-function beat(state: State, at: number, sentAt: number, nextOffset = 0): void {
+function sendHeartbeat(state: State, at: number, sentAt: number, nextOffset = 0): void {
 	reduce(state, {
 		type: 'peer/message',
 		at: at as Instant,
@@ -54,7 +54,7 @@
 describe('liveness', () => {
 	it('ends a second after the last heartbeat', () => {
 		const state = createTestHost('entry-1');
-		beat(state, 1000, 1000);
+		sendHeartbeat(state, 1000, 1000);
 		expect(listLivePeers(state).length).toEqual(1);
 		reduce(state, createTick(2001));
 		expect(listLivePeers(state).length).toEqual(0);
@@ -62,18 +62,18 @@
 
 	it('does not come back by heartbeats that lay in a buffer', () => {
 		const state = createTestHost('entry-1');
-		beat(state, 1000, 500_000);
-		beat(state, 9000, 500_200);
+		sendHeartbeat(state, 1000, 500_000);
+		sendHeartbeat(state, 9000, 500_200);
 		expect(listLivePeers(state).length).toEqual(0);
-		beat(state, 9001, 508_000);
+		sendHeartbeat(state, 9001, 508_000);
 		expect(listLivePeers(state).length).toEqual(1);
 	});
 
 	it('comes back some seconds after the peer\'s clock was set back', () => {
 		const state = createTestHost('entry-1');
-		beat(state, 100_000, 100_000);
+		sendHeartbeat(state, 100_000, 100_000);
 		for (let at = 100_200; at <= 106_000; at += 200) {
-			beat(state, at, at - 50_000);
+			sendHeartbeat(state, at, at - 50_000);
 		}
 
 		expect(listLivePeers(state).length).toEqual(1);
@@ -87,7 +87,7 @@
 					type: 'hello', hostId: peer, incarnation: 'life-1' as Incarnation, protocolVersion,
 				},
 			});
-			beat(state, 1001, 1001);
+			sendHeartbeat(state, 1001, 1001);
 			expect(listLivePeers(state).length).toEqual(count);
 		}
 	});
--- a/packages/daemon/src/peers/peer-links.ts
+++ b/packages/daemon/src/peers/peer-links.ts
@@ -55,13 +55,13 @@
 		const wanted = new Set(peers.map(peer => peer.hostId));
 		for (const hostId of this.links.keys()) {
 			if (!wanted.has(hostId)) {
-				this.drop(hostId);
+				this.removeLink(hostId);
 			}
 		}
 
 		for (const peer of peers) {
 			if (this.links.get(peer.hostId)?.peer.address !== peer.address) {
-				this.drop(peer.hostId);
+				this.removeLink(peer.hostId);
 				const link: OutgoingLink = {peer, socket: undefined, redialTimer: undefined};
 				this.links.set(peer.hostId, link);
 				this.dial(link);
@@ -85,7 +85,7 @@
 		}
 	}
 
-	private drop(hostId: HostId): void {
+	private removeLink(hostId: HostId): void {
 		const link = this.links.get(hostId);
 		this.links.delete(hostId);
 		clearTimeout(link?.redialTimer);
--- a/packages/daemon/src/peers/peer-socket.ts
+++ b/packages/daemon/src/peers/peer-socket.ts
@@ -8,13 +8,13 @@
 /** Ends a socket on which nothing has come for a while. The socket's own pings make a live peer answer. */
 export function listenForSilence(socket: WebSocket): void {
 	let heardAt = readClock();
-	const hear = () => {
+	const noteSign = () => {
 		heardAt = readClock();
 	};
 
-	socket.on('pong', hear);
-	socket.on('ping', hear);
-	socket.on('message', hear);
+	socket.on('pong', noteSign);
+	socket.on('ping', noteSign);
+	socket.on('message', noteSign);
 	const timer = setInterval(() => {
 		if (readClock() - heardAt > silenceMs) {
 			socket.terminate();
