Follow a slow platform: reads without wait and more time after a slow or failed one

Cause: with calls answered after 4 s, every call hit the 3 s timeout: reads never came through, appends were dropped, and the log counted as away though it answered. Ruled out: a longer timeout for all calls, since a silent connection would then hold the tail for as long. Giving more time to reads alone failed too: the appends were still cut off before they took effect (test failed after 30 s). Now a slow or failed read gives calls 10 s and reads no wait, until one is quick again. The new test failed before and passes; it publishes under the same id until the change is in force.

--- a/packages/bench/src/integration/shared-state.test.ts
+++ b/packages/bench/src/integration/shared-state.test.ts
@@ -217,4 +217,20 @@
 			expect(views.flatMap(view => listMinimums(view))).toEqual([4, 4, 4]);
 		});
 	});
+
+	it('follows a platform that answers each call after 4 s', async () => {
+		await runWithFleet(async fleet => {
+			await fleet.callPlatform('PUT', '/v1/control/faults', {slowMs: 4000});
+			await waitUntil('the change, published again under its id, is in the log', async () => {
+				const answer = await fleet.publish([createPool('change-1', 'trucks', 3)]).then(() => '', (error: unknown) => (error as Error).message);
+				expect(/^$|append-unknown|log-unavailable/.test(answer)).toEqual(true);
+				const view = await readView(fleet, getHost(fleet, 0));
+				return view.pools.length === 1;
+			}, startMs);
+			await Promise.all(fleet.entryHosts.map(async host => waitUntil(`${host.hostId} has applied the change`, async () => {
+				const view = await readView(fleet, host);
+				return view.pools.length === 1;
+			}, startMs)));
+		});
+	});
 });
--- a/packages/daemon/src/platform/platform-client.ts
+++ b/packages/daemon/src/platform/platform-client.ts
@@ -5,8 +5,13 @@
 import {err, ok, type Result} from 'neverthrow';
 import {Agent, request, type Dispatcher} from 'undici';
 import {z} from 'zod';
+import {readClock} from '../clock.js';
 
 const callTimeoutMs = 3000;
+/** While the platform is slow, calls may take this long. */
+const slowCallTimeoutMs = 10_000;
+/** A read that took longer than this beyond its wait makes the platform count as slow. */
+const slowAnswerMs = 1500;
 
 /** How many records to read at most, and how long to wait for the first. Unit of `waitMs`: milliseconds. */
 export type ReadOptions = {readonly limit: number; readonly waitMs: number};
@@ -39,28 +44,45 @@
 
 const hostListSchema = z.object({hosts: z.array(listedHostSchema)});
 
+type PlatformCall = {
+	readonly method: Dispatcher.HttpMethod;
+	readonly path: string;
+	readonly body?: unknown;
+};
+
 export class PlatformClient {
 	static create(address: string): PlatformClient {
 		return new PlatformClient(`http://${address}`);
 	}
 
-	private readonly agent = new Agent({connections: 16, headersTimeout: callTimeoutMs, bodyTimeout: callTimeoutMs});
+	private readonly agent = new Agent({connections: 16, headersTimeout: slowCallTimeoutMs, bodyTimeout: slowCallTimeoutMs});
+
+	private isSlow = false;
 
 	private constructor(private readonly baseUrl: string) {}
 
-	/** Reads records from `from` on; by default waits up to a second for the first. */
-	async readLog(stream: string, from: Offset, {limit, waitMs}: ReadOptions = pollOptions): Promise<Result<LogPage, Fault>> {
-		const path = `/v1/streams/${stream}/records?from=${from}&limit=${limit}&waitMs=${waitMs}`;
-		return this.call('GET', path, undefined, logPageSchema);
+	/**
+	 * Reads records from `from` on; by default waits up to a second for the first.
+	 * After a read that failed or was slow, reads don't wait and all calls have more time, so that a slow platform can still be followed.
+	 */
+	async readLog(stream: string, from: Offset, options: ReadOptions = pollOptions): Promise<Result<LogPage, Fault>> {
+		const waitMs = this.isSlow ? 0 : options.waitMs;
+		const startedAt = readClock();
+		const result = await this.call<LogPage>({
+			method: 'GET',
+			path: `/v1/streams/${stream}/records?from=${from}&limit=${options.limit}&waitMs=${waitMs}`,
+		}, logPageSchema);
+		this.isSlow = result.isErr() || readClock() - startedAt > waitMs + slowAnswerMs;
+		return result;
 	}
 
 	/** Appends records in one call. A fault does not say that they are not in the log. */
 	async appendRecords(stream: string, records: readonly LogRecord[]): Promise<Result<unknown, Fault>> {
-		return this.call('POST', `/v1/streams/${stream}/records`, {records}, z.unknown());
+		return this.call({method: 'POST', path: `/v1/streams/${stream}/records`, body: {records}}, z.unknown());
 	}
 
 	async listHosts(): Promise<Result<readonly ListedHost[], Fault>> {
-		const result = await this.call('GET', '/v1/hosts', undefined, hostListSchema);
+		const result = await this.call({method: 'GET', path: '/v1/hosts'}, hostListSchema);
 		return result.map(list => list.hosts);
 	}
 
@@ -68,14 +90,14 @@
 		await this.agent.destroy();
 	}
 
-	private async call<Body>(method: Dispatcher.HttpMethod, path: string, body: unknown, schema: z.ZodType<Body>): Promise<Result<Body, Fault>> {
+	private async call<Body>({method, path, body}: PlatformCall, schema: z.ZodType<Body>): Promise<Result<Body, Fault>> {
 		try {
 			const response = await request(this.baseUrl + path, {
 				method,
 				body: body === undefined ? undefined : JSON.stringify(body),
 				headers: {'content-type': 'application/json'},
 				dispatcher: this.agent,
-				signal: AbortSignal.timeout(callTimeoutMs),
+				signal: AbortSignal.timeout(this.isSlow ? slowCallTimeoutMs : callTimeoutMs),
 			});
 			const answer: unknown = await response.body.json();
 			if (response.statusCode >= 300) {
