--- /dev/null
+++ b/packages/bench/src/capacity/main.ts
@@ -0,0 +1,77 @@
+#!/usr/bin/env node
+/** Prints the measured slopes of an entry host's state, for docs/CAPACITY.md: `node packages/bench/dist/capacity/main.js`. */
+import process from 'node:process';
+import {encodeFleetState, reduce, type Instant} from '@rhubarblever/core';
+import {computeFit, type Point} from './fit.js';
+import {
+	buildRecords, createMeasuredHost, foldRecords, type FleetSize,
+} from './measured-fleet.js';
+import {measureCpu, measureHeap, measureMedian} from './measure.js';
+
+const runs = 5;
+const ticks = 200;
+const smallest: FleetSize = {
+	pools: 33, workers: 100, jobs: 100, changes: 100,
+};
+const varied: ReadonlyArray<{readonly field: keyof FleetSize; readonly sizes: readonly number[]}> = [
+	{field: 'pools', sizes: [8, 16, 33, 66]},
+	{field: 'workers', sizes: [125, 250, 500, 1000]},
+	{field: 'jobs', sizes: [500, 1000, 2000, 4000]},
+	{field: 'changes', sizes: [525, 1050, 2100, 4200]},
+];
+
+/** What is measured of a fleet of one size. */
+type Measure = {readonly name: string; readonly unit: string; readonly take: (size: FleetSize) => number};
+
+const measures: readonly Measure[] = [
+	{
+		name: 'heap of the state',
+		unit: 'bytes',
+		take: size => measureHeap(() => createFolded(size)).bytes,
+	},
+	{
+		name: 'folding the whole log',
+		unit: 'µs',
+		take(size) {
+			const records = buildRecords(size);
+			return measureMedian(runs, () => measureCpu(() => {
+				foldRecords(createMeasuredHost(), records);
+			}));
+		},
+	},
+	{
+		name: 'one snapshot',
+		unit: 'bytes',
+		take: size => encodeFleetState(createFolded(size).fleet).length,
+	},
+	{
+		name: 'one clock event',
+		unit: 'µs',
+		take(size) {
+			const state = createFolded(size);
+			let at = 2_000_000;
+			return measureMedian(runs, () => measureCpu(() => {
+				for (let index = 0; index < ticks; index++) {
+					at += 50;
+					reduce(state, {type: 'clock/ticked', at: at as Instant});
+				}
+			})) / ticks;
+		},
+	},
+];
+
+function createFolded(size: FleetSize) {
+	const state = createMeasuredHost();
+	foldRecords(state, buildRecords(size));
+	return state;
+}
+
+createFolded(smallest);
+for (const {name, unit, take} of measures) {
+	for (const {field, sizes} of varied) {
+		const points: Point[] = sizes.map(size => ({size, cost: take({...smallest, [field]: size})}));
+		const fit = computeFit(points);
+		const shown = points.map(point => `${point.size}: ${point.cost.toFixed(0)}`).join(', ');
+		process.stdout.write(`${name} (${unit}) by ${field}: slope ${fit.slope.toFixed(2)}, base ${fit.base.toFixed(0)}, spread ${(fit.spread * 100).toFixed(0)}% [${shown}]\n`);
+	}
+}
--- a/packages/core/src/claims/catch-up.ts
+++ b/packages/core/src/claims/catch-up.ts
@@ -18,6 +18,8 @@
 /** How long the join record is tried: longer than the platform's log is ever away. */
 const joinTimeoutMs = 7 * 24 * 60 * 60 * 1000;
 const notesPerPage = 1000;
+/** A host that cannot reach enough others to vote is ready all the same after this long. */
+const voteGraceMs = 10_000;
 
 /** Joins the members and copies what they know, until this host may vote. */
 export function tickCatchUp(state: State): Effect[] {
@@ -81,6 +83,7 @@
 	}
 
 	state.claims.hasAskedToJoin = true;
+	state.claims.readyWithoutVoteAt = addMilliseconds(state.now, voteGraceMs);
 	const {settings: {self, incarnation}} = state;
 	return queueRecord(state, {
 		recordId: `${incarnation}-joined` as RecordId,
--- a/packages/core/src/claims/state.ts
+++ b/packages/core/src/claims/state.ts
@@ -74,6 +74,8 @@
 	/** This member votes: it knows what the members before it knew. */
 	isVoting: boolean;
 	hasAskedToJoin: boolean;
+	/** From then on this host is ready without a vote: it serves idempotent requests. */
+	readyWithoutVoteAt: Instant | undefined;
 	/** Request ids made before then may have run without a trace here; 0 where there is no such doubt. */
 	doubtBefore: Instant;
 	/** Counts the claims of this process; part of each claim id. */
@@ -91,6 +93,7 @@
 		exports: new Map(),
 		isVoting: false,
 		hasAskedToJoin: false,
+		readyWithoutVoteAt: undefined,
 		doubtBefore: 0 as Instant,
 		claimCount: 0,
 	};
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,6 +20,7 @@
 export * from './engine/reduce.js';
 export * from './engine/event-loop.js';
 export * from './burn/rates.js';
+export * from './claims/readiness.js';
 export * from './burn/report.js';
 export type * from './burn/bodies.js';
 export type * from './fleet/state.js';
--- a/packages/daemon/src/http/http-server.ts
+++ b/packages/daemon/src/http/http-server.ts
@@ -5,7 +5,7 @@
 } from 'node:http';
 import {timingSafeEqual} from 'node:crypto';
 import {
-	createFault, decodeBody, describeBurn, isReady as isStateReady, logRecordSchema, type Fault, type Instant, type State,
+	canClaim, createFault, decodeBody, describeBurn, isReady as isStateReady, logRecordSchema, type Fault, type Instant, type State,
 } from '@rhubarblever/core';
 import {z} from 'zod';
 import {readClock} from '../clock.js';
@@ -125,7 +125,7 @@
 }
 
 function answerReadiness({context, response}: Call): void {
-	const isReady = isStateReady(context.state);
+	const isReady = isStateReady(context.state) && canClaim(context.state);
 	sendJson(response, isReady ? 200 : 503, {isReady});
 }
 
