--- /dev/null
+++ b/packages/bench/src/waves/trial.ts
@@ -0,0 +1,177 @@
+/** One wave over the fake platform: the fold and the planner driven by events in virtual time. */
+import {
+	countPool, createState, getWaveStatus, reduce,
+	type Effect, type EffectOf, type EffectType, type Event, type HostId, type Incarnation, type Instant, type LogRecord, type Offset, type PoolId, type State,
+	type WaveId, type WavePolicyName,
+} from '@rhubarblever/core';
+import {FakePlatform, isWorkerDown, type FakeWorker} from './fake-platform.js';
+import {computeLeastTime} from './least-time.js';
+import {createWorkers, minuteMs, type FirmShape} from './shapes.js';
+
+export type TrialSettings = {
+	readonly firm: FirmShape;
+	readonly policy: WavePolicyName;
+	readonly seed: number;
+	readonly hasFailure: boolean;
+};
+
+export type TrialResult = {
+	readonly rollOutMs: number;
+	readonly leastMs: number;
+	/** Idle host-milliseconds held back: hosts out of service, less the share that still runs tasks. */
+	readonly bufferMs: number;
+	readonly moves: number;
+	/** Broken invariants, and instants at which hosts out by plan took the pool below its budget. */
+	readonly violations: number;
+	readonly isDone: boolean;
+};
+
+const stepMs = 500;
+const limitMs = 24 * 60 * minuteMs;
+const drainLimitMs = 15 * minuteMs;
+const reserveShare = 0.25;
+const pool = 'guarded' as PoolId;
+const firstOffset = 0 as Offset;
+const waveId = 'wave' as WaveId;
+
+type EffectTarget = Pick<WaveTrial, 'platform' | 'arriving' | 'violations' | 'moves'>;
+
+/** What the fake does with the effects that matter to a wave; others are dropped. */
+const effectRunners: {readonly [Type in EffectType]?: (trial: EffectTarget, effect: EffectOf<Type>) => void} = {
+	'log/append'(trial, {records}) {
+		trial.platform.append(records);
+		trial.arriving.push({type: 'log/appended', at: trial.platform.now as Instant, recordIds: records.map(record => record.recordId)});
+		trial.moves += records.filter(record => record.schema === 'move-lend').length;
+	},
+	'log/schedule-flush'({platform, arriving}) {
+		arriving.push({type: 'log/flush-due', at: platform.now as Instant});
+	},
+	'snapshot/read'({platform, arriving}) {
+		arriving.push({
+			type: 'snapshot/read', at: platform.now as Instant, records: [], firstOffset, nextOffset: firstOffset,
+		});
+	},
+	'snapshot/write'({platform, arriving}, {nextOffset}) {
+		arriving.push({type: 'snapshot/written', at: platform.now as Instant, nextOffset});
+	},
+	'operation/start'({platform, arriving}, effect) {
+		arriving.push({
+			type: 'operation/reported', at: platform.now as Instant, operationId: effect.operationId, state: platform.start(effect),
+		});
+	},
+	'operation/read'({platform, arriving}, effect) {
+		arriving.push({
+			type: 'operation/reported', at: platform.now as Instant, operationId: effect.operationId, state: platform.read(effect),
+		});
+	},
+	'invariant/violated'(trial) {
+		trial.violations += 1;
+	},
+};
+
+export class WaveTrial {
+	static create(settings: TrialSettings): WaveTrial {
+		return new WaveTrial(settings);
+	}
+
+	readonly platform: FakePlatform;
+	/** Answers of the platform, which come with the next step. */
+	readonly arriving: Event[] = [];
+	violations = 0;
+	moves = 0;
+	private readonly workers: FakeWorker[];
+	private readonly state: State;
+	private bufferMs = 0;
+
+	private constructor(private readonly settings: TrialSettings) {
+		this.workers = createWorkers(settings.seed, settings.hasFailure);
+		this.platform = FakePlatform.create(this.workers);
+		this.state = createState({
+			self: {hostId: 'entry-1' as HostId, availabilityZone: 'zone-0' as never, address: '127.0.0.1:1'},
+			incarnation: 'life-1' as Incarnation,
+			peers: [],
+			routingPolicy: 'least-outstanding',
+			seed: settings.seed,
+		});
+		this.platform.append(this.listRecords());
+	}
+
+	/** Runs until the wave is over. */
+	run(): TrialResult {
+		let status = 'active';
+		while (status === 'active' && this.platform.now < limitMs) {
+			this.step();
+			const wave = this.state.fleet.waves.get(waveId);
+			status = wave ? getWaveStatus(wave, this.platform.now as Instant) : status;
+		}
+
+		return {
+			rollOutMs: this.platform.now,
+			leastMs: computeLeastTime(this.workers, this.settings.firm.budget),
+			bufferMs: this.bufferMs,
+			moves: this.moves,
+			violations: this.violations,
+			isDone: status === 'done',
+		};
+	}
+
+	private step(): void {
+		this.platform.advance(stepMs);
+		const at = this.platform.now as Instant;
+		const workers = this.platform.takeList();
+		if (workers) {
+			this.reduce({type: 'workers/listed', at, workers});
+		}
+
+		for (const event of this.arriving.splice(0)) {
+			this.reduce({...event, at});
+		}
+
+		this.reduce({
+			type: 'log/read', at, records: this.platform.log.slice(this.state.fleet.nextOffset), firstOffset, nextOffset: this.platform.log.length as Offset,
+		});
+		this.reduce({type: 'clock/ticked', at});
+		this.measure();
+	}
+
+	private reduce(event: Event): void {
+		for (const effect of reduce(this.state, event)) {
+			this.runEffect(effect);
+		}
+	}
+
+	private runEffect(effect: Effect): void {
+		const run = effectRunners[effect.type] as ((trial: EffectTarget, effect: Effect) => void) | undefined;
+		run?.(this, effect);
+	}
+
+	private measure(): void {
+		const out = this.workers.filter(worker => !['up', 'down'].includes(worker.state));
+		const busy = out.reduce((sum, worker) => sum + (this.platform.countTasks(worker) / worker.times.taskMs.length), 0);
+		const reserve = this.settings.policy === 'fixed-buffer' ? Math.ceil(this.workers.length * reserveShare) : 0;
+		this.bufferMs += stepMs * (Math.max(reserve, out.length) - busy);
+		const {budget} = this.settings.firm;
+		const down = this.workers.filter(worker => isWorkerDown(worker, this.platform.now)).length;
+		const isBelow = this.workers.length - down - out.length < budget.minimumHealthyHosts;
+		const isOver = out.length > budget.maximumHostsOut || countPool(this.state.fleet, pool).out > budget.maximumHostsOut;
+		this.violations += Number(isOver || (isBelow && down === 0));
+	}
+
+	private listRecords(): LogRecord[] {
+		const {budget, weights} = this.settings.firm;
+		const bodies = [
+			{schema: 'pool', version: 3, body: {pool, budget}},
+			...this.workers.map(({hostId, availabilityZone, rack}) => ({
+				schema: 'host', version: 1, body: {
+					hostId, pool, availabilityZone, rack,
+				},
+			})),
+			{
+				schema: 'wave', version: 1, body: {
+					waveId, pool, finishBy: limitMs, drainLimitMs, weights, policy: this.settings.policy,
+				},
+			},
+		];
+		return bodies.map((body, index) => ({...body, recordId: `setup-${index}` as never}));
+	}
+}
--- a/packages/core/src/engine/reduce.ts
+++ b/packages/core/src/engine/reduce.ts
@@ -4,11 +4,20 @@
 import {fleetHandlers, tickPublishers} from '../fleet/publishing.js';
 import {createFleetState} from '../fleet/state.js';
 import {logHandlers, tickLog} from '../log/handlers.js';
+import {tickSnapshots} from '../log/snapshots.js';
+import {tickTail} from '../log/tail.js';
 import {createLogState} from '../log/state.js';
+import {keepLinks, updateEntryHosts} from '../membership/entry-hosts.js';
 import {membershipHandlers, tickMembership} from '../membership/handlers.js';
 import {createMembershipState} from '../membership/state.js';
-import {requestHandlers} from '../requests/handlers.js';
+import {plannerHandlers, tickPlanner} from '../planner/handlers.js';
+import {createPlannerState} from '../planner/state.js';
+import {
+	requestHandlers, startStop, tickRequests, tickRequestStop,
+} from '../requests/handlers.js';
 import {createRequestsState} from '../requests/state.js';
+import {deliverOwnMessages, tickSlots} from '../slots/handlers.js';
+import {createSlotsState} from '../slots/state.js';
 import {targetHandlers} from '../targets/handlers.js';
 import {createTargetsState} from '../targets/state.js';
 import type {Effect} from '../types/effects.js';
@@ -24,16 +33,24 @@
 	...logHandlers,
 	...fleetHandlers,
 	...membershipHandlers,
+	...plannerHandlers,
+	'hosts/listed': (state, event) => [
+		...targetHandlers['hosts/listed'](state, event),
+		...updateEntryHosts(state, event.hosts),
+	],
 	'clock/ticked': state => [
-		...tickLog(state),
 		...tickPublishers(state),
+		...tickLog(state),
 		...tickMembership(state),
+		...tickSlots(state),
+		...tickRequests(state),
+		...tickRequestStop(state),
 		...tickBurn(state),
-		...tickStop(state),
+		...tickPlanner(state),
 	],
 	'stop/requested'(state) {
 		state.isStopping = true;
-		return tickStop(state);
+		return startStop(state);
 	},
 };
 
@@ -42,11 +59,13 @@
 	return {
 		settings,
 		fleet: createFleetState(),
-		log: createLogState(),
+		log: createLogState(settings.seed),
 		requests: createRequestsState(),
 		targets: createTargetsState(),
+		slots: createSlotsState(),
 		membership: createMembershipState(),
 		burn: createBurnState(),
+		planner: createPlannerState(),
 		now: 0 as Instant,
 		isStopping: false,
 	};
@@ -54,10 +73,7 @@
 
 /** What an entry host does first. */
 export function listStartEffects(state: State): Effect[] {
-	return [
-		{type: 'peer/keep-links', peers: state.settings.peers},
-		{type: 'log/read', from: state.fleet.nextOffset},
-	];
+	return [...keepLinks(state, []), ...tickSnapshots(state), ...tickTail(state)];
 }
 
 /** Applies one event to the state, in place, and returns what must be done. Time never runs backwards. */
@@ -65,12 +81,7 @@
 	state.now = Math.max(state.now, event.at) as Instant;
 	const handle = handlers[event.type] as Handler<EventType>;
 	noteEvent(state, event);
-	const effects = handle(state, event);
+	const effects = deliverOwnMessages(state, handle(state, event));
 	noteEffects(state, effects);
 	return effects;
 }
-
-function tickStop(state: State): Effect[] {
-	const isDone = state.isStopping && state.requests.attempts.size === 0;
-	return isDone ? [{type: 'process/exit'}] : [];
-}
--- /dev/null
+++ b/packages/core/src/planner/executor.ts
@@ -0,0 +1,103 @@
+/** Brings the chains of the fold on: each step's platform call, then the record that it was done. */
+import type {FleetHost, Move, Outage} from '../pools/state.js';
+import type {Effect} from '../types/effects.js';
+import type {State} from '../types/state.js';
+import {addMilliseconds} from '../types/time.js';
+import {listDownWorkers} from './workers.js';
+import {runOperation, type OperationProgress} from './operations.js';
+import {publishHostRecord} from './proposals.js';
+import {estimateLogTime} from './tenure.js';
+
+const callDeadlineMs = 10 * 60 * 1000;
+const rebootTries = 3;
+const endlessTries = Number.POSITIVE_INFINITY;
+
+type ChainStep<Chain> = (state: State, host: FleetHost, chain: Chain, term: number) => Effect[];
+
+const outageSteps: Readonly<Record<Outage['step'], ChainStep<Outage>>> = {
+	granted(state, host, chain, term) {
+		const drain = runOperation(state, {
+			host, kind: 'drain', deadline: chain.drainDeadline, tries: 1,
+		});
+		return follow(drain, {
+			done: () => publishHostRecord(state, 'host-drained', createStepBody(host, chain, term)),
+			failed: () => releaseHost(state, host, chain, term),
+		});
+	},
+	drained(state, host, chain, term) {
+		const reboot = runOperation(state, {
+			host, kind: 'reboot', deadline: addMilliseconds(estimateLogTime(state), callDeadlineMs), tries: rebootTries,
+		});
+		return follow(reboot, {
+			done: () => publishHostRecord(state, 'host-rebooted', createStepBody(host, chain, term)),
+			failed: () => releaseHost(state, host, chain, term),
+		});
+	},
+	rebooted(state, host, chain, term) {
+		return follow(runUndrain(state, host), {
+			done: () => publishHostRecord(state, 'outage-end', {...createStepBody(host, chain, term), outcome: 'rebooted'}),
+		});
+	},
+};
+
+const moveSteps: Readonly<Record<Move['step'], ChainStep<Move>>> = {
+	lent(state, host, chain, term) {
+		const drain = runOperation(state, {
+			host, kind: 'drain', deadline: addMilliseconds(estimateLogTime(state), callDeadlineMs), tries: endlessTries,
+		});
+		return follow(drain, {done: () => publishHostRecord(state, 'move-drained', createStepBody(host, chain, term))});
+	},
+	drained: (state, host, chain, term) => publishHostRecord(state, 'move-released', createStepBody(host, chain, term)),
+	released(state, host, chain, term) {
+		const join = runOperation(state, {
+			host, kind: 'set-pool', pool: chain.to, deadline: addMilliseconds(estimateLogTime(state), callDeadlineMs), tries: endlessTries,
+		});
+		return follow(join, {
+			done: () => follow(runUndrain(state, host), {
+				done: () => publishHostRecord(state, 'move-joined', createStepBody(host, chain, term)),
+			}),
+		});
+	},
+};
+
+/** Brings the chain of one host on, if it has one. */
+export function runChain(state: State, host: FleetHost, term: number): Effect[] {
+	const {chain} = host;
+	if (!chain || state.planner.proposals.has(host.hostId)) {
+		return [];
+	}
+
+	return chain.kind === 'outage'
+		? outageSteps[chain.step](state, host, chain, term)
+		: moveSteps[chain.step](state, host, chain, term);
+}
+
+/** Writes to the log which hosts went down or came up. */
+export function publishHealth(state: State, term: number): Effect[] {
+	const down = listDownWorkers(state.planner.workers);
+	const listed = new Set(state.planner.workers.map(worker => worker.hostId));
+	const changed = [...state.fleet.hosts.values()].filter(host => listed.has(host.hostId) && host.isDown !== down.has(host.hostId));
+	return changed.flatMap(({hostId}) => publishHostRecord(state, 'host-health', {hostId, isDown: down.has(hostId), term}));
+}
+
+function runUndrain(state: State, host: FleetHost): OperationProgress {
+	return runOperation(state, {
+		host, kind: 'undrain', deadline: addMilliseconds(estimateLogTime(state), callDeadlineMs), tries: endlessTries,
+	});
+}
+
+/** After a failed step the host goes back to service as it was. */
+function releaseHost(state: State, host: FleetHost, chain: Outage, term: number): Effect[] {
+	return follow(runUndrain(state, host), {
+		done: () => publishHostRecord(state, 'outage-end', {...createStepBody(host, chain, term), outcome: 'failed'}),
+	});
+}
+
+function follow(progress: OperationProgress, next: {readonly done: () => Effect[]; readonly failed?: () => Effect[]}): Effect[] {
+	const after = {pending: undefined, done: next.done, failed: next.failed}[progress.state];
+	return [...progress.effects, ...after?.() ?? []];
+}
+
+function createStepBody(host: FleetHost, chain: Outage | Move, term: number) {
+	return {hostId: host.hostId, term, operationId: chain.operationId};
+}
--- a/packages/core/src/types/state.ts
+++ b/packages/core/src/types/state.ts
@@ -3,7 +3,9 @@
 import type {FleetState} from '../fleet/state.js';
 import type {LogState} from '../log/state.js';
 import type {MembershipState} from '../membership/state.js';
+import type {PlannerState} from '../planner/state.js';
 import type {RequestsState} from '../requests/state.js';
+import type {SlotsState} from '../slots/state.js';
 import type {TargetsState} from '../targets/state.js';
 import type {CoreSettings} from './peers.js';
 import type {Instant} from './time.js';
@@ -15,8 +17,10 @@
 	readonly log: LogState;
 	readonly requests: RequestsState;
 	readonly targets: TargetsState;
+	readonly slots: SlotsState;
 	readonly membership: MembershipState;
 	readonly burn: BurnState;
+	readonly planner: PlannerState;
 	/** The instant of the latest event. */
 	now: Instant;
 	isStopping: boolean;
