--- a/packages/bench/src/integration/waves.test.ts
+++ b/packages/bench/src/integration/waves.test.ts
@@ -6,9 +6,10 @@
 import {LocalFleet, waitUntil, type LocalEntryHost} from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
 
-type LedgerEntry = {readonly at: number; readonly event: string; readonly hostId: string};
+type LedgerEntry = {readonly at: number; readonly event: string; readonly hostId: string; readonly operationId?: string};
 type FleetAnswer = {
 	readonly plannerLease?: {readonly holder: string; readonly term: number};
+	readonly poolHosts: ReadonlyArray<{readonly hostId: string; readonly pool: string}>;
 	readonly waves: ReadonlyArray<{readonly waveId: string; readonly status: string}>;
 };
 
@@ -139,4 +140,27 @@
 		expect(ledger.filter(entry => entry.event === 'task-succeeded').length).toEqual(workerCount);
 		expect(left.every(host => host.running.isRunning)).toEqual(true);
 	});
+
+	it('a host moves to another pool by a drain, once, and each host stays in one pool', async () => {
+		const host = fleet.entryHosts.find(candidate => candidate.running.isRunning)!;
+		const movedId = workers[0]!.hostId;
+		await fleet.publish([
+			{
+				recordId: 'spare', schema: 'pool', version: 1, body: {pool: 'spare', minimumHealthyHosts: 0},
+			},
+			{
+				recordId: 'move', schema: 'move', version: 1, body: {hostId: movedId, to: 'spare'},
+			},
+		], host);
+		await waitUntil('the host has joined', async () => {
+			const answer = await fetchAnswer(host);
+			return answer.poolHosts.some(member => member.hostId === movedId && member.pool === 'spare');
+		}, waveTimeoutMs);
+		const answer = await fetchAnswer(host);
+		expect(answer.poolHosts.filter(member => member.pool === 'guarded').length).toEqual(workerCount - 1);
+		const ledger = await readLedger();
+		const moveEntries = ledger.filter(entry => entry.operationId?.startsWith('move.'));
+		expect(moveEntries.map(entry => entry.event)).toEqual(['drain-started', 'drained', 'pool-set', 'undrained']);
+		expect(moveEntries.every(entry => entry.hostId === movedId)).toEqual(true);
+	});
 });
