--- a/packages/core/src/engine/reduce.ts
+++ b/packages/core/src/engine/reduce.ts
@@ -1,6 +1,8 @@
 /** The one reducer: from a state and an event to the effects, through a lookup table of handlers. */
 import {noteEffects, noteEvent, tickBurn} from '../burn/observe.js';
 import {createBurnState} from '../burn/state.js';
+import {tickClaimsDomain} from '../claims/handlers.js';
+import {createClaimsState} from '../claims/state.js';
 import {fleetHandlers, tickPublishers} from '../fleet/publishing.js';
 import {createFleetState} from '../fleet/state.js';
 import {logHandlers, tickLog} from '../log/handlers.js';
@@ -42,6 +44,7 @@
 		...tickPublishers(state),
 		...tickLog(state),
 		...tickMembership(state),
+		...tickClaimsDomain(state),
 		...tickSlots(state),
 		...tickRequests(state),
 		...tickRequestStop(state),
@@ -64,6 +67,7 @@
 		targets: createTargetsState(),
 		slots: createSlotsState(),
 		membership: createMembershipState(),
+		claims: createClaimsState(),
 		burn: createBurnState(),
 		planner: createPlannerState(),
 		now: 0 as Instant,
--- a/packages/core/src/requests/refusals.ts
+++ b/packages/core/src/requests/refusals.ts
@@ -1,7 +1,8 @@
 /** Final answers of requests that were given up: a refusal only if no attempt can have run. */
+import {releaseClaim} from '../claims/claims.js';
 import {drawComeBackAt} from '../slots/come-back.js';
 import type {Effect} from '../types/effects.js';
-import type {Fault, FaultKind} from '../types/faults.js';
+import {getFaultAnswer, type Fault, type FaultKind} from '../types/faults.js';
 import type {State} from '../types/state.js';
 import type {Instant} from '../types/time.js';
 import type {OpenRequest} from './state.js';
@@ -11,10 +12,14 @@
 	return endRequest(state, open, open.possibleRun ?? {kind, detail}, drawComeBackAt(state, 0));
 }
 
-/** Ends a request with a fault. */
+/** Ends a request with a fault. If it was not run, its claim is taken back, so that a repeat may run. */
 export function endRequest(state: State, open: OpenRequest, fault: Fault, comeBackAt: Instant): Effect[] {
 	state.requests.open.delete(open.request.callerKey);
-	return [{
-		type: 'caller/refuse', callerKey: open.request.callerKey, fault, comeBackAt,
-	}];
+	const wasRun = open.possibleRun !== undefined || getFaultAnswer(fault.kind).family !== 'refused';
+	return [
+		...wasRun ? [] : releaseClaim(state, open.request),
+		{
+			type: 'caller/refuse', callerKey: open.request.callerKey, fault, comeBackAt,
+		},
+	];
 }
