--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -14,10 +14,12 @@
 import {createMetrics} from './metrics.js';
 import {PeerLinks} from './peers/peer-links.js';
 import {PlatformClient} from './platform/platform-client.js';
+import {WorkerClient} from './platform/worker-client.js';
 import type {Settings} from './settings.js';
 import {TargetClient} from './targets/target-client.js';
 
 const hostListIntervalMs = 1000;
+const workerListIntervalMs = 1000;
 /** Leaves the last log lines and metrics time to go out. */
 const flushMs = 50;
 
@@ -55,6 +57,7 @@
 			push,
 			targets: TargetClient.create(calls, push),
 			platform: PlatformClient.create(settings.platform),
+			workers: WorkerClient.create(settings.platform),
 			peers: PeerLinks.create(settings, push),
 			logger: this.logger,
 			metrics: this.metrics,
@@ -79,6 +82,7 @@
 			this.push({type: 'clock/ticked', at: readClock()});
 		}, tickIntervalMs);
 		void this.followHostList();
+		void this.followWorkers();
 	}
 
 	/** The first call stops gracefully, the second at once. */
@@ -112,6 +116,17 @@
 		}, hostListIntervalMs);
 	}
 
+	private async followWorkers(): Promise<void> {
+		const result = await this.context.workers.listWorkers();
+		if (result.isOk()) {
+			this.push({type: 'workers/listed', at: readClock(), workers: result.value});
+		}
+
+		setTimeout(() => {
+			void this.followWorkers();
+		}, workerListIntervalMs);
+	}
+
 	private end(code: number): void {
 		if (this.isEnding) {
 			return;
--- a/packages/daemon/src/http/fleet-view.ts
+++ b/packages/daemon/src/http/fleet-view.ts
@@ -2,11 +2,12 @@
 import type {
 	FleetState, HostId, ListedHost, Offset, Peer, State,
 } from '@rhubarblever/core';
+import {describeMaintenance, type MaintenanceView} from './maintenance-view.js';
 
 /** A record kept aside. */
 export type SetAsideView = {readonly offset: Offset; readonly schema: string; readonly version: number};
 
-export type FleetView = {
+export type FleetView = MaintenanceView & {
 	readonly hostId: HostId;
 	readonly nextOffset: Offset;
 	readonly digest: string;
@@ -30,6 +31,7 @@
 		services: [...state.fleet.services.values()],
 		objectives: [...state.fleet.objectives.values()],
 		hosts: state.targets.listedHosts,
+		...describeMaintenance(state),
 		peers: [...state.membership.peers.values()],
 	};
 }
--- a/packages/daemon/src/interpreter.ts
+++ b/packages/daemon/src/interpreter.ts
@@ -1,14 +1,16 @@
 /** Runs effects, by a lookup table from effect type. */
 import {
-	type Effect, type EffectOf, type EffectType, type Offset,
+	type Effect, type EffectOf, type EffectType, type Event, type Fault, type Offset, type OperationId,
 } from '@rhubarblever/core';
 import type {StatsD} from 'hot-shots';
+import type {Result} from 'neverthrow';
 import type {Logger} from 'winston';
 import {readClock} from './clock.js';
 import type {CallTable} from './http/call-table.js';
 import {sendMetric} from './metrics.js';
 import type {PeerLinks} from './peers/peer-links.js';
 import type {PlatformClient} from './platform/platform-client.js';
+import type {OperationState, WorkerClient} from './platform/worker-client.js';
 import {readSnapshots, writeSnapshot} from './platform/snapshots.js';
 import type {TargetClient} from './targets/target-client.js';
 import type {EventSink} from './types.js';
@@ -21,6 +23,7 @@
 	readonly calls: CallTable;
 	readonly targets: TargetClient;
 	readonly platform: PlatformClient;
+	readonly workers: WorkerClient;
 	readonly peers: PeerLinks;
 	readonly logger: Logger;
 	readonly metrics: StatsD;
@@ -81,6 +84,12 @@
 	'peer/send'({peers}, effect) {
 		peers.send(effect.peer, effect.message);
 	},
+	'operation/start'(context, effect) {
+		void reportOperation(context, effect.operationId, context.workers.startOperation(effect));
+	},
+	'operation/read'(context, effect) {
+		void reportOperation(context, effect.operationId, context.workers.readOperation(effect.operationId));
+	},
 	'peer/keep-links'({peers}, effect) {
 		peers.keepLinks(effect.peers);
 	},
@@ -114,3 +123,15 @@
 		push({type: 'log/read-failed', at: readClock(), fault: result.error});
 	}, readRetryMs);
 }
+
+async function reportOperation({push}: InterpreterContext, operationId: OperationId, call: Promise<Result<OperationState, Fault>>): Promise<void> {
+	const result = await call;
+	push(result.match<Event>(
+		state => ({
+			type: 'operation/reported', at: readClock(), operationId, state,
+		}),
+		fault => ({
+			type: 'operation/call-failed', at: readClock(), operationId, fault,
+		}),
+	));
+}
