--- /dev/null
+++ b/packages/bench/src/integration/at-most-once.test.ts
@@ -0,0 +1,161 @@
+/** A non-idempotent request runs at most once, by the targets' ledgers: repeats to all entry hosts, kills, cuts, and an outage of the platform. */
+import {randomUUID} from 'node:crypto';
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {LocalFleet, waitUntil, type LocalEntryHost} from '@rhubarblever/stand-ins';
+import {expect} from 'earl';
+
+const zones = ['ee-south-a', 'ee-south-b', 'ee-south-c'];
+const timeoutMs = 20_000;
+const hourMs = 3_600_000;
+
+const records = [
+	{
+		recordId: 'service-1',
+		schema: 'service',
+		version: 1,
+		body: {
+			service: 'replans', pool: 'trucks', slotsPerRunner: 8, connectionsPerRunner: 64,
+		},
+	},
+];
+
+/** What a caller saw: a status and the kind of a fault; status 0 if the connection broke. */
+type Answer = {readonly status: number; readonly kind: string};
+
+async function send(host: LocalEntryHost, requestId: string, runMs = 5): Promise<Answer> {
+	try {
+		const response = await fetch(`http://${host.address}/v1/services/replans`, {
+			method: 'POST', body: JSON.stringify({runMs}), headers: {'idempotency-key': requestId, 'rhubarblever-class': 'heavy'},
+		});
+		const text = await response.text();
+		return {status: response.status, kind: response.ok ? '' : (JSON.parse(text) as {type: string}).type};
+	} catch {
+		return {status: 0, kind: 'broken'};
+	}
+}
+
+async function fetchStatus(host: LocalEntryHost, requestId: string): Promise<number> {
+	const answer = await send(host, requestId);
+	return answer.status;
+}
+
+async function fetchFaultKind(host: LocalEntryHost, requestId: string): Promise<string> {
+	const answer = await send(host, requestId);
+	return answer.kind;
+}
+
+describe('at most once with real processes', () => {
+	let fleet: LocalFleet;
+	const sentIds: string[] = [];
+
+	function createId(): string {
+		const requestId = randomUUID();
+		sentIds.push(requestId);
+		return requestId;
+	}
+
+	async function countRuns(requestId: string): Promise<number> {
+		const ledgers = await fleet.readLedgers();
+		return ledgers.flatMap(({entries}) => entries).filter(entry => entry.requestId === requestId).length;
+	}
+
+	async function waitForAnswers(hosts: readonly LocalEntryHost[]): Promise<void> {
+		await Promise.all(hosts.map(async host => waitUntil(`${host.hostId} answers`, async () => {
+			const answer = await send(host, createId());
+			return answer.status === 200;
+		}, timeoutMs)));
+	}
+
+	before(async () => {
+		fleet = await LocalFleet.create({
+			availabilityZones: zones, entryHostsPerZone: 2, targetsPerZone: 1, services: ['replans'], isProxied: true,
+		});
+		await fleet.publish(records);
+		await waitForAnswers(fleet.entryHosts);
+	});
+
+	after(async () => {
+		await fleet.stop();
+	});
+
+	it('of repeats to all entry hosts at the same time one is answered, and none runs beside it', async () => {
+		for (let round = 0; round < 10; round++) {
+			const requestId = createId();
+			// eslint-disable-next-line no-await-in-loop
+			const answers = await Promise.all(fleet.entryHosts.map(async host => send(host, requestId)));
+			expect(answers.filter(({status}) => status === 200).length).toEqual(1);
+			expect(new Set(answers.map(({kind}) => kind))).toEqual(new Set(['', 'request-in-progress']));
+			// eslint-disable-next-line no-await-in-loop
+			expect(await countRuns(requestId)).toEqual(1);
+		}
+	});
+
+	it('a later repeat to any entry host is answered at once as taken on, also after the death of the first one', async () => {
+		const [first, ...others] = fleet.entryHosts;
+		const requestId = createId();
+		expect(await fetchStatus(first!, requestId)).toEqual(200);
+		const early = await Promise.all(others.map(async host => send(host, requestId)));
+		await fleet.killEntryHost(0);
+		const late = await Promise.all(others.map(async host => send(host, requestId)));
+		expect([...early, ...late].map(({kind}) => kind)).toEqual(Array.from({length: 10}, () => 'request-in-progress'));
+		expect(await countRuns(requestId)).toEqual(1);
+		await fleet.waitForReady(await fleet.restartEntryHost(0));
+		await waitForAnswers(fleet.entryHosts);
+	});
+
+	it('every entry host in turn is killed and replaced while requests are repeated', async () => {
+		const early = createId();
+		expect(await fetchStatus(fleet.entryHosts[1]!, early)).toEqual(200);
+		for (let index = 0; index < fleet.entryHosts.length; index++) {
+			const running = createId();
+			const calls = fleet.entryHosts.map(async host => send(host, running, 300));
+			/* eslint-disable no-await-in-loop */
+			await fleet.killEntryHost(index);
+			await Promise.all(calls);
+			await fleet.waitForReady(await fleet.restartEntryHost(index));
+			await waitForAnswers(fleet.entryHosts);
+			await Promise.all(fleet.entryHosts.map(async host => send(host, running)));
+			expect(await countRuns(running) <= 1).toEqual(true);
+			/* eslint-enable no-await-in-loop */
+		}
+
+		const repeats = await Promise.all(fleet.entryHosts.map(async host => send(host, early)));
+		expect(repeats.map(({kind}) => kind)).toEqual(fleet.entryHosts.map(() => 'request-in-progress'));
+		expect(await countRuns(early)).toEqual(1);
+	});
+
+	it('first tries go on while the platform is away', async () => {
+		await fleet.callPlatform('PUT', '/v1/control/faults', {outageUntil: Date.now() + hourMs});
+		for (let round = 0; round < 20; round++) {
+			const requestId = createId();
+			// eslint-disable-next-line no-await-in-loop
+			expect(await fetchStatus(fleet.entryHosts[round % fleet.entryHosts.length]!, requestId)).toEqual(200);
+		}
+
+		await fleet.callPlatform('PUT', '/v1/control/faults', {outageUntil: null});
+	});
+
+	it('a zone that is cut off from the others refuses truly, the rest goes on, and no repeat across the cut runs twice', async () => {
+		const cut = fleet.entryHosts.filter(host => host.availabilityZone === zones[0]);
+		const rest = fleet.entryHosts.find(host => host.availabilityZone !== zones[0]);
+		await Promise.all(zones.slice(1).map(async zone => fleet.cutZones(zones[0]!, zone)));
+		await waitUntil('the cut is noticed', async () => await fetchFaultKind(cut[0]!, createId()) === 'quorum-unreachable', timeoutMs);
+		const requestId = createId();
+		expect(await fetchFaultKind(cut[1]!, requestId)).toEqual('quorum-unreachable');
+		expect(await countRuns(requestId)).toEqual(0);
+		expect(await fetchStatus(rest!, requestId)).toEqual(200);
+		await fleet.healAll();
+		await waitForAnswers(fleet.entryHosts);
+		expect(await fetchFaultKind(cut[1]!, requestId)).toEqual('request-in-progress');
+		expect(await countRuns(requestId)).toEqual(1);
+	});
+
+	it('no request id of all that were sent ran twice', async () => {
+		const ledgers = await fleet.readLedgers();
+		const ran = ledgers.flatMap(({entries}) => entries.map(({requestId}) => requestId));
+		expect(ran.length).toEqual(new Set(ran).size);
+		expect(ran.every(requestId => sentIds.includes(requestId))).toEqual(true);
+	});
+});
