--- /dev/null
+++ b/packages/bench/src/at-most-once/main.ts
@@ -0,0 +1,138 @@
+#!/usr/bin/env node
+/** Measures what claims cost, with real processes: latency of first tries with and without a claim, against a claim in the log, and the answers to repeats. */
+import {randomUUID} from 'node:crypto';
+import process from 'node:process';
+import {LocalFleet, type LocalEntryHost} from '@rhubarblever/stand-ins';
+import {build, type Histogram} from 'hdr-histogram-js';
+import sade from 'sade';
+import {fetch as fetchPlatform} from 'undici';
+
+const zones = ['ee-south-a', 'ee-south-b', 'ee-south-c'];
+const warmUpCount = 50;
+const microsecondsPerMs = 1000;
+const body = JSON.stringify({runMs: 1});
+
+const records = [
+	{
+		recordId: 'service-1',
+		schema: 'service',
+		version: 1,
+		body: {
+			service: 'replans', pool: 'trucks', slotsPerRunner: 8, connectionsPerRunner: 64,
+		},
+	},
+];
+
+type Way = {readonly name: string; readonly send: (fleet: LocalFleet, host: LocalEntryHost) => Promise<boolean>};
+
+const ways: readonly Way[] = [
+	{name: 'idempotent, no claim', send: async (_, host) => sendRequest(host, randomUUID(), true)},
+	{name: 'claim by votes', send: async (_, host) => sendRequest(host, randomUUID(), false)},
+	{
+		name: 'claim in the log first',
+		async send(fleet, host) {
+			const requestId = randomUUID();
+			await appendClaim(fleet, requestId);
+			return sendRequest(host, requestId, true);
+		},
+	},
+];
+
+/** Sends a request; true if it was answered whole. */
+async function sendRequest(host: LocalEntryHost, requestId: string, isIdempotent: boolean): Promise<boolean> {
+	const response = await fetch(`http://${host.address}/v1/services/replans`, {
+		method: 'POST', body, headers: {'idempotency-key': requestId, 'rhubarblever-idempotent': String(isIdempotent)},
+	});
+	await response.arrayBuffer();
+	return response.ok;
+}
+
+/** Appends a claim of its own to a stream of the platform stand-in and waits for the answer. */
+async function appendClaim(fleet: LocalFleet, requestId: string): Promise<void> {
+	const claim = {
+		recordId: requestId, schema: 'claim', version: 1, body: {},
+	};
+	const response = await fetchPlatform(`http://${fleet.platformAddress}/v1/streams/claims/records`, {
+		method: 'POST', body: JSON.stringify({records: [claim]}), headers: {'content-type': 'application/json'},
+	});
+	await response.arrayBuffer();
+}
+
+function describeHistogram(histogram: Histogram): string {
+	return [50, 90, 99].map(percentile =>
+		`p${percentile} ${(histogram.getValueAtPercentile(percentile) / microsecondsPerMs).toFixed(2)} ms`).join(', ');
+}
+
+/** One request at a time, spread over all entry hosts; the ways take turns, so that all meet the same load of the machine. */
+async function measureLatency(fleet: LocalFleet, count: number): Promise<void> {
+	const histograms = new Map(ways.map(way => [way.name, build()]));
+	const failures = new Map(ways.map(way => [way.name, 0]));
+	for (let round = -warmUpCount; round < count; round++) {
+		const host = fleet.entryHosts[Math.abs(round) % fleet.entryHosts.length]!;
+		for (const way of ways) {
+			const startedAt = process.hrtime.bigint();
+			// eslint-disable-next-line no-await-in-loop
+			const isAnswered = await way.send(fleet, host);
+			if (round >= 0) {
+				histograms.get(way.name)?.recordValue(Number((process.hrtime.bigint() - startedAt) / 1000n));
+				failures.set(way.name, (failures.get(way.name) ?? 0) + Number(!isAnswered));
+			}
+		}
+	}
+
+	for (const {name} of ways) {
+		process.stdout.write(`${name}: ${describeHistogram(histograms.get(name)!)}, ${failures.get(name)} of ${count} not answered\n`);
+	}
+}
+
+/** Repeats each id to all entry hosts at the same time, then later, and counts the answers by kind. */
+async function measureRepeats(fleet: LocalFleet, count: number): Promise<void> {
+	const kinds = new Map<string, number>();
+	for (let round = 0; round < count; round++) {
+		const requestId = randomUUID();
+		const sendAll = async (moment: string) => Promise.all(fleet.entryHosts.map(async host => {
+			const response = await fetch(`http://${host.address}/v1/services/replans`, {method: 'POST', body, headers: {'idempotency-key': requestId}});
+			const text = await response.text();
+			const kind = `${moment}: ${response.ok ? 'answered' : (JSON.parse(text) as {type: string}).type}`;
+			kinds.set(kind, (kinds.get(kind) ?? 0) + 1);
+		}));
+		/* eslint-disable no-await-in-loop */
+		await sendAll('at once');
+		await sendAll('later');
+		/* eslint-enable no-await-in-loop */
+	}
+
+	for (const [kind, seen] of kinds) {
+		process.stdout.write(`repeats ${kind}: ${seen} of ${count * fleet.entryHosts.length}\n`);
+	}
+}
+
+async function run(count: number, entryHostsPerZone: number): Promise<void> {
+	const fleet = await LocalFleet.create({
+		availabilityZones: zones, entryHostsPerZone, targetsPerZone: 2, services: ['replans'],
+	});
+	try {
+		await fleet.publish(records);
+		let areReady = false;
+		while (!areReady) {
+			// eslint-disable-next-line no-await-in-loop
+			const answers = await Promise.all(fleet.entryHosts.map(async host => sendRequest(host, randomUUID(), false)));
+			areReady = answers.every(Boolean);
+		}
+
+		process.stdout.write(`${fleet.entryHosts.length} entry hosts\n`);
+		await measureLatency(fleet, count);
+		await measureRepeats(fleet, Math.ceil(count / 10));
+	} finally {
+		await fleet.stop();
+	}
+}
+
+sade('at-most-once', true)
+	.describe('Measures what claims cost.')
+	.option('--count', 'Requests of each way', 500)
+	.option('--entry-hosts-per-zone', 'Entry hosts in each of three zones', 3)
+	.action(async (flags: {readonly count: number; readonly 'entry-hosts-per-zone': number}) => {
+		await run(flags.count, flags['entry-hosts-per-zone']);
+	})
+	.parse(process.argv);
