Routing bench: idle CPU, and a pace that lengthens run times and deadlines

At pace 1 the load (560 requests a second through 9 daemons) competes with the machine's other users.

--- a/packages/bench/src/routing/bench-shape.ts
+++ b/packages/bench/src/routing/bench-shape.ts
@@ -15,16 +15,22 @@
 const meanBusyShare = 0.3;
 const teams = 3;
 
-export type BenchTimes = {readonly durationMs: number; readonly burstMs: number; readonly calmMs: number};
+/** `pace` lengthens run times and deadlines and so asks for fewer requests a second of the same slots. */
+export type BenchTimes = {readonly durationMs: number; readonly burstMs: number; readonly calmMs: number; readonly pace: number};
 
 /** Each service bursts once after a calm start. */
-export const shortTimes: BenchTimes = {durationMs: 20_000, burstMs: 3000, calmMs: 5000};
-export const longTimes: BenchTimes = {durationMs: 60_000, burstMs: 5000, calmMs: 10_000};
+export const shortTimes: BenchTimes = {
+	durationMs: 20_000, burstMs: 3000, calmMs: 5000, pace: 1,
+};
+export const longTimes: BenchTimes = {
+	durationMs: 60_000, burstMs: 5000, calmMs: 10_000, pace: 1,
+};
 
 /** The load of one run. */
-export function createLoadShape(seed: number, times: BenchTimes): LoadShape {
+export function createLoadShape(seed: number, {pace, ...times}: BenchTimes): LoadShape {
+	const classes = defaultClasses.map(shape => ({...shape, meanRunMs: shape.meanRunMs * pace, deadlineMs: shape.deadlineMs * pace}));
 	return {
-		...times, seed, services, teams, classes: defaultClasses, meanRate: computeMeanRate(slotsPerService, meanBusyShare, defaultClasses),
+		...times, seed, services, teams, classes, meanRate: computeMeanRate(slotsPerService, meanBusyShare, classes),
 	};
 }
 
--- a/packages/bench/src/routing/main.ts
+++ b/packages/bench/src/routing/main.ts
@@ -12,6 +12,7 @@
 
 type Flags = {
 	readonly short: boolean; readonly seeds: string; readonly policies: string; readonly 'when-full': string; readonly out: string;
+	readonly pace: number;
 };
 
 sade('routing-bench', true)
@@ -19,6 +20,7 @@
 	.option('--seeds', 'Seeds, separated by commas', '1,2,3')
 	.option('--policies', 'Routing policies, separated by commas', Object.keys(routingPolicies).join(','))
 	.option('--when-full', 'What a runner does beyond its slots: refuse or queue', 'queue')
+	.option('--pace', 'Factor of run times and deadlines; more asks for fewer requests a second', 1)
 	.option('--out', 'Folder of the report', 'reports')
 	.action(async (flags: Flags) => {
 		const runs: PolicyRun[] = [];
@@ -27,7 +29,7 @@
 				process.stderr.write(`running ${policy}, seed ${seed}\n`);
 				// eslint-disable-next-line no-await-in-loop
 				runs.push(await runPolicy({
-					policy, seed: Number(seed), times: flags.short ? shortTimes : longTimes, whenFull: flags['when-full'],
+					policy, seed: Number(seed), times: {...(flags.short ? shortTimes : longTimes), pace: flags.pace}, whenFull: flags['when-full'],
 				}));
 			}
 		}
--- a/packages/bench/src/routing/run-policy.ts
+++ b/packages/bench/src/routing/run-policy.ts
@@ -2,7 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import {loadavg} from 'node:os';
 import {
-	LocalFleet, planLoad, runLoad, summarizeLoad, waitUntil, type LoadSummary, type PlannedRequest,
+	LocalFleet, planLoad, runLoad, sleep, summarizeLoad, waitUntil, type LoadSummary, type PlannedRequest,
 } from '@rhubarblever/stand-ins';
 import {
 	availabilityZones, benchRecords, createLoadShape, entryHostsPerZone, runnersPerService, services, slotsPerService, type BenchTimes,
@@ -11,6 +11,7 @@
 import {readCpuMs} from './process-times.js';
 
 const warmUpTimeoutMs = 30_000;
+const idleMs = 2000;
 
 export type RunOptions = {
 	readonly policy: string;
@@ -38,7 +39,9 @@
 	readonly repeatedNonIdempotentStarts: number;
 	/** Of the machine over the last minute, at the end of the load. */
 	readonly loadAverage: number;
-	/** CPU of all entry hosts. */
+	/** CPU of an entry host before the load, in milliseconds a second. */
+	readonly idleCpuMsPerHostSecond: number;
+	/** CPU of all entry hosts under the load. */
 	readonly cpuMsPerThousandRequests: number;
 	/** Bytes between entry hosts, for each host and second. */
 	readonly controlBytesPerHostSecond: number;
@@ -84,6 +87,7 @@
 async function measureRun(fleet: LocalFleet, {policy, seed, times}: RunOptions): Promise<PolicyRun> {
 	const planned = planLoad(createLoadShape(seed, times));
 	const addresses = fleet.entryHosts.map(host => host.address);
+	const idleCpuMs = await measureIdleCpu(fleet);
 	const cpuBefore = await sumCpuMs(fleet);
 	const bytesBefore = fleet.peerBytes;
 	const startedAt = Date.now();
@@ -109,11 +113,19 @@
 		repeatedStarts: countRepeats(startedIds),
 		repeatedNonIdempotentStarts: countRepeats(startedIds.filter(id => nonIdempotent.has(id))),
 		loadAverage: loadavg()[0] ?? 0,
+		idleCpuMsPerHostSecond: idleCpuMs * 1000 / idleMs / fleet.entryHosts.length,
 		cpuMsPerThousandRequests: cpuMs * 1000 / planned.length,
 		controlBytesPerHostSecond: controlBytes / fleet.entryHosts.length / elapsedSeconds,
 	};
 }
 
+/** CPU of all entry hosts while nothing is asked of them. */
+async function measureIdleCpu(fleet: LocalFleet): Promise<number> {
+	const before = await sumCpuMs(fleet);
+	await sleep(idleMs);
+	return await sumCpuMs(fleet) - before;
+}
+
 function countRepeats(ids: readonly string[]): number {
 	return ids.length - new Set(ids).size;
 }
--- a/packages/bench/src/routing/table.ts
+++ b/packages/bench/src/routing/table.ts
@@ -60,6 +60,7 @@
 	{title: 'overfill slots/conns', render: run => `${run.overfilledSlots}/${run.overfilledConnections}`},
 	{title: 'peak on a runner', render: run => String(run.peakRequests)},
 	{title: 'repeated starts: all/non-idempotent', render: run => `${run.repeatedStarts}/${run.repeatedNonIdempotentStarts}`},
+	{title: 'idle CPU ms/host/s', render: run => run.idleCpuMsPerHostSecond.toFixed(0)},
 	{title: 'CPU ms/1000', render: run => run.cpuMsPerThousandRequests.toFixed(0)},
 	{title: 'load average of the machine', render: run => run.loadAverage.toFixed(1)},
 	{title: 'control B/host/s', render: run => run.controlBytesPerHostSecond.toFixed(0)},
