--- a/packages/core/src/fleet/decoders.ts
+++ b/packages/core/src/fleet/decoders.ts
@@ -2,6 +2,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {z} from 'zod';
 import {objectiveBodyV1, type ObjectiveBody} from '../burn/bodies.js';
+import {entryHostJoinedBodyV1, type EntryHostJoinedBody} from '../claims/members.js';
 import {createFault, type Fault} from '../types/faults.js';
 import {plannerLeaseBodyV1, type PlannerDomainBodies} from '../planner/bodies.js';
 import {
@@ -19,7 +20,8 @@
 
 /** A decoded body, tagged by its schema name. */
 export type DecodedBody
-	= | {readonly schema: 'pool'; readonly body: PoolBody}
+	= | {readonly schema: 'entry-host-joined'; readonly body: EntryHostJoinedBody}
+		| {readonly schema: 'pool'; readonly body: PoolBody}
 		| {readonly schema: 'objective'; readonly body: ObjectiveBody}
 		| {readonly schema: 'service'; readonly body: ServiceBody}
 		| MaintenanceBody;
@@ -53,6 +55,7 @@
 			},
 		},
 	})),
+	'entry-host-joined/1': createDecoder(entryHostJoinedBodyV1, body => ({schema: 'entry-host-joined', body})),
 	'objective/1': createDecoder(objectiveBodyV1, body => ({schema: 'objective', body})),
 	'pool/2': createDecoder(poolBodyV2, body => ({
 		schema: 'pool',
--- a/packages/core/src/requests/attempts.ts
+++ b/packages/core/src/requests/attempts.ts
@@ -1,4 +1,5 @@
 /** Dispatches requests to targets, ends their attempts and judges whether to try again. */
+import {judgeClaimed} from '../claims/claims.js';
 import {drawComeBackAt} from '../slots/come-back.js';
 import type {SlotEnd} from '../slots/messages.js';
 import type {AttemptAnsweredEvent, AttemptFailedEvent} from '../targets/events.js';
@@ -36,6 +37,7 @@
 	});
 	target.outstanding += 1;
 	return [
+		...judgeClaimed(state, request),
 		...judgeDispatch(state, open, grant),
 		{
 			type: 'attempt/dispatch',
--- a/packages/core/src/requests/handlers.ts
+++ b/packages/core/src/requests/handlers.ts
@@ -1,4 +1,5 @@
 /** Takes requests on: refuses at once what cannot be run, asks for a slot for the rest. */
+import {claimRequest, releaseClaim} from '../claims/claims.js';
 import type {Effect} from '../types/effects.js';
 import type {FaultKind} from '../types/faults.js';
 import type {HandlerTable} from '../types/handlers.js';
@@ -26,7 +27,7 @@
 		}
 
 		state.requests.open.set(event.request.callerKey, open);
-		return askForSlot(state, open);
+		return event.request.isIdempotent ? askForSlot(state, open) : claimRequest(state, event.request);
 	},
 	'caller/gone'(state, event) {
 		const open = state.requests.open.get(event.callerKey);
@@ -35,7 +36,10 @@
 		}
 
 		state.requests.open.delete(event.callerKey);
-		return withdrawAsks(state, open);
+		return [
+			...withdrawAsks(state, open),
+			...open.attemptCount === 0 ? releaseClaim(state, open.request) : [],
+		];
 	},
 };
 
--- a/packages/core/src/slots/entry-hosts.ts
+++ b/packages/core/src/slots/entry-hosts.ts
@@ -1,6 +1,6 @@
 /** Which entry host is the steward of a service's slots in an availability zone: rendezvous hashing over live hosts. */
 import murmurhash from 'murmurhash';
-import {isPeerLive} from '../membership/handlers.js';
+import {isPeerLive} from '../membership/liveness.js';
 import type {AvailabilityZone, HostId, ServiceId} from '../types/ids.js';
 import type {EntryHost} from '../types/peers.js';
 import type {State} from '../types/state.js';
