--- /dev/null
+++ b/packages/bench/src/integration/waves.test.ts
@@ -0,0 +1,166 @@
+/** A wave with real processes: planners are killed and frozen, answers of the platform get lost, and its ledger is the judge. */
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {listedHostSchema, type ListedHost} from '@rhubarblever/core';
+import {LocalFleet, waitUntil, type LocalEntryHost} from '@rhubarblever/stand-ins';
+import {expect} from 'earl';
+
+type LedgerEntry = {readonly at: number; readonly event: string; readonly hostId: string; readonly operationId?: string};
+type FleetAnswer = {
+	readonly plannerLease?: {readonly holder: string; readonly term: number};
+	readonly poolHosts: ReadonlyArray<{readonly hostId: string; readonly pool: string}>;
+	readonly waves: ReadonlyArray<{readonly waveId: string; readonly status: string}>;
+};
+
+const zones = ['ee-south-a', 'ee-south-b', 'ee-south-c'];
+const workerCount = 9;
+const minimumHealthyHosts = 6;
+const maximumHostsOut = 3;
+const waveTimeoutMs = 70_000;
+const workers = Array.from({length: workerCount}, (_, index) => listedHostSchema.parse({
+	hostId: `worker-${index + 1}`, role: 'worker', availabilityZone: zones[index % zones.length], rack: `rack-${index % 5}`, address: '127.0.0.1:1', pool: 'guarded', state: 'live',
+}));
+
+let fleet: LocalFleet;
+
+async function fetchAnswer(entryHost: LocalEntryHost): Promise<FleetAnswer> {
+	return await fleet.fetchFleet(entryHost) as FleetAnswer;
+}
+
+async function findHolder(among: readonly LocalEntryHost[]): Promise<LocalEntryHost> {
+	const answer = await fetchAnswer(among[0]!);
+	const holder = among.find(host => host.hostId === answer.plannerLease?.holder);
+	if (!holder) {
+		throw new Error('no running entry host holds the lease');
+	}
+
+	return holder;
+}
+
+async function readLedger(): Promise<readonly LedgerEntry[]> {
+	const answer = await fleet.callPlatform('GET', '/v1/control/ledger') as {readonly entries: readonly LedgerEntry[]};
+	return answer.entries;
+}
+
+async function waitForReboots(count: number): Promise<void> {
+	await waitUntil(`${count} hosts are rebooted`, async () => {
+		const ledger = await readLedger();
+		return ledger.filter(entry => entry.event === 'rebooted').length >= count;
+	}, waveTimeoutMs);
+}
+
+/** The most workers among some that the ledger shows out of service at once. */
+function measureMostOut(ledger: readonly LedgerEntry[], among: readonly ListedHost[] = workers): number {
+	const names = new Set<string>(among.map(host => host.hostId));
+	const out = new Set<string>();
+	let most = 0;
+	for (const {event, hostId} of ledger) {
+		if (event === 'drain-started' && names.has(hostId)) {
+			out.add(hostId);
+		} else if (event === 'undrained') {
+			out.delete(hostId);
+		}
+
+		most = Math.max(most, out.size);
+	}
+
+	return most;
+}
+
+/** A task that still runs when its worker is drained. */
+async function startTask(hostId: string): Promise<void> {
+	const path = `/v1/workers/${hostId}/tasks`;
+	await fleet.callPlatform('POST', path, {
+		taskId: `task-${hostId}`, attempt: 1, leaseUntil: Date.now() + (10 * 60 * 1000), cores: 1, memoryBytes: 1, runMs: 6000,
+	});
+}
+
+function listWaveRecords() {
+	const pool = 'guarded';
+	return [
+		{
+			recordId: 'pool', schema: 'pool', version: 3, body: {
+				pool, budget: {
+					minimumHealthyHosts, maximumHostsOut, maximumHostsOutPerZone: 1, maximumHostsOutPerRack: 1,
+				},
+			},
+		},
+		...workers.map(({hostId, availabilityZone, rack}) => ({
+			recordId: `host-${hostId}`, schema: 'host', version: 1, body: {
+				hostId, pool, availabilityZone, rack,
+			},
+		})),
+		{
+			recordId: 'wave', schema: 'wave', version: 1, body: {
+				waveId: 'wave-1', pool, finishBy: Date.now() + (60 * 60 * 1000), drainLimitMs: 20_000, weights: {rollOutTime: 1, bufferCost: 1},
+			},
+		},
+	];
+}
+
+describe('a maintenance wave over real processes', () => {
+	before(async () => {
+		fleet = await LocalFleet.create({
+			availabilityZones: zones, entryHostsPerZone: 1, targetsPerZone: 0, services: [], hosts: workers,
+		});
+	});
+
+	after(async () => {
+		await fleet.stop();
+	});
+
+	it('ends within budget though planners freeze and die and answers get lost', async () => {
+		await Promise.all(workers.map(async worker => startTask(worker.hostId)));
+		await fleet.publish(listWaveRecords());
+		await fleet.callPlatform('PUT', '/v1/control/faults', {rebootMs: 1500, reportLagMs: 500, loseAnswers: {probability: 0.3, seed: 7}});
+		await waitForReboots(1);
+		const frozen = await findHolder(fleet.entryHosts);
+		frozen.running.signal('SIGSTOP');
+		const awake = fleet.entryHosts.filter(host => host !== frozen);
+		await waitForReboots(5);
+		const killed = await findHolder(awake);
+		killed.running.signal('SIGKILL');
+		await killed.running.waitForEnd();
+		frozen.running.signal('SIGCONT');
+		const left = fleet.entryHosts.filter(host => host !== killed);
+		await waitUntil('the wave is done', async () => {
+			const answer = await fetchAnswer(left[0]!);
+			return answer.waves.some(wave => wave.status === 'done');
+		}, waveTimeoutMs);
+		const ledger = await readLedger();
+		expect(measureMostOut(ledger) <= maximumHostsOut).toEqual(true);
+		for (const zone of zones) {
+			expect(measureMostOut(ledger, workers.filter(worker => worker.availabilityZone === zone)) <= 1).toEqual(true);
+		}
+
+		expect(new Set(ledger.filter(entry => entry.event === 'rebooted').map(entry => entry.hostId)).size).toEqual(workerCount);
+		expect(ledger.filter(entry => entry.event === 'rebooted').length).toEqual(workerCount);
+		expect(ledger.filter(entry => entry.event === 'task-cut').length).toEqual(0);
+		expect(ledger.filter(entry => entry.event === 'task-succeeded').length).toEqual(workerCount);
+		expect(left.every(host => host.running.isRunning)).toEqual(true);
+	});
+
+	it('a host moves to another pool by a drain, once, and each host stays in one pool', async () => {
+		const host = fleet.entryHosts.find(candidate => candidate.running.isRunning)!;
+		const movedId = workers[0]!.hostId;
+		await fleet.publish([
+			{
+				recordId: 'spare', schema: 'pool', version: 1, body: {pool: 'spare', minimumHealthyHosts: 0},
+			},
+			{
+				recordId: 'move', schema: 'move', version: 1, body: {hostId: movedId, to: 'spare'},
+			},
+		], host);
+		await waitUntil('the host has joined', async () => {
+			const answer = await fetchAnswer(host);
+			return answer.poolHosts.some(member => member.hostId === movedId && member.pool === 'spare');
+		}, waveTimeoutMs);
+		const answer = await fetchAnswer(host);
+		expect(answer.poolHosts.filter(member => member.pool === 'guarded').length).toEqual(workerCount - 1);
+		const ledger = await readLedger();
+		const moveEntries = ledger.filter(entry => entry.operationId?.startsWith('move.'));
+		expect(moveEntries.map(entry => entry.event)).toEqual(['drain-started', 'drained', 'pool-set', 'undrained']);
+		expect(moveEntries.every(entry => entry.hostId === movedId)).toEqual(true);
+	});
+});
--- /dev/null
+++ b/packages/core/src/planner/tenure.ts
@@ -0,0 +1,57 @@
+/** The planner's lease as this entry host sees it: take it when it has lapsed, renew it in time, act only while it surely holds. */
+import {isReady} from '../log/start.js';
+import type {Effect} from '../types/effects.js';
+import type {State} from '../types/state.js';
+import {addMilliseconds, type Instant} from '../types/time.js';
+import {publishLease} from './proposals.js';
+
+const leaseMs = 6000;
+const renewBeforeMs = 4000;
+/** The holder stops acting this long before the lease lapses. */
+const safetyMarginMs = 1000;
+const workersMaximumAgeMs = 5000;
+
+/** An estimate of the platform's clock that is never ahead of it by more than an answer's way. */
+export function estimateLogTime(state: State): Instant {
+	const leadMs = Number.isFinite(state.planner.clockLeadMs) ? state.planner.clockLeadMs : 0;
+	return addMilliseconds(state.now, leadMs);
+}
+
+/** Takes in a new reading of the platform's clock. */
+export function noteLogTime(state: State): void {
+	state.planner.clockLeadMs = Math.max(state.planner.clockLeadMs, state.fleet.clock - state.now);
+}
+
+/** The term in which this process is the planner; nothing if it is not, or not surely. */
+export function findOwnTerm(state: State): number | undefined {
+	const lease = state.fleet.plannerLease;
+	const isHolder = lease?.holder === state.settings.self.hostId && lease.incarnation === state.settings.incarnation;
+	return isHolder && estimateLogTime(state) + safetyMarginMs < lease.deadline ? lease.term : undefined;
+}
+
+/** Whether the list of workers is fresh enough to act on. */
+export function hasFreshWorkers(state: State): boolean {
+	const {workersAt} = state.planner;
+	return workersAt !== undefined && workersAt + workersMaximumAgeMs > state.now;
+}
+
+/** Takes a lapsed lease or renews the own one. */
+export function renewTenure(state: State): Effect[] {
+	if (!isReady(state) || !state.log.isReachable || !hasFreshWorkers(state)) {
+		return [];
+	}
+
+	const lease = state.fleet.plannerLease;
+	const logTime = estimateLogTime(state);
+	const isHolder = lease?.holder === state.settings.self.hostId && lease.incarnation === state.settings.incarnation;
+	if (lease && logTime < (isHolder ? lease.deadline - renewBeforeMs : lease.deadline)) {
+		return [];
+	}
+
+	return publishLease(state, {
+		holder: state.settings.self.hostId,
+		incarnation: state.settings.incarnation,
+		term: (lease?.term ?? 0) + (isHolder ? 0 : 1),
+		deadline: addMilliseconds(logTime, leaseMs),
+	});
+}
