--- /dev/null
+++ b/packages/core/src/planner/handlers.ts
@@ -0,0 +1,64 @@
+/** The planner: every entry host runs it, and it acts only while this one holds the lease. */
+import type {RecordOutcome} from '../fleet/apply-record.js';
+import type {Effect} from '../types/effects.js';
+import type {HandlerTable} from '../types/handlers.js';
+import type {LoggedRecord} from '../types/records.js';
+import type {State} from '../types/state.js';
+import {addMilliseconds} from '../types/time.js';
+import {judgeCall, judgeInvariants} from './audit.js';
+import type {PlannerEvent} from './events.js';
+import {publishHealth, runChain} from './executor.js';
+import {closeOperations, noteOperation} from './operations.js';
+import {planFleet} from './planning.js';
+import {closeProposals, noteProposal} from './proposals.js';
+import {
+	findOwnTerm, hasFreshWorkers, noteLogTime, renewTenure,
+} from './tenure.js';
+
+const planIntervalMs = 100;
+
+export const plannerHandlers: HandlerTable<PlannerEvent['type']> = {
+	'workers/listed'(state, event) {
+		state.planner.workers = event.workers;
+		state.planner.workersAt = event.at;
+		return [];
+	},
+	'operation/reported'(state, event) {
+		noteOperation(state, event.operationId, event.state);
+		return [];
+	},
+	'operation/call-failed'(state, event) {
+		noteOperation(state, event.operationId, 'unsure');
+		return [];
+	},
+};
+
+/** Takes note of a record that was just judged; its place in the log tells the platform's clock. */
+export function noteJudgedRecord(state: State, logged: LoggedRecord, outcome: RecordOutcome): Effect[] {
+	noteLogTime(state);
+	noteProposal(state, logged);
+	closeOperations(state, logged, outcome);
+	return judgeInvariants(state, logged, outcome);
+}
+
+/** Keeps the lease, writes down health, brings chains on and starts new ones. */
+export function tickPlanner(state: State): Effect[] {
+	if (state.now < state.planner.nextPlanAt) {
+		return [];
+	}
+
+	state.planner.nextPlanAt = addMilliseconds(state.now, planIntervalMs);
+	closeProposals(state);
+	const effects = renewTenure(state);
+	const term = findOwnTerm(state);
+	if (term === undefined || !hasFreshWorkers(state)) {
+		return effects;
+	}
+
+	effects.push(
+		...publishHealth(state, term),
+		...[...state.fleet.hosts.values()].flatMap(host => runChain(state, host, term)),
+		...planFleet(state, term),
+	);
+	return effects.map(effect => judgeCall(state, effect));
+}
--- /dev/null
+++ b/packages/core/src/planner/state.ts
@@ -0,0 +1,50 @@
+/** The planner of this entry host: local, and of use only while it holds the lease. */
+import type {
+	HostId, OperationId, PoolId, RecordId,
+} from '../types/ids.js';
+import type {Instant, Offset} from '../types/time.js';
+import type {ListedWorker} from './workers.js';
+
+/** What this host knows of an operation on the platform. */
+export type KnownOperation = {
+	readonly operationId: OperationId;
+	/** `unsure`: a call may or may not have taken effect; its state is read before anything is repeated. */
+	state: 'unsure' | 'absent' | 'running' | 'done' | 'failed';
+	isInFlight: boolean;
+	/** When to call again. */
+	callAt: Instant;
+};
+
+export type PlannerState = {
+	workers: readonly ListedWorker[];
+	/** When the list of workers came, by this host's clock. */
+	workersAt: Instant | undefined;
+	/** How far the platform's clock is ahead of this host's, at least; in milliseconds. */
+	clockLeadMs: number;
+	/** The record about each host that is on its way to the log. */
+	readonly proposals: Map<HostId, RecordId>;
+	leaseProposal: RecordId | undefined;
+	readonly operations: Map<OperationId, KnownOperation>;
+	/** The pool of each host as last seen, to check that it changes only by a move. */
+	readonly knownPools: Map<HostId, PoolId>;
+	/** Offset of the next record to check. */
+	auditOffset: Offset;
+	proposalCount: number;
+	nextPlanAt: Instant;
+};
+
+/** A planner that knows nothing yet. */
+export function createPlannerState(): PlannerState {
+	return {
+		workers: [],
+		workersAt: undefined,
+		clockLeadMs: Number.NEGATIVE_INFINITY,
+		proposals: new Map(),
+		leaseProposal: undefined,
+		operations: new Map(),
+		knownPools: new Map(),
+		auditOffset: 0 as Offset,
+		proposalCount: 0,
+		nextPlanAt: 0 as Instant,
+	};
+}
--- a/packages/core/src/pools/budget.ts
+++ b/packages/core/src/pools/budget.ts
@@ -14,7 +14,13 @@
 	readonly down: number;
 };
 
-const noHosts: ReadonlySet<HostId> = new Set();
+/** What the fold does not hold yet but may: hosts seen down, and hosts whose leave is on its way to the log. */
+export type Outlook = {
+	readonly alsoDown: ReadonlySet<HostId>;
+	readonly alsoOut: ReadonlySet<HostId>;
+};
+
+const noOutlook: Outlook = {alsoDown: new Set(), alsoOut: new Set()};
 
 /** All hosts of a pool. */
 export function listPoolHosts(fleet: FleetState, pool: PoolId): FleetHost[] {
@@ -22,28 +28,28 @@
 }
 
 /** Whether a host is out of service by plan and charged to its pool's budget. */
-export function isOutByPlan(host: FleetHost): boolean {
-	return host.chain !== undefined && host.chain.step !== 'released';
+export function isOutByPlan(host: FleetHost, outlook: Outlook = noOutlook): boolean {
+	return host.chain === undefined ? outlook.alsoOut.has(host.hostId) : host.chain.step !== 'released';
 }
 
 /** Whether a host serves its pool. */
-export function isHealthy(host: FleetHost, alsoDown: ReadonlySet<HostId> = noHosts): boolean {
-	return !host.isDown && host.chain === undefined && !alsoDown.has(host.hostId);
+export function isHealthy(host: FleetHost, outlook: Outlook = noOutlook): boolean {
+	return !host.isDown && host.chain === undefined && !outlook.alsoDown.has(host.hostId) && !outlook.alsoOut.has(host.hostId);
 }
 
-/** Counts a pool; `alsoDown` names hosts that were seen down but are not yet recorded so. */
-export function countPool(fleet: FleetState, pool: PoolId, alsoDown: ReadonlySet<HostId> = noHosts): PoolCount {
+/** Counts a pool. */
+export function countPool(fleet: FleetState, pool: PoolId, outlook: Outlook = noOutlook): PoolCount {
 	const hosts = listPoolHosts(fleet, pool);
 	return {
 		members: hosts.length,
-		healthy: hosts.filter(host => isHealthy(host, alsoDown)).length,
-		out: hosts.filter(host => isOutByPlan(host)).length,
-		down: hosts.filter(host => host.isDown || alsoDown.has(host.hostId)).length,
+		healthy: hosts.filter(host => isHealthy(host, outlook)).length,
+		out: hosts.filter(host => isOutByPlan(host, outlook)).length,
+		down: hosts.filter(host => host.isDown || outlook.alsoDown.has(host.hostId)).length,
 	};
 }
 
 /** Why a host may not leave service by plan now; nothing if it may. */
-export function judgeLeaving(fleet: FleetState, host: FleetHost, alsoDown: ReadonlySet<HostId> = noHosts): string | undefined {
+export function judgeLeaving(fleet: FleetState, host: FleetHost, outlook: Outlook = noOutlook): string | undefined {
 	const budget = fleet.pools.get(host.pool)?.body.budget;
 	if (!budget) {
 		return `pool ${host.pool} has no budget in force`;
@@ -53,17 +59,17 @@
 		return `host ${host.hostId} is already out by plan`;
 	}
 
-	return judgeHealth(fleet, host, budget, alsoDown) ?? judgeOut(fleet, host, budget);
+	return judgeHealth(fleet, host, budget, outlook) ?? judgeOut(fleet, host, budget, outlook);
 }
 
-function judgeHealth(fleet: FleetState, host: FleetHost, budget: Budget, alsoDown: ReadonlySet<HostId>): string | undefined {
-	const {healthy} = countPool(fleet, host.pool, alsoDown);
-	const isBelow = isHealthy(host, alsoDown) && healthy - 1 < budget.minimumHealthyHosts;
+function judgeHealth(fleet: FleetState, host: FleetHost, budget: Budget, outlook: Outlook): string | undefined {
+	const {healthy} = countPool(fleet, host.pool, outlook);
+	const isBelow = isHealthy(host, outlook) && healthy - 1 < budget.minimumHealthyHosts;
 	return isBelow ? `pool ${host.pool} has ${healthy} healthy hosts and must keep ${budget.minimumHealthyHosts}` : undefined;
 }
 
-function judgeOut(fleet: FleetState, host: FleetHost, budget: Budget): string | undefined {
-	const out = listPoolHosts(fleet, host.pool).filter(other => isOutByPlan(other));
+function judgeOut(fleet: FleetState, host: FleetHost, budget: Budget, outlook: Outlook): string | undefined {
+	const out = listPoolHosts(fleet, host.pool).filter(other => isOutByPlan(other, outlook));
 	const inZone = out.filter(other => other.availabilityZone === host.availabilityZone);
 	const inRack = out.filter(other => isSameRack(other, host));
 	const limits = [
--- a/packages/core/src/types/effects.ts
+++ b/packages/core/src/types/effects.ts
@@ -2,6 +2,7 @@
 import type {FleetEffect} from '../fleet/effects.js';
 import type {LogEffect} from '../log/effects.js';
 import type {MembershipEffect} from '../membership/effects.js';
+import type {PlannerEffect} from '../planner/effects.js';
 import type {RequestEffect} from '../requests/effects.js';
 import type {TargetEffect} from '../targets/effects.js';
 
@@ -37,6 +38,6 @@
 export type ExitEffect = {readonly type: 'process/exit'};
 
 export type Effect = LogLineEffect | MetricEffect | InvariantEffect | ExitEffect
-	| RequestEffect | TargetEffect | LogEffect | FleetEffect | MembershipEffect;
+	| RequestEffect | TargetEffect | LogEffect | FleetEffect | MembershipEffect | PlannerEffect;
 export type EffectType = Effect['type'];
 export type EffectOf<Type extends EffectType> = Extract<Effect, {readonly type: Type}>;
--- a/packages/core/src/types/state.ts
+++ b/packages/core/src/types/state.ts
@@ -4,6 +4,7 @@
 import type {FleetState} from '../fleet/state.js';
 import type {LogState} from '../log/state.js';
 import type {MembershipState} from '../membership/state.js';
+import type {PlannerState} from '../planner/state.js';
 import type {RequestsState} from '../requests/state.js';
 import type {SlotsState} from '../slots/state.js';
 import type {TargetsState} from '../targets/state.js';
@@ -21,6 +22,7 @@
 	readonly membership: MembershipState;
 	readonly claims: ClaimsState;
 	readonly burn: BurnState;
+	readonly planner: PlannerState;
 	/** The instant of the latest event. */
 	now: Instant;
 	isStopping: boolean;
