--- a/packages/bench/src/integration/shared-state.test.ts
+++ b/packages/bench/src/integration/shared-state.test.ts
@@ -239,7 +239,7 @@
 			}, startMs);
 			await waitUntil('all have applied the change', async () => {
 				const views = await readViews(fleet);
-				return views.every(view => view.pools.length === 1);
+				return hasOneState(views) && views[0]?.pools.length === 1;
 			}, startMs);
 		});
 	});
