--- a/packages/bench/src/waves/fake-platform.ts
+++ b/packages/bench/src/waves/fake-platform.ts
@@ -38,7 +38,7 @@
 	private constructor(readonly workers: readonly FakeWorker[]) {}
 
 	/** Moves the clock and lets operations end. */
-	advance(elapsedMs: number): void {
+	tick(elapsedMs: number): void {
 		this.now += elapsedMs;
 		for (const worker of this.workers) {
 			const isDown = isWorkerDown(worker, this.now);
@@ -88,7 +88,7 @@
 			worker, kind: effect.kind, deadline: effect.deadline, state: 'running',
 		};
 		this.operations.set(effect.operationId, operation);
-		operation.state = this.beginOperation(operation);
+		operation.state = this.startOperation(operation);
 		return operation.state;
 	}
 
@@ -105,7 +105,7 @@
 		return worker.times.taskMs.filter(taskMs => worker.since + taskMs > this.now).length;
 	}
 
-	private beginOperation(operation: FakeOperation): OperationReport['state'] {
+	private startOperation(operation: FakeOperation): OperationReport['state'] {
 		const {worker, kind} = operation;
 		if (worker.state === 'down') {
 			return kind === 'undrain' ? 'done' : 'failed';
