--- a/packages/bench/src/integration/waves.test.ts
+++ b/packages/bench/src/integration/waves.test.ts
@@ -3,12 +3,15 @@
 	after, before, describe, it,
 } from 'node:test';
 import {listedHostSchema, type ListedHost} from '@rhubarblever/core';
-import {LocalFleet, waitUntil, type LocalEntryHost} from '@rhubarblever/stand-ins';
+import {
+	LocalFleet, sleep, waitUntil, type LocalEntryHost,
+} from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
 
 type LedgerEntry = {readonly at: number; readonly event: string; readonly hostId: string; readonly operationId?: string};
 type FleetAnswer = {
 	readonly plannerLease?: {readonly holder: string; readonly term: number};
+	readonly poolCounts: ReadonlyArray<{readonly pool: string; readonly down: number}>;
 	readonly poolHosts: ReadonlyArray<{readonly hostId: string; readonly pool: string}>;
 	readonly waves: ReadonlyArray<{readonly waveId: string; readonly status: string}>;
 };
@@ -18,6 +21,7 @@
 const minimumHealthyHosts = 6;
 const maximumHostsOut = 3;
 const waveTimeoutMs = 70_000;
+const standstillMs = 2500;
 const workers = Array.from({length: workerCount}, (_, index) => listedHostSchema.parse({
 	hostId: `worker-${index + 1}`, role: 'worker', availabilityZone: zones[index % zones.length], rack: `rack-${index % 5}`, address: '127.0.0.1:1', pool: 'guarded', state: 'live',
 }));
@@ -91,14 +95,18 @@
 				hostId, pool, availabilityZone, rack,
 			},
 		})),
-		{
-			recordId: 'wave', schema: 'wave', version: 1, body: {
-				waveId: 'wave-1', pool, finishBy: Date.now() + (60 * 60 * 1000), drainLimitMs: 20_000, weights: {rollOutTime: 1, bufferCost: 1},
-			},
-		},
+		createWaveRecord('wave-1'),
 	];
 }
 
+function createWaveRecord(waveId: string) {
+	return {
+		recordId: waveId, schema: 'wave', version: 1, body: {
+			waveId, pool: 'guarded', finishBy: Date.now() + (60 * 60 * 1000), drainLimitMs: 20_000, weights: {rollOutTime: 1, bufferCost: 1},
+		},
+	};
+}
+
 describe('a maintenance wave over real processes', () => {
 	before(async () => {
 		fleet = await LocalFleet.create({
@@ -141,6 +149,29 @@
 		expect(left.every(host => host.running.isRunning)).toEqual(true);
 	});
 
+	it('a wave stands still while the pool has no host to spare, and goes on once it is back', async () => {
+		const host = fleet.entryHosts.find(candidate => candidate.running.isRunning)!;
+		const failing = workers.slice(0, workerCount - minimumHealthyHosts);
+		await Promise.all(failing.map(async ({hostId}) => fleet.callPlatform('POST', `/v1/control/workers/${hostId}`, {change: 'fail'})));
+		await waitUntil('the pool has no host to spare', async () => {
+			const answer = await fetchAnswer(host);
+			return answer.poolCounts.some(count => count.pool === 'guarded' && count.down === failing.length);
+		}, waveTimeoutMs);
+		const before = await readLedger();
+		await fleet.publish([createWaveRecord('wave-2')], host);
+		await sleep(standstillMs);
+		const during = await readLedger();
+		expect(during.slice(before.length).filter(entry => entry.event === 'drain-started')).toEqual([]);
+		await Promise.all(failing.map(async ({hostId}) => fleet.callPlatform('POST', `/v1/control/workers/${hostId}`, {change: 'heal'})));
+		await waitUntil('the second wave is done', async () => {
+			const answer = await fetchAnswer(host);
+			return answer.waves.some(wave => wave.waveId === 'wave-2' && wave.status === 'done');
+		}, waveTimeoutMs);
+		const ledger = await readLedger();
+		expect(measureMostOut(ledger) <= maximumHostsOut).toEqual(true);
+		expect(ledger.slice(before.length).filter(entry => entry.event === 'rebooted').length).toEqual(workerCount);
+	});
+
 	it('a host moves to another pool by a drain, once, and each host stays in one pool', async () => {
 		const host = fleet.entryHosts.find(candidate => candidate.running.isRunning)!;
 		const movedId = workers[0]!.hostId;
