--- a/packages/bench/src/integration/request-path.test.ts
+++ b/packages/bench/src/integration/request-path.test.ts
@@ -135,8 +135,8 @@
 	return Promise.all(Array.from({length: count}, async (_, index) => callService(hosts[index % hosts.length]!, options)));
 }
 
-async function isServing(host: LocalEntryHost): Promise<boolean> {
-	const seen = await callInTurn([host], 4, {runMs: 20, deadlineMs: 1000});
+async function isServing(host: LocalEntryHost, isIdempotent: boolean): Promise<boolean> {
+	const seen = await callInTurn([host], 4, {runMs: 20, deadlineMs: 1000, isIdempotent});
 	return seen.every(({isOwn}) => isOwn);
 }
 
@@ -231,7 +231,11 @@
 	it('a zone cut off goes on with its own targets, and after healing all slots are shared again', async () => {
 		await fleet.cutZones('ee-south-a', 'ee-south-b');
 		await fleet.cutZones('ee-south-a', 'ee-south-c');
-		await Promise.all(fleet.entryHosts.map(async host => waitUntil('requests are answered on each side', async () => isServing(host), settleMs)));
+		await Promise.all(fleet.entryHosts.map(async host => waitUntil('requests are answered on each side', async () => isServing(host, true), settleMs)));
+		const [cutOff, others] = [true, false].map(isCutOff => fleet.entryHosts.filter(host => (host.availabilityZone === 'ee-south-a') === isCutOff));
+		await Promise.all(others!.map(async host => waitUntil('the majority serves non-idempotent work', async () => isServing(host, false), settleMs)));
+		const seen = await callInTurn(cutOff!, 8, {runMs: 20, deadlineMs: 1000});
+		expect(seen.filter(({isOwn, isRefusedTruly}) => !isOwn && !isRefusedTruly)).toEqual([]);
 		await fleet.healAll();
 		await waitUntil('the slots are kept to again', async () => {
 			const from = Date.now();
--- a/packages/core/src/requests/refusals.ts
+++ b/packages/core/src/requests/refusals.ts
@@ -9,7 +9,13 @@
 
 /** Ends a request with a refusal, or with an unknown outcome if an earlier attempt may have run. */
 export function refuseRequest(state: State, open: OpenRequest, kind: FaultKind, detail: string): Effect[] {
-	return endRequest(state, open, open.possibleRun ?? {kind, detail}, drawComeBackAt(state, 0));
+	return endRequest(state, open, getFinalFault(open, {kind, detail}), drawComeBackAt(state, 0));
+}
+
+/** The fault to answer with: what may have run is told as such, with the reason why it is not tried again. */
+export function getFinalFault(open: OpenRequest, refusal: Fault): Fault {
+	const {possibleRun} = open;
+	return possibleRun ? {kind: possibleRun.kind, detail: `${possibleRun.detail}; not tried again: ${refusal.kind}`} : refusal;
 }
 
 /** Ends a request with a fault. If it was not run, its claim is taken back, so that a repeat may run. */
--- a/packages/core/src/requests/slot-asks.ts
+++ b/packages/core/src/requests/slot-asks.ts
@@ -10,7 +10,7 @@
 import type {State} from '../types/state.js';
 import {addMilliseconds} from '../types/time.js';
 import {dispatchAttempt} from './attempts.js';
-import {endRequest, refuseRequest} from './refusals.js';
+import {endRequest, getFinalFault, refuseRequest} from './refusals.js';
 import {getRoutingPolicy} from './routing-policies.js';
 import type {HeldGrant, OpenRequest} from './state.js';
 
@@ -71,7 +71,7 @@
 	const zone = listZonesByWait(state, open)[0];
 	return zone
 		? askZone(state, open, zone)
-		: endRequest(state, open, open.possibleRun ?? {kind: message.kind, detail: `the queue of ${open.request.service} refused it`}, message.comeBackAt);
+		: endRequest(state, open, getFinalFault(open, {kind: message.kind, detail: `the queue of ${open.request.service} refused it`}), message.comeBackAt);
 }
 
 /** Takes back all asks of a request. */
