Claims are remembered beyond the deadline of their request; expiry looks at a part each tick

A request whose deadline is hours ahead could be forgotten while it still ran. Test: fails with the expiry counted from the claim alone (trial), passes now.

--- a/packages/core/src/claims/at-most-once.test.ts
+++ b/packages/core/src/claims/at-most-once.test.ts
@@ -15,6 +15,7 @@
 import type {Instant, Offset} from '../types/time.js';
 
 const stepMs = 10;
+const hourMs = 3_600_000;
 const zones = ['a', 'b', 'c'];
 const service = 'replans' as ServiceId;
 const targets = zones.map(zone => listedHostSchema.parse({
@@ -162,7 +163,7 @@
 		host.inbox = [];
 	}
 
-	send(host: FakeHost, requestId: RequestId): CallerKey {
+	send(host: FakeHost, requestId: RequestId, deadlineMs = 3000): CallerKey {
 		this.callCount += 1;
 		const callerKey = `call-${this.callCount}` as CallerKey;
 		this.deliver(host, 0, {
@@ -176,7 +177,7 @@
 				workClass: 'heavy',
 				isIdempotent: false,
 				arrivedAt: this.now as Instant,
-				deadline: (this.now + 3000) as Instant,
+				deadline: (this.now + deadlineMs) as Instant,
 			},
 		});
 		return callerKey;
@@ -402,6 +403,19 @@
 		expect(fleet.runs.get(requestId) ?? 0).toEqual(1);
 	});
 
+	it('a claim is remembered beyond the deadline of its request', () => {
+		const fleet = startFleet(4, 1);
+		const requestId = createRequestId(fleet, 0);
+		fleet.send(fleet.hosts[0]!, requestId, 3 * hourMs);
+		fleet.advance(1000);
+		fleet.now += 4 * hourMs;
+		fleet.advance(4000);
+		const callerKey = fleet.send(fleet.hosts[1]!, requestId);
+		fleet.advance(1000);
+		expect(fleet.answers.filter(answer => answer.callerKey === callerKey).map(({fault}) => fault.kind)).toEqual(['request-in-progress']);
+		expect(fleet.runs.get(requestId)).toEqual(1);
+	});
+
 	it('after most members were lost together, old ids are answered as forgotten and new time-ordered ones run', () => {
 		const fleet = startFleet(4, 1);
 		const old = createRequestId(fleet, 1);
--- a/packages/core/src/claims/claims.ts
+++ b/packages/core/src/claims/claims.ts
@@ -15,9 +15,9 @@
 	countMajority, isHeard, isMember, listVoters,
 } from './members.js';
 import type {ClaimAnswer} from './messages.js';
-import {claimMemoryMs, type OpenClaim} from './state.js';
+import type {OpenClaim} from './state.js';
 import {judgeTally, tallyVotes} from './tally.js';
-import {judgeClaim, releaseNote} from './votes.js';
+import {getClaimExpiry, judgeClaim, releaseNote} from './votes.js';
 
 const askTimeoutMs = 1000;
 const askAgainMs = 100;
@@ -93,7 +93,6 @@
 		}
 	}
 
-	expireHeld(state);
 	return effects;
 }
 
@@ -155,7 +154,7 @@
 	const {request, claimId} = claim;
 	state.claims.open.delete(request.requestId);
 	state.claims.held.set(request.requestId, {
-		claimId, callerKey: request.callerKey, expiresAt: addMilliseconds(state.now, claimMemoryMs),
+		claimId, callerKey: request.callerKey, expiresAt: getClaimExpiry(state, request.deadline),
 	});
 	return admitClaimedRequest(state, request);
 }
@@ -168,18 +167,24 @@
 }
 
 function askVoters(state: State, claim: OpenClaim, voters: readonly HostId[]): Effect[] {
-	const {claimId, request: {requestId}} = claim;
+	const {claimId, request: {requestId, deadline}} = claim;
 	const self = state.settings.self.hostId;
 	const effects: Effect[] = [];
 	for (const hostId of voters) {
 		claim.asked.add(hostId);
 		if (hostId === self) {
-			const vote = judgeClaim(state, {requestId, claimId, owner: self});
+			const vote = judgeClaim(state, {
+				requestId, claimId, deadline, owner: self,
+			});
 			if (vote) {
 				claim.votes.set(self, vote);
 			}
 		} else {
-			effects.push({type: 'peer/send', peer: hostId, message: {type: 'claim-ask', requestId, claimId}});
+			effects.push({
+				type: 'peer/send', peer: hostId, message: {
+					type: 'claim-ask', requestId, claimId, deadline,
+				},
+			});
 		}
 	}
 
@@ -211,16 +216,6 @@
 	return listVoters(state, requestId).filter(hostId => hostId === self.hostId ? isVoter : isHeard(state, hostId));
 }
 
-function expireHeld(state: State): void {
-	for (const [requestId, held] of state.claims.held) {
-		if (held.expiresAt > state.now) {
-			break;
-		}
-
-		state.claims.held.delete(requestId);
-	}
-}
-
 function refuseUnclaimed(state: State, request: CallerRequest, kind: FaultKind, detail: string): Effect[] {
 	const open = state.requests.open.get(request.callerKey);
 	return open ? refuseRequest(state, open, kind, detail) : [];
--- a/packages/core/src/claims/handlers.ts
+++ b/packages/core/src/claims/handlers.ts
@@ -2,20 +2,24 @@
 import type {Effect} from '../types/effects.js';
 import type {ClaimId, HostId, RequestId} from '../types/ids.js';
 import type {State} from '../types/state.js';
+import type {Instant} from '../types/time.js';
 import {acceptClaimsPage, answerClaimsFetch, tickCatchUp} from './catch-up.js';
 import {acceptVote, tickClaims} from './claims.js';
 import type {
 	ClaimAnswer, ClaimsFetch, ClaimsPage,
 } from './messages.js';
-import {expireNotes, judgeClaim, releaseNote} from './votes.js';
+import {expireClaims, judgeClaim, releaseNote} from './votes.js';
 
 type Sender = {readonly hostId: HostId};
 type NamedClaim = {readonly requestId: RequestId; readonly claimId: ClaimId};
+type ClaimAsk = NamedClaim & {readonly deadline: Instant};
 
 /** Handlers of claim messages by message type. */
 export const claimMessageHandlers = {
-	'claim-ask'(state: State, {hostId}: Sender, {requestId, claimId}: NamedClaim): Effect[] {
-		const answer = judgeClaim(state, {requestId, claimId, owner: hostId});
+	'claim-ask'(state: State, {hostId}: Sender, {requestId, claimId, deadline}: ClaimAsk): Effect[] {
+		const answer = judgeClaim(state, {
+			requestId, claimId, deadline, owner: hostId,
+		});
 		return answer ? [{type: 'peer/send', peer: hostId, message: answer}] : [];
 	},
 	'claim-answer'(state: State, {hostId}: Sender, answer: ClaimAnswer): Effect[] {
@@ -39,6 +43,6 @@
 
 /** Does what is due about claims. */
 export function tickClaimsDomain(state: State): Effect[] {
-	expireNotes(state);
+	expireClaims(state);
 	return [...tickCatchUp(state), ...tickClaims(state)];
 }
--- a/packages/core/src/claims/messages.ts
+++ b/packages/core/src/claims/messages.ts
@@ -5,11 +5,12 @@
 } from '../types/ids.js';
 import {instantSchema, offsetSchema} from '../types/time.js';
 
-/** Asks a member to vote for a claim. */
+/** Asks a member to vote for a claim. `deadline`: the request's own; the claim is remembered beyond it. */
 export const claimAskSchema = z.object({
 	type: z.literal('claim-ask'),
 	requestId: requestIdSchema,
 	claimId: claimIdSchema,
+	deadline: instantSchema,
 });
 
 /**
--- a/packages/core/src/claims/state.ts
+++ b/packages/core/src/claims/state.ts
@@ -6,7 +6,7 @@
 import type {Instant, Offset} from '../types/time.js';
 import type {ClaimAnswer, ClaimNoteMessage} from './messages.js';
 
-/** How long a claim is remembered after it was made: a repeat within this time never runs. */
+/** How long a claim is remembered after it was made, or after its request's deadline: a repeat within this time never runs. */
 export const claimMemoryMs = 75 * 60 * 1000;
 
 /** A claim that this host has voted for or has learnt from another member. */
@@ -71,6 +71,9 @@
 	readonly releases: Map<ClaimId, ClaimRelease>;
 	readonly sources: Map<HostId, ClaimSource>;
 	readonly exports: Map<HostId, ClaimExport>;
+	/** Where the search for expired entries goes on. */
+	noteSweep: MapIterator<[RequestId, ClaimNote[]]> | undefined;
+	heldSweep: MapIterator<[RequestId, HeldClaim]> | undefined;
 	/** This member votes: it knows what the members before it knew. */
 	isVoting: boolean;
 	hasAskedToJoin: boolean;
@@ -89,6 +92,8 @@
 		releases: new Map(),
 		sources: new Map(),
 		exports: new Map(),
+		noteSweep: undefined,
+		heldSweep: undefined,
 		isVoting: false,
 		hasAskedToJoin: false,
 		doubtBefore: 0 as Instant,
--- a/packages/core/src/claims/votes.ts
+++ b/packages/core/src/claims/votes.ts
@@ -1,5 +1,4 @@
 /** A member's side: it votes for the first claim on a request id and for no other. */
-import type {Effect} from '../types/effects.js';
 import type {ClaimId, HostId, RequestId} from '../types/ids.js';
 import type {State} from '../types/state.js';
 import {addMilliseconds, type Instant} from '../types/time.js';
@@ -12,10 +11,15 @@
 const maxNotes = 1_000_000;
 /** By how much the clocks of callers and hosts may differ. */
 export const clockMarginMs = 5000;
-const maxExpiredPerTick = 2000;
+/** Deadlines further ahead count as this far. */
+const longestDeadlineMs = 48 * 60 * 60 * 1000;
+const sweptPerTick = 2000;
 
 /** A claim as its owner names it. */
-export type AskedClaim = {readonly requestId: RequestId; readonly claimId: ClaimId; readonly owner: HostId};
+export type NamedClaim = {readonly requestId: RequestId; readonly claimId: ClaimId; readonly owner: HostId};
+
+/** A claim to vote on, with the deadline of its request. */
+export type AskedClaim = NamedClaim & {readonly deadline: Instant};
 
 /** Votes on a claim; undefined where this host cannot vote (now). */
 export function judgeClaim(state: State, claim: AskedClaim): ClaimAnswer | undefined {
@@ -47,12 +51,18 @@
 		return undefined;
 	}
 
-	noteClaim(state, claim, addMilliseconds(state.now, claimMemoryMs));
+	noteClaim(state, claim, getClaimExpiry(state, claim.deadline));
 	return createAnswer(state, claim, 'granted');
 }
 
+/** When a claim may be forgotten: an hour and a quarter after it was made, or after its request's deadline if that is later. */
+export function getClaimExpiry(state: State, deadline: Instant): Instant {
+	const latest = addMilliseconds(state.now, longestDeadlineMs);
+	return addMilliseconds(Math.min(Math.max(state.now, deadline), latest) as Instant, claimMemoryMs);
+}
+
 /** Remembers a claim, unless it is known. */
-export function noteClaim(state: State, {requestId, claimId, owner}: AskedClaim, expiresAt: Instant): void {
+export function noteClaim(state: State, {requestId, claimId, owner}: NamedClaim, expiresAt: Instant): void {
 	const notes = state.claims.notes.get(requestId);
 	const note: ClaimNote = {
 		claimId, owner, expiresAt, isReleased: false,
@@ -65,7 +75,7 @@
 }
 
 /** Forgets a claim that its owner took back; a late ask for it does not revive it. */
-export function releaseNote(state: State, claim: AskedClaim): void {
+export function releaseNote(state: State, claim: NamedClaim): void {
 	noteClaim(state, claim, addMilliseconds(state.now, claimMemoryMs));
 	const note = state.claims.notes.get(claim.requestId)?.find(known => known.claimId === claim.claimId);
 	if (note?.owner === claim.owner) {
@@ -73,19 +83,33 @@
 	}
 }
 
-/** Drops what need not be remembered any longer. */
-export function expireNotes(state: State): Effect[] {
-	let count = 0;
-	for (const [requestId, notes] of state.claims.notes) {
-		if (count >= maxExpiredPerTick || notes.some(note => note.expiresAt > state.now)) {
-			break;
+/** Drops what need not be remembered any longer; looks at a part of the notes and held claims each time. */
+export function expireClaims(state: State): void {
+	const {claims, now} = state;
+	claims.noteSweep = takeSweep(claims.noteSweep ?? claims.notes.entries(), ([requestId, notes]) => {
+		if (notes.every(note => note.expiresAt <= now)) {
+			claims.notes.delete(requestId);
+		}
+	});
+	claims.heldSweep = takeSweep(claims.heldSweep ?? claims.held.entries(), ([requestId, held]) => {
+		if (held.expiresAt <= now) {
+			claims.held.delete(requestId);
+		}
+	});
+}
+
+/** Visits the next entries; undefined when all were visited. */
+function takeSweep<Entry>(iterator: MapIterator<Entry>, visit: (entry: Entry) => void): MapIterator<Entry> | undefined {
+	for (let count = 0; count < sweptPerTick; count++) {
+		const next = iterator.next();
+		if (next.done) {
+			return undefined;
 		}
 
-		state.claims.notes.delete(requestId);
-		count += 1;
+		visit(next.value);
 	}
 
-	return [];
+	return iterator;
 }
 
 function canVote(state: State): boolean {
@@ -93,7 +117,7 @@
 		&& isMember(state, {hostId: state.settings.self.hostId, incarnation: state.settings.incarnation});
 }
 
-function createAnswer(state: State, {requestId, claimId}: AskedClaim, verdict: ClaimAnswer['verdict']): ClaimAnswer {
+function createAnswer(state: State, {requestId, claimId}: NamedClaim, verdict: ClaimAnswer['verdict']): ClaimAnswer {
 	return {
 		type: 'claim-answer',
 		requestId,
