Demo: a maintenance wave drains and reboots a pool while work runs on it

Two faults of the demo found by its run: it published through the entry host that it had just replaced ('fetch failed'), and after a step that was not seen it went on sending requests and never ended (killed after 100 s). It now publishes through a host that is callable, and a stop ends the requests ('a stop amid the requests ends them').

--- a/packages/bench/src/demo/demo-fleet.ts
+++ b/packages/bench/src/demo/demo-fleet.ts
@@ -81,3 +81,15 @@
 	version: 2,
 	body: {pool: guardedPool, budget: {minimumHealthyHosts: minimumAfterChange, maximumHostsOut: 2, maximumHostsOutPerZone: 1}},
 };
+
+/** A wave that reboots every host of the guarded pool, to be over by an instant. */
+export function createWaveRecord(finishBy: number): PublishableRecord {
+	return {
+		recordId: 'demo-wave',
+		schema: 'wave',
+		version: 1,
+		body: {
+			waveId: 'demo-wave', pool: guardedPool, finishBy, drainLimitMs: 5000, weights: {rollOutTime: 1, bufferCost: 1},
+		},
+	};
+}
--- a/packages/bench/src/demo/demo.test.ts
+++ b/packages/bench/src/demo/demo.test.ts
@@ -1,8 +1,10 @@
 /** The demo as a process: it sees all that it tells, and Ctrl-C ends it and all that it started. */
 import {after, describe, it} from 'node:test';
 import {fileURLToPath} from 'node:url';
-import {ProcessGroup} from '@rhubarblever/stand-ins';
+import {ProcessGroup, sleep, waitUntil} from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
+import {firstRecords} from './demo-fleet.js';
+import {Demo} from './demo.js';
 
 const script = fileURLToPath(new URL('main.js', import.meta.url));
 const startTimeoutMs = 60_000;
@@ -22,6 +24,17 @@
 		expect(end.code).toEqual(0);
 	});
 
+	it('a stop amid the requests ends them', async () => {
+		const demo = await Demo.create();
+		await demo.publish(firstRecords);
+		demo.startRequests();
+		await waitUntil('a request has ended', async () => demo.outcomes.length > 0, startTimeoutMs);
+		await demo.stop();
+		const ended = demo.outcomes.length;
+		await sleep(300);
+		expect(demo.outcomes.length).toEqual(ended);
+	});
+
 	it('ends cleanly by Ctrl-C', async () => {
 		const demo = processes.start('demo', script, []);
 		await demo.waitForOutput('entry hosts are ready', startTimeoutMs);
--- a/packages/bench/src/demo/demo.ts
+++ b/packages/bench/src/demo/demo.ts
@@ -1,7 +1,7 @@
 /** The state of a running demo: its fleet, the requests that flow, and the screen. */
 import process from 'node:process';
 import {
-	LocalFleet, planLoad, runLoad, type LoadOutcome, type LocalEntryHost,
+	LocalFleet, planLoad, runLoad, type LoadOutcome, type LocalEntryHost, type PublishableRecord,
 } from '@rhubarblever/stand-ins';
 import {demoClasses, demoShape, services} from './demo-fleet.js';
 
@@ -46,6 +46,18 @@
 		});
 	}
 
+	/** Publishes records through the first entry host that is callable. */
+	async publish(records: readonly PublishableRecord[]): Promise<void> {
+		await this.fleet.publish(records, this.callable[0]);
+	}
+
+	/** Ends all processes; requests that are out fail. */
+	async stop(): Promise<void> {
+		this.loadEnd.abort();
+		await this.fleet.stop();
+		await this.load;
+	}
+
 	/** Sends no more requests and waits for the last answers. */
 	async finishRequests(): Promise<void> {
 		this.loadEnd.abort();
--- a/packages/bench/src/demo/main.ts
+++ b/packages/bench/src/demo/main.ts
@@ -2,13 +2,15 @@
 /** The demo (`npm run demo`): a small fleet on loopback, told on the screen. Exit code 0 only if all that it told was seen. */
 import process from 'node:process';
 import {Demo} from './demo.js';
+import type {Step} from './step.js';
 import {
-	changeStep, endStep, publishStep, replaceStep, requestsStep, type Step,
+	changeStep, endStep, publishStep, replaceStep, requestsStep,
 } from './steps.js';
+import {waveStep} from './wave-step.js';
 
 const interruptedCode = 130;
 
-const steps: readonly Step[] = [publishStep, requestsStep, changeStep, replaceStep, endStep];
+const steps: readonly Step[] = [publishStep, requestsStep, changeStep, replaceStep, waveStep, endStep];
 
 /** Runs the steps in turn; false at the first that was not seen. */
 async function runSteps(demo: Demo): Promise<boolean> {
@@ -31,7 +33,7 @@
 	const demo = await Demo.create();
 	demo.tell('All six entry hosts are ready.');
 	const isSeen = await runSteps(demo);
-	await demo.fleet.stop();
+	await demo.stop();
 	demo.tell(isSeen ? 'Done: all of it was seen.' : 'Ended early: not all of it was seen.');
 	process.exitCode = isSeen ? 0 : 1;
 }
--- /dev/null
+++ b/packages/bench/src/demo/step.ts
@@ -0,0 +1,15 @@
+/** The shape of a step of the demo. */
+import type {Demo} from './demo.js';
+
+export type Step = {
+	readonly title: string;
+	/** Returns what was seen, in a sentence. */
+	readonly run: (demo: Demo) => Promise<string>;
+};
+
+/** Throws with what was not true. */
+export function requireTruth(isTrue: boolean, what: string): void {
+	if (!isTrue) {
+		throw new Error(what);
+	}
+}
--- a/packages/bench/src/demo/steps.ts
+++ b/packages/bench/src/demo/steps.ts
@@ -6,12 +6,7 @@
 	changeRecord, firstRecords, guardedPool, minimumAfterChange, services,
 } from './demo-fleet.js';
 import type {Demo} from './demo.js';
-
-export type Step = {
-	readonly title: string;
-	/** Returns what was seen, in a sentence. */
-	readonly run: (demo: Demo) => Promise<string>;
-};
+import {requireTruth, type Step} from './step.js';
 
 type FleetAnswer = {
 	readonly pools: ReadonlyArray<{readonly body: {readonly pool: string; readonly budget: {readonly minimumHealthyHosts: number}}}>;
@@ -38,16 +33,10 @@
 	return demo.outcomes.slice(first);
 }
 
-function requireTruth(isTrue: boolean, what: string): void {
-	if (!isTrue) {
-		throw new Error(what);
-	}
-}
-
 export const publishStep: Step = {
 	title: 'An operator publishes pools, services and hosts through one entry host; pools come in two schema versions',
 	async run(demo) {
-		await demo.fleet.publish(firstRecords);
+		await demo.publish(firstRecords);
 		const tookMs = await waitForAll(demo, 'all services in force', fleet =>
 			services.every(service => fleet.services.some(inForce => inForce.body.service === service)) && fleet.pools.length === 2);
 		return `in force on all ${demo.listCallable().length} entry hosts ${tookMs} ms after the answer`;
@@ -69,7 +58,7 @@
 export const changeStep: Step = {
 	title: `An operator raises the healthy hosts that pool ${guardedPool} must keep to ${minimumAfterChange}`,
 	async run(demo) {
-		await demo.fleet.publish([changeRecord]);
+		await demo.publish([changeRecord]);
 		const tookMs = await waitForAll(demo, 'the change in force', fleet =>
 			fleet.pools.some(({body}) => body.pool === guardedPool && body.budget.minimumHealthyHosts === minimumAfterChange));
 		return `in force on all ${demo.listCallable().length} entry hosts ${tookMs} ms after the answer`;
