Jobs in the fold: acceptance, attempts under leases, allowed runs, cancels, parking, quotas

Cause: a job had no place in the records. Ruled out: counting runs at the worker (a worker that was replaced would forget).

--- a/packages/core/src/fleet/apply-record.ts
+++ b/packages/core/src/fleet/apply-record.ts
@@ -1,4 +1,5 @@
 /** The fold: judges one record at its place in the log and applies it, alike on every host. */
+import {jobAppliers} from '../jobs/appliers.js';
 import {plannerAppliers} from '../planner/lease.js';
 import {poolAppliers} from '../pools/appliers.js';
 import {waveAppliers} from '../waves/appliers.js';
@@ -69,6 +70,7 @@
 	...poolAppliers,
 	...waveAppliers,
 	...plannerAppliers,
+	...jobAppliers,
 };
 
 function applyBody(fleet: FleetState, logged: LoggedRecord, decoded: DecodedBody): RecordOutcome {
--- a/packages/core/src/fleet/decoders.ts
+++ b/packages/core/src/fleet/decoders.ts
@@ -2,6 +2,9 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {z} from 'zod';
 import {objectiveBodyV1, type ObjectiveBody} from '../burn/bodies.js';
+import {
+	jobAttemptBodyV1, jobAttemptEndBodyV1, jobBodyV1, jobCancelBodyV1, jobLeasesBodyV1, jobParkBodyV1, quotaBodyV1, workerSetAsideBodyV1, type JobDomainBodies,
+} from '../jobs/bodies.js';
 import {createFault, type Fault} from '../types/faults.js';
 import {plannerLeaseBodyV1, type PlannerDomainBodies} from '../planner/bodies.js';
 import {
@@ -14,7 +17,7 @@
 	poolBodyV1, poolBodyV2, poolBodyV3, serviceBodyV1, type PoolBody, type ServiceBody,
 } from './bodies.js';
 
-type MaintenanceBodies = PoolDomainBodies & WaveDomainBodies & PlannerDomainBodies;
+type MaintenanceBodies = PoolDomainBodies & WaveDomainBodies & PlannerDomainBodies & JobDomainBodies;
 type MaintenanceBody = {[Name in keyof MaintenanceBodies]: {readonly schema: Name; readonly body: MaintenanceBodies[Name]}}[keyof MaintenanceBodies];
 
 /** A decoded body, tagged by its schema name. */
@@ -73,6 +76,14 @@
 	'host-rebooted/1': createPlainDecoder('host-rebooted', chainStepBodyV1),
 	'outage-end/1': createPlainDecoder('outage-end', outageEndBodyV1),
 	'planner-lease/1': createPlainDecoder('planner-lease', plannerLeaseBodyV1),
+	'job/1': createPlainDecoder('job', jobBodyV1),
+	'job-cancel/1': createPlainDecoder('job-cancel', jobCancelBodyV1),
+	'job-attempt/1': createPlainDecoder('job-attempt', jobAttemptBodyV1),
+	'job-leases/1': createPlainDecoder('job-leases', jobLeasesBodyV1),
+	'job-attempt-end/1': createPlainDecoder('job-attempt-end', jobAttemptEndBodyV1),
+	'job-park/1': createPlainDecoder('job-park', jobParkBodyV1),
+	'quota/1': createPlainDecoder('quota', quotaBodyV1),
+	'worker-set-aside/1': createPlainDecoder('worker-set-aside', workerSetAsideBodyV1),
 	'service/1': createDecoder(serviceBodyV1, body => ({schema: 'service', body})),
 };
 
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -8,6 +8,7 @@
 import type {LoggedRecord} from '../types/records.js';
 import type {ObjectiveBody} from '../burn/bodies.js';
 import type {Instant, Offset} from '../types/time.js';
+import {createJobsState, type JobsState} from '../jobs/state.js';
 import type {PoolBody, ServiceBody} from './bodies.js';
 import {emptyDigest, type OffsetDigest} from './digest.js';
 
@@ -34,6 +35,7 @@
 	readonly objectives: Map<ServiceId, InForce<ObjectiveBody>>;
 	readonly hosts: Map<HostId, FleetHost>;
 	readonly waves: Map<WaveId, Wave>;
+	readonly jobs: JobsState;
 	/** The planner's lease of the highest term. */
 	plannerLease: PlannerLeaseBody | undefined;
 	/** The latest records whose schema version is unknown here, kept as they came; bounded. */
@@ -53,6 +55,7 @@
 		objectives: new Map(),
 		hosts: new Map(),
 		waves: new Map(),
+		jobs: createJobsState(),
 		plannerLease: undefined,
 		setAside: [],
 	};
--- /dev/null
+++ b/packages/core/src/jobs/appliers.ts
@@ -0,0 +1,185 @@
+/** The fold of jobs: each record is judged at its place in the log, then changes the jobs alike on every host. */
+import type {RecordOutcome} from '../fleet/apply-record.js';
+import type {FleetState} from '../fleet/state.js';
+import {judgeTerm} from '../planner/lease.js';
+import type {LoggedRecord} from '../types/records.js';
+import type {Instant} from '../types/time.js';
+import type {
+	AttemptEnd, JobAttemptEndBody, JobDomainBodies, JobLeasesBody,
+} from './bodies.js';
+import {
+	hasRunLeft, judgeAttempt, judgeAttemptEnd, judgeLease, judgeNewJob, judgePark, type Judgement,
+} from './judge.js';
+import {
+	findWorkerResults, isEnded, type Job, type JobStep,
+} from './state.js';
+
+/** Ended jobs are remembered so long, by the clock of the log; after that an id may be used again. */
+export const endedJobKeptMs = 24 * 3_600_000;
+
+type JobApplier<Name extends keyof JobDomainBodies> = (fleet: FleetState, logged: LoggedRecord, body: JobDomainBodies[Name]) => RecordOutcome;
+
+export const jobAppliers: {readonly [Name in keyof JobDomainBodies]: JobApplier<Name>} = {
+	job: (fleet, logged, body) => acceptUnless(judgeNewJob(fleet, body), () => {
+		expireEndedJobs(fleet, logged.at);
+		fleet.jobs.jobs.set(body.jobId, createJob(logged, body));
+	}),
+	'job-cancel'(fleet, logged, body) {
+		const job = fleet.jobs.jobs.get(body.jobId);
+		return acceptUnless(job ? undefined : `job ${body.jobId} is unknown`, () => {
+			cancelJob(job, logged.at);
+		});
+	},
+	'job-attempt': (fleet, logged, body) => acceptUnless(judgeAttempt(fleet, logged, body), () => {
+		const job = fleet.jobs.jobs.get(body.jobId);
+		if (job) {
+			job.step = 'running';
+			job.attempts = body.attempt;
+			job.runs += job.hasCheckpoint ? 0 : 1;
+			job.hasCheckpoint = false;
+			job.current = {
+				attempt: body.attempt, worker: body.worker, startedAt: logged.at, leaseUntil: body.leaseUntil,
+			};
+		}
+	}),
+	'job-leases': (fleet, logged, body) => acceptUnless(judgeTerm(fleet, body.term) ?? judgeLease(logged, body.leaseUntil), () => {
+		renewLeases(fleet, logged, body);
+	}),
+	'job-attempt-end': (fleet, logged, body) => acceptUnless(judgeAttemptEnd(fleet, logged, body), () => {
+		endAttempt(fleet, logged.at, body);
+	}),
+	'job-park': (fleet, _logged, body) => acceptUnless(judgePark(fleet, body), () => {
+		const job = fleet.jobs.jobs.get(body.jobId);
+		if (job) {
+			job.step = body.reason === undefined ? 'waiting' : 'parked';
+			job.parkedReason = body.reason;
+		}
+	}),
+	quota: (fleet, _logged, body) => acceptUnless(undefined, () => {
+		fleet.jobs.quotas.set(body.team, body);
+	}),
+	'worker-set-aside': (fleet, _logged, body) => acceptUnless(judgeTerm(fleet, body.term), () => {
+		const results = findWorkerResults(fleet.jobs, body.worker);
+		results.setAsideUntil = body.until;
+		results.failedJobs = [];
+	}),
+};
+
+function acceptUnless(reason: Judgement, apply: () => void): RecordOutcome {
+	if (reason !== undefined) {
+		return {verdict: 'void', reason};
+	}
+
+	apply();
+	return {verdict: 'accepted'};
+}
+
+function createJob(logged: LoggedRecord, body: JobDomainBodies['job']): Job {
+	return {
+		offset: logged.offset,
+		acceptedAt: logged.at,
+		body,
+		step: 'waiting',
+		attempts: 0,
+		runs: 0,
+		hasCheckpoint: false,
+		current: undefined,
+		isCancelRequested: false,
+		parkedReason: undefined,
+		failedOn: [],
+		endedAt: undefined,
+	};
+}
+
+function cancelJob(job: Job | undefined, at: Instant): void {
+	if (!job || isEnded(job)) {
+		return;
+	}
+
+	job.isCancelRequested = true;
+	if (job.step !== 'running') {
+		endJob(job, 'cancelled', at);
+	}
+}
+
+/** Renews only what still holds its lease: a lapsed attempt may already have been given up. */
+function renewLeases(fleet: FleetState, logged: LoggedRecord, body: JobLeasesBody): void {
+	for (const {jobId, attempt} of body.attempts) {
+		const current = fleet.jobs.jobs.get(jobId)?.current;
+		if (current?.attempt === attempt && current.leaseUntil >= logged.at) {
+			current.leaseUntil = Math.max(current.leaseUntil, body.leaseUntil) as Instant;
+		}
+	}
+}
+
+type EndHandler = (job: Job) => void;
+
+/** What each end changes before the job's next step is chosen. */
+const endHandlers: Readonly<Partial<Record<AttemptEnd, EndHandler>>> = {
+	checkpointed(job) {
+		job.hasCheckpoint = job.body.isResumable;
+	},
+	unstarted(job) {
+		job.runs -= 1;
+	},
+};
+
+function endAttempt(fleet: FleetState, at: Instant, body: JobAttemptEndBody): void {
+	const job = fleet.jobs.jobs.get(body.jobId);
+	if (!job?.current) {
+		return;
+	}
+
+	noteWorkerResult(fleet, job, body.end, at);
+	endHandlers[body.end]?.(job);
+	job.current = undefined;
+	const step = chooseNextStep(job, body.end);
+	if (step === 'waiting') {
+		job.step = step;
+	} else {
+		endJob(job, step, at);
+	}
+}
+
+function chooseNextStep(job: Job, end: AttemptEnd): JobStep {
+	if (end === 'succeeded') {
+		return 'succeeded';
+	}
+
+	if (job.isCancelRequested) {
+		return 'cancelled';
+	}
+
+	return hasRunLeft(job) ? 'waiting' : 'failed';
+}
+
+function endJob(job: Job, step: JobStep, at: Instant): void {
+	job.step = step;
+	job.endedAt = at;
+	job.parkedReason = undefined;
+}
+
+function noteWorkerResult(fleet: FleetState, job: Job, end: AttemptEnd, at: Instant): void {
+	if (!job.current) {
+		return;
+	}
+
+	const results = findWorkerResults(fleet.jobs, job.current.worker);
+	if (end === 'succeeded') {
+		results.failedJobs = [];
+		results.lastSuccessAt = at;
+	} else if (end === 'failed') {
+		job.failedOn.push(job.current.worker);
+		if (!results.failedJobs.includes(job.body.jobId)) {
+			results.failedJobs.push(job.body.jobId);
+		}
+	}
+}
+
+function expireEndedJobs(fleet: FleetState, now: Instant): void {
+	for (const [jobId, job] of fleet.jobs.jobs) {
+		if (job.endedAt !== undefined && job.endedAt + endedJobKeptMs < now) {
+			fleet.jobs.jobs.delete(jobId);
+		}
+	}
+}
--- /dev/null
+++ b/packages/core/src/jobs/placement.ts
@@ -0,0 +1,169 @@
+/** Chooses workers for waiting jobs: urgent first, then fair between teams, each on the worker that it fits most tightly. */
+import type {FleetState} from '../fleet/state.js';
+import type {HostId, TeamId} from '../types/ids.js';
+import type {Instant} from '../types/time.js';
+import {jobClasses} from './bodies.js';
+import {hasRunLeft, sumHeld} from './judge.js';
+import type {Job} from './state.js';
+
+/** What a worker declares, and what its tasks were last reported to use. */
+export type WorkerCapacity = {
+	readonly worker: HostId;
+	readonly cores: number;
+	readonly memoryBytes: number;
+	readonly accelerators: number;
+	/** Reported by the platform, with a lag. */
+	readonly usedCores: number;
+	readonly usedMemoryBytes: number;
+};
+
+export type Placement = {readonly job: Job; readonly worker: HostId};
+
+/** A waiting job that has no place yet; it becomes parked if no worker of its pool could ever hold it. */
+export type PlacementPlan = {
+	readonly placements: readonly Placement[];
+	readonly unplaceable: ReadonlyArray<{readonly job: Job; readonly reason: string}>;
+	/** Urgent jobs for which there is no room now. */
+	readonly crowdedOut: readonly Job[];
+};
+
+/** Share of a pool's cores that only urgent jobs may take. */
+const urgentReserve = 0.1;
+
+type Room = {
+	readonly worker: HostId;
+	readonly capacity: WorkerCapacity;
+	cores: number;
+	memoryBytes: number;
+	accelerators: number;
+};
+
+/** Plans the next attempts of all waiting jobs. */
+export function planPlacements(fleet: FleetState, capacities: readonly WorkerCapacity[], now: Instant): PlacementPlan {
+	const rooms = buildRooms(fleet, capacities, now);
+	const held = new Map<TeamId, {cores: number; accelerators: number}>();
+	const placements: Placement[] = [];
+	const unplaceable: Array<{job: Job; reason: string}> = [];
+	const crowdedOut: Job[] = [];
+	for (const job of sortWaiting(fleet)) {
+		const reason = describeMisfit(fleet, capacities, job);
+		if (reason !== undefined) {
+			unplaceable.push({job, reason});
+			continue;
+		}
+
+		const teamHeld = held.get(job.body.team) ?? sumHeld(fleet, job.body.team);
+		held.set(job.body.team, teamHeld);
+		if (!hasQuota(fleet, job, teamHeld)) {
+			continue;
+		}
+
+		const room = chooseRoom(fleet, rooms, job);
+		if (room) {
+			takeRoom(room, job);
+			teamHeld.cores += job.body.cores;
+			teamHeld.accelerators += job.body.accelerators;
+			placements.push({job, worker: room.worker});
+		} else if (job.body.jobClass === 'urgent') {
+			crowdedOut.push(job);
+		}
+	}
+
+	return {placements, unplaceable, crowdedOut};
+}
+
+/** Waiting jobs by class; within a class the team that holds least goes first, then the oldest. */
+function sortWaiting(fleet: FleetState): Job[] {
+	const shares = new Map<TeamId, number>();
+	const waiting = [...fleet.jobs.jobs.values()].filter(job => job.step === 'waiting' && hasRunLeft(job));
+	for (const {body} of waiting) {
+		if (!shares.has(body.team)) {
+			shares.set(body.team, sumHeld(fleet, body.team).cores);
+		}
+	}
+
+	return waiting.toSorted((a, b) =>
+		jobClasses.indexOf(a.body.jobClass) - jobClasses.indexOf(b.body.jobClass)
+		|| (shares.get(a.body.team) ?? 0) - (shares.get(b.body.team) ?? 0)
+		|| a.offset - b.offset);
+}
+
+function hasQuota(fleet: FleetState, job: Job, held: {readonly cores: number; readonly accelerators: number}): boolean {
+	const quota = fleet.jobs.quotas.get(job.body.team);
+	return !quota || (held.cores + job.body.cores <= quota.cores && held.accelerators + job.body.accelerators <= quota.accelerators);
+}
+
+/** Why no worker of the pool could ever hold a job, or nothing. A pool without known workers says nothing. */
+function describeMisfit(fleet: FleetState, capacities: readonly WorkerCapacity[], job: Job): string | undefined {
+	const ofPool = capacities.filter(({worker}) => fleet.hosts.get(worker)?.pool === job.body.pool);
+	if (ofPool.length === 0 || ofPool.some(capacity => fits(job, capacity))) {
+		return undefined;
+	}
+
+	return `no worker of pool ${job.body.pool} has ${job.body.cores} cores, ${job.body.memoryBytes} bytes of memory and ${job.body.accelerators} accelerators`;
+}
+
+function fits(job: Job, room: {readonly cores: number; readonly memoryBytes: number; readonly accelerators: number}): boolean {
+	return job.body.cores <= room.cores && job.body.memoryBytes <= room.memoryBytes && job.body.accelerators <= room.accelerators;
+}
+
+function buildRooms(fleet: FleetState, capacities: readonly WorkerCapacity[], now: Instant): Room[] {
+	return capacities.filter(({worker}) => isOpen(fleet, worker, now)).map(capacity => {
+		const declared = sumDeclared(fleet, capacity.worker);
+		return {
+			worker: capacity.worker,
+			capacity,
+			cores: capacity.cores - Math.max(declared.cores, capacity.usedCores),
+			memoryBytes: capacity.memoryBytes - Math.max(declared.memoryBytes, capacity.usedMemoryBytes),
+			accelerators: capacity.accelerators - declared.accelerators,
+		};
+	});
+}
+
+function isOpen(fleet: FleetState, worker: HostId, now: Instant): boolean {
+	const host = fleet.hosts.get(worker);
+	const setAsideUntil = fleet.jobs.workers.get(worker)?.setAsideUntil ?? 0;
+	return host !== undefined && !host.chain && !host.isDown && setAsideUntil <= now;
+}
+
+function sumDeclared(fleet: FleetState, worker: HostId): {cores: number; memoryBytes: number; accelerators: number} {
+	const sum = {cores: 0, memoryBytes: 0, accelerators: 0};
+	for (const job of fleet.jobs.jobs.values()) {
+		if (job.current?.worker === worker) {
+			sum.cores += job.body.cores;
+			sum.memoryBytes += job.body.memoryBytes;
+			sum.accelerators += job.body.accelerators;
+		}
+	}
+
+	return sum;
+}
+
+/** The room that a job fits most tightly; workers on which it failed come last. */
+function chooseRoom(fleet: FleetState, rooms: readonly Room[], job: Job): Room | undefined {
+	const ofPool = rooms.filter(room => fleet.hosts.get(room.worker)?.pool === job.body.pool);
+	const allowance = computeAllowance(ofPool, job);
+	const fitting = ofPool.filter(room => fits(job, room));
+	if (job.body.jobClass !== 'urgent' && job.body.cores > allowance) {
+		return undefined;
+	}
+
+	return fitting.toSorted((a, b) =>
+		Number(job.failedOn.includes(a.worker)) - Number(job.failedOn.includes(b.worker))
+		|| a.accelerators - b.accelerators
+		|| a.cores - b.cores).at(0);
+}
+
+/** Cores that jobs other than urgent ones may still take in a pool; a single worker keeps no reserve. */
+function computeAllowance(rooms: readonly Room[], job: Job): number {
+	const all = rooms.reduce((sum, room) => sum + room.capacity.cores, 0);
+	const free = rooms.reduce((sum, room) => sum + Math.max(0, room.cores), 0);
+	const reserve = rooms.length > 1 ? Math.min(all * urgentReserve, all - job.body.cores) : 0;
+	return free - reserve;
+}
+
+function takeRoom(room: Room, job: Job): void {
+	room.cores -= job.body.cores;
+	room.memoryBytes -= job.body.memoryBytes;
+	room.accelerators -= job.body.accelerators;
+}
