Job runner: placing, starting, renewing, displacing (not yet wired)

Cause: accepted jobs had nobody to run them. Ruled out: a runner per worker host (nothing of ours runs on target hosts).

--- /dev/null
+++ b/packages/core/src/jobs/events.ts
@@ -0,0 +1,21 @@
+/** What the daemon tells of tasks. */
+import type {JobId} from '../types/ids.js';
+import type {Instant} from '../types/time.js';
+import type {ListedTask} from './tasks.js';
+
+export type TasksListedEvent = {
+	readonly type: 'tasks/listed';
+	readonly at: Instant;
+	readonly tasks: readonly ListedTask[];
+};
+
+/** `refused`: the worker surely did not start it by this call. `unknown`: no answer, it may have started. */
+export type TaskStartAnsweredEvent = {
+	readonly type: 'task/start-answered';
+	readonly at: Instant;
+	readonly jobId: JobId;
+	readonly attempt: number;
+	readonly answer: 'started' | 'refused' | 'unknown';
+};
+
+export type JobEvent = TasksListedEvent | TaskStartAnsweredEvent;
--- /dev/null
+++ b/packages/core/src/jobs/handlers.ts
@@ -0,0 +1,129 @@
+/** The job runner: every entry host has it, and it acts only while this one holds the planner's lease. */
+import {estimateLogTime, findOwnTerm} from '../planner/tenure.js';
+import type {Effect} from '../types/effects.js';
+import type {HandlerTable} from '../types/handlers.js';
+import type {HostId} from '../types/ids.js';
+import type {State} from '../types/state.js';
+import {addMilliseconds} from '../types/time.js';
+import {listFailingWorkers} from './blame.js';
+import type {JobEvent} from './events.js';
+import {planPlacements, type PlacementPlan, type WorkerCapacity} from './placement.js';
+import {hasProposal, publishJobRecord} from './proposals.js';
+import {clearForUrgent, clearLeavingWorkers, relieveWorkers} from './relief.js';
+import {jobLeaseMs, runJobs} from './runner.js';
+
+const listIntervalMs = 250;
+const runIntervalMs = 100;
+const planAgainMs = 1000;
+const tasksMaximumAgeMs = 5000;
+const setAsideMs = 60_000;
+
+export const jobHandlers: HandlerTable<JobEvent['type']> = {
+	'tasks/listed'(state, event) {
+		state.jobRunner.tasks = event.tasks;
+		state.jobRunner.tasksAt = event.at;
+		return [];
+	},
+	'task/start-answered'(state, event) {
+		const call = state.jobRunner.starts.get(event.jobId);
+		if (call?.attempt === event.attempt) {
+			call.state = event.answer;
+		}
+
+		return [];
+	},
+};
+
+/** Runs, places and relieves jobs while this host is the planner. */
+export function tickJobs(state: State): Effect[] {
+	const term = findOwnTerm(state);
+	if (term === undefined || state.now < state.jobRunner.nextRunAt) {
+		return [];
+	}
+
+	state.jobRunner.nextRunAt = addMilliseconds(state.now, runIntervalMs);
+	const effects = listTasks(state);
+	if (!hasFreshTasks(state)) {
+		return effects;
+	}
+
+	effects.push(...runJobs(state, term), ...clearLeavingWorkers(state), ...planJobs(state, term));
+	return effects;
+}
+
+function listTasks(state: State): Effect[] {
+	if (state.now < state.jobRunner.nextListAt) {
+		return [];
+	}
+
+	state.jobRunner.nextListAt = addMilliseconds(state.now, listIntervalMs);
+	return [{type: 'tasks/list'}];
+}
+
+function hasFreshTasks(state: State): boolean {
+	const {tasksAt} = state.jobRunner;
+	return tasksAt !== undefined && tasksAt + tasksMaximumAgeMs > state.now;
+}
+
+/** Plans when something in the fleet changed, and now and then. */
+function planJobs(state: State, term: number): Effect[] {
+	const runner = state.jobRunner;
+	if (runner.plannedOffset === state.fleet.nextOffset && state.now < runner.nextPlanAt) {
+		return [];
+	}
+
+	runner.plannedOffset = state.fleet.nextOffset;
+	runner.nextPlanAt = addMilliseconds(state.now, planAgainMs);
+	const capacities = listCapacities(state);
+	const plan = planPlacements(state.fleet, capacities, estimateLogTime(state));
+	return [
+		...publishPlan(state, plan, term),
+		...unparkJobs(state, capacities, term),
+		...clearForUrgent(state, plan.crowdedOut, capacities),
+		...relieveWorkers(state, capacities),
+		...setWorkersAside(state, term),
+	];
+}
+
+function publishPlan(state: State, plan: PlacementPlan, term: number): Effect[] {
+	const leaseUntil = addMilliseconds(estimateLogTime(state), jobLeaseMs);
+	return [
+		...plan.placements.flatMap(({job, worker}) => publishJobRecord(state, job.body.jobId, 'job-attempt', {
+			jobId: job.body.jobId, attempt: job.attempts + 1, worker, leaseUntil, term,
+		})),
+		...plan.unplaceable.flatMap(({job, reason}) => publishJobRecord(state, job.body.jobId, 'job-park', {jobId: job.body.jobId, reason, term})),
+	];
+}
+
+/** Takes parked jobs up again once some worker of their pool could hold them. */
+function unparkJobs(state: State, capacities: readonly WorkerCapacity[], term: number): Effect[] {
+	return [...state.fleet.jobs.jobs.values()]
+		.filter(job => job.step === 'parked' && !hasProposal(state, job.body.jobId))
+		.filter(({body}) => capacities.some(({worker, cores, memoryBytes, accelerators}) =>
+			state.fleet.hosts.get(worker)?.pool === body.pool && body.cores <= cores && body.memoryBytes <= memoryBytes && body.accelerators <= accelerators))
+		.flatMap(({body}) => publishJobRecord(state, body.jobId, 'job-park', {jobId: body.jobId, term}));
+}
+
+function setWorkersAside(state: State, term: number): Effect[] {
+	const logTime = estimateLogTime(state);
+	return listFailingWorkers(state.fleet, logTime).flatMap(worker =>
+		publishJobRecord(state, worker, 'worker-set-aside', {worker, until: addMilliseconds(logTime, setAsideMs), term}));
+}
+
+/** What the host list declares of workers, with what the platform last reported of their use. */
+function listCapacities(state: State): WorkerCapacity[] {
+	const used = new Map<HostId, {cores: number; memoryBytes: number}>();
+	for (const {hostId, usage} of state.jobRunner.tasks) {
+		const sum = used.get(hostId) ?? {cores: 0, memoryBytes: 0};
+		used.set(hostId, {cores: sum.cores + usage.cores, memoryBytes: sum.memoryBytes + usage.memoryBytes});
+	}
+
+	return state.targets.listedHosts.filter(host => host.role === 'worker').map(host => ({
+		worker: host.hostId,
+		cores: host.cores ?? 0,
+		memoryBytes: host.memoryBytes ?? 0,
+		accelerators: host.accelerators ?? 0,
+		usedCores: used.get(host.hostId)?.cores ?? 0,
+		usedMemoryBytes: used.get(host.hostId)?.memoryBytes ?? 0,
+	}));
+}
--- /dev/null
+++ b/packages/core/src/jobs/runner.ts
@@ -0,0 +1,159 @@
+/** Brings running jobs on: starts their tasks, renews leases, writes down ends, stops what was cancelled or must give way. */
+import {estimateLogTime} from '../planner/tenure.js';
+import type {Effect} from '../types/effects.js';
+import type {State} from '../types/state.js';
+import {addMilliseconds, type Instant} from '../types/time.js';
+import type {AttemptEnd} from './bodies.js';
+import {clockMarginMs} from './judge.js';
+import {hasProposal, publishJobRecord} from './proposals.js';
+import type {Job, JobAttempt} from './state.js';
+import type {ListedTask} from './tasks.js';
+
+/** A lease is so long; a job of a holder that vanished waits no longer for its next attempt. */
+export const jobLeaseMs = 30_000;
+const renewBeforeMs = 20_000;
+const startRetryMs = 1000;
+const stopRetryMs = 1000;
+const checkpointWaitMs = 400;
+const renewalsInOneRecord = 1000;
+
+/** A running job with its attempt and, if the platform lists it, its task. */
+export type RunningJob = {readonly job: Job; readonly current: JobAttempt; readonly task: ListedTask | undefined};
+
+/** All running jobs, joined with the platform's list of tasks. */
+export function listRunning(state: State): RunningJob[] {
+	const tasks = new Map(state.jobRunner.tasks.map(task => [`${task.taskId}#${task.attempt}`, task]));
+	return [...state.fleet.jobs.jobs.values()].flatMap(job => job.current
+		? [{job, current: job.current, task: tasks.get(`${job.body.jobId}#${job.current.attempt}`)}]
+		: []);
+}
+
+/** What each running job needs now. */
+export function runJobs(state: State, term: number): Effect[] {
+	const running = listRunning(state);
+	return [
+		...running.flatMap(item => runJob(state, item, term)),
+		...renewLeases(state, running, term),
+	];
+}
+
+function runJob(state: State, item: RunningJob, term: number): Effect[] {
+	if (!item.task) {
+		return startTask(state, item, term);
+	}
+
+	if (item.task.state !== 'running') {
+		return publishEnd(state, item, chooseEnd(state, item, item.task.state), term);
+	}
+
+	return [...lengthenTask(item, item.task), ...stopTask(state, item)];
+}
+
+/** Starts a task that the platform doesn't list; gives the attempt up only when that is safe. */
+function startTask(state: State, {job, current}: RunningJob, term: number): Effect[] {
+	const logTime = estimateLogTime(state);
+	if (logTime > current.leaseUntil + clockMarginMs) {
+		return publishEnd(state, {job, current, task: undefined}, 'lapsed', term);
+	}
+
+	const known = state.jobRunner.starts.get(job.body.jobId);
+	const call = known?.attempt === current.attempt ? known : undefined;
+	if (call?.state === 'refused' && call.calls === 1 && current.startedAt >= logTime - jobLeaseMs) {
+		return publishEnd(state, {job, current, task: undefined}, 'unstarted', term);
+	}
+
+	if (call && (call.state !== 'unknown' || call.callAt > state.now)) {
+		return [];
+	}
+
+	return logTime < current.leaseUntil ? callStart(state, job, current, call?.calls ?? 0) : [];
+}
+
+function callStart(state: State, job: Job, current: JobAttempt, calls: number): Effect[] {
+	const {jobId, cores, memoryBytes, declaredRunMs} = job.body;
+	state.jobRunner.starts.set(jobId, {
+		attempt: current.attempt, calls: calls + 1, state: 'calling', callAt: addMilliseconds(state.now, startRetryMs),
+	});
+	return [{
+		type: 'task/start',
+		jobId,
+		attempt: current.attempt,
+		worker: current.worker,
+		leaseUntil: current.leaseUntil,
+		cores,
+		memoryBytes,
+		runMs: declaredRunMs,
+		checkpointMs: findCheckpoint(state, job),
+	}];
+}
+
+function findCheckpoint(state: State, job: Job): number {
+	const earlier = state.jobRunner.tasks.filter(task => task.taskId === job.body.jobId);
+	return job.body.isResumable ? Math.max(0, ...earlier.map(task => task.checkpointMs)) : 0;
+}
+
+function publishEnd(state: State, {job, current}: RunningJob, end: AttemptEnd, term: number): Effect[] {
+	return publishJobRecord(state, job.body.jobId, 'job-attempt-end', {
+		jobId: job.body.jobId, attempt: current.attempt, end, term,
+	});
+}
+
+const endsByTaskState: Readonly<Record<Exclude<ListedTask['state'], 'running'>, AttemptEnd>> = {
+	succeeded: 'succeeded', failed: 'failed', stopped: 'stopped', lapsed: 'stopped', lost: 'lost',
+};
+
+function chooseEnd(state: State, {job, current}: RunningJob, taskState: Exclude<ListedTask['state'], 'running'>): AttemptEnd {
+	const isDisplaced = state.jobRunner.displaced.get(job.body.jobId)?.attempt === current.attempt;
+	return taskState === 'stopped' && isDisplaced ? 'checkpointed' : endsByTaskState[taskState];
+}
+
+/** The worker's lease follows the log's, never the other way. */
+function lengthenTask({job, current}: RunningJob, task: ListedTask): Effect[] {
+	return task.leaseUntil < current.leaseUntil
+		? [{
+			type: 'task/renew', jobId: job.body.jobId, attempt: current.attempt, leaseUntil: current.leaseUntil,
+		}]
+		: [];
+}
+
+function stopTask(state: State, {job, current}: RunningJob): Effect[] {
+	const {jobId} = job.body;
+	const displacement = state.jobRunner.displaced.get(jobId);
+	const mustGiveWay = displacement?.attempt === current.attempt && displacement.stopAt <= state.now;
+	const isDue = (state.jobRunner.stopAgainAt.get(jobId) ?? 0) <= state.now;
+	if (!isDue || !(job.isCancelRequested || mustGiveWay)) {
+		return [];
+	}
+
+	state.jobRunner.stopAgainAt.set(jobId, addMilliseconds(state.now, stopRetryMs));
+	return [{type: 'task/stop', jobId, attempt: current.attempt}];
+}
+
+/** Makes a resumable task give way: a checkpoint now, the stop a little later. */
+export function displaceTask(state: State, {job, current}: RunningJob): Effect[] {
+	const {jobId} = job.body;
+	if (!job.body.isResumable || state.jobRunner.displaced.get(jobId)?.attempt === current.attempt) {
+		return [];
+	}
+
+	state.jobRunner.displaced.set(jobId, {attempt: current.attempt, stopAt: addMilliseconds(state.now, checkpointWaitMs)});
+	return [{type: 'task/checkpoint', jobId, attempt: current.attempt}];
+}
+
+function renewLeases(state: State, running: readonly RunningJob[], term: number): Effect[] {
+	const logTime = estimateLogTime(state);
+	const due = running.filter(({current, task}) => task?.state === 'running' && isRenewalDue(current, logTime));
+	if (due.length === 0 || hasProposal(state, 'leases')) {
+		return [];
+	}
+
+	return publishJobRecord(state, 'leases', 'job-leases', {
+		leaseUntil: addMilliseconds(logTime, jobLeaseMs),
+		attempts: due.slice(0, renewalsInOneRecord).map(({job, current}) => ({jobId: job.body.jobId, attempt: current.attempt})),
+		term,
+	});
+}
+
+function isRenewalDue(current: JobAttempt, logTime: Instant): boolean {
+	return current.leaseUntil - logTime < renewBeforeMs && current.leaseUntil > logTime;
+}
--- /dev/null
+++ b/packages/daemon/src/platform/task-client.ts
@@ -0,0 +1,1 @@
+/** Calls about tasks on workers. */
