--- /dev/null
+++ b/packages/daemon/src/platform/platform-http.ts
@@ -0,0 +1,56 @@
+/** HTTP/JSON calls to the platform, shared by the clients of its parts. Faults are values. */
+import {createFault, type Fault} from '@rhubarblever/core';
+import {err, ok, type Result} from 'neverthrow';
+import {Agent, request, type Dispatcher} from 'undici';
+import type {z} from 'zod';
+
+const firstErrorStatus = 300;
+
+/** An answer of any status, its body read as JSON. */
+export type PlatformAnswer = {readonly status: number; readonly body: unknown};
+
+/** How long a call may take, and how many connections are kept. */
+export type PlatformHttpOptions = {readonly callTimeoutMs: number; readonly connections: number};
+
+export class PlatformHttp {
+	static create(address: string, options: PlatformHttpOptions): PlatformHttp {
+		return new PlatformHttp(`http://${address}`, options);
+	}
+
+	private readonly agent: Agent;
+
+	private constructor(private readonly baseUrl: string, private readonly options: PlatformHttpOptions) {
+		const {connections, callTimeoutMs} = options;
+		this.agent = new Agent({connections, headersTimeout: callTimeoutMs, bodyTimeout: callTimeoutMs});
+	}
+
+	/** One call. A fault does not say that the call had no effect. */
+	async call(method: Dispatcher.HttpMethod, path: string, body?: unknown): Promise<Result<PlatformAnswer, Fault>> {
+		try {
+			const response = await request(this.baseUrl + path, {
+				method,
+				body: body === undefined ? undefined : JSON.stringify(body),
+				headers: {'content-type': 'application/json'},
+				dispatcher: this.agent,
+				signal: AbortSignal.timeout(this.options.callTimeoutMs),
+			});
+			return ok({status: response.statusCode, body: await response.body.json()});
+		} catch (error) {
+			return err(createFault('log-unavailable', (error as Error).message));
+		}
+	}
+
+	async close(): Promise<void> {
+		await this.agent.destroy();
+	}
+}
+
+/** The body of a good answer, checked; any other status or shape is a fault. */
+export function parseAnswer<Body>(answer: PlatformAnswer, schema: z.ZodType<Body>): Result<Body, Fault> {
+	if (answer.status >= firstErrorStatus) {
+		return err(createFault('log-unavailable', `the platform answered ${answer.status}`));
+	}
+
+	const parsed = schema.safeParse(answer.body);
+	return parsed.success ? ok(parsed.data) : err(createFault('log-unavailable', 'the platform answered in an unknown shape'));
+}
--- a/packages/daemon/src/platform/task-client.ts
+++ b/packages/daemon/src/platform/task-client.ts
@@ -1,1 +1,50 @@
-/** Calls about tasks on workers. */
+/** Calls to the platform about tasks on workers. A task's id is its job's. */
+import {listedTaskSchema, type EffectOf, type Fault, type ListedTask} from '@rhubarblever/core';
+import type {Result} from 'neverthrow';
+import {z} from 'zod';
+import {parseAnswer, PlatformHttp, type PlatformAnswer} from './platform-http.js';
+
+const callTimeoutMs = 2000;
+const connections = 16;
+const firstClientErrorStatus = 400;
+const firstServerErrorStatus = 500;
+
+const taskListSchema = z.object({tasks: z.array(listedTaskSchema)});
+
+/** What is known of a start: a refusal says that this call started nothing. */
+export type StartAnswer = 'started' | 'refused' | 'unknown';
+
+export class TaskClient {
+	static create(address: string): TaskClient {
+		return new TaskClient(PlatformHttp.create(address, {callTimeoutMs, connections}));
+	}
+
+	private constructor(private readonly http: PlatformHttp) {}
+
+	async listTasks(): Promise<Result<readonly ListedTask[], Fault>> {
+		const answer = await this.http.call('GET', '/v1/tasks');
+		return answer.andThen(found => parseAnswer(found, taskListSchema)).map(list => list.tasks);
+	}
+
+	async startTask(effect: EffectOf<'task/start'>): Promise<StartAnswer> {
+		const {jobId, attempt, worker, leaseUntil, cores, memoryBytes, runMs, checkpointMs} = effect;
+		const answer = await this.http.call('POST', `/v1/workers/${encodeURIComponent(worker)}/tasks`, {
+			taskId: jobId, attempt, leaseUntil, cores, memoryBytes, runMs, checkpointMs,
+		});
+		return answer.match(found => judgeStart(found), () => 'unknown');
+	}
+
+	/** Changes a running task; what became of it is read from the list of tasks. */
+	async changeTask(effect: EffectOf<'task/renew' | 'task/stop' | 'task/checkpoint' | 'task/throttle'>): Promise<void> {
+		const {type, jobId, ...body} = effect;
+		await this.http.call('POST', `/v1/tasks/${encodeURIComponent(jobId)}/${type.slice('task/'.length)}`, body);
+	}
+}
+
+function judgeStart({status}: PlatformAnswer): StartAnswer {
+	if (status >= firstServerErrorStatus) {
+		return 'unknown';
+	}
+
+	return status >= firstClientErrorStatus ? 'refused' : 'started';
+}
