Jobs run on workers: placed, started, renewed, displaced and ended by the holder of the planner's lease

Cause: accepted jobs waited for ever. The holder proposes attempts; only after reading its record back does it start the task, under the lease that the log holds; the worker's lease follows the log's. A refusal of the very first call, and only that, counts as not run; all else waits for the lease to lapse with a margin. Also: the three platform clients share one PlatformHttp; the tool lists waves and jobs in the shape that the daemon answers. Ruled out while testing: a fault in the runner for 'fetch failed' (the test asked an entry host that had just been restarted).

--- a/packages/cli/src/hosts/fleet-answer.ts
+++ b/packages/cli/src/hosts/fleet-answer.ts
@@ -1,5 +1,7 @@
 /** The fleet as an entry host tells it; only what the tool prints is checked. */
-import {hostIdSchema, listedHostSchema, offsetSchema} from '@rhubarblever/core';
+import {
+	hostIdSchema, jobIdSchema, listedHostSchema, offsetSchema, waveIdSchema,
+} from '@rhubarblever/core';
 import {z} from 'zod';
 
 const inForceSchema = z.object({offset: offsetSchema, body: z.record(z.string(), z.unknown())});
@@ -11,8 +13,8 @@
 	pools: z.array(inForceSchema).default([]),
 	services: z.array(inForceSchema).default([]),
 	objectives: z.array(inForceSchema).default([]),
-	waves: z.array(inForceSchema).default([]),
-	jobs: z.array(inForceSchema).default([]),
+	waves: z.array(z.looseObject({waveId: waveIdSchema})).default([]),
+	jobs: z.array(z.looseObject({jobId: jobIdSchema, ...inForceSchema.shape})).default([]),
 	hosts: z.array(listedHostSchema).default([]),
 });
 export type FleetAnswer = z.infer<typeof fleetAnswerSchema>;
--- a/packages/core/src/engine/reduce.ts
+++ b/packages/core/src/engine/reduce.ts
@@ -1,8 +1,12 @@
 /** The one reducer: from a state and an event to the effects, through a lookup table of handlers. */
 import {noteEffects, noteEvent, tickBurn} from '../burn/observe.js';
 import {createBurnState} from '../burn/state.js';
+import {tickClaimsDomain} from '../claims/handlers.js';
+import {createClaimsState} from '../claims/state.js';
 import {fleetHandlers, tickPublishers} from '../fleet/publishing.js';
 import {createFleetState} from '../fleet/state.js';
+import {jobHandlers, tickJobs} from '../jobs/handlers.js';
+import {createJobRunnerState} from '../jobs/runner-state.js';
 import {logHandlers, tickLog} from '../log/handlers.js';
 import {tickSnapshots} from '../log/snapshots.js';
 import {tickTail} from '../log/tail.js';
@@ -10,6 +14,8 @@
 import {keepLinks, updateEntryHosts} from '../membership/entry-hosts.js';
 import {membershipHandlers, tickMembership} from '../membership/handlers.js';
 import {createMembershipState} from '../membership/state.js';
+import {plannerHandlers, tickPlanner} from '../planner/handlers.js';
+import {createPlannerState} from '../planner/state.js';
 import {
 	requestHandlers, startStop, tickRequests, tickRequestStop,
 } from '../requests/handlers.js';
@@ -31,6 +37,8 @@
 	...logHandlers,
 	...fleetHandlers,
 	...membershipHandlers,
+	...plannerHandlers,
+	...jobHandlers,
 	'hosts/listed': (state, event) => [
 		...targetHandlers['hosts/listed'](state, event),
 		...updateEntryHosts(state, event.hosts),
@@ -39,10 +47,13 @@
 		...tickPublishers(state),
 		...tickLog(state),
 		...tickMembership(state),
+		...tickClaimsDomain(state),
 		...tickSlots(state),
 		...tickRequests(state),
 		...tickRequestStop(state),
 		...tickBurn(state),
+		...tickPlanner(state),
+		...tickJobs(state),
 	],
 	'stop/requested'(state) {
 		state.isStopping = true;
@@ -60,7 +71,10 @@
 		targets: createTargetsState(),
 		slots: createSlotsState(),
 		membership: createMembershipState(),
+		claims: createClaimsState(),
 		burn: createBurnState(),
+		planner: createPlannerState(),
+		jobRunner: createJobRunnerState(),
 		now: 0 as Instant,
 		isStopping: false,
 	};
--- a/packages/core/src/fleet/apply-record.ts
+++ b/packages/core/src/fleet/apply-record.ts
@@ -1,5 +1,6 @@
 /** The fold: judges one record at its place in the log and applies it, alike on every host. */
 import {jobAppliers} from '../jobs/appliers.js';
+import {applyEntryHostJoined} from '../claims/members.js';
 import {plannerAppliers} from '../planner/lease.js';
 import {poolAppliers} from '../pools/appliers.js';
 import {waveAppliers} from '../waves/appliers.js';
@@ -64,6 +65,10 @@
 type Applier<Name extends SchemaName> = (fleet: FleetState, logged: LoggedRecord, body: Extract<DecodedBody, {schema: Name}>['body']) => RecordOutcome;
 
 const appliers: {readonly [Name in SchemaName]: Applier<Name>} = {
+	'entry-host-joined'(fleet, logged, body) {
+		applyEntryHostJoined(fleet, logged, body);
+		return {verdict: 'accepted'};
+	},
 	pool: (fleet, logged, body) => setInForce(fleet.pools, body.pool, logged, body),
 	objective: (fleet, logged, body) => setInForce(fleet.objectives, body.service, logged, body),
 	service: (fleet, logged, body) => setInForce(fleet.services, body.service, logged, body),
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -1,4 +1,5 @@
 /** The fleet as folded from the log: equal on every host that has applied the same offset. */
+import type {Member} from '../claims/members.js';
 import type {PlannerLeaseBody} from '../planner/bodies.js';
 import type {FleetHost} from '../pools/state.js';
 import type {Wave} from '../waves/state.js';
@@ -33,6 +34,10 @@
 	readonly pools: Map<PoolId, InForce<PoolBody>>;
 	readonly services: Map<ServiceId, InForce<ServiceBody>>;
 	readonly objectives: Map<ServiceId, InForce<ObjectiveBody>>;
+	/** Entry hosts that vote on claims, one life of each. */
+	readonly members: Map<HostId, Member>;
+	/** The offset behind the latest record that changed the members. */
+	membersOffset: Offset;
 	readonly hosts: Map<HostId, FleetHost>;
 	readonly waves: Map<WaveId, Wave>;
 	readonly jobs: JobsState;
@@ -53,6 +58,8 @@
 		pools: new Map(),
 		services: new Map(),
 		objectives: new Map(),
+		members: new Map(),
+		membersOffset: 0 as Offset,
 		hosts: new Map(),
 		waves: new Map(),
 		jobs: createJobsState(),
--- a/packages/core/src/jobs/proposals.ts
+++ b/packages/core/src/jobs/proposals.ts
@@ -1,5 +1,5 @@
 /** Records that the job runner proposes: at most one about each job or worker on the way at a time. */
-import {queueRecord} from '../log/handlers.js';
+import {queueRecord} from '../log/appends.js';
 import type {Effect} from '../types/effects.js';
 import type {RecordId} from '../types/ids.js';
 import type {State} from '../types/state.js';
--- a/packages/core/src/membership/handlers.ts
+++ b/packages/core/src/membership/handlers.ts
@@ -1,4 +1,5 @@
 /** Keeps heartbeat links to the other entry hosts and hands their messages to the domains. */
+import {claimMessageHandlers} from '../claims/handlers.js';
 import {
 	acceptRecords, acceptStateChunk, answerRecordsRequest, compareHistory, getDecodersChecksum, reportOtherHistory,
 } from '../log/catch-up.js';
@@ -26,6 +27,7 @@
 
 const messageHandlers: {readonly [Type in PeerMessageType]: MessageHandler<Type>} = {
 	...slotMessageHandlers,
+	...claimMessageHandlers,
 	hello: acceptHello,
 	heartbeat(state, peer, message) {
 		noteHeartbeat(state, peer, message);
--- a/packages/core/src/membership/messages.ts
+++ b/packages/core/src/membership/messages.ts
@@ -1,5 +1,6 @@
 /** Messages between entry hosts, checked where they enter a process. */
 import {z} from 'zod';
+import {claimMessageSchemas} from '../claims/messages.js';
 import {
 	historyDiffersSchema, recordsReplySchema, recordsRequestSchema, stateChunkSchema,
 } from '../log/messages.js';
@@ -61,6 +62,7 @@
 	stateChunkSchema,
 	historyDiffersSchema,
 	...slotMessageSchemas,
+	...claimMessageSchemas,
 ]);
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
 export type PeerMessageType = PeerMessage['type'];
--- /dev/null
+++ b/packages/core/src/planner/policies.ts
@@ -0,0 +1,84 @@
+/** How many hosts of a wave are out at once and which comes next; a lookup table by policy name. */
+import {isSameRack, listPoolHosts, type Budget} from '../pools/budget.js';
+import type {FleetHost} from '../pools/state.js';
+import type {FleetState} from '../fleet/state.js';
+import type {HostId} from '../types/ids.js';
+import type {WavePolicyName} from '../waves/bodies.js';
+import {listWaitingHosts, type Wave} from '../waves/state.js';
+
+/** What a policy sees. */
+export type WaveView = {
+	readonly fleet: FleetState;
+	readonly wave: Wave;
+	readonly budget: Budget;
+	/** Tasks that each host runs, by the platform's list. */
+	readonly runningTasks: ReadonlyMap<HostId, number>;
+};
+
+export type WavePolicy = {
+	/** Most hosts of the wave to have out at once; the budget may allow fewer. */
+	readonly chooseWidth: (view: WaveView) => number;
+	/** The waiting hosts, the next one first. */
+	readonly listInOrder: (view: WaveView) => FleetHost[];
+};
+
+const fixedBufferShare = 0.25;
+
+export const wavePolicies: Readonly<Record<WavePolicyName, WavePolicy>> = {
+	'fill-budget': {
+		chooseWidth: measureLargestWidth,
+		listInOrder: sortByCriticalRack,
+	},
+	'one-at-a-time': {
+		chooseWidth: () => 1,
+		listInOrder: listWaiting,
+	},
+	'fixed-buffer': {
+		chooseWidth: ({fleet, wave}) => Math.max(1, Math.ceil(listPoolHosts(fleet, wave.body.pool).length * fixedBufferShare)),
+		listInOrder: listWaiting,
+	},
+};
+
+function countRounds(hostCount: number, width: number): number {
+	return Math.ceil(hostCount / Math.max(1, width));
+}
+
+/** The most hosts that the budget lets be out when all others are healthy. */
+function measureLargestWidth({fleet, wave, budget}: WaveView): number {
+	const members = listPoolHosts(fleet, wave.body.pool);
+	const zones = new Set(members.map(host => host.availabilityZone));
+	return Math.max(1, Math.min(members.length - budget.minimumHealthyHosts, budget.maximumHostsOut, budget.maximumHostsOutPerZone * zones.size));
+}
+
+function listWaiting({fleet, wave}: WaveView): FleetHost[] {
+	return listWaitingHosts(fleet, wave).map(hostId => fleet.hosts.get(hostId)).filter(host => host !== undefined);
+}
+
+type RankedHost = {readonly host: FleetHost; readonly rank: readonly number[]};
+
+/** Zones and racks that need the most rounds come first; else racks that are open already; else the longest drains. */
+function sortByCriticalRack(view: WaveView): FleetHost[] {
+	const waiting = listWaiting(view);
+	const out = [...view.fleet.hosts.values()].filter(host => host.chain !== undefined);
+	const ranked = waiting.map((host): RankedHost => {
+		const inZone = waiting.filter(other => other.availabilityZone === host.availabilityZone).length;
+		const inRack = waiting.filter(other => isSameRack(other, host)).length;
+		const zoneRounds = countRounds(inZone, view.budget.maximumHostsOutPerZone);
+		const rackRounds = countRounds(inRack, view.budget.maximumHostsOutPerRack);
+		const isUrgent = rackRounds >= countRounds(waiting.length, view.budget.maximumHostsOut);
+		const isOpen = out.some(other => isSameRack(other, host));
+		return {host, rank: [zoneRounds, Number(isUrgent), Number(isOpen), view.runningTasks.get(host.hostId) ?? 0]};
+	});
+	return ranked.toSorted((one, other) => compareRanks(one, other)).map(({host}) => host);
+}
+
+function compareRanks(one: RankedHost, other: RankedHost): number {
+	for (const [index, value] of one.rank.entries()) {
+		const difference = (other.rank[index] ?? 0) - value;
+		if (difference !== 0) {
+			return difference;
+		}
+	}
+
+	return one.host.hostId < other.host.hostId ? -1 : 1;
+}
--- a/packages/core/src/slots/slots.test.ts
+++ b/packages/core/src/slots/slots.test.ts
@@ -3,12 +3,14 @@
 import {expect} from 'earl';
 import fc from 'fast-check';
 import {createState, reduce} from '../engine/reduce.js';
+import {applyRecord} from '../fleet/apply-record.js';
 import type {Effect, EffectOf} from '../types/effects.js';
 import type {Event} from '../types/events.js';
 import type {ListedHost} from '../types/hosts.js';
 import type {
-	AvailabilityZone, CallerKey, HostId, Incarnation, RequestId, ServiceId, TeamId,
+	AvailabilityZone, CallerKey, HostId, Incarnation, RecordId, RequestId, ServiceId, TeamId,
 } from '../types/ids.js';
+import type {EntryHost} from '../types/peers.js';
 import type {CallerRequest} from '../types/requests.js';
 import type {State} from '../types/state.js';
 import type {Instant, Offset} from '../types/time.js';
@@ -20,6 +22,22 @@
 
 type Ending = {readonly end: 'answered' | 'refused' | 'unsent' | 'lost'; readonly afterMs: number};
 
+/** The entry hosts have joined the members, so that they vote on the claims of non-idempotent requests. */
+function addMembers(state: State, hosts: readonly EntryHost[]): void {
+	for (const [index, {hostId, availabilityZone}] of hosts.entries()) {
+		applyRecord(state.fleet, {
+			offset: index as Offset,
+			at: start as Instant,
+			record: {
+				recordId: `${hostId}-joined` as RecordId,
+				schema: 'entry-host-joined',
+				version: 1,
+				body: {hostId, incarnation: `${hostId}-i`, availabilityZone},
+			},
+		});
+	}
+}
+
 /** Some entry hosts in one zone that share targets; messages arrive at once, time moves by `pass`. */
 class Hosts {
 	static create(count: number, targetCount: number, slotsPerRunner: number): Hosts {
@@ -49,6 +67,7 @@
 					service, pool: 'trucks' as never, slotsPerRunner, connectionsPerRunner: 640,
 				},
 			});
+			addMembers(state, all);
 			this.states.set(self.hostId, state);
 		}
 
--- a/packages/core/src/types/state.ts
+++ b/packages/core/src/types/state.ts
@@ -1,8 +1,11 @@
 /** The state of an entry host: the fleet, folded from the log and equal on all hosts at one offset, and local slices. */
 import type {BurnState} from '../burn/state.js';
+import type {ClaimsState} from '../claims/state.js';
 import type {FleetState} from '../fleet/state.js';
+import type {JobRunnerState} from '../jobs/runner-state.js';
 import type {LogState} from '../log/state.js';
 import type {MembershipState} from '../membership/state.js';
+import type {PlannerState} from '../planner/state.js';
 import type {RequestsState} from '../requests/state.js';
 import type {SlotsState} from '../slots/state.js';
 import type {TargetsState} from '../targets/state.js';
@@ -18,7 +21,10 @@
 	readonly targets: TargetsState;
 	readonly slots: SlotsState;
 	readonly membership: MembershipState;
+	readonly claims: ClaimsState;
 	readonly burn: BurnState;
+	readonly planner: PlannerState;
+	readonly jobRunner: JobRunnerState;
 	/** The instant of the latest event. */
 	now: Instant;
 	isStopping: boolean;
--- /dev/null
+++ b/packages/daemon/src/http/maintenance-view.ts
@@ -0,0 +1,40 @@
+/** Pools, hosts and waves as operators see them. */
+import {
+	countPool, estimateLogTime, getWaveStatus, type FleetHost, type FleetState, type PoolCount, type PoolId, type State, type Wave, type WaveId, type WaveStatus,
+} from '@rhubarblever/core';
+
+/** How a pool stands against its budget; `isShort` if fewer hosts are healthy than it must keep. */
+export type PoolView = PoolCount & {readonly pool: PoolId; readonly isShort: boolean};
+
+export type WaveView = Pick<Wave, 'hosts' | 'isCancelled'> & {
+	readonly waveId: WaveId;
+	readonly pool: PoolId;
+	readonly status: WaveStatus;
+};
+
+export type MaintenanceView = {
+	readonly plannerLease: FleetState['plannerLease'];
+	readonly poolCounts: readonly PoolView[];
+	readonly poolHosts: readonly FleetHost[];
+	readonly waves: readonly WaveView[];
+};
+
+/** A JSON view of what is out of service and why. */
+export function describeMaintenance(state: State): MaintenanceView {
+	const {fleet} = state;
+	return {
+		plannerLease: fleet.plannerLease,
+		poolCounts: [...fleet.pools.values()].map(({body: {pool, budget}}) => {
+			const count = countPool(fleet, pool);
+			return {pool, ...count, isShort: count.healthy < budget.minimumHealthyHosts};
+		}),
+		poolHosts: [...fleet.hosts.values()],
+		waves: [...fleet.waves.values()].map(wave => ({
+			waveId: wave.body.waveId,
+			pool: wave.body.pool,
+			status: getWaveStatus(wave, estimateLogTime(state)),
+			hosts: wave.hosts,
+			isCancelled: wave.isCancelled,
+		})),
+	};
+}
--- a/packages/daemon/src/platform/platform-client.ts
+++ b/packages/daemon/src/platform/platform-client.ts
@@ -1,12 +1,14 @@
 /** Calls to the platform over HTTP/JSON: the log and the host list. Faults are values. */
 import {
-	createFault, listedHostSchema, instantSchema, logRecordSchema, offsetSchema, type Fault, type ListedHost, type LoggedRecord, type LogRecord, type Offset,
+	listedHostSchema, instantSchema, logRecordSchema, offsetSchema, type Fault, type ListedHost, type LoggedRecord, type LogRecord, type Offset,
 } from '@rhubarblever/core';
-import {err, ok, type Result} from 'neverthrow';
-import {Agent, request, type Dispatcher} from 'undici';
+import type {Result} from 'neverthrow';
+import type {Dispatcher} from 'undici';
 import {z} from 'zod';
+import {parseAnswer, PlatformHttp} from './platform-http.js';
 
 const callTimeoutMs = 3000;
+const connections = 16;
 
 /** How many records to read at most, and how long to wait for the first. Unit of `waitMs`: milliseconds. */
 export type ReadOptions = {readonly limit: number; readonly waitMs: number};
@@ -41,12 +43,10 @@
 
 export class PlatformClient {
 	static create(address: string): PlatformClient {
-		return new PlatformClient(`http://${address}`);
+		return new PlatformClient(PlatformHttp.create(address, {callTimeoutMs, connections}));
 	}
 
-	private readonly agent = new Agent({connections: 16, headersTimeout: callTimeoutMs, bodyTimeout: callTimeoutMs});
-
-	private constructor(private readonly baseUrl: string) {}
+	private constructor(private readonly http: PlatformHttp) {}
 
 	/** Reads records from `from` on; by default waits up to a second for the first. */
 	async readLog(stream: string, from: Offset, {limit, waitMs}: ReadOptions = pollOptions): Promise<Result<LogPage, Fault>> {
@@ -65,27 +65,11 @@
 	}
 
 	async close(): Promise<void> {
-		await this.agent.destroy();
+		await this.http.close();
 	}
 
 	private async call<Body>(method: Dispatcher.HttpMethod, path: string, body: unknown, schema: z.ZodType<Body>): Promise<Result<Body, Fault>> {
-		try {
-			const response = await request(this.baseUrl + path, {
-				method,
-				body: body === undefined ? undefined : JSON.stringify(body),
-				headers: {'content-type': 'application/json'},
-				dispatcher: this.agent,
-				signal: AbortSignal.timeout(callTimeoutMs),
-			});
-			const answer: unknown = await response.body.json();
-			if (response.statusCode >= 300) {
-				return err(createFault('log-unavailable', `the platform answered ${response.statusCode}`));
-			}
-
-			const parsed = schema.safeParse(answer);
-			return parsed.success ? ok(parsed.data) : err(createFault('log-unavailable', 'the platform answered in an unknown shape'));
-		} catch (error) {
-			return err(createFault('log-unavailable', (error as Error).message));
-		}
+		const answer = await this.http.call(method, path, body);
+		return answer.andThen(found => parseAnswer(found, schema));
 	}
 }
--- a/packages/daemon/src/platform/task-client.ts
+++ b/packages/daemon/src/platform/task-client.ts
@@ -1,5 +1,7 @@
 /** Calls to the platform about tasks on workers. A task's id is its job's. */
-import {listedTaskSchema, type EffectOf, type Fault, type ListedTask} from '@rhubarblever/core';
+import {
+	listedTaskSchema, type EffectOf, type Fault, type ListedTask,
+} from '@rhubarblever/core';
 import type {Result} from 'neverthrow';
 import {z} from 'zod';
 import {parseAnswer, PlatformHttp, type PlatformAnswer} from './platform-http.js';
