--- a/packages/cli/src/commands/diff.ts
+++ b/packages/cli/src/commands/diff.ts
@@ -15,7 +15,6 @@
 	pool: {idField: 'pool', list: fleet => fleet.pools},
 	service: {idField: 'service', list: fleet => fleet.services},
 	objective: {idField: 'service', list: fleet => fleet.objectives},
-	wave: {idField: 'waveId', list: fleet => fleet.waves},
 	job: {idField: 'jobId', list: fleet => fleet.jobs},
 };
 
--- a/packages/core/src/engine/reduce.ts
+++ b/packages/core/src/engine/reduce.ts
@@ -5,6 +5,8 @@
 import {createClaimsState} from '../claims/state.js';
 import {fleetHandlers, tickPublishers} from '../fleet/publishing.js';
 import {createFleetState} from '../fleet/state.js';
+import {jobHandlers, tickJobs} from '../jobs/handlers.js';
+import {createJobRunnerState} from '../jobs/runner-state.js';
 import {logHandlers, tickLog} from '../log/handlers.js';
 import {tickSnapshots} from '../log/snapshots.js';
 import {tickTail} from '../log/tail.js';
@@ -36,6 +38,7 @@
 	...fleetHandlers,
 	...membershipHandlers,
 	...plannerHandlers,
+	...jobHandlers,
 	'hosts/listed': (state, event) => [
 		...targetHandlers['hosts/listed'](state, event),
 		...updateEntryHosts(state, event.hosts),
@@ -50,6 +53,7 @@
 		...tickRequestStop(state),
 		...tickBurn(state),
 		...tickPlanner(state),
+		...tickJobs(state),
 	],
 	'stop/requested'(state) {
 		state.isStopping = true;
@@ -70,6 +74,7 @@
 		claims: createClaimsState(),
 		burn: createBurnState(),
 		planner: createPlannerState(),
+		jobRunner: createJobRunnerState(),
 		now: 0 as Instant,
 		isStopping: false,
 	};
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -9,6 +9,7 @@
 import type {LoggedRecord} from '../types/records.js';
 import type {ObjectiveBody} from '../burn/bodies.js';
 import type {Instant, Offset} from '../types/time.js';
+import {createJobsState, type JobsState} from '../jobs/state.js';
 import type {PoolBody, ServiceBody} from './bodies.js';
 import {emptyDigest, type OffsetDigest} from './digest.js';
 
@@ -39,6 +40,7 @@
 	membersOffset: Offset;
 	readonly hosts: Map<HostId, FleetHost>;
 	readonly waves: Map<WaveId, Wave>;
+	readonly jobs: JobsState;
 	/** The planner's lease of the highest term. */
 	plannerLease: PlannerLeaseBody | undefined;
 	/** The latest records whose schema version is unknown here, kept as they came; bounded. */
@@ -60,6 +62,7 @@
 		membersOffset: 0 as Offset,
 		hosts: new Map(),
 		waves: new Map(),
+		jobs: createJobsState(),
 		plannerLease: undefined,
 		setAside: [],
 	};
--- a/packages/core/src/types/effects.ts
+++ b/packages/core/src/types/effects.ts
@@ -1,5 +1,6 @@
 /** Everything an entry host can do. The reducer returns effects as data; the daemon's interpreter runs them. */
 import type {FleetEffect} from '../fleet/effects.js';
+import type {JobEffect} from '../jobs/effects.js';
 import type {LogEffect} from '../log/effects.js';
 import type {MembershipEffect} from '../membership/effects.js';
 import type {PlannerEffect} from '../planner/effects.js';
@@ -38,6 +39,6 @@
 export type ExitEffect = {readonly type: 'process/exit'};
 
 export type Effect = LogLineEffect | MetricEffect | InvariantEffect | ExitEffect
-	| RequestEffect | TargetEffect | LogEffect | FleetEffect | MembershipEffect | PlannerEffect;
+	| RequestEffect | TargetEffect | LogEffect | FleetEffect | MembershipEffect | PlannerEffect | JobEffect;
 export type EffectType = Effect['type'];
 export type EffectOf<Type extends EffectType> = Extract<Effect, {readonly type: Type}>;
--- a/packages/core/src/types/events.ts
+++ b/packages/core/src/types/events.ts
@@ -1,5 +1,6 @@
 /** Everything that can happen to an entry host. Each domain lists its own events; time and randomness come only in here. */
 import type {FleetEvent} from '../fleet/events.js';
+import type {JobEvent} from '../jobs/events.js';
 import type {LogEvent} from '../log/events.js';
 import type {MembershipEvent} from '../membership/events.js';
 import type {PlannerEvent} from '../planner/events.js';
@@ -13,7 +14,7 @@
 /** The process was asked to stop gracefully. */
 export type StopEvent = {readonly type: 'stop/requested'; readonly at: Instant};
 
-export type Event = TickEvent | StopEvent | RequestEvent | TargetEvent | LogEvent | FleetEvent | MembershipEvent | PlannerEvent;
+export type Event = TickEvent | StopEvent | RequestEvent | TargetEvent | LogEvent | FleetEvent | MembershipEvent | PlannerEvent | JobEvent;
 export type EventType = Event['type'];
 export type EventOf<Type extends EventType> = Extract<Event, {readonly type: Type}>;
 
--- a/packages/core/src/types/state.ts
+++ b/packages/core/src/types/state.ts
@@ -2,6 +2,7 @@
 import type {BurnState} from '../burn/state.js';
 import type {ClaimsState} from '../claims/state.js';
 import type {FleetState} from '../fleet/state.js';
+import type {JobRunnerState} from '../jobs/runner-state.js';
 import type {LogState} from '../log/state.js';
 import type {MembershipState} from '../membership/state.js';
 import type {PlannerState} from '../planner/state.js';
@@ -23,6 +24,7 @@
 	readonly claims: ClaimsState;
 	readonly burn: BurnState;
 	readonly planner: PlannerState;
+	readonly jobRunner: JobRunnerState;
 	/** The instant of the latest event. */
 	now: Instant;
 	isStopping: boolean;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -14,6 +14,7 @@
 import {createMetrics} from './metrics.js';
 import {PeerLinks} from './peers/peer-links.js';
 import {PlatformClient} from './platform/platform-client.js';
+import {TaskClient} from './platform/task-client.js';
 import {WorkerClient} from './platform/worker-client.js';
 import type {Settings} from './settings.js';
 import {TargetClient} from './targets/target-client.js';
@@ -58,6 +59,7 @@
 			targets: TargetClient.create(calls, push),
 			platform: PlatformClient.create(settings.platform),
 			workers: WorkerClient.create(settings.platform),
+			tasks: TaskClient.create(settings.platform),
 			peers: PeerLinks.create(settings, push),
 			logger: this.logger,
 			metrics: this.metrics,
--- a/packages/daemon/src/http/fleet-view.ts
+++ b/packages/daemon/src/http/fleet-view.ts
@@ -2,6 +2,7 @@
 import type {
 	FleetState, HostId, ListedHost, Offset, Peer, State,
 } from '@rhubarblever/core';
+import {describeJobs, type JobView} from './jobs-view.js';
 import {describeMaintenance, type MaintenanceView} from './maintenance-view.js';
 
 /** A record kept aside. */
@@ -16,6 +17,7 @@
 	readonly pools: ReadonlyArray<FleetState['pools'] extends Map<unknown, infer Value> ? Value : never>;
 	readonly services: ReadonlyArray<FleetState['services'] extends Map<unknown, infer Value> ? Value : never>;
 	readonly objectives: ReadonlyArray<FleetState['objectives'] extends Map<unknown, infer Value> ? Value : never>;
+	readonly jobs: readonly JobView[];
 	readonly hosts: readonly ListedHost[];
 	readonly peers: readonly Peer[];
 };
@@ -30,6 +32,7 @@
 		pools: [...state.fleet.pools.values()],
 		services: [...state.fleet.services.values()],
 		objectives: [...state.fleet.objectives.values()],
+		jobs: describeJobs(state),
 		hosts: state.targets.listedHosts,
 		...describeMaintenance(state),
 		peers: [...state.membership.peers.values()],
--- a/packages/daemon/src/interpreter.ts
+++ b/packages/daemon/src/interpreter.ts
@@ -11,6 +11,7 @@
 import type {PeerLinks} from './peers/peer-links.js';
 import type {PlatformClient} from './platform/platform-client.js';
 import type {OperationState, WorkerClient} from './platform/worker-client.js';
+import type {TaskClient} from './platform/task-client.js';
 import {readSnapshots, writeSnapshot} from './platform/snapshots.js';
 import type {TargetClient} from './targets/target-client.js';
 import type {EventSink} from './types.js';
@@ -24,6 +25,7 @@
 	readonly targets: TargetClient;
 	readonly platform: PlatformClient;
 	readonly workers: WorkerClient;
+	readonly tasks: TaskClient;
 	readonly peers: PeerLinks;
 	readonly logger: Logger;
 	readonly metrics: StatsD;
@@ -90,6 +92,24 @@
 	'operation/read'(context, effect) {
 		void reportOperation(context, effect.operationId, context.workers.readOperation(effect.operationId));
 	},
+	'tasks/list'(context) {
+		void listTasks(context);
+	},
+	'task/start'(context, effect) {
+		void startTask(context, effect);
+	},
+	'task/renew'({tasks}, effect) {
+		void tasks.changeTask(effect);
+	},
+	'task/stop'({tasks}, effect) {
+		void tasks.changeTask(effect);
+	},
+	'task/checkpoint'({tasks}, effect) {
+		void tasks.changeTask(effect);
+	},
+	'task/throttle'({tasks}, effect) {
+		void tasks.changeTask(effect);
+	},
 	'peer/keep-links'({peers}, effect) {
 		peers.keepLinks(effect.peers);
 	},
@@ -135,3 +155,17 @@
 		}),
 	));
 }
+
+async function listTasks({tasks, push}: InterpreterContext): Promise<void> {
+	const result = await tasks.listTasks();
+	if (result.isOk()) {
+		push({type: 'tasks/listed', at: readClock(), tasks: result.value});
+	}
+}
+
+async function startTask({tasks, push}: InterpreterContext, effect: EffectOf<'task/start'>): Promise<void> {
+	const answer = await tasks.startTask(effect);
+	push({
+		type: 'task/start-answered', at: readClock(), jobId: effect.jobId, attempt: effect.attempt, answer,
+	});
+}
--- a/packages/daemon/src/platform/platform-client.ts
+++ b/packages/daemon/src/platform/platform-client.ts
@@ -1,17 +1,18 @@
 /** Calls to the platform over HTTP/JSON: the log and the host list. Faults are values. */
 import {
-	createFault, listedHostSchema, instantSchema, logRecordSchema, offsetSchema, type Fault, type ListedHost, type LoggedRecord, type LogRecord, type Offset,
+	listedHostSchema, instantSchema, logRecordSchema, offsetSchema, type Fault, type ListedHost, type LoggedRecord, type LogRecord, type Offset,
 } from '@rhubarblever/core';
-import {err, ok, type Result} from 'neverthrow';
-import {Agent, request, type Dispatcher} from 'undici';
+import type {Result} from 'neverthrow';
 import {z} from 'zod';
 import {readClock} from '../clock.js';
+import {parseAnswer, PlatformHttp, type PlatformCall} from './platform-http.js';
 
 const callTimeoutMs = 3000;
 /** While the platform is slow, calls may take this long. */
 const slowCallTimeoutMs = 10_000;
 /** A read that took longer than this beyond its wait makes the platform count as slow. */
 const slowAnswerMs = 1500;
+const connections = 16;
 
 /** How many records to read at most, and how long to wait for the first. Unit of `waitMs`: milliseconds. */
 export type ReadOptions = {readonly limit: number; readonly waitMs: number};
@@ -44,22 +45,14 @@
 
 const hostListSchema = z.object({hosts: z.array(listedHostSchema)});
 
-type PlatformCall = {
-	readonly method: Dispatcher.HttpMethod;
-	readonly path: string;
-	readonly body?: unknown;
-};
-
 export class PlatformClient {
 	static create(address: string): PlatformClient {
-		return new PlatformClient(`http://${address}`);
+		return new PlatformClient(PlatformHttp.create(address, {callTimeoutMs: slowCallTimeoutMs, connections}));
 	}
 
-	private readonly agent = new Agent({connections: 16, headersTimeout: slowCallTimeoutMs, bodyTimeout: slowCallTimeoutMs});
-
 	private isSlow = false;
 
-	private constructor(private readonly baseUrl: string) {}
+	private constructor(private readonly http: PlatformHttp) {}
 
 	/**
 	 * Reads records from `from` on; by default waits up to a second for the first.
@@ -87,27 +80,11 @@
 	}
 
 	async close(): Promise<void> {
-		await this.agent.destroy();
+		await this.http.close();
 	}
 
-	private async call<Body>({method, path, body}: PlatformCall, schema: z.ZodType<Body>): Promise<Result<Body, Fault>> {
-		try {
-			const response = await request(this.baseUrl + path, {
-				method,
-				body: body === undefined ? undefined : JSON.stringify(body),
-				headers: {'content-type': 'application/json'},
-				dispatcher: this.agent,
-				signal: AbortSignal.timeout(this.isSlow ? slowCallTimeoutMs : callTimeoutMs),
-			});
-			const answer: unknown = await response.body.json();
-			if (response.statusCode >= 300) {
-				return err(createFault('log-unavailable', `the platform answered ${response.statusCode}`));
-			}
-
-			const parsed = schema.safeParse(answer);
-			return parsed.success ? ok(parsed.data) : err(createFault('log-unavailable', 'the platform answered in an unknown shape'));
-		} catch (error) {
-			return err(createFault('log-unavailable', (error as Error).message));
-		}
+	private async call<Body>(call: PlatformCall, schema: z.ZodType<Body>): Promise<Result<Body, Fault>> {
+		const answer = await this.http.call({...call, timeoutMs: this.isSlow ? slowCallTimeoutMs : callTimeoutMs});
+		return answer.andThen(found => parseAnswer(found, schema));
 	}
 }
