--- a/packages/core/src/burn/observe.ts
+++ b/packages/core/src/burn/observe.ts
@@ -19,8 +19,8 @@
 const highestLatencyMs = hourMs;
 const firstServerErrorStatus = 500;
 
-/** Notes what an event says of open requests, before its handler runs. */
-export function noteEvent(state: State, event: Event): void {
+/** Notes what an event says of open requests, before its handler runs; returns metrics. */
+export function noteEvent(state: State, event: Event): Effect[] {
 	state.burn.since ??= event.at;
 	if (event.type === 'request/arrived' && state.fleet.services.has(event.request.service)) {
 		state.burn.open.set(event.request.callerKey, event.request);
@@ -29,24 +29,28 @@
 	} else if (event.type === 'attempt/answered') {
 		const request = state.requests.attempts.get(event.attemptId)?.request;
 		if (request) {
-			noteAnswer(state, request, event.status >= firstServerErrorStatus ? 'target-error' : undefined);
+			return noteAnswer(state, request, event.status >= firstServerErrorStatus ? 'target-error' : undefined);
 		}
 	}
+
+	return [];
 }
 
-/** Notes the refusals among an event's effects. */
-export function noteEffects(state: State, effects: readonly Effect[]): void {
-	for (const effect of effects) {
+/** Notes the refusals among an event's effects; returns metrics. */
+export function noteEffects(state: State, effects: readonly Effect[]): Effect[] {
+	return effects.flatMap(effect => {
 		const request = effect.type === 'caller/refuse' ? state.burn.open.get(effect.callerKey) : undefined;
 		if (request && effect.type === 'caller/refuse') {
-			noteAnswer(state, request, effect.fault.kind);
+			return noteAnswer(state, request, effect.fault.kind);
 		}
-	}
+
+		return [];
+	});
 }
 
-function noteAnswer(state: State, request: CallerRequest, cause: BadCause | undefined): void {
+function noteAnswer(state: State, request: CallerRequest, cause: BadCause | undefined): Effect[] {
 	if (!state.burn.open.delete(request.callerKey)) {
-		return;
+		return [];
 	}
 
 	const burn = findServiceBurn(state, request.service);
@@ -57,11 +61,24 @@
 	findLatencies(burn, state.now).histogram.recordValue(Math.min(Math.max(1, latencyMs), highestLatencyMs));
 	if (badCause === undefined) {
 		bucket.good += 1;
-		return;
+	} else {
+		bucket.bad += 1;
+		bucket.badByCause.set(badCause, (bucket.badByCause.get(badCause) ?? 0) + 1);
 	}
 
-	bucket.bad += 1;
-	bucket.badByCause.set(badCause, (bucket.badByCause.get(badCause) ?? 0) + 1);
+	return createAnswerMetrics(request, badCause ?? 'good', latencyMs);
+}
+
+function createAnswerMetrics(request: CallerRequest, outcome: BadCause | 'good', latencyMs: number): Effect[] {
+	const tags = {service: request.service, class: request.workClass, outcome};
+	return [
+		{
+			type: 'metric/send', kind: 'count', name: 'request.answered', value: 1, tags,
+		},
+		{
+			type: 'metric/send', kind: 'timing', name: 'request.duration', value: latencyMs, tags,
+		},
+	];
 }
 
 function findServiceBurn(state: State, service: ServiceId): ServiceBurn {
--- a/packages/core/src/burn/state.ts
+++ b/packages/core/src/burn/state.ts
@@ -34,11 +34,12 @@
 	/** Instant of the first event: nothing before it is known here. */
 	since: Instant | undefined;
 	nextCheckAt: Instant;
+	nextGaugesAt: Instant;
 };
 
 /** A state without answers. */
 export function createBurnState(): BurnState {
 	return {
-		services: new Map(), open: new Map(), since: undefined, nextCheckAt: 0 as Instant,
+		services: new Map(), open: new Map(), since: undefined, nextCheckAt: 0 as Instant, nextGaugesAt: 0 as Instant,
 	};
 }
--- a/packages/core/src/engine/reduce.ts
+++ b/packages/core/src/engine/reduce.ts
@@ -1,5 +1,6 @@
 /** The one reducer: from a state and an event to the effects, through a lookup table of handlers. */
 import {noteEffects, noteEvent, tickBurn} from '../burn/observe.js';
+import {tickGauges} from '../burn/gauges.js';
 import {createBurnState} from '../burn/state.js';
 import {tickClaimsDomain} from '../claims/handlers.js';
 import {createClaimsState} from '../claims/state.js';
@@ -52,6 +53,7 @@
 		...tickRequests(state),
 		...tickRequestStop(state),
 		...tickBurn(state),
+		...tickGauges(state),
 		...tickPlanner(state),
 		...tickJobs(state),
 	],
@@ -89,8 +91,7 @@
 export function reduce(state: State, event: Event): Effect[] {
 	state.now = Math.max(state.now, event.at) as Instant;
 	const handle = handlers[event.type] as Handler<EventType>;
-	noteEvent(state, event);
+	const answerMetrics = noteEvent(state, event);
 	const effects = deliverOwnMessages(state, handle(state, event));
-	noteEffects(state, effects);
-	return effects;
+	return [...effects, ...answerMetrics, ...noteEffects(state, effects)];
 }
