Request-path test: a cut zone serves idempotent work, refuses the rest truly, and the larger side runs both

A zone cut off from the other entry hosts cannot know whether a non-idempotent id was run there, so it refuses it; the test asked for non-idempotent answers on both sides.

--- a/packages/bench/src/integration/request-path.test.ts
+++ b/packages/bench/src/integration/request-path.test.ts
@@ -135,8 +135,8 @@
 	return Promise.all(Array.from({length: count}, async (_, index) => callService(hosts[index % hosts.length]!, options)));
 }
 
-async function isServing(host: LocalEntryHost): Promise<boolean> {
-	const seen = await callInTurn([host], 4, {runMs: 20, deadlineMs: 1000});
+async function isServing(host: LocalEntryHost, isIdempotent: boolean): Promise<boolean> {
+	const seen = await callInTurn([host], 4, {runMs: 20, deadlineMs: 1000, isIdempotent});
 	return seen.every(({isOwn}) => isOwn);
 }
 
@@ -231,7 +231,11 @@
 	it('a zone cut off goes on with its own targets, and after healing all slots are shared again', async () => {
 		await fleet.cutZones('ee-south-a', 'ee-south-b');
 		await fleet.cutZones('ee-south-a', 'ee-south-c');
-		await Promise.all(fleet.entryHosts.map(async host => waitUntil('requests are answered on each side', async () => isServing(host), settleMs)));
+		await Promise.all(fleet.entryHosts.map(async host => waitUntil('requests are answered on each side', async () => isServing(host, true), settleMs)));
+		const [cut, ...rest] = fleet.entryHosts.toSorted((a, b) => a.availabilityZone < b.availabilityZone ? -1 : 1);
+		await waitUntil('the larger side runs non-idempotent work', async () => isServing(rest.at(-1)!, false), settleMs);
+		const refused = await callService(cut!, {runMs: 20});
+		expect(refused.isRefusedTruly).toEqual(true);
 		await fleet.healAll();
 		await waitUntil('the slots are kept to again', async () => {
 			const from = Date.now();
