--- a/packages/bench/src/integration/shared-state.test.ts
+++ b/packages/bench/src/integration/shared-state.test.ts
@@ -15,7 +15,11 @@
 	readonly pools: ReadonlyArray<{readonly offset: number; readonly body: {readonly pool: string; readonly budget: {readonly minimumHealthyHosts: number}}}>;
 };
 
-type LogPage = {readonly records: ReadonlyArray<{readonly record: {readonly recordId: string}}>; readonly nextOffset: number};
+type LogPage = {readonly records: ReadonlyArray<{readonly record: {readonly recordId: string; readonly body: unknown}}>; readonly nextOffset: number};
+
+function hasSnapshotOf(page: LogPage, nextOffset: number): boolean {
+	return page.records.some(({record}) => (record.body as {nextOffset: number}).nextOffset >= nextOffset);
+}
 
 function createPool(recordId: string, pool: string, minimumHealthyHosts: number): PublishableRecord {
 	return {
@@ -140,9 +144,10 @@
 	it('is whole on a late starter after its records have expired', async () => {
 		await withFleet(async fleet => {
 			await fleet.publish([createPool('change-1', 'trucks', 3), createPool('change-2', 'maps', 2)]);
-			await waitUntil('a snapshot is in the log', async () => {
+			const log = await fleet.callPlatform('GET', '/v1/streams/fleet/records?from=0&limit=1000') as LogPage;
+			await waitUntil('a snapshot with the changes is in the log', async () => {
 				const page = await fleet.callPlatform('GET', '/v1/streams/snapshots/records?from=0&limit=1000') as LogPage;
-				return page.nextOffset > 0;
+				return hasSnapshotOf(page, log.nextOffset);
 			}, startMs);
 			await fleet.callPlatform('PUT', '/v1/control/faults', {retention: {maxRecords: 1}});
 			await fleet.publish([createPool('change-3', 'trucks', 4)]);
