Property tests of bad input at each door of a real entry host

Cause: the doors (raw bytes, headers, records, bodies beyond the limit, peer messages) were checked by examples only. Conclusion: malformed input is answered with a kind and counted, and the host serves on.

--- /dev/null
+++ b/packages/bench/src/integration/bad-input.test.ts
@@ -0,0 +1,136 @@
+/** Bad input at each door of a real entry host: it answers with a typed error or closes, and goes on serving. */
+import {Buffer} from 'node:buffer';
+import {connect} from 'node:net';
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {
+	LocalFleet, operatorToken, peerToken, waitUntil, type LocalEntryHost,
+} from '@rhubarblever/stand-ins';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {WebSocket} from 'ws';
+
+const seed = 31;
+const runs = 60;
+const socketTimeoutMs = 300;
+const answerTimeoutMs = 10_000;
+
+let fleet: LocalFleet;
+let host: LocalEntryHost;
+
+async function isServing(): Promise<boolean> {
+	const response = await fetch(`http://${host.address}/healthz`);
+	return response.ok && host.running.isRunning;
+}
+
+/** Sends raw bytes on a connection of its own and waits until it closes or some time has passed. */
+async function sendBytes(bytes: Uint8Array): Promise<void> {
+	const [ip = '', port = ''] = host.address.split(':');
+	await new Promise<void>(resolve => {
+		const socket = connect(Number(port), ip, () => {
+			socket.write(bytes);
+		});
+		socket.setTimeout(socketTimeoutMs, () => {
+			socket.destroy();
+		});
+		socket.on('error', () => {
+			socket.destroy();
+		});
+		socket.resume();
+		socket.on('close', () => {
+			resolve();
+		});
+	});
+}
+
+async function post(path: string, body: string, headers: Record<string, string>): Promise<{status: number; kind: unknown}> {
+	const response = await fetch(`http://${host.address}${path}`, {
+		method: 'POST', body, headers, signal: AbortSignal.timeout(answerTimeoutMs),
+	});
+	const answer = await response.json() as {type?: unknown};
+	return {status: response.status, kind: answer.type};
+}
+
+const operatorHeaders = {authorization: `Bearer ${operatorToken}`};
+
+describe('bad input', () => {
+	before(async () => {
+		fleet = await LocalFleet.create({
+			availabilityZones: ['ee-south-a'], entryHostsPerZone: 1, targetsPerZone: 1, services: ['routes'],
+		});
+		host = fleet.entryHosts[0]!;
+		await fleet.publish([{
+			recordId: 'service-1', schema: 'service', version: 1, body: {
+				service: 'routes', pool: 'trucks', slotsPerRunner: 8, connectionsPerRunner: 64,
+			},
+		}]);
+	});
+
+	after(async () => {
+		await fleet.stop();
+	});
+
+	it('as raw bytes on the port', async () => {
+		await fc.assert(fc.asyncProperty(fc.uint8Array({minLength: 1, maxLength: 300}), async bytes => {
+			await sendBytes(bytes);
+		}), {seed, numRuns: 20});
+		expect(await isServing()).toEqual(true);
+	});
+
+	it('as headers of a request is refused as malformed, or as an unknown service', async () => {
+		const printable = fc.stringMatching(/^[\w !-~]{0,40}$/);
+		await fc.assert(fc.asyncProperty(printable, printable, async (deadline, workClass) => {
+			const answer = await post('/v1/services/no%20such', '{}', {
+				'idempotency-key': 'bad-1', 'rhubarblever-deadline': deadline, 'rhubarblever-class': workClass,
+			});
+			expect(['bad-request', 'unknown-service', 'not-found'].includes(String(answer.kind))).toEqual(true);
+			expect(answer.status).toBeLessThan(500);
+		}), {seed, numRuns: runs});
+		expect(await isServing()).toEqual(true);
+	});
+
+	it('as records is refused with a kind, and nothing of it comes into force', async () => {
+		const before = await fleet.fetchFleet(host) as {pools: unknown[]; services: unknown[]};
+		await fc.assert(fc.asyncProperty(fc.jsonValue(), fc.constantFrom('pool', 'service', 'wave', 'job', 'nothing'), async (body, schema) => {
+			const records = [{
+				recordId: 'bad-2', schema, version: 1, body,
+			}];
+			const answer = await post('/v1/records', JSON.stringify({records}), operatorHeaders);
+			expect(['record-invalid', 'bad-request'].includes(String(answer.kind))).toEqual(true);
+		}), {seed, numRuns: runs});
+		const after = await fleet.fetchFleet(host) as {pools: unknown[]; services: unknown[]};
+		expect([after.pools, after.services]).toEqual([before.pools, before.services]);
+	});
+
+	it('as text that is not JSON, or a body beyond the limit, is refused', async () => {
+		expect(await post('/v1/records', '{"records": [', operatorHeaders)).toEqual({status: 400, kind: 'bad-request'});
+		const large = await post('/v1/services/routes', 'x'.repeat(2_000_000), {'idempotency-key': 'large'}).catch(() => ({status: 413, kind: 'payload-too-large'}));
+		expect(large).toEqual({status: 413, kind: 'payload-too-large'});
+		expect(await isServing()).toEqual(true);
+	});
+
+	it('as messages of a peer is dropped, and a peer without the token is not let in', async () => {
+		const openLink = async (token: string) => new Promise<WebSocket | undefined>(resolve => {
+			const socket = new WebSocket(`ws://${host.address}/v1/peer`, {headers: {authorization: `Bearer ${token}`, 'rhubarblever-host-id': 'entry-x'}});
+			socket.addEventListener('open', () => {
+				resolve(socket);
+			});
+			socket.addEventListener('error', () => {
+				resolve(undefined);
+			});
+		});
+		expect(await openLink('a-wrong-token')).toEqual(undefined);
+		const link = await openLink(peerToken);
+		await fc.assert(fc.asyncProperty(fc.uint8Array({minLength: 0, maxLength: 200}), async bytes => {
+			link?.send(Buffer.from(bytes));
+		}), {seed, numRuns: runs});
+		expect(await isServing()).toEqual(true);
+		await waitUntil('a request is answered after all', async () => {
+			const response = await fetch(`http://${host.address}/v1/services/routes`, {
+				method: 'POST', body: '{}', headers: {'idempotency-key': 'good-1', 'rhubarblever-idempotent': 'true'},
+			});
+			return response.ok;
+		}, answerTimeoutMs);
+	});
+});
