--- a/packages/bench/src/routing/main.ts
+++ b/packages/bench/src/routing/main.ts
@@ -31,12 +31,18 @@
 				runs.push(await runPolicy({
 					policy, seed: Number(seed), times: {...(flags.short ? shortTimes : longTimes), pace: flags.pace}, whenFull: flags['when-full'],
 				}));
+				// eslint-disable-next-line no-await-in-loop
+				await writeReports(flags.out, runs);
 			}
 		}
 
 		process.stdout.write(`${renderTable(runs)}\n`);
-		await mkdir(flags.out, {recursive: true});
-		await writeFile(join(flags.out, 'routing.html'), renderPage(runs, 'Routing policies under the burst pattern'));
-		await writeFile(join(flags.out, 'routing.json'), `${JSON.stringify(runs, undefined, '\t')}\n`);
 	})
 	.parse(process.argv);
+
+/** Writes what has been measured so far, so that a run which is ended early leaves its figures. */
+async function writeReports(folder: string, runs: readonly PolicyRun[]): Promise<void> {
+	await mkdir(folder, {recursive: true});
+	await writeFile(join(folder, 'routing.html'), renderPage(runs, 'Routing policies under the burst pattern'));
+	await writeFile(join(folder, 'routing.json'), `${JSON.stringify(runs, undefined, '\t')}\n`);
+}
