--- a/packages/core/src/jobs/bodies.ts
+++ b/packages/core/src/jobs/bodies.ts
@@ -1,5 +1,6 @@
 /** Bodies of the records about jobs, their attempts and the teams' quotas. */
 import {z} from 'zod';
+import {termSchema} from '../pools/bodies.js';
 import {
 	hostIdSchema, jobIdSchema, poolIdSchema, teamIdSchema,
 } from '../types/ids.js';
@@ -10,7 +11,6 @@
 export type JobClass = typeof jobClasses[number];
 
 const attemptSchema = z.number().int().positive();
-const termSchema = z.number().int().positive();
 
 /** A job as it is accepted. Sizes and run time are what the team declares; `allowedRuns` bounds how often it may start afresh. */
 export const jobBodyV1 = z.strictObject({
