--- a/packages/bench/src/integration/bad-input.test.ts
+++ b/packages/bench/src/integration/bad-input.test.ts
@@ -78,6 +78,11 @@
 		expect(await isServing()).toEqual(true);
 	});
 
+	it('as a path that is no URL', async () => {
+		await sendBytes(Buffer.from('GET // HTTP/1.1\r\nHost: x\r\n\r\n'));
+		expect(await isServing()).toEqual(true);
+	});
+
 	it('as headers of a request is refused as malformed, or as an unknown service', async () => {
 		const printable = fc.stringMatching(/^[\w !-~]{0,40}$/);
 		await fc.assert(fc.asyncProperty(printable, printable, async (deadline, workClass) => {
--- a/packages/bench/src/integration/command-line.test.ts
+++ b/packages/bench/src/integration/command-line.test.ts
@@ -60,6 +60,12 @@
 		expect(await runForCode(['diff', file])).toEqual(0);
 	});
 
+	it('waits until records are in force on every entry host', async () => {
+		const published = await runTool(['publish', file, '--wait']);
+		expect(published.code).toEqual(0);
+		expect(published.running.output).toMatchRegex(/in force on all 2 entry hosts/);
+	});
+
 	it('lists and gets what is in force', async () => {
 		const pools = await runTool(['list', 'pools']);
 		expect(pools.running.output).toMatchRegex(/trucks/);
@@ -91,6 +97,9 @@
 		}, 20_000);
 		second?.running.signal('SIGKILL');
 		await second?.running.waitForEnd();
+		const published = await runTool(['publish', file, '--wait', '--timeout', '2']);
+		expect(published.code).toEqual(3);
+		expect(published.running.output).toMatchRegex(/not in force on entry-attica-b-1: unreachable/);
 		const page = join(folder, 'burn.html');
 		const report = await runTool(['report', 'burn', '--html', page]);
 		expect(report.code).toEqual(0);
--- /dev/null
+++ b/packages/core/src/burn/events.ts
@@ -0,0 +1,12 @@
+/** Calls that were refused before they became requests. */
+import type {FaultKind} from '../types/faults.js';
+import type {Instant} from '../types/time.js';
+
+/** A call of a caller or operator was malformed, unauthorized, too large or unknown. */
+export type CallRefusedEvent = {
+	readonly type: 'call/refused';
+	readonly at: Instant;
+	readonly kind: FaultKind;
+};
+
+export type BurnEvent = CallRefusedEvent;
--- /dev/null
+++ b/packages/core/src/burn/handlers.ts
@@ -0,0 +1,9 @@
+/** Counts calls that were refused before they became requests. */
+import type {HandlerTable} from '../types/handlers.js';
+import type {BurnEvent} from './events.js';
+
+export const burnHandlers: HandlerTable<BurnEvent['type']> = {
+	'call/refused': (_state, event) => [{
+		type: 'metric/send', kind: 'count', name: 'call.refused', value: 1, tags: {kind: event.kind},
+	}],
+};
--- a/packages/core/src/engine/reduce.ts
+++ b/packages/core/src/engine/reduce.ts
@@ -1,4 +1,5 @@
 /** The one reducer: from a state and an event to the effects, through a lookup table of handlers. */
+import {burnHandlers} from '../burn/handlers.js';
 import {noteEffects, noteEvent, tickBurn} from '../burn/observe.js';
 import {tickGauges} from '../burn/gauges.js';
 import {createBurnState} from '../burn/state.js';
@@ -40,6 +41,7 @@
 	...membershipHandlers,
 	...plannerHandlers,
 	...jobHandlers,
+	...burnHandlers,
 	'hosts/listed': (state, event) => [
 		...targetHandlers['hosts/listed'](state, event),
 		...updateEntryHosts(state, event.hosts),
--- a/packages/core/src/types/events.ts
+++ b/packages/core/src/types/events.ts
@@ -1,4 +1,5 @@
 /** Everything that can happen to an entry host. Each domain lists its own events; time and randomness come only in here. */
+import type {BurnEvent} from '../burn/events.js';
 import type {FleetEvent} from '../fleet/events.js';
 import type {JobEvent} from '../jobs/events.js';
 import type {LogEvent} from '../log/events.js';
@@ -14,7 +15,7 @@
 /** The process was asked to stop gracefully. */
 export type StopEvent = {readonly type: 'stop/requested'; readonly at: Instant};
 
-export type Event = TickEvent | StopEvent | RequestEvent | TargetEvent | LogEvent | FleetEvent | MembershipEvent | PlannerEvent | JobEvent;
+export type Event = TickEvent | StopEvent | RequestEvent | TargetEvent | LogEvent | FleetEvent | MembershipEvent | PlannerEvent | JobEvent | BurnEvent;
 export type EventType = Event['type'];
 export type EventOf<Type extends EventType> = Extract<Event, {readonly type: Type}>;
 
--- a/packages/daemon/src/http/http-server.ts
+++ b/packages/daemon/src/http/http-server.ts
@@ -88,25 +88,34 @@
 }
 
 async function answerCall(context: HttpContext, request: IncomingMessage, response: ServerResponse): Promise<void> {
-	const path = new URL(request.url ?? '/', 'http://localhost').pathname;
+	try {
+		await routeCall(context, request, response);
+	} catch (error) {
+		refuse(context, response, createFault('internal', (error as Error).message));
+	}
+}
+
+async function routeCall(context: HttpContext, request: IncomingMessage, response: ServerResponse): Promise<void> {
+	const path = readPath(request);
 	const route = routes.find(candidate => candidate.method === request.method && candidate.pattern.test(path));
 	if (!route) {
-		refuse(response, createFault('not-found', `${request.method} ${path}`));
+		refuse(context, response, createFault('not-found', `${request.method} ${path}`));
 		return;
 	}
 
 	if (route.access === 'operator' && !hasToken(request, context.settings.operatorToken)) {
-		refuse(response, createFault('unauthorized', 'operators show their token as Authorization: Bearer'));
+		refuse(context, response, createFault('unauthorized', 'operators show their token as Authorization: Bearer'));
 		return;
 	}
 
-	try {
-		await route.handle({
-			context, request, response, parameter: route.pattern.exec(path)?.[1] ?? '',
-		});
-	} catch (error) {
-		refuse(response, createFault('internal', (error as Error).message));
-	}
+	await route.handle({
+		context, request, response, parameter: route.pattern.exec(path)?.[1] ?? '',
+	});
+}
+
+/** The path of a call without its query. Not every request target is a URL, so none is made of it. */
+function readPath(request: IncomingMessage): string {
+	return (request.url ?? '/').split('?', 1)[0] ?? '/';
 }
 
 /** Whether a call shows a token, compared in constant time. */
@@ -116,7 +125,9 @@
 	return shown.length === expected.length && timingSafeEqual(shown, expected);
 }
 
-function refuse(response: ServerResponse, fault: Fault): void {
+/** Answers a call that did not become a request, and counts it. */
+function refuse({push}: HttpContext, response: ServerResponse, fault: Fault): void {
+	push({type: 'call/refused', at: readClock(), kind: fault.kind});
 	sendFault(response, fault, (readClock() + comeBackMs) as Instant);
 }
 
@@ -134,13 +145,13 @@
 }: Call): Promise<void> {
 	const head = readRequestHead(parameter, request.headers, readClock());
 	if (head.isErr()) {
-		refuse(response, head.error);
+		refuse(context, response, head.error);
 		return;
 	}
 
 	const body = await readBody(request, context.settings.maxBodyBytes);
 	if (body.isErr()) {
-		refuse(response, body.error);
+		refuse(context, response, body.error);
 		return;
 	}
 
@@ -158,20 +169,20 @@
 async function takeRecords({context, request, response}: Call): Promise<void> {
 	const body = await readBody(request, context.settings.maxBodyBytes);
 	if (body.isErr()) {
-		refuse(response, body.error);
+		refuse(context, response, body.error);
 		return;
 	}
 
 	const parsed = publishBodySchema.safeParse(parseJson(body.value));
 	if (!parsed.success) {
-		refuse(response, createFault('bad-request', parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; ')));
+		refuse(context, response, createFault('bad-request', parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; ')));
 		return;
 	}
 
 	for (const record of parsed.data.records) {
 		const decoded = decodeBody(record.schema, record.version, record.body);
 		if (decoded.isErr()) {
-			refuse(response, createFault('record-invalid', `${record.recordId}: ${decoded.error.detail}`));
+			refuse(context, response, createFault('record-invalid', `${record.recordId}: ${decoded.error.detail}`));
 			return;
 		}
 	}
--- a/packages/daemon/src/http/in-force.ts
+++ b/packages/daemon/src/http/in-force.ts
@@ -23,7 +23,7 @@
 
 /** GET /v1/in-force?offset=N */
 export function answerInForce({context, request, response}: Call): void {
-	const text = new URL(request.url ?? '/', 'http://localhost').searchParams.get('offset');
+	const text = new URLSearchParams((request.url ?? '').split('?', 2)[1]).get('offset');
 	const offset = offsetSchema.safeParse(text === null || text === '' ? undefined : Number(text));
 	if (!offset.success) {
 		sendFault(response, createFault('bad-request', 'offset must be a whole number'), readClock());
--- a/packages/daemon/src/peers/peer-links.ts
+++ b/packages/daemon/src/peers/peer-links.ts
@@ -50,6 +50,7 @@
 		server.on('upgrade', (request: IncomingMessage, socket: Duplex, head: Uint8Array) => {
 			const peer = hostIdSchema.safeParse(request.headers[hostHeader]);
 			if (request.url !== peerPath || !peer.success || !hasToken(request, this.settings.peerToken)) {
+				this.push({type: 'call/refused', at: readClock(), kind: 'unauthorized'});
 				socket.end('HTTP/1.1 401 Unauthorized\r\n\r\n');
 				return;
 			}
