--- a/packages/core/src/jobs/appliers.ts
+++ b/packages/core/src/jobs/appliers.ts
@@ -3,7 +3,7 @@
 import type {FleetState} from '../fleet/state.js';
 import {judgeTerm} from '../planner/lease.js';
 import type {LoggedRecord} from '../types/records.js';
-import type {Instant} from '../types/time.js';
+import {addMilliseconds, type Instant} from '../types/time.js';
 import type {
 	AttemptEnd, JobAttemptEndBody, JobDomainBodies, JobLeasesBody,
 } from './bodies.js';
@@ -16,6 +16,7 @@
 
 /** Ended jobs are remembered so long, by the clock of the log; after that an id may be used again. */
 export const endedJobKeptMs = 24 * 3_600_000;
+const expireIntervalMs = 600_000;
 
 type JobApplier<Name extends keyof JobDomainBodies> = (fleet: FleetState, logged: LoggedRecord, body: JobDomainBodies[Name]) => RecordOutcome;
 
@@ -176,7 +177,13 @@
 	}
 }
 
+/** Looks through all jobs, so only now and then. */
 function expireEndedJobs(fleet: FleetState, now: Instant): void {
+	if (now < fleet.jobs.expireAt) {
+		return;
+	}
+
+	fleet.jobs.expireAt = addMilliseconds(now, expireIntervalMs);
 	for (const [jobId, job] of fleet.jobs.jobs) {
 		if (job.endedAt !== undefined && job.endedAt + endedJobKeptMs < now) {
 			fleet.jobs.jobs.delete(jobId);
--- /dev/null
+++ b/packages/core/src/jobs/audit.ts
@@ -0,0 +1,18 @@
+/** The promise about jobs, checked in the running program after each accepted attempt. */
+import type {RecordOutcome} from '../fleet/apply-record.js';
+import type {Effect} from '../types/effects.js';
+import type {LoggedRecord} from '../types/records.js';
+import type {State} from '../types/state.js';
+import {jobAttemptBodyV1} from './bodies.js';
+
+/** Invariant: an attempt that the fold accepted leaves its job within its allowed runs, and is the one that runs. */
+export function judgeJobRuns(state: State, {record}: LoggedRecord, {verdict}: RecordOutcome): Effect[] {
+	if (record.schema !== 'job-attempt' || verdict !== 'accepted') {
+		return [];
+	}
+
+	const attempt = jobAttemptBodyV1.safeParse(record.body);
+	const job = attempt.success ? state.fleet.jobs.jobs.get(attempt.data.jobId) : undefined;
+	const holds = job !== undefined && job.runs <= job.body.allowedRuns && job.current?.attempt === attempt.data?.attempt;
+	return holds ? [] : [{type: 'invariant/violated', name: 'job-runs', detail: record.recordId}];
+}
--- a/packages/core/src/jobs/state.ts
+++ b/packages/core/src/jobs/state.ts
@@ -44,11 +44,15 @@
 	readonly jobs: Map<JobId, Job>;
 	readonly quotas: Map<TeamId, QuotaBody>;
 	readonly workers: Map<HostId, WorkerResults>;
+	/** When to look again for ended jobs that may be forgotten, by the clock of the log. */
+	expireAt: Instant;
 };
 
 /** A state without jobs. */
 export function createJobsState(): JobsState {
-	return {jobs: new Map(), quotas: new Map(), workers: new Map()};
+	return {
+		jobs: new Map(), quotas: new Map(), workers: new Map(), expireAt: 0 as Instant,
+	};
 }
 
 /** The results of a worker, empty at first. */
