Command line: usage errors end with code 2, unknown flags and bad timeouts are named

Ruled out: a parser of our own (the argument library's exit code is changed at the exit, its texts are kept). Conclusion: each exit code has one meaning.

--- a/packages/bench/src/integration/command-line.test.ts
+++ b/packages/bench/src/integration/command-line.test.ts
@@ -89,6 +89,12 @@
 		expect(published.running.output).toMatchRegex(/bad\.yaml: records\.2: body: goodShare/);
 	});
 
+	it('ends with the code of usage where the command line is wrong', async () => {
+		const wrong = [[], ['nonsense'], ['list', 'pools', '--colour', 'red'], ['publish'], ['publish', file, '--wait', '--timeout', 'soon']];
+		const codes = await Promise.all(wrong.map(async flags => runForCode(flags)));
+		expect(codes).toEqual([2, 2, 2, 2, 2]);
+	});
+
 	it('reports burn over the hosts that can be asked and names the others', async () => {
 		const [first, second] = fleet.entryHosts;
 		await waitUntil('a request is answered', async () => {
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -2,7 +2,7 @@
 /** `rhubarblever`: the operators' command-line tool. */
 import process from 'node:process';
 import type {Instant} from '@rhubarblever/core';
-import type {Result} from 'neverthrow';
+import {err, ok, type Result} from 'neverthrow';
 import sade from 'sade';
 import {diffFile} from './commands/diff.js';
 import {getItem, listedKinds, listKind} from './commands/list.js';
@@ -10,12 +10,13 @@
 import {reportBurn} from './commands/report-burn.js';
 import {describeStatus} from './commands/status.js';
 import {exitCodes} from './exit-codes.js';
-import type {Failure} from './failure.js';
+import {createFailure, type Failure} from './failure.js';
 import {readRecordsFile} from './files/records-file.js';
 import {readSettings, type CommonFlags, type Settings} from './settings.js';
 import {version} from './version.js';
 
 const defaultWaitSeconds = 10;
+let hasStarted = false;
 
 type PublishFlags = CommonFlags & {readonly wait?: unknown; readonly timeout?: unknown};
 type BurnFlags = CommonFlags & {readonly html?: unknown};
@@ -34,13 +35,28 @@
 }
 
 async function runCommand(flags: CommonFlags, run: (settings: Settings) => Promise<Result<string, Failure>>): Promise<void> {
+	hasStarted = true;
 	const settings = readSettings(flags, process.env);
 	finish(settings.isErr() ? settings.map(() => '') : await run(settings.value));
 }
 
-function readDeadline(flags: PublishFlags): number | undefined {
+/** When to stop waiting; nothing without `--wait`. */
+function readDeadline(flags: PublishFlags): Result<number | undefined, Failure> {
+	if (flags.wait !== true) {
+		return ok(undefined);
+	}
+
 	const seconds = Number(flags.timeout ?? defaultWaitSeconds);
-	return flags.wait === true ? Date.now() + (seconds * 1000) : undefined;
+	return seconds > 0 ? ok(Date.now() + (seconds * 1000)) : err(createFailure('usage', `--timeout must be seconds, not '${String(flags.timeout)}'`));
+}
+
+/** The argument parser ends the process with 1 where the command line is wrong; that code means something else here. */
+function keepUsageCode(): void {
+	process.on('exit', code => {
+		if (!hasStarted && code === 1) {
+			process.exitCode = exitCodes.usage;
+		}
+	});
 }
 
 const program = sade('rhubarblever')
@@ -56,12 +72,16 @@
 	.option('--timeout', 'Seconds to wait at most', defaultWaitSeconds)
 	.example('publish pools.yaml --wait')
 	.action(async (file: string, flags: PublishFlags) => {
-		await runCommand(flags, async settings => publishFile(settings, {file, waitUntil: readDeadline(flags)}));
+		await runCommand(flags, async settings => {
+			const waitUntil = readDeadline(flags);
+			return waitUntil.isErr() ? err(waitUntil.error) : publishFile(settings, {file, waitUntil: waitUntil.value});
+		});
 	});
 
 program
 	.command('check <file>', 'Check a file of records without sending anything')
 	.action(async (file: string) => {
+		hasStarted = true;
 		const records = await readRecordsFile(file);
 		finish(records.map(found => `${file}: ${found.length} records are well-formed`));
 	});
@@ -98,4 +118,10 @@
 		await runCommand(flags, async settings => reportBurn(settings, htmlPath, Date.now() as Instant));
 	});
 
-program.parse(process.argv);
+keepUsageCode();
+program.parse(process.argv, {
+	unknown(flag) {
+		process.stderr.write(`${flag} is not a flag of this command\n`);
+		process.exit(exitCodes.usage);
+	},
+});
