Jobs: a task that gives way loses no run when the planner changes or a checkpoint's call is lost

Cause: read as a newcomer: only the planner that displaced a task knew that its stop meant 'checkpointed'; another one would write 'stopped', which ends a job of one allowed run as failed. And the stop came 400 ms after the checkpoint's call, seen or not. Change: the end is judged by the task's own checkpoint; the stop waits until the checkpoint is listed, and both calls are repeated. Ruled out: a record of the displacement (one more append for each). Conclusion: nothing that decides a run's fate is kept in one process.

--- a/packages/core/src/jobs/runner-state.ts
+++ b/packages/core/src/jobs/runner-state.ts
@@ -11,12 +11,6 @@
 	callAt: Instant;
 };
 
-/** A task that must give way: first a checkpoint, then the stop. */
-export type Displacement = {
-	readonly attempt: number;
-	stopAt: Instant;
-};
-
 export type JobRunnerState = {
 	tasks: readonly ListedTask[];
 	/** When the list of tasks came, by this host's clock. */
@@ -29,8 +23,9 @@
 	/** The record about each job or worker that is on its way to the log. */
 	readonly proposals: Map<string, RecordId>;
 	readonly starts: Map<JobId, StartCall>;
-	readonly displaced: Map<JobId, Displacement>;
-	/** When to ask again that a task be stopped. */
+	/** The attempt of each job that must give way. */
+	readonly displaced: Map<JobId, number>;
+	/** When to ask again that a task be checkpointed or stopped. */
 	readonly stopAgainAt: Map<JobId, Instant>;
 	proposalCount: number;
 };
--- /dev/null
+++ b/packages/core/src/jobs/runner.test.ts
@@ -0,0 +1,117 @@
+/** Tests of the job runner: a resumable task gives way to urgent work and loses no run by it. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {createState, reduce} from '../engine/reduce.js';
+import type {Effect} from '../types/effects.js';
+import {listedHostSchema} from '../types/hosts.js';
+import type {AvailabilityZone, HostId, Incarnation} from '../types/ids.js';
+import {logRecordSchema} from '../types/records.js';
+import type {State} from '../types/state.js';
+import type {Instant, Offset} from '../types/time.js';
+import {listedTaskSchema} from './tasks.js';
+
+const cores = 4;
+const leaseMs = 10_000;
+
+/** The planner's holder, with one worker of four cores. */
+class Holder {
+	static create(hostId: string): Holder {
+		return new Holder(hostId);
+	}
+
+	readonly state: State;
+	private now = 1000;
+
+	private constructor(hostId: string) {
+		this.state = createState({
+			self: {hostId: hostId as HostId, availabilityZone: 'a' as AvailabilityZone, address: '127.0.0.1:1'},
+			incarnation: `${hostId}-1` as Incarnation,
+			peers: [],
+			routingPolicy: 'steward',
+			seed: 3,
+		});
+		const worker = listedHostSchema.parse({
+			hostId: 'worker-1', role: 'worker', availabilityZone: 'a', address: '127.0.0.1:2', state: 'live', cores, memoryBytes: 1e9, accelerators: 0,
+		});
+		reduce(this.state, {type: 'hosts/listed', at: this.now as Instant, hosts: [worker]});
+	}
+
+	append(schema: string, body: unknown): void {
+		const offset = this.state.fleet.nextOffset;
+		const record = logRecordSchema.parse({
+			recordId: `r${offset}`, schema, version: 1, body,
+		});
+		reduce(this.state, {
+			type: 'log/read', at: this.now as Instant, firstOffset: 0 as Offset, nextOffset: (offset + 1) as Offset, records: [{offset, at: this.now as Instant, record}],
+		});
+	}
+
+	takeLease(term: number): void {
+		const {hostId} = this.state.settings.self;
+		this.append('planner-lease', {
+			holder: hostId, incarnation: `${hostId}-1`, term, deadline: this.now + leaseMs,
+		});
+	}
+
+	/** Shows the roster's task as the platform lists it, and lets some time pass. */
+	pass(milliseconds: number, task: {readonly state: string; readonly checkpointMs: number}): Effect[] {
+		const effects: Effect[] = [];
+		const listed = listedTaskSchema.parse({
+			taskId: 'roster', attempt: 1, hostId: 'worker-1', leaseUntil: 60_000, throttle: 1, usage: {cores, memoryBytes: 1}, reportedAt: this.now, ...task,
+		});
+		for (const until = this.now + milliseconds; this.now < until;) {
+			this.now += 50;
+			reduce(this.state, {type: 'tasks/listed', at: this.now as Instant, tasks: [listed]});
+			effects.push(...reduce(this.state, {type: 'clock/ticked', at: this.now as Instant}));
+		}
+
+		return effects;
+	}
+
+	listProposedEnds(): unknown[] {
+		return [...this.state.log.pending.values()].map(({record}) => record).filter(({schema}) => schema === 'job-attempt-end').map(({body}) => body);
+	}
+}
+
+function startRoster(holder: Holder): void {
+	holder.append('pool', {pool: 'rosters', minimumHealthyHosts: 0});
+	holder.append('host', {
+		hostId: 'worker-1', pool: 'rosters', availabilityZone: 'a', rack: 'rack-1',
+	});
+	holder.takeLease(1);
+	holder.append('job', createJob('roster', 'batch'));
+	holder.append('job-attempt', {
+		jobId: 'roster', attempt: 1, worker: 'worker-1', leaseUntil: 60_000, term: 1,
+	});
+}
+
+function createJob(jobId: string, jobClass: string) {
+	return {
+		jobId, pool: 'rosters', team: 'dispatch', jobClass, cores, memoryBytes: 1, declaredRunMs: 60_000, allowedRuns: 1, isResumable: jobClass === 'batch',
+	};
+}
+
+function listTaskCalls(effects: readonly Effect[]): string[] {
+	return effects.map(effect => effect.type).filter(type => type === 'task/checkpoint' || type === 'task/stop');
+}
+
+describe('a task that gives way to urgent work', () => {
+	it('is checkpointed, again if the call was lost, and stopped only once the checkpoint is seen', () => {
+		const holder = Holder.create('entry-1');
+		startRoster(holder);
+		holder.append('job', createJob('warning', 'urgent'));
+		const before = listTaskCalls(holder.pass(1800, {state: 'running', checkpointMs: 0}));
+		expect([before.includes('task/checkpoint'), before.includes('task/stop')]).toEqual([true, false]);
+		expect(before.length).toBeGreaterThanOrEqual(2);
+		expect(listTaskCalls(holder.pass(1500, {state: 'running', checkpointMs: 700})).includes('task/stop')).toEqual(true);
+	});
+
+	it('loses no run, also when another planner has taken over before its end was written down', () => {
+		const holder = Holder.create('entry-2');
+		startRoster(holder);
+		holder.pass(300, {state: 'stopped', checkpointMs: 700});
+		expect(holder.listProposedEnds()).toEqual([{
+			jobId: 'roster', attempt: 1, end: 'checkpointed', term: 1,
+		}]);
+	});
+});
--- a/packages/core/src/jobs/runner.ts
+++ b/packages/core/src/jobs/runner.ts
@@ -43,7 +43,7 @@
 	}
 
 	if (item.task.state !== 'running') {
-		return publishEnd(state, item, chooseEnd(state, item, item.task.state), term);
+		return publishEnd(state, item, chooseEnd(item.job, item.task, item.task.state), term);
 	}
 
 	return [...lengthenTask(item, item.task), ...stopTask(state, item)];
@@ -102,9 +102,10 @@
 	succeeded: 'succeeded', failed: 'failed', stopped: 'stopped', lapsed: 'stopped', lost: 'lost',
 };
 
-function chooseEnd(state: State, {job, current}: RunningJob, taskState: Exclude<ListedTask['state'], 'running'>): AttemptEnd {
-	const isDisplaced = state.jobRunner.displaced.get(job.body.jobId)?.attempt === current.attempt;
-	return taskState === 'stopped' && isDisplaced ? 'checkpointed' : endsByTaskState[taskState];
+/** Judged by the task alone, so that a planner who takes over in between comes to the same end. */
+function chooseEnd(job: Job, task: ListedTask, taskState: Exclude<ListedTask['state'], 'running'>): AttemptEnd {
+	const hasCheckpoint = job.body.isResumable && task.checkpointMs > 0;
+	return taskState === 'stopped' && hasCheckpoint ? 'checkpointed' : endsByTaskState[taskState];
 }
 
 /** The worker's lease follows the log's, never the other way. */
@@ -116,27 +117,29 @@
 		: [];
 }
 
-function stopTask(state: State, {job, current}: RunningJob): Effect[] {
+/** A task that must give way is stopped only once its checkpoint is seen; calls may be lost, so both are repeated. */
+function stopTask(state: State, {job, current, task}: RunningJob): Effect[] {
 	const {jobId} = job.body;
-	const displacement = state.jobRunner.displaced.get(jobId);
-	const mustGiveWay = displacement?.attempt === current.attempt && displacement.stopAt <= state.now;
+	const mustGiveWay = state.jobRunner.displaced.get(jobId) === current.attempt;
 	const isDue = (state.jobRunner.stopAgainAt.get(jobId) ?? 0) <= state.now;
 	if (!isDue || !(job.isCancelRequested || mustGiveWay)) {
 		return [];
 	}
 
 	state.jobRunner.stopAgainAt.set(jobId, addMilliseconds(state.now, stopRetryMs));
-	return [{type: 'task/stop', jobId, attempt: current.attempt}];
+	const needsCheckpoint = !job.isCancelRequested && task?.checkpointMs === 0;
+	return [{type: needsCheckpoint ? 'task/checkpoint' : 'task/stop', jobId, attempt: current.attempt}];
 }
 
-/** Makes a resumable task give way: a checkpoint now, the stop a little later. */
+/** Makes a resumable task give way: a checkpoint now, the stop once it is seen. */
 export function displaceTask(state: State, {job, current}: RunningJob): Effect[] {
 	const {jobId} = job.body;
-	if (!job.body.isResumable || state.jobRunner.displaced.get(jobId)?.attempt === current.attempt) {
+	if (!job.body.isResumable || state.jobRunner.displaced.get(jobId) === current.attempt) {
 		return [];
 	}
 
-	state.jobRunner.displaced.set(jobId, {attempt: current.attempt, stopAt: addMilliseconds(state.now, checkpointWaitMs)});
+	state.jobRunner.displaced.set(jobId, current.attempt);
+	state.jobRunner.stopAgainAt.set(jobId, addMilliseconds(state.now, checkpointWaitMs));
 	return [{type: 'task/checkpoint', jobId, attempt: current.attempt}];
 }
 
