Jobs: the list of running jobs is made once a tick, and the runner forgets what it noted of ended jobs

Cause: the last read of the change: the planner's holder joined jobs and tasks up to four times every 100 ms, and its notes of starts, displacements, stops and proposals were never dropped. Ruled out: keeping the joined list in the state (it can be derived). Conclusion: behaviour is the same; the local state is bounded by what runs.

--- a/packages/core/src/jobs/handlers.ts
+++ b/packages/core/src/jobs/handlers.ts
@@ -10,7 +10,9 @@
 import {planPlacements, type PlacementPlan, type WorkerCapacity} from './placement.js';
 import {hasProposal, publishJobRecord} from './proposals.js';
 import {clearForUrgent, clearLeavingWorkers, relieveWorkers} from './relief.js';
-import {jobLeaseMs, runJobs} from './runner.js';
+import {
+	jobLeaseMs, listRunning, runJobs, type RunningJob,
+} from './runner.js';
 
 const listIntervalMs = 250;
 const runIntervalMs = 100;
@@ -47,7 +49,8 @@
 		return effects;
 	}
 
-	effects.push(...runJobs(state, term), ...clearLeavingWorkers(state), ...planJobs(state, term));
+	const running = listRunning(state);
+	effects.push(...runJobs(state, running, term), ...clearLeavingWorkers(state, running), ...planJobs(state, running, term));
 	return effects;
 }
 
@@ -66,12 +69,13 @@
 }
 
 /** Plans when something in the fleet changed, and now and then. */
-function planJobs(state: State, term: number): Effect[] {
+function planJobs(state: State, running: readonly RunningJob[], term: number): Effect[] {
 	const runner = state.jobRunner;
 	if (runner.plannedOffset === state.fleet.nextOffset && state.now < runner.nextPlanAt) {
 		return [];
 	}
 
+	expireNotes(state);
 	runner.plannedOffset = state.fleet.nextOffset;
 	runner.nextPlanAt = addMilliseconds(state.now, planAgainMs);
 	const capacities = listCapacities(state);
@@ -79,12 +83,30 @@
 	return [
 		...publishPlan(state, plan, term),
 		...unparkJobs(state, capacities, term),
-		...clearForUrgent(state, plan.crowdedOut, capacities),
-		...relieveWorkers(state, capacities),
+		...clearForUrgent(state, running, plan.crowdedOut, capacities),
+		...relieveWorkers(state, running, capacities),
 		...setWorkersAside(state, term),
 	];
 }
 
+/** Forgets what this host noted of jobs that no longer run, and of records that were read back. */
+function expireNotes(state: State): void {
+	const {starts, displaced, stopAgainAt, proposals} = state.jobRunner;
+	for (const notes of [starts, displaced, stopAgainAt]) {
+		for (const jobId of notes.keys()) {
+			if (!state.fleet.jobs.jobs.get(jobId)?.current) {
+				notes.delete(jobId);
+			}
+		}
+	}
+
+	for (const [subject, recordId] of proposals) {
+		if (!state.log.pending.has(recordId)) {
+			proposals.delete(subject);
+		}
+	}
+}
+
 function publishPlan(state: State, plan: PlacementPlan, term: number): Effect[] {
 	const leaseUntil = addMilliseconds(estimateLogTime(state), jobLeaseMs);
 	return [
--- a/packages/core/src/jobs/relief.ts
+++ b/packages/core/src/jobs/relief.ts
@@ -3,7 +3,7 @@
 import type {State} from '../types/state.js';
 import {jobClasses} from './bodies.js';
 import type {WorkerCapacity} from './placement.js';
-import {displaceTask, listRunning, type RunningJob} from './runner.js';
+import {displaceTask, type RunningJob} from './runner.js';
 import type {Job} from './state.js';
 
 const throttleShare = 0.5;
@@ -11,15 +11,14 @@
 const fullMemoryShare = 0.95;
 
 /** Resumable tasks on hosts that are out by plan give way at once, so that a drain need not wait for them. */
-export function clearLeavingWorkers(state: State): Effect[] {
-	return listRunning(state)
+export function clearLeavingWorkers(state: State, running: readonly RunningJob[]): Effect[] {
+	return running
 		.filter(({current, task}) => task?.state === 'running' && state.fleet.hosts.get(current.worker)?.chain !== undefined)
 		.flatMap(item => displaceTask(state, item));
 }
 
 /** Displaces the lowest class first until an urgent job would fit on one worker. */
-export function clearForUrgent(state: State, urgent: readonly Job[], capacities: readonly WorkerCapacity[]): Effect[] {
-	const running = listRunning(state);
+export function clearForUrgent(state: State, running: readonly RunningJob[], urgent: readonly Job[], capacities: readonly WorkerCapacity[]): Effect[] {
 	return urgent.flatMap(job => {
 		const choice = capacities
 			.filter(({worker}) => isWorkerOpen(state, job, worker))
@@ -32,8 +31,7 @@
 }
 
 /** Throttles or displaces where the reported use passes what a worker has, the lowest class first. */
-export function relieveWorkers(state: State, capacities: readonly WorkerCapacity[]): Effect[] {
-	const running = listRunning(state);
+export function relieveWorkers(state: State, running: readonly RunningJob[], capacities: readonly WorkerCapacity[]): Effect[] {
 	return capacities.flatMap(capacity => {
 		const lowest = running.filter(item => item.current.worker === capacity.worker && item.task?.state === 'running').toSorted(compareLowestFirst).at(0);
 		if (!lowest) {
--- a/packages/core/src/jobs/runner.ts
+++ b/packages/core/src/jobs/runner.ts
@@ -29,8 +29,7 @@
 }
 
 /** What each running job needs now. */
-export function runJobs(state: State, term: number): Effect[] {
-	const running = listRunning(state);
+export function runJobs(state: State, running: readonly RunningJob[], term: number): Effect[] {
 	return [
 		...running.flatMap(item => runJob(state, item, term)),
 		...renewLeases(state, running, term),
