Attempts: a few stalled run times no longer take the time for a retry

A trace of each attempt (time given, run times known) shows it: the timeout was four times the 99th percentile of at most 128 run times, which is their largest or second largest, and the room kept for a retry was 1.5 times the same figure. Two stalls of over 1.33 s among a host's run times, as on a busy machine, left no room by that sum, and the one attempt got the whole deadline of 4 s on a connection that was silent. Second cause, seen in the same trace (a second between the end of an attempt and the next): each of eight attempts lost together doubled the time for which the target was set aside, so one event counted as five.

Ruled out: connections frozen anew (retries took fresh ones and were answered), the retry budget, refusals by the steward (none in the trace).

Change: the timeout is taken from the 95th percentile, and never more than half of the time left where another attempt of usual length fits. What began before a target was set aside does not count against it again; the time doubles with each setting aside.

Conclusion: a figure for a retry's room must not hang on the worst sample.

--- /dev/null
+++ b/packages/core/src/requests/attempt-timeouts.test.ts
@@ -0,0 +1,75 @@
+/** When attempts are given up, so that a connection that went silent costs an idempotent request no more than an attempt. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {createState} from '../engine/reduce.js';
+import {recordRunTime} from '../slots/run-times.js';
+import type {
+	AvailabilityZone, CallerKey, HostId, Incarnation, RequestId, ServiceId, TeamId,
+} from '../types/ids.js';
+import type {CallerRequest} from '../types/requests.js';
+import type {State} from '../types/state.js';
+import {addMilliseconds, type Instant} from '../types/time.js';
+import {getGiveUpAt} from './attempt-timeouts.js';
+
+const service = 'routes' as ServiceId;
+const now = 1_000_000 as Instant;
+const deadlineMs = 4000;
+
+const request: CallerRequest = {
+	callerKey: 'caller-1' as CallerKey,
+	requestId: 'request-1' as RequestId,
+	service,
+	team: 'dispatch' as TeamId,
+	workClass: 'quick',
+	isIdempotent: true,
+	arrivedAt: now,
+	deadline: addMilliseconds(now, deadlineMs),
+};
+
+function createStateWithRunTimes(runTimesMs: readonly number[]): State {
+	const state = createState({
+		self: {hostId: 'entry-1' as HostId, availabilityZone: 'ee-south-a' as AvailabilityZone, address: '127.0.0.1:1'},
+		incarnation: 'entry-1-i' as Incarnation,
+		peers: [],
+		routingPolicy: 'steward',
+		seed: 1,
+	});
+	state.now = now;
+	for (const runMs of runTimesMs) {
+		recordRunTime(state.slots, service, 'quick', runMs);
+	}
+
+	return state;
+}
+
+function countMsToGiveUp(state: State, attemptCount: number, change: Partial<CallerRequest> = {}): number {
+	return getGiveUpAt(state, {...request, ...change}, attemptCount) - now;
+}
+
+describe('timeouts of attempts', () => {
+	const stalled = [1400, 1500, ...Array.from({length: 56}, () => 200)];
+
+	it('leave time for another attempt though a few run times were long', () => {
+		expect(countMsToGiveUp(createStateWithRunTimes(stalled), 1)).toBeLessThanOrEqual(deadlineMs / 2);
+	});
+
+	it('do not grow with a few stalled run times', () => {
+		const calm = countMsToGiveUp(createStateWithRunTimes(Array.from({length: 58}, () => 200)), 1);
+		expect(countMsToGiveUp(createStateWithRunTimes(stalled), 1)).toEqual(calm);
+	});
+
+	it('are several times what the work usually takes', () => {
+		expect(countMsToGiveUp(createStateWithRunTimes(Array.from({length: 58}, () => 200)), 1)).toBeGreaterThanOrEqual(400);
+	});
+
+	it('are the deadline where two attempts do not fit, for the last attempt, and for non-idempotent work', () => {
+		const slow = createStateWithRunTimes(Array.from({length: 58}, () => 1600));
+		const quick = createStateWithRunTimes([...stalled]);
+		expect([countMsToGiveUp(slow, 1), countMsToGiveUp(quick, 3), countMsToGiveUp(quick, 1, {isIdempotent: false})])
+			.toEqual([deadlineMs, deadlineMs, deadlineMs]);
+	});
+
+	it('are half of the time left for quick work not yet known', () => {
+		expect(countMsToGiveUp(createStateWithRunTimes([]), 1)).toEqual(deadlineMs / 2);
+	});
+});
--- a/packages/core/src/requests/attempt-timeouts.ts
+++ b/packages/core/src/requests/attempt-timeouts.ts
@@ -1,12 +1,14 @@
 /** When an attempt is given up: idempotent ones early enough that another attempt can still meet the deadline. */
-import {findRunTimes} from '../slots/run-times.js';
+import {findRunTimes, type RunTimes} from '../slots/run-times.js';
 import type {CallerRequest} from '../types/requests.js';
 import type {State} from '../types/state.js';
 import {addMilliseconds, type Instant} from '../types/time.js';
 
 const leastTimeoutMs = 300;
-const p99Multiple = 4;
-const retryRoomMultiple = 1.5;
+/** Of the 95th percentile, since a single stalled attempt sets higher ones. */
+const p95Multiple = 4;
+/** An attempt that goes well takes no more than this multiple of the mean. */
+const meanMultiple = 1.5;
 /** Fewer run times than this say too little. */
 const leastSamples = 8;
 /** The last attempt has until the deadline. */
@@ -20,17 +22,19 @@
 
 	const times = findRunTimes(state.slots, request.service, request.workClass);
 	return times && times.sampleCount >= leastSamples
-		? getKnownGiveUpAt(state, request, times.p99Ms)
+		? getKnownGiveUpAt(state, request, times)
 		: getUnknownGiveUpAt(state, request);
 }
 
-function getKnownGiveUpAt(state: State, request: CallerRequest, p99Ms: number): Instant {
-	const timeoutMs = Math.max(leastTimeoutMs, p99Multiple * p99Ms);
-	const roomMs = retryRoomMultiple * p99Ms;
-	const latest = addMilliseconds(request.deadline, -roomMs);
-	const earliest = addMilliseconds(state.now, roomMs);
-	const giveUpAt = Math.min(addMilliseconds(state.now, timeoutMs), latest) as Instant;
-	return giveUpAt < earliest ? request.deadline : giveUpAt;
+/** An attempt gets at most half of the time left, if another of usual length fits into the other half. */
+function getKnownGiveUpAt(state: State, request: CallerRequest, {p95Ms, meanMs}: RunTimes): Instant {
+	const halfMs = (request.deadline - state.now) / 2;
+	if (meanMultiple * meanMs > halfMs) {
+		return request.deadline;
+	}
+
+	const timeoutMs = Math.max(leastTimeoutMs, p95Multiple * p95Ms);
+	return addMilliseconds(state.now, Math.min(timeoutMs, halfMs));
 }
 
 function getUnknownGiveUpAt(state: State, request: CallerRequest): Instant {
--- a/packages/core/src/slots/run-times.ts
+++ b/packages/core/src/slots/run-times.ts
@@ -5,14 +5,14 @@
 
 const keptSamples = 128;
 const recomputeEvery = 16;
-const p99 = 0.99;
+const p95 = 0.95;
 
 /** The latest run times, in milliseconds, and figures recomputed every few samples. */
 export type RunTimes = {
 	readonly samples: number[];
 	sampleCount: number;
 	meanMs: number;
-	p99Ms: number;
+	p95Ms: number;
 };
 
 /** Notes how long one attempt ran, in milliseconds. */
@@ -43,7 +43,7 @@
 
 function createRunTimes(): RunTimes {
 	return {
-		samples: [], sampleCount: 0, meanMs: 0, p99Ms: 0,
+		samples: [], sampleCount: 0, meanMs: 0, p95Ms: 0,
 	};
 }
 
@@ -55,5 +55,5 @@
 	}
 
 	times.meanMs = sum / sorted.length;
-	times.p99Ms = sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * p99))] ?? 0;
+	times.p95Ms = sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * p95))] ?? 0;
 }
--- a/packages/core/src/slots/steward.ts
+++ b/packages/core/src/slots/steward.ts
@@ -57,7 +57,8 @@
 	if (target) {
 		const others = listTargets(state, steward.service, steward.availabilityZone)
 			.filter(other => other !== target && other.setAsideUntil <= state.now);
-		judgeTarget(state, target, message.end, others.length > 0 || hasUsableTargetElsewhere(state, steward));
+		const startedAt = addMilliseconds(state.now, -message.runMs);
+		judgeTarget(state, target, {end: message.end, startedAt}, others.length > 0 || hasUsableTargetElsewhere(state, steward));
 	}
 
 	if (message.end === 'answered' && holder !== state.settings.self.hostId) {
--- a/packages/core/src/targets/handlers.ts
+++ b/packages/core/src/targets/handlers.ts
@@ -58,6 +58,8 @@
 		listed,
 		outstanding: 0,
 		failures: 0,
+		setAsideCount: 0,
+		setAsideAt: 0 as Instant,
 		setAsideUntil: 0 as Instant,
 		isOnProbation: false,
 		lastGrant: 0,
--- /dev/null
+++ b/packages/core/src/targets/health.test.ts
@@ -0,0 +1,86 @@
+/** Failing targets are set aside for longer from time to time, not for each attempt that fails at once. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {createState} from '../engine/reduce.js';
+import type {
+	AvailabilityZone, HostId, Incarnation, ServiceId,
+} from '../types/ids.js';
+import {addMilliseconds, type Instant} from '../types/time.js';
+import {judgeTarget} from './health.js';
+import type {Target} from './state.js';
+
+const start = 1_000_000 as Instant;
+const firstSetAsideMs = 500;
+
+function createTrial() {
+	const state = createState({
+		self: {hostId: 'entry-1' as HostId, availabilityZone: 'ee-south-a' as AvailabilityZone, address: '127.0.0.1:1'},
+		incarnation: 'entry-1-i' as Incarnation,
+		peers: [],
+		routingPolicy: 'steward',
+		seed: 1,
+	});
+	state.now = start;
+	const target: Target = {
+		listed: {
+			hostId: 'runner-1' as HostId,
+			role: 'runner',
+			availabilityZone: 'ee-south-a' as AvailabilityZone,
+			address: '127.0.0.2:1',
+			service: 'routes' as ServiceId,
+			state: 'live',
+		},
+		outstanding: 0,
+		failures: 0,
+		setAsideCount: 0,
+		setAsideAt: 0 as Instant,
+		setAsideUntil: 0 as Instant,
+		isOnProbation: false,
+		lastGrant: 0,
+	};
+	return {state, target};
+}
+
+describe('health of targets', () => {
+	it('eight attempts lost together set a target aside once, for the first short time', () => {
+		const {state, target} = createTrial();
+		for (let lost = 0; lost < 8; lost++) {
+			judgeTarget(state, target, {end: 'lost', startedAt: addMilliseconds(start, -300)}, true);
+		}
+
+		expect(target.setAsideUntil).toEqual(addMilliseconds(start, firstSetAsideMs));
+	});
+
+	it('an attempt that began before the target was set aside and ends later says nothing new', () => {
+		const {state, target} = createTrial();
+		for (let lost = 0; lost < 3; lost++) {
+			judgeTarget(state, target, {end: 'lost', startedAt: addMilliseconds(start, -300)}, true);
+		}
+
+		state.now = addMilliseconds(start, firstSetAsideMs + 100);
+		judgeTarget(state, target, {end: 'lost', startedAt: addMilliseconds(start, -200)}, true);
+		expect(target.setAsideUntil).toEqual(addMilliseconds(start, firstSetAsideMs));
+	});
+
+	it('an attempt on probation that fails doubles the time, an answer ends it', () => {
+		const {state, target} = createTrial();
+		for (let lost = 0; lost < 3; lost++) {
+			judgeTarget(state, target, {end: 'lost', startedAt: start}, true);
+		}
+
+		state.now = addMilliseconds(start, firstSetAsideMs + 100);
+		judgeTarget(state, target, {end: 'unsent', startedAt: state.now}, true);
+		expect(target.setAsideUntil).toEqual(addMilliseconds(state.now, 2 * firstSetAsideMs));
+		judgeTarget(state, target, {end: 'answered', startedAt: state.now}, true);
+		expect([target.failures, target.setAsideCount, target.isOnProbation]).toEqual([0, 0, false]);
+	});
+
+	it('a service\'s last target is not set aside', () => {
+		const {state, target} = createTrial();
+		for (let lost = 0; lost < 8; lost++) {
+			judgeTarget(state, target, {end: 'lost', startedAt: start}, false);
+		}
+
+		expect(target.setAsideUntil).toEqual(0 as Instant);
+	});
+});
--- a/packages/core/src/targets/state.ts
+++ b/packages/core/src/targets/state.ts
@@ -10,6 +10,10 @@
 	outstanding: number;
 	/** Failures since the last answer. */
 	failures: number;
+	/** Times it was set aside since the last answer. */
+	setAsideCount: number;
+	/** When it was last set aside. */
+	setAsideAt: Instant;
 	/** It gets no work before. */
 	setAsideUntil: Instant;
 	/** Set aside after failures and not yet proven: one attempt at a time. */
