Platform stand-in: a request target that is no URL is refused; one version for both programs

Cause: the stand-in made a URL of the request target before its guard, so that "//" threw outside it and the call was never answered. The version stood in the daemon and in the command-line tool. Ruled out: the daemon, which makes no URL of the target (tested before).

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,7 +1,7 @@
 #!/usr/bin/env node
 /** `rhubarblever`: the operators' command-line tool. */
 import process from 'node:process';
-import type {Instant} from '@rhubarblever/core';
+import {version, type Instant} from '@rhubarblever/core';
 import {err, ok, type Result} from 'neverthrow';
 import sade from 'sade';
 import {diffFile} from './commands/diff.js';
@@ -13,7 +13,6 @@
 import {createFailure, type Failure} from './failure.js';
 import {readRecordsFile} from './files/records-file.js';
 import {readSettings, type CommonFlags, type Settings} from './settings.js';
-import {version} from './version.js';
 
 const defaultWaitSeconds = 10;
 let hasStarted = false;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 /** The platform-free core of rhubarblever: no I/O, no clock, no randomness of its own. */
+export * from './version.js';
 export * from './types/ids.js';
 export * from './types/time.js';
 export * from './types/faults.js';
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,12 +1,12 @@
 #!/usr/bin/env node
 /** `rhubarbleverd`: the daemon of an entry host. */
 import process from 'node:process';
+import {version} from '@rhubarblever/core';
 import sade from 'sade';
 import {Daemon} from './daemon.js';
 import {
 	getVariableName, readSettings, settingRows, type SettingName,
 } from './settings.js';
-import {version} from './version.js';
 
 const badSettingsCode = 78;
 
--- a/packages/stand-ins/src/platform/platform-server.ts
+++ b/packages/stand-ins/src/platform/platform-server.ts
@@ -68,7 +68,12 @@
 	}
 
 	private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const url = new URL(request.url ?? '/', 'http://localhost');
+		const url = parseUrl(request.url ?? '/');
+		if (!url) {
+			sendJson(response, 400, {detail: 'the request target is no URL'});
+			return;
+		}
+
 		const isControl = url.pathname.startsWith(controlPrefix);
 		const fate = isControl ? 'served' : await this.platform.faults.takeCall();
 		if (fate !== 'served') {
@@ -112,3 +117,9 @@
 		});
 	}
 }
+
+/** Undefined for a request target that is no URL, such as `//`. */
+function parseUrl(target: string): URL | undefined {
+	const base = 'http://localhost';
+	return URL.canParse(target, base) ? new URL(target, base) : undefined;
+}
--- a/packages/stand-ins/src/platform/platform.test.ts
+++ b/packages/stand-ins/src/platform/platform.test.ts
@@ -1,4 +1,5 @@
 /** The platform stand-in over HTTP. */
+import {request} from 'node:http';
 import {
 	after, before, beforeEach, describe, it,
 } from 'node:test';
@@ -122,6 +123,18 @@
 		expect(response.status).toEqual(400);
 	});
 
+	it('refuses a request target that is no URL, and serves on', async () => {
+		const {hostname, port} = new URL(url);
+		const status = await new Promise<number | undefined>((resolve, reject) => {
+			request({host: hostname, port, path: '//'}, response => {
+				response.resume();
+				resolve(response.statusCode);
+			}).on('error', reject).end();
+		});
+		expect(status).toEqual(400);
+		expect(await listWorkers()).toHaveLength(12);
+	});
+
 	it('drains once its tasks have ended, sets the pool, reboots and takes tasks again; each operation is idempotent', async () => {
 		await startTask('worker-1', 'short', {runMs: 100});
 		const drain = {operationId: 'drain-1', kind: 'drain', deadline: Date.now() + hourMs};
