Waves bench: the trial runs real jobs through the core, some of them resumable

Cause: the fake platform drew how long tasks still run, so placement, checkpoints and displacement of the product had no part in a wave's figures, and no change there could have shown.

Change: the core's own job runner places, starts, checkpoints and stops jobs in the trial. A checkpoint takes 5 s. All policies get the same jobs and the same checkpoints. Tasks cut by a reboot count as violations. "least" now uses the times that hosts were out; "least without drains" is new, from reboots alone.

Ruled out: keeping drawn times and a drawn share of checkpoints, since a planner that places work would then gain nothing or all by assumption.

--- a/packages/bench/src/waves/fake-platform.ts
+++ b/packages/bench/src/waves/fake-platform.ts
@@ -2,18 +2,13 @@
 import type {
 	Effect, EffectOf, HostId, Instant, ListedWorker, LoggedRecord, LogRecord, Offset, OperationKind, OperationReport,
 } from '@rhubarblever/core';
-
-/** How long a worker's tasks still run when its drain starts, and how long its reboot takes; in milliseconds. */
-export type WorkerTimes = {
-	readonly taskMs: readonly number[];
-	readonly rebootMs: number;
-};
+import {FakeTasks} from './fake-tasks.js';
 
 export type FakeWorker = {
 	readonly hostId: HostId;
 	readonly availabilityZone: ListedWorker['availabilityZone'];
 	readonly rack: NonNullable<ListedWorker['rack']>;
-	readonly times: WorkerTimes;
+	readonly rebootMs: number;
 	/** Down while the clock is within one of these. */
 	readonly outages: ReadonlyArray<{readonly from: number; readonly until: number}>;
 	state: ListedWorker['state'];
@@ -31,6 +26,9 @@
 	}
 
 	readonly log: LoggedRecord[] = [];
+	readonly tasks = FakeTasks.create();
+	/** Tasks that ran when their worker's reboot began. */
+	cutTasks = 0;
 	now = 0;
 	private readonly operations = new Map<string, FakeOperation>();
 	private nextListAt = 0;
@@ -44,9 +42,12 @@
 			const isDown = isWorkerDown(worker, this.now);
 			if (isDown !== (worker.state === 'down')) {
 				worker.state = isDown ? 'down' : 'up';
+				this.tasks.loseAll(worker.hostId, this.now);
 			}
 		}
 
+		this.tasks.tick(elapsedMs, this.now);
+
 		for (const operation of this.operations.values()) {
 			if (operation.state === 'running') {
 				operation.state = this.judgeOperation(operation);
@@ -72,7 +73,7 @@
 			availabilityZone: worker.availabilityZone,
 			rack: worker.rack,
 			state: worker.state,
-			runningTasks: this.countTasks(worker),
+			runningTasks: this.tasks.countRunning(worker.hostId),
 			reportedAt: this.now as Instant,
 		}));
 	}
@@ -96,13 +97,14 @@
 		return this.operations.get(effect.operationId)?.state ?? 'absent';
 	}
 
-	/** Tasks that a worker runs now; on a worker that is up all of its tasks run. */
-	countTasks(worker: FakeWorker): number {
-		if (worker.state !== 'draining') {
-			return worker.state === 'up' ? worker.times.taskMs.length : 0;
+	/** Starts a task on a worker that takes some; whether it runs now. */
+	startTask(effect: EffectOf<'task/start'>, runMs: number): boolean {
+		const isUp = this.workers.some(worker => worker.hostId === effect.worker && worker.state === 'up');
+		if (isUp) {
+			this.tasks.start(effect, runMs);
 		}
 
-		return worker.times.taskMs.filter(taskMs => worker.since + taskMs > this.now).length;
+		return isUp;
 	}
 
 	private startOperation(operation: FakeOperation): OperationReport['state'] {
@@ -115,12 +117,13 @@
 			drain: 'draining', reboot: 'rebooting', undrain: 'up', 'set-pool': worker.state,
 		}[kind] as FakeWorker['state'];
 		worker.since = this.now;
+		this.cutTasks += kind === 'reboot' ? this.tasks.loseAll(worker.hostId, this.now) : 0;
 		return kind === 'undrain' || kind === 'set-pool' ? 'done' : 'running';
 	}
 
 	private judgeOperation({worker, kind, deadline}: FakeOperation): OperationReport['state'] {
 		if (kind === 'reboot') {
-			const isRebooted = worker.since + worker.times.rebootMs <= this.now;
+			const isRebooted = worker.since + worker.rebootMs <= this.now;
 			worker.state = isRebooted && worker.state === 'rebooting' ? 'drained' : worker.state;
 			return isRebooted ? 'done' : 'running';
 		}
@@ -129,7 +132,7 @@
 			return 'failed';
 		}
 
-		const isDrained = this.countTasks(worker) === 0;
+		const isDrained = this.tasks.countRunning(worker.hostId) === 0;
 		const isLate = !isDrained && deadline <= this.now;
 		worker.state = isDrained ? 'drained' : (isLate ? 'up' : 'draining');
 		return isDrained ? 'done' : (isLate ? 'failed' : 'running');
--- /dev/null
+++ b/packages/bench/src/waves/fake-tasks.ts
@@ -0,0 +1,141 @@
+/** The tasks of the fake platform: they run, end, lapse, and are checkpointed and stopped on demand, in virtual time. */
+import type {
+	EffectOf, HostId, Instant, JobId, ListedTask,
+} from '@rhubarblever/core';
+
+type FakeTask = {
+	readonly jobId: JobId;
+	readonly attempt: number;
+	readonly hostId: HostId;
+	readonly runMs: number;
+	leaseUntil: number;
+	doneMs: number;
+	checkpointMs: number;
+	/** When a checkpoint under way is written. */
+	checkpointAt: number | undefined;
+	state: ListedTask['state'];
+	endedAt: number | undefined;
+};
+
+const checkpointTakesMs = 5000;
+const endedKeptMs = 60_000;
+
+export class FakeTasks {
+	static create(): FakeTasks {
+		return new FakeTasks();
+	}
+
+	/** Checkpoints asked for, and milliseconds of work that stops threw away. */
+	checkpoints = 0;
+	lostMs = 0;
+	/** Jobs whose task succeeded since this was last emptied. */
+	readonly succeeded: JobId[] = [];
+	private readonly tasks = new Map<JobId, FakeTask>();
+
+	private constructor() {}
+
+	/** Starts an attempt; a later one takes the place of the earlier ones. */
+	start(effect: EffectOf<'task/start'>, runMs: number): void {
+		const known = this.tasks.get(effect.jobId);
+		if (known?.attempt === effect.attempt) {
+			return;
+		}
+
+		this.tasks.set(effect.jobId, {
+			jobId: effect.jobId,
+			attempt: effect.attempt,
+			hostId: effect.worker,
+			runMs,
+			leaseUntil: effect.leaseUntil,
+			doneMs: effect.checkpointMs,
+			checkpointMs: effect.checkpointMs,
+			checkpointAt: undefined,
+			state: 'running',
+			endedAt: undefined,
+		});
+	}
+
+	renew(effect: EffectOf<'task/renew'>): void {
+		const task = this.findRunning(effect);
+		if (task) {
+			task.leaseUntil = Math.max(task.leaseUntil, effect.leaseUntil);
+		}
+	}
+
+	checkpoint(effect: EffectOf<'task/checkpoint'>, now: number): void {
+		const task = this.findRunning(effect);
+		if (task && task.checkpointAt === undefined) {
+			task.checkpointAt = now + checkpointTakesMs;
+			this.checkpoints += 1;
+		}
+	}
+
+	stop(effect: EffectOf<'task/stop'>, now: number): void {
+		const task = this.findRunning(effect);
+		if (task) {
+			this.lostMs += task.doneMs - task.checkpointMs;
+			endTask(task, 'stopped', now);
+		}
+	}
+
+	/** Ends all tasks of a worker that failed; returns how many ran. */
+	loseAll(hostId: HostId, now: number): number {
+		const running = this.listRunning().filter(task => task.hostId === hostId);
+		for (const task of running) {
+			endTask(task, 'lost', now);
+		}
+
+		return running.length;
+	}
+
+	countRunning(hostId: HostId): number {
+		return this.listRunning().filter(task => task.hostId === hostId).length;
+	}
+
+	tick(elapsedMs: number, now: number): void {
+		for (const task of this.listRunning()) {
+			task.doneMs += elapsedMs;
+			if (task.checkpointAt !== undefined && task.checkpointAt <= now) {
+				task.checkpointMs = task.doneMs;
+				task.checkpointAt = undefined;
+			}
+
+			this.endIfDue(task, now);
+		}
+
+		for (const [jobId, task] of this.tasks) {
+			if (task.state === 'succeeded' && (task.endedAt ?? now) + endedKeptMs < now) {
+				this.tasks.delete(jobId);
+			}
+		}
+	}
+
+	list(now: number): ListedTask[] {
+		return [...this.tasks.values()].map(({jobId, attempt, hostId, state, leaseUntil, checkpointMs}) => ({
+			taskId: jobId, attempt, hostId, state, leaseUntil: leaseUntil as Instant, throttle: 1, checkpointMs, usage: {cores: 0, memoryBytes: 0}, reportedAt: now as Instant,
+		}));
+	}
+
+	private endIfDue(task: FakeTask, now: number): void {
+		if (task.doneMs >= task.runMs) {
+			endTask(task, 'succeeded', now);
+			this.succeeded.push(task.jobId);
+		} else if (task.leaseUntil <= now) {
+			endTask(task, 'lapsed', now);
+		}
+	}
+
+	private findRunning({jobId, attempt}: {readonly jobId: JobId; readonly attempt: number}): FakeTask | undefined {
+		const task = this.tasks.get(jobId);
+		return task?.attempt === attempt && task.state === 'running' ? task : undefined;
+	}
+
+	private listRunning(): FakeTask[] {
+		return [...this.tasks.values()].filter(task => task.state === 'running');
+	}
+}
+
+function endTask(task: FakeTask, state: Exclude<ListedTask['state'], 'running'>, now: number): void {
+	task.state = state;
+	task.endedAt = now;
+}
--- a/packages/bench/src/waves/known-schedule.ts
+++ b/packages/bench/src/waves/known-schedule.ts
@@ -1,7 +1,7 @@
 /** The shortest schedule found with all drain times known beforehand: what a planner without foresight is measured against. */
 import {unsafeUniformIntDistribution, xoroshiro128plus} from 'pure-rand';
 import type {FakeWorker} from './fake-platform.js';
-import {getOutTime} from './least-time.js';
+import type {OutTimes} from './least-time.js';
 import type {BenchBudget} from './shapes.js';
 
 const tries = 300;
@@ -9,16 +9,16 @@
 type Running = {readonly worker: FakeWorker; readonly endsAt: number};
 
 /** Milliseconds of the best of some hundred list schedules within the budget, without failures. */
-export function computeKnownTime(workers: readonly FakeWorker[], budget: BenchBudget): number {
+export function computeKnownTime(outTimes: OutTimes, budget: BenchBudget): number {
 	const random = xoroshiro128plus(1);
-	const longestFirst = [...workers].toSorted((one, other) => getOutTime(other) - getOutTime(one));
-	let best = measureSchedule(longestFirst, budget);
+	const longestFirst = [...outTimes.keys()].toSorted((one, other) => outTimes.get(other)! - outTimes.get(one)!);
+	let best = measureSchedule(longestFirst, outTimes, budget);
 	for (let count = 0; count < tries; count++) {
 		const order = [...longestFirst];
 		const one = unsafeUniformIntDistribution(0, order.length - 1, random);
 		const other = unsafeUniformIntDistribution(0, order.length - 1, random);
 		[order[one], order[other]] = [order[other]!, order[one]!];
-		const time = measureSchedule(order, budget);
+		const time = measureSchedule(order, outTimes, budget);
 		if (time <= best) {
 			best = time;
 			longestFirst.splice(0, longestFirst.length, ...order);
@@ -29,7 +29,7 @@
 }
 
 /** Starts the first worker of the order that fits, whenever one fits. */
-function measureSchedule(order: readonly FakeWorker[], budget: BenchBudget): number {
+function measureSchedule(order: readonly FakeWorker[], outTimes: OutTimes, budget: BenchBudget): number {
 	const waiting = [...order];
 	let running: Running[] = [];
 	let now = 0;
@@ -42,7 +42,7 @@
 		}
 
 		const [worker] = waiting.splice(index, 1);
-		running.push({worker: worker!, endsAt: now + getOutTime(worker!)});
+		running.push({worker: worker!, endsAt: now + outTimes.get(worker!)!});
 	}
 
 	return now;
--- a/packages/bench/src/waves/shapes.ts
+++ b/packages/bench/src/waves/shapes.ts
@@ -1,4 +1,4 @@
-/** The firms' shapes: 35 workers in racks of four over three availability zones, with budgets, weights and drain times. */
+/** The firms' shapes: 35 workers in racks of four over three availability zones, with budgets, weights and reboot times. */
 import type {
 	AvailabilityZone, HostId, RackId, WaveWeights,
 } from '@rhubarblever/core';
@@ -36,17 +36,25 @@
 ];
 
 export const minuteMs = 60_000;
-const workerCount = 35;
+export const slotsPerWorker = 8;
+/** The load runs so long before the wave begins. */
+export const waveStartMs = 15 * minuteMs;
+export const workerCount = 35;
+const urgentReserve = 0.1;
 const zoneCount = 3;
 const hostsPerRack = 4;
 const racksPerZone = 3;
-const tasksPerWorker = 8;
-const longestTaskMs = 10 * minuteMs;
 const shortestRebootMs = 2 * minuteMs;
 const longestRebootMs = 4 * minuteMs;
 const failureFromMs = 12 * minuteMs;
 const failureUntilMs = 27 * minuteMs;
 
+/** As many jobs as the least healthy hosts hold, or all hosts, less what the product keeps free for urgent jobs. */
+export function countJobs(firm: FirmShape, isFull: boolean): number {
+	const hosts = isFull ? workerCount : firm.budget.minimumHealthyHosts;
+	return Math.floor(hosts * slotsPerWorker * (1 - urgentReserve));
+}
+
 /** The workers of one trial; `hasFailure` takes the second rack down for a quarter of an hour in mid-wave. */
 export function createWorkers(seed: number, hasFailure: boolean): FakeWorker[] {
 	const random = xoroshiro128plus(seed);
@@ -57,11 +65,8 @@
 			hostId: `worker-${String(index + 1).padStart(2, '0')}` as HostId,
 			availabilityZone: `zone-${Math.floor(rack / racksPerZone) % zoneCount}` as AvailabilityZone,
 			rack: `rack-${rack}` as RackId,
-			times: {
-				taskMs: Array.from({length: tasksPerWorker}, () => draw(0, longestTaskMs)),
-				rebootMs: draw(shortestRebootMs, longestRebootMs),
-			},
-			outages: hasFailure && rack === 1 ? [{from: failureFromMs, until: failureUntilMs}] : [],
+			rebootMs: draw(shortestRebootMs, longestRebootMs),
+			outages: hasFailure && rack === 1 ? [{from: waveStartMs + failureFromMs, until: waveStartMs + failureUntilMs}] : [],
 			state: 'up',
 			since: 0,
 		};
--- a/packages/bench/src/waves/trial.ts
+++ b/packages/bench/src/waves/trial.ts
@@ -1,30 +1,41 @@
 /** One wave over the fake platform: the fold and the planner driven by events in virtual time. */
 import {
-	countPool, createState, getWaveStatus, reduce,
-	type Effect, type EffectOf, type EffectType, type Event, type HostId, type Incarnation, type Instant, type LogRecord, type Offset, type PoolId, type State,
+	countPool, createState, getWaveStatus, listedHostSchema, reduce,
+	type Effect, type EffectOf, type EffectType, type Event, type HostId, type Incarnation, type Instant, type ListedHost, type LogRecord, type Offset, type PoolId, type State,
 	type WaveId, type WavePolicyName,
 } from '@rhubarblever/core';
 import {FakePlatform, isWorkerDown, type FakeWorker} from './fake-platform.js';
 import {computeKnownTime} from './known-schedule.js';
 import {computeLeastTime} from './least-time.js';
-import {createWorkers, minuteMs, type FirmShape} from './shapes.js';
+import {JobSource, type Load} from './job-source.js';
+import {
+	createWorkers, minuteMs, slotsPerWorker, waveStartMs, type FirmShape,
+} from './shapes.js';
 
 export type TrialSettings = {
 	readonly firm: FirmShape;
 	readonly policy: WavePolicyName;
 	readonly seed: number;
 	readonly hasFailure: boolean;
+	readonly load: Load;
 };
 
 export type TrialResult = {
 	readonly rollOutMs: number;
+	/** What the budget and the times that hosts were out of service allow at best. */
 	readonly leastMs: number;
-	/** The shortest schedule found with all drain times known, without failures. */
+	/** The same if no host had to wait for a task. */
+	readonly leastWithoutDrainsMs: number;
+	/** The shortest schedule found with all times out known, without failures. */
 	readonly knownMs: number;
 	/** Idle host-milliseconds held back: hosts out of service, less the share that still runs tasks. */
 	readonly bufferMs: number;
 	readonly moves: number;
-	/** Broken invariants, and instants at which hosts out by plan took the pool below its budget. */
+	/** Checkpoints asked for. */
+	readonly checkpoints: number;
+	/** Milliseconds of work that stops threw away. */
+	readonly lostMs: number;
+	/** Broken invariants, tasks cut, and instants at which hosts out by plan took the pool below its budget. */
 	readonly violations: number;
 	readonly isDone: boolean;
 };
@@ -34,10 +45,11 @@
 const drainLimitMs = 15 * minuteMs;
 const reserveShare = 0.25;
 const pool = 'guarded' as PoolId;
+const coresPerSlot = 8;
 const firstOffset = 0 as Offset;
 const waveId = 'wave' as WaveId;
 
-type EffectTarget = Pick<WaveTrial, 'platform' | 'arriving' | 'violations' | 'moves'>;
+type EffectTarget = Pick<WaveTrial, 'platform' | 'jobs' | 'arriving' | 'violations' | 'moves'>;
 
 /** What the fake does with the effects that matter to a wave; others are dropped. A snapshot is never answered, so that no second one is encoded. */
 const effectRunners: {readonly [Type in EffectType]?: (trial: EffectTarget, effect: EffectOf<Type>) => void} = {
@@ -64,6 +76,24 @@
 			type: 'operation/reported', at: platform.now as Instant, operationId: effect.operationId, state: platform.read(effect),
 		});
 	},
+	'tasks/list'({platform, arriving}) {
+		arriving.push({type: 'tasks/listed', at: platform.now as Instant, tasks: platform.tasks.list(platform.now)});
+	},
+	'task/start'({platform, jobs, arriving}, effect) {
+		const answer = platform.startTask(effect, jobs.getRunMs(effect.jobId)) ? 'started' : 'refused';
+		arriving.push({
+			type: 'task/start-answered', at: platform.now as Instant, jobId: effect.jobId, attempt: effect.attempt, answer,
+		});
+	},
+	'task/renew'({platform}, effect) {
+		platform.tasks.renew(effect);
+	},
+	'task/checkpoint'({platform}, effect) {
+		platform.tasks.checkpoint(effect, platform.now);
+	},
+	'task/stop'({platform}, effect) {
+		platform.tasks.stop(effect, platform.now);
+	},
 	'invariant/violated'(trial) {
 		trial.violations += 1;
 	},
@@ -75,12 +105,14 @@
 	}
 
 	readonly platform: FakePlatform;
+	readonly jobs: JobSource;
 	/** Answers of the platform, which come with the next step. */
 	readonly arriving: Event[] = [];
 	violations = 0;
 	moves = 0;
 	private readonly workers: FakeWorker[];
 	private readonly state: State;
+	private readonly outTimes = new Map<FakeWorker, number>();
 	private bufferMs = 0;
 
 	private constructor(private readonly settings: TrialSettings) {
@@ -93,25 +125,42 @@
 			routingPolicy: 'least-outstanding',
 			seed: settings.seed,
 		});
-		this.platform.append(this.listRecords());
+		this.jobs = JobSource.create(settings.load, settings.seed);
+		this.platform.append([...this.listRecords(), ...this.jobs.listFirst()]);
+		this.reduce({type: 'hosts/listed', at: this.platform.now as Instant, hosts: this.listHosts()});
 	}
 
 	/** Runs until the wave is over. */
 	run(): TrialResult {
+		while (this.platform.now < waveStartMs) {
+			this.step();
+		}
+
+		this.platform.append([this.createWave()]);
+		return this.runWave();
+	}
+
+	private runWave(): TrialResult {
 		let status = 'active';
 		while (status === 'active' && this.platform.now < limitMs) {
 			this.step();
+			this.measure();
 			const wave = this.state.fleet.waves.get(waveId);
 			status = wave ? getWaveStatus(wave, this.platform.now as Instant) : status;
 		}
 
+		const {budget} = this.settings.firm;
+		const rebootTimes = new Map(this.workers.map(worker => [worker, worker.rebootMs]));
 		return {
-			rollOutMs: this.platform.now,
-			leastMs: computeLeastTime(this.workers, this.settings.firm.budget),
-			knownMs: computeKnownTime(this.workers, this.settings.firm.budget),
+			rollOutMs: this.platform.now - waveStartMs,
+			leastMs: computeLeastTime(this.outTimes, budget, waveStartMs),
+			leastWithoutDrainsMs: computeLeastTime(rebootTimes, budget, waveStartMs),
+			knownMs: computeKnownTime(this.outTimes, budget),
 			bufferMs: this.bufferMs,
 			moves: this.moves,
-			violations: this.violations,
+			checkpoints: this.platform.tasks.checkpoints,
+			lostMs: this.platform.tasks.lostMs,
+			violations: this.violations + this.platform.cutTasks,
 			isDone: status === 'done',
 		};
 	}
@@ -132,7 +181,7 @@
 			type: 'log/read', at, records: this.platform.log.slice(this.state.fleet.nextOffset), firstOffset, nextOffset: this.platform.log.length as Offset,
 		});
 		this.reduce({type: 'clock/ticked', at});
-		this.measure();
+		this.platform.append(this.platform.tasks.succeeded.splice(0).map(jobId => this.jobs.createNext(jobId)));
 	}
 
 	private reduce(event: Event): void {
@@ -148,7 +197,11 @@
 
 	private measure(): void {
 		const out = this.workers.filter(worker => !['up', 'down'].includes(worker.state));
-		const busy = out.reduce((sum, worker) => sum + (this.platform.countTasks(worker) / worker.times.taskMs.length), 0);
+		const busy = out.reduce((sum, worker) => sum + (this.platform.tasks.countRunning(worker.hostId) / slotsPerWorker), 0);
+		for (const worker of out) {
+			this.outTimes.set(worker, (this.outTimes.get(worker) ?? 0) + stepMs);
+		}
+
 		const reserve = this.settings.policy === 'fixed-buffer' ? Math.ceil(this.workers.length * reserveShare) : 0;
 		this.bufferMs += stepMs * (Math.max(reserve, out.length) - busy);
 		const {budget} = this.settings.firm;
@@ -159,7 +212,7 @@
 	}
 
 	private listRecords(): LogRecord[] {
-		const {budget, weights} = this.settings.firm;
+		const {budget} = this.settings.firm;
 		const bodies = [
 			{schema: 'pool', version: 3, body: {pool, budget}},
 			...this.workers.map(({hostId, availabilityZone, rack}) => ({
@@ -167,12 +220,25 @@
 					hostId, pool, availabilityZone, rack,
 				},
 			})),
-			{
-				schema: 'wave', version: 1, body: {
-					waveId, pool, finishBy: limitMs, drainLimitMs, weights, policy: this.settings.policy,
-				},
-			},
 		];
 		return bodies.map((body, index) => ({...body, recordId: `setup-${index}` as never}));
 	}
+
+	private createWave(): LogRecord {
+		const {firm: {weights}, policy} = this.settings;
+		return {
+			recordId: waveId as never,
+			schema: 'wave',
+			version: 1,
+			body: {
+				waveId, pool, finishBy: limitMs, drainLimitMs, weights, policy,
+			},
+		};
+	}
+
+	private listHosts(): ListedHost[] {
+		return this.workers.map(({hostId, availabilityZone}) => listedHostSchema.parse({
+			hostId, role: 'worker', availabilityZone, address: '127.0.0.1:1', state: 'live', cores: slotsPerWorker * coresPerSlot, memoryBytes: 1, accelerators: 0,
+		}));
+	}
 }
