Jobs: a task that gives way again is stopped only on a newer checkpoint

Cause: the runner stopped a displaced task as soon as any checkpoint was listed. A task that had resumed from one lists it from the start, so its work since then was thrown away, each time it gave way.

Change: the runner notes what the checkpoint held when the task was told to give way, and stops it only once the list shows more. After a planner change the note is made anew, which costs one more checkpoint.

--- a/packages/core/src/jobs/runner-state.ts
+++ b/packages/core/src/jobs/runner-state.ts
@@ -11,6 +11,9 @@
 	callAt: Instant;
 };
 
+/** An attempt that must give way, and what its checkpoint held when that was found. */
+export type Displacement = {readonly attempt: number; readonly checkpointMs: number};
+
 export type JobRunnerState = {
 	tasks: readonly ListedTask[];
 	/** When the list of tasks came, by this host's clock. */
@@ -23,8 +26,7 @@
 	/** The record about each job or worker that is on its way to the log. */
 	readonly proposals: Map<string, RecordId>;
 	readonly starts: Map<JobId, StartCall>;
-	/** The attempt of each job that must give way. */
-	readonly displaced: Map<JobId, number>;
+	readonly displaced: Map<JobId, Displacement>;
 	/** When to ask again that a task be checkpointed or stopped. */
 	readonly stopAgainAt: Map<JobId, Instant>;
 	proposalCount: number;
--- a/packages/core/src/jobs/runner.test.ts
+++ b/packages/core/src/jobs/runner.test.ts
@@ -106,6 +106,15 @@
 		expect(listTaskCalls(holder.pass(1500, {state: 'running', checkpointMs: 700})).includes('task/stop')).toEqual(true);
 	});
 
+	it('that resumed from a checkpoint is stopped only once a newer one is seen', () => {
+		const holder = Holder.create('entry-1');
+		startRoster(holder);
+		holder.append('job', createJob('warning', 'urgent'));
+		const before = listTaskCalls(holder.pass(1800, {state: 'running', checkpointMs: 700}));
+		expect([before.includes('task/checkpoint'), before.includes('task/stop')]).toEqual([true, false]);
+		expect(listTaskCalls(holder.pass(1500, {state: 'running', checkpointMs: 900})).includes('task/stop')).toEqual(true);
+	});
+
 	it('loses no run, also when another planner has taken over before its end was written down', () => {
 		const holder = Holder.create('entry-2');
 		startRoster(holder);
--- a/packages/core/src/jobs/runner.ts
+++ b/packages/core/src/jobs/runner.ts
@@ -116,28 +116,29 @@
 		: [];
 }
 
-/** A task that must give way is stopped only once its checkpoint is seen; calls may be lost, so both are repeated. */
+/** A task that must give way is stopped only once a checkpoint newer than that is seen; calls may be lost, so both are repeated. */
 function stopTask(state: State, {job, current, task}: RunningJob): Effect[] {
 	const {jobId} = job.body;
-	const mustGiveWay = state.jobRunner.displaced.get(jobId) === current.attempt;
+	const displacement = state.jobRunner.displaced.get(jobId);
+	const mustGiveWay = displacement?.attempt === current.attempt;
 	const isDue = (state.jobRunner.stopAgainAt.get(jobId) ?? 0) <= state.now;
 	if (!isDue || !(job.isCancelRequested || mustGiveWay)) {
 		return [];
 	}
 
 	state.jobRunner.stopAgainAt.set(jobId, addMilliseconds(state.now, stopRetryMs));
-	const needsCheckpoint = !job.isCancelRequested && task?.checkpointMs === 0;
+	const needsCheckpoint = !job.isCancelRequested && (task?.checkpointMs ?? 0) <= (displacement?.checkpointMs ?? 0);
 	return [{type: needsCheckpoint ? 'task/checkpoint' : 'task/stop', jobId, attempt: current.attempt}];
 }
 
 /** Makes a resumable task give way: a checkpoint now, the stop once it is seen. */
-export function displaceTask(state: State, {job, current}: RunningJob): Effect[] {
+export function displaceTask(state: State, {job, current, task}: RunningJob): Effect[] {
 	const {jobId} = job.body;
-	if (!job.body.isResumable || state.jobRunner.displaced.get(jobId) === current.attempt) {
+	if (!job.body.isResumable || state.jobRunner.displaced.get(jobId)?.attempt === current.attempt) {
 		return [];
 	}
 
-	state.jobRunner.displaced.set(jobId, current.attempt);
+	state.jobRunner.displaced.set(jobId, {attempt: current.attempt, checkpointMs: task?.checkpointMs ?? 0});
 	state.jobRunner.stopAgainAt.set(jobId, addMilliseconds(state.now, checkpointWaitMs));
 	return [{type: 'task/checkpoint', jobId, attempt: current.attempt}];
 }
