Jobs: resumable tasks use a draining host until its other tasks have ended

Change: they give way once no other task runs on the host.

Ruled out: giving way when most slots are idle. Before the last other task ends it frees no host, and the drain is no shorter by it.

Test: jobs/runner.test, failed before, passes after.

--- a/packages/core/src/jobs/relief.ts
+++ b/packages/core/src/jobs/relief.ts
@@ -10,13 +10,20 @@
 /** Tasks give way before a worker's memory is full, since a full one fails them. */
 const fullMemoryShare = 0.95;
 
-/** Resumable tasks on hosts that are out by plan give way at once, so that a drain need not wait for them. */
+/** Resumable tasks on a host that is out by plan give way once no other task runs there: until then its drain has to wait anyway. */
 export function clearLeavingWorkers(state: State, running: readonly RunningJob[]): Effect[] {
-	return running
-		.filter(({current, task}) => task?.state === 'running' && state.fleet.hosts.get(current.worker)?.chain !== undefined)
+	const leaving = running.filter(({current}) => state.fleet.hosts.get(current.worker)?.chain !== undefined);
+	const held = new Set(leaving.filter(({job, task}) => !job.body.isResumable && isPresent(task)).map(({current}) => current.worker));
+	return leaving
+		.filter(({current, task}) => task?.state === 'running' && !held.has(current.worker))
 		.flatMap(item => displaceTask(state, item));
 }
 
+/** A task that is not listed yet may run. */
+function isPresent(task: RunningJob['task']): boolean {
+	return task === undefined || task.state === 'running';
+}
+
 /** Displaces the lowest class first until an urgent job would fit on one worker. */
 export function clearForUrgent(state: State, running: readonly RunningJob[], urgent: readonly Job[], capacities: readonly WorkerCapacity[]): Effect[] {
 	return urgent.flatMap(job => {
--- a/packages/core/src/jobs/runner.test.ts
+++ b/packages/core/src/jobs/runner.test.ts
@@ -53,15 +53,15 @@
 		});
 	}
 
-	/** Shows the roster's task as the platform lists it, and lets some time pass. */
-	pass(milliseconds: number, task: {readonly state: string; readonly checkpointMs: number}): Effect[] {
+	/** Shows the roster's task, and others, as the platform lists them, and lets some time pass. */
+	pass(milliseconds: number, ...tasks: ReadonlyArray<{readonly state: string; readonly checkpointMs: number; readonly taskId?: string}>): Effect[] {
 		const effects: Effect[] = [];
-		const listed = listedTaskSchema.parse({
+		const listed = tasks.map(task => listedTaskSchema.parse({
 			taskId: 'roster', attempt: 1, hostId: 'worker-1', leaseUntil: 60_000, throttle: 1, usage: {cores, memoryBytes: 1}, reportedAt: this.now, ...task,
-		});
+		}));
 		for (const until = this.now + milliseconds; this.now < until;) {
 			this.now += 50;
-			reduce(this.state, {type: 'tasks/listed', at: this.now as Instant, tasks: [listed]});
+			reduce(this.state, {type: 'tasks/listed', at: this.now as Instant, tasks: listed});
 			effects.push(...reduce(this.state, {type: 'clock/ticked', at: this.now as Instant}));
 		}
 
@@ -124,3 +124,23 @@
 		}]);
 	});
 });
+
+describe('a resumable task on a host that is out by plan', () => {
+	it('runs on while a task runs there that must be let finish, and gives way then', () => {
+		const holder = Holder.create('entry-1');
+		startRoster(holder);
+		holder.append('job', createJob('replan', 'normal'));
+		holder.append('job-attempt', {
+			jobId: 'replan', attempt: 1, worker: 'worker-1', leaseUntil: 60_000, term: 1,
+		});
+		holder.append('wave', {
+			waveId: 'wave', pool: 'rosters', finishBy: 1_000_000, drainLimitMs: 60_000, weights: {rollOutTime: 1, bufferCost: 1},
+		});
+		holder.append('outage-grant', {
+			hostId: 'worker-1', waveId: 'wave', term: 1, operationId: 'wave.worker-1.1', drainDeadline: 60_000,
+		});
+		const roster = {state: 'running', checkpointMs: 0};
+		expect(listTaskCalls(holder.pass(1000, roster, {taskId: 'replan', state: 'running', checkpointMs: 0}))).toEqual([]);
+		expect(listTaskCalls(holder.pass(500, roster, {taskId: 'replan', state: 'succeeded', checkpointMs: 0})).includes('task/checkpoint')).toEqual(true);
+	});
+});
