--- a/packages/bench/src/capacity/main.ts
+++ b/packages/bench/src/capacity/main.ts
@@ -7,12 +7,16 @@
 	buildRecords, createMeasuredHost, foldRecords, type FleetSize,
 } from './measured-fleet.js';
 import {measureCpu, measureHeap, measureMedian} from './measure.js';
+import {measureSnapshotVolume} from './snapshot-volume.js';
 
 const runs = 5;
 const ticks = 200;
 const smallest: FleetSize = {
 	pools: 33, workers: 100, jobs: 100, changes: 100,
 };
+const twoYears: FleetSize = {
+	pools: 33, workers: 1000, jobs: 10_000, changes: 2100,
+};
 const varied: ReadonlyArray<{readonly field: keyof FleetSize; readonly sizes: readonly number[]}> = [
 	{field: 'pools', sizes: [8, 16, 33, 66]},
 	{field: 'workers', sizes: [125, 250, 500, 1000]},
@@ -75,3 +79,6 @@
 		process.stdout.write(`${name} (${unit}) by ${field}: slope ${fit.slope.toFixed(2)}, base ${fit.base.toFixed(0)}, spread ${(fit.spread * 100).toFixed(0)}% [${shown}]\n`);
 	}
 }
+
+const volume = measureSnapshotVolume(createFolded(twoYears), 2_000_000);
+process.stdout.write(`snapshots at the two-year size, only leases renewed, half an hour: ${volume.count}, ${volume.bytesPerSecond.toFixed(0)} bytes/s\n`);
--- /dev/null
+++ b/packages/bench/src/capacity/snapshot-volume.ts
@@ -0,0 +1,63 @@
+/** Measures what a host that holds the whole fleet writes as snapshots while only the planner's lease is renewed. */
+import {
+	instantSchema, loggedRecordSchema, offsetSchema, reduce, type Instant, type LoggedRecord, type State,
+} from '@rhubarblever/core';
+
+const renewalMs = 2000;
+const leaseMs = 6000;
+const stepMs = 250;
+const measuredMs = 1_800_000;
+
+/** Snapshots of one host, as if it wrote all of them. */
+export type SnapshotVolume = {readonly count: number; readonly bytesPerSecond: number};
+
+/** Goes on from a folded state for half an hour of the log's clock. */
+export function measureSnapshotVolume(state: State, startAt: number): SnapshotVolume {
+	let count = 0;
+	let bytes = 0;
+	reduce(state, {
+		type: 'snapshot/read', at: toInstant(startAt), records: [], firstOffset: offsetSchema.parse(0), nextOffset: offsetSchema.parse(0),
+	});
+	for (let at = startAt; at < startAt + measuredMs; at += stepMs) {
+		const effects = reduce(state, {type: 'clock/ticked', at: toInstant(at)});
+		if ((at - startAt) % renewalMs === 0) {
+			effects.push(...readRenewal(state, at));
+		}
+
+		for (const effect of effects) {
+			if (effect.type === 'snapshot/write') {
+				count += 1;
+				bytes += JSON.stringify(effect.records).length;
+				reduce(state, {type: 'snapshot/written', at: toInstant(at), nextOffset: effect.nextOffset});
+			}
+		}
+	}
+
+	return {count, bytesPerSecond: bytes / (measuredMs / 1000)};
+}
+
+function readRenewal(state: State, at: number) {
+	const {nextOffset} = state.fleet;
+	return reduce(state, {
+		type: 'log/read', at: toInstant(at), records: [createRenewal(nextOffset, at)], firstOffset: offsetSchema.parse(0), nextOffset: offsetSchema.parse(nextOffset + 1),
+	});
+}
+
+function createRenewal(offset: number, at: number): LoggedRecord {
+	return loggedRecordSchema.parse({
+		offset,
+		at,
+		record: {
+			recordId: `planner-lease.entry-9.${offset}`,
+			schema: 'planner-lease',
+			version: 1,
+			body: {
+				holder: 'entry-9', incarnation: 'entry-9-life-1', term: 1, deadline: at + leaseMs,
+			},
+		},
+	});
+}
+
+function toInstant(at: number): Instant {
+	return instantSchema.parse(at);
+}
--- a/packages/bench/src/integration/shared-state.test.ts
+++ b/packages/bench/src/integration/shared-state.test.ts
@@ -8,6 +8,8 @@
 /** The stated target for a change to be in force everywhere. */
 const inForceMs = 10_000;
 const startMs = 30_000;
+/** A short one, so that snapshots come within a test. */
+const logRetentionMs = 40_000;
 
 type FleetView = {
 	readonly nextOffset: number;
@@ -29,7 +31,7 @@
 
 async function createFleet(): Promise<LocalFleet> {
 	return LocalFleet.create({
-		availabilityZones: ['zone-a', 'zone-b', 'zone-c'], entryHostsPerZone: 1, targetsPerZone: 0, services: [], isProxied: true,
+		availabilityZones: ['zone-a', 'zone-b', 'zone-c'], entryHostsPerZone: 1, targetsPerZone: 0, services: [], isProxied: true, environment: {RHUBARBLEVER_LOG_RETENTION_MS: String(logRetentionMs)},
 	});
 }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -37,6 +37,7 @@
 export {estimateLogTime, findOwnTerm} from './planner/tenure.js';
 export {isLogAway, queueRecord} from './log/appends.js';
 export {isReady} from './log/start.js';
+export {defaultLogRetentionMs} from './log/snapshot-due.js';
 export {isPeerLive, listLivePeers} from './membership/liveness.js';
 export * from './pools/budget.js';
 export type * from './pools/state.js';
--- a/packages/core/src/log/snapshots.ts
+++ b/packages/core/src/log/snapshots.ts
@@ -12,19 +12,14 @@
 import {takeFleetState} from './applying.js';
 import type {SnapshotReadEvent} from './events.js';
 import {acceptSnapshotChunk, createSnapshotChunks, snapshotChunkSchema} from './snapshot-chunks.js';
+import {computeSnapshotDueAt} from './snapshot-due.js';
 
 const snapshotSchemaName = 'snapshot';
-/** Records after which a snapshot is due. */
-const dueRecords = 200;
-/** Age of the oldest record without a snapshot at which one is due. */
-const dueAgeMs = 10_000;
-/** A snapshot is written again after this long, since it expires too. */
-const refreshMs = 60_000;
-const leastIntervalMs = 3000;
 /** Each host waits this much longer than the one ranked before it, to save work; two writers are harmless. */
 const rankDelayMs = 2000;
 const readRetryMs = 500;
 const gapReadMs = 1000;
+const writeRetryMs = 5000;
 
 /** Takes in chunks; at the end of the stream the highest whole state is taken over. */
 export function acceptSnapshotPage(state: State, page: SnapshotReadEvent): Effect[] {
@@ -58,7 +53,7 @@
 export function noteSnapshotWritten(state: State, nextOffset: Offset | undefined): Effect[] {
 	state.log.snapshots.isWriting = false;
 	if (nextOffset === undefined) {
-		state.log.snapshots.changedAt = state.now;
+		state.log.snapshots.retryAt = addMilliseconds(state.now, writeRetryMs);
 		return [];
 	}
 
@@ -117,19 +112,7 @@
 		&& fleet.nextOffset > 0
 		&& fleet.nextOffset >= work.known.nextOffset
 		&& !isLogAway(state);
-	return mayWrite && addMilliseconds(computeDueAt(state), rankDelayMs * computeRank(state)) <= state.now;
-}
-
-function computeDueAt(state: State): Instant {
-	const {known, changedAt} = state.log.snapshots;
-	const refreshAt = known.nextOffset === 0 ? Number.POSITIVE_INFINITY : known.writtenAt + refreshMs;
-	if (changedAt === undefined || state.fleet.nextOffset === known.nextOffset) {
-		return refreshAt as Instant;
-	}
-
-	const isManyDue = state.fleet.nextOffset - known.nextOffset >= dueRecords;
-	const changeAt = isManyDue ? Math.max(changedAt, known.writtenAt + leastIntervalMs) : changedAt + dueAgeMs;
-	return Math.min(refreshAt, changeAt) as Instant;
+	return mayWrite && addMilliseconds(computeSnapshotDueAt(state), rankDelayMs * computeRank(state)) <= state.now;
 }
 
 /** How many live hosts come before this one for the next snapshot. */
--- a/packages/core/src/log/state.ts
+++ b/packages/core/src/log/state.ts
@@ -45,6 +45,8 @@
 	isReading: boolean;
 	readAt: Instant;
 	isWriting: boolean;
+	/** After a failed write, the earliest instant of the next. */
+	retryAt: Instant;
 	known: KnownSnapshot;
 	/** When the first record after the known snapshot was applied. */
 	changedAt: Instant | undefined;
@@ -70,6 +72,8 @@
 	/** From where the read in flight asks; peers may bring this host further meanwhile. */
 	readFrom: Offset;
 	readAt: Instant;
+	/** The first offset that the log kept when it was last read. */
+	firstOffset: Offset;
 	/** Records between this host's state and the log's first are gone. */
 	isGapped: boolean;
 	/** The log ends before this host's offset. */
@@ -109,6 +113,7 @@
 		readStartedAt: 0 as Instant,
 		readFrom: 0 as Offset,
 		readAt: 0 as Instant,
+		firstOffset: 0 as Offset,
 		isGapped: false,
 		isShortened: false,
 		startedFrom: undefined,
@@ -136,6 +141,7 @@
 		isReading: false,
 		readAt: 0 as Instant,
 		isWriting: false,
+		retryAt: 0 as Instant,
 		known: {nextOffset: 0 as Offset, writtenAt: 0 as Instant},
 		changedAt: undefined,
 		writtenCount: 0,
--- a/packages/core/src/log/tail.ts
+++ b/packages/core/src/log/tail.ts
@@ -19,6 +19,7 @@
 	log.isReading = false;
 	log.isReachable = true;
 	log.lastContactAt = state.now;
+	log.firstOffset = page.firstOffset;
 	const effects = startFromLog(state, page);
 	if (log.startedFrom === undefined) {
 		log.readAt = addMilliseconds(state.now, brokenReadMs);
--- a/packages/core/src/log/test-fleet.ts
+++ b/packages/core/src/log/test-fleet.ts
@@ -11,7 +11,7 @@
 export function createTestHost(hostId: string, peers: readonly string[] = []): State {
 	const describe = (id: string) => ({hostId: id as HostId, availabilityZone: 'zone-a' as AvailabilityZone, address: `127.0.0.1:70${id.at(-1)}`});
 	return createState({
-		self: describe(hostId), incarnation: `life-of-${hostId}` as Incarnation, peers: peers.map(id => describe(id)), routingPolicy: 'least-outstanding', seed: 7,
+		self: describe(hostId), incarnation: `life-of-${hostId}` as Incarnation, peers: peers.map(id => describe(id)), routingPolicy: 'least-outstanding', logRetentionMs: 240_000, seed: 7,
 	});
 }
 
--- a/packages/core/src/types/peers.ts
+++ b/packages/core/src/types/peers.ts
@@ -15,6 +15,8 @@
 	readonly peers: readonly EntryHost[];
 	/** Name of the routing policy in `requests/routing-policies.ts`. */
 	readonly routingPolicy: string;
+	/** How long the platform's log keeps records, in milliseconds; `defaultLogRetentionMs` if not given. */
+	readonly logRetentionMs?: number;
 	/** Seed of this process's random choices. */
 	readonly seed: number;
 };
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -46,6 +46,7 @@
 			incarnation: randomUUID() as Incarnation,
 			peers: settings.peers,
 			routingPolicy: settings.routingPolicy,
+			logRetentionMs: settings.logRetentionMs,
 			seed: settings.seed === 0 ? randomInt(1, 2 ** 31) : settings.seed,
 		});
 		this.loop = EventLoop.create(this.state, effect => {
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -1,6 +1,6 @@
 /** Settings of the daemon: each is a flag and an environment variable, checked once at the start. */
 import {
-	availabilityZoneSchema, hostIdSchema, routingPolicies, type AvailabilityZone, type EntryHost, type HostId,
+	availabilityZoneSchema, defaultLogRetentionMs, hostIdSchema, routingPolicies, type AvailabilityZone, type EntryHost, type HostId,
 } from '@rhubarblever/core';
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
@@ -9,6 +9,7 @@
 const address = z.string().regex(addressPattern, 'must be IPv4:port');
 const peerPattern = /^([\w.-]+)=([\w.-]+)@(\d{1,3}(?:\.\d{1,3}){3}:\d{1,5})$/;
 const wholeNumber = z.coerce.number().int().nonnegative();
+const leastLogRetentionMs = 20_000;
 
 /** One setting: its check, its default (as text) and what it is for. */
 type SettingRow = {readonly schema: z.ZodType; readonly fallback?: string; readonly help: string};
@@ -27,6 +28,11 @@
 		fallback: 'steward',
 		help: `How a target is chosen: ${Object.keys(routingPolicies).join(', ')}`,
 	},
+	'log-retention-ms': {
+		schema: wholeNumber.min(leastLogRetentionMs),
+		fallback: String(defaultLogRetentionMs),
+		help: 'How long the platform\'s log keeps records, in milliseconds',
+	},
 	metrics: {schema: z.union([address, z.literal('')]), fallback: '', help: 'IPv4:port of a StatsD server; empty sends none'},
 	'log-level': {schema: z.enum(['error', 'warn', 'info', 'debug']), fallback: 'info', help: 'Least level of log lines'},
 	'max-body-bytes': {schema: wholeNumber, fallback: '1048576', help: 'Largest body of a request, in bytes'},
@@ -44,6 +50,7 @@
 	readonly operatorToken: string;
 	readonly peerToken: string;
 	readonly routingPolicy: string;
+	readonly logRetentionMs: number;
 	readonly metrics: SocketAddress | undefined;
 	readonly logLevel: string;
 	readonly maxBodyBytes: number;
@@ -139,6 +146,7 @@
 		operatorToken: get('operator-token'),
 		peerToken: get('peer-token'),
 		routingPolicy: get('routing-policy'),
+		logRetentionMs: Number(get('log-retention-ms')),
 		metrics: get('metrics') === '' ? undefined : parseSocketAddress(get('metrics')),
 		logLevel: get('log-level'),
 		maxBodyBytes: Number(get('max-body-bytes')),
