Planner's lease: handed back on a graceful stop, and its renewals remembered by deadline instead of by id

Cause: nobody told the log that the holder stops, so the lease had to lapse (6 s). Change: a stopping holder acts no more and renews with deadline 0, which the release before judges alike (same term, same holder). A renewal by the holder in its own term needs no id: the deadline only rises until it is handed back, so copies are 'repeated' as before. Ruled out: a new schema for the hand-back (the release before would set it aside and void the next holder's records until the old deadline); fewer renewals (the id was the cost; the platform may be 3 s slow without a loss of the lease as it is). Limit: with a release back beside it, a copy of a renewal that comes after the next term began is 'void' here and 'repeated' there.

--- a/packages/core/src/planner/bodies.ts
+++ b/packages/core/src/planner/bodies.ts
@@ -4,7 +4,7 @@
 import {hostIdSchema, incarnationSchema} from '../types/ids.js';
 import {instantSchema} from '../types/time.js';
 
-/** Takes the lease with the next term, or renews it with the same one. `deadline` is by the platform's clock. */
+/** Takes the lease with the next term, or renews it with the same one. `deadline` is by the platform's clock; 0 hands the lease back. */
 export const plannerLeaseBodyV1 = z.strictObject({
 	holder: hostIdSchema,
 	incarnation: incarnationSchema,
--- a/packages/core/src/planner/lease.ts
+++ b/packages/core/src/planner/lease.ts
@@ -1,8 +1,9 @@
 /** The planner's lease in the fold: at most one holder in each term, fenced by the term. */
 import type {RecordOutcome} from '../fleet/apply-record.js';
 import type {FleetState} from '../fleet/state.js';
-import type {LoggedRecord} from '../types/records.js';
-import type {PlannerDomainBodies, PlannerLeaseBody} from './bodies.js';
+import type {LoggedRecord, LogRecord} from '../types/records.js';
+import type {Instant} from '../types/time.js';
+import {plannerLeaseBodyV1, type PlannerDomainBodies, type PlannerLeaseBody} from './bodies.js';
 
 /** A deadline further ahead of the platform's clock than this is void, so that a wrong clock cannot take the lease for good. */
 export const maximumLeaseMs = 15_000;
@@ -16,17 +17,48 @@
 			return {verdict: 'void', reason};
 		}
 
+		if (isRenewalRepeated(fleet, body)) {
+			return {verdict: 'repeated'};
+		}
+
 		fleet.plannerLease = body;
 		return {verdict: 'accepted'};
 	},
 };
 
+/** The deadline of a lease that its holder has handed back: the term is over and cannot be renewed. */
+export const handedBackDeadline = 0 as Instant;
+
+/** Whether a record is the holder's own about the term in force. A copy of it is known by its deadline, so its id need not be remembered. */
+export function isRenewal(fleet: FleetState, {schema, version, body}: LogRecord): boolean {
+	if (schema !== 'planner-lease' || version !== 1) {
+		return false;
+	}
+
+	const parsed = plannerLeaseBodyV1.safeParse(body);
+	return parsed.success && isOfHolder(fleet.plannerLease, parsed.data);
+}
+
 /** Why a record of a term is void; nothing if the term is in force. */
 export function judgeTerm(fleet: FleetState, term: number): string | undefined {
 	const current = fleet.plannerLease?.term;
 	return term === current ? undefined : `term ${term} is not in force, but ${current ?? 'none'}`;
 }
 
+function isOfHolder(current: PlannerLeaseBody | undefined, body: PlannerLeaseBody): boolean {
+	return body.term === current?.term && body.holder === current.holder && body.incarnation === current.incarnation;
+}
+
+/** Within a term the deadline only rises until it is handed back; anything else is a copy of an earlier record. */
+function isRenewalRepeated({plannerLease: current}: FleetState, body: PlannerLeaseBody): boolean {
+	if (!current || !isOfHolder(current, body)) {
+		return false;
+	}
+
+	const isHandBack = body.deadline === handedBackDeadline;
+	return current.deadline === handedBackDeadline || (!isHandBack && body.deadline <= current.deadline);
+}
+
 function judgeDeadline(logged: LoggedRecord, body: PlannerLeaseBody): string | undefined {
 	return body.deadline > logged.at + maximumLeaseMs ? 'the deadline is too far ahead of the clock of the log' : undefined;
 }
@@ -38,8 +70,7 @@
 	}
 
 	if (body.term === current.term) {
-		const isHolder = body.holder === current.holder && body.incarnation === current.incarnation;
-		return isHolder ? undefined : `term ${current.term} is held by ${current.holder}`;
+		return isOfHolder(current, body) ? undefined : `term ${current.term} is held by ${current.holder}`;
 	}
 
 	if (body.term !== current.term + 1) {
--- a/packages/core/src/planner/tenure.ts
+++ b/packages/core/src/planner/tenure.ts
@@ -3,6 +3,7 @@
 import type {Effect} from '../types/effects.js';
 import type {State} from '../types/state.js';
 import {addMilliseconds, type Instant} from '../types/time.js';
+import {handedBackDeadline} from './lease.js';
 import {publishLease} from './proposals.js';
 
 const leaseMs = 6000;
@@ -25,8 +26,8 @@
 /** The term in which this process is the planner; nothing if it is not, or not surely. */
 export function findOwnTerm(state: State): number | undefined {
 	const lease = state.fleet.plannerLease;
-	const isHolder = lease?.holder === state.settings.self.hostId && lease.incarnation === state.settings.incarnation;
-	return isHolder && estimateLogTime(state) + safetyMarginMs < lease.deadline ? lease.term : undefined;
+	const mayAct = !state.isStopping && isHolder(state);
+	return mayAct && lease && estimateLogTime(state) + safetyMarginMs < lease.deadline ? lease.term : undefined;
 }
 
 /** Whether the list of workers is fresh enough to act on. */
@@ -35,23 +36,39 @@
 	return workersAt !== undefined && workersAt + workersMaximumAgeMs > state.now;
 }
 
-/** Takes a lapsed lease or renews the own one. */
+/** Takes a lapsed lease or renews the own one; a host that stops hands it back, so that another goes on at once. */
 export function renewTenure(state: State): Effect[] {
+	if (state.isStopping) {
+		return releaseTenure(state);
+	}
+
 	if (!isReady(state) || !state.log.isReachable || !hasFreshWorkers(state)) {
 		return [];
 	}
 
 	const lease = state.fleet.plannerLease;
 	const logTime = estimateLogTime(state);
-	const isHolder = lease?.holder === state.settings.self.hostId && lease.incarnation === state.settings.incarnation;
-	if (lease && logTime < (isHolder ? lease.deadline - renewBeforeMs : lease.deadline)) {
+	const isOwn = isHolder(state);
+	if (lease && logTime < (isOwn ? lease.deadline - renewBeforeMs : lease.deadline)) {
 		return [];
 	}
 
 	return publishLease(state, {
 		holder: state.settings.self.hostId,
 		incarnation: state.settings.incarnation,
-		term: (lease?.term ?? 0) + (isHolder ? 0 : 1),
+		term: (lease?.term ?? 0) + (isOwn ? 0 : 1),
 		deadline: addMilliseconds(logTime, leaseMs),
 	});
 }
+
+function isHolder(state: State): boolean {
+	const lease = state.fleet.plannerLease;
+	return lease?.holder === state.settings.self.hostId && lease.incarnation === state.settings.incarnation;
+}
+
+function releaseTenure(state: State): Effect[] {
+	const lease = state.fleet.plannerLease;
+	return lease && isHolder(state) && lease.deadline !== handedBackDeadline
+		? publishLease(state, {...lease, deadline: handedBackDeadline})
+		: [];
+}
