--- /dev/null
+++ b/packages/bench/src/integration/platform-ledger.ts
@@ -0,0 +1,100 @@
+/** Judges a run by the platform stand-in's ledger, which holds what really happened, in order. */
+import type {ListedHost} from '@rhubarblever/core';
+import type {LocalFleet} from '@rhubarblever/stand-ins';
+
+export type LedgerEntry = {
+	readonly at: number;
+	readonly event: string;
+	readonly hostId: string;
+	readonly pool?: string;
+	readonly operationId?: string;
+	readonly taskId?: string;
+	readonly attempt?: number;
+};
+
+/** One run of a job on a worker. */
+export type TaskRun = {
+	readonly taskId: string;
+	readonly hostId: string;
+	readonly startedAt: number;
+	readonly endedAt: number;
+	/** The event that ended it; undefined while it runs. */
+	readonly end: string | undefined;
+};
+
+/** Hosts out of service by plan, and hosts that serve, at their worst moments. */
+export type PoolExtremes = {readonly mostOut: number; readonly leastHealthy: number};
+
+type HostCondition = {isMember: boolean; isOut: boolean; isDown: boolean};
+
+const conditionChanges: Readonly<Record<string, (condition: HostCondition) => void>> = {
+	'drain-started'(condition) {
+		condition.isOut = true;
+	},
+	undrained(condition) {
+		condition.isOut = false;
+	},
+	'pool-set'(condition) {
+		condition.isMember = false;
+	},
+	'worker-failed'(condition) {
+		condition.isDown = true;
+	},
+	'worker-healed'(condition) {
+		condition.isDown = false;
+	},
+};
+
+const taskEnds: ReadonlySet<string> = new Set([
+	'task-succeeded', 'task-failed', 'task-stopped', 'task-lapsed', 'task-cut', 'task-lost', 'task-out-of-memory',
+]);
+
+export async function readLedger(fleet: LocalFleet): Promise<readonly LedgerEntry[]> {
+	const answer = await fleet.callPlatform('GET', '/v1/control/ledger') as {readonly entries: readonly LedgerEntry[]};
+	return answer.entries;
+}
+
+/** The worst moments of a pool's hosts. A host is out from the start of its drain until it is undrained or in another pool. */
+export function measureExtremes(ledger: readonly LedgerEntry[], among: readonly ListedHost[]): PoolExtremes {
+	const conditions = new Map<string, HostCondition>(among.map(host => [host.hostId, {isMember: true, isOut: false, isDown: false}]));
+	let mostOut = 0;
+	let leastHealthy = among.length;
+	for (const {event, hostId} of ledger) {
+		const condition = conditions.get(hostId);
+		if (!condition) {
+			continue;
+		}
+
+		conditionChanges[event]?.(condition);
+		const all = [...conditions.values()].filter(({isMember}) => isMember);
+		mostOut = Math.max(mostOut, all.filter(({isOut}) => isOut).length);
+		leastHealthy = Math.min(leastHealthy, all.filter(({isOut, isDown}) => !isOut && !isDown).length);
+	}
+
+	return {mostOut, leastHealthy};
+}
+
+/** All runs of tasks, in the order of their starts. */
+export function listRuns(ledger: readonly LedgerEntry[]): TaskRun[] {
+	return ledger.filter(entry => entry.event === 'task-started').map(({taskId = '', attempt, hostId, at}) => {
+		const end = ledger.find(entry => entry.taskId === taskId && entry.attempt === attempt && taskEnds.has(entry.event));
+		return {
+			taskId, hostId, startedAt: at, endedAt: end?.at ?? Number.POSITIVE_INFINITY, end: end?.event,
+		};
+	});
+}
+
+/** The runs of one job, in the order of their starts. */
+export function listRunsOf(ledger: readonly LedgerEntry[], taskId: string): TaskRun[] {
+	return listRuns(ledger.filter(entry => entry.taskId === taskId));
+}
+
+/** Runs that began before the run before them, of the same job, had ended. */
+export function listOverlaps(ledger: readonly LedgerEntry[]): TaskRun[] {
+	const endedAt = new Map<string, number>();
+	return listRuns(ledger).filter(run => {
+		const earlier = endedAt.get(run.taskId) ?? 0;
+		endedAt.set(run.taskId, Math.max(earlier, run.endedAt));
+		return run.startedAt < earlier;
+	});
+}
--- /dev/null
+++ b/packages/bench/src/integration/worker-fleet.ts
@@ -0,0 +1,112 @@
+/** A fleet of workers with one pool for tests of waves and jobs, and what operators see of it. */
+import {listedHostSchema, type ListedHost} from '@rhubarblever/core';
+import {
+	LocalFleet, waitUntil, type FleetShape, type LocalEntryHost, type PublishableRecord,
+} from '@rhubarblever/stand-ins';
+
+export type JobAnswer = {readonly jobId: string; readonly step: string; readonly runs: number; readonly parkedReason?: string};
+
+export type FleetAnswer = {
+	readonly plannerLease?: {readonly holder: string; readonly term: number};
+	readonly poolHosts: ReadonlyArray<{readonly hostId: string; readonly pool: string}>;
+	readonly waves: ReadonlyArray<{readonly waveId: string; readonly status: string}>;
+	readonly jobs: readonly JobAnswer[];
+};
+
+export const zones = ['attica-a', 'attica-b', 'attica-c'];
+export const poolName = 'renders';
+/** Only bounds a run that fails. */
+export const settleMs = 60_000;
+const endedSteps: ReadonlySet<string> = new Set(['succeeded', 'failed', 'cancelled']);
+
+/** Workers dealt out to the zones in turn, two to a rack. */
+export function createWorkers(count: number, cores = 32): ListedHost[] {
+	return Array.from({length: count}, (_, index) => listedHostSchema.parse({
+		hostId: `worker-${index + 1}`,
+		role: 'worker',
+		availabilityZone: zones[index % zones.length],
+		rack: `rack-${zones[index % zones.length]}-${Math.floor(index / zones.length / 2)}`,
+		address: '127.0.0.1:1',
+		pool: poolName,
+		state: 'live',
+		cores,
+		memoryBytes: 128e9,
+		accelerators: 0,
+	}));
+}
+
+/** Starts a fleet of three entry hosts and publishes its pool and workers. */
+export async function startWorkerFleet(workers: readonly ListedHost[], budget: Record<string, number>, shape: Partial<FleetShape> = {}): Promise<LocalFleet> {
+	const fleet = await LocalFleet.create({
+		availabilityZones: zones, entryHostsPerZone: 1, targetsPerZone: 0, services: [], hosts: workers, ...shape,
+	});
+	await fleet.publish([
+		{
+			recordId: 'pool', schema: 'pool', version: 3, body: {pool: poolName, budget},
+		},
+		...workers.map(({hostId, availabilityZone, rack}) => ({
+			recordId: `host-${hostId}`, schema: 'host', version: 1, body: {
+				hostId, pool: poolName, availabilityZone, rack,
+			},
+		})),
+	]);
+	return fleet;
+}
+
+/** A record that has a job accepted. */
+export function createJob(jobId: string, changes: Record<string, unknown> = {}): PublishableRecord {
+	return {
+		recordId: `accept-${jobId}`,
+		schema: 'job',
+		version: 1,
+		body: {
+			jobId, pool: poolName, team: 'newsroom', jobClass: 'normal', cores: 2, memoryBytes: 1e9, declaredRunMs: 500, allowedRuns: 1, ...changes,
+		},
+	};
+}
+
+/** What a running entry host tells operators. */
+export async function fetchAnswer(fleet: LocalFleet, host: LocalEntryHost = findRunningHost(fleet)): Promise<FleetAnswer> {
+	return await fleet.fetchFleet(host) as FleetAnswer;
+}
+
+/** The entry host that holds the planner's lease, as one entry host sees it. */
+export async function findPlanner(fleet: LocalFleet, seenBy: LocalEntryHost = findRunningHost(fleet)): Promise<LocalEntryHost> {
+	const {plannerLease} = await fetchAnswer(fleet, seenBy);
+	const planner = fleet.entryHosts.find(host => host.hostId === plannerLease?.holder);
+	if (!planner) {
+		throw new Error('no entry host holds the planner\'s lease');
+	}
+
+	return planner;
+}
+
+/** Waits until each of some jobs is at a step. */
+export async function waitForStep(fleet: LocalFleet, jobIds: readonly string[], step: string): Promise<void> {
+	await waitForJobs(fleet, jobIds, step, job => job.step === step);
+}
+
+/** Waits until each of some jobs has ended, however. */
+export async function waitForEnds(fleet: LocalFleet, jobIds: readonly string[]): Promise<void> {
+	await waitForJobs(fleet, jobIds, 'ended', job => endedSteps.has(job.step));
+}
+
+async function waitForJobs(fleet: LocalFleet, jobIds: readonly string[], what: string, isDone: (job: JobAnswer) => boolean): Promise<void> {
+	await waitUntil(`${jobIds.length} jobs, ${jobIds[0]} first: ${what}`, async () => {
+		const {jobs} = await fetchAnswer(fleet);
+		const known = new Map(jobs.map(job => [job.jobId, job]));
+		return jobIds.every(jobId => {
+			const job = known.get(jobId);
+			return job !== undefined && isDone(job);
+		});
+	}, settleMs);
+}
+
+function findRunningHost(fleet: LocalFleet): LocalEntryHost {
+	const host = fleet.entryHosts.find(candidate => candidate.running.isRunning);
+	if (!host) {
+		throw new Error('no entry host runs');
+	}
+
+	return host;
+}
