Jobs: a refused start proves nothing of an earlier planner's attempt; job leases have a setting

Cause: a planner paused just before its start call may send it after another one took over. The new planner wrote the attempt down as never run after its own first call was refused, if the attempt was at most one lease old; then the late call and the next attempt could both run. Now an attempt remembers the term in which it began, and only a refusal to the planner of that term counts.

New test with real processes: the planner is paused past the leases of nine jobs (3 s, seed 56, a fifth of the answers lost, reports 300 ms late).

--- /dev/null
+++ b/packages/bench/src/integration/lapsed-leases.test.ts
@@ -0,0 +1,96 @@
+/** Leases of running jobs that lapse while the planner that renews them is paused; the platform's ledger is the judge. */
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {waitUntil, type LocalFleet} from '@rhubarblever/stand-ins';
+import {expect} from 'earl';
+import {
+	listOverlaps, listRuns, listRunsOf, readLedger,
+} from './platform-ledger.js';
+import {
+	createJob, createWorkers, findPlanner, settleMs, startWorkerFleet, waitForEnds, waitForStep,
+} from './worker-fleet.js';
+
+const jobLeaseMs = 3000;
+/** Longer than a lease, so that no first run can end before it lapses. */
+const runMs = 3 * jobLeaseMs;
+const allowedRuns = 2;
+const singleIds = ['overlay-1', 'overlay-2', 'overlay-3', 'overlay-4'];
+const repeatableIds = ['map-1', 'map-2', 'map-3', 'map-4'];
+const resumableId = 'archive';
+const allIds = [...singleIds, ...repeatableIds, resumableId];
+
+type LeasedAttempt = {readonly jobId: string; readonly attempt: number};
+type LogPage = {readonly records: ReadonlyArray<{readonly record: {
+	readonly schema: string;
+	readonly body: Partial<LeasedAttempt> & {readonly leaseUntil: number; readonly attempts?: readonly LeasedAttempt[]};
+};}>;};
+
+let fleet: LocalFleet;
+
+/** The latest lease that the log holds for the first attempt of a job. */
+async function findFirstLease(jobId: string): Promise<number> {
+	const {records} = await fleet.callPlatform('GET', '/v1/streams/fleet/records?limit=1000') as LogPage;
+	const isFirst = (leased: Partial<LeasedAttempt>) => leased.jobId === jobId && leased.attempt === 1;
+	const leases = records.map(({record}) => record).filter(({schema, body}) => (schema === 'job-attempt' && isFirst(body))
+		|| (schema === 'job-leases' && (body.attempts ?? []).some(attempt => isFirst(attempt))));
+	return Math.max(...leases.map(({body}) => body.leaseUntil));
+}
+
+describe('leases that lapse while their holder is paused', () => {
+	before(async () => {
+		fleet = await startWorkerFleet(createWorkers(6), {environment: {RHUBARBLEVER_JOB_LEASE_MS: String(jobLeaseMs)}});
+		await fleet.callPlatform('PUT', '/v1/control/faults', {reportLagMs: 300, loseAnswers: {probability: 0.2, seed: 56}});
+	});
+
+	after(async () => {
+		await fleet.stop();
+	});
+
+	it('stop their tasks at the workers; only then, and as often as allowed, another planner starts them again', async () => {
+		await fleet.publish([
+			...singleIds.map(jobId => createJob(jobId, {declaredRunMs: runMs})),
+			...repeatableIds.map((jobId, index) => createJob(jobId, {declaredRunMs: index % 2 === 0 ? runMs : 500, allowedRuns})),
+			createJob(resumableId, {declaredRunMs: runMs, allowedRuns, isResumable: true}),
+		]);
+		await waitForStep(fleet, singleIds, 'running');
+		await waitUntil('the tasks run', async () => {
+			const runs = listRuns(await readLedger(fleet));
+			return runs.length >= allIds.length;
+		}, settleMs);
+		const frozen = await findPlanner(fleet);
+		const observer = fleet.entryHosts.find(host => host !== frozen)!;
+		frozen.running.signal('SIGSTOP');
+		await waitUntil('another entry host plans', async () => await findPlanner(fleet, observer) !== frozen, settleMs);
+		await waitUntil('a second run has begun', async () => listRunsOf(await readLedger(fleet), 'map-1').length > 1, settleMs);
+		frozen.running.signal('SIGCONT');
+		await waitForEnds(fleet, allIds);
+	});
+
+	it('no task ran past its lease, no runs of a job overlap, and none ran more often than allowed', async () => {
+		const ledger = await readLedger(fleet);
+		expect(listOverlaps(ledger)).toEqual([]);
+		for (const jobId of singleIds) {
+			expect(listRunsOf(ledger, jobId).map(run => run.end)).toEqual(['task-lapsed']);
+		}
+
+		for (const jobId of [...repeatableIds, resumableId]) {
+			expect(listRunsOf(ledger, jobId).length).toBeLessThanOrEqual(allowedRuns);
+			expect(listRunsOf(ledger, jobId).at(-1)?.end).toEqual('task-succeeded');
+		}
+
+		expect(fleet.entryHosts.every(host => host.running.isRunning)).toEqual(true);
+	});
+
+	it('a second run began only behind the lease of the first', async () => {
+		const ledger = await readLedger(fleet);
+		const second = repeatableIds.map(jobId => listRunsOf(ledger, jobId)[1]).filter(run => run !== undefined);
+		expect(second).not.toBeEmpty();
+		for (const run of second) {
+			// eslint-disable-next-line no-await-in-loop
+			const leaseUntil = await findFirstLease(run.taskId);
+			expect(leaseUntil).toBeGreaterThan(0);
+			expect(run.startedAt).toBeGreaterThan(leaseUntil);
+		}
+	});
+});
--- a/packages/bench/src/integration/wave-with-jobs.test.ts
+++ b/packages/bench/src/integration/wave-with-jobs.test.ts
@@ -54,7 +54,7 @@
 
 describe('a wave and jobs over real processes', () => {
 	before(async () => {
-		fleet = await startWorkerFleet(workers, budget, {isProxied: true});
+		fleet = await startWorkerFleet(workers, {isProxied: true}, budget);
 	});
 
 	after(async () => {
--- a/packages/bench/src/integration/worker-fleet.ts
+++ b/packages/bench/src/integration/worker-fleet.ts
@@ -13,8 +13,13 @@
 	readonly jobs: readonly JobAnswer[];
 };
 
+export type AvailabilityBudget = Readonly<Record<'minimumHealthyHosts' | 'maximumHostsOut' | 'maximumHostsOutPerZone' | 'maximumHostsOutPerRack', number>>;
+
 export const zones = ['attica-a', 'attica-b', 'attica-c'];
 export const poolName = 'renders';
+const looseBudget: AvailabilityBudget = {
+	minimumHealthyHosts: 1, maximumHostsOut: 1, maximumHostsOutPerZone: 1, maximumHostsOutPerRack: 1,
+};
 /** Only bounds a run that fails. */
 export const settleMs = 60_000;
 const endedSteps: ReadonlySet<string> = new Set(['succeeded', 'failed', 'cancelled']);
@@ -36,7 +41,7 @@
 }
 
 /** Starts a fleet of three entry hosts and publishes its pool and workers. */
-export async function startWorkerFleet(workers: readonly ListedHost[], budget: Record<string, number>, shape: Partial<FleetShape> = {}): Promise<LocalFleet> {
+export async function startWorkerFleet(workers: readonly ListedHost[], shape: Partial<FleetShape> = {}, budget: AvailabilityBudget = looseBudget): Promise<LocalFleet> {
 	const fleet = await LocalFleet.create({
 		availabilityZones: zones, entryHostsPerZone: 1, targetsPerZone: 0, services: [], hosts: workers, ...shape,
 	});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -26,6 +26,8 @@
 export type * from './fleet/state.js';
 export type * from './membership/state.js';
 export * from './jobs/tasks.js';
+export {maximumJobLeaseMs} from './jobs/judge.js';
+export {defaultJobLeaseMs} from './jobs/runner.js';
 export type * from './jobs/events.js';
 export type * from './jobs/effects.js';
 export type * from './jobs/bodies.js';
--- a/packages/core/src/jobs/appliers.ts
+++ b/packages/core/src/jobs/appliers.ts
@@ -39,7 +39,7 @@
 			job.runs += job.hasCheckpoint ? 0 : 1;
 			job.hasCheckpoint = false;
 			job.current = {
-				attempt: body.attempt, worker: body.worker, startedAt: logged.at, leaseUntil: body.leaseUntil,
+				attempt: body.attempt, worker: body.worker, startedAt: logged.at, term: body.term, leaseUntil: body.leaseUntil,
 			};
 		}
 	}),
--- a/packages/core/src/jobs/handlers.ts
+++ b/packages/core/src/jobs/handlers.ts
@@ -11,7 +11,7 @@
 import {hasProposal, publishJobRecord} from './proposals.js';
 import {clearForUrgent, clearLeavingWorkers, relieveWorkers} from './relief.js';
 import {
-	jobLeaseMs, listRunning, runJobs, type RunningJob,
+	getJobLeaseMs, listRunning, runJobs, type RunningJob,
 } from './runner.js';
 
 const listIntervalMs = 250;
@@ -108,7 +108,7 @@
 }
 
 function publishPlan(state: State, plan: PlacementPlan, term: number): Effect[] {
-	const leaseUntil = addMilliseconds(estimateLogTime(state), jobLeaseMs);
+	const leaseUntil = addMilliseconds(estimateLogTime(state), getJobLeaseMs(state));
 	return [
 		...plan.placements.flatMap(({job, worker}) => publishJobRecord(state, job.body.jobId, 'job-attempt', {
 			jobId: job.body.jobId, attempt: job.attempts + 1, worker, leaseUntil, term,
--- a/packages/core/src/jobs/judge.ts
+++ b/packages/core/src/jobs/judge.ts
@@ -9,7 +9,7 @@
 import type {Job} from './state.js';
 
 /** A lease further ahead of the log's clock is void, so that a wrong clock cannot hold a job for long. */
-export const maximumLeaseMs = 600_000;
+export const maximumJobLeaseMs = 600_000;
 /** Clocks of workers and of the log differ by less; a new attempt waits this long behind a lapsed lease. */
 export const clockMarginMs = 2000;
 
@@ -74,7 +74,7 @@
 		return 'the lease lapsed before it was recorded';
 	}
 
-	return leaseUntil > logged.at + maximumLeaseMs ? 'the lease is too far ahead of the clock of the log' : undefined;
+	return leaseUntil > logged.at + maximumJobLeaseMs ? 'the lease is too far ahead of the clock of the log' : undefined;
 }
 
 function judgeWorker(fleet: FleetState, logged: LoggedRecord, job: Job, worker: HostId): Judgement {
--- a/packages/core/src/jobs/runner.test.ts
+++ b/packages/core/src/jobs/runner.test.ts
@@ -4,7 +4,9 @@
 import {createState, reduce} from '../engine/reduce.js';
 import type {Effect} from '../types/effects.js';
 import {listedHostSchema} from '../types/hosts.js';
-import type {AvailabilityZone, HostId, Incarnation} from '../types/ids.js';
+import type {
+	AvailabilityZone, HostId, Incarnation, JobId,
+} from '../types/ids.js';
 import {logRecordSchema} from '../types/records.js';
 import type {State} from '../types/state.js';
 import type {Instant, Offset} from '../types/time.js';
@@ -46,8 +48,7 @@
 		});
 	}
 
-	takeLease(term: number): void {
-		const {hostId} = this.state.settings.self;
+	takeLease(term: number, hostId: string = this.state.settings.self.hostId): void {
 		this.append('planner-lease', {
 			holder: hostId, incarnation: `${hostId}-1`, term, deadline: this.now + leaseMs,
 		});
@@ -68,17 +69,37 @@
 		return effects;
 	}
 
+	wait(milliseconds: number): void {
+		this.now += milliseconds;
+	}
+
+	/** Takes in that the start of the roster's attempt was refused, and lets the runner look at it again. */
+	refuseStart(): void {
+		this.passWithoutTasks();
+		reduce(this.state, {
+			type: 'task/start-answered', at: this.now as Instant, jobId: 'roster' as JobId, attempt: 1, answer: 'refused',
+		});
+		this.passWithoutTasks();
+	}
+
 	listProposedEnds(): unknown[] {
 		return [...this.state.log.pending.values()].map(({record}) => record).filter(({schema}) => schema === 'job-attempt-end').map(({body}) => body);
 	}
+
+	private passWithoutTasks(): void {
+		this.now += 200;
+		reduce(this.state, {type: 'tasks/listed', at: this.now as Instant, tasks: []});
+		reduce(this.state, {type: 'clock/ticked', at: this.now as Instant});
+	}
 }
 
-function startRoster(holder: Holder): void {
+/** The roster's first attempt is begun by a planner in term 1. */
+function startRoster(holder: Holder, planner: string = holder.state.settings.self.hostId): void {
 	holder.append('pool', {pool: 'rosters', minimumHealthyHosts: 0});
 	holder.append('host', {
 		hostId: 'worker-1', pool: 'rosters', availabilityZone: 'a', rack: 'rack-1',
 	});
-	holder.takeLease(1);
+	holder.takeLease(1, planner);
 	holder.append('job', createJob('roster', 'batch'));
 	holder.append('job-attempt', {
 		jobId: 'roster', attempt: 1, worker: 'worker-1', leaseUntil: 60_000, term: 1,
@@ -115,3 +136,23 @@
 		}]);
 	});
 });
+
+describe('a start that a worker refused', () => {
+	it('counts as no run if the attempt was begun by the planner that called', () => {
+		const holder = Holder.create('entry-3');
+		startRoster(holder);
+		holder.refuseStart();
+		expect(holder.listProposedEnds()).toEqual([{
+			jobId: 'roster', attempt: 1, end: 'unstarted', term: 1,
+		}]);
+	});
+
+	it('says nothing of an attempt of an earlier planner, whose own call may still come', () => {
+		const holder = Holder.create('entry-4');
+		startRoster(holder, 'entry-9');
+		holder.wait(leaseMs);
+		holder.takeLease(2);
+		holder.refuseStart();
+		expect(holder.listProposedEnds()).toEqual([]);
+	});
+});
--- a/packages/core/src/jobs/runner.ts
+++ b/packages/core/src/jobs/runner.ts
@@ -10,8 +10,9 @@
 import type {ListedTask} from './tasks.js';
 
 /** A lease is so long; a job of a holder that vanished waits no longer for its next attempt. */
-export const jobLeaseMs = 30_000;
-const renewBeforeMs = 20_000;
+export const defaultJobLeaseMs = 30_000;
+/** A lease with less than this share of its length left is renewed. */
+const renewBeforeShare = 2 / 3;
 const startRetryMs = 1000;
 const stopRetryMs = 1000;
 const checkpointWaitMs = 400;
@@ -20,6 +21,11 @@
 /** A running job with its attempt and, if the platform lists it, its task. */
 export type RunningJob = {readonly job: Job; readonly current: JobAttempt; readonly task: ListedTask | undefined};
 
+/** How long a lease of a running job is on this host. */
+export function getJobLeaseMs(state: State): number {
+	return state.settings.jobLeaseMs ?? defaultJobLeaseMs;
+}
+
 /** All running jobs, joined with the platform's list of tasks. */
 export function listRunning(state: State): RunningJob[] {
 	const tasks = new Map(state.jobRunner.tasks.map(task => [`${task.taskId}#${task.attempt}`, task]));
@@ -48,7 +54,10 @@
 	return [...lengthenTask(item, item.task), ...stopTask(state, item)];
 }
 
-/** Starts a task that the platform doesn't list; gives the attempt up only when that is safe. */
+/**
+ * Starts a task that the platform doesn't list; gives the attempt up only when that is safe.
+ * A refusal tells nothing of an attempt of an earlier term: a paused planner may still send its call.
+ */
 function startTask(state: State, {job, current}: RunningJob, term: number): Effect[] {
 	const logTime = estimateLogTime(state);
 	if (logTime > current.leaseUntil + clockMarginMs) {
@@ -57,7 +66,7 @@
 
 	const known = state.jobRunner.starts.get(job.body.jobId);
 	const call = known?.attempt === current.attempt ? known : undefined;
-	if (call?.state === 'refused' && call.calls === 1 && current.startedAt >= logTime - jobLeaseMs) {
+	if (call?.state === 'refused' && call.calls === 1 && current.term === term) {
 		return publishEnd(state, {job, current, task: undefined}, 'unstarted', term);
 	}
 
@@ -144,18 +153,18 @@
 
 function renewLeases(state: State, running: readonly RunningJob[], term: number): Effect[] {
 	const logTime = estimateLogTime(state);
-	const due = running.filter(({current, task}) => task?.state === 'running' && isRenewalDue(current, logTime));
+	const due = running.filter(({current, task}) => task?.state === 'running' && isRenewalDue(state, current, logTime));
 	if (due.length === 0 || hasProposal(state, 'leases')) {
 		return [];
 	}
 
 	return publishJobRecord(state, 'leases', 'job-leases', {
-		leaseUntil: addMilliseconds(logTime, jobLeaseMs),
+		leaseUntil: addMilliseconds(logTime, getJobLeaseMs(state)),
 		attempts: due.slice(0, renewalsInOneRecord).map(({job, current}) => ({jobId: job.body.jobId, attempt: current.attempt})),
 		term,
 	});
 }
 
-function isRenewalDue(current: JobAttempt, logTime: Instant): boolean {
-	return current.leaseUntil - logTime < renewBeforeMs && current.leaseUntil > logTime;
+function isRenewalDue(state: State, current: JobAttempt, logTime: Instant): boolean {
+	return current.leaseUntil - logTime < getJobLeaseMs(state) * renewBeforeShare && current.leaseUntil > logTime;
 }
--- a/packages/core/src/jobs/state.ts
+++ b/packages/core/src/jobs/state.ts
@@ -10,6 +10,8 @@
 	readonly attempt: number;
 	readonly worker: HostId;
 	readonly startedAt: Instant;
+	/** Term of the planner that began it. */
+	readonly term: number;
 	leaseUntil: Instant;
 };
 
--- a/packages/core/src/types/peers.ts
+++ b/packages/core/src/types/peers.ts
@@ -17,4 +17,6 @@
 	readonly routingPolicy: string;
 	/** Seed of this process's random choices. */
 	readonly seed: number;
+	/** How long a lease of a running job is; the default if left out. */
+	readonly jobLeaseMs?: number;
 };
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -47,6 +47,7 @@
 			peers: settings.peers,
 			routingPolicy: settings.routingPolicy,
 			seed: settings.seed === 0 ? randomInt(1, 2 ** 31) : settings.seed,
+			jobLeaseMs: settings.jobLeaseMs,
 		});
 		this.loop = EventLoop.create(this.state, effect => {
 			this.run(effect);
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -1,6 +1,6 @@
 /** Settings of the daemon: each is a flag and an environment variable, checked once at the start. */
 import {
-	availabilityZoneSchema, hostIdSchema, routingPolicies, type AvailabilityZone, type EntryHost, type HostId,
+	availabilityZoneSchema, defaultJobLeaseMs, hostIdSchema, maximumJobLeaseMs, routingPolicies, type AvailabilityZone, type EntryHost, type HostId,
 } from '@rhubarblever/core';
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
@@ -8,6 +8,8 @@
 const addressPattern = /^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/;
 const address = z.string().regex(addressPattern, 'must be IPv4:port');
 const peerPattern = /^([\w.-]+)=([\w.-]+)@(\d{1,3}(?:\.\d{1,3}){3}:\d{1,5})$/;
+/** Renewals need some time to be written and to reach the workers. */
+const shortestJobLeaseMs = 2000;
 const wholeNumber = z.coerce.number().int().nonnegative();
 
 /** One setting: its check, its default (as text) and what it is for. */
@@ -30,6 +32,11 @@
 	metrics: {schema: z.union([address, z.literal('')]), fallback: '', help: 'IPv4:port of a StatsD server; empty sends none'},
 	'log-level': {schema: z.enum(['error', 'warn', 'info', 'debug']), fallback: 'info', help: 'Least level of log lines'},
 	'max-body-bytes': {schema: wholeNumber, fallback: '1048576', help: 'Largest body of a request, in bytes'},
+	'job-lease-ms': {
+		schema: z.coerce.number().int().min(shortestJobLeaseMs).max(maximumJobLeaseMs),
+		fallback: String(defaultJobLeaseMs),
+		help: 'Lease of a running job, in milliseconds; while no entry host renews it, its task stops after so long',
+	},
 	invariants: {schema: z.enum(['count', 'fatal']), fallback: 'count', help: 'What a broken invariant does: count (log and count it) or fatal (exit)'},
 	seed: {schema: wholeNumber, fallback: '0', help: 'Seed of random choices; 0 takes one from the operating system'},
 } as const satisfies Record<string, SettingRow>;
@@ -49,6 +56,7 @@
 	readonly maxBodyBytes: number;
 	readonly areInvariantsFatal: boolean;
 	readonly seed: number;
+	readonly jobLeaseMs: number;
 };
 
 export type SocketAddress = {readonly ip: string; readonly port: number};
@@ -144,5 +152,6 @@
 		maxBodyBytes: Number(get('max-body-bytes')),
 		areInvariantsFatal: get('invariants') === 'fatal',
 		seed: Number(get('seed')),
+		jobLeaseMs: Number(get('job-lease-ms')),
 	};
 }
