--- a/packages/core/src/types/peers.ts
+++ b/packages/core/src/types/peers.ts
@@ -19,4 +19,6 @@
 	readonly logRetentionMs?: number;
 	/** Seed of this process's random choices. */
 	readonly seed: number;
+	/** How long a lease of a running job is; the default if left out. */
+	readonly jobLeaseMs?: number;
 };
