--- a/packages/core/src/claims/at-most-once.test.ts
+++ b/packages/core/src/claims/at-most-once.test.ts
@@ -117,7 +117,7 @@
 		},
 	};
 
-	private constructor(seed: number, hostsPerZone: number) {
+	private constructor(private readonly seed: number, hostsPerZone: number) {
 		this.random = xoroshiro128plus(seed);
 		this.append(startRecords);
 		this.hosts = Array.from({length: hostsPerZone * zones.length}, (_, index) => ({
@@ -146,7 +146,7 @@
 			self: describeHost(host),
 			incarnation: `${host.hostId}-life-${host.lives}` as Incarnation,
 			peers: this.hosts.filter(one => one !== host).map(one => describeHost(one)),
-			routingPolicy: 'least-outstanding',
+			routingPolicy: this.seed % 2 === 0 ? 'steward' : 'least-outstanding',
 			seed: 1,
 		});
 		this.run(host, listStartEffects(host.state));
--- a/packages/core/src/claims/claims.ts
+++ b/packages/core/src/claims/claims.ts
@@ -2,6 +2,7 @@
  * The dispatcher's side: a non-idempotent request is claimed before it is dispatched, and a majority of the members must vote for the claim.
  */
 import {admitClaimedRequest} from '../requests/admission.js';
+import {releaseEarlySlots} from '../requests/early-slots.js';
 import {refuseRequest} from '../requests/refusals.js';
 import type {Effect} from '../types/effects.js';
 import type {FaultKind} from '../types/faults.js';
@@ -59,6 +60,11 @@
 	return sendReleases(state, requestId, held.claimId);
 }
 
+/** Whether members are still voting on the claim of this very call. */
+export function isClaimPending(state: State, {requestId, callerKey}: CallerRequest): boolean {
+	return state.claims.open.get(requestId)?.request.callerKey === callerKey;
+}
+
 /** Invariant: what is dispatched is idempotent, or its id is claimed for this very call. */
 export function judgeClaimed(state: State, request: CallerRequest): Effect[] {
 	return request.isIdempotent || state.claims.held.get(request.requestId)?.callerKey === request.callerKey
@@ -218,5 +224,5 @@
 
 function refuseUnclaimed(state: State, request: CallerRequest, kind: FaultKind, detail: string): Effect[] {
 	const open = state.requests.open.get(request.callerKey);
-	return open ? refuseRequest(state, open, kind, detail) : [];
+	return open ? [...releaseEarlySlots(state, open), ...refuseRequest(state, open, kind, detail)] : [];
 }
--- a/packages/core/src/requests/admission.ts
+++ b/packages/core/src/requests/admission.ts
@@ -3,10 +3,20 @@
 import type {Effect} from '../types/effects.js';
 import type {CallerRequest} from '../types/requests.js';
 import type {State} from '../types/state.js';
-import {askForSlot} from './slot-asks.js';
+import {takeEarlyGrant} from './early-slots.js';
+import {askForSlot, dispatchGranted} from './slot-asks.js';
 
-/** Asks for a slot; a request whose caller has gone in the meantime gives its claim back. */
+/** Uses the slot that was granted beside the claim, waits for it, or asks anew; a request whose caller has gone gives its claim back. */
 export function admitClaimedRequest(state: State, request: CallerRequest): Effect[] {
 	const open = state.requests.open.get(request.callerKey);
-	return open ? askForSlot(state, open) : releaseClaim(state, request);
+	if (!open) {
+		return releaseClaim(state, request);
+	}
+
+	const grant = takeEarlyGrant(open);
+	if (grant) {
+		return dispatchGranted(state, open, grant);
+	}
+
+	return open.asks.size > 0 ? [] : askForSlot(state, open);
 }
--- a/packages/core/src/requests/handlers.ts
+++ b/packages/core/src/requests/handlers.ts
@@ -1,11 +1,12 @@
 /** Takes requests on: refuses at once what cannot be run, asks for a slot for the rest. */
-import {claimRequest, releaseClaim} from '../claims/claims.js';
+import {claimRequest, isClaimPending, releaseClaim} from '../claims/claims.js';
 import type {Effect} from '../types/effects.js';
 import type {FaultKind} from '../types/faults.js';
 import type {HandlerTable} from '../types/handlers.js';
 import type {CallerRequest} from '../types/requests.js';
 import type {State} from '../types/state.js';
 import {addMilliseconds} from '../types/time.js';
+import {askEarly, releaseEarlySlots, tickEarlyGrants} from './early-slots.js';
 import type {RequestEvent} from './events.js';
 import {refuseRequest} from './refusals.js';
 import {askForSlot, tickAsks, withdrawAsks} from './slot-asks.js';
@@ -27,7 +28,9 @@
 		}
 
 		state.requests.open.set(event.request.callerKey, open);
-		return event.request.isIdempotent ? askForSlot(state, open) : claimRequest(state, event.request);
+		return event.request.isIdempotent
+			? askForSlot(state, open)
+			: [...claimRequest(state, event.request), ...askEarly(state, open)];
 	},
 	'caller/gone'(state, event) {
 		const open = state.requests.open.get(event.callerKey);
@@ -37,7 +40,7 @@
 
 		state.requests.open.delete(event.callerKey);
 		return [
-			...withdrawAsks(state, open),
+			...releaseEarlySlots(state, open),
 			...open.attemptCount === 0 ? releaseClaim(state, open.request) : [],
 		];
 	},
@@ -45,7 +48,7 @@
 
 /** Refuses what waited past its deadline, and renews the rest. */
 export function tickRequests(state: State): Effect[] {
-	return [...refuseExpired(state), ...tickAsks(state)];
+	return [...tickEarlyGrants(state), ...refuseExpired(state), ...tickAsks(state)];
 }
 
 /** Starts a graceful stop. */
@@ -64,7 +67,7 @@
 		return [];
 	}
 
-	const waiting = stop.refuseAt > state.now ? [] : [...open.values()].filter(({asks}) => asks.size > 0);
+	const waiting = stop.refuseAt > state.now ? [] : [...open.values()].filter(request => isRefusable(state, request));
 	const refusals = waiting.flatMap(request => [
 		...withdrawAsks(state, request),
 		...refuseRequest(state, request, 'shutting-down', 'this entry host is stopping'),
@@ -93,6 +96,7 @@
 	return {
 		request,
 		asks: new Map(),
+		early: undefined,
 		askedZones: new Set(),
 		nextZoneAt: request.arrivedAt,
 		attemptCount: 0,
@@ -104,9 +108,14 @@
 
 function refuseExpired(state: State): Effect[] {
 	return [...state.requests.open.values()]
-		.filter(({asks, request}) => asks.size > 0 && request.deadline <= state.now)
+		.filter(open => open.request.deadline <= state.now && isRefusable(state, open))
 		.flatMap(open => [
 			...withdrawAsks(state, open),
 			...refuseRequest(state, open, 'deadline-unreachable', 'the deadline passed while it waited'),
 		]);
 }
+
+/** It waits for a slot, and its id is claimed if it has to be: before that, nothing can be said of whether the id has run. */
+function isRefusable(state: State, {asks, request}: OpenRequest): boolean {
+	return asks.size > 0 && !isClaimPending(state, request);
+}
--- a/packages/core/src/requests/slot-asks.ts
+++ b/packages/core/src/requests/slot-asks.ts
@@ -1,4 +1,5 @@
 /** The asking side of slots: asks the steward of one zone, then of another, and takes the first grant. */
+import {isClaimPending} from '../claims/claims.js';
 import type {SlotAsk, SlotMessage, SlotMessageOf} from '../slots/messages.js';
 import {recordRunTime} from '../slots/run-times.js';
 import {getScopeKey} from '../slots/state.js';
@@ -10,6 +11,7 @@
 import type {State} from '../types/state.js';
 import {addMilliseconds} from '../types/time.js';
 import {dispatchAttempt} from './attempts.js';
+import {keepEarlyGrant} from './early-slots.js';
 import {endRequest, getFinalFault, refuseRequest} from './refusals.js';
 import {getRoutingPolicy} from './routing-policies.js';
 import type {HeldGrant, OpenRequest} from './state.js';
@@ -21,8 +23,12 @@
 export function askForSlot(state: State, open: OpenRequest): Effect[] {
 	open.askedZones.clear();
 	const zone = listZonesByWait(state, open)[0];
-	return zone
-		? askZone(state, open, zone)
+	if (zone) {
+		return askZone(state, open, zone);
+	}
+
+	return isClaimPending(state, open.request)
+		? []
 		: refuseRequest(state, open, 'no-target', `no target of ${open.request.service} is known here`);
 }
 
@@ -40,23 +46,30 @@
 
 	const grant: HeldGrant = {ask: sent.ask, steward, target: message.target};
 	removeAsk(state, open, message.askId);
-	const target = state.targets.targets.get(message.target);
-	if (!target || isLeaving(state, message.target)) {
-		open.avoid.push(message.target);
+	state.requests.grants.set(message.askId, grant);
+	return isClaimPending(state, open.request)
+		? keepEarlyGrant(state, open, grant)
+		: dispatchGranted(state, open, grant);
+}
+
+/** Dispatches a request to its granted target, or asks again where that target is leaving. */
+export function dispatchGranted(state: State, open: OpenRequest, grant: HeldGrant): Effect[] {
+	const target = state.targets.targets.get(grant.target);
+	if (!target || isLeaving(state, grant.target)) {
+		open.avoid.push(grant.target);
 		return [
-			createRelease(grant, 'withdrawn', 0),
+			...releaseSlot(state, grant, 'withdrawn', 0),
 			...(open.asks.size === 0 ? askForSlot(state, open) : []),
 		];
 	}
 
-	state.requests.grants.set(message.askId, grant);
 	return [
 		...withdrawAsks(state, open),
 		...dispatchAttempt(state, open, grant, target),
 	];
 }
 
-/** Asks another zone, or answers the caller once no zone is left. */
+/** Asks another zone, or answers the caller once no zone is left; not before the request's id is claimed. */
 export function acceptRefusal(state: State, _steward: HostId, message: SlotMessageOf<'slot-refuse'>): Effect[] {
 	const open = findOpenRequest(state, message.askId);
 	if (!open) {
@@ -69,8 +82,12 @@
 	}
 
 	const zone = listZonesByWait(state, open)[0];
-	return zone
-		? askZone(state, open, zone)
+	if (zone) {
+		return askZone(state, open, zone);
+	}
+
+	return isClaimPending(state, open.request)
+		? []
 		: endRequest(state, open, getFinalFault(open, {kind: message.kind, detail: `the queue of ${open.request.service} refused it`}), message.comeBackAt);
 }
 
--- a/packages/core/src/requests/state.ts
+++ b/packages/core/src/requests/state.ts
@@ -19,6 +19,8 @@
 	readonly askedZones: Set<AvailabilityZone>;
 	/** When a second zone may be asked. */
 	nextZoneAt: Instant;
+	/** A slot that was granted before the request's id was claimed; not used yet. */
+	early: EarlyGrant | undefined;
 	attemptCount: number;
 	/** Targets that failed it. */
 	readonly avoid: HostId[];
@@ -31,6 +33,9 @@
 /** A slot that this host was granted. */
 export type HeldGrant = {readonly ask: SlotAsk; steward: HostId; readonly target: HostId};
 
+/** A slot that waits for a claim, and until when: other requests may want it. */
+export type EarlyGrant = {readonly grant: HeldGrant; readonly keepUntil: Instant};
+
 /** One dispatch that has not ended. */
 export type Attempt = {
 	readonly attemptId: AttemptId;
