Slots: kept between requests while many are free; a claim asks its own host first

A grant says whether its holder may keep the slot: only while no ask waits and at most half of the queue's slots are held. The holder then uses it for the next request of the same service and class, for a second at most; the release after each request becomes a note (`isKept`) that carries the run time. As soon as an ask has to wait, the steward recalls all keepable slots once, idle ones come back at once, those in use when their request ends. A kept slot is in the holder's reports like any other; it is not used once its target is leaving, and goes back at a stop. Messages of a request with a kept slot: one in place of three.

Tried and left: one voter beyond the majority, so that the slowest is not waited for.

--- a/packages/core/src/claims/claims.ts
+++ b/packages/core/src/claims/claims.ts
@@ -38,8 +38,7 @@
 	}
 
 	const claim = openClaim(state, request);
-	const first = voters.slice(0, countMajority(state.fleet.members.size));
-	const asks = askVoters(state, claim, first);
+	const asks = askVoters(state, claim, chooseFirstVoters(state, voters));
 	return [...asks, ...decide(state, claim)];
 }
 
@@ -222,6 +221,13 @@
 	return listVoters(state, requestId).filter(hostId => hostId === self.hostId ? isVoter : isHeard(state, hostId));
 }
 
+/** This host first, since its own vote takes no message; the others in the order of asking. */
+function chooseFirstVoters(state: State, voters: readonly HostId[]): HostId[] {
+	const self = state.settings.self.hostId;
+	const ordered = voters.includes(self) ? [self, ...voters.filter(hostId => hostId !== self)] : voters;
+	return ordered.slice(0, countMajority(state.fleet.members.size));
+}
+
 function refuseUnclaimed(state: State, request: CallerRequest, kind: FaultKind, detail: string): Effect[] {
 	const open = state.requests.open.get(request.callerKey);
 	return open ? [...releaseEarlySlots(state, open), ...refuseRequest(state, open, kind, detail)] : [];
--- a/packages/core/src/requests/attempts.ts
+++ b/packages/core/src/requests/attempts.ts
@@ -8,6 +8,7 @@
 import type {AttemptId} from '../types/ids.js';
 import type {State} from '../types/state.js';
 import {getGiveUpAt} from './attempt-timeouts.js';
+import {keepOrRelease} from './kept-slots.js';
 import {endRequest, refuseRequest} from './refusals.js';
 import {noteFirstAttempt, takeRetry} from './retry-budget.js';
 import {askForSlot, releaseSlot} from './slot-asks.js';
@@ -62,8 +63,10 @@
 	}
 
 	state.requests.open.delete(attempt.request.callerKey);
-	const end = event.status >= firstServerErrorStatus ? 'failed' : 'answered';
-	return releaseSlot(state, attempt.grant, end, state.now - attempt.startedAt);
+	const runMs = state.now - attempt.startedAt;
+	return event.status >= firstServerErrorStatus
+		? releaseSlot(state, attempt.grant, 'failed', runMs)
+		: keepOrRelease(state, attempt.grant, runMs);
 }
 
 /** Ends an attempt without a whole answer: tries again where that is safe, else answers the caller. */
--- a/packages/core/src/requests/handlers.ts
+++ b/packages/core/src/requests/handlers.ts
@@ -8,6 +8,7 @@
 import {addMilliseconds} from '../types/time.js';
 import {askEarly, releaseEarlySlots, tickEarlyGrants} from './early-slots.js';
 import type {RequestEvent} from './events.js';
+import {tickKeptSlots} from './kept-slots.js';
 import {refuseRequest} from './refusals.js';
 import {askForSlot, tickAsks, withdrawAsks} from './slot-asks.js';
 import type {OpenRequest} from './state.js';
@@ -48,7 +49,7 @@
 
 /** Refuses what waited past its deadline, and renews the rest. */
 export function tickRequests(state: State): Effect[] {
-	return [...tickEarlyGrants(state), ...refuseExpired(state), ...tickAsks(state)];
+	return [...tickKeptSlots(state), ...tickEarlyGrants(state), ...refuseExpired(state), ...tickAsks(state)];
 }
 
 /** Starts a graceful stop. */
--- /dev/null
+++ b/packages/core/src/requests/kept-slots.test.ts
@@ -0,0 +1,78 @@
+/** Slots kept between requests: used again without an ask, given back when another host waits, on time, and at a stop. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {Hosts, type Ending} from '../slots/test-hosts.js';
+import type {CallerKey, HostId} from '../types/ids.js';
+import type {ListedHost} from '../types/hosts.js';
+
+const answered: Ending = {end: 'answered', afterMs: 10};
+
+/** Hosts of which the second is no steward, so that it may keep slots. */
+function createHosts(slotsPerRunner: number): {readonly hosts: Hosts; readonly holder: HostId} {
+	const hosts = Hosts.create(3, 1, slotsPerRunner);
+	hosts.ask('entry-1', {isIdempotent: true});
+	const steward = [...hosts.states.entries()].find(([, state]) => [...state.slots.stewards.values()].some(({grants}) => grants.size > 0))?.[0];
+	hosts.end(answered);
+	hosts.pass(2000);
+	return {hosts, holder: [...hosts.states.keys()].find(hostId => hostId !== steward)!};
+}
+
+function countHeld(hosts: Hosts): number {
+	return [...hosts.states.values()].reduce((sum, state) => sum + state.requests.grants.size, 0);
+}
+
+function callOnce(hosts: Hosts, holder: HostId): CallerKey {
+	const callerKey = hosts.ask(holder, {isIdempotent: true});
+	hosts.end(answered);
+	return callerKey;
+}
+
+describe('a kept slot', () => {
+	it('serves the next request of its class without an ask', () => {
+		const {hosts, holder} = createHosts(8);
+		callOnce(hosts, holder);
+		expect(countHeld(hosts)).toEqual(1);
+		const asked = hosts.states.get(holder)?.requests.askCount;
+		callOnce(hosts, holder);
+		expect(hosts.states.get(holder)?.requests.askCount).toEqual(asked);
+		hosts.ask(holder, {isIdempotent: true, workClass: 'heavy'});
+		expect(hosts.states.get(holder)?.requests.askCount).toEqual((asked ?? 0) + 1);
+	});
+
+	it('goes back after a second, and at once when its holder stops', () => {
+		const {hosts, holder} = createHosts(8);
+		callOnce(hosts, holder);
+		hosts.pass(1100);
+		expect(countHeld(hosts)).toEqual(0);
+		callOnce(hosts, holder);
+		hosts.push(holder, {type: 'stop/requested', at: hosts.at});
+		hosts.pass(50);
+		expect(countHeld(hosts)).toEqual(0);
+	});
+
+	it('goes back at once when another host waits, and no slot stays idle', () => {
+		const {hosts, holder} = createHosts(2);
+		callOnce(hosts, holder);
+		expect(countHeld(hosts)).toEqual(1);
+		const other = [...hosts.states.keys()].find(hostId => hostId !== holder)!;
+		hosts.ask(other, {isIdempotent: true});
+		hosts.ask(other, {isIdempotent: true});
+		expect(hosts.dispatches.length).toEqual(2);
+		hosts.ask(other, {isIdempotent: true});
+		hosts.end(answered);
+		expect(hosts.dispatches.length).toEqual(2);
+		expect(hosts.violations).toEqual([]);
+	});
+
+	it('is not used once its target is leaving', () => {
+		const {hosts, holder} = createHosts(8);
+		callOnce(hosts, holder);
+		const listed = [...hosts.states.get(holder)!.targets.targets.values()].map(({listed: host}): ListedHost => ({...host, state: 'leaving'}));
+		for (const hostId of hosts.states.keys()) {
+			hosts.push(hostId, {type: 'hosts/listed', at: hosts.at, hosts: listed});
+		}
+
+		hosts.ask(holder, {isIdempotent: true});
+		expect(hosts.dispatches.length).toEqual(0);
+	});
+});
--- a/packages/core/src/requests/slot-asks.ts
+++ b/packages/core/src/requests/slot-asks.ts
@@ -12,15 +12,21 @@
 import {addMilliseconds} from '../types/time.js';
 import {dispatchAttempt} from './attempts.js';
 import {keepEarlyGrant} from './early-slots.js';
+import {takeKeptSlot} from './kept-slots.js';
 import {endRequest, getFinalFault, refuseRequest} from './refusals.js';
 import {getRoutingPolicy} from './routing-policies.js';
-import type {HeldGrant, OpenRequest} from './state.js';
+import type {HeldGrant, OpenRequest, SentAsk} from './state.js';
 
 /** A request that waits longer asks another zone too. */
 const secondZoneAfterMs = 25;
 
-/** Asks for a slot for a request, in the best zone. */
+/** Uses a kept slot for a request, or asks for one in the best zone. */
 export function askForSlot(state: State, open: OpenRequest): Effect[] {
+	const kept = takeKeptSlot(state, open);
+	return kept ? useGrant(state, open, kept) : askBestZone(state, open);
+}
+
+function askBestZone(state: State, open: OpenRequest): Effect[] {
 	open.askedZones.clear();
 	const zone = listZonesByWait(state, open)[0];
 	if (zone) {
@@ -44,9 +50,15 @@
 		return [];
 	}
 
-	const grant: HeldGrant = {ask: sent.ask, steward, target: message.target};
+	const grant: HeldGrant = {
+		ask: sent.ask, steward, target: message.target, mayKeep: message.mayKeep ?? false,
+	};
 	removeAsk(state, open, message.askId);
 	state.requests.grants.set(message.askId, grant);
+	return useGrant(state, open, grant);
+}
+
+function useGrant(state: State, open: OpenRequest, grant: HeldGrant): Effect[] {
 	return isClaimPending(state, open.request)
 		? keepEarlyGrant(state, open, grant)
 		: dispatchGranted(state, open, grant);
@@ -93,8 +105,7 @@
 
 /** Takes back all asks of a request. */
 export function withdrawAsks(state: State, open: OpenRequest): Effect[] {
-	const effects = [...open.asks.values()].map(({ask, steward}) =>
-		createRelease({ask, steward, target: steward}, 'withdrawn', 0));
+	const effects = [...open.asks.values()].map(sent => createRelease(sent, 'withdrawn', 0));
 	for (const askId of open.asks.keys()) {
 		removeAsk(state, open, askId);
 	}
@@ -138,7 +149,7 @@
 			return [];
 		}
 
-		const release = createRelease({ask: sent.ask, steward: sent.steward, target: sent.steward}, 'withdrawn', 0);
+		const release = createRelease(sent, 'withdrawn', 0);
 		sent.steward = steward;
 		return [release, createSend(steward, {type: 'slot-ask', ask: sent.ask})];
 	});
@@ -199,7 +210,8 @@
 	state.requests.callersByAsk.delete(askId);
 }
 
-function createRelease(grant: HeldGrant, end: SlotMessageOf<'slot-release'>['end'], runMs: number): Effect {
+/** Tells a steward that the use of a slot, or the wait for one, has ended. */
+export function createRelease(grant: SentAsk, end: SlotMessageOf<'slot-release'>['end'], runMs: number, isKept = false): Effect {
 	return createSend(grant.steward, {
 		type: 'slot-release',
 		askId: grant.ask.askId,
@@ -207,6 +219,7 @@
 		availabilityZone: grant.ask.availabilityZone,
 		end,
 		runMs,
+		...isKept ? {isKept} : {},
 	});
 }
 
--- a/packages/core/src/requests/state.ts
+++ b/packages/core/src/requests/state.ts
@@ -31,7 +31,16 @@
 };
 
 /** A slot that this host was granted. */
-export type HeldGrant = {readonly ask: SlotAsk; steward: HostId; readonly target: HostId};
+export type HeldGrant = {
+	readonly ask: SlotAsk;
+	steward: HostId;
+	readonly target: HostId;
+	/** It may be used again after its request has ended. */
+	mayKeep: boolean;
+};
+
+/** A slot without a request, and until when it is kept. */
+export type KeptSlot = {readonly grant: HeldGrant; readonly keepUntil: Instant};
 
 /** A slot that waits for a claim, and until when: other requests may want it. */
 export type EarlyGrant = {readonly grant: HeldGrant; readonly keepUntil: Instant};
@@ -51,7 +60,9 @@
 export type RequestsState = {
 	readonly open: Map<CallerKey, OpenRequest>;
 	readonly callersByAsk: Map<AskId, CallerKey>;
+	/** All slots held: in use, early or kept. */
 	readonly grants: Map<AskId, HeldGrant>;
+	readonly kept: Map<AskId, KeptSlot>;
 	readonly attempts: Map<AttemptId, Attempt>;
 	readonly publishers: Map<CallerKey, WaitingPublisher>;
 	readonly retryBudgets: Map<ServiceId, RetryBudget>;
@@ -70,6 +81,7 @@
 		open: new Map(),
 		callersByAsk: new Map(),
 		grants: new Map(),
+		kept: new Map(),
 		attempts: new Map(),
 		publishers: new Map(),
 		retryBudgets: new Map(),
--- a/packages/core/src/slots/handlers.ts
+++ b/packages/core/src/slots/handlers.ts
@@ -1,4 +1,5 @@
 /** Messages about slots, by type, and what is due at each tick. */
+import {acceptRecall} from '../requests/kept-slots.js';
 import {acceptGrant, acceptRefusal} from '../requests/slot-asks.js';
 import type {Effect} from '../types/effects.js';
 import type {HostId} from '../types/ids.js';
@@ -16,6 +17,7 @@
 export const slotMessageHandlers: {readonly [Type in SlotMessageType]: SlotMessageHandler<Type>} = {
 	'slot-ask': (state, {hostId}, message) => acceptAsk(state, hostId, message.ask),
 	'slot-grant': (state, {hostId}, message) => acceptGrant(state, hostId, message),
+	'slot-recall': (state, {hostId}, message) => acceptRecall(state, hostId, message),
 	'slot-refuse': (state, {hostId}, message) => acceptRefusal(state, hostId, message),
 	'slot-release': (state, {hostId}, message) => acceptRelease(state, hostId, message),
 	'slot-report': (state, {hostId}, message) => acceptReport(state, hostId, message),
--- a/packages/core/src/slots/messages.ts
+++ b/packages/core/src/slots/messages.ts
@@ -28,8 +28,13 @@
 /** One slot of a target, until released or until its holder is silent for `slotLeaseMs`. */
 export const slotGrantSchema = z.object({
 	type: z.literal('slot-grant'), askId: askIdSchema, target: hostIdSchema,
+	/** The holder may use the slot for another request of the same class after this one. */
+	mayKeep: z.boolean().optional(),
 });
 
+/** Asks for a slot back that its holder may have kept. */
+export const slotRecallSchema = z.object({type: z.literal('slot-recall'), askId: askIdSchema});
+
 export const refusalKinds = ['deadline-unreachable', 'queue-full', 'team-over-quota', 'no-target'] as const;
 export type RefusalKind = typeof refusalKinds[number];
 
@@ -53,6 +58,8 @@
 	availabilityZone: availabilityZoneSchema,
 	end: z.enum(slotEnds),
 	runMs: z.number().nonnegative(),
+	/** The request has ended, but its holder keeps the slot for the next one. */
+	isKept: z.boolean().optional(),
 });
 
 /** All that a host has queued or in use with a steward: renews leases, and repairs lost messages. */
@@ -88,7 +95,7 @@
 });
 
 export const slotMessageSchemas = [
-	slotAskSchema, slotGrantSchema, slotRefuseSchema, slotReleaseSchema, slotReportSchema, slotGossipSchema,
+	slotAskSchema, slotGrantSchema, slotRecallSchema, slotRefuseSchema, slotReleaseSchema, slotReportSchema, slotGossipSchema,
 ] as const;
 export type SlotMessage = z.infer<typeof slotMessageSchemas[number]>;
 export type SlotMessageType = SlotMessage['type'];
--- a/packages/core/src/slots/state.ts
+++ b/packages/core/src/slots/state.ts
@@ -22,6 +22,8 @@
 	leaseUntil: Instant;
 	/** Its holder has ended, but the target may still be at work: kept until the lease lapses. */
 	isLingering: boolean;
+	/** Its holder was not told yet to give it back when its request ends. */
+	mayBeKept: boolean;
 };
 
 /** The queue and the grants of one service in one availability zone. */
--- a/packages/core/src/slots/steward.ts
+++ b/packages/core/src/slots/steward.ts
@@ -16,6 +16,7 @@
 import type {
 	RefusalKind, SlotAsk, SlotMessage, SlotMessageOf,
 } from './messages.js';
+import {isKeepable, recallKeptSlots} from './keeping.js';
 import {expireLeases, removeUnreported, slotLeaseMs} from './leases.js';
 import {estimateRunMs, recordRunTime} from './run-times.js';
 import {
@@ -52,7 +53,12 @@
 		return grantSlots(state, steward);
 	}
 
-	endGrant(state, steward, grant, message.end);
+	if (message.isKept) {
+		grant.mayBeKept = true;
+	} else {
+		endGrant(state, steward, grant, message.end);
+	}
+
 	const target = state.targets.targets.get(grant.target);
 	if (target) {
 		const others = listTargets(state, steward.service, steward.availabilityZone)
@@ -76,7 +82,7 @@
 		heldIds.add(ask.askId);
 		steward.queue.delete(ask.askId);
 		steward.grants.set(ask.askId, {
-			ask, holder, target, leaseUntil: addMilliseconds(state.now, slotLeaseMs), isLingering: false,
+			ask, holder, target, leaseUntil: addMilliseconds(state.now, slotLeaseMs), isLingering: false, mayBeKept: steward.grants.get(ask.askId)?.mayBeKept ?? true,
 		});
 	}
 
@@ -175,7 +181,9 @@
 	const grant = steward.grants.get(ask.askId);
 	if (grant) {
 		grant.leaseUntil = addMilliseconds(state.now, slotLeaseMs);
-		return [createSend(holder, {type: 'slot-grant', askId: ask.askId, target: grant.target})];
+		return [createSend(holder, {
+			type: 'slot-grant', askId: ask.askId, target: grant.target, mayKeep: grant.mayBeKept,
+		})];
 	}
 
 	const queued = steward.queue.get(ask.askId);
@@ -228,6 +236,7 @@
 		effects.push(...granted);
 	}
 
+	effects.push(...recallKeptSlots(steward));
 	return effects;
 }
 
@@ -251,15 +260,19 @@
 		}
 
 		steward.queue.delete(ask.askId);
-		steward.grants.set(ask.askId, {
-			ask, holder, target: target.listed.hostId, leaseUntil: addMilliseconds(state.now, slotLeaseMs), isLingering: false,
-		});
+		const grant: Grant = {
+			ask, holder, target: target.listed.hostId, leaseUntil: addMilliseconds(state.now, slotLeaseMs), isLingering: false, mayBeKept: false,
+		};
+		steward.grants.set(ask.askId, grant);
+		grant.mayBeKept = isKeepable(state, steward, holder, countSlotsInUse(state, steward));
 		state.slots.grantCount += 1;
 		target.lastGrant = state.slots.grantCount;
 		updateTeamTag(state, steward, ask);
 		return [
 			...judgeGrant(state, steward, target.listed.hostId),
-			createSend(holder, {type: 'slot-grant', askId: ask.askId, target: target.listed.hostId}),
+			createSend(holder, {
+				type: 'slot-grant', askId: ask.askId, target: target.listed.hostId, mayKeep: grant.mayBeKept,
+			}),
 		];
 	}
 
