HTTP server in modules with one job each; test fixtures reused

Change: routes, take-request, take-records, call and token are modules; behaviour is the same. The tests use createTestHost and createTarget.

--- a/packages/core/src/requests/attempt-timeouts.test.ts
+++ b/packages/core/src/requests/attempt-timeouts.test.ts
@@ -1,10 +1,10 @@
 /** When attempts are given up, so that a connection that went silent costs an idempotent request no more than an attempt. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {createState} from '../engine/reduce.js';
+import {createTestHost} from '../log/test-fleet.js';
 import {recordRunTime} from '../slots/run-times.js';
 import type {
-	AvailabilityZone, CallerKey, HostId, Incarnation, RequestId, ServiceId, TeamId,
+	CallerKey, RequestId, ServiceId, TeamId,
 } from '../types/ids.js';
 import type {CallerRequest} from '../types/requests.js';
 import type {State} from '../types/state.js';
@@ -27,13 +27,7 @@
 };
 
 function createStateWithRunTimes(runTimesMs: readonly number[]): State {
-	const state = createState({
-		self: {hostId: 'entry-1' as HostId, availabilityZone: 'ee-south-a' as AvailabilityZone, address: '127.0.0.1:1'},
-		incarnation: 'entry-1-i' as Incarnation,
-		peers: [],
-		routingPolicy: 'steward',
-		seed: 1,
-	});
+	const state = createTestHost('entry-1');
 	state.now = now;
 	for (const runMs of runTimesMs) {
 		recordRunTime(state.slots, service, 'quick', runMs);
--- a/packages/core/src/targets/handlers.ts
+++ b/packages/core/src/targets/handlers.ts
@@ -3,10 +3,9 @@
 import type {HandlerTable} from '../types/handlers.js';
 import type {ListedHost} from '../types/hosts.js';
 import type {State} from '../types/state.js';
-import type {Instant} from '../types/time.js';
 import type {TargetEvent} from './events.js';
 import {noteLeaving} from './leaving.js';
-import type {Target} from './state.js';
+import {createTarget} from './state.js';
 
 export const targetHandlers: HandlerTable<TargetEvent['type']> = {
 	'hosts/listed'(state, event) {
@@ -53,19 +52,6 @@
 	}
 }
 
-function createTarget(listed: ListedHost): Target {
-	return {
-		listed,
-		outstanding: 0,
-		failures: 0,
-		setAsideCount: 0,
-		setAsideAt: 0 as Instant,
-		setAsideUntil: 0 as Instant,
-		isOnProbation: false,
-		lastGrant: 0,
-	};
-}
-
 function removeUnlisted(state: State, hosts: readonly ListedHost[]): void {
 	const listedIds = new Set(hosts.map(host => host.hostId));
 	for (const hostId of state.targets.targets.keys()) {
--- a/packages/core/src/targets/health.test.ts
+++ b/packages/core/src/targets/health.test.ts
@@ -1,43 +1,26 @@
 /** Failing targets are set aside for longer from time to time, not for each attempt that fails at once. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {createState} from '../engine/reduce.js';
-import type {
-	AvailabilityZone, HostId, Incarnation, ServiceId,
-} from '../types/ids.js';
+import {createTestHost} from '../log/test-fleet.js';
+import type {AvailabilityZone, HostId, ServiceId} from '../types/ids.js';
 import {addMilliseconds, type Instant} from '../types/time.js';
 import {judgeTarget} from './health.js';
-import type {Target} from './state.js';
+import {createTarget} from './state.js';
 
 const start = 1_000_000 as Instant;
 const firstSetAsideMs = 500;
 
 function createTrial() {
-	const state = createState({
-		self: {hostId: 'entry-1' as HostId, availabilityZone: 'ee-south-a' as AvailabilityZone, address: '127.0.0.1:1'},
-		incarnation: 'entry-1-i' as Incarnation,
-		peers: [],
-		routingPolicy: 'steward',
-		seed: 1,
-	});
+	const state = createTestHost('entry-1');
 	state.now = start;
-	const target: Target = {
-		listed: {
-			hostId: 'runner-1' as HostId,
-			role: 'runner',
-			availabilityZone: 'ee-south-a' as AvailabilityZone,
-			address: '127.0.0.2:1',
-			service: 'routes' as ServiceId,
-			state: 'live',
-		},
-		outstanding: 0,
-		failures: 0,
-		setAsideCount: 0,
-		setAsideAt: 0 as Instant,
-		setAsideUntil: 0 as Instant,
-		isOnProbation: false,
-		lastGrant: 0,
-	};
+	const target = createTarget({
+		hostId: 'runner-1' as HostId,
+		role: 'runner',
+		availabilityZone: 'ee-south-a' as AvailabilityZone,
+		address: '127.0.0.2:1',
+		service: 'routes' as ServiceId,
+		state: 'live',
+	});
 	return {state, target};
 }
 
--- a/packages/core/src/targets/state.ts
+++ b/packages/core/src/targets/state.ts
@@ -34,3 +34,17 @@
 export function createTargetsState(): TargetsState {
 	return {targets: new Map(), leaving: new Map(), listedHosts: []};
 }
+
+/** A target as the host list names it, that has done no work yet. */
+export function createTarget(listed: ListedHost): Target {
+	return {
+		listed,
+		outstanding: 0,
+		failures: 0,
+		setAsideCount: 0,
+		setAsideAt: 0 as Instant,
+		setAsideUntil: 0 as Instant,
+		isOnProbation: false,
+		lastGrant: 0,
+	};
+}
--- a/packages/daemon/src/http/in-force.ts
+++ b/packages/daemon/src/http/in-force.ts
@@ -4,7 +4,7 @@
 } from '@rhubarblever/core';
 import {readClock} from '../clock.js';
 import {sendFault, sendJson} from './call-table.js';
-import type {Call} from './http-server.js';
+import type {Call} from './call.js';
 
 /** `unreachable`: no heartbeat in time, so it can't be told. */
 export type InForceState = 'in-force' | 'behind' | 'unreachable';
--- /dev/null
+++ b/packages/daemon/src/http/take-records.ts
@@ -0,0 +1,55 @@
+/** Takes records that an operator publishes: checked against their schemas before any is appended. */
+import {Buffer} from 'node:buffer';
+import {
+	createFault, decodeBody, logRecordSchema, type Instant,
+} from '@rhubarblever/core';
+import {z} from 'zod';
+import {readClock} from '../clock.js';
+import {refuseCall, type Call} from './call.js';
+import {readBody} from './read-body.js';
+
+const publishTimeoutMs = 5000;
+const mostRecords = 100;
+
+const publishBodySchema = z.object({records: z.array(logRecordSchema).min(1).max(mostRecords)});
+
+/** POST /v1/records */
+export async function takeRecords({context, request, response}: Call): Promise<void> {
+	const body = await readBody(request, context.settings.maxBodyBytes);
+	if (body.isErr()) {
+		refuseCall(context, response, body.error);
+		return;
+	}
+
+	const parsed = publishBodySchema.safeParse(parseJson(body.value));
+	if (!parsed.success) {
+		refuseCall(context, response, createFault('bad-request', parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; ')));
+		return;
+	}
+
+	for (const record of parsed.data.records) {
+		const decoded = decodeBody(record.schema, record.version, record.body);
+		if (decoded.isErr()) {
+			refuseCall(context, response, createFault('record-invalid', `${record.recordId}: ${decoded.error.detail}`));
+			return;
+		}
+	}
+
+	const at = readClock();
+	context.push({
+		type: 'publish/requested',
+		at,
+		callerKey: context.calls.open(body.value, response),
+		records: parsed.data.records,
+		deadline: (at + publishTimeoutMs) as Instant,
+	});
+}
+
+function parseJson(bytes: Uint8Array): unknown {
+	try {
+		return JSON.parse(Buffer.from(bytes).toString('utf8'));
+	} catch {
+		return undefined;
+	}
+}
+
--- /dev/null
+++ b/packages/daemon/src/http/take-request.ts
@@ -0,0 +1,31 @@
+/** Takes a caller's request in. */
+import {readClock} from '../clock.js';
+import {refuseCall, type Call} from './call.js';
+import {createCallerRequest, readRequestHead} from './caller-request.js';
+import {readBody} from './read-body.js';
+
+/** POST /v1/services/:service */
+export async function takeRequest({
+	context, request, response, parameter,
+}: Call): Promise<void> {
+	const head = readRequestHead(parameter, request.headers, readClock());
+	if (head.isErr()) {
+		refuseCall(context, response, head.error);
+		return;
+	}
+
+	const body = await readBody(request, context.settings.maxBodyBytes);
+	if (body.isErr()) {
+		refuseCall(context, response, body.error);
+		return;
+	}
+
+	const callerKey = context.calls.open(body.value, response);
+	response.once('close', () => {
+		if (!response.writableFinished) {
+			context.push({type: 'caller/gone', at: readClock(), callerKey});
+		}
+	});
+	context.push({type: 'request/arrived', at: readClock(), request: createCallerRequest(head.value, callerKey)});
+}
+
--- a/packages/daemon/src/peers/peer-links.ts
+++ b/packages/daemon/src/peers/peer-links.ts
@@ -11,7 +11,7 @@
 import {Packr} from 'msgpackr';
 import {WebSocket, WebSocketServer, type RawData} from 'ws';
 import {readClock} from '../clock.js';
-import {hasToken} from '../http/http-server.js';
+import {hasToken} from '../http/token.js';
 import type {Settings} from '../settings.js';
 import type {EventSink} from '../types.js';
 import {listenForSilence} from './peer-socket.js';
