Settings: impossible addresses are refused; faults of data told in one way

Cause: trial as a new user. The check of addresses stood twice, the words for faults of data six times. Change: socketAddressSchema and describeIssues in the core, used by both programs and the stand-ins.

--- a/packages/cli/src/files/records-file.ts
+++ b/packages/cli/src/files/records-file.ts
@@ -1,7 +1,9 @@
 /** Files of records: YAML or JSON, checked against their schema versions before anything is sent. */
 import {randomUUID} from 'node:crypto';
 import {readFile} from 'node:fs/promises';
-import {decodeBody, logRecordSchema, type LogRecord} from '@rhubarblever/core';
+import {
+	decodeBody, describeIssues, logRecordSchema, type LogRecord,
+} from '@rhubarblever/core';
 import {err, ok, type Result} from 'neverthrow';
 import {parseDocument} from 'yaml';
 import {z} from 'zod';
@@ -48,7 +50,7 @@
 function parseRecord(item: Readonly<Record<string, unknown>>): Result<LogRecord, string> {
 	const parsed = logRecordSchema.strict().safeParse({recordId: randomUUID(), ...item});
 	if (!parsed.success) {
-		return err(parsed.error.issues.map(issue => `${issue.path.join('.') || 'record'}: ${issue.message}`).join('; '));
+		return err(describeIssues(parsed.error, 'record'));
 	}
 
 	const {schema, version, body} = parsed.data;
--- a/packages/cli/src/settings.ts
+++ b/packages/cli/src/settings.ts
@@ -1,4 +1,5 @@
 /** Settings of the command-line tool: flags first, then environment variables. */
+import {socketAddressSchema} from '@rhubarblever/core';
 import {err, ok, type Result} from 'neverthrow';
 import {createFailure, type Failure} from './failure.js';
 
@@ -16,14 +17,14 @@
 	readonly isJson: boolean;
 };
 
-const addressPattern = /^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/;
-
 /** Reads the settings; each missing or malformed one is named. */
 export function readSettings(flags: CommonFlags, environment: NodeJS.ProcessEnv): Result<Settings, Failure> {
 	const host = readText(flags.host) ?? environment.RHUBARBLEVER_HOST ?? '';
 	const token = readText(flags.token) ?? environment.RHUBARBLEVER_OPERATOR_TOKEN ?? '';
 	const lines: string[] = [];
-	if (!addressPattern.test(host)) {
+	if (host === '') {
+		lines.push('--host (RHUBARBLEVER_HOST) is missing: IPv4:port of an entry host');
+	} else if (!socketAddressSchema.safeParse(host).success) {
 		lines.push(`--host (RHUBARBLEVER_HOST) must be IPv4:port of an entry host, not '${host}'`);
 	}
 
--- a/packages/core/src/fleet/decoders.ts
+++ b/packages/core/src/fleet/decoders.ts
@@ -6,6 +6,7 @@
 	jobAttemptBodyV1, jobAttemptEndBodyV1, jobBodyV1, jobCancelBodyV1, jobLeasesBodyV1, jobParkBodyV1, quotaBodyV1, workerSetAsideBodyV1, type JobDomainBodies,
 } from '../jobs/bodies.js';
 import {entryHostJoinedBodyV1, type EntryHostJoinedBody} from '../claims/members.js';
+import {describeIssues} from '../types/issues.js';
 import {createFault, type Fault} from '../types/faults.js';
 import {plannerLeaseBodyV1, type PlannerDomainBodies} from '../planner/bodies.js';
 import {
@@ -44,10 +45,6 @@
 	return createDecoder(schema, body => ({schema: name, body} as unknown as DecodedBody));
 }
 
-function describeIssues(error: z.ZodError): string {
-	return error.issues.map(issue => `${issue.path.join('.') || 'body'}: ${issue.message}`).join('; ');
-}
-
 const decoders: Readonly<Record<string, Decoder>> = {
 	'pool/1': createDecoder(poolBodyV1, body => ({
 		schema: 'pool',
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,8 @@
 export * from './types/time.js';
 export * from './types/faults.js';
 export * from './types/hosts.js';
+export * from './types/addresses.js';
+export * from './types/issues.js';
 export * from './types/records.js';
 export * from './types/requests.js';
 export type * from './types/peers.js';
--- a/packages/daemon/src/http/caller-request.ts
+++ b/packages/daemon/src/http/caller-request.ts
@@ -1,7 +1,7 @@
 /** Reads a caller's request from its headers. */
 import type {IncomingHttpHeaders} from 'node:http';
 import {
-	createFault, instantSchema, requestIdSchema, serviceIdSchema, teamIdSchema, workClasses,
+	createFault, describeIssues, instantSchema, requestIdSchema, serviceIdSchema, teamIdSchema, workClasses,
 	type CallerKey, type CallerRequest, type Fault, type Instant,
 } from '@rhubarblever/core';
 import {err, ok, type Result} from 'neverthrow';
@@ -29,7 +29,7 @@
 	}
 
 	if (!parsed.success) {
-		return err(createFault('bad-request', parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; ')));
+		return err(createFault('bad-request', describeIssues(parsed.error)));
 	}
 
 	return ok({
--- a/packages/daemon/src/http/take-records.ts
+++ b/packages/daemon/src/http/take-records.ts
@@ -1,7 +1,7 @@
 /** Takes records that an operator publishes: checked against their schemas before any is appended. */
 import {Buffer} from 'node:buffer';
 import {
-	createFault, decodeBody, logRecordSchema, type Instant,
+	createFault, decodeBody, describeIssues, logRecordSchema, type Instant,
 } from '@rhubarblever/core';
 import {z} from 'zod';
 import {readClock} from '../clock.js';
@@ -23,7 +23,7 @@
 
 	const parsed = publishBodySchema.safeParse(parseJson(body.value));
 	if (!parsed.success) {
-		refuseCall(context, response, createFault('bad-request', parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; ')));
+		refuseCall(context, response, createFault('bad-request', describeIssues(parsed.error)));
 		return;
 	}
 
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -1,13 +1,11 @@
 /** Settings of the daemon: each is a flag and an environment variable, checked once at the start. */
 import {
-	availabilityZoneSchema, defaultJobLeaseMs, defaultLogRetentionMs, hostIdSchema, maximumJobLeaseMs, routingPolicies, type AvailabilityZone, type EntryHost, type HostId,
+	availabilityZoneSchema, defaultJobLeaseMs, defaultLogRetentionMs, hostIdSchema, maximumJobLeaseMs, routingPolicies, socketAddressSchema, type AvailabilityZone, type EntryHost, type HostId,
 } from '@rhubarblever/core';
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
 
-const addressPattern = /^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/;
-const address = z.string().regex(addressPattern, 'must be IPv4:port');
-const peerPattern = /^([\w.-]+)=([\w.-]+)@(\d{1,3}(?:\.\d{1,3}){3}:\d{1,5})$/;
+const peerPattern = /^([\w.-]+)=([\w.-]+)@(.+)$/;
 /** Renewals need some time to be written and to reach the workers. */
 const shortestJobLeaseMs = 2000;
 const wholeNumber = z.coerce.number().int().nonnegative();
@@ -20,8 +18,8 @@
 export const settingRows = {
 	'host-id': {schema: hostIdSchema, help: 'Name of this entry host'},
 	'availability-zone': {schema: availabilityZoneSchema, help: 'Availability zone of this entry host'},
-	listen: {schema: address, help: 'IPv4:port to listen on for callers, operators and peers'},
-	platform: {schema: address, help: 'IPv4:port of the platform'},
+	listen: {schema: socketAddressSchema, help: 'IPv4:port to listen on for callers, operators and peers'},
+	platform: {schema: socketAddressSchema, help: 'IPv4:port of the platform'},
 	peers: {schema: z.string(), fallback: '', help: 'Other entry hosts, as host-id=zone@IPv4:port, separated by commas'},
 	'operator-token': {schema: z.string().min(8), help: 'Token that operators must show (at least 8 characters)'},
 	'peer-token': {schema: z.string().min(8), help: 'Token that entry hosts show to each other (at least 8 characters)'},
@@ -35,7 +33,7 @@
 		fallback: String(defaultLogRetentionMs),
 		help: 'How long the platform\'s log keeps records, in milliseconds',
 	},
-	metrics: {schema: z.union([address, z.literal('')]), fallback: '', help: 'IPv4:port of a StatsD server; empty sends none'},
+	metrics: {schema: z.union([z.literal(''), socketAddressSchema]), fallback: '', help: 'IPv4:port of a StatsD server; empty sends none'},
 	'log-level': {schema: z.enum(['error', 'warn', 'info', 'debug']), fallback: 'info', help: 'Least level of log lines'},
 	'max-body-bytes': {schema: wholeNumber, fallback: '1048576', help: 'Largest body of a request, in bytes'},
 	'job-lease-ms': {
@@ -129,7 +127,7 @@
 	const peers: EntryHost[] = [];
 	for (const part of text.split(',').filter(Boolean)) {
 		const match = peerPattern.exec(part);
-		if (!match) {
+		if (!match || !socketAddressSchema.safeParse(match[3]).success) {
 			return err(`--peers (${getVariableName('peers')}) has '${part}', which is not host-id=zone@IPv4:port`);
 		}
 
--- a/packages/stand-ins/src/platform/log-routes.ts
+++ b/packages/stand-ins/src/platform/log-routes.ts
@@ -1,8 +1,8 @@
 /** Routes of the log and of the host list. */
-import type {Instant} from '@rhubarblever/core';
+import {describeIssues, type Instant} from '@rhubarblever/core';
 import {z} from 'zod';
 import {
-	acceptBody, answerFault, answerOk, describeIssues, type Route, type RouteAnswer, type RouteCall,
+	acceptBody, answerFault, answerOk, type Route, type RouteAnswer, type RouteCall,
 } from './route.js';
 
 const recordsPattern = /^\/v1\/streams\/([\w-]+)\/records$/;
--- a/packages/stand-ins/src/platform/route.ts
+++ b/packages/stand-ins/src/platform/route.ts
@@ -1,4 +1,5 @@
 /** Shapes of routes and their answers. */
+import {describeIssues} from '@rhubarblever/core';
 import type {z} from 'zod';
 import type {Platform} from './platform.js';
 
@@ -39,7 +40,3 @@
 		return parsed.success ? handle(call, parsed.data) : answerFault(400, describeIssues(parsed.error));
 	};
 }
-
-export function describeIssues(error: z.ZodError): string {
-	return error.issues.map(issue => `${issue.path.join('.') || 'body'}: ${issue.message}`).join('; ');
-}
--- a/packages/stand-ins/src/target/control-server.ts
+++ b/packages/stand-ins/src/target/control-server.ts
@@ -1,5 +1,6 @@
 /** The control address of a process of targets, for tests: ledgers and faults, also while a target is down. */
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {describeIssues} from '@rhubarblever/core';
 import {listen, readJson, sendJson} from '../http.js';
 import type {TargetServer} from './target-server.js';
 import {targetSettingsSchema} from './work.js';
@@ -15,7 +16,7 @@
 	async 'PUT settings'(target, request, response) {
 		const parsed = targetSettingsSchema.safeParse(await readJson(request));
 		if (!parsed.success) {
-			sendJson(response, 400, {detail: parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; ')});
+			sendJson(response, 400, {detail: describeIssues(parsed.error)});
 			return;
 		}
 
