Heartbeats: pulses while nothing changes, half as often across zones, gossip of news; fewer and shorter polls

Cause (frames of one idle host of nine counted by type, 10 s): 320 frames of heartbeat and gossip, 125,952 bytes, 394 each, of which offset, digest, incarnation and the names of the fields say the same each time; 10 host lists and 10 lists of workers, though only the planner's holder uses workers: at 1,000 workers each list is some 150 KB a second and host. Across zones each 500 ms, the timeout stays 1 s. Gossip when it is new, loads repeated within half of their life. Workers listed by the holder, by all while the lease is free. Host list by ETag (RFC 9110); the platform stand-in gives ETags on reads. Ruled out: a longer timeout, fewer pings (a death or a silent link would be noticed later); shared msgpackr structures (version 1 cannot read them).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -34,7 +34,7 @@
 export type * from './planner/events.js';
 export type * from './planner/effects.js';
 export type * from './planner/state.js';
-export {estimateLogTime, findOwnTerm} from './planner/tenure.js';
+export {estimateLogTime, findOwnTerm, isWorkerListNeeded} from './planner/tenure.js';
 export {isLogAway, queueRecord} from './log/appends.js';
 export {isReady} from './log/start.js';
 export {defaultLogRetentionMs} from './log/snapshot-due.js';
--- a/packages/core/src/membership/handlers.ts
+++ b/packages/core/src/membership/handlers.ts
@@ -1,7 +1,7 @@
 /** Keeps heartbeat links to the other entry hosts and hands their messages to the domains. */
 import {claimMessageHandlers} from '../claims/handlers.js';
 import {
-	acceptRecords, acceptStateChunk, answerRecordsRequest, compareHistory, getDecodersChecksum, reportOtherHistory,
+	acceptRecords, acceptStateChunk, answerRecordsRequest, compareHistory, reportOtherHistory,
 } from '../log/catch-up.js';
 import {noteKnownSnapshot} from '../log/snapshots.js';
 import {targetHandlers} from '../targets/handlers.js';
@@ -13,6 +13,7 @@
 import {addMilliseconds, type Instant, type Offset} from '../types/time.js';
 import {noteGreetedHosts, tickEntryHosts, updateEntryHosts} from './entry-hosts.js';
 import type {MembershipEvent} from './events.js';
+import {heartbeatIntervalMs, sendHeartbeat, sendHeartbeats} from './heartbeats.js';
 import {isPeerCompatible, noteHeartbeat} from './liveness.js';
 import {
 	protocolVersion, type PeerMessage, type PeerMessageOf, type PeerMessageType,
@@ -21,8 +22,6 @@
 
 export {isPeerLive} from './liveness.js';
 
-const heartbeatIntervalMs = 250;
-
 type MessageHandler<Type extends PeerMessageType> = (state: State, peer: Peer, message: PeerMessageOf<Type>) => Effect[];
 
 const messageHandlers: {readonly [Type in PeerMessageType]: MessageHandler<Type>} = {
@@ -38,6 +37,13 @@
 
 		return compareHistory(state, peer, message);
 	},
+	pulse(state, peer, message) {
+		if (peer.incarnation !== undefined) {
+			noteHeartbeat(state, peer, {incarnation: peer.incarnation, sentAt: message.sentAt});
+		}
+
+		return [];
+	},
 	'hosts/request': (state, peer) => state.membership.hostsListedAt === undefined
 		? []
 		: [createSend(peer, {type: 'hosts/reply', hosts: [...state.targets.listedHosts], entryHosts: [...state.membership.linkedHosts]})],
@@ -58,7 +64,8 @@
 	'peer/linked'(state, event) {
 		const peer = findPeer(state, event.peer);
 		peer.isLinked = true;
-		return [createHello(state, peer), createHeartbeat(state, peer)];
+		peer.gossipSentAt = 0 as Instant;
+		return [createHello(state, peer), sendHeartbeat(state, peer)];
 	},
 	'peer/unlinked'(state, event) {
 		findPeer(state, event.peer).isLinked = false;
@@ -84,10 +91,7 @@
 	}
 
 	state.membership.nextHeartbeatAt = addMilliseconds(state.now, heartbeatIntervalMs);
-	return [
-		...[...state.membership.peers.values()].filter(peer => peer.isLinked).map(peer => createHeartbeat(state, peer)),
-		...tickEntryHosts(state),
-	];
+	return [...sendHeartbeats(state), ...tickEntryHosts(state)];
 }
 
 function acceptHello(state: State, peer: Peer, message: PeerMessageOf<'hello'>): Effect[] {
@@ -108,21 +112,6 @@
 	});
 }
 
-function createHeartbeat(state: State, peer: Peer): Effect {
-	const {known} = state.log.snapshots;
-	return createSend(peer, {
-		type: 'heartbeat',
-		hostId: state.settings.self.hostId,
-		incarnation: state.settings.incarnation,
-		sentAt: state.now,
-		nextOffset: state.fleet.nextOffset,
-		digest: state.fleet.digest,
-		decoders: getDecodersChecksum(),
-		snapshotOffset: known.nextOffset,
-		snapshotWrittenAt: known.writtenAt,
-	});
-}
-
 function createSend(peer: Peer, message: PeerMessage): Effect {
 	return {type: 'peer/send', peer: peer.hostId, message};
 }
@@ -143,6 +132,11 @@
 		leastDelayMs: undefined,
 		lateSince: undefined,
 		hasOtherHistory: false,
+		heartbeatAt: 0 as Instant,
+		heartbeatSentAt: 0 as Instant,
+		told: undefined,
+		toldAt: 0 as Instant,
+		gossipSentAt: 0 as Instant,
 	};
 	state.membership.peers.set(hostId, peer);
 	return peer;
--- /dev/null
+++ b/packages/core/src/membership/heartbeats.ts
@@ -0,0 +1,63 @@
+/**
+ * Heartbeats to the other entry hosts. Within an availability zone they come often, since stewards are chosen there; across zones half as often.
+ * While nothing has changed, a pulse says only when it was sent.
+ */
+import {getDecodersChecksum} from '../log/catch-up.js';
+import type {Effect} from '../types/effects.js';
+import type {State} from '../types/state.js';
+import {addMilliseconds} from '../types/time.js';
+import type {PeerMessage} from './messages.js';
+import type {Peer} from './state.js';
+
+export const heartbeatIntervalMs = 250;
+const zoneCrossingIntervalMs = 500;
+/** The whole heartbeat is repeated this often though nothing has changed. */
+const wholeIntervalMs = 2000;
+/** Peers of an older version do not know pulses. */
+const pulseProtocolVersion = 2;
+
+/** Sends what is due to each linked peer. */
+export function sendHeartbeats(state: State): Effect[] {
+	const zones = new Map([...state.settings.peers, ...state.membership.linkedHosts].map(host => [host.hostId, host.availabilityZone]));
+	const {availabilityZone} = state.settings.self;
+	return [...state.membership.peers.values()]
+		.filter(peer => peer.isLinked && state.now >= peer.heartbeatAt)
+		.map(peer => {
+			const isInZone = zones.get(peer.hostId) === availabilityZone;
+			peer.heartbeatAt = addMilliseconds(state.now, isInZone ? heartbeatIntervalMs : zoneCrossingIntervalMs);
+			return isWholeDue(state, peer) ? sendHeartbeat(state, peer) : createSend(state, peer, {type: 'pulse', sentAt: state.now});
+		});
+}
+
+/** The whole heartbeat. */
+export function sendHeartbeat(state: State, peer: Peer): Effect {
+	const {known} = state.log.snapshots;
+	peer.told = describePlace(state);
+	peer.toldAt = state.now;
+	return createSend(state, peer, {
+		type: 'heartbeat',
+		hostId: state.settings.self.hostId,
+		incarnation: state.settings.incarnation,
+		sentAt: state.now,
+		nextOffset: state.fleet.nextOffset,
+		digest: state.fleet.digest,
+		decoders: getDecodersChecksum(),
+		snapshotOffset: known.nextOffset,
+		snapshotWrittenAt: known.writtenAt,
+	});
+}
+
+function isWholeDue(state: State, peer: Peer): boolean {
+	const knowsPulses = (peer.protocolVersion ?? 0) >= pulseProtocolVersion;
+	return !knowsPulses || peer.told !== describePlace(state) || state.now >= addMilliseconds(peer.toldAt, wholeIntervalMs);
+}
+
+/** What a peer must be told anew when it changes. */
+function describePlace({fleet, log}: State): string {
+	return `${fleet.nextOffset} ${log.snapshots.known.nextOffset} ${log.snapshots.known.writtenAt}`;
+}
+
+function createSend(state: State, peer: Peer, message: PeerMessage): Effect {
+	peer.heartbeatSentAt = state.now;
+	return {type: 'peer/send', peer: peer.hostId, message};
+}
--- a/packages/core/src/membership/messages.ts
+++ b/packages/core/src/membership/messages.ts
@@ -10,7 +10,7 @@
 import {instantSchema, offsetSchema} from '../types/time.js';
 
 /** Version of these messages; hosts one version apart understand each other. */
-export const protocolVersion = 1;
+export const protocolVersion = 2;
 
 /** How to reach an entry host. */
 export const entryHostSchema = z.object({hostId: hostIdSchema, availabilityZone: availabilityZoneSchema, address: z.string().max(64)});
@@ -40,6 +40,9 @@
 	snapshotWrittenAt: instantSchema.optional(),
 });
 
+/** A heartbeat that says nothing new: all else is as in the last whole one on the link. Since version 2. */
+export const pulseSchema = z.object({type: z.literal('pulse'), sentAt: instantSchema});
+
 /** Asks for the latest host list, since the platform gave none. */
 export const hostsRequestSchema = z.object({type: z.literal('hosts/request')});
 
@@ -55,6 +58,7 @@
 export const peerMessageSchema = z.discriminatedUnion('type', [
 	helloSchema,
 	heartbeatSchema,
+	pulseSchema,
 	hostsRequestSchema,
 	hostsReplySchema,
 	recordsRequestSchema,
--- a/packages/core/src/membership/state.ts
+++ b/packages/core/src/membership/state.ts
@@ -18,6 +18,14 @@
 	lateSince: Instant | undefined;
 	/** Its history was found to differ from this host's. */
 	hasOtherHistory: boolean;
+	/** When the next heartbeat to it is due, and when the last one was sent. */
+	heartbeatAt: Instant;
+	heartbeatSentAt: Instant;
+	/** What the last whole heartbeat to it said, and when. */
+	told: string | undefined;
+	toldAt: Instant;
+	/** When it was last sent gossip. */
+	gossipSentAt: Instant;
 };
 
 /** An entry host that a peer told of, or that said hello itself. */
--- a/packages/core/src/planner/tenure.ts
+++ b/packages/core/src/planner/tenure.ts
@@ -36,6 +36,12 @@
 	return workersAt !== undefined && workersAt + workersMaximumAgeMs > state.now;
 }
 
+/** Whether this host plans or may have to: only then is the list of workers worth its bytes. */
+export function isWorkerListNeeded(state: State): boolean {
+	const lease = state.fleet.plannerLease;
+	return !lease || isHolder(state) || estimateLogTime(state) >= lease.deadline;
+}
+
 /** Takes a lapsed lease or renews the own one; a host that stops hands it back, so that another goes on at once. */
 export function renewTenure(state: State): Effect[] {
 	if (state.isStopping) {
--- a/packages/core/src/slots/gossip.ts
+++ b/packages/core/src/slots/gossip.ts
@@ -1,4 +1,5 @@
 /** What stewards tell every peer of their queues, of leaving targets and of their own stop. */
+import type {Peer} from '../membership/state.js';
 import {noteLeaving} from '../targets/leaving.js';
 import type {Effect} from '../types/effects.js';
 import type {HostId} from '../types/ids.js';
@@ -11,9 +12,12 @@
 import {getScopeKey, type Steward} from './state.js';
 
 const gossipIntervalMs = 250;
+/** Gossip that says nothing new goes along with a heartbeat: loads before they count as old, else seldom. */
+const loadRepeatMs = 500;
+const emptyRepeatMs = 2000;
 const loadLifeMs = 1000;
 
-/** Sends gossip to every linked peer when it is due. */
+/** Sends gossip to every linked peer when it says something new or must be repeated. */
 export function tickGossip(state: State): Effect[] {
 	if (state.now < state.slots.nextGossipAt) {
 		return [];
@@ -27,9 +31,20 @@
 		leaving: [...state.targets.leaving].map(([hostId, saidAt]) => ({hostId, saidAt})),
 	};
 	noteLoads(state, state.settings.self.hostId, message.loads);
+	const text = JSON.stringify(message);
+	const isNews = text !== state.slots.gossipText;
+	state.slots.gossipText = text;
+	const repeatMs = message.loads.length > 0 ? loadRepeatMs : emptyRepeatMs;
 	return [...state.membership.peers.values()]
-		.filter(peer => peer.isLinked && peer.hostId !== state.settings.self.hostId)
-		.map(peer => ({type: 'peer/send', peer: peer.hostId, message}));
+		.filter(peer => peer.isLinked && peer.hostId !== state.settings.self.hostId && (isNews || isRepeatDue(state, peer, repeatMs)))
+		.map(peer => {
+			peer.gossipSentAt = state.now;
+			return {type: 'peer/send', peer: peer.hostId, message};
+		});
+}
+
+function isRepeatDue(state: State, peer: Peer, repeatMs: number): boolean {
+	return peer.heartbeatSentAt === state.now && addMilliseconds(peer.gossipSentAt, repeatMs) <= state.now;
 }
 
 /** Notes what a peer said. */
--- a/packages/core/src/slots/state.ts
+++ b/packages/core/src/slots/state.ts
@@ -61,6 +61,8 @@
 	readonly runTimes: Map<string, RunTimes>;
 	readonly stoppingPeers: Set<HostId>;
 	nextGossipAt: Instant;
+	/** The latest gossip, to tell what is new. */
+	gossipText: string;
 	nextReportAt: Instant;
 	grantCount: number;
 	/** Number of random draws so far; part of the seed of the next. */
@@ -76,6 +78,7 @@
 		runTimes: new Map(),
 		stoppingPeers: new Set(),
 		nextGossipAt: 0 as Instant,
+		gossipText: '',
 		nextReportAt: 0 as Instant,
 		grantCount: 0,
 		drawCount: 0,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -2,7 +2,7 @@
 import {randomInt, randomUUID} from 'node:crypto';
 import type {Server} from 'node:http';
 import {
-	createState, EventLoop, listStartEffects, tickIntervalMs, type Effect, type Event, type Incarnation, type State,
+	createState, EventLoop, isWorkerListNeeded, listStartEffects, tickIntervalMs, type Effect, type Event, type Incarnation, type State,
 } from '@rhubarblever/core';
 import type {StatsD} from 'hot-shots';
 import type {Logger} from 'winston';
@@ -21,6 +21,8 @@
 
 const hostListIntervalMs = 1000;
 const workerListIntervalMs = 1000;
+/** How often a host that needs no list of workers looks whether it does. */
+const workerNeedIntervalMs = 100;
 /** Leaves the last log lines and metrics time to go out. */
 const flushMs = 50;
 
@@ -120,14 +122,21 @@
 	}
 
 	private async followWorkers(): Promise<void> {
-		const result = await this.context.workers.listWorkers();
-		if (result.isOk()) {
-			this.push({type: 'workers/listed', at: readClock(), workers: result.value});
+		const isNeeded = isWorkerListNeeded(this.state);
+		if (isNeeded) {
+			await this.fetchWorkers();
 		}
 
 		setTimeout(() => {
 			void this.followWorkers();
-		}, workerListIntervalMs);
+		}, isNeeded ? workerListIntervalMs : workerNeedIntervalMs);
+	}
+
+	private async fetchWorkers(): Promise<void> {
+		const result = await this.context.workers.listWorkers();
+		if (result.isOk()) {
+			this.push({type: 'workers/listed', at: readClock(), workers: result.value});
+		}
 	}
 
 	private end(code: number): void {
--- a/packages/daemon/src/platform/platform-client.ts
+++ b/packages/daemon/src/platform/platform-client.ts
@@ -2,10 +2,12 @@
 import {
 	listedHostSchema, instantSchema, logRecordSchema, offsetSchema, type Fault, type ListedHost, type LoggedRecord, type LogRecord, type Offset,
 } from '@rhubarblever/core';
-import type {Result} from 'neverthrow';
+import {ok, type Result} from 'neverthrow';
 import {z} from 'zod';
 import {readClock} from '../clock.js';
-import {parseAnswer, PlatformHttp, type PlatformCall} from './platform-http.js';
+import {
+	notModifiedStatus, parseAnswer, PlatformHttp, type PlatformCall,
+} from './platform-http.js';
 
 const callTimeoutMs = 3000;
 /** While the platform is slow, calls may take this long. */
@@ -51,6 +53,7 @@
 	}
 
 	private isSlow = false;
+	private latestHosts: {readonly tag: string | undefined; readonly hosts: readonly ListedHost[]} | undefined;
 
 	private constructor(private readonly http: PlatformHttp) {}
 
@@ -74,17 +77,33 @@
 		return this.call({method: 'POST', path: `/v1/streams/${stream}/records`, body: {records}}, z.unknown());
 	}
 
+	/** The host list; while it is as it was, a platform that knows ETags sends it once only. */
 	async listHosts(): Promise<Result<readonly ListedHost[], Fault>> {
-		const result = await this.call({method: 'GET', path: '/v1/hosts'}, hostListSchema);
-		return result.map(list => list.hosts);
+		const answer = await this.http.call({
+			method: 'GET', path: '/v1/hosts', timeoutMs: this.timeoutMs, knownTag: this.latestHosts?.tag,
+		});
+		return answer.andThen(found => {
+			if (found.status === notModifiedStatus && this.latestHosts) {
+				return ok(this.latestHosts.hosts);
+			}
+
+			return parseAnswer(found, hostListSchema).map(({hosts}) => {
+				this.latestHosts = {tag: found.tag, hosts};
+				return hosts;
+			});
+		});
 	}
 
 	async close(): Promise<void> {
 		await this.http.close();
 	}
 
+	private get timeoutMs(): number {
+		return this.isSlow ? slowCallTimeoutMs : callTimeoutMs;
+	}
+
 	private async call<Body>(call: PlatformCall, schema: z.ZodType<Body>): Promise<Result<Body, Fault>> {
-		const answer = await this.http.call({...call, timeoutMs: this.isSlow ? slowCallTimeoutMs : callTimeoutMs});
+		const answer = await this.http.call({...call, timeoutMs: this.timeoutMs});
 		return answer.andThen(found => parseAnswer(found, schema));
 	}
 }
--- a/packages/daemon/src/platform/platform-http.ts
+++ b/packages/daemon/src/platform/platform-http.ts
@@ -5,9 +5,10 @@
 import type {z} from 'zod';
 
 const firstErrorStatus = 300;
+export const notModifiedStatus = 304;
 
-/** An answer of any status, its body read as JSON. */
-export type PlatformAnswer = {readonly status: number; readonly body: unknown};
+/** An answer of any status, its body read as JSON; `tag` is its ETag. */
+export type PlatformAnswer = {readonly status: number; readonly body: unknown; readonly tag?: string | undefined};
 
 /** One call; `timeoutMs` may shorten what the client allows. */
 export type PlatformCall = {
@@ -15,6 +16,8 @@
 	readonly path: string;
 	readonly body?: unknown;
 	readonly timeoutMs?: number;
+	/** ETag of the answer that the caller has: if it is still the same, the status is 304 without a body. */
+	readonly knownTag?: string | undefined;
 };
 
 /** How long a call may take at most, and how many connections are kept. */
@@ -33,16 +36,18 @@
 	}
 
 	/** One call. A fault does not say that the call had no effect. */
-	async call({method, path, body, timeoutMs}: PlatformCall): Promise<Result<PlatformAnswer, Fault>> {
+	async call({
+		method, path, body, timeoutMs, knownTag,
+	}: PlatformCall): Promise<Result<PlatformAnswer, Fault>> {
 		try {
 			const response = await request(this.baseUrl + path, {
 				method,
 				body: body === undefined ? undefined : JSON.stringify(body),
-				headers: {'content-type': 'application/json'},
+				headers: {'content-type': 'application/json', ...knownTag === undefined ? {} : {'if-none-match': knownTag}},
 				dispatcher: this.agent,
 				signal: AbortSignal.timeout(timeoutMs ?? this.options.callTimeoutMs),
 			});
-			return ok({status: response.statusCode, body: await response.body.json()});
+			return ok(await readAnswer(response));
 		} catch (error) {
 			return err(createFault('log-unavailable', (error as Error).message));
 		}
@@ -53,6 +58,16 @@
 	}
 }
 
+async function readAnswer({statusCode, headers, body}: Dispatcher.ResponseData): Promise<PlatformAnswer> {
+	if (statusCode === notModifiedStatus) {
+		await body.dump();
+		return {status: statusCode, body: undefined};
+	}
+
+	const tag = typeof headers.etag === 'string' ? headers.etag : undefined;
+	return {status: statusCode, body: await body.json(), tag};
+}
+
 /** The body of a good answer, checked; any other status or shape is a fault. */
 export function parseAnswer<Body>(answer: PlatformAnswer, schema: z.ZodType<Body>): Result<Body, Fault> {
 	if (answer.status >= firstErrorStatus) {
--- a/packages/stand-ins/src/http.ts
+++ b/packages/stand-ins/src/http.ts
@@ -1,5 +1,6 @@
 /** Small helpers of the stand-ins' HTTP servers. */
 import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 
 /** Starts a server on an address. */
@@ -24,6 +25,21 @@
 	return JSON.parse(Buffer.from(bytes).toString('utf8')) as unknown;
 }
 
+/** Answers a read with an ETag, or with status 304 to a caller that has the same body. */
+export function sendTaggedJson(request: IncomingMessage, response: ServerResponse, body: unknown): void {
+	const text = JSON.stringify(body);
+	const tag = `"${createHash('sha1').update(text).digest('hex')}"`;
+	response.setHeader('etag', tag);
+	if (request.headers['if-none-match'] === tag) {
+		response.statusCode = 304;
+		response.end();
+		return;
+	}
+
+	response.setHeader('content-type', 'application/json');
+	response.end(text);
+}
+
 export function sendJson(response: ServerResponse, status: number, body: unknown): void {
 	response.statusCode = status;
 	response.setHeader('content-type', 'application/json');
--- a/packages/stand-ins/src/platform/platform-server.ts
+++ b/packages/stand-ins/src/platform/platform-server.ts
@@ -3,7 +3,9 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {ListedHost} from '@rhubarblever/core';
-import {listen, readJson, sendJson} from '../http.js';
+import {
+	listen, readJson, sendJson, sendTaggedJson,
+} from '../http.js';
 import {resetSocket} from '../reset-socket.js';
 import type {CallFate} from './faults.js';
 import {Platform} from './platform.js';
@@ -82,7 +84,11 @@
 			return;
 		}
 
-		sendJson(response, answer.status, answer.body);
+		if (request.method === 'GET' && answer.status === 200) {
+			sendTaggedJson(request, response, answer.body);
+		} else {
+			sendJson(response, answer.status, answer.body);
+		}
 	}
 
 	private async handle(request: IncomingMessage, url: URL): Promise<RouteAnswer> {
