Mixed run: one command runs all faults under one seed against real processes

The proofs had no long run that mixes all faults; each test mixes a few. The program draws a schedule from the seed, prints it, runs it beside callers' bursts, racing operators, jobs, waves and moves, heals all, and judges each promise by the stand-ins' ledgers and by samples of every entry host's fleet state. The load tool's outcomes now name the entry host and instants, which the verdicts need.

All kinds together have not run yet.

--- /dev/null
+++ b/packages/bench/src/mixed-run/balancer.ts
@@ -0,0 +1,53 @@
+/** The platform's balancer: names the entry hosts that answered lately that they are ready. */
+import {sleep, type LocalEntryHost, type LocalFleet} from '@rhubarblever/stand-ins';
+
+const probeIntervalMs = 100;
+const probeTimeoutMs = 500;
+
+export class Balancer {
+	static create(fleet: LocalFleet): Balancer {
+		return new Balancer(fleet);
+	}
+
+	private readonly ready = new Set<LocalEntryHost>();
+	private readonly probes: Array<Promise<void>>;
+	private isStopping = false;
+
+	private constructor(private readonly fleet: LocalFleet) {
+		this.probes = fleet.entryHosts.map(async host => this.follow(host));
+	}
+
+	/** The hosts that are ready; all of them if none is, as a balancer without a healthy host does. */
+	list(): readonly LocalEntryHost[] {
+		return this.ready.size > 0 ? [...this.ready] : this.fleet.entryHosts;
+	}
+
+	async stop(): Promise<void> {
+		this.isStopping = true;
+		await Promise.all(this.probes);
+	}
+
+	private async follow(host: LocalEntryHost): Promise<void> {
+		while (!this.isStopping) {
+			// eslint-disable-next-line no-await-in-loop
+			if (await isReady(host)) {
+				this.ready.add(host);
+			} else {
+				this.ready.delete(host);
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(probeIntervalMs);
+		}
+	}
+}
+
+async function isReady(host: LocalEntryHost): Promise<boolean> {
+	try {
+		const response = await fetch(`http://${host.address}/readyz`, {signal: AbortSignal.timeout(probeTimeoutMs)});
+		await response.arrayBuffer();
+		return response.ok;
+	} catch {
+		return false;
+	}
+}
--- /dev/null
+++ b/packages/bench/src/mixed-run/link-faults.ts
@@ -0,0 +1,37 @@
+/** Faults of links between entry hosts, targets and the platform. Several may strike one link; it heals when the last of them ends. */
+import type {FleetLink} from '@rhubarblever/stand-ins';
+
+export type LinkStrike = (link: FleetLink) => Promise<void> | void;
+type ActiveFault = {readonly links: readonly FleetLink[]; readonly strike: LinkStrike};
+
+export class LinkFaults {
+	static create(): LinkFaults {
+		return new LinkFaults();
+	}
+
+	private readonly active = new Set<ActiveFault>();
+
+	private constructor() {}
+
+	/** Strikes links; the result ends it. */
+	async start(links: readonly FleetLink[], strike: LinkStrike): Promise<() => Promise<void>> {
+		const fault: ActiveFault = {links, strike};
+		this.active.add(fault);
+		await Promise.all(links.map(async link => strike(link)));
+		return async () => this.end(fault);
+	}
+
+	/** Heals the links of a fault, and strikes them again with what else is still on them. */
+	private async end(fault: ActiveFault): Promise<void> {
+		this.active.delete(fault);
+		await Promise.all(fault.links.map(async link => {
+			await link.proxy.heal();
+			for (const other of this.active) {
+				if (other.links.includes(link)) {
+					// eslint-disable-next-line no-await-in-loop
+					await other.strike(link);
+				}
+			}
+		}));
+	}
+}
--- /dev/null
+++ b/packages/bench/src/mixed-run/mixed-run.ts
@@ -0,0 +1,142 @@
+/** One mixed run: a fleet of real processes, the schedule of faults, the work beside it, then calm and the verdicts. */
+import {
+	LocalFleet, sleep, waitUntil, type LoadSummary, type PlatformLedgerEntry, summarizeLoad,
+} from '@rhubarblever/stand-ins';
+import {Balancer} from './balancer.js';
+import {planCalls, runCalls} from './calls.js';
+import type {FaultTable} from './fault-kinds.js';
+import {runSchedule} from './fault-run.js';
+import {createShape, firstRecords} from './fleet-shape.js';
+import {Journal} from './journal.js';
+import {LinkFaults} from './link-faults.js';
+import {runOperations} from './operations.js';
+import {Operator, readFleet} from './operator.js';
+import {judgePlatform} from './platform-verdicts.js';
+import {judgeRequests} from './request-verdicts.js';
+import type {PlannedFault} from './schedule.js';
+import {inForceBoundMs, judgeStates} from './state-verdicts.js';
+import type {Evidence, Verdict} from './verdict.js';
+import {Watch} from './watch.js';
+
+export type MixedRunOptions = {
+	readonly seed: number;
+	readonly durationMs: number;
+	readonly calmTailMs: number;
+	readonly entryHostsPerZone: number;
+	/** Mean requests a second of each service. */
+	readonly meanRate: number;
+	readonly table: FaultTable;
+	readonly schedule: readonly PlannedFault[];
+	readonly tell: (text: string) => void;
+};
+
+export type MixedRunResult = {
+	readonly verdicts: readonly Verdict[];
+	readonly load: LoadSummary;
+	/** How often each fault and operation was tried. */
+	readonly counts: Readonly<Record<string, number>>;
+	/** Kinds of faults that were never applied. */
+	readonly neverApplied: readonly string[];
+	readonly remarks: readonly string[];
+};
+
+const publishTimeoutMs = 30_000;
+const lastCallMs = 5000;
+
+/** Runs it all and judges. */
+export async function runMixed(options: MixedRunOptions): Promise<MixedRunResult> {
+	const fleet = await LocalFleet.create(createShape(options.entryHostsPerZone));
+	try {
+		const evidence = await runStages(fleet, options);
+		const {journal} = evidence;
+		return {
+			verdicts: [...judgeRequests(evidence), ...judgeStates(evidence), ...judgePlatform(evidence)],
+			load: summarizeLoad(journal.outcomes),
+			counts: Object.fromEntries([...journal.counts].toSorted(([a], [b]) => a.localeCompare(b))),
+			neverApplied: Object.keys(options.table).filter(kind => !journal.counts.has(kind)),
+			remarks: journal.remarks,
+		};
+	} finally {
+		await fleet.stop();
+	}
+}
+
+async function runStages(fleet: LocalFleet, options: MixedRunOptions): Promise<Evidence> {
+	const journal = Journal.create();
+	const balancer = Balancer.create(fleet);
+	const operator = Operator.create(fleet, balancer);
+	await operator.publish(firstRecords, publishTimeoutMs);
+	const watch = Watch.create(fleet, journal);
+	options.tell('the fleet is ready; faults, calls and operations begin');
+	const operations = runOperations(operator, journal, options);
+	const calls = startCalls(journal, balancer, options);
+	await runSchedule({fleet, journal, links: LinkFaults.create()}, options.table, options.schedule);
+	await healAll(fleet);
+	journal.healedAt = Date.now();
+	options.tell('all faults have ended; calm');
+	const inForceAfterMs = await measureInForce(fleet, journal);
+	await Promise.all([operations, calls, sleep(options.calmTailMs)]);
+	await balancer.stop();
+	await watch.stop();
+	options.tell('the run has ended; judging');
+	return {
+		journal,
+		inForceAfterMs,
+		targetLedgers: await fleet.readLedgers(),
+		platformLedger: await readPlatformLedger(fleet),
+		states: await Promise.all(fleet.entryHosts.map(async host => ({hostId: host.hostId, state: await readFleet(fleet, host)}))),
+		samples: watch.samples,
+		falls: watch.falls,
+		differences: watch.differences,
+	};
+}
+
+/** Bursts while there are faults, then calls without bursts until shortly before the end. */
+async function startCalls(journal: Journal, balancer: Balancer, {seed, durationMs, calmTailMs, meanRate}: MixedRunOptions): Promise<void> {
+	const phases = [
+		{seed: 2 * seed, durationMs, calmMs: 0},
+		{seed: (2 * seed) + 1, durationMs: Math.max(0, calmTailMs - lastCallMs), calmMs: calmTailMs},
+	];
+	const startAt = Date.now();
+	await Promise.all(phases.map(async (phase, index) => {
+		await sleep(index * durationMs);
+		await runCalls(planCalls({...phase, meanRate, startAt: startAt + (index * durationMs)}), balancer, outcome => {
+			journal.outcomes.push(outcome);
+		});
+	}));
+}
+
+/** Starts what does not run, and ends what might have been left. */
+async function healAll(fleet: LocalFleet): Promise<void> {
+	await fleet.healAll();
+	for (const [index, host] of fleet.entryHosts.entries()) {
+		if (!host.running.isRunning) {
+			// eslint-disable-next-line no-await-in-loop
+			await fleet.restartEntryHost(index);
+		}
+	}
+}
+
+/** How long it takes until all hosts have at least the latest accepted version of each contested pool; undefined if too long. */
+async function measureInForce(fleet: LocalFleet, journal: Journal): Promise<number | undefined> {
+	const latest = new Map<string, number>();
+	for (const {pool, offset} of journal.changes) {
+		latest.set(pool, Math.max(offset, latest.get(pool) ?? 0));
+	}
+
+	const startedAt = Date.now();
+	try {
+		await Promise.all(fleet.entryHosts.map(async host => waitUntil(host.hostId, async () => {
+			const state = await readFleet(fleet, host);
+			return [...latest].every(([pool, offset]) => state?.pools.some(inForce => inForce.body.pool === pool && inForce.offset >= offset));
+		}, inForceBoundMs)));
+		return Date.now() - startedAt;
+	} catch {
+		return undefined;
+	}
+}
+
+async function readPlatformLedger(fleet: LocalFleet): Promise<readonly PlatformLedgerEntry[]> {
+	const answer = await fleet.callPlatform('GET', '/v1/control/ledger') as {readonly entries: readonly PlatformLedgerEntry[]};
+	return answer.entries;
+}
--- /dev/null
+++ b/packages/bench/src/mixed-run/operations.ts
@@ -0,0 +1,138 @@
+/** What operators do beside the faults: racing changes, jobs and their cancels, waves and moves. */
+import {sleep} from '@rhubarblever/stand-ins';
+import {Draws} from './draws.js';
+import {
+	contestedPools, createContestedRecord, guardedPool, sparePool, workers,
+} from './fleet-shape.js';
+import type {Journal} from './journal.js';
+import type {Operator} from './operator.js';
+
+export type OperationsShape = {readonly seed: number; readonly durationMs: number; readonly calmTailMs: number};
+
+/** Begins an operation of its kind; each call is another one, by its number. */
+type Operation = {
+	readonly meanGapMs: number;
+	readonly run: (stage: OperationStage, number: number) => Promise<void>;
+};
+
+export type OperationStage = {
+	readonly operator: Operator;
+	readonly journal: Journal;
+	readonly draws: Draws;
+	/** When all operations should be over, in milliseconds since the epoch. */
+	readonly endAt: number;
+};
+
+const publishTimeoutMs = 60_000;
+const mostJobsAtOnce = 6;
+const cancelledShare = 0.25;
+const drainLimitMs = 8000;
+const waveGapMs = 60_000;
+
+/** Several operators change one pool based on the same version, through different hosts. */
+async function raceChanges({operator, journal, draws}: OperationStage, number: number): Promise<void> {
+	const pool = draws.pick(contestedPools);
+	const racers = draws.drawWhole(2, 3);
+	const fleet = await operator.read();
+	const basedOn = fleet?.pools.find(({body}) => body.pool === pool)?.offset;
+	if (basedOn === undefined) {
+		return;
+	}
+
+	journal.count('racing changes');
+	await Promise.all(Array.from({length: racers}, async (_, index) => {
+		const value = (number * 10) + index;
+		const verdicts = await operator.publishOnce([createContestedRecord(`race-${number}-${index}`, pool, value, basedOn)]);
+		for (const {offset, outcome} of verdicts ?? []) {
+			journal.count(`race: ${outcome.verdict}`);
+			if (outcome.verdict === 'accepted') {
+				journal.changes.push({
+					pool, offset, basedOn, value,
+				});
+			}
+		}
+	}));
+}
+
+async function submitJobs({operator, journal, draws}: OperationStage, number: number): Promise<void> {
+	const jobs = Array.from({length: draws.drawWhole(1, mostJobsAtOnce)}, (_, index) => ({
+		jobId: `job-${number}-${index}`,
+		pool: guardedPool,
+		team: draws.pick(['newsroom', 'archive']),
+		jobClass: draws.pick(['urgent', 'normal', 'batch']),
+		// One in twelve fits no worker.
+		cores: draws.drawWhole(1, 12) === 1 ? 500 : draws.drawWhole(1, 12),
+		memoryBytes: 1e9,
+		declaredRunMs: draws.drawWhole(200, 5000),
+		allowedRuns: draws.drawWhole(1, 3),
+	}));
+	const cancelled = jobs.filter(() => draws.drawFraction() < cancelledShare);
+	const cancelAfterMs = draws.drawWhole(0, 4000);
+	const records = jobs.map(body => ({
+		recordId: `submit-${body.jobId}`, schema: 'job', version: 1, body,
+	}));
+	const verdicts = await operator.publish(records, publishTimeoutMs);
+	for (const [index, body] of jobs.entries()) {
+		const verdict = verdicts?.find(({recordId}) => recordId === records[index]!.recordId)?.outcome.verdict;
+		journal.count(`job: ${verdict ?? 'no answer'}`);
+		if (verdict === 'accepted' || verdict === 'repeated') {
+			journal.jobs.set(body.jobId, body.allowedRuns);
+		}
+	}
+
+	if (cancelled.length > 0) {
+		await sleep(cancelAfterMs);
+		journal.count('cancels');
+		await operator.publish(cancelled.map(({jobId}) => ({
+			recordId: `cancel-${jobId}`, schema: 'job-cancel', version: 1, body: {jobId},
+		})), publishTimeoutMs);
+	}
+}
+
+async function startWave({operator, journal, endAt}: OperationStage, number: number): Promise<void> {
+	const verdicts = await operator.publish([{
+		recordId: `wave-${number}`,
+		schema: 'wave',
+		version: 1,
+		body: {
+			waveId: `wave-${number}`, pool: guardedPool, finishBy: endAt, drainLimitMs, weights: {rollOutTime: 1, bufferCost: 1},
+		},
+	}], publishTimeoutMs);
+	journal.count(`wave: ${verdicts?.[0]?.outcome.verdict ?? 'no answer'}`);
+}
+
+async function moveHost({operator, journal, draws}: OperationStage, number: number): Promise<void> {
+	const {hostId} = draws.pick(workers);
+	const to = draws.pick([guardedPool, guardedPool, sparePool]);
+	const verdicts = await operator.publish([{
+		recordId: `move-${number}`, schema: 'move', version: 1, body: {hostId, to},
+	}], publishTimeoutMs);
+	journal.count(`move: ${verdicts?.[0]?.outcome.verdict ?? 'no answer'}`);
+}
+
+const operations: Readonly<Record<string, Operation>> = {
+	races: {meanGapMs: 4000, run: raceChanges},
+	jobs: {meanGapMs: 3000, run: submitJobs},
+	waves: {meanGapMs: waveGapMs, run: startWave},
+	moves: {meanGapMs: 10_000, run: moveHost},
+};
+
+/** Runs all operations until the faults end; resolves when the last has its answer. */
+export async function runOperations(operator: Operator, journal: Journal, {seed, durationMs, calmTailMs}: OperationsShape): Promise<void> {
+	const startedAt = Date.now();
+	const faultsEndAt = startedAt + durationMs;
+	await Promise.all(Object.values(operations).map(async (operation, index) => {
+		const draws = Draws.create((seed * 100) + index);
+		const stage: OperationStage = {
+			operator, journal, draws, endAt: faultsEndAt + calmTailMs,
+		};
+		const running: Array<Promise<void>> = [];
+		for (let number = 1; Date.now() < faultsEndAt; number++) {
+			running.push(operation.run(stage, number));
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(Math.min(faultsEndAt - Date.now(), operation.meanGapMs * 2 * draws.drawFraction()));
+		}
+
+		await Promise.all(running);
+	}));
+}
--- /dev/null
+++ b/packages/bench/src/mixed-run/platform-verdicts.ts
@@ -0,0 +1,149 @@
+/** Verdicts on pools, waves and jobs, by the platform's own ledger. */
+import type {PlatformLedgerEntry} from '@rhubarblever/stand-ins';
+import {guardedBudget, guardedPool, workers} from './fleet-shape.js';
+import {formatTime} from './request-verdicts.js';
+import {sortIntoGroups} from './groups.js';
+import {createVerdict, type Evidence, type Verdict} from './verdict.js';
+
+/** A failed worker is known to all planners so long after. */
+const failureNewsMs = 5000;
+const endedSteps = new Set(['succeeded', 'failed', 'cancelled', 'parked']);
+
+/** All verdicts by the platform's ledger. */
+export function judgePlatform(evidence: Evidence): Verdict[] {
+	return [judgeMostOut(evidence), judgeLeastHealthy(evidence), judgeOnePool(evidence), judgeCuts(evidence), judgeWaves(evidence), ...judgeJobs(evidence)];
+}
+
+/** Workers that are out of service by plan, as the ledger goes on. */
+class Outages {
+	readonly out = new Set<string>();
+	readonly failedAt = new Map<string, number>();
+	readonly pools = new Map<string, string>(workers.map(worker => [worker.hostId, guardedPool]));
+
+	note({event, hostId, pool, at}: PlatformLedgerEntry): void {
+		if (event === 'drain-started') {
+			this.out.add(hostId);
+		} else if (event === 'undrained' || (event === 'drain-failed' && !this.failedAt.has(hostId))) {
+			this.out.delete(hostId);
+		} else if (event === 'worker-failed') {
+			this.failedAt.set(hostId, at);
+		} else if (event === 'worker-healed') {
+			this.failedAt.delete(hostId);
+		} else if (event === 'pool-set' && pool !== undefined) {
+			this.pools.set(hostId, pool);
+		}
+	}
+
+	/** Hosts of the guarded pool that are out. */
+	listOut(): string[] {
+		return [...this.out].filter(hostId => this.pools.get(hostId) === guardedPool);
+	}
+}
+
+function judgeMostOut({platformLedger}: Evidence): Verdict {
+	const outages = new Outages();
+	const cases: string[] = [];
+	const most = {all: 0, zone: 0, rack: 0};
+	for (const entry of platformLedger) {
+		outages.note(entry);
+		const out = workers.filter(({hostId}) => outages.listOut().includes(hostId));
+		const counts = {
+			all: out.length,
+			zone: findLargest(out.map(({availabilityZone}) => availabilityZone)),
+			rack: findLargest(out.map(({rack}) => rack ?? '')),
+		};
+		const isOver = counts.all > guardedBudget.maximumHostsOut || counts.zone > guardedBudget.maximumHostsOutPerZone || counts.rack > guardedBudget.maximumHostsOutPerRack;
+		if (isOver && entry.event === 'drain-started') {
+			cases.push(`${formatTime(entry.at)} ${entry.operationId ?? ''}: ${outages.listOut().join(', ')} are out`);
+		}
+
+		most.all = Math.max(most.all, counts.all);
+		most.zone = Math.max(most.zone, counts.zone);
+		most.rack = Math.max(most.rack, counts.rack);
+	}
+
+	const drains = platformLedger.filter(({event}) => event === 'drain-started').length;
+	return createVerdict('most hosts out by plan: in all, per zone and per rack', `${drains} drains; most out ${most.all}, ${most.zone} in a zone, ${most.rack} in a rack`, cases);
+}
+
+function findLargest(names: readonly string[]): number {
+	return Math.max(0, ...[...sortIntoGroups(names, name => name).values()].map(group => group.length));
+}
+
+function judgeLeastHealthy({platformLedger}: Evidence): Verdict {
+	const outages = new Outages();
+	const cases: string[] = [];
+	let least = workers.length;
+	for (const entry of platformLedger) {
+		outages.note(entry);
+		if (entry.event !== 'drain-started' || entry.pool !== guardedPool) {
+			continue;
+		}
+
+		const members = workers.filter(({hostId}) => outages.pools.get(hostId) === guardedPool);
+		const isKnownDown = (hostId: string) => (outages.failedAt.get(hostId) ?? Number.POSITIVE_INFINITY) < entry.at - failureNewsMs;
+		const healthy = members.filter(({hostId}) => !outages.out.has(hostId) && !isKnownDown(hostId)).length;
+		least = Math.min(least, healthy);
+		if (healthy < guardedBudget.minimumHealthyHosts) {
+			cases.push(`${formatTime(entry.at)} ${entry.hostId} ${entry.operationId ?? ''}: ${healthy} healthy of ${members.length}`);
+		}
+	}
+
+	return createVerdict('no drain begins that leaves fewer healthy hosts than the pool must keep', `least ${least}, to keep ${guardedBudget.minimumHealthyHosts}`, cases);
+}
+
+function judgeOnePool({states, platformLedger}: Evidence): Verdict {
+	const outages = new Outages();
+	for (const entry of platformLedger) {
+		outages.note(entry);
+	}
+
+	const cases = states.flatMap(({hostId: entryHost, state}) => workers.flatMap(({hostId}) => {
+		const pools = state?.poolHosts.filter(member => member.hostId === hostId).map(member => member.pool) ?? [];
+		const isRight = pools.length === 1 && pools[0] === outages.pools.get(hostId);
+		return isRight || !state ? [] : [`${entryHost}: ${hostId} is in [${pools.join(', ')}], on the platform in ${outages.pools.get(hostId)}`];
+	}));
+	const moves = platformLedger.filter(({event}) => event === 'pool-set').length;
+	return createVerdict('each host is in one pool, the same for all entry hosts and the platform', `${moves} moves`, cases);
+}
+
+function judgeCuts({platformLedger}: Evidence): Verdict {
+	const cut = platformLedger.filter(({event}) => event === 'task-cut');
+	return createVerdict(
+		'no planned reboot cuts a running task',
+		`${platformLedger.filter(({event}) => event === 'reboot-started').length} reboots`,
+		cut.map(({at, hostId, taskId}) => `${formatTime(at)} ${taskId} on ${hostId}`),
+	);
+}
+
+function judgeWaves({states}: Evidence): Verdict {
+	const state = states.find(candidate => candidate.state)?.state;
+	const waves = state?.waves ?? [];
+	const pools = new Map(state?.poolHosts.map(({hostId, pool}) => [hostId, pool]));
+	const describeLeft = (hosts: typeof waves[number]['hosts']) => hosts
+		.filter(host => host.state !== 'rebooted')
+		.map(host => `${host.hostId} ${host.state} in ${pools.get(host.hostId)}`)
+		.join(', ');
+	return createVerdict(
+		'maintenance waves finish',
+		waves.map(({waveId, status}) => `${waveId} ${status}`).join(', ') || 'none',
+		waves.filter(({status}) => status !== 'done').map(({waveId, status, hosts}) => `${waveId} is ${status}: ${describeLeft(hosts)}`),
+	);
+}
+
+function judgeJobs({journal, states, platformLedger}: Evidence): Verdict[] {
+	const starts = sortIntoGroups(platformLedger.filter(({event}) => event === 'task-started'), ({taskId}) => taskId);
+	const {jobs = []} = states.find(({state}) => state)?.state ?? {};
+	const steps = new Map(jobs.map(({jobId, step}) => [jobId, step]));
+	const unfinished = [...journal.jobs.keys()].filter(jobId => !endedSteps.has(steps.get(jobId) ?? ''));
+	const tooOften = [...journal.jobs].filter(([jobId, allowedRuns]) => (starts.get(jobId)?.length ?? 0) > allowedRuns);
+	const counts = [...sortIntoGroups(steps.values(), step => step)].map(([step, group]) => `${step} ${group.length}`).join(', ');
+	return [
+		createVerdict('every accepted job ends', `${journal.jobs.size} accepted; ${counts}`, unfinished.map(jobId => `${jobId} is ${steps.get(jobId) ?? 'gone'}`)),
+		createVerdict(
+			'no job starts more often than it may',
+			`${[...starts.values()].flat().length} starts`,
+			tooOften.map(([jobId, allowedRuns]) => `${jobId}: ${starts.get(jobId)?.map(({at, hostId, attempt}) => `${attempt} on ${hostId} at ${formatTime(at)}`).join(', ')}; allowed ${allowedRuns}`),
+		),
+	];
+}
--- /dev/null
+++ b/packages/bench/src/mixed-run/request-verdicts.ts
@@ -0,0 +1,153 @@
+/** Verdicts on callers' requests, by what callers saw and by the targets' ledgers. */
+import type {LoadOutcome} from '@rhubarblever/stand-ins';
+import {isOverlapping, type Leaving, type Window} from './journal.js';
+import {sortIntoGroups} from './groups.js';
+import {createVerdict, type Evidence, type Verdict} from './verdict.js';
+
+/** A call may be answered so long after its deadline. */
+const answerMarginMs = 2000;
+const leavingNewsMs = 5000;
+/** After healing, requests are judged from then on. */
+const settleMs = 10_000;
+const leastGoodShare = 0.95;
+
+type Start = {readonly requestId: string; readonly startedAt: number; readonly hostId: string};
+
+/** All verdicts on requests. */
+export function judgeRequests(evidence: Evidence): Verdict[] {
+	const starts = listStarts(evidence);
+	return [
+		judgeRefusals(evidence, starts),
+		judgeStarts(evidence, starts),
+		judgeAnswers(evidence, starts),
+		judgeDeadlines(evidence),
+		judgeLeaving(evidence, starts),
+		judgePlannedStops(evidence),
+		judgeGoodput(evidence),
+	];
+}
+
+function listStarts({targetLedgers}: Evidence): Start[] {
+	return targetLedgers.flatMap(({hostId, entries}) => entries.map(({requestId, startedAt}) => ({requestId, startedAt, hostId})));
+}
+
+function describeOutcome({planned, result, reason, entryHost, sentAt, endedAt}: LoadOutcome): string {
+	return `${planned.requestId} ${planned.service} ${planned.workClass} ${result} (${reason}) at ${entryHost}, sent ${formatTime(sentAt)}, ended ${formatTime(endedAt)}`;
+}
+
+/** An instant as the time of day, as log lines show it. */
+export function formatTime(at: number): string {
+	return Number.isFinite(at) ? new Date(at).toISOString().slice(11, 23) : 'the end';
+}
+
+/** Outcomes by request id; repeats of an id stand together. */
+function sortById(outcomes: readonly LoadOutcome[]): Map<string, LoadOutcome[]> {
+	return sortIntoGroups(outcomes, ({planned}) => planned.requestId);
+}
+
+function judgeRefusals({journal}: Evidence, starts: readonly Start[]): Verdict {
+	const started = new Set(starts.map(start => start.requestId));
+	const refused = [...sortById(journal.outcomes).values()].filter(group => group.every(({result}) => result === 'refused'));
+	const cases = refused.filter(([first]) => first && started.has(first.planned.requestId));
+	return createVerdict('no refused request ran', `${refused.length} ids were refused each time`, cases.map(([first]) => describeOutcome(first!)));
+}
+
+function judgeStarts({journal}: Evidence, starts: readonly Start[]): Verdict {
+	const once = new Set(journal.outcomes.filter(({planned}) => !planned.isIdempotent).map(({planned}) => planned.requestId));
+	const byId = sortIntoGroups(starts.filter(({requestId}) => once.has(requestId)), ({requestId}) => requestId);
+	const cases = [...byId.values()].filter(group => group.length > 1);
+	return createVerdict(
+		'no non-idempotent request started twice',
+		`${once.size} ids, ${byId.size} of them started`,
+		cases.map(group => group.map(start => `${start.requestId} on ${start.hostId} at ${formatTime(start.startedAt)}`).join('; ')),
+	);
+}
+
+function judgeAnswers({journal}: Evidence, starts: readonly Start[]): Verdict {
+	const started = new Set(starts.map(start => start.requestId));
+	const whole = journal.outcomes.filter(({result}) => result === 'good' || result === 'late');
+	const wrong = journal.outcomes.filter(({result}) => result === 'wrong');
+	const unrun = whole.filter(({planned}) => !started.has(planned.requestId));
+	return createVerdict('each answer is whole and the caller\'s own', `${whole.length} answers`, [...wrong, ...unrun].map(outcome => describeOutcome(outcome)));
+}
+
+/** Whether the entry host of a call was killed, frozen or gone meanwhile. */
+function isDisturbed({journal}: Evidence, outcome: LoadOutcome): boolean {
+	const window = {from: outcome.sentAt, to: outcome.endedAt};
+	return journal.disturbances.some(other => other.address === outcome.entryHost && isOverlapping(window, other));
+}
+
+/** Whether a call met no listening process: it was never accepted. */
+function isUnaccepted({result, reason}: LoadOutcome): boolean {
+	return result === 'broken' && reason.includes('ECONNREFUSED');
+}
+
+function judgeDeadlines(evidence: Evidence): Verdict {
+	const {outcomes} = evidence.journal;
+	const judged = outcomes.filter(outcome => !isDisturbed(evidence, outcome) && !isUnaccepted(outcome));
+	const cases = judged.filter(({result, endedAt, deadline}) => result === 'broken' || endedAt > deadline + answerMarginMs);
+	return createVerdict(
+		`every call is answered by its deadline and ${answerMarginMs} ms`,
+		`${judged.length} calls, ${outcomes.length - judged.length} more to hosts that were killed, frozen or gone`,
+		cases.map(outcome => describeOutcome(outcome)),
+	);
+}
+
+function judgeLeaving({journal}: Evidence, starts: readonly Start[]): Verdict {
+	const cases = journal.leavings.flatMap(leaving => {
+		const newsBy = leaving.from + leavingNewsMs + sumAway(leaving, journal.platformAway);
+		return starts
+			.filter(start => start.hostId === leaving.hostId && start.startedAt > newsBy && start.startedAt < leaving.to)
+			.map(start => `${start.hostId} (${leaving.how}) since ${formatTime(leaving.from)}: ${start.requestId} started at ${formatTime(start.startedAt)}`);
+	});
+	return createVerdict(`a leaving target gets no start later than ${leavingNewsMs} ms, times without the platform apart`, `${journal.leavings.length} leavings`, cases);
+}
+
+/** How long the platform told nothing while the news of a leaving was young. */
+function sumAway({from, how}: Leaving, away: readonly Window[]): number {
+	if (how === 'said') {
+		return 0;
+	}
+
+	const young = {from, to: from + leavingNewsMs};
+	return away.filter(window => isOverlapping(window, young)).reduce((sum, window) => sum + (window.to - window.from), 0);
+}
+
+function judgePlannedStops(evidence: Evidence): Verdict {
+	const {plannedStops, outcomes} = evidence.journal;
+	const badCodes = plannedStops.filter(stop => stop.code !== 0 && !evidence.journal.unexpectedEnds.some(end => end.hostId === stop.hostId && isOverlapping(stop, {from: end.at, to: end.at})));
+	const cut = plannedStops.flatMap(stop => outcomes.filter(outcome => outcome.result === 'broken'
+		&& outcome.entryHost === stop.address
+		&& outcome.sentAt <= stop.to
+		&& outcome.endedAt >= stop.from
+		&& !isUnaccepted(outcome)
+		&& !isDisturbed(evidence, outcome)));
+	return createVerdict('planned stops cut no accepted request and end with code 0', `${plannedStops.length} stops`, [
+		...badCodes.map(stop => `${stop.hostId} ended with code ${stop.code} at ${formatTime(stop.to)}`),
+		...cut.map(outcome => describeOutcome(outcome)),
+	]);
+}
+
+function judgeGoodput({journal}: Evidence): Verdict {
+	const later = journal.outcomes.filter(({sentAt}) => sentAt > journal.healedAt + settleMs);
+	// Repeats of an id are answered as such, and are judged apart.
+	const firsts = [...sortById(later).values()].filter(group => group.length === 1).flat();
+	const good = firsts.filter(({result}) => result === 'good').length;
+	const share = firsts.length === 0 ? 0 : good / firsts.length;
+	const cases = share >= leastGoodShare ? [] : [`${(share * 100).toFixed(1)}% good, the rest: ${describeRest(firsts)}`];
+	return createVerdict(
+		`after healing at least ${leastGoodShare * 100}% of requests are answered in time`,
+		`${good} of ${firsts.length} sent later than ${settleMs} ms after healing`,
+		cases,
+	);
+}
+
+function describeRest(outcomes: readonly LoadOutcome[]): string {
+	const counts = new Map<string, number>();
+	for (const {result, reason} of outcomes) {
+		counts.set(`${result} ${reason}`, (counts.get(`${result} ${reason}`) ?? 0) + 1);
+	}
+
+	counts.delete('good ');
+	return [...counts].map(([what, count]) => `${what}: ${count}`).join(', ');
+}
--- /dev/null
+++ b/packages/bench/src/mixed-run/verdict.ts
@@ -0,0 +1,35 @@
+/** What a run is judged by, and the shape of a verdict. */
+import type {HostLedger, PlatformLedgerEntry} from '@rhubarblever/stand-ins';
+import type {Journal} from './journal.js';
+import type {FleetAnswer} from './operator.js';
+
+/** One promise: whether it held, with figures, and the first cases in which it did not. */
+export type Verdict = {
+	readonly promise: string;
+	readonly isKept: boolean;
+	readonly figures: string;
+	readonly cases: readonly string[];
+};
+
+/** All that is known at the end of a run. */
+export type Evidence = {
+	readonly journal: Journal;
+	readonly targetLedgers: readonly HostLedger[];
+	readonly platformLedger: readonly PlatformLedgerEntry[];
+	/** The fleet state of every entry host after the calm tail; undefined if it did not answer. */
+	readonly states: ReadonlyArray<{readonly hostId: string; readonly state: FleetAnswer | undefined}>;
+	readonly samples: number;
+	readonly falls: readonly string[];
+	readonly differences: readonly string[];
+	/** How long after healing every accepted change was in force on all hosts; undefined if it was not within the bound. */
+	readonly inForceAfterMs: number | undefined;
+};
+
+const casesShown = 8;
+
+/** A promise that is kept if there are no cases against it. */
+export function createVerdict(promise: string, figures: string, cases: readonly string[]): Verdict {
+	return {
+		promise, figures: `${figures}; against it: ${cases.length}`, isKept: cases.length === 0, cases: cases.slice(0, casesShown),
+	};
+}
--- a/packages/stand-ins/src/load/load-run.ts
+++ b/packages/stand-ins/src/load/load-run.ts
@@ -16,6 +16,12 @@
 	readonly result: LoadResult;
 	/** From the planned arrival to the end of the answer. */
 	readonly latencyMs: number;
+	/** `ip:port` that it went to. */
+	readonly entryHost: string;
+	/** Instants in milliseconds since the epoch. */
+	readonly deadline: number;
+	readonly sentAt: number;
+	readonly endedAt: number;
 	/** The kind of a fault, or the text of a broken call. */
 	readonly reason: string;
 };
@@ -62,22 +68,32 @@
 }
 
 async function callOnce(agent: Agent, planned: PlannedRequest, startedAt: number, options: LoadRunOptions): Promise<LoadOutcome> {
-	const answer = await sendRequest(agent, planned, startedAt, options.listEntryHosts());
-	const latencyMs = Date.now() - startedAt - planned.arrivalAt;
-	const isLate = answer.result === 'good' && startedAt + planned.deadlineAt < Date.now();
+	const entryHosts = options.listEntryHosts();
+	const entryHost = entryHosts[planned.draw % entryHosts.length] ?? '';
+	const deadline = Math.round(startedAt + planned.deadlineAt);
+	const sentAt = Date.now();
+	const answer = await sendRequest(agent, planned, deadline, entryHost);
+	const endedAt = Date.now();
+	const isLate = answer.result === 'good' && startedAt + planned.deadlineAt < endedAt;
 	const outcome: LoadOutcome = {
-		planned, latencyMs, result: isLate ? 'late' : answer.result, reason: answer.reason,
+		planned,
+		entryHost,
+		deadline,
+		sentAt,
+		endedAt,
+		latencyMs: endedAt - startedAt - planned.arrivalAt,
+		result: isLate ? 'late' : answer.result,
+		reason: answer.reason,
 	};
 	options.onOutcome?.(outcome);
 	return outcome;
 }
 
-async function sendRequest(agent: Agent, planned: PlannedRequest, startedAt: number, entryHosts: readonly string[]): Promise<Answer> {
+async function sendRequest(agent: Agent, planned: PlannedRequest, deadline: number, entryHost: string): Promise<Answer> {
 	const body = Buffer.from(JSON.stringify({runMs: planned.runMs}));
-	const deadline = Math.round(startedAt + planned.deadlineAt);
 	try {
 		const response = await agent.request({
-			origin: `http://${entryHosts[planned.draw % entryHosts.length]}`,
+			origin: `http://${entryHost}`,
 			path: `/v1/services/${planned.service}`,
 			method: 'POST',
 			body,
