Waves: a host that has left the pool no longer holds its wave open

Cause: getWaveStatus counted every waiting host, while the planner (listWaitingHosts) leaves out those of another pool. Ruled out: an outage that failed (the host's state was waiting, with no failures). The status now leaves them out too; a host that comes back counts again. It is computed on reading, so the fold and its digests are unchanged.

--- a/packages/bench/src/waves/trial.ts
+++ b/packages/bench/src/waves/trial.ts
@@ -102,7 +102,7 @@
 		while (status === 'active' && this.platform.now < limitMs) {
 			this.step();
 			const wave = this.state.fleet.waves.get(waveId);
-			status = wave ? getWaveStatus(wave, this.platform.now as Instant) : status;
+			status = wave ? getWaveStatus(this.state.fleet, wave, this.platform.now as Instant) : status;
 		}
 
 		return {
--- a/packages/core/src/planner/planning.ts
+++ b/packages/core/src/planner/planning.ts
@@ -36,7 +36,7 @@
 
 function planWave(state: State, wave: Wave, term: number): Effect[] {
 	const budget = state.fleet.pools.get(wave.body.pool)?.body.budget;
-	if (!budget || getWaveStatus(wave, estimateLogTime(state)) !== 'active') {
+	if (!budget || getWaveStatus(state.fleet, wave, estimateLogTime(state)) !== 'active') {
 		return [];
 	}
 
--- a/packages/core/src/waves/state.ts
+++ b/packages/core/src/waves/state.ts
@@ -26,10 +26,10 @@
 /** Where a wave stands, for operators. */
 export type WaveStatus = 'active' | 'ending' | 'done' | 'incomplete';
 
-/** The status of a wave at an instant of the platform's clock. */
-export function getWaveStatus(wave: Wave, logTime: Instant): WaveStatus {
+/** The status of a wave at an instant of the platform's clock. Hosts that wait and have left its pool do not count. */
+export function getWaveStatus(fleet: FleetState, wave: Wave, logTime: Instant): WaveStatus {
 	const hasOut = wave.hosts.some(host => host.state === 'out');
-	const hasWaiting = wave.hosts.some(host => host.state === 'waiting');
+	const hasWaiting = listWaitingHosts(fleet, wave).length > 0;
 	const isClosed = wave.isCancelled || logTime >= wave.body.finishBy;
 	if (hasWaiting && !isClosed) {
 		return 'active';
@@ -39,12 +39,17 @@
 		return isClosed ? 'ending' : 'active';
 	}
 
-	return wave.hosts.every(host => host.state === 'rebooted') ? 'done' : 'incomplete';
+	const isDone = wave.hosts.every(host => host.state === 'rebooted' || hasLeft(fleet, wave, host));
+	return isDone ? 'done' : 'incomplete';
 }
 
 /** The hosts of a wave that may still be taken out. */
 export function listWaitingHosts(fleet: FleetState, wave: Wave): HostId[] {
 	return wave.hosts
-		.filter(host => host.state === 'waiting' && fleet.hosts.get(host.hostId)?.pool === wave.body.pool)
+		.filter(host => host.state === 'waiting' && !hasLeft(fleet, wave, host))
 		.map(host => host.hostId);
 }
+
+function hasLeft(fleet: FleetState, wave: Wave, {hostId, state}: WaveHost): boolean {
+	return state === 'waiting' && fleet.hosts.get(hostId)?.pool !== wave.body.pool;
+}
--- a/packages/daemon/src/http/maintenance-view.ts
+++ b/packages/daemon/src/http/maintenance-view.ts
@@ -32,7 +32,7 @@
 		waves: [...fleet.waves.values()].map(wave => ({
 			waveId: wave.body.waveId,
 			pool: wave.body.pool,
-			status: getWaveStatus(wave, estimateLogTime(state)),
+			status: getWaveStatus(fleet, wave, estimateLogTime(state)),
 			hosts: wave.hosts,
 			isCancelled: wave.isCancelled,
 		})),
