--- a/packages/bench/src/mixed-run/main.ts
+++ b/packages/bench/src/mixed-run/main.ts
@@ -14,6 +14,7 @@
 };
 
 const badCommandCode = 2;
+const interruptedCode = 130;
 
 function tell(text: string): void {
 	process.stdout.write(`${new Date().toISOString().slice(11, 23)}  ${text}\n`);
@@ -69,6 +70,13 @@
 	process.exitCode = isKept ? 0 : 1;
 }
 
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+	process.on(signal, () => {
+		process.stdout.write(`ended by ${signal}; nothing is judged\n`);
+		process.exit(interruptedCode);
+	});
+}
+
 sade('mixed-run', true)
 	.describe('Runs a fleet of real processes under a schedule of faults drawn from a seed, and judges the promises.')
 	.option('--seed', 'Seed of the schedule and of all work', 1)
--- a/packages/bench/src/mixed-run/operator.ts
+++ b/packages/bench/src/mixed-run/operator.ts
@@ -72,7 +72,9 @@
 	}
 }
 
+/** Holds no process open. */
 async function giveUp(timeoutMs: number): Promise<undefined> {
-	await sleep(timeoutMs);
-	return undefined;
+	return new Promise(resolve => {
+		setTimeout(resolve, timeoutMs).unref();
+	});
 }
--- a/packages/bench/src/mixed-run/verdict.ts
+++ b/packages/bench/src/mixed-run/verdict.ts
@@ -14,6 +14,7 @@
 /** All that is known at the end of a run. */
 export type Evidence = {
 	readonly journal: Journal;
+	readonly calmTailMs: number;
 	readonly targetLedgers: readonly HostLedger[];
 	readonly platformLedger: readonly PlatformLedgerEntry[];
 	/** The fleet state of every entry host after the calm tail; undefined if it did not answer. */
