--- a/packages/bench/src/mixed-run/operator.ts
+++ b/packages/bench/src/mixed-run/operator.ts
@@ -74,7 +74,8 @@
 
 /** Holds no process open. */
 async function giveUp(timeoutMs: number): Promise<undefined> {
-	return new Promise(resolve => {
+	await new Promise<void>(resolve => {
 		setTimeout(resolve, timeoutMs).unref();
 	});
+	return undefined;
 }
