--- a/packages/bench/src/mixed-run/mixed-run.ts
+++ b/packages/bench/src/mixed-run/mixed-run.ts
@@ -7,7 +7,7 @@
 import type {FaultTable} from './fault-kinds.js';
 import {runSchedule} from './fault-run.js';
 import {createShape, firstRecords} from './fleet-shape.js';
-import {Journal} from './journal.js';
+import {Journal, type Leaving} from './journal.js';
 import {LinkFaults} from './link-faults.js';
 import {runOperations} from './operations.js';
 import {Operator, readFleet} from './operator.js';
@@ -40,6 +40,9 @@
 	/** Kinds of faults that were never applied. */
 	readonly neverApplied: readonly string[];
 	readonly remarks: readonly string[];
+	/** For a look behind the verdicts. */
+	readonly platformLedger: readonly PlatformLedgerEntry[];
+	readonly leavings: readonly Leaving[];
 };
 
 const publishTimeoutMs = 30_000;
@@ -60,6 +63,8 @@
 			counts: Object.fromEntries([...journal.counts].toSorted(([a], [b]) => a.localeCompare(b))),
 			neverApplied: Object.keys(options.table).filter(kind => !journal.counts.has(kind)),
 			remarks: journal.remarks,
+			platformLedger: evidence.platformLedger,
+			leavings: journal.leavings,
 		};
 	} finally {
 		await fleet.stop();
--- a/packages/bench/src/mixed-run/platform-verdicts.ts
+++ b/packages/bench/src/mixed-run/platform-verdicts.ts
@@ -18,13 +18,15 @@
 
 /** Workers that are out of service by plan, as the ledger goes on. */
 class Outages {
-	readonly out = new Set<string>();
+	/** The drain that took each of them out. */
+	readonly out = new Map<string, PlatformLedgerEntry>();
 	readonly failedAt = new Map<string, number>();
 	readonly pools = new Map<string, string>(workers.map(worker => [worker.hostId, guardedPool]));
 
-	note({event, hostId, pool, at}: PlatformLedgerEntry): void {
+	note(entry: PlatformLedgerEntry): void {
+		const {event, hostId, pool, at} = entry;
 		if (event === 'drain-started') {
-			this.out.add(hostId);
+			this.out.set(hostId, entry);
 		} else if (event === 'undrained' || (event === 'drain-failed' && !this.failedAt.has(hostId))) {
 			this.out.delete(hostId);
 		} else if (event === 'worker-failed') {
@@ -36,9 +38,17 @@
 		}
 	}
 
+	/** The hosts that are out, each with the drain that took it out, in words. */
+	describeOut(): string {
+		return this.listOut().map(hostId => {
+			const {operationId, at} = this.out.get(hostId)!;
+			return `${operationId} since ${formatTime(at)}`;
+		}).join(', ');
+	}
+
 	/** Hosts of the guarded pool that are out. */
 	listOut(): string[] {
-		return [...this.out].filter(hostId => this.pools.get(hostId) === guardedPool);
+		return [...this.out.keys()].filter(hostId => this.pools.get(hostId) === guardedPool);
 	}
 }
 
@@ -56,7 +66,7 @@
 		};
 		const isOver = counts.all > guardedBudget.maximumHostsOut || counts.zone > guardedBudget.maximumHostsOutPerZone || counts.rack > guardedBudget.maximumHostsOutPerRack;
 		if (isOver && entry.event === 'drain-started') {
-			cases.push(`${formatTime(entry.at)} ${entry.operationId ?? ''}: ${outages.listOut().join(', ')} are out`);
+			cases.push(`${formatTime(entry.at)} ${outages.describeOut()}`);
 		}
 
 		most.all = Math.max(most.all, counts.all);
