--- a/packages/bench/src/mixed-run/platform-verdicts.ts
+++ b/packages/bench/src/mixed-run/platform-verdicts.ts
@@ -18,13 +18,21 @@
 
 /** Workers that are out of service by plan, as the ledger goes on. */
 class Outages {
+	static create({releasedAt}: Evidence): Outages {
+		return new Outages(releasedAt);
+	}
+
 	/** The drain that took each of them out. */
 	readonly out = new Map<string, PlatformLedgerEntry>();
 	readonly failedAt = new Map<string, number>();
 	readonly pools = new Map<string, string>(workers.map(worker => [worker.hostId, guardedPool]));
+	private at = 0;
+
+	private constructor(private readonly releasedAt: Evidence['releasedAt']) {}
 
 	note(entry: PlatformLedgerEntry): void {
 		const {event, hostId, pool, at} = entry;
+		this.at = at;
 		if (event === 'drain-started') {
 			this.out.set(hostId, entry);
 		} else if (event === 'undrained' || (event === 'drain-failed' && !this.failedAt.has(hostId))) {
@@ -48,12 +56,18 @@
 
 	/** Hosts of the guarded pool that are out. */
 	listOut(): string[] {
-		return [...this.out.keys()].filter(hostId => this.pools.get(hostId) === guardedPool);
+		return [...this.out.keys()].filter(hostId => this.pools.get(hostId) === guardedPool && !this.isReleased(hostId));
+	}
+
+	private isReleased(hostId: string): boolean {
+		const [chainId = ''] = this.out.get(hostId)?.operationId?.split('.drain.') ?? [];
+		return (this.releasedAt.get(chainId) ?? Number.POSITIVE_INFINITY) <= this.at;
 	}
 }
 
-function judgeMostOut({platformLedger}: Evidence): Verdict {
-	const outages = new Outages();
+function judgeMostOut(evidence: Evidence): Verdict {
+	const {platformLedger} = evidence;
+	const outages = Outages.create(evidence);
 	const cases: string[] = [];
 	const most = {all: 0, zone: 0, rack: 0};
 	for (const entry of platformLedger) {
@@ -82,8 +96,9 @@
 	return Math.max(0, ...[...sortIntoGroups(names, name => name).values()].map(group => group.length));
 }
 
-function judgeLeastHealthy({platformLedger}: Evidence): Verdict {
-	const outages = new Outages();
+function judgeLeastHealthy(evidence: Evidence): Verdict {
+	const {platformLedger} = evidence;
+	const outages = Outages.create(evidence);
 	const cases: string[] = [];
 	let least = workers.length;
 	for (const entry of platformLedger) {
@@ -104,8 +119,9 @@
 	return createVerdict('no drain begins that leaves fewer healthy hosts than the pool must keep', `least ${least}, to keep ${guardedBudget.minimumHealthyHosts}`, cases);
 }
 
-function judgeOnePool({states, platformLedger}: Evidence): Verdict {
-	const outages = new Outages();
+function judgeOnePool(evidence: Evidence): Verdict {
+	const {states, platformLedger} = evidence;
+	const outages = Outages.create(evidence);
 	for (const entry of platformLedger) {
 		outages.note(entry);
 	}
--- a/packages/bench/src/mixed-run/verdict.ts
+++ b/packages/bench/src/mixed-run/verdict.ts
@@ -17,6 +17,8 @@
 	readonly calmTailMs: number;
 	readonly targetLedgers: readonly HostLedger[];
 	readonly platformLedger: readonly PlatformLedgerEntry[];
+	/** When the log has that a host was released by the pool it leaves, by the operation id of its move. Its drain then no longer counts against that pool. */
+	readonly releasedAt: ReadonlyMap<string, number>;
 	/** The fleet state of every entry host after the calm tail; undefined if it did not answer. */
 	readonly states: ReadonlyArray<{readonly hostId: string; readonly state: FleetAnswer | undefined}>;
 	readonly samples: number;
