--- a/packages/bench/src/mixed-run/journal.ts
+++ b/packages/bench/src/mixed-run/journal.ts
@@ -48,3 +48,8 @@
 export function isOverlapping(a: Window, b: Window): boolean {
 	return a.from <= b.to && b.from <= a.to;
 }
+
+/** An instant as the time of day, as log lines show it. */
+export function formatTime(at: number): string {
+	return Number.isFinite(at) ? new Date(at).toISOString().slice(11, 23) : 'the end';
+}
--- a/packages/bench/src/mixed-run/mixed-run.ts
+++ b/packages/bench/src/mixed-run/mixed-run.ts
@@ -7,11 +7,13 @@
 import type {FaultTable} from './fault-kinds.js';
 import {runSchedule} from './fault-run.js';
 import {createShape, firstRecords} from './fleet-shape.js';
+import {judgeJobs, listUnendedJobs} from './job-verdicts.js';
 import {Journal, type Leaving} from './journal.js';
 import {LinkFaults} from './link-faults.js';
 import {runOperations} from './operations.js';
 import {Operator, readFleet} from './operator.js';
-import {judgePlatform, listUnendedJobs} from './platform-verdicts.js';
+import {judgePlatform} from './platform-verdicts.js';
+import {readPlatformLedger, readReleases} from './platform-records.js';
 import {judgeRequests} from './request-verdicts.js';
 import type {PlannedFault} from './schedule.js';
 import {inForceBoundMs, judgeStates} from './state-verdicts.js';
@@ -45,8 +47,6 @@
 	readonly leavings: readonly Leaving[];
 };
 
-type LogPage = {readonly records: ReadonlyArray<{readonly at: number; readonly record: {readonly schema: string; readonly body: {readonly operationId?: string}}}>};
-
 const publishTimeoutMs = 30_000;
 const pollMs = 500;
 const lastCallMs = 5000;
@@ -60,7 +60,7 @@
 		const evidence = await runStages(fleet, options);
 		const {journal} = evidence;
 		return {
-			verdicts: [...judgeRequests(evidence), ...judgeStates(evidence), ...judgePlatform(evidence)],
+			verdicts: [...judgeRequests(evidence), ...judgeStates(evidence), ...judgePlatform(evidence), ...judgeJobs(evidence)],
 			load: summarizeLoad(journal.outcomes),
 			counts: Object.fromEntries([...journal.counts].toSorted(([a], [b]) => a.localeCompare(b))),
 			neverApplied: Object.keys(options.table).filter(kind => !journal.counts.has(kind)),
@@ -166,29 +166,3 @@
 		return undefined;
 	}
 }
-
-async function readPlatformLedger(fleet: LocalFleet): Promise<readonly PlatformLedgerEntry[]> {
-	const answer = await fleet.callPlatform('GET', '/v1/control/ledger') as {readonly entries: readonly PlatformLedgerEntry[]};
-	return answer.entries;
-}
-
-/** When each move's host was released by its pool, from the log. */
-async function readReleases(fleet: LocalFleet): Promise<Map<string, number>> {
-	const releasedAt = new Map<string, number>();
-	let from = 0;
-	let page: LogPage;
-	do {
-		// eslint-disable-next-line no-await-in-loop
-		page = await fleet.callPlatform('GET', `/v1/streams/fleet/records?from=${from}&limit=1000`) as LogPage;
-		for (const {at, record} of page.records) {
-			const operationId = record.schema === 'move-released' ? record.body.operationId : undefined;
-			if (operationId !== undefined && !releasedAt.has(operationId)) {
-				releasedAt.set(operationId, at);
-			}
-		}
-
-		from += page.records.length;
-	} while (page.records.length > 0);
-
-	return releasedAt;
-}
--- a/packages/bench/src/mixed-run/platform-verdicts.ts
+++ b/packages/bench/src/mixed-run/platform-verdicts.ts
@@ -1,68 +1,16 @@
-/** Verdicts on pools, waves and jobs, by the platform's own ledger. */
-import type {PlatformLedgerEntry} from '@rhubarblever/stand-ins';
-import type {Journal} from './journal.js';
-import type {FleetAnswer} from './operator.js';
+/** Verdicts on pools and waves, by the platform's own ledger. */
 import {guardedBudget, guardedPool, workers} from './fleet-shape.js';
-import {formatTime} from './request-verdicts.js';
+import {formatTime} from './journal.js';
+import {Outages} from './outages.js';
 import {sortIntoGroups} from './groups.js';
 import {createVerdict, type Evidence, type Verdict} from './verdict.js';
 
 /** A failed worker is known to all planners so long after. */
 const failureNewsMs = 5000;
-const endedSteps = new Set(['succeeded', 'failed', 'cancelled', 'parked']);
 
 /** All verdicts by the platform's ledger. */
 export function judgePlatform(evidence: Evidence): Verdict[] {
-	return [judgeMostOut(evidence), judgeLeastHealthy(evidence), judgeOnePool(evidence), judgeCuts(evidence), judgeWaves(evidence), ...judgeJobs(evidence)];
-}
-
-/** Workers that are out of service by plan, as the ledger goes on. */
-class Outages {
-	static create({releasedAt}: Evidence): Outages {
-		return new Outages(releasedAt);
-	}
-
-	/** The drain that took each of them out. */
-	readonly out = new Map<string, PlatformLedgerEntry>();
-	readonly failedAt = new Map<string, number>();
-	readonly pools = new Map<string, string>(workers.map(worker => [worker.hostId, guardedPool]));
-	private at = 0;
-
-	private constructor(private readonly releasedAt: Evidence['releasedAt']) {}
-
-	note(entry: PlatformLedgerEntry): void {
-		const {event, hostId, pool, at} = entry;
-		this.at = at;
-		if (event === 'drain-started') {
-			this.out.set(hostId, entry);
-		} else if (event === 'undrained' || (event === 'drain-failed' && !this.failedAt.has(hostId))) {
-			this.out.delete(hostId);
-		} else if (event === 'worker-failed') {
-			this.failedAt.set(hostId, at);
-		} else if (event === 'worker-healed') {
-			this.failedAt.delete(hostId);
-		} else if (event === 'pool-set' && pool !== undefined) {
-			this.pools.set(hostId, pool);
-		}
-	}
-
-	/** The hosts that are out, each with the drain that took it out, in words. */
-	describeOut(): string {
-		return this.listOut().map(hostId => {
-			const {operationId, at} = this.out.get(hostId)!;
-			return `${operationId} since ${formatTime(at)}`;
-		}).join(', ');
-	}
-
-	/** Hosts of the guarded pool that are out. */
-	listOut(): string[] {
-		return [...this.out.keys()].filter(hostId => this.pools.get(hostId) === guardedPool && !this.isReleased(hostId));
-	}
-
-	private isReleased(hostId: string): boolean {
-		const [chainId = ''] = this.out.get(hostId)?.operationId?.split('.drain.') ?? [];
-		return (this.releasedAt.get(chainId) ?? Number.POSITIVE_INFINITY) <= this.at;
-	}
+	return [judgeMostOut(evidence), judgeLeastHealthy(evidence), judgeOnePool(evidence), judgeCuts(evidence), judgeWaves(evidence)];
 }
 
 function judgeMostOut(evidence: Evidence): Verdict {
@@ -158,26 +106,3 @@
 		waves.filter(({status}) => status !== 'done').map(({waveId, status, hosts}) => `${waveId} is ${status}: ${describeLeft(hosts)}`),
 	);
 }
-
-/** Accepted jobs that have not ended, or are unknown to the fleet. */
-export function listUnendedJobs(journal: Journal, {jobs}: FleetAnswer): string[] {
-	const ended = new Set(jobs.filter(({step}) => endedSteps.has(step)).map(({jobId}) => jobId));
-	return [...journal.jobs.keys()].filter(jobId => !ended.has(jobId));
-}
-
-function judgeJobs({journal, states, platformLedger}: Evidence): Verdict[] {
-	const starts = sortIntoGroups(platformLedger.filter(({event}) => event === 'task-started'), ({taskId}) => taskId);
-	const state = states.find(candidate => candidate.state)?.state;
-	const steps = new Map(state?.jobs.map(({jobId, step}) => [jobId, step]));
-	const unended = state ? listUnendedJobs(journal, state) : [...journal.jobs.keys()];
-	const tooOften = [...journal.jobs].filter(([jobId, allowedRuns]) => (starts.get(jobId)?.length ?? 0) > allowedRuns);
-	const counts = [...sortIntoGroups(steps.values(), step => step)].map(([step, group]) => `${step} ${group.length}`).join(', ');
-	return [
-		createVerdict('every accepted job ends', `${journal.jobs.size} accepted; ${counts}`, unended.map(jobId => `${jobId} is ${steps.get(jobId) ?? 'gone'}`)),
-		createVerdict(
-			'no job starts more often than it may',
-			`${[...starts.values()].flat().length} starts`,
-			tooOften.map(([jobId, allowedRuns]) => `${jobId}: ${starts.get(jobId)?.map(({at, hostId, attempt}) => `${attempt} on ${hostId} at ${formatTime(at)}`).join(', ')}; allowed ${allowedRuns}`),
-		),
-	];
-}
--- a/packages/bench/src/mixed-run/request-verdicts.ts
+++ b/packages/bench/src/mixed-run/request-verdicts.ts
@@ -1,19 +1,18 @@
 /** Verdicts on callers' requests, by what callers saw and by the targets' ledgers. */
 import type {LoadOutcome} from '@rhubarblever/stand-ins';
-import {isOverlapping, type Leaving} from './journal.js';
+import {formatTime, isOverlapping} from './journal.js';
+import {judgeLeaving} from './leaving-verdict.js';
+import {listStarts, type Start} from './starts.js';
 import {sortIntoGroups} from './groups.js';
 import {createVerdict, type Evidence, type Verdict} from './verdict.js';
 
 /** A call may be answered so long after its deadline. */
 const answerMarginMs = 2000;
-const leavingNewsMs = 5000;
 /** After healing, requests are judged from then on. */
 const settleMs = 10_000;
 const leastGoodShare = 0.95;
 const shortestJudgedTailMs = 20_000;
 
-type Start = {readonly requestId: string; readonly attemptId: string; readonly startedAt: number; readonly hostId: string};
-
 /** All verdicts on requests. */
 export function judgeRequests(evidence: Evidence): Verdict[] {
 	const starts = listStarts(evidence);
@@ -28,21 +27,10 @@
 	];
 }
 
-function listStarts({targetLedgers}: Evidence): Start[] {
-	return targetLedgers.flatMap(({hostId, entries}) => entries.map(({requestId, attemptId, startedAt}) => ({
-		requestId, attemptId, startedAt, hostId,
-	})));
-}
-
 function describeOutcome({planned, result, reason, entryHost, sentAt, endedAt}: LoadOutcome): string {
 	return `${planned.requestId} ${planned.service} ${planned.workClass} ${result} (${reason}) at ${entryHost}, sent ${formatTime(sentAt)}, ended ${formatTime(endedAt)}`;
 }
 
-/** An instant as the time of day, as log lines show it. */
-export function formatTime(at: number): string {
-	return Number.isFinite(at) ? new Date(at).toISOString().slice(11, 23) : 'the end';
-}
-
 /** Outcomes by request id; repeats of an id stand together. */
 function sortById(outcomes: readonly LoadOutcome[]): Map<string, LoadOutcome[]> {
 	return sortIntoGroups(outcomes, ({planned}) => planned.requestId);
@@ -96,31 +84,6 @@
 	);
 }
 
-function judgeLeaving(evidence: Evidence, starts: readonly Start[]): Verdict {
-	const {journal: {leavings}} = evidence;
-	const cases = leavings.flatMap(leaving => {
-		const newsBy = findNews(evidence, leaving) + leavingNewsMs;
-		const since = starts.filter(start => start.hostId === leaving.hostId && start.startedAt > leaving.from && start.startedAt < leaving.to);
-		const isLate = since.some(start => start.startedAt > newsBy);
-		const listed = since.map(({requestId, attemptId, startedAt}) => `${requestId} (attempt ${attemptId}) at ${formatTime(startedAt)}`);
-		return isLate ? [`${leaving.hostId} (${leaving.how}) since ${formatTime(leaving.from)}, news by ${formatTime(newsBy)}; all starts since: ${listed.join(', ')}`] : [];
-	});
-	const note = 'from the first time that the platform or an answer of the target could tell it';
-	return createVerdict(`a leaving target gets no start later than ${leavingNewsMs} ms`, `${leavings.length} leavings, ${note}`, cases);
-}
-
-/** When the first entry host could know: at the target's first answer, or from the platform, unless it was away just then. */
-function findNews({journal, targetLedgers}: Evidence, {from, to, hostId, how}: Leaving): number {
-	if (how === 'listed') {
-		const young = {from, to: from + leavingNewsMs};
-		const away = journal.platformAway.filter(window => isOverlapping(window, young));
-		return Math.max(from, ...away.map(window => window.to));
-	}
-
-	const answers = targetLedgers.find(ledger => ledger.hostId === hostId)?.entries.flatMap(({endedAt}) => endedAt !== undefined && endedAt > from ? [endedAt] : []) ?? [];
-	return Math.min(to, ...answers);
-}
-
 function judgePlannedStops(evidence: Evidence): Verdict {
 	const {plannedStops, outcomes} = evidence.journal;
 	const badCodes = plannedStops.filter(stop => stop.code !== 0 && !evidence.journal.unexpectedEnds.some(end => end.hostId === stop.hostId && isOverlapping(stop, {from: end.at, to: end.at})));
