Mixed run: starts of jobs whose acceptance got no answer are judged too

Only jobs that the operator was told to be accepted were judged for too many starts; a job whose publish was given up may still be in the log.

--- a/packages/bench/src/mixed-run/job-verdicts.ts
+++ b/packages/bench/src/mixed-run/job-verdicts.ts
@@ -9,7 +9,7 @@
 /** Accepted jobs that have not ended, or are unknown to the fleet. */
 export function listUnendedJobs(journal: Journal, {jobs}: FleetAnswer): string[] {
 	const ended = new Set(jobs.filter(({step}) => endedSteps.has(step)).map(({jobId}) => jobId));
-	return [...journal.jobs.keys()].filter(jobId => !ended.has(jobId));
+	return [...journal.acceptedJobs].filter(jobId => !ended.has(jobId));
 }
 
 /** All verdicts on jobs. */
@@ -17,11 +17,11 @@
 	const starts = sortIntoGroups(platformLedger.filter(({event}) => event === 'task-started'), ({taskId}) => taskId);
 	const state = states.find(candidate => candidate.state)?.state;
 	const steps = new Map(state?.jobs.map(({jobId, step}) => [jobId, step]));
-	const unended = state ? listUnendedJobs(journal, state) : [...journal.jobs.keys()];
-	const tooOften = [...journal.jobs].filter(([jobId, allowedRuns]) => (starts.get(jobId)?.length ?? 0) > allowedRuns);
+	const unended = state ? listUnendedJobs(journal, state) : [...journal.acceptedJobs];
+	const tooOften = [...journal.allowedRuns].filter(([jobId, allowedRuns]) => (starts.get(jobId)?.length ?? 0) > allowedRuns);
 	const counts = [...sortIntoGroups(steps.values(), step => step)].map(([step, group]) => `${step} ${group.length}`).join(', ');
 	return [
-		createVerdict('every accepted job ends', `${journal.jobs.size} accepted; ${counts}`, unended.map(jobId => `${jobId} is ${steps.get(jobId) ?? 'gone'}`)),
+		createVerdict('every accepted job ends', `${journal.acceptedJobs.size} accepted; ${counts}`, unended.map(jobId => `${jobId} is ${steps.get(jobId) ?? 'gone'}`)),
 		createVerdict(
 			'no job starts more often than it may',
 			`${[...starts.values()].flat().length} starts`,
--- a/packages/bench/src/mixed-run/journal.ts
+++ b/packages/bench/src/mixed-run/journal.ts
@@ -27,8 +27,10 @@
 	readonly leavings: Leaving[] = [];
 	readonly unexpectedEnds: UnexpectedEnd[] = [];
 	readonly changes: AcceptedChange[] = [];
-	/** Jobs that were told to be accepted, and their allowed runs. */
-	readonly jobs = new Map<string, number>();
+	/** Allowed runs of all jobs that were sent, whatever became of them. */
+	readonly allowedRuns = new Map<string, number>();
+	/** Jobs that were told to be accepted. */
+	readonly acceptedJobs = new Set<string>();
 	/** Times in which the platform told no host anything. */
 	readonly platformAway: Window[] = [];
 	/** How often each thing was tried. */
--- a/packages/bench/src/mixed-run/operations.ts
+++ b/packages/bench/src/mixed-run/operations.ts
@@ -78,12 +78,16 @@
 	const records = jobs.map(body => ({
 		recordId: `submit-${body.jobId}`, schema: 'job', version: 1, body,
 	}));
+	for (const {jobId, allowedRuns} of jobs) {
+		journal.allowedRuns.set(jobId, allowedRuns);
+	}
+
 	const verdicts = await operator.publish(records, publishTimeoutMs);
 	for (const [index, body] of jobs.entries()) {
 		const verdict = verdicts?.find(({recordId}) => recordId === records[index]!.recordId)?.outcome.verdict;
 		journal.count(`job: ${verdict ?? 'no answer'}`);
 		if (verdict === 'accepted' || verdict === 'repeated') {
-			journal.jobs.set(body.jobId, body.allowedRuns);
+			journal.acceptedJobs.add(body.jobId);
 		}
 	}
 
