--- a/packages/bench/src/waves/trial.ts
+++ b/packages/bench/src/waves/trial.ts
@@ -146,7 +146,7 @@
 			this.step();
 			this.measure();
 			const wave = this.state.fleet.waves.get(waveId);
-			status = wave ? getWaveStatus(wave, this.platform.now as Instant) : status;
+			status = wave ? getWaveStatus(this.state.fleet, wave, this.platform.now as Instant) : status;
 		}
 
 		const {budget} = this.settings.firm;
