Jobs: those that use more than they declare give way, and only they

Cause: on a worker whose tasks want more cores than it has, the planner throttled one task, the newest of the lowest class, to half, once: not the next one if that was not enough, whether or not it kept to its declared size, and never back. A worker with 95% of its memory in use displaced its newest resumable task, also when all kept to what they declare or the task was alone; it was placed there again at once, by its declared size, and so on. A task that is not resumable never gave way.

Now shares follow from the reports alone: tasks beyond what they declare are cut down to that, the lowest class first, and rise again when there is room; a lost call is repeated. In memory, tasks beyond what they declare are checkpointed and stopped, or stopped, and are placed next by what they were seen to use. The stand-in can be told what tasks really are (taskTruths) and notes throttles and checkpoints in its ledger.

A first try placed the stopped task where it had to give way again (three runs instead of two), so placement keeps the margin too.

--- /dev/null
+++ b/packages/bench/src/integration/declared-too-little.test.ts
@@ -0,0 +1,97 @@
+/** Jobs that use 10 times what they declare, in cores, memory and run time: they give way, the lowest class first, and others are not hurt. */
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {waitUntil, type LocalFleet} from '@rhubarblever/stand-ins';
+import {expect} from 'earl';
+import {listRunsOf, readLedger, type LedgerEntry} from './platform-ledger.js';
+import {
+	createJob, createWorkers, settleMs, startWorkerFleet, waitForEnds, waitForStep,
+} from './worker-fleet.js';
+
+type ListedTask = {
+	readonly taskId: string;
+	readonly state: string;
+	readonly throttle: number;
+	readonly usage: {readonly cores: number; readonly memoryBytes: number};
+};
+
+const workerCores = 32;
+const gigabyte = 1e9;
+const honestIds = ['overlay-1', 'overlay-2', 'overlay-3'];
+const largeIds = ['rebuild-batch', 'rebuild-normal'];
+const heavyIds = ['archive-batch', 'archive-normal'];
+
+let fleet: LocalFleet;
+
+async function listRunningTasks(): Promise<readonly ListedTask[]> {
+	const {tasks} = await fleet.callPlatform('GET', '/v1/tasks') as {readonly tasks: readonly ListedTask[]};
+	return tasks.filter(task => task.state === 'running');
+}
+
+function listTasksOf(ledger: readonly LedgerEntry[], event: string): string[] {
+	return [...new Set(ledger.filter(entry => entry.event === event).map(entry => entry.taskId ?? ''))];
+}
+
+describe('jobs that declare 10 times too little', () => {
+	before(async () => {
+		fleet = await startWorkerFleet(createWorkers(1, workerCores));
+		await fleet.callPlatform('PUT', '/v1/control/faults', {
+			reportLagMs: 200,
+			taskTruths: [
+				{taskIdPrefix: 'rebuild-', trueCores: 20, runMs: 3000},
+				{taskIdPrefix: 'archive-', trueMemoryBytes: 20 * gigabyte, runMs: 5000},
+			],
+		});
+	});
+
+	after(async () => {
+		await fleet.stop();
+	});
+
+	it('are throttled, the lowest class first, no further than to what they declare, and get their cores back', async () => {
+		await fleet.publish(honestIds.map(jobId => createJob(jobId, {cores: 4, declaredRunMs: 5000})));
+		await waitForStep(fleet, honestIds, 'running');
+		await fleet.publish(largeIds.map(jobId => createJob(jobId, {cores: 2, declaredRunMs: 300, jobClass: jobId.split('-')[1]})));
+		let tasks: readonly ListedTask[] = [];
+		await waitUntil('the worker\'s tasks want no more cores than it has', async () => {
+			tasks = await listRunningTasks();
+			const cores = tasks.reduce((sum, task) => sum + task.usage.cores, 0);
+			return tasks.length === honestIds.length + largeIds.length && cores <= workerCores;
+		}, settleMs);
+		const shares = new Map(tasks.map(task => [task.taskId, task.throttle]));
+		expect(honestIds.map(jobId => shares.get(jobId))).toEqual([1, 1, 1]);
+		expect(shares.get('rebuild-batch')).toEqual(0.1);
+		expect(shares.get('rebuild-normal') ?? 0).toBeGreaterThan(0.8);
+		await waitForEnds(fleet, honestIds);
+		await waitUntil('the throttled task has its cores back', async () => {
+			const left = await listRunningTasks();
+			return left.every(task => task.throttle > 0.5);
+		}, settleMs);
+		await waitForStep(fleet, [...honestIds, ...largeIds], 'succeeded');
+		const ledger = await readLedger(fleet);
+		expect(listTasksOf(ledger, 'task-throttled').toSorted()).toEqual(largeIds);
+		expect(ledger.filter(entry => entry.event === 'task-started').length).toEqual(honestIds.length + largeIds.length);
+	});
+
+	it('are checkpointed and stopped before the worker\'s memory is full, the lowest class first, and go on once they fit', async () => {
+		const before = await readLedger(fleet);
+		const ids = honestIds.map(jobId => `${jobId}-again`);
+		await fleet.publish([
+			...ids.map(jobId => createJob(jobId, {memoryBytes: 27 * gigabyte, declaredRunMs: 5000})),
+			...heavyIds.map(jobId => createJob(jobId, {
+				memoryBytes: 2 * gigabyte, declaredRunMs: 500, isResumable: true, jobClass: jobId.split('-')[1],
+			})),
+		]);
+		await waitForStep(fleet, [...ids, ...heavyIds], 'succeeded');
+		const ledger = await readLedger(fleet);
+		const since = ledger.slice(before.length);
+		expect(listTasksOf(since, 'task-out-of-memory')).toEqual([]);
+		expect(listTasksOf(since, 'task-checkpointed')).toEqual(['archive-batch']);
+		expect(listTasksOf(since, 'task-stopped')).toEqual(['archive-batch']);
+		expect(listRunsOf(since, 'archive-batch').map(run => run.end)).toEqual(['task-stopped', 'task-succeeded']);
+		for (const jobId of [...ids, 'archive-normal']) {
+			expect(listRunsOf(since, jobId).map(run => run.end)).toEqual(['task-succeeded']);
+		}
+	});
+});
--- a/packages/core/src/jobs/handlers.ts
+++ b/packages/core/src/jobs/handlers.ts
@@ -13,6 +13,8 @@
 import {
 	getJobLeaseMs, listRunning, runJobs, type RunningJob,
 } from './runner.js';
+import {isEnded} from './state.js';
+import {doesFit, estimateSize, noteUse} from './use.js';
 
 const listIntervalMs = 250;
 const runIntervalMs = 100;
@@ -24,6 +26,7 @@
 	'tasks/listed'(state, event) {
 		state.jobRunner.tasks = event.tasks;
 		state.jobRunner.tasksAt = event.at;
+		noteUse(state);
 		return [];
 	},
 	'task/start-answered'(state, event) {
@@ -79,7 +82,7 @@
 	runner.plannedOffset = state.fleet.nextOffset;
 	runner.nextPlanAt = addMilliseconds(state.now, planAgainMs);
 	const capacities = listCapacities(state);
-	const plan = planPlacements(state.fleet, capacities, estimateLogTime(state));
+	const plan = planPlacements(state.fleet, capacities, state.jobRunner.seenMemory, estimateLogTime(state));
 	return [
 		...publishPlan(state, plan, term),
 		...unparkJobs(state, capacities, term),
@@ -91,7 +94,7 @@
 
 /** Forgets what this host noted of jobs that no longer run, and of records that were read back. */
 function expireNotes(state: State): void {
-	const {starts, displaced, stopAgainAt, proposals} = state.jobRunner;
+	const {starts, displaced, stopAgainAt, seenMemory, proposals} = state.jobRunner;
 	for (const notes of [starts, displaced, stopAgainAt]) {
 		for (const jobId of notes.keys()) {
 			if (!state.fleet.jobs.jobs.get(jobId)?.current) {
@@ -100,6 +103,13 @@
 		}
 	}
 
+	for (const jobId of seenMemory.keys()) {
+		const job = state.fleet.jobs.jobs.get(jobId);
+		if (!job || isEnded(job)) {
+			seenMemory.delete(jobId);
+		}
+	}
+
 	for (const [subject, recordId] of proposals) {
 		if (!state.log.pending.has(recordId)) {
 			proposals.delete(subject);
@@ -121,8 +131,8 @@
 function unparkJobs(state: State, capacities: readonly WorkerCapacity[], term: number): Effect[] {
 	return [...state.fleet.jobs.jobs.values()]
 		.filter(job => job.step === 'parked' && !hasProposal(state, job.body.jobId))
-		.filter(({body}) => capacities.some(({worker, cores, memoryBytes, accelerators}) =>
-			state.fleet.hosts.get(worker)?.pool === body.pool && body.cores <= cores && body.memoryBytes <= memoryBytes && body.accelerators <= accelerators))
+		.filter(job => capacities.some(capacity =>
+			state.fleet.hosts.get(capacity.worker)?.pool === job.body.pool && doesFit(estimateSize(job, state.jobRunner.seenMemory), capacity)))
 		.flatMap(({body}) => publishJobRecord(state, body.jobId, 'job-park', {jobId: body.jobId, term}));
 }
 
--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -1,10 +1,13 @@
 /** Chooses workers for waiting jobs: urgent first, then fair between teams, each on the worker that it fits most tightly. */
 import type {FleetState} from '../fleet/state.js';
-import type {HostId, TeamId} from '../types/ids.js';
+import type {HostId, JobId, TeamId} from '../types/ids.js';
 import type {Instant} from '../types/time.js';
 import {jobClasses} from './bodies.js';
 import {hasRunLeft, sumHeld} from './judge.js';
 import type {Job} from './state.js';
+import {
+	doesFit, estimateSize, fullMemoryShare, type JobSize,
+} from './use.js';
 
 /** What a worker declares, and what its tasks were last reported to use. */
 export type WorkerCapacity = {
@@ -39,14 +42,15 @@
 };
 
 /** Plans the next attempts of all waiting jobs. */
-export function planPlacements(fleet: FleetState, capacities: readonly WorkerCapacity[], now: Instant): PlacementPlan {
+export function planPlacements(fleet: FleetState, capacities: readonly WorkerCapacity[], seenMemory: ReadonlyMap<JobId, number>, now: Instant): PlacementPlan {
 	const rooms = buildRooms(fleet, capacities, now);
 	const held = new Map<TeamId, {cores: number; accelerators: number}>();
 	const placements: Placement[] = [];
 	const unplaceable: Array<{job: Job; reason: string}> = [];
 	const crowdedOut: Job[] = [];
 	for (const job of sortWaiting(fleet)) {
-		const reason = describeMisfit(fleet, capacities, job);
+		const size = estimateSize(job, seenMemory);
+		const reason = describeMisfit(fleet, capacities, job, size);
 		if (reason !== undefined) {
 			unplaceable.push({job, reason});
 			continue;
@@ -58,9 +62,9 @@
 			continue;
 		}
 
-		const room = chooseRoom(fleet, rooms, job);
+		const room = chooseRoom(fleet, rooms, job, size);
 		if (room) {
-			takeRoom(room, job);
+			takeRoom(room, size);
 			teamHeld.cores += job.body.cores;
 			teamHeld.accelerators += job.body.accelerators;
 			placements.push({job, worker: room.worker});
@@ -94,17 +98,13 @@
 }
 
 /** Why no worker of the pool could ever hold a job, or nothing. A pool without known workers says nothing. */
-function describeMisfit(fleet: FleetState, capacities: readonly WorkerCapacity[], job: Job): string | undefined {
-	const ofPool = capacities.filter(({worker}) => fleet.hosts.get(worker)?.pool === job.body.pool);
-	if (ofPool.length === 0 || ofPool.some(capacity => fits(job, capacity))) {
+function describeMisfit(fleet: FleetState, capacities: readonly WorkerCapacity[], {body}: Job, size: JobSize): string | undefined {
+	const ofPool = capacities.filter(({worker}) => fleet.hosts.get(worker)?.pool === body.pool);
+	if (ofPool.length === 0 || ofPool.some(capacity => doesFit(size, capacity))) {
 		return undefined;
 	}
 
-	return `no worker of pool ${job.body.pool} has ${job.body.cores} cores, ${job.body.memoryBytes} bytes of memory and ${job.body.accelerators} accelerators`;
-}
-
-function fits(job: Job, room: {readonly cores: number; readonly memoryBytes: number; readonly accelerators: number}): boolean {
-	return job.body.cores <= room.cores && job.body.memoryBytes <= room.memoryBytes && job.body.accelerators <= room.accelerators;
+	return `no worker of pool ${body.pool} has ${size.cores} cores, ${size.memoryBytes} bytes of memory and ${size.accelerators} accelerators`;
 }
 
 function buildRooms(fleet: FleetState, capacities: readonly WorkerCapacity[], now: Instant): Room[] {
@@ -140,10 +140,10 @@
 }
 
 /** The room that a job fits most tightly; workers on which it failed come last. */
-function chooseRoom(fleet: FleetState, rooms: readonly Room[], job: Job): Room | undefined {
+function chooseRoom(fleet: FleetState, rooms: readonly Room[], job: Job, size: JobSize): Room | undefined {
 	const ofPool = rooms.filter(room => fleet.hosts.get(room.worker)?.pool === job.body.pool);
 	const allowance = computeAllowance(ofPool, job);
-	const fitting = ofPool.filter(room => fits(job, room));
+	const fitting = ofPool.filter(room => doesFit(size, room) && hasMargin(room, job, size));
 	if (job.body.jobClass !== 'urgent' && job.body.cores > allowance) {
 		return undefined;
 	}
@@ -154,6 +154,13 @@
 		|| a.cores - b.cores).at(0);
 }
 
+/** A job that was seen to use more memory than it declares is placed only where it would not have to give way again. */
+function hasMargin({capacity, memoryBytes}: Room, {body}: Job, size: JobSize): boolean {
+	const isEmpty = memoryBytes === capacity.memoryBytes;
+	const margin = capacity.memoryBytes * (1 - fullMemoryShare);
+	return size.memoryBytes <= body.memoryBytes || isEmpty || memoryBytes - size.memoryBytes >= margin;
+}
+
 /** Cores that jobs other than urgent ones may still take in a pool; a single worker keeps no reserve. */
 function computeAllowance(rooms: readonly Room[], job: Job): number {
 	const all = rooms.reduce((sum, room) => sum + room.capacity.cores, 0);
@@ -162,8 +169,8 @@
 	return free - reserve;
 }
 
-function takeRoom(room: Room, job: Job): void {
-	room.cores -= job.body.cores;
-	room.memoryBytes -= job.body.memoryBytes;
-	room.accelerators -= job.body.accelerators;
+function takeRoom(room: Room, size: JobSize): void {
+	room.cores -= size.cores;
+	room.memoryBytes -= size.memoryBytes;
+	room.accelerators -= size.accelerators;
 }
--- a/packages/core/src/jobs/relief.ts
+++ b/packages/core/src/jobs/relief.ts
@@ -1,19 +1,19 @@
 /** Makes room: for urgent jobs, on workers that leave, and where tasks use more than a worker has. */
 import type {Effect} from '../types/effects.js';
+import type {HostId} from '../types/ids.js';
 import type {State} from '../types/state.js';
-import {jobClasses} from './bodies.js';
+import {hasRunLeft} from './judge.js';
 import type {WorkerCapacity} from './placement.js';
-import {displaceTask, type RunningJob} from './runner.js';
+import {compareLowestFirst, displaceTask, type RunningJob} from './runner.js';
 import type {Job} from './state.js';
-
-const throttleShare = 0.5;
-/** Tasks give way before a worker's memory is full, since a full one fails them. */
-const fullMemoryShare = 0.95;
+import {throttleWorker} from './throttle.js';
+import {fullMemoryShare, getUsedMemory, isOverMemory} from './use.js';
 
 /** Resumable tasks on hosts that are out by plan give way at once, so that a drain need not wait for them. */
 export function clearLeavingWorkers(state: State, running: readonly RunningJob[]): Effect[] {
 	return running
-		.filter(({current, task}) => task?.state === 'running' && state.fleet.hosts.get(current.worker)?.chain !== undefined)
+		.filter(({job, current, task}) =>
+			job.body.isResumable && task?.state === 'running' && state.fleet.hosts.get(current.worker)?.chain !== undefined)
 		.flatMap(item => displaceTask(state, item));
 }
 
@@ -30,28 +30,56 @@
 	});
 }
 
-/** Throttles or displaces where the reported use passes what a worker has, the lowest class first. */
+/** Throttles or displaces where the reported use passes what a worker has. */
 export function relieveWorkers(state: State, running: readonly RunningJob[], capacities: readonly WorkerCapacity[]): Effect[] {
-	return capacities.flatMap(capacity => {
-		const lowest = running.filter(item => item.current.worker === capacity.worker && item.task?.state === 'running').toSorted(compareLowestFirst).at(0);
-		if (!lowest) {
-			return [];
-		}
+	const byWorker = new Map<HostId, RunningJob[]>();
+	for (const item of running.filter(({task}) => task?.state === 'running')) {
+		const {worker} = item.current;
+		byWorker.set(worker, [...byWorker.get(worker) ?? [], item]);
+	}
 
-		if (capacity.usedMemoryBytes > capacity.memoryBytes * fullMemoryShare) {
-			return displaceTask(state, lowest);
+	return capacities.flatMap(({worker, cores, memoryBytes}) => {
+		const onWorker = byWorker.get(worker) ?? [];
+		return [...relieveMemory(state, onWorker, memoryBytes), ...throttleWorker(onWorker, cores)];
+	});
+}
+
+/** As many tasks give way as bring a worker's memory below its limit. Where all use what they declare, or one is alone, none needs to. */
+function relieveMemory(state: State, onWorker: readonly RunningJob[], memoryBytes: number): Effect[] {
+	if (onWorker.length < 2 || !onWorker.some(item => isOverMemory(item))) {
+		return [];
+	}
+
+	const effects: Effect[] = [];
+	let excess = sumOf(onWorker, getUsedMemory) - (memoryBytes * fullMemoryShare);
+	for (const item of listInOrderOfRelief(onWorker)) {
+		if (excess <= 0) {
+			break;
 		}
 
-		return capacity.usedCores > capacity.cores ? throttleTask(lowest) : [];
-	});
+		excess -= getUsedMemory(item);
+		effects.push(...displaceTask(state, item));
+	}
+
+	return effects;
 }
 
-function throttleTask({job, current, task}: RunningJob): Effect[] {
-	return job.body.jobClass === 'urgent' || task === undefined || task.throttle <= throttleShare
-		? []
-		: [{
-			type: 'task/throttle', jobId: job.body.jobId, attempt: current.attempt, share: throttleShare,
-		}];
+/**
+ * Tasks beyond what they declare, those that lose least by a stop first, then the lowest class first.
+ * Others give way only to urgent ones beyond what they declare, and only if they lose no run.
+ */
+function listInOrderOfRelief(onWorker: readonly RunningJob[]): RunningJob[] {
+	const isUrgent = (item: RunningJob) => item.job.body.jobClass === 'urgent';
+	const hasUrgentOver = onWorker.some(item => isUrgent(item) && isOverMemory(item));
+	const rank = (item: RunningJob) => [
+		isOverMemory(item) && item.job.body.isResumable,
+		isOverMemory(item) && hasRunLeft(item.job),
+		isOverMemory(item),
+		hasUrgentOver && item.job.body.isResumable,
+	].indexOf(true);
+	return onWorker
+		.filter(item => !isUrgent(item) && rank(item) !== -1)
+		.toSorted((a, b) => rank(a) - rank(b) || compareLowestFirst(a, b));
 }
 
 function isWorkerOpen(state: State, job: Job, worker: WorkerCapacity['worker']): boolean {
@@ -82,10 +110,6 @@
 	return undefined;
 }
 
-function compareLowestFirst(a: RunningJob, b: RunningJob): number {
-	return jobClasses.indexOf(b.job.body.jobClass) - jobClasses.indexOf(a.job.body.jobClass) || b.job.offset - a.job.offset;
-}
-
 function sumOf(items: readonly RunningJob[], measure: (item: RunningJob) => number): number {
 	return items.reduce((sum, item) => sum + measure(item), 0);
 }
--- a/packages/core/src/jobs/runner-state.ts
+++ b/packages/core/src/jobs/runner-state.ts
@@ -27,6 +27,8 @@
 	readonly displaced: Map<JobId, number>;
 	/** When to ask again that a task be checkpointed or stopped. */
 	readonly stopAgainAt: Map<JobId, Instant>;
+	/** The most memory that each job was seen to use, where it is more than declared. */
+	readonly seenMemory: Map<JobId, number>;
 	proposalCount: number;
 };
 
@@ -43,6 +45,7 @@
 		starts: new Map(),
 		displaced: new Map(),
 		stopAgainAt: new Map(),
+		seenMemory: new Map(),
 		proposalCount: 0,
 	};
 }
--- a/packages/core/src/jobs/runner.test.ts
+++ b/packages/core/src/jobs/runner.test.ts
@@ -55,7 +55,7 @@
 	}
 
 	/** Shows the roster's task as the platform lists it, and lets some time pass. */
-	pass(milliseconds: number, task: {readonly state: string; readonly checkpointMs: number}): Effect[] {
+	pass(milliseconds: number, task: {readonly state: string; readonly checkpointMs: number; readonly usage?: unknown}): Effect[] {
 		const effects: Effect[] = [];
 		const listed = listedTaskSchema.parse({
 			taskId: 'roster', attempt: 1, hostId: 'worker-1', leaseUntil: 60_000, throttle: 1, usage: {cores, memoryBytes: 1}, reportedAt: this.now, ...task,
@@ -156,3 +156,12 @@
 		expect(holder.listProposedEnds()).toEqual([]);
 	});
 });
+
+describe('a task that uses more memory than it declares', () => {
+	it('goes on while it is alone on its worker, and hurts no other', () => {
+		const holder = Holder.create('entry-5');
+		startRoster(holder);
+		const effects = holder.pass(2500, {state: 'running', checkpointMs: 0, usage: {cores, memoryBytes: 1e9}});
+		expect(listTaskCalls(effects)).toEqual([]);
+	});
+});
--- a/packages/core/src/jobs/runner.ts
+++ b/packages/core/src/jobs/runner.ts
@@ -3,7 +3,7 @@
 import type {Effect} from '../types/effects.js';
 import type {State} from '../types/state.js';
 import {addMilliseconds, type Instant} from '../types/time.js';
-import type {AttemptEnd} from './bodies.js';
+import {jobClasses, type AttemptEnd} from './bodies.js';
 import {clockMarginMs} from './judge.js';
 import {hasProposal, publishJobRecord} from './proposals.js';
 import type {Job, JobAttempt} from './state.js';
@@ -128,27 +128,38 @@
 /** A task that must give way is stopped only once its checkpoint is seen; calls may be lost, so both are repeated. */
 function stopTask(state: State, {job, current, task}: RunningJob): Effect[] {
 	const {jobId} = job.body;
-	const mustGiveWay = state.jobRunner.displaced.get(jobId) === current.attempt;
+	const mustGiveWay = isDisplaced(state, {job, current, task});
 	const isDue = (state.jobRunner.stopAgainAt.get(jobId) ?? 0) <= state.now;
 	if (!isDue || !(job.isCancelRequested || mustGiveWay)) {
 		return [];
 	}
 
 	state.jobRunner.stopAgainAt.set(jobId, addMilliseconds(state.now, stopRetryMs));
-	const needsCheckpoint = !job.isCancelRequested && task?.checkpointMs === 0;
+	const needsCheckpoint = job.body.isResumable && !job.isCancelRequested && task?.checkpointMs === 0;
 	return [{type: needsCheckpoint ? 'task/checkpoint' : 'task/stop', jobId, attempt: current.attempt}];
 }
 
-/** Makes a resumable task give way: a checkpoint now, the stop once it is seen. */
-export function displaceTask(state: State, {job, current}: RunningJob): Effect[] {
-	const {jobId} = job.body;
-	if (!job.body.isResumable || state.jobRunner.displaced.get(jobId) === current.attempt) {
+/** Whether a task already gives way. */
+export function isDisplaced(state: State, {job, current}: RunningJob): boolean {
+	return state.jobRunner.displaced.get(job.body.jobId) === current.attempt;
+}
+
+/** Makes a task give way. A resumable one is checkpointed now and stopped once that is seen; another one is stopped and loses its run. */
+export function displaceTask(state: State, item: RunningJob): Effect[] {
+	const {job, current} = item;
+	const {jobId, isResumable} = job.body;
+	if (isDisplaced(state, item)) {
 		return [];
 	}
 
 	state.jobRunner.displaced.set(jobId, current.attempt);
-	state.jobRunner.stopAgainAt.set(jobId, addMilliseconds(state.now, checkpointWaitMs));
-	return [{type: 'task/checkpoint', jobId, attempt: current.attempt}];
+	state.jobRunner.stopAgainAt.set(jobId, addMilliseconds(state.now, isResumable ? checkpointWaitMs : stopRetryMs));
+	return [{type: isResumable ? 'task/checkpoint' : 'task/stop', jobId, attempt: current.attempt}];
+}
+
+/** The lowest class first, the newest first within a class. */
+export function compareLowestFirst(a: RunningJob, b: RunningJob): number {
+	return jobClasses.indexOf(b.job.body.jobClass) - jobClasses.indexOf(a.job.body.jobClass) || b.job.offset - a.job.offset;
 }
 
 function renewLeases(state: State, running: readonly RunningJob[], term: number): Effect[] {
--- a/packages/stand-ins/src/platform/ledger.ts
+++ b/packages/stand-ins/src/platform/ledger.ts
@@ -5,6 +5,7 @@
 		| 'pool-set' | 'set-pool-failed'
 		| 'worker-added' | 'worker-failed' | 'worker-healed'
 		| 'task-started' | 'task-refused' | 'task-succeeded' | 'task-failed' | 'task-stopped' | 'task-lapsed'
+		| 'task-throttled' | 'task-checkpointed'
 		| 'task-cut' | 'task-lost' | 'task-out-of-memory';
 
 /** `task-cut`: a reboot ended a running task. `task-lost`: its worker failed. Instants in milliseconds since the epoch. */
--- a/packages/stand-ins/src/platform/settings.ts
+++ b/packages/stand-ins/src/platform/settings.ts
@@ -30,6 +30,14 @@
 	/** Lag of worker states and task usage. */
 	reportLagMs: milliseconds.default(0),
 	rebootMs: milliseconds.default(1000),
+	/** What tasks really are, whatever their starts declare; the first entry whose prefix fits counts. */
+	taskTruths: z.array(z.strictObject({
+		taskIdPrefix: z.string(),
+		trueCores: z.number().positive().optional(),
+		trueMemoryBytes: z.number().nonnegative().optional(),
+		runMs: milliseconds.optional(),
+		willFail: z.boolean().optional(),
+	})).default([]),
 });
 export type PlatformSettings = z.infer<typeof platformSettingsSchema>;
 
--- a/packages/stand-ins/src/platform/tasks.ts
+++ b/packages/stand-ins/src/platform/tasks.ts
@@ -1,6 +1,7 @@
 /** Tasks on workers, under leases: progress, usage and their ends. */
 import {z} from 'zod';
 import type {PlatformEvent, PlatformLedger} from './ledger.js';
+import type {PlatformSettings} from './settings.js';
 import {
 	getWorkerState, type Task, type TaskState, type Worker,
 } from './worker.js';
@@ -25,6 +26,17 @@
 });
 export type TaskStart = z.infer<typeof taskStartSchema>;
 
+/** A start as it really turns out to be. */
+export function applyTruth(start: TaskStart, truths: PlatformSettings['taskTruths']): TaskStart {
+	const truth = truths.find(({taskIdPrefix}) => start.taskId.startsWith(taskIdPrefix));
+	if (!truth) {
+		return start;
+	}
+
+	const {taskIdPrefix: _, ...changes} = truth;
+	return {...start, ...changes};
+}
+
 const endEvents: Readonly<Record<Exclude<TaskState, 'running'>, PlatformEvent>> = {
 	succeeded: 'task-succeeded', failed: 'task-failed', stopped: 'task-stopped', lapsed: 'task-lapsed', lost: 'task-lost',
 };
@@ -97,6 +109,18 @@
 		this.endForMemory(worker);
 	}
 
+	/** Lets a running task use a share of its cores. */
+	throttle(worker: Worker, task: Task, share: number): void {
+		task.throttle = share;
+		this.note('task-throttled', worker, task);
+	}
+
+	/** Keeps what a running task has done so far. */
+	checkpoint(worker: Worker, task: Task): void {
+		task.checkpointMs = task.doneMs;
+		this.note('task-checkpointed', worker, task);
+	}
+
 	private endIfDue(worker: Worker, task: Task): void {
 		const now = Date.now();
 		if (task.leaseUntil <= now) {
--- a/packages/stand-ins/src/platform/worker-routes.ts
+++ b/packages/stand-ins/src/platform/worker-routes.ts
@@ -4,7 +4,7 @@
 import {
 	acceptBody, answerFault, answerOk, type Route, type RouteAnswer, type RouteCall,
 } from './route.js';
-import {taskStartSchema} from './tasks.js';
+import {applyTruth, taskStartSchema} from './tasks.js';
 import type {Task, Worker} from './worker.js';
 
 const attempt = z.number().int().positive().optional();
@@ -75,7 +75,7 @@
 		method: 'POST',
 		pattern: /^\/v1\/workers\/([^/]+)\/tasks$/,
 		handle: acceptWorkerCall(taskStartSchema, ({platform}, worker, start) => {
-			const task = platform.workers.tasks.start(worker, start);
+			const task = platform.workers.tasks.start(worker, applyTruth(start, platform.faults.settings.taskTruths));
 			return task ? answerOk(describeTask(task)) : answerFault(409, 'the worker takes no task now, or the lease has ended');
 		}),
 	},
@@ -104,15 +104,21 @@
 	{
 		method: 'POST',
 		pattern: /^\/v1\/tasks\/([^/]+)\/checkpoint$/,
-		handle: acceptTaskCall(z.strictObject({attempt}), task => {
-			task.checkpointMs = task.doneMs;
+		handle: acceptTaskCall(z.strictObject({attempt}), (task, _body, {platform}) => {
+			const worker = platform.workers.get(task.hostId);
+			if (worker) {
+				platform.workers.tasks.checkpoint(worker, task);
+			}
 		}),
 	},
 	{
 		method: 'POST',
 		pattern: /^\/v1\/tasks\/([^/]+)\/throttle$/,
-		handle: acceptTaskCall(z.strictObject({attempt, share: z.number().positive().max(1)}), (task, body) => {
-			task.throttle = body.share;
+		handle: acceptTaskCall(z.strictObject({attempt, share: z.number().positive().max(1)}), (task, {share}, {platform}) => {
+			const worker = platform.workers.get(task.hostId);
+			if (worker) {
+				platform.workers.tasks.throttle(worker, task, share);
+			}
 		}),
 	},
 ];
