Routing bench: idle slots, added latency, bursts that outlast deadlines

New columns: slot-seconds idle while requests of the service waited (from the plan and the targets' ledgers), added p50 over a straight call in the same run before the load, without and with a claim. The all-knowing queue's refusals were there already ("refusals needed"). `--hard`: bursts of two and a half times the slots that last 7 s, longer than the deadlines of quick (0.5 s) and heavy (3 s) work, so that refusals are needed.

--- a/packages/bench/src/routing/bench-shape.ts
+++ b/packages/bench/src/routing/bench-shape.ts
@@ -11,26 +11,36 @@
 export const connectionsPerRunner = 64;
 export const slotsPerService = runnersPerService * slotsPerRunner;
 
-/** How busy the mean load keeps the slots; a burst asks for five times as much. */
-const meanBusyShare = 0.3;
 const teams = 3;
 
-/** `pace` lengthens run times and deadlines and so asks for fewer requests a second of the same slots. */
-export type BenchTimes = {readonly durationMs: number; readonly burstMs: number; readonly calmMs: number; readonly pace: number};
+/**
+ * `pace` lengthens run times and so asks for fewer requests a second of the same slots; `deadlinePace` lengthens deadlines.
+ * `busyShare`: how busy the mean load keeps the slots; a burst asks for five times as much.
+ */
+export type BenchTimes = {
+	readonly durationMs: number; readonly burstMs: number; readonly calmMs: number;
+	readonly pace: number; readonly deadlinePace: number; readonly busyShare: number;
+};
 
 /** Each service bursts once after a calm start. */
 export const shortTimes: BenchTimes = {
-	durationMs: 20_000, burstMs: 3000, calmMs: 5000, pace: 1,
+	durationMs: 20_000, burstMs: 3000, calmMs: 5000, pace: 1, deadlinePace: 1, busyShare: 0.3,
 };
 export const longTimes: BenchTimes = {
-	durationMs: 60_000, burstMs: 5000, calmMs: 10_000, pace: 1,
+	durationMs: 60_000, burstMs: 5000, calmMs: 10_000, pace: 1, deadlinePace: 1, busyShare: 0.3,
+};
+/** Bursts ask two and a half times the slots for longer than the deadlines of quick and heavy work: refusals are needed. Three of the services burst. */
+export const hardTimes: BenchTimes = {
+	durationMs: 24_000, burstMs: 7000, calmMs: 3000, pace: 3, deadlinePace: 1, busyShare: 0.5,
 };
 
 /** The load of one run. */
-export function createLoadShape(seed: number, {pace, ...times}: BenchTimes): LoadShape {
-	const classes = defaultClasses.map(shape => ({...shape, meanRunMs: shape.meanRunMs * pace, deadlineMs: shape.deadlineMs * pace}));
+export function createLoadShape(seed: number, {
+	pace, deadlinePace, busyShare, ...times
+}: BenchTimes): LoadShape {
+	const classes = defaultClasses.map(shape => ({...shape, meanRunMs: shape.meanRunMs * pace, deadlineMs: shape.deadlineMs * deadlinePace}));
 	return {
-		...times, seed, services, teams, classes, meanRate: computeMeanRate(slotsPerService, meanBusyShare, classes),
+		...times, seed, services, teams, classes, meanRate: computeMeanRate(slotsPerService, busyShare, classes),
 	};
 }
 
--- a/packages/bench/src/routing/main.ts
+++ b/packages/bench/src/routing/main.ts
@@ -5,18 +5,21 @@
 import process from 'node:process';
 import {routingPolicies} from '@rhubarblever/core';
 import sade from 'sade';
-import {longTimes, shortTimes} from './bench-shape.js';
+import {
+	hardTimes, longTimes, shortTimes, type BenchTimes,
+} from './bench-shape.js';
 import {renderPage} from './chart.js';
 import {runPolicy, type PolicyRun} from './run-policy.js';
 import {renderTable} from './table.js';
 
 type Flags = {
-	readonly short: boolean; readonly seeds: string; readonly policies: string; readonly 'when-full': string; readonly out: string;
+	readonly short: boolean; readonly hard: boolean; readonly seeds: string; readonly policies: string; readonly 'when-full': string; readonly out: string;
 	readonly pace: number;
 };
 
 sade('routing-bench', true)
 	.option('--short', 'About 20 seconds for each policy and seed, else about 60', false)
+	.option('--hard', 'Bursts that outlast deadlines, about 25 seconds for each policy and seed', false)
 	.option('--seeds', 'Seeds, separated by commas', '1,2,3')
 	.option('--policies', 'Routing policies, separated by commas', Object.keys(routingPolicies).join(','))
 	.option('--when-full', 'What a runner does beyond its slots: refuse or queue', 'queue')
@@ -29,7 +32,7 @@
 				process.stderr.write(`running ${policy}, seed ${seed}\n`);
 				// eslint-disable-next-line no-await-in-loop
 				runs.push(await runPolicy({
-					policy, seed: Number(seed), times: {...(flags.short ? shortTimes : longTimes), pace: flags.pace}, whenFull: flags['when-full'],
+					policy, seed: Number(seed), times: chooseTimes(flags), whenFull: flags['when-full'],
 				}));
 				// eslint-disable-next-line no-await-in-loop
 				await writeReports(flags.out, runs);
@@ -40,6 +43,14 @@
 	})
 	.parse(process.argv);
 
+function chooseTimes({short: isShort, hard: isHard, pace}: Flags): BenchTimes {
+	if (isHard) {
+		return hardTimes;
+	}
+
+	return {...(isShort ? shortTimes : longTimes), pace, deadlinePace: pace};
+}
+
 /** Writes what has been measured so far, so that a run which is ended early leaves its figures. */
 async function writeReports(folder: string, runs: readonly PolicyRun[]): Promise<void> {
 	await mkdir(folder, {recursive: true});
--- a/packages/bench/src/routing/run-policy.ts
+++ b/packages/bench/src/routing/run-policy.ts
@@ -4,14 +4,17 @@
 import {
 	LocalFleet, planLoad, runLoad, sleep, summarizeLoad, waitUntil, type LoadSummary, type PlannedRequest,
 } from '@rhubarblever/stand-ins';
+import {LatencyProbe, listAddedMs} from '../latency/latency-probe.js';
 import {
 	availabilityZones, benchRecords, createLoadShape, entryHostsPerZone, runnersPerService, services, slotsPerService, type BenchTimes,
 } from './bench-shape.js';
+import {measureIdleSlots} from './idle-slots.js';
 import {scheduleIdeally} from './ideal-schedule.js';
 import {readCpuMs} from './process-times.js';
 
 const warmUpTimeoutMs = 30_000;
 const idleMs = 2000;
+const probeCount = 100;
 
 export type RunOptions = {
 	readonly policy: string;
@@ -45,6 +48,14 @@
 	readonly cpuMsPerThousandRequests: number;
 	/** Bytes between entry hosts, for each host and second. */
 	readonly controlBytesPerHostSecond: number;
+	/** Slot-seconds idle while requests of the service waited, and all slot-seconds of the run. */
+	readonly idleSlotSeconds: number;
+	readonly slotSeconds: number;
+	/** Added to a straight call at the median before the load, without and with a claim, in milliseconds. */
+	readonly addedP50Ms: number;
+	readonly addedP50WithClaimMs: number;
+	/** Of the machine at the time of that. */
+	readonly calmLoadAverage: number;
 };
 
 /** Starts a fleet, runs the load and stops the fleet. */
@@ -87,6 +98,8 @@
 async function measureRun(fleet: LocalFleet, {policy, seed, times}: RunOptions): Promise<PolicyRun> {
 	const planned = planLoad(createLoadShape(seed, times));
 	const addresses = fleet.entryHosts.map(host => host.address);
+	const calmLoadAverage = loadavg()[0] ?? 0;
+	const [, addedP50Ms = 0, addedP50WithClaimMs = 0] = await measureAdded(fleet);
 	const idleCpuMs = await measureIdleCpu(fleet);
 	const cpuBefore = await sumCpuMs(fleet);
 	const bytesBefore = fleet.peerBytes;
@@ -116,9 +129,24 @@
 		idleCpuMsPerHostSecond: idleCpuMs * 1000 / idleMs / fleet.entryHosts.length,
 		cpuMsPerThousandRequests: cpuMs * 1000 / planned.length,
 		controlBytesPerHostSecond: controlBytes / fleet.entryHosts.length / elapsedSeconds,
+		idleSlotSeconds: measureIdleSlots(outcomes, ledgers, startedAt),
+		slotSeconds: services.length * slotsPerService * elapsedSeconds,
+		addedP50Ms,
+		addedP50WithClaimMs,
+		calmLoadAverage,
 	};
 }
 
+/** What each way of the latency probe adds at the median while nothing else is asked. */
+async function measureAdded(fleet: LocalFleet): Promise<number[]> {
+	const probe = LatencyProbe.create({
+		fleet, service: services[0] ?? '', runMs: 1, pauseMs: 0,
+	});
+	const measured = await probe.measure(probeCount);
+	await probe.close();
+	return listAddedMs(measured, 50);
+}
+
 /** CPU of all entry hosts while nothing is asked of them. */
 async function measureIdleCpu(fleet: LocalFleet): Promise<number> {
 	const before = await sumCpuMs(fleet);
--- a/packages/bench/src/routing/table.ts
+++ b/packages/bench/src/routing/table.ts
@@ -51,9 +51,18 @@
 			return `${phases.calm.p99Ms.toFixed(0)}/${phases['other-burst'].p99Ms.toFixed(0)}`;
 		},
 	},
-	{title: 'quick added p50 ms', render: run => getLatency(run, 'quick').added.p50Ms.toFixed(1)},
+	{
+		title: 'added p50 ms, uncontended: no claim/claim',
+		render: run => `${run.addedP50Ms.toFixed(2)}/${run.addedP50WithClaimMs.toFixed(2)}`,
+	},
+	{title: 'load average at that', render: run => run.calmLoadAverage.toFixed(1)},
+	{title: 'quick added p50 ms under load', render: run => getLatency(run, 'quick').added.p50Ms.toFixed(1)},
 	{title: 'refused', render: run => String(run.load.results.refused)},
-	{title: 'needed', render: run => String(run.load.sent - run.idealGood)},
+	{title: 'refusals needed', render: run => String(run.load.sent - run.idealGood)},
+	{
+		title: 'idle slot-seconds while work waited (% of all)',
+		render: run => `${run.idleSlotSeconds.toFixed(1)} (${renderPercent(run.idleSlotSeconds / run.slotSeconds)})`,
+	},
 	{title: 'late', render: run => String(run.load.results.late)},
 	{title: 'unknown', render: run => String(run.load.results.unknown)},
 	{title: 'wrong+failed+broken', render: ({load: {results}}) => String(results.wrong + results.failed + results.broken)},
