Waves: work is steered away from hosts that leave soon, and weights decide

Cause: hosts took new work until the moment they were granted, so each drain began with minutes of tasks to let finish; the order even chose hosts with the most tasks first. The weights had no effect.

Change: in a fill-budget wave, jobs that must be let finish go to hosts that are not due or due last, resumable jobs to those due first; a host stays in service for that, and takes any job if no other has room. Among equals the hosts with fewest tasks to let finish go first. Hosts that still have such tasks are granted only up to the share of the width that roll-out time has of the weights, at least one, and any number when finishBy is close. The room of workers is summed in one pass over jobs.

Refusing work on hosts due soon (cordon) was ruled out by reasoning: such a host serves as little as a drained one, so that the budget would have to count it.

--- a/packages/bench/src/waves/fake-platform.ts
+++ b/packages/bench/src/waves/fake-platform.ts
@@ -68,12 +68,13 @@
 		}
 
 		this.nextListAt = this.now + listIntervalMs;
+		const counts = this.tasks.countByWorker();
 		return this.workers.map(worker => ({
 			hostId: worker.hostId,
 			availabilityZone: worker.availabilityZone,
 			rack: worker.rack,
 			state: worker.state,
-			runningTasks: this.tasks.countRunning(worker.hostId),
+			runningTasks: counts.get(worker.hostId) ?? 0,
 			reportedAt: this.now as Instant,
 		}));
 	}
--- a/packages/bench/src/waves/fake-tasks.ts
+++ b/packages/bench/src/waves/fake-tasks.ts
@@ -89,7 +89,25 @@
 	}
 
 	countRunning(hostId: HostId): number {
-		return this.listRunning().filter(task => task.hostId === hostId).length;
+		return this.countByWorker().get(hostId) ?? 0;
+	}
+
+	countByWorker(): Map<HostId, number> {
+		const counts = new Map<HostId, number>();
+		for (const {hostId, state} of this.tasks.values()) {
+			if (state === 'running') {
+				counts.set(hostId, (counts.get(hostId) ?? 0) + 1);
+			}
+		}
+
+		return counts;
+	}
+
+	/** Milliseconds until the last task of a worker ends, if those that `isHeld` names are let finish. */
+	measureDrain(hostId: HostId, isHeld: (jobId: JobId) => boolean): number {
+		const running = this.listRunning().filter(task => task.hostId === hostId);
+		const held = running.filter(task => isHeld(task.jobId)).map(task => task.runMs - task.doneMs);
+		return Math.max(0, ...held) + (held.length < running.length ? checkpointTakesMs : 0);
 	}
 
 	tick(elapsedMs: number, now: number): void {
--- a/packages/bench/src/waves/job-source.ts
+++ b/packages/bench/src/waves/job-source.ts
@@ -51,6 +51,10 @@
 		return this.kinds.get(jobId)?.runMs ?? 0;
 	}
 
+	isResumable(jobId: JobId): boolean {
+		return this.kinds.get(jobId)?.isResumable ?? false;
+	}
+
 	private createJob(kind: Kind): LogRecord {
 		this.count += 1;
 		const jobId = `job-${this.count}` as JobId;
--- a/packages/core/src/jobs/handlers.ts
+++ b/packages/core/src/jobs/handlers.ts
@@ -1,5 +1,6 @@
 /** The job runner: every entry host has it, and it acts only while this one holds the planner's lease. */
 import {estimateLogTime, findOwnTerm} from '../planner/tenure.js';
+import {listDueRanks} from '../planner/wave-view.js';
 import type {Effect} from '../types/effects.js';
 import type {HandlerTable} from '../types/handlers.js';
 import type {HostId} from '../types/ids.js';
@@ -140,6 +141,7 @@
 		used.set(hostId, {cores: sum.cores + usage.cores, memoryBytes: sum.memoryBytes + usage.memoryBytes});
 	}
 
+	const dueRanks = listDueRanks(state);
 	return state.targets.listedHosts.filter(host => host.role === 'worker').map(host => ({
 		worker: host.hostId,
 		cores: host.cores ?? 0,
@@ -147,5 +149,6 @@
 		accelerators: host.accelerators ?? 0,
 		usedCores: used.get(host.hostId)?.cores ?? 0,
 		usedMemoryBytes: used.get(host.hostId)?.memoryBytes ?? 0,
+		dueRank: dueRanks.get(host.hostId),
 	}));
 }
--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -15,6 +15,8 @@
 	/** Reported by the platform, with a lag. */
 	readonly usedCores: number;
 	readonly usedMemoryBytes: number;
+	/** How soon it is due in a wave, 0 being next; undefined if it is not. */
+	readonly dueRank?: number | undefined;
 };
 
 export type Placement = {readonly job: Job; readonly worker: HostId};
@@ -108,14 +110,15 @@
 }
 
 function buildRooms(fleet: FleetState, capacities: readonly WorkerCapacity[], now: Instant): Room[] {
+	const declared = sumDeclared(fleet);
 	return capacities.filter(({worker}) => isOpen(fleet, worker, now)).map(capacity => {
-		const declared = sumDeclared(fleet, capacity.worker);
+		const held = declared.get(capacity.worker) ?? {cores: 0, memoryBytes: 0, accelerators: 0};
 		return {
 			worker: capacity.worker,
 			capacity,
-			cores: capacity.cores - Math.max(declared.cores, capacity.usedCores),
-			memoryBytes: capacity.memoryBytes - Math.max(declared.memoryBytes, capacity.usedMemoryBytes),
-			accelerators: capacity.accelerators - declared.accelerators,
+			cores: capacity.cores - Math.max(held.cores, capacity.usedCores),
+			memoryBytes: capacity.memoryBytes - Math.max(held.memoryBytes, capacity.usedMemoryBytes),
+			accelerators: capacity.accelerators - held.accelerators,
 		};
 	});
 }
@@ -126,20 +129,25 @@
 	return host !== undefined && !host.chain && !host.isDown && setAsideUntil <= now;
 }
 
-function sumDeclared(fleet: FleetState, worker: HostId): {cores: number; memoryBytes: number; accelerators: number} {
-	const sum = {cores: 0, memoryBytes: 0, accelerators: 0};
-	for (const job of fleet.jobs.jobs.values()) {
-		if (job.current?.worker === worker) {
-			sum.cores += job.body.cores;
-			sum.memoryBytes += job.body.memoryBytes;
-			sum.accelerators += job.body.accelerators;
+type Declared = {cores: number; memoryBytes: number; accelerators: number};
+
+/** What the running jobs of each worker declare. */
+function sumDeclared(fleet: FleetState): Map<HostId, Declared> {
+	const sums = new Map<HostId, Declared>();
+	for (const {body, current} of fleet.jobs.jobs.values()) {
+		if (current) {
+			const sum = sums.get(current.worker) ?? {cores: 0, memoryBytes: 0, accelerators: 0};
+			sum.cores += body.cores;
+			sum.memoryBytes += body.memoryBytes;
+			sum.accelerators += body.accelerators;
+			sums.set(current.worker, sum);
 		}
 	}
 
-	return sum;
+	return sums;
 }
 
-/** The room that a job fits most tightly; workers on which it failed come last. */
+/** The room that a job fits most tightly; workers on which it failed come last, and before them those that a wave takes out soon. */
 function chooseRoom(fleet: FleetState, rooms: readonly Room[], job: Job): Room | undefined {
 	const ofPool = rooms.filter(room => fleet.hosts.get(room.worker)?.pool === job.body.pool);
 	const allowance = computeAllowance(ofPool, job);
@@ -151,9 +159,17 @@
 	return fitting.toSorted((a, b) =>
 		Number(job.failedOn.includes(a.worker)) - Number(job.failedOn.includes(b.worker))
 		|| a.accelerators - b.accelerators
+		|| compareDue(job, a, b)
 		|| a.cores - b.cores).at(0);
 }
 
+/** Jobs that must be let finish go where the next outage is furthest; resumable ones fill the hosts that are due first, and leave the others free. */
+function compareDue(job: Job, a: Room, b: Room): number {
+	const one = a.capacity.dueRank ?? Number.MAX_SAFE_INTEGER;
+	const other = b.capacity.dueRank ?? Number.MAX_SAFE_INTEGER;
+	return job.body.isResumable ? one - other : other - one;
+}
+
 /** Cores that jobs other than urgent ones may still take in a pool; a single worker keeps no reserve. */
 function computeAllowance(rooms: readonly Room[], job: Job): number {
 	const all = rooms.reduce((sum, room) => sum + room.capacity.cores, 0);
--- a/packages/core/src/planner/planning.ts
+++ b/packages/core/src/planner/planning.ts
@@ -2,13 +2,14 @@
 import {judgeLeaving} from '../pools/budget.js';
 import type {FleetHost} from '../pools/state.js';
 import type {Effect} from '../types/effects.js';
-import type {OperationId} from '../types/ids.js';
+import type {HostId, OperationId} from '../types/ids.js';
 import type {State} from '../types/state.js';
 import {addMilliseconds} from '../types/time.js';
-import {getWaveStatus, type Wave} from '../waves/state.js';
-import {wavePolicies, type WaveView} from './policies.js';
+import type {Wave} from '../waves/state.js';
+import {wavePolicies} from './policies.js';
 import {publishHostRecord} from './proposals.js';
 import {estimateLogTime} from './tenure.js';
+import {createWaveView, type WaveView} from './wave-view.js';
 import {listDownWorkers} from './workers.js';
 
 const moveDrainLimitMs = 10 * 60 * 1000;
@@ -35,29 +36,22 @@
 }
 
 function planWave(state: State, wave: Wave, term: number): Effect[] {
-	const budget = state.fleet.pools.get(wave.body.pool)?.body.budget;
-	if (!budget || getWaveStatus(wave, estimateLogTime(state)) !== 'active') {
+	const view = createWaveView(state, wave);
+	if (!view) {
 		return [];
 	}
 
-	const view: WaveView = {
-		fleet: state.fleet,
-		wave,
-		budget,
-		runningTasks: new Map(state.planner.workers.map(worker => [worker.hostId, worker.runningTasks])),
-	};
 	const policy = wavePolicies[wave.body.policy];
 	let free = policy.chooseWidth(view) - wave.hosts.filter(host => host.state === 'out' || state.planner.proposals.has(host.hostId)).length;
-	if (free <= 0) {
-		return [];
-	}
-
+	let freeForHeld = policy.chooseHeldWidth(view) - countHeldOut(state, view);
 	const effects: Effect[] = [];
 	const down = listDownWorkers(state.planner.workers);
 	for (const host of policy.listInOrder(view)) {
 		const isUp = !host.isDown && !down.has(host.hostId);
-		if (free > 0 && isUp && isFreeToLeave(state, host)) {
+		const isHeld = hasHeldTasks(view, host.hostId);
+		if (free > 0 && (!isHeld || freeForHeld > 0) && isUp && isFreeToLeave(state, host)) {
 			free -= 1;
+			freeForHeld -= Number(isHeld);
 			effects.push(...publishGrant(state, wave, host, term));
 		}
 	}
@@ -65,6 +59,17 @@
 	return effects;
 }
 
+/** Hosts of a wave that are out, or about to be, with tasks that must be let finish. */
+function countHeldOut(state: State, view: WaveView): number {
+	return view.wave.hosts
+		.filter(host => (host.state === 'out' || state.planner.proposals.has(host.hostId)) && hasHeldTasks(view, host.hostId))
+		.length;
+}
+
+function hasHeldTasks(view: WaveView, hostId: HostId): boolean {
+	return (view.heldTasks.get(hostId) ?? 0) > 0;
+}
+
 function publishGrant(state: State, wave: Wave, host: FleetHost, term: number): Effect[] {
 	return publishHostRecord(state, 'outage-grant', {
 		hostId: host.hostId,
--- a/packages/core/src/planner/policies.ts
+++ b/packages/core/src/planner/policies.ts
@@ -1,25 +1,20 @@
 /** How many hosts of a wave are out at once and which comes next; a lookup table by policy name. */
-import {isSameRack, listPoolHosts, type Budget} from '../pools/budget.js';
+import {isSameRack, listPoolHosts} from '../pools/budget.js';
 import type {FleetHost} from '../pools/state.js';
-import type {FleetState} from '../fleet/state.js';
-import type {HostId} from '../types/ids.js';
 import type {WavePolicyName} from '../waves/bodies.js';
-import {listWaitingHosts, type Wave} from '../waves/state.js';
-
-/** What a policy sees. */
-export type WaveView = {
-	readonly fleet: FleetState;
-	readonly wave: Wave;
-	readonly budget: Budget;
-	/** Tasks that each host runs, by the platform's list. */
-	readonly runningTasks: ReadonlyMap<HostId, number>;
-};
+import {addMilliseconds} from '../types/time.js';
+import {listWaitingHosts} from '../waves/state.js';
+import type {WaveView} from './wave-view.js';
 
 export type WavePolicy = {
 	/** Most hosts of the wave to have out at once; the budget may allow fewer. */
 	readonly chooseWidth: (view: WaveView) => number;
 	/** The waiting hosts, the next one first. */
 	readonly listInOrder: (view: WaveView) => FleetHost[];
+	/** Most hosts to have out at once whose tasks must be let finish. */
+	readonly chooseHeldWidth: (view: WaveView) => number;
+	/** Whether new work goes to hosts that are due late. */
+	readonly isSteered: boolean;
 };
 
 const fixedBufferShare = 0.25;
@@ -28,14 +23,20 @@
 	'fill-budget': {
 		chooseWidth: measureLargestWidth,
 		listInOrder: sortByCriticalRack,
+		chooseHeldWidth,
+		isSteered: true,
 	},
 	'one-at-a-time': {
 		chooseWidth: () => 1,
 		listInOrder: listWaiting,
+		chooseHeldWidth: chooseAnyWidth,
+		isSteered: false,
 	},
 	'fixed-buffer': {
 		chooseWidth: ({fleet, wave}) => Math.max(1, Math.ceil(listPoolHosts(fleet, wave.body.pool).length * fixedBufferShare)),
 		listInOrder: listWaiting,
+		chooseHeldWidth: chooseAnyWidth,
+		isSteered: false,
 	},
 };
 
@@ -50,13 +51,29 @@
 	return Math.max(1, Math.min(members.length - budget.minimumHealthyHosts, budget.maximumHostsOut, budget.maximumHostsOutPerZone * zones.size));
 }
 
+function chooseAnyWidth(): number {
+	return Number.POSITIVE_INFINITY;
+}
+
+/**
+ * Hosts that drain for long hold capacity back: the more that weighs, the fewer of them.
+ * At least one, so that the wave goes on, and any number when the end of the wave is so close that all drains might be needed.
+ */
+function chooseHeldWidth(view: WaveView): number {
+	const {weights: {rollOutTime, bufferCost}, finishBy, drainLimitMs} = view.wave.body;
+	const width = measureLargestWidth(view);
+	const longestMs = countRounds(listWaiting(view).length, width) * drainLimitMs;
+	const isPatient = bufferCost > 0 && addMilliseconds(view.now, longestMs) < finishBy;
+	return isPatient ? Math.max(1, Math.floor(width * rollOutTime / (rollOutTime + bufferCost))) : width;
+}
+
 function listWaiting({fleet, wave}: WaveView): FleetHost[] {
 	return listWaitingHosts(fleet, wave).map(hostId => fleet.hosts.get(hostId)).filter(host => host !== undefined);
 }
 
 type RankedHost = {readonly host: FleetHost; readonly rank: readonly number[]};
 
-/** Zones and racks that need the most rounds come first; else racks that are open already; else the longest drains. */
+/** Zones and racks that need the most rounds come first; else racks that are open already; else the shortest drains. */
 function sortByCriticalRack(view: WaveView): FleetHost[] {
 	const waiting = listWaiting(view);
 	const out = [...view.fleet.hosts.values()].filter(host => host.chain !== undefined);
@@ -67,7 +84,7 @@
 		const rackRounds = countRounds(inRack, view.budget.maximumHostsOutPerRack);
 		const isUrgent = rackRounds >= countRounds(waiting.length, view.budget.maximumHostsOut);
 		const isOpen = out.some(other => isSameRack(other, host));
-		return {host, rank: [zoneRounds, Number(isUrgent), Number(isOpen), view.runningTasks.get(host.hostId) ?? 0]};
+		return {host, rank: [zoneRounds, Number(isUrgent), Number(isOpen), -(view.heldTasks.get(host.hostId) ?? 0)]};
 	});
 	return ranked.toSorted((one, other) => compareRanks(one, other)).map(({host}) => host);
 }
--- /dev/null
+++ b/packages/core/src/planner/wave-view.ts
@@ -0,0 +1,61 @@
+/** What a wave's policy sees of the fleet, and in which order hosts are due. */
+import type {Budget} from '../pools/budget.js';
+import type {FleetState} from '../fleet/state.js';
+import type {HostId} from '../types/ids.js';
+import type {State} from '../types/state.js';
+import type {Instant} from '../types/time.js';
+import {getWaveStatus, type Wave} from '../waves/state.js';
+import {wavePolicies} from './policies.js';
+import {estimateLogTime} from './tenure.js';
+
+export type WaveView = {
+	readonly fleet: FleetState;
+	readonly wave: Wave;
+	readonly budget: Budget;
+	/** By the clock of the log. */
+	readonly now: Instant;
+	/** Tasks on each host that must be let finish: all that run there but those of resumable jobs. */
+	readonly heldTasks: ReadonlyMap<HostId, number>;
+};
+
+/** The view of an active wave; nothing if it starts nothing more. */
+export function createWaveView(state: State, wave: Wave): WaveView | undefined {
+	const budget = state.fleet.pools.get(wave.body.pool)?.body.budget;
+	const now = estimateLogTime(state);
+	return budget && getWaveStatus(wave, now) === 'active'
+		? {
+			fleet: state.fleet, wave, budget, now, heldTasks: countHeldTasks(state),
+		}
+		: undefined;
+}
+
+/** How soon each waiting host of the active waves is due, 0 being next; hosts of waves that don't steer are left out. */
+export function listDueRanks(state: State): ReadonlyMap<HostId, number> {
+	const ranks = new Map<HostId, number>();
+	for (const wave of state.fleet.waves.values()) {
+		const policy = wavePolicies[wave.body.policy];
+		const view = policy.isSteered ? createWaveView(state, wave) : undefined;
+		const order = view ? policy.listInOrder(view) : [];
+		for (const [rank, {hostId}] of order.entries()) {
+			ranks.set(hostId, Math.min(rank, ranks.get(hostId) ?? rank));
+		}
+	}
+
+	return ranks;
+}
+
+function countHeldTasks(state: State): Map<HostId, number> {
+	const resumable = countResumableJobs(state);
+	return new Map(state.planner.workers.map(({hostId, runningTasks}) => [hostId, Math.max(0, runningTasks - (resumable.get(hostId) ?? 0))]));
+}
+
+function countResumableJobs(state: State): Map<HostId, number> {
+	const counts = new Map<HostId, number>();
+	for (const {body, current} of state.fleet.jobs.jobs.values()) {
+		if (current && body.isResumable) {
+			counts.set(current.worker, (counts.get(current.worker) ?? 0) + 1);
+		}
+	}
+
+	return counts;
+}
