--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,8 +1,11 @@
 /** The platform-free core of rhubarblever: no I/O, no clock, no randomness of its own. */
+export * from './version.js';
 export * from './types/ids.js';
 export * from './types/time.js';
 export * from './types/faults.js';
 export * from './types/hosts.js';
+export * from './types/addresses.js';
+export * from './types/issues.js';
 export * from './types/records.js';
 export * from './types/requests.js';
 export type * from './types/peers.js';
@@ -26,6 +29,8 @@
 export type * from './fleet/state.js';
 export type * from './membership/state.js';
 export * from './jobs/tasks.js';
+export {maximumJobLeaseMs} from './jobs/judge.js';
+export {defaultJobLeaseMs} from './jobs/runner.js';
 export type * from './jobs/events.js';
 export type * from './jobs/effects.js';
 export type * from './jobs/bodies.js';
--- a/packages/core/src/requests/state.ts
+++ b/packages/core/src/requests/state.ts
@@ -19,6 +19,8 @@
 	readonly askedZones: Set<AvailabilityZone>;
 	/** When a second zone may be asked. */
 	nextZoneAt: Instant;
+	/** A slot that was granted before the request's id was claimed; not used yet. */
+	early: EarlyGrant | undefined;
 	attemptCount: number;
 	/** Targets that failed it. */
 	readonly avoid: HostId[];
@@ -29,7 +31,19 @@
 };
 
 /** A slot that this host was granted. */
-export type HeldGrant = {readonly ask: SlotAsk; steward: HostId; readonly target: HostId};
+export type HeldGrant = {
+	readonly ask: SlotAsk;
+	steward: HostId;
+	readonly target: HostId;
+	/** It may be used again after its request has ended. */
+	mayKeep: boolean;
+};
+
+/** A slot without a request, and until when it is kept. */
+export type KeptSlot = {readonly grant: HeldGrant; readonly keepUntil: Instant};
+
+/** A slot that waits for a claim, and until when: other requests may want it. */
+export type EarlyGrant = {readonly grant: HeldGrant; readonly keepUntil: Instant};
 
 /** One dispatch that has not ended. */
 export type Attempt = {
@@ -46,7 +60,9 @@
 export type RequestsState = {
 	readonly open: Map<CallerKey, OpenRequest>;
 	readonly callersByAsk: Map<AskId, CallerKey>;
+	/** All slots held: in use, early or kept. */
 	readonly grants: Map<AskId, HeldGrant>;
+	readonly kept: Map<AskId, KeptSlot>;
 	readonly attempts: Map<AttemptId, Attempt>;
 	readonly publishers: Map<CallerKey, WaitingPublisher>;
 	readonly retryBudgets: Map<ServiceId, RetryBudget>;
@@ -65,6 +81,7 @@
 		open: new Map(),
 		callersByAsk: new Map(),
 		grants: new Map(),
+		kept: new Map(),
 		attempts: new Map(),
 		publishers: new Map(),
 		retryBudgets: new Map(),
--- a/packages/core/src/targets/state.ts
+++ b/packages/core/src/targets/state.ts
@@ -10,6 +10,10 @@
 	outstanding: number;
 	/** Failures since the last answer. */
 	failures: number;
+	/** Times it was set aside since the last answer. */
+	setAsideCount: number;
+	/** When it was last set aside. */
+	setAsideAt: Instant;
 	/** It gets no work before. */
 	setAsideUntil: Instant;
 	/** Set aside after failures and not yet proven: one attempt at a time. */
@@ -30,3 +34,17 @@
 export function createTargetsState(): TargetsState {
 	return {targets: new Map(), leaving: new Map(), listedHosts: []};
 }
+
+/** A target as the host list names it, that has done no work yet. */
+export function createTarget(listed: ListedHost): Target {
+	return {
+		listed,
+		outstanding: 0,
+		failures: 0,
+		setAsideCount: 0,
+		setAsideAt: 0 as Instant,
+		setAsideUntil: 0 as Instant,
+		isOnProbation: false,
+		lastGrant: 0,
+	};
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -50,6 +50,7 @@
 			routingPolicy: settings.routingPolicy,
 			logRetentionMs: settings.logRetentionMs,
 			seed: settings.seed === 0 ? randomInt(1, 2 ** 31) : settings.seed,
+			jobLeaseMs: settings.jobLeaseMs,
 		});
 		this.loop = EventLoop.create(this.state, effect => {
 			this.run(effect);
