Jobs: a plan goes through workers and jobs once; planner's tick and claims' memory measured

Change: workers by pool, declared sizes by worker and held resources by team, each in one pass a plan. Ruled out: an index kept in the fold (every host would pay for what one needs).

--- a/packages/bench/src/capacity/main.ts
+++ b/packages/bench/src/capacity/main.ts
@@ -2,11 +2,13 @@
 /** Prints the measured slopes of an entry host's state, for docs/CAPACITY.md: `node packages/bench/dist/capacity/main.js`. */
 import process from 'node:process';
 import {encodeFleetState, reduce, type Instant} from '@rhubarblever/core';
+import {measureClaimMemory} from './claim-memory.js';
 import {computeFit, type Point} from './fit.js';
 import {
 	buildRecords, createMeasuredHost, foldRecords, type FleetSize,
 } from './measured-fleet.js';
 import {measureCpu, measureHeap, measureMedian} from './measure.js';
+import {measurePlannerTick} from './planner-tick.js';
 import {measureSnapshotVolume} from './snapshot-volume.js';
 
 const runs = 5;
@@ -70,15 +72,28 @@
 	return state;
 }
 
+function printFit(name: string, field: string, points: readonly Point[]): void {
+	const fit = computeFit(points);
+	const shown = points.map(point => `${point.size}: ${point.cost.toFixed(0)}`).join(', ');
+	process.stdout.write(`${name} by ${field}: slope ${fit.slope.toPrecision(3)}, base ${fit.base.toFixed(0)}, spread ${(fit.spread * 100).toFixed(0)}% [${shown}]\n`);
+}
+
 createFolded(smallest);
 for (const {name, unit, take} of measures) {
 	for (const {field, sizes} of varied) {
-		const points: Point[] = sizes.map(size => ({size, cost: take({...smallest, [field]: size})}));
-		const fit = computeFit(points);
-		const shown = points.map(point => `${point.size}: ${point.cost.toFixed(0)}`).join(', ');
-		process.stdout.write(`${name} (${unit}) by ${field}: slope ${fit.slope.toFixed(2)}, base ${fit.base.toFixed(0)}, spread ${(fit.spread * 100).toFixed(0)}% [${shown}]\n`);
+		printFit(`${name} (${unit})`, field, sizes.map(size => ({size, cost: take({...smallest, [field]: size})})));
 	}
 }
 
+const planned: ReadonlyArray<{readonly field: keyof FleetSize; readonly sizes: readonly number[]}> = [
+	{field: 'jobs', sizes: [1250, 2500, 5000, 10_000]},
+	{field: 'workers', sizes: [125, 250, 500, 1000]},
+];
+for (const {field, sizes} of planned) {
+	printFit('one planning tick (ms)', field, sizes.map(size => ({size, cost: measurePlannerTick({...twoYears, [field]: size}) / 1000})));
+}
+
+printFit('heap of claims (bytes)', 'request ids', [12_500, 25_000, 50_000, 100_000].map(size => ({size, cost: measureClaimMemory(size)})));
+
 const volume = measureSnapshotVolume(createFolded(twoYears), 2_000_000);
 process.stdout.write(`snapshots at the two-year size, only leases renewed, half an hour: ${volume.count}, ${volume.bytesPerSecond.toFixed(0)} bytes/s\n`);
--- /dev/null
+++ b/packages/bench/src/capacity/planner-tick.ts
@@ -0,0 +1,74 @@
+/** Measures what a planning tick of the planner's holder costs with waiting jobs, teams with quotas and workers. */
+import {
+	instantSchema, listedHostSchema, listedWorkerSchema, loggedRecordSchema, offsetSchema, reduce, type Instant, type State,
+} from '@rhubarblever/core';
+import {
+	buildRecords, createMeasuredHost, foldRecords, type FleetSize,
+} from './measured-fleet.js';
+import {measureCpu, measureMedian} from './measure.js';
+
+const teams = 45;
+const quota = {cores: 400, accelerators: 60};
+const startAt = 2_000_000;
+const leaseMs = 15_000;
+/** More than the interval after which the planner plans again though nothing changed. */
+const planStepMs = 1050;
+const ticks = 5;
+
+/** Microseconds of processor time of one tick in which all is planned. */
+export function measurePlannerTick(size: FleetSize): number {
+	const state = createPlanner(size);
+	let at = startAt;
+	return measureMedian(ticks, () => {
+		at += planStepMs;
+		listWorkers(state, size, at);
+		return measureCpu(() => {
+			reduce(state, {type: 'clock/ticked', at: toInstant(at)});
+		});
+	});
+}
+
+function createPlanner(size: FleetSize): State {
+	const state = createMeasuredHost();
+	const records = buildRecords(size);
+	for (let team = 0; team < teams; team++) {
+		records.push(createRecord(records.length, 'quota', {team: `team-${team}`, ...quota}));
+	}
+
+	const {self, incarnation} = state.settings;
+	records.push(createRecord(records.length, 'planner-lease', {
+		holder: self.hostId, incarnation, term: 1, deadline: startAt + leaseMs,
+	}));
+	reduce(state, {
+		type: 'snapshot/read', at: toInstant(startAt), records: [], firstOffset: offsetSchema.parse(0), nextOffset: offsetSchema.parse(0),
+	});
+	foldRecords(state, records);
+	reduce(state, {type: 'hosts/listed', at: toInstant(startAt), hosts: listHosts(size)});
+	return state;
+}
+
+function createRecord(offset: number, schema: string, body: unknown) {
+	return loggedRecordSchema.parse({
+		offset, at: startAt, record: {
+			recordId: `record-${offset}`, schema, version: 1, body,
+		},
+	});
+}
+
+function listHosts(size: FleetSize) {
+	return Array.from({length: size.workers}, (_, index) => listedHostSchema.parse({
+		hostId: `worker-${index}`, role: 'worker', availabilityZone: `zone-${(index % 7) + 1}`, address: '127.0.0.1:1', state: 'live', cores: 64, memoryBytes: 256_000_000_000, accelerators: 2,
+	}));
+}
+
+function listWorkers(state: State, size: FleetSize, at: number): void {
+	const workers = Array.from({length: size.workers}, (_, index) => listedWorkerSchema.parse({
+		hostId: `worker-${index}`, availabilityZone: `zone-${(index % 7) + 1}`, state: 'up', runningTasks: 0, reportedAt: at,
+	}));
+	reduce(state, {type: 'workers/listed', at: toInstant(at), workers});
+	reduce(state, {type: 'tasks/listed', at: toInstant(at), tasks: []});
+}
+
+function toInstant(at: number): Instant {
+	return instantSchema.parse(at);
+}
--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -3,7 +3,8 @@
 import type {HostId, TeamId} from '../types/ids.js';
 import type {Instant} from '../types/time.js';
 import {jobClasses} from './bodies.js';
-import {hasRunLeft, sumHeld} from './judge.js';
+import {listByPool, sumHeldByTeam, type Held} from './by-pool.js';
+import {hasRunLeft} from './judge.js';
 import type {Job} from './state.js';
 
 /** What a worker declares, and what its tasks were last reported to use. */
@@ -40,25 +41,26 @@
 
 /** Plans the next attempts of all waiting jobs. */
 export function planPlacements(fleet: FleetState, capacities: readonly WorkerCapacity[], now: Instant): PlacementPlan {
-	const rooms = buildRooms(fleet, capacities, now);
-	const held = new Map<TeamId, {cores: number; accelerators: number}>();
+	const rooms = listByPool(fleet, buildRooms(fleet, capacities, now));
+	const workers = listByPool(fleet, capacities);
+	const held = sumHeldByTeam(fleet);
 	const placements: Placement[] = [];
 	const unplaceable: Array<{job: Job; reason: string}> = [];
 	const crowdedOut: Job[] = [];
-	for (const job of sortWaiting(fleet)) {
-		const reason = describeMisfit(fleet, capacities, job);
+	for (const job of sortWaiting(fleet, held)) {
+		const reason = describeMisfit(workers.get(job.body.pool) ?? [], job);
 		if (reason !== undefined) {
 			unplaceable.push({job, reason});
 			continue;
 		}
 
-		const teamHeld = held.get(job.body.team) ?? sumHeld(fleet, job.body.team);
+		const teamHeld: Held = held.get(job.body.team) ?? {cores: 0, accelerators: 0};
 		held.set(job.body.team, teamHeld);
 		if (!hasQuota(fleet, job, teamHeld)) {
 			continue;
 		}
 
-		const room = chooseRoom(fleet, rooms, job);
+		const room = chooseRoom(rooms.get(job.body.pool) ?? [], job);
 		if (room) {
 			takeRoom(room, job);
 			teamHeld.cores += job.body.cores;
@@ -73,18 +75,11 @@
 }
 
 /** Waiting jobs by class; within a class the team that holds least goes first, then the oldest. */
-function sortWaiting(fleet: FleetState): Job[] {
-	const shares = new Map<TeamId, number>();
+function sortWaiting(fleet: FleetState, held: ReadonlyMap<TeamId, Held>): Job[] {
 	const waiting = [...fleet.jobs.jobs.values()].filter(job => job.step === 'waiting' && hasRunLeft(job));
-	for (const {body} of waiting) {
-		if (!shares.has(body.team)) {
-			shares.set(body.team, sumHeld(fleet, body.team).cores);
-		}
-	}
-
 	return waiting.toSorted((a, b) =>
 		jobClasses.indexOf(a.body.jobClass) - jobClasses.indexOf(b.body.jobClass)
-		|| (shares.get(a.body.team) ?? 0) - (shares.get(b.body.team) ?? 0)
+		|| (held.get(a.body.team)?.cores ?? 0) - (held.get(b.body.team)?.cores ?? 0)
 		|| a.offset - b.offset);
 }
 
@@ -94,8 +89,7 @@
 }
 
 /** Why no worker of the pool could ever hold a job, or nothing. A pool without known workers says nothing. */
-function describeMisfit(fleet: FleetState, capacities: readonly WorkerCapacity[], job: Job): string | undefined {
-	const ofPool = capacities.filter(({worker}) => fleet.hosts.get(worker)?.pool === job.body.pool);
+function describeMisfit(ofPool: readonly WorkerCapacity[], job: Job): string | undefined {
 	if (ofPool.length === 0 || ofPool.some(capacity => fits(job, capacity))) {
 		return undefined;
 	}
@@ -108,14 +102,15 @@
 }
 
 function buildRooms(fleet: FleetState, capacities: readonly WorkerCapacity[], now: Instant): Room[] {
+	const declared = sumDeclared(fleet);
 	return capacities.filter(({worker}) => isOpen(fleet, worker, now)).map(capacity => {
-		const declared = sumDeclared(fleet, capacity.worker);
+		const held = declared.get(capacity.worker) ?? {cores: 0, memoryBytes: 0, accelerators: 0};
 		return {
 			worker: capacity.worker,
 			capacity,
-			cores: capacity.cores - Math.max(declared.cores, capacity.usedCores),
-			memoryBytes: capacity.memoryBytes - Math.max(declared.memoryBytes, capacity.usedMemoryBytes),
-			accelerators: capacity.accelerators - declared.accelerators,
+			cores: capacity.cores - Math.max(held.cores, capacity.usedCores),
+			memoryBytes: capacity.memoryBytes - Math.max(held.memoryBytes, capacity.usedMemoryBytes),
+			accelerators: capacity.accelerators - held.accelerators,
 		};
 	});
 }
@@ -126,22 +121,26 @@
 	return host !== undefined && !host.chain && !host.isDown && setAsideUntil <= now;
 }
 
-function sumDeclared(fleet: FleetState, worker: HostId): {cores: number; memoryBytes: number; accelerators: number} {
-	const sum = {cores: 0, memoryBytes: 0, accelerators: 0};
-	for (const job of fleet.jobs.jobs.values()) {
-		if (job.current?.worker === worker) {
-			sum.cores += job.body.cores;
-			sum.memoryBytes += job.body.memoryBytes;
-			sum.accelerators += job.body.accelerators;
+type Declared = {cores: number; memoryBytes: number; accelerators: number};
+
+/** What the running jobs of each worker declare. */
+function sumDeclared(fleet: FleetState): Map<HostId, Declared> {
+	const sums = new Map<HostId, Declared>();
+	for (const {body, current} of fleet.jobs.jobs.values()) {
+		if (current) {
+			const sum = sums.get(current.worker) ?? {cores: 0, memoryBytes: 0, accelerators: 0};
+			sum.cores += body.cores;
+			sum.memoryBytes += body.memoryBytes;
+			sum.accelerators += body.accelerators;
+			sums.set(current.worker, sum);
 		}
 	}
 
-	return sum;
+	return sums;
 }
 
 /** The room that a job fits most tightly; workers on which it failed come last. */
-function chooseRoom(fleet: FleetState, rooms: readonly Room[], job: Job): Room | undefined {
-	const ofPool = rooms.filter(room => fleet.hosts.get(room.worker)?.pool === job.body.pool);
+function chooseRoom(ofPool: readonly Room[], job: Job): Room | undefined {
 	const allowance = computeAllowance(ofPool, job);
 	const fitting = ofPool.filter(room => fits(job, room));
 	if (job.body.jobClass !== 'urgent' && job.body.cores > allowance) {
