--- a/packages/core/src/jobs/placement.test.ts
+++ b/packages/core/src/jobs/placement.test.ts
@@ -62,7 +62,7 @@
 	const fleet = createFleet(jobs);
 	const hosts = new CountingMap(fleet.hosts);
 	hosts.count = 0;
-	const plan = planPlacements({...fleet, hosts}, workers.map(worker => createCapacity(worker)), 1000 as Instant);
+	const plan = planPlacements({...fleet, hosts}, workers.map(worker => createCapacity(worker)), new Map(), 1000 as Instant);
 	return {lookUps: hosts.count, placed: plan.placements.length};
 }
 
