--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -3,7 +3,8 @@
 import type {HostId, JobId, TeamId} from '../types/ids.js';
 import type {Instant} from '../types/time.js';
 import {jobClasses} from './bodies.js';
-import {hasRunLeft, sumHeld} from './judge.js';
+import {listByPool, sumHeldByTeam, type Held} from './by-pool.js';
+import {hasRunLeft} from './judge.js';
 import type {Job} from './state.js';
 import {
 	doesFit, estimateSize, fullMemoryShare, type JobSize,
@@ -45,26 +46,27 @@
 
 /** Plans the next attempts of all waiting jobs. */
 export function planPlacements(fleet: FleetState, capacities: readonly WorkerCapacity[], seenMemory: ReadonlyMap<JobId, number>, now: Instant): PlacementPlan {
-	const rooms = buildRooms(fleet, capacities, now);
-	const held = new Map<TeamId, {cores: number; accelerators: number}>();
+	const rooms = listByPool(fleet, buildRooms(fleet, capacities, now));
+	const workers = listByPool(fleet, capacities);
+	const held = sumHeldByTeam(fleet);
 	const placements: Placement[] = [];
 	const unplaceable: Array<{job: Job; reason: string}> = [];
 	const crowdedOut: Job[] = [];
-	for (const job of sortWaiting(fleet)) {
+	for (const job of sortWaiting(fleet, held)) {
 		const size = estimateSize(job, seenMemory);
-		const reason = describeMisfit(fleet, capacities, job, size);
+		const reason = describeMisfit(workers.get(job.body.pool) ?? [], job, size);
 		if (reason !== undefined) {
 			unplaceable.push({job, reason});
 			continue;
 		}
 
-		const teamHeld = held.get(job.body.team) ?? sumHeld(fleet, job.body.team);
+		const teamHeld: Held = held.get(job.body.team) ?? {cores: 0, accelerators: 0};
 		held.set(job.body.team, teamHeld);
 		if (!hasQuota(fleet, job, teamHeld)) {
 			continue;
 		}
 
-		const room = chooseRoom(fleet, rooms, job, size);
+		const room = chooseRoom(rooms.get(job.body.pool) ?? [], job, size);
 		if (room) {
 			takeRoom(room, size);
 			teamHeld.cores += job.body.cores;
@@ -79,18 +81,11 @@
 }
 
 /** Waiting jobs by class; within a class the team that holds least goes first, then the oldest. */
-function sortWaiting(fleet: FleetState): Job[] {
-	const shares = new Map<TeamId, number>();
+function sortWaiting(fleet: FleetState, held: ReadonlyMap<TeamId, Held>): Job[] {
 	const waiting = [...fleet.jobs.jobs.values()].filter(job => job.step === 'waiting' && hasRunLeft(job));
-	for (const {body} of waiting) {
-		if (!shares.has(body.team)) {
-			shares.set(body.team, sumHeld(fleet, body.team).cores);
-		}
-	}
-
 	return waiting.toSorted((a, b) =>
 		jobClasses.indexOf(a.body.jobClass) - jobClasses.indexOf(b.body.jobClass)
-		|| (shares.get(a.body.team) ?? 0) - (shares.get(b.body.team) ?? 0)
+		|| (held.get(a.body.team)?.cores ?? 0) - (held.get(b.body.team)?.cores ?? 0)
 		|| a.offset - b.offset);
 }
 
@@ -100,8 +95,7 @@
 }
 
 /** Why no worker of the pool could ever hold a job, or nothing. A pool without known workers says nothing. */
-function describeMisfit(fleet: FleetState, capacities: readonly WorkerCapacity[], {body}: Job, size: JobSize): string | undefined {
-	const ofPool = capacities.filter(({worker}) => fleet.hosts.get(worker)?.pool === body.pool);
+function describeMisfit(ofPool: readonly WorkerCapacity[], {body}: Job, size: JobSize): string | undefined {
 	if (ofPool.length === 0 || ofPool.some(capacity => doesFit(size, capacity))) {
 		return undefined;
 	}
@@ -148,8 +142,7 @@
 }
 
 /** The room that a job fits most tightly; workers on which it failed come last, and before them those that a wave takes out soon. */
-function chooseRoom(fleet: FleetState, rooms: readonly Room[], job: Job, size: JobSize): Room | undefined {
-	const ofPool = rooms.filter(room => fleet.hosts.get(room.worker)?.pool === job.body.pool);
+function chooseRoom(ofPool: readonly Room[], job: Job, size: JobSize): Room | undefined {
 	const allowance = computeAllowance(ofPool, job);
 	const fitting = ofPool.filter(room => doesFit(size, room) && hasMargin(room, job, size));
 	if (job.body.jobClass !== 'urgent' && job.body.cores > allowance) {
