Integration tests: a frozen steward, a target's own word that it leaves, connections over all entry hosts

paused-steward.test.ts: each of a zone's two entry hosts (one of them is the zone's steward) is stopped with SIGSTOP for 2.5 s under load and resumed. The others answer or truly refuse within the deadline; no refused id ran, none ran twice, also for ids sent to the frozen host and to another; by the ledgers of targets that would take 64 at once, more than 8 run only within 2 s (a lease and a report) of a freeze or a resume; invariants are fatal and no host exits.

shared-targets.test.ts: nine entry hosts. Bursts from all never open more than 64 connections of a target; a target that says `Rhubarblever-Leaving` while the list (60 s behind) calls it live gets no start later than 5 s after, also from three hosts that are replaced after the news.

--- /dev/null
+++ b/packages/bench/src/integration/paused-steward.test.ts
@@ -0,0 +1,133 @@
+/** A steward frozen and resumed with real processes under load, judged by what callers see and by the targets' ledgers. */
+import {Buffer} from 'node:buffer';
+import {randomUUID} from 'node:crypto';
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {
+	computeAnswer, LocalFleet, sleep, waitUntil, type LocalEntryHost,
+} from '@rhubarblever/stand-ins';
+import {expect} from 'earl';
+
+const zones = ['ee-south-a', 'ee-south-b', 'ee-south-c'];
+const slotsPerRunner = 8;
+const settleMs = 20_000;
+const deadlineMs = 5000;
+/** An answer needs a moment on its way after the deadline. */
+const answerMarginMs = 1000;
+const pauseMs = 2500;
+/** A lease of 1.5 s and the next report: after that the slots must be kept to again. */
+const briefMs = 2000;
+const callerCount = 36;
+const body = JSON.stringify({runMs: 200});
+
+/** What a caller saw. */
+type Seen = {readonly requestId: string; readonly isOwn: boolean; readonly isRefusedTruly: boolean; readonly status: number; readonly tookMs: number};
+
+async function call(host: LocalEntryHost, requestId: string): Promise<Seen> {
+	const startedAt = Date.now();
+	const seen = await fetch(`http://${host.address}/v1/services/routes`, {
+		method: 'POST',
+		body,
+		headers: {'idempotency-key': requestId, 'rhubarblever-class': 'quick', 'rhubarblever-deadline': new Date(startedAt + deadlineMs).toISOString()},
+	}).then(async response => ({
+		status: response.status,
+		isOwn: await response.text() === computeAnswer(requestId, Buffer.from(body)),
+		isRefusedTruly: response.headers.get('rhubarblever-not-run') === 'true',
+	})).catch(() => ({status: 0, isOwn: false, isRefusedTruly: false}));
+	return {...seen, requestId, tookMs: Date.now() - startedAt};
+}
+
+describe('a steward that is frozen and resumed', () => {
+	let fleet: LocalFleet;
+	const seen: Seen[] = [];
+	/** Calls to the frozen host itself and repeats of the same ids elsewhere. */
+	const doubled: Seen[] = [];
+	/** When slots may be overfilled for a moment: from each freeze and each resume on. */
+	const changes: number[] = [];
+
+	async function callOnAndOn(hosts: readonly LocalEntryHost[], index: number, until: number): Promise<void> {
+		for (let round = index; Date.now() < until; round++) {
+			// eslint-disable-next-line no-await-in-loop
+			seen.push(await call(hosts[round % hosts.length]!, randomUUID()));
+		}
+	}
+
+	/** Freezes a host for a while; the balancer's calls go to the others, and some ids go to both. */
+	async function freezeUnderLoad(index: number): Promise<void> {
+		const frozen = fleet.entryHosts[index]!;
+		const others = fleet.entryHosts.filter(host => host !== frozen);
+		const until = Date.now() + 500 + pauseMs + briefMs + 1000;
+		const load = Array.from({length: callerCount}, async (_, caller) => callOnAndOn(others, caller, until));
+		await sleep(500);
+		frozen.running.signal('SIGSTOP');
+		changes.push(Date.now());
+		const ids = Array.from({length: 6}, () => randomUUID());
+		const toFrozen = ids.map(async requestId => call(frozen, requestId));
+		const toOthers = ids.map(async (requestId, place) => call(others[place % others.length]!, requestId));
+		await sleep(pauseMs);
+		frozen.running.signal('SIGCONT');
+		changes.push(Date.now());
+		doubled.push(...await Promise.all([...toFrozen, ...toOthers]));
+		await Promise.all(load);
+	}
+
+	before(async () => {
+		fleet = await LocalFleet.create({
+			availabilityZones: zones, entryHostsPerZone: 2, targetsPerZone: 1, services: ['routes'], targetsPerProcess: 3, targetFlags: ['--slots', '64'],
+		});
+		await fleet.publish([{
+			recordId: 'service-1',
+			schema: 'service',
+			version: 1,
+			body: {
+				service: 'routes', pool: 'trucks', slotsPerRunner, connectionsPerRunner: 64,
+			},
+		}]);
+		await Promise.all(fleet.entryHosts.map(async host => waitUntil('a request is answered', async () => {
+			const answer = await call(host, randomUUID());
+			return answer.isOwn;
+		}, settleMs)));
+	});
+
+	after(async () => {
+		await fleet.stop();
+	});
+
+	it('each of a zone\'s two hosts, one of which is its steward: the others answer or truly refuse in time', async () => {
+		await freezeUnderLoad(0);
+		await freezeUnderLoad(1);
+		expect(seen.length).toBeGreaterThan(200);
+		expect(seen.filter(({isOwn, isRefusedTruly}) => !isOwn && !isRefusedTruly)).toEqual([]);
+		expect(seen.filter(({tookMs}) => tookMs > deadlineMs + answerMarginMs)).toEqual([]);
+		expect(fleet.entryHosts.every(({running}) => running.isRunning)).toEqual(true);
+	});
+
+	it('no refused request ran, none ran twice, also where an id went to the frozen host and to another', async () => {
+		const ledgers = await fleet.readLedgers();
+		const runs = new Map<string, number>();
+		for (const {requestId} of ledgers.flatMap(({entries}) => entries)) {
+			runs.set(requestId, (runs.get(requestId) ?? 0) + 1);
+		}
+
+		expect([...runs].filter(([, count]) => count > 1)).toEqual([]);
+		expect(seen.filter(({isRefusedTruly, requestId}) => isRefusedTruly && runs.has(requestId))).toEqual([]);
+		expect(doubled.filter(({isOwn, requestId}) => isOwn && !runs.has(requestId))).toEqual([]);
+		const answeredIds = doubled.filter(({isOwn}) => isOwn).map(({requestId}) => requestId);
+		expect(new Set(answeredIds).size).toEqual(answeredIds.length);
+	});
+
+	it('slots are overfilled only briefly after a freeze or a resume', async () => {
+		const ledgers = await fleet.readLedgers();
+		for (const {entries} of ledgers) {
+			const edges = entries.flatMap(entry => [{at: entry.startedAt, step: 1}, {at: entry.endedAt ?? entry.startedAt, step: -1}]);
+			let running = 0;
+			const overfills = edges.toSorted((a, b) => (a.at - b.at) || (a.step - b.step)).filter(edge => {
+				running += edge.step;
+				return running > slotsPerRunner;
+			});
+			const late = overfills.filter(({at}) => !changes.some(change => at >= change && at <= change + briefMs));
+			expect(late).toEqual([]);
+		}
+	});
+});
--- /dev/null
+++ b/packages/bench/src/integration/shared-targets.test.ts
@@ -0,0 +1,99 @@
+/** What all entry hosts together do to a target: its connections, and its word that it is leaving, with a host list that lags. */
+import {randomUUID} from 'node:crypto';
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {
+	LocalFleet, sleep, waitUntil, type LocalEntryHost,
+} from '@rhubarblever/stand-ins';
+import {expect} from 'earl';
+
+const zones = ['ee-south-a', 'ee-south-b', 'ee-south-c'];
+const connectionsPerRunner = 64;
+const settleMs = 20_000;
+const leavingNewsMs = 5000;
+const longestLagMs = 60_000;
+
+async function isAnswered(host: LocalEntryHost, runMs: number, isIdempotent: boolean): Promise<boolean> {
+	const response = await fetch(`http://${host.address}/v1/services/routes`, {
+		method: 'POST', body: JSON.stringify({runMs}), headers: {'idempotency-key': randomUUID(), 'rhubarblever-idempotent': String(isIdempotent)},
+	}).catch(() => undefined);
+	await response?.arrayBuffer();
+	return response?.ok ?? false;
+}
+
+describe('targets shared by nine entry hosts', () => {
+	let fleet: LocalFleet;
+
+	async function callAll(hosts: readonly LocalEntryHost[], callsOfEach: number, runMs: number): Promise<boolean[]> {
+		return Promise.all(hosts.flatMap(host => Array.from({length: callsOfEach}, async (_, index) => isAnswered(host, runMs, index % 2 === 0))));
+	}
+
+	async function countStarts(hostId: string, from: number): Promise<number> {
+		const ledgers = await fleet.readLedgers();
+		return ledgers.find(ledger => ledger.hostId === hostId)?.entries.filter(entry => entry.startedAt > from).length ?? 0;
+	}
+
+	/** Kills an entry host and waits until its next life answers. */
+	async function replaceHost(index: number): Promise<void> {
+		await fleet.killEntryHost(index);
+		const host = await fleet.restartEntryHost(index);
+		await fleet.waitForReady(host);
+		await waitUntil('the new host answers', async () => isAnswered(host, 5, false), settleMs);
+	}
+
+	before(async () => {
+		fleet = await LocalFleet.create({
+			availabilityZones: zones, entryHostsPerZone: 3, targetsPerZone: 1, services: ['routes'], targetsPerProcess: 3,
+		});
+		await fleet.publish([{
+			recordId: 'service-1',
+			schema: 'service',
+			version: 1,
+			body: {
+				service: 'routes', pool: 'trucks', slotsPerRunner: 8, connectionsPerRunner,
+			},
+		}]);
+		await Promise.all(fleet.entryHosts.map(async host => waitUntil('a request is answered', async () => isAnswered(host, 1, false), settleMs)));
+	});
+
+	after(async () => {
+		await fleet.stop();
+	});
+
+	it('bursts from all of them never open more connections than a target holds', async () => {
+		for (let round = 0; round < 3; round++) {
+			// eslint-disable-next-line no-await-in-loop
+			const answers = await callAll(fleet.entryHosts, 16, 10);
+			expect(answers.filter(isOwn => !isOwn)).toEqual([]);
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(1200);
+		}
+
+		const ledgers = await fleet.readLedgers();
+		expect(ledgers.map(({overfilledConnections}) => overfilledConnections)).toEqual([0, 0, 0]);
+		expect(Math.max(...ledgers.map(({peakConnections}) => peakConnections))).toBeLessThanOrEqual(connectionsPerRunner);
+		expect(Math.min(...ledgers.map(({entries}) => entries.length))).toBeGreaterThan(0);
+	});
+
+	it('a target that says itself that it is leaving gets no new work, though the list calls it live, also from hosts that start later', async () => {
+		const leaving = fleet.targets[0]!.host.hostId;
+		await fleet.callPlatform('PUT', '/v1/control/faults', {hostListLagMs: longestLagMs});
+		await fleet.setTarget(leaving, {isLeaving: true});
+		const setAt = Date.now();
+		await waitUntil('it has answered and said so', async () => {
+			await callAll(fleet.entryHosts, 2, 5);
+			return await countStarts(leaving, setAt) > 0;
+		}, settleMs);
+		const saidAt = Date.now();
+		await sleep(leavingNewsMs);
+		for (const index of [0, 3, 6]) {
+			// eslint-disable-next-line no-await-in-loop
+			await replaceHost(index);
+		}
+
+		const answers = await callAll(fleet.entryHosts, 8, 20);
+		expect(answers.filter(isOwn => !isOwn)).toEqual([]);
+		expect(await countStarts(leaving, saidAt + leavingNewsMs)).toEqual(0);
+	});
+});
