Steward: lanes by class and team; slots only for what has time for a long run

Cause 1: each ask and each grant scanned the whole queue (team's share, asks ahead, heads of the classes). Now asks wait in a lane for each class and team, by deadline, with the same order as before.

Now it is refused, truly, unless the run time that nine of ten stay under is left; this is looked at before each grant, not only at each tick.

--- a/packages/core/src/slots/ask-queue.ts
+++ b/packages/core/src/slots/ask-queue.ts
@@ -1,6 +1,7 @@
 /** Order of a queue: earliest deadline first within a class and team, start-time fair queueing between teams. */
 import {workClasses, type WorkClass} from '../types/requests.js';
 import type {State} from '../types/state.js';
+import {countUntil, listLanes} from './ask-lanes.js';
 import {countSlotsHeldByClass, countSlotsOfClass, type SlotsInUse} from './capacity.js';
 import type {SlotAsk} from './messages.js';
 import {estimateRunMs} from './run-times.js';
@@ -58,9 +59,9 @@
 
 function findHead(steward: Steward, workClass: WorkClass): QueuedAsk | undefined {
 	let head: QueuedAsk | undefined;
-	for (const queued of steward.queue.values()) {
-		if (queued.ask.workClass === workClass && (!head || isBefore(steward, queued.ask, head.ask))) {
-			head = queued;
+	for (const [first] of listLanes(steward.queue, workClass).values()) {
+		if (first && (!head || isBefore(steward, first.ask, head.ask))) {
+			head = first;
 		}
 	}
 
@@ -77,27 +78,17 @@
 }
 
 function countAsksAhead(steward: Steward, ask: SlotAsk): number {
-	const otherTeams = new Set<string>();
-	let earlierOfTeam = 0;
-	let earlierInAll = 0;
-	let othersInAll = 0;
-	for (const {ask: other} of steward.queue.values()) {
-		if (other.workClass !== ask.workClass || other.askId === ask.askId) {
-			continue;
+	const lanes = listLanes(steward.queue, ask.workClass);
+	const own = lanes.get(ask.team) ?? [];
+	const earlier = countUntil(own, ask.deadline) - (steward.queue.byId.has(ask.askId) ? 1 : 0);
+	let otherTeams = 0;
+	let others = 0;
+	for (const [team, lane] of lanes) {
+		if (team !== ask.team) {
+			otherTeams += 1;
+			others += lane.length;
 		}
-
-		const isEarlier = other.deadline <= ask.deadline;
-		if (other.team === ask.team) {
-			earlierOfTeam += isEarlier ? 1 : 0;
-		} else {
-			otherTeams.add(other.team);
-			othersInAll += 1;
-		}
-
-		earlierInAll += isEarlier ? 1 : 0;
 	}
 
-	return otherTeams.size === 0
-		? earlierInAll
-		: earlierOfTeam + Math.min(othersInAll, (earlierOfTeam + 1) * otherTeams.size);
+	return earlier + Math.min(others, (earlier + 1) * otherTeams);
 }
--- a/packages/core/src/slots/gossip.ts
+++ b/packages/core/src/slots/gossip.ts
@@ -73,7 +73,7 @@
 		service: steward.service,
 		availabilityZone: steward.availabilityZone,
 		freeSlots: slots - inUse.total,
-		queuedAsks: steward.queue.size,
+		queuedAsks: steward.queue.byId.size,
 		waitMs: slots === 0 ? 0 : estimateWaitMs(state, steward, createProbeAsk(state, steward), inUse),
 		usableTargets: slotsPerTarget === 0 ? 0 : slots / slotsPerTarget,
 	};
--- a/packages/core/src/slots/keeping.ts
+++ b/packages/core/src/slots/keeping.ts
@@ -10,12 +10,12 @@
 
 /** Whether a slot may stay with its holder when the request ends; `inUse` counts it already. Without another host in between there is nothing to save. */
 export function isKeepable(state: State, steward: Steward, holder: HostId, inUse: SlotsInUse): boolean {
-	return holder !== state.settings.self.hostId && steward.queue.size === 0 && inUse.total * keepableParts <= inUse.slots;
+	return holder !== state.settings.self.hostId && steward.queue.byId.size === 0 && inUse.total * keepableParts <= inUse.slots;
 }
 
 /** Recalls the slots that holders may keep, if an ask waits. A lost message is sent again with the slot's next use. */
 export function recallKeptSlots(steward: Steward): Effect[] {
-	if (steward.queue.size === 0) {
+	if (steward.queue.byId.size === 0) {
 		return [];
 	}
 
--- a/packages/core/src/slots/leases.ts
+++ b/packages/core/src/slots/leases.ts
@@ -1,6 +1,7 @@
 /** Leases of grants and queued asks: they lapse when their holder is silent. */
 import type {AskId, HostId} from '../types/ids.js';
 import type {Instant} from '../types/time.js';
+import {removeAsk} from './ask-lanes.js';
 import type {Steward} from './state.js';
 
 /** A holder that is silent for this time loses its slots and its place in the queue. */
@@ -14,9 +15,9 @@
 		}
 	}
 
-	for (const [askId, queued] of steward.queue) {
+	for (const [askId, queued] of steward.queue.byId) {
 		if (queued.holder === holder && !queuedIds.has(askId)) {
-			steward.queue.delete(askId);
+			removeAsk(steward.queue, askId);
 		}
 	}
 }
@@ -29,9 +30,9 @@
 		}
 	}
 
-	for (const [askId, queued] of steward.queue) {
+	for (const [askId, queued] of steward.queue.byId) {
 		if (queued.leaseUntil <= now) {
-			steward.queue.delete(askId);
+			removeAsk(steward.queue, askId);
 		}
 	}
 }
--- a/packages/core/src/slots/run-times.ts
+++ b/packages/core/src/slots/run-times.ts
@@ -5,6 +5,7 @@
 
 const keptSamples = 128;
 const recomputeEvery = 16;
+const p90 = 0.9;
 const p99 = 0.99;
 
 /** The latest run times, in milliseconds, and figures recomputed every few samples. */
@@ -12,6 +13,7 @@
 	readonly samples: number[];
 	sampleCount: number;
 	meanMs: number;
+	p90Ms: number;
 	p99Ms: number;
 };
 
@@ -37,13 +39,18 @@
 	return findRunTimes(slots, service, workClass)?.meanMs ?? 0;
 }
 
+/** A run time that few requests exceed, in milliseconds; 0 before the first. */
+export function estimateLongRunMs(slots: SlotsState, service: ServiceId, workClass: WorkClass): number {
+	return findRunTimes(slots, service, workClass)?.p90Ms ?? 0;
+}
+
 function getRunTimesKey(service: ServiceId, workClass: WorkClass): string {
 	return `${service} ${workClass}`;
 }
 
 function createRunTimes(): RunTimes {
 	return {
-		samples: [], sampleCount: 0, meanMs: 0, p99Ms: 0,
+		samples: [], sampleCount: 0, meanMs: 0, p90Ms: 0, p99Ms: 0,
 	};
 }
 
@@ -55,5 +62,10 @@
 	}
 
 	times.meanMs = sum / sorted.length;
-	times.p99Ms = sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * p99))] ?? 0;
+	times.p90Ms = getQuantile(sorted, p90);
+	times.p99Ms = getQuantile(sorted, p99);
+}
+
+function getQuantile(sorted: readonly number[], share: number): number {
+	return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
 }
--- a/packages/core/src/slots/state.ts
+++ b/packages/core/src/slots/state.ts
@@ -3,6 +3,7 @@
 	AskId, AvailabilityZone, HostId, ServiceId, TeamId,
 } from '../types/ids.js';
 import type {Instant} from '../types/time.js';
+import type {AskLanes} from './ask-lanes.js';
 import type {SlotAsk, ZoneLoad} from './messages.js';
 import type {RunTimes} from './run-times.js';
 
@@ -30,7 +31,7 @@
 export type Steward = {
 	readonly service: ServiceId;
 	readonly availabilityZone: AvailabilityZone;
-	readonly queue: Map<AskId, QueuedAsk>;
+	readonly queue: AskLanes;
 	readonly grants: Map<AskId, Grant>;
 	/** Start-time fair queueing between teams: the start tag of the next ask of each. */
 	readonly teamTags: Map<TeamId, number>;
--- a/packages/core/src/slots/steward.ts
+++ b/packages/core/src/slots/steward.ts
@@ -2,9 +2,13 @@
 import type {Effect} from '../types/effects.js';
 import type {AskId, HostId} from '../types/ids.js';
 import type {State} from '../types/state.js';
+import {workClasses} from '../types/requests.js';
 import {addMilliseconds, type Instant} from '../types/time.js';
 import {judgeTarget} from '../targets/health.js';
 import {everyZone, getRoutingPolicy, listTargets} from '../requests/routing-policies.js';
+import {
+	addAsk, countAsksOfTeam, countBefore, createAskLanes, listLanes, removeAsk,
+} from './ask-lanes.js';
 import {
 	estimateWaitMs, expireTeamTags, listNextAsks, updateTeamTag,
 } from './ask-queue.js';
@@ -18,7 +22,7 @@
 } from './messages.js';
 import {isKeepable, recallKeptSlots} from './keeping.js';
 import {expireLeases, removeUnreported, slotLeaseMs} from './leases.js';
-import {estimateRunMs, recordRunTime} from './run-times.js';
+import {estimateLongRunMs, estimateRunMs, recordRunTime} from './run-times.js';
 import {
 	getScopeKey, type Grant, type QueuedAsk, type Steward,
 } from './state.js';
@@ -31,7 +35,7 @@
 /** Queues an ask, refuses it at once, or grants it. */
 export function acceptAsk(state: State, holder: HostId, ask: SlotAsk): Effect[] {
 	const steward = getSteward(state, ask);
-	if (steward.queue.has(ask.askId) || steward.grants.has(ask.askId)) {
+	if (steward.queue.byId.has(ask.askId) || steward.grants.has(ask.askId)) {
 		return [];
 	}
 
@@ -47,10 +51,10 @@
 /** Takes a slot or a queued ask back. */
 export function acceptRelease(state: State, holder: HostId, message: SlotMessageOf<'slot-release'>): Effect[] {
 	const steward = getSteward(state, message);
-	steward.queue.delete(message.askId);
+	removeAsk(steward.queue, message.askId);
 	const grant = steward.grants.get(message.askId);
 	if (!grant || grant.isLingering) {
-		return grantSlots(state, steward);
+		return [...refuseHopeless(state, steward), ...grantSlots(state, steward)];
 	}
 
 	if (message.isKept) {
@@ -80,7 +84,7 @@
 	const heldIds = new Set<AskId>();
 	for (const {ask, target} of message.held) {
 		heldIds.add(ask.askId);
-		steward.queue.delete(ask.askId);
+		removeAsk(steward.queue, ask.askId);
 		steward.grants.set(ask.askId, {
 			ask, holder, target, leaseUntil: addMilliseconds(state.now, slotLeaseMs), isLingering: false, mayBeKept: steward.grants.get(ask.askId)?.mayBeKept ?? true,
 		});
@@ -135,7 +139,7 @@
 	return {
 		service: scope.service,
 		availabilityZone: scope.availabilityZone,
-		queue: new Map(),
+		queue: createAskLanes(),
 		grants: new Map(),
 		teamTags: new Map(),
 		virtualTime: 0,
@@ -153,12 +157,11 @@
 	}
 
 	const limit = Math.max(1, inUse.slots) * asksPerSlot;
-	if (steward.queue.size >= limit) {
+	if (steward.queue.byId.size >= limit) {
 		return 'queue-full';
 	}
 
-	const ofTeam = [...steward.queue.values()].filter(queued => queued.ask.team === ask.team);
-	if (ofTeam.length >= limit * teamShareOfQueue) {
+	if (countAsksOfTeam(steward.queue, ask.team) >= limit * teamShareOfQueue) {
 		return 'team-over-quota';
 	}
 
@@ -166,13 +169,13 @@
 }
 
 function canMeetDeadline(state: State, steward: Steward, ask: SlotAsk, inUse: SlotsInUse): boolean {
-	const runMs = estimateRunMs(state.slots, ask.service, ask.workClass);
+	const runMs = estimateLongRunMs(state.slots, ask.service, ask.workClass);
 	const waitMs = inUse.slots === 0 ? 0 : estimateWaitMs(state, steward, ask, inUse);
 	return state.now + waitMs + runMs <= ask.deadline;
 }
 
 function addToQueue(state: State, steward: Steward, holder: HostId, ask: SlotAsk): void {
-	steward.queue.set(ask.askId, {
+	addAsk(steward.queue, {
 		ask, holder, arrivedAt: state.now, leaseUntil: addMilliseconds(state.now, slotLeaseMs),
 	});
 }
@@ -186,7 +189,7 @@
 		})];
 	}
 
-	const queued = steward.queue.get(ask.askId);
+	const queued = steward.queue.byId.get(ask.askId);
 	if (queued) {
 		queued.leaseUntil = addMilliseconds(state.now, slotLeaseMs);
 		return [];
@@ -208,11 +211,13 @@
 
 function refuseHopeless(state: State, steward: Steward): Effect[] {
 	const effects: Effect[] = [];
-	for (const queued of steward.queue.values()) {
-		const runMs = estimateRunMs(state.slots, queued.ask.service, queued.ask.workClass);
-		if (state.now + runMs > queued.ask.deadline) {
-			steward.queue.delete(queued.ask.askId);
-			effects.push(refuseAsk(state, steward, queued, 'deadline-unreachable'));
+	for (const workClass of workClasses) {
+		const earliestEnd = addMilliseconds(state.now, estimateLongRunMs(state.slots, steward.service, workClass));
+		for (const lane of listLanes(steward.queue, workClass).values()) {
+			for (const queued of lane.slice(0, countBefore(lane, earliestEnd))) {
+				removeAsk(steward.queue, queued.ask.askId);
+				effects.push(refuseAsk(state, steward, queued, 'deadline-unreachable'));
+			}
 		}
 	}
 
@@ -227,11 +232,11 @@
 }
 
 function grantSlots(state: State, steward: Steward): Effect[] {
-	if (steward.queue.size === 0 || !isSettled(state, steward)) {
+	if (steward.queue.byId.size === 0 || !isSettled(state, steward)) {
 		return [];
 	}
 
-	const effects: Effect[] = [];
+	const effects = refuseHopeless(state, steward);
 	for (let granted = grantOne(state, steward); granted; granted = grantOne(state, steward)) {
 		effects.push(...granted);
 	}
@@ -259,7 +264,7 @@
 			continue;
 		}
 
-		steward.queue.delete(ask.askId);
+		removeAsk(steward.queue, ask.askId);
 		const grant: Grant = {
 			ask, holder, target: target.listed.hostId, leaseUntil: addMilliseconds(state.now, slotLeaseMs), isLingering: false, mayBeKept: false,
 		};
