--- a/packages/core/src/slots/ask-queue.ts
+++ b/packages/core/src/slots/ask-queue.ts
@@ -4,19 +4,18 @@
 import {countUntil, listLanes} from './ask-lanes.js';
 import {countSlotsHeldByClass, countSlotsOfClass, type SlotsInUse} from './capacity.js';
 import type {SlotAsk} from './messages.js';
-import {estimateLongRunMs, estimateRunMs} from './run-times.js';
+import {estimateRunMs} from './run-times.js';
 import type {QueuedAsk, Steward} from './state.js';
 
 const leastChargeMs = 1;
 
-/** The asks that may be granted next, best first: one of each class that is under its limit, the one that must start soonest first. */
-export function listNextAsks(state: State, steward: Steward, inUse: SlotsInUse): QueuedAsk[] {
+/** The asks that may be granted next, best first: one of each class that is under its limit, the earliest deadline first. */
+export function listNextAsks(steward: Steward, inUse: SlotsInUse): QueuedAsk[] {
 	const heads = workClasses
 		.filter(workClass => workClasses.every(wider =>
 			!isWithin(workClass, wider) || countSlotsHeldByClass(inUse, wider) < countSlotsOfClass(inUse.slots, wider)))
 		.map(workClass => findHead(steward, workClass));
-	const getLatestStart = ({ask}: QueuedAsk) => ask.deadline - estimateLongRunMs(state.slots, ask.service, ask.workClass);
-	return heads.filter(head => head !== undefined).toSorted((a, b) => getLatestStart(a) - getLatestStart(b));
+	return heads.filter(head => head !== undefined).toSorted((a, b) => a.ask.deadline - b.ask.deadline);
 }
 
 /** Charges a team for a granted ask, so that the other teams come first for a while. */
--- a/packages/core/src/slots/steward.ts
+++ b/packages/core/src/slots/steward.ts
@@ -256,7 +256,7 @@
 		return undefined;
 	}
 
-	for (const queued of listNextAsks(state, steward, inUse)) {
+	for (const queued of listNextAsks(steward, inUse)) {
 		const {ask, holder} = queued;
 		const open = free.filter(({target}) => hasConnectionLeft(state, steward, holder, target.listed.hostId));
 		const target = (open.find(candidate => !ask.avoid.includes(candidate.target.listed.hostId)) ?? open[0])?.target;
