Mixed run: the log forgets records while the run goes on

Records are now kept for 90 s; the releases of moves are therefore followed in the run instead of being read at its end. Waves come twice as often.

--- a/packages/bench/src/mixed-run/fleet-shape.ts
+++ b/packages/bench/src/mixed-run/fleet-shape.ts
@@ -14,6 +14,10 @@
 	minimumHealthyHosts: 6, maximumHostsOut: 3, maximumHostsOutPerZone: 2, maximumHostsOutPerRack: 1,
 };
 
+/** Lags, and a log that forgets while the run goes on. */
+const platformSettings = {
+	rebootMs: 1000, reportLagMs: 500, hostListLagMs: 500, retention: {maxAgeMs: 90_000},
+};
 const racksPerZone = 1;
 const workersPerRack = 4;
 const gibibyte = 1024 ** 3;
@@ -45,7 +49,7 @@
 		targetsPerProcess: 6,
 		isProxied: true,
 		hosts: workers,
-		platformFlags: ['--faults', JSON.stringify({rebootMs: 1000, reportLagMs: 500, hostListLagMs: 500})],
+		platformFlags: ['--faults', JSON.stringify(platformSettings)],
 		environment: {RHUBARBLEVER_LOG_LEVEL: 'warn', RHUBARBLEVER_INVARIANTS: 'fatal'},
 	};
 }
--- a/packages/bench/src/mixed-run/mixed-run.ts
+++ b/packages/bench/src/mixed-run/mixed-run.ts
@@ -13,8 +13,9 @@
 import {runOperations} from './operations.js';
 import {Operator, readFleet} from './operator.js';
 import {judgePlatform} from './platform-verdicts.js';
-import {readPlatformLedger, readReleases} from './platform-records.js';
+import {readPlatformLedger} from './platform-ledger.js';
 import {judgeRequests} from './request-verdicts.js';
+import {ReleaseWatch} from './release-watch.js';
 import type {PlannedFault} from './schedule.js';
 import {inForceBoundMs, judgeStates} from './state-verdicts.js';
 import type {Evidence, Verdict} from './verdict.js';
@@ -79,6 +80,7 @@
 	const operator = Operator.create(fleet, balancer);
 	await operator.publish(firstRecords, publishTimeoutMs);
 	const watch = Watch.create(fleet, journal);
+	const releases = ReleaseWatch.create(fleet);
 	options.tell('the fleet is ready; faults, calls and operations begin');
 	const finishBy = Date.now() + options.durationMs + options.calmTailMs + restMs;
 	const operations = runOperations(operator, journal, {...options, finishBy});
@@ -92,6 +94,7 @@
 	await waitForRest(operator, journal);
 	await balancer.stop();
 	await watch.stop();
+	await releases.stop();
 	options.tell('the run has ended; judging');
 	return {
 		journal,
@@ -99,7 +102,7 @@
 		inForceAfterMs,
 		targetLedgers: await fleet.readLedgers(),
 		platformLedger: await readPlatformLedger(fleet),
-		releasedAt: await readReleases(fleet),
+		releasedAt: releases.releasedAt,
 		states: await Promise.all(fleet.entryHosts.map(async host => ({hostId: host.hostId, state: await readFleet(fleet, host)}))),
 		samples: watch.samples,
 		falls: watch.falls,
--- a/packages/bench/src/mixed-run/operations.ts
+++ b/packages/bench/src/mixed-run/operations.ts
@@ -34,7 +34,7 @@
 const mostJobsAtOnce = 6;
 const cancelledShare = 0.25;
 const drainLimitMs = 8000;
-const waveGapMs = 60_000;
+const waveGapMs = 30_000;
 
 /** Several operators change one pool based on the same version, through different hosts. */
 async function raceChanges({operator, journal, draws}: OperationStage, number: number): Promise<void> {
--- a/packages/bench/src/mixed-run/operator.ts
+++ b/packages/bench/src/mixed-run/operator.ts
@@ -3,6 +3,7 @@
 	sleep, type LocalEntryHost, type LocalFleet, type PublishableRecord,
 } from '@rhubarblever/stand-ins';
 import type {Balancer} from './balancer.js';
+import {giveUp} from './give-up.js';
 
 export type Verdict = {readonly recordId: string; readonly offset: number; readonly outcome: {readonly verdict: string}};
 type PublishAnswer = {readonly published: readonly Verdict[]};
@@ -71,11 +72,3 @@
 		return undefined;
 	}
 }
-
-/** Holds no process open. */
-async function giveUp(timeoutMs: number): Promise<undefined> {
-	await new Promise<void>(resolve => {
-		setTimeout(resolve, timeoutMs).unref();
-	});
-	return undefined;
-}
