--- a/packages/core/src/jobs/runner-state.ts
+++ b/packages/core/src/jobs/runner-state.ts
@@ -11,6 +11,9 @@
 	callAt: Instant;
 };
 
+/** An attempt that must give way, and what its checkpoint held when that was found. */
+export type Displacement = {readonly attempt: number; readonly checkpointMs: number};
+
 export type JobRunnerState = {
 	tasks: readonly ListedTask[];
 	/** When the list of tasks came, by this host's clock. */
@@ -23,10 +26,11 @@
 	/** The record about each job or worker that is on its way to the log. */
 	readonly proposals: Map<string, RecordId>;
 	readonly starts: Map<JobId, StartCall>;
-	/** The attempt of each job that must give way. */
-	readonly displaced: Map<JobId, number>;
+	readonly displaced: Map<JobId, Displacement>;
 	/** When to ask again that a task be checkpointed or stopped. */
 	readonly stopAgainAt: Map<JobId, Instant>;
+	/** The most memory that each job was seen to use, where it is more than declared. */
+	readonly seenMemory: Map<JobId, number>;
 	proposalCount: number;
 };
 
@@ -43,6 +47,7 @@
 		starts: new Map(),
 		displaced: new Map(),
 		stopAgainAt: new Map(),
+		seenMemory: new Map(),
 		proposalCount: 0,
 	};
 }
--- a/packages/core/src/requests/slot-asks.ts
+++ b/packages/core/src/requests/slot-asks.ts
@@ -1,4 +1,5 @@
 /** The asking side of slots: asks the steward of one zone, then of another, and takes the first grant. */
+import {isClaimPending} from '../claims/claims.js';
 import type {SlotAsk, SlotMessage, SlotMessageOf} from '../slots/messages.js';
 import {recordRunTime} from '../slots/run-times.js';
 import {getScopeKey} from '../slots/state.js';
@@ -10,19 +11,30 @@
 import type {State} from '../types/state.js';
 import {addMilliseconds} from '../types/time.js';
 import {dispatchAttempt} from './attempts.js';
+import {keepEarlyGrant} from './early-slots.js';
+import {takeKeptSlot} from './kept-slots.js';
 import {endRequest, getFinalFault, refuseRequest} from './refusals.js';
 import {getRoutingPolicy} from './routing-policies.js';
-import type {HeldGrant, OpenRequest} from './state.js';
+import type {HeldGrant, OpenRequest, SentAsk} from './state.js';
 
 /** A request that waits longer asks another zone too. */
 const secondZoneAfterMs = 25;
 
-/** Asks for a slot for a request, in the best zone. */
+/** Uses a kept slot for a request, or asks for one in the best zone. */
 export function askForSlot(state: State, open: OpenRequest): Effect[] {
+	const kept = takeKeptSlot(state, open);
+	return kept ? useGrant(state, open, kept) : askBestZone(state, open);
+}
+
+function askBestZone(state: State, open: OpenRequest): Effect[] {
 	open.askedZones.clear();
 	const zone = listZonesByWait(state, open)[0];
-	return zone
-		? askZone(state, open, zone)
+	if (zone) {
+		return askZone(state, open, zone);
+	}
+
+	return isClaimPending(state, open.request)
+		? []
 		: refuseRequest(state, open, 'no-target', `no target of ${open.request.service} is known here`);
 }
 
@@ -38,25 +50,38 @@
 		return [];
 	}
 
-	const grant: HeldGrant = {ask: sent.ask, steward, target: message.target};
+	const grant: HeldGrant = {
+		ask: sent.ask, steward, target: message.target, mayKeep: message.mayKeep ?? false,
+	};
 	removeAsk(state, open, message.askId);
-	const target = state.targets.targets.get(message.target);
-	if (!target || isLeaving(state, message.target)) {
-		open.avoid.push(message.target);
+	state.requests.grants.set(message.askId, grant);
+	return useGrant(state, open, grant);
+}
+
+function useGrant(state: State, open: OpenRequest, grant: HeldGrant): Effect[] {
+	return isClaimPending(state, open.request)
+		? keepEarlyGrant(state, open, grant)
+		: dispatchGranted(state, open, grant);
+}
+
+/** Dispatches a request to its granted target, or asks again where that target is leaving. */
+export function dispatchGranted(state: State, open: OpenRequest, grant: HeldGrant): Effect[] {
+	const target = state.targets.targets.get(grant.target);
+	if (!target || isLeaving(state, grant.target)) {
+		open.avoid.push(grant.target);
 		return [
-			createRelease(grant, 'withdrawn', 0),
+			...releaseSlot(state, grant, 'withdrawn', 0),
 			...(open.asks.size === 0 ? askForSlot(state, open) : []),
 		];
 	}
 
-	state.requests.grants.set(message.askId, grant);
 	return [
 		...withdrawAsks(state, open),
 		...dispatchAttempt(state, open, grant, target),
 	];
 }
 
-/** Asks another zone, or answers the caller once no zone is left. */
+/** Asks another zone, or answers the caller once no zone is left; not before the request's id is claimed. */
 export function acceptRefusal(state: State, _steward: HostId, message: SlotMessageOf<'slot-refuse'>): Effect[] {
 	const open = findOpenRequest(state, message.askId);
 	if (!open) {
@@ -69,15 +94,18 @@
 	}
 
 	const zone = listZonesByWait(state, open)[0];
-	return zone
-		? askZone(state, open, zone)
+	if (zone) {
+		return askZone(state, open, zone);
+	}
+
+	return isClaimPending(state, open.request)
+		? []
 		: endRequest(state, open, getFinalFault(open, {kind: message.kind, detail: `the queue of ${open.request.service} refused it`}), message.comeBackAt);
 }
 
 /** Takes back all asks of a request. */
 export function withdrawAsks(state: State, open: OpenRequest): Effect[] {
-	const effects = [...open.asks.values()].map(({ask, steward}) =>
-		createRelease({ask, steward, target: steward}, 'withdrawn', 0));
+	const effects = [...open.asks.values()].map(sent => createRelease(sent, 'withdrawn', 0));
 	for (const askId of open.asks.keys()) {
 		removeAsk(state, open, askId);
 	}
@@ -121,7 +149,7 @@
 			return [];
 		}
 
-		const release = createRelease({ask: sent.ask, steward: sent.steward, target: sent.steward}, 'withdrawn', 0);
+		const release = createRelease(sent, 'withdrawn', 0);
 		sent.steward = steward;
 		return [release, createSend(steward, {type: 'slot-ask', ask: sent.ask})];
 	});
@@ -182,7 +210,8 @@
 	state.requests.callersByAsk.delete(askId);
 }
 
-function createRelease(grant: HeldGrant, end: SlotMessageOf<'slot-release'>['end'], runMs: number): Effect {
+/** Tells a steward that the use of a slot, or the wait for one, has ended. */
+export function createRelease(grant: SentAsk, end: SlotMessageOf<'slot-release'>['end'], runMs: number, isKept = false): Effect {
 	return createSend(grant.steward, {
 		type: 'slot-release',
 		askId: grant.ask.askId,
@@ -190,6 +219,7 @@
 		availabilityZone: grant.ask.availabilityZone,
 		end,
 		runMs,
+		...isKept ? {isKept} : {},
 	});
 }
 
--- a/packages/core/src/slots/state.ts
+++ b/packages/core/src/slots/state.ts
@@ -22,6 +22,8 @@
 	leaseUntil: Instant;
 	/** Its holder has ended, but the target may still be at work: kept until the lease lapses. */
 	isLingering: boolean;
+	/** Its holder was not told yet to give it back when its request ends. */
+	mayBeKept: boolean;
 };
 
 /** The queue and the grants of one service in one availability zone. */
@@ -61,6 +63,8 @@
 	readonly runTimes: Map<string, RunTimes>;
 	readonly stoppingPeers: Set<HostId>;
 	nextGossipAt: Instant;
+	/** The latest gossip, to tell what is new. */
+	gossipText: string;
 	nextReportAt: Instant;
 	grantCount: number;
 	/** Number of random draws so far; part of the seed of the next. */
@@ -76,6 +80,7 @@
 		runTimes: new Map(),
 		stoppingPeers: new Set(),
 		nextGossipAt: 0 as Instant,
+		gossipText: '',
 		nextReportAt: 0 as Instant,
 		grantCount: 0,
 		drawCount: 0,
--- a/packages/stand-ins/src/platform/platform-server.ts
+++ b/packages/stand-ins/src/platform/platform-server.ts
@@ -3,7 +3,9 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {ListedHost} from '@rhubarblever/core';
-import {listen, readJson, sendJson} from '../http.js';
+import {
+	listen, readJson, sendJson, sendTaggedJson,
+} from '../http.js';
 import {resetSocket} from '../reset-socket.js';
 import type {CallFate} from './faults.js';
 import {Platform} from './platform.js';
@@ -68,7 +70,12 @@
 	}
 
 	private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const url = new URL(request.url ?? '/', 'http://localhost');
+		const url = parseUrl(request.url ?? '/');
+		if (!url) {
+			sendJson(response, 400, {detail: 'the request target is no URL'});
+			return;
+		}
+
 		const isControl = url.pathname.startsWith(controlPrefix);
 		const fate = isControl ? 'served' : await this.platform.faults.takeCall();
 		if (fate !== 'served') {
@@ -82,7 +89,11 @@
 			return;
 		}
 
-		sendJson(response, answer.status, answer.body);
+		if (request.method === 'GET' && answer.status === 200) {
+			sendTaggedJson(request, response, answer.body);
+		} else {
+			sendJson(response, answer.status, answer.body);
+		}
 	}
 
 	private async handle(request: IncomingMessage, url: URL): Promise<RouteAnswer> {
@@ -112,3 +123,9 @@
 		});
 	}
 }
+
+/** Undefined for a request target that is no URL, such as `//`. */
+function parseUrl(target: string): URL | undefined {
+	const base = 'http://localhost';
+	return URL.canParse(target, base) ? new URL(target, base) : undefined;
+}
