--- a/packages/core/src/jobs/runner.test.ts
+++ b/packages/core/src/jobs/runner.test.ts
@@ -4,7 +4,9 @@
 import {createState, reduce} from '../engine/reduce.js';
 import type {Effect} from '../types/effects.js';
 import {listedHostSchema} from '../types/hosts.js';
-import type {AvailabilityZone, HostId, Incarnation} from '../types/ids.js';
+import type {
+	AvailabilityZone, HostId, Incarnation, JobId,
+} from '../types/ids.js';
 import {logRecordSchema} from '../types/records.js';
 import type {State} from '../types/state.js';
 import type {Instant, Offset} from '../types/time.js';
@@ -46,39 +48,58 @@
 		});
 	}
 
-	takeLease(term: number): void {
-		const {hostId} = this.state.settings.self;
+	takeLease(term: number, hostId: string = this.state.settings.self.hostId): void {
 		this.append('planner-lease', {
 			holder: hostId, incarnation: `${hostId}-1`, term, deadline: this.now + leaseMs,
 		});
 	}
 
-	/** Shows the roster's task as the platform lists it, and lets some time pass. */
-	pass(milliseconds: number, task: {readonly state: string; readonly checkpointMs: number}): Effect[] {
+	/** Shows the roster's task, and others, as the platform lists them, and lets some time pass. */
+	pass(milliseconds: number, ...tasks: ReadonlyArray<{readonly state: string; readonly checkpointMs: number; readonly taskId?: string; readonly usage?: unknown}>): Effect[] {
 		const effects: Effect[] = [];
-		const listed = listedTaskSchema.parse({
+		const listed = tasks.map(task => listedTaskSchema.parse({
 			taskId: 'roster', attempt: 1, hostId: 'worker-1', leaseUntil: 60_000, throttle: 1, usage: {cores, memoryBytes: 1}, reportedAt: this.now, ...task,
-		});
+		}));
 		for (const until = this.now + milliseconds; this.now < until;) {
 			this.now += 50;
-			reduce(this.state, {type: 'tasks/listed', at: this.now as Instant, tasks: [listed]});
+			reduce(this.state, {type: 'tasks/listed', at: this.now as Instant, tasks: listed});
 			effects.push(...reduce(this.state, {type: 'clock/ticked', at: this.now as Instant}));
 		}
 
 		return effects;
 	}
 
+	wait(milliseconds: number): void {
+		this.now += milliseconds;
+	}
+
+	/** Takes in that the start of the roster's attempt was refused, and lets the runner look at it again. */
+	refuseStart(): void {
+		this.passWithoutTasks();
+		reduce(this.state, {
+			type: 'task/start-answered', at: this.now as Instant, jobId: 'roster' as JobId, attempt: 1, answer: 'refused',
+		});
+		this.passWithoutTasks();
+	}
+
 	listProposedEnds(): unknown[] {
 		return [...this.state.log.pending.values()].map(({record}) => record).filter(({schema}) => schema === 'job-attempt-end').map(({body}) => body);
 	}
+
+	private passWithoutTasks(): void {
+		this.now += 200;
+		reduce(this.state, {type: 'tasks/listed', at: this.now as Instant, tasks: []});
+		reduce(this.state, {type: 'clock/ticked', at: this.now as Instant});
+	}
 }
 
-function startRoster(holder: Holder): void {
+/** The roster's first attempt is begun by a planner in term 1. */
+function startRoster(holder: Holder, planner: string = holder.state.settings.self.hostId): void {
 	holder.append('pool', {pool: 'rosters', minimumHealthyHosts: 0});
 	holder.append('host', {
 		hostId: 'worker-1', pool: 'rosters', availabilityZone: 'a', rack: 'rack-1',
 	});
-	holder.takeLease(1);
+	holder.takeLease(1, planner);
 	holder.append('job', createJob('roster', 'batch'));
 	holder.append('job-attempt', {
 		jobId: 'roster', attempt: 1, worker: 'worker-1', leaseUntil: 60_000, term: 1,
@@ -106,6 +127,15 @@
 		expect(listTaskCalls(holder.pass(1500, {state: 'running', checkpointMs: 700})).includes('task/stop')).toEqual(true);
 	});
 
+	it('that resumed from a checkpoint is stopped only once a newer one is seen', () => {
+		const holder = Holder.create('entry-1');
+		startRoster(holder);
+		holder.append('job', createJob('warning', 'urgent'));
+		const before = listTaskCalls(holder.pass(1800, {state: 'running', checkpointMs: 700}));
+		expect([before.includes('task/checkpoint'), before.includes('task/stop')]).toEqual([true, false]);
+		expect(listTaskCalls(holder.pass(1500, {state: 'running', checkpointMs: 900})).includes('task/stop')).toEqual(true);
+	});
+
 	it('loses no run, also when another planner has taken over before its end was written down', () => {
 		const holder = Holder.create('entry-2');
 		startRoster(holder);
@@ -115,3 +145,52 @@
 		}]);
 	});
 });
+
+describe('a resumable task on a host that is out by plan', () => {
+	it('runs on while a task runs there that must be let finish, and gives way then', () => {
+		const holder = Holder.create('entry-1');
+		startRoster(holder);
+		holder.append('job', createJob('replan', 'normal'));
+		holder.append('job-attempt', {
+			jobId: 'replan', attempt: 1, worker: 'worker-1', leaseUntil: 60_000, term: 1,
+		});
+		holder.append('wave', {
+			waveId: 'wave', pool: 'rosters', finishBy: 1_000_000, drainLimitMs: 60_000, weights: {rollOutTime: 1, bufferCost: 1},
+		});
+		holder.append('outage-grant', {
+			hostId: 'worker-1', waveId: 'wave', term: 1, operationId: 'wave.worker-1.1', drainDeadline: 60_000,
+		});
+		const roster = {state: 'running', checkpointMs: 0};
+		expect(listTaskCalls(holder.pass(1000, roster, {taskId: 'replan', state: 'running', checkpointMs: 0}))).toEqual([]);
+		expect(listTaskCalls(holder.pass(500, roster, {taskId: 'replan', state: 'succeeded', checkpointMs: 0})).includes('task/checkpoint')).toEqual(true);
+	});
+});
+
+describe('a start that a worker refused', () => {
+	it('counts as no run if the attempt was begun by the planner that called', () => {
+		const holder = Holder.create('entry-3');
+		startRoster(holder);
+		holder.refuseStart();
+		expect(holder.listProposedEnds()).toEqual([{
+			jobId: 'roster', attempt: 1, end: 'unstarted', term: 1,
+		}]);
+	});
+
+	it('says nothing of an attempt of an earlier planner, whose own call may still come', () => {
+		const holder = Holder.create('entry-4');
+		startRoster(holder, 'entry-9');
+		holder.wait(leaseMs);
+		holder.takeLease(2);
+		holder.refuseStart();
+		expect(holder.listProposedEnds()).toEqual([]);
+	});
+});
+
+describe('a task that uses more memory than it declares', () => {
+	it('goes on while it is alone on its worker, and hurts no other', () => {
+		const holder = Holder.create('entry-5');
+		startRoster(holder);
+		const effects = holder.pass(2500, {state: 'running', checkpointMs: 0, usage: {cores, memoryBytes: 1e9}});
+		expect(listTaskCalls(effects)).toEqual([]);
+	});
+});
--- a/packages/core/src/requests/slot-asks.ts
+++ b/packages/core/src/requests/slot-asks.ts
@@ -117,7 +117,7 @@
 export function releaseSlot(state: State, grant: HeldGrant, end: SlotMessageOf<'slot-release'>['end'], runMs: number): Effect[] {
 	state.requests.grants.delete(grant.ask.askId);
 	if (end === 'answered') {
-		recordRunTime(state.slots, grant.ask.service, grant.ask.workClass, runMs);
+		recordRunTime(state, grant.ask.service, grant.ask.workClass, runMs);
 	}
 
 	return [createRelease(grant, end, runMs)];
--- /dev/null
+++ b/packages/core/src/slots/run-times.test.ts
@@ -0,0 +1,55 @@
+/** What observed run times decide: who still has time, and for how long they are believed. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {Instant} from '../types/time.js';
+import {Hosts} from './test-hosts.js';
+
+/** One host with one slot that has seen runs of these lengths. */
+function createHosts(runTimesMs: readonly number[]): Hosts {
+	const hosts = Hosts.create(1, 1, 1);
+	for (const afterMs of runTimesMs) {
+		hosts.ask('entry-1', {isIdempotent: true});
+		hosts.end({end: 'answered', afterMs});
+	}
+
+	return hosts;
+}
+
+describe('observed run times', () => {
+	it('a waiting request is refused, not sent, once less time is left than a long run takes', () => {
+		const hosts = createHosts([100, 200, 100, 200, 100, 200]);
+		hosts.ask('entry-1');
+		const waiting = hosts.ask('entry-1', {deadline: (hosts.now + 400) as Instant});
+		hosts.end({end: 'answered', afterMs: 230});
+		expect(hosts.refusals.map(({callerKey, fault}) => [callerKey, fault.kind])).toEqual([[waiting, 'deadline-unreachable']]);
+		expect(hosts.dispatches).toEqual([]);
+	});
+
+	it('one stalled run does not make requests look hopeless', () => {
+		const hosts = createHosts([100, 100, 100, 100, 100, 3000, 100, 100, 100, 100]);
+		hosts.ask('entry-1', {deadline: (hosts.now + 1000) as Instant});
+		expect(hosts.refusals).toEqual([]);
+		expect(hosts.dispatches.length).toEqual(1);
+	});
+
+	it('idempotent work is tried again on idle slots, so that a slow spell is not held against it for good', () => {
+		const hosts = createHosts([5000, 5000, 5000]);
+		for (let index = 0; index < 160; index++) {
+			hosts.ask('entry-1', {isIdempotent: true, deadline: (hosts.now + 1000) as Instant});
+			hosts.end({end: 'answered', afterMs: 50});
+		}
+
+		expect(hosts.refusals).toEqual([]);
+		hosts.ask('entry-1', {deadline: (hosts.now + 1000) as Instant});
+		expect(hosts.dispatches.length).toEqual(1);
+	});
+
+	it('what once was slow is refused for a minute at most', () => {
+		const hosts = createHosts([5000, 5000, 5000]);
+		hosts.ask('entry-1', {deadline: (hosts.now + 1000) as Instant});
+		expect(hosts.refusals.length).toEqual(1);
+		hosts.pass(61_000);
+		hosts.ask('entry-1', {deadline: (hosts.now + 1000) as Instant});
+		expect(hosts.dispatches.length).toEqual(1);
+	});
+});
--- a/packages/core/src/slots/steward.ts
+++ b/packages/core/src/slots/steward.ts
@@ -2,27 +2,27 @@
 import type {Effect} from '../types/effects.js';
 import type {AskId, HostId} from '../types/ids.js';
 import type {State} from '../types/state.js';
-import {workClasses} from '../types/requests.js';
 import {addMilliseconds, type Instant} from '../types/time.js';
 import {judgeTarget} from '../targets/health.js';
 import {everyZone, getRoutingPolicy, listTargets} from '../requests/routing-policies.js';
 import {
-	addAsk, countAsksOfTeam, countBefore, createAskLanes, listLanes, removeAsk,
+	addAsk, countAsksOfTeam, createAskLanes, removeAsk,
 } from './ask-lanes.js';
 import {
 	estimateWaitMs, expireTeamTags, listNextAsks, updateTeamTag,
 } from './ask-queue.js';
 import {
-	countSlotsInUse, countSlotsPerTarget, hasConnectionLeft, hasUsableTargetElsewhere, listFreeTargets, type SlotsInUse,
+	countSlotsInUse, countSlotsPerTarget, hasConnectionLeft, hasUsableTargetElsewhere, listFreeTargets,
 } from './capacity.js';
 import {drawComeBackAt} from './come-back.js';
+import {canMeetDeadline, listHopeless} from './deadlines.js';
 import {listLiveEntryHosts} from './entry-hosts.js';
 import type {
 	RefusalKind, SlotAsk, SlotMessage, SlotMessageOf,
 } from './messages.js';
 import {isKeepable, recallKeptSlots} from './keeping.js';
 import {expireLeases, removeUnreported, slotLeaseMs} from './leases.js';
-import {estimateLongRunMs, estimateRunMs, recordRunTime} from './run-times.js';
+import {estimateRunMs, expireRunTimes, recordRunTime} from './run-times.js';
 import {
 	getScopeKey, type Grant, type QueuedAsk, type Steward,
 } from './state.js';
@@ -67,11 +67,12 @@
 	if (target) {
 		const others = listTargets(state, steward.service, steward.availabilityZone)
 			.filter(other => other !== target && other.setAsideUntil <= state.now);
-		judgeTarget(state, target, message.end, others.length > 0 || hasUsableTargetElsewhere(state, steward));
+		const startedAt = addMilliseconds(state.now, -message.runMs);
+		judgeTarget(state, target, {end: message.end, startedAt}, others.length > 0 || hasUsableTargetElsewhere(state, steward));
 	}
 
 	if (message.end === 'answered' && holder !== state.settings.self.hostId) {
-		recordRunTime(state.slots, message.service, grant.ask.workClass, message.runMs);
+		recordRunTime(state, message.service, grant.ask.workClass, message.runMs);
 	}
 
 	return grantSlots(state, steward);
@@ -102,6 +103,7 @@
 
 /** Drops what lapsed, refuses what can no longer be served in time, and grants what is free. */
 export function tickStewards(state: State): Effect[] {
+	expireRunTimes(state.slots, state.now);
 	return [...state.slots.stewards.values()].flatMap(scope => {
 		const steward = getSteward(state, scope);
 		expireLeases(steward, state.now);
@@ -168,12 +170,6 @@
 	return canMeetDeadline(state, steward, ask, inUse) ? undefined : 'deadline-unreachable';
 }
 
-function canMeetDeadline(state: State, steward: Steward, ask: SlotAsk, inUse: SlotsInUse): boolean {
-	const runMs = estimateLongRunMs(state.slots, ask.service, ask.workClass);
-	const waitMs = inUse.slots === 0 ? 0 : estimateWaitMs(state, steward, ask, inUse);
-	return state.now + waitMs + runMs <= ask.deadline;
-}
-
 function addToQueue(state: State, steward: Steward, holder: HostId, ask: SlotAsk): void {
 	addAsk(steward.queue, {
 		ask, holder, arrivedAt: state.now, leaseUntil: addMilliseconds(state.now, slotLeaseMs),
@@ -210,18 +206,14 @@
 }
 
 function refuseHopeless(state: State, steward: Steward): Effect[] {
-	const effects: Effect[] = [];
-	for (const workClass of workClasses) {
-		const earliestEnd = addMilliseconds(state.now, estimateLongRunMs(state.slots, steward.service, workClass));
-		for (const lane of listLanes(steward.queue, workClass).values()) {
-			for (const queued of lane.slice(0, countBefore(lane, earliestEnd))) {
-				removeAsk(steward.queue, queued.ask.askId);
-				effects.push(refuseAsk(state, steward, queued, 'deadline-unreachable'));
-			}
-		}
+	if (steward.queue.byId.size === 0) {
+		return [];
 	}
 
-	return effects;
+	return listHopeless(state, steward, countSlotsInUse(state, steward)).map(queued => {
+		removeAsk(steward.queue, queued.ask.askId);
+		return refuseAsk(state, steward, queued, 'deadline-unreachable');
+	});
 }
 
 function refuseAsk(state: State, steward: Steward, {ask, holder}: Pick<QueuedAsk, 'ask' | 'holder'>, kind: RefusalKind): Effect {
