--- a/packages/core/src/requests/attempt-timeouts.test.ts
+++ b/packages/core/src/requests/attempt-timeouts.test.ts
@@ -30,7 +30,7 @@
 	const state = createTestHost('entry-1');
 	state.now = now;
 	for (const runMs of runTimesMs) {
-		recordRunTime(state.slots, service, 'quick', runMs);
+		recordRunTime(state, service, 'quick', runMs);
 	}
 
 	return state;
--- a/packages/core/src/requests/kept-slots.ts
+++ b/packages/core/src/requests/kept-slots.ts
@@ -22,7 +22,7 @@
 
 	const {ask} = grant;
 	state.requests.kept.set(ask.askId, {grant, keepUntil: addMilliseconds(state.now, keepMs)});
-	recordRunTime(state.slots, ask.service, ask.workClass, runMs);
+	recordRunTime(state, ask.service, ask.workClass, runMs);
 	return [createRelease(grant, 'answered', runMs, true)];
 }
 
--- a/packages/core/src/slots/run-times.ts
+++ b/packages/core/src/slots/run-times.ts
@@ -1,34 +1,49 @@
 /** Observed run times per service and work class; nothing declared is used. */
 import type {ServiceId} from '../types/ids.js';
 import type {WorkClass} from '../types/requests.js';
+import type {State} from '../types/state.js';
+import {addMilliseconds, type Instant} from '../types/time.js';
 import type {SlotsState} from './state.js';
 
 const keptSamples = 128;
 const recomputeEvery = 16;
-const p90 = 0.9;
 const p95 = 0.95;
+/** A few stalled runs must not make all requests look hopeless. */
+const longRunMultiple = 1.5;
+/** Without an answer for this time nothing is known any more: else what once was slow would be refused for good. */
+const lifeMs = 60_000;
 
 /** The latest run times, in milliseconds, and figures recomputed every few samples. */
 export type RunTimes = {
 	readonly samples: number[];
 	sampleCount: number;
+	forgetAt: Instant;
 	meanMs: number;
-	p90Ms: number;
 	p95Ms: number;
 };
 
 /** Notes how long one attempt ran, in milliseconds. */
-export function recordRunTime(slots: SlotsState, service: ServiceId, workClass: WorkClass, runMs: number): void {
+export function recordRunTime({slots, now}: Pick<State, 'slots' | 'now'>, service: ServiceId, workClass: WorkClass, runMs: number): void {
 	const key = getRunTimesKey(service, workClass);
 	const times = slots.runTimes.get(key) ?? createRunTimes();
 	slots.runTimes.set(key, times);
 	times.samples[times.sampleCount % keptSamples] = runMs;
 	times.sampleCount += 1;
+	times.forgetAt = addMilliseconds(now, lifeMs);
 	if (times.sampleCount <= recomputeEvery || times.sampleCount % recomputeEvery === 0) {
 		updateFigures(times);
 	}
 }
 
+/** Forgets run times that have not been seen for a while. */
+export function expireRunTimes(slots: SlotsState, now: Instant): void {
+	for (const [key, times] of slots.runTimes) {
+		if (times.forgetAt <= now) {
+			slots.runTimes.delete(key);
+		}
+	}
+}
+
 /** The run times of a service's class, or undefined before the first. */
 export function findRunTimes(slots: SlotsState, service: ServiceId, workClass: WorkClass): RunTimes | undefined {
 	return slots.runTimes.get(getRunTimesKey(service, workClass));
@@ -41,7 +56,8 @@
 
 /** A run time that few requests exceed, in milliseconds; 0 before the first. */
 export function estimateLongRunMs(slots: SlotsState, service: ServiceId, workClass: WorkClass): number {
-	return findRunTimes(slots, service, workClass)?.p90Ms ?? 0;
+	const times = findRunTimes(slots, service, workClass);
+	return times ? Math.min(times.p95Ms, longRunMultiple * times.meanMs) : 0;
 }
 
 function getRunTimesKey(service: ServiceId, workClass: WorkClass): string {
@@ -50,7 +66,7 @@
 
 function createRunTimes(): RunTimes {
 	return {
-		samples: [], sampleCount: 0, meanMs: 0, p90Ms: 0, p95Ms: 0,
+		samples: [], sampleCount: 0, forgetAt: 0 as Instant, meanMs: 0, p95Ms: 0,
 	};
 }
 
@@ -62,10 +78,5 @@
 	}
 
 	times.meanMs = sum / sorted.length;
-	times.p90Ms = getQuantile(sorted, p90);
-	times.p95Ms = getQuantile(sorted, p95);
-}
-
-function getQuantile(sorted: readonly number[], share: number): number {
-	return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
+	times.p95Ms = sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * p95))] ?? 0;
 }
