Claims: late votes are waited for while a majority is alive, with asks that double their pause

Change: the pause between rounds doubles from 100 to 1,600 ms; a claim is given up after a second if no majority is heard, else after five seconds or at the deadline.

--- a/packages/core/src/claims/claims.ts
+++ b/packages/core/src/claims/claims.ts
@@ -11,7 +11,7 @@
 } from '../types/ids.js';
 import type {CallerRequest} from '../types/requests.js';
 import type {State} from '../types/state.js';
-import {addMilliseconds} from '../types/time.js';
+import {addMilliseconds, type Instant} from '../types/time.js';
 import {
 	countMajority, isHeard, isMember, listVoters,
 } from './members.js';
@@ -20,8 +20,12 @@
 import {judgeTally, tallyVotes} from './tally.js';
 import {getClaimExpiry, judgeClaim, releaseNote} from './votes.js';
 
+/** After so long a claim is given up as soon as no majority is heard. */
 const askTimeoutMs = 1000;
-const askAgainMs = 100;
+/** After so long it is given up though a majority is heard: asks or answers don't come through. */
+const longestAskMs = 5000;
+const firstAskAgainMs = 100;
+const longestAskAgainMs = 1600;
 const releaseAgainMs = 500;
 const releaseTimeoutMs = 60_000;
 
@@ -102,7 +106,7 @@
 }
 
 function tickOpenClaim(state: State, claim: OpenClaim): Effect[] {
-	if (state.now >= claim.askUntil) {
+	if (isGivenUp(state, claim)) {
 		return closeClaim(state, claim, judgeTally(tallyVotes(state, claim), true));
 	}
 
@@ -111,12 +115,25 @@
 		return settled;
 	}
 
-	claim.askAgainAt = addMilliseconds(state.now, askAgainMs);
+	noteAsked(state, claim);
 	const missing = listVoters(state, claim.request.requestId).filter(hostId => !hasGranted(state, claim, hostId));
 	const asks = askVoters(state, claim, missing);
 	return [...asks, ...decide(state, claim)];
 }
 
+/** Late votes are waited for while a majority is alive: a busy one is no reason to refuse. */
+function isGivenUp(state: State, {request, askUntil, askUntilAtMost}: OpenClaim): boolean {
+	const isMajorityHeard = () => listReachable(state, request.requestId).length >= countMajority(state.fleet.members.size);
+	return state.now >= askUntilAtMost || (state.now >= askUntil && !isMajorityHeard());
+}
+
+/** Each round of asks comes after twice the time of the one before, so that asks don't add to what keeps votes from coming. */
+function noteAsked(state: State, claim: OpenClaim): void {
+	const pauseMs = Math.min(longestAskAgainMs, firstAskAgainMs * (2 ** claim.askRounds));
+	claim.askRounds += 1;
+	claim.askAgainAt = addMilliseconds(state.now, pauseMs);
+}
+
 function hasGranted(state: State, claim: OpenClaim, hostId: HostId): boolean {
 	const vote = claim.votes.get(hostId);
 	return vote?.verdict === 'granted' && isMember(state, {hostId, incarnation: vote.incarnation});
@@ -128,10 +145,13 @@
 		claimId: `${state.settings.incarnation}-${state.claims.claimCount}` as ClaimId,
 		request,
 		askUntil: addMilliseconds(state.now, askTimeoutMs),
-		askAgainAt: addMilliseconds(state.now, askAgainMs),
+		askUntilAtMost: Math.min(request.deadline, addMilliseconds(state.now, longestAskMs)) as Instant,
+		askAgainAt: state.now,
+		askRounds: 0,
 		votes: new Map(),
 		asked: new Set(),
 	};
+	noteAsked(state, claim);
 	state.claims.open.set(request.requestId, claim);
 	return claim;
 }
--- /dev/null
+++ b/packages/core/src/claims/slow-votes.test.ts
@@ -0,0 +1,46 @@
+/** Claims whose votes come late, on a busy network or machine: waited for while a majority is alive, without a storm of asks. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {LoneHost} from '../requests/lone-host.js';
+
+const tickMs = 50;
+
+function passTime(host: LoneHost, milliseconds: number, isHeard: boolean): void {
+	for (let passed = 0; passed < milliseconds; passed += tickMs) {
+		host.pass(tickMs, isHeard);
+	}
+}
+
+describe('votes that come late', () => {
+	it('are waited for while a majority is alive', () => {
+		const host = LoneHost.create();
+		host.arrive();
+		passTime(host, 1500, true);
+		expect(host.list('caller/refuse')).toEqual([]);
+		host.vote('granted');
+		host.answerAsk(true);
+		expect(host.list('attempt/dispatch').length).toEqual(1);
+	});
+
+	it('are asked for less and less often', () => {
+		const host = LoneHost.create();
+		host.arrive();
+		passTime(host, 1800, true);
+		const peers = 2;
+		expect(host.listSent('claim-ask').length).toBeLessThanOrEqual(5 * peers);
+	});
+
+	it('are not waited for once the majority is not heard any more', () => {
+		const host = LoneHost.create();
+		host.arrive();
+		passTime(host, 1200, false);
+		expect(host.list('caller/refuse').map(({fault}) => fault.kind)).toEqual(['quorum-unreachable']);
+	});
+
+	it('end the wait at the deadline, with a true refusal', () => {
+		const host = LoneHost.create();
+		host.arrive();
+		passTime(host, 2050, true);
+		expect(host.list('caller/refuse').map(({fault}) => fault.kind)).toEqual(['quorum-unreachable']);
+	});
+});
--- a/packages/core/src/claims/state.ts
+++ b/packages/core/src/claims/state.ts
@@ -22,10 +22,14 @@
 export type OpenClaim = {
 	readonly claimId: ClaimId;
 	readonly request: CallerRequest;
+	/** From then on it needs a majority that is heard. */
 	readonly askUntil: Instant;
+	/** No vote is waited for after. */
+	readonly askUntilAtMost: Instant;
 	readonly votes: Map<HostId, ClaimAnswer>;
 	readonly asked: Set<HostId>;
 	askAgainAt: Instant;
+	askRounds: number;
 };
 
 /** A claim of this host that has its votes: the request may have been dispatched. */
