Jobs: room for all urgent jobs at once, without waiting for lagging reports

Cause: the planner chose tasks to displace for each urgent job as if it were alone. Several urgent jobs got the same room promised, so they started one after another, and room already planned for one was cleared for another. Each step also waited for the lagging list of tasks, up to the use of a task that was known to have ended.

Now clearing counts what gives way already, what is planned and what it has promised; only urgent jobs are placed where tasks give way. Answers of checkpoint and stop calls count ahead of the list (task/told). Use of attempts that have ended no longer fills a worker.

--- a/packages/core/src/jobs/effects.ts
+++ b/packages/core/src/jobs/effects.ts
@@ -27,6 +27,7 @@
 	readonly leaseUntil: Instant;
 };
 
+/** Answered by `task/told`, or not at all, as is a checkpoint. */
 export type TaskStopEffect = {readonly type: 'task/stop'; readonly jobId: JobId; readonly attempt: number};
 export type TaskCheckpointEffect = {readonly type: 'task/checkpoint'; readonly jobId: JobId; readonly attempt: number};
 
--- a/packages/core/src/jobs/events.ts
+++ b/packages/core/src/jobs/events.ts
@@ -1,7 +1,7 @@
 /** What the daemon tells of tasks. */
 import type {JobId} from '../types/ids.js';
 import type {Instant} from '../types/time.js';
-import type {ListedTask} from './tasks.js';
+import type {ListedTask, ToldTask} from './tasks.js';
 
 export type TasksListedEvent = {
 	readonly type: 'tasks/listed';
@@ -18,4 +18,12 @@
 	readonly answer: 'started' | 'refused' | 'unknown';
 };
 
-export type JobEvent = TasksListedEvent | TaskStartAnsweredEvent;
+/** The answer to a call that was to stop or checkpoint a task. */
+export type TaskToldEvent = {
+	readonly type: 'task/told';
+	readonly at: Instant;
+	readonly jobId: JobId;
+	readonly task: ToldTask;
+};
+
+export type JobEvent = TasksListedEvent | TaskStartAnsweredEvent | TaskToldEvent;
--- a/packages/core/src/jobs/handlers.ts
+++ b/packages/core/src/jobs/handlers.ts
@@ -6,10 +6,11 @@
 import type {State} from '../types/state.js';
 import {addMilliseconds} from '../types/time.js';
 import {listFailingWorkers} from './blame.js';
+import {clearForUrgent, listClearedWorkers} from './displacement.js';
 import type {JobEvent} from './events.js';
 import {planPlacements, type PlacementPlan, type WorkerCapacity} from './placement.js';
 import {hasProposal, publishJobRecord} from './proposals.js';
-import {clearForUrgent, clearLeavingWorkers, relieveWorkers} from './relief.js';
+import {clearLeavingWorkers, relieveWorkers} from './relief.js';
 import {
 	getJobLeaseMs, listRunning, runJobs, type RunningJob,
 } from './runner.js';
@@ -35,6 +36,14 @@
 			call.state = event.answer;
 		}
 
+		return [];
+	},
+	'task/told'(state, {jobId, task}) {
+		if (state.fleet.jobs.jobs.get(jobId)?.current?.attempt === task.attempt) {
+			state.jobRunner.told.set(jobId, task);
+			state.jobRunner.stopAgainAt.delete(jobId);
+		}
+
 		return [];
 	},
 };
@@ -82,11 +91,12 @@
 	runner.plannedOffset = state.fleet.nextOffset;
 	runner.nextPlanAt = addMilliseconds(state.now, planAgainMs);
 	const capacities = listCapacities(state);
-	const plan = planPlacements(state.fleet, capacities, state.jobRunner.seenMemory, estimateLogTime(state));
+	const notes = {seenMemory: runner.seenMemory, clearedWorkers: listClearedWorkers(state, running)};
+	const plan = planPlacements(state.fleet, capacities, notes, estimateLogTime(state));
 	return [
 		...publishPlan(state, plan, term),
 		...unparkJobs(state, capacities, term),
-		...clearForUrgent(state, running, plan.crowdedOut, capacities),
+		...clearForUrgent(state, running, plan, capacities),
 		...relieveWorkers(state, running, capacities),
 		...setWorkersAside(state, term),
 	];
@@ -94,8 +104,8 @@
 
 /** Forgets what this host noted of jobs that no longer run, and of records that were read back. */
 function expireNotes(state: State): void {
-	const {starts, displaced, stopAgainAt, seenMemory, proposals} = state.jobRunner;
-	for (const notes of [starts, displaced, stopAgainAt]) {
+	const {starts, displaced, stopAgainAt, told, seenMemory, proposals} = state.jobRunner;
+	for (const notes of [starts, displaced, stopAgainAt, told]) {
 		for (const jobId of notes.keys()) {
 			if (!state.fleet.jobs.jobs.get(jobId)?.current) {
 				notes.delete(jobId);
@@ -142,10 +152,15 @@
 		publishJobRecord(state, worker, 'worker-set-aside', {worker, until: addMilliseconds(logTime, setAsideMs), term}));
 }
 
-/** What the host list declares of workers, with what the platform last reported of their use. */
+/** What the host list declares of workers, with what the platform last reported of their use. The use of attempts that have ended since is left out. */
 function listCapacities(state: State): WorkerCapacity[] {
 	const used = new Map<HostId, {cores: number; memoryBytes: number}>();
-	for (const {hostId, usage} of state.jobRunner.tasks) {
+	for (const {taskId, attempt, hostId, usage} of state.jobRunner.tasks) {
+		const job = state.fleet.jobs.jobs.get(taskId);
+		if (job && job.current?.attempt !== attempt) {
+			continue;
+		}
+
 		const sum = used.get(hostId) ?? {cores: 0, memoryBytes: 0};
 		used.set(hostId, {cores: sum.cores + usage.cores, memoryBytes: sum.memoryBytes + usage.memoryBytes});
 	}
--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -41,15 +41,24 @@
 	accelerators: number;
 };
 
+/** What the planner knows beside the fold. */
+export type PlacementNotes = {
+	/** Memory that jobs were seen to use beyond what they declare. */
+	readonly seenMemory: ReadonlyMap<JobId, number>;
+	/** Workers on which tasks give way; only urgent jobs are placed there meanwhile. */
+	readonly clearedWorkers: ReadonlySet<HostId>;
+};
+
 /** Plans the next attempts of all waiting jobs. */
-export function planPlacements(fleet: FleetState, capacities: readonly WorkerCapacity[], seenMemory: ReadonlyMap<JobId, number>, now: Instant): PlacementPlan {
+export function planPlacements(fleet: FleetState, capacities: readonly WorkerCapacity[], notes: PlacementNotes, now: Instant): PlacementPlan {
 	const rooms = buildRooms(fleet, capacities, now);
+	const openRooms = rooms.filter(room => !notes.clearedWorkers.has(room.worker));
 	const held = new Map<TeamId, {cores: number; accelerators: number}>();
 	const placements: Placement[] = [];
 	const unplaceable: Array<{job: Job; reason: string}> = [];
 	const crowdedOut: Job[] = [];
 	for (const job of sortWaiting(fleet)) {
-		const size = estimateSize(job, seenMemory);
+		const size = estimateSize(job, notes.seenMemory);
 		const reason = describeMisfit(fleet, capacities, job, size);
 		if (reason !== undefined) {
 			unplaceable.push({job, reason});
@@ -62,7 +71,7 @@
 			continue;
 		}
 
-		const room = chooseRoom(fleet, rooms, job, size);
+		const room = chooseRoom(fleet, job.body.jobClass === 'urgent' ? rooms : openRooms, job, size);
 		if (room) {
 			takeRoom(room, size);
 			teamHeld.cores += job.body.cores;
--- a/packages/core/src/jobs/relief.ts
+++ b/packages/core/src/jobs/relief.ts
@@ -1,11 +1,10 @@
-/** Makes room: for urgent jobs, on workers that leave, and where tasks use more than a worker has. */
+/** Makes room on workers that leave, and where tasks use more than a worker has. */
 import type {Effect} from '../types/effects.js';
 import type {HostId} from '../types/ids.js';
 import type {State} from '../types/state.js';
 import {hasRunLeft} from './judge.js';
 import type {WorkerCapacity} from './placement.js';
 import {compareLowestFirst, displaceTask, type RunningJob} from './runner.js';
-import type {Job} from './state.js';
 import {throttleWorker} from './throttle.js';
 import {fullMemoryShare, getUsedMemory, isOverMemory} from './use.js';
 
@@ -17,19 +16,6 @@
 		.flatMap(item => displaceTask(state, item));
 }
 
-/** Displaces the lowest class first until an urgent job would fit on one worker. */
-export function clearForUrgent(state: State, running: readonly RunningJob[], urgent: readonly Job[], capacities: readonly WorkerCapacity[]): Effect[] {
-	return urgent.flatMap(job => {
-		const choice = capacities
-			.filter(({worker}) => isWorkerOpen(state, job, worker))
-			.map(capacity => chooseDisplaced(running, capacity, job))
-			.filter(displaced => displaced !== undefined)
-			.toSorted((a, b) => a.length - b.length)
-			.at(0);
-		return (choice ?? []).flatMap(item => displaceTask(state, item));
-	});
-}
-
 /** Throttles or displaces where the reported use passes what a worker has. */
 export function relieveWorkers(state: State, running: readonly RunningJob[], capacities: readonly WorkerCapacity[]): Effect[] {
 	const byWorker = new Map<HostId, RunningJob[]>();
@@ -82,34 +68,6 @@
 		.toSorted((a, b) => rank(a) - rank(b) || compareLowestFirst(a, b));
 }
 
-function isWorkerOpen(state: State, job: Job, worker: WorkerCapacity['worker']): boolean {
-	const host = state.fleet.hosts.get(worker);
-	return host?.pool === job.body.pool && !host.isDown && host.chain === undefined;
-}
-
-/** The fewest low tasks whose end would make room on a worker; nothing if all of them would not. */
-function chooseDisplaced(running: readonly RunningJob[], capacity: WorkerCapacity, urgent: Job): RunningJob[] | undefined {
-	const onWorker = running.filter(item => item.current.worker === capacity.worker);
-	const free = {
-		cores: capacity.cores - sumOf(onWorker, item => item.job.body.cores),
-		memoryBytes: capacity.memoryBytes - sumOf(onWorker, item => item.job.body.memoryBytes),
-		accelerators: capacity.accelerators - sumOf(onWorker, item => item.job.body.accelerators),
-	};
-	const displaced: RunningJob[] = [];
-	for (const item of onWorker.filter(({job}) => job.body.isResumable && job.body.jobClass !== 'urgent').toSorted(compareLowestFirst)) {
-		displaced.push(item);
-		free.cores += item.job.body.cores;
-		free.memoryBytes += item.job.body.memoryBytes;
-		free.accelerators += item.job.body.accelerators;
-		const {cores, memoryBytes, accelerators} = urgent.body;
-		if (cores <= free.cores && memoryBytes <= free.memoryBytes && accelerators <= free.accelerators) {
-			return displaced;
-		}
-	}
-
-	return undefined;
-}
-
 function sumOf(items: readonly RunningJob[], measure: (item: RunningJob) => number): number {
 	return items.reduce((sum, item) => sum + measure(item), 0);
 }
--- a/packages/core/src/jobs/runner-state.ts
+++ b/packages/core/src/jobs/runner-state.ts
@@ -1,7 +1,7 @@
 /** The job runner of this entry host: local, and of use only while it holds the planner's lease. */
 import type {JobId, RecordId} from '../types/ids.js';
 import type {Instant, Offset} from '../types/time.js';
-import type {ListedTask} from './tasks.js';
+import type {ListedTask, ToldTask} from './tasks.js';
 
 /** The calls that started one attempt. Only a refusal of the very first call proves that it never ran. */
 export type StartCall = {
@@ -27,6 +27,8 @@
 	readonly displaced: Map<JobId, number>;
 	/** When to ask again that a task be checkpointed or stopped. */
 	readonly stopAgainAt: Map<JobId, Instant>;
+	/** What the platform answered about a job's task, where that is newer than the list. */
+	readonly told: Map<JobId, ToldTask>;
 	/** The most memory that each job was seen to use, where it is more than declared. */
 	readonly seenMemory: Map<JobId, number>;
 	proposalCount: number;
@@ -45,6 +47,7 @@
 		starts: new Map(),
 		displaced: new Map(),
 		stopAgainAt: new Map(),
+		told: new Map(),
 		seenMemory: new Map(),
 		proposalCount: 0,
 	};
--- a/packages/core/src/jobs/runner.ts
+++ b/packages/core/src/jobs/runner.ts
@@ -26,12 +26,21 @@
 	return state.settings.jobLeaseMs ?? defaultJobLeaseMs;
 }
 
-/** All running jobs, joined with the platform's list of tasks. */
+/** All running jobs, joined with the platform's list of tasks and what it told since. */
 export function listRunning(state: State): RunningJob[] {
 	const tasks = new Map(state.jobRunner.tasks.map(task => [`${task.taskId}#${task.attempt}`, task]));
-	return [...state.fleet.jobs.jobs.values()].flatMap(job => job.current
-		? [{job, current: job.current, task: tasks.get(`${job.body.jobId}#${job.current.attempt}`)}]
-		: []);
+	return [...state.fleet.jobs.jobs.values()].flatMap(job => {
+		const {current} = job;
+		return current ? [{job, current, task: mergeTold(state, tasks.get(`${job.body.jobId}#${current.attempt}`))}] : [];
+	});
+}
+
+/** The list lags, but a task that ended stays so, and a checkpoint is not lost. */
+function mergeTold(state: State, task: ListedTask | undefined): ListedTask | undefined {
+	const told = task && state.jobRunner.told.get(task.taskId);
+	return task && told?.attempt === task.attempt
+		? {...task, state: told.state === 'running' ? task.state : told.state, checkpointMs: Math.max(task.checkpointMs, told.checkpointMs)}
+		: task;
 }
 
 /** What each running job needs now. */
--- a/packages/core/src/jobs/tasks.ts
+++ b/packages/core/src/jobs/tasks.ts
@@ -19,3 +19,7 @@
 	reportedAt: instantSchema,
 });
 export type ListedTask = z.infer<typeof listedTaskSchema>;
+
+/** What the platform answers to a call about a task: how it stands now, ahead of the lagging list. */
+export const toldTaskSchema = listedTaskSchema.pick({attempt: true, state: true, checkpointMs: true});
+export type ToldTask = z.infer<typeof toldTaskSchema>;
--- a/packages/daemon/src/interpreter.ts
+++ b/packages/daemon/src/interpreter.ts
@@ -101,11 +101,11 @@
 	'task/renew'({tasks}, effect) {
 		void tasks.changeTask(effect);
 	},
-	'task/stop'({tasks}, effect) {
-		void tasks.changeTask(effect);
+	'task/stop'(context, effect) {
+		void changeTask(context, effect);
 	},
-	'task/checkpoint'({tasks}, effect) {
-		void tasks.changeTask(effect);
+	'task/checkpoint'(context, effect) {
+		void changeTask(context, effect);
 	},
 	'task/throttle'({tasks}, effect) {
 		void tasks.changeTask(effect);
@@ -163,6 +163,15 @@
 	}
 }
 
+async function changeTask({tasks, push}: InterpreterContext, effect: EffectOf<'task/stop' | 'task/checkpoint'>): Promise<void> {
+	const task = await tasks.changeTask(effect);
+	if (task) {
+		push({
+			type: 'task/told', at: readClock(), jobId: effect.jobId, task,
+		});
+	}
+}
+
 async function startTask({tasks, push}: InterpreterContext, effect: EffectOf<'task/start'>): Promise<void> {
 	const answer = await tasks.startTask(effect);
 	push({
--- a/packages/daemon/src/platform/task-client.ts
+++ b/packages/daemon/src/platform/task-client.ts
@@ -1,6 +1,6 @@
 /** Calls to the platform about tasks on workers. A task's id is its job's. */
 import {
-	listedTaskSchema, type EffectOf, type Fault, type ListedTask,
+	listedTaskSchema, toldTaskSchema, type EffectOf, type Fault, type ListedTask, type ToldTask,
 } from '@rhubarblever/core';
 import type {Result} from 'neverthrow';
 import {z} from 'zod';
@@ -40,10 +40,11 @@
 		return answer.match(found => judgeStart(found), () => 'unknown');
 	}
 
-	/** Changes a running task; what became of it is read from the list of tasks. */
-	async changeTask(effect: EffectOf<'task/renew' | 'task/stop' | 'task/checkpoint' | 'task/throttle'>): Promise<void> {
+	/** Changes a running task; how it stands then, if the platform tells. */
+	async changeTask(effect: EffectOf<'task/renew' | 'task/stop' | 'task/checkpoint' | 'task/throttle'>): Promise<ToldTask | undefined> {
 		const {type, jobId, ...body} = effect;
-		await this.http.call({method: 'POST', path: `/v1/tasks/${encodeURIComponent(jobId)}/${type.slice('task/'.length)}`, body});
+		const answer = await this.http.call({method: 'POST', path: `/v1/tasks/${encodeURIComponent(jobId)}/${type.slice('task/'.length)}`, body});
+		return answer.match(found => toldTaskSchema.safeParse(found.body).data, () => undefined);
 	}
 }
 
