Jobs: what is cancelled before its start is not started; cancels in hundreds are tested

Cause: the planner started the task of an attempt that was recorded before the cancel, only to stop it, and repeated a start whose answer was lost, also after the cancel. Now it writes such an attempt down as never run if it belongs to its own term and no call was made, and else waits for the list of tasks or for the lease to lapse.

Both new core tests failed before and pass now.

--- /dev/null
+++ b/packages/bench/src/integration/mass-cancel.test.ts
@@ -0,0 +1,79 @@
+/** Hundreds of cancels at once, each twice, of waiting, starting and running jobs: all end cancelled and none runs after. */
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {sleep, waitUntil, type LocalFleet} from '@rhubarblever/stand-ins';
+import {expect} from 'earl';
+import {listRuns, readLedger} from './platform-ledger.js';
+import {
+	createJob, createWorkers, settleMs, startWorkerFleet, waitForEnds, waitForStep,
+} from './worker-fleet.js';
+
+const firstIds = Array.from({length: 200}, (_, index) => `archive-${index}`);
+const lastIds = Array.from({length: 100}, (_, index) => `map-${index}`);
+const allIds = [...firstIds, ...lastIds];
+const keptIds = ['overlay-1', 'overlay-2'];
+const runMs = 600_000;
+const publishLimit = 100;
+/** Long enough for what was under way to show. */
+const afterwardsMs = 1500;
+
+let fleet: LocalFleet;
+
+async function publishJobs(jobIds: readonly string[], isResumable: boolean): Promise<void> {
+	for (let first = 0; first < jobIds.length; first += publishLimit) {
+		const chunk = jobIds.slice(first, first + publishLimit);
+		// eslint-disable-next-line no-await-in-loop
+		await fleet.publish(chunk.map(jobId => createJob(jobId, {declaredRunMs: runMs, allowedRuns: 3, isResumable})));
+	}
+}
+
+/** Cancels all jobs through one entry host, with records of its own. */
+async function cancelAll(hostIndex: number): Promise<void> {
+	for (let first = 0; first < allIds.length; first += publishLimit) {
+		const chunk = allIds.slice(first, first + publishLimit);
+		// eslint-disable-next-line no-await-in-loop
+		await fleet.publish(chunk.map(jobId => ({
+			recordId: `cancel-${hostIndex}-${jobId}`, schema: 'job-cancel', version: 1, body: {jobId},
+		})), fleet.entryHosts[hostIndex]);
+	}
+}
+
+describe('cancels in hundreds', () => {
+	before(async () => {
+		fleet = await startWorkerFleet(createWorkers(6));
+		await fleet.callPlatform('PUT', '/v1/control/faults', {reportLagMs: 300, loseAnswers: {probability: 0.1, seed: 59}});
+	});
+
+	after(async () => {
+		await fleet.stop();
+	});
+
+	it('all end cancelled, and none runs after', async () => {
+		await publishJobs(firstIds, false);
+		await waitUntil('some run while others wait', async () => listRuns(await readLedger(fleet)).length > 50, settleMs);
+		await publishJobs(lastIds, true);
+		await Promise.all([cancelAll(0), cancelAll(1)]);
+		await waitForStep(fleet, allIds, 'cancelled');
+		const ledger = await readLedger(fleet);
+		const runs = listRuns(ledger);
+		expect(runs.length).toBeLessThan(allIds.length);
+		expect(runs.map(run => run.end).filter(end => end !== 'task-stopped')).toEqual([]);
+		await sleep(afterwardsMs);
+		const later = await readLedger(fleet);
+		expect(later.slice(ledger.length)).toEqual([]);
+		expect(new Set(runs.map(run => run.taskId)).size).toEqual(runs.length);
+	});
+
+	it('a cancel once more changes nothing, and other jobs go on', async () => {
+		const before = await readLedger(fleet);
+		await fleet.publish(keptIds.map(jobId => createJob(jobId)));
+		await cancelAll(2);
+		await waitForEnds(fleet, keptIds);
+		await waitForStep(fleet, keptIds, 'succeeded');
+		await waitForStep(fleet, allIds, 'cancelled');
+		const ledger = await readLedger(fleet);
+		expect(ledger.slice(before.length).filter(entry => !keptIds.includes(entry.taskId ?? ''))).toEqual([]);
+		expect(fleet.entryHosts.every(host => host.running.isRunning)).toEqual(true);
+	});
+});
--- a/packages/core/src/jobs/runner.test.ts
+++ b/packages/core/src/jobs/runner.test.ts
@@ -73,24 +73,29 @@
 		this.now += milliseconds;
 	}
 
+	/** What the runner does while the platform lists no task. */
+	passWithoutTasks(): Effect[] {
+		this.now += 200;
+		reduce(this.state, {type: 'tasks/listed', at: this.now as Instant, tasks: []});
+		return reduce(this.state, {type: 'clock/ticked', at: this.now as Instant});
+	}
+
 	/** Takes in that the start of the roster's attempt was refused, and lets the runner look at it again. */
 	refuseStart(): void {
 		this.passWithoutTasks();
+		this.answerStart('refused');
+		this.passWithoutTasks();
+	}
+
+	answerStart(answer: 'refused' | 'unknown'): void {
 		reduce(this.state, {
-			type: 'task/start-answered', at: this.now as Instant, jobId: 'roster' as JobId, attempt: 1, answer: 'refused',
+			type: 'task/start-answered', at: this.now as Instant, jobId: 'roster' as JobId, attempt: 1, answer,
 		});
-		this.passWithoutTasks();
 	}
 
 	listProposedEnds(): unknown[] {
 		return [...this.state.log.pending.values()].map(({record}) => record).filter(({schema}) => schema === 'job-attempt-end').map(({body}) => body);
 	}
-
-	private passWithoutTasks(): void {
-		this.now += 200;
-		reduce(this.state, {type: 'tasks/listed', at: this.now as Instant, tasks: []});
-		reduce(this.state, {type: 'clock/ticked', at: this.now as Instant});
-	}
 }
 
 /** The roster's first attempt is begun by a planner in term 1. */
@@ -165,3 +170,27 @@
 		expect(listTaskCalls(effects)).toEqual([]);
 	});
 });
+
+describe('a cancel that comes before the start', () => {
+	it('ends the attempt as never run, and the task is not started', () => {
+		const holder = Holder.create('entry-6');
+		startRoster(holder);
+		holder.append('job-cancel', {jobId: 'roster'});
+		const effects = holder.passWithoutTasks();
+		expect(effects.filter(effect => effect.type === 'task/start')).toEqual([]);
+		expect(holder.listProposedEnds()).toEqual([{
+			jobId: 'roster', attempt: 1, end: 'unstarted', term: 1,
+		}]);
+	});
+
+	it('keeps a start whose answer was lost from being called again', () => {
+		const holder = Holder.create('entry-7');
+		startRoster(holder);
+		holder.passWithoutTasks();
+		holder.answerStart('unknown');
+		holder.append('job-cancel', {jobId: 'roster'});
+		holder.wait(2000);
+		expect(holder.passWithoutTasks().filter(effect => effect.type === 'task/start')).toEqual([]);
+		expect(holder.listProposedEnds()).toEqual([]);
+	});
+});
--- a/packages/core/src/jobs/runner.ts
+++ b/packages/core/src/jobs/runner.ts
@@ -65,7 +65,8 @@
 
 /**
  * Starts a task that the platform doesn't list; gives the attempt up only when that is safe.
- * A refusal tells nothing of an attempt of an earlier term: a paused planner may still send its call.
+ * A refusal, or no call yet, tells nothing of an attempt of an earlier term: a paused planner may still send its call.
+ * What was cancelled is not started any more.
  */
 function startTask(state: State, {job, current}: RunningJob, term: number): Effect[] {
 	const logTime = estimateLogTime(state);
@@ -75,10 +76,16 @@
 
 	const known = state.jobRunner.starts.get(job.body.jobId);
 	const call = known?.attempt === current.attempt ? known : undefined;
-	if (call?.state === 'refused' && call.calls === 1 && current.term === term) {
+	const isRefused = call?.state === 'refused' && call.calls === 1;
+	const isCancelledBefore = job.isCancelRequested && call === undefined;
+	if ((isRefused || isCancelledBefore) && current.term === term) {
 		return publishEnd(state, {job, current, task: undefined}, 'unstarted', term);
 	}
 
+	if (job.isCancelRequested) {
+		return [];
+	}
+
 	if (call && (call.state !== 'unknown' || call.callAt > state.now)) {
 		return [];
 	}
