--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,8 +1,11 @@
 /** The platform-free core of rhubarblever: no I/O, no clock, no randomness of its own. */
+export * from './version.js';
 export * from './types/ids.js';
 export * from './types/time.js';
 export * from './types/faults.js';
 export * from './types/hosts.js';
+export * from './types/addresses.js';
+export * from './types/issues.js';
 export * from './types/records.js';
 export * from './types/requests.js';
 export type * from './types/peers.js';
@@ -36,9 +39,10 @@
 export type * from './planner/events.js';
 export type * from './planner/effects.js';
 export type * from './planner/state.js';
-export {estimateLogTime, findOwnTerm} from './planner/tenure.js';
+export {estimateLogTime, findOwnTerm, isWorkerListNeeded} from './planner/tenure.js';
 export {isLogAway, queueRecord} from './log/appends.js';
 export {isReady} from './log/start.js';
+export {defaultLogRetentionMs} from './log/snapshot-due.js';
 export {isPeerLive, listLivePeers} from './membership/liveness.js';
 export * from './pools/budget.js';
 export type * from './pools/state.js';
--- a/packages/core/src/jobs/handlers.ts
+++ b/packages/core/src/jobs/handlers.ts
@@ -2,7 +2,7 @@
 import {estimateLogTime, findOwnTerm} from '../planner/tenure.js';
 import type {Effect} from '../types/effects.js';
 import type {HandlerTable} from '../types/handlers.js';
-import type {HostId} from '../types/ids.js';
+import type {HostId, JobId} from '../types/ids.js';
 import type {State} from '../types/state.js';
 import {addMilliseconds} from '../types/time.js';
 import {listFailingWorkers} from './blame.js';
@@ -15,6 +15,7 @@
 	getJobLeaseMs, listRunning, runJobs, type RunningJob,
 } from './runner.js';
 import {isEnded} from './state.js';
+import type {ToldTask} from './tasks.js';
 import {doesFit, estimateSize, noteUse} from './use.js';
 
 const listIntervalMs = 250;
@@ -41,13 +42,21 @@
 	'task/told'(state, {jobId, task}) {
 		if (state.fleet.jobs.jobs.get(jobId)?.current?.attempt === task.attempt) {
 			state.jobRunner.told.set(jobId, task);
-			state.jobRunner.stopAgainAt.delete(jobId);
+			hastenStop(state, jobId, task);
 		}
 
 		return [];
 	},
 };
 
+/** A newer checkpoint lets the stop follow at once. */
+function hastenStop(state: State, jobId: JobId, task: ToldTask): void {
+	const {displaced, stopAgainAt} = state.jobRunner;
+	if (task.checkpointMs > (displaced.get(jobId)?.checkpointMs ?? Number.POSITIVE_INFINITY)) {
+		stopAgainAt.delete(jobId);
+	}
+}
+
 /** Runs, places and relieves jobs while this host is the planner. */
 export function tickJobs(state: State): Effect[] {
 	const term = findOwnTerm(state);
--- a/packages/core/src/jobs/relief.ts
+++ b/packages/core/src/jobs/relief.ts
@@ -8,14 +8,20 @@
 import {throttleWorker} from './throttle.js';
 import {fullMemoryShare, getUsedMemory, isOverMemory} from './use.js';
 
-/** Resumable tasks on hosts that are out by plan give way at once, so that a drain need not wait for them. */
+/** Resumable tasks on a host that is out by plan give way once no other task runs there: until then its drain has to wait anyway. */
 export function clearLeavingWorkers(state: State, running: readonly RunningJob[]): Effect[] {
-	return running
-		.filter(({job, current, task}) =>
-			job.body.isResumable && task?.state === 'running' && state.fleet.hosts.get(current.worker)?.chain !== undefined)
+	const leaving = running.filter(({current}) => state.fleet.hosts.get(current.worker)?.chain !== undefined);
+	const held = new Set(leaving.filter(({job, task}) => !job.body.isResumable && isPresent(task)).map(({current}) => current.worker));
+	return leaving
+		.filter(({job, current, task}) => job.body.isResumable && task?.state === 'running' && !held.has(current.worker))
 		.flatMap(item => displaceTask(state, item));
 }
 
+/** A task that is not listed yet may run. */
+function isPresent(task: RunningJob['task']): boolean {
+	return task === undefined || task.state === 'running';
+}
+
 /** Throttles or displaces where the reported use passes what a worker has. */
 export function relieveWorkers(state: State, running: readonly RunningJob[], capacities: readonly WorkerCapacity[]): Effect[] {
 	const byWorker = new Map<HostId, RunningJob[]>();
--- a/packages/core/src/jobs/runner.ts
+++ b/packages/core/src/jobs/runner.ts
@@ -141,9 +141,10 @@
 		: [];
 }
 
-/** A task that must give way is stopped only once its checkpoint is seen; calls may be lost, so both are repeated. */
+/** A task that must give way is stopped only once a checkpoint newer than that is seen; calls may be lost, so both are repeated. */
 function stopTask(state: State, {job, current, task}: RunningJob): Effect[] {
 	const {jobId} = job.body;
+	const displacement = state.jobRunner.displaced.get(jobId);
 	const mustGiveWay = isDisplaced(state, {job, current, task});
 	const isDue = (state.jobRunner.stopAgainAt.get(jobId) ?? 0) <= state.now;
 	if (!isDue || !(job.isCancelRequested || mustGiveWay)) {
@@ -151,24 +152,24 @@
 	}
 
 	state.jobRunner.stopAgainAt.set(jobId, addMilliseconds(state.now, stopRetryMs));
-	const needsCheckpoint = job.body.isResumable && !job.isCancelRequested && task?.checkpointMs === 0;
+	const needsCheckpoint = job.body.isResumable && !job.isCancelRequested && (task?.checkpointMs ?? 0) <= (displacement?.checkpointMs ?? 0);
 	return [{type: needsCheckpoint ? 'task/checkpoint' : 'task/stop', jobId, attempt: current.attempt}];
 }
 
 /** Whether a task already gives way. */
 export function isDisplaced(state: State, {job, current}: RunningJob): boolean {
-	return state.jobRunner.displaced.get(job.body.jobId) === current.attempt;
+	return state.jobRunner.displaced.get(job.body.jobId)?.attempt === current.attempt;
 }
 
 /** Makes a task give way. A resumable one is checkpointed now and stopped once that is seen; another one is stopped and loses its run. */
 export function displaceTask(state: State, item: RunningJob): Effect[] {
-	const {job, current} = item;
+	const {job, current, task} = item;
 	const {jobId, isResumable} = job.body;
 	if (isDisplaced(state, item)) {
 		return [];
 	}
 
-	state.jobRunner.displaced.set(jobId, current.attempt);
+	state.jobRunner.displaced.set(jobId, {attempt: current.attempt, checkpointMs: task?.checkpointMs ?? 0});
 	state.jobRunner.stopAgainAt.set(jobId, addMilliseconds(state.now, isResumable ? checkpointWaitMs : stopRetryMs));
 	return [{type: isResumable ? 'task/checkpoint' : 'task/stop', jobId, attempt: current.attempt}];
 }
