--- a/packages/core/src/jobs/runner.test.ts
+++ b/packages/core/src/jobs/runner.test.ts
@@ -69,6 +69,13 @@
 		return effects;
 	}
 
+	/** Takes in what the platform answered to a checkpoint of the roster's task. */
+	tellCheckpoint(checkpointMs: number): void {
+		reduce(this.state, {
+			type: 'task/told', at: this.now as Instant, jobId: 'roster' as JobId, task: {attempt: 1, state: 'running', checkpointMs},
+		});
+	}
+
 	wait(milliseconds: number): void {
 		this.now += milliseconds;
 	}
@@ -141,6 +148,18 @@
 		expect(listTaskCalls(holder.pass(1500, {state: 'running', checkpointMs: 900})).includes('task/stop')).toEqual(true);
 	});
 
+	it('is stopped as soon as the platform answers with a newer checkpoint, though the list does not show it yet', () => {
+		const holder = Holder.create('entry-1');
+		const listed = {state: 'running', checkpointMs: 700};
+		startRoster(holder);
+		holder.append('job', createJob('warning', 'urgent'));
+		expect(listTaskCalls(holder.pass(200, listed))).toEqual(['task/checkpoint']);
+		holder.tellCheckpoint(700);
+		expect(listTaskCalls(holder.pass(150, listed))).toEqual([]);
+		holder.tellCheckpoint(701);
+		expect(listTaskCalls(holder.pass(150, listed))).toEqual(['task/stop']);
+	});
+
 	it('loses no run, also when another planner has taken over before its end was written down', () => {
 		const holder = Holder.create('entry-2');
 		startRoster(holder);
