--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -44,16 +44,26 @@
 	accelerators: number;
 };
 
+/** What the planner knows beside the fold. */
+export type PlacementNotes = {
+	/** Memory that jobs were seen to use beyond what they declare. */
+	readonly seenMemory: ReadonlyMap<JobId, number>;
+	/** Workers on which tasks give way; only urgent jobs are placed there meanwhile. */
+	readonly clearedWorkers: ReadonlySet<HostId>;
+};
+
 /** Plans the next attempts of all waiting jobs. */
-export function planPlacements(fleet: FleetState, capacities: readonly WorkerCapacity[], seenMemory: ReadonlyMap<JobId, number>, now: Instant): PlacementPlan {
-	const rooms = listByPool(fleet, buildRooms(fleet, capacities, now));
+export function planPlacements(fleet: FleetState, capacities: readonly WorkerCapacity[], notes: PlacementNotes, now: Instant): PlacementPlan {
+	const all = buildRooms(fleet, capacities, now);
+	const rooms = listByPool(fleet, all);
+	const openRooms = listByPool(fleet, all.filter(room => !notes.clearedWorkers.has(room.worker)));
 	const workers = listByPool(fleet, capacities);
 	const held = sumHeldByTeam(fleet);
 	const placements: Placement[] = [];
 	const unplaceable: Array<{job: Job; reason: string}> = [];
 	const crowdedOut: Job[] = [];
 	for (const job of sortWaiting(fleet, held)) {
-		const size = estimateSize(job, seenMemory);
+		const size = estimateSize(job, notes.seenMemory);
 		const reason = describeMisfit(workers.get(job.body.pool) ?? [], job, size);
 		if (reason !== undefined) {
 			unplaceable.push({job, reason});
@@ -66,7 +76,8 @@
 			continue;
 		}
 
-		const room = chooseRoom(rooms.get(job.body.pool) ?? [], job, size);
+		const candidates = job.body.jobClass === 'urgent' ? rooms : openRooms;
+		const room = chooseRoom(candidates.get(job.body.pool) ?? [], job, size);
 		if (room) {
 			takeRoom(room, size);
 			teamHeld.cores += job.body.cores;
--- a/packages/core/src/jobs/runner.ts
+++ b/packages/core/src/jobs/runner.ts
@@ -26,12 +26,21 @@
 	return state.settings.jobLeaseMs ?? defaultJobLeaseMs;
 }
 
-/** All running jobs, joined with the platform's list of tasks. */
+/** All running jobs, joined with the platform's list of tasks and what it told since. */
 export function listRunning(state: State): RunningJob[] {
 	const tasks = new Map(state.jobRunner.tasks.map(task => [`${task.taskId}#${task.attempt}`, task]));
-	return [...state.fleet.jobs.jobs.values()].flatMap(job => job.current
-		? [{job, current: job.current, task: tasks.get(`${job.body.jobId}#${job.current.attempt}`)}]
-		: []);
+	return [...state.fleet.jobs.jobs.values()].flatMap(job => {
+		const {current} = job;
+		return current ? [{job, current, task: mergeTold(state, tasks.get(`${job.body.jobId}#${current.attempt}`))}] : [];
+	});
+}
+
+/** The list lags, but a task that ended stays so, and a checkpoint is not lost. */
+function mergeTold(state: State, task: ListedTask | undefined): ListedTask | undefined {
+	const told = task && state.jobRunner.told.get(task.taskId);
+	return task && told?.attempt === task.attempt
+		? {...task, state: told.state === 'running' ? task.state : told.state, checkpointMs: Math.max(task.checkpointMs, told.checkpointMs)}
+		: task;
 }
 
 /** What each running job needs now. */
@@ -56,7 +65,8 @@
 
 /**
  * Starts a task that the platform doesn't list; gives the attempt up only when that is safe.
- * A refusal tells nothing of an attempt of an earlier term: a paused planner may still send its call.
+ * A refusal, or no call yet, tells nothing of an attempt of an earlier term: a paused planner may still send its call.
+ * What was cancelled is not started any more.
  */
 function startTask(state: State, {job, current}: RunningJob, term: number): Effect[] {
 	const logTime = estimateLogTime(state);
@@ -66,10 +76,16 @@
 
 	const known = state.jobRunner.starts.get(job.body.jobId);
 	const call = known?.attempt === current.attempt ? known : undefined;
-	if (call?.state === 'refused' && call.calls === 1 && current.term === term) {
+	const isRefused = call?.state === 'refused' && call.calls === 1;
+	const isCancelledBefore = job.isCancelRequested && call === undefined;
+	if ((isRefused || isCancelledBefore) && current.term === term) {
 		return publishEnd(state, {job, current, task: undefined}, 'unstarted', term);
 	}
 
+	if (job.isCancelRequested) {
+		return [];
+	}
+
 	if (call && (call.state !== 'unknown' || call.callAt > state.now)) {
 		return [];
 	}
