Host list: a call without an answer no longer holds up the next ones

Cause: the list was asked for one call at a time, and a call sent into the outage waits for its own timeout, 10 s once the platform counts as slow, though new calls are answered. Ruled out: the list's lag (2 s then, and the leaving was 8 s old), and gossip (all hosts hung alike). The list is now asked for every second whatever became of earlier calls, at most eight without an answer, and a list that comes after a later one is dropped.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -13,6 +13,7 @@
 import {createLogger} from './logger.js';
 import {createMetrics} from './metrics.js';
 import {PeerLinks} from './peers/peer-links.js';
+import {HostListPoll} from './platform/host-list-poll.js';
 import {PlatformClient} from './platform/platform-client.js';
 import {TaskClient} from './platform/task-client.js';
 import {WorkerClient} from './platform/worker-client.js';
@@ -37,6 +38,7 @@
 	private readonly server: Server;
 	private readonly context: InterpreterContext;
 	private readonly metrics: StatsD;
+	private readonly hostList: HostListPoll;
 	private stopRequests = 0;
 	private isEnding = false;
 
@@ -70,6 +72,9 @@
 			areInvariantsFatal: settings.areInvariantsFatal,
 			exit: this.end.bind(this),
 		};
+		this.hostList = HostListPoll.create({
+			push, intervalMs: hostListIntervalMs, listHosts: async () => this.context.platform.listHosts(),
+		});
 		this.server = createHttpServer({
 			settings, state: this.state, calls, push,
 		});
@@ -87,7 +92,7 @@
 		setInterval(() => {
 			this.push({type: 'clock/ticked', at: readClock()});
 		}, tickIntervalMs);
-		void this.followHostList();
+		this.hostList.start();
 		void this.followWorkers();
 	}
 
@@ -111,17 +116,6 @@
 		runEffect(this.context, effect);
 	}
 
-	private async followHostList(): Promise<void> {
-		const result = await this.context.platform.listHosts();
-		this.push(result.match<Event>(
-			hosts => ({type: 'hosts/listed', at: readClock(), hosts}),
-			fault => ({type: 'hosts/list-failed', at: readClock(), fault}),
-		));
-		setTimeout(() => {
-			void this.followHostList();
-		}, hostListIntervalMs);
-	}
-
 	private async followWorkers(): Promise<void> {
 		const isNeeded = isWorkerListNeeded(this.state);
 		if (isNeeded) {
--- a/packages/daemon/src/platform/platform-client.ts
+++ b/packages/daemon/src/platform/platform-client.ts
@@ -79,12 +79,13 @@
 
 	/** The host list; while it is as it was, a platform that knows ETags sends it once only. */
 	async listHosts(): Promise<Result<readonly ListedHost[], Fault>> {
+		const known = this.latestHosts;
 		const answer = await this.http.call({
-			method: 'GET', path: '/v1/hosts', timeoutMs: this.timeoutMs, knownTag: this.latestHosts?.tag,
+			method: 'GET', path: '/v1/hosts', timeoutMs: this.timeoutMs, knownTag: known?.tag,
 		});
 		return answer.andThen(found => {
-			if (found.status === notModifiedStatus && this.latestHosts) {
-				return ok(this.latestHosts.hosts);
+			if (found.status === notModifiedStatus && known) {
+				return ok(known.hosts);
 			}
 
 			return parseAnswer(found, hostListSchema).map(({hosts}) => {
