Liveness: a peer in another zone may miss as many heartbeats as one in the own zone

Cause: heartbeats across zones had become half as often (500 ms) while the timeout stayed 1 s, so one late heartbeat too many and a peer counted as dead. At load averages of 20 to 30, hosts changed stewards back and forth, slots were overfilled, and 43 of 300 requests of a burst spent the retry budget on refusals of full targets. Change: four missed heartbeats end liveness in either case, after 1 s in a zone and 2 s across. Ruled out: faster heartbeats across zones (they are most of the bytes).

--- a/packages/core/src/membership/handlers.ts
+++ b/packages/core/src/membership/handlers.ts
@@ -13,7 +13,7 @@
 import {addMilliseconds, type Instant, type Offset} from '../types/time.js';
 import {noteGreetedHosts, tickEntryHosts, updateEntryHosts} from './entry-hosts.js';
 import type {MembershipEvent} from './events.js';
-import {heartbeatIntervalMs, sendHeartbeat, sendHeartbeats} from './heartbeats.js';
+import {sendHeartbeat, sendHeartbeats} from './heartbeats.js';
 import {isPeerCompatible, noteHeartbeat} from './liveness.js';
 import {
 	protocolVersion, type PeerMessage, type PeerMessageOf, type PeerMessageType,
@@ -24,6 +24,9 @@
 
 type MessageHandler<Type extends PeerMessageType> = (state: State, peer: Peer, message: PeerMessageOf<Type>) => Effect[];
 
+/** How often it is looked at what is due. */
+const checkIntervalMs = 250;
+
 const messageHandlers: {readonly [Type in PeerMessageType]: MessageHandler<Type>} = {
 	...slotMessageHandlers,
 	...claimMessageHandlers,
@@ -90,7 +93,7 @@
 		return [];
 	}
 
-	state.membership.nextHeartbeatAt = addMilliseconds(state.now, heartbeatIntervalMs);
+	state.membership.nextHeartbeatAt = addMilliseconds(state.now, checkIntervalMs);
 	return [...sendHeartbeats(state), ...tickEntryHosts(state)];
 }
 
--- a/packages/core/src/membership/heartbeats.ts
+++ b/packages/core/src/membership/heartbeats.ts
@@ -6,11 +6,10 @@
 import type {Effect} from '../types/effects.js';
 import type {State} from '../types/state.js';
 import {addMilliseconds} from '../types/time.js';
+import {getHeartbeatIntervalMs} from './liveness.js';
 import type {PeerMessage} from './messages.js';
 import type {Peer} from './state.js';
 
-export const heartbeatIntervalMs = 250;
-const zoneCrossingIntervalMs = 500;
 /** The whole heartbeat is repeated this often though nothing has changed. */
 const wholeIntervalMs = 2000;
 /** Peers of an older version do not know pulses. */
@@ -18,13 +17,10 @@
 
 /** Sends what is due to each linked peer. */
 export function sendHeartbeats(state: State): Effect[] {
-	const zones = new Map([...state.settings.peers, ...state.membership.linkedHosts].map(host => [host.hostId, host.availabilityZone]));
-	const {availabilityZone} = state.settings.self;
 	return [...state.membership.peers.values()]
 		.filter(peer => peer.isLinked && state.now >= peer.heartbeatAt)
 		.map(peer => {
-			const isInZone = zones.get(peer.hostId) === availabilityZone;
-			peer.heartbeatAt = addMilliseconds(state.now, isInZone ? heartbeatIntervalMs : zoneCrossingIntervalMs);
+			peer.heartbeatAt = addMilliseconds(state.now, getHeartbeatIntervalMs(state, peer.hostId));
 			return isWholeDue(state, peer) ? sendHeartbeat(state, peer) : createSend(state, peer, {type: 'pulse', sentAt: state.now});
 		});
 }
--- a/packages/core/src/requests/lone-host.ts
+++ b/packages/core/src/requests/lone-host.ts
@@ -87,12 +87,12 @@
 		});
 	}
 
-	arrive(callerKey = 'call-1' as CallerKey): void {
+	arrive(callerKey = 'call-1' as CallerKey, deadlineMs = 2000): void {
 		this.push({
 			type: 'request/arrived',
 			at: this.at,
 			request: {
-				callerKey, requestId: 'request-1' as RequestId, service, team: 'tartu' as TeamId, workClass: 'quick', isIdempotent: false, arrivedAt: this.at, deadline: (this.now + 2000) as Instant,
+				callerKey, requestId: 'request-1' as RequestId, service, team: 'tartu' as TeamId, workClass: 'quick', isIdempotent: false, arrivedAt: this.at, deadline: (this.now + deadlineMs) as Instant,
 			},
 		});
 	}
