Waves: hosts granted but not yet drained go back when health drops

Cause: a grant stood whatever happened after it. When hosts failed, those granted waited or drained on, though the pool was below its least.

Change: the record outage-return ends an outage at step granted, judged by term and operation id; the host waits for its turn, no failure counted. The planner gives back as many hosts as the pool lacks, first those whose drain was not called, then with most tasks; a drain that runs is undrained first, one in doubt is read first. Once begun it goes through although health is back. A new holder that finds the drain undone takes it for a failed one: one of the host's three tries.

--- a/packages/core/src/fleet/decoders.ts
+++ b/packages/core/src/fleet/decoders.ts
@@ -78,6 +78,7 @@
 	'host-drained/1': createPlainDecoder('host-drained', chainStepBodyV1),
 	'host-rebooted/1': createPlainDecoder('host-rebooted', chainStepBodyV1),
 	'outage-end/1': createPlainDecoder('outage-end', outageEndBodyV1),
+	'outage-return/1': createPlainDecoder('outage-return', chainStepBodyV1),
 	'planner-lease/1': createPlainDecoder('planner-lease', plannerLeaseBodyV1),
 	'job/1': createPlainDecoder('job', jobBodyV1),
 	'job-cancel/1': createPlainDecoder('job-cancel', jobCancelBodyV1),
--- a/packages/core/src/planner/executor.ts
+++ b/packages/core/src/planner/executor.ts
@@ -4,8 +4,9 @@
 import type {State} from '../types/state.js';
 import {addMilliseconds} from '../types/time.js';
 import {listDownWorkers} from './workers.js';
-import {runOperation, type OperationProgress} from './operations.js';
+import {findFirstTry, runOperation, type OperationProgress} from './operations.js';
 import {publishHostRecord} from './proposals.js';
+import {isNeededBack, isReturning} from './shortage.js';
 import {estimateLogTime} from './tenure.js';
 
 const callDeadlineMs = 10 * 60 * 1000;
@@ -16,6 +17,10 @@
 
 const outageSteps: Readonly<Record<Outage['step'], ChainStep<Outage>>> = {
 	granted(state, host, chain, term) {
+		if (isReturning(state, host) || canReturn(state, host)) {
+			return returnHost(state, host, chain, term);
+		}
+
 		const drain = runOperation(state, {
 			host, kind: 'drain', deadline: chain.drainDeadline, tries: 1,
 		});
@@ -93,6 +98,19 @@
 	});
 }
 
+/** A drain that a lost answer leaves in doubt is read first; one that has ended takes its usual course. */
+function canReturn(state: State, host: FleetHost): boolean {
+	const drain = findFirstTry(state, host, 'drain');
+	return !drain.isInFlight && (drain.state === 'absent' || drain.state === 'running') && isNeededBack(state, host);
+}
+
+/** Health dropped since the grant: the host goes back to service and waits for its turn again. */
+function returnHost(state: State, host: FleetHost, chain: Outage, term: number): Effect[] {
+	state.planner.returning.add(chain.operationId);
+	const publish = () => publishHostRecord(state, 'outage-return', createStepBody(host, chain, term));
+	return findFirstTry(state, host, 'drain').state === 'absent' ? publish() : follow(runUndrain(state, host), {done: publish});
+}
+
 function follow(progress: OperationProgress, next: {readonly done: () => Effect[]; readonly failed?: () => Effect[]}): Effect[] {
 	const after = {pending: undefined, done: next.done, failed: next.failed}[progress.state];
 	return [...progress.effects, ...after?.() ?? []];
--- a/packages/core/src/planner/operations.ts
+++ b/packages/core/src/planner/operations.ts
@@ -1,7 +1,6 @@
 /** Operations on the platform: started once, read back after a lost answer, repeated under the same id. */
 import type {RecordOutcome} from '../fleet/apply-record.js';
 import type {ChainStepBody} from '../pools/bodies.js';
-import {listPoolHosts} from '../pools/budget.js';
 import type {FleetHost} from '../pools/state.js';
 import type {Effect} from '../types/effects.js';
 import type {OperationId, PoolId} from '../types/ids.js';
@@ -10,7 +9,8 @@
 import {addMilliseconds, type Instant} from '../types/time.js';
 import type {KnownOperation} from './state.js';
 import {estimateLogTime, findOwnTerm, hasFreshWorkers} from './tenure.js';
-import {listDownWorkers, type OperationKind} from './workers.js';
+import {countMissing, isSeenDown} from './shortage.js';
+import type {OperationKind} from './workers.js';
 
 const pollIntervalMs = 500;
 const maximumTries = 100;
@@ -50,7 +50,12 @@
 	return {state: 'failed', effects: []};
 }
 
-function findOperation(state: State, {host, kind}: WantedOperation, attempt: number): KnownOperation {
+/** What is known of the first try of an operation that a host's chain needs. */
+export function findFirstTry(state: State, host: FleetHost, kind: OperationKind): KnownOperation {
+	return findOperation(state, {host, kind}, 1);
+}
+
+function findOperation(state: State, {host, kind}: Pick<WantedOperation, 'host' | 'kind'>, attempt: number): KnownOperation {
 	const operationId = `${host.chain?.operationId ?? ''}.${kind}.${attempt}` as OperationId;
 	const known = state.planner.operations.get(operationId);
 	if (known) {
@@ -97,10 +102,7 @@
 		return false;
 	}
 
-	const minimum = state.fleet.pools.get(host.pool)?.body.budget.minimumHealthyHosts ?? 0;
-	const down = listDownWorkers(state.planner.workers);
-	const serving = listPoolHosts(state.fleet, host.pool).filter(other => !other.chain && !other.isDown && !down.has(other.hostId));
-	return kind !== 'drain' || host.isDown || down.has(host.hostId) || serving.length >= minimum;
+	return kind !== 'drain' || isSeenDown(state, host) || countMissing(state, host.pool) === 0;
 }
 
 /** Takes in what the platform told of an operation. */
@@ -115,7 +117,7 @@
 	operation.callAt = told === 'absent' ? state.now : addMilliseconds(state.now, pollIntervalMs);
 }
 
-const lastSteps = new Set(['outage-end', 'move-joined']);
+const lastSteps = new Set(['outage-end', 'outage-return', 'move-joined']);
 
 /** Forgets the operations of a chain that has ended. */
 export function closeOperations(state: State, logged: LoggedRecord, outcome: RecordOutcome): void {
@@ -124,6 +126,7 @@
 	}
 
 	const ended = (logged.record.body as ChainStepBody).operationId;
+	state.planner.returning.delete(ended);
 	for (const operationId of state.planner.operations.keys()) {
 		if (operationId.startsWith(`${ended}.`)) {
 			state.planner.operations.delete(operationId);
--- a/packages/core/src/planner/state.ts
+++ b/packages/core/src/planner/state.ts
@@ -25,6 +25,8 @@
 	readonly proposals: Map<HostId, RecordId>;
 	leaseProposal: RecordId | undefined;
 	readonly operations: Map<OperationId, KnownOperation>;
+	/** Outages that are being undone, by the operation id of their chain. */
+	readonly returning: Set<OperationId>;
 	/** The pool of each host as last seen, to check that it changes only by a move. */
 	readonly knownPools: Map<HostId, PoolId>;
 	/** Offset of the next record to check. */
@@ -42,6 +44,7 @@
 		proposals: new Map(),
 		leaseProposal: undefined,
 		operations: new Map(),
+		returning: new Set(),
 		knownPools: new Map(),
 		auditOffset: 0 as Offset,
 		proposalCount: 0,
--- a/packages/core/src/waves/appliers.ts
+++ b/packages/core/src/waves/appliers.ts
@@ -20,6 +20,7 @@
 	'host-drained': createOutageStep('granted', 'drained'),
 	'host-rebooted': createOutageStep('drained', 'rebooted'),
 	'outage-end': applyOutageEnd,
+	'outage-return': applyOutageReturn,
 };
 
 function applyWave(fleet: FleetState, logged: LoggedRecord, body: WaveBody): RecordOutcome {
@@ -122,6 +123,24 @@
 	return accepted;
 }
 
+/** No failure of the host: it is tried as often as before. */
+function applyOutageReturn(fleet: FleetState, _logged: LoggedRecord, body: ChainStepBody): RecordOutcome {
+	const host = fleet.hosts.get(body.hostId);
+	const reason = judgeOutageStep(fleet, host, body, ['granted']);
+	if (reason !== undefined || host?.chain?.kind !== 'outage') {
+		return refuseRecord(reason ?? '');
+	}
+
+	const wave = fleet.waves.get(host.chain.waveId);
+	const waveHost = wave && findWaveHost(wave, body.hostId);
+	if (waveHost) {
+		waveHost.state = 'waiting';
+	}
+
+	host.chain = undefined;
+	return accepted;
+}
+
 function endWaveHost(waveHost: WaveHost, outcome: OutageEndBody['outcome']): void {
 	if (outcome === 'rebooted') {
 		waveHost.state = 'rebooted';
--- a/packages/core/src/waves/bodies.ts
+++ b/packages/core/src/waves/bodies.ts
@@ -56,4 +56,6 @@
 	readonly 'host-drained': ChainStepBody;
 	readonly 'host-rebooted': ChainStepBody;
 	readonly 'outage-end': OutageEndBody;
+	/** The host is back in service before its drain had ended, since its pool had too few; it waits for its turn again. */
+	readonly 'outage-return': ChainStepBody;
 };
