--- a/packages/core/src/pools/fold.test.ts
+++ b/packages/core/src/pools/fold.test.ts
@@ -65,7 +65,11 @@
 
 function createEnd(schema: string, outcome: {readonly outcome?: string}) {
 	return (fleet: FleetState, {host}: Command, term: number): Proposal =>
-		({schema, version: 1, body: {hostId: hostIds[host], term, operationId: fleet.hosts.get(hostIds[host]!)?.chain?.operationId ?? 'none', ...outcome}});
+		({
+			schema, version: 1, body: {
+				hostId: hostIds[host], term, operationId: fleet.hosts.get(hostIds[host]!)?.chain?.operationId ?? 'none', ...outcome,
+			},
+		});
 }
 
 const proposers: Readonly<Record<string, (fleet: FleetState, command: Command, term: number, at: number) => Proposal>> = {
