--- a/packages/core/src/pools/fold.test.ts
+++ b/packages/core/src/pools/fold.test.ts
@@ -184,8 +184,7 @@
 		const term = command.isStale ? this.staleTerm : this.fleet.plannerLease?.term ?? 1;
 		this.staleTerm = command.number === 0 ? this.fleet.plannerLease?.term ?? 1 : this.staleTerm;
 		const proposal = proposers[command.kind]!(this.fleet, command, term, this.at);
-		const record = this.createRecord(proposal);
-		this.send(record, command.delivery);
+		this.send(this.createRecord(proposal), command.delivery);
 	}
 
 	append(proposal: Proposal): void {
