--- a/packages/core/src/jobs/placement.test.ts
+++ b/packages/core/src/jobs/placement.test.ts
@@ -32,7 +32,7 @@
 	const capacities = hosts.map((host): WorkerCapacity => ({
 		worker: host as HostId, cores: 8, memoryBytes: 1, accelerators: 0, usedCores: 0, usedMemoryBytes: 0, dueRank: dueRanks[host],
 	}));
-	return planPlacements(fleet, capacities, 0 as Instant).placements[0]?.worker;
+	return planPlacements(fleet, capacities, new Map(), 0 as Instant).placements[0]?.worker;
 }
 
 describe('during a wave', () => {
--- a/packages/core/src/jobs/runner-state.ts
+++ b/packages/core/src/jobs/runner-state.ts
@@ -29,6 +29,8 @@
 	readonly displaced: Map<JobId, Displacement>;
 	/** When to ask again that a task be checkpointed or stopped. */
 	readonly stopAgainAt: Map<JobId, Instant>;
+	/** The most memory that each job was seen to use, where it is more than declared. */
+	readonly seenMemory: Map<JobId, number>;
 	proposalCount: number;
 };
 
@@ -45,6 +47,7 @@
 		starts: new Map(),
 		displaced: new Map(),
 		stopAgainAt: new Map(),
+		seenMemory: new Map(),
 		proposalCount: 0,
 	};
 }
--- a/packages/core/src/planner/wave-view.ts
+++ b/packages/core/src/planner/wave-view.ts
@@ -22,7 +22,7 @@
 export function createWaveView(state: State, wave: Wave): WaveView | undefined {
 	const budget = state.fleet.pools.get(wave.body.pool)?.body.budget;
 	const now = estimateLogTime(state);
-	return budget && getWaveStatus(wave, now) === 'active'
+	return budget && getWaveStatus(state.fleet, wave, now) === 'active'
 		? {
 			fleet: state.fleet, wave, budget, now, heldTasks: countHeldTasks(state),
 		}
