--- a/packages/core/src/pools/fold.test.ts
+++ b/packages/core/src/pools/fold.test.ts
@@ -33,7 +33,7 @@
 };
 
 const kinds = [
-	'grant', 'grant', 'grant', 'step', 'step', 'step', 'end', 'lend', 'lend', 'move', 'move', 'health', 'lease', 'lease', 'pool', 'wave', 'wave-cancel', 'host',
+	'grant', 'grant', 'grant', 'step', 'step', 'step', 'end', 'return', 'lend', 'lend', 'move', 'move', 'health', 'lease', 'lease', 'pool', 'wave', 'wave-cancel', 'host',
 ];
 const commandArbitrary: fc.Arbitrary<Command> = fc.record({
 	kind: fc.constantFrom(...kinds),
@@ -63,6 +63,15 @@
 	return {schema, version: 1, body: schema === 'outage-end' ? {...body, outcome: 'rebooted'} : body};
 }
 
+function createEnd(schema: string, outcome: {readonly outcome?: string}) {
+	return (fleet: FleetState, {host}: Command, term: number): Proposal =>
+		({
+			schema, version: 1, body: {
+				hostId: hostIds[host], term, operationId: fleet.hosts.get(hostIds[host]!)?.chain?.operationId ?? 'none', ...outcome,
+			},
+		});
+}
+
 const proposers: Readonly<Record<string, (fleet: FleetState, command: Command, term: number, at: number) => Proposal>> = {
 	grant: (_fleet, command, term) => ({
 		schema: 'outage-grant',
@@ -72,15 +81,8 @@
 		},
 	}),
 	step: planStep,
-	end(fleet, command, term) {
-		const hostId = hostIds[command.host]!;
-		const operationId = fleet.hosts.get(hostId)?.chain?.operationId ?? 'none';
-		return {
-			schema: 'outage-end', version: 1, body: {
-				hostId, term, operationId, outcome: 'failed',
-			},
-		};
-	},
+	end: createEnd('outage-end', {outcome: 'failed'}),
+	return: createEnd('outage-return', {}),
 	lend(fleet, command, term) {
 		const host = fleet.hosts.get(hostIds[command.host]!);
 		return {
@@ -182,8 +184,7 @@
 		const term = command.isStale ? this.staleTerm : this.fleet.plannerLease?.term ?? 1;
 		this.staleTerm = command.number === 0 ? this.fleet.plannerLease?.term ?? 1 : this.staleTerm;
 		const proposal = proposers[command.kind]!(this.fleet, command, term, this.at);
-		const record = this.createRecord(proposal);
-		this.send(record, command.delivery);
+		this.send(this.createRecord(proposal), command.delivery);
 	}
 
 	append(proposal: Proposal): void {
