--- a/packages/core/src/claims/slow-votes.test.ts
+++ b/packages/core/src/claims/slow-votes.test.ts
@@ -5,8 +5,7 @@
 import {LoneHost} from '../requests/lone-host.js';
 
 const tickMs = 50;
-/** Of hosts in other availability zones. */
-const heartbeatTimeoutMs = 2000;
+const heartbeatTimeoutMs = 1000;
 const callerKey = 'call-1' as CallerKey;
 
 function passTime(host: LoneHost, milliseconds: number, isHeard: boolean): void {
--- a/packages/core/src/membership/handlers.ts
+++ b/packages/core/src/membership/handlers.ts
@@ -13,7 +13,7 @@
 import {addMilliseconds, type Instant, type Offset} from '../types/time.js';
 import {noteGreetedHosts, tickEntryHosts, updateEntryHosts} from './entry-hosts.js';
 import type {MembershipEvent} from './events.js';
-import {sendHeartbeat, sendHeartbeats} from './heartbeats.js';
+import {heartbeatIntervalMs, sendHeartbeat, sendHeartbeats} from './heartbeats.js';
 import {isPeerCompatible, noteHeartbeat} from './liveness.js';
 import {
 	protocolVersion, type PeerMessage, type PeerMessageOf, type PeerMessageType,
@@ -24,9 +24,6 @@
 
 type MessageHandler<Type extends PeerMessageType> = (state: State, peer: Peer, message: PeerMessageOf<Type>) => Effect[];
 
-/** How often it is looked at what is due. */
-const checkIntervalMs = 250;
-
 const messageHandlers: {readonly [Type in PeerMessageType]: MessageHandler<Type>} = {
 	...slotMessageHandlers,
 	...claimMessageHandlers,
@@ -93,7 +90,7 @@
 		return [];
 	}
 
-	state.membership.nextHeartbeatAt = addMilliseconds(state.now, checkIntervalMs);
+	state.membership.nextHeartbeatAt = addMilliseconds(state.now, heartbeatIntervalMs);
 	return [...sendHeartbeats(state), ...tickEntryHosts(state)];
 }
 
@@ -131,11 +128,11 @@
 		incarnation: undefined,
 		protocolVersion: undefined,
 		heardUntil: 0 as Instant,
+		latestSentAt: undefined,
 		nextOffset: 0 as Offset,
 		leastDelayMs: undefined,
 		lateSince: undefined,
 		hasOtherHistory: false,
-		heartbeatAt: 0 as Instant,
 		heartbeatSentAt: 0 as Instant,
 		told: undefined,
 		toldAt: 0 as Instant,
