--- a/packages/core/src/fleet/all-schemas.test.ts
+++ b/packages/core/src/fleet/all-schemas.test.ts
@@ -81,6 +81,7 @@
 	}),
 	'host-drained/1': createChainStep,
 	'host-rebooted/1': createChainStep,
+	'outage-return/1': createChainStep,
 	'outage-end/1': (fleet, draw) => ({...createChainStep(fleet, draw), outcome: draw.number % 2 === 0 ? 'rebooted' : 'failed'}),
 	'planner-lease/1'(fleet, draw, at) {
 		const lease = fleet.plannerLease;
@@ -119,7 +120,7 @@
 
 /** Drawn more often, since each step counts only after the one before. */
 const chainSchemas = [
-	'move/1', 'move-lend/1', 'move-drained/1', 'move-released/1', 'move-joined/1', 'outage-grant/1', 'host-drained/1', 'host-rebooted/1', 'outage-end/1',
+	'move/1', 'move-lend/1', 'move-drained/1', 'move-released/1', 'move-joined/1', 'outage-grant/1', 'outage-return/1', 'host-drained/1', 'host-rebooted/1', 'outage-end/1',
 ];
 
 const drawArbitrary: fc.Arbitrary<Draw> = fc.record({
