--- a/packages/bench/src/capacity/entry-hosts.ts
+++ b/packages/bench/src/capacity/entry-hosts.ts
@@ -61,7 +61,7 @@
 	return Number(match?.[1] ?? 0) * 1024;
 }
 
-function printFit(name: string, points: readonly Point[]): void {
+function writeFit(name: string, points: readonly Point[]): void {
 	const {base, slope, spread} = computeFit(points);
 	const shown = points.map(point => `${point.size}: ${point.cost.toFixed(0)}`).join(', ');
 	process.stdout.write(`${name} by entry hosts: slope ${slope.toFixed(2)}, base ${base.toFixed(0)}, spread ${(spread * 100).toFixed(0)}% [${shown}]\n`);
@@ -73,6 +73,6 @@
 	costs.push(await measureIdle(count));
 }
 
-printFit('idle processor time of a host (ms/s)', costs.map(cost => ({size: cost.hosts, cost: cost.cpuMsPerSecond})));
-printFit('bytes between entry hosts, sent and received counted once, per host (bytes/s)', costs.map(cost => ({size: cost.hosts, cost: cost.bytesPerSecond})));
-printFit('largest resident memory (bytes)', costs.map(cost => ({size: cost.hosts, cost: cost.residentBytes})));
+writeFit('idle processor time of a host (ms/s)', costs.map(cost => ({size: cost.hosts, cost: cost.cpuMsPerSecond})));
+writeFit('bytes between entry hosts, sent and received counted once, per host (bytes/s)', costs.map(cost => ({size: cost.hosts, cost: cost.bytesPerSecond})));
+writeFit('largest resident memory (bytes)', costs.map(cost => ({size: cost.hosts, cost: cost.residentBytes})));
--- a/packages/bench/src/capacity/main.ts
+++ b/packages/bench/src/capacity/main.ts
@@ -5,7 +5,7 @@
 import {measureClaimMemory} from './claim-memory.js';
 import {computeFit, type Point} from './fit.js';
 import {
-	buildRecords, createMeasuredHost, foldRecords, type FleetSize,
+	buildRecords, createMeasuredHost, applyRecords, type FleetSize,
 } from './measured-fleet.js';
 import {measureCpu, measureHeap, measureMedian} from './measure.js';
 import {measurePlannerTick} from './planner-tick.js';
@@ -41,7 +41,7 @@
 		take(size) {
 			const records = buildRecords(size);
 			return measureMedian(runs, () => measureCpu(() => {
-				foldRecords(createMeasuredHost(), records);
+				applyRecords(createMeasuredHost(), records);
 			}));
 		},
 	},
@@ -68,11 +68,11 @@
 
 function createFolded(size: FleetSize) {
 	const state = createMeasuredHost();
-	foldRecords(state, buildRecords(size));
+	applyRecords(state, buildRecords(size));
 	return state;
 }
 
-function printFit(name: string, field: string, points: readonly Point[]): void {
+function writeFit(name: string, field: string, points: readonly Point[]): void {
 	const fit = computeFit(points);
 	const shown = points.map(point => `${point.size}: ${point.cost.toFixed(0)}`).join(', ');
 	process.stdout.write(`${name} by ${field}: slope ${fit.slope.toPrecision(3)}, base ${fit.base.toFixed(0)}, spread ${(fit.spread * 100).toFixed(0)}% [${shown}]\n`);
@@ -81,7 +81,7 @@
 createFolded(smallest);
 for (const {name, unit, take} of measures) {
 	for (const {field, sizes} of varied) {
-		printFit(`${name} (${unit})`, field, sizes.map(size => ({size, cost: take({...smallest, [field]: size})})));
+		writeFit(`${name} (${unit})`, field, sizes.map(size => ({size, cost: take({...smallest, [field]: size})})));
 	}
 }
 
@@ -90,10 +90,10 @@
 	{field: 'workers', sizes: [125, 250, 500, 1000]},
 ];
 for (const {field, sizes} of planned) {
-	printFit('one planning tick (ms)', field, sizes.map(size => ({size, cost: measurePlannerTick({...twoYears, [field]: size}) / 1000})));
+	writeFit('one planning tick (ms)', field, sizes.map(size => ({size, cost: measurePlannerTick({...twoYears, [field]: size}) / 1000})));
 }
 
-printFit('heap of claims (bytes)', 'request ids', [12_500, 25_000, 50_000, 100_000].map(size => ({size, cost: measureClaimMemory(size)})));
+writeFit('heap of claims (bytes)', 'request ids', [12_500, 25_000, 50_000, 100_000].map(size => ({size, cost: measureClaimMemory(size)})));
 
 const volume = measureSnapshotVolume(createFolded(twoYears), 2_000_000);
 process.stdout.write(`snapshots at the two-year size, only leases renewed, half an hour: ${volume.count}, ${volume.bytesPerSecond.toFixed(0)} bytes/s\n`);
--- a/packages/bench/src/capacity/measured-fleet.ts
+++ b/packages/bench/src/capacity/measured-fleet.ts
@@ -78,7 +78,7 @@
 }
 
 /** Hands records to a host in pages, as its tail would read them. */
-export function foldRecords(state: State, records: readonly LoggedRecord[]): void {
+export function applyRecords(state: State, records: readonly LoggedRecord[]): void {
 	const pageSize = 500;
 	for (let start = 0; start < records.length; start += pageSize) {
 		reduce(state, {
--- a/packages/bench/src/capacity/planner-tick.ts
+++ b/packages/bench/src/capacity/planner-tick.ts
@@ -3,7 +3,7 @@
 	instantSchema, listedHostSchema, listedWorkerSchema, loggedRecordSchema, offsetSchema, reduce, type Instant, type State,
 } from '@rhubarblever/core';
 import {
-	buildRecords, createMeasuredHost, foldRecords, type FleetSize,
+	buildRecords, createMeasuredHost, applyRecords, type FleetSize,
 } from './measured-fleet.js';
 import {measureCpu, measureMedian} from './measure.js';
 
@@ -23,7 +23,7 @@
 		at += planStepMs;
 		listWorkers(state, size, at);
 		return measureCpu(() => {
-			reduce(state, {type: 'clock/ticked', at: toInstant(at)});
+			reduce(state, {type: 'clock/ticked', at: parseInstant(at)});
 		});
 	});
 }
@@ -40,10 +40,10 @@
 		holder: self.hostId, incarnation, term: 1, deadline: startAt + leaseMs,
 	}));
 	reduce(state, {
-		type: 'snapshot/read', at: toInstant(startAt), records: [], firstOffset: offsetSchema.parse(0), nextOffset: offsetSchema.parse(0),
+		type: 'snapshot/read', at: parseInstant(startAt), records: [], firstOffset: offsetSchema.parse(0), nextOffset: offsetSchema.parse(0),
 	});
-	foldRecords(state, records);
-	reduce(state, {type: 'hosts/listed', at: toInstant(startAt), hosts: listHosts(size)});
+	applyRecords(state, records);
+	reduce(state, {type: 'hosts/listed', at: parseInstant(startAt), hosts: listHosts(size)});
 	return state;
 }
 
@@ -65,10 +65,10 @@
 	const workers = Array.from({length: size.workers}, (_, index) => listedWorkerSchema.parse({
 		hostId: `worker-${index}`, availabilityZone: `zone-${(index % 7) + 1}`, state: 'up', runningTasks: 0, reportedAt: at,
 	}));
-	reduce(state, {type: 'workers/listed', at: toInstant(at), workers});
-	reduce(state, {type: 'tasks/listed', at: toInstant(at), tasks: []});
+	reduce(state, {type: 'workers/listed', at: parseInstant(at), workers});
+	reduce(state, {type: 'tasks/listed', at: parseInstant(at), tasks: []});
 }
 
-function toInstant(at: number): Instant {
+function parseInstant(at: number): Instant {
 	return instantSchema.parse(at);
 }
--- a/packages/bench/src/capacity/snapshot-volume.ts
+++ b/packages/bench/src/capacity/snapshot-volume.ts
@@ -16,10 +16,10 @@
 	let count = 0;
 	let bytes = 0;
 	reduce(state, {
-		type: 'snapshot/read', at: toInstant(startAt), records: [], firstOffset: offsetSchema.parse(0), nextOffset: offsetSchema.parse(0),
+		type: 'snapshot/read', at: parseInstant(startAt), records: [], firstOffset: offsetSchema.parse(0), nextOffset: offsetSchema.parse(0),
 	});
 	for (let at = startAt; at < startAt + measuredMs; at += stepMs) {
-		const effects = reduce(state, {type: 'clock/ticked', at: toInstant(at)});
+		const effects = reduce(state, {type: 'clock/ticked', at: parseInstant(at)});
 		if ((at - startAt) % renewalMs === 0) {
 			effects.push(...readRenewal(state, at));
 		}
@@ -28,7 +28,7 @@
 			if (effect.type === 'snapshot/write') {
 				count += 1;
 				bytes += JSON.stringify(effect.records).length;
-				reduce(state, {type: 'snapshot/written', at: toInstant(at), nextOffset: effect.nextOffset});
+				reduce(state, {type: 'snapshot/written', at: parseInstant(at), nextOffset: effect.nextOffset});
 			}
 		}
 	}
@@ -39,7 +39,7 @@
 function readRenewal(state: State, at: number) {
 	const {nextOffset} = state.fleet;
 	return reduce(state, {
-		type: 'log/read', at: toInstant(at), records: [createRenewal(nextOffset, at)], firstOffset: offsetSchema.parse(0), nextOffset: offsetSchema.parse(nextOffset + 1),
+		type: 'log/read', at: parseInstant(at), records: [createRenewal(nextOffset, at)], firstOffset: offsetSchema.parse(0), nextOffset: offsetSchema.parse(nextOffset + 1),
 	});
 }
 
@@ -58,6 +58,6 @@
 	});
 }
 
-function toInstant(at: number): Instant {
+function parseInstant(at: number): Instant {
 	return instantSchema.parse(at);
 }
--- a/packages/bench/src/demo/demo.test.ts
+++ b/packages/bench/src/demo/demo.test.ts
@@ -38,7 +38,7 @@
 	it('ends cleanly by Ctrl-C', async () => {
 		const demo = processes.start('demo', script, []);
 		await demo.waitForOutput('entry hosts are ready', startTimeoutMs);
-		demo.signal('SIGINT');
+		demo.sendSignal('SIGINT');
 		const end = await demo.waitForEnd();
 		expect(end.code).toEqual(interruptedCode);
 	});
--- a/packages/bench/src/demo/demo.ts
+++ b/packages/bench/src/demo/demo.ts
@@ -26,7 +26,7 @@
 	}
 
 	/** Writes a line to the screen with the seconds since the start. */
-	tell(text: string): void {
+	writeLine(text: string): void {
 		const seconds = ((Date.now() - this.startedAt) / 1000).toFixed(1).padStart(5);
 		process.stdout.write(`${seconds} s  ${text}\n`);
 	}
--- a/packages/bench/src/demo/main.ts
+++ b/packages/bench/src/demo/main.ts
@@ -15,12 +15,12 @@
 /** Runs the steps in turn; false at the first that was not seen. */
 async function runSteps(demo: Demo): Promise<boolean> {
 	for (const [index, step] of steps.entries()) {
-		demo.tell(`${index + 1}. ${step.title}.`);
+		demo.writeLine(`${index + 1}. ${step.title}.`);
 		try {
 			// eslint-disable-next-line no-await-in-loop
-			demo.tell(`   Seen: ${await step.run(demo)}.`);
+			demo.writeLine(`   Seen: ${await step.run(demo)}.`);
 		} catch (error) {
-			demo.tell(`   NOT SEEN: ${(error as Error).message}`);
+			demo.writeLine(`   NOT SEEN: ${(error as Error).message}`);
 			return false;
 		}
 	}
@@ -31,10 +31,10 @@
 async function runDemo(): Promise<void> {
 	process.stdout.write('Starting three availability zones on loopback: six entry hosts, six targets, six workers, and a stand-in of the platform. Ctrl-C ends it.\n');
 	const demo = await Demo.create();
-	demo.tell('All six entry hosts are ready.');
+	demo.writeLine('All six entry hosts are ready.');
 	const isSeen = await runSteps(demo);
 	await demo.stop();
-	demo.tell(isSeen ? 'Done: all of it was seen.' : 'Ended early: not all of it was seen.');
+	demo.writeLine(isSeen ? 'Done: all of it was seen.' : 'Ended early: not all of it was seen.');
 	process.exitCode = isSeen ? 0 : 1;
 }
 
--- a/packages/bench/src/demo/step.ts
+++ b/packages/bench/src/demo/step.ts
@@ -8,7 +8,7 @@
 };
 
 /** Throws with what was not true. */
-export function requireTruth(isTrue: boolean, what: string): void {
+export function judgeTruth(isTrue: boolean, what: string): void {
 	if (!isTrue) {
 		throw new Error(what);
 	}
--- a/packages/bench/src/demo/steps.ts
+++ b/packages/bench/src/demo/steps.ts
@@ -1,12 +1,12 @@
 /** The steps of the demo. Each tells what it does and returns what it saw; it throws if it did not see it. */
 import {
-	summarizeLoad, waitUntil, type LoadOutcome,
+	describeLoadRun, waitUntil, type LoadOutcome,
 } from '@rhubarblever/stand-ins';
 import {
 	changeRecord, firstRecords, guardedPool, minimumAfterChange, services,
 } from './demo-fleet.js';
 import type {Demo} from './demo.js';
-import {requireTruth, type Step} from './step.js';
+import {judgeTruth, type Step} from './step.js';
 
 type FleetAnswer = {
 	readonly pools: ReadonlyArray<{readonly body: {readonly pool: string; readonly budget: {readonly minimumHealthyHosts: number}}}>;
@@ -48,8 +48,8 @@
 	async run(demo) {
 		demo.startRequests();
 		const outcomes = await waitForGood(demo, answersToSee);
-		const {results, classes} = summarizeLoad(outcomes);
-		requireTruth(results.wrong === 0, `${results.wrong} answers were not the callers' own`);
+		const {results, classes} = describeLoadRun(outcomes);
+		judgeTruth(results.wrong === 0, `${results.wrong} answers were not the callers' own`);
 		const quick = classes.find(summary => summary.workClass === 'quick');
 		return `${results.good} of ${outcomes.length} requests got their own whole answer in time; half of the quick ones within ${quick?.latency.p50Ms.toFixed(0)} ms`;
 	},
@@ -70,21 +70,21 @@
 	async run(demo) {
 		const first = demo.outcomes.length;
 		const [leaving] = demo.listCallable();
-		requireTruth(leaving !== undefined, 'no entry host is left');
+		judgeTruth(leaving !== undefined, 'no entry host is left');
 		if (!leaving) {
 			return '';
 		}
 
 		demo.removeCallable(leaving);
 		const code = await demo.fleet.stopEntryHost(demo.fleet.entryHosts.indexOf(leaving));
-		requireTruth(code === 0, `${leaving.hostId} ended with code ${code}`);
+		judgeTruth(code === 0, `${leaving.hostId} ended with code ${code}`);
 		await demo.fleet.removeListedHost(leaving.hostId);
 		const added = await demo.fleet.addEntryHost(leaving.availabilityZone);
 		await demo.fleet.waitForReady(added);
 		demo.addCallable(added);
 		await waitForGood(demo, answersToSee);
-		const {results, reasons} = summarizeLoad(demo.outcomes.slice(first));
-		requireTruth(results.broken + results.failed + results.unknown + results.wrong === 0, `requests were cut or spoilt: ${JSON.stringify(reasons)}`);
+		const {results, reasons} = describeLoadRun(demo.outcomes.slice(first));
+		judgeTruth(results.broken + results.failed + results.unknown + results.wrong === 0, `requests were cut or spoilt: ${JSON.stringify(reasons)}`);
 		return `${leaving.hostId} ended with code 0, ${added.hostId} took over; of ${demo.outcomes.length - first} requests meanwhile ${results.good} were answered and none was cut`;
 	},
 };
@@ -93,14 +93,14 @@
 	title: 'The requests end, and the targets\' own ledgers are read',
 	async run(demo) {
 		await demo.finishRequests();
-		const {sent, results} = summarizeLoad(demo.outcomes);
+		const {sent, results} = describeLoadRun(demo.outcomes);
 		const ledgers = await demo.fleet.readLedgers();
 		const started = ledgers.flatMap(ledger => ledger.entries.map(entry => entry.requestId));
 		const heavy = new Set(demo.outcomes.filter(outcome => !outcome.planned.isIdempotent).map(outcome => outcome.planned.requestId));
 		const heavyStarts = started.filter(id => heavy.has(id));
 		const twice = heavyStarts.length - new Set(heavyStarts).size;
-		requireTruth(twice === 0, `${twice} replans ran twice`);
-		requireTruth(results.wrong === 0, `${results.wrong} answers were not the callers' own`);
+		judgeTruth(twice === 0, `${twice} replans ran twice`);
+		judgeTruth(results.wrong === 0, `${results.wrong} answers were not the callers' own`);
 		return `${sent} requests: ${results.good} answered in time, ${results.refused} refused, ${sent - results.good - results.refused} other; no replan of ${heavy.size} ran twice`;
 	},
 };
--- a/packages/bench/src/integration/command-line.test.ts
+++ b/packages/bench/src/integration/command-line.test.ts
@@ -101,7 +101,7 @@
 			const response = await fetch(`http://${first?.address}/v1/services/routes`, {method: 'POST', body: '{}', headers: {'idempotency-key': 'burn-1'}});
 			return response.ok;
 		}, 20_000);
-		second?.running.signal('SIGKILL');
+		second?.running.sendSignal('SIGKILL');
 		await second?.running.waitForEnd();
 		const published = await runTool(['publish', file, '--wait', '--timeout', '2']);
 		expect(published.code).toEqual(3);
--- a/packages/bench/src/integration/jobs.test.ts
+++ b/packages/bench/src/integration/jobs.test.ts
@@ -155,12 +155,12 @@
 		await waitForStep(ids.slice(0, 1), 'running');
 		const frozen = fleet.entryHosts[await findHolderIndex()]!;
 		const awake = fleet.entryHosts.find(host => host !== frozen)!;
-		frozen.running.signal('SIGSTOP');
+		frozen.running.sendSignal('SIGSTOP');
 		await waitUntil('another planner has taken over', async () => {
 			const answer = await fetchAnswer(awake);
 			return answer.plannerLease !== undefined && answer.plannerLease.holder !== frozen.hostId;
 		}, settleMs);
-		frozen.running.signal('SIGCONT');
+		frozen.running.sendSignal('SIGCONT');
 		await waitForStep(ids, 'succeeded');
 		const starts = await Promise.all(ids.map(async id => readStarts(id)));
 		expect(starts.map(list => list.length)).toEqual(ids.map(() => 1));
--- a/packages/bench/src/integration/lapsed-leases.test.ts
+++ b/packages/bench/src/integration/lapsed-leases.test.ts
@@ -60,10 +60,10 @@
 		}, settleMs);
 		const frozen = await findPlanner(fleet);
 		const observer = fleet.entryHosts.find(host => host !== frozen)!;
-		frozen.running.signal('SIGSTOP');
+		frozen.running.sendSignal('SIGSTOP');
 		await waitUntil('another entry host plans', async () => await findPlanner(fleet, observer) !== frozen, settleMs);
 		await waitUntil('a second run has begun', async () => listRunsOf(await readLedger(fleet), 'map-1').length > 1, settleMs);
-		frozen.running.signal('SIGCONT');
+		frozen.running.sendSignal('SIGCONT');
 		await waitForEnds(fleet, allIds);
 	});
 
--- a/packages/bench/src/integration/mixed-run.test.ts
+++ b/packages/bench/src/integration/mixed-run.test.ts
@@ -25,7 +25,7 @@
 
 	it('keeps all promises under a few kinds of faults', async () => {
 		const result = await runMixed({
-			seed, durationMs, calmTailMs, entryHostsPerZone, table, schedule, meanRate: 6, operations: ['races', 'jobs'], tell() {},
+			seed, durationMs, calmTailMs, entryHostsPerZone, table, schedule, meanRate: 6, operations: ['races', 'jobs'], writeLine() {},
 		});
 		expect(result.verdicts.filter(({isKept}) => !isKept)).toEqual([]);
 		expect(result.neverApplied).toEqual([]);
--- a/packages/bench/src/integration/paused-steward.test.ts
+++ b/packages/bench/src/integration/paused-steward.test.ts
@@ -60,13 +60,13 @@
 		const until = Date.now() + 500 + pauseMs + briefMs + 1000;
 		const load = Array.from({length: callerCount}, async (_, caller) => callOnAndOn(others, caller, until));
 		await sleep(500);
-		frozen.running.signal('SIGSTOP');
+		frozen.running.sendSignal('SIGSTOP');
 		changes.push(Date.now());
 		const ids = Array.from({length: 6}, () => randomUUID());
 		const toFrozen = ids.map(async requestId => call(frozen, requestId));
 		const toOthers = ids.map(async (requestId, place) => call(others[place % others.length]!, requestId));
 		await sleep(pauseMs);
-		frozen.running.signal('SIGCONT');
+		frozen.running.sendSignal('SIGCONT');
 		changes.push(Date.now());
 		doubled.push(...await Promise.all([...toFrozen, ...toOthers]));
 		await Promise.all(load);
--- a/packages/bench/src/integration/shared-state.test.ts
+++ b/packages/bench/src/integration/shared-state.test.ts
@@ -202,10 +202,10 @@
 		await runWithFleet(async fleet => {
 			const host = getHost(fleet, 0);
 			await fleet.publish([createPool('change-1', 'trucks', 3)], host);
-			host.running.signal('SIGSTOP');
+			host.running.sendSignal('SIGSTOP');
 			await fleet.publish([createPool('change-2', 'trucks', 4)], getHost(fleet, 1));
 			await sleep(4000);
-			host.running.signal('SIGCONT');
+			host.running.sendSignal('SIGCONT');
 			await fleet.waitForReady(host);
 			await waitForPool(fleet, host, 'trucks', 4);
 			await waitForLivePeers(fleet, host);
--- a/packages/bench/src/integration/thin-path.test.ts
+++ b/packages/bench/src/integration/thin-path.test.ts
@@ -70,7 +70,7 @@
 
 	it('a planned stop ends with code 0', async () => {
 		const host = fleet.entryHosts[0];
-		host?.running.signal('SIGTERM');
+		host?.running.sendSignal('SIGTERM');
 		const end = await host?.running.waitForEnd();
 		expect(end?.code).toEqual(0);
 	});
--- a/packages/bench/src/integration/waves.test.ts
+++ b/packages/bench/src/integration/waves.test.ts
@@ -165,13 +165,13 @@
 		await fleet.callPlatform('PUT', '/v1/control/faults', {rebootMs: 1500, reportLagMs: 500, loseAnswers: {probability: 0.3, seed: 7}});
 		await waitForReboots(1);
 		const frozen = await findHolder(fleet.entryHosts);
-		frozen.running.signal('SIGSTOP');
+		frozen.running.sendSignal('SIGSTOP');
 		const awake = fleet.entryHosts.filter(host => host !== frozen);
 		await waitForReboots(5);
 		const killed = await findHolder(awake);
-		killed.running.signal('SIGKILL');
+		killed.running.sendSignal('SIGKILL');
 		await killed.running.waitForEnd();
-		frozen.running.signal('SIGCONT');
+		frozen.running.sendSignal('SIGCONT');
 		const left = fleet.entryHosts.filter(host => host !== killed);
 		await waitUntil('the wave is done', async () => {
 			const answer = await fetchAnswer(left[0]!);
--- a/packages/bench/src/latency/latency-probe.ts
+++ b/packages/bench/src/latency/latency-probe.ts
@@ -42,7 +42,7 @@
 	}
 
 	/** Waits until every entry host answers requests with claims. */
-	async warmUp(): Promise<void> {
+	async runWarmUp(): Promise<void> {
 		await Promise.all(this.options.fleet.entryHosts.map(async host => waitUntil(`${host.hostId} answers`, async () =>
 			this.sendThrough(host.address, false), warmUpTimeoutMs)));
 	}
@@ -82,14 +82,14 @@
 	}
 
 	private async sendStraight(address: string): Promise<boolean> {
-		return this.post(address, '/run', {'idempotency-key': randomUUID(), 'rhubarblever-attempt-id': randomUUID()});
+		return this.sendPost(address, '/run', {'idempotency-key': randomUUID(), 'rhubarblever-attempt-id': randomUUID()});
 	}
 
 	private async sendThrough(address: string, isIdempotent: boolean): Promise<boolean> {
-		return this.post(address, `/v1/services/${this.options.service}`, {'idempotency-key': randomUUID(), 'rhubarblever-idempotent': String(isIdempotent)});
+		return this.sendPost(address, `/v1/services/${this.options.service}`, {'idempotency-key': randomUUID(), 'rhubarblever-idempotent': String(isIdempotent)});
 	}
 
-	private async post(address: string, path: string, headers: Record<string, string>): Promise<boolean> {
+	private async sendPost(address: string, path: string, headers: Record<string, string>): Promise<boolean> {
 		const response = await this.agent.request({
 			origin: `http://${address}`, path, method: 'POST', body: this.body, headers,
 		});
--- a/packages/bench/src/latency/main.ts
+++ b/packages/bench/src/latency/main.ts
@@ -48,7 +48,7 @@
 	});
 	try {
 		await fleet.publish(records);
-		await probe.warmUp();
+		await probe.runWarmUp();
 		const measured = await probe.measure(flags.count);
 		process.stdout.write(`${fleet.entryHosts.length} entry hosts, ${fleet.targets.length} targets, work of ${flags['run-ms']} ms, load average ${loadavg()[0]?.toFixed(1)}\n\n`);
 		process.stdout.write(`${renderTable(measured)}\n`);
--- a/packages/bench/src/mixed-run/draws.ts
+++ b/packages/bench/src/mixed-run/draws.ts
@@ -21,12 +21,12 @@
 	}
 
 	/** One of a list that is not empty. */
-	pick<Value>(list: readonly Value[]): Value {
+	select<Value>(list: readonly Value[]): Value {
 		return list[this.drawWhole(0, list.length - 1)]!;
 	}
 
 	/** The same values in another order. */
-	shuffle<Value>(list: readonly Value[]): Value[] {
+	drawOrder<Value>(list: readonly Value[]): Value[] {
 		return list
 			.map(value => ({value, rank: this.drawFraction()}))
 			.toSorted((a, b) => a.rank - b.rank)
--- a/packages/bench/src/mixed-run/entry-host-faults.ts
+++ b/packages/bench/src/mixed-run/entry-host-faults.ts
@@ -66,9 +66,9 @@
 			async start(stage, {names}) {
 				const host = stage.fleet.entryHosts[findIndex(stage, names[0])]!;
 				const end = noteDisturbance(stage, host);
-				host.running.signal('SIGSTOP');
+				host.running.sendSignal('SIGSTOP');
 				return async () => {
-					host.running.signal('SIGCONT');
+					host.running.sendSignal('SIGCONT');
 					end();
 				};
 			},
--- a/packages/bench/src/mixed-run/main.ts
+++ b/packages/bench/src/mixed-run/main.ts
@@ -16,12 +16,12 @@
 const badCommandCode = 2;
 const interruptedCode = 130;
 
-function tell(text: string): void {
+function writeLine(text: string): void {
 	process.stdout.write(`${new Date().toISOString().slice(11, 23)}  ${text}\n`);
 }
 
 /** The kinds that `--only` names; undefined if one is unknown. */
-function narrowTable(table: FaultTable, only: string | undefined): FaultTable | undefined {
+function selectFaultKinds(table: FaultTable, only: string | undefined): FaultTable | undefined {
 	const names = only === undefined ? Object.keys(table) : only.split(',');
 	return names.every(name => Object.hasOwn(table, name)) ? Object.fromEntries(names.map(name => [name, table[name]!])) : undefined;
 }
@@ -48,7 +48,7 @@
 		return;
 	}
 
-	const table = narrowTable(whole, flags.only);
+	const table = selectFaultKinds(whole, flags.only);
 	if (!table) {
 		process.stderr.write(`--only names an unknown kind of fault; the kinds: ${Object.keys(whole).join(', ')}\n`);
 		process.exitCode = badCommandCode;
@@ -59,7 +59,7 @@
 	const schedule = drawSchedule({seed: flags.seed, durationMs, meanGapMs: flags['mean-gap-s'] * 1000}, table);
 	process.stdout.write(`seed ${flags.seed}, ${flags.minutes} minutes, ${schedule.length} faults:\n${schedule.map(fault => describeFault(fault)).join('\n')}\n`);
 	const result = await runMixed({
-		seed: flags.seed, durationMs, calmTailMs: flags['calm-tail-s'] * 1000, entryHostsPerZone: flags['hosts-per-zone'], meanRate: flags.rate, table, schedule, tell,
+		seed: flags.seed, durationMs, calmTailMs: flags['calm-tail-s'] * 1000, entryHostsPerZone: flags['hosts-per-zone'], meanRate: flags.rate, table, schedule, writeLine,
 	});
 	const isKept = result.verdicts.every(verdict => verdict.isKept);
 	process.stdout.write(`${describeResult(result)}\n${isKept ? 'all promises held' : 'NOT all promises held'}\n`);
--- a/packages/bench/src/mixed-run/mixed-run.ts
+++ b/packages/bench/src/mixed-run/mixed-run.ts
@@ -1,6 +1,6 @@
 /** One mixed run: a fleet of real processes, the schedule of faults, the work beside it, then calm and the verdicts. */
 import {
-	LocalFleet, sleep, waitUntil, type LoadSummary, type PlatformLedgerEntry, summarizeLoad,
+	LocalFleet, sleep, waitUntil, type LoadSummary, type PlatformLedgerEntry, describeLoadRun,
 } from '@rhubarblever/stand-ins';
 import {Balancer} from './balancer.js';
 import {planCalls, runCalls} from './calls.js';
@@ -32,7 +32,7 @@
 	readonly schedule: readonly PlannedFault[];
 	/** Kinds of operations to run; all if missing. */
 	readonly operations?: readonly string[];
-	readonly tell: (text: string) => void;
+	readonly writeLine: (text: string) => void;
 };
 
 export type MixedRunResult = {
@@ -62,7 +62,7 @@
 		const {journal} = evidence;
 		return {
 			verdicts: [...judgeRequests(evidence), ...judgeStates(evidence), ...judgePlatform(evidence), ...judgeJobs(evidence)],
-			load: summarizeLoad(journal.outcomes),
+			load: describeLoadRun(journal.outcomes),
 			counts: Object.fromEntries([...journal.counts].toSorted(([a], [b]) => a.localeCompare(b))),
 			neverApplied: Object.keys(options.table).filter(kind => !journal.counts.has(kind)),
 			remarks: journal.remarks,
@@ -81,21 +81,21 @@
 	await operator.publish(firstRecords, publishTimeoutMs);
 	const watch = Watch.create(fleet, journal);
 	const releases = ReleaseWatch.create(fleet);
-	options.tell('the fleet is ready; faults, calls and operations begin');
+	options.writeLine('the fleet is ready; faults, calls and operations begin');
 	const finishBy = Date.now() + options.durationMs + options.calmTailMs + restMs;
 	const operations = runOperations(operator, journal, {...options, finishBy});
 	const calls = startCalls(journal, balancer, options);
 	await runSchedule({fleet, journal, links: LinkFaults.create()}, options.table, options.schedule);
 	await healAll(fleet);
 	journal.healedAt = Date.now();
-	options.tell('all faults have ended; calm');
+	options.writeLine('all faults have ended; calm');
 	const inForceAfterMs = await measureInForce(fleet, journal);
 	await Promise.all([operations, calls, sleep(options.calmTailMs)]);
 	await waitForRest(operator, journal);
 	await balancer.stop();
 	await watch.stop();
 	await releases.stop();
-	options.tell('the run has ended; judging');
+	options.writeLine('the run has ended; judging');
 	return {
 		journal,
 		calmTailMs: options.calmTailMs,
--- a/packages/bench/src/mixed-run/operations.ts
+++ b/packages/bench/src/mixed-run/operations.ts
@@ -37,8 +37,8 @@
 const waveGapMs = 30_000;
 
 /** Several operators change one pool based on the same version, through different hosts. */
-async function raceChanges({operator, journal, draws}: OperationStage, number: number): Promise<void> {
-	const pool = draws.pick(contestedPools);
+async function publishRacingChanges({operator, journal, draws}: OperationStage, number: number): Promise<void> {
+	const pool = draws.select(contestedPools);
 	const racers = draws.drawWhole(2, 3);
 	const fleet = await operator.read();
 	const basedOn = fleet?.pools.find(({body}) => body.pool === pool)?.offset;
@@ -61,12 +61,12 @@
 	}));
 }
 
-async function submitJobs({operator, journal, draws}: OperationStage, number: number): Promise<void> {
+async function publishJobs({operator, journal, draws}: OperationStage, number: number): Promise<void> {
 	const jobs = Array.from({length: draws.drawWhole(1, mostJobsAtOnce)}, (_, index) => ({
 		jobId: `job-${number}-${index}`,
 		pool: guardedPool,
-		team: draws.pick(['newsroom', 'archive']),
-		jobClass: draws.pick(['urgent', 'normal', 'batch']),
+		team: draws.select(['newsroom', 'archive']),
+		jobClass: draws.select(['urgent', 'normal', 'batch']),
 		// One in twelve fits no worker.
 		cores: draws.drawWhole(1, 12) === 1 ? 500 : draws.drawWhole(1, 12),
 		memoryBytes: 1e9,
@@ -113,8 +113,8 @@
 }
 
 async function moveHost({operator, journal, draws}: OperationStage, number: number): Promise<void> {
-	const {hostId} = draws.pick(workers);
-	const to = draws.pick([guardedPool, guardedPool, sparePool]);
+	const {hostId} = draws.select(workers);
+	const to = draws.select([guardedPool, guardedPool, sparePool]);
 	const verdicts = await operator.publish([{
 		recordId: `move-${number}`, schema: 'move', version: 1, body: {hostId, to},
 	}], publishTimeoutMs);
@@ -122,8 +122,8 @@
 }
 
 const operations: Readonly<Record<string, Operation>> = {
-	races: {meanGapMs: 4000, run: raceChanges},
-	jobs: {meanGapMs: 3000, run: submitJobs},
+	races: {meanGapMs: 4000, run: publishRacingChanges},
+	jobs: {meanGapMs: 3000, run: publishJobs},
 	waves: {meanGapMs: waveGapMs, run: startWave},
 	moves: {meanGapMs: 10_000, run: moveHost},
 };
--- a/packages/bench/src/mixed-run/operator.ts
+++ b/packages/bench/src/mixed-run/operator.ts
@@ -3,7 +3,7 @@
 	sleep, type LocalEntryHost, type LocalFleet, type PublishableRecord,
 } from '@rhubarblever/stand-ins';
 import type {Balancer} from './balancer.js';
-import {giveUp} from './give-up.js';
+import {waitUntilGivenUp} from './give-up.js';
 
 export type Verdict = {readonly recordId: string; readonly offset: number; readonly outcome: {readonly verdict: string}};
 type PublishAnswer = {readonly published: readonly Verdict[]};
@@ -26,7 +26,7 @@
 /** Reads the fleet of an entry host; undefined if it does not answer in time. */
 export async function readFleet(fleet: LocalFleet, host: LocalEntryHost, timeoutMs = callTimeoutMs): Promise<FleetAnswer | undefined> {
 	const answer = fleet.fetchFleet(host).catch(() => undefined);
-	return Promise.race([answer as Promise<FleetAnswer | undefined>, giveUp(timeoutMs)]);
+	return Promise.race([answer as Promise<FleetAnswer | undefined>, waitUntilGivenUp(timeoutMs)]);
 }
 
 export class Operator {
@@ -52,7 +52,7 @@
 	/** Publishes once; undefined if there was no answer or a refusal. */
 	async publishOnce(records: readonly PublishableRecord[], host: LocalEntryHost = this.chooseHost()): Promise<readonly Verdict[] | undefined> {
 		const answer = this.fleet.publish(records, host).then(body => (body as PublishAnswer).published).catch(() => undefined);
-		return Promise.race([answer, giveUp(callTimeoutMs)]);
+		return Promise.race([answer, waitUntilGivenUp(callTimeoutMs)]);
 	}
 
 	/** Publishes the same records again until they have verdicts; undefined if that is not so in time. */
--- a/packages/bench/src/mixed-run/release-watch.ts
+++ b/packages/bench/src/mixed-run/release-watch.ts
@@ -1,6 +1,6 @@
 /** Follows the log in a run, as its records expire, for when each host that moves was released by its pool. */
 import {sleep, type LocalFleet} from '@rhubarblever/stand-ins';
-import {giveUp} from './give-up.js';
+import {waitUntilGivenUp} from './give-up.js';
 
 type LogPage = {readonly records: ReadonlyArray<{readonly offset: number; readonly at: number; readonly record: {readonly schema: string; readonly body: {readonly operationId?: string}}}>};
 
@@ -40,7 +40,7 @@
 	private async readPage(): Promise<void> {
 		const path = `/v1/streams/fleet/records?from=${this.nextOffset}&limit=${pageRecords}`;
 		const call = this.fleet.callPlatform('GET', path).catch(() => undefined);
-		const page = await Promise.race([call as Promise<LogPage | undefined>, giveUp(readTimeoutMs)]);
+		const page = await Promise.race([call as Promise<LogPage | undefined>, waitUntilGivenUp(readTimeoutMs)]);
 		for (const {offset, at, record} of page?.records ?? []) {
 			this.nextOffset = offset + 1;
 			const operationId = record.schema === 'move-released' ? record.body.operationId : undefined;
--- a/packages/bench/src/mixed-run/schedule.ts
+++ b/packages/bench/src/mixed-run/schedule.ts
@@ -44,7 +44,7 @@
 	const planned: PlannedFault[] = [];
 	let round: string[] = [];
 	for (let at = 0; at < durationMs; at += Math.ceil(draws.drawFraction() * 2 * meanGapMs)) {
-		round = round.length > 0 ? round : draws.shuffle(Object.keys(rows));
+		round = round.length > 0 ? round : draws.drawOrder(Object.keys(rows));
 		const kind = round.pop() ?? '';
 		const fault = drawFault({draws, at, freeAt}, kind, rows[kind]!);
 		const count = counts.get(kind) ?? 0;
@@ -71,7 +71,7 @@
 		return undefined;
 	}
 
-	const names = draws.pick(free);
+	const names = draws.select(free);
 	for (const name of listHolds(names)) {
 		freeAt.set(name, at + durationMs + (row.recoveryMs ?? 0));
 	}
--- a/packages/bench/src/mixed-run/watch.ts
+++ b/packages/bench/src/mixed-run/watch.ts
@@ -46,7 +46,7 @@
 			}
 
 			// eslint-disable-next-line no-await-in-loop
-			await this.reviveIfEnded(host);
+			await this.restartIfEnded(host);
 			// eslint-disable-next-line no-await-in-loop
 			await sleep(intervalMs);
 		}
@@ -69,7 +69,7 @@
 	}
 
 	/** A process that ended without signal or planned stop is noted and replaced. */
-	private async reviveIfEnded(host: LocalEntryHost): Promise<void> {
+	private async restartIfEnded(host: LocalEntryHost): Promise<void> {
 		const {running} = host;
 		const code = running.child.exitCode;
 		if (code === null || code === 0 || this.reportedEnds.has(running)) {
--- a/packages/bench/src/routing/chart.ts
+++ b/packages/bench/src/routing/chart.ts
@@ -16,12 +16,12 @@
 export function renderPage(runs: readonly PolicyRun[], title: string): string {
 	const charts = listCharts(runs).map(chart => renderChart(chart)).join('\n');
 	const [titles = [], ...rows] = listRows(runs);
-	const head = titles.map(cell => `<th>${escapeText(cell)}</th>`).join('');
-	const body = rows.map(row => `<tr>${row.map(cell => `<td>${escapeText(cell)}</td>`).join('')}</tr>`).join('\n');
+	const head = titles.map(cell => `<th>${encodeText(cell)}</th>`).join('');
+	const body = rows.map(row => `<tr>${row.map(cell => `<td>${encodeText(cell)}</td>`).join('')}</tr>`).join('\n');
 	return `<!doctype html>
-<html lang="en"><head><meta charset="utf-8"><title>${escapeText(title)}</title>
+<html lang="en"><head><meta charset="utf-8"><title>${encodeText(title)}</title>
 <style>body{font:14px sans-serif;margin:2em}td,th{border:1px solid #bbb;padding:2px 6px;text-align:right}table{border-collapse:collapse;font-size:12px}svg{display:block;margin:1em 0}</style>
-</head><body><h1>${escapeText(title)}</h1>
+</head><body><h1>${encodeText(title)}</h1>
 ${charts}
 <table><tr>${head}</tr>
 ${body}</table>
@@ -56,18 +56,18 @@
 	const scale = (width - labelWidth - valueWidth) / largest;
 	const rows = bars.map((bar, index) => renderBar(bar, titleHeight + (index * (barHeight + barGap)), bar.value * scale));
 	const height = titleHeight + (bars.length * (barHeight + barGap));
-	return `<svg width="${width}" height="${height}" role="img"><text x="0" y="16" font-weight="bold">${escapeText(title)}</text>
+	return `<svg width="${width}" height="${height}" role="img"><text x="0" y="16" font-weight="bold">${encodeText(title)}</text>
 ${rows.join('\n')}
 </svg>`;
 }
 
 function renderBar({label, text}: Bar, top: number, length: number): string {
 	const middle = top + (barHeight * 0.75);
-	return `<text x="${labelWidth - 8}" y="${middle}" text-anchor="end">${escapeText(label)}</text>`
+	return `<text x="${labelWidth - 8}" y="${middle}" text-anchor="end">${encodeText(label)}</text>`
 		+ `<rect x="${labelWidth}" y="${top}" width="${length.toFixed(1)}" height="${barHeight}" fill="#3b6ea5"/>`
-		+ `<text x="${labelWidth + length + 6}" y="${middle}">${escapeText(text)}</text>`;
+		+ `<text x="${labelWidth + length + 6}" y="${middle}">${encodeText(text)}</text>`;
 }
 
-function escapeText(text: string): string {
+function encodeText(text: string): string {
 	return text.replaceAll('&', '&amp;').replaceAll('<', '&lt;').replaceAll('>', '&gt;');
 }
--- a/packages/bench/src/routing/run-policy.ts
+++ b/packages/bench/src/routing/run-policy.ts
@@ -2,7 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import {loadavg} from 'node:os';
 import {
-	LocalFleet, planLoad, runLoad, sleep, summarizeLoad, waitUntil, type LoadSummary, type PlannedRequest,
+	LocalFleet, planLoad, runLoad, sleep, describeLoadRun, waitUntil, type LoadSummary, type PlannedRequest,
 } from '@rhubarblever/stand-ins';
 import {LatencyProbe, listAddedMs} from '../latency/latency-probe.js';
 import {
@@ -75,7 +75,7 @@
 	});
 	try {
 		await fleet.publish(benchRecords);
-		await warmUp(fleet);
+		await runWarmUp(fleet);
 		return await measureRun(fleet, options);
 	} finally {
 		await fleet.stop();
@@ -83,7 +83,7 @@
 }
 
 /** Waits until each entry host answers requests of each service. */
-async function warmUp(fleet: LocalFleet): Promise<void> {
+async function runWarmUp(fleet: LocalFleet): Promise<void> {
 	await Promise.all(fleet.entryHosts.flatMap(host => services.map(async service => {
 		await waitUntil(`${host.hostId} answers ${service}`, async () => {
 			const response = await fetch(`http://${host.address}/v1/services/${service}`, {
@@ -116,7 +116,7 @@
 	return {
 		policy,
 		seed,
-		load: summarizeLoad(outcomes),
+		load: describeLoadRun(outcomes),
 		idealGood: ideal.size,
 		idealGoodInBursts: planned.filter(request => inBursts(request) && ideal.has(request.requestId)).length,
 		goodInBursts: outcomes.filter(outcome => inBursts(outcome.planned) && outcome.result === 'good').length,
--- a/packages/bench/src/urgent/main.ts
+++ b/packages/bench/src/urgent/main.ts
@@ -40,7 +40,7 @@
 
 async function measureUrgent(fleet: LocalFleet, {rounds, lag}: Flags) {
 	await fleet.callPlatform('PUT', '/v1/control/faults', {reportLagMs: Number(lag)});
-	await fillFleet(fleet);
+	await startFillingWork(fleet);
 	const started = build();
 	for (let round = 0; round < Number(rounds); round++) {
 		// eslint-disable-next-line no-await-in-loop
@@ -58,7 +58,7 @@
 }
 
 /** Publishes more batch work than fits, and waits until no more of it starts. */
-async function fillFleet(fleet: LocalFleet): Promise<void> {
+async function startFillingWork(fleet: LocalFleet): Promise<void> {
 	for (let first = 0; first < batchCount; first += publishLimit) {
 		const count = Math.min(publishLimit, batchCount - first);
 		// eslint-disable-next-line no-await-in-loop
--- a/packages/bench/src/waves/fake-platform.ts
+++ b/packages/bench/src/waves/fake-platform.ts
@@ -42,7 +42,7 @@
 			const isDown = isWorkerDown(worker, this.now);
 			if (isDown !== (worker.state === 'down')) {
 				worker.state = isDown ? 'down' : 'up';
-				this.tasks.loseAll(worker.hostId, this.now);
+				this.tasks.removeAll(worker.hostId, this.now);
 			}
 		}
 
@@ -118,7 +118,7 @@
 			drain: 'draining', reboot: 'rebooting', undrain: 'up', 'set-pool': worker.state,
 		}[kind] as FakeWorker['state'];
 		worker.since = this.now;
-		this.cutTasks += kind === 'reboot' ? this.tasks.loseAll(worker.hostId, this.now) : 0;
+		this.cutTasks += kind === 'reboot' ? this.tasks.removeAll(worker.hostId, this.now) : 0;
 		return kind === 'undrain' || kind === 'set-pool' ? 'done' : 'running';
 	}
 
--- a/packages/bench/src/waves/fake-tasks.ts
+++ b/packages/bench/src/waves/fake-tasks.ts
@@ -62,7 +62,7 @@
 		}
 	}
 
-	checkpoint(effect: EffectOf<'task/checkpoint'>, now: number): void {
+	writeCheckpoint(effect: EffectOf<'task/checkpoint'>, now: number): void {
 		const task = this.findRunning(effect);
 		if (task && task.checkpointAt === undefined) {
 			task.checkpointAt = now + checkpointTakesMs;
@@ -79,7 +79,7 @@
 	}
 
 	/** Ends all tasks of a worker that failed; returns how many ran. */
-	loseAll(hostId: HostId, now: number): number {
+	removeAll(hostId: HostId, now: number): number {
 		const running = this.listRunning().filter(task => task.hostId === hostId);
 		for (const task of running) {
 			endTask(task, 'lost', now);
--- a/packages/bench/src/waves/trial.ts
+++ b/packages/bench/src/waves/trial.ts
@@ -91,7 +91,7 @@
 		platform.tasks.renew(effect);
 	},
 	'task/checkpoint'({platform}, effect) {
-		platform.tasks.checkpoint(effect, platform.now);
+		platform.tasks.writeCheckpoint(effect, platform.now);
 	},
 	'task/stop'({platform}, effect) {
 		platform.tasks.stop(effect, platform.now);
@@ -135,7 +135,7 @@
 	/** Runs until the wave is over. */
 	run(): TrialResult {
 		while (this.platform.now < waveStartMs) {
-			this.step();
+			this.runStep();
 		}
 
 		this.platform.append([this.createWave()]);
@@ -151,7 +151,7 @@
 	private runWave(foundTimes: OutTimes): TrialResult {
 		let status = 'active';
 		while (status === 'active' && this.platform.now < limitMs) {
-			this.step();
+			this.runStep();
 			this.measure();
 			const wave = this.state.fleet.waves.get(waveId);
 			status = wave ? getWaveStatus(this.state.fleet, wave, this.platform.now as Instant) : status;
@@ -174,7 +174,7 @@
 		};
 	}
 
-	private step(): void {
+	private runStep(): void {
 		this.platform.tick(stepMs);
 		const at = this.platform.now as Instant;
 		const workers = this.platform.takeList();
--- a/packages/cli/src/commands/diff.ts
+++ b/packages/cli/src/commands/diff.ts
@@ -21,7 +21,7 @@
 type Difference = {readonly id: string; readonly change: 'same' | 'new' | 'changed' | 'not comparable'; readonly fields: readonly string[]};
 
 /** Compares each record of a file; differences end with their own exit code. */
-export async function diffFile(settings: Settings, file: string): Promise<Result<string, Failure>> {
+export async function compareFile(settings: Settings, file: string): Promise<Result<string, Failure>> {
 	const records = await readRecordsFile(file);
 	const fleet = await fetchAnswer({host: settings.host, token: settings.token, path: '/v1/fleet'}, fleetAnswerSchema);
 	if (records.isErr()) {
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,7 +4,7 @@
 import {version, type Instant} from '@rhubarblever/core';
 import {err, ok, type Result} from 'neverthrow';
 import sade from 'sade';
-import {diffFile} from './commands/diff.js';
+import {compareFile} from './commands/diff.js';
 import {getItem, listedKinds, listKind} from './commands/list.js';
 import {publishFile} from './commands/publish.js';
 import {reportBurn} from './commands/report-burn.js';
@@ -88,7 +88,7 @@
 program
 	.command('diff <file>', 'Compare a file of records with what is in force')
 	.action(async (file: string, flags: CommonFlags) => {
-		await runCommand(flags, async settings => diffFile(settings, file));
+		await runCommand(flags, async settings => compareFile(settings, file));
 	});
 
 program
--- a/packages/cli/src/output/burn-page.ts
+++ b/packages/cli/src/output/burn-page.ts
@@ -17,8 +17,8 @@
 </head>
 <body>
 <h1>Service-level burn</h1>
-<p>Made at ${escapeHtml(report.at)}; counted since ${escapeHtml(report.coveredSince ?? '-')}.</p>
-<p>Asked: ${escapeHtml(report.askedHosts.join(', '))}. Could not be asked: ${escapeHtml(report.unreachableHosts.join(', ') || 'none')}.</p>
+<p>Made at ${encodeHtml(report.at)}; counted since ${encodeHtml(report.coveredSince ?? '-')}.</p>
+<p>Asked: ${encodeHtml(report.askedHosts.join(', '))}. Could not be asked: ${encodeHtml(report.unreachableHosts.join(', ') || 'none')}.</p>
 ${report.services.map(service => renderService(service)).join('\n')}
 </body>
 </html>
@@ -26,8 +26,8 @@
 }
 
 function renderService(service: ServiceReport): string {
-	const causes = service.causes.map(({cause, count}) => `<tr><td>${escapeHtml(cause)}</td><td>${count}</td></tr>`).join('');
-	return `<h2>${escapeHtml(service.service)}</h2>
+	const causes = service.causes.map(({cause, count}) => `<tr><td>${encodeHtml(cause)}</td><td>${count}</td></tr>`).join('');
+	return `<h2>${encodeHtml(service.service)}</h2>
 <p>Objective ${formatShare(service.goodShare)} over ${service.windowMinutes} minutes; budget left ${formatShare(service.budgetLeft)};
 good ${service.good}, bad ${service.bad}; p50 ${service.p50} ms, p99 ${service.p99} ms.</p>
 ${renderPlot(service)}
@@ -68,6 +68,6 @@
 	return `<rect x="${x.toFixed(1)}" y="${y.toFixed(1)}" width="${Math.max(0.5, width - 0.5).toFixed(1)}" height="${height.toFixed(1)}" fill="${colour}"/>`;
 }
 
-function escapeHtml(text: string): string {
+function encodeHtml(text: string): string {
 	return text.replaceAll('&', '&amp;').replaceAll('<', '&lt;').replaceAll('>', '&gt;').replaceAll('"', '&quot;');
 }
--- a/packages/core/src/burn/observe.ts
+++ b/packages/core/src/burn/observe.ts
@@ -136,10 +136,10 @@
 	}
 
 	state.burn.nextCheckAt = addMilliseconds(state.now, checkIntervalMs);
-	return [...state.burn.services].flatMap(([service, burn]) => checkService(state, service, burn));
+	return [...state.burn.services].flatMap(([service, burn]) => judgeService(state, service, burn));
 }
 
-function checkService(state: State, service: ServiceId, burn: ServiceBurn): Effect[] {
+function judgeService(state: State, service: ServiceId, burn: ServiceBurn): Effect[] {
 	const objective = state.fleet.objectives.get(service)?.body;
 	if (!objective) {
 		return [];
--- a/packages/core/src/claims/catch-up.ts
+++ b/packages/core/src/claims/catch-up.ts
@@ -23,7 +23,7 @@
 
 /** Joins the members and copies what they know, until this host may vote. */
 export function tickCatchUp(state: State): Effect[] {
-	return state.claims.isVoting ? [] : [...join(state), ...fetchClaims(state)];
+	return state.claims.isVoting ? [] : [...requestJoin(state), ...fetchClaims(state)];
 }
 
 /** Answers a member that has joined, once this host has itself seen that join in the log. */
@@ -77,7 +77,7 @@
 		&& source.nextPage === page.page;
 }
 
-function join(state: State): Effect[] {
+function requestJoin(state: State): Effect[] {
 	if (state.claims.hasAskedToJoin || !state.log.isSettled || state.membership.hostsListedAt === undefined) {
 		return [];
 	}
--- a/packages/core/src/claims/claims.ts
+++ b/packages/core/src/claims/claims.ts
@@ -1,7 +1,7 @@
 /**
  * The dispatcher's side: a non-idempotent request is claimed before it is dispatched, and a majority of the members must vote for the claim.
  */
-import {admitClaimedRequest} from '../requests/admission.js';
+import {startClaimedRequest} from '../requests/admission.js';
 import {releaseEarlySlots} from '../requests/early-slots.js';
 import {refuseRequest} from '../requests/refusals.js';
 import type {Effect} from '../types/effects.js';
@@ -17,7 +17,7 @@
 } from './members.js';
 import type {ClaimAnswer} from './messages.js';
 import type {OpenClaim} from './state.js';
-import {judgeTally, tallyVotes} from './tally.js';
+import {judgeTally, countVotes} from './tally.js';
 import {getClaimExpiry, judgeClaim, releaseNote} from './votes.js';
 
 /** After so long a claim is given up as soon as no majority is heard. */
@@ -42,8 +42,8 @@
 	}
 
 	const claim = openClaim(state, request);
-	const asks = askVoters(state, claim, chooseFirstVoters(state, voters));
-	return [...asks, ...decide(state, claim)];
+	const asks = requestVotes(state, claim, chooseFirstVoters(state, voters));
+	return [...asks, ...judgeVotes(state, claim)];
 }
 
 /** Takes back a claim whose request was surely not dispatched, so that a repeat may run. */
@@ -83,7 +83,7 @@
 	}
 
 	claim.votes.set(peer, answer);
-	return decide(state, claim);
+	return judgeVotes(state, claim);
 }
 
 /** Asks again, gives claims up in time, and repeats releases until they are confirmed. */
@@ -107,18 +107,18 @@
 
 function tickOpenClaim(state: State, claim: OpenClaim): Effect[] {
 	if (isGivenUp(state, claim)) {
-		return closeClaim(state, claim, judgeTally(tallyVotes(state, claim), true));
+		return closeClaim(state, claim, judgeTally(countVotes(state, claim), true));
 	}
 
-	const settled = decide(state, claim);
+	const settled = judgeVotes(state, claim);
 	if (settled.length > 0 || claim.askAgainAt > state.now) {
 		return settled;
 	}
 
 	noteAsked(state, claim);
 	const missing = listVoters(state, claim.request.requestId).filter(hostId => !hasGranted(state, claim, hostId));
-	const asks = askVoters(state, claim, missing);
-	return [...asks, ...decide(state, claim)];
+	const asks = requestVotes(state, claim, missing);
+	return [...asks, ...judgeVotes(state, claim)];
 }
 
 /** Late votes are waited for while a majority is alive: a busy one is no reason to refuse. */
@@ -156,11 +156,11 @@
 	return claim;
 }
 
-function decide(state: State, claim: OpenClaim): Effect[] {
-	const tally = tallyVotes(state, claim);
+function judgeVotes(state: State, claim: OpenClaim): Effect[] {
+	const tally = countVotes(state, claim);
 	const verdict = judgeTally(tally, false);
 	if (verdict === 'held') {
-		return holdClaim(state, claim);
+		return keepClaim(state, claim);
 	}
 
 	if (verdict !== 'open') {
@@ -172,16 +172,16 @@
 	}
 
 	const unasked = listVoters(state, claim.request.requestId).filter(hostId => !claim.asked.has(hostId));
-	return unasked.length === 0 ? [] : [...askVoters(state, claim, unasked), ...decide(state, claim)];
+	return unasked.length === 0 ? [] : [...requestVotes(state, claim, unasked), ...judgeVotes(state, claim)];
 }
 
-function holdClaim(state: State, claim: OpenClaim): Effect[] {
+function keepClaim(state: State, claim: OpenClaim): Effect[] {
 	const {request, claimId} = claim;
 	state.claims.open.delete(request.requestId);
 	state.claims.held.set(request.requestId, {
 		claimId, callerKey: request.callerKey, expiresAt: getClaimExpiry(state, request.deadline),
 	});
-	return admitClaimedRequest(state, request);
+	return startClaimedRequest(state, request);
 }
 
 function closeClaim(state: State, {request}: OpenClaim, kind: FaultKind): Effect[] {
@@ -191,7 +191,7 @@
 	];
 }
 
-function askVoters(state: State, claim: OpenClaim, voters: readonly HostId[]): Effect[] {
+function requestVotes(state: State, claim: OpenClaim, voters: readonly HostId[]): Effect[] {
 	const {claimId, request: {requestId, deadline}} = claim;
 	const self = state.settings.self.hostId;
 	const effects: Effect[] = [];
--- a/packages/core/src/claims/slow-votes.test.ts
+++ b/packages/core/src/claims/slow-votes.test.ts
@@ -17,17 +17,17 @@
 describe('votes that come late', () => {
 	it('are waited for while a majority is alive', () => {
 		const host = LoneHost.create();
-		host.arrive();
+		host.pushRequest();
 		passTime(host, 1500, true);
 		expect(host.list('caller/refuse')).toEqual([]);
-		host.vote('granted');
+		host.answerClaim('granted');
 		host.answerAsk(true);
 		expect(host.list('attempt/dispatch').length).toEqual(1);
 	});
 
 	it('are asked for less and less often', () => {
 		const host = LoneHost.create();
-		host.arrive();
+		host.pushRequest();
 		passTime(host, 1800, true);
 		const peers = 2;
 		expect(host.listSent('claim-ask').length).toBeLessThanOrEqual(5 * peers);
@@ -35,14 +35,14 @@
 
 	it('are not waited for once the majority is not heard any more', () => {
 		const host = LoneHost.create();
-		host.arrive(callerKey, 10_000);
+		host.pushRequest(callerKey, 10_000);
 		passTime(host, heartbeatTimeoutMs + 200, false);
 		expect(host.list('caller/refuse').map(({fault}) => fault.kind)).toEqual(['quorum-unreachable']);
 	});
 
 	it('end the wait at the deadline, with a true refusal', () => {
 		const host = LoneHost.create();
-		host.arrive();
+		host.pushRequest();
 		passTime(host, 2050, true);
 		expect(host.list('caller/refuse').map(({fault}) => fault.kind)).toEqual(['quorum-unreachable']);
 	});
--- a/packages/core/src/claims/tally.ts
+++ b/packages/core/src/claims/tally.ts
@@ -23,7 +23,7 @@
 export type TallyVerdict = 'held' | 'open' | FaultKind;
 
 /** Counts the votes of those that are members by this host's fold. */
-export function tallyVotes(state: State, claim: OpenClaim): Tally {
+export function countVotes(state: State, claim: OpenClaim): Tally {
 	const valid = [...claim.votes].filter(([hostId, vote]) => isMember(state, {hostId, incarnation: vote.incarnation}));
 	const votes = valid.map(([, vote]) => vote);
 	const members = state.fleet.members.size;
@@ -67,12 +67,12 @@
 	const holders = votes.flatMap(vote => vote.holder ? [vote.holder] : []);
 	return holders.some(holder =>
 		holder.isHeld
-		|| goesFirst(state, claim, holder)
+		|| isRankedFirst(state, claim, holder)
 		|| (!isHeard(state, holder.owner) && holders.filter(other => other.claimId === holder.claimId).length >= majority));
 }
 
 /** Of claims made at the same time, that of the host which ranks first for the request id goes on; the others give way. */
-function goesFirst(state: State, claim: OpenClaim, holder: NonNullable<ClaimAnswer['holder']>): boolean {
+function isRankedFirst(state: State, claim: OpenClaim, holder: NonNullable<ClaimAnswer['holder']>): boolean {
 	const self = state.settings.self.hostId;
 	return holder.owner === self
 		|| (isHeard(state, holder.owner) && isRankedBefore(claim.request.requestId, holder.owner, self));
--- a/packages/core/src/engine/event-loop.ts
+++ b/packages/core/src/engine/event-loop.ts
@@ -46,13 +46,13 @@
 
 		this.isDraining = true;
 		try {
-			this.drain();
+			this.runQueue();
 		} finally {
 			this.isDraining = false;
 		}
 	}
 
-	private drain(): void {
+	private runQueue(): void {
 		for (let event = this.queue.shift(); event; event = this.queue.shift()) {
 			for (const observer of this.observers) {
 				observer.next(event);
--- a/packages/core/src/engine/reduce.ts
+++ b/packages/core/src/engine/reduce.ts
@@ -22,7 +22,7 @@
 	requestHandlers, startStop, tickRequests, tickRequestStop,
 } from '../requests/handlers.js';
 import {createRequestsState} from '../requests/state.js';
-import {deliverOwnMessages, tickSlots} from '../slots/handlers.js';
+import {passOwnMessages, tickSlots} from '../slots/handlers.js';
 import {createSlotsState} from '../slots/state.js';
 import {targetHandlers} from '../targets/handlers.js';
 import {createTargetsState} from '../targets/state.js';
@@ -94,6 +94,6 @@
 	state.now = Math.max(state.now, event.at) as Instant;
 	const handle = handlers[event.type] as Handler<EventType>;
 	const answerMetrics = noteEvent(state, event);
-	const effects = deliverOwnMessages(state, handle(state, event));
+	const effects = passOwnMessages(state, handle(state, event));
 	return [...effects, ...answerMetrics, ...noteEffects(state, effects)];
 }
--- a/packages/core/src/fleet/publishing.ts
+++ b/packages/core/src/fleet/publishing.ts
@@ -1,5 +1,5 @@
 /** Publishing: an operator's records go to the log, and the answer waits until this host has read them back. */
-import {isLogAway, queueRecord, wasRecordSent} from '../log/appends.js';
+import {isLogAway, queueRecord, isRecordSent} from '../log/appends.js';
 import type {Effect} from '../types/effects.js';
 import {createFault, type Fault, type FaultKind} from '../types/faults.js';
 import type {HandlerTable} from '../types/handlers.js';
@@ -88,7 +88,7 @@
 
 function describeMissing(state: State, publisher: WaitingPublisher): Fault {
 	const missing = [...publisher.missing];
-	const wasAnySent = publisher.published.length > 0 || missing.some(recordId => wasRecordSent(state, recordId));
+	const wasAnySent = publisher.published.length > 0 || missing.some(recordId => isRecordSent(state, recordId));
 	if (!wasAnySent) {
 		return createFault('log-unavailable', 'nothing was sent to the log');
 	}
--- a/packages/core/src/jobs/blame.ts
+++ b/packages/core/src/jobs/blame.ts
@@ -22,7 +22,7 @@
 	const failing = suspects
 		.filter(([worker, results]) => countBlamingJobs(fleet, results, successes, now) >= leastFailedJobs && doOthersSucceed(fleet, worker))
 		.map(([worker]) => worker);
-	return limitByPool(fleet, failing, now);
+	return selectByPool(fleet, failing, now);
 }
 
 /** When a job of each team last succeeded. */
@@ -68,7 +68,7 @@
 		other !== worker && fleet.hosts.get(other)?.pool === pool && (results.lastSuccessAt ?? -1) > own);
 }
 
-function limitByPool(fleet: FleetState, failing: readonly HostId[], now: Instant): HostId[] {
+function selectByPool(fleet: FleetState, failing: readonly HostId[], now: Instant): HostId[] {
 	const counts = new Map<PoolId, number>();
 	return failing.filter(worker => {
 		const pool = fleet.hosts.get(worker)?.pool;
--- a/packages/core/src/jobs/displacement.ts
+++ b/packages/core/src/jobs/displacement.ts
@@ -20,7 +20,7 @@
 type Clearance = {readonly prospect: Prospect; readonly displaced: readonly RunningJob[]; readonly freed: JobSize};
 
 /** Displaces tasks until each crowded-out urgent job has room on some worker. */
-export function clearForUrgent(state: State, running: readonly RunningJob[], plan: PlacementPlan, capacities: readonly WorkerCapacity[]): Effect[] {
+export function displaceForUrgent(state: State, running: readonly RunningJob[], plan: PlacementPlan, capacities: readonly WorkerCapacity[]): Effect[] {
 	if (plan.crowdedOut.length === 0) {
 		return [];
 	}
@@ -49,7 +49,7 @@
 	const planned = plan.placements.filter(placement => placement.worker === worker).map(({job}) => job);
 	let free: JobSize = capacity;
 	for (const {body} of [...staying.map(({job}) => job), ...planned]) {
-		free = subtract(free, body);
+		free = computeRest(free, body);
 	}
 
 	return {
@@ -75,7 +75,7 @@
 }
 
 function takeClearance(state: State, {prospect, displaced, freed}: Clearance, size: JobSize): Effect[] {
-	prospect.free = subtract(freed, size);
+	prospect.free = computeRest(freed, size);
 	prospect.candidates = prospect.candidates.slice(displaced.length);
 	return displaced.flatMap(item => displaceTask(state, item));
 }
@@ -89,6 +89,6 @@
 	return {cores: a.cores + b.cores, memoryBytes: a.memoryBytes + b.memoryBytes, accelerators: a.accelerators + b.accelerators};
 }
 
-function subtract(a: JobSize, b: JobSize): JobSize {
+function computeRest(a: JobSize, b: JobSize): JobSize {
 	return {cores: a.cores - b.cores, memoryBytes: a.memoryBytes - b.memoryBytes, accelerators: a.accelerators - b.accelerators};
 }
--- a/packages/core/src/jobs/handlers.ts
+++ b/packages/core/src/jobs/handlers.ts
@@ -7,11 +7,11 @@
 import type {State} from '../types/state.js';
 import {addMilliseconds} from '../types/time.js';
 import {listFailingWorkers} from './blame.js';
-import {clearForUrgent, listClearedWorkers} from './displacement.js';
+import {displaceForUrgent, listClearedWorkers} from './displacement.js';
 import type {JobEvent} from './events.js';
 import {planPlacements, type PlacementPlan, type WorkerCapacity} from './placement.js';
 import {hasProposal, publishJobRecord} from './proposals.js';
-import {clearLeavingWorkers, relieveWorkers} from './relief.js';
+import {displaceOnLeavingWorkers, displaceAndThrottle} from './relief.js';
 import {
 	getJobLeaseMs, listRunning, runJobs, type RunningJob,
 } from './runner.js';
@@ -43,7 +43,7 @@
 	'task/told'(state, {jobId, task}) {
 		if (state.fleet.jobs.jobs.get(jobId)?.current?.attempt === task.attempt) {
 			state.jobRunner.told.set(jobId, task);
-			hastenStop(state, jobId, task);
+			scheduleStop(state, jobId, task);
 		}
 
 		return [];
@@ -51,7 +51,7 @@
 };
 
 /** A newer checkpoint lets the stop follow at once. */
-function hastenStop(state: State, jobId: JobId, task: ToldTask): void {
+function scheduleStop(state: State, jobId: JobId, task: ToldTask): void {
 	const {displaced, stopAgainAt} = state.jobRunner;
 	if (task.checkpointMs > (displaced.get(jobId)?.checkpointMs ?? Number.POSITIVE_INFINITY)) {
 		stopAgainAt.delete(jobId);
@@ -72,7 +72,7 @@
 	}
 
 	const running = listRunning(state);
-	effects.push(...runJobs(state, running, term), ...clearLeavingWorkers(state, running), ...planJobs(state, running, term));
+	effects.push(...runJobs(state, running, term), ...displaceOnLeavingWorkers(state, running), ...planJobs(state, running, term));
 	return effects;
 }
 
@@ -105,9 +105,9 @@
 	const plan = planPlacements(state.fleet, capacities, notes, estimateLogTime(state));
 	return [
 		...publishPlan(state, plan, term),
-		...unparkJobs(state, capacities, term),
-		...clearForUrgent(state, running, plan, capacities),
-		...relieveWorkers(state, running, capacities),
+		...queueParkedJobs(state, capacities, term),
+		...displaceForUrgent(state, running, plan, capacities),
+		...displaceAndThrottle(state, running, capacities),
 		...setWorkersAside(state, term),
 	];
 }
@@ -148,7 +148,7 @@
 }
 
 /** Takes parked jobs up again once some worker of their pool could hold them. */
-function unparkJobs(state: State, capacities: readonly WorkerCapacity[], term: number): Effect[] {
+function queueParkedJobs(state: State, capacities: readonly WorkerCapacity[], term: number): Effect[] {
 	return [...state.fleet.jobs.jobs.values()]
 		.filter(job => job.step === 'parked' && !hasProposal(state, job.body.jobId))
 		.filter(job => capacities.some(capacity =>
--- a/packages/core/src/jobs/relief.ts
+++ b/packages/core/src/jobs/relief.ts
@@ -9,7 +9,7 @@
 import {fullMemoryShare, getUsedMemory, isOverMemory} from './use.js';
 
 /** Resumable tasks on a host that is out by plan give way once no other task runs there: until then its drain has to wait anyway. */
-export function clearLeavingWorkers(state: State, running: readonly RunningJob[]): Effect[] {
+export function displaceOnLeavingWorkers(state: State, running: readonly RunningJob[]): Effect[] {
 	const leaving = running.filter(({current}) => state.fleet.hosts.get(current.worker)?.chain !== undefined);
 	const held = new Set(leaving.filter(({job, task}) => !job.body.isResumable && isPresent(task)).map(({current}) => current.worker));
 	return leaving
@@ -23,7 +23,7 @@
 }
 
 /** Throttles or displaces where the reported use passes what a worker has. */
-export function relieveWorkers(state: State, running: readonly RunningJob[], capacities: readonly WorkerCapacity[]): Effect[] {
+export function displaceAndThrottle(state: State, running: readonly RunningJob[], capacities: readonly WorkerCapacity[]): Effect[] {
 	const byWorker = new Map<HostId, RunningJob[]>();
 	for (const item of running.filter(({task}) => task?.state === 'running')) {
 		const {worker} = item.current;
@@ -32,12 +32,12 @@
 
 	return capacities.flatMap(({worker, cores, memoryBytes}) => {
 		const onWorker = byWorker.get(worker) ?? [];
-		return [...relieveMemory(state, onWorker, memoryBytes), ...throttleWorker(onWorker, cores)];
+		return [...displaceForMemory(state, onWorker, memoryBytes), ...throttleWorker(onWorker, cores)];
 	});
 }
 
 /** As many tasks give way as bring a worker's memory below its limit. Where all use what they declare, or one is alone, none needs to. */
-function relieveMemory(state: State, onWorker: readonly RunningJob[], memoryBytes: number): Effect[] {
+function displaceForMemory(state: State, onWorker: readonly RunningJob[], memoryBytes: number): Effect[] {
 	if (onWorker.length < 2 || !onWorker.some(item => isOverMemory(item))) {
 		return [];
 	}
--- a/packages/core/src/jobs/runner.ts
+++ b/packages/core/src/jobs/runner.ts
@@ -60,7 +60,7 @@
 		return publishEnd(state, item, chooseEnd(item.job, item.task, item.task.state), term);
 	}
 
-	return [...lengthenTask(item, item.task), ...stopTask(state, item)];
+	return [...renewTask(item, item.task), ...stopTask(state, item)];
 }
 
 /**
@@ -133,7 +133,7 @@
 }
 
 /** The worker's lease follows the log's, never the other way. */
-function lengthenTask({job, current}: RunningJob, task: ListedTask): Effect[] {
+function renewTask({job, current}: RunningJob, task: ListedTask): Effect[] {
 	return task.leaseUntil < current.leaseUntil
 		? [{
 			type: 'task/renew', jobId: job.body.jobId, attempt: current.attempt, leaseUntil: current.leaseUntil,
--- a/packages/core/src/jobs/throttle.ts
+++ b/packages/core/src/jobs/throttle.ts
@@ -38,10 +38,10 @@
 		}
 	}
 
-	return new Map([...granted].map(([jobId, value]) => [jobId, roundShare(value / (wanted.get(jobId) ?? value))]));
+	return new Map([...granted].map(([jobId, value]) => [jobId, computeShare(value / (wanted.get(jobId) ?? value))]));
 }
 
-function roundShare(share: number): number {
+function computeShare(share: number): number {
 	return Number.isFinite(share) ? Math.max(1, Math.floor(share * shareSteps)) / shareSteps : 1;
 }
 
--- a/packages/core/src/log/appends.ts
+++ b/packages/core/src/log/appends.ts
@@ -46,12 +46,12 @@
 }
 
 /** Whether a record may have left this host. */
-export function wasRecordSent(state: State, recordId: RecordId): boolean {
+export function isRecordSent(state: State, recordId: RecordId): boolean {
 	return (state.log.pending.get(recordId)?.sendCount ?? 1) > 0;
 }
 
 /** Sends what is due, if the rate allows. */
-export function flushAppends(state: State): Effect[] {
+export function sendAppends(state: State): Effect[] {
 	const {log} = state;
 	if (state.now < log.nextAppendAt || log.appendsInFlight >= maxAppendsInFlight) {
 		return [];
@@ -97,13 +97,13 @@
 		}
 	}
 
-	return flushAppends(state);
+	return sendAppends(state);
 }
 
 /** Handles a due flush. */
 export function finishFlush(state: State): Effect[] {
 	state.log.isFlushScheduled = false;
-	return flushAppends(state);
+	return sendAppends(state);
 }
 
 function scheduleFlush(state: State): Effect[] {
--- a/packages/core/src/log/applying.ts
+++ b/packages/core/src/log/applying.ts
@@ -20,7 +20,7 @@
 		}
 	}
 
-	return [...effects, ...checkOffset(state)];
+	return [...effects, ...judgeAppliedOffset(state)];
 }
 
 /** Takes over a whole fleet state if it is ahead of this host's. */
@@ -39,12 +39,12 @@
 		{
 			type: 'line/write', level: 'info', event: 'fleet state taken over', fields: {source, nextOffset: fleet.nextOffset, isFirst},
 		},
-		...checkOffset(state),
+		...judgeAppliedOffset(state),
 	];
 }
 
 /** Checks that the applied offset never falls. */
-export function checkOffset(state: State): Effect[] {
+export function judgeAppliedOffset(state: State): Effect[] {
 	const {fleet, log} = state;
 	if (fleet.nextOffset >= log.highestOffset) {
 		log.highestOffset = fleet.nextOffset;
--- a/packages/core/src/log/handlers.ts
+++ b/packages/core/src/log/handlers.ts
@@ -4,7 +4,7 @@
 import type {State} from '../types/state.js';
 import {addMilliseconds} from '../types/time.js';
 import {finishFlush, noteAppendEnd, tickAppends} from './appends.js';
-import {checkOffset} from './applying.js';
+import {judgeAppliedOffset} from './applying.js';
 import {tickCatchUp} from './catch-up.js';
 import {tickStart} from './start.js';
 import type {LogEvent} from './events.js';
@@ -41,7 +41,7 @@
 		...tickCatchUp(state),
 		...tickSnapshots(state),
 		...tickStart(state),
-		...checkOffset(state),
+		...judgeAppliedOffset(state),
 	];
 }
 
--- a/packages/core/src/planner/executor.ts
+++ b/packages/core/src/planner/executor.ts
@@ -18,7 +18,7 @@
 const outageSteps: Readonly<Record<Outage['step'], ChainStep<Outage>>> = {
 	granted(state, host, chain, term) {
 		if (isReturning(state, host) || canReturn(state, host)) {
-			return returnHost(state, host, chain, term);
+			return sendHostBack(state, host, chain, term);
 		}
 
 		const drain = runOperation(state, {
@@ -105,7 +105,7 @@
 }
 
 /** Health dropped since the grant: the host goes back to service and waits for its turn again. */
-function returnHost(state: State, host: FleetHost, chain: Outage, term: number): Effect[] {
+function sendHostBack(state: State, host: FleetHost, chain: Outage, term: number): Effect[] {
 	state.planner.returning.add(chain.operationId);
 	const publish = () => publishHostRecord(state, 'outage-return', createStepBody(host, chain, term));
 	return findFirstTry(state, host, 'drain').state === 'absent' ? publish() : follow(runUndrain(state, host), {done: publish});
--- a/packages/core/src/planner/operations.ts
+++ b/packages/core/src/planner/operations.ts
@@ -43,7 +43,7 @@
 		}
 
 		if (operation.state !== 'failed') {
-			return operation.isInFlight || operation.callAt > state.now ? pending : callPlatform(state, wanted, operation);
+			return operation.isInFlight || operation.callAt > state.now ? pending : sendOperation(state, wanted, operation);
 		}
 	}
 
@@ -70,7 +70,7 @@
 	return operation;
 }
 
-function callPlatform(state: State, wanted: WantedOperation, operation: KnownOperation): OperationProgress {
+function sendOperation(state: State, wanted: WantedOperation, operation: KnownOperation): OperationProgress {
 	const {operationId} = operation;
 	if (operation.state !== 'absent') {
 		operation.isInFlight = true;
--- a/packages/core/src/requests/admission.ts
+++ b/packages/core/src/requests/admission.ts
@@ -4,10 +4,10 @@
 import type {CallerRequest} from '../types/requests.js';
 import type {State} from '../types/state.js';
 import {takeEarlyGrant} from './early-slots.js';
-import {askForSlot, dispatchGranted} from './slot-asks.js';
+import {requestSlot, dispatchGranted} from './slot-asks.js';
 
 /** Uses the slot that was granted beside the claim, waits for it, or asks anew; a request whose caller has gone gives its claim back. */
-export function admitClaimedRequest(state: State, request: CallerRequest): Effect[] {
+export function startClaimedRequest(state: State, request: CallerRequest): Effect[] {
 	const open = state.requests.open.get(request.callerKey);
 	if (!open) {
 		return releaseClaim(state, request);
@@ -18,5 +18,5 @@
 		return dispatchGranted(state, open, grant);
 	}
 
-	return open.asks.size > 0 ? [] : askForSlot(state, open);
+	return open.asks.size > 0 ? [] : requestSlot(state, open);
 }
--- a/packages/core/src/requests/attempts.ts
+++ b/packages/core/src/requests/attempts.ts
@@ -11,7 +11,7 @@
 import {keepOrRelease} from './kept-slots.js';
 import {endRequest, refuseRequest} from './refusals.js';
 import {noteFirstAttempt, takeRetry} from './retry-budget.js';
-import {askForSlot, releaseSlot} from './slot-asks.js';
+import {requestSlot, releaseSlot} from './slot-asks.js';
 import type {Attempt, HeldGrant, OpenRequest} from './state.js';
 
 const firstServerErrorStatus = 500;
@@ -98,7 +98,7 @@
 	}
 
 	return isFreeRetry(open, event) || takeRetry(state.requests, open.request.service)
-		? askForSlot(state, open)
+		? requestSlot(state, open)
 		: refuseRequest(state, open, 'retry-budget-spent', event.fault.detail);
 }
 
--- a/packages/core/src/requests/early-slots.test.ts
+++ b/packages/core/src/requests/early-slots.test.ts
@@ -10,14 +10,14 @@
 	it('asks for both at once, and dispatches when both are there, in either order', () => {
 		for (const order of [['slot', 'claim'], ['claim', 'slot']]) {
 			const host = LoneHost.create();
-			host.arrive();
+			host.pushRequest();
 			expect([host.listSent('slot-ask').length, host.listSent('claim-ask').length > 0]).toEqual([1, true]);
 			for (const [index, answer] of order.entries()) {
 				expect(host.list('attempt/dispatch').length).toEqual(0);
 				if (answer === 'slot') {
 					host.answerAsk(true);
 				} else {
-					host.vote('granted');
+					host.answerClaim('granted');
 				}
 
 				expect(host.list('attempt/dispatch').length).toEqual(index);
@@ -30,10 +30,10 @@
 	it('a request whose id ran elsewhere is never refused as not run, and gives its slot back at once', () => {
 		for (const isGranted of [true, false]) {
 			const host = LoneHost.create();
-			host.arrive();
+			host.pushRequest();
 			host.answerAsk(isGranted);
 			expect(host.list('caller/refuse')).toEqual([]);
-			host.vote('taken');
+			host.answerClaim('taken');
 			expect(host.list('caller/refuse').map(({fault}) => fault.kind)).toEqual(['request-in-progress']);
 			expect(host.listSent('slot-release').length).toEqual(isGranted ? 1 : 0);
 			expect(host.list('attempt/dispatch')).toEqual([]);
@@ -42,25 +42,25 @@
 
 	it('a claimed request that gets no slot is refused truly, and a repeat may run', () => {
 		const host = LoneHost.create();
-		host.arrive();
+		host.pushRequest();
 		host.answerAsk(false);
-		host.vote('granted');
+		host.answerClaim('granted');
 		host.answerAsk(false);
 		expect(host.list('caller/refuse').map(({fault}) => fault.kind)).toEqual(['queue-full']);
 		expect(host.listSent('claim-release').length).toEqual(2);
-		host.arrive('call-2' as CallerKey);
-		host.vote('granted');
+		host.pushRequest('call-2' as CallerKey);
+		host.answerClaim('granted');
 		host.answerAsk(true);
 		expect(host.list('attempt/dispatch').map(({callerKey}) => callerKey as string)).toEqual(['call-2']);
 	});
 
 	it('gives the slot back where the votes take long, and asks again once claimed', () => {
 		const host = LoneHost.create();
-		host.arrive();
+		host.pushRequest();
 		host.answerAsk(true);
 		host.pass(100);
 		expect(host.listSent('slot-release').map(({end}) => end)).toEqual(['withdrawn']);
-		host.vote('granted');
+		host.answerClaim('granted');
 		expect(host.listSent('slot-ask').length).toEqual(2);
 		host.answerAsk(true);
 		expect(host.list('attempt/dispatch').length).toEqual(1);
@@ -78,10 +78,10 @@
 					host.answerAsk(false);
 				},
 				vote() {
-					host.vote('granted');
+					host.answerClaim('granted');
 				},
 				taken() {
-					host.vote('taken');
+					host.answerClaim('taken');
 				},
 				tick() {
 					host.pass(60);
@@ -90,10 +90,10 @@
 					host.push({type: 'caller/gone', at: host.at, callerKey: 'call-1' as CallerKey});
 				},
 				repeat() {
-					host.arrive(`repeat-${host.effects.length}` as CallerKey);
+					host.pushRequest(`repeat-${host.effects.length}` as CallerKey);
 				},
 			};
-			host.arrive();
+			host.pushRequest();
 			for (const one of steps) {
 				actions[one]?.();
 			}
--- a/packages/core/src/requests/handlers.ts
+++ b/packages/core/src/requests/handlers.ts
@@ -6,11 +6,11 @@
 import type {CallerRequest} from '../types/requests.js';
 import type {State} from '../types/state.js';
 import {addMilliseconds} from '../types/time.js';
-import {askEarly, releaseEarlySlots, tickEarlyGrants} from './early-slots.js';
+import {requestSlotEarly, releaseEarlySlots, tickEarlyGrants} from './early-slots.js';
 import type {RequestEvent} from './events.js';
 import {tickKeptSlots} from './kept-slots.js';
 import {refuseRequest} from './refusals.js';
-import {askForSlot, tickAsks, withdrawAsks} from './slot-asks.js';
+import {requestSlot, tickAsks, cancelAsks} from './slot-asks.js';
 import type {OpenRequest} from './state.js';
 
 /** Requests of all services that may wait here; the queues at the stewards are bounded apart. */
@@ -30,8 +30,8 @@
 
 		state.requests.open.set(event.request.callerKey, open);
 		return event.request.isIdempotent
-			? askForSlot(state, open)
-			: [...claimRequest(state, event.request), ...askEarly(state, open)];
+			? requestSlot(state, open)
+			: [...claimRequest(state, event.request), ...requestSlotEarly(state, open)];
 	},
 	'caller/gone'(state, event) {
 		const open = state.requests.open.get(event.callerKey);
@@ -70,7 +70,7 @@
 
 	const waiting = stop.refuseAt > state.now ? [] : [...open.values()].filter(request => isRefusable(state, request));
 	const refusals = waiting.flatMap(request => [
-		...withdrawAsks(state, request),
+		...cancelAsks(state, request),
 		...refuseRequest(state, request, 'shutting-down', 'this entry host is stopping'),
 	]);
 	const isDone = stop.exitAt <= state.now && open.size === 0 && attempts.size === 0 && publishers.size === 0;
@@ -111,7 +111,7 @@
 	return [...state.requests.open.values()]
 		.filter(open => open.request.deadline <= state.now && isRefusable(state, open))
 		.flatMap(open => [
-			...withdrawAsks(state, open),
+			...cancelAsks(state, open),
 			...refuseRequest(state, open, 'deadline-unreachable', 'the deadline passed while it waited'),
 		]);
 }
--- a/packages/core/src/requests/kept-slots.test.ts
+++ b/packages/core/src/requests/kept-slots.test.ts
@@ -10,7 +10,7 @@
 /** Hosts of which the second is no steward, so that it may keep slots. */
 function createHosts(slotsPerRunner: number): {readonly hosts: Hosts; readonly holder: HostId} {
 	const hosts = Hosts.create(3, 1, slotsPerRunner);
-	hosts.ask('entry-1', {isIdempotent: true});
+	hosts.pushRequest('entry-1', {isIdempotent: true});
 	const steward = [...hosts.states.entries()].find(([, state]) => [...state.slots.stewards.values()].some(({grants}) => grants.size > 0))?.[0];
 	hosts.end(answered);
 	hosts.pass(2000);
@@ -22,7 +22,7 @@
 }
 
 function callOnce(hosts: Hosts, holder: HostId): CallerKey {
-	const callerKey = hosts.ask(holder, {isIdempotent: true});
+	const callerKey = hosts.pushRequest(holder, {isIdempotent: true});
 	hosts.end(answered);
 	return callerKey;
 }
@@ -35,7 +35,7 @@
 		const asked = hosts.states.get(holder)?.requests.askCount;
 		callOnce(hosts, holder);
 		expect(hosts.states.get(holder)?.requests.askCount).toEqual(asked);
-		hosts.ask(holder, {isIdempotent: true, workClass: 'heavy'});
+		hosts.pushRequest(holder, {isIdempotent: true, workClass: 'heavy'});
 		expect(hosts.states.get(holder)?.requests.askCount).toEqual((asked ?? 0) + 1);
 	});
 
@@ -55,10 +55,10 @@
 		callOnce(hosts, holder);
 		expect(countHeld(hosts)).toEqual(1);
 		const other = [...hosts.states.keys()].find(hostId => hostId !== holder)!;
-		hosts.ask(other, {isIdempotent: true});
-		hosts.ask(other, {isIdempotent: true});
+		hosts.pushRequest(other, {isIdempotent: true});
+		hosts.pushRequest(other, {isIdempotent: true});
 		expect(hosts.dispatches.length).toEqual(2);
-		hosts.ask(other, {isIdempotent: true});
+		hosts.pushRequest(other, {isIdempotent: true});
 		hosts.end(answered);
 		expect(hosts.dispatches.length).toEqual(2);
 		expect(hosts.violations).toEqual([]);
@@ -72,7 +72,7 @@
 			hosts.push(hostId, {type: 'hosts/listed', at: hosts.at, hosts: listed});
 		}
 
-		hosts.ask(holder, {isIdempotent: true});
+		hosts.pushRequest(holder, {isIdempotent: true});
 		expect(hosts.dispatches.length).toEqual(0);
 	});
 });
--- a/packages/core/src/requests/lone-host.ts
+++ b/packages/core/src/requests/lone-host.ts
@@ -57,7 +57,7 @@
 			this.push({type: 'peer/linked', at: this.now as Instant, peer: hostId});
 		}
 
-		this.hear();
+		this.pushHeartbeats();
 		this.effects.length = 0;
 	}
 
@@ -66,12 +66,12 @@
 	}
 
 	/** Both peers are alive. */
-	hear(): void {
+	pushHeartbeats(): void {
 		for (const {hostId} of [steward, voter]) {
-			this.receive(hostId, {
+			this.pushMessage(hostId, {
 				type: 'hello', hostId, incarnation: `${hostId}-i` as Incarnation, protocolVersion: 1,
 			});
-			this.receive(hostId, {
+			this.pushMessage(hostId, {
 				type: 'heartbeat', hostId, incarnation: `${hostId}-i` as Incarnation, sentAt: this.at, nextOffset: 0 as Offset, digest: '',
 			});
 		}
@@ -81,18 +81,25 @@
 		this.effects.push(...reduce(this.state, event));
 	}
 
-	receive(peer: HostId, message: PeerMessage): void {
+	pushMessage(peer: HostId, message: PeerMessage): void {
 		this.push({
 			type: 'peer/message', at: this.at, peer, message,
 		});
 	}
 
-	arrive(callerKey = 'call-1' as CallerKey, deadlineMs = 2000): void {
+	pushRequest(callerKey = 'call-1' as CallerKey, deadlineMs = 2000): void {
 		this.push({
 			type: 'request/arrived',
 			at: this.at,
 			request: {
-				callerKey, requestId: 'request-1' as RequestId, service, team: 'tartu' as TeamId, workClass: 'quick', isIdempotent: false, arrivedAt: this.at, deadline: (this.now + deadlineMs) as Instant,
+				callerKey,
+				requestId: 'request-1' as RequestId,
+				service,
+				team: 'tartu' as TeamId,
+				workClass: 'quick',
+				isIdempotent: false,
+				arrivedAt: this.at,
+				deadline: (this.now + deadlineMs) as Instant,
 			},
 		});
 	}
@@ -101,7 +108,7 @@
 	pass(milliseconds: number, isHeard = true): void {
 		this.now += milliseconds;
 		if (isHeard) {
-			this.hear();
+			this.pushHeartbeats();
 		}
 
 		this.push({type: 'clock/ticked', at: this.at});
@@ -123,7 +130,7 @@
 		}
 
 		if (ask) {
-			this.receive(steward.hostId, isGranted
+			this.pushMessage(steward.hostId, isGranted
 				? {type: 'slot-grant', askId: ask.askId, target: target.hostId}
 				: {
 					type: 'slot-refuse', askId: ask.askId, kind: 'queue-full', comeBackAt: this.at,
@@ -132,10 +139,10 @@
 	}
 
 	/** The peers answer the latest claim; `taken`: another host has dispatched a request of this id. */
-	vote(verdict: 'granted' | 'taken'): void {
+	answerClaim(verdict: 'granted' | 'taken'): void {
 		const ask = this.listSent('claim-ask').at(-1);
 		for (const {hostId} of ask ? [steward, voter] : []) {
-			this.receive(hostId, {
+			this.pushMessage(hostId, {
 				type: 'claim-answer',
 				requestId: ask!.requestId,
 				claimId: ask!.claimId,
--- a/packages/core/src/requests/slot-asks.ts
+++ b/packages/core/src/requests/slot-asks.ts
@@ -21,16 +21,16 @@
 const secondZoneAfterMs = 25;
 
 /** Uses a kept slot for a request, or asks for one in the best zone. */
-export function askForSlot(state: State, open: OpenRequest): Effect[] {
+export function requestSlot(state: State, open: OpenRequest): Effect[] {
 	const kept = takeKeptSlot(state, open);
-	return kept ? useGrant(state, open, kept) : askBestZone(state, open);
+	return kept ? takeGrant(state, open, kept) : requestBestZone(state, open);
 }
 
-function askBestZone(state: State, open: OpenRequest): Effect[] {
+function requestBestZone(state: State, open: OpenRequest): Effect[] {
 	open.askedZones.clear();
 	const zone = listZonesByWait(state, open)[0];
 	if (zone) {
-		return askZone(state, open, zone);
+		return requestZone(state, open, zone);
 	}
 
 	return isClaimPending(state, open.request)
@@ -55,10 +55,10 @@
 	};
 	removeAsk(state, open, message.askId);
 	state.requests.grants.set(message.askId, grant);
-	return useGrant(state, open, grant);
+	return takeGrant(state, open, grant);
 }
 
-function useGrant(state: State, open: OpenRequest, grant: HeldGrant): Effect[] {
+function takeGrant(state: State, open: OpenRequest, grant: HeldGrant): Effect[] {
 	return isClaimPending(state, open.request)
 		? keepEarlyGrant(state, open, grant)
 		: dispatchGranted(state, open, grant);
@@ -71,12 +71,12 @@
 		open.avoid.push(grant.target);
 		return [
 			...releaseSlot(state, grant, 'withdrawn', 0),
-			...(open.asks.size === 0 ? askForSlot(state, open) : []),
+			...(open.asks.size === 0 ? requestSlot(state, open) : []),
 		];
 	}
 
 	return [
-		...withdrawAsks(state, open),
+		...cancelAsks(state, open),
 		...dispatchAttempt(state, open, grant, target),
 	];
 }
@@ -95,7 +95,7 @@
 
 	const zone = listZonesByWait(state, open)[0];
 	if (zone) {
-		return askZone(state, open, zone);
+		return requestZone(state, open, zone);
 	}
 
 	return isClaimPending(state, open.request)
@@ -104,7 +104,7 @@
 }
 
 /** Takes back all asks of a request. */
-export function withdrawAsks(state: State, open: OpenRequest): Effect[] {
+export function cancelAsks(state: State, open: OpenRequest): Effect[] {
 	const effects = [...open.asks.values()].map(sent => createRelease(sent, 'withdrawn', 0));
 	for (const askId of open.asks.keys()) {
 		removeAsk(state, open, askId);
@@ -128,19 +128,19 @@
 	const stewards = new Map<string, HostId>();
 	return [...state.requests.open.values()]
 		.filter(open => open.asks.size > 0)
-		.flatMap(open => [...moveAsks(state, open, stewards), ...askSecondZone(state, open)]);
+		.flatMap(open => [...updateStewards(state, open, stewards), ...requestSecondZone(state, open)]);
 }
 
-function askSecondZone(state: State, open: OpenRequest): Effect[] {
+function requestSecondZone(state: State, open: OpenRequest): Effect[] {
 	if (open.nextZoneAt > state.now) {
 		return [];
 	}
 
 	const zone = listZonesByWait(state, open).find(candidate => hasFreeSlot(state, open.request.service, candidate));
-	return zone ? askZone(state, open, zone) : [];
+	return zone ? requestZone(state, open, zone) : [];
 }
 
-function moveAsks(state: State, open: OpenRequest, stewards: Map<string, HostId>): Effect[] {
+function updateStewards(state: State, open: OpenRequest, stewards: Map<string, HostId>): Effect[] {
 	return [...open.asks.values()].flatMap(sent => {
 		const key = getScopeKey(sent.ask.service, sent.ask.availabilityZone);
 		const steward = stewards.get(key) ?? getRoutingPolicy(state).chooseSteward(state, sent.ask.service, sent.ask.availabilityZone);
@@ -155,7 +155,7 @@
 	});
 }
 
-function askZone(state: State, open: OpenRequest, availabilityZone: AvailabilityZone): Effect[] {
+function requestZone(state: State, open: OpenRequest, availabilityZone: AvailabilityZone): Effect[] {
 	const {request} = open;
 	state.requests.askCount += 1;
 	const ask: SlotAsk = {
--- a/packages/core/src/slots/keeping.ts
+++ b/packages/core/src/slots/keeping.ts
@@ -14,7 +14,7 @@
 }
 
 /** Recalls the slots that holders may keep, if an ask waits. A lost message is sent again with the slot's next use. */
-export function recallKeptSlots(steward: Steward): Effect[] {
+export function requestKeptSlots(steward: Steward): Effect[] {
 	if (steward.queue.byId.size === 0) {
 		return [];
 	}
--- a/packages/core/src/slots/run-times.test.ts
+++ b/packages/core/src/slots/run-times.test.ts
@@ -8,7 +8,7 @@
 function createHosts(runTimesMs: readonly number[]): Hosts {
 	const hosts = Hosts.create(1, 1, 1);
 	for (const afterMs of runTimesMs) {
-		hosts.ask('entry-1', {isIdempotent: true});
+		hosts.pushRequest('entry-1', {isIdempotent: true});
 		hosts.end({end: 'answered', afterMs});
 	}
 
@@ -18,8 +18,8 @@
 describe('observed run times', () => {
 	it('a waiting request is refused, not sent, once less time is left than a long run takes', () => {
 		const hosts = createHosts([100, 200, 100, 200, 100, 200]);
-		hosts.ask('entry-1');
-		const waiting = hosts.ask('entry-1', {deadline: (hosts.now + 400) as Instant});
+		hosts.pushRequest('entry-1');
+		const waiting = hosts.pushRequest('entry-1', {deadline: (hosts.now + 400) as Instant});
 		hosts.end({end: 'answered', afterMs: 230});
 		expect(hosts.refusals.map(({callerKey, fault}) => [callerKey, fault.kind])).toEqual([[waiting, 'deadline-unreachable']]);
 		expect(hosts.dispatches).toEqual([]);
@@ -27,7 +27,7 @@
 
 	it('one stalled run does not make requests look hopeless', () => {
 		const hosts = createHosts([100, 100, 100, 100, 100, 3000, 100, 100, 100, 100]);
-		hosts.ask('entry-1', {deadline: (hosts.now + 1000) as Instant});
+		hosts.pushRequest('entry-1', {deadline: (hosts.now + 1000) as Instant});
 		expect(hosts.refusals).toEqual([]);
 		expect(hosts.dispatches.length).toEqual(1);
 	});
@@ -35,21 +35,21 @@
 	it('idempotent work is tried again on idle slots, so that a slow spell is not held against it for good', () => {
 		const hosts = createHosts([5000, 5000, 5000]);
 		for (let index = 0; index < 160; index++) {
-			hosts.ask('entry-1', {isIdempotent: true, deadline: (hosts.now + 1000) as Instant});
+			hosts.pushRequest('entry-1', {isIdempotent: true, deadline: (hosts.now + 1000) as Instant});
 			hosts.end({end: 'answered', afterMs: 50});
 		}
 
 		expect(hosts.refusals).toEqual([]);
-		hosts.ask('entry-1', {deadline: (hosts.now + 1000) as Instant});
+		hosts.pushRequest('entry-1', {deadline: (hosts.now + 1000) as Instant});
 		expect(hosts.dispatches.length).toEqual(1);
 	});
 
 	it('what once was slow is refused for a minute at most', () => {
 		const hosts = createHosts([5000, 5000, 5000]);
-		hosts.ask('entry-1', {deadline: (hosts.now + 1000) as Instant});
+		hosts.pushRequest('entry-1', {deadline: (hosts.now + 1000) as Instant});
 		expect(hosts.refusals.length).toEqual(1);
 		hosts.pass(61_000);
-		hosts.ask('entry-1', {deadline: (hosts.now + 1000) as Instant});
+		hosts.pushRequest('entry-1', {deadline: (hosts.now + 1000) as Instant});
 		expect(hosts.dispatches.length).toEqual(1);
 	});
 });
--- a/packages/core/src/slots/slots.test.ts
+++ b/packages/core/src/slots/slots.test.ts
@@ -12,7 +12,7 @@
 	it('all hosts together keep to the slots, and each freed slot goes to a waiting request', () => {
 		const hosts = Hosts.create(3, 2, 4);
 		for (let index = 0; index < 30; index++) {
-			hosts.ask(`entry-${(index % 3) + 1}`);
+			hosts.pushRequest(`entry-${(index % 3) + 1}`);
 		}
 
 		expect(hosts.dispatches.length).toEqual(8);
@@ -31,7 +31,7 @@
 		for (const dead of ['entry-1', 'entry-2', 'entry-3'] as HostId[]) {
 			const hosts = Hosts.create(3, 2, 4);
 			for (let index = 0; index < 60; index++) {
-				hosts.ask(`entry-${(index % 3) + 1}`);
+				hosts.pushRequest(`entry-${(index % 3) + 1}`);
 			}
 
 			hosts.states.delete(dead);
@@ -57,7 +57,7 @@
 	it('a host that stops hands its queue over and exits', () => {
 		const hosts = Hosts.create(3, 1, 2);
 		for (let index = 0; index < 12; index++) {
-			hosts.ask(`entry-${(index % 3) + 1}`);
+			hosts.pushRequest(`entry-${(index % 3) + 1}`);
 		}
 
 		hosts.push('entry-1' as HostId, {type: 'stop/requested', at: hosts.at});
@@ -75,9 +75,9 @@
 describe('the order of a queue', () => {
 	it('is earliest deadline first within a team', () => {
 		const hosts = Hosts.create(1, 1, 1);
-		hosts.ask('entry-1');
-		const late = hosts.ask('entry-1', {deadline: (hosts.now + 9000) as Instant});
-		const early = hosts.ask('entry-1', {deadline: (hosts.now + 5000) as Instant});
+		hosts.pushRequest('entry-1');
+		const late = hosts.pushRequest('entry-1', {deadline: (hosts.now + 9000) as Instant});
+		const early = hosts.pushRequest('entry-1', {deadline: (hosts.now + 5000) as Instant});
 		hosts.end(answered);
 		expect(hosts.listRunning()).toEqual([early]);
 		hosts.end(answered);
@@ -87,10 +87,10 @@
 	it('a team\'s burst does not delay another team\'s single request by more than one turn', () => {
 		const hosts = Hosts.create(2, 1, 1);
 		for (let index = 0; index < 40; index++) {
-			hosts.ask('entry-1', {deadline: (hosts.now + 5000) as Instant});
+			hosts.pushRequest('entry-1', {deadline: (hosts.now + 5000) as Instant});
 		}
 
-		const trickle = hosts.ask('entry-2', {team: 'parnu' as TeamId});
+		const trickle = hosts.pushRequest('entry-2', {team: 'parnu' as TeamId});
 		hosts.end(answered);
 		hosts.end(answered);
 		hosts.end(answered);
@@ -101,28 +101,28 @@
 	it('long work leaves half of the slots, heavy work leaves a reserve for quick work', () => {
 		const hosts = Hosts.create(1, 1, 8);
 		for (let index = 0; index < 20; index++) {
-			hosts.ask('entry-1', {workClass: 'long'});
+			hosts.pushRequest('entry-1', {workClass: 'long'});
 		}
 
 		expect(hosts.dispatches.length).toEqual(4);
 		for (let index = 0; index < 20; index++) {
-			hosts.ask('entry-1', {workClass: 'heavy'});
+			hosts.pushRequest('entry-1', {workClass: 'heavy'});
 		}
 
 		expect(hosts.dispatches.length).toEqual(7);
-		const quick = hosts.ask('entry-1');
+		const quick = hosts.pushRequest('entry-1');
 		expect(hosts.listRunning().at(-1)).toEqual(quick);
 	});
 
 	it('what cannot meet its deadline by observed run times is refused at once, spread in when to come back', () => {
 		const hosts = Hosts.create(1, 1, 1);
 		for (let index = 0; index < 4; index++) {
-			hosts.ask('entry-1');
+			hosts.pushRequest('entry-1');
 			hosts.end({end: 'answered', afterMs: 100});
 		}
 
 		for (let index = 0; index < 40; index++) {
-			hosts.ask('entry-1', {deadline: (hosts.now + 1000) as Instant});
+			hosts.pushRequest('entry-1', {deadline: (hosts.now + 1000) as Instant});
 		}
 
 		expect(hosts.refusals.length).toBeGreaterThanOrEqual(30);
@@ -133,7 +133,7 @@
 	it('is bounded', () => {
 		const hosts = Hosts.create(1, 1, 1);
 		for (let index = 0; index < 200; index++) {
-			hosts.ask('entry-1');
+			hosts.pushRequest('entry-1');
 		}
 
 		expect(hosts.refusals.length).toBeGreaterThanOrEqual(200 - 1 - 64);
@@ -143,7 +143,7 @@
 describe('retries', () => {
 	it('what was not sent or was refused by the target is sent again, elsewhere', () => {
 		const hosts = Hosts.create(1, 2, 4);
-		hosts.ask('entry-1');
+		hosts.pushRequest('entry-1');
 		const first = hosts.dispatches[0]?.target;
 		hosts.end({end: 'unsent', afterMs: 1});
 		expect(hosts.dispatches.length).toEqual(1);
@@ -155,7 +155,7 @@
 
 	it('a non-idempotent request that may have run is never sent again, and the caller hears so at once', () => {
 		const hosts = Hosts.create(1, 2, 4);
-		hosts.ask('entry-1');
+		hosts.pushRequest('entry-1');
 		hosts.end({end: 'lost', afterMs: 1});
 		expect(hosts.dispatches.length).toEqual(0);
 		expect(hosts.refusals[0]?.fault.kind).toEqual('answer-lost');
@@ -163,7 +163,7 @@
 
 	it('an idempotent request that may have run is never refused as not run', () => {
 		const hosts = Hosts.create(1, 1, 4);
-		hosts.ask('entry-1', {isIdempotent: true});
+		hosts.pushRequest('entry-1', {isIdempotent: true});
 		hosts.end({end: 'lost', afterMs: 1});
 		expect(hosts.dispatches.length).toEqual(1);
 		for (let index = 0; index < 40; index++) {
@@ -177,7 +177,7 @@
 		const hosts = Hosts.create(1, 2, 4);
 		let attempts = 0;
 		for (let index = 0; index < 400; index++) {
-			hosts.ask('entry-1');
+			hosts.pushRequest('entry-1');
 			for (let tries = 0; tries < 100 && hosts.dispatches.length > 0; tries++) {
 				attempts += 1;
 				hosts.end({end: 'refused', afterMs: 30});
@@ -190,14 +190,14 @@
 	it('a failing target is set aside and tried again by one request, but never all targets', () => {
 		const hosts = Hosts.create(1, 2, 4);
 		for (let index = 0; index < 12; index++) {
-			hosts.ask('entry-1', {isIdempotent: true});
+			hosts.pushRequest('entry-1', {isIdempotent: true});
 			while (hosts.dispatches.length > 0) {
 				hosts.end({end: hosts.dispatches[0]?.target === 'runner-1' ? 'unsent' : 'answered', afterMs: 1});
 			}
 		}
 
 		for (let index = 0; index < 6; index++) {
-			hosts.ask('entry-1');
+			hosts.pushRequest('entry-1');
 		}
 
 		expect(hosts.dispatches.every(dispatch => dispatch.target === 'runner-2')).toEqual(true);
@@ -227,7 +227,7 @@
 			const hosts = Hosts.create(3, 2, 2);
 			for (const one of steps) {
 				if (one.kind === 'ask') {
-					hosts.ask(`entry-${one.host}`, {workClass: one.workClass, isIdempotent: one.isIdempotent, deadline: (hosts.now + one.deadlineMs) as Instant});
+					hosts.pushRequest(`entry-${one.host}`, {workClass: one.workClass, isIdempotent: one.isIdempotent, deadline: (hosts.now + one.deadlineMs) as Instant});
 				} else if (one.kind === 'end') {
 					hosts.end(one);
 				} else {
--- a/packages/core/src/slots/steward.ts
+++ b/packages/core/src/slots/steward.ts
@@ -20,7 +20,7 @@
 import type {
 	RefusalKind, SlotAsk, SlotMessage, SlotMessageOf,
 } from './messages.js';
-import {isKeepable, recallKeptSlots} from './keeping.js';
+import {isKeepable, requestKeptSlots} from './keeping.js';
 import {expireLeases, removeUnreported, slotLeaseMs} from './leases.js';
 import {estimateRunMs, expireRunTimes, recordRunTime} from './run-times.js';
 import {
@@ -233,7 +233,7 @@
 		effects.push(...granted);
 	}
 
-	effects.push(...recallKeptSlots(steward));
+	effects.push(...requestKeptSlots(steward));
 	return effects;
 }
 
--- a/packages/core/src/slots/test-hosts.ts
+++ b/packages/core/src/slots/test-hosts.ts
@@ -100,7 +100,7 @@
 		}
 	}
 
-	ask(hostId: string, request: Partial<CallerRequest> = {}): CallerKey {
+	pushRequest(hostId: string, request: Partial<CallerRequest> = {}): CallerKey {
 		this.requestCount += 1;
 		const callerKey = `caller-${this.requestCount}` as CallerKey;
 		this.push(hostId as HostId, {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -78,7 +78,7 @@
 		this.server = createHttpServer({
 			settings, state: this.state, calls, push,
 		});
-		this.context.peers.attach(this.server);
+		this.context.peers.acceptUpgrades(this.server);
 	}
 
 	/** Listens and starts to follow the platform. */
--- a/packages/daemon/src/http/http-server.ts
+++ b/packages/daemon/src/http/http-server.ts
@@ -25,13 +25,13 @@
 
 async function answerCall(context: HttpContext, request: IncomingMessage, response: ServerResponse): Promise<void> {
 	try {
-		await routeCall(context, request, response);
+		await dispatchCall(context, request, response);
 	} catch (error) {
 		refuseCall(context, response, createFault('internal', (error as Error).message));
 	}
 }
 
-async function routeCall(context: HttpContext, request: IncomingMessage, response: ServerResponse): Promise<void> {
+async function dispatchCall(context: HttpContext, request: IncomingMessage, response: ServerResponse): Promise<void> {
 	const path = readPath(request);
 	const route = routes.find(candidate => candidate.method === request.method && candidate.pattern.test(path));
 	if (!route) {
--- a/packages/daemon/src/interpreter.ts
+++ b/packages/daemon/src/interpreter.ts
@@ -99,16 +99,16 @@
 		void startTask(context, effect);
 	},
 	'task/renew'({tasks}, effect) {
-		void tasks.changeTask(effect);
+		void tasks.updateTask(effect);
 	},
 	'task/stop'(context, effect) {
-		void changeTask(context, effect);
+		void updateTask(context, effect);
 	},
 	'task/checkpoint'(context, effect) {
-		void changeTask(context, effect);
+		void updateTask(context, effect);
 	},
 	'task/throttle'({tasks}, effect) {
-		void tasks.changeTask(effect);
+		void tasks.updateTask(effect);
 	},
 	'peer/keep-links'({peers}, effect) {
 		peers.keepLinks(effect.peers);
@@ -163,8 +163,8 @@
 	}
 }
 
-async function changeTask({tasks, push}: InterpreterContext, effect: EffectOf<'task/stop' | 'task/checkpoint'>): Promise<void> {
-	const task = await tasks.changeTask(effect);
+async function updateTask({tasks, push}: InterpreterContext, effect: EffectOf<'task/stop' | 'task/checkpoint'>): Promise<void> {
+	const task = await tasks.updateTask(effect);
 	if (task) {
 		push({
 			type: 'task/told', at: readClock(), jobId: effect.jobId, task,
--- a/packages/daemon/src/peers/peer-links.ts
+++ b/packages/daemon/src/peers/peer-links.ts
@@ -48,7 +48,7 @@
 	private constructor(private readonly settings: Settings, private readonly push: EventSink) {}
 
 	/** Takes over upgrades of an HTTP server. */
-	attach(server: Server): void {
+	acceptUpgrades(server: Server): void {
 		server.on('upgrade', (request: IncomingMessage, socket: Duplex, head: Uint8Array) => {
 			const peer = hostIdSchema.safeParse(request.headers[hostHeader]);
 			if (request.url !== peerPath || !peer.success || !hasToken(request, this.settings.peerToken)) {
@@ -79,7 +79,7 @@
 					peer, socket: undefined, noteEcho: undefined, redialTimer: undefined, outbox: [],
 				};
 				this.links.set(peer.hostId, link);
-				this.dial(link);
+				this.openSocket(link);
 			}
 		}
 	}
@@ -94,7 +94,7 @@
 		link.outbox.push(message);
 		if (link.outbox.length === 1) {
 			setImmediate(() => {
-				this.flush(link);
+				this.sendOutbox(link);
 			});
 		}
 	}
@@ -107,7 +107,7 @@
 		}
 	}
 
-	private flush(link: OutgoingLink): void {
+	private sendOutbox(link: OutgoingLink): void {
 		const messages = link.outbox;
 		link.outbox = [];
 		if (link.socket?.readyState === WebSocket.OPEN) {
@@ -122,7 +122,7 @@
 		link?.socket?.terminate();
 	}
 
-	private dial(link: OutgoingLink): void {
+	private openSocket(link: OutgoingLink): void {
 		const socket = new WebSocket(`ws://${link.peer.address}${peerPath}`, {
 			handshakeTimeout: handshakeTimeoutMs,
 			maxPayload: maxMessageBytes,
@@ -143,17 +143,17 @@
 			}
 
 			this.push({type: 'peer/unlinked', at: readClock(), peer: link.peer.hostId});
-			this.redial(link);
+			this.scheduleOpen(link);
 		});
 	}
 
-	private redial(link: OutgoingLink): void {
+	private scheduleOpen(link: OutgoingLink): void {
 		if (this.isClosed || this.links.get(link.peer.hostId) !== link) {
 			return;
 		}
 
 		link.redialTimer = setTimeout(() => {
-			this.dial(link);
+			this.openSocket(link);
 		}, redialMs);
 	}
 
@@ -163,7 +163,7 @@
 			socket.terminate();
 		});
 		socket.on('message', data => {
-			const frame = this.unpack(data);
+			const frame = this.decodeFrame(data);
 			for (const message of Array.isArray(frame) ? frame as unknown[] : [frame]) {
 				this.pushMessage(peer, message);
 			}
@@ -183,7 +183,7 @@
 			: {type: 'peer/message-unknown', at: readClock(), peer});
 	}
 
-	private unpack(data: RawData): unknown {
+	private decodeFrame(data: RawData): unknown {
 		try {
 			return this.packr.unpack(data as Uint8Array) as unknown;
 		} catch {
--- a/packages/daemon/src/platform/host-list-poll.ts
+++ b/packages/daemon/src/platform/host-list-poll.ts
@@ -27,12 +27,12 @@
 	/** Asks now and then at each interval. */
 	start(): void {
 		setInterval(() => {
-			void this.ask();
+			void this.fetchHosts();
 		}, this.options.intervalMs);
-		void this.ask();
+		void this.fetchHosts();
 	}
 
-	private async ask(): Promise<void> {
+	private async fetchHosts(): Promise<void> {
 		if (this.unanswered >= mostUnanswered) {
 			return;
 		}
--- a/packages/daemon/src/platform/task-client.ts
+++ b/packages/daemon/src/platform/task-client.ts
@@ -41,7 +41,7 @@
 	}
 
 	/** Changes a running task; how it stands then, if the platform tells. */
-	async changeTask(effect: EffectOf<'task/renew' | 'task/stop' | 'task/checkpoint' | 'task/throttle'>): Promise<ToldTask | undefined> {
+	async updateTask(effect: EffectOf<'task/renew' | 'task/stop' | 'task/checkpoint' | 'task/throttle'>): Promise<ToldTask | undefined> {
 		const {type, jobId, ...body} = effect;
 		const answer = await this.http.call({method: 'POST', path: `/v1/tasks/${encodeURIComponent(jobId)}/${type.slice('task/'.length)}`, body});
 		return answer.match(found => toldTaskSchema.safeParse(found.body).data, () => undefined);
--- a/packages/stand-ins/src/harness/local-fleet.ts
+++ b/packages/stand-ins/src/harness/local-fleet.ts
@@ -81,14 +81,14 @@
 	/** Kills an entry host at once; the platform's list goes on naming it. */
 	async killEntryHost(index: number): Promise<void> {
 		const {running} = this.getEntryHost(index);
-		running.signal('SIGKILL');
+		running.sendSignal('SIGKILL');
 		await running.waitForEnd();
 	}
 
 	/** Stops an entry host gracefully; the result is its exit code. */
 	async stopEntryHost(index: number): Promise<number | undefined> {
 		const {running} = this.getEntryHost(index);
-		running.signal('SIGTERM');
+		running.sendSignal('SIGTERM');
 		const end = await running.waitForEnd();
 		return end.code;
 	}
--- a/packages/stand-ins/src/harness/process-group.ts
+++ b/packages/stand-ins/src/harness/process-group.ts
@@ -31,7 +31,7 @@
 		return this.child.exitCode === null && this.child.signalCode === null;
 	}
 
-	signal(name: NodeJS.Signals): void {
+	sendSignal(name: NodeJS.Signals): void {
 		this.child.kill(name);
 	}
 
@@ -86,7 +86,7 @@
 	private killAll(): void {
 		for (const running of this.processes) {
 			if (running.isRunning) {
-				running.signal('SIGKILL');
+				running.sendSignal('SIGKILL');
 			}
 		}
 	}
--- a/packages/stand-ins/src/load/load-report.ts
+++ b/packages/stand-ins/src/load/load-report.ts
@@ -36,7 +36,7 @@
 const microsecondsPerMillisecond = 1000;
 
 /** Counts and latencies of a load. */
-export function summarizeLoad(outcomes: readonly LoadOutcome[]): LoadSummary {
+export function describeLoadRun(outcomes: readonly LoadOutcome[]): LoadSummary {
 	const results = countResults(outcomes);
 	const reasons: Record<string, number> = {};
 	for (const {result, reason} of outcomes) {
@@ -51,12 +51,12 @@
 		results,
 		goodShare: outcomes.length === 0 ? 0 : results.good / outcomes.length,
 		reasons,
-		classes: workClasses.map(workClass => summarizeClass(workClass, outcomes.filter(outcome => outcome.planned.workClass === workClass))),
+		classes: workClasses.map(workClass => describeClass(workClass, outcomes.filter(outcome => outcome.planned.workClass === workClass))),
 	};
 }
 
 /** Percentiles of durations in milliseconds. */
-export function summarizeLatencies(durationsMs: readonly number[]): LatencySummary {
+export function describeLatencies(durationsMs: readonly number[]): LatencySummary {
 	const histogram = build({numberOfSignificantValueDigits: 3});
 	for (const duration of durationsMs) {
 		histogram.recordValue(Math.max(0, Math.round(duration * microsecondsPerMillisecond)));
@@ -70,16 +70,16 @@
 	};
 }
 
-function summarizeClass(workClass: WorkClass, outcomes: readonly LoadOutcome[]): ClassSummary {
+function describeClass(workClass: WorkClass, outcomes: readonly LoadOutcome[]): ClassSummary {
 	const good = outcomes.filter(outcome => outcome.result === 'good');
 	const summarizePhase = (phase: LoadPhase) =>
-		summarizeLatencies(good.filter(outcome => outcome.planned.phase === phase).map(outcome => outcome.latencyMs));
+		describeLatencies(good.filter(outcome => outcome.planned.phase === phase).map(outcome => outcome.latencyMs));
 	return {
 		workClass,
 		sent: outcomes.length,
 		results: countResults(outcomes),
-		latency: summarizeLatencies(good.map(outcome => outcome.latencyMs)),
-		added: summarizeLatencies(good.map(outcome => outcome.latencyMs - outcome.planned.runMs)),
+		latency: describeLatencies(good.map(outcome => outcome.latencyMs)),
+		added: describeLatencies(good.map(outcome => outcome.latencyMs - outcome.planned.runMs)),
 		phases: {
 			calm: summarizePhase('calm'),
 			'own-burst': summarizePhase('own-burst'),
--- a/packages/stand-ins/src/load/load.test.ts
+++ b/packages/stand-ins/src/load/load.test.ts
@@ -8,7 +8,7 @@
 import {listen, readBytes} from '../http.js';
 import {createAnswer} from '../target/answer.js';
 import {defaultClasses, planLoad, type LoadShape} from './arrivals.js';
-import {summarizeLoad} from './load-report.js';
+import {describeLoadRun} from './load-report.js';
 import {runLoad} from './load-run.js';
 
 const shape: LoadShape = {
@@ -73,7 +73,7 @@
 		const planned = planLoad({
 			...shape, services: ['a'], durationMs: 1000, calmMs: 1000, meanRate: 40,
 		}).slice(0, 20);
-		const summary = summarizeLoad(await runLoad({planned, listEntryHosts: () => [address]}));
+		const summary = describeLoadRun(await runLoad({planned, listEntryHosts: () => [address]}));
 		expect(summary.sent).toEqual(20);
 		expect(summary.results).toEqual({
 			good: 5, late: 0, wrong: 5, refused: 5, unknown: 0, failed: 0, broken: 5,
--- a/packages/stand-ins/src/load/main.ts
+++ b/packages/stand-ins/src/load/main.ts
@@ -3,7 +3,7 @@
 import process from 'node:process';
 import sade from 'sade';
 import {defaultClasses, planLoad} from './arrivals.js';
-import {summarizeLoad} from './load-report.js';
+import {describeLoadRun} from './load-report.js';
 import {runLoad} from './load-run.js';
 
 type Flags = {
@@ -33,6 +33,6 @@
 			teams: flags.teams,
 		});
 		const outcomes = await runLoad({planned, listEntryHosts: () => entryHosts});
-		process.stdout.write(`${JSON.stringify(summarizeLoad(outcomes), undefined, '\t')}\n`);
+		process.stdout.write(`${JSON.stringify(describeLoadRun(outcomes), undefined, '\t')}\n`);
 	})
 	.parse(process.argv);
--- a/packages/stand-ins/src/platform/tasks.ts
+++ b/packages/stand-ins/src/platform/tasks.ts
@@ -116,7 +116,7 @@
 	}
 
 	/** Keeps what a running task has done so far. */
-	checkpoint(worker: Worker, task: Task): void {
+	writeCheckpoint(worker: Worker, task: Task): void {
 		task.checkpointMs = task.doneMs;
 		this.note('task-checkpointed', worker, task);
 	}
--- a/packages/stand-ins/src/platform/worker-routes.ts
+++ b/packages/stand-ins/src/platform/worker-routes.ts
@@ -107,7 +107,7 @@
 		handle: acceptTaskCall(z.strictObject({attempt}), (task, _body, {platform}) => {
 			const worker = platform.workers.get(task.hostId);
 			if (worker) {
-				platform.workers.tasks.checkpoint(worker, task);
+				platform.workers.tasks.writeCheckpoint(worker, task);
 			}
 		}),
 	},
--- a/packages/stand-ins/src/target/target-server.ts
+++ b/packages/stand-ins/src/target/target-server.ts
@@ -144,7 +144,7 @@
 		}
 
 		const fault = this.faults.choose(work);
-		if (this.endsInCrash(fault, 'crash-before') || !await this.takeSlot(response)) {
+		if (this.doesCrash(fault, 'crash-before') || !await this.takeSlot(response)) {
 			return;
 		}
 
@@ -152,7 +152,7 @@
 		const entry = this.ledger.noteStart(run.requestId, run.attemptId);
 		const runMs = work.runMs + this.faults.settings.slowMs;
 		await sleep(fault.kind === 'crash-during' ? runMs / 2 : runMs);
-		const hasCrashed = this.server !== server || this.endsInCrash(fault, 'crash-during');
+		const hasCrashed = this.server !== server || this.doesCrash(fault, 'crash-during');
 		if (!hasCrashed) {
 			this.finish(entry);
 			await this.sendAnswer(fault, {
@@ -181,7 +181,7 @@
 		this.slots.release();
 	}
 
-	private endsInCrash(fault: AnswerFault, kind: AnswerFault['kind']): boolean {
+	private doesCrash(fault: AnswerFault, kind: AnswerFault['kind']): boolean {
 		if (fault.kind !== kind || !('downMs' in fault)) {
 			return false;
 		}
