Proposals: one mechanism for the planner and the job runner

Cause: both kept "at most one record about each subject on its way" with code of their own. The planner noted each record that was read back, looking through all its proposals for every record of the log, though the log's list of pending records says the same: it loses a record before the planner hears of it, and the planner clears its proposals from that list at each tick before it looks at them. Change: log/proposals.ts; the planner's and runner's modules name the subjects only. Ruled out: keeping a counter in each domain (record ids begin with the schema, so one counter serves).

--- a/packages/core/src/jobs/handlers.ts
+++ b/packages/core/src/jobs/handlers.ts
@@ -6,11 +6,12 @@
 import type {HostId, JobId} from '../types/ids.js';
 import type {State} from '../types/state.js';
 import {addMilliseconds} from '../types/time.js';
+import {expireProposals} from '../log/proposals.js';
 import {listFailingWorkers} from './blame.js';
 import {displaceForUrgent, listClearedWorkers} from './displacement.js';
 import type {JobEvent} from './events.js';
 import {planPlacements, type PlacementPlan, type WorkerCapacity} from './placement.js';
-import {hasProposal, publishJobRecord} from './proposals.js';
+import {hasJobProposal, publishJobRecord} from './proposals.js';
 import {displaceOnLeavingWorkers, displaceAndThrottle} from './relief.js';
 import {
 	getJobLeaseMs, listRunning, runJobs, type RunningJob,
@@ -130,11 +131,7 @@
 		}
 	}
 
-	for (const [subject, recordId] of proposals) {
-		if (!state.log.pending.has(recordId)) {
-			proposals.delete(subject);
-		}
-	}
+	expireProposals(state, proposals);
 }
 
 function publishPlan(state: State, plan: PlacementPlan, term: number): Effect[] {
@@ -150,7 +147,7 @@
 /** Takes parked jobs up again once some worker of their pool could hold them. */
 function queueParkedJobs(state: State, capacities: readonly WorkerCapacity[], term: number): Effect[] {
 	return [...state.fleet.jobs.jobs.values()]
-		.filter(job => job.step === 'parked' && !hasProposal(state, job.body.jobId))
+		.filter(job => job.step === 'parked' && !hasJobProposal(state, job.body.jobId))
 		.filter(job => capacities.some(capacity =>
 			state.fleet.hosts.get(capacity.worker)?.pool === job.body.pool && doesFit(estimateSize(job, state.jobRunner.seenMemory), capacity)))
 		.flatMap(({body}) => publishJobRecord(state, body.jobId, 'job-park', {jobId: body.jobId, term}));
--- a/packages/core/src/jobs/runner-state.ts
+++ b/packages/core/src/jobs/runner-state.ts
@@ -1,5 +1,6 @@
 /** The job runner of this entry host: local, and of use only while it holds the planner's lease. */
-import type {JobId, RecordId} from '../types/ids.js';
+import type {Proposals} from '../log/proposals.js';
+import type {JobId} from '../types/ids.js';
 import type {Instant, Offset} from '../types/time.js';
 import type {ListedTask, ToldTask} from './tasks.js';
 
@@ -24,7 +25,7 @@
 	/** Fleet offset at the latest plan: nothing new is planned before something changes or some time has passed. */
 	plannedOffset: Offset;
 	/** The record about each job or worker that is on its way to the log. */
-	readonly proposals: Map<string, RecordId>;
+	readonly proposals: Proposals<string>;
 	readonly starts: Map<JobId, StartCall>;
 	readonly displaced: Map<JobId, Displacement>;
 	/** When to ask again that a task be checkpointed or stopped. */
@@ -33,7 +34,6 @@
 	readonly told: Map<JobId, ToldTask>;
 	/** The most memory that each job was seen to use, where it is more than declared. */
 	readonly seenMemory: Map<JobId, number>;
-	proposalCount: number;
 };
 
 /** A runner that knows nothing yet. */
@@ -51,6 +51,5 @@
 		stopAgainAt: new Map(),
 		told: new Map(),
 		seenMemory: new Map(),
-		proposalCount: 0,
 	};
 }
--- a/packages/core/src/jobs/runner.ts
+++ b/packages/core/src/jobs/runner.ts
@@ -5,7 +5,7 @@
 import {addMilliseconds, type Instant} from '../types/time.js';
 import {jobClasses, type AttemptEnd} from './bodies.js';
 import {clockMarginMs} from './judge.js';
-import {hasProposal, publishJobRecord} from './proposals.js';
+import {hasJobProposal, publishJobRecord} from './proposals.js';
 import type {Job, JobAttempt} from './state.js';
 import type {ListedTask} from './tasks.js';
 
@@ -182,7 +182,7 @@
 function renewLeases(state: State, running: readonly RunningJob[], term: number): Effect[] {
 	const logTime = estimateLogTime(state);
 	const due = running.filter(({current, task}) => task?.state === 'running' && isRenewalDue(state, current, logTime));
-	if (due.length === 0 || hasProposal(state, 'leases')) {
+	if (due.length === 0 || hasJobProposal(state, 'leases')) {
 		return [];
 	}
 
--- a/packages/core/src/log/state.ts
+++ b/packages/core/src/log/state.ts
@@ -56,6 +56,8 @@
 
 export type LogState = {
 	readonly pending: Map<RecordId, PendingRecord>;
+	/** Counts what this process proposed; part of each proposal's record id. */
+	proposalCount: number;
 	/** The earliest instant of the next append. */
 	nextAppendAt: Instant;
 	isFlushScheduled: boolean;
@@ -102,6 +104,7 @@
 export function createLogState(seed: number): LogState {
 	return {
 		pending: new Map(),
+		proposalCount: 0,
 		nextAppendAt: 0 as Instant,
 		isFlushScheduled: false,
 		appendsInFlight: 0,
--- a/packages/core/src/planner/handlers.ts
+++ b/packages/core/src/planner/handlers.ts
@@ -5,12 +5,12 @@
 import type {LoggedRecord} from '../types/records.js';
 import type {State} from '../types/state.js';
 import {addMilliseconds} from '../types/time.js';
+import {expireProposals} from '../log/proposals.js';
 import {judgeCall, judgeInvariants} from './audit.js';
 import type {PlannerEvent} from './events.js';
 import {publishHealth, runChain} from './executor.js';
 import {closeOperations, noteOperation} from './operations.js';
 import {planFleet} from './planning.js';
-import {closeProposals, noteProposal} from './proposals.js';
 import {
 	findOwnTerm, hasFreshWorkers, noteLogTime, renewTenure,
 } from './tenure.js';
@@ -36,7 +36,6 @@
 /** Takes note of a record that was just judged; its place in the log tells the platform's clock. */
 export function noteJudgedRecord(state: State, logged: LoggedRecord, outcome: RecordOutcome): Effect[] {
 	noteLogTime(state);
-	noteProposal(state, logged);
 	closeOperations(state, logged, outcome);
 	return judgeInvariants(state, logged, outcome);
 }
@@ -48,7 +47,7 @@
 	}
 
 	state.planner.nextPlanAt = addMilliseconds(state.now, planIntervalMs);
-	closeProposals(state);
+	expireProposals(state, state.planner.proposals);
 	const effects = renewTenure(state);
 	const term = findOwnTerm(state);
 	if (term === undefined || !hasFreshWorkers(state)) {
--- a/packages/core/src/planner/state.ts
+++ b/packages/core/src/planner/state.ts
@@ -1,7 +1,6 @@
 /** The planner of this entry host: local, and of use only while it holds the lease. */
-import type {
-	HostId, OperationId, PoolId, RecordId,
-} from '../types/ids.js';
+import type {Proposals} from '../log/proposals.js';
+import type {HostId, OperationId, PoolId} from '../types/ids.js';
 import type {Instant, Offset} from '../types/time.js';
 import type {ListedWorker} from './workers.js';
 
@@ -22,8 +21,8 @@
 	/** How far the platform's clock is ahead of this host's, at least; in milliseconds. */
 	clockLeadMs: number;
 	/** The record about each host that is on its way to the log. */
-	readonly proposals: Map<HostId, RecordId>;
-	leaseProposal: RecordId | undefined;
+	readonly proposals: Proposals<HostId>;
+	readonly leaseProposals: Proposals<'planner-lease'>;
 	readonly operations: Map<OperationId, KnownOperation>;
 	/** Outages that are being undone, by the operation id of their chain. */
 	readonly returning: Set<OperationId>;
@@ -31,7 +30,6 @@
 	readonly knownPools: Map<HostId, PoolId>;
 	/** Offset of the next record to check. */
 	auditOffset: Offset;
-	proposalCount: number;
 	nextPlanAt: Instant;
 };
 
@@ -42,12 +40,11 @@
 		workersAt: undefined,
 		clockLeadMs: Number.NEGATIVE_INFINITY,
 		proposals: new Map(),
-		leaseProposal: undefined,
+		leaseProposals: new Map(),
 		operations: new Map(),
 		returning: new Set(),
 		knownPools: new Map(),
 		auditOffset: 0 as Offset,
-		proposalCount: 0,
 		nextPlanAt: 0 as Instant,
 	};
 }
