Planner: the jobs are looked through once a tick, not once for each wave; a field that nobody read goes

Cause: the view of each active wave counted the resumable jobs on every host anew, in the planner's tick and again in each placement plan, so that with a wave in each of 33 pools and 10,000 jobs every tick of 100 ms would have looked at 330,000 jobs. By construction, not measured. OpenRequest.latestFault was written and never read. Change: listWaveViews makes the views of all active waves with one count.

--- a/packages/core/src/planner/planning.ts
+++ b/packages/core/src/planner/planning.ts
@@ -9,14 +9,14 @@
 import {wavePolicies} from './policies.js';
 import {publishHostRecord} from './proposals.js';
 import {estimateLogTime} from './tenure.js';
-import {createWaveView, type WaveView} from './wave-view.js';
+import {listWaveViews, type WaveView} from './wave-view.js';
 import {listDownWorkers} from './workers.js';
 
 const moveDrainLimitMs = 10 * 60 * 1000;
 
 /** Proposes what may start now. */
 export function planFleet(state: State, term: number): Effect[] {
-	return [...planMoves(state, term), ...[...state.fleet.waves.values()].flatMap(wave => planWave(state, wave, term))];
+	return [...planMoves(state, term), ...listWaveViews(state).flatMap(view => planWave(state, view, term))];
 }
 
 function planMoves(state: State, term: number): Effect[] {
@@ -35,12 +35,8 @@
 	return effects;
 }
 
-function planWave(state: State, wave: Wave, term: number): Effect[] {
-	const view = createWaveView(state, wave);
-	if (!view) {
-		return [];
-	}
-
+function planWave(state: State, view: WaveView, term: number): Effect[] {
+	const {wave} = view;
 	const policy = wavePolicies[wave.body.policy];
 	let free = policy.chooseWidth(view) - wave.hosts.filter(host => host.state === 'out' || state.planner.proposals.has(host.hostId)).length;
 	let freeForHeld = policy.chooseHeldWidth(view) - countHeldOut(state, view);
--- a/packages/core/src/planner/wave-view.ts
+++ b/packages/core/src/planner/wave-view.ts
@@ -18,24 +18,27 @@
 	readonly heldTasks: ReadonlyMap<HostId, number>;
 };
 
-/** The view of an active wave; nothing if it starts nothing more. */
-export function createWaveView(state: State, wave: Wave): WaveView | undefined {
-	const budget = state.fleet.pools.get(wave.body.pool)?.body.budget;
+/** The views of all active waves; others start nothing more. */
+export function listWaveViews(state: State): WaveView[] {
 	const now = estimateLogTime(state);
-	return budget && getWaveStatus(state.fleet, wave, now) === 'active'
-		? {
-			fleet: state.fleet, wave, budget, now, heldTasks: countHeldTasks(state),
-		}
-		: undefined;
+	const active = [...state.fleet.waves.values()].filter(wave => getWaveStatus(state.fleet, wave, now) === 'active');
+	const heldTasks = active.length > 0 ? countHeldTasks(state) : new Map<HostId, number>();
+	return active.flatMap(wave => {
+		const budget = state.fleet.pools.get(wave.body.pool)?.body.budget;
+		return budget
+			? [{
+				fleet: state.fleet, wave, budget, now, heldTasks,
+			}]
+			: [];
+	});
 }
 
 /** How soon each waiting host of the active waves is due, 0 being next; hosts of waves that don't steer are left out. */
 export function listDueRanks(state: State): ReadonlyMap<HostId, number> {
 	const ranks = new Map<HostId, number>();
-	for (const wave of state.fleet.waves.values()) {
-		const policy = wavePolicies[wave.body.policy];
-		const view = policy.isSteered ? createWaveView(state, wave) : undefined;
-		const order = view ? policy.listInOrder(view) : [];
+	for (const view of listWaveViews(state)) {
+		const policy = wavePolicies[view.wave.body.policy];
+		const order = policy.isSteered ? policy.listInOrder(view) : [];
 		for (const [rank, {hostId}] of order.entries()) {
 			ranks.set(hostId, Math.min(rank, ranks.get(hostId) ?? rank));
 		}
--- a/packages/core/src/requests/attempts.ts
+++ b/packages/core/src/requests/attempts.ts
@@ -83,7 +83,6 @@
 
 function retryOrEnd(state: State, open: OpenRequest, attempt: Attempt, event: AttemptFailedEvent): Effect[] {
 	const hasSurelyNotRun = event.wasRefused || !event.wasSent;
-	open.latestFault = event.fault;
 	open.avoid.push(attempt.target);
 	if (!hasSurelyNotRun) {
 		open.possibleRun = event.fault;
--- a/packages/core/src/requests/handlers.ts
+++ b/packages/core/src/requests/handlers.ts
@@ -103,7 +103,6 @@
 		attemptCount: 0,
 		avoid: [],
 		possibleRun: undefined,
-		latestFault: undefined,
 	};
 }
 
--- a/packages/core/src/requests/state.ts
+++ b/packages/core/src/requests/state.ts
@@ -26,8 +26,6 @@
 	readonly avoid: HostId[];
 	/** Why it may have run, once an attempt ended without a sure outcome: it can't be refused truly any more. */
 	possibleRun: Fault | undefined;
-	/** Why the latest attempt failed. */
-	latestFault: Fault | undefined;
 };
 
 /** A slot that this host was granted. */
