Jobs: no task gives way on a worker that is set aside; quota and open workers are judged in one place

Displacement judged whether a worker may get work by a rule of its own, which lacked that it is not set aside, so batch tasks were checkpointed and stopped there for an urgent job that placement then could not put there. Quotas were checked and held resources summed twice, in the fold's rules and in the plan. Change: displacement asks placement's isWorkerOpen; isWithinQuota and sumHeldByTeam serve the fold and the plan. Before: the new test failed (3 calls to the platform, none expected).

--- a/packages/core/src/jobs/by-pool.ts
+++ b/packages/core/src/jobs/by-pool.ts
@@ -1,6 +1,7 @@
-/** Sorts workers by pool and held resources by team in one pass, so that planning stays linear in jobs and workers. */
+/** Workers by pool and held resources by team, each in one pass, so that planning stays linear in jobs and workers. */
 import type {FleetState} from '../fleet/state.js';
 import type {HostId, PoolId, TeamId} from '../types/ids.js';
+import type {Job} from './state.js';
 
 /** What a team's running jobs hold, as declared. */
 export type Held = {cores: number; accelerators: number};
@@ -36,3 +37,10 @@
 
 	return byTeam;
 }
+
+/** Whether a job's start would keep its team within its quota, with what the team's running jobs hold; without a quota all may start. */
+export function isWithinQuota(fleet: FleetState, {body}: Job, held: Held | undefined): boolean {
+	const quota = fleet.jobs.quotas.get(body.team);
+	const {cores, accelerators} = held ?? {cores: 0, accelerators: 0};
+	return !quota || (cores + body.cores <= quota.cores && accelerators + body.accelerators <= quota.accelerators);
+}
--- a/packages/core/src/jobs/displacement.ts
+++ b/packages/core/src/jobs/displacement.ts
@@ -2,11 +2,11 @@
 import type {Effect} from '../types/effects.js';
 import type {HostId} from '../types/ids.js';
 import type {State} from '../types/state.js';
-import type {PlacementPlan, WorkerCapacity} from './placement.js';
+import {estimateLogTime} from '../planner/tenure.js';
+import {isWorkerOpen, type PlacementPlan, type WorkerCapacity} from './placement.js';
 import {
 	compareLowestFirst, displaceTask, isDisplaced, type RunningJob,
 } from './runner.js';
-import type {Job} from './state.js';
 import {doesFit, estimateSize, type JobSize} from './use.js';
 
 /** A worker as it will be once the tasks that already give way have ended and what is planned has started. */
@@ -29,7 +29,7 @@
 	return plan.crowdedOut.flatMap(job => {
 		const size = estimateSize(job, state.jobRunner.seenMemory);
 		const clearance = prospects
-			.filter(({worker}) => isWorkerOpen(state, job, worker))
+			.filter(({worker}) => state.fleet.hosts.get(worker)?.pool === job.body.pool && isWorkerOpen(state.fleet, worker, estimateLogTime(state)))
 			.map(prospect => findClearance(prospect, size))
 			.filter(found => found !== undefined)
 			.toSorted((a, b) => a.displaced.length - b.displaced.length)
@@ -80,11 +80,6 @@
 	return displaced.flatMap(item => displaceTask(state, item));
 }
 
-function isWorkerOpen(state: State, job: Job, worker: HostId): boolean {
-	const host = state.fleet.hosts.get(worker);
-	return host?.pool === job.body.pool && !host.isDown && host.chain === undefined;
-}
-
 function add(a: JobSize, b: JobSize): JobSize {
 	return {cores: a.cores + b.cores, memoryBytes: a.memoryBytes + b.memoryBytes, accelerators: a.accelerators + b.accelerators};
 }
--- a/packages/core/src/jobs/judge.ts
+++ b/packages/core/src/jobs/judge.ts
@@ -1,11 +1,12 @@
 /** Why a record about a job is void at its place in the log; undefined where it stands. */
 import type {FleetState} from '../fleet/state.js';
 import {judgeTerm} from '../planner/lease.js';
-import type {HostId, TeamId} from '../types/ids.js';
+import type {HostId} from '../types/ids.js';
 import type {LoggedRecord} from '../types/records.js';
 import type {
 	JobAttemptBody, JobAttemptEndBody, JobBody, JobParkBody,
 } from './bodies.js';
+import {isWithinQuota, sumHeldByTeam} from './by-pool.js';
 import type {Job} from './state.js';
 
 /** A lease further ahead of the log's clock is void, so that a wrong clock cannot hold a job for long. */
@@ -92,27 +93,9 @@
 }
 
 function judgeQuota(fleet: FleetState, job: Job): Judgement {
-	const quota = fleet.jobs.quotas.get(job.body.team);
-	if (!quota) {
-		return undefined;
-	}
-
-	const held = sumHeld(fleet, job.body.team);
-	const isWithin = held.cores + job.body.cores <= quota.cores && held.accelerators + job.body.accelerators <= quota.accelerators;
-	return isWithin ? undefined : `team ${job.body.team} would pass its quota`;
-}
-
-/** Cores and accelerators that a team's running jobs hold, as declared. */
-export function sumHeld(fleet: FleetState, team: TeamId): {cores: number; accelerators: number} {
-	const held = {cores: 0, accelerators: 0};
-	for (const job of fleet.jobs.jobs.values()) {
-		if (job.step === 'running' && job.body.team === team) {
-			held.cores += job.body.cores;
-			held.accelerators += job.body.accelerators;
-		}
-	}
-
-	return held;
+	const {team} = job.body;
+	const held = fleet.jobs.quotas.has(team) ? sumHeldByTeam(fleet).get(team) : undefined;
+	return isWithinQuota(fleet, job, held) ? undefined : `team ${team} would pass its quota`;
 }
 
 export function judgeAttemptEnd(fleet: FleetState, logged: LoggedRecord, body: JobAttemptEndBody): Judgement {
--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -3,7 +3,9 @@
 import type {HostId, JobId, TeamId} from '../types/ids.js';
 import type {Instant} from '../types/time.js';
 import {jobClasses} from './bodies.js';
-import {listByPool, sumHeldByTeam, type Held} from './by-pool.js';
+import {
+	isWithinQuota, listByPool, sumHeldByTeam, type Held,
+} from './by-pool.js';
 import {hasRunLeft} from './judge.js';
 import type {Job} from './state.js';
 import {
@@ -72,7 +74,7 @@
 
 		const teamHeld: Held = held.get(job.body.team) ?? {cores: 0, accelerators: 0};
 		held.set(job.body.team, teamHeld);
-		if (!hasQuota(fleet, job, teamHeld)) {
+		if (!isWithinQuota(fleet, job, teamHeld)) {
 			continue;
 		}
 
@@ -100,11 +102,6 @@
 		|| a.offset - b.offset);
 }
 
-function hasQuota(fleet: FleetState, job: Job, held: {readonly cores: number; readonly accelerators: number}): boolean {
-	const quota = fleet.jobs.quotas.get(job.body.team);
-	return !quota || (held.cores + job.body.cores <= quota.cores && held.accelerators + job.body.accelerators <= quota.accelerators);
-}
-
 /** Why no worker of the pool could ever hold a job, or nothing. A pool without known workers says nothing. */
 function describeMisfit(ofPool: readonly WorkerCapacity[], {body}: Job, size: JobSize): string | undefined {
 	if (ofPool.length === 0 || ofPool.some(capacity => doesFit(size, capacity))) {
@@ -116,7 +113,7 @@
 
 function buildRooms(fleet: FleetState, capacities: readonly WorkerCapacity[], now: Instant): Room[] {
 	const declared = sumDeclared(fleet);
-	return capacities.filter(({worker}) => isOpen(fleet, worker, now)).map(capacity => {
+	return capacities.filter(({worker}) => isWorkerOpen(fleet, worker, now)).map(capacity => {
 		const held = declared.get(capacity.worker) ?? {cores: 0, memoryBytes: 0, accelerators: 0};
 		return {
 			worker: capacity.worker,
@@ -128,7 +125,8 @@
 	});
 }
 
-function isOpen(fleet: FleetState, worker: HostId, now: Instant): boolean {
+/** Whether a worker may get an attempt now. */
+export function isWorkerOpen(fleet: FleetState, worker: HostId, now: Instant): boolean {
 	const host = fleet.hosts.get(worker);
 	const setAsideUntil = fleet.jobs.workers.get(worker)?.setAsideUntil ?? 0;
 	return host !== undefined && !host.chain && !host.isDown && setAsideUntil <= now;
--- a/packages/core/src/jobs/runner.test.ts
+++ b/packages/core/src/jobs/runner.test.ts
@@ -139,6 +139,14 @@
 		expect(listTaskCalls(holder.pass(1500, {state: 'running', checkpointMs: 700})).includes('task/stop')).toEqual(true);
 	});
 
+	it('goes on where the urgent job could not be placed: its worker is set aside', () => {
+		const holder = Holder.create('entry-1');
+		startRoster(holder);
+		holder.append('worker-set-aside', {worker: 'worker-1', until: 1_000_000, term: 1});
+		holder.append('job', createJob('warning', 'urgent'));
+		expect(listTaskCalls(holder.pass(1800, {state: 'running', checkpointMs: 0}))).toEqual([]);
+	});
+
 	it('that resumed from a checkpoint is stopped only once a newer one is seen', () => {
 		const holder = Holder.create('entry-1');
 		startRoster(holder);
