Fold: outcomes made in one place, and one judgement of an outage's step

Cause: the void and accepted outcomes stood as literals in four modules beside the functions that make them, the type of an applier three times, and each of three steps of an outage found its host, judged the step and found the wave's line again. Change: fleet/outcomes.ts; applyOutageStep judges, the step only changes.

--- a/packages/core/src/fleet/apply-record.ts
+++ b/packages/core/src/fleet/apply-record.ts
@@ -10,6 +10,7 @@
 	decodeBody, hasDecoder, type DecodedBody, type SchemaName,
 } from './decoders.js';
 import {computeNextDigest, noteDigest} from './digest.js';
+import {accepted, refuseRecord} from './outcomes.js';
 import {noteRecordId} from './seen-records.js';
 import type {FleetState, InForce} from './state.js';
 
@@ -49,7 +50,7 @@
 
 	return decodeBody(record.schema, record.version, record.body).match<JudgedRecord>(
 		decoded => ({outcome: applyBody(fleet, logged, decoded), decoded}),
-		fault => ({outcome: {verdict: 'void', reason: fault.detail}}),
+		fault => ({outcome: refuseRecord(fault.detail)}),
 	);
 }
 
@@ -67,7 +68,7 @@
 const appliers: {readonly [Name in SchemaName]: Applier<Name>} = {
 	'entry-host-joined'(fleet, logged, body) {
 		applyEntryHostJoined(fleet, logged, body);
-		return {verdict: 'accepted'};
+		return accepted;
 	},
 	pool: (fleet, logged, body) => setInForce(fleet.pools, body.pool, logged, body),
 	objective: (fleet, logged, body) => setInForce(fleet.objectives, body.service, logged, body),
@@ -86,11 +87,11 @@
 function setInForce<Key, Body>(table: Map<Key, InForce<Body>>, key: Key, logged: LoggedRecord, body: Body): RecordOutcome {
 	const current = table.get(key)?.offset;
 	if (isStale(logged.record.basedOn, current)) {
-		return {verdict: 'void', reason: describeRace(logged.record.basedOn, current)};
+		return refuseRecord(describeRace(logged.record.basedOn, current));
 	}
 
 	table.set(key, {offset: logged.offset, body});
-	return {verdict: 'accepted'};
+	return accepted;
 }
 
 function describeRace(basedOn: Offset | undefined, current: Offset | undefined): string {
--- a/packages/core/src/jobs/appliers.ts
+++ b/packages/core/src/jobs/appliers.ts
@@ -1,5 +1,6 @@
 /** The fold of jobs: each record is judged at its place in the log, then changes the jobs alike on every host. */
 import type {RecordOutcome} from '../fleet/apply-record.js';
+import {accepted, refuseRecord, type BodyApplier} from '../fleet/outcomes.js';
 import type {FleetState} from '../fleet/state.js';
 import {judgeTerm} from '../planner/lease.js';
 import type {LoggedRecord} from '../types/records.js';
@@ -18,9 +19,7 @@
 export const endedJobKeptMs = 24 * 3_600_000;
 const expireIntervalMs = 600_000;
 
-type JobApplier<Name extends keyof JobDomainBodies> = (fleet: FleetState, logged: LoggedRecord, body: JobDomainBodies[Name]) => RecordOutcome;
-
-export const jobAppliers: {readonly [Name in keyof JobDomainBodies]: JobApplier<Name>} = {
+export const jobAppliers: {readonly [Name in keyof JobDomainBodies]: BodyApplier<JobDomainBodies[Name]>} = {
 	job: (fleet, logged, body) => acceptUnless(judgeNewJob(fleet, body), () => {
 		expireEndedJobs(fleet, logged.at);
 		fleet.jobs.jobs.set(body.jobId, createJob(logged, body));
@@ -68,11 +67,11 @@
 
 function acceptUnless(reason: Judgement, apply: () => void): RecordOutcome {
 	if (reason !== undefined) {
-		return {verdict: 'void', reason};
+		return refuseRecord(reason);
 	}
 
 	apply();
-	return {verdict: 'accepted'};
+	return accepted;
 }
 
 function createJob(logged: LoggedRecord, body: JobDomainBodies['job']): Job {
--- a/packages/core/src/planner/lease.ts
+++ b/packages/core/src/planner/lease.ts
@@ -1,5 +1,5 @@
 /** The planner's lease in the fold: at most one holder in each term, fenced by the term. */
-import type {RecordOutcome} from '../fleet/apply-record.js';
+import {accepted, refuseRecord, type BodyApplier} from '../fleet/outcomes.js';
 import type {FleetState} from '../fleet/state.js';
 import type {LoggedRecord, LogRecord} from '../types/records.js';
 import type {Instant} from '../types/time.js';
@@ -8,13 +8,11 @@
 /** A deadline further ahead of the platform's clock than this is void, so that a wrong clock cannot take the lease for good. */
 export const maximumLeaseMs = 15_000;
 
-type LeaseApplier = (fleet: FleetState, logged: LoggedRecord, body: PlannerLeaseBody) => RecordOutcome;
-
-export const plannerAppliers: {readonly [Name in keyof PlannerDomainBodies]: LeaseApplier} = {
+export const plannerAppliers: {readonly [Name in keyof PlannerDomainBodies]: BodyApplier<PlannerDomainBodies[Name]>} = {
 	'planner-lease'(fleet, logged, body) {
 		const reason = judgeDeadline(logged, body) ?? judgeHolder(fleet, logged, body);
 		if (reason !== undefined) {
-			return {verdict: 'void', reason};
+			return refuseRecord(reason);
 		}
 
 		if (isRenewalRepeated(fleet, body)) {
@@ -22,7 +20,7 @@
 		}
 
 		fleet.plannerLease = body;
-		return {verdict: 'accepted'};
+		return accepted;
 	},
 };
 
--- a/packages/core/src/pools/appliers.ts
+++ b/packages/core/src/pools/appliers.ts
@@ -1,5 +1,6 @@
 /** The fold's rules for hosts and their moves: each record is judged at its place in the log. */
 import type {RecordOutcome} from '../fleet/apply-record.js';
+import {accepted, refuseRecord, type BodyApplier} from '../fleet/outcomes.js';
 import type {FleetState} from '../fleet/state.js';
 import {judgeTerm} from '../planner/lease.js';
 import type {LoggedRecord} from '../types/records.js';
@@ -9,16 +10,6 @@
 import {judgeLeaving} from './budget.js';
 import type {FleetHost, Move} from './state.js';
 
-/** Applies one body or says why it is void. */
-export type BodyApplier<Body> = (fleet: FleetState, logged: LoggedRecord, body: Body) => RecordOutcome;
-
-export const accepted: RecordOutcome = {verdict: 'accepted'};
-
-/** A void outcome. */
-export function refuseRecord(reason: string): RecordOutcome {
-	return {verdict: 'void', reason};
-}
-
 export const poolAppliers: {readonly [Name in keyof PoolDomainBodies]: BodyApplier<PoolDomainBodies[Name]>} = {
 	host: applyHost,
 	move: applyMove,
--- a/packages/core/src/waves/appliers.ts
+++ b/packages/core/src/waves/appliers.ts
@@ -1,8 +1,8 @@
 /** The fold's rules for waves and outages: each record is judged at its place in the log. */
 import type {RecordOutcome} from '../fleet/apply-record.js';
+import {accepted, refuseRecord, type BodyApplier} from '../fleet/outcomes.js';
 import type {FleetState} from '../fleet/state.js';
 import {judgeTerm} from '../planner/lease.js';
-import {accepted, refuseRecord, type BodyApplier} from '../pools/appliers.js';
 import type {ChainStepBody} from '../pools/bodies.js';
 import {judgeLeaving, listPoolHosts} from '../pools/budget.js';
 import type {FleetHost, Outage} from '../pools/state.js';
@@ -91,54 +91,57 @@
 	return host.pool === wave.body.pool ? undefined : `host ${host.hostId} has left pool ${wave.body.pool}`;
 }
 
-function createOutageStep(from: Outage['step'], to: Outage['step']): BodyApplier<ChainStepBody> {
-	return (fleet, _logged, body) => {
-		const host = fleet.hosts.get(body.hostId);
-		const reason = judgeOutageStep(fleet, host, body, [from]);
-		if (reason !== undefined || host?.chain?.kind !== 'outage') {
-			return refuseRecord(reason ?? '');
-		}
-
-		host.chain = {...host.chain, step: to};
-		return accepted;
-	};
-}
+type OutageChange = (fleet: FleetState, host: FleetHost, chain: Outage) => void;
 
-const endableSteps = {rebooted: ['rebooted'], failed: ['granted', 'drained', 'rebooted']} as const;
-
-function applyOutageEnd(fleet: FleetState, _logged: LoggedRecord, body: OutageEndBody): RecordOutcome {
+/** Changes an outage that is at one of these steps, in the term in force. */
+function applyOutageStep(fleet: FleetState, body: ChainStepBody, from: ReadonlyArray<Outage['step']>, change: OutageChange): RecordOutcome {
 	const host = fleet.hosts.get(body.hostId);
-	const reason = judgeOutageStep(fleet, host, body, endableSteps[body.outcome]);
-	if (reason !== undefined || host?.chain?.kind !== 'outage') {
-		return refuseRecord(reason ?? '');
+	const chain = host?.chain;
+	if (chain?.kind !== 'outage' || !from.includes(chain.step) || chain.operationId !== body.operationId) {
+		return refuseRecord(`host ${body.hostId} has no outage ${body.operationId} at step ${from.join(' or ')}`);
 	}
 
-	const wave = fleet.waves.get(host.chain.waveId);
-	const waveHost = wave && findWaveHost(wave, body.hostId);
-	if (waveHost) {
-		endWaveHost(waveHost, body.outcome);
+	const reason = judgeTerm(fleet, body.term);
+	if (reason !== undefined) {
+		return refuseRecord(reason);
 	}
 
-	host.chain = undefined;
+	change(fleet, host!, chain);
 	return accepted;
 }
 
+function createOutageStep(from: Outage['step'], to: Outage['step']): BodyApplier<ChainStepBody> {
+	return (fleet, _logged, body) => applyOutageStep(fleet, body, [from], (_fleet, host, chain) => {
+		host.chain = {...chain, step: to};
+	});
+}
+
+const endableSteps = {rebooted: ['rebooted'], failed: ['granted', 'drained', 'rebooted']} as const;
+
+function applyOutageEnd(fleet: FleetState, _logged: LoggedRecord, body: OutageEndBody): RecordOutcome {
+	return applyOutageStep(fleet, body, endableSteps[body.outcome], createOutageClose(waveHost => {
+		endWaveHost(waveHost, body.outcome);
+	}));
+}
+
 /** No failure of the host: it is tried as often as before. */
 function applyOutageReturn(fleet: FleetState, _logged: LoggedRecord, body: ChainStepBody): RecordOutcome {
-	const host = fleet.hosts.get(body.hostId);
-	const reason = judgeOutageStep(fleet, host, body, ['granted']);
-	if (reason !== undefined || host?.chain?.kind !== 'outage') {
-		return refuseRecord(reason ?? '');
-	}
-
-	const wave = fleet.waves.get(host.chain.waveId);
-	const waveHost = wave && findWaveHost(wave, body.hostId);
-	if (waveHost) {
+	return applyOutageStep(fleet, body, ['granted'], createOutageClose(waveHost => {
 		waveHost.state = 'waiting';
-	}
+	}));
+}
 
-	host.chain = undefined;
-	return accepted;
+/** The host is in service again; its wave takes note. */
+function createOutageClose(note: (waveHost: WaveHost) => void): OutageChange {
+	return (fleet, host, chain) => {
+		const wave = fleet.waves.get(chain.waveId);
+		const waveHost = wave && findWaveHost(wave, host.hostId);
+		if (waveHost) {
+			note(waveHost);
+		}
+
+		host.chain = undefined;
+	};
 }
 
 function endWaveHost(waveHost: WaveHost, outcome: OutageEndBody['outcome']): void {
@@ -151,15 +154,6 @@
 	waveHost.state = waveHost.failures < maximumFailuresPerHost ? 'waiting' : 'given-up';
 }
 
-function judgeOutageStep(fleet: FleetState, host: FleetHost | undefined, body: ChainStepBody, from: ReadonlyArray<Outage['step']>): string | undefined {
-	const chain = host?.chain;
-	if (chain?.kind !== 'outage' || !from.includes(chain.step) || chain.operationId !== body.operationId) {
-		return `host ${body.hostId} has no outage ${body.operationId} at step ${from.join(' or ')}`;
-	}
-
-	return judgeTerm(fleet, body.term);
-}
-
 function findWaveHost(wave: Wave, hostId: HostId): WaveHost | undefined {
 	return wave.hosts.find(host => host.hostId === hostId);
 }
