Harness: what was started ends with its starter also when a signal ends that

Cause: a group killed its processes at the exit event, which a process that a signal ends never has. Change: the group itself turns SIGINT and SIGTERM into an exit with the shell's codes, 130 and 143. The two handlers stay, for their words. Ruled out: a handler in each bench.

--- a/packages/stand-ins/src/harness/process-group.ts
+++ b/packages/stand-ins/src/harness/process-group.ts
@@ -3,6 +3,9 @@
 import {once} from 'node:events';
 import process from 'node:process';
 
+/** A signal would end this process without the event that ends what it started; the codes are those of a shell. */
+const endSignals = [['SIGINT', 130], ['SIGTERM', 143]] as const;
+
 /** How a process ended. */
 export type ProcessEnd = {readonly code: number | undefined; readonly signal: string | undefined};
 
@@ -69,6 +72,11 @@
 		process.once('exit', () => {
 			this.killAll();
 		});
+		for (const [signal, exitCode] of endSignals) {
+			process.once(signal, () => {
+				process.exit(exitCode);
+			});
+		}
 	}
 
 	start(name: string, script: string, flags: readonly string[], environment: NodeJS.ProcessEnv = {}): RunningProcess {
