--- a/packages/bench/src/at-most-once/main.ts
+++ b/packages/bench/src/at-most-once/main.ts
@@ -2,7 +2,9 @@
 /** Measures what claims cost, with real processes: latency of first tries with and without a claim, against a claim in the log, and the answers to repeats. */
 import {randomUUID} from 'node:crypto';
 import process from 'node:process';
-import {LocalFleet, type LocalEntryHost} from '@rhubarblever/stand-ins';
+import {
+	createServiceRecord, LocalFleet, type LocalEntryHost,
+} from '@rhubarblever/stand-ins';
 import {build, type Histogram} from 'hdr-histogram-js';
 import sade from 'sade';
 import {fetch as fetchPlatform} from 'undici';
@@ -13,14 +15,7 @@
 const body = JSON.stringify({runMs: 1});
 
 const records = [
-	{
-		recordId: 'service-1',
-		schema: 'service',
-		version: 1,
-		body: {
-			service: 'replans', pool: 'trucks', slotsPerRunner: 8, connectionsPerRunner: 64,
-		},
-	},
+	createServiceRecord('replans'),
 ];
 
 type Way = {readonly name: string; readonly send: (fleet: LocalFleet, host: LocalEntryHost) => Promise<boolean>};
--- a/packages/bench/src/capacity/entry-hosts.ts
+++ b/packages/bench/src/capacity/entry-hosts.ts
@@ -2,7 +2,9 @@
 /** Measures what entry hosts cost while nothing is asked of them, by their number: `node packages/bench/dist/capacity/entry-hosts.js`. */
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
-import {LocalFleet, sleep} from '@rhubarblever/stand-ins';
+import {
+	createServiceRecord, LocalFleet, sleep,
+} from '@rhubarblever/stand-ins';
 import {readCpuMs} from '../routing/process-times.js';
 import {computeFit, type Point} from './fit.js';
 
@@ -21,14 +23,7 @@
 		availabilityZones, entryHostsPerZone, targetsPerZone: 0, targetsPerService: 7, services, targetsPerProcess: 35, isPeerTrafficCounted: true,
 	});
 	try {
-		await fleet.publish(services.map(service => ({
-			recordId: `record-${service}`,
-			schema: 'service',
-			version: 1,
-			body: {
-				service, pool: 'pool-1', slotsPerRunner: 8, connectionsPerRunner: 64,
-			},
-		})));
+		await fleet.publish(services.map(service => (createServiceRecord(service, {recordId: `record-${service}`, pool: 'pool-1'}))));
 		await sleep(settleMs);
 		return await measureFleet(fleet);
 	} finally {
--- a/packages/bench/src/demo/demo-fleet.ts
+++ b/packages/bench/src/demo/demo-fleet.ts
@@ -1,6 +1,8 @@
 /** The fleet that the demo runs, and the records that it publishes. */
 import {listedHostSchema, type ListedHost} from '@rhubarblever/core';
-import type {ClassShape, FleetShape, PublishableRecord} from '@rhubarblever/stand-ins';
+import {
+	createServiceRecord, type ClassShape, type FleetShape, type PublishableRecord,
+} from '@rhubarblever/stand-ins';
 
 export const availabilityZones = ['ee-south-a', 'ee-south-b', 'ee-south-c'];
 export const services = ['route-checks', 'replans'];
@@ -54,14 +56,7 @@
 		version: 2,
 		body: {pool: guardedPool, budget: {minimumHealthyHosts: 3, maximumHostsOut: 2, maximumHostsOutPerZone: 1}},
 	},
-	...services.map(service => ({
-		recordId: `demo-service-${service}`,
-		schema: 'service',
-		version: 1,
-		body: {
-			service, pool: guardedPool, slotsPerRunner: 8, connectionsPerRunner: 64,
-		},
-	})),
+	...services.map(service => (createServiceRecord(service, {recordId: `demo-service-${service}`, pool: guardedPool}))),
 	...workers.map(worker => ({
 		recordId: `demo-host-${worker.hostId}`,
 		schema: 'host',
--- a/packages/bench/src/demo/wave-step.ts
+++ b/packages/bench/src/demo/wave-step.ts
@@ -17,11 +17,11 @@
 		const startedAt = Date.now();
 		await demo.publish([createWaveRecord(startedAt + waveTimeoutMs)]);
 		await waitUntil('all hosts are rebooted and take work again', async () => {
-			const entries = await listEntries(demo);
+			const entries = await demo.fleet.readPlatformLedger();
 			return workers.every(worker => entries.findLast(entry => entry.hostId === worker.hostId)?.event === 'undrained'
 				&& entries.some(entry => entry.hostId === worker.hostId && entry.event === 'rebooted'));
 		}, waveTimeoutMs);
-		const entries = await listEntries(demo);
+		const entries = await demo.fleet.readPlatformLedger();
 		const fewest = countFewestHealthy(entries);
 		judgeTruth(fewest >= minimumAfterChange, `only ${fewest} hosts were healthy at one time`);
 		judgeTruth(entries.every(entry => entry.event !== 'task-cut'), 'a reboot cut a running task');
@@ -36,11 +36,6 @@
 	});
 }
 
-async function listEntries(demo: Demo): Promise<readonly PlatformLedgerEntry[]> {
-	const ledger = await demo.fleet.callPlatform('GET', '/v1/control/ledger') as {entries: PlatformLedgerEntry[]};
-	return ledger.entries;
-}
-
 /** The fewest hosts that took work at once, by the platform's own ledger. */
 function countFewestHealthy(entries: readonly PlatformLedgerEntry[]): number {
 	const out = new Set<string>();
--- a/packages/bench/src/integration/at-most-once.test.ts
+++ b/packages/bench/src/integration/at-most-once.test.ts
@@ -3,7 +3,9 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
-import {LocalFleet, waitUntil, type LocalEntryHost} from '@rhubarblever/stand-ins';
+import {
+	callService, createServiceRecord, LocalFleet, waitUntil, type LocalEntryHost,
+} from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
 
 const zones = ['ee-south-a', 'ee-south-b', 'ee-south-c'];
@@ -11,29 +13,21 @@
 const hourMs = 3_600_000;
 
 const records = [
-	{
-		recordId: 'service-1',
-		schema: 'service',
-		version: 1,
-		body: {
-			service: 'replans', pool: 'trucks', slotsPerRunner: 8, connectionsPerRunner: 64,
-		},
-	},
+	createServiceRecord('replans'),
 ];
 
 /** What a caller saw: a status and the kind of a fault; status 0 if the connection broke. */
 type Answer = {readonly status: number; readonly kind: string};
 
-async function send(host: LocalEntryHost, requestId: string, runMs = 5): Promise<Answer> {
-	try {
-		const response = await fetch(`http://${host.address}/v1/services/replans`, {
-			method: 'POST', body: JSON.stringify({runMs}), headers: {'idempotency-key': requestId, 'rhubarblever-class': 'heavy'},
-		});
-		const text = await response.text();
-		return {status: response.status, kind: response.ok ? '' : (JSON.parse(text) as {type: string}).type};
-	} catch {
-		return {status: 0, kind: 'broken'};
+async function send({address}: LocalEntryHost, requestId: string, runMs = 5): Promise<Answer> {
+	const {status, detail} = await callService({
+		address, service: 'replans', requestId, work: {runMs}, workClass: 'heavy',
+	});
+	if (status === 0) {
+		return {status, kind: 'broken'};
 	}
+
+	return {status, kind: detail === '' ? '' : (JSON.parse(detail) as {type: string}).type};
 }
 
 async function fetchStatus(host: LocalEntryHost, requestId: string): Promise<number> {
--- a/packages/bench/src/integration/bad-input.test.ts
+++ b/packages/bench/src/integration/bad-input.test.ts
@@ -5,7 +5,7 @@
 	after, before, describe, it,
 } from 'node:test';
 import {
-	LocalFleet, operatorToken, peerToken, waitUntil, type LocalEntryHost,
+	createServiceRecord, LocalFleet, operatorToken, peerToken, waitUntil, type LocalEntryHost,
 } from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
 import fc from 'fast-check';
@@ -60,11 +60,7 @@
 			availabilityZones: ['ee-south-a'], entryHostsPerZone: 1, targetsPerZone: 1, services: ['routes'],
 		});
 		host = fleet.entryHosts[0]!;
-		await fleet.publish([{
-			recordId: 'service-1', schema: 'service', version: 1, body: {
-				service: 'routes', pool: 'trucks', slotsPerRunner: 8, connectionsPerRunner: 64,
-			},
-		}]);
+		await fleet.publish([createServiceRecord('routes')]);
 	});
 
 	after(async () => {
--- a/packages/bench/src/integration/bad-worker-bad-jobs.test.ts
+++ b/packages/bench/src/integration/bad-worker-bad-jobs.test.ts
@@ -4,7 +4,7 @@
 } from 'node:test';
 import {waitUntil, type LocalFleet} from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
-import {listOverlaps, listRunsOf, readLedger} from './platform-ledger.js';
+import {listOverlaps, listRunsOf} from './platform-ledger.js';
 import {
 	createJob, createWorkers, settleMs, startWorkerFleet, waitForEnds, waitForStep,
 } from './worker-fleet.js';
@@ -64,7 +64,7 @@
 	});
 
 	it('no job ran more often than allowed, and the bad worker got nothing once it was set aside', async () => {
-		const ledger = await readLedger(fleet);
+		const ledger = await fleet.readPlatformLedger();
 		expect(listOverlaps(ledger)).toEqual([]);
 		for (let round = 0; round < rounds; round++) {
 			for (const jobId of [...listIds('good', 24, round), ...listIds('bad-repeated', 6, round)]) {
--- a/packages/bench/src/integration/declared-too-little.test.ts
+++ b/packages/bench/src/integration/declared-too-little.test.ts
@@ -2,9 +2,9 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
-import {waitUntil, type LocalFleet} from '@rhubarblever/stand-ins';
+import {waitUntil, type LocalFleet, type PlatformLedgerEntry} from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
-import {listRunsOf, readLedger, type LedgerEntry} from './platform-ledger.js';
+import {listRunsOf} from './platform-ledger.js';
 import {
 	createJob, createWorkers, settleMs, startWorkerFleet, waitForEnds, waitForStep,
 } from './worker-fleet.js';
@@ -29,7 +29,7 @@
 	return tasks.filter(task => task.state === 'running');
 }
 
-function listTasksOf(ledger: readonly LedgerEntry[], event: string): string[] {
+function listTasksOf(ledger: readonly PlatformLedgerEntry[], event: string): string[] {
 	return [...new Set(ledger.filter(entry => entry.event === event).map(entry => entry.taskId ?? ''))];
 }
 
@@ -69,13 +69,13 @@
 			return left.every(task => task.throttle > 0.5);
 		}, settleMs);
 		await waitForStep(fleet, [...honestIds, ...largeIds], 'succeeded');
-		const ledger = await readLedger(fleet);
+		const ledger = await fleet.readPlatformLedger();
 		expect(listTasksOf(ledger, 'task-throttled').toSorted()).toEqual(largeIds);
 		expect(ledger.filter(entry => entry.event === 'task-started').length).toEqual(honestIds.length + largeIds.length);
 	});
 
 	it('are checkpointed and stopped before the worker\'s memory is full, the lowest class first, and go on once they fit', async () => {
-		const before = await readLedger(fleet);
+		const before = await fleet.readPlatformLedger();
 		const ids = honestIds.map(jobId => `${jobId}-again`);
 		await fleet.publish([
 			...ids.map(jobId => createJob(jobId, {memoryBytes: 27 * gigabyte, declaredRunMs: 5000})),
@@ -84,7 +84,7 @@
 			})),
 		]);
 		await waitForStep(fleet, [...ids, ...heavyIds], 'succeeded');
-		const ledger = await readLedger(fleet);
+		const ledger = await fleet.readPlatformLedger();
 		const since = ledger.slice(before.length);
 		expect(listTasksOf(since, 'task-out-of-memory')).toEqual([]);
 		expect(listTasksOf(since, 'task-checkpointed')).toEqual(['archive-batch']);
--- a/packages/bench/src/integration/displacement.test.ts
+++ b/packages/bench/src/integration/displacement.test.ts
@@ -5,7 +5,7 @@
 import {waitUntil, type LocalFleet} from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
 import {
-	listOverlaps, listRuns, listRunsOf, readLedger,
+	listOverlaps, listRuns, listRunsOf,
 } from './platform-ledger.js';
 import {
 	createJob, createWorkers, settleMs, startWorkerFleet, waitForStep,
@@ -25,7 +25,7 @@
 let fleet: LocalFleet;
 
 async function countRunning(): Promise<number> {
-	const runs = listRuns(await readLedger(fleet));
+	const runs = listRuns(await fleet.readPlatformLedger());
 	return runs.filter(run => run.end === undefined).length;
 }
 
@@ -49,7 +49,7 @@
 		await waitUntil('the fleet is full', async () => await countRunning() >= fullCount, settleMs);
 		await fleet.publish(urgentIds.map(jobId => createJob(jobId, {cores: urgentCores, declaredRunMs: 1000, jobClass: 'urgent'})));
 		await waitForStep(fleet, [...urgentIds, ...batchIds, ...fixedIds], 'succeeded');
-		const ledger = await readLedger(fleet);
+		const ledger = await fleet.readPlatformLedger();
 		expect(listOverlaps(ledger)).toEqual([]);
 		for (const jobId of [...urgentIds, ...fixedIds]) {
 			expect(listRunsOf(ledger, jobId).map(run => run.end)).toEqual(['task-succeeded']);
@@ -63,7 +63,7 @@
 	});
 
 	it('room is made for all of them at once, by checkpoints before stops, no more than they need, and goes to them', async () => {
-		const ledger = await readLedger(fleet);
+		const ledger = await fleet.readPlatformLedger();
 		const stops = ledger.filter(entry => entry.event === 'task-stopped');
 		expect(stops).not.toBeEmpty();
 		expect(stops.length).toBeLessThanOrEqual(urgentIds.length * urgentCores / batchCores);
--- a/packages/bench/src/integration/jobs.test.ts
+++ b/packages/bench/src/integration/jobs.test.ts
@@ -2,89 +2,29 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
-import {listedHostSchema} from '@rhubarblever/core';
-import {LocalFleet, waitUntil, type LocalEntryHost} from '@rhubarblever/stand-ins';
+import {waitUntil, type LocalFleet, type PlatformLedgerEntry} from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
+import {
+	createJob, createWorkers, fetchAnswer, findPlanner, settleMs, startWorkerFleet, waitForStep, type JobAnswer,
+} from './worker-fleet.js';
 
-type LedgerEntry = {readonly at: number; readonly event: string; readonly hostId: string; readonly taskId?: string};
-type JobAnswer = {readonly jobId: string; readonly step: string; readonly runs: number; readonly parkedReason?: string};
-type FleetAnswer = {readonly plannerLease?: {readonly holder: string}; readonly jobs: readonly JobAnswer[]};
-
-const zones = ['attica-a', 'attica-b', 'attica-c'];
-const workerCores = 32;
-const workers = Array.from({length: 6}, (_, index) => listedHostSchema.parse({
-	hostId: `worker-${index + 1}`,
-	role: 'worker',
-	availabilityZone: zones[index % zones.length],
-	rack: `rack-${Math.floor(index / 2)}`,
-	address: '127.0.0.1:1',
-	pool: 'renders',
-	state: 'live',
-	cores: workerCores,
-	memoryBytes: 128e9,
-	accelerators: 0,
-}));
-const settleMs = 60_000;
 const urgentBoundMs = 1500;
 
 let fleet: LocalFleet;
 
-async function fetchAnswer(host: LocalEntryHost): Promise<FleetAnswer> {
-	return await fleet.fetchFleet(host) as FleetAnswer;
-}
-
 async function fetchJob(jobId: string): Promise<JobAnswer | undefined> {
-	const answer = await fetchAnswer(findRunningHost());
-	return answer.jobs.find(job => job.jobId === jobId);
-}
-
-function findRunningHost(): LocalEntryHost {
-	return fleet.entryHosts.find(host => host.running.isRunning)!;
-}
-
-async function findHolderIndex(): Promise<number> {
-	const answer = await fetchAnswer(findRunningHost());
-	return fleet.entryHosts.findIndex(host => host.hostId === answer.plannerLease?.holder);
-}
-
-async function readStarts(jobId: string): Promise<LedgerEntry[]> {
-	const answer = await fleet.callPlatform('GET', '/v1/control/ledger') as {readonly entries: readonly LedgerEntry[]};
-	return answer.entries.filter(entry => entry.event === 'task-started' && entry.taskId === jobId);
-}
-
-function createJob(jobId: string, changes: Record<string, unknown> = {}) {
-	return {
-		recordId: `accept-${jobId}`,
-		schema: 'job',
-		version: 1,
-		body: {
-			jobId, pool: 'renders', team: 'newsroom', jobClass: 'normal', cores: 2, memoryBytes: 1e9, declaredRunMs: 500, allowedRuns: 1, ...changes,
-		},
-	};
+	const {jobs} = await fetchAnswer(fleet);
+	return jobs.find(job => job.jobId === jobId);
 }
 
-async function waitForStep(jobIds: readonly string[], step: string): Promise<void> {
-	await waitUntil(`${jobIds.join(', ')}: ${step}`, async () => {
-		const answer = await fetchAnswer(findRunningHost());
-		return jobIds.every(jobId => answer.jobs.some(job => job.jobId === jobId && job.step === step));
-	}, settleMs);
+async function readStarts(jobId: string): Promise<PlatformLedgerEntry[]> {
+	const ledger = await fleet.readPlatformLedger();
+	return ledger.filter(entry => entry.event === 'task-started' && entry.taskId === jobId);
 }
 
 describe('jobs over real processes', () => {
 	before(async () => {
-		fleet = await LocalFleet.create({
-			availabilityZones: zones, entryHostsPerZone: 1, targetsPerZone: 0, services: [], hosts: workers,
-		});
-		await fleet.publish([
-			{
-				recordId: 'pool', schema: 'pool', version: 1, body: {pool: 'renders', minimumHealthyHosts: 1},
-			},
-			...workers.map(({hostId, availabilityZone, rack}) => ({
-				recordId: `host-${hostId}`, schema: 'host', version: 1, body: {
-					hostId, pool: 'renders', availabilityZone, rack,
-				},
-			})),
-		]);
+		fleet = await startWorkerFleet(createWorkers(6));
 	});
 
 	after(async () => {
@@ -95,7 +35,7 @@
 		await fleet.callPlatform('PUT', '/v1/control/faults', {loseAnswers: {probability: 0.2, seed: 5}});
 		const ids = Array.from({length: 12}, (_, index) => `map-${index}`);
 		await fleet.publish(ids.map(id => createJob(id)));
-		await waitForStep(ids, 'succeeded');
+		await waitForStep(fleet, ids, 'succeeded');
 		await fleet.callPlatform('PUT', '/v1/control/faults', {loseAnswers: null});
 		const starts = await Promise.all(ids.map(async id => readStarts(id)));
 		expect(starts.map(list => list.length)).toEqual(ids.map(() => 1));
@@ -104,7 +44,7 @@
 	it('starts an urgent job within the bound', async () => {
 		const acceptedAt = Date.now();
 		await fleet.publish([createJob('warning', {jobClass: 'urgent', declaredRunMs: 100})]);
-		await waitForStep(['warning'], 'succeeded');
+		await waitForStep(fleet, ['warning'], 'succeeded');
 		const starts = await readStarts('warning');
 		expect(starts.length).toEqual(1);
 		expect(starts[0]!.at - acceptedAt).toBeLessThan(urgentBoundMs);
@@ -112,7 +52,7 @@
 
 	it('parks a job that no worker can ever hold, with the reason, and cancels idempotently', async () => {
 		await fleet.publish([createJob('archive', {cores: 500})]);
-		await waitForStep(['archive'], 'parked');
+		await waitForStep(fleet, ['archive'], 'parked');
 		const parked = await fetchJob('archive');
 		expect(parked?.parkedReason ?? '').toMatchRegex(/500 cores/);
 		for (const recordId of ['cancel-1', 'cancel-2']) {
@@ -122,17 +62,17 @@
 			}]);
 		}
 
-		await waitForStep(['archive'], 'cancelled');
+		await waitForStep(fleet, ['archive'], 'cancelled');
 		expect(await readStarts('archive')).toEqual([]);
 	});
 
 	it('stops a running job that is cancelled', async () => {
 		await fleet.publish([createJob('reanalysis', {declaredRunMs: 600_000})]);
-		await waitForStep(['reanalysis'], 'running');
+		await waitForStep(fleet, ['reanalysis'], 'running');
 		await fleet.publish([{
 			recordId: 'cancel-reanalysis', schema: 'job-cancel', version: 1, body: {jobId: 'reanalysis'},
 		}]);
-		await waitForStep(['reanalysis'], 'cancelled');
+		await waitForStep(fleet, ['reanalysis'], 'cancelled');
 		const starts = await readStarts('reanalysis');
 		expect(starts.length).toBeLessThanOrEqual(1);
 	});
@@ -140,10 +80,10 @@
 	it('goes on after the kill of the planner, and no job runs twice', async () => {
 		const ids = Array.from({length: 8}, (_, index) => `roster-${index}`);
 		await fleet.publish(ids.map(id => createJob(id, {declaredRunMs: 3000})));
-		await waitForStep(ids.slice(0, 1), 'running');
-		const holder = await findHolderIndex();
+		await waitForStep(fleet, ids.slice(0, 1), 'running');
+		const holder = fleet.entryHosts.indexOf(await findPlanner(fleet));
 		await fleet.killEntryHost(holder);
-		await waitForStep(ids, 'succeeded');
+		await waitForStep(fleet, ids, 'succeeded');
 		await fleet.waitForReady(await fleet.restartEntryHost(holder));
 		const starts = await Promise.all(ids.map(async id => readStarts(id)));
 		expect(starts.map(list => list.length)).toEqual(ids.map(() => 1));
@@ -152,16 +92,16 @@
 	it('is not hurt by a planner that was frozen and wakes up', async () => {
 		const ids = Array.from({length: 8}, (_, index) => `overlay-${index}`);
 		await fleet.publish(ids.map(id => createJob(id, {declaredRunMs: 3000})));
-		await waitForStep(ids.slice(0, 1), 'running');
-		const frozen = fleet.entryHosts[await findHolderIndex()]!;
+		await waitForStep(fleet, ids.slice(0, 1), 'running');
+		const frozen = await findPlanner(fleet);
 		const awake = fleet.entryHosts.find(host => host !== frozen)!;
 		frozen.running.sendSignal('SIGSTOP');
 		await waitUntil('another planner has taken over', async () => {
-			const answer = await fetchAnswer(awake);
+			const answer = await fetchAnswer(fleet, awake);
 			return answer.plannerLease !== undefined && answer.plannerLease.holder !== frozen.hostId;
 		}, settleMs);
 		frozen.running.sendSignal('SIGCONT');
-		await waitForStep(ids, 'succeeded');
+		await waitForStep(fleet, ids, 'succeeded');
 		const starts = await Promise.all(ids.map(async id => readStarts(id)));
 		expect(starts.map(list => list.length)).toEqual(ids.map(() => 1));
 	});
@@ -170,7 +110,7 @@
 		await fleet.callPlatform('POST', '/v1/control/workers/worker-1', {change: 'fail-tasks'});
 		const ids = Array.from({length: 10}, (_, index) => `chart-${index}`);
 		await fleet.publish(ids.map(id => createJob(id, {declaredRunMs: 300, allowedRuns: 4})));
-		await waitForStep(ids, 'succeeded');
+		await waitForStep(fleet, ids, 'succeeded');
 		const jobs = await Promise.all(ids.map(async id => fetchJob(id)));
 		expect(jobs.every(job => (job?.runs ?? 9) <= 4)).toEqual(true);
 	});
--- a/packages/bench/src/integration/lapsed-leases.test.ts
+++ b/packages/bench/src/integration/lapsed-leases.test.ts
@@ -5,7 +5,7 @@
 import {waitUntil, type LocalFleet} from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
 import {
-	listOverlaps, listRuns, listRunsOf, readLedger,
+	listOverlaps, listRuns, listRunsOf,
 } from './platform-ledger.js';
 import {
 	createJob, createWorkers, findPlanner, settleMs, startWorkerFleet, waitForEnds, waitForStep,
@@ -55,20 +55,20 @@
 		]);
 		await waitForStep(fleet, singleIds, 'running');
 		await waitUntil('the tasks run', async () => {
-			const runs = listRuns(await readLedger(fleet));
+			const runs = listRuns(await fleet.readPlatformLedger());
 			return runs.length >= allIds.length;
 		}, settleMs);
 		const frozen = await findPlanner(fleet);
 		const observer = fleet.entryHosts.find(host => host !== frozen)!;
 		frozen.running.sendSignal('SIGSTOP');
 		await waitUntil('another entry host plans', async () => await findPlanner(fleet, observer) !== frozen, settleMs);
-		await waitUntil('a second run has begun', async () => listRunsOf(await readLedger(fleet), 'map-1').length > 1, settleMs);
+		await waitUntil('a second run has begun', async () => listRunsOf(await fleet.readPlatformLedger(), 'map-1').length > 1, settleMs);
 		frozen.running.sendSignal('SIGCONT');
 		await waitForEnds(fleet, allIds);
 	});
 
 	it('no task ran past its lease, no runs of a job overlap, and none ran more often than allowed', async () => {
-		const ledger = await readLedger(fleet);
+		const ledger = await fleet.readPlatformLedger();
 		expect(listOverlaps(ledger)).toEqual([]);
 		for (const jobId of singleIds) {
 			expect(listRunsOf(ledger, jobId).map(run => run.end)).toEqual(['task-lapsed']);
@@ -83,7 +83,7 @@
 	});
 
 	it('a second run began only behind the lease of the first', async () => {
-		const ledger = await readLedger(fleet);
+		const ledger = await fleet.readPlatformLedger();
 		const second = repeatableIds.map(jobId => listRunsOf(ledger, jobId)[1]).filter(run => run !== undefined);
 		expect(second).not.toBeEmpty();
 		for (const run of second) {
--- a/packages/bench/src/integration/leaving-after-hang.test.ts
+++ b/packages/bench/src/integration/leaving-after-hang.test.ts
@@ -1,9 +1,10 @@
 /** A target that leaves just as the platform answers again: calls to the platform that hang from before must not hide the news. */
-import {randomUUID} from 'node:crypto';
 import {
 	after, before, describe, it,
 } from 'node:test';
-import {LocalFleet, sleep, waitUntil} from '@rhubarblever/stand-ins';
+import {
+	callService, createServiceRecord, LocalFleet, sleep, waitUntil,
+} from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
 
 const service = 'routes';
@@ -17,12 +18,11 @@
 describe('a platform that hung', () => {
 	let fleet: LocalFleet;
 
-	const callService = async () => {
-		const response = await fetch(`http://${fleet.entryHosts[0]!.address}/v1/services/${service}`, {
-			method: 'POST', body: '{"runMs":5}', headers: {'idempotency-key': randomUUID(), 'rhubarblever-idempotent': 'true'},
+	const isAnswered = async () => {
+		const {isOwn} = await callService({
+			address: fleet.entryHosts[0]!.address, service, work: {runMs: 5}, isIdempotent: true,
 		});
-		await response.arrayBuffer();
-		return response.ok;
+		return isOwn;
 	};
 
 	before(async () => {
@@ -33,13 +33,9 @@
 			{
 				recordId: 'pool', schema: 'pool', version: 1, body: {pool: 'trucks', minimumHealthyHosts: 0},
 			},
-			{
-				recordId: 'service', schema: 'service', version: 1, body: {
-					service, pool: 'trucks', slotsPerRunner: 8, connectionsPerRunner: 64,
-				},
-			},
+			createServiceRecord(service),
 		]);
-		await waitUntil('requests are answered', callService, settleMs);
+		await waitUntil('requests are answered', isAnswered, settleMs);
 	});
 
 	after(async () => {
@@ -54,7 +50,7 @@
 		const toldAt = Date.now();
 		while (Date.now() < toldAt + leavingNewsMs + watchedMs) {
 			// eslint-disable-next-line no-await-in-loop
-			expect(await callService()).toEqual(true);
+			expect(await isAnswered()).toEqual(true);
 			// eslint-disable-next-line no-await-in-loop
 			await sleep(callIntervalMs);
 		}
--- a/packages/bench/src/integration/mass-cancel.test.ts
+++ b/packages/bench/src/integration/mass-cancel.test.ts
@@ -4,7 +4,7 @@
 } from 'node:test';
 import {sleep, waitUntil, type LocalFleet} from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
-import {listRuns, readLedger} from './platform-ledger.js';
+import {listRuns} from './platform-ledger.js';
 import {
 	createJob, createWorkers, settleMs, startWorkerFleet, waitForEnds, waitForStep,
 } from './worker-fleet.js';
@@ -51,28 +51,28 @@
 
 	it('all end cancelled, and none runs after', async () => {
 		await publishJobs(firstIds, false);
-		await waitUntil('some run while others wait', async () => listRuns(await readLedger(fleet)).length > 50, settleMs);
+		await waitUntil('some run while others wait', async () => listRuns(await fleet.readPlatformLedger()).length > 50, settleMs);
 		await publishJobs(lastIds, true);
 		await Promise.all([cancelAll(0), cancelAll(1)]);
 		await waitForStep(fleet, allIds, 'cancelled');
-		const ledger = await readLedger(fleet);
+		const ledger = await fleet.readPlatformLedger();
 		const runs = listRuns(ledger);
 		expect(runs.length).toBeLessThan(allIds.length);
 		expect(runs.map(run => run.end).filter(end => end !== 'task-stopped')).toEqual([]);
 		await sleep(afterwardsMs);
-		const later = await readLedger(fleet);
+		const later = await fleet.readPlatformLedger();
 		expect(later.slice(ledger.length)).toEqual([]);
 		expect(new Set(runs.map(run => run.taskId)).size).toEqual(runs.length);
 	});
 
 	it('a cancel once more changes nothing, and other jobs go on', async () => {
-		const before = await readLedger(fleet);
+		const before = await fleet.readPlatformLedger();
 		await fleet.publish(keptIds.map(jobId => createJob(jobId)));
 		await cancelAll(2);
 		await waitForEnds(fleet, keptIds);
 		await waitForStep(fleet, keptIds, 'succeeded');
 		await waitForStep(fleet, allIds, 'cancelled');
-		const ledger = await readLedger(fleet);
+		const ledger = await fleet.readPlatformLedger();
 		expect(ledger.slice(before.length).filter(entry => !keptIds.includes(entry.taskId ?? ''))).toEqual([]);
 		expect(fleet.entryHosts.every(host => host.running.isRunning)).toEqual(true);
 	});
--- a/packages/bench/src/integration/paused-steward.test.ts
+++ b/packages/bench/src/integration/paused-steward.test.ts
@@ -1,11 +1,10 @@
 /** A steward frozen and resumed with real processes under load, judged by what callers see and by the targets' ledgers. */
-import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import {
 	after, before, describe, it,
 } from 'node:test';
 import {
-	computeAnswer, LocalFleet, sleep, waitUntil, type LocalEntryHost,
+	callService, countStarts, createServiceRecord, listLoads, LocalFleet, sleep, waitUntil, type LocalEntryHost, type SeenAnswer,
 } from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
 
@@ -19,30 +18,19 @@
 /** A lease of 1.5 s and the next report: after that the slots must be kept to again. */
 const briefMs = 2000;
 const callerCount = 36;
-const body = JSON.stringify({runMs: 200});
+const runMs = 200;
 
-/** What a caller saw. */
-type Seen = {readonly requestId: string; readonly isOwn: boolean; readonly isRefusedTruly: boolean; readonly status: number; readonly tookMs: number};
-
-async function call(host: LocalEntryHost, requestId: string): Promise<Seen> {
-	const startedAt = Date.now();
-	const seen = await fetch(`http://${host.address}/v1/services/routes`, {
-		method: 'POST',
-		body,
-		headers: {'idempotency-key': requestId, 'rhubarblever-class': 'quick', 'rhubarblever-deadline': new Date(startedAt + deadlineMs).toISOString()},
-	}).then(async response => ({
-		status: response.status,
-		isOwn: await response.text() === computeAnswer(requestId, Buffer.from(body)),
-		isRefusedTruly: response.headers.get('rhubarblever-not-run') === 'true',
-	})).catch(() => ({status: 0, isOwn: false, isRefusedTruly: false}));
-	return {...seen, requestId, tookMs: Date.now() - startedAt};
+async function call({address}: LocalEntryHost, requestId: string): Promise<SeenAnswer> {
+	return callService({
+		address, service: 'routes', requestId, work: {runMs}, deadlineMs, workClass: 'quick',
+	});
 }
 
 describe('a steward that is frozen and resumed', () => {
 	let fleet: LocalFleet;
-	const seen: Seen[] = [];
+	const seen: SeenAnswer[] = [];
 	/** Calls to the frozen host itself and repeats of the same ids elsewhere. */
-	const doubled: Seen[] = [];
+	const doubled: SeenAnswer[] = [];
 	/** When slots may be overfilled for a moment: from each freeze and each resume on. */
 	const changes: number[] = [];
 
@@ -76,14 +64,7 @@
 		fleet = await LocalFleet.create({
 			availabilityZones: zones, entryHostsPerZone: 2, targetsPerZone: 1, services: ['routes'], targetsPerProcess: 3, targetFlags: ['--slots', '64'],
 		});
-		await fleet.publish([{
-			recordId: 'service-1',
-			schema: 'service',
-			version: 1,
-			body: {
-				service: 'routes', pool: 'trucks', slotsPerRunner, connectionsPerRunner: 64,
-			},
-		}]);
+		await fleet.publish([createServiceRecord('routes', {slotsPerRunner})]);
 		await Promise.all(fleet.entryHosts.map(async host => waitUntil('a request is answered', async () => {
 			const answer = await call(host, randomUUID());
 			return answer.isOwn;
@@ -104,12 +85,7 @@
 	});
 
 	it('no refused request ran, none ran twice, also where an id went to the frozen host and to another', async () => {
-		const ledgers = await fleet.readLedgers();
-		const runs = new Map<string, number>();
-		for (const {requestId} of ledgers.flatMap(({entries}) => entries)) {
-			runs.set(requestId, (runs.get(requestId) ?? 0) + 1);
-		}
-
+		const runs = countStarts(await fleet.readLedgers());
 		expect([...runs].filter(([, count]) => count > 1)).toEqual([]);
 		expect(seen.filter(({isRefusedTruly, requestId}) => isRefusedTruly && runs.has(requestId))).toEqual([]);
 		expect(doubled.filter(({isOwn, requestId}) => isOwn && !runs.has(requestId))).toEqual([]);
@@ -120,12 +96,7 @@
 	it('slots are overfilled only briefly after a freeze or a resume', async () => {
 		const ledgers = await fleet.readLedgers();
 		for (const {entries} of ledgers) {
-			const edges = entries.flatMap(entry => [{at: entry.startedAt, step: 1}, {at: entry.endedAt ?? entry.startedAt, step: -1}]);
-			let running = 0;
-			const overfills = edges.toSorted((a, b) => (a.at - b.at) || (a.step - b.step)).filter(edge => {
-				running += edge.step;
-				return running > slotsPerRunner;
-			});
+			const overfills = listLoads(entries).filter(({running}) => running > slotsPerRunner);
 			const late = overfills.filter(({at}) => !changes.some(change => at >= change && at <= change + briefMs));
 			expect(late).toEqual([]);
 		}
--- a/packages/bench/src/integration/platform-ledger.ts
+++ b/packages/bench/src/integration/platform-ledger.ts
@@ -1,16 +1,6 @@
 /** Judges a run by the platform stand-in's ledger, which holds what really happened, in order. */
 import type {ListedHost} from '@rhubarblever/core';
-import type {LocalFleet} from '@rhubarblever/stand-ins';
-
-export type LedgerEntry = {
-	readonly at: number;
-	readonly event: string;
-	readonly hostId: string;
-	readonly pool?: string;
-	readonly operationId?: string;
-	readonly taskId?: string;
-	readonly attempt?: number;
-};
+import type {PlatformLedgerEntry} from '@rhubarblever/stand-ins';
 
 /** One run of a job on a worker. */
 export type TaskRun = {
@@ -49,13 +39,8 @@
 	'task-succeeded', 'task-failed', 'task-stopped', 'task-lapsed', 'task-cut', 'task-lost', 'task-out-of-memory',
 ]);
 
-export async function readLedger(fleet: LocalFleet): Promise<readonly LedgerEntry[]> {
-	const answer = await fleet.callPlatform('GET', '/v1/control/ledger') as {readonly entries: readonly LedgerEntry[]};
-	return answer.entries;
-}
-
 /** The worst moments of a pool's hosts. A host is out from the start of its drain until it is undrained or in another pool. */
-export function measureExtremes(ledger: readonly LedgerEntry[], among: readonly ListedHost[]): PoolExtremes {
+export function measureExtremes(ledger: readonly PlatformLedgerEntry[], among: readonly ListedHost[]): PoolExtremes {
 	const conditions = new Map<string, HostCondition>(among.map(host => [host.hostId, {isMember: true, isOut: false, isDown: false}]));
 	let mostOut = 0;
 	let leastHealthy = among.length;
@@ -75,7 +60,7 @@
 }
 
 /** All runs of tasks, in the order of their starts. */
-export function listRuns(ledger: readonly LedgerEntry[]): TaskRun[] {
+export function listRuns(ledger: readonly PlatformLedgerEntry[]): TaskRun[] {
 	return ledger.filter(entry => entry.event === 'task-started').map(({taskId = '', attempt, hostId, at}) => {
 		const end = ledger.find(entry => entry.taskId === taskId && entry.attempt === attempt && taskEnds.has(entry.event));
 		return {
@@ -85,12 +70,12 @@
 }
 
 /** The runs of one job, in the order of their starts. */
-export function listRunsOf(ledger: readonly LedgerEntry[], taskId: string): TaskRun[] {
+export function listRunsOf(ledger: readonly PlatformLedgerEntry[], taskId: string): TaskRun[] {
 	return listRuns(ledger.filter(entry => entry.taskId === taskId));
 }
 
 /** Runs that began before the run before them, of the same job, had ended. */
-export function listOverlaps(ledger: readonly LedgerEntry[]): TaskRun[] {
+export function listOverlaps(ledger: readonly PlatformLedgerEntry[]): TaskRun[] {
 	const endedAt = new Map<string, number>();
 	return listRuns(ledger).filter(run => {
 		const earlier = endedAt.get(run.taskId) ?? 0;
--- a/packages/bench/src/integration/proxied-fleet.test.ts
+++ b/packages/bench/src/integration/proxied-fleet.test.ts
@@ -1,24 +1,16 @@
 /** The harness: faults of proxied links reach the entry hosts, and entry hosts can be killed, restarted and added. */
-import {randomUUID} from 'node:crypto';
 import {
 	after, before, describe, it,
 } from 'node:test';
 import {
-	LocalFleet, platformId, waitUntil, type LocalEntryHost,
+	callService, createServiceRecord, LocalFleet, platformId, waitUntil, type LocalEntryHost,
 } from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
 
 const timeoutMs = 20_000;
 
 const records = [
-	{
-		recordId: 'service-1',
-		schema: 'service',
-		version: 1,
-		body: {
-			service: 'routes', pool: 'trucks', slotsPerRunner: 8, connectionsPerRunner: 64,
-		},
-	},
+	createServiceRecord('routes'),
 ];
 
 async function isReady(host: LocalEntryHost): Promise<boolean> {
@@ -26,11 +18,9 @@
 	return response.ok;
 }
 
-async function isAnswered(host: LocalEntryHost): Promise<boolean> {
-	const response = await fetch(`http://${host.address}/v1/services/routes`, {
-		method: 'POST', body: '{"runMs":1}', headers: {'idempotency-key': randomUUID()},
-	});
-	return response.ok;
+async function isAnswered({address}: LocalEntryHost): Promise<boolean> {
+	const {isOwn} = await callService({address, service: 'routes', work: {runMs: 1}});
+	return isOwn;
 }
 
 describe('a proxied fleet', () => {
--- a/packages/bench/src/integration/request-path.test.ts
+++ b/packages/bench/src/integration/request-path.test.ts
@@ -1,11 +1,9 @@
 /** The request path with real processes and faults between them, judged by what callers see and by the targets' ledgers. */
-import {Buffer} from 'node:buffer';
-import {randomUUID} from 'node:crypto';
 import {
 	after, before, describe, it,
 } from 'node:test';
 import {
-	computeAnswer, LocalFleet, sleep, waitUntil, type LocalEntryHost,
+	Balancer, callService, countStarts, createServiceRecord, listLoads, LocalFleet, sleep, waitUntil, type LocalEntryHost, type SeenAnswer,
 } from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
 
@@ -16,123 +14,58 @@
 
 type CallOptions = {readonly runMs?: number; readonly isIdempotent?: boolean; readonly deadlineMs?: number; readonly workClass?: string};
 
-/** What a caller saw. `isOwn`: the whole answer to its own request. */
-type Seen = {
-	readonly requestId: string;
-	readonly status: number;
-	readonly isOwn: boolean;
-	readonly isRefusedTruly: boolean;
-	readonly detail: string;
-};
-
 /** All that callers saw, for the checks at the end. */
-const allSeen: Array<Seen & {readonly isIdempotent: boolean}> = [];
+const allSeen: SeenAnswer[] = [];
 
-async function callService(host: LocalEntryHost, options: CallOptions = {}): Promise<Seen> {
-	const seen = await makeCall(host, options);
-	allSeen.push({...seen, isIdempotent: options.isIdempotent ?? false});
+async function callRoutes({address}: LocalEntryHost, {runMs = 5, isIdempotent = false, deadlineMs = 10_000, workClass = 'quick'}: CallOptions = {}): Promise<SeenAnswer> {
+	const seen = await callService({
+		address, service: 'routes', work: {runMs}, isIdempotent, deadlineMs, workClass,
+	});
+	allSeen.push(seen);
 	return seen;
 }
 
-async function makeCall(host: LocalEntryHost, {runMs = 5, isIdempotent = false, deadlineMs = 10_000, workClass = 'quick'}: CallOptions): Promise<Seen> {
-	const requestId = randomUUID();
-	const body = JSON.stringify({runMs});
-	try {
-		const response = await fetch(`http://${host.address}/v1/services/routes`, {
-			method: 'POST',
-			body,
-			headers: {
-				'idempotency-key': requestId,
-				'rhubarblever-class': workClass,
-				'rhubarblever-idempotent': String(isIdempotent),
-				'rhubarblever-deadline': new Date(Date.now() + deadlineMs).toISOString(),
-			},
-		});
-		const text = await response.text();
-		return {
-			requestId,
-			status: response.status,
-			isOwn: response.ok && text === computeAnswer(requestId, Buffer.from(body)),
-			isRefusedTruly: response.headers.get('rhubarblever-not-run') === 'true',
-			detail: response.ok ? '' : text,
-		};
-	} catch (error) {
-		return {
-			requestId, status: 0, isOwn: false, isRefusedTruly: false, detail: String((error as Error).cause ?? error),
-		};
-	}
-}
-
-async function isReady(host: LocalEntryHost): Promise<boolean> {
-	const response = await fetch(`http://${host.address}/readyz`).catch(() => undefined);
-	return response?.ok ?? false;
-}
-
 /** Calls ready hosts in turn, as the balancer does, until told to stop. */
 class Callers {
 	static create(fleet: LocalFleet, count: number, options: CallOptions): Callers {
 		return new Callers(fleet, count, options);
 	}
 
-	readonly seen: Seen[] = [];
+	readonly seen: SeenAnswer[] = [];
+	private readonly balancer: Balancer;
 	private isStopping = false;
 	private next = 0;
-	private readonly ready = new Set<LocalEntryHost>();
 	private readonly running: Array<Promise<void>>;
 
-	private constructor(private readonly fleet: LocalFleet, count: number, private readonly options: CallOptions) {
-		this.running = [this.followReadiness(), ...Array.from({length: count}, async () => this.callOnAndOn())];
+	private constructor(fleet: LocalFleet, count: number, private readonly options: CallOptions) {
+		this.balancer = Balancer.create(fleet);
+		this.running = Array.from({length: count}, async () => this.callOnAndOn());
 	}
 
 	async stop(): Promise<void> {
 		this.isStopping = true;
 		await Promise.all(this.running);
-	}
-
-	private async followReadiness(): Promise<void> {
-		while (!this.isStopping) {
-			// eslint-disable-next-line no-await-in-loop
-			await Promise.all(this.fleet.entryHosts.map(async host => {
-				if (await isReady(host)) {
-					this.ready.add(host);
-				} else {
-					this.ready.delete(host);
-				}
-			}));
-			// eslint-disable-next-line no-await-in-loop
-			await sleep(100);
-		}
+		await this.balancer.stop();
 	}
 
 	private async callOnAndOn(): Promise<void> {
 		while (!this.isStopping) {
 			this.next += 1;
-			const host = [...this.ready][this.next % Math.max(1, this.ready.size)];
+			const hosts = this.balancer.list();
 			// eslint-disable-next-line no-await-in-loop
-			await (host ? this.callOnce(host) : sleep(20));
+			this.seen.push(await callRoutes(hosts[this.next % hosts.length]!, this.options));
 		}
 	}
-
-	private async callOnce(host: LocalEntryHost): Promise<void> {
-		this.seen.push(await callService(host, this.options));
-	}
 }
 
 /** The most requests that each target ran at once. */
 async function measureOverlaps(fleet: LocalFleet): Promise<number[]> {
 	const ledgers = await fleet.readLedgers();
-	return ledgers.map(({entries}) => {
-		const edges = entries.flatMap(entry => [{at: entry.startedAt, step: 1}, {at: entry.endedAt ?? entry.startedAt, step: -1}]);
-		let running = 0;
-		return Math.max(0, ...edges.toSorted((a, b) => (a.at - b.at) || (a.step - b.step)).map(edge => {
-			running += edge.step;
-			return running;
-		}));
-	});
+	return ledgers.map(({entries}) => Math.max(0, ...listLoads(entries).map(({running}) => running)));
 }
 
-async function callInTurn(hosts: readonly LocalEntryHost[], count: number, options: CallOptions): Promise<Seen[]> {
-	return Promise.all(Array.from({length: count}, async (_, index) => callService(hosts[index % hosts.length]!, options)));
+async function callInTurn(hosts: readonly LocalEntryHost[], count: number, options: CallOptions): Promise<SeenAnswer[]> {
+	return Promise.all(Array.from({length: count}, async (_, index) => callRoutes(hosts[index % hosts.length]!, options)));
 }
 
 async function isServing(host: LocalEntryHost, isIdempotent: boolean): Promise<boolean> {
@@ -142,10 +75,10 @@
 
 async function countStartsByZone(fleet: LocalFleet, from: number): Promise<number[]> {
 	return Promise.all(zones.map(async zone =>
-		countStarts(fleet, ({hostId, startedAt}) => hostId.includes(zone) && startedAt >= from)));
+		countStartsOf(fleet, ({hostId, startedAt}) => hostId.includes(zone) && startedAt >= from)));
 }
 
-async function countStarts(fleet: LocalFleet, isCounted: (start: {hostId: string; startedAt: number}) => boolean): Promise<number> {
+async function countStartsOf(fleet: LocalFleet, isCounted: (start: {hostId: string; startedAt: number}) => boolean): Promise<number> {
 	const ledgers = await fleet.readLedgers();
 	return ledgers.flatMap(({hostId, entries}) => entries.map(entry => ({hostId, startedAt: entry.startedAt}))).filter(start => isCounted(start)).length;
 }
@@ -157,16 +90,9 @@
 		fleet = await LocalFleet.create({
 			availabilityZones: zones, entryHostsPerZone: 2, targetsPerZone: 1, services: ['routes'], isProxied: true, targetsPerProcess: 3,
 		});
-		await fleet.publish([{
-			recordId: 'service-1',
-			schema: 'service',
-			version: 1,
-			body: {
-				service: 'routes', pool: 'trucks', slotsPerRunner, connectionsPerRunner: 64,
-			},
-		}]);
+		await fleet.publish([createServiceRecord('routes', {slotsPerRunner})]);
 		await Promise.all(fleet.entryHosts.map(async host => waitUntil('a request is answered', async () => {
-			const seen = await callService(host);
+			const seen = await callRoutes(host);
 			return seen.isOwn;
 		}, settleMs)));
 	});
@@ -187,7 +113,7 @@
 		const long = callInTurn(fleet.entryHosts, 40, {runMs: 400, workClass: 'long', deadlineMs: 20_000});
 		await sleep(100);
 		const startedAt = Date.now();
-		const quick = await Promise.all(fleet.entryHosts.map(async host => callService(host, {runMs: 5})));
+		const quick = await Promise.all(fleet.entryHosts.map(async host => callRoutes(host, {runMs: 5})));
 		const quickMs = Date.now() - startedAt;
 		const all = await long;
 		expect([...quick, ...all].filter(({isOwn}) => !isOwn)).toEqual([]);
@@ -195,20 +121,20 @@
 	});
 
 	it('silent connections: idempotent work is answered in time', async () => {
-		await Promise.all(fleet.entryHosts.flatMap(host => Array.from({length: 6}, async () => callService(host, {runMs: 50}))));
+		await Promise.all(fleet.entryHosts.flatMap(host => Array.from({length: 6}, async () => callRoutes(host, {runMs: 50}))));
 		for (const link of fleet.links.list(({to}) => to.startsWith('runner-'))) {
 			link.proxy.freeze({scope: 'open'});
 		}
 
 		const idempotent = await Promise.all(fleet.entryHosts.flatMap(host =>
-			Array.from({length: 4}, async () => callService(host, {isIdempotent: true, deadlineMs: 4000}))));
+			Array.from({length: 4}, async () => callRoutes(host, {isIdempotent: true, deadlineMs: 4000}))));
 		expect(idempotent.filter(({isOwn}) => !isOwn)).toEqual([]);
 		await fleet.healAll();
 	});
 
 	it('silent connections: non-idempotent work fails at most once per connection, with an unknown outcome', async () => {
 		const callAll = async () => Promise.all(fleet.entryHosts.flatMap(host =>
-			Array.from({length: 3}, async () => callService(host, {runMs: 50, deadlineMs: 1500}))));
+			Array.from({length: 3}, async () => callRoutes(host, {runMs: 50, deadlineMs: 1500}))));
 		await callAll();
 		const links = fleet.links.list(({to}) => to.startsWith('runner-'));
 		let openConnections = 0;
@@ -234,7 +160,7 @@
 		const [alone, joined] = [true, false].map(isAlone => fleet.entryHosts.filter(host => (host.availabilityZone === 'ee-south-a') === isAlone));
 		await Promise.all(fleet.entryHosts.map(async host => waitUntil('idempotent requests are answered on each side', async () => isServing(host, true), settleMs)));
 		await Promise.all((joined ?? []).map(async host => waitUntil('the larger side answers all requests', async () => isServing(host, false), settleMs)));
-		const refused = await Promise.all((alone ?? []).map(async host => callService(host)));
+		const refused = await Promise.all((alone ?? []).map(async host => callRoutes(host)));
 		expect(refused.filter(({isRefusedTruly}) => !isRefusedTruly)).toEqual([]);
 		await fleet.healAll();
 		await waitUntil('the slots are kept to again', async () => {
@@ -253,7 +179,7 @@
 		const saidAt = Date.now();
 		await sleep(leavingNewsMs + 2000);
 		await callers.stop();
-		expect(await countStarts(fleet, ({hostId, startedAt}) => hostId === leaving && startedAt > saidAt + leavingNewsMs)).toEqual(0);
+		expect(await countStartsOf(fleet, ({hostId, startedAt}) => hostId === leaving && startedAt > saidAt + leavingNewsMs)).toEqual(0);
 		expect(callers.seen.filter(({isOwn, isRefusedTruly}) => !isOwn && !isRefusedTruly)).toEqual([]);
 		await fleet.healAll();
 		await fleet.updateListedHost(leaving, {state: 'live'});
@@ -284,13 +210,8 @@
 	});
 
 	it('no refused request ran, and no non-idempotent one ran twice', async () => {
-		const ledgers = await fleet.readLedgers();
-		const starts = new Map<string, number>();
-		for (const {requestId} of ledgers.flatMap(({entries}) => entries)) {
-			starts.set(requestId, (starts.get(requestId) ?? 0) + 1);
-		}
-
-		const countRuns = ({requestId}: Seen) => starts.get(requestId) ?? 0;
+		const starts = countStarts(await fleet.readLedgers());
+		const countRuns = ({requestId}: SeenAnswer) => starts.get(requestId) ?? 0;
 		expect(allSeen.length).toBeGreaterThan(1000);
 		expect(allSeen.filter(seen => seen.isRefusedTruly && countRuns(seen) > 0)).toEqual([]);
 		expect(allSeen.filter(seen => !seen.isIdempotent && countRuns(seen) > 1)).toEqual([]);
--- a/packages/bench/src/integration/shared-targets.test.ts
+++ b/packages/bench/src/integration/shared-targets.test.ts
@@ -1,10 +1,9 @@
 /** What all entry hosts together do to a target: its connections, and its word that it is leaving, with a host list that lags. */
-import {randomUUID} from 'node:crypto';
 import {
 	after, before, describe, it,
 } from 'node:test';
 import {
-	LocalFleet, sleep, waitUntil, type LocalEntryHost,
+	callService, createServiceRecord, LocalFleet, sleep, waitUntil, type LocalEntryHost,
 } from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
 
@@ -14,12 +13,11 @@
 const leavingNewsMs = 5000;
 const longestLagMs = 60_000;
 
-async function isAnswered(host: LocalEntryHost, runMs: number, isIdempotent: boolean): Promise<boolean> {
-	const response = await fetch(`http://${host.address}/v1/services/routes`, {
-		method: 'POST', body: JSON.stringify({runMs}), headers: {'idempotency-key': randomUUID(), 'rhubarblever-idempotent': String(isIdempotent)},
-	}).catch(() => undefined);
-	await response?.arrayBuffer();
-	return response?.ok ?? false;
+async function isAnswered({address}: LocalEntryHost, runMs: number, isIdempotent: boolean): Promise<boolean> {
+	const {isOwn} = await callService({
+		address, service: 'routes', work: {runMs}, isIdempotent,
+	});
+	return isOwn;
 }
 
 describe('targets shared by nine entry hosts', () => {
@@ -46,14 +44,7 @@
 		fleet = await LocalFleet.create({
 			availabilityZones: zones, entryHostsPerZone: 3, targetsPerZone: 1, services: ['routes'], targetsPerProcess: 3,
 		});
-		await fleet.publish([{
-			recordId: 'service-1',
-			schema: 'service',
-			version: 1,
-			body: {
-				service: 'routes', pool: 'trucks', slotsPerRunner: 8, connectionsPerRunner,
-			},
-		}]);
+		await fleet.publish([createServiceRecord('routes', {connectionsPerRunner})]);
 		await Promise.all(fleet.entryHosts.map(async host => waitUntil('a request is answered', async () => isAnswered(host, 1, false), settleMs)));
 	});
 
--- a/packages/bench/src/integration/target-faults.test.ts
+++ b/packages/bench/src/integration/target-faults.test.ts
@@ -1,11 +1,9 @@
 /** Targets that crash, cross, cut, repeat or never give their answers, under real entry hosts; judged by callers and ledgers. */
-import {Buffer} from 'node:buffer';
-import {randomUUID} from 'node:crypto';
 import {
 	after, before, describe, it,
 } from 'node:test';
 import {
-	isOwnAnswer, LocalFleet, waitUntil, type AnswerFault,
+	callService, countStarts, createServiceRecord, LocalFleet, waitUntil, type AnswerFault, type SeenAnswer,
 } from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
 
@@ -13,16 +11,6 @@
 const deadlineMs = 3000;
 const requestsOfEach = 8;
 
-type Seen = {
-	readonly requestId: string;
-	readonly isIdempotent: boolean;
-	readonly status: number;
-	readonly isOwn: boolean;
-	readonly isRefusedTruly: boolean;
-	readonly kind: string;
-	readonly elapsedMs: number;
-};
-
 const faults: readonly AnswerFault[] = [
 	{kind: 'late', lateMs: 500},
 	{kind: 'crossed'},
@@ -35,44 +23,15 @@
 	{kind: 'crash-after', downMs: 200},
 ];
 
-async function callService(address: string, isIdempotent: boolean, work: {readonly runMs: number; readonly fault?: AnswerFault}): Promise<Seen> {
-	const requestId = randomUUID();
-	const body = Buffer.from(JSON.stringify(work));
-	const startedAt = Date.now();
-	const describeEnd = (end: Pick<Seen, 'status' | 'isOwn' | 'isRefusedTruly' | 'kind'>): Seen => ({
-		requestId, isIdempotent, elapsedMs: Date.now() - startedAt, ...end,
-	});
-	try {
-		const response = await fetch(`http://${address}/v1/services/routes`, {
-			method: 'POST',
-			body,
-			headers: {
-				'idempotency-key': requestId,
-				'rhubarblever-idempotent': String(isIdempotent),
-				'rhubarblever-deadline': new Date(startedAt + deadlineMs).toISOString(),
-			},
-		});
-		const bytes = new Uint8Array(await response.arrayBuffer());
-		return describeEnd({
-			status: response.status,
-			isOwn: response.ok && isOwnAnswer(bytes, requestId, body),
-			isRefusedTruly: response.headers.get('rhubarblever-not-run') === 'true',
-			kind: response.ok ? 'ok' : Buffer.from(bytes).toString('utf8'),
-		});
-	} catch (error) {
-		return describeEnd({
-			status: 0, isOwn: false, isRefusedTruly: false, kind: String(error),
-		});
-	}
-}
-
 describe('faults of targets', () => {
 	let fleet: LocalFleet;
-	const allSeen: Seen[] = [];
+	const allSeen: SeenAnswer[] = [];
 
-	async function callAll(isIdempotent: boolean, fault?: AnswerFault): Promise<Seen[]> {
+	async function callAll(isIdempotent: boolean, fault?: AnswerFault): Promise<SeenAnswer[]> {
 		const seen = await Promise.all(Array.from({length: requestsOfEach}, async (_, index) =>
-			callService(fleet.entryHosts[index % fleet.entryHosts.length]!.address, isIdempotent, {runMs: 20, ...(fault ? {fault} : {})})));
+			callService({
+				address: fleet.entryHosts[index % fleet.entryHosts.length]!.address, service: 'routes', work: {runMs: 20, fault}, isIdempotent, deadlineMs,
+			})));
 		allSeen.push(...seen);
 		return seen;
 	}
@@ -96,14 +55,7 @@
 		fleet = await LocalFleet.create({
 			availabilityZones: ['a', 'b'], entryHostsPerZone: 1, targetsPerZone: 2, services: ['routes'], targetsPerProcess: 4,
 		});
-		await fleet.publish([{
-			recordId: 'service-1',
-			schema: 'service',
-			version: 1,
-			body: {
-				service: 'routes', pool: 'trucks', slotsPerRunner: 8, connectionsPerRunner: 64,
-			},
-		}]);
+		await fleet.publish([createServiceRecord('routes')]);
 		await waitUntilWhole();
 	});
 
@@ -115,7 +67,7 @@
 		const seen = await callAll(false, fault);
 		expect(seen.filter(one => one.status === 200 && !one.isOwn)).toEqual([]);
 		expect(seen.filter(one => one.status === 0)).toEqual([]);
-		expect(Math.max(...seen.map(one => one.elapsedMs))).toBeLessThan(deadlineMs + 1000);
+		expect(Math.max(...seen.map(one => one.tookMs))).toBeLessThan(deadlineMs + 1000);
 		await waitUntilWhole();
 	}
 
@@ -139,14 +91,8 @@
 	}
 
 	it('no refused request ran, and no non-idempotent one was started twice', async () => {
-		const starts = new Map<string, number>();
-		for (const {entries} of await fleet.readLedgers()) {
-			for (const {requestId} of entries) {
-				starts.set(requestId, (starts.get(requestId) ?? 0) + 1);
-			}
-		}
-
-		const countRuns = ({requestId}: Seen) => starts.get(requestId) ?? 0;
+		const starts = countStarts(await fleet.readLedgers());
+		const countRuns = ({requestId}: SeenAnswer) => starts.get(requestId) ?? 0;
 		expect(allSeen.filter(seen => seen.isRefusedTruly && countRuns(seen) > 0)).toEqual([]);
 		expect(allSeen.filter(seen => !seen.isIdempotent && countRuns(seen) > 1)).toEqual([]);
 	});
--- a/packages/bench/src/integration/thin-path.test.ts
+++ b/packages/bench/src/integration/thin-path.test.ts
@@ -8,7 +8,7 @@
 	after, before, describe, it,
 } from 'node:test';
 import {
-	cliScript, computeAnswer, LocalFleet, operatorToken, waitUntil,
+	createServiceRecord, cliScript, computeAnswer, LocalFleet, operatorToken, waitUntil,
 } from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
 
@@ -19,14 +19,7 @@
 	{
 		recordId: 'pool-1', schema: 'pool', version: 1, body: {pool: 'trucks', minimumHealthyHosts: 1},
 	},
-	{
-		recordId: 'service-1',
-		schema: 'service',
-		version: 1,
-		body: {
-			service: 'routes', pool: 'trucks', slotsPerRunner: 8, connectionsPerRunner: 64,
-		},
-	},
+	createServiceRecord('routes'),
 ];
 
 async function callService(address: string, requestId: string, body: string): Promise<Response> {
--- a/packages/bench/src/integration/wave-with-jobs.test.ts
+++ b/packages/bench/src/integration/wave-with-jobs.test.ts
@@ -5,7 +5,7 @@
 import {waitUntil, type LocalEntryHost, type LocalFleet} from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
 import {
-	listOverlaps, listRunsOf, measureExtremes, readLedger,
+	listOverlaps, listRunsOf, measureExtremes,
 } from './platform-ledger.js';
 import {
 	createJob, createWorkers, fetchAnswer, findPlanner, poolName, settleMs, startWorkerFleet, waitForEnds, zones,
@@ -38,7 +38,7 @@
 
 async function waitForReboots(count: number): Promise<void> {
 	await waitUntil(`${count} hosts are rebooted`, async () => {
-		const ledger = await readLedger(fleet);
+		const ledger = await fleet.readPlatformLedger();
 		return ledger.filter(entry => entry.event === 'rebooted').length >= count;
 	}, settleMs);
 }
@@ -80,12 +80,12 @@
 			return hasJoined && waves.some(({status}) => status === 'done');
 		}, settleMs);
 		await waitForEnds(fleet, jobIds);
-		const ledger = await readLedger(fleet);
+		const ledger = await fleet.readPlatformLedger();
 		expect(ledger.filter(entry => entry.event === 'rebooted' && entry.at > outageUntil)).not.toBeEmpty();
 	});
 
 	it('the budget was never broken, in all, per zone and per rack', async () => {
-		const ledger = await readLedger(fleet);
+		const ledger = await fleet.readPlatformLedger();
 		const inAll = measureExtremes(ledger, workers);
 		expect(inAll.mostOut).toBeLessThanOrEqual(budget.maximumHostsOut);
 		expect(inAll.leastHealthy).toBeGreaterThanOrEqual(budget.minimumHealthyHosts);
@@ -101,7 +101,7 @@
 	});
 
 	it('each worker was rebooted once, cut no task and was in one pool', async () => {
-		const ledger = await readLedger(fleet);
+		const ledger = await fleet.readPlatformLedger();
 		const rebooted = ledger.filter(entry => entry.event === 'rebooted' && entry.hostId !== movedId).map(entry => entry.hostId);
 		expect(rebooted.toSorted()).toEqual(workers.map(worker => worker.hostId as string).filter(hostId => hostId !== movedId).toSorted());
 		expect(ledger.filter(entry => entry.event === 'task-cut')).toEqual([]);
@@ -112,7 +112,7 @@
 	});
 
 	it('each job succeeded within its allowed runs, one run at a time', async () => {
-		const ledger = await readLedger(fleet);
+		const ledger = await fleet.readPlatformLedger();
 		expect(listOverlaps(ledger)).toEqual([]);
 		for (const jobId of jobIds) {
 			const runs = listRunsOf(ledger, jobId);
--- a/packages/bench/src/integration/waves.test.ts
+++ b/packages/bench/src/integration/waves.test.ts
@@ -4,11 +4,10 @@
 } from 'node:test';
 import {listedHostSchema, type ListedHost} from '@rhubarblever/core';
 import {
-	LocalFleet, sleep, waitUntil, type LocalEntryHost,
+	LocalFleet, sleep, waitUntil, type LocalEntryHost, type PlatformLedgerEntry,
 } from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
 
-type LedgerEntry = {readonly at: number; readonly event: string; readonly hostId: string; readonly operationId?: string};
 type FleetAnswer = {
 	readonly plannerLease?: {readonly holder: string; readonly term: number};
 	readonly poolCounts: ReadonlyArray<{readonly pool: string; readonly down: number}>;
@@ -51,20 +50,15 @@
 	return holder;
 }
 
-async function readLedger(): Promise<readonly LedgerEntry[]> {
-	const answer = await fleet.callPlatform('GET', '/v1/control/ledger') as {readonly entries: readonly LedgerEntry[]};
-	return answer.entries;
-}
-
 async function waitForReboots(count: number): Promise<void> {
 	await waitUntil(`${count} hosts are rebooted`, async () => {
-		const ledger = await readLedger();
+		const ledger = await fleet.readPlatformLedger();
 		return ledger.filter(entry => entry.event === 'rebooted').length >= count;
 	}, waveTimeoutMs);
 }
 
 /** The most workers among some that the ledger shows out of service at once. */
-function measureMostOut(ledger: readonly LedgerEntry[], among: readonly ListedHost[] = workers): number {
+function measureMostOut(ledger: readonly PlatformLedgerEntry[], among: readonly ListedHost[] = workers): number {
 	const names = new Set<string>(among.map(host => host.hostId));
 	const out = new Set<string>();
 	let most = 0;
@@ -82,7 +76,7 @@
 }
 
 /** The fewest workers in service, by the ledger, at any moment a drain began: those up and neither draining nor drained. */
-function measureLeastServing(ledger: readonly LedgerEntry[]): number {
+function measureLeastServing(ledger: readonly PlatformLedgerEntry[]): number {
 	const out = new Set<string>();
 	const down = new Set<string>();
 	let least: number = workerCount;
@@ -104,7 +98,7 @@
 };
 
 /** The most workers of any one rack that the ledger shows out of service at once. */
-function measureMostOutInRack(ledger: readonly LedgerEntry[]): number {
+function measureMostOutInRack(ledger: readonly PlatformLedgerEntry[]): number {
 	return Math.max(...workers.map(worker => measureMostOut(ledger, workers.filter(other =>
 		other.availabilityZone === worker.availabilityZone && other.rack === worker.rack))));
 }
@@ -177,7 +171,7 @@
 			const answer = await fetchAnswer(left[0]!);
 			return answer.waves.some(wave => wave.status === 'done');
 		}, waveTimeoutMs);
-		const ledger = await readLedger();
+		const ledger = await fleet.readPlatformLedger();
 		expect(measureMostOut(ledger) <= maximumHostsOut).toEqual(true);
 		for (const zone of zones) {
 			expect(measureMostOut(ledger, workers.filter(worker => worker.availabilityZone === zone)) <= 1).toEqual(true);
@@ -200,17 +194,17 @@
 			const answer = await fetchAnswer(host);
 			return answer.poolCounts.some(count => count.pool === 'guarded' && count.down === failing.length);
 		}, waveTimeoutMs);
-		const before = await readLedger();
+		const before = await fleet.readPlatformLedger();
 		await fleet.publish([createPoolRecord('wider-pool', widerHostsOutPerZone), createWaveRecord('wave-2')], host);
 		await sleep(standstillMs);
-		const during = await readLedger();
+		const during = await fleet.readPlatformLedger();
 		expect(during.slice(before.length).filter(entry => entry.event === 'drain-started')).toEqual([]);
 		await Promise.all(failing.map(async ({hostId}) => fleet.callPlatform('POST', `/v1/control/workers/${hostId}`, {change: 'heal'})));
 		await waitUntil('the second wave is done', async () => {
 			const answer = await fetchAnswer(host);
 			return answer.waves.some(wave => wave.waveId === 'wave-2' && wave.status === 'done');
 		}, waveTimeoutMs);
-		const ledger = await readLedger();
+		const ledger = await fleet.readPlatformLedger();
 		expect(measureMostOut(ledger) <= maximumHostsOut).toEqual(true);
 		expect(measureMostOutInRack(ledger) <= maximumHostsOutPerRack).toEqual(true);
 		expect(measureLeastServing(ledger) >= minimumHealthyHosts).toEqual(true);
@@ -238,7 +232,7 @@
 		}, waveTimeoutMs);
 		const answer = await fetchAnswer(host);
 		expect(answer.poolHosts.filter(member => member.pool === 'guarded').length).toEqual(workerCount - 1);
-		const ledger = await readLedger();
+		const ledger = await fleet.readPlatformLedger();
 		const moveEntries = ledger.filter(entry => entry.operationId?.startsWith('move.'));
 		expect(moveEntries.map(entry => entry.event)).toEqual(['drain-started', 'drained', 'pool-set', 'undrained']);
 		expect(moveEntries.every(entry => entry.hostId === movedId)).toEqual(true);
--- a/packages/bench/src/latency/main.ts
+++ b/packages/bench/src/latency/main.ts
@@ -2,7 +2,9 @@
 /** Measures what an entry host adds to a call: the same request straight to a target and through an entry host, in turn. */
 import {loadavg} from 'node:os';
 import process from 'node:process';
-import {LocalFleet} from '@rhubarblever/stand-ins';
+import {
+	createServiceRecord, LocalFleet,
+} from '@rhubarblever/stand-ins';
 import sade from 'sade';
 import {
 	getMs, LatencyProbe, listAddedMs, type MeasuredWay,
@@ -13,14 +15,7 @@
 const percentiles = [50, 90, 99];
 
 const records = [
-	{
-		recordId: 'service-1',
-		schema: 'service',
-		version: 1,
-		body: {
-			service, pool: 'trucks', slotsPerRunner: 8, connectionsPerRunner: 64,
-		},
-	},
+	createServiceRecord(service),
 ];
 
 /** One line for each way, with what it adds to the straight call at the same percentile. */
--- a/packages/bench/src/mixed-run/calls.ts
+++ b/packages/bench/src/mixed-run/calls.ts
@@ -1,10 +1,9 @@
 /** The callers' requests of a run: the brief's bursts, with ids that are repeated to other entry hosts at once and later. */
 import {
-	planLoad, runLoad, type ClassShape, type LoadOutcome, type PlannedRequest,
+	type Balancer, planLoad, runLoad, type ClassShape, type LoadOutcome, type PlannedRequest,
 } from '@rhubarblever/stand-ins';
 import {Draws} from './draws.js';
 import {services} from './fleet-shape.js';
-import type {Balancer} from './balancer.js';
 
 const classes: readonly ClassShape[] = [
 	{
--- a/packages/bench/src/mixed-run/fleet-shape.ts
+++ b/packages/bench/src/mixed-run/fleet-shape.ts
@@ -1,6 +1,6 @@
 /** The fleet of the mixed run: three availability zones, services, racks of workers, and the first records. */
 import {listedHostSchema, type ListedHost} from '@rhubarblever/core';
-import type {FleetShape, PublishableRecord} from '@rhubarblever/stand-ins';
+import {createServiceRecord, type FleetShape, type PublishableRecord} from '@rhubarblever/stand-ins';
 
 export const zones = ['ee-south-a', 'ee-south-b', 'ee-south-c'];
 export const services = ['route-checks', 'replans', 'rosters'];
@@ -63,14 +63,7 @@
 		recordId: 'first-guarded', schema: 'pool', version: 3, body: {pool: guardedPool, budget: guardedBudget},
 	},
 	...contestedPools.map(pool => createContestedRecord(`first-${pool}`, pool, 1)),
-	...services.map(service => ({
-		recordId: `first-${service}`,
-		schema: 'service',
-		version: 1,
-		body: {
-			service, pool: guardedPool, slotsPerRunner: 8, connectionsPerRunner: 64,
-		},
-	})),
+	...services.map(service => (createServiceRecord(service, {recordId: `first-${service}`, pool: guardedPool}))),
 	...workers.map(({hostId, availabilityZone, rack}) => ({
 		recordId: `first-${hostId}`,
 		schema: 'host',
--- a/packages/bench/src/mixed-run/mixed-run.ts
+++ b/packages/bench/src/mixed-run/mixed-run.ts
@@ -1,8 +1,7 @@
 /** One mixed run: a fleet of real processes, the schedule of faults, the work beside it, then calm and the verdicts. */
 import {
-	LocalFleet, sleep, waitUntil, type LoadSummary, type PlatformLedgerEntry, describeLoadRun,
+	Balancer, LocalFleet, sleep, waitUntil, type LoadSummary, type PlatformLedgerEntry, describeLoadRun,
 } from '@rhubarblever/stand-ins';
-import {Balancer} from './balancer.js';
 import {planCalls, runCalls} from './calls.js';
 import type {FaultTable} from './fault-kinds.js';
 import {runSchedule} from './fault-run.js';
@@ -13,7 +12,6 @@
 import {runOperations} from './operations.js';
 import {Operator, readFleet} from './operator.js';
 import {judgePlatform} from './platform-verdicts.js';
-import {readPlatformLedger} from './platform-ledger.js';
 import {judgeRequests} from './request-verdicts.js';
 import {ReleaseWatch} from './release-watch.js';
 import type {PlannedFault} from './schedule.js';
@@ -101,7 +99,7 @@
 		calmTailMs: options.calmTailMs,
 		inForceAfterMs,
 		targetLedgers: await fleet.readLedgers(),
-		platformLedger: await readPlatformLedger(fleet),
+		platformLedger: await fleet.readPlatformLedger(),
 		releasedAt: releases.releasedAt,
 		states: await Promise.all(fleet.entryHosts.map(async host => ({hostId: host.hostId, state: await readFleet(fleet, host)}))),
 		samples: watch.samples,
--- a/packages/bench/src/mixed-run/operator.ts
+++ b/packages/bench/src/mixed-run/operator.ts
@@ -1,8 +1,7 @@
 /** An operator: publishes records through entry hosts that are ready, and repeats what got no answer under the same record id. */
 import {
-	sleep, type LocalEntryHost, type LocalFleet, type PublishableRecord,
+	type Balancer, sleep, type LocalEntryHost, type LocalFleet, type PublishableRecord,
 } from '@rhubarblever/stand-ins';
-import type {Balancer} from './balancer.js';
 import {waitUntilGivenUp} from './give-up.js';
 
 export type Verdict = {readonly recordId: string; readonly offset: number; readonly outcome: {readonly verdict: string}};
--- a/packages/bench/src/routing/bench-shape.ts
+++ b/packages/bench/src/routing/bench-shape.ts
@@ -1,6 +1,6 @@
 /** What the routing bench runs: the brief's sizes on loopback. */
 import {
-	computeMeanRate, defaultClasses, type LoadShape, type PublishableRecord,
+	createServiceRecord, computeMeanRate, defaultClasses, type LoadShape, type PublishableRecord,
 } from '@rhubarblever/stand-ins';
 
 export const availabilityZones = ['ee-south-a', 'ee-south-b', 'ee-south-c'];
@@ -45,11 +45,4 @@
 }
 
 /** Puts the services in force. */
-export const benchRecords: readonly PublishableRecord[] = services.map(service => ({
-	recordId: `service-${service}`,
-	schema: 'service',
-	version: 1,
-	body: {
-		service, pool: `pool-${service}`, slotsPerRunner, connectionsPerRunner,
-	},
-}));
+export const benchRecords: readonly PublishableRecord[] = services.map(service => (createServiceRecord(service, {pool: `pool-${service}`, slotsPerRunner, connectionsPerRunner})));
--- a/packages/bench/src/urgent/main.ts
+++ b/packages/bench/src/urgent/main.ts
@@ -4,7 +4,7 @@
 import {type LocalFleet, sleep, waitUntil} from '@rhubarblever/stand-ins';
 import {build} from 'hdr-histogram-js';
 import sade from 'sade';
-import {listRuns, readLedger} from '../integration/platform-ledger.js';
+import {listRuns} from '../integration/platform-ledger.js';
 import {
 	createJob, createWorkers, startWorkerFleet, waitForStep,
 } from '../integration/worker-fleet.js';
@@ -47,7 +47,7 @@
 		await measureRound(fleet, round, started);
 	}
 
-	const ledger = await readLedger(fleet);
+	const ledger = await fleet.readPlatformLedger();
 	return {
 		workers: workerCount,
 		urgentJobs: started.totalCount,
@@ -71,7 +71,7 @@
 	await waitUntil('the fleet is full', async () => {
 		const before = known;
 		await sleep(settleMs);
-		known = listRuns(await readLedger(fleet)).length;
+		known = listRuns(await fleet.readPlatformLedger()).length;
 		return known > 0 && known === before;
 	}, timeoutMs);
 }
@@ -81,7 +81,7 @@
 	const publishedAt = Date.now();
 	await fleet.publish(ids.map(jobId => createJob(jobId, {jobClass: 'urgent', cores: urgentCores, declaredRunMs: urgentRunMs})));
 	await waitForStep(fleet, ids, 'succeeded');
-	const ledger = await readLedger(fleet);
+	const ledger = await fleet.readPlatformLedger();
 	for (const run of listRuns(ledger).filter(({taskId}) => ids.includes(taskId))) {
 		started.recordValue(run.startedAt - publishedAt);
 	}
--- a/packages/bench/src/mixed-run/balancer.ts
+++ b/packages/stand-ins/src/harness/balancer.ts
@@ -1,5 +1,7 @@
 /** The platform's balancer: names the entry hosts that answered lately that they are ready. */
-import {sleep, type LocalEntryHost, type LocalFleet} from '@rhubarblever/stand-ins';
+import type {LocalEntryHost} from './fleet-types.js';
+import type {LocalFleet} from './local-fleet.js';
+import {sleep} from './process-group.js';
 
 const probeIntervalMs = 100;
 const probeTimeoutMs = 500;
--- a/packages/stand-ins/src/harness/local-fleet.ts
+++ b/packages/stand-ins/src/harness/local-fleet.ts
@@ -1,6 +1,7 @@
 /** A whole small fleet of real processes on loopback: platform, targets and entry hosts. */
 import {listedHostSchema, type ListedHost} from '@rhubarblever/core';
 import {callJson} from '../http-client.js';
+import type {PlatformLedgerEntry} from '../platform/ledger.js';
 import type {TargetLedgerReport} from '../target/target-ledger.js';
 import type {TargetSettings} from '../target/work.js';
 import {takeAddress} from './addresses.js';
@@ -169,6 +170,12 @@
 		return callJson(method, `http://${this.platformAddress}${path}`, body);
 	}
 
+	/** What really happened on the platform so far, in order. */
+	async readPlatformLedger(): Promise<readonly PlatformLedgerEntry[]> {
+		const answer = await this.callPlatform('GET', '/v1/control/ledger') as {readonly entries: readonly PlatformLedgerEntry[]};
+		return answer.entries;
+	}
+
 	async stop(): Promise<void> {
 		await this.processes.endAll();
 		await this.links.closeAll();
