--- a/packages/bench/src/at-most-once/main.ts
+++ b/packages/bench/src/at-most-once/main.ts
@@ -5,33 +5,34 @@
 import {
 	createServiceRecord, LocalFleet, type LocalEntryHost,
 } from '@rhubarblever/stand-ins';
-import {build, type Histogram} from 'hdr-histogram-js';
+import type {Histogram} from 'hdr-histogram-js';
 import sade from 'sade';
 import {fetch as fetchPlatform} from 'undici';
+import {getMs, measureWays, type Way} from '../latency/measure-ways.js';
 
 const zones = ['ee-south-a', 'ee-south-b', 'ee-south-c'];
 const warmUpCount = 50;
-const microsecondsPerMs = 1000;
 const body = JSON.stringify({runMs: 1});
 
 const records = [
 	createServiceRecord('replans'),
 ];
 
-type Way = {readonly name: string; readonly send: (fleet: LocalFleet, host: LocalEntryHost) => Promise<boolean>};
-
-const ways: readonly Way[] = [
-	{name: 'idempotent, no claim', send: async (_, host) => sendRequest(host, randomUUID(), true)},
-	{name: 'claim by votes', send: async (_, host) => sendRequest(host, randomUUID(), false)},
-	{
-		name: 'claim in the log first',
-		async send(fleet, host) {
-			const requestId = randomUUID();
-			await appendClaim(fleet, requestId);
-			return sendRequest(host, requestId, true);
+function createWays(fleet: LocalFleet): Way[] {
+	const findHost = (round: number) => fleet.entryHosts[round % fleet.entryHosts.length]!;
+	return [
+		{name: 'idempotent, no claim', send: async round => sendRequest(findHost(round), randomUUID(), true)},
+		{name: 'claim by votes', send: async round => sendRequest(findHost(round), randomUUID(), false)},
+		{
+			name: 'claim in the log first',
+			async send(round) {
+				const requestId = randomUUID();
+				await appendClaim(fleet, requestId);
+				return sendRequest(findHost(round), requestId, true);
+			},
 		},
-	},
-];
+	];
+}
 
 /** Sends a request; true if it was answered whole. */
 async function sendRequest(host: LocalEntryHost, requestId: string, isIdempotent: boolean): Promise<boolean> {
@@ -54,29 +55,14 @@
 }
 
 function describeHistogram(histogram: Histogram): string {
-	return [50, 90, 99].map(percentile =>
-		`p${percentile} ${(histogram.getValueAtPercentile(percentile) / microsecondsPerMs).toFixed(2)} ms`).join(', ');
+	return [50, 90, 99].map(percentile => `p${percentile} ${getMs(histogram, percentile).toFixed(2)} ms`).join(', ');
 }
 
-/** One request at a time, spread over all entry hosts; the ways take turns, so that all meet the same load of the machine. */
+/** One request at a time, spread over all entry hosts. */
 async function measureLatency(fleet: LocalFleet, count: number): Promise<void> {
-	const histograms = new Map(ways.map(way => [way.name, build()]));
-	const failures = new Map(ways.map(way => [way.name, 0]));
-	for (let round = -warmUpCount; round < count; round++) {
-		const host = fleet.entryHosts[Math.abs(round) % fleet.entryHosts.length]!;
-		for (const way of ways) {
-			const startedAt = process.hrtime.bigint();
-			// eslint-disable-next-line no-await-in-loop
-			const isAnswered = await way.send(fleet, host);
-			if (round >= 0) {
-				histograms.get(way.name)?.recordValue(Number((process.hrtime.bigint() - startedAt) / 1000n));
-				failures.set(way.name, (failures.get(way.name) ?? 0) + Number(!isAnswered));
-			}
-		}
-	}
-
-	for (const {name} of ways) {
-		process.stdout.write(`${name}: ${describeHistogram(histograms.get(name)!)}, ${failures.get(name)} of ${count} not answered\n`);
+	const measured = await measureWays(createWays(fleet), {count, warmUpCount, pauseMs: 0});
+	for (const {name, histogram, unanswered} of measured) {
+		process.stdout.write(`${name}: ${describeHistogram(histogram)}, ${unanswered} of ${count} not answered\n`);
 	}
 }
 
--- a/packages/bench/src/latency/main.ts
+++ b/packages/bench/src/latency/main.ts
@@ -6,9 +6,8 @@
 	createServiceRecord, LocalFleet,
 } from '@rhubarblever/stand-ins';
 import sade from 'sade';
-import {
-	getMs, LatencyProbe, listAddedMs, type MeasuredWay,
-} from './latency-probe.js';
+import {LatencyProbe, listAddedMs} from './latency-probe.js';
+import {getMs, type MeasuredWay} from './measure-ways.js';
 
 const zones = ['ee-south-a', 'ee-south-b', 'ee-south-c'];
 const service = 'replans';
@@ -21,9 +20,9 @@
 /** One line for each way, with what it adds to the straight call at the same percentile. */
 function renderTable(measured: readonly MeasuredWay[]): string {
 	const added = percentiles.map(percentile => listAddedMs(measured, percentile));
-	const lines = measured.map(({way, histogram, unanswered}, place) => {
+	const lines = measured.map(({name, histogram, unanswered}, place) => {
 		const cells = percentiles.map((percentile, index) => `${getMs(histogram, percentile).toFixed(2)} (+${added[index]?.[place]?.toFixed(2)})`);
-		return `| ${way.name} | ${cells.join(' | ')} | ${unanswered} of ${histogram.totalCount} |`;
+		return `| ${name} | ${cells.join(' | ')} | ${unanswered} of ${histogram.totalCount} |`;
 	});
 	return ['| way | p50 ms (added) | p90 ms (added) | p99 ms (added) | not answered |', '| --- | --- | --- | --- | --- |', ...lines].join('\n');
 }
--- /dev/null
+++ b/packages/core/src/scheduler/commits.ts
@@ -0,0 +1,124 @@
+/** The leader's changes go to the store in batches; what rests on them happens after. */
+import {dropIfOver, listProgress} from './jobs.js';
+import {addEffect} from './logging.js';
+import {isFinal} from './phases.js';
+import {sendStart} from './starts.js';
+import {commitPauseMs, commitRetryMs, signOfLifeMs} from './timing.js';
+import type {SchedulerEvent} from './events.js';
+import type {LedgerRecord} from './types.js';
+import type {Commit, PendingAction, SchedulerState} from './state.js';
+
+type CommitEnded = Extract<SchedulerEvent, {type: 'commit/ended'}>;
+
+/** Appends what has changed, one batch at a time. */
+export function tickCommits(state: SchedulerState): void {
+	const {leadership} = state;
+	if (leadership.role !== 'leader') {
+		return;
+	}
+
+	if (leadership.commit) {
+		retryCommit(state, leadership.commit);
+		return;
+	}
+
+	const hasChanges = state.dirtyJobs.size > 0 || state.pendingActions.length > 0 || state.areWavesDirty || state.isConfigDirty || state.removedJobs.size > 0;
+	const isSignDue = state.now - leadership.confirmedAt >= signOfLifeMs;
+	if ((hasChanges && state.now >= leadership.commitNotBefore) || isSignDue) {
+		sendCommit(state);
+	}
+}
+
+function retryCommit(state: SchedulerState, commit: Commit): void {
+	if (commit.retryAt === undefined || state.now < commit.retryAt) {
+		return;
+	}
+
+	commit.retryAt = undefined;
+	addCommitEffect(state, commit);
+}
+
+function sendCommit(state: SchedulerState): void {
+	const actions: PendingAction[] = state.pendingActions;
+	const records: LedgerRecord[] = [];
+	for (const job of state.dirtyJobs) {
+		records.push({type: 'progress', jobId: job.definition.jobId, progress: listProgress(job)});
+		actions.push({type: 'show-phase', job});
+	}
+
+	records.push(...listOtherRecords(state));
+	state.pendingActions = [];
+	state.dirtyJobs.clear();
+	const {leadership} = state;
+	leadership.commit = {
+		sequence: leadership.nextSequence++, records, actions, retryAt: undefined,
+	};
+	addCommitEffect(state, leadership.commit);
+}
+
+function listOtherRecords(state: SchedulerState): LedgerRecord[] {
+	const {leadership, settings} = state;
+	const records: LedgerRecord[] = [...state.removedJobs].map(jobId => ({type: 'progress-removed', jobId}));
+	state.removedJobs.clear();
+	if (state.areWavesDirty) {
+		state.areWavesDirty = false;
+		records.push({
+			type: 'waves',
+			waves: [...state.waves.values()].map(wave => ({wave: wave.definition.wave, doneMachines: [...wave.doneMachines], isCompleted: wave.isCompleted})),
+		});
+	}
+
+	if (state.isConfigDirty && state.config) {
+		state.isConfigDirty = false;
+		records.push({type: 'config', config: state.config});
+	}
+
+	if (state.dirtyJobs.size === 0 && records.length === 0) {
+		records.push({type: 'lease', lease: {holder: settings.holder, token: leadership.token, isReleased: false}});
+	}
+
+	return records;
+}
+
+function addCommitEffect(state: SchedulerState, commit: Commit): void {
+	addEffect(state, {
+		type: 'ledger/commit', token: state.leadership.token, sequence: commit.sequence, records: commit.records,
+	});
+}
+
+const actionHandlers: {[K in PendingAction['type']]: (state: SchedulerState, action: Extract<PendingAction, {type: K}>) => void} = {
+	start(state, {task, run}) {
+		sendStart(state, task, run);
+	},
+	'note-ends'(_state, {worker, upTo}) {
+		worker.storedEnd = Math.max(worker.storedEnd, Math.min(upTo, worker.readEnd));
+	},
+	'show-phase'(state, {job}) {
+		if (job.live) {
+			job.phase = job.live.phase;
+			job.progress = isFinal(job.phase) ? listProgress(job) : undefined;
+			dropIfOver(state, job);
+		}
+	},
+};
+
+/** Handles the outcome of an append. */
+export function handleCommit(state: SchedulerState, event: CommitEnded): void {
+	const {leadership} = state;
+	const {commit} = leadership;
+	if (!commit || commit.sequence !== event.sequence) {
+		return;
+	}
+
+	if (event.outcome !== 'stored') {
+		commit.retryAt = state.now + commitRetryMs;
+		return;
+	}
+
+	leadership.commit = undefined;
+	leadership.confirmedAt = state.now;
+	leadership.commitNotBefore = state.now + commitPauseMs;
+	for (const action of commit.actions) {
+		(actionHandlers[action.type] as (state: SchedulerState, action: PendingAction) => void)(state, action);
+	}
+}
--- /dev/null
+++ b/packages/core/src/scheduler/events.ts
@@ -0,0 +1,52 @@
+/** What happens to the scheduler. Each event brings the instants at which it happened. */
+import type {Instant} from '../types/time.js';
+import type {JobId} from '../types/ids.js';
+import type {
+	EndedRow, FleetConfig, IntakeRecord, LedgerRecord, MachineEntry, MachineId, RunningRow, SteadyMs, TaskName, WaveDefinition, WaveNumber, WorkerEntry, WorkerId,
+} from './types.js';
+
+/** How a start was answered. `not-sent`: no connection; `unknown`: it may have been carried out, or may be later. */
+export type StartOutcome = 'started' | 'fenced' | 'stale-run' | 'late' | 'no-room' | 'no-ticket' | 'invalid' | 'unhealthy' | 'other-life' | 'not-sent' | 'unknown';
+export type StopOutcome = 'stopped' | 'fenced' | 'refused' | 'other-life' | 'unknown';
+export type HoldOutcome = 'held' | 'fenced' | 'refused' | 'other-life' | 'unknown';
+export type OrderOutcome = 'done' | 'fenced' | 'busy' | 'wrong-wave' | 'invalid' | 'limited' | 'unknown';
+/** `lost`: another host wrote first. */
+export type ClaimOutcome = 'granted' | 'lost' | 'refused' | 'unknown';
+/** `refused` and `unknown` are tried again with the same sequence number. */
+export type CommitOutcome = 'stored' | 'fenced' | 'refused' | 'unknown';
+
+export type LedgerEntry = {readonly offset: number; readonly record: LedgerRecord};
+
+type Timed = {readonly at: SteadyMs; readonly wallAt: Instant};
+
+export type SchedulerEvent = Timed & (
+	| {readonly type: 'clock/ticked'}
+	| {readonly type: 'stop/requested'}
+	| {readonly type: 'config/read'; readonly config: FleetConfig}
+	| {readonly type: 'intake/read'; readonly records: readonly IntakeRecord[]}
+	/** The ledger as a whole, then what follows; `nextOffset` is where the next read begins. */
+	| {readonly type: 'ledger/loaded'; readonly entries: readonly LedgerEntry[]; readonly nextOffset: number}
+	| {readonly type: 'ledger/read'; readonly entries: readonly LedgerEntry[]; readonly nextOffset: number}
+	| {readonly type: 'claim/ended'; readonly outcome: ClaimOutcome; readonly claimedAt: number}
+	| {readonly type: 'commit/ended'; readonly outcome: CommitOutcome; readonly sequence: number}
+	| {readonly type: 'workers/listed'; readonly workers: readonly WorkerEntry[]}
+	| {readonly type: 'start/ended'; readonly workerId: WorkerId; readonly bornAt: number; readonly task: TaskName; readonly run: number; readonly outcome: StartOutcome; readonly clockMs: number | undefined}
+	| {readonly type: 'stop/ended'; readonly workerId: WorkerId; readonly bornAt: number; readonly task: TaskName; readonly run: number; readonly outcome: StopOutcome}
+	| {
+		readonly type: 'hold/ended'; readonly workerId: WorkerId; readonly bornAt: number; readonly outcome: HoldOutcome; readonly sentAt: SteadyMs;
+		readonly clockMs: number | undefined; readonly answerBornAt: number | undefined; readonly running: readonly RunningRow[]; readonly ended: readonly EndedRow[];
+	}
+	| {readonly type: 'pace/ended'; readonly workerId: WorkerId; readonly task: TaskName; readonly run: number; readonly isDone: boolean}
+	| {readonly type: 'machines/listed'; readonly machines: readonly MachineEntry[] | undefined}
+	| {readonly type: 'order/ended'; readonly machineId: MachineId; readonly outcome: OrderOutcome}
+	| {readonly type: 'wave/published'; readonly definition: WaveDefinition; readonly isCompleted: boolean}
+	| {readonly type: 'wave/reported'; readonly wave: WaveNumber; readonly isStored: boolean; readonly isCompleted: boolean}
+	| {
+		readonly type: 'advice/ended'; readonly step: string; readonly asked: readonly WorkerId[]; readonly validMs: number;
+		/** Undefined when the service did not answer. */
+		readonly tickets: ReadonlyArray<{readonly workerId: WorkerId; readonly ticket: string}> | undefined;
+	}
+	| {readonly type: 'jobs/removed'; readonly jobIds: readonly JobId[]}
+);
+
+export type SchedulerEventType = SchedulerEvent['type'];
--- /dev/null
+++ b/packages/core/src/scheduler/health.ts
@@ -0,0 +1,48 @@
+/** Judges workers by how runs end there: failing, standing still. */
+import {noteWarning} from './logging.js';
+import {evidenceMs, setAsideMs} from './timing.js';
+import type {JobId} from '../types/ids.js';
+import type {SchedulerState, Worker} from './state.js';
+
+/** Failures of so many jobs in a row set a worker aside. */
+const jobsToSetAside = 2;
+/** At most this share of a pool is set aside at once. */
+const asideShare = 0.5;
+const longestDoubling = 2;
+
+/** A run failed or stood still at a worker. */
+export function noteFailure(state: SchedulerState, worker: Worker, jobId: JobId, reason: string): void {
+	worker.failures.push({at: state.now, jobId});
+	while (worker.failures[0] && worker.failures[0].at < state.now - evidenceMs) {
+		worker.failures.shift();
+	}
+
+	const jobs = new Set(worker.failures.filter(({at}) => at >= worker.lastDoneAt).map(failure => failure.jobId));
+	if (jobs.size < jobsToSetAside || worker.setAsideUntil > state.now || !canSetAside(state, worker)) {
+		return;
+	}
+
+	worker.setAsideUntil = state.now + (setAsideMs * (2 ** Math.min(worker.setAsideCount, longestDoubling)));
+	worker.setAsideCount++;
+	noteWarning(state, 'worker-set-aside', {
+		workerId: worker.id, reason, jobs: jobs.size, forMs: worker.setAsideUntil - state.now,
+	});
+}
+
+/** A run was done at a worker: it is sound. */
+export function noteSuccess(state: SchedulerState, worker: Worker): void {
+	worker.lastDoneAt = state.now;
+	worker.setAsideCount = 0;
+}
+
+/** True while a worker's last runs failed; it is tried again with few tasks. */
+export function isSuspect(worker: Worker): boolean {
+	const last = worker.failures.at(-1);
+	return last !== undefined && last.at > worker.lastDoneAt;
+}
+
+function canSetAside(state: SchedulerState, worker: Worker): boolean {
+	const pool = [...state.workers.values()].filter(other => other.pool === worker.pool && other.isListed);
+	const aside = pool.filter(other => other.setAsideUntil > state.now);
+	return (aside.length + 1) <= pool.length * asideShare;
+}
--- /dev/null
+++ b/packages/core/src/scheduler/holds.ts
@@ -0,0 +1,263 @@
+/** Looks at workers: renews their leases, reads what runs and what ended there. */
+import {noteFailure, noteSuccess} from './health.js';
+import {advanceOccurrence, finishJob} from './jobs.js';
+import {addEffect, noteDecision, noteWarning} from './logging.js';
+import {getMaxAttempts} from './queues.js';
+import {clearWorker, restartWorker} from './registry.js';
+import {
+	confirmTask, finishTask, getTarget, requestStop, returnTask, stopGang,
+} from './tasks.js';
+import {
+	clockDrift, holdRetryMs, holdWaitMs, leaseSlackMs, renewLeaseMs, stuckMs, unconfirmedLimitMs, watchWaitMs, workerLeaseMs,
+} from './timing.js';
+import type {SchedulerEvent} from './events.js';
+import type {EndedRow, RunEnd, RunningRow} from './types.js';
+import type {SchedulerState, Task, Worker} from './state.js';
+
+type HoldEnded = Extract<SchedulerEvent, {type: 'hold/ended'}>;
+
+/** Sends the looks that are due. */
+export function tickHolds(state: SchedulerState): void {
+	const {leadership} = state;
+	if (leadership.role !== 'leader') {
+		return;
+	}
+
+	const isConfirmed = state.now - leadership.confirmedAt < unconfirmedLimitMs;
+	for (const worker of state.workers.values()) {
+		expireLease(state, worker);
+		if (isConfirmed && isHoldDue(state, worker)) {
+			sendHold(state, worker);
+		}
+	}
+}
+
+function isHoldDue(state: SchedulerState, worker: Worker): boolean {
+	if (worker.isHeld || worker.address === '' || state.now < worker.holdDueAt) {
+		return false;
+	}
+
+	const isNeeded = (!worker.isFenced && worker.isListed) || worker.tasks.size > 0 || worker.strangers.size > 0 || worker.ackedEnd < worker.storedEnd;
+	// Ends that are read but not stored yet would be listed again at once.
+	const isStoring = worker.readEnd > worker.storedEnd && worker.leaseEndsAt - state.now > renewLeaseMs;
+	return isNeeded && !isStoring;
+}
+
+/** An end of a lease on a worker's clock, `workerLeaseMs` from now. */
+export function extendLease(state: SchedulerState, worker: Worker): number | undefined {
+	if (!worker.clock) {
+		return undefined;
+	}
+
+	const age = state.now - worker.clock.at;
+	const leaseMs = Math.min(workerLeaseMs, state.settings.holdMaxMs);
+	worker.leaseUntilMs = Math.max(worker.leaseUntilMs, Math.round(worker.clock.workerMs + age + leaseMs));
+	worker.leaseEndsAt = Math.max(worker.leaseEndsAt, state.now + ((leaseMs + (age * clockDrift)) / (1 - clockDrift)) + leaseSlackMs);
+	return worker.leaseUntilMs;
+}
+
+function sendHold(state: SchedulerState, worker: Worker): void {
+	worker.isHeld = true;
+	const hasWork = [...worker.tasks.values()].some(task => task.isSent);
+	const isWatched = hasWork && [...worker.tasks.values()].some(task => task.step.definition.isLongRunning);
+	addEffect(state, {
+		type: 'worker/hold',
+		worker: getTarget(worker),
+		token: state.leadership.token,
+		ackedEnd: worker.storedEnd,
+		untilMs: extendLease(state, worker),
+		waitMs: hasWork && worker.isFenced && worker.misses === 0 ? (isWatched ? watchWaitMs : holdWaitMs) : 0,
+	});
+}
+
+/** All runs of a worker that was not reached are over once its lease surely has lapsed. */
+function expireLease(state: SchedulerState, worker: Worker): void {
+	if (worker.tasks.size === 0 || state.now <= worker.leaseEndsAt) {
+		return;
+	}
+
+	if (worker.misses === 0 && worker.isHeld) {
+		return;
+	}
+
+	noteWarning(state, 'lease-lapsed', {
+		workerId: worker.id, tasks: worker.tasks.size, silentMs: Math.round(state.now - worker.lastAnswerAt),
+	});
+	clearWorker(state, worker);
+}
+
+/** Handles the answer to a look. */
+export function handleHold(state: SchedulerState, event: HoldEnded): void {
+	const worker = state.workers.get(event.workerId);
+	if (!worker || worker.bornAt !== event.bornAt) {
+		return;
+	}
+
+	worker.isHeld = false;
+	if (event.outcome !== 'held') {
+		handleMiss(state, worker, event);
+		return;
+	}
+
+	if (event.answerBornAt !== undefined && event.answerBornAt !== worker.bornAt) {
+		handleOtherLife(state, worker, event.answerBornAt);
+		return;
+	}
+
+	if (worker.misses > 2) {
+		noteDecision(state, 'worker-regained', {workerId: worker.id, misses: worker.misses});
+	}
+
+	worker.misses = 0;
+	worker.lastAnswerAt = state.now;
+	worker.isFenced = true;
+	worker.ackedEnd = Math.max(worker.ackedEnd, worker.storedEnd);
+	worker.holdDueAt = state.now;
+	if (event.clockMs !== undefined) {
+		worker.clock = {workerMs: event.clockMs, at: state.now};
+	}
+
+	readEnds(state, worker, event.ended);
+	readRunning(state, worker, event);
+	state.needsPlacement = true;
+}
+
+function handleMiss(state: SchedulerState, worker: Worker, event: HoldEnded): void {
+	worker.misses++;
+	worker.holdDueAt = state.now + Math.min(holdRetryMs * worker.misses, workerLeaseMs / 5);
+	if (worker.misses === 3) {
+		noteWarning(state, 'worker-silent', {workerId: worker.id, outcome: event.outcome, tasks: worker.tasks.size});
+	}
+
+	if (event.outcome === 'other-life') {
+		noteDecision(state, 'worker-gone', {workerId: worker.id, tasks: worker.tasks.size});
+		clearWorker(state, worker);
+		worker.isListed = false;
+		worker.leaseEndsAt = 0;
+	}
+}
+
+function handleOtherLife(state: SchedulerState, worker: Worker, bornAt: number): void {
+	if (bornAt > worker.bornAt) {
+		restartWorker(state, worker, bornAt);
+		return;
+	}
+
+	worker.holdDueAt = state.now + holdRetryMs;
+}
+
+function readEnds(state: SchedulerState, worker: Worker, rows: readonly EndedRow[]): void {
+	for (const row of rows) {
+		if (row.number > worker.readEnd) {
+			worker.readEnd = row.number;
+			readEnd(state, worker, row);
+		}
+	}
+
+	if (worker.readEnd > worker.storedEnd) {
+		state.pendingActions.push({type: 'note-ends', worker, upTo: worker.readEnd});
+	}
+}
+
+type EndHandler = (state: SchedulerState, worker: Worker, task: Task) => void;
+
+const endHandlers: Readonly<Record<RunEnd, EndHandler>> = {
+	done(state, worker, task) {
+		noteSuccess(state, worker);
+		finishTask(state, task);
+		advanceOccurrence(state, task.step.occurrence);
+	},
+	failed(state, worker, task) {
+		const {job} = task.step.occurrence;
+		const {isLongRunning} = task.step.definition;
+		noteFailure(state, worker, job.definition.jobId, 'run failed');
+		task.failedOn.add(worker.id);
+		returnTask(state, task);
+		task.failures += isLongRunning ? 0 : 1;
+		if (!isLongRunning && task.failures >= getMaxAttempts(state, job) && !job.isCancelled) {
+			finishJob(state, job, 'failed');
+		}
+	},
+	stopped: returnEnded,
+	lapsed: returnEnded,
+	broken: returnEnded,
+	alone: returnEnded,
+};
+
+function returnEnded(state: SchedulerState, _worker: Worker, task: Task): void {
+	returnTask(state, task);
+}
+
+function readEnd(state: SchedulerState, worker: Worker, row: EndedRow): void {
+	const task = worker.tasks.get(row.task);
+	if (!task || task.run !== row.run || !task.isSent) {
+		return;
+	}
+
+	confirmTask(state, task);
+	if (row.checkpoint !== '') {
+		task.checkpoint = row.checkpoint;
+	}
+
+	if (row.how !== 'done') {
+		noteDecision(state, 'run-ended', {
+			task: task.name, run: row.run, workerId: worker.id, how: row.how, failures: task.failures,
+		});
+	}
+
+	endHandlers[row.how](state, worker, task);
+	stopGang(state, task.step, row.how);
+}
+
+function readRunning(state: SchedulerState, worker: Worker, event: HoldEnded): void {
+	worker.strangers.clear();
+	const seen = new Set<string>();
+	for (const row of event.running) {
+		const task = worker.tasks.get(row.task);
+		if (task && task.run === row.run && task.isSent) {
+			seen.add(row.task);
+			readRunningRow(state, worker, task, row);
+		} else {
+			stopStranger(state, worker, row);
+		}
+	}
+
+	for (const task of [...worker.tasks.values()]) {
+		if (task.isSent && !seen.has(task.name) && task.settledAt < event.sentAt) {
+			noteDecision(state, 'run-absent', {task: task.name, run: task.run, workerId: worker.id});
+			returnTask(state, task);
+		}
+	}
+}
+
+function stopStranger(state: SchedulerState, worker: Worker, row: RunningRow): void {
+	worker.strangers.set(row.task, row);
+	worker.holdDueAt = state.now + holdRetryMs;
+	addEffect(state, {
+		type: 'worker/stop', worker: getTarget(worker), task: row.task, run: row.run, token: state.leadership.token,
+	});
+}
+
+function readRunningRow(state: SchedulerState, worker: Worker, task: Task, row: RunningRow): void {
+	confirmTask(state, task);
+	if (row.checkpoint !== '') {
+		task.checkpoint = row.checkpoint;
+	}
+
+	task.reading = row.reading ?? 0;
+	if (row.percent !== task.percent) {
+		task.percent = row.percent;
+		task.percentChangedAt = state.now;
+		return;
+	}
+
+	const {isLongRunning, isGang} = task.step.definition;
+	const isStuck = task.status === 'running' && !isLongRunning && !isGang && state.now - task.percentChangedAt > stuckMs;
+	if (isStuck) {
+		const {jobId} = task.step.occurrence.job.definition;
+		noteFailure(state, worker, jobId, 'run stands still');
+		noteDecision(state, 'run-stuck', {task: task.name, run: task.run, workerId: worker.id, percent: task.percent});
+		task.failedOn.add(worker.id);
+		requestStop(state, task);
+	}
+}
--- /dev/null
+++ b/packages/core/src/scheduler/jobs.ts
@@ -0,0 +1,305 @@
+/** Jobs: taken in, brought to life on the leader, ended and cancelled. */
+import type {JobId} from '../types/ids.js';
+import type {Instant} from '../types/time.js';
+import {noteDecision} from './logging.js';
+import {isFinal} from './phases.js';
+import {createPlaceholder} from './registry.js';
+import {
+	attachTask, detachTask, requestStop, updateOpenStep,
+} from './tasks.js';
+import type {
+	IntakeRecord, JobDefinition, JobProgress, ProgressRow, TaskName,
+} from './types.js';
+import type {
+	Job, Occurrence, SchedulerState, StepRun, Task,
+} from './state.js';
+
+/** Takes a job in; the first record of an id counts. */
+export function addJob(state: SchedulerState, definition: JobDefinition): void {
+	if (state.jobs.has(definition.jobId)) {
+		return;
+	}
+
+	const progress = state.earlyProgress.get(definition.jobId);
+	state.earlyProgress.delete(definition.jobId);
+	const job: Job = {
+		definition, phase: progress?.phase ?? 'queued', isCancelled: state.earlyCancels.delete(definition.jobId), progress, acceptedAt: state.now, live: undefined,
+	};
+	state.jobs.set(definition.jobId, job);
+	if (state.leadership.role === 'leader') {
+		activateJob(state, job);
+	}
+}
+
+/** Marks a job as cancelled and stops its runs. */
+export function cancelJob(state: SchedulerState, jobId: JobId): void {
+	const job = state.jobs.get(jobId);
+	if (!job) {
+		state.earlyCancels.add(jobId);
+		return;
+	}
+
+	if (job.isCancelled) {
+		return;
+	}
+
+	job.isCancelled = true;
+	if (job.live) {
+		noteDecision(state, 'job-cancelled', {jobId, phase: job.live.phase});
+		stopJob(state, job);
+	}
+}
+
+/** Applies what entry hosts wrote. */
+export function applyIntake(state: SchedulerState, record: IntakeRecord): void {
+	const appliers: {[K in IntakeRecord['type']]: (record: Extract<IntakeRecord, {type: K}>) => void} = {
+		job({job}) {
+			addJob(state, job);
+		},
+		cancel({jobId}) {
+			cancelJob(state, jobId);
+		},
+		'job-removed'({jobId}) {
+			state.jobs.delete(jobId);
+		},
+		'cancel-removed'({jobId}) {
+			state.earlyCancels.delete(jobId);
+		},
+	};
+	(appliers[record.type] as (record: IntakeRecord) => void)(record);
+}
+
+/** Stops all that runs of a job that goes no further. */
+export function stopJob(state: SchedulerState, job: Job): void {
+	for (const occurrence of job.live?.occurrences.values() ?? []) {
+		for (const step of occurrence.steps) {
+			updateOpenStep(state, step);
+			for (const task of step.tasks) {
+				requestStop(state, task);
+			}
+		}
+	}
+
+	dropIfOver(state, job);
+}
+
+/** Forgets the live part of a job that is over once nothing of it is at a worker. */
+export function dropIfOver(state: SchedulerState, job: Job): void {
+	if (!job.live || (!job.isCancelled && !isFinal(job.phase))) {
+		return;
+	}
+
+	for (const occurrence of job.live.occurrences.values()) {
+		for (const step of occurrence.steps) {
+			if (step.tasks.some(task => task.worker !== undefined)) {
+				return;
+			}
+		}
+	}
+
+	for (const occurrence of job.live.occurrences.values()) {
+		for (const step of occurrence.steps) {
+			state.openSteps.delete(step);
+		}
+	}
+
+	state.liveJobs.delete(job);
+	job.live = undefined;
+}
+
+/** Brings a job to life on the leader, from its stored progress. */
+export function activateJob(state: SchedulerState, job: Job): void {
+	if (job.isCancelled || isFinal(job.phase)) {
+		return;
+	}
+
+	const {progress} = job;
+	job.live = {
+		occurrences: new Map(), finishedOccurrences: new Set(progress?.finishedOccurrences), nextOccurrence: 0, hasStarted: job.phase === 'running', phase: job.phase, finishedAt: 0 as Instant,
+	};
+	state.liveJobs.add(job);
+	openDueOccurrences(state, job);
+	restoreRows(state, job, progress);
+	for (const occurrence of job.live.occurrences.values()) {
+		for (const step of occurrence.steps) {
+			updateOpenStep(state, step);
+		}
+	}
+}
+
+/** Opens the occurrences of a job that are due. */
+export function openDueOccurrences(state: SchedulerState, job: Job): void {
+	const {live, definition} = job;
+	if (!live) {
+		return;
+	}
+
+	const total = Math.max(1, definition.runCount);
+	while (live.nextOccurrence < total && isDue(state, definition, live.nextOccurrence)) {
+		const number = live.nextOccurrence++;
+		if (!live.finishedOccurrences.has(number)) {
+			live.occurrences.set(number, createOccurrence(state, job, number));
+		}
+	}
+}
+
+function isDue(state: SchedulerState, definition: JobDefinition, occurrence: number): boolean {
+	return definition.runCount === 0 || state.wallNow >= definition.firstRunAt + (occurrence * definition.intervalMs);
+}
+
+function createOccurrence(state: SchedulerState, job: Job, number: number): Occurrence {
+	const occurrence: Occurrence = {
+		job, number, steps: [], isDone: false,
+	};
+	for (const [index, definition] of job.definition.steps.entries()) {
+		const step: StepRun = {
+			occurrence, number: index, definition, tasks: [], doneCount: 0, advice: undefined,
+		};
+		occurrence.steps.push(step);
+		for (let task = 0; task < definition.count; task++) {
+			step.tasks.push(createTask(state, step, task));
+		}
+	}
+
+	for (const step of occurrence.steps) {
+		updateOpenStep(state, step);
+	}
+
+	return occurrence;
+}
+
+function createTask(state: SchedulerState, step: StepRun, index: number): Task {
+	const {job, number} = step.occurrence;
+	return {
+		name: `${job.definition.jobId}.${number}.${step.number}.${index}` as TaskName,
+		step,
+		index,
+		status: 'waiting',
+		run: 0,
+		failures: 0,
+		worker: undefined,
+		checkpoint: '',
+		isSent: false,
+		settledAt: 0,
+		stopDueAt: 0,
+		percent: 0,
+		percentChangedAt: 0,
+		startedAt: 0,
+		reading: 0,
+		pacePercent: 100,
+		readyAt: state.now,
+		failedOn: new Set(),
+	};
+}
+
+function restoreRows(state: SchedulerState, job: Job, progress: JobProgress | undefined): void {
+	for (const row of progress?.rows ?? []) {
+		const task = job.live?.occurrences.get(row.occurrence)?.steps[row.step]?.tasks[row.index];
+		if (task) {
+			restoreTask(state, task, row);
+		}
+	}
+}
+
+/** A stored start may or may not have reached its worker: the worker's lists will tell. */
+function restoreTask(state: SchedulerState, task: Task, row: ProgressRow): void {
+	task.run = row.run;
+	task.failures = row.failures;
+	task.checkpoint = row.checkpoint;
+	if (row.status === 'done') {
+		task.status = 'done';
+		task.step.doneCount++;
+	} else if (row.status === 'placed') {
+		task.status = 'placed';
+		task.isSent = true;
+		task.settledAt = 0;
+		attachTask(createPlaceholder(state, row.workerId, row.workerBornAt), task);
+	}
+}
+
+/** After a task has ended: opens the steps behind it, ends the occurrence and the job. */
+export function advanceOccurrence(state: SchedulerState, occurrence: Occurrence): void {
+	for (const step of occurrence.steps) {
+		updateOpenStep(state, step);
+	}
+
+	const {job} = occurrence;
+	if (!job.live || occurrence.steps.some(step => step.doneCount < step.definition.count)) {
+		return;
+	}
+
+	occurrence.isDone = true;
+	job.live.occurrences.delete(occurrence.number);
+	job.live.finishedOccurrences.add(occurrence.number);
+	if (job.live.finishedOccurrences.size >= Math.max(1, job.definition.runCount)) {
+		finishJob(state, job, 'completed');
+	}
+}
+
+/** A job has reached its last phase; callers see it once it is stored. */
+export function finishJob(state: SchedulerState, job: Job, phase: 'completed' | 'failed'): void {
+	if (!job.live || isFinal(job.live.phase)) {
+		return;
+	}
+
+	job.live.phase = phase;
+	job.live.finishedAt = state.wallNow;
+	state.dirtyJobs.add(job);
+	noteDecision(state, 'job-ended', {jobId: job.definition.jobId, phase, tookMs: Math.round(state.now - job.acceptedAt)});
+	stopJob(state, job);
+}
+
+/** What is stored of a job. */
+export function listProgress(job: Job): JobProgress {
+	const {live} = job;
+	if (!live) {
+		return {
+			phase: job.phase, finishedOccurrences: [], rows: [], finishedAt: 0 as Instant,
+		};
+	}
+
+	const isOver = isFinal(live.phase);
+	const rows: ProgressRow[] = [];
+	for (const occurrence of isOver ? [] : live.occurrences.values()) {
+		for (const step of occurrence.steps) {
+			rows.push(...listRows(step));
+		}
+	}
+
+	return {
+		phase: live.phase, finishedOccurrences: isOver ? [] : [...live.finishedOccurrences], rows, finishedAt: live.finishedAt,
+	};
+}
+
+function listRows(step: StepRun): ProgressRow[] {
+	return step.tasks.filter(task => task.run > 0 || task.status === 'done').map(task => ({
+		occurrence: step.occurrence.number,
+		step: step.number,
+		index: task.index,
+		status: task.worker ? 'placed' : (task.status === 'done' ? 'done' : 'waiting'),
+		run: task.run,
+		failures: task.failures,
+		workerId: task.worker?.id ?? '',
+		workerBornAt: task.worker?.bornAt ?? 0,
+		checkpoint: task.status === 'done' ? '' : task.checkpoint,
+	}));
+}
+
+/** Drops the live part of all jobs, when this host leads no more. */
+export function deactivateJobs(state: SchedulerState): void {
+	for (const job of state.liveJobs) {
+		for (const occurrence of job.live?.occurrences.values() ?? []) {
+			for (const step of occurrence.steps) {
+				for (const task of step.tasks) {
+					detachTask(state, task);
+				}
+			}
+		}
+
+		job.live = undefined;
+	}
+
+	state.liveJobs.clear();
+	state.openSteps.clear();
+	state.dirtyJobs.clear();
+}
--- /dev/null
+++ b/packages/core/src/scheduler/leadership.ts
@@ -0,0 +1,205 @@
+/** Which entry host schedules: it claims the ledger by an append at its end, and its token fences all others. */
+import {activateJob, deactivateJobs} from './jobs.js';
+import {addEffect, noteDecision, noteWarning} from './logging.js';
+import {isFinal} from './phases.js';
+import {claimRetryMs, claimSpreadMs, leaderSilenceMs} from './timing.js';
+import type {LedgerEntry, SchedulerEvent} from './events.js';
+import type {LedgerRecord} from './types.js';
+import type {SchedulerState} from './state.js';
+
+type LedgerRead = Extract<SchedulerEvent, {type: 'ledger/read' | 'ledger/loaded'}>;
+type ClaimEnded = Extract<SchedulerEvent, {type: 'claim/ended'}>;
+
+/** Starts over from the whole ledger. */
+export function loadLedger(state: SchedulerState, event: LedgerRead): void {
+	for (const job of state.jobs.values()) {
+		job.progress = undefined;
+		job.phase = 'queued';
+	}
+
+	state.leadership.hasLedger = true;
+	state.leadership.lastRecordAt = state.now;
+	readLedger(state, event);
+}
+
+/** Applies what the leader wrote. */
+export function readLedger(state: SchedulerState, event: LedgerRead): void {
+	const {leadership} = state;
+	for (const entry of event.entries) {
+		applyRecord(state, entry);
+	}
+
+	leadership.ledgerEnd = event.nextOffset;
+	if (event.entries.length > 0) {
+		leadership.lastRecordAt = state.now;
+	}
+}
+
+type RecordHandlers = {[K in LedgerRecord['type']]: (state: SchedulerState, record: Extract<LedgerRecord, {type: K}>, offset: number) => void};
+
+const recordHandlers: RecordHandlers = {
+	lease(state, {lease}, offset) {
+		const {leadership, settings} = state;
+		leadership.isReleased = lease.isReleased;
+		leadership.claimNotBefore = state.now + (settings.spread * claimSpreadMs);
+		// An own claim whose answer was lost.
+		if (lease.holder === settings.holder && !lease.isReleased && leadership.role === 'claiming' && lease.token === offset + 1) {
+			startLeading(state, lease.token);
+		}
+	},
+	progress(state, {jobId, progress}) {
+		const job = state.jobs.get(jobId);
+		if (job) {
+			job.progress = progress;
+			job.phase = progress.phase;
+		} else {
+			state.earlyProgress.set(jobId, progress);
+		}
+	},
+	'progress-removed'(state, {jobId}) {
+		state.earlyProgress.delete(jobId);
+	},
+	waves(state, {waves}) {
+		for (const wave of waves) {
+			state.storedWaves.set(wave.wave, new Set(wave.doneMachines));
+		}
+	},
+	config(state, {config}) {
+		if (!state.config || state.config.version < config.version) {
+			state.config = config;
+			addEffect(state, {type: 'config/restored', config});
+		}
+	},
+};
+
+function applyRecord(state: SchedulerState, {offset, record}: LedgerEntry): void {
+	(recordHandlers[record.type] as (state: SchedulerState, record: LedgerRecord, offset: number) => void)(state, record, offset);
+}
+
+/** Claims the lead when the ledger is silent, or was given back. */
+export function tickLeadership(state: SchedulerState): void {
+	const {leadership, settings} = state;
+	if (leadership.role !== 'follower' || !leadership.hasLedger || state.isStopping || !state.config) {
+		return;
+	}
+
+	const isVacant = leadership.isReleased || leadership.ledgerEnd === 0;
+	const silenceMs = isVacant ? 0 : leaderSilenceMs + (settings.spread * claimSpreadMs);
+	if (state.now < leadership.claimNotBefore || state.now < leadership.lastRecordAt + silenceMs) {
+		return;
+	}
+
+	leadership.role = 'claiming';
+	noteDecision(state, 'lead-claimed', {at: leadership.ledgerEnd, silentMs: Math.round(state.now - leadership.lastRecordAt), isReleased: leadership.isReleased});
+	addEffect(state, {
+		type: 'ledger/claim', at: leadership.ledgerEnd, token: leadership.ledgerEnd + 1, sequence: settings.firstSequence, holder: settings.holder,
+	});
+}
+
+/** Handles the outcome of a claim. */
+export function handleClaim(state: SchedulerState, event: ClaimEnded): void {
+	const {leadership} = state;
+	if (leadership.role !== 'claiming') {
+		return;
+	}
+
+	if (event.outcome === 'granted') {
+		startLeading(state, event.claimedAt + 1);
+		return;
+	}
+
+	noteDecision(state, 'lead-not-granted', {outcome: event.outcome, at: event.claimedAt});
+	// An unknown claim may still be granted: reading the ledger tells, and a new claim at the same end excludes it.
+	leadership.claimNotBefore = state.now + claimRetryMs;
+	leadership.role = event.outcome === 'unknown' ? 'claiming' : 'follower';
+	leadership.retryClaimAt = event.outcome === 'unknown' ? state.now + claimRetryMs : undefined;
+}
+
+/** Repeats a claim whose answer was lost. */
+export function tickClaim(state: SchedulerState): void {
+	const {leadership} = state;
+	if (leadership.role === 'claiming' && leadership.retryClaimAt !== undefined && state.now >= leadership.retryClaimAt) {
+		leadership.retryClaimAt = undefined;
+		leadership.role = 'follower';
+	}
+}
+
+function startLeading(state: SchedulerState, token: number): void {
+	const {leadership} = state;
+	leadership.role = 'leader';
+	leadership.token = token;
+	leadership.leadsSince = state.now;
+	leadership.confirmedAt = state.now;
+	leadership.nextSequence = state.settings.firstSequence + 1;
+	leadership.commit = undefined;
+	leadership.isReleased = false;
+	leadership.commitNotBefore = 0;
+	state.pendingActions = [];
+	state.workers.clear();
+	state.machines.clear();
+	state.endedWorkers.clear();
+	state.machinesDueAt = 0;
+	state.isListingMachines = false;
+	state.isAdviceAsked = false;
+	state.isConfigDirty = true;
+	for (const job of state.jobs.values()) {
+		if (!isFinal(job.phase)) {
+			activateJob(state, job);
+		}
+	}
+
+	for (const wave of state.waves.values()) {
+		for (const machine of state.storedWaves.get(wave.definition.wave) ?? []) {
+			wave.doneMachines.add(machine);
+		}
+	}
+
+	noteDecision(state, 'lead-taken', {token, jobs: state.liveJobs.size, workers: state.workers.size});
+}
+
+/** Another host leads: nothing more is ordered, and all is read again. */
+export function stopLeading(state: SchedulerState, reason: string): void {
+	const {leadership} = state;
+	if (leadership.role !== 'leader') {
+		return;
+	}
+
+	noteWarning(state, 'lead-lost', {reason, token: leadership.token});
+	leadership.role = state.isStopping ? 'retired' : 'follower';
+	leadership.commit = undefined;
+	leadership.hasLedger = false;
+	leadership.claimNotBefore = state.now + claimRetryMs;
+	leadership.lastRecordAt = state.now;
+	state.pendingActions = [];
+	deactivateJobs(state);
+	state.workers.clear();
+	state.machines.clear();
+	addEffect(state, {type: 'ledger/reload'});
+}
+
+/** Gives the lead back before the process ends. */
+export function releaseLead(state: SchedulerState): void {
+	const {leadership, settings} = state;
+	state.isStopping = true;
+	if (leadership.role !== 'leader') {
+		leadership.role = 'retired';
+		return;
+	}
+
+	// Changes that are not stored yet are found again by the next leader.
+	if (leadership.commit) {
+		return;
+	}
+
+	noteDecision(state, 'lead-released', {token: leadership.token});
+	addEffect(state, {
+		type: 'ledger/commit',
+		token: leadership.token,
+		sequence: leadership.nextSequence++,
+		records: [{type: 'lease', lease: {holder: settings.holder, token: leadership.token, isReleased: true}}],
+	});
+	leadership.role = 'retired';
+	deactivateJobs(state);
+	state.workers.clear();
+}
+
--- /dev/null
+++ b/packages/core/src/scheduler/machines.ts
@@ -0,0 +1,211 @@
+/** The machines behind the workers, and the orders to them: one order at a time, repeated until its outcome is known. */
+import {addEffect, noteDecision, noteWarning} from './logging.js';
+import type {SchedulerEvent} from './events.js';
+import type {
+	MachineEntry, MachineId, PoolName, WaveNumber,
+} from './types.js';
+import type {Machine, SchedulerState, Worker} from './state.js';
+
+type OrderEnded = Extract<SchedulerEvent, {type: 'order/ended'}>;
+type MachinesListed = Extract<SchedulerEvent, {type: 'machines/listed'}>;
+
+const listPauseMs = 4000;
+/** The list is read more often while machines are on their way. */
+const listPauseInOrderMs = 500;
+const listRetryMs = 500;
+const orderRetryMs = 300;
+const busyPauseMs = 1500;
+/** A machine is back this much later than announced at the most. */
+const returnSlackMs = 300;
+
+/** Reads the list of machines when it is due. */
+export function tickMachineList(state: SchedulerState): void {
+	if (state.leadership.role !== 'leader' || state.isListingMachines || state.now < state.machinesDueAt) {
+		return;
+	}
+
+	state.isListingMachines = true;
+	addEffect(state, {type: 'machines/list'});
+}
+
+/** Takes the list of machines over. */
+export function handleMachineList(state: SchedulerState, event: MachinesListed): void {
+	state.isListingMachines = false;
+	if (!event.machines) {
+		state.machinesDueAt = state.now + listRetryMs;
+		noteWarning(state, 'machines-not-listed', {ageMs: Math.round(state.now - state.machinesListedAt)});
+		return;
+	}
+
+	state.machinesListedAt = state.now;
+	const listed = new Set<MachineId>();
+	for (const entry of event.machines) {
+		listed.add(entry.id);
+		updateMachine(state, entry);
+	}
+
+	for (const id of [...state.machines.keys()]) {
+		if (!listed.has(id)) {
+			state.machines.delete(id);
+		}
+	}
+
+	const isBusy = [...state.machines.values()].some(machine => machine.order);
+	state.machinesDueAt = state.now + (isBusy ? listPauseInOrderMs : listPauseMs);
+}
+
+function updateMachine(state: SchedulerState, entry: MachineEntry): void {
+	const machine = state.machines.get(entry.id);
+	if (!machine) {
+		state.machines.set(entry.id, {entry, order: undefined, drainsFor: undefined});
+		return;
+	}
+
+	machine.entry = entry;
+	const {order} = machine;
+	const backMs = order?.type === 'move' ? state.settings.moveMs : state.settings.upkeepMs;
+	const isBack = order?.confirmedAt !== undefined && state.now > order.confirmedAt + backMs + returnSlackMs && entry.state === 'up';
+	if (isBack) {
+		machine.order = undefined;
+	}
+}
+
+/** The worker of a machine, if one is known. */
+export function findWorker(state: SchedulerState, machine: Machine): Worker | undefined {
+	const byId = machine.entry.workerId === undefined ? undefined : state.workers.get(machine.entry.workerId);
+	return byId ?? findWorkerOfMachine(state, machine.entry.id);
+}
+
+function findWorkerOfMachine(state: SchedulerState, id: MachineId): Worker | undefined {
+	for (const worker of state.workers.values()) {
+		if (worker.machineId === id && worker.isListed) {
+			return worker;
+		}
+	}
+
+	return undefined;
+}
+
+/** True once machine orders of an earlier leader are old enough. */
+export function canOrder(state: SchedulerState): boolean {
+	return state.leadership.role === 'leader' && !state.isStopping && state.now > state.leadership.leadsSince + state.settings.orderLeaseMs + returnSlackMs;
+}
+
+/** Sends a machine, whose worker is empty, to another pool. */
+export function orderMove(state: SchedulerState, machine: Machine, pool: PoolName): void {
+	noteDecision(state, 'machine-move', {machineId: machine.entry.id, from: machine.entry.pool, to: pool});
+	machine.order = {
+		type: 'move', pool, wave: 0, isInFlight: false, retryAt: state.now, confirmedAt: undefined,
+	};
+	sendOrder(state, machine);
+}
+
+/** Sends a machine, whose worker is empty, into its upkeep. */
+export function orderUpkeep(state: SchedulerState, machine: Machine, wave: WaveNumber): void {
+	noteDecision(state, 'machine-upkeep', {machineId: machine.entry.id, wave});
+	machine.order = {
+		type: 'upkeep', pool: machine.entry.pool, wave, isInFlight: false, retryAt: state.now, confirmedAt: undefined,
+	};
+	sendOrder(state, machine);
+}
+
+function sendOrder(state: SchedulerState, machine: Machine): void {
+	const {order} = machine;
+	if (!order) {
+		return;
+	}
+
+	order.isInFlight = true;
+	const {token} = state.leadership;
+	const machineId = machine.entry.id;
+	addEffect(state, order.type === 'move'
+		? {
+			type: 'machine/move', machineId, pool: order.pool, token,
+		}
+		: {
+			type: 'machine/upkeep', machineId, wave: order.wave, token,
+		});
+}
+
+/** Repeats orders whose outcome is not known. */
+export function tickOrders(state: SchedulerState): void {
+	if (state.leadership.role !== 'leader') {
+		return;
+	}
+
+	for (const machine of state.machines.values()) {
+		const {order} = machine;
+		if (order && !order.isInFlight && order.confirmedAt === undefined && state.now >= order.retryAt) {
+			sendOrder(state, machine);
+		}
+	}
+}
+
+/** Handles the outcome of an order. */
+export function handleOrder(state: SchedulerState, event: OrderEnded): void {
+	const machine = state.machines.get(event.machineId);
+	const order = machine?.order;
+	if (!machine || !order) {
+		return;
+	}
+
+	order.isInFlight = false;
+	noteDecision(state, 'machine-order-ended', {machineId: event.machineId, order: order.type, outcome: event.outcome});
+	if (event.outcome === 'done') {
+		confirmOrder(state, machine);
+	} else if (event.outcome === 'unknown' || event.outcome === 'limited') {
+		order.retryAt = state.now + orderRetryMs;
+	} else {
+		dropOrder(state, machine);
+	}
+}
+
+function confirmOrder(state: SchedulerState, machine: Machine): void {
+	const {order} = machine;
+	if (!order) {
+		return;
+	}
+
+	order.confirmedAt = state.now;
+	const backMs = order.type === 'move' ? state.settings.moveMs : state.settings.upkeepMs;
+	state.machinesDueAt = Math.min(state.machinesDueAt, state.now + backMs + returnSlackMs);
+	if (order.type === 'upkeep') {
+		state.waves.get(order.wave)?.doneMachines.add(machine.entry.id);
+		state.areWavesDirty = true;
+	}
+
+	machine.drainsFor = undefined;
+	machine.entry = {...machine.entry, pool: order.pool, state: order.type === 'move' ? 'moving' : 'upkeep', workerId: undefined};
+	// Its worker's process has ended with the order.
+	releaseWorker(state, findFormerWorker(state, machine.entry.id));
+}
+
+function findFormerWorker(state: SchedulerState, machineId: MachineId): Worker | undefined {
+	for (const worker of state.workers.values()) {
+		if (worker.isReserved && worker.machineId === machineId) {
+			return worker;
+		}
+	}
+
+	return undefined;
+}
+
+function releaseWorker(state: SchedulerState, worker: Worker | undefined): void {
+	if (worker) {
+		worker.isListed = false;
+		worker.leaseEndsAt = 0;
+		state.workers.delete(worker.id);
+		state.endedWorkers.set(worker.id, worker.bornAt);
+	}
+}
+
+function dropOrder(state: SchedulerState, machine: Machine): void {
+	const worker = findWorker(state, machine);
+	if (worker) {
+		worker.isReserved = false;
+	}
+
+	machine.order = undefined;
+	machine.notBefore = state.now + busyPauseMs;
+	state.machinesDueAt = state.now;
+}
--- /dev/null
+++ b/packages/core/src/scheduler/pacing.ts
@@ -0,0 +1,51 @@
+/** Fillers give way to the serving tasks beside them: down fast, up slowly. */
+import {addEffect, noteDecision} from './logging.js';
+import {getTarget} from './tasks.js';
+import type {SchedulerState, Task, Worker} from './state.js';
+
+/** Share of the target from which fillers are slowed down, and below which they may speed up. */
+const slowDownFrom = 0.85;
+const speedUpBelow = 0.6;
+const fullPercent = 100;
+const speedUpPercent = 10;
+
+/** Sets the pace of a worker's fillers by the worst tail latency beside them. */
+export function updatePace(state: SchedulerState, worker: Worker): void {
+	const tasks = [...worker.tasks.values()].filter(task => task.status === 'running');
+	const fillers = tasks.filter(task => task.step.definition.isFiller);
+	if (fillers.length === 0) {
+		return;
+	}
+
+	const serving = tasks.filter(task => task.step.definition.latencyTargetMs > 0);
+	const load = Math.max(0, ...serving.map(task => task.reading / task.step.definition.latencyTargetMs));
+	for (const filler of fillers) {
+		const percent = choosePercent(filler.pacePercent, load);
+		if (percent !== filler.pacePercent) {
+			sendPace(state, worker, filler, percent, load);
+		}
+	}
+}
+
+/** The next pace of a filler: halved under pressure, to nothing when the target is missed. */
+export function choosePercent(current: number, load: number): number {
+	if (load > 1) {
+		return 0;
+	}
+
+	if (load > slowDownFrom) {
+		return Math.floor(current / 2);
+	}
+
+	return load < speedUpBelow ? Math.min(fullPercent, current + speedUpPercent) : current;
+}
+
+function sendPace(state: SchedulerState, worker: Worker, filler: Task, percent: number, load: number): void {
+	noteDecision(state, 'filler-paced', {
+		task: filler.name, workerId: worker.id, from: filler.pacePercent, to: percent, load: Math.round(load * fullPercent) / fullPercent,
+	});
+	filler.pacePercent = percent;
+	addEffect(state, {
+		type: 'worker/pace', worker: getTarget(worker), task: filler.name, run: filler.run, percent, token: state.leadership.token,
+	});
+}
--- /dev/null
+++ b/packages/core/src/scheduler/placement.ts
@@ -0,0 +1,247 @@
+/** Chooses workers for tasks that may start: most urgent step first, each task where it leaves the least room unused. */
+import {isSuspect} from './health.js';
+import {noteDecision} from './logging.js';
+import {getPoolOfJob, getQueue} from './queues.js';
+import {getNeed, placeTask} from './tasks.js';
+import {getTicketState, requestAdvice} from './advice.js';
+import type {PoolName, Resources} from './types.js';
+import type {
+	PoolDemand, SchedulerState, StepRun, Task, Worker,
+} from './state.js';
+
+/** Tasks that a worker under suspicion is given at once. */
+const suspectTaskLimit = 2;
+const lowestPriority = 9;
+/** A step waits for the rack of its data up to this share of what it would lose elsewhere. */
+const rackPatience = 0.5;
+const missesToAvoid = 2;
+
+/** Places all tasks that fit. */
+export function placeTasks(state: SchedulerState): void {
+	if (!state.needsPlacement || state.leadership.role !== 'leader' || state.isStopping) {
+		return;
+	}
+
+	state.needsPlacement = false;
+	for (const demand of state.demand.values()) {
+		demand.waitingCpu = 0;
+		demand.waitingTasks = 0;
+	}
+
+	const workersByPool = listUsableWorkers(state);
+	for (const {step} of rankSteps(state)) {
+		const pool = getPoolOfJob(state, step.occurrence.job);
+		placeStep(state, step, workersByPool.get(pool) ?? [], pool);
+	}
+}
+
+/** True if a worker may be given new tasks. */
+export function isUsable(state: SchedulerState, worker: Worker): boolean {
+	return worker.isListed && worker.isFenced && !worker.isDraining && !worker.isReserved
+		&& worker.strangers.size === 0 && worker.misses < missesToAvoid && worker.setAsideUntil <= state.now;
+}
+
+function listUsableWorkers(state: SchedulerState): Map<PoolName, Worker[]> {
+	const workers = new Map<PoolName, Worker[]>();
+	for (const worker of state.workers.values()) {
+		if (isUsable(state, worker)) {
+			const pool = workers.get(worker.pool);
+			if (pool) {
+				pool.push(worker);
+			} else {
+				workers.set(worker.pool, [worker]);
+			}
+		}
+	}
+
+	return workers;
+}
+
+type RankedStep = {readonly step: StepRun; readonly priority: number; readonly isLater: boolean; readonly acceptedAt: number};
+
+/** Urgent queues first, then jobs that are under way, then in order of arrival. */
+function rankSteps(state: SchedulerState): RankedStep[] {
+	const ranked = [...state.openSteps].map(step => ({
+		step,
+		priority: getQueue(state, step.occurrence.job.definition.queue)?.priority ?? lowestPriority,
+		isLater: step.number > 0,
+		acceptedAt: step.occurrence.job.acceptedAt,
+	}));
+	return ranked.sort((a, b) => a.priority - b.priority || Number(b.isLater) - Number(a.isLater) || a.acceptedAt - b.acceptedAt);
+}
+
+/** The demand of a pool, kept between placements. */
+export function getDemand(state: SchedulerState, pool: PoolName): PoolDemand {
+	let demand = state.demand.get(pool);
+	if (!demand) {
+		demand = {waitingCpu: 0, waitingTasks: 0, recentCpu: 0};
+		state.demand.set(pool, demand);
+	}
+
+	return demand;
+}
+
+function placeStep(state: SchedulerState, step: StepRun, workers: readonly Worker[], pool: PoolName): void {
+	const waiting = step.tasks.filter(task => task.status === 'waiting');
+	const candidates = workers.filter(worker => hasLabel(step, worker));
+	const placed = step.definition.isGang
+		? placeGang(state, step, waiting, candidates)
+		: placeEach(state, step, waiting, candidates);
+	const left = waiting.length - placed;
+	if (left > 0) {
+		const demand = getDemand(state, pool);
+		demand.waitingCpu += left * (step.definition.isFiller ? 0 : step.definition.need.cpu);
+		demand.waitingTasks += left;
+	}
+}
+
+function hasLabel(step: StepRun, worker: Worker): boolean {
+	const {requiredLabel} = step.definition;
+	return requiredLabel === undefined || worker.labels.has(requiredLabel);
+}
+
+function placeEach(state: SchedulerState, step: StepRun, waiting: readonly Task[], candidates: readonly Worker[]): number {
+	let placed = 0;
+	for (const task of waiting) {
+		const worker = chooseWorker(state, task, candidates, listRooms(step, candidates));
+		if (!worker) {
+			break;
+		}
+
+		placeTask(state, task, worker, task.run + 1);
+		placed++;
+	}
+
+	return placed;
+}
+
+/** All members at once or none; they share the number of their run. */
+function placeGang(state: SchedulerState, step: StepRun, waiting: readonly Task[], candidates: readonly Worker[]): number {
+	if (waiting.length < step.definition.count) {
+		return 0;
+	}
+
+	const rooms = listRooms(step, candidates);
+	const chosen: Array<{task: Task; worker: Worker}> = [];
+	for (const task of waiting) {
+		const worker = chooseWorker(state, task, candidates, rooms);
+		const room = worker && rooms.get(worker);
+		if (!worker || !room) {
+			return 0;
+		}
+
+		const need = getNeed(task);
+		room.free = {cpu: room.free.cpu - need.cpu, memoryMb: room.free.memoryMb - need.memoryMb, gpu: room.free.gpu - need.gpu};
+		room.ofStep++;
+		chosen.push({task, worker});
+	}
+
+	const run = Math.max(...step.tasks.map(task => task.run)) + 1;
+	const checkpoint = waiting.find(task => task.checkpoint !== '')?.checkpoint ?? '';
+	for (const {task, worker} of chosen) {
+		task.checkpoint = checkpoint;
+		placeTask(state, task, worker, run);
+	}
+
+	return chosen.length;
+}
+
+type Room = {free: Resources; ofStep: number};
+
+function listRooms(step: StepRun, workers: readonly Worker[]): Map<Worker, Room> {
+	return new Map(workers.map(worker => [worker, {free: getFree(worker), ofStep: countOfStep(step, worker)}]));
+}
+
+/** What a worker has left. */
+export function getFree(worker: Worker): Resources {
+	return {
+		cpu: worker.capacity.cpu - worker.used.cpu,
+		memoryMb: worker.capacity.memoryMb - worker.used.memoryMb,
+		gpu: worker.capacity.gpu - worker.used.gpu,
+	};
+}
+
+function countOfStep(step: StepRun, worker: Worker): number {
+	return step.definition.maxPerWorker > 0 ? step.tasks.filter(task => task.worker === worker).length : 0;
+}
+
+/** True if a need fits into some room. */
+export function doesFit(need: Resources, free: Resources): boolean {
+	return need.cpu <= free.cpu && need.memoryMb <= free.memoryMb && need.gpu <= free.gpu;
+}
+
+function chooseWorker(state: SchedulerState, task: Task, candidates: readonly Worker[], rooms: ReadonlyMap<Worker, Room>): Worker | undefined {
+	const {definition} = task.step;
+	const need = getNeed(task);
+	const unadvised: Worker[] = [];
+	let best: Worker | undefined;
+	let bestScore = Number.POSITIVE_INFINITY;
+	const rack = chooseRack(state, task);
+	for (const worker of candidates) {
+		const room = rooms.get(worker)!;
+		const isFull = definition.maxPerWorker > 0 && room.ofStep >= definition.maxPerWorker;
+		const isProbed = isSuspect(worker) && worker.tasks.size >= suspectTaskLimit;
+		if (isFull || isProbed || !doesFit(need, room.free) || (rack.isBinding && worker.rack !== rack.name)) {
+			continue;
+		}
+
+		const ticket = getTicketState(state, task.step, worker);
+		if (ticket === 'unknown') {
+			unadvised.push(worker);
+		}
+
+		if (ticket !== 'good') {
+			continue;
+		}
+
+		const score = scoreWorker(task, worker, room.free, rack.name);
+		if (score < bestScore) {
+			best = worker;
+			bestScore = score;
+		}
+	}
+
+	if (!best && unadvised.length > 0) {
+		requestAdvice(state, task.step, unadvised);
+	}
+
+	return best;
+}
+
+const farPenalty = 4;
+const suspectPenalty = 8;
+const failedPenalty = 16;
+
+/** Lower is better: tasks fill workers one after the other, fillers go where most is unused. */
+function scoreWorker(task: Task, worker: Worker, free: Resources, rack: string | undefined): number {
+	const share = free.cpu / Math.max(1, worker.capacity.cpu);
+	let score = task.step.definition.isFiller ? 1 - share : share;
+	score += rack !== undefined && worker.rack !== rack ? farPenalty : 0;
+	score += isSuspect(worker) ? suspectPenalty : 0;
+	score += task.failedOn.has(worker.id) ? failedPenalty : 0;
+	return score;
+}
+
+type RackChoice = {readonly name: string | undefined; readonly isBinding: boolean};
+
+/** The rack of the step's data or of its tasks; it binds for as long as waiting costs less than working far away. */
+function chooseRack(state: SchedulerState, task: Task): RackChoice {
+	const {definition, tasks} = task.step;
+	const used = definition.isSameRack ? tasks.find(other => other.worker !== undefined)?.worker?.rack : undefined;
+	const name = used ?? definition.dataRack;
+	if (name === undefined) {
+		return {name, isBinding: false};
+	}
+
+	const lossMs = definition.estimateMs * (state.settings.farFactor - 1);
+	return {name, isBinding: state.now - task.readyAt < lossMs * rackPatience};
+}
+
+/** Notes the steps that wait, now and then. */
+export function noteWaiting(state: SchedulerState): void {
+	for (const [pool, demand] of state.demand) {
+		if (demand.waitingTasks > 0) {
+			noteDecision(state, 'tasks-wait', {pool, tasks: demand.waitingTasks, cpu: demand.waitingCpu});
+		}
+	}
+}
--- /dev/null
+++ b/packages/core/src/scheduler/reduce.ts
@@ -0,0 +1,168 @@
+/** The scheduler's reducer: one event in, effects out. Time never runs backwards. */
+import {handleAdvice} from './advice.js';
+import {handleCommit, tickCommits} from './commits.js';
+import {handleHold, tickHolds} from './holds.js';
+import {applyIntake, dropIfOver, openDueOccurrences} from './jobs.js';
+import {
+	handleClaim, loadLedger, readLedger, releaseLead, stopLeading, tickClaim, tickLeadership,
+} from './leadership.js';
+import {noteDecision, noteWarning} from './logging.js';
+import {
+	handleMachineList, handleOrder, tickMachineList, tickOrders,
+} from './machines.js';
+import {tickMoves} from './moves.js';
+import {updatePace} from './pacing.js';
+import {placeTasks} from './placement.js';
+import {removeGoneWorkers, updateWorkers} from './registry.js';
+import {removeOldJobs} from './retention.js';
+import {handleStart, handleStop, tickStops} from './starts.js';
+import {updateOpenStep} from './tasks.js';
+import {addWave, handleReport, tickWaves} from './waves.js';
+import type {SchedulerEffect} from './effects.js';
+import type {SchedulerEvent, SchedulerEventType} from './events.js';
+import type {SchedulerState} from './state.js';
+
+type Handlers = {[K in SchedulerEventType]: (state: SchedulerState, event: Extract<SchedulerEvent, {type: K}>) => void};
+
+const handlers: Handlers = {
+	'clock/ticked'(state) {
+		tickLeadership(state);
+		tickClaim(state);
+		if (state.isStopping) {
+			releaseLead(state);
+		}
+
+		if (state.leadership.role !== 'leader') {
+			return;
+		}
+
+		tickJobs(state);
+		tickStops(state);
+		tickMachineList(state);
+		tickOrders(state);
+		tickWaves(state);
+		tickMoves(state);
+		removeOldJobs(state);
+		removeGoneWorkers(state);
+	},
+	'stop/requested'(state) {
+		releaseLead(state);
+	},
+	'config/read'(state, {config}) {
+		if (state.config && state.config.version >= config.version) {
+			return;
+		}
+
+		noteDecision(state, 'config-in-force', {version: config.version, formerVersion: state.config?.version, queues: config.queues.length});
+		state.config = config;
+		state.isConfigDirty = true;
+		state.needsPlacement = true;
+	},
+	'intake/read'(state, {records}) {
+		for (const record of records) {
+			applyIntake(state, record);
+		}
+	},
+	'ledger/loaded': loadLedger,
+	'ledger/read': readLedger,
+	'claim/ended': handleClaim,
+	'commit/ended'(state, event) {
+		if (event.outcome === 'fenced') {
+			stopLeading(state, 'the ledger is fenced');
+		} else {
+			handleCommit(state, event);
+		}
+	},
+	'workers/listed'(state, {workers}) {
+		if (state.leadership.role === 'leader') {
+			updateWorkers(state, workers);
+		}
+	},
+	'start/ended'(state, event) {
+		if (event.outcome === 'fenced') {
+			stopLeading(state, 'a worker has seen a higher token');
+		} else {
+			handleStart(state, event);
+		}
+	},
+	'stop/ended'(state, event) {
+		if (event.outcome === 'fenced') {
+			stopLeading(state, 'a worker has seen a higher token');
+		} else {
+			handleStop(state, event);
+		}
+	},
+	'hold/ended'(state, event) {
+		if (event.outcome === 'fenced') {
+			stopLeading(state, 'a worker has seen a higher token');
+			return;
+		}
+
+		handleHold(state, event);
+		const worker = state.workers.get(event.workerId);
+		if (worker) {
+			updatePace(state, worker);
+		}
+	},
+	'pace/ended'(state, event) {
+		const task = state.workers.get(event.workerId)?.tasks.get(event.task);
+		if (task && task.run === event.run && !event.isDone) {
+			// The next look sets it anew.
+			task.pacePercent = 100;
+		}
+	},
+	'machines/listed': handleMachineList,
+	'order/ended'(state, event) {
+		if (event.outcome === 'fenced') {
+			stopLeading(state, 'the platform has seen a higher token');
+		} else {
+			handleOrder(state, event);
+		}
+	},
+	'wave/published': addWave,
+	'wave/reported': handleReport,
+	'advice/ended': handleAdvice,
+	'jobs/removed'(state, {jobIds}) {
+		for (const jobId of jobIds) {
+			state.jobs.delete(jobId);
+		}
+	},
+};
+
+const jobLookMs = 50;
+
+function tickJobs(state: SchedulerState): void {
+	if (state.now < state.jobsDueAt) {
+		return;
+	}
+
+	state.jobsDueAt = state.now + jobLookMs;
+	for (const job of state.liveJobs) {
+		if (job.definition.runCount > 0) {
+			openDueOccurrences(state, job);
+		}
+
+		dropIfOver(state, job);
+	}
+
+	for (const step of state.openSteps) {
+		updateOpenStep(state, step);
+	}
+}
+
+/** Applies one event to the state, in place, and returns what must be done. */
+export function reduceScheduler(state: SchedulerState, event: SchedulerEvent): SchedulerEffect[] {
+	state.now = Math.max(state.now, event.at);
+	state.wallNow = event.wallAt;
+	state.outbox = [];
+	try {
+		(handlers[event.type] as (state: SchedulerState, event: SchedulerEvent) => void)(state, event);
+		placeTasks(state);
+		tickCommits(state);
+		tickHolds(state);
+	} catch (error) {
+		noteWarning(state, 'handler-failed', {eventType: event.type, reason: error instanceof Error ? (error.stack ?? error.message) : 'unknown error'});
+	}
+
+	return state.outbox;
+}
--- /dev/null
+++ b/packages/core/src/scheduler/registry.ts
@@ -0,0 +1,147 @@
+/** The workers that a leader knows: from service discovery, and from stored starts. */
+import {addEffect, noteDecision} from './logging.js';
+import {returnTask} from './tasks.js';
+import {clockDrift, leaseSlackMs, unconfirmedLimitMs, workerLeaseMs} from './timing.js';
+import type {WorkerEntry, WorkerId} from './types.js';
+import type {SchedulerState, Worker} from './state.js';
+
+/** An earlier leader may have renewed a lease until it noticed that it leads no more. */
+const foreignLeaseMs = ((unconfirmedLimitMs + workerLeaseMs) * (1 + clockDrift)) + leaseSlackMs;
+
+/** A worker that stored progress names; the registry may fill it in. */
+export function createPlaceholder(state: SchedulerState, id: WorkerId, bornAt: number): Worker {
+	const known = state.workers.get(id);
+	if (known) {
+		return known;
+	}
+
+	const worker: Worker = {
+		id,
+		bornAt,
+		address: '',
+		pool: '',
+		availabilityZone: '',
+		rack: '',
+		labels: new Set(),
+		capacity: {cpu: 0, memoryMb: 0, gpu: 0},
+		machineId: undefined,
+		isDraining: false,
+		leavesAt: undefined,
+		isListed: false,
+		isFenced: false,
+		clock: undefined,
+		leaseEndsAt: state.now + foreignLeaseMs,
+		leaseUntilMs: 0,
+		readEnd: 0,
+		storedEnd: 0,
+		ackedEnd: 0,
+		isHeld: false,
+		holdDueAt: 0,
+		lastAnswerAt: state.now,
+		misses: 0,
+		tasks: new Map(),
+		strangers: new Map(),
+		used: {cpu: 0, memoryMb: 0, gpu: 0},
+		isReserved: false,
+		setAsideUntil: 0,
+		failures: [],
+		lastDoneAt: 0,
+		setAsideCount: 0,
+		idleSince: state.now,
+	};
+	state.workers.set(id, worker);
+	return worker;
+}
+
+/** Takes the list of service discovery over; what is not on it gets no new work. */
+export function updateWorkers(state: SchedulerState, entries: readonly WorkerEntry[]): void {
+	const listed = new Set<WorkerId>();
+	for (const entry of entries) {
+		if (state.endedWorkers.get(entry.id) === entry.bornAt) {
+			continue;
+		}
+
+		listed.add(entry.id);
+		updateWorker(state, entry);
+	}
+
+	for (const worker of state.workers.values()) {
+		if (worker.isListed && !listed.has(worker.id)) {
+			worker.isListed = false;
+			noteDecision(state, 'worker-unlisted', {workerId: worker.id, tasks: worker.tasks.size});
+		}
+	}
+
+	state.needsPlacement = true;
+}
+
+function updateWorker(state: SchedulerState, entry: WorkerEntry): void {
+	const worker = createPlaceholder(state, entry.id, entry.bornAt);
+	if (worker.bornAt < entry.bornAt) {
+		restartWorker(state, worker, entry.bornAt);
+	} else if (worker.bornAt > entry.bornAt) {
+		return;
+	}
+
+	if (!worker.isListed || worker.isDraining !== entry.isDraining) {
+		noteDecision(state, 'worker-listed', {workerId: entry.id, pool: entry.pool, isDraining: entry.isDraining, bornAt: entry.bornAt});
+	}
+
+	worker.isListed = true;
+	worker.address = entry.address;
+	worker.pool = entry.pool;
+	worker.availabilityZone = entry.availabilityZone;
+	worker.capacity = entry.capacity;
+	worker.labels = new Set(entry.labels);
+	worker.rack = entry.labels.at(-1) ?? '';
+	worker.machineId = entry.machineId;
+	worker.leavesAt = entry.isDraining ? (worker.leavesAt ?? state.now + (entry.remainingMs ?? 0)) : undefined;
+	worker.isDraining = entry.isDraining;
+}
+
+/** The worker's process is a new one: nothing of the old one runs any more. */
+export function restartWorker(state: SchedulerState, worker: Worker, bornAt: number): void {
+	noteDecision(state, 'worker-restarted', {
+		workerId: worker.id, bornAt, formerBornAt: worker.bornAt, tasks: worker.tasks.size,
+	});
+	const doubtful = [...worker.tasks.values()].filter(task => task.isSent && task.status !== 'running');
+	clearWorker(state, worker);
+	worker.bornAt = bornAt;
+	worker.clock = undefined;
+	worker.leaseEndsAt = 0;
+	worker.leaseUntilMs = 0;
+	worker.readEnd = 0;
+	worker.storedEnd = 0;
+	worker.ackedEnd = 0;
+	worker.isHeld = false;
+	worker.holdDueAt = 0;
+	worker.misses = 0;
+	worker.isReserved = false;
+	worker.setAsideUntil = 0;
+	worker.failures.length = 0;
+	// A start that is still on its way to this id must not be carried out by the new process.
+	for (const task of doubtful) {
+		addEffect(state, {
+			type: 'worker/stop', worker: {id: worker.id, bornAt, address: worker.address}, task: task.name, run: task.run, token: state.leadership.token,
+		});
+	}
+}
+
+/** Nothing runs at the worker any more; its tasks wait again. */
+export function clearWorker(state: SchedulerState, worker: Worker): void {
+	for (const task of [...worker.tasks.values()]) {
+		returnTask(state, task);
+	}
+
+	worker.strangers.clear();
+	worker.isFenced = false;
+}
+
+/** Forgets workers that left and have nothing of ours. */
+export function removeGoneWorkers(state: SchedulerState): void {
+	for (const worker of state.workers.values()) {
+		if (!worker.isListed && worker.tasks.size === 0 && !worker.isHeld && state.now > worker.leaseEndsAt) {
+			state.workers.delete(worker.id);
+		}
+	}
+}
--- /dev/null
+++ b/packages/core/src/scheduler/starts.ts
@@ -0,0 +1,152 @@
+/** Starts and stops of runs, and their outcomes. */
+import {extendLease} from './holds.js';
+import {addEffect, noteDecision} from './logging.js';
+import {isJobOpen} from './phases.js';
+import {clearWorker} from './registry.js';
+import {
+	confirmTask, getTarget, requestStop, returnTask,
+} from './tasks.js';
+import {notSettled, stopRetryMs} from './timing.js';
+import type {SchedulerEvent, StartOutcome} from './events.js';
+import type {SchedulerState, Task, Worker} from './state.js';
+
+type StartEnded = Extract<SchedulerEvent, {type: 'start/ended'}>;
+type StopEnded = Extract<SchedulerEvent, {type: 'stop/ended'}>;
+
+/** A worker without room, or unhealthy, gets nothing new for this long. */
+const refusalPauseMs = 400;
+const unhealthyPauseMs = 1000;
+
+/** Sends a start whose decision is stored, if it still holds. */
+export function sendStart(state: SchedulerState, task: Task, run: number): void {
+	const {worker} = task;
+	if (!worker || task.run !== run || task.status !== 'placed' || task.isSent) {
+		return;
+	}
+
+	if (!isJobOpen(task.step.occurrence.job) || !worker.isFenced || !worker.isListed || worker.isReserved) {
+		returnTask(state, task);
+		return;
+	}
+
+	const untilMs = extendLease(state, worker);
+	if (untilMs === undefined) {
+		returnTask(state, task);
+		return;
+	}
+
+	task.isSent = true;
+	task.startedAt = state.now;
+	addEffect(state, {
+		type: 'worker/start',
+		worker: getTarget(worker),
+		task: task.name,
+		run,
+		spec: task.step.occurrence.job.definition.spec,
+		untilMs,
+		token: state.leadership.token,
+		checkpoint: task.checkpoint,
+		ticket: task.step.advice?.tickets.get(worker.id)?.ticket,
+	});
+}
+
+type StartHandler = (state: SchedulerState, worker: Worker, task: Task) => void;
+
+function returnRefused(state: SchedulerState, _worker: Worker, task: Task): void {
+	returnTask(state, task);
+}
+
+const startHandlers: Readonly<Record<StartOutcome, StartHandler>> = {
+	started(state, _worker, task) {
+		confirmTask(state, task);
+		task.settledAt = state.now;
+	},
+	fenced() {
+		// The reducer has given the lead up already.
+	},
+	'stale-run': returnRefused,
+	late: returnRefused,
+	'no-room'(state, worker, task) {
+		returnTask(state, task);
+		worker.setAsideUntil = Math.max(worker.setAsideUntil, state.now + refusalPauseMs);
+	},
+	'no-ticket'(state, worker, task) {
+		task.step.advice?.tickets.delete(worker.id);
+		returnTask(state, task);
+	},
+	invalid(state, worker, task) {
+		task.failedOn.add(worker.id);
+		returnTask(state, task);
+		worker.setAsideUntil = Math.max(worker.setAsideUntil, state.now + refusalPauseMs);
+	},
+	unhealthy(state, worker, task) {
+		returnTask(state, task);
+		worker.setAsideUntil = Math.max(worker.setAsideUntil, state.now + unhealthyPauseMs);
+	},
+	'other-life'(state, worker) {
+		clearWorker(state, worker);
+		worker.isListed = false;
+		worker.leaseEndsAt = 0;
+	},
+	'not-sent'(state, worker, task) {
+		returnTask(state, task);
+		worker.setAsideUntil = Math.max(worker.setAsideUntil, state.now + unhealthyPauseMs);
+	},
+	unknown(state, _worker, task) {
+		// It may have been carried out, or may be later: only a stop makes the run void.
+		if (task.status === 'placed') {
+			requestStop(state, task);
+		}
+	},
+};
+
+/** Handles the answer to a start. */
+export function handleStart(state: SchedulerState, event: StartEnded): void {
+	const worker = state.workers.get(event.workerId);
+	const task = worker?.tasks.get(event.task);
+	if (!worker || worker.bornAt !== event.bornAt || !task || task.run !== event.run) {
+		return;
+	}
+
+	if (event.outcome !== 'started') {
+		noteDecision(state, 'start-refused', {
+			task: task.name, run: task.run, workerId: worker.id, outcome: event.outcome,
+		});
+	}
+
+	if (event.clockMs !== undefined) {
+		worker.clock = {workerMs: event.clockMs, at: state.now};
+	}
+
+	startHandlers[event.outcome](state, worker, task);
+}
+
+/** Handles the answer to a stop. */
+export function handleStop(state: SchedulerState, event: StopEnded): void {
+	const worker = state.workers.get(event.workerId);
+	const task = worker?.tasks.get(event.task);
+	if (!worker || worker.bornAt !== event.bornAt || !task || task.run !== event.run || task.status !== 'stopping') {
+		return;
+	}
+
+	if (event.outcome === 'other-life') {
+		clearWorker(state, worker);
+		worker.isListed = false;
+		worker.leaseEndsAt = 0;
+		return;
+	}
+
+	task.settledAt = event.outcome === 'stopped' ? state.now : notSettled;
+	task.stopDueAt = event.outcome === 'stopped' ? notSettled : state.now + stopRetryMs;
+}
+
+/** Repeats the stops that were not confirmed. */
+export function tickStops(state: SchedulerState): void {
+	for (const worker of state.workers.values()) {
+		for (const task of worker.tasks.values()) {
+			if (task.status === 'stopping' && task.settledAt === notSettled && state.now >= task.stopDueAt) {
+				requestStop(state, task);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/core/src/scheduler/state.ts
@@ -0,0 +1,293 @@
+/** State of the scheduler on one entry host. */
+import type {JobId} from '../types/ids.js';
+import type {Instant} from '../types/time.js';
+import type {SchedulerEffect} from './effects.js';
+import type {
+	FencingToken, FleetConfig, JobDefinition, JobPhase, JobProgress, LedgerRecord, MachineEntry, MachineId, PoolName, Resources, RunningRow, StepDefinition, SteadyMs, TaskName, WaveDefinition, WaveNumber, WorkerId,
+} from './types.js';
+
+/** What a host is told once, at its start. */
+export type SchedulerSettings = {
+	/** Name of this life of this host. */
+	readonly holder: string;
+	/** Spreads simultaneous claims; 0 to 1. */
+	readonly spread: number;
+	/** Where this life numbers its appends from; differs between hosts, or the store takes one claim for a repeat of another. */
+	readonly firstSequence: number;
+	readonly moveMs: number;
+	readonly upkeepMs: number;
+	/** Least time between machine orders of two leaders. */
+	readonly orderLeaseMs: number;
+	readonly holdMaxMs: number;
+	readonly statusRetentionMs: number;
+	/** How much longer a step takes away from the rack of its data. */
+	readonly farFactor: number;
+};
+
+/** `stopping`: a stop was asked for, or it is unknown whether the start arrived. */
+export type TaskStatus = 'waiting' | 'placed' | 'running' | 'stopping' | 'done';
+
+/** One task. */
+export type Task = {
+	readonly name: TaskName;
+	readonly step: StepRun;
+	readonly index: number;
+	status: TaskStatus;
+	/** Number of the latest start; 0 before the first. */
+	run: number;
+	failures: number;
+	worker: Worker | undefined;
+	checkpoint: string;
+	/** The start left this host, now or under an earlier leader. */
+	isSent: boolean;
+	/** Hold answers sent after this instant list the run, or it is gone. */
+	settledAt: SteadyMs;
+	/** When the stop may be sent again. */
+	stopDueAt: SteadyMs;
+	percent: number;
+	percentChangedAt: SteadyMs;
+	startedAt: SteadyMs;
+	reading: number;
+	/** Share at which a filler is let work, 0 to 100. */
+	pacePercent: number;
+	readyAt: SteadyMs;
+	/** Where the task failed lately. */
+	readonly failedOn: Set<WorkerId>;
+};
+
+/** One step of one occurrence. */
+export type StepRun = {
+	readonly occurrence: Occurrence;
+	readonly number: number;
+	readonly definition: StepDefinition;
+	readonly tasks: Task[];
+	doneCount: number;
+	/** Tickets of the advice service by worker. */
+	advice: StepAdvice | undefined;
+};
+
+export type StepAdvice = {
+	isAsked: boolean;
+	askAgainAt: SteadyMs;
+	/** Workers that were named in an ask and are not good. */
+	readonly known: Set<WorkerId>;
+	readonly tickets: Map<WorkerId, {readonly ticket: string; readonly validUntil: SteadyMs}>;
+};
+
+export type Occurrence = {
+	readonly job: Job;
+	readonly number: number;
+	readonly steps: StepRun[];
+	isDone: boolean;
+};
+
+export type Job = {
+	readonly definition: JobDefinition;
+	/** As stored; callers are told this. */
+	phase: Exclude<JobPhase, 'cancelled'>;
+	isCancelled: boolean;
+	progress: JobProgress | undefined;
+	readonly acceptedAt: SteadyMs;
+	/** Only on the leader, and only while the job is live. */
+	live: LiveJob | undefined;
+	/** Since when this host knows that the job is over. */
+	overSince?: SteadyMs | undefined;
+};
+
+export type LiveJob = {
+	readonly occurrences: Map<number, Occurrence>;
+	readonly finishedOccurrences: Set<number>;
+	nextOccurrence: number;
+	hasStarted: boolean;
+	phase: Exclude<JobPhase, 'cancelled'>;
+	finishedAt: Instant;
+};
+
+export type Worker = {
+	readonly id: WorkerId;
+	bornAt: number;
+	address: string;
+	pool: PoolName;
+	availabilityZone: string;
+	rack: string;
+	labels: ReadonlySet<string>;
+	capacity: Resources;
+	machineId: MachineId | undefined;
+	isDraining: boolean;
+	leavesAt: SteadyMs | undefined;
+	isListed: boolean;
+	/** The fence was raised and its lists were read by this leader. */
+	isFenced: boolean;
+	/** A reading of its clock and the instant of its arrival. */
+	clock: {readonly workerMs: number; readonly at: SteadyMs} | undefined;
+	/** No lease that any leader gave is in force after this. */
+	leaseEndsAt: SteadyMs;
+	/** Latest lease asked for, on the worker's clock. */
+	leaseUntilMs: number;
+	/** Highest end that was read, stored, and acknowledged. */
+	readEnd: number;
+	storedEnd: number;
+	ackedEnd: number;
+	isHeld: boolean;
+	holdDueAt: SteadyMs;
+	lastAnswerAt: SteadyMs;
+	/** Holds in a row without an answer. */
+	misses: number;
+	readonly tasks: Map<TaskName, Task>;
+	/** Runs at the worker that nobody here knows of; they are stopped. */
+	readonly strangers: Map<TaskName, RunningRow>;
+	used: Resources;
+	/** Kept free for a machine order. */
+	isReserved: boolean;
+	setAsideUntil: SteadyMs;
+	readonly failures: Array<{readonly at: SteadyMs; readonly jobId: JobId}>;
+	lastDoneAt: SteadyMs;
+	setAsideCount: number;
+	idleSince: SteadyMs;
+};
+
+/** Actions that wait until the changes they rest on are stored. */
+export type PendingAction =
+	| {readonly type: 'start'; readonly task: Task; readonly run: number}
+	| {readonly type: 'note-ends'; readonly worker: Worker; readonly upTo: number}
+	| {readonly type: 'show-phase'; readonly job: Job};
+
+/** One append to the ledger. */
+export type Commit = {
+	readonly sequence: number;
+	readonly records: readonly LedgerRecord[];
+	readonly actions: readonly PendingAction[];
+	retryAt: SteadyMs | undefined;
+};
+
+export type Leadership = {
+	role: 'follower' | 'claiming' | 'leader' | 'retired';
+	token: FencingToken;
+	/** Next offset of the ledger to read. */
+	ledgerEnd: number;
+	lastRecordAt: SteadyMs;
+	claimNotBefore: SteadyMs;
+	isReleased: boolean;
+	hasLedger: boolean;
+	/** Since when this host leads; machine orders wait some time after it. */
+	leadsSince: SteadyMs;
+	confirmedAt: SteadyMs;
+	nextSequence: number;
+	commit: Commit | undefined;
+	commitNotBefore: SteadyMs;
+	/** When a claim of unknown outcome is given up. */
+	retryClaimAt: SteadyMs | undefined;
+};
+
+export type MachineOrder = {
+	readonly type: 'move' | 'upkeep';
+	readonly pool: PoolName;
+	readonly wave: WaveNumber;
+	isInFlight: boolean;
+	retryAt: SteadyMs;
+	/** The platform confirmed it; the machine is back some time later. */
+	confirmedAt: SteadyMs | undefined;
+};
+
+export type Machine = {
+	entry: MachineEntry;
+	order: MachineOrder | undefined;
+	/** The wave for which the machine is emptied. */
+	drainsFor: WaveNumber | undefined;
+	/** No order before this. */
+	notBefore?: SteadyMs;
+};
+
+export type Wave = {
+	readonly definition: WaveDefinition;
+	readonly doneMachines: Set<MachineId>;
+	readonly readAt: SteadyMs;
+	isCompleted: boolean;
+	reported: 'none' | 'running' | 'completed';
+	reportDueAt: SteadyMs;
+};
+
+export type PoolDemand = {
+	/** Processor that ready tasks wait for. */
+	waitingCpu: number;
+	waitingTasks: number;
+	/** Recent processor in use or asked for; falls slowly. */
+	recentCpu: number;
+};
+
+export type SchedulerState = {
+	readonly settings: SchedulerSettings;
+	now: SteadyMs;
+	wallNow: Instant;
+	isStopping: boolean;
+	config: FleetConfig | undefined;
+	readonly jobs: Map<JobId, Job>;
+	/** Cancels that were read before their job. */
+	readonly earlyCancels: Set<JobId>;
+	/** Progress that was read before its job. */
+	readonly earlyProgress: Map<JobId, JobProgress>;
+	readonly liveJobs: Set<Job>;
+	/** Steps with tasks that may start. */
+	readonly openSteps: Set<StepRun>;
+	readonly workers: Map<WorkerId, Worker>;
+	readonly leadership: Leadership;
+	readonly dirtyJobs: Set<Job>;
+	readonly removedJobs: Set<JobId>;
+	pendingActions: PendingAction[];
+	readonly machines: Map<MachineId, Machine>;
+	machinesListedAt: SteadyMs;
+	machinesDueAt: SteadyMs;
+	isListingMachines: boolean;
+	readonly waves: Map<WaveNumber, Wave>;
+	storedWaves: Map<WaveNumber, ReadonlySet<MachineId>>;
+	areWavesDirty: boolean;
+	isConfigDirty: boolean;
+	readonly demand: Map<PoolName, PoolDemand>;
+	needsPlacement: boolean;
+	isAdviceAsked: boolean;
+	/** Processes that ended with an order of this leader; late entries of theirs are ignored. */
+	readonly endedWorkers: Map<WorkerId, number>;
+	jobsDueAt: SteadyMs;
+	movesDueAt: SteadyMs;
+	retentionDueAt: SteadyMs;
+	outbox: SchedulerEffect[];
+};
+
+/** The state of a host that has just started. */
+export function createSchedulerState(settings: SchedulerSettings): SchedulerState {
+	return {
+		settings,
+		now: 0,
+		wallNow: 0 as Instant,
+		isStopping: false,
+		config: undefined,
+		jobs: new Map(),
+		earlyCancels: new Set(),
+		earlyProgress: new Map(),
+		liveJobs: new Set(),
+		openSteps: new Set(),
+		workers: new Map(),
+		leadership: {
+			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, claimNotBefore: 0, isReleased: false, hasLedger: false, leadsSince: 0, confirmedAt: 0, nextSequence: 0, commit: undefined, commitNotBefore: 0, retryClaimAt: undefined,
+		},
+		dirtyJobs: new Set(),
+		removedJobs: new Set(),
+		pendingActions: [],
+		machines: new Map(),
+		machinesListedAt: 0,
+		machinesDueAt: 0,
+		isListingMachines: false,
+		waves: new Map(),
+		storedWaves: new Map(),
+		areWavesDirty: false,
+		isConfigDirty: false,
+		demand: new Map(),
+		needsPlacement: false,
+		isAdviceAsked: false,
+		endedWorkers: new Map(),
+		jobsDueAt: 0,
+		movesDueAt: 0,
+		retentionDueAt: 0,
+		outbox: [],
+	};
+}
--- /dev/null
+++ b/packages/core/src/scheduler/timing.ts
@@ -0,0 +1,35 @@
+/** Times of the scheduler. */
+
+/** How long a worker goes on without hearing from a leader; longer than a takeover takes. */
+export const workerLeaseMs = 5000;
+/** A lease is renewed when less than this is left. */
+export const renewLeaseMs = 3000;
+/** Workers' clocks may run slow by this share. */
+export const clockDrift = 0.02;
+/** Slack on top of a computed end of a lease. */
+export const leaseSlackMs = 100;
+/** A leader that the store has not confirmed for this long stops renewing leases. */
+export const unconfirmedLimitMs = 10_000;
+/** A ledger without records for this long has no leader. */
+export const leaderSilenceMs = 2000;
+/** A leader without changes writes a sign of life this often. */
+export const signOfLifeMs = 500;
+/** Claims of several hosts are spread over this time. */
+export const claimSpreadMs = 400;
+export const claimRetryMs = 500;
+/** Least time between two appends to the ledger, so that changes share one. */
+export const commitPauseMs = 10;
+export const commitRetryMs = 60;
+/** How long a look at a worker waits for an end. */
+export const holdWaitMs = 1500;
+/** The same where serving tasks are watched. */
+export const watchWaitMs = 500;
+export const holdRetryMs = 150;
+export const stopRetryMs = 300;
+/** Evidence against a worker is kept for this long. */
+export const evidenceMs = 10_000;
+export const setAsideMs = 3000;
+/** A running task whose progress stands still for this long is stuck. */
+export const stuckMs = 1500;
+/** Sign that settling is still open. */
+export const notSettled = Number.POSITIVE_INFINITY;
--- /dev/null
+++ b/packages/core/src/scheduler/waves.ts
@@ -0,0 +1,168 @@
+/** Maintenance waves: machines are emptied and sent into their upkeep, never more at once than allowed. */
+import {
+	canOrder, findWorker, orderUpkeep,
+} from './machines.js';
+import {addEffect, noteDecision} from './logging.js';
+import {getFree, isUsable} from './placement.js';
+import {requestStop} from './tasks.js';
+import type {SchedulerEvent} from './events.js';
+import type {
+	Machine, SchedulerState, StepRun, Task, Wave, Worker,
+} from './state.js';
+
+type WavePublished = Extract<SchedulerEvent, {type: 'wave/published'}>;
+type WaveReported = Extract<SchedulerEvent, {type: 'wave/reported'}>;
+
+const reportRetryMs = 500;
+/** Machines that are emptied ahead of those that are down. */
+const drainAhead = 1;
+const fullPercent = 100;
+
+/** Takes a wave in. */
+export function addWave(state: SchedulerState, event: WavePublished): void {
+	const {definition} = event;
+	if (state.waves.has(definition.wave)) {
+		return;
+	}
+
+	const wave: Wave = {
+		definition, doneMachines: new Set(state.storedWaves.get(definition.wave)), readAt: state.now, isCompleted: event.isCompleted, reported: event.isCompleted ? 'completed' : 'none', reportDueAt: 0,
+	};
+	state.waves.set(definition.wave, wave);
+	noteDecision(state, 'wave-read', {
+		wave: definition.wave, machines: definition.machineIds.length, maxDown: definition.maxDown, deadlineS: definition.deadlineS,
+	});
+}
+
+/** Goes on with all waves. */
+export function tickWaves(state: SchedulerState): void {
+	if (state.leadership.role !== 'leader') {
+		return;
+	}
+
+	for (const wave of state.waves.values()) {
+		if (!wave.isCompleted) {
+			advanceWave(state, wave);
+		}
+
+		reportWave(state, wave);
+	}
+}
+
+function reportWave(state: SchedulerState, wave: Wave): void {
+	const wanted = wave.isCompleted ? 'completed' : 'running';
+	if (wave.reported !== wanted && state.now >= wave.reportDueAt) {
+		wave.reportDueAt = state.now + reportRetryMs;
+		addEffect(state, {type: 'wave/report', wave: wave.definition.wave, isCompleted: wave.isCompleted});
+	}
+}
+
+/** Handles the outcome of a report. */
+export function handleReport(state: SchedulerState, event: WaveReported): void {
+	const wave = state.waves.get(event.wave);
+	if (wave && event.isStored) {
+		wave.reported = event.isCompleted ? 'completed' : 'running';
+	}
+}
+
+function advanceWave(state: SchedulerState, wave: Wave): void {
+	if (!canOrder(state) || state.machinesListedAt <= state.leadership.leadsSince) {
+		return;
+	}
+
+	const {definition} = wave;
+	const open = definition.machineIds.filter(id => !wave.doneMachines.has(id)).map(id => state.machines.get(id)).filter(machine => machine !== undefined);
+	const down = definition.machineIds.filter(id => isDownForWave(state.machines.get(id), definition.wave)).length;
+	if (open.length === 0 && down === 0) {
+		wave.isCompleted = true;
+		noteDecision(state, 'wave-completed', {wave: definition.wave, tookMs: Math.round(state.now - wave.readAt)});
+		return;
+	}
+
+	let room = definition.maxDown - down;
+	let draining = open.filter(machine => machine.drainsFor === definition.wave).length;
+	for (const machine of sortByLoad(state, open)) {
+		if (machine.order || machine.entry.state !== 'up' || (machine.notBefore ?? 0) > state.now) {
+			continue;
+		}
+
+		if (machine.drainsFor === undefined && draining < Math.max(0, room) + drainAhead) {
+			machine.drainsFor = definition.wave;
+			draining++;
+		}
+
+		if (machine.drainsFor === definition.wave && drainMachine(state, machine) && room > 0) {
+			orderUpkeep(state, machine, definition.wave);
+			room--;
+		}
+	}
+}
+
+function isDownForWave(machine: Machine | undefined, wave: number): boolean {
+	return machine?.order?.type === 'upkeep' && machine.order.wave === wave;
+}
+
+function sortByLoad(state: SchedulerState, machines: readonly Machine[]): Machine[] {
+	const getLoad = (machine: Machine) => {
+		const worker = findWorker(state, machine);
+		const lasting = worker ? [...worker.tasks.values()].filter(task => task.step.definition.isLongRunning).length : 0;
+		return (machine.drainsFor === undefined ? 1_000_000 : 0) + (lasting * 100_000) + (worker?.used.cpu ?? 0);
+	};
+
+	return [...machines].sort((a, b) => getLoad(a) - getLoad(b));
+}
+
+/** Keeps new work away and ends what lasts; true once the machine is empty. */
+function drainMachine(state: SchedulerState, machine: Machine): boolean {
+	const worker = findWorker(state, machine);
+	if (!worker) {
+		return true;
+	}
+
+	worker.isReserved = true;
+	for (const task of worker.tasks.values()) {
+		if (task.step.definition.isLongRunning && task.status === 'running' && canDisplace(state, task)) {
+			noteDecision(state, 'task-displaced', {task: task.name, workerId: worker.id, machineId: machine.entry.id});
+			requestStop(state, task);
+		}
+	}
+
+	return worker.tasks.size === 0 && worker.strangers.size === 0 && worker.readEnd === worker.ackedEnd;
+}
+
+/** True if stopping a long-running task leaves enough of its step at work, and there is room for it elsewhere. */
+export function canDisplace(state: SchedulerState, task: Task): boolean {
+	const {step} = task;
+	const away = step.tasks.filter(other => other !== task && !isAtWork(state, other)).length;
+	if (step.definition.maxUnavailable > 0 && away >= step.definition.maxUnavailable) {
+		return false;
+	}
+
+	return hasRoomElsewhere(state, step, task.worker);
+}
+
+/** A long-running task counts as away for a while after it is back. */
+const atWorkSinceMs = 700;
+
+function isAtWork(state: SchedulerState, task: Task): boolean {
+	return task.status === 'running' && task.percent >= fullPercent && state.now - task.startedAt > atWorkSinceMs
+		&& task.worker !== undefined && task.worker.misses === 0;
+}
+
+function hasRoomElsewhere(state: SchedulerState, step: StepRun, current: Worker | undefined): boolean {
+	const {need, maxPerWorker, isFiller} = step.definition;
+	for (const worker of state.workers.values()) {
+		if (worker === current || worker.pool !== current?.pool || !isUsable(state, worker)) {
+			continue;
+		}
+
+		const free = getFree(worker);
+		const ofStep = step.tasks.filter(task => task.worker === worker).length;
+		const hasRoom = (isFiller || free.cpu >= need.cpu) && free.memoryMb >= need.memoryMb;
+		if (hasRoom && (maxPerWorker === 0 || ofStep < maxPerWorker)) {
+			return true;
+		}
+	}
+
+	return false;
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/bounded-output.ts
@@ -0,0 +1,76 @@
+/** A stream that never makes its writer wait: what does not fit while the reader is slow is dropped and counted. */
+import {Buffer} from 'node:buffer';
+import {Writable} from 'node:stream';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+/** Writes a chunk and calls back; the callback may never come. */
+export type ChunkWriter = (chunk: Buffer, done: (error?: Error) => void) => void;
+
+const mostBytesKept = 1_048_576;
+const gatherMs = 50;
+const flushLimitMs = 300;
+const flushLookMs = 10;
+
+export class BoundedOutput extends Writable {
+	static create(writeChunk: ChunkWriter): BoundedOutput {
+		return new BoundedOutput(writeChunk);
+	}
+
+	droppedLines = 0;
+	private lines: Buffer[] = [];
+	private keptBytes = 0;
+	private isWriting = false;
+	private timer: NodeJS.Timeout | undefined;
+
+	private constructor(private readonly writeChunk: ChunkWriter) {
+		super({decodeStrings: true});
+	}
+
+	override _write(chunk: Buffer, _encoding: BufferEncoding, callback: () => void): void {
+		if (this.keptBytes + chunk.length > mostBytesKept) {
+			this.droppedLines++;
+		} else {
+			this.lines.push(chunk);
+			this.keptBytes += chunk.length;
+			this.scheduleWrite();
+		}
+
+		callback();
+	}
+
+	/** Resolves once all is written, or after a short while. */
+	async flush(): Promise<void> {
+		this.sendLines();
+		for (let waitedMs = 0; waitedMs < flushLimitMs && (this.isWriting || this.lines.length > 0); waitedMs += flushLookMs) {
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(flushLookMs);
+		}
+	}
+
+	private scheduleWrite(): void {
+		this.timer ??= setTimeout(() => {
+			this.timer = undefined;
+			this.sendLines();
+		}, gatherMs);
+	}
+
+	private sendLines(): void {
+		if (this.isWriting || this.lines.length === 0) {
+			return;
+		}
+
+		if (this.droppedLines > 0) {
+			this.lines.push(Buffer.from(`{"level":"warn","message":"log-lines-dropped","lines":${this.droppedLines}}\n`));
+			this.droppedLines = 0;
+		}
+
+		const chunk = Buffer.concat(this.lines);
+		this.lines = [];
+		this.isWriting = true;
+		this.writeChunk(chunk, () => {
+			this.isWriting = false;
+			this.keptBytes -= Math.min(this.keptBytes, chunk.length);
+			this.sendLines();
+		});
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/codec.ts
@@ -0,0 +1,96 @@
+/** Own records in the store, packed by msgpackr: a kind and an id make the key. */
+import type {JobId} from '@rhubarblever/core';
+import type {IntakeRecord, LedgerRecord} from '@rhubarblever/core/scheduler';
+import {Packr} from 'msgpackr';
+import type {KeyedRecord, NewRecord} from './ports.js';
+
+/** Jobs and cancels, written by all entry hosts. */
+export const intakeStream = 'keyed.intake';
+/** Progress, waves and the lead, written by the leader alone. */
+export const ledgerStream = 'keyed.ledger';
+
+const packr = new Packr({useRecords: false, encodeUndefinedAsNil: true});
+const keyPattern = /^(?<kind>[a-z]+):(?<id>.*)$/s;
+
+type ParsedKey = {readonly kind: string; readonly id: string};
+
+function parseKey(key: string): ParsedKey | undefined {
+	const groups = keyPattern.exec(key)?.groups;
+	return groups?.['kind'] === undefined || groups['id'] === undefined ? undefined : {kind: groups['kind'], id: groups['id']};
+}
+
+type IntakeEncoders = {[K in IntakeRecord['type']]: (record: Extract<IntakeRecord, {type: K}>) => NewRecord};
+
+const intakeEncoders: IntakeEncoders = {
+	job: ({job}) => ({key: `job:${job.jobId}`, value: packr.pack(job)}),
+	cancel: ({jobId}) => ({key: `cancel:${jobId}`, value: packr.pack(true)}),
+	'job-removed': ({jobId}) => ({key: `job:${jobId}`, value: undefined}),
+	'cancel-removed': ({jobId}) => ({key: `cancel:${jobId}`, value: undefined}),
+};
+
+/** A record of the intake as it is stored. */
+export function encodeIntake(record: IntakeRecord): NewRecord {
+	return (intakeEncoders[record.type] as (record: IntakeRecord) => NewRecord)(record);
+}
+
+type Decoder<Decoded> = (id: string, value: Uint8Array | undefined) => Decoded;
+
+const intakeDecoders: Readonly<Record<string, Decoder<IntakeRecord>>> = {
+	job: (id, value) => value ? {type: 'job', job: packr.unpack(value)} : {type: 'job-removed', jobId: id as JobId},
+	cancel: (id, value) => value ? {type: 'cancel', jobId: id as JobId} : {type: 'cancel-removed', jobId: id as JobId},
+};
+
+/** Undefined for a record of a kind that this version does not know. */
+export function decodeIntake(record: KeyedRecord): IntakeRecord | undefined {
+	const key = parseKey(record.key);
+	return key && intakeDecoders[key.kind]?.(key.id, record.value);
+}
+
+type LedgerEncoders = {[K in LedgerRecord['type']]: (record: Extract<LedgerRecord, {type: K}>) => NewRecord};
+
+const ledgerEncoders: LedgerEncoders = {
+	lease: ({lease}) => ({key: 'lease:', value: packr.pack(lease)}),
+	progress: ({jobId, progress}) => ({key: `progress:${jobId}`, value: packr.pack([
+		progress.phase,
+		progress.finishedOccurrences,
+		progress.finishedAt,
+		progress.rows.map(row => [row.occurrence, row.step, row.index, row.status, row.run, row.failures, row.workerId, row.workerBornAt, row.checkpoint]),
+	])}),
+	'progress-removed': ({jobId}) => ({key: `progress:${jobId}`, value: undefined}),
+	waves: ({waves}) => ({key: 'waves:', value: packr.pack(waves)}),
+	config: ({config}) => ({key: 'config:', value: packr.pack(config)}),
+};
+
+/** A record of the ledger as it is stored. */
+export function encodeLedger(record: LedgerRecord): NewRecord {
+	return (ledgerEncoders[record.type] as (record: LedgerRecord) => NewRecord)(record);
+}
+
+const ledgerDecoders: Readonly<Record<string, Decoder<LedgerRecord | undefined>>> = {
+	lease: (_id, value) => value && {type: 'lease', lease: packr.unpack(value)},
+	progress: (id, value) => value ? decodeProgress(id as JobId, value) : {type: 'progress-removed', jobId: id as JobId},
+	waves: (_id, value) => value && {type: 'waves', waves: packr.unpack(value)},
+	config: (_id, value) => value && {type: 'config', config: packr.unpack(value)},
+};
+
+function decodeProgress(jobId: JobId, value: Uint8Array): LedgerRecord {
+	const [phase, finishedOccurrences, finishedAt, rows] = packr.unpack(value);
+	return {
+		type: 'progress',
+		jobId,
+		progress: {
+			phase,
+			finishedOccurrences,
+			finishedAt,
+			rows: rows.map(([occurrence, step, index, status, run, failures, workerId, workerBornAt, checkpoint]: any[]) => ({
+				occurrence, step, index, status, run, failures, workerId, workerBornAt, checkpoint,
+			})),
+		},
+	};
+}
+
+/** Undefined for a record of a kind that this version does not know. */
+export function decodeLedger(record: KeyedRecord): LedgerRecord | undefined {
+	const key = parseKey(record.key);
+	return key && ledgerDecoders[key.kind]?.(key.id, record.value);
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/decision-log.ts
@@ -0,0 +1,77 @@
+/** Structured log lines on standard output: bounded for each event, and never waited for. */
+import {write} from 'node:fs';
+import type {LogFields} from '@rhubarblever/core/scheduler';
+import winston from 'winston';
+import {BoundedOutput} from './bounded-output.js';
+import {readSteadyClock} from './clocks.js';
+
+const standardOutput = 1;
+const windowMs = 1000;
+/** Lines of one event in a second; the rest is counted. */
+const linesPerWindow = 40;
+
+type Budget = {windowStart: number; lines: number; leftOut: number};
+
+export type DecisionLogOptions = {readonly host: string; readonly output?: BoundedOutput};
+
+export class DecisionLog {
+	static create({host, output = BoundedOutput.create((chunk, done) => {
+		write(standardOutput, chunk, error => {
+			done(error ?? undefined);
+		});
+	})}: DecisionLogOptions): DecisionLog {
+		const logger = winston.createLogger({
+			level: 'info',
+			defaultMeta: {host},
+			format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
+			transports: [new winston.transports.Stream({stream: output})],
+		});
+		return new DecisionLog(logger, output);
+	}
+
+	private readonly budgets = new Map<string, Budget>();
+
+	private constructor(private readonly logger: winston.Logger, private readonly output: BoundedOutput) {}
+
+	note(event: string, fields: LogFields): void {
+		this.write('info', event, fields);
+	}
+
+	warn(event: string, fields: LogFields): void {
+		this.write('warn', event, fields);
+	}
+
+	/** Resolves once what was written is out, or after a short while. */
+	async flush(): Promise<void> {
+		await this.output.flush();
+	}
+
+	private write(level: 'info' | 'warn', event: string, fields: LogFields): void {
+		const budget = this.getBudget(event);
+		if (budget.lines >= linesPerWindow) {
+			budget.leftOut++;
+			return;
+		}
+
+		budget.lines++;
+		const {leftOut} = budget;
+		budget.leftOut = 0;
+		this.logger.log(level, event, {steadyMs: Math.round(readSteadyClock()), ...fields, ...(leftOut > 0 && {leftOut})});
+	}
+
+	private getBudget(event: string): Budget {
+		const now = readSteadyClock();
+		let budget = this.budgets.get(event);
+		if (!budget) {
+			budget = {windowStart: now, lines: 0, leftOut: 0};
+			this.budgets.set(event, budget);
+		}
+
+		if (now - budget.windowStart >= windowMs) {
+			budget.windowStart = now;
+			budget.lines = 0;
+		}
+
+		return budget;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/effect-runner.ts
@@ -0,0 +1,204 @@
+/** Carries the scheduler's effects out and turns their outcomes into events. */
+import type {
+	ClaimOutcome, CommitOutcome, SchedulerEffect, SchedulerEvent,
+} from '@rhubarblever/core/scheduler';
+import {readSteadyClock, readWallClock} from './clocks.js';
+import {encodeIntake, encodeLedger, intakeStream, ledgerStream} from './codec.js';
+import type {DecisionLog} from './decision-log.js';
+import type {SchedulerMetrics} from './metrics.js';
+import type {AppendOutcome, SchedulerPorts} from './ports.js';
+import type {JobId} from '@rhubarblever/core';
+
+/** An event without its instants. */
+export type UntimedEvent = SchedulerEvent extends infer Event ? (Event extends SchedulerEvent ? Omit<Event, 'at' | 'wallAt'> : never) : never;
+
+export type EffectRunnerOptions = {
+	readonly ports: SchedulerPorts;
+	readonly log: DecisionLog;
+	readonly metrics: SchedulerMetrics;
+	readonly pushEvent: (event: UntimedEvent) => void;
+	readonly reloadLedger: () => void;
+};
+
+const writerName = 'leader';
+
+const commitOutcomes: Readonly<Record<AppendOutcome['type'], CommitOutcome>> = {
+	appended: 'stored', moved: 'fenced', fenced: 'fenced', refused: 'refused', unknown: 'unknown', 'out-of-sequence': 'fenced',
+};
+
+const claimOutcomes: Readonly<Record<AppendOutcome['type'], ClaimOutcome>> = {
+	appended: 'granted', moved: 'lost', fenced: 'lost', refused: 'refused', unknown: 'unknown', 'out-of-sequence': 'lost',
+};
+
+type Runners = {[K in SchedulerEffect['type']]: (effect: Extract<SchedulerEffect, {type: K}>) => void};
+
+export class EffectRunner {
+	static create(options: EffectRunnerOptions): EffectRunner {
+		return new EffectRunner(options);
+	}
+
+	private readonly runners: Runners = {
+		'ledger/claim': effect => {
+			void this.claim(effect);
+		},
+		'ledger/commit': effect => {
+			void this.commit(effect);
+		},
+		'ledger/reload': () => {
+			this.options.reloadLedger();
+		},
+		'worker/start': effect => {
+			void this.start(effect);
+		},
+		'worker/stop': effect => {
+			void this.stop(effect);
+		},
+		'worker/hold': effect => {
+			void this.hold(effect);
+		},
+		'worker/pace': effect => {
+			void this.pace(effect);
+		},
+		'machines/list': () => {
+			void this.listMachines();
+		},
+		'machine/move': effect => {
+			void this.order(effect.machineId, 'move', async () => this.options.ports.machines.move(effect));
+		},
+		'machine/upkeep': effect => {
+			void this.order(effect.machineId, 'upkeep', async () => this.options.ports.machines.upkeep(effect));
+		},
+		'wave/report': effect => {
+			void this.reportWave(effect);
+		},
+		'advice/ask': effect => {
+			void this.askAdvice(effect);
+		},
+		'intake/remove': effect => {
+			void this.removeJobs(effect.jobIds as readonly JobId[]);
+		},
+		'config/restored': ({config}) => {
+			this.options.log.note('config-restored', {version: config.version});
+		},
+		log: ({level, event, fields}) => {
+			this.options.metrics.decisions.inc({event});
+			this.options.log[level === 'info' ? 'note' : 'warn'](event, fields);
+		},
+	};
+
+	private constructor(private readonly options: EffectRunnerOptions) {}
+
+	run(effect: SchedulerEffect): void {
+		(this.runners[effect.type] as (effect: SchedulerEffect) => void)(effect);
+	}
+
+	private noteOrder(order: string, outcome: string, startedAt: number): void {
+		const {metrics} = this.options;
+		metrics.orders.inc({order, outcome});
+		metrics.orderSeconds.observe({order}, (readSteadyClock() - startedAt) / 1000);
+	}
+
+	private async claim({at, token, sequence, holder}: Extract<SchedulerEffect, {type: 'ledger/claim'}>): Promise<void> {
+		const startedAt = readSteadyClock();
+		const record = encodeLedger({type: 'lease', lease: {holder, token, isReleased: false}});
+		const outcome = await this.options.ports.store.append(ledgerStream, [record], {at, writer: {name: writerName, epoch: token, sequence}});
+		this.noteOrder('claim', outcome.type, startedAt);
+		this.options.pushEvent({type: 'claim/ended', outcome: claimOutcomes[outcome.type], claimedAt: at});
+	}
+
+	private async commit({token, sequence, records}: Extract<SchedulerEffect, {type: 'ledger/commit'}>): Promise<void> {
+		const startedAt = readSteadyClock();
+		const outcome = await this.options.ports.store.append(ledgerStream, records.map(record => encodeLedger(record)), {
+			writer: {name: writerName, epoch: token, sequence},
+		});
+		this.noteOrder('commit', outcome.type, startedAt);
+		// The expected number is the next one: this append was stored before.
+		const isStored = outcome.type === 'out-of-sequence' && outcome.expected > sequence;
+		this.options.pushEvent({type: 'commit/ended', outcome: isStored ? 'stored' : commitOutcomes[outcome.type], sequence});
+	}
+
+	private async start(effect: Extract<SchedulerEffect, {type: 'worker/start'}>): Promise<void> {
+		const startedAt = readSteadyClock();
+		const {outcome, clockMs} = await this.options.ports.workers.start(effect);
+		this.noteOrder('start', outcome, startedAt);
+		this.options.log.note('task-started', {
+			task: effect.task, run: effect.run, workerId: effect.worker.id, outcome, tookMs: Math.round(readSteadyClock() - startedAt),
+		});
+		const {worker, task, run} = effect;
+		this.options.pushEvent({
+			type: 'start/ended', workerId: worker.id, bornAt: worker.bornAt, task, run, outcome, clockMs,
+		});
+	}
+
+	private async stop(effect: Extract<SchedulerEffect, {type: 'worker/stop'}>): Promise<void> {
+		const startedAt = readSteadyClock();
+		const outcome = await this.options.ports.workers.stop(effect);
+		this.noteOrder('stop', outcome, startedAt);
+		const {worker, task, run} = effect;
+		this.options.log.note('task-stopped', {
+			task, run, workerId: worker.id, outcome,
+		});
+		this.options.pushEvent({
+			type: 'stop/ended', workerId: worker.id, bornAt: worker.bornAt, task, run, outcome,
+		});
+	}
+
+	private async hold(effect: Extract<SchedulerEffect, {type: 'worker/hold'}>): Promise<void> {
+		const sentAt = readSteadyClock();
+		const answer = await this.options.ports.workers.hold(effect);
+		this.noteOrder('hold', answer.outcome, sentAt);
+		const {worker} = effect;
+		this.options.pushEvent({
+			type: 'hold/ended', workerId: worker.id, bornAt: worker.bornAt, outcome: answer.outcome, sentAt, clockMs: answer.clockMs, answerBornAt: answer.bornAt, running: answer.running, ended: answer.ended,
+		});
+	}
+
+	private async pace(effect: Extract<SchedulerEffect, {type: 'worker/pace'}>): Promise<void> {
+		const startedAt = readSteadyClock();
+		const isDone = await this.options.ports.workers.pace(effect);
+		this.noteOrder('pace', isDone ? 'done' : 'failed', startedAt);
+		this.options.pushEvent({
+			type: 'pace/ended', workerId: effect.worker.id, task: effect.task, run: effect.run, isDone,
+		});
+	}
+
+	private async listMachines(): Promise<void> {
+		const startedAt = readSteadyClock();
+		const machines = await this.options.ports.machines.list();
+		this.noteOrder('list-machines', machines ? 'done' : 'failed', startedAt);
+		this.options.pushEvent({type: 'machines/listed', machines});
+	}
+
+	private async order(machineId: string, name: string, send: () => Promise<Extract<SchedulerEvent, {type: 'order/ended'}>['outcome']>): Promise<void> {
+		const startedAt = readSteadyClock();
+		const outcome = await send();
+		this.noteOrder(name, outcome, startedAt);
+		this.options.pushEvent({type: 'order/ended', machineId, outcome});
+	}
+
+	private async reportWave({wave, isCompleted}: Extract<SchedulerEffect, {type: 'wave/report'}>): Promise<void> {
+		const {feed, store} = this.options.ports;
+		const outcome = await store.append(feed.statusStream, [feed.encodeWaveStatus(wave, isCompleted)]);
+		this.options.log.note('wave-reported', {wave, isCompleted, outcome: outcome.type});
+		this.options.pushEvent({
+			type: 'wave/reported', wave, isStored: outcome.type === 'appended', isCompleted,
+		});
+	}
+
+	private async askAdvice(effect: Extract<SchedulerEffect, {type: 'advice/ask'}>): Promise<void> {
+		const startedAt = readSteadyClock();
+		const answer = await this.options.ports.advisor.ask(effect);
+		this.noteOrder('advice', answer ? 'done' : 'failed', startedAt);
+		this.options.pushEvent({
+			type: 'advice/ended', step: effect.step, asked: effect.workerIds, validMs: answer?.validMs ?? 0, tickets: answer?.tickets,
+		});
+	}
+
+	private async removeJobs(jobIds: readonly JobId[]): Promise<void> {
+		const records = jobIds.flatMap(jobId => [encodeIntake({type: 'job-removed', jobId}), encodeIntake({type: 'cancel-removed', jobId})]);
+		const outcome = await this.options.ports.store.append(intakeStream, records);
+		if (outcome.type !== 'appended') {
+			this.options.log.warn('jobs-not-removed', {jobs: jobIds.length, outcome: outcome.type, at: readWallClock()});
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/intake-writer.ts
@@ -0,0 +1,90 @@
+/** Writes jobs and cancels to the store, several in one append; repeats an append whose outcome is unknown. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {IntakeRecord} from '@rhubarblever/core/scheduler';
+import {readSteadyClock} from './clocks.js';
+import {encodeIntake, intakeStream} from './codec.js';
+import type {KeyedStore} from './ports.js';
+
+/** `refused`: surely not stored; `unknown`: may be stored, now or later. */
+export type WriteOutcome = 'stored' | 'refused' | 'unknown';
+
+type Entry = {
+	readonly record: IntakeRecord;
+	readonly deadline: number;
+	readonly resolve: (outcome: WriteOutcome) => void;
+	/** An append with it had no answer. */
+	isDoubtful: boolean;
+};
+
+const retryMs = 40;
+const mostInOneAppend = 200;
+/** So many refusals in a row give a record up. */
+const mostRefusals = 2;
+
+export class IntakeWriter {
+	static create(store: KeyedStore): IntakeWriter {
+		return new IntakeWriter(store);
+	}
+
+	private readonly queue: Entry[] = [];
+	private isWriting = false;
+
+	private constructor(private readonly store: KeyedStore) {}
+
+	/** Resolves once the record is stored or given up, at the deadline (steady clock) at the latest. */
+	async write(record: IntakeRecord, deadline: number): Promise<WriteOutcome> {
+		return new Promise(resolve => {
+			this.queue.push({
+				record, deadline, resolve, isDoubtful: false,
+			});
+			void this.drain();
+		});
+	}
+
+	private async drain(): Promise<void> {
+		if (this.isWriting) {
+			return;
+		}
+
+		this.isWriting = true;
+		let refusals = 0;
+		while (this.queue.length > 0) {
+			const batch = this.queue.splice(0, mostInOneAppend);
+			// eslint-disable-next-line no-await-in-loop
+			const outcome = await this.store.append(intakeStream, batch.map(entry => encodeIntake(entry.record)));
+			if (outcome.type === 'appended') {
+				refusals = 0;
+				for (const entry of batch) {
+					entry.resolve('stored');
+				}
+
+				continue;
+			}
+
+			refusals += outcome.type === 'refused' ? 1 : 0;
+			this.keepOrGiveUp(batch, outcome.type === 'refused', refusals >= mostRefusals);
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(retryMs);
+		}
+
+		this.isWriting = false;
+	}
+
+	/** What may be stored is repeated until its deadline; what surely is not is refused soon. */
+	private keepOrGiveUp(batch: readonly Entry[], isRefused: boolean, isHopeless: boolean): void {
+		const now = readSteadyClock();
+		const kept: Entry[] = [];
+		for (const entry of batch) {
+			entry.isDoubtful ||= !isRefused;
+			if (!entry.isDoubtful && isHopeless) {
+				entry.resolve('refused');
+			} else if (now + retryMs >= entry.deadline) {
+				entry.resolve(entry.isDoubtful ? 'unknown' : 'refused');
+			} else {
+				kept.push(entry);
+			}
+		}
+
+		this.queue.unshift(...kept);
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/job-desk.ts
@@ -0,0 +1,110 @@
+/** What callers may do with jobs at this host: hand in, ask, cancel, count. */
+import type {JobId} from '@rhubarblever/core';
+import {
+	findQueue, getShownPhase, type JobDefinition, type JobPhase, type Queue, type QueueName, type SchedulerState,
+} from '@rhubarblever/core/scheduler';
+import {readSteadyClock} from './clocks.js';
+import type {IntakeWriter} from './intake-writer.js';
+import type {DecisionLog} from './decision-log.js';
+
+/** `refused`: surely not accepted, come back later; `unknown`: may be accepted. */
+export type SubmitOutcome = 'accepted' | 'refused' | 'unknown';
+export type CancelOutcome = 'cancelled' | 'refused' | 'unknown';
+/** `unsure`: this host's view of the jobs is too old to say that there is none. */
+export type AskOutcome = JobPhase | 'no-such-job' | 'unsure';
+
+export type JobDeskOptions = {
+	readonly state: SchedulerState;
+	readonly writer: IntakeWriter;
+	readonly log: DecisionLog;
+	/** Milliseconds since the jobs of other hosts were last read; undefined before the first time. */
+	readonly getIntakeAgeMs: () => number | undefined;
+	readonly noteAccepted: (job: JobDefinition) => void;
+	readonly noteCancelled: (jobId: JobId) => void;
+};
+
+/** An older view does not say that a job does not exist. */
+const freshMs = 1800;
+/** A write is given up this long before its caller stops waiting. */
+const answerSlackMs = 150;
+const longestWriteMs = 2000;
+
+export class JobDesk {
+	static create(options: JobDeskOptions): JobDesk {
+		return new JobDesk(options);
+	}
+
+	private constructor(private readonly options: JobDeskOptions) {}
+
+	/** False before the first configuration. */
+	isOpen(): boolean {
+		return this.options.state.config !== undefined && this.options.getIntakeAgeMs() !== undefined;
+	}
+
+	findQueue(host: string, path: string): Queue | undefined {
+		const {config} = this.options.state;
+		return config && findQueue(config, host, path);
+	}
+
+	/** Accepts a job once the store has it; `waitMs` is how long the caller waits. */
+	async submit(job: JobDefinition, waitMs: number): Promise<SubmitOutcome> {
+		const {state, writer, log, noteAccepted} = this.options;
+		if (state.jobs.has(job.jobId)) {
+			log.note('job-repeated', {jobId: job.jobId, queue: job.queue});
+			return 'accepted';
+		}
+
+		const startedAt = readSteadyClock();
+		const outcome = await writer.write({type: 'job', job}, startedAt + getWriteMs(waitMs));
+		log.note(outcome === 'stored' ? 'job-accepted' : 'job-not-accepted', {
+			jobId: job.jobId, queue: job.queue, outcome, configVersion: state.config?.version, tookMs: Math.round(readSteadyClock() - startedAt),
+		});
+		if (outcome === 'stored') {
+			noteAccepted(job);
+			return 'accepted';
+		}
+
+		return outcome;
+	}
+
+	/** What is known of a job. */
+	ask(jobId: JobId): AskOutcome {
+		const {state, getIntakeAgeMs, log} = this.options;
+		const job = state.jobs.get(jobId);
+		if (job) {
+			return getShownPhase(job);
+		}
+
+		const ageMs = getIntakeAgeMs();
+		const isSure = ageMs !== undefined && ageMs < freshMs;
+		log.note('job-not-found', {jobId, ageMs: ageMs === undefined ? undefined : Math.round(ageMs), isSure});
+		return isSure ? 'no-such-job' : 'unsure';
+	}
+
+	/** Cancels a job once the store has it. */
+	async cancel(jobId: JobId, waitMs: number): Promise<CancelOutcome> {
+		const {writer, noteCancelled, log} = this.options;
+		const outcome = await writer.write({type: 'cancel', jobId}, readSteadyClock() + getWriteMs(waitMs));
+		log.note('cancel-taken', {jobId, outcome});
+		if (outcome === 'stored') {
+			noteCancelled(jobId);
+			return 'cancelled';
+		}
+
+		return outcome;
+	}
+
+	/** Accepted jobs of a queue of which nothing has started. */
+	countPending(queue: QueueName): number {
+		let count = 0;
+		for (const job of this.options.state.jobs.values()) {
+			count += job.definition.queue === queue && getShownPhase(job) === 'queued' ? 1 : 0;
+		}
+
+		return count;
+	}
+}
+
+function getWriteMs(waitMs: number): number {
+	return Math.min(longestWriteMs, Math.max(answerSlackMs, waitMs - answerSlackMs));
+}
