--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -97,7 +97,7 @@
 
 function hasLabel(step: StepRun, worker: Worker): boolean {
 	const {requiredLabel} = step.definition;
-	return requiredLabel === undefined || worker.labels.has(requiredLabel);
+	return requiredLabel === '' || worker.labels.has(requiredLabel);
 }
 
 function placeEach(state: SchedulerState, step: StepRun, waiting: readonly Task[], candidates: readonly Worker[]): number {
@@ -229,8 +229,8 @@
 	const {definition, tasks} = task.step;
 	const used = definition.isSameRack ? tasks.find(other => other.worker !== undefined)?.worker?.rack : undefined;
 	const name = used ?? definition.dataRack;
-	if (name === undefined) {
-		return {name, isBinding: false};
+	if (name === '') {
+		return {name: undefined, isBinding: false};
 	}
 
 	const lossMs = definition.estimateMs * (state.settings.farFactor - 1);
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -29,9 +29,10 @@
 	/** Tasks that work only together and end together. */
 	readonly isGang: boolean;
 	readonly isSameRack: boolean;
-	readonly requiredLabel: string | undefined;
-	/** Rack that holds the step's data. */
-	readonly dataRack: string | undefined;
+	/** Label that a worker must have; empty for none. */
+	readonly requiredLabel: string;
+	/** Rack that holds the step's data; empty for none. */
+	readonly dataRack: string;
 	/** Most tasks of the step on one worker; 0 for no bound. */
 	readonly maxPerWorker: number;
 	readonly isSpeculative: boolean;
--- a/packages/daemon/src/scheduler/codec.ts
+++ b/packages/daemon/src/scheduler/codec.ts
@@ -9,7 +9,7 @@
 /** Progress, waves and the lead, written by the leader alone. */
 export const ledgerStream = 'keyed.ledger';
 
-const packr = new Packr({useRecords: false, encodeUndefinedAsNil: true});
+const packr = new Packr({useRecords: false, encodeUndefinedAsNil: false});
 const keyPattern = /^(?<kind>[a-z]+):(?<id>.*)$/s;
 
 type ParsedKey = {readonly kind: string; readonly id: string};
