--- a/packages/core/src/scheduler/effects.ts
+++ b/packages/core/src/scheduler/effects.ts
@@ -8,29 +8,29 @@
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
-export type SchedulerEffect =
-	| {readonly type: 'ledger/claim'; readonly at: number; readonly token: FencingToken; readonly sequence: number; readonly holder: string}
-	| {readonly type: 'ledger/commit'; readonly token: FencingToken; readonly sequence: number; readonly records: readonly LedgerRecord[]}
-	| {readonly type: 'ledger/reload'}
-	| {
-		readonly type: 'worker/start'; readonly worker: WorkerTarget; readonly task: TaskName; readonly run: number; readonly spec: string;
-		readonly untilMs: number; readonly token: FencingToken; readonly checkpoint: string; readonly ticket: string | undefined;
-	}
-	| {readonly type: 'worker/stop'; readonly worker: WorkerTarget; readonly task: TaskName; readonly run: number; readonly token: FencingToken}
-	| {
-		readonly type: 'worker/hold'; readonly worker: WorkerTarget; readonly token: FencingToken; readonly ackedEnd: number;
-		/** Lease on the worker's clock; absent: only look. */
-		readonly untilMs: number | undefined; readonly waitMs: number;
-	}
-	| {
-		readonly type: 'worker/pace'; readonly worker: WorkerTarget; readonly task: TaskName; readonly run: number;
-		readonly percent: number; readonly token: FencingToken;
-	}
-	| {readonly type: 'machines/list'}
-	| {readonly type: 'machine/move'; readonly machineId: MachineId; readonly pool: PoolName; readonly token: FencingToken}
-	| {readonly type: 'machine/upkeep'; readonly machineId: MachineId; readonly wave: WaveNumber; readonly token: FencingToken}
-	| {readonly type: 'wave/report'; readonly wave: WaveNumber; readonly isCompleted: boolean}
-	| {readonly type: 'advice/ask'; readonly step: string; readonly workerIds: readonly WorkerId[]}
-	| {readonly type: 'intake/remove'; readonly jobIds: readonly string[]}
-	| {readonly type: 'config/restored'; readonly config: FleetConfig}
-	| {readonly type: 'log'; readonly level: 'info' | 'warn'; readonly event: string; readonly fields: LogFields};
+export type SchedulerEffect
+	= | {readonly type: 'ledger/claim'; readonly at: number; readonly token: FencingToken; readonly sequence: number; readonly holder: string}
+		| {readonly type: 'ledger/commit'; readonly token: FencingToken; readonly sequence: number; readonly records: readonly LedgerRecord[]}
+		| {readonly type: 'ledger/reload'}
+		| {
+			readonly type: 'worker/start'; readonly worker: WorkerTarget; readonly task: TaskName; readonly run: number; readonly spec: string;
+			readonly untilMs: number; readonly token: FencingToken; readonly checkpoint: string; readonly ticket: string | undefined;
+		}
+		| {readonly type: 'worker/stop'; readonly worker: WorkerTarget; readonly task: TaskName; readonly run: number; readonly token: FencingToken}
+		| {
+			readonly type: 'worker/hold'; readonly worker: WorkerTarget; readonly token: FencingToken; readonly ackedEnd: number;
+			/** Lease on the worker's clock; absent: only look. */
+			readonly untilMs: number | undefined; readonly waitMs: number;
+		}
+		| {
+			readonly type: 'worker/pace'; readonly worker: WorkerTarget; readonly task: TaskName; readonly run: number;
+			readonly percent: number; readonly token: FencingToken;
+		}
+		| {readonly type: 'machines/list'}
+		| {readonly type: 'machine/move'; readonly machineId: MachineId; readonly pool: PoolName; readonly token: FencingToken}
+		| {readonly type: 'machine/upkeep'; readonly machineId: MachineId; readonly wave: WaveNumber; readonly token: FencingToken}
+		| {readonly type: 'wave/report'; readonly wave: WaveNumber; readonly isCompleted: boolean}
+		| {readonly type: 'advice/ask'; readonly step: string; readonly workerIds: readonly WorkerId[]}
+		| {readonly type: 'intake/remove'; readonly jobIds: readonly string[]}
+		| {readonly type: 'config/restored'; readonly config: FleetConfig}
+		| {readonly type: 'log'; readonly level: 'info' | 'warn'; readonly event: string; readonly fields: LogFields};
--- a/packages/core/src/scheduler/health.ts
+++ b/packages/core/src/scheduler/health.ts
@@ -1,7 +1,7 @@
 /** Judges workers by how runs end there: failing, standing still. */
+import type {JobId} from '../types/ids.js';
 import {noteWarning} from './logging.js';
 import {evidenceMs, setAsideMs} from './timing.js';
-import type {JobId} from '../types/ids.js';
 import type {SchedulerState, Worker} from './state.js';
 
 /** Failures of so many jobs in a row set a worker aside. */
--- a/packages/core/src/scheduler/holds.ts
+++ b/packages/core/src/scheduler/holds.ts
@@ -222,7 +222,7 @@
 		}
 	}
 
-	for (const task of [...worker.tasks.values()]) {
+	for (const task of worker.tasks.values()) {
 		if (task.isSent && !seen.has(task.name) && task.settledAt < event.sentAt) {
 			noteDecision(state, 'run-absent', {task: task.name, run: task.run, workerId: worker.id});
 			returnTask(state, task);
@@ -256,7 +256,9 @@
 	if (isStuck) {
 		const {jobId} = task.step.occurrence.job.definition;
 		noteFailure(state, worker, jobId, 'run stands still');
-		noteDecision(state, 'run-stuck', {task: task.name, run: task.run, workerId: worker.id, percent: task.percent});
+		noteDecision(state, 'run-stuck', {
+			task: task.name, run: task.run, workerId: worker.id, percent: task.percent,
+		});
 		task.failedOn.add(worker.id);
 		requestStop(state, task);
 	}
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -1,8 +1,10 @@
 /** The scheduler: what other packages may use of it. */
-export * from './types.js';
+export type * from './types.js';
 export type * from './effects.js';
 export type * from './events.js';
-export {createSchedulerState, type SchedulerState, type SchedulerSettings, type Job} from './state.js';
+export {
+	createSchedulerState, type SchedulerState, type SchedulerSettings, type Job,
+} from './state.js';
 export {reduceScheduler} from './reduce.js';
 export {findQueue} from './queues.js';
 export {getShownPhase} from './phases.js';
--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -1,6 +1,7 @@
 /** Jobs: taken in, brought to life on the leader, ended and cancelled. */
 import type {JobId} from '../types/ids.js';
 import type {Instant} from '../types/time.js';
+import {noteArrival} from './demand.js';
 import {noteDecision} from './logging.js';
 import {isFinal} from './phases.js';
 import {createPlaceholder} from './registry.js';
@@ -27,6 +28,7 @@
 	};
 	state.jobs.set(definition.jobId, job);
 	if (state.leadership.role === 'leader') {
+		noteArrival(state, job);
 		activateJob(state, job);
 	}
 }
--- a/packages/core/src/scheduler/machines.ts
+++ b/packages/core/src/scheduler/machines.ts
@@ -44,7 +44,7 @@
 		updateMachine(state, entry);
 	}
 
-	for (const id of [...state.machines.keys()]) {
+	for (const id of state.machines.keys()) {
 		if (!listed.has(id)) {
 			state.machines.delete(id);
 		}
@@ -175,7 +175,9 @@
 	}
 
 	machine.drainsFor = undefined;
-	machine.entry = {...machine.entry, pool: order.pool, state: order.type === 'move' ? 'moving' : 'upkeep', workerId: undefined};
+	machine.entry = {
+		...machine.entry, pool: order.pool, state: order.type === 'move' ? 'moving' : 'upkeep', workerId: undefined,
+	};
 	// Its worker's process has ended with the order.
 	releaseWorker(state, findFormerWorker(state, machine.entry.id));
 }
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -1,18 +1,16 @@
-/** Machines follow demand: idle ones go to the spare pool, and pools with a queue get machines back. */
-import {
-	canOrder, findWorker, orderMove,
-} from './machines.js';
-import {getDemand} from './placement.js';
+/** Machines follow demand: pools whose turn it is get machines, first spare ones, and idle ones go to the spare pool. */
+import {getDemand, updateDemand} from './demand.js';
+import {canOrder, findWorker, orderMove} from './machines.js';
 import type {PoolName} from './types.js';
 import type {Machine, SchedulerState} from './state.js';
 
-const movesLookMs = 200;
-/** A worker without tasks for this long is not needed. */
-const idleBeforeSpareMs = 2500;
+const movesLookMs = 150;
+/** A worker without tasks for this long may be sent away. */
+const idleBeforeSpareMs = 1500;
 /** Workers that a pool keeps even without work. */
-const leastWorkers = 2;
-/** Share of a worker's processor that tasks can really fill. */
-const fillShare = 0.85;
+const leastWorkers = 3;
+/** Workers above its present need that a pool does not lend. */
+const lendReserve = 1;
 
 /** Orders the moves that are due. */
 export function tickMoves(state: SchedulerState): void {
@@ -26,61 +24,77 @@
 		return;
 	}
 
-	const incoming = countIncoming(state);
-	for (const pool of state.config?.pools ?? []) {
-		if (!pool.isSpare) {
-			fillPool(state, pool.name, spare, incoming);
-		}
+	const pools = listPools(state, spare);
+	for (const pool of pools.toSorted((a, b) => b.missing - a.missing)) {
+		fillPool(state, pool, pools, spare);
 	}
 
-	for (const pool of state.config?.pools ?? []) {
-		if (!pool.isSpare) {
-			releaseIdle(state, pool.name, spare);
-		}
+	for (const pool of pools) {
+		releaseIdle(state, pool, spare);
 	}
 }
 
-function countIncoming(state: SchedulerState): Map<PoolName, number> {
-	const incoming = new Map<PoolName, number>();
-	for (const {order} of state.machines.values()) {
-		if (order?.type === 'move') {
-			incoming.set(order.pool, (incoming.get(order.pool) ?? 0) + 1);
-		}
+type PoolView = {
+	readonly name: PoolName;
+	readonly isWaiting: boolean;
+	/** Machines that the pool needs and does not have or get. */
+	missing: number;
+	/** Machines above what the pool needs now: pools in need get these. */
+	lendable: number;
+	/** Machines above what the pool has needed lately: these may be switched off. */
+	surplus: number;
+};
+
+function listPools(state: SchedulerState, spare: PoolName): PoolView[] {
+	const present = new Map<PoolName, number>();
+	let machineCpu = 0;
+	for (const {entry, order} of state.machines.values()) {
+		const pool = order?.type === 'move' ? order.pool : entry.pool;
+		present.set(pool, (present.get(pool) ?? 0) + (entry.state === 'down' ? 0 : 1));
+		machineCpu = Math.max(machineCpu, entry.capacity.cpu);
 	}
 
-	return incoming;
+	return (state.config?.pools ?? []).filter(pool => pool.name !== spare && !pool.isSpare).map(({name}) => {
+		const demand = updateDemand(state, name, machineCpu);
+		const machines = present.get(name) ?? 0;
+		return {
+			name, isWaiting: demand.waitingTasks > 0, missing: demand.machines - machines, lendable: machines - demand.machines - lendReserve, surplus: machines - Math.max(leastWorkers, demand.keptMachines),
+		};
+	});
 }
 
 function isMovable(state: SchedulerState, machine: Machine): boolean {
 	return machine.order === undefined && machine.entry.state === 'up' && machine.drainsFor === undefined && (machine.notBefore ?? 0) <= state.now;
 }
 
-/** Brings machines for the tasks that wait, spare ones first, then idle ones of pools without a queue. */
-function fillPool(state: SchedulerState, pool: PoolName, spare: PoolName, incoming: ReadonlyMap<PoolName, number>): void {
-	const demand = getDemand(state, pool);
-	if (demand.waitingCpu === 0) {
+/** Brings machines, spare ones first, then idle ones of pools that have more than they need. */
+function fillPool(state: SchedulerState, pool: PoolView, pools: readonly PoolView[], spare: PoolName): void {
+	if (pool.missing <= 0) {
 		return;
 	}
 
-	const candidates = [...state.machines.values()].filter(machine => isMovable(state, machine) && machine.entry.pool !== pool)
-		.filter(machine => machine.entry.pool === spare || isIdle(state, machine, 0));
-	candidates.sort((a, b) => Number(b.entry.pool === spare) - Number(a.entry.pool === spare));
-	let missingCpu = demand.waitingCpu;
-	const first = candidates[0];
-	missingCpu -= (incoming.get(pool) ?? 0) * (first?.entry.capacity.cpu ?? 0) * fillShare;
-	for (const machine of candidates) {
-		if (missingCpu <= 0) {
-			return;
-		}
+	const movable = [...state.machines.values()].filter(machine => isMovable(state, machine) && machine.entry.pool !== pool.name);
+	for (const machine of movable.filter(({entry}) => entry.pool === spare)) {
+		moveFor(state, machine, pool);
+	}
 
-		const isOther = machine.entry.pool !== spare;
-		if (isOther && (getDemand(state, machine.entry.pool).waitingTasks > 0 || countWorkers(state, machine.entry.pool) <= leastWorkers)) {
-			continue;
+	for (const machine of movable.filter(({entry}) => entry.pool !== spare)) {
+		const giver = pools.find(({name}) => name === machine.entry.pool);
+		if (giver && giver.lendable > 0 && !giver.isWaiting && isIdle(state, machine, 0) && moveFor(state, machine, pool)) {
+			giver.lendable--;
+			giver.surplus--;
 		}
+	}
+}
 
-		reserveAndMove(state, machine, pool);
-		missingCpu -= machine.entry.capacity.cpu * fillShare;
+function moveFor(state: SchedulerState, machine: Machine, pool: PoolView): boolean {
+	if (pool.missing <= 0) {
+		return false;
 	}
+
+	pool.missing--;
+	reserveAndMove(state, machine, pool.name);
+	return true;
 }
 
 function isIdle(state: SchedulerState, machine: Machine, sinceMs: number): boolean {
@@ -89,29 +103,19 @@
 		&& worker.readEnd === worker.ackedEnd && state.now - worker.idleSince >= sinceMs;
 }
 
-function countWorkers(state: SchedulerState, pool: PoolName): number {
-	let count = 0;
-	for (const worker of state.workers.values()) {
-		count += worker.pool === pool && worker.isListed && !worker.isReserved && !worker.isDraining ? 1 : 0;
-	}
-
-	return count;
-}
-
-function releaseIdle(state: SchedulerState, pool: PoolName, spare: PoolName): void {
-	if (getDemand(state, pool).waitingTasks > 0) {
+function releaseIdle(state: SchedulerState, pool: PoolView, spare: PoolName): void {
+	if (getDemand(state, pool.name).waitingTasks > 0) {
 		return;
 	}
 
-	let count = countWorkers(state, pool);
 	for (const machine of state.machines.values()) {
-		if (count <= leastWorkers) {
+		if (pool.surplus <= 0) {
 			return;
 		}
 
-		if (machine.entry.pool === pool && isMovable(state, machine) && isIdle(state, machine, idleBeforeSpareMs)) {
+		if (machine.entry.pool === pool.name && isMovable(state, machine) && isIdle(state, machine, idleBeforeSpareMs)) {
 			reserveAndMove(state, machine, spare);
-			count--;
+			pool.surplus--;
 		}
 	}
 }
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -1,12 +1,12 @@
 /** Chooses workers for tasks that may start: most urgent step first, each task where it leaves the least room unused. */
 import {isSuspect} from './health.js';
-import {noteDecision} from './logging.js';
+import {getDemand} from './demand.js';
 import {getPoolOfJob, getQueue} from './queues.js';
 import {getNeed, placeTask} from './tasks.js';
 import {getTicketState, requestAdvice} from './advice.js';
 import type {PoolName, Resources} from './types.js';
 import type {
-	PoolDemand, SchedulerState, StepRun, Task, Worker,
+	SchedulerState, StepRun, Task, Worker,
 } from './state.js';
 
 /** Tasks that a worker under suspicion is given at once. */
@@ -26,6 +26,7 @@
 	for (const demand of state.demand.values()) {
 		demand.waitingCpu = 0;
 		demand.waitingTasks = 0;
+		demand.waitingWork = 0;
 	}
 
 	const workersByPool = listUsableWorkers(state);
@@ -70,17 +71,6 @@
 	return ranked.sort((a, b) => a.priority - b.priority || Number(b.isLater) - Number(a.isLater) || a.acceptedAt - b.acceptedAt);
 }
 
-/** The demand of a pool, kept between placements. */
-export function getDemand(state: SchedulerState, pool: PoolName): PoolDemand {
-	let demand = state.demand.get(pool);
-	if (!demand) {
-		demand = {waitingCpu: 0, waitingTasks: 0, recentCpu: 0};
-		state.demand.set(pool, demand);
-	}
-
-	return demand;
-}
-
 function placeStep(state: SchedulerState, step: StepRun, workers: readonly Worker[], pool: PoolName): void {
 	const waiting = step.tasks.filter(task => task.status === 'waiting');
 	const candidates = workers.filter(worker => hasLabel(step, worker));
@@ -92,6 +82,7 @@
 		const demand = getDemand(state, pool);
 		demand.waitingCpu += left * (step.definition.isFiller ? 0 : step.definition.need.cpu);
 		demand.waitingTasks += left;
+		demand.waitingWork += step.definition.isLongRunning ? 0 : left * step.definition.need.cpu * step.definition.estimateMs;
 	}
 }
 
@@ -236,12 +227,3 @@
 	const lossMs = definition.estimateMs * (state.settings.farFactor - 1);
 	return {name, isBinding: state.now - task.readyAt < lossMs * rackPatience};
 }
-
-/** Notes the steps that wait, now and then. */
-export function noteWaiting(state: SchedulerState): void {
-	for (const [pool, demand] of state.demand) {
-		if (demand.waitingTasks > 0) {
-			noteDecision(state, 'tasks-wait', {pool, tasks: demand.waitingTasks, cpu: demand.waitingCpu});
-		}
-	}
-}
--- a/packages/core/src/scheduler/queues.ts
+++ b/packages/core/src/scheduler/queues.ts
@@ -1,5 +1,7 @@
 /** Looks into the configuration in force. */
-import type {FleetConfig, PoolConfig, PoolName, Queue, QueueName} from './types.js';
+import type {
+	FleetConfig, PoolConfig, PoolName, Queue, QueueName,
+} from './types.js';
 import type {Job, SchedulerState} from './state.js';
 
 const defaultMaxAttempts = 3;
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -1,7 +1,9 @@
 /** The workers that a leader knows: from service discovery, and from stored starts. */
 import {addEffect, noteDecision} from './logging.js';
 import {returnTask} from './tasks.js';
-import {clockDrift, leaseSlackMs, unconfirmedLimitMs, workerLeaseMs} from './timing.js';
+import {
+	clockDrift, leaseSlackMs, unconfirmedLimitMs, workerLeaseMs,
+} from './timing.js';
 import type {WorkerEntry, WorkerId} from './types.js';
 import type {SchedulerState, Worker} from './state.js';
 
@@ -84,7 +86,9 @@
 	}
 
 	if (!worker.isListed || worker.isDraining !== entry.isDraining) {
-		noteDecision(state, 'worker-listed', {workerId: entry.id, pool: entry.pool, isDraining: entry.isDraining, bornAt: entry.bornAt});
+		noteDecision(state, 'worker-listed', {
+			workerId: entry.id, pool: entry.pool, isDraining: entry.isDraining, bornAt: entry.bornAt,
+		});
 	}
 
 	worker.isListed = true;
@@ -129,7 +133,7 @@
 
 /** Nothing runs at the worker any more; its tasks wait again. */
 export function clearWorker(state: SchedulerState, worker: Worker): void {
-	for (const task of [...worker.tasks.values()]) {
+	for (const task of worker.tasks.values()) {
 		returnTask(state, task);
 	}
 
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -147,10 +147,10 @@
 };
 
 /** Actions that wait until the changes they rest on are stored. */
-export type PendingAction =
-	| {readonly type: 'start'; readonly task: Task; readonly run: number}
-	| {readonly type: 'note-ends'; readonly worker: Worker; readonly upTo: number}
-	| {readonly type: 'show-phase'; readonly job: Job};
+export type PendingAction
+	= | {readonly type: 'start'; readonly task: Task; readonly run: number}
+		| {readonly type: 'note-ends'; readonly worker: Worker; readonly upTo: number}
+		| {readonly type: 'show-phase'; readonly job: Job};
 
 /** One append to the ledger. */
 export type Commit = {
@@ -208,11 +208,19 @@
 };
 
 export type PoolDemand = {
-	/** Processor that ready tasks wait for. */
+	/** Processor, tasks, and work (processor times milliseconds) that wait for room. */
 	waitingCpu: number;
 	waitingTasks: number;
-	/** Recent processor in use or asked for; falls slowly. */
-	recentCpu: number;
+	waitingWork: number;
+	/** Work that came since the last look. */
+	arrivedWork: number;
+	/** Followed rate of arrivals: processor that they keep at work. */
+	rate: number;
+	lookedAt: SteadyMs;
+	/** Machines needed now, and the most of the last seconds. */
+	machines: number;
+	keptMachines: number;
+	keptUntil: SteadyMs;
 };
 
 export type SchedulerState = {
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -194,16 +194,16 @@
 };
 
 /** A change that entry hosts write: jobs handed in and cancels. */
-export type IntakeRecord =
-	| {readonly type: 'job'; readonly job: JobDefinition}
-	| {readonly type: 'cancel'; readonly jobId: JobId}
-	| {readonly type: 'job-removed'; readonly jobId: JobId}
-	| {readonly type: 'cancel-removed'; readonly jobId: JobId};
+export type IntakeRecord
+	= | {readonly type: 'job'; readonly job: JobDefinition}
+		| {readonly type: 'cancel'; readonly jobId: JobId}
+		| {readonly type: 'job-removed'; readonly jobId: JobId}
+		| {readonly type: 'cancel-removed'; readonly jobId: JobId};
 
 /** A change that only the leader writes. */
-export type LedgerRecord =
-	| {readonly type: 'lease'; readonly lease: LeaseRecord}
-	| {readonly type: 'progress'; readonly jobId: JobId; readonly progress: JobProgress}
-	| {readonly type: 'progress-removed'; readonly jobId: JobId}
-	| {readonly type: 'waves'; readonly waves: readonly WaveProgress[]}
-	| {readonly type: 'config'; readonly config: FleetConfig};
+export type LedgerRecord
+	= | {readonly type: 'lease'; readonly lease: LeaseRecord}
+		| {readonly type: 'progress'; readonly jobId: JobId; readonly progress: JobProgress}
+		| {readonly type: 'progress-removed'; readonly jobId: JobId}
+		| {readonly type: 'waves'; readonly waves: readonly WaveProgress[]}
+		| {readonly type: 'config'; readonly config: FleetConfig};
--- a/packages/daemon/src/scheduler/codec.ts
+++ b/packages/daemon/src/scheduler/codec.ts
@@ -16,7 +16,7 @@
 
 function parseKey(key: string): ParsedKey | undefined {
 	const groups = keyPattern.exec(key)?.groups;
-	return groups?.['kind'] === undefined || groups['id'] === undefined ? undefined : {kind: groups['kind'], id: groups['id']};
+	return groups?.kind === undefined || groups.id === undefined ? undefined : {kind: groups.kind, id: groups.id};
 }
 
 type IntakeEncoders = {[K in IntakeRecord['type']]: (record: Extract<IntakeRecord, {type: K}>) => NewRecord};
@@ -50,12 +50,14 @@
 
 const ledgerEncoders: LedgerEncoders = {
 	lease: ({lease}) => ({key: 'lease:', value: packr.pack(lease)}),
-	progress: ({jobId, progress}) => ({key: `progress:${jobId}`, value: packr.pack([
-		progress.phase,
-		progress.finishedOccurrences,
-		progress.finishedAt,
-		progress.rows.map(row => [row.occurrence, row.step, row.index, row.status, row.run, row.failures, row.workerId, row.workerBornAt, row.checkpoint]),
-	])}),
+	progress: ({jobId, progress}) => ({
+		key: `progress:${jobId}`, value: packr.pack([
+			progress.phase,
+			progress.finishedOccurrences,
+			progress.finishedAt,
+			progress.rows.map(row => [row.occurrence, row.step, row.index, row.status, row.run, row.failures, row.workerId, row.workerBornAt, row.checkpoint]),
+		]),
+	}),
 	'progress-removed': ({jobId}) => ({key: `progress:${jobId}`, value: undefined}),
 	waves: ({waves}) => ({key: 'waves:', value: packr.pack(waves)}),
 	config: ({config}) => ({key: 'config:', value: packr.pack(config)}),
--- a/packages/daemon/src/scheduler/decision-log.ts
+++ b/packages/daemon/src/scheduler/decision-log.ts
@@ -15,11 +15,13 @@
 export type DecisionLogOptions = {readonly host: string; readonly output?: BoundedOutput};
 
 export class DecisionLog {
-	static create({host, output = BoundedOutput.create((chunk, done) => {
-		write(standardOutput, chunk, error => {
-			done(error ?? undefined);
-		});
-	})}: DecisionLogOptions): DecisionLog {
+	static create({
+		host, output = BoundedOutput.create((chunk, done) => {
+			write(standardOutput, chunk, error => {
+				done(error ?? undefined);
+			});
+		}),
+	}: DecisionLogOptions): DecisionLog {
 		const logger = winston.createLogger({
 			level: 'info',
 			defaultMeta: {host},
--- a/packages/daemon/src/scheduler/effect-runner.ts
+++ b/packages/daemon/src/scheduler/effect-runner.ts
@@ -2,12 +2,14 @@
 import type {
 	ClaimOutcome, CommitOutcome, SchedulerEffect, SchedulerEvent,
 } from '@rhubarblever/core/scheduler';
+import type {JobId} from '@rhubarblever/core';
 import {readSteadyClock, readWallClock} from './clocks.js';
-import {encodeIntake, encodeLedger, intakeStream, ledgerStream} from './codec.js';
+import {
+	encodeIntake, encodeLedger, intakeStream, ledgerStream,
+} from './codec.js';
 import type {DecisionLog} from './decision-log.js';
 import type {SchedulerMetrics} from './metrics.js';
 import type {AppendOutcome, SchedulerPorts} from './ports.js';
-import type {JobId} from '@rhubarblever/core';
 
 /** An event without its instants. */
 export type UntimedEvent = SchedulerEvent extends infer Event ? (Event extends SchedulerEvent ? Omit<Event, 'at' | 'wallAt'> : never) : never;
--- a/packages/daemon/src/scheduler/index.ts
+++ b/packages/daemon/src/scheduler/index.ts
@@ -1,7 +1,9 @@
 /** The scheduler's host: what the platform's folder may use of it. */
-export * from './ports.js';
+export type * from './ports.js';
 export {SchedulerHost, type SchedulerHostOptions} from './scheduler-host.js';
-export {JobDesk, type SubmitOutcome, type CancelOutcome, type AskOutcome} from './job-desk.js';
+export {
+	JobDesk, type SubmitOutcome, type CancelOutcome, type AskOutcome,
+} from './job-desk.js';
 export {DecisionLog} from './decision-log.js';
 export {createMetrics, type SchedulerMetrics} from './metrics.js';
 export {readSteadyClock, readWallClock} from './clocks.js';
--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -1,5 +1,7 @@
 /** Counters and latency histograms, for pulling. */
-import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
 
 const latencyBucketsS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5];
 
--- a/packages/daemon/src/scheduler/ports.ts
+++ b/packages/daemon/src/scheduler/ports.ts
@@ -1,6 +1,6 @@
 /** What the scheduler's host needs of its surroundings. The platform's folder implements these. */
 import type {
-	CommitOutcome, EndedRow, FleetConfig, HoldOutcome, MachineEntry, OrderOutcome, RunningRow, SchedulerEffect, StartOutcome, StopOutcome, WaveDefinition, WorkerEntry,
+	EndedRow, FleetConfig, HoldOutcome, MachineEntry, OrderOutcome, RunningRow, SchedulerEffect, StartOutcome, StopOutcome, WaveDefinition, WorkerEntry,
 } from '@rhubarblever/core/scheduler';
 
 /** A record of a keyed stream; without a value the key is removed. */
@@ -8,13 +8,13 @@
 export type NewRecord = {readonly key: string; readonly value: Uint8Array | undefined};
 
 /** `moved`: the stream did not end where the condition said; `refused`: surely not appended; `unknown`: may be appended, now or later. */
-export type AppendOutcome =
-	| {readonly type: 'appended'; readonly offset: number}
-	| {readonly type: 'out-of-sequence'; readonly expected: number}
-	| {readonly type: 'moved'}
-	| {readonly type: 'fenced'}
-	| {readonly type: 'refused'}
-	| {readonly type: 'unknown'};
+export type AppendOutcome
+	= | {readonly type: 'appended'; readonly offset: number}
+		| {readonly type: 'out-of-sequence'; readonly expected: number}
+		| {readonly type: 'moved'}
+		| {readonly type: 'fenced'}
+		| {readonly type: 'refused'}
+		| {readonly type: 'unknown'};
 
 /** Conditions of an append: where the stream must end, and which writer's turn it is. */
 export type AppendConditions = {
@@ -23,10 +23,10 @@
 };
 
 /** `forgotten`: the records asked for were deleted. */
-export type ReadOutcome =
-	| {readonly type: 'read'; readonly records: readonly KeyedRecord[]; readonly nextOffset: number}
-	| {readonly type: 'forgotten'}
-	| {readonly type: 'unavailable'};
+export type ReadOutcome
+	= | {readonly type: 'read'; readonly records: readonly KeyedRecord[]; readonly nextOffset: number}
+		| {readonly type: 'forgotten'}
+		| {readonly type: 'unavailable'};
 
 /** The store: streams of keyed records, of which the newest of each key is kept. */
 export type KeyedStore = {
@@ -88,4 +88,4 @@
 	readonly feed: FeedDecoders;
 };
 
-export type {CommitOutcome};
+export {type CommitOutcome} from '@rhubarblever/core/scheduler';
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -116,7 +116,7 @@
 	}
 
 	private push(event: UntimedEvent): void {
-		this.loop.push({...event, at: readSteadyClock(), wallAt: readWallClock()} as SchedulerEvent);
+		this.loop.push({...event, at: readSteadyClock(), wallAt: readWallClock()});
 	}
 
 	private scheduleTick(): void {
