--- a/packages/core/src/scheduler/events.ts
+++ b/packages/core/src/scheduler/events.ts
@@ -29,7 +29,7 @@
 	| {readonly type: 'ledger/read'; readonly entries: readonly LedgerEntry[]; readonly nextOffset: number}
 	| {readonly type: 'claim/ended'; readonly outcome: ClaimOutcome; readonly claimedAt: number}
 	| {readonly type: 'commit/ended'; readonly outcome: CommitOutcome; readonly sequence: number}
-	| {readonly type: 'workers/listed'; readonly workers: readonly WorkerEntry[]}
+	| {readonly type: 'workers/listed'; readonly workers: readonly WorkerEntry[]; /** The registry was read anew, after its records were lost or at the start. */ readonly isReloaded: boolean}
 	| {readonly type: 'start/ended'; readonly workerId: WorkerId; readonly bornAt: number; readonly task: TaskName; readonly run: number; readonly outcome: StartOutcome; readonly clockMs: number | undefined}
 	| {readonly type: 'stop/ended'; readonly workerId: WorkerId; readonly bornAt: number; readonly task: TaskName; readonly run: number; readonly outcome: StopOutcome}
 	| {
--- a/packages/core/src/scheduler/holds.ts
+++ b/packages/core/src/scheduler/holds.ts
@@ -4,6 +4,7 @@
 import {addEffect, noteDecision, noteWarning} from './logging.js';
 import {getMaxAttempts} from './queues.js';
 import {clearWorker, restartWorker} from './registry.js';
+import {noteRunTime} from './urgency.js';
 import {
 	confirmTask, finishTask, getTarget, requestStop, returnTask, stopGang,
 } from './tasks.js';
@@ -14,6 +15,10 @@
 import type {EndedRow, RunEnd, RunningRow} from './types.js';
 import type {SchedulerState, Task, Worker} from './state.js';
 
+const longestRetryMs = 700;
+/** After so many looks without an answer, a look renews nothing. */
+const missesWithLease = 1;
+
 type HoldEnded = Extract<SchedulerEvent, {type: 'hold/ended'}>;
 
 /** Sends the looks that are due. */
@@ -65,7 +70,8 @@
 		worker: getTarget(worker),
 		token: state.leadership.token,
 		ackedEnd: worker.storedEnd,
-		untilMs: extendLease(state, worker),
+		// A lease that may be out of reach must end: the tasks can only go elsewhere after it.
+		untilMs: worker.misses <= missesWithLease ? extendLease(state, worker) : undefined,
 		waitMs: hasWork && worker.isFenced && worker.misses === 0 ? (isWatched ? watchWaitMs : holdWaitMs) : 0,
 	});
 }
@@ -124,7 +130,7 @@
 
 function handleMiss(state: SchedulerState, worker: Worker, event: HoldEnded): void {
 	worker.misses++;
-	worker.holdDueAt = state.now + Math.min(holdRetryMs * worker.misses, workerLeaseMs / 5);
+	worker.holdDueAt = state.now + Math.min(holdRetryMs * worker.misses, longestRetryMs);
 	if (worker.misses === 3) {
 		noteWarning(state, 'worker-silent', {workerId: worker.id, outcome: event.outcome, tasks: worker.tasks.size});
 	}
@@ -164,6 +170,7 @@
 const endHandlers: Readonly<Record<RunEnd, EndHandler>> = {
 	done(state, worker, task) {
 		noteSuccess(state, worker);
+		noteRunTime(state, task.step.occurrence.job.definition.queue, state.now - task.startedAt);
 		finishTask(state, task);
 		advanceOccurrence(state, task.step.occurrence);
 	},
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -1,8 +1,9 @@
 /** Chooses workers for tasks that may start: most urgent step first, each task where it leaves the least room unused. */
 import {isSuspect} from './health.js';
 import {getDemand} from './demand.js';
-import {getPoolOfJob, getQueue} from './queues.js';
+import {getPoolOfJob} from './queues.js';
 import {getNeed, placeTask} from './tasks.js';
+import {compareUrgency, computeUrgency, type Urgency} from './urgency.js';
 import {getTicketState, requestAdvice} from './advice.js';
 import type {PoolName, Resources} from './types.js';
 import type {
@@ -11,7 +12,6 @@
 
 /** Tasks that a worker under suspicion is given at once. */
 const suspectTaskLimit = 2;
-const lowestPriority = 9;
 /** A step waits for the rack of its data up to this share of what it would lose elsewhere. */
 const rackPatience = 0.5;
 const missesToAvoid = 2;
@@ -58,17 +58,9 @@
 	return workers;
 }
 
-type RankedStep = {readonly step: StepRun; readonly priority: number; readonly isLater: boolean; readonly acceptedAt: number};
-
-/** Urgent queues first, then jobs that are under way, then in order of arrival. */
-function rankSteps(state: SchedulerState): RankedStep[] {
-	const ranked = [...state.openSteps].map(step => ({
-		step,
-		priority: getQueue(state, step.occurrence.job.definition.queue)?.priority ?? lowestPriority,
-		isLater: step.number > 0,
-		acceptedAt: step.occurrence.job.acceptedAt,
-	}));
-	return ranked.sort((a, b) => a.priority - b.priority || Number(b.isLater) - Number(a.isLater) || a.acceptedAt - b.acceptedAt);
+/** The steps that may start, most urgent first. */
+function rankSteps(state: SchedulerState): Urgency[] {
+	return [...state.openSteps].map(step => computeUrgency(state, step)).sort(compareUrgency);
 }
 
 function placeStep(state: SchedulerState, step: StepRun, workers: readonly Worker[], pool: PoolName): void {
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -13,7 +13,7 @@
 import {tickMoves} from './moves.js';
 import {updatePace} from './pacing.js';
 import {placeTasks} from './placement.js';
-import {removeGoneWorkers, updateWorkers} from './registry.js';
+import {removeGoneWorkers, tickRegistry, updateWorkers} from './registry.js';
 import {removeOldJobs} from './retention.js';
 import {handleStart, handleStop, tickStops} from './starts.js';
 import {updateOpenStep} from './tasks.js';
@@ -38,6 +38,7 @@
 
 		tickJobs(state);
 		tickStops(state);
+		tickRegistry(state);
 		tickMachineList(state);
 		tickOrders(state);
 		tickWaves(state);
@@ -73,9 +74,9 @@
 			handleCommit(state, event);
 		}
 	},
-	'workers/listed'(state, {workers}) {
+	'workers/listed'(state, {workers, isReloaded}) {
 		if (state.leadership.role === 'leader') {
-			updateWorkers(state, workers);
+			updateWorkers(state, workers, isReloaded);
 		}
 	},
 	'start/ended'(state, event) {
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -2,7 +2,7 @@
 import {addEffect, noteDecision} from './logging.js';
 import {returnTask} from './tasks.js';
 import {
-	clockDrift, leaseSlackMs, unconfirmedLimitMs, workerLeaseMs,
+	clockDrift, leaseSlackMs, registryGraceMs, unconfirmedLimitMs, workerLeaseMs,
 } from './timing.js';
 import type {WorkerEntry, WorkerId} from './types.js';
 import type {SchedulerState, Worker} from './state.js';
@@ -30,6 +30,7 @@
 		isDraining: false,
 		leavesAt: undefined,
 		isListed: false,
+		missingUntil: undefined,
 		isFenced: false,
 		clock: undefined,
 		leaseEndsAt: state.now + foreignLeaseMs,
@@ -56,7 +57,7 @@
 }
 
 /** Takes the list of service discovery over; what is not on it gets no new work. */
-export function updateWorkers(state: SchedulerState, entries: readonly WorkerEntry[]): void {
+export function updateWorkers(state: SchedulerState, entries: readonly WorkerEntry[], isReloaded: boolean): void {
 	const listed = new Set<WorkerId>();
 	for (const entry of entries) {
 		if (state.endedWorkers.get(entry.id) === entry.bornAt) {
@@ -69,11 +70,11 @@
 
 	for (const worker of state.workers.values()) {
 		if (worker.isListed && !listed.has(worker.id)) {
-			worker.isListed = false;
-			noteDecision(state, 'worker-unlisted', {workerId: worker.id, tasks: worker.tasks.size});
+			worker.missingUntil ??= isReloaded ? state.now + registryGraceMs : state.now;
 		}
 	}
 
+	tickRegistry(state);
 	state.needsPlacement = true;
 }
 
@@ -92,6 +93,7 @@
 	}
 
 	worker.isListed = true;
+	worker.missingUntil = undefined;
 	worker.address = entry.address;
 	worker.pool = entry.pool;
 	worker.availabilityZone = entry.availabilityZone;
@@ -141,6 +143,17 @@
 	worker.isFenced = false;
 }
 
+/** Workers that are missing for long enough get no new work. */
+export function tickRegistry(state: SchedulerState): void {
+	for (const worker of state.workers.values()) {
+		if (worker.isListed && worker.missingUntil !== undefined && state.now >= worker.missingUntil) {
+			worker.isListed = false;
+			worker.missingUntil = undefined;
+			noteDecision(state, 'worker-unlisted', {workerId: worker.id, tasks: worker.tasks.size});
+		}
+	}
+}
+
 /** Forgets workers that left and have nothing of ours. */
 export function removeGoneWorkers(state: SchedulerState): void {
 	for (const worker of state.workers.values()) {
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -92,7 +92,8 @@
 		returnTask(state, task);
 		worker.setAsideUntil = Math.max(worker.setAsideUntil, state.now + unhealthyPauseMs);
 	},
-	unknown(state, _worker, task) {
+	unknown(state, worker, task) {
+		worker.setAsideUntil = Math.max(worker.setAsideUntil, state.now + refusalPauseMs);
 		// It may have been carried out, or may be later: only a stop makes the run void.
 		if (task.status === 'placed') {
 			requestStop(state, task);
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -3,7 +3,7 @@
 import type {Instant} from '../types/time.js';
 import type {SchedulerEffect} from './effects.js';
 import type {
-	FencingToken, FleetConfig, JobDefinition, JobPhase, JobProgress, LedgerRecord, MachineEntry, MachineId, PoolName, Resources, RunningRow, StepDefinition, SteadyMs, TaskName, WaveDefinition, WaveNumber, WorkerId,
+	FencingToken, FleetConfig, JobDefinition, JobPhase, JobProgress, LedgerRecord, MachineEntry, MachineId, PoolName, QueueName, Resources, RunningRow, StepDefinition, SteadyMs, TaskName, WaveDefinition, WaveNumber, WorkerId,
 } from './types.js';
 
 /** What a host is told once, at its start. */
@@ -116,6 +116,8 @@
 	isDraining: boolean;
 	leavesAt: SteadyMs | undefined;
 	isListed: boolean;
+	/** The registry has lost it: from then on it is not listed. */
+	missingUntil: SteadyMs | undefined;
 	/** The fence was raised and its lists were read by this leader. */
 	isFenced: boolean;
 	/** A reading of its clock and the instant of its arrival. */
@@ -251,6 +253,8 @@
 	areWavesDirty: boolean;
 	isConfigDirty: boolean;
 	readonly demand: Map<PoolName, PoolDemand>;
+	/** How long tasks of a queue really run, followed in milliseconds. */
+	readonly runTimes: Map<QueueName, number>;
 	needsPlacement: boolean;
 	isAdviceAsked: boolean;
 	/** Processes that ended with an order of this leader; late entries of theirs are ignored. */
@@ -290,6 +294,7 @@
 		areWavesDirty: false,
 		isConfigDirty: false,
 		demand: new Map(),
+		runTimes: new Map(),
 		needsPlacement: false,
 		isAdviceAsked: false,
 		endedWorkers: new Map(),
--- a/packages/core/src/scheduler/timing.ts
+++ b/packages/core/src/scheduler/timing.ts
@@ -1,19 +1,19 @@
 /** Times of the scheduler. */
 
 /** How long a worker goes on without hearing from a leader; longer than a takeover takes. */
-export const workerLeaseMs = 5000;
+export const workerLeaseMs = 3500;
 /** A lease is renewed when less than this is left. */
-export const renewLeaseMs = 3000;
+export const renewLeaseMs = 2200;
 /** Workers' clocks may run slow by this share. */
 export const clockDrift = 0.02;
 /** Slack on top of a computed end of a lease. */
 export const leaseSlackMs = 100;
 /** A leader that the store has not confirmed for this long stops renewing leases. */
-export const unconfirmedLimitMs = 10_000;
+export const unconfirmedLimitMs = 6000;
 /** A ledger without records for this long has no leader. */
-export const leaderSilenceMs = 2000;
+export const leaderSilenceMs = 1200;
 /** A leader without changes writes a sign of life this often. */
-export const signOfLifeMs = 500;
+export const signOfLifeMs = 300;
 /** Claims of several hosts are spread over this time. */
 export const claimSpreadMs = 400;
 export const claimRetryMs = 500;
@@ -21,11 +21,13 @@
 export const commitPauseMs = 10;
 export const commitRetryMs = 60;
 /** How long a look at a worker waits for an end. */
-export const holdWaitMs = 1500;
+export const holdWaitMs = 800;
 /** The same where serving tasks are watched. */
 export const watchWaitMs = 500;
 export const holdRetryMs = 150;
 export const stopRetryMs = 300;
+/** A worker that the registry lost, when it was read anew, may come back to it for this long. */
+export const registryGraceMs = 3000;
 /** Evidence against a worker is kept for this long. */
 export const evidenceMs = 10_000;
 export const setAsideMs = 3000;
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -160,10 +160,10 @@
 			workers: this.createTail(feed.workerStream, {
 				handleLoaded: records => {
 					this.entries.clear();
-					this.readWorkers(records);
+					this.readWorkers(records, true);
 				},
 				handleRead: records => {
-					this.readWorkers(records);
+					this.readWorkers(records, false);
 				},
 			}, {pauseMs: () => workerPauseMs, isWanted: () => this.isLeader()}),
 			status: this.createTail(feed.statusStream, {
@@ -223,7 +223,7 @@
 		this.push({type, entries, nextOffset});
 	}
 
-	private readWorkers(records: readonly KeyedRecord[]): void {
+	private readWorkers(records: readonly KeyedRecord[], isReloaded: boolean): void {
 		if (records.length === 0) {
 			return;
 		}
@@ -237,7 +237,7 @@
 			}
 		}
 
-		this.push({type: 'workers/listed', workers: [...this.entries.values()]});
+		this.push({type: 'workers/listed', workers: [...this.entries.values()], isReloaded});
 	}
 
 	private readStatus(records: readonly KeyedRecord[]): void {
