Orders to machines are stored before they are sent, so a new leader orders the others at once

Ruled out: shortening that wait alone, since the former leader's last order is not known. With the record of recent orders only those machines wait.

--- a/packages/core/src/scheduler/commits.ts
+++ b/packages/core/src/scheduler/commits.ts
@@ -1,6 +1,7 @@
 /** The leader's changes go to the store in batches; what rests on them happens after. */
 import {dropIfOver, listProgress} from './jobs.js';
 import {addEffect} from './logging.js';
+import {listRecentOrders, sendOrder} from './machines.js';
 import {isFinal} from './phases.js';
 import {sendStart} from './starts.js';
 import {commitPauseMs, commitRetryMs, signOfLifeMs} from './timing.js';
@@ -60,6 +61,11 @@
 	const {leadership, settings} = state;
 	const records: LedgerRecord[] = [...state.removedJobs].map(jobId => ({type: 'progress-removed', jobId}));
 	state.removedJobs.clear();
+	if (state.areOrdersDirty) {
+		state.areOrdersDirty = false;
+		records.push({type: 'orders', machineIds: listRecentOrders(state)});
+	}
+
 	if (state.areWavesDirty) {
 		state.areWavesDirty = false;
 		records.push({
@@ -93,6 +99,9 @@
 	'note-ends'(_state, {worker, upTo}) {
 		worker.storedEnd = Math.max(worker.storedEnd, Math.min(upTo, worker.readEnd));
 	},
+	order(state, {machine}) {
+		sendOrder(state, machine);
+	},
 	'show-phase'(state, {job}) {
 		if (job.live) {
 			job.phase = job.live.phase;
--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -64,6 +64,9 @@
 			state.storedWaves.set(wave.wave, new Set(wave.doneMachines));
 		}
 	},
+	orders(state, {machineIds}) {
+		state.storedOrders = new Set(machineIds);
+	},
 	config(state, {config}) {
 		if (!state.config || state.config.version < config.version) {
 			state.config = config;
@@ -137,6 +140,7 @@
 	state.pendingActions = [];
 	state.workers.clear();
 	state.machines.clear();
+	state.ownOrders.clear();
 	state.endedWorkers.clear();
 	state.machinesDueAt = 0;
 	state.isListingMachines = false;
--- a/packages/core/src/scheduler/machines.ts
+++ b/packages/core/src/scheduler/machines.ts
@@ -1,5 +1,6 @@
 /** The machines behind the workers, and the orders to them: one order at a time, repeated until its outcome is known. */
 import {addEffect, noteDecision, noteWarning} from './logging.js';
+import {unconfirmedOrderMs} from './timing.js';
 import type {SchedulerEvent} from './events.js';
 import type {
 	MachineEntry, MachineId, PoolName, WaveNumber,
@@ -57,7 +58,9 @@
 function updateMachine(state: SchedulerState, entry: MachineEntry): void {
 	const machine = state.machines.get(entry.id);
 	if (!machine) {
-		state.machines.set(entry.id, {entry, order: undefined, drainsFor: undefined});
+		state.machines.set(entry.id, {
+			entry, order: undefined, drainsFor: undefined, notBefore: getFirstOrderAt(state, entry.id),
+		});
 		return;
 	}
 
@@ -86,9 +89,16 @@
 	return undefined;
 }
 
-/** True once machine orders of an earlier leader are old enough. */
+/** True while this leader may order machines. */
 export function canOrder(state: SchedulerState): boolean {
-	return state.leadership.role === 'leader' && !state.isStopping && state.now > state.leadership.leadsSince + state.settings.orderLeaseMs + returnSlackMs;
+	const {leadership} = state;
+	return leadership.role === 'leader' && !state.isStopping && state.now - leadership.confirmedAt < unconfirmedOrderMs
+		&& state.machinesListedAt > leadership.leadsSince;
+}
+
+/** Two leaders do not order one machine within the order lease. */
+function getFirstOrderAt(state: SchedulerState, id: MachineId): number {
+	return state.storedOrders.has(id) ? state.leadership.leadsSince + state.settings.orderLeaseMs + returnSlackMs : 0;
 }
 
 /** Sends a machine, whose worker is empty, to another pool. */
@@ -97,7 +107,7 @@
 	machine.order = {
 		type: 'move', pool, wave: 0, isInFlight: false, retryAt: state.now, confirmedAt: undefined,
 	};
-	sendOrder(state, machine);
+	storeOrder(state, machine);
 }
 
 /** Sends a machine, whose worker is empty, into its upkeep. */
@@ -106,10 +116,34 @@
 	machine.order = {
 		type: 'upkeep', pool: machine.entry.pool, wave, isInFlight: false, retryAt: state.now, confirmedAt: undefined,
 	};
-	sendOrder(state, machine);
+	storeOrder(state, machine);
+}
+
+/** The next leader must know of the order before the platform does. */
+function storeOrder(state: SchedulerState, machine: Machine): void {
+	state.ownOrders.set(machine.entry.id, state.now);
+	state.areOrdersDirty = true;
+	if (machine.order) {
+		machine.order.isInFlight = true;
+	}
+
+	state.pendingActions.push({type: 'order', machine});
+}
+
+/** Machines with orders that the next leader must wait for. */
+export function listRecentOrders(state: SchedulerState): MachineId[] {
+	for (const [id, at] of state.ownOrders) {
+		const isOpen = state.machines.get(id)?.order?.confirmedAt === undefined && state.machines.get(id)?.order !== undefined;
+		if (!isOpen && state.now - at > state.settings.orderLeaseMs + returnSlackMs) {
+			state.ownOrders.delete(id);
+		}
+	}
+
+	return [...state.ownOrders.keys()];
 }
 
-function sendOrder(state: SchedulerState, machine: Machine): void {
+/** Sends an order to the platform. */
+export function sendOrder(state: SchedulerState, machine: Machine): void {
 	const {order} = machine;
 	if (!order) {
 		return;
@@ -129,7 +163,7 @@
 
 /** Repeats orders whose outcome is not known. */
 export function tickOrders(state: SchedulerState): void {
-	if (state.leadership.role !== 'leader') {
+	if (!canOrder(state)) {
 		return;
 	}
 
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -14,7 +14,7 @@
 
 /** Orders the moves that are due. */
 export function tickMoves(state: SchedulerState): void {
-	if (!canOrder(state) || state.now < state.movesDueAt || state.machinesListedAt <= state.leadership.leadsSince) {
+	if (!canOrder(state) || state.now < state.movesDueAt) {
 		return;
 	}
 
@@ -64,7 +64,7 @@
 }
 
 function isMovable(state: SchedulerState, machine: Machine): boolean {
-	return machine.order === undefined && machine.entry.state === 'up' && machine.drainsFor === undefined && (machine.notBefore ?? 0) <= state.now;
+	return machine.order === undefined && machine.entry.state === 'up' && machine.drainsFor === undefined && machine.notBefore <= state.now;
 }
 
 /** Brings machines, spare ones first, then idle ones of pools that have more than they need. */
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -152,7 +152,8 @@
 export type PendingAction
 	= | {readonly type: 'start'; readonly task: Task; readonly run: number}
 		| {readonly type: 'note-ends'; readonly worker: Worker; readonly upTo: number}
-		| {readonly type: 'show-phase'; readonly job: Job};
+		| {readonly type: 'show-phase'; readonly job: Job}
+	| {readonly type: 'order'; readonly machine: Machine};
 
 /** One append to the ledger. */
 export type Commit = {
@@ -197,7 +198,7 @@
 	/** The wave for which the machine is emptied. */
 	drainsFor: WaveNumber | undefined;
 	/** No order before this. */
-	notBefore?: SteadyMs;
+	notBefore: SteadyMs;
 };
 
 export type Wave = {
@@ -245,6 +246,11 @@
 	readonly removedJobs: Set<JobId>;
 	pendingActions: PendingAction[];
 	readonly machines: Map<MachineId, Machine>;
+	/** Machines that an earlier leader ordered lately. */
+	storedOrders: ReadonlySet<MachineId>;
+	/** Machines that this leader ordered lately, and when. */
+	readonly ownOrders: Map<MachineId, SteadyMs>;
+	areOrdersDirty: boolean;
 	machinesListedAt: SteadyMs;
 	machinesDueAt: SteadyMs;
 	isListingMachines: boolean;
@@ -286,6 +292,9 @@
 		removedJobs: new Set(),
 		pendingActions: [],
 		machines: new Map(),
+		storedOrders: new Set(),
+		ownOrders: new Map(),
+		areOrdersDirty: false,
 		machinesListedAt: 0,
 		machinesDueAt: 0,
 		isListingMachines: false,
--- a/packages/core/src/scheduler/timing.ts
+++ b/packages/core/src/scheduler/timing.ts
@@ -11,12 +11,14 @@
 /** A leader that the store has not confirmed for this long stops renewing leases. */
 export const unconfirmedLimitMs = 6000;
 /** A ledger without records for this long has no leader. */
-export const leaderSilenceMs = 1200;
+export const leaderSilenceMs = 1000;
 /** A leader without changes writes a sign of life this often. */
-export const signOfLifeMs = 300;
+export const signOfLifeMs = 250;
 /** Claims of several hosts are spread over this time. */
 export const claimSpreadMs = 400;
 export const claimRetryMs = 500;
+/** A leader that the store has not confirmed for this long orders no machine. */
+export const unconfirmedOrderMs = 1000;
 /** Least time between two appends to the ledger, so that changes share one. */
 export const commitPauseMs = 10;
 export const commitRetryMs = 60;
--- a/packages/core/src/scheduler/waves.ts
+++ b/packages/core/src/scheduler/waves.ts
@@ -66,7 +66,7 @@
 }
 
 function advanceWave(state: SchedulerState, wave: Wave): void {
-	if (!canOrder(state) || state.machinesListedAt <= state.leadership.leadsSince) {
+	if (!canOrder(state)) {
 		return;
 	}
 
@@ -82,7 +82,7 @@
 	let room = definition.maxDown - down;
 	let draining = open.filter(machine => machine.drainsFor === definition.wave).length;
 	for (const machine of sortByLoad(state, open)) {
-		if (machine.order || machine.entry.state !== 'up' || (machine.notBefore ?? 0) > state.now) {
+		if (machine.order || machine.entry.state !== 'up' || machine.notBefore > state.now) {
 			continue;
 		}
 
--- a/packages/daemon/src/scheduler/codec.ts
+++ b/packages/daemon/src/scheduler/codec.ts
@@ -60,6 +60,7 @@
 	}),
 	'progress-removed': ({jobId}) => ({key: `progress:${jobId}`, value: undefined}),
 	waves: ({waves}) => ({key: 'waves:', value: packr.pack(waves)}),
+	orders: ({machineIds}) => ({key: 'orders:', value: packr.pack(machineIds)}),
 	config: ({config}) => ({key: 'config:', value: packr.pack(config)}),
 };
 
@@ -72,6 +73,7 @@
 	lease: (_id, value) => value && {type: 'lease', lease: packr.unpack(value)},
 	progress: (id, value) => value ? decodeProgress(id as JobId, value) : {type: 'progress-removed', jobId: id as JobId},
 	waves: (_id, value) => value && {type: 'waves', waves: packr.unpack(value)},
+	orders: (_id, value) => value && {type: 'orders', machineIds: packr.unpack(value)},
 	config: (_id, value) => value && {type: 'config', config: packr.unpack(value)},
 };
 
