--- a/packages/core/src/scheduler/commits.ts
+++ b/packages/core/src/scheduler/commits.ts
@@ -115,7 +115,7 @@
 export function handleCommit(state: SchedulerState, event: CommitEnded): void {
 	const {leadership} = state;
 	const {commit} = leadership;
-	if (!commit || commit.sequence !== event.sequence) {
+	if (commit?.sequence !== event.sequence) {
 		return;
 	}
 
--- a/packages/core/src/scheduler/holds.ts
+++ b/packages/core/src/scheduler/holds.ts
@@ -95,7 +95,7 @@
 /** Handles the answer to a look. */
 export function handleHold(state: SchedulerState, event: HoldEnded): void {
 	const worker = state.workers.get(event.workerId);
-	if (!worker || worker.bornAt !== event.bornAt) {
+	if (worker?.bornAt !== event.bornAt) {
 		return;
 	}
 
@@ -197,7 +197,7 @@
 
 function readEnd(state: SchedulerState, worker: Worker, row: EndedRow): void {
 	const task = worker.tasks.get(row.task);
-	if (!task || task.run !== row.run || !task.isSent) {
+	if (task?.run !== row.run || !task.isSent) {
 		return;
 	}
 
@@ -221,7 +221,7 @@
 	const seen = new Set<string>();
 	for (const row of event.running) {
 		const task = worker.tasks.get(row.task);
-		if (task && task.run === row.run && task.isSent) {
+		if (task?.run === row.run && task.isSent) {
 			seen.add(row.task);
 			readRunningRow(state, worker, task, row);
 		} else {
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -30,7 +30,7 @@
 	}
 
 	const workersByPool = listUsableWorkers(state);
-	for (const {step} of rankSteps(state)) {
+	for (const {step} of sortSteps(state)) {
 		const pool = getPoolOfJob(state, step.occurrence.job);
 		placeStep(state, step, workersByPool.get(pool) ?? [], pool);
 	}
@@ -59,8 +59,8 @@
 }
 
 /** The steps that may start, most urgent first. */
-function rankSteps(state: SchedulerState): Urgency[] {
-	return [...state.openSteps].map(step => computeUrgency(state, step)).sort(compareUrgency);
+function sortSteps(state: SchedulerState): Urgency[] {
+	return [...state.openSteps].map(step => computeUrgency(state, step)).toSorted(compareUrgency);
 }
 
 function placeStep(state: SchedulerState, step: StepRun, workers: readonly Worker[], pool: PoolName): void {
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -107,7 +107,7 @@
 	},
 	'pace/ended'(state, event) {
 		const task = state.workers.get(event.workerId)?.tasks.get(event.task);
-		if (task && task.run === event.run && !event.isDone) {
+		if (task?.run === event.run && !event.isDone) {
 			// The next look sets it anew.
 			task.pacePercent = 100;
 		}
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -105,7 +105,7 @@
 export function handleStart(state: SchedulerState, event: StartEnded): void {
 	const worker = state.workers.get(event.workerId);
 	const task = worker?.tasks.get(event.task);
-	if (!worker || worker.bornAt !== event.bornAt || !task || task.run !== event.run) {
+	if (worker?.bornAt !== event.bornAt || task?.run !== event.run) {
 		return;
 	}
 
@@ -126,7 +126,7 @@
 export function handleStop(state: SchedulerState, event: StopEnded): void {
 	const worker = state.workers.get(event.workerId);
 	const task = worker?.tasks.get(event.task);
-	if (!worker || worker.bornAt !== event.bornAt || !task || task.run !== event.run || task.status !== 'stopping') {
+	if (worker?.bornAt !== event.bornAt || task?.run !== event.run || task.status !== 'stopping') {
 		return;
 	}
 
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -3,7 +3,24 @@
 import type {Instant} from '../types/time.js';
 import type {SchedulerEffect} from './effects.js';
 import type {
-	FencingToken, FleetConfig, JobDefinition, JobPhase, JobProgress, LedgerRecord, MachineEntry, MachineId, PoolName, QueueName, Resources, RunningRow, StepDefinition, SteadyMs, TaskName, WaveDefinition, WaveNumber, WorkerId,
+	FencingToken,
+	FleetConfig,
+	JobDefinition,
+	JobPhase,
+	JobProgress,
+	LedgerRecord,
+	MachineEntry,
+	MachineId,
+	PoolName,
+	QueueName,
+	Resources,
+	RunningRow,
+	StepDefinition,
+	SteadyMs,
+	TaskName,
+	WaveDefinition,
+	WaveNumber,
+	WorkerId,
 } from './types.js';
 
 /** What a host is told once, at its start. */
@@ -153,7 +170,7 @@
 	= | {readonly type: 'start'; readonly task: Task; readonly run: number}
 		| {readonly type: 'note-ends'; readonly worker: Worker; readonly upTo: number}
 		| {readonly type: 'show-phase'; readonly job: Job}
-	| {readonly type: 'order'; readonly machine: Machine};
+		| {readonly type: 'order'; readonly machine: Machine};
 
 /** One append to the ledger. */
 export type Commit = {
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -207,5 +207,5 @@
 		| {readonly type: 'progress-removed'; readonly jobId: JobId}
 		| {readonly type: 'waves'; readonly waves: readonly WaveProgress[]}
 	/** Machines with recent or open orders; written before an order is sent. */
-	| {readonly type: 'orders'; readonly machineIds: readonly MachineId[]}
+		| {readonly type: 'orders'; readonly machineIds: readonly MachineId[]}
 		| {readonly type: 'config'; readonly config: FleetConfig};
--- a/packages/core/src/scheduler/waves.ts
+++ b/packages/core/src/scheduler/waves.ts
@@ -82,7 +82,7 @@
 	let room = definition.maxDown - down;
 	let draining = open.filter(machine => machine.drainsFor === definition.wave).length;
 	for (const machine of sortByLoad(state, open)) {
-		if (machine.order || machine.entry.state !== 'up' || machine.notBefore > state.now) {
+		if (machine.order !== undefined || machine.entry.state !== 'up' || machine.notBefore > state.now) {
 			continue;
 		}
 
@@ -109,7 +109,7 @@
 		return (machine.drainsFor === undefined ? 1_000_000 : 0) + (lasting * 100_000) + (worker?.used.cpu ?? 0);
 	};
 
-	return [...machines].sort((a, b) => getLoad(a) - getLoad(b));
+	return machines.toSorted((a, b) => getLoad(a) - getLoad(b));
 }
 
 /** Keeps new work away and ends what lasts; true once the machine is empty. */
@@ -146,7 +146,7 @@
 
 function isAtWork(state: SchedulerState, task: Task): boolean {
 	return task.status === 'running' && task.percent >= fullPercent && state.now - task.startedAt > atWorkSinceMs
-		&& task.worker !== undefined && task.worker.misses === 0;
+		&& task.worker?.misses === 0;
 }
 
 function hasRoomElsewhere(state: SchedulerState, step: StepRun, current: Worker | undefined): boolean {
--- a/packages/daemon/src/scheduler/bounded-output.ts
+++ b/packages/daemon/src/scheduler/bounded-output.ts
@@ -4,7 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 
 /** Writes a chunk and calls back; the callback may never come. */
-export type ChunkWriter = (chunk: Buffer, done: (error?: Error) => void) => void;
+export type ChunkWriter = (chunk: Uint8Array, done: (error?: Error) => void) => void;
 
 const mostBytesKept = 1_048_576;
 const gatherMs = 50;
@@ -17,7 +17,7 @@
 	}
 
 	droppedLines = 0;
-	private lines: Buffer[] = [];
+	private lines: Uint8Array[] = [];
 	private keptBytes = 0;
 	private isWriting = false;
 	private timer: NodeJS.Timeout | undefined;
@@ -26,7 +26,9 @@
 		super({decodeStrings: true});
 	}
 
-	override _write(chunk: Buffer, _encoding: BufferEncoding, callback: () => void): void {
+	// The name is that of the stream interface.
+	// eslint-disable-next-line no-restricted-syntax
+	override _write(chunk: Uint8Array, _encoding: BufferEncoding, callback: () => void): void {
 		if (this.keptBytes + chunk.length > mostBytesKept) {
 			this.droppedLines++;
 		} else {
--- a/packages/daemon/src/scheduler/codec.ts
+++ b/packages/daemon/src/scheduler/codec.ts
@@ -1,6 +1,8 @@
 /** Own records in the store, packed by msgpackr: a kind and an id make the key. */
 import type {JobId} from '@rhubarblever/core';
-import type {IntakeRecord, LedgerRecord} from '@rhubarblever/core/scheduler';
+import type {
+	FleetConfig, IntakeRecord, JobDefinition, JobProgress, LeaseRecord, LedgerRecord, MachineId, ProgressRow, WaveProgress,
+} from '@rhubarblever/core/scheduler';
 import {Packr} from 'msgpackr';
 import type {KeyedRecord, NewRecord} from './ports.js';
 
@@ -9,7 +11,13 @@
 /** Progress, waves and the lead, written by the leader alone. */
 export const ledgerStream = 'keyed.ledger';
 
-const packr = new Packr({useRecords: false, encodeUndefinedAsNil: false});
+const packr = new Packr({useRecords: false});
+
+/** What another entry host has packed; only these write to the streams. */
+function readValue<Value>(value: Uint8Array): Value {
+	return packr.unpack(value) as Value;
+}
+
 const keyPattern = /^(?<kind>[a-z]+):(?<id>.*)$/s;
 
 type ParsedKey = {readonly kind: string; readonly id: string};
@@ -36,7 +44,7 @@
 type Decoder<Decoded> = (id: string, value: Uint8Array | undefined) => Decoded;
 
 const intakeDecoders: Readonly<Record<string, Decoder<IntakeRecord>>> = {
-	job: (id, value) => value ? {type: 'job', job: packr.unpack(value)} : {type: 'job-removed', jobId: id as JobId},
+	job: (id, value) => value ? {type: 'job', job: readValue<JobDefinition>(value)} : {type: 'job-removed', jobId: id as JobId},
 	cancel: (id, value) => value ? {type: 'cancel', jobId: id as JobId} : {type: 'cancel-removed', jobId: id as JobId},
 };
 
@@ -70,25 +78,29 @@
 }
 
 const ledgerDecoders: Readonly<Record<string, Decoder<LedgerRecord | undefined>>> = {
-	lease: (_id, value) => value && {type: 'lease', lease: packr.unpack(value)},
+	lease: (_id, value) => value && {type: 'lease', lease: readValue<LeaseRecord>(value)},
 	progress: (id, value) => value ? decodeProgress(id as JobId, value) : {type: 'progress-removed', jobId: id as JobId},
-	waves: (_id, value) => value && {type: 'waves', waves: packr.unpack(value)},
-	orders: (_id, value) => value && {type: 'orders', machineIds: packr.unpack(value)},
-	config: (_id, value) => value && {type: 'config', config: packr.unpack(value)},
+	waves: (_id, value) => value && {type: 'waves', waves: readValue<WaveProgress[]>(value)},
+	orders: (_id, value) => value && {type: 'orders', machineIds: readValue<MachineId[]>(value)},
+	config: (_id, value) => value && {type: 'config', config: readValue<FleetConfig>(value)},
 };
 
+type PackedRow = [occurrence: number, step: number, index: number, status: ProgressRow['status'], run: number, failures: number, workerId: string, workerBornAt: number, checkpoint: string];
+type PackedProgress = [phase: JobProgress['phase'], finishedOccurrences: number[], finishedAt: JobProgress['finishedAt'], rows: PackedRow[]];
+
+function decodeRow([occurrence, step, index, status, run, failures, workerId, workerBornAt, checkpoint]: PackedRow): ProgressRow {
+	return {
+		occurrence, step, index, status, run, failures, workerId, workerBornAt, checkpoint,
+	};
+}
+
 function decodeProgress(jobId: JobId, value: Uint8Array): LedgerRecord {
-	const [phase, finishedOccurrences, finishedAt, rows] = packr.unpack(value);
+	const [phase, finishedOccurrences, finishedAt, rows] = readValue<PackedProgress>(value);
 	return {
 		type: 'progress',
 		jobId,
 		progress: {
-			phase,
-			finishedOccurrences,
-			finishedAt,
-			rows: rows.map(([occurrence, step, index, status, run, failures, workerId, workerBornAt, checkpoint]: any[]) => ({
-				occurrence, step, index, status, run, failures, workerId, workerBornAt, checkpoint,
-			})),
+			phase, finishedOccurrences, finishedAt, rows: rows.map(row => decodeRow(row)),
 		},
 	};
 }
--- a/packages/daemon/src/scheduler/effect-runner.ts
+++ b/packages/daemon/src/scheduler/effect-runner.ts
@@ -44,7 +44,7 @@
 			void this.claim(effect);
 		},
 		'ledger/commit': effect => {
-			void this.commit(effect);
+			void this.appendCommit(effect);
 		},
 		'ledger/reload': () => {
 			this.options.reloadLedger();
@@ -59,7 +59,7 @@
 			void this.hold(effect);
 		},
 		'worker/pace': effect => {
-			void this.pace(effect);
+			void this.setPace(effect);
 		},
 		'machines/list': () => {
 			void this.listMachines();
@@ -68,7 +68,7 @@
 			void this.order(effect.machineId, 'move', async () => this.options.ports.machines.move(effect));
 		},
 		'machine/upkeep': effect => {
-			void this.order(effect.machineId, 'upkeep', async () => this.options.ports.machines.upkeep(effect));
+			void this.order(effect.machineId, 'upkeep', async () => this.options.ports.machines.startUpkeep(effect));
 		},
 		'wave/report': effect => {
 			void this.reportWave(effect);
@@ -108,7 +108,7 @@
 		this.options.pushEvent({type: 'claim/ended', outcome: claimOutcomes[outcome.type], claimedAt: at});
 	}
 
-	private async commit({token, sequence, records}: Extract<SchedulerEffect, {type: 'ledger/commit'}>): Promise<void> {
+	private async appendCommit({token, sequence, records}: Extract<SchedulerEffect, {type: 'ledger/commit'}>): Promise<void> {
 		const startedAt = readSteadyClock();
 		const outcome = await this.options.ports.store.append(ledgerStream, records.map(record => encodeLedger(record)), {
 			writer: {name: writerName, epoch: token, sequence},
@@ -155,9 +155,9 @@
 		});
 	}
 
-	private async pace(effect: Extract<SchedulerEffect, {type: 'worker/pace'}>): Promise<void> {
+	private async setPace(effect: Extract<SchedulerEffect, {type: 'worker/pace'}>): Promise<void> {
 		const startedAt = readSteadyClock();
-		const isDone = await this.options.ports.workers.pace(effect);
+		const isDone = await this.options.ports.workers.setPace(effect);
 		this.noteOrder('pace', isDone ? 'done' : 'failed', startedAt);
 		this.options.pushEvent({
 			type: 'pace/ended', workerId: effect.worker.id, task: effect.task, run: effect.run, isDone,
--- a/packages/daemon/src/scheduler/ports.ts
+++ b/packages/daemon/src/scheduler/ports.ts
@@ -52,14 +52,14 @@
 	stop(order: EffectOf<'worker/stop'>): Promise<StopOutcome>;
 	hold(order: EffectOf<'worker/hold'>): Promise<HoldAnswer>;
 	/** True if the worker took the pace over. */
-	pace(order: EffectOf<'worker/pace'>): Promise<boolean>;
+	setPace(order: EffectOf<'worker/pace'>): Promise<boolean>;
 };
 
 /** Orders to the platform about machines. */
 export type MachineOrders = {
 	list(): Promise<readonly MachineEntry[] | undefined>;
 	move(order: EffectOf<'machine/move'>): Promise<OrderOutcome>;
-	upkeep(order: EffectOf<'machine/upkeep'>): Promise<OrderOutcome>;
+	startUpkeep(order: EffectOf<'machine/upkeep'>): Promise<OrderOutcome>;
 };
 
 export type Advisor = {
--- a/packages/daemon/src/scheduler/tail.ts
+++ b/packages/daemon/src/scheduler/tail.ts
@@ -41,7 +41,7 @@
 	async run(): Promise<void> {
 		while (!this.isStopped) {
 			// eslint-disable-next-line no-await-in-loop
-			const pauseMs = await this.step();
+			const pauseMs = await this.readNext();
 			if (pauseMs > 0) {
 				// eslint-disable-next-line no-await-in-loop
 				await sleep(pauseMs);
@@ -59,7 +59,7 @@
 		this.isStopped = true;
 	}
 
-	private async step(): Promise<number> {
+	private async readNext(): Promise<number> {
 		if (!this.options.isWanted()) {
 			this.nextOffset = undefined;
 			return retryMs / 4;
--- a/xo.config.js
+++ b/xo.config.js
@@ -18,7 +18,7 @@
 
 /** @type {import('xo').FlatXoConfig} */
 const config = [
-	{ignores: ['**/dist/**', 'reports/**']},
+	{ignores: ['**/dist/**', 'reports/**', 'target/**', 'journal/**']},
 	{
 		rules: {
 			'@stylistic/curly-newline': 'off',
@@ -57,6 +57,10 @@
 			],
 		},
 	},
+	{
+		files: ['platform/bundle.js'],
+		rules: {'import-x/no-extraneous-dependencies': 'off', 'n/no-extraneous-import': 'off'},
+	},
 	{
 		files: ['**/*.test.ts'],
 		rules: {
