Late starts are stopped at a worker's next process too; the model checks what is acknowledged; a stand-in of the users' platform

Ruled out: the leader's own order of writes (ledger in order). Also: placed tasks that were not sent yet counted as lapsed.

--- a/packages/core/src/scheduler/holds.ts
+++ b/packages/core/src/scheduler/holds.ts
@@ -63,7 +63,7 @@
 
 function sendHold(state: SchedulerState, worker: Worker): void {
 	worker.isHeld = true;
-	const hasWork = [...worker.tasks.values()].some(task => task.isSent);
+	const hasWork = hasSentTasks(worker);
 	const isWatched = hasWork && [...worker.tasks.values()].some(task => task.step.definition.isLongRunning);
 	addEffect(state, {
 		type: 'worker/hold',
@@ -76,9 +76,14 @@
 	});
 }
 
+/** True if a start has left for the worker that may still be at work there. */
+function hasSentTasks(worker: Worker): boolean {
+	return [...worker.tasks.values()].some(task => task.isSent);
+}
+
 /** All runs of a worker that was not reached are over once its lease surely has lapsed. */
 function expireLease(state: SchedulerState, worker: Worker): void {
-	if (worker.tasks.size === 0 || state.now <= worker.leaseEndsAt) {
+	if (state.now <= worker.leaseEndsAt || !hasSentTasks(worker)) {
 		return;
 	}
 
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -1,11 +1,11 @@
 /** The workers that a leader knows: from service discovery, and from stored starts. */
 import {addEffect, noteDecision} from './logging.js';
-import {returnTask} from './tasks.js';
+import {getTarget, returnTask} from './tasks.js';
 import {
-	clockDrift, leaseSlackMs, registryGraceMs, unconfirmedLimitMs, workerLeaseMs,
+	clockDrift, leaseSlackMs, lateStartMs, notSettled, registryGraceMs, stopRetryMs, unconfirmedLimitMs, workerLeaseMs,
 } from './timing.js';
 import type {WorkerEntry, WorkerId} from './types.js';
-import type {SchedulerState, Worker} from './state.js';
+import type {SchedulerState, Task, Worker} from './state.js';
 
 /** An earlier leader may have renewed a lease until it noticed that it leads no more. */
 const foreignLeaseMs = ((unconfirmedLimitMs + workerLeaseMs) * (1 + clockDrift)) + leaseSlackMs;
@@ -43,6 +43,7 @@
 		lastAnswerAt: state.now,
 		misses: 0,
 		tasks: new Map(),
+		lateStarts: [],
 		strangers: new Map(),
 		used: {cpu: 0, memoryMb: 0, gpu: 0},
 		isReserved: false,
@@ -110,7 +111,12 @@
 	noteDecision(state, 'worker-restarted', {
 		workerId: worker.id, bornAt, formerBornAt: worker.bornAt, tasks: worker.tasks.size,
 	});
-	const doubtful = [...worker.tasks.values()].filter(task => task.isSent && task.status !== 'running');
+	for (const task of worker.tasks.values()) {
+		if (task.isSent && task.status !== 'running') {
+			noteLateStart(state, worker, task);
+		}
+	}
+
 	clearWorker(state, worker);
 	worker.bornAt = bornAt;
 	worker.clock = undefined;
@@ -125,11 +131,32 @@
 	worker.isReserved = false;
 	worker.setAsideUntil = 0;
 	worker.failures.length = 0;
-	// A start that is still on its way to this id must not be carried out by the new process.
-	for (const task of doubtful) {
-		addEffect(state, {
-			type: 'worker/stop', worker: {id: worker.id, bornAt, address: worker.address}, task: task.name, run: task.run, token: state.leadership.token,
-		});
+	for (const late of worker.lateStarts) {
+		late.stopDueAt = state.now;
+	}
+}
+
+/** Remembers a start that may still be carried out. */
+export function noteLateStart(state: SchedulerState, worker: Worker, task: Task): void {
+	worker.lateStarts.push({
+		task: task.name, run: task.run, forgetAt: state.now + lateStartMs, stopDueAt: notSettled,
+	});
+}
+
+/** Stops late starts at a worker's new process, until it has confirmed that. */
+export function tickLateStarts(state: SchedulerState, worker: Worker): void {
+	if (worker.lateStarts.length === 0) {
+		return;
+	}
+
+	worker.lateStarts = worker.lateStarts.filter(late => late.forgetAt > state.now);
+	for (const late of worker.lateStarts) {
+		if (late.stopDueAt <= state.now && worker.address !== '') {
+			late.stopDueAt = state.now + stopRetryMs;
+			addEffect(state, {
+				type: 'worker/stop', worker: getTarget(worker), task: late.task, run: late.run, token: state.leadership.token,
+			});
+		}
 	}
 }
 
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -2,7 +2,7 @@
 import {extendLease} from './holds.js';
 import {addEffect, noteDecision} from './logging.js';
 import {isJobOpen} from './phases.js';
-import {clearWorker} from './registry.js';
+import {clearWorker, noteLateStart, tickLateStarts} from './registry.js';
 import {
 	confirmTask, getTarget, requestStop, returnTask,
 } from './tasks.js';
@@ -94,6 +94,7 @@
 	},
 	unknown(state, worker, task) {
 		worker.setAsideUntil = Math.max(worker.setAsideUntil, state.now + refusalPauseMs);
+		noteLateStart(state, worker, task);
 		// It may have been carried out, or may be later: only a stop makes the run void.
 		if (task.status === 'placed') {
 			requestStop(state, task);
@@ -125,8 +126,16 @@
 /** Handles the answer to a stop. */
 export function handleStop(state: SchedulerState, event: StopEnded): void {
 	const worker = state.workers.get(event.workerId);
-	const task = worker?.tasks.get(event.task);
-	if (worker?.bornAt !== event.bornAt || task?.run !== event.run || task.status !== 'stopping') {
+	if (worker?.bornAt !== event.bornAt) {
+		return;
+	}
+
+	if (event.outcome === 'stopped') {
+		confirmLateStop(worker, event);
+	}
+
+	const task = worker.tasks.get(event.task);
+	if (task?.run !== event.run || task.status !== 'stopping') {
 		return;
 	}
 
@@ -141,9 +150,18 @@
 	task.stopDueAt = event.outcome === 'stopped' ? notSettled : state.now + stopRetryMs;
 }
 
+function confirmLateStop(worker: Worker, event: StopEnded): void {
+	for (const late of worker.lateStarts) {
+		if (late.task === event.task && late.run === event.run) {
+			late.stopDueAt = notSettled;
+		}
+	}
+}
+
 /** Repeats the stops that were not confirmed. */
 export function tickStops(state: SchedulerState): void {
 	for (const worker of state.workers.values()) {
+		tickLateStarts(state, worker);
 		for (const task of worker.tasks.values()) {
 			if (task.status === 'stopping' && task.settledAt === notSettled && state.now >= task.stopDueAt) {
 				requestStop(state, task);
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -120,6 +120,15 @@
 	finishedAt: Instant;
 };
 
+/** A start without an answer: it may be carried out late, even by the worker's next process, which knows of no stop. */
+export type LateStart = {
+	readonly task: TaskName;
+	readonly run: number;
+	readonly forgetAt: SteadyMs;
+	/** When a new process of the worker is told to stop it. */
+	stopDueAt: SteadyMs;
+};
+
 export type Worker = {
 	readonly id: WorkerId;
 	bornAt: number;
@@ -153,6 +162,7 @@
 	/** Holds in a row without an answer. */
 	misses: number;
 	readonly tasks: Map<TaskName, Task>;
+	lateStarts: LateStart[];
 	/** Runs at the worker that nobody here knows of; they are stopped. */
 	readonly strangers: Map<TaskName, RunningRow>;
 	used: Resources;
--- a/packages/core/src/scheduler/testing/model-fleet.ts
+++ b/packages/core/src/scheduler/testing/model-fleet.ts
@@ -370,15 +370,36 @@
 			type: 'hold/ended' as const, workerId: effect.worker.id, bornAt: effect.worker.bornAt, sentAt: this.now, clockMs: undefined, answerBornAt: undefined, running: [], ended: [],
 		};
 		this.callWorker(host, effect.worker.id, worker => {
-			const lists = worker.hold(effect, this.now);
-			this.noteAcknowledged(worker, effect.ackedEnd);
+			// An acknowledgement that was on its way when the process ended means nothing to the next one (docs/QUESTIONS.md).
+			const ackedEnd = worker.bornAt === effect.worker.bornAt ? effect.ackedEnd : 0;
+			this.checkAcknowledged(worker, ackedEnd);
+			const lists = worker.hold({...effect, ackedEnd}, this.now);
 			return lists ? {
 				...base, outcome: 'held', clockMs: this.now, answerBornAt: worker.bornAt, ...lists,
 			} : {...base, outcome: 'fenced'};
 		}, {...base, outcome: 'unknown'});
 	}
 
-	private noteAcknowledged(worker: ModelWorker, upTo: number): void {
+	/** What a worker is told to forget must be stored, or belong to a run that counts no more. */
+	private checkAcknowledged(worker: ModelWorker, upTo: number): void {
+		for (const row of worker.listEndsUpTo(upTo)) {
+			if (row.how === 'done' && !this.isStored(row.task, row.run)) {
+				this.violations.push(`${this.now}: the end of ${row.task} was acknowledged before it was stored`);
+			}
+		}
+
+		this.noteCompleted();
+	}
+
+	private isStored(task: string, run: number): boolean {
+		const [jobId, , step, index] = task.split('.');
+		const entry = this.store.ledger.findLast(({record}) => record.type === 'progress' && record.jobId === jobId);
+		const progress = entry?.record.type === 'progress' ? entry.record.progress : undefined;
+		const row = progress?.rows.find(candidate => candidate.step === Number(step) && candidate.index === Number(index));
+		return this.cancelledAt.has(jobId!) || progress?.phase === 'completed' || progress?.phase === 'failed' || row?.status === 'done' || (row?.run ?? 0) > run;
+	}
+
+	private noteCompleted(): void {
 		for (const host of this.hosts) {
 			for (const job of host.state.jobs.values()) {
 				if (job.phase === 'completed') {
@@ -386,8 +407,6 @@
 				}
 			}
 		}
-
-		worker.ackedEnd = Math.max(worker.ackedEnd, upTo);
 	}
 
 	private findStep(task: string): StepDefinition {
--- a/packages/core/src/scheduler/testing/model-worker.ts
+++ b/packages/core/src/scheduler/testing/model-worker.ts
@@ -130,9 +130,9 @@
 		return [...this.runs.values()].reduce((sum, run) => sum + run.need.cpu, 0);
 	}
 
-	/** True if an end of a run is still listed. */
-	hasListed(task: string): boolean {
-		return this.ended.some(row => row.task === task);
+	/** Ends that an acknowledgement would let the worker forget. */
+	listEndsUpTo(number: number): EndedRow[] {
+		return this.ended.filter(row => row.number <= number);
 	}
 
 	private extendLease(untilMs: number, now: number): void {
--- a/packages/core/src/scheduler/timing.ts
+++ b/packages/core/src/scheduler/timing.ts
@@ -30,6 +30,8 @@
 export const stopRetryMs = 300;
 /** A worker that the registry lost, when it was read anew, may come back to it for this long. */
 export const registryGraceMs = 3000;
+/** A start without an answer may be carried out this much later. */
+export const lateStartMs = 15_000;
 /** Evidence against a worker is kept for this long. */
 export const evidenceMs = 10_000;
 export const setAsideMs = 3000;
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -20,3 +20,5 @@
 export type {PlatformLedgerEntry, PlatformEvent} from './platform/ledger.js';
 export type {PlatformSettings} from './platform/settings.js';
 export type {TaskReport, WorkerReport} from './platform/workers.js';
+export * from './job-platform/job-platform.js';
+export {JobWorker} from './job-platform/job-worker.js';
--- /dev/null
+++ b/packages/stand-ins/src/job-platform/job-platform.ts
@@ -0,0 +1,105 @@
+/** The users' platform, small, on loopback addresses: the store, the list of machines, and some workers. */
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {listen, readBytes, sendJson} from '../http.js';
+import {JobWorker} from './job-worker.js';
+import {KeyedLog} from './keyed-log.js';
+
+const beatMs = 500;
+
+export type JobPlatformOptions = {readonly address: string; readonly workerAddresses: readonly string[]; readonly runMs: number};
+
+export const standInQueue = {host: 'jobs.example', pathPrefix: '/replans/', name: 'replans', pool: 'trucks'} as const;
+const workerCpu = 8000;
+/** Processor that each task of the stand-in's jobs asks for. */
+export const standInTaskCpu = 2000;
+
+export class JobPlatform {
+	static async start(options: JobPlatformOptions): Promise<JobPlatform> {
+		const workers = await Promise.all(options.workerAddresses.map(async (address, index) => JobWorker.start({
+			id: `worker-${index}`, address, pool: standInQueue.pool, cpu: workerCpu, runMs: options.runMs, taskCpu: standInTaskCpu,
+		})));
+		const platform = new JobPlatform(workers);
+		const [ip, port] = options.address.split(':');
+		await listen(platform.server, ip!, Number(port));
+		return platform;
+	}
+
+	readonly log = KeyedLog.create();
+	/** While true, the store answers nothing. */
+	isDown = false;
+	private readonly server: Server;
+	private readonly timer: NodeJS.Timeout;
+	private sequence = 0;
+
+	private constructor(readonly workers: readonly JobWorker[]) {
+		this.server = createServer((request, response) => {
+			void this.answer(request, response);
+		});
+		this.publishConfig(1);
+		this.beat();
+		this.timer = setInterval(() => {
+			this.beat();
+		}, beatMs);
+	}
+
+	/** Publishes a configuration with the one queue of the stand-in. */
+	publishConfig(version: number): void {
+		const {host, pathPrefix, name, pool} = standInQueue;
+		this.log.put('keyed.op', 'config', {
+			version,
+			routes: [{
+				name, host, 'path-prefix': pathPrefix, kind: 'non_idempotent', 'timeout-ms': 3000, 'target-latency-ms': 600, priority: 0, service: pool, 'max-attempts': 3, stretch: 2,
+			}],
+			services: [{
+				name: pool, 'health-path': '/health', 'max-conns': 64, protocol: 'h1', tls: false, 'admission-check': true, spare: false,
+			}],
+			limits: {},
+		});
+	}
+
+	async close(): Promise<void> {
+		clearInterval(this.timer);
+		this.server.closeAllConnections();
+		this.server.close();
+		await Promise.all(this.workers.map(async worker => worker.close()));
+	}
+
+	private beat(): void {
+		this.sequence++;
+		for (const [index, worker] of this.workers.entries()) {
+			this.log.put('keyed.servers', `worker-${index}`, worker.describe(this.sequence));
+		}
+	}
+
+	private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (this.isDown) {
+			request.socket.destroy();
+			return;
+		}
+
+		const url = new URL(request.url ?? '/', 'http://platform');
+		const query = url.searchParams;
+		const topic = query.get('topic') ?? '';
+		const operations: Readonly<Record<string, () => Promise<void> | void>> = {
+			'/v1/log-append': async () => {
+				const at = query.get('at');
+				const {status, body} = this.log.append(topic, await readBytes(request), {
+					at: at === null ? undefined : Number(at), producer: query.get('producer') ?? undefined, epoch: Number(query.get('epoch')), sequence: Number(query.get('sequence')),
+				});
+				sendJson(response, status, body);
+			},
+			'/v1/log-read': async () => {
+				response.end(await this.log.read(topic, Number(query.get('from')), Number(query.get('wait-ms'))));
+			},
+			'/v1/log-newest': () => {
+				sendJson(response, 200, this.log.listNewest(topic));
+			},
+			'/v1/machines': () => {
+				sendJson(response, 200, {machines: [], 'next-token': null});
+			},
+		};
+		await (operations[url.pathname] ?? (() => {
+			sendJson(response, 404, {});
+		}))();
+	}
+}
