--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -25,7 +25,7 @@
 	let demand = state.demand.get(pool);
 	if (!demand) {
 		demand = {
-			waitingCpu: 0, waitingTasks: 0, waitingWork: 0, arrivedWork: 0, rate: 0, lookedAt: state.now, machines: 0, keptMachines: 0, keptUntil: 0,
+			waitingCpu: 0, waitingTasks: 0, waitingWork: 0, arrivedWork: 0, rate: 0, lookedAt: state.now, machines: 0, keptMachines: 0, keptUntil: 0, replacementUntil: 0,
 		};
 		state.demand.set(pool, demand);
 	}
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -47,9 +47,14 @@
 
 function listPools(state: SchedulerState, spare: PoolName): PoolView[] {
 	const present = new Map<PoolName, number>();
+	const incoming = new Set<PoolName>();
 	let machineCpu = 0;
 	for (const {entry, order} of state.machines.values()) {
 		const pool = order?.type === 'move' ? order.pool : entry.pool;
+		if (order?.type === 'move') {
+			incoming.add(pool);
+		}
+
 		present.set(pool, (present.get(pool) ?? 0) + (entry.state === 'down' ? 0 : 1));
 		machineCpu = Math.max(machineCpu, entry.capacity.cpu);
 	}
@@ -57,8 +62,9 @@
 	return (state.config?.pools ?? []).filter(pool => pool.name !== spare && !pool.isSpare).map(({name}) => {
 		const demand = updateDemand(state, name, machineCpu);
 		const machines = present.get(name) ?? 0;
+		const replacements = demand.replacementUntil > state.now ? 1 : 0;
 		return {
-			name, isWaiting: demand.waitingTasks > 0, missing: demand.machines - machines, lendable: machines - demand.machines - lendReserve, surplus: machines - Math.max(leastWorkers, demand.keptMachines),
+			name, isWaiting: demand.waitingTasks > 0, missing: Math.max(demand.machines - machines, incoming.has(name) ? 0 : replacements), lendable: machines - demand.machines - replacements - lendReserve, surplus: machines - replacements - Math.max(leastWorkers, demand.keptMachines),
 		};
 	});
 }
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -251,6 +251,8 @@
 	machines: number;
 	keptMachines: number;
 	keptUntil: SteadyMs;
+	/** A machine that is emptied needs another to take its long-running tasks, until this instant. */
+	replacementUntil: SteadyMs;
 };
 
 export type SchedulerState = {
--- a/packages/core/src/scheduler/waves.ts
+++ b/packages/core/src/scheduler/waves.ts
@@ -2,8 +2,10 @@
 import {
 	canOrder, findWorker, orderUpkeep,
 } from './machines.js';
+import {getDemand} from './demand.js';
 import {addEffect, noteDecision} from './logging.js';
 import {getFree, isUsable} from './placement.js';
+import {getPoolOfJob} from './queues.js';
 import {requestStop} from './tasks.js';
 import type {SchedulerEvent} from './events.js';
 import type {
@@ -17,6 +19,11 @@
 /** Machines that are emptied ahead of those that are down. */
 const drainAhead = 1;
 const fullPercent = 100;
+const millisecondsPerSecond = 1000;
+/** In the last part of a wave long-running tasks no longer wait for room elsewhere. */
+const lastCallMs = 7000;
+/** How long the wish for a replacement holds without being renewed. */
+const replacementMs = 1000;
 
 /** Takes a wave in. */
 export function addWave(state: SchedulerState, event: WavePublished): void {
@@ -79,6 +86,7 @@
 		return;
 	}
 
+	const isDue = state.now > wave.readAt + (definition.deadlineS * millisecondsPerSecond) - lastCallMs;
 	let room = definition.maxDown - down;
 	let draining = open.filter(machine => machine.drainsFor === definition.wave).length;
 	for (const machine of sortByLoad(state, open)) {
@@ -91,7 +99,7 @@
 			draining++;
 		}
 
-		if (machine.drainsFor === definition.wave && drainMachine(state, machine) && room > 0) {
+		if (machine.drainsFor === definition.wave && drainMachine(state, machine, isDue) && room > 0) {
 			orderUpkeep(state, machine, definition.wave);
 			room--;
 		}
@@ -113,7 +121,7 @@
 }
 
 /** Keeps new work away and ends what lasts; true once the machine is empty. */
-function drainMachine(state: SchedulerState, machine: Machine): boolean {
+function drainMachine(state: SchedulerState, machine: Machine, isDue: boolean): boolean {
 	const worker = findWorker(state, machine);
 	if (!worker) {
 		return true;
@@ -121,7 +129,7 @@
 
 	worker.isReserved = true;
 	for (const task of worker.tasks.values()) {
-		if (task.step.definition.isLongRunning && task.status === 'running' && canDisplace(state, task)) {
+		if (task.step.definition.isLongRunning && task.status === 'running' && canDisplace(state, task) && hasPlaceToGo(state, task, isDue)) {
 			noteDecision(state, 'task-displaced', {task: task.name, workerId: worker.id, machineId: machine.entry.id});
 			requestStop(state, task);
 		}
@@ -130,15 +138,21 @@
 	return worker.tasks.size === 0 && worker.strangers.size === 0 && worker.readEnd === worker.ackedEnd;
 }
 
-/** True if stopping a long-running task leaves enough of its step at work, and there is room for it elsewhere. */
+/** True if stopping a long-running task leaves enough of its step at work. */
 export function canDisplace(state: SchedulerState, task: Task): boolean {
 	const {step} = task;
 	const away = step.tasks.filter(other => other !== task && !isAtWork(state, other)).length;
-	if (step.definition.maxUnavailable > 0 && away >= step.definition.maxUnavailable) {
-		return false;
+	return step.definition.maxUnavailable === 0 || away < step.definition.maxUnavailable;
+}
+
+/** True if there is room for a task elsewhere, or no time left to wait for it; otherwise the pool is to get a machine. */
+function hasPlaceToGo(state: SchedulerState, task: Task, isDue: boolean): boolean {
+	if (isDue || hasRoomElsewhere(state, task.step, task.worker)) {
+		return true;
 	}
 
-	return hasRoomElsewhere(state, step, task.worker);
+	getDemand(state, getPoolOfJob(state, task.step.occurrence.job)).replacementUntil = state.now + replacementMs;
+	return false;
 }
 
 /** A long-running task counts as away for a while after it is back. */
