--- /dev/null
+++ b/packages/bench/src/soak/run-book.ts
@@ -0,0 +1,114 @@
+/** What workers did with each task, and the promises that this broke. Knows nothing of what entry hosts believe. */
+import type {RunObserver} from '@rhubarblever/stand-ins';
+
+type TaskBook = {
+	/** Workers at which it runs now. */
+	readonly runningAt: Set<string>;
+	isDone: boolean;
+	/** A run that was done has been acknowledged. */
+	isAcknowledged: boolean;
+	starts: number;
+};
+
+type JobFacts = {readonly rejectedAt: number | undefined; readonly cancelledAt: number | undefined; readonly firstStepTasks: number};
+
+export type RunBookOptions = {
+	/** What callers know of a job; undefined for one that none has handed in. */
+	readonly findJob: (jobId: string) => JobFacts | undefined;
+	/** Milliseconds, on the clock of the facts. */
+	readonly readClock: () => number;
+};
+
+/** A start on its way when a cancel is confirmed may still arrive; it is stopped. */
+const cancelSlackMs = 3000;
+
+export class RunBook implements RunObserver {
+	static create(options: RunBookOptions): RunBook {
+		return new RunBook(options);
+	}
+
+	/** Broken promises. */
+	readonly violations: string[] = [];
+	private readonly tasks = new Map<string, TaskBook>();
+
+	private constructor(private readonly options: RunBookOptions) {}
+
+	noteStart(workerId: string, task: string, run: number): void {
+		const book = this.getTask(task);
+		const [jobId = '', , step = ''] = task.split('.');
+		const what = `${task} run ${run} at ${workerId}`;
+		if (book.runningAt.size > 0) {
+			this.report(`${what} starts while it runs at ${[...book.runningAt].join(', ')}`);
+		}
+
+		if (book.isAcknowledged) {
+			this.report(`${what} starts after a run that was done was acknowledged`);
+		}
+
+		book.starts++;
+		book.runningAt.add(workerId);
+		this.checkJob(jobId, step, what);
+	}
+
+	noteEnd(workerId: string, task: string, _run: number, isDone: boolean): void {
+		const book = this.getTask(task);
+		book.runningAt.delete(workerId);
+		book.isDone ||= isDone;
+	}
+
+	noteAcknowledged(task: string): void {
+		this.getTask(task).isAcknowledged = true;
+	}
+
+	/** Takes down a promise that did not hold. */
+	report(what: string): void {
+		this.violations.push(`${Math.round(this.options.readClock())} ms: ${what}`);
+	}
+
+	/** True if all tasks of a job have been done at some worker. */
+	isDone(jobId: string, tasks: number): boolean {
+		return [...this.tasks].filter(([task, book]) => task.startsWith(`${jobId}.`) && book.isDone).length === tasks;
+	}
+
+	/** Tasks of a job that run now. */
+	countRunning(jobId: string): number {
+		return [...this.tasks].filter(([task, book]) => task.startsWith(`${jobId}.`) && book.runningAt.size > 0).length;
+	}
+
+	/** Starts of all tasks. */
+	countStarts(): number {
+		return [...this.tasks.values()].reduce((sum, book) => sum + book.starts, 0);
+	}
+
+	private checkJob(jobId: string, step: string, what: string): void {
+		const job = this.options.findJob(jobId);
+		const now = this.options.readClock();
+		if (!job) {
+			this.report(`${what} starts though nobody handed its job in`);
+		} else if (job.rejectedAt !== undefined) {
+			this.report(`${what} starts though its job was refused`);
+		} else if (job.cancelledAt !== undefined && now > job.cancelledAt + cancelSlackMs) {
+			this.report(`${what} starts ${Math.round(now - job.cancelledAt)} ms after its job was cancelled`);
+		}
+
+		if (job && step === '1' && this.countDoneOfFirstStep(jobId) < job.firstStepTasks) {
+			this.report(`${what} starts before the step it depends on is done`);
+		}
+	}
+
+	private countDoneOfFirstStep(jobId: string): number {
+		return [...this.tasks].filter(([task, book]) => task.startsWith(`${jobId}.0.0.`) && book.isDone).length;
+	}
+
+	private getTask(task: string): TaskBook {
+		let book = this.tasks.get(task);
+		if (!book) {
+			book = {
+				runningAt: new Set(), isDone: false, isAcknowledged: false, starts: 0,
+			};
+			this.tasks.set(task, book);
+		}
+
+		return book;
+	}
+}
--- /dev/null
+++ b/packages/bench/src/soak/soak-faults.ts
@@ -0,0 +1,149 @@
+/** The faults of the soak: each is begun, lasts, and is ended from outside the programs. */
+import type {Draws} from '../mixed-run/draws.js';
+import type {SoakFleet, SoakHost} from './soak-fleet.js';
+
+type EndFault = () => Promise<void> | void;
+
+type FaultHandler = (fleet: SoakFleet, draws: Draws) => Promise<EndFault>;
+
+const longestDelayMs = 400;
+const storeDelayMs = 150;
+const lostPercent = 20;
+const latePercent = 6;
+const allPercent = 100;
+
+/** Counts a fault against a host until it ends. */
+async function strike(host: SoakHost, begin: () => Promise<EndFault> | EndFault): Promise<EndFault> {
+	host.faults++;
+	const end = await begin();
+	return async () => {
+		await end();
+		host.faults--;
+		host.calmSince = performance.now();
+	};
+}
+
+async function strikeAll(fleet: SoakFleet, begin: () => EndFault): Promise<EndFault> {
+	const ends = await Promise.all(fleet.hosts.map(async host => strike(host, () => () => {})));
+	const end = begin();
+	return async () => {
+		await end();
+		await Promise.all(ends.map(async endOne => endOne()));
+	};
+}
+
+async function restartHost(fleet: SoakFleet, host: SoakHost, signal: 'SIGTERM' | 'SIGKILL'): Promise<EndFault> {
+	return strike(host, async () => {
+		if (host.isEnding) {
+			return () => {};
+		}
+
+		await fleet.endHost(host, signal);
+		return () => {
+			fleet.startHost(host);
+		};
+	});
+}
+
+async function strikeWorkerLink(fleet: SoakFleet, draws: Draws, begin: (link: SoakFleet['workerLinks'][number]) => Promise<void> | void): Promise<EndFault> {
+	const link = draws.select(fleet.workerLinks);
+	await begin(link);
+	return async () => link.heal();
+}
+
+/** The kinds of faults by name. */
+export const soakFaults: Readonly<Record<string, FaultHandler>> = {
+	'host-killed': async (fleet, draws) => restartHost(fleet, draws.select(fleet.hosts), 'SIGKILL'),
+	'host-stopped': async (fleet, draws) => restartHost(fleet, draws.select(fleet.hosts), 'SIGTERM'),
+	async 'leader-killed'(fleet, draws) {
+		return restartHost(fleet, await fleet.findLeader() ?? draws.select(fleet.hosts), 'SIGKILL');
+	},
+	async 'leader-paused'(fleet, draws) {
+		const host = await fleet.findLeader() ?? draws.select(fleet.hosts);
+		return strike(host, () => {
+			const paused = host.process;
+			paused.sendSignal('SIGSTOP');
+			return () => {
+				paused.sendSignal('SIGCONT');
+			};
+		});
+	},
+	async 'settings-signalled'(fleet, draws) {
+		draws.select(fleet.hosts).process.sendSignal('SIGHUP');
+		return () => {};
+	},
+	async 'store-link-reset'(fleet, draws) {
+		const host = draws.select(fleet.hosts);
+		return strike(host, async () => {
+			await host.storeLink.cut();
+			return async () => host.storeLink.heal();
+		});
+	},
+	async 'store-link-silent'(fleet, draws) {
+		const host = await fleet.findLeader() ?? draws.select(fleet.hosts);
+		return strike(host, () => {
+			host.storeLink.freeze({scope: draws.select(['all', 'open'])});
+			return async () => host.storeLink.heal();
+		});
+	},
+	async 'store-link-one-way'(fleet, draws) {
+		const host = draws.select(fleet.hosts);
+		return strike(host, () => {
+			host.storeLink.freeze({directions: [draws.select(['to-target', 'to-client'])]});
+			return async () => host.storeLink.heal();
+		});
+	},
+	async 'store-link-delayed'(fleet, draws) {
+		const host = draws.select(fleet.hosts);
+		return strike(host, () => {
+			host.storeLink.delay({'to-target': draws.drawWhole(0, longestDelayMs), 'to-client': draws.drawWhole(0, longestDelayMs)});
+			return async () => host.storeLink.heal();
+		});
+	},
+	'store-down': async fleet => strikeAll(fleet, () => {
+		fleet.platform.isDown = true;
+		return () => {
+			fleet.platform.isDown = false;
+		};
+	}),
+	'store-slow': async fleet => strikeAll(fleet, () => {
+		fleet.platform.delayMs = storeDelayMs;
+		return () => {
+			fleet.platform.delayMs = 0;
+		};
+	}),
+	'store-answers-lost': async (fleet, draws) => strikeAll(fleet, () => {
+		Object.assign(fleet.platform.faults, {lostPercent, latePercent: draws.select([0, latePercent]), draw: () => draws.drawWhole(1, allPercent)});
+		return () => {
+			Object.assign(fleet.platform.faults, {lostPercent: 0, latePercent: 0});
+		};
+	}),
+	async 'worker-crashed'(fleet, draws) {
+		const worker = draws.select(fleet.platform.workers);
+		if (!worker.isUp) {
+			return () => {};
+		}
+
+		worker.crash();
+		return () => {
+			worker.restart();
+		};
+	},
+	async 'worker-answers-lost'(fleet, draws) {
+		const {faults} = draws.select(fleet.platform.workers);
+		Object.assign(faults, {lostPercent, latePercent: draws.select([0, latePercent]), draw: () => draws.drawWhole(1, allPercent)});
+		return () => {
+			Object.assign(faults, {lostPercent: 0, latePercent: 0});
+		};
+	},
+	'worker-link-reset': async (fleet, draws) => strikeWorkerLink(fleet, draws, async link => link.cut()),
+	'worker-link-silent': async (fleet, draws) => strikeWorkerLink(fleet, draws, link => {
+		link.freeze({scope: draws.select(['all', 'open'])});
+	}),
+	'worker-link-one-way': async (fleet, draws) => strikeWorkerLink(fleet, draws, link => {
+		link.freeze({directions: [draws.select(['to-target', 'to-client'])]});
+	}),
+	'worker-link-delayed': async (fleet, draws) => strikeWorkerLink(fleet, draws, link => {
+		link.delay({'to-target': draws.drawWhole(0, longestDelayMs), 'to-client': draws.drawWhole(0, longestDelayMs)});
+	}),
+};
--- /dev/null
+++ b/packages/bench/src/soak/soak-fleet.ts
@@ -0,0 +1,154 @@
+/** The soak's fleet: real entry hosts as processes, the stand-in platform, and a fault proxy on each link. */
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {
+	FaultProxy, JobPlatform, ProcessGroup, standInQueue, takeAddress, waitUntil, type RunningProcess, type RunObserver,
+} from '@rhubarblever/stand-ins';
+import {request} from 'undici';
+import {findEntryProgram} from '../integration/entry-program.js';
+
+const startTimeoutMs = 30_000;
+const callTimeoutMs = 3000;
+const outputKept = 4000;
+
+export type SoakHost = {
+	readonly index: number;
+	readonly front: string;
+	readonly ready: string;
+	readonly metrics: string;
+	readonly settingsPath: string;
+	/** Its link to the store. */
+	readonly storeLink: FaultProxy;
+	process: RunningProcess;
+	/** The soak ends or has ended it: its end is no fault. */
+	isEnding: boolean;
+	/** Faults on it or its links; a host under none is calm. */
+	faults: number;
+	calmSince: number;
+};
+
+export type CallAnswer = {readonly status: number; readonly state?: string};
+
+export class SoakFleet {
+	static async start(options: {readonly hosts: number; readonly workers: number; readonly runMs: number; readonly observer: RunObserver}): Promise<SoakFleet> {
+		const addresses = Array.from({length: options.workers}, () => takeAddress());
+		const links = await Promise.all(addresses.map(async targetAddress => FaultProxy.create({listenAddress: takeAddress(), targetAddress})));
+		const address = takeAddress();
+		const platform = await JobPlatform.start({
+			address, workerAddresses: addresses, publishedAddresses: links.map(link => link.listenAddress), runMs: options.runMs, observer: options.observer,
+		});
+		const fleet = new SoakFleet(platform, links);
+		await fleet.startHosts(options.hosts, address);
+		return fleet;
+	}
+
+	readonly hosts: SoakHost[] = [];
+	/** Hosts that ended though nobody asked them to, with their last output. */
+	readonly ownEnds: string[] = [];
+	private readonly group = ProcessGroup.create();
+	private readonly folder = mkdtempSync(path.join(tmpdir(), 'rhubarblever-soak-'));
+
+	private constructor(readonly platform: JobPlatform, readonly workerLinks: readonly FaultProxy[]) {}
+
+	/** Calls the jobs' interface of a host; status 0 if there is no answer. */
+	async call(host: SoakHost, method: 'POST' | 'GET' | 'DELETE', jobId: string, body?: unknown): Promise<CallAnswer> {
+		try {
+			const answer = await request(`http://${host.front}${standInQueue.pathPrefix}${jobId}`, {
+				method,
+				headers: {host: standInQueue.host, 'content-type': 'application/json', 'deadline-ms': String(callTimeoutMs)},
+				...(body !== undefined && {body: JSON.stringify(body)}),
+				signal: AbortSignal.timeout(callTimeoutMs),
+			});
+			return {status: answer.statusCode, ...await answer.body.json() as {state?: string}};
+		} catch {
+			// No answer is an outcome of its own here: the job may have been taken.
+			return {status: 0};
+		}
+	}
+
+	async isReady(host: SoakHost): Promise<boolean> {
+		const answer = await request(`http://${host.ready}/v1/ready`, {signal: AbortSignal.timeout(callTimeoutMs)});
+		await answer.body.dump();
+		return answer.statusCode === 200;
+	}
+
+	/** The host that says that it leads. */
+	async findLeader(): Promise<SoakHost | undefined> {
+		for (const host of this.hosts) {
+			// eslint-disable-next-line no-await-in-loop
+			const text = await request(`http://${host.metrics}/metrics`, {signal: AbortSignal.timeout(callTimeoutMs / 10)}).then(async answer => answer.body.text()).catch(() => '');
+			if (/^rhubarblever_leads 1$/m.test(text)) {
+				return host;
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Ends a host's process by a signal and waits until it is gone. */
+	async endHost(host: SoakHost, signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
+		host.isEnding = true;
+		host.process.sendSignal(signal);
+		await host.process.waitForEnd();
+	}
+
+	/** Starts a host's process anew. */
+	startHost(host: SoakHost): void {
+		host.process = this.startProgram(host.index, host.settingsPath);
+		host.isEnding = false;
+		this.watchEnd(host);
+	}
+
+	async waitUntilReady(): Promise<void> {
+		await Promise.all(this.hosts.map(async host => waitUntil('the host is ready', async () => this.isReady(host), startTimeoutMs)));
+	}
+
+	async close(): Promise<void> {
+		for (const host of this.hosts) {
+			host.isEnding = true;
+		}
+
+		await this.group.endAll();
+		await Promise.all([...this.workerLinks, ...this.hosts.map(host => host.storeLink)].map(async link => link.close()));
+		await this.platform.close();
+		rmSync(this.folder, {recursive: true});
+	}
+
+	private async startHosts(count: number, storeAddress: string): Promise<void> {
+		for (let index = 0; index < count; index++) {
+			const addresses = {front: takeAddress(), ready: takeAddress(), metrics: takeAddress()};
+			// eslint-disable-next-line no-await-in-loop
+			const storeLink = await FaultProxy.create({listenAddress: takeAddress(), targetAddress: storeAddress});
+			const settingsPath = path.join(this.folder, `front-${index}.json`);
+			writeFileSync(settingsPath, JSON.stringify(describeSettings(index, storeLink.listenAddress, addresses)));
+			const host: SoakHost = {
+				...addresses, index, settingsPath, storeLink, process: this.startProgram(index, settingsPath), isEnding: false, faults: 0, calmSince: 0,
+			};
+			this.hosts.push(host);
+			this.watchEnd(host);
+		}
+
+		await this.waitUntilReady();
+	}
+
+	private startProgram(index: number, settingsPath: string): RunningProcess {
+		return this.group.start(`front-${index}`, findEntryProgram(), [], {RHUBARBLEVER_SETTINGS: settingsPath});
+	}
+
+	private watchEnd(host: SoakHost): void {
+		const watched = host.process;
+		void watched.waitForEnd().then(({code, signal}) => {
+			if (host.process === watched && !host.isEnding) {
+				this.ownEnds.push(`front-${host.index} ended by itself (${code ?? signal ?? 'unknown'}): ${watched.output.slice(-outputKept)}`);
+			}
+		});
+	}
+}
+
+function describeSettings(index: number, platform: string, host: Pick<SoakHost, 'front' | 'ready' | 'metrics'>): unknown {
+	const [ip, port] = host.metrics.split(':');
+	return {
+		'node-name': `front-${index}`, zone: 'a', ip, listen: {front: host.front, ready: host.ready}, 'internal-ports': [Number(port), Number(port)], bounds: {}, platform: {address: platform}, cloud: {address: platform},
+	};
+}
--- /dev/null
+++ b/packages/bench/src/soak/soak-load.ts
@@ -0,0 +1,150 @@
+/** The soak's callers: they hand jobs in at any host, repeat calls without an answer elsewhere, ask, and cancel. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {standInTaskCpu} from '@rhubarblever/stand-ins';
+import type {Draws} from '../mixed-run/draws.js';
+import type {RunBook} from './run-book.js';
+import type {CallAnswer, SoakFleet, SoakHost} from './soak-fleet.js';
+
+export type SoakJob = {
+	readonly jobId: string;
+	readonly firstStepTasks: number;
+	readonly tasks: number;
+	acceptedAt: number | undefined;
+	/** All tries were refused: it must never run. */
+	rejectedAt: number | undefined;
+	/** The cancel was sent, and confirmed. */
+	cancelSentAt: number | undefined;
+	cancelledAt: number | undefined;
+};
+
+const idDigits = 16;
+const hexadecimal = 16;
+const mostTries = 4;
+const tryPauseMs = 60;
+const meanGapMs = 120;
+const cancelPercent = 8;
+const askPercent = 60;
+const allPercent = 100;
+/** An accepted job is known to every host that has been calm for this long. */
+const visibleMs = 3000;
+const calmMs = 4000;
+const refusals = new Set([429, 503]);
+const refusalSlackMs = 150;
+
+export type SoakLoadOptions = {readonly fleet: SoakFleet; readonly draws: Draws; readonly jobs: Map<string, SoakJob>; readonly book: RunBook};
+
+export class SoakLoad {
+	static create(options: SoakLoadOptions): SoakLoad {
+		return new SoakLoad(options);
+	}
+
+	/** Answers by status; 0 for none. */
+	readonly answers = new Map<number, number>();
+	private nextJob = 1;
+	private readonly underWay = new Set<Promise<void>>();
+
+	private constructor(private readonly options: SoakLoadOptions) {}
+
+	/** Hands jobs in until a deadline (monotonic clock), and waits for its calls. */
+	async run(deadline: number): Promise<void> {
+		const {draws} = this.options;
+		while (performance.now() < deadline) {
+			this.follow(this.submit());
+			if (draws.drawWhole(1, allPercent) <= askPercent) {
+				this.follow(this.askAny());
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(draws.drawFraction() * 2 * meanGapMs);
+		}
+
+		await Promise.all(this.underWay);
+	}
+
+	private follow(work: Promise<void>): void {
+		const followed = work.finally(() => {
+			this.underWay.delete(followed);
+		});
+		this.underWay.add(followed);
+	}
+
+	private async submit(): Promise<void> {
+		const {draws, jobs} = this.options;
+		const firstStepTasks = draws.drawWhole(1, 4);
+		const secondStepTasks = draws.drawWhole(1, 3);
+		const job: SoakJob = {
+			jobId: (this.nextJob++).toString(hexadecimal).padStart(idDigits, '0'), firstStepTasks, tasks: firstStepTasks + secondStepTasks, acceptedAt: undefined, rejectedAt: undefined, cancelSentAt: undefined, cancelledAt: undefined,
+		};
+		jobs.set(job.jobId, job);
+		const step = {cpu: standInTaskCpu, 'mem-mb': 10, 'estimate-ms': 200};
+		const statuses = await this.tryHosts('POST', job.jobId, {spec: 'plan', steps: [{...step, count: firstStepTasks}, {...step, count: secondStepTasks, 'depends-on': [0]}]});
+		if (statuses.some(status => status === 200)) {
+			job.acceptedAt = performance.now();
+			await this.cancelSome(job);
+		} else if (statuses.every(status => refusals.has(status))) {
+			job.rejectedAt = performance.now() + refusalSlackMs;
+		}
+	}
+
+	private async cancelSome(job: SoakJob): Promise<void> {
+		if (this.options.draws.drawWhole(1, allPercent) > cancelPercent) {
+			return;
+		}
+
+		job.cancelSentAt = performance.now();
+		const statuses = await this.tryHosts('DELETE', job.jobId);
+		if (statuses.some(status => status === 200 || status === 410)) {
+			job.cancelledAt = performance.now();
+		}
+	}
+
+	private async tryHosts(method: 'POST' | 'DELETE', jobId: string, body?: unknown): Promise<number[]> {
+		const {fleet, draws} = this.options;
+		const statuses: number[] = [];
+		while (statuses.length < mostTries && statuses.at(-1) !== 200) {
+			// eslint-disable-next-line no-await-in-loop
+			const {status} = await this.call(draws.select(fleet.hosts), method, jobId, body);
+			statuses.push(status);
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(tryPauseMs);
+		}
+
+		return statuses;
+	}
+
+	private async call(host: SoakHost, method: 'POST' | 'GET' | 'DELETE', jobId: string, body?: unknown): Promise<CallAnswer> {
+		const answer = await this.options.fleet.call(host, method, jobId, body);
+		this.answers.set(answer.status, (this.answers.get(answer.status) ?? 0) + 1);
+		return answer;
+	}
+
+	private async askAny(): Promise<void> {
+		const {jobs, draws, fleet} = this.options;
+		const accepted = [...jobs.values()].filter(job => job.acceptedAt !== undefined);
+		if (accepted.length === 0) {
+			return;
+		}
+
+		const job = draws.select(accepted);
+		const host = draws.select(fleet.hosts);
+		const isCalm = host.faults === 0 && host.calmSince < performance.now() - calmMs;
+		const isVisible = (job.acceptedAt ?? 0) < performance.now() - visibleMs;
+		const {status, state} = await this.call(host, 'GET', job.jobId);
+		this.checkAnswer(job, {status, ...(state !== undefined && {state})}, isCalm && isVisible && host.faults === 0);
+	}
+
+	private checkAnswer(job: SoakJob, {status, state}: CallAnswer, isKnown: boolean): void {
+		const {book} = this.options;
+		if (status === 410 && isKnown && job.cancelSentAt === undefined) {
+			book.report(`${job.jobId} is accepted, and a calm host does not know it`);
+		}
+
+		if (state === 'completed' && !book.isDone(job.jobId, job.tasks)) {
+			book.report(`${job.jobId} is shown as completed, and not all of its tasks are done`);
+		}
+
+		if (state === 'failed' || (state === 'cancelled' && job.cancelSentAt === undefined)) {
+			book.report(`${job.jobId} is shown as ${state} without cause`);
+		}
+	}
+}
--- /dev/null
+++ b/packages/bench/src/soak/soak.ts
@@ -0,0 +1,130 @@
+/** One seeded run of the soak: faults in series and overlapping beside the load, then calm, then the verdict. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Draws} from '../mixed-run/draws.js';
+import {RunBook} from './run-book.js';
+import {soakFaults} from './soak-faults.js';
+import {SoakFleet, type SoakHost} from './soak-fleet.js';
+import {SoakLoad, type SoakJob} from './soak-load.js';
+
+export type SoakOptions = {readonly seed: number; readonly faultMs: number; readonly hosts: number; readonly workers: number; readonly only?: readonly string[]};
+
+export type SoakResult = {
+	readonly seed: number;
+	readonly violations: readonly string[];
+	/** Faults as they were begun: milliseconds since the start, and the kind. */
+	readonly faults: readonly string[];
+	readonly jobs: number;
+	readonly accepted: number;
+	readonly starts: number;
+	readonly answers: Readonly<Record<string, number>>;
+	/** The last output of each host; only after a violation. */
+	readonly logs: Readonly<Record<string, string>>;
+};
+
+const runMs = 250;
+const meanFaultGapMs = 700;
+const shortestFaultMs = 200;
+const longestFaultMs = 4000;
+/** All accepted jobs end within this after the last fault. */
+const settleMs = 45_000;
+const settleLookMs = 300;
+const cancelStopMs = 6000;
+const loadTailMs = 1000;
+const logBytesKept = 400_000;
+
+/** Plays a seed. */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+	const startedAt = performance.now();
+	const jobs = new Map<string, SoakJob>();
+	const book = RunBook.create({findJob: jobId => jobs.get(jobId), readClock: () => performance.now()});
+	const fleet = await SoakFleet.start({
+		hosts: options.hosts, workers: options.workers, runMs, observer: book,
+	});
+	try {
+		const load = SoakLoad.create({
+			fleet, draws: Draws.create(options.seed + 1), jobs, book,
+		});
+		const deadline = performance.now() + options.faultMs;
+		const [faults] = await Promise.all([runFaults(fleet, options, deadline), load.run(deadline + loadTailMs)]);
+		await judgeEnd(fleet, book, jobs);
+		book.violations.push(...fleet.ownEnds);
+		return {
+			seed: options.seed,
+			violations: book.violations.map(text => text.replace(/^\d+/, time => String(Math.round(Number(time) - startedAt)))),
+			faults: faults.map(({at, kind}) => `${Math.round(at - startedAt)} ms: ${kind}`),
+			jobs: jobs.size,
+			accepted: [...jobs.values()].filter(job => job.acceptedAt !== undefined).length,
+			starts: book.countStarts(),
+			answers: Object.fromEntries(load.answers),
+			logs: book.violations.length > 0 ? Object.fromEntries(fleet.hosts.map(host => [`front-${host.index}`, host.process.output.slice(-logBytesKept)])) : {},
+		};
+	} finally {
+		await fleet.close();
+	}
+}
+
+type BegunFault = {readonly at: number; readonly kind: string};
+
+/** Begins faults until a deadline; returns when all have ended. */
+async function runFaults(fleet: SoakFleet, {seed, only}: SoakOptions, deadline: number): Promise<BegunFault[]> {
+	const draws = Draws.create(seed);
+	const kinds = only ?? Object.keys(soakFaults);
+	const begun: BegunFault[] = [];
+	const running: Array<Promise<void>> = [];
+	while (performance.now() < deadline) {
+		const kind = draws.select(kinds);
+		const lastsMs = draws.drawWhole(shortestFaultMs, longestFaultMs);
+		begun.push({at: performance.now(), kind});
+		running.push(runFault(fleet, kind, draws, lastsMs));
+		// eslint-disable-next-line no-await-in-loop
+		await sleep(draws.drawFraction() * 2 * meanFaultGapMs);
+	}
+
+	await Promise.all(running);
+	return begun;
+}
+
+async function runFault(fleet: SoakFleet, kind: string, draws: Draws, lastsMs: number): Promise<void> {
+	const end = await soakFaults[kind]!(fleet, draws);
+	await sleep(lastsMs);
+	await end();
+}
+
+/** After the faults every accepted job ends as it may, at every host, and nothing of a cancelled one runs. */
+async function judgeEnd(fleet: SoakFleet, book: RunBook, jobs: ReadonlyMap<string, SoakJob>): Promise<void> {
+	await fleet.waitUntilReady();
+	const settleDeadline = performance.now() + settleMs;
+	for (const host of fleet.hosts) {
+		let open = listAccepted(jobs);
+		while (open.length > 0 && performance.now() < settleDeadline) {
+			// eslint-disable-next-line no-await-in-loop
+			open = await listOpen(fleet, host, open);
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(open.length > 0 ? settleLookMs : 0);
+		}
+
+		for (const job of open) {
+			book.report(`${job.jobId} is accepted and not over at front-${host.index}, ${book.countRunning(job.jobId)} of its tasks run`);
+		}
+	}
+
+	for (const job of jobs.values()) {
+		const isLeft = job.cancelledAt !== undefined && performance.now() > job.cancelledAt + cancelStopMs && book.countRunning(job.jobId) > 0;
+		if (isLeft) {
+			book.report(`${job.jobId} is cancelled and still runs`);
+		}
+	}
+}
+
+function listAccepted(jobs: ReadonlyMap<string, SoakJob>): SoakJob[] {
+	return [...jobs.values()].filter(job => job.acceptedAt !== undefined);
+}
+
+async function listOpen(fleet: SoakFleet, host: SoakHost, jobs: readonly SoakJob[]): Promise<SoakJob[]> {
+	const answers = await Promise.all(jobs.map(async job => ({job, answer: await fleet.call(host, 'GET', job.jobId)})));
+	return answers.filter(({job, answer}) => !isOver(job, answer.state)).map(({job}) => job);
+}
+
+function isOver(job: SoakJob, state: string | undefined): boolean {
+	return state === 'completed' || (state === 'cancelled' && job.cancelSentAt !== undefined);
+}
--- a/packages/core/src/scheduler/demand.test.ts
+++ b/packages/core/src/scheduler/demand.test.ts
@@ -2,14 +2,15 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {getDemand, updateDemand} from './demand.js';
+import {addResources} from './resources.js';
 import {createSchedulerState} from './state.js';
 
-const machineCpu = 64_000;
+const machine = {cpu: 64_000, memoryMb: 256_000, gpu: 0};
 const lookMs = 150;
 
 function createState() {
 	return createSchedulerState({
-		holder: 'h', spread: 0, firstSequence: 1, moveMs: 1500, upkeepMs: 2000, orderLeaseMs: 3000, holdMaxMs: 10_000, statusRetentionMs: 1000, farFactor: 2,
+		holder: 'h', spread: 0, weakness: 0, firstSequence: 1, moveMs: 1500, upkeepMs: 2000, orderLeaseMs: 3000, holdMaxMs: 10_000, statusRetentionMs: 1000, farFactor: 2,
 	});
 }
 
@@ -18,8 +19,9 @@
 	const needed: number[] = [];
 	for (let spent = 0; spent < forMs; spent += lookMs) {
 		state.now += lookMs;
-		getDemand(state, 'p').arrivedWork += cpu * lookMs;
-		needed.push(updateDemand(state, 'p', machineCpu).machines);
+		const demand = getDemand(state, 'p');
+		demand.arrivedWork = addResources(demand.arrivedWork, {cpu, memoryMb: 0, gpu: 0}, lookMs);
+		needed.push(updateDemand(state, 'p', machine).machines);
 	}
 
 	return needed;
@@ -50,9 +52,18 @@
 	it('asks for machines for work that waits', () => {
 		const state = createState();
 		const demand = getDemand(state, 'p');
-		demand.waitingWork = 640_000 * 1500;
+		demand.waitingWork = {cpu: 640_000 * 1500, memoryMb: 0, gpu: 0};
 		demand.waitingTasks = 100;
 		state.now += lookMs;
-		expect(updateDemand(state, 'p', machineCpu).machines >= 10).toEqual(true);
+		expect(updateDemand(state, 'p', machine).machines >= 10).toEqual(true);
+	});
+
+	it('asks for machines by memory where long-running tasks fill it before the processors', () => {
+		const state = createState();
+		const demand = getDemand(state, 'p');
+		demand.waitingLasting = {cpu: 160_000, memoryMb: 1_280_000, gpu: 0};
+		demand.waitingTasks = 24;
+		state.now += lookMs;
+		expect(updateDemand(state, 'p', machine).machines >= 5).toEqual(true);
 	});
 });
--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -3,17 +3,24 @@
  *
  * The work that arrives is followed over a short time, so that machines are fetched when a pool's turn begins
  * rather than when its queue has grown; the highest need of the last seconds is kept, so that they are not sent
- * away in a short lull.
+ * away in a short lull. Processor, memory and accelerators are followed apart: long-running tasks often fill the
+ * memory of machines whose processors are half idle, and the pool is as large as the scarcest of them asks for.
  */
 import {getPoolOfJob} from './queues.js';
-import type {PoolName} from './types.js';
-import type {Job, PoolDemand, SchedulerState} from './state.js';
+import {
+	addResources, computeShare, noResources, scaleResources,
+} from './resources.js';
+import {getStepNeed} from './tasks.js';
+import type {PoolName, Resources} from './types.js';
+import type {
+	Job, PoolDemand, SchedulerState, StepRun, Worker,
+} from './state.js';
 
 /** Weight of the latest look in the followed rate. */
 const latestWeight = 0.35;
 /** Room above the followed rate, for its random ups. */
 const headroom = 1.15;
-/** Share of a machine's processor that tasks can really fill. */
+/** Share of a machine that tasks can really fill. */
 const fillShare = 0.85;
 /** Waiting work is to be gone within this time. */
 const clearMs = 1500;
@@ -25,7 +32,7 @@
 	let demand = state.demand.get(pool);
 	if (!demand) {
 		demand = {
-			waitingCpu: 0, waitingTasks: 0, waitingWork: 0, arrivedWork: 0, rate: 0, lookedAt: state.now, machines: 0, keptMachines: 0, keptUntil: 0, replacementUntil: 0,
+			waitingTasks: 0, waitingWork: noResources, waitingLasting: noResources, arrivedWork: noResources, rate: noResources, lookedAt: state.now, machines: 0, keptMachines: 0, keptUntil: 0, replacementUntil: 0,
 		};
 		state.demand.set(pool, demand);
 	}
@@ -33,29 +40,47 @@
 	return demand;
 }
 
-/** Counts the work of a job that has come; work is processor (thousandths of a core) times milliseconds. */
+/** Counts the work of a job that has come. */
 export function noteArrival(state: SchedulerState, job: Job): void {
-	let work = 0;
+	const demand = getDemand(state, getPoolOfJob(state, job));
 	for (const step of job.definition.steps) {
-		work += step.isLongRunning ? 0 : step.count * step.need.cpu * step.estimateMs;
+		if (!step.isLongRunning) {
+			demand.arrivedWork = addResources(demand.arrivedWork, getStepNeed(step), step.count * step.estimateMs);
+		}
 	}
+}
 
-	getDemand(state, getPoolOfJob(state, job)).arrivedWork += work;
+/** Forgets what waited at the last look. */
+export function clearWaiting(demand: PoolDemand): void {
+	demand.waitingTasks = 0;
+	demand.waitingWork = noResources;
+	demand.waitingLasting = noResources;
+}
+
+/** Counts tasks of a step that found no room. */
+export function noteWaiting(demand: PoolDemand, {definition}: StepRun, tasks: number): void {
+	const need = getStepNeed(definition);
+	demand.waitingTasks += tasks;
+	if (definition.isLongRunning) {
+		demand.waitingLasting = addResources(demand.waitingLasting, need, tasks);
+	} else {
+		demand.waitingWork = addResources(demand.waitingWork, need, tasks * definition.estimateMs);
+	}
 }
 
 /** Follows the rate of arrivals, and works out how many machines of some size the pool needs. */
-export function updateDemand(state: SchedulerState, pool: PoolName, machineCpu: number): PoolDemand {
+export function updateDemand(state: SchedulerState, pool: PoolName, machine: Resources): PoolDemand {
 	const demand = getDemand(state, pool);
 	const elapsedMs = state.now - demand.lookedAt;
-	if (elapsedMs <= 0 || machineCpu <= 0) {
+	if (elapsedMs <= 0 || machine.cpu <= 0) {
 		return demand;
 	}
 
-	demand.rate += ((demand.arrivedWork / elapsedMs) - demand.rate) * latestWeight;
-	demand.arrivedWork = 0;
+	const latestRate = scaleResources(demand.arrivedWork, 1 / elapsedMs);
+	demand.rate = addResources(scaleResources(demand.rate, 1 - latestWeight), latestRate, latestWeight);
+	demand.arrivedWork = noResources;
 	demand.lookedAt = state.now;
-	const neededCpu = (demand.rate * headroom) + (demand.waitingWork / clearMs) + sumLastingCpu(state, pool);
-	demand.machines = Math.max(Math.ceil(neededCpu / (machineCpu * fillShare)), demand.waitingTasks > 0 ? countSpread(state, pool) : 0);
+	demand.machines = Math.max(countMachines(state, pool, machine), demand.waitingTasks > 0 ? countSpread(state, pool) : 0);
 	if (demand.machines >= demand.keptMachines || state.now >= demand.keptUntil) {
 		demand.keptMachines = demand.machines;
 		demand.keptUntil = state.now + keepMs;
@@ -64,20 +89,35 @@
 	return demand;
 }
 
-/** Processor that long-running tasks of a pool hold or wait for. */
-function sumLastingCpu(state: SchedulerState, pool: PoolName): number {
-	let cpu = 0;
+function countMachines(state: SchedulerState, pool: PoolName, machine: Resources): number {
+	const {rate, waitingWork, waitingLasting} = getDemand(state, pool);
+	let needed = addResources(sumLasting(state, pool), waitingLasting);
+	needed = addResources(needed, rate, headroom);
+	needed = addResources(needed, waitingWork, 1 / clearMs);
+	return Math.ceil(computeShare(needed, machine) / fillShare);
+}
+
+/** What long-running tasks of a pool hold. */
+function sumLasting(state: SchedulerState, pool: PoolName): Resources {
+	let sum = noResources;
 	for (const worker of state.workers.values()) {
-		if (worker.pool !== pool) {
-			continue;
+		if (worker.pool === pool && worker.lastingTasks > 0) {
+			sum = addResources(sum, sumLastingOfWorker(worker));
 		}
+	}
+
+	return sum;
+}
 
-		for (const {step} of worker.tasks.values()) {
-			cpu += step.definition.isLongRunning && !step.definition.isFiller ? step.definition.need.cpu : 0;
+function sumLastingOfWorker(worker: Worker): Resources {
+	let sum = noResources;
+	for (const {step} of worker.tasks.values()) {
+		if (step.definition.isLongRunning) {
+			sum = addResources(sum, getStepNeed(step.definition));
 		}
 	}
 
-	return cpu;
+	return sum;
 }
 
 /** Workers that the steps which wait must be spread over. */
--- a/packages/core/src/scheduler/holds.ts
+++ b/packages/core/src/scheduler/holds.ts
@@ -62,7 +62,7 @@
 function sendHold(state: SchedulerState, worker: Worker): void {
 	worker.isHeld = true;
 	const hasWork = hasSentTasks(worker);
-	const isWatched = hasWork && [...worker.tasks.values()].some(task => task.step.definition.isLongRunning);
+	const isWatched = hasWork && worker.lastingTasks > 0;
 	addEffect(state, {
 		type: 'worker/hold',
 		worker: getTarget(worker),
--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -3,11 +3,11 @@
 import {addEffect, noteDecision, noteWarning} from './logging.js';
 import {isFinal} from './phases.js';
 import {
-	claimRetryMs, claimSpreadMs, leaderSilenceAtStartMs, leaderSilenceMs,
+	claimRetryMs, claimSpreadMs, leaderSilenceAtStartMs, leaderSilenceMs, weakClaimDelayMs,
 } from './timing.js';
 import type {LedgerEntry, SchedulerEvent} from './events.js';
 import type {LedgerRecord} from './types.js';
-import type {SchedulerState} from './state.js';
+import type {SchedulerSettings, SchedulerState} from './state.js';
 
 type LedgerRead = Extract<SchedulerEvent, {type: 'ledger/read' | 'ledger/loaded'}>;
 type ClaimEnded = Extract<SchedulerEvent, {type: 'claim/ended'}>;
@@ -45,7 +45,7 @@
 	lease(state, {lease}, offset) {
 		const {leadership, settings} = state;
 		leadership.isReleased = lease.isReleased;
-		leadership.claimNotBefore = state.now + (settings.spread * claimSpreadMs);
+		leadership.claimNotBefore = state.now + computeClaimDelay(settings);
 		// An own claim whose answer was lost.
 		if (lease.holder === settings.holder && !lease.isReleased && leadership.role === 'claiming' && lease.token === offset + 1) {
 			startLeading(state, lease.token);
@@ -83,6 +83,11 @@
 	(recordHandlers[record.type] as (state: SchedulerState, record: LedgerRecord, offset: number) => void)(state, record, offset);
 }
 
+/** Hosts with much processor and a wide link claim first: the lead takes more of both than any other work. */
+function computeClaimDelay({spread, weakness}: SchedulerSettings): number {
+	return (spread * claimSpreadMs) + (weakness * weakClaimDelayMs);
+}
+
 /** Claims the lead when the ledger is silent, or was given back. */
 export function tickLeadership(state: SchedulerState): void {
 	const {leadership, settings} = state;
@@ -92,7 +97,7 @@
 
 	const isVacant = leadership.isReleased || leadership.ledgerEnd === 0;
 	const leastSilenceMs = leadership.hasReadOn ? leaderSilenceMs : leaderSilenceAtStartMs;
-	const silenceMs = isVacant ? 0 : leastSilenceMs + (settings.spread * claimSpreadMs);
+	const silenceMs = isVacant ? settings.weakness * weakClaimDelayMs : leastSilenceMs + computeClaimDelay(settings);
 	if (state.now < leadership.claimNotBefore || state.now < leadership.lastRecordAt + silenceMs) {
 		return;
 	}
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -1,6 +1,7 @@
 /** Machines follow demand: pools whose turn it is get machines, first spare ones, and idle ones go to the spare pool. */
 import {getDemand, updateDemand} from './demand.js';
 import {canOrder, findWorker, orderMove} from './machines.js';
+import {noResources} from './resources.js';
 import type {PoolName} from './types.js';
 import type {Machine, SchedulerState} from './state.js';
 
@@ -26,8 +27,9 @@
 	}
 
 	const pools = listPools(state, spare);
+	const silentZones = listSilentZones(state);
 	for (const pool of pools.toSorted((a, b) => b.missing - a.missing)) {
-		fillPool(state, pool, pools, spare);
+		fillPool(state, pool, pools, {spare, silentZones});
 	}
 
 	for (const pool of pools) {
@@ -49,7 +51,7 @@
 function listPools(state: SchedulerState, spare: PoolName): PoolView[] {
 	const present = new Map<PoolName, number>();
 	const incoming = new Set<PoolName>();
-	let machineCpu = 0;
+	let size = noResources;
 	for (const machine of state.machines.values()) {
 		const {entry, order} = machine;
 		const pool = order?.type === 'move' ? order.pool : entry.pool;
@@ -58,11 +60,11 @@
 		}
 
 		present.set(pool, (present.get(pool) ?? 0) + (entry.state === 'down' ? 0 : 1));
-		machineCpu = Math.max(machineCpu, entry.capacity.cpu);
+		size = entry.capacity.cpu > size.cpu ? entry.capacity : size;
 	}
 
 	return (state.config?.pools ?? []).filter(pool => pool.name !== spare && !pool.isSpare).map(({name}) => {
-		const demand = updateDemand(state, name, machineCpu);
+		const demand = updateDemand(state, name, size);
 		const machines = present.get(name) ?? 0;
 		const replacements = demand.replacementUntil > state.now ? 1 : 0;
 		return {
@@ -90,12 +92,11 @@
 }
 
 /** Brings machines, spare ones first, then idle ones of pools that have more than they need. */
-function fillPool(state: SchedulerState, pool: PoolView, pools: readonly PoolView[], spare: PoolName): void {
+function fillPool(state: SchedulerState, pool: PoolView, pools: readonly PoolView[], {spare, silentZones}: {readonly spare: PoolName; readonly silentZones: ReadonlySet<string>}): void {
 	if (pool.missing <= 0) {
 		return;
 	}
 
-	const silentZones = listSilentZones(state);
 	const movable = [...state.machines.values()].filter(machine =>
 		isMovable(state, machine) && machine.entry.pool !== pool.name && !silentZones.has(machine.entry.availabilityZone));
 	for (const machine of movable.filter(({entry}) => entry.pool === spare)) {
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -1,8 +1,11 @@
 /** Chooses workers for tasks that may start: most urgent step first, each task where it leaves the least room unused. */
 import {isSuspect} from './health.js';
-import {getDemand} from './demand.js';
+import {clearWaiting, getDemand, noteWaiting} from './demand.js';
 import {getPoolOfJob} from './queues.js';
-import {getNeed, placeTask} from './tasks.js';
+import {addResources, doesFit} from './resources.js';
+import {
+	getFree, getNeed, getStepNeed, placeTask,
+} from './tasks.js';
 import {compareUrgency, computeUrgency, type Urgency} from './urgency.js';
 import {getTicketState, requestAdvice} from './advice.js';
 import type {PoolName, Resources} from './types.js';
@@ -15,17 +18,16 @@
 /** A step waits for the rack of its data up to this share of what it would lose elsewhere. */
 const rackPatience = 0.5;
 
-/** Places all tasks that fit. */
+/** Places all tasks that fit. While an append is on its way nothing could be sent, so that the choice waits for what comes meanwhile. */
 export function placeTasks(state: SchedulerState): void {
-	if (!state.needsPlacement || state.leadership.role !== 'leader' || state.isStopping) {
+	const {role, commit, commitNotBefore} = state.leadership;
+	if (!state.needsPlacement || role !== 'leader' || state.isStopping || commit || state.now < commitNotBefore) {
 		return;
 	}
 
 	state.needsPlacement = false;
 	for (const demand of state.demand.values()) {
-		demand.waitingCpu = 0;
-		demand.waitingTasks = 0;
-		demand.waitingWork = 0;
+		clearWaiting(demand);
 	}
 
 	const workersByPool = listUsableWorkers(state);
@@ -70,10 +72,7 @@
 		: placeEach(state, step, waiting, candidates);
 	const left = waiting.length - placed;
 	if (left > 0) {
-		const demand = getDemand(state, pool);
-		demand.waitingCpu += left * (step.definition.isFiller ? 0 : step.definition.need.cpu);
-		demand.waitingTasks += left;
-		demand.waitingWork += step.definition.isLongRunning ? 0 : left * step.definition.need.cpu * step.definition.estimateMs;
+		noteWaiting(getDemand(state, pool), step, left);
 	}
 }
 
@@ -83,13 +82,15 @@
 }
 
 function placeEach(state: SchedulerState, step: StepRun, waiting: readonly Task[], candidates: readonly Worker[]): number {
+	const rooms = listRooms(step, candidates);
 	let placed = 0;
 	for (const task of waiting) {
-		const worker = chooseWorker(state, task, candidates, listRooms(step, candidates));
+		const worker = chooseWorker(state, task, rooms);
 		if (!worker) {
 			break;
 		}
 
+		takeRoom(rooms, worker, task);
 		placeTask(state, task, worker, task.run + 1);
 		placed++;
 	}
@@ -106,15 +107,12 @@
 	const rooms = listRooms(step, candidates);
 	const chosen: Array<{task: Task; worker: Worker}> = [];
 	for (const task of waiting) {
-		const worker = chooseWorker(state, task, candidates, rooms);
-		const room = worker && rooms.get(worker);
-		if (!worker || !room) {
+		const worker = chooseWorker(state, task, rooms);
+		if (!worker) {
 			return 0;
 		}
 
-		const need = getNeed(task);
-		room.free = {cpu: room.free.cpu - need.cpu, memoryMb: room.free.memoryMb - need.memoryMb, gpu: room.free.gpu - need.gpu};
-		room.ofStep++;
+		takeRoom(rooms, worker, task);
 		chosen.push({task, worker});
 	}
 
@@ -130,37 +128,38 @@
 
 type Room = {free: Resources; ofStep: number};
 
-function listRooms(step: StepRun, workers: readonly Worker[]): Map<Worker, Room> {
-	return new Map(workers.map(worker => [worker, {free: getFree(worker), ofStep: countOfStep(step, worker)}]));
+function takeRoom(rooms: ReadonlyMap<Worker, Room>, worker: Worker, task: Task): void {
+	const room = rooms.get(worker)!;
+	room.free = addResources(room.free, getNeed(task), -1);
+	room.ofStep++;
 }
 
-/** What a worker has left. */
-export function getFree(worker: Worker): Resources {
-	return {
-		cpu: worker.capacity.cpu - worker.used.cpu,
-		memoryMb: worker.capacity.memoryMb - worker.used.memoryMb,
-		gpu: worker.capacity.gpu - worker.used.gpu,
-	};
+/** Room of the workers that at least one task of the step fits. */
+function listRooms(step: StepRun, workers: readonly Worker[]): Map<Worker, Room> {
+	const need = getStepNeed(step.definition);
+	const rooms = new Map<Worker, Room>();
+	for (const worker of workers) {
+		const free = getFree(worker);
+		if (doesFit(need, free)) {
+			rooms.set(worker, {free, ofStep: countOfStep(step, worker)});
+		}
+	}
+
+	return rooms;
 }
 
 function countOfStep(step: StepRun, worker: Worker): number {
 	return step.definition.maxPerWorker > 0 ? step.tasks.filter(task => task.worker === worker).length : 0;
 }
 
-/** True if a need fits into some room. */
-export function doesFit(need: Resources, free: Resources): boolean {
-	return need.cpu <= free.cpu && need.memoryMb <= free.memoryMb && need.gpu <= free.gpu;
-}
-
-function chooseWorker(state: SchedulerState, task: Task, candidates: readonly Worker[], rooms: ReadonlyMap<Worker, Room>): Worker | undefined {
+function chooseWorker(state: SchedulerState, task: Task, rooms: ReadonlyMap<Worker, Room>): Worker | undefined {
 	const {definition} = task.step;
 	const need = getNeed(task);
 	const unadvised: Worker[] = [];
 	let best: Worker | undefined;
 	let bestScore = Number.POSITIVE_INFINITY;
 	const rack = chooseRack(state, task);
-	for (const worker of candidates) {
-		const room = rooms.get(worker)!;
+	for (const [worker, room] of rooms) {
 		const isFull = definition.maxPerWorker > 0 && room.ofStep >= definition.maxPerWorker;
 		const isProbed = isSuspect(worker) && worker.tasks.size >= suspectTaskLimit;
 		if (isFull || isProbed || !doesFit(need, room.free) || (rack.isBinding && worker.rack !== rack.name)) {
@@ -190,14 +189,18 @@
 	return best;
 }
 
+/** A worker without long-running tasks can be emptied, and its machine sent where it is needed. */
+const freeablePenalty = 1;
 const farPenalty = 4;
 const suspectPenalty = 8;
 const failedPenalty = 16;
 
-/** Lower is better: tasks fill workers one after the other, fillers go where most is unused. */
+/** Lower is better: tasks fill workers one after the other, first those that long-running tasks keep; fillers go where most is unused. */
 function scoreWorker(task: Task, worker: Worker, free: Resources, rack: string | undefined): number {
-	const share = free.cpu / Math.max(1, worker.capacity.cpu);
-	let score = task.step.definition.isFiller ? 1 - share : share;
+	const cpuShare = free.cpu / Math.max(1, worker.capacity.cpu);
+	const memoryShare = free.memoryMb / Math.max(1, worker.capacity.memoryMb);
+	let score = task.step.definition.isFiller ? 1 - cpuShare : (cpuShare + memoryShare) / 2;
+	score += worker.lastingTasks === 0 && !task.step.definition.isFiller ? freeablePenalty : 0;
 	score += rack !== undefined && worker.rack !== rack ? farPenalty : 0;
 	score += isSuspect(worker) ? suspectPenalty : 0;
 	score += task.failedOn.has(worker.id) ? failedPenalty : 0;
--- a/packages/core/src/scheduler/queues.ts
+++ b/packages/core/src/scheduler/queues.ts
@@ -19,9 +19,22 @@
 	return best;
 }
 
+const indexes = new WeakMap<FleetConfig, ReadonlyMap<QueueName, Queue>>();
+
+/** The queues of a configuration by name; a configuration may have thousands. */
+function listByName(config: FleetConfig): ReadonlyMap<QueueName, Queue> {
+	let index = indexes.get(config);
+	if (!index) {
+		index = new Map(config.queues.map(queue => [queue.name, queue]));
+		indexes.set(config, index);
+	}
+
+	return index;
+}
+
 /** A queue by its name. */
 export function getQueue(state: SchedulerState, name: QueueName): Queue | undefined {
-	return state.config?.queues.find(queue => queue.name === name);
+	return state.config && listByName(state.config).get(name);
 }
 
 /** A pool by its name. */
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -1,5 +1,6 @@
 /** The workers that a leader knows: from service discovery, and from stored starts. */
 import {addEffect, noteDecision} from './logging.js';
+import {noResources} from './resources.js';
 import {getTarget, requestStop, returnTask} from './tasks.js';
 import {
 	clockDrift, leaseSlackMs, lateStartMs, notSettled, registryGraceMs, stopRetryMs, unconfirmedLimitMs, workerLeaseMs,
@@ -25,7 +26,7 @@
 		availabilityZone: '',
 		rack: '',
 		labels: new Set(),
-		capacity: {cpu: 0, memoryMb: 0, gpu: 0},
+		capacity: noResources,
 		machineId: undefined,
 		isDraining: false,
 		leavesAt: undefined,
@@ -43,9 +44,10 @@
 		lastAnswerAt: state.now,
 		misses: 0,
 		tasks: new Map(),
+		lastingTasks: 0,
 		lateStarts: [],
 		strangers: new Map(),
-		used: {cpu: 0, memoryMb: 0, gpu: 0},
+		used: noResources,
 		isReserved: false,
 		setAsideUntil: 0,
 		failures: [],
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -29,6 +29,8 @@
 	readonly holder: string;
 	/** Spreads simultaneous claims; 0 to 1. */
 	readonly spread: number;
+	/** How far the host falls short of the processor and link that the lead asks for; 0 to 1. */
+	readonly weakness: number;
 	/** Where this life numbers its appends from; differs between hosts, or the store takes one claim for a repeat of another. */
 	readonly firstSequence: number;
 	readonly moveMs: number;
@@ -164,6 +166,8 @@
 	/** Holds in a row without an answer. */
 	misses: number;
 	readonly tasks: Map<TaskName, Task>;
+	/** How many of the tasks are long-running. */
+	lastingTasks: number;
 	lateStarts: LateStart[];
 	/** Runs at the worker that nobody here knows of; they are stopped. */
 	readonly strangers: Map<TaskName, RunningRow>;
@@ -242,14 +246,16 @@
 };
 
 export type PoolDemand = {
-	/** Processor, tasks, and work (processor times milliseconds) that wait for room. */
-	waitingCpu: number;
+	/** Tasks that wait for room. */
 	waitingTasks: number;
-	waitingWork: number;
-	/** Work that came since the last look. */
-	arrivedWork: number;
-	/** Followed rate of arrivals: processor that they keep at work. */
-	rate: number;
+	/** What short tasks that wait take, times the milliseconds that they take it for. */
+	waitingWork: Resources;
+	/** What long-running tasks that wait take. */
+	waitingLasting: Resources;
+	/** Work of short tasks that came since the last look: resources times milliseconds. */
+	arrivedWork: Resources;
+	/** Followed rate of arrivals: the resources that they keep at work. */
+	rate: Resources;
 	lookedAt: SteadyMs;
 	/** Machines needed now, and the most of the last seconds. */
 	machines: number;
--- a/packages/core/src/scheduler/tasks.ts
+++ b/packages/core/src/scheduler/tasks.ts
@@ -1,30 +1,37 @@
 /** Changes of a task's status. All bookkeeping of open steps, workers' room and stored progress hangs on these. */
 import {addEffect} from './logging.js';
 import {isJobOpen} from './phases.js';
+import {addResources} from './resources.js';
 import {notSettled, stopRetryMs} from './timing.js';
 import type {WorkerTarget} from './effects.js';
-import type {Resources, RunEnd} from './types.js';
+import type {Resources, RunEnd, StepDefinition} from './types.js';
 import type {
 	SchedulerState, StepRun, Task, Worker,
 } from './state.js';
 
-/** What a task takes of a worker's room; fillers take no processor. */
-export function getNeed(task: Task): Resources {
-	const {need, isFiller} = task.step.definition;
+/** What a task of a step takes of a worker's room; fillers take no processor. */
+export function getStepNeed({need, isFiller}: StepDefinition): Resources {
 	return isFiller ? {...need, cpu: 0} : need;
 }
 
+/** What a task takes of a worker's room. */
+export function getNeed(task: Task): Resources {
+	return getStepNeed(task.step.definition);
+}
+
 /** Names the life of a worker that an order is meant for. */
 export function getTarget(worker: Worker): WorkerTarget {
 	return {id: worker.id, bornAt: worker.bornAt, address: worker.address};
 }
 
-function addUse(worker: Worker, need: Resources, sign: 1 | -1): void {
-	worker.used = {
-		cpu: worker.used.cpu + (sign * need.cpu),
-		memoryMb: worker.used.memoryMb + (sign * need.memoryMb),
-		gpu: worker.used.gpu + (sign * need.gpu),
-	};
+/** What a worker has left. */
+export function getFree(worker: Worker): Resources {
+	return addResources(worker.capacity, worker.used, -1);
+}
+
+function addUse(worker: Worker, task: Task, sign: 1 | -1): void {
+	worker.used = addResources(worker.used, getNeed(task), sign);
+	worker.lastingTasks += task.step.definition.isLongRunning ? sign : 0;
 }
 
 /** True if all steps that a step depends on are done. */
@@ -52,7 +59,7 @@
 export function attachTask(worker: Worker, task: Task): void {
 	task.worker = worker;
 	worker.tasks.set(task.name, task);
-	addUse(worker, getNeed(task), 1);
+	addUse(worker, task, 1);
 }
 
 /** Gives a task's room back. */
@@ -63,7 +70,7 @@
 	}
 
 	worker.tasks.delete(task.name);
-	addUse(worker, getNeed(task), -1);
+	addUse(worker, task, -1);
 	task.worker = undefined;
 	if (worker.tasks.size === 0) {
 		worker.idleSince = state.now;
--- a/packages/core/src/scheduler/timing.ts
+++ b/packages/core/src/scheduler/timing.ts
@@ -18,6 +18,8 @@
 export const leaderSilenceAtStartMs = 600;
 /** Claims of several hosts are spread over this time. */
 export const claimSpreadMs = 250;
+/** A host without processor or link to spare leaves a claim to others for this long. */
+export const weakClaimDelayMs = 500;
 export const claimRetryMs = 500;
 /** A leader that the store has not confirmed for this long orders no machine. */
 export const unconfirmedOrderMs = 1000;
--- a/packages/core/src/scheduler/waves.ts
+++ b/packages/core/src/scheduler/waves.ts
@@ -4,9 +4,10 @@
 } from './machines.js';
 import {getDemand} from './demand.js';
 import {addEffect, noteDecision} from './logging.js';
-import {getFree, isUsable} from './placement.js';
+import {isUsable} from './placement.js';
 import {getPoolOfJob} from './queues.js';
-import {requestStop} from './tasks.js';
+import {doesFit} from './resources.js';
+import {getFree, getStepNeed, requestStop} from './tasks.js';
 import type {SchedulerEvent} from './events.js';
 import type {
 	Machine, SchedulerState, StepRun, Task, Wave, Worker,
@@ -113,7 +114,7 @@
 function sortByLoad(state: SchedulerState, machines: readonly Machine[]): Machine[] {
 	const getLoad = (machine: Machine) => {
 		const worker = findWorker(state, machine);
-		const lasting = worker ? [...worker.tasks.values()].filter(task => task.step.definition.isLongRunning).length : 0;
+		const lasting = worker?.lastingTasks ?? 0;
 		return (machine.drainsFor === undefined ? 1_000_000 : 0) + (lasting * 100_000) + (worker?.used.cpu ?? 0);
 	};
 
@@ -164,16 +165,15 @@
 }
 
 function hasRoomElsewhere(state: SchedulerState, step: StepRun, current: Worker | undefined): boolean {
-	const {need, maxPerWorker, isFiller} = step.definition;
+	const {maxPerWorker} = step.definition;
+	const need = getStepNeed(step.definition);
 	for (const worker of state.workers.values()) {
 		if (worker === current || worker.pool !== current?.pool || !isUsable(state, worker)) {
 			continue;
 		}
 
-		const free = getFree(worker);
 		const ofStep = step.tasks.filter(task => task.worker === worker).length;
-		const hasRoom = (isFiller || free.cpu >= need.cpu) && free.memoryMb >= need.memoryMb;
-		if (hasRoom && (maxPerWorker === 0 || ofStep < maxPerWorker)) {
+		if (doesFit(need, getFree(worker)) && (maxPerWorker === 0 || ofStep < maxPerWorker)) {
 			return true;
 		}
 	}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -22,3 +22,4 @@
 export type {TaskReport, WorkerReport} from './platform/workers.js';
 export * from './job-platform/job-platform.js';
 export {JobWorker} from './job-platform/job-worker.js';
+export type {RunObserver} from './job-platform/run-observer.js';
--- a/packages/stand-ins/src/job-platform/job-platform.ts
+++ b/packages/stand-ins/src/job-platform/job-platform.ts
@@ -1,14 +1,26 @@
 /** The users' platform, small, on loopback addresses: the store, the list of machines, and some workers. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {listen, readBytes, sendJson} from '../http.js';
 import {JobWorker} from './job-worker.js';
 import {KeyedLog} from './keyed-log.js';
+import {
+	createCallFaults, drawFate, drawLateMs, type CallFaults,
+} from './order-faults.js';
+import type {RunObserver} from './run-observer.js';
 
 const beatMs = 500;
 
-export type JobPlatformOptions = {readonly address: string; readonly workerAddresses: readonly string[]; readonly runMs: number};
+export type JobPlatformOptions = {
+	readonly address: string;
+	readonly workerAddresses: readonly string[];
+	readonly runMs: number;
+	/** Where entry hosts reach the workers, if not at their own addresses. */
+	readonly publishedAddresses?: readonly string[];
+	readonly observer?: RunObserver;
+};
 
 export const standInQueue = {
 	host: 'jobs.example', pathPrefix: '/replans/', name: 'replans', pool: 'trucks',
@@ -20,7 +32,7 @@
 export class JobPlatform {
 	static async start(options: JobPlatformOptions): Promise<JobPlatform> {
 		const workers = await Promise.all(options.workerAddresses.map(async (address, index) => JobWorker.start({
-			id: `worker-${index}`, address, pool: standInQueue.pool, cpu: workerCpu, runMs: options.runMs, taskCpu: standInTaskCpu,
+			id: `worker-${index}`, address, pool: standInQueue.pool, cpu: workerCpu, runMs: options.runMs, taskCpu: standInTaskCpu, ...(options.observer && {observer: options.observer}), ...(options.publishedAddresses && {publishedAddress: options.publishedAddresses[index]!}),
 		})));
 		const platform = new JobPlatform(workers);
 		const [ip, port] = options.address.split(':');
@@ -31,13 +43,21 @@
 	readonly log = KeyedLog.create();
 	/** While true, the store answers nothing. */
 	isDown = false;
+	/** What goes wrong with writes to the store. */
+	readonly faults: CallFaults = createCallFaults();
+	/** Each answer of the store comes this much later, in milliseconds. */
+	delayMs = 0;
 	private readonly server: Server;
 	private readonly timer: NodeJS.Timeout;
+	private readonly listed = new Set<string>();
 	private sequence = 0;
 
 	private constructor(readonly workers: readonly JobWorker[]) {
 		this.server = createServer((request, response) => {
-			void this.answer(request, response);
+			// A caller that breaks its call off gets no answer.
+			void this.answer(request, response).catch(() => {
+				request.socket.destroy();
+			});
 		});
 		this.publishConfig(1);
 		this.publishWorkers();
@@ -71,7 +91,13 @@
 	private publishWorkers(): void {
 		this.sequence++;
 		for (const [index, worker] of this.workers.entries()) {
-			this.log.put('keyed.servers', `worker-${index}`, worker.describe(this.sequence));
+			const key = `worker-${index}`;
+			if (worker.isUp) {
+				this.log.put('keyed.servers', key, worker.describe(this.sequence));
+				this.listed.add(key);
+			} else if (this.listed.delete(key)) {
+				this.log.put('keyed.servers', key, undefined);
+			}
 		}
 	}
 
@@ -81,17 +107,15 @@
 			return;
 		}
 
+		if (this.delayMs > 0) {
+			await sleep(this.delayMs);
+		}
+
 		const url = new URL(request.url ?? '/', 'http://platform');
 		const query = url.searchParams;
 		const topic = query.get('topic') ?? '';
 		const operations: Readonly<Record<string, () => Promise<void> | void>> = {
-			'/v1/log-append': async () => {
-				const at = query.get('at');
-				const {status, body} = this.log.append(topic, await readBytes(request), {
-					at: at === null ? undefined : Number(at), producer: query.get('producer') ?? undefined, epoch: Number(query.get('epoch')), sequence: Number(query.get('sequence')),
-				});
-				sendJson(response, status, body);
-			},
+			'/v1/log-append': async () => this.append(request, response, query),
 			'/v1/log-read': async () => {
 				response.end(await this.log.read(topic, Number(query.get('from')), Number(query.get('wait-ms'))));
 			},
@@ -106,4 +130,26 @@
 			sendJson(response, 404, {});
 		}))();
 	}
+
+	private async append(request: IncomingMessage, response: ServerResponse, query: URLSearchParams): Promise<void> {
+		const bytes = await readBytes(request);
+		const at = query.get('at');
+		const append = () => this.log.append(query.get('topic') ?? '', bytes, {
+			at: at === null ? undefined : Number(at), producer: query.get('producer') ?? undefined, epoch: Number(query.get('epoch')), sequence: Number(query.get('sequence')),
+		});
+		const fate = drawFate(this.faults);
+		if (fate === 'late') {
+			setTimeout(append, drawLateMs(this.faults));
+			request.socket.destroy();
+			return;
+		}
+
+		const {status, body} = append();
+		if (fate === 'answer-lost') {
+			request.socket.destroy();
+			return;
+		}
+
+		sendJson(response, status, body);
+	}
 }
--- a/packages/stand-ins/src/job-platform/job-worker.ts
+++ b/packages/stand-ins/src/job-platform/job-worker.ts
@@ -4,13 +4,20 @@
 } from 'node:http';
 import {ModelWorker} from '@rhubarblever/core/scheduler/testing';
 import {listen, readJson, sendJson} from '../http.js';
+import {
+	createCallFaults, drawFate, drawLateMs, type CallFaults,
+} from './order-faults.js';
+import type {RunObserver} from './run-observer.js';
 
 const advanceMs = 5;
+const holdPath = '/v1/hold';
 const statusConflict = 409;
 const statusOtherLife = 421;
 
 type Order = {readonly task: string; readonly run: number; readonly 'until-ms'?: number; readonly 'fencing-token'?: number; readonly 'ack-cursor'?: number; readonly 'wait-ms'?: number};
 
+type OrderAnswer = {readonly status: number; readonly body: unknown};
+
 export type JobWorkerOptions = {
 	readonly id: string;
 	readonly address: string;
@@ -19,6 +26,9 @@
 	/** How long a task runs and what it takes. */
 	readonly runMs: number;
 	readonly taskCpu: number;
+	/** Where callers reach it, if not at its own address. */
+	readonly publishedAddress?: string;
+	readonly observer?: RunObserver;
 };
 
 export class JobWorker {
@@ -36,7 +46,12 @@
 	overRoom = 0;
 	private readonly model: ModelWorker;
 	private readonly server: Server;
-	private readonly bornAt = Date.now();
+	/** What goes wrong with orders to it. */
+	readonly faults: CallFaults = createCallFaults();
+	/** False between a crash and the next process. */
+	isUp = true;
+	private bornAt = Date.now();
+	private readonly known = new Map<string, number>();
 	private readonly timer: NodeJS.Timeout;
 
 	private constructor(private readonly options: JobWorkerOptions) {
@@ -44,20 +59,55 @@
 			id: options.id, bornAt: this.bornAt, address: options.address, pool: options.pool, availabilityZone: 'a', capacity: {cpu: options.cpu, memoryMb: 100_000, gpu: 0}, labels: ['a', 'r-1'], isDraining: false, remainingMs: undefined, machineId: undefined,
 		});
 		this.server = createServer((request, response) => {
-			void this.answer(request, response);
+			// A caller that breaks its call off gets no answer.
+			void this.answer(request, response).catch(() => {
+				request.socket.destroy();
+			});
 		});
 		this.timer = setInterval(() => {
-			for (const run of this.model.advance(this.readClock())) {
-				this.done.set(run.task, (this.done.get(run.task) ?? 0) + 1);
-			}
+			this.advance();
 		}, advanceMs);
 	}
 
+	/** Its process ends; what ran is gone. */
+	crash(): void {
+		this.isUp = false;
+		this.model.crash();
+		this.tellEnds(new Set());
+		this.server.closeAllConnections();
+	}
+
+	/** A new process under the same id. */
+	restart(): void {
+		this.bornAt = Date.now();
+		this.model.restart(this.bornAt);
+		this.isUp = true;
+	}
+
+	private advance(): void {
+		const done = this.model.advance(this.readClock());
+		for (const run of done) {
+			this.done.set(run.task, (this.done.get(run.task) ?? 0) + 1);
+		}
+
+		this.tellEnds(new Set(done.map(run => run.task)));
+	}
+
+	/** Tells the observer of runs that are gone since the last look. */
+	private tellEnds(done: ReadonlySet<string>): void {
+		for (const [task, run] of this.known) {
+			if (this.model.runs.get(task)?.run !== run) {
+				this.known.delete(task);
+				this.options.observer?.noteEnd(this.options.id, task, run, done.has(task));
+			}
+		}
+	}
+
 	/** What it says of itself in the registry. */
 	describe(sequence: number): unknown {
-		const {address, pool, cpu} = this.options;
+		const {address, publishedAddress = address, pool, cpu} = this.options;
 		return {
-			service: pool, address, zone: 'a', version: 'v1', slots: 8, state: 'ready', 'cold-left-ms': 0, capacity: {cpu, 'mem-mb': 100_000, gpu: 0}, labels: ['a', 'r-1'], 'clock-ms': this.readClock(), sequence, born: this.bornAt,
+			service: pool, address: publishedAddress, zone: 'a', version: 'v1', slots: 8, state: 'ready', 'cold-left-ms': 0, capacity: {cpu, 'mem-mb': 100_000, gpu: 0}, labels: ['a', 'r-1'], 'clock-ms': this.readClock(), sequence, born: this.bornAt,
 		};
 	}
 
@@ -73,29 +123,56 @@
 
 	private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const order = await readJson(request) as Order;
+		const path = request.url ?? '';
+		if (!this.isUp) {
+			request.socket.destroy();
+			return;
+		}
+
 		if (request.headers['target-instance'] !== this.options.id) {
 			sendJson(response, statusOtherLife, {});
 			return;
 		}
 
-		const operations: Readonly<Record<string, () => Promise<void> | void>> = {
-			'/v1/run-start': () => {
-				this.start(order, response);
-			},
-			'/v1/run-stop': () => {
-				const isStopped = this.model.stop(order.task, order.run, order['fencing-token'] ?? 0);
-				sendJson(response, isStopped ? 200 : statusConflict, {'clock-ms': this.readClock(), ...(!isStopped && {reason: 'fence'})});
-			},
-			'/v1/hold': async () => this.hold(order, response),
+		const fate = drawFate(this.faults);
+		const {bornAt} = this;
+		if (fate === 'late') {
+			setTimeout(() => {
+				// An acknowledgement for one process means nothing to the next (docs/QUESTIONS.md).
+				if (this.isUp && (path !== holdPath || bornAt === this.bornAt)) {
+					void this.carryOut(path, order);
+				}
+			}, drawLateMs(this.faults));
+			return;
+		}
+
+		const {status, body} = await this.carryOut(path, order);
+		if (fate === 'answer-lost' || !this.isUp || bornAt !== this.bornAt) {
+			request.socket.destroy();
+			return;
+		}
+
+		sendJson(response, status, body);
+	}
+
+	private async carryOut(path: string, order: Order): Promise<OrderAnswer> {
+		const operations: Readonly<Record<string, () => Promise<OrderAnswer> | OrderAnswer>> = {
+			'/v1/run-start': () => this.start(order),
+			'/v1/run-stop': () => this.stop(order),
+			[holdPath]: async () => this.hold(order),
 		};
-		await (operations[request.url ?? ''] ?? (() => {
-			sendJson(response, 404, {});
-		}))();
+		return operations[path]?.() ?? {status: 404, body: {}};
+	}
+
+	private stop(order: Order): OrderAnswer {
+		const isStopped = this.model.stop(order.task, order.run, order['fencing-token'] ?? 0);
+		this.tellEnds(new Set());
+		return {status: isStopped ? 200 : statusConflict, body: {'clock-ms': this.readClock(), ...(!isStopped && {reason: 'fence'})}};
 	}
 
-	private start(order: Order, response: ServerResponse): void {
+	private start(order: Order): OrderAnswer {
 		const now = this.readClock();
-		const isNew = !this.model.runs.has(order.task);
+		const isNew = this.model.runs.get(order.task)?.run !== order.run;
 		const {runMs, taskCpu, cpu} = this.options;
 		const outcome = this.model.start({
 			run: {
@@ -108,12 +185,15 @@
 		if (outcome === 'started' && isNew) {
 			this.starts.set(order.task, (this.starts.get(order.task) ?? 0) + 1);
 			this.overRoom += this.model.countUsedCpu() > cpu ? 1 : 0;
+			this.known.set(order.task, order.run);
+			this.options.observer?.noteStart(this.options.id, order.task, order.run);
 		}
 
-		sendJson(response, outcome === 'started' ? 200 : statusConflict, {'clock-ms': now, ...(outcome !== 'started' && {reason: reasons[outcome]})});
+		return {status: outcome === 'started' ? 200 : statusConflict, body: {'clock-ms': now, ...(outcome !== 'started' && {reason: reasons[outcome]})}};
 	}
 
-	private async hold(order: Order, response: ServerResponse): Promise<void> {
+	private async hold(order: Order): Promise<OrderAnswer> {
+		this.tellAcknowledged(order['ack-cursor'] ?? 0);
 		const ask = () => this.model.hold({untilMs: order['until-ms'], token: order['fencing-token'] ?? 0, ackedEnd: order['ack-cursor'] ?? 0}, this.readClock());
 		let lists = ask();
 		for (let waitedMs = 0; lists?.ended.length === 0 && waitedMs < (order['wait-ms'] ?? 0); waitedMs += advanceMs) {
@@ -125,15 +205,25 @@
 		}
 
 		if (!lists) {
-			sendJson(response, statusConflict, {'clock-ms': this.readClock(), reason: 'fence'});
-			return;
+			return {status: statusConflict, body: {'clock-ms': this.readClock(), reason: 'fence'}};
 		}
 
-		sendJson(response, 200, {
-			'clock-ms': this.readClock(),
-			born: this.bornAt,
-			running: lists.running.map(row => [row.task, row.run, row.checkpoint, row.percent]),
-			ended: lists.ended.map(row => [row.number, row.task, row.run, row.how, row.checkpoint]),
-		});
+		return {
+			status: 200,
+			body: {
+				'clock-ms': this.readClock(),
+				born: this.bornAt,
+				running: lists.running.map(row => [row.task, row.run, row.checkpoint, row.percent]),
+				ended: lists.ended.map(row => [row.number, row.task, row.run, row.how, row.checkpoint]),
+			},
+		};
+	}
+
+	private tellAcknowledged(upTo: number): void {
+		for (const row of this.model.listEndsUpTo(upTo)) {
+			if (row.how === 'done') {
+				this.options.observer?.noteAcknowledged(row.task);
+			}
+		}
 	}
 }
