--- a/packages/bench/src/soak/soak-fleet.ts
+++ b/packages/bench/src/soak/soak-fleet.ts
@@ -100,8 +100,13 @@
 		this.watchEnd(host);
 	}
 
-	async waitUntilReady(): Promise<void> {
-		await Promise.all(this.hosts.map(async host => waitUntil('the host is ready', async () => this.isReady(host), startTimeoutMs)));
+	/** Waits for all hosts to be ready; those that are not within the timeout. */
+	async listUnready(): Promise<SoakHost[]> {
+		const unready: SoakHost[] = [];
+		await Promise.all(this.hosts.map(async host => waitUntil('the host is ready', async () => this.isReady(host), startTimeoutMs).catch(() => {
+			unready.push(host);
+		})));
+		return unready;
 	}
 
 	async close(): Promise<void> {
@@ -129,7 +134,10 @@
 			this.watchEnd(host);
 		}
 
-		await this.waitUntilReady();
+		const unready = await this.listUnready();
+		if (unready.length > 0) {
+			throw new Error(`hosts that did not start: ${unready.map(host => host.process.output).join('\n')}`);
+		}
 	}
 
 	private startProgram(index: number, settingsPath: string): RunningProcess {
--- a/packages/bench/src/soak/soak.ts
+++ b/packages/bench/src/soak/soak.ts
@@ -92,7 +92,10 @@
 
 /** After the faults every accepted job ends as it may, at every host, and nothing of a cancelled one runs. */
 async function judgeEnd(fleet: SoakFleet, book: RunBook, jobs: ReadonlyMap<string, SoakJob>): Promise<void> {
-	await fleet.waitUntilReady();
+	for (const host of await fleet.listUnready()) {
+		book.report(`front-${host.index} is not ready long after the faults`);
+	}
+
 	const settleDeadline = performance.now() + settleMs;
 	for (const host of fleet.hosts) {
 		let open = listAccepted(jobs);
--- a/packages/core/src/scheduler/demand.test.ts
+++ b/packages/core/src/scheduler/demand.test.ts
@@ -66,4 +66,18 @@
 		state.now += lookMs;
 		expect(updateDemand(state, 'p', machine).machines >= 5).toEqual(true);
 	});
+
+	it('asks for more than the rate while it rises, as machines come late', () => {
+		const state = createState();
+		getDemand(state, 'p');
+		follow(state, 100_000, 3000);
+		let cpu = 100_000;
+		let needed = 0;
+		for (let look = 0; look < 10; look++) {
+			cpu += 50_000;
+			needed = follow(state, cpu, lookMs).at(-1)!;
+		}
+
+		expect(needed * machine.cpu >= cpu).toEqual(true);
+	});
 });
--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -16,8 +16,11 @@
 	Job, PoolDemand, SchedulerState, StepRun, Worker,
 } from './state.js';
 
-/** Weight of the latest look in the followed rate. */
+/** Weight of the latest look in the followed rate, and in one that follows slowly: their difference tells of a rise. */
 const latestWeight = 0.35;
+const slowWeight = 0.09;
+/** A rise is taken to go on for about as long as a machine takes to come. */
+const riseFactor = 0.8;
 /** Room above the followed rate, for its random ups. */
 const headroom = 1.15;
 /** Share of a machine that tasks can really fill. */
@@ -32,7 +35,7 @@
 	let demand = state.demand.get(pool);
 	if (!demand) {
 		demand = {
-			waitingTasks: 0, waitingWork: noResources, waitingLasting: noResources, arrivedWork: noResources, rate: noResources, lookedAt: state.now, machines: 0, keptMachines: 0, keptUntil: 0, replacementUntil: 0,
+			waitingTasks: 0, waitingWork: noResources, waitingLasting: noResources, arrivedWork: noResources, rate: noResources, slowRate: noResources, lookedAt: state.now, machines: 0, missing: 0, keptMachines: 0, keptUntil: 0, replacementUntil: 0,
 		};
 		state.demand.set(pool, demand);
 	}
@@ -43,9 +46,10 @@
 /** Counts the work of a job that has come. */
 export function noteArrival(state: SchedulerState, job: Job): void {
 	const demand = getDemand(state, getPoolOfJob(state, job));
+	const ratio = state.runRatios.get(job.definition.queue) ?? 1;
 	for (const step of job.definition.steps) {
 		if (!step.isLongRunning) {
-			demand.arrivedWork = addResources(demand.arrivedWork, getStepNeed(step), step.count * step.estimateMs);
+			demand.arrivedWork = addResources(demand.arrivedWork, getStepNeed(step), step.count * step.estimateMs * ratio);
 		}
 	}
 }
@@ -78,23 +82,38 @@
 
 	const latestRate = scaleResources(demand.arrivedWork, 1 / elapsedMs);
 	demand.rate = addResources(scaleResources(demand.rate, 1 - latestWeight), latestRate, latestWeight);
+	demand.slowRate = addResources(scaleResources(demand.slowRate, 1 - slowWeight), latestRate, slowWeight);
 	demand.arrivedWork = noResources;
 	demand.lookedAt = state.now;
-	demand.machines = Math.max(countMachines(state, pool, machine), demand.waitingTasks > 0 ? countSpread(state, pool) : 0);
-	if (demand.machines >= demand.keptMachines || state.now >= demand.keptUntil) {
-		demand.keptMachines = demand.machines;
+	const needed = computeNeed(state, pool);
+	const spread = demand.waitingTasks > 0 ? countSpread(state, pool) : 0;
+	demand.machines = Math.max(spread, countMachines(addResources(needed, computeRise(demand)), machine));
+	keepHighest(state, demand, Math.max(spread, countMachines(needed, machine)));
+	return demand;
+}
+
+function keepHighest(state: SchedulerState, demand: PoolDemand, machines: number): void {
+	if (machines >= demand.keptMachines || state.now >= demand.keptUntil) {
+		demand.keptMachines = machines;
 		demand.keptUntil = state.now + keepMs;
 	}
+}
 
-	return demand;
+function countMachines(needed: Resources, machine: Resources): number {
+	return Math.ceil(computeShare(needed, machine) / fillShare);
 }
 
-function countMachines(state: SchedulerState, pool: PoolName, machine: Resources): number {
+function computeNeed(state: SchedulerState, pool: PoolName): Resources {
 	const {rate, waitingWork, waitingLasting} = getDemand(state, pool);
 	let needed = addResources(sumLasting(state, pool), waitingLasting);
 	needed = addResources(needed, rate, headroom);
-	needed = addResources(needed, waitingWork, 1 / clearMs);
-	return Math.ceil(computeShare(needed, machine) / fillShare);
+	return addResources(needed, waitingWork, 1 / clearMs);
+}
+
+/** By how much the rate is likely to have risen when machines that are fetched now are there. */
+function computeRise({rate, slowRate}: PoolDemand): Resources {
+	const rise = addResources(rate, slowRate, -1);
+	return scaleResources({cpu: Math.max(0, rise.cpu), memoryMb: Math.max(0, rise.memoryMb), gpu: Math.max(0, rise.gpu)}, riseFactor);
 }
 
 /** What long-running tasks of a pool hold. */
--- a/packages/core/src/scheduler/holds.ts
+++ b/packages/core/src/scheduler/holds.ts
@@ -181,7 +181,7 @@
 const endHandlers: Readonly<Record<RunEnd, EndHandler>> = {
 	done(state, worker, task) {
 		noteSuccess(state, worker);
-		noteRunTime(state, task.step.occurrence.job.definition.queue, state.now - task.startedAt);
+		noteRunTime(state, task.step.occurrence.job.definition.queue, state.now - task.startedAt, task.step.definition.estimateMs);
 		finishTask(state, task);
 		advanceOccurrence(state, task.step.occurrence);
 	},
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -1,11 +1,13 @@
 /** Machines follow demand: pools whose turn it is get machines, first spare ones, and idle ones go to the spare pool. */
 import {getDemand, updateDemand} from './demand.js';
+import {noteDecision} from './logging.js';
 import {canOrder, findWorker, orderMove} from './machines.js';
 import {noResources} from './resources.js';
 import type {PoolName} from './types.js';
 import type {Machine, SchedulerState} from './state.js';
 
 const movesLookMs = 150;
+const needsNotePauseMs = 1000;
 /** A worker without tasks for this long may be sent away. */
 const idleBeforeSpareMs = 1500;
 /** Workers that a pool keeps even without work. */
@@ -27,6 +29,7 @@
 	}
 
 	const pools = listPools(state, spare);
+	noteNeeds(state, pools);
 	const silentZones = listSilentZones(state);
 	for (const pool of pools.toSorted((a, b) => b.missing - a.missing)) {
 		fillPool(state, pool, pools, {spare, silentZones});
@@ -37,6 +40,11 @@
 	}
 }
 
+/** Down, or in its upkeep: of no use to its pool for now. */
+function isAway({entry, order}: Machine): boolean {
+	return entry.state === 'down' || order?.type === 'upkeep';
+}
+
 type PoolView = {
 	readonly name: PoolName;
 	readonly isWaiting: boolean;
@@ -59,7 +67,7 @@
 			incoming.add(pool);
 		}
 
-		present.set(pool, (present.get(pool) ?? 0) + (entry.state === 'down' ? 0 : 1));
+		present.set(pool, (present.get(pool) ?? 0) + (isAway(machine) ? 0 : 1));
 		size = entry.capacity.cpu > size.cpu ? entry.capacity : size;
 	}
 
@@ -67,12 +75,30 @@
 		const demand = updateDemand(state, name, size);
 		const machines = present.get(name) ?? 0;
 		const replacements = demand.replacementUntil > state.now ? 1 : 0;
+		demand.missing = Math.max(demand.machines - machines, incoming.has(name) ? 0 : replacements);
 		return {
-			name, isWaiting: demand.waitingTasks > 0, missing: Math.max(demand.machines - machines, incoming.has(name) ? 0 : replacements), lendable: machines - demand.machines - replacements - lendReserve, surplus: machines - replacements - Math.max(leastWorkers, demand.keptMachines),
+			name, isWaiting: demand.waitingTasks > 0, missing: demand.missing, lendable: machines - demand.machines - replacements - lendReserve, surplus: machines - replacements - Math.max(leastWorkers, demand.keptMachines),
 		};
 	});
 }
 
+/** Tells of pools that lack machines, once a second. */
+function noteNeeds(state: SchedulerState, pools: readonly PoolView[]): void {
+	if (state.now < state.needsNotedAt + needsNotePauseMs) {
+		return;
+	}
+
+	state.needsNotedAt = state.now;
+	for (const {name, missing} of pools) {
+		const {machines, waitingTasks} = getDemand(state, name);
+		if (missing > 0 || waitingTasks > 0) {
+			noteDecision(state, 'pool-short', {
+				pool: name, needed: machines, missing, waitingTasks,
+			});
+		}
+	}
+}
+
 /** Zones in which half of the workers or more do not answer; machines there would be of no use. */
 function listSilentZones(state: SchedulerState): Set<string> {
 	const known = new Map<string, number>();
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -254,11 +254,13 @@
 	waitingLasting: Resources;
 	/** Work of short tasks that came since the last look: resources times milliseconds. */
 	arrivedWork: Resources;
-	/** Followed rate of arrivals: the resources that they keep at work. */
+	/** Followed rate of arrivals, fast and slowly: the resources that they keep at work. */
 	rate: Resources;
+	slowRate: Resources;
 	lookedAt: SteadyMs;
-	/** Machines needed now, and the most of the last seconds. */
+	/** Machines needed now, those of them that the pool does not have or get, and the most of the last seconds. */
 	machines: number;
+	missing: number;
 	keptMachines: number;
 	keptUntil: SteadyMs;
 	/** A machine that is emptied needs another to take its long-running tasks, until this instant. */
@@ -298,14 +300,16 @@
 	areWavesDirty: boolean;
 	isConfigDirty: boolean;
 	readonly demand: Map<PoolName, PoolDemand>;
-	/** How long tasks of a queue really run, followed in milliseconds. */
-	readonly runTimes: Map<QueueName, number>;
+	/** How much longer tasks of a queue run than estimated, followed. */
+	readonly runRatios: Map<QueueName, number>;
 	needsPlacement: boolean;
 	isAdviceAsked: boolean;
 	/** Processes that ended with an order of this leader; late entries of theirs are ignored. */
 	readonly endedWorkers: Map<WorkerId, number>;
 	jobsDueAt: SteadyMs;
 	movesDueAt: SteadyMs;
+	/** When pools that lack machines were last told of. */
+	needsNotedAt: SteadyMs;
 	retentionDueAt: SteadyMs;
 	outbox: SchedulerEffect[];
 };
@@ -342,12 +346,13 @@
 		areWavesDirty: false,
 		isConfigDirty: false,
 		demand: new Map(),
-		runTimes: new Map(),
+		runRatios: new Map(),
 		needsPlacement: false,
 		isAdviceAsked: false,
 		endedWorkers: new Map(),
 		jobsDueAt: 0,
 		movesDueAt: 0,
+		needsNotedAt: 0,
 		retentionDueAt: 0,
 		outbox: [],
 	};
--- a/packages/core/src/scheduler/urgency.test.ts
+++ b/packages/core/src/scheduler/urgency.test.ts
@@ -12,13 +12,13 @@
 describe('the order of steps', () => {
 	it('puts priority before hope, hope before what is under way, and that before arrival', () => {
 		const base: Urgency = {
-			step, priority: 1, isHopeless: false, isLater: false, acceptedAt: 10,
+			step, priority: 1, isHopeless: false, isUnderWay: false, acceptedAt: 10,
 		};
 		const urgent = {...base, priority: 0, isHopeless: true};
 		const hopeless = {
-			...base, isHopeless: true, isLater: true, acceptedAt: 1,
+			...base, isHopeless: true, isUnderWay: true, acceptedAt: 1,
 		};
-		const later = {...base, isLater: true, acceptedAt: 50};
+		const later = {...base, isUnderWay: true, acceptedAt: 50};
 		const early = {...base, acceptedAt: 5};
 		expect([hopeless, base, early, later, urgent].toSorted(compareUrgency)).toEqual([urgent, later, early, base, hopeless]);
 	});
@@ -56,4 +56,37 @@
 		expect(inTime >= 32).toEqual(true);
 		expect(fleet.violations).toEqual([]);
 	});
+
+	it('starts no job too late to be in time while others could be: two steps of uneven length, far over the room', () => {
+		const showMs = 250;
+		const fleet = ModelFleet.create({
+			seed: 3, hosts: 2, workers: 4, faults: noFaults,
+		});
+		fleet.run(3000);
+		const objectives = new Map<number, number>();
+		const shownAt = new Map<number, number>();
+		const run = (forMs: number) => {
+			for (let spent = 0; spent < forMs; spent += 25) {
+				fleet.run(25);
+				for (const number of objectives.keys()) {
+					if (!shownAt.has(number) && fleet.getPhase(number.toString(16).padStart(16, '0'), 1) === 'completed') {
+						shownAt.set(number, fleet.now + showMs);
+					}
+				}
+			}
+		};
+
+		// Sixteen slots have room for 20 jobs in eight seconds; 32 come.
+		for (let number = 1; number <= 32; number++) {
+			const estimates = [fleet.draw(300, 1300), fleet.draw(300, 1300)] as const;
+			fleet.submit(createJob(number, [createStep({count: 4, estimateMs: estimates[0]}), createStep({count: 4, estimateMs: estimates[1], dependsOn: [0]})]));
+			objectives.set(number, fleet.now + (2 * (estimates[0] + estimates[1])) + 600);
+			run(250);
+		}
+
+		run(20_000);
+		const inTime = [...objectives].filter(([number, objective]) => shownAt.get(number)! <= objective).length;
+		expect(shownAt.size).toEqual(32);
+		expect(inTime >= 16).toEqual(true);
+	});
 });
--- a/packages/core/src/scheduler/urgency.ts
+++ b/packages/core/src/scheduler/urgency.ts
@@ -8,12 +8,18 @@
 import type {QueueName} from './types.js';
 import type {SchedulerState, StepRun} from './state.js';
 
-/** Weight of the latest run in the followed run time. */
+/** Weight of the latest run in the followed ratio. */
 const latestWeight = 0.05;
 const lowestPriority = 9;
-/** Run times are followed within these bounds, in milliseconds. */
-const shortestRunMs = 50;
-const longestRunMs = 60_000;
+/** The ratio of run times to estimates is followed within these bounds. */
+const leastRatio = 0.2;
+const mostRatio = 5;
+/** The last of several tasks of a step runs this much longer than their mean. */
+const widthFactor = 1.15;
+/** Storing, starting, noticing ends and showing them take about this long beside a job's work. */
+const overheadMs = 300;
+/** Of the work that is left, kept for what goes worse than expected. */
+const safetyShare = 0.35;
 
 export type Urgency = {
 	readonly step: StepRun;
@@ -21,46 +27,51 @@
 	/** The job cannot be in time any more. */
 	readonly isHopeless: boolean;
 	/** The job is under way. */
-	readonly isLater: boolean;
+	readonly isUnderWay: boolean;
 	readonly acceptedAt: number;
 };
 
-/** Takes down how long a task ran. */
-export function noteRunTime(state: SchedulerState, queue: QueueName, ranMs: number): void {
-	const bounded = Math.min(longestRunMs, Math.max(shortestRunMs, ranMs));
-	const followed = state.runTimes.get(queue) ?? bounded;
-	state.runTimes.set(queue, followed + ((bounded - followed) * latestWeight));
+/** Takes down how long a task ran, against its estimate. */
+export function noteRunTime(state: SchedulerState, queue: QueueName, ranMs: number, estimateMs: number): void {
+	const bounded = Math.min(mostRatio, Math.max(leastRatio, ranMs / Math.max(1, estimateMs)));
+	const followed = state.runRatios.get(queue) ?? bounded;
+	state.runRatios.set(queue, followed + ((bounded - followed) * latestWeight));
 }
 
 /** How urgent a step is. */
 export function computeUrgency(state: SchedulerState, step: StepRun): Urgency {
 	const {job} = step.occurrence;
 	const queue = getQueue(state, job.definition.queue);
-	const {steps} = job.definition;
-	const runMs = state.runTimes.get(job.definition.queue);
-	const getMs = (number: number) => runMs ?? steps[number]?.estimateMs ?? 0;
+	const ratio = state.runRatios.get(job.definition.queue) ?? 1;
 	let chainMs = 0;
 	let leftMs = 0;
-	for (let number = 0; number < steps.length; number++) {
-		chainMs += getMs(number);
-		leftMs += number >= step.number ? getMs(number) : 0;
+	for (const [number, {count, estimateMs}] of job.definition.steps.entries()) {
+		const longestMs = estimateMs * ratio * (count > 1 ? widthFactor : 1);
+		chainMs += longestMs;
+		leftMs += number >= step.number ? longestMs : 0;
 	}
 
 	const objectiveMs = ((queue?.stretch ?? 1) * chainMs) + (queue?.latencyTargetMs ?? 0);
+	const isUnderWay = job.live?.hasStarted ?? false;
 	const isTimed = !step.definition.isLongRunning && job.definition.runCount === 0;
 	return {
 		step,
 		priority: queue?.priority ?? lowestPriority,
-		isHopeless: isTimed && state.now + leftMs > job.acceptedAt + objectiveMs,
-		isLater: step.number > 0,
+		isHopeless: isTimed && state.now + leftMs + computeMargin(leftMs, isUnderWay) > job.acceptedAt + objectiveMs,
+		isUnderWay,
 		acceptedAt: job.acceptedAt,
 	};
 }
 
+/** Time to spare without which a job is not begun before others: what is begun and then late has taken their room for nothing. */
+function computeMargin(leftMs: number, isUnderWay: boolean): number {
+	return overheadMs + (isUnderWay ? 0 : leftMs * safetyShare);
+}
+
 /** The order in which steps get room: by priority, those in time first, then those under way, then by arrival. */
 export function compareUrgency(a: Urgency, b: Urgency): number {
 	return a.priority - b.priority
 		|| Number(a.isHopeless) - Number(b.isHopeless)
-		|| Number(b.isLater) - Number(a.isLater)
+		|| Number(b.isUnderWay) - Number(a.isUnderWay)
 		|| a.acceptedAt - b.acceptedAt;
 }
--- /dev/null
+++ b/packages/core/src/scheduler/waves.test.ts
@@ -0,0 +1,45 @@
+/** Upkeep beside a burst: a wave with time to spare leaves machines to the pools that lack some. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {getDemand} from './demand.js';
+import {createSchedulerState, type Wave} from './state.js';
+import {computePace} from './waves.js';
+
+const machines = 120;
+const maxDown = 44;
+
+function createState() {
+	return createSchedulerState({
+		holder: 'h', spread: 0, weakness: 0, firstSequence: 1, moveMs: 1500, upkeepMs: 2000, orderLeaseMs: 3000, holdMaxMs: 10_000, statusRetentionMs: 1000, farFactor: 2,
+	});
+}
+
+function createWave(deadlineS: number): Wave {
+	return {
+		definition: {
+			wave: 1, machineIds: Array.from({length: machines}, (_, index) => `m-${index}`), deadlineS, maxDown,
+		}, doneMachines: new Set(), readAt: 0, isCompleted: false, reported: 'none', reportDueAt: 0,
+	};
+}
+
+describe('a wave of upkeep beside a burst', () => {
+	it('takes as many machines as allowed while no pool lacks any', () => {
+		expect(computePace(createState(), createWave(30), machines)).toEqual(maxDown);
+	});
+
+	it('takes only as many as its deadline asks for while a pool lacks machines', () => {
+		const state = createState();
+		getDemand(state, 'p').missing = 20;
+		const pace = computePace(state, createWave(30), machines);
+		expect(pace < maxDown / 2).toEqual(true);
+		const heldMs = 3500;
+		expect(pace * (30_000 / heldMs) >= machines).toEqual(true);
+	});
+
+	it('takes as many as allowed once its time is short', () => {
+		const state = createState();
+		getDemand(state, 'p').missing = 20;
+		state.now = 25_000;
+		expect(computePace(state, createWave(30), machines)).toEqual(maxDown);
+	});
+});
--- a/packages/core/src/scheduler/waves.ts
+++ b/packages/core/src/scheduler/waves.ts
@@ -23,6 +23,8 @@
 const millisecondsPerSecond = 1000;
 /** In the last part of a wave long-running tasks no longer wait for room elsewhere. */
 const lastCallMs = 7000;
+/** Emptying a machine, and its return, take about this long beside the upkeep itself. */
+const emptyingMs = 1500;
 /** How long the wish for a replacement holds without being renewed. */
 const replacementMs = 1000;
 
@@ -88,7 +90,7 @@
 	}
 
 	const isDue = state.now > wave.readAt + (definition.deadlineS * millisecondsPerSecond) - lastCallMs;
-	let room = definition.maxDown - down;
+	let room = Math.min(definition.maxDown, computePace(state, wave, open.length)) - down;
 	let draining = open.filter(machine => machine.drainsFor === definition.wave).length;
 	for (const machine of sortByLoad(state, open)) {
 		if (machine.order !== undefined || machine.entry.state !== 'up' || machine.notBefore > state.now) {
@@ -107,15 +109,35 @@
 	}
 }
 
+/**
+ * How many machines of a wave may be down now. Upkeep takes machines from pools, so that while a pool lacks some
+ * only as many are down as the wave needs to be in time; else as many as it allows.
+ */
+export function computePace(state: SchedulerState, {definition, readAt}: Wave, open: number): number {
+	const isAnyMissing = [...state.demand.values()].some(({missing}) => missing > 0);
+	if (!isAnyMissing) {
+		return definition.maxDown;
+	}
+
+	const leftMs = readAt + (definition.deadlineS * millisecondsPerSecond) - lastCallMs - state.now;
+	return leftMs > 0 ? Math.ceil(open * (state.settings.upkeepMs + emptyingMs) / leftMs) : definition.maxDown;
+}
+
 function isDownForWave(machine: Machine | undefined, wave: number): boolean {
 	return machine?.order?.type === 'upkeep' && machine.order.wave === wave;
 }
 
+/** Order of machines in a wave, in thousandths of a core: those under way, then those of pools that lack none, then those with few long-running tasks. */
+const drainedFirst = 1e9;
+const missedLast = 1e8;
+const perLastingTask = 100_000;
+
 function sortByLoad(state: SchedulerState, machines: readonly Machine[]): Machine[] {
 	const getLoad = (machine: Machine) => {
 		const worker = findWorker(state, machine);
 		const lasting = worker?.lastingTasks ?? 0;
-		return (machine.drainsFor === undefined ? 1_000_000 : 0) + (lasting * 100_000) + (worker?.used.cpu ?? 0);
+		const isMissed = getDemand(state, machine.entry.pool).missing > 0;
+		return (machine.drainsFor === undefined ? drainedFirst : 0) + (isMissed ? missedLast : 0) + (lasting * perLastingTask) + (worker?.used.cpu ?? 0);
 	};
 
 	return machines.toSorted((a, b) => getLoad(a) - getLoad(b));
--- a/packages/daemon/src/scheduler/intake-writer.ts
+++ b/packages/daemon/src/scheduler/intake-writer.ts
@@ -3,7 +3,7 @@
 import type {IntakeRecord} from '@rhubarblever/core/scheduler';
 import {readSteadyClock} from './clocks.js';
 import {encodeIntake, intakeStream} from './codec.js';
-import type {KeyedStore} from './ports.js';
+import type {AppendOutcome, KeyedStore} from './ports.js';
 
 /** `refused`: surely not stored; `unknown`: may be stored, now or later. */
 export type WriteOutcome = 'stored' | 'refused' | 'unknown';
@@ -20,6 +20,10 @@
 const mostInOneAppend = 200;
 /** So many refusals in a row give a record up. */
 const mostRefusals = 2;
+/** An append that takes longer than this, far above that of a slow store, has probably lost its way. */
+const silentMs = 700;
+/** After an append without an answer the store is tried again this much later. */
+const probePauseMs = 500;
 
 export class IntakeWriter {
 	static create(store: KeyedStore): IntakeWriter {
@@ -28,11 +32,26 @@
 
 	private readonly queue: Entry[] = [];
 	private isWriting = false;
+	/** Since when the store owes an answer. */
+	private askedAt: number | undefined;
+	/** When an append was last given up without an answer, if none was answered since. */
+	private unansweredAt: number | undefined;
 
 	private constructor(private readonly store: KeyedStore) {}
 
-	/** Resolves once the record is stored or given up, at the deadline (steady clock) at the latest. */
+	/** True while the store does not answer appends. */
+	isSilent(): boolean {
+		const now = readSteadyClock();
+		const isWaiting = this.askedAt !== undefined && now - this.askedAt > silentMs;
+		return isWaiting || (this.unansweredAt !== undefined && now - this.unansweredAt < probePauseMs);
+	}
+
+	/** Resolves once the record is stored or given up, at the deadline (steady clock) at the latest; at once while the store is silent. */
 	async write(record: IntakeRecord, deadline: number): Promise<WriteOutcome> {
+		if (this.isSilent()) {
+			return 'refused';
+		}
+
 		return new Promise(resolve => {
 			this.queue.push({
 				record, deadline, resolve, isDoubtful: false,
@@ -51,7 +70,7 @@
 		while (this.queue.length > 0) {
 			const batch = this.queue.splice(0, mostInOneAppend);
 			// eslint-disable-next-line no-await-in-loop
-			const outcome = await this.store.append(intakeStream, batch.map(entry => encodeIntake(entry.record)));
+			const outcome = await this.append(batch);
 			if (outcome.type === 'appended') {
 				refusals = 0;
 				for (const entry of batch) {
@@ -70,6 +89,29 @@
 		this.isWriting = false;
 	}
 
+	/** While an append is without an answer for too long, what came after it is refused: it was not sent. */
+	private async append(batch: readonly Entry[]): Promise<AppendOutcome> {
+		this.askedAt = readSteadyClock();
+		const timer = setTimeout(() => {
+			this.refuseUnsent();
+		}, silentMs);
+		const outcome = await this.store.append(intakeStream, batch.map(entry => encodeIntake(entry.record)));
+		clearTimeout(timer);
+		this.askedAt = undefined;
+		this.unansweredAt = outcome.type === 'unknown' ? readSteadyClock() : undefined;
+		return outcome;
+	}
+
+	private refuseUnsent(): void {
+		for (const entry of this.queue.splice(0)) {
+			if (entry.isDoubtful) {
+				this.queue.push(entry);
+			} else {
+				entry.resolve('refused');
+			}
+		}
+	}
+
 	/** What may be stored is repeated until its deadline; what surely is not is refused soon. */
 	private keepOrGiveUp(batch: readonly Entry[], isRefused: boolean, isHopeless: boolean): void {
 		const now = readSteadyClock();
--- a/packages/daemon/src/scheduler/job-desk.ts
+++ b/packages/daemon/src/scheduler/job-desk.ts
@@ -41,6 +41,11 @@
 		return this.options.state.config !== undefined && this.options.getIntakeAgeMs() !== undefined;
 	}
 
+	/** False while the store does not take jobs: callers are better served elsewhere. */
+	isStoring(): boolean {
+		return !this.options.writer.isSilent();
+	}
+
 	findQueue(host: string, path: string): Queue | undefined {
 		const {config} = this.options.state;
 		return config && findQueue(config, host, path);
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -18,7 +18,10 @@
 const followerTickMs = 100;
 /** A silent connection to the store is noticed after this and a little more. */
 const readWaitMs = 1000;
-const followerPauseMs = 150;
+/** How old a follower's view of progress may be; callers ask for it. */
+const ledgerPauseMs = 250;
+/** The same of jobs and cancels of other hosts: only repeats of calls and later questions need it. */
+const intakePauseMs = 500;
 const workerPauseMs = 250;
 /** Without an answer of the store for this long, callers are better served elsewhere. */
 const readyAgeMs = 2500;
@@ -87,7 +90,7 @@
 	/** True if callers are well served here. */
 	isReady(): boolean {
 		const age = readSteadyClock() - this.tails.intake.lastAnswerAt;
-		return !this.isStopping && this.desk.isOpen() && age < readyAgeMs;
+		return !this.isStopping && this.desk.isOpen() && this.desk.isStoring() && age < readyAgeMs;
 	}
 
 	/** Gives the lead back; resolves once that is stored, or after a while. */
@@ -131,7 +134,6 @@
 
 	private createTails() {
 		const {feed} = this.options.ports;
-		const getPauseMs = () => this.isLeader() ? 0 : followerPauseMs;
 		return {
 			operator: this.createTail(feed.operatorStream, {
 				handleLoaded: records => {
@@ -148,7 +150,7 @@
 				handleRead: records => {
 					this.readIntake(records);
 				},
-			}, {pauseMs: getPauseMs}),
+			}, {pauseMs: () => this.isLeader() ? 0 : intakePauseMs}),
 			ledger: this.createTail(ledgerStream, {
 				handleLoaded: (records, nextOffset) => {
 					this.readLedger('ledger/loaded', records, nextOffset);
@@ -156,7 +158,7 @@
 				handleRead: (records, nextOffset) => {
 					this.readLedger('ledger/read', records, nextOffset);
 				},
-			}, {pauseMs: getPauseMs, isWanted: () => !this.isLeader() && this.tails.intake.lastAnswerAt > 0}),
+			}, {pauseMs: () => ledgerPauseMs, isWanted: () => !this.isLeader() && this.tails.intake.lastAnswerAt > 0}),
 			workers: this.createTail(feed.workerStream, {
 				handleLoaded: records => {
 					this.entries.clear();
