--- a/packages/bench/src/soak/soak-faults.ts
+++ b/packages/bench/src/soak/soak-faults.ts
@@ -12,8 +12,13 @@
 const latePercent = 6;
 const allPercent = 100;
 
+/** For faults that are over at once. */
+function endNothing(): void {
+	// Nothing was begun that lasts.
+}
+
 /** Counts a fault against a host until it ends. */
-async function strike(host: SoakHost, begin: () => Promise<EndFault> | EndFault): Promise<EndFault> {
+async function applyToHost(host: SoakHost, begin: () => Promise<EndFault> | EndFault): Promise<EndFault> {
 	host.faults++;
 	const end = await begin();
 	return async () => {
@@ -23,8 +28,8 @@
 	};
 }
 
-async function strikeAll(fleet: SoakFleet, begin: () => EndFault): Promise<EndFault> {
-	const ends = await Promise.all(fleet.hosts.map(async host => strike(host, () => () => {})));
+async function applyToAll(fleet: SoakFleet, begin: () => EndFault): Promise<EndFault> {
+	const ends = await Promise.all(fleet.hosts.map(async host => applyToHost(host, () => endNothing)));
 	const end = begin();
 	return async () => {
 		await end();
@@ -33,9 +38,9 @@
 }
 
 async function restartHost(fleet: SoakFleet, host: SoakHost, signal: 'SIGTERM' | 'SIGKILL'): Promise<EndFault> {
-	return strike(host, async () => {
+	return applyToHost(host, async () => {
 		if (host.isEnding) {
-			return () => {};
+			return endNothing;
 		}
 
 		await fleet.endHost(host, signal);
@@ -45,7 +50,7 @@
 	});
 }
 
-async function strikeWorkerLink(fleet: SoakFleet, draws: Draws, begin: (link: SoakFleet['workerLinks'][number]) => Promise<void> | void): Promise<EndFault> {
+async function applyToWorkerLink(fleet: SoakFleet, draws: Draws, begin: (link: SoakFleet['workerLinks'][number]) => Promise<void> | void): Promise<EndFault> {
 	const link = draws.select(fleet.workerLinks);
 	await begin(link);
 	return async () => link.heal();
@@ -60,7 +65,7 @@
 	},
 	async 'leader-paused'(fleet, draws) {
 		const host = await fleet.findLeader() ?? draws.select(fleet.hosts);
-		return strike(host, () => {
+		return applyToHost(host, () => {
 			const paused = host.process;
 			paused.sendSignal('SIGSTOP');
 			return () => {
@@ -70,49 +75,49 @@
 	},
 	async 'settings-signalled'(fleet, draws) {
 		draws.select(fleet.hosts).process.sendSignal('SIGHUP');
-		return () => {};
+		return endNothing;
 	},
 	async 'store-link-reset'(fleet, draws) {
 		const host = draws.select(fleet.hosts);
-		return strike(host, async () => {
+		return applyToHost(host, async () => {
 			await host.storeLink.cut();
 			return async () => host.storeLink.heal();
 		});
 	},
 	async 'store-link-silent'(fleet, draws) {
 		const host = await fleet.findLeader() ?? draws.select(fleet.hosts);
-		return strike(host, () => {
+		return applyToHost(host, () => {
 			host.storeLink.freeze({scope: draws.select(['all', 'open'])});
 			return async () => host.storeLink.heal();
 		});
 	},
 	async 'store-link-one-way'(fleet, draws) {
 		const host = draws.select(fleet.hosts);
-		return strike(host, () => {
+		return applyToHost(host, () => {
 			host.storeLink.freeze({directions: [draws.select(['to-target', 'to-client'])]});
 			return async () => host.storeLink.heal();
 		});
 	},
 	async 'store-link-delayed'(fleet, draws) {
 		const host = draws.select(fleet.hosts);
-		return strike(host, () => {
+		return applyToHost(host, () => {
 			host.storeLink.delay({'to-target': draws.drawWhole(0, longestDelayMs), 'to-client': draws.drawWhole(0, longestDelayMs)});
 			return async () => host.storeLink.heal();
 		});
 	},
-	'store-down': async fleet => strikeAll(fleet, () => {
+	'store-down': async fleet => applyToAll(fleet, () => {
 		fleet.platform.isDown = true;
 		return () => {
 			fleet.platform.isDown = false;
 		};
 	}),
-	'store-slow': async fleet => strikeAll(fleet, () => {
+	'store-slow': async fleet => applyToAll(fleet, () => {
 		fleet.platform.delayMs = storeDelayMs;
 		return () => {
 			fleet.platform.delayMs = 0;
 		};
 	}),
-	'store-answers-lost': async (fleet, draws) => strikeAll(fleet, () => {
+	'store-answers-lost': async (fleet, draws) => applyToAll(fleet, () => {
 		Object.assign(fleet.platform.faults, {lostPercent, latePercent: draws.select([0, latePercent]), draw: () => draws.drawWhole(1, allPercent)});
 		return () => {
 			Object.assign(fleet.platform.faults, {lostPercent: 0, latePercent: 0});
@@ -121,7 +126,7 @@
 	async 'worker-crashed'(fleet, draws) {
 		const worker = draws.select(fleet.platform.workers);
 		if (!worker.isUp) {
-			return () => {};
+			return endNothing;
 		}
 
 		worker.crash();
@@ -136,14 +141,14 @@
 			Object.assign(faults, {lostPercent: 0, latePercent: 0});
 		};
 	},
-	'worker-link-reset': async (fleet, draws) => strikeWorkerLink(fleet, draws, async link => link.cut()),
-	'worker-link-silent': async (fleet, draws) => strikeWorkerLink(fleet, draws, link => {
+	'worker-link-reset': async (fleet, draws) => applyToWorkerLink(fleet, draws, async link => link.cut()),
+	'worker-link-silent': async (fleet, draws) => applyToWorkerLink(fleet, draws, link => {
 		link.freeze({scope: draws.select(['all', 'open'])});
 	}),
-	'worker-link-one-way': async (fleet, draws) => strikeWorkerLink(fleet, draws, link => {
+	'worker-link-one-way': async (fleet, draws) => applyToWorkerLink(fleet, draws, link => {
 		link.freeze({directions: [draws.select(['to-target', 'to-client'])]});
 	}),
-	'worker-link-delayed': async (fleet, draws) => strikeWorkerLink(fleet, draws, link => {
+	'worker-link-delayed': async (fleet, draws) => applyToWorkerLink(fleet, draws, link => {
 		link.delay({'to-target': draws.drawWhole(0, longestDelayMs), 'to-client': draws.drawWhole(0, longestDelayMs)});
 	}),
 };
--- a/packages/bench/src/soak/soak-fleet.ts
+++ b/packages/bench/src/soak/soak-fleet.ts
@@ -97,7 +97,7 @@
 	startHost(host: SoakHost): void {
 		host.process = this.startProgram(host.index, host.settingsPath);
 		host.isEnding = false;
-		this.watchEnd(host);
+		this.followEnd(host);
 	}
 
 	/** Waits for all hosts to be ready; those that are not within the timeout. */
@@ -131,7 +131,7 @@
 				...addresses, index, settingsPath, storeLink, process: this.startProgram(index, settingsPath), isEnding: false, faults: 0, calmSince: 0,
 			};
 			this.hosts.push(host);
-			this.watchEnd(host);
+			this.followEnd(host);
 		}
 
 		const unready = await this.listUnready();
@@ -144,7 +144,7 @@
 		return this.group.start(`front-${index}`, findEntryProgram(), [], {RHUBARBLEVER_SETTINGS: settingsPath});
 	}
 
-	private watchEnd(host: SoakHost): void {
+	private followEnd(host: SoakHost): void {
 		const watched = host.process;
 		void watched.waitForEnd().then(({code, signal}) => {
 			if (host.process === watched && !host.isEnding) {
--- a/packages/bench/src/soak/soak-load.ts
+++ b/packages/bench/src/soak/soak-load.ts
@@ -77,8 +77,8 @@
 		};
 		jobs.set(job.jobId, job);
 		const step = {cpu: standInTaskCpu, 'mem-mb': 10, 'estimate-ms': 200};
-		const statuses = await this.tryHosts('POST', job.jobId, {spec: 'plan', steps: [{...step, count: firstStepTasks}, {...step, count: secondStepTasks, 'depends-on': [0]}]});
-		if (statuses.some(status => status === 200)) {
+		const statuses = await this.callHosts('POST', job.jobId, {spec: 'plan', steps: [{...step, count: firstStepTasks}, {...step, count: secondStepTasks, 'depends-on': [0]}]});
+		if (statuses.includes(200)) {
 			job.acceptedAt = performance.now();
 			await this.cancelSome(job);
 		} else if (statuses.every(status => refusals.has(status))) {
@@ -92,13 +92,13 @@
 		}
 
 		job.cancelSentAt = performance.now();
-		const statuses = await this.tryHosts('DELETE', job.jobId);
+		const statuses = await this.callHosts('DELETE', job.jobId);
 		if (statuses.some(status => status === 200 || status === 410)) {
 			job.cancelledAt = performance.now();
 		}
 	}
 
-	private async tryHosts(method: 'POST' | 'DELETE', jobId: string, body?: unknown): Promise<number[]> {
+	private async callHosts(method: 'POST' | 'DELETE', jobId: string, body?: unknown): Promise<number[]> {
 		const {fleet, draws} = this.options;
 		const statuses: number[] = [];
 		while (statuses.length < mostTries && statuses.at(-1) !== 200) {
--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -8,7 +8,7 @@
  */
 import {getPoolOfJob} from './queues.js';
 import {
-	addResources, computeShare, noResources, scaleResources,
+	addResources, computeShare, noResources, computeMultiple,
 } from './resources.js';
 import {getStepNeed} from './tasks.js';
 import type {PoolName, Resources} from './types.js';
@@ -80,9 +80,9 @@
 		return demand;
 	}
 
-	const latestRate = scaleResources(demand.arrivedWork, 1 / elapsedMs);
-	demand.rate = addResources(scaleResources(demand.rate, 1 - latestWeight), latestRate, latestWeight);
-	demand.slowRate = addResources(scaleResources(demand.slowRate, 1 - slowWeight), latestRate, slowWeight);
+	const latestRate = computeMultiple(demand.arrivedWork, 1 / elapsedMs);
+	demand.rate = addResources(computeMultiple(demand.rate, 1 - latestWeight), latestRate, latestWeight);
+	demand.slowRate = addResources(computeMultiple(demand.slowRate, 1 - slowWeight), latestRate, slowWeight);
 	demand.arrivedWork = noResources;
 	demand.lookedAt = state.now;
 	const needed = computeNeed(state, pool);
@@ -113,7 +113,7 @@
 /** By how much the rate is likely to have risen when machines that are fetched now are there. */
 function computeRise({rate, slowRate}: PoolDemand): Resources {
 	const rise = addResources(rate, slowRate, -1);
-	return scaleResources({cpu: Math.max(0, rise.cpu), memoryMb: Math.max(0, rise.memoryMb), gpu: Math.max(0, rise.gpu)}, riseFactor);
+	return computeMultiple({cpu: Math.max(0, rise.cpu), memoryMb: Math.max(0, rise.memoryMb), gpu: Math.max(0, rise.gpu)}, riseFactor);
 }
 
 /** What long-running tasks of a pool hold. */
--- a/packages/core/src/scheduler/events.ts
+++ b/packages/core/src/scheduler/events.ts
@@ -1,6 +1,5 @@
 /** What happens to the scheduler. Each event brings the instants at which it happened. */
 import type {Instant} from '../types/time.js';
-import type {JobId} from '../types/ids.js';
 import type {
 	EndedRow, FleetConfig, IntakeRecord, LedgerRecord, MachineEntry, MachineId, RunningRow, SteadyMs, TaskName, WaveDefinition, WaveNumber, WorkerEntry, WorkerId,
 } from './types.js';
@@ -46,7 +45,6 @@
 		/** Undefined when the service did not answer. */
 		readonly tickets: ReadonlyArray<{readonly workerId: WorkerId; readonly ticket: string}> | undefined;
 	}
-	| {readonly type: 'jobs/removed'; readonly jobIds: readonly JobId[]}
 );
 
 export type SchedulerEventType = SchedulerEvent['type'];
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -7,6 +7,8 @@
 import type {Machine, SchedulerState} from './state.js';
 
 const movesLookMs = 150;
+/** A new leader has seen no arrivals yet: it sends no machine away before it has. */
+const learnMs = 4000;
 const needsNotePauseMs = 1000;
 /** A worker without tasks for this long may be sent away. */
 const idleBeforeSpareMs = 1500;
@@ -35,6 +37,10 @@
 		fillPool(state, pool, pools, {spare, silentZones});
 	}
 
+	if (state.now < state.leadership.leadsSince + learnMs) {
+		return;
+	}
+
 	for (const pool of pools) {
 		releaseIdle(state, pool, spare);
 	}
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -21,7 +21,7 @@
 /** Places all tasks that fit. While an append is on its way nothing could be sent, so that the choice waits for what comes meanwhile. */
 export function placeTasks(state: SchedulerState): void {
 	const {role, commit, commitNotBefore} = state.leadership;
-	if (!state.needsPlacement || role !== 'leader' || state.isStopping || commit || state.now < commitNotBefore) {
+	if (!state.needsPlacement || role !== 'leader' || state.isStopping || commit !== undefined || state.now < commitNotBefore) {
 		return;
 	}
 
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -67,38 +67,15 @@
 	'ledger/loaded': loadLedger,
 	'ledger/read': readLedger,
 	'claim/ended': handleClaim,
-	'commit/ended'(state, event) {
-		if (event.outcome === 'fenced') {
-			stopLeading(state, 'the ledger is fenced');
-		} else {
-			handleCommit(state, event);
-		}
-	},
+	'commit/ended': handleCommit,
 	'workers/listed'(state, {workers, isReloaded}) {
 		if (state.leadership.role === 'leader') {
 			updateWorkers(state, workers, isReloaded);
 		}
 	},
-	'start/ended'(state, event) {
-		if (event.outcome === 'fenced') {
-			stopLeading(state, 'a worker has seen a higher token');
-		} else {
-			handleStart(state, event);
-		}
-	},
-	'stop/ended'(state, event) {
-		if (event.outcome === 'fenced') {
-			stopLeading(state, 'a worker has seen a higher token');
-		} else {
-			handleStop(state, event);
-		}
-	},
+	'start/ended': handleStart,
+	'stop/ended': handleStop,
 	'hold/ended'(state, event) {
-		if (event.outcome === 'fenced') {
-			stopLeading(state, 'a worker has seen a higher token');
-			return;
-		}
-
 		handleHold(state, event);
 		const worker = state.workers.get(event.workerId);
 		if (worker) {
@@ -113,21 +90,10 @@
 		}
 	},
 	'machines/listed': handleMachineList,
-	'order/ended'(state, event) {
-		if (event.outcome === 'fenced') {
-			stopLeading(state, 'the platform has seen a higher token');
-		} else {
-			handleOrder(state, event);
-		}
-	},
+	'order/ended': handleOrder,
 	'wave/published': addWave,
 	'wave/reported': handleReport,
 	'advice/ended': handleAdvice,
-	'jobs/removed'(state, {jobIds}) {
-		for (const jobId of jobIds) {
-			state.jobs.delete(jobId);
-		}
-	},
 };
 
 const jobLookMs = 50;
@@ -151,13 +117,32 @@
 	}
 }
 
+/** Who has seen a higher token, by the event that tells of it. */
+const fencedBy: Partial<Record<SchedulerEventType, string>> = {
+	'commit/ended': 'the ledger is fenced',
+	'start/ended': 'a worker has seen a higher token',
+	'stop/ended': 'a worker has seen a higher token',
+	'hold/ended': 'a worker has seen a higher token',
+	'order/ended': 'the platform has seen a higher token',
+};
+
+function applyEvent(state: SchedulerState, event: SchedulerEvent): void {
+	const reason = fencedBy[event.type];
+	if (reason !== undefined && 'outcome' in event && event.outcome === 'fenced') {
+		stopLeading(state, reason);
+		return;
+	}
+
+	(handlers[event.type] as (state: SchedulerState, event: SchedulerEvent) => void)(state, event);
+}
+
 /** Applies one event to the state, in place, and returns what must be done. */
 export function reduceScheduler(state: SchedulerState, event: SchedulerEvent): SchedulerEffect[] {
 	state.now = Math.max(state.now, event.at);
 	state.wallNow = event.wallAt;
 	state.outbox = [];
 	try {
-		(handlers[event.type] as (state: SchedulerState, event: SchedulerEvent) => void)(state, event);
+		applyEvent(state, event);
 		placeTasks(state);
 		tickCommits(state);
 		tickHolds(state);
--- a/packages/core/src/scheduler/resources.ts
+++ b/packages/core/src/scheduler/resources.ts
@@ -9,7 +9,7 @@
 }
 
 /** A part or a multiple. */
-export function scaleResources(resources: Resources, times: number): Resources {
+export function computeMultiple(resources: Resources, times: number): Resources {
 	return addResources(noResources, resources, times);
 }
 
--- a/packages/stand-ins/src/job-platform/job-platform.ts
+++ b/packages/stand-ins/src/job-platform/job-platform.ts
@@ -139,7 +139,9 @@
 		});
 		const fate = drawFate(this.faults);
 		if (fate === 'late') {
-			setTimeout(append, drawLateMs(this.faults));
+			setTimeout(() => {
+				append();
+			}, drawLateMs(this.faults));
 			request.socket.destroy();
 			return;
 		}
--- a/packages/stand-ins/src/job-platform/job-worker.ts
+++ b/packages/stand-ins/src/job-platform/job-worker.ts
@@ -73,7 +73,7 @@
 	crash(): void {
 		this.isUp = false;
 		this.model.crash();
-		this.tellEnds(new Set());
+		this.reportEnds(new Set());
 		this.server.closeAllConnections();
 	}
 
@@ -84,17 +84,31 @@
 		this.isUp = true;
 	}
 
+	/** What it says of itself in the registry. */
+	describe(sequence: number): unknown {
+		const {address, publishedAddress = address, pool, cpu} = this.options;
+		return {
+			service: pool, address: publishedAddress, zone: 'a', version: 'v1', slots: 8, state: 'ready', 'cold-left-ms': 0, capacity: {cpu, 'mem-mb': 100_000, gpu: 0}, labels: ['a', 'r-1'], 'clock-ms': this.readClock(), sequence, born: this.bornAt,
+		};
+	}
+
+	async close(): Promise<void> {
+		clearInterval(this.timer);
+		this.server.closeAllConnections();
+		this.server.close();
+	}
+
 	private advance(): void {
 		const done = this.model.advance(this.readClock());
 		for (const run of done) {
 			this.done.set(run.task, (this.done.get(run.task) ?? 0) + 1);
 		}
 
-		this.tellEnds(new Set(done.map(run => run.task)));
+		this.reportEnds(new Set(done.map(run => run.task)));
 	}
 
 	/** Tells the observer of runs that are gone since the last look. */
-	private tellEnds(done: ReadonlySet<string>): void {
+	private reportEnds(done: ReadonlySet<string>): void {
 		for (const [task, run] of this.known) {
 			if (this.model.runs.get(task)?.run !== run) {
 				this.known.delete(task);
@@ -103,20 +117,6 @@
 		}
 	}
 
-	/** What it says of itself in the registry. */
-	describe(sequence: number): unknown {
-		const {address, publishedAddress = address, pool, cpu} = this.options;
-		return {
-			service: pool, address: publishedAddress, zone: 'a', version: 'v1', slots: 8, state: 'ready', 'cold-left-ms': 0, capacity: {cpu, 'mem-mb': 100_000, gpu: 0}, labels: ['a', 'r-1'], 'clock-ms': this.readClock(), sequence, born: this.bornAt,
-		};
-	}
-
-	async close(): Promise<void> {
-		clearInterval(this.timer);
-		this.server.closeAllConnections();
-		this.server.close();
-	}
-
 	private readClock(): number {
 		return Date.now() - this.bornAt;
 	}
@@ -140,13 +140,13 @@
 			setTimeout(() => {
 				// An acknowledgement for one process means nothing to the next (docs/QUESTIONS.md).
 				if (this.isUp && (path !== holdPath || bornAt === this.bornAt)) {
-					void this.carryOut(path, order);
+					void this.handleOrder(path, order);
 				}
 			}, drawLateMs(this.faults));
 			return;
 		}
 
-		const {status, body} = await this.carryOut(path, order);
+		const {status, body} = await this.handleOrder(path, order);
 		if (fate === 'answer-lost' || !this.isUp || bornAt !== this.bornAt) {
 			request.socket.destroy();
 			return;
@@ -155,7 +155,7 @@
 		sendJson(response, status, body);
 	}
 
-	private async carryOut(path: string, order: Order): Promise<OrderAnswer> {
+	private async handleOrder(path: string, order: Order): Promise<OrderAnswer> {
 		const operations: Readonly<Record<string, () => Promise<OrderAnswer> | OrderAnswer>> = {
 			'/v1/run-start': () => this.start(order),
 			'/v1/run-stop': () => this.stop(order),
@@ -166,7 +166,7 @@
 
 	private stop(order: Order): OrderAnswer {
 		const isStopped = this.model.stop(order.task, order.run, order['fencing-token'] ?? 0);
-		this.tellEnds(new Set());
+		this.reportEnds(new Set());
 		return {status: isStopped ? 200 : statusConflict, body: {'clock-ms': this.readClock(), ...(!isStopped && {reason: 'fence'})}};
 	}
 
@@ -193,7 +193,7 @@
 	}
 
 	private async hold(order: Order): Promise<OrderAnswer> {
-		this.tellAcknowledged(order['ack-cursor'] ?? 0);
+		this.reportAcknowledged(order['ack-cursor'] ?? 0);
 		const ask = () => this.model.hold({untilMs: order['until-ms'], token: order['fencing-token'] ?? 0, ackedEnd: order['ack-cursor'] ?? 0}, this.readClock());
 		let lists = ask();
 		for (let waitedMs = 0; lists?.ended.length === 0 && waitedMs < (order['wait-ms'] ?? 0); waitedMs += advanceMs) {
@@ -219,7 +219,7 @@
 		};
 	}
 
-	private tellAcknowledged(upTo: number): void {
+	private reportAcknowledged(upTo: number): void {
 		for (const row of this.model.listEndsUpTo(upTo)) {
 			if (row.how === 'done') {
 				this.options.observer?.noteAcknowledged(row.task);
