--- a/packages/bench/src/soak/main.ts
+++ b/packages/bench/src/soak/main.ts
@@ -38,7 +38,8 @@
 		return;
 	}
 
-	for (let seed = flags.seed; seed < flags.seed + flags.seeds; seed++) {
+	const {seed: firstSeed, seeds} = flags;
+	for (let seed = firstSeed; seed < firstSeed + seeds; seed++) {
 		// eslint-disable-next-line no-await-in-loop
 		const result = await runSoak({
 			seed, faultMs: flags.seconds * millisecondsPerSecond, hosts: flags.hosts, workers: flags.workers, ...(only && {only}),
--- a/packages/stand-ins/src/job-platform/job-worker.ts
+++ b/packages/stand-ins/src/job-platform/job-worker.ts
@@ -44,12 +44,12 @@
 	readonly done = new Map<string, number>();
 	/** Tasks that started over the worker's room. */
 	overRoom = 0;
-	private readonly model: ModelWorker;
-	private readonly server: Server;
 	/** What goes wrong with orders to it. */
 	readonly faults: CallFaults = createCallFaults();
 	/** False between a crash and the next process. */
 	isUp = true;
+	private readonly model: ModelWorker;
+	private readonly server: Server;
 	private bornAt = Date.now();
 	private readonly known = new Map<string, number>();
 	private readonly timer: NodeJS.Timeout;
