--- a/packages/bench/src/soak/soak-faults.ts
+++ b/packages/bench/src/soak/soak-faults.ts
@@ -74,7 +74,12 @@
 		});
 	},
 	async 'settings-signalled'(fleet, draws) {
-		draws.select(fleet.hosts).process.sendSignal('SIGHUP');
+		const {process} = draws.select(fleet.hosts);
+		// Until the runtime itself is up, the signal ends a process, whatever its program is.
+		if (process.output !== '') {
+			process.sendSignal('SIGHUP');
+		}
+
 		return endNothing;
 	},
 	async 'store-link-reset'(fleet, draws) {
--- a/packages/bench/src/soak/soak-fleet.ts
+++ b/packages/bench/src/soak/soak-fleet.ts
@@ -67,6 +67,11 @@
 		}
 	}
 
+	/** Until when entry hosts, their links or the store were last disturbed, on the monotonic clock. */
+	getDisturbedUntil(): number {
+		return this.hosts.some(host => host.faults > 0) ? performance.now() : Math.max(...this.hosts.map(host => host.calmSince));
+	}
+
 	async isReady(host: SoakHost): Promise<boolean> {
 		const answer = await request(`http://${host.ready}/v1/ready`, {signal: AbortSignal.timeout(callTimeoutMs)});
 		await answer.body.dump();
