An append without an answer is overtaken by the next; only a store that answers nothing is silent

Cause: the first cut called the store silent after any lost answer, and refused all callers for half a second more. Now up to three appends are on their way at once (records are taken once by their id, so that their order does not matter), and the store is silent only when none of them was answered for 0.7 s.

--- a/packages/daemon/src/scheduler/intake-writer.ts
+++ b/packages/daemon/src/scheduler/intake-writer.ts
@@ -1,9 +1,8 @@
 /** Writes jobs and cancels to the store, several in one append; repeats an append whose outcome is unknown. */
-import {setTimeout as sleep} from 'node:timers/promises';
 import type {IntakeRecord} from '@rhubarblever/core/scheduler';
 import {readSteadyClock} from './clocks.js';
 import {encodeIntake, intakeStream} from './codec.js';
-import type {AppendOutcome, KeyedStore} from './ports.js';
+import type {KeyedStore} from './ports.js';
 
 /** `refused`: surely not stored; `unknown`: may be stored, now or later. */
 export type WriteOutcome = 'stored' | 'refused' | 'unknown';
@@ -14,15 +13,19 @@
 	readonly resolve: (outcome: WriteOutcome) => void;
 	/** An append with it had no answer. */
 	isDoubtful: boolean;
+	refusals: number;
 };
 
 const retryMs = 40;
 const mostInOneAppend = 200;
-/** So many refusals in a row give a record up. */
+/** So many refusals give a record up. */
 const mostRefusals = 2;
-/** An append that takes longer than this, far above that of a slow store, has probably lost its way. */
+/** An append that has no answer for this long is overtaken by the next: its answer may be lost while the store is well. */
+const overtakeMs = 150;
+const mostInFlight = 3;
+/** Without any answer for this long, far above that of a slow store, the store is out of reach. */
 const silentMs = 700;
-/** After an append without an answer the store is tried again this much later. */
+/** A store out of reach is tried again this much later. */
 const probePauseMs = 500;
 
 export class IntakeWriter {
@@ -30,20 +33,19 @@
 		return new IntakeWriter(store);
 	}
 
-	private readonly queue: Entry[] = [];
-	private isWriting = false;
-	/** Since when the store owes an answer. */
-	private askedAt: number | undefined;
-	/** When an append was last given up without an answer, if none was answered since. */
-	private unansweredAt: number | undefined;
+	private queue: Entry[] = [];
+	private inFlight = 0;
+	private sentAt = 0;
+	/** Since when appends were sent and none was answered. */
+	private silentSince: number | undefined;
 
 	private constructor(private readonly store: KeyedStore) {}
 
-	/** True while the store does not answer appends. */
+	/** True while the store does not answer appends. Now and then a record is let through, to see whether it does again. */
 	isSilent(): boolean {
 		const now = readSteadyClock();
-		const isWaiting = this.askedAt !== undefined && now - this.askedAt > silentMs;
-		return isWaiting || (this.unansweredAt !== undefined && now - this.unansweredAt < probePauseMs);
+		const isProbeDue = this.inFlight === 0 && now - this.sentAt > probePauseMs;
+		return this.silentSince !== undefined && now - this.silentSince > silentMs && !isProbeDue;
 	}
 
 	/** Resolves once the record is stored or given up, at the deadline (steady clock) at the latest; at once while the store is silent. */
@@ -54,79 +56,88 @@
 
 		return new Promise(resolve => {
 			this.queue.push({
-				record, deadline, resolve, isDoubtful: false,
+				record, deadline, resolve, isDoubtful: false, refusals: 0,
 			});
-			void this.drain();
+			this.sendNext();
 		});
 	}
 
-	private async drain(): Promise<void> {
-		if (this.isWriting) {
+	private sendNext(): void {
+		if (this.queue.length === 0) {
 			return;
 		}
 
-		this.isWriting = true;
-		let refusals = 0;
-		while (this.queue.length > 0) {
-			const batch = this.queue.splice(0, mostInOneAppend);
-			// eslint-disable-next-line no-await-in-loop
-			const outcome = await this.append(batch);
-			if (outcome.type === 'appended') {
-				refusals = 0;
-				for (const entry of batch) {
-					entry.resolve('stored');
-				}
-
-				continue;
-			}
+		const waitMs = this.inFlight === 0 ? 0 : this.sentAt + overtakeMs - readSteadyClock();
+		if (this.inFlight >= mostInFlight) {
+			return;
+		}
 
-			refusals += outcome.type === 'refused' ? 1 : 0;
-			this.keepOrGiveUp(batch, outcome.type === 'refused', refusals >= mostRefusals);
-			// eslint-disable-next-line no-await-in-loop
-			await sleep(retryMs);
+		if (waitMs > 0) {
+			this.scheduleNext(waitMs);
+			return;
 		}
 
-		this.isWriting = false;
+		void this.send(this.queue.splice(0, mostInOneAppend));
 	}
 
-	/** While an append is without an answer for too long, what came after it is refused: it was not sent. */
-	private async append(batch: readonly Entry[]): Promise<AppendOutcome> {
-		this.askedAt = readSteadyClock();
+	private scheduleNext(inMs: number): void {
+		setTimeout(() => {
+			this.sendNext();
+		}, inMs);
+	}
+
+	private async send(batch: readonly Entry[]): Promise<void> {
+		this.inFlight++;
+		this.sentAt = readSteadyClock();
+		this.silentSince ??= this.sentAt;
 		const timer = setTimeout(() => {
 			this.refuseUnsent();
-		}, silentMs);
+		}, silentMs + 1);
 		const outcome = await this.store.append(intakeStream, batch.map(entry => encodeIntake(entry.record)));
 		clearTimeout(timer);
-		this.askedAt = undefined;
-		this.unansweredAt = outcome.type === 'unknown' ? readSteadyClock() : undefined;
-		return outcome;
+		this.inFlight--;
+		this.silentSince = outcome.type === 'unknown' ? this.silentSince : undefined;
+		if (outcome.type === 'appended') {
+			for (const entry of batch) {
+				entry.resolve('stored');
+			}
+
+			this.sendNext();
+			return;
+		}
+
+		this.keepOrGiveUp(batch, outcome.type === 'refused');
+		this.scheduleNext(retryMs);
 	}
 
+	/** While the store is silent, what was not sent is refused. */
 	private refuseUnsent(): void {
-		for (const entry of this.queue.splice(0)) {
-			if (entry.isDoubtful) {
-				this.queue.push(entry);
-			} else {
+		if (!this.isSilent()) {
+			return;
+		}
+
+		for (const entry of this.queue) {
+			if (!entry.isDoubtful) {
 				entry.resolve('refused');
 			}
 		}
+
+		this.queue = this.queue.filter(entry => entry.isDoubtful);
 	}
 
 	/** What may be stored is repeated until its deadline; what surely is not is refused soon. */
-	private keepOrGiveUp(batch: readonly Entry[], isRefused: boolean, isHopeless: boolean): void {
+	private keepOrGiveUp(batch: readonly Entry[], isRefused: boolean): void {
 		const now = readSteadyClock();
-		const kept: Entry[] = [];
-		for (const entry of batch) {
+		for (const entry of batch.toReversed()) {
 			entry.isDoubtful ||= !isRefused;
-			if (!entry.isDoubtful && isHopeless) {
+			entry.refusals += isRefused ? 1 : 0;
+			if (!entry.isDoubtful && entry.refusals >= mostRefusals) {
 				entry.resolve('refused');
 			} else if (now + retryMs >= entry.deadline) {
 				entry.resolve(entry.isDoubtful ? 'unknown' : 'refused');
 			} else {
-				kept.push(entry);
+				this.queue.unshift(entry);
 			}
 		}
-
-		this.queue.unshift(...kept);
 	}
 }
