A new leader reads the jobs that were started before it looks at workers; a wave counts what the former leader sent away

A lead that is given back is claimed at once, by a host that knows of starts of jobs from the ledger but not yet of the jobs; it read the ends of their runs, took them for strangers' and acknowledged them, then started the tasks again. Now such a leader looks at no worker before it has read the jobs, and followers read them every 300 ms. Now machines in upkeep, or possibly ordered by the former leader, count. Test: 'a wave whose leader changes'. Ruled out: the shown phase, placement beside an append, restarts of workers (no change there touches ends).

--- a/packages/core/src/scheduler/holds.ts
+++ b/packages/core/src/scheduler/holds.ts
@@ -2,6 +2,7 @@
 import {noteFailure, noteSuccess} from './health.js';
 import {advanceOccurrence, finishJob} from './jobs.js';
 import {addEffect, noteDecision, noteWarning} from './logging.js';
+import {isFinal} from './phases.js';
 import {getMaxAttempts} from './queues.js';
 import {clearWorker, restartWorker} from './registry.js';
 import {noteRunTime} from './urgency.js';
@@ -16,6 +17,8 @@
 import type {SchedulerState, Task, Worker} from './state.js';
 
 const longestRetryMs = 700;
+/** A job that is not read by then has been removed. */
+const unreadJobsLimitMs = 3000;
 
 type HoldEnded = Extract<SchedulerEvent, {type: 'hold/ended'}>;
 
@@ -26,7 +29,7 @@
 		return;
 	}
 
-	const isConfirmed = state.now - leadership.confirmedAt < unconfirmedLimitMs;
+	const isConfirmed = state.now - leadership.confirmedAt < unconfirmedLimitMs && hasReadStartedJobs(state);
 	for (const worker of state.workers.values()) {
 		expireLease(state, worker);
 		if (isConfirmed && isHoldDue(state, worker)) {
@@ -35,6 +38,14 @@
 	}
 }
 
+/**
+ * A host that has just taken the lead may know of starts of jobs that it has not read yet. It looks at no worker before
+ * it has: it would take the ends of their runs for those of strangers, and acknowledge them.
+ */
+function hasReadStartedJobs({earlyProgress, leadership, now}: SchedulerState): boolean {
+	return now > leadership.leadsSince + unreadJobsLimitMs || ![...earlyProgress.values()].some(({phase}) => !isFinal(phase));
+}
+
 function isHoldDue(state: SchedulerState, worker: Worker): boolean {
 	if (worker.isHeld || worker.address === '' || state.now < worker.holdDueAt) {
 		return false;
--- a/packages/core/src/scheduler/machines.ts
+++ b/packages/core/src/scheduler/machines.ts
@@ -51,7 +51,7 @@
 		}
 	}
 
-	const isBusy = [...state.machines.values()].some(machine => machine.order);
+	const isBusy = [...state.machines.values()].some(({order, entry}) => order !== undefined || entry.state === 'upkeep' || entry.state === 'moving');
 	state.machinesDueAt = state.now + (isBusy ? listPauseInOrderMs : listPauseMs);
 }
 
--- a/packages/core/src/scheduler/regressions.test.ts
+++ b/packages/core/src/scheduler/regressions.test.ts
@@ -1,6 +1,9 @@
 /** Seeds of the model that once broke a promise, each with its cause; see scheduler.test.ts for the model. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import {
+	createJob, createStep, ModelFleet, noFaults,
+} from './testing/model-fleet.js';
 import {runSeed} from './testing/run-seed.js';
 
 const cases = [
@@ -24,3 +27,26 @@
 		});
 	}
 });
+
+describe('a lead that is given back', () => {
+	it('is taken by a host that has not read the latest jobs, without losing their ends', () => {
+		for (let seed = 1; seed <= 10; seed++) {
+			const fleet = ModelFleet.create({
+				seed, hosts: 3, workers: 5, faults: noFaults,
+			});
+			fleet.followerIntakeMs = 600;
+			fleet.run(3000);
+			for (let number = 1; number <= 60; number++) {
+				fleet.submit(createJob(number, [createStep({count: 2, estimateMs: 150})]));
+				fleet.run(100);
+				if (number % 12 === 0) {
+					fleet.stopLeader(500);
+				}
+			}
+
+			fleet.run(20_000);
+			expect(fleet.violations).toEqual([]);
+			expect(fleet.getPhase('000000000000003c', 1)).toEqual('completed');
+		}
+	});
+});
--- a/packages/core/src/scheduler/testing/model-fleet.ts
+++ b/packages/core/src/scheduler/testing/model-fleet.ts
@@ -18,6 +18,7 @@
 const tickMs = 25;
 const answerTimeoutMs = 600;
 const percentAll = 100;
+const stoppingMs = 200;
 
 /** How often, in percent, an answer is lost or an order carried out late; and how often a host or worker crashes. */
 export type ModelFaults = {readonly lostPercent: number; readonly latePercent: number; readonly crashEveryMs: number};
@@ -25,7 +26,7 @@
 export const noFaults: ModelFaults = {lostPercent: 0, latePercent: 0, crashEveryMs: Number.POSITIVE_INFINITY};
 
 type EventBody = SchedulerEvent extends infer Event ? (Event extends SchedulerEvent ? Omit<Event, 'at' | 'wallAt'> : never) : never;
-type Host = {state: SchedulerState; isUp: boolean; life: number; ledgerOffset: number | undefined; intakeOffset: number; nextReadAt: number; nextTickAt: number; readonly index: number};
+type Host = {state: SchedulerState; isUp: boolean; life: number; ledgerOffset: number | undefined; intakeOffset: number; nextIntakeAt: number; nextReadAt: number; nextTickAt: number; readonly index: number};
 type Due = {readonly at: number; readonly run: () => void};
 
 export const poolName = 'trucks';
@@ -87,6 +88,8 @@
 	readonly violations: string[] = [];
 	readonly events: string[] = [];
 	faults: ModelFaults;
+	/** How long followers leave the intake unread. */
+	followerIntakeMs = 0;
 	now = 0;
 	private readonly random: RandomGenerator;
 	private readonly dues: Due[] = [];
@@ -142,6 +145,17 @@
 		return this.hosts[host]?.state.jobs.get(jobId as JobId)?.phase;
 	}
 
+	/** Asks the leading host to give the lead back; its process ends a little later and starts again. */
+	stopLeader(downMs: number): void {
+		const host = this.hosts.find(candidate => candidate.isUp && candidate.state.leadership.role === 'leader');
+		if (host) {
+			this.push(host, {type: 'stop/requested'});
+			this.schedule(stoppingMs, () => {
+				this.killHost(host.index, downMs);
+			});
+		}
+	}
+
 	killHost(index: number, downMs: number): void {
 		const host = this.hosts[index]!;
 		host.isUp = false;
@@ -181,6 +195,7 @@
 			life,
 			ledgerOffset: undefined,
 			intakeOffset: 0,
+			nextIntakeAt: 0,
 			nextReadAt: this.now + this.draw(0, readMs),
 			nextTickAt: this.now,
 			state: createSchedulerState({
@@ -240,13 +255,13 @@
 			this.push(host, {type: 'config/read', config: modelConfig});
 		}
 
-		const records = this.store.intake.slice(host.intakeOffset);
-		host.intakeOffset = this.store.intake.length;
-		if (records.length > 0) {
-			this.push(host, {type: 'intake/read', records});
+		const {role} = host.state.leadership;
+		// A host may become the leader between two of its reads.
+		if (this.now >= host.nextIntakeAt) {
+			host.nextIntakeAt = this.now + (role === 'leader' ? 0 : this.followerIntakeMs);
+			this.readIntake(host);
 		}
 
-		const {role} = host.state.leadership;
 		if (role === 'leader') {
 			this.push(host, {type: 'workers/listed', workers: this.workers.filter(({isUp}) => isUp).map(({entry, bornAt}) => ({...entry, bornAt})), isReloaded: false});
 			host.ledgerOffset = undefined;
@@ -259,6 +274,14 @@
 		this.push(host, {type, entries, nextOffset: this.store.ledger.length});
 	}
 
+	private readIntake(host: Host): void {
+		const records = this.store.intake.slice(host.intakeOffset);
+		host.intakeOffset = this.store.intake.length;
+		if (records.length > 0) {
+			this.push(host, {type: 'intake/read', records});
+		}
+	}
+
 	private push(host: Host, body: EventBody): void {
 		const wallAt = (wallStart + this.now) as Instant;
 		for (const effect of reduceScheduler(host.state, addInstants(body, this.now, wallAt))) {
--- a/packages/core/src/scheduler/waves.test.ts
+++ b/packages/core/src/scheduler/waves.test.ts
@@ -2,8 +2,8 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {getDemand} from './demand.js';
-import {createSchedulerState, type Wave} from './state.js';
-import {computePace} from './waves.js';
+import {createSchedulerState, type Machine, type Wave} from './state.js';
+import {computePace, isDown} from './waves.js';
 
 const machines = 120;
 const maxDown = 44;
@@ -43,3 +43,21 @@
 		expect(computePace(state, createWave(30), machines)).toEqual(maxDown);
 	});
 });
+
+describe('a wave whose leader changes', () => {
+	function createMachine(changes: Partial<Machine>, state: Machine['entry']['state'] = 'up'): Machine {
+		return {
+			entry: {
+				id: 'm', pool: 'p', state, availabilityZone: 'a', labels: [], capacity: {cpu: 1, memoryMb: 1, gpu: 0}, workerId: undefined,
+			}, order: undefined, drainsFor: undefined, notBefore: 0, ...changes,
+		};
+	}
+
+	it('counts machines that the former leader sent into upkeep, or may have', () => {
+		const state = createState();
+		state.now = 1000;
+		expect(isDown(state, createMachine({}))).toEqual(false);
+		expect(isDown(state, createMachine({}, 'upkeep'))).toEqual(true);
+		expect(isDown(state, createMachine({notBefore: 2000}))).toEqual(true);
+	});
+});
--- a/packages/core/src/scheduler/waves.ts
+++ b/packages/core/src/scheduler/waves.ts
@@ -82,7 +82,7 @@
 
 	const {definition} = wave;
 	const open = definition.machineIds.filter(id => !wave.doneMachines.has(id)).map(id => state.machines.get(id)).filter(machine => machine !== undefined);
-	const down = definition.machineIds.filter(id => isDownForWave(state.machines.get(id), definition.wave)).length;
+	const down = definition.machineIds.filter(id => isDown(state, state.machines.get(id))).length;
 	if (open.length === 0 && down === 0) {
 		wave.isCompleted = true;
 		noteDecision(state, 'wave-completed', {wave: definition.wave, tookMs: Math.round(state.now - wave.readAt)});
@@ -123,8 +123,9 @@
 	return leftMs > 0 ? Math.ceil(open * (state.settings.upkeepMs + emptyingMs) / leftMs) : definition.maxDown;
 }
 
-function isDownForWave(machine: Machine | undefined, wave: number): boolean {
-	return machine?.order?.type === 'upkeep' && machine.order.wave === wave;
+/** Down for its upkeep, or possibly: an earlier leader may have sent it there just before this one took the lead. */
+export function isDown(state: SchedulerState, machine: Machine | undefined): boolean {
+	return machine !== undefined && (machine.order?.type === 'upkeep' || machine.entry.state === 'upkeep' || machine.notBefore > state.now);
 }
 
 /** Order of machines in a wave, in thousandths of a core: those under way, then those of pools that lack none, then those with few long-running tasks. */
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -21,7 +21,7 @@
 /** How old a follower's view of progress may be; callers ask for it. */
 const ledgerPauseMs = 250;
 /** The same of jobs and cancels of other hosts: only repeats of calls and later questions need it. */
-const intakePauseMs = 500;
+const intakePauseMs = 300;
 const workerPauseMs = 250;
 /** Without an answer of the store for this long, callers are better served elsewhere. */
 const readyAgeMs = 2500;
