--- a/packages/bench/src/integration/job-platform.test.ts
+++ b/packages/bench/src/integration/job-platform.test.ts
@@ -10,7 +10,7 @@
 	JobPlatform, ProcessGroup, sleep, standInQueue, standInTaskCpu, takeAddress, waitUntil, type RunningProcess,
 } from '@rhubarblever/stand-ins';
 import {request} from 'undici';
-import {findEntryProgram} from './entry-program.js';
+import {describeSettings, findEntryProgram, type EntryAddresses} from './entry-program.js';
 
 const hostCount = 3;
 const workerCount = 3;
@@ -18,14 +18,7 @@
 const jobTimeoutMs = 30_000;
 const tasksPerStep = 4;
 
-type EntryHost = {readonly front: string; readonly ready: string; readonly metrics: string; readonly settingsPath: string; process: RunningProcess};
-
-function describeSettings(index: number, platform: string, host: Omit<EntryHost, 'process' | 'settingsPath'>): unknown {
-	const metricsPort = Number(host.metrics.split(':')[1]);
-	return {
-		'node-name': `front-${index}`, zone: 'a', ip: host.front.split(':')[0], listen: {front: host.front, ready: host.ready}, 'internal-ports': [metricsPort, metricsPort], bounds: {}, platform: {address: platform}, cloud: {address: platform}, 'a-field-of-tomorrow': 1,
-	};
-}
+type EntryHost = EntryAddresses & {readonly settingsPath: string; process: RunningProcess};
 
 describe('the program on the users\' platform', () => {
 	const group = ProcessGroup.create();
--- a/packages/bench/src/soak/soak-fleet.ts
+++ b/packages/bench/src/soak/soak-fleet.ts
@@ -6,17 +6,14 @@
 	FaultProxy, JobPlatform, ProcessGroup, standInQueue, takeAddress, waitUntil, type RunningProcess, type RunObserver,
 } from '@rhubarblever/stand-ins';
 import {request} from 'undici';
-import {findEntryProgram} from '../integration/entry-program.js';
+import {describeSettings, findEntryProgram, type EntryAddresses} from '../integration/entry-program.js';
 
 const startTimeoutMs = 30_000;
 const callTimeoutMs = 3000;
 const outputKept = 4000;
 
-export type SoakHost = {
+export type SoakHost = EntryAddresses & {
 	readonly index: number;
-	readonly front: string;
-	readonly ready: string;
-	readonly metrics: string;
 	readonly settingsPath: string;
 	/** Its link to the store. */
 	readonly storeLink: FaultProxy;
@@ -158,10 +155,3 @@
 		});
 	}
 }
-
-function describeSettings(index: number, platform: string, host: Pick<SoakHost, 'front' | 'ready' | 'metrics'>): unknown {
-	const [ip, port] = host.metrics.split(':');
-	return {
-		'node-name': `front-${index}`, zone: 'a', ip, listen: {front: host.front, ready: host.ready}, 'internal-ports': [Number(port), Number(port)], bounds: {}, platform: {address: platform}, cloud: {address: platform},
-	};
-}
