--- a/packages/core/src/scheduler/demand.test.ts
+++ b/packages/core/src/scheduler/demand.test.ts
@@ -4,14 +4,13 @@
 import {getDemand, updateDemand} from './demand.js';
 import {addResources} from './resources.js';
 import {createSchedulerState} from './state.js';
+import {modelSettings} from './testing/model-settings.js';
 
 const machine = {cpu: 64_000, memoryMb: 256_000, gpu: 0};
 const lookMs = 150;
 
 function createState() {
-	return createSchedulerState({
-		holder: 'h', spread: 0, weakness: 0, firstSequence: 1, moveMs: 1500, upkeepMs: 2000, orderLeaseMs: 3000, holdMaxMs: 10_000, statusRetentionMs: 1000, farFactor: 2,
-	});
+	return createSchedulerState(modelSettings);
 }
 
 /** Follows a rate of arriving work (processor) for some time; returns the machines needed at each look. */
--- a/packages/core/src/scheduler/machines.ts
+++ b/packages/core/src/scheduler/machines.ts
@@ -112,7 +112,7 @@
 
 /** Sends a machine, whose worker is empty, into its upkeep. */
 export function orderUpkeep(state: SchedulerState, machine: Machine, wave: WaveNumber): void {
-	noteDecision(state, 'machine-upkeep', {machineId: machine.entry.id, wave});
+	noteDecision(state, 'upkeep-ordered', {machineId: machine.entry.id, wave});
 	machine.order = {
 		type: 'upkeep', pool: machine.entry.pool, wave, isInFlight: false, retryAt: state.now, confirmedAt: undefined,
 	};
--- a/packages/core/src/scheduler/testing/model-fleet.ts
+++ b/packages/core/src/scheduler/testing/model-fleet.ts
@@ -9,6 +9,7 @@
 import type {
 	FleetConfig, JobDefinition, Resources, RunEnd, StepDefinition,
 } from '../types.js';
+import {modelSettings} from './model-settings.js';
 import {ModelStore} from './model-store.js';
 import {ModelWorker} from './model-worker.js';
 
@@ -199,7 +200,7 @@
 			nextReadAt: this.now + this.draw(0, readMs),
 			nextTickAt: this.now,
 			state: createSchedulerState({
-				holder: `host-${index}/${life}`, spread: this.draw(0, percentAll) / percentAll, weakness: 0, firstSequence: 1 + this.draw(0, 1_000_000), moveMs: 1500, upkeepMs: 2000, orderLeaseMs: 3000, holdMaxMs: 10_000, statusRetentionMs: 120_000, farFactor: 2,
+				...modelSettings, holder: `host-${index}/${life}`, spread: this.draw(0, percentAll) / percentAll, firstSequence: 1 + this.draw(0, 1_000_000),
 			}),
 		};
 	}
--- a/packages/core/src/scheduler/testing/run-seed.ts
+++ b/packages/core/src/scheduler/testing/run-seed.ts
@@ -16,11 +16,10 @@
 export type SeedResult = {readonly violations: readonly string[]; readonly unfinished: readonly string[]};
 
 /** Runs the model; the seed also decides how often answers are lost, orders come late, and hosts and workers crash. */
-export function runSeed(seed: number, followerIntakeMs = 0): SeedResult {
+export function runSeed(seed: number): SeedResult {
 	const fleet = ModelFleet.create({
 		seed, hosts: hostCount, workers: workerCount, faults: {lostPercent: seed % 7, latePercent: seed % 5, crashEveryMs: leastCrashMs + ((seed % 6) * crashStepMs)},
 	});
-	fleet.followerIntakeMs = followerIntakeMs;
 	fleet.run(warmUpMs);
 	for (let number = 1; number <= jobCount; number++) {
 		fleet.submit(createJob(number, [createStep({count: fleet.draw(1, 5)}), createStep({dependsOn: [0], count: fleet.draw(1, 3), estimateMs: fleet.draw(100, 1500)})]));
--- a/packages/core/src/scheduler/waves.test.ts
+++ b/packages/core/src/scheduler/waves.test.ts
@@ -3,15 +3,14 @@
 import {expect} from 'earl';
 import {getDemand} from './demand.js';
 import {createSchedulerState, type Machine, type Wave} from './state.js';
+import {modelSettings} from './testing/model-settings.js';
 import {computePace, isDown} from './waves.js';
 
 const machines = 120;
 const maxDown = 44;
 
 function createState() {
-	return createSchedulerState({
-		holder: 'h', spread: 0, weakness: 0, firstSequence: 1, moveMs: 1500, upkeepMs: 2000, orderLeaseMs: 3000, holdMaxMs: 10_000, statusRetentionMs: 1000, farFactor: 2,
-	});
+	return createSchedulerState(modelSettings);
 }
 
 function createWave(deadlineS: number): Wave {
