Logs tell what a host has read of a stream, and as of when

Now a denial names the offset read to, the stream's end as last told, the age of the last answer and the age of the question that last reached the end; loads tell pages and time; falling behind and catching up are told. A gauge gives the age of each view. No decision has changed: denials still go by the age of the last answer.

--- a/packages/daemon/src/scheduler/job-desk.ts
+++ b/packages/daemon/src/scheduler/job-desk.ts
@@ -6,6 +6,7 @@
 import {readSteadyClock} from './clocks.js';
 import type {IntakeWriter} from './intake-writer.js';
 import type {DecisionLog} from './decision-log.js';
+import type {ViewStatus} from './stream-view.js';
 
 /** `refused`: surely not accepted, come back later; `unknown`: may be accepted. */
 export type SubmitOutcome = 'accepted' | 'refused' | 'unknown';
@@ -17,8 +18,8 @@
 	readonly state: SchedulerState;
 	readonly writer: IntakeWriter;
 	readonly log: DecisionLog;
-	/** Milliseconds since the jobs of other hosts were last read; undefined before the first time. */
-	readonly getIntakeAgeMs: () => number | undefined;
+	/** How much of the jobs of all hosts is known here. */
+	readonly describeIntake: () => ViewStatus;
 	readonly noteAccepted: (job: JobDefinition) => void;
 	readonly noteCancelled: (jobId: JobId) => void;
 };
@@ -38,7 +39,7 @@
 
 	/** False before the first configuration. */
 	isOpen(): boolean {
-		return this.options.state.config !== undefined && this.options.getIntakeAgeMs() !== undefined;
+		return this.options.state.config !== undefined && this.options.describeIntake().answerAgeMs !== undefined;
 	}
 
 	/** False while the store does not take jobs: callers are better served elsewhere. */
@@ -74,15 +75,15 @@
 
 	/** What is known of a job. */
 	ask(jobId: JobId): AskOutcome {
-		const {state, getIntakeAgeMs, log} = this.options;
+		const {state, describeIntake, log} = this.options;
 		const job = state.jobs.get(jobId);
 		if (job) {
 			return getShownPhase(job);
 		}
 
-		const ageMs = getIntakeAgeMs();
-		const isSure = ageMs !== undefined && ageMs < freshMs;
-		log.note('job-not-found', {jobId, ageMs: ageMs === undefined ? undefined : Math.round(ageMs), isSure});
+		const intake = describeIntake();
+		const isSure = intake.answerAgeMs !== undefined && intake.answerAgeMs < freshMs;
+		log.note('job-not-found', {jobId, isSure, ...intake});
 		return isSure ? 'no-such-job' : 'unsure';
 	}
 
--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -17,6 +17,8 @@
 	readonly orderSeconds: Histogram<'order'>;
 	readonly leads: Gauge;
 	readonly liveJobs: Gauge;
+	/** By stream; absent until the stream was read up to its end. */
+	readonly viewAgeSeconds: Gauge<'stream'>;
 };
 
 /** Makes the metrics of one host. */
@@ -41,6 +43,9 @@
 			name: 'rhubarblever_order_seconds', help: 'Time of calls to the store, workers, machines and advice', labelNames: ['order'], buckets: latencyBucketsS, registers,
 		}),
 		leads: new Gauge({name: 'rhubarblever_leads', help: '1 on the host that schedules', registers}),
+		viewAgeSeconds: new Gauge({
+			name: 'rhubarblever_view_age_seconds', help: 'All that was stored in the stream before this age has been read', labelNames: ['stream'], registers,
+		}),
 		liveJobs: new Gauge({name: 'rhubarblever_live_jobs', help: 'Jobs that the leader works on', registers}),
 	};
 }
--- a/packages/daemon/src/scheduler/ports.ts
+++ b/packages/daemon/src/scheduler/ports.ts
@@ -22,19 +22,24 @@
 	readonly writer?: {readonly name: string; readonly epoch: number; readonly sequence: number};
 };
 
-/** `forgotten`: the records asked for were deleted. */
+/** `end`: where the stream ended when the store answered; behind `nextOffset` there is more to read. `forgotten`: the records asked for were deleted. */
 export type ReadOutcome
-	= | {readonly type: 'read'; readonly records: readonly KeyedRecord[]; readonly nextOffset: number}
+	= | {readonly type: 'read'; readonly records: readonly KeyedRecord[]; readonly nextOffset: number; readonly end: number}
 		| {readonly type: 'forgotten'}
 		| {readonly type: 'unavailable'};
 
+/** The newest record of each key, in pages; `nextOffset` is where the stream ended at the first of them. */
+export type LoadOutcome
+	= | {readonly type: 'loaded'; readonly records: readonly KeyedRecord[]; readonly nextOffset: number; readonly pages: number}
+		| {readonly type: 'unavailable'};
+
 /** The store: streams of keyed records, of which the newest of each key is kept. */
 export type KeyedStore = {
 	append(stream: string, records: readonly NewRecord[], conditions?: AppendConditions): Promise<AppendOutcome>;
 	/** Waits up to `waitMs` for a record. */
 	read(stream: string, fromOffset: number, waitMs: number): Promise<ReadOutcome>;
 	/** The newest record of each key, and where to read on. */
-	listNewest(stream: string): Promise<Extract<ReadOutcome, {type: 'read' | 'unavailable'}>>;
+	listNewest(stream: string): Promise<LoadOutcome>;
 };
 
 type EffectOf<Type extends SchedulerEffect['type']> = Extract<SchedulerEffect, {type: Type}>;
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -12,6 +12,7 @@
 import {JobDesk} from './job-desk.js';
 import type {SchedulerMetrics} from './metrics.js';
 import type {KeyedRecord, SchedulerPorts} from './ports.js';
+import type {ViewStatus} from './stream-view.js';
 import {Tail, type TailHandlers} from './tail.js';
 
 const leaderTickMs = 25;
@@ -25,6 +26,7 @@
 const workerPauseMs = 250;
 /** Without an answer of the store for this long, callers are better served elsewhere. */
 const readyAgeMs = 2500;
+const millisecondsPerSecond = 1000;
 const stopStepMs = 20;
 const longestStopMs = 3000;
 
@@ -69,7 +71,7 @@
 			state: this.loop.state,
 			writer: IntakeWriter.create(ports.store),
 			log,
-			getIntakeAgeMs: () => this.tails.intake.lastAnswerAt === 0 ? undefined : readSteadyClock() - this.tails.intake.lastAnswerAt,
+			describeIntake: () => this.describeIntake(),
 			noteAccepted: job => {
 				this.push({type: 'intake/read', records: [{type: 'job', job}]});
 			},
@@ -89,8 +91,8 @@
 
 	/** True if callers are well served here. */
 	isReady(): boolean {
-		const age = readSteadyClock() - this.tails.intake.lastAnswerAt;
-		return !this.isStopping && this.desk.isOpen() && this.desk.isStoring() && age < readyAgeMs;
+		const {answerAgeMs} = this.describeIntake();
+		return !this.isStopping && this.desk.isOpen() && this.desk.isStoring() && answerAgeMs !== undefined && answerAgeMs < readyAgeMs;
 	}
 
 	/** Gives the lead back; resolves once that is stored, or after a while. */
@@ -118,6 +120,10 @@
 		return this.loop.state.leadership.role === 'leader';
 	}
 
+	private describeIntake(): ViewStatus {
+		return this.tails.intake.view.describe(readSteadyClock());
+	}
+
 	private push(event: UntimedEvent): void {
 		this.loop.push({...event, at: readSteadyClock(), wallAt: readWallClock()});
 	}
@@ -128,10 +134,21 @@
 			const {metrics} = this.options;
 			metrics.leads.set(this.isLeader() ? 1 : 0);
 			metrics.liveJobs.set(this.loop.state.liveJobs.size);
+			this.measureViews();
 			this.scheduleTick();
 		}, this.isLeader() ? leaderTickMs : followerTickMs);
 	}
 
+	private measureViews(): void {
+		const now = readSteadyClock();
+		for (const [stream, {view}] of Object.entries(this.tails)) {
+			const {completeAgeMs} = view.describe(now);
+			if (completeAgeMs !== undefined) {
+				this.options.metrics.viewAgeSeconds.set({stream}, completeAgeMs / millisecondsPerSecond);
+			}
+		}
+	}
+
 	private createTails() {
 		const {feed} = this.options.ports;
 		return {
@@ -158,7 +175,7 @@
 				handleRead: (records, nextOffset) => {
 					this.readLedger('ledger/read', records, nextOffset);
 				},
-			}, {pauseMs: () => ledgerPauseMs, isWanted: () => !this.isLeader() && this.tails.intake.lastAnswerAt > 0}),
+			}, {pauseMs: () => ledgerPauseMs, isWanted: () => !this.isLeader() && this.tails.intake.view.hasAnswer()}),
 			workers: this.createTail(feed.workerStream, {
 				handleLoaded: records => {
 					this.entries.clear();
@@ -181,18 +198,13 @@
 
 	private createTail(
 		stream: string,
-		handlers: Omit<TailHandlers, 'handleReach'>,
+		handlers: TailHandlers,
 		options: {readonly pauseMs?: () => number; readonly isWanted?: () => boolean} = {},
 	): Tail {
 		const {ports, log} = this.options;
 		return Tail.create(ports.store, {
-			stream, waitMs: () => readWaitMs, pauseMs: options.pauseMs ?? (() => 0), isWanted: options.isWanted ?? (() => true),
-		}, {
-			...handlers,
-			handleReach(isReached) {
-				log[isReached ? 'note' : 'warn'](isReached ? 'store-regained' : 'store-lost', {stream});
-			},
-		});
+			stream, waitMs: () => readWaitMs, pauseMs: options.pauseMs ?? (() => 0), isWanted: options.isWanted ?? (() => true), log,
+		}, handlers);
 	}
 
 	private readOperator(records: readonly KeyedRecord[]): void {
--- a/packages/daemon/src/scheduler/tail.ts
+++ b/packages/daemon/src/scheduler/tail.ts
@@ -1,7 +1,9 @@
 /** Follows a stream of the store: all of it first, then each record as it comes. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {readSteadyClock} from './clocks.js';
+import type {DecisionLog} from './decision-log.js';
 import type {KeyedRecord, KeyedStore} from './ports.js';
+import {StreamView} from './stream-view.js';
 
 const retryMs = 200;
 const retryReloadMs = 400;
@@ -10,8 +12,6 @@
 	/** The newest record of each key; whatever was known before is out of date. */
 	handleLoaded(records: readonly KeyedRecord[], nextOffset: number): void;
 	handleRead(records: readonly KeyedRecord[], nextOffset: number): void;
-	/** The store stopped answering, or answers again. */
-	handleReach(isReached: boolean): void;
 };
 
 export type TailOptions = {
@@ -21,6 +21,7 @@
 	readonly pauseMs: () => number;
 	/** False: nothing is read for now. */
 	readonly isWanted: () => boolean;
+	readonly log: DecisionLog;
 };
 
 export class Tail {
@@ -28,11 +29,10 @@
 		return new Tail(store, options, handlers);
 	}
 
-	/** When the store last answered; 0 before. */
-	lastAnswerAt = 0;
-	private nextOffset: number | undefined;
+	readonly view = StreamView.create();
 	private isStopped = false;
 	private isReached = true;
+	private isBehind = false;
 	private generation = 0;
 
 	private constructor(private readonly store: KeyedStore, private readonly options: TailOptions, private readonly handlers: TailHandlers) {}
@@ -51,7 +51,7 @@
 
 	/** Forgets the place: the next step reads all again. */
 	reload(): void {
-		this.nextOffset = undefined;
+		this.view.nextOffset = undefined;
 		this.generation++;
 	}
 
@@ -61,18 +61,20 @@
 
 	private async readNext(): Promise<number> {
 		if (!this.options.isWanted()) {
-			this.nextOffset = undefined;
+			this.view.nextOffset = undefined;
 			return retryMs / 4;
 		}
 
-		return this.nextOffset === undefined ? this.load() : this.read(this.nextOffset);
+		return this.view.nextOffset === undefined ? this.load() : this.read(this.view.nextOffset);
 	}
 
 	private async load(): Promise<number> {
 		const {generation} = this;
-		const outcome = await this.store.listNewest(this.options.stream);
-		this.setReached(outcome.type === 'read');
-		if (outcome.type !== 'read') {
+		const {stream, log} = this.options;
+		const askedAt = readSteadyClock();
+		const outcome = await this.store.listNewest(stream);
+		this.setReached(outcome.type === 'loaded');
+		if (outcome.type !== 'loaded') {
 			return retryReloadMs;
 		}
 
@@ -80,13 +82,19 @@
 			return 0;
 		}
 
-		this.nextOffset = outcome.nextOffset;
-		this.handlers.handleLoaded(outcome.records, outcome.nextOffset);
+		const {records, nextOffset, pages} = outcome;
+		log.note('stream-loaded', {
+			stream, records: records.length, pages, nextOffset, tookMs: Math.round(readSteadyClock() - askedAt),
+		});
+		// Before the handler, which may ask for a reload.
+		this.view.noteRead(nextOffset, nextOffset, askedAt);
+		this.handlers.handleLoaded(records, nextOffset);
 		return 0;
 	}
 
 	private async read(from: number): Promise<number> {
 		const {generation} = this;
+		const askedAt = readSteadyClock();
 		const outcome = await this.store.read(this.options.stream, from, this.options.waitMs());
 		this.setReached(outcome.type !== 'unavailable');
 		if (outcome.type === 'unavailable') {
@@ -98,23 +106,43 @@
 		}
 
 		if (outcome.type === 'forgotten') {
+			this.options.log.warn('stream-forgotten', {stream: this.options.stream, nextOffset: from});
 			this.reload();
 			return 0;
 		}
 
-		this.nextOffset = outcome.nextOffset;
+		this.view.noteRead(outcome.nextOffset, outcome.end, askedAt);
+		this.noteProgress(outcome.end);
 		this.handlers.handleRead(outcome.records, outcome.nextOffset);
 		return this.options.pauseMs();
 	}
 
+	/** Tells when an answer ends short of the stream's end, and when one reaches it again. */
+	private noteProgress(end: number): void {
+		const isBehind = this.view.isBehind();
+		if (isBehind === this.isBehind) {
+			return;
+		}
+
+		this.isBehind = isBehind;
+		this.options.log.note(isBehind ? 'stream-behind' : 'stream-caught-up', {stream: this.options.stream, nextOffset: this.view.nextOffset, end});
+	}
+
 	private setReached(isReached: boolean): void {
 		if (isReached) {
-			this.lastAnswerAt = readSteadyClock();
+			this.view.noteAnswer(readSteadyClock());
 		}
 
-		if (isReached !== this.isReached) {
-			this.isReached = isReached;
-			this.handlers.handleReach(isReached);
+		if (isReached === this.isReached) {
+			return;
+		}
+
+		this.isReached = isReached;
+		const {log, stream} = this.options;
+		if (isReached) {
+			log.note('store-regained', {stream});
+		} else {
+			log.warn('store-lost', {stream});
 		}
 	}
 }
