A host denies a job only if its view of the jobs is complete as of lately

Cause: a view of the stream of jobs counted as fresh from the moment at which an answer of the store arrived. An answer holds what was stored when it was asked for, and only if it reaches the stream's end: a load of everything in pages takes 3.4 to 4 s over the small hosts' links, so its content was that old when the host opened. The same held for one page of a backlog, and for an answer that was long on its way. Now the age of a view is counted from the question whose answer last reached the end, and denials, counts of waiting jobs and readiness go by it. Ruled out: a record that was missing on the store (the leader had read it within 4 ms). Loads are as slow as they were: hosts answer 503 for longer instead of denying.

--- a/packages/daemon/src/scheduler/job-desk.ts
+++ b/packages/daemon/src/scheduler/job-desk.ts
@@ -13,6 +13,8 @@
 export type CancelOutcome = 'cancelled' | 'refused' | 'unknown';
 /** `unsure`: this host's view of the jobs is too old to say that there is none. */
 export type AskOutcome = JobPhase | 'no-such-job' | 'unsure';
+/** Jobs of which nothing has started; `unsure`: this host's view of the jobs is too old to count them. */
+export type CountOutcome = number | 'unsure';
 
 export type JobDeskOptions = {
 	readonly state: SchedulerState;
@@ -20,12 +22,12 @@
 	readonly log: DecisionLog;
 	/** How much of the jobs of all hosts is known here. */
 	readonly describeIntake: () => ViewStatus;
+	/** A view of the jobs that is complete up to this age tells which ones do not exist. */
+	readonly sureAgeMs: number;
 	readonly noteAccepted: (job: JobDefinition) => void;
 	readonly noteCancelled: (jobId: JobId) => void;
 };
 
-/** An older view does not say that a job does not exist. */
-const freshMs = 1800;
 /** A write is given up this long before its caller stops waiting. */
 const answerSlackMs = 150;
 const longestWriteMs = 2000;
@@ -37,9 +39,9 @@
 
 	private constructor(private readonly options: JobDeskOptions) {}
 
-	/** False before the first configuration. */
+	/** False before the first configuration, and before the jobs of all hosts were read once. */
 	isOpen(): boolean {
-		return this.options.state.config !== undefined && this.options.describeIntake().answerAgeMs !== undefined;
+		return this.options.state.config !== undefined && this.options.describeIntake().completeAgeMs !== undefined;
 	}
 
 	/** False while the store does not take jobs: callers are better served elsewhere. */
@@ -81,9 +83,8 @@
 			return getShownPhase(job);
 		}
 
-		const intake = describeIntake();
-		const isSure = intake.answerAgeMs !== undefined && intake.answerAgeMs < freshMs;
-		log.note('job-not-found', {jobId, isSure, ...intake});
+		const isSure = this.isSure();
+		log.note('job-not-found', {jobId, isSure, ...describeIntake()});
 		return isSure ? 'no-such-job' : 'unsure';
 	}
 
@@ -101,7 +102,13 @@
 	}
 
 	/** Accepted jobs of a queue of which nothing has started. */
-	countPending(queue: QueueName): number {
+	countPending(queue: QueueName): CountOutcome {
+		const {log, describeIntake} = this.options;
+		if (!this.isSure()) {
+			log.note('jobs-not-counted', {queue, ...describeIntake()});
+			return 'unsure';
+		}
+
 		let count = 0;
 		for (const job of this.options.state.jobs.values()) {
 			count += job.definition.queue === queue && getShownPhase(job) === 'queued' ? 1 : 0;
@@ -109,6 +116,13 @@
 
 		return count;
 	}
+
+	/** True if what this host does not know of was not accepted long enough ago to be told of. */
+	private isSure(): boolean {
+		const {describeIntake, sureAgeMs} = this.options;
+		const {completeAgeMs} = describeIntake();
+		return completeAgeMs !== undefined && completeAgeMs < sureAgeMs;
+	}
 }
 
 function getWriteMs(waitMs: number): number {
--- a/packages/daemon/src/scheduler/late-view.test.ts
+++ b/packages/daemon/src/scheduler/late-view.test.ts
@@ -135,7 +135,7 @@
 			}),
 		});
 		const host = SchedulerHost.create({
-			ports, settings, log, metrics: createMetrics(),
+			ports, settings, visibleMs, log, metrics: createMetrics(),
 		});
 		hosts.push(host);
 		host.start();
@@ -216,6 +216,29 @@
 		expect(host.desk.ask('a' as JobId)).toEqual('unsure');
 	});
 
+	/** Guards against: a host that has not read the latest jobs tells callers that few are waiting. */
+	it('does not count the jobs that wait from a view that is late', async () => {
+		const store = ScriptedStore.create();
+		store.loadIntake = async () => {
+			await sleep(lateMs);
+			return createLoad([]);
+		};
+
+		const gate = createGate();
+		store.readIntake = async () => {
+			await gate.opened;
+			return createRead([createJobRecord(0, 'a')], 0, 1);
+		};
+
+		const host = startHost(store);
+		await waitForOpen(host);
+		expect(host.desk.countPending('replans')).toEqual('unsure');
+		expect(host.isReady()).toEqual(false);
+		gate.open();
+		await sleep(lookMs);
+		expect(host.desk.countPending('replans')).toEqual(1);
+	});
+
 	/** Guards against: unknown jobs are never denied, so that callers ask for them again and again. */
 	it('is sure where it has read up to the end', async () => {
 		const host = startHost(ScriptedStore.create());
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -7,13 +7,14 @@
 	decodeIntake, decodeLedger, intakeStream, ledgerStream,
 } from './codec.js';
 import type {DecisionLog} from './decision-log.js';
+import {computeFollowTimes, type FollowTimes} from './follow-times.js';
 import {EffectRunner, type UntimedEvent} from './effect-runner.js';
 import {IntakeWriter} from './intake-writer.js';
 import {JobDesk} from './job-desk.js';
 import type {SchedulerMetrics} from './metrics.js';
 import type {KeyedRecord, SchedulerPorts} from './ports.js';
 import type {ViewStatus} from './stream-view.js';
-import {Tail, type TailHandlers} from './tail.js';
+import {Tail, type TailHandlers, type TailOptions} from './tail.js';
 
 const leaderTickMs = 25;
 const followerTickMs = 100;
@@ -21,11 +22,7 @@
 const readWaitMs = 1000;
 /** How old a follower's view of progress may be; callers ask for it. */
 const ledgerPauseMs = 250;
-/** The same of jobs and cancels of other hosts: only repeats of calls and later questions need it. */
-const intakePauseMs = 300;
 const workerPauseMs = 250;
-/** Without an answer of the store for this long, callers are better served elsewhere. */
-const readyAgeMs = 2500;
 const millisecondsPerSecond = 1000;
 const stopStepMs = 20;
 const longestStopMs = 3000;
@@ -33,6 +30,8 @@
 export type SchedulerHostOptions = {
 	readonly ports: SchedulerPorts;
 	readonly settings: SchedulerSettings;
+	/** How long after its acceptance a job may still be unknown to a host. */
+	readonly visibleMs: number;
 	readonly log: DecisionLog;
 	readonly metrics: SchedulerMetrics;
 };
@@ -47,11 +46,13 @@
 	private readonly tails: {readonly operator: Tail; readonly intake: Tail; readonly ledger: Tail; readonly workers: Tail; readonly status: Tail};
 	private readonly entries = new Map<string, WorkerEntry>();
 	private readonly completedWaves = new Set<number>();
+	private readonly followTimes: FollowTimes;
 	private timer: NodeJS.Timeout | undefined;
 	private isStopping = false;
 
 	private constructor(private readonly options: SchedulerHostOptions) {
-		const {ports, settings, log, metrics} = options;
+		const {ports, settings, visibleMs, log, metrics} = options;
+		this.followTimes = computeFollowTimes(visibleMs);
 		const runner = EffectRunner.create({
 			ports,
 			log,
@@ -72,6 +73,7 @@
 			writer: IntakeWriter.create(ports.store),
 			log,
 			describeIntake: () => this.describeIntake(),
+			sureAgeMs: this.followTimes.sureAgeMs,
 			noteAccepted: job => {
 				this.push({type: 'intake/read', records: [{type: 'job', job}]});
 			},
@@ -91,8 +93,8 @@
 
 	/** True if callers are well served here. */
 	isReady(): boolean {
-		const {answerAgeMs} = this.describeIntake();
-		return !this.isStopping && this.desk.isOpen() && this.desk.isStoring() && answerAgeMs !== undefined && answerAgeMs < readyAgeMs;
+		const {completeAgeMs} = this.describeIntake();
+		return !this.isStopping && this.desk.isOpen() && this.desk.isStoring() && completeAgeMs !== undefined && completeAgeMs < this.followTimes.sureAgeMs;
 	}
 
 	/** Gives the lead back; resolves once that is stored, or after a while. */
@@ -167,7 +169,7 @@
 				handleRead: records => {
 					this.readIntake(records);
 				},
-			}, {pauseMs: () => this.isLeader() ? 0 : intakePauseMs}),
+			}, {waitMs: () => this.followTimes.waitMs, pauseMs: () => this.isLeader() ? 0 : this.followTimes.pauseMs}),
 			ledger: this.createTail(ledgerStream, {
 				handleLoaded: (records, nextOffset) => {
 					this.readLedger('ledger/loaded', records, nextOffset);
@@ -199,11 +201,11 @@
 	private createTail(
 		stream: string,
 		handlers: TailHandlers,
-		options: {readonly pauseMs?: () => number; readonly isWanted?: () => boolean} = {},
+		options: Partial<Pick<TailOptions, 'waitMs' | 'pauseMs' | 'isWanted'>> = {},
 	): Tail {
 		const {ports, log} = this.options;
 		return Tail.create(ports.store, {
-			stream, waitMs: () => readWaitMs, pauseMs: options.pauseMs ?? (() => 0), isWanted: options.isWanted ?? (() => true), log,
+			stream, waitMs: () => readWaitMs, pauseMs: () => 0, isWanted: () => true, log, ...options,
 		}, handlers);
 	}
 
