A new leader looks at workers once it has read all jobs, not after three seconds

One silent connection to the store takes 4 s, a load over a thin link up to 4 s. Cause: absence concluded from the passing of time, not from a view that is known to be complete. Each job is stored before its first start, and that before the next lead is claimed; so a reading that was asked for under the lead and reached the end holds all of them, and what it lacks was removed. The time limit goes.

--- a/packages/core/src/scheduler/events.ts
+++ b/packages/core/src/scheduler/events.ts
@@ -22,7 +22,11 @@
 	| {readonly type: 'clock/ticked'}
 	| {readonly type: 'stop/requested'}
 	| {readonly type: 'config/read'; readonly config: FleetConfig}
-	| {readonly type: 'intake/read'; readonly records: readonly IntakeRecord[]}
+	| {
+		readonly type: 'intake/read'; readonly records: readonly IntakeRecord[];
+		/** All that was stored before this instant has been read; absent if the answer does not tell. */
+		readonly completeAt?: SteadyMs | undefined;
+	}
 	/** The ledger as a whole, then what follows; `nextOffset` is where the next read begins. */
 	| {readonly type: 'ledger/loaded'; readonly entries: readonly LedgerEntry[]; readonly nextOffset: number}
 	| {readonly type: 'ledger/read'; readonly entries: readonly LedgerEntry[]; readonly nextOffset: number}
--- a/packages/core/src/scheduler/holds.ts
+++ b/packages/core/src/scheduler/holds.ts
@@ -17,8 +17,6 @@
 import type {SchedulerState, Task, Worker} from './state.js';
 
 const longestRetryMs = 700;
-/** A job that is not read by then has been removed. */
-const unreadJobsLimitMs = 3000;
 
 type HoldEnded = Extract<SchedulerEvent, {type: 'hold/ended'}>;
 
@@ -40,10 +38,11 @@
 
 /**
  * A host that has just taken the lead may know of starts of jobs that it has not read yet. It looks at no worker before
- * it has: it would take the ends of their runs for those of strangers, and acknowledge them.
+ * it has: it would take the ends of their runs for those of strangers, and acknowledge them. Each job was stored
+ * before its first start; one that is not there in a reading that was asked for under this lead has been removed.
  */
-function hasReadStartedJobs({earlyProgress, leadership, now}: SchedulerState): boolean {
-	return now > leadership.leadsSince + unreadJobsLimitMs || ![...earlyProgress.values()].some(({phase}) => !isFinal(phase));
+function hasReadStartedJobs({earlyProgress, leadership, intakeCompleteAt}: SchedulerState): boolean {
+	return intakeCompleteAt > leadership.leadsSince || ![...earlyProgress.values()].some(({phase}) => !isFinal(phase));
 }
 
 function isHoldDue(state: SchedulerState, worker: Worker): boolean {
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -59,10 +59,12 @@
 		state.isConfigDirty = true;
 		state.needsPlacement = true;
 	},
-	'intake/read'(state, {records}) {
+	'intake/read'(state, {records, completeAt}) {
 		for (const record of records) {
 			applyIntake(state, record);
 		}
+
+		state.intakeCompleteAt = Math.max(state.intakeCompleteAt, completeAt ?? state.intakeCompleteAt);
 	},
 	'ledger/loaded': loadLedger,
 	'ledger/read': readLedger,
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -274,6 +274,8 @@
 	isStopping: boolean;
 	config: FleetConfig | undefined;
 	readonly jobs: Map<JobId, Job>;
+	/** All jobs and cancels that were stored before this instant have been read. */
+	intakeCompleteAt: SteadyMs;
 	/** Cancels that were read before their job. */
 	readonly earlyCancels: Set<JobId>;
 	/** Progress that was read before its job. */
@@ -323,6 +325,7 @@
 		isStopping: false,
 		config: undefined,
 		jobs: new Map(),
+		intakeCompleteAt: Number.NEGATIVE_INFINITY,
 		earlyCancels: new Set(),
 		earlyProgress: new Map(),
 		liveJobs: new Set(),
--- a/packages/core/src/scheduler/testing/model-fleet.ts
+++ b/packages/core/src/scheduler/testing/model-fleet.ts
@@ -278,9 +278,7 @@
 	private readIntake(host: Host): void {
 		const records = this.store.intake.slice(host.intakeOffset);
 		host.intakeOffset = this.store.intake.length;
-		if (records.length > 0) {
-			this.push(host, {type: 'intake/read', records});
-		}
+		this.push(host, {type: 'intake/read', records, completeAt: this.now});
 	}
 
 	private push(host: Host, body: EventBody): void {
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -226,9 +226,7 @@
 
 	private readIntake(records: readonly KeyedRecord[]): void {
 		const decoded = records.map(record => decodeIntake(record)).filter(record => record !== undefined);
-		if (decoded.length > 0) {
-			this.push({type: 'intake/read', records: decoded});
-		}
+		this.push({type: 'intake/read', records: decoded, completeAt: this.tails.intake.view.completeAt});
 	}
 
 	private readLedger(type: 'ledger/loaded' | 'ledger/read', records: readonly KeyedRecord[], nextOffset: number): void {
--- a/packages/daemon/src/scheduler/stream-view.ts
+++ b/packages/daemon/src/scheduler/stream-view.ts
@@ -19,9 +19,10 @@
 	}
 
 	nextOffset: number | undefined;
+	/** All that was stored before this instant has been read. */
+	completeAt: SteadyMs | undefined;
 	private end: number | undefined;
 	private answeredAt: SteadyMs | undefined;
-	private completeAt: SteadyMs | undefined;
 
 	private constructor() {}
 
