--- a/packages/core/src/scheduler/unread-jobs.test.ts
+++ b/packages/core/src/scheduler/unread-jobs.test.ts
@@ -4,7 +4,9 @@
 import type {Instant} from '../types/time.js';
 import {reduceScheduler} from './reduce.js';
 import {createSchedulerState, type SchedulerState} from './state.js';
-import {createJob, createStep, modelConfig, poolName} from './testing/model-fleet.js';
+import {
+	createJob, createStep, modelConfig, poolName,
+} from './testing/model-fleet.js';
 import {modelSettings} from './testing/model-settings.js';
 import type {SchedulerEffect} from './effects.js';
 import type {SchedulerEvent} from './events.js';
--- a/packages/stand-ins/src/job-platform/job-platform.ts
+++ b/packages/stand-ins/src/job-platform/job-platform.ts
@@ -34,7 +34,7 @@
 		const workers = await Promise.all(options.workerAddresses.map(async (address, index) => JobWorker.start({
 			id: `worker-${index}`, address, pool: standInQueue.pool, cpu: workerCpu, runMs: options.runMs, taskCpu: standInTaskCpu, ...(options.observer && {observer: options.observer}), ...(options.publishedAddresses && {publishedAddress: options.publishedAddresses[index]!}),
 		})));
-		const platform = new JobPlatform(workers);
+		const platform = new JobPlatform(workers, options.address);
 		const [ip, port] = options.address.split(':');
 		await listen(platform.server, ip!, Number(port));
 		return platform;
@@ -52,7 +52,7 @@
 	private readonly listed = new Set<string>();
 	private sequence = 0;
 
-	private constructor(readonly workers: readonly JobWorker[]) {
+	private constructor(readonly workers: readonly JobWorker[], /** Of the store and of the list of machines (`ip:port`). */ readonly address: string) {
 		this.server = createServer((request, response) => {
 			// A caller that breaks its call off gets no answer.
 			void this.answer(request, response).catch(() => {
