A queue is denied only if the operators' records are known as of lately

A host answered 404, which is final, for a queue that its configuration lacks, however long ago it had last read the operators' records: after a start from a configuration that the ledger keeps, over a silent connection, or cut off from the store (CONFIG: 404 though the route is there). Cause: absence concluded from a view of unknown age. The operators' stream is asked more often, so that a silent connection is noticed within that time, and a host opens for callers once it has read the operators' records and the jobs.

--- a/packages/daemon/src/scheduler/follow-times.ts
+++ b/packages/daemon/src/scheduler/follow-times.ts
@@ -1,11 +1,11 @@
-/** How often the jobs of all hosts are read, and how old a view of them may be, from the bound within which each host must know a job. */
+/** How often a stream is read, and how old a view of it may be, from the bound within which each host must know what is in it. */
 
 export type FollowTimes = {
 	/** How long a read waits for a record. */
 	readonly waitMs: number;
 	/** Pause between two reads of a host that does not lead. */
 	readonly pauseMs: number;
-	/** A view that is complete up to this age tells which jobs do not exist. */
+	/** A view that is complete up to this age tells what does not exist. */
 	readonly sureAgeMs: number;
 };
 
@@ -15,7 +15,7 @@
 /** The rest is for the answer's way to its caller, from a busy host over a thin link. */
 const sureShare = 5 / 6;
 
-/** `visibleMs`: how long after its acceptance a job may still be unknown to a host. */
-export function computeFollowTimes(visibleMs: number): FollowTimes {
-	return {waitMs: visibleMs * waitShare, pauseMs: visibleMs * pauseShare, sureAgeMs: visibleMs * sureShare};
+/** `boundMs`: how long after its confirmation something may still be unknown to a host. */
+export function computeFollowTimes(boundMs: number): FollowTimes {
+	return {waitMs: Math.round(boundMs * waitShare), pauseMs: boundMs * pauseShare, sureAgeMs: boundMs * sureShare};
 }
--- a/packages/daemon/src/scheduler/job-desk.ts
+++ b/packages/daemon/src/scheduler/job-desk.ts
@@ -13,6 +13,8 @@
 export type CancelOutcome = 'cancelled' | 'refused' | 'unknown';
 /** `unsure`: this host's view of the jobs is too old to say that there is none. */
 export type AskOutcome = JobPhase | 'no-such-job' | 'unsure';
+/** `unsure`: this host's view of the configuration is too old to say that there is no such queue. */
+export type QueueOutcome = Queue | 'no-such-queue' | 'unsure';
 /** Jobs of which nothing has started; `unsure`: this host's view of the jobs is too old to count them. */
 export type CountOutcome = number | 'unsure';
 
@@ -24,6 +26,10 @@
 	readonly describeIntake: () => ViewStatus;
 	/** A view of the jobs that is complete up to this age tells which ones do not exist. */
 	readonly sureAgeMs: number;
+	/** How much of the operators' records is known here. */
+	readonly describeConfig: () => ViewStatus;
+	/** The same of the operators' records and queues. */
+	readonly sureConfigAgeMs: number;
 	readonly noteAccepted: (job: JobDefinition) => void;
 	readonly noteCancelled: (jobId: JobId) => void;
 };
@@ -39,9 +45,10 @@
 
 	private constructor(private readonly options: JobDeskOptions) {}
 
-	/** False before the first configuration, and before the jobs of all hosts were read once. */
+	/** False before the first configuration, and before the operators' records and the jobs of all hosts were read once. */
 	isOpen(): boolean {
-		return this.options.state.config !== undefined && this.options.describeIntake().completeAgeMs !== undefined;
+		const {state, describeConfig, describeIntake} = this.options;
+		return state.config !== undefined && describeConfig().completeAgeMs !== undefined && describeIntake().completeAgeMs !== undefined;
 	}
 
 	/** False while the store does not take jobs: callers are better served elsewhere. */
@@ -49,9 +56,20 @@
 		return !this.options.writer.isSilent();
 	}
 
-	findQueue(host: string, path: string): Queue | undefined {
-		const {config} = this.options.state;
-		return config && findQueue(config, host, path);
+	/** The queue that a call is for, by the configuration in force. */
+	findQueue(host: string, path: string): QueueOutcome {
+		const {state, describeConfig, sureConfigAgeMs, log} = this.options;
+		const queue = state.config && findQueue(state.config, host, path);
+		if (queue) {
+			return queue;
+		}
+
+		const {completeAgeMs} = describeConfig();
+		const isSure = completeAgeMs !== undefined && completeAgeMs < sureConfigAgeMs;
+		log.note('queue-not-found', {
+			callerHost: host, path, isSure, configVersion: state.config?.version, completeAgeMs,
+		});
+		return isSure ? 'no-such-queue' : 'unsure';
 	}
 
 	/** Accepts a job once the store has it; `waitMs` is how long the caller waits. */
--- a/packages/daemon/src/scheduler/late-view.test.ts
+++ b/packages/daemon/src/scheduler/late-view.test.ts
@@ -18,6 +18,8 @@
 /** The users' bound: a job is known everywhere this long after its acceptance. */
 const visibleMs = 3000;
 const lateMs = visibleMs + 300;
+/** The users' bound: a configuration is in force everywhere this long after its confirmation. */
+const configApplyMs = 2000;
 /** Between two looks at something that is awaited. */
 const lookMs = 10;
 const operatorStream = 'operator';
@@ -32,6 +34,8 @@
 
 	loadIntake: () => Promise<LoadOutcome>;
 	readIntake: Read;
+	/** While false, reads of the operator's stream get no answer. */
+	isOperatorHeard = true;
 
 	private constructor() {
 		this.loadIntake = async () => createLoad([]);
@@ -48,7 +52,7 @@
 		}
 
 		await sleep(waitMs);
-		return createRead([], fromOffset, fromOffset);
+		return stream === operatorStream && !this.isOperatorHeard ? {type: 'unavailable'} : createRead([], fromOffset, fromOffset);
 	}
 
 	async listNewest(stream: string): Promise<LoadOutcome> {
@@ -135,7 +139,7 @@
 			}),
 		});
 		const host = SchedulerHost.create({
-			ports, settings, visibleMs, log, metrics: createMetrics(),
+			ports, settings, visibleMs, configApplyMs, log, metrics: createMetrics(),
 		});
 		hosts.push(host);
 		host.start();
@@ -239,6 +243,18 @@
 		expect(host.desk.countPending('replans')).toEqual(1);
 	});
 
+	/** Guards against: a queue that was just added is denied by a host that cannot read the configuration. */
+	it('does not deny a queue when it has not read the configuration for long', async () => {
+		const store = ScriptedStore.create();
+		const host = startHost(store);
+		await waitForOpen(host);
+		expect(host.desk.findQueue('h', '/new/')).toEqual('no-such-queue');
+		store.isOperatorHeard = false;
+		await sleep(configApplyMs);
+		expect(host.desk.findQueue('h', '/new/')).toEqual('unsure');
+		expect(host.desk.findQueue('h', '/replans/a')).toEqual(config.queues[0]!);
+	});
+
 	/** Guards against: unknown jobs are never denied, so that callers ask for them again and again. */
 	it('is sure where it has read up to the end', async () => {
 		const host = startHost(ScriptedStore.create());
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -32,6 +32,8 @@
 	readonly settings: SchedulerSettings;
 	/** How long after its acceptance a job may still be unknown to a host. */
 	readonly visibleMs: number;
+	/** How long after its confirmation a configuration may not be in force at a host. */
+	readonly configApplyMs: number;
 	readonly log: DecisionLog;
 	readonly metrics: SchedulerMetrics;
 };
@@ -47,12 +49,16 @@
 	private readonly entries = new Map<string, WorkerEntry>();
 	private readonly completedWaves = new Set<number>();
 	private readonly followTimes: FollowTimes;
+	private readonly configTimes: FollowTimes;
 	private timer: NodeJS.Timeout | undefined;
 	private isStopping = false;
 
 	private constructor(private readonly options: SchedulerHostOptions) {
-		const {ports, settings, visibleMs, log, metrics} = options;
+		const {
+			ports, settings, visibleMs, configApplyMs, log, metrics,
+		} = options;
 		this.followTimes = computeFollowTimes(visibleMs);
+		this.configTimes = computeFollowTimes(configApplyMs);
 		const runner = EffectRunner.create({
 			ports,
 			log,
@@ -74,6 +80,8 @@
 			log,
 			describeIntake: () => this.describeIntake(),
 			sureAgeMs: this.followTimes.sureAgeMs,
+			describeConfig: () => this.tails.operator.view.describe(readSteadyClock()),
+			sureConfigAgeMs: this.configTimes.sureAgeMs,
 			noteAccepted: job => {
 				this.push({type: 'intake/read', records: [{type: 'job', job}]});
 			},
@@ -161,7 +169,7 @@
 				handleRead: records => {
 					this.readOperator(records);
 				},
-			}),
+			}, {waitMs: () => this.configTimes.waitMs}),
 			intake: this.createTail(intakeStream, {
 				handleLoaded: records => {
 					this.readIntake(records);
