A record that cannot be read or applied does not take others with it

The place in a stream moves on with each batch; when one record of a batch could not be applied, those behind it were skipped, and their jobs denied for good. A record that could not be unpacked ended the reading of its stream, and with it the process, again after each restart. Now records are unpacked and applied one by one; the faulty one is told of (record-unusable, record-not-applied), also an operator's record that holds neither a configuration nor a wave.

--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -20,6 +20,7 @@
 import {addWave, handleReport, tickWaves} from './waves.js';
 import type {SchedulerEffect} from './effects.js';
 import type {SchedulerEvent, SchedulerEventType} from './events.js';
+import type {IntakeRecord} from './types.js';
 import type {SchedulerState} from './state.js';
 
 type Handlers = {[K in SchedulerEventType]: (state: SchedulerState, event: Extract<SchedulerEvent, {type: K}>) => void};
@@ -61,7 +62,7 @@
 	},
 	'intake/read'(state, {records, completeAt}) {
 		for (const record of records) {
-			applyIntake(state, record);
+			applyIntakeRecord(state, record);
 		}
 
 		state.intakeCompleteAt = Math.max(state.intakeCompleteAt, completeAt ?? state.intakeCompleteAt);
@@ -98,6 +99,19 @@
 	'advice/ended': handleAdvice,
 };
 
+/** The place in the stream moves on with the batch: one record that cannot be applied must not take those behind it along. */
+function applyIntakeRecord(state: SchedulerState, record: IntakeRecord): void {
+	try {
+		applyIntake(state, record);
+	} catch (error) {
+		noteWarning(state, 'record-not-applied', {recordType: record.type, reason: describeError(error)});
+	}
+}
+
+function describeError(error: unknown): string {
+	return error instanceof Error ? (error.stack ?? error.message) : 'unknown error';
+}
+
 const jobLookMs = 50;
 
 function tickJobs(state: SchedulerState): void {
@@ -149,7 +163,7 @@
 		tickCommits(state);
 		tickHolds(state);
 	} catch (error) {
-		noteWarning(state, 'handler-failed', {eventType: event.type, reason: error instanceof Error ? (error.stack ?? error.message) : 'unknown error'});
+		noteWarning(state, 'handler-failed', {eventType: event.type, reason: describeError(error)});
 	}
 
 	return state.outbox;
--- a/packages/daemon/src/scheduler/late-view.test.ts
+++ b/packages/daemon/src/scheduler/late-view.test.ts
@@ -255,6 +255,16 @@
 		expect(host.desk.findQueue('h', '/replans/a')).toEqual(config.queues[0]!);
 	});
 
+	/** Guards against: a record that cannot be unpacked ends the reading of the jobs. */
+	it('reads on past a record that cannot be unpacked', async () => {
+		const store = ScriptedStore.create();
+		const unreadable = {offset: 0, key: 'job:bad', value: new Uint8Array([0xC1])};
+		store.loadIntake = async () => createLoad([unreadable, createJobRecord(1, 'a')]);
+		const host = startHost(store);
+		await waitForOpen(host);
+		expect(host.desk.ask('a' as JobId)).toEqual('queued');
+	});
+
 	/** Guards against: unknown jobs are never denied, so that callers ask for them again and again. */
 	it('is sure where it has read up to the end', async () => {
 		const host = startHost(ScriptedStore.create());
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -229,22 +229,38 @@
 			if (definition) {
 				this.push({type: 'wave/published', definition, isCompleted: this.completedWaves.has(definition.wave)});
 			}
+
+			if (record.value && !config && !definition) {
+				this.options.log.warn('record-unusable', {stream: feed.operatorStream, key: record.key, offset: record.offset});
+			}
 		}
 	}
 
 	private readIntake(records: readonly KeyedRecord[]): void {
-		const decoded = records.map(record => decodeIntake(record)).filter(record => record !== undefined);
+		const decoded = records.flatMap(record => this.decodeRecord(intakeStream, record, decodeIntake) ?? []);
 		this.push({type: 'intake/read', records: decoded, completeAt: this.tails.intake.view.completeAt});
 	}
 
 	private readLedger(type: 'ledger/loaded' | 'ledger/read', records: readonly KeyedRecord[], nextOffset: number): void {
 		const entries = records.flatMap(record => {
-			const decoded = decodeLedger(record);
+			const decoded = this.decodeRecord(ledgerStream, record, decodeLedger);
 			return decoded ? [{offset: record.offset, record: decoded}] : [];
 		});
 		this.push({type, entries, nextOffset});
 	}
 
+	/** Undefined for a record that says nothing to this version, or cannot be unpacked. */
+	private decodeRecord<Decoded>(stream: string, record: KeyedRecord, decode: (record: KeyedRecord) => Decoded | undefined): Decoded | undefined {
+		try {
+			return decode(record);
+		} catch (error) {
+			this.options.log.warn('record-unusable', {
+				stream, key: record.key, offset: record.offset, reason: error instanceof Error ? error.message : 'unknown error',
+			});
+			return undefined;
+		}
+	}
+
 	private readWorkers(records: readonly KeyedRecord[], isReloaded: boolean): void {
 		if (records.length === 0) {
 			return;
