Stand-in store: answers in pages, dropped history, reads that are old when they arrive

Seen: the stand-in answered each log-read with everything and each log-newest with one page, at once; a view that is late because an answer is one page of several, or was fixed long before it arrived, could not be played.

`drawReadDelay` sets, per read, a delay before and one after the content is fixed; appends are untouched. `openEntrance` lets one store be reached at several addresses, so that reads of one host can be slow. The fault proxy has no limit of bandwidth; the delay after the content stands for it.

--- a/packages/stand-ins/src/job-platform/job-platform.ts
+++ b/packages/stand-ins/src/job-platform/job-platform.ts
@@ -9,8 +9,10 @@
 import {
 	createCallFaults, drawFate, drawLateMs, type CallFaults,
 } from './order-faults.js';
+import {delayNothing, type ReadDelay, type StoreRead} from './read-delays.js';
 import type {RunObserver} from './run-observer.js';
 
+const statusGone = 410;
 const beatMs = 500;
 
 export type JobPlatformOptions = {
@@ -47,18 +49,16 @@
 	readonly faults: CallFaults = createCallFaults();
 	/** Each answer of the store comes this much later, in milliseconds. */
 	delayMs = 0;
+	/** How long each read waits before its content is fixed, and after; appends are not touched. */
+	drawReadDelay: (read: StoreRead) => ReadDelay = delayNothing;
 	private readonly server: Server;
+	private readonly entrances: Server[] = [];
 	private readonly timer: NodeJS.Timeout;
 	private readonly listed = new Set<string>();
 	private sequence = 0;
 
 	private constructor(readonly workers: readonly JobWorker[]) {
-		this.server = createServer((request, response) => {
-			// A caller that breaks its call off gets no answer.
-			void this.answer(request, response).catch(() => {
-				request.socket.destroy();
-			});
-		});
+		this.server = this.createServer();
 		this.publishConfig(1);
 		this.publishWorkers();
 		this.timer = setInterval(() => {
@@ -81,13 +81,33 @@
 		});
 	}
 
+	/** Listens at one more address, so that reads through it can be told apart from others. */
+	async openEntrance(address: string): Promise<void> {
+		const server = this.createServer(address);
+		this.entrances.push(server);
+		const [ip, port] = address.split(':');
+		await listen(server, ip!, Number(port));
+	}
+
 	async close(): Promise<void> {
 		clearInterval(this.timer);
-		this.server.closeAllConnections();
-		this.server.close();
+		for (const server of [this.server, ...this.entrances]) {
+			server.closeAllConnections();
+			server.close();
+		}
+
 		await Promise.all(this.workers.map(async worker => worker.close()));
 	}
 
+	private createServer(entrance?: string): Server {
+		return createServer((request, response) => {
+			// A caller that breaks its call off gets no answer.
+			void this.answer(request, response, entrance).catch(() => {
+				request.socket.destroy();
+			});
+		});
+	}
+
 	private publishWorkers(): void {
 		this.sequence++;
 		for (const [index, worker] of this.workers.entries()) {
@@ -101,7 +121,7 @@
 		}
 	}
 
-	private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+	private async answer(request: IncomingMessage, response: ServerResponse, entrance: string | undefined): Promise<void> {
 		if (this.isDown) {
 			request.socket.destroy();
 			return;
@@ -116,12 +136,13 @@
 		const topic = query.get('topic') ?? '';
 		const operations: Readonly<Record<string, () => Promise<void> | void>> = {
 			'/v1/log-append': async () => this.append(request, response, query),
-			'/v1/log-read': async () => {
-				response.end(await this.log.read(topic, Number(query.get('from')), Number(query.get('wait-ms'))));
-			},
-			'/v1/log-newest': () => {
-				sendJson(response, 200, this.log.listNewest(topic));
-			},
+			'/v1/log-read': async () => this.delayRead({operation: 'log-read', topic, entrance}, async () => this.read(response, query)),
+			'/v1/log-newest': async () => this.delayRead({operation: 'log-newest', topic, entrance}, async () => {
+				const page = this.log.listNewest(topic, query.get('depends-on') ?? undefined);
+				return () => {
+					sendJson(response, 200, page);
+				};
+			}),
 			'/v1/machines'() {
 				sendJson(response, 200, {machines: [], 'next-token': null});
 			},
@@ -131,6 +152,35 @@
 		}))();
 	}
 
+	/** Fixes the content of an answer between two delays; the answer goes out after the second. */
+	private async delayRead(read: StoreRead, fixContent: () => Promise<() => void>): Promise<void> {
+		const {beforeMs, afterMs} = this.drawReadDelay(read);
+		if (beforeMs > 0) {
+			await sleep(beforeMs);
+		}
+
+		const send = await fixContent();
+		if (afterMs > 0) {
+			await sleep(afterMs);
+		}
+
+		send();
+	}
+
+	private async read(response: ServerResponse, query: URLSearchParams): Promise<() => void> {
+		const maxKb = query.get('max-kb');
+		const answer = await this.log.read(query.get('topic') ?? '', {
+			from: Number(query.get('from')), waitMs: Number(query.get('wait-ms')), maxKb: maxKb === null ? undefined : Number(maxKb),
+		});
+		return () => {
+			if (answer.type === 'read') {
+				response.end(answer.bytes);
+			} else {
+				sendJson(response, statusGone, {first: answer.first});
+			}
+		};
+	}
+
 	private async append(request: IncomingMessage, response: ServerResponse, query: URLSearchParams): Promise<void> {
 		const bytes = await readBytes(request);
 		const at = query.get('at');
