Model fleet: late and paged reads of intake and ledger; hosts, faults and checks apart

Seen: in the model a host's read was answered at once and with everything, so no seed could play a view that is late. `readFaults` (off by default) fixes the content of a read at one moment and delivers it up to `oldestMs` later, in pages of `pageRecords`; the load of a stream lists the newest record of each key, page by page, each page as of its own moment, and reading goes on from the end at the first page, as the store client does.

The model has no desk for callers, so it does not show an answer 'no such job'.

--- /dev/null
+++ b/packages/core/src/scheduler/testing/model-checks.ts
@@ -0,0 +1,97 @@
+/** What the model's workers and store see of the hosts' promises, and which did not hold. */
+import type {JobId} from '../../types/ids.js';
+import type {JobDefinition, Resources, StepDefinition} from '../types.js';
+import type {ModelHost} from './model-hosts.js';
+import {modelConfig} from './model-jobs.js';
+import type {ModelStore} from './model-store.js';
+import type {ModelTime} from './model-time.js';
+import type {ModelWorker} from './model-worker.js';
+
+export type ModelChecksOptions = {readonly time: ModelTime; readonly store: ModelStore; readonly hosts: readonly ModelHost[]; readonly workers: readonly ModelWorker[]};
+
+export class ModelChecks {
+	static create(options: ModelChecksOptions): ModelChecks {
+		return new ModelChecks(options);
+	}
+
+	/** Promises that did not hold. */
+	readonly violations: string[] = [];
+	private readonly jobs = new Map<string, JobDefinition>();
+	private readonly notedDone = new Set<string>();
+	private readonly failures = new Map<string, number>();
+	private readonly cancelledAt = new Map<string, number>();
+
+	private constructor(private readonly options: ModelChecksOptions) {}
+
+	noteJob(job: JobDefinition): void {
+		this.jobs.set(job.jobId, job);
+	}
+
+	noteCancel(jobId: JobId): void {
+		this.cancelledAt.set(jobId, this.options.time.now);
+	}
+
+	/** A new run is given to a worker; whether it will fail is settled already. */
+	noteRun(task: string, isFailing: boolean): void {
+		this.failures.set(task, (this.failures.get(task) ?? 0) + (isFailing ? 1 : 0));
+	}
+
+	/** True if a task of the job was given as many failing runs as its queue allows. */
+	canFail(jobId: string): boolean {
+		return [...this.failures].some(([task, count]) => task.startsWith(jobId) && count >= modelConfig.queues[0]!.maxAttempts);
+	}
+
+	countRuns(task: string): number {
+		return this.options.workers.filter(worker => worker.isUp && worker.runs.has(task)).length;
+	}
+
+	findStep(task: string): StepDefinition {
+		const [jobId, , step] = task.split('.');
+		return this.jobs.get(jobId!)!.steps[Number(step)]!;
+	}
+
+	/** What a worker is told to forget must be stored, or belong to a run that counts no more. */
+	checkAcknowledged(worker: ModelWorker, upTo: number): void {
+		for (const row of worker.listEndsUpTo(upTo)) {
+			if (row.how === 'done' && !this.isStored(row.task, row.run)) {
+				this.violations.push(`${this.options.time.now}: the end of ${row.task} was acknowledged before it was stored`);
+			}
+		}
+
+		this.noteCompleted();
+	}
+
+	checkStart(task: string, need: Resources, worker: ModelWorker): void {
+		const {now} = this.options.time;
+		const [jobId] = task.split('.');
+		if (this.countRuns(task) > 1) {
+			this.violations.push(`${now}: ${task} runs twice at once`);
+		}
+
+		if (this.notedDone.has(jobId!)) {
+			this.violations.push(`${now}: ${task} starts though its job was shown as completed`);
+		}
+
+		if (worker.countUsedCpu() > worker.entry.capacity.cpu) {
+			this.violations.push(`${now}: ${worker.entry.id} is over its room by ${need.cpu}`);
+		}
+	}
+
+	private isStored(task: string, run: number): boolean {
+		const [jobId, , step, index] = task.split('.');
+		const entry = this.options.store.ledger.findLast(({record}) => record.type === 'progress' && record.jobId === jobId);
+		const progress = entry?.record.type === 'progress' ? entry.record.progress : undefined;
+		const row = progress?.rows.find(candidate => candidate.step === Number(step) && candidate.index === Number(index));
+		return this.cancelledAt.has(jobId!) || progress?.phase === 'completed' || progress?.phase === 'failed' || row?.status === 'done' || (row?.run ?? 0) > run;
+	}
+
+	private noteCompleted(): void {
+		for (const host of this.options.hosts) {
+			for (const job of host.state.jobs.values()) {
+				if (job.phase === 'completed') {
+					this.notedDone.add(job.definition.jobId);
+				}
+			}
+		}
+	}
+}
--- a/packages/core/src/scheduler/testing/model-store.ts
+++ b/packages/core/src/scheduler/testing/model-store.ts
@@ -2,6 +2,11 @@
 import type {ClaimOutcome, CommitOutcome, LedgerEntry} from '../events.js';
 import type {IntakeRecord, LedgerRecord} from '../types.js';
 
+/** One page of the newest record of each key, in the order of keys; `lastKey` is where the next page goes on. */
+export type NewestPage<Item> = {readonly items: readonly Item[]; readonly lastKey: string | undefined; readonly end: number};
+
+const removals = new Set<string>(['job-removed', 'cancel-removed', 'progress-removed']);
+
 export class ModelStore {
 	static create(): ModelStore {
 		return new ModelStore();
@@ -47,9 +52,43 @@
 		return 'stored';
 	}
 
+	listNewestIntake(after: string | undefined, most: number): NewestPage<IntakeRecord> {
+		return listNewest(this.intake, record => record, after, most);
+	}
+
+	listNewestLedger(after: string | undefined, most: number): NewestPage<LedgerEntry> {
+		return listNewest(this.ledger, entry => entry.record, after, most);
+	}
+
 	private add(records: readonly LedgerRecord[]): void {
 		for (const record of records) {
 			this.ledger.push({offset: this.ledger.length, record: structuredClone(record)});
 		}
 	}
 }
+
+function listNewest<Item>(stream: readonly Item[], getRecord: (item: Item) => IntakeRecord | LedgerRecord, after: string | undefined, most: number): NewestPage<Item> {
+	const newest = new Map<string, Item>();
+	for (const item of stream) {
+		const record = getRecord(item);
+		const key = getKey(record);
+		if (removals.has(record.type)) {
+			newest.delete(key);
+		} else {
+			newest.set(key, item);
+		}
+	}
+
+	const keys = [...newest.keys()].filter(key => after === undefined || key > after).toSorted((a, b) => a < b ? -1 : 1);
+	const page = keys.slice(0, most);
+	return {items: page.map(key => newest.get(key)!), lastKey: page.length < keys.length ? page.at(-1) : undefined, end: stream.length};
+}
+
+function getKey(record: IntakeRecord | LedgerRecord): string {
+	const kind = record.type.replace('-removed', '');
+	if (record.type === 'job') {
+		return `${kind}:${record.job.jobId}`;
+	}
+
+	return 'jobId' in record ? `${kind}:${record.jobId}` : `${kind}:`;
+}
--- a/packages/core/src/scheduler/testing/run-seed.ts
+++ b/packages/core/src/scheduler/testing/run-seed.ts
@@ -1,6 +1,6 @@
 /** One seeded run of the model under faults, and what it found. */
 import {
-	createJob, createStep, ModelFleet, noFaults,
+	createJob, createStep, ModelFleet, noFaults, noReadFaults,
 } from './model-fleet.js';
 
 const jobCount = 40;
@@ -11,6 +11,12 @@
 const settleMs = 40_000;
 const leastCrashMs = 800;
 const crashStepMs = 700;
+const leastOldestMs = 200;
+const oldestStepMs = 320;
+const leastPageRecords = 2;
+const pageStepRecords = 9;
+const jobsPerTakeover = 9;
+const restartMs = 600;
 
 /** Broken promises, and jobs that some host does not show as completed in the end. */
 export type SeedResult = {readonly violations: readonly string[]; readonly unfinished: readonly string[]};
@@ -32,6 +38,34 @@
 	return {violations: fleet.violations, unfinished: listUnfinished(fleet)};
 }
 
+export type LateSeedResult = SeedResult & {readonly events: readonly string[]};
+
+/** As `runSeed`, with reads that are old when they arrive and come in pages, and leaders that are stopped. */
+export function runLateSeed(seed: number): LateSeedResult {
+	const fleet = ModelFleet.create({
+		seed,
+		hosts: hostCount,
+		workers: workerCount,
+		faults: {lostPercent: seed % 3, latePercent: seed % 2, crashEveryMs: leastCrashMs + ((seed % 6) * crashStepMs)},
+		readFaults: {oldestMs: leastOldestMs + ((seed % 6) * oldestStepMs), pageRecords: leastPageRecords + ((seed % 5) * pageStepRecords)},
+	});
+	fleet.run(warmUpMs);
+	for (let number = 1; number <= jobCount; number++) {
+		fleet.submit(createJob(number, [createStep({count: fleet.draw(1, 5)}), createStep({dependsOn: [0], count: fleet.draw(1, 3), estimateMs: fleet.draw(100, 1500)})]));
+		fleet.run(fleet.draw(5, 400));
+		if (number % jobsPerTakeover === 0) {
+			fleet.stopLeader(restartMs);
+		}
+	}
+
+	fleet.run(troubleMs);
+	fleet.faults = noFaults;
+	fleet.run(troubleMs);
+	fleet.readFaults = noReadFaults;
+	fleet.run(settleMs);
+	return {violations: fleet.violations, unfinished: listUnfinished(fleet), events: fleet.events};
+}
+
 function listUnfinished(fleet: ModelFleet): string[] {
 	const unfinished: string[] = [];
 	for (const host of fleet.hosts.keys()) {
