--- a/packages/core/src/scheduler/testing/model-fleet.ts
+++ b/packages/core/src/scheduler/testing/model-fleet.ts
@@ -19,7 +19,9 @@
 import {ModelTime} from './model-time.js';
 import {ModelWorker} from './model-worker.js';
 
-export {noFaults, noReadFaults, type ModelFaults, type ReadFaults} from './model-faults.js';
+export {
+	noFaults, noReadFaults, type ModelFaults, type ReadFaults,
+} from './model-faults.js';
 export {
 	createJob, createStep, modelConfig, poolName, queueName,
 } from './model-jobs.js';
--- a/packages/core/src/scheduler/testing/model-hosts.ts
+++ b/packages/core/src/scheduler/testing/model-hosts.ts
@@ -52,22 +52,22 @@
 			return;
 		}
 
-		const underWay = this.begin(host, intake, () => true);
+		const underWay = this.openRead(host, intake, () => true);
 		if (!underWay) {
 			return;
 		}
 
 		if (intake.offset === undefined) {
 			this.loadPages(underWay, after => store.listNewestIntake(after, this.options.getFaults().pageRecords), (records, end) => {
-				this.handIntakeOver(host, records, end);
+				this.takeIntake(host, records, end);
 			});
 			return;
 		}
 
 		const from = intake.offset;
 		const records = store.intake.slice(from, from + this.options.getFaults().pageRecords);
-		this.deliverLate(underWay, () => {
-			this.handIntakeOver(host, records, from + records.length);
+		this.answerLate(underWay, () => {
+			this.takeIntake(host, records, from + records.length);
 		});
 	}
 
@@ -80,7 +80,7 @@
 			return;
 		}
 
-		const underWay = this.begin(host, ledger, () => host.state.leadership.role !== 'leader');
+		const underWay = this.openRead(host, ledger, () => host.state.leadership.role !== 'leader');
 		if (!underWay) {
 			return;
 		}
@@ -95,7 +95,7 @@
 
 		const from = ledger.offset;
 		const entries = store.ledger.slice(from, from + this.options.getFaults().pageRecords);
-		this.deliverLate(underWay, () => {
+		this.answerLate(underWay, () => {
 			ledger.offset = from + entries.length;
 			push(host, {type: 'ledger/read', entries, nextOffset: from + entries.length});
 		});
@@ -104,7 +104,7 @@
 	private readIntakeAtOnce(host: ModelHost): void {
 		if (!host.intake.isReading) {
 			const {intake} = this.options.store;
-			this.handIntakeOver(host, intake.slice(host.intake.offset ?? 0), intake.length);
+			this.takeIntake(host, intake.slice(host.intake.offset ?? 0), intake.length);
 		}
 	}
 
@@ -121,7 +121,7 @@
 		push(host, {type, entries, nextOffset: store.ledger.length});
 	}
 
-	private handIntakeOver(host: ModelHost, records: readonly IntakeRecord[], nextOffset: number): void {
+	private takeIntake(host: ModelHost, records: readonly IntakeRecord[], nextOffset: number): void {
 		host.intake.offset = nextOffset;
 		if (records.length > 0) {
 			this.options.push(host, {type: 'intake/read', records});
@@ -134,7 +134,7 @@
 	}
 
 	/** Undefined while the read before is under way. */
-	private begin(host: ModelHost, place: StreamPlace, isWantedByRole: () => boolean): UnderWay | undefined {
+	private openRead(host: ModelHost, place: StreamPlace, isWantedByRole: () => boolean): UnderWay | undefined {
 		if (place.isReading) {
 			return undefined;
 		}
@@ -146,7 +146,7 @@
 	}
 
 	/** The content is fixed now; it arrives later. */
-	private deliverLate({place, isWanted}: UnderWay, deliver: () => void): void {
+	private answerLate({place, isWanted}: UnderWay, deliver: () => void): void {
 		const {time, getFaults} = this.options;
 		time.schedule(time.draw(0, getFaults().oldestMs), () => {
 			place.isReading = false;
@@ -165,7 +165,7 @@
 			const end = firstEnd ?? page.end;
 			items.push(...page.items);
 			if (page.lastKey === undefined) {
-				this.deliverLate(underWay, () => {
+				this.answerLate(underWay, () => {
 					deliver(items, end);
 				});
 				return;
