--- /dev/null
+++ b/packages/bench/src/integration/entry-hosts.ts
@@ -0,0 +1,116 @@
+/** Entry hosts as processes on the stand-in of the users' platform, each with an entrance of its own to the store, and what callers do at them. */
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {
+	JobPlatform, ProcessGroup, standInQueue, standInTaskCpu, takeAddress, waitUntil, type RunningProcess,
+} from '@rhubarblever/stand-ins';
+import {request} from 'undici';
+import {describeSettings, findEntryProgram, type EntryAddresses} from './entry-program.js';
+
+export const startTimeoutMs = 30_000;
+const callTimeoutMs = 5000;
+const idDigits = 16;
+
+export type EntryHost = EntryAddresses & {
+	readonly index: number;
+	readonly settingsPath: string;
+	/** The address at which it reaches the store; the stand-in tells its reads by it. */
+	readonly entrance: string;
+	process: RunningProcess;
+};
+
+export type JobCall = {readonly status: number; readonly state?: string};
+
+/** How many tasks each step has; a step waits for the one before. */
+export type JobShape = readonly number[];
+
+export class EntryHosts {
+	static async start({hosts, workers, runMs}: {readonly hosts: number; readonly workers: number; readonly runMs: number}): Promise<EntryHosts> {
+		const platform = await JobPlatform.start({address: takeAddress(), workerAddresses: Array.from({length: workers}, () => takeAddress()), runMs});
+		const fleet = new EntryHosts(platform);
+		for (let index = 0; index < hosts; index++) {
+			// eslint-disable-next-line no-await-in-loop
+			await fleet.addHost(index);
+		}
+
+		await Promise.all(fleet.hosts.map(async host => fleet.waitForReady(host)));
+		return fleet;
+	}
+
+	readonly hosts: EntryHost[] = [];
+	readonly folder = mkdtempSync(path.join(tmpdir(), 'rhubarblever-'));
+	private readonly group = ProcessGroup.create();
+
+	private constructor(readonly platform: JobPlatform) {}
+
+	async close(): Promise<void> {
+		await this.group.endAll();
+		await this.platform.close();
+		rmSync(this.folder, {recursive: true});
+	}
+
+	/** Starts a process of the program with a settings file. */
+	startProgram(index: number, settingsPath: string): RunningProcess {
+		return this.group.start(`front-${index}`, findEntryProgram(), [], {RHUBARBLEVER_SETTINGS: settingsPath});
+	}
+
+	/** Starts a host's process anew, after the last one has ended. */
+	restartHost(host: EntryHost): void {
+		host.process = this.startProgram(host.index, host.settingsPath);
+	}
+
+	async isReady(host: EntryHost): Promise<boolean> {
+		const answer = await request(`http://${host.ready}/v1/ready`);
+		await answer.body.dump();
+		return answer.statusCode === 200;
+	}
+
+	async waitForReady(host: EntryHost): Promise<void> {
+		await waitUntil('the host is ready', async () => this.isReady(host), startTimeoutMs);
+	}
+
+	/** The host that says that it leads. */
+	async findLeader(): Promise<EntryHost | undefined> {
+		for (const host of this.hosts) {
+			// eslint-disable-next-line no-await-in-loop
+			const text = await request(`http://${host.metrics}/metrics`).then(async answer => answer.body.text()).catch(() => '');
+			if (/^rhubarblever_leads 1$/m.test(text)) {
+				return host;
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Calls the jobs' interface of a host. */
+	async callJob(host: EntryHost, method: 'POST' | 'GET' | 'DELETE', id: string, shape: JobShape = [1]): Promise<JobCall> {
+		const steps = shape.map((count, step) => ({
+			count, cpu: standInTaskCpu, 'mem-mb': 10, 'estimate-ms': 300, ...(step > 0 && {'depends-on': [step - 1]}),
+		}));
+		const answer = await request(`http://${host.front}${standInQueue.pathPrefix}${id}`, {
+			method,
+			headers: {host: standInQueue.host, 'content-type': 'application/json'},
+			...(method === 'POST' && {body: JSON.stringify({spec: 'plan', steps})}),
+			signal: AbortSignal.timeout(callTimeoutMs),
+		});
+		return {status: answer.statusCode, ...await answer.body.json() as {state?: string}};
+	}
+
+	private async addHost(index: number): Promise<void> {
+		const addresses = {front: takeAddress(), ready: takeAddress(), metrics: takeAddress()};
+		const entrance = takeAddress();
+		await this.platform.openEntrance(entrance);
+		const settingsPath = path.join(this.folder, `front-${index}.json`);
+		writeFileSync(settingsPath, JSON.stringify(describeSettings(index, entrance, addresses)));
+		this.hosts.push({
+			...addresses, index, settingsPath, entrance, process: this.startProgram(index, settingsPath),
+		});
+	}
+}
+
+/** The id of a job by its number: ids are in no order, as callers choose them. */
+export function createJobId(number: number): string {
+	const mixed = BigInt.asUintN(64, BigInt(number + 1) * 0x9E_37_79_B9_7F_4A_7C_15n);
+	return mixed.toString(16).padStart(idDigits, '0');
+}
