--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -21,6 +21,7 @@
 export type {PlatformSettings} from './platform/settings.js';
 export type {TaskReport, WorkerReport} from './platform/workers.js';
 export * from './job-platform/job-platform.js';
+export {createPageLimits} from './job-platform/keyed-log.js';
 export type {ReadDelay, StoreRead} from './job-platform/read-delays.js';
 export {JobWorker} from './job-platform/job-worker.js';
 export type {RunObserver} from './job-platform/run-observer.js';
