--- a/packages/core/src/scheduler/events.ts
+++ b/packages/core/src/scheduler/events.ts
@@ -16,6 +16,11 @@
 
 export type LedgerEntry = {readonly offset: number; readonly record: LedgerRecord};
 
+/** All machines, or why they are not known: a page did not come, or something in it cannot be read. */
+export type MachineListing
+	= | {readonly type: 'listed'; readonly machines: readonly MachineEntry[]; readonly pages: number}
+		| {readonly type: 'unavailable'; readonly reason: string; readonly unreadableRows: number};
+
 type Timed = {readonly at: SteadyMs; readonly wallAt: Instant};
 
 export type SchedulerEvent = Timed & (
@@ -36,7 +41,7 @@
 		readonly clockMs: number | undefined; readonly answerBornAt: number | undefined; readonly running: readonly RunningRow[]; readonly ended: readonly EndedRow[];
 	}
 	| {readonly type: 'pace/ended'; readonly workerId: WorkerId; readonly task: TaskName; readonly run: number; readonly isDone: boolean}
-	| {readonly type: 'machines/listed'; readonly machines: readonly MachineEntry[] | undefined}
+	| {readonly type: 'machines/listed'; readonly listing: MachineListing}
 	| {readonly type: 'order/ended'; readonly machineId: MachineId; readonly outcome: OrderOutcome}
 	| {readonly type: 'wave/published'; readonly definition: WaveDefinition; readonly isCompleted: boolean}
 	| {readonly type: 'wave/reported'; readonly wave: WaveNumber; readonly isStored: boolean; readonly isCompleted: boolean}
--- a/packages/core/src/scheduler/machines.ts
+++ b/packages/core/src/scheduler/machines.ts
@@ -32,15 +32,18 @@
 /** Takes the list of machines over. */
 export function handleMachineList(state: SchedulerState, event: MachinesListed): void {
 	state.isListingMachines = false;
-	if (!event.machines) {
+	const {listing} = event;
+	if (listing.type !== 'listed') {
 		state.machinesDueAt = state.now + listRetryMs;
-		noteWarning(state, 'machines-not-listed', {ageMs: Math.round(state.now - state.machinesListedAt)});
+		noteWarning(state, 'machines-not-listed', {
+			ageMs: Math.round(state.now - state.machinesListedAt), reason: listing.reason, unreadableRows: listing.unreadableRows,
+		});
 		return;
 	}
 
 	state.machinesListedAt = state.now;
 	const listed = new Set<MachineId>();
-	for (const entry of event.machines) {
+	for (const entry of listing.machines) {
 		listed.add(entry.id);
 		updateMachine(state, entry);
 	}
--- a/packages/daemon/src/scheduler/effect-runner.ts
+++ b/packages/daemon/src/scheduler/effect-runner.ts
@@ -166,9 +166,9 @@
 
 	private async listMachines(): Promise<void> {
 		const startedAt = readSteadyClock();
-		const machines = await this.options.ports.machines.list();
-		this.noteOrder('list-machines', machines ? 'done' : 'failed', startedAt);
-		this.options.pushEvent({type: 'machines/listed', machines});
+		const listing = await this.options.ports.machines.list();
+		this.noteOrder('list-machines', listing.type === 'listed' ? 'done' : 'failed', startedAt);
+		this.options.pushEvent({type: 'machines/listed', listing});
 	}
 
 	private async order(machineId: string, name: string, send: () => Promise<Extract<SchedulerEvent, {type: 'order/ended'}>['outcome']>): Promise<void> {
--- a/packages/daemon/src/scheduler/ports.ts
+++ b/packages/daemon/src/scheduler/ports.ts
@@ -1,6 +1,6 @@
 /** What the scheduler's host needs of its surroundings. The platform's folder implements these. */
 import type {
-	EndedRow, FleetConfig, HoldOutcome, MachineEntry, OrderOutcome, RunningRow, SchedulerEffect, StartOutcome, StopOutcome, WaveDefinition, WorkerEntry,
+	EndedRow, FleetConfig, HoldOutcome, MachineListing, OrderOutcome, RunningRow, SchedulerEffect, StartOutcome, StopOutcome, WaveDefinition, WorkerEntry,
 } from '@rhubarblever/core/scheduler';
 
 /** A record of a keyed stream; without a value the key is removed. */
@@ -62,7 +62,8 @@
 
 /** Orders to the platform about machines. */
 export type MachineOrders = {
-	list(): Promise<readonly MachineEntry[] | undefined>;
+	/** All machines, each row read, or none. */
+	list(): Promise<MachineListing>;
 	move(order: EffectOf<'machine/move'>): Promise<OrderOutcome>;
 	startUpkeep(order: EffectOf<'machine/upkeep'>): Promise<OrderOutcome>;
 };
@@ -93,4 +94,4 @@
 	readonly feed: FeedDecoders;
 };
 
-export {type CommitOutcome} from '@rhubarblever/core/scheduler';
+export {type CommitOutcome, type MachineListing} from '@rhubarblever/core/scheduler';
