A list of machines is dated by its question, as are the orders that it may end

Seen in the audit: a list counted as of its arrival. Its pages take up to 1.5 s each, so one that was asked for before an upkeep, and came after the earliest possible return, ended the order: the next machine of the wave went down while the first still was. A list that an earlier lead of the same host had asked for let the new lead order machines. Now the event brings when the first page was asked for. An entry counts for a machine only if it was asked for after the outcome of its last order was known (orderEndedAt), and ends an order only if it was asked for when the machine may be back; answers to questions of an earlier lead are left out. Ruled out: waiting longer after an order, which only moves the bound.

--- a/packages/core/src/scheduler/events.ts
+++ b/packages/core/src/scheduler/events.ts
@@ -41,7 +41,8 @@
 		readonly clockMs: number | undefined; readonly answerBornAt: number | undefined; readonly running: readonly RunningRow[]; readonly ended: readonly EndedRow[];
 	}
 	| {readonly type: 'pace/ended'; readonly workerId: WorkerId; readonly task: TaskName; readonly run: number; readonly isDone: boolean}
-	| {readonly type: 'machines/listed'; readonly listing: MachineListing}
+	/** `askedAt`: when its first page was asked for; nothing in it is older. */
+	| {readonly type: 'machines/listed'; readonly listing: MachineListing; readonly askedAt: SteadyMs}
 	| {readonly type: 'order/ended'; readonly machineId: MachineId; readonly outcome: OrderOutcome}
 	| {readonly type: 'wave/published'; readonly definition: WaveDefinition; readonly isCompleted: boolean}
 	| {readonly type: 'wave/reported'; readonly wave: WaveNumber; readonly isStored: boolean; readonly isCompleted: boolean}
--- /dev/null
+++ b/packages/core/src/scheduler/machines.test.ts
@@ -0,0 +1,60 @@
+/** What the leader believes of machines: as of the question, and complete or not at all. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {createMachineEntry, createWorkerEntry, ModelLeader} from './testing/model-leader.js';
+
+const first = createMachineEntry('m1', {workerId: 'w1'});
+const second = createMachineEntry('m2', {workerId: 'w2'});
+const machineIds = ['m1', 'm2'];
+
+/** A leader of two machines, each with an empty worker that was looked at. */
+function createLeader(): ModelLeader {
+	const leader = ModelLeader.create();
+	leader.run(50);
+	leader.listMachines([first, second]);
+	leader.listWorkers(createWorkerEntry('w1', 'm1'), createWorkerEntry('w2', 'm2'));
+	leader.run(50);
+	return leader;
+}
+
+/** The same, with one machine in its upkeep. */
+function startUpkeep(): ModelLeader {
+	const leader = createLeader();
+	leader.publishWave({machineIds});
+	leader.run(200);
+	expect(leader.listOrdered()).toEqual(['m1']);
+	leader.endOrder(leader.orders[0], 'done');
+	leader.listWorkers(createWorkerEntry('w2', 'm2'));
+	return leader;
+}
+
+describe('a list of machines', () => {
+	it('that was asked for before an upkeep does not tell that the machine is back, however late it comes', () => {
+		const leader = startUpkeep();
+		const askedAt = leader.now - 10;
+		leader.run(2400);
+		leader.listMachines([first, second], askedAt);
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual(['m1']);
+		leader.listMachines([{...first, workerId: 'w3'}, second]);
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual(['m1', 'm2']);
+	});
+
+	it('that was asked for by an earlier lead does not let this one order machines', () => {
+		const leader = createLeader();
+		const askedAt = leader.now;
+		leader.run(500);
+		leader.push({type: 'commit/ended', outcome: 'fenced', sequence: 0});
+		leader.run(50);
+		leader.lead(5);
+		leader.publishWave({machineIds});
+		leader.run(10);
+		leader.listMachines([{...first, workerId: undefined}, {...second, workerId: undefined}], askedAt);
+		leader.run(500);
+		expect(leader.listOrdered()).toEqual([]);
+		leader.listMachines([{...first, workerId: undefined}, {...second, workerId: undefined}]);
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual(['m1']);
+	});
+});
--- a/packages/core/src/scheduler/machines.ts
+++ b/packages/core/src/scheduler/machines.ts
@@ -3,9 +3,11 @@
 import {unconfirmedOrderMs} from './timing.js';
 import type {SchedulerEvent} from './events.js';
 import type {
-	MachineEntry, MachineId, PoolName, WaveNumber,
+	MachineEntry, MachineId, PoolName, SteadyMs, WaveNumber,
 } from './types.js';
-import type {Machine, SchedulerState, Worker} from './state.js';
+import type {
+	Machine, MachineOrder, SchedulerSettings, SchedulerState, Worker,
+} from './state.js';
 
 type OrderEnded = Extract<SchedulerEvent, {type: 'order/ended'}>;
 type MachinesListed = Extract<SchedulerEvent, {type: 'machines/listed'}>;
@@ -29,23 +31,28 @@
 	addEffect(state, {type: 'machines/list'});
 }
 
-/** Takes the list of machines over. */
+/** Takes the list of machines over. It tells how things stood when it was asked for, not when it came. */
 export function handleMachineList(state: SchedulerState, event: MachinesListed): void {
+	const {leadership} = state;
+	if (leadership.role !== 'leader' || event.askedAt < leadership.leadsSince) {
+		return;
+	}
+
 	state.isListingMachines = false;
-	const {listing} = event;
+	const {listing, askedAt} = event;
 	if (listing.type !== 'listed') {
 		state.machinesDueAt = state.now + listRetryMs;
 		noteWarning(state, 'machines-not-listed', {
-			ageMs: Math.round(state.now - state.machinesListedAt), reason: listing.reason, unreadableRows: listing.unreadableRows,
+			ageMs: Math.round(state.now - state.machinesAskedAt), reason: listing.reason, unreadableRows: listing.unreadableRows,
 		});
 		return;
 	}
 
-	state.machinesListedAt = state.now;
+	state.machinesAskedAt = askedAt;
 	const listed = new Set<MachineId>();
 	for (const entry of listing.machines) {
 		listed.add(entry.id);
-		updateMachine(state, entry);
+		updateMachine(state, entry, askedAt);
 	}
 
 	for (const id of state.machines.keys()) {
@@ -58,24 +65,39 @@
 	state.machinesDueAt = state.now + (isBusy ? listPauseInOrderMs : listPauseMs);
 }
 
-function updateMachine(state: SchedulerState, entry: MachineEntry): void {
+function updateMachine(state: SchedulerState, entry: MachineEntry, askedAt: SteadyMs): void {
 	const machine = state.machines.get(entry.id);
 	if (!machine) {
 		state.machines.set(entry.id, {
-			entry, order: undefined, drainsFor: undefined, notBefore: getFirstOrderAt(state, entry.id),
+			entry, order: undefined, orderEndedAt: 0, drainsFor: undefined, notBefore: getFirstOrderAt(state, entry.id),
 		});
 		return;
 	}
 
+	if (!isToldOf(machine, askedAt)) {
+		return;
+	}
+
 	machine.entry = entry;
-	const {order} = machine;
-	const backMs = order?.type === 'move' ? state.settings.moveMs : state.settings.upkeepMs;
-	const isBack = order?.confirmedAt !== undefined && state.now > order.confirmedAt + backMs + returnSlackMs && entry.state === 'up';
-	if (isBack) {
+	if (entry.state === 'up' && askedAt >= getReturnAt(state, machine)) {
 		machine.order = undefined;
 	}
 }
 
+/** True if a list that was asked for at some instant tells of a machine as its last order left it. */
+function isToldOf({order, orderEndedAt}: Machine, askedAt: SteadyMs): boolean {
+	return (order === undefined || order.confirmedAt !== undefined) && askedAt > orderEndedAt;
+}
+
+/** When a machine may be back from its order; the order is in force until a list asked for later shows the machine up. */
+function getReturnAt({settings}: SchedulerState, {order, orderEndedAt}: Machine): SteadyMs {
+	return orderEndedAt + (order === undefined ? 0 : getDownMs(settings, order));
+}
+
+function getDownMs({moveMs, upkeepMs}: SchedulerSettings, order: MachineOrder): number {
+	return order.type === 'move' ? moveMs : upkeepMs;
+}
+
 /** The worker of a machine, if one is known. */
 export function findWorker(state: SchedulerState, machine: Machine): Worker | undefined {
 	const byId = machine.entry.workerId === undefined ? undefined : state.workers.get(machine.entry.workerId);
@@ -96,7 +118,7 @@
 export function canOrder(state: SchedulerState): boolean {
 	const {leadership} = state;
 	return leadership.role === 'leader' && !state.isStopping && state.now - leadership.confirmedAt < unconfirmedOrderMs
-		&& state.machinesListedAt > leadership.leadsSince;
+		&& state.machinesAskedAt >= leadership.leadsSince;
 }
 
 /** Two leaders do not order one machine within the order lease. */
@@ -204,8 +226,8 @@
 	}
 
 	order.confirmedAt = state.now;
-	const backMs = order.type === 'move' ? state.settings.moveMs : state.settings.upkeepMs;
-	state.machinesDueAt = Math.min(state.machinesDueAt, state.now + backMs + returnSlackMs);
+	machine.orderEndedAt = state.now;
+	state.machinesDueAt = Math.min(state.machinesDueAt, getReturnAt(state, machine) + returnSlackMs);
 	if (order.type === 'upkeep') {
 		state.waves.get(order.wave)?.doneMachines.add(machine.entry.id);
 		state.areWavesDirty = true;
@@ -245,6 +267,7 @@
 	}
 
 	machine.order = undefined;
+	machine.orderEndedAt = state.now;
 	machine.notBefore = state.now + busyPauseMs;
 	state.machinesDueAt = state.now;
 }
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -230,6 +230,8 @@
 export type Machine = {
 	entry: MachineEntry;
 	order: MachineOrder | undefined;
+	/** When the outcome of its last order was known; lists asked for before say nothing of the machine. */
+	orderEndedAt: SteadyMs;
 	/** The wave for which the machine is emptied. */
 	drainsFor: WaveNumber | undefined;
 	/** No order before this. */
@@ -292,7 +294,8 @@
 	/** Machines that this leader ordered lately, and when. */
 	readonly ownOrders: Map<MachineId, SteadyMs>;
 	areOrdersDirty: boolean;
-	machinesListedAt: SteadyMs;
+	/** When the latest list of machines was asked for. */
+	machinesAskedAt: SteadyMs;
 	machinesDueAt: SteadyMs;
 	isListingMachines: boolean;
 	readonly waves: Map<WaveNumber, Wave>;
@@ -338,7 +341,7 @@
 		storedOrders: new Set(),
 		ownOrders: new Map(),
 		areOrdersDirty: false,
-		machinesListedAt: 0,
+		machinesAskedAt: 0,
 		machinesDueAt: 0,
 		isListingMachines: false,
 		waves: new Map(),
--- /dev/null
+++ b/packages/core/src/scheduler/testing/model-leader.ts
@@ -0,0 +1,199 @@
+/** One leading host for tests about machines: the store and the workers answer at once, the platform as the test says. */
+import type {Instant} from '../../types/time.js';
+import type {LogFields, SchedulerEffect} from '../effects.js';
+import type {MachineListing, OrderOutcome, SchedulerEvent} from '../events.js';
+import {reduceScheduler} from '../reduce.js';
+import {createSchedulerState, type SchedulerState} from '../state.js';
+import type {
+	FleetConfig, MachineEntry, RunningRow, WaveDefinition, WorkerEntry,
+} from '../types.js';
+import {modelConfig, poolName} from './model-fleet.js';
+import {modelSettings} from './model-settings.js';
+
+const stepMs = 5;
+const tickMs = 25;
+const answerMs = 5;
+const wallStart = 1_800_000_000_000;
+const firstAt = 1000;
+
+export const sparePoolName = 'spare';
+
+const config: FleetConfig = {
+	...modelConfig, pools: [...modelConfig.pools, {
+		name: sparePoolName, isSpare: true, maxConnections: 1, healthPath: '/', hasAdmissionCheck: true,
+	}],
+};
+
+const capacity = {cpu: 8000, memoryMb: 100_000, gpu: 0};
+
+/** A machine that is up in the model's pool; `changes` replaces single fields. */
+export function createMachineEntry(id: string, changes: Partial<MachineEntry> = {}): MachineEntry {
+	return {
+		id, pool: poolName, state: 'up', availabilityZone: 'a', labels: [], capacity, workerId: undefined, ...changes,
+	};
+}
+
+/** A worker on a machine. */
+export function createWorkerEntry(id: string, machineId: string): WorkerEntry {
+	return {
+		id, bornAt: 1, address: id, pool: poolName, availabilityZone: 'a', capacity, labels: ['a', 'r-1'], isDraining: false, remainingMs: undefined, machineId,
+	};
+}
+
+export type MachineOrderEffect = Extract<SchedulerEffect, {type: 'machine/move' | 'machine/upkeep'}>;
+type EventBody = SchedulerEvent extends infer Event ? (Event extends SchedulerEvent ? Omit<Event, 'at' | 'wallAt'> : never) : never;
+type Due = {readonly at: number; readonly body: EventBody};
+
+export class ModelLeader {
+	/** Leads from `now` on. */
+	static create(): ModelLeader {
+		return new ModelLeader();
+	}
+
+	readonly state: SchedulerState = createSchedulerState(modelSettings);
+	/** Orders that left for the platform, and reports of waves. */
+	readonly orders: MachineOrderEffect[] = [];
+	readonly reports: Array<Extract<SchedulerEffect, {type: 'wave/report'}>> = [];
+	readonly logs: Array<{readonly event: string; readonly fields: LogFields}> = [];
+	/** Runs at each worker. */
+	readonly running = new Map<string, RunningRow[]>();
+	/** Looks that each worker has answered. */
+	readonly looks = new Map<string, number>();
+	readonly silentWorkers = new Set<string>();
+	isStoreSilent = false;
+	now = firstAt;
+	private dues: Due[] = [];
+	private nextTickAt = firstAt;
+
+	private constructor() {
+		this.push({type: 'config/read', config});
+		this.lead(0);
+	}
+
+	/** Takes the lead, again if it was lost. */
+	lead(claimedAt: number): void {
+		this.state.leadership.hasLedger = true;
+		this.state.leadership.role = 'claiming';
+		this.push({type: 'claim/ended', outcome: 'granted', claimedAt});
+	}
+
+	push(body: EventBody): void {
+		for (const effect of reduceScheduler(this.state, createEvent(body, this.now))) {
+			this.takeEffect(effect);
+		}
+	}
+
+	run(forMs: number): void {
+		const end = this.now + forMs;
+		while (this.now < end) {
+			this.now += stepMs;
+			const due = this.dues.filter(({at}) => at <= this.now);
+			this.dues = this.dues.filter(({at}) => at > this.now);
+			for (const {body} of due) {
+				this.push(body);
+			}
+
+			if (this.now >= this.nextTickAt) {
+				this.nextTickAt = this.now + tickMs;
+				this.push({type: 'clock/ticked'});
+			}
+		}
+	}
+
+	/** The list of machines comes, as asked for at some instant. */
+	listMachines(machines: readonly MachineEntry[], askedAt = this.now): void {
+		const listing: MachineListing = {type: 'listed', machines, pages: 1};
+		this.push({type: 'machines/listed', listing, askedAt});
+	}
+
+	listWorkers(...workers: readonly WorkerEntry[]): void {
+		this.push({type: 'workers/listed', workers, isReloaded: false});
+	}
+
+	publishWave(changes: Partial<WaveDefinition>): void {
+		this.push({
+			type: 'wave/published', isCompleted: false, definition: {
+				wave: 7, machineIds: [], deadlineS: 20, maxDown: 1, ...changes,
+			},
+		});
+	}
+
+	/** Machines that were ordered so far. */
+	listOrdered(): string[] {
+		return this.orders.map(({machineId}) => machineId);
+	}
+
+	endOrder(order: MachineOrderEffect | undefined, outcome: OrderOutcome): void {
+		if (!order) {
+			throw new Error('no such order');
+		}
+
+		this.push({type: 'order/ended', machineId: order.machineId, outcome});
+	}
+
+	findLogs(name: string): LogFields[] {
+		return this.logs.filter(({event}) => event === name).map(({fields}) => fields);
+	}
+
+	private answer(body: EventBody): void {
+		this.dues.push({at: this.now + answerMs, body});
+	}
+
+	private takeEffect(effect: SchedulerEffect): void {
+		// eslint-disable-next-line @typescript-eslint/switch-exhaustiveness-check
+		switch (effect.type) {
+			case 'ledger/commit': {
+				this.answer({type: 'commit/ended', outcome: this.isStoreSilent ? 'unknown' : 'stored', sequence: effect.sequence});
+				break;
+			}
+
+			case 'worker/start': {
+				const {worker, task, run} = effect;
+				this.running.set(worker.id, [...this.running.get(worker.id) ?? [], {
+					task, run, checkpoint: '', percent: 1, reading: 0,
+				}]);
+				this.answer({
+					type: 'start/ended', workerId: worker.id, bornAt: worker.bornAt, task, run, outcome: 'started', clockMs: this.now,
+				});
+				break;
+			}
+
+			case 'worker/hold': {
+				this.answerHold(effect);
+				break;
+			}
+
+			case 'machine/move':
+			case 'machine/upkeep': {
+				this.orders.push(effect);
+				break;
+			}
+
+			case 'wave/report': {
+				this.reports.push(effect);
+				break;
+			}
+
+			case 'log': {
+				this.logs.push(effect);
+				break;
+			}
+
+			default: {
+				break;
+			}
+		}
+	}
+
+	private answerHold({worker, isExtra}: Extract<SchedulerEffect, {type: 'worker/hold'}>): void {
+		const isSilent = this.silentWorkers.has(worker.id);
+		this.looks.set(worker.id, (this.looks.get(worker.id) ?? 0) + (isSilent ? 0 : 1));
+		this.answer({
+			type: 'hold/ended', workerId: worker.id, bornAt: worker.bornAt, outcome: isSilent ? 'unknown' : 'held', sentAt: this.now, isExtra, clockMs: this.now, answerBornAt: worker.bornAt, running: this.running.get(worker.id) ?? [], ended: [],
+		});
+	}
+}
+
+function createEvent(body: EventBody, at: number): SchedulerEvent {
+	return {...body, at, wallAt: (wallStart + at) as Instant} as SchedulerEvent;
+}
--- a/packages/daemon/src/scheduler/effect-runner.ts
+++ b/packages/daemon/src/scheduler/effect-runner.ts
@@ -165,10 +165,10 @@
 	}
 
 	private async listMachines(): Promise<void> {
-		const startedAt = readSteadyClock();
+		const askedAt = readSteadyClock();
 		const listing = await this.options.ports.machines.list();
-		this.noteOrder('list-machines', listing.type === 'listed' ? 'done' : 'failed', startedAt);
-		this.options.pushEvent({type: 'machines/listed', listing});
+		this.noteOrder('list-machines', listing.type === 'listed' ? 'done' : 'failed', askedAt);
+		this.options.pushEvent({type: 'machines/listed', listing, askedAt});
 	}
 
 	private async order(machineId: string, name: string, send: () => Promise<Extract<SchedulerEvent, {type: 'order/ended'}>['outcome']>): Promise<void> {
