A machine that a list lacks keeps its order, and counts as down

Seen in the audit: what a list did not name was deleted with its order. With a cap of one, a list without the machine in its upkeep sent the next one down 24 ms later (rule on the cap of a wave). Now absence is a state with a date: the machine keeps its order, takes no new one and counts as down for its wave; it is forgotten after a second list in a row that lacks it, asked for when it should be back from its order. Pools count it as away at once, as before, unless it is on its way to one. Logs: machine-absent {machineId, order}, machine-gone.

--- a/packages/core/src/scheduler/machines.test.ts
+++ b/packages/core/src/scheduler/machines.test.ts
@@ -58,3 +58,43 @@
 		expect(leader.listOrdered()).toEqual(['m1']);
 	});
 });
+
+describe('a machine that a list lacks', () => {
+	it('keeps its order and counts as down: no other one of its wave goes down beyond the cap', () => {
+		const leader = startUpkeep();
+		for (let count = 0; count < 4; count++) {
+			leader.run(300);
+			leader.listMachines([second]);
+		}
+
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual(['m1']);
+		expect(leader.findLogs('machine-absent')).toEqual([{machineId: 'm1', order: 'upkeep'}]);
+		leader.listMachines([{...first, state: 'upkeep', workerId: undefined}, second]);
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual(['m1']);
+	});
+
+	it('is gone after two lists in a row, asked for when it should be back', () => {
+		const leader = startUpkeep();
+		leader.run(2000);
+		leader.listMachines([second]);
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual(['m1']);
+		leader.listMachines([second]);
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual(['m1', 'm2']);
+	});
+
+	it('gets no order, and counts as down even without one', () => {
+		const leader = createLeader();
+		leader.listMachines([second]);
+		leader.publishWave({machineIds, maxDown: 1});
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual([]);
+		leader.listMachines([first, second]);
+		leader.run(200);
+		// The machine that was emptied meanwhile.
+		expect(leader.listOrdered()).toEqual(['m2']);
+	});
+});
--- a/packages/core/src/scheduler/machines.ts
+++ b/packages/core/src/scheduler/machines.ts
@@ -55,21 +55,41 @@
 		updateMachine(state, entry, askedAt);
 	}
 
-	for (const id of state.machines.keys()) {
-		if (!listed.has(id)) {
-			state.machines.delete(id);
+	for (const machine of state.machines.values()) {
+		if (!listed.has(machine.entry.id)) {
+			noteAbsence(state, machine, askedAt);
 		}
 	}
 
-	const isBusy = [...state.machines.values()].some(({order, entry}) => order !== undefined || entry.state === 'upkeep' || entry.state === 'moving');
-	state.machinesDueAt = state.now + (isBusy ? listPauseInOrderMs : listPauseMs);
+	state.machinesDueAt = state.now + ([...state.machines.values()].some(isUnsettled) ? listPauseInOrderMs : listPauseMs);
+}
+
+/** On its way, or possibly gone: the next list is wanted soon. */
+function isUnsettled({order, entry, absentSince}: Machine): boolean {
+	return order !== undefined || entry.state === 'upkeep' || entry.state === 'moving' || absentSince !== undefined;
+}
+
+/** A machine is gone once two lists in a row lack it, the second of them asked for when it should be back from its order. */
+function noteAbsence(state: SchedulerState, machine: Machine, askedAt: SteadyMs): void {
+	if (!isToldOf(machine, askedAt)) {
+		return;
+	}
+
+	const {entry: {id}, order} = machine;
+	if (machine.absentSince === undefined) {
+		machine.absentSince = askedAt;
+		noteWarning(state, 'machine-absent', {machineId: id, order: order?.type ?? 'none'});
+	} else if (askedAt >= getReturnAt(state, machine)) {
+		state.machines.delete(id);
+		noteDecision(state, 'machine-gone', {machineId: id, order: order?.type ?? 'none', absentMs: Math.round(state.now - machine.absentSince)});
+	}
 }
 
 function updateMachine(state: SchedulerState, entry: MachineEntry, askedAt: SteadyMs): void {
 	const machine = state.machines.get(entry.id);
 	if (!machine) {
 		state.machines.set(entry.id, {
-			entry, order: undefined, orderEndedAt: 0, drainsFor: undefined, notBefore: getFirstOrderAt(state, entry.id),
+			entry, order: undefined, absentSince: undefined, orderEndedAt: 0, drainsFor: undefined, notBefore: getFirstOrderAt(state, entry.id),
 		});
 		return;
 	}
@@ -79,6 +99,7 @@
 	}
 
 	machine.entry = entry;
+	machine.absentSince = undefined;
 	if (entry.state === 'up' && askedAt >= getReturnAt(state, machine)) {
 		machine.order = undefined;
 	}
@@ -186,6 +207,11 @@
 		});
 }
 
+/** True if a machine was up when it was last asked about, and is free to take an order. */
+export function isFree(state: SchedulerState, {order, entry, absentSince, notBefore}: Machine): boolean {
+	return order === undefined && entry.state === 'up' && absentSince === undefined && notBefore <= state.now;
+}
+
 /** Repeats orders whose outcome is not known. */
 export function tickOrders(state: SchedulerState): void {
 	if (!canOrder(state)) {
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -1,7 +1,9 @@
 /** Machines follow demand: pools whose turn it is get machines, first spare ones, and idle ones go to the spare pool. */
 import {getDemand, updateDemand} from './demand.js';
 import {noteDecision} from './logging.js';
-import {canOrder, findWorker, orderMove} from './machines.js';
+import {
+	canOrder, findWorker, isFree, orderMove,
+} from './machines.js';
 import {noResources} from './resources.js';
 import type {PoolName} from './types.js';
 import type {Machine, SchedulerState} from './state.js';
@@ -46,9 +48,9 @@
 	}
 }
 
-/** Down, or in its upkeep: of no use to its pool for now. */
-function isAway({entry, order}: Machine): boolean {
-	return entry.state === 'down' || order?.type === 'upkeep';
+/** Down, in its upkeep, or not listed: of no use to its pool for now. */
+function isAway({entry, order, absentSince}: Machine): boolean {
+	return entry.state === 'down' || order?.type === 'upkeep' || (absentSince !== undefined && order === undefined);
 }
 
 type PoolView = {
@@ -120,7 +122,7 @@
 }
 
 function isMovable(state: SchedulerState, machine: Machine): boolean {
-	return machine.order === undefined && machine.entry.state === 'up' && machine.drainsFor === undefined && machine.notBefore <= state.now;
+	return isFree(state, machine) && machine.drainsFor === undefined;
 }
 
 /** Brings machines, spare ones first, then idle ones of pools that have more than they need. */
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -230,6 +230,8 @@
 export type Machine = {
 	entry: MachineEntry;
 	order: MachineOrder | undefined;
+	/** When the first list that lacks it was asked for; undefined while it is listed. */
+	absentSince: SteadyMs | undefined;
 	/** When the outcome of its last order was known; lists asked for before say nothing of the machine. */
 	orderEndedAt: SteadyMs;
 	/** The wave for which the machine is emptied. */
--- a/packages/core/src/scheduler/waves.test.ts
+++ b/packages/core/src/scheduler/waves.test.ts
@@ -48,7 +48,7 @@
 		return {
 			entry: {
 				id: 'm', pool: 'p', state, availabilityZone: 'a', labels: [], capacity: {cpu: 1, memoryMb: 1, gpu: 0}, workerId: undefined,
-			}, order: undefined, orderEndedAt: 0, drainsFor: undefined, notBefore: 0, ...changes,
+			}, order: undefined, absentSince: undefined, orderEndedAt: 0, drainsFor: undefined, notBefore: 0, ...changes,
 		};
 	}
 
--- a/packages/core/src/scheduler/waves.ts
+++ b/packages/core/src/scheduler/waves.ts
@@ -1,6 +1,6 @@
 /** Maintenance waves: machines are emptied and sent into their upkeep, never more at once than allowed. */
 import {
-	canOrder, findWorker, orderUpkeep,
+	canOrder, findWorker, isFree, orderUpkeep,
 } from './machines.js';
 import {getDemand} from './demand.js';
 import {addEffect, noteDecision} from './logging.js';
@@ -93,7 +93,7 @@
 	let room = Math.min(definition.maxDown, computePace(state, wave, open.length)) - down;
 	let draining = open.filter(machine => machine.drainsFor === definition.wave).length;
 	for (const machine of sortByLoad(state, open)) {
-		if (machine.order !== undefined || machine.entry.state !== 'up' || machine.notBefore > state.now) {
+		if (!isFree(state, machine)) {
 			continue;
 		}
 
@@ -123,9 +123,10 @@
 	return leftMs > 0 ? Math.ceil(open * (state.settings.upkeepMs + emptyingMs) / leftMs) : definition.maxDown;
 }
 
-/** Down for its upkeep, or possibly: an earlier leader may have sent it there just before this one took the lead. */
+/** Down for its upkeep, or possibly: it is not listed, or an earlier leader may have sent it there just before this one took the lead. */
 export function isDown(state: SchedulerState, machine: Machine | undefined): boolean {
-	return machine !== undefined && (machine.order?.type === 'upkeep' || machine.entry.state === 'upkeep' || machine.notBefore > state.now);
+	return machine !== undefined
+		&& (machine.order?.type === 'upkeep' || machine.entry.state === 'upkeep' || machine.absentSince !== undefined || machine.notBefore > state.now);
 }
 
 /** Order of machines in a wave, in thousandths of a core: those under way, then those of pools that lack none, then those with few long-running tasks. */
