A wave is completed by machines that are done, or gone from two lists in a row

Seen in the audit: a machine that was not on the latest list counted as done. Now each machine is done, or gone: two lists in a row, both asked for after the wave was read and in this lead, lack it, and it has no order left. Until then a machine that is not listed counts as down, and the next list is asked for as soon as when a machine is on its way. The status 'completed' is written once the append that carries the completion is stored: the wave remembers its token and sequence, and appends go one after the other. wave-completed tells done, absent, the first absent machines and the age of the list.

--- a/packages/core/src/scheduler/machines.ts
+++ b/packages/core/src/scheduler/machines.ts
@@ -48,6 +48,7 @@
 		return;
 	}
 
+	state.machinesFormerlyAskedAt = state.machinesAskedAt;
 	state.machinesAskedAt = askedAt;
 	const listed = new Set<MachineId>();
 	for (const entry of listing.machines) {
@@ -69,6 +70,16 @@
 	return order !== undefined || entry.state === 'upkeep' || entry.state === 'moving' || absentSince !== undefined;
 }
 
+/** True if two lists in a row, asked for in this lead and after some instant, lack a machine: the latest one and the one before it. */
+export function isGone(state: SchedulerState, id: MachineId, since: SteadyMs): boolean {
+	return !state.machines.has(id) && state.machinesFormerlyAskedAt >= Math.max(since, state.leadership.leadsSince);
+}
+
+/** Asks for the next list soon, as when a machine is on its way. */
+export function requestList(state: SchedulerState): void {
+	state.machinesDueAt = Math.min(state.machinesDueAt, state.machinesAskedAt + listPauseInOrderMs);
+}
+
 /** A machine is gone once two lists in a row lack it, the second of them asked for when it should be back from its order. */
 function noteAbsence(state: SchedulerState, machine: Machine, askedAt: SteadyMs): void {
 	if (!isToldOf(machine, askedAt)) {
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -245,6 +245,8 @@
 	readonly doneMachines: Set<MachineId>;
 	readonly readAt: SteadyMs;
 	isCompleted: boolean;
+	/** The append to the ledger that tells of the completion; callers are told once it is stored. */
+	storedBy: {readonly token: FencingToken; readonly sequence: number} | undefined;
 	reported: 'none' | 'running' | 'completed';
 	reportDueAt: SteadyMs;
 };
@@ -296,8 +298,9 @@
 	/** Machines that this leader ordered lately, and when. */
 	readonly ownOrders: Map<MachineId, SteadyMs>;
 	areOrdersDirty: boolean;
-	/** When the latest list of machines was asked for. */
+	/** When the latest list of machines was asked for, and the one before it. */
 	machinesAskedAt: SteadyMs;
+	machinesFormerlyAskedAt: SteadyMs;
 	machinesDueAt: SteadyMs;
 	isListingMachines: boolean;
 	readonly waves: Map<WaveNumber, Wave>;
@@ -344,6 +347,7 @@
 		ownOrders: new Map(),
 		areOrdersDirty: false,
 		machinesAskedAt: 0,
+		machinesFormerlyAskedAt: 0,
 		machinesDueAt: 0,
 		isListingMachines: false,
 		waves: new Map(),
--- a/packages/core/src/scheduler/waves.test.ts
+++ b/packages/core/src/scheduler/waves.test.ts
@@ -3,6 +3,7 @@
 import {expect} from 'earl';
 import {getDemand} from './demand.js';
 import {createSchedulerState, type Machine, type Wave} from './state.js';
+import {createMachineEntry, createWorkerEntry, ModelLeader} from './testing/model-leader.js';
 import {modelSettings} from './testing/model-settings.js';
 import {computePace, isDown} from './waves.js';
 
@@ -17,7 +18,7 @@
 	return {
 		definition: {
 			wave: 1, machineIds: Array.from({length: machines}, (_, index) => `m-${index}`), deadlineS, maxDown,
-		}, doneMachines: new Set(), readAt: 0, isCompleted: false, reported: 'none', reportDueAt: 0,
+		}, doneMachines: new Set(), readAt: 0, isCompleted: false, storedBy: undefined, reported: 'none', reportDueAt: 0,
 	};
 }
 
@@ -60,3 +61,65 @@
 		expect(isDown(state, createMachine({notBefore: 2000}))).toEqual(true);
 	});
 });
+
+describe('a wave is completed', () => {
+	const first = createMachineEntry('m1', {workerId: 'w1'});
+	const joined = createMachineEntry('m2');
+	const machineIds = ['m2'];
+
+	function createLeader(): ModelLeader {
+		const leader = ModelLeader.create();
+		leader.run(50);
+		leader.listMachines([first]);
+		leader.listWorkers(createWorkerEntry('w1', 'm1'));
+		leader.run(50);
+		return leader;
+	}
+
+	it('not because its machine joined after the latest list', () => {
+		const leader = createLeader();
+		leader.publishWave({machineIds});
+		leader.run(200);
+		expect(leader.findLogs('wave-completed')).toEqual([]);
+		leader.listMachines([first, joined]);
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual(['m2']);
+	});
+
+	it('not by one list without its machines, nor by one that was asked for before the wave was read', () => {
+		const leader = createLeader();
+		const askedAt = leader.now;
+		leader.run(10);
+		leader.publishWave({machineIds});
+		leader.listMachines([first], askedAt);
+		leader.run(200);
+		leader.listMachines([first]);
+		leader.run(200);
+		expect(leader.findLogs('wave-completed')).toEqual([]);
+		leader.listMachines([first]);
+		leader.run(50);
+		expect(leader.findLogs('wave-completed')).toEqual([expect.subset({done: 0, absent: 1, absentMachines: 'm2'})]);
+	});
+
+	it('not because an empty list came', () => {
+		const leader = createLeader();
+		leader.publishWave({machineIds: ['m1']});
+		leader.listMachines([]);
+		leader.run(200);
+		expect(leader.findLogs('wave-completed')).toEqual([]);
+	});
+
+	it('and its status says so only when the ledger has stored it', () => {
+		const leader = createLeader();
+		leader.publishWave({machineIds});
+		leader.isStoreSilent = true;
+		leader.listMachines([first]);
+		leader.listMachines([first]);
+		leader.run(400);
+		expect(leader.findLogs('wave-completed').length).toEqual(1);
+		expect(leader.reports.filter(({isCompleted}) => isCompleted)).toEqual([]);
+		leader.isStoreSilent = false;
+		leader.run(700);
+		expect(leader.reports.at(-1)).toEqual({type: 'wave/report', wave: 7, isCompleted: true});
+	});
+});
--- a/packages/core/src/scheduler/waves.ts
+++ b/packages/core/src/scheduler/waves.ts
@@ -1,6 +1,6 @@
 /** Maintenance waves: machines are emptied and sent into their upkeep, never more at once than allowed. */
 import {
-	canOrder, findWorker, isFree, orderUpkeep,
+	canOrder, findWorker, isFree, isGone, orderUpkeep, requestList,
 } from './machines.js';
 import {getDemand} from './demand.js';
 import {addEffect, noteDecision} from './logging.js';
@@ -25,6 +25,8 @@
 const lastCallMs = 7000;
 /** Emptying a machine, and its return, take about this long beside the upkeep itself. */
 const emptyingMs = 1500;
+/** Absent machines that a log line names. */
+const namedMost = 10;
 /** How long the wish for a replacement holds without being renewed. */
 const replacementMs = 1000;
 
@@ -36,7 +38,7 @@
 	}
 
 	const wave: Wave = {
-		definition, doneMachines: new Set(state.storedWaves.get(definition.wave)), readAt: state.now, isCompleted: event.isCompleted, reported: event.isCompleted ? 'completed' : 'none', reportDueAt: 0,
+		definition, doneMachines: new Set(state.storedWaves.get(definition.wave)), readAt: state.now, isCompleted: event.isCompleted, storedBy: undefined, reported: event.isCompleted ? 'completed' : 'none', reportDueAt: 0,
 	};
 	state.waves.set(definition.wave, wave);
 	noteDecision(state, 'wave-read', {
@@ -55,15 +57,34 @@
 			advanceWave(state, wave);
 		}
 
-		reportWave(state, wave);
+		if (wave.reported !== 'completed') {
+			storeCompletion(state, wave);
+			reportWave(state, wave);
+		}
+	}
+}
+
+/** The completion of a wave goes to the ledger with the next append, once in each lead. */
+function storeCompletion(state: SchedulerState, wave: Wave): void {
+	const {token, nextSequence} = state.leadership;
+	if (wave.isCompleted && wave.storedBy?.token !== token) {
+		wave.storedBy = {token, sequence: nextSequence};
+		state.areWavesDirty = true;
 	}
 }
 
+/** Appends are stored one after the other: one that was sent and is not on its way any more is stored. */
+function isStored({leadership}: SchedulerState, {storedBy}: Wave): boolean {
+	return storedBy !== undefined && storedBy.token === leadership.token
+		&& storedBy.sequence < leadership.nextSequence && storedBy.sequence !== leadership.commit?.sequence;
+}
+
 function reportWave(state: SchedulerState, wave: Wave): void {
-	const wanted = wave.isCompleted ? 'completed' : 'running';
+	const isCompleted = isStored(state, wave);
+	const wanted = isCompleted ? 'completed' : 'running';
 	if (wave.reported !== wanted && state.now >= wave.reportDueAt) {
 		wave.reportDueAt = state.now + reportRetryMs;
-		addEffect(state, {type: 'wave/report', wave: wave.definition.wave, isCompleted: wave.isCompleted});
+		addEffect(state, {type: 'wave/report', wave: wave.definition.wave, isCompleted});
 	}
 }
 
@@ -81,16 +102,21 @@
 	}
 
 	const {definition} = wave;
-	const open = definition.machineIds.filter(id => !wave.doneMachines.has(id)).map(id => state.machines.get(id)).filter(machine => machine !== undefined);
-	const down = definition.machineIds.filter(id => isDown(state, state.machines.get(id))).length;
-	if (open.length === 0 && down === 0) {
-		wave.isCompleted = true;
-		noteDecision(state, 'wave-completed', {wave: definition.wave, tookMs: Math.round(state.now - wave.readAt)});
+	const present = definition.machineIds.filter(id => !isGone(state, id, wave.readAt));
+	const openIds = present.filter(id => !wave.doneMachines.has(id));
+	const open = openIds.map(id => state.machines.get(id)).filter(machine => machine !== undefined);
+	const down = present.filter(id => isDown(state, state.machines.get(id))).length;
+	if (openIds.length === 0 && down === 0) {
+		endWave(state, wave);
 		return;
 	}
 
+	if (present.some(id => !state.machines.has(id))) {
+		requestList(state);
+	}
+
 	const isDue = state.now > wave.readAt + (definition.deadlineS * millisecondsPerSecond) - lastCallMs;
-	let room = Math.min(definition.maxDown, computePace(state, wave, open.length)) - down;
+	let room = Math.min(definition.maxDown, computePace(state, wave, openIds.length)) - down;
 	let draining = open.filter(machine => machine.drainsFor === definition.wave).length;
 	for (const machine of sortByLoad(state, open)) {
 		if (!isFree(state, machine)) {
@@ -109,6 +135,20 @@
 	}
 }
 
+function endWave(state: SchedulerState, wave: Wave): void {
+	const {definition, doneMachines} = wave;
+	const absent = definition.machineIds.filter(id => !doneMachines.has(id));
+	wave.isCompleted = true;
+	noteDecision(state, 'wave-completed', {
+		wave: definition.wave,
+		tookMs: Math.round(state.now - wave.readAt),
+		done: definition.machineIds.length - absent.length,
+		absent: absent.length,
+		absentMachines: absent.slice(0, namedMost).join(' '),
+		listAgeMs: Math.round(state.now - state.machinesAskedAt),
+	});
+}
+
 /**
  * How many machines of a wave may be down now. Upkeep takes machines from pools, so that while a pool lacks some
  * only as many are down as the wave needs to be in time; else as many as it allows.
@@ -125,8 +165,8 @@
 
 /** Down for its upkeep, or possibly: it is not listed, or an earlier leader may have sent it there just before this one took the lead. */
 export function isDown(state: SchedulerState, machine: Machine | undefined): boolean {
-	return machine !== undefined
-		&& (machine.order?.type === 'upkeep' || machine.entry.state === 'upkeep' || machine.absentSince !== undefined || machine.notBefore > state.now);
+	return machine === undefined || machine.order?.type === 'upkeep' || machine.entry.state === 'upkeep'
+		|| machine.absentSince !== undefined || machine.notBefore > state.now;
 }
 
 /** Order of machines in a wave, in thousandths of a core: those under way, then those of pools that lack none, then those with few long-running tasks. */
