A machine is ordered only once its workers were looked at and found empty

Now every order, also from the spare pool, begins with a reservation: its workers (those that the entry names, or that name the machine) get no work and are looked at anew; the order is stored and sent once each look has found nothing, or the worker does not answer and no lease is in force there. A machine without a known worker is empty if its entry, which is never older than its last order, names none; a worker that only the entry names may run what an earlier leader started until those leases are over. A reservation that finds no empty machine is dropped (machine-order-dropped). Until the outcome of an order is known, workers that the machine comes back with get no work; if one has some nevertheless, the order is given up instead of repeated. When the order is confirmed only the processes that it was decided for count as ended, and one that a later list still names lives. Cost: one more look a machine order, and its time.

--- a/packages/core/src/scheduler/machines.test.ts
+++ b/packages/core/src/scheduler/machines.test.ts
@@ -1,7 +1,10 @@
 /** What the leader believes of machines: as of the question, and complete or not at all. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {createMachineEntry, createWorkerEntry, ModelLeader} from './testing/model-leader.js';
+import {createJob, createStep} from './testing/model-fleet.js';
+import {
+	createMachineEntry, createWorkerEntry, ModelLeader, sparePoolName,
+} from './testing/model-leader.js';
 
 const first = createMachineEntry('m1', {workerId: 'w1'});
 const second = createMachineEntry('m2', {workerId: 'w2'});
@@ -98,3 +101,95 @@
 		expect(leader.listOrdered()).toEqual(['m2']);
 	});
 });
+
+describe('a machine is ordered only if it is empty', () => {
+	it('so a list that still calls it spare does not send it away from the work of its worker', () => {
+		const leader = createLeader();
+		leader.listMachines([first, {...second, pool: sparePoolName}]);
+		leader.push({type: 'intake/read', records: [{type: 'job', job: createJob(1, [createStep({count: 16, estimateMs: 5000})])}]});
+		leader.run(3000);
+		expect(leader.running.get('w2')?.length).toEqual(4);
+		expect(leader.listOrdered()).toEqual([]);
+	});
+
+	it('so a worker that only the list knows must be looked at first', () => {
+		const leader = ModelLeader.create();
+		leader.run(50);
+		leader.listMachines([first]);
+		leader.publishWave({machineIds: ['m1']});
+		leader.run(500);
+		expect(leader.listOrdered()).toEqual([]);
+		leader.listWorkers(createWorkerEntry('w1', 'm1'));
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual(['m1']);
+	});
+
+	it('so a look since the decision must find nothing', () => {
+		const leader = createLeader();
+		leader.silentWorkers.add('w1');
+		leader.publishWave({machineIds: ['m1']});
+		leader.run(500);
+		expect(leader.listOrdered()).toEqual([]);
+		leader.running.set('w1', [{
+			task: 'unknown', run: 1, checkpoint: '', percent: 1, reading: 0,
+		}]);
+		leader.silentWorkers.delete('w1');
+		leader.run(1000);
+		expect(leader.listOrdered()).toEqual([]);
+		leader.running.delete('w1');
+		leader.run(4000);
+		expect(leader.listOrdered()).toEqual(['m1']);
+	});
+
+	it('or silent, and no lease is in force there', () => {
+		const leader = createLeader();
+		leader.silentWorkers.add('w1');
+		leader.publishWave({machineIds: ['m1']});
+		leader.run(14_000);
+		expect(leader.listOrdered()).toEqual(['m1']);
+	});
+
+	it('and not while a new process of its worker has work, when the order is to be repeated', () => {
+		const leader = createLeader();
+		leader.publishWave({machineIds: ['m1']});
+		// The starts leave just before the next look at the orders.
+		leader.run(210);
+		leader.push({type: 'intake/read', records: [{type: 'job', job: createJob(1, [createStep({count: 8, estimateMs: 5000})])}]});
+		leader.listWorkers({...createWorkerEntry('w1', 'm1'), bornAt: 2}, createWorkerEntry('w2', 'm2'));
+		leader.run(20);
+		expect(leader.running.get('w1')?.length).toEqual(4);
+		leader.endOrder(leader.orders[0], 'unknown');
+		leader.run(1000);
+		expect(leader.listOrdered()).toEqual(['m1']);
+		expect(leader.findLogs('machine-order-dropped')).toEqual([{machineId: 'm1', order: 'upkeep', tasks: 4}]);
+	});
+
+	it('so a worker that it comes back with gets no work before the outcome of the order is known, and then does', () => {
+		const leader = createLeader();
+		leader.publishWave({machineIds: ['m1']});
+		leader.run(200);
+		leader.listWorkers(createWorkerEntry('w3', 'm1'), createWorkerEntry('w2', 'm2'));
+		leader.run(100);
+		leader.push({type: 'intake/read', records: [{type: 'job', job: createJob(1, [createStep({count: 8, estimateMs: 5000})])}]});
+		leader.run(100);
+		leader.endOrder(leader.orders[0], 'unknown');
+		leader.run(500);
+		expect(leader.listOrdered()).toEqual(['m1', 'm1']);
+		expect(leader.running.get('w3')).toEqual(undefined);
+		leader.endOrder(leader.orders[1], 'done');
+		leader.run(200);
+		expect(leader.running.get('w3')?.length).toEqual(4);
+	});
+
+	it('and a worker that is still there after its order had been carried out before is used again', () => {
+		const leader = createLeader();
+		leader.publishWave({machineIds: ['m1']});
+		leader.run(200);
+		leader.endOrder(leader.orders[0], 'done');
+		leader.run(100);
+		leader.listMachines([first, second]);
+		leader.listWorkers(createWorkerEntry('w1', 'm1'), createWorkerEntry('w2', 'm2'));
+		leader.run(200);
+		expect(leader.state.workers.get('w1')?.isListed).toEqual(true);
+	});
+});
--- a/packages/core/src/scheduler/machines.ts
+++ b/packages/core/src/scheduler/machines.ts
@@ -1,6 +1,6 @@
 /** The machines behind the workers, and the orders to them: one order at a time, repeated until its outcome is known. */
 import {addEffect, noteDecision, noteWarning} from './logging.js';
-import {unconfirmedOrderMs} from './timing.js';
+import {unconfirmedLimitMs, unconfirmedOrderMs, workerLeaseMs} from './timing.js';
 import type {SchedulerEvent} from './events.js';
 import type {
 	MachineEntry, MachineId, PoolName, SteadyMs, WaveNumber,
@@ -18,6 +18,8 @@
 const listRetryMs = 500;
 const orderRetryMs = 300;
 const busyPauseMs = 1500;
+/** An order whose workers are not found empty by then is dropped. */
+const reserveMs = 2000;
 /** A machine is back this much later than announced at the most. */
 const returnSlackMs = 300;
 
@@ -111,14 +113,19 @@
 
 	machine.entry = entry;
 	machine.absentSince = undefined;
-	if (entry.state === 'up' && askedAt >= getReturnAt(state, machine)) {
+	if (entry.state === 'up' && entry.workerId !== undefined) {
+		// The order was carried out before this process came: it lives.
+		state.endedWorkers.delete(entry.workerId);
+	}
+
+	if (machine.order?.confirmedAt !== undefined && entry.state === 'up' && askedAt >= getReturnAt(state, machine)) {
 		machine.order = undefined;
 	}
 }
 
 /** True if a list that was asked for at some instant tells of a machine as its last order left it. */
 function isToldOf({order, orderEndedAt}: Machine, askedAt: SteadyMs): boolean {
-	return (order === undefined || order.confirmedAt !== undefined) && askedAt > orderEndedAt;
+	return (order === undefined || order.isReserving || order.confirmedAt !== undefined) && askedAt > orderEndedAt;
 }
 
 /** When a machine may be back from its order; the order is in force until a list asked for later shows the machine up. */
@@ -136,6 +143,17 @@
 	return byId ?? findWorkerOfMachine(state, machine.entry.id);
 }
 
+/** All workers that may be at work on a machine: its entry or theirs may be out of date. */
+function listWorkers(state: SchedulerState, {entry}: Machine): Worker[] {
+	return [...state.workers.values()].filter(worker => worker.id === entry.workerId || (worker.machineId === entry.id && (worker.isListed || worker.tasks.size > 0)));
+}
+
+/** True if no worker of a machine is known; one that only its entry names may still run what an earlier leader started. */
+export function hasNoWorker(state: SchedulerState, machine: Machine): boolean {
+	return findWorker(state, machine) === undefined
+		&& (machine.entry.workerId === undefined || state.now > state.leadership.leadsSince + unconfirmedLimitMs + workerLeaseMs);
+}
+
 function findWorkerOfMachine(state: SchedulerState, id: MachineId): Worker | undefined {
 	for (const worker of state.workers.values()) {
 		if (worker.machineId === id && worker.isListed) {
@@ -161,19 +179,70 @@
 /** Sends a machine, whose worker is empty, to another pool. */
 export function orderMove(state: SchedulerState, machine: Machine, pool: PoolName): void {
 	noteDecision(state, 'machine-move', {machineId: machine.entry.id, from: machine.entry.pool, to: pool});
-	machine.order = {
-		type: 'move', pool, wave: 0, isInFlight: false, retryAt: state.now, confirmedAt: undefined,
-	};
-	storeOrder(state, machine);
+	reserveMachine(state, machine, {type: 'move', pool, wave: 0});
 }
 
 /** Sends a machine, whose worker is empty, into its upkeep. */
 export function orderUpkeep(state: SchedulerState, machine: Machine, wave: WaveNumber): void {
 	noteDecision(state, 'upkeep-ordered', {machineId: machine.entry.id, wave});
+	reserveMachine(state, machine, {type: 'upkeep', pool: machine.entry.pool, wave});
+}
+
+/** An order begins with a look at the machine's workers, which get no work from here on. */
+function reserveMachine(state: SchedulerState, machine: Machine, order: Pick<MachineOrder, 'type' | 'pool' | 'wave'>): void {
 	machine.order = {
-		type: 'upkeep', pool: machine.entry.pool, wave, isInFlight: false, retryAt: state.now, confirmedAt: undefined,
+		...order, isReserving: true, reservedUntil: state.now + reserveMs, lookedAt: new Set(), isInFlight: false, retryAt: state.now, confirmedAt: undefined,
 	};
-	storeOrder(state, machine);
+	advanceReservation(state, machine, machine.order);
+}
+
+function advanceReservation(state: SchedulerState, machine: Machine, order: MachineOrder): void {
+	const workers = listWorkers(state, machine);
+	if (state.now > order.reservedUntil || machine.entry.state !== 'up' || machine.absentSince !== undefined) {
+		abandonOrder(state, machine);
+		return;
+	}
+
+	for (const worker of workers) {
+		worker.isReserved = true;
+		requestLook(order, worker);
+	}
+
+	const isEmpty = workers.length === 0 ? hasNoWorker(state, machine) : workers.every(worker => isEmptied(state, order, worker));
+	if (isEmpty) {
+		order.isReserving = false;
+		storeOrder(state, machine);
+	}
+}
+
+/** Its fence is to be confirmed by a look that is sent from now on. */
+function requestLook(order: MachineOrder, worker: Worker): void {
+	if (!worker.isHeld && !order.lookedAt.has(worker.id)) {
+		order.lookedAt.add(worker.id);
+		worker.isFenced = false;
+	}
+}
+
+/** Nothing runs at a worker: a look since the reservation says so, or it does not answer and no lease is in force there. */
+function isEmptied(state: SchedulerState, order: MachineOrder, worker: Worker): boolean {
+	if (isWorking(worker) || !order.lookedAt.has(worker.id)) {
+		return false;
+	}
+
+	const isSilent = worker.misses > 0 || !worker.isListed;
+	return worker.isFenced || (isSilent && state.now > worker.leaseEndsAt);
+}
+
+/** True if something runs at a worker, or its ends are not all stored and acknowledged. */
+export function isWorking({tasks, strangers, readEnd, ackedEnd}: Worker): boolean {
+	return tasks.size > 0 || strangers.size > 0 || readEnd !== ackedEnd;
+}
+
+/** Gives an order up: it was not sent yet, or its machine has work again. */
+function abandonOrder(state: SchedulerState, machine: Machine): void {
+	const tasks = listWorkers(state, machine).reduce((sum, worker) => sum + worker.tasks.size, 0);
+	noteDecision(state, 'machine-order-dropped', {machineId: machine.entry.id, order: machine.order?.type, tasks});
+	dropOrder(state, machine);
 }
 
 /** The next leader must know of the order before the platform does. */
@@ -202,7 +271,13 @@
 /** Sends an order to the platform. */
 export function sendOrder(state: SchedulerState, machine: Machine): void {
 	const {order} = machine;
-	if (!order) {
+	if (!order || order.isReserving) {
+		return;
+	}
+
+	if (listWorkers(state, machine).some(({tasks}) => tasks.size > 0)) {
+		// A new process on the machine has been given work since.
+		abandonOrder(state, machine);
 		return;
 	}
 
@@ -231,12 +306,25 @@
 
 	for (const machine of state.machines.values()) {
 		const {order} = machine;
-		if (order && !order.isInFlight && order.confirmedAt === undefined && state.now >= order.retryAt) {
-			sendOrder(state, machine);
+		if (order?.isReserving) {
+			advanceReservation(state, machine, order);
+		} else if (order && order.confirmedAt === undefined) {
+			keepOrder(state, machine, order);
 		}
 	}
 }
 
+/** Until the outcome is known, workers that the machine comes back with get no work: the order may yet be carried out. */
+function keepOrder(state: SchedulerState, machine: Machine, order: MachineOrder): void {
+	for (const worker of listWorkers(state, machine)) {
+		worker.isReserved = true;
+	}
+
+	if (!order.isInFlight && state.now >= order.retryAt) {
+		sendOrder(state, machine);
+	}
+}
+
 /** Handles the outcome of an order. */
 export function handleOrder(state: SchedulerState, event: OrderEnded): void {
 	const machine = state.machines.get(event.machineId);
@@ -270,36 +358,28 @@
 		state.areWavesDirty = true;
 	}
 
+	releaseWorkers(state, machine, order);
 	machine.drainsFor = undefined;
 	machine.entry = {
 		...machine.entry, pool: order.pool, state: order.type === 'move' ? 'moving' : 'upkeep', workerId: undefined,
 	};
-	// Its worker's process has ended with the order.
-	releaseWorker(state, findFormerWorker(state, machine.entry.id));
 }
 
-function findFormerWorker(state: SchedulerState, machineId: MachineId): Worker | undefined {
-	for (const worker of state.workers.values()) {
-		if (worker.isReserved && worker.machineId === machineId) {
-			return worker;
+/** The processes that the order was decided for have ended with it; others of the machine are those it came back with. */
+function releaseWorkers(state: SchedulerState, machine: Machine, order: MachineOrder): void {
+	for (const worker of listWorkers(state, machine)) {
+		worker.isReserved = false;
+		if (order.lookedAt.has(worker.id)) {
+			worker.isListed = false;
+			worker.leaseEndsAt = 0;
+			state.workers.delete(worker.id);
+			state.endedWorkers.set(worker.id, worker.bornAt);
 		}
 	}
-
-	return undefined;
-}
-
-function releaseWorker(state: SchedulerState, worker: Worker | undefined): void {
-	if (worker) {
-		worker.isListed = false;
-		worker.leaseEndsAt = 0;
-		state.workers.delete(worker.id);
-		state.endedWorkers.set(worker.id, worker.bornAt);
-	}
 }
 
 function dropOrder(state: SchedulerState, machine: Machine): void {
-	const worker = findWorker(state, machine);
-	if (worker) {
+	for (const worker of listWorkers(state, machine)) {
 		worker.isReserved = false;
 	}
 
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -2,7 +2,7 @@
 import {getDemand, updateDemand} from './demand.js';
 import {noteDecision} from './logging.js';
 import {
-	canOrder, findWorker, isFree, orderMove,
+	canOrder, findWorker, hasNoWorker, isFree, isWorking, orderMove,
 } from './machines.js';
 import {noResources} from './resources.js';
 import type {PoolName} from './types.js';
@@ -134,7 +134,9 @@
 	const movable = [...state.machines.values()].filter(machine =>
 		isMovable(state, machine) && machine.entry.pool !== pool.name && !silentZones.has(machine.entry.availabilityZone));
 	for (const machine of movable.filter(({entry}) => entry.pool === spare)) {
-		moveFor(state, machine, pool);
+		if (hasNoWorker(state, machine) || isIdle(state, machine, 0)) {
+			moveFor(state, machine, pool);
+		}
 	}
 
 	for (const machine of movable.filter(({entry}) => entry.pool !== spare)) {
@@ -158,8 +160,8 @@
 
 function isIdle(state: SchedulerState, machine: Machine, sinceMs: number): boolean {
 	const worker = findWorker(state, machine);
-	return worker !== undefined && worker.isListed && worker.isFenced && !worker.isDraining && worker.tasks.size === 0 && worker.strangers.size === 0
-		&& worker.readEnd === worker.ackedEnd && state.now - worker.idleSince >= sinceMs;
+	return worker !== undefined && worker.isListed && worker.isFenced && !worker.isDraining && !isWorking(worker)
+		&& state.now - worker.idleSince >= sinceMs;
 }
 
 function releaseIdle(state: SchedulerState, pool: PoolView, spare: PoolName): void {
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -221,6 +221,11 @@
 	readonly type: 'move' | 'upkeep';
 	readonly pool: PoolName;
 	readonly wave: WaveNumber;
+	/** Not sent or stored yet: first its workers are looked at, and found empty, since it was decided. */
+	isReserving: boolean;
+	readonly reservedUntil: SteadyMs;
+	/** Workers that a look was asked for since. */
+	readonly lookedAt: Set<WorkerId>;
 	isInFlight: boolean;
 	retryAt: SteadyMs;
 	/** The platform confirmed it; the machine is back some time later. */
--- a/packages/core/src/scheduler/waves.ts
+++ b/packages/core/src/scheduler/waves.ts
@@ -1,6 +1,6 @@
 /** Maintenance waves: machines are emptied and sent into their upkeep, never more at once than allowed. */
 import {
-	canOrder, findWorker, isFree, isGone, orderUpkeep, requestList,
+	canOrder, findWorker, hasNoWorker, isFree, isGone, isWorking, orderUpkeep, requestList,
 } from './machines.js';
 import {getDemand} from './demand.js';
 import {addEffect, noteDecision} from './logging.js';
@@ -189,7 +189,7 @@
 function drainMachine(state: SchedulerState, machine: Machine, isDue: boolean): boolean {
 	const worker = findWorker(state, machine);
 	if (!worker) {
-		return true;
+		return hasNoWorker(state, machine);
 	}
 
 	worker.isReserved = true;
@@ -200,7 +200,7 @@
 		}
 	}
 
-	return worker.tasks.size === 0 && worker.strangers.size === 0 && worker.readEnd === worker.ackedEnd;
+	return !isWorking(worker);
 }
 
 /** True if stopping a long-running task leaves enough of its step at work. */
