Machine orders carry a number that their answers bring back

Seen in the audit: the event that ends an order named only the machine. After a lead that was lost and taken again within an order's time, the answer to the former order confirmed the present one, so that a machine counted as done for its wave without it. Now orders are numbered over all leads of a process, an answer with another number confirms nothing (machine-order-late), and the date is that of the last send.

--- a/packages/core/src/scheduler/effects.ts
+++ b/packages/core/src/scheduler/effects.ts
@@ -6,6 +6,9 @@
 /** Where an order goes: one life of one worker. */
 export type WorkerTarget = {readonly id: WorkerId; readonly bornAt: number; readonly address: string};
 
+/** Tells the orders of one process apart; an answer brings back the one of its order. */
+export type OrderNumber = number & {readonly __name?: 'OrderNumber'};
+
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
 export type SchedulerEffect
@@ -29,8 +32,8 @@
 			readonly percent: number; readonly token: FencingToken;
 		}
 		| {readonly type: 'machines/list'}
-		| {readonly type: 'machine/move'; readonly machineId: MachineId; readonly pool: PoolName; readonly token: FencingToken}
-		| {readonly type: 'machine/upkeep'; readonly machineId: MachineId; readonly wave: WaveNumber; readonly token: FencingToken}
+		| {readonly type: 'machine/move'; readonly order: OrderNumber; readonly machineId: MachineId; readonly pool: PoolName; readonly token: FencingToken}
+		| {readonly type: 'machine/upkeep'; readonly order: OrderNumber; readonly machineId: MachineId; readonly wave: WaveNumber; readonly token: FencingToken}
 		| {readonly type: 'wave/report'; readonly wave: WaveNumber; readonly isCompleted: boolean}
 		| {readonly type: 'advice/ask'; readonly step: string; readonly workerIds: readonly WorkerId[]}
 		| {readonly type: 'intake/remove'; readonly jobIds: readonly string[]}
--- a/packages/core/src/scheduler/events.ts
+++ b/packages/core/src/scheduler/events.ts
@@ -1,5 +1,6 @@
 /** What happens to the scheduler. Each event brings the instants at which it happened. */
 import type {Instant} from '../types/time.js';
+import type {OrderNumber} from './effects.js';
 import type {
 	EndedRow, FleetConfig, IntakeRecord, LedgerRecord, MachineEntry, MachineId, RunningRow, SteadyMs, TaskName, WaveDefinition, WaveNumber, WorkerEntry, WorkerId,
 } from './types.js';
@@ -43,7 +44,7 @@
 	| {readonly type: 'pace/ended'; readonly workerId: WorkerId; readonly task: TaskName; readonly run: number; readonly isDone: boolean}
 	/** `askedAt`: when its first page was asked for; nothing in it is older. */
 	| {readonly type: 'machines/listed'; readonly listing: MachineListing; readonly askedAt: SteadyMs}
-	| {readonly type: 'order/ended'; readonly machineId: MachineId; readonly outcome: OrderOutcome}
+	| {readonly type: 'order/ended'; readonly order: OrderNumber; readonly machineId: MachineId; readonly outcome: OrderOutcome}
 	| {readonly type: 'wave/published'; readonly definition: WaveDefinition; readonly isCompleted: boolean}
 	| {readonly type: 'wave/reported'; readonly wave: WaveNumber; readonly isStored: boolean; readonly isCompleted: boolean}
 	| {
--- a/packages/core/src/scheduler/machines.test.ts
+++ b/packages/core/src/scheduler/machines.test.ts
@@ -1,6 +1,7 @@
 /** What the leader believes of machines: as of the question, and complete or not at all. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import {listRecentOrders} from './machines.js';
 import {createJob, createStep} from './testing/model-fleet.js';
 import {
 	createMachineEntry, createWorkerEntry, ModelLeader, sparePoolName,
@@ -193,3 +194,39 @@
 		expect(leader.state.workers.get('w1')?.isListed).toEqual(true);
 	});
 });
+
+describe('an answer to an order', () => {
+	it('that an earlier lead gave does not confirm the present one of the same machine', () => {
+		const leader = createLeader();
+		leader.publishWave({machineIds: ['m1']});
+		leader.run(200);
+		leader.push({type: 'commit/ended', outcome: 'fenced', sequence: 0});
+		leader.run(50);
+		leader.lead(5);
+		leader.run(50);
+		leader.listWorkers(createWorkerEntry('w1', 'm1'));
+		leader.listMachines([first, second]);
+		leader.run(4000);
+		expect(leader.listOrdered()).toEqual(['m1', 'm1']);
+		leader.endOrder(leader.orders[0], 'done');
+		expect([...leader.state.waves.get(7)?.doneMachines ?? []]).toEqual([]);
+		leader.endOrder(leader.orders[1], 'done');
+		expect([...leader.state.waves.get(7)?.doneMachines ?? []]).toEqual(['m1']);
+	});
+
+	it('that comes after repeats keeps the next leader away for as long as after the last of them', () => {
+		const leader = createLeader();
+		leader.publishWave({machineIds: ['m1']});
+		leader.run(200);
+		for (let count = 0; count < 10; count++) {
+			leader.endOrder(leader.orders.at(-1), 'unknown');
+			leader.run(400);
+		}
+
+		leader.endOrder(leader.orders.at(-1), 'done');
+		leader.run(1000);
+		expect(listRecentOrders(leader.state)).toEqual(['m1']);
+		leader.run(3000);
+		expect(listRecentOrders(leader.state)).toEqual([]);
+	});
+});
--- a/packages/core/src/scheduler/machines.ts
+++ b/packages/core/src/scheduler/machines.ts
@@ -191,7 +191,7 @@
 /** An order begins with a look at the machine's workers, which get no work from here on. */
 function reserveMachine(state: SchedulerState, machine: Machine, order: Pick<MachineOrder, 'type' | 'pool' | 'wave'>): void {
 	machine.order = {
-		...order, isReserving: true, reservedUntil: state.now + reserveMs, lookedAt: new Set(), isInFlight: false, retryAt: state.now, confirmedAt: undefined,
+		...order, number: state.nextOrderNumber++, isReserving: true, reservedUntil: state.now + reserveMs, lookedAt: new Set(), isInFlight: false, retryAt: state.now, confirmedAt: undefined,
 	};
 	advanceReservation(state, machine, machine.order);
 }
@@ -284,12 +284,13 @@
 	order.isInFlight = true;
 	const {token} = state.leadership;
 	const machineId = machine.entry.id;
+	state.ownOrders.set(machineId, state.now);
 	addEffect(state, order.type === 'move'
 		? {
-			type: 'machine/move', machineId, pool: order.pool, token,
+			type: 'machine/move', order: order.number, machineId, pool: order.pool, token,
 		}
 		: {
-			type: 'machine/upkeep', machineId, wave: order.wave, token,
+			type: 'machine/upkeep', order: order.number, machineId, wave: order.wave, token,
 		});
 }
 
@@ -329,7 +330,9 @@
 export function handleOrder(state: SchedulerState, event: OrderEnded): void {
 	const machine = state.machines.get(event.machineId);
 	const order = machine?.order;
-	if (!machine || !order) {
+	if (!machine || order?.number !== event.order) {
+		// It tells of an order that is not in force any more.
+		noteDecision(state, 'machine-order-late', {machineId: event.machineId, outcome: event.outcome});
 		return;
 	}
 
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -1,7 +1,7 @@
 /** State of the scheduler on one entry host. */
 import type {JobId} from '../types/ids.js';
 import type {Instant} from '../types/time.js';
-import type {SchedulerEffect} from './effects.js';
+import type {OrderNumber, SchedulerEffect} from './effects.js';
 import type {
 	FencingToken,
 	FleetConfig,
@@ -218,6 +218,7 @@
 };
 
 export type MachineOrder = {
+	readonly number: OrderNumber;
 	readonly type: 'move' | 'upkeep';
 	readonly pool: PoolName;
 	readonly wave: WaveNumber;
@@ -300,9 +301,11 @@
 	readonly machines: Map<MachineId, Machine>;
 	/** Machines that an earlier leader ordered lately. */
 	storedOrders: ReadonlySet<MachineId>;
-	/** Machines that this leader ordered lately, and when. */
+	/** Machines that this leader ordered lately, and when it last sent the order. */
 	readonly ownOrders: Map<MachineId, SteadyMs>;
 	areOrdersDirty: boolean;
+	/** Rises over all leads of this process. */
+	nextOrderNumber: OrderNumber;
 	/** When the latest list of machines was asked for, and the one before it. */
 	machinesAskedAt: SteadyMs;
 	machinesFormerlyAskedAt: SteadyMs;
@@ -351,6 +354,7 @@
 		storedOrders: new Set(),
 		ownOrders: new Map(),
 		areOrdersDirty: false,
+		nextOrderNumber: 1,
 		machinesAskedAt: 0,
 		machinesFormerlyAskedAt: 0,
 		machinesDueAt: 0,
--- a/packages/core/src/scheduler/testing/model-leader.ts
+++ b/packages/core/src/scheduler/testing/model-leader.ts
@@ -128,7 +128,9 @@
 			throw new Error('no such order');
 		}
 
-		this.push({type: 'order/ended', machineId: order.machineId, outcome});
+		this.push({
+			type: 'order/ended', order: order.order, machineId: order.machineId, outcome,
+		});
 	}
 
 	findLogs(name: string): LogFields[] {
--- a/packages/daemon/src/scheduler/effect-runner.ts
+++ b/packages/daemon/src/scheduler/effect-runner.ts
@@ -65,10 +65,10 @@
 			void this.listMachines();
 		},
 		'machine/move': effect => {
-			void this.order(effect.machineId, 'move', async () => this.options.ports.machines.move(effect));
+			void this.order(effect, 'move', async () => this.options.ports.machines.move(effect));
 		},
 		'machine/upkeep': effect => {
-			void this.order(effect.machineId, 'upkeep', async () => this.options.ports.machines.startUpkeep(effect));
+			void this.order(effect, 'upkeep', async () => this.options.ports.machines.startUpkeep(effect));
 		},
 		'wave/report': effect => {
 			void this.reportWave(effect);
@@ -171,11 +171,13 @@
 		this.options.pushEvent({type: 'machines/listed', listing, askedAt});
 	}
 
-	private async order(machineId: string, name: string, send: () => Promise<Extract<SchedulerEvent, {type: 'order/ended'}>['outcome']>): Promise<void> {
+	private async order({order, machineId}: Extract<SchedulerEffect, {type: 'machine/move' | 'machine/upkeep'}>, name: string, send: () => Promise<Extract<SchedulerEvent, {type: 'order/ended'}>['outcome']>): Promise<void> {
 		const startedAt = readSteadyClock();
 		const outcome = await send();
 		this.noteOrder(name, outcome, startedAt);
-		this.options.pushEvent({type: 'order/ended', machineId, outcome});
+		this.options.pushEvent({
+			type: 'order/ended', order, machineId, outcome,
+		});
 	}
 
 	private async reportWave({wave, isCompleted}: Extract<SchedulerEffect, {type: 'wave/report'}>): Promise<void> {
