Logs tell of lists of machines, as of when and how long they took

machines-listed {machines, pages, askedAgoMs, tookMs}, only when a list names other machines than the one before or took over 500 ms. machine-absent came with the absence itself. Red first, on the commit before, machines.test.ts (1 of 15 fails): tells of those that name other machines or took long: The value [] is not equal to [{ 4 entries }] No decision has changed.

--- a/packages/core/src/scheduler/events.ts
+++ b/packages/core/src/scheduler/events.ts
@@ -43,7 +43,7 @@
 	}
 	| {readonly type: 'pace/ended'; readonly workerId: WorkerId; readonly task: TaskName; readonly run: number; readonly isDone: boolean}
 	/** `askedAt`: when its first page was asked for; nothing in it is older. */
-	| {readonly type: 'machines/listed'; readonly listing: MachineListing; readonly askedAt: SteadyMs}
+	| {readonly type: 'machines/listed'; readonly listing: MachineListing; readonly askedAt: SteadyMs; readonly tookMs: number}
 	| {readonly type: 'order/ended'; readonly order: OrderNumber; readonly machineId: MachineId; readonly outcome: OrderOutcome}
 	| {readonly type: 'wave/published'; readonly definition: WaveDefinition; readonly isCompleted: boolean}
 	| {readonly type: 'wave/reported'; readonly wave: WaveNumber; readonly isStored: boolean; readonly isCompleted: boolean}
--- a/packages/core/src/scheduler/machines.test.ts
+++ b/packages/core/src/scheduler/machines.test.ts
@@ -51,7 +51,7 @@
 		leader.run(500);
 		leader.push({type: 'commit/ended', outcome: 'fenced', sequence: 0});
 		leader.run(50);
-		leader.lead(5);
+		leader.takeLead(5);
 		leader.publishWave({machineIds});
 		leader.run(10);
 		leader.listMachines([{...first, workerId: undefined}, {...second, workerId: undefined}], askedAt);
@@ -63,6 +63,25 @@
 	});
 });
 
+describe('the log of lists', () => {
+	it('tells of those that name other machines or took long, and of no other', () => {
+		const leader = createLeader();
+		const list = {
+			machines: 2, pages: 1, askedAgoMs: 0, tookMs: 5,
+		};
+		expect(leader.findLogs('machines-listed')).toEqual([list]);
+		for (let count = 0; count < 5; count++) {
+			leader.listMachines([first, {...second, state: 'down'}]);
+		}
+
+		expect(leader.findLogs('machines-listed')).toEqual([list]);
+		leader.run(2000);
+		leader.listMachines([first, second], leader.now - 800, 790);
+		leader.listMachines([first]);
+		expect(leader.findLogs('machines-listed')).toEqual([list, {...list, askedAgoMs: 800, tookMs: 790}, {...list, machines: 1}]);
+	});
+});
+
 describe('a machine that a list lacks', () => {
 	it('keeps its order and counts as down: no other one of its wave goes down beyond the cap', () => {
 		const leader = startUpkeep();
@@ -202,7 +221,7 @@
 		leader.run(200);
 		leader.push({type: 'commit/ended', outcome: 'fenced', sequence: 0});
 		leader.run(50);
-		leader.lead(5);
+		leader.takeLead(5);
 		leader.run(50);
 		leader.listWorkers(createWorkerEntry('w1', 'm1'));
 		leader.listMachines([first, second]);
--- a/packages/core/src/scheduler/machines.ts
+++ b/packages/core/src/scheduler/machines.ts
@@ -16,6 +16,8 @@
 /** The list is read more often while machines are on their way. */
 const listPauseInOrderMs = 500;
 const listRetryMs = 500;
+/** A list that took longer is told of. */
+const slowListMs = 500;
 const orderRetryMs = 300;
 const busyPauseMs = 1500;
 /** An order whose workers are not found empty by then is dropped. */
@@ -52,9 +54,10 @@
 
 	state.machinesFormerlyAskedAt = state.machinesAskedAt;
 	state.machinesAskedAt = askedAt;
-	const listed = new Set<MachineId>();
+	const listed = new Set(listing.machines.map(({id}) => id));
+	const formerly = new Set([...state.machines.values()].filter(({absentSince}) => absentSince === undefined).map(({entry}) => entry.id));
+	const isChanged = listed.size !== formerly.size || [...listed].some(id => !formerly.has(id));
 	for (const entry of listing.machines) {
-		listed.add(entry.id);
 		updateMachine(state, entry, askedAt);
 	}
 
@@ -64,7 +67,13 @@
 		}
 	}
 
-	state.machinesDueAt = state.now + ([...state.machines.values()].some(isUnsettled) ? listPauseInOrderMs : listPauseMs);
+	if (isChanged || event.tookMs > slowListMs) {
+		noteDecision(state, 'machines-listed', {
+			machines: listed.size, pages: listing.pages, askedAgoMs: Math.round(state.now - askedAt), tookMs: Math.round(event.tookMs),
+		});
+	}
+
+	state.machinesDueAt = state.now + ([...state.machines.values()].some(machine => isUnsettled(machine)) ? listPauseInOrderMs : listPauseMs);
 }
 
 /** On its way, or possibly gone: the next list is wanted soon. */
@@ -199,7 +208,7 @@
 function advanceReservation(state: SchedulerState, machine: Machine, order: MachineOrder): void {
 	const workers = listWorkers(state, machine);
 	if (state.now > order.reservedUntil || machine.entry.state !== 'up' || machine.absentSince !== undefined) {
-		abandonOrder(state, machine);
+		cancelOrder(state, machine);
 		return;
 	}
 
@@ -239,7 +248,7 @@
 }
 
 /** Gives an order up: it was not sent yet, or its machine has work again. */
-function abandonOrder(state: SchedulerState, machine: Machine): void {
+function cancelOrder(state: SchedulerState, machine: Machine): void {
 	const tasks = listWorkers(state, machine).reduce((sum, worker) => sum + worker.tasks.size, 0);
 	noteDecision(state, 'machine-order-dropped', {machineId: machine.entry.id, order: machine.order?.type, tasks});
 	dropOrder(state, machine);
@@ -277,7 +286,7 @@
 
 	if (listWorkers(state, machine).some(({tasks}) => tasks.size > 0)) {
 		// A new process on the machine has been given work since.
-		abandonOrder(state, machine);
+		cancelOrder(state, machine);
 		return;
 	}
 
--- a/packages/core/src/scheduler/testing/model-leader.ts
+++ b/packages/core/src/scheduler/testing/model-leader.ts
@@ -67,11 +67,11 @@
 
 	private constructor() {
 		this.push({type: 'config/read', config});
-		this.lead(0);
+		this.takeLead(0);
 	}
 
 	/** Takes the lead, again if it was lost. */
-	lead(claimedAt: number): void {
+	takeLead(claimedAt: number): void {
 		this.state.leadership.hasLedger = true;
 		this.state.leadership.role = 'claiming';
 		this.push({type: 'claim/ended', outcome: 'granted', claimedAt});
@@ -101,9 +101,11 @@
 	}
 
 	/** The list of machines comes, as asked for at some instant. */
-	listMachines(machines: readonly MachineEntry[], askedAt = this.now): void {
+	listMachines(machines: readonly MachineEntry[], askedAt = this.now, tookMs = 5): void {
 		const listing: MachineListing = {type: 'listed', machines, pages: 1};
-		this.push({type: 'machines/listed', listing, askedAt});
+		this.push({
+			type: 'machines/listed', listing, askedAt, tookMs,
+		});
 	}
 
 	listWorkers(...workers: readonly WorkerEntry[]): void {
@@ -197,5 +199,6 @@
 }
 
 function createEvent(body: EventBody, at: number): SchedulerEvent {
-	return {...body, at, wallAt: (wallStart + at) as Instant} as SchedulerEvent;
+	const event = {...body, at, wallAt: (wallStart + at) as Instant};
+	return event;
 }
--- a/packages/core/src/scheduler/waves.ts
+++ b/packages/core/src/scheduler/waves.ts
@@ -75,7 +75,7 @@
 
 /** Appends are stored one after the other: one that was sent and is not on its way any more is stored. */
 function isStored({leadership}: SchedulerState, {storedBy}: Wave): boolean {
-	return storedBy !== undefined && storedBy.token === leadership.token
+	return storedBy?.token === leadership.token
 		&& storedBy.sequence < leadership.nextSequence && storedBy.sequence !== leadership.commit?.sequence;
 }
 
--- a/packages/daemon/src/scheduler/effect-runner.ts
+++ b/packages/daemon/src/scheduler/effect-runner.ts
@@ -168,7 +168,9 @@
 		const askedAt = readSteadyClock();
 		const listing = await this.options.ports.machines.list();
 		this.noteOrder('list-machines', listing.type === 'listed' ? 'done' : 'failed', askedAt);
-		this.options.pushEvent({type: 'machines/listed', listing, askedAt});
+		this.options.pushEvent({
+			type: 'machines/listed', listing, askedAt, tookMs: readSteadyClock() - askedAt,
+		});
 	}
 
 	private async order({order, machineId}: Extract<SchedulerEffect, {type: 'machine/move' | 'machine/upkeep'}>, name: string, send: () => Promise<Extract<SchedulerEvent, {type: 'order/ended'}>['outcome']>): Promise<void> {
