--- a/packages/bench/src/integration/late-view.test.ts
+++ b/packages/bench/src/integration/late-view.test.ts
@@ -20,6 +20,7 @@
 const submitGapMs = 60;
 const askGapMs = 80;
 const playMs = 8000;
+const leastAccepted = 101;
 const jobTimeoutMs = 60_000;
 const pageItems = 20;
 const pageDelayMs = 300;
@@ -107,6 +108,9 @@
 		const wrong: Wrong[] = [];
 		const asked: Record<number, number> = {};
 		const deadline = performance.now() + playMs;
+		const longest = deadline + jobTimeoutMs;
+		// On a busy machine jobs come more slowly.
+		const isPlaying = () => performance.now() < (accepted.length < leastAccepted ? longest : deadline);
 		const underWay: Array<Promise<void>> = [];
 		const ask = async ({id, acceptedAt}: Accepted): Promise<void> => {
 			const acceptedMsBefore = Math.round(performance.now() - acceptedAt);
@@ -118,7 +122,7 @@
 		};
 
 		const submit = async (): Promise<void> => {
-			while (performance.now() < deadline) {
+			while (isPlaying()) {
 				const id = createJobId(nextJob++);
 				// eslint-disable-next-line no-await-in-loop
 				const {status} = await fleet.callJob(others[nextJob % others.length]!, 'POST', id);
@@ -132,7 +136,7 @@
 		};
 
 		const askAll = async (): Promise<void> => {
-			while (performance.now() < deadline) {
+			while (isPlaying()) {
 				const now = performance.now();
 				underWay.push(...accepted.filter(({acceptedAt}) => acceptedAt < now - visibleMs && acceptedAt > now - askedUntilMs).map(async job => ask(job)));
 				// eslint-disable-next-line no-await-in-loop
@@ -148,7 +152,7 @@
 	async function expectNothingWrong(): Promise<void> {
 		const {wrong, accepted, asked} = await play();
 		endFaults();
-		expect(accepted.length > 100).toEqual(true);
+		expect(accepted.length >= leastAccepted).toEqual(true);
 		// The late host was asked, and answered in one way or another.
 		expect((asked[200] ?? 0) + (asked[503] ?? 0) > 0).toEqual(true);
 		const note = `${wrong.length} of ${JSON.stringify(asked)} answers said that there is no such job; accepted so long before, in ms: ${wrong.map(({acceptedMsBefore}) => acceptedMsBefore).toSorted((a, b) => a - b).slice(0, 12).join(', ')}`;
@@ -161,7 +165,7 @@
 
 	it('knows accepted jobs while nothing is late: the other tests here see the faults and not the load', async () => {
 		const {wrong, accepted, asked} = await play();
-		expect([wrong, accepted.length > 100]).toEqual([[], true]);
+		expect([wrong, accepted.length >= leastAccepted]).toEqual([[], true]);
 		expect((asked[200] ?? 0) > (asked[503] ?? 0)).toEqual(true);
 	});
 
--- a/packages/core/src/scheduler/events.ts
+++ b/packages/core/src/scheduler/events.ts
@@ -1,5 +1,6 @@
 /** What happens to the scheduler. Each event brings the instants at which it happened. */
 import type {Instant} from '../types/time.js';
+import type {OrderNumber} from './effects.js';
 import type {
 	EndedRow, FleetConfig, IntakeRecord, LedgerRecord, MachineEntry, MachineId, RunningRow, SteadyMs, TaskName, WaveDefinition, WaveNumber, WorkerEntry, WorkerId,
 } from './types.js';
@@ -16,6 +17,11 @@
 
 export type LedgerEntry = {readonly offset: number; readonly record: LedgerRecord};
 
+/** All machines, or why they are not known: a page did not come, or something in it cannot be read. */
+export type MachineListing
+	= | {readonly type: 'listed'; readonly machines: readonly MachineEntry[]; readonly pages: number}
+		| {readonly type: 'unavailable'; readonly reason: string; readonly unreadableRows: number};
+
 type Timed = {readonly at: SteadyMs; readonly wallAt: Instant};
 
 export type SchedulerEvent = Timed & (
@@ -40,8 +46,9 @@
 		readonly clockMs: number | undefined; readonly answerBornAt: number | undefined; readonly running: readonly RunningRow[]; readonly ended: readonly EndedRow[];
 	}
 	| {readonly type: 'pace/ended'; readonly workerId: WorkerId; readonly task: TaskName; readonly run: number; readonly isDone: boolean}
-	| {readonly type: 'machines/listed'; readonly machines: readonly MachineEntry[] | undefined}
-	| {readonly type: 'order/ended'; readonly machineId: MachineId; readonly outcome: OrderOutcome}
+	/** `askedAt`: when its first page was asked for; nothing in it is older. */
+	| {readonly type: 'machines/listed'; readonly listing: MachineListing; readonly askedAt: SteadyMs; readonly tookMs: number}
+	| {readonly type: 'order/ended'; readonly order: OrderNumber; readonly machineId: MachineId; readonly outcome: OrderOutcome}
 	| {readonly type: 'wave/published'; readonly definition: WaveDefinition; readonly isCompleted: boolean}
 	| {readonly type: 'wave/reported'; readonly wave: WaveNumber; readonly isStored: boolean; readonly isCompleted: boolean}
 	| {
--- /dev/null
+++ b/packages/core/src/scheduler/machines.test.ts
@@ -0,0 +1,251 @@
+/** What the leader believes of machines: as of the question, and complete or not at all. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {listRecentOrders} from './machines.js';
+import {createJob, createStep} from './testing/model-fleet.js';
+import {
+	createMachineEntry, createWorkerEntry, ModelLeader, sparePoolName,
+} from './testing/model-leader.js';
+
+const first = createMachineEntry('m1', {workerId: 'w1'});
+const second = createMachineEntry('m2', {workerId: 'w2'});
+const machineIds = ['m1', 'm2'];
+
+/** A leader of two machines, each with an empty worker that was looked at. */
+function createLeader(): ModelLeader {
+	const leader = ModelLeader.create();
+	leader.run(50);
+	leader.listMachines([first, second]);
+	leader.listWorkers(createWorkerEntry('w1', 'm1'), createWorkerEntry('w2', 'm2'));
+	leader.run(50);
+	return leader;
+}
+
+/** The same, with one machine in its upkeep. */
+function startUpkeep(): ModelLeader {
+	const leader = createLeader();
+	leader.publishWave({machineIds});
+	leader.run(200);
+	expect(leader.listOrdered()).toEqual(['m1']);
+	leader.endOrder(leader.orders[0], 'done');
+	leader.listWorkers(createWorkerEntry('w2', 'm2'));
+	return leader;
+}
+
+describe('a list of machines', () => {
+	it('that was asked for before an upkeep does not tell that the machine is back, however late it comes', () => {
+		const leader = startUpkeep();
+		const askedAt = leader.now - 10;
+		leader.run(2400);
+		leader.listMachines([first, second], askedAt);
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual(['m1']);
+		leader.listMachines([{...first, workerId: 'w3'}, second]);
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual(['m1', 'm2']);
+	});
+
+	it('that was asked for by an earlier lead does not let this one order machines', () => {
+		const leader = createLeader();
+		const askedAt = leader.now;
+		leader.run(500);
+		leader.push({type: 'commit/ended', outcome: 'fenced', sequence: 0});
+		leader.run(50);
+		leader.takeLead(5);
+		leader.publishWave({machineIds});
+		leader.run(10);
+		leader.listMachines([{...first, workerId: undefined}, {...second, workerId: undefined}], askedAt);
+		leader.run(500);
+		expect(leader.listOrdered()).toEqual([]);
+		leader.listMachines([{...first, workerId: undefined}, {...second, workerId: undefined}]);
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual(['m1']);
+	});
+});
+
+describe('the log of lists', () => {
+	it('tells of those that name other machines or took long, and of no other', () => {
+		const leader = createLeader();
+		const list = {
+			machines: 2, pages: 1, askedAgoMs: 0, tookMs: 5,
+		};
+		expect(leader.findLogs('machines-listed')).toEqual([list]);
+		for (let count = 0; count < 5; count++) {
+			leader.listMachines([first, {...second, state: 'down'}]);
+		}
+
+		expect(leader.findLogs('machines-listed')).toEqual([list]);
+		leader.run(2000);
+		leader.listMachines([first, second], leader.now - 800, 790);
+		leader.listMachines([first]);
+		expect(leader.findLogs('machines-listed')).toEqual([list, {...list, askedAgoMs: 800, tookMs: 790}, {...list, machines: 1}]);
+	});
+});
+
+describe('a machine that a list lacks', () => {
+	it('keeps its order and counts as down: no other one of its wave goes down beyond the cap', () => {
+		const leader = startUpkeep();
+		for (let count = 0; count < 4; count++) {
+			leader.run(300);
+			leader.listMachines([second]);
+		}
+
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual(['m1']);
+		expect(leader.findLogs('machine-absent')).toEqual([{machineId: 'm1', order: 'upkeep'}]);
+		leader.listMachines([{...first, state: 'upkeep', workerId: undefined}, second]);
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual(['m1']);
+	});
+
+	it('is gone after two lists in a row, asked for when it should be back', () => {
+		const leader = startUpkeep();
+		leader.run(2000);
+		leader.listMachines([second]);
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual(['m1']);
+		leader.listMachines([second]);
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual(['m1', 'm2']);
+	});
+
+	it('gets no order, and counts as down even without one', () => {
+		const leader = createLeader();
+		leader.listMachines([second]);
+		leader.publishWave({machineIds, maxDown: 1});
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual([]);
+		leader.listMachines([first, second]);
+		leader.run(200);
+		// The machine that was emptied meanwhile.
+		expect(leader.listOrdered()).toEqual(['m2']);
+	});
+});
+
+describe('a machine is ordered only if it is empty', () => {
+	it('so a list that still calls it spare does not send it away from the work of its worker', () => {
+		const leader = createLeader();
+		leader.listMachines([first, {...second, pool: sparePoolName}]);
+		leader.push({type: 'intake/read', records: [{type: 'job', job: createJob(1, [createStep({count: 16, estimateMs: 5000})])}]});
+		leader.run(3000);
+		expect(leader.running.get('w2')?.length).toEqual(4);
+		expect(leader.listOrdered()).toEqual([]);
+	});
+
+	it('so a worker that only the list knows must be looked at first', () => {
+		const leader = ModelLeader.create();
+		leader.run(50);
+		leader.listMachines([first]);
+		leader.publishWave({machineIds: ['m1']});
+		leader.run(500);
+		expect(leader.listOrdered()).toEqual([]);
+		leader.listWorkers(createWorkerEntry('w1', 'm1'));
+		leader.run(200);
+		expect(leader.listOrdered()).toEqual(['m1']);
+	});
+
+	it('so a look since the decision must find nothing', () => {
+		const leader = createLeader();
+		leader.silentWorkers.add('w1');
+		leader.publishWave({machineIds: ['m1']});
+		leader.run(500);
+		expect(leader.listOrdered()).toEqual([]);
+		leader.running.set('w1', [{
+			task: 'unknown', run: 1, checkpoint: '', percent: 1, reading: 0,
+		}]);
+		leader.silentWorkers.delete('w1');
+		leader.run(1000);
+		expect(leader.listOrdered()).toEqual([]);
+		leader.running.delete('w1');
+		leader.run(4000);
+		expect(leader.listOrdered()).toEqual(['m1']);
+	});
+
+	it('or silent, and no lease is in force there', () => {
+		const leader = createLeader();
+		leader.silentWorkers.add('w1');
+		leader.publishWave({machineIds: ['m1']});
+		leader.run(14_000);
+		expect(leader.listOrdered()).toEqual(['m1']);
+	});
+
+	it('and not while a new process of its worker has work, when the order is to be repeated', () => {
+		const leader = createLeader();
+		leader.publishWave({machineIds: ['m1']});
+		// The starts leave just before the next look at the orders.
+		leader.run(210);
+		leader.push({type: 'intake/read', records: [{type: 'job', job: createJob(1, [createStep({count: 8, estimateMs: 5000})])}]});
+		leader.listWorkers({...createWorkerEntry('w1', 'm1'), bornAt: 2}, createWorkerEntry('w2', 'm2'));
+		leader.run(20);
+		expect(leader.running.get('w1')?.length).toEqual(4);
+		leader.endOrder(leader.orders[0], 'unknown');
+		leader.run(1000);
+		expect(leader.listOrdered()).toEqual(['m1']);
+		expect(leader.findLogs('machine-order-dropped')).toEqual([{machineId: 'm1', order: 'upkeep', tasks: 4}]);
+	});
+
+	it('so a worker that it comes back with gets no work before the outcome of the order is known, and then does', () => {
+		const leader = createLeader();
+		leader.publishWave({machineIds: ['m1']});
+		leader.run(200);
+		leader.listWorkers(createWorkerEntry('w3', 'm1'), createWorkerEntry('w2', 'm2'));
+		leader.run(100);
+		leader.push({type: 'intake/read', records: [{type: 'job', job: createJob(1, [createStep({count: 8, estimateMs: 5000})])}]});
+		leader.run(100);
+		leader.endOrder(leader.orders[0], 'unknown');
+		leader.run(500);
+		expect(leader.listOrdered()).toEqual(['m1', 'm1']);
+		expect(leader.running.get('w3')).toEqual(undefined);
+		leader.endOrder(leader.orders[1], 'done');
+		leader.run(200);
+		expect(leader.running.get('w3')?.length).toEqual(4);
+	});
+
+	it('and a worker that is still there after its order had been carried out before is used again', () => {
+		const leader = createLeader();
+		leader.publishWave({machineIds: ['m1']});
+		leader.run(200);
+		leader.endOrder(leader.orders[0], 'done');
+		leader.run(100);
+		leader.listMachines([first, second]);
+		leader.listWorkers(createWorkerEntry('w1', 'm1'), createWorkerEntry('w2', 'm2'));
+		leader.run(200);
+		expect(leader.state.workers.get('w1')?.isListed).toEqual(true);
+	});
+});
+
+describe('an answer to an order', () => {
+	it('that an earlier lead gave does not confirm the present one of the same machine', () => {
+		const leader = createLeader();
+		leader.publishWave({machineIds: ['m1']});
+		leader.run(200);
+		leader.push({type: 'commit/ended', outcome: 'fenced', sequence: 0});
+		leader.run(50);
+		leader.takeLead(5);
+		leader.run(50);
+		leader.listWorkers(createWorkerEntry('w1', 'm1'));
+		leader.listMachines([first, second]);
+		leader.run(4000);
+		expect(leader.listOrdered()).toEqual(['m1', 'm1']);
+		leader.endOrder(leader.orders[0], 'done');
+		expect([...leader.state.waves.get(7)?.doneMachines ?? []]).toEqual([]);
+		leader.endOrder(leader.orders[1], 'done');
+		expect([...leader.state.waves.get(7)?.doneMachines ?? []]).toEqual(['m1']);
+	});
+
+	it('that comes after repeats keeps the next leader away for as long as after the last of them', () => {
+		const leader = createLeader();
+		leader.publishWave({machineIds: ['m1']});
+		leader.run(200);
+		for (let count = 0; count < 10; count++) {
+			leader.endOrder(leader.orders.at(-1), 'unknown');
+			leader.run(400);
+		}
+
+		leader.endOrder(leader.orders.at(-1), 'done');
+		leader.run(1000);
+		expect(listRecentOrders(leader.state)).toEqual(['m1']);
+		leader.run(3000);
+		expect(listRecentOrders(leader.state)).toEqual([]);
+	});
+});
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -1,7 +1,9 @@
 /** Machines follow demand: pools whose turn it is get machines, first spare ones, and idle ones go to the spare pool. */
 import {getDemand, updateDemand} from './demand.js';
 import {noteDecision} from './logging.js';
-import {canOrder, findWorker, orderMove} from './machines.js';
+import {
+	canOrder, findWorker, hasNoWorker, isFree, isWorking, orderMove,
+} from './machines.js';
 import {noResources} from './resources.js';
 import type {PoolName} from './types.js';
 import type {Machine, SchedulerState} from './state.js';
@@ -46,9 +48,9 @@
 	}
 }
 
-/** Down, or in its upkeep: of no use to its pool for now. */
-function isAway({entry, order}: Machine): boolean {
-	return entry.state === 'down' || order?.type === 'upkeep';
+/** Down, in its upkeep, or not listed: of no use to its pool for now. */
+function isAway({entry, order, absentSince}: Machine): boolean {
+	return entry.state === 'down' || order?.type === 'upkeep' || (absentSince !== undefined && order === undefined);
 }
 
 type PoolView = {
@@ -120,7 +122,7 @@
 }
 
 function isMovable(state: SchedulerState, machine: Machine): boolean {
-	return machine.order === undefined && machine.entry.state === 'up' && machine.drainsFor === undefined && machine.notBefore <= state.now;
+	return isFree(state, machine) && machine.drainsFor === undefined;
 }
 
 /** Brings machines, spare ones first, then idle ones of pools that have more than they need. */
@@ -132,7 +134,9 @@
 	const movable = [...state.machines.values()].filter(machine =>
 		isMovable(state, machine) && machine.entry.pool !== pool.name && !silentZones.has(machine.entry.availabilityZone));
 	for (const machine of movable.filter(({entry}) => entry.pool === spare)) {
-		moveFor(state, machine, pool);
+		if (hasNoWorker(state, machine) || isIdle(state, machine, 0)) {
+			moveFor(state, machine, pool);
+		}
 	}
 
 	for (const machine of movable.filter(({entry}) => entry.pool !== spare)) {
@@ -156,8 +160,8 @@
 
 function isIdle(state: SchedulerState, machine: Machine, sinceMs: number): boolean {
 	const worker = findWorker(state, machine);
-	return worker !== undefined && worker.isListed && worker.isFenced && !worker.isDraining && worker.tasks.size === 0 && worker.strangers.size === 0
-		&& worker.readEnd === worker.ackedEnd && state.now - worker.idleSince >= sinceMs;
+	return worker !== undefined && worker.isListed && worker.isFenced && !worker.isDraining && !isWorking(worker)
+		&& state.now - worker.idleSince >= sinceMs;
 }
 
 function releaseIdle(state: SchedulerState, pool: PoolView, spare: PoolName): void {
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -1,7 +1,7 @@
 /** State of the scheduler on one entry host. */
 import type {JobId} from '../types/ids.js';
 import type {Instant} from '../types/time.js';
-import type {SchedulerEffect} from './effects.js';
+import type {OrderNumber, SchedulerEffect} from './effects.js';
 import type {
 	FencingToken,
 	FleetConfig,
@@ -218,9 +218,15 @@
 };
 
 export type MachineOrder = {
+	readonly number: OrderNumber;
 	readonly type: 'move' | 'upkeep';
 	readonly pool: PoolName;
 	readonly wave: WaveNumber;
+	/** Not sent or stored yet: first its workers are looked at, and found empty, since it was decided. */
+	isReserving: boolean;
+	readonly reservedUntil: SteadyMs;
+	/** Workers that a look was asked for since. */
+	readonly lookedAt: Set<WorkerId>;
 	isInFlight: boolean;
 	retryAt: SteadyMs;
 	/** The platform confirmed it; the machine is back some time later. */
@@ -230,6 +236,10 @@
 export type Machine = {
 	entry: MachineEntry;
 	order: MachineOrder | undefined;
+	/** When the first list that lacks it was asked for; undefined while it is listed. */
+	absentSince: SteadyMs | undefined;
+	/** When the outcome of its last order was known; lists asked for before say nothing of the machine. */
+	orderEndedAt: SteadyMs;
 	/** The wave for which the machine is emptied. */
 	drainsFor: WaveNumber | undefined;
 	/** No order before this. */
@@ -241,6 +251,8 @@
 	readonly doneMachines: Set<MachineId>;
 	readonly readAt: SteadyMs;
 	isCompleted: boolean;
+	/** The append to the ledger that tells of the completion; callers are told once it is stored. */
+	storedBy: {readonly token: FencingToken; readonly sequence: number} | undefined;
 	reported: 'none' | 'running' | 'completed';
 	reportDueAt: SteadyMs;
 };
@@ -291,10 +303,14 @@
 	readonly machines: Map<MachineId, Machine>;
 	/** Machines that an earlier leader ordered lately. */
 	storedOrders: ReadonlySet<MachineId>;
-	/** Machines that this leader ordered lately, and when. */
+	/** Machines that this leader ordered lately, and when it last sent the order. */
 	readonly ownOrders: Map<MachineId, SteadyMs>;
 	areOrdersDirty: boolean;
-	machinesListedAt: SteadyMs;
+	/** Rises over all leads of this process. */
+	nextOrderNumber: OrderNumber;
+	/** When the latest list of machines was asked for, and the one before it. */
+	machinesAskedAt: SteadyMs;
+	machinesFormerlyAskedAt: SteadyMs;
 	machinesDueAt: SteadyMs;
 	isListingMachines: boolean;
 	readonly waves: Map<WaveNumber, Wave>;
@@ -341,7 +357,9 @@
 		storedOrders: new Set(),
 		ownOrders: new Map(),
 		areOrdersDirty: false,
-		machinesListedAt: 0,
+		nextOrderNumber: 1,
+		machinesAskedAt: 0,
+		machinesFormerlyAskedAt: 0,
 		machinesDueAt: 0,
 		isListingMachines: false,
 		waves: new Map(),
--- a/packages/daemon/src/scheduler/effect-runner.ts
+++ b/packages/daemon/src/scheduler/effect-runner.ts
@@ -65,10 +65,10 @@
 			void this.listMachines();
 		},
 		'machine/move': effect => {
-			void this.order(effect.machineId, 'move', async () => this.options.ports.machines.move(effect));
+			void this.order(effect, 'move', async () => this.options.ports.machines.move(effect));
 		},
 		'machine/upkeep': effect => {
-			void this.order(effect.machineId, 'upkeep', async () => this.options.ports.machines.startUpkeep(effect));
+			void this.order(effect, 'upkeep', async () => this.options.ports.machines.startUpkeep(effect));
 		},
 		'wave/report': effect => {
 			void this.reportWave(effect);
@@ -165,17 +165,21 @@
 	}
 
 	private async listMachines(): Promise<void> {
-		const startedAt = readSteadyClock();
-		const machines = await this.options.ports.machines.list();
-		this.noteOrder('list-machines', machines ? 'done' : 'failed', startedAt);
-		this.options.pushEvent({type: 'machines/listed', machines});
+		const askedAt = readSteadyClock();
+		const listing = await this.options.ports.machines.list();
+		this.noteOrder('list-machines', listing.type === 'listed' ? 'done' : 'failed', askedAt);
+		this.options.pushEvent({
+			type: 'machines/listed', listing, askedAt, tookMs: readSteadyClock() - askedAt,
+		});
 	}
 
-	private async order(machineId: string, name: string, send: () => Promise<Extract<SchedulerEvent, {type: 'order/ended'}>['outcome']>): Promise<void> {
+	private async order({order, machineId}: Extract<SchedulerEffect, {type: 'machine/move' | 'machine/upkeep'}>, name: string, send: () => Promise<Extract<SchedulerEvent, {type: 'order/ended'}>['outcome']>): Promise<void> {
 		const startedAt = readSteadyClock();
 		const outcome = await send();
 		this.noteOrder(name, outcome, startedAt);
-		this.options.pushEvent({type: 'order/ended', machineId, outcome});
+		this.options.pushEvent({
+			type: 'order/ended', order, machineId, outcome,
+		});
 	}
 
 	private async reportWave({wave, isCompleted}: Extract<SchedulerEffect, {type: 'wave/report'}>): Promise<void> {
