Attempts of a job whose queue is gone: as at its acceptance, not three

When a queue is dropped while its jobs go on, a task of theirs had three attempts, whatever the queue had allowed: with five, the job was shown as failed without cause (LOST); with two, a third run was started (BUDGET). Cause: the pool is stored in the job at its acceptance, the attempts were not; a constant took their place. Now both are stored and used alike. Records of earlier versions lack the field and keep the constant.

--- /dev/null
+++ b/packages/core/src/scheduler/hand-driven.ts
@@ -0,0 +1,148 @@
+/** For tests: one host's scheduler, driven event by event; the test plays the store, the workers and the clock. */
+import type {Instant} from '../types/time.js';
+import {reduceScheduler} from './reduce.js';
+import {createSchedulerState, type SchedulerSettings, type SchedulerState} from './state.js';
+import {modelConfig, poolName} from './testing/model-fleet.js';
+import {modelSettings} from './testing/model-settings.js';
+import type {SchedulerEffect} from './effects.js';
+import type {LedgerEntry, SchedulerEvent, StartOutcome} from './events.js';
+import type {
+	EndedRow, FleetConfig, JobDefinition, ProgressRow, Queue, RunningRow, WorkerEntry,
+} from './types.js';
+
+const wallStart = 1_800_000_000_000;
+const tickStepMs = 25;
+const silenceMs = 1000;
+
+/** An event without its instants. */
+export type EventBody = SchedulerEvent extends infer Event ? (Event extends SchedulerEvent ? Omit<Event, 'at' | 'wallAt'> : never) : never;
+
+export type EffectOf<Type extends SchedulerEffect['type']> = Extract<SchedulerEffect, {type: Type}>;
+
+/** The model's configuration with other values for its queue. */
+export function createConfig(changes: Partial<Queue> = {}, version = 1): FleetConfig {
+	return {...modelConfig, version, queues: [{...modelConfig.queues[0]!, ...changes}]};
+}
+
+/** A worker of the model's pool, with ample room. */
+export function createWorker(id: string, changes: Partial<WorkerEntry> = {}): WorkerEntry {
+	return {
+		id, bornAt: 1, address: '10.0.0.1:80', pool: poolName, availabilityZone: 'a', capacity: {cpu: 64_000, memoryMb: 256_000, gpu: 0}, labels: ['a', 'r1'], isDraining: false, remainingMs: undefined, machineId: `m-${id}`, ...changes,
+	};
+}
+
+/** Stored state of the first task of a job. */
+export function createRow(changes: Partial<ProgressRow> = {}): ProgressRow {
+	return {
+		occurrence: 0, step: 0, index: 0, status: 'placed', run: 1, failures: 0, workerId: 'w1', workerBornAt: 1, checkpoint: '', ...changes,
+	};
+}
+
+/** A ledger's record of a job under way, with its rows. */
+export function createProgress(offset: number, {jobId}: JobDefinition, rows: readonly ProgressRow[]): LedgerEntry {
+	return {
+		offset, record: {
+			type: 'progress', jobId, progress: {
+				phase: 'running', finishedOccurrences: [], rows, finishedAt: 0 as Instant,
+			},
+		},
+	};
+}
+
+type HoldChanges = {
+	readonly running?: readonly RunningRow[]; readonly ended?: readonly EndedRow[]; readonly sentAt?: number;
+	readonly bornAt?: number; readonly answerBornAt?: number;
+};
+
+export class HandDriven {
+	static create(settings: Partial<SchedulerSettings> = {}): HandDriven {
+		return new HandDriven(createSchedulerState({...modelSettings, ...settings}));
+	}
+
+	now = 0;
+	/** How far the host's wall clock is wrong. */
+	clockErrorMs = 0;
+	/** All effects so far. */
+	readonly effects: SchedulerEffect[] = [];
+	/** Appends are confirmed at once; otherwise a test answers them. */
+	isStoring = true;
+
+	private constructor(readonly state: SchedulerState) {}
+
+	/** Lets an event happen now, and what is stored at once; returns all that followed. */
+	push(body: EventBody): SchedulerEffect[] {
+		const event = {...body, at: this.now, wallAt: (wallStart + this.now + this.clockErrorMs) as Instant};
+		const effects = [...reduceScheduler(this.state, event)];
+		this.effects.push(...effects);
+		for (const effect of effects) {
+			if (effect.type === 'ledger/commit' && this.isStoring) {
+				effects.push(...this.store(effect));
+			}
+		}
+
+		return effects;
+	}
+
+	/** Confirms an append. */
+	store({sequence}: EffectOf<'ledger/commit'>): SchedulerEffect[] {
+		return this.push({type: 'commit/ended', outcome: 'stored', sequence});
+	}
+
+	/** Lets time pass, with a clock event every 25 ms. */
+	tick(forMs = tickStepMs): SchedulerEffect[] {
+		const end = this.now + forMs;
+		const effects: SchedulerEffect[] = [];
+		while (this.now < end) {
+			this.now += tickStepMs;
+			effects.push(...this.push({type: 'clock/ticked'}));
+		}
+
+		return effects;
+	}
+
+	/** Reads the ledger as a whole, waits until it was silent for long enough, and is granted the lead. */
+	takeLead(entries: readonly LedgerEntry[] = [], config = createConfig()): SchedulerEffect[] {
+		const nextOffset = (entries.at(-1)?.offset ?? -1) + 1;
+		this.push({type: 'config/read', config});
+		this.push({type: 'ledger/loaded', entries, nextOffset});
+		const claim = [...this.push({type: 'clock/ticked'}), ...this.tick(silenceMs)].find(effect => effect.type === 'ledger/claim');
+		return this.push({type: 'claim/ended', outcome: 'granted', claimedAt: claim!.at});
+	}
+
+	/** Registers workers and answers the first look at each. */
+	addWorkers(...ids: readonly string[]): void {
+		this.push({type: 'workers/listed', workers: ids.map(id => createWorker(id)), isReloaded: true});
+		this.now++;
+		for (const id of ids) {
+			this.answerHold(id);
+		}
+	}
+
+	submit(job: JobDefinition): SchedulerEffect[] {
+		return this.push({type: 'intake/read', records: [{type: 'job', job}]});
+	}
+
+	/** Answers a look that was sent just before, unless the test says otherwise. */
+	answerHold(workerId: string, changes: HoldChanges = {}): SchedulerEffect[] {
+		return this.push({
+			type: 'hold/ended', workerId, bornAt: 1, outcome: 'held', sentAt: this.now - 1, isExtra: false, clockMs: this.now, answerBornAt: changes.bornAt ?? 1, running: [], ended: [], ...changes,
+		});
+	}
+
+	/** Answers a start. */
+	answerStart({worker, task, run}: EffectOf<'worker/start'>, outcome: StartOutcome = 'started'): SchedulerEffect[] {
+		return this.push({
+			type: 'start/ended', workerId: worker.id, bornAt: worker.bornAt, task, run, outcome, clockMs: this.now,
+		});
+	}
+}
+
+/** The starts among effects. */
+export function listStarts(effects: readonly SchedulerEffect[]): Array<EffectOf<'worker/start'>> {
+	return effects.filter(effect => effect.type === 'worker/start');
+}
+
+/** Names of the log lines among effects. */
+export function listNotes(effects: readonly SchedulerEffect[]): string[] {
+	return effects.filter(effect => effect.type === 'log').map(({event}) => event);
+}
--- a/packages/core/src/scheduler/queues.ts
+++ b/packages/core/src/scheduler/queues.ts
@@ -4,6 +4,7 @@
 } from './types.js';
 import type {Job, SchedulerState} from './state.js';
 
+/** For jobs that were accepted before attempts were stored with them, and whose queue is gone. */
 const defaultMaxAttempts = 3;
 
 /** The queue that a call is for: the longest path prefix of the host. */
@@ -47,7 +48,7 @@
 	return getQueue(state, job.definition.queue)?.pool ?? job.definition.pool;
 }
 
-/** How often a task of a job may fail. */
-export function getMaxAttempts(state: SchedulerState, job: Job): number {
-	return getQueue(state, job.definition.queue)?.maxAttempts ?? defaultMaxAttempts;
+/** How often a task of a job may fail; as at its acceptance when its queue is gone. */
+export function getMaxAttempts(state: SchedulerState, {definition}: Job): number {
+	return getQueue(state, definition.queue)?.maxAttempts ?? definition.maxAttempts ?? defaultMaxAttempts;
 }
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -52,6 +52,8 @@
 	readonly queue: QueueName;
 	/** The pool that served the queue at the time of acceptance; used when the queue is gone. */
 	readonly pool: PoolName;
+	/** How often a task might fail at the time of acceptance; used when the queue is gone. Records of earlier versions lack it. */
+	readonly maxAttempts?: number | undefined;
 	readonly spec: string;
 	readonly steps: readonly StepDefinition[];
 	/** 0: once, at once. */
--- a/packages/daemon/src/scheduler/codec.test.ts
+++ b/packages/daemon/src/scheduler/codec.test.ts
@@ -15,7 +15,7 @@
 			{
 				type: 'job',
 				job: {
-					jobId, queue: 'q', pool: 'p', spec: 's', runCount: 2, firstRunAt: 5 as Instant, intervalMs: 7, steps: [{
+					jobId, queue: 'q', pool: 'p', maxAttempts: 4, spec: 's', runCount: 2, firstRunAt: 5 as Instant, intervalMs: 7, steps: [{
 						count: 1, need: {cpu: 1, memoryMb: 2, gpu: 0}, estimateMs: 3, dependsOn: [], isCheckpointing: true, isGang: false, isSameRack: false, requiredLabel: '', dataRack: '', maxPerWorker: 0, isSpeculative: false, isLongRunning: false, latencyTargetMs: 0, isFiller: false, maxUnavailable: 0,
 					}],
 				},
