Advice: a step that waits is always asked about again

Causes: (1) a refused ticket was deleted, but its worker stayed among those that an answer was about, and so counted as not good for ever. (2) That a question is open was noted at the step, and the answer looked for the step among those with tasks to start: it never closed the question of another. (3) A worker that was not good in one life was not in the next ones. (4) The validity of tickets was counted from the arrival of the answer, and not looked at again once the start was stored. Now the open question is one record at the scheduler's state (step, lives of the workers named, instant), closed by its answer; a refusal makes the worker unknown again; answers hold for one life of a worker; validity counts from the question and is looked at again at the start. As that may leave nothing of the validity where many workers are named, a question whose tickets have all run out on arrival names half as many the next time. Red first (advice.test.ts), all six: "The value [] is not equal to ["w1"]" after a refusal, after an answer without the step, and for a new life; "The value [{ 9 entries }] is not equal to []" (a start with an old ticket), twice; "The value undefined is not equal to 1" for the number of workers named.

--- /dev/null
+++ b/packages/core/src/scheduler/advice.test.ts
@@ -0,0 +1,131 @@
+/** Advice: whatever becomes of a question, a step that waits is asked about again. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {
+	createConfig, createWorker, HandDriven, listStarts,
+} from './hand-driven.js';
+import {createJob, createStep} from './testing/model-fleet.js';
+import type {SchedulerEffect} from './effects.js';
+
+const config = createConfig({advice: {validMs: 3000}});
+const step = `${createJob(1, []).jobId}.0.0`;
+const ticket = {workerId: 'w1', ticket: 't'};
+
+function createHost(): HandDriven {
+	const host = HandDriven.create();
+	host.takeLead([], config);
+	host.addWorkers('w1');
+	return host;
+}
+
+function listAsks(effects: readonly SchedulerEffect[]): string[] {
+	return effects.filter(effect => effect.type === 'advice/ask').map(effect => effect.workerIds.join(' '));
+}
+
+function answer(host: HandDriven, tickets: ReadonlyArray<typeof ticket> | undefined, asked: readonly string[] = ['w1'], validMs = 3000): SchedulerEffect[] {
+	return host.push({
+		type: 'advice/ended', step, asked, validMs, tickets,
+	});
+}
+
+/** Lets time pass with every look answered. */
+function run(host: HandDriven, forMs: number): SchedulerEffect[] {
+	const effects: SchedulerEffect[] = [];
+	const end = host.now + forMs;
+	while (host.now < end) {
+		const ticked = host.tick();
+		effects.push(...ticked);
+		for (const effect of ticked) {
+			if (effect.type === 'worker/hold') {
+				effects.push(...host.answerHold(effect.worker.id, {bornAt: effect.worker.bornAt}));
+			}
+		}
+	}
+
+	return effects;
+}
+
+describe('advice', () => {
+	it('is asked for again after a worker has refused a ticket', () => {
+		const host = createHost();
+		expect(listAsks(host.submit(createJob(1, [createStep({count: 1})])))).toEqual(['w1']);
+		host.now += 90;
+		const starts = listStarts(answer(host, [ticket]));
+		expect(starts.length).toEqual(1);
+		host.now += 10;
+		host.answerStart(starts[0]!, 'no-ticket');
+		expect(listAsks(run(host, 1000))).toEqual(['w1']);
+		expect(listStarts([...answer(host, [ticket]), ...run(host, 100)]).length).toEqual(1);
+	});
+
+	it('is asked for again where the answer came while the step had nothing to start', () => {
+		const host = createHost();
+		host.submit(createJob(1, [createStep({count: 1})]));
+		// Its only ticket is for a worker that is set aside just then; the question about another one is open when it is back.
+		host.state.workers.get('w1')!.setAsideUntil = host.now + 500;
+		host.now += 100;
+		answer(host, [ticket], ['w1'], 1200);
+		host.push({type: 'workers/listed', workers: [createWorker('w1'), createWorker('w2')], isReloaded: false});
+		host.now++;
+		expect(listAsks([...host.answerHold('w2'), ...run(host, 100)])).toEqual(['w2']);
+		const starts = listStarts(run(host, 600));
+		expect(starts.length).toEqual(1);
+		host.answerStart(starts[0]!);
+		expect(host.state.openSteps.size).toEqual(0);
+		answer(host, [], ['w2']);
+		host.now += 1000;
+		const effects = host.answerHold('w1', {
+			ended: [{
+				number: 1, task: starts[0]!.task, run: 1, how: 'failed', checkpoint: '',
+			}],
+		});
+		expect(listAsks([...effects, ...run(host, 500)])).toEqual(['w1']);
+	});
+
+	it('is not held against the next life of a worker', () => {
+		const host = createHost();
+		host.submit(createJob(1, [createStep({count: 1})]));
+		answer(host, []);
+		expect(listAsks(run(host, 500))).toEqual([]);
+		host.push({type: 'workers/listed', workers: [createWorker('w1', {bornAt: 2})], isReloaded: false});
+		host.now++;
+		expect(listAsks([...host.answerHold('w1', {bornAt: 2, answerBornAt: 2}), ...run(host, 500)])).toEqual(['w1']);
+	});
+
+	it('counts from the question: a ticket that was long on its way is not used beyond its time', () => {
+		const host = createHost();
+		host.submit(createJob(1, [createStep({count: 1})]));
+		host.state.workers.get('w1')!.setAsideUntil = host.now + 2500;
+		host.now += 1900;
+		answer(host, [ticket], ['w1'], 2000);
+		host.now += 700;
+		// 2.6 s after the question, 0.7 s after the answer.
+		const effects = run(host, 100);
+		expect(listStarts(effects)).toEqual([]);
+		expect(listAsks(effects)).toEqual(['w1']);
+	});
+
+	it('is looked at again once a start is stored: its ticket may have run out meanwhile', () => {
+		const host = createHost();
+		host.submit(createJob(1, [createStep({count: 1})]));
+		host.isStoring = false;
+		const commit = answer(host, [ticket], ['w1'], 1000).find(effect => effect.type === 'ledger/commit');
+		expect(host.state.openSteps.size).toEqual(0);
+		host.now += 1100;
+		host.isStoring = true;
+		const effects = [...host.store(commit!), ...run(host, 200)];
+		expect(listStarts(effects)).toEqual([]);
+		expect(listAsks(effects)).toEqual(['w1']);
+	});
+
+	it('names fewer workers where all tickets had run out on their arrival', () => {
+		const host = HandDriven.create();
+		host.takeLead([], config);
+		host.addWorkers('w1', 'w2');
+		const asked = listAsks(host.submit(createJob(1, [createStep({count: 1})])));
+		expect(asked).toEqual(['w1 w2']);
+		host.now += 1000;
+		const effects = answer(host, [ticket], ['w1', 'w2'], 1000);
+		expect(listAsks([...effects, ...run(host, 500)])[0]?.split(' ').length).toEqual(1);
+	});
+});
--- a/packages/core/src/scheduler/hand-driven.ts
+++ b/packages/core/src/scheduler/hand-driven.ts
@@ -4,6 +4,7 @@
 import {createSchedulerState, type SchedulerSettings, type SchedulerState} from './state.js';
 import {modelConfig, poolName} from './testing/model-fleet.js';
 import {modelSettings} from './testing/model-settings.js';
+import {commitPauseMs} from './timing.js';
 import type {SchedulerEffect} from './effects.js';
 import type {LedgerEntry, SchedulerEvent, StartOutcome} from './events.js';
 import type {
@@ -109,13 +110,15 @@
 		return this.push({type: 'claim/ended', outcome: 'granted', claimedAt: claim!.at});
 	}
 
-	/** Registers workers and answers the first look at each. */
+	/** Registers workers, answers the first look at each, and waits until changes may be stored again. */
 	addWorkers(...ids: readonly string[]): void {
 		this.push({type: 'workers/listed', workers: ids.map(id => createWorker(id)), isReloaded: true});
 		this.now++;
 		for (const id of ids) {
 			this.answerHold(id);
 		}
+
+		this.now += commitPauseMs;
 	}
 
 	submit(job: JobDefinition): SchedulerEffect[] {
--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -154,7 +154,7 @@
 	state.endedWorkers.clear();
 	state.machinesDueAt = 0;
 	state.isListingMachines = false;
-	state.isAdviceAsked = false;
+	state.adviceQuestion = undefined;
 	state.isConfigDirty = true;
 	for (const job of state.jobs.values()) {
 		if (!isFinal(job.phase)) {
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -1,4 +1,5 @@
 /** Starts and stops of runs, and their outcomes. */
+import {dropTicket, findTicket, getTicketState} from './advice.js';
 import {extendLease, sendExtraLook} from './holds.js';
 import {addEffect, noteDecision} from './logging.js';
 import {isJobOpen} from './phases.js';
@@ -29,6 +30,12 @@
 		return;
 	}
 
+	// Its ticket may have run out while the decision was stored.
+	if (getTicketState(state, task.step, worker) !== 'good') {
+		returnTask(state, task);
+		return;
+	}
+
 	const untilMs = extendLease(state, worker);
 	if (untilMs === undefined) {
 		returnTask(state, task);
@@ -46,7 +53,7 @@
 		untilMs,
 		token: state.leadership.token,
 		checkpoint: task.checkpoint,
-		ticket: task.step.advice?.tickets.get(worker.id)?.ticket,
+		ticket: findTicket(task.step, worker)?.ticket,
 	});
 }
 
@@ -71,7 +78,7 @@
 		worker.setAsideUntil = Math.max(worker.setAsideUntil, state.now + refusalPauseMs);
 	},
 	'no-ticket'(state, worker, task) {
-		task.step.advice?.tickets.delete(worker.id);
+		dropTicket(state, task.step, worker);
 		returnTask(state, task);
 	},
 	invalid(state, worker, task) {
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -88,11 +88,20 @@
 };
 
 export type StepAdvice = {
-	isAsked: boolean;
 	askAgainAt: SteadyMs;
-	/** Workers that were named in an ask and are not good. */
-	readonly known: Set<WorkerId>;
-	readonly tickets: Map<WorkerId, {readonly ticket: string; readonly validUntil: SteadyMs}>;
+	/** How many workers a question names at the most. */
+	mostNamed: number;
+	/** Lives of workers that an answer was about; those without a ticket are not good. */
+	readonly known: Map<WorkerId, number>;
+	readonly tickets: Map<WorkerId, {readonly ticket: string; readonly bornAt: number; readonly validUntil: SteadyMs}>;
+};
+
+/** The question that the advice service has not answered yet; there is one at a time. */
+export type AdviceQuestion = {
+	readonly step: StepRun;
+	/** The workers named, with the lives that they had then. */
+	readonly lives: ReadonlyMap<WorkerId, number>;
+	readonly askedAt: SteadyMs;
 };
 
 export type Occurrence = {
@@ -303,7 +312,7 @@
 	/** How much longer tasks of a queue run than estimated, followed. */
 	readonly runRatios: Map<QueueName, number>;
 	needsPlacement: boolean;
-	isAdviceAsked: boolean;
+	adviceQuestion: AdviceQuestion | undefined;
 	/** Processes that ended with an order of this leader; late entries of theirs are ignored. */
 	readonly endedWorkers: Map<WorkerId, number>;
 	jobsDueAt: SteadyMs;
@@ -348,7 +357,7 @@
 		demand: new Map(),
 		runRatios: new Map(),
 		needsPlacement: false,
-		isAdviceAsked: false,
+		adviceQuestion: undefined,
 		endedWorkers: new Map(),
 		jobsDueAt: 0,
 		movesDueAt: 0,
