Answers belong to the lead whose question they answer

Also a refusal by a higher token ended a lead that has a higher one still. Cause: answers to looks, starts, stops, paces, appends, orders and questions named no lead, tasks restored from the ledger counted as settled at any instant, and sequence numbers begin anew with each lead. Now effects and events carry the token; the reducer drops what belongs to another lead and logs `answer-of-earlier-lead`; claims are told apart by where they were made; restored tasks are settled as of taking the lead. An own claim found by reading counts if it is the last one of the batch. The store's confirmation of a lead is dated by the sending of the append (the first, if it was repeated), as is a claim's: renewals stop when the next leader thinks they do. `leadsSince` stays the instant of learning of the lead: all that waits for it (orders to machines, looks) would only wait for less. Red first (earlier-lead.test.ts), 8 of 9: "The value ["run-absent"] is not equal to ["answer-..."]"; "The value [{ 9 entries }] is not equal to []" (a start before its append); "The value "follower" is not equal to "leader""; "The value [] is not equal to ["0000000..."]", twice; "The value "leader" is not equal to "claiming""; "The value true is not equal to false" (a claim with another behind it). effect-runner.test.ts: no answer brought a token.

--- a/packages/core/src/scheduler/advice.ts
+++ b/packages/core/src/scheduler/advice.ts
@@ -46,7 +46,9 @@
 
 	const named = workers.slice(0, step.advice.mostNamed);
 	state.adviceQuestion = {step, lives: new Map(named.map(worker => [worker.id, worker.bornAt])), askedAt: state.now};
-	addEffect(state, {type: 'advice/ask', step: nameStep(step), workerIds: named.map(worker => worker.id)});
+	addEffect(state, {
+		type: 'advice/ask', step: nameStep(step), workerIds: named.map(worker => worker.id), token: state.leadership.token,
+	});
 }
 
 function nameStep(step: StepRun): string {
--- a/packages/core/src/scheduler/commits.ts
+++ b/packages/core/src/scheduler/commits.ts
@@ -24,8 +24,7 @@
 	}
 
 	const hasChanges = state.dirtyJobs.size > 0 || state.pendingActions.length > 0 || state.areWavesDirty || state.isConfigDirty || state.removedJobs.size > 0;
-	const isSignDue = state.now - leadership.confirmedAt >= signOfLifeMs;
-	if ((hasChanges && state.now >= leadership.commitNotBefore) || isSignDue) {
+	if ((hasChanges && state.now >= leadership.commitNotBefore) || state.now >= leadership.signDueAt) {
 		sendCommit(state);
 	}
 }
@@ -53,7 +52,7 @@
 	state.dirtyJobs.clear();
 	const {leadership} = state;
 	leadership.commit = {
-		sequence: leadership.nextSequence++, records, actions, retryAt: undefined,
+		sequence: leadership.nextSequence++, sentAt: state.now, records, actions, retryAt: undefined,
 	};
 	addCommitEffect(state, leadership.commit);
 }
@@ -126,8 +125,9 @@
 	}
 
 	leadership.commit = undefined;
-	leadership.confirmedAt = state.now;
+	leadership.confirmedAt = commit.sentAt;
 	leadership.commitNotBefore = state.now + commitPauseMs;
+	leadership.signDueAt = state.now + signOfLifeMs;
 	for (const action of commit.actions) {
 		(actionHandlers[action.type] as (state: SchedulerState, action: PendingAction) => void)(state, action);
 	}
--- a/packages/core/src/scheduler/effects.ts
+++ b/packages/core/src/scheduler/effects.ts
@@ -32,7 +32,7 @@
 		| {readonly type: 'machine/move'; readonly machineId: MachineId; readonly pool: PoolName; readonly token: FencingToken}
 		| {readonly type: 'machine/upkeep'; readonly machineId: MachineId; readonly wave: WaveNumber; readonly token: FencingToken}
 		| {readonly type: 'wave/report'; readonly wave: WaveNumber; readonly isCompleted: boolean}
-		| {readonly type: 'advice/ask'; readonly step: string; readonly workerIds: readonly WorkerId[]}
+		| {readonly type: 'advice/ask'; readonly step: string; readonly workerIds: readonly WorkerId[]; readonly token: FencingToken}
 		| {readonly type: 'intake/remove'; readonly jobIds: readonly string[]}
 		| {readonly type: 'config/restored'; readonly config: FleetConfig}
 		| {readonly type: 'log'; readonly level: 'info' | 'warn'; readonly event: string; readonly fields: LogFields};
--- a/packages/core/src/scheduler/events.ts
+++ b/packages/core/src/scheduler/events.ts
@@ -1,7 +1,7 @@
 /** What happens to the scheduler. Each event brings the instants at which it happened. */
 import type {Instant} from '../types/time.js';
 import type {
-	EndedRow, FleetConfig, IntakeRecord, LedgerRecord, MachineEntry, MachineId, RunningRow, SteadyMs, TaskName, WaveDefinition, WaveNumber, WorkerEntry, WorkerId,
+	EndedRow, FencingToken, FleetConfig, IntakeRecord, LedgerRecord, MachineEntry, MachineId, RunningRow, SteadyMs, TaskName, WaveDefinition, WaveNumber, WorkerEntry, WorkerId,
 } from './types.js';
 
 /** How a start was answered. `not-sent`: no connection; `unknown`: it may have been carried out, or may be later. */
@@ -18,6 +18,9 @@
 
 type Timed = {readonly at: SteadyMs; readonly wallAt: Instant};
 
+/** An answer brings the token of its question: it belongs to that lead alone. Stand-ins whose answers outlast no lead leave it out. */
+type Answer = {readonly token?: FencingToken};
+
 export type SchedulerEvent = Timed & (
 	| {readonly type: 'clock/ticked'}
 	| {readonly type: 'stop/requested'}
@@ -27,20 +30,20 @@
 	| {readonly type: 'ledger/loaded'; readonly entries: readonly LedgerEntry[]; readonly nextOffset: number}
 	| {readonly type: 'ledger/read'; readonly entries: readonly LedgerEntry[]; readonly nextOffset: number}
 	| {readonly type: 'claim/ended'; readonly outcome: ClaimOutcome; readonly claimedAt: number}
-	| {readonly type: 'commit/ended'; readonly outcome: CommitOutcome; readonly sequence: number}
+	| Answer & {readonly type: 'commit/ended'; readonly outcome: CommitOutcome; readonly sequence: number}
 	| {readonly type: 'workers/listed'; readonly workers: readonly WorkerEntry[]; /** The registry was read anew, after its records were lost or at the start. */ readonly isReloaded: boolean}
-	| {readonly type: 'start/ended'; readonly workerId: WorkerId; readonly bornAt: number; readonly task: TaskName; readonly run: number; readonly outcome: StartOutcome; readonly clockMs: number | undefined}
-	| {readonly type: 'stop/ended'; readonly workerId: WorkerId; readonly bornAt: number; readonly task: TaskName; readonly run: number; readonly outcome: StopOutcome}
-	| {
+	| Answer & {readonly type: 'start/ended'; readonly workerId: WorkerId; readonly bornAt: number; readonly task: TaskName; readonly run: number; readonly outcome: StartOutcome; readonly clockMs: number | undefined}
+	| Answer & {readonly type: 'stop/ended'; readonly workerId: WorkerId; readonly bornAt: number; readonly task: TaskName; readonly run: number; readonly outcome: StopOutcome}
+	| Answer & {
 		readonly type: 'hold/ended'; readonly workerId: WorkerId; readonly bornAt: number; readonly outcome: HoldOutcome; readonly sentAt: SteadyMs; readonly isExtra: boolean;
 		readonly clockMs: number | undefined; readonly answerBornAt: number | undefined; readonly running: readonly RunningRow[]; readonly ended: readonly EndedRow[];
 	}
-	| {readonly type: 'pace/ended'; readonly workerId: WorkerId; readonly task: TaskName; readonly run: number; readonly isDone: boolean}
+	| Answer & {readonly type: 'pace/ended'; readonly workerId: WorkerId; readonly task: TaskName; readonly run: number; readonly isDone: boolean}
 	| {readonly type: 'machines/listed'; readonly machines: readonly MachineEntry[] | undefined}
-	| {readonly type: 'order/ended'; readonly machineId: MachineId; readonly outcome: OrderOutcome}
+	| Answer & {readonly type: 'order/ended'; readonly machineId: MachineId; readonly outcome: OrderOutcome}
 	| {readonly type: 'wave/published'; readonly definition: WaveDefinition; readonly isCompleted: boolean}
 	| {readonly type: 'wave/reported'; readonly wave: WaveNumber; readonly isStored: boolean; readonly isCompleted: boolean}
-	| {
+	| Answer & {
 		readonly type: 'advice/ended'; readonly step: string; readonly asked: readonly WorkerId[]; readonly validMs: number;
 		/** Undefined when the service did not answer. */
 		readonly tickets: ReadonlyArray<{readonly workerId: WorkerId; readonly ticket: string}> | undefined;
--- a/packages/core/src/scheduler/hand-driven.ts
+++ b/packages/core/src/scheduler/hand-driven.ts
@@ -52,7 +52,7 @@
 
 type HoldChanges = {
 	readonly running?: readonly RunningRow[]; readonly ended?: readonly EndedRow[]; readonly sentAt?: number;
-	readonly bornAt?: number; readonly answerBornAt?: number;
+	readonly bornAt?: number; readonly answerBornAt?: number; readonly token?: number;
 };
 
 export class HandDriven {
@@ -70,6 +70,10 @@
 
 	private constructor(readonly state: SchedulerState) {}
 
+	get token(): number {
+		return this.state.leadership.token;
+	}
+
 	/** Lets an event happen now, and what is stored at once; returns all that followed. */
 	push(body: EventBody): SchedulerEffect[] {
 		const event = {...body, at: this.now, wallAt: (wallStart + this.now + this.clockErrorMs) as Instant};
@@ -85,8 +89,10 @@
 	}
 
 	/** Confirms an append. */
-	store({sequence}: EffectOf<'ledger/commit'>): SchedulerEffect[] {
-		return this.push({type: 'commit/ended', outcome: 'stored', sequence});
+	store({sequence, token}: EffectOf<'ledger/commit'>): SchedulerEffect[] {
+		return this.push({
+			type: 'commit/ended', outcome: 'stored', sequence, token,
+		});
 	}
 
 	/** Lets time pass, with a clock event every 25 ms. */
@@ -128,14 +134,14 @@
 	/** Answers a look that was sent just before, unless the test says otherwise. */
 	answerHold(workerId: string, changes: HoldChanges = {}): SchedulerEffect[] {
 		return this.push({
-			type: 'hold/ended', workerId, bornAt: 1, outcome: 'held', sentAt: this.now - 1, isExtra: false, clockMs: this.now, answerBornAt: changes.bornAt ?? 1, running: [], ended: [], ...changes,
+			type: 'hold/ended', workerId, bornAt: 1, outcome: 'held', sentAt: this.now - 1, isExtra: false, clockMs: this.now, answerBornAt: changes.bornAt ?? 1, running: [], ended: [], token: this.token, ...changes,
 		});
 	}
 
 	/** Answers a start. */
-	answerStart({worker, task, run}: EffectOf<'worker/start'>, outcome: StartOutcome = 'started'): SchedulerEffect[] {
+	answerStart({worker, task, run, token}: EffectOf<'worker/start'>, outcome: StartOutcome = 'started'): SchedulerEffect[] {
 		return this.push({
-			type: 'start/ended', workerId: worker.id, bornAt: worker.bornAt, task, run, outcome, clockMs: this.now,
+			type: 'start/ended', workerId: worker.id, bornAt: worker.bornAt, task, run, outcome, clockMs: this.now, token,
 		});
 	}
 }
--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -215,7 +215,8 @@
 	} else if (row.status === 'placed') {
 		task.status = 'placed';
 		task.isSent = true;
-		task.settledAt = 0;
+		// No look of this lead was sent before.
+		task.settledAt = state.leadership.leadsSince;
 		attachTask(createPlaceholder(state, row.workerId, row.workerBornAt), task);
 	}
 }
--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -3,11 +3,11 @@
 import {addEffect, noteDecision, noteWarning} from './logging.js';
 import {isFinal} from './phases.js';
 import {
-	claimRetryMs, claimSpreadMs, leaderSilenceAtStartMs, leaderSilenceMs, weakClaimDelayMs,
+	claimRetryMs, claimSpreadMs, leaderSilenceAtStartMs, leaderSilenceMs, signOfLifeMs, weakClaimDelayMs,
 } from './timing.js';
 import type {LedgerEntry, SchedulerEvent} from './events.js';
 import type {LedgerRecord} from './types.js';
-import type {SchedulerSettings, SchedulerState} from './state.js';
+import type {Claim, SchedulerSettings, SchedulerState} from './state.js';
 
 type LedgerRead = Extract<SchedulerEvent, {type: 'ledger/read' | 'ledger/loaded'}>;
 type ClaimEnded = Extract<SchedulerEvent, {type: 'claim/ended'}>;
@@ -32,6 +32,8 @@
 		applyRecord(state, entry);
 	}
 
+	takeClaimedLead(state, event.entries);
+
 	leadership.ledgerEnd = event.nextOffset;
 	if (event.entries.length > 0) {
 		leadership.lastRecordAt = state.now;
@@ -39,17 +41,22 @@
 	}
 }
 
-type RecordHandlers = {[K in LedgerRecord['type']]: (state: SchedulerState, record: Extract<LedgerRecord, {type: K}>, offset: number) => void};
+/** An own claim whose answer was lost is found by reading; what others have claimed behind it makes it void. */
+function takeClaimedLead(state: SchedulerState, entries: readonly LedgerEntry[]): void {
+	const {leadership, settings} = state;
+	const {claim, role} = leadership;
+	const lease = entries.map(({record}) => record).findLast(record => record.type === 'lease')?.lease;
+	if (role === 'claiming' && claim && lease?.holder === settings.holder && lease.token === claim.token && !lease.isReleased) {
+		startLeading(state, claim);
+	}
+}
+
+type RecordHandlers = {[K in LedgerRecord['type']]: (state: SchedulerState, record: Extract<LedgerRecord, {type: K}>) => void};
 
 const recordHandlers: RecordHandlers = {
-	lease(state, {lease}, offset) {
-		const {leadership, settings} = state;
+	lease({leadership, settings, now}, {lease}) {
 		leadership.isReleased = lease.isReleased;
-		leadership.claimNotBefore = state.now + computeClaimDelay(settings);
-		// An own claim whose answer was lost.
-		if (lease.holder === settings.holder && !lease.isReleased && leadership.role === 'claiming' && lease.token === offset + 1) {
-			startLeading(state, lease.token);
-		}
+		leadership.claimNotBefore = now + computeClaimDelay(settings);
 	},
 	progress(state, {jobId, progress}) {
 		const job = state.jobs.get(jobId);
@@ -79,8 +86,8 @@
 	},
 };
 
-function applyRecord(state: SchedulerState, {offset, record}: LedgerEntry): void {
-	(recordHandlers[record.type] as (state: SchedulerState, record: LedgerRecord, offset: number) => void)(state, record, offset);
+function applyRecord(state: SchedulerState, {record}: LedgerEntry): void {
+	(recordHandlers[record.type] as (state: SchedulerState, record: LedgerRecord) => void)(state, record);
 }
 
 /** Hosts with much processor and a wide link claim first: the lead takes more of both than any other work. */
@@ -102,22 +109,31 @@
 		return;
 	}
 
+	const token = leadership.ledgerEnd + 1;
 	leadership.role = 'claiming';
+	// A repeat may be answered for the first one.
+	leadership.claim = leadership.claim?.token === token ? leadership.claim : {token, sentAt: state.now};
 	noteDecision(state, 'lead-claimed', {at: leadership.ledgerEnd, silentMs: Math.round(state.now - leadership.lastRecordAt), isReleased: leadership.isReleased});
 	addEffect(state, {
-		type: 'ledger/claim', at: leadership.ledgerEnd, token: leadership.ledgerEnd + 1, sequence: settings.firstSequence, holder: settings.holder,
+		type: 'ledger/claim', at: leadership.ledgerEnd, token, sequence: settings.firstSequence, holder: settings.holder,
 	});
 }
 
 /** Handles the outcome of a claim. */
 export function handleClaim(state: SchedulerState, event: ClaimEnded): void {
 	const {leadership} = state;
+	const {claim} = leadership;
 	if (leadership.role !== 'claiming') {
 		return;
 	}
 
+	if (claim?.token !== event.claimedAt + 1) {
+		noteDecision(state, 'answer-of-earlier-lead', {eventType: event.type, token: claim?.token});
+		return;
+	}
+
 	if (event.outcome === 'granted') {
-		startLeading(state, event.claimedAt + 1);
+		startLeading(state, claim);
 		return;
 	}
 
@@ -137,16 +153,17 @@
 	}
 }
 
-function startLeading(state: SchedulerState, token: number): void {
+function startLeading(state: SchedulerState, {token, sentAt}: Claim): void {
 	const {leadership} = state;
 	leadership.role = 'leader';
 	leadership.token = token;
 	leadership.leadsSince = state.now;
-	leadership.confirmedAt = state.now;
+	leadership.confirmedAt = sentAt;
 	leadership.nextSequence = state.settings.firstSequence + 1;
 	leadership.commit = undefined;
 	leadership.isReleased = false;
 	leadership.commitNotBefore = 0;
+	leadership.signDueAt = state.now + signOfLifeMs;
 	state.pendingActions = [];
 	state.workers.clear();
 	state.machines.clear();
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -126,7 +126,17 @@
 	'order/ended': 'the platform has seen a higher token',
 };
 
+/** An answer to a question of a lead that this host has had before the present one. */
+function isOfEarlierLead({leadership}: SchedulerState, event: SchedulerEvent): boolean {
+	return 'token' in event && event.token !== undefined && event.token !== leadership.token;
+}
+
 function applyEvent(state: SchedulerState, event: SchedulerEvent): void {
+	if (isOfEarlierLead(state, event)) {
+		noteDecision(state, 'answer-of-earlier-lead', {eventType: event.type, token: state.leadership.token});
+		return;
+	}
+
 	const reason = fencedBy[event.type];
 	if (reason !== undefined && 'outcome' in event && event.outcome === 'fenced') {
 		stopLeading(state, reason);
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -200,11 +200,16 @@
 /** One append to the ledger. */
 export type Commit = {
 	readonly sequence: number;
+	/** When it was sent first; its confirmation tells that this host led then. */
+	readonly sentAt: SteadyMs;
 	readonly records: readonly LedgerRecord[];
 	readonly actions: readonly PendingAction[];
 	retryAt: SteadyMs | undefined;
 };
 
+/** A claim of the lead, and when it was sent first. */
+export type Claim = {readonly token: FencingToken; readonly sentAt: SteadyMs};
+
 export type Leadership = {
 	role: 'follower' | 'claiming' | 'leader' | 'retired';
 	token: FencingToken;
@@ -216,12 +221,17 @@
 	hasLedger: boolean;
 	/** Records came after the ledger was read as a whole: there was a leader since. */
 	hasReadOn: boolean;
-	/** Since when this host leads; machine orders wait some time after it. */
+	/** When this host learned that it leads; machine orders wait some time after it. */
 	leadsSince: SteadyMs;
+	/** The store has confirmed an append of this lead that was sent then. */
 	confirmedAt: SteadyMs;
+	/** The latest claim. */
+	claim: Claim | undefined;
 	nextSequence: number;
 	commit: Commit | undefined;
 	commitNotBefore: SteadyMs;
+	/** When a sign of life is due if nothing changes. */
+	signDueAt: SteadyMs;
 	/** When a claim of unknown outcome is given up. */
 	retryClaimAt: SteadyMs | undefined;
 };
@@ -338,7 +348,7 @@
 		openSteps: new Set(),
 		workers: new Map(),
 		leadership: {
-			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, claimNotBefore: 0, isReleased: false, hasLedger: false, hasReadOn: false, leadsSince: 0, confirmedAt: 0, nextSequence: 0, commit: undefined, commitNotBefore: 0, retryClaimAt: undefined,
+			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, claimNotBefore: 0, isReleased: false, hasLedger: false, hasReadOn: false, leadsSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, commitNotBefore: 0, signDueAt: 0, retryClaimAt: undefined,
 		},
 		dirtyJobs: new Set(),
 		removedJobs: new Set(),
--- a/packages/daemon/src/scheduler/effect-runner.ts
+++ b/packages/daemon/src/scheduler/effect-runner.ts
@@ -65,10 +65,10 @@
 			void this.listMachines();
 		},
 		'machine/move': effect => {
-			void this.order(effect.machineId, 'move', async () => this.options.ports.machines.move(effect));
+			void this.order(effect, 'move', async () => this.options.ports.machines.move(effect));
 		},
 		'machine/upkeep': effect => {
-			void this.order(effect.machineId, 'upkeep', async () => this.options.ports.machines.startUpkeep(effect));
+			void this.order(effect, 'upkeep', async () => this.options.ports.machines.startUpkeep(effect));
 		},
 		'wave/report': effect => {
 			void this.reportWave(effect);
@@ -116,7 +116,9 @@
 		this.noteOrder('commit', outcome.type, startedAt);
 		// The expected number is the next one: this append was stored before.
 		const isStored = outcome.type === 'out-of-sequence' && outcome.expected > sequence;
-		this.options.pushEvent({type: 'commit/ended', outcome: isStored ? 'stored' : commitOutcomes[outcome.type], sequence});
+		this.options.pushEvent({
+			type: 'commit/ended', outcome: isStored ? 'stored' : commitOutcomes[outcome.type], sequence, token,
+		});
 	}
 
 	private async start(effect: Extract<SchedulerEffect, {type: 'worker/start'}>): Promise<void> {
@@ -126,9 +128,9 @@
 		this.options.log.note('task-started', {
 			task: effect.task, run: effect.run, workerId: effect.worker.id, outcome, tookMs: Math.round(readSteadyClock() - startedAt),
 		});
-		const {worker, task, run} = effect;
+		const {worker, task, run, token} = effect;
 		this.options.pushEvent({
-			type: 'start/ended', workerId: worker.id, bornAt: worker.bornAt, task, run, outcome, clockMs,
+			type: 'start/ended', workerId: worker.id, bornAt: worker.bornAt, task, run, outcome, clockMs, token,
 		});
 	}
 
@@ -136,12 +138,12 @@
 		const startedAt = readSteadyClock();
 		const outcome = await this.options.ports.workers.stop(effect);
 		this.noteOrder('stop', outcome, startedAt);
-		const {worker, task, run} = effect;
+		const {worker, task, run, token} = effect;
 		this.options.log.note('task-stopped', {
 			task, run, workerId: worker.id, outcome,
 		});
 		this.options.pushEvent({
-			type: 'stop/ended', workerId: worker.id, bornAt: worker.bornAt, task, run, outcome,
+			type: 'stop/ended', workerId: worker.id, bornAt: worker.bornAt, task, run, outcome, token,
 		});
 	}
 
@@ -151,7 +153,7 @@
 		this.noteOrder('hold', answer.outcome, sentAt);
 		const {worker} = effect;
 		this.options.pushEvent({
-			type: 'hold/ended', workerId: worker.id, bornAt: worker.bornAt, outcome: answer.outcome, sentAt, isExtra: effect.isExtra, clockMs: answer.clockMs, answerBornAt: answer.bornAt, running: answer.running, ended: answer.ended,
+			type: 'hold/ended', workerId: worker.id, bornAt: worker.bornAt, outcome: answer.outcome, sentAt, isExtra: effect.isExtra, clockMs: answer.clockMs, answerBornAt: answer.bornAt, running: answer.running, ended: answer.ended, token: effect.token,
 		});
 	}
 
@@ -160,7 +162,7 @@
 		const isDone = await this.options.ports.workers.setPace(effect);
 		this.noteOrder('pace', isDone ? 'done' : 'failed', startedAt);
 		this.options.pushEvent({
-			type: 'pace/ended', workerId: effect.worker.id, task: effect.task, run: effect.run, isDone,
+			type: 'pace/ended', workerId: effect.worker.id, task: effect.task, run: effect.run, isDone, token: effect.token,
 		});
 	}
 
@@ -171,11 +173,13 @@
 		this.options.pushEvent({type: 'machines/listed', machines});
 	}
 
-	private async order(machineId: string, name: string, send: () => Promise<Extract<SchedulerEvent, {type: 'order/ended'}>['outcome']>): Promise<void> {
+	private async order({machineId, token}: Extract<SchedulerEffect, {type: 'machine/move' | 'machine/upkeep'}>, name: string, send: () => Promise<Extract<SchedulerEvent, {type: 'order/ended'}>['outcome']>): Promise<void> {
 		const startedAt = readSteadyClock();
 		const outcome = await send();
 		this.noteOrder(name, outcome, startedAt);
-		this.options.pushEvent({type: 'order/ended', machineId, outcome});
+		this.options.pushEvent({
+			type: 'order/ended', machineId, outcome, token,
+		});
 	}
 
 	private async reportWave({wave, isCompleted}: Extract<SchedulerEffect, {type: 'wave/report'}>): Promise<void> {
@@ -192,7 +196,7 @@
 		const answer = await this.options.ports.advisor.ask(effect);
 		this.noteOrder('advice', answer ? 'done' : 'failed', startedAt);
 		this.options.pushEvent({
-			type: 'advice/ended', step: effect.step, asked: effect.workerIds, validMs: answer?.validMs ?? 0, tickets: answer?.tickets,
+			type: 'advice/ended', step: effect.step, asked: effect.workerIds, validMs: answer?.validMs ?? 0, tickets: answer?.tickets, token: effect.token,
 		});
 	}
 
