Ends belong to one life of a worker, and a cut list of them proves no absence

Seen in the audit: (1) an append with ends of a worker's former life was answered after the worker had restarted and listed its first end; that end counted as stored and was acknowledged, though no append held it. (2) A worker with over 500 ends lists 500 at a time: a run whose end was number 501 was taken for gone and started again. (3) A worker that left was forgotten at once with its starts of unknown outcome; its next life could carry one out with nobody to stop it. After an answer of another life (421) such starts were not even noted. Causes: numbers of ends were kept without the life they count; that a list can be cut was not thought of; the memory of late starts hung on a worker that nothing else kept. Now a stored note of ends names the life; no run is taken for gone while the list of ends is as long as such lists get; a worker is kept while late starts of it are remembered, and the end of a life without a known next one notes them (dropLife, in place of three copies of the same steps). Red first (ends.test.ts), 4 of 6: "The value 1 is not equal to 0", "The value true is not equal to false", "The value [] is not equal to ["0000000..."]" twice.

--- a/packages/core/src/scheduler/commits.ts
+++ b/packages/core/src/scheduler/commits.ts
@@ -96,8 +96,10 @@
 	start(state, {task, run}) {
 		sendStart(state, task, run);
 	},
-	'note-ends'(_state, {worker, upTo}) {
-		worker.storedEnd = Math.max(worker.storedEnd, Math.min(upTo, worker.readEnd));
+	'note-ends'(_state, {worker, bornAt, upTo}) {
+		if (worker.bornAt === bornAt) {
+			worker.storedEnd = Math.max(worker.storedEnd, Math.min(upTo, worker.readEnd));
+		}
 	},
 	order(state, {machine}) {
 		sendOrder(state, machine);
--- a/packages/core/src/scheduler/holds.ts
+++ b/packages/core/src/scheduler/holds.ts
@@ -4,7 +4,7 @@
 import {addEffect, noteDecision, noteWarning} from './logging.js';
 import {isFinal} from './phases.js';
 import {getMaxAttempts} from './queues.js';
-import {clearWorker, restartWorker} from './registry.js';
+import {clearWorker, dropLife, restartWorker} from './registry.js';
 import {noteRunTime} from './urgency.js';
 import {
 	confirmTask, finishTask, getTarget, requestStop, returnTask, stopGang,
@@ -17,6 +17,8 @@
 import type {SchedulerState, Task, Worker} from './state.js';
 
 const longestRetryMs = 700;
+/** Workers list this many ends at once; there may be more. */
+const longestEndList = 500;
 /** A job that is not read by then has been removed. */
 const unreadJobsLimitMs = 3000;
 
@@ -159,9 +161,7 @@
 
 	if (event.outcome === 'other-life') {
 		noteDecision(state, 'worker-gone', {workerId: worker.id, tasks: worker.tasks.size});
-		clearWorker(state, worker);
-		worker.isListed = false;
-		worker.leaseEndsAt = 0;
+		dropLife(state, worker);
 	}
 }
 
@@ -183,7 +183,9 @@
 	}
 
 	if (worker.readEnd > worker.storedEnd) {
-		state.pendingActions.push({type: 'note-ends', worker, upTo: worker.readEnd});
+		state.pendingActions.push({
+			type: 'note-ends', worker, bornAt: worker.bornAt, upTo: worker.readEnd,
+		});
 	}
 }
 
@@ -251,6 +253,11 @@
 		}
 	}
 
+	// The end of a run that is not at work may be among those that were left out.
+	if (event.ended.length >= longestEndList) {
+		return;
+	}
+
 	for (const task of worker.tasks.values()) {
 		if (task.isSent && !seen.has(task.name) && task.settledAt < event.sentAt) {
 			noteDecision(state, 'run-absent', {task: task.name, run: task.run, workerId: worker.id});
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -113,8 +113,8 @@
 	noteDecision(state, 'worker-restarted', {
 		workerId: worker.id, bornAt, formerBornAt: worker.bornAt, tasks: worker.tasks.size,
 	});
-	// A start that no look has shown may have been carried out, or be carried out yet, by the new process: its task waits for a stop there.
-	const doubtful = [...worker.tasks.values()].filter(task => task.isSent && !task.isSeen);
+	// Their tasks wait for a stop at the new process.
+	const doubtful = listUnseen(worker);
 	clearWorker(state, worker, new Set(doubtful));
 	worker.bornAt = bornAt;
 	worker.clock = undefined;
@@ -138,8 +138,31 @@
 	}
 }
 
+/** Starts that no look has shown: the worker's next process may have carried them out, or may do so yet. */
+function listUnseen(worker: Worker): Task[] {
+	return [...worker.tasks.values()].filter(task => task.isSent && !task.isSeen);
+}
+
+/** The worker's life is over, and no next one is known: all that ran is gone, but for what may be carried out late. */
+export function dropLife(state: SchedulerState, worker: Worker): void {
+	for (const task of listUnseen(worker)) {
+		noteLateStart(state, worker, task);
+	}
+
+	clearWorker(state, worker);
+	worker.isListed = false;
+	worker.leaseEndsAt = 0;
+	worker.readEnd = 0;
+	worker.storedEnd = 0;
+	worker.ackedEnd = 0;
+}
+
 /** Remembers a start that may still be carried out. */
 export function noteLateStart(state: SchedulerState, worker: Worker, task: Task): void {
+	if (worker.lateStarts.some(late => late.task === task.name && late.run === task.run)) {
+		return;
+	}
+
 	worker.lateStarts.push({
 		task: task.name, run: task.run, forgetAt: state.now + lateStartMs, stopDueAt: notSettled,
 	});
@@ -185,10 +208,10 @@
 	}
 }
 
-/** Forgets workers that left and have nothing of ours. */
+/** Forgets workers that left and have nothing of ours; the next life of one may carry a late start out. */
 export function removeGoneWorkers(state: SchedulerState): void {
 	for (const worker of state.workers.values()) {
-		if (!worker.isListed && worker.tasks.size === 0 && !worker.isHeld && state.now > worker.leaseEndsAt) {
+		if (!worker.isListed && worker.tasks.size === 0 && worker.lateStarts.length === 0 && !worker.isHeld && state.now > worker.leaseEndsAt) {
 			state.workers.delete(worker.id);
 		}
 	}
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -3,7 +3,7 @@
 import {extendLease, sendExtraLook} from './holds.js';
 import {addEffect, noteDecision} from './logging.js';
 import {isJobOpen} from './phases.js';
-import {clearWorker, noteLateStart, tickLateStarts} from './registry.js';
+import {dropLife, noteLateStart, tickLateStarts} from './registry.js';
 import {
 	confirmTask, getTarget, requestStop, returnTask,
 } from './tasks.js';
@@ -90,10 +90,9 @@
 		returnTask(state, task);
 		worker.setAsideUntil = Math.max(worker.setAsideUntil, state.now + unhealthyPauseMs);
 	},
-	'other-life'(state, worker) {
-		clearWorker(state, worker);
-		worker.isListed = false;
-		worker.leaseEndsAt = 0;
+	'other-life'(state, worker, task) {
+		returnTask(state, task);
+		dropLife(state, worker);
 	},
 	'not-sent'(state, worker, task) {
 		returnTask(state, task);
@@ -147,9 +146,7 @@
 	}
 
 	if (event.outcome === 'other-life') {
-		clearWorker(state, worker);
-		worker.isListed = false;
-		worker.leaseEndsAt = 0;
+		dropLife(state, worker);
 		return;
 	}
 
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -193,7 +193,7 @@
 /** Actions that wait until the changes they rest on are stored. */
 export type PendingAction
 	= | {readonly type: 'start'; readonly task: Task; readonly run: number}
-		| {readonly type: 'note-ends'; readonly worker: Worker; readonly upTo: number}
+		| {readonly type: 'note-ends'; readonly worker: Worker; /** Numbers of ends are those of one life. */ readonly bornAt: number; readonly upTo: number}
 		| {readonly type: 'show-phase'; readonly job: Job; /** As it is stored: the job may be further on by then. */ readonly progress: JobProgress}
 		| {readonly type: 'order'; readonly machine: Machine};
 
