Names and format of the scheduler's new tests and functions, as the linter asks

dispatch in place of push in the hand-driven host, dropJob and dropProgress in place of names outside docs/STYLE.md; no change of what is tested.

--- a/packages/core/src/scheduler/advice.test.ts
+++ b/packages/core/src/scheduler/advice.test.ts
@@ -23,7 +23,7 @@
 }
 
 function answer(host: HandDriven, tickets: ReadonlyArray<typeof ticket> | undefined, asked: readonly string[] = ['w1'], validMs = 3000): SchedulerEffect[] {
-	return host.push({
+	return host.dispatch({
 		type: 'advice/ended', step, asked, validMs, tickets,
 	});
 }
@@ -65,7 +65,7 @@
 		host.state.workers.get('w1')!.setAsideUntil = host.now + 500;
 		host.now += 100;
 		answer(host, [ticket], ['w1'], 1200);
-		host.push({type: 'workers/listed', workers: [createWorker('w1'), createWorker('w2')], isReloaded: false});
+		host.dispatch({type: 'workers/listed', workers: [createWorker('w1'), createWorker('w2')], isReloaded: false});
 		host.now++;
 		expect(listAsks([...host.answerHold('w2'), ...run(host, 100)])).toEqual(['w2']);
 		const starts = listStarts(run(host, 600));
@@ -87,7 +87,7 @@
 		host.submit(createJob(1, [createStep({count: 1})]));
 		answer(host, []);
 		expect(listAsks(run(host, 500))).toEqual([]);
-		host.push({type: 'workers/listed', workers: [createWorker('w1', {bornAt: 2})], isReloaded: false});
+		host.dispatch({type: 'workers/listed', workers: [createWorker('w1', {bornAt: 2})], isReloaded: false});
 		host.now++;
 		expect(listAsks([...host.answerHold('w1', {bornAt: 2, answerBornAt: 2}), ...run(host, 500)])).toEqual(['w1']);
 	});
--- a/packages/core/src/scheduler/advice.ts
+++ b/packages/core/src/scheduler/advice.ts
@@ -39,7 +39,7 @@
 	step.advice ??= {
 		askAgainAt: 0, mostNamed: mostWorkersNamed, known: new Map(), tickets: new Map(),
 	};
-	if (state.adviceQuestion || state.now < step.advice.askAgainAt) {
+	if (state.adviceQuestion !== undefined || state.now < step.advice.askAgainAt) {
 		state.needsPlacement = true;
 		return;
 	}
--- a/packages/core/src/scheduler/attempts.test.ts
+++ b/packages/core/src/scheduler/attempts.test.ts
@@ -10,7 +10,7 @@
 	const host = HandDriven.create();
 	host.takeLead([], createConfig({maxAttempts}));
 	host.addWorkers('w1');
-	host.push({type: 'config/read', config: {...createConfig({}, 2), queues: []}});
+	host.dispatch({type: 'config/read', config: {...createConfig({}, 2), queues: []}});
 	let runs = 0;
 	let starts = listStarts(host.submit(job));
 	while (host.now < 20_000) {
--- a/packages/core/src/scheduler/earlier-lead.test.ts
+++ b/packages/core/src/scheduler/earlier-lead.test.ts
@@ -17,7 +17,9 @@
 	host.takeLead();
 	host.addWorkers('w1');
 	host.tick(100);
-	host.push({type: 'commit/ended', outcome: 'fenced', sequence: 0, token: 1});
+	host.dispatch({
+		type: 'commit/ended', outcome: 'fenced', sequence: 0, token: 1,
+	});
 	expect(host.state.leadership.role).toEqual('follower');
 	return host;
 }
@@ -28,8 +30,8 @@
 
 /** Lets time pass until the host claims the lead, at this instant. */
 function claim(host: HandDriven): EffectOf<'ledger/claim'> {
-	host.push({type: 'config/read', config: createConfig()});
-	host.push({type: 'ledger/loaded', entries: [], nextOffset: 3});
+	host.dispatch({type: 'config/read', config: createConfig()});
+	host.dispatch({type: 'ledger/loaded', entries: [], nextOffset: 3});
 	for (;;) {
 		const sent = host.tick().find(effect => effect.type === 'ledger/claim');
 		if (sent) {
@@ -44,7 +46,7 @@
 		const sentAt = host.now;
 		host.submit(job);
 		host.takeLead(readEntries([createProgress(6, job, [createRow({run: 3})])]));
-		host.push({type: 'workers/listed', workers: [createWorker('w1')], isReloaded: true});
+		host.dispatch({type: 'workers/listed', workers: [createWorker('w1')], isReloaded: true});
 		const effects = host.answerHold('w1', {sentAt, token: 1});
 		expect(listNotes(effects)).toEqual([dropped]);
 		const worker = host.state.workers.get('w1')!;
@@ -59,7 +61,7 @@
 		host.submit(job);
 		const sequence = host.state.leadership.commit?.sequence;
 		expect(sequence !== undefined).toEqual(true);
-		const effects = host.push({
+		const effects = host.dispatch({
 			type: 'commit/ended', outcome: 'stored', sequence: sequence!, token: 1,
 		});
 		expect(listStarts(effects)).toEqual([]);
@@ -71,7 +73,7 @@
 		const host = createFormerLeader();
 		host.takeLead(readEntries([]));
 		host.addWorkers('w1');
-		host.push({
+		host.dispatch({
 			type: 'stop/ended', workerId: 'w1', bornAt: 1, task, run: 1, outcome: 'fenced', token: 1,
 		});
 		expect(host.state.leadership.role).toEqual('leader');
@@ -81,7 +83,7 @@
 		const host = createFormerLeader();
 		host.submit(job);
 		host.takeLead(readEntries([createProgress(6, job, [createRow()])]));
-		host.push({
+		host.dispatch({
 			type: 'start/ended', workerId: 'w1', bornAt: 1, task, run: 1, outcome: 'not-sent', clockMs: undefined, token: 1,
 		});
 		expect([...host.state.workers.get('w1')!.tasks.keys()]).toEqual([task]);
@@ -90,7 +92,7 @@
 	it('a claim that was given up: its answer grants no other one', () => {
 		const host = HandDriven.create();
 		const {at} = claim(host);
-		host.push({type: 'claim/ended', outcome: 'granted', claimedAt: at - 1});
+		host.dispatch({type: 'claim/ended', outcome: 'granted', claimedAt: at - 1});
 		expect(host.state.leadership.role).toEqual('claiming');
 	});
 });
@@ -100,7 +102,7 @@
 		const host = HandDriven.create();
 		host.submit(job);
 		host.takeLead([createProgress(0, job, [createRow()])]);
-		host.push({type: 'workers/listed', workers: [createWorker('w1')], isReloaded: true});
+		host.dispatch({type: 'workers/listed', workers: [createWorker('w1')], isReloaded: true});
 		host.answerHold('w1', {sentAt: host.now - 100});
 		expect([...host.state.workers.get('w1')!.tasks.keys()]).toEqual([task]);
 		host.tick();
@@ -113,7 +115,7 @@
 		const claimedAt = host.now;
 		host.isStoring = false;
 		host.now += 900;
-		const commit = host.push({type: 'claim/ended', outcome: 'granted', claimedAt: at}).find(effect => effect.type === 'ledger/commit');
+		const commit = host.dispatch({type: 'claim/ended', outcome: 'granted', claimedAt: at}).find(effect => effect.type === 'ledger/commit');
 		expect(host.state.leadership.confirmedAt).toEqual(claimedAt);
 		const sentAt = host.now;
 		host.now += 900;
@@ -124,20 +126,20 @@
 	it('an own claim that is found by reading counts only if no other follows it in the same batch', () => {
 		const host = HandDriven.create();
 		const {at, token, holder} = claim(host);
-		host.push({type: 'claim/ended', outcome: 'unknown', claimedAt: at});
+		host.dispatch({type: 'claim/ended', outcome: 'unknown', claimedAt: at});
 		const entries: LedgerEntry[] = [
 			{offset: at, record: {type: 'lease', lease: {holder, token, isReleased: false}}},
 			{offset: at + 1, record: {type: 'lease', lease: {holder: 'other', token: at + 2, isReleased: false}}},
 		];
-		host.push({type: 'ledger/read', entries, nextOffset: at + 2});
+		host.dispatch({type: 'ledger/read', entries, nextOffset: at + 2});
 		expect(host.state.leadership.role === 'leader').toEqual(false);
 	});
 
 	it('an own claim that is found by reading, with no other behind it, is the lead', () => {
 		const host = HandDriven.create();
 		const {at, token, holder} = claim(host);
-		host.push({type: 'claim/ended', outcome: 'unknown', claimedAt: at});
-		host.push({type: 'ledger/read', entries: [{offset: at, record: {type: 'lease', lease: {holder, token, isReleased: false}}}], nextOffset: at + 1});
+		host.dispatch({type: 'claim/ended', outcome: 'unknown', claimedAt: at});
+		host.dispatch({type: 'ledger/read', entries: [{offset: at, record: {type: 'lease', lease: {holder, token, isReleased: false}}}], nextOffset: at + 1});
 		expect(host.state.leadership.role).toEqual('leader');
 	});
 });
--- a/packages/core/src/scheduler/ends.test.ts
+++ b/packages/core/src/scheduler/ends.test.ts
@@ -27,6 +27,11 @@
 	return listStarts(host.submit(createJob(1, [createStep({count: 1})])))[0]!;
 }
 
+/** Another process than the one that was meant has answered a look. */
+function answerOtherLife(host: HandDriven): void {
+	host.answerHold('w1', {outcome: 'other-life', answerBornAt: undefined});
+}
+
 function listStops(effects: readonly SchedulerEffect[]): string[] {
 	return effects.filter(effect => effect.type === 'worker/stop').map(({worker, task, run}) => `${task}#${run} at ${worker.id}/${worker.bornAt}`);
 }
@@ -78,34 +83,28 @@
 	it('is remembered while its worker is gone, and stopped at the next life', () => {
 		const host = createHost();
 		host.answerStart(startOne(host), 'unknown');
-		host.push({type: 'workers/listed', workers: [], isReloaded: false});
-		host.push({
-			type: 'hold/ended', workerId: 'w1', bornAt: 1, outcome: 'other-life', sentAt: host.now, isExtra: false, clockMs: undefined, answerBornAt: undefined, running: [], ended: [], token: host.token,
-		});
+		host.dispatch({type: 'workers/listed', workers: [], isReloaded: false});
+		answerOtherLife(host);
 		host.tick(lateMs);
-		host.push({type: 'workers/listed', workers: [createWorker('w1', {bornAt: 2})], isReloaded: false});
+		host.dispatch({type: 'workers/listed', workers: [createWorker('w1', {bornAt: 2})], isReloaded: false});
 		expect(listStops(host.tick(100))).toEqual([`${jobId}.0.0.0#1 at w1/2`]);
 	});
 
 	it('is remembered too where only another life has answered: nobody has seen it at work', () => {
 		const host = createHost();
 		startOne(host);
-		host.push({type: 'workers/listed', workers: [], isReloaded: false});
-		host.push({
-			type: 'hold/ended', workerId: 'w1', bornAt: 1, outcome: 'other-life', sentAt: host.now, isExtra: false, clockMs: undefined, answerBornAt: undefined, running: [], ended: [], token: host.token,
-		});
+		host.dispatch({type: 'workers/listed', workers: [], isReloaded: false});
+		answerOtherLife(host);
 		host.tick(lateMs);
-		host.push({type: 'workers/listed', workers: [createWorker('w1', {bornAt: 2})], isReloaded: false});
+		host.dispatch({type: 'workers/listed', workers: [createWorker('w1', {bornAt: 2})], isReloaded: false});
 		expect(listStops(host.tick(100))).toEqual([`${jobId}.0.0.0#1 at w1/2`]);
 	});
 
 	it('is forgotten after its time, and the worker with it', () => {
 		const host = createHost();
 		host.answerStart(startOne(host), 'unknown');
-		host.push({type: 'workers/listed', workers: [], isReloaded: false});
-		host.push({
-			type: 'hold/ended', workerId: 'w1', bornAt: 1, outcome: 'other-life', sentAt: host.now, isExtra: false, clockMs: undefined, answerBornAt: undefined, running: [], ended: [], token: host.token,
-		});
+		host.dispatch({type: 'workers/listed', workers: [], isReloaded: false});
+		answerOtherLife(host);
 		host.tick(16_000);
 		expect(host.state.workers.size).toEqual(0);
 	});
--- a/packages/core/src/scheduler/hand-driven.ts
+++ b/packages/core/src/scheduler/hand-driven.ts
@@ -6,7 +6,9 @@
 import {modelSettings} from './testing/model-settings.js';
 import {commitPauseMs} from './timing.js';
 import type {SchedulerEffect} from './effects.js';
-import type {LedgerEntry, SchedulerEvent, StartOutcome} from './events.js';
+import type {
+	HoldOutcome, LedgerEntry, SchedulerEvent, StartOutcome,
+} from './events.js';
 import type {
 	EndedRow, FleetConfig, JobDefinition, ProgressRow, Queue, RunningRow, WorkerEntry,
 } from './types.js';
@@ -52,7 +54,7 @@
 
 type HoldChanges = {
 	readonly running?: readonly RunningRow[]; readonly ended?: readonly EndedRow[]; readonly sentAt?: number;
-	readonly bornAt?: number; readonly answerBornAt?: number; readonly token?: number;
+	readonly bornAt?: number; readonly answerBornAt?: number | undefined; readonly token?: number; readonly outcome?: HoldOutcome;
 };
 
 export class HandDriven {
@@ -75,7 +77,7 @@
 	}
 
 	/** Lets an event happen now, and what is stored at once; returns all that followed. */
-	push(body: EventBody): SchedulerEffect[] {
+	dispatch(body: EventBody): SchedulerEffect[] {
 		const event = {...body, at: this.now, wallAt: (wallStart + this.now + this.clockErrorMs) as Instant};
 		const effects = [...reduceScheduler(this.state, event)];
 		this.effects.push(...effects);
@@ -90,7 +92,7 @@
 
 	/** Confirms an append. */
 	store({sequence, token}: EffectOf<'ledger/commit'>): SchedulerEffect[] {
-		return this.push({
+		return this.dispatch({
 			type: 'commit/ended', outcome: 'stored', sequence, token,
 		});
 	}
@@ -101,7 +103,7 @@
 		const effects: SchedulerEffect[] = [];
 		while (this.now < end) {
 			this.now += tickStepMs;
-			effects.push(...this.push({type: 'clock/ticked'}));
+			effects.push(...this.dispatch({type: 'clock/ticked'}));
 		}
 
 		return effects;
@@ -110,15 +112,15 @@
 	/** Reads the ledger as a whole, waits until it was silent for long enough, and is granted the lead. */
 	takeLead(entries: readonly LedgerEntry[] = [], config = createConfig()): SchedulerEffect[] {
 		const nextOffset = (entries.at(-1)?.offset ?? -1) + 1;
-		this.push({type: 'config/read', config});
-		this.push({type: 'ledger/loaded', entries, nextOffset});
-		const claim = [...this.push({type: 'clock/ticked'}), ...this.tick(silenceMs)].find(effect => effect.type === 'ledger/claim');
-		return this.push({type: 'claim/ended', outcome: 'granted', claimedAt: claim!.at});
+		this.dispatch({type: 'config/read', config});
+		this.dispatch({type: 'ledger/loaded', entries, nextOffset});
+		const claim = [...this.dispatch({type: 'clock/ticked'}), ...this.tick(silenceMs)].find(effect => effect.type === 'ledger/claim');
+		return this.dispatch({type: 'claim/ended', outcome: 'granted', claimedAt: claim!.at});
 	}
 
 	/** Registers workers, answers the first look at each, and waits until changes may be stored again. */
 	addWorkers(...ids: readonly string[]): void {
-		this.push({type: 'workers/listed', workers: ids.map(id => createWorker(id)), isReloaded: true});
+		this.dispatch({type: 'workers/listed', workers: ids.map(id => createWorker(id)), isReloaded: true});
 		this.now++;
 		for (const id of ids) {
 			this.answerHold(id);
@@ -128,19 +130,19 @@
 	}
 
 	submit(job: JobDefinition): SchedulerEffect[] {
-		return this.push({type: 'intake/read', records: [{type: 'job', job}]});
+		return this.dispatch({type: 'intake/read', records: [{type: 'job', job}]});
 	}
 
 	/** Answers a look that was sent just before, unless the test says otherwise. */
 	answerHold(workerId: string, changes: HoldChanges = {}): SchedulerEffect[] {
-		return this.push({
+		return this.dispatch({
 			type: 'hold/ended', workerId, bornAt: 1, outcome: 'held', sentAt: this.now - 1, isExtra: false, clockMs: this.now, answerBornAt: changes.bornAt ?? 1, running: [], ended: [], token: this.token, ...changes,
 		});
 	}
 
 	/** Answers a start. */
 	answerStart({worker, task, run, token}: EffectOf<'worker/start'>, outcome: StartOutcome = 'started'): SchedulerEffect[] {
-		return this.push({
+		return this.dispatch({
 			type: 'start/ended', workerId: worker.id, bornAt: worker.bornAt, task, run, outcome, clockMs: this.now, token,
 		});
 	}
--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -5,7 +5,7 @@
 import {noteDecision} from './logging.js';
 import {isFinal} from './phases.js';
 import {createPlaceholder} from './registry.js';
-import {forgetJob} from './retention.js';
+import {dropJob} from './retention.js';
 import {
 	attachTask, detachTask, requestStop, updateOpenStep,
 } from './tasks.js';
@@ -63,7 +63,7 @@
 			cancelJob(state, jobId);
 		},
 		'job-removed'({jobId}) {
-			forgetJob(state, jobId);
+			dropJob(state, jobId);
 		},
 		'cancel-removed'({jobId}) {
 			state.earlyCancels.delete(jobId);
--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -2,7 +2,7 @@
 import {activateJob, deactivateJobs} from './jobs.js';
 import {addEffect, noteDecision, noteWarning} from './logging.js';
 import {isFinal} from './phases.js';
-import {dropCompleteRemovals, forgetProgress} from './retention.js';
+import {dropCompleteRemovals, dropProgress} from './retention.js';
 import {
 	claimRetryMs, claimSpreadMs, leaderSilenceAtStartMs, leaderSilenceMs, signOfLifeMs, weakClaimDelayMs,
 } from './timing.js';
@@ -71,7 +71,7 @@
 		}
 	},
 	'progress-removed'(state, {jobId}) {
-		forgetProgress(state, jobId);
+		dropProgress(state, jobId);
 	},
 	waves(state, {waves}) {
 		for (const wave of waves) {
--- a/packages/core/src/scheduler/occurrences.test.ts
+++ b/packages/core/src/scheduler/occurrences.test.ts
@@ -12,10 +12,14 @@
 const dueMs = 7000;
 const intervalMs = 5000;
 
-const job = createJob(1, [createStep({count: 2})], {runCount: 3, firstRunAt: wallStart + dueMs as Instant, intervalMs});
+const job = createJob(1, [createStep({count: 2})], {
+	runCount: 3, firstRunAt: (wallStart + dueMs) as Instant, intervalMs,
+});
 const name = (occurrence: number, index: number) => `${job.jobId}.${occurrence}.0.${index}`;
 /** One task is done and one waits for a start, by a leader whose clock was five seconds ahead. */
-const rows = [createRow({status: 'done', workerId: '', workerBornAt: 0}), createRow({index: 1, status: 'waiting', workerId: '', workerBornAt: 0})];
+const rows = [createRow({status: 'done', workerId: '', workerBornAt: 0}), createRow({
+	index: 1, status: 'waiting', workerId: '', workerBornAt: 0,
+})];
 
 /** Lets time pass with every look and start answered; starts count once. */
 function run(host: HandDriven, until: number): string[] {
--- a/packages/core/src/scheduler/retention.test.ts
+++ b/packages/core/src/scheduler/retention.test.ts
@@ -39,7 +39,7 @@
 }
 
 function readRemoval(host: HandDriven): SchedulerEffect[] {
-	return host.push({type: 'intake/read', records: [{type: 'job-removed', jobId}, {type: 'cancel-removed', jobId}]});
+	return host.dispatch({type: 'intake/read', records: [{type: 'job-removed', jobId}, {type: 'cancel-removed', jobId}]});
 }
 
 describe('the removal of a job', () => {
@@ -63,8 +63,8 @@
 	it('is known to a host that reads of its progress alone: taking the lead, it does not start the job', () => {
 		const host = HandDriven.create();
 		host.submit(job);
-		host.push({type: 'ledger/loaded', entries: [completed], nextOffset: 1});
-		host.push({type: 'ledger/read', entries: [{offset: 1, record: {type: 'progress-removed', jobId}}], nextOffset: 2});
+		host.dispatch({type: 'ledger/loaded', entries: [completed], nextOffset: 1});
+		host.dispatch({type: 'ledger/read', entries: [{offset: 1, record: {type: 'progress-removed', jobId}}], nextOffset: 2});
 		const effects = host.takeLead([{offset: 1, record: {type: 'progress-removed', jobId}}]);
 		host.addWorkers('w1');
 		expect(listStarts([...effects, ...host.tick(200), ...host.effects])).toEqual([]);
@@ -74,7 +74,7 @@
 	it('is carried to its end by the next leader', () => {
 		const host = HandDriven.create();
 		host.submit(job);
-		host.push({type: 'ledger/loaded', entries: [completed], nextOffset: 1});
+		host.dispatch({type: 'ledger/loaded', entries: [completed], nextOffset: 1});
 		readRemoval(host);
 		expect(listForgotten([...host.takeLead([completed]), ...host.tick(100)])).toEqual([jobId]);
 	});
@@ -82,16 +82,16 @@
 	it('is not repeated by the next leader where it was complete', () => {
 		const host = HandDriven.create();
 		host.submit(job);
-		host.push({type: 'ledger/loaded', entries: [completed], nextOffset: 1});
+		host.dispatch({type: 'ledger/loaded', entries: [completed], nextOffset: 1});
 		readRemoval(host);
-		host.push({type: 'ledger/read', entries: [{offset: 1, record: {type: 'progress-removed', jobId}}], nextOffset: 2});
+		host.dispatch({type: 'ledger/read', entries: [{offset: 1, record: {type: 'progress-removed', jobId}}], nextOffset: 2});
 		expect(listForgotten([...host.takeLead([{offset: 1, record: {type: 'lease', lease: {holder: 'other', token: 2, isReleased: false}}}]), ...host.tick(100)])).toEqual([]);
 	});
 
 	it('is not repeated by a leader that has read the ledger anew since', () => {
 		const host = HandDriven.create();
 		host.submit(job);
-		host.push({type: 'ledger/loaded', entries: [completed], nextOffset: 1});
+		host.dispatch({type: 'ledger/loaded', entries: [completed], nextOffset: 1});
 		readRemoval(host);
 		expect(listForgotten([...host.takeLead(), ...host.tick(100)])).toEqual([]);
 	});
--- a/packages/core/src/scheduler/retention.ts
+++ b/packages/core/src/scheduler/retention.ts
@@ -37,7 +37,7 @@
 }
 
 /** A job is gone from the intake: what the ledger has of it goes next, by this leader or, if it does not come to that, by the next one. */
-export function forgetJob(state: SchedulerState, jobId: JobId): void {
+export function dropJob(state: SchedulerState, jobId: JobId): void {
 	const isKnown = state.jobs.delete(jobId);
 	const hasProgress = state.earlyProgress.delete(jobId);
 	if (isKnown || hasProgress || state.leadership.role === 'leader') {
@@ -55,7 +55,7 @@
 }
 
 /** The ledger has nothing of a job any more, so that the job is gone from the intake, even if that was not read here yet. */
-export function forgetProgress(state: SchedulerState, jobId: JobId): void {
+export function dropProgress(state: SchedulerState, jobId: JobId): void {
 	state.jobs.delete(jobId);
 	state.earlyProgress.delete(jobId);
 	state.removedJobs.delete(jobId);
--- a/packages/daemon/src/scheduler/effect-runner.test.ts
+++ b/packages/daemon/src/scheduler/effect-runner.test.ts
@@ -70,7 +70,7 @@
 				ports: createPorts(),
 				log: DecisionLog.create({host: 'h'}),
 				metrics: createMetrics(),
-				pushEvent: event => {
+				pushEvent(event) {
 					told.push(event);
 				},
 				reloadLedger() {
