--- a/packages/core/src/scheduler/commits.ts
+++ b/packages/core/src/scheduler/commits.ts
@@ -24,8 +24,7 @@
 	}
 
 	const hasChanges = state.dirtyJobs.size > 0 || state.pendingActions.length > 0 || state.areWavesDirty || state.isConfigDirty || state.removedJobs.size > 0;
-	const isSignDue = state.now - leadership.confirmedAt >= signOfLifeMs;
-	if ((hasChanges && state.now >= leadership.commitNotBefore) || isSignDue) {
+	if ((hasChanges && state.now >= leadership.commitNotBefore) || state.now >= leadership.signDueAt) {
 		sendCommit(state);
 	}
 }
@@ -53,7 +52,7 @@
 	state.dirtyJobs.clear();
 	const {leadership} = state;
 	leadership.commit = {
-		sequence: leadership.nextSequence++, records, actions, retryAt: undefined,
+		sequence: leadership.nextSequence++, sentAt: state.now, records, actions, retryAt: undefined,
 	};
 	addCommitEffect(state, leadership.commit);
 }
@@ -61,6 +60,10 @@
 function listOtherRecords(state: SchedulerState): LedgerRecord[] {
 	const {leadership, settings} = state;
 	const records: LedgerRecord[] = [...state.removedJobs].map(jobId => ({type: 'progress-removed', jobId}));
+	for (const jobId of state.removedJobs) {
+		state.earlyProgress.delete(jobId);
+	}
+
 	state.removedJobs.clear();
 	if (state.areOrdersDirty) {
 		state.areOrdersDirty = false;
@@ -97,8 +100,10 @@
 	start(state, {task, run}) {
 		sendStart(state, task, run);
 	},
-	'note-ends'(_state, {worker, upTo}) {
-		worker.storedEnd = Math.max(worker.storedEnd, Math.min(upTo, worker.readEnd));
+	'note-ends'(_state, {worker, bornAt, upTo}) {
+		if (worker.bornAt === bornAt) {
+			worker.storedEnd = Math.max(worker.storedEnd, Math.min(upTo, worker.readEnd));
+		}
 	},
 	order(state, {machine}) {
 		sendOrder(state, machine);
@@ -126,8 +131,9 @@
 	}
 
 	leadership.commit = undefined;
-	leadership.confirmedAt = state.now;
+	leadership.confirmedAt = commit.sentAt;
 	leadership.commitNotBefore = state.now + commitPauseMs;
+	leadership.signDueAt = state.now + signOfLifeMs;
 	for (const action of commit.actions) {
 		(actionHandlers[action.type] as (state: SchedulerState, action: PendingAction) => void)(state, action);
 	}
--- a/packages/core/src/scheduler/events.ts
+++ b/packages/core/src/scheduler/events.ts
@@ -2,7 +2,7 @@
 import type {Instant} from '../types/time.js';
 import type {OrderNumber} from './effects.js';
 import type {
-	EndedRow, FleetConfig, IntakeRecord, LedgerRecord, MachineEntry, MachineId, RunningRow, SteadyMs, TaskName, WaveDefinition, WaveNumber, WorkerEntry, WorkerId,
+	EndedRow, FencingToken, FleetConfig, IntakeRecord, LedgerRecord, MachineEntry, MachineId, RunningRow, SteadyMs, TaskName, WaveDefinition, WaveNumber, WorkerEntry, WorkerId,
 } from './types.js';
 
 /** How a start was answered. `not-sent`: no connection; `unknown`: it may have been carried out, or may be later. */
@@ -24,6 +24,9 @@
 
 type Timed = {readonly at: SteadyMs; readonly wallAt: Instant};
 
+/** An answer brings the token of its question: it belongs to that lead alone. Stand-ins whose answers outlast no lead leave it out. */
+type Answer = {readonly token?: FencingToken};
+
 export type SchedulerEvent = Timed & (
 	| {readonly type: 'clock/ticked'}
 	| {readonly type: 'stop/requested'}
@@ -37,21 +40,21 @@
 	| {readonly type: 'ledger/loaded'; readonly entries: readonly LedgerEntry[]; readonly nextOffset: number}
 	| {readonly type: 'ledger/read'; readonly entries: readonly LedgerEntry[]; readonly nextOffset: number}
 	| {readonly type: 'claim/ended'; readonly outcome: ClaimOutcome; readonly claimedAt: number}
-	| {readonly type: 'commit/ended'; readonly outcome: CommitOutcome; readonly sequence: number}
+	| Answer & {readonly type: 'commit/ended'; readonly outcome: CommitOutcome; readonly sequence: number}
 	| {readonly type: 'workers/listed'; readonly workers: readonly WorkerEntry[]; /** The registry was read anew, after its records were lost or at the start. */ readonly isReloaded: boolean}
-	| {readonly type: 'start/ended'; readonly workerId: WorkerId; readonly bornAt: number; readonly task: TaskName; readonly run: number; readonly outcome: StartOutcome; readonly clockMs: number | undefined}
-	| {readonly type: 'stop/ended'; readonly workerId: WorkerId; readonly bornAt: number; readonly task: TaskName; readonly run: number; readonly outcome: StopOutcome}
-	| {
+	| Answer & {readonly type: 'start/ended'; readonly workerId: WorkerId; readonly bornAt: number; readonly task: TaskName; readonly run: number; readonly outcome: StartOutcome; readonly clockMs: number | undefined}
+	| Answer & {readonly type: 'stop/ended'; readonly workerId: WorkerId; readonly bornAt: number; readonly task: TaskName; readonly run: number; readonly outcome: StopOutcome}
+	| Answer & {
 		readonly type: 'hold/ended'; readonly workerId: WorkerId; readonly bornAt: number; readonly outcome: HoldOutcome; readonly sentAt: SteadyMs; readonly isExtra: boolean;
 		readonly clockMs: number | undefined; readonly answerBornAt: number | undefined; readonly running: readonly RunningRow[]; readonly ended: readonly EndedRow[];
 	}
-	| {readonly type: 'pace/ended'; readonly workerId: WorkerId; readonly task: TaskName; readonly run: number; readonly isDone: boolean}
+	| Answer & {readonly type: 'pace/ended'; readonly workerId: WorkerId; readonly task: TaskName; readonly run: number; readonly isDone: boolean}
 	/** `askedAt`: when its first page was asked for; nothing in it is older. */
 	| {readonly type: 'machines/listed'; readonly listing: MachineListing; readonly askedAt: SteadyMs; readonly tookMs: number}
-	| {readonly type: 'order/ended'; readonly order: OrderNumber; readonly machineId: MachineId; readonly outcome: OrderOutcome}
+	| Answer & {readonly type: 'order/ended'; readonly order: OrderNumber; readonly machineId: MachineId; readonly outcome: OrderOutcome}
 	| {readonly type: 'wave/published'; readonly definition: WaveDefinition; readonly isCompleted: boolean}
 	| {readonly type: 'wave/reported'; readonly wave: WaveNumber; readonly isStored: boolean; readonly isCompleted: boolean}
-	| {
+	| Answer & {
 		readonly type: 'advice/ended'; readonly step: string; readonly asked: readonly WorkerId[]; readonly validMs: number;
 		/** Undefined when the service did not answer. */
 		readonly tickets: ReadonlyArray<{readonly workerId: WorkerId; readonly ticket: string}> | undefined;
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -88,17 +88,28 @@
 };
 
 export type StepAdvice = {
-	isAsked: boolean;
 	askAgainAt: SteadyMs;
-	/** Workers that were named in an ask and are not good. */
-	readonly known: Set<WorkerId>;
-	readonly tickets: Map<WorkerId, {readonly ticket: string; readonly validUntil: SteadyMs}>;
+	/** How many workers a question names at the most. */
+	mostNamed: number;
+	/** Lives of workers that an answer was about; those without a ticket are not good. */
+	readonly known: Map<WorkerId, number>;
+	readonly tickets: Map<WorkerId, {readonly ticket: string; readonly bornAt: number; readonly validUntil: SteadyMs}>;
+};
+
+/** The question that the advice service has not answered yet; there is one at a time. */
+export type AdviceQuestion = {
+	readonly step: StepRun;
+	/** The workers named, with the lives that they had then. */
+	readonly lives: ReadonlyMap<WorkerId, number>;
+	readonly askedAt: SteadyMs;
 };
 
 export type Occurrence = {
 	readonly job: Job;
 	readonly number: number;
 	readonly steps: StepRun[];
+	/** Its time has come by this host's clock; only then tasks of it start. */
+	isDue: boolean;
 	isDone: boolean;
 };
 
@@ -184,18 +195,23 @@
 /** Actions that wait until the changes they rest on are stored. */
 export type PendingAction
 	= | {readonly type: 'start'; readonly task: Task; readonly run: number}
-		| {readonly type: 'note-ends'; readonly worker: Worker; readonly upTo: number}
+		| {readonly type: 'note-ends'; readonly worker: Worker; /** Numbers of ends are those of one life. */ readonly bornAt: number; readonly upTo: number}
 		| {readonly type: 'show-phase'; readonly job: Job; /** As it is stored: the job may be further on by then. */ readonly progress: JobProgress}
 		| {readonly type: 'order'; readonly machine: Machine};
 
 /** One append to the ledger. */
 export type Commit = {
 	readonly sequence: number;
+	/** When it was sent first; its confirmation tells that this host led then. */
+	readonly sentAt: SteadyMs;
 	readonly records: readonly LedgerRecord[];
 	readonly actions: readonly PendingAction[];
 	retryAt: SteadyMs | undefined;
 };
 
+/** A claim of the lead, and when it was sent first. */
+export type Claim = {readonly token: FencingToken; readonly sentAt: SteadyMs};
+
 export type Leadership = {
 	role: 'follower' | 'claiming' | 'leader' | 'retired';
 	token: FencingToken;
@@ -207,12 +223,17 @@
 	hasLedger: boolean;
 	/** Records came after the ledger was read as a whole: there was a leader since. */
 	hasReadOn: boolean;
-	/** Since when this host leads; machine orders wait some time after it. */
+	/** When this host learned that it leads; machine orders wait some time after it. */
 	leadsSince: SteadyMs;
+	/** The store has confirmed an append of this lead that was sent then. */
 	confirmedAt: SteadyMs;
+	/** The latest claim. */
+	claim: Claim | undefined;
 	nextSequence: number;
 	commit: Commit | undefined;
 	commitNotBefore: SteadyMs;
+	/** When a sign of life is due if nothing changes. */
+	signDueAt: SteadyMs;
 	/** When a claim of unknown outcome is given up. */
 	retryClaimAt: SteadyMs | undefined;
 };
@@ -298,6 +319,7 @@
 	readonly workers: Map<WorkerId, Worker>;
 	readonly leadership: Leadership;
 	readonly dirtyJobs: Set<Job>;
+	/** Jobs that are gone from the intake, and of which the ledger may still have something. */
 	readonly removedJobs: Set<JobId>;
 	pendingActions: PendingAction[];
 	readonly machines: Map<MachineId, Machine>;
@@ -321,7 +343,7 @@
 	/** How much longer tasks of a queue run than estimated, followed. */
 	readonly runRatios: Map<QueueName, number>;
 	needsPlacement: boolean;
-	isAdviceAsked: boolean;
+	adviceQuestion: AdviceQuestion | undefined;
 	/** Processes that ended with an order of this leader; late entries of theirs are ignored. */
 	readonly endedWorkers: Map<WorkerId, number>;
 	jobsDueAt: SteadyMs;
@@ -348,7 +370,7 @@
 		openSteps: new Set(),
 		workers: new Map(),
 		leadership: {
-			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, claimNotBefore: 0, isReleased: false, hasLedger: false, hasReadOn: false, leadsSince: 0, confirmedAt: 0, nextSequence: 0, commit: undefined, commitNotBefore: 0, retryClaimAt: undefined,
+			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, claimNotBefore: 0, isReleased: false, hasLedger: false, hasReadOn: false, leadsSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, commitNotBefore: 0, signDueAt: 0, retryClaimAt: undefined,
 		},
 		dirtyJobs: new Set(),
 		removedJobs: new Set(),
@@ -369,7 +391,7 @@
 		demand: new Map(),
 		runRatios: new Map(),
 		needsPlacement: false,
-		isAdviceAsked: false,
+		adviceQuestion: undefined,
 		endedWorkers: new Map(),
 		jobsDueAt: 0,
 		movesDueAt: 0,
--- a/packages/core/src/scheduler/testing/model-leader.ts
+++ b/packages/core/src/scheduler/testing/model-leader.ts
@@ -74,6 +74,7 @@
 	takeLead(claimedAt: number): void {
 		this.state.leadership.hasLedger = true;
 		this.state.leadership.role = 'claiming';
+		this.state.leadership.claim = {token: claimedAt + 1, sentAt: this.now};
 		this.push({type: 'claim/ended', outcome: 'granted', claimedAt});
 	}
 
