A starting host that knows of missing records is not ready because one read of the log fails

Found while tracing the late starter's test. But a read that fails counts as having followed it (so that hosts start while the platform is away), so one lost answer made such a host settle with the old state and serve without accepted changes that it knew to be missing; it stayed ready when the log answered again, still with the gap. Change: a host does not settle while it knows of a gap. Not changed: a host that is ready already and then gets a gap serves on with what it has; and a host whose gap nobody can fill is never ready, which an operator sees by the error line alone.

--- a/packages/core/src/log/never-reverts.test.ts
+++ b/packages/core/src/log/never-reverts.test.ts
@@ -120,6 +120,25 @@
 		expect([isReady(state), state.fleet.nextOffset as number]).toEqual([true, 40]);
 	});
 
+	it('that knows of missing records is not ready when a read of the log fails, but once a snapshot brings them', () => {
+		const state = createTestHost('entry-1');
+		listStartEffects(state);
+		reduce(state, createSnapshotPage(1000, createSnapshotRecords(25)));
+		reduce(state, createPage(1100, log.slice(30), 30, 40));
+		tickUntil(state, 1150, 4000);
+		expect([isReady(state), state.log.isGapped]).toEqual([false, true]);
+		reduce(state, {type: 'log/read-failed', at: 4100 as Instant, fault: {kind: 'log-unavailable', detail: 'one answer was lost'}});
+		tickUntil(state, 4150, 4200);
+		expect(isReady(state)).toEqual(false);
+		reduce(state, createPage(4250, log.slice(30), 30, 40));
+		tickUntil(state, 4300, 6000);
+		expect([isReady(state), state.fleet.nextOffset as number]).toEqual([false, 25]);
+		reduce(state, createSnapshotPage(6100, createSnapshotRecords(32)));
+		reduce(state, createPage(6200, log.slice(32), 30, 40));
+		tickUntil(state, 6250, 8000);
+		expect([isReady(state), state.fleet.nextOffset as number]).toEqual([true, 40]);
+	});
+
 	it('does not take a snapshot whose text was changed', () => {
 		const state = createTestHost('entry-1');
 		listStartEffects(state);
--- a/packages/core/src/log/start.ts
+++ b/packages/core/src/log/start.ts
@@ -30,11 +30,14 @@
 	}];
 }
 
-/** Notes once that nothing higher than this host's state is known; until then it is not ready. */
+/**
+ * Notes once that nothing higher than this host's state is known; until then it is not ready.
+ * A gap says that something higher was there, and a log that no longer answers does not take that back.
+ */
 export function tickStart(state: State): Effect[] {
 	const {log} = state;
 	log.graceUntil ??= addMilliseconds(state.now, peerGraceMs);
-	if (log.isSettled || log.startedFrom === undefined || !log.hasFollowed || !hasHeardAll(state)) {
+	if (log.isSettled || log.startedFrom === undefined || log.isGapped || !log.hasFollowed || !hasHeardAll(state)) {
 		return [];
 	}
 
