--- a/packages/bench/src/integration/job-platform.test.ts
+++ b/packages/bench/src/integration/job-platform.test.ts
@@ -17,6 +17,7 @@
 const workerCount = 3;
 const jobTimeoutMs = 30_000;
 const tasksPerStep = 4;
+const comeBack = 503;
 
 describe('the program on the users\' platform', () => {
 	let fleet: EntryHosts;
@@ -59,13 +60,30 @@
 		expect(platform.workers.reduce((sum, worker) => sum + worker.overRoom, 0)).toEqual(0);
 	}
 
+	/** A host that has not read the store's streams lately, as on a busy machine, asks to come back before it denies anything. */
+	async function callUntilSure(call: () => Promise<number>): Promise<number> {
+		let status = await call();
+		await waitUntil('the host is sure', async () => {
+			status = status === comeBack ? await call() : status;
+			return status !== comeBack;
+		}, startTimeoutMs);
+		return status;
+	}
+
 	it('runs a job and tells of its state at every host', async () => {
 		const id = await submitJob(hosts[1]!);
 		await waitForState(id, 'completed');
 		expectOnce(id);
-		const missing = await callJob(hosts[2]!, 'GET', 'ffffffffffffffff');
-		const nowhere = await request(`http://${hosts[0]!.front}/nowhere/`);
-		expect([missing.status, nowhere.statusCode]).toEqual([410, 404]);
+		const missing = await callUntilSure(async () => {
+			const {status} = await callJob(hosts[2]!, 'GET', 'ffffffffffffffff');
+			return status;
+		});
+		const nowhere = await callUntilSure(async () => {
+			const answer = await request(`http://${hosts[0]!.front}/nowhere/`);
+			await answer.body.dump();
+			return answer.statusCode;
+		});
+		expect([missing, nowhere]).toEqual([410, 404]);
 	});
 
 	it('finishes jobs, each task done once, when the leader is killed', async () => {
