A wave asks for a machine when a task must stay for want of room elsewhere

Now room elsewhere is looked for whether or not the task may leave at present, also in the last part of the wave.

--- a/packages/core/src/scheduler/waves.test.ts
+++ b/packages/core/src/scheduler/waves.test.ts
@@ -3,7 +3,10 @@
 import {expect} from 'earl';
 import {getDemand} from './demand.js';
 import {createSchedulerState, type Machine, type Wave} from './state.js';
-import {createMachineEntry, createWorkerEntry, ModelLeader} from './testing/model-leader.js';
+import {createJob, createStep} from './testing/model-fleet.js';
+import {
+	createMachineEntry, createWorkerEntry, ModelLeader, sparePoolName,
+} from './testing/model-leader.js';
 import {modelSettings} from './testing/model-settings.js';
 import {computePace, isDown} from './waves.js';
 
@@ -123,3 +126,38 @@
 		expect(leader.reports.at(-1)).toEqual({type: 'wave/report', wave: 7, isCompleted: true});
 	});
 });
+
+describe('a machine of a wave whose long-running task must stay, as another of its step has no room', () => {
+	const machines = ['m1', 'm2'].map(id => createMachineEntry(id));
+	const lost = createMachineEntry('m3');
+	const spare = createMachineEntry('s1', {pool: sparePoolName});
+	const workers = [createWorkerEntry('w1', 'm1'), createWorkerEntry('w2', 'm2')];
+
+	it('gets a replacement, rather than being emptied for ever', () => {
+		const leader = ModelLeader.create();
+		leader.run(50);
+		leader.listMachines([...machines, lost, spare]);
+		leader.listWorkers(...workers);
+		leader.run(50);
+		const step = createStep({
+			count: 4, need: {cpu: 100, memoryMb: 100, gpu: 0}, isLongRunning: true, maxPerWorker: 2, maxUnavailable: 1,
+		});
+		leader.push({type: 'intake/read', records: [{type: 'job', job: createJob(1, [step])}]});
+		leader.run(500);
+		leader.listWorkers(...workers, createWorkerEntry('w3', 'm3'));
+		leader.run(1000);
+		leader.publishWave({machineIds: ['m2']});
+		leader.run(400);
+		expect(['w1', 'w2', 'w3'].map(id => leader.running.get(id)?.length)).toEqual([2, 1, 1]);
+		// The task that went elsewhere is lost with its worker.
+		leader.running.delete('w3');
+		leader.listWorkers(...workers);
+		leader.push({
+			type: 'hold/ended', workerId: 'w3', bornAt: 1, outcome: 'other-life', sentAt: leader.now, isExtra: false, clockMs: undefined, answerBornAt: undefined, running: [], ended: [],
+		});
+		leader.listMachines([...machines, spare]);
+		leader.listMachines([...machines, spare]);
+		leader.run(2000);
+		expect(leader.listOrdered()).toEqual(['s1']);
+	});
+});
--- a/packages/core/src/scheduler/waves.ts
+++ b/packages/core/src/scheduler/waves.ts
@@ -194,7 +194,7 @@
 
 	worker.isReserved = true;
 	for (const task of worker.tasks.values()) {
-		if (task.step.definition.isLongRunning && task.status === 'running' && canDisplace(state, task) && hasPlaceToGo(state, task, isDue)) {
+		if (task.step.definition.isLongRunning && task.status === 'running' && hasPlaceToGo(state, task, isDue) && canDisplace(state, task)) {
 			noteDecision(state, 'task-displaced', {task: task.name, workerId: worker.id, machineId: machine.entry.id});
 			requestStop(state, task);
 		}
@@ -210,14 +210,17 @@
 	return step.definition.maxUnavailable === 0 || away < step.definition.maxUnavailable;
 }
 
-/** True if there is room for a task elsewhere, or no time left to wait for it; otherwise the pool is to get a machine. */
+/**
+ * True if there is room for a task elsewhere, or no time left to wait for it. Without room the pool is to get a machine, also
+ * while the task must stay: it may have to because another of its step waits for that room.
+ */
 function hasPlaceToGo(state: SchedulerState, task: Task, isDue: boolean): boolean {
-	if (isDue || hasRoomElsewhere(state, task.step, task.worker)) {
-		return true;
+	const hasRoom = hasRoomElsewhere(state, task.step, task.worker);
+	if (!hasRoom) {
+		getDemand(state, getPoolOfJob(state, task.step.occurrence.job)).replacementUntil = state.now + replacementMs;
 	}
 
-	getDemand(state, getPoolOfJob(state, task.step.occurrence.job)).replacementUntil = state.now + replacementMs;
-	return false;
+	return isDue || hasRoom;
 }
 
 /** A long-running task counts as away for a while after it is back. */
