Model: seeds in which the jobs are read late and the ledger in time

Seen: a new leader acknowledges ends `done` that nobody has stored, so that the work is lost or repeated.

Cause: hasReadStartedJobs in holds.ts waits for unread jobs for unreadJobsLimitMs (3,000 ms) after the lead was taken and then looks at workers all the same.

--- a/packages/core/src/scheduler/testing/late-reads.test.ts
+++ b/packages/core/src/scheduler/testing/late-reads.test.ts
@@ -4,7 +4,7 @@
 import {
 	createJob, createStep, ModelFleet, noFaults,
 } from './model-fleet.js';
-import {runLateSeed} from './run-seed.js';
+import {runLateIntakeSeed, runLateSeed} from './run-seed.js';
 
 const seedCount = 30;
 
@@ -17,10 +17,19 @@
 	}
 });
 
+describe('hosts that read the jobs late and the ledger in time', () => {
+	for (let seed = 1; seed <= seedCount; seed++) {
+		it(`acknowledge no end that is not stored, of a job that a new leader has yet to read: seed ${seed}`, () => {
+			const {violations, unfinished} = runLateIntakeSeed(seed);
+			expect({violations, unfinished}).toEqual({violations: [], unfinished: []});
+		});
+	}
+});
+
 describe('reads of the model', () => {
 	it('bring a record late, by at most the age that is set, and in pages', () => {
 		const fleet = ModelFleet.create({
-			seed: 1, hosts: 2, workers: 2, faults: noFaults, readFaults: {oldestMs: 1500, pageRecords: 2},
+			seed: 1, hosts: 2, workers: 2, faults: noFaults, readFaults: {oldestMs: 1500, pageRecords: 2, streams: ['intake', 'ledger']},
 		});
 		fleet.run(8000);
 		for (let number = 1; number <= 6; number++) {
@@ -46,7 +55,7 @@
 		}
 
 		fleet.run(5000);
-		fleet.readFaults = {oldestMs: 400, pageRecords: 3};
+		fleet.readFaults = {oldestMs: 400, pageRecords: 3, streams: ['intake', 'ledger']};
 		fleet.killHost(1, 100);
 		fleet.run(1000);
 		// Sorts before the page that the load has reached.
--- a/packages/core/src/scheduler/testing/model-faults.ts
+++ b/packages/core/src/scheduler/testing/model-faults.ts
@@ -11,10 +11,12 @@
 
 export const noFaults: ModelFaults = {lostPercent: 0, latePercent: 0, crashEveryMs: Number.POSITIVE_INFINITY};
 
-/** How old, at most, the answer to a read of intake or ledger is when it arrives, and how many records fit into one. */
-export type ReadFaults = {readonly oldestMs: number; readonly pageRecords: number};
+export type ModelStream = 'intake' | 'ledger';
 
-export const noReadFaults: ReadFaults = {oldestMs: 0, pageRecords: Number.POSITIVE_INFINITY};
+/** How old, at most, the answer to a read is when it arrives, and how many records fit into one; for these streams. */
+export type ReadFaults = {readonly oldestMs: number; readonly pageRecords: number; readonly streams: readonly ModelStream[]};
+
+export const noReadFaults: ReadFaults = {oldestMs: 0, pageRecords: Number.POSITIVE_INFINITY, streams: []};
 
 /** An event before it is given its instants. */
 export type EventBody = SchedulerEvent extends infer Event ? (Event extends SchedulerEvent ? Omit<Event, 'at' | 'wallAt'> : never) : never;
--- a/packages/core/src/scheduler/testing/model-hosts.ts
+++ b/packages/core/src/scheduler/testing/model-hosts.ts
@@ -2,7 +2,7 @@
 import type {SchedulerState} from '../state.js';
 import type {IntakeRecord} from '../types.js';
 import type {LedgerEntry} from '../events.js';
-import type {PushEvent, ReadFaults} from './model-faults.js';
+import type {ModelStream, PushEvent, ReadFaults} from './model-faults.js';
 import type {ModelStore, NewestPage} from './model-store.js';
 import type {ModelTime} from './model-time.js';
 
@@ -47,7 +47,7 @@
 	readIntake(host: ModelHost): void {
 		const {store} = this.options;
 		const {intake} = host;
-		if (!this.isLate()) {
+		if (!this.isLate('intake')) {
 			this.readIntakeAtOnce(host);
 			return;
 		}
@@ -75,7 +75,7 @@
 	readLedger(host: ModelHost): void {
 		const {store, push} = this.options;
 		const {ledger} = host;
-		if (!this.isLate()) {
+		if (!this.isLate('ledger')) {
 			this.readLedgerAtOnce(host);
 			return;
 		}
@@ -128,9 +128,8 @@
 		}
 	}
 
-	private isLate(): boolean {
-		const {oldestMs, pageRecords} = this.options.getFaults();
-		return oldestMs > 0 || Number.isFinite(pageRecords);
+	private isLate(stream: ModelStream): boolean {
+		return this.options.getFaults().streams.includes(stream);
 	}
 
 	/** Undefined while the read before is under way. */
--- a/packages/core/src/scheduler/testing/run-seed.ts
+++ b/packages/core/src/scheduler/testing/run-seed.ts
@@ -15,6 +15,9 @@
 const oldestStepMs = 320;
 const leastPageRecords = 2;
 const pageStepRecords = 9;
+/** About as long as a read waits for its answer. */
+const oldestIntakeMs = 1800;
+const intakePageRecords = 8;
 const jobsPerTakeover = 9;
 const restartMs = 600;
 
@@ -42,13 +45,27 @@
 
 /** As `runSeed`, with reads that are old when they arrive and come in pages, and leaders that are stopped. */
 export function runLateSeed(seed: number): LateSeedResult {
-	const fleet = ModelFleet.create({
+	return runLate(ModelFleet.create({
 		seed,
 		hosts: hostCount,
 		workers: workerCount,
 		faults: {lostPercent: seed % 3, latePercent: seed % 2, crashEveryMs: leastCrashMs + ((seed % 6) * crashStepMs)},
-		readFaults: {oldestMs: leastOldestMs + ((seed % 6) * oldestStepMs), pageRecords: leastPageRecords + ((seed % 5) * pageStepRecords)},
-	});
+		readFaults: {oldestMs: leastOldestMs + ((seed % 6) * oldestStepMs), pageRecords: leastPageRecords + ((seed % 5) * pageStepRecords), streams: ['intake', 'ledger']},
+	}));
+}
+
+/** As `runLateSeed`, with the ledger read in time: a new leader knows of starts of jobs that it has yet to read. */
+export function runLateIntakeSeed(seed: number): LateSeedResult {
+	return runLate(ModelFleet.create({
+		seed,
+		hosts: hostCount,
+		workers: workerCount,
+		faults: {lostPercent: 0, latePercent: 0, crashEveryMs: leastCrashMs + ((1 + (seed % 3)) * crashStepMs)},
+		readFaults: {oldestMs: oldestIntakeMs, pageRecords: intakePageRecords, streams: ['intake']},
+	}));
+}
+
+function runLate(fleet: ModelFleet): LateSeedResult {
 	fleet.run(warmUpMs);
 	for (let number = 1; number <= jobCount; number++) {
 		fleet.submit(createJob(number, [createStep({count: fleet.draw(1, 5)}), createStep({dependsOn: [0], count: fleet.draw(1, 3), estimateMs: fleet.draw(100, 1500)})]));
