Soak: reads that are old when they arrive, and dropped history; jobs asked for when young

Kinds store-reads-old (reads of one host, pages small meanwhile) and history-dropped; neither counts against a host, which stays calm. Each host reaches the store by an entrance of its own. Jobs that were accepted 3.0 to 4.5 s ago are asked for all the while, with draws of their own; the check (a calm host says 410 for a job accepted more than 3 s before) is as it was. The seeds in soak.test.ts are played without the new kinds, so they draw what they drew.

--- a/packages/bench/src/soak/soak-faults.ts
+++ b/packages/bench/src/soak/soak-faults.ts
@@ -8,6 +8,7 @@
 
 const longestDelayMs = 400;
 const storeDelayMs = 150;
+const oldestReadMs = 1700;
 const lostPercent = 20;
 const latePercent = 6;
 const allPercent = 100;
@@ -128,6 +129,15 @@
 			Object.assign(fleet.platform.faults, {lostPercent: 0, latePercent: 0});
 		};
 	}),
+	// Neither counts against hosts: reads share the store's bandwidth, and a host that has its answers is calm.
+	async 'store-reads-old'(fleet, draws) {
+		const ages = {beforeMs: draws.drawWhole(0, longestDelayMs), afterMs: draws.drawWhole(longestDelayMs, oldestReadMs)};
+		return fleet.readFaults.delayReads(draws.select(fleet.hosts).entrance, ages);
+	},
+	async 'history-dropped'(fleet) {
+		fleet.readFaults.dropHistories();
+		return endNothing;
+	},
 	async 'worker-crashed'(fleet, draws) {
 		const worker = draws.select(fleet.platform.workers);
 		if (!worker.isUp) {
--- a/packages/bench/src/soak/soak-fleet.ts
+++ b/packages/bench/src/soak/soak-fleet.ts
@@ -7,6 +7,7 @@
 } from '@rhubarblever/stand-ins';
 import {request} from 'undici';
 import {describeSettings, findEntryProgram, type EntryAddresses} from '../integration/entry-program.js';
+import {ReadFaults} from './read-faults.js';
 
 const startTimeoutMs = 30_000;
 const callTimeoutMs = 3000;
@@ -15,8 +16,9 @@
 export type SoakHost = EntryAddresses & {
 	readonly index: number;
 	readonly settingsPath: string;
-	/** Its link to the store. */
+	/** Its link to the store, and where that link ends: the store tells its reads by this address. */
 	readonly storeLink: FaultProxy;
+	readonly entrance: string;
 	process: RunningProcess;
 	/** The soak ends or has ended it: its end is no fault. */
 	isEnding: boolean;
@@ -31,22 +33,24 @@
 	static async start(options: {readonly hosts: number; readonly workers: number; readonly runMs: number; readonly observer: RunObserver}): Promise<SoakFleet> {
 		const addresses = Array.from({length: options.workers}, () => takeAddress());
 		const links = await Promise.all(addresses.map(async targetAddress => FaultProxy.create({listenAddress: takeAddress(), targetAddress})));
-		const address = takeAddress();
 		const platform = await JobPlatform.start({
-			address, workerAddresses: addresses, publishedAddresses: links.map(link => link.listenAddress), runMs: options.runMs, observer: options.observer,
+			address: takeAddress(), workerAddresses: addresses, publishedAddresses: links.map(link => link.listenAddress), runMs: options.runMs, observer: options.observer,
 		});
 		const fleet = new SoakFleet(platform, links);
-		await fleet.startHosts(options.hosts, address);
+		await fleet.startHosts(options.hosts);
 		return fleet;
 	}
 
 	readonly hosts: SoakHost[] = [];
 	/** Hosts that ended though nobody asked them to, with their last output. */
 	readonly ownEnds: string[] = [];
+	readonly readFaults: ReadFaults;
 	private readonly group = ProcessGroup.create();
 	private readonly folder = mkdtempSync(path.join(tmpdir(), 'rhubarblever-soak-'));
 
-	private constructor(readonly platform: JobPlatform, readonly workerLinks: readonly FaultProxy[]) {}
+	private constructor(readonly platform: JobPlatform, readonly workerLinks: readonly FaultProxy[]) {
+		this.readFaults = ReadFaults.create(platform);
+	}
 
 	/** Calls the jobs' interface of a host; status 0 if there is no answer. */
 	async call(host: SoakHost, method: 'POST' | 'GET' | 'DELETE', jobId: string, body?: unknown): Promise<CallAnswer> {
@@ -122,15 +126,18 @@
 		rmSync(this.folder, {recursive: true});
 	}
 
-	private async startHosts(count: number, storeAddress: string): Promise<void> {
+	private async startHosts(count: number): Promise<void> {
 		for (let index = 0; index < count; index++) {
 			const addresses = {front: takeAddress(), ready: takeAddress(), metrics: takeAddress()};
+			const entrance = takeAddress();
+			// eslint-disable-next-line no-await-in-loop
+			await this.platform.openEntrance(entrance);
 			// eslint-disable-next-line no-await-in-loop
-			const storeLink = await FaultProxy.create({listenAddress: takeAddress(), targetAddress: storeAddress});
+			const storeLink = await FaultProxy.create({listenAddress: takeAddress(), targetAddress: entrance});
 			const settingsPath = path.join(this.folder, `front-${index}.json`);
 			writeFileSync(settingsPath, JSON.stringify(describeSettings(index, storeLink.listenAddress, addresses)));
 			const host: SoakHost = {
-				...addresses, index, settingsPath, storeLink, process: this.startProgram(index, settingsPath), isEnding: false, faults: 0, calmSince: 0,
+				...addresses, index, settingsPath, storeLink, entrance, process: this.startProgram(index, settingsPath), isEnding: false, faults: 0, calmSince: 0,
 			};
 			this.hosts.push(host);
 			this.followEnd(host);
--- a/packages/bench/src/soak/soak-load.ts
+++ b/packages/bench/src/soak/soak-load.ts
@@ -28,10 +28,13 @@
 /** An accepted job is known to every host that has been calm for this long. */
 const visibleMs = 3000;
 const calmMs = 4000;
+/** Jobs that have just become visible are asked for on top: that is when a late view is seen. */
+const youngMs = 1500;
+const youngGapMs = 80;
 const refusals = new Set([429, 503]);
 const refusalSlackMs = 150;
 
-export type SoakLoadOptions = {readonly fleet: SoakFleet; readonly draws: Draws; readonly jobs: Map<string, SoakJob>; readonly book: RunBook};
+export type SoakLoadOptions = {readonly fleet: SoakFleet; readonly draws: Draws; /** Apart, so that they change nothing else. */ readonly youngDraws: Draws; readonly jobs: Map<string, SoakJob>; readonly book: RunBook};
 
 export class SoakLoad {
 	static create(options: SoakLoadOptions): SoakLoad {
@@ -47,6 +50,11 @@
 
 	/** Hands jobs in until a deadline (monotonic clock), and waits for its calls. */
 	async run(deadline: number): Promise<void> {
+		await Promise.all([this.submitAll(deadline), this.askYoung(deadline)]);
+		await Promise.all(this.underWay);
+	}
+
+	private async submitAll(deadline: number): Promise<void> {
 		const {draws} = this.options;
 		while (performance.now() < deadline) {
 			this.follow(this.submit());
@@ -57,8 +65,20 @@
 			// eslint-disable-next-line no-await-in-loop
 			await sleep(draws.drawFraction() * 2 * meanGapMs);
 		}
+	}
 
-		await Promise.all(this.underWay);
+	private async askYoung(deadline: number): Promise<void> {
+		const {jobs, youngDraws, fleet} = this.options;
+		while (performance.now() < deadline) {
+			const now = performance.now();
+			const young = [...jobs.values()].filter(({acceptedAt}) => acceptedAt !== undefined && acceptedAt < now - visibleMs && acceptedAt > now - visibleMs - youngMs);
+			if (young.length > 0) {
+				this.follow(this.ask(youngDraws.select(young), youngDraws.select(fleet.hosts)));
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(youngGapMs);
+		}
 	}
 
 	private follow(work: Promise<void>): void {
@@ -125,8 +145,10 @@
 			return;
 		}
 
-		const job = draws.select(accepted);
-		const host = draws.select(fleet.hosts);
+		await this.ask(draws.select(accepted), draws.select(fleet.hosts));
+	}
+
+	private async ask(job: SoakJob, host: SoakHost): Promise<void> {
 		const isCalm = host.faults === 0 && host.calmSince < performance.now() - calmMs;
 		const isVisible = (job.acceptedAt ?? 0) < performance.now() - visibleMs;
 		const {status, state} = await this.call(host, 'GET', job.jobId);
--- a/packages/bench/src/soak/soak.test.ts
+++ b/packages/bench/src/soak/soak.test.ts
@@ -2,6 +2,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {RunBook} from './run-book.js';
+import {soakFaults} from './soak-faults.js';
 import {runSoak} from './soak.js';
 
 describe('the fault soak', () => {
@@ -14,6 +15,10 @@
 	});
 });
 
+/** Kinds that came after the seeds below: without them a seed draws what it drew then. */
+const laterKinds = new Set(['store-reads-old', 'history-dropped']);
+const kindsThen = Object.keys(soakFaults).filter(kind => !laterKinds.has(kind));
+
 /** Seeds of the soak that once broke a promise, or a check that asked for more than is promised. */
 const failedSeeds = [
 	{seed: 100, cause: 'SIGHUP in the first instants of a process ended it: the handler came after the modules were loaded'},
@@ -24,7 +29,7 @@
 	for (const {seed, cause} of failedSeeds) {
 		it(`${seed}: ${cause}`, async () => {
 			const {violations} = await runSoak({
-				seed, faultMs: 20_000, hosts: 4, workers: 5,
+				seed, faultMs: 20_000, hosts: 4, workers: 5, only: kindsThen,
 			});
 			expect(violations).toEqual([]);
 		});
--- a/packages/bench/src/soak/soak.ts
+++ b/packages/bench/src/soak/soak.ts
@@ -46,7 +46,7 @@
 	fleets.push(fleet);
 	try {
 		const load = SoakLoad.create({
-			fleet, draws: Draws.create(options.seed + 1), jobs, book,
+			fleet, draws: Draws.create(options.seed + 1), youngDraws: Draws.create(options.seed + 2), jobs, book,
 		});
 		const deadline = performance.now() + options.faultMs;
 		const [faults] = await Promise.all([runFaults(fleet, options, deadline), load.run(deadline + loadTailMs)]);
