--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -24,6 +24,8 @@
 const ledgerPauseMs = 250;
 const workerPauseMs = 250;
 const millisecondsPerSecond = 1000;
+/** Without an answer of the store for this long, callers are better served elsewhere. */
+const longestSilenceMs = 2500;
 const stopStepMs = 20;
 const longestStopMs = 3000;
 
@@ -52,6 +54,8 @@
 	private readonly configTimes: FollowTimes;
 	private timer: NodeJS.Timeout | undefined;
 	private isStopping = false;
+	/** A host that has just loaded all jobs has yet to read those that came meanwhile. */
+	private hasBeenSure = false;
 
 	private constructor(private readonly options: SchedulerHostOptions) {
 		const {
@@ -101,8 +105,10 @@
 
 	/** True if callers are well served here. */
 	isReady(): boolean {
-		const {completeAgeMs} = this.describeIntake();
-		return !this.isStopping && this.desk.isOpen() && this.desk.isStoring() && completeAgeMs !== undefined && completeAgeMs < this.followTimes.sureAgeMs;
+		const {answerAgeMs = Number.POSITIVE_INFINITY, completeAgeMs = Number.POSITIVE_INFINITY} = this.describeIntake();
+		this.hasBeenSure ||= completeAgeMs < this.followTimes.sureAgeMs;
+		return !this.isStopping && this.desk.isOpen() && this.desk.isStoring()
+			&& this.hasBeenSure && answerAgeMs < longestSilenceMs && completeAgeMs < this.followTimes.readyAgeMs;
 	}
 
 	/** Gives the lead back; resolves once that is stored, or after a while. */
@@ -169,7 +175,7 @@
 				handleRead: records => {
 					this.readOperator(records);
 				},
-			}, {waitMs: () => this.configTimes.waitMs}),
+			}, {waitMs: () => this.configTimes.waitMs, pauseMs: () => this.configTimes.pauseMs}),
 			intake: this.createTail(intakeStream, {
 				handleLoaded: records => {
 					this.readIntake(records);
