A wave that an earlier leader completed stays completed

What it knew of the status came from a stream that only leaders read, after the wave was read. Now completion is restored from the ledger, and only reported again.

--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -6,6 +6,7 @@
 import {
 	claimRetryMs, claimSpreadMs, leaderSilenceAtStartMs, leaderSilenceMs, signOfLifeMs, weakClaimDelayMs,
 } from './timing.js';
+import {restoreWave} from './waves.js';
 import type {LedgerEntry, SchedulerEvent} from './events.js';
 import type {LedgerRecord} from './types.js';
 import type {Claim, SchedulerSettings, SchedulerState} from './state.js';
@@ -75,7 +76,7 @@
 	},
 	waves(state, {waves}) {
 		for (const wave of waves) {
-			state.storedWaves.set(wave.wave, new Set(wave.doneMachines));
+			state.storedWaves.set(wave.wave, wave);
 		}
 	},
 	orders(state, {machineIds}) {
@@ -183,9 +184,7 @@
 	}
 
 	for (const wave of state.waves.values()) {
-		for (const machine of state.storedWaves.get(wave.definition.wave) ?? []) {
-			wave.doneMachines.add(machine);
-		}
+		restoreWave(state, wave);
 	}
 
 	noteDecision(state, 'lead-taken', {token, jobs: state.liveJobs.size, workers: state.workers.size});
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -20,6 +20,7 @@
 	TaskName,
 	WaveDefinition,
 	WaveNumber,
+	WaveProgress,
 	WorkerId,
 } from './types.js';
 
@@ -336,7 +337,7 @@
 	machinesDueAt: SteadyMs;
 	isListingMachines: boolean;
 	readonly waves: Map<WaveNumber, Wave>;
-	storedWaves: Map<WaveNumber, ReadonlySet<MachineId>>;
+	storedWaves: Map<WaveNumber, WaveProgress>;
 	areWavesDirty: boolean;
 	isConfigDirty: boolean;
 	readonly demand: Map<PoolName, PoolDemand>;
--- a/packages/core/src/scheduler/waves.test.ts
+++ b/packages/core/src/scheduler/waves.test.ts
@@ -65,6 +65,23 @@
 	});
 });
 
+describe('a wave that an earlier leader completed', () => {
+	/** Guards against: a new leader takes it for open, reports it as running, and sends a machine that came back into its upkeep. */
+	it('stays completed, and nothing is ordered for it', () => {
+		const leader = ModelLeader.create();
+		leader.push({
+			type: 'ledger/read', entries: [{offset: 0, record: {type: 'waves', waves: [{wave: 7, doneMachines: ['m1'], isCompleted: true}]}}], nextOffset: 1,
+		});
+		leader.takeLead(1);
+		leader.publishWave({machineIds: ['m1', 'm9']});
+		leader.run(50);
+		leader.listMachines([createMachineEntry('m1'), createMachineEntry('m9')]);
+		leader.run(500);
+		expect(leader.listOrdered()).toEqual([]);
+		expect(leader.reports.filter(({isCompleted}) => !isCompleted)).toEqual([]);
+	});
+});
+
 describe('a wave is completed', () => {
 	const first = createMachineEntry('m1', {workerId: 'w1'});
 	const joined = createMachineEntry('m2');
--- a/packages/core/src/scheduler/waves.ts
+++ b/packages/core/src/scheduler/waves.ts
@@ -38,14 +38,28 @@
 	}
 
 	const wave: Wave = {
-		definition, doneMachines: new Set(state.storedWaves.get(definition.wave)), readAt: state.now, isCompleted: event.isCompleted, storedBy: undefined, reported: event.isCompleted ? 'completed' : 'none', reportDueAt: 0,
+		definition, doneMachines: new Set(), readAt: state.now, isCompleted: event.isCompleted, storedBy: undefined, reported: event.isCompleted ? 'completed' : 'none', reportDueAt: 0,
 	};
+	restoreWave(state, wave);
 	state.waves.set(definition.wave, wave);
 	noteDecision(state, 'wave-read', {
 		wave: definition.wave, machines: definition.machineIds.length, maxDown: definition.maxDown, deadlineS: definition.deadlineS,
 	});
 }
 
+/** Takes over what an earlier leader has stored of a wave; one that it completed is only reported. */
+export function restoreWave({storedWaves, leadership}: SchedulerState, wave: Wave): void {
+	const stored = storedWaves.get(wave.definition.wave);
+	for (const machineId of stored?.doneMachines ?? []) {
+		wave.doneMachines.add(machineId);
+	}
+
+	if (stored?.isCompleted) {
+		wave.isCompleted = true;
+		wave.storedBy = {token: leadership.token, sequence: leadership.nextSequence - 1};
+	}
+}
+
 /** Goes on with all waves. */
 export function tickWaves(state: SchedulerState): void {
 	if (state.leadership.role !== 'leader') {
