A leader that cannot read the jobs that were started gives the lead up

After 2.5 s of it, less than the leases last, it gives the lead up and leaves it to others for 3 s; one that has read the jobs is at work at once.

--- a/packages/core/src/scheduler/holds.ts
+++ b/packages/core/src/scheduler/holds.ts
@@ -43,7 +43,7 @@
  * it has: it would take the ends of their runs for those of strangers, and acknowledge them. Each job was stored
  * before its first start; one that is not there in a reading that was asked for under this lead has been removed.
  */
-function hasReadStartedJobs({earlyProgress, leadership, intakeCompleteAt}: SchedulerState): boolean {
+export function hasReadStartedJobs({earlyProgress, leadership, intakeCompleteAt}: SchedulerState): boolean {
 	return intakeCompleteAt > leadership.leadsSince || ![...earlyProgress.values()].some(({phase}) => !isFinal(phase));
 }
 
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -1,7 +1,7 @@
 /** The scheduler's reducer: one event in, effects out. Time never runs backwards. */
 import {handleAdvice} from './advice.js';
 import {handleCommit, tickCommits} from './commits.js';
-import {handleHold, tickHolds} from './holds.js';
+import {handleHold, hasReadStartedJobs, tickHolds} from './holds.js';
 import {applyIntake, dropIfOver, openDueOccurrences} from './jobs.js';
 import {
 	handleClaim, loadLedger, readLedger, releaseLead, stopLeading, tickClaim, tickLeadership,
@@ -37,6 +37,12 @@
 			return;
 		}
 
+		if (isBlind(state)) {
+			stopLeading(state, 'the jobs that were started cannot be read');
+			state.leadership.claimNotBefore = state.now + blindPauseMs;
+			return;
+		}
+
 		tickJobs(state);
 		tickStops(state);
 		tickRegistry(state);
@@ -99,6 +105,11 @@
 	'advice/ended': handleAdvice,
 };
 
+/** Without its looks at workers all leases lapse: another host, which may have read the jobs, does better. */
+function isBlind(state: SchedulerState): boolean {
+	return state.now > state.leadership.leadsSince + longestBlindMs && !hasReadStartedJobs(state);
+}
+
 /** The place in the stream moves on with the batch: one record that cannot be applied must not take those behind it along. */
 function applyIntakeRecord(state: SchedulerState, record: IntakeRecord): void {
 	try {
@@ -113,6 +124,10 @@
 }
 
 const jobLookMs = 50;
+/** Shorter than the leases that an earlier leader gave. */
+const longestBlindMs = 2500;
+/** How long such a host leaves the lead to others. */
+const blindPauseMs = 3000;
 
 function tickJobs(state: SchedulerState): void {
 	if (state.now < state.jobsDueAt) {
