--- a/packages/stand-ins/src/job-platform/keyed-log.test.ts
+++ b/packages/stand-ins/src/job-platform/keyed-log.test.ts
@@ -9,10 +9,13 @@
 import {sleep} from '../harness/process-group.js';
 import {JobPlatform} from './job-platform.js';
 import {KeyedLog, type NewestPage, type ReadAnswer} from './keyed-log.js';
-import {delayNothing} from './read-delays.js';
+import {delayNothing, type ReadDelay} from './read-delays.js';
 
 const topic = 'keyed.tests';
 const headBytes = 16;
+/** Long beside what a call takes on a busy machine. */
+const delayMs = 1500;
+const timerSlackMs = 20;
 
 type Page = {readonly end: number; readonly first: number; readonly keys: readonly string[]};
 
@@ -158,26 +161,35 @@
 		return decodePage(new Uint8Array(await answer.body.arrayBuffer())).end;
 	}
 
+	/** Sends a read, and resolves once the store has taken it up. */
+	async function startRead(delay: ReadDelay): Promise<{readonly end: Promise<number>}> {
+		return new Promise(resolve => {
+			platform.drawReadDelay = () => {
+				resolve({end});
+				return delay;
+			};
+
+			const end = readEnd(address);
+		});
+	}
+
 	it('a delay after the content is fixed makes the answer old: what is written meanwhile is not in it', async () => {
-		platform.drawReadDelay = () => ({beforeMs: 0, afterMs: 300});
 		const end = await readEnd(address);
-		const reading = readEnd(address);
+		const read = await startRead({beforeMs: 0, afterMs: delayMs});
 		await sleep(100);
 		platform.log.put(topic, 'meanwhile', 1);
-		expect(await reading).toEqual(end);
+		expect(await read.end).toEqual(end);
 	});
 
 	it('a delay before the content is fixed makes the answer late and not old', async () => {
 		const end = await readEnd(address);
-		platform.drawReadDelay = () => ({beforeMs: 300, afterMs: 0});
-		const reading = readEnd(address);
-		await sleep(100);
+		const read = await startRead({beforeMs: delayMs, afterMs: 0});
 		platform.log.put(topic, 'meanwhile', 1);
-		expect(await reading).toEqual(end + 1);
+		expect(await read.end).toEqual(end + 1);
 	});
 
 	it('delays reads of one entrance and one operation, and no append', async () => {
-		platform.drawReadDelay = read => ({beforeMs: 0, afterMs: read.entrance === entrance && read.operation === 'log-newest' ? 400 : 0});
+		platform.drawReadDelay = read => ({beforeMs: 0, afterMs: read.entrance === entrance && read.operation === 'log-newest' ? delayMs : 0});
 		const delays: number[] = [];
 		for (const call of [
 			async () => readEnd(entrance),
@@ -191,7 +203,7 @@
 			delays.push(performance.now() - startedAt);
 		}
 
-		expect(delays.map(ms => ms > 390)).toEqual([false, false, false, true]);
+		expect(delays.map(ms => ms > delayMs - timerSlackMs)).toEqual([false, false, false, true]);
 	});
 
 	it('passes page size, place and dropped history on, as queries and as status 410', async () => {
