--- a/packages/daemon/src/scheduler/effect-runner.ts
+++ b/packages/daemon/src/scheduler/effect-runner.ts
@@ -88,9 +88,19 @@
 		},
 	};
 
+	private sentCounts: Partial<Record<SchedulerEffect['type'], number>> = {};
+
 	private constructor(private readonly options: EffectRunnerOptions) {}
 
+	/** How many effects of each type were run since the last time that this was asked. */
+	takeSentCounts(): Partial<Record<SchedulerEffect['type'], number>> {
+		const counts = this.sentCounts;
+		this.sentCounts = {};
+		return counts;
+	}
+
 	run(effect: SchedulerEffect): void {
+		this.sentCounts[effect.type] = (this.sentCounts[effect.type] ?? 0) + 1;
 		(this.runners[effect.type] as (effect: SchedulerEffect) => void)(effect);
 	}
 
--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -15,6 +15,8 @@
 	/** Calls to the store, workers, machines and advice by outcome. */
 	readonly orders: Counter<'order' | 'outcome'>;
 	readonly orderSeconds: Histogram<'order'>;
+	/** How late clock events come: lack of processor shows here first. */
+	readonly loopLateSeconds: Histogram;
 	readonly leads: Gauge;
 	readonly liveJobs: Gauge;
 };
@@ -40,6 +42,9 @@
 		orderSeconds: new Histogram({
 			name: 'rhubarblever_order_seconds', help: 'Time of calls to the store, workers, machines and advice', labelNames: ['order'], buckets: latencyBucketsS, registers,
 		}),
+		loopLateSeconds: new Histogram({
+			name: 'rhubarblever_loop_late_seconds', help: 'How late clock events come', buckets: latencyBucketsS, registers,
+		}),
 		leads: new Gauge({name: 'rhubarblever_leads', help: '1 on the host that schedules', registers}),
 		liveJobs: new Gauge({name: 'rhubarblever_live_jobs', help: 'Jobs that the leader works on', registers}),
 	};
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -26,6 +26,8 @@
 /** Without an answer of the store for this long, callers are better served elsewhere. */
 const readyAgeMs = 2500;
 const stopStepMs = 20;
+/** A clock event that comes later than this tells that the process has no processor to spare. */
+const lateTickMs = 250;
 const longestStopMs = 3000;
 
 export type SchedulerHostOptions = {
@@ -43,6 +45,7 @@
 	readonly desk: JobDesk;
 	private readonly loop: ReducerLoop<SchedulerState, SchedulerEvent, SchedulerEffect>;
 	private readonly tails: {readonly operator: Tail; readonly intake: Tail; readonly ledger: Tail; readonly workers: Tail; readonly status: Tail};
+	private readonly runner: EffectRunner;
 	private readonly entries = new Map<string, WorkerEntry>();
 	private readonly completedWaves = new Set<number>();
 	private timer: NodeJS.Timeout | undefined;
@@ -50,7 +53,7 @@
 
 	private constructor(private readonly options: SchedulerHostOptions) {
 		const {ports, settings, log, metrics} = options;
-		const runner = EffectRunner.create({
+		this.runner = EffectRunner.create({
 			ports,
 			log,
 			metrics,
@@ -62,7 +65,7 @@
 			},
 		});
 		this.loop = ReducerLoop.create(createSchedulerState(settings), reduceScheduler, (effect: SchedulerEffect) => {
-			runner.run(effect);
+			this.runner.run(effect);
 		});
 		this.tails = this.createTails();
 		this.desk = JobDesk.create({
@@ -123,13 +126,27 @@
 	}
 
 	private scheduleTick(): void {
+		const tickMs = this.isLeader() ? leaderTickMs : followerTickMs;
+		const dueAt = readSteadyClock() + tickMs;
 		this.timer = setTimeout(() => {
+			this.noteLateness(readSteadyClock() - dueAt);
 			this.push({type: 'clock/ticked'});
 			const {metrics} = this.options;
 			metrics.leads.set(this.isLeader() ? 1 : 0);
 			metrics.liveJobs.set(this.loop.state.liveJobs.size);
 			this.scheduleTick();
-		}, this.isLeader() ? leaderTickMs : followerTickMs);
+		}, tickMs);
+	}
+
+	/** Tells of a late event loop, and of what was sent since the last time that it was told. */
+	private noteLateness(lateMs: number): void {
+		const {metrics, log} = this.options;
+		metrics.loopLateSeconds.observe(lateMs / 1000);
+		if (lateMs > lateTickMs) {
+			log.warn('loop-late', {
+				lateMs: Math.round(lateMs), isLeader: this.isLeader(), liveJobs: this.loop.state.liveJobs.size, ...this.runner.takeSentCounts(),
+			});
+		}
 	}
 
 	private createTails() {
