--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -3,6 +3,7 @@
 import {clearWaiting, getDemand, noteWaiting} from './demand.js';
 import {getPoolOfJob} from './queues.js';
 import {addResources, doesFit} from './resources.js';
+import {hasStartWindow} from './start-window.js';
 import {
 	getFree, getNeed, getStepNeed, placeTask,
 } from './tasks.js';
@@ -85,7 +86,7 @@
 	const rooms = listRooms(step, candidates);
 	let placed = 0;
 	for (const task of waiting) {
-		const worker = chooseWorker(state, task, rooms);
+		const worker = hasStartWindow(state) ? chooseWorker(state, task, rooms) : undefined;
 		if (!worker) {
 			break;
 		}
@@ -100,7 +101,7 @@
 
 /** All members at once or none; they share the number of their run. */
 function placeGang(state: SchedulerState, step: StepRun, waiting: readonly Task[], candidates: readonly Worker[]): number {
-	if (waiting.length < step.definition.count) {
+	if (waiting.length < step.definition.count || !hasStartWindow(state)) {
 		return 0;
 	}
 
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -38,6 +38,8 @@
 	/** Least time between machine orders of two leaders. */
 	readonly orderLeaseMs: number;
 	readonly holdMaxMs: number;
+	/** Bytes of starts that may be without an answer at once. */
+	readonly startWindowBytes: number;
 	readonly statusRetentionMs: number;
 	/** How much longer a step takes away from the rack of its data. */
 	readonly farFactor: number;
@@ -286,6 +288,9 @@
 	readonly dirtyJobs: Set<Job>;
 	readonly removedJobs: Set<JobId>;
 	pendingActions: PendingAction[];
+	/** Starts that were decided and not answered, and their bytes. */
+	readonly openStarts: Set<Task>;
+	openStartBytes: number;
 	readonly machines: Map<MachineId, Machine>;
 	/** Machines that an earlier leader ordered lately. */
 	storedOrders: ReadonlySet<MachineId>;
@@ -334,6 +339,8 @@
 		dirtyJobs: new Set(),
 		removedJobs: new Set(),
 		pendingActions: [],
+		openStarts: new Set(),
+		openStartBytes: 0,
 		machines: new Map(),
 		storedOrders: new Set(),
 		ownOrders: new Map(),
--- a/packages/core/src/scheduler/tasks.ts
+++ b/packages/core/src/scheduler/tasks.ts
@@ -2,7 +2,8 @@
 import {addEffect} from './logging.js';
 import {isJobOpen} from './phases.js';
 import {addResources} from './resources.js';
-import {notSettled, stopRetryMs} from './timing.js';
+import {closeStart, openStart} from './start-window.js';
+import {notSettled, stopPatienceMs} from './timing.js';
 import type {WorkerTarget} from './effects.js';
 import type {Resources, RunEnd, StepDefinition} from './types.js';
 import type {
@@ -69,6 +70,7 @@
 		return;
 	}
 
+	closeStart(state, task);
 	worker.tasks.delete(task.name);
 	addUse(worker, task, -1);
 	task.worker = undefined;
@@ -90,6 +92,7 @@
 	task.percentChangedAt = state.now;
 	task.pacePercent = 100;
 	attachTask(worker, task);
+	openStart(state, task);
 	updateOpenStep(state, task.step);
 	state.dirtyJobs.add(task.step.occurrence.job);
 	state.pendingActions.push({type: 'start', task, run});
@@ -101,6 +104,7 @@
 		return;
 	}
 
+	closeStart(state, task);
 	task.status = 'running';
 	task.startedAt = state.now;
 	task.percentChangedAt = state.now;
@@ -133,9 +137,11 @@
 		return;
 	}
 
+	closeStart(state, task);
 	task.status = 'stopping';
 	task.settledAt = notSettled;
-	task.stopDueAt = state.now + stopRetryMs;
+	// The outcome sets it anew: stops that pile up at a late host would make it later still.
+	task.stopDueAt = state.now + stopPatienceMs;
 	addEffect(state, {
 		type: 'worker/stop', worker: getTarget(task.worker), task: task.name, run: task.run, token: state.leadership.token,
 	});
--- a/packages/core/src/scheduler/timing.ts
+++ b/packages/core/src/scheduler/timing.ts
@@ -32,6 +32,8 @@
 export const watchWaitMs = 500;
 export const holdRetryMs = 150;
 export const stopRetryMs = 300;
+/** A stop of which nothing is heard, not even that it had no answer, is repeated after this. */
+export const stopPatienceMs = 3000;
 /** A worker that the registry lost, when it was read anew, may come back to it for this long. */
 export const registryGraceMs = 3000;
 /** A start without an answer may be carried out this much later. */
