--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -31,8 +31,17 @@
 		clearWaiting(demand);
 	}
 
+	if (!hasStartWindow(state)) {
+		return;
+	}
+
 	const workersByPool = listUsableWorkers(state);
 	for (const {step} of sortSteps(state)) {
+		// What the host cannot send yet is no want of room: no machine is moved for it.
+		if (!hasStartWindow(state)) {
+			return;
+		}
+
 		const pool = getPoolOfJob(state, step.occurrence.job);
 		placeStep(state, step, workersByPool.get(pool) ?? [], pool);
 	}
@@ -72,7 +81,7 @@
 		? placeGang(state, step, waiting, candidates)
 		: placeEach(state, step, waiting, candidates);
 	const left = waiting.length - placed;
-	if (left > 0) {
+	if (left > 0 && hasStartWindow(state)) {
 		noteWaiting(getDemand(state, pool), step, left);
 	}
 }
