--- a/packages/daemon/src/scheduler/ports.ts
+++ b/packages/daemon/src/scheduler/ports.ts
@@ -24,7 +24,11 @@
 
 /** `forgotten`: the records asked for were deleted. */
 export type ReadOutcome
-	= | {readonly type: 'read'; readonly records: readonly KeyedRecord[]; readonly nextOffset: number}
+	= | {
+		readonly type: 'read'; readonly records: readonly KeyedRecord[]; readonly nextOffset: number;
+		/** Nothing more was there when the store answered. */
+		readonly isAtEnd: boolean;
+	}
 		| {readonly type: 'forgotten'}
 		| {readonly type: 'unavailable'};
 
--- a/packages/daemon/src/scheduler/tail.ts
+++ b/packages/daemon/src/scheduler/tail.ts
@@ -28,7 +28,7 @@
 		return new Tail(store, options, handlers);
 	}
 
-	/** When the store last answered; 0 before. */
+	/** All that was stored at this instant is known here; 0 before. Never later than what the store's answer tells of. */
 	lastAnswerAt = 0;
 	private nextOffset: number | undefined;
 	private isStopped = false;
@@ -70,6 +70,7 @@
 
 	private async load(): Promise<number> {
 		const {generation} = this;
+		const askedAt = readSteadyClock();
 		const outcome = await this.store.listNewest(this.options.stream);
 		this.setReached(outcome.type === 'read');
 		if (outcome.type !== 'read') {
@@ -82,11 +83,13 @@
 
 		this.nextOffset = outcome.nextOffset;
 		this.handlers.handleLoaded(outcome.records, outcome.nextOffset);
+		this.lastAnswerAt = askedAt;
 		return 0;
 	}
 
 	private async read(from: number): Promise<number> {
 		const {generation} = this;
+		const askedAt = readSteadyClock();
 		const outcome = await this.store.read(this.options.stream, from, this.options.waitMs());
 		this.setReached(outcome.type !== 'unavailable');
 		if (outcome.type === 'unavailable') {
@@ -104,14 +107,15 @@
 
 		this.nextOffset = outcome.nextOffset;
 		this.handlers.handleRead(outcome.records, outcome.nextOffset);
+		if (outcome.isAtEnd) {
+			// An answer without records says that there was none until it left; one with records says so of the question's instant only.
+			this.lastAnswerAt = outcome.records.length === 0 ? readSteadyClock() : askedAt;
+		}
+
 		return this.options.pauseMs();
 	}
 
 	private setReached(isReached: boolean): void {
-		if (isReached) {
-			this.lastAnswerAt = readSteadyClock();
-		}
-
 		if (isReached !== this.isReached) {
 			this.isReached = isReached;
 			this.handlers.handleReach(isReached);
