--- a/packages/daemon/src/scheduler/ports.ts
+++ b/packages/daemon/src/scheduler/ports.ts
@@ -28,6 +28,8 @@
 		readonly type: 'read'; readonly records: readonly KeyedRecord[]; readonly nextOffset: number;
 		/** Nothing more was there when the store answered. */
 		readonly isAtEnd: boolean;
+		/** When the answer began to arrive. */
+		readonly answeredAt: number;
 	}
 		| {readonly type: 'forgotten'}
 		| {readonly type: 'unavailable'};
--- a/packages/daemon/src/scheduler/tail.ts
+++ b/packages/daemon/src/scheduler/tail.ts
@@ -1,6 +1,5 @@
 /** Follows a stream of the store: all of it first, then each record as it comes. */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {readSteadyClock} from './clocks.js';
 import type {KeyedRecord, KeyedStore} from './ports.js';
 
 const retryMs = 200;
@@ -70,7 +69,6 @@
 
 	private async load(): Promise<number> {
 		const {generation} = this;
-		const askedAt = readSteadyClock();
 		const outcome = await this.store.listNewest(this.options.stream);
 		this.setReached(outcome.type === 'read');
 		if (outcome.type !== 'read') {
@@ -83,13 +81,12 @@
 
 		this.nextOffset = outcome.nextOffset;
 		this.handlers.handleLoaded(outcome.records, outcome.nextOffset);
-		this.lastAnswerAt = askedAt;
+		this.lastAnswerAt = outcome.answeredAt;
 		return 0;
 	}
 
 	private async read(from: number): Promise<number> {
 		const {generation} = this;
-		const askedAt = readSteadyClock();
 		const outcome = await this.store.read(this.options.stream, from, this.options.waitMs());
 		this.setReached(outcome.type !== 'unavailable');
 		if (outcome.type === 'unavailable') {
@@ -108,8 +105,7 @@
 		this.nextOffset = outcome.nextOffset;
 		this.handlers.handleRead(outcome.records, outcome.nextOffset);
 		if (outcome.isAtEnd) {
-			// An answer without records says that there was none until it left; one with records says so of the question's instant only.
-			this.lastAnswerAt = outcome.records.length === 0 ? readSteadyClock() : askedAt;
+			this.lastAnswerAt = outcome.answeredAt;
 		}
 
 		return this.options.pauseMs();
