--- a/packages/core/src/scheduler/holds.ts
+++ b/packages/core/src/scheduler/holds.ts
@@ -10,7 +10,7 @@
 	confirmTask, finishTask, getTarget, requestStop, returnTask, stopGang,
 } from './tasks.js';
 import {
-	clockDrift, holdRetryMs, holdWaitMs, leaseSlackMs, renewLeaseMs, stuckMs, unconfirmedLimitMs, watchWaitMs, workerLeaseMs,
+	clockDrift, holdRetryMs, holdWaitMs, leaseSlackMs, renewLeaseMs, stuckMs, unconfirmedLimitMs, watchWaitMs, weakLookPauseMs, workerLeaseMs,
 } from './timing.js';
 import type {SchedulerEvent} from './events.js';
 import type {EndedRow, RunEnd, RunningRow} from './types.js';
@@ -140,7 +140,7 @@
 	worker.lastAnswerAt = state.now;
 	worker.isFenced = true;
 	worker.ackedEnd = Math.max(worker.ackedEnd, worker.storedEnd);
-	worker.holdDueAt = state.now;
+	worker.holdDueAt = state.now + (state.settings.weakness * weakLookPauseMs);
 	if (event.clockMs !== undefined) {
 		worker.clock = {workerMs: event.clockMs, at: state.now};
 	}
--- a/packages/core/src/scheduler/timing.ts
+++ b/packages/core/src/scheduler/timing.ts
@@ -30,6 +30,8 @@
 export const holdWaitMs = 800;
 /** The same where serving tasks are watched. */
 export const watchWaitMs = 500;
+/** A host without processor or link to spare looks at a worker again this much later, so that several ends share a look. */
+export const weakLookPauseMs = 120;
 export const holdRetryMs = 150;
 export const stopRetryMs = 300;
 /** A stop of which nothing is heard, not even that it had no answer, is repeated after this. */
--- a/packages/daemon/src/scheduler/effect-runner.ts
+++ b/packages/daemon/src/scheduler/effect-runner.ts
@@ -23,6 +23,8 @@
 };
 
 const writerName = 'leader';
+/** Orders to workers that leave in one turn of the event loop: answers, appends and clock events come between. */
+const ordersPerTurn = 8;
 
 const commitOutcomes: Readonly<Record<AppendOutcome['type'], CommitOutcome>> = {
 	appended: 'stored', moved: 'fenced', fenced: 'fenced', refused: 'refused', unknown: 'unknown', 'out-of-sequence': 'fenced',
@@ -50,13 +52,13 @@
 			this.options.reloadLedger();
 		},
 		'worker/start': effect => {
-			void this.start(effect);
+			this.queueOrder(async () => this.start(effect));
 		},
 		'worker/stop': effect => {
-			void this.stop(effect);
+			this.queueOrder(async () => this.stop(effect));
 		},
 		'worker/hold': effect => {
-			void this.hold(effect);
+			this.queueOrder(async () => this.hold(effect));
 		},
 		'worker/pace': effect => {
 			void this.setPace(effect);
@@ -88,6 +90,8 @@
 		},
 	};
 
+	private readonly waitingOrders: Array<() => Promise<void>> = [];
+	private isSending = false;
 	private sentCounts: Partial<Record<SchedulerEffect['type'], number>> = {};
 
 	private constructor(private readonly options: EffectRunnerOptions) {}
@@ -104,6 +108,29 @@
 		(this.runners[effect.type] as (effect: SchedulerEffect) => void)(effect);
 	}
 
+	private queueOrder(send: () => Promise<void>): void {
+		this.waitingOrders.push(send);
+		if (!this.isSending) {
+			this.isSending = true;
+			this.sendOrders();
+		}
+	}
+
+	private sendOrders(): void {
+		for (const send of this.waitingOrders.splice(0, ordersPerTurn)) {
+			void send();
+		}
+
+		if (this.waitingOrders.length === 0) {
+			this.isSending = false;
+			return;
+		}
+
+		setImmediate(() => {
+			this.sendOrders();
+		});
+	}
+
 	private noteOrder(order: string, outcome: string, startedAt: number): void {
 		const {metrics} = this.options;
 		metrics.orders.inc({order, outcome});
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -22,6 +22,8 @@
 const ledgerPauseMs = 250;
 /** The same of jobs and cancels of other hosts: only repeats of calls and later questions need it. */
 const intakePauseMs = 300;
+/** A leader without processor or link to spare reads jobs in batches. */
+const weakIntakePauseMs = 100;
 const workerPauseMs = 250;
 /** Without an answer of the store for this long, callers are better served elsewhere. */
 const readyAgeMs = 2500;
@@ -150,7 +152,7 @@
 	}
 
 	private createTails() {
-		const {feed} = this.options.ports;
+		const {ports: {feed}, settings} = this.options;
 		return {
 			operator: this.createTail(feed.operatorStream, {
 				handleLoaded: records => {
@@ -167,7 +169,7 @@
 				handleRead: records => {
 					this.readIntake(records);
 				},
-			}, {pauseMs: () => this.isLeader() ? 0 : intakePauseMs}),
+			}, {pauseMs: () => this.isLeader() ? settings.weakness * weakIntakePauseMs : intakePauseMs}),
 			ledger: this.createTail(ledgerStream, {
 				handleLoaded: (records, nextOffset) => {
 					this.readLedger('ledger/loaded', records, nextOffset);
