--- a/packages/core/src/scheduler/testing/model-fleet.ts
+++ b/packages/core/src/scheduler/testing/model-fleet.ts
@@ -78,7 +78,7 @@
 }
 
 export class ModelFleet {
-	static create(options: {readonly seed: number; readonly hosts: number; readonly workers: number; readonly faults: ModelFaults}): ModelFleet {
+	static create(options: {readonly seed: number; readonly hosts: number; readonly workers: number; readonly faults: ModelFaults; readonly startWindowBytes?: number}): ModelFleet {
 		return new ModelFleet(options);
 	}
 
@@ -91,6 +91,13 @@
 	faults: ModelFaults;
 	/** How long followers leave the intake unread. */
 	followerIntakeMs = 0;
+	/** How much later workers' answers come, as over a full link; those beyond the time-out count as lost. */
+	slowAnswerMs = 0;
+	/** Most orders without an outcome at once: starts in all, and stops of one run. */
+	mostOpenStarts = 0;
+	mostOpenStops = 0;
+	private readonly openOrders = new Map<string, number>();
+	private readonly startWindowBytes: number;
 	now = 0;
 	private readonly random: RandomGenerator;
 	private readonly dues: Due[] = [];
@@ -100,7 +107,8 @@
 	private readonly cancelledAt = new Map<string, number>();
 	private nextCrashAt: number;
 
-	private constructor({seed, hosts, workers, faults}: {readonly seed: number; readonly hosts: number; readonly workers: number; readonly faults: ModelFaults}) {
+	private constructor({seed, hosts, workers, faults, startWindowBytes}: {readonly seed: number; readonly hosts: number; readonly workers: number; readonly faults: ModelFaults; readonly startWindowBytes?: number}) {
+		this.startWindowBytes = startWindowBytes ?? modelSettings.startWindowBytes;
 		this.random = xoroshiro128plus(seed);
 		this.faults = faults;
 		this.nextCrashAt = faults.crashEveryMs;
@@ -200,7 +208,7 @@
 			nextReadAt: this.now + this.draw(0, readMs),
 			nextTickAt: this.now,
 			state: createSchedulerState({
-				...modelSettings, holder: `host-${index}/${life}`, spread: this.draw(0, percentAll) / percentAll, firstSequence: 1 + this.draw(0, 1_000_000),
+				...modelSettings, startWindowBytes: this.startWindowBytes, holder: `host-${index}/${life}`, spread: this.draw(0, percentAll) / percentAll, firstSequence: 1 + this.draw(0, 1_000_000),
 			}),
 		};
 	}
@@ -284,18 +292,33 @@
 	}
 
 	private push(host: Host, body: EventBody): void {
+		this.countOrder(body, -1);
 		const wallAt = (wallStart + this.now) as Instant;
 		for (const effect of reduceScheduler(host.state, addInstants(body, this.now, wallAt))) {
 			this.runEffect(host, effect);
 		}
 	}
 
+	/** Counts orders that are without an outcome. */
+	private countOrder(order: EventBody | SchedulerEffect, change: 1 | -1): void {
+		if (order.type === 'worker/start' || order.type === 'start/ended') {
+			const open = (this.openOrders.get('start') ?? 0) + change;
+			this.openOrders.set('start', open);
+			this.mostOpenStarts = Math.max(this.mostOpenStarts, open);
+		} else if (order.type === 'worker/stop' || order.type === 'stop/ended') {
+			const key = `${order.task}/${order.run}`;
+			const open = (this.openOrders.get(key) ?? 0) + change;
+			this.openOrders.set(key, open);
+			this.mostOpenStops = Math.max(this.mostOpenStops, open);
+		}
+	}
+
 	private schedule(inMs: number, run: () => void): void {
 		this.dues.push({at: this.now + inMs, run});
 	}
 
 	/** Carries something out after a delay and answers after another; either may go wrong. */
-	private call(host: Host, execute: () => EventBody, unknown: EventBody): void {
+	private call(host: Host, execute: () => EventBody, unknown: EventBody, slowMs = 0): void {
 		const {life} = host;
 		const answer = (inMs: number, event: EventBody) => {
 			this.schedule(inMs, () => {
@@ -316,16 +339,17 @@
 
 		this.schedule(this.draw(1, 10), () => {
 			const event = execute();
-			if (dice <= this.faults.latePercent + this.faults.lostPercent) {
+			if (dice <= this.faults.latePercent + this.faults.lostPercent || slowMs >= answerTimeoutMs) {
 				answer(answerTimeoutMs, unknown);
 			} else {
-				answer(this.draw(1, 10), event);
+				answer(this.draw(1, 10) + slowMs, event);
 			}
 		});
 	}
 
 	/** Effects on machines, advice and waves have no counterpart in the model. */
 	private runEffect(host: Host, effect: SchedulerEffect): void {
+		this.countOrder(effect, 1);
 		// eslint-disable-next-line @typescript-eslint/switch-exhaustiveness-check
 		switch (effect.type) {
 			case 'ledger/claim': {
@@ -381,7 +405,7 @@
 
 	private callWorker(host: Host, workerId: string, execute: (worker: ModelWorker) => EventBody, unknown: EventBody): void {
 		const worker = this.workers.find(({entry}) => entry.id === workerId)!;
-		this.call(host, () => worker.isUp ? execute(worker) : unknown, unknown);
+		this.call(host, () => worker.isUp ? execute(worker) : unknown, unknown, this.slowAnswerMs);
 	}
 
 	private callStart(host: Host, effect: Extract<SchedulerEffect, {type: 'worker/start'}>): void {
