--- a/packages/core/src/scheduler/testing/model-fleet.ts
+++ b/packages/core/src/scheduler/testing/model-fleet.ts
@@ -96,9 +96,9 @@
 	/** Most orders without an outcome at once: starts in all, and stops of one run. */
 	mostOpenStarts = 0;
 	mostOpenStops = 0;
+	now = 0;
 	private readonly openOrders = new Map<string, number>();
 	private readonly startWindowBytes: number;
-	now = 0;
 	private readonly random: RandomGenerator;
 	private readonly dues: Due[] = [];
 	private readonly jobs = new Map<string, JobDefinition>();
--- a/packages/daemon/src/scheduler/ports.ts
+++ b/packages/daemon/src/scheduler/ports.ts
@@ -31,8 +31,8 @@
 		/** When the answer began to arrive. */
 		readonly answeredAt: number;
 	}
-		| {readonly type: 'forgotten'}
-		| {readonly type: 'unavailable'};
+	| {readonly type: 'forgotten'}
+	| {readonly type: 'unavailable'};
 
 /** The store: streams of keyed records, of which the newest of each key is kept. */
 export type KeyedStore = {
