--- a/packages/core/src/scheduler/attempts.test.ts
+++ b/packages/core/src/scheduler/attempts.test.ts
@@ -1,7 +1,7 @@
 /** How often a task may fail is settled when its job is accepted, and lasts beyond its queue. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {createConfig, HandDriven, listStarts} from './hand-driven.js';
+import {createConfig, HandDriven, listStarts} from './testing/hand-driven.js';
 import {createJob, createStep} from './testing/model-fleet.js';
 import type {JobDefinition} from './types.js';
 
--- a/packages/core/src/scheduler/ends.test.ts
+++ b/packages/core/src/scheduler/ends.test.ts
@@ -3,7 +3,7 @@
 import {expect} from 'earl';
 import {
 	createWorker, HandDriven, listNotes, listStarts, type EffectOf,
-} from './hand-driven.js';
+} from './testing/hand-driven.js';
 import {createJob, createStep} from './testing/model-fleet.js';
 import type {SchedulerEffect} from './effects.js';
 import type {EndedRow} from './types.js';
--- a/packages/core/src/scheduler/retention.test.ts
+++ b/packages/core/src/scheduler/retention.test.ts
@@ -4,7 +4,7 @@
 import type {Instant} from '../types/time.js';
 import {
 	createProgress, createRow, HandDriven, listStarts,
-} from './hand-driven.js';
+} from './testing/hand-driven.js';
 import {createJob, createStep} from './testing/model-fleet.js';
 import type {SchedulerEffect} from './effects.js';
 import type {LedgerEntry} from './events.js';
--- a/packages/core/src/scheduler/hand-driven.ts
+++ b/packages/core/src/scheduler/testing/hand-driven.ts
@@ -1,17 +1,17 @@
 /** For tests: one host's scheduler, driven event by event; the test plays the store, the workers and the clock. */
-import type {Instant} from '../types/time.js';
-import {reduceScheduler} from './reduce.js';
-import {createSchedulerState, type SchedulerSettings, type SchedulerState} from './state.js';
-import {modelConfig, poolName} from './testing/model-fleet.js';
-import {modelSettings} from './testing/model-settings.js';
-import {commitPauseMs} from './timing.js';
-import type {SchedulerEffect} from './effects.js';
+import type {Instant} from '../../types/time.js';
+import {reduceScheduler} from '../reduce.js';
+import {createSchedulerState, type SchedulerSettings, type SchedulerState} from '../state.js';
+import {commitPauseMs} from '../timing.js';
+import type {SchedulerEffect} from '../effects.js';
 import type {
 	HoldOutcome, LedgerEntry, SchedulerEvent, StartOutcome,
-} from './events.js';
+} from '../events.js';
 import type {
 	EndedRow, FleetConfig, JobDefinition, ProgressRow, Queue, RunningRow, WorkerEntry,
-} from './types.js';
+} from '../types.js';
+import {modelSettings} from './model-settings.js';
+import {modelConfig, poolName} from './model-fleet.js';
 
 const wallStart = 1_800_000_000_000;
 const tickStepMs = 25;
