Weak hosts leave the first claim to strong ones from the moment on at which they could claim

Cause: the delay of weak hosts counted from the reading of the empty ledger, but no host can claim before it has read the configuration, which came a second later. Who led was decided by who read it first. Now the delay counts from the configuration on, and the pause is gone again. Ruled out: the streams' loads (10 ms on all strong hosts).

--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -84,6 +84,7 @@
 	},
 	config(state, {config}) {
 		if (!state.config || state.config.version < config.version) {
+			noteConfigured(state);
 			state.config = config;
 			addEffect(state, {type: 'config/restored', config});
 		}
@@ -99,6 +100,11 @@
 	return (spread * claimSpreadMs) + (weakness * weakClaimDelayMs);
 }
 
+/** Takes down when the first configuration came: until then a host cannot claim the lead. */
+export function noteConfigured({leadership, config, now}: SchedulerState): void {
+	leadership.configuredAt = config ? leadership.configuredAt : now;
+}
+
 /** Claims the lead when the ledger is silent, or was given back. */
 export function tickLeadership(state: SchedulerState): void {
 	const {leadership, settings} = state;
@@ -107,9 +113,10 @@
 	}
 
 	const isVacant = leadership.isReleased || leadership.ledgerEnd === 0;
+	const silentSince = Math.max(leadership.lastRecordAt, leadership.configuredAt);
 	const leastSilenceMs = leadership.hasReadOn ? leaderSilenceMs : leaderSilenceAtStartMs;
 	const silenceMs = isVacant ? settings.weakness * weakClaimDelayMs : leastSilenceMs + computeClaimDelay(settings);
-	if (state.now < leadership.claimNotBefore || state.now < leadership.lastRecordAt + silenceMs) {
+	if (state.now < leadership.claimNotBefore || state.now < silentSince + silenceMs) {
 		return;
 	}
 
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -4,7 +4,7 @@
 import {handleHold, hasReadStartedJobs, tickHolds} from './holds.js';
 import {applyIntake, dropIfOver, openDueOccurrences} from './jobs.js';
 import {
-	handleClaim, loadLedger, readLedger, releaseLead, stopLeading, tickClaim, tickLeadership,
+	handleClaim, loadLedger, noteConfigured, readLedger, releaseLead, stopLeading, tickClaim, tickLeadership,
 } from './leadership.js';
 import {noteDecision, noteWarning} from './logging.js';
 import {
@@ -62,6 +62,7 @@
 		}
 
 		noteDecision(state, 'config-in-force', {version: config.version, formerVersion: state.config?.version, queues: config.queues.length});
+		noteConfigured(state);
 		state.config = config;
 		state.isConfigDirty = true;
 		state.needsPlacement = true;
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -220,6 +220,8 @@
 	ledgerEnd: number;
 	lastRecordAt: SteadyMs;
 	claimNotBefore: SteadyMs;
+	/** When the first configuration was read; the delays of claims count from then on. */
+	configuredAt: SteadyMs;
 	isReleased: boolean;
 	hasLedger: boolean;
 	/** Records came after the ledger was read as a whole: there was a leader since. */
@@ -371,7 +373,7 @@
 		openSteps: new Set(),
 		workers: new Map(),
 		leadership: {
-			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, claimNotBefore: 0, isReleased: false, hasLedger: false, hasReadOn: false, leadsSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, commitNotBefore: 0, signDueAt: 0, retryClaimAt: undefined,
+			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, claimNotBefore: 0, configuredAt: 0, isReleased: false, hasLedger: false, hasReadOn: false, leadsSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, commitNotBefore: 0, signDueAt: 0, retryClaimAt: undefined,
 		},
 		dirtyJobs: new Set(),
 		removedJobs: new Set(),
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -175,7 +175,7 @@
 				handleRead: records => {
 					this.readOperator(records);
 				},
-			}, {waitMs: () => this.configTimes.waitMs, pauseMs: () => this.configTimes.pauseMs}),
+			}, {waitMs: () => this.configTimes.waitMs}),
 			intake: this.createTail(intakeStream, {
 				handleLoaded: records => {
 					this.readIntake(records);
