--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -37,9 +37,9 @@
 			return;
 		}
 
-		if (isBlind(state)) {
+		if (hasLackedJobsForLong(state)) {
 			stopLeading(state, 'the jobs that were started cannot be read');
-			state.leadership.claimNotBefore = state.now + blindPauseMs;
+			state.leadership.claimNotBefore = state.now + unreadJobsPauseMs;
 			return;
 		}
 
@@ -107,8 +107,8 @@
 };
 
 /** Without its looks at workers all leases lapse: another host, which may have read the jobs, does better. */
-function isBlind(state: SchedulerState): boolean {
-	return state.now > state.leadership.leadsSince + longestBlindMs && !hasReadStartedJobs(state);
+function hasLackedJobsForLong(state: SchedulerState): boolean {
+	return state.now > state.leadership.leadsSince + unreadJobsLimitMs && !hasReadStartedJobs(state);
 }
 
 /** The place in the stream moves on with the batch: one record that cannot be applied must not take those behind it along. */
@@ -126,9 +126,9 @@
 
 const jobLookMs = 50;
 /** Shorter than the leases that an earlier leader gave. */
-const longestBlindMs = 2500;
+const unreadJobsLimitMs = 2500;
 /** How long such a host leaves the lead to others. */
-const blindPauseMs = 3000;
+const unreadJobsPauseMs = 3000;
 
 function tickJobs(state: SchedulerState): void {
 	if (state.now < state.jobsDueAt) {
--- a/packages/daemon/src/scheduler/follow-times.ts
+++ b/packages/daemon/src/scheduler/follow-times.ts
@@ -14,7 +14,7 @@
 /** Two waits, two slow answers of the store and a pause together stay below `sureShare`. */
 const waitShare = 1 / 6;
 const pauseShare = 0.1;
-/** The rest is for the answer's way to its caller, from a busy host over a thin link. */
+/** The rest is for the answer's way to its caller, from a busy host over a slow link. */
 const sureShare = 5 / 6;
 /** A host that is not sure for a moment goes on to be asked: what it knows it tells, and it takes jobs. */
 const readyShare = 1.5;
