Views: one judgement of whether a view is complete as of lately

The same comparison stood three times (denials of jobs, of queues, readiness), each with its own reading of an age that may be undefined; a denial described its view twice, at two instants. No behaviour has changed.

--- a/packages/daemon/src/scheduler/job-desk.ts
+++ b/packages/daemon/src/scheduler/job-desk.ts
@@ -6,7 +6,7 @@
 import {readSteadyClock} from './clocks.js';
 import type {IntakeWriter} from './intake-writer.js';
 import type {DecisionLog} from './decision-log.js';
-import type {ViewStatus} from './stream-view.js';
+import {isCompleteWithin, type ViewStatus} from './stream-view.js';
 
 /** `refused`: surely not accepted, come back later; `unknown`: may be accepted. */
 export type SubmitOutcome = 'accepted' | 'refused' | 'unknown';
@@ -64,10 +64,10 @@
 			return queue;
 		}
 
-		const {completeAgeMs} = describeConfig();
-		const isSure = completeAgeMs !== undefined && completeAgeMs < sureConfigAgeMs;
+		const view = describeConfig();
+		const isSure = isCompleteWithin(view, sureConfigAgeMs);
 		log.note('queue-not-found', {
-			callerHost: host, path, isSure, configVersion: state.config?.version, completeAgeMs,
+			callerHost: host, path, isSure, configVersion: state.config?.version, completeAgeMs: view.completeAgeMs,
 		});
 		return isSure ? 'no-such-queue' : 'unsure';
 	}
@@ -95,14 +95,15 @@
 
 	/** What is known of a job. */
 	ask(jobId: JobId): AskOutcome {
-		const {state, describeIntake, log} = this.options;
+		const {state, describeIntake, sureAgeMs, log} = this.options;
 		const job = state.jobs.get(jobId);
 		if (job) {
 			return getShownPhase(job);
 		}
 
-		const isSure = this.isSure();
-		log.note('job-not-found', {jobId, isSure, ...describeIntake()});
+		const view = describeIntake();
+		const isSure = isCompleteWithin(view, sureAgeMs);
+		log.note('job-not-found', {jobId, isSure, ...view});
 		return isSure ? 'no-such-job' : 'unsure';
 	}
 
@@ -121,26 +122,22 @@
 
 	/** Accepted jobs of a queue of which nothing has started. */
 	countPending(queue: QueueName): CountOutcome {
-		const {log, describeIntake} = this.options;
-		if (!this.isSure()) {
-			log.note('jobs-not-counted', {queue, ...describeIntake()});
+		const {
+			state, describeIntake, sureAgeMs, log,
+		} = this.options;
+		const view = describeIntake();
+		if (!isCompleteWithin(view, sureAgeMs)) {
+			log.note('jobs-not-counted', {queue, ...view});
 			return 'unsure';
 		}
 
 		let count = 0;
-		for (const job of this.options.state.jobs.values()) {
+		for (const job of state.jobs.values()) {
 			count += job.definition.queue === queue && getShownPhase(job) === 'queued' ? 1 : 0;
 		}
 
 		return count;
 	}
-
-	/** True if what this host does not know of was not accepted long enough ago to be told of. */
-	private isSure(): boolean {
-		const {describeIntake, sureAgeMs} = this.options;
-		const {completeAgeMs} = describeIntake();
-		return completeAgeMs !== undefined && completeAgeMs < sureAgeMs;
-	}
 }
 
 function getWriteMs(waitMs: number): number {
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -13,7 +13,7 @@
 import {JobDesk} from './job-desk.js';
 import type {SchedulerMetrics} from './metrics.js';
 import type {KeyedRecord, SchedulerPorts} from './ports.js';
-import type {ViewStatus} from './stream-view.js';
+import {isCompleteWithin, type ViewStatus} from './stream-view.js';
 import {Tail, type TailHandlers, type TailOptions} from './tail.js';
 
 const leaderTickMs = 25;
@@ -105,10 +105,11 @@
 
 	/** True if callers are well served here. */
 	isReady(): boolean {
-		const {answerAgeMs = Number.POSITIVE_INFINITY, completeAgeMs = Number.POSITIVE_INFINITY} = this.describeIntake();
-		this.hasBeenSure ||= completeAgeMs < this.followTimes.sureAgeMs;
+		const view = this.describeIntake();
+		const {answerAgeMs = Number.POSITIVE_INFINITY} = view;
+		this.hasBeenSure ||= isCompleteWithin(view, this.followTimes.sureAgeMs);
 		return !this.isStopping && this.desk.isOpen() && this.desk.isStoring()
-			&& this.hasBeenSure && answerAgeMs < longestSilenceMs && completeAgeMs < this.followTimes.readyAgeMs;
+			&& this.hasBeenSure && answerAgeMs < longestSilenceMs && isCompleteWithin(view, this.followTimes.readyAgeMs);
 	}
 
 	/** Gives the lead back; resolves once that is stored, or after a while. */
--- a/packages/daemon/src/scheduler/stream-view.ts
+++ b/packages/daemon/src/scheduler/stream-view.ts
@@ -55,6 +55,11 @@
 	}
 }
 
+/** True if all is known that was stored before this age. */
+export function isCompleteWithin({completeAgeMs}: ViewStatus, ageMs: number): boolean {
+	return completeAgeMs !== undefined && completeAgeMs < ageMs;
+}
+
 function computeAge(now: SteadyMs, then: SteadyMs | undefined): number | undefined {
 	return then === undefined ? undefined : Math.round(now - then);
 }
