Entry hosts of tests and soak: one way to ask whether a host is ready, and which one leads

Both stood twice, in entry-hosts.ts and soak-fleet.ts, alike but for timeouts, which each keeps. No check has changed. Ran: the soak's tests and job-platform (10 of 10), linter of the three files.

--- a/packages/bench/src/integration/entry-hosts.ts
+++ b/packages/bench/src/integration/entry-hosts.ts
@@ -6,7 +6,9 @@
 	JobPlatform, ProcessGroup, standInQueue, standInTaskCpu, takeAddress, waitUntil, type RunningProcess,
 } from '@rhubarblever/stand-ins';
 import {request} from 'undici';
-import {describeSettings, findEntryProgram, type EntryAddresses} from './entry-program.js';
+import {
+	describeSettings, findEntryProgram, findLeadingHost, isHostReady, type EntryAddresses,
+} from './entry-program.js';
 
 export const startTimeoutMs = 30_000;
 const callTimeoutMs = 5000;
@@ -61,9 +63,7 @@
 	}
 
 	async isReady(host: EntryHost): Promise<boolean> {
-		const answer = await request(`http://${host.ready}/v1/ready`);
-		await answer.body.dump();
-		return answer.statusCode === 200;
+		return isHostReady(host);
 	}
 
 	async waitForReady(host: EntryHost): Promise<void> {
@@ -72,15 +72,7 @@
 
 	/** The host that says that it leads. */
 	async findLeader(): Promise<EntryHost | undefined> {
-		for (const host of this.hosts) {
-			// eslint-disable-next-line no-await-in-loop
-			const text = await request(`http://${host.metrics}/metrics`).then(async answer => answer.body.text()).catch(() => '');
-			if (/^rhubarblever_leads 1$/m.test(text)) {
-				return host;
-			}
-		}
-
-		return undefined;
+		return findLeadingHost(this.hosts, () => undefined);
 	}
 
 	/** Calls the jobs' interface of a host. */
--- a/packages/bench/src/integration/entry-program.ts
+++ b/packages/bench/src/integration/entry-program.ts
@@ -1,5 +1,6 @@
 /** The entry hosts' program for the users' platform: where it lies, and its settings on the stand-in. */
 import {fileURLToPath} from 'node:url';
+import {request} from 'undici';
 
 /** Path of the program, as built by `npm run build`. */
 export function findEntryProgram(): string {
@@ -9,6 +10,27 @@
 /** Where an entry host listens (`ip:port`). */
 export type EntryAddresses = {readonly front: string; readonly ready: string; readonly metrics: string};
 
+/** True if an entry host says that it is ready; `signal` ends a call that gets no answer. */
+export async function isHostReady({ready}: EntryAddresses, signal?: AbortSignal): Promise<boolean> {
+	const answer = await request(`http://${ready}/v1/ready`, signal && {signal});
+	await answer.body.dump();
+	return answer.statusCode === 200;
+}
+
+/** The first of some entry hosts that says that it leads. */
+export async function findLeadingHost<Host extends EntryAddresses>(hosts: readonly Host[], createSignal: () => AbortSignal | undefined): Promise<Host | undefined> {
+	for (const host of hosts) {
+		const signal = createSignal();
+		// eslint-disable-next-line no-await-in-loop
+		const text = await request(`http://${host.metrics}/metrics`, signal && {signal}).then(async answer => answer.body.text()).catch(() => '');
+		if (/^rhubarblever_leads 1$/m.test(text)) {
+			return host;
+		}
+	}
+
+	return undefined;
+}
+
 /** The settings file of an entry host; `platformAddress` is that of the store and of the list of machines. */
 export function describeSettings(index: number, platformAddress: string, {front, ready, metrics}: EntryAddresses): unknown {
 	const [ip, port] = metrics.split(':');
--- a/packages/bench/src/soak/soak-fleet.ts
+++ b/packages/bench/src/soak/soak-fleet.ts
@@ -6,7 +6,9 @@
 	FaultProxy, JobPlatform, ProcessGroup, standInQueue, takeAddress, waitUntil, type RunningProcess, type RunObserver,
 } from '@rhubarblever/stand-ins';
 import {request} from 'undici';
-import {describeSettings, findEntryProgram, type EntryAddresses} from '../integration/entry-program.js';
+import {
+	describeSettings, findEntryProgram, findLeadingHost, isHostReady, type EntryAddresses,
+} from '../integration/entry-program.js';
 import {ReadFaults} from './read-faults.js';
 
 const startTimeoutMs = 30_000;
@@ -74,22 +76,12 @@
 	}
 
 	async isReady(host: SoakHost): Promise<boolean> {
-		const answer = await request(`http://${host.ready}/v1/ready`, {signal: AbortSignal.timeout(callTimeoutMs)});
-		await answer.body.dump();
-		return answer.statusCode === 200;
+		return isHostReady(host, AbortSignal.timeout(callTimeoutMs));
 	}
 
 	/** The host that says that it leads. */
 	async findLeader(): Promise<SoakHost | undefined> {
-		for (const host of this.hosts) {
-			// eslint-disable-next-line no-await-in-loop
-			const text = await request(`http://${host.metrics}/metrics`, {signal: AbortSignal.timeout(callTimeoutMs / 10)}).then(async answer => answer.body.text()).catch(() => '');
-			if (/^rhubarblever_leads 1$/m.test(text)) {
-				return host;
-			}
-		}
-
-		return undefined;
+		return findLeadingHost(this.hosts, () => AbortSignal.timeout(callTimeoutMs / 10));
 	}
 
 	/** Ends a host's process by a signal and waits until it is gone. */
