--- a/packages/core/src/scheduler/commits.ts
+++ b/packages/core/src/scheduler/commits.ts
@@ -1,7 +1,7 @@
 /** The leader's changes go to the store in batches; what rests on them happens after. */
 import {dropIfOver, listProgress} from './jobs.js';
 import {addEffect} from './logging.js';
-import {listRecentOrders, sendOrder} from './machines.js';
+import {listRecentOrders, sendOrder} from './machine-orders.js';
 import {isFinal} from './phases.js';
 import {sendStart} from './starts.js';
 import {commitPauseMs, commitRetryMs, signOfLifeMs} from './timing.js';
--- a/packages/core/src/scheduler/machines.test.ts
+++ b/packages/core/src/scheduler/machines.test.ts
@@ -1,7 +1,7 @@
 /** What the leader believes of machines: as of the question, and complete or not at all. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {listRecentOrders} from './machines.js';
+import {listRecentOrders} from './machine-orders.js';
 import {createJob, createStep} from './testing/model-fleet.js';
 import {
 	createMachineEntry, createWorkerEntry, ModelLeader, sparePoolName,
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -1,9 +1,8 @@
 /** Machines follow demand: pools whose turn it is get machines, first spare ones, and idle ones go to the spare pool. */
 import {getDemand, updateDemand} from './demand.js';
 import {noteDecision} from './logging.js';
-import {
-	canOrder, findWorker, hasNoWorker, isFree, isWorking, orderMove,
-} from './machines.js';
+import {canOrder, isFree, orderMove} from './machine-orders.js';
+import {findWorker, hasNoWorker, isWorking} from './machine-workers.js';
 import {noResources} from './resources.js';
 import type {PoolName} from './types.js';
 import type {Machine, SchedulerState} from './state.js';
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -7,9 +7,8 @@
 	handleClaim, loadLedger, noteConfigured, readLedger, releaseLead, stopLeading, tickClaim, tickLeadership,
 } from './leadership.js';
 import {noteDecision, noteWarning} from './logging.js';
-import {
-	handleMachineList, handleOrder, tickMachineList, tickOrders,
-} from './machines.js';
+import {handleOrder, tickOrders} from './machine-orders.js';
+import {handleMachineList, tickMachineList} from './machines.js';
 import {tickMoves} from './moves.js';
 import {updatePace} from './pacing.js';
 import {placeTasks} from './placement.js';
--- a/packages/core/src/scheduler/waves.ts
+++ b/packages/core/src/scheduler/waves.ts
@@ -1,7 +1,7 @@
 /** Maintenance waves: machines are emptied and sent into their upkeep, never more at once than allowed. */
-import {
-	canOrder, findWorker, hasNoWorker, isFree, isGone, isWorking, orderUpkeep, requestList,
-} from './machines.js';
+import {canOrder, isFree, orderUpkeep} from './machine-orders.js';
+import {findWorker, hasNoWorker, isWorking} from './machine-workers.js';
+import {isGone, requestList} from './machines.js';
 import {getDemand} from './demand.js';
 import {addEffect, noteDecision} from './logging.js';
 import {isUsable} from './placement.js';
