Tests tell how a host ended that should be running

Now the five tests with this check compare the list of ended hosts, with exit code and last output, with none: as strict, and it can be traced next time.

--- a/packages/bench/src/integration/lapsed-leases.test.ts
+++ b/packages/bench/src/integration/lapsed-leases.test.ts
@@ -8,7 +8,7 @@
 	listOverlaps, listRuns, listRunsOf,
 } from './platform-ledger.js';
 import {
-	createJob, createWorkers, findPlanner, settleMs, startWorkerFleet, waitForEnds, waitForStep,
+	createJob, createWorkers, findPlanner, listEnds, settleMs, startWorkerFleet, waitForEnds, waitForStep,
 } from './worker-fleet.js';
 
 const jobLeaseMs = 3000;
@@ -79,7 +79,7 @@
 			expect(listRunsOf(ledger, jobId).at(-1)?.end).toEqual('task-succeeded');
 		}
 
-		expect(fleet.entryHosts.every(host => host.running.isRunning)).toEqual(true);
+		expect(listEnds(fleet.entryHosts)).toEqual([]);
 	});
 
 	it('a second run began only behind the lease of the first', async () => {
--- a/packages/bench/src/integration/mass-cancel.test.ts
+++ b/packages/bench/src/integration/mass-cancel.test.ts
@@ -6,7 +6,7 @@
 import {expect} from 'earl';
 import {listRuns} from './platform-ledger.js';
 import {
-	createJob, createWorkers, settleMs, startWorkerFleet, waitForEnds, waitForStep,
+	createJob, createWorkers, listEnds, settleMs, startWorkerFleet, waitForEnds, waitForStep,
 } from './worker-fleet.js';
 
 const firstIds = Array.from({length: 200}, (_, index) => `archive-${index}`);
@@ -74,6 +74,6 @@
 		await waitForStep(fleet, allIds, 'cancelled');
 		const ledger = await fleet.readPlatformLedger();
 		expect(ledger.slice(before.length).filter(entry => !keptIds.includes(entry.taskId ?? ''))).toEqual([]);
-		expect(fleet.entryHosts.every(host => host.running.isRunning)).toEqual(true);
+		expect(listEnds(fleet.entryHosts)).toEqual([]);
 	});
 });
--- a/packages/bench/src/integration/paused-steward.test.ts
+++ b/packages/bench/src/integration/paused-steward.test.ts
@@ -7,6 +7,7 @@
 	callService, countStarts, createServiceRecord, listLoads, LocalFleet, sleep, waitUntil, type LocalEntryHost, type SeenAnswer,
 } from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
+import {listEnds} from './worker-fleet.js';
 
 const zones = ['ee-south-a', 'ee-south-b', 'ee-south-c'];
 const slotsPerRunner = 8;
@@ -81,7 +82,7 @@
 		expect(seen.length).toBeGreaterThan(200);
 		expect(seen.filter(({isOwn, isRefusedTruly}) => !isOwn && !isRefusedTruly)).toEqual([]);
 		expect(seen.filter(({tookMs}) => tookMs > deadlineMs + answerMarginMs)).toEqual([]);
-		expect(fleet.entryHosts.every(({running}) => running.isRunning)).toEqual(true);
+		expect(listEnds(fleet.entryHosts)).toEqual([]);
 	});
 
 	it('no refused request ran, none ran twice, also where an id went to the frozen host and to another', async () => {
--- a/packages/bench/src/integration/wave-with-jobs.test.ts
+++ b/packages/bench/src/integration/wave-with-jobs.test.ts
@@ -8,7 +8,7 @@
 	listOverlaps, listRunsOf, measureExtremes,
 } from './platform-ledger.js';
 import {
-	createJob, createWorkers, fetchAnswer, findPlanner, poolName, settleMs, startWorkerFleet, waitForEnds, zones,
+	createJob, createWorkers, fetchAnswer, findPlanner, listEnds, poolName, settleMs, startWorkerFleet, waitForEnds, zones,
 } from './worker-fleet.js';
 
 const outageMs = 4000;
@@ -121,6 +121,6 @@
 			expect(runs.filter(run => run.end !== 'task-stopped').length).toBeLessThanOrEqual(allowedRuns);
 		}
 
-		expect(fleet.entryHosts.every(host => host.running.isRunning)).toEqual(true);
+		expect(listEnds(fleet.entryHosts)).toEqual([]);
 	});
 });
--- a/packages/bench/src/integration/waves.test.ts
+++ b/packages/bench/src/integration/waves.test.ts
@@ -7,6 +7,7 @@
 	LocalFleet, sleep, waitUntil, type LocalEntryHost, type PlatformLedgerEntry,
 } from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
+import {listEnds} from './worker-fleet.js';
 
 type FleetAnswer = {
 	readonly plannerLease?: {readonly holder: string; readonly term: number};
@@ -183,7 +184,7 @@
 		expect(ledger.filter(entry => entry.event === 'rebooted').length).toEqual(workerCount);
 		expect(ledger.filter(entry => entry.event === 'task-cut').length).toEqual(0);
 		expect(ledger.filter(entry => entry.event === 'task-succeeded').length).toEqual(workerCount);
-		expect(left.every(host => host.running.isRunning)).toEqual(true);
+		expect(listEnds(left)).toEqual([]);
 	});
 
 	it('a wave stands still while the pool has no host to spare, and goes on once it is back', async () => {
--- a/packages/bench/src/integration/worker-fleet.ts
+++ b/packages/bench/src/integration/worker-fleet.ts
@@ -24,6 +24,11 @@
 export const settleMs = 60_000;
 const endedSteps: ReadonlySet<string> = new Set(['succeeded', 'failed', 'cancelled']);
 
+/** How those of some processes ended that run no more, with what they wrote last; none should. */
+export function listEnds(hosts: ReadonlyArray<Pick<LocalEntryHost, 'running'>>): string[] {
+	return hosts.filter(({running}) => !running.isRunning).map(({running}) => running.describeEnd());
+}
+
 /** Workers dealt out to the zones in turn, two to a rack. */
 export function createWorkers(count: number, cores = 32): ListedHost[] {
 	return Array.from({length: count}, (_, index) => listedHostSchema.parse({
--- a/packages/stand-ins/src/harness/process-group.ts
+++ b/packages/stand-ins/src/harness/process-group.ts
@@ -6,6 +6,9 @@
 /** A signal would end this process without the event that ends what it started; the codes are those of a shell. */
 const endSignals = [['SIGINT', 130], ['SIGTERM', 143]] as const;
 
+/** Of a process's output, in the errors of tests. */
+const lastBytesTold = 2000;
+
 /** How a process ended. */
 export type ProcessEnd = {readonly code: number | undefined; readonly signal: string | undefined};
 
@@ -38,6 +41,12 @@
 		this.child.kill(name);
 	}
 
+	/** How it ended and what it wrote last. */
+	describeEnd(): string {
+		const {exitCode, signalCode} = this.child;
+		return `${this.name} ended with ${signalCode ?? `code ${exitCode}`}; it wrote: ${this.output.slice(-lastBytesTold)}`;
+	}
+
 	/** Resolves when it has ended. */
 	async waitForEnd(): Promise<ProcessEnd> {
 		if (this.isRunning) {
@@ -52,7 +61,7 @@
 		const deadline = Date.now() + timeoutMs;
 		while (!this.output.includes(text)) {
 			if (!this.isRunning || Date.now() > deadline) {
-				throw new Error(`${this.name} did not write '${text}'; it wrote: ${this.output.slice(-2000)}`);
+				throw new Error(`${this.name} did not write '${text}'; it wrote: ${this.output.slice(-lastBytesTold)}`);
 			}
 
 			// eslint-disable-next-line no-await-in-loop
