Idle hosts read their streams at a slow pace, and at once when an answer depends on it

Change: reads between callers' questions have longer pauses (500 ms for progress, 1 to 1.5 s on hosts that leave claims to others, 0.35 of the visibility bound for jobs). A question about an unknown job, an unfinished one or an unknown queue is answered after a read of its own, shared by those who ask at the same time. Readers that are off are woken when the role changes; a follower's clock ticks when it may have to claim. The leader's heartbeat is due 400 ms after the sending of the one before, not 250 ms after its confirmation. Before a claim the ledger is read, so that a pause is not taken for silence of the leader.

Callers see a job as completed when it is stored, not up to 250 ms later, and a job accepted elsewhere at once instead of "not known".

--- a/packages/core/src/scheduler/commits.ts
+++ b/packages/core/src/scheduler/commits.ts
@@ -1,7 +1,7 @@
 /** Appends the leader's changes to the ledger in batches, and carries out the actions that depend on them once they are stored. */
 import {dropLiveJobIfEnded, createJobProgress} from './jobs.js';
 import {addEffect} from './logging.js';
-import {listRecentOrders, sendOrder} from './machine-orders.js';
+import {listRecentOrders, sendStoredOrder} from './machine-orders.js';
 import {isFinal} from './phases.js';
 import {sendStart} from './starts.js';
 import {commitPauseMs, commitRetryMs, leaderHeartbeatMs} from './timing.js';
@@ -106,7 +106,7 @@
 		}
 	},
 	order(state, {machine}) {
-		sendOrder(state, machine);
+		sendStoredOrder(state, machine);
 	},
 	'publish-phase'(state, {job, progress}) {
 		if (job.live) {
@@ -133,7 +133,8 @@
 	leadership.commit = undefined;
 	leadership.confirmedAt = commit.sentAt;
 	leadership.commitNotBefore = state.now + commitPauseMs;
-	leadership.heartbeatDueAt = state.now + leaderHeartbeatMs;
+	// Counted from the sending, so that a slow store does not make the leader look silent.
+	leadership.heartbeatDueAt = commit.sentAt + leaderHeartbeatMs;
 	for (const action of commit.actions) {
 		(actionHandlers[action.type] as (state: SchedulerState, action: PendingAction) => void)(state, action);
 	}
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -6,6 +6,8 @@
 	createSchedulerState, type SchedulerState, type SchedulerSettings, type Job,
 } from './state.js';
 export {reduceScheduler} from './reduce.js';
+export {describeError} from './logging.js';
 export {findQueue} from './queues.js';
-export {getShownPhase} from './phases.js';
+export {getShownPhase, isFinal} from './phases.js';
+export {getNextLeadershipCheck} from './leadership.js';
 export {ReducerLoop, type Reducer} from '../engine/reducer-loop.js';
--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -1,14 +1,16 @@
 /** Leader election: a host becomes the leader by a conditional append to the end of the ledger, and its fencing token excludes all earlier leaders. */
 import {activateJob, deactivateJobs} from './jobs.js';
-import {addEffect, noteDecision, noteWarning} from './logging.js';
+import {
+	addEffect, describeError, noteDecision, noteWarning,
+} from './logging.js';
 import {isFinal} from './phases.js';
 import {dropFinishedRemovals, dropProgress} from './retention.js';
 import {
-	claimRetryMs, claimJitterMs, leaderSilenceAtStartMs, leaderSilenceMs, leaderHeartbeatMs, shortfallClaimDelayMs,
+	claimRetryMs, claimJitterMs, leaderSilenceAtStartMs, leaderSilenceMs, leaderHeartbeatMs, never, shortfallClaimDelayMs,
 } from './timing.js';
 import {restoreWave} from './waves.js';
 import type {LedgerEntry, SchedulerEvent} from './events.js';
-import type {LedgerRecord} from './types.js';
+import type {LedgerRecord, SteadyMs} from './types.js';
 import type {Claim, SchedulerSettings, SchedulerState} from './state.js';
 
 type LedgerRead = Extract<SchedulerEvent, {type: 'ledger/read' | 'ledger/loaded'}>;
@@ -91,8 +93,13 @@
 	},
 };
 
-function applyRecord(state: SchedulerState, {record}: LedgerEntry): void {
-	(recordHandlers[record.type] as (state: SchedulerState, record: LedgerRecord) => void)(state, record);
+/** The read offset advances past the whole batch, so one record that cannot be applied must not make the records after it be skipped. */
+function applyRecord(state: SchedulerState, {offset, record}: LedgerEntry): void {
+	try {
+		(recordHandlers[record.type] as (state: SchedulerState, record: LedgerRecord) => void)(state, record);
+	} catch (error) {
+		noteWarning(state, 'record-not-applied', {recordType: record.type, offset, reason: describeError(error)});
+	}
 }
 
 /** Hosts with ample processor time and network bandwidth claim first: leadership takes more of both than any other work. */
@@ -105,18 +112,33 @@
 	leadership.configuredAt = config ? leadership.configuredAt : now;
 }
 
-/** Claims leadership when the ledger has had no new records for too long, is empty, or the last leader released it. */
-export function tickLeadership(state: SchedulerState): void {
-	const {leadership, settings} = state;
-	if (leadership.role !== 'follower' || !leadership.hasLoadedLedger || state.isStopping || !state.config) {
-		return;
-	}
+/** True if this host may claim leadership once the ledger has been silent for long enough. */
+function isCandidate({leadership, isStopping, config}: SchedulerState): boolean {
+	return leadership.role === 'follower' && leadership.hasLoadedLedger && !isStopping && config !== undefined;
+}
 
+/** When a candidate claims leadership unless it reads new ledger records before. */
+function getClaimAt({leadership, settings}: SchedulerState): SteadyMs {
 	const isVacant = leadership.isReleased || leadership.ledgerEnd === 0;
 	const silentSince = Math.max(leadership.lastRecordAt, leadership.configuredAt);
 	const leastSilenceMs = leadership.hasReadUpdates ? leaderSilenceMs : leaderSilenceAtStartMs;
 	const silenceMs = isVacant ? settings.capacityShortfall * shortfallClaimDelayMs : leastSilenceMs + computeClaimDelay(settings);
-	if (state.now < leadership.claimNotBefore || state.now < silentSince + silenceMs) {
+	return Math.max(leadership.claimNotBefore, silentSince + silenceMs);
+}
+
+/** When a host that does not lead has to look again whether it may claim leadership; `never` if that depends on something it has yet to read. */
+export function getNextLeadershipCheck(state: SchedulerState): SteadyMs {
+	if (isCandidate(state)) {
+		return getClaimAt(state);
+	}
+
+	return state.leadership.retryClaimAt ?? never;
+}
+
+/** Claims leadership when the ledger has had no new records for too long, is empty, or the last leader released it. */
+export function tickLeadership(state: SchedulerState): void {
+	const {leadership, settings} = state;
+	if (!isCandidate(state) || state.now < getClaimAt(state)) {
 		return;
 	}
 
--- a/packages/core/src/scheduler/timing.ts
+++ b/packages/core/src/scheduler/timing.ts
@@ -13,7 +13,7 @@
 /** Without new ledger records for this long, there is no leader. */
 export const leaderSilenceMs = 1000;
 /** Interval at which a leader without changes appends a heartbeat record to the ledger. */
-export const leaderHeartbeatMs = 250;
+export const leaderHeartbeatMs = 400;
 /** The limit that applies instead of `leaderSilenceMs` as long as no record has followed a full read of the ledger: all hosts may have been down. */
 export const leaderSilenceAtStartMs = 600;
 /** Range of the random jitter that spreads the claims of several hosts. */
@@ -30,6 +30,12 @@
 export const pollWaitMs = 800;
 /** The same for a worker with long-running tasks, whose measurements must be read more often. */
 export const longRunningPollWaitMs = 500;
+/** Time that the answer to a poll may take in addition to its long-poll time. */
+export const pollSlackMs = 500;
+/** The same after an unanswered poll: the worker may only be slow. */
+export const retriedPollSlackMs = 1500;
+/** A start whose answer was lost is stopped if the worker has not reported the run after this time. */
+export const startReportMs = 600;
 export const pollRetryMs = 150;
 export const stopRetryMs = 300;
 /** How long a worker stays listed after a reload of the registry lacked it. */
--- a/packages/daemon/src/scheduler/follow-times.ts
+++ b/packages/daemon/src/scheduler/follow-times.ts
@@ -11,17 +11,23 @@
 	readonly maxReadyStalenessMs: number;
 };
 
-/** Two long polls, two slow responses of the store and one pause together must stay below `stalenessShare` of the bound. */
-const waitShare = 1 / 6;
-const pauseShare = 0.1;
+/** `batched`: records are collected between reads; a caller who asks for more is answered after a read of its own. `prompt`: each record is read at once. */
+export type FollowMode = 'batched' | 'prompt';
+
+/** Shares of the bound. Two long polls, two slow responses of the store and one pause together must stay below `stalenessShare`. */
+const shares: Readonly<Record<FollowMode, {readonly wait: number; readonly pause: number}>> = {
+	batched: {wait: 0.1, pause: 0.35},
+	prompt: {wait: 0.25, pause: 0},
+};
 /** The remaining sixth is for the response to reach the caller from a busy host over a slow link. */
 const stalenessShare = 5 / 6;
 /** A host that briefly exceeds `maxStalenessMs` stays ready: it can still report the jobs that it knows and accept new ones. */
 const readyStalenessShare = 1.5;
 
 /** `boundMs`: how long after its acknowledgement a record may still be unknown to a host. */
-export function computeFollowTimes(boundMs: number): FollowTimes {
+export function computeFollowTimes(boundMs: number, mode: FollowMode): FollowTimes {
+	const {wait, pause} = shares[mode];
 	return {
-		waitMs: Math.round(boundMs * waitShare), pauseMs: boundMs * pauseShare, maxStalenessMs: boundMs * stalenessShare, maxReadyStalenessMs: boundMs * readyStalenessShare,
+		waitMs: Math.round(boundMs * wait), pauseMs: boundMs * pause, maxStalenessMs: boundMs * stalenessShare, maxReadyStalenessMs: boundMs * readyStalenessShare,
 	};
 }
--- a/packages/daemon/src/scheduler/job-api.ts
+++ b/packages/daemon/src/scheduler/job-api.ts
@@ -1,7 +1,8 @@
 /** The operations that this host offers to callers: submit, query, cancel and count jobs. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {JobId} from '@rhubarblever/core';
 import {
-	findQueue, getShownPhase, type JobDefinition, type JobPhase, type Queue, type QueueName, type SchedulerState,
+	findQueue, getShownPhase, isFinal, type JobDefinition, type JobPhase, type Queue, type QueueName, type SchedulerState,
 } from '@rhubarblever/core/scheduler';
 import {readSteadyClock} from './clocks.js';
 import type {IntakeWriter} from './intake-writer.js';
@@ -30,6 +31,10 @@
 	readonly describeConfig: () => ViewStatus;
 	/** Up to this staleness, a queue that is missing from the configuration does not exist. */
 	readonly maxConfigStalenessMs: number;
+	/** Each brings a view up to date if it is too stale to answer from; resolves at the latest when the store's answer is overdue. */
+	readonly refreshIntake: () => Promise<void>;
+	readonly refreshProgress: () => Promise<void>;
+	readonly refreshConfig: () => Promise<void>;
 	readonly handleAccepted: (job: JobDefinition) => void;
 	readonly handleCancelled: (jobId: JobId) => void;
 };
@@ -37,6 +42,10 @@
 /** A write is given up this long before its caller stops waiting, to leave time for the response. */
 const answerSlackMs = 150;
 const maxWriteMs = 2000;
+/** How long an answer waits for the store when what is known here does not suffice. */
+const maxRefreshMs = 1000;
+/** How long an answer waits for the latest progress of a job; after that it tells the progress known here. */
+const maxProgressRefreshMs = 250;
 
 export class JobApi {
 	static create(options: JobApiOptions): JobApi {
@@ -56,6 +65,18 @@
 		return !this.options.writer.isStoreUnresponsive();
 	}
 
+	/** Finds the queue of a call; asks the store for a newer configuration before it denies a queue. */
+	async fetchQueue(host: string, path: string): Promise<QueueOutcome> {
+		const {state, refreshConfig} = this.options;
+		const queue = state.config && findQueue(state.config, host, path);
+		if (queue) {
+			return queue;
+		}
+
+		await waitAtMost(refreshConfig(), maxRefreshMs);
+		return this.findQueue(host, path);
+	}
+
 	/** Finds the queue of a call by its host and path in the configuration in force. */
 	findQueue(host: string, path: string): QueueOutcome {
 		const {state, describeConfig, maxConfigStalenessMs, log} = this.options;
@@ -93,6 +114,19 @@
 		return outcome;
 	}
 
+	/** Returns the phase of a job; asks the store what has happened since this host last read, if that may change the answer. */
+	async fetchPhase(jobId: JobId): Promise<PhaseOutcome> {
+		const {state, refreshIntake, refreshProgress} = this.options;
+		const job = state.jobs.get(jobId);
+		if (!job) {
+			await waitAtMost(refreshIntake(), maxRefreshMs);
+		} else if (!job.isCancelled && !isFinal(job.phase)) {
+			await waitAtMost(refreshProgress(), maxProgressRefreshMs);
+		}
+
+		return this.getPhase(jobId);
+	}
+
 	/** Returns the phase of a job as far as this host knows. */
 	getPhase(jobId: JobId): PhaseOutcome {
 		const {state, describeIntake, maxStalenessMs, log} = this.options;
@@ -121,7 +155,13 @@
 		return outcome;
 	}
 
-	/** Counts the accepted jobs of a queue without any started task. */
+	/** Counts the accepted jobs of a queue without any started task; asks the store for the latest jobs first. */
+	async fetchPendingCount(queue: QueueName): Promise<CountOutcome> {
+		await waitAtMost(this.options.refreshIntake(), maxRefreshMs);
+		return this.countPending(queue);
+	}
+
+	/** Counts the pending jobs of a queue as far as this host knows. */
 	countPending(queue: QueueName): CountOutcome {
 		const {
 			state, describeIntake, maxStalenessMs, log,
@@ -141,6 +181,13 @@
 	}
 }
 
+/** Resolves with `promise`, or after `maxMs`. */
+async function waitAtMost(promise: Promise<void>, maxMs: number): Promise<void> {
+	const timeout = new AbortController();
+	await Promise.race([promise, sleep(maxMs, undefined, {signal: timeout.signal}).catch(() => undefined)]);
+	timeout.abort();
+}
+
 function getWriteMs(waitMs: number): number {
 	return Math.min(maxWriteMs, Math.max(answerSlackMs, waitMs - answerSlackMs));
 }
--- a/packages/daemon/src/scheduler/late-view.test.ts
+++ b/packages/daemon/src/scheduler/late-view.test.ts
@@ -3,67 +3,18 @@
 	afterEach, describe, it,
 } from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {Instant, JobId} from '@rhubarblever/core';
-import type {FleetConfig, JobDefinition, SchedulerSettings} from '@rhubarblever/core/scheduler';
+import type {JobId} from '@rhubarblever/core';
 import {expect} from 'earl';
-import {BoundedOutput} from './bounded-output.js';
-import {encodeIntake, intakeStream} from './codec.js';
-import {DecisionLog} from './decision-log.js';
-import {createMetrics} from './metrics.js';
-import type {
-	AppendOutcome, PlatformCodec, KeyedRecord, KeyedStore, LoadOutcome, ReadOutcome, SchedulerPorts,
-} from './ports.js';
-import {SchedulerHost} from './scheduler-host.js';
+import type {KeyedStore} from './ports.js';
+import type {SchedulerHost} from './scheduler-host.js';
+import {
+	config, configApplyMs, createJobRecord, createLoad, createRead, ScriptedStore, startHost as startScriptedHost, visibleMs,
+} from './testing/scripted-store.js';
 
-/** Required bound: every host knows a job this long after its acceptance. */
-const visibleMs = 3000;
 /** Longer than the bound: a view of this age is stale. */
 const staleMs = visibleMs + 300;
-/** Required bound: a configuration is in force on every host this long after its acknowledgement. */
-const configApplyMs = 2000;
 /** Polling interval while the test waits for a condition. */
 const pollMs = 10;
-const operatorStream = 'operator';
-
-type Read = (fromOffset: number) => Promise<ReadOutcome>;
-
-/** A test double of the store with scripted reads of the intake stream; the operators' stream holds a configuration, the other streams are empty. */
-class ScriptedStore implements KeyedStore {
-	static create(): ScriptedStore {
-		return new ScriptedStore();
-	}
-
-	loadIntake: () => Promise<LoadOutcome>;
-	readIntake: Read;
-	/** While false, reads of the operators' stream fail. */
-	isOperatorStreamReachable = true;
-
-	private constructor() {
-		this.loadIntake = async () => createLoad([]);
-		this.readIntake = async fromOffset => createRead([], fromOffset, fromOffset);
-	}
-
-	async append(): Promise<AppendOutcome> {
-		return {type: 'refused'};
-	}
-
-	async read(stream: string, fromOffset: number, waitMs: number): Promise<ReadOutcome> {
-		if (stream === intakeStream) {
-			return this.readIntake(fromOffset);
-		}
-
-		await sleep(waitMs);
-		return stream === operatorStream && !this.isOperatorStreamReachable ? {type: 'unavailable'} : createRead([], fromOffset, fromOffset);
-	}
-
-	async listNewest(stream: string): Promise<LoadOutcome> {
-		if (stream === intakeStream) {
-			return this.loadIntake();
-		}
-
-		return createLoad(stream === operatorStream ? [{offset: 0, key: 'config', value: new Uint8Array(1)}] : []);
-	}
-}
 
 type Gate = {readonly opened: Promise<void>; readonly open: () => void};
 
@@ -80,48 +31,6 @@
 	};
 }
 
-function createLoad(records: readonly KeyedRecord[], nextOffset = records.length): LoadOutcome {
-	return {
-		type: 'loaded', records, nextOffset, pages: 1,
-	};
-}
-
-function createRead(records: readonly KeyedRecord[], fromOffset: number, end: number): ReadOutcome {
-	return {
-		type: 'read', records, nextOffset: fromOffset + records.length, end,
-	};
-}
-
-function createJobRecord(offset: number, jobId: string): KeyedRecord {
-	const job: JobDefinition = {
-		jobId: jobId as JobId, queue: 'replans', pool: 'trucks', spec: '', steps: [], runCount: 0, firstRunAt: 0 as Instant, intervalMs: 0,
-	};
-	return {offset, ...encodeIntake({type: 'job', job})};
-}
-
-const config: FleetConfig = {
-	version: 1,
-	queues: [{
-		name: 'replans', host: 'h', pathPrefix: '/replans/', pool: 'trucks', priority: 0, maxAttempts: 3, stretch: 2, latencyTargetMs: 600, timeoutMs: 3000, advice: undefined,
-	}],
-	pools: [],
-};
-
-const codec: PlatformCodec = {
-	operatorStream,
-	workerStream: 'workers',
-	statusStream: 'status',
-	decodeConfig: () => config,
-	decodeWave: () => undefined,
-	decodeWorker: () => undefined,
-	encodeWaveStatus: () => ({key: 'w', value: undefined}),
-	decodeWaveStatus: () => undefined,
-};
-
-const settings: SchedulerSettings = {
-	holder: 'h', claimJitter: 0, capacityShortfall: 0, firstSequence: 1, moveMs: 1500, upkeepMs: 2000, orderLeaseMs: 3000, maxLeaseMs: 10_000, statusRetentionMs: 120_000, remoteRackFactor: 2,
-};
-
 describe('a host with a stale view of the jobs', () => {
 	const hosts: SchedulerHost[] = [];
 
@@ -132,18 +41,8 @@
 	});
 
 	function startHost(store: KeyedStore): SchedulerHost {
-		// The host sends no orders: the store refuses its claims, so it never becomes the leader.
-		const ports = {store, codec} as unknown as SchedulerPorts;
-		const log = DecisionLog.create({
-			host: 'h', output: BoundedOutput.create((_chunk, done) => {
-				done();
-			}),
-		});
-		const host = SchedulerHost.create({
-			ports, settings, visibleMs, configApplyMs, log, metrics: createMetrics(),
-		});
+		const host = startScriptedHost(store);
 		hosts.push(host);
-		host.start();
 		return host;
 	}
 
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -1,6 +1,6 @@
 /** The scheduler on one entry host: its event loop, the readers of its streams in the store, and its job API for callers. */
 import {
-	createSchedulerState, reduceScheduler, ReducerLoop, type FleetConfig, type SchedulerEffect, type SchedulerEvent, type SchedulerSettings, type SchedulerState, type WorkerEntry,
+	createSchedulerState, describeError, getNextLeadershipCheck, reduceScheduler, ReducerLoop, type FleetConfig, type SchedulerEffect, type SchedulerEvent, type SchedulerSettings, type SchedulerState, type WorkerEntry,
 } from '@rhubarblever/core/scheduler';
 import {readSteadyClock, readWallClock} from './clocks.js';
 import {
@@ -17,11 +17,19 @@
 import {StreamReader, type StreamReaderHandlers, type StreamReaderOptions} from './stream-reader.js';
 
 const leaderTickMs = 25;
-const followerTickMs = 100;
+/** A follower's clock ticks when it may have to claim leadership, but within these bounds. */
+const minFollowerTickMs = 25;
+const maxFollowerTickMs = 500;
 /** Long-poll time of reads. A dead connection to the store is noticed shortly after this. */
 const readWaitMs = 1000;
-/** Pause between ledger reads on a host that is not the leader; it bounds the staleness of the job progress that callers see. */
-const ledgerPauseMs = 250;
+/** Pause between ledger reads on a host that is not the leader. Questions of callers do not wait for it. */
+const ledgerPauseMs = 500;
+/** Added on a host with no capacity to spare, which leaves claims of leadership to others. */
+const shortfallLedgerPauseMs = 1000;
+/** A host claims leadership only if it has read the ledger this short a time ago. */
+const maxAgeBeforeClaimMs = 200;
+/** What was read this short a time ago is shown to callers without asking the store again. */
+const maxAnswerAgeMs = 50;
 const workerPauseMs = 250;
 const millisecondsPerSecond = 1000;
 /** Without a response of the store for this long, the host is not ready, so that callers use other hosts. */
@@ -54,6 +62,8 @@
 	private readonly configTimes: FollowTimes;
 	private timer: NodeJS.Timeout | undefined;
 	private isStopping = false;
+	private isClosed = false;
+	private wasLeader = false;
 	/** Whether the view of the jobs was ever fresh enough. A host that has just loaded all jobs still has to read those submitted meanwhile. */
 	private hasBeenFresh = false;
 
@@ -61,8 +71,8 @@
 		const {
 			ports, settings, visibleMs, configApplyMs, log, metrics,
 		} = options;
-		this.intakeTimes = computeFollowTimes(visibleMs);
-		this.configTimes = computeFollowTimes(configApplyMs);
+		this.intakeTimes = computeFollowTimes(visibleMs, 'batched');
+		this.configTimes = computeFollowTimes(configApplyMs, 'prompt');
 		const runner = EffectRunner.create({
 			ports,
 			log,
@@ -73,6 +83,11 @@
 			reloadLedger: () => {
 				this.readers.ledger.reload();
 			},
+			expireViews: () => {
+				for (const reader of Object.values(this.readers)) {
+					reader.expire();
+				}
+			},
 		});
 		this.loop = ReducerLoop.create(createSchedulerState(settings), reduceScheduler, (effect: SchedulerEffect) => {
 			runner.run(effect);
@@ -86,6 +101,9 @@
 			maxStalenessMs: this.intakeTimes.maxStalenessMs,
 			describeConfig: () => this.readers.operator.view.describe(readSteadyClock()),
 			maxConfigStalenessMs: this.configTimes.maxStalenessMs,
+			refreshIntake: async () => this.readers.intake.refresh(maxAnswerAgeMs),
+			refreshProgress: async () => this.readers.ledger.refresh(maxAnswerAgeMs),
+			refreshConfig: async () => this.readers.operator.refresh(this.configTimes.maxStalenessMs),
 			handleAccepted: job => {
 				this.push({type: 'intake/read', records: [{type: 'job', job}]});
 			},
@@ -127,6 +145,7 @@
 
 	/** Stops the clock ticks and the readers of the store. */
 	close(): void {
+		this.isClosed = true;
 		clearTimeout(this.timer);
 		for (const reader of Object.values(this.readers)) {
 			reader.stop();
@@ -143,17 +162,53 @@
 
 	private push(event: UntimedEvent): void {
 		this.loop.push({...event, at: readSteadyClock(), wallAt: readWallClock()});
+		if (this.isLeader() !== this.wasLeader) {
+			this.wasLeader = this.isLeader();
+			this.handleRoleChange();
+		}
+	}
+
+	/** A leader reads other streams than a follower, and ticks more often. */
+	private handleRoleChange(): void {
+		for (const reader of Object.values(this.readers)) {
+			reader.wake();
+		}
+
+		this.scheduleTick();
 	}
 
 	private scheduleTick(): void {
+		clearTimeout(this.timer);
 		this.timer = setTimeout(() => {
-			this.push({type: 'clock/ticked'});
-			const {metrics} = this.options;
-			metrics.leadership.set(this.isLeader() ? 1 : 0);
-			metrics.liveJobs.set(this.loop.state.liveJobs.size);
-			this.updateViewAges();
-			this.scheduleTick();
-		}, this.isLeader() ? leaderTickMs : followerTickMs);
+			void this.tick();
+		}, this.computeTickMs());
+	}
+
+	private async tick(): Promise<void> {
+		if (!this.isLeader() && getNextLeadershipCheck(this.loop.state) <= readSteadyClock()) {
+			// The leader may only seem silent because this host pauses between its reads.
+			await this.readers.ledger.refresh(maxAgeBeforeClaimMs);
+		}
+
+		if (this.isClosed) {
+			return;
+		}
+
+		this.push({type: 'clock/ticked'});
+		const {metrics} = this.options;
+		metrics.leadership.set(this.isLeader() ? 1 : 0);
+		metrics.liveJobs.set(this.loop.state.liveJobs.size);
+		this.updateViewAges();
+		this.scheduleTick();
+	}
+
+	private computeTickMs(): number {
+		if (this.isLeader()) {
+			return leaderTickMs;
+		}
+
+		const untilCheckMs = getNextLeadershipCheck(this.loop.state) - readSteadyClock();
+		return Math.min(maxFollowerTickMs, Math.max(minFollowerTickMs, untilCheckMs));
 	}
 
 	private updateViewAges(): void {
@@ -180,6 +235,8 @@
 			intake: this.createReader(intakeStream, {
 				handleLoaded: records => {
 					this.applyIntakeRecords(records);
+					// The ledger is read once the jobs are known.
+					this.readers.ledger.wake();
 				},
 				handleRead: records => {
 					this.applyIntakeRecords(records);
@@ -192,7 +249,7 @@
 				handleRead: (records, nextOffset) => {
 					this.applyLedgerRecords('ledger/read', records, nextOffset);
 				},
-			}, {pauseMs: () => ledgerPauseMs, isEnabled: () => !this.isLeader() && this.readers.intake.view.hasAnswer()}),
+			}, {pauseMs: () => ledgerPauseMs + (this.options.settings.capacityShortfall * shortfallLedgerPauseMs), isEnabled: () => !this.isLeader() && this.readers.intake.view.hasAnswer()}),
 			workers: this.createReader(codec.workerStream, {
 				handleLoaded: records => {
 					this.workerEntries.clear();
@@ -262,7 +319,7 @@
 			return decode(record);
 		} catch (error) {
 			this.options.log.warn('record-unusable', {
-				stream, key: record.key, offset: record.offset, reason: error instanceof Error ? error.message : 'unknown error',
+				stream, key: record.key, offset: record.offset, reason: describeError(error),
 			});
 			return undefined;
 		}
--- a/packages/daemon/src/scheduler/stream-reader.ts
+++ b/packages/daemon/src/scheduler/stream-reader.ts
@@ -1,12 +1,13 @@
 /** Reads a stream of the store continuously: first the newest record of each key, then each new record. */
-import {setTimeout as sleep} from 'node:timers/promises';
 import {readSteadyClock} from './clocks.js';
 import type {DecisionLog} from './decision-log.js';
-import type {KeyedRecord, KeyedStore} from './ports.js';
+import type {KeyedRecord, KeyedStore, ReadOutcome} from './ports.js';
 import {StreamView} from './stream-view.js';
 
 const retryMs = 200;
 const retryReloadMs = 400;
+/** A reader that is not enabled looks again after this time even if nothing wakes it. */
+const disabledCheckMs = 1000;
 
 export type StreamReaderHandlers = {
 	/** Receives the newest record of each key; it replaces everything read before. */
@@ -21,7 +22,7 @@
 	readonly waitMs: () => number;
 	/** Pause between two reads, so that one read returns several records. */
 	readonly pauseMs: () => number;
-	/** While false, the stream is not read; it is loaded again afterwards. */
+	/** While false, the stream is not read; it is loaded again afterwards. Call `wake` when this changes. */
 	readonly isEnabled: () => boolean;
 	readonly log: DecisionLog;
 };
@@ -37,6 +38,10 @@
 	private isBehind = false;
 	/** Counts reloads; the result of a request sent before the latest reload is ignored. */
 	private generation = 0;
+	/** Ends the pause under way; undefined while a request is. */
+	private endPause: (() => void) | undefined;
+	/** The read that `refresh` has under way. */
+	private refreshing: Promise<void> | undefined;
 
 	private constructor(private readonly store: KeyedStore, private readonly options: StreamReaderOptions, private readonly handlers: StreamReaderHandlers) {}
 
@@ -45,28 +50,67 @@
 		while (!this.isStopped) {
 			// eslint-disable-next-line no-await-in-loop
 			const pauseMs = await this.readNext();
-			if (pauseMs > 0) {
+			if (pauseMs > 0 && !this.isStopped) {
 				// eslint-disable-next-line no-await-in-loop
-				await sleep(pauseMs);
+				await this.waitOrWake(pauseMs);
 			}
 		}
 	}
 
+	/** Ends a pause, so that the next read is sent now. */
+	wake(): void {
+		this.endPause?.();
+	}
+
+	/**
+	 * Reads what was stored meanwhile, without waiting for new records, if the view is staler than `maxAgeMs`. Calls at
+	 * the same time share one read. Does nothing while the stream is not read or its last request failed. Never rejects.
+	 */
+	async refresh(maxAgeMs: number): Promise<void> {
+		const {nextOffset, completeAt} = this.view;
+		const isFresh = completeAt !== undefined && readSteadyClock() - completeAt < maxAgeMs;
+		if (nextOffset === undefined || isFresh || !this.isReachable || !this.options.isEnabled()) {
+			return;
+		}
+
+		this.refreshing ??= this.readAtOnce(nextOffset).finally(() => {
+			this.refreshing = undefined;
+		});
+		await this.refreshing;
+	}
+
 	/** Discards the position, so that the whole stream is loaded again. */
 	reload(): void {
 		this.view.nextOffset = undefined;
 		this.generation++;
 	}
 
+	/** Marks the view as stale and reads again at once. */
+	expire(): void {
+		this.view.expire();
+		void this.refresh(0);
+	}
+
 	stop(): void {
 		this.isStopped = true;
+		this.wake();
+	}
+
+	private async waitOrWake(pauseMs: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			const timer = setTimeout(resolve, pauseMs);
+			this.endPause = () => {
+				clearTimeout(timer);
+				resolve();
+			};
+		});
+		this.endPause = undefined;
 	}
 
 	private async readNext(): Promise<number> {
 		if (!this.options.isEnabled()) {
 			this.view.nextOffset = undefined;
-			// Checks more often whether reading is enabled than a failed read is retried: this check sends nothing.
-			return retryMs / 4;
+			return disabledCheckMs;
 		}
 
 		return this.view.nextOffset === undefined ? this.load() : this.read(this.view.nextOffset);
@@ -116,12 +160,29 @@
 			return 0;
 		}
 
-		this.view.noteRead(outcome.nextOffset, outcome.end, requestedAt);
-		this.noteProgress(outcome.end);
-		this.handlers.handleRead(outcome.records, outcome.nextOffset);
+		this.applyRead(outcome, requestedAt);
 		return this.options.pauseMs();
 	}
 
+	/** A failed read changes nothing: the continuous reads judge whether the store is reachable. */
+	private async readAtOnce(from: number): Promise<void> {
+		const {generation} = this;
+		const requestedAt = readSteadyClock();
+		const outcome = await this.store.read(this.options.stream, from, 0);
+		if (outcome.type === 'read' && generation === this.generation && this.options.isEnabled()) {
+			this.view.noteAnswer(readSteadyClock());
+			this.applyRead(outcome, requestedAt);
+		}
+	}
+
+	/** Passes on the records that no other read has brought meanwhile. */
+	private applyRead({records, nextOffset, end}: Extract<ReadOutcome, {type: 'read'}>, requestedAt: number): void {
+		const from = this.view.nextOffset ?? nextOffset;
+		this.view.noteRead(Math.max(from, nextOffset), end, requestedAt);
+		this.noteProgress(end);
+		this.handlers.handleRead(records.filter(({offset}) => offset >= from), Math.max(from, nextOffset));
+	}
+
 	/** Logs when a read ends before the stream's end, and when a read reaches the end again. */
 	private noteProgress(end: number): void {
 		const isBehind = this.view.isBehind();
--- a/packages/daemon/src/scheduler/stream-view.ts
+++ b/packages/daemon/src/scheduler/stream-view.ts
@@ -26,6 +26,11 @@
 
 	private constructor() {}
 
+	/** Makes a view that was complete count as infinitely stale. */
+	expire(): void {
+		this.completeAt = this.completeAt === undefined ? undefined : Number.NEGATIVE_INFINITY;
+	}
+
 	/** Notes that the store has answered, whatever the outcome. */
 	noteAnswer(answeredAt: SteadyMs): void {
 		this.answeredAt = answeredAt;
@@ -34,9 +39,9 @@
 	/** Notes that the stream was read up to `nextOffset` by a request sent at `requestedAt`. */
 	noteRead(nextOffset: number, end: number, requestedAt: SteadyMs): void {
 		this.nextOffset = nextOffset;
-		this.end = end;
-		// A response that reaches the end holds at least what was stored when the request was sent.
-		this.completeAt = nextOffset >= end ? requestedAt : this.completeAt;
+		this.end = Math.max(end, this.end ?? end);
+		// A response that reaches the end holds at least what was stored when the request was sent. Requests may overlap.
+		this.completeAt = nextOffset >= end ? Math.max(requestedAt, this.completeAt ?? requestedAt) : this.completeAt;
 	}
 
 	/** True if the last response ended before the stream's end. */
