A leader that was paused acts only after the store has confirmed that it still leads

Cause: an order to a machine was sent when its append was confirmed, however late the confirmation was handled. A leader paused for seconds between append and confirmation could end the tasks that its successor had started on that machine: the platform checks fences for each machine, and the successor had not ordered this one. A suspended host was worse off: its monotonic clock does not count the time. Starts had the same gap beyond the time that a successor waits before it runs a task elsewhere.

Change: confirmation.ts holds until when a leader may act. A stored order waits until a fresh append is confirmed; a start is given back.

--- a/packages/core/src/scheduler/effects.ts
+++ b/packages/core/src/scheduler/effects.ts
@@ -24,6 +24,8 @@
 			readonly type: 'worker/poll'; readonly worker: WorkerTarget; readonly token: FencingToken; readonly lastAckedEnd: number;
 			/** New lease expiry on the worker's clock; undefined: the poll renews no lease. */
 			readonly untilMs: number | undefined; readonly waitMs: number;
+			/** Time that the answer may take in addition to `waitMs`. */
+			readonly slackMs: number;
 			/** Sent while another poll of the worker may still be waiting. */
 			readonly isExtra: boolean;
 		}
@@ -37,5 +39,7 @@
 		| {readonly type: 'wave/report'; readonly wave: WaveNumber; readonly isCompleted: boolean}
 		| {readonly type: 'advice/request'; readonly step: string; readonly workerIds: readonly WorkerId[]; readonly token: FencingToken}
 		| {readonly type: 'intake/remove'; readonly jobIds: readonly string[]}
+		/** What was read of the streams may be older than it seems. */
+		| {readonly type: 'views/expire'}
 		| {readonly type: 'config/restored'; readonly config: FleetConfig}
 		| {readonly type: 'log'; readonly level: 'info' | 'warn'; readonly event: string; readonly fields: LogFields};
--- a/packages/core/src/scheduler/logging.ts
+++ b/packages/core/src/scheduler/logging.ts
@@ -19,3 +19,8 @@
 		type: 'log', level: 'warn', event, fields,
 	});
 }
+
+/** The stack of an error, or its message. */
+export function describeError(error: unknown): string {
+	return error instanceof Error ? (error.stack ?? error.message) : String(error);
+}
--- a/packages/core/src/scheduler/machine-orders.ts
+++ b/packages/core/src/scheduler/machine-orders.ts
@@ -1,4 +1,5 @@
 /** Orders to the platform to move a machine or to start its upkeep: one at a time per machine, repeated until the outcome is known. */
+import {isConfirmedWithin} from './confirmation.js';
 import {addEffect, noteDecision} from './logging.js';
 import {hasNoWorker, isBusy, listWorkers} from './machine-workers.js';
 import {getReturnAt, returnSlackMs} from './machines.js';
@@ -19,7 +20,7 @@
 /** True while this leader may order machines. */
 export function canOrder(state: SchedulerState): boolean {
 	const {leadership} = state;
-	return leadership.role === 'leader' && !state.isStopping && state.now - leadership.confirmedAt < unconfirmedOrderMs
+	return leadership.role === 'leader' && !state.isStopping && isConfirmedWithin(state, unconfirmedOrderMs)
 		&& state.machineListRequestedAt >= leadership.leaderSince;
 }
 
@@ -114,8 +115,18 @@
 	return [...state.ownOrders.keys()];
 }
 
+/** Sends an order that is stored. If this host may not order machines now, the order waits until it may. */
+export function sendStoredOrder(state: SchedulerState, machine: Machine): void {
+	if (canOrder(state)) {
+		sendOrder(state, machine);
+	} else if (machine.order) {
+		noteDecision(state, 'machine-order-deferred', {machineId: machine.entry.id, order: machine.order.type});
+		machine.order.isInFlight = false;
+	}
+}
+
 /** Sends an order to the platform. */
-export function sendOrder(state: SchedulerState, machine: Machine): void {
+function sendOrder(state: SchedulerState, machine: Machine): void {
 	const {order} = machine;
 	if (!order || order.isReserving) {
 		return;
--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -1,6 +1,7 @@
 /** Polls workers: renews their leases and reads their running and ended runs. */
 import {noteFailure, noteSuccess} from './health.js';
 import {advanceOccurrence, finishJob} from './jobs.js';
+import {isConfirmedWithin} from './confirmation.js';
 import {addEffect, noteDecision, noteWarning} from './logging.js';
 import {isFinal} from './phases.js';
 import {getMaxAttempts} from './queues.js';
@@ -10,7 +11,7 @@
 	confirmTask, finishTask, getTarget, requestStop, returnTask, stopGang,
 } from './tasks.js';
 import {
-	maxClockDrift, pollRetryMs, pollWaitMs, leaseSlackMs, leaseRenewalThresholdMs, stuckMs, unconfirmedLimitMs, longRunningPollWaitMs, workerLeaseMs,
+	leaseRenewalThresholdMs, leaseSlackMs, longRunningPollWaitMs, maxClockDrift, pollRetryMs, pollSlackMs, pollWaitMs, retriedPollSlackMs, stuckMs, unconfirmedLimitMs, workerLeaseMs,
 } from './timing.js';
 import type {SchedulerEvent} from './events.js';
 import type {EndedRow, RunEnd, RunningRow} from './types.js';
@@ -29,7 +30,7 @@
 		return;
 	}
 
-	const isConfirmed = state.now - leadership.confirmedAt < unconfirmedLimitMs && hasReadStartedJobs(state);
+	const isConfirmed = isConfirmedWithin(state, unconfirmedLimitMs) && hasReadStartedJobs(state);
 	for (const worker of state.workers.values()) {
 		expireLease(state, worker);
 		if (isConfirmed && isPollDue(state, worker)) {
@@ -87,6 +88,8 @@
 		// The lease of a worker that may be unreachable is not renewed: its tasks can only move elsewhere after it has expired.
 		untilMs: worker.failedPolls === 0 ? extendLease(state, worker) : undefined,
 		isExtra: false,
+		// A worker that is only slow to answer is heard before its lease lapses.
+		slackMs: worker.failedPolls === 0 ? pollSlackMs : retriedPollSlackMs,
 		waitMs: hasWork && worker.isPolledByLeader && worker.failedPolls === 0 ? (hasLongRunningTasks ? longRunningPollWaitMs : pollWaitMs) : 0,
 	});
 }
@@ -94,7 +97,7 @@
 /** Polls immediately, even while another poll waits for a run to end. */
 export function sendExtraPoll(state: SchedulerState, worker: Worker): void {
 	addEffect(state, {
-		type: 'worker/poll', worker: getTarget(worker), token: state.leadership.token, lastAckedEnd: worker.lastStoredEnd, untilMs: undefined, waitMs: 0, isExtra: true,
+		type: 'worker/poll', worker: getTarget(worker), token: state.leadership.token, lastAckedEnd: worker.lastStoredEnd, untilMs: undefined, waitMs: 0, slackMs: pollSlackMs, isExtra: true,
 	});
 }
 
@@ -142,6 +145,7 @@
 	}
 
 	worker.failedPolls = 0;
+	skipSilence(state, worker);
 	worker.lastAnswerAt = state.now;
 	worker.isPolledByLeader = true;
 	worker.lastAckedEnd = Math.max(worker.lastAckedEnd, worker.lastStoredEnd);
@@ -155,6 +159,18 @@
 	state.needsPlacement = true;
 }
 
+/** Whether runs made progress while their worker did not report is not known: that time does not count towards a stuck run. */
+function skipSilence(state: SchedulerState, worker: Worker): void {
+	const silentMs = state.now - worker.lastAnswerAt - pollWaitMs;
+	if (silentMs <= 0) {
+		return;
+	}
+
+	for (const task of worker.tasks.values()) {
+		task.percentChangedAt = Math.min(state.now, task.percentChangedAt + silentMs);
+	}
+}
+
 function handleFailedPoll(state: SchedulerState, worker: Worker, event: PollEnded): void {
 	worker.failedPolls++;
 	worker.pollDueAt = state.now + Math.min(pollRetryMs * worker.failedPolls, maxPollRetryMs);
@@ -263,9 +279,16 @@
 	}
 
 	for (const task of worker.tasks.values()) {
-		if (task.isSent && !seen.has(task.name) && task.conclusiveAfter < event.sentAt) {
+		if (!task.isSent || seen.has(task.name)) {
+			continue;
+		}
+
+		if (task.conclusiveAfter < event.sentAt) {
 			noteDecision(state, 'run-absent', {task: task.name, run: task.run, workerId: worker.id});
 			returnTask(state, task);
+		} else if (task.status === 'placed' && task.unansweredAt <= event.sentAt) {
+			// The start has not been carried out, but still may be.
+			requestStop(state, task);
 		}
 	}
 }
@@ -280,6 +303,11 @@
 
 function readRunningRow(state: SchedulerState, worker: Worker, task: Task, row: RunningRow): void {
 	task.isReported = true;
+	if (task.status === 'placed') {
+		// Not from the sending of this poll on: answers may overtake each other.
+		task.conclusiveAfter = Math.min(task.conclusiveAfter, state.now);
+	}
+
 	confirmTask(state, task);
 	if (row.checkpoint !== '') {
 		task.checkpoint = row.checkpoint;
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -1,12 +1,13 @@
 /** The scheduler's reducer: applies one event to the state and returns effects. Its monotonic time never goes back. */
 import {handleAdvice} from './advice.js';
 import {handleCommit, tickCommits} from './commits.js';
+import {checkSuspension} from './confirmation.js';
 import {handlePoll, hasReadStartedJobs, tickPolls} from './polls.js';
 import {applyIntake, dropLiveJobIfEnded, openDueOccurrences} from './jobs.js';
 import {
 	handleClaim, loadLedger, noteConfigured, readLedger, releaseLeadership, stopLeading, tickClaim, tickLeadership,
 } from './leadership.js';
-import {noteDecision, noteWarning} from './logging.js';
+import {describeError, noteDecision, noteWarning} from './logging.js';
 import {handleOrderOutcome, tickOrders} from './machine-orders.js';
 import {handleMachineList, tickMachineList} from './machines.js';
 import {tickMoves} from './moves.js';
@@ -122,10 +123,6 @@
 	}
 }
 
-function describeError(error: unknown): string {
-	return error instanceof Error ? (error.stack ?? error.message) : 'unknown error';
-}
-
 const jobCheckIntervalMs = 50;
 /** Shorter than the leases that an earlier leader granted. */
 const unreadJobsLimitMs = 2500;
@@ -187,6 +184,7 @@
 	state.wallNow = event.wallAt;
 	state.outbox = [];
 	try {
+		checkSuspension(state, event);
 		applyEvent(state, event);
 		placeTasks(state);
 		tickCommits(state);
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -1,5 +1,6 @@
 /** Sends starts and stops of runs, and handles their outcomes. */
 import {dropTicket, findTicket, getTicketState} from './advice.js';
+import {isConfirmedWithin} from './confirmation.js';
 import {extendLease, sendExtraPoll} from './polls.js';
 import {addEffect, noteDecision} from './logging.js';
 import {isJobOpen} from './phases.js';
@@ -7,7 +8,9 @@
 import {
 	confirmTask, getTarget, requestStop, returnTask,
 } from './tasks.js';
-import {never, stopRetryMs} from './timing.js';
+import {
+	never, startReportMs, stopRetryMs, unconfirmedLimitMs,
+} from './timing.js';
 import type {SchedulerEvent, StartOutcome} from './events.js';
 import type {SchedulerState, Task, Worker} from './state.js';
 
@@ -37,7 +40,8 @@
 		return;
 	}
 
-	const untilMs = extendLease(state, worker);
+	// A start renews the worker's lease, which a leader may only do as long as its successor would wait for.
+	const untilMs = isConfirmedWithin(state, unconfirmedLimitMs) ? extendLease(state, worker) : undefined;
 	if (untilMs === undefined) {
 		returnTask(state, task);
 		return;
@@ -102,9 +106,10 @@
 	unknown(state, worker, task) {
 		worker.quarantinedUntil = Math.max(worker.quarantinedUntil, state.now + refusalPauseMs);
 		noteLateStart(state, worker, task);
-		// The start may have been carried out, or may still be: only a confirmed stop rules the run out.
+		// The start may have been carried out, or may still be: the worker's report decides, or else a confirmed stop rules the run out.
 		if (task.status === 'placed') {
-			requestStop(state, task);
+			task.unansweredAt = state.now;
+			sendExtraPoll(state, worker);
 		}
 	},
 };
@@ -168,12 +173,14 @@
 	}
 }
 
-/** Resends stops that were not confirmed. */
+/** Sends stops that were not confirmed again, and those of runs whose start was not answered and which were not reported. */
 export function tickStops(state: SchedulerState): void {
 	for (const worker of state.workers.values()) {
 		tickLateStarts(state, worker);
 		for (const task of worker.tasks.values()) {
-			if (task.status === 'stopping' && task.conclusiveAfter === never && state.now >= task.stopDueAt) {
+			const isStopDue = task.status === 'stopping' && task.conclusiveAfter === never && state.now >= task.stopDueAt;
+			const isReportDue = task.status === 'placed' && state.now >= task.unansweredAt + startReportMs;
+			if (isStopDue || isReportDue) {
 				requestStop(state, task);
 			}
 		}
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -64,6 +64,8 @@
 	isSent: boolean;
 	/** A poll of the worker's current incarnation has listed the run. The answer to a start does not say which incarnation gave it. */
 	isReported: boolean;
+	/** When the answer to its start was found to be lost; `never` while none was. */
+	unansweredAt: SteadyMs;
 	/** A poll sent after this instant is conclusive: if it does not list the run, the run is gone. */
 	conclusiveAfter: SteadyMs;
 	/** When an unconfirmed stop is sent again. */
@@ -317,6 +319,8 @@
 	readonly settings: SchedulerSettings;
 	now: SteadyMs;
 	wallNow: Instant;
+	/** How far the wall clock was ahead of the monotonic clock at the latest event. */
+	wallLeadMs: number | undefined;
 	isStopping: boolean;
 	config: FleetConfig | undefined;
 	readonly jobs: Map<JobId, Job>;
@@ -373,6 +377,7 @@
 		settings,
 		now: 0,
 		wallNow: 0 as Instant,
+		wallLeadMs: undefined,
 		isStopping: false,
 		config: undefined,
 		jobs: new Map(),
--- a/packages/core/src/scheduler/testing/model-leader.ts
+++ b/packages/core/src/scheduler/testing/model-leader.ts
@@ -61,10 +61,16 @@
 	/** Number of polls that each worker has answered. */
 	readonly answeredPolls = new Map<string, number>();
 	readonly unreachableWorkers = new Set<string>();
+	/** How long workers take to answer a poll, if longer than usual. */
+	readonly pollDelaysMs = new Map<string, number>();
+	/** Starts are carried out, but their answers are lost. */
+	areStartAnswersLost = false;
 	isStoreUnresponsive = false;
 	/** Runs continue even though the workers confirm their stops. */
 	isStopIgnored = false;
 	now = firstAt;
+	/** How far the wall clock is ahead of the monotonic clock's start. */
+	private wallOffset = wallStart;
 	private scheduledEvents: ScheduledEvent[] = [];
 	private nextTickAt = firstAt;
 
@@ -83,7 +89,7 @@
 	}
 
 	push(body: EventBody): void {
-		for (const effect of reduceScheduler(this.state, createEvent(body, this.now))) {
+		for (const effect of reduceScheduler(this.state, createEvent(body, this.now, this.wallOffset))) {
 			this.handleEffect(effect);
 		}
 	}
@@ -105,6 +111,16 @@
 		}
 	}
 
+	/** Pauses the process: what arrives meanwhile is handled when it goes on. */
+	freeze(forMs: number): void {
+		this.now += forMs;
+	}
+
+	/** Suspends the whole host: as `freeze`, but its monotonic clock does not count the time. */
+	suspend(forMs: number): void {
+		this.wallOffset += forMs;
+	}
+
 	/** Delivers a list of machines that was requested at `requestedAt`. */
 	listMachines(machines: readonly MachineEntry[], requestedAt = this.now, tookMs = 5): void {
 		const listing: MachineListing = {type: 'listed', machines, pages: 1};
@@ -144,8 +160,8 @@
 		return this.logs.filter(({event}) => event === name).map(({fields}) => fields);
 	}
 
-	private answer(body: EventBody): void {
-		this.scheduledEvents.push({at: this.now + answerMs, body});
+	private answer(body: EventBody, afterMs = answerMs): void {
+		this.scheduledEvents.push({at: this.now + afterMs, body});
 	}
 
 	private handleEffect(effect: SchedulerEffect): void {
@@ -162,7 +178,7 @@
 					task, run, checkpoint: '', percent: 100, reading: 0,
 				}]);
 				this.answer({
-					type: 'start/ended', workerId: worker.id, bornAt: worker.bornAt, task, run, outcome: 'started', clockMs: this.now,
+					type: 'start/ended', workerId: worker.id, bornAt: worker.bornAt, task, run, outcome: this.areStartAnswersLost ? 'unknown' : 'started', clockMs: this.areStartAnswersLost ? undefined : this.now,
 				});
 				break;
 			}
@@ -203,16 +219,19 @@
 		}
 	}
 
-	private answerPoll({worker, isExtra}: Extract<SchedulerEffect, {type: 'worker/poll'}>): void {
-		const isUnreachable = this.unreachableWorkers.has(worker.id);
+	private answerPoll({
+		worker, isExtra, waitMs, slackMs,
+	}: Extract<SchedulerEffect, {type: 'worker/poll'}>): void {
+		const delayMs = this.pollDelaysMs.get(worker.id) ?? answerMs;
+		const isUnreachable = this.unreachableWorkers.has(worker.id) || delayMs > slackMs;
 		this.answeredPolls.set(worker.id, (this.answeredPolls.get(worker.id) ?? 0) + (isUnreachable ? 0 : 1));
 		this.answer({
 			type: 'poll/ended', workerId: worker.id, bornAt: worker.bornAt, outcome: isUnreachable ? 'unknown' : 'held', sentAt: this.now, isExtra, clockMs: this.now, answerBornAt: worker.bornAt, running: this.running.get(worker.id) ?? [], ended: [],
-		});
+		}, isUnreachable ? waitMs + slackMs : delayMs);
 	}
 }
 
-function createEvent(body: EventBody, at: number): SchedulerEvent {
-	const event = {...body, at, wallAt: (wallStart + at) as Instant};
+function createEvent(body: EventBody, at: number, wallOffset: number): SchedulerEvent {
+	const event = {...body, at, wallAt: (wallOffset + at) as Instant};
 	return event;
 }
--- a/packages/daemon/src/scheduler/effect-runner.test.ts
+++ b/packages/daemon/src/scheduler/effect-runner.test.ts
@@ -46,7 +46,7 @@
 		type: 'worker/stop', worker, task: 't', run: 1, token,
 	},
 	{
-		type: 'worker/poll', worker, token, lastAckedEnd: 0, untilMs: undefined, waitMs: 0, isExtra: false,
+		type: 'worker/poll', worker, token, lastAckedEnd: 0, untilMs: undefined, waitMs: 0, slackMs: 500, isExtra: false,
 	},
 	{
 		type: 'worker/pace', worker, task: 't', run: 1, percent: 1, token,
@@ -76,6 +76,9 @@
 				reloadLedger() {
 					// This test has no ledger reader.
 				},
+				expireViews() {
+					// This test has no views.
+				},
 			});
 			runner.run(effect);
 			await new Promise(resolve => {
--- a/packages/daemon/src/scheduler/effect-runner.ts
+++ b/packages/daemon/src/scheduler/effect-runner.ts
@@ -1,6 +1,6 @@
 /** Executes the scheduler's effects and turns their outcomes into events. */
-import type {
-	ClaimOutcome, CommitOutcome, SchedulerEffect, SchedulerEvent,
+import {
+	describeError, type ClaimOutcome, type CommitOutcome, type SchedulerEffect, type SchedulerEvent,
 } from '@rhubarblever/core/scheduler';
 import type {JobId} from '@rhubarblever/core';
 import {readSteadyClock, readWallClock} from './clocks.js';
@@ -20,6 +20,7 @@
 	readonly metrics: SchedulerMetrics;
 	readonly pushEvent: (event: UntimedEvent) => void;
 	readonly reloadLedger: () => void;
+	readonly expireViews: () => void;
 };
 
 /** Producer name under which the store checks the epoch and the sequence number of the leader's appends. */
@@ -80,6 +81,9 @@
 		'intake/remove': effect => {
 			void this.removeJobs(effect.jobIds as readonly JobId[]);
 		},
+		'views/expire': () => {
+			this.options.expireViews();
+		},
 		'config/restored': ({config}) => {
 			this.options.log.note('config-restored', {version: config.version});
 		},
@@ -91,8 +95,14 @@
 
 	private constructor(private readonly options: EffectRunnerOptions) {}
 
+	/** Never throws: an exception would end the event loop for good. */
 	run(effect: SchedulerEffect): void {
-		(this.handlers[effect.type] as (effect: SchedulerEffect) => void)(effect);
+		try {
+			(this.handlers[effect.type] as (effect: SchedulerEffect) => void)(effect);
+		} catch (error) {
+			this.options.metrics.decisions.inc({event: 'effect-failed'});
+			this.options.log.warn('effect-failed', {effectType: effect.type, reason: describeError(error)});
+		}
 	}
 
 	private recordCall(call: string, outcome: string, startedAt: number): void {
@@ -155,6 +165,10 @@
 		const answer = await this.options.ports.workers.poll(effect);
 		this.recordCall('hold', answer.outcome, sentAt);
 		const {worker} = effect;
+		if (answer.fault !== undefined) {
+			this.options.log.warn('poll-unreadable', {workerId: worker.id, fault: answer.fault});
+		}
+
 		this.options.pushEvent({
 			type: 'poll/ended', workerId: worker.id, bornAt: worker.bornAt, outcome: answer.outcome, sentAt, isExtra: effect.isExtra, clockMs: answer.clockMs, answerBornAt: answer.bornAt, running: answer.running, ended: answer.ended, token: effect.token,
 		});
