--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -9,6 +9,7 @@
 import {
 	attachTask, detachTask, requestStop, updateOpenStep,
 } from './tasks.js';
+import {never} from './timing.js';
 import type {
 	IntakeRecord, JobDefinition, JobProgress, ProgressRow, TaskName,
 } from './types.js';
@@ -190,6 +191,7 @@
 		checkpoint: '',
 		isSent: false,
 		isReported: false,
+		unansweredAt: never,
 		conclusiveAfter: 0,
 		stopDueAt: 0,
 		percent: 0,
--- a/packages/core/src/scheduler/tasks.ts
+++ b/packages/core/src/scheduler/tasks.ts
@@ -86,6 +86,7 @@
 	task.run = run;
 	task.isSent = false;
 	task.isReported = false;
+	task.unansweredAt = never;
 	task.conclusiveAfter = never;
 	task.percent = 0;
 	task.percentChangedAt = state.now;
--- a/packages/daemon/src/scheduler/ports.ts
+++ b/packages/daemon/src/scheduler/ports.ts
@@ -48,6 +48,8 @@
 export type PollAnswer = {
 	readonly outcome: PollOutcome; readonly clockMs: number | undefined; readonly bornAt: number | undefined;
 	readonly running: readonly RunningRow[]; readonly ended: readonly EndedRow[];
+	/** The part of the response that could not be read, for the log. */
+	readonly fault?: string | undefined;
 };
 export type AdviceAnswer = {readonly validMs: number; readonly tickets: ReadonlyArray<{readonly workerId: string; readonly ticket: string}>};
 
