--- a/packages/daemon/src/scheduler/codec.test.ts
+++ b/packages/daemon/src/scheduler/codec.test.ts
@@ -3,6 +3,7 @@
 import type {Instant, JobId} from '@rhubarblever/core';
 import type {IntakeRecord, LedgerRecord} from '@rhubarblever/core/scheduler';
 import {expect} from 'earl';
+import {Packr} from 'msgpackr';
 import {
 	decodeIntake, decodeLedger, encodeIntake, encodeLedger,
 } from './codec.js';
@@ -53,4 +54,19 @@
 		expect(decodeIntake({offset: 0, key: 'new:1', value: new Uint8Array([1])})).toEqual(undefined);
 		expect(decodeLedger({offset: 0, key: 'no kind', value: undefined})).toEqual(undefined);
 	});
+
+	/** Guards against one record with missing fields that makes each leader in turn fail at every clock event. */
+	it('are refused when fields are missing or of another type, and keep fields of a later version', () => {
+		const packr = new Packr({useRecords: false});
+		const lease = {holder: 'h', token: 4, isReleased: false};
+		for (const value of [undefined, null, 5, 'x', [], {}, {jobId}, {jobId, steps: [{}]}]) {
+			expect(() => decodeIntake({offset: 0, key: `job:${jobId}`, value: packr.pack(value)})).toThrow();
+			expect(() => decodeLedger({offset: 0, key: `progress:${jobId}`, value: packr.pack(value)})).toThrow();
+			expect(() => decodeLedger({offset: 0, key: 'lease:', value: packr.pack(value)})).toThrow();
+			expect(() => decodeLedger({offset: 0, key: 'config:', value: packr.pack(value)})).toThrow();
+		}
+
+		const laterLease = {...lease, since: 7};
+		expect(decodeLedger({offset: 0, key: 'lease:', value: packr.pack(laterLease)})).toEqual({type: 'lease', lease: laterLease});
+	});
 });
--- a/packages/daemon/src/scheduler/codec.ts
+++ b/packages/daemon/src/scheduler/codec.ts
@@ -4,7 +4,11 @@
 	FleetConfig, IntakeRecord, JobDefinition, JobProgress, LeaseRecord, LedgerRecord, MachineId, ProgressRow, WaveProgress,
 } from '@rhubarblever/core/scheduler';
 import {Packr} from 'msgpackr';
+import type {z} from 'zod';
 import type {KeyedRecord, NewRecord} from './ports.js';
+import {
+	configSchema, jobSchema, leaseSchema, machineIdsSchema, progressSchema, wavesSchema,
+} from './record-schemas.js';
 
 /** Stream of job submissions and cancellations, written by all entry hosts. */
 export const intakeStream = 'keyed.intake';
@@ -13,9 +17,15 @@
 
 const packr = new Packr({useRecords: false});
 
-/** Unpacks a value without validation: only entry hosts write to these streams. */
-function readValue<Value>(value: Uint8Array): Value {
-	return packr.unpack(value) as Value;
+/** Unpacks a value; throws an error that names the first field that is missing or of another type. */
+function readValue<Value>(value: Uint8Array, schema: z.ZodType): Value {
+	const unpacked: unknown = packr.unpack(value);
+	const parsed = schema.safeParse(unpacked);
+	if (!parsed.success) {
+		throw new Error(`unusable field: ${parsed.error.issues[0]?.path.join('.') ?? ''}`);
+	}
+
+	return unpacked as Value;
 }
 
 const keyPattern = /^(?<kind>[a-z]+):(?<id>.*)$/s;
@@ -44,7 +54,7 @@
 type Decoder<Decoded> = (id: string, value: Uint8Array | undefined) => Decoded;
 
 const intakeDecoders: Readonly<Record<string, Decoder<IntakeRecord>>> = {
-	job: (id, value) => value ? {type: 'job', job: readValue<JobDefinition>(value)} : {type: 'job-removed', jobId: id as JobId},
+	job: (id, value) => value ? {type: 'job', job: readValue<JobDefinition>(value, jobSchema)} : {type: 'job-removed', jobId: id as JobId},
 	cancel: (id, value) => value ? {type: 'cancel', jobId: id as JobId} : {type: 'cancel-removed', jobId: id as JobId},
 };
 
@@ -78,11 +88,11 @@
 }
 
 const ledgerDecoders: Readonly<Record<string, Decoder<LedgerRecord | undefined>>> = {
-	lease: (_id, value) => value && {type: 'lease', lease: readValue<LeaseRecord>(value)},
+	lease: (_id, value) => value && {type: 'lease', lease: readValue<LeaseRecord>(value, leaseSchema)},
 	progress: (id, value) => value ? decodeProgress(id as JobId, value) : {type: 'progress-removed', jobId: id as JobId},
-	waves: (_id, value) => value && {type: 'waves', waves: readValue<WaveProgress[]>(value)},
-	orders: (_id, value) => value && {type: 'orders', machineIds: readValue<MachineId[]>(value)},
-	config: (_id, value) => value && {type: 'config', config: readValue<FleetConfig>(value)},
+	waves: (_id, value) => value && {type: 'waves', waves: readValue<WaveProgress[]>(value, wavesSchema)},
+	orders: (_id, value) => value && {type: 'orders', machineIds: readValue<MachineId[]>(value, machineIdsSchema)},
+	config: (_id, value) => value && {type: 'config', config: readValue<FleetConfig>(value, configSchema)},
 };
 
 type PackedRow = [occurrence: number, step: number, index: number, status: ProgressRow['status'], run: number, failures: number, workerId: string, workerBornAt: number, checkpoint: string];
@@ -95,7 +105,7 @@
 }
 
 function decodeProgress(jobId: JobId, value: Uint8Array): LedgerRecord {
-	const [phase, finishedOccurrences, finishedAt, rows] = readValue<PackedProgress>(value);
+	const [phase, finishedOccurrences, finishedAt, rows] = readValue<PackedProgress>(value, progressSchema);
 	return {
 		type: 'progress',
 		jobId,
--- a/packages/daemon/src/scheduler/index.ts
+++ b/packages/daemon/src/scheduler/index.ts
@@ -6,4 +6,5 @@
 } from './job-api.js';
 export {DecisionLog} from './decision-log.js';
 export {createMetrics, type SchedulerMetrics} from './metrics.js';
+export {UnexpectedErrors} from './unexpected-errors.js';
 export {readSteadyClock, readWallClock} from './clocks.js';
--- /dev/null
+++ b/packages/daemon/src/scheduler/record-schemas.ts
@@ -0,0 +1,33 @@
+/** What a record of the store must hold to be used. Fields that a newer version has added are kept. */
+import {z} from 'zod';
+
+const amount = z.number().nonnegative();
+const count = z.number().int().nonnegative();
+
+const resources = z.looseObject({cpu: amount, memoryMb: amount, gpu: amount});
+
+const step = z.looseObject({
+	count: z.number().int().positive(), need: resources, estimateMs: amount, dependsOn: z.array(count), requiredLabel: z.string(), dataRack: z.string(), maxPerWorker: amount, latencyTargetMs: amount, maxUnavailable: amount,
+});
+
+export const jobSchema = z.looseObject({
+	jobId: z.string().min(1), queue: z.string(), pool: z.string(), spec: z.string(), steps: z.array(step), runCount: count, firstRunAt: z.number(), intervalMs: amount,
+});
+
+export const leaseSchema = z.looseObject({holder: z.string(), token: count, isReleased: z.boolean()});
+
+export const wavesSchema = z.array(z.looseObject({wave: z.number(), doneMachines: z.array(z.string()), isCompleted: z.boolean()}));
+
+export const machineIdsSchema = z.array(z.string());
+
+export const configSchema = z.looseObject({
+	version: z.number(),
+	queues: z.array(z.looseObject({
+		name: z.string(), host: z.string(), pathPrefix: z.string(), pool: z.string(), priority: z.number(), maxAttempts: z.number(), stretch: z.number(), latencyTargetMs: z.number(),
+	})),
+	pools: z.array(z.looseObject({name: z.string(), isSpare: z.boolean()})),
+});
+
+const row = z.tuple([count, count, count, z.enum(['waiting', 'placed', 'done']), count, count, z.string(), z.number(), z.string()]);
+
+export const progressSchema = z.tuple([z.enum(['queued', 'running', 'completed', 'failed']), z.array(count), z.number(), z.array(row)]);
