An unresponsive store is asked with empty appends, not with callers' jobs

Cause: while the store did not answer a host, one caller's job each 500 ms was let through to find out whether it is back. Its outcome stayed unknown, so that the caller got 504 and could not try again elsewhere. A store without connection counted as one that answers.

Change: the writer sends empty appends while the store is unresponsive and accepts no job until one is answered; all others are refused at once, and that they have not run is true.

--- a/packages/daemon/src/scheduler/intake-writer.ts
+++ b/packages/daemon/src/scheduler/intake-writer.ts
@@ -1,8 +1,9 @@
 /** Writes job submissions and cancellations to the store in batches and retries appends whose outcome is unknown. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {IntakeRecord} from '@rhubarblever/core/scheduler';
 import {readSteadyClock} from './clocks.js';
 import {encodeIntake, intakeStream} from './codec.js';
-import type {KeyedStore} from './ports.js';
+import type {AppendOutcome, KeyedStore} from './ports.js';
 
 /** `refused`: definitely not stored; `unknown`: may be stored, now or later. */
 export type WriteOutcome = 'stored' | 'refused' | 'unknown';
@@ -25,7 +26,7 @@
 const maxInFlight = 3;
 /** The store counts as unresponsive after this time without any response; a slow store responds much faster. */
 const unresponsiveMs = 700;
-/** While the store is unresponsive and no append is in flight, one is let through at this interval as a probe. */
+/** While the store is unresponsive, an empty append is sent at this interval to find out whether it is back. */
 const probeIntervalMs = 500;
 
 export class IntakeWriter {
@@ -38,14 +39,13 @@
 	private sentAt = 0;
 	/** Send time of the first append since the store last responded; undefined after each response. */
 	private unansweredSince: number | undefined;
+	private isProbing = false;
 
 	private constructor(private readonly store: KeyedStore) {}
 
-	/** True while the store does not respond to appends, except when a probe is due: the next write then tests the store. */
+	/** True while the store does not respond to appends. */
 	isStoreUnresponsive(): boolean {
-		const now = readSteadyClock();
-		const isProbeDue = this.inFlight === 0 && now - this.sentAt > probeIntervalMs;
-		return this.unansweredSince !== undefined && now - this.unansweredSince > unresponsiveMs && !isProbeDue;
+		return this.unansweredSince !== undefined && readSteadyClock() - this.unansweredSince > unresponsiveMs;
 	}
 
 	/** Resolves once the record is stored or given up, at the latest at `deadline` (monotonic clock); at once while the store is unresponsive. */
@@ -92,11 +92,12 @@
 		this.unansweredSince ??= this.sentAt;
 		const timer = setTimeout(() => {
 			this.refuseUnsent();
+			void this.probe();
 		}, unresponsiveMs + 1);
 		const outcome = await this.store.append(intakeStream, batch.map(entry => encodeIntake(entry.record)));
 		clearTimeout(timer);
 		this.inFlight--;
-		this.unansweredSince = outcome.type === 'unknown' ? this.unansweredSince : undefined;
+		this.noteOutcome(outcome);
 		if (outcome.type === 'appended') {
 			for (const entry of batch) {
 				entry.resolve('stored');
@@ -110,6 +111,28 @@
 		this.scheduleNext(retryMs);
 	}
 
+	private noteOutcome(outcome: AppendOutcome): void {
+		const isAnswered = outcome.type !== 'unknown' && !(outcome.type === 'refused' && outcome.isUnreachable);
+		this.unansweredSince = isAnswered ? undefined : this.unansweredSince;
+	}
+
+	/** Sends empty appends until the store responds: a caller's record would risk an unknown outcome. */
+	private async probe(): Promise<void> {
+		if (this.isProbing) {
+			return;
+		}
+
+		this.isProbing = true;
+		while (this.isStoreUnresponsive()) {
+			// eslint-disable-next-line no-await-in-loop
+			this.noteOutcome(await this.store.append(intakeStream, []));
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(this.isStoreUnresponsive() ? probeIntervalMs : 0);
+		}
+
+		this.isProbing = false;
+	}
+
 	/** While the store is unresponsive, refuses queued records that cannot have been stored. */
 	private refuseUnsent(): void {
 		if (!this.isStoreUnresponsive()) {
--- a/packages/daemon/src/scheduler/ports.ts
+++ b/packages/daemon/src/scheduler/ports.ts
@@ -7,13 +7,13 @@
 export type KeyedRecord = {readonly offset: number; readonly key: string; readonly value: Uint8Array | undefined};
 export type NewRecord = {readonly key: string; readonly value: Uint8Array | undefined};
 
-/** `moved`: the stream did not end at the required offset, because other records were appended first; `refused`: definitely not appended; `unknown`: may be appended, now or later. */
+/** `moved`: the stream did not end at the required offset, because other records were appended first; `refused`: definitely not appended, `isUnreachable` if there was no connection; `unknown`: may be appended, now or later. */
 export type AppendOutcome
 	= | {readonly type: 'appended'; readonly offset: number}
 		| {readonly type: 'out-of-sequence'; readonly expected: number}
 		| {readonly type: 'moved'}
 		| {readonly type: 'fenced'}
-		| {readonly type: 'refused'}
+		| {readonly type: 'refused'; readonly isUnreachable?: boolean}
 		| {readonly type: 'unknown'};
 
 /** Conditions of an append: `at` is the offset at which the stream must end; `writer` is checked against the writer's latest epoch and sequence number. */
