Machines whose worker is out of reach or set aside do not count as capacity

Cause: a pool counted every machine that is up. With a zone cut off or workers set aside it seemed to have what it needs, and its tasks waited although spare machines were free.

Test red first: unreachable-capacity.test.ts, 2 of 3 failed.

--- a/packages/core/src/scheduler/health.ts
+++ b/packages/core/src/scheduler/health.ts
@@ -42,6 +42,11 @@
 	return last !== undefined && last.at > worker.lastDoneAt;
 }
 
+/** True while a worker is set aside because its runs fail. Other pauses of a worker, such as after a refused start, are not quarantine. */
+export function isQuarantined(state: SchedulerState, worker: Worker): boolean {
+	return worker.quarantineCount > 0 && worker.quarantinedUntil > state.now;
+}
+
 function canQuarantine(state: SchedulerState, worker: Worker): boolean {
 	const pool = [...state.workers.values()].filter(other => other.pool === worker.pool && other.isListed);
 	const quarantined = pool.filter(other => other.quarantinedUntil > state.now);
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -1,5 +1,6 @@
 /** Moves machines between pools according to demand: pools that lack machines get spare ones first, and idle ones go back to the spare pool. */
 import {getDemand, updateDemand} from './demand.js';
+import {isQuarantined} from './health.js';
 import {noteDecision} from './logging.js';
 import {canOrder, canTakeOrder, orderMove} from './machine-orders.js';
 import {findWorker, hasNoWorker, isBusy} from './machine-workers.js';
@@ -52,6 +53,12 @@
 	return entry.state === 'down' || order?.type === 'upkeep' || (absentSince !== undefined && order === undefined);
 }
 
+/** True if a machine is up but its worker is out of reach or in quarantine: until it is back, its pool needs another machine in its place. */
+function isUnusable(state: SchedulerState, machine: Machine): boolean {
+	const worker = machine.entry.workerId === undefined ? undefined : state.workers.get(machine.entry.workerId);
+	return worker !== undefined && (worker.failedPolls >= failedPollsUntilUnreachable || isQuarantined(state, worker));
+}
+
 type PoolBalance = {
 	readonly name: PoolName;
 	readonly isWaiting: boolean;
@@ -74,7 +81,7 @@
 			incoming.add(pool);
 		}
 
-		present.set(pool, (present.get(pool) ?? 0) + (isUnavailable(machine) ? 0 : 1));
+		present.set(pool, (present.get(pool) ?? 0) + (isUnavailable(machine) || isUnusable(state, machine) ? 0 : 1));
 		size = entry.capacity.cpu > size.cpu ? entry.capacity : size;
 	}
 
