--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -11,7 +11,9 @@
 import {restoreWave} from './waves.js';
 import type {LedgerEntry, SchedulerEvent} from './events.js';
 import type {LedgerRecord, SteadyMs} from './types.js';
-import type {Claim, SchedulerSettings, SchedulerState} from './state.js';
+import type {
+	Claim, Job, SchedulerSettings, SchedulerState,
+} from './state.js';
 
 type LedgerRead = Extract<SchedulerEvent, {type: 'ledger/read' | 'ledger/loaded'}>;
 type ClaimEnded = Extract<SchedulerEvent, {type: 'claim/ended'}>;
@@ -209,7 +211,7 @@
 	state.isConfigDirty = true;
 	for (const job of state.jobs.values()) {
 		if (!isFinal(job.phase)) {
-			activateJob(state, job);
+			resumeJob(state, job);
 		}
 	}
 
@@ -220,6 +222,15 @@
 	noteDecision(state, 'lead-taken', {token, jobs: state.liveJobs.size, workers: state.workers.size});
 }
 
+/** One job whose stored progress cannot be read must not keep a new leader from the others. */
+function resumeJob(state: SchedulerState, job: Job): void {
+	try {
+		activateJob(state, job);
+	} catch (error) {
+		noteWarning(state, 'job-not-resumed', {jobId: job.definition.jobId, reason: describeError(error)});
+	}
+}
+
 /** Ends this host's leadership: it sends no more orders, and reads the whole ledger again. */
 export function stopLeading(state: SchedulerState, reason: string): void {
 	const {leadership} = state;
--- a/packages/daemon/src/scheduler/codec.test.ts
+++ b/packages/daemon/src/scheduler/codec.test.ts
@@ -1,7 +1,7 @@
 /** Records survive encoding for the store and decoding unchanged. */
 import {describe, it} from 'node:test';
 import type {Instant, JobId} from '@rhubarblever/core';
-import type {IntakeRecord, LedgerRecord} from '@rhubarblever/core/scheduler';
+import type {IntakeRecord, JobProgress, LedgerRecord} from '@rhubarblever/core/scheduler';
 import {expect} from 'earl';
 import {Packr} from 'msgpackr';
 import {
@@ -10,6 +10,15 @@
 
 const jobId = '0123456789abcdef' as JobId;
 
+/** Progress is decoded field by field when it is asked for. */
+function readFields({
+	phase, finishedOccurrences, finishedAt, rows,
+}: JobProgress): JobProgress {
+	return {
+		phase, finishedOccurrences, finishedAt, rows,
+	};
+}
+
 describe('records of the store', () => {
 	it('round-trip intake records', () => {
 		const records: IntakeRecord[] = [
@@ -46,7 +55,8 @@
 			{type: 'config', config: {version: 3, queues: [], pools: []}},
 		];
 		for (const record of records) {
-			expect(decodeLedger({offset: 0, ...encodeLedger(record)})).toEqual(record);
+			const decoded = decodeLedger({offset: 0, ...encodeLedger(record)});
+			expect(decoded?.type === 'progress' ? {...decoded, progress: readFields(decoded.progress)} : decoded).toEqual(record);
 		}
 	});
 
--- a/packages/daemon/src/scheduler/codec.ts
+++ b/packages/daemon/src/scheduler/codec.ts
@@ -1,4 +1,5 @@
 /** Encodes and decodes the scheduler's records in the store: the key is `<kind>:<id>`, the value is packed with msgpackr. */
+import {Buffer} from 'node:buffer';
 import type {JobId} from '@rhubarblever/core';
 import type {
 	FleetConfig, IntakeRecord, JobDefinition, JobProgress, LeaseRecord, LedgerRecord, MachineId, ProgressRow, WaveProgress,
@@ -28,13 +29,11 @@
 	return unpacked as Value;
 }
 
-const keyPattern = /^(?<kind>[a-z]+):(?<id>.*)$/s;
-
 type ParsedKey = {readonly kind: string; readonly id: string};
 
 function parseKey(key: string): ParsedKey | undefined {
-	const groups = keyPattern.exec(key)?.groups;
-	return groups?.kind === undefined || groups.id === undefined ? undefined : {kind: groups.kind, id: groups.id};
+	const separator = key.indexOf(':');
+	return separator <= 0 ? undefined : {kind: key.slice(0, separator), id: key.slice(separator + 1)};
 }
 
 type IntakeEncoders = {[K in IntakeRecord['type']]: (record: Extract<IntakeRecord, {type: K}>) => NewRecord};
@@ -89,7 +88,7 @@
 
 const ledgerDecoders: Readonly<Record<string, Decoder<LedgerRecord | undefined>>> = {
 	lease: (_id, value) => value && {type: 'lease', lease: readValue<LeaseRecord>(value, leaseSchema)},
-	progress: (id, value) => value ? decodeProgress(id as JobId, value) : {type: 'progress-removed', jobId: id as JobId},
+	progress: (id, value) => value ? readProgress(id as JobId, value) : {type: 'progress-removed', jobId: id as JobId},
 	waves: (_id, value) => value && {type: 'waves', waves: readValue<WaveProgress[]>(value, wavesSchema)},
 	orders: (_id, value) => value && {type: 'orders', machineIds: readValue<MachineId[]>(value, machineIdsSchema)},
 	config: (_id, value) => value && {type: 'config', config: readValue<FleetConfig>(value, configSchema)},
@@ -104,17 +103,58 @@
 	};
 }
 
-function decodeProgress(jobId: JobId, value: Uint8Array): LedgerRecord {
+function decodeProgress(value: Uint8Array): JobProgress {
 	const [phase, finishedOccurrences, finishedAt, rows] = readValue<PackedProgress>(value, progressSchema);
 	return {
-		type: 'progress',
-		jobId,
-		progress: {
-			phase, finishedOccurrences, finishedAt, rows: rows.map(row => decodeRow(row)),
-		},
+		phase, finishedOccurrences, finishedAt, rows: rows.map(row => decodeRow(row)),
 	};
 }
 
+/** How the progress of each phase begins: the head of an array of four, then the phase as a string. */
+const phaseHeads = (['queued', 'running', 'completed', 'failed'] as const).map(phase => {
+	const headLength = 2 + phase.length;
+	return {phase, head: Buffer.from(packr.pack([phase, [], 0, []]).subarray(0, headLength))};
+});
+
+/** Reads the phase, which comes first, without the rest; undefined if the value has another form. */
+function readPhase(value: Uint8Array): JobProgress['phase'] | undefined {
+	const start = Buffer.from(value.buffer, value.byteOffset, value.byteLength);
+	return phaseHeads.find(({head}) => start.subarray(0, head.length).equals(head))?.phase;
+}
+
+/** Progress whose rows are decoded when they are first asked for: a host that does not lead needs the phase alone. */
+class PackedJobProgress implements JobProgress {
+	static create(phase: JobProgress['phase'], value: Uint8Array): PackedJobProgress {
+		return new PackedJobProgress(phase, value);
+	}
+
+	private decoded: JobProgress | undefined;
+
+	private constructor(readonly phase: JobProgress['phase'], private readonly value: Uint8Array) {}
+
+	get finishedOccurrences(): JobProgress['finishedOccurrences'] {
+		return this.decode().finishedOccurrences;
+	}
+
+	get finishedAt(): JobProgress['finishedAt'] {
+		return this.decode().finishedAt;
+	}
+
+	get rows(): JobProgress['rows'] {
+		return this.decode().rows;
+	}
+
+	private decode(): JobProgress {
+		this.decoded ??= decodeProgress(this.value);
+		return this.decoded;
+	}
+}
+
+function readProgress(jobId: JobId, value: Uint8Array): LedgerRecord {
+	const phase = readPhase(value);
+	return {type: 'progress', jobId, progress: phase === undefined ? decodeProgress(value) : PackedJobProgress.create(phase, value)};
+}
+
 /** Returns undefined for a record kind that this version does not know. */
 export function decodeLedger(record: KeyedRecord): LedgerRecord | undefined {
 	const key = parseKey(record.key);
--- a/packages/daemon/src/scheduler/read-on-demand.test.ts
+++ b/packages/daemon/src/scheduler/read-on-demand.test.ts
@@ -17,7 +17,9 @@
 /** Longer than what was read counts as up to date. */
 const outdatedMs = 100;
 const jobId = 'a' as JobId;
-const neverAnswered = new Promise<never>(() => undefined);
+const neverAnswered = new Promise<never>(() => {
+	// A call that is never answered.
+});
 
 const completed: KeyedRecord = {
 	offset: 0, ...encodeLedger({
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -1,6 +1,6 @@
 /** The scheduler on one entry host: its event loop, the readers of its streams in the store, and its job API for callers. */
 import {
-	createSchedulerState, describeError, getNextLeadershipCheck, reduceScheduler, ReducerLoop, type FleetConfig, type SchedulerEffect, type SchedulerEvent, type SchedulerSettings, type SchedulerState, type WorkerEntry,
+	createSchedulerState, describeError, getNextLeadershipCheck, reduceScheduler, ReducerLoop, type FleetConfig, type SchedulerEffect, type SchedulerEvent, type SchedulerSettings, type SchedulerState, type SteadyMs, type WorkerEntry,
 } from '@rhubarblever/core/scheduler';
 import {readSteadyClock, readWallClock} from './clocks.js';
 import {
@@ -61,6 +61,8 @@
 	private readonly intakeTimes: FollowTimes;
 	private readonly configTimes: FollowTimes;
 	private timer: NodeJS.Timeout | undefined;
+	/** When the next clock event is due. */
+	private tickDueAt = 0;
 	private isStopping = false;
 	private isClosed = false;
 	private wasLeader = false;
@@ -165,6 +167,8 @@
 		if (this.isLeader() !== this.wasLeader) {
 			this.wasLeader = this.isLeader();
 			this.handleRoleChange();
+		} else if (this.computeTickDue() < this.tickDueAt) {
+			this.scheduleTick();
 		}
 	}
 
@@ -179,9 +183,10 @@
 
 	private scheduleTick(): void {
 		clearTimeout(this.timer);
+		this.tickDueAt = this.computeTickDue();
 		this.timer = setTimeout(() => {
 			void this.tick();
-		}, this.computeTickMs());
+		}, this.tickDueAt - readSteadyClock());
 	}
 
 	private async tick(): Promise<void> {
@@ -202,13 +207,13 @@
 		this.scheduleTick();
 	}
 
-	private computeTickMs(): number {
+	private computeTickDue(): SteadyMs {
+		const now = readSteadyClock();
 		if (this.isLeader()) {
-			return leaderTickMs;
+			return now + leaderTickMs;
 		}
 
-		const untilCheckMs = getNextLeadershipCheck(this.loop.state) - readSteadyClock();
-		return Math.min(maxFollowerTickMs, Math.max(minFollowerTickMs, untilCheckMs));
+		return Math.min(now + maxFollowerTickMs, Math.max(now + minFollowerTickMs, getNextLeadershipCheck(this.loop.state)));
 	}
 
 	private updateViewAges(): void {
@@ -306,7 +311,9 @@
 	}
 
 	private applyLedgerRecords(type: 'ledger/loaded' | 'ledger/read', records: readonly KeyedRecord[], nextOffset: number): void {
-		const entries = records.flatMap(record => {
+		// Each record of the ledger holds the whole state of its key, so only the newest counts.
+		const newest = new Map(records.map(record => [record.key, record]));
+		const entries = [...newest.values()].toSorted((a, b) => a.offset - b.offset).flatMap(record => {
 			const decoded = this.decodeRecord(ledgerStream, record, decodeLedger);
 			return decoded ? [{offset: record.offset, record: decoded}] : [];
 		});
