The texts of ended jobs leave the intake, so that a host that starts loads less

Cause: jobs are kept for minutes after their end, with text and steps, and each host loads them all before it is ready.

Change: the leader replaces the record of a job that has ended, in batches every 2 s, by one without text and steps; hosts that know the job drop them too. Progress says how the job ended.

--- a/packages/core/src/scheduler/effects.ts
+++ b/packages/core/src/scheduler/effects.ts
@@ -1,6 +1,6 @@
 /** The scheduler's output: requests and log lines for the host process to carry out, as data. */
 import type {
-	FencingToken, FleetConfig, LedgerRecord, MachineId, PoolName, TaskName, WaveNumber, WorkerId,
+	FencingToken, FleetConfig, JobDefinition, LedgerRecord, MachineId, PoolName, TaskName, WaveNumber, WorkerId,
 } from './types.js';
 
 /** The recipient of an order: one incarnation of one worker. */
@@ -39,6 +39,8 @@
 		| {readonly type: 'wave/report'; readonly wave: WaveNumber; readonly isCompleted: boolean}
 		| {readonly type: 'advice/request'; readonly step: string; readonly workerIds: readonly WorkerId[]; readonly token: FencingToken}
 		| {readonly type: 'intake/remove'; readonly jobIds: readonly string[]}
+		/** Replaces the definitions of jobs that have ended. */
+		| {readonly type: 'intake/shorten'; readonly definitions: readonly JobDefinition[]}
 		/** What was read of the streams may be older than it seems. */
 		| {readonly type: 'views/expire'}
 		| {readonly type: 'config/restored'; readonly config: FleetConfig}
--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -5,7 +5,7 @@
 import {noteDecision} from './logging.js';
 import {isFinal} from './phases.js';
 import {ensureWorker} from './registry.js';
-import {dropJob} from './retention.js';
+import {dropJob, isShortened} from './retention.js';
 import {
 	attachTask, detachTask, requestStop, updateOpenStep,
 } from './tasks.js';
@@ -17,9 +17,11 @@
 	Job, LiveJob, Occurrence, SchedulerState, StepRun, Task,
 } from './state.js';
 
-/** Adds an accepted job; later records with the same id are ignored. */
+/** Adds an accepted job. Later records with the same id are ignored, but for the shortened definition of a job that has ended. */
 export function addJob(state: SchedulerState, definition: JobDefinition): void {
-	if (state.jobs.has(definition.jobId)) {
+	const known = state.jobs.get(definition.jobId);
+	if (known) {
+		known.definition = isShortened(definition) && !known.live ? definition : known.definition;
 		return;
 	}
 
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -14,7 +14,7 @@
 import {updateFillerPace} from './pacing.js';
 import {placeTasks} from './placement.js';
 import {removeGoneWorkers, tickRegistry, updateWorkers} from './registry.js';
-import {removeOldJobs} from './retention.js';
+import {removeOldJobs, replaceEndedJobs} from './retention.js';
 import {handleStart, handleStop, tickStops} from './starts.js';
 import {updateOpenStep} from './tasks.js';
 import {addWave, handleWaveReport, tickWaves} from './waves.js';
@@ -51,6 +51,7 @@
 		tickWaves(state);
 		tickMoves(state);
 		removeOldJobs(state);
+		replaceEndedJobs(state);
 		removeGoneWorkers(state);
 	},
 	'stop/requested'(state) {
--- a/packages/core/src/scheduler/retention.test.ts
+++ b/packages/core/src/scheduler/retention.test.ts
@@ -103,3 +103,43 @@
 		expect(listRemovals(host.tick(keptMs + 6000))).toEqual([]);
 	});
 });
+
+describe('the definition of a job', () => {
+	function listShortened(effects: readonly SchedulerEffect[]) {
+		return effects.filter(effect => effect.type === 'intake/shorten').flatMap(({definitions}) => definitions);
+	}
+
+	/** Guards against hosts that are not ready for seconds after a restart because they load the texts of all jobs of the last minutes. */
+	it('is shortened once the job has ended, and the job stays known', () => {
+		const host = createLeader();
+		const [definition] = listShortened(host.tick(100));
+		expect(definition).toEqual(expect.subset({
+			jobId, queue: job.queue, spec: '', steps: [],
+		}));
+		host.submit(definition!);
+		expect(host.state.jobs.get(jobId)?.definition.steps).toEqual([]);
+		expect(listShortened(host.tick(10_000))).toEqual([]);
+		expect(host.state.jobs.get(jobId)?.phase).toEqual('completed');
+	});
+
+	it('is kept while the job may still start or run', () => {
+		const host = HandDrivenHost.create({statusRetentionMs});
+		host.takeLeadership();
+		host.addWorkers('w1');
+		const [start] = listStarts(host.submit(job));
+		host.answerStart(start!);
+		expect(listShortened(host.tick(10_000))).toEqual([]);
+		host.submit({...job, steps: []});
+		expect(host.state.jobs.get(jobId)?.definition).toEqual(job);
+	});
+
+	it('in its short form starts nothing under a new leader', () => {
+		const host = HandDrivenHost.create({statusRetentionMs});
+		const short = {...job, spec: '', steps: []};
+		host.submit(short);
+		host.takeLeadership([completed]);
+		host.addWorkers('w1');
+		expect(listStarts(host.tick(1000))).toEqual([]);
+		expect(host.state.jobs.get(jobId)?.phase).toEqual('completed');
+	});
+});
--- a/packages/core/src/scheduler/retention.ts
+++ b/packages/core/src/scheduler/retention.ts
@@ -1,14 +1,19 @@
 /** Retention: finished and cancelled jobs are kept for as long as callers may query them, then removed from the store. */
 import type {JobId} from '../types/ids.js';
+import type {Instant} from '../types/time.js';
 import {addEffect, noteDecision} from './logging.js';
 import {isFinal} from './phases.js';
 import type {SchedulerState} from './state.js';
+import type {JobDefinition} from './types.js';
 
 const retentionScanMs = 5000;
 /** Jobs are kept for this multiple of the retention time that callers are told, so that late repeats of a request still find them. */
 const retentionFactor = 2;
 /** Jobs removed per request; more would make the append too large. */
 const maxRemovedAtOnce = 500;
+const shorteningIntervalMs = 2000;
+/** Definitions shortened per request; those left follow with the next ones. */
+const maxShortenedAtOnce = 500;
 
 /**
  * Requests the removal of jobs from the intake whose retention time has passed. A job without progress would be started
@@ -37,6 +42,40 @@
 	}
 }
 
+/** True for the definition of a job that has ended: without its text and steps. */
+export function isShortened({steps}: JobDefinition): boolean {
+	return steps.length === 0;
+}
+
+function convertToShort({jobId, queue, pool}: JobDefinition): JobDefinition {
+	return {
+		jobId, queue, pool, spec: '', steps: [], runCount: 0, firstRunAt: 0 as Instant, intervalMs: 0,
+	};
+}
+
+/**
+ * Requests that the definitions of jobs that have ended be replaced by short ones. Callers may ask for these jobs for
+ * minutes, and each host that starts loads them all: their texts would delay it the more the longer the fleet has worked.
+ */
+export function replaceEndedJobs(state: SchedulerState): void {
+	if (state.now < state.shorteningDueAt) {
+		return;
+	}
+
+	state.shorteningDueAt = state.now + shorteningIntervalMs;
+	const definitions: JobDefinition[] = [];
+	for (const job of state.jobs.values()) {
+		const isOver = (job.isCancelled || isFinal(job.phase)) && !job.live;
+		if (isOver && !isShortened(job.definition) && definitions.length < maxShortenedAtOnce) {
+			definitions.push(convertToShort(job.definition));
+		}
+	}
+
+	if (definitions.length > 0) {
+		addEffect(state, {type: 'intake/shorten', definitions});
+	}
+}
+
 /** Applies the removal of a job from the intake. Its progress in the ledger is removed next, by this leader or by a later one. */
 export function dropJob(state: SchedulerState, jobId: JobId): void {
 	const isKnown = state.jobs.delete(jobId);
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -120,7 +120,8 @@
 };
 
 export type Job = {
-	readonly definition: JobDefinition;
+	/** Shortened once the job has ended. */
+	definition: JobDefinition;
 	/** The stored phase, which callers see. */
 	phase: Exclude<JobPhase, 'cancelled'>;
 	isCancelled: boolean;
@@ -368,6 +369,7 @@
 	/** When a shortage of machines was last logged. */
 	shortageLoggedAt: SteadyMs;
 	retentionDueAt: SteadyMs;
+	shorteningDueAt: SteadyMs;
 	outbox: SchedulerEffect[];
 };
 
@@ -415,6 +417,7 @@
 		movesDueAt: 0,
 		shortageLoggedAt: 0,
 		retentionDueAt: 0,
+		shorteningDueAt: 0,
 		outbox: [],
 	};
 }
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -55,6 +55,7 @@
 	/** The queue's limit of failed attempts per task at the time of acceptance; used when the queue is gone. Absent in records of earlier versions. */
 	readonly maxAttempts?: number | undefined;
 	readonly spec: string;
+	/** Empty for a job that has ended and whose definition was shortened. */
 	readonly steps: readonly StepDefinition[];
 	/** Number of occurrences of a periodic job; 0 for a job that runs once, immediately. */
 	readonly runCount: number;
--- a/packages/daemon/src/scheduler/effect-runner.ts
+++ b/packages/daemon/src/scheduler/effect-runner.ts
@@ -1,6 +1,6 @@
 /** Executes the scheduler's effects and turns their outcomes into events. */
 import {
-	describeError, type ClaimOutcome, type CommitOutcome, type SchedulerEffect, type SchedulerEvent,
+	describeError, type ClaimOutcome, type CommitOutcome, type JobDefinition, type SchedulerEffect, type SchedulerEvent,
 } from '@rhubarblever/core/scheduler';
 import type {JobId} from '@rhubarblever/core';
 import {readSteadyClock, readWallClock} from './clocks.js';
@@ -81,6 +81,9 @@
 		'intake/remove': effect => {
 			void this.removeJobs(effect.jobIds as readonly JobId[]);
 		},
+		'intake/shorten': ({definitions}) => {
+			void this.replaceJobs(definitions);
+		},
 		'views/expire': () => {
 			this.options.expireViews();
 		},
@@ -226,4 +229,10 @@
 			this.options.log.warn('jobs-not-removed', {jobs: jobIds.length, outcome: outcome.type, at: readWallClock()});
 		}
 	}
+
+	/** A job that is not shortened now is asked for again. */
+	private async replaceJobs(definitions: readonly JobDefinition[]): Promise<void> {
+		const outcome = await this.options.ports.store.append(intakeStream, definitions.map(job => encodeIntake({type: 'job', job})));
+		this.options.log.note('jobs-shortened', {jobs: definitions.length, outcome: outcome.type});
+	}
 }
