A job is sent to the store only if the store has just answered

Cause: when the store goes silent, each host loses the jobs that it sends in the next 0.7 s: their outcome is unknown, so that callers get 504 and must not try elsewhere.

Change: without an answer of the store in the last 250 ms the host first asks it with an empty append, twice at most, within 400 ms; without an answer the job is refused at once, and that it has not run is true. Also here: a claim of leadership within 25 ms is preceded by a read of the ledger, as timers fire early (read-on-demand.test.ts failed once in four runs).

Two tests of the writer now wait for the first append, which is sent a turn later.

--- a/packages/daemon/src/scheduler/intake-writer.test.ts
+++ b/packages/daemon/src/scheduler/intake-writer.test.ts
@@ -51,7 +51,7 @@
 describe('an append without a response', () => {
 	it('does not block later records while the store answers other appends', async () => {
 		const store = ManualStore.create();
-		const writer = IntakeWriter.create(store);
+		const writer = IntakeWriter.create(store, {getStoreAnsweredAt: readSteadyClock});
 		const deadline = readSteadyClock() + distantDeadlineMs;
 		const first = writer.write(createCancel(1), deadline);
 		const second = writer.write(createCancel(2), deadline);
@@ -67,8 +67,9 @@
 
 	it('is retried, and other writes are still accepted, when its outcome is unknown because the connection broke', async () => {
 		const store = ManualStore.create();
-		const writer = IntakeWriter.create(store);
+		const writer = IntakeWriter.create(store, {getStoreAnsweredAt: readSteadyClock});
 		const first = writer.write(createCancel(1), readSteadyClock() + distantDeadlineMs);
+		await waitForAppends(store, 1);
 		store.answers[0]!({type: 'unknown'});
 		await waitForAppends(store, 2);
 		expect(writer.isStoreUnresponsive()).toEqual(false);
@@ -80,7 +81,7 @@
 describe('a store that stops responding', () => {
 	it('causes unsent writes to be refused at once, long before their deadline', async () => {
 		const store = ManualStore.create();
-		const writer = IntakeWriter.create(store);
+		const writer = IntakeWriter.create(store, {getStoreAnsweredAt: readSteadyClock});
 		const deadline = readSteadyClock() + distantDeadlineMs;
 		const sent = writer.write(createCancel(1), deadline);
 		while (!writer.isStoreUnresponsive()) {
@@ -97,7 +98,7 @@
 
 	it('causes writes queued behind the maximum number of appends in flight to be refused', async () => {
 		const store = ManualStore.create();
-		const writer = IntakeWriter.create(store);
+		const writer = IntakeWriter.create(store, {getStoreAnsweredAt: readSteadyClock});
 		const deadline = readSteadyClock() + distantDeadlineMs;
 		const sent: Array<Promise<unknown>> = [];
 		for (let number = 1; number <= 3; number++) {
@@ -116,8 +117,9 @@
 
 	it('never reports a record that may be stored as refused', async () => {
 		const store = ManualStore.create();
-		const writer = IntakeWriter.create(store);
+		const writer = IntakeWriter.create(store, {getStoreAnsweredAt: readSteadyClock});
 		const first = writer.write(createCancel(1), readSteadyClock() + 200);
+		await waitForAppends(store, 1);
 		store.answers[0]!({type: 'unknown'});
 		await waitForAppends(store, 2);
 		store.answers[1]!({type: 'refused'});
@@ -130,7 +132,7 @@
 	/** Guards against callers whose jobs are risked to find out whether the store is back: their outcome would be unknown. */
 	it('is asked with empty appends, and no write is accepted, until it responds', async () => {
 		const store = ManualStore.create();
-		const writer = IntakeWriter.create(store);
+		const writer = IntakeWriter.create(store, {getStoreAnsweredAt: readSteadyClock});
 		const deadline = readSteadyClock() + distantDeadlineMs;
 		const sent = writer.write(createCancel(1), readSteadyClock());
 		while (!writer.isStoreUnresponsive()) {
--- a/packages/daemon/src/scheduler/intake-writer.ts
+++ b/packages/daemon/src/scheduler/intake-writer.ts
@@ -1,9 +1,10 @@
 /** Writes job submissions and cancellations to the store in batches and retries appends whose outcome is unknown. */
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {IntakeRecord} from '@rhubarblever/core/scheduler';
+import type {IntakeRecord, SteadyMs} from '@rhubarblever/core/scheduler';
 import {readSteadyClock} from './clocks.js';
 import {encodeIntake, intakeStream} from './codec.js';
 import type {AppendOutcome, KeyedStore} from './ports.js';
+import {StoreCheck} from './store-check.js';
 
 /** `refused`: definitely not stored; `unknown`: may be stored, now or later. */
 export type WriteOutcome = 'stored' | 'refused' | 'unknown';
@@ -29,9 +30,14 @@
 /** While the store is unresponsive, an empty append is sent at this interval to find out whether it is back. */
 const probeIntervalMs = 500;
 
+export type IntakeWriterOptions = {
+	/** When the store last answered a read of this host; undefined before the first answer. */
+	readonly getStoreAnsweredAt: () => SteadyMs | undefined;
+};
+
 export class IntakeWriter {
-	static create(store: KeyedStore): IntakeWriter {
-		return new IntakeWriter(store);
+	static create(store: KeyedStore, options: IntakeWriterOptions): IntakeWriter {
+		return new IntakeWriter(store, options);
 	}
 
 	private queue: PendingWrite[] = [];
@@ -40,8 +46,16 @@
 	/** Send time of the first append since the store last responded; undefined after each response. */
 	private unansweredSince: number | undefined;
 	private isProbing = false;
-
-	private constructor(private readonly store: KeyedStore) {}
+	/** When the store last answered an append. */
+	private answeredAt = Number.NEGATIVE_INFINITY;
+	private readonly check: StoreCheck;
+
+	private constructor(private readonly store: KeyedStore, {getStoreAnsweredAt}: IntakeWriterOptions) {
+		this.check = StoreCheck.create({
+			ask: async () => this.noteOutcome(await this.store.append(intakeStream, [])),
+			getAnsweredAt: () => Math.max(this.answeredAt, getStoreAnsweredAt() ?? Number.NEGATIVE_INFINITY),
+		});
+	}
 
 	/** True while the store does not respond to appends. */
 	isStoreUnresponsive(): boolean {
@@ -50,7 +64,7 @@
 
 	/** Resolves once the record is stored or given up, at the latest at `deadline` (monotonic clock); at once while the store is unresponsive. */
 	async write(record: IntakeRecord, deadline: number): Promise<WriteOutcome> {
-		if (this.isStoreUnresponsive()) {
+		if (this.isStoreUnresponsive() || !await this.check.isAnswering()) {
 			return 'refused';
 		}
 
@@ -111,9 +125,15 @@
 		this.scheduleNext(retryMs);
 	}
 
-	private noteOutcome(outcome: AppendOutcome): void {
-		const isAnswered = outcome.type !== 'unknown' && !(outcome.type === 'refused' && outcome.isUnreachable);
-		this.unansweredSince = isAnswered ? undefined : this.unansweredSince;
+	/** Returns true if the store has answered. */
+	private noteOutcome(outcome: AppendOutcome): boolean {
+		const isAnswered = outcome.type !== 'unknown' && !(outcome.type === 'refused' && outcome.isUnreachable === true);
+		if (isAnswered) {
+			this.unansweredSince = undefined;
+			this.answeredAt = readSteadyClock();
+		}
+
+		return isAnswered;
 	}
 
 	/** Sends empty appends until the store responds: a caller's record would risk an unknown outcome. */
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -97,7 +97,7 @@
 		this.readers = this.createReaders();
 		this.jobApi = JobApi.create({
 			state: this.loop.state,
-			writer: IntakeWriter.create(ports.store),
+			writer: IntakeWriter.create(ports.store, {getStoreAnsweredAt: () => this.getStoreAnsweredAt()}),
 			log,
 			describeIntake: () => this.describeIntake(),
 			maxStalenessMs: this.intakeTimes.maxStalenessMs,
@@ -158,6 +158,11 @@
 		return this.loop.state.leadership.role === 'leader';
 	}
 
+	private getStoreAnsweredAt(): SteadyMs | undefined {
+		const times = Object.values(this.readers).flatMap(({view}) => view.answeredAt ?? []);
+		return times.length > 0 ? Math.max(...times) : undefined;
+	}
+
 	private describeIntake(): ViewStatus {
 		return this.readers.intake.view.describe(readSteadyClock());
 	}
@@ -190,7 +195,7 @@
 	}
 
 	private async tick(): Promise<void> {
-		if (!this.isLeader() && getNextLeadershipCheck(this.loop.state) <= readSteadyClock()) {
+		if (!this.isLeader() && getNextLeadershipCheck(this.loop.state) <= readSteadyClock() + minFollowerTickMs) {
 			// The leader may only seem silent because this host pauses between its reads.
 			await this.readers.ledger.refresh(maxAgeBeforeClaimMs);
 		}
--- a/packages/daemon/src/scheduler/stream-view.ts
+++ b/packages/daemon/src/scheduler/stream-view.ts
@@ -19,10 +19,11 @@
 	}
 
 	nextOffset: number | undefined;
+	/** When the store last answered. */
+	answeredAt: SteadyMs | undefined;
 	/** All records stored before this time have been read. */
 	completeAt: SteadyMs | undefined;
 	private end: number | undefined;
-	private answeredAt: SteadyMs | undefined;
 
 	private constructor() {}
 
