--- /dev/null
+++ b/packages/core/src/scheduler/reports.ts
@@ -0,0 +1,182 @@
+/** Reads what workers report of their runs: which ended and how, which go on, and which are gone. */
+import {noteFailure, noteSuccess} from './health.js';
+import {advanceOccurrence, finishJob} from './jobs.js';
+import {addEffect, noteDecision} from './logging.js';
+import {getMaxAttempts} from './queues.js';
+import {
+	confirmTask, finishTask, getTarget, requestStop, returnTask, stopGang,
+} from './tasks.js';
+import {pollRetryMs, pollWaitMs, stuckMs} from './timing.js';
+import {updateRunRatio} from './urgency.js';
+import type {SchedulerEvent} from './events.js';
+import type {
+	EndedRow, RunEnd, RunningRow, SteadyMs,
+} from './types.js';
+import type {SchedulerState, Task, Worker} from './state.js';
+
+/** Workers list at most this many run ends per answer; a list of this length may be incomplete. */
+const maxListedEnds = 500;
+
+type PollEnded = Extract<SchedulerEvent, {type: 'poll/ended'}>;
+
+/** Whether runs made progress while their worker did not report is not known: that time does not count towards a stuck run. */
+export function skipSilence(state: SchedulerState, worker: Worker): void {
+	const silentMs = state.now - worker.lastAnswerAt - pollWaitMs;
+	if (silentMs <= 0) {
+		return;
+	}
+
+	for (const task of worker.tasks.values()) {
+		task.percentChangedAt = Math.min(state.now, task.percentChangedAt + silentMs);
+	}
+}
+
+/** Reads the run ends that were not read before; they are acknowledged once their effects are stored. */
+export function readEnds(state: SchedulerState, worker: Worker, rows: readonly EndedRow[]): void {
+	for (const row of rows) {
+		if (row.number > worker.lastReadEnd) {
+			worker.lastReadEnd = row.number;
+			readEnd(state, worker, row);
+		}
+	}
+
+	if (worker.lastReadEnd > worker.lastStoredEnd) {
+		state.pendingActions.push({
+			type: 'acknowledge-ends', worker, bornAt: worker.bornAt, upTo: worker.lastReadEnd,
+		});
+	}
+}
+
+type EndHandler = (state: SchedulerState, worker: Worker, task: Task) => void;
+
+const endHandlers: Readonly<Record<RunEnd, EndHandler>> = {
+	done(state, worker, task) {
+		noteSuccess(state, worker);
+		updateRunRatio(state, task.step.occurrence.job.definition.queue, state.now - task.startedAt, task.step.definition.estimateMs);
+		finishTask(state, task);
+		advanceOccurrence(state, task.step.occurrence);
+	},
+	failed(state, worker, task) {
+		const {job} = task.step.occurrence;
+		const {isLongRunning} = task.step.definition;
+		noteFailure(state, worker, job.definition.jobId, 'run failed');
+		task.failedOn.add(worker.id);
+		returnTask(state, task);
+		task.failures += isLongRunning ? 0 : 1;
+		if (!isLongRunning && task.failures >= getMaxAttempts(state, job) && !job.isCancelled) {
+			finishJob(state, job, 'failed');
+		}
+	},
+	stopped: returnEnded,
+	lapsed: returnEnded,
+	broken: returnEnded,
+	alone: returnEnded,
+};
+
+function returnEnded(state: SchedulerState, _worker: Worker, task: Task): void {
+	returnTask(state, task);
+}
+
+function readEnd(state: SchedulerState, worker: Worker, row: EndedRow): void {
+	const task = worker.tasks.get(row.task);
+	if (task?.run !== row.run || !task.isSent) {
+		return;
+	}
+
+	confirmTask(state, task);
+	if (row.checkpoint !== '') {
+		task.checkpoint = row.checkpoint;
+	}
+
+	if (row.how !== 'done') {
+		noteDecision(state, 'run-ended', {
+			task: task.name, run: row.run, workerId: worker.id, how: row.how, failures: task.failures,
+		});
+	}
+
+	endHandlers[row.how](state, worker, task);
+	stopGang(state, task.step, row.how);
+}
+
+/** Reads which runs go on, stops those that this leader does not know, and returns tasks whose runs are gone. */
+export function readRunning(state: SchedulerState, worker: Worker, event: PollEnded): void {
+	const seen = readRunningRows(state, worker, event.running);
+	// The list of run ends may be incomplete: the end of a run that is not listed as running may be in its missing part.
+	if (event.ended.length < maxListedEnds) {
+		returnAbsentTasks(state, worker, seen, event.sentAt);
+	}
+}
+
+/** Returns the names of the tasks whose runs go on. */
+function readRunningRows(state: SchedulerState, worker: Worker, rows: readonly RunningRow[]): Set<string> {
+	worker.unknownRuns.clear();
+	const seen = new Set<string>();
+	for (const row of rows) {
+		const task = worker.tasks.get(row.task);
+		if (task?.run === row.run && task.isSent) {
+			seen.add(row.task);
+			readRunningRow(state, worker, task, row);
+		} else {
+			stopUnknownRun(state, worker, row);
+		}
+	}
+
+	return seen;
+}
+
+/** Handles tasks whose runs a poll sent at `sentAt` has not listed. */
+function returnAbsentTasks(state: SchedulerState, worker: Worker, seen: ReadonlySet<string>, sentAt: SteadyMs): void {
+	for (const task of worker.tasks.values()) {
+		if (!task.isSent || seen.has(task.name)) {
+			continue;
+		}
+
+		if (task.conclusiveAfter < sentAt) {
+			noteDecision(state, 'run-absent', {task: task.name, run: task.run, workerId: worker.id});
+			returnTask(state, task);
+		} else if (task.status === 'placed' && task.unansweredAt <= sentAt) {
+			// The start has not been carried out, but still may be.
+			requestStop(state, task);
+		}
+	}
+}
+
+function stopUnknownRun(state: SchedulerState, worker: Worker, row: RunningRow): void {
+	worker.unknownRuns.set(row.task, row);
+	worker.pollDueAt = state.now + pollRetryMs;
+	addEffect(state, {
+		type: 'worker/stop', worker: getTarget(worker), task: row.task, run: row.run, token: state.leadership.token,
+	});
+}
+
+function readRunningRow(state: SchedulerState, worker: Worker, task: Task, row: RunningRow): void {
+	task.isReported = true;
+	if (task.status === 'placed') {
+		// Not from the sending of this poll on: answers may overtake each other.
+		task.conclusiveAfter = Math.min(task.conclusiveAfter, state.now);
+	}
+
+	confirmTask(state, task);
+	if (row.checkpoint !== '') {
+		task.checkpoint = row.checkpoint;
+	}
+
+	task.reading = row.reading ?? 0;
+	if (row.percent !== task.percent) {
+		task.percent = row.percent;
+		task.percentChangedAt = state.now;
+		return;
+	}
+
+	const {isLongRunning, isGang} = task.step.definition;
+	const isStuck = task.status === 'running' && !isLongRunning && !isGang && state.now - task.percentChangedAt > stuckMs;
+	if (isStuck) {
+		const {jobId} = task.step.occurrence.job.definition;
+		noteFailure(state, worker, jobId, 'run makes no progress');
+		noteDecision(state, 'run-stuck', {
+			task: task.name, run: task.run, workerId: worker.id, percent: task.percent,
+		});
+		task.failedOn.add(worker.id);
+		requestStop(state, task);
+	}
+}
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -1,18 +1,17 @@
 /** The scheduler on one entry host: its event loop, the readers of its streams in the store, and its job API for callers. */
 import {
-	createSchedulerState, describeError, getNextLeadershipCheck, reduceScheduler, ReducerLoop, type FleetConfig, type SchedulerEffect, type SchedulerEvent, type SchedulerSettings, type SchedulerState, type SteadyMs, type WorkerEntry,
+	createSchedulerState, getNextLeadershipCheck, reduceScheduler, ReducerLoop, type SchedulerEffect, type SchedulerEvent, type SchedulerSettings, type SchedulerState, type SteadyMs,
 } from '@rhubarblever/core/scheduler';
 import {readSteadyClock, readWallClock} from './clocks.js';
-import {
-	decodeIntake, decodeLedger, intakeStream, ledgerStream,
-} from './codec.js';
+import {intakeStream, ledgerStream} from './codec.js';
 import type {DecisionLog} from './decision-log.js';
 import {computeFollowTimes, type FollowTimes} from './follow-times.js';
 import {EffectRunner, type UntimedEvent} from './effect-runner.js';
 import {IntakeWriter} from './intake-writer.js';
 import {JobApi} from './job-api.js';
 import type {SchedulerMetrics} from './metrics.js';
-import type {KeyedRecord, SchedulerPorts} from './ports.js';
+import type {SchedulerPorts} from './ports.js';
+import {RecordEvents} from './record-events.js';
 import {isCompleteWithin, type ViewStatus} from './stream-view.js';
 import {StreamReader, type StreamReaderHandlers, type StreamReaderOptions} from './stream-reader.js';
 
@@ -56,8 +55,7 @@
 	readonly jobApi: JobApi;
 	private readonly loop: ReducerLoop<SchedulerState, SchedulerEvent, SchedulerEffect>;
 	private readonly readers: {readonly operator: StreamReader; readonly intake: StreamReader; readonly ledger: StreamReader; readonly workers: StreamReader; readonly status: StreamReader};
-	private readonly workerEntries = new Map<string, WorkerEntry>();
-	private readonly completedWaves = new Set<number>();
+	private readonly events: RecordEvents;
 	private readonly intakeTimes: FollowTimes;
 	private readonly configTimes: FollowTimes;
 	private timer: NodeJS.Timeout | undefined;
@@ -94,6 +92,11 @@
 		this.loop = ReducerLoop.create(createSchedulerState(settings), reduceScheduler, (effect: SchedulerEffect) => {
 			runner.run(effect);
 		});
+		this.events = RecordEvents.create({
+			codec: ports.codec, log, pushEvent: event => {
+				this.push(event);
+			},
+		});
 		this.readers = this.createReaders();
 		this.jobApi = JobApi.create({
 			state: this.loop.state,
@@ -236,45 +239,44 @@
 		return {
 			operator: this.createReader(codec.operatorStream, {
 				handleLoaded: records => {
-					this.applyOperatorRecords(records);
+					this.events.applyOperatorRecords(records);
 				},
 				handleRead: records => {
-					this.applyOperatorRecords(records);
+					this.events.applyOperatorRecords(records);
 				},
 			}, {waitMs: () => this.configTimes.waitMs}),
 			intake: this.createReader(intakeStream, {
 				handleLoaded: records => {
-					this.applyIntakeRecords(records);
+					this.events.applyIntakeRecords(records, this.readers.intake.view.completeAt);
 					// The ledger is read once the jobs are known.
 					this.readers.ledger.wake();
 				},
 				handleRead: records => {
-					this.applyIntakeRecords(records);
+					this.events.applyIntakeRecords(records, this.readers.intake.view.completeAt);
 				},
 			}, {waitMs: () => this.intakeTimes.waitMs, pauseMs: () => this.isLeader() ? 0 : this.intakeTimes.pauseMs}),
 			ledger: this.createReader(ledgerStream, {
 				handleLoaded: (records, nextOffset) => {
-					this.applyLedgerRecords('ledger/loaded', records, nextOffset);
+					this.events.applyLedgerRecords('ledger/loaded', records, nextOffset);
 				},
 				handleRead: (records, nextOffset) => {
-					this.applyLedgerRecords('ledger/read', records, nextOffset);
+					this.events.applyLedgerRecords('ledger/read', records, nextOffset);
 				},
 			}, {pauseMs: () => ledgerPauseMs + (this.options.settings.capacityShortfall * shortfallLedgerPauseMs), isEnabled: () => !this.isLeader() && this.readers.intake.view.hasAnswer()}),
 			workers: this.createReader(codec.workerStream, {
 				handleLoaded: records => {
-					this.workerEntries.clear();
-					this.applyWorkerRecords(records, true);
+					this.events.applyWorkerRecords(records, true);
 				},
 				handleRead: records => {
-					this.applyWorkerRecords(records, false);
+					this.events.applyWorkerRecords(records, false);
 				},
 			}, {pauseMs: () => workerPauseMs, isEnabled: () => this.isLeader()}),
 			status: this.createReader(codec.statusStream, {
 				handleLoaded: records => {
-					this.applyStatusRecords(records);
+					this.events.applyStatusRecords(records);
 				},
 				handleRead: records => {
-					this.applyStatusRecords(records);
+					this.events.applyStatusRecords(records);
 				},
 			}, {isEnabled: () => this.isLeader(), pauseMs: () => readWaitMs}),
 		};
@@ -290,76 +292,4 @@
 			stream, waitMs: () => readWaitMs, pauseMs: () => 0, isEnabled: () => true, log, ...options,
 		}, handlers);
 	}
-
-	private applyOperatorRecords(records: readonly KeyedRecord[]): void {
-		const {codec} = this.options.ports;
-		for (const record of records) {
-			const config: FleetConfig | undefined = codec.decodeConfig(record);
-			if (config) {
-				this.push({type: 'config/read', config});
-			}
-
-			const definition = codec.decodeWave(record);
-			if (definition) {
-				this.push({type: 'wave/published', definition, isCompleted: this.completedWaves.has(definition.wave)});
-			}
-
-			if (record.value && !config && !definition) {
-				this.options.log.warn('record-unusable', {stream: codec.operatorStream, key: record.key, offset: record.offset});
-			}
-		}
-	}
-
-	private applyIntakeRecords(records: readonly KeyedRecord[]): void {
-		const decoded = records.flatMap(record => this.decodeRecord(intakeStream, record, decodeIntake) ?? []);
-		this.push({type: 'intake/read', records: decoded, completeAt: this.readers.intake.view.completeAt});
-	}
-
-	private applyLedgerRecords(type: 'ledger/loaded' | 'ledger/read', records: readonly KeyedRecord[], nextOffset: number): void {
-		// Each record of the ledger holds the whole state of its key, so only the newest counts.
-		const newest = new Map(records.map(record => [record.key, record]));
-		const entries = [...newest.values()].toSorted((a, b) => a.offset - b.offset).flatMap(record => {
-			const decoded = this.decodeRecord(ledgerStream, record, decodeLedger);
-			return decoded ? [{offset: record.offset, record: decoded}] : [];
-		});
-		this.push({type, entries, nextOffset});
-	}
-
-	/** Returns undefined for a record that this version does not know or that cannot be unpacked. */
-	private decodeRecord<Decoded>(stream: string, record: KeyedRecord, decode: (record: KeyedRecord) => Decoded | undefined): Decoded | undefined {
-		try {
-			return decode(record);
-		} catch (error) {
-			this.options.log.warn('record-unusable', {
-				stream, key: record.key, offset: record.offset, reason: describeError(error),
-			});
-			return undefined;
-		}
-	}
-
-	private applyWorkerRecords(records: readonly KeyedRecord[], isReloaded: boolean): void {
-		if (records.length === 0) {
-			return;
-		}
-
-		for (const record of records) {
-			const entry = this.options.ports.codec.decodeWorker(record);
-			if (entry) {
-				this.workerEntries.set(record.key, entry);
-			} else {
-				this.workerEntries.delete(record.key);
-			}
-		}
-
-		this.push({type: 'workers/listed', workers: [...this.workerEntries.values()], isReloaded});
-	}
-
-	private applyStatusRecords(records: readonly KeyedRecord[]): void {
-		for (const record of records) {
-			const status = this.options.ports.codec.decodeWaveStatus(record);
-			if (status?.isCompleted) {
-				this.completedWaves.add(status.wave);
-			}
-		}
-	}
 }
