An append whose answer is lost is sent again before its call times out

Cause: the leader waits for one append at a time, and each lost answer cost 1.06 s in which no pool got a start.

Change: an append without an answer is sent again after 200 ms, or three times the usual time on a slow store, then after twice as long; the store applies one of them by its sequence number. A short definition of a job that has ended starts nothing, also when a leader reads it before it knows the job.

--- a/packages/core/src/scheduler/commits.ts
+++ b/packages/core/src/scheduler/commits.ts
@@ -9,6 +9,13 @@
 import type {LedgerRecord} from './types.js';
 import type {Commit, PendingAction, SchedulerState} from './state.js';
 
+/** An append without an answer is sent again after this time at the earliest. */
+const minRepeatMs = 200;
+/** The same as a multiple of the usual time. */
+const repeatFactor = 3;
+/** Weight of the latest append in the mean time. */
+const commitTimeWeight = 0.5;
+
 type CommitEnded = Extract<SchedulerEvent, {type: 'commit/ended'}>;
 
 /** Appends pending changes, one batch at a time, or a heartbeat if there have been none for a while. */
@@ -30,12 +37,16 @@
 }
 
 function retryCommit(state: SchedulerState, commit: Commit): void {
-	if (commit.retryAt === undefined || state.now < commit.retryAt) {
-		return;
+	if (state.now >= commit.retryAt) {
+		commit.attempts++;
+		commit.retryAt = state.now + computeRepeatMs(state, commit.attempts);
+		addCommitEffect(state, commit);
 	}
+}
 
-	commit.retryAt = undefined;
-	addCommitEffect(state, commit);
+/** How long an append may go without an answer before it is sent again: longer on a slow store, and with each attempt. The store applies only one of them. */
+function computeRepeatMs({leadership}: SchedulerState, attempts: number): number {
+	return Math.max(minRepeatMs, leadership.meanCommitMs * repeatFactor) * (2 ** (attempts - 1));
 }
 
 function sendCommit(state: SchedulerState): void {
@@ -52,7 +63,7 @@
 	state.dirtyJobs.clear();
 	const {leadership} = state;
 	leadership.commit = {
-		sequence: leadership.nextSequence++, sentAt: state.now, records, actions, retryAt: undefined,
+		sequence: leadership.nextSequence++, sentAt: state.now, records, actions, retryAt: state.now + computeRepeatMs(state, 1), attempts: 1,
 	};
 	addCommitEffect(state, leadership.commit);
 }
@@ -117,6 +128,12 @@
 	},
 };
 
+function noteCommitTime({leadership, now}: SchedulerState, {sentAt}: Commit): void {
+	// A host that was suspended has lost the time of sending.
+	const tookMs = Number.isFinite(sentAt) ? now - sentAt : leadership.meanCommitMs;
+	leadership.meanCommitMs += (tookMs - leadership.meanCommitMs) * commitTimeWeight;
+}
+
 /** Handles the outcome of an append. */
 export function handleCommit(state: SchedulerState, event: CommitEnded): void {
 	const {leadership} = state;
@@ -126,10 +143,11 @@
 	}
 
 	if (event.outcome !== 'stored') {
-		commit.retryAt = state.now + commitRetryMs;
+		commit.retryAt = Math.min(commit.retryAt, state.now + commitRetryMs);
 		return;
 	}
 
+	noteCommitTime(state, commit);
 	leadership.commit = undefined;
 	leadership.confirmedAt = commit.sentAt;
 	leadership.commitNotBefore = state.now + commitPauseMs;
--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -115,7 +115,7 @@
 
 /** Builds the leader's state of a job from its stored progress. */
 export function activateJob(state: SchedulerState, job: Job): void {
-	if (job.isCancelled || isFinal(job.phase)) {
+	if (job.isCancelled || isFinal(job.phase) || isShortened(job.definition)) {
 		return;
 	}
 
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -220,7 +220,10 @@
 	readonly sentAt: SteadyMs;
 	readonly records: readonly LedgerRecord[];
 	readonly actions: readonly PendingAction[];
-	retryAt: SteadyMs | undefined;
+	/** When it is sent again unless its outcome is known by then. */
+	retryAt: SteadyMs;
+	/** How often it was sent. */
+	attempts: number;
 };
 
 /** A claim of leadership, and when it was first sent. */
@@ -247,6 +250,8 @@
 	claim: Claim | undefined;
 	nextSequence: number;
 	commit: Commit | undefined;
+	/** Moving average of the time in which the store confirms an append. */
+	meanCommitMs: number;
 	commitNotBefore: SteadyMs;
 	/** When a heartbeat record is due if there is nothing else to append. */
 	heartbeatDueAt: SteadyMs;
@@ -390,7 +395,7 @@
 		openSteps: new Set(),
 		workers: new Map(),
 		leadership: {
-			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, claimNotBefore: 0, configuredAt: 0, isReleased: false, hasLoadedLedger: false, hasReadUpdates: false, leaderSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, commitNotBefore: 0, heartbeatDueAt: 0, retryClaimAt: undefined,
+			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, claimNotBefore: 0, configuredAt: 0, isReleased: false, hasLoadedLedger: false, hasReadUpdates: false, leaderSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, meanCommitMs: 0, commitNotBefore: 0, heartbeatDueAt: 0, retryClaimAt: undefined,
 		},
 		dirtyJobs: new Set(),
 		removedJobs: new Set(),
