A host asks the store again also when its last append broke off

Cause: empty appends were sent only while an append had no outcome for 0.7 s. After one that broke off at once, with no write left to repeat, the store counted as unresponsive for good, and the host was never ready again.

Change: the check after 0.7 s stays due unless the store has answered. Test red first: intake-writer.test.ts (timed out).

--- a/packages/daemon/src/scheduler/intake-writer.test.ts
+++ b/packages/daemon/src/scheduler/intake-writer.test.ts
@@ -160,4 +160,19 @@
 		await waitForAppends(store, 5);
 		store.answers.at(-1)!({type: 'appended', offset: 0});
 	});
+
+	/** Guards against a host that is never ready again because the one append that broke off was not repeated. */
+	it('is asked also when its last append broke off and no write is left to repeat it', async () => {
+		const store = ManualStore.create();
+		const writer = IntakeWriter.create(store, {getStoreAnsweredAt: readSteadyClock});
+		const sent = writer.write(createCancel(1), readSteadyClock());
+		await waitForAppends(store, 1);
+		store.answers[0]!({type: 'unknown'});
+		expect(await sent).toEqual('unknown');
+		await waitForAppends(store, 2);
+		expect(store.sizes).toEqual([1, 0]);
+		store.answers[1]!({type: 'appended', offset: 0});
+		await sleep(5);
+		expect(writer.isStoreUnresponsive()).toEqual(false);
+	});
 });
--- a/packages/daemon/src/scheduler/intake-writer.ts
+++ b/packages/daemon/src/scheduler/intake-writer.ts
@@ -109,9 +109,11 @@
 			void this.probe();
 		}, unresponsiveMs + 1);
 		const outcome = await this.store.append(intakeStream, batch.map(entry => encodeIntake(entry.record)));
-		clearTimeout(timer);
 		this.inFlight--;
-		this.noteOutcome(outcome);
+		if (this.noteOutcome(outcome)) {
+			clearTimeout(timer);
+		}
+
 		if (outcome.type === 'appended') {
 			for (const entry of batch) {
 				entry.resolve('stored');
