A new leader moves spare machines at once

Cause: a machine whose list entry names a worker that is not registered may still run tasks of an earlier leader, so a new leader left it alone for 9.5 s. Spare machines are listed with a worker as well, but are off. So after each takeover no pool got a machine for 9.5 s; in a rolling restart, which reaches each new leader within 4 s, for as long as it lasts. Ruled out: the list of machines (there at 9.45 s), unconfirmed appends, lack of spares.

Change: nothing runs on a machine of the spare pool. A leader whose orders are older than the order lease says so in the ledger, so that its successor need not wait 3.3 s; it passes on the recent orders of its predecessor, which its own record replaced.

--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -203,7 +203,12 @@
 	state.pendingActions = [];
 	state.workers.clear();
 	state.machines.clear();
+	// Orders of the former leader count as own ones, sent now: the next leader must know of them too.
 	state.ownOrders.clear();
+	for (const machineId of state.storedOrders) {
+		state.ownOrders.set(machineId, state.now);
+	}
+
 	state.endedWorkers.clear();
 	state.machinesDueAt = 0;
 	state.isListingMachines = false;
--- a/packages/core/src/scheduler/machine-orders.ts
+++ b/packages/core/src/scheduler/machine-orders.ts
@@ -105,14 +105,19 @@
 
 /** Machines with open or recent orders, to which the next leader must not send orders at once. */
 export function listRecentOrders(state: SchedulerState): MachineId[] {
+	return [...state.ownOrders.keys()];
+}
+
+/** Forgets orders that are closed and old, so that the next leader need not wait before it orders these machines. */
+function dropOldOrders(state: SchedulerState): void {
 	for (const [id, at] of state.ownOrders) {
-		const isOpen = state.machines.get(id)?.order?.confirmedAt === undefined && state.machines.get(id)?.order !== undefined;
+		const order = state.machines.get(id)?.order;
+		const isOpen = order !== undefined && order.confirmedAt === undefined;
 		if (!isOpen && state.now - at > state.settings.orderLeaseMs + returnSlackMs) {
 			state.ownOrders.delete(id);
+			state.areOrdersDirty = true;
 		}
 	}
-
-	return [...state.ownOrders.keys()];
 }
 
 /** Sends an order that is stored. If this host may not order machines now, the order waits until it may. */
@@ -162,6 +167,7 @@
 		return;
 	}
 
+	dropOldOrders(state);
 	for (const machine of state.machines.values()) {
 		const {order} = machine;
 		if (order?.isReserving) {
--- a/packages/core/src/scheduler/machine-workers.ts
+++ b/packages/core/src/scheduler/machine-workers.ts
@@ -1,6 +1,6 @@
 /** Finds the known workers of a machine. */
 import {unconfirmedLimitMs, workerLeaseMs} from './timing.js';
-import type {MachineId} from './types.js';
+import type {MachineId, PoolName} from './types.js';
 import type {Machine, SchedulerState, Worker} from './state.js';
 
 /** The worker that a machine's list entry names, else one that is registered for the machine. */
@@ -16,11 +16,16 @@
 
 /**
  * True if no worker of a machine is known. A worker that only the machine's list entry names may still run tasks of an earlier
- * leader, until any lease from it must have expired.
+ * leader, until any lease from it must have expired; but nothing runs on a spare machine, which is off.
  */
 export function hasNoWorker(state: SchedulerState, machine: Machine): boolean {
+	const {entry: {workerId, pool}} = machine;
 	return findWorker(state, machine) === undefined
-		&& (machine.entry.workerId === undefined || state.now > state.leadership.leaderSince + unconfirmedLimitMs + workerLeaseMs);
+		&& (workerId === undefined || isSparePool(state, pool) || state.now > state.leadership.leaderSince + unconfirmedLimitMs + workerLeaseMs);
+}
+
+function isSparePool({config}: SchedulerState, name: PoolName): boolean {
+	return config?.pools.some(pool => pool.name === name && pool.isSpare) ?? false;
 }
 
 function findWorkerOfMachine(state: SchedulerState, id: MachineId): Worker | undefined {
--- a/packages/core/src/scheduler/testing/model-leader.ts
+++ b/packages/core/src/scheduler/testing/model-leader.ts
@@ -5,7 +5,7 @@
 import {reduceScheduler} from '../reduce.js';
 import {createSchedulerState, type SchedulerState} from '../state.js';
 import type {
-	FleetConfig, MachineEntry, RunningRow, WaveDefinition, WorkerEntry,
+	FleetConfig, LedgerRecord, MachineEntry, RunningRow, WaveDefinition, WorkerEntry,
 } from '../types.js';
 import {modelConfig, poolName} from './model-fleet.js';
 import {modelSettings} from './model-settings.js';
@@ -53,6 +53,8 @@
 	readonly state: SchedulerState = createSchedulerState(modelSettings);
 	/** Orders sent to the platform. */
 	readonly orders: MachineOrderEffect[] = [];
+	/** Records appended to the ledger. */
+	readonly records: LedgerRecord[] = [];
 	/** Wave reports sent to the platform. */
 	readonly reports: Array<Extract<SchedulerEffect, {type: 'wave/report'}>> = [];
 	readonly logs: Array<{readonly event: string; readonly fields: LogFields}> = [];
@@ -168,6 +170,7 @@
 		// eslint-disable-next-line @typescript-eslint/switch-exhaustiveness-check
 		switch (effect.type) {
 			case 'ledger/commit': {
+				this.records.push(...effect.records);
 				this.answer({type: 'commit/ended', outcome: this.isStoreUnresponsive ? 'unknown' : 'stored', sequence: effect.sequence});
 				break;
 			}
