--- a/packages/core/src/scheduler/takeover-moves.test.ts
+++ b/packages/core/src/scheduler/takeover-moves.test.ts
@@ -41,7 +41,7 @@
 		leader.run(1000);
 		leader.endOrder(leader.orders[0], 'done');
 		const {records} = leader;
-		const findOrders = () => records.filter(record => record.type === 'orders').at(-1)?.machineIds;
+		const findOrders = () => records.findLast(record => record.type === 'orders')?.machineIds;
 		expect(findOrders()).toEqual(['s1']);
 		leader.run(modelSettings.orderLeaseMs - 500);
 		expect(findOrders()).toEqual(['s1']);
@@ -62,7 +62,7 @@
 		leader.run(50);
 		leader.push({type: 'intake/read', records: [{type: 'job', job: createJob(1, [createStep({count: 2, isLongRunning: true, maxPerWorker: 1})])}]});
 		leader.run(1000);
-		const orders = leader.records.filter(record => record.type === 'orders').at(-1);
+		const orders = leader.records.findLast(record => record.type === 'orders');
 		expect(new Set(orders?.machineIds)).toEqual(new Set(['m9', 's1']));
 	});
 });
