--- a/packages/core/src/scheduler/commits.ts
+++ b/packages/core/src/scheduler/commits.ts
@@ -129,7 +129,7 @@
 };
 
 function noteCommitTime({leadership, now}: SchedulerState, {sentAt}: Commit): void {
-	// A host that was suspended has lost the time of sending.
+	// The time of sending is unknown if the host may have been suspended since.
 	const tookMs = Number.isFinite(sentAt) ? now - sentAt : leadership.meanCommitMs;
 	leadership.meanCommitMs += (tookMs - leadership.meanCommitMs) * commitTimeWeight;
 }
--- a/packages/core/src/scheduler/retention.ts
+++ b/packages/core/src/scheduler/retention.ts
@@ -47,6 +47,7 @@
 	return steps.length === 0;
 }
 
+/** The definition without what only its tasks need. */
 function convertToShort({jobId, queue, pool}: JobDefinition): JobDefinition {
 	return {
 		jobId, queue, pool, spec: '', steps: [], runCount: 0, firstRunAt: 0 as Instant, intervalMs: 0,
