pool-short tells which limits keep waiting tasks from workers

Cause: a pool with waiting tasks and no missing machine could be held back by spread, suspicion, racks, tickets or fragmented room; the log told the same line for all. Change: the choice of a worker names the limit that refused each, and pool-short counts them.

--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -14,7 +14,7 @@
 import {getStepNeed} from './tasks.js';
 import type {PoolName, Resources} from './types.js';
 import type {
-	Job, PoolDemand, SchedulerState, StepRun, Worker,
+	Job, PlacementLimit, PoolDemand, RefusedWorkers, SchedulerState, StepRun, Worker,
 } from './state.js';
 
 /** Weights, per update, of the latest sample in the fast and in the slow moving average of the rate; their difference shows a rise. */
@@ -36,7 +36,7 @@
 	let demand = state.demand.get(pool);
 	if (!demand) {
 		demand = {
-			waitingTasks: 0, waitingWork: noResources, waitingLongRunning: noResources, arrivedWork: noResources, rate: noResources, slowRate: noResources, updatedAt: state.now, machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
+			waitingTasks: 0, waitingWork: noResources, waitingLongRunning: noResources, refused: {}, arrivedWork: noResources, rate: noResources, slowRate: noResources, updatedAt: state.now, machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
 		};
 		state.demand.set(pool, demand);
 	}
@@ -60,12 +60,17 @@
 	demand.waitingTasks = 0;
 	demand.waitingWork = noResources;
 	demand.waitingLongRunning = noResources;
+	demand.refused = {};
 }
 
-/** Adds tasks of a step for which no worker has free capacity. */
-export function addWaitingWork(demand: PoolDemand, {definition}: StepRun, tasks: number): void {
+/** Tasks of a step that were not placed, the number of usable workers with the step's label, and what kept those with room from taking the next task. */
+export type UnplacedTasks = {readonly tasks: number; readonly workers: number; readonly refused: RefusedWorkers};
+
+/** Adds tasks of a step that no worker of the pool may take now. */
+export function addWaitingWork(demand: PoolDemand, {definition}: StepRun, {tasks, workers, refused}: UnplacedTasks): void {
 	const need = getStepNeed(definition);
 	demand.waitingTasks += tasks;
+	addRefusals(demand, workers, refused);
 	if (definition.isLongRunning) {
 		demand.waitingLongRunning = addResources(demand.waitingLongRunning, need, tasks);
 	} else {
@@ -73,6 +78,17 @@
 	}
 }
 
+/** Counts the workers that each limit kept from taking a task of one step, for the log. */
+function addRefusals(demand: PoolDemand, workers: number, refused: RefusedWorkers): void {
+	const entries = Object.entries(refused) as Array<[PlacementLimit, number]>;
+	for (const [limit, count] of entries) {
+		demand.refused[limit] = (demand.refused[limit] ?? 0) + count;
+	}
+
+	const withRoom = entries.reduce((sum, [, count]) => sum + count, 0);
+	demand.refused.room = (demand.refused.room ?? 0) + workers - withRoom;
+}
+
 /** Updates the average rate of arrivals and computes how many machines of the given size the pool needs. */
 export function updateDemand(state: SchedulerState, pool: PoolName, machine: Resources): PoolDemand {
 	const demand = getDemand(state, pool);
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -104,10 +104,10 @@
 
 	state.shortageLoggedAt = state.now;
 	for (const {name, missing} of pools) {
-		const {machines, waitingTasks} = getDemand(state, name);
+		const {machines, waitingTasks, refused} = getDemand(state, name);
 		if (missing > 0 || waitingTasks > 0) {
 			noteDecision(state, 'pool-short', {
-				pool: name, needed: machines, missing, waitingTasks,
+				pool: name, needed: machines, missing, waitingTasks, ...refused,
 			});
 		}
 	}
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -299,6 +299,12 @@
 	reportDueAt: SteadyMs;
 };
 
+/** What keeps a worker from taking a task. `ticket`: the advice service gave it none, or has not answered for it yet. */
+export type PlacementLimit = 'room' | 'spread' | 'suspect' | 'rack' | 'ticket';
+
+/** How many workers each limit kept from taking a task. */
+export type RefusedWorkers = Partial<Record<PlacementLimit, number>>;
+
 export type PoolDemand = {
 	/** Tasks that wait for free capacity. */
 	waitingTasks: number;
@@ -306,6 +312,8 @@
 	waitingWork: Resources;
 	/** Resources needed by the long-running tasks that wait. */
 	waitingLongRunning: Resources;
+	/** How many workers each limit of placement kept from taking a waiting task; summed over steps. */
+	refused: RefusedWorkers;
 	/** Work of the short tasks that arrived since the last update: resources times milliseconds. */
 	arrivedWork: Resources;
 	/** Fast and slow moving averages of the arrival rate: the resources that the arriving work keeps busy. */
