A worker whose long-running task failed is given tasks again

What callers saw: a long-running task whose run failed stayed without a run for good, though its worker had room (LOST). Cause: a worker whose latest run failed was suspect until a run there ended as done. Long-running tasks never end so, and the age of the failure did not count. A suspect worker took no task beyond two in all, so one that held others took none. Change: suspicion ends with the window in which failures count, and when a long-running run that began after the failure is fully at work. While it lasts, the worker is given two runs at a time on trial; runs that began before the failure do not count against that. Why this works: a worker that fails what it is given draws at most two runs until it is set aside, as before; one that holds healthy runs is tried at once. Ruled out: raising the limit (a trial of the lead's), as a failing worker would draw more tasks.

--- a/packages/core/src/scheduler/health.ts
+++ b/packages/core/src/scheduler/health.ts
@@ -2,10 +2,12 @@
 import type {JobId} from '../types/ids.js';
 import {noteWarning} from './logging.js';
 import {failureWindowMs, quarantineMs} from './timing.js';
-import type {SchedulerState, Worker} from './state.js';
+import type {SchedulerState, Task, Worker} from './state.js';
 
 /** A worker is quarantined when runs of this many different jobs have failed there without a success in between. */
 const minFailedJobs = 2;
+/** Most runs at once on a suspect worker that began after its latest failure. */
+const maxTrialRuns = 2;
 /** At most this share of a pool is quarantined at once. */
 const maxQuarantinedShare = 0.5;
 /** The quarantine time doubles at most this often. */
@@ -18,7 +20,7 @@
 		worker.failures.shift();
 	}
 
-	const jobs = new Set(worker.failures.filter(({at}) => at >= worker.lastDoneAt).map(failure => failure.jobId));
+	const jobs = new Set(worker.failures.filter(({at}) => at >= worker.lastSuccessAt).map(failure => failure.jobId));
 	if (jobs.size < minFailedJobs || worker.quarantinedUntil > state.now || !canQuarantine(state, worker)) {
 		return;
 	}
@@ -30,16 +32,35 @@
 	});
 }
 
-/** Records a successful run at a worker: it counts as healthy again. */
+/** Records that a run at a worker succeeded: it counts as healthy again. */
 export function noteSuccess(state: SchedulerState, worker: Worker): void {
-	worker.lastDoneAt = state.now;
+	worker.lastSuccessAt = state.now;
 	worker.quarantineCount = 0;
 }
 
-/** True while a worker's latest runs have failed; it then gets only a few tasks at a time. */
-export function isSuspect(worker: Worker): boolean {
+/** Records that a long-running run is fully at work. Its worker counts as healthy again if the run began after the latest failure there: such runs never end as done. */
+export function noteAtWork(state: SchedulerState, worker: Worker, task: Task): void {
+	const failedAt = worker.failures.at(-1)?.at;
+	if (failedAt !== undefined && task.startedAt >= failedAt) {
+		noteSuccess(state, worker);
+	}
+}
+
+/** True while a worker's latest run has failed and none has succeeded there since; it then gets only a few tasks at a time. */
+export function isSuspect(state: SchedulerState, worker: Worker): boolean {
 	const last = worker.failures.at(-1);
-	return last !== undefined && last.at > worker.lastDoneAt;
+	return last !== undefined && last.at > worker.lastSuccessAt && last.at > state.now - failureWindowMs;
+}
+
+/** How many more runs a worker may be given before one of them has shown that it works. Runs that began before the latest failure do not count: they say nothing about the worker's present health. */
+export function countTrialRunsLeft(state: SchedulerState, worker: Worker): number {
+	if (!isSuspect(state, worker)) {
+		return Number.POSITIVE_INFINITY;
+	}
+
+	const failedAt = worker.failures.at(-1)!.at;
+	const trials = [...worker.tasks.values()].filter(task => !task.isSent || task.startedAt >= failedAt);
+	return maxTrialRuns - trials.length;
 }
 
 /** True while a worker is set aside because its runs fail. Other pauses of a worker, such as after a refused start, are not quarantine. */
--- a/packages/core/src/scheduler/long-running-restart.known-red.test.ts
+++ b/packages/core/src/scheduler/long-running-restart.test.ts
@@ -115,11 +115,11 @@
 	it('does not draw more than a few tasks at a time to a worker that keeps failing them', () => {
 		const {workers, host} = createFleet();
 		workers.percent = 0;
+		const before = workers.starts.length;
 		const [first, second] = workers.listTasks('w1');
 		workers.fail(first!);
 		workers.fail(second!);
 		workers.run(50);
-		const before = workers.starts.length;
 		workers.run(1000, listStarts(host.submit(createJob(3, [createStep({count: 12, isLongRunning: true})]))));
 		const started = workers.starts.slice(before);
 		expect(started.length).toEqual(14);
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -64,7 +64,7 @@
 	const waiting = step.tasks.filter(task => task.status === 'waiting');
 	const candidates = workers.filter(worker => hasLabel(step, worker));
 	const place = step.definition.isGang ? placeGang : placeEach;
-	const {placed, refused} = place(state, waiting, listFreeCapacities(step, candidates));
+	const {placed, refused} = place(state, waiting, listFreeCapacities(state, step, candidates));
 	const left = waiting.length - placed;
 	if (left > 0) {
 		addWaitingWork(getDemand(state, pool), step, {tasks: left, workers: candidates.length, refused});
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -51,7 +51,7 @@
 		isReserved: false,
 		quarantinedUntil: 0,
 		failures: [],
-		lastDoneAt: 0,
+		lastSuccessAt: 0,
 		quarantineCount: 0,
 		idleSince: state.now,
 	};
--- a/packages/core/src/scheduler/reports.ts
+++ b/packages/core/src/scheduler/reports.ts
@@ -1,5 +1,5 @@
 /** Reads what workers report of their runs: which ended and how, which go on, and which are gone. */
-import {noteFailure, noteSuccess} from './health.js';
+import {noteAtWork, noteFailure, noteSuccess} from './health.js';
 import {advanceOccurrence, finishJob} from './jobs.js';
 import {addEffect, noteDecision} from './logging.js';
 import {getMaxAttempts} from './queues.js';
@@ -17,6 +17,9 @@
 /** Workers list at most this many run ends per answer; a list of this length may be incomplete. */
 const maxListedEnds = 500;
 
+/** Reported by a long-running task that has started up and is fully at work. */
+const percentAtWork = 100;
+
 type PollEnded = Extract<SchedulerEvent, {type: 'poll/ended'}>;
 
 /** Whether runs made progress while their worker did not report is not known: that time does not count towards a stuck run. */
@@ -162,13 +165,17 @@
 	}
 
 	task.reading = row.reading ?? 0;
+	const {isLongRunning, isGang} = task.step.definition;
 	if (row.percent !== task.percent) {
 		task.percent = row.percent;
 		task.percentChangedAt = state.now;
+		if (isLongRunning && row.percent === percentAtWork) {
+			noteAtWork(state, worker, task);
+		}
+
 		return;
 	}
 
-	const {isLongRunning, isGang} = task.step.definition;
 	const isStuck = task.status === 'running' && !isLongRunning && !isGang && state.now - task.percentChangedAt > stuckMs;
 	if (isStuck) {
 		const {jobId} = task.step.occurrence.job.definition;
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -201,7 +201,8 @@
 	/** Gets no new tasks until then: after repeated failures, or for a short pause after some unsuccessful starts. */
 	quarantinedUntil: SteadyMs;
 	readonly failures: Array<{readonly at: SteadyMs; readonly jobId: JobId}>;
-	lastDoneAt: SteadyMs;
+	/** When a run was last seen to succeed here: it ended as done, or is long-running and at work. */
+	lastSuccessAt: SteadyMs;
 	quarantineCount: number;
 	idleSince: SteadyMs;
 };
--- a/packages/core/src/scheduler/worker-choice.ts
+++ b/packages/core/src/scheduler/worker-choice.ts
@@ -1,6 +1,6 @@
 /** Chooses the worker for a task: which may take it, and which of them is best. */
 import {getTicketState, requestAdvice} from './advice.js';
-import {isSuspect} from './health.js';
+import {countTrialRunsLeft, isSuspect} from './health.js';
 import {addResources, doesFit} from './resources.js';
 import {getFree, getNeed, getStepNeed} from './tasks.js';
 import type {Resources} from './types.js';
@@ -8,29 +8,28 @@
 	PlacementLimit, RefusedWorkers, SchedulerState, StepRun, Task, Worker,
 } from './state.js';
 
-/** Most tasks at once on a worker whose latest runs failed. */
-const maxTasksWhileSuspect = 2;
 /** A step waits for a worker in the rack of its data for up to this share of the time that it would lose in another rack. */
 const maxRackWaitShare = 0.5;
 
 /** What a worker still has for a step, less what was chosen for it in the same pass. */
-export type FreeCapacity = {free: Resources; tasksOfStep: number};
+export type FreeCapacity = {free: Resources; tasksOfStep: number; trialRunsLeft: number};
 
 /** Deducts a task from the capacity of the worker chosen for it. */
 export function takeCapacity(capacities: ReadonlyMap<Worker, FreeCapacity>, worker: Worker, task: Task): void {
 	const capacity = capacities.get(worker)!;
 	capacity.free = addResources(capacity.free, getNeed(task), -1);
 	capacity.tasksOfStep++;
+	capacity.trialRunsLeft--;
 }
 
 /** Free capacity of the workers on which at least one task of the step fits. */
-export function listFreeCapacities(step: StepRun, workers: readonly Worker[]): Map<Worker, FreeCapacity> {
+export function listFreeCapacities(state: SchedulerState, step: StepRun, workers: readonly Worker[]): Map<Worker, FreeCapacity> {
 	const need = getStepNeed(step.definition);
 	const capacities = new Map<Worker, FreeCapacity>();
 	for (const worker of workers) {
 		const free = getFree(worker);
 		if (doesFit(need, free)) {
-			capacities.set(worker, {free, tasksOfStep: countTasksOfStep(step, worker)});
+			capacities.set(worker, {free, tasksOfStep: countTasksOfStep(step, worker), trialRunsLeft: countTrialRunsLeft(state, worker)});
 		}
 	}
 
@@ -70,7 +69,7 @@
 			continue;
 		}
 
-		const score = scoreWorker(task, worker, capacity.free, rack.name);
+		const score = scoreWorker(state, task, {worker, free: capacity.free, rack: rack.name});
 		if (score < bestScore) {
 			best = worker;
 			bestScore = score;
@@ -89,7 +88,7 @@
 }
 
 /** The first limit, other than tickets, that keeps a worker from taking a task. */
-function findLimit({step}: Task, worker: Worker, {free, tasksOfStep}: FreeCapacity, rack: RackChoice): PlacementLimit | undefined {
+function findLimit({step}: Task, worker: Worker, {free, tasksOfStep, trialRunsLeft}: FreeCapacity, rack: RackChoice): PlacementLimit | undefined {
 	const {definition} = step;
 	if (!doesFit(getStepNeed(definition), free)) {
 		return 'room';
@@ -99,7 +98,7 @@
 		return 'spread';
 	}
 
-	if (isSuspect(worker) && worker.tasks.size >= maxTasksWhileSuspect) {
+	if (trialRunsLeft <= 0) {
 		return 'suspect';
 	}
 
@@ -117,13 +116,13 @@
  * Score of a worker for a task; lower is better. Tasks are packed onto the fullest workers, preferably those that run
  * long-running tasks anyway; fillers go to the worker with the most unused processor.
  */
-function scoreWorker(task: Task, worker: Worker, free: Resources, rack: string | undefined): number {
+function scoreWorker(state: SchedulerState, task: Task, {worker, free, rack}: {readonly worker: Worker; readonly free: Resources; readonly rack: string | undefined}): number {
 	const cpuShare = free.cpu / Math.max(1, worker.capacity.cpu);
 	const memoryShare = free.memoryMb / Math.max(1, worker.capacity.memoryMb);
 	let score = task.step.definition.isFiller ? 1 - cpuShare : (cpuShare + memoryShare) / 2;
 	score += worker.longRunningTasks === 0 && !task.step.definition.isFiller ? drainablePenalty : 0;
 	score += rack !== undefined && worker.rack !== rack ? remoteRackPenalty : 0;
-	score += isSuspect(worker) ? suspectPenalty : 0;
+	score += isSuspect(state, worker) ? suspectPenalty : 0;
 	score += task.failedOn.has(worker.id) ? failedBeforePenalty : 0;
 	return score;
 }
