Long-running tasks that no worker may take ask for a machine

What callers saw: long-running tasks waited for good while pool-short told missing 0 (LOST). Cause: the demand for machines summed resources; placement also knows limits (fragmented room, spread beside other steps, suspicion, tickets). Room that placement refuses counted as room, so no machine came. Change: placement tells the demand which long-running tasks it could not place and how many workers it tried; the pool needs those workers and enough machines more. If a worker without tasks did not take the task, another machine would not either, and none is asked for. Short tasks are left to the rate and the backlog as before: they end, and make room. Why this works: the demand no longer repeats the limits of placement, it uses their outcome; a new limit is known to it by itself.

--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -12,7 +12,7 @@
 	addResources, computeDominantShare, noResources, computeMultiple,
 } from './resources.js';
 import {getStepNeed} from './tasks.js';
-import type {PoolName, Resources} from './types.js';
+import type {PoolName, Resources, StepDefinition} from './types.js';
 import type {
 	Job, PlacementLimit, PoolDemand, RefusedWorkers, SchedulerState, StepRun, Worker,
 } from './state.js';
@@ -36,7 +36,7 @@
 	let demand = state.demand.get(pool);
 	if (!demand) {
 		demand = {
-			waitingTasks: 0, waitingWork: noResources, waitingLongRunning: noResources, refused: {}, arrivedWork: noResources, rate: noResources, slowRate: noResources, updatedAt: state.now, machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
+			waitingTasks: 0, waitingWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableWorkers: 0, hasIdleWorker: false, arrivedWork: noResources, rate: noResources, slowRate: noResources, updatedAt: state.now, machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
 		};
 		state.demand.set(pool, demand);
 	}
@@ -61,6 +61,10 @@
 	demand.waitingWork = noResources;
 	demand.waitingLongRunning = noResources;
 	demand.refused = {};
+	demand.unplaceable = noResources;
+	demand.unplaceableSpread = 0;
+	demand.usableWorkers = 0;
+	demand.hasIdleWorker = false;
 }
 
 /** Tasks of a step that were not placed, the number of usable workers with the step's label, and what kept those with room from taking the next task. */
@@ -73,11 +77,39 @@
 	addRefusals(demand, workers, refused);
 	if (definition.isLongRunning) {
 		demand.waitingLongRunning = addResources(demand.waitingLongRunning, need, tasks);
+		addUnplaceable(demand, definition, tasks, refused);
 	} else {
 		demand.waitingWork = addResources(demand.waitingWork, need, tasks * definition.estimateMs);
 	}
 }
 
+/** Adds long-running tasks, unless they only wait for an answer or for a rack. They do not end, so waiting for others to end would not help them. */
+function addUnplaceable(demand: PoolDemand, definition: StepDefinition, tasks: number, refused: RefusedWorkers): void {
+	if (refused.advice !== undefined || refused.rack !== undefined) {
+		return;
+	}
+
+	demand.unplaceable = addResources(demand.unplaceable, getStepNeed(definition), tasks);
+	if (definition.maxPerWorker > 0) {
+		demand.unplaceableSpread = Math.max(demand.unplaceableSpread, Math.ceil(tasks / definition.maxPerWorker));
+	}
+}
+
+/** Records the workers that could be given tasks, once as many as possible have been placed. */
+export function noteUsableWorkers(demand: PoolDemand, workers: readonly Worker[]): void {
+	demand.usableWorkers = workers.length;
+	demand.hasIdleWorker = workers.some(worker => worker.tasks.size === 0);
+}
+
+/**
+ * How many machines the pool needs so that each long-running task can be placed, whichever limit of placement keeps it
+ * from the present workers. A task that does not go to a worker without any tasks would not go to another machine either.
+ */
+function countMachinesForUnplaceable({unplaceable, unplaceableSpread, usableWorkers, hasIdleWorker}: PoolDemand, machine: Resources): number {
+	const more = Math.max(unplaceableSpread, Math.ceil(computeDominantShare(unplaceable, machine)));
+	return hasIdleWorker || more === 0 ? 0 : usableWorkers + more;
+}
+
 /** Counts the workers that each limit kept from taking a task of one step, for the log. */
 function addRefusals(demand: PoolDemand, workers: number, refused: RefusedWorkers): void {
 	const entries = Object.entries(refused) as Array<[PlacementLimit, number]>;
@@ -104,7 +136,7 @@
 	demand.updatedAt = state.now;
 	const needed = computeNeed(state, pool);
 	const workersForSpread = demand.waitingTasks > 0 ? countWorkersForSpread(state, pool) : 0;
-	demand.machines = Math.max(workersForSpread, countMachines(addResources(needed, computeExpectedRise(demand)), machine));
+	demand.machines = Math.max(workersForSpread, countMachines(addResources(needed, computeExpectedRise(demand)), machine), countMachinesForUnplaceable(demand, machine));
 	updatePeak(state, demand, Math.max(workersForSpread, countMachines(needed, machine)));
 	return demand;
 }
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -1,5 +1,7 @@
 /** Assigns waiting tasks to workers, the most urgent step first. */
-import {clearWaiting, getDemand, addWaitingWork} from './demand.js';
+import {
+	addWaitingWork, clearWaiting, getDemand, noteUsableWorkers,
+} from './demand.js';
 import {getPoolOfJob} from './queues.js';
 import {placeTask} from './tasks.js';
 import {compareUrgency, computeUrgency, type Urgency} from './urgency.js';
@@ -31,6 +33,10 @@
 		const pool = getPoolOfJob(state, step.occurrence.job);
 		placeStep(state, step, workersByPool.get(pool) ?? [], pool);
 	}
+
+	for (const [pool, workers] of workersByPool) {
+		noteUsableWorkers(getDemand(state, pool), workers);
+	}
 }
 
 /** True if a worker may be given new tasks. */
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -300,8 +300,8 @@
 	reportDueAt: SteadyMs;
 };
 
-/** What keeps a worker from taking a task. `ticket`: the advice service gave it none, or has not answered for it yet. */
-export type PlacementLimit = 'room' | 'spread' | 'suspect' | 'rack' | 'ticket';
+/** What keeps a worker from taking a task. `ticket`: the advice service gave it none; `advice`: the service has not answered for it yet. */
+export type PlacementLimit = 'room' | 'spread' | 'suspect' | 'rack' | 'ticket' | 'advice';
 
 /** How many workers each limit kept from taking a task. */
 export type RefusedWorkers = Partial<Record<PlacementLimit, number>>;
@@ -313,6 +313,12 @@
 	waitingWork: Resources;
 	/** Resources needed by the long-running tasks that wait. */
 	waitingLongRunning: Resources;
+	/** Long-running tasks that only another machine can take: the resources they need, and how many machines they need because of their limit of tasks per worker. */
+	unplaceable: Resources;
+	unplaceableSpread: number;
+	/** Workers of the pool that could be given tasks when tasks were last placed, and whether one of them was left without any. */
+	usableWorkers: number;
+	hasIdleWorker: boolean;
 	/** How many workers each limit of placement kept from taking a waiting task; summed over steps. */
 	refused: RefusedWorkers;
 	/** Work of the short tasks that arrived since the last update: resources times milliseconds. */
--- a/packages/core/src/scheduler/worker-choice.ts
+++ b/packages/core/src/scheduler/worker-choice.ts
@@ -65,7 +65,8 @@
 		}
 
 		if (ticket !== 'good') {
-			refused.ticket = (refused.ticket ?? 0) + 1;
+			const kind = ticket === 'unknown' ? 'advice' : 'ticket';
+			refused[kind] = (refused[kind] ?? 0) + 1;
 			continue;
 		}
 
