A task that waits for its rack does not hold back the others of its step

What callers could see: tasks of a step that had waited long enough for the rack of their data stayed without a worker as long as an earlier task of the step kept coming back and waited anew. Cause: placement of a step ended at its first task without a worker; tasks of a step differ only in how long they have waited for the rack, and that was the reason. Change: placement goes on behind a task that only the rack holds back. Test: rack-wait, red before (no start in 6 s).

--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -86,17 +86,25 @@
 type Placement = {readonly placed: number; readonly refused: RefusedWorkers};
 
 function placeEach(state: SchedulerState, waiting: readonly Task[], capacities: ReadonlyMap<Worker, FreeCapacity>): Placement {
-	for (const [placed, task] of waiting.entries()) {
+	let placed = 0;
+	let refused: RefusedWorkers = {};
+	for (const task of waiting) {
 		const choice = chooseWorker(state, task, capacities);
-		if (!choice.worker) {
-			return {placed, refused: choice.refused};
+		if (choice.worker) {
+			takeCapacity(capacities, choice.worker, task);
+			placeTask(state, task, choice.worker, task.run + 1);
+			placed++;
+			continue;
 		}
 
-		takeCapacity(capacities, choice.worker, task);
-		placeTask(state, task, choice.worker, task.run + 1);
+		refused = choice.refused;
+		// The other tasks of the step differ only in how long they have waited for their rack.
+		if (refused.rack === undefined) {
+			break;
+		}
 	}
 
-	return {placed: waiting.length, refused: {}};
+	return {placed, refused};
 }
 
 /** Places all tasks of a gang or none; they share one run number. */
