--- a/packages/core/src/scheduler/rack-wait.test.ts
+++ b/packages/core/src/scheduler/rack-wait.test.ts
@@ -21,6 +21,6 @@
 			starts.push(...listStarts(host.tick(100)));
 		}
 
-		expect([...new Set(starts.map(({task}) => task))].length).toEqual(2);
+		expect(new Set(starts.map(({task}) => task)).size).toEqual(2);
 	});
 });
