A worker that is set aside gets a long-running task on trial

What callers could see: a long-running task waited out a quarantine of up to 12 s though its worker was well again and no other had room. Cause: quarantine doubles while nothing succeeds, and only a short run could succeed; a quarantined worker was given nothing until its end. The same field also held the pauses after refused starts, which counted as quarantine of the pool. Change: where no other worker takes a long-running task, a worker at which nothing has failed for 3 s gets one, on trial. Short tasks, which may fail only so often, wait as before. Pauses after refused starts are a field of their own. Test: set-aside-trial, red before (no start in 3.5 s); core 188 of 188.

--- a/packages/core/src/scheduler/health.ts
+++ b/packages/core/src/scheduler/health.ts
@@ -2,6 +2,7 @@
 import type {JobId} from '../types/ids.js';
 import {noteWarning} from './logging.js';
 import {failureWindowMs, quarantineMs} from './timing.js';
+import type {SteadyMs} from './types.js';
 import type {SchedulerState, Task, Worker} from './state.js';
 
 /** A worker is quarantined when runs of this many different jobs have failed there without a success in between. */
@@ -58,14 +59,22 @@
 		return Number.POSITIVE_INFINITY;
 	}
 
-	const failedAt = worker.failures.at(-1)!.at;
-	const trials = [...worker.tasks.values()].filter(task => !task.isSent || task.startedAt >= failedAt);
-	return maxTrialRuns - trials.length;
+	return maxTrialRuns - listTrials(worker, worker.failures.at(-1)!.at).length;
 }
 
-/** True while a worker is set aside because its runs fail. Other pauses of a worker, such as after a refused start, are not quarantine. */
+/** True while a worker is set aside because its runs fail. */
 export function isQuarantined(state: SchedulerState, worker: Worker): boolean {
-	return worker.quarantineCount > 0 && worker.quarantinedUntil > state.now;
+	return worker.quarantinedUntil > state.now;
+}
+
+/** True if a worker that is set aside may be given one long-running task on trial: none has failed there for a while, and none is on trial yet. */
+export function isTrialDue(state: SchedulerState, worker: Worker): boolean {
+	const failedAt = worker.failures.at(-1)?.at;
+	return failedAt !== undefined && isQuarantined(state, worker) && failedAt <= state.now - quarantineMs && listTrials(worker, failedAt).length === 0;
+}
+
+function listTrials(worker: Worker, failedAt: SteadyMs): Task[] {
+	return [...worker.tasks.values()].filter(task => !task.isSent || task.startedAt >= failedAt);
 }
 
 function canQuarantine(state: SchedulerState, worker: Worker): boolean {
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -2,6 +2,7 @@
 import {
 	addWaitingWork, clearWaiting, getDemand, noteUsableWorkers,
 } from './demand.js';
+import {isQuarantined, isTrialDue} from './health.js';
 import {getPoolOfJob} from './queues.js';
 import {placeTask} from './tasks.js';
 import {compareUrgency, computeUrgency, type Urgency} from './urgency.js';
@@ -28,27 +29,33 @@
 		clearWaiting(demand);
 	}
 
-	const workersByPool = listUsableWorkers(state);
+	const usable = groupByPool(state, worker => isUsable(state, worker));
+	const setAside = groupByPool(state, worker => isSound(worker) && isTrialDue(state, worker));
 	for (const {step} of sortSteps(state)) {
 		const pool = getPoolOfJob(state, step.occurrence.job);
-		placeStep(state, step, workersByPool.get(pool) ?? [], pool);
+		placeStep(state, step, pool, {usable: usable.get(pool) ?? [], setAside: setAside.get(pool) ?? []});
 	}
 
-	for (const [pool, workers] of workersByPool) {
+	for (const [pool, workers] of usable) {
 		noteUsableWorkers(getDemand(state, pool), workers);
 	}
 }
 
 /** True if a worker may be given new tasks. */
 export function isUsable(state: SchedulerState, worker: Worker): boolean {
+	return isSound(worker) && !isQuarantined(state, worker) && worker.pausedUntil <= state.now;
+}
+
+/** True if a worker answers, stays in its pool and runs only what this leader knows. */
+function isSound(worker: Worker): boolean {
 	return worker.isListed && worker.isPolledByLeader && !worker.isDraining && !worker.isReserved
-		&& worker.unknownRuns.size === 0 && worker.failedPolls === 0 && worker.quarantinedUntil <= state.now;
+		&& worker.unknownRuns.size === 0 && worker.failedPolls === 0;
 }
 
-function listUsableWorkers(state: SchedulerState): Map<PoolName, Worker[]> {
+function groupByPool(state: SchedulerState, isCandidate: (worker: Worker) => boolean): Map<PoolName, Worker[]> {
 	const workers = new Map<PoolName, Worker[]>();
 	for (const worker of state.workers.values()) {
-		if (isUsable(state, worker)) {
+		if (isCandidate(worker)) {
 			const pool = workers.get(worker.pool);
 			if (pool) {
 				pool.push(worker);
@@ -66,14 +73,31 @@
 	return [...state.openSteps].map(step => computeUrgency(state, step)).toSorted(compareUrgency);
 }
 
-function placeStep(state: SchedulerState, step: StepRun, workers: readonly Worker[], pool: PoolName): void {
+type PoolWorkers = {readonly usable: readonly Worker[]; readonly setAside: readonly Worker[]};
+
+function placeStep(state: SchedulerState, step: StepRun, pool: PoolName, {usable, setAside}: PoolWorkers): void {
+	const candidates = usable.filter(worker => hasLabel(step, worker));
 	const waiting = step.tasks.filter(task => task.status === 'waiting');
-	const candidates = workers.filter(worker => hasLabel(step, worker));
 	const place = step.definition.isGang ? placeGang : placeEach;
 	const {placed, refused} = place(state, waiting, listFreeCapacities(state, step, candidates));
 	const left = waiting.length - placed;
 	if (left > 0) {
 		addWaitingWork(getDemand(state, pool), step, {tasks: left, workers: candidates.length, refused});
+		placeOnTrial(state, step, setAside);
+	}
+}
+
+/** Places long-running tasks that no other worker takes, one each, on workers that were set aside: they may be well again, and the tasks do not end by themselves however long they wait. */
+function placeOnTrial(state: SchedulerState, step: StepRun, setAside: readonly Worker[]): void {
+	if (!step.definition.isLongRunning || step.definition.isGang) {
+		return;
+	}
+
+	for (const worker of setAside) {
+		const task = step.tasks.find(({status}) => status === 'waiting');
+		if (task && hasLabel(step, worker) && isTrialDue(state, worker)) {
+			placeEach(state, [task], listFreeCapacities(state, step, [worker]));
+		}
 	}
 }
 
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -49,6 +49,7 @@
 		unknownRuns: new Map(),
 		used: noResources,
 		isReserved: false,
+		pausedUntil: 0,
 		quarantinedUntil: 0,
 		failures: [],
 		lastSuccessAt: 0,
@@ -128,6 +129,7 @@
 	worker.pollDueAt = 0;
 	worker.failedPolls = 0;
 	worker.isReserved = false;
+	worker.pausedUntil = 0;
 	worker.quarantinedUntil = 0;
 	worker.failures.length = 0;
 	for (const late of worker.lateStarts) {
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -80,7 +80,7 @@
 	late: returnRefused,
 	'no-room'(state, worker, task) {
 		returnTask(state, task);
-		worker.quarantinedUntil = Math.max(worker.quarantinedUntil, state.now + refusalPauseMs);
+		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + refusalPauseMs);
 	},
 	'no-ticket'(state, worker, task) {
 		dropTicket(state, task.step, worker);
@@ -89,11 +89,11 @@
 	invalid(state, worker, task) {
 		task.failedOn.add(worker.id);
 		returnTask(state, task);
-		worker.quarantinedUntil = Math.max(worker.quarantinedUntil, state.now + refusalPauseMs);
+		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + refusalPauseMs);
 	},
 	unhealthy(state, worker, task) {
 		returnTask(state, task);
-		worker.quarantinedUntil = Math.max(worker.quarantinedUntil, state.now + unhealthyPauseMs);
+		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + unhealthyPauseMs);
 	},
 	'other-life'(state, worker, task) {
 		returnTask(state, task);
@@ -101,10 +101,10 @@
 	},
 	'not-sent'(state, worker, task) {
 		returnTask(state, task);
-		worker.quarantinedUntil = Math.max(worker.quarantinedUntil, state.now + unhealthyPauseMs);
+		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + unhealthyPauseMs);
 	},
 	unknown(state, worker, task) {
-		worker.quarantinedUntil = Math.max(worker.quarantinedUntil, state.now + refusalPauseMs);
+		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + refusalPauseMs);
 		noteLateStart(state, worker, task);
 		// The start may have been carried out, or may still be: the worker's report decides, or else a confirmed stop rules the run out.
 		if (task.status === 'placed') {
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -198,7 +198,9 @@
 	used: Resources;
 	/** Gets no new tasks, because its machine is about to be moved or maintained. */
 	isReserved: boolean;
-	/** Gets no new tasks until then: after repeated failures, or for a short pause after some unsuccessful starts. */
+	/** Gets no new tasks until then, after a start that was refused or not answered. */
+	pausedUntil: SteadyMs;
+	/** Set aside until then, after repeated failures: gets at most a long-running task on trial. */
 	quarantinedUntil: SteadyMs;
 	readonly failures: Array<{readonly at: SteadyMs; readonly jobId: JobId}>;
 	/** When a run was last seen to succeed here: it ended as done, or is long-running and at work. */
