--- /dev/null
+++ b/packages/core/src/scheduler/narrow-leader.test.ts
@@ -0,0 +1,36 @@
+/** A leader whose link or processor is too narrow for all the calls that it would make. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {createJob, createStep} from './testing/model-fleet.js';
+import {NarrowLeader} from './testing/narrow-leader.js';
+
+const lastingMs = 1_000_000_000;
+const jobs = 200;
+const tasksPerJob = 8;
+
+const taskNeed = {cpu: 1000, memoryMb: 100, gpu: 0};
+
+describe('a leader that gets more work than it can send', () => {
+	/**
+	 * Guards against calls that time out behind starts: their stops and repeats keep the host busy, polls go unanswered, and
+	 * the leases of sound workers lapse.
+	 */
+	it('keeps the leases of all workers, and carries out all work', () => {
+		const leader = NarrowLeader.create({workers: 40, callMs: 6, connectMs: 6});
+		leader.run(300);
+		leader.submit(createJob(1, [createStep({
+			count: 20, isLongRunning: true, estimateMs: lastingMs, need: taskNeed,
+		})]));
+		leader.run(2000);
+		for (let number = 2; number < 2 + jobs; number++) {
+			leader.submit(createJob(number, [createStep({count: tasksPerJob, estimateMs: 800, need: taskNeed})]));
+			leader.run(50);
+		}
+
+		leader.run(60_000);
+		const lasting = [...leader.workers.values()].flatMap(({runs}) => [...runs.values()]).filter(({startedAt, endsAt}) => endsAt - startedAt === lastingMs);
+		expect({
+			lapsedLeases: leader.countEvents('lease-lapsed'), lastingRuns: lasting.map(({run}) => run), doneRuns: leader.doneRuns,
+		}).toEqual({lapsedLeases: 0, lastingRuns: Array.from({length: 20}, () => 1), doneRuns: jobs * tasksPerJob});
+	});
+});
--- a/packages/core/src/scheduler/start-window.ts
+++ b/packages/core/src/scheduler/start-window.ts
@@ -42,6 +42,11 @@
 	return sentAt.size < limit;
 }
 
+/** True if the host cannot send all starts at once: it has to save calls. */
+export function hasHeldBackStarts({waiting}: StartWindow): boolean {
+	return waiting.length > 0;
+}
+
 /** Notes a start that was sent. */
 export function openStart({startWindow, now}: SchedulerState, task: Task, run: number): void {
 	startWindow.sentAt.set(formatKey(task.name, run), now);
@@ -65,12 +70,12 @@
 	startWindow.timely += isTimely ? 1 : 0;
 	startWindow.late += isTimely ? 0 : 1;
 	if (startWindow.timely + startWindow.late >= startWindow.limit) {
-		adaptLimit(startWindow);
+		updateLimit(startWindow);
 	}
 }
 
 /** A minority of late answers comes from workers that are slow or out of reach. */
-function adaptLimit(startWindow: StartWindow): void {
+function updateLimit(startWindow: StartWindow): void {
 	if (startWindow.late > startWindow.timely) {
 		startWindow.limit = Math.max(minLimit, Math.floor(startWindow.limit / limitFactor));
 	} else if (startWindow.hasHeldBack) {
