A worker is polled for starts that were sent, not for those that wait

Cause: a worker with placed tasks was polled without a wait at the worker, again and again, until a start was sent to it. While starts are held back that is long, and these polls took most of what a late host can send. Not mended: 40 workers at 15 ms a call (67 calls a second) still collapse. Tried and dropped: polls that wait longer when their answers are late; with this commit it changed nothing.

--- a/packages/core/src/scheduler/narrow-leader.test.ts
+++ b/packages/core/src/scheduler/narrow-leader.test.ts
@@ -33,4 +33,18 @@
 			lapsedLeases: leader.countEvents('lease-lapsed'), lastingRuns: lasting.map(({run}) => run), doneRuns: leader.doneRuns,
 		}).toEqual({lapsedLeases: 0, lastingRuns: Array.from({length: 20}, () => 1), doneRuns: jobs * tasksPerJob});
 	});
+
+	/** Guards against polls, of which each answer is followed by the next one at once, of workers whose starts have yet to be sent. */
+	it('does not poll workers for starts that wait', () => {
+		const leader = NarrowLeader.create({workers: 60, callMs: 8, connectMs: 8});
+		leader.run(2000);
+		const polls = leader.sent['worker/poll'];
+		for (let number = 1; number <= jobs; number++) {
+			leader.submit(createJob(number, [createStep({count: tasksPerJob, estimateMs: 800, need: taskNeed})]));
+			leader.run(50);
+		}
+
+		expect(leader.countEvents('lease-lapsed')).toEqual(0);
+		expect(leader.sent['worker/poll'] - polls).toBeLessThan(leader.sent['worker/start']);
+	});
 });
--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -48,7 +48,7 @@
 		return false;
 	}
 
-	const isNeeded = (!worker.isPolledByLeader && worker.isListed) || worker.tasks.size > 0 || worker.unknownRuns.size > 0 || worker.lastAckedEnd < worker.lastStoredEnd;
+	const isNeeded = (!worker.isPolledByLeader && worker.isListed) || hasSentTasks(worker) || worker.unknownRuns.size > 0 || worker.lastAckedEnd < worker.lastStoredEnd;
 	// Run ends that are read but not stored are not acknowledged either: another poll would list them again at once.
 	const isStoring = worker.lastReadEnd > worker.lastStoredEnd && worker.leaseExpiresAt - state.now > leaseRenewalThresholdMs;
 	return isNeeded && !isStoring;
