A new leader polls as many workers at once as answer in time

Seen by callers: tasks without a run although there is room, requests that fail. Cause: a new leader polled all workers at once; what its host could not send in 500 ms timed out, and was repeated all at once again. Change: first polls without an answer are bounded as starts are, by the same bound, which also adapts to how late first polls are answered. Repeated polls are not bounded: they go to workers that are out of reach.

--- a/packages/core/src/scheduler/narrow-leader.test.ts
+++ b/packages/core/src/scheduler/narrow-leader.test.ts
@@ -48,3 +48,16 @@
 		expect(leader.sent['worker/poll'] - polls).toBeLessThan(leader.sent['worker/start']);
 	});
 });
+
+describe('a leader that takes over more workers than it can poll at once', () => {
+	/** Guards against first polls that all time out, again and again: such workers are never used, and their leases lapse. */
+	it('polls each of them', () => {
+		for (const callMs of [3, 6]) {
+			const workers = 350;
+			const leader = NarrowLeader.create({workers, callMs, connectMs: callMs});
+			leader.run((workers * callMs) + 1000);
+			expect([...leader.state.workers.values()].filter(({isPolledByLeader}) => isPolledByLeader).length).toEqual(workers);
+			expect(leader.timedOut['worker/poll']).toEqual(0);
+		}
+	});
+});
--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -4,11 +4,11 @@
 import {isFinal} from './phases.js';
 import {clearWorker, dropIncarnation, restartWorker} from './registry.js';
 import {readEnds, readRunning, skipSilence} from './reports.js';
-import {hasHeldBackStarts} from './start-window.js';
+import {hasHeldBackStarts, noteAnswerTime} from './start-window.js';
 import {getTarget} from './tasks.js';
 import {
 	busyPollPauseMs, busyPollWaitMs,
-	leaseRenewalThresholdMs, leaseSlackMs, longRunningPollWaitMs, maxClockDrift, pollRetryMs, pollSlackMs, pollWaitMs, retriedPollSlackMs, unconfirmedLimitMs, workerLeaseMs,
+	leaseRenewalThresholdMs, leaseSlackMs, longRunningPollWaitMs, maxClockDrift, never, pollRetryMs, pollSlackMs, pollWaitMs, retriedPollSlackMs, unconfirmedLimitMs, workerLeaseMs,
 } from './timing.js';
 import type {SchedulerEvent} from './events.js';
 import type {SchedulerState, Worker} from './state.js';
@@ -25,12 +25,39 @@
 	}
 
 	const isConfirmed = isConfirmedWithin(state, unconfirmedLimitMs) && hasReadStartedJobs(state);
+	let firstPolls: number | undefined;
 	for (const worker of state.workers.values()) {
 		expireLease(state, worker);
-		if (isConfirmed && isPollDue(state, worker)) {
-			sendPoll(state, worker);
+		if (!isConfirmed || !isPollDue(state, worker)) {
+			continue;
 		}
+
+		if (isFirstPoll(worker)) {
+			firstPolls ??= countFirstPolls(state);
+			if (firstPolls >= state.startWindow.limit) {
+				state.startWindow.hasHeldBack = true;
+				continue;
+			}
+
+			firstPolls++;
+		}
+
+		sendPoll(state, worker);
+	}
+}
+
+/** First polls without an answer. A new leader polls all workers: more than its host may be able to send in time. */
+function countFirstPolls({workers}: SchedulerState): number {
+	let count = 0;
+	for (const worker of workers.values()) {
+		count += worker.isPollPending && isFirstPoll(worker) ? 1 : 0;
 	}
+
+	return count;
+}
+
+function isFirstPoll({isPolledByLeader, failedPolls}: Worker): boolean {
+	return !isPolledByLeader && failedPolls === 0;
 }
 
 /**
@@ -130,6 +157,10 @@
 		return;
 	}
 
+	if (!event.isExtra && isFirstPoll(worker)) {
+		noteAnswerTime(state, event.outcome === 'unknown' ? never : event.sentAt);
+	}
+
 	worker.isPollPending = event.isExtra && worker.isPollPending;
 	if (event.outcome !== 'held') {
 		handleFailedPoll(state, worker, event);
--- a/packages/core/src/scheduler/start-window.ts
+++ b/packages/core/src/scheduler/start-window.ts
@@ -1,5 +1,5 @@
 /**
- * Bounds the starts without an answer. Each call takes a part of the leader's link and processor: starts that the host
+ * Bounds the starts and the first polls without an answer. Each call takes a part of the leader's link and processor: starts that the host
  * cannot send in time would make the polls behind them late too, and with them the leases of sound workers.
  */
 import {never, startAnswerMs} from './timing.js';
@@ -18,10 +18,10 @@
 	/** When each start without an answer was sent, by task and run. */
 	readonly sentAt: Map<string, SteadyMs>;
 	limit: number;
-	/** Starts since the last change of the bound whose answers came in time, and those that came late or not at all. */
+	/** Such calls since the last change of the bound whose answers came in time, and those that came late or not at all. */
 	timely: number;
 	late: number;
-	/** The bound has held starts back since its last change. */
+	/** The bound has held calls back since its last change. */
 	hasHeldBack: boolean;
 	/** Stored placements whose starts are not sent yet. */
 	waiting: Array<{readonly task: Task; readonly run: number}>;
@@ -57,7 +57,7 @@
 	startWindow.waiting.push({task, run});
 }
 
-/** Handles the outcome of a start, whatever became of its task. Starts that are late for the most part halve the bound; those that are in time raise it. */
+/** Handles the outcome of a start, whatever became of its task. */
 export function closeStart(state: SchedulerState, taskName: string, run: number, isAnswered: boolean): void {
 	const {startWindow} = state;
 	const key = formatKey(taskName, run);
@@ -66,7 +66,12 @@
 		return;
 	}
 
-	const isTimely = isAnswered && state.now - sentAt <= startAnswerMs;
+	noteAnswerTime(state, isAnswered ? sentAt : never);
+}
+
+/** Takes down when the call was sent that is answered now; `never`: it was not answered. Calls that are late for the most part halve the bound; those that are in time raise it. */
+export function noteAnswerTime({startWindow, now}: SchedulerState, sentAt: SteadyMs): void {
+	const isTimely = now - sentAt <= startAnswerMs && sentAt !== never;
 	startWindow.timely += isTimely ? 1 : 0;
 	startWindow.late += isTimely ? 0 : 1;
 	if (startWindow.timely + startWindow.late >= startWindow.limit) {
