--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -4,9 +4,11 @@
 import {isFinal} from './phases.js';
 import {clearWorker, dropIncarnation, restartWorker} from './registry.js';
 import {readEnds, readRunning, skipSilence} from './reports.js';
+import {hasHeldBackStarts, noteAnswerTime} from './start-window.js';
 import {getTarget} from './tasks.js';
 import {
-	leaseRenewalThresholdMs, leaseSlackMs, longRunningPollWaitMs, maxClockDrift, pollRetryMs, pollSlackMs, pollWaitMs, retriedPollSlackMs, unconfirmedLimitMs, workerLeaseMs,
+	busyPollPauseMs, busyPollWaitMs,
+	leaseRenewalThresholdMs, leaseSlackMs, longRunningPollWaitMs, maxClockDrift, never, pollRetryMs, pollSlackMs, pollWaitMs, retriedPollSlackMs, unconfirmedLimitMs, workerLeaseMs,
 } from './timing.js';
 import type {SchedulerEvent} from './events.js';
 import type {SchedulerState, Worker} from './state.js';
@@ -23,14 +25,41 @@
 	}
 
 	const isConfirmed = isConfirmedWithin(state, unconfirmedLimitMs) && hasReadStartedJobs(state);
+	let firstPolls: number | undefined;
 	for (const worker of state.workers.values()) {
 		expireLease(state, worker);
-		if (isConfirmed && isPollDue(state, worker)) {
-			sendPoll(state, worker);
+		if (!isConfirmed || !isPollDue(state, worker)) {
+			continue;
 		}
+
+		if (isFirstPoll(worker)) {
+			firstPolls ??= countFirstPolls(state);
+			if (firstPolls >= state.startWindow.limit) {
+				state.startWindow.hasHeldBack = true;
+				continue;
+			}
+
+			firstPolls++;
+		}
+
+		sendPoll(state, worker);
 	}
 }
 
+/** First polls without an answer. A new leader polls all workers: more than its host may be able to send in time. */
+function countFirstPolls({workers}: SchedulerState): number {
+	let count = 0;
+	for (const worker of workers.values()) {
+		count += worker.isPollPending && isFirstPoll(worker) ? 1 : 0;
+	}
+
+	return count;
+}
+
+function isFirstPoll({isPolledByLeader, failedPolls}: Worker): boolean {
+	return !isPolledByLeader && failedPolls === 0;
+}
+
 /**
  * True if this leader has read all jobs that may have been started. A new leader may have read the progress of jobs
  * whose definitions it has not read yet. Until it has, it must not poll: it would treat their runs as unknown, stop
@@ -46,7 +75,7 @@
 		return false;
 	}
 
-	const isNeeded = (!worker.isPolledByLeader && worker.isListed) || worker.tasks.size > 0 || worker.unknownRuns.size > 0 || worker.lastAckedEnd < worker.lastStoredEnd;
+	const isNeeded = (!worker.isPolledByLeader && worker.isListed) || hasSentTasks(worker) || worker.unknownRuns.size > 0 || worker.lastAckedEnd < worker.lastStoredEnd;
 	// Run ends that are read but not stored are not acknowledged either: another poll would list them again at once.
 	const isStoring = worker.lastReadEnd > worker.lastStoredEnd && worker.leaseExpiresAt - state.now > leaseRenewalThresholdMs;
 	return isNeeded && !isStoring;
@@ -71,7 +100,6 @@
 function sendPoll(state: SchedulerState, worker: Worker): void {
 	worker.isPollPending = true;
 	const hasWork = hasSentTasks(worker);
-	const hasLongRunningTasks = hasWork && worker.longRunningTasks > 0;
 	addEffect(state, {
 		type: 'worker/poll',
 		worker: getTarget(worker),
@@ -82,10 +110,18 @@
 		isExtra: false,
 		// A worker that is only slow to answer is heard before its lease lapses.
 		slackMs: worker.failedPolls === 0 ? pollSlackMs : retriedPollSlackMs,
-		waitMs: hasWork && worker.isPolledByLeader && worker.failedPolls === 0 ? (hasLongRunningTasks ? longRunningPollWaitMs : pollWaitMs) : 0,
+		waitMs: hasWork && worker.isPolledByLeader && worker.failedPolls === 0 ? choosePollWait(state, worker) : 0,
 	});
 }
 
+function choosePollWait({startWindow}: SchedulerState, worker: Worker): number {
+	if (hasHeldBackStarts(startWindow)) {
+		return busyPollWaitMs;
+	}
+
+	return worker.longRunningTasks > 0 ? longRunningPollWaitMs : pollWaitMs;
+}
+
 /** Polls immediately, even while another poll waits for a run to end. */
 export function sendExtraPoll(state: SchedulerState, worker: Worker): void {
 	addEffect(state, {
@@ -121,6 +157,10 @@
 		return;
 	}
 
+	if (!event.isExtra && isFirstPoll(worker)) {
+		noteAnswerTime(state, event.outcome === 'unknown' ? never : event.sentAt);
+	}
+
 	worker.isPollPending = event.isExtra && worker.isPollPending;
 	if (event.outcome !== 'held') {
 		handleFailedPoll(state, worker, event);
@@ -141,7 +181,7 @@
 	worker.lastAnswerAt = state.now;
 	worker.isPolledByLeader = true;
 	worker.lastAckedEnd = Math.max(worker.lastAckedEnd, worker.lastStoredEnd);
-	worker.pollDueAt = state.now;
+	worker.pollDueAt = state.now + (hasHeldBackStarts(state.startWindow) ? busyPollPauseMs : 0);
 	if (event.clockMs !== undefined) {
 		worker.clock = {workerMs: event.clockMs, at: state.now};
 	}
