Log: how many machines were ordered from one pool to another

A host writes at most 40 lines of an event a second. The line pool-moves gives the counts of a tick by pool. No change of behaviour (functions of moves.ts: tickMoves split, fillPools and reportMoves new).

--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -34,17 +34,37 @@
 
 	const pools = updateBalances(state, spare);
 	reportShortages(state, pools);
+	const firstOrder = state.nextOrderNumber;
+	fillPools(state, pools, spare);
+	if (state.now >= state.leadership.leaderSince + warmUpMs) {
+		for (const pool of pools) {
+			moveIdleToSpare(state, pool, spare);
+		}
+	}
+
+	reportMoves(state, firstOrder);
+}
+
+function fillPools(state: SchedulerState, pools: readonly PoolBalance[], spare: PoolName): void {
 	const unreachableZones = listUnreachableZones(state);
 	for (const pool of pools.toSorted((a, b) => b.missing - a.missing)) {
 		fillPool(state, pool, pools, {spare, unreachableZones});
 	}
+}
 
-	if (state.now < state.leadership.leaderSince + warmUpMs) {
-		return;
+/** Logs how many machines were ordered from one pool to another, as the log may leave out lines about single machines. */
+function reportMoves(state: SchedulerState, firstOrder: number): void {
+	const counts = new Map<string, {from: PoolName; to: PoolName; machines: number}>();
+	for (const {entry: {pool: from}, order} of state.nextOrderNumber > firstOrder ? state.machines.values() : []) {
+		if (order?.type === 'move' && order.number >= firstOrder) {
+			const key = JSON.stringify([from, order.pool]);
+			const count = counts.get(key) ?? {from, to: order.pool, machines: 0};
+			counts.set(key, {...count, machines: count.machines + 1});
+		}
 	}
 
-	for (const pool of pools) {
-		moveIdleToSpare(state, pool, spare);
+	for (const count of counts.values()) {
+		noteDecision(state, 'pool-moves', count);
 	}
 }
 
