Turn no machines off right after an outage of the store

Change: tickMoves stores spareNotBefore while it may not order; moveIdleToSpare waits for it as after a change of the leader, for the same time. Moves to pools that lack machines are not held back: the idle machines go there straight.

--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -9,7 +9,7 @@
 import type {Machine, SchedulerState} from './state.js';
 
 const moveIntervalMs = 150;
-/** A new leader has not seen any arrivals yet; for this long it moves no machine to the spare pool. */
+/** A leader that is new, or that the store did not answer until now, has not seen any arrivals yet; for this long it moves no machine to the spare pool. */
 const warmUpMs = 4000;
 const shortageLogIntervalMs = 1000;
 /** The machine of a worker without tasks for this long may go to the spare pool. */
@@ -22,7 +22,13 @@
 
 /** Orders the moves that are due. */
 export function tickMoves(state: SchedulerState): void {
-	if (!canOrder(state) || state.now < state.movesDueAt) {
+	if (!canOrder(state)) {
+		// No job is accepted while the store does not answer: idle machines do not show that there is no load.
+		state.spareNotBefore = state.now + warmUpMs;
+		return;
+	}
+
+	if (state.now < state.movesDueAt) {
 		return;
 	}
 
@@ -36,7 +42,7 @@
 	reportShortages(state, pools);
 	const firstOrder = state.nextOrderNumber;
 	fillPools(state, pools, spare);
-	if (state.now >= state.leadership.leaderSince + warmUpMs) {
+	if (state.now >= Math.max(state.spareNotBefore, state.leadership.leaderSince + warmUpMs)) {
 		for (const pool of pools) {
 			moveIdleToSpare(state, pool, spare);
 		}
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -371,6 +371,8 @@
 	readonly endedWorkers: Map<WorkerId, number>;
 	jobsDueAt: SteadyMs;
 	movesDueAt: SteadyMs;
+	/** Until then no machine goes to the spare pool. */
+	spareNotBefore: SteadyMs;
 	/** When a shortage of machines was last logged. */
 	shortageLoggedAt: SteadyMs;
 	retentionDueAt: SteadyMs;
@@ -420,6 +422,7 @@
 		endedWorkers: new Map(),
 		jobsDueAt: 0,
 		movesDueAt: 0,
+		spareNotBefore: 0,
 		shortageLoggedAt: 0,
 		retentionDueAt: 0,
 		shorteningDueAt: 0,
