--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -9,7 +9,7 @@
 import type {Machine, SchedulerState} from './state.js';
 
 const moveIntervalMs = 150;
-/** A new leader has not seen any arrivals yet; for this long it moves no machine to the spare pool. */
+/** A leader that is new, or that the store did not answer until now, has not seen any arrivals yet; for this long it moves no machine to the spare pool. */
 const warmUpMs = 4000;
 const shortageLogIntervalMs = 1000;
 /** The machine of a worker without tasks for this long may go to the spare pool. */
@@ -22,7 +22,13 @@
 
 /** Orders the moves that are due. */
 export function tickMoves(state: SchedulerState): void {
-	if (!canOrder(state) || state.now < state.movesDueAt) {
+	if (!canOrder(state)) {
+		// No job is accepted while the store does not answer: idle machines do not show that there is no load.
+		state.spareNotBefore = state.now + warmUpMs;
+		return;
+	}
+
+	if (state.now < state.movesDueAt) {
 		return;
 	}
 
@@ -34,17 +40,37 @@
 
 	const pools = updateBalances(state, spare);
 	reportShortages(state, pools);
+	const firstOrder = state.nextOrderNumber;
+	fillPools(state, pools, spare);
+	if (state.now >= Math.max(state.spareNotBefore, state.leadership.leaderSince + warmUpMs)) {
+		for (const pool of pools) {
+			moveIdleToSpare(state, pool, spare);
+		}
+	}
+
+	reportMoves(state, firstOrder);
+}
+
+function fillPools(state: SchedulerState, pools: readonly PoolBalance[], spare: PoolName): void {
 	const unreachableZones = listUnreachableZones(state);
 	for (const pool of pools.toSorted((a, b) => b.missing - a.missing)) {
 		fillPool(state, pool, pools, {spare, unreachableZones});
 	}
+}
 
-	if (state.now < state.leadership.leaderSince + warmUpMs) {
-		return;
+/** Logs how many machines were ordered from one pool to another, as the log may leave out lines about single machines. */
+function reportMoves(state: SchedulerState, firstOrder: number): void {
+	const counts = new Map<string, {from: PoolName; to: PoolName; machines: number}>();
+	for (const {entry: {pool: from}, order} of state.nextOrderNumber > firstOrder ? state.machines.values() : []) {
+		if (order?.type === 'move' && order.number >= firstOrder) {
+			const key = JSON.stringify([from, order.pool]);
+			const count = counts.get(key) ?? {from, to: order.pool, machines: 0};
+			counts.set(key, {...count, machines: count.machines + 1});
+		}
 	}
 
-	for (const pool of pools) {
-		moveIdleToSpare(state, pool, spare);
+	for (const count of counts.values()) {
+		noteDecision(state, 'pool-moves', count);
 	}
 }
 
