A start goes out only if its worker still has room for it

Cause: a start is sent once its placement is stored, and sendStart looked at the job, the worker's standing and the ticket, but not at its capacity. A worker that had shrunk meanwhile got every start of the append: with workers that do not refuse what does not fit, over its capacity (LIMIT).

Change: when the registry tells of less capacity, placed tasks whose starts were not sent go back to waiting at once, the latest first, until the rest fits; sendStart looks once more. A gang goes back as a whole. What runs goes on (decisions/users-platform.md).

Red on the old code: the five tests of "a worker that shrinks between the placement of a task and its start" (3 starts instead of 1; starts at the shrunk worker instead of the other; memory; accelerators; three members of a gang instead of none). Four tests beside them passed before: a worker that has shrunk below what runs on it gets nothing more, also under a new leader and beside unknown runs, and one without capacity gets nothing.

--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -1,7 +1,9 @@
 /** The workers that a leader knows, from the registry and from stored progress. */
 import {addEffect, noteDecision} from './logging.js';
 import {noResources} from './resources.js';
-import {getTarget, requestStop, returnTask} from './tasks.js';
+import {
+	getTarget, requestStop, returnExcessTasks, returnTask,
+} from './tasks.js';
 import {
 	maxClockDrift, leaseSlackMs, lateStartMs, never, registryGraceMs, stopRetryMs, unconfirmedLimitMs, workerLeaseMs,
 } from './timing.js';
@@ -106,6 +108,7 @@
 	worker.machineId = entry.machineId;
 	worker.leavesAt = entry.isDraining ? (worker.leavesAt ?? state.now + (entry.remainingMs ?? 0)) : undefined;
 	worker.isDraining = entry.isDraining;
+	returnExcessTasks(state, worker);
 }
 
 /** Handles a new incarnation of a worker: the runs of the previous one are gone, except that unreported starts may reach the new one. */
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -6,7 +6,7 @@
 import {isJobOpen} from './phases.js';
 import {dropIncarnation, noteLateStart, tickLateStarts} from './registry.js';
 import {
-	confirmTask, getTarget, requestStop, returnTask,
+	confirmTask, getTarget, isOverloaded, requestStop, returnTask, returnUnsentTask,
 } from './tasks.js';
 import {
 	never, startReportMs, stopRetryMs, unconfirmedLimitMs,
@@ -29,21 +29,15 @@
 		return;
 	}
 
-	if (!isJobOpen(task.step.occurrence.job) || !worker.isPolledByLeader || !worker.isListed || worker.isReserved) {
-		returnTask(state, task);
-		return;
-	}
-
-	// The ticket may have expired while the placement was being stored.
-	if (getTicketState(state, task.step, worker) !== 'good') {
-		returnTask(state, task);
+	if (!canStillStart(state, task, worker)) {
+		returnUnsentTask(state, task);
 		return;
 	}
 
 	// A start renews the worker's lease, which a leader may only do as long as its successor would wait for.
 	const untilMs = isConfirmedWithin(state, unconfirmedLimitMs) ? extendLease(state, worker) : undefined;
 	if (untilMs === undefined) {
-		returnTask(state, task);
+		returnUnsentTask(state, task);
 		return;
 	}
 
@@ -62,6 +56,12 @@
 	});
 }
 
+/** True if what the placement was decided by still holds: the job, the worker, its capacity or the ticket may have changed while the placement was being stored. */
+function canStillStart(state: SchedulerState, {step}: Task, worker: Worker): boolean {
+	return isJobOpen(step.occurrence.job) && worker.isPolledByLeader && worker.isListed && !worker.isReserved && !isOverloaded(worker)
+		&& getTicketState(state, step, worker) === 'good';
+}
+
 type StartHandler = (state: SchedulerState, worker: Worker, task: Task) => void;
 
 function returnRefused(state: SchedulerState, _worker: Worker, task: Task): void {
--- a/packages/core/src/scheduler/tasks.ts
+++ b/packages/core/src/scheduler/tasks.ts
@@ -1,7 +1,7 @@
 /** Changes of a task's status. They also keep the open steps, the workers' used capacity and the jobs to be stored up to date. */
 import {addEffect} from './logging.js';
 import {isJobOpen} from './phases.js';
-import {addResources} from './resources.js';
+import {addResources, doesFit, noResources} from './resources.js';
 import {never, stopRetryMs} from './timing.js';
 import type {WorkerTarget} from './effects.js';
 import type {Resources, RunEnd, StepDefinition} from './types.js';
@@ -29,6 +29,11 @@
 	return addResources(worker.capacity, worker.used, -1);
 }
 
+/** True if a worker's tasks have reserved more than its capacity, which may have shrunk since. */
+export function isOverloaded(worker: Worker): boolean {
+	return !doesFit(noResources, getFree(worker));
+}
+
 function addUse(worker: Worker, task: Task, sign: 1 | -1): void {
 	worker.used = addResources(worker.used, getNeed(task), sign);
 	worker.longRunningTasks += task.step.definition.isLongRunning ? sign : 0;
@@ -125,6 +130,31 @@
 	state.dirtyJobs.add(task.step.occurrence.job);
 }
 
+/** Returns a placed task whose start was not sent, and with it its whole gang: the members only run together. */
+export function returnUnsentTask(state: SchedulerState, task: Task): void {
+	const {step} = task;
+	for (const member of step.definition.isGang ? step.tasks : [task]) {
+		if (member.status === 'placed' && !member.isSent) {
+			returnTask(state, member);
+		} else {
+			requestStop(state, member);
+		}
+	}
+}
+
+/** Returns placed tasks whose starts were not sent, the latest first, until the others fit into their worker's capacity. */
+export function returnExcessTasks(state: SchedulerState, worker: Worker): void {
+	for (const task of [...worker.tasks.values()].toReversed()) {
+		if (!isOverloaded(worker)) {
+			return;
+		}
+
+		if (task.worker === worker && task.status === 'placed' && !task.isSent) {
+			returnUnsentTask(state, task);
+		}
+	}
+}
+
 /** Asks the worker to stop a run; its capacity is released once a poll shows that the run has ended. */
 export function requestStop(state: SchedulerState, task: Task): void {
 	if (task.status !== 'placed' && task.status !== 'running' && task.status !== 'stopping') {
