A start goes out only if its worker may still be given tasks

Cause: sendStart asked for less than placement does: not whether the worker is draining, runs something that this leader does not know, has left a poll unanswered or is paused. While the store takes its time for a placement, such news comes in, and the start went out all the same: to a worker later than the registry's word that it drains (DRAIN), and beside a run that takes the room (LIMIT).

Change: sendStart asks isUsable, the same question as placement.

--- a/packages/core/src/scheduler/capacity.test.ts
+++ b/packages/core/src/scheduler/capacity.test.ts
@@ -4,7 +4,7 @@
 import {
 	createProgress, createRow, createWorker, HandDrivenHost, listStarts, type EffectOf,
 } from './testing/hand-driven.js';
-import {createJob, createStep} from './testing/model-fleet.js';
+import {createJob, createStep} from './testing/model-jobs.js';
 import type {SchedulerEffect} from './effects.js';
 import type {
 	Resources, RunningRow, StepDefinition, WorkerEntry,
@@ -160,6 +160,16 @@
 	});
 });
 
+describe('a run that a leader does not know and that is reported between a placement and its start', () => {
+	/** Guards against a start beside a run of an earlier leader that was carried out late. */
+	it('keeps the start from being sent', () => {
+		const host = createLeader(createWorker('w1', {capacity: createCapacity(1)}));
+		const commit = placeTasks(host);
+		host.answerPoll('w1', {running: [createRunningRow('00000000000000aa.0.0.0')]});
+		expect(listStarts(host.store(commit))).toEqual([]);
+	});
+});
+
 describe('a worker without capacity', () => {
 	it('gets no start', () => {
 		const host = createLeader(createWorker('w1', {capacity: {cpu: 0, memoryMb: 0, gpu: 0}}));
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -4,6 +4,7 @@
 import {extendLease, sendExtraPoll} from './polls.js';
 import {addEffect, noteDecision} from './logging.js';
 import {isJobOpen} from './phases.js';
+import {isUsable} from './placement.js';
 import {dropIncarnation, noteLateStart, tickLateStarts} from './registry.js';
 import {
 	confirmTask, getTarget, isOverloaded, requestStop, returnTask, returnUnsentTask,
@@ -58,8 +59,7 @@
 
 /** True if what the placement was decided by still holds: the job, the worker, its capacity or the ticket may have changed while the placement was being stored. */
 function canStillStart(state: SchedulerState, {step}: Task, worker: Worker): boolean {
-	return isJobOpen(step.occurrence.job) && worker.isPolledByLeader && worker.isListed && !worker.isReserved && !isOverloaded(worker)
-		&& getTicketState(state, step, worker) === 'good';
+	return isJobOpen(step.occurrence.job) && isUsable(state, worker) && !isOverloaded(worker) && getTicketState(state, step, worker) === 'good';
 }
 
 type StartHandler = (state: SchedulerState, worker: Worker, task: Task) => void;
