A run that a leader does not know counts until a later poll lacks it

Cause: each answer to a poll replaced the list of unknown runs, also the answer to a poll that was sent before the run was reported. Answers on two connections may overtake each other: the earlier list made the worker look free while the run was still being stopped, and a start took its room a second time (LIMIT; machine orders look at the same list).

Change: an unknown run is dropped by an answer to a poll that was sent after the last report of it, or by its end.

Red on the old code: capacity.test "counts although the answer to an earlier poll, which arrives later, does not list it" (one start beside the run). HandDrivenHost answers extra polls.

--- a/packages/core/src/scheduler/capacity.test.ts
+++ b/packages/core/src/scheduler/capacity.test.ts
@@ -168,6 +168,21 @@
 		host.answerPoll('w1', {running: [createRunningRow('00000000000000aa.0.0.0')]});
 		expect(listStarts(host.store(commit))).toEqual([]);
 	});
+
+	/** Guards against answers on two connections that overtake each other. */
+	it('counts although the answer to an earlier poll, which arrives later, does not list it', () => {
+		const host = createLeader(createWorker('w1', {capacity: createCapacity(1)}));
+		const earlier = host.now;
+		host.tick(100);
+		host.answerPoll('w1', {running: [createRunningRow('00000000000000aa.0.0.0')], isExtra: true});
+		host.answerPoll('w1', {running: [], sentAt: earlier});
+		submitTasks(host, 1);
+		host.tick(100);
+		expect(listStarts(host.effects)).toEqual([]);
+		host.answerPoll('w1', {running: []});
+		host.tick(100);
+		expect(listStarts(host.effects).length).toEqual(1);
+	});
 });
 
 describe('a worker without capacity', () => {
--- a/packages/core/src/scheduler/reports.ts
+++ b/packages/core/src/scheduler/reports.ts
@@ -78,6 +78,10 @@
 }
 
 function readEnd(state: SchedulerState, worker: Worker, row: EndedRow): void {
+	if (worker.unknownRuns.get(row.task)?.run === row.run) {
+		worker.unknownRuns.delete(row.task);
+	}
+
 	const task = worker.tasks.get(row.task);
 	if (task?.run !== row.run || !task.isSent) {
 		return;
@@ -100,6 +104,7 @@
 
 /** Reads which runs go on, stops those that this leader does not know, and returns tasks whose runs are gone. */
 export function readRunning(state: SchedulerState, worker: Worker, event: PollEnded): void {
+	dropUnknownRuns(worker, event.sentAt);
 	const seen = readRunningRows(state, worker, event.running);
 	// The list of run ends may be incomplete: the end of a run that is not listed as running may be in its missing part.
 	if (event.ended.length < maxListedEnds) {
@@ -107,9 +112,17 @@
 	}
 }
 
+/** Only a poll sent after a run was last reported shows that it is gone: answers may overtake each other. */
+function dropUnknownRuns({unknownRuns}: Worker, sentAt: SteadyMs): void {
+	for (const [task, {reportedAt}] of unknownRuns) {
+		if (reportedAt < sentAt) {
+			unknownRuns.delete(task);
+		}
+	}
+}
+
 /** Returns the names of the tasks whose runs go on. */
 function readRunningRows(state: SchedulerState, worker: Worker, rows: readonly RunningRow[]): Set<string> {
-	worker.unknownRuns.clear();
 	const seen = new Set<string>();
 	for (const row of rows) {
 		const task = worker.tasks.get(row.task);
@@ -142,7 +155,7 @@
 }
 
 function stopUnknownRun(state: SchedulerState, worker: Worker, row: RunningRow): void {
-	worker.unknownRuns.set(row.task, row);
+	worker.unknownRuns.set(row.task, {run: row.run, reportedAt: state.now});
 	worker.pollDueAt = state.now + pollRetryMs;
 	addEffect(state, {
 		type: 'worker/stop', worker: getTarget(worker), task: row.task, run: row.run, token: state.leadership.token,
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -14,7 +14,6 @@
 	PoolName,
 	QueueName,
 	Resources,
-	RunningRow,
 	StepDefinition,
 	SteadyMs,
 	TaskName,
@@ -194,7 +193,7 @@
 	longRunningTasks: number;
 	lateStarts: LateStart[];
 	/** Runs that the worker reports and this leader did not start or restore; they are stopped. */
-	readonly unknownRuns: Map<TaskName, RunningRow>;
+	readonly unknownRuns: Map<TaskName, {readonly run: number; readonly reportedAt: SteadyMs}>;
 	used: Resources;
 	/** Gets no new tasks, because its machine is about to be moved or maintained. */
 	isReserved: boolean;
--- a/packages/core/src/scheduler/testing/hand-driven.ts
+++ b/packages/core/src/scheduler/testing/hand-driven.ts
@@ -54,7 +54,7 @@
 
 type PollAnswerChanges = {
 	readonly running?: readonly RunningRow[]; readonly ended?: readonly EndedRow[]; readonly sentAt?: number;
-	readonly bornAt?: number; readonly answerBornAt?: number | undefined; readonly token?: number; readonly outcome?: PollOutcome;
+	readonly bornAt?: number; readonly answerBornAt?: number | undefined; readonly token?: number; readonly outcome?: PollOutcome; readonly isExtra?: boolean;
 };
 
 export class HandDrivenHost {
