A new incarnation gets tasks only by its own registry entry

Cause: a worker that starts again under its id may be of another kind.

Change: a restart clears what tasks are placed by. The entry of the new incarnation fills it in; an older one does not.

Red on the old code: capacity.test "gets nothing until the registry tells its capacity, and then what fits" (3 starts before the entry).

--- a/packages/core/src/scheduler/capacity.test.ts
+++ b/packages/core/src/scheduler/capacity.test.ts
@@ -185,6 +185,24 @@
 	});
 });
 
+describe('a new incarnation of a worker that a poll shows before the registry does', () => {
+	/** Guards against a worker that came back as another kind and is filled by the capacity of its former life. */
+	it('gets nothing until the registry tells its capacity, and then what fits', () => {
+		const host = createLeader(createWorker('w1', {capacity: createCapacity(3)}));
+		host.answerPoll('w1', {answerBornAt: 2});
+		host.answerPoll('w1', {bornAt: 2, answerBornAt: 2});
+		submitTasks(host, 1, {count: 3});
+		host.tick(500);
+		// The registry still tells of the former incarnation.
+		listWorkers(host, createWorker('w1', {capacity: createCapacity(3)}));
+		host.tick(500);
+		expect(listStarts(host.effects)).toEqual([]);
+		listWorkers(host, createWorker('w1', {bornAt: 2, capacity: createCapacity(1)}));
+		host.tick(500);
+		expect(listStarts(host.effects).length).toEqual(1);
+	});
+});
+
 describe('a worker without capacity', () => {
 	it('gets no start', () => {
 		const host = createLeader(createWorker('w1', {capacity: {cpu: 0, memoryMb: 0, gpu: 0}}));
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -120,6 +120,7 @@
 	const unreported = listUnreportedTasks(worker);
 	clearWorker(state, worker, new Set(unreported));
 	worker.bornAt = bornAt;
+	clearAttributes(worker);
 	worker.clock = undefined;
 	// Not a lease: keeps the unreported tasks assigned while a late start may still be carried out.
 	worker.leaseExpiresAt = unreported.length > 0 ? state.now + lateStartMs : 0;
@@ -142,6 +143,14 @@
 	}
 }
 
+/** A new incarnation may be of another kind: until the registry lists it, nothing is known of it that tasks are placed by. */
+function clearAttributes(worker: Worker): void {
+	worker.pool = '';
+	worker.capacity = noResources;
+	worker.labels = new Set();
+	worker.rack = '';
+}
+
 /** Tasks whose start was sent but that no poll has listed: the worker's next incarnation may have carried out the start, or may still do so. */
 function listUnreportedTasks(worker: Worker): Task[] {
 	return [...worker.tasks.values()].filter(task => task.isSent && !task.isReported);
