Starts of a former incarnation keep their room until they are ruled out

Cause: a start whose answer was lost may be carried out by the next incarnation of its worker, which keeps the id. The leader sends that one a stop, but until it was confirmed the room counted as free: other work was started there, and the late start came on top (LIMIT).

Red on the old code: capacity.test "keeps room for starts that it may still carry out, until it has confirmed that it will not" (another job's start beside the unconfirmed stop).

--- a/packages/core/src/scheduler/capacity.test.ts
+++ b/packages/core/src/scheduler/capacity.test.ts
@@ -201,6 +201,25 @@
 		host.tick(500);
 		expect(listStarts(host.effects).length).toEqual(1);
 	});
+
+	/** Guards against a start that the former incarnation left unanswered and the new one carries out beside others. */
+	it('keeps room for starts that it may still carry out, until it has confirmed that it will not', () => {
+		const host = createLeader(createWorker('w1', {capacity: createCapacity(1)}));
+		const [start] = listStarts([...submitTasks(host, 1), ...host.tick(50)]);
+		host.answerStart(start!, 'unknown');
+		host.answerPoll('w1', {outcome: 'other-life'});
+		host.dispatch({type: 'intake/read', records: [{type: 'cancel', jobId: createJob(1, []).jobId}]});
+		listWorkers(host, createWorker('w1', {bornAt: 2, capacity: createCapacity(1)}));
+		host.answerPoll('w1', {bornAt: 2, answerBornAt: 2});
+		submitTasks(host, 2);
+		host.tick(200);
+		expect(listStarts(host.effects).length).toEqual(1);
+		host.dispatch({
+			type: 'stop/ended', workerId: 'w1', bornAt: 2, task: start!.task, run: start!.run, outcome: 'stopped', token: host.token,
+		});
+		host.tick(500);
+		expect(listTargets(host.effects).slice(1)).toEqual(['w1 0000000000000002.0.0.0 1']);
+	});
 });
 
 describe('a worker without capacity', () => {
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -2,7 +2,7 @@
 import {addEffect, noteDecision} from './logging.js';
 import {noResources} from './resources.js';
 import {
-	getTarget, requestStop, returnExcessTasks, returnTask,
+	getNeed, getTarget, requestStop, returnExcessTasks, returnTask,
 } from './tasks.js';
 import {
 	maxClockDrift, leaseSlackMs, lateStartMs, never, registryGraceMs, stopRetryMs, unconfirmedLimitMs, workerLeaseMs,
@@ -177,7 +177,7 @@
 	}
 
 	worker.lateStarts.push({
-		task: task.name, run: task.run, forgetAt: state.now + lateStartMs, stopDueAt: never,
+		task: task.name, run: task.run, need: getNeed(task), forgetAt: state.now + lateStartMs, stopDueAt: never,
 	});
 }
 
@@ -187,7 +187,9 @@
 		return;
 	}
 
-	worker.lateStarts = worker.lateStarts.filter(late => late.forgetAt > state.now);
+	const lateStarts = worker.lateStarts.filter(late => late.forgetAt > state.now);
+	state.needsPlacement ||= lateStarts.length < worker.lateStarts.length;
+	worker.lateStarts = lateStarts;
 	for (const late of worker.lateStarts) {
 		if (late.stopDueAt <= state.now && worker.address !== '') {
 			late.stopDueAt = state.now + stopRetryMs;
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -144,7 +144,7 @@
 	}
 
 	if (event.outcome === 'stopped') {
-		confirmLateStop(worker, event);
+		confirmLateStop(state, worker, event);
 	}
 
 	const task = worker.tasks.get(event.task);
@@ -165,10 +165,11 @@
 	}
 }
 
-function confirmLateStop(worker: Worker, event: StopEnded): void {
+function confirmLateStop(state: SchedulerState, worker: Worker, event: StopEnded): void {
 	for (const late of worker.lateStarts) {
 		if (late.task === event.task && late.run === event.run) {
 			late.stopDueAt = never;
+			state.needsPlacement = true;
 		}
 	}
 }
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -148,8 +148,9 @@
 export type LateStart = {
 	readonly task: TaskName;
 	readonly run: number;
+	readonly need: Resources;
 	readonly forgetAt: SteadyMs;
-	/** When a stop is sent to the worker's new incarnation. */
+	/** When a stop is sent to the worker's new incarnation; `never` as long as there is none, and once it has confirmed the stop. */
 	stopDueAt: SteadyMs;
 };
 
--- a/packages/core/src/scheduler/tasks.ts
+++ b/packages/core/src/scheduler/tasks.ts
@@ -24,9 +24,16 @@
 	return {id: worker.id, bornAt: worker.bornAt, address: worker.address};
 }
 
-/** Capacity of a worker that no task has reserved. */
+/** Capacity of a worker that no task has reserved, and that no start meant for its former incarnation may still take. */
 export function getFree(worker: Worker): Resources {
-	return addResources(worker.capacity, worker.used, -1);
+	let free = addResources(worker.capacity, worker.used, -1);
+	for (const {task, need, stopDueAt} of worker.lateStarts) {
+		if (stopDueAt !== never && !worker.tasks.has(task)) {
+			free = addResources(free, need, -1);
+		}
+	}
+
+	return free;
 }
 
 /** True if a worker's tasks have reserved more than its capacity, which may have shrunk since. */
