Model: workers shrink and grow, and may start whatever they are told to

The model's workers refused what did not fit, by a capacity that never changed: it could not break LIMIT. Draws of other runs are as before.

--- a/packages/core/src/scheduler/testing/model-checks.ts
+++ b/packages/core/src/scheduler/testing/model-checks.ts
@@ -61,7 +61,8 @@
 		this.recordCompletedJobs();
 	}
 
-	checkStart(task: string, need: Resources, worker: ModelWorker): void {
+	/** Checks a start that was carried out. It must fit into the worker's capacity since `knownFrom`, the time of the last news that the leader had when it sent the start. */
+	checkStart(task: string, need: Resources, worker: ModelWorker, knownFrom: number): void {
 		const {now} = this.options.time;
 		const [jobId] = task.split('.');
 		if (this.countRuns(task) > 1) {
@@ -72,7 +73,7 @@
 			this.violations.push(`${now}: ${task} starts though its job was shown as completed`);
 		}
 
-		if (worker.countUsedCpu() > worker.entry.capacity.cpu) {
+		if (worker.countUsedCpu() > worker.getLargestCpu(knownFrom)) {
 			this.violations.push(`${now}: ${worker.entry.id} exceeds its capacity after the start of a task that needs ${need.cpu} thousandths of a core`);
 		}
 	}
--- a/packages/core/src/scheduler/testing/model-faults.ts
+++ b/packages/core/src/scheduler/testing/model-faults.ts
@@ -6,8 +6,8 @@
 const answerTimeoutMs = 600;
 const percentAll = 100;
 
-/** The percentage of answers that are lost and of calls that are carried out late, and the interval of crashes of hosts and workers. */
-export type ModelFaults = {readonly lostPercent: number; readonly delayedPercent: number; readonly crashEveryMs: number};
+/** The percentage of answers that are lost and of calls that are carried out late, the interval of crashes of hosts and workers, and that at which a worker's capacity changes. */
+export type ModelFaults = {readonly lostPercent: number; readonly delayedPercent: number; readonly crashEveryMs: number; readonly capacityEveryMs?: number};
 
 export const noFaults: ModelFaults = {lostPercent: 0, delayedPercent: 0, crashEveryMs: Number.POSITIVE_INFINITY};
 
--- a/packages/core/src/scheduler/testing/model-fleet.ts
+++ b/packages/core/src/scheduler/testing/model-fleet.ts
@@ -32,8 +32,19 @@
 const tickMs = 25;
 const percentAll = 100;
 const stopDelayMs = 200;
-
-export type ModelFleetOptions = {readonly seed: number; readonly hosts: number; readonly workers: number; readonly faults: ModelFaults; readonly readFaults?: ReadFaults};
+const fullCpu = 8000;
+/** What a task of the model's steps needs. */
+const cpuStep = 2000;
+
+export type ModelFleetOptions = {
+	readonly seed: number;
+	readonly hosts: number;
+	readonly workers: number;
+	readonly faults: ModelFaults;
+	readonly readFaults?: ReadFaults;
+	/** Workers start what they are told to, whether it fits or not. */
+	readonly areWorkersUnguarded?: boolean;
+};
 
 function addInstants(body: EventBody, at: number, wallAt: Instant): SchedulerEvent {
 	const event = {...body, at, wallAt};
@@ -58,12 +69,14 @@
 	private readonly reads: ModelReads;
 	private readonly calls: ModelCalls;
 	private nextCrashAt: number;
+	private nextCapacityAt: number;
 
-	private constructor({seed, hosts, workers, faults, readFaults = noReadFaults}: ModelFleetOptions) {
+	private constructor({seed, hosts, workers, faults, readFaults = noReadFaults, areWorkersUnguarded = false}: ModelFleetOptions) {
 		this.time = ModelTime.create(seed);
 		this.faults = faults;
 		this.readFaults = readFaults;
 		this.nextCrashAt = faults.crashEveryMs;
+		this.nextCapacityAt = faults.capacityEveryMs ?? Number.POSITIVE_INFINITY;
 		const {time, store} = this;
 		const push = (host: ModelHost, body: EventBody) => {
 			this.push(host, body);
@@ -78,10 +91,14 @@
 		this.calls = ModelCalls.create({time, getFaults: () => this.faults, push});
 		for (let index = 0; index < workers; index++) {
 			this.workers.push(ModelWorker.create({
-				id: `w-${index}`, bornAt: 1, address: `w-${index}`, pool: poolName, availabilityZone: 'a', capacity: {cpu: 8000, memoryMb: 100_000, gpu: 0}, labels: ['a', `r-${index % 2}`], isDraining: false, remainingMs: undefined, machineId: `m-${index}`,
+				id: `w-${index}`, bornAt: 1, address: `w-${index}`, pool: poolName, availabilityZone: 'a', capacity: {cpu: fullCpu, memoryMb: 100_000, gpu: 0}, labels: ['a', `r-${index % 2}`], isDraining: false, remainingMs: undefined, machineId: `m-${index}`,
 			}));
 		}
 
+		for (const worker of this.workers) {
+			worker.isGuarding = !areWorkersUnguarded;
+		}
+
 		for (let index = 0; index < hosts; index++) {
 			this.hosts.push(this.createHost(index, 0));
 		}
@@ -154,6 +171,10 @@
 		worker.crash();
 		this.time.schedule(downMs, () => {
 			worker.restart(this.now);
+			if (this.faults.capacityEveryMs !== undefined) {
+				// The new incarnation may be of another kind.
+				worker.setCpu(this.draw(1, fullCpu / cpuStep) * cpuStep, this.now);
+			}
 		});
 	}
 
@@ -192,6 +213,7 @@
 		}
 
 		this.crashRandomProcess();
+		this.updateCapacity();
 		for (const host of this.hosts) {
 			if (host.isUp) {
 				this.advanceHost(host);
@@ -212,6 +234,21 @@
 		}
 	}
 
+	/** Lets a worker shrink, and grow again some time later. */
+	private updateCapacity(): void {
+		const {capacityEveryMs} = this.faults;
+		if (capacityEveryMs === undefined || this.now < this.nextCapacityAt) {
+			return;
+		}
+
+		this.nextCapacityAt = this.now + this.draw(Math.ceil(capacityEveryMs / 2), capacityEveryMs * 2);
+		const worker = this.workers[this.draw(0, this.workers.length - 1)]!;
+		worker.setCpu(this.draw(0, fullCpu / cpuStep) * cpuStep, this.now);
+		this.time.schedule(this.draw(100, 5000), () => {
+			worker.setCpu(fullCpu, this.now);
+		});
+	}
+
 	private advanceHost(host: ModelHost): void {
 		if (this.now >= host.nextReadAt) {
 			host.nextReadAt = this.now + readMs;
@@ -237,7 +274,7 @@
 		}
 
 		if (role === 'leader') {
-			this.push(host, {type: 'workers/listed', workers: this.workers.filter(({isUp}) => isUp).map(({entry, bornAt}) => ({...entry, bornAt})), isReloaded: false});
+			this.push(host, {type: 'workers/listed', workers: this.workers.filter(({isUp}) => isUp).map(worker => worker.createEntry()), isReloaded: false});
 			resetCursor(host.ledger);
 			return;
 		}
@@ -314,6 +351,8 @@
 
 	private callStart(host: ModelHost, effect: Extract<SchedulerEffect, {type: 'worker/start'}>): void {
 		const {task, run} = effect;
+		// The registry is read at this interval, and at most one step of the model passes until the read.
+		const knownFrom = this.now - readMs - stepMs;
 		const base = {
 			type: 'start/ended' as const, workerId: effect.worker.id, bornAt: effect.worker.bornAt, task, run, clockMs: undefined,
 		};
@@ -329,7 +368,7 @@
 			}, this.now);
 			if (outcome === 'started' && !hadRun) {
 				this.checks.recordRun(task, end === 'failed');
-				this.checks.checkStart(task, need, worker);
+				this.checks.checkStart(task, need, worker, knownFrom);
 			}
 
 			return {...base, outcome};
--- a/packages/core/src/scheduler/testing/model-worker.ts
+++ b/packages/core/src/scheduler/testing/model-worker.ts
@@ -19,6 +19,8 @@
 	bornAt: number;
 	/** Highest end that a leader has acknowledged. */
 	ackedEnd = 0;
+	/** Whether starts that do not fit are refused. */
+	isGuarding = true;
 	private ended: EndedRow[] = [];
 	private readonly highestRuns = new Map<string, number>();
 	private fence = 0;
@@ -26,9 +28,32 @@
 	private leaseUntil = 0;
 	/** Run ends up to this number were listed before a lease expired; acknowledging them later has no effect. */
 	private expiredUpTo = 0;
+	/** The processor capacity, and since when. */
+	private readonly cpuHistory: Array<{readonly since: number; readonly cpu: number}>;
 
 	private constructor(readonly entry: WorkerEntry) {
 		this.bornAt = entry.bornAt;
+		this.cpuHistory = [{since: 0, cpu: entry.capacity.cpu}];
+	}
+
+	get cpu(): number {
+		return this.cpuHistory.at(-1)!.cpu;
+	}
+
+	/** Changes the processor capacity; what runs goes on. */
+	setCpu(cpu: number, now: number): void {
+		this.cpuHistory.push({since: now, cpu});
+	}
+
+	/** The largest processor capacity from an instant on. */
+	getLargestCpu(from: number): number {
+		const index = this.cpuHistory.findLastIndex(({since}) => since <= from);
+		return Math.max(...this.cpuHistory.slice(Math.max(0, index)).map(({cpu}) => cpu));
+	}
+
+	/** The worker as it reports itself. */
+	createEntry(): WorkerEntry {
+		return {...this.entry, bornAt: this.bornAt, capacity: {...this.entry.capacity, cpu: this.cpu}};
 	}
 
 	/** Ends the process and all its runs. */
@@ -71,7 +96,7 @@
 			return 'stale-run';
 		}
 
-		if (this.countUsedCpu() + order.run.need.cpu > this.entry.capacity.cpu) {
+		if (this.isGuarding && this.countUsedCpu() + order.run.need.cpu > this.cpu) {
 			return 'no-room';
 		}
 
--- a/packages/core/src/scheduler/testing/run-seed.ts
+++ b/packages/core/src/scheduler/testing/run-seed.ts
@@ -11,6 +11,8 @@
 const settleMs = 40_000;
 const minCrashIntervalMs = 800;
 const crashIntervalStepMs = 700;
+const minCapacityIntervalMs = 50;
+const capacityIntervalStepMs = 250;
 const minStalenessMs = 200;
 const stalenessStepMs = 320;
 const minPageRecords = 2;
@@ -26,9 +28,12 @@
 
 /** Runs the model; the seed also determines how often answers are lost, orders are delayed, and hosts and workers crash. */
 export function runSeed(seed: number): SeedResult {
-	const fleet = ModelFleet.create({
+	return runJobs(ModelFleet.create({
 		seed, hosts: hostCount, workers: workerCount, faults: {lostPercent: seed % 7, delayedPercent: seed % 5, crashEveryMs: minCrashIntervalMs + ((seed % 6) * crashIntervalStepMs)},
-	});
+	}));
+}
+
+function runJobs(fleet: ModelFleet): SeedResult {
 	fleet.run(warmUpMs);
 	for (let number = 1; number <= jobCount; number++) {
 		fleet.submit(createJob(number, [createStep({count: fleet.draw(1, 5)}), createStep({dependsOn: [0], count: fleet.draw(1, 3), estimateMs: fleet.draw(100, 1500)})]));
@@ -43,6 +48,19 @@
 
 export type StaleReadsResult = SeedResult & {readonly events: readonly string[]};
 
+/** Like `runSeed`, with workers that start whatever they are told to, and whose capacity shrinks and grows. */
+export function runCapacitySeed(seed: number): SeedResult {
+	return runJobs(ModelFleet.create({
+		seed,
+		hosts: hostCount,
+		workers: workerCount,
+		faults: {
+			lostPercent: seed % 7, delayedPercent: seed % 5, crashEveryMs: minCrashIntervalMs + ((seed % 6) * crashIntervalStepMs), capacityEveryMs: minCapacityIntervalMs + ((seed % 4) * capacityIntervalStepMs),
+		},
+		areWorkersUnguarded: true,
+	}));
+}
+
 /** Like `runSeed`, with reads that are stale when they arrive and come in pages, and with leaders that are stopped. */
 export function runStaleReadsSeed(seed: number): StaleReadsResult {
 	return runWithTakeovers(ModelFleet.create({
