A start without an answer is not stopped unheard while its step can spare no task

Cause: a start whose answer was lost is stopped after 600 ms unless the worker has reported the run. Where orders arrive and reports are slow (polls above 0.5 s), that ended a long-running task that was at work, also while as many others of its step were away as may be (AVAIL). Waves ask canDisplace before they stop a task; this stop did not.

Change: it asks too. Until then the worker's report decides, or the end of its lease, which the leader does not renew while the worker is unheard.

Red on the old code: availability.test "is not stopped unheard while another task is away" (ended at work twice, 4.73 s and 6.755 s into the play, one other away). The seven tests of upkeep beside them passed before; with canDisplace made always true all seven fail, with isAvailable reduced to the status four do.

--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -12,6 +12,7 @@
 import {
 	never, startReportMs, stopRetryMs, unconfirmedLimitMs,
 } from './timing.js';
+import {canDisplace} from './waves.js';
 import type {SchedulerEvent, StartOutcome} from './events.js';
 import type {SchedulerState, Task, Worker} from './state.js';
 
@@ -180,7 +181,8 @@
 		tickLateStarts(state, worker);
 		for (const task of worker.tasks.values()) {
 			const isStopDue = task.status === 'stopping' && task.conclusiveAfter === never && state.now >= task.stopDueAt;
-			const isReportDue = task.status === 'placed' && state.now >= task.unansweredAt + startReportMs;
+			// The run may be at work. While its step can spare no task, only the worker's report or the end of its lease decides.
+			const isReportDue = task.status === 'placed' && state.now >= task.unansweredAt + startReportMs && canDisplace(state, task);
 			if (isStopDue || isReportDue) {
 				requestStop(state, task);
 			}
