An older report of a worker does not undo a newer one

Cause: a reload of the registry may be some seconds old.

Without the field nothing changes.

Red on the old code: capacity.test and draining.test "stays so when the registry tells of an earlier report again" (2 starts instead of 1; 2 instead of none).

--- a/packages/core/src/scheduler/capacity.test.ts
+++ b/packages/core/src/scheduler/capacity.test.ts
@@ -137,6 +137,19 @@
 		expect(listTargets(host.effects).at(-1)).toEqual('w1 0000000000000002.0.0.0 1');
 	});
 
+	/** Guards against a reload of the registry that is some seconds old. */
+	it('stays so when the registry tells of an earlier report again', () => {
+		const host = createLeader(createWorker('w1', {capacity: createCapacity(2), sequence: 6}));
+		listWorkers(host, createWorker('w1', {capacity: createCapacity(1), sequence: 8}));
+		host.dispatch({type: 'workers/listed', workers: [createWorker('w1', {capacity: createCapacity(2), sequence: 7})], isReloaded: true});
+		submitTasks(host, 1, {count: 2});
+		host.tick(500);
+		expect(listStarts(host.effects).length).toEqual(1);
+		listWorkers(host, createWorker('w1', {capacity: createCapacity(2), sequence: 9}));
+		host.tick(500);
+		expect(listStarts(host.effects).length).toEqual(2);
+	});
+
 	it('is judged so by a new leader, whatever its predecessor had placed there', () => {
 		const host = HandDrivenHost.create();
 		const job = createJob(1, [createStep({count: 2, estimateMs: 60_000})]);
--- a/packages/core/src/scheduler/draining.test.ts
+++ b/packages/core/src/scheduler/draining.test.ts
@@ -88,6 +88,20 @@
 		}
 	});
 
+	/** Guards against a reload of the registry that is some seconds old. */
+	it('stays so when the registry tells of an earlier report again', () => {
+		const host = createLeader();
+		listWorkers(host, {...draining, sequence: 8});
+		listWorkers(host, {...ready, sequence: 7});
+		host.submit(job);
+		host.tick(500);
+		expect(listTargets(host)).toEqual([]);
+		listWorkers(host, {...ready, bornAt: 2, sequence: 1});
+		host.answerPoll('w1', {bornAt: 2, answerBornAt: 2});
+		host.tick(100);
+		expect(listTargets(host)).toEqual(['w1', 'w1']);
+	});
+
 	it('stays so for a leader that loses the lead and takes it again', () => {
 		const host = createLeader();
 		listWorkers(host, draining);
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -23,6 +23,7 @@
 	const worker: Worker = {
 		id,
 		bornAt,
+		sequence: 0,
 		address: '',
 		pool: '',
 		availabilityZone: '',
@@ -87,7 +88,8 @@
 	const worker = ensureWorker(state, entry.id, entry.bornAt);
 	if (worker.bornAt < entry.bornAt) {
 		restartWorker(state, worker, entry.bornAt);
-	} else if (worker.bornAt > entry.bornAt) {
+	} else if (worker.bornAt > entry.bornAt || (entry.sequence ?? worker.sequence) < worker.sequence) {
+		// A reload of the registry may be older than what was read before.
 		return;
 	}
 
@@ -99,6 +101,7 @@
 
 	worker.isListed = true;
 	worker.unlistAt = undefined;
+	worker.sequence = entry.sequence ?? 0;
 	worker.address = entry.address;
 	worker.pool = entry.pool;
 	worker.availabilityZone = entry.availabilityZone;
@@ -145,6 +148,7 @@
 
 /** A new incarnation may be of another kind: until the registry lists it, nothing is known of it that tasks are placed by. */
 function clearAttributes(worker: Worker): void {
+	worker.sequence = 0;
 	worker.pool = '';
 	worker.capacity = noResources;
 	worker.labels = new Set();
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -157,6 +157,8 @@
 export type Worker = {
 	readonly id: WorkerId;
 	bornAt: number;
+	/** That of the latest report of this incarnation that the registry has told of; 0 before the first. */
+	sequence: number;
 	address: string;
 	pool: PoolName;
 	availabilityZone: string;
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -104,6 +104,8 @@
 	readonly id: WorkerId;
 	/** When the worker's process started; identifies its incarnation. */
 	readonly bornAt: number;
+	/** Rises with each report of one incarnation; absent if the worker does not tell. */
+	readonly sequence?: number | undefined;
 	readonly address: string;
 	readonly pool: PoolName;
 	readonly availabilityZone: string;
