--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -30,7 +30,7 @@
 	}
 
 	const usable = groupByPool(state, worker => isUsable(state, worker));
-	const setAside = groupByPool(state, worker => isSound(worker) && isTrialDue(state, worker));
+	const setAside = groupByPool(state, worker => isUsableOnTrial(state, worker) && isTrialDue(state, worker));
 	for (const {step} of sortSteps(state)) {
 		const pool = getPoolOfJob(state, step.occurrence.job);
 		placeStep(state, step, pool, {usable: usable.get(pool) ?? [], setAside: setAside.get(pool) ?? []});
@@ -43,7 +43,12 @@
 
 /** True if a worker may be given new tasks. */
 export function isUsable(state: SchedulerState, worker: Worker): boolean {
-	return isSound(worker) && !isQuarantined(state, worker) && worker.pausedUntil <= state.now;
+	return isUsableOnTrial(state, worker) && !isQuarantined(state, worker);
+}
+
+/** The same, also for a worker that is set aside and may be given a long-running task on trial. */
+export function isUsableOnTrial(state: SchedulerState, worker: Worker): boolean {
+	return isSound(worker) && worker.pausedUntil <= state.now;
 }
 
 /** True if a worker answers, stays in its pool and runs only what this leader knows. */
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -1,7 +1,9 @@
 /** The workers that a leader knows, from the registry and from stored progress. */
 import {addEffect, noteDecision} from './logging.js';
 import {noResources} from './resources.js';
-import {getTarget, requestStop, returnTask} from './tasks.js';
+import {
+	getNeed, getTarget, requestStop, returnExcessTasks, returnTask,
+} from './tasks.js';
 import {
 	maxClockDrift, leaseSlackMs, lateStartMs, never, registryGraceMs, stopRetryMs, unconfirmedLimitMs, workerLeaseMs,
 } from './timing.js';
@@ -21,6 +23,7 @@
 	const worker: Worker = {
 		id,
 		bornAt,
+		sequence: 0,
 		address: '',
 		pool: '',
 		availabilityZone: '',
@@ -86,7 +89,8 @@
 	const worker = ensureWorker(state, entry.id, entry.bornAt);
 	if (worker.bornAt < entry.bornAt) {
 		restartWorker(state, worker, entry.bornAt);
-	} else if (worker.bornAt > entry.bornAt) {
+	} else if (worker.bornAt > entry.bornAt || (entry.sequence ?? worker.sequence) < worker.sequence) {
+		// A reload of the registry may be older than what was read before.
 		return;
 	}
 
@@ -98,6 +102,7 @@
 
 	worker.isListed = true;
 	worker.unlistAt = undefined;
+	worker.sequence = entry.sequence ?? 0;
 	worker.address = entry.address;
 	worker.pool = entry.pool;
 	worker.availabilityZone = entry.availabilityZone;
@@ -107,6 +112,7 @@
 	worker.machineId = entry.machineId;
 	worker.leavesAt = entry.isDraining ? (worker.leavesAt ?? state.now + (entry.remainingMs ?? 0)) : undefined;
 	worker.isDraining = entry.isDraining;
+	returnExcessTasks(state, worker);
 }
 
 /** Handles a new incarnation of a worker: the runs of the previous one are gone, except that unreported starts may reach the new one. */
@@ -118,6 +124,7 @@
 	const unreported = listUnreportedTasks(worker);
 	clearWorker(state, worker, new Set(unreported));
 	worker.bornAt = bornAt;
+	clearAttributes(worker);
 	worker.clock = undefined;
 	// Not a lease: keeps the unreported tasks assigned while a late start may still be carried out.
 	worker.leaseExpiresAt = unreported.length > 0 ? state.now + lateStartMs : 0;
@@ -141,6 +148,15 @@
 	}
 }
 
+/** A new incarnation may be of another kind: until the registry lists it, nothing is known of it that tasks are placed by. */
+function clearAttributes(worker: Worker): void {
+	worker.sequence = 0;
+	worker.pool = '';
+	worker.capacity = noResources;
+	worker.labels = new Set();
+	worker.rack = '';
+}
+
 /** Tasks whose start was sent but that no poll has listed: the worker's next incarnation may have carried out the start, or may still do so. */
 function listUnreportedTasks(worker: Worker): Task[] {
 	return [...worker.tasks.values()].filter(task => task.isSent && !task.isReported);
@@ -167,7 +183,7 @@
 	}
 
 	worker.lateStarts.push({
-		task: task.name, run: task.run, forgetAt: state.now + lateStartMs, stopDueAt: never,
+		task: task.name, run: task.run, need: getNeed(task), forgetAt: state.now + lateStartMs, stopDueAt: never,
 	});
 }
 
@@ -177,7 +193,9 @@
 		return;
 	}
 
-	worker.lateStarts = worker.lateStarts.filter(late => late.forgetAt > state.now);
+	const lateStarts = worker.lateStarts.filter(late => late.forgetAt > state.now);
+	state.needsPlacement ||= lateStarts.length < worker.lateStarts.length;
+	worker.lateStarts = lateStarts;
 	for (const late of worker.lateStarts) {
 		if (late.stopDueAt <= state.now && worker.address !== '') {
 			late.stopDueAt = state.now + stopRetryMs;
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -4,15 +4,17 @@
 import {extendLease, sendExtraPoll} from './polls.js';
 import {addEffect, noteDecision} from './logging.js';
 import {isJobOpen} from './phases.js';
+import {isUsable, isUsableOnTrial} from './placement.js';
 import {dropIncarnation, noteLateStart, tickLateStarts} from './registry.js';
 import {closeStart, hasStartWindow, openStart} from './start-window.js';
 import {
-	confirmTask, getTarget, requestStop, returnTask,
+	confirmTask, getTarget, isOverloaded, requestStop, returnTask, returnUnsentTask,
 } from './tasks.js';
 import {
 	never, startReportMs, stopRetryMs, unconfirmedLimitMs,
 } from './timing.js';
 import {compareUrgency, computeUrgency} from './urgency.js';
+import {canDisplace} from './waves.js';
 import type {SchedulerEvent, StartOutcome} from './events.js';
 import type {SchedulerState, Task, Worker} from './state.js';
 
@@ -59,21 +61,15 @@
 		return false;
 	}
 
-	if (!isJobOpen(task.step.occurrence.job) || !worker.isPolledByLeader || !worker.isListed || worker.isReserved) {
-		returnTask(state, task);
-		return false;
-	}
-
-	// The ticket may have expired while the placement was being stored.
-	if (getTicketState(state, task.step, worker) !== 'good') {
-		returnTask(state, task);
+	if (!canStillStart(state, task, worker)) {
+		returnUnsentTask(state, task);
 		return false;
 	}
 
 	// A start renews the worker's lease, which a leader may only do as long as its successor would wait for.
 	const untilMs = isConfirmedWithin(state, unconfirmedLimitMs) ? extendLease(state, worker) : undefined;
 	if (untilMs === undefined) {
-		returnTask(state, task);
+		returnUnsentTask(state, task);
 		return false;
 	}
 
@@ -93,6 +89,12 @@
 	return true;
 }
 
+/** True if what the placement was decided by still holds: the job, the worker, its capacity or the ticket may have changed while the placement was being stored. */
+function canStillStart(state: SchedulerState, {step}: Task, worker: Worker): boolean {
+	const isAllowed = isUsable(state, worker) || (step.definition.isLongRunning && isUsableOnTrial(state, worker));
+	return isJobOpen(step.occurrence.job) && isAllowed && !isOverloaded(worker) && getTicketState(state, step, worker) === 'good';
+}
+
 type StartHandler = (state: SchedulerState, worker: Worker, task: Task) => void;
 
 function returnRefused(state: SchedulerState, _worker: Worker, task: Task): void {
@@ -176,7 +178,7 @@
 	}
 
 	if (event.outcome === 'stopped') {
-		confirmLateStop(worker, event);
+		confirmLateStop(state, worker, event);
 	}
 
 	const task = worker.tasks.get(event.task);
@@ -197,10 +199,11 @@
 	}
 }
 
-function confirmLateStop(worker: Worker, event: StopEnded): void {
+function confirmLateStop(state: SchedulerState, worker: Worker, event: StopEnded): void {
 	for (const late of worker.lateStarts) {
 		if (late.task === event.task && late.run === event.run) {
 			late.stopDueAt = never;
+			state.needsPlacement = true;
 		}
 	}
 }
@@ -211,7 +214,8 @@
 		tickLateStarts(state, worker);
 		for (const task of worker.tasks.values()) {
 			const isStopDue = task.status === 'stopping' && task.conclusiveAfter === never && state.now >= task.stopDueAt;
-			const isReportDue = task.status === 'placed' && state.now >= task.unansweredAt + startReportMs;
+			// The run may be at work. While its step can spare no task, only the worker's report or the end of its lease decides.
+			const isReportDue = task.status === 'placed' && state.now >= task.unansweredAt + startReportMs && canDisplace(state, task);
 			if (isStopDue || isReportDue) {
 				requestStop(state, task);
 			}
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -15,7 +15,6 @@
 	PoolName,
 	QueueName,
 	Resources,
-	RunningRow,
 	StepDefinition,
 	SteadyMs,
 	TaskName,
@@ -150,14 +149,17 @@
 export type LateStart = {
 	readonly task: TaskName;
 	readonly run: number;
+	readonly need: Resources;
 	readonly forgetAt: SteadyMs;
-	/** When a stop is sent to the worker's new incarnation. */
+	/** When a stop is sent to the worker's new incarnation; `never` as long as there is none, and once it has confirmed the stop. */
 	stopDueAt: SteadyMs;
 };
 
 export type Worker = {
 	readonly id: WorkerId;
 	bornAt: number;
+	/** That of the latest report of this incarnation that the registry has told of; 0 before the first. */
+	sequence: number;
 	address: string;
 	pool: PoolName;
 	availabilityZone: string;
@@ -195,7 +197,7 @@
 	longRunningTasks: number;
 	lateStarts: LateStart[];
 	/** Runs that the worker reports and this leader did not start or restore; they are stopped. */
-	readonly unknownRuns: Map<TaskName, RunningRow>;
+	readonly unknownRuns: Map<TaskName, {readonly run: number; readonly reportedAt: SteadyMs}>;
 	used: Resources;
 	/** Gets no new tasks, because its machine is about to be moved or maintained. */
 	isReserved: boolean;
