Claims: time in which this process did not run does not count against its peers

Cause: a peer counts as live for 1 s after its last heartbeat, by the wall clock. A process that stood still for longer (stopped, without a processor, or one long turn of the event loop) judged its peers by that clock before it read the heartbeats that waited in its sockets: claims were refused or given up as quorum-unreachable although every peer was well.

Change: the daemon notices that no tick came for 250 ms and pushes process/resumed before the next event. The core then keeps the peers that were live when the process stopped for the rest of their timeout. Only heartbeats count towards it, so a process that stops again and again still notices a dead peer within the timeout and one pause. The timeout stays 1 s.

The core's tests of process/resumed and those of the watch need the new event and cannot be run on the old code.

--- a/packages/core/src/membership/events.ts
+++ b/packages/core/src/membership/events.ts
@@ -15,4 +15,7 @@
 /** A peer sent a malformed message, or one of a type that this version does not know. */
 export type PeerMessageUnknownEvent = {readonly type: 'peer/message-unknown'; readonly at: Instant; readonly peer: HostId};
 
-export type MembershipEvent = PeerLinkedEvent | PeerUnlinkedEvent | PeerMessageEvent | PeerMessageUnknownEvent;
+/** This process did not run from `stoppedAt` until `at`; what its peers sent meanwhile may not have been read yet. */
+export type ProcessResumedEvent = {readonly type: 'process/resumed'; readonly at: Instant; readonly stoppedAt: Instant};
+
+export type MembershipEvent = ProcessResumedEvent | PeerLinkedEvent | PeerUnlinkedEvent | PeerMessageEvent | PeerMessageUnknownEvent;
--- a/packages/core/src/membership/handlers.ts
+++ b/packages/core/src/membership/handlers.ts
@@ -14,7 +14,7 @@
 import {addDiscoveredHosts, tickEntryHosts, updateEntryHosts} from './entry-hosts.js';
 import type {MembershipEvent} from './events.js';
 import {heartbeatIntervalMs, sendHeartbeat, sendHeartbeats} from './heartbeats.js';
-import {isPeerCompatible, updateLiveness} from './liveness.js';
+import {isPeerCompatible, keepLivePeers, updateLiveness} from './liveness.js';
 import {
 	protocolVersion, type PeerMessageOf, type PeerMessageType,
 } from './messages.js';
@@ -77,6 +77,10 @@
 		const handle = messageHandlers[event.message.type] as MessageHandler<PeerMessageType>;
 		return isPeerCompatible(peer) || event.message.type === 'hello' ? handle(state, peer, event.message) : [];
 	},
+	'process/resumed'(state, event) {
+		keepLivePeers(state, event.stoppedAt);
+		return [];
+	},
 	'peer/message-unknown'(state, event) {
 		state.membership.unknownMessageCount += 1;
 		return [{
@@ -126,6 +130,7 @@
 		incarnation: undefined,
 		protocolVersion: undefined,
 		heardUntil: 0 as Instant,
+		keptUntil: 0 as Instant,
 		latestSentAt: undefined,
 		nextOffset: 0 as Offset,
 		leastDelayMs: undefined,
--- a/packages/core/src/membership/liveness.ts
+++ b/packages/core/src/membership/liveness.ts
@@ -11,7 +11,7 @@
 
 /** Whether a peer has sent a recent heartbeat and has a compatible protocol version. */
 export function isPeerLive(state: State, peer: Peer): boolean {
-	return peer.heardUntil > state.now && isPeerCompatible(peer);
+	return Math.max(peer.heardUntil, peer.keptUntil) > state.now && isPeerCompatible(peer);
 }
 
 /** Whether a host is linked and live. */
@@ -47,3 +47,15 @@
 	const heardUntil = message.sentAt + peer.leastDelayMs + heartbeatTimeoutMs;
 	peer.heardUntil = Math.max(peer.heardUntil, heardUntil) as Instant;
 }
+
+/**
+ * Keeps the peers that were live when this process stopped running for the rest of their timeout: the time in which it did not run says nothing of them.
+ * Only heartbeats count towards it, so that a process that stops again and again still notices a dead peer.
+ */
+export function keepLivePeers(state: State, stoppedAt: Instant): void {
+	for (const peer of state.membership.peers.values()) {
+		if (peer.heardUntil > stoppedAt) {
+			peer.keptUntil = (peer.heardUntil + state.now - stoppedAt) as Instant;
+		}
+	}
+}
--- a/packages/core/src/membership/membership.test.ts
+++ b/packages/core/src/membership/membership.test.ts
@@ -60,6 +60,34 @@
 		expect(listLivePeers(state).length).toEqual(0);
 	});
 
+	it('counts only the time in which this process ran', () => {
+		const state = createTestHost('entry-1');
+		sendHeartbeat(state, 1000, 1000);
+		reduce(state, {type: 'process/resumed', at: 4300 as Instant, stoppedAt: 1300 as Instant});
+		reduce(state, createTick(4999));
+		expect(listLivePeers(state).length).toEqual(1);
+		reduce(state, createTick(5000));
+		expect(listLivePeers(state).length).toEqual(0);
+	});
+
+	it('ends although this process stands still again and again', () => {
+		const state = createTestHost('entry-1');
+		sendHeartbeat(state, 1000, 1000);
+		for (let stoppedAt = 1300; stoppedAt < 4300; stoppedAt += 300) {
+			reduce(state, {type: 'process/resumed', at: stoppedAt + 300 as Instant, stoppedAt: stoppedAt as Instant});
+		}
+
+		expect(listLivePeers(state).length).toEqual(0);
+	});
+
+	it('of a peer that was dead before this process stood still is not restored', () => {
+		const state = createTestHost('entry-1');
+		sendHeartbeat(state, 1000, 1000);
+		reduce(state, createTick(2001));
+		reduce(state, {type: 'process/resumed', at: 4300 as Instant, stoppedAt: 2001 as Instant});
+		expect(listLivePeers(state).length).toEqual(0);
+	});
+
 	it('is not restored by heartbeats that were buffered', () => {
 		const state = createTestHost('entry-1');
 		sendHeartbeat(state, 1000, 500_000);
--- a/packages/core/src/membership/state.ts
+++ b/packages/core/src/membership/state.ts
@@ -11,6 +11,8 @@
 	protocolVersion: number | undefined;
 	/** Until when the peer counts as live if no further heartbeat arrives. */
 	heardUntil: Instant;
+	/** Until when it counts as live since this process stood still meanwhile; no later heartbeat is needed until then. */
+	keptUntil: Instant;
 	/** When it sent its latest heartbeat, by its own clock. */
 	latestSentAt: Instant | undefined;
 	nextOffset: Offset;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -12,6 +12,7 @@
 import {runEffect, type InterpreterContext} from './interpreter.js';
 import {createLogger} from './logger.js';
 import {createMetrics} from './metrics.js';
+import {PauseWatch} from './pause-watch.js';
 import {PeerLinks} from './peers/peer-links.js';
 import {HostListPoll} from './platform/host-list-poll.js';
 import {PlatformClient} from './platform/platform-client.js';
@@ -39,6 +40,7 @@
 	private readonly context: InterpreterContext;
 	private readonly metrics: StatsD;
 	private readonly hostList: HostListPoll;
+	private readonly pauses = PauseWatch.create(readClock());
 	private stopRequests = 0;
 	private isExiting = false;
 
@@ -90,7 +92,9 @@
 		}
 
 		setInterval(() => {
-			this.push({type: 'clock/ticked', at: readClock()});
+			const at = readClock();
+			this.push({type: 'clock/ticked', at});
+			this.pauses.noteTick(at);
 		}, tickIntervalMs);
 		this.hostList.start();
 		void this.pollWorkerList();
@@ -108,7 +112,13 @@
 		this.push({type: 'stop/requested', at: readClock()});
 	}
 
+	/** Pushes an event, and before it that this process did not run for a while, if so. */
 	private push(event: Event): void {
+		const stoppedAt = this.pauses.takePause(event.at);
+		if (stoppedAt !== undefined) {
+			this.loop.push({type: 'process/resumed', at: event.at, stoppedAt});
+		}
+
 		this.loop.push(event);
 	}
 
