Peer links: a check that comes late does not cut the links of a process that stood still

Cause: a link that received nothing for 1.6 s is closed. After this process stood still, the first check counted that time before what had arrived meanwhile was read, and closed the links to peers that were well; claims found no majority until they were open again 0.5 s later.

Change: the time by which a check comes late does not count as idle. Each check still counts at most its interval, so that a silent link is closed after three checks even if all come late.

--- a/packages/daemon/src/peers/peer-socket.test.ts
+++ b/packages/daemon/src/peers/peer-socket.test.ts
@@ -34,6 +34,12 @@
 	}
 }
 
+function passTime(milliseconds: number): void {
+	for (let elapsedMs = 0; elapsedMs < milliseconds; elapsedMs += stepMs) {
+		mock.timers.tick(stepMs);
+	}
+}
+
 /** Runs the liveness check for a while. At each step, `getReceiptTime` returns the send time that the peer reports as received, if any. */
 function runCheck(socket: FakeSocket, milliseconds: number, getReceiptTime: (now: number) => number | undefined): void {
 	const noteReceipt = trackLiveness(socket as unknown as TrackedSocket, 'dialling');
@@ -73,6 +79,28 @@
 		expect(socket.isTerminated).toEqual(true);
 	});
 
+	it('keeps a link after this process stood still, and closes it if it stays silent', () => {
+		const socket = new FakeSocket(false);
+		trackLiveness(socket as unknown as TrackedSocket, 'dialling');
+		passTime(750);
+		mock.timers.setTime(Date.now() + 3000);
+		passTime(100);
+		expect(socket.isTerminated).toEqual(false);
+		passTime(2400);
+		expect(socket.isTerminated).toEqual(true);
+	});
+
+	it('closes a silent link although every check comes late', () => {
+		const socket = new FakeSocket(false);
+		trackLiveness(socket as unknown as TrackedSocket, 'dialling');
+		for (let checks = 0; checks < 3; checks += 1) {
+			mock.timers.setTime(Date.now() + 700);
+			mock.timers.tick(800);
+		}
+
+		expect(socket.isTerminated).toEqual(true);
+	});
+
 	it('ignores reported send times from before the link was opened or in the future', () => {
 		const socket = new FakeSocket(false);
 		runCheck(socket, 2400, now => now % 100 === 0 ? 999_000 : now + 60_000);
--- a/packages/daemon/src/peers/peer-socket.ts
+++ b/packages/daemon/src/peers/peer-socket.ts
@@ -16,6 +16,7 @@
 /**
  * Closes a socket that has received nothing for `livenessTimeoutMs`. The dialling side receives no messages on it. Its signs of
  * activity are the heartbeats that the peer sends on its own link, which report what it has received, and, without those, answers to pings.
+ * Time in which this process did not run, so that a check came late, does not count: what arrived meanwhile has not been read yet.
  */
 export function trackLiveness(socket: TrackedSocket, side: 'dialling' | 'accepting'): ReceiptListener {
 	const openedAt = readClock();
@@ -27,8 +28,13 @@
 	socket.on('pong', noteActivity);
 	socket.on('ping', noteActivity);
 	socket.on('message', noteActivity);
+	let checkedAt: number = openedAt;
 	const timer = setInterval(() => {
-		const idleMs = readClock() - lastActivityAt;
+		const now = readClock();
+		const pausedMs = Math.max(0, now - checkedAt - checkIntervalMs);
+		checkedAt = now;
+		lastActivityAt = Math.min(now, lastActivityAt + pausedMs);
+		const idleMs = now - lastActivityAt;
 		if (idleMs > livenessTimeoutMs) {
 			socket.terminate();
 		} else if (side === 'dialling' && idleMs > pingAfterMs && socket.readyState === WebSocket.OPEN) {
