--- a/packages/core/src/scheduler/testing/model-fleet.ts
+++ b/packages/core/src/scheduler/testing/model-fleet.ts
@@ -1,12 +1,12 @@
 /** A model of entry hosts, store and workers for tests without network, with seeded delays, lost answers, delayed calls, stale reads and crashes. */
 import type {Instant} from '../../types/time.js';
 import type {JobId} from '../../types/ids.js';
-import type {SchedulerEffect} from '../effects.js';
 import type {SchedulerEvent} from '../events.js';
 import {reduceScheduler} from '../reduce.js';
 import {createSchedulerState, type SchedulerState} from '../state.js';
-import type {JobDefinition, RunEnd} from '../types.js';
+import type {JobDefinition} from '../types.js';
 import {ModelChecks} from './model-checks.js';
+import {ModelEffects} from './model-effects.js';
 import {
 	ModelCalls, noReadFaults, type EventBody, type ModelFaults, type ReadFaults,
 } from './model-faults.js';
@@ -56,7 +56,7 @@
 	private readonly time: ModelTime;
 	private readonly checks: ModelChecks;
 	private readonly reads: ModelReads;
-	private readonly calls: ModelCalls;
+	private readonly effects: ModelEffects;
 	private nextCrashAt: number;
 
 	private constructor({seed, hosts, workers, faults, readFaults = noReadFaults}: ModelFleetOptions) {
@@ -75,7 +75,10 @@
 		this.reads = ModelReads.create({
 			time, store, getFaults: () => this.readFaults, push,
 		});
-		this.calls = ModelCalls.create({time, getFaults: () => this.faults, push});
+		const getFaults = () => this.faults;
+		this.effects = ModelEffects.create({
+			time, store, getFaults, workers: this.workers, checks: this.checks, calls: ModelCalls.create({time, getFaults, push}), events: this.events,
+		});
 		for (let index = 0; index < workers; index++) {
 			this.workers.push(ModelWorker.create({
 				id: `w-${index}`, bornAt: 1, address: `w-${index}`, pool: poolName, availabilityZone: 'a', capacity: {cpu: 8000, memoryMb: 100_000, gpu: 0}, labels: ['a', `r-${index % 2}`], isDraining: false, remainingMs: undefined, machineId: `m-${index}`,
@@ -248,108 +251,7 @@
 	private push(host: ModelHost, body: EventBody): void {
 		const wallAt = (wallStart + this.now) as Instant;
 		for (const effect of reduceScheduler(host.state, addInstants(body, this.now, wallAt))) {
-			this.runEffect(host, effect);
-		}
-	}
-
-	/** Executes an effect; those for machines, advice and waves are ignored, as the model has none of them. */
-	private runEffect(host: ModelHost, effect: SchedulerEffect): void {
-		// eslint-disable-next-line @typescript-eslint/switch-exhaustiveness-check
-		switch (effect.type) {
-			case 'ledger/claim': {
-				const {at} = effect;
-				this.calls.call(host, () => ({type: 'claim/ended', claimedAt: at, outcome: this.store.claim(at, effect.token, effect.sequence, effect.holder)}), {type: 'claim/ended', claimedAt: at, outcome: 'unknown'});
-				break;
-			}
-
-			case 'ledger/commit': {
-				const {sequence} = effect;
-				this.calls.call(host, () => ({type: 'commit/ended', sequence, outcome: this.store.append(effect.token, sequence, effect.records)}), {type: 'commit/ended', sequence, outcome: 'unknown'});
-				break;
-			}
-
-			case 'ledger/reload': {
-				resetCursor(host.ledger);
-				break;
-			}
-
-			case 'worker/start': {
-				this.callStart(host, effect);
-				break;
-			}
-
-			case 'worker/stop': {
-				const {task, run} = effect;
-				const base = {
-					type: 'stop/ended' as const, workerId: effect.worker.id, bornAt: effect.worker.bornAt, task, run,
-				};
-				this.callWorker(host, effect.worker.id, worker => ({...base, outcome: worker.stop(task, run, effect.token) ? 'stopped' : 'fenced'}), {...base, outcome: 'unknown'});
-				break;
-			}
-
-			case 'worker/poll': {
-				this.callPoll(host, effect);
-				break;
-			}
-
-			case 'log': {
-				if (effect.event === 'handler-failed') {
-					this.violations.push(`handler failed: ${String(effect.fields.reason)}`);
-				}
-
-				this.events.push(`${this.now} host-${host.index} ${effect.event} ${JSON.stringify(effect.fields)}`);
-				break;
-			}
-
-			default: {
-				break;
-			}
+			this.effects.run(host, effect);
 		}
 	}
-
-	private callWorker(host: ModelHost, workerId: string, execute: (worker: ModelWorker) => EventBody, unknown: EventBody): void {
-		const worker = this.workers.find(({entry}) => entry.id === workerId)!;
-		this.calls.call(host, () => worker.isUp ? execute(worker) : unknown, unknown);
-	}
-
-	private callStart(host: ModelHost, effect: Extract<SchedulerEffect, {type: 'worker/start'}>): void {
-		const {task, run} = effect;
-		const base = {
-			type: 'start/ended' as const, workerId: effect.worker.id, bornAt: effect.worker.bornAt, task, run, clockMs: undefined,
-		};
-		this.callWorker(host, effect.worker.id, worker => {
-			const {need, estimateMs} = this.checks.findStep(task);
-			// With faults on, one run in a hundred fails.
-			const end: RunEnd = this.faults.lostPercent > 0 && this.draw(1, percentAll) === 1 ? 'failed' : 'done';
-			const hadRun = worker.runs.get(task)?.run === run;
-			const outcome = worker.start({
-				run: {
-					task, run, need, startedAt: this.now, endsAt: this.now + estimateMs, end,
-				}, untilMs: effect.untilMs, token: effect.token,
-			}, this.now);
-			if (outcome === 'started' && !hadRun) {
-				this.checks.recordRun(task, end === 'failed');
-				this.checks.checkStart(task, need, worker);
-			}
-
-			return {...base, outcome};
-		}, {...base, outcome: 'unknown'});
-	}
-
-	private callPoll(host: ModelHost, effect: Extract<SchedulerEffect, {type: 'worker/poll'}>): void {
-		const base = {
-			type: 'poll/ended' as const, workerId: effect.worker.id, bornAt: effect.worker.bornAt, sentAt: this.now, isExtra: effect.isExtra, clockMs: undefined, answerBornAt: undefined, running: [], ended: [],
-		};
-		this.callWorker(host, effect.worker.id, worker => {
-			// An acknowledgement applies to one incarnation of a worker: one in flight when the process ends must not count for the next.
-			const ackedEnd = worker.bornAt === effect.worker.bornAt ? effect.lastAckedEnd : 0;
-			this.checks.checkAcknowledged(worker, ackedEnd);
-			const lists = worker.poll({...effect, ackedEnd}, this.now);
-			return lists
-				? {
-					...base, outcome: 'held', clockMs: this.now, answerBornAt: worker.bornAt, ...lists,
-				}
-				: {...base, outcome: 'fenced'};
-		}, {...base, outcome: 'unknown'});
-	}
 }
