Request path: the calls are made by a thread of their own

Suspected, not shown: the test's thread carries the proxies between the hosts and made the calls too; it stood still for 0.3 to 2 s at load 20 to 34, and a stall past 1 s holds up every heartbeat. Now a worker thread makes the calls and posts the answers; the checks, bounds and deadlines are as they were, and the times measured in the test include the way to the thread and back.

--- a/packages/bench/src/integration/request-path.test.ts
+++ b/packages/bench/src/integration/request-path.test.ts
@@ -3,7 +3,7 @@
 	after, before, describe, it,
 } from 'node:test';
 import {
-	Balancer, callService, countStarts, createServiceRecord, listLoads, LocalFleet, sleep, waitUntil, type LocalEntryHost, type ObservedAnswer,
+	Balancer, CallerThread, countStarts, createServiceRecord, listLoads, LocalFleet, sleep, waitUntil, type LocalEntryHost, type ObservedAnswer,
 } from '@rhubarblever/stand-ins';
 import {expect} from 'earl';
 
@@ -14,11 +14,13 @@
 
 type CallOptions = {readonly runMs?: number; readonly isIdempotent?: boolean; readonly deadlineMs?: number; readonly workClass?: string};
 
+/** Makes all calls: the links between the hosts run through proxies in this thread, which a burst would stall. */
+let callerThread: CallerThread;
 /** All answers that callers got, for the checks in the last test. */
 const allSeen: ObservedAnswer[] = [];
 
 async function callRoutes({address}: LocalEntryHost, {runMs = 5, isIdempotent = false, deadlineMs = 10_000, workClass = 'quick'}: CallOptions = {}): Promise<ObservedAnswer> {
-	const seen = await callService({
+	const seen = await callerThread.call({
 		address, service: 'routes', work: {runMs}, isIdempotent, deadlineMs, workClass,
 	});
 	allSeen.push(seen);
@@ -87,6 +89,7 @@
 	let fleet: LocalFleet;
 
 	before(async () => {
+		callerThread = CallerThread.create();
 		fleet = await LocalFleet.create({
 			availabilityZones: zones, entryHostsPerZone: 2, targetsPerZone: 1, services: ['routes'], isProxied: true, targetsPerProcess: 3,
 		});
@@ -98,6 +101,7 @@
 	});
 
 	after(async () => {
+		await callerThread.stop();
 		await fleet.stop();
 	});
 
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -7,6 +7,7 @@
 export * from './harness/addresses.js';
 export * from './harness/balancer.js';
 export * from './harness/service-call.js';
+export {CallerThread} from './harness/caller-thread.js';
 export * from './harness/service-record.js';
 export * from './harness/process-group.js';
 export * from './harness/scripts.js';
