Known red: a pool counts a shrunk worker's machine in full

Two tests that fail on this code: no spare machine is ordered for tasks that wait for room on workers that have shrunk. A further test, green before and after: no machine is ordered for a worker that has shrunk below a task that goes on.

--- a/packages/core/src/scheduler/unreachable-capacity.test.ts
+++ b/packages/core/src/scheduler/unreachable-capacity.test.ts
@@ -57,6 +57,14 @@
 		expect(leader.listOrderedMachines()).toEqual(['s1']);
 	});
 
+	it('gets none while a worker has shrunk whose task goes on', () => {
+		const leader = createLeader();
+		leader.listWorkers(...workers.map(worker => worker.id === 'w4' ? {...worker, capacity: {cpu: 0, memoryMb: 0, gpu: 0}} : worker));
+		runListed(leader, 4 * workerLeaseMs);
+		expect(leader.listOrderedMachines()).toEqual([]);
+		expect(leader.running.get('w4')?.length).toEqual(1);
+	});
+
 	it('gets none while all of its workers can be used', () => {
 		const leader = createLeader();
 		runListed(leader, 4 * workerLeaseMs);
