Look for excess tasks only at overloaded workers

updateWorkers runs for each worker with each change of the registry; the tasks of all workers were copied for nothing each time. No change of behaviour; not measured.

--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -2,7 +2,7 @@
 import {addEffect, noteDecision} from './logging.js';
 import {noResources} from './resources.js';
 import {
-	getNeed, getTarget, requestStop, returnExcessTasks, returnTask,
+	getNeed, getTarget, isOverloaded, requestStop, returnExcessTasks, returnTask,
 } from './tasks.js';
 import {
 	maxClockDrift, leaseSlackMs, lateStartMs, never, registryGraceMs, stopRetryMs, unconfirmedLimitMs, workerLeaseMs,
@@ -111,7 +111,9 @@
 	worker.machineId = entry.machineId;
 	worker.leavesAt = entry.isDraining ? (worker.leavesAt ?? state.now + (entry.remainingMs ?? 0)) : undefined;
 	worker.isDraining = entry.isDraining;
-	returnExcessTasks(state, worker);
+	if (isOverloaded(worker)) {
+		returnExcessTasks(state, worker);
+	}
 }
 
 /** Handles a new incarnation of a worker: the runs of the previous one are gone, except that unreported starts may reach the new one. */
