A pool counts a machine by what its worker offers

What callers could see: tasks waited for good while their pool's workers had shrunk, as no machine was asked for. Cause: a machine counted in full for the demand, however small its worker's capacity had become. Change: it counts as the share that its worker offers, in the balance of machines and among those that placement could use.

--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -7,6 +7,7 @@
  * short lull. Processor, memory and accelerators are tracked separately: long-running tasks often fill the memory of
  * machines whose processors are half idle, and the size of the pool follows the scarcest resource.
  */
+import {computeOfferedShare} from './machine-workers.js';
 import {getPoolOfJob} from './queues.js';
 import {
 	addResources, computeDominantShare, noResources, computeMultiple,
@@ -36,7 +37,7 @@
 	let demand = state.demand.get(pool);
 	if (!demand) {
 		demand = {
-			waitingTasks: 0, waitingWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableWorkers: 0, hasIdleWorker: false, arrivedWork: noResources, rate: noResources, slowRate: noResources, updatedAt: state.now, machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
+			waitingTasks: 0, waitingWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrivedWork: noResources, rate: noResources, slowRate: noResources, updatedAt: state.now, machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
 		};
 		state.demand.set(pool, demand);
 	}
@@ -63,7 +64,7 @@
 	demand.refused = {};
 	demand.unplaceable = noResources;
 	demand.unplaceableSpread = 0;
-	demand.usableWorkers = 0;
+	demand.usableMachines = 0;
 	demand.hasIdleWorker = false;
 }
 
@@ -95,9 +96,9 @@
 	}
 }
 
-/** Records the workers that could be given tasks, once as many as possible have been placed. */
-export function noteUsableWorkers(demand: PoolDemand, workers: readonly Worker[]): void {
-	demand.usableWorkers = workers.length;
+/** Records the workers that could be given tasks, once as many as possible have been placed. One that has shrunk counts as a part of a machine. */
+export function noteUsableWorkers(state: SchedulerState, demand: PoolDemand, workers: readonly Worker[]): void {
+	demand.usableMachines = workers.reduce((sum, worker) => sum + computeOfferedShare(state.machines.get(worker.machineId ?? ''), worker), 0);
 	demand.hasIdleWorker = workers.some(worker => worker.tasks.size === 0);
 }
 
@@ -105,9 +106,9 @@
  * How many machines the pool needs so that each long-running task can be placed, whichever limit of placement keeps it
  * from the present workers. A task that does not go to a worker without any tasks would not go to another machine either.
  */
-function countMachinesForUnplaceable({unplaceable, unplaceableSpread, usableWorkers, hasIdleWorker}: PoolDemand, machine: Resources): number {
+function countMachinesForUnplaceable({unplaceable, unplaceableSpread, usableMachines, hasIdleWorker}: PoolDemand, machine: Resources): number {
 	const more = Math.max(unplaceableSpread, Math.ceil(computeDominantShare(unplaceable, machine)));
-	return hasIdleWorker || more === 0 ? 0 : usableWorkers + more;
+	return hasIdleWorker || more === 0 ? 0 : usableMachines + more;
 }
 
 /** Counts the workers that each limit kept from taking a task of one step, for the log. */
--- a/packages/core/src/scheduler/machine-workers.ts
+++ b/packages/core/src/scheduler/machine-workers.ts
@@ -5,8 +5,7 @@
 
 /** The worker that a machine's list entry names, else one that is registered for the machine. */
 export function findWorker(state: SchedulerState, machine: Machine): Worker | undefined {
-	const byId = machine.entry.workerId === undefined ? undefined : state.workers.get(machine.entry.workerId);
-	return byId ?? findWorkerOfMachine(state, machine.entry.id);
+	return getWorkerOf(state, machine) ?? findWorkerOfMachine(state, machine.entry.id);
 }
 
 /** All workers that may run on a machine; its list entry or their registration may be out of date. */
@@ -42,3 +41,20 @@
 export function isBusy({tasks, unknownRuns, lastReadEnd, lastAckedEnd}: Worker): boolean {
 	return tasks.size > 0 || unknownRuns.size > 0 || lastReadEnd !== lastAckedEnd;
 }
+
+/** The worker that the platform lists for a machine; undefined if it lists none, or one that this leader does not know. */
+export function getWorkerOf(state: SchedulerState, {entry}: Machine): Worker | undefined {
+	return entry.workerId === undefined ? undefined : state.workers.get(entry.workerId);
+}
+
+/** The share of a machine's capacity that its worker offers now: the worker's capacity may have shrunk. */
+export function computeOfferedShare(machine: Machine | undefined, worker: Worker | undefined): number {
+	// The capacity of a new incarnation is not known before the registry lists it.
+	if (!machine || !worker || worker.pool === '') {
+		return 1;
+	}
+
+	const {capacity} = machine.entry;
+	const ratios = (['cpu', 'memoryMb', 'gpu'] as const).filter(name => capacity[name] > 0).map(name => worker.capacity[name] / capacity[name]);
+	return Math.min(1, ...ratios);
+}
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -3,7 +3,9 @@
 import {isQuarantined} from './health.js';
 import {noteDecision} from './logging.js';
 import {canOrder, canTakeOrder, orderMove} from './machine-orders.js';
-import {findWorker, hasNoWorker, isBusy} from './machine-workers.js';
+import {
+	computeOfferedShare, findWorker, getWorkerOf, hasNoWorker, isBusy,
+} from './machine-workers.js';
 import {noResources} from './resources.js';
 import type {PoolName} from './types.js';
 import type {Machine, SchedulerState} from './state.js';
@@ -81,7 +83,7 @@
 
 /** True if a machine is up but its worker is out of reach or in quarantine: until it is back, its pool needs another machine in its place. */
 function isUnusable(state: SchedulerState, machine: Machine): boolean {
-	const worker = machine.entry.workerId === undefined ? undefined : state.workers.get(machine.entry.workerId);
+	const worker = getWorkerOf(state, machine);
 	return worker !== undefined && (worker.failedPolls >= failedPollsUntilUnreachable || isQuarantined(state, worker));
 }
 
@@ -107,7 +109,7 @@
 			incoming.add(pool);
 		}
 
-		present.set(pool, (present.get(pool) ?? 0) + (isUnavailable(machine) || isUnusable(state, machine) ? 0 : 1));
+		present.set(pool, (present.get(pool) ?? 0) + (isUnavailable(machine) || isUnusable(state, machine) ? 0 : computeOfferedShare(machine, getWorkerOf(state, machine))));
 		size = entry.capacity.cpu > size.cpu ? entry.capacity : size;
 	}
 
@@ -115,9 +117,13 @@
 		const demand = updateDemand(state, name, size);
 		const machines = present.get(name) ?? 0;
 		const replacements = demand.replacementUntil > state.now ? 1 : 0;
-		demand.missing = Math.max(demand.machines - machines, incoming.has(name) ? 0 : replacements);
+		demand.missing = Math.max(Math.ceil(demand.machines - machines), incoming.has(name) ? 0 : replacements);
 		return {
-			name, isWaiting: demand.waitingTasks > 0, missing: demand.missing, lendable: machines - demand.machines - replacements - lendingReserve, surplus: machines - replacements - Math.max(minMachines, demand.peakMachines),
+			name,
+			isWaiting: demand.waitingTasks > 0,
+			missing: demand.missing,
+			lendable: Math.floor(machines - demand.machines - replacements - lendingReserve),
+			surplus: Math.floor(machines - replacements - Math.max(minMachines, demand.peakMachines)),
 		};
 	});
 }
@@ -133,7 +139,7 @@
 		const {machines, waitingTasks, refused} = getDemand(state, name);
 		if (missing > 0 || waitingTasks > 0) {
 			noteDecision(state, 'pool-short', {
-				pool: name, needed: machines, missing, waitingTasks, ...refused,
+				pool: name, needed: Math.ceil(machines), missing, waitingTasks, ...refused,
 			});
 		}
 	}
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -37,7 +37,7 @@
 	}
 
 	for (const [pool, workers] of usable) {
-		noteUsableWorkers(getDemand(state, pool), workers);
+		noteUsableWorkers(state, getDemand(state, pool), workers);
 	}
 }
 
