--- a/packages/core/src/scheduler/narrow-leader.test.ts
+++ b/packages/core/src/scheduler/narrow-leader.test.ts
@@ -60,4 +60,17 @@
 			expect(leader.timedOut['worker/poll']).toEqual(0);
 		}
 	});
+
+	/** Guards against workers that are out of reach keeping the polls of others back until their leases lapse. */
+	it('polls those in reach soon though a third is out of reach', () => {
+		const workers = 351;
+		const leader = NarrowLeader.create({workers, callMs: 0.5, connectMs: 0.5});
+		for (let index = 0; index < workers; index += 3) {
+			leader.unreachableWorkers.add(`w-${index}`);
+		}
+
+		leader.run(1000);
+		const silent = [...leader.state.workers.values()].filter(({isPolledByLeader}) => !isPolledByLeader);
+		expect(silent.filter(({id}) => !leader.unreachableWorkers.has(id))).toEqual([]);
+	});
 });
--- a/packages/core/src/scheduler/testing/narrow-leader.ts
+++ b/packages/core/src/scheduler/testing/narrow-leader.ts
@@ -40,6 +40,8 @@
 
 	readonly state: SchedulerState = createSchedulerState(modelSettings);
 	readonly workers = new Map<string, ModelWorker>();
+	/** Workers that calls do not reach. */
+	readonly unreachableWorkers = new Set<string>();
 	readonly events: string[] = [];
 	/** Calls sent, by type. */
 	readonly sent: Record<WorkerEffect['type'], number> = {'worker/start': 0, 'worker/stop': 0, 'worker/poll': 0};
@@ -180,6 +182,10 @@
 				this.push(unknown);
 			}
 		});
+		if (this.unreachableWorkers.has(effect.worker.id)) {
+			return;
+		}
+
 		this.schedule(this.isFreeAt - this.now, () => {
 			execute(this.workers.get(effect.worker.id)!, body => {
 				this.schedule(answerMs, () => {
