Polls wait and follow one another as before while starts are held back

Why: a poll of 1.6 s reads what long-running tasks measure late, and a pause of 100 ms tells of ends late, also on a host that holds starts back for a moment.

--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -4,10 +4,9 @@
 import {isFinal} from './phases.js';
 import {clearWorker, dropIncarnation, restartWorker} from './registry.js';
 import {readEnds, readRunning, skipSilence} from './reports.js';
-import {hasHeldBackStarts, noteAnswerTime} from './start-window.js';
+import {noteAnswerTime} from './start-window.js';
 import {getTarget} from './tasks.js';
 import {
-	busyPollPauseMs, busyPollWaitMs,
 	leaseRenewalThresholdMs, leaseSlackMs, longRunningPollWaitMs, maxClockDrift, never, pollRetryMs, pollSlackMs, pollWaitMs, retriedPollSlackMs, unconfirmedLimitMs, workerLeaseMs,
 } from './timing.js';
 import type {SchedulerEvent} from './events.js';
@@ -100,6 +99,7 @@
 function sendPoll(state: SchedulerState, worker: Worker): void {
 	worker.isPollPending = true;
 	const hasWork = hasSentTasks(worker);
+	const hasLongRunningTasks = hasWork && worker.longRunningTasks > 0;
 	addEffect(state, {
 		type: 'worker/poll',
 		worker: getTarget(worker),
@@ -110,18 +110,10 @@
 		isExtra: false,
 		// A worker that is only slow to answer is heard before its lease lapses.
 		slackMs: worker.failedPolls === 0 ? pollSlackMs : retriedPollSlackMs,
-		waitMs: hasWork && worker.isPolledByLeader && worker.failedPolls === 0 ? choosePollWait(state, worker) : 0,
+		waitMs: hasWork && worker.isPolledByLeader && worker.failedPolls === 0 ? (hasLongRunningTasks ? longRunningPollWaitMs : pollWaitMs) : 0,
 	});
 }
 
-function choosePollWait({startWindow}: SchedulerState, worker: Worker): number {
-	if (hasHeldBackStarts(startWindow)) {
-		return busyPollWaitMs;
-	}
-
-	return worker.longRunningTasks > 0 ? longRunningPollWaitMs : pollWaitMs;
-}
-
 /** Polls immediately, even while another poll waits for a run to end. */
 export function sendExtraPoll(state: SchedulerState, worker: Worker): void {
 	addEffect(state, {
@@ -181,7 +173,7 @@
 	worker.lastAnswerAt = state.now;
 	worker.isPolledByLeader = true;
 	worker.lastAckedEnd = Math.max(worker.lastAckedEnd, worker.lastStoredEnd);
-	worker.pollDueAt = state.now + (hasHeldBackStarts(state.startWindow) ? busyPollPauseMs : 0);
+	worker.pollDueAt = state.now;
 	if (event.clockMs !== undefined) {
 		worker.clock = {workerMs: event.clockMs, at: state.now};
 	}
--- a/packages/core/src/scheduler/start-window.ts
+++ b/packages/core/src/scheduler/start-window.ts
@@ -42,11 +42,6 @@
 	return sentAt.size < limit;
 }
 
-/** True if the host cannot send all starts at once: it has to save calls. */
-export function hasHeldBackStarts({waiting}: StartWindow): boolean {
-	return waiting.length > 0;
-}
-
 /** Notes a start that was sent. */
 export function openStart({startWindow, now}: SchedulerState, task: Task, run: number): void {
 	startWindow.sentAt.set(formatKey(task.name, run), now);
--- a/packages/core/src/scheduler/timing.ts
+++ b/packages/core/src/scheduler/timing.ts
@@ -30,10 +30,6 @@
 export const pollWaitMs = 800;
 /** The same for a worker with long-running tasks, whose measurements must be read more often. */
 export const longRunningPollWaitMs = 500;
-/** The same while starts are held back: fewer polls, but each still well before the lease lapses. */
-export const busyPollWaitMs = 1600;
-/** A poll waits for this long after the one before while starts are held back, so that one answer tells of several ends. */
-export const busyPollPauseMs = 100;
 /** Time that the answer to a poll may take in addition to its long-poll time. */
 export const pollSlackMs = 500;
 /** The same after an unanswered poll: the worker may only be slow. */
