--- a/packages/core/src/scheduler/tasks.ts
+++ b/packages/core/src/scheduler/tasks.ts
@@ -2,7 +2,7 @@
 import {addEffect} from './logging.js';
 import {isJobOpen} from './phases.js';
 import {addResources} from './resources.js';
-import {never, stopPatienceMs} from './timing.js';
+import {never, stopRetryMs} from './timing.js';
 import type {WorkerTarget} from './effects.js';
 import type {Resources, RunEnd, StepDefinition} from './types.js';
 import type {
@@ -137,8 +137,7 @@
 
 	task.status = 'stopping';
 	task.conclusiveAfter = never;
-	// The outcome sets it anew: further stops would only add to what a late host has to send.
-	task.stopDueAt = state.now + stopPatienceMs;
+	task.stopDueAt = state.now + stopRetryMs;
 	addEffect(state, {
 		type: 'worker/stop', worker: getTarget(task.worker), task: task.name, run: task.run, token: state.leadership.token,
 	});
--- a/packages/core/src/scheduler/timing.ts
+++ b/packages/core/src/scheduler/timing.ts
@@ -40,8 +40,6 @@
 export const startReportMs = 600;
 export const pollRetryMs = 150;
 export const stopRetryMs = 300;
-/** A stop of which nothing is heard, not even that it had no answer, is sent again after this time. */
-export const stopPatienceMs = 3000;
 /** How long a worker stays listed after a reload of the registry lacked it. */
 export const registryGraceMs = 3000;
 /** How long after its sending an unanswered start may still be carried out. */
