--- a/packages/core/src/scheduler/timing.ts
+++ b/packages/core/src/scheduler/timing.ts
@@ -30,10 +30,6 @@
 export const pollWaitMs = 800;
 /** The same for a worker with long-running tasks, whose measurements must be read more often. */
 export const longRunningPollWaitMs = 500;
-/** The same while starts are held back: fewer polls, but each still well before the lease lapses. */
-export const busyPollWaitMs = 1600;
-/** A poll waits for this long after the one before while starts are held back, so that one answer tells of several ends. */
-export const busyPollPauseMs = 100;
 /** Time that the answer to a poll may take in addition to its long-poll time. */
 export const pollSlackMs = 500;
 /** The same after an unanswered poll: the worker may only be slow. */
@@ -44,8 +40,6 @@
 export const startReportMs = 600;
 export const pollRetryMs = 150;
 export const stopRetryMs = 300;
-/** A stop of which nothing is heard, not even that it had no answer, is sent again after this time. */
-export const stopPatienceMs = 3000;
 /** How long a worker stays listed after a reload of the registry lacked it. */
 export const registryGraceMs = 3000;
 /** How long after its sending an unanswered start may still be carried out. */
