Do not take a store's outage for the silence of the leader

In a host of 0.324 cores, front-attica-a-7, took the lead at 35.66 s, gave one order to a machine in 5.4 s, while up to 4,369 tasks waited, and lost the lead at 41.0 s.

Cause: a follower counts how long the ledger has had no record, also while the store does not answer. All 41 hosts claimed throughout the outage (203 claims without an answer, 37 refused), and when the store was back whichever asked first was granted: the leader, which was well, lost its lead, and the delay that lets strong hosts claim first had long passed on all of them.

Change: a claim that the store has not taken (refused or unknown) shows that records may be missing. The host then claims nothing until the store has answered a read of the ledger, and silence counts from there, with the limit that holds after a start (600 ms) and with its claim delay. A host whose claim may still be granted stays claiming and finds the grant in that read, as before.

--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -36,6 +36,12 @@
 /** Applies new ledger records, which only leaders write. */
 export function readLedger(state: SchedulerState, event: LedgerRead): void {
 	const {leadership} = state;
+	if (leadership.isSilenceUnknown) {
+		leadership.isSilenceUnknown = false;
+		leadership.lastRecordAt = state.now;
+		leadership.hasReadUpdates = false;
+	}
+
 	for (const entry of event.entries) {
 		applyRecord(state, entry);
 	}
@@ -116,7 +122,7 @@
 
 /** True if this host may claim leadership once the ledger has been silent for long enough. */
 function isCandidate({leadership, isStopping, config}: SchedulerState): boolean {
-	return leadership.role === 'follower' && leadership.hasLoadedLedger && !isStopping && config !== undefined;
+	return leadership.role === 'follower' && leadership.hasLoadedLedger && !leadership.isSilenceUnknown && !isStopping && config !== undefined;
 }
 
 /** When a candidate claims leadership unless it reads new ledger records before. */
@@ -134,7 +140,7 @@
 		return getClaimAt(state);
 	}
 
-	return state.leadership.retryClaimAt ?? never;
+	return state.leadership.isSilenceUnknown ? never : (state.leadership.retryClaimAt ?? never);
 }
 
 /** Claims leadership when the ledger has had no new records for too long, is empty, or the last leader released it. */
@@ -178,12 +184,14 @@
 	leadership.claimNotBefore = state.now + claimRetryMs;
 	leadership.role = event.outcome === 'unknown' ? 'claiming' : 'follower';
 	leadership.retryClaimAt = event.outcome === 'unknown' ? state.now + claimRetryMs : undefined;
+	// A store that does not take claims takes no records of a leader either.
+	leadership.isSilenceUnknown = event.outcome !== 'lost';
 }
 
 /** Allows another claim after one whose answer was lost. */
 export function tickClaim(state: SchedulerState): void {
 	const {leadership} = state;
-	if (leadership.role === 'claiming' && leadership.retryClaimAt !== undefined && state.now >= leadership.retryClaimAt) {
+	if (leadership.role === 'claiming' && !leadership.isSilenceUnknown && leadership.retryClaimAt !== undefined && state.now >= leadership.retryClaimAt) {
 		leadership.retryClaimAt = undefined;
 		leadership.role = 'follower';
 	}
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -236,6 +236,8 @@
 	/** Next offset of the ledger to read. */
 	ledgerEnd: number;
 	lastRecordAt: SteadyMs;
+	/** The store has not taken this host's claim, so records of a leader may be missing; silence counts anew from the next answered read of the ledger. */
+	isSilenceUnknown: boolean;
 	claimNotBefore: SteadyMs;
 	/** When the first configuration was read; claim delays count from this instant. */
 	configuredAt: SteadyMs;
@@ -397,7 +399,7 @@
 		openSteps: new Set(),
 		workers: new Map(),
 		leadership: {
-			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, claimNotBefore: 0, configuredAt: 0, isReleased: false, hasLoadedLedger: false, hasReadUpdates: false, leaderSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, meanCommitMs: 0, commitNotBefore: 0, heartbeatDueAt: 0, retryClaimAt: undefined,
+			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, isSilenceUnknown: false, claimNotBefore: 0, configuredAt: 0, isReleased: false, hasLoadedLedger: false, hasReadUpdates: false, leaderSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, meanCommitMs: 0, commitNotBefore: 0, heartbeatDueAt: 0, retryClaimAt: undefined,
 		},
 		dirtyJobs: new Set(),
 		removedJobs: new Set(),
