--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -1,5 +1,6 @@
 /** Polls workers: renews their leases, and tells workers that do not answer from those that do. */
 import {isConfirmedWithin} from './confirmation.js';
+import {noteWorkerLost} from './crashes.js';
 import {addEffect, noteDecision, noteWarning} from './logging.js';
 import {isFinal} from './phases.js';
 import {clearWorker, dropIncarnation, restartWorker} from './registry.js';
@@ -111,6 +112,7 @@
 	noteWarning(state, 'lease-lapsed', {
 		workerId: worker.id, tasks: worker.tasks.size, silentMs: Math.round(state.now - worker.lastAnswerAt),
 	});
+	noteWorkerLost(state, worker, false);
 	clearWorker(state, worker);
 }
 
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -1,4 +1,5 @@
 /** The workers that a leader knows, from the registry and from stored progress. */
+import {noteWorkerLost} from './crashes.js';
 import {addEffect, noteDecision} from './logging.js';
 import {noResources} from './resources.js';
 import {getTarget, requestStop, returnTask} from './tasks.js';
@@ -113,6 +114,7 @@
 	noteDecision(state, 'worker-restarted', {
 		workerId: worker.id, bornAt, formerBornAt: worker.bornAt, tasks: worker.tasks.size,
 	});
+	noteWorkerLost(state, worker, true);
 	// These tasks stay assigned until the new incarnation has confirmed a stop.
 	const unreported = listUnreportedTasks(worker);
 	clearWorker(state, worker, new Set(unreported));
@@ -146,6 +148,7 @@
 
 /** Handles the end of a worker's incarnation when no newer one is known: its runs are gone, except for starts that may still be carried out. */
 export function dropIncarnation(state: SchedulerState, worker: Worker): void {
+	noteWorkerLost(state, worker, true);
 	for (const task of listUnreportedTasks(worker)) {
 		noteLateStart(state, worker, task);
 	}
--- a/packages/core/src/scheduler/timing.ts
+++ b/packages/core/src/scheduler/timing.ts
@@ -48,5 +48,7 @@
 export const quarantineMs = 3000;
 /** A running task without progress for this long is stuck. */
 export const stuckMs = 1500;
+/** A run begun longer ago than this is hardly to blame for the loss of its worker. */
+export const trialMs = 1000;
 /** An instant that is never reached. */
 export const never = Number.POSITIVE_INFINITY;
