--- a/packages/core/src/scheduler/testing/model-fleet.ts
+++ b/packages/core/src/scheduler/testing/model-fleet.ts
@@ -51,6 +51,11 @@
 	readonly events: string[] = [];
 	faults: ModelFaults;
 	readFaults: ReadFaults;
+	/** Tasks that crash each worker that starts them: how soon, and how long the worker is then down. */
+	readonly deadlyTasks = new Map<string, {readonly crashAfterMs: number; readonly downMs: number}>();
+	/** Starts of each task that a worker has begun, and workers that deadly tasks have crashed. */
+	readonly starts = new Map<string, number>();
+	readonly crashes = new Map<string, number>();
 	/** Interval between the intake reads of a follower. */
 	followerIntakeIntervalMs = 0;
 	private readonly time: ModelTime;
@@ -330,12 +335,29 @@
 			if (outcome === 'started' && !hadRun) {
 				this.checks.recordRun(task, end === 'failed');
 				this.checks.checkStart(task, need, worker);
+				this.starts.set(task, (this.starts.get(task) ?? 0) + 1);
+				this.crashIfDeadly(task, worker);
 			}
 
 			return {...base, outcome};
 		}, {...base, outcome: 'unknown'});
 	}
 
+	private crashIfDeadly(task: string, worker: ModelWorker): void {
+		const deadly = this.deadlyTasks.get(task);
+		if (!deadly) {
+			return;
+		}
+
+		const {bornAt} = worker;
+		this.time.schedule(deadly.crashAfterMs, () => {
+			if (worker.isUp && worker.bornAt === bornAt && worker.runs.has(task)) {
+				this.crashes.set(task, (this.crashes.get(task) ?? 0) + 1);
+				this.killWorker(this.workers.indexOf(worker), deadly.downMs);
+			}
+		});
+	}
+
 	private callPoll(host: ModelHost, effect: Extract<SchedulerEffect, {type: 'worker/poll'}>): void {
 		const base = {
 			type: 'poll/ended' as const, workerId: effect.worker.id, bornAt: effect.worker.bornAt, sentAt: this.now, isExtra: effect.isExtra, clockMs: undefined, answerBornAt: undefined, running: [], ended: [],
