Give up tasks that crash their workers

Cause: a run that is lost with its worker was returned to the waiting tasks without a trace. Only runs that end `failed` were counted.

Change: the loss of a worker's incarnation is taken down with each task that ran there, and stored with the job's progress (a tenth field of a row, left out where there is none; rows of earlier versions are read as before). Runs that had begun lately are suspect. A suspect starts only on a worker kept for it, where nothing else has begun lately, and nothing else starts there until the worker has answered half a second after the start. Its pool gets machines for that. Crashes blamed on one task alone convict it; how many are needed depends on how many workers of the pool crash for reasons unknown, 5 losses at most. A loss that has not been confirmed is dropped if the worker is alive, and confirmed when its machine is back as a later incarnation; a task that was lost twice waits up to 5 s for that.

--- a/packages/core/src/scheduler/crashes.ts
+++ b/packages/core/src/scheduler/crashes.ts
@@ -1,27 +1,230 @@
-/** Tells which runs were on a worker when its incarnation was lost. */
-import {noteDecision} from './logging.js';
-import {trialMs} from './timing.js';
-import type {SteadyMs} from './types.js';
-import type {SchedulerState, Task, Worker} from './state.js';
+/**
+ * Finds the tasks that crash their workers.
+ *
+ * Most of the tasks that are lost with a worker are innocent. A task that crashes its worker does so soon after its run
+ * begins, so a loss is blamed on the runs that had begun lately. A blamed task is tried: it starts on a worker where
+ * nothing else has begun lately, and nothing else starts there until the trial is over. Crashes that can be
+ * blamed on a task alone show that it is the cause, and its job fails: the more of them are needed, the more workers
+ * crash for reasons unknown.
+ *
+ * The evidence is stored with the job's progress, so a new leader continues with it.
+ */
+import {noteDecision, noteWarning} from './logging.js';
+import {finishJob} from './jobs.js';
+import {isJobOpen} from './phases.js';
+import {getPoolOfJob} from './queues.js';
+import {plainBlameMs} from './timing.js';
+import {hasBegunLately, isOnTrial} from './trials.js';
+import type {SteadyMs, TaskCrash} from './types.js';
+import type {
+	SchedulerState, Task, Worker, WorkerLoss,
+} from './state.js';
 
-/** Records the loss of a worker's incarnation. Call it before its tasks are returned. `isConfirmed`: it has ended; otherwise it has been silent until its lease expired. */
+/** A run that has lasted this long is not to blame, and clears its task. */
+const clearedAfterMs = 10_000;
+/** Workers of one pool that were lost within this time of each other may have a common cause. */
+const commonLossMs = 1500;
+/** So many other workers of the pool, or this share of it, must be lost for that. */
+const minCommonLosses = 4;
+const commonLossShare = 0.3;
+/** Losses of workers count for this long as a sign that workers crash by themselves. */
+const lossWindowMs = 20_000;
+/** A task is not convicted of a single crash. */
+const minTellingCrashes = 2;
+/**
+ * How many crashes must be blamed on a task alone to convict it: the more workers of the pool crash for reasons unknown, the more. `lossShare`: lost workers as a share of the pool.
+ */
+const convictions = [{lossShare: 0.1, soleCrashes: 1}, {lossShare: 0.5, soleCrashes: 2}, {lossShare: Number.POSITIVE_INFINITY, soleCrashes: 3}] as const;
+/** Losses that convict a task whatever its share of the blame. */
+const lossesWithAnyBlame = 5;
+/** How long a task that was lost before waits to learn whether its silent worker has crashed. */
+const verdictWaitMs = 5000;
+const checkIntervalMs = 50;
+
+/** Records the loss of a worker's incarnation and blames the tasks that ran on it. Call it before they are returned. `isConfirmed`: it has crashed; otherwise it has been silent until its lease expired. */
 export function noteWorkerLost(state: SchedulerState, worker: Worker, isConfirmed: boolean): void {
-	const lost = [...worker.tasks.values()].filter(task => task.isSent);
-	if (lost.length === 0) {
+	if (isConfirmed) {
+		confirmLosses(state, worker);
+	}
+
+	const lost = [...worker.tasks.values()].filter(task => task.isSent && !task.crashes.some(({run}) => run === task.run));
+	if (lost.length === 0 || worker.isDraining || state.endedWorkers.get(worker.id) === worker.bornAt) {
 		return;
 	}
 
 	const recent = lost.filter(task => hasBegunLately(task, worker.lastAnswerAt));
+	const isCommon = hasCommonCause(state, worker);
+	const isPlain = !isCommon && recent.length === 1 && getSilentSince(state, worker) - recent[0]!.startedAt < plainBlameMs;
+	for (const task of lost) {
+		const isRecent = !isCommon && recent.includes(task);
+		if (isJobOpen(task.step.occurrence.job) && worker.lastAnswerAt - task.startedAt < clearedAfterMs) {
+			addCrash(state, task, worker, {isConfirmed, blame: isRecent ? (isPlain ? 'sole' : 'shared') : 'slight'});
+		}
+	}
+
 	noteDecision(state, 'worker-lost', {
-		workerId: worker.id, bornAt: worker.bornAt, isConfirmed, silentMs: Math.round(state.now - worker.lastAnswerAt), tasks: formatNames(lost), recent: formatNames(recent),
+		workerId: worker.id, bornAt: worker.bornAt, isConfirmed, isCommon, silentMs: Math.round(state.now - worker.lastAnswerAt), tasks: formatNames(lost), recent: formatNames(recent),
+	});
+	state.workerLosses.push({
+		workerId: worker.id, bornAt: worker.bornAt, pool: worker.pool, machineId: worker.machineId, aliveAt: worker.lastAnswerAt, isPlain,
 	});
 }
 
-/** True if a run had begun less than `trialMs` before an instant, or is about to. */
-function hasBegunLately(task: Task, at: SteadyMs): boolean {
-	return task.status === 'placed' || at - task.startedAt < trialMs;
+/** When a lost worker was first known not to answer. */
+function getSilentSince(state: SchedulerState, worker: Worker): SteadyMs {
+	return worker.failedPolls > 0 ? worker.silentSince : state.now;
 }
 
 function formatNames(tasks: readonly Task[]): string {
 	return tasks.map(({name, run}) => `${name}#${run}`).join(' ');
 }
+
+/** True if so many other workers of the pool were lost or fell silent at about the same time that one task is not the cause. */
+function hasCommonCause(state: SchedulerState, worker: Worker): boolean {
+	const isNear = (aliveAt: number) => Math.abs(aliveAt - worker.lastAnswerAt) < commonLossMs;
+	const others = new Set(state.workerLosses.filter(({pool, aliveAt, isPlain}) => pool === worker.pool && !isPlain && isNear(aliveAt)).map(({workerId}) => workerId));
+	let poolSize = 0;
+	for (const other of state.workers.values()) {
+		poolSize += other.pool === worker.pool ? 1 : 0;
+		if (other.pool === worker.pool && other.failedPolls > 0 && isNear(other.lastAnswerAt) && !hasTrial(other)) {
+			others.add(other.id);
+		}
+	}
+
+	others.delete(worker.id);
+	return others.size >= Math.max(minCommonLosses, Math.ceil(poolSize * commonLossShare));
+}
+
+function hasTrial(worker: Worker): boolean {
+	return [...worker.tasks.values()].some(task => isOnTrial(task));
+}
+
+function addCrash(state: SchedulerState, task: Task, worker: Worker, kind: Pick<TaskCrash, 'isConfirmed' | 'blame'>): void {
+	state.suspects.add(task);
+	setCrashes(state, task, [...task.crashes, {
+		run: task.run, workerId: worker.id, bornAt: worker.bornAt, at: state.wallNow, ...kind,
+	}]);
+}
+
+/** Learns what became of silent workers, clears tasks and gives up the guilty ones. */
+export function judgeSuspects(state: SchedulerState): void {
+	if (state.suspects.size === 0 || state.now < state.suspectsDueAt || state.leadership.role !== 'leader') {
+		return;
+	}
+
+	state.suspectsDueAt = state.now + checkIntervalMs;
+	state.workerLosses = state.workerLosses.filter(({aliveAt}) => aliveAt > state.now - lossWindowMs);
+	for (const task of state.suspects) {
+		const {job} = task.step.occurrence;
+		if (!isJobOpen(job) || task.status === 'done') {
+			state.suspects.delete(task);
+			continue;
+		}
+
+		resolveLosses(state, task);
+		clearProven(state, task);
+		if (task.crashes.length === 0) {
+			state.suspects.delete(task);
+		} else if (isGuilty(state, task)) {
+			state.suspects.delete(task);
+			finishGuilty(state, task);
+		}
+	}
+
+	// The end of a wait or of a trial is no event of its own.
+	state.needsPlacement ||= state.suspects.size > 0;
+}
+
+/** Confirms the losses of an incarnation that had only been silent. */
+function confirmLosses(state: SchedulerState, worker: Worker): void {
+	for (const task of state.suspects) {
+		if (task.crashes.some(crash => isOf(crash, worker))) {
+			setCrashes(state, task, task.crashes.map(crash => isOf(crash, worker) ? {...crash, isConfirmed: true} : crash));
+		}
+	}
+}
+
+function isOf(crash: TaskCrash, worker: Worker): boolean {
+	return !crash.isConfirmed && crash.workerId === worker.id && crash.bornAt === worker.bornAt;
+}
+
+function setCrashes(state: SchedulerState, task: Task, crashes: readonly TaskCrash[]): void {
+	task.crashes = crashes;
+	state.suspectsDueAt = 0;
+	state.dirtyJobs.add(task.step.occurrence.job);
+}
+
+/** Confirms the losses whose worker is back as a new incarnation, and drops those whose worker had only been silent. */
+function resolveLosses(state: SchedulerState, task: Task): void {
+	if (task.crashes.every(({isConfirmed}) => isConfirmed)) {
+		return;
+	}
+
+	const crashes = task.crashes
+		.filter(crash => crash.isConfirmed || !isAlive(state, crash))
+		.map(crash => crash.isConfirmed || !isReplaced(state, crash) ? crash : {...crash, isConfirmed: true});
+	if (crashes.length < task.crashes.length || crashes.some((crash, index) => crash !== task.crashes[index])) {
+		setCrashes(state, task, crashes);
+	}
+}
+
+function isAlive(state: SchedulerState, {workerId, bornAt}: TaskCrash): boolean {
+	const worker = state.workers.get(workerId);
+	return worker?.bornAt === bornAt && worker.isPolledByLeader && worker.failedPolls === 0;
+}
+
+/** True if the worker, or its machine under another id, is back as a later incarnation. */
+function isReplaced(state: SchedulerState, {workerId, bornAt}: TaskCrash): boolean {
+	const machineId = state.workerLosses.find(loss => loss.workerId === workerId && loss.bornAt === bornAt)?.machineId;
+	return [...state.workers.values()].some(worker => worker.bornAt > bornAt && (worker.id === workerId || (machineId !== undefined && worker.machineId === machineId)));
+}
+
+/** A run that has lasted for long clears its task: it did not crash its worker. */
+function clearProven(state: SchedulerState, task: Task): void {
+	const {worker} = task;
+	if (task.status === 'running' && worker?.failedPolls === 0 && worker.lastAnswerAt - task.startedAt >= clearedAfterMs) {
+		setCrashes(state, task, []);
+	}
+}
+
+function isGuilty(state: SchedulerState, task: Task): boolean {
+	if (task.crashes.length >= lossesWithAnyBlame) {
+		return true;
+	}
+
+	const telling = task.crashes.filter(({isConfirmed, blame}) => isConfirmed && blame !== 'slight');
+	const sole = telling.filter(({blame}) => blame === 'sole').length;
+	const needed = computeNeededCrashes(state, task);
+	return sole >= needed && telling.length >= minTellingCrashes;
+}
+
+/** How many crashes must be blamed on a task alone to convict it. A new leader does not know yet how many workers crash by themselves. */
+function computeNeededCrashes(state: SchedulerState, task: Task): number {
+	const pool = getPoolOfJob(state, task.step.occurrence.job);
+	const workers = [...state.workers.values()].filter(worker => worker.pool === pool).length;
+	const losses = state.workerLosses.filter(loss => loss.pool === pool && !loss.isPlain && !isBlamedOn(task, loss)).length;
+	const lossShare = state.now < state.leadership.leaderSince + lossWindowMs ? Number.POSITIVE_INFINITY : losses / Math.max(1, workers);
+	return convictions.find(conviction => lossShare <= conviction.lossShare)!.soleCrashes;
+}
+
+function isBlamedOn({crashes}: Task, {workerId, bornAt}: WorkerLoss): boolean {
+	return crashes.some(crash => crash.workerId === workerId && crash.bornAt === bornAt);
+}
+
+function finishGuilty(state: SchedulerState, task: Task): void {
+	noteWarning(state, 'task-given-up', {
+		task: task.name, run: task.run, crashes: task.crashes.length, evidence: formatCrashes(task.crashes),
+	});
+	state.workerLosses = state.workerLosses.filter(loss => !isBlamedOn(task, loss));
+	finishJob(state, task.step.occurrence.job, 'failed');
+}
+
+function formatCrashes(crashes: readonly TaskCrash[]): string {
+	return crashes.map(({run, workerId, bornAt, at, isConfirmed, blame}) => `#${run} at ${workerId}/${bornAt} ${new Date(at).toISOString()} ${isConfirmed ? 'crashed' : 'silent'} ${blame}`).join(', ');
+}
+
+/** True while a task that was lost before has to wait for the fate of its last worker. */
+export function isAwaitingVerdict(state: SchedulerState, {crashes, readyAt}: Task): boolean {
+	return crashes.length > 1 && crashes.at(-1)?.isConfirmed === false && state.now < readyAt + verdictWaitMs;
+}
+
--- /dev/null
+++ b/packages/core/src/scheduler/deadly-tasks.test.ts
@@ -0,0 +1,185 @@
+/** Tasks that crash each worker that starts them: they are given up after few crashes, and the tasks that are lost beside them are not. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {Instant} from '../types/time.js';
+import {
+	createProgress, createRow, createWorker, HandDrivenHost, listLogEvents, listStarts,
+} from './testing/hand-driven.js';
+import {
+	createJob, createStep, ModelFleet, noFaults,
+} from './testing/model-fleet.js';
+import type {StepDefinition, TaskCrash} from './types.js';
+
+const seeds = [1, 2, 3, 4, 5];
+/** After three workers have crashed under a task, it may be started twice more. */
+const mostCrashes = 5;
+const soon = {crashAfterMs: 10, downMs: 3000};
+
+function createFleet(seed: number, workers = 6): ModelFleet {
+	const fleet = ModelFleet.create({
+		seed, hosts: 3, workers, faults: noFaults,
+	});
+	fleet.run(3000);
+	return fleet;
+}
+
+function formatId(number: number): string {
+	return number.toString(16).padStart(16, '0');
+}
+
+/** Submits a job whose first task is deadly, and jobs beside it that could all be done; returns the numbers of these. */
+function submitAround(fleet: ModelFleet, changes: Partial<StepDefinition> = {}, deadly = soon): number[] {
+	fleet.deadlyTasks.set(`${formatId(1)}.0.0.0`, deadly);
+	const others = Array.from({length: 24}, (_, index) => index + 2);
+	fleet.submit(createJob(1, [createStep({count: 2, ...changes})]));
+	for (const number of others) {
+		fleet.submit(createJob(number, [createStep({count: 3, estimateMs: fleet.draw(200, 1500)})]));
+		fleet.run(fleet.draw(5, 150));
+	}
+
+	return others;
+}
+
+function listPhases(fleet: ModelFleet, numbers: readonly number[]): string[] {
+	return [...new Set(numbers.map(number => fleet.getPhase(formatId(number)) ?? 'unknown'))];
+}
+
+describe('a task that crashes each worker that starts it', () => {
+	/** Guards against a task that crashes worker after worker, as runs lost with their worker left no trace. */
+	it('is given up after at most two more starts than three crashes, and every job beside it completes', () => {
+		for (const seed of seeds) {
+			const fleet = createFleet(seed);
+			const others = submitAround(fleet);
+			fleet.run(40_000);
+			const crashes = fleet.crashes.get(`${formatId(1)}.0.0.0`) ?? 0;
+			expect({
+				seed, isBounded: crashes <= mostCrashes, phase: fleet.getPhase(formatId(1)), others: listPhases(fleet, others), violations: fleet.violations,
+			}).toEqual({
+				seed, isBounded: true, phase: 'failed', others: ['completed'], violations: [],
+			});
+		}
+	});
+
+	/** Guards against a long-running task, restarted however it ends, that crashes worker after worker. */
+	it('is given up too if it is long-running', () => {
+		for (const seed of seeds) {
+			const fleet = createFleet(seed);
+			const others = submitAround(fleet, {isLongRunning: true, count: 1});
+			fleet.run(40_000);
+			const crashes = fleet.crashes.get(`${formatId(1)}.0.0.0`) ?? 0;
+			expect({
+				seed, isBounded: crashes <= mostCrashes, others: listPhases(fleet, others), violations: fleet.violations,
+			}).toEqual({
+				seed, isBounded: true, others: ['completed'], violations: [],
+			});
+		}
+	});
+
+	/** Guards against counts that start anew with each leader. */
+	it('is given up after as many crashes if the leader changes after each', () => {
+		for (const seed of seeds) {
+			const fleet = createFleet(seed);
+			const others = submitAround(fleet);
+			for (let round = 0; round < 12; round++) {
+				fleet.run(3000);
+				fleet.stopLeader(600);
+			}
+
+			fleet.run(20_000);
+			const crashes = fleet.crashes.get(`${formatId(1)}.0.0.0`) ?? 0;
+			expect({
+				seed, isBounded: crashes <= mostCrashes, phase: fleet.getPhase(formatId(1)), others: listPhases(fleet, others), violations: fleet.violations,
+			}).toEqual({
+				seed, isBounded: true, phase: 'failed', others: ['completed'], violations: [],
+			});
+		}
+	});
+
+	it('does not take along a second one, nor the other way round', () => {
+		for (const seed of seeds) {
+			const fleet = createFleet(seed);
+			fleet.deadlyTasks.set(`${formatId(2)}.0.0.1`, {crashAfterMs: 200, downMs: 4000});
+			fleet.deadlyTasks.set(`${formatId(9)}.0.0.2`, soon);
+			const others = submitAround(fleet).filter(number => number !== 2 && number !== 9);
+			fleet.run(40_000);
+			const crashes = [...fleet.crashes.values()];
+			expect({
+				seed, isBounded: crashes.every(count => count <= mostCrashes), crashing: crashes.length, others: listPhases(fleet, others),
+			}).toEqual({
+				seed, isBounded: true, crashing: 3, others: ['completed'],
+			});
+		}
+	});
+});
+
+describe('innocent tasks', () => {
+	/** Guards against jobs that are given up, or wait for ever, because many workers crash at once. */
+	it('all complete after half of the pool has crashed at once, and again a second later', () => {
+		for (const seed of seeds) {
+			const fleet = createFleet(seed, 10);
+			const numbers = Array.from({length: 60}, (_, index) => index + 1);
+			for (const number of numbers) {
+				fleet.submit(createJob(number, [createStep({count: 3, estimateMs: 1500})]));
+			}
+
+			fleet.run(700);
+			for (let index = 0; index < 5; index++) {
+				fleet.killWorker(index, 2000);
+			}
+
+			fleet.run(1000);
+			for (let index = 5; index < 9; index++) {
+				fleet.killWorker(index, 2000);
+			}
+
+			fleet.run(25_000);
+			expect({seed, phases: listPhases(fleet, numbers), violations: fleet.violations}).toEqual({seed, phases: ['completed'], violations: []});
+		}
+	});
+
+	it('all complete in a pool of two workers beside one that is deadly', () => {
+		const fleet = createFleet(7, 2);
+		const others = submitAround(fleet);
+		fleet.run(60_000);
+		expect(listPhases(fleet, others)).toEqual(['completed']);
+	});
+});
+
+describe('stored evidence', () => {
+	const crash: TaskCrash = {
+		run: 1, workerId: 'w9', bornAt: 1, at: 0 as Instant, isConfirmed: true, blame: 'shared',
+	};
+	const job = createJob(1, [createStep({count: 1})]);
+
+	/** A host that takes over a task that waits, and has one worker. */
+	function takeOver(row: Parameters<typeof createRow>[0]): HandDrivenHost {
+		const host = HandDrivenHost.create();
+		host.submit(job);
+		host.takeLeadership([createProgress(0, job, [createRow({run: 3, ...row})])]);
+		host.dispatch({type: 'workers/listed', workers: [createWorker('w1')], isReloaded: true});
+		return host;
+	}
+
+	it('of a worker that is back as another incarnation counts as a crash under the task that was placed there', () => {
+		const host = takeOver({run: 5, crashes: [1, 2, 3, 4].map(run => ({...crash, run}))});
+		const effects = host.dispatch({type: 'workers/listed', workers: [createWorker('w1', {bornAt: 2})], isReloaded: true});
+		expect(listLogEvents(effects).includes('task-given-up')).toEqual(true);
+	});
+
+	it('is absent from records of earlier versions, which count as no crash', () => {
+		const host = takeOver({});
+		host.dispatch({type: 'workers/listed', workers: [createWorker('w1', {bornAt: 2})], isReloaded: true});
+		expect(host.state.jobs.get(job.jobId)?.live?.phase).toEqual('running');
+	});
+
+	it('is dropped if a silent worker turns out to be alive', () => {
+		const host = takeOver({
+			status: 'waiting', workerId: '', workerBornAt: 0, crashes: [{...crash, workerId: 'w1', isConfirmed: false}],
+		});
+		host.now++;
+		host.answerPoll('w1');
+		host.tick(100);
+		expect(listStarts(host.effects).map(({run}) => run)).toEqual([4]);
+		expect([...host.state.suspects]).toEqual([]);
+	});
+});
--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -12,6 +12,7 @@
 	addResources, computeDominantShare, noResources, computeMultiple,
 } from './resources.js';
 import {getStepNeed} from './tasks.js';
+import {countTrialMachines} from './trials.js';
 import type {PoolName, Resources} from './types.js';
 import type {
 	Job, PoolDemand, SchedulerState, StepRun, Worker,
@@ -88,8 +89,9 @@
 	demand.updatedAt = state.now;
 	const needed = computeNeed(state, pool);
 	const workersForSpread = demand.waitingTasks > 0 ? countWorkersForSpread(state, pool) : 0;
-	demand.machines = Math.max(workersForSpread, countMachines(addResources(needed, computeExpectedRise(demand)), machine));
-	updatePeak(state, demand, Math.max(workersForSpread, countMachines(needed, machine)));
+	const trialMachines = countTrialMachines(state, pool);
+	demand.machines = Math.max(workersForSpread, countMachines(addResources(needed, computeExpectedRise(demand)), machine)) + trialMachines;
+	updatePeak(state, demand, Math.max(workersForSpread, countMachines(needed, machine)) + trialMachines);
 	return demand;
 }
 
--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -203,6 +203,7 @@
 		pacePercent: 100,
 		readyAt: state.now,
 		failedOn: new Set(),
+		crashes: [],
 	};
 }
 
@@ -220,17 +221,28 @@
 	}
 }
 
+/** Restores the stored evidence about a task. */
+function restoreCrashes(state: SchedulerState, task: Task, crashes: ProgressRow['crashes'] = []): void {
+	task.crashes = crashes;
+	if (crashes.length > 0) {
+		state.suspects.add(task);
+	}
+}
+
 /** Restores one task. A stored start may not have reached its worker; the worker's next answer shows whether the run exists. */
 function restoreTask(state: SchedulerState, task: Task, row: ProgressRow): void {
 	task.run = row.run;
 	task.failures = row.failures;
 	task.checkpoint = row.checkpoint;
+	restoreCrashes(state, task, row.crashes);
 	if (row.status === 'done') {
 		task.status = 'done';
 		task.step.doneCount++;
 	} else if (row.status === 'placed') {
 		task.status = 'placed';
 		task.isSent = true;
+		// When the run began is not known: it may have been just now.
+		task.startedAt = state.now;
 		// No poll of this leadership term was sent before this instant, so any poll of this term shows whether the run exists.
 		task.conclusiveAfter = state.leadership.leaderSince;
 		attachTask(ensureWorker(state, row.workerId, row.workerBornAt), task);
@@ -302,6 +314,7 @@
 		workerId: task.worker?.id ?? '',
 		workerBornAt: task.worker?.bornAt ?? 0,
 		checkpoint: task.status === 'done' ? '' : task.checkpoint,
+		...(task.crashes.length > 0 && task.status !== 'done' && {crashes: task.crashes}),
 	}));
 }
 
@@ -322,4 +335,5 @@
 	state.liveJobs.clear();
 	state.openSteps.clear();
 	state.dirtyJobs.clear();
+	state.suspects.clear();
 }
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -1,6 +1,7 @@
 /** Assigns waiting tasks to workers: the most urgent step first, each task to the worker that it leaves with the least unused capacity. */
 import {isSuspect} from './health.js';
 import {clearWaiting, getDemand, addWaitingWork} from './demand.js';
+import {isAwaitingVerdict} from './crashes.js';
 import {getPoolOfJob} from './queues.js';
 import {addResources, doesFit} from './resources.js';
 import {
@@ -8,6 +9,9 @@
 } from './tasks.js';
 import {compareUrgency, computeUrgency, type Urgency} from './urgency.js';
 import {getTicketState, requestAdvice} from './advice.js';
+import {
+	noteTrial, canJoin, isTrialNeeded, planTrials,
+} from './trials.js';
 import type {PoolName, Resources} from './types.js';
 import type {
 	SchedulerState, StepRun, Task, Worker,
@@ -34,6 +38,7 @@
 	}
 
 	const workersByPool = listUsableWorkers(state);
+	planTrials(state, workersByPool, canHost);
 	for (const {step} of sortSteps(state)) {
 		const pool = getPoolOfJob(state, step.occurrence.job);
 		placeStep(state, step, workersByPool.get(pool) ?? [], pool);
@@ -68,7 +73,7 @@
 }
 
 function placeStep(state: SchedulerState, step: StepRun, workers: readonly Worker[], pool: PoolName): void {
-	const waiting = step.tasks.filter(task => task.status === 'waiting');
+	const waiting = step.tasks.filter(task => task.status === 'waiting' && !isAwaitingVerdict(state, task));
 	const candidates = workers.filter(worker => hasLabel(step, worker));
 	const placed = step.definition.isGang
 		? placeGang(state, step, waiting, candidates)
@@ -84,16 +89,27 @@
 	return requiredLabel === '' || worker.labels.has(requiredLabel);
 }
 
+/** True if a worker could run a task apart from its present load. */
+function canHost(state: SchedulerState, task: Task, worker: Worker): boolean {
+	const {step} = task;
+	const isFull = step.definition.maxPerWorker > 0 && countTasksOfStep(step, worker) >= step.definition.maxPerWorker;
+	return hasLabel(step, worker) && !isFull && getTicketState(state, step, worker) !== 'bad';
+}
+
 function placeEach(state: SchedulerState, step: StepRun, waiting: readonly Task[], candidates: readonly Worker[]): number {
 	const capacities = listFreeCapacities(step, candidates);
 	let placed = 0;
+	let isFull = false;
 	for (const task of waiting) {
-		const worker = chooseWorker(state, task, capacities);
+		const isTrial = isTrialNeeded(state, task);
+		const worker = isFull && !isTrial ? undefined : chooseWorker(state, task, capacities);
 		if (!worker) {
-			break;
+			isFull ||= !isTrial;
+			continue;
 		}
 
 		takeCapacity(capacities, worker, task);
+		noteTrial(state, task, worker);
 		placeTask(state, task, worker, task.run + 1);
 		placed++;
 	}
@@ -116,6 +132,7 @@
 		}
 
 		takeCapacity(capacities, worker, task);
+		noteTrial(state, task, worker);
 		chosen.push({task, worker});
 	}
 
@@ -169,6 +186,10 @@
 			continue;
 		}
 
+		if (!canJoin(state, task, worker)) {
+			continue;
+		}
+
 		const ticket = getTicketState(state, task.step, worker);
 		if (ticket === 'unknown') {
 			withoutAdvice.push(worker);
--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -154,6 +154,7 @@
 }
 
 function handleFailedPoll(state: SchedulerState, worker: Worker, event: PollEnded): void {
+	worker.silentSince = worker.failedPolls === 0 ? state.now : worker.silentSince;
 	worker.failedPolls++;
 	worker.pollDueAt = state.now + Math.min(pollRetryMs * worker.failedPolls, maxPollRetryMs);
 	// A worker that answers with an error counts as silent too; `outcome` is that of the latest poll.
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -2,6 +2,7 @@
 import {handleAdvice} from './advice.js';
 import {handleCommit, tickCommits} from './commits.js';
 import {checkSuspension} from './confirmation.js';
+import {judgeSuspects} from './crashes.js';
 import {handlePoll, hasReadStartedJobs, tickPolls} from './polls.js';
 import {applyIntake, dropLiveJobIfEnded, openDueOccurrences} from './jobs.js';
 import {
@@ -17,6 +18,7 @@
 import {removeOldJobs, replaceEndedJobs} from './retention.js';
 import {handleStart, handleStop, tickStops} from './starts.js';
 import {updateOpenStep} from './tasks.js';
+import {tickTrialPolls} from './trial-polls.js';
 import {addWave, handleWaveReport, tickWaves} from './waves.js';
 import type {SchedulerEffect} from './effects.js';
 import type {SchedulerEvent, SchedulerEventType} from './events.js';
@@ -45,6 +47,7 @@
 
 		tickJobs(state);
 		tickStops(state);
+		tickTrialPolls(state);
 		tickRegistry(state);
 		tickMachineList(state);
 		tickOrders(state);
@@ -187,6 +190,7 @@
 	try {
 		checkSuspension(state, event);
 		applyEvent(state, event);
+		judgeSuspects(state);
 		placeTasks(state);
 		tickCommits(state);
 		tickPolls(state);
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -44,6 +44,7 @@
 		pollDueAt: 0,
 		lastAnswerAt: state.now,
 		failedPolls: 0,
+		silentSince: 0,
 		tasks: new Map(),
 		longRunningTasks: 0,
 		lateStarts: [],
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -17,6 +17,7 @@
 	RunningRow,
 	StepDefinition,
 	SteadyMs,
+	TaskCrash,
 	TaskName,
 	WaveDefinition,
 	WaveNumber,
@@ -80,6 +81,8 @@
 	readyAt: SteadyMs;
 	/** Workers where the task failed recently. */
 	readonly failedOn: Set<WorkerId>;
+	/** Losses of workers that may be blamed on the task, oldest first. */
+	crashes: readonly TaskCrash[];
 };
 
 /** One step of one occurrence. */
@@ -189,6 +192,8 @@
 	lastAnswerAt: SteadyMs;
 	/** Consecutive polls with another outcome than `held`: unanswered ones and those that were answered with an error. */
 	failedPolls: number;
+	/** When the first of these polls failed. */
+	silentSince: SteadyMs;
 	readonly tasks: Map<TaskName, Task>;
 	/** How many of `tasks` are long-running. */
 	longRunningTasks: number;
@@ -259,6 +264,16 @@
 	retryClaimAt: SteadyMs | undefined;
 };
 
+/** The loss of a worker's incarnation, and when it last answered. `isPlain`: a suspect is plainly to blame. */
+export type WorkerLoss = {
+	readonly workerId: WorkerId;
+	readonly bornAt: number;
+	readonly pool: PoolName;
+	readonly machineId: MachineId | undefined;
+	readonly aliveAt: SteadyMs;
+	readonly isPlain: boolean;
+};
+
 export type MachineOrder = {
 	readonly number: OrderNumber;
 	readonly type: 'move' | 'upkeep';
@@ -366,6 +381,13 @@
 	/** Moving average of actual to estimated run time, by queue. */
 	readonly runRatios: Map<QueueName, number>;
 	needsPlacement: boolean;
+	/** Tasks of open jobs that losses of workers may be blamed on. */
+	readonly suspects: Set<Task>;
+	suspectsDueAt: SteadyMs;
+	/** Workers lost lately, apart from those that tasks were found guilty of. */
+	workerLosses: WorkerLoss[];
+	/** Workers where only suspects may start: `kept` for the next one, or with one `onTrial`. */
+	readonly trials: {readonly kept: Map<Worker, SteadyMs>; readonly onTrial: Set<Worker>; readonly polledAt: WeakMap<Worker, SteadyMs>};
 	adviceRequest: AdviceRequest | undefined;
 	/** Worker incarnations that an order of this leader ended; registry entries that still list them are ignored. */
 	readonly endedWorkers: Map<WorkerId, number>;
@@ -416,6 +438,10 @@
 		demand: new Map(),
 		runRatios: new Map(),
 		needsPlacement: false,
+		suspects: new Set(),
+		suspectsDueAt: 0,
+		workerLosses: [],
+		trials: {kept: new Map(), onTrial: new Set(), polledAt: new WeakMap()},
 		adviceRequest: undefined,
 		endedWorkers: new Map(),
 		jobsDueAt: 0,
--- a/packages/core/src/scheduler/timing.ts
+++ b/packages/core/src/scheduler/timing.ts
@@ -49,6 +49,8 @@
 /** A running task without progress for this long is stuck. */
 export const stuckMs = 1500;
 /** A run begun longer ago than this is hardly to blame for the loss of its worker. */
-export const trialMs = 1000;
+export const trialMs = 500;
+/** A run that its worker has outlived by no more than this is plainly to blame if no other had begun lately. */
+export const plainBlameMs = 300;
 /** An instant that is never reached. */
 export const never = Number.POSITIVE_INFINITY;
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -163,6 +163,23 @@
 	readonly checkpoint: string;
 };
 
+/**
+ * How much the loss of a worker tells against a task that ran there. `sole`: the worker fell silent just after the run had
+ * begun, and no other had begun there lately; `shared`: the run had begun lately; `slight`: the run had begun earlier, or many workers were lost at once.
+ */
+export type Blame = 'sole' | 'shared' | 'slight';
+
+/** The loss of a worker's incarnation while a run of a task was on it. */
+export type TaskCrash = {
+	readonly run: number;
+	readonly workerId: WorkerId;
+	readonly bornAt: number;
+	readonly at: Instant;
+	/** The incarnation is known to have ended; until then its worker has only been silent. */
+	readonly isConfirmed: boolean;
+	readonly blame: Blame;
+};
+
 /** Stored state of one task; only tasks that differ from their initial state have a row. */
 export type ProgressRow = {
 	readonly occurrence: number;
@@ -175,6 +192,8 @@
 	readonly workerId: WorkerId;
 	readonly workerBornAt: number;
 	readonly checkpoint: string;
+	/** Losses of workers that may be blamed on the task. Absent in records of earlier versions, and if there are none. */
+	readonly crashes?: readonly TaskCrash[] | undefined;
 };
 
 /** Stored progress of one job; each record replaces the one before. */
--- a/packages/daemon/src/scheduler/codec.test.ts
+++ b/packages/daemon/src/scheduler/codec.test.ts
@@ -46,6 +46,10 @@
 				type: 'progress', jobId, progress: {
 					phase: 'running', finishedOccurrences: [1], finishedAt: 0 as Instant, rows: [{
 						occurrence: 0, step: 1, index: 2, status: 'placed', run: 3, failures: 1, workerId: 'w', workerBornAt: 1_800_000_000_000, checkpoint: 'c',
+					}, {
+						occurrence: 0, step: 1, index: 3, status: 'waiting', run: 2, failures: 0, workerId: '', workerBornAt: 0, checkpoint: '', crashes: [{
+							run: 1, workerId: 'w', bornAt: 1_800_000_000_000, at: 1_800_000_000_001 as Instant, isConfirmed: false, blame: 'sole',
+						}],
 					}],
 				},
 			},
@@ -60,6 +64,19 @@
 		}
 	});
 
+	/** Guards against progress of earlier versions that cannot be read because its rows have no crashes. */
+	it('read rows of earlier versions, without crashes, and refuse crashes of another form', () => {
+		const packr = new Packr({useRecords: false});
+		const row = [0, 1, 2, 'placed', 3, 1, 'w', 5, 'c'];
+		const decode = (packed: unknown) => decodeLedger({offset: 0, key: `progress:${jobId}`, value: packr.pack(['running', [], 0, [packed]])});
+		const decoded = decode(row);
+		expect(decoded?.type === 'progress' ? decoded.progress.rows : undefined).toEqual([{
+			occurrence: 0, step: 1, index: 2, status: 'placed', run: 3, failures: 1, workerId: 'w', workerBornAt: 5, checkpoint: 'c',
+		}]);
+		const bad = decode([...row, [[1, 'w']]]);
+		expect(() => bad?.type === 'progress' && bad.progress.rows).toThrow();
+	});
+
 	it('ignore records of an unknown kind', () => {
 		expect(decodeIntake({offset: 0, key: 'new:1', value: new Uint8Array([1])})).toEqual(undefined);
 		expect(decodeLedger({offset: 0, key: 'no kind', value: undefined})).toEqual(undefined);
--- a/packages/daemon/src/scheduler/codec.ts
+++ b/packages/daemon/src/scheduler/codec.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import type {JobId} from '@rhubarblever/core';
 import type {
-	FleetConfig, IntakeRecord, JobDefinition, JobProgress, LeaseRecord, LedgerRecord, MachineId, ProgressRow, WaveProgress,
+	FleetConfig, IntakeRecord, JobDefinition, JobProgress, LeaseRecord, LedgerRecord, MachineId, ProgressRow, TaskCrash, WaveProgress,
 } from '@rhubarblever/core/scheduler';
 import {Packr} from 'msgpackr';
 import type {z} from 'zod';
@@ -72,7 +72,7 @@
 			progress.phase,
 			progress.finishedOccurrences,
 			progress.finishedAt,
-			progress.rows.map(row => [row.occurrence, row.step, row.index, row.status, row.run, row.failures, row.workerId, row.workerBornAt, row.checkpoint]),
+			progress.rows.map(row => [row.occurrence, row.step, row.index, row.status, row.run, row.failures, row.workerId, row.workerBornAt, row.checkpoint, ...encodeCrashes(row)]),
 		]),
 	}),
 	'progress-removed': ({jobId}) => ({key: `progress:${jobId}`, value: undefined}),
@@ -94,15 +94,27 @@
 	config: (_id, value) => value && {type: 'config', config: readValue<FleetConfig>(value, configSchema)},
 };
 
-type PackedRow = [occurrence: number, step: number, index: number, status: ProgressRow['status'], run: number, failures: number, workerId: string, workerBornAt: number, checkpoint: string];
+type PackedCrash = [run: number, workerId: string, bornAt: number, at: TaskCrash['at'], isConfirmed: boolean, blame: TaskCrash['blame']];
+type PackedRow = [occurrence: number, step: number, index: number, status: ProgressRow['status'], run: number, failures: number, workerId: string, workerBornAt: number, checkpoint: string, crashes?: PackedCrash[]];
 type PackedProgress = [phase: JobProgress['phase'], finishedOccurrences: number[], finishedAt: JobProgress['finishedAt'], rows: PackedRow[]];
 
-function decodeRow([occurrence, step, index, status, run, failures, workerId, workerBornAt, checkpoint]: PackedRow): ProgressRow {
+function decodeRow([occurrence, step, index, status, run, failures, workerId, workerBornAt, checkpoint, crashes]: PackedRow): ProgressRow {
 	return {
-		occurrence, step, index, status, run, failures, workerId, workerBornAt, checkpoint,
+		occurrence, step, index, status, run, failures, workerId, workerBornAt, checkpoint, ...(crashes && {crashes: crashes.map(crash => decodeCrash(crash))}),
 	};
 }
 
+function decodeCrash([run, workerId, bornAt, at, isConfirmed, blame]: PackedCrash): TaskCrash {
+	return {
+		run, workerId, bornAt, at, isConfirmed, blame,
+	};
+}
+
+/** Nothing for a row without crashes: it keeps the form of earlier versions. */
+function encodeCrashes({crashes = []}: ProgressRow): PackedCrash[][] {
+	return crashes.length > 0 ? [crashes.map(crash => [crash.run, crash.workerId, crash.bornAt, crash.at, crash.isConfirmed, crash.blame])] : [];
+}
+
 function decodeProgress(value: Uint8Array): JobProgress {
 	const [phase, finishedOccurrences, finishedAt, rows] = readValue<PackedProgress>(value, progressSchema);
 	return {
--- a/packages/daemon/src/scheduler/record-schemas.ts
+++ b/packages/daemon/src/scheduler/record-schemas.ts
@@ -28,6 +28,9 @@
 	pools: z.array(z.looseObject({name: z.string(), isSpare: z.boolean()})),
 });
 
-const row = z.tuple([count, count, count, z.enum(['waiting', 'placed', 'done']), count, count, z.string(), z.number(), z.string()]);
+const crash = z.tuple([count, z.string(), z.number(), z.number(), z.boolean(), z.enum(['sole', 'shared', 'slight'])]);
+
+/** Records of earlier versions, and rows without crashes, end with the checkpoint. */
+const row = z.tuple([count, count, count, z.enum(['waiting', 'placed', 'done']), count, count, z.string(), z.number(), z.string()]).rest(z.array(crash));
 
 export const progressSchema = z.tuple([z.enum(['queued', 'running', 'completed', 'failed']), z.array(count), z.number(), z.array(row)]);
