Suspects do not wait for a trial for ever

A task that needs a trial could wait without bound: a gang with more suspect members than workers may be kept at once, or a suspect that fits no worker that can be kept. Members of one gang are tried on different workers, and a trial is logged only when it is placed. What became of a silent worker is looked up once, not for each task that was lost with it.

Tests: long-running tasks are at work again within seconds of the crash of their worker; the suspect members of a gang start alone, all at the same time.

--- a/packages/core/src/scheduler/crashes.ts
+++ b/packages/core/src/scheduler/crashes.ts
@@ -15,7 +15,7 @@
 import {getPoolOfJob} from './queues.js';
 import {plainBlameMs} from './timing.js';
 import {hasBegunLately, isOnTrial} from './trials.js';
-import type {SteadyMs, TaskCrash} from './types.js';
+import type {TaskCrash} from './types.js';
 import type {
 	SchedulerState, Task, Worker, WorkerLoss,
 } from './state.js';
@@ -54,7 +54,7 @@
 
 	const recent = lost.filter(task => hasBegunLately(task, worker.lastAnswerAt));
 	const isCommon = hasCommonCause(state, worker);
-	const isPlain = !isCommon && recent.length === 1 && getSilentSince(state, worker) - recent[0]!.startedAt < plainBlameMs;
+	const isPlain = !isCommon && recent.length === 1 && isPlainlyToBlame(state, worker, recent[0]!);
 	for (const task of lost) {
 		const isRecent = !isCommon && recent.includes(task);
 		if (isJobOpen(task.step.occurrence.job) && worker.lastAnswerAt - task.startedAt < clearedAfterMs) {
@@ -70,9 +70,10 @@
 	});
 }
 
-/** When a lost worker was first known not to answer. */
-function getSilentSince(state: SchedulerState, worker: Worker): SteadyMs {
-	return worker.failedPolls > 0 ? worker.silentSince : state.now;
+/** True if a worker fell silent just after a run had begun. When the runs of an earlier leader began is not known. */
+function isPlainlyToBlame(state: SchedulerState, worker: Worker, {startedAt}: Task): boolean {
+	const silentSince = worker.failedPolls > 0 ? worker.silentSince : state.now;
+	return startedAt > state.leadership.leaderSince && silentSince - startedAt < plainBlameMs;
 }
 
 function formatNames(tasks: readonly Task[]): string {
@@ -114,6 +115,7 @@
 
 	state.suspectsDueAt = state.now + checkIntervalMs;
 	state.workerLosses = state.workerLosses.filter(({aliveAt}) => aliveAt > state.now - lossWindowMs);
+	const fates: Fates = new Map();
 	for (const task of state.suspects) {
 		const {job} = task.step.occurrence;
 		if (!isJobOpen(job) || task.status === 'done') {
@@ -121,7 +123,7 @@
 			continue;
 		}
 
-		resolveLosses(state, task);
+		resolveLosses(state, task, fates);
 		clearProven(state, task);
 		if (task.crashes.length === 0) {
 			state.suspects.delete(task);
@@ -132,7 +134,7 @@
 	}
 
 	// The end of a wait or of a trial is no event of its own.
-	state.needsPlacement ||= state.suspects.size > 0;
+	state.needsPlacement ||= [...state.suspects].some(({status}) => status === 'waiting');
 }
 
 /** Confirms the losses of an incarnation that had only been silent. */
@@ -154,29 +156,37 @@
 	state.dirtyJobs.add(task.step.occurrence.job);
 }
 
+/** What has become of a worker's incarnation that fell silent; many tasks may have been lost with it. */
+type Fate = 'alive' | 'replaced' | 'unknown';
+type Fates = Map<string, Fate>;
+
 /** Confirms the losses whose worker is back as a new incarnation, and drops those whose worker had only been silent. */
-function resolveLosses(state: SchedulerState, task: Task): void {
-	if (task.crashes.every(({isConfirmed}) => isConfirmed)) {
+function resolveLosses(state: SchedulerState, task: Task, fates: Fates): void {
+	const open = task.crashes.filter(({isConfirmed}) => !isConfirmed);
+	if (open.every(crash => getFate(state, crash, fates) === 'unknown')) {
 		return;
 	}
 
-	const crashes = task.crashes
-		.filter(crash => crash.isConfirmed || !isAlive(state, crash))
-		.map(crash => crash.isConfirmed || !isReplaced(state, crash) ? crash : {...crash, isConfirmed: true});
-	if (crashes.length < task.crashes.length || crashes.some((crash, index) => crash !== task.crashes[index])) {
-		setCrashes(state, task, crashes);
-	}
+	const left = task.crashes.filter(crash => crash.isConfirmed || getFate(state, crash, fates) !== 'alive');
+	setCrashes(state, task, left.map(crash => crash.isConfirmed || getFate(state, crash, fates) === 'unknown' ? crash : {...crash, isConfirmed: true}));
 }
 
-function isAlive(state: SchedulerState, {workerId, bornAt}: TaskCrash): boolean {
-	const worker = state.workers.get(workerId);
-	return worker?.bornAt === bornAt && worker.isPolledByLeader && worker.failedPolls === 0;
+function getFate(state: SchedulerState, crash: TaskCrash, fates: Fates): Fate {
+	const key = `${crash.workerId}/${crash.bornAt}`;
+	const fate = fates.get(key) ?? findFate(state, crash);
+	fates.set(key, fate);
+	return fate;
 }
 
-/** True if the worker, or its machine under another id, is back as a later incarnation. */
-function isReplaced(state: SchedulerState, {workerId, bornAt}: TaskCrash): boolean {
+function findFate(state: SchedulerState, {workerId, bornAt}: TaskCrash): Fate {
+	const known = state.workers.get(workerId);
+	if (known?.bornAt === bornAt && known.isPolledByLeader && known.failedPolls === 0) {
+		return 'alive';
+	}
+
 	const machineId = state.workerLosses.find(loss => loss.workerId === workerId && loss.bornAt === bornAt)?.machineId;
-	return [...state.workers.values()].some(worker => worker.bornAt > bornAt && (worker.id === workerId || (machineId !== undefined && worker.machineId === machineId)));
+	const isReplaced = [...state.workers.values()].some(worker => worker.bornAt > bornAt && (worker.id === workerId || (machineId !== undefined && worker.machineId === machineId)));
+	return isReplaced ? 'replaced' : 'unknown';
 }
 
 /** A run that has lasted for long clears its task: it did not crash its worker. */
--- a/packages/core/src/scheduler/deadly-tasks.test.ts
+++ b/packages/core/src/scheduler/deadly-tasks.test.ts
@@ -137,6 +137,19 @@
 		}
 	});
 
+	/** Guards against innocent long-running tasks that wait for a trial that never comes. */
+	it('are at work again within seconds if they are long-running', () => {
+		for (const seed of seeds) {
+			const fleet = createFleet(seed, 4);
+			fleet.submit(createJob(1, [createStep({count: 6, isLongRunning: true, estimateMs: 500_000})]));
+			fleet.run(200);
+			fleet.killWorker(fleet.workers.findIndex(({runs}) => runs.size > 0), 2000);
+			fleet.run(11_000);
+			const atWork = [0, 1, 2, 3, 4, 5].filter(number => fleet.countRuns(`${formatId(1)}.0.0.${number}`) === 1).length;
+			expect({seed, atWork, phase: fleet.getPhase(formatId(1))}).toEqual({seed, atWork: 6, phase: 'running'});
+		}
+	});
+
 	it('all complete in a pool of two workers beside one that is deadly', () => {
 		const fleet = createFleet(7, 2);
 		const others = submitAround(fleet);
@@ -182,4 +195,19 @@
 		expect(listStarts(host.effects).map(({run}) => run)).toEqual([4]);
 		expect([...host.state.suspects]).toEqual([]);
 	});
+
+	it('makes each suspect member of a gang start alone on its worker, all at the same time', () => {
+		const gang = createJob(2, [createStep({count: 4, isGang: true})]);
+		const rows = [0, 1, 2, 3].map(index => createRow({
+			index, status: 'waiting', workerId: '', workerBornAt: 0, ...(index < 2 && {crashes: [crash]}),
+		}));
+		const host = HandDrivenHost.create();
+		host.submit(gang);
+		host.takeLeadership([createProgress(0, gang, rows)]);
+		host.addWorkers('w1', 'w2', 'w3', 'w4');
+		host.tick(200);
+		const workerIds = listStarts(host.effects).map(({worker}) => worker.id);
+		const alone = workerIds.slice(0, 2);
+		expect({starts: workerIds.length, alone: new Set(alone).size, others: workerIds.slice(2).filter(id => alone.includes(id))}).toEqual({starts: 4, alone: 2, others: []});
+	});
 });
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -132,7 +132,11 @@
 		}
 
 		takeCapacity(capacities, worker, task);
-		noteTrial(state, task, worker);
+		if (isTrialNeeded(state, task)) {
+			// No other member may start beside it.
+			capacities.delete(worker);
+		}
+
 		chosen.push({task, worker});
 	}
 
@@ -140,6 +144,7 @@
 	const checkpoint = waiting.find(task => task.checkpoint !== '')?.checkpoint ?? '';
 	for (const {task, worker} of chosen) {
 		task.checkpoint = checkpoint;
+		noteTrial(state, task, worker);
 		placeTask(state, task, worker, run);
 	}
 
