Judge a suspect by what was known when it last crashed

A waiting suspect was judged again as time passed: the losses of other workers that had spoken for it were forgotten after 20 s, and the evidence that had not been enough then convicted it. Losses now count in the time before the task's last crash, and evidence older than that time is not judged.

--- a/packages/core/src/scheduler/crashes.ts
+++ b/packages/core/src/scheduler/crashes.ts
@@ -27,7 +27,7 @@
 /** So many other workers of the pool, or this share of it, must be lost for that. */
 const minCommonLosses = 4;
 const commonLossShare = 0.3;
-/** Losses of workers count for this long as a sign that workers crash by themselves. */
+/** Losses of other workers count for this long as a sign that workers crash by themselves, and a task's last crash as one to judge. */
 const lossWindowMs = 20_000;
 /** A task is not convicted of a single crash. */
 const minTellingCrashes = 2;
@@ -114,7 +114,7 @@
 	}
 
 	state.suspectsDueAt = state.now + checkIntervalMs;
-	state.workerLosses = state.workerLosses.filter(({aliveAt}) => aliveAt > state.now - lossWindowMs);
+	state.workerLosses = state.workerLosses.filter(({aliveAt}) => aliveAt > state.now - (2 * lossWindowMs));
 	const fates: Fates = new Map();
 	for (const task of state.suspects) {
 		const {job} = task.step.occurrence;
@@ -202,18 +202,27 @@
 		return true;
 	}
 
+	if (state.wallNow - task.crashes.at(-1)!.at > lossWindowMs) {
+		return false;
+	}
+
 	const telling = task.crashes.filter(({isConfirmed, blame}) => isConfirmed && blame !== 'slight');
 	const sole = telling.filter(({blame}) => blame === 'sole').length;
 	const needed = computeNeededCrashes(state, task);
 	return sole >= needed && telling.length >= minTellingCrashes;
 }
 
-/** How many crashes must be blamed on a task alone to convict it. A new leader does not know yet how many workers crash by themselves. */
+/**
+ * How many crashes must be blamed on a task alone to convict it, by the losses of other workers in the time before its
+ * last crash. A new leader does not know all of these.
+ */
 function computeNeededCrashes(state: SchedulerState, task: Task): number {
+	const lastCrashAt = state.now - (state.wallNow - task.crashes.at(-1)!.at);
+	const since = lastCrashAt - lossWindowMs;
 	const pool = getPoolOfJob(state, task.step.occurrence.job);
 	const workers = [...state.workers.values()].filter(worker => worker.pool === pool).length;
-	const losses = state.workerLosses.filter(loss => loss.pool === pool && !loss.isPlain && !isBlamedOn(task, loss)).length;
-	const lossShare = state.now < state.leadership.leaderSince + lossWindowMs ? Number.POSITIVE_INFINITY : losses / Math.max(1, workers);
+	const losses = state.workerLosses.filter(loss => loss.pool === pool && !loss.isPlain && loss.aliveAt > since && !isBlamedOn(task, loss)).length;
+	const lossShare = since < state.leadership.leaderSince ? Number.POSITIVE_INFINITY : losses / Math.max(1, workers);
 	return convictions.find(conviction => lossShare <= conviction.lossShare)!.soleCrashes;
 }
 
--- a/packages/core/src/scheduler/deadly-tasks.test.ts
+++ b/packages/core/src/scheduler/deadly-tasks.test.ts
@@ -13,6 +13,7 @@
 const seeds = [1, 2, 3, 4, 5];
 /** After three workers have crashed under a task, it may be started twice more. */
 const mostCrashes = 5;
+const wallStart = 1_800_000_000_000;
 const soon = {crashAfterMs: 10, downMs: 3000};
 
 function createFleet(seed: number, workers = 6): ModelFleet {
@@ -196,6 +197,17 @@
 		expect([...host.state.suspects]).toEqual([]);
 	});
 
+	/** Guards against a task that is convicted by the mere passing of time, as losses of other workers are forgotten. */
+	it('that was not enough does not become enough while a task waits', () => {
+		const host = HandDrivenHost.create();
+		host.submit(job);
+		const now = wallStart as Instant;
+		const crashes: TaskCrash[] = [{...crash, at: now}, {...crash, run: 2, at: now, blame: 'sole'}];
+		host.takeLeadership([createProgress(0, job, [createRow({status: 'waiting', workerId: '', workerBornAt: 0, crashes})])]);
+		host.tick(60_000);
+		expect(host.state.jobs.get(job.jobId)?.live?.phase).toEqual('running');
+	});
+
 	it('makes each suspect member of a gang start alone on its worker, all at the same time', () => {
 		const gang = createJob(2, [createStep({count: 4, isGang: true})]);
 		const rows = [0, 1, 2, 3].map(index => createRow({
