--- a/packages/core/src/scheduler/deadly-tasks.test.ts
+++ b/packages/core/src/scheduler/deadly-tasks.test.ts
@@ -202,8 +202,12 @@
 		const host = HandDrivenHost.create();
 		host.submit(job);
 		const now = wallStart as Instant;
-		const crashes: TaskCrash[] = [{...crash, at: now}, {...crash, run: 2, at: now, blame: 'sole'}];
-		host.takeLeadership([createProgress(0, job, [createRow({status: 'waiting', workerId: '', workerBornAt: 0, crashes})])]);
+		const crashes: TaskCrash[] = [{...crash, at: now}, {
+			...crash, run: 2, at: now, blame: 'sole',
+		}];
+		host.takeLeadership([createProgress(0, job, [createRow({
+			status: 'waiting', workerId: '', workerBornAt: 0, crashes,
+		})])]);
 		host.tick(60_000);
 		expect(host.state.jobs.get(job.jobId)?.live?.phase).toEqual('running');
 	});
