--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -13,6 +13,7 @@
 	addResources, computeDominantShare, noResources, computeMultiple,
 } from './resources.js';
 import {getStepNeed} from './tasks.js';
+import {countTrialMachines} from './trials.js';
 import type {PoolName, Resources, StepDefinition} from './types.js';
 import type {
 	Job, PlacementLimit, PoolDemand, RefusedWorkers, SchedulerState, StepRun, Worker,
@@ -84,9 +85,9 @@
 	}
 }
 
-/** Adds long-running tasks, unless they only wait for an answer or for a rack. They do not end, so waiting for others to end would not help them. */
+/** Adds long-running tasks, unless they only wait for an answer, a rack or a trial. They do not end, so waiting for others to end would not help them. */
 function addUnplaceable(demand: PoolDemand, definition: StepDefinition, tasks: number, refused: RefusedWorkers): void {
-	if (refused.advice !== undefined || refused.rack !== undefined) {
+	if (refused.advice !== undefined || refused.rack !== undefined || refused.trial !== undefined) {
 		return;
 	}
 
@@ -137,8 +138,10 @@
 	demand.updatedAt = state.now;
 	const needed = computeNeed(state, pool);
 	const workersForSpread = demand.waitingTasks > 0 ? countWorkersForSpread(state, pool) : 0;
-	demand.machines = Math.max(workersForSpread, countMachines(addResources(needed, computeExpectedRise(demand)), machine), countMachinesForUnplaceable(demand, machine));
-	updatePeak(state, demand, Math.max(workersForSpread, countMachines(needed, machine)));
+	const trialMachines = countTrialMachines(state, pool);
+	const forLoad = Math.max(workersForSpread, countMachines(addResources(needed, computeExpectedRise(demand)), machine)) + trialMachines;
+	demand.machines = Math.max(forLoad, countMachinesForUnplaceable(demand, machine));
+	updatePeak(state, demand, Math.max(workersForSpread, countMachines(needed, machine)) + trialMachines);
 	return demand;
 }
 
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -1,4 +1,5 @@
 /** Assigns waiting tasks to workers, the most urgent step first. */
+import {isAwaitingVerdict} from './crashes.js';
 import {
 	addWaitingWork, clearWaiting, getDemand, noteUsableWorkers,
 } from './demand.js';
@@ -7,8 +8,11 @@
 import {placeTask} from './tasks.js';
 import {compareUrgency, computeUrgency, type Urgency} from './urgency.js';
 import {
-	chooseWorker, listFreeCapacities, takeCapacity, type FreeCapacity,
+	canHost, chooseWorker, hasLabel, listFreeCapacities, takeCapacity, type FreeCapacity,
 } from './worker-choice.js';
+import {
+	isTrialNeeded, noteTrial, planTrials,
+} from './trials.js';
 import type {PoolName} from './types.js';
 import type {
 	RefusedWorkers, SchedulerState, StepRun, Task, Worker,
@@ -31,6 +35,7 @@
 
 	const usable = groupByPool(state, worker => isUsable(state, worker));
 	const setAside = groupByPool(state, worker => isUsableOnTrial(state, worker) && isTrialDue(state, worker));
+	planTrials(state, usable, canHost);
 	for (const {step} of sortSteps(state)) {
 		const pool = getPoolOfJob(state, step.occurrence.job);
 		placeStep(state, step, pool, {usable: usable.get(pool) ?? [], setAside: setAside.get(pool) ?? []});
@@ -82,7 +87,11 @@
 
 function placeStep(state: SchedulerState, step: StepRun, pool: PoolName, {usable, setAside}: PoolWorkers): void {
 	const candidates = usable.filter(worker => hasLabel(step, worker));
-	const waiting = step.tasks.filter(task => task.status === 'waiting');
+	const waiting = step.tasks.filter(task => task.status === 'waiting' && !isAwaitingVerdict(state, task));
+	if (waiting.length === 0) {
+		return;
+	}
+
 	const place = step.definition.isGang ? placeGang : placeEach;
 	const {placed, refused} = place(state, waiting, listFreeCapacities(state, step, candidates));
 	const left = waiting.length - placed;
@@ -106,38 +115,38 @@
 	}
 }
 
-function hasLabel(step: StepRun, worker: Worker): boolean {
-	const {requiredLabel} = step.definition;
-	return requiredLabel === '' || worker.labels.has(requiredLabel);
-}
-
-/** How many tasks were placed, and what kept the workers from taking the next one. */
+/** How many tasks were placed, and what kept the workers from taking the last of the others. */
 type Placement = {readonly placed: number; readonly refused: RefusedWorkers};
 
 function placeEach(state: SchedulerState, waiting: readonly Task[], capacities: ReadonlyMap<Worker, FreeCapacity>): Placement {
 	let placed = 0;
 	let refused: RefusedWorkers = {};
+	let isFull = false;
 	for (const task of waiting) {
+		const isTrial = isTrialNeeded(state, task);
+		if (isFull && !isTrial) {
+			continue;
+		}
+
 		const choice = chooseWorker(state, task, capacities);
 		if (choice.worker) {
 			takeCapacity(capacities, choice.worker, task);
+			noteTrial(state, task, choice.worker);
 			placeTask(state, task, choice.worker, task.run + 1);
 			placed++;
 			continue;
 		}
 
 		refused = choice.refused;
-		// The other tasks of the step differ only in how long they have waited for their rack.
-		if (refused.rack === undefined) {
-			break;
-		}
+		// Apart from suspects, the tasks of a step differ only in how long they have waited for their rack.
+		isFull ||= !isTrial && refused.rack === undefined;
 	}
 
 	return {placed, refused};
 }
 
 /** Places all tasks of a gang or none; they share one run number. */
-function placeGang(state: SchedulerState, waiting: readonly Task[], capacities: ReadonlyMap<Worker, FreeCapacity>): Placement {
+function placeGang(state: SchedulerState, waiting: readonly Task[], capacities: Map<Worker, FreeCapacity>): Placement {
 	const {definition, tasks} = waiting[0]!.step;
 	if (waiting.length < definition.count) {
 		return {placed: 0, refused: {}};
@@ -151,6 +160,11 @@
 		}
 
 		takeCapacity(capacities, choice.worker, task);
+		if (isTrialNeeded(state, task)) {
+			// No other member may start beside it.
+			capacities.delete(choice.worker);
+		}
+
 		chosen.push({task, worker: choice.worker});
 	}
 
@@ -158,6 +172,7 @@
 	const checkpoint = waiting.find(task => task.checkpoint !== '')?.checkpoint ?? '';
 	for (const {task, worker} of chosen) {
 		task.checkpoint = checkpoint;
+		noteTrial(state, task, worker);
 		placeTask(state, task, worker, run);
 	}
 
--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -1,5 +1,6 @@
 /** Polls workers: renews their leases, and tells workers that do not answer from those that do. */
 import {isConfirmedWithin} from './confirmation.js';
+import {noteWorkerLost} from './crashes.js';
 import {addEffect, noteDecision, noteWarning} from './logging.js';
 import {isFinal} from './phases.js';
 import {clearWorker, dropIncarnation, restartWorker} from './registry.js';
@@ -139,6 +140,7 @@
 	noteWarning(state, 'lease-lapsed', {
 		workerId: worker.id, tasks: worker.tasks.size, silentMs: Math.round(state.now - worker.lastAnswerAt),
 	});
+	noteWorkerLost(state, worker, false);
 	clearWorker(state, worker);
 }
 
@@ -184,6 +186,7 @@
 }
 
 function handleFailedPoll(state: SchedulerState, worker: Worker, event: PollEnded): void {
+	worker.silentSince = worker.failedPolls === 0 ? state.now : worker.silentSince;
 	worker.failedPolls++;
 	worker.pollDueAt = state.now + Math.min(pollRetryMs * worker.failedPolls, maxPollRetryMs);
 	// A worker that answers with an error counts as silent too; `outcome` is that of the latest poll.
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -2,6 +2,7 @@
 import {handleAdvice} from './advice.js';
 import {handleCommit, tickCommits} from './commits.js';
 import {checkSuspension} from './confirmation.js';
+import {judgeSuspects} from './crashes.js';
 import {handlePoll, hasReadStartedJobs, tickPolls} from './polls.js';
 import {applyIntake, dropLiveJobIfEnded, openDueOccurrences} from './jobs.js';
 import {
@@ -19,6 +20,7 @@
 	handleStart, handleStop, sendQueuedStarts, tickStops,
 } from './starts.js';
 import {updateOpenStep} from './tasks.js';
+import {tickTrialPolls} from './trial-polls.js';
 import {addWave, handleWaveReport, tickWaves} from './waves.js';
 import type {SchedulerEffect} from './effects.js';
 import type {SchedulerEvent, SchedulerEventType} from './events.js';
@@ -47,6 +49,7 @@
 
 		tickJobs(state);
 		tickStops(state);
+		tickTrialPolls(state);
 		tickRegistry(state);
 		tickMachineList(state);
 		tickOrders(state);
@@ -189,6 +192,7 @@
 	try {
 		checkSuspension(state, event);
 		applyEvent(state, event);
+		judgeSuspects(state);
 		placeTasks(state);
 		tickCommits(state);
 		tickPolls(state);
--- a/packages/core/src/scheduler/testing/model-effects.ts
+++ b/packages/core/src/scheduler/testing/model-effects.ts
@@ -23,6 +23,8 @@
 	readonly getFaults: () => ModelFaults;
 	readonly events: string[];
 	readonly registryLagMs: number;
+	/** Called when a worker begins a run. */
+	readonly noteStart: (task: string, worker: ModelWorker) => void;
 };
 
 export class ModelEffects {
@@ -75,7 +77,7 @@
 	}
 
 	private callStart(host: ModelHost, effect: EffectOf<'worker/start'>): void {
-		const {checks, getFaults, registryLagMs, time} = this.options;
+		const {checks, getFaults, noteStart, registryLagMs, time} = this.options;
 		const {task, run} = effect;
 		const knownFrom = time.now - registryLagMs;
 		const base = {
@@ -94,6 +96,7 @@
 			if (outcome === 'started' && !hadRun) {
 				checks.recordRun(task, end === 'failed');
 				checks.checkStart(task, need, worker, knownFrom);
+				noteStart(task, worker);
 			}
 
 			return {...base, outcome};
--- a/packages/core/src/scheduler/testing/model-fleet.ts
+++ b/packages/core/src/scheduler/testing/model-fleet.ts
@@ -62,6 +62,11 @@
 	readonly events: string[] = [];
 	faults: ModelFaults;
 	readFaults: ReadFaults;
+	/** Tasks that crash each worker that starts them: how soon, and how long the worker is then down. */
+	readonly deadlyTasks = new Map<string, {readonly crashAfterMs: number; readonly downMs: number}>();
+	/** Starts of each task that a worker has begun, and workers that deadly tasks have crashed. */
+	readonly starts = new Map<string, number>();
+	readonly crashes = new Map<string, number>();
 	/** Interval between the intake reads of a follower. */
 	followerIntakeIntervalMs = 0;
 	private readonly time: ModelTime;
@@ -90,7 +95,9 @@
 		});
 		const getFaults = () => this.faults;
 		this.effects = ModelEffects.create({
-			time, store, getFaults, workers: this.workers, checks: this.checks, calls: ModelCalls.create({time, getFaults, push}), events: this.events, registryLagMs: readMs + stepMs,
+			time, store, getFaults, workers: this.workers, checks: this.checks, calls: ModelCalls.create({time, getFaults, push}), events: this.events, registryLagMs: readMs + stepMs, noteStart: (task, worker) => {
+				this.noteStart(task, worker);
+			},
 		});
 		for (let index = 0; index < workers; index++) {
 			this.workers.push(ModelWorker.create({
@@ -291,4 +298,20 @@
 			this.effects.run(host, effect);
 		}
 	}
+
+	private noteStart(task: string, worker: ModelWorker): void {
+		this.starts.set(task, (this.starts.get(task) ?? 0) + 1);
+		const deadly = this.deadlyTasks.get(task);
+		if (!deadly) {
+			return;
+		}
+
+		const {bornAt} = worker;
+		this.time.schedule(deadly.crashAfterMs, () => {
+			if (worker.isUp && worker.bornAt === bornAt && worker.runs.has(task)) {
+				this.crashes.set(task, (this.crashes.get(task) ?? 0) + 1);
+				this.killWorker(this.workers.indexOf(worker), deadly.downMs);
+			}
+		});
+	}
 }
--- a/packages/core/src/scheduler/worker-choice.ts
+++ b/packages/core/src/scheduler/worker-choice.ts
@@ -3,6 +3,7 @@
 import {countTrialRunsLeft, isSuspect} from './health.js';
 import {addResources, doesFit} from './resources.js';
 import {getFree, getNeed, getStepNeed} from './tasks.js';
+import {canJoin} from './trials.js';
 import type {Resources} from './types.js';
 import type {
 	PlacementLimit, RefusedWorkers, SchedulerState, StepRun, Task, Worker,
@@ -36,6 +37,18 @@
 	return capacities;
 }
 
+/** True if a worker has the label that a step requires, if any. */
+export function hasLabel({definition: {requiredLabel}}: StepRun, worker: Worker): boolean {
+	return requiredLabel === '' || worker.labels.has(requiredLabel);
+}
+
+/** True if a worker could run a task apart from its present load. */
+export function canHost(state: SchedulerState, {step}: Task, worker: Worker): boolean {
+	const {maxPerWorker} = step.definition;
+	const isFull = maxPerWorker > 0 && countTasksOfStep(step, worker) >= maxPerWorker;
+	return hasLabel(step, worker) && !isFull && getTicketState(state, step, worker) !== 'bad';
+}
+
 function countTasksOfStep(step: StepRun, worker: Worker): number {
 	return step.definition.maxPerWorker > 0 ? step.tasks.filter(task => task.worker === worker).length : 0;
 }
@@ -53,7 +66,7 @@
 	let bestScore = Number.POSITIVE_INFINITY;
 	const rack = chooseRack(state, task);
 	for (const [worker, capacity] of capacities) {
-		const limit = findLimit(task, worker, capacity, rack);
+		const limit = findLimit(state, task, {worker, capacity, rack});
 		if (limit !== undefined) {
 			refused[limit] = (refused[limit] ?? 0) + 1;
 			continue;
@@ -88,22 +101,28 @@
 	return {worker: undefined, refused};
 }
 
+type Candidate = {readonly worker: Worker; readonly capacity: FreeCapacity; readonly rack: RackChoice};
+
 /** The first limit, other than tickets, that keeps a worker from taking a task. */
-function findLimit({step}: Task, worker: Worker, {free, tasksOfStep, trialRunsLeft}: FreeCapacity, rack: RackChoice): PlacementLimit | undefined {
-	const {definition} = step;
-	if (!doesFit(getStepNeed(definition), free)) {
+function findLimit(state: SchedulerState, task: Task, {worker, capacity, rack}: Candidate): PlacementLimit | undefined {
+	const {definition} = task.step;
+	if (!doesFit(getStepNeed(definition), capacity.free)) {
 		return 'room';
 	}
 
-	if (definition.maxPerWorker > 0 && tasksOfStep >= definition.maxPerWorker) {
+	if (definition.maxPerWorker > 0 && capacity.tasksOfStep >= definition.maxPerWorker) {
 		return 'spread';
 	}
 
-	if (trialRunsLeft <= 0) {
+	if (capacity.trialRunsLeft <= 0) {
 		return 'suspect';
 	}
 
-	return rack.isRequired && worker.rack !== rack.name ? 'rack' : undefined;
+	if (rack.isRequired && worker.rack !== rack.name) {
+		return 'rack';
+	}
+
+	return canJoin(state, task, worker) ? undefined : 'trial';
 }
 
 // Each penalty is at least as large as the sum of the smaller ones and of the packing score, which is at most 1.
