A failing worker's trials count from its first failure, and only lasting work clears it

Cause: runs that began before the latest failure did not count against the two on trial, so each failure let two more in (12 at once in the test); and a long-running run cleared its worker as soon as it was at work, though it might fail 300 ms later. Change: trials count from the first failure since a success; a long-running run must have been at work for 3 s to count as one. Tests: failing-worker, both red before.

--- a/packages/core/src/scheduler/health.ts
+++ b/packages/core/src/scheduler/health.ts
@@ -11,6 +11,8 @@
 const maxTrialRuns = 2;
 /** At most this share of a pool is quarantined at once. */
 const maxQuarantinedShare = 0.5;
+/** A long-running run that has been at work for this long shows that its worker is well. */
+const provenAfterMs = quarantineMs;
 /** The quarantine time doubles at most this often. */
 const maxDoublings = 2;
 
@@ -39,27 +41,31 @@
 	worker.quarantineCount = 0;
 }
 
-/** Records that a long-running run is fully at work. Its worker counts as healthy again if the run began after the latest failure there: such runs never end as done. */
+/**
+ * Records that a long-running run is fully at work. After a while its worker counts as healthy again if the run began
+ * after the failures there: such runs never end as done.
+ */
 export function noteAtWork(state: SchedulerState, worker: Worker, task: Task): void {
-	const failedAt = worker.failures.at(-1)?.at;
-	if (failedAt !== undefined && task.startedAt >= failedAt) {
+	const failedSince = findFailedSince(state, worker);
+	if (failedSince !== undefined && task.startedAt >= failedSince && state.now - task.percentChangedAt >= provenAfterMs) {
 		noteSuccess(state, worker);
 	}
 }
 
+/** When the first of the latest failures happened, with no success since; undefined if there is none that still counts. */
+function findFailedSince(state: SchedulerState, {failures, lastSuccessAt}: Worker): SteadyMs | undefined {
+	return failures.find(({at}) => at > lastSuccessAt && at > state.now - failureWindowMs)?.at;
+}
+
 /** True while a worker's latest run has failed and none has succeeded there since; it then gets only a few tasks at a time. */
 export function isSuspect(state: SchedulerState, worker: Worker): boolean {
-	const last = worker.failures.at(-1);
-	return last !== undefined && last.at > worker.lastSuccessAt && last.at > state.now - failureWindowMs;
+	return findFailedSince(state, worker) !== undefined;
 }
 
-/** How many more runs a worker may be given before one of them has shown that it works. Runs that began before the latest failure do not count: they say nothing about the worker's present health. */
+/** How many more runs a worker may be given before one of them has shown that it works. Runs that began before the failures do not count: they say nothing about the worker's present health. */
 export function countTrialRunsLeft(state: SchedulerState, worker: Worker): number {
-	if (!isSuspect(state, worker)) {
-		return Number.POSITIVE_INFINITY;
-	}
-
-	return maxTrialRuns - listTrials(worker, worker.failures.at(-1)!.at).length;
+	const failedSince = findFailedSince(state, worker);
+	return failedSince === undefined ? Number.POSITIVE_INFINITY : maxTrialRuns - listTrials(worker, failedSince).length;
 }
 
 /** True while a worker is set aside because its runs fail. */
@@ -73,8 +79,8 @@
 	return failedAt !== undefined && isQuarantined(state, worker) && failedAt <= state.now - quarantineMs && listTrials(worker, failedAt).length === 0;
 }
 
-function listTrials(worker: Worker, failedAt: SteadyMs): Task[] {
-	return [...worker.tasks.values()].filter(task => !task.isSent || task.startedAt >= failedAt);
+function listTrials(worker: Worker, failedSince: SteadyMs): Task[] {
+	return [...worker.tasks.values()].filter(task => !task.isSent || task.startedAt >= failedSince);
 }
 
 function canQuarantine(state: SchedulerState, worker: Worker): boolean {
--- a/packages/core/src/scheduler/reports.ts
+++ b/packages/core/src/scheduler/reports.ts
@@ -182,13 +182,13 @@
 	if (row.percent !== task.percent) {
 		task.percent = row.percent;
 		task.percentChangedAt = state.now;
-		if (isLongRunning && row.percent === percentAtWork) {
-			noteAtWork(state, worker, task);
-		}
-
 		return;
 	}
 
+	if (isLongRunning && row.percent === percentAtWork) {
+		noteAtWork(state, worker, task);
+	}
+
 	const isStuck = task.status === 'running' && !isLongRunning && !isGang && state.now - task.percentChangedAt > stuckMs;
 	if (isStuck) {
 		const {jobId} = task.step.occurrence.job.definition;
