A slow store is not an outage: idle machines still go to the spare pool

Cause: the pause after an outage began whenever orders were not confirmed within 1 s, which a store that takes 700 ms for an append makes true again and again: no machine ever went to the spare pool. Change: an outage is 2 s without a confirmation. Only cost was at stake, not callers. Test: outage-moves, 'although the store takes long', red before (0 moves).

--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -1,4 +1,5 @@
 /** Moves machines between pools according to demand: pools that lack machines get spare ones first, and idle ones go back to the spare pool. */
+import {isConfirmedWithin} from './confirmation.js';
 import {getDemand, updateDemand} from './demand.js';
 import {isQuarantined} from './health.js';
 import {noteDecision} from './logging.js';
@@ -14,6 +15,8 @@
 /** A leader that is new, or that the store did not answer until now, has not seen any arrivals yet; for this long it moves no machine to the spare pool. */
 const warmUpMs = 4000;
 const shortageLogIntervalMs = 1000;
+/** A store that has confirmed no append sent within this time is away rather than slow. */
+const storeOutageMs = 2000;
 /** The machine of a worker without tasks for this long may go to the spare pool. */
 const idleBeforeSpareMs = 1500;
 /** Machines that a pool keeps even without work. */
@@ -24,9 +27,12 @@
 
 /** Orders the moves that are due. */
 export function tickMoves(state: SchedulerState): void {
-	if (!canOrder(state)) {
+	if (!isConfirmedWithin(state, storeOutageMs)) {
 		// No job is accepted while the store does not answer: idle machines do not show that there is no load.
 		state.spareNotBefore = state.now + warmUpMs;
+	}
+
+	if (!canOrder(state)) {
 		return;
 	}
 
--- a/packages/core/src/scheduler/outage-moves.test.ts
+++ b/packages/core/src/scheduler/outage-moves.test.ts
@@ -44,4 +44,12 @@
 		leader.run(3000);
 		expect(leader.listOrderedMachines().length).toEqual(2);
 	});
+
+	/** Guards against machines that stay on for good beside a store that is slow but answers. */
+	it('go to the spare pool although the store takes long to confirm each append', () => {
+		const leader = createIdleLeader();
+		leader.commitDelayMs = 700;
+		leader.run(20_000);
+		expect(leader.listOrderedMachines().length).toEqual(2);
+	});
 });
--- a/packages/core/src/scheduler/testing/model-leader.ts
+++ b/packages/core/src/scheduler/testing/model-leader.ts
@@ -68,6 +68,8 @@
 	/** Starts are carried out, but their answers are lost. */
 	areStartAnswersLost = false;
 	isStoreUnresponsive = false;
+	/** How long the store takes to confirm an append. */
+	commitDelayMs = answerMs;
 	/** Runs continue even though the workers confirm their stops. */
 	isStopIgnored = false;
 	now = firstAt;
@@ -171,7 +173,7 @@
 		switch (effect.type) {
 			case 'ledger/commit': {
 				this.records.push(...effect.records);
-				this.answer({type: 'commit/ended', outcome: this.isStoreUnresponsive ? 'unknown' : 'stored', sequence: effect.sequence});
+				this.answer({type: 'commit/ended', outcome: this.isStoreUnresponsive ? 'unknown' : 'stored', sequence: effect.sequence}, this.commitDelayMs);
 				break;
 			}
 
