First polls: silent workers do not shrink the bound, and workers with runs come first

Change: a first poll without an answer says nothing of this host, and after 400 ms holds no place; the bound does not go below 16; workers with runs are polled first. Tests: the new case of narrow-leader is a guard, it passed before; the model's collapse tests pass. Tried and dropped: a threshold that learns the usual time of answers, and 150 or 200 ms (leases lapse again in narrow-leader).

--- a/packages/core/src/scheduler/narrow-leader.test.ts
+++ b/packages/core/src/scheduler/narrow-leader.test.ts
@@ -61,6 +61,19 @@
 		}
 	});
 
+	/** Guards against a bound that shrinks with each worker that is out of reach, so that the leases of sound ones lapse before they are polled. */
+	it('polls those in reach well before their leases expire though the first third is out of reach', () => {
+		const workers = 351;
+		const leader = NarrowLeader.create({workers, callMs: 0.5, connectMs: 0.5});
+		for (let index = 0; index < workers / 3; index++) {
+			leader.unreachableWorkers.add(`w-${index}`);
+		}
+
+		leader.run(2000);
+		const silent = [...leader.state.workers.values()].filter(({isPolledByLeader}) => !isPolledByLeader);
+		expect(silent.filter(({id}) => !leader.unreachableWorkers.has(id))).toEqual([]);
+	});
+
 	/** Guards against workers that are out of reach keeping the polls of others back until their leases lapse. */
 	it('polls those in reach soon though a third is out of reach', () => {
 		const workers = 351;
--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -8,12 +8,14 @@
 import {noteAnswerTime} from './start-window.js';
 import {getTarget} from './tasks.js';
 import {
-	leaseRenewalThresholdMs, leaseSlackMs, longRunningPollWaitMs, maxClockDrift, never, pollRetryMs, pollSlackMs, pollWaitMs, retriedPollSlackMs, unconfirmedLimitMs, workerLeaseMs,
+	leaseRenewalThresholdMs, leaseSlackMs, longRunningPollWaitMs, maxClockDrift, pollRetryMs, pollSlackMs, pollWaitMs, retriedPollSlackMs, unconfirmedLimitMs, workerLeaseMs,
 } from './timing.js';
 import type {SchedulerEvent} from './events.js';
 import type {SchedulerState, Worker} from './state.js';
 
 const maxPollRetryMs = 700;
+/** A first poll without an answer for this long waits for its worker rather than for this host. */
+const firstPollWaitMs = 400;
 
 type PollEnded = Extract<SchedulerEvent, {type: 'poll/ended'}>;
 
@@ -25,7 +27,7 @@
 	}
 
 	const isConfirmed = isConfirmedWithin(state, unconfirmedLimitMs) && hasReadStartedJobs(state);
-	let firstPolls: number | undefined;
+	const firstPolls: Worker[] = [];
 	for (const worker of state.workers.values()) {
 		expireLease(state, worker);
 		if (!isConfirmed || !isPollDue(state, worker)) {
@@ -33,24 +35,35 @@
 		}
 
 		if (isFirstPoll(worker)) {
-			firstPolls ??= countFirstPolls(state);
-			if (firstPolls >= state.startWindow.limit) {
-				state.startWindow.hasHeldBack = true;
-				continue;
-			}
-
-			firstPolls++;
+			firstPolls.push(worker);
+		} else {
+			sendPoll(state, worker);
 		}
+	}
+
+	sendFirstPolls(state, firstPolls);
+}
 
+/** A new leader polls all workers: more than its host may be able to send at once. Those with runs come first, as their leases go on. */
+function sendFirstPolls(state: SchedulerState, workers: readonly Worker[]): void {
+	if (workers.length === 0) {
+		return;
+	}
+
+	const left = state.startWindow.limit - countLatestFirstPolls(state);
+	const sorted = workers.toSorted((a, b) => Number(b.tasks.size > 0) - Number(a.tasks.size > 0));
+	for (const worker of sorted.slice(0, Math.max(0, left))) {
 		sendPoll(state, worker);
 	}
+
+	state.startWindow.hasHeldBack ||= left < workers.length;
 }
 
-/** First polls without an answer. A new leader polls all workers: more than its host may be able to send in time. */
-function countFirstPolls({workers}: SchedulerState): number {
+/** First polls without an answer, sent so lately that they may still wait at this host. */
+function countLatestFirstPolls({workers, now}: SchedulerState): number {
 	let count = 0;
 	for (const worker of workers.values()) {
-		count += worker.isPollPending && isFirstPoll(worker) ? 1 : 0;
+		count += worker.isPollPending && isFirstPoll(worker) && now - worker.pollSentAt < firstPollWaitMs ? 1 : 0;
 	}
 
 	return count;
@@ -99,6 +112,7 @@
 
 function sendPoll(state: SchedulerState, worker: Worker): void {
 	worker.isPollPending = true;
+	worker.pollSentAt = state.now;
 	const hasWork = hasSentTasks(worker);
 	const hasLongRunningTasks = hasWork && worker.longRunningTasks > 0;
 	addEffect(state, {
@@ -151,8 +165,9 @@
 		return;
 	}
 
-	if (!event.isExtra && isFirstPoll(worker)) {
-		noteAnswerTime(state, event.outcome === 'unknown' ? never : event.sentAt);
+	// A worker that does not answer its first poll may be out of reach: that says nothing of this host.
+	if (!event.isExtra && isFirstPoll(worker) && event.outcome !== 'unknown') {
+		noteAnswerTime(state, event.sentAt);
 	}
 
 	worker.isPollPending = event.isExtra && worker.isPollPending;
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -44,6 +44,7 @@
 		lastStoredEnd: 0,
 		lastAckedEnd: 0,
 		isPollPending: false,
+		pollSentAt: 0,
 		pollDueAt: 0,
 		lastAnswerAt: state.now,
 		failedPolls: 0,
--- a/packages/core/src/scheduler/start-window.ts
+++ b/packages/core/src/scheduler/start-window.ts
@@ -2,13 +2,13 @@
  * Bounds the starts and the first polls without an answer. Each call takes a part of the leader's link and processor: starts that the host
  * cannot send in time would make the polls behind them late too, and with them the leases of sound workers.
  */
-import {never, startAnswerMs} from './timing.js';
+import {never, promptAnswerMs} from './timing.js';
 import type {SteadyMs} from './types.js';
 import type {SchedulerState, Task} from './state.js';
 
 /** The bound at first, and the least and the greatest one. */
 const firstLimit = 32;
-const minLimit = 4;
+const minLimit = 16;
 const maxLimit = 1024;
 /** The bound changes by this factor. */
 const limitFactor = 2;
@@ -18,7 +18,7 @@
 	/** When each start without an answer was sent, by task and run. */
 	readonly sentAt: Map<string, SteadyMs>;
 	limit: number;
-	/** Such calls since the last change of the bound whose answers came in time, and those that came late or not at all. */
+	/** Such calls since the bound was last looked at whose answers came in time, and those that came late or not at all. */
 	timely: number;
 	late: number;
 	/** The bound has held calls back since its last change. */
@@ -64,9 +64,9 @@
 	noteAnswerTime(state, isAnswered ? sentAt : never);
 }
 
-/** Takes down when the call was sent that is answered now; `never`: it was not answered. Calls that are late for the most part halve the bound; those that are in time raise it. */
+/** Notes the answer to a call that was sent at `sentAt`; `never` if there was none. */
 export function noteAnswerTime({startWindow, now}: SchedulerState, sentAt: SteadyMs): void {
-	const isTimely = now - sentAt <= startAnswerMs && sentAt !== never;
+	const isTimely = sentAt !== never && now - sentAt <= promptAnswerMs;
 	startWindow.timely += isTimely ? 1 : 0;
 	startWindow.late += isTimely ? 0 : 1;
 	if (startWindow.timely + startWindow.late >= startWindow.limit) {
@@ -74,7 +74,7 @@
 	}
 }
 
-/** A minority of late answers comes from workers that are slow or out of reach. */
+/** Halves the bound if most calls were late, and raises it if most were in time and calls were held back. A minority of late answers comes from workers that are slow or out of reach. */
 function updateLimit(startWindow: StartWindow): void {
 	if (startWindow.late > startWindow.timely) {
 		startWindow.limit = Math.max(minLimit, Math.floor(startWindow.limit / limitFactor));
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -191,6 +191,8 @@
 	lastStoredEnd: number;
 	lastAckedEnd: number;
 	isPollPending: boolean;
+	/** When its latest poll was sent, apart from extra ones. */
+	pollSentAt: SteadyMs;
 	pollDueAt: SteadyMs;
 	lastAnswerAt: SteadyMs;
 	/** Consecutive polls with another outcome than `held`: unanswered ones and those that were answered with an error. */
--- a/packages/core/src/scheduler/timing.ts
+++ b/packages/core/src/scheduler/timing.ts
@@ -34,8 +34,8 @@
 export const pollSlackMs = 500;
 /** The same after an unanswered poll: the worker may only be slow. */
 export const retriedPollSlackMs = 1500;
-/** A start that is answered within this time was sent at once. */
-export const startAnswerMs = 100;
+/** A call to a worker near by that is answered within this time did not wait at this host. */
+export const promptAnswerMs = 100;
 /** A start whose answer was lost is stopped if the worker has not reported the run after this time. */
 export const startReportMs = 600;
 export const pollRetryMs = 150;
