--- a/packages/core/src/scheduler/failing-worker.test.ts
+++ b/packages/core/src/scheduler/failing-worker.test.ts
@@ -1,7 +1,9 @@
 /** How much work a worker draws whose runs fail again and again. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {createConfig, HandDrivenHost, listStarts, type EffectOf} from './testing/hand-driven.js';
+import {
+	createConfig, HandDrivenHost, listStarts, type EffectOf,
+} from './testing/hand-driven.js';
 import {createJob, createStep} from './testing/model-fleet.js';
 import type {RunningRow} from './types.js';
 
