--- a/packages/core/src/scheduler/claims-after-outage.test.ts
+++ b/packages/core/src/scheduler/claims-after-outage.test.ts
@@ -16,8 +16,8 @@
 }
 
 /** A follower that has heard nothing of the leader, and whose claims the store does not take, until the store answers again. */
-function startInOutage(outcome: ClaimOutcome, settings: {readonly capacityShortfall: number} = {capacityShortfall: 0}): HandDrivenHost {
-	const host = HandDrivenHost.create(settings);
+function startInOutage(outcome: ClaimOutcome, capacityShortfall = 0): HandDrivenHost {
+	const host = HandDrivenHost.create({capacityShortfall});
 	host.dispatch({type: 'config/read', config: createConfig()});
 	host.dispatch({type: 'ledger/loaded', entries: [createLease(0)], nextOffset: 1});
 	host.dispatch({type: 'ledger/read', entries: [createLease(1)], nextOffset: 2});
@@ -49,7 +49,7 @@
 		/** Guards against a weak leader: after an outage the delay of weak hosts has long passed on all of them. */
 		it('claims again if there is no leader, later if its capacity is low', () => {
 			const large = startInOutage(outcome);
-			const small = startInOutage(outcome, {capacityShortfall: 0.8});
+			const small = startInOutage(outcome, 0.8);
 			for (const host of [large, small]) {
 				host.tick(leaderSilenceAtStartMs + 100);
 			}
