Gangs: a refused or absent member ends the whole gang

Cause: when the start of one member was refused (no-room, no-ticket, invalid, late, stale-run, unhealthy, not-sent, other-life), or a report showed that its run is gone, only this member was returned. The others ran on until their workers ended them as `alone`.

Change: such a member is returned with its gang, as one whose start was not sent: members that were sent are stopped, the others returned. stopGang does this for all causes now, also after an end without a result, and leaves out members that are being stopped already: another stop would undo the confirmation of the first.

Callers see: a gang that cannot start at once starts again sooner. Left: a gang whose member is lost with its worker still waits for `alone`.

--- a/packages/core/src/scheduler/reports.ts
+++ b/packages/core/src/scheduler/reports.ts
@@ -12,7 +12,9 @@
 import type {
 	EndedRow, RunEnd, RunningRow, SteadyMs,
 } from './types.js';
-import type {SchedulerState, Task, Worker} from './state.js';
+import type {
+	SchedulerState, StepRun, Task, Worker,
+} from './state.js';
 
 /** Workers list at most this many run ends per answer; a list of this length may be incomplete. */
 const maxListedEnds = 500;
@@ -95,14 +97,17 @@
 		task.checkpoint = row.checkpoint;
 	}
 
-	if (row.how !== 'done') {
+	const hasResult = row.how === 'done';
+	if (!hasResult) {
 		noteDecision(state, 'run-ended', {
 			task: task.name, run: row.run, workerId: worker.id, how: row.how, failures: task.failures,
 		});
 	}
 
 	endHandlers[row.how](state, worker, task);
-	stopGang(state, task.step, row.how);
+	if (!hasResult) {
+		stopGang(state, task.step);
+	}
 }
 
 /** Reads which runs go on, stops those that this leader does not know, and returns tasks whose runs are gone. */
@@ -140,8 +145,9 @@
 	return seen;
 }
 
-/** Handles tasks whose runs a poll sent at `sentAt` has not listed. */
+/** Handles tasks whose runs a poll sent at `sentAt` has not listed; with a member its whole gang ends. */
 function returnAbsentTasks(state: SchedulerState, worker: Worker, seen: ReadonlySet<string>, sentAt: SteadyMs): void {
+	const steps = new Set<StepRun>();
 	for (const task of worker.tasks.values()) {
 		if (!task.isSent || seen.has(task.name)) {
 			continue;
@@ -150,11 +156,17 @@
 		if (task.conclusiveAfter < sentAt) {
 			noteDecision(state, 'run-absent', {task: task.name, run: task.run, workerId: worker.id});
 			returnTask(state, task);
+			steps.add(task.step);
 		} else if (task.status === 'placed' && task.unansweredAt <= sentAt) {
 			// The start has not been carried out, but still may be.
 			requestStop(state, task);
+			steps.add(task.step);
 		}
 	}
+
+	for (const step of steps) {
+		stopGang(state, step);
+	}
 }
 
 function stopUnknownRun(state: SchedulerState, worker: Worker, row: RunningRow): void {
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -8,7 +8,7 @@
 import {dropIncarnation, noteLateStart, tickLateStarts} from './registry.js';
 import {closeStart, hasStartWindow, openStart} from './start-window.js';
 import {
-	confirmTask, getTarget, isOverloaded, requestStop, returnTask, returnUnsentTask,
+	confirmTask, getTarget, isOverloaded, requestStop, returnTask, returnWithGang, stopGang,
 } from './tasks.js';
 import {
 	never, startReportMs, stopRetryMs, unconfirmedLimitMs,
@@ -62,14 +62,14 @@
 	}
 
 	if (!canStillStart(state, task, worker)) {
-		returnUnsentTask(state, task);
+		returnWithGang(state, task);
 		return false;
 	}
 
 	// A start renews the worker's lease, which a leader may only do as long as its successor would wait for.
 	const untilMs = isConfirmedWithin(state, unconfirmedLimitMs) ? extendLease(state, worker) : undefined;
 	if (untilMs === undefined) {
-		returnUnsentTask(state, task);
+		returnWithGang(state, task);
 		return false;
 	}
 
@@ -98,7 +98,7 @@
 type StartHandler = (state: SchedulerState, worker: Worker, task: Task) => void;
 
 function returnRefused(state: SchedulerState, _worker: Worker, task: Task): void {
-	returnTask(state, task);
+	returnWithGang(state, task);
 }
 
 const startHandlers: Readonly<Record<StartOutcome, StartHandler>> = {
@@ -112,28 +112,29 @@
 	'stale-run': returnRefused,
 	late: returnRefused,
 	'no-room'(state, worker, task) {
-		returnTask(state, task);
+		returnWithGang(state, task);
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + refusalPauseMs);
 	},
 	'no-ticket'(state, worker, task) {
 		dropTicket(state, task.step, worker);
-		returnTask(state, task);
+		returnWithGang(state, task);
 	},
 	invalid(state, worker, task) {
 		task.failedOn.add(worker.id);
-		returnTask(state, task);
+		returnWithGang(state, task);
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + refusalPauseMs);
 	},
 	unhealthy(state, worker, task) {
-		returnTask(state, task);
+		returnWithGang(state, task);
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + unhealthyPauseMs);
 	},
 	'other-life'(state, worker, task) {
 		returnTask(state, task);
 		dropIncarnation(state, worker);
+		stopGang(state, task.step);
 	},
 	'not-sent'(state, worker, task) {
-		returnTask(state, task);
+		returnWithGang(state, task);
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + unhealthyPauseMs);
 	},
 	unknown(state, worker, task) {
--- a/packages/core/src/scheduler/tasks.ts
+++ b/packages/core/src/scheduler/tasks.ts
@@ -4,7 +4,7 @@
 import {addResources, doesFit, noResources} from './resources.js';
 import {never, stopRetryMs} from './timing.js';
 import type {WorkerTarget} from './effects.js';
-import type {Resources, RunEnd, StepDefinition} from './types.js';
+import type {Resources, StepDefinition} from './types.js';
 import type {
 	SchedulerState, StepRun, Task, Worker,
 } from './state.js';
@@ -137,16 +137,10 @@
 	state.dirtyJobs.add(task.step.occurrence.job);
 }
 
-/** Returns a placed task whose start was not sent, and with it its whole gang: the members only run together. */
-export function returnUnsentTask(state: SchedulerState, task: Task): void {
-	const {step} = task;
-	for (const member of step.definition.isGang ? step.tasks : [task]) {
-		if (member.status === 'placed' && !member.isSent) {
-			returnTask(state, member);
-		} else {
-			requestStop(state, member);
-		}
-	}
+/** Returns a task whose start was not sent or was refused, and with it its whole gang: the members only run together. */
+export function returnWithGang(state: SchedulerState, task: Task): void {
+	returnTask(state, task);
+	stopGang(state, task.step);
 }
 
 /** Returns placed tasks whose starts were not sent, the latest first, until the others fit into their worker's capacity. */
@@ -157,7 +151,7 @@
 		}
 
 		if (task.worker === worker && task.status === 'placed' && !task.isSent) {
-			returnUnsentTask(state, task);
+			returnWithGang(state, task);
 		}
 	}
 }
@@ -196,13 +190,18 @@
 	updateOpenStep(state, step);
 }
 
-/** Stops the other members of a gang when the run of one has ended without a result. */
-export function stopGang(state: SchedulerState, step: StepRun, how: RunEnd): void {
-	if (!step.definition.isGang || how === 'done') {
+/** Ends a gang one of whose members does not run: the members whose starts were sent are stopped, the others are returned. */
+export function stopGang(state: SchedulerState, {definition, tasks}: StepRun): void {
+	if (!definition.isGang) {
 		return;
 	}
 
-	for (const member of step.tasks) {
-		requestStop(state, member);
+	for (const member of tasks) {
+		if (member.status === 'placed' && !member.isSent) {
+			returnTask(state, member);
+		} else if (member.status !== 'stopping') {
+			// Another stop would undo the confirmation of the first one.
+			requestStop(state, member);
+		}
 	}
 }
