Machines: a deleted machine releases its workers

Cause: a machine that two lists lack is deleted together with the order that is being prepared for it. Nothing took back the reservation of its workers then: while the order is prepared, only the order itself does. A worker whose machine came back got no task for the rest of the term.

Change: the deletion releases the machine's workers. Orders that were sent and not confirmed still keep their machine from being deleted.

--- a/packages/core/src/scheduler/machines.ts
+++ b/packages/core/src/scheduler/machines.ts
@@ -1,5 +1,6 @@
 /** The machines on which the workers run, as listed by the platform. A list is valid as of the time when it was requested. */
 import {addEffect, noteDecision, noteWarning} from './logging.js';
+import {listWorkers} from './machine-workers.js';
 import type {SchedulerEvent} from './events.js';
 import type {MachineEntry, MachineId, SteadyMs} from './types.js';
 import type {
@@ -97,11 +98,20 @@
 		machine.absentSince = requestedAt;
 		noteWarning(state, 'machine-absent', {machineId: id, order: order?.type ?? 'none'});
 	} else if (requestedAt >= getReturnAt(state, machine)) {
+		releaseReservedWorkers(state, machine);
 		state.machines.delete(id);
 		noteDecision(state, 'machine-gone', {machineId: id, order: order?.type ?? 'none', absentMs: Math.round(state.now - machine.absentSince)});
 	}
 }
 
+/** Lets a machine's workers get tasks again: its order, if any, ends with its removal. */
+function releaseReservedWorkers(state: SchedulerState, machine: Machine): void {
+	for (const worker of listWorkers(state, machine)) {
+		worker.isReserved = false;
+		state.needsPlacement = true;
+	}
+}
+
 function updateMachine(state: SchedulerState, entry: MachineEntry, requestedAt: SteadyMs): void {
 	const machine = state.machines.get(entry.id);
 	if (!machine) {
