LIMIT: a late start takes its room beside a later run of its task

Cause: getFree left a late start out if its worker held any run of the same task, though only the held run itself has its room reserved already. With an earlier run still on its way, the worker could be given more than it has room for.

Change: the run is compared too.

Measured: late-run.test, red first on (62000 free, 60000 expected). Core tests: 278 green.

--- a/packages/core/src/scheduler/tasks.ts
+++ b/packages/core/src/scheduler/tasks.ts
@@ -27,8 +27,8 @@
 /** Capacity of a worker that no task has reserved, and that no start meant for its former incarnation may still take. */
 export function getFree(worker: Worker): Resources {
 	let free = addResources(worker.capacity, worker.used, -1);
-	for (const {task, need, stopDueAt} of worker.lateStarts) {
-		if (stopDueAt !== never && !worker.tasks.has(task)) {
+	for (const {task, run, need, stopDueAt} of worker.lateStarts) {
+		if (stopDueAt !== never && worker.tasks.get(task)?.run !== run) {
 			free = addResources(free, need, -1);
 		}
 	}
