Registry: an older reload that has a worker keeps it listed

Cause: a worker that a reload lacks is unlisted after a grace period. A later reload with an older report of the same incarnation was passed over whole, so a sound worker was unlisted until its next report.

Change: such an entry clears the grace period and nothing else. An entry of an earlier incarnation still changes nothing.

--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -92,7 +92,8 @@
 	if (worker.bornAt < entry.bornAt) {
 		restartWorker(state, worker, entry.bornAt);
 	} else if (worker.bornAt > entry.bornAt || (entry.sequence ?? worker.sequence) < worker.sequence) {
-		// A reload of the registry may be older than what was read before.
+		// A reload of the registry may be older than what was read before. It still shows that the registry has the worker.
+		worker.unlistAt = worker.bornAt === entry.bornAt ? undefined : worker.unlistAt;
 		return;
 	}
 
