Demand: an idle worker that has shrunk does not hide the need for a machine

Cause: if a worker of the pool was idle, no machine was requested for long-running tasks that no worker takes, as another machine would not take them either. That does not follow from a worker that offers less than its machine: the tasks waited for good.

Change: only idle workers that offer their machine's full capacity count.

Measured: idle-shrunk.test, first test red on (no machine ordered); its two others, about a label that no machine has, are green before and after. Core tests: 282 green. Left: idle workers that lack the step's label still hide the need. Counting by label alone would draw spare machines in list order until one has the label; the draw would have to choose by label as well.

--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -99,13 +99,18 @@
 
 /** Records the workers that could be given tasks, once as many as possible have been placed. One that has shrunk counts as a part of a machine. */
 export function noteUsableWorkers(state: SchedulerState, demand: PoolDemand, workers: readonly Worker[]): void {
-	demand.usableMachines = workers.reduce((sum, worker) => sum + computeOfferedShare(state.machines.get(worker.machineId ?? ''), worker), 0);
-	demand.hasIdleWorker = workers.some(worker => worker.tasks.size === 0);
+	demand.usableMachines = 0;
+	for (const worker of workers) {
+		const share = computeOfferedShare(state.machines.get(worker.machineId ?? ''), worker);
+		demand.usableMachines += share;
+		// What a worker refuses that has shrunk may still go to another machine.
+		demand.hasIdleWorker ||= worker.tasks.size === 0 && share === 1;
+	}
 }
 
 /**
  * How many machines the pool needs so that each long-running task can be placed, whichever limit of placement keeps it
- * from the present workers. A task that does not go to a worker without any tasks would not go to another machine either.
+ * from the present workers. A task that does not go to a whole worker without any tasks would not go to another machine either.
  */
 function countMachinesForUnplaceable({unplaceable, unplaceableSpread, usableMachines, hasIdleWorker}: PoolDemand, machine: Resources): number {
 	const more = Math.max(unplaceableSpread, Math.ceil(computeDominantShare(unplaceable, machine)));
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -338,7 +338,7 @@
 	/** Long-running tasks that only another machine can take: the resources they need, and how many machines they need because of their limit of tasks per worker. */
 	unplaceable: Resources;
 	unplaceableSpread: number;
-	/** Machines of the pool whose workers could be given tasks when tasks were last placed, and whether one of these workers was left without any. */
+	/** Machines of the pool whose workers could be given tasks when tasks were last placed, and whether one of these workers that offers its whole machine was left without any. */
 	usableMachines: number;
 	hasIdleWorker: boolean;
 	/** How many workers each limit of placement kept from taking a waiting task; summed over steps. */
