--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -6,9 +6,11 @@
 import {isJobOpen} from './phases.js';
 import {isUsable, isUsableOnTrial} from './placement.js';
 import {dropIncarnation, noteLateStart, tickLateStarts} from './registry.js';
-import {closeStart, hasStartWindow, openStart} from './start-window.js';
 import {
-	confirmTask, getTarget, isOverloaded, requestStop, returnTask, returnUnsentTask,
+	closeStart, hasStartWindow, openStart, type StartWindow,
+} from './start-window.js';
+import {
+	confirmTask, getTarget, isOverloaded, requestStop, returnTask, returnWithGang, stopGang,
 } from './tasks.js';
 import {
 	never, startReportMs, stopRetryMs, unconfirmedLimitMs,
@@ -26,7 +28,7 @@
 /** The same for a worker that is unhealthy or not reachable. */
 const unhealthyPauseMs = 1000;
 
-/** Sends the starts that the bound allows, the most urgent ones first. */
+/** Sends the starts that the bound allows, the most urgent ones first. A gang is sent whole, also beyond the bound: its members only run together. */
 export function sendQueuedStarts(state: SchedulerState): void {
 	const {startWindow, leadership} = state;
 	if (startWindow.waiting.length === 0 || leadership.role !== 'leader') {
@@ -40,13 +42,27 @@
 	}
 
 	while (startWindow.waiting.length > 0 && hasStartWindow(startWindow)) {
-		const {task, run} = startWindow.waiting.shift()!;
-		if (sendStart(state, task, run)) {
-			openStart(state, task, run);
+		for (const {task, run} of takeFirstStarts(state)) {
+			if (sendStart(state, task, run)) {
+				openStart(state, task, run);
+			}
 		}
 	}
 }
 
+/** Takes the first start out of the queue, and with it those of the other members of its gang. */
+function takeFirstStarts({startWindow}: SchedulerState): StartWindow['waiting'] {
+	const first = startWindow.waiting.shift()!;
+	const {step} = first.task;
+	if (!step.definition.isGang) {
+		return [first];
+	}
+
+	const members = startWindow.waiting.filter(({task}) => task.step === step);
+	startWindow.waiting = startWindow.waiting.filter(({task}) => task.step !== step);
+	return [first, ...members];
+}
+
 function sortByUrgency(state: SchedulerState): void {
 	const {startWindow} = state;
 	const steps = new Set(startWindow.waiting.map(({task}) => task.step));
@@ -62,14 +78,14 @@
 	}
 
 	if (!canStillStart(state, task, worker)) {
-		returnUnsentTask(state, task);
+		returnWithGang(state, task);
 		return false;
 	}
 
 	// A start renews the worker's lease, which a leader may only do as long as its successor would wait for.
 	const untilMs = isConfirmedWithin(state, unconfirmedLimitMs) ? extendLease(state, worker) : undefined;
 	if (untilMs === undefined) {
-		returnUnsentTask(state, task);
+		returnWithGang(state, task);
 		return false;
 	}
 
@@ -98,7 +114,7 @@
 type StartHandler = (state: SchedulerState, worker: Worker, task: Task) => void;
 
 function returnRefused(state: SchedulerState, _worker: Worker, task: Task): void {
-	returnTask(state, task);
+	returnWithGang(state, task);
 }
 
 const startHandlers: Readonly<Record<StartOutcome, StartHandler>> = {
@@ -112,28 +128,29 @@
 	'stale-run': returnRefused,
 	late: returnRefused,
 	'no-room'(state, worker, task) {
-		returnTask(state, task);
+		returnWithGang(state, task);
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + refusalPauseMs);
 	},
 	'no-ticket'(state, worker, task) {
 		dropTicket(state, task.step, worker);
-		returnTask(state, task);
+		returnWithGang(state, task);
 	},
 	invalid(state, worker, task) {
 		task.failedOn.add(worker.id);
-		returnTask(state, task);
+		returnWithGang(state, task);
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + refusalPauseMs);
 	},
 	unhealthy(state, worker, task) {
-		returnTask(state, task);
+		returnWithGang(state, task);
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + unhealthyPauseMs);
 	},
 	'other-life'(state, worker, task) {
 		returnTask(state, task);
 		dropIncarnation(state, worker);
+		stopGang(state, task.step);
 	},
 	'not-sent'(state, worker, task) {
-		returnTask(state, task);
+		returnWithGang(state, task);
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + unhealthyPauseMs);
 	},
 	unknown(state, worker, task) {
