--- a/packages/core/src/scheduler/commits.ts
+++ b/packages/core/src/scheduler/commits.ts
@@ -3,7 +3,7 @@
 import {addEffect} from './logging.js';
 import {listRecentOrders, sendStoredOrder} from './machine-orders.js';
 import {isFinal} from './phases.js';
-import {queueStart} from './start-window.js';
+import {queueStart} from './call-window.js';
 import {commitPauseMs, commitRetryMs, leaderHeartbeatMs} from './timing.js';
 import type {SchedulerEvent} from './events.js';
 import type {LedgerRecord} from './types.js';
--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -8,7 +8,7 @@
 import {
 	claimRetryMs, claimJitterMs, leaderSilenceAtStartMs, leaderSilenceMs, leaderHeartbeatMs, never, shortfallClaimDelayMs,
 } from './timing.js';
-import {createStartWindow} from './start-window.js';
+import {createCallWindow} from './call-window.js';
 import {restoreWave} from './waves.js';
 import type {LedgerEntry, SchedulerEvent} from './events.js';
 import type {LedgerRecord, SteadyMs} from './types.js';
@@ -210,7 +210,7 @@
 	leadership.commitNotBefore = 0;
 	leadership.heartbeatDueAt = state.now + leaderHeartbeatMs;
 	state.pendingActions = [];
-	state.startWindow = createStartWindow();
+	state.callWindow = createCallWindow();
 	state.workers.clear();
 	state.machines.clear();
 	// Orders of the former leader count as own ones, sent now: the next leader must know of them too.
@@ -260,7 +260,7 @@
 	leadership.claimNotBefore = state.now + claimRetryMs;
 	leadership.lastRecordAt = state.now;
 	state.pendingActions = [];
-	state.startWindow = createStartWindow();
+	state.callWindow = createCallWindow();
 	deactivateJobs(state);
 	state.workers.clear();
 	state.machines.clear();
--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -5,7 +5,7 @@
 import {isFinal} from './phases.js';
 import {clearWorker, dropIncarnation, restartWorker} from './registry.js';
 import {readEnds, readRunning, skipSilence} from './reports.js';
-import {noteAnswerTime} from './start-window.js';
+import {noteAnswerTime} from './call-window.js';
 import {getTarget} from './tasks.js';
 import {
 	leaseRenewalThresholdMs, leaseSlackMs, longRunningPollWaitMs, maxClockDrift, pollRetryMs, pollSlackMs, pollWaitMs, retriedPollSlackMs, unconfirmedLimitMs, workerLeaseMs,
@@ -50,13 +50,13 @@
 		return;
 	}
 
-	const left = state.startWindow.limit - countLatestFirstPolls(state);
+	const left = state.callWindow.limit - countLatestFirstPolls(state);
 	const sorted = workers.toSorted((a, b) => Number(b.tasks.size > 0) - Number(a.tasks.size > 0));
 	for (const worker of sorted.slice(0, Math.max(0, left))) {
 		sendPoll(state, worker);
 	}
 
-	state.startWindow.hasHeldBack ||= left < workers.length;
+	state.callWindow.hasHeldBack ||= left < workers.length;
 }
 
 /** First polls without an answer, sent so lately that they may still wait at this host. */
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -7,8 +7,8 @@
 import {isUsable, isUsableOnTrial} from './placement.js';
 import {dropIncarnation, noteLateStart, tickLateStarts} from './registry.js';
 import {
-	closeStart, hasStartWindow, openStart, type StartWindow,
-} from './start-window.js';
+	closeStart, hasCallWindow, openStart, type CallWindow,
+} from './call-window.js';
 import {
 	confirmTask, getTarget, isOverloaded, requestStop, returnTask, returnWithGang, stopGang,
 } from './tasks.js';
@@ -30,18 +30,18 @@
 
 /** Sends the starts that the bound allows, the most urgent ones first. A gang is sent whole, also beyond the bound: its members only run together. */
 export function sendQueuedStarts(state: SchedulerState): void {
-	const {startWindow, leadership} = state;
-	if (startWindow.waiting.length === 0 || leadership.role !== 'leader') {
+	const {callWindow, leadership} = state;
+	if (callWindow.waitingStarts.length === 0 || leadership.role !== 'leader') {
 		return;
 	}
 
-	const room = startWindow.limit - startWindow.sentAt.size;
-	if (startWindow.waiting.length > room) {
-		startWindow.hasHeldBack = true;
+	const room = callWindow.limit - callWindow.unansweredStarts.size;
+	if (callWindow.waitingStarts.length > room) {
+		callWindow.hasHeldBack = true;
 		sortByUrgency(state);
 	}
 
-	while (startWindow.waiting.length > 0 && hasStartWindow(startWindow)) {
+	while (callWindow.waitingStarts.length > 0 && hasCallWindow(callWindow)) {
 		for (const {task, run} of takeFirstStarts(state)) {
 			if (sendStart(state, task, run)) {
 				openStart(state, task, run);
@@ -51,23 +51,23 @@
 }
 
 /** Takes the first start out of the queue, and with it those of the other members of its gang. */
-function takeFirstStarts({startWindow}: SchedulerState): StartWindow['waiting'] {
-	const first = startWindow.waiting.shift()!;
+function takeFirstStarts({callWindow}: SchedulerState): CallWindow['waitingStarts'] {
+	const first = callWindow.waitingStarts.shift()!;
 	const {step} = first.task;
 	if (!step.definition.isGang) {
 		return [first];
 	}
 
-	const members = startWindow.waiting.filter(({task}) => task.step === step);
-	startWindow.waiting = startWindow.waiting.filter(({task}) => task.step !== step);
+	const members = callWindow.waitingStarts.filter(({task}) => task.step === step);
+	callWindow.waitingStarts = callWindow.waitingStarts.filter(({task}) => task.step !== step);
 	return [first, ...members];
 }
 
 function sortByUrgency(state: SchedulerState): void {
-	const {startWindow} = state;
-	const steps = new Set(startWindow.waiting.map(({task}) => task.step));
+	const {callWindow} = state;
+	const steps = new Set(callWindow.waitingStarts.map(({task}) => task.step));
 	const urgencies = new Map([...steps].map(step => [step, computeUrgency(state, step)]));
-	startWindow.waiting.sort((a, b) => compareUrgency(urgencies.get(a.task.step)!, urgencies.get(b.task.step)!));
+	callWindow.waitingStarts.sort((a, b) => compareUrgency(urgencies.get(a.task.step)!, urgencies.get(b.task.step)!));
 }
 
 /** Sends a start, unless its placement is no longer valid; returns whether it was sent. */
--- /dev/null
+++ b/packages/core/src/scheduler/work-state.ts
@@ -0,0 +1,187 @@
+/** State of jobs and their tasks, and of the workers that run them. */
+import type {JobId} from '../types/ids.js';
+import type {Instant} from '../types/time.js';
+import type {
+	JobDefinition, JobPhase, JobProgress, MachineId, PoolName, Resources, StepDefinition, SteadyMs, TaskCrash, TaskName, WorkerId,
+} from './types.js';
+
+/** `stopping`: a stop was requested, because the run must end or because it is unknown whether its start was carried out. */
+export type TaskStatus = 'waiting' | 'placed' | 'running' | 'stopping' | 'done';
+
+export type Task = {
+	readonly name: TaskName;
+	readonly step: StepRun;
+	readonly index: number;
+	status: TaskStatus;
+	/** Number of the latest run; 0 before the first. */
+	run: number;
+	failures: number;
+	worker: Worker | undefined;
+	checkpoint: string;
+	/** The start was sent by this host, or may have been sent by an earlier leader. */
+	isSent: boolean;
+	/** A poll of the worker's current incarnation has listed the run. The answer to a start does not say which incarnation gave it. */
+	isReported: boolean;
+	/** When the answer to its start was found to be lost; `never` while none was. */
+	unansweredAt: SteadyMs;
+	/** A poll sent after this instant is conclusive: if it does not list the run, the run is gone. */
+	conclusiveAfter: SteadyMs;
+	/** When an unconfirmed stop is sent again. */
+	stopDueAt: SteadyMs;
+	percent: number;
+	percentChangedAt: SteadyMs;
+	startedAt: SteadyMs;
+	/** The latest measurement of the run: tail latency in ms of a serving task, processor use of any other task; 0 if there is none. */
+	reading: number;
+	/** Share of the processor that a filler may use, 0 to 100. */
+	pacePercent: number;
+	readyAt: SteadyMs;
+	/** Workers where the task failed recently. */
+	readonly failedOn: Set<WorkerId>;
+	/** Losses of workers that may be blamed on the task, oldest first. */
+	crashes: readonly TaskCrash[];
+};
+
+/** One step of one occurrence. */
+export type StepRun = {
+	readonly occurrence: Occurrence;
+	readonly number: number;
+	readonly definition: StepDefinition;
+	readonly tasks: Task[];
+	doneCount: number;
+	/** Answers of the advice service; undefined before the first request. */
+	advice: StepAdvice | undefined;
+};
+
+export type StepAdvice = {
+	nextRequestAt: SteadyMs;
+	/** Maximum number of workers that one request names. */
+	maxWorkersPerRequest: number;
+	/** Worker incarnations that the service has answered for; those without a ticket must not run the step. */
+	readonly answeredIncarnations: Map<WorkerId, number>;
+	readonly tickets: Map<WorkerId, {readonly ticket: string; readonly bornAt: number; readonly validUntil: SteadyMs}>;
+};
+
+/** The request that the advice service has not answered yet; only one is open at a time. */
+export type AdviceRequest = {
+	readonly step: StepRun;
+	/** The named workers with their incarnations at the time of the request. */
+	readonly incarnations: ReadonlyMap<WorkerId, number>;
+	readonly requestedAt: SteadyMs;
+};
+
+export type Occurrence = {
+	readonly job: Job;
+	readonly number: number;
+	readonly steps: StepRun[];
+	/** Its start time has passed on this host's clock; its tasks do not start earlier. */
+	isDue: boolean;
+	isDone: boolean;
+};
+
+export type Job = {
+	/** Shortened once the job has ended. */
+	definition: JobDefinition;
+	/** The stored phase, which callers see. */
+	phase: Exclude<JobPhase, 'cancelled'>;
+	isCancelled: boolean;
+	progress: JobProgress | undefined;
+	readonly acceptedAt: SteadyMs;
+	/** Set only on the leader, and only while the job is active. */
+	live: LiveJob | undefined;
+	/** When this host learned that the job has ended. */
+	endedSince?: SteadyMs | undefined;
+};
+
+export type LiveJob = {
+	readonly occurrences: Map<number, Occurrence>;
+	readonly finishedOccurrences: Set<number>;
+	nextOccurrence: number;
+	hasStarted: boolean;
+	phase: Exclude<JobPhase, 'cancelled'>;
+	finishedAt: Instant;
+};
+
+/**
+ * A start whose answer was lost. It may be carried out late, even by the worker's next incarnation, which has no
+ * record of a stop that its predecessor confirmed.
+ */
+export type LateStart = {
+	readonly task: TaskName;
+	readonly run: number;
+	readonly need: Resources;
+	readonly forgetAt: SteadyMs;
+	/** When a stop is sent to the worker's new incarnation; `never` as long as there is none, and once it has confirmed the stop. */
+	stopDueAt: SteadyMs;
+};
+
+export type Worker = {
+	readonly id: WorkerId;
+	bornAt: number;
+	/** That of the latest report of this incarnation that the registry has told of; 0 before the first. */
+	sequence: number;
+	address: string;
+	pool: PoolName;
+	availabilityZone: string;
+	rack: string;
+	labels: ReadonlySet<string>;
+	capacity: Resources;
+	machineId: MachineId | undefined;
+	isDraining: boolean;
+	leavesAt: SteadyMs | undefined;
+	isListed: boolean;
+	/** Set while the registry lacks the worker; at this instant it becomes unlisted. */
+	unlistAt: SteadyMs | undefined;
+	/**
+	 * The worker has answered a poll of this leader: it rejects the tokens of earlier leaders, and its runs and run ends were read.
+	 * Reset when another poll has to confirm that.
+	 */
+	isPolledByLeader: boolean;
+	/** The latest reading of the worker's clock, and when it arrived on this host's clock. */
+	clock: {readonly workerMs: number; readonly at: SteadyMs} | undefined;
+	/** Upper bound, on this host's clock, of the expiry of every lease that any leader granted to the worker. */
+	leaseExpiresAt: SteadyMs;
+	/** Expiry of the latest lease requested, on the worker's clock. */
+	leaseUntilMs: number;
+	/** Highest numbers of the run ends that were read, whose effects were stored, and that were acknowledged to the worker. */
+	lastReadEnd: number;
+	lastStoredEnd: number;
+	lastAckedEnd: number;
+	isPollPending: boolean;
+	/** When its latest poll was sent, apart from extra ones. */
+	pollSentAt: SteadyMs;
+	pollDueAt: SteadyMs;
+	lastAnswerAt: SteadyMs;
+	/** Consecutive polls with another outcome than `held`: unanswered ones and those that were answered with an error. */
+	failedPolls: number;
+	/** When the first of these polls failed. */
+	silentSince: SteadyMs;
+	readonly tasks: Map<TaskName, Task>;
+	/** How many of `tasks` are long-running. */
+	longRunningTasks: number;
+	lateStarts: LateStart[];
+	/** Runs that the worker reports and this leader did not start or restore; they are stopped. */
+	readonly unknownRuns: Map<TaskName, {readonly run: number; readonly reportedAt: SteadyMs}>;
+	used: Resources;
+	/** Gets no new tasks, because its machine is about to be moved or maintained. */
+	isReserved: boolean;
+	/** Gets no new tasks until then, after a start that was refused or not answered. */
+	pausedUntil: SteadyMs;
+	/** Set aside until then, after repeated failures: gets at most a long-running task on trial. */
+	quarantinedUntil: SteadyMs;
+	readonly failures: Array<{readonly at: SteadyMs; readonly jobId: JobId}>;
+	/** When a run was last seen to succeed here: it ended as done, or is long-running and at work. */
+	lastSuccessAt: SteadyMs;
+	quarantineCount: number;
+	idleSince: SteadyMs;
+};
+
+/** The loss of a worker's incarnation, and when it last answered. `isPlain`: a suspect is plainly to blame. */
+export type WorkerLoss = {
+	readonly workerId: WorkerId;
+	readonly bornAt: number;
+	readonly pool: PoolName;
+	readonly machineId: MachineId | undefined;
+	readonly aliveAt: SteadyMs;
+	readonly isPlain: boolean;
+};
