--- a/packages/core/src/scheduler/commits.ts
+++ b/packages/core/src/scheduler/commits.ts
@@ -1,5 +1,6 @@
 /** Appends the leader's changes to the ledger in batches, and carries out the actions that depend on them once they are stored. */
-import {dropLiveJobIfEnded, createJobProgress} from './jobs.js';
+import {createJobProgress} from './job-progress.js';
+import {dropLiveJobIfEnded} from './jobs.js';
 import {addEffect} from './logging.js';
 import {listRecentOrders, sendStoredOrder} from './machine-orders.js';
 import {isFinal} from './phases.js';
--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -281,43 +281,6 @@
 	stopJob(state, job);
 }
 
-/** The progress record of a job as it is stored. */
-export function createJobProgress(job: Job): JobProgress {
-	const {live} = job;
-	if (!live) {
-		return {
-			phase: job.phase, finishedOccurrences: [], rows: [], finishedAt: 0 as Instant,
-		};
-	}
-
-	const isOver = isFinal(live.phase);
-	const rows: ProgressRow[] = [];
-	for (const occurrence of isOver ? [] : live.occurrences.values()) {
-		for (const step of occurrence.steps) {
-			rows.push(...listRows(step));
-		}
-	}
-
-	return {
-		phase: live.phase, finishedOccurrences: isOver ? [] : [...live.finishedOccurrences], rows, finishedAt: live.finishedAt,
-	};
-}
-
-function listRows(step: StepRun): ProgressRow[] {
-	return step.tasks.filter(task => task.run > 0 || task.status === 'done').map(task => ({
-		occurrence: step.occurrence.number,
-		step: step.number,
-		index: task.index,
-		status: task.worker ? 'placed' : (task.status === 'done' ? 'done' : 'waiting'),
-		run: task.run,
-		failures: task.failures,
-		workerId: task.worker?.id ?? '',
-		workerBornAt: task.worker?.bornAt ?? 0,
-		checkpoint: task.status === 'done' ? '' : task.checkpoint,
-		...(task.crashes.length > 0 && task.status !== 'done' && {crashes: task.crashes}),
-	}));
-}
-
 /** Drops the leader's state of all jobs when this host loses the leadership. */
 export function deactivateJobs(state: SchedulerState): void {
 	for (const job of state.liveJobs) {
