--- a/packages/core/src/scheduler/crashes.ts
+++ b/packages/core/src/scheduler/crashes.ts
@@ -1,7 +1,7 @@
 /**
  * Finds the tasks that crash their workers.
  *
- * Most of the tasks that are lost with a worker are innocent. A task that crashes its worker does so soon after its run
+ * Most of the tasks that are lost with a worker have not caused its crash. A task that crashes its worker does so soon after its run
  * begins, so a loss is blamed on the runs that had begun lately. A blamed task is tried: it starts on a worker where
  * nothing else has begun lately, and nothing else starts there until the trial is over. Crashes that can be
  * blamed on a task alone show that it is the cause, and its job fails: the more of them are needed, the more workers
@@ -29,16 +29,16 @@
 const commonLossShare = 0.3;
 /** Losses of other workers count for this long as a sign that workers crash by themselves, and a task's last crash as one to judge. */
 const lossWindowMs = 20_000;
-/** A task is not convicted of a single crash. */
-const minTellingCrashes = 2;
+/** A task does not count as the cause after a single crash. */
+const minBlamedCrashes = 2;
 /**
- * How many crashes must be blamed on a task alone to convict it: the more workers of the pool crash for reasons unknown, the more. `lossShare`: lost workers as a share of the pool.
+ * How many crashes must be blamed on a task alone until it counts as the cause: the more workers of the pool crash for reasons unknown, the more. `lossShare`: lost workers as a share of the pool.
  */
-const convictions = [{lossShare: 0.1, soleCrashes: 1}, {lossShare: 0.5, soleCrashes: 2}, {lossShare: Number.POSITIVE_INFINITY, soleCrashes: 3}] as const;
-/** Losses that convict a task whatever its share of the blame. */
+const neededSoleCrashes = [{lossShare: 0.1, soleCrashes: 1}, {lossShare: 0.5, soleCrashes: 2}, {lossShare: Number.POSITIVE_INFINITY, soleCrashes: 3}] as const;
+/** After this many losses a task counts as the cause whatever its share of the blame. */
 const lossesWithAnyBlame = 5;
 /** How long a task that was lost before waits to learn whether its silent worker has crashed. */
-const verdictWaitMs = 5000;
+const fateWaitMs = 5000;
 const checkIntervalMs = 50;
 
 /** Records the loss of a worker's incarnation and blames the tasks that ran on it. Call it before they are returned. `isConfirmed`: it has crashed; otherwise it has been silent until its lease expired. */
@@ -107,7 +107,7 @@
 	}]);
 }
 
-/** Learns what became of silent workers, clears tasks and gives up the guilty ones. */
+/** Learns what became of silent workers, clears tasks and gives up those that crash their workers. */
 export function judgeSuspects(state: SchedulerState): void {
 	if (state.suspects.size === 0 || state.now < state.suspectsDueAt || state.leadership.role !== 'leader') {
 		return;
@@ -127,9 +127,9 @@
 		clearProven(state, task);
 		if (task.crashes.length === 0) {
 			state.suspects.delete(task);
-		} else if (isGuilty(state, task)) {
+		} else if (isCause(state, task)) {
 			state.suspects.delete(task);
-			finishGuilty(state, task);
+			finishFailedJob(state, task);
 		}
 	}
 
@@ -197,7 +197,7 @@
 	}
 }
 
-function isGuilty(state: SchedulerState, task: Task): boolean {
+function isCause(state: SchedulerState, task: Task): boolean {
 	if (task.crashes.length >= lossesWithAnyBlame) {
 		return true;
 	}
@@ -206,14 +206,14 @@
 		return false;
 	}
 
-	const telling = task.crashes.filter(({isConfirmed, blame}) => isConfirmed && blame !== 'slight');
-	const sole = telling.filter(({blame}) => blame === 'sole').length;
+	const blamed = task.crashes.filter(({isConfirmed, blame}) => isConfirmed && blame !== 'slight');
+	const sole = blamed.filter(({blame}) => blame === 'sole').length;
 	const needed = computeNeededCrashes(state, task);
-	return sole >= needed && telling.length >= minTellingCrashes;
+	return sole >= needed && blamed.length >= minBlamedCrashes;
 }
 
 /**
- * How many crashes must be blamed on a task alone to convict it, by the losses of other workers in the time before its
+ * How many crashes must be blamed on a task alone until it counts as the cause, by the losses of other workers in the time before its
  * last crash. A new leader does not know all of these.
  */
 function computeNeededCrashes(state: SchedulerState, task: Task): number {
@@ -223,14 +223,14 @@
 	const workers = [...state.workers.values()].filter(worker => worker.pool === pool).length;
 	const losses = state.workerLosses.filter(loss => loss.pool === pool && !loss.isPlain && loss.aliveAt > since && !isBlamedOn(task, loss)).length;
 	const lossShare = since < state.leadership.leaderSince ? Number.POSITIVE_INFINITY : losses / Math.max(1, workers);
-	return convictions.find(conviction => lossShare <= conviction.lossShare)!.soleCrashes;
+	return neededSoleCrashes.find(row => lossShare <= row.lossShare)!.soleCrashes;
 }
 
 function isBlamedOn({crashes}: Task, {workerId, bornAt}: WorkerLoss): boolean {
 	return crashes.some(crash => crash.workerId === workerId && crash.bornAt === bornAt);
 }
 
-function finishGuilty(state: SchedulerState, task: Task): void {
+function finishFailedJob(state: SchedulerState, task: Task): void {
 	noteWarning(state, 'task-given-up', {
 		task: task.name, run: task.run, crashes: task.crashes.length, evidence: formatCrashes(task.crashes),
 	});
@@ -243,7 +243,7 @@
 }
 
 /** True while a task that was lost before has to wait for the fate of its last worker. */
-export function isAwaitingVerdict(state: SchedulerState, {crashes, readyAt}: Task): boolean {
-	return crashes.length > 1 && crashes.at(-1)?.isConfirmed === false && state.now < readyAt + verdictWaitMs;
+export function isAwaitingFate(state: SchedulerState, {crashes, readyAt}: Task): boolean {
+	return crashes.length > 1 && crashes.at(-1)?.isConfirmed === false && state.now < readyAt + fateWaitMs;
 }
 
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -1,5 +1,5 @@
 /** Assigns waiting tasks to workers, the most urgent step first. */
-import {isAwaitingVerdict} from './crashes.js';
+import {isAwaitingFate} from './crashes.js';
 import {
 	addWaitingWork, clearWaiting, getDemand, noteUsableWorkers,
 } from './demand.js';
@@ -87,7 +87,7 @@
 
 function placeStep(state: SchedulerState, step: StepRun, pool: PoolName, {usable, setAside}: PoolWorkers): void {
 	const candidates = usable.filter(worker => hasLabel(step, worker));
-	const waiting = step.tasks.filter(task => task.status === 'waiting' && !isAwaitingVerdict(state, task));
+	const waiting = step.tasks.filter(task => task.status === 'waiting' && !isAwaitingFate(state, task));
 	if (waiting.length === 0) {
 		return;
 	}
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -141,7 +141,7 @@
 	/** Tasks of open jobs that losses of workers may be blamed on. */
 	readonly suspects: Set<Task>;
 	suspectsDueAt: SteadyMs;
-	/** Workers lost lately, apart from those that tasks were found guilty of. */
+	/** Workers lost lately, apart from those that tasks were found to have caused. */
 	workerLosses: WorkerLoss[];
 	/** Workers where only suspects may start: `kept` for the next one, or with one `onTrial`. */
 	readonly trials: {readonly kept: Map<Worker, SteadyMs>; readonly onTrial: Set<Worker>; readonly polledAt: WeakMap<Worker, SteadyMs>};
--- a/packages/core/src/scheduler/trials.ts
+++ b/packages/core/src/scheduler/trials.ts
@@ -55,7 +55,7 @@
 	return [...worker.tasks.values()].some(task => hasBegunLately(task, worker.lastAnswerAt));
 }
 
-/** Takes down that a suspect starts on a worker. */
+/** Records that a suspect starts on a worker. */
 export function noteTrial(state: SchedulerState, task: Task, worker: Worker): void {
 	if (state.suspects.size > 0 && isTrialNeeded(state, task)) {
 		state.trials.onTrial.add(worker);
