Probes of workers and trials of tasks have names of their own

Two mechanisms were called trials: runs on a worker whose runs failed, and starts of tasks that may crash their worker. The first are probes now.

--- a/packages/core/src/scheduler/health.ts
+++ b/packages/core/src/scheduler/health.ts
@@ -7,8 +7,8 @@
 
 /** A worker is quarantined when runs of this many different jobs have failed there without a success in between. */
 const minFailedJobs = 2;
-/** Most runs at once on a suspect worker that began after its latest failure. */
-const maxTrialRuns = 2;
+/** Most runs at once on a suspect worker that began after its failures. */
+const maxProbeRuns = 2;
 /** At most this share of a pool is quarantined at once. */
 const maxQuarantinedShare = 0.5;
 /** A long-running run that has been at work for this long shows that its worker is well. */
@@ -63,9 +63,9 @@
 }
 
 /** How many more runs a worker may be given before one of them has shown that it works. Runs that began before the failures do not count: they say nothing about the worker's present health. */
-export function countTrialRunsLeft(state: SchedulerState, worker: Worker): number {
+export function countProbeRunsLeft(state: SchedulerState, worker: Worker): number {
 	const failedSince = findFailedSince(state, worker);
-	return failedSince === undefined ? Number.POSITIVE_INFINITY : maxTrialRuns - listTrials(worker, failedSince).length;
+	return failedSince === undefined ? Number.POSITIVE_INFINITY : maxProbeRuns - listProbes(worker, failedSince).length;
 }
 
 /** True while a worker is set aside because its runs fail. */
@@ -73,13 +73,13 @@
 	return worker.quarantinedUntil > state.now;
 }
 
-/** True if a worker that is set aside may be given one long-running task on trial: none has failed there for a while, and none is on trial yet. */
-export function isTrialDue(state: SchedulerState, worker: Worker): boolean {
+/** True if a worker that is set aside may be given one long-running task as a probe: nothing has failed there for a while, and no other probe runs. */
+export function isProbeDue(state: SchedulerState, worker: Worker): boolean {
 	const failedAt = worker.failures.at(-1)?.at;
-	return failedAt !== undefined && isQuarantined(state, worker) && failedAt <= state.now - quarantineMs && listTrials(worker, failedAt).length === 0;
+	return failedAt !== undefined && isQuarantined(state, worker) && failedAt <= state.now - quarantineMs && listProbes(worker, failedAt).length === 0;
 }
 
-function listTrials(worker: Worker, failedSince: SteadyMs): Task[] {
+function listProbes(worker: Worker, failedSince: SteadyMs): Task[] {
 	return [...worker.tasks.values()].filter(task => !task.isSent || task.startedAt >= failedSince);
 }
 
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -3,7 +3,7 @@
 import {
 	addWaitingWork, clearWaiting, getDemand, noteUsableWorkers,
 } from './demand.js';
-import {isQuarantined, isTrialDue} from './health.js';
+import {isQuarantined, isProbeDue} from './health.js';
 import {getPoolOfJob} from './queues.js';
 import {placeTask} from './tasks.js';
 import {compareUrgency, computeUrgency, type Urgency} from './urgency.js';
@@ -34,7 +34,7 @@
 	}
 
 	const usable = groupByPool(state, worker => isUsable(state, worker));
-	const setAside = groupByPool(state, worker => isUsableOnTrial(state, worker) && isTrialDue(state, worker));
+	const setAside = groupByPool(state, worker => isUsableOrSetAside(state, worker) && isProbeDue(state, worker));
 	planTrials(state, usable, canHost);
 	for (const {step} of sortSteps(state)) {
 		const pool = getPoolOfJob(state, step.occurrence.job);
@@ -48,11 +48,11 @@
 
 /** True if a worker may be given new tasks. */
 export function isUsable(state: SchedulerState, worker: Worker): boolean {
-	return isUsableOnTrial(state, worker) && !isQuarantined(state, worker);
+	return isUsableOrSetAside(state, worker) && !isQuarantined(state, worker);
 }
 
-/** The same, also for a worker that is set aside and may be given a long-running task on trial. */
-export function isUsableOnTrial(state: SchedulerState, worker: Worker): boolean {
+/** The same, also for a worker that is set aside and may be given a long-running task as a probe. */
+export function isUsableOrSetAside(state: SchedulerState, worker: Worker): boolean {
 	return isSound(worker) && worker.pausedUntil <= state.now;
 }
 
@@ -97,19 +97,19 @@
 	const left = waiting.length - placed;
 	if (left > 0) {
 		addWaitingWork(getDemand(state, pool), step, {tasks: left, workers: candidates.length, refused});
-		placeOnTrial(state, step, setAside);
+		placeAsProbe(state, step, setAside);
 	}
 }
 
 /** Places long-running tasks that no other worker takes, one each, on workers that were set aside: they may be well again, and the tasks do not end by themselves however long they wait. */
-function placeOnTrial(state: SchedulerState, step: StepRun, setAside: readonly Worker[]): void {
+function placeAsProbe(state: SchedulerState, step: StepRun, setAside: readonly Worker[]): void {
 	if (!step.definition.isLongRunning || step.definition.isGang) {
 		return;
 	}
 
 	for (const worker of setAside) {
 		const task = step.tasks.find(({status}) => status === 'waiting');
-		if (task && hasLabel(step, worker) && isTrialDue(state, worker)) {
+		if (task && hasLabel(step, worker) && isProbeDue(state, worker)) {
 			placeEach(state, [task], listFreeCapacities(state, step, [worker]));
 		}
 	}
--- a/packages/core/src/scheduler/set-aside-trial.test.ts
+++ b/packages/core/src/scheduler/set-aside-probe.test.ts
@@ -30,7 +30,7 @@
 
 describe('a worker that was set aside several times in a row', () => {
 	/** Guards against long-running tasks that wait out a long quarantine while the only worker with room is well again. */
-	it('is given one long-running task on trial after a while without a failure', () => {
+	it('is given one long-running task as a probe after a while without a failure', () => {
 		expect(countStarts(true, quarantineMs - 300)).toEqual(0);
 		expect(countStarts(true, quarantineMs + 500)).toEqual(1);
 	});
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -4,7 +4,7 @@
 import {extendLease, sendExtraPoll} from './polls.js';
 import {addEffect, noteDecision} from './logging.js';
 import {isJobOpen} from './phases.js';
-import {isUsable, isUsableOnTrial} from './placement.js';
+import {isUsable, isUsableOrSetAside} from './placement.js';
 import {dropIncarnation, noteLateStart, tickLateStarts} from './registry.js';
 import {
 	closeStart, hasCallWindow, openStart, type CallWindow,
@@ -107,7 +107,7 @@
 
 /** True if what the placement was decided by still holds: the job, the worker, its capacity or the ticket may have changed while the placement was being stored. */
 function canStillStart(state: SchedulerState, {step}: Task, worker: Worker): boolean {
-	const isAllowed = isUsable(state, worker) || (step.definition.isLongRunning && isUsableOnTrial(state, worker));
+	const isAllowed = isUsable(state, worker) || (step.definition.isLongRunning && isUsableOrSetAside(state, worker));
 	return isJobOpen(step.occurrence.job) && isAllowed && !isOverloaded(worker) && getTicketState(state, step, worker) === 'good';
 }
 
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -167,7 +167,7 @@
 	isReserved: boolean;
 	/** Gets no new tasks until then, after a start that was refused or not answered. */
 	pausedUntil: SteadyMs;
-	/** Set aside until then, after repeated failures: gets at most a long-running task on trial. */
+	/** Set aside until then, after repeated failures: gets at most a long-running task as a probe. */
 	quarantinedUntil: SteadyMs;
 	readonly failures: Array<{readonly at: SteadyMs; readonly jobId: JobId}>;
 	/** When a run was last seen to succeed here: it ended as done, or is long-running and at work. */
--- a/packages/core/src/scheduler/worker-choice.ts
+++ b/packages/core/src/scheduler/worker-choice.ts
@@ -1,6 +1,6 @@
 /** Chooses the worker for a task: which may take it, and which of them is best. */
 import {getTicketState, requestAdvice} from './advice.js';
-import {countTrialRunsLeft, isSuspect} from './health.js';
+import {countProbeRunsLeft, isSuspect} from './health.js';
 import {addResources, doesFit} from './resources.js';
 import {getFree, getNeed, getStepNeed} from './tasks.js';
 import {canJoin} from './trials.js';
@@ -13,14 +13,14 @@
 const maxRackWaitShare = 0.5;
 
 /** What a worker still has for a step, less what was chosen for it in the same pass. */
-export type FreeCapacity = {free: Resources; tasksOfStep: number; trialRunsLeft: number};
+export type FreeCapacity = {free: Resources; tasksOfStep: number; probeRunsLeft: number};
 
 /** Deducts a task from the capacity of the worker chosen for it. */
 export function takeCapacity(capacities: ReadonlyMap<Worker, FreeCapacity>, worker: Worker, task: Task): void {
 	const capacity = capacities.get(worker)!;
 	capacity.free = addResources(capacity.free, getNeed(task), -1);
 	capacity.tasksOfStep++;
-	capacity.trialRunsLeft--;
+	capacity.probeRunsLeft--;
 }
 
 /** Free capacity of the workers on which at least one task of the step fits. */
@@ -30,7 +30,7 @@
 	for (const worker of workers) {
 		const free = getFree(worker);
 		if (doesFit(need, free)) {
-			capacities.set(worker, {free, tasksOfStep: countTasksOfStep(step, worker), trialRunsLeft: countTrialRunsLeft(state, worker)});
+			capacities.set(worker, {free, tasksOfStep: countTasksOfStep(step, worker), probeRunsLeft: countProbeRunsLeft(state, worker)});
 		}
 	}
 
@@ -114,7 +114,7 @@
 		return 'spread';
 	}
 
-	if (capacity.trialRunsLeft <= 0) {
+	if (capacity.probeRunsLeft <= 0) {
 		return 'suspect';
 	}
 
