--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -28,7 +28,7 @@
 	const progress = state.earlyProgress.get(definition.jobId);
 	state.earlyProgress.delete(definition.jobId);
 	const job: Job = {
-		definition, phase: progress?.phase ?? 'queued', isCancelled: state.earlyCancels.delete(definition.jobId), progress, acceptedAt: state.now, live: undefined,
+		definition, phase: progress?.phase ?? 'queued', isCancelled: state.earlyCancels.delete(definition.jobId), progress, acceptedAt: state.now, sentAt: state.now, isExcess: false, live: undefined,
 	};
 	state.jobs.set(definition.jobId, job);
 	if (state.leadership.role === 'leader') {
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -14,6 +14,8 @@
 /** Increases with every change of the leader; workers and machines refuse orders that carry a lower token than they have seen. */
 export type FencingToken = number & {readonly __name?: 'FencingToken'};
 export type WaveNumber = number & {readonly __name?: 'WaveNumber'};
+/** Name of a client account, on whose behalf callers submit jobs. */
+export type AccountName = string & {readonly __name?: 'AccountName'};
 
 /** Processor in thousandths of a core, memory in MB, accelerators. */
 export type Resources = {readonly cpu: number; readonly memoryMb: number; readonly gpu: number};
@@ -50,6 +52,8 @@
 export type JobDefinition = {
 	readonly jobId: JobId;
 	readonly queue: QueueName;
+	/** The account whose key the caller has shown. Absent for jobs of public queues and in records of earlier versions. */
+	readonly account?: AccountName | undefined;
 	/** The pool that served the queue at the time of acceptance; used when the queue is gone. */
 	readonly pool: PoolName;
 	/** The queue's limit of failed attempts per task at the time of acceptance; used when the queue is gone. Absent in records of earlier versions. */
@@ -79,6 +83,19 @@
 	readonly latencyTargetMs: number;
 	readonly timeoutMs: number;
 	readonly advice: AdvicePolicy | undefined;
+	/** Calls need no API key. Absent in records of earlier versions. */
+	readonly isPublic?: boolean | undefined;
+};
+
+/** A client account of the operators' configuration. */
+export type ClientAccount = {
+	readonly name: AccountName;
+	/** Jobs a second that are within the account's share; also its weight when accounts compete for capacity. */
+	readonly weight: number;
+	/** What the account may have running over all pools; 0 for no limit. */
+	readonly quota: Resources;
+	/** SHA-256 digests of the account's API keys, in base64. */
+	readonly keyDigests: readonly string[];
 };
 
 export type PoolConfig = {
@@ -97,6 +114,8 @@
 	readonly version: number;
 	readonly queues: readonly Queue[];
 	readonly pools: readonly PoolConfig[];
+	/** Absent if the operators keep no client accounts; calls then need no API keys. */
+	readonly accounts?: readonly ClientAccount[] | undefined;
 };
 
 /** A worker as it reports itself to the registry. */
--- a/packages/core/src/scheduler/urgency.ts
+++ b/packages/core/src/scheduler/urgency.ts
@@ -58,7 +58,7 @@
 	return {
 		step,
 		priority: queue?.priority ?? lowestPriority,
-		isObjectiveUnreachable: isTimed && state.now + remainingMs + computeRequiredSlack(remainingMs, hasStarted) > job.acceptedAt + objectiveMs,
+		isObjectiveUnreachable: isTimed && state.now + remainingMs + computeRequiredSlack(remainingMs, hasStarted) > job.sentAt + objectiveMs,
 		hasStarted,
 		acceptedAt: job.acceptedAt,
 	};
