Jobs keep the time of their first send after a refusal

A job that a host refused while the store did not answer looked new when it returned, usually at another host, so that jobs that had missed their objective competed as equals with those that could still meet it; and every 503 said 1 s.

Hosts now remember what they refused (2,000 ids, 30 s) and store it as one record for each process once the store answers; whoever reads it, and the host that accepts the job, takes the earliest instant. The leader removes these records after 40 s. Retry-After grows with the outage, from 1 s to 4 s.

--- a/packages/core/src/scheduler/effects.ts
+++ b/packages/core/src/scheduler/effects.ts
@@ -41,6 +41,8 @@
 		| {readonly type: 'intake/remove'; readonly jobIds: readonly string[]}
 		/** Replaces the definitions of jobs that have ended. */
 		| {readonly type: 'intake/shorten'; readonly definitions: readonly JobDefinition[]}
+		/** Removes the records of refusals of these host processes. */
+		| {readonly type: 'intake/remove-refusals'; readonly holders: readonly string[]}
 		/** What was read of the streams may be older than it seems. */
 		| {readonly type: 'views/expire'}
 		| {readonly type: 'config/restored'; readonly config: FleetConfig}
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -9,5 +9,9 @@
 export {describeError} from './logging.js';
 export {findQueue} from './queues.js';
 export {getShownPhase, isFinal} from './phases.js';
+export {
+	findFirstSend, firstSendKeptMs, maxRefusedJobs, noteFirstSend, type FirstSends,
+} from './first-sends.js';
+export {computeOutageRetryS} from './retry-after.js';
 export {getNextLeadershipCheck} from './leadership.js';
 export {ReducerLoop, type Reducer} from '../engine/reducer-loop.js';
--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -2,6 +2,7 @@
 import type {JobId} from '../types/ids.js';
 import type {Instant} from '../types/time.js';
 import {addArrivedWork} from './demand.js';
+import {applyRefusals, computeSentAt} from './first-sends.js';
 import {noteDecision} from './logging.js';
 import {isFinal} from './phases.js';
 import {ensureWorker} from './registry.js';
@@ -28,7 +29,7 @@
 	const progress = state.earlyProgress.get(definition.jobId);
 	state.earlyProgress.delete(definition.jobId);
 	const job: Job = {
-		definition, phase: progress?.phase ?? 'queued', isCancelled: state.earlyCancels.delete(definition.jobId), progress, acceptedAt: state.now, sentAt: state.now, isExcess: false, live: undefined,
+		definition, phase: progress?.phase ?? 'queued', isCancelled: state.earlyCancels.delete(definition.jobId), progress, acceptedAt: state.now, sentAt: computeSentAt(state, definition.jobId, definition.sentAt), isExcess: false, live: undefined,
 	};
 	state.jobs.set(definition.jobId, job);
 	if (state.leadership.role === 'leader') {
@@ -71,6 +72,12 @@
 		'cancel-removed'({jobId}) {
 			state.earlyCancels.delete(jobId);
 		},
+		refusals({holder, jobs}) {
+			applyRefusals(state, holder, jobs);
+		},
+		'refusals-removed'({holder}) {
+			state.refusalRecords.delete(holder);
+		},
 	};
 	(appliers[record.type] as (record: IntakeRecord) => void)(record);
 }
--- a/packages/core/src/scheduler/retention.ts
+++ b/packages/core/src/scheduler/retention.ts
@@ -1,6 +1,7 @@
 /** Retention: finished and cancelled jobs are kept for as long as callers may query them, then removed from the store. */
 import type {JobId} from '../types/ids.js';
 import type {Instant} from '../types/time.js';
+import {listOldRefusalRecords} from './first-sends.js';
 import {addEffect, noteDecision} from './logging.js';
 import {isFinal} from './phases.js';
 import type {SchedulerState} from './state.js';
@@ -26,6 +27,11 @@
 	}
 
 	state.retentionDueAt = state.now + retentionScanMs;
+	const holders = listOldRefusalRecords(state);
+	if (holders.length > 0) {
+		addEffect(state, {type: 'intake/remove-refusals', holders});
+	}
+
 	const expired: JobId[] = [];
 	for (const [jobId, job] of state.jobs) {
 		const isOver = job.isCancelled || isFinal(job.phase);
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -3,6 +3,7 @@
 import type {Instant} from '../types/time.js';
 import {createCallWindow, type CallWindow} from './call-window.js';
 import type {OrderNumber, SchedulerEffect} from './effects.js';
+import type {FirstSends} from './first-sends.js';
 import type {Machine, Wave, PoolDemand} from './machine-state.js';
 import type {
 	FencingToken, FleetConfig, JobProgress, LedgerRecord, MachineId, PoolName, QueueName, SteadyMs, WaveNumber, WaveProgress, WorkerId,
@@ -107,6 +108,10 @@
 	readonly earlyCancels: Set<JobId>;
 	/** Progress of jobs that have not been read yet. */
 	readonly earlyProgress: Map<JobId, JobProgress>;
+	/** When jobs that hosts refused were first sent. */
+	readonly firstSends: FirstSends;
+	/** When the record of each host's refusals was last read. */
+	readonly refusalRecords: Map<string, SteadyMs>;
 	readonly liveJobs: Set<Job>;
 	/** Steps with tasks that may start. */
 	readonly openSteps: Set<StepRun>;
@@ -172,6 +177,8 @@
 		intakeCompleteAt: Number.NEGATIVE_INFINITY,
 		earlyCancels: new Set(),
 		earlyProgress: new Map(),
+		firstSends: new Map(),
+		refusalRecords: new Map(),
 		liveJobs: new Set(),
 		openSteps: new Set(),
 		workers: new Map(),
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -65,8 +65,13 @@
 	readonly runCount: number;
 	readonly firstRunAt: Instant;
 	readonly intervalMs: number;
+	/** When its caller first sent it, if a host refused it then. */
+	readonly sentAt?: Instant | undefined;
 };
 
+/** A job that a host refused, and when its caller is known to have first sent it. */
+export type RefusedJob = {readonly jobId: JobId; readonly sentAt: Instant};
+
 /** Present for a queue whose steps may start only with tickets of the advice service. */
 export type AdvicePolicy = {readonly validMs: number};
 
@@ -240,12 +245,15 @@
 	readonly isCompleted: boolean;
 };
 
-/** A change that any entry host may write: submitted jobs, cancel requests and their removal. */
+/** A change that any entry host may write: submitted jobs, cancel requests, refusals, and their removal. */
 export type IntakeRecord
 	= | {readonly type: 'job'; readonly job: JobDefinition}
 		| {readonly type: 'cancel'; readonly jobId: JobId}
 		| {readonly type: 'job-removed'; readonly jobId: JobId}
-		| {readonly type: 'cancel-removed'; readonly jobId: JobId};
+		| {readonly type: 'cancel-removed'; readonly jobId: JobId}
+	/** What one host process, `holder`, has refused lately. */
+		| {readonly type: 'refusals'; readonly holder: string; readonly jobs: readonly RefusedJob[]}
+		| {readonly type: 'refusals-removed'; readonly holder: string};
 
 /** A change that only the leader writes. */
 export type LedgerRecord
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -88,7 +88,7 @@
 	progress: JobProgress | undefined;
 	readonly acceptedAt: SteadyMs;
 	/** When its caller is known to have first sent it, by this host's clock; its latency objective counts from here. Never later than `acceptedAt`. */
-	readonly sentAt: SteadyMs;
+	sentAt: SteadyMs;
 	/** It arrived beyond the rate that is within its account's share: it may only use capacity that nobody else needs. */
 	readonly isExcess: boolean;
 	/** Set only on the leader, and only while the job is active. */
--- a/packages/daemon/src/scheduler/codec.test.ts
+++ b/packages/daemon/src/scheduler/codec.test.ts
@@ -33,6 +33,8 @@
 			{type: 'cancel', jobId},
 			{type: 'job-removed', jobId},
 			{type: 'cancel-removed', jobId},
+			{type: 'refusals', holder: 'h/1', jobs: [{jobId, sentAt: 1_800_000_000_000 as Instant}]},
+			{type: 'refusals-removed', holder: 'h/1'},
 		];
 		for (const record of records) {
 			expect(decodeIntake({offset: 0, ...encodeIntake(record)})).toEqual(record);
--- a/packages/daemon/src/scheduler/codec.ts
+++ b/packages/daemon/src/scheduler/codec.ts
@@ -1,14 +1,14 @@
 /** Encodes and decodes the scheduler's records in the store: the key is `<kind>:<id>`, the value is packed with msgpackr. */
 import {Buffer} from 'node:buffer';
-import type {JobId} from '@rhubarblever/core';
+import type {Instant, JobId} from '@rhubarblever/core';
 import type {
-	FleetConfig, IntakeRecord, JobDefinition, JobProgress, LeaseRecord, LedgerRecord, MachineId, ProgressRow, TaskCrash, WaveProgress,
+	FleetConfig, IntakeRecord, JobDefinition, JobProgress, LeaseRecord, LedgerRecord, MachineId, ProgressRow, RefusedJob, TaskCrash, WaveProgress,
 } from '@rhubarblever/core/scheduler';
 import {Packr} from 'msgpackr';
 import type {z} from 'zod';
 import type {KeyedRecord, NewRecord} from './ports.js';
 import {
-	configSchema, jobSchema, leaseSchema, machineIdsSchema, progressSchema, wavesSchema,
+	configSchema, jobSchema, leaseSchema, machineIdsSchema, progressSchema, refusalsSchema, wavesSchema,
 } from './record-schemas.js';
 
 /** Stream of job submissions and cancellations, written by all entry hosts. */
@@ -43,8 +43,23 @@
 	cancel: ({jobId}) => ({key: `cancel:${jobId}`, value: packr.pack(true)}),
 	'job-removed': ({jobId}) => ({key: `job:${jobId}`, value: undefined}),
 	'cancel-removed': ({jobId}) => ({key: `cancel:${jobId}`, value: undefined}),
+	refusals: ({holder, jobs}) => ({key: `refusals:${holder}`, value: packr.pack(encodeRefusals(jobs))}),
+	'refusals-removed': ({holder}) => ({key: `refusals:${holder}`, value: undefined}),
 };
 
+/** Ids, and how long before the latest instant each job was sent. */
+type PackedRefusals = [latestAt: Instant, ids: JobId[], agesMs: number[]];
+
+function encodeRefusals(jobs: readonly RefusedJob[]): PackedRefusals {
+	const latestAt = Math.max(0, ...jobs.map(({sentAt}) => sentAt)) as Instant;
+	return [latestAt, jobs.map(({jobId}) => jobId), jobs.map(({sentAt}) => Math.round(latestAt - sentAt))];
+}
+
+function decodeRefusals(value: Uint8Array): RefusedJob[] {
+	const [latestAt, ids, agesMs] = readValue<PackedRefusals>(value, refusalsSchema);
+	return ids.map((jobId, index) => ({jobId, sentAt: (latestAt - (agesMs[index] ?? 0)) as Instant}));
+}
+
 /** Encodes an intake record for the store. */
 export function encodeIntake(record: IntakeRecord): NewRecord {
 	return (intakeEncoders[record.type] as (record: IntakeRecord) => NewRecord)(record);
@@ -55,6 +70,7 @@
 const intakeDecoders: Readonly<Record<string, Decoder<IntakeRecord>>> = {
 	job: (id, value) => value ? {type: 'job', job: readValue<JobDefinition>(value, jobSchema)} : {type: 'job-removed', jobId: id as JobId},
 	cancel: (id, value) => value ? {type: 'cancel', jobId: id as JobId} : {type: 'cancel-removed', jobId: id as JobId},
+	refusals: (id, value) => value ? {type: 'refusals', holder: id, jobs: decodeRefusals(value)} : {type: 'refusals-removed', holder: id},
 };
 
 /** Returns undefined for a record kind that this version does not know. */
--- a/packages/daemon/src/scheduler/effect-runner.ts
+++ b/packages/daemon/src/scheduler/effect-runner.ts
@@ -84,6 +84,9 @@
 		'intake/shorten': ({definitions}) => {
 			void this.replaceJobs(definitions);
 		},
+		'intake/remove-refusals': ({holders}) => {
+			void this.removeRefusals(holders);
+		},
 		'views/expire': () => {
 			this.options.expireViews();
 		},
@@ -230,6 +233,12 @@
 		}
 	}
 
+	/** Records that are not removed now are asked for again. */
+	private async removeRefusals(holders: readonly string[]): Promise<void> {
+		const outcome = await this.options.ports.store.append(intakeStream, holders.map(holder => encodeIntake({type: 'refusals-removed', holder})));
+		this.options.log.note('refusals-removed', {records: holders.length, outcome: outcome.type});
+	}
+
 	/** A job that is not shortened now is asked for again. */
 	private async replaceJobs(definitions: readonly JobDefinition[]): Promise<void> {
 		const outcome = await this.options.ports.store.append(intakeStream, definitions.map(job => encodeIntake({type: 'job', job})));
--- a/packages/daemon/src/scheduler/intake-writer.test.ts
+++ b/packages/daemon/src/scheduler/intake-writer.test.ts
@@ -91,9 +91,12 @@
 
 		expect(await writer.write(createCancel(2), deadline)).toEqual('refused');
 		expect(store.sizes.filter(size => size > 0)).toEqual([1]);
+		// The length of the outage, by which callers are told when to return.
+		expect(writer.getOutageMs() > 600).toEqual(true);
 		store.answers[0]!({type: 'appended', offset: 0});
 		expect(await sent).toEqual('stored');
 		expect(writer.isStoreUnresponsive()).toEqual(false);
+		expect(writer.getOutageMs()).toEqual(0);
 	});
 
 	it('causes writes queued behind the maximum number of appends in flight to be refused', async () => {
--- a/packages/daemon/src/scheduler/intake-writer.ts
+++ b/packages/daemon/src/scheduler/intake-writer.ts
@@ -48,12 +48,14 @@
 	private isProbing = false;
 	/** When the store last answered an append. */
 	private answeredAt = Number.NEGATIVE_INFINITY;
+	/** When this host first refused a record because the store had not answered it for a moment; counts until the store's next answer. */
+	private outageSince: SteadyMs | undefined;
 	private readonly check: StoreCheck;
 
-	private constructor(private readonly store: KeyedStore, {getStoreAnsweredAt}: IntakeWriterOptions) {
+	private constructor(private readonly store: KeyedStore, private readonly options: IntakeWriterOptions) {
 		this.check = StoreCheck.create({
 			ask: async () => this.noteOutcome(await this.store.append(intakeStream, [])),
-			getAnsweredAt: () => Math.max(this.answeredAt, getStoreAnsweredAt() ?? Number.NEGATIVE_INFINITY),
+			getAnsweredAt: () => this.getAnsweredAt(),
 		});
 	}
 
@@ -62,9 +64,20 @@
 		return this.unansweredSince !== undefined && readSteadyClock() - this.unansweredSince > unresponsiveMs;
 	}
 
+	/** How long the store has not answered while records were refused for it; 0 if it answers. */
+	getOutageMs(): number {
+		const now = readSteadyClock();
+		if (this.unansweredSince !== undefined && this.isStoreUnresponsive()) {
+			return now - this.unansweredSince;
+		}
+
+		return this.outageSince === undefined || this.getAnsweredAt() > this.outageSince ? 0 : now - this.outageSince;
+	}
+
 	/** Resolves once the record is stored or given up, at the latest at `deadline` (monotonic clock); at once while the store is unresponsive. */
 	async write(record: IntakeRecord, deadline: number): Promise<WriteOutcome> {
 		if (this.isStoreUnresponsive() || !await this.check.isAnswering()) {
+			this.noteOutage();
 			return 'refused';
 		}
 
@@ -76,6 +89,14 @@
 		});
 	}
 
+	private getAnsweredAt(): SteadyMs {
+		return Math.max(this.answeredAt, this.options.getStoreAnsweredAt() ?? Number.NEGATIVE_INFINITY);
+	}
+
+	private noteOutage(): void {
+		this.outageSince = this.getOutageMs() === 0 ? readSteadyClock() : this.outageSince;
+	}
+
 	private sendNext(): void {
 		if (this.queue.length === 0) {
 			return;
--- a/packages/daemon/src/scheduler/job-api.ts
+++ b/packages/daemon/src/scheduler/job-api.ts
@@ -1,12 +1,13 @@
 /** The operations that this host offers to callers: submit, query, cancel and count jobs. */
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {JobId} from '@rhubarblever/core';
+import type {Instant, JobId} from '@rhubarblever/core';
 import {
-	findQueue, getShownPhase, isFinal, type JobDefinition, type JobPhase, type Queue, type QueueName, type SchedulerState,
+	computeOutageRetryS, findFirstSend, findQueue, getShownPhase, isFinal, type JobDefinition, type JobPhase, type Queue, type QueueName, type SchedulerState, type SteadyMs,
 } from '@rhubarblever/core/scheduler';
-import {readSteadyClock} from './clocks.js';
+import {readSteadyClock, readWallClock} from './clocks.js';
 import type {IntakeWriter} from './intake-writer.js';
 import type {DecisionLog} from './decision-log.js';
+import type {RefusalMemory} from './refusal-memory.js';
 import {isCompleteWithin, type ViewStatus} from './stream-view.js';
 
 /** `refused`: definitely not accepted, the caller may retry later; `unknown`: may be accepted. */
@@ -22,6 +23,9 @@
 export type JobApiOptions = {
 	readonly state: SchedulerState;
 	readonly writer: IntakeWriter;
+	readonly refusals: RefusalMemory;
+	/** Draws a random number from 0 to 1. */
+	readonly draw: () => number;
 	readonly log: DecisionLog;
 	/** Describes this host's view of the intake stream, which holds the jobs of all hosts. */
 	readonly describeIntake: () => ViewStatus;
@@ -65,6 +69,11 @@
 		return !this.options.writer.isStoreUnresponsive();
 	}
 
+	/** The Retry-After, in seconds, of a refusal for which the state of the store or of this host is the reason. */
+	drawRetryAfterS(): number {
+		return computeOutageRetryS(this.options.writer.getOutageMs(), this.options.draw());
+	}
+
 	/** Finds the queue of a call; asks the store for a newer configuration before it denies a queue. */
 	async fetchQueue(host: string, path: string): Promise<QueueOutcome> {
 		const {state, refreshConfig} = this.options;
@@ -95,22 +104,31 @@
 
 	/** Accepts a job once it is stored; `waitMs` is how long the caller waits. */
 	async submit(job: JobDefinition, waitMs: number): Promise<SubmitOutcome> {
-		const {state, writer, log, handleAccepted} = this.options;
+		const {
+			state, writer, log, refusals, handleAccepted,
+		} = this.options;
 		if (state.jobs.has(job.jobId)) {
 			log.note('job-repeated', {jobId: job.jobId, queue: job.queue});
 			return 'accepted';
 		}
 
 		const startedAt = readSteadyClock();
-		const outcome = await writer.write({type: 'job', job}, startedAt + getWriteMs(waitMs));
+		const sentAt = this.findSentAt(job.jobId);
+		const stored = sentAt === undefined ? job : {...job, sentAt: convertToWall(sentAt)};
+		const outcome = await writer.write({type: 'job', job: stored}, startedAt + getWriteMs(waitMs));
 		log.note(outcome === 'stored' ? 'job-accepted' : 'job-not-accepted', {
 			jobId: job.jobId, queue: job.queue, outcome, configVersion: state.config?.version, tookMs: Math.round(readSteadyClock() - startedAt),
 		});
 		if (outcome === 'stored') {
-			handleAccepted(job);
+			refusals.drop(job.jobId);
+			handleAccepted(stored);
 			return 'accepted';
 		}
 
+		if (outcome === 'refused') {
+			refusals.note(job.jobId, sentAt ?? startedAt);
+		}
+
 		return outcome;
 	}
 
@@ -179,6 +197,13 @@
 
 		return count;
 	}
+
+	/** When a job that this or another host refused was first sent. */
+	private findSentAt(jobId: JobId): SteadyMs | undefined {
+		const {state, refusals} = this.options;
+		const times = [refusals.findSentAt(jobId), findFirstSend(state.firstSends, jobId, readSteadyClock())].filter(time => time !== undefined);
+		return times.length > 0 ? Math.min(...times) : undefined;
+	}
 }
 
 /** Resolves with `promise`, or after `maxMs`. */
@@ -188,6 +213,10 @@
 	timeout.abort();
 }
 
+function convertToWall(at: SteadyMs): Instant {
+	return Math.round(readWallClock() - (readSteadyClock() - at)) as Instant;
+}
+
 function getWriteMs(waitMs: number): number {
 	return Math.min(maxWriteMs, Math.max(answerSlackMs, waitMs - answerSlackMs));
 }
--- a/packages/daemon/src/scheduler/record-schemas.ts
+++ b/packages/daemon/src/scheduler/record-schemas.ts
@@ -11,9 +11,14 @@
 });
 
 export const jobSchema = z.looseObject({
-	jobId: z.string().min(1), queue: z.string(), pool: z.string(), spec: z.string(), steps: z.array(step), runCount: count, firstRunAt: z.number(), intervalMs: amount,
+	jobId: z.string().min(1), queue: z.string(), pool: z.string(), spec: z.string(), steps: z.array(step), runCount: count, firstRunAt: z.number(), intervalMs: amount, sentAt: z.number().optional(),
 });
 
+/** Bounded, so that no record makes a host remember more than it should. */
+const maxRefusals = 2000;
+
+export const refusalsSchema = z.tuple([z.number(), z.array(z.string().min(1)).max(maxRefusals), z.array(amount).max(maxRefusals)]);
+
 export const leaseSchema = z.looseObject({holder: z.string(), token: count, isReleased: z.boolean()});
 
 export const wavesSchema = z.array(z.looseObject({wave: z.number(), doneMachines: z.array(z.string()), isCompleted: z.boolean()}));
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -1,4 +1,5 @@
 /** The scheduler on one entry host: its event loop, the readers of its streams in the store, and its job API for callers. */
+import {randomInt} from 'node:crypto';
 import {
 	createSchedulerState, getNextLeadershipCheck, reduceScheduler, ReducerLoop, type SchedulerEffect, type SchedulerEvent, type SchedulerSettings, type SchedulerState, type SteadyMs,
 } from '@rhubarblever/core/scheduler';
@@ -12,6 +13,7 @@
 import type {SchedulerMetrics} from './metrics.js';
 import type {SchedulerPorts} from './ports.js';
 import {RecordEvents} from './record-events.js';
+import {RefusalMemory} from './refusal-memory.js';
 import {isCompleteWithin, type ViewStatus} from './stream-view.js';
 import {StreamReader, type StreamReaderHandlers, type StreamReaderOptions} from './stream-reader.js';
 
@@ -33,6 +35,7 @@
 const millisecondsPerSecond = 1000;
 /** Without a response of the store for this long, the host is not ready, so that callers use other hosts. */
 const maxStoreSilenceMs = 2500;
+const drawSteps = 1_000_000;
 const stopPollMs = 20;
 const maxStopMs = 3000;
 
@@ -53,6 +56,7 @@
 	}
 
 	readonly jobApi: JobApi;
+	private readonly refusals: RefusalMemory;
 	private readonly loop: ReducerLoop<SchedulerState, SchedulerEvent, SchedulerEffect>;
 	private readonly readers: {readonly operator: StreamReader; readonly intake: StreamReader; readonly ledger: StreamReader; readonly workers: StreamReader; readonly status: StreamReader};
 	private readonly events: RecordEvents;
@@ -98,9 +102,17 @@
 			},
 		});
 		this.readers = this.createReaders();
+		const writer = IntakeWriter.create(ports.store, {getStoreAnsweredAt: () => this.getStoreAnsweredAt()});
+		this.refusals = RefusalMemory.create({
+			writer, holder: settings.holder, log, handleStored: record => {
+				this.push({type: 'intake/read', records: [record]});
+			},
+		});
 		this.jobApi = JobApi.create({
 			state: this.loop.state,
-			writer: IntakeWriter.create(ports.store, {getStoreAnsweredAt: () => this.getStoreAnsweredAt()}),
+			writer,
+			refusals: this.refusals,
+			draw: () => randomInt(drawSteps) / drawSteps,
 			log,
 			describeIntake: () => this.describeIntake(),
 			maxStalenessMs: this.intakeTimes.maxStalenessMs,
@@ -208,6 +220,7 @@
 		}
 
 		this.push({type: 'clock/ticked'});
+		this.refusals.tick();
 		const {metrics} = this.options;
 		metrics.leadership.set(this.isLeader() ? 1 : 0);
 		metrics.liveJobs.set(this.loop.state.liveJobs.size);
