Quotas: no start brings a client account above its cap

Cause: what one account had running was not known, so an operator's cap could not be kept. Change: the use of each account changes with the assignment of its tasks; starts that may still be carried out and unknown runs count too. Placement and sending of starts check the newest cap; what a quota holds back is no demand for machines and blocks no other step. describeQuotaExcess tells the host which jobs can never run.

--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -9,6 +9,7 @@
  */
 import {computeOfferedShare} from './machine-workers.js';
 import {getPoolOfJob} from './queues.js';
+import {countAdmitted} from './quotas.js';
 import {
 	addResources, computeDominantShare, noResources, computeMultiple,
 } from './resources.js';
@@ -48,12 +49,17 @@
 
 /** Adds the work of an accepted job to the arrivals of its pool. */
 export function addArrivedWork(state: SchedulerState, job: Job): void {
-	const demand = getDemand(state, getPoolOfJob(state, job));
-	const ratio = state.runRatios.get(job.definition.queue) ?? 1;
 	for (const step of job.definition.steps) {
-		if (!step.isLongRunning) {
-			demand.arrivedWork = addResources(demand.arrivedWork, getStepNeed(step), step.count * step.estimateMs * ratio);
-		}
+		addStepWork(state, job, step, step.count);
+	}
+}
+
+/** Adds the work of some tasks of a job to the arrivals of its pool. */
+export function addStepWork(state: SchedulerState, job: Job, step: StepDefinition, tasks: number): void {
+	if (!step.isLongRunning) {
+		const demand = getDemand(state, getPoolOfJob(state, job));
+		const ratio = state.runRatios.get(job.definition.queue) ?? 1;
+		demand.arrivedWork = addResources(demand.arrivedWork, getStepNeed(step), tasks * step.estimateMs * ratio);
 	}
 }
 
@@ -197,12 +203,12 @@
 	return sum;
 }
 
-/** Fewest workers that the open steps need because of their limit of tasks per worker. */
+/** Fewest workers that the open steps need because of their limit of tasks per worker. Those held back by a quota need none. */
 function countWorkersForSpread(state: SchedulerState, pool: PoolName): number {
 	let fewest = 0;
 	for (const step of state.openSteps) {
 		const {count, maxPerWorker} = step.definition;
-		if (maxPerWorker > 0 && getPoolOfJob(state, step.occurrence.job) === pool) {
+		if (maxPerWorker > 0 && getPoolOfJob(state, step.occurrence.job) === pool && countAdmitted(state, step) > 0) {
 			fewest = Math.max(fewest, Math.ceil(count / maxPerWorker));
 		}
 	}
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -7,7 +7,8 @@
 } from './state.js';
 export {reduceScheduler} from './reduce.js';
 export {describeError} from './logging.js';
-export {findQueue} from './queues.js';
+export {findAccount, findQueue} from './queues.js';
+export {describeQuotaExcess} from './quotas.js';
 export {getShownPhase, isFinal} from './phases.js';
 export {getNextLeadershipCheck} from './leadership.js';
 export {ReducerLoop, type Reducer} from '../engine/reducer-loop.js';
--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -4,6 +4,7 @@
 import {addArrivedWork} from './demand.js';
 import {noteDecision} from './logging.js';
 import {isFinal} from './phases.js';
+import {hasQuotaForWork} from './quotas.js';
 import {ensureWorker} from './registry.js';
 import {dropJob, isShortened} from './retention.js';
 import {
@@ -32,7 +33,12 @@
 	};
 	state.jobs.set(definition.jobId, job);
 	if (state.leadership.role === 'leader') {
-		addArrivedWork(state, job);
+		if (hasQuotaForWork(state, job)) {
+			addArrivedWork(state, job);
+		} else {
+			job.isWorkDeferred = true;
+		}
+
 		activateJob(state, job);
 	}
 }
@@ -245,7 +251,7 @@
 		task.startedAt = state.now;
 		// No poll of this leadership term was sent before this instant, so any poll of this term shows whether the run exists.
 		task.conclusiveAfter = state.leadership.leaderSince;
-		attachTask(ensureWorker(state, row.workerId, row.workerBornAt), task);
+		attachTask(state, ensureWorker(state, row.workerId, row.workerBornAt), task);
 	}
 }
 
--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -1,4 +1,5 @@
 /** Leader election: a host becomes the leader by a conditional append to the end of the ledger, and its fencing token excludes all earlier leaders. */
+import {clearAccountUse} from './account-use.js';
 import {activateJob, deactivateJobs} from './jobs.js';
 import {
 	addEffect, describeError, noteDecision, noteWarning,
@@ -212,6 +213,7 @@
 	state.pendingActions = [];
 	state.callWindow = createCallWindow();
 	state.workers.clear();
+	clearAccountUse(state);
 	state.machines.clear();
 	// Orders of the former leader count as own ones, sent now: the next leader must know of them too.
 	state.ownOrders.clear();
@@ -263,6 +265,7 @@
 	state.callWindow = createCallWindow();
 	deactivateJobs(state);
 	state.workers.clear();
+	clearAccountUse(state);
 	state.machines.clear();
 	addEffect(state, {type: 'ledger/reload'});
 }
@@ -291,5 +294,6 @@
 	leadership.role = 'retired';
 	deactivateJobs(state);
 	state.workers.clear();
+	clearAccountUse(state);
 }
 
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -1,10 +1,12 @@
 /** Assigns waiting tasks to workers, the most urgent step first. */
+import {updateUncertainUse} from './account-use.js';
 import {isAwaitingFate} from './crashes.js';
 import {
-	addWaitingWork, clearWaiting, getDemand, noteUsableWorkers,
+	addStepWork, addWaitingWork, clearWaiting, getDemand, noteUsableWorkers,
 } from './demand.js';
 import {isQuarantined, isProbeDue} from './health.js';
 import {getPoolOfJob} from './queues.js';
+import {clearQuotas, countAdmitted, noteHeldBack} from './quotas.js';
 import {placeTask} from './tasks.js';
 import {compareUrgency, computeUrgency, type Urgency} from './urgency.js';
 import {
@@ -29,6 +31,7 @@
 	}
 
 	state.needsPlacement = false;
+	updateUncertainUse(state);
 	for (const demand of state.demand.values()) {
 		clearWaiting(demand);
 	}
@@ -44,6 +47,8 @@
 	for (const [pool, workers] of usable) {
 		noteUsableWorkers(state, getDemand(state, pool), workers);
 	}
+
+	clearQuotas(state);
 }
 
 /** True if a worker may be given new tasks. */
@@ -86,15 +91,24 @@
 type PoolWorkers = {readonly usable: readonly Worker[]; readonly setAside: readonly Worker[]};
 
 function placeStep(state: SchedulerState, step: StepRun, pool: PoolName, {usable, setAside}: PoolWorkers): void {
-	const candidates = usable.filter(worker => hasLabel(step, worker));
 	const waiting = step.tasks.filter(task => task.status === 'waiting' && !isAwaitingFate(state, task));
 	if (waiting.length === 0) {
 		return;
 	}
 
+	const most = countAdmitted(state, step);
+	if (most < waiting.length) {
+		noteHeldBack(state, step);
+	}
+
+	if (most === 0 || (step.definition.isGang && most < waiting.length)) {
+		return;
+	}
+
+	const candidates = usable.filter(worker => hasLabel(step, worker));
 	const place = step.definition.isGang ? placeGang : placeEach;
-	const {placed, refused} = place(state, waiting, listFreeCapacities(state, step, candidates));
-	const left = waiting.length - placed;
+	const {placed, refused} = place(state, waiting, listFreeCapacities(state, step, candidates), most);
+	const left = Math.min(waiting.length, most) - placed;
 	if (left > 0) {
 		addWaitingWork(getDemand(state, pool), step, {tasks: left, workers: candidates.length, refused});
 		placeAsProbe(state, step, setAside);
@@ -110,19 +124,34 @@
 	for (const worker of setAside) {
 		const task = step.tasks.find(({status}) => status === 'waiting');
 		if (task && hasLabel(step, worker) && isProbeDue(state, worker)) {
-			placeEach(state, [task], listFreeCapacities(state, step, [worker]));
+			placeEach(state, [task], listFreeCapacities(state, step, [worker]), countAdmitted(state, step));
 		}
 	}
 }
 
+/** Places a task on a worker. The work of a job that a quota held back counts as arrived now. */
+function startTask(state: SchedulerState, task: Task, worker: Worker, run: number): void {
+	const {definition, occurrence: {job}} = task.step;
+	if (job.isWorkDeferred && task.run === 0) {
+		addStepWork(state, job, definition, 1);
+	}
+
+	placeTask(state, task, worker, run);
+}
+
 /** How many tasks were placed, and what kept the workers from taking the last of the others. */
 type Placement = {readonly placed: number; readonly refused: RefusedWorkers};
 
-function placeEach(state: SchedulerState, waiting: readonly Task[], capacities: ReadonlyMap<Worker, FreeCapacity>): Placement {
+/** Places up to `most` of the waiting tasks. */
+function placeEach(state: SchedulerState, waiting: readonly Task[], capacities: ReadonlyMap<Worker, FreeCapacity>, most: number): Placement {
 	let placed = 0;
 	let refused: RefusedWorkers = {};
 	let isFull = false;
 	for (const task of waiting) {
+		if (placed >= most) {
+			break;
+		}
+
 		const isTrial = isTrialNeeded(state, task);
 		if (isFull && !isTrial) {
 			continue;
@@ -132,7 +161,7 @@
 		if (choice.worker) {
 			takeCapacity(capacities, choice.worker, task);
 			noteTrial(state, task, choice.worker);
-			placeTask(state, task, choice.worker, task.run + 1);
+			startTask(state, task, choice.worker, task.run + 1);
 			placed++;
 			continue;
 		}
@@ -173,7 +202,7 @@
 	for (const {task, worker} of chosen) {
 		task.checkpoint = checkpoint;
 		noteTrial(state, task, worker);
-		placeTask(state, task, worker, run);
+		startTask(state, task, worker, run);
 	}
 
 	return {placed: chosen.length, refused: {}};
--- a/packages/core/src/scheduler/queues.ts
+++ b/packages/core/src/scheduler/queues.ts
@@ -1,6 +1,6 @@
 /** Lookups in the configuration in force. */
 import type {
-	FleetConfig, PoolConfig, PoolName, Queue, QueueName,
+	AccountName, ClientAccount, FleetConfig, PoolConfig, PoolName, Queue, QueueName,
 } from './types.js';
 import type {Job, SchedulerState} from './state.js';
 
@@ -33,6 +33,23 @@
 	return index;
 }
 
+const accountIndexes = new WeakMap<FleetConfig, ReadonlyMap<AccountName, ClientAccount>>();
+
+/** The client account of that name in a configuration. */
+export function findAccount(config: FleetConfig | undefined, name: AccountName): ClientAccount | undefined {
+	if (!config?.accounts) {
+		return undefined;
+	}
+
+	let index = accountIndexes.get(config);
+	if (!index) {
+		index = new Map(config.accounts.map(account => [account.name, account]));
+		accountIndexes.set(config, index);
+	}
+
+	return index.get(name);
+}
+
 export function getQueue(state: SchedulerState, name: QueueName): Queue | undefined {
 	return state.config && indexByName(state.config).get(name);
 }
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -14,6 +14,7 @@
 import {tickMoves} from './moves.js';
 import {updateFillerPace} from './pacing.js';
 import {placeTasks} from './placement.js';
+import {tickQuotas} from './quotas.js';
 import {removeGoneWorkers, tickRegistry, updateWorkers} from './registry.js';
 import {removeOldJobs, replaceEndedJobs} from './retention.js';
 import {
@@ -48,6 +49,7 @@
 		}
 
 		tickJobs(state);
+		tickQuotas(state);
 		tickStops(state);
 		tickTrialPolls(state);
 		tickRegistry(state);
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -1,4 +1,5 @@
 /** The workers that a leader knows, from the registry and from stored progress. */
+import {findCharge, noteUncertainWorker} from './account-use.js';
 import {noteWorkerLost} from './crashes.js';
 import {addEffect, noteDecision} from './logging.js';
 import {noResources} from './resources.js';
@@ -148,6 +149,7 @@
 	worker.failures.length = 0;
 	for (const late of worker.lateStarts) {
 		late.stopDueAt = state.now;
+		late.isRuledOut = false;
 	}
 
 	for (const task of unreported) {
@@ -176,6 +178,10 @@
 		noteLateStart(state, worker, task);
 	}
 
+	for (const late of worker.lateStarts) {
+		late.isRuledOut = false;
+	}
+
 	clearWorker(state, worker);
 	worker.isListed = false;
 	worker.leaseExpiresAt = 0;
@@ -191,8 +197,9 @@
 	}
 
 	worker.lateStarts.push({
-		task: task.name, run: task.run, need: getNeed(task), forgetAt: state.now + lateStartMs, stopDueAt: never,
+		task: task.name, run: task.run, need: getNeed(task), forgetAt: state.now + lateStartMs, stopDueAt: never, charge: findCharge(task),
 	});
+	noteUncertainWorker(state, worker);
 }
 
 /** Sends stops for late starts to the worker's new incarnation until it has confirmed them. */
--- a/packages/core/src/scheduler/reports.ts
+++ b/packages/core/src/scheduler/reports.ts
@@ -1,4 +1,5 @@
 /** Reads what workers report of their runs: which ended and how, which go on, and which are gone. */
+import {noteUncertainWorker} from './account-use.js';
 import {noteAtWork, noteFailure, noteSuccess} from './health.js';
 import {advanceOccurrence, finishJob} from './jobs.js';
 import {addEffect, noteDecision} from './logging.js';
@@ -92,6 +93,7 @@
 		return;
 	}
 
+	task.isReported = true;
 	confirmTask(state, task);
 	if (row.checkpoint !== '') {
 		task.checkpoint = row.checkpoint;
@@ -171,6 +173,7 @@
 
 function stopUnknownRun(state: SchedulerState, worker: Worker, row: RunningRow): void {
 	worker.unknownRuns.set(row.task, {run: row.run, reportedAt: state.now});
+	noteUncertainWorker(state, worker);
 	worker.pollDueAt = state.now + pollRetryMs;
 	addEffect(state, {
 		type: 'worker/stop', worker: getTarget(worker), task: row.task, run: row.run, token: state.leadership.token,
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -1,10 +1,12 @@
 /** Sends starts and stops of runs, and handles their outcomes. */
+import {updateUncertainUse} from './account-use.js';
 import {dropTicket, findTicket, getTicketState} from './advice.js';
 import {isConfirmedWithin} from './confirmation.js';
 import {extendLease, sendExtraPoll} from './polls.js';
 import {addEffect, noteDecision} from './logging.js';
 import {isJobOpen} from './phases.js';
 import {isUsable, isUsableOrSetAside} from './placement.js';
+import {isWithinQuota} from './quotas.js';
 import {dropIncarnation, noteLateStart, tickLateStarts} from './registry.js';
 import {
 	closeStart, hasCallWindow, openStart, type CallWindow,
@@ -35,6 +37,7 @@
 		return;
 	}
 
+	updateUncertainUse(state);
 	const room = callWindow.limit - callWindow.unansweredStarts.size;
 	if (callWindow.waitingStarts.length > room) {
 		callWindow.hasHeldBack = true;
@@ -105,10 +108,10 @@
 	return true;
 }
 
-/** True if what the placement was decided by still holds: the job, the worker, its capacity or the ticket may have changed while the placement was being stored. */
+/** True if what the placement was decided by still holds: the job, the worker, its capacity, the account's cap or the ticket may have changed while the placement was being stored. */
 function canStillStart(state: SchedulerState, {step}: Task, worker: Worker): boolean {
 	const isAllowed = isUsable(state, worker) || (step.definition.isLongRunning && isUsableOrSetAside(state, worker));
-	return isJobOpen(step.occurrence.job) && isAllowed && !isOverloaded(worker) && getTicketState(state, step, worker) === 'good';
+	return isJobOpen(step.occurrence.job) && isAllowed && !isOverloaded(worker) && isWithinQuota(state, step) && getTicketState(state, step, worker) === 'good';
 }
 
 type StartHandler = (state: SchedulerState, worker: Worker, task: Task) => void;
@@ -220,6 +223,7 @@
 	for (const late of worker.lateStarts) {
 		if (late.task === event.task && late.run === event.run) {
 			late.stopDueAt = never;
+			late.isRuledOut = true;
 			state.needsPlacement = true;
 		}
 	}
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -1,6 +1,7 @@
 /** The scheduler's state on one entry host. */
 import type {JobId} from '../types/ids.js';
 import type {Instant} from '../types/time.js';
+import {createAccountUse, type AccountUse} from './account-use.js';
 import {createCallWindow, type CallWindow} from './call-window.js';
 import type {OrderNumber, SchedulerEffect} from './effects.js';
 import type {Machine, Wave, PoolDemand} from './machine-state.js';
@@ -111,6 +112,8 @@
 	/** Steps with tasks that may start. */
 	readonly openSteps: Set<StepRun>;
 	readonly workers: Map<WorkerId, Worker>;
+	/** What client accounts have running. */
+	readonly accountUse: AccountUse;
 	readonly leadership: Leadership;
 	readonly dirtyJobs: Set<Job>;
 	/** Jobs that were removed from the intake while the ledger may still hold their progress. */
@@ -175,6 +178,7 @@
 		liveJobs: new Set(),
 		openSteps: new Set(),
 		workers: new Map(),
+		accountUse: createAccountUse(),
 		leadership: {
 			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, isSilenceUnknown: false, claimNotBefore: 0, configuredAt: 0, isReleased: false, hasLoadedLedger: false, hasReadUpdates: false, leaderSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, meanCommitMs: 0, commitNotBefore: 0, heartbeatDueAt: 0, retryClaimAt: undefined,
 		},
--- a/packages/core/src/scheduler/tasks.ts
+++ b/packages/core/src/scheduler/tasks.ts
@@ -1,4 +1,5 @@
 /** Changes of a task's status. They also keep the open steps, the workers' used capacity and the jobs to be stored up to date. */
+import {updateAssignedUse} from './account-use.js';
 import {addEffect} from './logging.js';
 import {isJobOpen} from './phases.js';
 import {addResources, doesFit, noResources} from './resources.js';
@@ -69,10 +70,19 @@
 }
 
 /** Assigns a task to a worker and reserves its capacity there. */
-export function attachTask(worker: Worker, task: Task): void {
+export function attachTask(state: SchedulerState, worker: Worker, task: Task): void {
 	task.worker = worker;
 	worker.tasks.set(task.name, task);
 	addUse(worker, task, 1);
+	updateAssignedUse(state, task, 1);
+}
+
+/** A start whose run the worker has reported has been carried out. */
+function markReportedStart({lateStarts}: Worker, task: Task): void {
+	const late = task.isReported ? lateStarts.find(start => start.task === task.name && start.run === task.run) : undefined;
+	if (late) {
+		late.isRuledOut = true;
+	}
 }
 
 /** Removes a task from its worker and releases its capacity. */
@@ -84,6 +94,8 @@
 
 	worker.tasks.delete(task.name);
 	addUse(worker, task, -1);
+	updateAssignedUse(state, task, -1);
+	markReportedStart(worker, task);
 	task.worker = undefined;
 	if (worker.tasks.size === 0) {
 		worker.idleSince = state.now;
@@ -103,7 +115,7 @@
 	task.percent = 0;
 	task.percentChangedAt = state.now;
 	task.pacePercent = 100;
-	attachTask(worker, task);
+	attachTask(state, worker, task);
 	updateOpenStep(state, task.step);
 	state.dirtyJobs.add(task.step.occurrence.job);
 	state.pendingActions.push({type: 'start', task, run});
--- a/packages/core/src/scheduler/trials.ts
+++ b/packages/core/src/scheduler/trials.ts
@@ -1,6 +1,7 @@
 /** Where suspect tasks start: each alone among the runs begun lately on its worker, on a bounded share of each pool's workers. */
 import {noteDecision} from './logging.js';
 import {getPoolOfJob} from './queues.js';
+import {countAdmitted} from './quotas.js';
 import {addResources, doesFit} from './resources.js';
 import {getFree, getNeed} from './tasks.js';
 import {trialMs} from './timing.js';
@@ -69,7 +70,7 @@
 export function countTrialMachines(state: SchedulerState, pool: PoolName): number {
 	let tasks = 0;
 	for (const task of state.suspects) {
-		const isWaiting = task.status === 'waiting' && state.openSteps.has(task.step) && isTrialNeeded(state, task);
+		const isWaiting = task.status === 'waiting' && state.openSteps.has(task.step) && isTrialNeeded(state, task) && countAdmitted(state, task.step) > 0;
 		tasks += (isWaiting || isOnTrial(task)) && getPoolOfJob(state, task.step.occurrence.job) === pool ? 1 : 0;
 	}
 
@@ -86,7 +87,7 @@
 	for (const task of suspects) {
 		if (task.worker && isOnTrial(task)) {
 			onTrial.add(task.worker);
-		} else if (task.status === 'waiting' && state.openSteps.has(task.step) && isTrialNeeded(state, task)) {
+		} else if (task.status === 'waiting' && state.openSteps.has(task.step) && isTrialNeeded(state, task) && countAdmitted(state, task.step) > 0) {
 			const pool = getPoolOfJob(state, task.step.occurrence.job);
 			waiting.set(pool, [...waiting.get(pool) ?? [], task]);
 		}
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -1,6 +1,7 @@
 /** State of jobs and their tasks, and of the workers that run them. */
 import type {JobId} from '../types/ids.js';
 import type {Instant} from '../types/time.js';
+import type {AccountCharge} from './account-use.js';
 import type {
 	JobDefinition, JobPhase, JobProgress, MachineId, PoolName, Resources, StepDefinition, SteadyMs, TaskCrash, TaskName, WorkerId,
 } from './types.js';
@@ -91,6 +92,8 @@
 	readonly sentAt: SteadyMs;
 	/** It arrived beyond the rate that is within its account's share: it may only use capacity that nobody else needs. */
 	readonly isExcess: boolean;
+	/** Its account's quota did not admit it when it arrived: its tasks count as arrived work when they are first placed. */
+	isWorkDeferred?: boolean | undefined;
 	/** Set only on the leader, and only while the job is active. */
 	live: LiveJob | undefined;
 	/** When this host learned that the job has ended. */
@@ -117,6 +120,10 @@
 	readonly forgetAt: SteadyMs;
 	/** When a stop is sent to the worker's new incarnation; `never` as long as there is none, and once it has confirmed the stop. */
 	stopDueAt: SteadyMs;
+	/** What the run would count against the account of its job, if it has one. */
+	readonly charge?: AccountCharge | undefined;
+	/** The worker's current incarnation has reported the run or confirmed a stop, so it will not carry out the start. */
+	isRuledOut?: boolean | undefined;
 };
 
 export type Worker = {
