Run times are learned from the runs that ended, in place of a mean ratio per queue

Cause: about 3% of tasks run seven times as long and declared estimates may be wrong by any factor; one moving average per queue of the ratio, clamped to 0.2 to 5, knows neither. Change: per step shape, queue and fleet, two generations of histogram buckets for durations and for ratios to the estimate; the predictor with the smaller error so far is used by the order of steps and by the demand for machines.

--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -12,6 +12,7 @@
 import {
 	addResources, computeDominantShare, noResources, computeMultiple,
 } from './resources.js';
+import {estimateMeanMs} from './run-times.js';
 import {getStepNeed} from './tasks.js';
 import {countTrialMachines} from './trials.js';
 import type {PoolName, Resources, StepDefinition} from './types.js';
@@ -49,10 +50,9 @@
 /** Adds the work of an accepted job to the arrivals of its pool. */
 export function addArrivedWork(state: SchedulerState, job: Job): void {
 	const demand = getDemand(state, getPoolOfJob(state, job));
-	const ratio = state.runRatios.get(job.definition.queue) ?? 1;
-	for (const step of job.definition.steps) {
+	for (const [number, step] of job.definition.steps.entries()) {
 		if (!step.isLongRunning) {
-			demand.arrivedWork = addResources(demand.arrivedWork, getStepNeed(step), step.count * step.estimateMs * ratio);
+			demand.arrivedWork = addResources(demand.arrivedWork, getStepNeed(step), step.count * estimateMeanMs(state, job, number));
 		}
 	}
 }
@@ -73,7 +73,8 @@
 export type UnplacedTasks = {readonly tasks: number; readonly workers: number; readonly refused: RefusedWorkers};
 
 /** Adds tasks of a step that no worker of the pool may take now. */
-export function addWaitingWork(demand: PoolDemand, {definition}: StepRun, {tasks, workers, refused}: UnplacedTasks): void {
+export function addWaitingWork(state: SchedulerState, pool: PoolName, {definition, occurrence, number}: StepRun, {tasks, workers, refused}: UnplacedTasks): void {
+	const demand = getDemand(state, pool);
 	const need = getStepNeed(definition);
 	demand.waitingTasks += tasks;
 	addRefusals(demand, workers, refused);
@@ -81,7 +82,7 @@
 		demand.waitingLongRunning = addResources(demand.waitingLongRunning, need, tasks);
 		addUnplaceable(demand, definition, tasks, refused);
 	} else {
-		demand.waitingWork = addResources(demand.waitingWork, need, tasks * definition.estimateMs);
+		demand.waitingWork = addResources(demand.waitingWork, need, tasks * estimateMeanMs(state, occurrence.job, number));
 	}
 }
 
--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -199,6 +199,8 @@
 		percent: 0,
 		percentChangedAt: 0,
 		startedAt: 0,
+		isStartKnown: false,
+		isResumed: false,
 		reading: 0,
 		pacePercent: 100,
 		readyAt: state.now,
@@ -243,6 +245,8 @@
 		task.isSent = true;
 		// When the run began is not known: it may have been just now.
 		task.startedAt = state.now;
+		task.isStartKnown = false;
+		task.isResumed = row.checkpoint !== '';
 		// No poll of this leadership term was sent before this instant, so any poll of this term shows whether the run exists.
 		task.conclusiveAfter = state.leadership.leaderSince;
 		attachTask(ensureWorker(state, row.workerId, row.workerBornAt), task);
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -96,7 +96,7 @@
 	const {placed, refused} = place(state, waiting, listFreeCapacities(state, step, candidates));
 	const left = waiting.length - placed;
 	if (left > 0) {
-		addWaitingWork(getDemand(state, pool), step, {tasks: left, workers: candidates.length, refused});
+		addWaitingWork(state, pool, step, {tasks: left, workers: candidates.length, refused});
 		placeAsProbe(state, step, setAside);
 	}
 }
--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -185,8 +185,8 @@
 		noteDecision(state, 'worker-regained', {workerId: worker.id, misses: worker.failedPolls});
 	}
 
-	worker.failedPolls = 0;
 	skipSilence(state, worker);
+	worker.failedPolls = 0;
 	worker.lastAnswerAt = state.now;
 	worker.isPolledByLeader = true;
 	worker.lastAckedEnd = Math.max(worker.lastAckedEnd, worker.lastStoredEnd);
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -47,6 +47,7 @@
 		pollSentAt: 0,
 		pollDueAt: 0,
 		lastAnswerAt: state.now,
+		silentMs: 0,
 		failedPolls: 0,
 		silentSince: 0,
 		tasks: new Map(),
--- a/packages/core/src/scheduler/reports.ts
+++ b/packages/core/src/scheduler/reports.ts
@@ -6,8 +6,10 @@
 import {
 	confirmTask, finishTask, getTarget, requestStop, returnTask, stopGang,
 } from './tasks.js';
-import {pollRetryMs, pollWaitMs, stuckMs} from './timing.js';
-import {updateRunRatio} from './urgency.js';
+import {
+	never, pollRetryMs, pollWaitMs, stuckMs,
+} from './timing.js';
+import {noteRunEnd} from './run-times.js';
 import type {SchedulerEvent} from './events.js';
 import type {
 	EndedRow, RunEnd, RunningRow, SteadyMs,
@@ -22,11 +24,15 @@
 /** Reported by a long-running task that has started up and is fully at work. */
 const percentAtWork = 100;
 
+/** A run that may have ended earlier by more than this share of its run time gives no duration. */
+const maxEndErrorShare = 0.1;
+
 type PollEnded = Extract<SchedulerEvent, {type: 'poll/ended'}>;
 
 /** Whether runs made progress while their worker did not report is not known: that time does not count towards a stuck run. */
 export function skipSilence(state: SchedulerState, worker: Worker): void {
 	const silentMs = state.now - worker.lastAnswerAt - pollWaitMs;
+	worker.silentMs = worker.failedPolls > 0 ? state.now - worker.lastAnswerAt : Math.max(0, silentMs);
 	if (silentMs <= 0) {
 		return;
 	}
@@ -57,7 +63,6 @@
 const endHandlers: Readonly<Record<RunEnd, EndHandler>> = {
 	done(state, worker, task) {
 		noteSuccess(state, worker);
-		updateRunRatio(state, task.step.occurrence.job.definition.queue, state.now - task.startedAt, task.step.definition.estimateMs);
 		finishTask(state, task);
 		advanceOccurrence(state, task.step.occurrence);
 	},
@@ -92,6 +97,7 @@
 		return;
 	}
 
+	const ranMs = measureRun(state, worker, task);
 	confirmTask(state, task);
 	if (row.checkpoint !== '') {
 		task.checkpoint = row.checkpoint;
@@ -104,12 +110,22 @@
 		});
 	}
 
+	if (hasResult && ranMs !== undefined) {
+		noteRunEnd(state, task, ranMs);
+	}
+
 	endHandlers[row.how](state, worker, task);
 	if (!hasResult) {
 		stopGang(state, task.step);
 	}
 }
 
+/** How long a run that has just ended was at work; undefined if its start or its end is not known well enough. */
+function measureRun({now}: SchedulerState, {silentMs}: Worker, {startedAt, isStartKnown, unansweredAt}: Task): number | undefined {
+	const ranMs = now - startedAt;
+	return isStartKnown && unansweredAt === never && silentMs <= ranMs * maxEndErrorShare ? ranMs : undefined;
+}
+
 /** Reads which runs go on, stops those that this leader does not know, and returns tasks whose runs are gone. */
 export function readRunning(state: SchedulerState, worker: Worker, event: PollEnded): void {
 	dropUnknownRuns(worker, event.sentAt);
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -91,6 +91,8 @@
 
 	task.isSent = true;
 	task.startedAt = state.now;
+	task.isStartKnown = true;
+	task.isResumed = task.checkpoint !== '';
 	addEffect(state, {
 		type: 'worker/start',
 		worker: getTarget(worker),
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -2,10 +2,11 @@
 import type {JobId} from '../types/ids.js';
 import type {Instant} from '../types/time.js';
 import {createCallWindow, type CallWindow} from './call-window.js';
+import {createRunTimes, type RunTimes} from './run-times.js';
 import type {OrderNumber, SchedulerEffect} from './effects.js';
 import type {Machine, Wave, PoolDemand} from './machine-state.js';
 import type {
-	FencingToken, FleetConfig, JobProgress, LedgerRecord, MachineId, PoolName, QueueName, SteadyMs, WaveNumber, WaveProgress, WorkerId,
+	FencingToken, FleetConfig, JobProgress, LedgerRecord, MachineId, PoolName, SteadyMs, WaveNumber, WaveProgress, WorkerId,
 } from './types.js';
 import type {
 	Task, StepRun, AdviceRequest, Job, Worker, WorkerLoss,
@@ -35,8 +36,13 @@
 	readonly statusRetentionMs: number;
 	/** Factor by which a step takes longer outside the rack of its data. */
 	readonly remoteRackFactor: number;
+	/** Uses of learned run times that are switched off or on; those left out are on. */
+	readonly learning?: Partial<Record<LearningUse, boolean>>;
 };
 
+/** What learned run times are used for: the order of steps, the demand for machines, the expected wait, and the watch over runs that take too long. */
+export type LearningUse = 'order' | 'demand' | 'admission' | 'stragglers';
+
 /** Actions that are deferred until the changes they depend on are stored. */
 export type PendingAction
 	= | {readonly type: 'start'; readonly task: Task; readonly run: number}
@@ -135,8 +141,7 @@
 	areWavesDirty: boolean;
 	isConfigDirty: boolean;
 	readonly demand: Map<PoolName, PoolDemand>;
-	/** Moving average of actual to estimated run time, by queue. */
-	readonly runRatios: Map<QueueName, number>;
+	runTimes: RunTimes;
 	needsPlacement: boolean;
 	/** Tasks of open jobs that losses of workers may be blamed on. */
 	readonly suspects: Set<Task>;
@@ -196,7 +201,7 @@
 		areWavesDirty: false,
 		isConfigDirty: false,
 		demand: new Map(),
-		runRatios: new Map(),
+		runTimes: createRunTimes(),
 		needsPlacement: false,
 		suspects: new Set(),
 		suspectsDueAt: 0,
--- a/packages/core/src/scheduler/urgency.ts
+++ b/packages/core/src/scheduler/urgency.ts
@@ -6,17 +6,18 @@
  * already missed it loses little by waiting longer.
  */
 import {getQueue} from './queues.js';
-import type {QueueName} from './types.js';
+import {
+	findLearnedEstimate, isLearningUsed, isResuming, type RunEstimate,
+} from './run-times.js';
+import type {StepDefinition} from './types.js';
 import type {SchedulerState, StepRun} from './state.js';
 
-/** Weight of the latest run in the moving average of the ratio of run time to estimate. */
-const smoothingWeight = 0.05;
 const lowestPriority = 9;
-/** Each ratio is clamped to these bounds before it enters the average. */
-const minRatio = 0.2;
-const maxRatio = 5;
-/** The slowest of several tasks of a step takes this many times their mean run time. */
+/** The slowest of several tasks of a step takes this many times their estimated run time, as long as none was learned. */
 const stragglerFactor = 1.15;
+/** The median of the longest of this many runs is about the 90th percentile of one run, and of more runs the 95th. */
+const tasksOfP90 = 4;
+const tasksOfP95 = 10;
 /** Approximate time that storing, starting, detecting the end and publishing the result add to a job's own work. */
 const overheadMs = 300;
 /** Share of the remaining work kept as slack in case it takes longer than expected. */
@@ -32,22 +33,16 @@
 	readonly acceptedAt: number;
 };
 
-/** Updates the ratio of run time to estimate of a queue with a finished run. */
-export function updateRunRatio(state: SchedulerState, queue: QueueName, ranMs: number, estimateMs: number): void {
-	const bounded = Math.min(maxRatio, Math.max(minRatio, ranMs / Math.max(1, estimateMs)));
-	const average = state.runRatios.get(queue) ?? bounded;
-	state.runRatios.set(queue, average + ((bounded - average) * smoothingWeight));
-}
-
 /** Computes what the order of a step depends on. */
 export function computeUrgency(state: SchedulerState, step: StepRun): Urgency {
 	const {job} = step.occurrence;
 	const queue = getQueue(state, job.definition.queue);
-	const ratio = state.runRatios.get(job.definition.queue) ?? 1;
+	const isLearned = isLearningUsed(state, 'order');
 	let totalMs = 0;
 	let remainingMs = 0;
-	for (const [number, {count, estimateMs}] of job.definition.steps.entries()) {
-		const stepMs = estimateMs * ratio * (count > 1 ? stragglerFactor : 1);
+	for (const [number, definition] of job.definition.steps.entries()) {
+		const learned = isLearned ? findLearnedEstimate(state, job, number, number === step.number && isResuming(step)) : undefined;
+		const stepMs = learned ? computeLongest(learned, definition) : definition.estimateMs * (definition.count > 1 ? stragglerFactor : 1);
 		totalMs += stepMs;
 		remainingMs += number >= step.number ? stepMs : 0;
 	}
@@ -64,6 +59,19 @@
 	};
 }
 
+/** Expected run time of the longest of a step's tasks. */
+function computeLongest({p50Ms, p90Ms, p95Ms}: RunEstimate, {count}: StepDefinition): number {
+	if (count >= tasksOfP95) {
+		return p95Ms;
+	}
+
+	if (count >= tasksOfP90) {
+		return p90Ms;
+	}
+
+	return count > 1 ? (p50Ms + p90Ms) / 2 : p50Ms;
+}
+
 /** The slack that a job needs to be started ahead of others: a job that is started and then late has used their capacity for nothing. */
 function computeRequiredSlack(remainingMs: number, hasStarted: boolean): number {
 	return overheadMs + (hasStarted ? 0 : remainingMs * slackShare);
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -31,6 +31,10 @@
 	percent: number;
 	percentChangedAt: SteadyMs;
 	startedAt: SteadyMs;
+	/** `startedAt` tells when the run began: this leader sent the start. */
+	isStartKnown: boolean;
+	/** The run began from a checkpoint. */
+	isResumed: boolean;
 	/** The latest measurement of the run: tail latency in ms of a serving task, processor use of any other task; 0 if there is none. */
 	reading: number;
 	/** Share of the processor that a filler may use, 0 to 100. */
@@ -156,6 +160,8 @@
 	pollSentAt: SteadyMs;
 	pollDueAt: SteadyMs;
 	lastAnswerAt: SteadyMs;
+	/** How long before its latest answer it had not reported: the ends in that answer may be as old. */
+	silentMs: number;
 	/** Consecutive polls with another outcome than `held`: unanswered ones and those that were answered with an error. */
 	failedPolls: number;
 	/** When the first of these polls failed. */
