--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -13,6 +13,7 @@
 import {
 	addResources, computeDominantShare, noResources, computeMultiple,
 } from './resources.js';
+import {estimateMeanMs} from './run-times.js';
 import {getStepNeed} from './tasks.js';
 import {countTrialMachines} from './trials.js';
 import type {PoolName, Resources, StepDefinition} from './types.js';
@@ -49,17 +50,17 @@
 
 /** Adds the work of an accepted job to the arrivals of its pool. */
 export function addArrivedWork(state: SchedulerState, job: Job): void {
-	for (const step of job.definition.steps) {
-		addStepWork(state, job, step, step.count);
+	for (const [number, step] of job.definition.steps.entries()) {
+		addStepWork(state, job, number, step.count);
 	}
 }
 
-/** Adds the work of some tasks of a job to the arrivals of its pool. */
-export function addStepWork(state: SchedulerState, job: Job, step: StepDefinition, tasks: number): void {
-	if (!step.isLongRunning) {
+/** Adds the work of some tasks of a job's step, given by its position, to the arrivals of its pool. */
+export function addStepWork(state: SchedulerState, job: Job, number: number, tasks: number): void {
+	const step = job.definition.steps[number];
+	if (step && !step.isLongRunning) {
 		const demand = getDemand(state, getPoolOfJob(state, job));
-		const ratio = state.runRatios.get(job.definition.queue) ?? 1;
-		demand.arrivedWork = addResources(demand.arrivedWork, getStepNeed(step), tasks * step.estimateMs * ratio);
+		demand.arrivedWork = addResources(demand.arrivedWork, getStepNeed(step), tasks * estimateMeanMs(state, job, number));
 	}
 }
 
@@ -79,7 +80,8 @@
 export type UnplacedTasks = {readonly tasks: number; readonly workers: number; readonly refused: RefusedWorkers};
 
 /** Adds tasks of a step that no worker of the pool may take now. */
-export function addWaitingWork(demand: PoolDemand, {definition}: StepRun, {tasks, workers, refused}: UnplacedTasks): void {
+export function addWaitingWork(state: SchedulerState, pool: PoolName, {definition, occurrence, number}: StepRun, {tasks, workers, refused}: UnplacedTasks): void {
+	const demand = getDemand(state, pool);
 	const need = getStepNeed(definition);
 	demand.waitingTasks += tasks;
 	addRefusals(demand, workers, refused);
@@ -87,7 +89,7 @@
 		demand.waitingLongRunning = addResources(demand.waitingLongRunning, need, tasks);
 		addUnplaceable(demand, definition, tasks, refused);
 	} else {
-		demand.waitingWork = addResources(demand.waitingWork, need, tasks * definition.estimateMs);
+		demand.waitingWork = addResources(demand.waitingWork, need, tasks * estimateMeanMs(state, occurrence.job, number));
 	}
 }
 
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -110,7 +110,7 @@
 	const {placed, refused} = place(state, waiting, listFreeCapacities(state, step, candidates), most);
 	const left = Math.min(waiting.length, most) - placed;
 	if (left > 0) {
-		addWaitingWork(getDemand(state, pool), step, {tasks: left, workers: candidates.length, refused});
+		addWaitingWork(state, pool, step, {tasks: left, workers: candidates.length, refused});
 		placeAsProbe(state, step, setAside);
 	}
 }
@@ -131,9 +131,9 @@
 
 /** Places a task on a worker. The work of a job that a quota held back counts as arrived now. */
 function startTask(state: SchedulerState, task: Task, worker: Worker, run: number): void {
-	const {definition, occurrence: {job}} = task.step;
+	const {number, occurrence: {job}} = task.step;
 	if (job.isWorkDeferred && task.run === 0) {
-		addStepWork(state, job, definition, 1);
+		addStepWork(state, job, number, 1);
 	}
 
 	placeTask(state, task, worker, run);
