API keys: check of every call, accounts of the configuration, account of a job

Cause: any caller could submit, query and cancel jobs of any queue. Change: tenants and public are decoded into accounts (digests only) and isPublic; malformed accounts make the record unusable, which is logged and counted. Every operation passes key-check.ts: 401 for a key that is not known, 503 while the view is too stale to tell, one shared refresh before either. The age of a view counts suspensions, also before the event loop has noticed them and for reads that were under way. An answer of the store that ends before the position of its reader means that its history was lost: the stream is loaded again, and with strict-revoke no key is accepted until the stream holds the version in force or a later one.

--- a/packages/daemon/src/scheduler/codec.test.ts
+++ b/packages/daemon/src/scheduler/codec.test.ts
@@ -25,7 +25,7 @@
 			{
 				type: 'job',
 				job: {
-					jobId, queue: 'q', pool: 'p', maxAttempts: 4, spec: 's', runCount: 2, firstRunAt: 5 as Instant, intervalMs: 7, steps: [{
+					jobId, queue: 'q', account: 'lab', pool: 'p', maxAttempts: 4, spec: 's', runCount: 2, firstRunAt: 5 as Instant, intervalMs: 7, steps: [{
 						count: 1, need: {cpu: 1, memoryMb: 2, gpu: 0}, estimateMs: 3, dependsOn: [], isCheckpointing: true, isGang: false, isSameRack: false, requiredLabel: '', dataRack: '', maxPerWorker: 0, isSpeculative: false, isLongRunning: false, latencyTargetMs: 0, isFiller: false, maxUnavailable: 0,
 					}],
 				},
@@ -57,6 +57,15 @@
 			{type: 'waves', waves: [{wave: 1, doneMachines: ['m'], isCompleted: false}]},
 			{type: 'orders', machineIds: ['m']},
 			{type: 'config', config: {version: 3, queues: [], pools: []}},
+			{
+				type: 'config', config: {
+					version: 4, pools: [], accounts: [{
+						name: 'lab', weight: 1, quota: {cpu: 0, memoryMb: 0, gpu: 0}, keyDigests: ['digest'],
+					}], queues: [{
+						name: 'q', host: 'h', pathPrefix: '/q/', pool: 'p', priority: 0, maxAttempts: 3, stretch: 1, latencyTargetMs: 0, timeoutMs: 0, advice: undefined, isPublic: true,
+					}],
+				},
+			},
 		];
 		for (const record of records) {
 			const decoded = decodeLedger({offset: 0, ...encodeLedger(record)});
@@ -64,6 +73,26 @@
 		}
 	});
 
+	/** Guards against accounts of another form that stop every call, and against jobs of earlier versions, without an account, that are lost. */
+	it('refuse accounts of another form, and read jobs without an account', () => {
+		const packr = new Packr({useRecords: false});
+		const account = {
+			name: 'lab', weight: 1, quota: {cpu: 0, memoryMb: 0, gpu: 0}, keyDigests: ['digest'],
+		};
+		for (const accounts of ['lab', [{...account, weight: -1}], [{...account, keyDigests: [7]}], [{...account, quota: undefined}]]) {
+			const value = packr.pack({
+				version: 3, queues: [], pools: [], accounts,
+			});
+			expect(() => decodeLedger({offset: 0, key: 'config:', value})).toThrow();
+		}
+
+		const job = {
+			jobId, queue: 'q', pool: 'p', spec: '', steps: [], runCount: 0, firstRunAt: 0, intervalMs: 0,
+		};
+		expect(decodeIntake({offset: 0, key: `job:${jobId}`, value: packr.pack(job)})).toEqual(expect.subset({type: 'job'}));
+		expect(() => decodeIntake({offset: 0, key: `job:${jobId}`, value: packr.pack({...job, account: 7})})).toThrow();
+	});
+
 	/** Guards against progress of earlier versions that cannot be read because its rows have no crashes. */
 	it('read rows of earlier versions, without crashes, and refuse crashes of another form', () => {
 		const packr = new Packr({useRecords: false});
--- a/packages/daemon/src/scheduler/follow-times.ts
+++ b/packages/daemon/src/scheduler/follow-times.ts
@@ -21,6 +21,8 @@
 };
 /** The remaining sixth is for the response to reach the caller from a busy host over a slow link. */
 const stalenessShare = 5 / 6;
+/** Share of the time bound of a revocation up to which the view of the accounts may be stale; the rest is for the response, as above. */
+export const revokeShare = stalenessShare;
 /** A host that briefly exceeds `maxStalenessMs` stays ready: it can still report the jobs that it knows and accept new ones. */
 const readyStalenessShare = 1.5;
 
--- a/packages/daemon/src/scheduler/job-api.ts
+++ b/packages/daemon/src/scheduler/job-api.ts
@@ -1,5 +1,4 @@
 /** The operations that this host offers to callers: submit, query, cancel and count jobs. */
-import {setTimeout as sleep} from 'node:timers/promises';
 import type {JobId} from '@rhubarblever/core';
 import {
 	findQueue, getShownPhase, isFinal, type JobDefinition, type JobPhase, type Queue, type QueueName, type SchedulerState,
@@ -8,6 +7,7 @@
 import type {IntakeWriter} from './intake-writer.js';
 import type {DecisionLog} from './decision-log.js';
 import {isCompleteWithin, type ViewStatus} from './stream-view.js';
+import {maxRefreshMs, waitAtMost} from './wait-at-most.js';
 
 /** `refused`: definitely not accepted, the caller may retry later; `unknown`: may be accepted. */
 export type SubmitOutcome = 'accepted' | 'refused' | 'unknown';
@@ -42,8 +42,6 @@
 /** A write is given up this long before its caller stops waiting, to leave time for the response. */
 const answerSlackMs = 150;
 const maxWriteMs = 2000;
-/** How long an answer waits for the store when what is known here does not suffice. */
-const maxRefreshMs = 1000;
 /** How long an answer waits for the latest progress of a job; after that it tells the progress known here. */
 const maxProgressRefreshMs = 250;
 
@@ -181,13 +179,6 @@
 	}
 }
 
-/** Resolves with `promise`, or after `maxMs`. */
-async function waitAtMost(promise: Promise<void>, maxMs: number): Promise<void> {
-	const timeout = new AbortController();
-	await Promise.race([promise, sleep(maxMs, undefined, {signal: timeout.signal}).catch(() => undefined)]);
-	timeout.abort();
-}
-
 function getWriteMs(waitMs: number): number {
 	return Math.min(maxWriteMs, Math.max(answerSlackMs, waitMs - answerSlackMs));
 }
--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -10,6 +10,8 @@
 	/** Callers' requests by operation and outcome. */
 	readonly calls: Counter<'operation' | 'outcome'>;
 	readonly callSeconds: Histogram<'operation'>;
+	/** Checks of API keys by outcome. */
+	readonly keys: Counter<'outcome'>;
 	/** Logged decisions by event name. */
 	readonly decisions: Counter<'event'>;
 	/** Outgoing calls to the store, workers, machines and the advice service by outcome. */
@@ -38,6 +40,9 @@
 		callSeconds: new Histogram({
 			name: 'rhubarblever_call_seconds', help: 'Time to answer a caller', labelNames: ['operation'], buckets: latencyBucketsS, registers,
 		}),
+		keys: new Counter({
+			name: 'rhubarblever_keys_total', help: 'Checks of API keys', labelNames: ['outcome'], registers,
+		}),
 		decisions: new Counter({
 			name: 'rhubarblever_decisions_total', help: 'Decisions and changes of belief', labelNames: ['event'], registers,
 		}),
--- a/packages/daemon/src/scheduler/ports.ts
+++ b/packages/daemon/src/scheduler/ports.ts
@@ -81,6 +81,8 @@
 	readonly operatorStream: string;
 	readonly workerStream: string;
 	readonly statusStream: string;
+	/** Key of the configuration's record in the operators' stream. */
+	readonly configKey: string;
 	decodeConfig(record: KeyedRecord): FleetConfig | undefined;
 	decodeWave(record: KeyedRecord): WaveDefinition | undefined;
 	decodeWorker(record: KeyedRecord): WorkerEntry | undefined;
--- a/packages/daemon/src/scheduler/record-events.ts
+++ b/packages/daemon/src/scheduler/record-events.ts
@@ -6,12 +6,16 @@
 	decodeIntake, decodeLedger, intakeStream, ledgerStream,
 } from './codec.js';
 import type {DecisionLog} from './decision-log.js';
+import type {SchedulerMetrics} from './metrics.js';
 import type {UntimedEvent} from './effect-runner.js';
 import type {KeyedRecord, PlatformCodec} from './ports.js';
 
 export type RecordEventsOptions = {
 	readonly codec: PlatformCodec;
 	readonly log: DecisionLog;
+	readonly metrics: SchedulerMetrics;
+	/** Version of the configuration in force. */
+	readonly getConfigVersion: () => number | undefined;
 	readonly pushEvent: (event: UntimedEvent) => void;
 };
 
@@ -22,13 +26,35 @@
 
 	private readonly workerEntries = new Map<string, WorkerEntry>();
 	private readonly completedWaves = new Set<number>();
+	/** Newest version of the configuration in the operators' stream since it was loaded; infinite if that version could not be read. */
+	private storedVersion = Number.NEGATIVE_INFINITY;
+	/** Version that was in force when the operators' stream was loaded. */
+	private versionAtLoad: number | undefined;
 
 	private constructor(private readonly options: RecordEventsOptions) {}
 
-	applyOperatorRecords(records: readonly KeyedRecord[]): void {
+	/**
+	 * False if the operators' stream, when it was loaded, did not hold the configuration in force, and has held none that
+	 * replaces it since: the store has lost its history, perhaps with later versions that this host has not read.
+	 */
+	hasStoredConfig(): boolean {
+		return this.storedVersion > Number.NEGATIVE_INFINITY && this.storedVersion >= (this.versionAtLoad ?? this.storedVersion);
+	}
+
+	/** `isReloaded`: the records are the newest of each key of the whole stream. */
+	applyOperatorRecords(records: readonly KeyedRecord[], isReloaded: boolean): void {
 		const {codec} = this.options;
+		if (isReloaded) {
+			this.storedVersion = Number.NEGATIVE_INFINITY;
+			this.versionAtLoad = this.options.getConfigVersion();
+		}
+
 		for (const record of records) {
 			const config: FleetConfig | undefined = codec.decodeConfig(record);
+			if (record.value && record.key === codec.configKey) {
+				this.storedVersion = Math.max(this.storedVersion, config?.version ?? Number.POSITIVE_INFINITY);
+			}
+
 			if (config) {
 				this.options.pushEvent({type: 'config/read', config});
 			}
@@ -39,9 +65,13 @@
 			}
 
 			if (record.value && !config && !definition) {
-				this.options.log.warn('record-unusable', {stream: codec.operatorStream, key: record.key, offset: record.offset});
+				this.warnUnusable(codec.operatorStream, record, undefined);
 			}
 		}
+
+		if (isReloaded && !this.hasStoredConfig()) {
+			this.options.log.warn('config-not-stored', {versionInForce: this.versionAtLoad});
+		}
 	}
 
 	/** `completeAt`: all records that were stored before it have been read. */
@@ -96,10 +126,15 @@
 		try {
 			return decode(record);
 		} catch (error) {
-			this.options.log.warn('record-unusable', {
-				stream, key: record.key, offset: record.offset, reason: describeError(error),
-			});
+			this.warnUnusable(stream, record, describeError(error));
 			return undefined;
 		}
 	}
+
+	private warnUnusable(stream: string, {key, offset}: KeyedRecord, reason: string | undefined): void {
+		this.options.metrics.decisions.inc({event: 'record-unusable'});
+		this.options.log.warn('record-unusable', {
+			stream, key, offset, reason,
+		});
+	}
 }
--- a/packages/daemon/src/scheduler/record-schemas.ts
+++ b/packages/daemon/src/scheduler/record-schemas.ts
@@ -11,7 +11,7 @@
 });
 
 export const jobSchema = z.looseObject({
-	jobId: z.string().min(1), queue: z.string(), pool: z.string(), spec: z.string(), steps: z.array(step), runCount: count, firstRunAt: z.number(), intervalMs: amount,
+	jobId: z.string().min(1), queue: z.string(), account: z.string().optional(), pool: z.string(), spec: z.string(), steps: z.array(step), runCount: count, firstRunAt: z.number(), intervalMs: amount,
 });
 
 export const leaseSchema = z.looseObject({holder: z.string(), token: count, isReleased: z.boolean()});
@@ -20,12 +20,18 @@
 
 export const machineIdsSchema = z.array(z.string());
 
+/** Digests of API keys, never the keys themselves. */
+const account = z.looseObject({
+	name: z.string(), weight: amount, quota: resources, keyDigests: z.array(z.string()),
+});
+
 export const configSchema = z.looseObject({
 	version: z.number(),
 	queues: z.array(z.looseObject({
-		name: z.string(), host: z.string(), pathPrefix: z.string(), pool: z.string(), priority: z.number(), maxAttempts: z.number(), stretch: z.number(), latencyTargetMs: z.number(),
+		name: z.string(), host: z.string(), pathPrefix: z.string(), pool: z.string(), priority: z.number(), maxAttempts: z.number(), stretch: z.number(), latencyTargetMs: z.number(), isPublic: z.boolean().optional(),
 	})),
 	pools: z.array(z.looseObject({name: z.string(), isSpare: z.boolean()})),
+	accounts: z.array(account).optional(),
 });
 
 const crash = z.tuple([count, z.string(), z.number(), z.number(), z.boolean(), z.enum(['sole', 'shared', 'slight'])]);
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -2,13 +2,14 @@
 import {
 	createSchedulerState, getNextLeadershipCheck, reduceScheduler, ReducerLoop, type SchedulerEffect, type SchedulerEvent, type SchedulerSettings, type SchedulerState, type SteadyMs,
 } from '@rhubarblever/core/scheduler';
-import {readSteadyClock, readWallClock} from './clocks.js';
+import {readMoment, readSteadyClock, readWallClock} from './clocks.js';
 import {intakeStream, ledgerStream} from './codec.js';
 import type {DecisionLog} from './decision-log.js';
 import {computeFollowTimes, type FollowTimes} from './follow-times.js';
 import {EffectRunner, type UntimedEvent} from './effect-runner.js';
 import {IntakeWriter} from './intake-writer.js';
 import {JobApi} from './job-api.js';
+import {KeyCheck, type KeySettings} from './key-check.js';
 import type {SchedulerMetrics} from './metrics.js';
 import type {SchedulerPorts} from './ports.js';
 import {RecordEvents} from './record-events.js';
@@ -35,6 +36,7 @@
 const maxStoreSilenceMs = 2500;
 const stopPollMs = 20;
 const maxStopMs = 3000;
+const noKeys: KeySettings = {isRequired: false, revokeMs: undefined};
 
 export type SchedulerHostOptions = {
 	readonly ports: SchedulerPorts;
@@ -43,6 +45,8 @@
 	readonly visibleMs: number;
 	/** How long after its acknowledgement a configuration may not yet be in force at a host. */
 	readonly configApplyMs: number;
+	/** Absent if the host's settings require no API keys; the configuration may still do. */
+	readonly keys?: KeySettings;
 	readonly log: DecisionLog;
 	readonly metrics: SchedulerMetrics;
 };
@@ -53,6 +57,7 @@
 	}
 
 	readonly jobApi: JobApi;
+	readonly keyCheck: KeyCheck;
 	private readonly loop: ReducerLoop<SchedulerState, SchedulerEvent, SchedulerEffect>;
 	private readonly readers: {readonly operator: StreamReader; readonly intake: StreamReader; readonly ledger: StreamReader; readonly workers: StreamReader; readonly status: StreamReader};
 	private readonly events: RecordEvents;
@@ -69,10 +74,10 @@
 
 	private constructor(private readonly options: SchedulerHostOptions) {
 		const {
-			ports, settings, visibleMs, configApplyMs, log, metrics,
+			ports, settings, visibleMs, configApplyMs, keys = noKeys, log, metrics,
 		} = options;
 		this.intakeTimes = computeFollowTimes(visibleMs, 'batched');
-		this.configTimes = computeFollowTimes(configApplyMs, 'prompt');
+		this.configTimes = computeFollowTimes(Math.min(configApplyMs, keys.revokeMs ?? configApplyMs), 'prompt');
 		const runner = EffectRunner.create({
 			ports,
 			log,
@@ -93,7 +98,7 @@
 			runner.run(effect);
 		});
 		this.events = RecordEvents.create({
-			codec: ports.codec, log, pushEvent: event => {
+			codec: ports.codec, log, metrics, getConfigVersion: () => this.loop.state.config?.version, pushEvent: event => {
 				this.push(event);
 			},
 		});
@@ -104,7 +109,7 @@
 			log,
 			describeIntake: () => this.describeIntake(),
 			maxStalenessMs: this.intakeTimes.maxStalenessMs,
-			describeConfig: () => this.readers.operator.view.describe(readSteadyClock()),
+			describeConfig: () => this.describeConfig(),
 			maxConfigStalenessMs: this.configTimes.maxStalenessMs,
 			refreshIntake: async () => this.readers.intake.refresh(maxAnswerAgeMs),
 			refreshProgress: async () => this.readers.ledger.refresh(maxAnswerAgeMs),
@@ -116,6 +121,16 @@
 				this.push({type: 'intake/read', records: [{type: 'cancel', jobId}]});
 			},
 		});
+		this.keyCheck = KeyCheck.create({
+			settings: keys,
+			getConfig: () => this.loop.state.config,
+			describeConfig: () => this.describeConfig(),
+			hasStoredConfig: () => this.events.hasStoredConfig(),
+			maxDenialAgeMs: this.configTimes.maxStalenessMs,
+			refreshConfig: async maxAgeMs => this.readers.operator.refresh(maxAgeMs),
+			log,
+			metrics,
+		});
 	}
 
 	start(): void {
@@ -126,12 +141,12 @@
 		this.scheduleTick();
 	}
 
-	/** True if this host can serve callers: its view of the jobs is recent and the store responds. */
+	/** True if this host can serve callers: its views of the jobs and of the accounts are recent and the store responds. */
 	isReady(): boolean {
 		const view = this.describeIntake();
 		const {answerAgeMs = Number.POSITIVE_INFINITY} = view;
 		this.hasBeenFresh ||= isCompleteWithin(view, this.intakeTimes.maxStalenessMs);
-		return !this.isStopping && this.jobApi.isInitialized() && this.jobApi.canStoreJobs()
+		return !this.isStopping && this.jobApi.isInitialized() && this.jobApi.canStoreJobs() && this.keyCheck.canGrant()
 			&& this.hasBeenFresh && answerAgeMs < maxStoreSilenceMs && isCompleteWithin(view, this.intakeTimes.maxReadyStalenessMs);
 	}
 
@@ -167,7 +182,11 @@
 	}
 
 	private describeIntake(): ViewStatus {
-		return this.readers.intake.view.describe(readSteadyClock());
+		return this.readers.intake.view.describe(readMoment());
+	}
+
+	private describeConfig(): ViewStatus {
+		return this.readers.operator.view.describe(readMoment());
 	}
 
 	private push(event: UntimedEvent): void {
@@ -225,7 +244,7 @@
 	}
 
 	private updateViewAges(): void {
-		const now = readSteadyClock();
+		const now = readMoment();
 		for (const [stream, {view}] of Object.entries(this.readers)) {
 			const {completeAgeMs} = view.describe(now);
 			if (completeAgeMs !== undefined) {
@@ -239,10 +258,10 @@
 		return {
 			operator: this.createReader(codec.operatorStream, {
 				handleLoaded: records => {
-					this.events.applyOperatorRecords(records);
+					this.events.applyOperatorRecords(records, true);
 				},
 				handleRead: records => {
-					this.events.applyOperatorRecords(records);
+					this.events.applyOperatorRecords(records, false);
 				},
 			}, {waitMs: () => this.configTimes.waitMs}),
 			intake: this.createReader(intakeStream, {
--- a/packages/daemon/src/scheduler/stream-reader.ts
+++ b/packages/daemon/src/scheduler/stream-reader.ts
@@ -1,8 +1,8 @@
 /** Reads a stream of the store continuously: first the newest record of each key, then each new record. */
-import {readSteadyClock} from './clocks.js';
+import {readMoment, readSteadyClock, type Moment} from './clocks.js';
 import type {DecisionLog} from './decision-log.js';
 import type {KeyedRecord, KeyedStore, ReadOutcome} from './ports.js';
-import {StreamView} from './stream-view.js';
+import {isCompleteWithin, StreamView} from './stream-view.js';
 
 const retryMs = 200;
 const retryReloadMs = 400;
@@ -67,8 +67,8 @@
 	 * the same time share one read. Does nothing while the stream is not read or its last request failed. Never rejects.
 	 */
 	async refresh(maxAgeMs: number): Promise<void> {
-		const {nextOffset, completeAt} = this.view;
-		const isFresh = completeAt !== undefined && readSteadyClock() - completeAt < maxAgeMs;
+		const {nextOffset} = this.view;
+		const isFresh = isCompleteWithin(this.view.describe(readMoment()), maxAgeMs);
 		if (nextOffset === undefined || isFresh || !this.isReachable || !this.options.isEnabled()) {
 			return;
 		}
@@ -81,7 +81,7 @@
 
 	/** Discards the position, so that the whole stream is loaded again. */
 	reload(): void {
-		this.view.nextOffset = undefined;
+		this.view.clearPosition();
 		this.generation++;
 	}
 
@@ -119,7 +119,7 @@
 	private async load(): Promise<number> {
 		const {generation} = this;
 		const {stream, log} = this.options;
-		const requestedAt = readSteadyClock();
+		const requested = readMoment();
 		const outcome = await this.store.listNewest(stream);
 		this.setReachable(outcome.type === 'loaded');
 		if (outcome.type !== 'loaded') {
@@ -132,17 +132,17 @@
 
 		const {records, nextOffset, pages} = outcome;
 		log.note('stream-loaded', {
-			stream, records: records.length, pages, nextOffset, tookMs: Math.round(readSteadyClock() - requestedAt),
+			stream, records: records.length, pages, nextOffset, tookMs: Math.round(readSteadyClock() - requested.at),
 		});
 		// The position is set before the handler runs, because the handler may request a reload.
-		this.view.noteRead(nextOffset, nextOffset, requestedAt);
+		this.view.noteRead(nextOffset, nextOffset, requested);
 		this.handlers.handleLoaded(records, nextOffset);
 		return 0;
 	}
 
 	private async read(from: number): Promise<number> {
 		const {generation} = this;
-		const requestedAt = readSteadyClock();
+		const requested = readMoment();
 		const outcome = await this.store.read(this.options.stream, from, this.options.waitMs());
 		this.setReachable(outcome.type !== 'unavailable');
 		if (outcome.type === 'unavailable') {
@@ -153,32 +153,32 @@
 			return 0;
 		}
 
-		if (outcome.type === 'deleted') {
-			// The store no longer has the record at the next offset, so the stream is loaded again.
+		if (outcome.type === 'deleted' || outcome.end < from) {
+			// The store no longer has the record at the next offset, or has lost its history, so the stream is loaded again.
 			this.options.log.warn('stream-forgotten', {stream: this.options.stream, nextOffset: from});
 			this.reload();
 			return 0;
 		}
 
-		this.applyRead(outcome, requestedAt);
+		this.applyRead(outcome, requested);
 		return this.options.pauseMs();
 	}
 
 	/** A failed read changes nothing: the continuous reads judge whether the store is reachable. */
 	private async readAtOnce(from: number): Promise<void> {
 		const {generation} = this;
-		const requestedAt = readSteadyClock();
+		const requested = readMoment();
 		const outcome = await this.store.read(this.options.stream, from, 0);
-		if (outcome.type === 'read' && generation === this.generation && this.options.isEnabled()) {
+		if (outcome.type === 'read' && outcome.end >= from && generation === this.generation && this.options.isEnabled()) {
 			this.view.noteAnswer(readSteadyClock());
-			this.applyRead(outcome, requestedAt);
+			this.applyRead(outcome, requested);
 		}
 	}
 
 	/** Passes on the records that no other read has brought meanwhile. */
-	private applyRead({records, nextOffset, end}: Extract<ReadOutcome, {type: 'read'}>, requestedAt: number): void {
+	private applyRead({records, nextOffset, end}: Extract<ReadOutcome, {type: 'read'}>, requested: Moment): void {
 		const from = this.view.nextOffset ?? nextOffset;
-		this.view.noteRead(Math.max(from, nextOffset), end, requestedAt);
+		this.view.noteRead(Math.max(from, nextOffset), end, requested);
 		this.noteProgress(end);
 		this.handlers.handleRead(records.filter(({offset}) => offset >= from), Math.max(from, nextOffset));
 	}
--- a/packages/daemon/src/scheduler/stream-view.ts
+++ b/packages/daemon/src/scheduler/stream-view.ts
@@ -1,5 +1,6 @@
 /** How far a host has read a stream, and how stale its view of it is. */
 import type {SteadyMs} from '@rhubarblever/core/scheduler';
+import type {Moment} from './clocks.js';
 
 /** Ages are in milliseconds; each field is undefined until it is first known. */
 export type ViewStatus = {
@@ -9,7 +10,7 @@
 	readonly end: number | undefined;
 	/** Time since the store last answered. */
 	readonly answerAgeMs: number | undefined;
-	/** Staleness: all records stored longer ago than this have been read. */
+	/** Staleness: all records stored longer ago than this have been read. Time in which the host was suspended counts. */
 	readonly completeAgeMs: number | undefined;
 };
 
@@ -23,6 +24,8 @@
 	answeredAt: SteadyMs | undefined;
 	/** All records stored before this time have been read. */
 	completeAt: SteadyMs | undefined;
+	/** The same time by the clock that counts suspensions. */
+	private completeElapsedMs: number | undefined;
 	private end: number | undefined;
 
 	private constructor() {}
@@ -30,6 +33,13 @@
 	/** Makes a view that was complete count as infinitely stale. */
 	expire(): void {
 		this.completeAt = this.completeAt === undefined ? undefined : Number.NEGATIVE_INFINITY;
+		this.completeElapsedMs = this.completeAt;
+	}
+
+	/** Discards the position; the age of what was read stays. */
+	clearPosition(): void {
+		this.nextOffset = undefined;
+		this.end = undefined;
 	}
 
 	/** Notes that the store has answered, whatever the outcome. */
@@ -37,12 +47,15 @@
 		this.answeredAt = answeredAt;
 	}
 
-	/** Notes that the stream was read up to `nextOffset` by a request sent at `requestedAt`. */
-	noteRead(nextOffset: number, end: number, requestedAt: SteadyMs): void {
+	/** Notes that the stream was read up to `nextOffset` by a request sent at `requested`. */
+	noteRead(nextOffset: number, end: number, requested: Moment): void {
 		this.nextOffset = nextOffset;
 		this.end = Math.max(end, this.end ?? end);
 		// A response that reaches the end holds at least what was stored when the request was sent. Requests may overlap.
-		this.completeAt = nextOffset >= end ? Math.max(requestedAt, this.completeAt ?? requestedAt) : this.completeAt;
+		if (nextOffset >= end) {
+			this.completeAt = Math.max(requested.at, this.completeAt ?? requested.at);
+			this.completeElapsedMs = Math.max(requested.elapsedMs, this.completeElapsedMs ?? requested.elapsedMs);
+		}
 	}
 
 	/** True if the last response ended before the stream's end. */
@@ -54,9 +67,9 @@
 		return this.answeredAt !== undefined;
 	}
 
-	describe(now: SteadyMs): ViewStatus {
+	describe(now: Moment): ViewStatus {
 		return {
-			nextOffset: this.nextOffset, end: this.end, answerAgeMs: computeAge(now, this.answeredAt), completeAgeMs: computeAge(now, this.completeAt),
+			nextOffset: this.nextOffset, end: this.end, answerAgeMs: computeAge(now.at, this.answeredAt), completeAgeMs: computeAge(now.elapsedMs, this.completeElapsedMs),
 		};
 	}
 }
@@ -66,6 +79,6 @@
 	return completeAgeMs !== undefined && completeAgeMs < ageMs;
 }
 
-function computeAge(now: SteadyMs, then: SteadyMs | undefined): number | undefined {
+function computeAge(now: number, then: number | undefined): number | undefined {
 	return then === undefined ? undefined : Math.round(now - then);
 }
--- a/packages/daemon/src/scheduler/testing/scripted-store.ts
+++ b/packages/daemon/src/scheduler/testing/scripted-store.ts
@@ -1,10 +1,12 @@
 /** For tests of one scheduler host: a store with scripted reads, and a host that never leads. */
+import {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Instant, JobId} from '@rhubarblever/core';
 import type {FleetConfig, JobDefinition, SchedulerSettings} from '@rhubarblever/core/scheduler';
 import {BoundedOutput} from '../bounded-output.js';
 import {encodeIntake, intakeStream, ledgerStream} from '../codec.js';
 import {DecisionLog} from '../decision-log.js';
+import type {KeySettings} from '../key-check.js';
 import {createMetrics} from '../metrics.js';
 import type {
 	AppendConditions, AppendOutcome, PlatformCodec, KeyedRecord, KeyedStore, LoadOutcome, NewRecord, ReadOutcome, SchedulerPorts,
@@ -28,12 +30,20 @@
 	loadIntake: () => Promise<LoadOutcome>;
 	readIntake: Read;
 	readLedger: Read;
+	loadOperator: () => Promise<LoadOutcome>;
+	readOperator: Read;
 	/** Number of claims of leadership. */
 	claims = 0;
 	/** While false, reads of the operators' stream fail. */
 	isOperatorStreamReachable = true;
 
 	private constructor() {
+		this.loadOperator = async () => createLoad([{offset: 0, key: 'config', value: new Uint8Array(1)}]);
+		this.readOperator = async (fromOffset, waitMs) => {
+			await sleep(waitMs);
+			return createRead([], fromOffset, fromOffset);
+		};
+
 		this.loadIntake = async () => createLoad([]);
 		this.readIntake = async fromOffset => createRead([], fromOffset, fromOffset);
 		this.readLedger = async (fromOffset, waitMs) => {
@@ -57,8 +67,12 @@
 			return this.readLedger(fromOffset, waitMs);
 		}
 
+		if (stream === operatorStream && this.isOperatorStreamReachable) {
+			return this.readOperator(fromOffset, waitMs);
+		}
+
 		await sleep(waitMs);
-		return stream === operatorStream && !this.isOperatorStreamReachable ? {type: 'unavailable'} : createRead([], fromOffset, fromOffset);
+		return stream === operatorStream ? {type: 'unavailable'} : createRead([], fromOffset, fromOffset);
 	}
 
 	async listNewest(stream: string): Promise<LoadOutcome> {
@@ -66,7 +80,7 @@
 			return this.loadIntake();
 		}
 
-		return createLoad(stream === operatorStream ? [{offset: 0, key: 'config', value: new Uint8Array(1)}] : []);
+		return stream === operatorStream ? this.loadOperator() : createLoad([]);
 	}
 }
 
@@ -101,7 +115,9 @@
 	operatorStream,
 	workerStream: 'workers',
 	statusStream: 'status',
-	decodeConfig: () => config,
+	configKey: 'config',
+	/** A record of one byte stands for the configuration above. */
+	decodeConfig: ({value}) => value && value.length > 1 ? JSON.parse(Buffer.from(value).toString()) as FleetConfig : config,
 	decodeWave: () => undefined,
 	decodeWorker: () => undefined,
 	encodeWaveStatus: () => ({key: 'w', value: undefined}),
@@ -113,7 +129,7 @@
 };
 
 /** Starts a host with the scripted store; the test closes it. */
-export function startHost(store: KeyedStore, changes: Partial<SchedulerSettings> = {}): SchedulerHost {
+export function startHost(store: KeyedStore, changes: Partial<SchedulerSettings> = {}, keys?: KeySettings): SchedulerHost {
 	// The host sends no orders: the store refuses its claims, so it never becomes the leader.
 	const ports = {store, codec} as unknown as SchedulerPorts;
 	const log = DecisionLog.create({
@@ -122,7 +138,7 @@
 		}),
 	});
 	const host = SchedulerHost.create({
-		ports, settings: {...settings, ...changes}, visibleMs, configApplyMs, log, metrics: createMetrics(),
+		ports, settings: {...settings, ...changes}, visibleMs, configApplyMs, log, metrics: createMetrics(), ...(keys && {keys}),
 	});
 	host.start();
 	return host;
