--- a/packages/daemon/src/scheduler/job-api.ts
+++ b/packages/daemon/src/scheduler/job-api.ts
@@ -1,17 +1,17 @@
 /** The operations that this host offers to callers: submit, query, cancel and count jobs. */
-import {setTimeout as sleep} from 'node:timers/promises';
 import type {Instant, JobId} from '@rhubarblever/core';
 import {
-	computeOutageRetryS, findFirstSend, findQueue, getShownPhase, isFinal, type JobDefinition, type JobPhase, type Queue, type QueueName, type SchedulerState, type SteadyMs,
+	computeOutageRetryS, describeQuotaExcess, findFirstSend, findQueue, getShownPhase, isFinal, type JobDefinition, type JobPhase, type Queue, type QueueName, type SchedulerState, type SteadyMs,
 } from '@rhubarblever/core/scheduler';
 import {readSteadyClock, readWallClock} from './clocks.js';
 import type {IntakeWriter} from './intake-writer.js';
 import type {DecisionLog} from './decision-log.js';
 import type {RefusalMemory} from './refusal-memory.js';
 import {isCompleteWithin, type ViewStatus} from './stream-view.js';
+import {maxRefreshMs, waitAtMost} from './wait-at-most.js';
 
-/** `refused`: definitely not accepted, the caller may retry later; `unknown`: may be accepted. */
-export type SubmitOutcome = 'accepted' | 'refused' | 'unknown';
+/** `refused`: definitely not accepted, the caller may retry later; `exceeds-quota`: the same, and it can never run under the present quota of its account; `unknown`: may be accepted. */
+export type SubmitOutcome = 'accepted' | 'refused' | 'exceeds-quota' | 'unknown';
 export type CancelOutcome = 'cancelled' | 'refused' | 'unknown';
 /** `unsure`: this host's view of the jobs is too stale to tell that the job does not exist. */
 export type PhaseOutcome = JobPhase | 'no-such-job' | 'unsure';
@@ -46,8 +46,6 @@
 /** A write is given up this long before its caller stops waiting, to leave time for the response. */
 const answerSlackMs = 150;
 const maxWriteMs = 2000;
-/** How long an answer waits for the store when what is known here does not suffice. */
-const maxRefreshMs = 1000;
 /** How long an answer waits for the latest progress of a job; after that it tells the progress known here. */
 const maxProgressRefreshMs = 250;
 
@@ -112,6 +110,10 @@
 			return 'accepted';
 		}
 
+		if (await this.hasExcess(job)) {
+			return 'exceeds-quota';
+		}
+
 		const startedAt = readSteadyClock();
 		const sentAt = this.findSentAt(job.jobId);
 		const stored = sentAt === undefined ? job : {...job, sentAt: convertToWall(sentAt)};
@@ -198,6 +200,22 @@
 		return count;
 	}
 
+	/** True if a job can never run under its account's quota. Another host may have accepted it under an earlier quota, so the latest jobs are read first. */
+	private async hasExcess(job: JobDefinition): Promise<boolean> {
+		const {state, refreshIntake, log} = this.options;
+		const reason = describeQuotaExcess(state.config, job);
+		if (reason === undefined) {
+			return false;
+		}
+
+		await waitAtMost(refreshIntake(), maxRefreshMs);
+		const isKnown = state.jobs.has(job.jobId);
+		log.note('job-exceeds-quota', {
+			jobId: job.jobId, queue: job.queue, account: job.account, reason, isKnown,
+		});
+		return !isKnown;
+	}
+
 	/** When a job that this or another host refused was first sent. */
 	private findSentAt(jobId: JobId): SteadyMs | undefined {
 		const {state, refusals} = this.options;
@@ -206,13 +224,6 @@
 	}
 }
 
-/** Resolves with `promise`, or after `maxMs`. */
-async function waitAtMost(promise: Promise<void>, maxMs: number): Promise<void> {
-	const timeout = new AbortController();
-	await Promise.race([promise, sleep(maxMs, undefined, {signal: timeout.signal}).catch(() => undefined)]);
-	timeout.abort();
-}
-
 function convertToWall(at: SteadyMs): Instant {
 	return Math.round(readWallClock() - (readSteadyClock() - at)) as Instant;
 }
