Streams: one more read after a failed one, and the readers in a module of their own

Change: refresh sends one read while the continuous reads fail, then none until they are answered; stream-readers.ts holds what the host reads.

--- a/packages/daemon/src/scheduler/key-staleness.test.ts
+++ b/packages/daemon/src/scheduler/key-staleness.test.ts
@@ -126,6 +126,23 @@
 		expect([host.isReady(), grantedUntil < cutAt + (revokeMs * 5 / 6) + 20, grantedUntil > cutAt + (revokeMs / 3)]).toEqual([false, true, true]);
 	});
 
+	/** Guards against refusals by a host that takes the end of a read during its own pause for a failure of the store, and against a read for each call while the store is away. */
+	it('is looked up once more after a failed read', async () => {
+		const {store, stream} = createStore([withKey]);
+		const host = await startReadyHost(store);
+		store.isOperatorStreamReachable = false;
+		await sleep(revokeMs * 1.5);
+		store.isOperatorStreamReachable = true;
+		stream.records = [withKey, withoutKey];
+		expect(await host.keyCheck.check(queue, 'secret')).toEqual(denied);
+		store.isOperatorStreamReachable = false;
+		await sleep(revokeMs * 1.5);
+		expect(await host.keyCheck.check(queue, 'other')).toEqual(unsure);
+		const readsBefore = stream.reads;
+		store.isOperatorStreamReachable = true;
+		expect([await host.keyCheck.check(queue, 'other'), stream.reads - readsBefore]).toEqual([unsure, 0]);
+	});
+
 	/** Guards against a starting host whose load was answered long after it was requested. */
 	it('is refused by a host that has just started, until it has read what was stored since', async () => {
 		const {store, stream} = createStore([withKey]);
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -3,7 +3,6 @@
 	createSchedulerState, getNextLeadershipCheck, reduceScheduler, ReducerLoop, type SchedulerEffect, type SchedulerEvent, type SchedulerSettings, type SchedulerState, type SteadyMs,
 } from '@rhubarblever/core/scheduler';
 import {readMoment, readSteadyClock, readWallClock} from './clocks.js';
-import {intakeStream, ledgerStream} from './codec.js';
 import type {DecisionLog} from './decision-log.js';
 import {computeFollowTimes, type FollowTimes} from './follow-times.js';
 import {EffectRunner, type UntimedEvent} from './effect-runner.js';
@@ -14,23 +13,16 @@
 import type {SchedulerPorts} from './ports.js';
 import {RecordEvents} from './record-events.js';
 import {isCompleteWithin, type ViewStatus} from './stream-view.js';
-import {StreamReader, type StreamReaderHandlers, type StreamReaderOptions} from './stream-reader.js';
+import {createStreamReaders, type StreamReaders} from './stream-readers.js';
 
 const leaderTickMs = 25;
 /** A follower's clock ticks when it may have to claim leadership, but within these bounds. */
 const minFollowerTickMs = 25;
 const maxFollowerTickMs = 500;
-/** Long-poll time of reads. A dead connection to the store is noticed shortly after this. */
-const readWaitMs = 1000;
-/** Pause between ledger reads on a host that is not the leader. Questions of callers do not wait for it. */
-const ledgerPauseMs = 500;
-/** Added on a host with no capacity to spare, which leaves claims of leadership to others. */
-const shortfallLedgerPauseMs = 1000;
 /** A host claims leadership only if it has read the ledger this short a time ago. */
 const maxAgeBeforeClaimMs = 200;
 /** What was read this short a time ago is shown to callers without asking the store again. */
 const maxAnswerAgeMs = 50;
-const workerPauseMs = 250;
 const millisecondsPerSecond = 1000;
 /** Without a response of the store for this long, the host is not ready, so that callers use other hosts. */
 const maxStoreSilenceMs = 2500;
@@ -59,7 +51,7 @@
 	readonly jobApi: JobApi;
 	readonly keyCheck: KeyCheck;
 	private readonly loop: ReducerLoop<SchedulerState, SchedulerEvent, SchedulerEffect>;
-	private readonly readers: {readonly operator: StreamReader; readonly intake: StreamReader; readonly ledger: StreamReader; readonly workers: StreamReader; readonly status: StreamReader};
+	private readonly readers: StreamReaders;
 	private readonly events: RecordEvents;
 	private readonly intakeTimes: FollowTimes;
 	private readonly configTimes: FollowTimes;
@@ -102,7 +94,9 @@
 				this.push(event);
 			},
 		});
-		this.readers = this.createReaders();
+		this.readers = createStreamReaders({
+			ports, log, events: this.events, intakeTimes: this.intakeTimes, configTimes: this.configTimes, capacityShortfall: settings.capacityShortfall, isLeader: () => this.isLeader(),
+		});
 		this.jobApi = JobApi.create({
 			state: this.loop.state,
 			writer: IntakeWriter.create(ports.store, {getStoreAnsweredAt: () => this.getStoreAnsweredAt()}),
@@ -252,63 +246,4 @@
 			}
 		}
 	}
-
-	private createReaders() {
-		const {codec} = this.options.ports;
-		return {
-			operator: this.createReader(codec.operatorStream, {
-				handleLoaded: records => {
-					this.events.applyOperatorRecords(records, true);
-				},
-				handleRead: records => {
-					this.events.applyOperatorRecords(records, false);
-				},
-			}, {waitMs: () => this.configTimes.waitMs}),
-			intake: this.createReader(intakeStream, {
-				handleLoaded: records => {
-					this.events.applyIntakeRecords(records, this.readers.intake.view.completeAt);
-					// The ledger is read once the jobs are known.
-					this.readers.ledger.wake();
-				},
-				handleRead: records => {
-					this.events.applyIntakeRecords(records, this.readers.intake.view.completeAt);
-				},
-			}, {waitMs: () => this.intakeTimes.waitMs, pauseMs: () => this.isLeader() ? 0 : this.intakeTimes.pauseMs}),
-			ledger: this.createReader(ledgerStream, {
-				handleLoaded: (records, nextOffset) => {
-					this.events.applyLedgerRecords('ledger/loaded', records, nextOffset);
-				},
-				handleRead: (records, nextOffset) => {
-					this.events.applyLedgerRecords('ledger/read', records, nextOffset);
-				},
-			}, {pauseMs: () => ledgerPauseMs + (this.options.settings.capacityShortfall * shortfallLedgerPauseMs), isEnabled: () => !this.isLeader() && this.readers.intake.view.hasAnswer()}),
-			workers: this.createReader(codec.workerStream, {
-				handleLoaded: records => {
-					this.events.applyWorkerRecords(records, true);
-				},
-				handleRead: records => {
-					this.events.applyWorkerRecords(records, false);
-				},
-			}, {pauseMs: () => workerPauseMs, isEnabled: () => this.isLeader()}),
-			status: this.createReader(codec.statusStream, {
-				handleLoaded: records => {
-					this.events.applyStatusRecords(records);
-				},
-				handleRead: records => {
-					this.events.applyStatusRecords(records);
-				},
-			}, {isEnabled: () => this.isLeader(), pauseMs: () => readWaitMs}),
-		};
-	}
-
-	private createReader(
-		stream: string,
-		handlers: StreamReaderHandlers,
-		options: Partial<Pick<StreamReaderOptions, 'waitMs' | 'pauseMs' | 'isEnabled'>> = {},
-	): StreamReader {
-		const {ports, log} = this.options;
-		return StreamReader.create(ports.store, {
-			stream, waitMs: () => readWaitMs, pauseMs: () => 0, isEnabled: () => true, log, ...options,
-		}, handlers);
-	}
 }
--- a/packages/daemon/src/scheduler/stream-reader.ts
+++ b/packages/daemon/src/scheduler/stream-reader.ts
@@ -35,6 +35,8 @@
 	readonly view = StreamView.create();
 	private isStopped = false;
 	private isReachable = true;
+	/** Whether `refresh` has sent a read since the continuous reads failed. */
+	private hasRetried = false;
 	private isBehind = false;
 	/** Counts reloads; the result of a request sent before the latest reload is ignored. */
 	private generation = 0;
@@ -64,18 +66,23 @@
 
 	/**
 	 * Reads what was stored meanwhile, without waiting for new records, if the view is staler than `maxAgeMs`. Calls at
-	 * the same time share one read. Does nothing while the stream is not read or its last request failed. Never rejects.
+	 * the same time share one read. Does nothing while the stream is not read. After a failed request one more is sent, as
+	 * the failure may come from a pause of this process; then nothing until a continuous read is answered. Never rejects.
 	 */
 	async refresh(maxAgeMs: number): Promise<void> {
 		const {nextOffset} = this.view;
 		const isFresh = isCompleteWithin(this.view.describe(readMoment()), maxAgeMs);
-		if (nextOffset === undefined || isFresh || !this.isReachable || !this.options.isEnabled()) {
+		if (nextOffset === undefined || isFresh || !this.options.isEnabled()) {
 			return;
 		}
 
-		this.refreshing ??= this.readAtOnce(nextOffset).finally(() => {
-			this.refreshing = undefined;
-		});
+		if (!this.refreshing && (this.isReachable || !this.hasRetried)) {
+			this.hasRetried = !this.isReachable;
+			this.refreshing = this.readAtOnce(nextOffset).finally(() => {
+				this.refreshing = undefined;
+			});
+		}
+
 		await this.refreshing;
 	}
 
@@ -204,6 +211,7 @@
 		}
 
 		this.isReachable = isReachable;
+		this.hasRetried = false;
 		const {log, stream} = this.options;
 		if (isReachable) {
 			log.note('store-regained', {stream});
