--- a/packages/bench/src/integration/entry-hosts.ts
+++ b/packages/bench/src/integration/entry-hosts.ts
@@ -28,12 +28,13 @@
 export type TaskCounts = readonly number[];
 
 export class EntryHosts {
-	static async start({hosts, workers, runMs}: {readonly hosts: number; readonly workers: number; readonly runMs: number}): Promise<EntryHosts> {
+	/** `settings` replaces fields of the hosts' settings files. */
+	static async start({hosts, workers, runMs, settings}: {readonly hosts: number; readonly workers: number; readonly runMs: number; readonly settings?: Readonly<Record<string, unknown>>}): Promise<EntryHosts> {
 		const platform = await JobPlatform.start({address: takeAddress(), workerAddresses: Array.from({length: workers}, () => takeAddress()), runMs});
 		const fleet = new EntryHosts(platform);
 		for (let index = 0; index < hosts; index++) {
 			// eslint-disable-next-line no-await-in-loop
-			await fleet.addHost(index);
+			await fleet.addHost(index, settings);
 		}
 
 		await Promise.all(fleet.hosts.map(async host => fleet.waitForReady(host)));
@@ -89,12 +90,12 @@
 		return {status: answer.statusCode, ...await answer.body.json() as {state?: string}};
 	}
 
-	private async addHost(index: number): Promise<void> {
+	private async addHost(index: number, settings: Readonly<Record<string, unknown>> | undefined): Promise<void> {
 		const addresses = {front: takeAddress(), ready: takeAddress(), metrics: takeAddress()};
 		const storeAddress = takeAddress();
 		await this.platform.openEndpoint(storeAddress);
 		const settingsPath = path.join(this.folder, `front-${index}.json`);
-		writeFileSync(settingsPath, JSON.stringify(describeSettings(index, storeAddress, addresses)));
+		writeFileSync(settingsPath, JSON.stringify(describeSettings(index, storeAddress, addresses, settings)));
 		this.hosts.push({
 			...addresses, index, settingsPath, storeAddress, process: this.startProgram(index, settingsPath),
 		});
--- a/packages/bench/src/integration/entry-program.ts
+++ b/packages/bench/src/integration/entry-program.ts
@@ -32,7 +32,7 @@
 }
 
 /** The settings of an entry host; `platformAddress` is the address of both the store and the machine API. */
-export function describeSettings(index: number, platformAddress: string, {front, ready, metrics}: EntryAddresses): unknown {
+export function describeSettings(index: number, platformAddress: string, {front, ready, metrics}: EntryAddresses, changes: Readonly<Record<string, unknown>> = {}): unknown {
 	const [ip, port] = metrics.split(':');
 	const metricsPort = Number(port);
 	return {
@@ -45,5 +45,6 @@
 		platform: {address: platformAddress},
 		cloud: {address: platformAddress},
 		'a-field-of-tomorrow': 1,
+		...changes,
 	};
 }
--- a/packages/stand-ins/src/job-platform/job-platform.ts
+++ b/packages/stand-ins/src/job-platform/job-platform.ts
@@ -66,8 +66,8 @@
 		}, publishIntervalMs);
 	}
 
-	/** Publishes a configuration with a single queue, `standInQueue`. */
-	publishConfig(version: number): void {
+	/** Publishes a configuration with a single queue, `standInQueue`, and the client accounts `tenants` if given. */
+	publishConfig(version: number, tenants?: readonly unknown[]): void {
 		const {host, pathPrefix, name, pool} = standInQueue;
 		this.log.put('keyed.op', 'config', {
 			version,
@@ -78,6 +78,7 @@
 				name: pool, 'health-path': '/health', 'max-conns': 64, protocol: 'h1', tls: false, 'admission-check': true, spare: false,
 			}],
 			limits: {},
+			...(tenants && {tenants}),
 		});
 	}
 
