Shares: excess jobs last, then the account with the lowest weighted share

Cause: steps were ordered by arrival within a class, so an account that sent more got more. Change: a token bucket per account marks jobs beyond its weight on arrival; placement takes excess jobs last and, within a class, the account with the lowest weighted dominant share next, counted again after each step. Without accounts the order is as before. Gauges of use and share by account.

--- a/packages/core/src/scheduler/account-use.ts
+++ b/packages/core/src/scheduler/account-use.ts
@@ -10,6 +10,9 @@
 	LateStart, SchedulerState, Task, Worker,
 } from './state.js';
 
+/** Under this name the jobs without an account count. */
+export const noAccount: AccountName = '';
+
 /** What an account's runs reserve. */
 export type AccountCharge = {readonly account: AccountName; readonly resources: Resources};
 
@@ -39,10 +42,9 @@
 	}
 }
 
-/** What a task counts against its account; undefined if its job has none. Fillers count with the processor that they declare, though they reserve none at their worker. */
-export function findCharge({step: {definition, occurrence: {job}}}: Task): AccountCharge | undefined {
-	const {account} = job.definition;
-	return account === undefined ? undefined : {account, resources: definition.need};
+/** What a task counts against its account. Fillers count with the processor that they declare, though they reserve none at their worker. */
+export function getCharge({step: {definition, occurrence: {job}}}: Task): AccountCharge {
+	return {account: job.definition.account ?? noAccount, resources: definition.need};
 }
 
 function addCharge(uses: Map<AccountName, Resources>, {account, resources}: AccountCharge, sign: 1 | -1): void {
@@ -56,10 +58,7 @@
 
 /** Adds a task that was assigned to a worker to the use of its account, or removes it. */
 export function updateAssignedUse({accountUse}: SchedulerState, task: Task, sign: 1 | -1): void {
-	const charge = findCharge(task);
-	if (charge) {
-		addCharge(accountUse.assigned, charge, sign);
-	}
+	addCharge(accountUse.assigned, getCharge(task), sign);
 }
 
 /** Notes that a worker has unanswered starts or unknown runs. */
@@ -103,7 +102,7 @@
 	const [jobId, , step] = name.split('.');
 	const definition = jobs.get(jobId as JobId)?.definition;
 	const resources = definition?.steps[Number(step)]?.need;
-	return definition?.account === undefined || !resources ? undefined : {account: definition.account, resources};
+	return resources && {account: definition?.account ?? noAccount, resources};
 }
 
 /** What an account has running, or may have. */
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -9,6 +9,7 @@
 export {describeError} from './logging.js';
 export {findAccount, findQueue} from './queues.js';
 export {describeQuotaExcess} from './quotas.js';
+export {listAccountShares, type AccountShare} from './shares.js';
 export {getShownPhase, isFinal} from './phases.js';
 export {getNextLeadershipCheck} from './leadership.js';
 export {ReducerLoop, type Reducer} from '../engine/reducer-loop.js';
--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -7,6 +7,7 @@
 import {hasQuotaForWork} from './quotas.js';
 import {ensureWorker} from './registry.js';
 import {dropJob, isShortened} from './retention.js';
+import {takeArrival} from './shares.js';
 import {
 	attachTask, detachTask, requestStop, updateOpenStep,
 } from './tasks.js';
@@ -29,7 +30,7 @@
 	const progress = state.earlyProgress.get(definition.jobId);
 	state.earlyProgress.delete(definition.jobId);
 	const job: Job = {
-		definition, phase: progress?.phase ?? 'queued', isCancelled: state.earlyCancels.delete(definition.jobId), progress, acceptedAt: state.now, sentAt: state.now, isExcess: false, live: undefined,
+		definition, phase: progress?.phase ?? 'queued', isCancelled: state.earlyCancels.delete(definition.jobId), progress, acceptedAt: state.now, sentAt: state.now, isExcess: takeArrival(state, definition), live: undefined,
 	};
 	state.jobs.set(definition.jobId, job);
 	if (state.leadership.role === 'leader') {
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -7,6 +7,7 @@
 import {isQuarantined, isProbeDue} from './health.js';
 import {getPoolOfJob} from './queues.js';
 import {clearQuotas, countAdmitted, noteHeldBack} from './quotas.js';
+import {hasAccounts, orderByShare} from './shares.js';
 import {placeTask} from './tasks.js';
 import {compareUrgency, computeUrgency, type Urgency} from './urgency.js';
 import {
@@ -39,7 +40,8 @@
 	const usable = groupByPool(state, worker => isUsable(state, worker));
 	const setAside = groupByPool(state, worker => isUsableOrSetAside(state, worker) && isProbeDue(state, worker));
 	planTrials(state, usable, canHost);
-	for (const {step} of sortSteps(state)) {
+	const sorted = sortSteps(state);
+	for (const {step} of hasAccounts(state) ? orderByShare(state, sorted) : sorted) {
 		const pool = getPoolOfJob(state, step.occurrence.job);
 		placeStep(state, step, pool, {usable: usable.get(pool) ?? [], setAside: setAside.get(pool) ?? []});
 	}
@@ -83,7 +85,7 @@
 	return workers;
 }
 
-/** The steps that may start, most urgent first. */
+/** The steps that may start, most urgent first, apart from the shares of accounts. */
 function sortSteps(state: SchedulerState): Urgency[] {
 	return [...state.openSteps].map(step => computeUrgency(state, step)).toSorted(compareUrgency);
 }
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -1,5 +1,5 @@
 /** The workers that a leader knows, from the registry and from stored progress. */
-import {findCharge, noteUncertainWorker} from './account-use.js';
+import {getCharge, noteUncertainWorker} from './account-use.js';
 import {noteWorkerLost} from './crashes.js';
 import {addEffect, noteDecision} from './logging.js';
 import {noResources} from './resources.js';
@@ -197,7 +197,7 @@
 	}
 
 	worker.lateStarts.push({
-		task: task.name, run: task.run, need: getNeed(task), forgetAt: state.now + lateStartMs, stopDueAt: never, charge: findCharge(task),
+		task: task.name, run: task.run, need: getNeed(task), forgetAt: state.now + lateStartMs, stopDueAt: never, charge: getCharge(task),
 	});
 	noteUncertainWorker(state, worker);
 }
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -11,13 +11,14 @@
 import {
 	closeStart, hasCallWindow, openStart, type CallWindow,
 } from './call-window.js';
+import {hasAccounts} from './shares.js';
 import {
 	confirmTask, getTarget, isOverloaded, requestStop, returnTask, returnWithGang, stopGang,
 } from './tasks.js';
 import {
 	never, startReportMs, stopRetryMs, unconfirmedLimitMs,
 } from './timing.js';
-import {compareUrgency, computeUrgency} from './urgency.js';
+import {compareClass, compareUrgency, computeUrgency} from './urgency.js';
 import {canDisplace} from './waves.js';
 import type {SchedulerEvent, StartOutcome} from './events.js';
 import type {SchedulerState, Task, Worker} from './state.js';
@@ -70,7 +71,9 @@
 	const {callWindow} = state;
 	const steps = new Set(callWindow.waitingStarts.map(({task}) => task.step));
 	const urgencies = new Map([...steps].map(step => [step, computeUrgency(state, step)]));
-	callWindow.waitingStarts.sort((a, b) => compareUrgency(urgencies.get(a.task.step)!, urgencies.get(b.task.step)!));
+	// With accounts, starts of the same class stay in the order of placement, which follows the accounts' shares.
+	const compare = hasAccounts(state) ? compareClass : compareUrgency;
+	callWindow.waitingStarts.sort((a, b) => compare(urgencies.get(a.task.step)!, urgencies.get(b.task.step)!));
 }
 
 /** Sends a start, unless its placement is no longer valid; returns whether it was sent. */
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -4,9 +4,10 @@
 import {createAccountUse, type AccountUse} from './account-use.js';
 import {createCallWindow, type CallWindow} from './call-window.js';
 import type {OrderNumber, SchedulerEffect} from './effects.js';
+import type {ArrivalBucket} from './shares.js';
 import type {Machine, Wave, PoolDemand} from './machine-state.js';
 import type {
-	FencingToken, FleetConfig, JobProgress, LedgerRecord, MachineId, PoolName, QueueName, SteadyMs, WaveNumber, WaveProgress, WorkerId,
+	AccountName, FencingToken, FleetConfig, JobProgress, LedgerRecord, MachineId, PoolName, QueueName, SteadyMs, WaveNumber, WaveProgress, WorkerId,
 } from './types.js';
 import type {
 	Task, StepRun, AdviceRequest, Job, Worker, WorkerLoss,
@@ -114,6 +115,8 @@
 	readonly workers: Map<WorkerId, Worker>;
 	/** What client accounts have running. */
 	readonly accountUse: AccountUse;
+	/** What client accounts may still send within their rate. */
+	readonly arrivalBuckets: Map<AccountName, ArrivalBucket>;
 	readonly leadership: Leadership;
 	readonly dirtyJobs: Set<Job>;
 	/** Jobs that were removed from the intake while the ledger may still hold their progress. */
@@ -179,6 +182,7 @@
 		openSteps: new Set(),
 		workers: new Map(),
 		accountUse: createAccountUse(),
+		arrivalBuckets: new Map(),
 		leadership: {
 			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, isSilenceUnknown: false, claimNotBefore: 0, configuredAt: 0, isReleased: false, hasLoadedLedger: false, hasReadUpdates: false, leaderSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, meanCommitMs: 0, commitNotBefore: 0, heartbeatDueAt: 0, retryClaimAt: undefined,
 		},
--- a/packages/core/src/scheduler/testing/hand-driven.ts
+++ b/packages/core/src/scheduler/testing/hand-driven.ts
@@ -1,6 +1,7 @@
 /** For tests: the scheduler of one host, driven event by event. The test itself acts as the store, the workers and the clock. */
 import type {Instant} from '../../types/time.js';
 import {reduceScheduler} from '../reduce.js';
+import {noResources} from '../resources.js';
 import {createSchedulerState, type SchedulerSettings, type SchedulerState} from '../state.js';
 import {commitPauseMs} from '../timing.js';
 import type {SchedulerEffect} from '../effects.js';
@@ -27,6 +28,15 @@
 	return {...modelConfig, version, queues: [{...modelConfig.queues[0]!, ...changes}]};
 }
 
+/** The model's configuration with accounts of these weights, without quotas. */
+export function createAccountConfig(weights: Readonly<Record<string, number>>, version = 1): FleetConfig {
+	return {
+		...createConfig({}, version), accounts: Object.entries(weights).map(([name, weight]) => ({
+			name, weight, quota: noResources, keyDigests: [],
+		})),
+	};
+}
+
 /** A worker of the model's pool with plenty of capacity. */
 export function createWorker(id: string, changes: Partial<WorkerEntry> = {}): WorkerEntry {
 	return {
--- a/packages/core/src/scheduler/testing/model-fleet.ts
+++ b/packages/core/src/scheduler/testing/model-fleet.ts
@@ -4,7 +4,7 @@
 import type {SchedulerEvent} from '../events.js';
 import {reduceScheduler} from '../reduce.js';
 import {createSchedulerState, type SchedulerState} from '../state.js';
-import type {JobDefinition} from '../types.js';
+import type {FleetConfig, JobDefinition} from '../types.js';
 import {ModelChecks} from './model-checks.js';
 import {ModelEffects} from './model-effects.js';
 import {
@@ -44,6 +44,7 @@
 	readonly readFaults?: ReadFaults;
 	/** Workers start what they are told to, whether it fits or not. */
 	readonly areWorkersUnguarded?: boolean;
+	readonly config?: FleetConfig;
 };
 
 function addInstants(body: EventBody, at: number, wallAt: Instant): SchedulerEvent {
@@ -69,6 +70,8 @@
 	readonly crashes = new Map<string, number>();
 	/** Interval between the intake reads of a follower. */
 	followerIntakeIntervalMs = 0;
+	/** What the operators' stream holds; hosts read a new version with their next read. */
+	config: FleetConfig;
 	private readonly time: ModelTime;
 	private readonly checks: ModelChecks;
 	private readonly reads: ModelReads;
@@ -76,7 +79,8 @@
 	private nextCrashAt: number;
 	private nextCapacityAt: number;
 
-	private constructor({seed, hosts, workers, faults, readFaults = noReadFaults, areWorkersUnguarded = false}: ModelFleetOptions) {
+	private constructor({seed, hosts, workers, faults, readFaults = noReadFaults, areWorkersUnguarded = false, config = modelConfig}: ModelFleetOptions) {
+		this.config = config;
 		this.time = ModelTime.create(seed);
 		this.faults = faults;
 		this.readFaults = readFaults;
@@ -272,8 +276,8 @@
 	}
 
 	private readStore(host: ModelHost): void {
-		if (!host.state.config) {
-			this.push(host, {type: 'config/read', config: modelConfig});
+		if (host.state.config?.version !== this.config.version) {
+			this.push(host, {type: 'config/read', config: this.config});
 		}
 
 		const {role} = host.state.leadership;
--- a/packages/core/src/scheduler/urgency.ts
+++ b/packages/core/src/scheduler/urgency.ts
@@ -24,6 +24,8 @@
 
 export type Urgency = {
 	readonly step: StepRun;
+	/** The job exceeds the rate of its account. */
+	readonly isExcess: boolean;
 	readonly priority: number;
 	/** The job can no longer meet its latency objective. */
 	readonly isObjectiveUnreachable: boolean;
@@ -57,6 +59,7 @@
 	const isTimed = !step.definition.isLongRunning && job.definition.runCount === 0;
 	return {
 		step,
+		isExcess: job.isExcess,
 		priority: queue?.priority ?? lowestPriority,
 		isObjectiveUnreachable: isTimed && state.now + remainingMs + computeRequiredSlack(remainingMs, hasStarted) > job.sentAt + objectiveMs,
 		hasStarted,
@@ -69,10 +72,18 @@
 	return overheadMs + (hasStarted ? 0 : remainingMs * slackShare);
 }
 
-/** Sorts steps by priority, then those that can meet their objective first, then those of started jobs, then by arrival. */
-export function compareUrgency(a: Urgency, b: Urgency): number {
-	return a.priority - b.priority
+/**
+ * Sorts steps by class: those of excess jobs last, then by priority, then those that can meet their objective first, then
+ * those of started jobs.
+ */
+export function compareClass(a: Urgency, b: Urgency): number {
+	return Number(a.isExcess) - Number(b.isExcess)
+		|| a.priority - b.priority
 		|| Number(a.isObjectiveUnreachable) - Number(b.isObjectiveUnreachable)
-		|| Number(b.hasStarted) - Number(a.hasStarted)
-		|| a.acceptedAt - b.acceptedAt;
+		|| Number(b.hasStarted) - Number(a.hasStarted);
+}
+
+/** Sorts steps by class, and within a class by arrival. */
+export function compareUrgency(a: Urgency, b: Urgency): number {
+	return compareClass(a, b) || a.acceptedAt - b.acceptedAt;
 }
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -120,7 +120,7 @@
 	readonly forgetAt: SteadyMs;
 	/** When a stop is sent to the worker's new incarnation; `never` as long as there is none, and once it has confirmed the stop. */
 	stopDueAt: SteadyMs;
-	/** What the run would count against the account of its job, if it has one. */
+	/** What the run would count against the account of its job. */
 	readonly charge?: AccountCharge | undefined;
 	/** The worker's current incarnation has reported the run or confirmed a stop, so it will not carry out the start. */
 	isRuledOut?: boolean | undefined;
--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -2,6 +2,7 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import type {AccountShare} from '@rhubarblever/core/scheduler';
 
 const latencyBucketsS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5];
 
@@ -20,8 +21,39 @@
 	readonly liveJobs: Gauge;
 	/** Staleness of the view by stream; absent until the stream was first read to its end. */
 	readonly viewAgeSeconds: Gauge<'stream'>;
+	/** Takes use and share by account from `list` whenever the metrics are read. */
+	readonly followAccounts: (list: (most: number) => readonly AccountShare[]) => void;
 };
 
+/** Accounts that metrics show by name, so that their number is bounded. */
+const maxNamedAccounts = 50;
+
+/** Gauges of what each client account has running; empty on hosts that do not lead. */
+function createAccountGauges(registers: Registry[]): SchedulerMetrics['followAccounts'] {
+	let listAccounts: (most: number) => readonly AccountShare[] = () => [];
+	const use = new Gauge({
+		name: 'rhubarblever_account_use', help: 'What an account has running: cpu in thousandths of a core, memory in MB, accelerators', labelNames: ['account', 'resource'], registers, collect() {
+			use.reset();
+			for (const {account, use: {cpu, memoryMb, gpu}} of listAccounts(maxNamedAccounts)) {
+				use.set({account, resource: 'cpu'}, cpu);
+				use.set({account, resource: 'memory'}, memoryMb);
+				use.set({account, resource: 'gpu'}, gpu);
+			}
+		},
+	});
+	const share = new Gauge({
+		name: 'rhubarblever_account_share', help: 'Highest ratio of an account\'s use to the capacity of the fleet over the resources, divided by its weight', labelNames: ['account'], registers, collect() {
+			share.reset();
+			for (const row of listAccounts(maxNamedAccounts)) {
+				share.set({account: row.account}, row.share);
+			}
+		},
+	});
+	return list => {
+		listAccounts = list;
+	};
+}
+
 /**
  * Creates the metrics of one host in a registry of their own. The names and labels are fixed, because operators' queries use them.
  * Two names differ from the terms of the code: the label `order` names the kind of any outgoing call (`hold` is a poll
@@ -52,5 +84,6 @@
 			name: 'rhubarblever_view_age_seconds', help: 'All that was stored in the stream before this age has been read', labelNames: ['stream'], registers,
 		}),
 		liveJobs: new Gauge({name: 'rhubarblever_live_jobs', help: 'Jobs that the leader works on', registers}),
+		followAccounts: createAccountGauges(registers),
 	};
 }
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -1,6 +1,6 @@
 /** The scheduler on one entry host: its event loop, the readers of its streams in the store, and its job API for callers. */
 import {
-	createSchedulerState, getNextLeadershipCheck, reduceScheduler, ReducerLoop, type SchedulerEffect, type SchedulerEvent, type SchedulerSettings, type SchedulerState, type SteadyMs,
+	createSchedulerState, getNextLeadershipCheck, listAccountShares, reduceScheduler, ReducerLoop, type SchedulerEffect, type SchedulerEvent, type SchedulerSettings, type SchedulerState, type SteadyMs,
 } from '@rhubarblever/core/scheduler';
 import {readSteadyClock, readWallClock} from './clocks.js';
 import {intakeStream, ledgerStream} from './codec.js';
@@ -92,6 +92,7 @@
 		this.loop = ReducerLoop.create(createSchedulerState(settings), reduceScheduler, (effect: SchedulerEffect) => {
 			runner.run(effect);
 		});
+		metrics.followAccounts(most => listAccountShares(this.loop.state, most));
 		this.events = RecordEvents.create({
 			codec: ports.codec, log, pushEvent: event => {
 				this.push(event);
