--- a/packages/core/src/scheduler/testing/model-checks.ts
+++ b/packages/core/src/scheduler/testing/model-checks.ts
@@ -1,12 +1,17 @@
 /** Invariants of the scheduler, checked at the model's workers and store. */
 import type {JobId} from '../../types/ids.js';
-import type {JobDefinition, Resources, StepDefinition} from '../types.js';
+import type {
+	FleetConfig, JobDefinition, Resources, StepDefinition,
+} from '../types.js';
 import type {ModelHost} from './model-hosts.js';
 import {modelConfig} from './model-jobs.js';
 import type {ModelStore} from './model-store.js';
 import type {ModelTime} from './model-time.js';
 import type {ModelWorker} from './model-worker.js';
 
+/** The share of a cap that may be in use, as `bounds.quota-overage` grants it by default. */
+const quotaOverage = 1.1;
+
 export type ModelChecksOptions = {readonly time: ModelTime; readonly store: ModelStore; readonly hosts: readonly ModelHost[]; readonly workers: readonly ModelWorker[]};
 
 export class ModelChecks {
@@ -20,6 +25,7 @@
 	private readonly shownAsCompleted = new Set<string>();
 	private readonly failures = new Map<string, number>();
 	private readonly cancelledAt = new Map<string, number>();
+	private readonly configs: Array<{readonly since: number; readonly config: FleetConfig}> = [];
 
 	private constructor(private readonly options: ModelChecksOptions) {}
 
@@ -27,6 +33,11 @@
 		this.jobs.set(job.jobId, job);
 	}
 
+	/** Records a configuration that is in force from now on. */
+	addConfig(config: FleetConfig): void {
+		this.configs.push({since: this.options.time.now, config});
+	}
+
 	addCancel(jobId: JobId): void {
 		this.cancelledAt.set(jobId, this.options.time.now);
 	}
@@ -73,11 +84,38 @@
 			this.violations.push(`${now}: ${task} starts though its job was shown as completed`);
 		}
 
+		this.checkQuota(task, need, knownFrom);
 		if (worker.countUsedCpu() > worker.getLargestCpu(knownFrom)) {
 			this.violations.push(`${now}: ${worker.entry.id} exceeds its capacity after the start of a task that needs ${need.cpu} thousandths of a core`);
 		}
 	}
 
+	/** Checks that a start has not brought its account above the highest cap since `knownFrom`, its overage and one task. */
+	private checkQuota(task: string, need: Resources, knownFrom: number): void {
+		const {account} = this.jobs.get(task.split('.')[0]!)!;
+		const first = Math.max(0, this.configs.findLastIndex(({since}) => since <= knownFrom));
+		const caps = this.configs.slice(first).map(({config}) => config.accounts?.find(({name}) => name === account)?.quota.cpu ?? 0);
+		if (account === undefined || caps.length === 0 || caps.includes(0)) {
+			return;
+		}
+
+		const used = this.countCpuOf(account);
+		if (used > (Math.max(...caps) * quotaOverage) + need.cpu) {
+			this.violations.push(`${this.options.time.now}: account ${account} has ${used} thousandths of a core running after the start of ${task}, its highest cap is ${Math.max(...caps)}`);
+		}
+	}
+
+	private countCpuOf(account: string): number {
+		let used = 0;
+		for (const worker of this.options.workers) {
+			for (const {task, need} of worker.isUp ? worker.runs.values() : []) {
+				used += this.jobs.get(task.split('.')[0]!)!.account === account ? need.cpu : 0;
+			}
+		}
+
+		return used;
+	}
+
 	private isStored(task: string, run: number): boolean {
 		const [jobId, , step, index] = task.split('.');
 		const entry = this.options.store.ledger.findLast(({record}) => record.type === 'progress' && record.jobId === jobId);
--- a/packages/core/src/scheduler/testing/model-fleet.ts
+++ b/packages/core/src/scheduler/testing/model-fleet.ts
@@ -70,17 +70,16 @@
 	readonly crashes = new Map<string, number>();
 	/** Interval between the intake reads of a follower. */
 	followerIntakeIntervalMs = 0;
-	/** What the operators' stream holds; hosts read a new version with their next read. */
-	config: FleetConfig;
 	private readonly time: ModelTime;
 	private readonly checks: ModelChecks;
 	private readonly reads: ModelReads;
 	private readonly effects: ModelEffects;
+	/** What the operators' stream holds; hosts read a new version with their next read. */
+	private config: FleetConfig = modelConfig;
 	private nextCrashAt: number;
 	private nextCapacityAt: number;
 
 	private constructor({seed, hosts, workers, faults, readFaults = noReadFaults, areWorkersUnguarded = false, config = modelConfig}: ModelFleetOptions) {
-		this.config = config;
 		this.time = ModelTime.create(seed);
 		this.faults = faults;
 		this.readFaults = readFaults;
@@ -103,6 +102,7 @@
 				this.noteStart(task, worker);
 			},
 		});
+		this.setConfig(config);
 		for (let index = 0; index < workers; index++) {
 			this.workers.push(ModelWorker.create({
 				id: `w-${index}`, bornAt: 1, address: `w-${index}`, pool: poolName, availabilityZone: 'a', capacity: {cpu: fullCpu, memoryMb: 100_000, gpu: 0}, labels: ['a', `r-${index % 2}`], isDraining: false, remainingMs: undefined, machineId: `m-${index}`,
@@ -127,6 +127,11 @@
 		return this.checks.violations;
 	}
 
+	setConfig(config: FleetConfig): void {
+		this.config = config;
+		this.checks.addConfig(config);
+	}
+
 	/** Submits a job, which is stored at once. */
 	submit(job: JobDefinition): void {
 		this.checks.addJob(job);
