A new leader counts and stops the runs of cancelled jobs

Cause: the stored rows of a cancelled job were not restored, so after a takeover its runs counted for no account until their worker reported them; at a silent worker that takes until its lease ends. Change: restored as runs to be stopped; occurrences.ts taken out of jobs.ts.

--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -4,6 +4,7 @@
 import {addArrivedWork} from './demand.js';
 import {noteDecision} from './logging.js';
 import {isFinal} from './phases.js';
+import {getOccurrence} from './occurrences.js';
 import {hasQuotaForWork} from './quotas.js';
 import {ensureWorker} from './registry.js';
 import {dropJob, isShortened} from './retention.js';
@@ -13,10 +14,10 @@
 } from './tasks.js';
 import {never} from './timing.js';
 import type {
-	IntakeRecord, JobDefinition, JobProgress, ProgressRow, TaskName,
+	IntakeRecord, JobDefinition, JobProgress, ProgressRow,
 } from './types.js';
 import type {
-	Job, LiveJob, Occurrence, SchedulerState, StepRun, Task,
+	Job, LiveJob, Occurrence, SchedulerState, Task,
 } from './state.js';
 
 /** Adds an accepted job. Later records with the same id are ignored, but for the shortened definition of a job that has ended. */
@@ -122,18 +123,34 @@
 
 /** Builds the leader's state of a job from its stored progress. */
 export function activateJob(state: SchedulerState, job: Job): void {
-	if (job.isCancelled || isFinal(job.phase) || isShortened(job.definition)) {
+	const {progress} = job;
+	const hasRuns = progress?.rows.some(({status}) => status === 'placed') ?? false;
+	if (isFinal(job.phase) || isShortened(job.definition) || (job.isCancelled && !hasRuns)) {
 		return;
 	}
 
-	const {progress} = job;
 	const live: LiveJob = {
 		occurrences: new Map(), finishedOccurrences: new Set(progress?.finishedOccurrences), nextOccurrence: 0, hasStarted: job.phase === 'running', phase: job.phase, finishedAt: 0 as Instant,
 	};
 	job.live = live;
 	state.liveJobs.add(job);
 	restoreRows(state, job, live, progress);
-	openDueOccurrences(state, job);
+	if (job.isCancelled) {
+		stopRestored(live);
+	} else {
+		openDueOccurrences(state, job);
+	}
+}
+
+/** The runs of a cancelled job may go on: they count for their account until they have certainly ended, and are stopped with the next clock event. */
+function stopRestored(live: LiveJob): void {
+	for (const task of [...live.occurrences.values()].flatMap(({steps}) => steps).flatMap(({tasks}) => tasks)) {
+		if (task.status === 'placed') {
+			task.status = 'stopping';
+			task.conclusiveAfter = never;
+			task.stopDueAt = 0;
+		}
+	}
 }
 
 /** Opens the occurrences of a job that are due. */
@@ -159,61 +176,11 @@
 	}
 }
 
-function getOccurrence(state: SchedulerState, job: Job, live: LiveJob, number: number): Occurrence {
-	const occurrence = live.occurrences.get(number) ?? createOccurrence(state, job, number);
-	live.occurrences.set(number, occurrence);
-	return occurrence;
-}
-
 function isDue(state: SchedulerState, definition: JobDefinition, occurrence: number): boolean {
 	// A run count of 0: runs once, immediately.
 	return definition.runCount === 0 || state.wallNow >= definition.firstRunAt + (occurrence * definition.intervalMs);
 }
 
-function createOccurrence(state: SchedulerState, job: Job, number: number): Occurrence {
-	const occurrence: Occurrence = {
-		job, number, steps: [], isDue: false, isDone: false,
-	};
-	for (const [index, definition] of job.definition.steps.entries()) {
-		const step: StepRun = {
-			occurrence, number: index, definition, tasks: [], doneCount: 0, advice: undefined,
-		};
-		occurrence.steps.push(step);
-		for (let task = 0; task < definition.count; task++) {
-			step.tasks.push(createTask(state, step, task));
-		}
-	}
-
-	return occurrence;
-}
-
-function createTask(state: SchedulerState, step: StepRun, index: number): Task {
-	const {job, number} = step.occurrence;
-	return {
-		name: `${job.definition.jobId}.${number}.${step.number}.${index}` as TaskName,
-		step,
-		index,
-		status: 'waiting',
-		run: 0,
-		failures: 0,
-		worker: undefined,
-		checkpoint: '',
-		isSent: false,
-		isReported: false,
-		unansweredAt: never,
-		conclusiveAfter: 0,
-		stopDueAt: 0,
-		percent: 0,
-		percentChangedAt: 0,
-		startedAt: 0,
-		reading: 0,
-		pacePercent: 100,
-		readyAt: state.now,
-		failedOn: new Set(),
-		crashes: [],
-	};
-}
-
 /** Restores every occurrence that has begun, even if it is not due by this host's clock: the former leader's clock may have been ahead. */
 function restoreRows(state: SchedulerState, job: Job, live: LiveJob, progress: JobProgress | undefined): void {
 	for (const row of progress?.rows ?? []) {
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -237,7 +237,7 @@
 	for (const worker of state.workers.values()) {
 		tickLateStarts(state, worker);
 		for (const task of worker.tasks.values()) {
-			const isStopDue = task.status === 'stopping' && task.conclusiveAfter === never && state.now >= task.stopDueAt;
+			const isStopDue = task.status === 'stopping' && worker.address !== '' && task.conclusiveAfter === never && state.now >= task.stopDueAt;
 			// The run may be at work. While its step can spare no task, only the worker's report or the end of its lease decides.
 			const isReportDue = task.status === 'placed' && state.now >= task.unansweredAt + startReportMs && canDisplace(state, task);
 			if (isStopDue || isReportDue) {
