--- a/packages/core/src/scheduler/quotas.test.ts
+++ b/packages/core/src/scheduler/quotas.test.ts
@@ -55,6 +55,16 @@
 		expect([demand.waitingTasks, demand.unplaceable.cpu, demand.waitingWork.cpu]).toEqual([0, 0, 0]);
 	});
 
+	// Guards against: machines requested for a burst that the cap lets run only later (50 jobs of a second of the whole cap each).
+	it('counts as arrived no more than a few seconds of what the cap can run', () => {
+		const host = lead();
+		for (let number = 1; number <= 50; number++) {
+			host.submit(createAccountJob(number, {count: 2 * tasksOfCap, estimateMs: 500}));
+		}
+
+		expect(host.state.demand.get(poolName)!.arrivedWork.cpu).toBeLessThanOrEqual(2500 * tasksOfCap * taskCpu);
+	});
+
 	// Guards against: a gang begun in part, and a member above the cap.
 	it('admits a gang as a whole or not at all', () => {
 		const host = lead();
