A new leader counts and stops the runs of failed jobs too

Cause: the last record of a failed job had no rows, so after a takeover what it still had at a silent worker counted for no account. Change: the record keeps the rows of assigned tasks; a new leader restores them as runs to be stopped. Rows of completed jobs are still not decoded.

--- a/packages/core/src/scheduler/job-progress.ts
+++ b/packages/core/src/scheduler/job-progress.ts
@@ -15,9 +15,10 @@
 
 	const isOver = isFinal(live.phase);
 	const rows: ProgressRow[] = [];
-	for (const occurrence of isOver ? [] : live.occurrences.values()) {
+	for (const occurrence of live.occurrences.values()) {
 		for (const step of occurrence.steps) {
-			rows.push(...listRows(step));
+			// Of a job that is over, only the runs that may go on: a new leader counts and stops them.
+			rows.push(...listRows(step).filter(({status}) => !isOver || status === 'placed'));
 		}
 	}
 
--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -121,28 +121,32 @@
 	job.live = undefined;
 }
 
-/** Builds the leader's state of a job from its stored progress. */
+/** Builds the leader's state of a job from its stored progress. Cancelled and failed jobs have one only while runs of theirs may go on. */
 export function activateJob(state: SchedulerState, job: Job): void {
 	const {progress} = job;
-	const hasRuns = progress?.rows.some(({status}) => status === 'placed') ?? false;
-	if (isFinal(job.phase) || isShortened(job.definition) || (job.isCancelled && !hasRuns)) {
+	const isOver = job.isCancelled || isFinal(job.phase);
+	if (isShortened(job.definition) || (isOver && (job.phase === 'completed' || !hasAssignedTasks(progress)))) {
 		return;
 	}
 
 	const live: LiveJob = {
-		occurrences: new Map(), finishedOccurrences: new Set(progress?.finishedOccurrences), nextOccurrence: 0, hasStarted: job.phase === 'running', phase: job.phase, finishedAt: 0 as Instant,
+		occurrences: new Map(), finishedOccurrences: new Set(progress?.finishedOccurrences), nextOccurrence: 0, hasStarted: job.phase === 'running', phase: job.phase, finishedAt: isOver && progress ? progress.finishedAt : 0 as Instant,
 	};
 	job.live = live;
 	state.liveJobs.add(job);
 	restoreRows(state, job, live, progress);
-	if (job.isCancelled) {
+	if (isOver) {
 		stopRestored(live);
 	} else {
 		openDueOccurrences(state, job);
 	}
 }
 
-/** The runs of a cancelled job may go on: they count for their account until they have certainly ended, and are stopped with the next clock event. */
+function hasAssignedTasks(progress: JobProgress | undefined): boolean {
+	return progress?.rows.some(({status}) => status === 'placed') ?? false;
+}
+
+/** The runs of a cancelled or failed job may go on: they count for their account until they have certainly ended, and are stopped with the next clock event. */
 function stopRestored(live: LiveJob): void {
 	for (const task of [...live.occurrences.values()].flatMap(({steps}) => steps).flatMap(({tasks}) => tasks)) {
 		if (task.status === 'placed') {
--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -227,7 +227,8 @@
 	state.adviceRequest = undefined;
 	state.isConfigDirty = true;
 	for (const job of state.jobs.values()) {
-		if (!isFinal(job.phase)) {
+		// Runs of a failed job may go on. The rows of completed jobs are not decoded, as there may be very many.
+		if (job.phase === 'failed' || !isFinal(job.phase)) {
 			resumeJob(state, job);
 		}
 	}
--- a/packages/core/src/scheduler/quotas.test.ts
+++ b/packages/core/src/scheduler/quotas.test.ts
@@ -123,30 +123,35 @@
 		expect(listStarts(host.effects).length).toEqual(1);
 	});
 
-	// Guards against: a new leader that forgets what a cancelled job still has running at a silent worker.
-	it('counts the runs of a cancelled job after a takeover until they have certainly ended, and stops them', () => {
-		const job = createAccountJob(1, {count: 4});
-		const host = HandDrivenHost.create();
-		host.submit(job);
-		host.dispatch({type: 'intake/read', records: [{type: 'cancel', jobId: job.jobId}]});
-		host.submit(createAccountJob(2, {count: 4}));
-		host.takeLeadership([createProgress(0, job, [0, 1, 2, 3].map(index => createRow({index, workerId: index < 2 ? 'w1' : 'silent'})))], createAccountConfig(tasksOfCap));
-		host.addWorkers('w1');
-		const effects = host.tick(100);
-		const stops = effects.filter(effect => effect.type === 'worker/stop' && effect.worker.id === 'w1');
-		expect([listStarts(host.effects).length, stops.length]).toEqual([0, 2]);
-		for (const index of [0, 1]) {
-			host.dispatch({
-				type: 'stop/ended', workerId: 'w1', bornAt: 1, task: `${job.jobId}.0.0.${index}`, run: 1, outcome: 'stopped', token: host.token,
-			});
-		}
-
-		host.now += 10;
-		host.answerPoll('w1');
-		host.tick(100);
-		expect(listStarts(host.effects).length).toEqual(2);
-		expect(getUse(host)?.cpu).toEqual(tasksOfCap * taskCpu);
-	});
+	for (const end of ['cancelled', 'failed']) {
+		// Guards against: a new leader that forgets what a cancelled or failed job still has running at a silent worker.
+		it(`counts the runs of a ${end} job after a takeover until they have certainly ended, and stops them`, () => {
+			const job = createAccountJob(1, {count: 4});
+			const host = HandDrivenHost.create();
+			host.submit(job);
+			if (end === 'cancelled') {
+				host.dispatch({type: 'intake/read', records: [{type: 'cancel', jobId: job.jobId}]});
+			}
+
+			host.submit(createAccountJob(2, {count: 4}));
+			host.takeLeadership([createProgress(0, job, [0, 1, 2, 3].map(index => createRow({index, workerId: index < 2 ? 'w1' : 'silent'})), end === 'failed' ? 'failed' : 'running')], createAccountConfig(tasksOfCap));
+			host.addWorkers('w1');
+			const effects = host.tick(100);
+			const stops = effects.filter(effect => effect.type === 'worker/stop' && effect.worker.id === 'w1');
+			expect([listStarts(host.effects).length, stops.length]).toEqual([0, 2]);
+			for (const index of [0, 1]) {
+				host.dispatch({
+					type: 'stop/ended', workerId: 'w1', bornAt: 1, task: `${job.jobId}.0.0.${index}`, run: 1, outcome: 'stopped', token: host.token,
+				});
+			}
+
+			host.now += 10;
+			host.answerPoll('w1');
+			host.tick(100);
+			expect(listStarts(host.effects).length).toEqual(2);
+			expect(getUse(host)?.cpu).toEqual(tasksOfCap * taskCpu);
+		});
+	}
 
 	// Guards against: the room of a start without an answer given to another task while the start may still be carried out.
 	it('counts a start that may still be carried out after its worker has gone', () => {
--- a/packages/core/src/scheduler/testing/hand-driven.ts
+++ b/packages/core/src/scheduler/testing/hand-driven.ts
@@ -9,7 +9,7 @@
 	PollOutcome, LedgerEntry, SchedulerEvent, StartOutcome,
 } from '../events.js';
 import type {
-	EndedRow, FleetConfig, JobDefinition, ProgressRow, Queue, RunningRow, WorkerEntry,
+	EndedRow, FleetConfig, JobDefinition, JobProgress, ProgressRow, Queue, RunningRow, WorkerEntry,
 } from '../types.js';
 import {modelSettings} from './model-settings.js';
 import {modelConfig, poolName} from './model-fleet.js';
@@ -51,12 +51,12 @@
 	};
 }
 
-/** A ledger entry with the progress of a running job. */
-export function createProgress(offset: number, {jobId}: JobDefinition, rows: readonly ProgressRow[]): LedgerEntry {
+/** A ledger entry with the progress of a job that is running unless `phase` says otherwise. */
+export function createProgress(offset: number, {jobId}: JobDefinition, rows: readonly ProgressRow[], phase: JobProgress['phase'] = 'running'): LedgerEntry {
 	return {
 		offset, record: {
 			type: 'progress', jobId, progress: {
-				phase: 'running', finishedOccurrences: [], rows, finishedAt: 0 as Instant,
+				phase, finishedOccurrences: [], rows, finishedAt: 0 as Instant,
 			},
 		},
 	};
