--- a/packages/core/src/scheduler/quotas.test.ts
+++ b/packages/core/src/scheduler/quotas.test.ts
@@ -111,16 +111,21 @@
 		host.submit(job);
 		host.submit(createAccountJob(2, {count: 4}));
 		host.takeLeadership([createProgress(0, job, [0, 1, 2].map(index => createRow({index, workerId: 'silent'})))], createAccountConfig(tasksOfCap));
-		host.addWorkers('w1');
+		host.addWorkers('w1', 'w2', 'w3', 'w4');
 		const first = listStarts(host.tick(100));
 		expect(first.length).toEqual(1);
 		expect(getUse(host)?.cpu).toEqual(tasksOfCap * taskCpu);
 
 		// Its start is not answered, and its worker restarts: the start may still be carried out there.
 		host.answerStart(first[0]!, 'unknown');
-		host.answerPoll('w1', {answerBornAt: 2});
-		host.tick(1000);
+		host.answerPoll(first[0]!.worker.id, {answerBornAt: 2});
+		host.tick(9000);
 		expect(listStarts(host.effects).length).toEqual(1);
+
+		// The earlier leader may have renewed the silent worker's lease for 9.8 s.
+		host.tick(1500);
+		expect(listStarts(host.effects).length).toEqual(tasksOfCap);
+		expect(getUse(host)?.cpu).toEqual(tasksOfCap * taskCpu);
 	});
 
 	for (const end of ['cancelled', 'failed']) {
