Learned run times survive a takeover, count runs in progress, and are watched and calibrated

Cause: a new leader would plan by declared estimates until it has learned anew, and long runs are missing from what was learned as long as they last. Change: ledger record run-times, at most every 5 s; runs in progress count as censored values once a second; runs past the tail are logged once; counters and a log line of calibration. Runs whose start or end is not known well give no duration.

--- a/packages/core/src/scheduler/commits.ts
+++ b/packages/core/src/scheduler/commits.ts
@@ -5,6 +5,7 @@
 import {listRecentOrders, sendStoredOrder} from './machine-orders.js';
 import {isFinal} from './phases.js';
 import {queueStart} from './call-window.js';
+import {takeRunTimesRecord} from './run-time-record.js';
 import {commitPauseMs, commitRetryMs, leaderHeartbeatMs} from './timing.js';
 import type {SchedulerEvent} from './events.js';
 import type {LedgerRecord} from './types.js';
@@ -95,6 +96,7 @@
 		records.push({type: 'config', config: state.config});
 	}
 
+	records.push(...takeRunTimesRecord(state));
 	if (state.dirtyJobs.size === 0 && records.length === 0) {
 		records.push({type: 'lease', lease: {holder: settings.holder, token: leadership.token, isReleased: false}});
 	}
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -3,8 +3,9 @@
 export type * from './effects.js';
 export type * from './events.js';
 export {
-	createSchedulerState, type SchedulerState, type SchedulerSettings, type Job,
+	createSchedulerState, type SchedulerState, type SchedulerSettings, type Job, type LearningUse,
 } from './state.js';
+export type {Calibration} from './run-times.js';
 export {reduceScheduler} from './reduce.js';
 export {describeError} from './logging.js';
 export {findQueue} from './queues.js';
--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -201,6 +201,7 @@
 		startedAt: 0,
 		isStartKnown: false,
 		isResumed: false,
+		overTailRun: 0,
 		reading: 0,
 		pacePercent: 100,
 		readyAt: state.now,
--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -9,6 +9,7 @@
 	claimRetryMs, claimJitterMs, leaderSilenceAtStartMs, leaderSilenceMs, leaderHeartbeatMs, never, shortfallClaimDelayMs,
 } from './timing.js';
 import {createCallWindow} from './call-window.js';
+import {restoreRunTimes} from './run-time-record.js';
 import {restoreWave} from './waves.js';
 import type {LedgerEntry, SchedulerEvent} from './events.js';
 import type {LedgerRecord, SteadyMs} from './types.js';
@@ -100,6 +101,9 @@
 			addEffect(state, {type: 'config/restored', config});
 		}
 	},
+	'run-times'(state, {rows}) {
+		state.storedRunTimes = rows;
+	},
 };
 
 /** The read offset advances past the whole batch, so one record that cannot be applied must not make the records after it be skipped. */
@@ -224,6 +228,7 @@
 	state.isListingMachines = false;
 	state.adviceRequest = undefined;
 	state.isConfigDirty = true;
+	restoreRunTimes(state);
 	for (const job of state.jobs.values()) {
 		if (!isFinal(job.phase)) {
 			resumeJob(state, job);
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -19,6 +19,7 @@
 import {
 	handleStart, handleStop, sendQueuedStarts, tickStops,
 } from './starts.js';
+import {tickRunTimes} from './run-time-watch.js';
 import {updateOpenStep} from './tasks.js';
 import {tickTrialPolls} from './trial-polls.js';
 import {addWave, handleWaveReport, tickWaves} from './waves.js';
@@ -55,6 +56,7 @@
 		tickOrders(state);
 		tickWaves(state);
 		tickMoves(state);
+		tickRunTimes(state);
 		removeOldJobs(state);
 		replaceEndedJobs(state);
 		removeGoneWorkers(state);
--- a/packages/core/src/scheduler/run-time-sketch.ts
+++ b/packages/core/src/scheduler/run-time-sketch.ts
@@ -9,10 +9,9 @@
 /** A day in milliseconds. */
 const highestValue = 86_400_000;
 const significantDigits = 1;
-/** Parts into which a run is split when it is spread over several buckets. */
-const partsPerRun = 1000;
-/** Runs are spread over buckets in whole parts, so that their total stays below the range of a bucket's counter. */
-const maxSpreadParts = 1_000_000_000;
+/** Parts into which a value is split when it counts in several buckets; the sum of all stays within the range of a bucket's counter. */
+const maxPartsPerValue = 1000;
+const maxParts = 1_000_000_000;
 /**
  * A high percentile is read this many runs lower. Among 50 runs of which 3% take 7 times as long, three such runs or more
  * come in one of five samples, and would raise the 95th percentile 4 times.
@@ -27,11 +26,10 @@
 export type Sketch = {
 	newer: Buckets;
 	older: Buckets;
+	/** Values that are still growing: how many have reached each bucket. */
+	readonly growing: Map<number, number>;
 };
 
-/** Number of values in one bucket; `value` lies in the middle of the bucket. */
-export type BucketCount = {readonly value: number; readonly count: number};
-
 class Buckets extends int32Module.default {
 	static create(): Buckets {
 		return new Buckets(lowestValue, highestValue, significantDigits);
@@ -39,7 +37,7 @@
 }
 
 export function createSketch(): Sketch {
-	return {newer: Buckets.create(), older: Buckets.create()};
+	return {newer: Buckets.create(), older: Buckets.create(), growing: new Map()};
 }
 
 /** Limits a value to the range of the buckets. */
@@ -47,8 +45,14 @@
 	return Math.min(highestValue, Math.max(lowestValue, Math.round(value)));
 }
 
-export function addValue({newer}: Sketch, value: number, count = 1): void {
-	newer.recordValueWithCount(convertToRange(value), count);
+export function addValue({newer}: Sketch, value: number): void {
+	newer.recordValue(convertToRange(value));
+}
+
+/** Adds a value that will be at least as high. */
+export function addGrowingValue({newer, growing}: Sketch, value: number): void {
+	const index = newer.countsArrayIndex(convertToRange(value));
+	growing.set(index, (growing.get(index) ?? 0) + 1);
 }
 
 /** Drops the older generation; the newer one takes its place. */
@@ -63,73 +67,107 @@
 	return newer.totalCount + older.totalCount;
 }
 
-/** The values of both generations, in rising order. */
-export function listBucketCounts({newer, older}: Sketch): BucketCount[] {
-	const counts: BucketCount[] = [];
-	const end = newer.countsArrayIndex(convertToRange(Math.max(newer.maxValue, older.maxValue)));
-	for (let index = 0; index <= end; index++) {
-		const count = newer.getCountAtIndex(index) + older.getCountAtIndex(index);
+function countInBucket({newer, older}: Sketch, index: number): number {
+	return newer.getCountAtIndex(index) + older.getCountAtIndex(index);
+}
+
+function getLastIndex({newer, older}: Sketch): number {
+	return newer.countsArrayIndex(convertToRange(Math.max(newer.maxValue, older.maxValue)));
+}
+
+/** The values of both generations: for each bucket that is not empty, how far it is from the one before, and its number of values. */
+export function listBuckets(sketch: Sketch): number[] {
+	const buckets: number[] = [];
+	const last = getLastIndex(sketch);
+	let former = 0;
+	for (let index = 0; index <= last; index++) {
+		const count = countInBucket(sketch, index);
 		if (count > 0) {
-			counts.push({value: newer.medianEquivalentValue(newer.valueFromIndex(index)), count});
+			buckets.push(index - former, count);
+			former = index;
 		}
 	}
 
-	return counts;
+	return buckets;
+}
+
+/** Adds values in the form of `listBuckets` to the older generation; throws an error if they do not fit. */
+export function addOlderValues({older}: Sketch, buckets: readonly number[]): void {
+	let index = 0;
+	for (let position = 0; position < buckets.length; position += 2) {
+		index += buckets[position]!;
+		const count = buckets[position + 1];
+		if (index >= older.countsArrayLength || count === undefined) {
+			throw new RangeError('no such bucket');
+		}
+
+		older.recordValueWithCount(convertToRange(older.valueFromIndex(index)), count);
+	}
 }
 
 /** Used for one computation at a time. */
 const scratch = Buckets.create();
+const midValues = Array.from({length: scratch.countsArrayLength}, (_, index) => scratch.medianEquivalentValue(scratch.valueFromIndex(index)));
 
-/** The quantiles of all values. Each of `atLeast` stands for a value that is at least as high. */
-export function computeQuantiles(sketch: Sketch, atLeast: readonly number[]): Quantiles {
-	const counts = listBucketCounts(sketch);
-	const total = countValues(sketch) + atLeast.length;
-	const parts = Math.min(partsPerRun, Math.floor(maxSpreadParts / Math.max(1, total)));
+/** The mean and the percentiles of all values, the growing ones included. */
+export function computeQuantiles(sketch: Sketch): Quantiles {
+	const total = countValues(sketch) + sumCounts(sketch.growing.values());
+	const partsPerValue = Math.min(maxPartsPerValue, Math.floor(maxParts / Math.max(1, total)));
+	let sum = 0;
 	scratch.reset();
-	for (const {value, count} of atLeast.length === 0 ? counts : mergeIncomplete(counts, atLeast.map(value => convertToRange(value)), total)) {
-		const weight = Math.round(count * parts);
-		if (weight > 0) {
-			scratch.recordValueWithCount(convertToRange(value), weight);
-		}
-	}
-
+	mergeValues(sketch, total, (index, count) => {
+		const parts = Math.round(count * partsPerValue);
+		scratch.addToCountAtIndex(index, parts);
+		scratch.addToTotalCount(parts);
+		sum += midValues[index]! * parts;
+	});
 	const readAt = (percentile: number) => readPercentile(percentile, total);
 	return {
-		mean: scratch.mean, p50: readAt(50), p90: readAt(90), p95: readAt(95), p99: readAt(99),
+		// The library's own mean takes most of the time of this computation.
+		mean: sum / Math.max(1, scratch.totalCount), p50: readAt(50), p90: readAt(90), p95: readAt(95), p99: readAt(99),
 	};
 }
 
+function sumCounts(counts: Iterable<number>): number {
+	let sum = 0;
+	for (const count of counts) {
+		sum += count;
+	}
+
+	return sum;
+}
+
 function readPercentile(percentile: number, total: number): number {
 	const margin = rankMargin * Math.min(1, (percentile - medianPercentile) / (marginFullAt - medianPercentile));
-	const lowered = Math.max(Math.min(percentile, medianPercentile), percentile - (100 * margin / total));
+	const lowered = Math.max(medianPercentile, percentile - (100 * margin / Math.max(1, total)));
 	return scratch.medianEquivalentValue(scratch.getValueAtPercentile(lowered));
 }
 
 /**
- * Kaplan-Meier estimate: an incomplete value counts as one of the higher values, in proportion to how often those occur.
- * Where none is higher, it counts as it is.
+ * Kaplan-Meier estimate: a growing value counts as the higher values do, in proportion to their numbers; where none is
+ * higher, it counts as it is. Passes how many values fall into each bucket.
  */
-function mergeIncomplete(counts: readonly BucketCount[], atLeast: number[], total: number): BucketCount[] {
-	const incomplete = atLeast.toSorted((a, b) => a - b);
-	const spread: BucketCount[] = [];
+function mergeValues(sketch: Sketch, total: number, add: (index: number, count: number) => void): void {
+	const {growing} = sketch;
+	const last = Math.max(getLastIndex(sketch), ...growing.keys());
+	const lastEnded = getLastIndex(sketch);
 	let atRisk = total;
 	let left = total;
-	let next = 0;
-	for (const {value, count} of counts) {
-		while (next < incomplete.length && incomplete[next]! < value) {
-			atRisk--;
-			next++;
+	for (let index = 0; index <= last; index++) {
+		const ended = countInBucket(sketch, index);
+		if (ended > 0) {
+			const merged = left * ended / atRisk;
+			add(index, merged);
+			left -= merged;
+			atRisk -= ended;
 		}
 
-		const mass = left * count / atRisk;
-		spread.push({value, count: mass});
-		left -= mass;
-		atRisk -= count;
-	}
+		const grown = growing.get(index) ?? 0;
+		if (grown > 0 && index >= lastEnded) {
+			add(index, left * grown / atRisk);
+			left -= left * grown / atRisk;
+		}
 
-	for (const value of incomplete.slice(next)) {
-		spread.push({value, count: left / atRisk});
+		atRisk -= grown;
 	}
-
-	return spread;
 }
--- a/packages/core/src/scheduler/run-times.ts
+++ b/packages/core/src/scheduler/run-times.ts
@@ -32,12 +32,10 @@
 	ratioError: number;
 	generationSince: SteadyMs;
 	usedAt: SteadyMs;
-	/** Quantiles, computed again once the number of runs has grown by `refreshShare`, or while runs are in progress. */
+	/** Computed again once the number of runs has grown by `refreshShare`, and after each look at the runs in progress. */
 	quantiles: {readonly durations: RunEstimate; readonly ratios: Quantiles; readonly asOfRuns: number} | undefined;
 	/** Runs added since the quantiles were computed. */
 	runsSince: number;
-	/** Runs in progress: how long they have run, and the same as ratios. */
-	inProgress: {readonly durations: number[]; readonly ratios: number[]};
 };
 
 /** How many runs ended under and over a quantile that was expected of them. */
@@ -51,7 +49,11 @@
 	/** Something was learned since the last record was written. */
 	isDirty: boolean;
 	storeDueAt: SteadyMs;
+	/** When the runs in progress are looked at again. */
 	checkDueAt: SteadyMs;
+	/** When the calibration is logged again, and the number of runs at the last time. */
+	calibrationDueAt: SteadyMs;
+	calibratedRuns: number;
 	readonly calibration: {readonly p50: Calibration; readonly p95: Calibration};
 };
 
@@ -86,7 +88,6 @@
 		usedAt: now,
 		quantiles: undefined,
 		runsSince: 0,
-		inProgress: {durations: [], ratios: []},
 	};
 }
 
@@ -98,6 +99,8 @@
 		isDirty: false,
 		storeDueAt: 0,
 		checkDueAt: 0,
+		calibrationDueAt: 0,
+		calibratedRuns: 0,
 		calibration: {p50: {under: 0, over: 0}, p95: {under: 0, over: 0}},
 	};
 }
@@ -113,13 +116,9 @@
 	return (((Math.min(maxStepNumber, number) * (maxCountClass + 1)) + countClass) * 2) + Number(isResumed);
 }
 
-function findKey({byQueue}: RunTimes, queue: QueueName, shape: ShapeNumber): LearnedRuns | undefined {
-	return byQueue.get(queue)?.get(shape);
-}
-
 /** Returns the key, and adds it if it is new; the least recently used one makes room for it. */
 export function ensureKey(runTimes: RunTimes, queue: QueueName, shape: ShapeNumber, now: SteadyMs): LearnedRuns {
-	const known = findKey(runTimes, queue, shape);
+	const known = runTimes.byQueue.get(queue)?.get(shape);
 	if (known) {
 		return known;
 	}
@@ -158,8 +157,15 @@
 	}
 }
 
-/** The keys of a task's run, narrow first. */
-export function listKeysOfTask({runTimes, now}: SchedulerState, {step, isResumed}: Task): LearnedRuns[] {
+/** The keys of a task's run that are known, narrow first. */
+export function findKeysOfTask({runTimes}: SchedulerState, {step, isResumed}: Task): LearnedRuns[] {
+	const {queue} = step.occurrence.job.definition;
+	const shapes = runTimes.byQueue.get(queue);
+	return [shapes?.get(computeShape(step.number, step.definition, isResumed)), shapes?.get(anyShape), runTimes.fleet].filter(key => key !== undefined);
+}
+
+/** The keys of a task's run, narrow first; those that are not known yet are added. */
+function ensureKeysOfTask({runTimes, now}: SchedulerState, {step, isResumed}: Task): LearnedRuns[] {
 	const {queue} = step.occurrence.job.definition;
 	const shape = computeShape(step.number, step.definition, isResumed);
 	return [ensureKey(runTimes, queue, shape, now), ensureKey(runTimes, queue, anyShape, now), runTimes.fleet];
@@ -167,24 +173,23 @@
 
 /** The narrowest key with enough runs. */
 function findUsable({runTimes, now}: SchedulerState, queue: QueueName, shape: ShapeNumber): LearnedRuns | undefined {
-	const narrow = findKey(runTimes, queue, shape);
-	const wide = findKey(runTimes, queue, anyShape);
-	for (const key of [narrow, wide, runTimes.fleet]) {
-		if (key && countValues(key.durations) >= minRuns) {
-			key.usedAt = now;
-			return key;
-		}
+	const shapes = runTimes.byQueue.get(queue);
+	const key = returnIfUsable(shapes?.get(shape)) ?? returnIfUsable(shapes?.get(anyShape)) ?? returnIfUsable(runTimes.fleet);
+	if (key) {
+		key.usedAt = now;
 	}
 
-	return undefined;
+	return key;
+}
+
+function returnIfUsable(key: LearnedRuns | undefined): LearnedRuns | undefined {
+	return key && countValues(key.durations) >= minRuns ? key : undefined;
 }
 
 function getQuantiles(key: LearnedRuns): NonNullable<LearnedRuns['quantiles']> {
 	const runs = countValues(key.durations);
 	if (!key.quantiles || key.runsSince > key.quantiles.asOfRuns * refreshShare) {
-		key.quantiles = {
-			durations: createEstimate(computeQuantiles(key.durations, key.inProgress.durations)), ratios: computeQuantiles(key.ratios, key.inProgress.ratios), asOfRuns: runs,
-		};
+		key.quantiles = {durations: createEstimate(computeQuantiles(key.durations)), ratios: computeQuantiles(key.ratios), asOfRuns: runs};
 		key.runsSince = 0;
 	}
 
@@ -203,7 +208,7 @@
 	};
 }
 
-function getEstimate(key: LearnedRuns, {estimateMs}: StepDefinition): RunEstimate {
+export function getEstimate(key: LearnedRuns, {estimateMs}: StepDefinition): RunEstimate {
 	const {durations, ratios} = getQuantiles(key);
 	return key.ratioError < key.durationError && estimateMs > 0 ? createEstimate(ratios, estimateMs / ratioScale) : durations;
 }
@@ -226,8 +231,8 @@
 }
 
 /** Mean run time of a task of a job's step, for the work that it brings. */
-export function estimateMeanMs(state: SchedulerState, job: Job, number: number): number {
-	const learned = isLearningUsed(state, 'demand') ? findLearnedEstimate(state, job, number) : undefined;
+export function estimateMeanMs(state: SchedulerState, job: Job, number: number, use: LearningUse = 'demand'): number {
+	const learned = isLearningUsed(state, use) ? findLearnedEstimate(state, job, number) : undefined;
 	return learned?.meanMs ?? job.definition.steps[number]?.estimateMs ?? 0;
 }
 
@@ -246,7 +251,7 @@
 	}
 
 	const ratio = ranMs * ratioScale / Math.max(1, definition.estimateMs);
-	for (const key of listKeysOfTask(state, task)) {
+	for (const key of ensureKeysOfTask(state, task)) {
 		key.usedAt = state.now;
 		noteErrors(key, ranMs, ratio);
 		addValue(key.durations, ranMs);
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -6,7 +6,7 @@
 import type {OrderNumber, SchedulerEffect} from './effects.js';
 import type {Machine, Wave, PoolDemand} from './machine-state.js';
 import type {
-	FencingToken, FleetConfig, JobProgress, LedgerRecord, MachineId, PoolName, SteadyMs, WaveNumber, WaveProgress, WorkerId,
+	FencingToken, FleetConfig, JobProgress, LedgerRecord, MachineId, PoolName, RunTimesRow, SteadyMs, WaveNumber, WaveProgress, WorkerId,
 } from './types.js';
 import type {
 	Task, StepRun, AdviceRequest, Job, Worker, WorkerLoss,
@@ -142,6 +142,8 @@
 	isConfigDirty: boolean;
 	readonly demand: Map<PoolName, PoolDemand>;
 	runTimes: RunTimes;
+	/** The latest record of run times in the ledger, until this host leads. */
+	storedRunTimes: readonly RunTimesRow[] | undefined;
 	needsPlacement: boolean;
 	/** Tasks of open jobs that losses of workers may be blamed on. */
 	readonly suspects: Set<Task>;
@@ -202,6 +204,7 @@
 		isConfigDirty: false,
 		demand: new Map(),
 		runTimes: createRunTimes(),
+		storedRunTimes: undefined,
 		needsPlacement: false,
 		suspects: new Set(),
 		suspectsDueAt: 0,
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -240,6 +240,17 @@
 	readonly isCompleted: boolean;
 };
 
+/** What was learned of run times under one key; each list of buckets holds pairs of the distance to the bucket before and the number of runs. */
+export type RunTimesRow = {
+	/** Empty for the whole fleet. */
+	readonly queue: QueueName;
+	readonly shape: number;
+	readonly durationError: number;
+	readonly ratioError: number;
+	readonly durations: readonly number[];
+	readonly ratios: readonly number[];
+};
+
 /** A change that any entry host may write: submitted jobs, cancel requests and their removal. */
 export type IntakeRecord
 	= | {readonly type: 'job'; readonly job: JobDefinition}
@@ -255,4 +266,5 @@
 		| {readonly type: 'waves'; readonly waves: readonly WaveProgress[]}
 	/** Machines with recent or open orders; stored before an order is sent. */
 		| {readonly type: 'orders'; readonly machineIds: readonly MachineId[]}
-		| {readonly type: 'config'; readonly config: FleetConfig};
+		| {readonly type: 'config'; readonly config: FleetConfig}
+		| {readonly type: 'run-times'; readonly rows: readonly RunTimesRow[]};
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -35,6 +35,8 @@
 	isStartKnown: boolean;
 	/** The run began from a checkpoint. */
 	isResumed: boolean;
+	/** The latest run that was logged as past the tail of its kind; 0 before the first. */
+	overTailRun: number;
 	/** The latest measurement of the run: tail latency in ms of a serving task, processor use of any other task; 0 if there is none. */
 	reading: number;
 	/** Share of the processor that a filler may use, 0 to 100. */
--- a/packages/daemon/src/scheduler/codec.test.ts
+++ b/packages/daemon/src/scheduler/codec.test.ts
@@ -57,6 +57,11 @@
 			{type: 'waves', waves: [{wave: 1, doneMachines: ['m'], isCompleted: false}]},
 			{type: 'orders', machineIds: ['m']},
 			{type: 'config', config: {version: 3, queues: [], pools: []}},
+			{
+				type: 'run-times', rows: [{
+					queue: 'q', shape: 12, durationError: 0.1, ratioError: 2.5, durations: [200, 7, 1, 3000], ratios: [],
+				}],
+			},
 		];
 		for (const record of records) {
 			const decoded = decodeLedger({offset: 0, ...encodeLedger(record)});
@@ -96,4 +101,23 @@
 		const laterLease = {...lease, since: 7};
 		expect(decodeLedger({offset: 0, key: 'lease:', value: packr.pack(laterLease)})).toEqual({type: 'lease', lease: laterLease});
 	});
+
+	/** Guards against a record of run times that hosts with little bandwidth cannot read along: 256 keys with runs in 45 buckets each. */
+	it('keep the record of run times within a few hundred bytes a key', () => {
+		const buckets = Array.from({length: 45}, (_, index) => [1 + (index % 3), 1 + (index * 4)]).flat();
+		const rows = Array.from({length: 256}, (_, index) => ({
+			queue: `queue-${index}`, shape: index, durationError: 0.123_456, ratioError: 1.234_567, durations: buckets, ratios: buckets,
+		}));
+		const {value} = encodeLedger({type: 'run-times', rows});
+		expect(value!.length / rows.length).toBeLessThan(400);
+	});
+
+	/** Guards against a record of run times of another form, whose numbers would be taken for run times. */
+	it('do not decode a malformed record of run times', () => {
+		const packr = new Packr({useRecords: false});
+		const row = ['q', 1, 0.1, 0.1, [1, 2], [1, 2]];
+		for (const value of [[2, [row]], [1, [['q', 1, 0.1]]], [1, [[...row.slice(0, 5), [-1, 2]]]], [1, [[...row.slice(0, 5), [1, 1e12]]]], 'text', []]) {
+			expect(() => decodeLedger({offset: 0, key: 'run-times:', value: packr.pack(value)})).toThrow('unusable field');
+		}
+	});
 });
--- a/packages/daemon/src/scheduler/codec.ts
+++ b/packages/daemon/src/scheduler/codec.ts
@@ -2,13 +2,13 @@
 import {Buffer} from 'node:buffer';
 import type {JobId} from '@rhubarblever/core';
 import type {
-	FleetConfig, IntakeRecord, JobDefinition, JobProgress, LeaseRecord, LedgerRecord, MachineId, ProgressRow, TaskCrash, WaveProgress,
+	FleetConfig, IntakeRecord, JobDefinition, JobProgress, LeaseRecord, LedgerRecord, MachineId, ProgressRow, RunTimesRow, TaskCrash, WaveProgress,
 } from '@rhubarblever/core/scheduler';
 import {Packr} from 'msgpackr';
 import type {z} from 'zod';
 import type {KeyedRecord, NewRecord} from './ports.js';
 import {
-	configSchema, jobSchema, leaseSchema, machineIdsSchema, progressSchema, wavesSchema,
+	configSchema, jobSchema, leaseSchema, machineIdsSchema, progressSchema, runTimesFormat, runTimesSchema, wavesSchema,
 } from './record-schemas.js';
 
 /** Stream of job submissions and cancellations, written by all entry hosts. */
@@ -79,6 +79,7 @@
 	waves: ({waves}) => ({key: 'waves:', value: packr.pack(waves)}),
 	orders: ({machineIds}) => ({key: 'orders:', value: packr.pack(machineIds)}),
 	config: ({config}) => ({key: 'config:', value: packr.pack(config)}),
+	'run-times': ({rows}) => ({key: 'run-times:', value: packr.pack([runTimesFormat, rows.map(row => encodeRunTimesRow(row))])}),
 };
 
 /** Encodes a ledger record for the store. */
@@ -92,6 +93,7 @@
 	waves: (_id, value) => value && {type: 'waves', waves: readValue<WaveProgress[]>(value, wavesSchema)},
 	orders: (_id, value) => value && {type: 'orders', machineIds: readValue<MachineId[]>(value, machineIdsSchema)},
 	config: (_id, value) => value && {type: 'config', config: readValue<FleetConfig>(value, configSchema)},
+	'run-times': (_id, value) => value && {type: 'run-times', rows: readValue<PackedRunTimes>(value, runTimesSchema)[1].map(row => decodeRunTimesRow(row))},
 };
 
 type PackedCrash = [run: number, workerId: string, bornAt: number, at: TaskCrash['at'], isConfirmed: boolean, blame: TaskCrash['blame']];
@@ -115,6 +117,19 @@
 	return crashes.length > 0 ? [crashes.map(crash => [crash.run, crash.workerId, crash.bornAt, crash.at, crash.isConfirmed, crash.blame])] : [];
 }
 
+type PackedRunTimesRow = [queue: string, shape: number, durationError: number, ratioError: number, durations: number[], ratios: number[]];
+type PackedRunTimes = [format: number, rows: PackedRunTimesRow[]];
+
+function encodeRunTimesRow(row: RunTimesRow): PackedRunTimesRow {
+	return [row.queue, row.shape, row.durationError, row.ratioError, [...row.durations], [...row.ratios]];
+}
+
+function decodeRunTimesRow([queue, shape, durationError, ratioError, durations, ratios]: PackedRunTimesRow): RunTimesRow {
+	return {
+		queue, shape, durationError, ratioError, durations, ratios,
+	};
+}
+
 function decodeProgress(value: Uint8Array): JobProgress {
 	const [phase, finishedOccurrences, finishedAt, rows] = readValue<PackedProgress>(value, progressSchema);
 	return {
--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -1,4 +1,5 @@
 /** Prometheus counters, gauges and latency histograms of the scheduler host. */
+import type {Calibration} from '@rhubarblever/core/scheduler';
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
@@ -18,6 +19,8 @@
 	/** 1 while this host is the leader, else 0. */
 	readonly leadership: Gauge;
 	readonly liveJobs: Gauge;
+	/** Ended runs by whether they took less or more than the quantile expected of them. */
+	readonly runCalibration: Counter<'quantile' | 'outcome'>;
 	/** Staleness of the view by stream; absent until the stream was first read to its end. */
 	readonly viewAgeSeconds: Gauge<'stream'>;
 };
@@ -51,6 +54,18 @@
 		viewAgeSeconds: new Gauge({
 			name: 'rhubarblever_view_age_seconds', help: 'All that was stored in the stream before this age has been read', labelNames: ['stream'], registers,
 		}),
+		runCalibration: new Counter({
+			name: 'rhubarblever_run_calibration_total', help: 'Ended runs under and over the run time expected of them', labelNames: ['quantile', 'outcome'], registers,
+		}),
 		liveJobs: new Gauge({name: 'rhubarblever_live_jobs', help: 'Jobs that the leader works on', registers}),
 	};
 }
+
+/** Sets the counters of calibration to those of the scheduler's state. */
+export function updateCalibration({runCalibration}: SchedulerMetrics, calibration: Readonly<Record<string, Readonly<Calibration>>>): void {
+	runCalibration.reset();
+	for (const [quantile, {under, over}] of Object.entries(calibration)) {
+		runCalibration.inc({quantile, outcome: 'under'}, under);
+		runCalibration.inc({quantile, outcome: 'over'}, over);
+	}
+}
--- a/packages/daemon/src/scheduler/record-schemas.ts
+++ b/packages/daemon/src/scheduler/record-schemas.ts
@@ -34,3 +34,12 @@
 const row = z.tuple([count, count, count, z.enum(['waiting', 'placed', 'done']), count, count, z.string(), z.number(), z.string()]).rest(z.array(crash));
 
 export const progressSchema = z.tuple([z.enum(['queued', 'running', 'completed', 'failed']), z.array(count), z.number(), z.array(row)]);
+
+/** Number of the form of the record of run times; it changes with the limits of their buckets. */
+export const runTimesFormat = 1;
+
+/** Numbers of runs beyond this do not occur. */
+const maxRuns = 1_000_000_000;
+const buckets = z.array(count.max(maxRuns));
+
+export const runTimesSchema = z.tuple([z.literal(runTimesFormat), z.array(z.tuple([z.string(), z.number().int(), amount, amount, buckets, buckets]))]);
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -9,7 +9,7 @@
 import {EffectRunner, type UntimedEvent} from './effect-runner.js';
 import {IntakeWriter} from './intake-writer.js';
 import {JobApi} from './job-api.js';
-import type {SchedulerMetrics} from './metrics.js';
+import {updateCalibration, type SchedulerMetrics} from './metrics.js';
 import type {SchedulerPorts} from './ports.js';
 import {RecordEvents} from './record-events.js';
 import {isCompleteWithin, type ViewStatus} from './stream-view.js';
@@ -211,6 +211,7 @@
 		const {metrics} = this.options;
 		metrics.leadership.set(this.isLeader() ? 1 : 0);
 		metrics.liveJobs.set(this.loop.state.liveJobs.size);
+		updateCalibration(metrics, this.loop.state.runTimes.calibration);
 		this.updateViewAges();
 		this.scheduleTick();
 	}
