The record of run times takes at most 500 bytes a key

Change: beyond 300 values, each listed value stands for several; rounding goes by the sum, so no tail is lost.

--- a/packages/core/src/scheduler/run-time-sketch.ts
+++ b/packages/core/src/scheduler/run-time-sketch.ts
@@ -20,6 +20,9 @@
 const medianPercentile = 50;
 const marginFullAt = 95;
 
+/** With more, a wide distribution takes over 500 bytes in the ledger. */
+const maxListed = 300;
+
 /** Mean and percentiles. */
 export type Quantiles = {readonly mean: number; readonly p50: number; readonly p90: number; readonly p95: number; readonly p99: number};
 
@@ -75,16 +78,24 @@
 	return newer.countsArrayIndex(convertToRange(Math.max(newer.maxValue, older.maxValue)));
 }
 
-/** The values of both generations: for each bucket that is not empty, how far it is from the one before, and its number of values. */
+/**
+ * The values of both generations: for each bucket that is not empty, how far it is from the one before, and its number of
+ * values. Beyond `maxListed` values, each stands for several: the sum up to each bucket is rounded, so that no tail is lost.
+ */
 export function listBuckets(sketch: Sketch): number[] {
 	const buckets: number[] = [];
 	const last = getLastIndex(sketch);
+	const scale = Math.min(1, maxListed / Math.max(1, countValues(sketch)));
 	let former = 0;
+	let sum = 0;
+	let listed = 0;
 	for (let index = 0; index <= last; index++) {
-		const count = countInBucket(sketch, index);
+		sum += countInBucket(sketch, index);
+		const count = Math.round(sum * scale) - listed;
 		if (count > 0) {
 			buckets.push(index - former, count);
 			former = index;
+			listed += count;
 		}
 	}
 
--- a/packages/core/src/scheduler/run-time-takeover.test.ts
+++ b/packages/core/src/scheduler/run-time-takeover.test.ts
@@ -2,13 +2,16 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {estimateRun} from './run-times.js';
-import {countValues} from './run-time-sketch.js';
+import {
+	addOlderValues, addValue, computeQuantiles, countValues, createSketch, listBuckets,
+} from './run-time-sketch.js';
 import type {SchedulerEffect} from './effects.js';
 import type {LedgerRecord, RunEnd} from './types.js';
 import {
 	createProgress, createRow, HandDrivenHost, listLogEvents, listStarts, type EffectOf,
 } from './testing/hand-driven.js';
 import {createJob, createStep} from './testing/model-fleet.js';
+import {RunTimeDraws} from './testing/run-time-draws.js';
 
 const pollMs = 500;
 
@@ -150,6 +153,23 @@
 		expect(p95Ms > 380 && p95Ms < 500).toEqual(true);
 	});
 
+	/** Guards against a record that grows with the number of runs, or loses their tail. Load: 50,000 runs that differ by thousands of times. */
+	it('takes at most 110 buckets a key (440 bytes in its two lists), with the quantiles of all runs', () => {
+		const draws = RunTimeDraws.create(1);
+		const [sketch, copy] = [createSketch(), createSketch()];
+		for (let run = 0; run < 50_000; run++) {
+			addValue(sketch, draws.drawRunMs(400, 1, 3));
+		}
+
+		const buckets = listBuckets(sketch);
+		addOlderValues(copy, buckets);
+		const [all, stored] = [computeQuantiles(sketch), computeQuantiles(copy)];
+		expect(buckets.length / 2).toBeLessThanOrEqual(110);
+		for (const quantile of ['mean', 'p50', 'p90', 'p95'] as const) {
+			expect(Math.abs(stored[quantile] - all[quantile]) / all[quantile]).toBeLessThan(0.1);
+		}
+	});
+
 	/** Guards against a record that cannot be used, which must cost what was learned and no job. */
 	it('costs no job if it cannot be used', () => {
 		const host = HandDrivenHost.create();
