A record of run times keeps the number of runs

Cause: a high percentile is read two runs lower than its rank, so a record of 400 listed values gave a 95th percentile 10% below that of the 50,000 runs it stood for. Change: the row tells the number of runs, and restoring spreads so many over the listed buckets.

--- a/packages/core/src/scheduler/run-time-record.ts
+++ b/packages/core/src/scheduler/run-time-record.ts
@@ -26,7 +26,7 @@
 
 function createRow(key: LearnedRuns): RunTimesRow {
 	return {
-		queue: key.queue ?? '', shape: key.shape, durationError: key.durationError, ratioError: key.ratioError, durations: listBuckets(key.durations), ratios: listBuckets(key.ratios),
+		queue: key.queue ?? '', shape: key.shape, runs: countValues(key.durations), durationError: key.durationError, ratioError: key.ratioError, durations: listBuckets(key.durations), ratios: listBuckets(key.ratios),
 	};
 }
 
@@ -55,6 +55,6 @@
 	key.generationSince = now;
 	key.durationError = row.durationError;
 	key.ratioError = row.ratioError;
-	addOlderValues(key.durations, row.durations);
-	addOlderValues(key.ratios, row.ratios);
+	addOlderValues(key.durations, row.durations, row.runs);
+	addOlderValues(key.ratios, row.ratios, row.runs);
 }
--- a/packages/core/src/scheduler/run-time-sketch.ts
+++ b/packages/core/src/scheduler/run-time-sketch.ts
@@ -21,7 +21,7 @@
 const marginFullAt = 95;
 
 /** With more, a wide distribution takes over 500 bytes in the ledger. */
-const maxListed = 300;
+const maxListed = 400;
 
 /** Mean and percentiles. */
 export type Quantiles = {readonly mean: number; readonly p50: number; readonly p90: number; readonly p95: number; readonly p99: number};
@@ -102,17 +102,22 @@
 	return buckets;
 }
 
-/** Adds values in the form of `listBuckets` to the older generation; throws an error if they do not fit. */
-export function addOlderValues({older}: Sketch, buckets: readonly number[]): void {
+/** Adds as many values as `values` says to the older generation, spread as `listBuckets` has listed them; throws an error if they do not fit. */
+export function addOlderValues({older}: Sketch, buckets: readonly number[], values: number): void {
+	const counts = buckets.filter((_, position) => position % 2 === 1);
+	const scale = values / Math.max(1, sumCounts(counts));
 	let index = 0;
-	for (let position = 0; position < buckets.length; position += 2) {
-		index += buckets[position]!;
-		const count = buckets[position + 1];
-		if (index >= older.countsArrayLength || count === undefined) {
+	let sum = 0;
+	let added = 0;
+	for (const [position, count] of counts.entries()) {
+		index += buckets[2 * position]!;
+		if (index >= older.countsArrayLength) {
 			throw new RangeError('no such bucket');
 		}
 
-		older.recordValueWithCount(convertToRange(older.valueFromIndex(index)), count);
+		sum += count;
+		older.recordValueWithCount(convertToRange(older.valueFromIndex(index)), Math.round(sum * scale) - added);
+		added = Math.round(sum * scale);
 	}
 }
 
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -240,11 +240,12 @@
 	readonly isCompleted: boolean;
 };
 
-/** What was learned of run times under one key; each list of buckets holds pairs of the distance to the bucket before and the number of runs. */
+/** What was learned of run times under one key; each list of buckets holds pairs of the distance to the bucket before and a number in proportion to its runs. */
 export type RunTimesRow = {
 	/** Empty for the whole fleet. */
 	readonly queue: QueueName;
 	readonly shape: number;
+	readonly runs: number;
 	readonly durationError: number;
 	readonly ratioError: number;
 	readonly durations: readonly number[];
--- a/packages/daemon/src/scheduler/codec.ts
+++ b/packages/daemon/src/scheduler/codec.ts
@@ -117,16 +117,16 @@
 	return crashes.length > 0 ? [crashes.map(crash => [crash.run, crash.workerId, crash.bornAt, crash.at, crash.isConfirmed, crash.blame])] : [];
 }
 
-type PackedRunTimesRow = [queue: string, shape: number, durationError: number, ratioError: number, durations: number[], ratios: number[]];
+type PackedRunTimesRow = [queue: string, shape: number, runs: number, durationError: number, ratioError: number, durations: number[], ratios: number[]];
 type PackedRunTimes = [format: number, rows: PackedRunTimesRow[]];
 
 function encodeRunTimesRow(row: RunTimesRow): PackedRunTimesRow {
-	return [row.queue, row.shape, row.durationError, row.ratioError, [...row.durations], [...row.ratios]];
+	return [row.queue, row.shape, row.runs, row.durationError, row.ratioError, [...row.durations], [...row.ratios]];
 }
 
-function decodeRunTimesRow([queue, shape, durationError, ratioError, durations, ratios]: PackedRunTimesRow): RunTimesRow {
+function decodeRunTimesRow([queue, shape, runs, durationError, ratioError, durations, ratios]: PackedRunTimesRow): RunTimesRow {
 	return {
-		queue, shape, durationError, ratioError, durations, ratios,
+		queue, shape, runs, durationError, ratioError, durations, ratios,
 	};
 }
 
--- a/packages/daemon/src/scheduler/record-schemas.ts
+++ b/packages/daemon/src/scheduler/record-schemas.ts
@@ -42,4 +42,4 @@
 const maxRuns = 1_000_000_000;
 const buckets = z.array(count.max(maxRuns));
 
-export const runTimesSchema = z.tuple([z.literal(runTimesFormat), z.array(z.tuple([z.string(), z.number().int(), amount, amount, buckets, buckets]))]);
+export const runTimesSchema = z.tuple([z.literal(runTimesFormat), z.array(z.tuple([z.string(), z.number().int(), count.max(maxRuns), amount, amount, buckets, buckets]))]);
