--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -9,7 +9,7 @@
 import type {ArrivalBucket} from './shares.js';
 import type {Machine, Wave, PoolDemand} from './machine-state.js';
 import type {
-	AccountName, FencingToken, FleetConfig, JobProgress, LedgerRecord, MachineId, PoolName, SteadyMs, WaveNumber, WaveProgress, WorkerId,
+	AccountName, FencingToken, FleetConfig, JobProgress, LedgerRecord, MachineId, PoolName, RunTimesRow, SteadyMs, WaveNumber, WaveProgress, WorkerId,
 } from './types.js';
 import type {
 	Task, StepRun, AdviceRequest, Job, Worker, WorkerLoss,
@@ -153,6 +153,8 @@
 	isConfigDirty: boolean;
 	readonly demand: Map<PoolName, PoolDemand>;
 	runTimes: RunTimes;
+	/** The latest record of run times in the ledger, until this host leads. */
+	storedRunTimes: readonly RunTimesRow[] | undefined;
 	needsPlacement: boolean;
 	/** Tasks of open jobs that losses of workers may be blamed on. */
 	readonly suspects: Set<Task>;
@@ -217,6 +219,7 @@
 		isConfigDirty: false,
 		demand: new Map(),
 		runTimes: createRunTimes(),
+		storedRunTimes: undefined,
 		needsPlacement: false,
 		suspects: new Set(),
 		suspectsDueAt: 0,
--- a/packages/daemon/src/scheduler/codec.ts
+++ b/packages/daemon/src/scheduler/codec.ts
@@ -2,13 +2,13 @@
 import {Buffer} from 'node:buffer';
 import type {Instant, JobId} from '@rhubarblever/core';
 import type {
-	FleetConfig, IntakeRecord, JobDefinition, JobProgress, LeaseRecord, LedgerRecord, MachineId, ProgressRow, RefusedJob, TaskCrash, WaveProgress,
+	FleetConfig, IntakeRecord, JobDefinition, JobProgress, LeaseRecord, LedgerRecord, MachineId, ProgressRow, RefusedJob, RunTimesRow, TaskCrash, WaveProgress,
 } from '@rhubarblever/core/scheduler';
 import {Packr} from 'msgpackr';
 import type {z} from 'zod';
 import type {KeyedRecord, NewRecord} from './ports.js';
 import {
-	configSchema, jobSchema, leaseSchema, machineIdsSchema, progressSchema, refusalsSchema, wavesSchema,
+	configSchema, jobSchema, leaseSchema, machineIdsSchema, progressSchema, refusalsSchema, runTimesFormat, runTimesSchema, wavesSchema,
 } from './record-schemas.js';
 
 /** Stream of job submissions and cancellations, written by all entry hosts. */
@@ -95,6 +95,7 @@
 	waves: ({waves}) => ({key: 'waves:', value: packr.pack(waves)}),
 	orders: ({machineIds}) => ({key: 'orders:', value: packr.pack(machineIds)}),
 	config: ({config}) => ({key: 'config:', value: packr.pack(config)}),
+	'run-times': ({rows}) => ({key: 'run-times:', value: packr.pack([runTimesFormat, rows.map(row => encodeRunTimesRow(row))])}),
 };
 
 /** Encodes a ledger record for the store. */
@@ -108,6 +109,7 @@
 	waves: (_id, value) => value && {type: 'waves', waves: readValue<WaveProgress[]>(value, wavesSchema)},
 	orders: (_id, value) => value && {type: 'orders', machineIds: readValue<MachineId[]>(value, machineIdsSchema)},
 	config: (_id, value) => value && {type: 'config', config: readValue<FleetConfig>(value, configSchema)},
+	'run-times': (_id, value) => value && {type: 'run-times', rows: readValue<PackedRunTimes>(value, runTimesSchema)[1].map(row => decodeRunTimesRow(row))},
 };
 
 type PackedCrash = [run: number, workerId: string, bornAt: number, at: TaskCrash['at'], isConfirmed: boolean, blame: TaskCrash['blame']];
@@ -131,6 +133,19 @@
 	return crashes.length > 0 ? [crashes.map(crash => [crash.run, crash.workerId, crash.bornAt, crash.at, crash.isConfirmed, crash.blame])] : [];
 }
 
+type PackedRunTimesRow = [queue: string, shape: number, runs: number, durationError: number, ratioError: number, durations: number[], ratios: number[]];
+type PackedRunTimes = [format: number, rows: PackedRunTimesRow[]];
+
+function encodeRunTimesRow(row: RunTimesRow): PackedRunTimesRow {
+	return [row.queue, row.shape, row.runs, row.durationError, row.ratioError, [...row.durations], [...row.ratios]];
+}
+
+function decodeRunTimesRow([queue, shape, runs, durationError, ratioError, durations, ratios]: PackedRunTimesRow): RunTimesRow {
+	return {
+		queue, shape, runs, durationError, ratioError, durations, ratios,
+	};
+}
+
 function decodeProgress(value: Uint8Array): JobProgress {
 	const [phase, finishedOccurrences, finishedAt, rows] = readValue<PackedProgress>(value, progressSchema);
 	return {
