Hosts refuse jobs that would end too late to be of use

Every job was accepted and all waited: in a burst of four times the capacity, over half of the jobs ended later than three times their objective.

The leader computes for each pool and priority how long a job that arrives now would wait, and publishes the figures in one ledger record when they differ from what the hosts believe. Enabled where the configuration has accounts, or by bounds.admission.

--- a/packages/core/src/scheduler/commits.ts
+++ b/packages/core/src/scheduler/commits.ts
@@ -31,7 +31,7 @@
 		return;
 	}
 
-	const hasChanges = state.dirtyJobs.size > 0 || state.pendingActions.length > 0 || state.areWavesDirty || state.isConfigDirty || state.removedJobs.size > 0;
+	const hasChanges = state.dirtyJobs.size > 0 || state.pendingActions.length > 0 || state.areWavesDirty || state.isConfigDirty || state.removedJobs.size > 0 || state.load.unstored !== undefined;
 	if ((hasChanges && state.now >= leadership.commitNotBefore) || state.now >= leadership.heartbeatDueAt) {
 		sendCommit(state);
 	}
@@ -95,6 +95,11 @@
 		records.push({type: 'config', config: state.config});
 	}
 
+	if (state.load.unstored) {
+		records.push({type: 'load', load: state.load.unstored});
+		state.load.unstored = undefined;
+	}
+
 	if (state.dirtyJobs.size === 0 && records.length === 0) {
 		records.push({type: 'lease', lease: {holder: settings.holder, token: leadership.token, isReleased: false}});
 	}
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -12,6 +12,8 @@
 export {
 	findFirstSend, firstSendKeptMs, maxRefusedJobs, noteFirstSend, type FirstSends,
 } from './first-sends.js';
+export {judgeAdmission, type AdmissionVerdict, type AdmittedOutcome} from './admission.js';
+export {findWait, isAdmissionEnabled} from './load-view.js';
 export {computeOutageRetryS} from './retry-after.js';
 export {getNextLeadershipCheck} from './leadership.js';
 export {ReducerLoop, type Reducer} from '../engine/reducer-loop.js';
--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -3,6 +3,7 @@
 import type {Instant} from '../types/time.js';
 import {addArrivedWork} from './demand.js';
 import {applyRefusals, computeSentAt} from './first-sends.js';
+import {noteArrival} from './load-view.js';
 import {noteDecision} from './logging.js';
 import {isFinal} from './phases.js';
 import {ensureWorker} from './registry.js';
@@ -34,6 +35,7 @@
 	state.jobs.set(definition.jobId, job);
 	if (state.leadership.role === 'leader') {
 		addArrivedWork(state, job);
+		noteArrival(state, job);
 		activateJob(state, job);
 	}
 }
--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -3,6 +3,7 @@
 import {
 	addEffect, describeError, noteDecision, noteWarning,
 } from './logging.js';
+import {applyLoad, noteLease, resetLoad} from './load-view.js';
 import {isFinal} from './phases.js';
 import {dropFinishedRemovals, dropProgress} from './retention.js';
 import {
@@ -31,6 +32,8 @@
 	state.leadership.hasReadUpdates = false;
 	state.leadership.lastRecordAt = state.now;
 	readLedger(state, event);
+	// Figures read with the whole ledger may be of any age.
+	state.load.view = undefined;
 	dropFinishedRemovals(state);
 }
 
@@ -69,7 +72,9 @@
 type RecordHandlers = {[K in LedgerRecord['type']]: (state: SchedulerState, record: Extract<LedgerRecord, {type: K}>) => void};
 
 const recordHandlers: RecordHandlers = {
-	lease({leadership, settings, now}, {lease}) {
+	lease(state, {lease}) {
+		const {leadership, settings, now} = state;
+		noteLease(state, lease);
 		leadership.isReleased = lease.isReleased;
 		leadership.claimNotBefore = now + computeClaimDelay(settings);
 	},
@@ -100,6 +105,9 @@
 			addEffect(state, {type: 'config/restored', config});
 		}
 	},
+	load(state, {load}) {
+		applyLoad(state, load);
+	},
 };
 
 /** The read offset advances past the whole batch, so one record that cannot be applied must not make the records after it be skipped. */
@@ -219,6 +227,7 @@
 		state.ownOrders.set(machineId, state.now);
 	}
 
+	resetLoad(state);
 	state.endedWorkers.clear();
 	state.machinesDueAt = 0;
 	state.isListingMachines = false;
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -8,6 +8,7 @@
 import {
 	handleClaim, loadLedger, noteConfigured, readLedger, releaseLeadership, stopLeading, tickClaim, tickLeadership,
 } from './leadership.js';
+import {tickLoad} from './load-view.js';
 import {describeError, noteDecision, noteWarning} from './logging.js';
 import {handleOrderOutcome, tickOrders} from './machine-orders.js';
 import {handleMachineList, tickMachineList} from './machines.js';
@@ -55,6 +56,7 @@
 		tickOrders(state);
 		tickWaves(state);
 		tickMoves(state);
+		tickLoad(state);
 		removeOldJobs(state);
 		replaceEndedJobs(state);
 		removeGoneWorkers(state);
--- a/packages/core/src/scheduler/retry-after.ts
+++ b/packages/core/src/scheduler/retry-after.ts
@@ -13,3 +13,13 @@
 	const shortestS = Math.ceil(longestS / 2);
 	return shortestS + Math.min(longestS - shortestS, Math.floor(jitter * (longestS - shortestS + 1)));
 }
+
+const maxReturnS = 8;
+/** Returning callers are spread over this many seconds. */
+const returnSpreadS = 4;
+
+/** The Retry-After of a job that was refused because of the work ahead of it: there is capacity again in `fromMs`. `jitter`: drawn from 0 to 1. */
+export function computeReturnS(fromMs: number, jitter: number): number {
+	const firstS = Math.min(maxReturnS - returnSpreadS + 1, Math.max(1, Math.ceil(fromMs / millisecondsPerSecond)));
+	return firstS + Math.min(returnSpreadS - 1, Math.floor(jitter * returnSpreadS));
+}
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -4,6 +4,7 @@
 import {createCallWindow, type CallWindow} from './call-window.js';
 import type {OrderNumber, SchedulerEffect} from './effects.js';
 import type {FirstSends} from './first-sends.js';
+import {createLoadState, type LoadState} from './load-view.js';
 import type {Machine, Wave, PoolDemand} from './machine-state.js';
 import type {
 	FencingToken, FleetConfig, JobProgress, LedgerRecord, MachineId, PoolName, QueueName, SteadyMs, WaveNumber, WaveProgress, WorkerId,
@@ -36,6 +37,8 @@
 	readonly statusRetentionMs: number;
 	/** Factor by which a step takes longer outside the rack of its data. */
 	readonly remoteRackFactor: number;
+	/** Refuses jobs that would end too late to be of use, also where the operators keep no client accounts. */
+	readonly isAdmissionEnabled?: boolean | undefined;
 };
 
 /** Actions that are deferred until the changes they depend on are stored. */
@@ -140,6 +143,8 @@
 	areWavesDirty: boolean;
 	isConfigDirty: boolean;
 	readonly demand: Map<PoolName, PoolDemand>;
+	/** How long jobs wait, as the leader has told. */
+	readonly load: LoadState;
 	/** Moving average of actual to estimated run time, by queue. */
 	readonly runRatios: Map<QueueName, number>;
 	needsPlacement: boolean;
@@ -203,6 +208,7 @@
 		areWavesDirty: false,
 		isConfigDirty: false,
 		demand: new Map(),
+		load: createLoadState(),
 		runRatios: new Map(),
 		needsPlacement: false,
 		suspects: new Set(),
--- a/packages/core/src/scheduler/testing/narrow-leader.ts
+++ b/packages/core/src/scheduler/testing/narrow-leader.ts
@@ -4,7 +4,7 @@
 import type {SchedulerEvent} from '../events.js';
 import {reduceScheduler} from '../reduce.js';
 import {createSchedulerState, type SchedulerState} from '../state.js';
-import type {JobDefinition} from '../types.js';
+import type {FleetConfig, JobDefinition, LedgerRecord} from '../types.js';
 import {modelConfig} from './model-jobs.js';
 import {createWorkerEntry} from './model-leader.js';
 import {modelSettings} from './model-settings.js';
@@ -24,6 +24,7 @@
 	readonly callMs: number;
 	/** What a new connection costs in addition, after a call that timed out. */
 	readonly connectMs: number;
+	readonly config?: FleetConfig;
 };
 
 type EventBody = SchedulerEvent extends infer Event ? (Event extends SchedulerEvent ? Omit<Event, 'at' | 'wallAt'> : never) : never;
@@ -43,6 +44,8 @@
 	/** Workers that calls do not reach. */
 	readonly unreachableWorkers = new Set<string>();
 	readonly events: string[] = [];
+	/** Records stored in the ledger. */
+	readonly records: LedgerRecord[] = [];
 	/** Calls sent, by type. */
 	readonly sent: Record<WorkerEffect['type'], number> = {'worker/start': 0, 'worker/stop': 0, 'worker/poll': 0};
 	/** Calls that timed out, by type. */
@@ -61,7 +64,7 @@
 			this.workers.set(entry.id, ModelWorker.create(entry));
 		}
 
-		this.push({type: 'config/read', config: modelConfig});
+		this.push({type: 'config/read', config: options.config ?? modelConfig});
 		this.state.leadership.hasLoadedLedger = true;
 		this.state.leadership.role = 'claiming';
 		this.state.leadership.claim = {token: 1, sentAt: this.now};
@@ -129,6 +132,7 @@
 		switch (effect.type) {
 			case 'ledger/commit': {
 				this.schedule(storeMs, () => {
+					this.records.push(...effect.records);
 					this.push({type: 'commit/ended', outcome: 'stored', sequence: effect.sequence});
 				});
 				break;
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -255,6 +255,33 @@
 		| {readonly type: 'refusals'; readonly holder: string; readonly jobs: readonly RefusedJob[]}
 		| {readonly type: 'refusals-removed'; readonly holder: string};
 
+/** How long a job of a pool's queues of one priority would wait if it arrived now. */
+export type PoolWait = {
+	readonly pool: PoolName;
+	readonly priority: number;
+	/** Until its first start, if it can then still meet its objective: only jobs in time and those in progress are ahead of it. */
+	readonly startMs: number;
+	/** Until the pool has done all work that is ahead of a job that cannot, jobs that are late already among it. */
+	readonly backlogMs: number;
+	/** What waiting adds to the run time of such a job until its end: arriving jobs that can be in time go before it too. */
+	readonly delayMs: number;
+	/** The same for a job beyond the share of its account: all other work is ahead of it. */
+	readonly excessMs: number;
+	/** What is free at one worker, if the pool is not full and only larger tasks wait for room; a job whose tasks fit has no wait. */
+	readonly room?: Resources | undefined;
+};
+
+/** The fraction of the jobs of an account over its rate that is within its share. */
+export type AccountShare = {readonly account: AccountName; readonly within: number};
+
+/** What hosts need to know of the work at the leader. Pools, priorities and accounts without an entry have no wait, or are not over their rate. */
+export type LoadFigures = {
+	readonly token: FencingToken;
+	readonly computedAt: Instant;
+	readonly waits: readonly PoolWait[];
+	readonly shares: readonly AccountShare[];
+};
+
 /** A change that only the leader writes. */
 export type LedgerRecord
 	= | {readonly type: 'lease'; readonly lease: LeaseRecord}
@@ -263,4 +290,5 @@
 		| {readonly type: 'waves'; readonly waves: readonly WaveProgress[]}
 	/** Machines with recent or open orders; stored before an order is sent. */
 		| {readonly type: 'orders'; readonly machineIds: readonly MachineId[]}
-		| {readonly type: 'config'; readonly config: FleetConfig};
+		| {readonly type: 'config'; readonly config: FleetConfig}
+		| {readonly type: 'load'; readonly load: LoadFigures};
--- a/packages/core/src/scheduler/urgency.ts
+++ b/packages/core/src/scheduler/urgency.ts
@@ -60,7 +60,8 @@
 		priority: queue?.priority ?? lowestPriority,
 		isObjectiveUnreachable: isTimed && state.now + remainingMs + computeRequiredSlack(remainingMs, hasStarted) > job.sentAt + objectiveMs,
 		hasStarted,
-		acceptedAt: job.acceptedAt,
+		// A caller who returns after a refusal goes before newcomers.
+		acceptedAt: job.sentAt,
 	};
 }
 
--- /dev/null
+++ b/packages/daemon/src/scheduler/admission-gate.ts
@@ -0,0 +1,111 @@
+/** Applies the decisions of admission to callers' jobs: logs and counts them, and makes sure that a refusal is true. */
+import type {JobId} from '@rhubarblever/core';
+import {
+	firstSendKeptMs, judgeAdmission, type AdmissionVerdict, type JobDefinition, type SchedulerState, type SteadyMs,
+} from '@rhubarblever/core/scheduler';
+import {readSteadyClock} from './clocks.js';
+import type {DecisionLog} from './decision-log.js';
+import type {IntakeCheck} from './intake-check.js';
+import type {SchedulerMetrics} from './metrics.js';
+
+/** Jobs whose appends have an unknown outcome; the ones noted first are dropped. */
+const maxUnknownJobs = 2000;
+
+/** How many appends of a job are not answered, and until when the host remembers one whose outcome is unknown. */
+type Appends = {readonly underWay: number; readonly unknownUntil: SteadyMs};
+
+const noAppends: Appends = {underWay: 0, unknownUntil: Number.NEGATIVE_INFINITY};
+
+export type AdmissionGateOptions = {
+	readonly state: SchedulerState;
+	readonly log: DecisionLog;
+	readonly metrics: SchedulerMetrics;
+	readonly intakeCheck: IntakeCheck;
+	/** Staleness of this host's view of the ledger. */
+	readonly getLedgerAgeMs: () => number | undefined;
+	/** Draws a random number from 0 to 1. */
+	readonly draw: () => number;
+};
+
+/** `firstSentAt`: set if a host has refused the job before; `arrivedAt`: when this call arrived. */
+export type SubmittedJob = {readonly job: JobDefinition; readonly firstSentAt: SteadyMs | undefined; readonly arrivedAt: SteadyMs};
+
+export class AdmissionGate {
+	static create(options: AdmissionGateOptions): AdmissionGate {
+		return new AdmissionGate(options);
+	}
+
+	/** Jobs that may be stored because this host has sent appends of them. */
+	private readonly appends = new Map<JobId, Appends>();
+
+	private constructor(private readonly options: AdmissionGateOptions) {}
+
+	/** Returns the Retry-After in seconds if the job is refused; the job is then not stored and no append of it is under way here. */
+	async findRefusal({job, firstSentAt, arrivedAt}: SubmittedJob): Promise<number | undefined> {
+		const {state, log, metrics, intakeCheck} = this.options;
+		const verdict = this.judge(job, firstSentAt);
+		if (verdict.outcome !== 'refused') {
+			this.count(verdict.outcome, firstSentAt);
+			return undefined;
+		}
+
+		const isViewComplete = await intakeCheck.isCompleteSince(arrivedAt);
+		if (!isViewComplete || state.jobs.has(job.jobId) || this.isMaybeStored(job.jobId)) {
+			metrics.admissions.inc({outcome: isViewComplete ? 'repeated' : 'unsure'});
+			return undefined;
+		}
+
+		const {expectedWaitMs, viewAgeMs, retryAfterS} = verdict;
+		this.count('refused', firstSentAt);
+		log.note('job-refused', {
+			jobId: job.jobId, queue: job.queue, account: job.account, expectedWaitMs, viewAgeMs, retryAfterS, isReturned: firstSentAt !== undefined,
+		});
+		return retryAfterS;
+	}
+
+	/** Notes that an append of the job is about to be sent: from now on it is not refused here. */
+	noteAppend(jobId: JobId): void {
+		const {underWay, unknownUntil} = this.appends.get(jobId) ?? noAppends;
+		this.appends.set(jobId, {underWay: underWay + 1, unknownUntil});
+	}
+
+	/** Notes the outcome of that append. */
+	noteOutcome(jobId: JobId, outcome: 'stored' | 'refused' | 'unknown'): void {
+		const now = readSteadyClock();
+		const known = this.appends.get(jobId) ?? noAppends;
+		const underWay = Math.max(0, known.underWay - 1);
+		const unknownUntil = outcome === 'unknown' ? now + firstSendKeptMs : known.unknownUntil;
+		this.appends.delete(jobId);
+		if (underWay > 0 || unknownUntil > now) {
+			this.appends.set(jobId, {underWay, unknownUntil});
+		}
+
+		this.dropOldAppends(now);
+	}
+
+	private dropOldAppends(now: SteadyMs): void {
+		for (const [jobId, {underWay, unknownUntil}] of this.appends) {
+			if (underWay > 0 || (unknownUntil > now && this.appends.size <= maxUnknownJobs)) {
+				return;
+			}
+
+			this.appends.delete(jobId);
+		}
+	}
+
+	private judge(job: JobDefinition, firstSentAt: SteadyMs | undefined): AdmissionVerdict {
+		const {state, draw, getLedgerAgeMs} = this.options;
+		return judgeAdmission(state, job, {
+			now: readSteadyClock(), firstSentAt, ledgerAgeMs: getLedgerAgeMs(), draw,
+		});
+	}
+
+	private isMaybeStored(jobId: JobId): boolean {
+		const {underWay, unknownUntil} = this.appends.get(jobId) ?? noAppends;
+		return underWay > 0 || unknownUntil > readSteadyClock();
+	}
+
+	private count(outcome: AdmissionVerdict['outcome'], firstSentAt: SteadyMs | undefined): void {
+		this.options.metrics.admissions.inc({outcome: firstSentAt === undefined || outcome === 'unjudged' ? outcome : `returned-${outcome}`});
+	}
+}
--- a/packages/daemon/src/scheduler/codec.test.ts
+++ b/packages/daemon/src/scheduler/codec.test.ts
@@ -59,6 +59,13 @@
 			{type: 'waves', waves: [{wave: 1, doneMachines: ['m'], isCompleted: false}]},
 			{type: 'orders', machineIds: ['m']},
 			{type: 'config', config: {version: 3, queues: [], pools: []}},
+			{
+				type: 'load', load: {
+					token: 4, computedAt: 1_800_000_000_000 as Instant, shares: [{account: 'a', within: 0.25}], waits: [{
+						pool: 'p', priority: 0, startMs: 1, backlogMs: 2, delayMs: 3, excessMs: 4, room: {cpu: 1, memoryMb: 2, gpu: 0},
+					}],
+				},
+			},
 		];
 		for (const record of records) {
 			const decoded = decodeLedger({offset: 0, ...encodeLedger(record)});
--- a/packages/daemon/src/scheduler/codec.ts
+++ b/packages/daemon/src/scheduler/codec.ts
@@ -2,13 +2,13 @@
 import {Buffer} from 'node:buffer';
 import type {Instant, JobId} from '@rhubarblever/core';
 import type {
-	FleetConfig, IntakeRecord, JobDefinition, JobProgress, LeaseRecord, LedgerRecord, MachineId, ProgressRow, RefusedJob, TaskCrash, WaveProgress,
+	FleetConfig, IntakeRecord, JobDefinition, JobProgress, LeaseRecord, LedgerRecord, LoadFigures, MachineId, ProgressRow, RefusedJob, TaskCrash, WaveProgress,
 } from '@rhubarblever/core/scheduler';
 import {Packr} from 'msgpackr';
 import type {z} from 'zod';
 import type {KeyedRecord, NewRecord} from './ports.js';
 import {
-	configSchema, jobSchema, leaseSchema, machineIdsSchema, progressSchema, refusalsSchema, wavesSchema,
+	configSchema, jobSchema, leaseSchema, loadSchema, machineIdsSchema, progressSchema, refusalsSchema, wavesSchema,
 } from './record-schemas.js';
 
 /** Stream of job submissions and cancellations, written by all entry hosts. */
@@ -95,6 +95,7 @@
 	waves: ({waves}) => ({key: 'waves:', value: packr.pack(waves)}),
 	orders: ({machineIds}) => ({key: 'orders:', value: packr.pack(machineIds)}),
 	config: ({config}) => ({key: 'config:', value: packr.pack(config)}),
+	load: ({load}) => ({key: 'load:', value: packr.pack(load)}),
 };
 
 /** Encodes a ledger record for the store. */
@@ -108,6 +109,7 @@
 	waves: (_id, value) => value && {type: 'waves', waves: readValue<WaveProgress[]>(value, wavesSchema)},
 	orders: (_id, value) => value && {type: 'orders', machineIds: readValue<MachineId[]>(value, machineIdsSchema)},
 	config: (_id, value) => value && {type: 'config', config: readValue<FleetConfig>(value, configSchema)},
+	load: (_id, value) => value && {type: 'load', load: readValue<LoadFigures>(value, loadSchema)},
 };
 
 type PackedCrash = [run: number, workerId: string, bornAt: number, at: TaskCrash['at'], isConfirmed: boolean, blame: TaskCrash['blame']];
--- a/packages/daemon/src/scheduler/index.ts
+++ b/packages/daemon/src/scheduler/index.ts
@@ -2,7 +2,7 @@
 export type * from './ports.js';
 export {SchedulerHost, type SchedulerHostOptions} from './scheduler-host.js';
 export {
-	JobApi, type SubmitOutcome, type CancelOutcome, type PhaseOutcome,
+	JobApi, type Overload, type SubmitOutcome, type CancelOutcome, type PhaseOutcome,
 } from './job-api.js';
 export {DecisionLog} from './decision-log.js';
 export {createMetrics, type SchedulerMetrics} from './metrics.js';
--- /dev/null
+++ b/packages/daemon/src/scheduler/intake-check.ts
@@ -0,0 +1,51 @@
+/** Makes sure, before a job is refused, that no host has accepted it: the intake is read to its end by a request that is younger than the caller's. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {SteadyMs} from '@rhubarblever/core/scheduler';
+import {readSteadyClock} from './clocks.js';
+
+/** Least time between two reads, which all calls share. */
+const readIntervalMs = 100;
+/** A call waits this long at most; a read may take two intervals to begin. */
+const limitMs = 500;
+
+export type IntakeCheckOptions = {
+	/** Reads what was stored in the intake meanwhile. */
+	readonly refresh: () => Promise<void>;
+	/** All jobs that were stored before this instant have been read. */
+	readonly getCompleteAt: () => SteadyMs;
+};
+
+export class IntakeCheck {
+	static create(options: IntakeCheckOptions): IntakeCheck {
+		return new IntakeCheck(options);
+	}
+
+	private reading: Promise<void> | undefined;
+	private readAt: SteadyMs = Number.NEGATIVE_INFINITY;
+
+	private constructor(private readonly options: IntakeCheckOptions) {}
+
+	/** Resolves to true once all jobs stored before `since` have been read; to false if that takes too long. */
+	async isCompleteSince(since: SteadyMs): Promise<boolean> {
+		const giveUpAt = readSteadyClock() + limitMs;
+		while (this.options.getCompleteAt() < since) {
+			if (readSteadyClock() >= giveUpAt) {
+				return false;
+			}
+
+			this.reading ??= this.read().finally(() => {
+				this.reading = undefined;
+			});
+			// eslint-disable-next-line no-await-in-loop
+			await this.reading;
+		}
+
+		return true;
+	}
+
+	private async read(): Promise<void> {
+		await sleep(Math.max(0, this.readAt + readIntervalMs - readSteadyClock()));
+		this.readAt = readSteadyClock();
+		await this.options.refresh();
+	}
+}
--- a/packages/daemon/src/scheduler/job-api.ts
+++ b/packages/daemon/src/scheduler/job-api.ts
@@ -2,8 +2,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Instant, JobId} from '@rhubarblever/core';
 import {
-	computeOutageRetryS, findFirstSend, findQueue, getShownPhase, isFinal, type JobDefinition, type JobPhase, type Queue, type QueueName, type SchedulerState, type SteadyMs,
+	computeOutageRetryS, findFirstSend, findQueue, getShownPhase, isAdmissionEnabled, isFinal, type JobDefinition, type JobPhase, type Queue, type QueueName, type SchedulerState, type SteadyMs,
 } from '@rhubarblever/core/scheduler';
+import type {AdmissionGate} from './admission-gate.js';
 import {readSteadyClock, readWallClock} from './clocks.js';
 import type {IntakeWriter} from './intake-writer.js';
 import type {DecisionLog} from './decision-log.js';
@@ -12,6 +13,8 @@
 
 /** `refused`: definitely not accepted, the caller may retry later; `unknown`: may be accepted. */
 export type SubmitOutcome = 'accepted' | 'refused' | 'unknown';
+/** Not accepted, because the job would end too late to be of use. */
+export type Overload = {readonly retryAfterS: number};
 export type CancelOutcome = 'cancelled' | 'refused' | 'unknown';
 /** `unsure`: this host's view of the jobs is too stale to tell that the job does not exist. */
 export type PhaseOutcome = JobPhase | 'no-such-job' | 'unsure';
@@ -24,6 +27,7 @@
 	readonly state: SchedulerState;
 	readonly writer: IntakeWriter;
 	readonly refusals: RefusalMemory;
+	readonly gate: AdmissionGate;
 	/** Draws a random number from 0 to 1. */
 	readonly draw: () => number;
 	readonly log: DecisionLog;
@@ -71,7 +75,8 @@
 
 	/** The Retry-After, in seconds, of a refusal for which the state of the store or of this host is the reason. */
 	drawRetryAfterS(): number {
-		return computeOutageRetryS(this.options.writer.getOutageMs(), this.options.draw());
+		const {state, writer, draw} = this.options;
+		return computeOutageRetryS(isAdmissionEnabled(state) ? writer.getOutageMs() : 0, draw());
 	}
 
 	/** Finds the queue of a call; asks the store for a newer configuration before it denies a queue. */
@@ -103,9 +108,9 @@
 	}
 
 	/** Accepts a job once it is stored; `waitMs` is how long the caller waits. */
-	async submit(job: JobDefinition, waitMs: number): Promise<SubmitOutcome> {
+	async submit(job: JobDefinition, waitMs: number): Promise<SubmitOutcome | Overload> {
 		const {
-			state, writer, log, refusals, handleAccepted,
+			state, writer, log, refusals, gate, handleAccepted,
 		} = this.options;
 		if (state.jobs.has(job.jobId)) {
 			log.note('job-repeated', {jobId: job.jobId, queue: job.queue});
@@ -114,8 +119,16 @@
 
 		const startedAt = readSteadyClock();
 		const sentAt = this.findSentAt(job.jobId);
+		const retryAfterS = await gate.findRefusal({job, firstSentAt: sentAt, arrivedAt: startedAt});
+		if (retryAfterS !== undefined) {
+			refusals.note(job.jobId, sentAt ?? startedAt);
+			return {retryAfterS};
+		}
+
 		const stored = sentAt === undefined ? job : {...job, sentAt: convertToWall(sentAt)};
+		gate.noteAppend(job.jobId);
 		const outcome = await writer.write({type: 'job', job: stored}, startedAt + getWriteMs(waitMs));
+		gate.noteOutcome(job.jobId, outcome);
 		log.note(outcome === 'stored' ? 'job-accepted' : 'job-not-accepted', {
 			jobId: job.jobId, queue: job.queue, outcome, configVersion: state.config?.version, tookMs: Math.round(readSteadyClock() - startedAt),
 		});
@@ -125,7 +138,7 @@
 			return 'accepted';
 		}
 
-		if (outcome === 'refused') {
+		if (outcome === 'refused' && isAdmissionEnabled(state)) {
 			refusals.note(job.jobId, sentAt ?? startedAt);
 		}
 
--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -18,6 +18,10 @@
 	/** 1 while this host is the leader, else 0. */
 	readonly leadership: Gauge;
 	readonly liveJobs: Gauge;
+	/** New jobs by the outcome of admission. */
+	readonly admissions: Counter<'outcome'>;
+	/** At the leader: how long a job of a queue would wait if it arrived now, without and with the late jobs ahead of it. */
+	readonly expectedWaitSeconds: Gauge<'queue' | 'kind'>;
 	/** Staleness of the view by stream; absent until the stream was first read to its end. */
 	readonly viewAgeSeconds: Gauge<'stream'>;
 };
@@ -51,6 +55,12 @@
 		viewAgeSeconds: new Gauge({
 			name: 'rhubarblever_view_age_seconds', help: 'All that was stored in the stream before this age has been read', labelNames: ['stream'], registers,
 		}),
+		admissions: new Counter({
+			name: 'rhubarblever_admissions_total', help: 'New jobs by the outcome of admission', labelNames: ['outcome'], registers,
+		}),
+		expectedWaitSeconds: new Gauge({
+			name: 'rhubarblever_expected_wait_seconds', help: 'Wait of a job that arrives now', labelNames: ['queue', 'kind'], registers,
+		}),
 		liveJobs: new Gauge({name: 'rhubarblever_live_jobs', help: 'Jobs that the leader works on', registers}),
 	};
 }
--- a/packages/daemon/src/scheduler/record-schemas.ts
+++ b/packages/daemon/src/scheduler/record-schemas.ts
@@ -21,6 +21,15 @@
 
 export const leaseSchema = z.looseObject({holder: z.string(), token: count, isReleased: z.boolean()});
 
+export const loadSchema = z.looseObject({
+	token: count,
+	computedAt: z.number(),
+	waits: z.array(z.looseObject({
+		pool: z.string(), priority: z.number(), startMs: amount, backlogMs: amount, delayMs: amount, excessMs: amount, room: resources.optional(),
+	})),
+	shares: z.array(z.looseObject({account: z.string(), within: amount})),
+});
+
 export const wavesSchema = z.array(z.looseObject({wave: z.number(), doneMachines: z.array(z.string()), isCompleted: z.boolean()}));
 
 export const machineIdsSchema = z.array(z.string());
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -3,13 +3,16 @@
 import {
 	createSchedulerState, getNextLeadershipCheck, reduceScheduler, ReducerLoop, type SchedulerEffect, type SchedulerEvent, type SchedulerSettings, type SchedulerState, type SteadyMs,
 } from '@rhubarblever/core/scheduler';
+import {AdmissionGate} from './admission-gate.js';
 import {readSteadyClock, readWallClock} from './clocks.js';
 import {intakeStream, ledgerStream} from './codec.js';
 import type {DecisionLog} from './decision-log.js';
 import {computeFollowTimes, type FollowTimes} from './follow-times.js';
 import {EffectRunner, type UntimedEvent} from './effect-runner.js';
+import {IntakeCheck} from './intake-check.js';
 import {IntakeWriter} from './intake-writer.js';
 import {JobApi} from './job-api.js';
+import {LoadMetrics} from './load-metrics.js';
 import type {SchedulerMetrics} from './metrics.js';
 import type {SchedulerPorts} from './ports.js';
 import {RecordEvents} from './record-events.js';
@@ -57,6 +60,7 @@
 
 	readonly jobApi: JobApi;
 	private readonly refusals: RefusalMemory;
+	private readonly loadMetrics: LoadMetrics;
 	private readonly loop: ReducerLoop<SchedulerState, SchedulerEvent, SchedulerEffect>;
 	private readonly readers: {readonly operator: StreamReader; readonly intake: StreamReader; readonly ledger: StreamReader; readonly workers: StreamReader; readonly status: StreamReader};
 	private readonly events: RecordEvents;
@@ -102,17 +106,28 @@
 			},
 		});
 		this.readers = this.createReaders();
+		this.loadMetrics = LoadMetrics.create(this.loop.state, metrics);
 		const writer = IntakeWriter.create(ports.store, {getStoreAnsweredAt: () => this.getStoreAnsweredAt()});
 		this.refusals = RefusalMemory.create({
 			writer, holder: settings.holder, log, handleStored: record => {
 				this.push({type: 'intake/read', records: [record]});
 			},
 		});
+		const draw = () => randomInt(drawSteps) / drawSteps;
+		const gate = AdmissionGate.create({
+			state: this.loop.state,
+			log,
+			metrics,
+			intakeCheck: IntakeCheck.create({refresh: async () => this.readers.intake.refresh(0), getCompleteAt: () => this.loop.state.intakeCompleteAt}),
+			getLedgerAgeMs: () => this.readers.ledger.view.describe(readSteadyClock()).completeAgeMs,
+			draw,
+		});
 		this.jobApi = JobApi.create({
 			state: this.loop.state,
 			writer,
 			refusals: this.refusals,
-			draw: () => randomInt(drawSteps) / drawSteps,
+			gate,
+			draw,
 			log,
 			describeIntake: () => this.describeIntake(),
 			maxStalenessMs: this.intakeTimes.maxStalenessMs,
@@ -221,6 +236,7 @@
 
 		this.push({type: 'clock/ticked'});
 		this.refusals.tick();
+		this.loadMetrics.tick();
 		const {metrics} = this.options;
 		metrics.leadership.set(this.isLeader() ? 1 : 0);
 		metrics.liveJobs.set(this.loop.state.liveJobs.size);
--- a/packages/daemon/src/scheduler/testing/scripted-store.ts
+++ b/packages/daemon/src/scheduler/testing/scripted-store.ts
@@ -108,7 +108,7 @@
 	decodeWaveStatus: () => undefined,
 };
 
-const settings: SchedulerSettings = {
+export const settings: SchedulerSettings = {
 	holder: 'h', claimJitter: 0, capacityShortfall: 0, firstSequence: 1, moveMs: 1500, upkeepMs: 2000, orderLeaseMs: 3000, maxLeaseMs: 10_000, statusRetentionMs: 120_000, remoteRackFactor: 2,
 };
 
