--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -3,6 +3,7 @@
 import type {Instant} from '../types/time.js';
 import {addArrivedWork} from './demand.js';
 import {applyRefusals, computeSentAt} from './first-sends.js';
+import {noteArrival} from './load-view.js';
 import {noteDecision} from './logging.js';
 import {isFinal} from './phases.js';
 import {getOccurrence} from './occurrences.js';
@@ -42,6 +43,7 @@
 			job.isWorkDeferred = true;
 		}
 
+		noteArrival(state, job);
 		activateJob(state, job);
 	}
 }
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -8,6 +8,7 @@
 import {
 	handleClaim, loadLedger, noteConfigured, readLedger, releaseLeadership, stopLeading, tickClaim, tickLeadership,
 } from './leadership.js';
+import {tickLoad} from './load-view.js';
 import {describeError, noteDecision, noteWarning} from './logging.js';
 import {handleOrderOutcome, tickOrders} from './machine-orders.js';
 import {handleMachineList, tickMachineList} from './machines.js';
@@ -59,6 +60,7 @@
 		tickWaves(state);
 		tickMoves(state);
 		tickRunTimes(state);
+		tickLoad(state);
 		removeOldJobs(state);
 		replaceEndedJobs(state);
 		removeGoneWorkers(state);
--- a/packages/core/src/scheduler/run-times.ts
+++ b/packages/core/src/scheduler/run-times.ts
@@ -8,14 +8,19 @@
 import {
 	addValue, computeQuantiles, countValues, createSketch, dropOlderValues, type Quantiles, type Sketch,
 } from './run-time-sketch.js';
-import type {QueueName, SteadyMs, StepDefinition} from './types.js';
 import type {
-	Job, LearningUse, SchedulerState, StepRun, Task,
+	JobDefinition, QueueName, SteadyMs, StepDefinition,
+} from './types.js';
+import type {
+	LearningUse, SchedulerState, StepRun, Task,
 } from './state.js';
 
 /** Expected run time of one task of a step. */
 export type RunEstimate = {readonly meanMs: number; readonly p50Ms: number; readonly p90Ms: number; readonly p95Ms: number; readonly p99Ms: number};
 
+/** The part of a job that its run times depend on. */
+export type PlannedJob = {readonly definition: Pick<JobDefinition, 'queue' | 'steps'>};
+
 /** Number of a step shape within its queue, or `anyShape`. */
 export type ShapeNumber = number;
 
@@ -215,7 +220,7 @@
 }
 
 /** Expected run time of a task of a job's step, by its position; undefined if nothing was learned that applies. */
-export function findLearnedEstimate(state: SchedulerState, {definition: {queue, steps}}: Job, number: number, isResumed = false): RunEstimate | undefined {
+export function findLearnedEstimate(state: SchedulerState, {definition: {queue, steps}}: PlannedJob, number: number, isResumed = false): RunEstimate | undefined {
 	const definition = steps[number];
 	const key = definition && !definition.isLongRunning ? findUsable(state, queue, computeShape(number, definition, isResumed)) : undefined;
 	return key && definition && getEstimate(key, definition);
@@ -232,7 +237,7 @@
 }
 
 /** Mean run time of a task of a job's step, for the work that it brings. */
-export function estimateMeanMs(state: SchedulerState, job: Job, number: number, use: LearningUse = 'demand'): number {
+export function estimateMeanMs(state: SchedulerState, job: PlannedJob, number: number, use: LearningUse = 'demand'): number {
 	const learned = isLearningUsed(state, use) ? findLearnedEstimate(state, job, number) : undefined;
 	return learned?.meanMs ?? job.definition.steps[number]?.estimateMs ?? 0;
 }
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -7,6 +7,7 @@
 import type {OrderNumber, SchedulerEffect} from './effects.js';
 import type {FirstSends} from './first-sends.js';
 import type {ArrivalBucket} from './shares.js';
+import {createLoadState, type LoadState} from './load-view.js';
 import type {Machine, Wave, PoolDemand} from './machine-state.js';
 import type {
 	AccountName, FencingToken, FleetConfig, JobProgress, LedgerRecord, MachineId, PoolName, RunTimesRow, SteadyMs, WaveNumber, WaveProgress, WorkerId,
@@ -41,6 +42,8 @@
 	readonly remoteRackFactor: number;
 	/** Uses of learned run times that are switched off or on; those left out are on. */
 	readonly learning?: Partial<Record<LearningUse, boolean>>;
+	/** Refuses jobs that would end too late to be of use, also where the operators keep no client accounts. */
+	readonly isAdmissionEnabled?: boolean | undefined;
 };
 
 /** What learned run times are used for: the order of steps, the demand for machines, the expected wait, and the watch over runs that take too long. */
@@ -155,6 +158,8 @@
 	runTimes: RunTimes;
 	/** The latest record of run times in the ledger, until this host leads. */
 	storedRunTimes: readonly RunTimesRow[] | undefined;
+	/** How long jobs wait, as the leader has told. */
+	readonly load: LoadState;
 	needsPlacement: boolean;
 	/** Tasks of open jobs that losses of workers may be blamed on. */
 	readonly suspects: Set<Task>;
@@ -220,6 +225,7 @@
 		demand: new Map(),
 		runTimes: createRunTimes(),
 		storedRunTimes: undefined,
+		load: createLoadState(),
 		needsPlacement: false,
 		suspects: new Set(),
 		suspectsDueAt: 0,
--- a/packages/core/src/scheduler/testing/narrow-leader.ts
+++ b/packages/core/src/scheduler/testing/narrow-leader.ts
@@ -4,7 +4,7 @@
 import type {SchedulerEvent} from '../events.js';
 import {reduceScheduler} from '../reduce.js';
 import {createSchedulerState, type SchedulerSettings, type SchedulerState} from '../state.js';
-import type {FleetConfig, JobDefinition} from '../types.js';
+import type {FleetConfig, JobDefinition, LedgerRecord} from '../types.js';
 import {modelConfig} from './model-jobs.js';
 import {createWorkerEntry} from './model-leader.js';
 import {modelSettings} from './model-settings.js';
@@ -47,6 +47,8 @@
 	/** Workers that calls do not reach. */
 	readonly unreachableWorkers = new Set<string>();
 	readonly events: string[] = [];
+	/** Records stored in the ledger. */
+	readonly records: LedgerRecord[] = [];
 	/** Calls sent, by type. */
 	readonly sent: Record<WorkerEffect['type'], number> = {'worker/start': 0, 'worker/stop': 0, 'worker/poll': 0};
 	/** Calls that timed out, by type. */
@@ -134,6 +136,7 @@
 		switch (effect.type) {
 			case 'ledger/commit': {
 				this.schedule(storeMs, () => {
+					this.records.push(...effect.records);
 					this.push({type: 'commit/ended', outcome: 'stored', sequence: effect.sequence});
 				});
 				break;
--- a/packages/daemon/src/scheduler/codec.test.ts
+++ b/packages/daemon/src/scheduler/codec.test.ts
@@ -73,6 +73,13 @@
 					queue: 'q', shape: 12, runs: 3007, durationError: 0.1, ratioError: 2.5, durations: [200, 7, 1, 3000], ratios: [],
 				}],
 			},
+			{
+				type: 'load', load: {
+					token: 4, computedAt: 1_800_000_000_000 as Instant, shares: [{account: 'a', within: 0.25}], waits: [{
+						pool: 'p', priority: 0, startMs: 1, backlogMs: 2, delayMs: 3, excessMs: 4, room: {cpu: 1, memoryMb: 2, gpu: 0},
+					}],
+				},
+			},
 		];
 		for (const record of records) {
 			const decoded = decodeLedger({offset: 0, ...encodeLedger(record)});
--- a/packages/daemon/src/scheduler/codec.ts
+++ b/packages/daemon/src/scheduler/codec.ts
@@ -2,13 +2,13 @@
 import {Buffer} from 'node:buffer';
 import type {Instant, JobId} from '@rhubarblever/core';
 import type {
-	FleetConfig, IntakeRecord, JobDefinition, JobProgress, LeaseRecord, LedgerRecord, MachineId, ProgressRow, RefusedJob, RunTimesRow, TaskCrash, WaveProgress,
+	FleetConfig, IntakeRecord, JobDefinition, JobProgress, LeaseRecord, LedgerRecord, LoadFigures, MachineId, ProgressRow, RefusedJob, RunTimesRow, TaskCrash, WaveProgress,
 } from '@rhubarblever/core/scheduler';
 import {Packr} from 'msgpackr';
 import type {z} from 'zod';
 import type {KeyedRecord, NewRecord} from './ports.js';
 import {
-	configSchema, jobSchema, leaseSchema, machineIdsSchema, progressSchema, refusalsSchema, runTimesFormat, runTimesSchema, wavesSchema,
+	configSchema, jobSchema, leaseSchema, loadSchema, machineIdsSchema, progressSchema, refusalsSchema, runTimesFormat, runTimesSchema, wavesSchema,
 } from './record-schemas.js';
 
 /** Stream of job submissions and cancellations, written by all entry hosts. */
@@ -96,6 +96,7 @@
 	orders: ({machineIds}) => ({key: 'orders:', value: packr.pack(machineIds)}),
 	config: ({config}) => ({key: 'config:', value: packr.pack(config)}),
 	'run-times': ({rows}) => ({key: 'run-times:', value: packr.pack([runTimesFormat, rows.map(row => encodeRunTimesRow(row))])}),
+	load: ({load}) => ({key: 'load:', value: packr.pack(load)}),
 };
 
 /** Encodes a ledger record for the store. */
@@ -110,6 +111,7 @@
 	orders: (_id, value) => value && {type: 'orders', machineIds: readValue<MachineId[]>(value, machineIdsSchema)},
 	config: (_id, value) => value && {type: 'config', config: readValue<FleetConfig>(value, configSchema)},
 	'run-times': (_id, value) => value && {type: 'run-times', rows: readValue<PackedRunTimes>(value, runTimesSchema)[1].map(row => decodeRunTimesRow(row))},
+	load: (_id, value) => value && {type: 'load', load: readValue<LoadFigures>(value, loadSchema)},
 };
 
 type PackedCrash = [run: number, workerId: string, bornAt: number, at: TaskCrash['at'], isConfirmed: boolean, blame: TaskCrash['blame']];
--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -24,6 +24,10 @@
 	readonly liveJobs: Gauge;
 	/** Ended runs by whether they took less or more than the quantile expected of them. */
 	readonly runCalibration: Counter<'quantile' | 'outcome'>;
+	/** New jobs by the outcome of admission. */
+	readonly admissions: Counter<'outcome'>;
+	/** At the leader: how long a job of a queue would wait if it arrived now, without and with the late jobs ahead of it. */
+	readonly expectedWaitSeconds: Gauge<'queue' | 'kind'>;
 	/** Staleness of the view by stream; absent until the stream was first read to its end. */
 	readonly viewAgeSeconds: Gauge<'stream'>;
 	/** Takes use and share by account from `list` whenever the metrics are read. */
@@ -94,6 +98,12 @@
 		runCalibration: new Counter({
 			name: 'rhubarblever_run_calibration_total', help: 'Ended runs under and over the run time expected of them', labelNames: ['quantile', 'outcome'], registers,
 		}),
+		admissions: new Counter({
+			name: 'rhubarblever_admissions_total', help: 'New jobs by the outcome of admission', labelNames: ['outcome'], registers,
+		}),
+		expectedWaitSeconds: new Gauge({
+			name: 'rhubarblever_expected_wait_seconds', help: 'Wait of a job that arrives now', labelNames: ['queue', 'kind'], registers,
+		}),
 		liveJobs: new Gauge({name: 'rhubarblever_live_jobs', help: 'Jobs that the leader works on', registers}),
 		followAccounts: createAccountGauges(registers),
 	};
