Demand for machines: follows the arrivals without averaging noise, and counts errors of estimates once

At the beginning of a burst the rise was added to the rate and to the waiting work, up to 3.2 times.

Change: the rate is the mean since its last significant change, where the variance comes from the arrivals themselves; the work of a queue is corrected by the ratio of two sums; waiting work of jobs that are late anyway is worked off slower, in 4 s.

--- /dev/null
+++ b/packages/core/src/scheduler/arrival-rate.ts
@@ -0,0 +1,92 @@
+/**
+ * Rate at which work arrives at a pool. While the load is steady, the rate is the mean since it last changed, so that random
+ * peaks hardly move it. When the latest arrivals differ from it by more than chance allows, it follows them at once.
+ *
+ * The variance of the arrivals is estimated from the sum of their squares, as jobs arrive independently of each other: few
+ * large jobs vary more than many small ones, whose changes are therefore noticed sooner.
+ */
+import {addResources, computeMultiple, noResources} from './resources.js';
+import type {ArrivalRate, ArrivalSample} from './machine-state.js';
+import type {Resources} from './types.js';
+
+/** The rate averages over at most this time. */
+const longestWindowMs = 8000;
+/** How many of the latest samples are compared with the rate: the fewer, the sooner a large change is noticed; the more, the smaller the change that is. */
+const comparedSamples = [2, 4, 8] as const;
+const keptSamples = 8;
+/** Standard deviations beyond which a change is not due to chance. The distribution of the work is skewed: rises by chance are more frequent than falls. */
+const riseDeviations = 5;
+const fallDeviations = 4;
+/** Smaller differences, as a share of the rate, are not taken for a change. */
+const leastChange = 0.02;
+/** A job has about this time to spare before it misses its objective, so that shorter peaks even out. */
+const sparedMs = 1000;
+/** Largest share of the rate that is added for random peaks. A pool of few jobs would otherwise keep twice the machines that it uses. */
+const maxPeakShare = 0.2;
+
+const resourceNames = ['cpu', 'memoryMb', 'gpu'] as const;
+
+export function createArrivalRate(): ArrivalRate {
+	return {
+		mean: noResources, squares: noResources, ageMs: 0, samples: [],
+	};
+}
+
+/** Returns the squares of the resources. */
+export function computeSquares({cpu, memoryMb, gpu}: Resources): Resources {
+	return {cpu: cpu ** 2, memoryMb: memoryMb ** 2, gpu: gpu ** 2};
+}
+
+/** Updates the rate with the work that arrived within some time, and the sum of the squares of the work of each job. */
+export function addArrivals(rate: ArrivalRate, sample: ArrivalSample): void {
+	rate.samples = [...rate.samples, sample].slice(-keptSamples);
+	for (const count of comparedSamples) {
+		if (rate.samples.length < count) {
+			break;
+		}
+
+		const recent = sumSamples(rate.samples.slice(-count));
+		if (isChanged(rate, recent)) {
+			restartMean(rate, recent);
+			return;
+		}
+	}
+
+	rate.ageMs = Math.min(longestWindowMs, rate.ageMs + sample.lastedMs);
+	const weight = Math.min(1, sample.lastedMs / rate.ageMs);
+	rate.mean = addResources(computeMultiple(rate.mean, 1 - weight), sample.work, weight / sample.lastedMs);
+	rate.squares = addResources(computeMultiple(rate.squares, 1 - weight), sample.squares, weight / sample.lastedMs);
+}
+
+function restartMean(rate: ArrivalRate, {work, squares, lastedMs}: ArrivalSample): void {
+	const isRise = resourceNames.some(name => work[name] / lastedMs > rate.mean[name]);
+	rate.mean = computeMultiple(work, 1 / lastedMs);
+	rate.squares = computeMultiple(squares, 1 / lastedMs);
+	// A rise may have begun within these samples, so the next one replaces them.
+	rate.ageMs = isRise ? 0 : lastedMs;
+	rate.samples = [];
+}
+
+/** The resources that the arriving work keeps busy, with what random peaks need beyond the time that jobs can spare. */
+export function computeRateWithPeaks({mean, squares}: ArrivalRate): Resources {
+	const compute = (name: keyof Resources) => mean[name] + Math.min(Math.sqrt(squares[name] / sparedMs), mean[name] * maxPeakShare);
+	return {cpu: compute('cpu'), memoryMb: compute('memoryMb'), gpu: compute('gpu')};
+}
+
+function sumSamples(samples: readonly ArrivalSample[]): ArrivalSample {
+	let sum: ArrivalSample = {work: noResources, squares: noResources, lastedMs: 0};
+	for (const {work, squares, lastedMs} of samples) {
+		sum = {work: addResources(sum.work, work), squares: addResources(sum.squares, squares), lastedMs: sum.lastedMs + lastedMs};
+	}
+
+	return sum;
+}
+
+/** True if some work arrived at another rate than the mean, by more than chance allows for the samples and for the mean itself. */
+function isChanged({mean, squares, ageMs}: ArrivalRate, {work, lastedMs}: ArrivalSample): boolean {
+	return resourceNames.some(name => {
+		const difference = (work[name] / lastedMs) - mean[name];
+		const variance = squares[name] * ((1 / lastedMs) + (ageMs > 0 ? 1 / ageMs : 0));
+		return Math.abs(difference) > Math.max(Math.sqrt(variance) * (difference > 0 ? riseDeviations : fallDeviations), mean[name] * leastChange);
+	});
+}
--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -2,34 +2,33 @@
  * Demand of each pool for machines. Load comes in bursts that alternate between pools: for some seconds a pool receives
  * several times its mean load, and little in between.
  *
- * A moving average over a short time tracks the rate of arriving work, so that machines are requested when a burst begins
- * rather than when its queue has grown. The peak of the last seconds is kept, so that machines are not given away during a
+ * The rate of arriving work is tracked, so that machines are requested when a burst begins rather than when its queue has
+ * grown. The peak of the last seconds is kept, so that machines are not given away during a
  * short lull. Processor, memory and accelerators are tracked separately: long-running tasks often fill the memory of
  * machines whose processors are half idle, and the size of the pool follows the scarcest resource.
  */
+import {
+	addArrivals, computeRateWithPeaks, computeSquares, createArrivalRate,
+} from './arrival-rate.js';
 import {computeOfferedShare} from './machine-workers.js';
 import {getPoolOfJob} from './queues.js';
 import {
-	addResources, computeDominantShare, noResources, computeMultiple,
+	addResources, computeDominantShare, noResources,
 } from './resources.js';
 import {getStepNeed} from './tasks.js';
 import {countTrialMachines} from './trials.js';
+import {getWorkRatio} from './work-ratio.js';
 import type {PoolName, Resources, StepDefinition} from './types.js';
 import type {
 	Job, PlacementLimit, PoolDemand, RefusedWorkers, SchedulerState, StepRun, Worker,
 } from './state.js';
 
-/** Weights, per update, of the latest sample in the fast and in the slow moving average of the rate; their difference shows a rise. */
-const fastWeight = 0.35;
-const slowWeight = 0.09;
-/** Share of this difference added to the demand, as a rise is assumed to continue for about as long as a machine takes to join. */
-const trendFactor = 0.8;
-/** Factor on the averaged rate that leaves capacity for random peaks. */
-const headroom = 1.15;
 /** Share of a machine that tasks fill in practice. */
 const usableShare = 0.85;
-/** The backlog is to be worked off within this time. */
+/** Waiting work of jobs that can still meet their objective is to be worked off within this time. */
 const backlogClearMs = 1500;
+/** The same for jobs that cannot. They are of some use up to three times their objective, and machines requested for them come too late for it anyway. */
+const lateClearMs = 4000;
 /** How long a peak of the demand is kept. */
 const peakKeptMs = 3000;
 
@@ -38,7 +37,7 @@
 	let demand = state.demand.get(pool);
 	if (!demand) {
 		demand = {
-			waitingTasks: 0, waitingWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrivedWork: noResources, rate: noResources, slowRate: noResources, updatedAt: state.now, machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
+			waitingTasks: 0, waitingWork: noResources, lateWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrivedWork: noResources, arrivedSquares: noResources, rate: createArrivalRate(), updatedAt: state.now, machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
 		};
 		state.demand.set(pool, demand);
 	}
@@ -49,18 +48,23 @@
 /** Adds the work of an accepted job to the arrivals of its pool. */
 export function addArrivedWork(state: SchedulerState, job: Job): void {
 	const demand = getDemand(state, getPoolOfJob(state, job));
-	const ratio = state.runRatios.get(job.definition.queue) ?? 1;
+	const ratio = getWorkRatio(state, job.definition.queue);
+	let work = noResources;
 	for (const step of job.definition.steps) {
 		if (!step.isLongRunning) {
-			demand.arrivedWork = addResources(demand.arrivedWork, getStepNeed(step), step.count * step.estimateMs * ratio);
+			work = addResources(work, getStepNeed(step), step.count * step.estimateMs * ratio);
 		}
 	}
+
+	demand.arrivedWork = addResources(demand.arrivedWork, work);
+	demand.arrivedSquares = addResources(demand.arrivedSquares, computeSquares(work));
 }
 
 /** Resets the waiting work before it is counted again. */
 export function clearWaiting(demand: PoolDemand): void {
 	demand.waitingTasks = 0;
 	demand.waitingWork = noResources;
+	demand.lateWork = noResources;
 	demand.waitingLongRunning = noResources;
 	demand.refused = {};
 	demand.unplaceable = noResources;
@@ -70,10 +74,17 @@
 }
 
 /** Tasks of a step that were not placed, the number of usable workers with the step's label, and what kept those with room from taking the next task. */
-export type UnplacedTasks = {readonly tasks: number; readonly workers: number; readonly refused: RefusedWorkers};
+export type UnplacedTasks = {
+	readonly tasks: number; readonly workers: number; readonly refused: RefusedWorkers;
+	/** Their job can no longer meet its objective. */
+	readonly isLate: boolean;
+};
 
 /** Adds tasks of a step that no worker of the pool may take now. */
-export function addWaitingWork(demand: PoolDemand, {definition}: StepRun, {tasks, workers, refused}: UnplacedTasks): void {
+export function addWaitingWork(state: SchedulerState, {definition, occurrence: {job}}: StepRun, {
+	tasks, workers, refused, isLate,
+}: UnplacedTasks): void {
+	const demand = getDemand(state, getPoolOfJob(state, job));
 	const need = getStepNeed(definition);
 	demand.waitingTasks += tasks;
 	addRefusals(demand, workers, refused);
@@ -81,7 +92,8 @@
 		demand.waitingLongRunning = addResources(demand.waitingLongRunning, need, tasks);
 		addUnplaceable(demand, definition, tasks, refused);
 	} else {
-		demand.waitingWork = addResources(demand.waitingWork, need, tasks * definition.estimateMs);
+		const name = isLate ? 'lateWork' : 'waitingWork';
+		demand[name] = addResources(demand[name], need, tasks * definition.estimateMs * getWorkRatio(state, job.definition.queue));
 	}
 }
 
@@ -136,17 +148,16 @@
 		return demand;
 	}
 
-	const latestRate = computeMultiple(demand.arrivedWork, 1 / elapsedMs);
-	demand.rate = addResources(computeMultiple(demand.rate, 1 - fastWeight), latestRate, fastWeight);
-	demand.slowRate = addResources(computeMultiple(demand.slowRate, 1 - slowWeight), latestRate, slowWeight);
+	addArrivals(demand.rate, {work: demand.arrivedWork, squares: demand.arrivedSquares, lastedMs: elapsedMs});
 	demand.arrivedWork = noResources;
+	demand.arrivedSquares = noResources;
 	demand.updatedAt = state.now;
 	const needed = computeNeed(state, pool);
 	const workersForSpread = demand.waitingTasks > 0 ? countWorkersForSpread(state, pool) : 0;
 	const trialMachines = countTrialMachines(state, pool);
-	const forLoad = Math.max(workersForSpread, countMachines(addResources(needed, computeExpectedRise(demand)), machine)) + trialMachines;
+	const forLoad = Math.max(workersForSpread, countMachines(needed, machine)) + trialMachines;
 	demand.machines = Math.max(forLoad, countMachinesForUnplaceable(demand, machine));
-	updatePeak(state, demand, Math.max(workersForSpread, countMachines(needed, machine)) + trialMachines);
+	updatePeak(state, demand, forLoad);
 	return demand;
 }
 
@@ -162,16 +173,11 @@
 }
 
 function computeNeed(state: SchedulerState, pool: PoolName): Resources {
-	const {rate, waitingWork, waitingLongRunning} = getDemand(state, pool);
+	const {rate, waitingWork, lateWork, waitingLongRunning} = getDemand(state, pool);
 	let needed = addResources(sumLongRunning(state, pool), waitingLongRunning);
-	needed = addResources(needed, rate, headroom);
-	return addResources(needed, waitingWork, 1 / backlogClearMs);
-}
-
-/** The expected rise of the rate until machines that are requested now have joined. */
-function computeExpectedRise({rate, slowRate}: PoolDemand): Resources {
-	const rise = addResources(rate, slowRate, -1);
-	return computeMultiple({cpu: Math.max(0, rise.cpu), memoryMb: Math.max(0, rise.memoryMb), gpu: Math.max(0, rise.gpu)}, trendFactor);
+	needed = addResources(needed, computeRateWithPeaks(rate));
+	needed = addResources(needed, waitingWork, 1 / backlogClearMs);
+	return addResources(needed, lateWork, 1 / lateClearMs);
 }
 
 /** Resources in use by the long-running tasks of a pool. */
--- a/packages/core/src/scheduler/machine-state.ts
+++ b/packages/core/src/scheduler/machine-state.ts
@@ -50,11 +50,29 @@
 /** How many workers each limit kept from taking a task. */
 export type RefusedWorkers = Partial<Record<PlacementLimit, number>>;
 
+/** Moving averages of the actual and of the declared run time of tasks that ended, and how many there were. */
+export type WorkRatio = {readonly runs: number; readonly ranMs: number; readonly declaredMs: number};
+
+/** Work that arrived within some time, and the sum of the squares of the work of each job. */
+export type ArrivalSample = {readonly work: Resources; readonly squares: Resources; readonly lastedMs: number};
+
+/** Average arrival rate of work since its last change. */
+export type ArrivalRate = {
+	mean: Resources;
+	/** Sum of squares of the jobs' work, per millisecond. */
+	squares: Resources;
+	/** The time that the average covers. */
+	ageMs: number;
+	/** The latest samples since then, the newest last. */
+	samples: readonly ArrivalSample[];
+};
+
 export type PoolDemand = {
 	/** Tasks that wait for free capacity. */
 	waitingTasks: number;
-	/** Work of the short tasks that wait: resources times milliseconds. */
+	/** Work of the short tasks that wait: resources times milliseconds; first of jobs that can still meet their objective, then of the others. */
 	waitingWork: Resources;
+	lateWork: Resources;
 	/** Resources needed by the long-running tasks that wait. */
 	waitingLongRunning: Resources;
 	/** Long-running tasks that only another machine can take: the resources they need, and how many machines they need because of their limit of tasks per worker. */
@@ -65,11 +83,11 @@
 	hasIdleWorker: boolean;
 	/** How many workers each limit of placement kept from taking a waiting task; summed over steps. */
 	refused: RefusedWorkers;
-	/** Work of the short tasks that arrived since the last update: resources times milliseconds. */
+	/** Work of the short tasks that arrived since the last update: resources times milliseconds; and the sum of its squares, by job. */
 	arrivedWork: Resources;
-	/** Fast and slow moving averages of the arrival rate: the resources that the arriving work keeps busy. */
-	rate: Resources;
-	slowRate: Resources;
+	arrivedSquares: Resources;
+	/** The rate of arrivals: the resources that the arriving work keeps busy. */
+	readonly rate: ArrivalRate;
 	updatedAt: SteadyMs;
 	/** Machines needed now; how many of them the pool neither has nor is about to get; the highest need of the last seconds. */
 	machines: number;
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -36,9 +36,9 @@
 	const usable = groupByPool(state, worker => isUsable(state, worker));
 	const setAside = groupByPool(state, worker => isUsableOrSetAside(state, worker) && isProbeDue(state, worker));
 	planTrials(state, usable, canHost);
-	for (const {step} of sortSteps(state)) {
-		const pool = getPoolOfJob(state, step.occurrence.job);
-		placeStep(state, step, pool, {usable: usable.get(pool) ?? [], setAside: setAside.get(pool) ?? []});
+	for (const urgency of sortSteps(state)) {
+		const pool = getPoolOfJob(state, urgency.step.occurrence.job);
+		placeStep(state, urgency, {usable: usable.get(pool) ?? [], setAside: setAside.get(pool) ?? []});
 	}
 
 	for (const [pool, workers] of usable) {
@@ -85,7 +85,7 @@
 
 type PoolWorkers = {readonly usable: readonly Worker[]; readonly setAside: readonly Worker[]};
 
-function placeStep(state: SchedulerState, step: StepRun, pool: PoolName, {usable, setAside}: PoolWorkers): void {
+function placeStep(state: SchedulerState, {step, isObjectiveUnreachable}: Urgency, {usable, setAside}: PoolWorkers): void {
 	const candidates = usable.filter(worker => hasLabel(step, worker));
 	const waiting = step.tasks.filter(task => task.status === 'waiting' && !isAwaitingFate(state, task));
 	if (waiting.length === 0) {
@@ -96,7 +96,9 @@
 	const {placed, refused} = place(state, waiting, listFreeCapacities(state, step, candidates));
 	const left = waiting.length - placed;
 	if (left > 0) {
-		addWaitingWork(getDemand(state, pool), step, {tasks: left, workers: candidates.length, refused});
+		addWaitingWork(state, step, {
+			tasks: left, workers: candidates.length, refused, isLate: isObjectiveUnreachable,
+		});
 		placeAsProbe(state, step, setAside);
 	}
 }
--- a/packages/core/src/scheduler/reports.ts
+++ b/packages/core/src/scheduler/reports.ts
@@ -8,6 +8,7 @@
 } from './tasks.js';
 import {pollRetryMs, pollWaitMs, stuckMs} from './timing.js';
 import {updateRunRatio} from './urgency.js';
+import {noteRunWork} from './work-ratio.js';
 import type {SchedulerEvent} from './events.js';
 import type {
 	EndedRow, RunEnd, RunningRow, SteadyMs,
@@ -57,7 +58,9 @@
 const endHandlers: Readonly<Record<RunEnd, EndHandler>> = {
 	done(state, worker, task) {
 		noteSuccess(state, worker);
-		updateRunRatio(state, task.step.occurrence.job.definition.queue, state.now - task.startedAt, task.step.definition.estimateMs);
+		const {queue} = task.step.occurrence.job.definition;
+		updateRunRatio(state, queue, state.now - task.startedAt, task.step.definition.estimateMs);
+		noteRunWork(state, queue, state.now - task.startedAt, task.step.definition.estimateMs);
 		finishTask(state, task);
 		advanceOccurrence(state, task.step.occurrence);
 	},
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -3,7 +3,9 @@
 import type {Instant} from '../types/time.js';
 import {createCallWindow, type CallWindow} from './call-window.js';
 import type {OrderNumber, SchedulerEffect} from './effects.js';
-import type {Machine, Wave, PoolDemand} from './machine-state.js';
+import type {
+	Machine, PoolDemand, Wave, WorkRatio,
+} from './machine-state.js';
 import type {
 	FencingToken, FleetConfig, JobProgress, LedgerRecord, MachineId, PoolName, QueueName, SteadyMs, WaveNumber, WaveProgress, WorkerId,
 } from './types.js';
@@ -137,6 +139,8 @@
 	readonly demand: Map<PoolName, PoolDemand>;
 	/** Moving average of actual to estimated run time, by queue. */
 	readonly runRatios: Map<QueueName, number>;
+	/** Moving averages of actual and of declared run time, by queue. */
+	readonly workRatios: Map<QueueName, WorkRatio>;
 	needsPlacement: boolean;
 	/** Tasks of open jobs that losses of workers may be blamed on. */
 	readonly suspects: Set<Task>;
@@ -197,6 +201,7 @@
 		isConfigDirty: false,
 		demand: new Map(),
 		runRatios: new Map(),
+		workRatios: new Map(),
 		needsPlacement: false,
 		suspects: new Set(),
 		suspectsDueAt: 0,
