Demand for machines: one job alone is no rise of the arrivals

Change: the largest job of the compared samples does not count as a rise; while it waits, it counts as waiting work.

--- a/packages/core/src/scheduler/arrival-rate.ts
+++ b/packages/core/src/scheduler/arrival-rate.ts
@@ -32,12 +32,41 @@
 	};
 }
 
-/** Returns the squares of the resources. */
-export function computeSquares({cpu, memoryMb, gpu}: Resources): Resources {
+function findLargest(a: Resources, b: Resources): Resources {
+	return {cpu: Math.max(a.cpu, b.cpu), memoryMb: Math.max(a.memoryMb, b.memoryMb), gpu: Math.max(a.gpu, b.gpu)};
+}
+
+function computeSquares({cpu, memoryMb, gpu}: Resources): Resources {
 	return {cpu: cpu ** 2, memoryMb: memoryMb ** 2, gpu: gpu ** 2};
 }
 
-/** Updates the rate with the work that arrived within some time, and the sum of the squares of the work of each job. */
+/** Returns a sample of no time, to which the work of single jobs is added. */
+export function createSample(): ArrivalSample {
+	return {
+		work: noResources, squares: noResources, largest: noResources, lastedMs: 0,
+	};
+}
+
+/** The work of one job as a part of a sample. */
+export function createSampleOfJob(work: Resources): ArrivalSample {
+	return {
+		work, squares: computeSquares(work), largest: work, lastedMs: 0,
+	};
+}
+
+/** Adds up samples that followed each other, or that are parts of one. */
+export function sumSamples(samples: readonly ArrivalSample[]): ArrivalSample {
+	let sum = createSample();
+	for (const {work, squares, largest, lastedMs} of samples) {
+		sum = {
+			work: addResources(sum.work, work), squares: addResources(sum.squares, squares), largest: findLargest(sum.largest, largest), lastedMs: sum.lastedMs + lastedMs,
+		};
+	}
+
+	return sum;
+}
+
+/** Updates the rate with the work that arrived since its last update. */
 export function addArrivals(rate: ArrivalRate, sample: ArrivalSample): void {
 	rate.samples = [...rate.samples, sample].slice(-keptSamples);
 	for (const count of comparedSamples) {
@@ -73,19 +102,14 @@
 	return {cpu: compute('cpu'), memoryMb: compute('memoryMb'), gpu: compute('gpu')};
 }
 
-function sumSamples(samples: readonly ArrivalSample[]): ArrivalSample {
-	let sum: ArrivalSample = {work: noResources, squares: noResources, lastedMs: 0};
-	for (const {work, squares, lastedMs} of samples) {
-		sum = {work: addResources(sum.work, work), squares: addResources(sum.squares, squares), lastedMs: sum.lastedMs + lastedMs};
-	}
-
-	return sum;
-}
-
-/** True if some work arrived at another rate than the mean, by more than chance allows for the samples and for the mean itself. */
-function isChanged({mean, squares, ageMs}: ArrivalRate, {work, lastedMs}: ArrivalSample): boolean {
+/**
+ * True if some work arrived at another rate than the mean, by more than chance allows for the samples and for the mean itself. One
+ * job alone is no rise, however large: while it waits, the demand counts it as waiting work.
+ */
+function isChanged({mean, squares, ageMs}: ArrivalRate, {work, largest, lastedMs}: ArrivalSample): boolean {
 	return resourceNames.some(name => {
-		const difference = (work[name] / lastedMs) - mean[name];
+		const withoutLargest = ((work[name] - largest[name]) / lastedMs) - mean[name];
+		const difference = withoutLargest > 0 ? withoutLargest : Math.min(0, (work[name] / lastedMs) - mean[name]);
 		const variance = squares[name] * ((1 / lastedMs) + (ageMs > 0 ? 1 / ageMs : 0));
 		return Math.abs(difference) > Math.max(Math.sqrt(variance) * (difference > 0 ? riseDeviations : fallDeviations), mean[name] * leastChange);
 	});
--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -8,7 +8,7 @@
  * machines whose processors are half idle, and the size of the pool follows the scarcest resource.
  */
 import {
-	addArrivals, computeRateWithPeaks, computeSquares, createArrivalRate,
+	addArrivals, computeRateWithPeaks, createArrivalRate, createSample, createSampleOfJob, sumSamples,
 } from './arrival-rate.js';
 import {computeOfferedShare} from './machine-workers.js';
 import {getPoolOfJob} from './queues.js';
@@ -37,7 +37,7 @@
 	let demand = state.demand.get(pool);
 	if (!demand) {
 		demand = {
-			waitingTasks: 0, waitingWork: noResources, lateWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrivedWork: noResources, arrivedSquares: noResources, rate: createArrivalRate(), updatedAt: state.now, machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
+			waitingTasks: 0, waitingWork: noResources, lateWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrived: createSample(), rate: createArrivalRate(), updatedAt: state.now, machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
 		};
 		state.demand.set(pool, demand);
 	}
@@ -56,8 +56,7 @@
 		}
 	}
 
-	demand.arrivedWork = addResources(demand.arrivedWork, work);
-	demand.arrivedSquares = addResources(demand.arrivedSquares, computeSquares(work));
+	demand.arrived = sumSamples([demand.arrived, createSampleOfJob(work)]);
 }
 
 /** Resets the waiting work before it is counted again. */
@@ -148,9 +147,8 @@
 		return demand;
 	}
 
-	addArrivals(demand.rate, {work: demand.arrivedWork, squares: demand.arrivedSquares, lastedMs: elapsedMs});
-	demand.arrivedWork = noResources;
-	demand.arrivedSquares = noResources;
+	addArrivals(demand.rate, {...demand.arrived, lastedMs: elapsedMs});
+	demand.arrived = createSample();
 	demand.updatedAt = state.now;
 	const needed = computeNeed(state, pool);
 	const workersForSpread = demand.waitingTasks > 0 ? countWorkersForSpread(state, pool) : 0;
--- a/packages/core/src/scheduler/machine-state.ts
+++ b/packages/core/src/scheduler/machine-state.ts
@@ -53,8 +53,8 @@
 /** Moving averages of the actual and of the declared run time of tasks that ended, and how many there were. */
 export type WorkRatio = {readonly runs: number; readonly ranMs: number; readonly declaredMs: number};
 
-/** Work that arrived within some time, and the sum of the squares of the work of each job. */
-export type ArrivalSample = {readonly work: Resources; readonly squares: Resources; readonly lastedMs: number};
+/** Work that arrived within some time (resources times milliseconds), the sum of the squares of the work of each job, and the largest job. */
+export type ArrivalSample = {readonly work: Resources; readonly squares: Resources; readonly largest: Resources; readonly lastedMs: number};
 
 /** Average arrival rate of work since its last change. */
 export type ArrivalRate = {
@@ -83,9 +83,8 @@
 	hasIdleWorker: boolean;
 	/** How many workers each limit of placement kept from taking a waiting task; summed over steps. */
 	refused: RefusedWorkers;
-	/** Work of the short tasks that arrived since the last update: resources times milliseconds; and the sum of its squares, by job. */
-	arrivedWork: Resources;
-	arrivedSquares: Resources;
+	/** Work of the short tasks that arrived since the last update. */
+	arrived: ArrivalSample;
 	/** The rate of arrivals: the resources that the arriving work keeps busy. */
 	readonly rate: ArrivalRate;
 	updatedAt: SteadyMs;
