--- a/packages/core/src/scheduler/arrival-rate.ts
+++ b/packages/core/src/scheduler/arrival-rate.ts
@@ -15,7 +15,7 @@
 const comparedSamples = [2, 4, 8] as const;
 const keptSamples = 8;
 /** Standard deviations beyond which a change is not due to chance. The distribution of the work is skewed: rises by chance are more frequent than falls. */
-const riseDeviations = 5;
+const riseDeviations = 4;
 const fallDeviations = 4;
 /** Smaller differences, as a share of the rate, are not taken for a change. */
 const leastChange = 0.02;
--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -30,7 +30,7 @@
 /** The same for jobs that cannot. They are of some use up to three times their objective, and machines requested for them come too late for it anyway. */
 const lateClearMs = 4000;
 /** How long a peak of the demand is kept. */
-const peakKeptMs = 3000;
+const peakKeptMs = 2500;
 
 /** The demand of a pool, which is kept between updates. */
 export function getDemand(state: SchedulerState, pool: PoolName): PoolDemand {
--- a/packages/core/src/scheduler/machine-state.ts
+++ b/packages/core/src/scheduler/machine-state.ts
@@ -15,6 +15,8 @@
 	/** Workers for which such a poll was requested. */
 	readonly polledWorkers: Set<WorkerId>;
 	isInFlight: boolean;
+	/** It was sent at least once, so that it may have been carried out. */
+	wasSent: boolean;
 	retryAt: SteadyMs;
 	/** When the platform confirmed the order; the machine is available again some time later. */
 	confirmedAt: SteadyMs | undefined;
--- a/packages/core/src/scheduler/machine-workers.ts
+++ b/packages/core/src/scheduler/machine-workers.ts
@@ -23,7 +23,8 @@
 		&& (workerId === undefined || isSparePool(state, pool) || state.now > state.leadership.leaderSince + unconfirmedLimitMs + workerLeaseMs);
 }
 
-function isSparePool({config}: SchedulerState, name: PoolName): boolean {
+/** True if machines of a pool are switched off. */
+export function isSparePool({config}: SchedulerState, name: PoolName): boolean {
 	return config?.pools.some(pool => pool.name === name && pool.isSpare) ?? false;
 }
 
--- a/packages/core/src/scheduler/testing/model-pool.ts
+++ b/packages/core/src/scheduler/testing/model-pool.ts
@@ -28,7 +28,7 @@
 
 export class ModelPool {
 	static create(seed: number, options: {readonly declaredDeviation?: number; readonly present?: number} = {}): ModelPool {
-		return new ModelPool(PoolLoad.create(seed, options.declaredDeviation), options.present ?? 1000);
+		return new ModelPool(PoolLoad.create(seed, options), options.present ?? 1000);
 	}
 
 	readonly state: SchedulerState = createSchedulerState(modelSettings);
--- a/packages/core/src/scheduler/testing/pool-load.ts
+++ b/packages/core/src/scheduler/testing/pool-load.ts
@@ -22,17 +22,19 @@
 };
 
 export class PoolLoad {
-	/** `declaredDeviation`: standard deviation of the logarithm of the error of declared run times. */
-	static create(seed: number, declaredDeviation = 0): PoolLoad {
-		return new PoolLoad(seed, declaredDeviation);
+	/** `declaredDeviation`: standard deviation of the logarithm of the error of declared run times; `pool`: also the name of its queue. */
+	static create(seed: number, options: {readonly declaredDeviation?: number; readonly pool?: string} = {}): PoolLoad {
+		return new PoolLoad(seed, options.declaredDeviation ?? 0, options.pool);
 	}
 
 	private readonly random: RandomGenerator;
-	private nextNumber = 1;
+	private nextNumber: number;
 	private nextInMs: number | undefined;
 
-	private constructor(seed: number, private readonly declaredDeviation: number) {
+	private constructor(seed: number, private readonly declaredDeviation: number, private readonly pool: string | undefined) {
 		this.random = xoroshiro128plus(seed);
+		// The jobs of loads with other seeds have other ids.
+		this.nextNumber = (seed * 1_000_000) + 1;
 	}
 
 	/** The jobs that arrive within some time: a Poisson process. */
@@ -60,7 +62,7 @@
 			count: tasksPerStep, need: {cpu: taskCpu, memoryMb: 1000, gpu: 0}, estimateMs: this.drawDeclaredMs(), dependsOn: number === 0 ? [] : [number - 1],
 		}));
 		return {
-			definition: createJob(this.nextNumber++, steps),
+			definition: createJob(this.nextNumber++, steps, this.pool === undefined ? {} : {pool: this.pool, queue: this.pool}),
 			runMs: steps.map(({count}) => Array.from({length: count}, () => usualRunMs * (this.drawShare() < slowShare ? slowFactor : 1))),
 		};
 	}
