Machines that are too few go where most callers would be lost without them

Cause: the pool that lacked most was filled first, also with machines for its random peaks and late jobs, and the pool whose burst was noticed first took all. Change: machine-allocation.ts grants in classes (arriving work, waiting jobs that can meet their objective, the rest), within them by priority, jobs a second that a machine serves, and the share that a pool has already; half of what is left is kept back for the next moves while other pools ask for none. It takes effect where several pools share a spare pool.

--- a/packages/core/src/scheduler/arrival-rate.ts
+++ b/packages/core/src/scheduler/arrival-rate.ts
@@ -28,7 +28,7 @@
 
 export function createArrivalRate(): ArrivalRate {
 	return {
-		mean: noResources, squares: noResources, ageMs: 0, samples: [],
+		mean: noResources, squares: noResources, jobs: 0, ageMs: 0, samples: [],
 	};
 }
 
@@ -43,23 +43,25 @@
 /** Returns a sample of no time, to which the work of single jobs is added. */
 export function createSample(): ArrivalSample {
 	return {
-		work: noResources, squares: noResources, largest: noResources, lastedMs: 0,
+		jobs: 0, work: noResources, squares: noResources, largest: noResources, lastedMs: 0,
 	};
 }
 
 /** The work of one job as a part of a sample. */
 export function createSampleOfJob(work: Resources): ArrivalSample {
 	return {
-		work, squares: computeSquares(work), largest: work, lastedMs: 0,
+		jobs: 1, work, squares: computeSquares(work), largest: work, lastedMs: 0,
 	};
 }
 
 /** Adds up samples that followed each other, or that are parts of one. */
 export function sumSamples(samples: readonly ArrivalSample[]): ArrivalSample {
 	let sum = createSample();
-	for (const {work, squares, largest, lastedMs} of samples) {
+	for (const {
+		jobs, work, squares, largest, lastedMs,
+	} of samples) {
 		sum = {
-			work: addResources(sum.work, work), squares: addResources(sum.squares, squares), largest: findLargest(sum.largest, largest), lastedMs: sum.lastedMs + lastedMs,
+			jobs: sum.jobs + jobs, work: addResources(sum.work, work), squares: addResources(sum.squares, squares), largest: findLargest(sum.largest, largest), lastedMs: sum.lastedMs + lastedMs,
 		};
 	}
 
@@ -85,12 +87,16 @@
 	const weight = Math.min(1, sample.lastedMs / rate.ageMs);
 	rate.mean = addResources(computeMultiple(rate.mean, 1 - weight), sample.work, weight / sample.lastedMs);
 	rate.squares = addResources(computeMultiple(rate.squares, 1 - weight), sample.squares, weight / sample.lastedMs);
+	rate.jobs += ((sample.jobs / sample.lastedMs) - rate.jobs) * weight;
 }
 
-function restartMean(rate: ArrivalRate, {work, squares, lastedMs}: ArrivalSample): void {
+function restartMean(rate: ArrivalRate, {
+	jobs, work, squares, lastedMs,
+}: ArrivalSample): void {
 	const isRise = resourceNames.some(name => work[name] / lastedMs > rate.mean[name]);
 	rate.mean = computeMultiple(work, 1 / lastedMs);
 	rate.squares = computeMultiple(squares, 1 / lastedMs);
+	rate.jobs = jobs / lastedMs;
 	// A rise may have begun within these samples, so the next one replaces them.
 	rate.ageMs = isRise ? 0 : lastedMs;
 	rate.samples = [];
--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -37,7 +37,7 @@
 	let demand = state.demand.get(pool);
 	if (!demand) {
 		demand = {
-			waitingTasks: 0, waitingWork: noResources, lateWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrived: createSample(), rate: createArrivalRate(), updatedAt: state.now, machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
+			waitingTasks: 0, waitingWork: noResources, lateWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrived: createSample(), rate: createArrivalRate(), updatedAt: state.now, machines: 0, missing: 0, loadMachines: 0, objectiveMachines: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
 		};
 		state.demand.set(pool, demand);
 	}
@@ -150,12 +150,15 @@
 	addArrivals(demand.rate, {...demand.arrived, lastedMs: elapsedMs});
 	demand.arrived = createSample();
 	demand.updatedAt = state.now;
-	const needed = computeNeed(state, pool);
 	const workersForSpread = demand.waitingTasks > 0 ? countWorkersForSpread(state, pool) : 0;
 	const trialMachines = countTrialMachines(state, pool);
-	const forLoad = Math.max(workersForSpread, countMachines(needed, machine)) + trialMachines;
-	demand.machines = Math.max(forLoad, countMachinesForUnplaceable(demand, machine));
-	updatePeak(state, demand, forLoad);
+	const needs = computeNeeds(state, pool);
+	const count = (needed: Resources) => Math.max(workersForSpread, countMachines(needed, machine)) + trialMachines;
+	const forUnplaceable = countMachinesForUnplaceable(demand, machine);
+	demand.loadMachines = Math.max(count(needs.load), forUnplaceable);
+	demand.objectiveMachines = Math.max(count(needs.objective), forUnplaceable);
+	demand.machines = Math.max(count(needs.all), forUnplaceable);
+	updatePeak(state, demand, count(needs.all));
 	return demand;
 }
 
@@ -170,12 +173,15 @@
 	return Math.ceil(computeDominantShare(needed, machine) / usableShare);
 }
 
-function computeNeed(state: SchedulerState, pool: PoolName): Resources {
-	const {rate, waitingWork, lateWork, waitingLongRunning} = getDemand(state, pool);
-	let needed = addResources(sumLongRunning(state, pool), waitingLongRunning);
-	needed = addResources(needed, computeRateWithPeaks(rate));
-	needed = addResources(needed, waitingWork, 1 / backlogClearMs);
-	return addResources(needed, lateWork, 1 / lateClearMs);
+/** Resources for the arriving work and long-running tasks, with the waiting work of jobs that can still meet their objective, and with random peaks and late work too. */
+function computeNeeds(state: SchedulerState, pool: PoolName): {readonly load: Resources; readonly objective: Resources; readonly all: Resources} {
+	const {
+		rate, waitingWork, lateWork, waitingLongRunning,
+	} = getDemand(state, pool);
+	const longRunning = addResources(sumLongRunning(state, pool), waitingLongRunning);
+	const load = addResources(longRunning, rate.mean);
+	const all = addResources(addResources(longRunning, computeRateWithPeaks(rate)), waitingWork, 1 / backlogClearMs);
+	return {load, objective: addResources(load, waitingWork, 1 / backlogClearMs), all: addResources(all, lateWork, 1 / lateClearMs)};
 }
 
 /** Resources in use by the long-running tasks of a pool. */
--- a/packages/core/src/scheduler/machine-state.ts
+++ b/packages/core/src/scheduler/machine-state.ts
@@ -55,14 +55,15 @@
 /** Moving averages of the actual and of the declared run time of tasks that ended, and how many there were. */
 export type WorkRatio = {readonly runs: number; readonly ranMs: number; readonly declaredMs: number};
 
-/** Work that arrived within some time (resources times milliseconds), the sum of the squares of the work of each job, and the largest job. */
-export type ArrivalSample = {readonly work: Resources; readonly squares: Resources; readonly largest: Resources; readonly lastedMs: number};
+/** Jobs that arrived within some time: their number, their work (resources times milliseconds), the sum of its squares by job, and the largest of them. */
+export type ArrivalSample = {readonly jobs: number; readonly work: Resources; readonly squares: Resources; readonly largest: Resources; readonly lastedMs: number};
 
 /** Average arrival rate of work since its last change. */
 export type ArrivalRate = {
 	mean: Resources;
-	/** Sum of squares of the jobs' work, per millisecond. */
+	/** Sum of squares of the jobs' work, and the number of jobs, per millisecond. */
 	squares: Resources;
+	jobs: number;
 	/** The time that the average covers. */
 	ageMs: number;
 	/** The latest samples since then, the newest last. */
@@ -93,6 +94,9 @@
 	/** Machines needed now; how many of them the pool neither has nor is about to get; the highest need of the last seconds. */
 	machines: number;
 	missing: number;
+	/** Of the machines needed now, those without which arriving work would not be served, and those with which waiting jobs meet their objective too. */
+	loadMachines: number;
+	objectiveMachines: number;
 	peakMachines: number;
 	peakUntil: SteadyMs;
 	/** Until this instant the pool needs one more machine, to take the long-running tasks of a machine that is being drained. */
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -3,6 +3,7 @@
 import {getDemand, updateDemand} from './demand.js';
 import {isQuarantined} from './health.js';
 import {noteDecision} from './logging.js';
+import {limitToAvailable} from './machine-allocation.js';
 import {canOrder, canTakeOrder, orderMove} from './machine-orders.js';
 import {
 	computeOfferedShare, findWorker, getWorkerOf, hasNoWorker, isBusy,
@@ -67,11 +68,26 @@
 
 function fillPools(state: SchedulerState, pools: readonly PoolBalance[], spare: PoolName): void {
 	const unreachableZones = listUnreachableZones(state);
+	const movable = [...state.machines.values()].filter(machine => isMovable(state, machine) && !unreachableZones.has(machine.entry.availabilityZone));
+	limitToAvailable(state, pools, countAvailable(state, pools, movable, spare));
 	for (const pool of pools.toSorted((a, b) => b.missing - a.missing)) {
-		fillPool(state, pool, pools, {spare, unreachableZones});
+		fillPool(state, pool, pools, {spare, movable: movable.filter(({entry, order}) => entry.pool !== pool.name && order === undefined)});
 	}
 }
 
+/** Machines that pools may be given: spare ones, and idle ones that other pools do not need. */
+function countAvailable(state: SchedulerState, pools: readonly PoolBalance[], movable: readonly Machine[], spare: PoolName): number {
+	const counts = new Map<PoolName, number>();
+	for (const machine of movable) {
+		const {pool} = machine.entry;
+		const isFree = isIdle(state, machine, 0) || (pool === spare && hasNoWorker(state, machine));
+		counts.set(pool, (counts.get(pool) ?? 0) + (isFree ? 1 : 0));
+	}
+
+	const lendable = pools.filter(({isWaiting}) => !isWaiting).map(pool => Math.max(0, Math.min(pool.lendable, counts.get(pool.name) ?? 0)));
+	return lendable.reduce((sum, count) => sum + count, counts.get(spare) ?? 0);
+}
+
 /** Logs how many machines were ordered from one pool to another, as the log may leave out lines about single machines. */
 function reportMoves(state: SchedulerState, firstOrder: number): void {
 	const counts = new Map<string, {from: PoolName; to: PoolName; machines: number}>();
@@ -182,13 +198,11 @@
  * Moves machines to a pool that lacks some: first those that have been idle for some time in pools that need them no longer, as
  * each of them saves a move to the spare pool; then spare ones; then others that are idle just now.
  */
-function fillPool(state: SchedulerState, pool: PoolBalance, pools: readonly PoolBalance[], {spare, unreachableZones}: {readonly spare: PoolName; readonly unreachableZones: ReadonlySet<string>}): void {
+function fillPool(state: SchedulerState, pool: PoolBalance, pools: readonly PoolBalance[], {spare, movable}: {readonly spare: PoolName; readonly movable: readonly Machine[]}): void {
 	if (pool.missing <= 0) {
 		return;
 	}
 
-	const movable = [...state.machines.values()].filter(machine =>
-		isMovable(state, machine) && machine.entry.pool !== pool.name && !unreachableZones.has(machine.entry.availabilityZone));
 	const lent = movable.filter(({entry}) => entry.pool !== spare);
 	lendMachines(state, pool, pools, lent.filter(machine => isIdle(state, machine, idleBeforeLendingMs)));
 	for (const machine of movable.filter(({entry}) => entry.pool === spare)) {
--- a/packages/core/src/scheduler/testing/model-pools.ts
+++ b/packages/core/src/scheduler/testing/model-pools.ts
@@ -19,7 +19,6 @@
 const storeMs = 20;
 const answerMs = 5;
 const platformMs = 30;
-const wallStart = 1_800_000_000_000;
 const firstAt = 1000;
 const capacity = {cpu: 16_000, memoryMb: 64_000, gpu: 0};
 const spareName = 'spare';
@@ -35,16 +34,15 @@
 	readonly machines: number;
 	/** Machines that each pool has at first; the others are spare. */
 	readonly present: number;
-	readonly priorities?: Readonly<Record<PoolName, number>>;
 };
 
-function createConfig({pools, priorities = {}}: ModelPoolsOptions): FleetConfig {
+function createConfig({pools}: ModelPoolsOptions): FleetConfig {
 	const queue = modelConfig.queues[0]!;
 	const pool = modelConfig.pools[0]!;
 	return {
 		...modelConfig,
 		queues: pools.map((name: string) => ({
-			...queue, name, pool: name, stretch, latencyTargetMs, priority: priorities[name] ?? 0, pathPrefix: `/${name}/`,
+			...queue, name, pool: name, stretch, latencyTargetMs, pathPrefix: `/${name}/`,
 		})),
 		pools: [...pools.map(name => ({...pool, name})), {...pool, name: spareName, isSpare: true}],
 	};
@@ -97,12 +95,12 @@
 			this.addArrivals(rates);
 			this.endRuns();
 			this.returnMachines();
-			const due = this.due.get(this.now) ?? [];
-			this.due.delete(this.now);
-			for (const run of due) {
+			for (const run of this.due.get(this.now) ?? []) {
 				run();
 			}
 
+			this.due.delete(this.now);
+
 			if (this.now >= this.nextTickAt) {
 				this.nextTickAt = this.now + tickMs;
 				this.push({type: 'clock/ticked'});
@@ -116,9 +114,14 @@
 		return sumPoolResults(this.results, only);
 	}
 
-	/** Machines that are in a pool or move to it, and that run nothing. */
+	/** Machines that are in a pool or move to it. */
+	countMachines(pool: PoolName): number {
+		return [...this.machines.values()].filter(({entry}) => entry.pool === pool).length;
+	}
+
+	/** Those that run nothing. */
 	countIdleMachines(pool: PoolName): number {
-		return [...this.machines.values()].filter(({entry}) => entry.pool === pool && (this.workers.get(entry.workerId ?? '')?.runs.size ?? 0) === 0).length;
+		return this.countMachines(pool) - [...this.workers.values()].filter(({entry, runs}) => entry.pool === pool && runs.size > 0).length;
 	}
 
 	private addArrivals(rates: Readonly<Record<PoolName, number>>): void {
@@ -132,10 +135,8 @@
 
 	private noteResults(): void {
 		for (const {entry} of this.machines.values()) {
-			const result = this.results.get(entry.pool);
-			if (result) {
-				result.machineMs += tickMs;
-			}
+			const result = this.results.get(entry.pool) ?? createResult();
+			result.machineMs += tickMs;
 		}
 
 		for (const [id, {loaded, arrivedAt}] of this.jobs) {
@@ -199,7 +200,7 @@
 	}
 
 	private push(body: EventBody): void {
-		const event: SchedulerEvent = {...body, at: this.now, wallAt: (wallStart + this.now) as Instant};
+		const event: SchedulerEvent = {...body, at: this.now, wallAt: (1_800_000_000_000 + this.now) as Instant};
 		for (const effect of reduceScheduler(this.state, event)) {
 			(this.handlers[effect.type] as ((effect: SchedulerEffect) => void) | undefined)?.(effect);
 		}
