--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -3,14 +3,17 @@
  * several times its mean load, and little in between.
  *
  * The rate of arriving work is tracked, so that machines are requested when a burst begins rather than when its queue has
- * grown. The peak of the last seconds is kept, so that machines are not given away during a
- * short lull. Processor, memory and accelerators are tracked separately: long-running tasks often fill the memory of
+ * grown, and before it where bursts are periodic. The peak of the last seconds is kept, so that machines are not given away
+ * during a short lull. Processor, memory and accelerators are tracked separately: long-running tasks often fill the memory of
  * machines whose processors are half idle, and the size of the pool follows the scarcest resource.
  */
 import {
 	addArrivals, computeRateWithPeaks, createArrivalRate, createSample, createSampleOfJob, sumSamples,
 } from './arrival-rate.js';
-import {createLoadForecast, getExpectedBurst, updateForecast} from './load-forecast.js';
+import {
+	createLoadForecast, getExpectedBurst, isPeriodic, updateForecast,
+} from './load-forecast.js';
+import {noteDecision} from './logging.js';
 import {computeOfferedShare} from './machine-workers.js';
 import {getPoolOfJob} from './queues.js';
 import {
@@ -154,7 +157,7 @@
 
 	addArrivals(demand.rate, {...demand.arrived, lastedMs: elapsedMs});
 	demand.arrived = createSample();
-	updateForecast(demand.forecast, state.now, computeDominantShare(demand.rate.mean, machine));
+	learnBursts(state, pool, computeDominantShare(demand.rate.mean, machine));
 	demand.updatedAt = state.now;
 	const workersForSpread = demand.waitingTasks > 0 ? countWorkersForSpread(state, pool) : 0;
 	const trialMachines = countTrialMachines(state, pool);
@@ -170,10 +173,23 @@
 	return demand;
 }
 
+function learnBursts(state: SchedulerState, pool: PoolName, load: number): void {
+	const {forecast} = getDemand(state, pool);
+	const wasPeriodic = isPeriodic(forecast);
+	updateForecast(forecast, state.now, load);
+	if (isSharing(state) && isPeriodic(forecast) !== wasPeriodic) {
+		noteDecision(state, 'forecast-changed', {pool, isPeriodic: !wasPeriodic, machines: Math.round(forecast.height)});
+	}
+}
+
+/** True if several pools share a spare pool. */
+function isSharing({config}: SchedulerState): boolean {
+	return config !== undefined && config.pools.some(({isSpare}) => isSpare) && config.pools.filter(({isSpare}) => !isSpare).length > 1;
+}
+
 /** Load of a burst that is expected to begin within some time, in machines, if several pools share a spare pool. */
-function computeExpectedLoad({config, now}: SchedulerState, {forecast}: PoolDemand, withinMs: number): number {
-	const isSharing = config !== undefined && config.pools.some(({isSpare}) => isSpare) && config.pools.filter(({isSpare}) => !isSpare).length > 1;
-	return isSharing ? getExpectedBurst(forecast, now, withinMs) : 0;
+function computeExpectedLoad(state: SchedulerState, {forecast}: PoolDemand, withinMs: number): number {
+	return isSharing(state) ? getExpectedBurst(forecast, state.now, withinMs) : 0;
 }
 
 function updatePeak(state: SchedulerState, demand: PoolDemand, machines: number): void {
--- a/packages/core/src/scheduler/load-forecast.ts
+++ b/packages/core/src/scheduler/load-forecast.ts
@@ -53,10 +53,15 @@
 	forecast.calm += (load - forecast.calm) * calmWeight;
 }
 
+/** True if enough predictions were right. */
+export function isPeriodic({hits}: LoadForecast): boolean {
+	return hits >= neededHits;
+}
+
 /** The height of a burst that is expected to begin within some time, or to have begun just now; 0 if none is. */
 export function getExpectedBurst(forecast: LoadForecast, now: SteadyMs, withinMs: number): number {
 	const expected = findNextStart(forecast);
-	if (expected === undefined || forecast.hits < neededHits || forecast.burst) {
+	if (expected === undefined || !isPeriodic(forecast) || forecast.burst) {
 		return 0;
 	}
 
@@ -80,7 +85,7 @@
 function beginBurst(forecast: LoadForecast, now: SteadyMs, load: number): void {
 	const expected = findNextStart(forecast);
 	forecast.burst = {sum: load, updates: 1, quietSince: undefined};
-	if (expected !== undefined && forecast.hits >= neededHits && now < expected - computeTolerance(forecast)) {
+	if (expected !== undefined && isPeriodic(forecast) && now < expected - computeTolerance(forecast)) {
 		// A burst in between, which says nothing about the next periodic one.
 		return;
 	}
