--- a/packages/daemon/src/scheduler/admission-gate.test.ts
+++ b/packages/daemon/src/scheduler/admission-gate.test.ts
@@ -74,7 +74,9 @@
 			await sleep(5);
 			push({type: 'intake/read', records: [], completeAt});
 		},
-		submit: async changes => gate.findRefusal({job: {...job, ...changes}, firstSentAt: undefined, arrivedAt: readSteadyClock()}),
+		submit: async changes => gate.findRefusal({
+			job: {...job, ...changes}, firstSentAt: undefined, arrivedAt: readSteadyClock(), waitMs: 3000,
+		}),
 	};
 	return fixture;
 }
--- a/packages/daemon/src/scheduler/admission-gate.ts
+++ b/packages/daemon/src/scheduler/admission-gate.ts
@@ -8,6 +8,10 @@
 import type {IntakeCheck} from './intake-check.js';
 import type {SchedulerMetrics} from './metrics.js';
 
+/** Longest wait for the read of the intake before a refusal; a read may take two intervals to begin. */
+const maxCheckMs = 500;
+/** The same as a share of what the caller waits: the job is appended afterwards if the read takes longer. */
+const checkShare = 0.25;
 /** Jobs whose appends have an unknown outcome; the ones noted first are dropped. */
 const maxUnknownJobs = 2000;
 
@@ -27,8 +31,8 @@
 	readonly draw: () => number;
 };
 
-/** `firstSentAt`: set if a host has refused the job before; `arrivedAt`: when this call arrived. */
-export type SubmittedJob = {readonly job: JobDefinition; readonly firstSentAt: SteadyMs | undefined; readonly arrivedAt: SteadyMs};
+/** `firstSentAt`: set if a host has refused the job before; `arrivedAt`: when this call arrived; `waitMs`: how long its caller waits. */
+export type SubmittedJob = {readonly job: JobDefinition; readonly firstSentAt: SteadyMs | undefined; readonly arrivedAt: SteadyMs; readonly waitMs: number};
 
 export class AdmissionGate {
 	static create(options: AdmissionGateOptions): AdmissionGate {
@@ -41,7 +45,7 @@
 	private constructor(private readonly options: AdmissionGateOptions) {}
 
 	/** Returns the Retry-After in seconds if the job is refused; the job is then not stored and no append of it is under way here. */
-	async findRefusal({job, firstSentAt, arrivedAt}: SubmittedJob): Promise<number | undefined> {
+	async findRefusal({job, firstSentAt, arrivedAt, waitMs}: SubmittedJob): Promise<number | undefined> {
 		const {state, log, metrics, intakeCheck} = this.options;
 		const verdict = this.judge(job, firstSentAt);
 		if (verdict.outcome !== 'refused') {
@@ -49,7 +53,7 @@
 			return undefined;
 		}
 
-		const isViewComplete = await intakeCheck.isCompleteSince(arrivedAt);
+		const isViewComplete = await intakeCheck.isCompleteSince(arrivedAt, Math.min(maxCheckMs, waitMs * checkShare));
 		if (!isViewComplete || state.jobs.has(job.jobId) || this.isMaybeStored(job.jobId)) {
 			metrics.admissions.inc({outcome: isViewComplete ? 'repeated' : 'unsure'});
 			return undefined;
--- a/packages/daemon/src/scheduler/intake-check.ts
+++ b/packages/daemon/src/scheduler/intake-check.ts
@@ -5,8 +5,6 @@
 
 /** Least time between two reads, which all calls share. */
 const readIntervalMs = 100;
-/** A call waits this long at most; a read may take two intervals to begin. */
-const limitMs = 500;
 
 export type IntakeCheckOptions = {
 	/** Reads what was stored in the intake meanwhile. */
@@ -25,8 +23,8 @@
 
 	private constructor(private readonly options: IntakeCheckOptions) {}
 
-	/** Resolves to true once all jobs stored before `since` have been read; to false if that takes too long. */
-	async isCompleteSince(since: SteadyMs): Promise<boolean> {
+	/** Resolves to true once all jobs stored before `since` have been read; to false if that takes longer than `limitMs`. */
+	async isCompleteSince(since: SteadyMs, limitMs: number): Promise<boolean> {
 		const giveUpAt = readSteadyClock() + limitMs;
 		while (this.options.getCompleteAt() < since) {
 			if (readSteadyClock() >= giveUpAt) {
--- a/packages/daemon/src/scheduler/job-api.ts
+++ b/packages/daemon/src/scheduler/job-api.ts
@@ -119,12 +119,19 @@
 
 		const startedAt = readSteadyClock();
 		const sentAt = this.findSentAt(job.jobId);
-		const retryAfterS = await gate.findRefusal({job, firstSentAt: sentAt, arrivedAt: startedAt});
+		const retryAfterS = await gate.findRefusal({
+			job, firstSentAt: sentAt, arrivedAt: startedAt, waitMs,
+		});
 		if (retryAfterS !== undefined) {
 			refusals.note(job.jobId, sentAt ?? startedAt);
 			return {retryAfterS};
 		}
 
+		if (state.jobs.has(job.jobId)) {
+			// Another host has accepted it, as the read before a refusal has shown.
+			return 'accepted';
+		}
+
 		const stored = sentAt === undefined ? job : {...job, sentAt: convertToWall(sentAt)};
 		gate.noteAppend(job.jobId);
 		const outcome = await writer.write({type: 'job', job: stored}, startedAt + getWriteMs(waitMs));
