--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -3,17 +3,13 @@
  * several times its mean load, and little in between.
  *
  * The rate of arriving work is tracked, so that machines are requested when a burst begins rather than when its queue has
- * grown, and before it where bursts are periodic. The peak of the last seconds is kept, so that machines are not given away
- * during a short lull. Processor, memory and accelerators are tracked separately: long-running tasks often fill the memory of
+ * grown. The peak of the last seconds is kept, so that machines are not given away during a
+ * short lull. Processor, memory and accelerators are tracked separately: long-running tasks often fill the memory of
  * machines whose processors are half idle, and the size of the pool follows the scarcest resource.
  */
 import {
 	addArrivals, computeRateWithPeaks, createArrivalRate, createSample, createSampleOfJob, sumSamples,
 } from './arrival-rate.js';
-import {
-	createLoadForecast, getExpectedBurst, isPeriodic, updateForecast,
-} from './load-forecast.js';
-import {noteDecision} from './logging.js';
 import {computeOfferedShare} from './machine-workers.js';
 import {getPoolOfJob} from './queues.js';
 import {countAdmitted} from './quotas.js';
@@ -34,10 +30,6 @@
 const backlogClearMs = 1500;
 /** The same for jobs that cannot. They are of some use up to three times their objective, and machines requested for them come too late for it anyway. */
 const lateClearMs = 4000;
-/** From a request for machines until they are told to move. */
-const orderMs = 400;
-/** Machines that a burst will need within this time stay: two moves take as long. */
-const keptBeforeBurstMs = 4000;
 /** How long a peak of the demand is kept. */
 const peakKeptMs = 2500;
 
@@ -46,7 +38,7 @@
 	let demand = state.demand.get(pool);
 	if (!demand) {
 		demand = {
-			waitingTasks: 0, waitingWork: noResources, lateWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrived: createSample(), rate: createArrivalRate(), forecast: createLoadForecast(), updatedAt: state.now, machines: 0, missing: 0, loadMachines: 0, objectiveMachines: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
+			waitingTasks: 0, waitingWork: noResources, lateWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrived: createSample(), rate: createArrivalRate(), updatedAt: state.now, machines: 0, missing: 0, loadMachines: 0, objectiveMachines: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
 		};
 		state.demand.set(pool, demand);
 	}
@@ -169,7 +161,6 @@
 
 	addArrivals(demand.rate, {...demand.arrived, lastedMs: elapsedMs});
 	demand.arrived = createSample();
-	learnBursts(state, pool, computeDominantShare(demand.rate.mean, machine));
 	demand.updatedAt = state.now;
 	const workersForSpread = demand.waitingTasks > 0 ? countWorkersForSpread(state, pool) : 0;
 	const trialMachines = countTrialMachines(state, pool);
@@ -178,32 +169,11 @@
 	const forUnplaceable = countMachinesForUnplaceable(demand, machine);
 	demand.loadMachines = Math.max(count(needs.load), forUnplaceable);
 	demand.objectiveMachines = Math.max(count(needs.objective), forUnplaceable);
-	const computeExpected = (withinMs: number) => count(addResources(needs.longRunning, machine, computeExpectedLoad(state, demand, withinMs)));
-	const expected = computeExpected(state.settings.moveMs + orderMs);
-	demand.machines = Math.max(count(needs.all), forUnplaceable, expected);
-	updatePeak(state, demand, Math.max(count(needs.all), computeExpected(keptBeforeBurstMs)));
+	demand.machines = Math.max(count(needs.all), forUnplaceable);
+	updatePeak(state, demand, count(needs.all));
 	return demand;
 }
 
-function learnBursts(state: SchedulerState, pool: PoolName, load: number): void {
-	const {forecast} = getDemand(state, pool);
-	const wasPeriodic = isPeriodic(forecast);
-	updateForecast(forecast, state.now, load);
-	if (isSharing(state) && isPeriodic(forecast) !== wasPeriodic) {
-		noteDecision(state, 'forecast-changed', {pool, isPeriodic: !wasPeriodic, machines: Math.round(forecast.height)});
-	}
-}
-
-/** True if several pools share a spare pool. */
-function isSharing({config}: SchedulerState): boolean {
-	return config !== undefined && config.pools.some(({isSpare}) => isSpare) && config.pools.filter(({isSpare}) => !isSpare).length > 1;
-}
-
-/** Load of a burst that is expected to begin within some time, in machines, if several pools share a spare pool. */
-function computeExpectedLoad(state: SchedulerState, {forecast}: PoolDemand, withinMs: number): number {
-	return isSharing(state) ? getExpectedBurst(forecast, state.now, withinMs) : 0;
-}
-
 function updatePeak(state: SchedulerState, demand: PoolDemand, machines: number): void {
 	if (machines >= demand.peakMachines || state.now >= demand.peakUntil) {
 		demand.peakMachines = machines;
@@ -216,16 +186,14 @@
 }
 
 /** Resources for the arriving work and long-running tasks, with the waiting work of jobs that can still meet their objective, and with random peaks and late work too. */
-function computeNeeds(state: SchedulerState, pool: PoolName): {readonly load: Resources; readonly objective: Resources; readonly all: Resources; readonly longRunning: Resources} {
+function computeNeeds(state: SchedulerState, pool: PoolName): {readonly load: Resources; readonly objective: Resources; readonly all: Resources} {
 	const {
 		rate, waitingWork, lateWork, waitingLongRunning,
 	} = getDemand(state, pool);
 	const longRunning = addResources(sumLongRunning(state, pool), waitingLongRunning);
 	const load = addResources(longRunning, rate.mean);
 	const all = addResources(addResources(longRunning, computeRateWithPeaks(rate)), waitingWork, 1 / backlogClearMs);
-	return {
-		longRunning, load, objective: addResources(load, waitingWork, 1 / backlogClearMs), all: addResources(all, lateWork, 1 / lateClearMs),
-	};
+	return {load, objective: addResources(load, waitingWork, 1 / backlogClearMs), all: addResources(all, lateWork, 1 / lateClearMs)};
 }
 
 /** Resources in use by the long-running tasks of a pool. */
--- a/packages/core/src/scheduler/machine-state.ts
+++ b/packages/core/src/scheduler/machine-state.ts
@@ -67,20 +67,6 @@
 	samples: readonly ArrivalSample[];
 };
 
-/** What is known of the bursts of a pool; loads are in machines. */
-export type LoadForecast = {
-	/** Load outside bursts, and the mean of the latest bursts. */
-	calm: number;
-	height: number;
-	/** The burst in progress: the sum of the loads of its updates, and since when the load has been low. */
-	burst: {sum: number; updates: number; quietSince: SteadyMs | undefined} | undefined;
-	/** When the latest burst began, and the times between the latest ones. */
-	lastStart: SteadyMs | undefined;
-	intervals: readonly number[];
-	/** Predictions in a row that were right. */
-	hits: number;
-};
-
 export type PoolDemand = {
 	/** Tasks that wait for free capacity. */
 	waitingTasks: number;
@@ -101,7 +87,6 @@
 	arrived: ArrivalSample;
 	/** The rate of arrivals: the resources that the arriving work keeps busy. */
 	readonly rate: ArrivalRate;
-	readonly forecast: LoadForecast;
 	updatedAt: SteadyMs;
 	/** Machines needed now; how many of them the pool neither has nor is about to get; the highest need of the last seconds. */
 	machines: number;
