--- a/packages/core/src/scheduler/demand.test.ts
+++ b/packages/core/src/scheduler/demand.test.ts
@@ -19,7 +19,7 @@
 	for (let spent = 0; spent < forMs; spent += updateMs) {
 		state.now += updateMs;
 		const demand = getDemand(state, 'p');
-		demand.arrived = {...demand.arrived, work: addResources(demand.arrived.work, {cpu, memoryMb: 0, gpu: 0}, updateMs)};
+		demand.arrivedWork = addResources(demand.arrivedWork, {cpu, memoryMb: 0, gpu: 0}, updateMs);
 		needed.push(updateDemand(state, 'p', machine).machines);
 	}
 
--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -2,19 +2,16 @@
  * Demand of each pool for machines. Load comes in bursts that alternate between pools: for some seconds a pool receives
  * several times its mean load, and little in between.
  *
- * The rate of arriving work is tracked, so that machines are requested when a burst begins rather than when its queue has
- * grown. The peak of the last seconds is kept, so that machines are not given away during a
+ * A moving average over a short time tracks the rate of arriving work, so that machines are requested when a burst begins
+ * rather than when its queue has grown. The peak of the last seconds is kept, so that machines are not given away during a
  * short lull. Processor, memory and accelerators are tracked separately: long-running tasks often fill the memory of
  * machines whose processors are half idle, and the size of the pool follows the scarcest resource.
  */
-import {
-	addArrivals, computeRateWithPeaks, createArrivalRate, createSample, createSampleOfJob, sumSamples,
-} from './arrival-rate.js';
 import {computeOfferedShare} from './machine-workers.js';
 import {getPoolOfJob} from './queues.js';
 import {countAdmitted} from './quotas.js';
 import {
-	addResources, computeDominantShare, computeMultiple, noResources,
+	addResources, computeDominantShare, noResources, computeMultiple,
 } from './resources.js';
 import {estimateMeanMs} from './run-times.js';
 import {getStepNeed} from './tasks.js';
@@ -24,21 +21,26 @@
 	Job, PlacementLimit, PoolDemand, RefusedWorkers, SchedulerState, StepRun, Worker,
 } from './state.js';
 
+/** Weights, per update, of the latest sample in the fast and in the slow moving average of the rate; their difference shows a rise. */
+const fastWeight = 0.35;
+const slowWeight = 0.09;
+/** Share of this difference added to the demand, as a rise is assumed to continue for about as long as a machine takes to join. */
+const trendFactor = 0.8;
+/** Factor on the averaged rate that leaves capacity for random peaks. */
+const headroom = 1.15;
 /** Share of a machine that tasks fill in practice. */
 const usableShare = 0.85;
-/** Waiting work of jobs that can still meet their objective is to be worked off within this time. */
+/** The backlog is to be worked off within this time. */
 const backlogClearMs = 1500;
-/** The same for jobs that cannot. They are of some use up to three times their objective, and machines requested for them come too late for it anyway. */
-const lateClearMs = 4000;
 /** How long a peak of the demand is kept. */
-const peakKeptMs = 2500;
+const peakKeptMs = 3000;
 
 /** The demand of a pool, which is kept between updates. */
 export function getDemand(state: SchedulerState, pool: PoolName): PoolDemand {
 	let demand = state.demand.get(pool);
 	if (!demand) {
 		demand = {
-			waitingTasks: 0, waitingWork: noResources, lateWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrived: createSample(), rate: createArrivalRate(), updatedAt: state.now, machines: 0, missing: 0, loadMachines: 0, objectiveMachines: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
+			waitingTasks: 0, waitingWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrivedWork: noResources, rate: noResources, slowRate: noResources, updatedAt: state.now, machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
 		};
 		state.demand.set(pool, demand);
 	}
@@ -48,34 +50,24 @@
 
 /** Adds the work of an accepted job to the arrivals of its pool. */
 export function addArrivedWork(state: SchedulerState, job: Job): void {
-	let work = noResources;
 	for (const [number, step] of job.definition.steps.entries()) {
-		work = addResources(work, computeStepWork(state, job, number, step.count));
+		addStepWork(state, job, number, step.count);
 	}
-
-	addSample(state, job, work);
 }
 
 /** Adds the work of some tasks of a job's step, given by its position, to the arrivals of its pool. */
 export function addStepWork(state: SchedulerState, job: Job, number: number, tasks: number): void {
-	addSample(state, job, computeStepWork(state, job, number, tasks));
-}
-
-function computeStepWork(state: SchedulerState, job: Job, number: number, tasks: number): Resources {
 	const step = job.definition.steps[number];
-	return !step || step.isLongRunning ? noResources : computeMultiple(getStepNeed(step), tasks * estimateMeanMs(state, job, number));
-}
-
-function addSample(state: SchedulerState, job: Job, work: Resources): void {
-	const demand = getDemand(state, getPoolOfJob(state, job));
-	demand.arrived = sumSamples([demand.arrived, createSampleOfJob(work)]);
+	if (step && !step.isLongRunning) {
+		const demand = getDemand(state, getPoolOfJob(state, job));
+		demand.arrivedWork = addResources(demand.arrivedWork, getStepNeed(step), tasks * estimateMeanMs(state, job, number));
+	}
 }
 
 /** Resets the waiting work before it is counted again. */
 export function clearWaiting(demand: PoolDemand): void {
 	demand.waitingTasks = 0;
 	demand.waitingWork = noResources;
-	demand.lateWork = noResources;
 	demand.waitingLongRunning = noResources;
 	demand.refused = {};
 	demand.unplaceable = noResources;
@@ -85,17 +77,11 @@
 }
 
 /** Tasks of a step that were not placed, the number of usable workers with the step's label, and what kept those with room from taking the next task. */
-export type UnplacedTasks = {
-	readonly tasks: number; readonly workers: number; readonly refused: RefusedWorkers;
-	/** Their job can no longer meet its objective. */
-	readonly isLate: boolean;
-};
+export type UnplacedTasks = {readonly tasks: number; readonly workers: number; readonly refused: RefusedWorkers};
 
 /** Adds tasks of a step that no worker of the pool may take now. */
-export function addWaitingWork(state: SchedulerState, {definition, occurrence: {job}, number}: StepRun, {
-	tasks, workers, refused, isLate,
-}: UnplacedTasks): void {
-	const demand = getDemand(state, getPoolOfJob(state, job));
+export function addWaitingWork(state: SchedulerState, pool: PoolName, {definition, occurrence, number}: StepRun, {tasks, workers, refused}: UnplacedTasks): void {
+	const demand = getDemand(state, pool);
 	const need = getStepNeed(definition);
 	demand.waitingTasks += tasks;
 	addRefusals(demand, workers, refused);
@@ -103,8 +89,7 @@
 		demand.waitingLongRunning = addResources(demand.waitingLongRunning, need, tasks);
 		addUnplaceable(demand, definition, tasks, refused);
 	} else {
-		const name = isLate ? 'lateWork' : 'waitingWork';
-		demand[name] = addResources(demand[name], need, tasks * estimateMeanMs(state, job, number));
+		demand.waitingWork = addResources(demand.waitingWork, need, tasks * estimateMeanMs(state, occurrence.job, number));
 	}
 }
 
@@ -159,18 +144,17 @@
 		return demand;
 	}
 
-	addArrivals(demand.rate, {...demand.arrived, lastedMs: elapsedMs});
-	demand.arrived = createSample();
+	const latestRate = computeMultiple(demand.arrivedWork, 1 / elapsedMs);
+	demand.rate = addResources(computeMultiple(demand.rate, 1 - fastWeight), latestRate, fastWeight);
+	demand.slowRate = addResources(computeMultiple(demand.slowRate, 1 - slowWeight), latestRate, slowWeight);
+	demand.arrivedWork = noResources;
 	demand.updatedAt = state.now;
+	const needed = computeNeed(state, pool);
 	const workersForSpread = demand.waitingTasks > 0 ? countWorkersForSpread(state, pool) : 0;
 	const trialMachines = countTrialMachines(state, pool);
-	const needs = computeNeeds(state, pool);
-	const count = (needed: Resources) => Math.max(workersForSpread, countMachines(needed, machine)) + trialMachines;
-	const forUnplaceable = countMachinesForUnplaceable(demand, machine);
-	demand.loadMachines = Math.max(count(needs.load), forUnplaceable);
-	demand.objectiveMachines = Math.max(count(needs.objective), forUnplaceable);
-	demand.machines = Math.max(count(needs.all), forUnplaceable);
-	updatePeak(state, demand, count(needs.all));
+	const forLoad = Math.max(workersForSpread, countMachines(addResources(needed, computeExpectedRise(demand)), machine)) + trialMachines;
+	demand.machines = Math.max(forLoad, countMachinesForUnplaceable(demand, machine));
+	updatePeak(state, demand, Math.max(workersForSpread, countMachines(needed, machine)) + trialMachines);
 	return demand;
 }
 
@@ -185,15 +169,17 @@
 	return Math.ceil(computeDominantShare(needed, machine) / usableShare);
 }
 
-/** Resources for the arriving work and long-running tasks, with the waiting work of jobs that can still meet their objective, and with random peaks and late work too. */
-function computeNeeds(state: SchedulerState, pool: PoolName): {readonly load: Resources; readonly objective: Resources; readonly all: Resources} {
-	const {
-		rate, waitingWork, lateWork, waitingLongRunning,
-	} = getDemand(state, pool);
-	const longRunning = addResources(sumLongRunning(state, pool), waitingLongRunning);
-	const load = addResources(longRunning, rate.mean);
-	const all = addResources(addResources(longRunning, computeRateWithPeaks(rate)), waitingWork, 1 / backlogClearMs);
-	return {load, objective: addResources(load, waitingWork, 1 / backlogClearMs), all: addResources(all, lateWork, 1 / lateClearMs)};
+function computeNeed(state: SchedulerState, pool: PoolName): Resources {
+	const {rate, waitingWork, waitingLongRunning} = getDemand(state, pool);
+	let needed = addResources(sumLongRunning(state, pool), waitingLongRunning);
+	needed = addResources(needed, rate, headroom);
+	return addResources(needed, waitingWork, 1 / backlogClearMs);
+}
+
+/** The expected rise of the rate until machines that are requested now have joined. */
+function computeExpectedRise({rate, slowRate}: PoolDemand): Resources {
+	const rise = addResources(rate, slowRate, -1);
+	return computeMultiple({cpu: Math.max(0, rise.cpu), memoryMb: Math.max(0, rise.memoryMb), gpu: Math.max(0, rise.gpu)}, trendFactor);
 }
 
 /** Resources in use by the long-running tasks of a pool. */
--- a/packages/core/src/scheduler/expected-wait.test.ts
+++ b/packages/core/src/scheduler/expected-wait.test.ts
@@ -110,7 +110,7 @@
 		leader.run(50);
 		const [before] = computeWaits(leader.state);
 		leader.state.machines.get('m2')!.order = {
-			number: 1, type: 'move', pool: worker.pool, wave: 0, isReserving: false, reservedUntil: 0, polledWorkers: new Set(), isInFlight: true, wasSent: true, retryAt: 0, confirmedAt: undefined,
+			number: 1, type: 'move', pool: worker.pool, wave: 0, isReserving: false, reservedUntil: 0, polledWorkers: new Set(), isInFlight: true, retryAt: 0, confirmedAt: undefined,
 		};
 		leader.state.machines.get('m2')!.entry = createMachineEntry('m2', {capacity: worker.capacity});
 		const [after] = computeWaits(leader.state);
--- a/packages/core/src/scheduler/machine-orders.ts
+++ b/packages/core/src/scheduler/machine-orders.ts
@@ -1,9 +1,7 @@
 /** Orders to the platform to move a machine or to start its upkeep: one at a time per machine, repeated until the outcome is known. */
 import {isConfirmedWithin} from './confirmation.js';
 import {addEffect, noteDecision} from './logging.js';
-import {
-	hasNoWorker, isBusy, isSparePool, listWorkers,
-} from './machine-workers.js';
+import {hasNoWorker, isBusy, listWorkers} from './machine-workers.js';
 import {getReturnAt, returnSlackMs} from './machines.js';
 import {unconfirmedOrderMs} from './timing.js';
 import type {SchedulerEvent} from './events.js';
@@ -41,7 +39,7 @@
 /** Begins an order: the machine's workers get no new tasks from now on, and a poll of each must confirm that it is empty. */
 function reserveMachine(state: SchedulerState, machine: Machine, order: Pick<MachineOrder, 'type' | 'pool' | 'wave'>): void {
 	machine.order = {
-		...order, number: state.nextOrderNumber++, isReserving: true, reservedUntil: state.now + reservationTimeoutMs, polledWorkers: new Set(), isInFlight: false, wasSent: false, retryAt: state.now, confirmedAt: undefined,
+		...order, number: state.nextOrderNumber++, isReserving: true, reservedUntil: state.now + reservationTimeoutMs, polledWorkers: new Set(), isInFlight: false, retryAt: state.now, confirmedAt: undefined,
 	};
 	advanceReservation(state, machine, machine.order);
 }
@@ -85,7 +83,7 @@
 
 /**
  * Drops an order and logs it. The causes: the workers were not confirmed empty in time, the machine was no longer up or listed
- * while it was reserved, or by the time the order was to be sent a worker had been given tasks, or the store had been away.
+ * while it was reserved, or a worker had been given tasks by the time the order was to be sent.
  */
 function cancelOrder(state: SchedulerState, machine: Machine): void {
 	const tasks = listWorkers(state, machine).reduce((sum, worker) => sum + worker.tasks.size, 0);
@@ -145,14 +143,7 @@
 		return;
 	}
 
-	if (!order.wasSent && state.now < state.spareNotBefore && order.type === 'move' && isSparePool(state, order.pool)) {
-		// Decided before an outage of the store that is over, with jobs that could not be accepted meanwhile.
-		cancelOrder(state, machine);
-		return;
-	}
-
 	order.isInFlight = true;
-	order.wasSent = true;
 	const {token} = state.leadership;
 	const machineId = machine.entry.id;
 	state.ownOrders.set(machineId, state.now);
--- a/packages/core/src/scheduler/machine-state.ts
+++ b/packages/core/src/scheduler/machine-state.ts
@@ -15,8 +15,6 @@
 	/** Workers for which such a poll was requested. */
 	readonly polledWorkers: Set<WorkerId>;
 	isInFlight: boolean;
-	/** It was sent at least once, so that it may have been carried out. */
-	wasSent: boolean;
 	retryAt: SteadyMs;
 	/** When the platform confirmed the order; the machine is available again some time later. */
 	confirmedAt: SteadyMs | undefined;
@@ -52,27 +50,11 @@
 /** How many workers each limit kept from taking a task. */
 export type RefusedWorkers = Partial<Record<PlacementLimit, number>>;
 
-/** Jobs that arrived within some time: their number, their work (resources times milliseconds), the sum of its squares by job, and the largest of them. */
-export type ArrivalSample = {readonly jobs: number; readonly work: Resources; readonly squares: Resources; readonly largest: Resources; readonly lastedMs: number};
-
-/** Average arrival rate of work since its last change. */
-export type ArrivalRate = {
-	mean: Resources;
-	/** Sum of squares of the jobs' work, and the number of jobs, per millisecond. */
-	squares: Resources;
-	jobs: number;
-	/** The time that the average covers. */
-	ageMs: number;
-	/** The latest samples since then, the newest last. */
-	samples: readonly ArrivalSample[];
-};
-
 export type PoolDemand = {
 	/** Tasks that wait for free capacity. */
 	waitingTasks: number;
-	/** Work of the short tasks that wait: resources times milliseconds; first of jobs that can still meet their objective, then of the others. */
+	/** Work of the short tasks that wait: resources times milliseconds. */
 	waitingWork: Resources;
-	lateWork: Resources;
 	/** Resources needed by the long-running tasks that wait. */
 	waitingLongRunning: Resources;
 	/** Long-running tasks that only another machine can take: the resources they need, and how many machines they need because of their limit of tasks per worker. */
@@ -83,17 +65,15 @@
 	hasIdleWorker: boolean;
 	/** How many workers each limit of placement kept from taking a waiting task; summed over steps. */
 	refused: RefusedWorkers;
-	/** Work of the short tasks that arrived since the last update. */
-	arrived: ArrivalSample;
-	/** The rate of arrivals: the resources that the arriving work keeps busy. */
-	readonly rate: ArrivalRate;
+	/** Work of the short tasks that arrived since the last update: resources times milliseconds. */
+	arrivedWork: Resources;
+	/** Fast and slow moving averages of the arrival rate: the resources that the arriving work keeps busy. */
+	rate: Resources;
+	slowRate: Resources;
 	updatedAt: SteadyMs;
 	/** Machines needed now; how many of them the pool neither has nor is about to get; the highest need of the last seconds. */
 	machines: number;
 	missing: number;
-	/** Of the machines needed now, those without which arriving work would not be served, and those with which waiting jobs meet their objective too. */
-	loadMachines: number;
-	objectiveMachines: number;
 	peakMachines: number;
 	peakUntil: SteadyMs;
 	/** Until this instant the pool needs one more machine, to take the long-running tasks of a machine that is being drained. */
--- a/packages/core/src/scheduler/machine-workers.ts
+++ b/packages/core/src/scheduler/machine-workers.ts
@@ -23,8 +23,7 @@
 		&& (workerId === undefined || isSparePool(state, pool) || state.now > state.leadership.leaderSince + unconfirmedLimitMs + workerLeaseMs);
 }
 
-/** True if machines of a pool are switched off. */
-export function isSparePool({config}: SchedulerState, name: PoolName): boolean {
+function isSparePool({config}: SchedulerState, name: PoolName): boolean {
 	return config?.pools.some(pool => pool.name === name && pool.isSpare) ?? false;
 }
 
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -3,7 +3,6 @@
 import {getDemand, updateDemand} from './demand.js';
 import {isQuarantined} from './health.js';
 import {noteDecision} from './logging.js';
-import {limitToAvailable} from './machine-allocation.js';
 import {canOrder, canTakeOrder, orderMove} from './machine-orders.js';
 import {
 	computeOfferedShare, findWorker, getWorkerOf, hasNoWorker, isBusy,
@@ -19,13 +18,7 @@
 /** A store that has confirmed no append sent within this time is away rather than slow. */
 const storeOutageMs = 2000;
 /** The machine of a worker without tasks for this long may go to the spare pool. */
-const idleBeforeSpareMs = 500;
-/** The machine of a worker without tasks for this long is lent to another pool rather than a spare one switched on. */
-const idleBeforeLendingMs = 500;
-/** A machine that has moved stays for this long at least: two moves cost about three seconds of its time. */
-const leastStayMs = 5000;
-/** It may leave earlier if its pool needs less than this share of its machines, as after the end of a burst. */
-const clearSavingShare = 0.5;
+const idleBeforeSpareMs = 1500;
 /** Machines that a pool keeps even without work. */
 const minMachines = 3;
 /** Machines beyond its present need that a pool does not give to others. */
@@ -68,26 +61,11 @@
 
 function fillPools(state: SchedulerState, pools: readonly PoolBalance[], spare: PoolName): void {
 	const unreachableZones = listUnreachableZones(state);
-	const movable = [...state.machines.values()].filter(machine => isMovable(state, machine) && !unreachableZones.has(machine.entry.availabilityZone));
-	limitToAvailable(state, pools, countAvailable(state, pools, movable, spare));
 	for (const pool of pools.toSorted((a, b) => b.missing - a.missing)) {
-		fillPool(state, pool, pools, {spare, movable: movable.filter(({entry, order}) => entry.pool !== pool.name && order === undefined)});
+		fillPool(state, pool, pools, {spare, unreachableZones});
 	}
 }
 
-/** Machines that pools may be given: spare ones, and idle ones that other pools do not need. */
-function countAvailable(state: SchedulerState, pools: readonly PoolBalance[], movable: readonly Machine[], spare: PoolName): number {
-	const counts = new Map<PoolName, number>();
-	for (const machine of movable) {
-		const {pool} = machine.entry;
-		const isFree = isIdle(state, machine, 0) || (pool === spare && hasNoWorker(state, machine));
-		counts.set(pool, (counts.get(pool) ?? 0) + (isFree ? 1 : 0));
-	}
-
-	const lendable = pools.filter(({isWaiting}) => !isWaiting).map(pool => Math.max(0, Math.min(pool.lendable, counts.get(pool.name) ?? 0)));
-	return lendable.reduce((sum, count) => sum + count, counts.get(spare) ?? 0);
-}
-
 /** Logs how many machines were ordered from one pool to another, as the log may leave out lines about single machines. */
 function reportMoves(state: SchedulerState, firstOrder: number): void {
 	const counts = new Map<string, {from: PoolName; to: PoolName; machines: number}>();
@@ -118,8 +96,6 @@
 type PoolBalance = {
 	readonly name: PoolName;
 	readonly isWaiting: boolean;
-	/** Machines that the pool has or is about to get. */
-	readonly machines: number;
 	/** Machines that the pool needs but neither has nor has been assigned. */
 	missing: number;
 	/** Machines beyond the present need of the pool; they may go to pools that lack some. */
@@ -151,9 +127,8 @@
 		return {
 			name,
 			isWaiting: demand.waitingTasks > 0,
-			machines,
 			missing: demand.missing,
-			lendable: Math.floor(machines - replacements - Math.max(minMachines, demand.machines + lendingReserve)),
+			lendable: Math.floor(machines - demand.machines - replacements - lendingReserve),
 			surplus: Math.floor(machines - replacements - Math.max(minMachines, demand.peakMachines)),
 		};
 	});
@@ -194,30 +169,23 @@
 	return canTakeOrder(state, machine) && machine.drainingForWave === undefined;
 }
 
-/**
- * Moves machines to a pool that lacks some: first those that have been idle for some time in pools that need them no longer, as
- * each of them saves a move to the spare pool; then spare ones; then others that are idle just now.
- */
-function fillPool(state: SchedulerState, pool: PoolBalance, pools: readonly PoolBalance[], {spare, movable}: {readonly spare: PoolName; readonly movable: readonly Machine[]}): void {
+/** Moves machines to a pool that lacks some: spare ones first, then idle ones of pools that have more than they need. */
+function fillPool(state: SchedulerState, pool: PoolBalance, pools: readonly PoolBalance[], {spare, unreachableZones}: {readonly spare: PoolName; readonly unreachableZones: ReadonlySet<string>}): void {
 	if (pool.missing <= 0) {
 		return;
 	}
 
-	const lent = movable.filter(({entry}) => entry.pool !== spare);
-	lendMachines(state, pool, pools, lent.filter(machine => isIdle(state, machine, idleBeforeLendingMs)));
+	const movable = [...state.machines.values()].filter(machine =>
+		isMovable(state, machine) && machine.entry.pool !== pool.name && !unreachableZones.has(machine.entry.availabilityZone));
 	for (const machine of movable.filter(({entry}) => entry.pool === spare)) {
 		if (hasNoWorker(state, machine) || isIdle(state, machine, 0)) {
 			moveToPool(state, machine, pool);
 		}
 	}
 
-	lendMachines(state, pool, pools, lent.filter(machine => isMovable(state, machine) && isIdle(state, machine, 0)));
-}
-
-function lendMachines(state: SchedulerState, pool: PoolBalance, pools: readonly PoolBalance[], machines: readonly Machine[]): void {
-	for (const machine of machines) {
+	for (const machine of movable.filter(({entry}) => entry.pool !== spare)) {
 		const donor = pools.find(({name}) => name === machine.entry.pool);
-		if (donor && donor.lendable > 0 && !donor.isWaiting && moveToPool(state, machine, pool)) {
+		if (donor && donor.lendable > 0 && !donor.isWaiting && isIdle(state, machine, 0) && moveToPool(state, machine, pool)) {
 			donor.lendable--;
 			donor.surplus--;
 		}
@@ -245,13 +213,12 @@
 		return;
 	}
 
-	const settledSince = pool.surplus > pool.machines * clearSavingShare ? state.now : state.now - leastStayMs;
 	for (const machine of state.machines.values()) {
 		if (pool.surplus <= 0) {
 			return;
 		}
 
-		if (machine.entry.pool === pool.name && machine.orderEndedAt <= settledSince && isMovable(state, machine) && isIdle(state, machine, idleBeforeSpareMs)) {
+		if (machine.entry.pool === pool.name && isMovable(state, machine) && isIdle(state, machine, idleBeforeSpareMs)) {
 			reserveAndMove(state, machine, spare);
 			pool.surplus--;
 		}
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -41,9 +41,9 @@
 	const setAside = groupByPool(state, worker => isUsableOrSetAside(state, worker) && isProbeDue(state, worker));
 	planTrials(state, usable, canHost);
 	const sorted = sortSteps(state);
-	for (const urgency of hasAccounts(state) ? orderByShare(state, sorted) : sorted) {
-		const pool = getPoolOfJob(state, urgency.step.occurrence.job);
-		placeStep(state, urgency, {usable: usable.get(pool) ?? [], setAside: setAside.get(pool) ?? []});
+	for (const {step} of hasAccounts(state) ? orderByShare(state, sorted) : sorted) {
+		const pool = getPoolOfJob(state, step.occurrence.job);
+		placeStep(state, step, pool, {usable: usable.get(pool) ?? [], setAside: setAside.get(pool) ?? []});
 	}
 
 	for (const [pool, workers] of usable) {
@@ -92,7 +92,7 @@
 
 type PoolWorkers = {readonly usable: readonly Worker[]; readonly setAside: readonly Worker[]};
 
-function placeStep(state: SchedulerState, {step, isObjectiveUnreachable}: Urgency, {usable, setAside}: PoolWorkers): void {
+function placeStep(state: SchedulerState, step: StepRun, pool: PoolName, {usable, setAside}: PoolWorkers): void {
 	const waiting = step.tasks.filter(task => task.status === 'waiting' && !isAwaitingFate(state, task));
 	if (waiting.length === 0) {
 		return;
@@ -112,9 +112,7 @@
 	const {placed, refused} = place(state, waiting, listFreeCapacities(state, step, candidates), most);
 	const left = Math.min(waiting.length, most) - placed;
 	if (left > 0) {
-		addWaitingWork(state, step, {
-			tasks: left, workers: candidates.length, refused, isLate: isObjectiveUnreachable,
-		});
+		addWaitingWork(state, pool, step, {tasks: left, workers: candidates.length, refused});
 		placeAsProbe(state, step, setAside);
 	}
 }
--- a/packages/core/src/scheduler/quotas.test.ts
+++ b/packages/core/src/scheduler/quotas.test.ts
@@ -62,7 +62,7 @@
 			host.submit(createAccountJob(number, {count: 2 * tasksOfCap, estimateMs: 500}));
 		}
 
-		expect(host.state.demand.get(poolName)!.arrived.work.cpu).toBeLessThanOrEqual(2500 * tasksOfCap * taskCpu);
+		expect(host.state.demand.get(poolName)!.arrivedWork.cpu).toBeLessThanOrEqual(2500 * tasksOfCap * taskCpu);
 	});
 
 	// Guards against: a gang begun in part, and a member above the cap.
--- a/packages/core/src/scheduler/run-times.test.ts
+++ b/packages/core/src/scheduler/run-times.test.ts
@@ -200,10 +200,8 @@
 
 		const {step} = addTasks(state, 100, 4)[0]!;
 		addArrivedWork(state, step.occurrence.job);
-		addWaitingWork(state, step, {
-			tasks: 2, workers: 0, refused: {}, isLate: false,
-		});
-		const {arrived: {work: arrivedWork}, waitingWork} = getDemand(state, poolName);
+		addWaitingWork(state, poolName, step, {tasks: 2, workers: 0, refused: {}});
+		const {arrivedWork, waitingWork} = getDemand(state, poolName);
 		expect(computeError(arrivedWork.cpu, 4 * 2000 * 1000)).toBeLessThan(0.05);
 		expect(computeError(waitingWork.cpu, 2 * 2000 * 1000)).toBeLessThan(0.05);
 	});
--- a/packages/core/src/scheduler/run-times.ts
+++ b/packages/core/src/scheduler/run-times.ts
@@ -21,9 +21,6 @@
 /** The part of a job that its run times depend on. */
 export type PlannedJob = {readonly definition: Pick<JobDefinition, 'queue' | 'steps'>};
 
-/** The part of a task that the run times of its runs depend on. */
-export type TaskOfRun = Pick<Task, 'isResumed'> & {readonly step: Pick<StepRun, 'definition' | 'number'> & {readonly occurrence: {readonly job: PlannedJob}}};
-
 /** Number of a step shape within its queue, or `anyShape`. */
 export type ShapeNumber = number;
 
@@ -174,7 +171,7 @@
 }
 
 /** The keys of a task's run, narrow first; those that are not known yet are added. */
-function ensureKeysOfTask({runTimes, now}: SchedulerState, {step, isResumed}: TaskOfRun): LearnedRuns[] {
+function ensureKeysOfTask({runTimes, now}: SchedulerState, {step, isResumed}: Task): LearnedRuns[] {
 	const {queue} = step.occurrence.job.definition;
 	const shape = computeShape(step.number, step.definition, isResumed);
 	return [ensureKey(runTimes, queue, shape, now), ensureKey(runTimes, queue, anyShape, now), runTimes.fleet];
@@ -246,7 +243,7 @@
 }
 
 /** Learns from a run that ended as done. */
-export function noteRunEnd(state: SchedulerState, task: TaskOfRun, ranMs: number): void {
+export function noteRunEnd(state: SchedulerState, task: Task, ranMs: number): void {
 	const {definition, number, occurrence} = task.step;
 	if (definition.isLongRunning) {
 		return;
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -8,7 +8,7 @@
 import type {FirstSends} from './first-sends.js';
 import type {ArrivalBucket} from './shares.js';
 import {createLoadState, type LoadState} from './load-view.js';
-import type {Machine, PoolDemand, Wave} from './machine-state.js';
+import type {Machine, Wave, PoolDemand} from './machine-state.js';
 import type {
 	AccountName, FencingToken, FleetConfig, JobProgress, LedgerRecord, MachineId, PoolName, RunTimesRow, SteadyMs, WaveNumber, WaveProgress, WorkerId,
 } from './types.js';
