Order of steps: jobs that may just be in time go before late ones

Change: late is only what cannot be in time any more; jobs with little slack form a class between the others.

--- a/packages/core/src/scheduler/urgency.test.ts
+++ b/packages/core/src/scheduler/urgency.test.ts
@@ -10,18 +10,19 @@
 const step = nothing as Urgency['step'];
 
 describe('the order of steps', () => {
-	it('compares whether jobs are within their rate, then priority, then whether the objective is reachable, then whether the job has started, then arrival', () => {
+	it('compares whether jobs are within their rate, then priority, then whether the objective is reachable, and with slack, then whether the job has started, then arrival', () => {
 		const base: Urgency = {
-			step, isExcess: false, priority: 1, isObjectiveUnreachable: false, hasStarted: false, acceptedAt: 10,
+			step, isExcess: false, priority: 1, isObjectiveUnreachable: false, hasSlack: true, hasStarted: false, acceptedAt: 10,
 		};
 		const urgent = {...base, priority: 0, isObjectiveUnreachable: true};
 		const unreachable = {
 			...base, isObjectiveUnreachable: true, hasStarted: true, acceptedAt: 1,
 		};
+		const doubtful = {...base, hasSlack: false, acceptedAt: 2};
 		const startedLater = {...base, hasStarted: true, acceptedAt: 50};
 		const earlier = {...base, acceptedAt: 5};
 		const excess = {...urgent, isExcess: true, isObjectiveUnreachable: false};
-		expect([excess, unreachable, base, earlier, startedLater, urgent].toSorted(compareUrgency)).toEqual([urgent, startedLater, earlier, base, unreachable, excess]);
+		expect([excess, unreachable, doubtful, base, earlier, startedLater, urgent].toSorted(compareUrgency)).toEqual([urgent, startedLater, earlier, base, doubtful, unreachable, excess]);
 	});
 
 	it('lets part of the jobs of a burst above the capacity of its pool be in time, rather than all be late', () => {
--- a/packages/core/src/scheduler/urgency.ts
+++ b/packages/core/src/scheduler/urgency.ts
@@ -17,7 +17,7 @@
 const stragglerFactor = 1.15;
 /** Approximate time that storing, starting, detecting the end and publishing the result add to a job's own work. */
 const overheadMs = 300;
-/** Share of the remaining work kept as slack in case it takes longer than expected. */
+/** Share of the remaining work that a job needs as slack to be started ahead of others: one that is started and then late has used their capacity for nothing. */
 const slackShare = 0.35;
 
 export type Urgency = {
@@ -27,6 +27,8 @@
 	readonly priority: number;
 	/** The job can no longer meet its latency objective. */
 	readonly isObjectiveUnreachable: boolean;
+	/** The job would meet its objective even if its work took longer than expected, or has started. */
+	readonly hasSlack: boolean;
 	/** The job has started. */
 	readonly hasStarted: boolean;
 	readonly acceptedAt: number;
@@ -53,30 +55,28 @@
 	const objectiveMs = ((queue?.stretch ?? 1) * totalMs) + (queue?.latencyTargetMs ?? 0);
 	const hasStarted = job.live?.hasStarted ?? false;
 	const isTimed = !step.definition.isLongRunning && job.definition.runCount === 0;
+	const leftMs = isTimed ? job.sentAt + objectiveMs - state.now - remainingMs - overheadMs : Number.POSITIVE_INFINITY;
 	return {
 		step,
 		isExcess: job.isExcess,
 		priority: queue?.priority ?? lowestPriority,
-		isObjectiveUnreachable: isTimed && state.now + remainingMs + computeRequiredSlack(remainingMs, hasStarted) > job.sentAt + objectiveMs,
+		isObjectiveUnreachable: leftMs < 0,
+		hasSlack: hasStarted || leftMs >= remainingMs * slackShare,
 		hasStarted,
 		// A caller who returns after a refusal goes before newcomers.
 		acceptedAt: job.sentAt,
 	};
 }
 
-/** The slack that a job needs to be started ahead of others: a job that is started and then late has used their capacity for nothing. */
-function computeRequiredSlack(remainingMs: number, hasStarted: boolean): number {
-	return overheadMs + (hasStarted ? 0 : remainingMs * slackShare);
-}
-
 /**
- * Sorts steps by class: those of excess jobs last, then by priority, then those that can meet their objective first, then
- * those of started jobs.
+ * Sorts steps by class: those of excess jobs last, then by priority, then those that can meet their objective first, and
+ * among them those with slack, then those of started jobs.
  */
 export function compareClass(a: Urgency, b: Urgency): number {
 	return Number(a.isExcess) - Number(b.isExcess)
 		|| a.priority - b.priority
 		|| Number(a.isObjectiveUnreachable) - Number(b.isObjectiveUnreachable)
+		|| Number(b.hasSlack) - Number(a.hasSlack)
 		|| Number(b.hasStarted) - Number(a.hasStarted);
 }
 
