Review: charges of dead workers, truth of 429, admission only by setting

Change: unknown runs count only while their worker is known and its lease may hold; 429 only after a read that was requested after the call arrived, else 504; the read is bounded; admission needs bounds.admission; without client accounts jobs without slack count as late, as before.

--- a/packages/core/src/scheduler/account-use.ts
+++ b/packages/core/src/scheduler/account-use.ts
@@ -66,13 +66,21 @@
 	accountUse.uncertainWorkers.add(worker);
 }
 
+const noRuns: Worker['unknownRuns'] = new Map();
+
+/** False once a worker is gone or its lease has certainly expired: nothing runs there any more, whatever it reported last. */
+function hasLiveRuns({workers, now}: SchedulerState, worker: Worker): boolean {
+	return workers.get(worker.id) === worker && now <= worker.leaseExpiresAt;
+}
+
 /** Counts again what may run without an assigned task; costs as much as there are workers with such runs. */
 export function updateUncertainUse(state: SchedulerState): void {
 	const {uncertain, uncertainWorkers} = state.accountUse;
 	uncertain.clear();
 	for (const worker of uncertainWorkers) {
 		const starts = worker.lateStarts.filter(late => late.forgetAt > state.now);
-		if (starts.length === 0 && worker.unknownRuns.size === 0) {
+		const unknownRuns = hasLiveRuns(state, worker) ? worker.unknownRuns : noRuns;
+		if (starts.length === 0 && unknownRuns.size === 0) {
 			uncertainWorkers.delete(worker);
 			continue;
 		}
@@ -83,7 +91,7 @@
 			}
 		}
 
-		for (const task of worker.unknownRuns.keys()) {
+		for (const task of unknownRuns.keys()) {
 			const charge = findChargeByName(state, task);
 			if (charge) {
 				addCharge(uncertain, charge, 1);
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -16,7 +16,7 @@
 	findFirstSend, firstSendKeptMs, maxRefusedJobs, noteFirstSend, type FirstSends,
 } from './first-sends.js';
 export {judgeAdmission, type AdmissionVerdict, type AdmittedOutcome} from './admission.js';
-export {findWait, isAdmissionEnabled} from './load-view.js';
+export {doesShareRefusals, findWait} from './load-view.js';
 export {computeOutageRetryS} from './retry-after.js';
 export {getNextLeadershipCheck} from './leadership.js';
 export {ReducerLoop, type Reducer} from '../engine/reducer-loop.js';
--- a/packages/core/src/scheduler/load-view.ts
+++ b/packages/core/src/scheduler/load-view.ts
@@ -53,8 +53,13 @@
 	};
 }
 
-/** Admission takes effect only where the operators keep client accounts or the host's settings enable it. */
-export function isAdmissionEnabled({config, settings}: SchedulerState): boolean {
+/** Admission takes effect only where the host's settings enable it. */
+export function isAdmissionEnabled({settings}: SchedulerState): boolean {
+	return settings.isAdmissionEnabled === true;
+}
+
+/** Hosts tell each other which jobs they refused, and let Retry-After grow with an outage, where the operators keep client accounts or admission is enabled. */
+export function doesShareRefusals({config, settings}: SchedulerState): boolean {
 	return config?.accounts !== undefined || settings.isAdmissionEnabled === true;
 }
 
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -5,9 +5,9 @@
 	addStepWork, addWaitingWork, clearWaiting, getDemand, noteUsableWorkers,
 } from './demand.js';
 import {isQuarantined, isProbeDue} from './health.js';
-import {getPoolOfJob} from './queues.js';
+import {getPoolOfJob, hasAccounts} from './queues.js';
 import {clearQuotas, countAdmitted, noteHeldBack} from './quotas.js';
-import {hasAccounts, orderByShare} from './shares.js';
+import {orderByShare} from './shares.js';
 import {placeTask} from './tasks.js';
 import {compareUrgency, computeUrgency, type Urgency} from './urgency.js';
 import {
--- a/packages/core/src/scheduler/queues.ts
+++ b/packages/core/src/scheduler/queues.ts
@@ -67,3 +67,8 @@
 export function getMaxAttempts(state: SchedulerState, {definition}: Job): number {
 	return getQueue(state, definition.queue)?.maxAttempts ?? definition.maxAttempts ?? defaultMaxAttempts;
 }
+
+/** True if the operators keep client accounts, so that shares count in the order of steps. */
+export function hasAccounts({config}: SchedulerState): boolean {
+	return (config?.accounts?.length ?? 0) > 0;
+}
--- a/packages/core/src/scheduler/shares.ts
+++ b/packages/core/src/scheduler/shares.ts
@@ -19,11 +19,6 @@
 /** What an account may still send within its rate. */
 export type ArrivalBucket = {tokens: number; updatedAt: SteadyMs};
 
-/** True if the operators keep client accounts, so that shares count in the order of steps. */
-export function hasAccounts({config}: SchedulerState): boolean {
-	return (config?.accounts?.length ?? 0) > 0;
-}
-
 /**
  * True if a job that has just been read exceeds the rate of its account. Jobs that a starting host loads arrived at
  * unknown times and are not marked.
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -11,7 +11,7 @@
 import {
 	closeStart, hasCallWindow, openStart, type CallWindow,
 } from './call-window.js';
-import {hasAccounts} from './shares.js';
+import {hasAccounts} from './queues.js';
 import {
 	confirmTask, getTarget, isOverloaded, requestStop, returnTask, returnWithGang, stopGang,
 } from './tasks.js';
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -42,7 +42,7 @@
 	readonly remoteRackFactor: number;
 	/** Uses of learned run times that are switched off or on; those left out are on. */
 	readonly learning?: Partial<Record<LearningUse, boolean>>;
-	/** Refuses jobs that would end too late to be of use, also where the operators keep no client accounts. */
+	/** Refuses jobs that would end too late to be of use. */
 	readonly isAdmissionEnabled?: boolean | undefined;
 };
 
--- a/packages/core/src/scheduler/testing/overload-run.ts
+++ b/packages/core/src/scheduler/testing/overload-run.ts
@@ -59,6 +59,7 @@
 	}
 
 	readonly leader = NarrowLeader.create({
+		settings: {isAdmissionEnabled: true},
 		workers, callMs: 0, connectMs: 0, config,
 	});
 
@@ -74,7 +75,7 @@
 		this.random = options.seed;
 		for (let index = 0; index < hosts; index++) {
 			const host: FollowingHost = {
-				state: createSchedulerState(modelSettings), readAt: 0, nextReadAt: 0, read: 0,
+				state: createSchedulerState({...modelSettings, isAdmissionEnabled: true}), readAt: 0, nextReadAt: 0, read: 0,
 			};
 			reduceScheduler(host.state, {...this.createTime(), type: 'config/read', config});
 			this.hosts.push(host);
--- a/packages/core/src/scheduler/urgency.ts
+++ b/packages/core/src/scheduler/urgency.ts
@@ -5,7 +5,7 @@
  * In order of arrival alone, every job would wait for the whole queue and miss its objective, whereas a job that has
  * already missed it loses little by waiting longer.
  */
-import {getQueue} from './queues.js';
+import {getQueue, hasAccounts} from './queues.js';
 import {findLearnedEstimate, isLearningUsed, isResuming} from './run-times.js';
 import type {SchedulerState, StepRun} from './state.js';
 
@@ -56,12 +56,14 @@
 	const hasStarted = job.live?.hasStarted ?? false;
 	const isTimed = !step.definition.isLongRunning && job.definition.runCount === 0;
 	const leftMs = isTimed ? job.sentAt + objectiveMs - state.now - remainingMs - overheadMs : Number.POSITIVE_INFINITY;
+	const requiredSlackMs = remainingMs * slackShare;
 	return {
 		step,
 		isExcess: job.isExcess,
 		priority: queue?.priority ?? lowestPriority,
-		isObjectiveUnreachable: leftMs < 0,
-		hasSlack: hasStarted || leftMs >= remainingMs * slackShare,
+		// Without client accounts, jobs without slack count as late.
+		isObjectiveUnreachable: leftMs < (hasAccounts(state) || hasStarted ? 0 : requiredSlackMs),
+		hasSlack: hasStarted || leftMs >= requiredSlackMs,
 		hasStarted,
 		// A caller who returns after a refusal goes before newcomers.
 		acceptedAt: job.sentAt,
--- a/packages/daemon/src/scheduler/admission-gate.ts
+++ b/packages/daemon/src/scheduler/admission-gate.ts
@@ -46,16 +46,16 @@
 
 	/** Returns the Retry-After in seconds if the job is refused; the job is then not stored and no append of it is under way here. */
 	async findRefusal({job, firstSentAt, arrivedAt, waitMs}: SubmittedJob): Promise<number | undefined> {
-		const {state, log, metrics, intakeCheck} = this.options;
+		const {log, metrics} = this.options;
 		const verdict = this.judge(job, firstSentAt);
 		if (verdict.outcome !== 'refused') {
 			this.count(verdict.outcome, firstSentAt);
 			return undefined;
 		}
 
-		const isViewComplete = await intakeCheck.isCompleteSince(arrivedAt, Math.min(maxCheckMs, waitMs * checkShare));
-		if (!isViewComplete || state.jobs.has(job.jobId) || this.isMaybeStored(job.jobId)) {
-			metrics.admissions.inc({outcome: isViewComplete ? 'repeated' : 'unsure'});
+		const record = await this.findRecord(job.jobId, arrivedAt, waitMs);
+		if (record !== 'none') {
+			metrics.admissions.inc({outcome: record === 'stored' ? 'repeated' : 'unsure'});
 			return undefined;
 		}
 
@@ -67,6 +67,17 @@
 		return retryAfterS;
 	}
 
+	/** Tells whether a host has accepted a job, by a read of the intake that was requested after the call arrived; `unsure`: it may have. */
+	async findRecord(jobId: JobId, arrivedAt: SteadyMs, waitMs: number): Promise<'stored' | 'none' | 'unsure'> {
+		const {state, intakeCheck} = this.options;
+		const isViewComplete = await intakeCheck.isCompleteSince(arrivedAt, Math.min(maxCheckMs, waitMs * checkShare));
+		if (state.jobs.has(jobId)) {
+			return 'stored';
+		}
+
+		return isViewComplete && !this.isMaybeStored(jobId) ? 'none' : 'unsure';
+	}
+
 	/** Notes that an append of the job is about to be sent: from now on it is not refused here. */
 	noteAppend(jobId: JobId): void {
 		const {underWay, unknownUntil} = this.appends.get(jobId) ?? noAppends;
--- a/packages/daemon/src/scheduler/intake-check.ts
+++ b/packages/daemon/src/scheduler/intake-check.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {SteadyMs} from '@rhubarblever/core/scheduler';
 import {readSteadyClock} from './clocks.js';
+import {waitAtMost} from './wait-at-most.js';
 
 /** Least time between two reads, which all calls share. */
 const readIntervalMs = 100;
@@ -35,7 +36,7 @@
 				this.reading = undefined;
 			});
 			// eslint-disable-next-line no-await-in-loop
-			await this.reading;
+			await waitAtMost(this.reading, giveUpAt - readSteadyClock());
 		}
 
 		return true;
--- a/packages/daemon/src/scheduler/job-api.ts
+++ b/packages/daemon/src/scheduler/job-api.ts
@@ -1,7 +1,7 @@
 /** The operations that this host offers to callers: submit, query, cancel and count jobs. */
 import type {Instant, JobId} from '@rhubarblever/core';
 import {
-	computeOutageRetryS, describeQuotaExcess, findFirstSend, findQueue, getShownPhase, isAdmissionEnabled, isFinal, type JobDefinition, type JobPhase, type Queue, type QueueName, type SchedulerState, type SteadyMs,
+	doesShareRefusals, computeOutageRetryS, describeQuotaExcess, findFirstSend, findQueue, getShownPhase, isFinal, type JobDefinition, type JobPhase, type Queue, type QueueName, type SchedulerState, type SteadyMs,
 } from '@rhubarblever/core/scheduler';
 import type {AdmissionGate} from './admission-gate.js';
 import {readSteadyClock, readWallClock} from './clocks.js';
@@ -47,6 +47,7 @@
 	readonly handleCancelled: (jobId: JobId) => void;
 };
 
+const quotaAnswers = {stored: 'accepted', none: 'exceeds-quota', unsure: 'unknown'} as const;
 /** A write is given up this long before its caller stops waiting, to leave time for the response. */
 const answerSlackMs = 150;
 const maxWriteMs = 2000;
@@ -74,7 +75,7 @@
 	/** The Retry-After, in seconds, of a refusal for which the state of the store or of this host is the reason. */
 	drawRetryAfterS(): number {
 		const {state, writer, draw} = this.options;
-		return computeOutageRetryS(isAdmissionEnabled(state) ? writer.getOutageMs() : 0, draw());
+		return computeOutageRetryS(doesShareRefusals(state) ? writer.getOutageMs() : 0, draw());
 	}
 
 	/** Finds the queue of a call; asks the store for a newer configuration before it denies a queue. */
@@ -115,11 +116,12 @@
 			return 'accepted';
 		}
 
-		if (await this.hasExcess(job)) {
-			return 'exceeds-quota';
+		const startedAt = readSteadyClock();
+		const excess = await this.judgeQuota(job, startedAt, waitMs);
+		if (excess !== undefined) {
+			return excess;
 		}
 
-		const startedAt = readSteadyClock();
 		const sentAt = this.findSentAt(job.jobId);
 		const retryAfterS = await gate.findRefusal({
 			job, firstSentAt: sentAt, arrivedAt: startedAt, waitMs,
@@ -147,7 +149,7 @@
 			return 'accepted';
 		}
 
-		if (outcome === 'refused' && isAdmissionEnabled(state)) {
+		if (outcome === 'refused' && doesShareRefusals(state)) {
 			refusals.note(job.jobId, sentAt ?? startedAt);
 		}
 
@@ -220,20 +222,19 @@
 		return count;
 	}
 
-	/** True if a job can never run under its account's quota. Another host may have accepted it under an earlier quota, so the latest jobs are read first. */
-	private async hasExcess(job: JobDefinition): Promise<boolean> {
-		const {state, refreshIntake, log} = this.options;
+	/** The answer to a job that can never run under its account's quota; undefined if it can. It may have been accepted under an earlier quota, so the intake is read first. */
+	private async judgeQuota(job: JobDefinition, arrivedAt: SteadyMs, waitMs: number): Promise<'accepted' | 'exceeds-quota' | 'unknown' | undefined> {
+		const {state, gate, log} = this.options;
 		const reason = describeQuotaExcess(state.config, job);
 		if (reason === undefined) {
-			return false;
+			return undefined;
 		}
 
-		await waitAtMost(refreshIntake(), maxRefreshMs);
-		const isKnown = state.jobs.has(job.jobId);
+		const record = await gate.findRecord(job.jobId, arrivedAt, waitMs);
 		log.note('job-exceeds-quota', {
-			jobId: job.jobId, queue: job.queue, account: job.account, reason, isKnown,
+			jobId: job.jobId, queue: job.queue, account: job.account, reason, record,
 		});
-		return !isKnown;
+		return quotaAnswers[record];
 	}
 
 	/** When a job that this or another host refused was first sent. */
