--- a/packages/core/src/scheduler/quotas.test.ts
+++ b/packages/core/src/scheduler/quotas.test.ts
@@ -176,9 +176,10 @@
 		const host = lead();
 		const job = createAccountJob(1, {count: 1});
 		host.submit(job);
-		host.answerPoll('w2', {running: [{
+		const unknown = {
 			task: `${job.jobId}.0.0.7`, run: 1, checkpoint: '', percent: 10, reading: undefined,
-		}]});
+		};
+		host.answerPoll('w2', {running: [unknown]});
 		host.state.needsPlacement = true;
 		host.tick(50);
 		expect(host.state.accountUse.uncertain.get('a')?.cpu).toEqual(taskCpu);
