One definition each of placement constants and resource names

Admission repeated the constants of the order of steps, and two modules the names of the resources; a change of one copy would have made admission and placement disagree. No change of behaviour.

--- a/packages/core/src/scheduler/admission.ts
+++ b/packages/core/src/scheduler/admission.ts
@@ -10,14 +10,12 @@
 import {computeReturnS} from './retry-after.js';
 import {estimateChainMs} from './run-estimate.js';
 import {getStepNeed} from './tasks.js';
+import {overheadMs, slackShare} from './urgency.js';
 import type {JobDefinition, PoolWait, SteadyMs} from './types.js';
 import type {SchedulerState} from './state.js';
 
 /** Up to this multiple of its objective, the result of a job is late but still of some use. */
 const usefulFactor = 3;
-/** What storing, starting and publishing add to a job's own work, and the slack without which placement begins no job. */
-const overheadMs = 300;
-const slackShare = 0.35;
 
 export type AdmissionInput = {
 	readonly now: SteadyMs;
--- a/packages/core/src/scheduler/expected-wait.ts
+++ b/packages/core/src/scheduler/expected-wait.ts
@@ -6,7 +6,7 @@
 import {getReturnAt} from './machines.js';
 import {getPoolOfJob} from './queues.js';
 import {
-	addResources, computeDominantShare, doesFit, noResources,
+	addResources, computeDominantShare, doesFit, noResources, resourceNames,
 } from './resources.js';
 import {estimateRunMs} from './run-estimate.js';
 import {getFree, getNeed, getStepNeed} from './tasks.js';
@@ -26,7 +26,6 @@
 const maxWaitMs = 60_000;
 /** Arriving work is taken to leave at least this share of the capacity to late jobs: bursts end. */
 const leastShareLeft = 0.1;
-const resourceNames = ['cpu', 'memoryMb', 'gpu'] as const;
 
 /** Work in resources times milliseconds, and whether a task of it may start and waits. */
 type Backlog = {work: Resources; hasWaiting: boolean};
--- a/packages/core/src/scheduler/quotas.ts
+++ b/packages/core/src/scheduler/quotas.ts
@@ -9,7 +9,7 @@
 import {noteDecision} from './logging.js';
 import {findAccount} from './queues.js';
 import {
-	addResources, computeDominantShare, doesFit, noResources,
+	addResources, computeDominantShare, doesFit, noResources, resourceNames,
 } from './resources.js';
 import type {
 	FleetConfig, JobDefinition, Resources, StepDefinition,
@@ -21,7 +21,6 @@
 /** Arriving work counts as demand for machines up to what the account's cap can run within this time. */
 const workAheadMs = 1500;
 
-const resourceNames = ['cpu', 'memoryMb', 'gpu'] as const;
 const units = {cpu: 'thousandths of a core', memoryMb: 'MB of memory', gpu: 'accelerators'} as const;
 
 /** The cap of a job's account, with infinity for no limit; undefined if nothing is capped. */
--- a/packages/core/src/scheduler/resources.ts
+++ b/packages/core/src/scheduler/resources.ts
@@ -1,6 +1,9 @@
 /** Arithmetic on processor, memory and accelerators. */
 import type {Resources} from './types.js';
 
+/** The names of the resources, to go through them. */
+export const resourceNames = ['cpu', 'memoryMb', 'gpu'] as const;
+
 export const noResources: Resources = {cpu: 0, memoryMb: 0, gpu: 0};
 
 /** Returns `a + b * times`. */
--- a/packages/core/src/scheduler/run-estimate.ts
+++ b/packages/core/src/scheduler/run-estimate.ts
@@ -1,19 +1,16 @@
 /** How long the tasks of a job are expected to run: what was learned, or else what the job declares. */
-import {estimateMeanMs} from './run-times.js';
-import type {JobDefinition} from './types.js';
+import {estimateMeanMs, type PlannedJob} from './run-times.js';
+import {stragglerFactor} from './urgency.js';
 import type {SchedulerState} from './state.js';
 
-/** The slowest of several tasks of a step takes this many times their mean run time. */
-const stragglerFactor = 1.15;
-
-type Plan = Pick<JobDefinition, 'queue' | 'steps'>;
+type Plan = PlannedJob['definition'];
 
 /** Expected run time of one task of a job's step, given by its position. */
 export function estimateRunMs(state: SchedulerState, definition: Plan, number: number): number {
 	return estimateMeanMs(state, {definition}, number, 'admission');
 }
 
-/** Expected time that the longest chain of dependent steps takes without waiting. */
+/** Expected time that the critical path, the longest chain of dependent steps, takes without waiting. */
 export function estimateChainMs(state: SchedulerState, definition: Plan): number {
 	const endMs: number[] = [];
 	for (const [number, step] of definition.steps.entries()) {
--- a/packages/core/src/scheduler/urgency.ts
+++ b/packages/core/src/scheduler/urgency.ts
@@ -14,11 +14,11 @@
  * The slowest of several tasks of a step takes this many times their estimated run time. Learned 90th percentiles in its place
  * make most jobs of a burst look late, and those are served by arrival.
  */
-const stragglerFactor = 1.15;
+export const stragglerFactor = 1.15;
 /** Approximate time that storing, starting, detecting the end and publishing the result add to a job's own work. */
-const overheadMs = 300;
+export const overheadMs = 300;
 /** Share of the remaining work that a job needs as slack to be started ahead of others: one that is started and then late has used their capacity for nothing. */
-const slackShare = 0.35;
+export const slackShare = 0.35;
 
 export type Urgency = {
 	readonly step: StepRun;
--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -1,9 +1,8 @@
 /** Prometheus counters, gauges and latency histograms of the scheduler host. */
-import type {Calibration} from '@rhubarblever/core/scheduler';
+import type {AccountShare, Calibration} from '@rhubarblever/core/scheduler';
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
-import type {AccountShare} from '@rhubarblever/core/scheduler';
 
 const latencyBucketsS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5];
 
