Wording of waits, shares and refusals; two names that meant two things

AccountShare, addArrivedWork and findAccount each named two different things in neighbouring modules. Comments say "published" and "assumed" where they said that hosts are told or believe something. No change of behaviour.

--- a/packages/core/src/scheduler/account-use.ts
+++ b/packages/core/src/scheduler/account-use.ts
@@ -10,7 +10,7 @@
 	LateStart, SchedulerState, Task, Worker,
 } from './state.js';
 
-/** Under this name the jobs without an account count. */
+/** Name under which the use of jobs without an account is counted. */
 export const noAccount: AccountName = '';
 
 /** What an account's runs reserve. */
@@ -19,13 +19,13 @@
 export type AccountUse = {
 	/** What the tasks that are assigned to workers reserve. Updated with each assignment and its end. */
 	readonly assigned: Map<AccountName, Resources>;
-	/** The same for runs that may exist without an assigned task, as of the latest `updateUncertainUse`. */
+	/** What runs that may exist without an assigned task reserve, as of the latest `updateUncertainUse`. */
 	readonly uncertain: Map<AccountName, Resources>;
 	/** Workers with unanswered starts or unknown runs. */
 	readonly uncertainWorkers: Set<Worker>;
 	/** Accounts whose tasks their quota holds back, and when it last did. */
 	readonly heldBack: Map<AccountName, number>;
-	/** Until when the work that counts as arrived keeps the whole cap of an account busy. */
+	/** When the work counted as arrived would be done if the account's whole cap were in use. */
 	readonly busyUntil: Map<AccountName, number>;
 };
 
@@ -66,7 +66,7 @@
 	accountUse.uncertainWorkers.add(worker);
 }
 
-/** Counts again what may run without an assigned task; costs as much as there are workers with such runs. */
+/** Recomputes the use of runs that may exist without an assigned task. The cost is proportional to the workers with such runs. */
 export function updateUncertainUse(state: SchedulerState): void {
 	const {uncertain, uncertainWorkers} = state.accountUse;
 	uncertain.clear();
--- a/packages/core/src/scheduler/admission.ts
+++ b/packages/core/src/scheduler/admission.ts
@@ -7,8 +7,8 @@
 } from './load-view.js';
 import {getQueue} from './queues.js';
 import {doesFit} from './resources.js';
-import {computeReturnS} from './retry-after.js';
-import {estimateChainMs} from './run-estimate.js';
+import {computeOverloadRetryS} from './retry-after.js';
+import {estimateCriticalPathMs} from './run-estimate.js';
 import {getStepNeed} from './tasks.js';
 import {overheadMs, slackShare} from './urgency.js';
 import type {JobDefinition, PoolWait, SteadyMs} from './types.js';
@@ -37,7 +37,10 @@
 	= | {readonly outcome: AdmittedOutcome}
 		| {readonly outcome: 'refused'; readonly expectedWaitMs: number; readonly viewAgeMs: number; readonly retryAfterS: number};
 
-/** Judges a job that is not known yet. A job that returns after a refusal goes before newcomers: only jobs in time are ahead of it. */
+/**
+ * Judges a job that is not known yet. A job that returns after a refusal keeps its first send, so it goes before those that
+ * arrive later.
+ */
 export function judgeAdmission(state: SchedulerState, job: JobDefinition, input: AdmissionInput): AdmissionVerdict {
 	const queue = getQueue(state, job.queue);
 	if (!queue || !isAdmissionEnabled(state) || !isShortAndOnce(job)) {
@@ -57,20 +60,20 @@
 
 	const isExcess = job.account !== undefined && draw() >= findShare(state, job.account);
 	const startMs = isExcess ? wait.excessMs : wait.startMs;
-	const chainMs = estimateChainMs(state, job);
-	const objectiveMs = (queue.stretch * chainMs) + queue.latencyTargetMs;
+	const criticalPathMs = estimateCriticalPathMs(state, job);
+	const objectiveMs = (queue.stretch * criticalPathMs) + queue.latencyTargetMs;
 	const sinceSentMs = now - (firstSentAt ?? now);
 	const waitMs = isExcess ? wait.excessMs : wait.delayMs;
-	if (sinceSentMs + startMs + overheadMs + (chainMs * (1 + slackShare)) <= objectiveMs) {
+	if (sinceSentMs + startMs + overheadMs + (criticalPathMs * (1 + slackShare)) <= objectiveMs) {
 		return {outcome: 'timely'};
 	}
 
-	if (waitMs === 0 || sinceSentMs + waitMs + chainMs <= objectiveMs * usefulFactor) {
+	if (waitMs === 0 || sinceSentMs + waitMs + criticalPathMs <= objectiveMs * usefulFactor) {
 		return {outcome: 'late'};
 	}
 
 	return {
-		outcome: 'refused', expectedWaitMs: Math.round(waitMs), viewAgeMs, retryAfterS: computeReturnS(wait.backlogMs - Math.max(0, objectiveMs - chainMs), draw()),
+		outcome: 'refused', expectedWaitMs: Math.round(waitMs), viewAgeMs, retryAfterS: computeOverloadRetryS(wait.backlogMs - Math.max(0, objectiveMs - criticalPathMs), draw()),
 	};
 }
 
--- a/packages/core/src/scheduler/expected-wait.ts
+++ b/packages/core/src/scheduler/expected-wait.ts
@@ -20,14 +20,14 @@
 
 /** Share of a pool's capacity that tasks fill in practice; below it, there is room for a job that fits somewhere. */
 const usableShare = 0.85;
-/** Shorter waits are not told: they pass before a host reads of them. */
+/** Shorter waits are not published: they are over before a host reads them. */
 const minWaitMs = 50;
-/** Longer waits are told as this. */
+/** Longer waits are published as this. */
 const maxWaitMs = 60_000;
-/** Arriving work is taken to leave at least this share of the capacity to late jobs: bursts end. */
-const leastShareLeft = 0.1;
+/** Share of the capacity that the estimate leaves to late jobs whatever the rate of arrivals, because bursts end. */
+const minShareLeft = 0.1;
 
-/** Work in resources times milliseconds, and whether a task of it may start and waits. */
+/** Work in resources times milliseconds, and whether one of its tasks could start now if there were capacity. */
 type Backlog = {work: Resources; hasWaiting: boolean};
 type Backlogs = Map<number, Backlog>;
 
@@ -37,7 +37,7 @@
 	used: Resources;
 	/** The most of each resource that is free at any one worker. */
 	largestFree: Resources;
-	/** What the short tasks at work still have to do. */
+	/** Remaining work of the short tasks that are assigned. */
 	running: Resources;
 	/** Some waiting task fits no serving worker. */
 	isShortOfRoom: boolean;
@@ -48,21 +48,21 @@
 	readonly coming: Array<{readonly at: SteadyMs; readonly capacity: Resources}>;
 };
 
-/** The waits that are longer than a moment. Pools without a serving worker have no figure, as their capacity is not known. */
+/** The waits of at least `minWaitMs`. Pools without a serving worker have no figure, as their capacity is not known. */
 export function computeWaits(state: SchedulerState): PoolWait[] {
 	if (state.openSteps.size === 0 || !state.config) {
 		return [];
 	}
 
 	const loads = new Map<PoolName, PoolLoad>();
-	const jobsAtWork = new Set<Job>();
+	const assignedJobs = new Set<Job>();
 	for (const worker of state.workers.values()) {
 		if (isServing(state, worker)) {
-			addWorker(state, getLoad(loads, worker.pool), worker, jobsAtWork);
+			addWorker(state, getLoad(loads, worker.pool), worker, assignedJobs);
 		}
 	}
 
-	addWaitingJobs(state, loads, jobsAtWork);
+	addWaitingJobs(state, loads, assignedJobs);
 	addComingMachines(state, loads);
 	const {config} = state;
 	const known = [...loads].filter(([, {capacity}]) => computeDominantShare(capacity, capacity) > 0);
@@ -86,14 +86,14 @@
 	return load;
 }
 
-function addWorker(state: SchedulerState, load: PoolLoad, worker: Worker, jobsAtWork: Set<Job>): void {
+function addWorker(state: SchedulerState, load: PoolLoad, worker: Worker, assignedJobs: Set<Job>): void {
 	load.capacity = addResources(load.capacity, worker.capacity);
 	for (const task of worker.tasks.values()) {
 		const need = getNeed(task);
 		if (task.step.definition.isLongRunning) {
 			load.capacity = addResources(load.capacity, need, -1);
 		} else {
-			jobsAtWork.add(task.step.occurrence.job);
+			assignedJobs.add(task.step.occurrence.job);
 			load.used = addResources(load.used, need);
 			load.running = addResources(load.running, need, estimateRemainingMs(state, task));
 		}
@@ -110,7 +110,7 @@
 	return Math.max(0, task.status === 'running' ? runMs - (state.now - task.startedAt) : runMs);
 }
 
-function addWaitingJobs(state: SchedulerState, loads: Map<PoolName, PoolLoad>, jobsAtWork: Set<Job>): void {
+function addWaitingJobs(state: SchedulerState, loads: Map<PoolName, PoolLoad>, assignedJobs: Set<Job>): void {
 	const seen = new Set<Job>();
 	for (const step of state.openSteps) {
 		const {job} = step.occurrence;
@@ -124,8 +124,8 @@
 		}
 	}
 
-	// Later steps of jobs whose present steps are all at work.
-	for (const job of jobsAtWork) {
+	// Jobs whose open tasks are all assigned have no open step, but may have later steps.
+	for (const job of assignedJobs) {
 		const step = [...job.live?.occurrences.values() ?? []][0]?.steps[0];
 		if (step && !seen.has(job)) {
 			const load = getLoad(loads, getPoolOfJob(state, job));
@@ -204,8 +204,8 @@
 }
 
 /**
- * How long the pool takes for what is at work and a backlog; 0 if no task of the backlog waits for capacity. `overtaking`:
- * arriving work that goes before the backlog, in resources that it keeps busy.
+ * How long the pool takes for its assigned tasks and a backlog; 0 if no task of the backlog waits for capacity. `overtaking`:
+ * resources that later arrivals which go before the backlog keep busy.
  */
 function computeDrainMs(state: SchedulerState, {capacity, coming, running}: PoolLoad, {work, hasWaiting}: Backlog, overtaking: Resources): number {
 	if (!hasWaiting) {
@@ -225,7 +225,7 @@
 	let left = work;
 	let present = capacity;
 	let nowMs = 0;
-	const getRate = () => Math.max(present * leastShareLeft, present - overtaking);
+	const getRate = () => Math.max(present * minShareLeft, present - overtaking);
 	for (const {inMs, more} of coming) {
 		const done = getRate() * (inMs - nowMs);
 		if (done >= left) {
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -10,7 +10,7 @@
 export {describeError} from './logging.js';
 export {findAccount, findQueue} from './queues.js';
 export {describeQuotaExcess} from './quotas.js';
-export {listAccountShares, type AccountShare} from './shares.js';
+export {listAccountShares, type AccountStatus} from './shares.js';
 export {getShownPhase, isFinal} from './phases.js';
 export {
 	findFirstSend, firstSendKeptMs, maxRefusedJobs, noteFirstSend, type FirstSends,
--- a/packages/core/src/scheduler/load-view.ts
+++ b/packages/core/src/scheduler/load-view.ts
@@ -1,4 +1,4 @@
-/** Tells the hosts how long jobs wait: when the leader publishes the figures, and how long they hold at a host. */
+/** Expected waits for all hosts: when the leader publishes the figures, and how long they are valid at a host. */
 import {isConfirmedWithin} from './confirmation.js';
 import {computeWaits} from './expected-wait.js';
 import {getPoolOfJob} from './queues.js';
@@ -16,7 +16,7 @@
 const publishIntervalMs = 250;
 const minChangeMs = 250;
 const minChangeShare = 0.25;
-/** Older views, and those of a leader that has been silent for longer, are no ground for a refusal. */
+/** Older views, and those of a leader that has been silent for longer, do not justify a refusal. */
 export const maxLoadAgeMs = 3000;
 /** How long after their computation hosts read the figures, at most, unless the store or the host is slow. */
 const maxReadDelayMs = 1500;
@@ -27,13 +27,13 @@
 const arrivalWeight = 0.25;
 /** Accounts with fewer arrivals an interval, on average, are not counted. */
 const minArrivals = 0.05;
-/** An account is over its rate if more than this share of its jobs is. */
+/** An account counts as over its rate if more than this share of its jobs is excess. */
 const minExcessShare = 0.02;
-/** Arriving work that keeps less busy than this is none. */
+/** Arriving work that keeps fewer resources busy than this is not counted. */
 const idleRate: Resources = {cpu: 1, memoryMb: 1, gpu: 0.001};
 
 export type LoadState = {
-	/** The figures in force, and when this host read or computed them; undefined without a leader that has told any. */
+	/** The figures in force, and when this host read or computed them; undefined without a leader that has published any. */
 	view: {readonly figures: LoadFigures; readonly readAt: SteadyMs; readonly ageAtReadMs: number} | undefined;
 	/** The token of the latest lease or figures that were read. */
 	leaderToken: FencingToken;
@@ -75,11 +75,11 @@
 	}
 
 	if (!isExcess) {
-		addArrivedWork(state, job);
+		noteArrivedWork(state, job);
 	}
 }
 
-function addArrivedWork(state: SchedulerState, job: Job): void {
+function noteArrivedWork(state: SchedulerState, job: Job): void {
 	const pool = getPoolOfJob(state, job);
 	const arrived = state.load.arrivedWork.get(pool) ?? {work: noResources, rate: noResources};
 	state.load.arrivedWork.set(pool, arrived);
@@ -115,7 +115,7 @@
 	load.arrivalsSince = state.now;
 }
 
-/** Computes the figures on the leader, and publishes them if they differ from what the hosts believe. */
+/** Computes the figures on the leader, and publishes them if they differ enough from what the hosts assume. */
 export function tickLoad(state: SchedulerState): void {
 	const {load} = state;
 	if (state.now < load.dueAt || !isAdmissionEnabled(state) || isSettling(state)) {
@@ -161,7 +161,7 @@
 	return shares;
 }
 
-/** Hosts take each published wait to become shorter by the time that passes. */
+/** Compares with the figures that hosts assume: they shorten each published wait by the time that has passed since. */
 function hasChanged(state: SchedulerState, {waits, shares}: LoadFigures): boolean {
 	const {view} = state.load;
 	const known = view?.figures ?? {waits: [], shares: []};
@@ -173,9 +173,9 @@
 }
 
 function hasWaitChanged(state: SchedulerState, wait: PoolWait): boolean {
-	const believed = findWait(state, wait.pool, wait.priority, state.now);
-	return believed === undefined || (believed.room === undefined) !== (wait.room === undefined)
-		|| (['startMs', 'backlogMs', 'delayMs', 'excessMs'] as const).some(name => isFarFrom(wait[name], believed[name], minChangeMs));
+	const assumed = findWait(state, wait.pool, wait.priority, state.now);
+	return assumed === undefined || (assumed.room === undefined) !== (wait.room === undefined)
+		|| (['startMs', 'backlogMs', 'delayMs', 'excessMs'] as const).some(name => isFarFrom(wait[name], assumed[name], minChangeMs));
 }
 
 function isFarFrom(figure: number, known: number, maxChange: number): boolean {
@@ -191,7 +191,7 @@
 	}
 }
 
-/** The figures of a leader hold no longer than its term. */
+/** The figures of a leader are valid during its term only. */
 export function noteLease({load}: SchedulerState, {token, isReleased}: LeaseRecord): void {
 	load.leaderToken = Math.max(load.leaderToken, token);
 	if (isReleased || load.view?.figures.token !== load.leaderToken) {
@@ -200,7 +200,7 @@
 }
 
 /**
- * How old what this host knows of the leader's figures is; undefined if there is no ground for a refusal: no figures, no
+ * How old what this host knows of the leader's figures is; undefined if it does not justify a refusal: no figures, no
  * leader, or too old a view. `ledgerAgeMs`: everything that was stored in the ledger before this age has been read.
  */
 export function getLoadAgeMs(state: SchedulerState, now: SteadyMs, ledgerAgeMs: number | undefined): number | undefined {
@@ -217,7 +217,7 @@
 	return isLeaderKnown && ledgerAgeMs !== undefined && ledgerAgeMs < maxLoadAgeMs ? ledgerAgeMs : undefined;
 }
 
-/** The wait of a pool's queues as it must be by now, unless the leader has told otherwise since; undefined if there is none. */
+/** The published wait of a pool's queues less the time that has passed since; undefined if there is none. */
 export function findWait({load: {view}}: SchedulerState, pool: PoolName, priority: number, now: SteadyMs): PoolWait | undefined {
 	const wait = view?.figures.waits.find(other => other.pool === pool && other.priority === priority);
 	if (!view || !wait) {
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -98,19 +98,19 @@
 		return;
 	}
 
-	const most = countAdmitted(state, step);
-	if (most < waiting.length) {
+	const limit = countAdmitted(state, step);
+	if (limit < waiting.length) {
 		noteHeldBack(state, step);
 	}
 
-	if (most === 0 || (step.definition.isGang && most < waiting.length)) {
+	if (limit === 0 || (step.definition.isGang && limit < waiting.length)) {
 		return;
 	}
 
 	const candidates = usable.filter(worker => hasLabel(step, worker));
 	const place = step.definition.isGang ? placeGang : placeEach;
-	const {placed, refused} = place(state, waiting, listFreeCapacities(state, step, candidates), most);
-	const left = Math.min(waiting.length, most) - placed;
+	const {placed, refused} = place(state, waiting, listFreeCapacities(state, step, candidates), limit);
+	const left = Math.min(waiting.length, limit) - placed;
 	if (left > 0) {
 		addWaitingWork(state, pool, step, {tasks: left, workers: candidates.length, refused});
 		placeAsProbe(state, step, setAside);
@@ -144,13 +144,13 @@
 /** How many tasks were placed, and what kept the workers from taking the last of the others. */
 type Placement = {readonly placed: number; readonly refused: RefusedWorkers};
 
-/** Places up to `most` of the waiting tasks. */
-function placeEach(state: SchedulerState, waiting: readonly Task[], capacities: ReadonlyMap<Worker, FreeCapacity>, most: number): Placement {
+/** Places up to `limit` of the waiting tasks. */
+function placeEach(state: SchedulerState, waiting: readonly Task[], capacities: ReadonlyMap<Worker, FreeCapacity>, limit: number): Placement {
 	let placed = 0;
 	let refused: RefusedWorkers = {};
 	let isFull = false;
 	for (const task of waiting) {
-		if (placed >= most) {
+		if (placed >= limit) {
 			break;
 		}
 
--- a/packages/core/src/scheduler/retry-after.ts
+++ b/packages/core/src/scheduler/retry-after.ts
@@ -14,12 +14,12 @@
 	return shortestS + Math.min(longestS - shortestS, Math.floor(jitter * (longestS - shortestS + 1)));
 }
 
-const maxReturnS = 8;
+const maxOverloadRetryS = 8;
 /** Returning callers are spread over this many seconds. */
-const returnSpreadS = 4;
+const overloadSpreadS = 4;
 
 /** The Retry-After of a job that was refused because of the work ahead of it: there is capacity again in `fromMs`. `jitter`: drawn from 0 to 1. */
-export function computeReturnS(fromMs: number, jitter: number): number {
-	const firstS = Math.min(maxReturnS - returnSpreadS + 1, Math.max(1, Math.ceil(fromMs / millisecondsPerSecond)));
-	return firstS + Math.min(returnSpreadS - 1, Math.floor(jitter * returnSpreadS));
+export function computeOverloadRetryS(fromMs: number, jitter: number): number {
+	const firstS = Math.min(maxOverloadRetryS - overloadSpreadS + 1, Math.max(1, Math.ceil(fromMs / millisecondsPerSecond)));
+	return firstS + Math.min(overloadSpreadS - 1, Math.floor(jitter * overloadSpreadS));
 }
--- a/packages/core/src/scheduler/run-estimate.ts
+++ b/packages/core/src/scheduler/run-estimate.ts
@@ -11,7 +11,7 @@
 }
 
 /** Expected time that the critical path, the longest chain of dependent steps, takes without waiting. */
-export function estimateChainMs(state: SchedulerState, definition: Plan): number {
+export function estimateCriticalPathMs(state: SchedulerState, definition: Plan): number {
 	const endMs: number[] = [];
 	for (const [number, step] of definition.steps.entries()) {
 		const startMs = Math.max(0, ...step.dependsOn.map(earlier => endMs[earlier] ?? 0));
--- a/packages/core/src/scheduler/shares.ts
+++ b/packages/core/src/scheduler/shares.ts
@@ -16,7 +16,7 @@
 
 const millisecondsPerSecond = 1000;
 
-/** What an account may still send within its rate. */
+/** Token bucket of an account: jobs that it may still send within its rate. */
 export type ArrivalBucket = {tokens: number; updatedAt: SteadyMs};
 
 /** True if the operators keep client accounts, so that shares count in the order of steps. */
@@ -81,7 +81,7 @@
 	return sum;
 }
 
-/** What is needed to compute shares in one pass. Jobs without an account count as one account; it and accounts that the configuration no longer has get the mean weight. */
+/** Inputs of the shares, computed once for each pass. Jobs without an account count as one account; it and accounts that the configuration no longer has get the mean weight. */
 type ShareBase = {readonly capacity: Resources; readonly meanWeight: number};
 
 function createShareBase(state: SchedulerState): ShareBase {
@@ -110,7 +110,7 @@
 
 /**
  * Yields steps in the order in which they get their turn. `sorted` has them by class and arrival; within a class the account
- * with the lowest share goes next, and its share counts again once the caller has placed what it can of the step.
+ * with the lowest share goes next, and its share is computed again once the caller has placed what it can of the step.
  */
 export function * orderByShare(state: SchedulerState, sorted: readonly Urgency[]): Iterable<Urgency> {
 	const base = createShareBase(state);
@@ -155,16 +155,16 @@
 }
 
 /** What an account has running, and its weighted dominant share. */
-export type AccountShare = {readonly account: string; readonly use: Resources; readonly share: number};
+export type AccountStatus = {readonly account: string; readonly use: Resources; readonly share: number};
 
 /** The accounts of the configuration with what they have running: the `most` with the highest shares by name, the rest as `other`. */
-export function listAccountShares(state: SchedulerState, most: number): AccountShare[] {
+export function listAccountShares(state: SchedulerState, most: number): AccountStatus[] {
 	if (state.leadership.role !== 'leader') {
 		return [];
 	}
 
 	const base = createShareBase(state);
-	const accounts: AccountShare[] = (state.config?.accounts ?? []).map(({name}) => ({account: name, use: getAccountUse(state, name), share: computeShare(state, name, base)}));
+	const accounts: AccountStatus[] = (state.config?.accounts ?? []).map(({name}) => ({account: name, use: getAccountUse(state, name), share: computeShare(state, name, base)}));
 	const sorted = accounts.toSorted((a, b) => a.share === b.share ? 0 : (a.share < b.share ? 1 : -1));
 	const rest = sorted.slice(most);
 	if (rest.length === 0) {
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -158,7 +158,7 @@
 	runTimes: RunTimes;
 	/** The latest record of run times in the ledger, until this host leads. */
 	storedRunTimes: readonly RunTimesRow[] | undefined;
-	/** How long jobs wait, as the leader has told. */
+	/** Expected waits as the leader has published them. */
 	readonly load: LoadState;
 	needsPlacement: boolean;
 	/** Tasks of open jobs that losses of workers may be blamed on. */
--- a/packages/core/src/scheduler/testing/overload-run.ts
+++ b/packages/core/src/scheduler/testing/overload-run.ts
@@ -2,7 +2,7 @@
 import type {Instant} from '../../types/time.js';
 import {judgeAdmission} from '../admission.js';
 import {reduceScheduler} from '../reduce.js';
-import {estimateChainMs} from '../run-estimate.js';
+import {estimateCriticalPathMs} from '../run-estimate.js';
 import {createSchedulerState, type SchedulerState} from '../state.js';
 import type {FleetConfig, JobDefinition} from '../types.js';
 import {createJob, createStep, modelConfig} from './model-jobs.js';
@@ -134,7 +134,7 @@
 		const createOneStep = (dependsOn: readonly number[]) => createStep({count: tasksPerStep, estimateMs: Math.round(this.drawBetween(shortestRunMs, longestRunMs)), dependsOn});
 		const steps = this.draw() < twoStepShare ? [createOneStep([]), createOneStep([0])] : [createOneStep([])];
 		const job = createJob(++this.jobCount, steps);
-		const objectiveMs = (queue.stretch * estimateChainMs(this.leader.state, {queue: queue.name, steps})) + queue.latencyTargetMs;
+		const objectiveMs = (queue.stretch * estimateCriticalPathMs(this.leader.state, {queue: queue.name, steps})) + queue.latencyTargetMs;
 		return {
 			job, sentAt: this.leader.now, objectiveMs, refusals: 0, refusedAt: 0, refusedBy: -1,
 		};
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -271,15 +271,15 @@
 export type PoolWait = {
 	readonly pool: PoolName;
 	readonly priority: number;
-	/** Until its first start, if it can then still meet its objective: only jobs in time and those in progress are ahead of it. */
+	/** Until the first start of a job that can meet its objective: only jobs in progress and jobs that can meet theirs are ahead of it. */
 	readonly startMs: number;
-	/** Until the pool has done all work that is ahead of a job that cannot, jobs that are late already among it. */
+	/** Until the pool has done all work that is ahead of a job that cannot meet its objective, including other late jobs. */
 	readonly backlogMs: number;
-	/** What waiting adds to the run time of such a job until its end: arriving jobs that can be in time go before it too. */
+	/** The same if later arrivals that can meet their objective are counted as well, because they go before a late job. */
 	readonly delayMs: number;
-	/** The same for a job beyond the share of its account: all other work is ahead of it. */
+	/** `delayMs` of an excess job: the jobs that are not excess are ahead of it whatever their priority. */
 	readonly excessMs: number;
-	/** What is free at one worker, if the pool is not full and only larger tasks wait for room; a job whose tasks fit has no wait. */
+	/** The most of each resource that is free at any one worker, if the pool is not full and only larger tasks wait; a job whose tasks fit has no wait. */
 	readonly room?: Resources | undefined;
 };
 
--- a/packages/daemon/src/scheduler/key-check.ts
+++ b/packages/daemon/src/scheduler/key-check.ts
@@ -93,7 +93,7 @@
 
 	private judge(digest: string | undefined): Verdict {
 		const config = this.options.getConfig();
-		const account = config && digest !== undefined ? findAccount(config, digest) : undefined;
+		const account = config && digest !== undefined ? findAccountByDigest(config, digest) : undefined;
 		const maxAgeMs = account === undefined ? this.maxDenialAgeMs : this.maxGrantAgeMs;
 		// A revocation without a time bound accepts a known key at any age.
 		const isTrusted = maxAgeMs === Number.POSITIVE_INFINITY || this.measureAgeMs() < maxAgeMs;
@@ -140,7 +140,7 @@
 }
 
 /** Digests are compared in constant time; the index itself only sees the digest, from which nothing follows about a key. */
-function findAccount(config: FleetConfig, digest: string): AccountName | undefined {
+function findAccountByDigest(config: FleetConfig, digest: string): AccountName | undefined {
 	const presented = Buffer.from(digest);
 	const entry = indexByDigest(config).get(digest);
 	const isEqual = timingSafeEqual(entry?.digest.length === presented.length ? entry.digest : Buffer.alloc(presented.length), presented);
--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -1,5 +1,5 @@
 /** Prometheus counters, gauges and latency histograms of the scheduler host. */
-import type {AccountShare, Calibration} from '@rhubarblever/core/scheduler';
+import type {AccountStatus, Calibration} from '@rhubarblever/core/scheduler';
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
@@ -30,7 +30,7 @@
 	/** Staleness of the view by stream; absent until the stream was first read to its end. */
 	readonly viewAgeSeconds: Gauge<'stream'>;
 	/** Takes use and share by account from `list` whenever the metrics are read. */
-	readonly followAccounts: (list: (most: number) => readonly AccountShare[]) => void;
+	readonly followAccounts: (list: (most: number) => readonly AccountStatus[]) => void;
 };
 
 /** Accounts that metrics show by name, so that their number is bounded. */
@@ -38,7 +38,7 @@
 
 /** Gauges of what each client account has running; empty on hosts that do not lead. */
 function createAccountGauges(registers: Registry[]): SchedulerMetrics['followAccounts'] {
-	let listAccounts: (most: number) => readonly AccountShare[] = () => [];
+	let listAccounts: (most: number) => readonly AccountStatus[] = () => [];
 	const use = new Gauge({
 		name: 'rhubarblever_account_use', help: 'What an account has running: cpu in thousandths of a core, memory in MB, accelerators', labelNames: ['account', 'resource'], registers, collect() {
 			use.reset();
