Wording: censored values, sampling, in-flight appends

Runs in progress enter the distributions as censored values, the term of the Kaplan-Meier estimate; names said growing. Appends without an answer are in flight. Comments that used figures of speech say the mechanism instead. No change of behaviour.

--- a/packages/core/src/scheduler/run-time-record.ts
+++ b/packages/core/src/scheduler/run-time-record.ts
@@ -9,7 +9,7 @@
 import type {LedgerRecord, RunTimesRow} from './types.js';
 import type {SchedulerState} from './state.js';
 
-/** Hosts read the record along: of 256 keys it takes some 60 KB. */
+/** All hosts read the record, which takes some 60 KB with 256 keys. */
 const storeIntervalMs = 5000;
 
 /** The record, if something was learned and the last one is old enough. */
@@ -30,7 +30,7 @@
 	};
 }
 
-/** Replaces what this host has learned by the stored record, if there is one. One that cannot be used costs what was learned, nothing else. */
+/** Replaces what this host has learned by the stored record, if there is one. If it cannot be used, this host keeps what it has learned itself. */
 export function restoreRunTimes(state: SchedulerState): void {
 	const rows = state.storedRunTimes;
 	state.storedRunTimes = undefined;
--- a/packages/core/src/scheduler/run-time-sketch.ts
+++ b/packages/core/src/scheduler/run-time-sketch.ts
@@ -9,18 +9,20 @@
 /** A day in milliseconds. */
 const highestValue = 86_400_000;
 const significantDigits = 1;
-/** Parts into which a value is split when it counts in several buckets; the sum of all stays within the range of a bucket's counter. */
+/** Parts into which a value is split when it counts in several buckets. */
 const maxPartsPerValue = 1000;
+/** Keeps the sum of all parts within the range of a bucket's counter. */
 const maxParts = 1_000_000_000;
 /**
- * A high percentile is read this many runs lower. Among 50 runs of which 3% take 7 times as long, three such runs or more
- * come in one of five samples, and would raise the 95th percentile 4 times.
+ * A high percentile is read this many ranks lower. Where 3% of runs take 7 times as long, one of five samples of 50 runs
+ * has three such runs or more, which would raise its 95th percentile 4 times.
  */
 const rankMargin = 2;
 const medianPercentile = 50;
-const marginFullAt = 95;
+/** The margin grows from none at the median to all of `rankMargin` at this percentile. */
+const fullMarginPercentile = 95;
 
-/** With more, a wide distribution takes over 500 bytes in the ledger. */
+/** Most values that a list of buckets stands for; with more, a wide distribution takes over 500 bytes in the ledger. */
 const maxListed = 400;
 
 /** Mean and percentiles. */
@@ -29,8 +31,8 @@
 export type Sketch = {
 	newer: Buckets;
 	older: Buckets;
-	/** Values that are still growing: how many have reached each bucket. */
-	readonly growing: Map<number, number>;
+	/** Values of which only a lower bound is known: how many have their bound in each bucket. */
+	readonly censored: Map<number, number>;
 };
 
 class Buckets extends int32Module.default {
@@ -40,7 +42,7 @@
 }
 
 export function createSketch(): Sketch {
-	return {newer: Buckets.create(), older: Buckets.create(), growing: new Map()};
+	return {newer: Buckets.create(), older: Buckets.create(), censored: new Map()};
 }
 
 /** Limits a value to the range of the buckets. */
@@ -52,10 +54,10 @@
 	newer.recordValue(convertToRange(value));
 }
 
-/** Adds a value that will be at least as high. */
-export function addGrowingValue({newer, growing}: Sketch, value: number): void {
+/** Adds a value of which only a lower bound is known. */
+export function addCensoredValue({newer, censored}: Sketch, value: number): void {
 	const index = newer.countsArrayIndex(convertToRange(value));
-	growing.set(index, (growing.get(index) ?? 0) + 1);
+	censored.set(index, (censored.get(index) ?? 0) + 1);
 }
 
 /** Drops the older generation; the newer one takes its place. */
@@ -125,9 +127,9 @@
 const scratch = Buckets.create();
 const midValues = Array.from({length: scratch.countsArrayLength}, (_, index) => scratch.medianEquivalentValue(scratch.valueFromIndex(index)));
 
-/** The mean and the percentiles of all values, the growing ones included. */
+/** The mean and the percentiles of all values, including the censored ones. */
 export function computeQuantiles(sketch: Sketch): Quantiles {
-	const total = countValues(sketch) + sumCounts(sketch.growing.values());
+	const total = countValues(sketch) + sumCounts(sketch.censored.values());
 	const partsPerValue = Math.min(maxPartsPerValue, Math.floor(maxParts / Math.max(1, total)));
 	let sum = 0;
 	scratch.reset();
@@ -154,36 +156,36 @@
 }
 
 function readPercentile(percentile: number, total: number): number {
-	const margin = rankMargin * Math.min(1, (percentile - medianPercentile) / (marginFullAt - medianPercentile));
+	const margin = rankMargin * Math.min(1, (percentile - medianPercentile) / (fullMarginPercentile - medianPercentile));
 	const lowered = Math.max(medianPercentile, percentile - (100 * margin / Math.max(1, total)));
 	return scratch.medianEquivalentValue(scratch.getValueAtPercentile(lowered));
 }
 
 /**
- * Kaplan-Meier estimate: a growing value counts as the higher values do, in proportion to their numbers; where none is
- * higher, it counts as it is. Passes how many values fall into each bucket.
+ * Kaplan-Meier estimate: a censored value is spread over the higher buckets in proportion to their values; where none is
+ * higher, it counts in its own bucket. Passes how many values fall into each bucket.
  */
 function mergeValues(sketch: Sketch, total: number, add: (index: number, count: number) => void): void {
-	const {growing} = sketch;
-	const last = Math.max(getLastIndex(sketch), ...growing.keys());
-	const lastEnded = getLastIndex(sketch);
+	const {censored} = sketch;
+	const last = Math.max(getLastIndex(sketch), ...censored.keys());
+	const lastUncensored = getLastIndex(sketch);
 	let atRisk = total;
 	let left = total;
 	for (let index = 0; index <= last; index++) {
-		const ended = countInBucket(sketch, index);
-		if (ended > 0) {
-			const merged = left * ended / atRisk;
+		const uncensored = countInBucket(sketch, index);
+		if (uncensored > 0) {
+			const merged = left * uncensored / atRisk;
 			add(index, merged);
 			left -= merged;
-			atRisk -= ended;
+			atRisk -= uncensored;
 		}
 
-		const grown = growing.get(index) ?? 0;
-		if (grown > 0 && index >= lastEnded) {
-			add(index, left * grown / atRisk);
-			left -= left * grown / atRisk;
+		const censoredHere = censored.get(index) ?? 0;
+		if (censoredHere > 0 && index >= lastUncensored) {
+			add(index, left * censoredHere / atRisk);
+			left -= left * censoredHere / atRisk;
 		}
 
-		atRisk -= grown;
+		atRisk -= censoredHere;
 	}
 }
--- a/packages/core/src/scheduler/run-time-watch.ts
+++ b/packages/core/src/scheduler/run-time-watch.ts
@@ -1,23 +1,23 @@
 /**
- * Looks at the runs in progress: they count as at least as long as they have run, otherwise the long ones would be missing
- * exactly when they matter, and those past the tail of their kind are logged.
+ * Samples the runs in progress: each counts as a censored value, at least as long as it has run, because long runs would
+ * otherwise be missing until they end. Logs runs past the tail of the runs of their key.
  */
 import {noteDecision, noteWarning} from './logging.js';
-import {addGrowingValue, countValues} from './run-time-sketch.js';
+import {addCensoredValue, countValues} from './run-time-sketch.js';
 import {
 	findKeysOfTask, getEstimate, isLearningUsed, listKeys, ratioScale, type LearnedRuns,
 } from './run-times.js';
 import type {SchedulerState, Task} from './state.js';
 
-/** Each look takes time in proportion to the runs in progress. */
+/** Each sampling takes time in proportion to the runs in progress. */
 const checkIntervalMs = 1000;
 const calibrationIntervalMs = 60_000;
-/** The tail of a kind is known after this many runs. */
+/** The tail of a key is known after this many runs. */
 const minRunsOfTail = 50;
 /** A run is past the tail only if it also takes this many times the 95th percentile: with few runs the 99th is not much higher. */
 const tailFactor = 2;
 
-/** Looks at the runs in progress if that is due. */
+/** Samples the runs in progress if that is due. */
 export function tickRunTimes(state: SchedulerState): void {
 	const {runTimes, now} = state;
 	if (now < runTimes.checkDueAt) {
@@ -26,7 +26,7 @@
 
 	runTimes.checkDueAt = now + checkIntervalMs;
 	const keys = [runTimes.fleet, ...listKeys(runTimes)];
-	const changed = new Set(keys.filter(key => clearGrowing(key)));
+	const changed = new Set(keys.filter(key => clearCensored(key)));
 
 	for (const worker of state.workers.values()) {
 		// The runs of a worker that does not answer may have ended.
@@ -38,8 +38,8 @@
 	}
 
 	for (const key of keys) {
-		// Only now: meanwhile each run is compared with its kind.
-		if (changed.has(key) || key.durations.growing.size > 0) {
+		// Not before the loop above, which compares each run with these quantiles.
+		if (changed.has(key) || key.durations.censored.size > 0) {
 			key.quantiles = undefined;
 		}
 	}
@@ -47,17 +47,17 @@
 	reportCalibration(state);
 }
 
-/** A gang ends as one run. */
+/** False for long-running tasks, and for all members of a gang but the first: a gang ends as one run. */
 function isCounted({step: {definition}, index}: Task): boolean {
 	return !definition.isLongRunning && (!definition.isGang || index === 0);
 }
 
 /** Returns whether there were runs in progress. */
-function clearGrowing({durations, ratios}: LearnedRuns): boolean {
-	const hadGrowing = durations.growing.size > 0;
-	durations.growing.clear();
-	ratios.growing.clear();
-	return hadGrowing;
+function clearCensored({durations, ratios}: LearnedRuns): boolean {
+	const hadCensored = durations.censored.size > 0;
+	durations.censored.clear();
+	ratios.censored.clear();
+	return hadCensored;
 }
 
 /** Where the start is not known, `startedAt` is later than it, so the run is at least as long. */
@@ -66,8 +66,8 @@
 	const keys = findKeysOfTask(state, task);
 	const ratio = ranMs * ratioScale / Math.max(1, task.step.definition.estimateMs);
 	for (const key of keys) {
-		addGrowingValue(key.durations, ranMs);
-		addGrowingValue(key.ratios, ratio);
+		addCensoredValue(key.durations, ranMs);
+		addCensoredValue(key.ratios, ratio);
 	}
 
 	if (isLearningUsed(state, 'stragglers') && task.overTailRun !== task.run) {
@@ -75,12 +75,12 @@
 	}
 }
 
-function checkTail(state: SchedulerState, task: Task, narrow: LearnedRuns, ranMs: number): void {
-	if (narrow === state.runTimes.fleet || countValues(narrow.durations) < minRunsOfTail) {
+function checkTail(state: SchedulerState, task: Task, key: LearnedRuns, ranMs: number): void {
+	if (key === state.runTimes.fleet || countValues(key.durations) < minRunsOfTail) {
 		return;
 	}
 
-	const {p95Ms, p99Ms} = getEstimate(narrow, task.step.definition);
+	const {p95Ms, p99Ms} = getEstimate(key, task.step.definition);
 	if (ranMs > Math.max(p99Ms, tailFactor * p95Ms)) {
 		task.overTailRun = task.run;
 		noteWarning(state, 'run-over-tail', {
--- a/packages/core/src/scheduler/testing/overload-run.ts
+++ b/packages/core/src/scheduler/testing/overload-run.ts
@@ -10,12 +10,12 @@
 import {NarrowLeader} from './narrow-leader.js';
 
 const wallStart = 1_800_000_000_000;
-const stepMs = 25;
+const tickMs = 25;
 const workers = 24;
 const hosts = 4;
 const warmUpMs = 1000;
 const burstMs = 4000;
-/** With a twentieth in between, the mean over burst and pause is the given one. */
+/** With this pause and its factor, the mean over a burst and a pause is `meanLoad`. */
 const pauseMs = 16_800;
 const burstFactor = 5;
 const pauseFactor = 0.05;
@@ -28,10 +28,12 @@
 const shortestReadMs = 500;
 const longestReadMs = 1500;
 /** How long another host takes to learn of a refusal. */
-const toldMs = 2500;
+const refusalKnownMs = 2500;
 /** A caller gives up when it is refused after this many returns. */
 const maxReturns = 3;
 const usefulFactor = 3;
+/** Bound of the policy `queue-length`: about as many steps as the pool completes within the objective of a job. */
+const maxWaitingSteps = 40;
 
 /** Accounts enable admission. */
 const config: FleetConfig = {...modelConfig, accounts: []};
@@ -84,9 +86,9 @@
 	run(): OverloadResult {
 		this.leader.run(warmUpMs);
 		const {cycles, meanLoad} = this.options;
-		const coreMs = workers * 8;
+		const cores = workers * 8;
 		const meanJobMs = 2 * tasksPerStep * (1 + twoStepShare) * (shortestRunMs + longestRunMs) / 2;
-		const meanPerMs = meanLoad * coreMs / meanJobMs;
+		const meanPerMs = meanLoad * cores / meanJobMs;
 		for (let cycle = 0; cycle < cycles; cycle++) {
 			this.runPhase(burstMs, meanPerMs * burstFactor);
 			this.runPhase(pauseMs, meanPerMs * pauseFactor);
@@ -113,7 +115,7 @@
 
 	private runPhase(forMs: number, arrivalsPerMs: number): void {
 		for (const end = this.leader.now + forMs; this.leader.now < end;) {
-			this.leader.run(stepMs);
+			this.leader.run(tickMs);
 			this.readLedger();
 			this.countEnded();
 			const due = this.returning.filter(({at}) => at <= this.leader.now);
@@ -122,7 +124,7 @@
 				this.send(caller);
 			}
 
-			const expected = arrivalsPerMs * stepMs;
+			const expected = arrivalsPerMs * tickMs;
 			const arrivals = Math.floor(expected) + (this.draw() < expected % 1 ? 1 : 0);
 			for (let index = 0; index < arrivals; index++) {
 				this.send(this.createCaller());
@@ -175,7 +177,7 @@
 
 		const {now} = this.leader;
 		const host = this.hosts[number]!;
-		const isKnown = caller.refusals > 0 && (caller.refusedBy === number || now - caller.refusedAt >= toldMs);
+		const isKnown = caller.refusals > 0 && (caller.refusedBy === number || now - caller.refusedAt >= refusalKnownMs);
 		const verdict = judgeAdmission(host.state, caller.job, {
 			now, firstSentAt: isKnown ? caller.sentAt : undefined, ledgerAgeMs: now - host.readAt, draw: this.draw,
 		});
@@ -223,9 +225,6 @@
 	}
 }
 
-/** About what the pool does within the objective of a job. */
-const maxWaitingSteps = 40;
-
 function createResult(): KindResult {
 	return {
 		inTime: 0, late: 0, useless: 0, refused: 0, refusedAgain: 0,
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -36,7 +36,7 @@
 	isStartKnown: boolean;
 	/** The run began from a checkpoint. */
 	isResumed: boolean;
-	/** The latest run that was logged as past the tail of its kind; 0 before the first. */
+	/** The latest run that was logged as past the tail of the runs of its key; 0 before the first. */
 	overTailRun: number;
 	/** The latest measurement of the run: tail latency in ms of a serving task, processor use of any other task; 0 if there is none. */
 	reading: number;
@@ -169,7 +169,7 @@
 	pollSentAt: SteadyMs;
 	pollDueAt: SteadyMs;
 	lastAnswerAt: SteadyMs;
-	/** How long before its latest answer it had not reported: the ends in that answer may be as old. */
+	/** How long the worker was silent before its latest answer: the ends in that answer may be as old. */
 	silentMs: number;
 	/** Consecutive polls with another outcome than `held`: unanswered ones and those that were answered with an error. */
 	failedPolls: number;
--- a/packages/daemon/src/scheduler/admission-gate.ts
+++ b/packages/daemon/src/scheduler/admission-gate.ts
@@ -1,4 +1,4 @@
-/** Applies the decisions of admission to callers' jobs: logs and counts them, and makes sure that a refusal is true. */
+/** Applies the decisions of admission to callers' jobs: logs and counts them, and ensures that a refused job is not stored. */
 import type {JobId} from '@rhubarblever/core';
 import {
 	firstSendKeptMs, judgeAdmission, type AdmissionVerdict, type JobDefinition, type SchedulerState, type SteadyMs,
@@ -16,9 +16,9 @@
 const maxUnknownJobs = 2000;
 
 /** How many appends of a job are not answered, and until when the host remembers one whose outcome is unknown. */
-type Appends = {readonly underWay: number; readonly unknownUntil: SteadyMs};
+type Appends = {readonly inFlight: number; readonly unknownUntil: SteadyMs};
 
-const noAppends: Appends = {underWay: 0, unknownUntil: Number.NEGATIVE_INFINITY};
+const noAppends: Appends = {inFlight: 0, unknownUntil: Number.NEGATIVE_INFINITY};
 
 export type AdmissionGateOptions = {
 	readonly state: SchedulerState;
@@ -44,7 +44,7 @@
 
 	private constructor(private readonly options: AdmissionGateOptions) {}
 
-	/** Returns the Retry-After in seconds if the job is refused; the job is then not stored and no append of it is under way here. */
+	/** Returns the Retry-After in seconds if the job is refused; the job is then not stored and no append of it is in flight here. */
 	async findRefusal({job, firstSentAt, arrivedAt, waitMs}: SubmittedJob): Promise<number | undefined> {
 		const {state, log, metrics, intakeCheck} = this.options;
 		const verdict = this.judge(job, firstSentAt);
@@ -54,7 +54,7 @@
 		}
 
 		const isViewComplete = await intakeCheck.isCompleteSince(arrivedAt, Math.min(maxCheckMs, waitMs * checkShare));
-		if (!isViewComplete || state.jobs.has(job.jobId) || this.isMaybeStored(job.jobId)) {
+		if (!isViewComplete || state.jobs.has(job.jobId) || this.isPossiblyStored(job.jobId)) {
 			metrics.admissions.inc({outcome: isViewComplete ? 'repeated' : 'unsure'});
 			return undefined;
 		}
@@ -69,27 +69,27 @@
 
 	/** Notes that an append of the job is about to be sent: from now on it is not refused here. */
 	noteAppend(jobId: JobId): void {
-		const {underWay, unknownUntil} = this.appends.get(jobId) ?? noAppends;
-		this.appends.set(jobId, {underWay: underWay + 1, unknownUntil});
+		const {inFlight, unknownUntil} = this.appends.get(jobId) ?? noAppends;
+		this.appends.set(jobId, {inFlight: inFlight + 1, unknownUntil});
 	}
 
 	/** Notes the outcome of that append. */
 	noteOutcome(jobId: JobId, outcome: 'stored' | 'refused' | 'unknown'): void {
 		const now = readSteadyClock();
 		const known = this.appends.get(jobId) ?? noAppends;
-		const underWay = Math.max(0, known.underWay - 1);
+		const inFlight = Math.max(0, known.inFlight - 1);
 		const unknownUntil = outcome === 'unknown' ? now + firstSendKeptMs : known.unknownUntil;
 		this.appends.delete(jobId);
-		if (underWay > 0 || unknownUntil > now) {
-			this.appends.set(jobId, {underWay, unknownUntil});
+		if (inFlight > 0 || unknownUntil > now) {
+			this.appends.set(jobId, {inFlight, unknownUntil});
 		}
 
 		this.dropOldAppends(now);
 	}
 
 	private dropOldAppends(now: SteadyMs): void {
-		for (const [jobId, {underWay, unknownUntil}] of this.appends) {
-			if (underWay > 0 || (unknownUntil > now && this.appends.size <= maxUnknownJobs)) {
+		for (const [jobId, {inFlight, unknownUntil}] of this.appends) {
+			if (inFlight > 0 || (unknownUntil > now && this.appends.size <= maxUnknownJobs)) {
 				return;
 			}
 
@@ -104,9 +104,9 @@
 		});
 	}
 
-	private isMaybeStored(jobId: JobId): boolean {
-		const {underWay, unknownUntil} = this.appends.get(jobId) ?? noAppends;
-		return underWay > 0 || unknownUntil > readSteadyClock();
+	private isPossiblyStored(jobId: JobId): boolean {
+		const {inFlight, unknownUntil} = this.appends.get(jobId) ?? noAppends;
+		return inFlight > 0 || unknownUntil > readSteadyClock();
 	}
 
 	private count(outcome: AdmissionVerdict['outcome'], firstSentAt: SteadyMs | undefined): void {
--- a/packages/daemon/src/scheduler/intake-check.ts
+++ b/packages/daemon/src/scheduler/intake-check.ts
@@ -1,4 +1,4 @@
-/** Makes sure, before a job is refused, that no host has accepted it: the intake is read to its end by a request that is younger than the caller's. */
+/** Makes sure, before a job is refused, that no host has accepted it: the intake is read to its end by a request that is sent after the caller's arrived. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {SteadyMs} from '@rhubarblever/core/scheduler';
 import {readSteadyClock} from './clocks.js';
@@ -25,9 +25,9 @@
 
 	/** Resolves to true once all jobs stored before `since` have been read; to false if that takes longer than `limitMs`. */
 	async isCompleteSince(since: SteadyMs, limitMs: number): Promise<boolean> {
-		const giveUpAt = readSteadyClock() + limitMs;
+		const deadline = readSteadyClock() + limitMs;
 		while (this.options.getCompleteAt() < since) {
-			if (readSteadyClock() >= giveUpAt) {
+			if (readSteadyClock() >= deadline) {
 				return false;
 			}
 
--- a/packages/daemon/src/scheduler/job-api.ts
+++ b/packages/daemon/src/scheduler/job-api.ts
@@ -130,7 +130,7 @@
 		}
 
 		if (state.jobs.has(job.jobId)) {
-			// Another host has accepted it, as the read before a refusal has shown.
+			// The read of the intake before a refusal has shown that another host accepted it.
 			return 'accepted';
 		}
 
--- a/packages/daemon/src/scheduler/record-schemas.ts
+++ b/packages/daemon/src/scheduler/record-schemas.ts
@@ -64,10 +64,10 @@
 
 export const progressSchema = z.tuple([z.enum(['queued', 'running', 'completed', 'failed']), z.array(count), z.number(), z.array(row)]);
 
-/** Number of the form of the record of run times; it changes with the limits of their buckets. */
+/** Version of the format of the record of run times; it changes with the limits of the buckets. */
 export const runTimesFormat = 1;
 
-/** Numbers of runs beyond this do not occur. */
+/** Higher numbers of runs are not valid. */
 const maxRuns = 1_000_000_000;
 const buckets = z.array(count.max(maxRuns));
 
--- a/packages/daemon/src/scheduler/refusal-memory.ts
+++ b/packages/daemon/src/scheduler/refusal-memory.ts
@@ -1,6 +1,6 @@
 /**
- * Remembers the jobs that this host refused and when their callers first sent them, and tells the other hosts: callers
- * usually return to another host, where their jobs would look new.
+ * Records which jobs this host refused and when their callers first sent them, and publishes that to the other hosts:
+ * callers usually return to another host, where their jobs would count as new.
  */
 import type {Instant, JobId} from '@rhubarblever/core';
 import {
@@ -10,13 +10,13 @@
 import type {DecisionLog} from './decision-log.js';
 import type {IntakeWriter} from './intake-writer.js';
 
-/** Least time between two records of one host, so that many refusals are told in one. */
+/** Least time between two records of one host, so that one record holds many refusals. */
 const recordIntervalMs = 2000;
 /**
- * A record repeats the refusals of this time before the one before it: the store keeps the newest record of each key, so
+ * A record repeats the refusals of this time before the previous record: the store keeps the newest record of each key, so
  * a host that reads late may miss a record in between.
  */
-const repeatedMs = 4000;
+const overlapMs = 4000;
 const writeMs = 1000;
 /** Pause after a record that was not stored. */
 const retryMs = 250;
@@ -25,7 +25,7 @@
 
 export type RefusalMemoryOptions = {
 	readonly writer: Pick<IntakeWriter, 'write' | 'isStoreUnresponsive'>;
-	/** Names this process; its record's key. */
+	/** Name of this process, and key of its record. */
 	readonly holder: string;
 	readonly log: DecisionLog;
 	/** Called once a record is stored. */
@@ -40,7 +40,7 @@
 	private readonly sends: FirstSends = new Map();
 	/** When the latest stored record was composed. */
 	private storedAt: SteadyMs = Number.NEGATIVE_INFINITY;
-	private hasNews = false;
+	private hasUnstored = false;
 	private nextWriteAt: SteadyMs = Number.NEGATIVE_INFINITY;
 
 	private constructor(private readonly options: RefusalMemoryOptions) {}
@@ -48,7 +48,7 @@
 	/** Notes a refused job, whose caller first sent it at `sentAt` at the latest. */
 	note(jobId: JobId, sentAt: SteadyMs): void {
 		const now = readSteadyClock();
-		this.hasNews ||= findFirstSend(this.sends, jobId, now) === undefined;
+		this.hasUnstored ||= findFirstSend(this.sends, jobId, now) === undefined;
 		noteFirstSend(this.sends, jobId, {sentAt, now, maxSize: maxRefusedJobs});
 	}
 
@@ -65,8 +65,8 @@
 	/** Stores the latest refusals, if there are any, once the store answers. */
 	tick(): void {
 		const now = readSteadyClock();
-		if (this.hasNews && now >= this.nextWriteAt && !this.options.writer.isStoreUnresponsive()) {
-			this.hasNews = false;
+		if (this.hasUnstored && now >= this.nextWriteAt && !this.options.writer.isStoreUnresponsive()) {
+			this.hasUnstored = false;
 			this.nextWriteAt = now + recordIntervalMs;
 			void this.write(now);
 		}
@@ -76,7 +76,7 @@
 		const {writer, holder, log, handleStored} = this.options;
 		const wallLeadMs = readWallClock() - now;
 		const jobs = [...this.sends]
-			.filter(([, {forgetAt}]) => forgetAt > now && forgetAt - firstSendKeptMs > this.storedAt - repeatedMs)
+			.filter(([, {forgetAt}]) => forgetAt > now && forgetAt - firstSendKeptMs > this.storedAt - overlapMs)
 			.map(([jobId, {sentAt}]) => ({jobId, sentAt: Math.round(sentAt + wallLeadMs) as Instant}));
 		if (jobs.length === 0) {
 			return;
@@ -88,7 +88,7 @@
 			handleStored(record);
 			log.note('refusals-stored', {jobs: jobs.length});
 		} else {
-			this.hasNews = true;
+			this.hasUnstored = true;
 			this.nextWriteAt = readSteadyClock() + retryMs;
 		}
 	}
