The restoring of a job's tasks has a module of its own

jobs.ts held both the life of a job and what a new leader restores of it from stored progress; job-restore.ts has the latter. Code moved, no change of behaviour.

--- /dev/null
+++ b/packages/core/src/scheduler/job-restore.ts
@@ -0,0 +1,69 @@
+/** Restores the tasks of a job from its stored progress, when a host takes the leadership. */
+import {getOccurrence} from './occurrences.js';
+import {ensureWorker} from './registry.js';
+import {attachTask} from './tasks.js';
+import {never} from './timing.js';
+import type {JobProgress, ProgressRow} from './types.js';
+import type {
+	Job, LiveJob, SchedulerState, Task,
+} from './state.js';
+
+/** True if the stored progress has runs that may go on. */
+export function hasAssignedTasks(progress: JobProgress | undefined): boolean {
+	return progress?.rows.some(({status}) => status === 'placed') ?? false;
+}
+
+/** The runs of a cancelled or failed job may go on: they count for their account until they have certainly ended, and are stopped with the next clock event. */
+export function stopRestored(live: LiveJob): void {
+	for (const task of [...live.occurrences.values()].flatMap(({steps}) => steps).flatMap(({tasks}) => tasks)) {
+		if (task.status === 'placed') {
+			task.status = 'stopping';
+			task.conclusiveAfter = never;
+			task.stopDueAt = 0;
+		}
+	}
+}
+
+/** Restores every occurrence that has begun, even if it is not due by this host's clock: the former leader's clock may have been ahead. */
+export function restoreRows(state: SchedulerState, job: Job, live: LiveJob, progress: JobProgress | undefined): void {
+	for (const row of progress?.rows ?? []) {
+		if (live.finishedOccurrences.has(row.occurrence)) {
+			continue;
+		}
+
+		const task = getOccurrence(state, job, live, row.occurrence).steps[row.step]?.tasks[row.index];
+		if (task) {
+			restoreTask(state, task, row);
+		}
+	}
+}
+
+/** Restores the stored evidence about a task. */
+function restoreCrashes(state: SchedulerState, task: Task, crashes: ProgressRow['crashes'] = []): void {
+	task.crashes = crashes;
+	if (crashes.length > 0) {
+		state.suspects.add(task);
+	}
+}
+
+/** Restores one task. A stored start may not have reached its worker; the worker's next answer shows whether the run exists. */
+function restoreTask(state: SchedulerState, task: Task, row: ProgressRow): void {
+	task.run = row.run;
+	task.failures = row.failures;
+	task.checkpoint = row.checkpoint;
+	restoreCrashes(state, task, row.crashes);
+	if (row.status === 'done') {
+		task.status = 'done';
+		task.step.doneCount++;
+	} else if (row.status === 'placed') {
+		task.status = 'placed';
+		task.isSent = true;
+		// When the run began is not known: it may have been just now.
+		task.startedAt = state.now;
+		task.isStartKnown = false;
+		task.isResumed = row.checkpoint !== '';
+		// No poll of this leadership term was sent before this instant, so any poll of this term shows whether the run exists.
+		task.conclusiveAfter = state.leadership.leaderSince;
+		attachTask(state, ensureWorker(state, row.workerId, row.workerBornAt), task);
+	}
+}
--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -5,21 +5,16 @@
 import {applyRefusals, computeSentAt} from './first-sends.js';
 import {noteArrival} from './load-view.js';
 import {noteDecision} from './logging.js';
+import {hasAssignedTasks, restoreRows, stopRestored} from './job-restore.js';
 import {isFinal} from './phases.js';
 import {getOccurrence} from './occurrences.js';
 import {hasQuotaForWork} from './quotas.js';
-import {ensureWorker} from './registry.js';
 import {dropJob, isShortened} from './retention.js';
 import {takeArrival} from './shares.js';
-import {
-	attachTask, detachTask, requestStop, updateOpenStep,
-} from './tasks.js';
-import {never} from './timing.js';
+import {detachTask, requestStop, updateOpenStep} from './tasks.js';
+import type {IntakeRecord, JobDefinition} from './types.js';
 import type {
-	IntakeRecord, JobDefinition, JobProgress, ProgressRow,
-} from './types.js';
-import type {
-	Job, LiveJob, Occurrence, SchedulerState, Task,
+	Job, LiveJob, Occurrence, SchedulerState,
 } from './state.js';
 
 /** Adds an accepted job. Later records with the same id are ignored, but for the shortened definition of a job that has ended. */
@@ -151,21 +146,6 @@
 	}
 }
 
-function hasAssignedTasks(progress: JobProgress | undefined): boolean {
-	return progress?.rows.some(({status}) => status === 'placed') ?? false;
-}
-
-/** The runs of a cancelled or failed job may go on: they count for their account until they have certainly ended, and are stopped with the next clock event. */
-function stopRestored(live: LiveJob): void {
-	for (const task of [...live.occurrences.values()].flatMap(({steps}) => steps).flatMap(({tasks}) => tasks)) {
-		if (task.status === 'placed') {
-			task.status = 'stopping';
-			task.conclusiveAfter = never;
-			task.stopDueAt = 0;
-		}
-	}
-}
-
 /** Opens the occurrences of a job that are due. */
 export function openDueOccurrences(state: SchedulerState, job: Job): void {
 	const {live, definition} = job;
@@ -194,50 +174,6 @@
 	return definition.runCount === 0 || state.wallNow >= definition.firstRunAt + (occurrence * definition.intervalMs);
 }
 
-/** Restores every occurrence that has begun, even if it is not due by this host's clock: the former leader's clock may have been ahead. */
-function restoreRows(state: SchedulerState, job: Job, live: LiveJob, progress: JobProgress | undefined): void {
-	for (const row of progress?.rows ?? []) {
-		if (live.finishedOccurrences.has(row.occurrence)) {
-			continue;
-		}
-
-		const task = getOccurrence(state, job, live, row.occurrence).steps[row.step]?.tasks[row.index];
-		if (task) {
-			restoreTask(state, task, row);
-		}
-	}
-}
-
-/** Restores the stored evidence about a task. */
-function restoreCrashes(state: SchedulerState, task: Task, crashes: ProgressRow['crashes'] = []): void {
-	task.crashes = crashes;
-	if (crashes.length > 0) {
-		state.suspects.add(task);
-	}
-}
-
-/** Restores one task. A stored start may not have reached its worker; the worker's next answer shows whether the run exists. */
-function restoreTask(state: SchedulerState, task: Task, row: ProgressRow): void {
-	task.run = row.run;
-	task.failures = row.failures;
-	task.checkpoint = row.checkpoint;
-	restoreCrashes(state, task, row.crashes);
-	if (row.status === 'done') {
-		task.status = 'done';
-		task.step.doneCount++;
-	} else if (row.status === 'placed') {
-		task.status = 'placed';
-		task.isSent = true;
-		// When the run began is not known: it may have been just now.
-		task.startedAt = state.now;
-		task.isStartKnown = false;
-		task.isResumed = row.checkpoint !== '';
-		// No poll of this leadership term was sent before this instant, so any poll of this term shows whether the run exists.
-		task.conclusiveAfter = state.leadership.leaderSince;
-		attachTask(state, ensureWorker(state, row.workerId, row.workerBornAt), task);
-	}
-}
-
 /** Called after a task is done: opens the steps that depend on it, and completes the occurrence and the job when all steps are done. */
 export function advanceOccurrence(state: SchedulerState, occurrence: Occurrence): void {
 	for (const step of occurrence.steps) {
