--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -6,8 +6,9 @@
 import {handlePoll, hasReadStartedJobs, tickPolls} from './polls.js';
 import {applyIntake, dropLiveJobIfEnded, openDueOccurrences} from './jobs.js';
 import {
-	handleClaim, loadLedger, noteConfigured, readLedger, releaseLeadership, stopLeading, tickClaim, tickLeadership,
+	handleClaim, noteConfigured, releaseLeadership, stopLeading, tickClaim, tickLeadership,
 } from './leadership.js';
+import {loadLedger, readLedger} from './ledger-records.js';
 import {tickLoad} from './load-view.js';
 import {describeError, noteDecision, noteWarning} from './logging.js';
 import {handleOrderOutcome, tickOrders} from './machine-orders.js';
