--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -5,7 +5,7 @@
 export {
 	createSchedulerState, type SchedulerState, type SchedulerSettings, type Job, type LearningUse,
 } from './state.js';
-export type {Calibration} from './run-times.js';
+export type {Calibration} from './run-time-keys.js';
 export {reduceScheduler} from './reduce.js';
 export {describeError} from './logging.js';
 export {findAccount, findQueue} from './queues.js';
--- a/packages/core/src/scheduler/run-time-record.ts
+++ b/packages/core/src/scheduler/run-time-record.ts
@@ -1,11 +1,9 @@
 /** The ledger record of learned run times, by which a new leader starts with what the former one knew. */
 import {describeError, noteWarning} from './logging.js';
-import {
-	addOlderValues, countValues, listBuckets,
-} from './run-time-sketch.js';
 import {
 	createRunTimes, ensureKey, listKeys, type LearnedRuns, type RunTimes,
-} from './run-times.js';
+} from './run-time-keys.js';
+import {addOlderValues, countValues, listBuckets} from './run-time-sketch.js';
 import type {LedgerRecord, RunTimesRow} from './types.js';
 import type {SchedulerState} from './state.js';
 
--- a/packages/core/src/scheduler/run-time-takeover.test.ts
+++ b/packages/core/src/scheduler/run-time-takeover.test.ts
@@ -213,8 +213,8 @@
 	});
 });
 
-describe('runs past the tail of their kind', () => {
-	/** Guards against runs that hang unnoticed, and against a line for each look at them. */
+describe('runs past the tail of their key', () => {
+	/** Guards against runs that hang unnoticed, and against a log line for each sampling of them. */
 	it('are logged once each', () => {
 		const host = createHost();
 		learnRuns(host, 60);
--- a/packages/core/src/scheduler/run-time-watch.ts
+++ b/packages/core/src/scheduler/run-time-watch.ts
@@ -3,10 +3,11 @@
  * otherwise be missing until they end. Logs runs past the tail of the runs of their key.
  */
 import {noteDecision, noteWarning} from './logging.js';
-import {addCensoredValue, countValues} from './run-time-sketch.js';
 import {
-	findKeysOfTask, getEstimate, isLearningUsed, listKeys, ratioScale, type LearnedRuns,
-} from './run-times.js';
+	findKeysOfTask, listKeys, ratioScale, type LearnedRuns,
+} from './run-time-keys.js';
+import {addCensoredValue, countValues} from './run-time-sketch.js';
+import {getEstimate, isLearningUsed} from './run-times.js';
 import type {SchedulerState, Task} from './state.js';
 
 /** Each sampling takes time in proportion to the runs in progress. */
--- a/packages/core/src/scheduler/run-times.test.ts
+++ b/packages/core/src/scheduler/run-times.test.ts
@@ -4,9 +4,8 @@
 import {expect} from 'earl';
 import {addArrivedWork, addWaitingWork, getDemand} from './demand.js';
 import {activateJob, addJob} from './jobs.js';
-import {
-	estimateMeanMs, estimateRun, maxKeys, noteRunEnd, listKeys,
-} from './run-times.js';
+import {maxKeys, listKeys} from './run-time-keys.js';
+import {estimateMeanMs, estimateRun, noteRunEnd} from './run-times.js';
 import {tickRunTimes} from './run-time-watch.js';
 import {createSchedulerState, type SchedulerState, type Task} from './state.js';
 import {placeTask} from './tasks.js';
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -3,7 +3,7 @@
 import type {Instant} from '../types/time.js';
 import {createAccountUse, type AccountUse} from './account-use.js';
 import {createCallWindow, type CallWindow} from './call-window.js';
-import {createRunTimes, type RunTimes} from './run-times.js';
+import {createRunTimes, type RunTimes} from './run-time-keys.js';
 import type {OrderNumber, SchedulerEffect} from './effects.js';
 import type {FirstSends} from './first-sends.js';
 import type {ArrivalBucket} from './shares.js';
