--- a/packages/core/src/scheduler/expected-wait.test.ts
+++ b/packages/core/src/scheduler/expected-wait.test.ts
@@ -1,4 +1,4 @@
-/** What the leader tells the hosts about waits: from its own state, only when it matters, and not before it knows its workers. */
+/** The expected waits that the leader computes from its state, and when it publishes them. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {
@@ -122,7 +122,7 @@
 
 describe('the published figures', () => {
 	/** Guards against: a leader of a third of a core writes a record for each job, or hosts keep refusing when all waits are over. */
-	it('are stored when they differ from what the hosts believe, at most each 250 ms, and once more when all waits are over', () => {
+	it('are stored when they differ from what the hosts assume, at most each 250 ms, and once more when all waits are over', () => {
 		const host = createLeader();
 		submitJobs(host, 1, 20);
 		host.tick(100);
--- a/packages/core/src/scheduler/shares.ts
+++ b/packages/core/src/scheduler/shares.ts
@@ -25,8 +25,8 @@
 }
 
 /**
- * True if a job that has just been read exceeds the rate of its account. Jobs that a starting host loads arrived at
- * unknown times and are not marked.
+ * Takes a token of its account for a job that has just been read. Returns true if there is none: the job exceeds the
+ * account's rate. Jobs that a starting host loads arrived at unknown times and are never excess.
  */
 export function takeArrival(state: SchedulerState, {account: name}: JobDefinition): boolean {
 	const account = name === undefined ? undefined : findAccount(state.config, name);
--- a/packages/daemon/src/scheduler/intake-writer.test.ts
+++ b/packages/daemon/src/scheduler/intake-writer.test.ts
@@ -91,7 +91,7 @@
 
 		expect(await writer.write(createCancel(2), deadline)).toEqual('refused');
 		expect(store.sizes.filter(size => size > 0)).toEqual([1]);
-		// The length of the outage, by which callers are told when to return.
+		// The length of the outage, from which the Retry-After of callers follows.
 		expect(writer.getOutageMs() > 600).toEqual(true);
 		store.answers[0]!({type: 'appended', offset: 0});
 		expect(await sent).toEqual('stored');
--- a/packages/daemon/src/scheduler/job-api.ts
+++ b/packages/daemon/src/scheduler/job-api.ts
@@ -115,7 +115,7 @@
 			return 'accepted';
 		}
 
-		if (await this.hasExcess(job)) {
+		if (await this.isLargerThanQuota(job)) {
 			return 'exceeds-quota';
 		}
 
@@ -221,7 +221,7 @@
 	}
 
 	/** True if a job can never run under its account's quota. Another host may have accepted it under an earlier quota, so the latest jobs are read first. */
-	private async hasExcess(job: JobDefinition): Promise<boolean> {
+	private async isLargerThanQuota(job: JobDefinition): Promise<boolean> {
 		const {state, refreshIntake, log} = this.options;
 		const reason = describeQuotaExcess(state.config, job);
 		if (reason === undefined) {
--- a/packages/daemon/src/scheduler/record-schemas.ts
+++ b/packages/daemon/src/scheduler/record-schemas.ts
@@ -1,4 +1,5 @@
 /** What a record of the store must hold to be used. Fields that a newer version has added are kept. */
+import {maxRefusedJobs} from '@rhubarblever/core/scheduler';
 import {z} from 'zod';
 
 const amount = z.number().nonnegative();
@@ -23,10 +24,8 @@
 	sentAt: z.number().optional(),
 });
 
-/** Bounded, so that no record makes a host remember more than it should. */
-const maxRefusals = 2000;
-
-export const refusalsSchema = z.tuple([z.number(), z.array(z.string().min(1)).max(maxRefusals), z.array(amount).max(maxRefusals)]);
+/** Holds at most as many jobs as one host writes in a record. */
+export const refusalsSchema = z.tuple([z.number(), z.array(z.string().min(1)).max(maxRefusedJobs), z.array(amount).max(maxRefusedJobs)]);
 
 export const leaseSchema = z.looseObject({holder: z.string(), token: count, isReleased: z.boolean()});
 
