Merge: a newcomer's read of the diff

Cause: a reader who had not seen the work stumbled over names, comments and large modules. Change: names and comments, leadership, run times and jobs in smaller files, glossary; no behaviour. Measured: tests of core/scheduler, daemon/scheduler and platform pass but slow-answers.

--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -5,12 +5,12 @@
 export {
 	createSchedulerState, type SchedulerState, type SchedulerSettings, type Job, type LearningUse,
 } from './state.js';
-export type {Calibration} from './run-times.js';
+export type {Calibration} from './run-time-keys.js';
 export {reduceScheduler} from './reduce.js';
 export {describeError} from './logging.js';
 export {findAccount, findQueue} from './queues.js';
 export {describeQuotaExcess} from './quotas.js';
-export {listAccountShares, type AccountShare} from './shares.js';
+export {listAccountShares, type AccountStatus} from './shares.js';
 export {getShownPhase, isFinal} from './phases.js';
 export {
 	findFirstSend, firstSendKeptMs, maxRefusedJobs, noteFirstSend, type FirstSends,
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -3,7 +3,7 @@
 import type {Instant} from '../types/time.js';
 import {createAccountUse, type AccountUse} from './account-use.js';
 import {createCallWindow, type CallWindow} from './call-window.js';
-import {createRunTimes, type RunTimes} from './run-times.js';
+import {createRunTimes, type RunTimes} from './run-time-keys.js';
 import type {OrderNumber, SchedulerEffect} from './effects.js';
 import type {FirstSends} from './first-sends.js';
 import type {ArrivalBucket} from './shares.js';
@@ -158,7 +158,7 @@
 	runTimes: RunTimes;
 	/** The latest record of run times in the ledger, until this host leads. */
 	storedRunTimes: readonly RunTimesRow[] | undefined;
-	/** How long jobs wait, as the leader has told. */
+	/** Expected waits as the leader has published them. */
 	readonly load: LoadState;
 	needsPlacement: boolean;
 	/** Tasks of open jobs that losses of workers may be blamed on. */
