--- a/packages/core/src/scheduler/testing/model-checks.ts
+++ b/packages/core/src/scheduler/testing/model-checks.ts
@@ -9,7 +9,7 @@
 import type {ModelTime} from './model-time.js';
 import type {ModelWorker} from './model-worker.js';
 
-/** The share of a cap that may be in use, as `bounds.quota-overage` grants it by default. */
+/** The share of a cap that may be in use, as the platform grants it. */
 const quotaOverage = 1.1;
 
 export type ModelChecksOptions = {readonly time: ModelTime; readonly store: ModelStore; readonly hosts: readonly ModelHost[]; readonly workers: readonly ModelWorker[]};
