--- a/packages/core/src/scheduler/urgency.ts
+++ b/packages/core/src/scheduler/urgency.ts
@@ -31,6 +31,7 @@
 	readonly hasSlack: boolean;
 	/** The job has started. */
 	readonly hasStarted: boolean;
+	/** When the caller first sent the job. */
 	readonly acceptedAt: number;
 };
 
@@ -61,7 +62,7 @@
 		step,
 		isExcess: job.isExcess,
 		priority: queue?.priority ?? lowestPriority,
-		// Without client accounts, jobs without slack count as late.
+		// Fleets without client accounts keep their former order, in which jobs without slack count as late.
 		isObjectiveUnreachable: leftMs < (hasAccounts(state) || hasStarted ? 0 : requiredSlackMs),
 		hasSlack: hasStarted || leftMs >= requiredSlackMs,
 		hasStarted,
