Logs: whose lease a lapse waited for, and what the machine list says of the worker

lease-lapsed did not tell a lease of this leader from one that an earlier leader may have granted, nor whether the platform still lists the worker. machine-changed tells when the list shows a machine in another state or with another worker.

--- a/packages/core/src/scheduler/machines.ts
+++ b/packages/core/src/scheduler/machines.ts
@@ -125,6 +125,7 @@
 		return;
 	}
 
+	noteRowChange(state, machine, entry, requestedAt);
 	machine.entry = entry;
 	machine.absentSince = undefined;
 	if (entry.state === 'up' && entry.workerId !== undefined) {
@@ -137,6 +138,14 @@
 	}
 }
 
+function noteRowChange(state: SchedulerState, {entry: former}: Machine, entry: MachineEntry, requestedAt: SteadyMs): void {
+	if (entry.state !== former.state || entry.workerId !== former.workerId) {
+		noteDecision(state, 'machine-changed', {
+			machineId: entry.id, state: entry.state, formerState: former.state, workerId: entry.workerId, formerWorkerId: former.workerId, askedAgoMs: Math.round(state.now - requestedAt),
+		});
+	}
+}
+
 /** True if a list requested at some instant reflects the outcome of a machine's latest order. */
 function isListCurrent({order, orderEndedAt}: Machine, requestedAt: SteadyMs): boolean {
 	return (order === undefined || order.isReserving || order.confirmedAt !== undefined) && requestedAt > orderEndedAt;
--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -2,6 +2,7 @@
 import {isConfirmedWithin} from './confirmation.js';
 import {noteWorkerLost} from './crashes.js';
 import {addEffect, noteDecision, noteWarning} from './logging.js';
+import {describeMachineOf} from './machine-evidence.js';
 import {isFinal} from './phases.js';
 import {clearWorker, dropIncarnation, restartWorker} from './registry.js';
 import {readEnds, readRunning, skipSilence} from './reports.js';
@@ -152,7 +153,11 @@
 	}
 
 	noteWarning(state, 'lease-lapsed', {
-		workerId: worker.id, tasks: worker.tasks.size, silentMs: Math.round(state.now - worker.lastAnswerAt),
+		workerId: worker.id,
+		tasks: worker.tasks.size,
+		silentMs: Math.round(state.now - worker.lastAnswerAt),
+		grantedBy: worker.leaseExpiresAt > worker.earlierLeaseUntil ? 'this-leader' : 'earlier-leader',
+		...describeMachineOf(state, worker),
 	});
 	noteWorkerLost(state, worker, false);
 	clearWorker(state, worker);
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -40,6 +40,7 @@
 		isPolledByLeader: false,
 		clock: undefined,
 		leaseExpiresAt: state.now + earlierLeaderLeaseMs,
+		earlierLeaseUntil: state.now + earlierLeaderLeaseMs,
 		leaseUntilMs: 0,
 		lastReadEnd: 0,
 		lastStoredEnd: 0,
--- a/packages/core/src/scheduler/takeover-leases.known-red.test.ts
+++ b/packages/core/src/scheduler/takeover-leases.known-red.test.ts
@@ -2,10 +2,9 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {
-	createConfig, createProgress, createRow, createWorker, HandDrivenHost, listStarts,
+	createConfig, createProgress, createRow, createWorker, HandDrivenHost, listStarts, type EventBody,
 } from './testing/hand-driven.js';
 import {createJob, createStep} from './testing/model-jobs.js';
-import type {EventBody} from './testing/hand-driven.js';
 
 /** A long-running task must run again within this time of the end of its run: 6 s, and the 3 s for which its absence is tolerated. */
 const restartLimitMs = 9000;
