Run times in the ledger stay packed until a host takes the lead

Cause: every host unpacked and checked each record of run times (every 5 s), though only the next leader uses it. Change: as with progress, the rows are decoded when they are first asked for. A record that cannot be used is now reported by the host that takes the lead (run-times-not-restored) rather than by every host (record-unusable). The log line has no number of rows any more, as they may not be readable. Ruled out: a cheaper check of the numbers, which leaves the unpacking.

--- a/packages/core/src/scheduler/ledger-records.ts
+++ b/packages/core/src/scheduler/ledger-records.ts
@@ -94,8 +94,9 @@
 			addEffect(state, {type: 'config/restored', config});
 		}
 	},
-	'run-times'(state, {rows}) {
-		state.storedRunTimes = rows;
+	'run-times'(state, record) {
+		// Its rows are not read here: they may be decoded only when they are asked for.
+		state.storedRunTimes = record;
 	},
 	load(state, {load}) {
 		applyLoad(state, load);
--- a/packages/core/src/scheduler/run-time-record.ts
+++ b/packages/core/src/scheduler/run-time-record.ts
@@ -7,7 +7,7 @@
 import type {LedgerRecord, RunTimesRow} from './types.js';
 import type {SchedulerState} from './state.js';
 
-/** All hosts read the record, which takes some 60 KB with 256 keys. */
+/** All hosts read the record along, packed; it takes some 60 KB with 256 keys. */
 const storeIntervalMs = 5000;
 
 /** The record, if something was learned and the last one is old enough. */
@@ -30,21 +30,21 @@
 
 /** Replaces what this host has learned by the stored record, if there is one. If it cannot be used, this host keeps what it has learned itself. */
 export function restoreRunTimes(state: SchedulerState): void {
-	const rows = state.storedRunTimes;
+	const record = state.storedRunTimes;
 	state.storedRunTimes = undefined;
-	if (!rows) {
+	if (!record) {
 		return;
 	}
 
 	const restored = createRunTimes();
 	try {
-		for (const row of rows) {
+		for (const row of record.rows) {
 			restoreRow(restored, row, state.now);
 		}
 
 		state.runTimes = {...restored, calibration: state.runTimes.calibration, calibratedRuns: state.runTimes.calibratedRuns};
 	} catch (error) {
-		noteWarning(state, 'run-times-not-restored', {rows: rows.length, reason: describeError(error)});
+		noteWarning(state, 'run-times-not-restored', {reason: describeError(error)});
 	}
 }
 
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -10,7 +10,7 @@
 import {createLoadState, type LoadState} from './load-view.js';
 import type {Machine, Wave, PoolDemand} from './machine-state.js';
 import type {
-	AccountName, FencingToken, FleetConfig, JobProgress, LedgerRecord, MachineId, PoolName, RunTimesRow, SteadyMs, WaveNumber, WaveProgress, WorkerId,
+	AccountName, FencingToken, FleetConfig, JobProgress, LedgerRecord, MachineId, PoolName, RunTimesRecord, SteadyMs, WaveNumber, WaveProgress, WorkerId,
 } from './types.js';
 import type {
 	Task, StepRun, AdviceRequest, Job, Worker, WorkerLoss,
@@ -157,7 +157,7 @@
 	readonly demand: Map<PoolName, PoolDemand>;
 	runTimes: RunTimes;
 	/** The latest record of run times in the ledger, until this host leads. */
-	storedRunTimes: readonly RunTimesRow[] | undefined;
+	storedRunTimes: RunTimesRecord | undefined;
 	/** Expected waits as the leader has published them. */
 	readonly load: LoadState;
 	needsPlacement: boolean;
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -257,6 +257,9 @@
 	readonly ratios: readonly number[];
 };
 
+/** What the leader has learned of run times, under all keys. */
+export type RunTimesRecord = {readonly type: 'run-times'; readonly rows: readonly RunTimesRow[]};
+
 /** A change that any entry host may write: submitted jobs, cancel requests, refusals, and their removal. */
 export type IntakeRecord
 	= | {readonly type: 'job'; readonly job: JobDefinition}
@@ -303,5 +306,5 @@
 	/** Machines with recent or open orders; stored before an order is sent. */
 		| {readonly type: 'orders'; readonly machineIds: readonly MachineId[]}
 		| {readonly type: 'config'; readonly config: FleetConfig}
-		| {readonly type: 'run-times'; readonly rows: readonly RunTimesRow[]}
+		| RunTimesRecord
 		| {readonly type: 'load'; readonly load: LoadFigures};
--- a/packages/daemon/src/scheduler/codec.ts
+++ b/packages/daemon/src/scheduler/codec.ts
@@ -110,7 +110,7 @@
 	waves: (_id, value) => value && {type: 'waves', waves: readValue<WaveProgress[]>(value, wavesSchema)},
 	orders: (_id, value) => value && {type: 'orders', machineIds: readValue<MachineId[]>(value, machineIdsSchema)},
 	config: (_id, value) => value && {type: 'config', config: readValue<FleetConfig>(value, configSchema)},
-	'run-times': (_id, value) => value && {type: 'run-times', rows: readValue<PackedRunTimes>(value, runTimesSchema)[1].map(row => decodeRunTimesRow(row))},
+	'run-times': (_id, value) => value && readRunTimes(value),
 	load: (_id, value) => value && {type: 'load', load: readValue<LoadFigures>(value, loadSchema)},
 };
 
@@ -148,6 +148,18 @@
 	};
 }
 
+/** The rows are decoded when they are first asked for, and throw an error then if the record cannot be used: only a host that takes the lead needs them. */
+function readRunTimes(value: Uint8Array): LedgerRecord {
+	let decoded: RunTimesRow[] | undefined;
+	return {
+		type: 'run-times',
+		get rows() {
+			decoded ??= readValue<PackedRunTimes>(value, runTimesSchema)[1].map(row => decodeRunTimesRow(row));
+			return decoded;
+		},
+	};
+}
+
 function decodeProgress(value: Uint8Array): JobProgress {
 	const [phase, finishedOccurrences, finishedAt, rows] = readValue<PackedProgress>(value, progressSchema);
 	return {
