Let a weak leader that cannot keep up hand over to a stronger host

Cause: the change of the leader goes by silence, and a weak host (0.324 cores, 10 Mbit/s) that leads is never silent: it keeps its leases and its records going while it starts a twentieth of what is asked.

Change: a leader with a capacity shortfall whose calls have been held back at the least bound for 1.5 s ends its term with a release that tells its shortfall. Stronger hosts claim at once, others 0.6 s later, so that someone leads if there is no stronger host. A leader that is not stronger than the one that handed over keeps the lead for 30 s: no going round in circles. Hosts with ample capacity never hand over.

handover.test: before the change 'hands over if it is weak' got no release, and an equal host claimed after 400 ms (at least 750). The other tests of packages/core/src/scheduler pass but for slow-answers (known red).

--- a/packages/core/src/scheduler/call-window.ts
+++ b/packages/core/src/scheduler/call-window.ts
@@ -26,11 +26,15 @@
 	hasHeldBack: boolean;
 	/** Stored placements whose starts are not sent yet. */
 	waitingStarts: Array<{readonly task: Task; readonly run: number}>;
+	/** The bound holds first polls of workers back. */
+	hasWaitingPolls: boolean;
+	/** When the leader was last seen to keep up with the calls that it has to make. */
+	keptUpAt: SteadyMs;
 };
 
 export function createCallWindow(): CallWindow {
 	return {
-		unansweredStarts: new Map(), limit: firstLimit, timely: 0, late: 0, hasHeldBack: false, waitingStarts: [],
+		unansweredStarts: new Map(), limit: firstLimit, timely: 0, late: 0, hasHeldBack: false, waitingStarts: [], hasWaitingPolls: false, keptUpAt: 0,
 	};
 }
 
@@ -43,6 +47,11 @@
 	return unansweredStarts.size < limit;
 }
 
+/** True if calls wait although late answers have brought the bound to its least value: the leader cannot keep up. */
+export function isWindowFull({limit, waitingStarts, hasWaitingPolls}: CallWindow): boolean {
+	return limit === minLimit && (waitingStarts.length > 0 || hasWaitingPolls);
+}
+
 /** Notes a start that was sent. */
 export function openStart({callWindow, now}: SchedulerState, task: Task, run: number): void {
 	callWindow.unansweredStarts.set(formatKey(task.name, run), now);
--- a/packages/core/src/scheduler/commits.ts
+++ b/packages/core/src/scheduler/commits.ts
@@ -32,6 +32,10 @@
 		return;
 	}
 
+	if (leadership.isHandingOver) {
+		return;
+	}
+
 	const hasChanges = state.dirtyJobs.size > 0 || state.pendingActions.length > 0 || state.areWavesDirty || state.isConfigDirty || state.removedJobs.size > 0 || state.load.unstored !== undefined;
 	if ((hasChanges && state.now >= leadership.commitNotBefore) || state.now >= leadership.heartbeatDueAt) {
 		sendCommit(state);
--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -7,7 +7,7 @@
 import {resetLoad} from './load-view.js';
 import {isFinal} from './phases.js';
 import {
-	claimRetryMs, claimJitterMs, leaderSilenceAtStartMs, leaderSilenceMs, leaderHeartbeatMs, never, shortfallClaimDelayMs,
+	claimRetryMs, claimJitterMs, handoverClaimDelayMs, leaderSilenceAtStartMs, leaderSilenceMs, leaderHeartbeatMs, never, shortfallClaimDelayMs,
 } from './timing.js';
 import {createCallWindow} from './call-window.js';
 import {restoreRunTimes} from './run-time-record.js';
@@ -111,6 +111,7 @@
 export function startLeading(state: SchedulerState, {token, sentAt}: Claim): void {
 	const {leadership} = state;
 	leadership.role = 'leader';
+	leadership.isHandingOver = false;
 	leadership.token = token;
 	leadership.leaderSince = state.now;
 	leadership.confirmedAt = sentAt;
@@ -182,9 +183,41 @@
 	addEffect(state, {type: 'ledger/reload'});
 }
 
+/** Notes that a host of this capacity has handed over; hosts that are not stronger claim later. */
+export function noteHandover({leadership, settings, now}: SchedulerState, capacityShortfall: number): void {
+	leadership.latestHandover = {capacityShortfall, readAt: now};
+	if (settings.capacityShortfall >= capacityShortfall) {
+		leadership.claimNotBefore = Math.max(leadership.claimNotBefore, now + computeClaimDelay(settings) + handoverClaimDelayMs);
+	}
+}
+
+/** Releases leadership because this host cannot keep up. It may claim again later, as it then reads. No append may be under way. */
+export function passLeadership(state: SchedulerState): void {
+	const {settings: {capacityShortfall}} = state;
+	addRelease(state, capacityShortfall);
+	stopLeading(state, 'this host cannot keep up');
+	noteHandover(state, capacityShortfall);
+}
+
+/** Appends the record that ends this host's term. */
+function addRelease(state: SchedulerState, capacityShortfall?: number): void {
+	const {leadership, settings: {holder}} = state;
+	const {token} = leadership;
+	addEffect(state, {
+		type: 'ledger/commit',
+		token,
+		sequence: leadership.nextSequence++,
+		records: [{
+			type: 'lease', lease: {
+				holder, token, isReleased: true, ...(capacityShortfall !== undefined && {capacityShortfall}),
+			},
+		}],
+	});
+}
+
 /** Releases leadership before the process ends. */
 export function releaseLeadership(state: SchedulerState): void {
-	const {leadership, settings} = state;
+	const {leadership} = state;
 	state.isStopping = true;
 	if (leadership.role !== 'leader') {
 		leadership.role = 'retired';
@@ -197,12 +230,7 @@
 	}
 
 	noteDecision(state, 'lead-released', {token: leadership.token});
-	addEffect(state, {
-		type: 'ledger/commit',
-		token: leadership.token,
-		sequence: leadership.nextSequence++,
-		records: [{type: 'lease', lease: {holder: settings.holder, token: leadership.token, isReleased: true}}],
-	});
+	addRelease(state);
 	leadership.role = 'retired';
 	deactivateJobs(state);
 	state.workers.clear();
--- a/packages/core/src/scheduler/ledger-records.ts
+++ b/packages/core/src/scheduler/ledger-records.ts
@@ -1,5 +1,7 @@
 /** Applies what a host reads of the ledger, which only leaders write. */
-import {computeClaimDelay, noteConfigured, startLeading} from './leadership.js';
+import {
+	computeClaimDelay, noteConfigured, noteHandover, startLeading,
+} from './leadership.js';
 import {applyLoad, noteLease} from './load-view.js';
 import {addEffect, describeError, noteWarning} from './logging.js';
 import {dropFinishedRemovals, dropProgress} from './retention.js';
@@ -66,6 +68,9 @@
 		noteLease(state, lease);
 		leadership.isReleased = lease.isReleased;
 		leadership.claimNotBefore = now + computeClaimDelay(settings);
+		if (lease.capacityShortfall !== undefined) {
+			noteHandover(state, lease.capacityShortfall);
+		}
 	},
 	progress(state, {jobId, progress}) {
 		const job = state.jobs.get(jobId);
--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -46,6 +46,7 @@
 
 /** A new leader polls all workers: more than its host may be able to send at once. Those with runs come first, as their leases go on. */
 function sendFirstPolls(state: SchedulerState, workers: readonly Worker[]): void {
+	state.callWindow.hasWaitingPolls = false;
 	if (workers.length === 0) {
 		return;
 	}
@@ -56,7 +57,8 @@
 		sendPoll(state, worker);
 	}
 
-	state.callWindow.hasHeldBack ||= left < workers.length;
+	state.callWindow.hasWaitingPolls = left < workers.length;
+	state.callWindow.hasHeldBack ||= state.callWindow.hasWaitingPolls;
 }
 
 /** First polls without an answer, sent so lately that they may still wait at this host. */
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -3,6 +3,7 @@
 import {handleCommit, tickCommits} from './commits.js';
 import {checkSuspension} from './confirmation.js';
 import {judgeSuspects} from './crashes.js';
+import {tickHandover} from './handover.js';
 import {handlePoll, hasReadStartedJobs, tickPolls} from './polls.js';
 import {applyIntake, dropLiveJobIfEnded, openDueOccurrences} from './jobs.js';
 import {
@@ -51,6 +52,11 @@
 			return;
 		}
 
+		tickHandover(state);
+		if (state.leadership.role !== 'leader') {
+			return;
+		}
+
 		tickJobs(state);
 		tickQuotas(state);
 		tickStops(state);
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -85,6 +85,10 @@
 	/** When the first configuration was read; claim delays count from this instant. */
 	configuredAt: SteadyMs;
 	isReleased: boolean;
+	/** The latest handover of leadership to stronger hosts: by which capacity shortfall, and when this host learned of it. */
+	latestHandover: {readonly capacityShortfall: number; readonly readAt: SteadyMs} | undefined;
+	/** This leader has decided to hand over, and sends no more appends but the one that says so. */
+	isHandingOver: boolean;
 	hasLoadedLedger: boolean;
 	/** Records followed after the full read of the ledger: a leader has been active since. */
 	hasReadUpdates: boolean;
@@ -203,7 +207,7 @@
 		accountUse: createAccountUse(),
 		arrivalBuckets: new Map(),
 		leadership: {
-			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, isSilenceUnknown: false, claimNotBefore: 0, configuredAt: 0, isReleased: false, hasLoadedLedger: false, hasReadUpdates: false, leaderSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, meanCommitMs: 0, commitNotBefore: 0, heartbeatDueAt: 0, retryClaimAt: undefined,
+			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, isSilenceUnknown: false, claimNotBefore: 0, configuredAt: 0, isReleased: false, latestHandover: undefined, isHandingOver: false, hasLoadedLedger: false, hasReadUpdates: false, leaderSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, meanCommitMs: 0, commitNotBefore: 0, heartbeatDueAt: 0, retryClaimAt: undefined,
 		},
 		dirtyJobs: new Set(),
 		removedJobs: new Set(),
--- a/packages/core/src/scheduler/timing.ts
+++ b/packages/core/src/scheduler/timing.ts
@@ -20,6 +20,10 @@
 export const claimJitterMs = 250;
 /** Delay before a host with no spare processor time or network bandwidth claims leadership; others get it proportionally. */
 export const shortfallClaimDelayMs = 500;
+/** After a weak leader has handed over, hosts that are not stronger leave claims to others for this much longer. */
+export const handoverClaimDelayMs = 600;
+/** How long a leader that is not stronger than one that handed over keeps the lead in any case. */
+export const handoverPauseMs = 30_000;
 export const claimRetryMs = 500;
 /** A leader sends no machine orders when the store has confirmed none of its appends for this long. */
 export const unconfirmedOrderMs = 1000;
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -237,6 +237,8 @@
 	readonly token: FencingToken;
 	/** The holder gives up leadership. */
 	readonly isReleased: boolean;
+	/** Given if the holder gives up leadership because it cannot keep up: how far it falls short of the capacity that a leader needs. */
+	readonly capacityShortfall?: number | undefined;
 };
 
 export type WaveProgress = {
--- a/packages/daemon/src/scheduler/record-schemas.ts
+++ b/packages/daemon/src/scheduler/record-schemas.ts
@@ -27,7 +27,9 @@
 /** Holds at most as many jobs as one host writes in a record. */
 export const refusalsSchema = z.tuple([z.number(), z.array(z.string().min(1)).max(maxRefusedJobs), z.array(amount).max(maxRefusedJobs)]);
 
-export const leaseSchema = z.looseObject({holder: z.string(), token: count, isReleased: z.boolean()});
+export const leaseSchema = z.looseObject({
+	holder: z.string(), token: count, isReleased: z.boolean(), capacityShortfall: z.number().min(0).max(1).optional(),
+});
 
 export const loadSchema = z.looseObject({
 	token: count,
