Waves: a task is stopped only for room that it may use

Cause: a wave took any worker of the pool with enough free capacity for room, also one without the label that the task requires, one to which the advice service gave no ticket, one kept for a trial, or one of a pool that no longer serves the queue. The task was stopped and stayed away.

The new test in waves.test.ts failed before (0 tasks at work instead of 1).

--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -3,6 +3,7 @@
 import {dropTicket, findTicket, getTicketState} from './advice.js';
 import {isConfirmedWithin} from './confirmation.js';
 import {extendLease, sendExtraPoll} from './polls.js';
+import {canDisplace} from './displacement.js';
 import {addEffect, noteDecision} from './logging.js';
 import {isJobOpen} from './phases.js';
 import {isUsable, isUsableOrSetAside} from './placement.js';
@@ -19,7 +20,6 @@
 	never, startReportMs, stopRetryMs, unconfirmedLimitMs,
 } from './timing.js';
 import {compareClass, compareUrgency, computeUrgency} from './urgency.js';
-import {canDisplace} from './waves.js';
 import type {SchedulerEvent, StartOutcome} from './events.js';
 import type {SchedulerState, Task, Worker} from './state.js';
 
--- a/packages/core/src/scheduler/waves.test.ts
+++ b/packages/core/src/scheduler/waves.test.ts
@@ -178,3 +178,22 @@
 		expect(leader.listOrderedMachines()).toEqual(['s1']);
 	});
 });
+
+describe('a machine of a wave whose long-running task needs a label', () => {
+	const labelled = createWorkerEntry('w1', 'm1');
+	const others = [createWorkerEntry('w2', 'm2'), createWorkerEntry('w3', 'm3')].map(worker => ({...worker, labels: ['b', 'r-2']}));
+
+	/** Guards against a task that is stopped because a worker has room on which it must not run, and then stays away. */
+	it('keeps it while no other worker has the label, though others have room', () => {
+		const leader = ModelLeader.create();
+		leader.run(50);
+		leader.listMachines(['m1', 'm2', 'm3'].map(id => createMachineEntry(id)));
+		leader.listWorkers(labelled, ...others);
+		leader.run(50);
+		leader.push({type: 'intake/read', records: [{type: 'job', job: createJob(1, [createStep({count: 1, isLongRunning: true, requiredLabel: 'a'})])}]});
+		leader.run(1000);
+		leader.publishWave({machineIds: ['m1']});
+		leader.run(2000);
+		expect(leader.running.get('w1')?.length).toEqual(1);
+	});
+});
--- a/packages/core/src/scheduler/waves.ts
+++ b/packages/core/src/scheduler/waves.ts
@@ -3,14 +3,13 @@
 import {findWorker, hasNoWorker, isBusy} from './machine-workers.js';
 import {isGone, requestList} from './machines.js';
 import {getDemand} from './demand.js';
+import {canDisplace, findRoom, requestReplacement} from './displacement.js';
 import {addEffect, noteDecision} from './logging.js';
-import {isUsable} from './placement.js';
 import {getPoolOfJob} from './queues.js';
-import {doesFit} from './resources.js';
-import {getFree, getStepNeed, requestStop} from './tasks.js';
+import {requestStop} from './tasks.js';
 import type {SchedulerEvent} from './events.js';
 import type {
-	Machine, SchedulerState, StepRun, Task, Wave, Worker,
+	Machine, SchedulerState, Task, Wave,
 } from './state.js';
 
 type WavePublished = Extract<SchedulerEvent, {type: 'wave/published'}>;
@@ -19,7 +18,6 @@
 const reportRetryMs = 500;
 /** Machines drained in advance, beyond those that may go down now. */
 const drainAhead = 1;
-const fullPercent = 100;
 const millisecondsPerSecond = 1000;
 /** For this long before the deadline of a wave, long-running tasks no longer wait for free capacity elsewhere. */
 const forcedDrainMs = 7000;
@@ -27,8 +25,6 @@
 const drainOverheadMs = 1500;
 /** Most absent machines named in a log line. */
 const maxLoggedMachines = 10;
-/** A request for a replacement machine expires after this time unless it is renewed. */
-const replacementRequestMs = 1000;
 
 /** Adds a published wave. */
 export function addWave(state: SchedulerState, event: WavePublished): void {
@@ -224,48 +220,16 @@
 	return !isBusy(worker);
 }
 
-/** True if stopping a long-running task leaves enough tasks of its step available. */
-export function canDisplace(state: SchedulerState, task: Task): boolean {
-	const {step} = task;
-	const unavailable = step.tasks.filter(other => other !== task && !isAvailable(state, other)).length;
-	return step.definition.maxUnavailable === 0 || unavailable < step.definition.maxUnavailable;
-}
-
 /**
  * True if a task has free capacity elsewhere, or if there is no time left to wait for it. Without capacity a replacement machine
  * is requested for the pool, even if the task must stay for now: it may have to stay because another task of its step waits for
  * that capacity.
  */
 function canMoveTask(state: SchedulerState, task: Task, isDeadlineNear: boolean): boolean {
-	const hasCapacity = hasCapacityElsewhere(state, task.step, task.worker);
+	const hasCapacity = findRoom(state, task) !== undefined;
 	if (!hasCapacity) {
-		getDemand(state, getPoolOfJob(state, task.step.occurrence.job)).replacementUntil = state.now + replacementRequestMs;
+		requestReplacement(state, getPoolOfJob(state, task.step.occurrence.job));
 	}
 
 	return isDeadlineNear || hasCapacity;
 }
-
-/** A restarted long-running task counts as unavailable for this long. */
-const minAvailableMs = 700;
-
-function isAvailable(state: SchedulerState, task: Task): boolean {
-	return task.status === 'running' && task.percent >= fullPercent && state.now - task.startedAt > minAvailableMs
-		&& task.worker?.failedPolls === 0;
-}
-
-function hasCapacityElsewhere(state: SchedulerState, step: StepRun, current: Worker | undefined): boolean {
-	const {maxPerWorker} = step.definition;
-	const need = getStepNeed(step.definition);
-	for (const worker of state.workers.values()) {
-		if (worker === current || worker.pool !== current?.pool || !isUsable(state, worker)) {
-			continue;
-		}
-
-		const tasksOfStep = step.tasks.filter(task => task.worker === worker).length;
-		if (doesFit(need, getFree(worker)) && (maxPerWorker === 0 || tasksOfStep < maxPerWorker)) {
-			return true;
-		}
-	}
-
-	return false;
-}
