--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -40,7 +40,7 @@
 	let demand = state.demand.get(pool);
 	if (!demand) {
 		demand = {
-			waitingTasks: 0, waitingWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrivedWork: noResources, rate: noResources, slowRate: noResources, updatedAt: state.now, machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
+			waitingTasks: 0, waitingWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrivedWork: noResources, rate: noResources, slowRate: noResources, updatedAt: state.now, machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0, leavingWithoutRoom: 0,
 		};
 		state.demand.set(pool, demand);
 	}
--- a/packages/core/src/scheduler/machine-state.ts
+++ b/packages/core/src/scheduler/machine-state.ts
@@ -78,4 +78,6 @@
 	peakUntil: SteadyMs;
 	/** Until this instant the pool needs one more machine, to take the long-running tasks of a machine that is being drained. */
 	replacementUntil: SteadyMs;
+	/** Draining workers with long-running tasks for which no other worker of the pool has room. */
+	leavingWithoutRoom: number;
 };
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -106,13 +106,13 @@
 
 function updateBalances(state: SchedulerState, spare: PoolName): PoolBalance[] {
 	const present = new Map<PoolName, number>();
-	const incoming = new Set<PoolName>();
+	const incoming = new Map<PoolName, number>();
 	let size = noResources;
 	for (const machine of state.machines.values()) {
 		const {entry, order} = machine;
 		const pool = order?.type === 'move' ? order.pool : entry.pool;
 		if (order?.type === 'move') {
-			incoming.add(pool);
+			incoming.set(pool, (incoming.get(pool) ?? 0) + 1);
 		}
 
 		present.set(pool, (present.get(pool) ?? 0) + (isUnavailable(machine) || isUnusable(state, machine) ? 0 : computeOfferedShare(machine, getWorkerOf(state, machine))));
@@ -122,8 +122,8 @@
 	return (state.config?.pools ?? []).filter(pool => pool.name !== spare && !pool.isSpare).map(({name}) => {
 		const demand = updateDemand(state, name, size);
 		const machines = present.get(name) ?? 0;
-		const replacements = demand.replacementUntil > state.now ? 1 : 0;
-		demand.missing = Math.max(Math.ceil(demand.machines - machines), incoming.has(name) ? 0 : replacements);
+		const replacements = Math.max(demand.leavingWithoutRoom, demand.replacementUntil > state.now ? 1 : 0);
+		demand.missing = Math.max(Math.ceil(demand.machines - machines), replacements - (incoming.get(name) ?? 0));
 		return {
 			name,
 			isWaiting: demand.waitingTasks > 0,
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -10,6 +10,7 @@
 } from './leadership.js';
 import {loadLedger, readLedger} from './ledger-records.js';
 import {tickLoad} from './load-view.js';
+import {tickDrainingWorkers} from './draining-workers.js';
 import {describeError, noteDecision, noteWarning} from './logging.js';
 import {handleOrderOutcome, tickOrders} from './machine-orders.js';
 import {handleMachineList, tickMachineList} from './machines.js';
@@ -59,6 +60,7 @@
 		tickMachineList(state);
 		tickOrders(state);
 		tickWaves(state);
+		tickDrainingWorkers(state);
 		tickMoves(state);
 		tickRunTimes(state);
 		tickLoad(state);
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -116,7 +116,8 @@
 	worker.labels = new Set(entry.labels);
 	worker.rack = entry.labels.at(-1) ?? '';
 	worker.machineId = entry.machineId;
-	worker.leavesAt = entry.isDraining ? (worker.leavesAt ?? state.now + (entry.remainingMs ?? 0)) : undefined;
+	// The earliest that a report has told: reports may arrive late.
+	worker.leavesAt = entry.isDraining ? Math.min(worker.leavesAt ?? never, state.now + (entry.remainingMs ?? 0)) : undefined;
 	worker.isDraining = entry.isDraining;
 	if (isOverloaded(worker)) {
 		returnExcessTasks(state, worker);
@@ -165,6 +166,7 @@
 	worker.capacity = noResources;
 	worker.labels = new Set();
 	worker.rack = '';
+	worker.leavesAt = undefined;
 }
 
 /** Tasks whose start was sent but that no poll has listed: the worker's next incarnation may have carried out the start, or may still do so. */
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -37,6 +37,8 @@
 	readonly orderLeaseMs: number;
 	/** Longest lease that workers accept. */
 	readonly maxLeaseMs: number;
+	/** Longest time that a worker takes to stop a run. */
+	readonly stopMs: number;
 	readonly statusRetentionMs: number;
 	/** Factor by which a step takes longer outside the rack of its data. */
 	readonly remoteRackFactor: number;
@@ -173,6 +175,7 @@
 	readonly endedWorkers: Map<WorkerId, number>;
 	jobsDueAt: SteadyMs;
 	movesDueAt: SteadyMs;
+	drainsDueAt: SteadyMs;
 	/** Until then no machine goes to the spare pool. */
 	spareNotBefore: SteadyMs;
 	/** When a shortage of machines was last logged. */
@@ -235,6 +238,7 @@
 		endedWorkers: new Map(),
 		jobsDueAt: 0,
 		movesDueAt: 0,
+		drainsDueAt: 0,
 		spareNotBefore: 0,
 		shortageLoggedAt: 0,
 		retentionDueAt: 0,
