Pools: a machine whose worker drains no longer counts for its pool

Cause: a pool that needs as many machines as it has asked for another only once the worker had left and its machine was down: up to 6 s of notice unused, then 1.5 s for the move. The same count gave machines to other pools that it would miss seconds later.

The new test failed before (no order in the 500 ms after the notice).

--- a/packages/core/src/scheduler/draining-workers.test.ts
+++ b/packages/core/src/scheduler/draining-workers.test.ts
@@ -244,6 +244,19 @@
 	});
 });
 
+describe('a pool whose worker is draining', () => {
+	/** Guards against a machine that counts for its pool until its worker has left, so that another is asked for only then. */
+	it('asks for another machine at once if it needs as many as it has', () => {
+		const fleet = LeavingFleet.create('1', '2');
+		fleet.submit({count: 2, need: halfOfWorker});
+		const ordered = fleet.leader.orders.length;
+		const isFirstIdle = fleet.listTasks('1').length === 0;
+		fleet.drain(isFirstIdle ? '1' : '2', longNoticeMs);
+		fleet.run(500);
+		expect({before: ordered, after: fleet.leader.orders.length}).toEqual({before: 0, after: 1});
+	});
+});
+
 /** A leader by hand whose worker `w1` runs one task of a step, with free workers `w2`. */
 function createBusyHost(step: Partial<StepDefinition>): {host: HandDrivenHost; start: EffectOf<'worker/start'>} {
 	const host = HandDrivenHost.create();
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -87,10 +87,10 @@
 	return entry.state === 'down' || order?.type === 'upkeep' || (absentSince !== undefined && order === undefined);
 }
 
-/** True if a machine is up but its worker is out of reach or in quarantine: until it is back, its pool needs another machine in its place. */
+/** True if a machine is up but its worker leaves, is out of reach or in quarantine: until it is back, its pool needs another machine in its place. */
 function isUnusable(state: SchedulerState, machine: Machine): boolean {
 	const worker = getWorkerOf(state, machine);
-	return worker !== undefined && (worker.failedPolls >= failedPollsUntilUnreachable || isQuarantined(state, worker));
+	return worker !== undefined && (worker.isDraining || worker.failedPolls >= failedPollsUntilUnreachable || isQuarantined(state, worker));
 }
 
 type PoolBalance = {
