--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -11,6 +11,7 @@
 } from './leadership.js';
 import {loadLedger, readLedger} from './ledger-records.js';
 import {tickLoad} from './load-view.js';
+import {tickDrainingWorkers} from './draining-workers.js';
 import {describeError, noteDecision, noteWarning} from './logging.js';
 import {handleOrderOutcome, tickOrders} from './machine-orders.js';
 import {handleMachineList, tickMachineList} from './machines.js';
@@ -65,6 +66,7 @@
 		tickMachineList(state);
 		tickOrders(state);
 		tickWaves(state);
+		tickDrainingWorkers(state);
 		tickMoves(state);
 		tickRunTimes(state);
 		tickLoad(state);
