Due polls are looked for at the worker that an event concerns

Change: an answer of one worker makes no poll of another one due, so only that worker is looked at, and those that starts have gone to since. A lease that has lapsed elsewhere is noticed up to one tick later, never earlier.

--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -11,6 +11,7 @@
 	leaseRenewalThresholdMs, leaseSlackMs, longRunningPollWaitMs, maxClockDrift, pollRetryMs, pollSlackMs, pollWaitMs, retriedPollSlackMs, unconfirmedLimitMs, workerLeaseMs,
 } from './timing.js';
 import type {SchedulerEvent} from './events.js';
+import type {WorkerId} from './types.js';
 import type {SchedulerState, Worker} from './state.js';
 
 const maxPollRetryMs = 700;
@@ -19,8 +20,11 @@
 
 type PollEnded = Extract<SchedulerEvent, {type: 'poll/ended'}>;
 
-/** Expires leases and sends the polls that are due. */
-export function tickPolls(state: SchedulerState): void {
+/**
+ * Expires leases and sends the polls that are due. An event that concerns one worker, `workerId`, makes no poll of another one
+ * due, and there are very many such events: all workers are looked at with the others, such as those of the clock.
+ */
+export function tickPolls(state: SchedulerState, workerId?: WorkerId): void {
 	const {leadership} = state;
 	if (leadership.role !== 'leader') {
 		return;
@@ -28,7 +32,7 @@
 
 	const isConfirmed = isConfirmedWithin(state, unconfirmedLimitMs) && hasReadStartedJobs(state);
 	const firstPolls: Worker[] = [];
-	for (const worker of state.workers.values()) {
+	for (const worker of takeWorkersToCheck(state, workerId)) {
 		expireLease(state, worker);
 		if (!isConfirmed || !isPollDue(state, worker)) {
 			continue;
@@ -44,8 +48,21 @@
 	sendFirstPolls(state, firstPolls);
 }
 
+function takeWorkersToCheck(state: SchedulerState, workerId: WorkerId | undefined): Iterable<Worker> {
+	const {workers, startedWorkers} = state;
+	if (workerId === undefined || state.areFirstPollsHeldBack) {
+		startedWorkers.clear();
+		return workers.values();
+	}
+
+	const ids = [...startedWorkers.add(workerId)];
+	startedWorkers.clear();
+	return ids.flatMap(id => workers.get(id) ?? []);
+}
+
 /** A new leader polls all workers: more than its host may be able to send at once. Those with runs come first, as their leases go on. */
 function sendFirstPolls(state: SchedulerState, workers: readonly Worker[]): void {
+	state.areFirstPollsHeldBack = false;
 	if (workers.length === 0) {
 		return;
 	}
@@ -56,7 +73,8 @@
 		sendPoll(state, worker);
 	}
 
-	state.callWindow.hasHeldBack ||= left < workers.length;
+	state.areFirstPollsHeldBack = left < workers.length;
+	state.callWindow.hasHeldBack ||= state.areFirstPollsHeldBack;
 }
 
 /** First polls without an answer, sent so lately that they may still wait at this host. */
@@ -138,7 +156,13 @@
 
 /** True if a run whose start was sent may still be active at the worker. */
 function hasSentTasks(worker: Worker): boolean {
-	return [...worker.tasks.values()].some(task => task.isSent);
+	for (const task of worker.tasks.values()) {
+		if (task.isSent) {
+			return true;
+		}
+	}
+
+	return false;
 }
 
 /** All runs of an unreachable worker are over once its lease has expired on every clock. */
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -202,7 +202,7 @@
 		judgeSuspects(state);
 		placeTasks(state);
 		tickCommits(state);
-		tickPolls(state);
+		tickPolls(state, 'workerId' in event ? event.workerId : undefined);
 		// After the polls, which keep leases alive.
 		sendQueuedStarts(state);
 	} catch (error) {
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -96,6 +96,7 @@
 	}
 
 	task.isSent = true;
+	state.startedWorkers.add(worker.id);
 	task.startedAt = state.now;
 	task.isStartKnown = true;
 	task.isResumed = task.checkpoint !== '';
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -127,6 +127,10 @@
 	/** Steps with tasks that may start. */
 	readonly openSteps: Set<StepRun>;
 	readonly workers: Map<WorkerId, Worker>;
+	/** Workers that starts were sent to since due polls were last looked for. */
+	readonly startedWorkers: Set<WorkerId>;
+	/** First polls wait because as many as this host may have under way are. */
+	areFirstPollsHeldBack: boolean;
 	/** What client accounts have running. */
 	readonly accountUse: AccountUse;
 	/** What client accounts may still send within their rate. */
@@ -200,6 +204,8 @@
 		liveJobs: new Set(),
 		openSteps: new Set(),
 		workers: new Map(),
+		startedWorkers: new Set(),
+		areFirstPollsHeldBack: false,
 		accountUse: createAccountUse(),
 		arrivalBuckets: new Map(),
 		leadership: {
