--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -133,6 +133,8 @@
 	/** Steps with tasks that may start. */
 	readonly openSteps: Set<StepRun>;
 	readonly workers: Map<WorkerId, Worker>;
+	/** Workers that starts were sent to since due polls were last looked for. */
+	readonly startedWorkers: Set<WorkerId>;
 	/** What client accounts have running. */
 	readonly accountUse: AccountUse;
 	/** What client accounts may still send within their rate. */
@@ -207,6 +209,7 @@
 		liveJobs: new Set(),
 		openSteps: new Set(),
 		workers: new Map(),
+		startedWorkers: new Set(),
 		accountUse: createAccountUse(),
 		arrivalBuckets: new Map(),
 		leadership: {
