Waves pass over machines whose worker drains

Cause: a wave ordered the upkeep of a machine whose worker had told that it leaves. The platform refuses that (busy); the order was dropped, and for the 1.5 s until the next one the machine counted as down, in place of one that could have had its upkeep. It also held the place of a machine drained in advance.

Change: such a machine stays open in its wave, but is neither drained nor ordered while its worker drains. If the worker stays after all, it has its turn.

The new test failed before (order for m1 instead of m2).

--- a/packages/core/src/scheduler/waves.test.ts
+++ b/packages/core/src/scheduler/waves.test.ts
@@ -197,3 +197,26 @@
 		expect(leader.running.get('w1')?.length).toEqual(1);
 	});
 });
+
+describe('a machine of a wave whose worker is about to leave', () => {
+	/** Guards against orders that the platform refuses, which hold the place of a machine that could be down instead. */
+	it('is passed over as long as its worker drains', () => {
+		const leader = ModelLeader.create();
+		const ids = ['m1', 'm2'];
+		leader.run(50);
+		leader.listMachines(ids.map(id => createMachineEntry(id, {workerId: `w${id}`})));
+		const [leaving, staying] = ids.map(id => createWorkerEntry(`w${id}`, id));
+		leader.listWorkers({...leaving!, isDraining: true, remainingMs: 6000}, staying!);
+		leader.run(50);
+		leader.publishWave({machineIds: ids});
+		leader.run(500);
+		expect(leader.listOrderedMachines()).toEqual(['m2']);
+		leader.endOrder(leader.orders[0], 'done');
+		leader.run(3000);
+		expect(leader.listOrderedMachines()).toEqual(['m2']);
+		leader.listMachines(ids.map(id => createMachineEntry(id, {workerId: `w${id}`})));
+		leader.listWorkers(leaving!, {...staying!, bornAt: 2});
+		leader.run(500);
+		expect(leader.listOrderedMachines()).toEqual(ids.toReversed());
+	});
+});
--- a/packages/core/src/scheduler/waves.ts
+++ b/packages/core/src/scheduler/waves.ts
@@ -115,7 +115,9 @@
 	const {definition} = wave;
 	const present = definition.machineIds.filter(id => !isGone(state, id, wave.readAt));
 	const openIds = present.filter(id => !wave.doneMachines.has(id));
-	const open = openIds.map(id => state.machines.get(id)).filter(machine => machine !== undefined);
+	const known = openIds.map(id => state.machines.get(id)).filter(machine => machine !== undefined);
+	// The platform refuses orders for a machine whose worker leaves.
+	const open = known.filter(machine => !findWorker(state, machine)?.isDraining);
 	const down = present.filter(id => isDown(state, state.machines.get(id))).length;
 	if (openIds.length === 0 && down === 0) {
 		endWave(state, wave);
