--- a/packages/core/src/scheduler/draining-workers.ts
+++ b/packages/core/src/scheduler/draining-workers.ts
@@ -23,8 +23,8 @@
 } from './state.js';
 
 const checkIntervalMs = 100;
-/** Time that an order to stop and the report of the end take, beyond the stop itself. */
-const stopOverheadMs = 300;
+/** Time that the worker's report, an order to stop and the report of the end take, beyond the stop itself. */
+const stopOverheadMs = 500;
 /** Time until a task that was stopped counts as available again elsewhere, beyond the stop itself. */
 const restartMs = 1500;
 const fullPercent = 100;
