Takeover: leases of earlier leaders are bounded by what the ledger tells

Cause: a new leader waited (6.0 + 3.5) x 1.02 + 0.1 s from its own start, though the leases in question end a fixed time after the former leader's last confirmed append, which every host has read; and that time was longer than the rule allows.

Change: a lease ends at most 7.5 s after the sending of the latest confirmed append, on a worker's clock that may be 2% slow however long ago it was read (renewals near that end are shortened instead of stopped; starts need a full lease, so they stop at 4 s; an idle worker's clock is read again after 120 s). A successor waits 7.5 s, 0.5 s for a suspension that the former leader did not notice and 0.1 s, from the latest record that it read before its claim; after a recorded release 3.57 + 0.6 s. All appends of earlier leaders precede the claim that excludes them, so leaders before the last are covered by the reading of the next claim; a full read of the ledger counts as the latest claim. hasNoWorker used the old constant without drift: it takes the same bound.

7.5 s: of the rule's 9 s, 0.6 s margins, 0.1 s to read, 0.8 s to notice, place, store, start.

--- a/packages/core/src/scheduler/confirmation.ts
+++ b/packages/core/src/scheduler/confirmation.ts
@@ -3,12 +3,10 @@
  * host may lead some time after that.
  */
 import {addEffect, noteWarning} from './logging.js';
+import {suspicionMs} from './timing.js';
 import type {SchedulerEvent} from './events.js';
 import type {SchedulerState} from './state.js';
 
-/** The wall clock gains this much on the monotonic clock between two events only if it was set or the host was suspended. */
-const suspicionMs = 500;
-
 /** True if the store has confirmed an append that this leader sent less than `maxAgeMs` ago. */
 export function isConfirmedWithin({leadership, now}: SchedulerState, maxAgeMs: number): boolean {
 	return now - leadership.confirmedAt < maxAgeMs;
--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -4,6 +4,7 @@
 import {
 	addEffect, describeError, noteDecision, noteWarning,
 } from './logging.js';
+import {computeEarlierLeaseEnd} from './earlier-leases.js';
 import {resetLoad} from './load-view.js';
 import {isFinal} from './phases.js';
 import {
@@ -111,6 +112,7 @@
 export function startLeading(state: SchedulerState, {token, sentAt}: Claim): void {
 	const {leadership} = state;
 	leadership.role = 'leader';
+	leadership.earlierLeasesUntil = computeEarlierLeaseEnd(state);
 	leadership.token = token;
 	leadership.leaderSince = state.now;
 	leadership.confirmedAt = sentAt;
--- a/packages/core/src/scheduler/ledger-records.ts
+++ b/packages/core/src/scheduler/ledger-records.ts
@@ -1,4 +1,5 @@
 /** Applies what a host reads of the ledger, which only leaders write. */
+import {noteLeaseRecord, noteLedgerLoaded} from './earlier-leases.js';
 import {computeClaimDelay, noteConfigured, startLeading} from './leadership.js';
 import {applyLoad, noteLease} from './load-view.js';
 import {addEffect, describeError, noteWarning} from './logging.js';
@@ -20,6 +21,7 @@
 	state.leadership.hasLoadedLedger = true;
 	state.leadership.hasReadUpdates = false;
 	state.leadership.lastRecordAt = state.now;
+	noteLedgerLoaded(state);
 	readLedger(state, event);
 	// Figures read with the whole ledger may be of any age.
 	state.load.view = undefined;
@@ -64,6 +66,7 @@
 	lease(state, {lease}) {
 		const {leadership, settings, now} = state;
 		noteLease(state, lease);
+		noteLeaseRecord(state, lease);
 		leadership.isReleased = lease.isReleased;
 		leadership.claimNotBefore = now + computeClaimDelay(settings);
 	},
--- a/packages/core/src/scheduler/machine-workers.ts
+++ b/packages/core/src/scheduler/machine-workers.ts
@@ -1,5 +1,4 @@
 /** Finds the known workers of a machine. */
-import {unconfirmedLimitMs, workerLeaseMs} from './timing.js';
 import type {MachineId, PoolName} from './types.js';
 import type {Machine, SchedulerState, Worker} from './state.js';
 
@@ -20,7 +19,7 @@
 export function hasNoWorker(state: SchedulerState, machine: Machine): boolean {
 	const {entry: {workerId, pool}} = machine;
 	return findWorker(state, machine) === undefined
-		&& (workerId === undefined || isSparePool(state, pool) || state.now > state.leadership.leaderSince + unconfirmedLimitMs + workerLeaseMs);
+		&& (workerId === undefined || isSparePool(state, pool) || state.now > state.leadership.earlierLeasesUntil);
 }
 
 function isSparePool({config}: SchedulerState, name: PoolName): boolean {
--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -9,7 +9,7 @@
 import {noteAnswerTime} from './call-window.js';
 import {getTarget} from './tasks.js';
 import {
-	leaseRenewalThresholdMs, leaseSlackMs, longRunningPollWaitMs, maxClockDrift, pollRetryMs, pollSlackMs, pollWaitMs, retriedPollSlackMs, unconfirmedLimitMs, workerLeaseMs,
+	clockRefreshMs, leaseHorizonMs, leaseRenewalThresholdMs, leaseSlackMs, longRunningPollWaitMs, maxClockDrift, pollRetryMs, pollSlackMs, pollWaitMs, retriedPollSlackMs, workerLeaseMs,
 } from './timing.js';
 import type {SchedulerEvent} from './events.js';
 import type {SchedulerState, Worker} from './state.js';
@@ -27,7 +27,7 @@
 		return;
 	}
 
-	const isConfirmed = isConfirmedWithin(state, unconfirmedLimitMs) && hasReadStartedJobs(state);
+	const isConfirmed = isConfirmedWithin(state, leaseHorizonMs) && hasReadStartedJobs(state);
 	const firstPolls: Worker[] = [];
 	for (const worker of state.workers.values()) {
 		expireLease(state, worker);
@@ -89,15 +89,19 @@
 		return false;
 	}
 
-	const isNeeded = (!worker.isPolledByLeader && worker.isListed) || hasSentTasks(worker) || worker.unknownRuns.size > 0 || worker.lastAckedEnd < worker.lastStoredEnd;
+	const isNeeded = (worker.isListed && (!worker.isPolledByLeader || hasOldClock(state, worker))) || hasSentTasks(worker) || worker.unknownRuns.size > 0 || worker.lastAckedEnd < worker.lastStoredEnd;
 	// Run ends that are read but not stored are not acknowledged either: another poll would list them again at once.
 	const isStoring = worker.lastReadEnd > worker.lastStoredEnd && worker.leaseExpiresAt - state.now > leaseRenewalThresholdMs;
 	return isNeeded && !isStoring;
 }
 
+function hasOldClock({now}: SchedulerState, {clock}: Worker): boolean {
+	return clock !== undefined && now - clock.at > clockRefreshMs;
+}
+
 /**
- * Extends a worker's lease to `workerLeaseMs` from now, and returns the expiry on the worker's clock; undefined if its
- * clock is not known yet. The upper bound on this host's clock allows for drift since the clock was read.
+ * Extends a worker's lease to `workerLeaseMs` from now, but not beyond the horizon, and returns the expiry on the worker's
+ * clock; undefined if it would be over at once, or the clock is not known yet. The upper bound on this host's clock allows for drift since the clock was read.
  */
 export function extendLease(state: SchedulerState, worker: Worker): number | undefined {
 	if (!worker.clock) {
@@ -106,7 +110,14 @@
 
 	const age = state.now - worker.clock.at;
 	const leaseMs = Math.min(workerLeaseMs, state.settings.maxLeaseMs);
-	worker.leaseUntilMs = Math.max(worker.leaseUntilMs, Math.round(worker.clock.workerMs + age + leaseMs));
+	const wantedMs = age + leaseMs;
+	// The worker's clock may be slow: less of its time than of this host's may pass until the horizon.
+	const allowedMs = (state.leadership.confirmedAt + leaseHorizonMs - worker.clock.at) * (1 - maxClockDrift);
+	if (allowedMs <= age) {
+		return undefined;
+	}
+
+	worker.leaseUntilMs = Math.max(worker.leaseUntilMs, Math.floor(worker.clock.workerMs + Math.min(wantedMs, allowedMs)));
 	worker.leaseExpiresAt = Math.max(worker.leaseExpiresAt, state.now + ((leaseMs + (age * maxClockDrift)) / (1 - maxClockDrift)) + leaseSlackMs);
 	return worker.leaseUntilMs;
 }
@@ -156,7 +167,7 @@
 		workerId: worker.id,
 		tasks: worker.tasks.size,
 		silentMs: Math.round(state.now - worker.lastAnswerAt),
-		grantedBy: worker.leaseExpiresAt > worker.earlierLeaseUntil ? 'this-leader' : 'earlier-leader',
+		grantedBy: worker.leaseExpiresAt > state.leadership.earlierLeasesUntil ? 'this-leader' : 'earlier-leader',
 		...describeMachineOf(state, worker),
 	});
 	noteWorkerLost(state, worker, false);
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -7,14 +7,11 @@
 	getNeed, getTarget, isOverloaded, requestStop, returnExcessTasks, returnTask,
 } from './tasks.js';
 import {
-	maxClockDrift, leaseSlackMs, lateStartMs, never, registryGraceMs, stopRetryMs, unconfirmedLimitMs, workerLeaseMs,
+	lateStartMs, never, registryGraceMs, stopRetryMs,
 } from './timing.js';
 import type {WorkerEntry, WorkerId} from './types.js';
 import type {SchedulerState, Task, Worker} from './state.js';
 
-/** An earlier leader may have renewed leases until it noticed that it had lost leadership. */
-const earlierLeaderLeaseMs = ((unconfirmedLimitMs + workerLeaseMs) * (1 + maxClockDrift)) + leaseSlackMs;
-
 /** Returns a known worker, or adds one with empty attributes; `updateWorkers` fills them in if the registry lists it. */
 export function ensureWorker(state: SchedulerState, id: WorkerId, bornAt: number): Worker {
 	const known = state.workers.get(id);
@@ -39,8 +36,7 @@
 		unlistAt: undefined,
 		isPolledByLeader: false,
 		clock: undefined,
-		leaseExpiresAt: state.now + earlierLeaderLeaseMs,
-		earlierLeaseUntil: state.now + earlierLeaderLeaseMs,
+		leaseExpiresAt: state.leadership.earlierLeasesUntil,
 		leaseUntilMs: 0,
 		lastReadEnd: 0,
 		lastStoredEnd: 0,
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -85,6 +85,12 @@
 	/** When the first configuration was read; claim delays count from this instant. */
 	configuredAt: SteadyMs;
 	isReleased: boolean;
+	/** Token of the latest lease record of another host that was read. */
+	readToken: FencingToken;
+	/** Upper bound of the expiry of leases granted by leaders before the latest one that the ledger shows. */
+	formerLeasesUntil: SteadyMs;
+	/** The same for all leaders before this host's present term. */
+	earlierLeasesUntil: SteadyMs;
 	hasLoadedLedger: boolean;
 	/** Records followed after the full read of the ledger: a leader has been active since. */
 	hasReadUpdates: boolean;
@@ -203,7 +209,7 @@
 		accountUse: createAccountUse(),
 		arrivalBuckets: new Map(),
 		leadership: {
-			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, isSilenceUnknown: false, claimNotBefore: 0, configuredAt: 0, isReleased: false, hasLoadedLedger: false, hasReadUpdates: false, leaderSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, meanCommitMs: 0, commitNotBefore: 0, heartbeatDueAt: 0, retryClaimAt: undefined,
+			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, isSilenceUnknown: false, claimNotBefore: 0, configuredAt: 0, isReleased: false, readToken: 0, formerLeasesUntil: 0, earlierLeasesUntil: 0, hasLoadedLedger: false, hasReadUpdates: false, leaderSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, meanCommitMs: 0, commitNotBefore: 0, heartbeatDueAt: 0, retryClaimAt: undefined,
 		},
 		dirtyJobs: new Set(),
 		removedJobs: new Set(),
--- a/packages/core/src/scheduler/timing.ts
+++ b/packages/core/src/scheduler/timing.ts
@@ -8,8 +8,17 @@
 export const maxClockDrift = 0.02;
 /** Safety margin added to a computed lease expiry. */
 export const leaseSlackMs = 100;
-/** A leader stops renewing worker leases when the store has confirmed none of its appends for this long. */
-export const unconfirmedLimitMs = 6000;
+/**
+ * No lease ends later than this after the sending of the latest append that the store has confirmed to its leader. A long-running
+ * task may be without a run for 9 s: a successor waits this long, and needs the rest to read, place, store and start.
+ */
+export const leaseHorizonMs = 7500;
+/** A leader sends no starts when the store has confirmed none of its appends for this long: a full lease ends within the horizon. */
+export const unconfirmedLimitMs = leaseHorizonMs - workerLeaseMs;
+/** The wall clock gains this much on the monotonic clock between two events only if it was set or the host was suspended. */
+export const suspicionMs = 500;
+/** A worker's clock is read again after this time: the older the reading, the less is known of a slow clock. */
+export const clockRefreshMs = 120_000;
 /** Without new ledger records for this long, there is no leader. */
 export const leaderSilenceMs = 1000;
 /** Interval at which a leader without changes appends a heartbeat record to the ledger. */
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -158,8 +158,6 @@
 	clock: {readonly workerMs: number; readonly at: SteadyMs} | undefined;
 	/** Upper bound, on this host's clock, of the expiry of every lease that any leader granted to the worker. */
 	leaseExpiresAt: SteadyMs;
-	/** The same for the leases that earlier leaders may have granted. */
-	readonly earlierLeaseUntil: SteadyMs;
 	/** Expiry of the latest lease requested, on the worker's clock. */
 	leaseUntilMs: number;
 	/** Highest numbers of the run ends that were read, whose effects were stored, and that were acknowledged to the worker. */
