--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -4,6 +4,7 @@
 import {
 	addEffect, describeError, noteDecision, noteWarning,
 } from './logging.js';
+import {computeEarlierLeaseEnd} from './earlier-leases.js';
 import {resetLoad} from './load-view.js';
 import {isFinal} from './phases.js';
 import {
@@ -112,6 +113,7 @@
 	const {leadership} = state;
 	leadership.role = 'leader';
 	leadership.isHandingOver = false;
+	leadership.earlierLeasesUntil = computeEarlierLeaseEnd(state);
 	leadership.token = token;
 	leadership.leaderSince = state.now;
 	leadership.confirmedAt = sentAt;
