Serve what is of no use any more last, and with the machines that are left

Cause: jobs that have waited for longer than three times their objective earn their callers nothing, but counted as want of machines and went before useful jobs of lower priority. A pool with such tasks lends no machine and, lacking the most, is filled first; the pool whose burst comes next lacks machines, and its jobs become late too.

Change: such work is a class of its own, after all others but excess jobs. It counts as waiting apart: while another pool lacks machines, a pool with more than it needs starts none of it, so that its machines become idle and can be moved; when no pool lacks any, it gets what is left. Fleets with accounts or admission keep their order (expected waits assume it).

--- a/packages/core/src/scheduler/admission.ts
+++ b/packages/core/src/scheduler/admission.ts
@@ -10,13 +10,10 @@
 import {computeOverloadRetryS} from './retry-after.js';
 import {estimateCriticalPathMs} from './run-estimate.js';
 import {getStepNeed} from './tasks.js';
-import {overheadMs, slackShare} from './urgency.js';
+import {overheadMs, slackShare, usefulFactor} from './urgency.js';
 import type {JobDefinition, PoolWait, SteadyMs} from './types.js';
 import type {SchedulerState} from './state.js';
 
-/** Up to this multiple of its objective, the result of a job is late but still of some use. */
-const usefulFactor = 3;
-
 export type AdmissionInput = {
 	readonly now: SteadyMs;
 	/** When the job was first sent, if a host has refused it before. */
--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -40,7 +40,7 @@
 	let demand = state.demand.get(pool);
 	if (!demand) {
 		demand = {
-			waitingTasks: 0, waitingWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrivedWork: noResources, rate: noResources, slowRate: noResources, updatedAt: state.now, machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
+			waitingTasks: 0, waitingWork: noResources, uselessWork: noResources, isLending: false, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrivedWork: noResources, rate: noResources, slowRate: noResources, updatedAt: state.now, machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0,
 		};
 		state.demand.set(pool, demand);
 	}
@@ -68,6 +68,7 @@
 export function clearWaiting(demand: PoolDemand): void {
 	demand.waitingTasks = 0;
 	demand.waitingWork = noResources;
+	demand.uselessWork = noResources;
 	demand.waitingLongRunning = noResources;
 	demand.refused = {};
 	demand.unplaceable = noResources;
@@ -93,6 +94,24 @@
 	}
 }
 
+/** Adds tasks of a job that is of no use any more. They wait for what other work leaves, so no machine is taken from another pool for them. */
+export function addUselessWork(state: SchedulerState, pool: PoolName, {definition, occurrence, number}: StepRun, tasks: number): void {
+	const demand = getDemand(state, pool);
+	demand.uselessWork = addResources(demand.uselessWork, getStepNeed(definition), tasks * estimateMeanMs(state, occurrence.job, number));
+}
+
+/** How many machines of the given size the pool could use, with the work that is of no use any more. */
+export function countUsableMachines(state: SchedulerState, pool: PoolName, machine: Resources): number {
+	const {machines, uselessWork} = getDemand(state, pool);
+	const withUseless = countMachines(addResources(computeNeed(state, pool), uselessWork, 1 / backlogClearMs), machine);
+	return hasUselessWork(getDemand(state, pool)) ? Math.max(machines, withUseless) : machines;
+}
+
+/** True if work waits that is of no use any more. */
+export function hasUselessWork({uselessWork}: PoolDemand): boolean {
+	return uselessWork.cpu > 0 || uselessWork.memoryMb > 0 || uselessWork.gpu > 0;
+}
+
 /** Adds long-running tasks, unless they only wait for an answer, a rack or a trial. They do not end, so waiting for others to end would not help them. */
 function addUnplaceable(demand: PoolDemand, definition: StepDefinition, tasks: number, refused: RefusedWorkers): void {
 	if (refused.advice !== undefined || refused.rack !== undefined || refused.trial !== undefined) {
--- a/packages/core/src/scheduler/machine-state.ts
+++ b/packages/core/src/scheduler/machine-state.ts
@@ -55,6 +55,10 @@
 	waitingTasks: number;
 	/** Work of the short tasks that wait: resources times milliseconds. */
 	waitingWork: Resources;
+	/** The same of jobs that are of no use any more; it gets the machines that are left. */
+	uselessWork: Resources;
+	/** Another pool lacks machines, and this one has more than it needs: they are kept free of tasks of no use, so that they can be moved. */
+	isLending: boolean;
 	/** Resources needed by the long-running tasks that wait. */
 	waitingLongRunning: Resources;
 	/** Long-running tasks that only another machine can take: the resources they need, and how many machines they need because of their limit of tasks per worker. */
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -1,6 +1,8 @@
 /** Moves machines between pools according to demand: pools that lack machines get spare ones first, and idle ones go back to the spare pool. */
 import {isConfirmedWithin} from './confirmation.js';
-import {getDemand, updateDemand} from './demand.js';
+import {
+	countUsableMachines, getDemand, hasUselessWork, updateDemand,
+} from './demand.js';
 import {isQuarantined} from './health.js';
 import {noteDecision} from './logging.js';
 import {canOrder, canTakeOrder, orderMove} from './machine-orders.js';
@@ -8,7 +10,7 @@
 	computeOfferedShare, findWorker, getWorkerOf, hasNoWorker, isBusy,
 } from './machine-workers.js';
 import {noResources} from './resources.js';
-import type {PoolName} from './types.js';
+import type {PoolName, Resources} from './types.js';
 import type {Machine, SchedulerState} from './state.js';
 
 const moveIntervalMs = 150;
@@ -33,6 +35,10 @@
 	}
 
 	if (!canOrder(state)) {
+		for (const demand of state.demand.values()) {
+			demand.isLending = false;
+		}
+
 		return;
 	}
 
@@ -119,7 +125,7 @@
 		size = entry.capacity.cpu > size.cpu ? entry.capacity : size;
 	}
 
-	return (state.config?.pools ?? []).filter(pool => pool.name !== spare && !pool.isSpare).map(({name}) => {
+	const pools = (state.config?.pools ?? []).filter(pool => pool.name !== spare && !pool.isSpare).map(({name}) => {
 		const demand = updateDemand(state, name, size);
 		const machines = present.get(name) ?? 0;
 		const replacements = demand.replacementUntil > state.now ? 1 : 0;
@@ -132,6 +138,20 @@
 			surplus: Math.floor(machines - replacements - Math.max(minMachines, demand.peakMachines)),
 		};
 	});
+	allocateUselessWork(state, pools, {present, size});
+	return pools;
+}
+
+/** Work that is of no use any more yields machines to pools that lack some, and gets some if none does. */
+function allocateUselessWork(state: SchedulerState, pools: readonly PoolBalance[], {present, size}: {readonly present: ReadonlyMap<PoolName, number>; readonly size: Resources}): void {
+	const isShort = pools.some(({missing}) => missing > 0);
+	for (const pool of pools) {
+		const demand = getDemand(state, pool.name);
+		demand.isLending = isShort && pool.lendable > 0;
+		if (!isShort && hasUselessWork(demand)) {
+			pool.missing = Math.max(0, Math.ceil(countUsableMachines(state, pool.name, size) - (present.get(pool.name) ?? 0)));
+		}
+	}
 }
 
 /** Logs which pools lack machines, at most once a second. */
@@ -209,7 +229,8 @@
 }
 
 function moveIdleToSpare(state: SchedulerState, pool: PoolBalance, spare: PoolName): void {
-	if (getDemand(state, pool.name).waitingTasks > 0) {
+	const demand = getDemand(state, pool.name);
+	if (demand.waitingTasks > 0 || hasUselessWork(demand)) {
 		return;
 	}
 
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -2,7 +2,7 @@
 import {updateUncertainUse} from './account-use.js';
 import {isAwaitingFate} from './crashes.js';
 import {
-	addStepWork, addWaitingWork, clearWaiting, getDemand, noteUsableWorkers,
+	addStepWork, addUselessWork, addWaitingWork, clearWaiting, getDemand, noteUsableWorkers,
 } from './demand.js';
 import {isQuarantined, isProbeDue} from './health.js';
 import {getPoolOfJob, hasAccounts} from './queues.js';
@@ -41,9 +41,9 @@
 	const setAside = groupByPool(state, worker => isUsableOrSetAside(state, worker) && isProbeDue(state, worker));
 	planTrials(state, usable, canHost);
 	const sorted = sortSteps(state);
-	for (const {step} of hasAccounts(state) ? orderByShare(state, sorted) : sorted) {
-		const pool = getPoolOfJob(state, step.occurrence.job);
-		placeStep(state, step, pool, {usable: usable.get(pool) ?? [], setAside: setAside.get(pool) ?? []});
+	for (const urgency of hasAccounts(state) ? orderByShare(state, sorted) : sorted) {
+		const pool = getPoolOfJob(state, urgency.step.occurrence.job);
+		placeStep(state, urgency, pool, {usable: usable.get(pool) ?? [], setAside: setAside.get(pool) ?? []});
 	}
 
 	for (const [pool, workers] of usable) {
@@ -92,12 +92,17 @@
 
 type PoolWorkers = {readonly usable: readonly Worker[]; readonly setAside: readonly Worker[]};
 
-function placeStep(state: SchedulerState, step: StepRun, pool: PoolName, {usable, setAside}: PoolWorkers): void {
+function placeStep(state: SchedulerState, {step, isOfNoUse}: Urgency, pool: PoolName, {usable, setAside}: PoolWorkers): void {
 	const waiting = step.tasks.filter(task => task.status === 'waiting' && !isAwaitingFate(state, task));
 	if (waiting.length === 0) {
 		return;
 	}
 
+	if (isOfNoUse && getDemand(state, pool).isLending) {
+		addUselessWork(state, pool, step, waiting.length);
+		return;
+	}
+
 	const limit = countAdmitted(state, step);
 	if (limit < waiting.length) {
 		noteHeldBack(state, step);
@@ -111,7 +116,9 @@
 	const place = step.definition.isGang ? placeGang : placeEach;
 	const {placed, refused} = place(state, waiting, listFreeCapacities(state, step, candidates), limit);
 	const left = Math.min(waiting.length, limit) - placed;
-	if (left > 0) {
+	if (left > 0 && isOfNoUse) {
+		addUselessWork(state, pool, step, left);
+	} else if (left > 0) {
 		addWaitingWork(state, pool, step, {tasks: left, workers: candidates.length, refused});
 		placeAsProbe(state, step, setAside);
 	}
--- a/packages/core/src/scheduler/urgency.test.ts
+++ b/packages/core/src/scheduler/urgency.test.ts
@@ -10,9 +10,9 @@
 const step = nothing as Urgency['step'];
 
 describe('the order of steps', () => {
-	it('compares whether jobs are within their rate, then priority, then whether the objective is reachable, and with slack, then whether the job has started, then arrival', () => {
+	it('compares whether jobs are within their rate, then whether they are still of use, then priority, then whether the objective is reachable, and with slack, then whether the job has started, then arrival', () => {
 		const base: Urgency = {
-			step, isExcess: false, priority: 1, isObjectiveUnreachable: false, hasSlack: true, hasStarted: false, acceptedAt: 10,
+			step, isExcess: false, isOfNoUse: false, priority: 1, isObjectiveUnreachable: false, hasSlack: true, hasStarted: false, acceptedAt: 10,
 		};
 		const urgent = {...base, priority: 0, isObjectiveUnreachable: true};
 		const unreachable = {
@@ -21,8 +21,9 @@
 		const doubtful = {...base, hasSlack: false, acceptedAt: 2};
 		const startedLater = {...base, hasStarted: true, acceptedAt: 50};
 		const earlier = {...base, acceptedAt: 5};
+		const useless = {...urgent, isOfNoUse: true};
 		const excess = {...urgent, isExcess: true, isObjectiveUnreachable: false};
-		expect([excess, unreachable, doubtful, base, earlier, startedLater, urgent].toSorted(compareUrgency)).toEqual([urgent, startedLater, earlier, base, doubtful, unreachable, excess]);
+		expect([excess, useless, unreachable, doubtful, base, earlier, startedLater, urgent].toSorted(compareUrgency)).toEqual([urgent, startedLater, earlier, base, doubtful, unreachable, useless, excess]);
 	});
 
 	it('lets part of the jobs of a burst above the capacity of its pool be in time, rather than all be late', () => {
--- a/packages/core/src/scheduler/urgency.ts
+++ b/packages/core/src/scheduler/urgency.ts
@@ -20,8 +20,13 @@
 /** Share of the remaining work that a job needs as slack to be started ahead of others: one that is started and then late has used their capacity for nothing. */
 export const slackShare = 0.35;
 
+/** A job that ends later than its objective times this factor is of no use to its caller. */
+export const usefulFactor = 3;
+
 export type Urgency = {
 	readonly step: StepRun;
+	/** The job can no longer end in time to be of any use. */
+	readonly isOfNoUse: boolean;
 	/** The job exceeds the rate of its account. */
 	readonly isExcess: boolean;
 	readonly priority: number;
@@ -35,6 +40,11 @@
 	readonly acceptedAt: number;
 };
 
+/** False where jobs may be refused by their expected wait: it assumes the order without this class. */
+function isUseJudged({config, settings}: SchedulerState): boolean {
+	return config?.accounts === undefined && settings.isAdmissionEnabled !== true;
+}
+
 /** Computes what the order of a step depends on. */
 export function computeUrgency(state: SchedulerState, step: StepRun): Urgency {
 	const {job} = step.occurrence;
@@ -60,6 +70,7 @@
 	const requiredSlackMs = remainingMs * slackShare;
 	return {
 		step,
+		isOfNoUse: isTimed && isUseJudged(state) && job.sentAt + (objectiveMs * usefulFactor) < state.now + remainingMs,
 		isExcess: job.isExcess,
 		priority: queue?.priority ?? lowestPriority,
 		// Fleets without client accounts keep their former order, in which jobs without slack count as late.
@@ -72,11 +83,12 @@
 }
 
 /**
- * Sorts steps by class: those of excess jobs last, then by priority, then those that can meet their objective first, and
+ * Sorts steps by class: those of excess jobs last, before them those of jobs that are of no use any more, then by priority, then those that can meet their objective first, and
  * among them those with slack, then those of started jobs.
  */
 export function compareClass(a: Urgency, b: Urgency): number {
 	return Number(a.isExcess) - Number(b.isExcess)
+		|| Number(a.isOfNoUse) - Number(b.isOfNoUse)
 		|| a.priority - b.priority
 		|| Number(a.isObjectiveUnreachable) - Number(b.isObjectiveUnreachable)
 		|| Number(b.hasSlack) - Number(a.hasSlack)
