Start work of no use on machines that cannot be moved

Cause: a pool that has machines to spare for another one starts no work that is of no use any more, also not on machines that cannot be moved at that time (an order lately, a wave, the first seconds of a leader): they stood idle while tasks waited.

--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -5,6 +5,7 @@
 	addStepWork, addUselessWork, addWaitingWork, clearWaiting, getDemand, noteUsableWorkers,
 } from './demand.js';
 import {isQuarantined, isProbeDue} from './health.js';
+import {canTakeOrder} from './machine-orders.js';
 import {getPoolOfJob, hasAccounts} from './queues.js';
 import {clearQuotas, countAdmitted, noteHeldBack} from './quotas.js';
 import {orderByShare} from './shares.js';
@@ -98,11 +99,6 @@
 		return;
 	}
 
-	if (isOfNoUse && getDemand(state, pool).isLending) {
-		addUselessWork(state, pool, step, waiting.length);
-		return;
-	}
-
 	const limit = countAdmitted(state, step);
 	if (limit < waiting.length) {
 		noteHeldBack(state, step);
@@ -112,7 +108,8 @@
 		return;
 	}
 
-	const candidates = usable.filter(worker => hasLabel(step, worker));
+	const isYielding = isOfNoUse && getDemand(state, pool).isLending;
+	const candidates = usable.filter(worker => hasLabel(step, worker) && !(isYielding && canBeMoved(state, worker)));
 	const place = step.definition.isGang ? placeGang : placeEach;
 	const {placed, refused} = place(state, waiting, listFreeCapacities(state, step, candidates), limit);
 	const left = Math.min(waiting.length, limit) - placed;
@@ -124,6 +121,12 @@
 	}
 }
 
+/** True if the machine of a worker could be moved to another pool once it is idle. */
+function canBeMoved(state: SchedulerState, {machineId}: Worker): boolean {
+	const machine = state.machines.get(machineId ?? '');
+	return machine !== undefined && machine.drainingForWave === undefined && canTakeOrder(state, machine);
+}
+
 /** Places long-running tasks that no other worker takes, one each, on workers that were set aside: they may be well again, and the tasks do not end by themselves however long they wait. */
 function placeAsProbe(state: SchedulerState, step: StepRun, setAside: readonly Worker[]): void {
 	if (!step.definition.isLongRunning || step.definition.isGang) {
--- a/packages/core/src/scheduler/useless-backlog.test.ts
+++ b/packages/core/src/scheduler/useless-backlog.test.ts
@@ -66,4 +66,18 @@
 		expect(leader.orders.map(order => order.type === 'machine/move' && order.pool)).toEqual([other]);
 		expect(countRuns(leader)).toBeGreaterThan(0);
 	});
+
+	/** Guards against work that waits although its pool has idle machines, which cannot be moved for the time being. */
+	it('run on machines that cannot be moved although another pool lacks some', () => {
+		const leader = createBackloggedLeader();
+		leader.push({type: 'intake/read', records: [{type: 'job', job: createJob(2, [createStep({count: 32, need: taskNeed, estimateMs: 3000})], {queue: otherQueue, pool: other})}]});
+		leader.run(200);
+		for (const machine of leader.state.machines.values()) {
+			machine.drainingForWave = 7;
+		}
+
+		endRuns(leader);
+		leader.run(1000);
+		expect(countRuns(leader)).toEqual(tasksThatFillAll);
+	});
 });
