--- a/packages/core/src/scheduler/call-window.ts
+++ b/packages/core/src/scheduler/call-window.ts
@@ -26,12 +26,12 @@
 	hasHeldBack: boolean;
 	/** Stored placements whose starts are not sent yet. */
 	waitingStarts: Array<{readonly task: Task; readonly run: number}>;
+	/** Until then the waiting starts keep their order; those that join them meanwhile come last. */
+	orderDueAt: SteadyMs;
 	/** The bound holds first polls of workers back. */
 	hasWaitingPolls: boolean;
 	/** When the leader was last seen to keep up with the calls that it has to make. */
 	keptUpAt: SteadyMs;
-	/** Until then they keep their order; starts that join them meanwhile come last. */
-	orderDueAt: SteadyMs;
 };
 
 export function createCallWindow(): CallWindow {
