--- a/packages/core/src/scheduler/ledger-records.ts
+++ b/packages/core/src/scheduler/ledger-records.ts
@@ -2,6 +2,7 @@
 import {
 	computeClaimDelay, noteConfigured, noteHandover, startLeading,
 } from './leadership.js';
+import {noteLeaseRecord, noteLedgerLoaded} from './earlier-leases.js';
 import {applyLoad, noteLease} from './load-view.js';
 import {addEffect, describeError, noteWarning} from './logging.js';
 import {dropFinishedRemovals, dropProgress} from './retention.js';
@@ -22,6 +23,7 @@
 	state.leadership.hasLoadedLedger = true;
 	state.leadership.hasReadUpdates = false;
 	state.leadership.lastRecordAt = state.now;
+	noteLedgerLoaded(state);
 	readLedger(state, event);
 	// Figures read with the whole ledger may be of any age.
 	state.load.view = undefined;
@@ -66,6 +68,7 @@
 	lease(state, {lease}) {
 		const {leadership, settings, now} = state;
 		noteLease(state, lease);
+		noteLeaseRecord(state, lease);
 		leadership.isReleased = lease.isReleased;
 		leadership.claimNotBefore = now + computeClaimDelay(settings);
 		if (lease.capacityShortfall !== undefined) {
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -91,6 +91,12 @@
 	latestHandover: {readonly capacityShortfall: number; readonly readAt: SteadyMs} | undefined;
 	/** This leader has decided to hand over, and sends no more appends but the one that says so. */
 	isHandingOver: boolean;
+	/** Token of the latest lease record of another host that was read. */
+	readToken: FencingToken;
+	/** Upper bound of the expiry of leases granted by leaders before the latest one that the ledger shows. */
+	formerLeasesUntil: SteadyMs;
+	/** The same for all leaders before this host's present term. */
+	earlierLeasesUntil: SteadyMs;
 	hasLoadedLedger: boolean;
 	/** Records followed after the full read of the ledger: a leader has been active since. */
 	hasReadUpdates: boolean;
@@ -210,7 +216,7 @@
 		accountUse: createAccountUse(),
 		arrivalBuckets: new Map(),
 		leadership: {
-			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, isSilenceUnknown: false, claimNotBefore: 0, configuredAt: 0, isReleased: false, latestHandover: undefined, isHandingOver: false, hasLoadedLedger: false, hasReadUpdates: false, leaderSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, meanCommitMs: 0, commitNotBefore: 0, heartbeatDueAt: 0, retryClaimAt: undefined,
+			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, isSilenceUnknown: false, claimNotBefore: 0, configuredAt: 0, isReleased: false, readToken: 0, formerLeasesUntil: 0, earlierLeasesUntil: 0, latestHandover: undefined, isHandingOver: false, hasLoadedLedger: false, hasReadUpdates: false, leaderSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, meanCommitMs: 0, commitNotBefore: 0, heartbeatDueAt: 0, retryClaimAt: undefined,
 		},
 		dirtyJobs: new Set(),
 		removedJobs: new Set(),
