--- a/packages/core/src/scheduler/evacuation-review.known-red.test.ts
+++ b/packages/core/src/scheduler/evacuation-review.known-red.test.ts
@@ -93,7 +93,13 @@
 		leader.listMachines(machines);
 		list();
 		leader.run(50);
-		leader.push({type: 'intake/read', records: [{type: 'job', job: createJob(1, [createStep({isLongRunning: true, estimateMs: 600_000, count: 3, need})])}]});
+		leader.push({
+			type: 'intake/read', records: [{
+				type: 'job', job: createJob(1, [createStep({
+					isLongRunning: true, estimateMs: 600_000, count: 3, need,
+				})]),
+			}],
+		});
 		leader.run(1500);
 		expect(leader.orders.length).toEqual(0);
 		leader.listMachines(machines);
@@ -102,7 +108,7 @@
 		const [first] = leader.orders;
 		const asked = leader.orders.length;
 		leader.run(500);
-		for (const order of [...leader.orders]) {
+		for (const order of leader.orders) {
 			leader.endOrder(order, 'done');
 		}
 
--- a/packages/core/src/scheduler/evacuation-room-review.known-red.test.ts
+++ b/packages/core/src/scheduler/evacuation-room-review.known-red.test.ts
@@ -15,7 +15,11 @@
 	it('is not stopped for room that a more urgent waiting task takes', () => {
 		const host = HandDrivenHost.create();
 		const base = createConfig();
-		const config = {...base, queues: [...base.queues, {...base.queues[0]!, name: 'late', pathPrefix: '/late/', priority: 1}]};
+		const config = {
+			...base, queues: [...base.queues, {
+				...base.queues[0]!, name: 'late', pathPrefix: '/late/', priority: 1,
+			}],
+		};
 		expect(base.queues[0]!.name).toEqual(queueName);
 		host.takeLeadership([], config);
 		const listWorkers = (remainingMs?: number) => {
