--- a/packages/core/src/scheduler/call-window.ts
+++ b/packages/core/src/scheduler/call-window.ts
@@ -30,11 +30,13 @@
 	hasWaitingPolls: boolean;
 	/** When the leader was last seen to keep up with the calls that it has to make. */
 	keptUpAt: SteadyMs;
+	/** Until then they keep their order; starts that join them meanwhile come last. */
+	orderDueAt: SteadyMs;
 };
 
 export function createCallWindow(): CallWindow {
 	return {
-		unansweredStarts: new Map(), limit: firstLimit, timely: 0, late: 0, hasHeldBack: false, waitingStarts: [], hasWaitingPolls: false, keptUpAt: 0,
+		unansweredStarts: new Map(), limit: firstLimit, timely: 0, late: 0, hasHeldBack: false, waitingStarts: [], orderDueAt: 0, hasWaitingPolls: false, keptUpAt: 0,
 	};
 }
 
--- a/packages/core/src/scheduler/ledger-records.ts
+++ b/packages/core/src/scheduler/ledger-records.ts
@@ -1,8 +1,8 @@
 /** Applies what a host reads of the ledger, which only leaders write. */
+import {noteLeaseRecord, noteLedgerLoaded} from './earlier-leases.js';
 import {
 	computeClaimDelay, noteConfigured, noteHandover, startLeading,
 } from './leadership.js';
-import {noteLeaseRecord, noteLedgerLoaded} from './earlier-leases.js';
 import {applyLoad, noteLease} from './load-view.js';
 import {addEffect, describeError, noteWarning} from './logging.js';
 import {dropFinishedRemovals, dropProgress} from './retention.js';
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -139,6 +139,8 @@
 	/** Steps with tasks that may start. */
 	readonly openSteps: Set<StepRun>;
 	readonly workers: Map<WorkerId, Worker>;
+	/** Workers that starts were sent to since due polls were last looked for. */
+	readonly startedWorkers: Set<WorkerId>;
 	/** What client accounts have running. */
 	readonly accountUse: AccountUse;
 	/** What client accounts may still send within their rate. */
@@ -213,10 +215,11 @@
 		liveJobs: new Set(),
 		openSteps: new Set(),
 		workers: new Map(),
+		startedWorkers: new Set(),
 		accountUse: createAccountUse(),
 		arrivalBuckets: new Map(),
 		leadership: {
-			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, isSilenceUnknown: false, claimNotBefore: 0, configuredAt: 0, isReleased: false, readToken: 0, formerLeasesUntil: 0, earlierLeasesUntil: 0, latestHandover: undefined, isHandingOver: false, hasLoadedLedger: false, hasReadUpdates: false, leaderSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, meanCommitMs: 0, commitNotBefore: 0, heartbeatDueAt: 0, retryClaimAt: undefined,
+			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, isSilenceUnknown: false, claimNotBefore: 0, configuredAt: 0, isReleased: false, latestHandover: undefined, isHandingOver: false, readToken: 0, formerLeasesUntil: 0, earlierLeasesUntil: 0, hasLoadedLedger: false, hasReadUpdates: false, leaderSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, meanCommitMs: 0, commitNotBefore: 0, heartbeatDueAt: 0, retryClaimAt: undefined,
 		},
 		dirtyJobs: new Set(),
 		removedJobs: new Set(),
--- a/packages/core/src/scheduler/waves.ts
+++ b/packages/core/src/scheduler/waves.ts
@@ -3,7 +3,7 @@
 import {findWorker, hasNoWorker, isBusy} from './machine-workers.js';
 import {isGone, requestList} from './machines.js';
 import {getDemand} from './demand.js';
-import {canDisplace, findRoom, requestReplacement} from './displacement.js';
+import {canDisplace, hasRoom, requestReplacement} from './displacement.js';
 import {addEffect, noteDecision} from './logging.js';
 import {getPoolOfJob} from './queues.js';
 import {requestStop} from './tasks.js';
@@ -115,7 +115,9 @@
 	const {definition} = wave;
 	const present = definition.machineIds.filter(id => !isGone(state, id, wave.readAt));
 	const openIds = present.filter(id => !wave.doneMachines.has(id));
-	const open = openIds.map(id => state.machines.get(id)).filter(machine => machine !== undefined);
+	const known = openIds.map(id => state.machines.get(id)).filter(machine => machine !== undefined);
+	// The platform refuses orders for a machine whose worker leaves.
+	const open = known.filter(machine => !findWorker(state, machine)?.isDraining);
 	const down = present.filter(id => isDown(state, state.machines.get(id))).length;
 	if (openIds.length === 0 && down === 0) {
 		endWave(state, wave);
@@ -226,7 +228,7 @@
  * that capacity.
  */
 function canMoveTask(state: SchedulerState, task: Task, isDeadlineNear: boolean): boolean {
-	const hasCapacity = findRoom(state, task) !== undefined;
+	const hasCapacity = hasRoom(state, task);
 	if (!hasCapacity) {
 		requestReplacement(state, getPoolOfJob(state, task.step.occurrence.job));
 	}
