--- a/packages/core/src/scheduler/earlier-leases-review.known-red.test.ts
+++ b/packages/core/src/scheduler/earlier-leases-review.known-red.test.ts
@@ -58,7 +58,7 @@
 		const [start] = listStarts([...leader.submit(job), ...leader.tick(50)]);
 		expect(start?.worker.id).toEqual('w1');
 		leader.dispatch({type: 'stop/requested'});
-		expect(leader.tick(50).concat(leader.effects).some(effect => effect.type === 'ledger/commit' && effect.records.some(record => record.type === 'lease' && record.lease.isReleased))).toEqual(true);
+		expect([...leader.tick(50), ...leader.effects].some(effect => effect.type === 'ledger/commit' && effect.records.some(record => record.type === 'lease' && record.lease.isReleased))).toEqual(true);
 		/** How long after the sending of the start the worker's clock reaches the end of the lease. */
 		const leaseMs = ((start!.untilMs - clockAtRead) / slowClock) - (sentAt - readAt);
 
