The bound after a release covers leases granted on an old reading of a clock

A start elsewhere could run beside the old run for 1.7 s (TWICE). Change: no lease ends later than 6.02 s after it was granted, whatever the age of the reading, and a successor waits for that, 0.5 s and 0.1 s: 6.6 s after a release. Of the rule's 9 s that leaves 2.4 s. Tests: released-leases.test failed before (5,852 ms of lease, bound 4,171).

--- a/packages/core/src/scheduler/earlier-leases.ts
+++ b/packages/core/src/scheduler/earlier-leases.ts
@@ -6,15 +6,15 @@
  * latest record that a host has read before its own claim, whichever of the earlier leaders wrote it.
  */
 import {
-	leaseHorizonMs, leaseSlackMs, maxClockDrift, suspicionMs, workerLeaseMs,
+	leaseHorizonMs, leaseSlackMs, longestGrantMs, suspicionMs,
 } from './timing.js';
 import type {LeaseRecord, SteadyMs} from './types.js';
 import type {SchedulerState} from './state.js';
 
 /** A leader notices a suspension of its host only from `suspicionMs` on. */
 const earlierLeaseMs = leaseHorizonMs + suspicionMs + leaseSlackMs;
-/** A leader renews nothing once it has sent its release. */
-const releasedLeaseMs = (workerLeaseMs / (1 - maxClockDrift)) + suspicionMs + leaseSlackMs;
+/** A leader grants nothing once it has sent its release. */
+const releasedLeaseMs = longestGrantMs + suspicionMs + leaseSlackMs;
 
 /** A full read shows only the latest lease record: earlier leaders may have been active until now. */
 export function noteLedgerLoaded({leadership, now}: SchedulerState): void {
--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -9,7 +9,7 @@
 import {noteAnswerTime} from './call-window.js';
 import {getTarget} from './tasks.js';
 import {
-	clockRefreshMs, leaseHorizonMs, leaseRenewalThresholdMs, leaseSlackMs, longRunningPollWaitMs, maxClockDrift, pollRetryMs, pollSlackMs, pollWaitMs, retriedPollSlackMs, workerLeaseMs,
+	clockRefreshMs, leaseHorizonMs, leaseRenewalThresholdMs, leaseSlackMs, longestGrantMs, longRunningPollWaitMs, maxClockDrift, pollRetryMs, pollSlackMs, pollWaitMs, retriedPollSlackMs, workerLeaseMs,
 } from './timing.js';
 import type {SchedulerEvent} from './events.js';
 import type {WorkerId} from './types.js';
@@ -128,8 +128,8 @@
 
 	const age = state.now - worker.clock.at;
 	const leaseMs = Math.min(workerLeaseMs, state.settings.maxLeaseMs);
-	const wantedMs = age + leaseMs;
-	// The worker's clock may be slow: less of its time than of this host's may pass until the horizon.
+	// The worker's clock may be slow since it was read: less of its time than of this host's may pass.
+	const wantedMs = Math.min(age + leaseMs, (age + longestGrantMs) * (1 - maxClockDrift));
 	const allowedMs = (state.leadership.confirmedAt + leaseHorizonMs - worker.clock.at) * (1 - maxClockDrift);
 	if (allowedMs <= age) {
 		return undefined;
--- a/packages/core/src/scheduler/timing.ts
+++ b/packages/core/src/scheduler/timing.ts
@@ -19,6 +19,8 @@
 export const suspicionMs = 500;
 /** A worker's clock is read again after this time: the older the reading, the less is known of a slow clock. */
 export const clockRefreshMs = 120_000;
+/** No lease ends later than this after it was granted, however slow the worker's clock has been since it was read. */
+export const longestGrantMs = (workerLeaseMs + (clockRefreshMs * maxClockDrift)) / (1 - maxClockDrift);
 /** Without new ledger records for this long, there is no leader. */
 export const leaderSilenceMs = 1000;
 /** Interval at which a leader without changes appends a heartbeat record to the ledger. */
