Long-running tasks prefer the rack of their data, but never wait for it

Cause: the wait for a rack weighs time to the end of a task; a long-running one has no end. Change: for long-running tasks the rack is a preference only.

--- a/packages/core/src/scheduler/worker-choice.ts
+++ b/packages/core/src/scheduler/worker-choice.ts
@@ -149,7 +149,10 @@
 
 type RackChoice = {readonly name: string | undefined; readonly isRequired: boolean};
 
-/** The rack preferred for a task: that of its step's running tasks or data. It is mandatory until the task has waited for `maxRackWaitShare` of the time that another rack would cost. */
+/**
+ * The rack preferred for a task: that of its step's running tasks or data. It is mandatory until the task has waited for
+ * `maxRackWaitShare` of the time that another rack would cost; never for a long-running task, which loses more while it waits.
+ */
 function chooseRack(state: SchedulerState, task: Task): RackChoice {
 	const {definition, tasks} = task.step;
 	const used = definition.isSameRack ? tasks.find(other => other.worker !== undefined)?.worker?.rack : undefined;
@@ -159,5 +162,5 @@
 	}
 
 	const lossMs = definition.estimateMs * (state.settings.remoteRackFactor - 1);
-	return {name, isRequired: state.now - task.readyAt < lossMs * maxRackWaitShare};
+	return {name, isRequired: !definition.isLongRunning && state.now - task.readyAt < lossMs * maxRackWaitShare};
 }
