Workers that drain are emptied in parts, so that a pass stays short

Found by the review: a pass looks for room for each task that moves, and is due every 100 ms; with 180 workers that drain and 1,080 tasks it took 184 to 233 ms of processor time (load 20), with 60 workers 82: a leader that polls late. Change: at most 64 tasks wait for a start or are being stopped before others are stopped, but for those whose time is over.

--- a/packages/core/src/scheduler/draining-workers.ts
+++ b/packages/core/src/scheduler/draining-workers.ts
@@ -27,6 +27,8 @@
 const stopOverheadMs = 500;
 /** Time until a task that was stopped counts as available again elsewhere, beyond the stop itself. */
 const restartMs = 1500;
+/** At most this many tasks wait for a start or are being stopped before others are stopped: each pass looks for room for all of them. */
+const maxPlannedMoves = 64;
 const fullPercent = 100;
 
 /** A worker that drains, and the time that is left for orders to it. */
@@ -76,12 +78,20 @@
 	const waiting = [...state.openSteps].flatMap(({tasks}) => tasks.filter(({status}) => status === 'waiting'));
 	const stopping = leavers.flatMap(({worker}) => [...worker.tasks.values()].filter(({status}) => status === 'stopping'));
 	for (const task of [...waiting, ...stopping]) {
+		if (isFull(plan)) {
+			return;
+		}
+
 		if (isLongRunning(task) && isJobOpen(task.step.occurrence.job)) {
 			planMove(state, task, plan);
 		}
 	}
 }
 
+function isFull({moves}: Plan): boolean {
+	return moves.length >= maxPlannedMoves;
+}
+
 function isLongRunning({step}: Task): boolean {
 	return step.definition.isLongRunning;
 }
@@ -111,7 +121,12 @@
 		}
 
 		const isTimeUp = leaver.leftMs <= 0;
-		if (!isTimeUp && !canMove(state, leaver, task)) {
+		if (!isTimeUp && (isFull(plan) || !canMove(state, leaver, task))) {
+			continue;
+		}
+
+		if (isFull(plan)) {
+			stopTask(state, leaver, task, false);
 			continue;
 		}
 
