--- a/packages/core/src/scheduler/released-leases.test.ts
+++ b/packages/core/src/scheduler/released-leases.test.ts
@@ -9,6 +9,8 @@
 const slowClock = 0.98;
 const idleMs = 110_000;
 const storeMs = 5;
+/** A host that is stopped for a while reads what was stored meanwhile in one batch. */
+const pauseMs = 2600;
 const job = createJob(1, [createStep({count: 1, isLongRunning: true})]);
 
 function createLease(offset: number, token: number, isReleased: boolean): EventBody {
@@ -67,4 +69,17 @@
 		const boundMs = takeLead(follower) - releasedAt;
 		expect({leaseMs, boundMs, isCovered: boundMs >= leaseMs - 100}).toEqual({leaseMs, boundMs, isCovered: true});
 	});
+
+	/** Guards against a leader of which this host has read nothing: of several lease records in a batch the host gets the latest only. */
+	it('covers the leases of a leader whose records were replaced by those of its successor before they were read', () => {
+		const host = createFollower();
+		host.dispatch(createLease(40, 1, true));
+		// Host 42 claims, and is cut off from the store; host 45 claims after the silence, and releases the lead.
+		const formerConfirmedAt = host.now + 1400;
+		host.now += pauseMs;
+		host.dispatch(createLease(46, 45, true));
+		// Until then host 42 may renew leases of workers that host 45 does not reach.
+		const horizonMs = 7500;
+		expect(takeLead(host)).toBeGreaterThanOrEqual(formerConfirmedAt + horizonMs);
+	});
 });
