--- a/packages/core/src/scheduler/displacement.ts
+++ b/packages/core/src/scheduler/displacement.ts
@@ -1,4 +1,4 @@
-/** What the drain of a machine for upkeep and of a worker that leaves have in common: which long-running tasks may be stopped, and whether they have room elsewhere. */
+/** Shared by machines drained for upkeep and workers that drain: which long-running tasks may be stopped, and whether they have room elsewhere. */
 import {getTicketState} from './advice.js';
 import {getDemand} from './demand.js';
 import {isUsable} from './placement.js';
--- a/packages/core/src/scheduler/earlier-leases.ts
+++ b/packages/core/src/scheduler/earlier-leases.ts
@@ -27,7 +27,7 @@
 		return;
 	}
 
-	// The leader of before may have renewed leases until its successor, whose claim this is, excluded it from the ledger.
+	// The former leader may have renewed leases until its successor, whose claim this is, excluded it from the ledger.
 	leadership.formerLeasesUntil = Math.max(leadership.formerLeasesUntil, leadership.isReleased ? 0 : now + earlierLeaseMs, getLatestLeaderEnd(leadership));
 	leadership.readToken = token;
 }
