--- a/review/stand-ins/deployment.js
+++ b/review/stand-ins/deployment.js
@@ -22,6 +22,7 @@
 /** The platform starts a process that has ended again after a short delay. */
 const restartMs = 500;
 const statusOk = 200;
+const exitCouldNotRun = 2;
 
 /** The settings of the page DEPLOY.md; what differs from host to host is filled in. */
 const settingsTemplate = fileURLToPath(new URL('settings.json', import.meta.url));
@@ -62,6 +63,17 @@
 
 	constructor(record) {
 		this.record = record;
+		// Processes of the case never outlive its script, also if it is ended itself.
+		process.once('exit', () => {
+			for (const {child} of this.hosts) {
+				child?.kill('SIGKILL');
+			}
+		});
+		for (const signal of ['SIGINT', 'SIGTERM']) {
+			process.once(signal, () => {
+				process.exit(exitCouldNotRun);
+			});
+		}
 	}
 
 	async startRunners(services, cpu, observer) {
