--- a/review/stand-ins/network.js
+++ b/review/stand-ins/network.js
@@ -3,8 +3,17 @@
 import {randomInt} from 'node:crypto';
 import {createServer as createHttpServer, request as sendRequest} from 'node:http';
 import {createServer as createTcpServer} from 'node:net';
+import process from 'node:process';
 
-export const loopback = '127.0.0.1';
+const firstBlock = 64;
+const blocks = 128;
+const nets = 256;
+const addressesPerPid = 4;
+const pidsPerNet = nets / addressesPerPid;
+const pidsPerBlock = nets * pidsPerNet;
+
+/** The loopback address of this script alone, by its process id, so that scripts at the same time share no port. */
+export const loopback = `127.${firstBlock + (Math.floor(process.pid / pidsPerBlock) % blocks)}.${Math.floor(process.pid / pidsPerNet) % nets}.${((process.pid % pidsPerNet) * addressesPerPid) + 1}`;
 
 /** Below the ports that the system gives to outgoing channels, which could take a port before its program listens there. */
 const firstPort = 12_000;
