--- a/packages/bench/src/capacity/placement.ts
+++ b/packages/bench/src/capacity/placement.ts
@@ -27,7 +27,7 @@
 /** A leader whose workers have answered and none of whose appends is confirmed unless the measurement does so. */
 function createLeader(accounts: number): SchedulerState {
 	const state = createSchedulerState({
-		holder: 'h', claimJitter: 0, capacityShortfall: 0, firstSequence: 1, moveMs: 1500, upkeepMs: 2000, orderLeaseMs: 3000, maxLeaseMs: 10_000, stopMs: 200, statusRetentionMs: 120_000, remoteRackFactor: 2,
+		holder: 'h', claimJitter: 0, capacityShortfall: 0, firstSequence: 1, moveMs: 1500, upkeepMs: 2000, orderLeaseMs: 3000, maxLeaseMs: 10_000, stopMs: 200, statusRetentionMs: 120_000, remoteRackFactor: 2, maxRecordBytes: 262_144,
 	});
 	apply(state, {
 		type: 'config/read', config: {
--- a/packages/core/src/scheduler/commits.ts
+++ b/packages/core/src/scheduler/commits.ts
@@ -1,9 +1,10 @@
 /** Appends the leader's changes to the ledger in batches, and carries out the actions that depend on them once they are stored. */
-import {createJobProgress} from './job-progress.js';
+import {storeJobProgress} from './job-progress.js';
 import {dropLiveJobIfEnded} from './jobs.js';
 import {addEffect} from './logging.js';
 import {listRecentOrders, sendStoredOrder} from './machine-orders.js';
 import {isFinal} from './phases.js';
+import {listPartNames} from './progress-parts.js';
 import {queueStart} from './call-window.js';
 import {takeRunTimesRecord} from './run-time-record.js';
 import {commitPauseMs, commitRetryMs, leaderHeartbeatMs} from './timing.js';
@@ -59,8 +60,8 @@
 	const actions: PendingAction[] = state.pendingActions;
 	const records: LedgerRecord[] = [];
 	for (const job of state.dirtyJobs) {
-		const progress = createJobProgress(job);
-		records.push({type: 'progress', jobId: job.definition.jobId, progress});
+		const {progress, records: changed} = storeJobProgress(state, job);
+		records.push(...changed);
 		actions.push({type: 'publish-phase', job, progress});
 	}
 
@@ -69,15 +70,18 @@
 	state.dirtyJobs.clear();
 	const {leadership} = state;
 	leadership.commit = {
-		sequence: leadership.nextSequence++, sentAt: state.now, records, actions, retryAt: state.now + computeRepeatMs(state, 1), attempts: 1,
+		number: leadership.nextCommitNumber++, sequence: leadership.nextSequence++, sentAt: state.now, records, actions, retryAt: state.now + computeRepeatMs(state, 1), attempts: 1,
 	};
 	addCommitEffect(state, leadership.commit);
 }
 
 function listOtherRecords(state: SchedulerState): LedgerRecord[] {
 	const {leadership, settings} = state;
-	const records: LedgerRecord[] = [...state.removedJobs].map(jobId => ({type: 'progress-removed', jobId}));
+	const records: LedgerRecord[] = [];
 	for (const jobId of state.removedJobs) {
+		// Without the job's own record nothing would tell of parts that are left.
+		records.push(...listPartNames(state, jobId).map(part => ({type: 'progress-part-removed', jobId, part} as const)), {type: 'progress-removed', jobId});
+		state.progressParts.delete(jobId);
 		state.earlyProgress.delete(jobId);
 	}
 
@@ -91,7 +95,8 @@
 		state.areWavesDirty = false;
 		records.push({
 			type: 'waves',
-			waves: [...state.waves.values()].map(wave => ({wave: wave.definition.wave, doneMachines: [...wave.doneMachines], isCompleted: wave.isCompleted})),
+			// Of a completed wave no machine is needed any more: all waves ever published are in this record.
+			waves: [...state.waves.values()].map(wave => ({wave: wave.definition.wave, doneMachines: wave.isCompleted ? [] : [...wave.doneMachines], isCompleted: wave.isCompleted})),
 		});
 	}
 
@@ -161,6 +166,7 @@
 
 	noteCommitTime(state, commit);
 	leadership.commit = undefined;
+	leadership.nextSequence = commit.sequence + (event.appends ?? 1);
 	leadership.confirmedAt = commit.sentAt;
 	leadership.commitNotBefore = state.now + commitPauseMs;
 	// Counted from the sending, so that a slow store does not make the leader look silent.
--- a/packages/core/src/scheduler/crashes.ts
+++ b/packages/core/src/scheduler/crashes.ts
@@ -13,6 +13,7 @@
 import {finishJob} from './jobs.js';
 import {isJobOpen} from './phases.js';
 import {getPoolOfJob} from './queues.js';
+import {markChanged} from './tasks.js';
 import {plainBlameMs} from './timing.js';
 import {hasBegunLately, isOnTrial} from './trials.js';
 import type {TaskCrash} from './types.js';
@@ -153,7 +154,7 @@
 function setCrashes(state: SchedulerState, task: Task, crashes: readonly TaskCrash[]): void {
 	task.crashes = crashes;
 	state.suspectsDueAt = 0;
-	state.dirtyJobs.add(task.step.occurrence.job);
+	markChanged(state, task);
 }
 
 /** What has become of a worker's incarnation that fell silent; many tasks may have been lost with it. */
--- a/packages/core/src/scheduler/events.ts
+++ b/packages/core/src/scheduler/events.ts
@@ -52,7 +52,11 @@
 	| {readonly type: 'ledger/loaded'; readonly entries: readonly LedgerEntry[]; readonly nextOffset: number}
 	| {readonly type: 'ledger/read'; readonly entries: readonly LedgerEntry[]; readonly nextOffset: number}
 	| {readonly type: 'claim/ended'; readonly outcome: ClaimOutcome; readonly claimedAt: number}
-	| Answer & {readonly type: 'commit/ended'; readonly outcome: CommitOutcome; readonly sequence: number}
+	| Answer & {
+		readonly type: 'commit/ended'; readonly outcome: CommitOutcome; readonly sequence: number;
+		/** How many appends it took, each with a sequence number of its own; absent for one. */
+		readonly appends?: number;
+	}
 	| {readonly type: 'workers/listed'; readonly workers: readonly WorkerEntry[]; /** The registry was read again from the start: at startup, or because its records were lost. */ readonly isReloaded: boolean}
 	| Answer & {readonly type: 'start/ended'; readonly workerId: WorkerId; readonly bornAt: number; readonly task: TaskName; readonly run: number; readonly outcome: StartOutcome; readonly clockMs: number | undefined}
 	| Answer & {readonly type: 'stop/ended'; readonly workerId: WorkerId; readonly bornAt: number; readonly task: TaskName; readonly run: number; readonly outcome: StopOutcome}
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -8,6 +8,7 @@
 export type {Calibration} from './run-time-keys.js';
 export {reduceScheduler} from './reduce.js';
 export {describeError} from './logging.js';
+export {convertToRanges, listOccurrences} from './occurrence-ranges.js';
 export {findAccount, findQueue} from './queues.js';
 export {describeQuotaExcess} from './quotas.js';
 export {listAccountShares, type AccountStatus} from './shares.js';
--- a/packages/core/src/scheduler/job-restore.ts
+++ b/packages/core/src/scheduler/job-restore.ts
@@ -1,16 +1,17 @@
 /** Restores the tasks of a job from its stored progress, when a host takes the leadership. */
+import {hasOccurrence} from './occurrence-ranges.js';
 import {getOccurrence} from './occurrences.js';
 import {ensureWorker} from './registry.js';
 import {attachTask} from './tasks.js';
 import {never} from './timing.js';
-import type {JobProgress, ProgressRow} from './types.js';
+import type {ProgressRow} from './types.js';
 import type {
 	Job, LiveJob, SchedulerState, Task,
 } from './state.js';
 
-/** True if the stored progress has runs that may go on. */
-export function hasAssignedTasks(progress: JobProgress | undefined): boolean {
-	return progress?.rows.some(({status}) => status === 'placed') ?? false;
+/** True if stored rows tell of runs that may go on. */
+export function hasAssignedTasks(rows: readonly ProgressRow[]): boolean {
+	return rows.some(({status}) => status === 'placed');
 }
 
 /** The runs of a cancelled or failed job may go on: they count for their account until they have certainly ended, and are stopped with the next clock event. */
@@ -25,9 +26,9 @@
 }
 
 /** Restores every occurrence that has begun, even if it is not due by this host's clock: the former leader's clock may have been ahead. */
-export function restoreRows(state: SchedulerState, job: Job, live: LiveJob, progress: JobProgress | undefined): void {
-	for (const row of progress?.rows ?? []) {
-		if (live.finishedOccurrences.has(row.occurrence)) {
+export function restoreRows(state: SchedulerState, job: Job, live: LiveJob, rows: readonly ProgressRow[]): void {
+	for (const row of rows) {
+		if (hasOccurrence(live.finishedOccurrences, row.occurrence)) {
 			continue;
 		}
 
--- a/packages/core/src/scheduler/jobs.ts
+++ b/packages/core/src/scheduler/jobs.ts
@@ -7,11 +7,15 @@
 import {noteDecision} from './logging.js';
 import {hasAssignedTasks, restoreRows, stopRestored} from './job-restore.js';
 import {isFinal} from './phases.js';
+import {addOccurrence, createOccurrenceSet, findMissing} from './occurrence-ranges.js';
 import {getOccurrence} from './occurrences.js';
 import {hasQuotaForWork} from './quotas.js';
+import {listStoredRows} from './progress-parts.js';
 import {dropJob, isShortened} from './retention.js';
 import {takeArrival} from './shares.js';
-import {detachTask, requestStop, updateOpenStep} from './tasks.js';
+import {
+	detachTask, finishTask, markChanged, requestStop, updateOpenStep,
+} from './tasks.js';
 import type {IntakeRecord, JobDefinition} from './types.js';
 import type {
 	Job, LiveJob, Occurrence, SchedulerState,
@@ -129,21 +133,43 @@
 export function activateJob(state: SchedulerState, job: Job): void {
 	const {progress} = job;
 	const isOver = job.isCancelled || isFinal(job.phase);
-	if (isShortened(job.definition) || (isOver && (job.phase === 'completed' || !hasAssignedTasks(progress)))) {
+	if (isShortened(job.definition) || (isOver && job.phase === 'completed')) {
+		return;
+	}
+
+	const rows = listStoredRows(state, job.definition.jobId, progress);
+	if (isOver && !hasAssignedTasks(rows)) {
 		return;
 	}
 
 	const live: LiveJob = {
-		occurrences: new Map(), finishedOccurrences: new Set(progress?.finishedOccurrences), nextOccurrence: 0, hasStarted: job.phase === 'running', phase: job.phase, finishedAt: isOver && progress ? progress.finishedAt : 0 as Instant,
+		occurrences: new Map(), finishedOccurrences: createOccurrenceSet(progress?.finishedOccurrences), nextOccurrence: 0, hasStarted: job.phase === 'running', phase: job.phase, finishedAt: isOver && progress ? progress.finishedAt : 0 as Instant, rowsPerPart: progress?.rowsPerPart, changedTasks: new Set(),
 	};
 	job.live = live;
 	state.liveJobs.add(job);
-	restoreRows(state, job, live, progress);
+	restoreRows(state, job, live, rows);
 	if (isOver) {
 		stopRestored(live);
-	} else {
-		openDueOccurrences(state, job);
+		return;
+	}
+
+	for (const occurrence of live.occurrences.values()) {
+		finishRestored(state, occurrence);
+	}
+
+	openDueOccurrences(state, job);
+}
+
+/** Of changes that take several appends only the first may be stored: some members of a gang that has ended, or the last task of an occurrence without its end. */
+function finishRestored(state: SchedulerState, occurrence: Occurrence): void {
+	for (const step of occurrence.steps) {
+		const member = step.tasks.find(({status}) => status === 'done');
+		if (member && step.definition.isGang) {
+			finishTask(state, member);
+		}
 	}
+
+	advanceOccurrence(state, occurrence);
 }
 
 /** Opens the occurrences of a job that are due. */
@@ -154,11 +180,13 @@
 	}
 
 	const total = Math.max(1, definition.runCount);
-	while (live.nextOccurrence < total && isDue(state, definition, live.nextOccurrence)) {
-		const number = live.nextOccurrence++;
-		if (!live.finishedOccurrences.has(number)) {
-			openOccurrence(state, getOccurrence(state, job, live, number));
+	for (;;) {
+		live.nextOccurrence = findMissing(live.finishedOccurrences, live.nextOccurrence);
+		if (live.nextOccurrence >= total || !isDue(state, definition, live.nextOccurrence)) {
+			return;
 		}
+
+		openOccurrence(state, getOccurrence(state, job, live, live.nextOccurrence++));
 	}
 }
 
@@ -187,12 +215,22 @@
 
 	occurrence.isDone = true;
 	job.live.occurrences.delete(occurrence.number);
-	job.live.finishedOccurrences.add(occurrence.number);
+	addOccurrence(job.live.finishedOccurrences, occurrence.number);
+	markOccurrenceChanged(state, occurrence);
 	if (job.live.finishedOccurrences.size >= Math.max(1, job.definition.runCount)) {
 		finishJob(state, job, 'completed');
 	}
 }
 
+/** The rows of an occurrence that has ended are not stored any more. */
+function markOccurrenceChanged(state: SchedulerState, {steps}: Occurrence): void {
+	for (const {tasks} of steps) {
+		for (const task of tasks) {
+			markChanged(state, task);
+		}
+	}
+}
+
 /** Moves a job to its final phase; callers see the phase once it is stored. */
 export function finishJob(state: SchedulerState, job: Job, phase: 'completed' | 'failed'): void {
 	if (!job.live || isFinal(job.live.phase)) {
--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -118,6 +118,7 @@
 	leadership.leaderSince = state.now;
 	leadership.confirmedAt = sentAt;
 	leadership.nextSequence = state.settings.firstSequence + 1;
+	leadership.nextCommitNumber = 1;
 	leadership.commit = undefined;
 	leadership.isReleased = false;
 	leadership.commitNotBefore = 0;
--- a/packages/core/src/scheduler/ledger-records.ts
+++ b/packages/core/src/scheduler/ledger-records.ts
@@ -5,6 +5,7 @@
 } from './leadership.js';
 import {applyLoad, noteLease} from './load-view.js';
 import {addEffect, describeError, noteWarning} from './logging.js';
+import {applyPart} from './progress-parts.js';
 import {dropFinishedRemovals, dropProgress} from './retention.js';
 import type {LedgerEntry, SchedulerEvent} from './events.js';
 import type {LedgerRecord} from './types.js';
@@ -20,6 +21,7 @@
 	}
 
 	state.earlyProgress.clear();
+	state.progressParts.clear();
 	state.leadership.hasLoadedLedger = true;
 	state.leadership.hasReadUpdates = false;
 	state.leadership.lastRecordAt = state.now;
@@ -87,6 +89,12 @@
 	'progress-removed'(state, {jobId}) {
 		dropProgress(state, jobId);
 	},
+	'progress-part'(state, record) {
+		applyPart(state, record.jobId, record.part, record);
+	},
+	'progress-part-removed'(state, {jobId, part}) {
+		applyPart(state, jobId, part, undefined);
+	},
 	waves(state, {waves}) {
 		for (const wave of waves) {
 			state.storedWaves.set(wave.wave, wave);
--- a/packages/core/src/scheduler/machine-state.ts
+++ b/packages/core/src/scheduler/machine-state.ts
@@ -39,7 +39,7 @@
 	readonly readAt: SteadyMs;
 	isCompleted: boolean;
 	/** The append that records the completion in the ledger; the completion is reported once it is stored. */
-	completionCommit: {readonly token: FencingToken; readonly sequence: number} | undefined;
+	completionCommit: {readonly token: FencingToken; readonly commitNumber: number} | undefined;
 	reported: 'none' | 'running' | 'completed';
 	reportDueAt: SteadyMs;
 };
--- a/packages/core/src/scheduler/retention.ts
+++ b/packages/core/src/scheduler/retention.ts
@@ -105,5 +105,6 @@
 export function dropProgress(state: SchedulerState, jobId: JobId): void {
 	state.jobs.delete(jobId);
 	state.earlyProgress.delete(jobId);
+	state.progressParts.delete(jobId);
 	state.removedJobs.delete(jobId);
 }
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -9,6 +9,7 @@
 import type {ArrivalBucket} from './shares.js';
 import {createLoadState, type LoadState} from './load-view.js';
 import type {Machine, Wave, PoolDemand} from './machine-state.js';
+import type {ProgressParts} from './progress-parts.js';
 import type {
 	AccountName, FencingToken, FleetConfig, JobProgress, LedgerRecord, MachineId, PoolName, RunTimesRecord, SteadyMs, WaveNumber, WaveProgress, WorkerId,
 } from './types.js';
@@ -42,6 +43,8 @@
 	readonly statusRetentionMs: number;
 	/** Factor by which a step takes longer outside the rack of its data. */
 	readonly remoteRackFactor: number;
+	/** Largest record that the store takes. */
+	readonly maxRecordBytes: number;
 	/** Uses of learned run times that are switched off or on; those left out are on. */
 	readonly learning?: Partial<Record<LearningUse, boolean>>;
 	/** Refuses jobs that would end too late to be of use. */
@@ -58,8 +61,11 @@
 		| {readonly type: 'publish-phase'; readonly job: Job; /** The stored progress; the job itself may have advanced since. */ readonly progress: JobProgress}
 		| {readonly type: 'order'; readonly machine: Machine};
 
-/** One append to the ledger. */
+/** Records that are appended to the ledger, and what waits for them to be stored. */
 export type Commit = {
+	/** Counts the commits of one term. */
+	readonly number: number;
+	/** Sequence number of its first append: the store may take it in several. */
 	readonly sequence: number;
 	/** When it was first sent. Its confirmation proves that this host was the leader at that time. */
 	readonly sentAt: SteadyMs;
@@ -106,6 +112,7 @@
 	confirmedAt: SteadyMs;
 	claim: Claim | undefined;
 	nextSequence: number;
+	nextCommitNumber: number;
 	commit: Commit | undefined;
 	/** Moving average of the time in which the store confirms an append. */
 	meanCommitMs: number;
@@ -131,6 +138,8 @@
 	readonly earlyCancels: Set<JobId>;
 	/** Progress of jobs that have not been read yet. */
 	readonly earlyProgress: Map<JobId, JobProgress>;
+	/** Parts of the progress of jobs, as the ledger has them. While this host leads, only their names are kept. */
+	readonly progressParts: Map<JobId, ProgressParts>;
 	/** When jobs that hosts refused were first sent. */
 	readonly firstSends: FirstSends;
 	/** When the record of each host's refusals was last read. */
@@ -210,6 +219,7 @@
 		intakeCompleteAt: Number.NEGATIVE_INFINITY,
 		earlyCancels: new Set(),
 		earlyProgress: new Map(),
+		progressParts: new Map(),
 		firstSends: new Map(),
 		refusalRecords: new Map(),
 		liveJobs: new Set(),
@@ -219,7 +229,7 @@
 		accountUse: createAccountUse(),
 		arrivalBuckets: new Map(),
 		leadership: {
-			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, isSilenceUnknown: false, claimNotBefore: 0, configuredAt: 0, isReleased: false, latestHandover: undefined, isHandingOver: false, readToken: 0, formerLeasesUntil: 0, earlierLeasesUntil: 0, hasLoadedLedger: false, hasReadUpdates: false, leaderSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, commit: undefined, meanCommitMs: 0, commitNotBefore: 0, heartbeatDueAt: 0, retryClaimAt: undefined,
+			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, isSilenceUnknown: false, claimNotBefore: 0, configuredAt: 0, isReleased: false, latestHandover: undefined, isHandingOver: false, readToken: 0, formerLeasesUntil: 0, earlierLeasesUntil: 0, hasLoadedLedger: false, hasReadUpdates: false, leaderSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, nextCommitNumber: 0, commit: undefined, meanCommitMs: 0, commitNotBefore: 0, heartbeatDueAt: 0, retryClaimAt: undefined,
 		},
 		dirtyJobs: new Set(),
 		removedJobs: new Set(),
--- a/packages/core/src/scheduler/tasks.ts
+++ b/packages/core/src/scheduler/tasks.ts
@@ -104,6 +104,13 @@
 	state.needsPlacement = true;
 }
 
+/** Has the row of a task stored with the next commit. */
+export function markChanged(state: SchedulerState, task: Task): void {
+	const {job} = task.step.occurrence;
+	state.dirtyJobs.add(job);
+	job.live?.changedTasks.add(task);
+}
+
 /** Places a task on a worker; the start is sent once the placement is stored. */
 export function placeTask(state: SchedulerState, task: Task, worker: Worker, run: number): void {
 	task.status = 'placed';
@@ -117,7 +124,7 @@
 	task.pacePercent = 100;
 	attachTask(state, worker, task);
 	updateOpenStep(state, task.step);
-	state.dirtyJobs.add(task.step.occurrence.job);
+	markChanged(state, task);
 	state.pendingActions.push({type: 'start', task, run});
 }
 
@@ -146,7 +153,7 @@
 	task.isReported = false;
 	task.readyAt = state.now;
 	updateOpenStep(state, task.step);
-	state.dirtyJobs.add(task.step.occurrence.job);
+	markChanged(state, task);
 }
 
 /** Returns a task whose start was not sent or was refused, and with it its whole gang: the members only run together. */
@@ -195,10 +202,10 @@
 			detachTask(state, member);
 			member.status = 'done';
 			step.doneCount++;
+			markChanged(state, member);
 		}
 	}
 
-	state.dirtyJobs.add(step.occurrence.job);
 	updateOpenStep(state, step);
 }
 
--- a/packages/core/src/scheduler/testing/model-checks.ts
+++ b/packages/core/src/scheduler/testing/model-checks.ts
@@ -1,7 +1,7 @@
 /** Invariants of the scheduler, checked at the model's workers and store. */
 import type {JobId} from '../../types/ids.js';
 import type {
-	FleetConfig, JobDefinition, Resources, StepDefinition,
+	FleetConfig, JobDefinition, ProgressRow, Resources, StepDefinition,
 } from '../types.js';
 import type {ModelHost} from './model-hosts.js';
 import {modelConfig} from './model-jobs.js';
@@ -120,10 +120,23 @@
 		const [jobId, , step, index] = task.split('.');
 		const entry = this.options.store.ledger.findLast(({record}) => record.type === 'progress' && record.jobId === jobId);
 		const progress = entry?.record.type === 'progress' ? entry.record.progress : undefined;
-		const row = progress?.rows.find(candidate => candidate.step === Number(step) && candidate.index === Number(index));
+		const row = (progress?.rowsPerPart === undefined ? progress?.rows : this.findPartRows(task))?.find(candidate => candidate.step === Number(step) && candidate.index === Number(index));
 		return this.cancelledAt.has(jobId!) || progress?.phase === 'completed' || progress?.phase === 'failed' || row?.status === 'done' || (row?.run ?? 0) > run;
 	}
 
+	/** The rows of the newest stored part that has a row of a task. */
+	private findPartRows(task: string): readonly ProgressRow[] | undefined {
+		const [jobId, occurrence, step, index] = task.split('.');
+		const isOfTask = (row: ProgressRow) => row.occurrence === Number(occurrence) && row.step === Number(step) && row.index === Number(index);
+		for (const {record} of this.options.store.ledger.toReversed()) {
+			if (record.type === 'progress-part' && record.jobId === jobId && record.rows.some(row => isOfTask(row))) {
+				return record.rows;
+			}
+		}
+
+		return undefined;
+	}
+
 	private recordCompletedJobs(): void {
 		for (const host of this.options.hosts) {
 			for (const job of host.state.jobs.values()) {
--- a/packages/core/src/scheduler/testing/model-store.ts
+++ b/packages/core/src/scheduler/testing/model-store.ts
@@ -5,13 +5,17 @@
 /** One page of the newest records per key, in the order of the keys. The next page begins after `lastKey`; `end` is the stream's length at that time. */
 export type NewestPage<Item> = {readonly items: readonly Item[]; readonly lastKey: string | undefined; readonly end: number};
 
-const removalTypes = new Set<string>(['job-removed', 'cancel-removed', 'progress-removed']);
+const removalTypes = new Set<string>(['job-removed', 'cancel-removed', 'progress-removed', 'progress-part-removed']);
 
 export class ModelStore {
 	static create(): ModelStore {
 		return new ModelStore();
 	}
 
+	/** A batch with a larger record is refused; the model takes the length of the record as JSON for its size. */
+	maxRecordBytes = Number.POSITIVE_INFINITY;
+	/** Batches that were refused for the size of a record. */
+	oversized = 0;
 	readonly ledger: LedgerEntry[] = [];
 	readonly intake: IntakeRecord[] = [];
 	private epoch = 0;
@@ -47,6 +51,11 @@
 			return 'fenced';
 		}
 
+		if (records.some(record => JSON.stringify(record).length > this.maxRecordBytes)) {
+			this.oversized++;
+			return 'refused';
+		}
+
 		this.lastSequence = sequence;
 		this.add(records);
 		return 'stored';
@@ -90,5 +99,6 @@
 		return `${kind}:${record.job.jobId}`;
 	}
 
-	return 'jobId' in record ? `${kind}:${record.jobId}` : `${kind}:`;
+	const part = 'part' in record ? `/${record.part}` : '';
+	return 'jobId' in record ? `${kind}:${record.jobId}${part}` : `${kind}:`;
 }
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -222,11 +222,20 @@
 	readonly crashes?: readonly TaskCrash[] | undefined;
 };
 
+/** Occurrences from the first to the last, both included. */
+export type OccurrenceRange = readonly [first: number, last: number];
+
+/** Name of a record with some rows of a job: `OCCURRENCE.STEP.GROUP` */
+export type PartName = string & {readonly __name?: 'PartName'};
+
 /** Stored progress of one job; each record replaces the one before. */
 export type JobProgress = {
 	readonly phase: Exclude<JobPhase, 'cancelled'>;
-	readonly finishedOccurrences: readonly number[];
+	readonly finishedOccurrences: readonly OccurrenceRange[];
+	/** Empty if the rows are stored in parts. */
 	readonly rows: readonly ProgressRow[];
+	/** Each part holds the rows of so many successive tasks of a step. Absent if the rows are not stored in parts. */
+	readonly rowsPerPart?: number | undefined;
 	/** When the job reached its final phase; 0 before that. */
 	readonly finishedAt: Instant;
 };
@@ -304,6 +313,8 @@
 	= | {readonly type: 'lease'; readonly lease: LeaseRecord}
 		| {readonly type: 'progress'; readonly jobId: JobId; readonly progress: JobProgress}
 		| {readonly type: 'progress-removed'; readonly jobId: JobId}
+		| {readonly type: 'progress-part'; readonly jobId: JobId; readonly part: PartName; readonly rows: readonly ProgressRow[]}
+		| {readonly type: 'progress-part-removed'; readonly jobId: JobId; readonly part: PartName}
 		| {readonly type: 'waves'; readonly waves: readonly WaveProgress[]}
 	/** Machines with recent or open orders; stored before an order is sent. */
 		| {readonly type: 'orders'; readonly machineIds: readonly MachineId[]}
--- a/packages/core/src/scheduler/waves.ts
+++ b/packages/core/src/scheduler/waves.ts
@@ -52,8 +52,8 @@
 
 	if (stored?.isCompleted) {
 		wave.isCompleted = true;
-		// An earlier leader stored the completion; any sequence below the next one counts as stored in isStored().
-		wave.completionCommit = {token: leadership.token, sequence: leadership.nextSequence - 1};
+		// An earlier leader stored the completion; any commit before the next one counts as stored in isStored().
+		wave.completionCommit = {token: leadership.token, commitNumber: leadership.nextCommitNumber - 1};
 	}
 }
 
@@ -77,17 +77,17 @@
 
 /** Writes the completion of a wave to the ledger with the next append, once per leadership term. */
 function storeCompletion(state: SchedulerState, wave: Wave): void {
-	const {token, nextSequence} = state.leadership;
+	const {token, nextCommitNumber} = state.leadership;
 	if (wave.isCompleted && wave.completionCommit?.token !== token) {
-		wave.completionCommit = {token, sequence: nextSequence};
+		wave.completionCommit = {token, commitNumber: nextCommitNumber};
 		state.areWavesDirty = true;
 	}
 }
 
-/** True if the completion of a wave is stored: appends are stored in order, so one that was sent and is no longer in flight is stored. */
+/** True if the completion of a wave is stored: commits are stored in order, so one that was sent and is no longer in flight is stored. */
 function isStored({leadership}: SchedulerState, {completionCommit}: Wave): boolean {
 	return completionCommit?.token === leadership.token
-		&& completionCommit.sequence < leadership.nextSequence && completionCommit.sequence !== leadership.commit?.sequence;
+		&& completionCommit.commitNumber < leadership.nextCommitNumber && completionCommit.commitNumber !== leadership.commit?.number;
 }
 
 function reportWave(state: SchedulerState, wave: Wave): void {
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -2,6 +2,7 @@
 import type {JobId} from '../types/ids.js';
 import type {Instant} from '../types/time.js';
 import type {AccountCharge} from './account-use.js';
+import type {OccurrenceSet} from './occurrence-ranges.js';
 import type {
 	JobDefinition, JobPhase, JobProgress, MachineId, PoolName, Resources, StepDefinition, SteadyMs, TaskCrash, TaskName, WorkerId,
 } from './types.js';
@@ -108,11 +109,15 @@
 
 export type LiveJob = {
 	readonly occurrences: Map<number, Occurrence>;
-	readonly finishedOccurrences: Set<number>;
+	readonly finishedOccurrences: OccurrenceSet;
 	nextOccurrence: number;
 	hasStarted: boolean;
 	phase: Exclude<JobPhase, 'cancelled'>;
 	finishedAt: Instant;
+	/** Set once the rows of the job are stored in parts: how many successive tasks of a step share one. */
+	rowsPerPart: number | undefined;
+	/** Tasks whose rows may have changed since the job was last stored. */
+	readonly changedTasks: Set<Task>;
 };
 
 /**
--- a/packages/daemon/src/scheduler/codec.test.ts
+++ b/packages/daemon/src/scheduler/codec.test.ts
@@ -1,7 +1,9 @@
 /** Records survive encoding for the store and decoding unchanged. */
 import {describe, it, mock} from 'node:test';
 import type {Instant, JobId} from '@rhubarblever/core';
-import type {IntakeRecord, JobProgress, LedgerRecord} from '@rhubarblever/core/scheduler';
+import type {
+	IntakeRecord, JobProgress, LedgerRecord, ProgressRow,
+} from '@rhubarblever/core/scheduler';
 import {expect} from 'earl';
 import {Packr} from 'msgpackr';
 import {
@@ -55,7 +57,7 @@
 			{type: 'lease', lease: {holder: 'h', token: 4, isReleased: false}},
 			{
 				type: 'progress', jobId, progress: {
-					phase: 'running', finishedOccurrences: [1], finishedAt: 0 as Instant, rows: [{
+					phase: 'running', finishedOccurrences: [[1, 1]], finishedAt: 0 as Instant, rows: [{
 						occurrence: 0, step: 1, index: 2, status: 'placed', run: 3, failures: 1, workerId: 'w', workerBornAt: 1_800_000_000_000, checkpoint: 'c',
 					}, {
 						occurrence: 0, step: 1, index: 3, status: 'waiting', run: 2, failures: 0, workerId: '', workerBornAt: 0, checkpoint: '', crashes: [{
@@ -96,6 +98,60 @@
 		}
 	});
 
+	it('round-trip progress that is stored in parts', () => {
+		const progress: JobProgress = {
+			phase: 'running', finishedOccurrences: [[1, 1]], finishedAt: 0 as Instant, rows: [], rowsPerPart: 100,
+		};
+		const head = decodeLedger({offset: 0, ...encodeLedger({type: 'progress', jobId, progress})});
+		expect(head?.type === 'progress' ? [readFields(head.progress), head.progress.rowsPerPart] : undefined).toEqual([readFields(progress), 100]);
+		const rows: ProgressRow[] = [{
+			occurrence: 0, step: 1, index: 102, status: 'placed', run: 3, failures: 1, workerId: 'w', workerBornAt: 5, checkpoint: 'c',
+		}];
+		const part = decodeLedger({
+			offset: 0, ...encodeLedger({
+				type: 'progress-part', jobId, part: '0.1.1', rows,
+			}),
+		});
+		expect(part?.type === 'progress-part' ? [part.jobId, part.part, part.rows] : undefined).toEqual([jobId, '0.1.1', rows]);
+		const removal: LedgerRecord = {type: 'progress-part-removed', jobId, part: '0.1.1'};
+		expect(decodeLedger({offset: 0, ...encodeLedger(removal)})).toEqual(removal);
+	});
+
+	/** Guards against a record that grows with each finished occurrence of a schedule, until the store refuses it. */
+	it('take as little for the finished occurrences of a long schedule as for those of a short one', () => {
+		const progress: JobProgress = {
+			phase: 'running', finishedOccurrences: [[0, 518_399], [518_401, 518_500]], finishedAt: 0 as Instant, rows: [], rowsPerPart: 100,
+		};
+		const record = encodeLedger({type: 'progress', jobId, progress});
+		const decoded = decodeLedger({offset: 0, ...record});
+		expect(record.value!.length < 100).toEqual(true);
+		expect(decoded?.type === 'progress' && readFields(decoded.progress)).toEqual(readFields(progress));
+	});
+
+	/** Guards against a configuration of many queues that the store refuses for its size, and with it all else that the leader stores. */
+	it('hold a configuration of thousands of queues', () => {
+		const queues = Array.from({length: 8000}, (_, index) => ({
+			name: `queue-${index}`, host: `host-${index % 7}.example`, pathPrefix: `/q${index * 7919}/`, pool: `pool-${index % 5}`, priority: 0, maxAttempts: 3, stretch: 1.5, latencyTargetMs: 600, timeoutMs: 3000, advice: undefined,
+		}));
+		const record: LedgerRecord = {type: 'config', config: {version: 9, queues, pools: []}};
+		const encoded = encodeLedger(record);
+		expect(encoded.value!.length < 262_144).toEqual(true);
+		expect(decodeLedger({offset: 0, ...encoded})).toEqual(record);
+	});
+
+	it('read the finished occurrences that earlier versions list one by one', () => {
+		const packr = new Packr({useRecords: false});
+		const decoded = decodeLedger({offset: 0, key: `progress:${jobId}`, value: packr.pack(['running', [2, 0, 1, 7], 0, []])});
+		expect(decoded?.type === 'progress' ? decoded.progress.finishedOccurrences : undefined).toEqual([[0, 2], [7, 7]]);
+	});
+
+	/** Guards against a host that takes the lead with some of the rows of a job, and starts the others again. */
+	it('fail to be read if a part has another form', () => {
+		const packr = new Packr({useRecords: false});
+		const part = decodeLedger({offset: 0, key: `part:${jobId}/0.0.0`, value: packr.pack([[0, 1]])});
+		expect(() => part?.type === 'progress-part' && part.rows).toThrow();
+	});
+
 	/** Guards against accounts of another form that stop every call, and against jobs of earlier versions, without an account, that are lost. */
 	it('refuse accounts of another form, and read jobs without an account', () => {
 		const packr = new Packr({useRecords: false});
--- a/packages/daemon/src/scheduler/codec.ts
+++ b/packages/daemon/src/scheduler/codec.ts
@@ -1,14 +1,15 @@
 /** Encodes and decodes the scheduler's records in the store: the key is `<kind>:<id>`, the value is packed with msgpackr. */
 import {Buffer} from 'node:buffer';
+import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import type {Instant, JobId} from '@rhubarblever/core';
-import type {
-	FleetConfig, IntakeRecord, JobDefinition, JobProgress, LeaseRecord, LedgerRecord, LoadFigures, MachineId, ProgressRow, RefusedJob, RunTimesRow, TaskCrash, WaveProgress,
+import {
+	convertToRanges, listOccurrences, type FleetConfig, type IntakeRecord, type JobDefinition, type JobProgress, type LeaseRecord, type LedgerRecord, type LoadFigures, type MachineId, type OccurrenceRange, type PartName, type ProgressRow, type RefusedJob, type RunTimesRow, type TaskCrash, type WaveProgress,
 } from '@rhubarblever/core/scheduler';
 import {Packr} from 'msgpackr';
 import type {z} from 'zod';
 import type {KeyedRecord, NewRecord} from './ports.js';
 import {
-	configSchema, jobSchema, leaseSchema, loadSchema, machineIdsSchema, progressSchema, refusalsSchema, runTimesFormat, runTimesSchema, wavesSchema,
+	configSchema, jobSchema, leaseSchema, loadSchema, machineIdsSchema, progressSchema, refusalsSchema, rowsSchema, runTimesFormat, runTimesSchema, wavesSchema,
 } from './record-schemas.js';
 
 /** Stream of job submissions and cancellations, written by all entry hosts. */
@@ -16,6 +17,11 @@
 /** Stream of job progress, waves, machine orders, the configuration and the leader's lease; only the leader writes to it. */
 export const ledgerStream = 'keyed.ledger';
 
+/** A larger configuration is compressed: with thousands of queues it could exceed a record of the store. Earlier versions read only the plain form. */
+const maxPlainConfigBytes = 131_072;
+/** A compressed record that holds more than this is not a configuration of ours. */
+const maxConfigBytes = 67_108_864;
+
 const packr = new Packr({useRecords: false});
 
 /** Unpacks a value; throws an error that names the first field that is missing or of another type. */
@@ -79,22 +85,34 @@
 	return key && intakeDecoders[key.kind]?.(key.id, record.value);
 }
 
+function formatPartKey(jobId: JobId, part: PartName): string {
+	return `part:${jobId}/${part}`;
+}
+
+function encodeConfig(config: FleetConfig): NewRecord {
+	const value = packr.pack(config);
+	return value.length > maxPlainConfigBytes ? {key: 'config-deflated:', value: deflateRawSync(value)} : {key: 'config:', value};
+}
+
 type LedgerEncoders = {[K in LedgerRecord['type']]: (record: Extract<LedgerRecord, {type: K}>) => NewRecord};
 
 const ledgerEncoders: LedgerEncoders = {
 	lease: ({lease}) => ({key: 'lease:', value: packr.pack(lease)}),
+	// An earlier version cannot read the rows of a job that has parts, and does not run it: without them it would start the job anew.
 	progress: ({jobId, progress}) => ({
 		key: `progress:${jobId}`, value: packr.pack([
 			progress.phase,
-			progress.finishedOccurrences,
+			progress.rowsPerPart === undefined ? listOccurrences(progress.finishedOccurrences) : progress.finishedOccurrences,
 			progress.finishedAt,
-			progress.rows.map(row => [row.occurrence, row.step, row.index, row.status, row.run, row.failures, row.workerId, row.workerBornAt, row.checkpoint, ...encodeCrashes(row)]),
+			progress.rowsPerPart ?? progress.rows.map(row => encodeRow(row)),
 		]),
 	}),
 	'progress-removed': ({jobId}) => ({key: `progress:${jobId}`, value: undefined}),
+	'progress-part': ({jobId, part, rows}) => ({key: formatPartKey(jobId, part), value: packr.pack(rows.map(row => encodeRow(row)))}),
+	'progress-part-removed': ({jobId, part}) => ({key: formatPartKey(jobId, part), value: undefined}),
 	waves: ({waves}) => ({key: 'waves:', value: packr.pack(waves)}),
 	orders: ({machineIds}) => ({key: 'orders:', value: packr.pack(machineIds)}),
-	config: ({config}) => ({key: 'config:', value: packr.pack(config)}),
+	config: ({config}) => encodeConfig(config),
 	'run-times': ({rows}) => ({key: 'run-times:', value: packr.pack([runTimesFormat, rows.map(row => encodeRunTimesRow(row))])}),
 	load: ({load}) => ({key: 'load:', value: packr.pack(load)}),
 };
@@ -107,16 +125,29 @@
 const ledgerDecoders: Readonly<Record<string, Decoder<LedgerRecord | undefined>>> = {
 	lease: (_id, value) => value && {type: 'lease', lease: readValue<LeaseRecord>(value, leaseSchema)},
 	progress: (id, value) => value ? readProgress(id as JobId, value) : {type: 'progress-removed', jobId: id as JobId},
+	part: (id, value) => readPart(id, value),
 	waves: (_id, value) => value && {type: 'waves', waves: readValue<WaveProgress[]>(value, wavesSchema)},
 	orders: (_id, value) => value && {type: 'orders', machineIds: readValue<MachineId[]>(value, machineIdsSchema)},
 	config: (_id, value) => value && {type: 'config', config: readValue<FleetConfig>(value, configSchema)},
+	'config-deflated': (_id, value) => value && {type: 'config', config: readValue<FleetConfig>(inflateRawSync(value, {maxOutputLength: maxConfigBytes}), configSchema)},
 	'run-times': (_id, value) => value && readRunTimes(value),
 	load: (_id, value) => value && {type: 'load', load: readValue<LoadFigures>(value, loadSchema)},
 };
 
 type PackedCrash = [run: number, workerId: string, bornAt: number, at: TaskCrash['at'], isConfirmed: boolean, blame: TaskCrash['blame']];
 type PackedRow = [occurrence: number, step: number, index: number, status: ProgressRow['status'], run: number, failures: number, workerId: string, workerBornAt: number, checkpoint: string, crashes?: PackedCrash[]];
-type PackedProgress = [phase: JobProgress['phase'], finishedOccurrences: number[], finishedAt: JobProgress['finishedAt'], rows: PackedRow[]];
+/** The finished occurrences and the rows; or, if the rows are stored in parts, ranges of occurrences and how many rows each part holds. */
+type PackedProgress = [phase: JobProgress['phase'], finishedOccurrences: Array<number | OccurrenceRange>, finishedAt: JobProgress['finishedAt'], rows: PackedRow[] | number];
+
+function encodeRow(row: ProgressRow): PackedRow {
+	const packed: PackedRow = [row.occurrence, row.step, row.index, row.status, row.run, row.failures, row.workerId, row.workerBornAt, row.checkpoint];
+	if (row.crashes && row.crashes.length > 0) {
+		// Without crashes, a row keeps the form of earlier versions.
+		packed.push(row.crashes.map(crash => encodeCrash(crash)));
+	}
+
+	return packed;
+}
 
 function decodeRow([occurrence, step, index, status, run, failures, workerId, workerBornAt, checkpoint, crashes]: PackedRow): ProgressRow {
 	return {
@@ -130,9 +161,8 @@
 	};
 }
 
-/** Nothing for a row without crashes: it keeps the form of earlier versions. */
-function encodeCrashes({crashes = []}: ProgressRow): PackedCrash[][] {
-	return crashes.length > 0 ? [crashes.map(crash => [crash.run, crash.workerId, crash.bornAt, crash.at, crash.isConfirmed, crash.blame])] : [];
+function encodeCrash({run, workerId, bornAt, at, isConfirmed, blame}: TaskCrash): PackedCrash {
+	return [run, workerId, bornAt, at, isConfirmed, blame];
 }
 
 type PackedRunTimesRow = [queue: string, shape: number, runs: number, durationError: number, ratioError: number, durations: number[], ratios: number[]];
@@ -162,8 +192,34 @@
 
 function decodeProgress(value: Uint8Array): JobProgress {
 	const [phase, finishedOccurrences, finishedAt, rows] = readValue<PackedProgress>(value, progressSchema);
+	const numbers = finishedOccurrences.filter(entry => typeof entry === 'number');
+	const ranges = finishedOccurrences.filter(entry => typeof entry !== 'number');
+	return {
+		phase, finishedOccurrences: [...convertToRanges(numbers), ...ranges], finishedAt, ...(typeof rows === 'number' ? {rows: [], rowsPerPart: rows} : {rows: rows.map(row => decodeRow(row))}),
+	};
+}
+
+/** As with learned run times, the rows are decoded when a host that takes the lead asks for them. */
+function readPart(id: string, value: Uint8Array | undefined): LedgerRecord | undefined {
+	const separator = id.indexOf('/');
+	if (separator <= 0) {
+		return undefined;
+	}
+
+	const [jobId, part] = [id.slice(0, separator) as JobId, id.slice(separator + 1)];
+	if (!value) {
+		return {type: 'progress-part-removed', jobId, part};
+	}
+
+	let decoded: ProgressRow[] | undefined;
 	return {
-		phase, finishedOccurrences, finishedAt, rows: rows.map(row => decodeRow(row)),
+		type: 'progress-part',
+		jobId,
+		part,
+		get rows() {
+			decoded ??= readValue<PackedRow[]>(value, rowsSchema).map(row => decodeRow(row));
+			return decoded;
+		},
 	};
 }
 
@@ -201,6 +257,10 @@
 		return this.decode().rows;
 	}
 
+	get rowsPerPart(): JobProgress['rowsPerPart'] {
+		return this.decode().rowsPerPart;
+	}
+
 	private decode(): JobProgress {
 		this.decoded ??= decodeProgress(this.value);
 		return this.decoded;
--- a/packages/daemon/src/scheduler/effect-runner.ts
+++ b/packages/daemon/src/scheduler/effect-runner.ts
@@ -3,13 +3,14 @@
 	describeError, type ClaimOutcome, type CommitOutcome, type JobDefinition, type SchedulerEffect, type SchedulerEvent,
 } from '@rhubarblever/core/scheduler';
 import type {JobId} from '@rhubarblever/core';
+import {canStore, measureRecord, splitAppend} from './append-batches.js';
 import {readSteadyClock, readWallClock} from './clocks.js';
 import {
 	encodeIntake, encodeLedger, intakeStream, ledgerStream,
 } from './codec.js';
 import type {DecisionLog} from './decision-log.js';
 import type {SchedulerMetrics} from './metrics.js';
-import type {AppendOutcome, SchedulerPorts} from './ports.js';
+import type {AppendOutcome, NewRecord, SchedulerPorts} from './ports.js';
 
 /** A scheduler event without its timestamps, which are added when it is pushed. */
 export type UntimedEvent = SchedulerEvent extends infer Event ? (Event extends SchedulerEvent ? Omit<Event, 'at' | 'wallAt'> : never) : never;
@@ -125,17 +126,43 @@
 		this.options.pushEvent({type: 'claim/ended', outcome: claimOutcomes[outcome.type], claimedAt: at});
 	}
 
+	/** Stores the records in their order, in as many appends as the store's limits require. An attempt that is repeated begins with the first of them. */
 	private async appendCommit({token, sequence, records}: Extract<SchedulerEffect, {type: 'ledger/commit'}>): Promise<void> {
-		const startedAt = readSteadyClock();
-		const outcome = await this.options.ports.store.append(ledgerStream, records.map(record => encodeLedger(record)), {
-			writer: {name: writerName, epoch: token, sequence},
+		const encoded = records.map(record => encodeLedger(record)).filter(record => this.canStore(record));
+		const batches = splitAppend(encoded, this.options.ports.store.limits);
+		let outcome: CommitOutcome = 'stored';
+		for (const [index, batch] of batches.entries()) {
+			// eslint-disable-next-line no-await-in-loop
+			outcome = await this.appendBatch(batch, token, sequence + index);
+			if (outcome !== 'stored') {
+				break;
+			}
+		}
+
+		this.options.pushEvent({
+			type: 'commit/ended', outcome, sequence, token, appends: batches.length,
 		});
+	}
+
+	private async appendBatch(batch: readonly NewRecord[], epoch: number, sequence: number): Promise<CommitOutcome> {
+		const startedAt = readSteadyClock();
+		const outcome = await this.options.ports.store.append(ledgerStream, batch, {writer: {name: writerName, epoch, sequence}});
 		this.recordCall('commit', outcome.type, startedAt);
 		// The store expects a later sequence number, so an earlier attempt has already stored this append.
 		const isStored = outcome.type === 'out-of-sequence' && outcome.expected > sequence;
-		this.options.pushEvent({
-			type: 'commit/ended', outcome: isStored ? 'stored' : commitOutcomes[outcome.type], sequence, token,
-		});
+		return isStored ? 'stored' : commitOutcomes[outcome.type];
+	}
+
+	/** A record that the store can never take must not keep the others from being stored. */
+	private canStore(record: NewRecord): boolean {
+		const {ports: {store: {limits}}, metrics, log} = this.options;
+		if (canStore(record, limits)) {
+			return true;
+		}
+
+		metrics.decisions.inc({event: 'record-too-large'});
+		log.warn('record-too-large', {key: record.key, bytes: measureRecord(record), maxRecordBytes: limits.maxRecordBytes});
+		return false;
 	}
 
 	private async startRun(effect: Extract<SchedulerEffect, {type: 'worker/start'}>): Promise<void> {
@@ -227,21 +254,35 @@
 
 	private async removeJobs(jobIds: readonly JobId[]): Promise<void> {
 		const records = jobIds.flatMap(jobId => [encodeIntake({type: 'job-removed', jobId}), encodeIntake({type: 'cancel-removed', jobId})]);
-		const outcome = await this.options.ports.store.append(intakeStream, records);
-		if (outcome.type !== 'appended') {
-			this.options.log.warn('jobs-not-removed', {jobs: jobIds.length, outcome: outcome.type, at: readWallClock()});
+		const outcome = await this.appendIntake(records);
+		if (outcome !== 'appended') {
+			this.options.log.warn('jobs-not-removed', {jobs: jobIds.length, outcome, at: readWallClock()});
 		}
 	}
 
+	/** Appends records to the intake, in as many appends as the store's limits require; ends with the first that is not stored. */
+	private async appendIntake(records: readonly NewRecord[]): Promise<AppendOutcome['type']> {
+		const {store} = this.options.ports;
+		for (const batch of splitAppend(records, store.limits)) {
+			// eslint-disable-next-line no-await-in-loop
+			const {type} = await store.append(intakeStream, batch);
+			if (type !== 'appended') {
+				return type;
+			}
+		}
+
+		return 'appended';
+	}
+
 	/** Records that are not removed now are asked for again. */
 	private async removeRefusals(holders: readonly string[]): Promise<void> {
-		const outcome = await this.options.ports.store.append(intakeStream, holders.map(holder => encodeIntake({type: 'refusals-removed', holder})));
-		this.options.log.note('refusals-removed', {records: holders.length, outcome: outcome.type});
+		const outcome = await this.appendIntake(holders.map(holder => encodeIntake({type: 'refusals-removed', holder})));
+		this.options.log.note('refusals-removed', {records: holders.length, outcome});
 	}
 
 	/** A job that is not shortened now is asked for again. */
 	private async replaceJobs(definitions: readonly JobDefinition[]): Promise<void> {
-		const outcome = await this.options.ports.store.append(intakeStream, definitions.map(job => encodeIntake({type: 'job', job})));
-		this.options.log.note('jobs-shortened', {jobs: definitions.length, outcome: outcome.type});
+		const outcome = await this.appendIntake(definitions.map(job => encodeIntake({type: 'job', job})));
+		this.options.log.note('jobs-shortened', {jobs: definitions.length, outcome});
 	}
 }
--- a/packages/daemon/src/scheduler/intake-writer.test.ts
+++ b/packages/daemon/src/scheduler/intake-writer.test.ts
@@ -5,19 +5,22 @@
 import {expect} from 'earl';
 import {readSteadyClock} from './clocks.js';
 import {IntakeWriter} from './intake-writer.js';
-import type {AppendOutcome, KeyedStore, NewRecord} from './ports.js';
+import {storeLimits} from './testing/scripted-store.js';
+import type {
+	AppendOutcome, KeyedStore, NewRecord, StoreLimits,
+} from './ports.js';
 
 /** A test double whose appends are answered when the test resolves them. */
 class ManualStore implements KeyedStore {
-	static create(): ManualStore {
-		return new ManualStore();
+	static create(limits = storeLimits): ManualStore {
+		return new ManualStore(limits);
 	}
 
 	readonly answers: Array<(outcome: AppendOutcome) => void> = [];
 	/** Number of records of each append. */
 	readonly sizes: number[] = [];
 
-	private constructor() {}
+	private constructor(readonly limits: StoreLimits) {}
 
 	async append(_stream: string, records: readonly NewRecord[]): Promise<AppendOutcome> {
 		this.sizes.push(records.length);
@@ -179,3 +182,32 @@
 		expect(writer.isStoreUnresponsive()).toEqual(false);
 	});
 });
+
+describe('records that do not fit into one append together', () => {
+	/** Guards against jobs that are refused because the jobs beside them make their append larger than the store takes. */
+	it('are sent in several', async () => {
+		const store = ManualStore.create({maxRecordBytes: 100, maxAppendBytes: 30});
+		const writer = IntakeWriter.create(store, {getStoreAnsweredAt: readSteadyClock});
+		const deadline = readSteadyClock() + distantDeadlineMs;
+		const writes = Promise.all([1, 2, 3, 4, 5].map(async number => writer.write(createCancel(number), deadline)));
+		for (let records = 0, answered = 0; records < 5; answered++) {
+			// eslint-disable-next-line no-await-in-loop
+			await waitForAppends(store, answered + 1);
+			store.answers[answered]!({type: 'appended', offset: 0});
+			records += store.sizes[answered]!;
+		}
+
+		expect(await writes).toEqual(['stored', 'stored', 'stored', 'stored', 'stored']);
+		expect(store.sizes.every(size => size <= 2)).toEqual(true);
+	});
+
+	/** Guards against a job that can never be stored and is refused with a time to come back. */
+	it('are refused at once if the store can never take them', async () => {
+		const store = ManualStore.create({maxRecordBytes: 100, maxAppendBytes: 200});
+		const writer = IntakeWriter.create(store, {getStoreAnsweredAt: readSteadyClock});
+		const large = {type: 'cancel' as const, jobId: 'x'.repeat(100) as JobId};
+		expect(writer.canStore(large)).toEqual(false);
+		expect(await writer.write(large, readSteadyClock() + distantDeadlineMs)).toEqual('refused');
+		expect(store.sizes).toEqual([]);
+	});
+});
--- a/packages/daemon/src/scheduler/intake-writer.ts
+++ b/packages/daemon/src/scheduler/intake-writer.ts
@@ -2,15 +2,16 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {IntakeRecord, SteadyMs} from '@rhubarblever/core/scheduler';
 import {readSteadyClock} from './clocks.js';
+import {canStore, splitAppend} from './append-batches.js';
 import {encodeIntake, intakeStream} from './codec.js';
-import type {AppendOutcome, KeyedStore} from './ports.js';
+import type {AppendOutcome, KeyedStore, NewRecord} from './ports.js';
 import {StoreCheck} from './store-check.js';
 
 /** `refused`: definitely not stored; `unknown`: may be stored, now or later. */
 export type WriteOutcome = 'stored' | 'refused' | 'unknown';
 
 type PendingWrite = {
-	readonly record: IntakeRecord;
+	readonly record: NewRecord;
 	readonly deadline: number;
 	readonly resolve: (outcome: WriteOutcome) => void;
 	/** True once an append that contained the record ended with an unknown outcome. */
@@ -64,6 +65,11 @@
 		return this.unansweredSince !== undefined && readSteadyClock() - this.unansweredSince > unresponsiveMs;
 	}
 
+	/** False for a record that is larger than the store takes. */
+	canStore(record: IntakeRecord): boolean {
+		return canStore(encodeIntake(record), this.store.limits);
+	}
+
 	/** How long the store has not answered while records were refused for it; 0 if it answers. */
 	getOutageMs(): number {
 		const now = readSteadyClock();
@@ -76,6 +82,11 @@
 
 	/** Resolves once the record is stored or given up, at the latest at `deadline` (monotonic clock); at once while the store is unresponsive. */
 	async write(record: IntakeRecord, deadline: number): Promise<WriteOutcome> {
+		const encoded = encodeIntake(record);
+		if (!canStore(encoded, this.store.limits)) {
+			return 'refused';
+		}
+
 		if (this.isStoreUnresponsive() || !await this.check.isAnswering()) {
 			this.noteOutage();
 			return 'refused';
@@ -83,7 +94,7 @@
 
 		return new Promise(resolve => {
 			this.queue.push({
-				record, deadline, resolve, mayBeStored: false, refusalCount: 0,
+				record: encoded, deadline, resolve, mayBeStored: false, refusalCount: 0,
 			});
 			this.sendNext();
 		});
@@ -112,7 +123,13 @@
 			return;
 		}
 
-		void this.send(this.queue.splice(0, maxBatchSize));
+		void this.send(this.takeBatch());
+	}
+
+	/** Takes as many records off the queue as one append may hold. */
+	private takeBatch(): PendingWrite[] {
+		const [batch = []] = splitAppend(this.queue.slice(0, maxBatchSize).map(({record}) => record), this.store.limits);
+		return this.queue.splice(0, batch.length);
 	}
 
 	private scheduleNext(inMs: number): void {
@@ -129,7 +146,7 @@
 			this.refuseUnsent();
 			void this.probe();
 		}, unresponsiveMs + 1);
-		const outcome = await this.store.append(intakeStream, batch.map(entry => encodeIntake(entry.record)));
+		const outcome = await this.store.append(intakeStream, batch.map(({record}) => record));
 		this.inFlight--;
 		if (this.noteOutcome(outcome)) {
 			clearTimeout(timer);
--- a/packages/daemon/src/scheduler/job-api.ts
+++ b/packages/daemon/src/scheduler/job-api.ts
@@ -11,8 +11,11 @@
 import {isCompleteWithin, type ViewStatus} from './stream-view.js';
 import {maxRefreshMs, waitAtMost} from './wait-at-most.js';
 
-/** `refused`: definitely not accepted, the caller may retry later; `exceeds-quota`: the same, and it can never run under the present quota of its account; `unknown`: may be accepted. */
-export type SubmitOutcome = 'accepted' | 'refused' | 'exceeds-quota' | 'unknown';
+/**
+ * `refused`: definitely not accepted, the caller may retry later; `exceeds-quota`: the same, and it can never run under the
+ * present quota of its account; `too-large`: it can never be stored; `unknown`: may be accepted.
+ */
+export type SubmitOutcome = 'accepted' | 'refused' | 'exceeds-quota' | 'too-large' | 'unknown';
 /** Not accepted, because the job would end too late to be of use. */
 export type Overload = {readonly retryAfterS: number};
 export type CancelOutcome = 'cancelled' | 'refused' | 'unknown';
@@ -116,6 +119,11 @@
 			return 'accepted';
 		}
 
+		if (!writer.canStore({type: 'job', job})) {
+			log.note('job-too-large', {jobId: job.jobId, queue: job.queue});
+			return 'too-large';
+		}
+
 		const startedAt = readSteadyClock();
 		const excess = await this.judgeQuota(job, startedAt, waitMs);
 		if (excess !== undefined) {
--- a/packages/daemon/src/scheduler/ports.ts
+++ b/packages/daemon/src/scheduler/ports.ts
@@ -33,8 +33,12 @@
 	= | {readonly type: 'loaded'; readonly records: readonly KeyedRecord[]; readonly nextOffset: number; readonly pages: number}
 		| {readonly type: 'unavailable'};
 
+/** The largest record that the store takes, and how much one append may hold; in bytes. */
+export type StoreLimits = {readonly maxRecordBytes: number; readonly maxAppendBytes: number};
+
 /** The store: streams of keyed records, compacted to the newest record of each key. */
 export type KeyedStore = {
+	readonly limits: StoreLimits;
 	append(stream: string, records: readonly NewRecord[], conditions?: AppendConditions): Promise<AppendOutcome>;
 	/** Long poll: waits up to `waitMs` for a record. */
 	read(stream: string, fromOffset: number, waitMs: number): Promise<ReadOutcome>;
--- a/packages/daemon/src/scheduler/record-schemas.ts
+++ b/packages/daemon/src/scheduler/record-schemas.ts
@@ -63,7 +63,12 @@
 /** Records of earlier versions, and rows without crashes, end with the checkpoint. */
 const row = z.tuple([count, count, count, z.enum(['waiting', 'placed', 'done']), count, count, z.string(), z.number(), z.string()]).rest(z.array(crash));
 
-export const progressSchema = z.tuple([z.enum(['queued', 'running', 'completed', 'failed']), z.array(count), z.number(), z.array(row)]);
+export const rowsSchema = z.array(row);
+
+/** A job whose rows are stored in parts has the number of rows of a part in their place. */
+export const progressSchema = z.tuple([
+	z.enum(['queued', 'running', 'completed', 'failed']), z.union([z.array(count), z.array(z.tuple([count, count]))]), z.number(), z.union([rowsSchema, count.positive()]),
+]);
 
 /** Version of the format of the record of run times; it changes with the limits of the buckets. */
 export const runTimesFormat = 1;
--- a/packages/daemon/src/scheduler/store-check.test.ts
+++ b/packages/daemon/src/scheduler/store-check.test.ts
@@ -5,6 +5,7 @@
 import {expect} from 'earl';
 import {readSteadyClock} from './clocks.js';
 import {IntakeWriter} from './intake-writer.js';
+import {storeLimits} from './testing/scripted-store.js';
 import type {AppendOutcome, KeyedStore, NewRecord} from './ports.js';
 import {StoreCheck} from './store-check.js';
 
@@ -19,6 +20,7 @@
 
 	isSilent = false;
 	readonly sizes: number[] = [];
+	readonly limits = storeLimits;
 
 	private constructor() {}
 
--- a/packages/daemon/src/scheduler/testing/scripted-store.ts
+++ b/packages/daemon/src/scheduler/testing/scripted-store.ts
@@ -9,7 +9,7 @@
 import type {KeySettings} from '../key-check.js';
 import {createMetrics} from '../metrics.js';
 import type {
-	AppendConditions, AppendOutcome, PlatformCodec, KeyedRecord, KeyedStore, LoadOutcome, NewRecord, ReadOutcome, SchedulerPorts,
+	AppendConditions, AppendOutcome, PlatformCodec, KeyedRecord, KeyedStore, LoadOutcome, NewRecord, ReadOutcome, SchedulerPorts, StoreLimits,
 } from '../ports.js';
 import {SchedulerHost} from '../scheduler-host.js';
 
@@ -19,6 +19,9 @@
 export const configApplyMs = 2000;
 export const operatorStream = 'operator';
 
+/** Limits of a store that takes all that the tests append, in bytes. */
+export const storeLimits: StoreLimits = {maxRecordBytes: 262_144, maxAppendBytes: 2_097_152};
+
 type Read = (fromOffset: number, waitMs: number) => Promise<ReadOutcome>;
 
 /** A test double of the store with scripted reads of the intake stream; the operators' stream holds a configuration, the other streams are empty. */
@@ -27,6 +30,7 @@
 		return new ScriptedStore();
 	}
 
+	readonly limits = storeLimits;
 	loadIntake: () => Promise<LoadOutcome>;
 	readIntake: Read;
 	readLedger: Read;
@@ -126,7 +130,7 @@
 
 export const settings: SchedulerSettings = {
 	holder: 'h', claimJitter: 0, capacityShortfall: 0, firstSequence: 1,
-	moveMs: 1500, upkeepMs: 2000, orderLeaseMs: 3000, maxLeaseMs: 10_000, stopMs: 200, statusRetentionMs: 120_000, remoteRackFactor: 2,
+	moveMs: 1500, upkeepMs: 2000, orderLeaseMs: 3000, maxLeaseMs: 10_000, stopMs: 200, statusRetentionMs: 120_000, remoteRackFactor: 2, maxRecordBytes: storeLimits.maxRecordBytes,
 };
 
 /** Starts a host with the scripted store; the test closes it. */
