What a leader builds at once of schedules and large jobs is bounded

The host that led ended within some three seconds, and so did each one after it, on all machines, without end. A small job of another pool, accepted while all workers were idle, never started.

Cause: a leader built all 518,400 overdue occurrences, with their steps and tasks, in one turn, when the job was handed in and again with each takeover. Nothing bounded what it built of any job.

A gang that does not fit keeps 64 members. Tasks share an empty set of workers until they fail somewhere. In the same pool, an overdue occurrence counts as late by its own due time now, where it went before all other jobs of its priority because its schedule had started; occurrences of one job go in their order.

--- a/packages/core/src/scheduler/displacement.ts
+++ b/packages/core/src/scheduler/displacement.ts
@@ -1,6 +1,7 @@
 /** Shared by machines drained for upkeep and workers that drain: which long-running tasks may be stopped, and whether they have room elsewhere. */
 import {getTicketState} from './advice.js';
 import {getDemand} from './demand.js';
+import {countUnbuilt} from './occurrences.js';
 import {isUsable} from './placement.js';
 import {getPoolOfJob} from './queues.js';
 import {addResources} from './resources.js';
@@ -28,7 +29,8 @@
 
 /** How many other tasks of a task's step are not known to be at work. */
 export function countOthersUnavailable(state: SchedulerState, task: Task): number {
-	return task.step.tasks.filter(other => other !== task && !isAvailable(state, other)).length;
+	const {step} = task;
+	return step.tasks.filter(other => other !== task && !isAvailable(state, other)).length + countUnbuilt(step);
 }
 
 function isAvailable(state: SchedulerState, task: Task): boolean {
--- a/packages/core/src/scheduler/draining-workers.ts
+++ b/packages/core/src/scheduler/draining-workers.ts
@@ -12,6 +12,7 @@
 	canDisplace, countOthersUnavailable, findRoom, type PlannedMove,
 } from './displacement.js';
 import {noteDecision} from './logging.js';
+import {listWaitingTasks} from './occurrences.js';
 import {isJobOpen} from './phases.js';
 import {getPoolOfJob} from './queues.js';
 import {estimateMeanMs} from './run-times.js';
@@ -75,7 +76,7 @@
 
 /** Plans the room that is taken: long-running tasks that wait or are being stopped will start there. */
 function planWaiting(state: SchedulerState, leavers: readonly Leaver[], plan: Plan): void {
-	const waiting = [...state.openSteps].flatMap(({tasks}) => tasks.filter(({status}) => status === 'waiting'));
+	const waiting = [...state.openSteps].filter(({definition}) => definition.isLongRunning).flatMap(step => listWaitingTasks(step, maxPlannedMoves));
 	const stopping = leavers.flatMap(({worker}) => [...worker.tasks.values()].filter(({status}) => status === 'stopping'));
 	for (const task of [...waiting, ...stopping]) {
 		if (isFull(plan)) {
--- a/packages/core/src/scheduler/expected-wait.ts
+++ b/packages/core/src/scheduler/expected-wait.ts
@@ -4,6 +4,7 @@
  */
 import {isQuarantined} from './health.js';
 import {getReturnAt} from './machines.js';
+import {countWaitingTasks} from './occurrences.js';
 import {getPoolOfJob} from './queues.js';
 import {
 	addResources, computeDominantShare, doesFit, noResources, resourceNames,
@@ -140,7 +141,7 @@
 	for (const {isDue, steps} of job.live?.occurrences.values() ?? []) {
 		for (const step of isDue ? steps : []) {
 			const {definition} = step;
-			const waiting = definition.isLongRunning ? 0 : step.tasks.filter(({status}) => status === 'waiting').length;
+			const waiting = definition.isLongRunning ? 0 : countWaitingTasks(step);
 			if (waiting > 0) {
 				backlog.work = addResources(backlog.work, getStepNeed(definition), waiting * estimateRunMs(state, job.definition, step.number));
 				backlog.hasWaiting ||= state.openSteps.has(step);
--- a/packages/core/src/scheduler/job-restore.ts
+++ b/packages/core/src/scheduler/job-restore.ts
@@ -1,6 +1,6 @@
 /** Restores the tasks of a job from its stored progress, when a host takes the leadership. */
 import {hasOccurrence} from './occurrence-ranges.js';
-import {getOccurrence} from './occurrences.js';
+import {ensureTask, getOccurrence} from './occurrences.js';
 import {ensureWorker} from './registry.js';
 import {attachTask} from './tasks.js';
 import {never} from './timing.js';
@@ -32,7 +32,8 @@
 			continue;
 		}
 
-		const task = getOccurrence(state, job, live, row.occurrence).steps[row.step]?.tasks[row.index];
+		const step = getOccurrence(state, job, live, row.occurrence).steps[row.step];
+		const task = step && ensureTask(step, row.index);
 		if (task) {
 			restoreTask(state, task, row);
 		}
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -5,6 +5,7 @@
 	addStepWork, addWaitingWork, clearWaiting, getDemand, noteUsableWorkers,
 } from './demand.js';
 import {isQuarantined, isProbeDue} from './health.js';
+import {buildTask, countUnbuilt, listWaitingTasks} from './occurrences.js';
 import {getPoolOfJob, hasAccounts} from './queues.js';
 import {clearQuotas, countAdmitted, noteHeldBack} from './quotas.js';
 import {orderByShare} from './shares.js';
@@ -21,6 +22,9 @@
 	RefusedWorkers, SchedulerState, StepRun, Task, Worker,
 } from './state.js';
 
+/** A gang that does not fit keeps at most so many of the members that were built to place it. */
+const maxBuiltMembers = 64;
+
 /**
  * Places all tasks that fit. While an append to the ledger is in flight no start could be sent, so placement waits and
  * takes into account what arrives in the meantime.
@@ -94,23 +98,24 @@
 
 function placeStep(state: SchedulerState, step: StepRun, pool: PoolName, {usable, setAside}: PoolWorkers): void {
 	const waiting = step.tasks.filter(task => task.status === 'waiting' && !isAwaitingFate(state, task));
-	if (waiting.length === 0) {
+	const count = waiting.length + countUnbuilt(step);
+	if (count === 0) {
 		return;
 	}
 
 	const limit = countAdmitted(state, step);
-	if (limit < waiting.length) {
+	if (limit < count) {
 		noteHeldBack(state, step);
 	}
 
-	if (limit === 0 || (step.definition.isGang && limit < waiting.length)) {
+	if (limit === 0 || (step.definition.isGang && limit < count)) {
 		return;
 	}
 
 	const candidates = usable.filter(worker => hasLabel(step, worker));
 	const place = step.definition.isGang ? placeGang : placeEach;
-	const {placed, refused} = place(state, waiting, listFreeCapacities(state, step, candidates), limit);
-	const left = Math.min(waiting.length, limit) - placed;
+	const {placed, refused} = place(state, {step, waiting, limit}, listFreeCapacities(state, step, candidates));
+	const left = Math.min(count, limit) - placed;
 	if (left > 0) {
 		addWaitingWork(state, pool, step, {tasks: left, workers: candidates.length, refused});
 		placeAsProbe(state, step, setAside);
@@ -124,9 +129,9 @@
 	}
 
 	for (const worker of setAside) {
-		const task = step.tasks.find(({status}) => status === 'waiting');
+		const [task] = listWaitingTasks(step, 1);
 		if (task && hasLabel(step, worker) && isProbeDue(state, worker)) {
-			placeEach(state, [task], listFreeCapacities(state, step, [worker]), countAdmitted(state, step));
+			placeEach(state, {step, waiting: [task], limit: Math.min(1, countAdmitted(state, step))}, listFreeCapacities(state, step, [worker]));
 		}
 	}
 }
@@ -144,12 +149,25 @@
 /** How many tasks were placed, and what kept the workers from taking the last of the others. */
 type Placement = {readonly placed: number; readonly refused: RefusedWorkers};
 
-/** Places up to `limit` of the waiting tasks. */
-function placeEach(state: SchedulerState, waiting: readonly Task[], capacities: ReadonlyMap<Worker, FreeCapacity>, limit: number): Placement {
+/** Tasks of a step that may be placed now, up to `limit`: those in `waiting`, and those that have not been built. */
+type PlaceableTasks = {readonly step: StepRun; readonly waiting: readonly Task[]; readonly limit: number};
+
+/** The tasks in `waiting`, and after them those that are built for the purpose, as long as `canGoOn` says so. */
+function * listPlaceable({step, waiting}: PlaceableTasks, canGoOn: () => boolean): Iterable<Task> {
+	yield * waiting;
+	while (countUnbuilt(step) > 0 && canGoOn()) {
+		yield buildTask(step);
+	}
+}
+
+/** Places up to `limit` of the tasks. */
+function placeEach(state: SchedulerState, tasks: PlaceableTasks, capacities: ReadonlyMap<Worker, FreeCapacity>): Placement {
+	const {limit} = tasks;
 	let placed = 0;
 	let refused: RefusedWorkers = {};
 	let isFull = false;
-	for (const task of waiting) {
+	let hasRefused = false;
+	for (const task of listPlaceable(tasks, () => placed < limit && !hasRefused)) {
 		if (placed >= limit) {
 			break;
 		}
@@ -169,6 +187,7 @@
 		}
 
 		refused = choice.refused;
+		hasRefused ||= !isTrial;
 		// Apart from suspects, the tasks of a step differ only in how long they have waited for their rack.
 		isFull ||= !isTrial && refused.rack === undefined;
 	}
@@ -177,16 +196,19 @@
 }
 
 /** Places all tasks of a gang or none; they share one run number. */
-function placeGang(state: SchedulerState, waiting: readonly Task[], capacities: Map<Worker, FreeCapacity>): Placement {
-	const {definition, tasks} = waiting[0]!.step;
-	if (waiting.length < definition.count) {
+function placeGang(state: SchedulerState, placeable: PlaceableTasks, capacities: Map<Worker, FreeCapacity>): Placement {
+	const {step: {tasks, definition}, waiting} = placeable;
+	const builtBefore = tasks.length;
+	if (waiting.length + countUnbuilt(placeable.step) < definition.count) {
 		return {placed: 0, refused: {}};
 	}
 
 	const chosen: Array<{task: Task; worker: Worker}> = [];
-	for (const task of waiting) {
+	for (const task of listPlaceable(placeable, () => true)) {
 		const choice = chooseWorker(state, task, capacities);
 		if (!choice.worker) {
+			// Members of a large gang that waits are built again with the next attempt.
+			tasks.length = Math.max(builtBefore, Math.min(tasks.length, maxBuiltMembers));
 			return {placed: 0, refused: choice.refused};
 		}
 
@@ -200,7 +222,7 @@
 	}
 
 	const run = Math.max(...tasks.map(task => task.run)) + 1;
-	const checkpoint = waiting.find(task => task.checkpoint !== '')?.checkpoint ?? '';
+	const checkpoint = tasks.find(task => task.checkpoint !== '')?.checkpoint ?? '';
 	for (const {task, worker} of chosen) {
 		task.checkpoint = checkpoint;
 		noteTrial(state, task, worker);
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -5,7 +5,7 @@
 import {judgeSuspects} from './crashes.js';
 import {tickHandover} from './handover.js';
 import {handlePoll, hasReadStartedJobs, tickPolls} from './polls.js';
-import {applyIntake, dropLiveJobIfEnded, openDueOccurrences} from './jobs.js';
+import {applyIntake, dropLiveJobIfEnded, tickSchedules} from './jobs.js';
 import {
 	handleClaim, noteConfigured, releaseLeadership, stopLeading, tickClaim, tickLeadership,
 } from './leadership.js';
@@ -156,11 +156,8 @@
 	}
 
 	state.jobsDueAt = state.now + jobCheckIntervalMs;
+	tickSchedules(state);
 	for (const job of state.liveJobs) {
-		if (job.definition.runCount > 0) {
-			openDueOccurrences(state, job);
-		}
-
 		dropLiveJobIfEnded(state, job);
 	}
 
--- a/packages/core/src/scheduler/reports.ts
+++ b/packages/core/src/scheduler/reports.ts
@@ -5,7 +5,7 @@
 import {addEffect, noteDecision} from './logging.js';
 import {getMaxAttempts} from './queues.js';
 import {
-	confirmTask, finishTask, getTarget, requestStop, returnTask, stopGang,
+	confirmTask, finishTask, getTarget, noteFailedOn, requestStop, returnTask, stopGang,
 } from './tasks.js';
 import {
 	never, pollRetryMs, pollWaitMs, stuckMs,
@@ -71,7 +71,7 @@
 		const {job} = task.step.occurrence;
 		const {isLongRunning} = task.step.definition;
 		noteFailure(state, worker, job.definition.jobId, 'run failed');
-		task.failedOn.add(worker.id);
+		noteFailedOn(task, worker);
 		returnTask(state, task);
 		task.failures += isLongRunning ? 0 : 1;
 		if (!isLongRunning && task.failures >= getMaxAttempts(state, job) && !job.isCancelled) {
@@ -227,7 +227,7 @@
 		noteDecision(state, 'run-stuck', {
 			task: task.name, run: task.run, workerId: worker.id, percent: task.percent,
 		});
-		task.failedOn.add(worker.id);
+		noteFailedOn(task, worker);
 		requestStop(state, task);
 	}
 }
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -14,7 +14,7 @@
 } from './call-window.js';
 import {hasAccounts} from './queues.js';
 import {
-	confirmTask, getTarget, isOverloaded, requestStop, returnTask, returnWithGang, stopGang,
+	confirmTask, getTarget, isOverloaded, noteFailedOn, requestStop, returnTask, returnWithGang, stopGang,
 } from './tasks.js';
 import {
 	never, startReportMs, stopRetryMs, unconfirmedLimitMs,
@@ -152,7 +152,7 @@
 		returnWithGang(state, task);
 	},
 	invalid(state, worker, task) {
-		task.failedOn.add(worker.id);
+		noteFailedOn(task, worker);
 		returnWithGang(state, task);
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + refusalPauseMs);
 	},
--- a/packages/core/src/scheduler/tasks.ts
+++ b/packages/core/src/scheduler/tasks.ts
@@ -1,6 +1,7 @@
 /** Changes of a task's status. They also keep the open steps, the workers' used capacity and the jobs to be stored up to date. */
 import {updateAssignedUse} from './account-use.js';
 import {addEffect} from './logging.js';
+import {ensureTask, hasWaitingTasks} from './occurrences.js';
 import {isJobOpen} from './phases.js';
 import {addResources, doesFit, noResources} from './resources.js';
 import {never, stopRetryMs} from './timing.js';
@@ -60,7 +61,7 @@
 	const isOpen = isJobOpen(step.occurrence.job)
 		&& step.occurrence.isDue
 		&& isStepReady(step)
-		&& step.tasks.some(task => task.status === 'waiting');
+		&& hasWaitingTasks(step);
 	if (isOpen) {
 		state.openSteps.add(step);
 		state.needsPlacement = true;
@@ -72,6 +73,7 @@
 /** Assigns a task to a worker and reserves its capacity there. */
 export function attachTask(state: SchedulerState, worker: Worker, task: Task): void {
 	task.worker = worker;
+	task.step.occurrence.assignedTasks++;
 	worker.tasks.set(task.name, task);
 	addUse(worker, task, 1);
 	updateAssignedUse(state, task, 1);
@@ -97,6 +99,7 @@
 	updateAssignedUse(state, task, -1);
 	markReportedStart(worker, task);
 	task.worker = undefined;
+	task.step.occurrence.assignedTasks--;
 	if (worker.tasks.size === 0) {
 		worker.idleSince = state.now;
 	}
@@ -104,6 +107,11 @@
 	state.needsPlacement = true;
 }
 
+/** Records that a task has failed at a worker: it goes to another one if it can. */
+export function noteFailedOn(task: Task, worker: Worker): void {
+	task.failedOn = new Set([...task.failedOn, worker.id]);
+}
+
 /** Has the row of a task stored with the next commit. */
 export function markChanged(state: SchedulerState, task: Task): void {
 	const {job} = task.step.occurrence;
@@ -196,6 +204,10 @@
 /** Marks a task as done, and with it all members of its gang. */
 export function finishTask(state: SchedulerState, task: Task): void {
 	const {step} = task;
+	if (step.definition.isGang) {
+		ensureTask(step, step.definition.count - 1);
+	}
+
 	const finished = step.definition.isGang ? step.tasks : [task];
 	for (const member of finished) {
 		if (member.status !== 'done') {
--- a/packages/core/src/scheduler/testing/model-checks.ts
+++ b/packages/core/src/scheduler/testing/model-checks.ts
@@ -117,11 +117,12 @@
 	}
 
 	private isStored(task: string, run: number): boolean {
-		const [jobId, , step, index] = task.split('.');
+		const [jobId, occurrence, step, index] = task.split('.').map((part, position) => position === 0 ? part : Number(part)) as [string, number, number, number];
 		const entry = this.options.store.ledger.findLast(({record}) => record.type === 'progress' && record.jobId === jobId);
 		const progress = entry?.record.type === 'progress' ? entry.record.progress : undefined;
-		const row = (progress?.rowsPerPart === undefined ? progress?.rows : this.findPartRows(task))?.find(candidate => candidate.step === Number(step) && candidate.index === Number(index));
-		return this.cancelledAt.has(jobId!) || progress?.phase === 'completed' || progress?.phase === 'failed' || row?.status === 'done' || (row?.run ?? 0) > run;
+		const row = (progress?.rowsPerPart === undefined ? progress?.rows : this.findPartRows(task))?.find(candidate => candidate.occurrence === occurrence && candidate.step === step && candidate.index === index);
+		const isOccurrenceStored = progress?.finishedOccurrences.some(([first, last]) => first <= occurrence && occurrence <= last);
+		return this.cancelledAt.has(jobId) || isOccurrenceStored === true || progress?.phase === 'completed' || progress?.phase === 'failed' || row?.status === 'done' || (row?.run ?? 0) > run;
 	}
 
 	/** The rows of the newest stored part that has a row of a task. */
--- a/packages/core/src/scheduler/urgency.ts
+++ b/packages/core/src/scheduler/urgency.ts
@@ -7,7 +7,7 @@
  */
 import {getQueue, hasAccounts} from './queues.js';
 import {findLearnedEstimate, isLearningUsed, isResuming} from './run-times.js';
-import type {SchedulerState, StepRun} from './state.js';
+import type {Occurrence, SchedulerState, StepRun} from './state.js';
 
 const lowestPriority = 9;
 /**
@@ -29,15 +29,16 @@
 	readonly isObjectiveUnreachable: boolean;
 	/** The job would meet its objective even if its work took longer than expected, or has started. */
 	readonly hasSlack: boolean;
-	/** The job has started. */
+	/** The job, or the occurrence of a schedule, has started. */
 	readonly hasStarted: boolean;
-	/** When the caller first sent the job. */
+	/** When the caller first sent the job, or the occurrence of a schedule was opened. */
 	readonly acceptedAt: number;
 };
 
 /** Computes what the order of a step depends on. */
 export function computeUrgency(state: SchedulerState, step: StepRun): Urgency {
 	const {job} = step.occurrence;
+	const isScheduled = job.definition.runCount > 0;
 	const queue = getQueue(state, job.definition.queue);
 	const isLearned = isLearningUsed(state, 'order');
 	let totalMs = 0;
@@ -54,9 +55,9 @@
 	}
 
 	const objectiveMs = ((queue?.stretch ?? 1) * totalMs) + (queue?.latencyTargetMs ?? 0);
-	const hasStarted = job.live?.hasStarted ?? false;
-	const isTimed = !step.definition.isLongRunning && job.definition.runCount === 0;
-	const leftMs = isTimed ? job.sentAt + objectiveMs - state.now - remainingMs - overheadMs : Number.POSITIVE_INFINITY;
+	const hasStarted = isScheduled ? hasBegun(step.occurrence) : job.live?.hasStarted ?? false;
+	const since = isScheduled ? computeDueAt(state, step.occurrence) : job.sentAt;
+	const leftMs = step.definition.isLongRunning ? Number.POSITIVE_INFINITY : since + objectiveMs - state.now - remainingMs - overheadMs;
 	const requiredSlackMs = remainingMs * slackShare;
 	return {
 		step,
@@ -66,11 +67,20 @@
 		isObjectiveUnreachable: leftMs < (hasAccounts(state) || hasStarted ? 0 : requiredSlackMs),
 		hasSlack: hasStarted || leftMs >= requiredSlackMs,
 		hasStarted,
-		// A caller who returns after a refusal goes before newcomers.
-		acceptedAt: job.sentAt,
+		// A caller who returns after a refusal goes before newcomers. Overdue occurrences are opened few at a time, so that other late jobs have their turn.
+		acceptedAt: isScheduled ? step.occurrence.createdAt : job.sentAt,
 	};
 }
 
+/** When an occurrence of a schedule is due, on this host's monotonic clock; its latency objective counts from here. */
+function computeDueAt({now, wallNow}: SchedulerState, {job: {definition}, number}: Occurrence): number {
+	return now - wallNow + definition.firstRunAt + (number * definition.intervalMs);
+}
+
+function hasBegun({assignedTasks, steps}: Occurrence): boolean {
+	return assignedTasks > 0 || steps.some(({doneCount}) => doneCount > 0);
+}
+
 /**
  * Sorts steps by class: those of excess jobs last, then by priority, then those that can meet their objective first, and
  * among them those with slack, then those of started jobs.
@@ -83,7 +93,7 @@
 		|| Number(b.hasStarted) - Number(a.hasStarted);
 }
 
-/** Sorts steps by class, and within a class by arrival. */
+/** Sorts steps by class, within a class by arrival, and those of one job by occurrence: one that has begun ends before later ones begin. */
 export function compareUrgency(a: Urgency, b: Urgency): number {
-	return compareClass(a, b) || a.acceptedAt - b.acceptedAt;
+	return compareClass(a, b) || a.acceptedAt - b.acceptedAt || a.step.occurrence.number - b.step.occurrence.number;
 }
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -45,7 +45,7 @@
 	pacePercent: number;
 	readyAt: SteadyMs;
 	/** Workers where the task failed recently. */
-	readonly failedOn: Set<WorkerId>;
+	failedOn: ReadonlySet<WorkerId>;
 	/** Losses of workers that may be blamed on the task, oldest first. */
 	crashes: readonly TaskCrash[];
 };
@@ -55,6 +55,7 @@
 	readonly occurrence: Occurrence;
 	readonly number: number;
 	readonly definition: StepDefinition;
+	/** The tasks that have been built, in the order of their indexes, without gaps; the others wait for their first placement. */
 	readonly tasks: Task[];
 	doneCount: number;
 	/** Answers of the advice service; undefined before the first request. */
@@ -82,6 +83,9 @@
 	readonly job: Job;
 	readonly number: number;
 	readonly steps: StepRun[];
+	readonly createdAt: SteadyMs;
+	/** How many of its tasks are assigned to workers. */
+	assignedTasks: number;
 	/** Its start time has passed on this host's clock; its tasks do not start earlier. */
 	isDue: boolean;
 	isDone: boolean;
