Losses of workers alone never end a job that must go on

The five others of its tasks, at work on sound workers, were stopped at the same moment, though the step may miss one. They never started again.

Cause: a task counted as the cause of the crashes after five losses, whatever its share of the blame, and its job was ended as failed. A task that lives long meets with five losses that are not its fault; 10 s at work without one, which clear a task, do not come between crashes six seconds apart. And the verdict did not ask what the job is: what must be restarted however it ends has no limit of attempts.

Hypotheses and evidence, before any change: (1) five slight losses convict: the log of the case shows `task-given-up` with five losses, all `slight`, and four `stopped` runs at that instant; with four crashes nothing happens (read). (2) The task is blamed alone by mistake: against it, no loss there is `sole` or `shared`. (3) Retries of the queue (max-attempts 2): against it, `run-ended` has no `failed`.

Change: losses that tell only slightly against a task never convict it. Five crashes still do in which it had begun shortly before, each confirmed, and fewer that are its alone, as before. A job that has long-running tasks is never given up for crashes: the task that causes them is held back, for 5 s after the second crash that is blamed on it and twice as long with each further one, and then tried alone on a worker as before. The first pause keeps the restart within 9 s of the crash. Only the latest five losses of a task are kept. Related paths: the other place that ends a job as failed counts runs that end `failed`, of tasks that are not long-running; nothing to mend there.

--- a/packages/core/src/scheduler/crashes.ts
+++ b/packages/core/src/scheduler/crashes.ts
@@ -4,8 +4,10 @@
  * Most of the tasks that are lost with a worker have not caused its crash. A task that crashes its worker does so soon after its run
  * begins, so a loss is blamed on the runs that had begun lately. A blamed task is tried: it starts on a worker where
  * nothing else has begun lately, and nothing else starts there until the trial is over. Crashes that can be
- * blamed on a task alone show that it is the cause, and its job fails: the more of them are needed, the more workers
- * crash for reasons unknown.
+ * blamed on a task alone show that it is the cause: the more of them are needed, the more workers crash for reasons unknown.
+ *
+ * The job of such a task fails. If it has long-running tasks, which must be restarted whatever ends them, it goes on, and the
+ * task starts again after a pause that grows with its crashes.
  *
  * The evidence is stored with the job's progress, so a new leader continues with it.
  */
@@ -36,8 +38,13 @@
  * How many crashes must be blamed on a task alone until it counts as the cause: the more workers of the pool crash for reasons unknown, the more. `lossShare`: lost workers as a share of the pool.
  */
 const neededSoleCrashes = [{lossShare: 0.1, soleCrashes: 1}, {lossShare: 0.5, soleCrashes: 2}, {lossShare: Number.POSITIVE_INFINITY, soleCrashes: 3}] as const;
-/** After this many losses a task counts as the cause whatever its share of the blame. */
-const lossesWithAnyBlame = 5;
+/** After this many crashes that may be blamed on a task it counts as the cause, even if it was never alone. */
+const maxBlamedCrashes = 5;
+/** Only the latest losses of a task are kept. */
+const maxKeptCrashes = 5;
+/** How long a long-running task that crashes its workers waits for its next start, and the factor with each further crash. */
+const firstBackoffMs = 5000;
+const backoffFactor = 2;
 /** How long a task that was lost before waits to learn whether its silent worker has crashed. */
 const fateWaitMs = 5000;
 const checkIntervalMs = 50;
@@ -103,12 +110,13 @@
 
 function addCrash(state: SchedulerState, task: Task, worker: Worker, kind: Pick<TaskCrash, 'isConfirmed' | 'blame'>): void {
 	state.suspects.add(task);
-	setCrashes(state, task, [...task.crashes, {
+	const crash: TaskCrash = {
 		run: task.run, workerId: worker.id, bornAt: worker.bornAt, at: state.wallNow, ...kind,
-	}]);
+	};
+	setCrashes(state, task, [...task.crashes, crash].slice(-maxKeptCrashes));
 }
 
-/** Learns what became of silent workers, clears tasks and gives up those that crash their workers. */
+/** Learns what became of silent workers, clears tasks, and gives up or holds back those that crash their workers. */
 export function judgeSuspects(state: SchedulerState): void {
 	if (state.suspects.size === 0 || state.now < state.suspectsDueAt || state.leadership.role !== 'leader') {
 		return;
@@ -129,8 +137,7 @@
 		if (task.crashes.length === 0) {
 			state.suspects.delete(task);
 		} else if (isCause(state, task)) {
-			state.suspects.delete(task);
-			finishFailedJob(state, task);
+			handleCause(state, task);
 		}
 	}
 
@@ -198,8 +205,14 @@
 	}
 }
 
+function listBlamedCrashes({crashes}: Task): TaskCrash[] {
+	return crashes.filter(({isConfirmed, blame}) => isConfirmed && blame !== 'slight');
+}
+
+/** Losses that tell only slightly against a task never convict it: any task meets with them where workers crash by themselves. */
 function isCause(state: SchedulerState, task: Task): boolean {
-	if (task.crashes.length >= lossesWithAnyBlame) {
+	const blamed = listBlamedCrashes(task);
+	if (blamed.length >= maxBlamedCrashes) {
 		return true;
 	}
 
@@ -207,7 +220,6 @@
 		return false;
 	}
 
-	const blamed = task.crashes.filter(({isConfirmed, blame}) => isConfirmed && blame !== 'slight');
 	const sole = blamed.filter(({blame}) => blame === 'sole').length;
 	const needed = computeNeededCrashes(state, task);
 	return sole >= needed && blamed.length >= minBlamedCrashes;
@@ -231,20 +243,37 @@
 	return crashes.some(crash => crash.workerId === workerId && crash.bornAt === bornAt);
 }
 
-function finishFailedJob(state: SchedulerState, task: Task): void {
-	noteWarning(state, 'task-given-up', {
-		task: task.name, run: task.run, crashes: task.crashes.length, evidence: formatCrashes(task.crashes),
+function handleCause(state: SchedulerState, task: Task): void {
+	const {job} = task.step.occurrence;
+	if (!job.definition.steps.some(({isLongRunning}) => isLongRunning)) {
+		state.suspects.delete(task);
+		noteCause(state, task, 'task-given-up');
+		finishJob(state, job, 'failed');
+	} else if (task.status === 'waiting' && task.heldBackRun !== task.run) {
+		const factor = backoffFactor ** Math.max(0, listBlamedCrashes(task).length - minBlamedCrashes);
+		task.heldBackRun = task.run;
+		task.heldBackUntil = state.now + (firstBackoffMs * factor);
+		noteCause(state, task, 'task-held-back');
+	}
+}
+
+function noteCause(state: SchedulerState, task: Task, event: 'task-given-up' | 'task-held-back'): void {
+	noteWarning(state, event, {
+		task: task.name, run: task.run, crashes: task.crashes.length, heldBackMs: Math.max(0, Math.round(task.heldBackUntil - state.now)), evidence: formatCrashes(task.crashes),
 	});
 	state.workerLosses = state.workerLosses.filter(loss => !isBlamedOn(task, loss));
-	finishJob(state, task.step.occurrence.job, 'failed');
 }
 
 function formatCrashes(crashes: readonly TaskCrash[]): string {
 	return crashes.map(({run, workerId, bornAt, at, isConfirmed, blame}) => `#${run} at ${workerId}/${bornAt} ${new Date(at).toISOString()} ${isConfirmed ? 'crashed' : 'silent'} ${blame}`).join(', ');
 }
 
-/** True while a task that was lost before has to wait for the fate of its last worker. */
-export function isAwaitingFate(state: SchedulerState, {crashes, readyAt}: Task): boolean {
+/** True while a waiting task may not start: it crashes its workers, or was lost before and has to wait for the fate of its last worker. */
+export function isHeldBack(state: SchedulerState, task: Task): boolean {
+	return state.now < task.heldBackUntil || isAwaitingFate(state, task);
+}
+
+function isAwaitingFate(state: SchedulerState, {crashes, readyAt}: Task): boolean {
 	return crashes.length > 1 && crashes.at(-1)?.isConfirmed === false && state.now < readyAt + fateWaitMs;
 }
 
--- a/packages/core/src/scheduler/occurrences.ts
+++ b/packages/core/src/scheduler/occurrences.ts
@@ -114,5 +114,7 @@
 		readyAt: createdAt,
 		failedOn: noWorkers,
 		crashes: [],
+		heldBackRun: 0,
+		heldBackUntil: 0,
 	};
 }
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -1,6 +1,6 @@
 /** Assigns waiting tasks to workers, the most urgent step first. */
 import {updateUncertainUse} from './account-use.js';
-import {isAwaitingFate} from './crashes.js';
+import {isHeldBack} from './crashes.js';
 import {
 	addStepWork, addWaitingWork, clearWaiting, getDemand, noteUsableWorkers,
 } from './demand.js';
@@ -97,7 +97,7 @@
 type PoolWorkers = {readonly usable: readonly Worker[]; readonly setAside: readonly Worker[]};
 
 function placeStep(state: SchedulerState, step: StepRun, pool: PoolName, {usable, setAside}: PoolWorkers): void {
-	const waiting = step.tasks.filter(task => task.status === 'waiting' && !isAwaitingFate(state, task));
+	const waiting = step.tasks.filter(task => task.status === 'waiting' && !isHeldBack(state, task));
 	const count = waiting.length + countUnbuilt(step);
 	if (count === 0) {
 		return;
@@ -129,7 +129,7 @@
 	}
 
 	for (const worker of setAside) {
-		const [task] = listWaitingTasks(step, 1);
+		const task = listWaitingTasks(step, step.tasks.length + 1).find(candidate => !isHeldBack(state, candidate));
 		if (task && hasLabel(step, worker) && isProbeDue(state, worker)) {
 			placeEach(state, {step, waiting: [task], limit: Math.min(1, countAdmitted(state, step))}, listFreeCapacities(state, step, [worker]));
 		}
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -48,6 +48,9 @@
 	failedOn: ReadonlySet<WorkerId>;
 	/** Losses of workers that may be blamed on the task, oldest first. */
 	crashes: readonly TaskCrash[];
+	/** After this run the task was held back, because it crashes its workers; it does not start again before `heldBackUntil`. */
+	heldBackRun: number;
+	heldBackUntil: SteadyMs;
 };
 
 /** One step of one occurrence. */
