--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -5,7 +5,7 @@
 	addStepWork, addWaitingWork, clearWaiting, getDemand, noteUsableWorkers,
 } from './demand.js';
 import {isQuarantined, isProbeDue} from './health.js';
-import {buildTask, countUnbuilt, listWaitingTasks} from './occurrences.js';
+import {buildTask, countUnbuilt} from './occurrences.js';
 import {getPoolOfJob, hasAccounts} from './queues.js';
 import {clearQuotas, countAdmitted, noteHeldBack} from './quotas.js';
 import {orderByShare} from './shares.js';
@@ -129,13 +129,18 @@
 	}
 
 	for (const worker of setAside) {
-		const task = listWaitingTasks(step, step.tasks.length + 1).find(candidate => !isHeldBack(state, candidate));
-		if (task && hasLabel(step, worker) && isProbeDue(state, worker)) {
+		const task = hasLabel(step, worker) && isProbeDue(state, worker) ? findPlaceableTask(state, step) : undefined;
+		if (task) {
 			placeEach(state, {step, waiting: [task], limit: Math.min(1, countAdmitted(state, step))}, listFreeCapacities(state, step, [worker]));
 		}
 	}
 }
 
+function findPlaceableTask(state: SchedulerState, step: StepRun): Task | undefined {
+	const built = step.tasks.find(task => task.status === 'waiting' && !isHeldBack(state, task));
+	return built ?? (countUnbuilt(step) > 0 ? buildTask(step) : undefined);
+}
+
 /** Places a task on a worker. The work of a job that a quota held back counts as arrived now. */
 function startTask(state: SchedulerState, task: Task, worker: Worker, run: number): void {
 	const {number, occurrence: {job}} = task.step;
