--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -5,7 +5,7 @@
 import {judgeSuspects} from './crashes.js';
 import {tickHandover} from './handover.js';
 import {handlePoll, hasReadStartedJobs, tickPolls} from './polls.js';
-import {applyIntake, dropLiveJobIfEnded, tickSchedules} from './jobs.js';
+import {applyIntake, dropLiveJobIfEnded} from './jobs.js';
 import {
 	handleClaim, noteConfigured, releaseLeadership, stopLeading, tickClaim, tickLeadership,
 } from './leadership.js';
@@ -21,6 +21,7 @@
 import {tickQuotas} from './quotas.js';
 import {removeGoneWorkers, tickRegistry, updateWorkers} from './registry.js';
 import {removeOldJobs, replaceEndedJobs} from './retention.js';
+import {tickSchedules} from './schedules.js';
 import {
 	handleStart, handleStop, sendQueuedStarts, tickStops,
 } from './starts.js';
