A commit without changes of jobs always has a record that the store takes

Cause: records too large for the store are left out of an append. If nothing else was in it, an empty append was left, which confirms nothing that the lead could go by, and whose sequence number may not count. Found by reading, before any landing; needs a configuration or run times larger than a record. Change: such a commit holds the lease record, as heartbeats do.

--- a/packages/core/src/scheduler/commits.ts
+++ b/packages/core/src/scheduler/commits.ts
@@ -111,7 +111,8 @@
 		state.load.unstored = undefined;
 	}
 
-	if (state.dirtyJobs.size === 0 && records.length === 0) {
+	// The other records may be too large for the store: an append without any record would confirm nothing.
+	if (state.dirtyJobs.size === 0) {
 		records.push({type: 'lease', lease: {holder: settings.holder, token: leadership.token, isReleased: false}});
 	}
 
--- a/packages/core/src/scheduler/large-progress.test.ts
+++ b/packages/core/src/scheduler/large-progress.test.ts
@@ -248,6 +248,16 @@
 	});
 });
 
+describe('a commit without changes of jobs', () => {
+	/** Guards against an append that is left without any record, as those that it should hold are too large for the store: it confirms nothing, and may not count. */
+	it('has a record that any store takes', () => {
+		const host = HandDrivenHost.create();
+		host.takeLeadership();
+		const [first] = listCommits(host.effects);
+		expect(first!.records.map(({type}) => type)).toEqual(['config', 'lease']);
+	});
+});
+
 describe('checkpoints too long for a record', () => {
 	/** Guards against a record that the store refuses for ever because of what workers report. */
 	it('are left out of it, the longest first', () => {
