--- a/review/stand-ins-2/fleet.js
+++ b/review/stand-ins-2/fleet.js
@@ -53,7 +53,7 @@
 
 export class Fleet {
 	/**
-	 * `runners`: rows of `{service, rack, count}`. `services`: names, the spare one with `isSpare`. `route`: the queue, which
+	 * `runners`: rows of `{service, rack, count, kind}`. `services`: names, the spare one with `isSpare`. `route`: the queue, which
 	 * all jobs of the case use. `answerMs`: how long a runner takes to answer a call.
 	 */
 	static async start({folder, hosts = 3, services, runners, route, answerMs = 2}) {
@@ -166,14 +166,14 @@
 
 	async addRunners(rows, services) {
 		let index = 0;
-		for (const {service, rack, count} of rows) {
+		for (const {service, rack, count, kind = 'a'} of rows) {
 			for (let i = 0; i < count; i++) {
 				const number = String(index++).padStart(2, '0');
 				const zone = ['zone-a', 'zone-b', 'zone-c'][index % 3];
 				// eslint-disable-next-line no-await-in-loop
 				const address = await this.takeAddress();
 				const runner = {
-					id: `i-runner-${number}`, machine: `m-${number}`, address, service, zone, labels: ['a', rack], cpu: 8000, memMb: 32_768, stopMs: bounds['stop-ms'], holdMaxMs: bounds['hold-max-ms'], answerMs: this.answerMs, isOff: services.find(({name}) => name === service).isSpare ?? false,
+					id: `i-runner-${number}`, machine: `m-${number}`, address, service, zone, labels: [kind, rack], cpu: 8000, memMb: 32_768, stopMs: bounds['stop-ms'], holdMaxMs: bounds['hold-max-ms'], answerMs: this.answerMs, isOff: services.find(({name}) => name === service).isSpare ?? false,
 				};
 				this.machines.add({
 					machine: runner.machine, pool: service, zone, labels: runner.labels, capacity: {cpu: runner.cpu, 'mem-mb': runner.memMb, gpu: 0}, runner: runner.id,
@@ -207,7 +207,9 @@
 				const event = JSON.parse(line);
 				if (event.event === 'up') {
 					life.born = event.born;
-					this.publishRunner(life);
+					setTimeout(() => {
+						this.publishRunner(life);
+					}, life.firstBeatMs ?? 0);
 					resolve();
 				}
 
@@ -258,7 +260,7 @@
 
 	publishRunners() {
 		for (const runner of this.runners.values()) {
-			if (runner.born !== undefined) {
+			if (runner.born !== undefined && runner.sequence > 0) {
 				this.publishRunner(runner);
 			} else if (runner.sequence > 0 && performance.now() - runner.lastBeatAt > silentIntervals * heartbeatMs) {
 				runner.sequence = 0;
--- a/review/stand-ins-2/runner.js
+++ b/review/stand-ins-2/runner.js
@@ -18,6 +18,10 @@
 const highestRuns = new Map();
 let ends = [];
 let nextEnd = 1;
+/** Ends up to this number are forgotten: the highest `ack-cursor` received; with `cursor` = `once`, a cursor counts only for the ends that there are when it comes. */
+let acknowledged = 0;
+/** With `losesAnswer`, the channel of the first answer that lists an end is reset in its place. */
+let mayLoseAnswer = options.losesAnswer ?? false;
 let fence = 0;
 let leaseUntil = 0;
 
@@ -106,13 +110,20 @@
 	return {status: 200, body: {}};
 }
 
+function forgetEnds() {
+	ends = ends.filter(([number]) => number > acknowledged);
+	acknowledged = options.cursor === 'once' ? 0 : acknowledged;
+}
+
 async function hold(call) {
 	extendLease(call['until-ms']);
-	ends = ends.filter(([number]) => number > (call['ack-cursor'] ?? 0));
+	acknowledged = Math.max(acknowledged, call['ack-cursor'] ?? 0);
+	forgetEnds();
 	const deadline = performance.now() + Math.min(2000, call['wait-ms'] ?? 0);
 	while (ends.length === 0 && performance.now() < deadline) {
 		// eslint-disable-next-line no-await-in-loop
 		await sleep(tickMs);
+		forgetEnds();
 	}
 
 	return {
@@ -142,6 +153,13 @@
 	const isFenced = token < fence;
 	fence = Math.max(fence, token);
 	const {status, body} = isFenced ? refuse('fence') : await operations[request.url](call);
+	if (mayLoseAnswer && body.ended?.length > 0) {
+		mayLoseAnswer = false;
+		report({event: 'answer lost', ended: body.ended});
+		request.socket.resetAndDestroy();
+		return;
+	}
+
 	sendJson(response, status, {...body, 'clock-ms': readClock(), born: bornAt});
 }
 
