--- a/review/stand-ins-2/fleet.js
+++ b/review/stand-ins-2/fleet.js
@@ -11,6 +11,7 @@
 import {fileURLToPath} from 'node:url';
 import {callHttp, isTrueWithin, sleep} from './http.js';
 import {Machines} from './machines.js';
+import {Proxy} from './proxy.js';
 import {Store} from './store.js';
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
@@ -70,6 +71,8 @@
 
 	hosts = [];
 	runners = new Map();
+	/** The link of each runner, by the runner's id. */
+	proxies = new Map();
 	machines = undefined;
 	store = undefined;
 	isStopping = false;
@@ -171,10 +174,13 @@
 				const number = String(index++).padStart(2, '0');
 				const zone = ['zone-a', 'zone-b', 'zone-c'][index % 3];
 				// eslint-disable-next-line no-await-in-loop
-				const address = await this.takeAddress();
+				const [address, ownAddress] = [await this.takeAddress(), await this.takeAddress()];
+				// eslint-disable-next-line no-await-in-loop
+				const proxy = await Proxy.start(address, ownAddress);
 				const runner = {
-					id: `i-runner-${number}`, machine: `m-${number}`, address, service, zone, labels: [kind, rack], cpu: 8000, memMb: 32_768, stopMs: bounds['stop-ms'], holdMaxMs: bounds['hold-max-ms'], answerMs: this.answerMs, isOff: services.find(({name}) => name === service).isSpare ?? false,
+					id: `i-runner-${number}`, machine: `m-${number}`, address, ownAddress, service, zone, labels: [kind, rack], cpu: 8000, memMb: 32_768, stopMs: bounds['stop-ms'], holdMaxMs: bounds['hold-max-ms'], answerMs: this.answerMs, isOff: services.find(({name}) => name === service).isSpare ?? false,
 				};
+				this.proxies.set(runner.id, proxy);
 				this.machines.add({
 					machine: runner.machine, pool: service, zone, labels: runner.labels, capacity: {cpu: runner.cpu, 'mem-mb': runner.memMb, gpu: 0}, runner: runner.id,
 				});
@@ -238,7 +244,22 @@
 		}
 	}
 
+	/** Cuts a runner off from the entry hosts and the store; it runs on. */
+	cutRunner(id) {
+		this.proxies.get(id).cut();
+		this.note({runner: id, event: 'cut off'});
+	}
+
+	healRunner(id) {
+		this.proxies.get(id).heal();
+		this.note({runner: id, event: 'no longer cut off'});
+	}
+
 	publishRunner(runner) {
+		if (this.proxies.get(runner.id).isCut) {
+			return;
+		}
+
 		runner.sequence++;
 		runner.lastBeatAt = performance.now();
 		this.store.put('keyed.servers', runner.id, {
@@ -407,6 +428,9 @@
 		await Promise.all(ends);
 		this.store?.close();
 		this.machines?.close();
+		for (const proxy of this.proxies.values()) {
+			proxy.close();
+		}
 	}
 }
 
--- a/review/stand-ins-2/runner.js
+++ b/review/stand-ins-2/runner.js
@@ -163,6 +163,6 @@
 	sendJson(response, status, {...body, 'clock-ms': readClock(), born: bornAt});
 }
 
-await startServer(options.address, answer);
+await startServer(options.ownAddress, answer);
 setInterval(advance, tickMs);
 report({event: 'up', id: options.id, born: bornAt});
