--- a/review/stand-ins-2/fleet.js
+++ b/review/stand-ins-2/fleet.js
@@ -54,11 +54,11 @@
 
 export class Fleet {
 	/**
-	 * `runners`: rows of `{service, rack, count, kind}`. `services`: names, the spare one with `isSpare`. `route`: the queue, which
-	 * all jobs of the case use. `answerMs`: how long a runner takes to answer a call.
+	 * `runners`: rows of `{service, rack, count, kind}`. `services`: names, the spare one with `isSpare`. `route`: the queue of
+	 * the case's jobs, unless they name one of `otherRoutes`. `answerMs`: how long a runner takes to answer a call.
 	 */
-	static async start({folder, hosts = 3, services, runners, route, answerMs = 2}) {
-		const fleet = new Fleet(folder, {route, answerMs});
+	static async start({folder, hosts = 3, services, runners, route, otherRoutes = [], answerMs = 2}) {
+		const fleet = new Fleet(folder, {route, otherRoutes, answerMs});
 		try {
 			await fleet.startAll({hosts, services, runners});
 		} catch (error) {
@@ -81,10 +81,11 @@
 	/** All events of the runners: `{runner, event, at, ...}`. */
 	runnerEvents = [];
 
-	constructor(folder, {route, answerMs}) {
+	constructor(folder, {route, otherRoutes, answerMs}) {
 		this.recordPath = path.join(folder, 'record.txt');
 		this.temporary = mkdtempSync(path.join(tmpdir(), 'rhubarblever-review-'));
 		this.route = route;
+		this.otherRoutes = otherRoutes;
 		this.answerMs = answerMs;
 		this.origin = performance.now();
 		// Addresses of this process alone.
@@ -157,7 +158,7 @@
 	publishConfig(services) {
 		this.store.put('keyed.op', 'config', {
 			version: 1,
-			routes: [this.route],
+			routes: [this.route, ...this.otherRoutes],
 			services: services.map(({name, isSpare = false}) => ({
 				name, 'health-path': '/health', 'max-conns': 64, protocol: 'h1', tls: false, 'admission-check': true, spare: isSpare,
 			})),
@@ -362,11 +363,11 @@
 	}
 
 	/** One call of a client; the next call goes to the next host. */
-	async call(method, jobId, body) {
+	async call(method, jobId, {body, route = this.route} = {}) {
 		this.turn = ((this.turn ?? -1) + 1) % this.hosts.length;
 		const host = this.hosts[this.turn];
 		const answer = await callHttp({
-			address: host.front, method, path: `${this.route['path-prefix']}${jobId}`, headers: {host: this.route.host, 'deadline-ms': String(callTimeoutMs)}, body, timeoutMs: callTimeoutMs,
+			address: host.front, method, path: `${route['path-prefix']}${jobId}`, headers: {host: route.host, 'deadline-ms': String(callTimeoutMs)}, body, timeoutMs: callTimeoutMs,
 		});
 		this.note({
 			client: method, jobId, host: host.name, status: answer.status, text: answer.text,
@@ -375,11 +376,11 @@
 	}
 
 	/** Hands a job in, as a client with retries does; returns whether it was accepted. */
-	async submit(jobId, body) {
-		this.note({client: 'hands in', jobId, body});
+	async submit(jobId, body, route = this.route) {
+		this.note({client: 'hands in', jobId, ...(body.steps.length > 1 ? {steps: body.steps.length} : {body})});
 		for (let attempt = 0; attempt <= clientRetries; attempt++) {
 			// eslint-disable-next-line no-await-in-loop
-			const {status} = await this.call('POST', jobId, body);
+			const {status} = await this.call('POST', jobId, {body, route});
 			if (status >= 200 && status < 300) {
 				return true;
 			}
