--- /dev/null
+++ b/packages/core/src/scheduler/incarnations.ts
@@ -0,0 +1,35 @@
+/**
+ * Tells which incarnation of a worker has answered a call. Calls name the worker, not its incarnation: one that was meant
+ * for an incarnation that has ended is carried out by the next one under the same id. Only some answers tell when the
+ * incarnation was born; all tell its clock, which starts anew with each incarnation.
+ */
+import {maxClockDrift} from './timing.js';
+import type {SteadyMs} from './types.js';
+import type {Worker, WorkerClock} from './state.js';
+
+/** `unsure`: the clock would be possible for the known incarnation and for its next one. */
+export type AnsweringIncarnation = 'known' | 'next' | 'unsure';
+
+/** A clock reading in an answer, and when its call was sent and its answer arrived. */
+export type ClockReading = {readonly clockMs: number | undefined; readonly sentAt: SteadyMs; readonly at: SteadyMs};
+
+/** Tells from the clock in an answer which incarnation has given it. */
+export function findAnsweringIncarnation({clock}: Worker, reading: ClockReading): AnsweringIncarnation {
+	if (clock === undefined || reading.clockMs === undefined) {
+		return 'unsure';
+	}
+
+	if (reading.clockMs < computeLeastClock(clock, reading.sentAt)) {
+		return 'next';
+	}
+
+	// The next incarnation was born after the earlier reading was taken.
+	const longestNextMs = reading.at - clock.sentAt;
+	return reading.clockMs > longestNextMs ? 'known' : 'unsure';
+}
+
+/** The lowest reading that the incarnation of an earlier reading may give to a call sent at `sentAt`. The calls may overlap. */
+function computeLeastClock(clock: WorkerClock, sentAt: SteadyMs): number {
+	const elapsedMs = sentAt - clock.at;
+	return clock.workerMs + Math.floor(elapsedMs > 0 ? elapsedMs * (1 - maxClockDrift) : elapsedMs) - 1;
+}
--- a/packages/core/src/scheduler/occurrences.ts
+++ b/packages/core/src/scheduler/occurrences.ts
@@ -100,6 +100,7 @@
 		checkpoint: '',
 		isSent: false,
 		isReported: false,
+		sentAt: 0,
 		unansweredAt: never,
 		conclusiveAfter: 0,
 		stopDueAt: 0,
--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -4,16 +4,20 @@
 import {addEffect, noteDecision, noteWarning} from './logging.js';
 import {describeMachineOf} from './machine-evidence.js';
 import {isFinal} from './phases.js';
-import {clearWorker, dropIncarnation, restartWorker} from './registry.js';
+import {findAnsweringIncarnation} from './incarnations.js';
+import {
+	clearWorker, dropIncarnation, listUnreportedTasks, restartWorker,
+} from './registry.js';
 import {readEnds, readRunning, skipSilence} from './reports.js';
 import {noteAnswerTime} from './call-window.js';
 import {getTarget} from './tasks.js';
 import {
-	clockRefreshMs, leaseHorizonMs, leaseRenewalThresholdMs, leaseSlackMs, longestGrantMs, longRunningPollWaitMs, maxClockDrift, pollRetryMs, pollSlackMs, pollWaitMs, retriedPollSlackMs, workerLeaseMs,
+	clockRefreshMs, leaseHorizonMs, leaseRenewalThresholdMs, leaseSlackMs, longestGrantMs, longRunningPollWaitMs, maxClockDrift, pollRetryMs, pollSlackMs, pollWaitMs,
+	retriedPollSlackMs, workerLeaseMs,
 } from './timing.js';
 import type {SchedulerEvent} from './events.js';
 import type {WorkerId} from './types.js';
-import type {SchedulerState, Worker} from './state.js';
+import type {SchedulerState, Task, Worker} from './state.js';
 
 const maxPollRetryMs = 700;
 /** A first poll without an answer for this long waits for its worker rather than for this host. */
@@ -137,9 +141,15 @@
 
 	worker.leaseUntilMs = Math.max(worker.leaseUntilMs, Math.floor(worker.clock.workerMs + Math.min(wantedMs, allowedMs)));
 	worker.leaseExpiresAt = Math.max(worker.leaseExpiresAt, state.now + ((leaseMs + (age * maxClockDrift)) / (1 - maxClockDrift)) + leaseSlackMs);
+	extendNextLease(state, worker);
 	return worker.leaseUntilMs;
 }
 
+/** Notes that a call that renews the lease may have been carried out by the worker's next incarnation until now. */
+export function extendNextLease({settings, now}: SchedulerState, worker: Worker): void {
+	worker.nextLeaseExpiresAt = Math.max(worker.nextLeaseExpiresAt, now + (settings.maxLeaseMs / (1 - maxClockDrift)) + leaseSlackMs);
+}
+
 function sendPoll(state: SchedulerState, worker: Worker): void {
 	worker.isPollPending = true;
 	worker.pollSentAt = state.now;
@@ -177,7 +187,7 @@
 	return false;
 }
 
-/** All runs of an unreachable worker are over once its lease has expired on every clock. */
+/** All runs of an unreachable worker are over once its lease has expired on every clock: later for those that its next incarnation may have begun. */
 function expireLease(state: SchedulerState, worker: Worker): void {
 	if (state.now <= worker.leaseExpiresAt || !hasSentTasks(worker)) {
 		return;
@@ -187,15 +197,21 @@
 		return;
 	}
 
+	const kept = state.now <= worker.nextLeaseExpiresAt ? new Set(listUnreportedTasks(worker)) : new Set<Task>();
+	if (kept.size > 0 && kept.size === worker.tasks.size) {
+		return;
+	}
+
 	noteWarning(state, 'lease-lapsed', {
 		workerId: worker.id,
 		tasks: worker.tasks.size,
+		keptTasks: kept.size,
 		silentMs: Math.round(state.now - worker.lastAnswerAt),
 		grantedBy: worker.leaseExpiresAt > state.leadership.earlierLeasesUntil ? 'this-leader' : 'earlier-leader',
 		...describeMachineOf(state, worker),
 	});
 	noteWorkerLost(state, worker, false);
-	clearWorker(state, worker);
+	clearWorker(state, worker, kept);
 }
 
 /** Handles the answer to a poll. */
@@ -216,7 +232,7 @@
 		return;
 	}
 
-	if (event.answerBornAt !== undefined && event.answerBornAt !== worker.bornAt) {
+	if (event.answerBornAt === undefined ? isAnsweredByNext(state, worker, event) : event.answerBornAt !== worker.bornAt) {
 		handleOtherIncarnation(state, worker, event.answerBornAt);
 		return;
 	}
@@ -232,7 +248,7 @@
 	worker.lastAckedEnd = Math.max(worker.lastAckedEnd, worker.lastStoredEnd);
 	worker.pollDueAt = state.now;
 	if (event.clockMs !== undefined) {
-		worker.clock = {workerMs: event.clockMs, at: state.now};
+		worker.clock = {workerMs: event.clockMs, sentAt: event.sentAt, at: state.now};
 	}
 
 	readEnds(state, worker, event.ended);
@@ -242,6 +258,11 @@
 
 function handleFailedPoll(state: SchedulerState, worker: Worker, event: PollEnded): void {
 	worker.silentSince = worker.failedPolls === 0 ? state.now : worker.silentSince;
+	if (worker.failedPolls === 0 && worker.clock) {
+		// The poll may have renewed the lease.
+		extendNextLease(state, worker);
+	}
+
 	worker.failedPolls++;
 	worker.pollDueAt = state.now + Math.min(pollRetryMs * worker.failedPolls, maxPollRetryMs);
 	// A worker that answers with an error counts as silent too; `outcome` is that of the latest poll.
@@ -255,11 +276,33 @@
 	}
 }
 
-function handleOtherIncarnation(state: SchedulerState, worker: Worker, bornAt: number): void {
-	if (bornAt > worker.bornAt) {
+function isAnsweredByNext(state: SchedulerState, worker: Worker, {clockMs, sentAt}: PollEnded): boolean {
+	return findAnsweringIncarnation(worker, {clockMs, sentAt, at: state.now}) === 'next';
+}
+
+/** `bornAt`: undefined if only the clock in the answer shows another incarnation. */
+function handleOtherIncarnation(state: SchedulerState, worker: Worker, bornAt: number | undefined): void {
+	if (bornAt !== undefined && bornAt > worker.bornAt) {
 		restartWorker(state, worker, bornAt);
 		return;
 	}
 
 	worker.pollDueAt = state.now + pollRetryMs;
 }
+
+/**
+ * Handles an answer that shows by its clock that an unknown incarnation gave it: another poll tells when that was born.
+ * Its lease may last as long as workers accept, as the expiry it was sent lies far ahead on its clock.
+ */
+export function noteNextIncarnation(state: SchedulerState, worker: Worker, clockMs: number | undefined): void {
+	noteDecision(state, 'worker-restart-seen', {
+		workerId: worker.id, bornAt: worker.bornAt, clockMs, formerClockMs: worker.clock?.workerMs, tasks: worker.tasks.size,
+	});
+	worker.clock = undefined;
+	worker.isPolledByLeader = false;
+	extendNextLease(state, worker);
+	// Otherwise the next poll is due now.
+	if (worker.isPollPending) {
+		sendExtraPoll(state, worker);
+	}
+}
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -37,6 +37,7 @@
 		isPolledByLeader: false,
 		clock: undefined,
 		leaseExpiresAt: state.leadership.earlierLeasesUntil,
+		nextLeaseExpiresAt: 0,
 		leaseUntilMs: 0,
 		lastReadEnd: 0,
 		lastStoredEnd: 0,
@@ -133,6 +134,7 @@
 	worker.bornAt = bornAt;
 	clearAttributes(worker);
 	worker.clock = undefined;
+	worker.nextLeaseExpiresAt = 0;
 	// Not a lease: keeps the unreported tasks assigned while a late start may still be carried out.
 	worker.leaseExpiresAt = unreported.length > 0 ? state.now + lateStartMs : 0;
 	worker.leaseUntilMs = 0;
@@ -166,8 +168,8 @@
 	worker.leavesAt = undefined;
 }
 
-/** Tasks whose start was sent but that no poll has listed: the worker's next incarnation may have carried out the start, or may still do so. */
-function listUnreportedTasks(worker: Worker): Task[] {
+/** Tasks whose start was sent and that the known incarnation has not shown to have begun: the worker's next one may have carried out the start, or may still do so. */
+export function listUnreportedTasks(worker: Worker): Task[] {
 	return [...worker.tasks.values()].filter(task => task.isSent && !task.isReported);
 }
 
@@ -184,7 +186,9 @@
 
 	clearWorker(state, worker);
 	worker.isListed = false;
+	worker.clock = undefined;
 	worker.leaseExpiresAt = 0;
+	worker.nextLeaseExpiresAt = 0;
 	worker.lastReadEnd = 0;
 	worker.lastStoredEnd = 0;
 	worker.lastAckedEnd = 0;
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -2,7 +2,10 @@
 import {updateUncertainUse} from './account-use.js';
 import {dropTicket, findTicket, getTicketState} from './advice.js';
 import {isConfirmedWithin} from './confirmation.js';
-import {extendLease, sendExtraPoll} from './polls.js';
+import {findAnsweringIncarnation} from './incarnations.js';
+import {
+	extendLease, extendNextLease, noteNextIncarnation, sendExtraPoll,
+} from './polls.js';
 import {canDisplace} from './displacement.js';
 import {addEffect, noteDecision} from './logging.js';
 import {isJobOpen} from './phases.js';
@@ -103,6 +106,7 @@
 	}
 
 	task.isSent = true;
+	task.sentAt = state.now;
 	state.startedWorkers.add(worker.id);
 	task.startedAt = state.now;
 	task.isStartKnown = true;
@@ -171,6 +175,7 @@
 	},
 	unknown(state, worker, task) {
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + refusalPauseMs);
+		extendNextLease(state, worker);
 		noteLateStart(state, worker, task);
 		// The start may have been carried out, or may still be: the worker's report decides, or else a confirmed stop rules the run out.
 		if (task.status === 'placed') {
@@ -196,13 +201,25 @@
 		});
 	}
 
-	if (event.clockMs !== undefined) {
-		worker.clock = {workerMs: event.clockMs, at: state.now};
+	// With the outcome `other-life` it is the clock of another worker.
+	if (event.outcome !== 'other-life') {
+		readStartClock(state, worker, task, event);
 	}
 
 	startHandlers[event.outcome](state, worker, task);
 }
 
+/** Learns from the clock in the answer to a start which incarnation of the worker has carried it out. */
+function readStartClock(state: SchedulerState, worker: Worker, task: Task, {clockMs, outcome}: StartEnded): void {
+	const incarnation = findAnsweringIncarnation(worker, {clockMs, sentAt: task.sentAt, at: state.now});
+	if (incarnation === 'next') {
+		noteNextIncarnation(state, worker, clockMs);
+	} else if (incarnation === 'known') {
+		worker.clock = {workerMs: clockMs!, sentAt: task.sentAt, at: state.now};
+		task.isReported ||= outcome === 'started';
+	}
+}
+
 /** Handles the answer to a stop. */
 export function handleStop(state: SchedulerState, event: StopEnded): void {
 	const worker = state.workers.get(event.workerId);
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -22,8 +22,10 @@
 	checkpoint: string;
 	/** The start was sent by this host, or may have been sent by an earlier leader. */
 	isSent: boolean;
-	/** A poll of the worker's current incarnation has listed the run. The answer to a start does not say which incarnation gave it. */
+	/** The worker's known incarnation has listed the run, or its clock in the answer to the start shows that it has carried it out. Otherwise its next incarnation may have, or may still. */
 	isReported: boolean;
+	/** When the start of the latest run was sent by this leader. */
+	sentAt: SteadyMs;
 	/** When the answer to its start was found to be lost; `never` while none was. */
 	unansweredAt: SteadyMs;
 	/** A poll sent after this instant is conclusive: if it does not list the run, the run is gone. */
@@ -144,6 +146,9 @@
 	isRuledOut?: boolean | undefined;
 };
 
+/** A reading of a worker's clock, and when the call was sent and answered on this host's clock. */
+export type WorkerClock = {readonly workerMs: number; readonly sentAt: SteadyMs; readonly at: SteadyMs};
+
 export type Worker = {
 	readonly id: WorkerId;
 	bornAt: number;
@@ -166,10 +171,12 @@
 	 * Reset when another poll has to confirm that.
 	 */
 	isPolledByLeader: boolean;
-	/** The latest reading of the worker's clock, and when it arrived on this host's clock. */
-	clock: {readonly workerMs: number; readonly at: SteadyMs} | undefined;
-	/** Upper bound, on this host's clock, of the expiry of every lease that any leader granted to the worker. */
+	/** The latest reading of the clock of the known incarnation. */
+	clock: WorkerClock | undefined;
+	/** Upper bound, on this host's clock, of the expiry of every lease that any leader granted to the known incarnation. */
 	leaseExpiresAt: SteadyMs;
+	/** The same for its next incarnation, if that has carried out calls meant for the known one: the longest lease that workers accept, as the expiry is far ahead on its younger clock. */
+	nextLeaseExpiresAt: SteadyMs;
 	/** Expiry of the latest lease requested, on the worker's clock. */
 	leaseUntilMs: number;
 	/** Highest numbers of the run ends that were read, whose effects were stored, and that were acknowledged to the worker. */
