A worker that had restarted before a start was sent there was not crashed by that task

What callers saw: a job was shown as failed though none of its runs had failed. In the model (workers that start again under their ids three times, reports to the registry every 1.5 s): a task of 12 s started on three idle workers that had already restarted, which the leader learned a few ms after each start; each restart counted as a crash by that task (`sole`), and the job was given up.

Hypotheses: (1) the task is blamed for restarts that came before its start; (2) the restarts come after the start, and the blame is as meant.

Change: the clock in the answer that shows a new incarnation tells by when that was born. Starts that were sent later cannot have crashed the former one, and are not blamed.

--- a/packages/core/src/scheduler/crashes.ts
+++ b/packages/core/src/scheduler/crashes.ts
@@ -16,9 +16,9 @@
 import {isJobOpen} from './phases.js';
 import {getPoolOfJob} from './queues.js';
 import {markChanged} from './tasks.js';
-import {plainBlameMs} from './timing.js';
+import {never, plainBlameMs} from './timing.js';
 import {hasBegunLately, isOnTrial} from './trials.js';
-import type {TaskCrash} from './types.js';
+import type {SteadyMs, TaskCrash} from './types.js';
 import type {
 	SchedulerState, Task, Worker, WorkerLoss,
 } from './state.js';
@@ -49,13 +49,17 @@
 const fateWaitMs = 5000;
 const checkIntervalMs = 50;
 
-/** Records the loss of a worker's incarnation and blames the tasks that ran on it. Call it before they are returned. `isConfirmed`: it has crashed; otherwise it has been silent until its lease expired. */
-export function noteWorkerLost(state: SchedulerState, worker: Worker, isConfirmed: boolean): void {
+/**
+ * Records the loss of a worker's incarnation and blames the tasks that ran on it. Call it before they are returned.
+ * `isConfirmed`: it has crashed; otherwise it has been silent until its lease expired. `nextBornBy`: its next incarnation was
+ * born by then, and only that can have carried out starts that were sent later.
+ */
+export function noteWorkerLost(state: SchedulerState, worker: Worker, isConfirmed: boolean, nextBornBy: SteadyMs = never): void {
 	if (isConfirmed) {
 		confirmLosses(state, worker);
 	}
 
-	const lost = [...worker.tasks.values()].filter(task => task.isSent && !task.crashes.some(({run}) => run === task.run));
+	const lost = [...worker.tasks.values()].filter(task => task.isSent && task.sentAt < nextBornBy && !task.crashes.some(({run}) => run === task.run));
 	if (lost.length === 0 || worker.isDraining || state.endedWorkers.get(worker.id) === worker.bornAt) {
 		return;
 	}
--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -12,7 +12,7 @@
 import {noteAnswerTime} from './call-window.js';
 import {getTarget} from './tasks.js';
 import {
-	clockRefreshMs, leaseHorizonMs, leaseRenewalThresholdMs, leaseSlackMs, longestGrantMs, longRunningPollWaitMs, maxClockDrift, pollRetryMs, pollSlackMs, pollWaitMs,
+	clockRefreshMs, leaseHorizonMs, leaseRenewalThresholdMs, leaseSlackMs, longestGrantMs, longRunningPollWaitMs, maxClockDrift, never, pollRetryMs, pollSlackMs, pollWaitMs,
 	retriedPollSlackMs, workerLeaseMs,
 } from './timing.js';
 import type {SchedulerEvent} from './events.js';
@@ -233,7 +233,7 @@
 	}
 
 	if (event.answerBornAt === undefined ? isAnsweredByNext(state, worker, event) : event.answerBornAt !== worker.bornAt) {
-		handleOtherIncarnation(state, worker, event.answerBornAt);
+		handleOtherIncarnation(state, worker, event);
 		return;
 	}
 
@@ -280,10 +280,10 @@
 	return findAnsweringIncarnation(worker, {clockMs, sentAt, at: state.now}) === 'next';
 }
 
-/** `bornAt`: undefined if only the clock in the answer shows another incarnation. */
-function handleOtherIncarnation(state: SchedulerState, worker: Worker, bornAt: number | undefined): void {
-	if (bornAt !== undefined && bornAt > worker.bornAt) {
-		restartWorker(state, worker, bornAt);
+/** When the answer does not tell its birth, only its clock shows another incarnation: a later answer or the registry tells. */
+function handleOtherIncarnation(state: SchedulerState, worker: Worker, {answerBornAt, clockMs}: PollEnded): void {
+	if (answerBornAt !== undefined && answerBornAt > worker.bornAt) {
+		restartWorker(state, worker, answerBornAt, clockMs === undefined ? never : state.now - clockMs);
 		return;
 	}
 
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -9,7 +9,7 @@
 import {
 	lateStartMs, never, registryGraceMs, stopRetryMs,
 } from './timing.js';
-import type {WorkerEntry, WorkerId} from './types.js';
+import type {SteadyMs, WorkerEntry, WorkerId} from './types.js';
 import type {SchedulerState, Task, Worker} from './state.js';
 
 /** Returns a known worker, or adds one with empty attributes; `updateWorkers` fills them in if the registry lists it. */
@@ -122,12 +122,12 @@
 	}
 }
 
-/** Handles a new incarnation of a worker: the runs of the previous one are gone, except that unreported starts may reach the new one. */
-export function restartWorker(state: SchedulerState, worker: Worker, bornAt: number): void {
+/** Handles a new incarnation of a worker, which was born by `bornBy` on this host's clock: the runs of the previous one are gone, except that unreported starts may reach the new one. */
+export function restartWorker(state: SchedulerState, worker: Worker, bornAt: number, bornBy: SteadyMs = never): void {
 	noteDecision(state, 'worker-restarted', {
 		workerId: worker.id, bornAt, formerBornAt: worker.bornAt, tasks: worker.tasks.size,
 	});
-	noteWorkerLost(state, worker, true);
+	noteWorkerLost(state, worker, true, bornBy);
 	// These tasks stay assigned until the new incarnation has confirmed a stop.
 	const unreported = listUnreportedTasks(worker);
 	clearWorker(state, worker, new Set(unreported));
--- a/packages/core/src/scheduler/testing/model-effects.ts
+++ b/packages/core/src/scheduler/testing/model-effects.ts
@@ -99,7 +99,7 @@
 				noteStart(task, worker);
 			}
 
-			return {...base, outcome};
+			return {...base, clockMs: worker.readClock(time.now), outcome};
 		}, {...base, outcome: 'unknown'});
 	}
 
@@ -124,7 +124,7 @@
 			const lists = worker.poll({...effect, ackedEnd}, time.now);
 			return lists
 				? {
-					...base, outcome: 'held', clockMs: time.now, answerBornAt: worker.bornAt, ...lists,
+					...base, outcome: 'held', clockMs: worker.readClock(time.now), answerBornAt: worker.bornAt, ...lists,
 				}
 				: {...base, outcome: 'fenced'};
 		}, {...base, outcome: 'unknown'});
--- a/packages/core/src/scheduler/testing/model-fleet.ts
+++ b/packages/core/src/scheduler/testing/model-fleet.ts
@@ -189,7 +189,7 @@
 		const worker = this.workers[index]!;
 		worker.crash();
 		this.time.schedule(downMs, () => {
-			worker.restart(this.now);
+			worker.restart(this.now, this.now);
 			if (this.faults.capacityEveryMs !== undefined) {
 				// The new incarnation may be of another kind.
 				worker.setCpu(this.draw(1, fullCpu / cpuStep) * cpuStep, this.now);
--- a/packages/core/src/scheduler/testing/model-worker.ts
+++ b/packages/core/src/scheduler/testing/model-worker.ts
@@ -22,6 +22,8 @@
 	/** Whether starts that do not fit are refused. */
 	isGuarding = true;
 	private ended: EndedRow[] = [];
+	/** Its clock starts at 0 at this time of the test, with each incarnation. */
+	private clockStart = 0;
 	private readonly highestRuns = new Map<string, number>();
 	private fence = 0;
 	private nextEnd = 1;
@@ -62,10 +64,11 @@
 		this.runs.clear();
 	}
 
-	/** Starts a new process under the same id. */
-	restart(bornAt: number): void {
+	/** Starts a new process under the same id; its clock starts at `clockStart`. */
+	restart(bornAt: number, clockStart = 0): void {
 		this.isUp = true;
 		this.bornAt = bornAt;
+		this.clockStart = clockStart;
 		this.runs.clear();
 		this.ended = [];
 		this.highestRuns.clear();
@@ -76,6 +79,10 @@
 		this.expiredUpTo = 0;
 	}
 
+	readClock(now: number): number {
+		return now - this.clockStart;
+	}
+
 	start(order: {readonly run: ModelRun; readonly untilMs: number; readonly token: number}, now: number): StartOutcome {
 		if (order.token < this.fence) {
 			return 'fenced';
@@ -87,7 +94,7 @@
 			return 'started';
 		}
 
-		if (order.untilMs <= now) {
+		if (order.untilMs <= this.readClock(now)) {
 			return 'late';
 		}
 
@@ -142,12 +149,13 @@
 	/** Ends runs that are due, or all runs if the lease has expired; returns those that ended by themselves. */
 	advance(now: number): ModelRun[] {
 		const done: ModelRun[] = [];
-		if (now >= this.leaseUntil) {
+		const isExpired = this.readClock(now) >= this.leaseUntil;
+		if (isExpired) {
 			this.expiredUpTo = this.nextEnd - 1;
 		}
 
 		for (const run of this.runs.values()) {
-			if (now >= this.leaseUntil) {
+			if (isExpired) {
 				this.endRun(run.task, 'lapsed');
 			} else if (now >= run.endsAt) {
 				this.endRun(run.task, run.end);
@@ -168,7 +176,7 @@
 	}
 
 	private extendLease(untilMs: number, now: number): void {
-		this.leaseUntil = Math.max(this.leaseUntil, Math.min(untilMs, now + maxLeaseMs));
+		this.leaseUntil = Math.max(this.leaseUntil, Math.min(untilMs, this.readClock(now) + maxLeaseMs));
 	}
 
 	private endRun(task: string, how: RunEnd): void {
