--- a/packages/core/src/scheduler/account-use.ts
+++ b/packages/core/src/scheduler/account-use.ts
@@ -4,6 +4,7 @@
  * that workers report and this leader did not start.
  */
 import type {JobId} from '../types/ids.js';
+import {getLeaseEnd} from './incarnations.js';
 import {addResources, noResources} from './resources.js';
 import type {AccountName, Resources, TaskName} from './types.js';
 import type {
@@ -70,7 +71,7 @@
 
 /** False once a worker is gone or its lease has certainly expired: nothing runs there any more, whatever it reported last. */
 function hasLiveRuns({workers, now}: SchedulerState, worker: Worker): boolean {
-	return workers.get(worker.id) === worker && now <= worker.leaseExpiresAt;
+	return workers.get(worker.id) === worker && now <= getLeaseEnd(worker);
 }
 
 /** Recomputes the use of runs that may exist without an assigned task. The cost is proportional to the workers with such runs. */
--- a/packages/core/src/scheduler/effects.ts
+++ b/packages/core/src/scheduler/effects.ts
@@ -4,7 +4,7 @@
 } from './types.js';
 
 /** The recipient of an order: one incarnation of one worker. */
-export type WorkerTarget = {readonly id: WorkerId; readonly bornAt: number; readonly address: string};
+export type WorkerTarget = {readonly id: WorkerId; readonly bornAt: number; readonly address: string; /** How many restarts of the worker the leader has seen. */ readonly restarts: number};
 
 /** Identifies a machine order within one process; the answer carries the number of its order. */
 export type OrderNumber = number & {readonly __name?: 'OrderNumber'};
@@ -21,7 +21,7 @@
 		}
 		| {readonly type: 'worker/stop'; readonly worker: WorkerTarget; readonly task: TaskName; readonly run: number; readonly token: FencingToken}
 		| {
-			readonly type: 'worker/poll'; readonly worker: WorkerTarget; readonly token: FencingToken; readonly lastAckedEnd: number;
+			readonly type: 'worker/poll'; readonly worker: WorkerTarget; readonly token: FencingToken; readonly acknowledgedEnd: number;
 			/** New lease expiry on the worker's clock; undefined: the poll renews no lease. */
 			readonly untilMs: number | undefined; readonly waitMs: number;
 			/** Time that the answer may take in addition to `waitMs`. */
--- a/packages/core/src/scheduler/incarnations.ts
+++ b/packages/core/src/scheduler/incarnations.ts
@@ -4,9 +4,21 @@
  * incarnation was born; all tell its clock, which starts anew with each incarnation.
  */
 import {maxClockDrift} from './timing.js';
-import type {SteadyMs} from './types.js';
+import type {WorkerTarget} from './effects.js';
+import type {FencingToken, SteadyMs} from './types.js';
 import type {Worker, WorkerClock} from './state.js';
 
+/** Restarts of one worker that a leader may tell apart by fencing tokens. */
+const maxRestarts = 1024;
+
+/**
+ * The fencing token of a call to a worker: higher with each leader and, in its term, with each restart that it has seen. An
+ * incarnation that has carried out a call meant for it refuses those that were meant for former ones.
+ */
+export function computeWorkerToken(token: FencingToken, {restarts}: Pick<WorkerTarget, 'restarts'>): FencingToken {
+	return (token * maxRestarts) + Math.min(restarts, maxRestarts - 1);
+}
+
 /** `unsure`: the clock would be possible for the known incarnation and for its next one. */
 export type AnsweringIncarnation = 'known' | 'next' | 'unsure';
 
@@ -33,3 +45,8 @@
 	const elapsedMs = sentAt - clock.at;
 	return clock.workerMs + Math.floor(elapsedMs > 0 ? elapsedMs * (1 - maxClockDrift) : elapsedMs) - 1;
 }
+
+/** When certainly no lease of the worker's known incarnation lasts any longer. */
+export function getLeaseEnd({leaseExpiresAt, formerCallsUntil}: Worker): SteadyMs {
+	return Math.max(leaseExpiresAt, formerCallsUntil);
+}
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -7,6 +7,7 @@
 } from './state.js';
 export type {Calibration} from './run-time-keys.js';
 export {reduceScheduler} from './reduce.js';
+export {computeWorkerToken} from './incarnations.js';
 export {describeError} from './logging.js';
 export {convertToRanges, listOccurrences} from './occurrence-ranges.js';
 export {findAccount, findQueue} from './queues.js';
--- /dev/null
+++ b/packages/core/src/scheduler/leases.ts
@@ -0,0 +1,93 @@
+/** Leases of workers: until when their runs may go on without hearing from a leader, also if another incarnation than the known one has carried out its calls. */
+import {noteWorkerLost} from './crashes.js';
+import {getLeaseEnd} from './incarnations.js';
+import {noteWarning} from './logging.js';
+import {describeMachineOf} from './machine-evidence.js';
+import {clearWorker, listUnreportedTasks} from './registry.js';
+import {
+	leaseHorizonMs, leaseSlackMs, longestGrantMs, maxClockDrift, never, workerLeaseMs,
+} from './timing.js';
+import type {SteadyMs} from './types.js';
+import type {SchedulerState, Task, Worker} from './state.js';
+
+/**
+ * Extends a worker's lease to `workerLeaseMs` from now, but not beyond the horizon, and returns the expiry on the worker's
+ * clock; undefined if it would be over at once, or the clock is not known yet. The upper bound on this host's clock allows for drift since the clock was read.
+ */
+export function extendLease(state: SchedulerState, worker: Worker): number | undefined {
+	if (!worker.clock) {
+		return undefined;
+	}
+
+	const age = state.now - worker.clock.at;
+	const leaseMs = Math.min(workerLeaseMs, state.settings.maxLeaseMs);
+	// The worker's clock may be slow since it was read: less of its time than of this host's may pass.
+	const wantedMs = Math.min(age + leaseMs, (age + longestGrantMs) * (1 - maxClockDrift));
+	const allowedMs = (state.leadership.confirmedAt + leaseHorizonMs - worker.clock.at) * (1 - maxClockDrift);
+	if (allowedMs <= age) {
+		return undefined;
+	}
+
+	worker.leaseUntilMs = Math.max(worker.leaseUntilMs, Math.floor(worker.clock.workerMs + Math.min(wantedMs, allowedMs)));
+	worker.leaseExpiresAt = Math.max(worker.leaseExpiresAt, state.now + ((leaseMs + (age * maxClockDrift)) / (1 - maxClockDrift)) + leaseSlackMs);
+	worker.leaseCallAt = state.now;
+	return worker.leaseUntilMs;
+}
+
+/**
+ * Upper bound of a lease that an incarnation was granted at `grantedAt` by a call meant for its former one: as long as workers
+ * accept, as the expiry lies far ahead on its younger clock.
+ */
+function computeLongestLeaseEnd({settings}: SchedulerState, grantedAt: SteadyMs): SteadyMs {
+	return grantedAt + (settings.maxLeaseMs / (1 - maxClockDrift)) + leaseSlackMs;
+}
+
+/** From its first answer on, an incarnation refuses calls meant for its former one, which have a lower fencing token. */
+export function noteFirstAnswer(state: SchedulerState, worker: Worker): void {
+	if (worker.hasFormerLeases) {
+		worker.hasFormerLeases = false;
+		worker.formerCallsUntil = Math.max(worker.formerCallsUntil, computeLongestLeaseEnd(state, state.now));
+	}
+
+	if (worker.hiddenEnds?.settledAt === never) {
+		worker.hiddenEnds.settledAt = state.now;
+	}
+}
+
+/** True if a run whose start was sent may still be active at the worker. */
+export function hasSentTasks(worker: Worker): boolean {
+	for (const task of worker.tasks.values()) {
+		if (task.isSent) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
+/** All runs of an unreachable worker are over once its lease has expired on every clock: later for those that its next incarnation may have begun. */
+export function expireLease(state: SchedulerState, worker: Worker): void {
+	if (state.now <= getLeaseEnd(worker) || !hasSentTasks(worker)) {
+		return;
+	}
+
+	if (worker.failedPolls === 0 && worker.isPollPending) {
+		return;
+	}
+
+	const kept = state.now <= computeLongestLeaseEnd(state, worker.leaseCallAt) ? new Set(listUnreportedTasks(worker)) : new Set<Task>();
+	if (kept.size > 0 && kept.size === worker.tasks.size) {
+		return;
+	}
+
+	noteWarning(state, 'lease-lapsed', {
+		workerId: worker.id,
+		tasks: worker.tasks.size,
+		keptTasks: kept.size,
+		silentMs: Math.round(state.now - worker.lastAnswerAt),
+		grantedBy: worker.leaseExpiresAt > state.leadership.earlierLeasesUntil ? 'this-leader' : 'earlier-leader',
+		...describeMachineOf(state, worker),
+	});
+	noteWorkerLost(state, worker, false);
+	clearWorker(state, worker, kept);
+}
--- a/packages/core/src/scheduler/machine-orders.ts
+++ b/packages/core/src/scheduler/machine-orders.ts
@@ -1,5 +1,6 @@
 /** Orders to the platform to move a machine or to start its upkeep: one at a time per machine, repeated until the outcome is known. */
 import {isConfirmedWithin} from './confirmation.js';
+import {getLeaseEnd} from './incarnations.js';
 import {addEffect, noteDecision} from './logging.js';
 import {hasNoWorker, isBusy, listWorkers} from './machine-workers.js';
 import {getReturnAt, returnSlackMs} from './machines.js';
@@ -78,7 +79,7 @@
 	}
 
 	const isSilent = worker.failedPolls > 0 || !worker.isListed;
-	return worker.isPolledByLeader || (isSilent && state.now > worker.leaseExpiresAt);
+	return worker.isPolledByLeader || (isSilent && state.now > getLeaseEnd(worker));
 }
 
 /**
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -1,4 +1,5 @@
 /** Assigns waiting tasks to workers, the most urgent step first. */
+import {canReportEnds} from './acknowledgements.js';
 import {updateUncertainUse} from './account-use.js';
 import {isHeldBack} from './crashes.js';
 import {
@@ -112,7 +113,7 @@
 		return;
 	}
 
-	const candidates = usable.filter(worker => hasLabel(step, worker));
+	const candidates = usable.filter(worker => hasLabel(step, worker) && canReportEnds(step, worker));
 	const place = step.definition.isGang ? placeGang : placeEach;
 	const {placed, refused} = place(state, {step, waiting, limit}, listFreeCapacities(state, step, candidates));
 	const left = Math.min(count, limit) - placed;
--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -1,23 +1,24 @@
-/** Polls workers: renews their leases, and tells workers that do not answer from those that do. */
+/** Polls workers, and tells those that do not answer from those that do. */
+import {
+	chooseAcknowledgement, isAcknowledgementDue, noteUnansweredAcknowledgement, readAcknowledged, readHiddenEnds,
+} from './acknowledgements.js';
 import {isConfirmedWithin} from './confirmation.js';
-import {noteWorkerLost} from './crashes.js';
 import {addEffect, noteDecision, noteWarning} from './logging.js';
-import {describeMachineOf} from './machine-evidence.js';
 import {isFinal} from './phases.js';
 import {findAnsweringIncarnation} from './incarnations.js';
 import {
-	clearWorker, dropIncarnation, listUnreportedTasks, restartWorker,
-} from './registry.js';
+	expireLease, extendLease, hasSentTasks, noteFirstAnswer,
+} from './leases.js';
+import {dropIncarnation, restartWorker} from './registry.js';
 import {readEnds, readRunning, skipSilence} from './reports.js';
 import {noteAnswerTime} from './call-window.js';
 import {getTarget} from './tasks.js';
 import {
-	clockRefreshMs, leaseHorizonMs, leaseRenewalThresholdMs, leaseSlackMs, longestGrantMs, longRunningPollWaitMs, maxClockDrift, never, pollRetryMs, pollSlackMs, pollWaitMs,
-	retriedPollSlackMs, workerLeaseMs,
+	clockRefreshMs, leaseHorizonMs, leaseRenewalThresholdMs, longRunningPollWaitMs, never, pollRetryMs, pollSlackMs, pollWaitMs, retriedPollSlackMs,
 } from './timing.js';
 import type {SchedulerEvent} from './events.js';
 import type {WorkerId} from './types.js';
-import type {SchedulerState, Task, Worker} from './state.js';
+import type {SchedulerState, Worker} from './state.js';
 
 const maxPollRetryMs = 700;
 /** A first poll without an answer for this long waits for its worker rather than for this host. */
@@ -111,7 +112,7 @@
 		return false;
 	}
 
-	const isNeeded = (worker.isListed && (!worker.isPolledByLeader || hasOldClock(state, worker))) || hasSentTasks(worker) || worker.unknownRuns.size > 0 || worker.lastAckedEnd < worker.lastStoredEnd;
+	const isNeeded = (worker.isListed && (!worker.isPolledByLeader || hasOldClock(state, worker))) || hasSentTasks(worker) || worker.unknownRuns.size > 0 || isAcknowledgementDue(worker);
 	// Run ends that are read but not stored are not acknowledged either: another poll would list them again at once.
 	const isStoring = worker.lastReadEnd > worker.lastStoredEnd && worker.leaseExpiresAt - state.now > leaseRenewalThresholdMs;
 	return isNeeded && !isStoring;
@@ -121,97 +122,36 @@
 	return clock !== undefined && now - clock.at > clockRefreshMs;
 }
 
-/**
- * Extends a worker's lease to `workerLeaseMs` from now, but not beyond the horizon, and returns the expiry on the worker's
- * clock; undefined if it would be over at once, or the clock is not known yet. The upper bound on this host's clock allows for drift since the clock was read.
- */
-export function extendLease(state: SchedulerState, worker: Worker): number | undefined {
-	if (!worker.clock) {
-		return undefined;
-	}
-
-	const age = state.now - worker.clock.at;
-	const leaseMs = Math.min(workerLeaseMs, state.settings.maxLeaseMs);
-	// The worker's clock may be slow since it was read: less of its time than of this host's may pass.
-	const wantedMs = Math.min(age + leaseMs, (age + longestGrantMs) * (1 - maxClockDrift));
-	const allowedMs = (state.leadership.confirmedAt + leaseHorizonMs - worker.clock.at) * (1 - maxClockDrift);
-	if (allowedMs <= age) {
-		return undefined;
-	}
-
-	worker.leaseUntilMs = Math.max(worker.leaseUntilMs, Math.floor(worker.clock.workerMs + Math.min(wantedMs, allowedMs)));
-	worker.leaseExpiresAt = Math.max(worker.leaseExpiresAt, state.now + ((leaseMs + (age * maxClockDrift)) / (1 - maxClockDrift)) + leaseSlackMs);
-	extendNextLease(state, worker);
-	return worker.leaseUntilMs;
-}
-
-/** Notes that a call that renews the lease may have been carried out by the worker's next incarnation until now. */
-export function extendNextLease({settings, now}: SchedulerState, worker: Worker): void {
-	worker.nextLeaseExpiresAt = Math.max(worker.nextLeaseExpiresAt, now + (settings.maxLeaseMs / (1 - maxClockDrift)) + leaseSlackMs);
-}
-
 function sendPoll(state: SchedulerState, worker: Worker): void {
 	worker.isPollPending = true;
 	worker.pollSentAt = state.now;
+	worker.sentAck = chooseAcknowledgement(state, worker);
 	const hasWork = hasSentTasks(worker);
 	const hasLongRunningTasks = hasWork && worker.longRunningTasks > 0;
 	addEffect(state, {
 		type: 'worker/poll',
 		worker: getTarget(worker),
 		token: state.leadership.token,
-		lastAckedEnd: worker.lastStoredEnd,
+		acknowledgedEnd: worker.sentAck,
 		// The lease of a worker that may be unreachable is not renewed: its tasks can only move elsewhere after it has expired.
 		untilMs: worker.failedPolls === 0 ? extendLease(state, worker) : undefined,
 		isExtra: false,
 		// A worker that is only slow to answer is heard before its lease lapses.
 		slackMs: worker.failedPolls === 0 ? pollSlackMs : retriedPollSlackMs,
-		waitMs: hasWork && worker.isPolledByLeader && worker.failedPolls === 0 ? (hasLongRunningTasks ? longRunningPollWaitMs : pollWaitMs) : 0,
+		waitMs: hasWork && canWait(worker) ? (hasLongRunningTasks ? longRunningPollWaitMs : pollWaitMs) : 0,
 	});
 }
 
+/** Whether a poll may wait at the worker for a run to end. */
+function canWait(worker: Worker): boolean {
+	return worker.isPolledByLeader && worker.failedPolls === 0 && !isAcknowledgementDue(worker);
+}
+
 /** Polls immediately, even while another poll waits for a run to end. */
 export function sendExtraPoll(state: SchedulerState, worker: Worker): void {
 	addEffect(state, {
-		type: 'worker/poll', worker: getTarget(worker), token: state.leadership.token, lastAckedEnd: worker.lastStoredEnd, untilMs: undefined, waitMs: 0, slackMs: pollSlackMs, isExtra: true,
-	});
-}
-
-/** True if a run whose start was sent may still be active at the worker. */
-function hasSentTasks(worker: Worker): boolean {
-	for (const task of worker.tasks.values()) {
-		if (task.isSent) {
-			return true;
-		}
-	}
-
-	return false;
-}
-
-/** All runs of an unreachable worker are over once its lease has expired on every clock: later for those that its next incarnation may have begun. */
-function expireLease(state: SchedulerState, worker: Worker): void {
-	if (state.now <= worker.leaseExpiresAt || !hasSentTasks(worker)) {
-		return;
-	}
-
-	if (worker.failedPolls === 0 && worker.isPollPending) {
-		return;
-	}
-
-	const kept = state.now <= worker.nextLeaseExpiresAt ? new Set(listUnreportedTasks(worker)) : new Set<Task>();
-	if (kept.size > 0 && kept.size === worker.tasks.size) {
-		return;
-	}
-
-	noteWarning(state, 'lease-lapsed', {
-		workerId: worker.id,
-		tasks: worker.tasks.size,
-		keptTasks: kept.size,
-		silentMs: Math.round(state.now - worker.lastAnswerAt),
-		grantedBy: worker.leaseExpiresAt > state.leadership.earlierLeasesUntil ? 'this-leader' : 'earlier-leader',
-		...describeMachineOf(state, worker),
+		type: 'worker/poll', worker: getTarget(worker), token: state.leadership.token, acknowledgedEnd: 0, untilMs: undefined, waitMs: 0, slackMs: pollSlackMs, isExtra: true,
 	});
-	noteWorkerLost(state, worker, false);
-	clearWorker(state, worker, kept);
 }
 
 /** Handles the answer to a poll. */
@@ -245,13 +185,15 @@
 	worker.failedPolls = 0;
 	worker.lastAnswerAt = state.now;
 	worker.isPolledByLeader = true;
-	worker.lastAckedEnd = Math.max(worker.lastAckedEnd, worker.lastStoredEnd);
+	noteFirstAnswer(state, worker);
+	readAcknowledged(worker, event);
 	worker.pollDueAt = state.now;
 	if (event.clockMs !== undefined) {
 		worker.clock = {workerMs: event.clockMs, sentAt: event.sentAt, at: state.now};
 	}
 
 	readEnds(state, worker, event.ended);
+	readHiddenEnds(worker, event.sentAt, event.ended);
 	readRunning(state, worker, event);
 	state.needsPlacement = true;
 }
@@ -260,10 +202,14 @@
 	worker.silentSince = worker.failedPolls === 0 ? state.now : worker.silentSince;
 	if (worker.failedPolls === 0 && worker.clock) {
 		// The poll may have renewed the lease.
-		extendNextLease(state, worker);
+		worker.leaseCallAt = state.now;
 	}
 
 	worker.failedPolls++;
+	if (!event.isExtra) {
+		noteUnansweredAcknowledgement(state, worker);
+	}
+
 	worker.pollDueAt = state.now + Math.min(pollRetryMs * worker.failedPolls, maxPollRetryMs);
 	// A worker that answers with an error counts as silent too; `outcome` is that of the latest poll.
 	if (worker.failedPolls === 3) {
@@ -300,7 +246,7 @@
 	});
 	worker.clock = undefined;
 	worker.isPolledByLeader = false;
-	extendNextLease(state, worker);
+	worker.leaseCallAt = state.now;
 	// Otherwise the next poll is due now.
 	if (worker.isPollPending) {
 		sendExtraPoll(state, worker);
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -181,6 +181,11 @@
 	return 'token' in event && event.token !== undefined && event.token !== leadership.token;
 }
 
+/** True if an event answers a call that was meant for a worker's former incarnation: the present one refuses it because of this leader's own later calls. */
+function isOfFormerIncarnation({workers}: SchedulerState, event: SchedulerEvent): boolean {
+	return 'workerId' in event && 'bornAt' in event && workers.get(event.workerId)?.bornAt !== event.bornAt;
+}
+
 function applyEvent(state: SchedulerState, event: SchedulerEvent): void {
 	if (isOfEarlierTerm(state, event)) {
 		// `token` is this host's own latest token, not that of the answer.
@@ -189,7 +194,7 @@
 	}
 
 	const reason = fencingReasons[event.type];
-	if (reason !== undefined && 'outcome' in event && event.outcome === 'fenced') {
+	if (reason !== undefined && 'outcome' in event && event.outcome === 'fenced' && !isOfFormerIncarnation(state, event)) {
 		stopLeading(state, reason);
 		return;
 	}
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -1,6 +1,8 @@
 /** The workers that a leader knows, from the registry and from stored progress. */
 import {getCharge, noteUncertainWorker} from './account-use.js';
+import {passAcknowledgements, noteUnansweredAcknowledgement} from './acknowledgements.js';
 import {noteWorkerLost} from './crashes.js';
+import {getLeaseEnd} from './incarnations.js';
 import {addEffect, noteDecision} from './logging.js';
 import {noResources} from './resources.js';
 import {
@@ -22,6 +24,7 @@
 	const worker: Worker = {
 		id,
 		bornAt,
+		restarts: state.workerRestarts.get(id) ?? 0,
 		sequence: 0,
 		address: '',
 		pool: '',
@@ -37,11 +40,16 @@
 		isPolledByLeader: false,
 		clock: undefined,
 		leaseExpiresAt: state.leadership.earlierLeasesUntil,
-		nextLeaseExpiresAt: 0,
+		leaseCallAt: Number.NEGATIVE_INFINITY,
+		hasFormerLeases: false,
+		formerCallsUntil: 0,
 		leaseUntilMs: 0,
 		lastReadEnd: 0,
 		lastStoredEnd: 0,
 		lastAckedEnd: 0,
+		sentAck: 0,
+		unansweredAck: undefined,
+		hiddenEnds: undefined,
 		isPollPending: false,
 		pollSentAt: 0,
 		pollDueAt: 0,
@@ -128,15 +136,20 @@
 		workerId: worker.id, bornAt, formerBornAt: worker.bornAt, tasks: worker.tasks.size,
 	});
 	noteWorkerLost(state, worker, true, bornBy);
+	passAcknowledgements(state, worker);
 	// These tasks stay assigned until the new incarnation has confirmed a stop.
 	const unreported = listUnreportedTasks(worker);
 	clearWorker(state, worker, new Set(unreported));
 	worker.bornAt = bornAt;
+	worker.restarts++;
+	state.workerRestarts.set(worker.id, worker.restarts);
 	clearAttributes(worker);
 	worker.clock = undefined;
-	worker.nextLeaseExpiresAt = 0;
-	// Not a lease: keeps the unreported tasks assigned while a late start may still be carried out.
-	worker.leaseExpiresAt = unreported.length > 0 ? state.now + lateStartMs : 0;
+	worker.hasFormerLeases = state.now - worker.leaseCallAt < lateStartMs;
+	worker.leaseCallAt = Number.NEGATIVE_INFINITY;
+	worker.leaseExpiresAt = 0;
+	// Keeps the unreported tasks assigned while a late start may still be carried out.
+	worker.formerCallsUntil = unreported.length > 0 ? state.now + lateStartMs : 0;
 	worker.leaseUntilMs = 0;
 	worker.lastReadEnd = 0;
 	worker.lastStoredEnd = 0;
@@ -176,6 +189,7 @@
 /** Handles the end of a worker's incarnation when no newer one is known: its runs are gone, except for starts that may still be carried out. */
 export function dropIncarnation(state: SchedulerState, worker: Worker): void {
 	noteWorkerLost(state, worker, true);
+	noteUnansweredAcknowledgement(state, worker);
 	for (const task of listUnreportedTasks(worker)) {
 		noteLateStart(state, worker, task);
 	}
@@ -188,7 +202,7 @@
 	worker.isListed = false;
 	worker.clock = undefined;
 	worker.leaseExpiresAt = 0;
-	worker.nextLeaseExpiresAt = 0;
+	worker.formerCallsUntil = 0;
 	worker.lastReadEnd = 0;
 	worker.lastStoredEnd = 0;
 	worker.lastAckedEnd = 0;
@@ -248,10 +262,11 @@
 	}
 }
 
-/** Removes workers that are unlisted and hold no tasks or leases. One with late starts is kept: its next incarnation may carry them out. */
+/** Removes workers that are unlisted and hold no tasks or leases. One with late calls is kept: its next incarnation may carry them out. */
 export function removeGoneWorkers(state: SchedulerState): void {
 	for (const worker of state.workers.values()) {
-		if (!worker.isListed && worker.tasks.size === 0 && worker.lateStarts.length === 0 && !worker.isPollPending && state.now > worker.leaseExpiresAt) {
+		const hasLateCalls = worker.lateStarts.length > 0 || (worker.unansweredAck?.forgetAt ?? 0) > state.now || worker.leaseCallAt + lateStartMs > state.now;
+		if (!worker.isListed && worker.tasks.size === 0 && !hasLateCalls && !worker.isPollPending && state.now > getLeaseEnd(worker)) {
 			state.workers.delete(worker.id);
 		}
 	}
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -1,11 +1,11 @@
 /** Sends starts and stops of runs, and handles their outcomes. */
+import {isAcknowledging} from './acknowledgements.js';
 import {updateUncertainUse} from './account-use.js';
 import {dropTicket, findTicket, getTicketState} from './advice.js';
 import {isConfirmedWithin} from './confirmation.js';
 import {findAnsweringIncarnation} from './incarnations.js';
-import {
-	extendLease, extendNextLease, noteNextIncarnation, sendExtraPoll,
-} from './polls.js';
+import {extendLease} from './leases.js';
+import {noteNextIncarnation, sendExtraPoll} from './polls.js';
 import {canDisplace} from './displacement.js';
 import {addEffect, noteDecision} from './logging.js';
 import {isJobOpen} from './phases.js';
@@ -55,13 +55,23 @@
 		sortByUrgency(state);
 	}
 
+	const held: CallWindow['waitingStarts'] = [];
 	while (callWindow.waitingStarts.length > 0 && hasCallWindow(callWindow)) {
-		for (const {task, run} of takeFirstStarts(state)) {
+		const starts = takeFirstStarts(state);
+		if (starts.some(({task}) => task.worker && isAcknowledging(state, task.worker))) {
+			held.push(...starts);
+			continue;
+		}
+
+		for (const {task, run} of starts) {
 			if (sendStart(state, task, run)) {
 				openStart(state, task, run);
 			}
 		}
 	}
+
+	// They follow the answers to the acknowledgements.
+	callWindow.waitingStarts.unshift(...held);
 }
 
 /** Takes the first start out of the queue, and with it those of the other members of its gang. */
@@ -175,7 +185,7 @@
 	},
 	unknown(state, worker, task) {
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + refusalPauseMs);
-		extendNextLease(state, worker);
+		worker.leaseCallAt = state.now;
 		noteLateStart(state, worker, task);
 		// The start may have been carried out, or may still be: the worker's report decides, or else a confirmed stop rules the run out.
 		if (task.status === 'placed') {
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -148,6 +148,8 @@
 	/** Steps with tasks that may start. */
 	readonly openSteps: Set<StepRun>;
 	readonly workers: Map<WorkerId, Worker>;
+	/** How many restarts of each worker this process has seen; kept while a worker is gone. */
+	readonly workerRestarts: Map<WorkerId, number>;
 	/** Workers that starts were sent to since due polls were last looked for. */
 	readonly startedWorkers: Set<WorkerId>;
 	/** What client accounts have running. */
@@ -225,6 +227,7 @@
 		liveJobs: new Set(),
 		openSteps: new Set(),
 		workers: new Map(),
+		workerRestarts: new Map(),
 		startedWorkers: new Set(),
 		accountUse: createAccountUse(),
 		arrivalBuckets: new Map(),
--- a/packages/core/src/scheduler/tasks.ts
+++ b/packages/core/src/scheduler/tasks.ts
@@ -23,7 +23,9 @@
 
 /** Addresses an order to the worker's current incarnation. */
 export function getTarget(worker: Worker): WorkerTarget {
-	return {id: worker.id, bornAt: worker.bornAt, address: worker.address};
+	return {
+		id: worker.id, bornAt: worker.bornAt, address: worker.address, restarts: worker.restarts,
+	};
 }
 
 /** Capacity of a worker that no task has reserved, and that no start meant for its former incarnation may still take. */
--- a/packages/core/src/scheduler/testing/model-checks.ts
+++ b/packages/core/src/scheduler/testing/model-checks.ts
@@ -1,7 +1,7 @@
 /** Invariants of the scheduler, checked at the model's workers and store. */
 import type {JobId} from '../../types/ids.js';
 import type {
-	FleetConfig, JobDefinition, ProgressRow, Resources, StepDefinition,
+	EndedRow, FleetConfig, JobDefinition, ProgressRow, Resources, StepDefinition,
 } from '../types.js';
 import type {ModelHost} from './model-hosts.js';
 import {modelConfig} from './model-jobs.js';
@@ -24,6 +24,8 @@
 	private readonly jobs = new Map<string, JobDefinition>();
 	private readonly shownAsCompleted = new Set<string>();
 	private readonly failures = new Map<string, number>();
+	/** Tasks with a run that ended as done and whose end was acknowledged while its lease lasted. */
+	private readonly acknowledgedAsDone = new Set<string>();
 	private readonly cancelledAt = new Map<string, number>();
 	private readonly configs: Array<{readonly since: number; readonly config: FleetConfig}> = [];
 
@@ -67,11 +69,20 @@
 			if (row.how === 'done' && !this.isStored(row.task, row.run)) {
 				this.violations.push(`${this.options.time.now}: the end of ${row.task} was acknowledged before it was stored`);
 			}
+
+			this.recordAcknowledged(row);
 		}
 
 		this.recordCompletedJobs();
 	}
 
+	/** Records run ends that a worker will not list, as an acknowledgement with a higher number came before them. */
+	recordUnlistedEnds(worker: ModelWorker): void {
+		for (const row of worker.takeUnlistedEnds()) {
+			this.recordAcknowledged(row);
+		}
+	}
+
 	/** Checks a start that was carried out. It must fit into the worker's capacity since `knownFrom`, the time of the last news that the leader had when it sent the start. */
 	checkStart(task: string, need: Resources, worker: ModelWorker, knownFrom: number): void {
 		const {now} = this.options.time;
@@ -80,6 +91,10 @@
 			this.violations.push(`${now}: ${task} runs twice at the same time`);
 		}
 
+		if (this.acknowledgedAsDone.has(task)) {
+			this.violations.push(`${now}: ${task} starts after its end as done was acknowledged`);
+		}
+
 		if (this.shownAsCompleted.has(jobId!)) {
 			this.violations.push(`${now}: ${task} starts though its job was shown as completed`);
 		}
@@ -116,6 +131,12 @@
 		return used;
 	}
 
+	private recordAcknowledged({task, how}: EndedRow): void {
+		if (how === 'done') {
+			this.acknowledgedAsDone.add(task);
+		}
+	}
+
 	private isStored(task: string, run: number): boolean {
 		const [jobId, occurrence, step, index] = task.split('.').map((part, position) => position === 0 ? part : Number(part)) as [string, number, number, number];
 		const entry = this.options.store.ledger.findLast(({record}) => record.type === 'progress' && record.jobId === jobId);
--- a/packages/core/src/scheduler/testing/model-effects.ts
+++ b/packages/core/src/scheduler/testing/model-effects.ts
@@ -1,4 +1,5 @@
 /** Executes the effects of the model's hosts at its store and workers. */
+import {computeWorkerToken} from '../incarnations.js';
 import type {SchedulerEffect} from '../effects.js';
 import type {RunEnd} from '../types.js';
 import type {ModelChecks} from './model-checks.js';
@@ -73,7 +74,7 @@
 
 	private callWorker(host: ModelHost, workerId: string, execute: (worker: ModelWorker) => EventBody, unknown: EventBody): void {
 		const worker = this.options.workers.find(({entry}) => entry.id === workerId)!;
-		this.options.calls.call(host, () => worker.isUp ? execute(worker) : unknown, unknown);
+		this.options.calls.call(host, () => worker.isUp && !worker.isCut ? execute(worker) : unknown, unknown);
 	}
 
 	private callStart(host: ModelHost, effect: EffectOf<'worker/start'>): void {
@@ -83,6 +84,7 @@
 		const base = {
 			type: 'start/ended' as const, workerId: effect.worker.id, bornAt: effect.worker.bornAt, task, run, clockMs: undefined,
 		};
+		const readClock = (worker: ModelWorker) => ({clockMs: worker.readClock(time.now)});
 		this.callWorker(host, effect.worker.id, worker => {
 			const {need, estimateMs} = checks.findStep(task);
 			// With faults on, one run in a hundred fails.
@@ -91,7 +93,7 @@
 			const outcome = worker.start({
 				run: {
 					task, run, need, startedAt: time.now, endsAt: time.now + estimateMs, end,
-				}, untilMs: effect.untilMs, token: effect.token,
+				}, untilMs: effect.untilMs, token: computeWorkerToken(effect.token, effect.worker),
 			}, time.now);
 			if (outcome === 'started' && !hadRun) {
 				checks.recordRun(task, end === 'failed');
@@ -99,7 +101,7 @@
 				noteStart(task, worker);
 			}
 
-			return {...base, clockMs: worker.readClock(time.now), outcome};
+			return {...base, ...readClock(worker), outcome};
 		}, {...base, outcome: 'unknown'});
 	}
 
@@ -108,7 +110,7 @@
 		const base = {
 			type: 'stop/ended' as const, workerId: effect.worker.id, bornAt: effect.worker.bornAt, task, run,
 		};
-		this.callWorker(host, effect.worker.id, worker => ({...base, outcome: worker.stop(task, run, effect.token) ? 'stopped' : 'fenced'}), {...base, outcome: 'unknown'});
+		this.callWorker(host, effect.worker.id, worker => ({...base, outcome: worker.stop(task, run, computeWorkerToken(effect.token, effect.worker)) ? 'stopped' : 'fenced'}), {...base, outcome: 'unknown'});
 	}
 
 	private callPoll(host: ModelHost, effect: EffectOf<'worker/poll'>): void {
@@ -118,10 +120,8 @@
 			clockMs: undefined, answerBornAt: undefined, running: [], ended: [],
 		};
 		this.callWorker(host, effect.worker.id, worker => {
-			// An acknowledgement applies to one incarnation of a worker: one in flight when the process ends must not count for the next.
-			const ackedEnd = worker.bornAt === effect.worker.bornAt ? effect.lastAckedEnd : 0;
-			checks.checkAcknowledged(worker, ackedEnd);
-			const lists = worker.poll({...effect, ackedEnd}, time.now);
+			checks.checkAcknowledged(worker, effect.acknowledgedEnd);
+			const lists = worker.poll({...effect, token: computeWorkerToken(effect.token, effect.worker), ackedEnd: effect.acknowledgedEnd}, time.now);
 			return lists
 				? {
 					...base, outcome: 'held', clockMs: worker.readClock(time.now), answerBornAt: worker.bornAt, ...lists,
--- a/packages/core/src/scheduler/testing/model-fleet.ts
+++ b/packages/core/src/scheduler/testing/model-fleet.ts
@@ -14,6 +14,7 @@
 	createCursor, ModelReads, resetCursor, type ModelHost,
 } from './model-hosts.js';
 import {modelConfig, poolName} from './model-jobs.js';
+import {ModelRegistry} from './model-registry.js';
 import {modelSettings} from './model-settings.js';
 import {ModelStore} from './model-store.js';
 import {ModelTime} from './model-time.js';
@@ -45,6 +46,8 @@
 	/** Workers start what they are told to, whether it fits or not. */
 	readonly areWorkersUnguarded?: boolean;
 	readonly config?: FleetConfig;
+	/** Interval of the workers' reports to the registry; 0 (the default): it always shows them as they are. */
+	readonly reportMs?: number;
 };
 
 function addInstants(body: EventBody, at: number, wallAt: Instant): SchedulerEvent {
@@ -74,12 +77,13 @@
 	private readonly checks: ModelChecks;
 	private readonly reads: ModelReads;
 	private readonly effects: ModelEffects;
+	private readonly registry: ModelRegistry;
 	/** What the operators' stream holds; hosts read a new version with their next read. */
 	private config: FleetConfig = modelConfig;
 	private nextCrashAt: number;
 	private nextCapacityAt: number;
 
-	private constructor({seed, hosts, workers, faults, readFaults = noReadFaults, areWorkersUnguarded = false, config = modelConfig}: ModelFleetOptions) {
+	private constructor({seed, hosts, workers, faults, readFaults = noReadFaults, areWorkersUnguarded = false, config = modelConfig, reportMs = 0}: ModelFleetOptions) {
 		this.time = ModelTime.create(seed);
 		this.faults = faults;
 		this.readFaults = readFaults;
@@ -98,10 +102,11 @@
 		});
 		const getFaults = () => this.faults;
 		this.effects = ModelEffects.create({
-			time, store, getFaults, workers: this.workers, checks: this.checks, calls: ModelCalls.create({time, getFaults, push}), events: this.events, registryLagMs: readMs + stepMs, noteStart: (task, worker) => {
+			time, store, getFaults, workers: this.workers, checks: this.checks, calls: ModelCalls.create({time, getFaults, push}), events: this.events, registryLagMs: readMs + stepMs + reportMs, noteStart: (task, worker) => {
 				this.noteStart(task, worker);
 			},
 		});
+		this.registry = ModelRegistry.create(this.workers, reportMs);
 		this.setConfig(config);
 		for (let index = 0; index < workers; index++) {
 			this.workers.push(ModelWorker.create({
@@ -197,6 +202,15 @@
 		});
 	}
 
+	/** Cuts a worker off from all hosts for a while; its process goes on. */
+	cutWorker(index: number, forMs: number): void {
+		const worker = this.workers[index]!;
+		worker.isCut = true;
+		this.time.schedule(forMs, () => {
+			worker.isCut = false;
+		});
+	}
+
 	/** True if a task of the job was given as many failing runs as its queue allows. */
 	canFail(jobId: string): boolean {
 		return this.checks.canFail(jobId);
@@ -229,8 +243,10 @@
 	private runStep(): void {
 		for (const worker of this.workers) {
 			worker.advance(this.now);
+			this.checks.recordUnlistedEnds(worker);
 		}
 
+		this.registry.advance(this.now);
 		this.crashRandomProcess();
 		this.updateCapacity();
 		for (const host of this.hosts) {
@@ -293,7 +309,7 @@
 		}
 
 		if (role === 'leader') {
-			this.push(host, {type: 'workers/listed', workers: this.workers.filter(({isUp}) => isUp).map(worker => worker.createEntry()), isReloaded: false});
+			this.push(host, {type: 'workers/listed', workers: this.registry.listEntries(), isReloaded: false});
 			resetCursor(host.ledger);
 			return;
 		}
--- a/packages/core/src/scheduler/testing/model-worker.ts
+++ b/packages/core/src/scheduler/testing/model-worker.ts
@@ -1,4 +1,7 @@
-/** A model of a worker for tests: it enforces its capacity, checks fencing tokens, and ends all runs when its lease expires. */
+/**
+ * A model of a worker for tests: it enforces its capacity, checks fencing tokens, and ends all runs when its lease expires.
+ * It carries out every call that reaches it, also one that was meant for its former incarnation.
+ */
 import type {StartOutcome} from '../events.js';
 import type {
 	EndedRow, Resources, RunEnd, RunningRow, WorkerEntry,
@@ -16,12 +19,16 @@
 
 	readonly runs = new Map<string, ModelRun>();
 	isUp = true;
+	/** Cut off from all hosts; what it runs goes on. */
+	isCut = false;
 	bornAt: number;
-	/** Highest end that a leader has acknowledged. */
+	/** Highest number that an acknowledgement to this incarnation named: run ends up to it are not listed, however late they come. */
 	ackedEnd = 0;
 	/** Whether starts that do not fit are refused. */
 	isGuarding = true;
 	private ended: EndedRow[] = [];
+	/** Run ends that were acknowledged before they came. */
+	private unlisted: EndedRow[] = [];
 	/** Its clock starts at 0 at this time of the test, with each incarnation. */
 	private clockStart = 0;
 	private readonly highestRuns = new Map<string, number>();
@@ -71,6 +78,7 @@
 		this.clockStart = clockStart;
 		this.runs.clear();
 		this.ended = [];
+		this.unlisted = [];
 		this.highestRuns.clear();
 		this.ackedEnd = 0;
 		this.fence = 0;
@@ -139,7 +147,7 @@
 		}
 
 		this.ackedEnd = Math.max(this.ackedEnd, order.ackedEnd);
-		this.ended = this.ended.filter(row => row.number > order.ackedEnd);
+		this.ended = this.ended.filter(row => row.number > this.ackedEnd);
 		const running = [...this.runs.values()].map(run => ({
 			task: run.task, run: run.run, checkpoint: '', percent: Math.min(fullPercent - 1, Math.floor(fullPercent * (now - run.startedAt) / (run.endsAt - run.startedAt))), reading: undefined,
 		}));
@@ -175,6 +183,13 @@
 		return this.ended.filter(row => row.number <= number && row.number > this.expiredUpTo);
 	}
 
+	/** Returns, once, the run ends that were acknowledged before they came. */
+	takeUnlistedEnds(): EndedRow[] {
+		const {unlisted} = this;
+		this.unlisted = [];
+		return unlisted;
+	}
+
 	private extendLease(untilMs: number, now: number): void {
 		this.leaseUntil = Math.max(this.leaseUntil, Math.min(untilMs, this.readClock(now) + maxLeaseMs));
 	}
@@ -183,9 +198,10 @@
 		const run = this.runs.get(task);
 		if (run) {
 			this.runs.delete(task);
-			this.ended.push({
+			const row = {
 				number: this.nextEnd++, task, run: run.run, how, checkpoint: '',
-			});
+			};
+			(row.number <= this.ackedEnd ? this.unlisted : this.ended).push(row);
 		}
 	}
 }
--- a/packages/core/src/scheduler/testing/narrow-leader.ts
+++ b/packages/core/src/scheduler/testing/narrow-leader.ts
@@ -226,12 +226,12 @@
 	}
 
 	private callPoll(effect: Extract<SchedulerEffect, {type: 'worker/poll'}>): void {
-		const {worker: {id, bornAt}, token, untilMs, lastAckedEnd, waitMs, slackMs, isExtra} = effect;
+		const {worker: {id, bornAt}, token, untilMs, acknowledgedEnd, waitMs, slackMs, isExtra} = effect;
 		const base = {
 			type: 'poll/ended' as const, workerId: id, bornAt, sentAt: this.now, isExtra, running: [], ended: [], clockMs: undefined, answerBornAt: undefined,
 		};
 		this.call(effect, waitMs + slackMs, {...base, outcome: 'unknown'}, (worker, answer) => {
-			const read = () => worker.poll({untilMs, token, ackedEnd: lastAckedEnd}, this.now)!;
+			const read = () => worker.poll({untilMs, token, ackedEnd: acknowledgedEnd}, this.now)!;
 			let isAnswered = false;
 			const answerNow = () => {
 				if (!isAnswered) {
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -152,6 +152,8 @@
 export type Worker = {
 	readonly id: WorkerId;
 	bornAt: number;
+	/** How many restarts of the worker this leader has seen. */
+	restarts: number;
 	/** That of the latest report of this incarnation that the registry has told of; 0 before the first. */
 	sequence: number;
 	address: string;
@@ -175,14 +177,24 @@
 	clock: WorkerClock | undefined;
 	/** Upper bound, on this host's clock, of the expiry of every lease that any leader granted to the known incarnation. */
 	leaseExpiresAt: SteadyMs;
-	/** The same for its next incarnation, if that has carried out calls meant for the known one: the longest lease that workers accept, as the expiry is far ahead on its younger clock. */
-	nextLeaseExpiresAt: SteadyMs;
+	/** When a call that renews the lease was last sent, or found to be unanswered: until then the next incarnation may have carried it out. */
+	leaseCallAt: SteadyMs;
+	/** Calls meant for the former incarnation may renew the lease of this one until it has carried out a later call. */
+	hasFormerLeases: boolean;
+	/** Until when runs may go on that calls meant for the former incarnation began, or whose lease they renewed. */
+	formerCallsUntil: SteadyMs;
 	/** Expiry of the latest lease requested, on the worker's clock. */
 	leaseUntilMs: number;
-	/** Highest numbers of the run ends that were read, whose effects were stored, and that were acknowledged to the worker. */
+	/** Highest numbers of the run ends that were read, whose effects were stored, and whose acknowledgement the worker has answered. */
 	lastReadEnd: number;
 	lastStoredEnd: number;
 	lastAckedEnd: number;
+	/** The number that the pending poll acknowledges; 0 for none. */
+	sentAck: number;
+	/** The highest number of acknowledgements without an answer, until when one may be carried out late, and whether one is known to have been late. */
+	unansweredAck: {readonly upTo: number; readonly noticedAt: SteadyMs; readonly forgetAt: SteadyMs; isOutstanding: boolean} | undefined;
+	/** The incarnation may have been told to forget run ends up to this number: they may come without being listed. No such call can reach it after `settledAt`. */
+	hiddenEnds: {readonly upTo: number; settledAt: SteadyMs} | undefined;
 	isPollPending: boolean;
 	/** When its latest poll was sent, apart from extra ones. */
 	pollSentAt: SteadyMs;
--- a/packages/daemon/src/scheduler/effect-runner.test.ts
+++ b/packages/daemon/src/scheduler/effect-runner.test.ts
@@ -9,7 +9,9 @@
 import type {AppendOutcome, KeyedStore, SchedulerPorts} from './ports.js';
 import {storeLimits} from './testing/scripted-store.js';
 
-const worker = {id: 'w', bornAt: 1, address: '10.0.0.1:80'};
+const worker = {
+	id: 'w', bornAt: 1, address: '10.0.0.1:80', restarts: 0,
+};
 const token = 7;
 
 function createPorts(): SchedulerPorts {
@@ -49,7 +51,7 @@
 		type: 'worker/stop', worker, task: 't', run: 1, token,
 	},
 	{
-		type: 'worker/poll', worker, token, lastAckedEnd: 0, untilMs: undefined, waitMs: 0, slackMs: 500, isExtra: false,
+		type: 'worker/poll', worker, token, acknowledgedEnd: 0, untilMs: undefined, waitMs: 0, slackMs: 500, isExtra: false,
 	},
 	{
 		type: 'worker/pace', worker, task: 't', run: 1, percent: 1, token,
--- a/packages/stand-ins/src/job-platform/job-worker.ts
+++ b/packages/stand-ins/src/job-platform/job-worker.ts
@@ -102,6 +102,10 @@
 
 	private advance(): void {
 		const done = this.model.advance(this.readClock());
+		for (const row of this.model.takeUnlistedEnds()) {
+			this.reportAcknowledgedRow(row.task, row.how);
+		}
+
 		for (const run of done) {
 			this.completionCounts.set(run.task, (this.completionCounts.get(run.task) ?? 0) + 1);
 		}
@@ -140,8 +144,8 @@
 		const {bornAt} = this;
 		if (callOutcome === 'late') {
 			setTimeout(() => {
-				// A poll acknowledges run ends by number, and each incarnation restarts the numbering: in the next incarnation a late poll would remove ends that were never read.
-				if (this.isUp && (path !== pollPath || bornAt === this.bornAt)) {
+				// By the next process too if this one has ended.
+				if (this.isUp) {
 					void this.handleCall(path, call);
 				}
 			}, drawLateMs(this.faults));
@@ -223,9 +227,13 @@
 
 	private reportAcknowledged(upTo: number): void {
 		for (const row of this.model.listEndsUpTo(upTo)) {
-			if (row.how === 'done') {
-				this.options.observer?.noteAcknowledged(row.task);
-			}
+			this.reportAcknowledgedRow(row.task, row.how);
+		}
+	}
+
+	private reportAcknowledgedRow(task: string, how: string): void {
+		if (how === 'done') {
+			this.options.observer?.noteAcknowledged(task);
 		}
 	}
 }
