--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -10,6 +10,7 @@
 import {getPoolOfJob, hasAccounts} from './queues.js';
 import {clearQuotas, countAdmitted, noteHeldBack} from './quotas.js';
 import {orderByShare} from './shares.js';
+import {checkBeforeStart} from './start-checks.js';
 import {placeTask} from './tasks.js';
 import {compareUrgency, computeUrgency, type Urgency} from './urgency.js';
 import {
@@ -150,6 +151,7 @@
 	}
 
 	placeTask(state, task, worker, run);
+	checkBeforeStart(state, worker);
 }
 
 /** How many tasks were placed, and what kept the workers from taking the last of the others. */
