--- a/packages/core/src/scheduler/occurrences.ts
+++ b/packages/core/src/scheduler/occurrences.ts
@@ -100,7 +100,6 @@
 		checkpoint: '',
 		isSent: false,
 		isReported: false,
-		placedAt: 0,
 		sentAt: 0,
 		unansweredAt: never,
 		conclusiveAfter: 0,
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -10,7 +10,6 @@
 import {getPoolOfJob, hasAccounts} from './queues.js';
 import {clearQuotas, countAdmitted, noteHeldBack} from './quotas.js';
 import {orderByShare} from './shares.js';
-import {checkBeforeStart} from './start-checks.js';
 import {placeTask} from './tasks.js';
 import {compareUrgency, computeUrgency, type Urgency} from './urgency.js';
 import {
@@ -151,7 +150,6 @@
 	}
 
 	placeTask(state, task, worker, run);
-	checkBeforeStart(state, worker);
 }
 
 /** How many tasks were placed, and what kept the workers from taking the last of the others. */
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -54,7 +54,6 @@
 		pollSentAt: 0,
 		pollDueAt: 0,
 		lastAnswerAt: state.now,
-		checkSentAt: Number.NEGATIVE_INFINITY,
 		silentMs: 0,
 		failedPolls: 0,
 		silentSince: 0,
--- a/packages/core/src/scheduler/restarted-worker-lease.test.ts
+++ b/packages/core/src/scheduler/restarted-worker-lease.test.ts
@@ -24,15 +24,8 @@
 	host.takeLeadership();
 	host.addWorkers('w1', 'w2');
 	host.tick(uptimeMs);
-	return {host, start: submitTask(host, 1)};
-}
-
-/** Submits a job of one task. Its worker answers the poll that checks whether it is there, and restarts only then. */
-function submitTask(host: HandDrivenHost, number: number): Start {
-	const effects = [...host.submit(createJob(number, [createStep({count: 1, estimateMs: 9000})])), ...host.tick(tickMs)];
-	const check = effects.find(effect => effect.type === 'worker/poll');
-	const [start] = listStarts([...effects, ...check ? host.answerPoll(check.worker.id, {isExtra: true}) : []]);
-	return start!;
+	const [start] = listStarts([...host.submit(createJob(1, [createStep({count: 1, estimateMs: 9000})])), ...host.tick(tickMs)]);
+	return {host, start: start!};
 }
 
 function answerStart(host: HandDrivenHost, start: Start, outcome: StartOutcome, clockMs: number | undefined): void {
@@ -85,9 +78,9 @@
 		host.now++;
 		host.answerPoll('w1');
 		host.tick(uptimeMs);
-		const first = submitTask(host, 1);
+		const first = listStarts([...host.submit(createJob(1, [createStep({count: 1, estimateMs: 9000})])), ...host.tick(tickMs)])[0]!;
 		answerStart(host, first, 'started', host.now);
-		const second = submitTask(host, 2);
+		const second = listStarts([...host.submit(createJob(2, [createStep({count: 1, estimateMs: 9000})])), ...host.tick(tickMs)])[0]!;
 		answerStart(host, second, 'unknown', undefined);
 		host.dispatch({type: 'workers/listed', workers: [createWorker('w1'), createWorker('w2')], isReloaded: false});
 		host.answerPoll('w2');
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -16,7 +16,6 @@
 	closeStart, hasCallWindow, openStart, type CallWindow,
 } from './call-window.js';
 import {hasAccounts} from './queues.js';
-import {isChecking} from './start-checks.js';
 import {
 	confirmTask, getTarget, isOverloaded, noteFailedOn, requestStop, returnTask, returnWithGang, stopGang,
 } from './tasks.js';
@@ -59,7 +58,7 @@
 	const held: CallWindow['waitingStarts'] = [];
 	while (callWindow.waitingStarts.length > 0 && hasCallWindow(callWindow)) {
 		const starts = takeFirstStarts(state);
-		if (starts.some(({task}) => isStartHeld(state, task))) {
+		if (starts.some(({task}) => task.worker && isAcknowledging(state, task.worker))) {
 			held.push(...starts);
 			continue;
 		}
@@ -71,15 +70,10 @@
 		}
 	}
 
-	// They follow the answers.
+	// They follow the answers to the acknowledgements.
 	callWindow.waitingStarts.unshift(...held);
 }
 
-/** True while a start has to wait for an answer of its worker. */
-function isStartHeld(state: SchedulerState, task: Task): boolean {
-	return task.worker !== undefined && (isAcknowledging(state, task.worker) || isChecking(state, task));
-}
-
 /** Takes the first start out of the queue, and with it those of the other members of its gang. */
 function takeFirstStarts({callWindow}: SchedulerState): CallWindow['waitingStarts'] {
 	const first = callWindow.waitingStarts.shift()!;
--- a/packages/core/src/scheduler/tasks.ts
+++ b/packages/core/src/scheduler/tasks.ts
@@ -124,7 +124,6 @@
 /** Places a task on a worker; the start is sent once the placement is stored. */
 export function placeTask(state: SchedulerState, task: Task, worker: Worker, run: number): void {
 	task.status = 'placed';
-	task.placedAt = state.now;
 	task.run = run;
 	task.isSent = false;
 	task.isReported = false;
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -24,8 +24,7 @@
 	isSent: boolean;
 	/** The worker's known incarnation has listed the run, or its clock in the answer to the start shows that it has carried it out. Otherwise its next incarnation may have, or may still. */
 	isReported: boolean;
-	/** When it was last placed, and when the start of the latest run was sent, by this leader. */
-	placedAt: SteadyMs;
+	/** When the start of the latest run was sent by this leader. */
 	sentAt: SteadyMs;
 	/** When the answer to its start was found to be lost; `never` while none was. */
 	unansweredAt: SteadyMs;
@@ -201,8 +200,6 @@
 	pollSentAt: SteadyMs;
 	pollDueAt: SteadyMs;
 	lastAnswerAt: SteadyMs;
-	/** When a poll was last sent to learn whether the worker answers before a start. */
-	checkSentAt: SteadyMs;
 	/** How long the worker was silent before its latest answer: the ends in that answer may be as old. */
 	silentMs: number;
 	/** Consecutive polls with another outcome than `held`: unanswered ones and those that were answered with an error. */
