--- a/packages/bench/src/integration/entry-hosts.ts
+++ b/packages/bench/src/integration/entry-hosts.ts
@@ -27,11 +27,26 @@
 /** Number of tasks of each step; each step depends on the one before. */
 export type TaskCounts = readonly number[];
 
+export type EntryHostsOptions = {
+	readonly hosts: number;
+	readonly workers: number;
+	readonly runMs: number;
+	/** Replaces fields of the hosts' settings files. */
+	readonly settings?: Readonly<Record<string, unknown>>;
+	/** The limits on clients in the operators' configuration. */
+	readonly publishedLimits?: Readonly<Record<string, number>>;
+	/** Environment variables of the hosts' processes. */
+	readonly environment?: NodeJS.ProcessEnv;
+};
+
 export class EntryHosts {
-	/** `settings` replaces fields of the hosts' settings files. */
-	static async start({hosts, workers, runMs, settings}: {readonly hosts: number; readonly workers: number; readonly runMs: number; readonly settings?: Readonly<Record<string, unknown>>}): Promise<EntryHosts> {
-		const platform = await JobPlatform.start({address: takeAddress(), workerAddresses: Array.from({length: workers}, () => takeAddress()), runMs});
-		const fleet = new EntryHosts(platform);
+	static async start({
+		hosts, workers, runMs, settings, publishedLimits, environment,
+	}: EntryHostsOptions): Promise<EntryHosts> {
+		const platform = await JobPlatform.start({
+			address: takeAddress(), workerAddresses: Array.from({length: workers}, () => takeAddress()), runMs, ...(publishedLimits && {publishedLimits}),
+		});
+		const fleet = new EntryHosts(platform, environment);
 		for (let index = 0; index < hosts; index++) {
 			// eslint-disable-next-line no-await-in-loop
 			await fleet.addHost(index, settings);
@@ -45,7 +60,7 @@
 	readonly folder = mkdtempSync(path.join(tmpdir(), 'rhubarblever-'));
 	private readonly group = ProcessGroup.create();
 
-	private constructor(readonly platform: JobPlatform) {}
+	private constructor(readonly platform: JobPlatform, private readonly environment: NodeJS.ProcessEnv = {}) {}
 
 	async close(): Promise<void> {
 		await this.group.endAll();
@@ -55,7 +70,7 @@
 
 	/** Starts a process of the program with a settings file. */
 	startProgram(index: number, settingsPath: string): RunningProcess {
-		return this.group.start(`front-${index}`, findEntryProgram(), [], {RHUBARBLEVER_SETTINGS: settingsPath});
+		return this.group.start(`front-${index}`, findEntryProgram(), [], {...this.environment, RHUBARBLEVER_SETTINGS: settingsPath});
 	}
 
 	/** Restarts a host's process after the previous one has exited. */
--- a/packages/stand-ins/src/job-platform/job-platform.ts
+++ b/packages/stand-ins/src/job-platform/job-platform.ts
@@ -22,6 +22,8 @@
 	/** Addresses (`ip:port`) that the registry lists for the workers, in their order; the workers' own by default. */
 	readonly publishedAddresses?: readonly string[];
 	readonly observer?: RunObserver;
+	/** The limits on clients in the configuration; none by default. */
+	readonly publishedLimits?: Readonly<Record<string, number>>;
 };
 
 export const standInQueue = {
@@ -36,7 +38,7 @@
 		const workers = await Promise.all(options.workerAddresses.map(async (address, index) => JobWorker.start({
 			id: `worker-${index}`, address, pool: standInQueue.pool, cpu: workerCpu, runMs: options.runMs, taskCpu: standInTaskCpu, ...(options.observer && {observer: options.observer}), ...(options.publishedAddresses && {publishedAddress: options.publishedAddresses[index]!}),
 		})));
-		const platform = new JobPlatform(workers, options.address);
+		const platform = new JobPlatform(workers, options.address, options.publishedLimits);
 		const [ip, port] = options.address.split(':');
 		await listen(platform.server, ip!, Number(port));
 		return platform;
@@ -57,7 +59,7 @@
 	private readonly listed = new Set<string>();
 	private sequence = 0;
 
-	private constructor(readonly workers: readonly JobWorker[], /** Address of the store and of the list of machines (`ip:port`). */ readonly address: string) {
+	private constructor(readonly workers: readonly JobWorker[], /** Address of the store and of the list of machines (`ip:port`). */ readonly address: string, private readonly publishedLimits: Readonly<Record<string, number>> = {}) {
 		this.server = this.createServer();
 		this.publishConfig(1);
 		this.publishWorkers();
@@ -77,7 +79,7 @@
 			services: [{
 				name: pool, 'health-path': '/health', 'max-conns': 64, protocol: 'h1', tls: false, 'admission-check': true, spare: false,
 			}],
-			limits: {},
+			limits: this.publishedLimits,
 			...(tenants && {tenants}),
 		});
 	}
