Crowd tests: a crowd that fails steadily, and answers counted wherever they begin

The crowd of pipelined requests without Host had 300 connections.

The test of requests sent ahead looked for status lines at the beginning of a line only; answers follow each other without one. It was red for that reason alone.

--- a/packages/bench/src/crowds/connection.known-red.test.ts
+++ b/packages/bench/src/crowds/connection.known-red.test.ts
@@ -31,7 +31,7 @@
 	async function callAhead(text: string, expected: number): Promise<number[]> {
 		const [ip = '', port = ''] = host.front.split(':');
 		let received = '';
-		const listStatuses = () => [...received.matchAll(/^HTTP\/1\.1 (\d+)/gm)].map(([, status]) => Number(status));
+		const listStatuses = () => [...received.matchAll(/HTTP\/1\.1 (\d+) /g)].map(([, status]) => Number(status));
 		const socket = connect(Number(port), ip, () => {
 			socket.write(text);
 		});
--- a/packages/bench/src/crowds/crowd-kinds.ts
+++ b/packages/bench/src/crowds/crowd-kinds.ts
@@ -36,7 +36,7 @@
 	'chunked bodies in large chunks, not ended': createStalledRequest(600, createChunkedBody(65_000, 4)),
 	'chunked bodies in one-byte chunks, not ended': createStalledRequest(100, createChunkedBody(1, 24_000)),
 	'bodies that stop short of their announced length': createStalledRequest(600, createShortBody(262_000, 261_000)),
-	'pipelined requests without Host, answers unread': createUnreadPipeline(300, formatHead({path: '/', hasHost: false})),
+	'pipelined requests without Host, answers unread': createUnreadPipeline(600, formatHead({path: '/', hasHost: false})),
 	'pipelined GETs of a job, answers unread': createUnreadPipeline(50, formatHead({})),
 	'pipelined GETs of a job over HTTP/1.0, answers unread': createUnreadPipeline(100, formatHead({version: '1.0', hasHost: false, headers: ['Connection: keep-alive']})),
 	'pipelined empty POSTs, answers unread': createUnreadPipeline(100, formatHead({method: 'POST', headers: ['Content-Length: 0']})),
