--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -114,11 +114,24 @@
 	readonly hasAdmissionCheck: boolean;
 };
 
+/** What one client may send to an entry host; sizes in bytes, times in milliseconds. */
+export type ClientLimits = {
+	/** Request line and headers. */
+	readonly maxHeaderBytes: number;
+	readonly maxBodyBytes: number;
+	/** From the first byte of a request to the end of its headers. */
+	readonly headerTimeoutMs: number;
+	/** How long a connection stays open without any byte of a request or an answer. */
+	readonly idleTimeoutMs: number;
+};
+
 /** The operators' configuration. */
 export type FleetConfig = {
 	readonly version: number;
 	readonly queues: readonly Queue[];
 	readonly pools: readonly PoolConfig[];
+	/** Absent if the operators set none. */
+	readonly clientLimits?: ClientLimits | undefined;
 	/** Absent if the operators keep no client accounts; calls then need no API keys. */
 	readonly accounts?: readonly ClientAccount[] | undefined;
 };
