--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -11,6 +11,8 @@
 	/** Callers' requests by operation and outcome. */
 	readonly calls: Counter<'operation' | 'outcome'>;
 	readonly callSeconds: Histogram<'operation'>;
+	/** Connections that were closed and requests that were refused because of a limit on clients. */
+	readonly refusedClients: Counter<'server' | 'reason'>;
 	/** Checks of API keys by outcome. */
 	readonly keys: Counter<'outcome'>;
 	/** Logged decisions by event name. */
@@ -78,6 +80,9 @@
 		callSeconds: new Histogram({
 			name: 'rhubarblever_call_seconds', help: 'Time to answer a caller', labelNames: ['operation'], buckets: latencyBucketsS, registers,
 		}),
+		refusedClients: new Counter({
+			name: 'rhubarblever_clients_refused_total', help: 'Connections closed and requests refused because of a limit on clients', labelNames: ['server', 'reason'], registers,
+		}),
 		keys: new Counter({
 			name: 'rhubarblever_keys_total', help: 'Checks of API keys', labelNames: ['outcome'], registers,
 		}),
--- a/packages/daemon/src/scheduler/scheduler-host.ts
+++ b/packages/daemon/src/scheduler/scheduler-host.ts
@@ -1,7 +1,7 @@
 /** The scheduler on one entry host: its event loop, the readers of its streams in the store, and its job API for callers. */
 import {randomInt} from 'node:crypto';
 import {
-	createSchedulerState, getNextLeadershipCheck, listAccountShares, reduceScheduler, ReducerLoop, type SchedulerEffect, type SchedulerEvent, type SchedulerSettings, type SchedulerState, type SteadyMs,
+	createSchedulerState, getNextLeadershipCheck, listAccountShares, reduceScheduler, ReducerLoop, type ClientLimits, type SchedulerEffect, type SchedulerEvent, type SchedulerSettings, type SchedulerState, type SteadyMs,
 } from '@rhubarblever/core/scheduler';
 import {AdmissionGate} from './admission-gate.js';
 import {readMoment, readSteadyClock, readWallClock} from './clocks.js';
@@ -194,6 +194,11 @@
 		}
 	}
 
+	/** The limits on clients in the configuration in force; undefined if it sets none. */
+	getClientLimits(): ClientLimits | undefined {
+		return this.loop.state.config?.clientLimits;
+	}
+
 	isLeader(): boolean {
 		return this.loop.state.leadership.role === 'leader';
 	}
