The daemon's callers stay within the limits of its server

What callers saw: 100 bodies in one-byte chunks or 300 connections with pipelined health checks ended the daemon (heap); 300 bodies of 975,000 bytes, not ended, took it to 397 MB; 500 idle connections took 527 descriptors; heads that do not end stayed open.

Cause: the same as at the entry host, in a second server made by hand; reading a body stood twice.

Change: the daemon uses the bounded server. Seven settings, with defaults, checked; peers' connections are handed over to WebSocket and not limited.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,11 +1,12 @@
 /** The process of an entry host: creates its components and runs them until a stop is requested. */
 import {randomInt, randomUUID} from 'node:crypto';
-import type {Server} from 'node:http';
+import type {Server} from 'node:net';
 import {
 	createState, EventLoop, isWorkerListNeeded, listStartEffects, tickIntervalMs, type Effect, type Event, type Incarnation, type State,
 } from '@rhubarblever/core';
 import type {StatsD} from 'hot-shots';
 import type {Logger} from 'winston';
+import {selectFaults, type RefusalCountsByReason} from './clients/index.js';
 import {readClock} from './clock.js';
 import {CallTable} from './http/call-table.js';
 import {createHttpServer, startListening} from './http/http-server.js';
@@ -79,8 +80,16 @@
 		});
 		this.server = createHttpServer({
 			settings, state: this.state, calls, push,
+		}, {
+			handleUpgrade: (request, socket, head) => {
+				this.context.peers.acceptUpgrade(request, socket, head);
+			},
+			refusalSink: {
+				report: (_server, counts) => {
+					this.reportRefusals(counts);
+				},
+			},
 		});
-		this.context.peers.acceptUpgrades(this.server);
 	}
 
 	/** Starts the HTTP server, the event clock and the polling of the platform. */
@@ -144,6 +153,17 @@
 		}
 	}
 
+	private reportRefusals(counts: RefusalCountsByReason): void {
+		for (const [reason, count] of Object.entries(counts)) {
+			this.metrics.increment('client.refused', count, {reason});
+		}
+
+		const faults = selectFaults(counts);
+		if (Object.keys(faults).length > 0) {
+			this.logger.warn('clients refused', faults);
+		}
+	}
+
 	private closeAndExit(code: number): void {
 		if (this.isExiting) {
 			return;
--- a/packages/daemon/src/http/call.ts
+++ b/packages/daemon/src/http/call.ts
@@ -20,6 +20,7 @@
 export type Call = {
 	readonly context: HttpContext;
 	readonly request: IncomingMessage;
+	readonly body: Uint8Array;
 	readonly response: ServerResponse;
 	/** The first capture group of the route's pattern, empty if it has none. */
 	readonly parameter: string;
--- a/packages/daemon/src/http/receive-records.ts
+++ b/packages/daemon/src/http/receive-records.ts
@@ -6,7 +6,6 @@
 import {z} from 'zod';
 import {readClock} from '../clock.js';
 import {refuseCall, type Call} from './call.js';
-import {readBody} from './read-body.js';
 
 const publishTimeoutMs = 5000;
 const maximumRecords = 100;
@@ -14,14 +13,8 @@
 const publishBodySchema = z.object({records: z.array(logRecordSchema).min(1).max(maximumRecords)});
 
 /** POST /v1/records */
-export async function receiveRecords({context, request, response}: Call): Promise<void> {
-	const body = await readBody(request, context.settings.maxBodyBytes);
-	if (body.isErr()) {
-		refuseCall(context, response, body.error);
-		return;
-	}
-
-	const parsed = publishBodySchema.safeParse(parseJson(body.value));
+export function receiveRecords({context, body, response}: Call): void {
+	const parsed = publishBodySchema.safeParse(parseJson(body));
 	if (!parsed.success) {
 		refuseCall(context, response, createFault('bad-request', describeIssues(parsed.error)));
 		return;
@@ -39,7 +32,7 @@
 	context.push({
 		type: 'publish/requested',
 		at,
-		callerKey: context.calls.register(body.value, response),
+		callerKey: context.calls.register(body, response),
 		records: parsed.data.records,
 		deadline: (at + publishTimeoutMs) as Instant,
 	});
--- a/packages/daemon/src/http/receive-request.ts
+++ b/packages/daemon/src/http/receive-request.ts
@@ -2,25 +2,18 @@
 import {readClock} from '../clock.js';
 import {refuseCall, type Call} from './call.js';
 import {createCallerRequest, readRequestHead} from './caller-request.js';
-import {readBody} from './read-body.js';
 
 /** POST /v1/services/:service */
-export async function receiveRequest({
-	context, request, response, parameter,
-}: Call): Promise<void> {
+export function receiveRequest({
+	context, request, body, response, parameter,
+}: Call): void {
 	const head = readRequestHead(parameter, request.headers, readClock());
 	if (head.isErr()) {
 		refuseCall(context, response, head.error);
 		return;
 	}
 
-	const body = await readBody(request, context.settings.maxBodyBytes);
-	if (body.isErr()) {
-		refuseCall(context, response, body.error);
-		return;
-	}
-
-	const callerKey = context.calls.register(body.value, response);
+	const callerKey = context.calls.register(body, response);
 	response.once('close', () => {
 		if (!response.writableFinished) {
 			context.push({type: 'caller/gone', at: readClock(), callerKey});
--- a/packages/daemon/src/peers/peer-links.ts
+++ b/packages/daemon/src/peers/peer-links.ts
@@ -4,7 +4,7 @@
  * since the overhead of a frame is larger than the cost of its messages.
  */
 import {Buffer} from 'node:buffer';
-import type {IncomingMessage, Server} from 'node:http';
+import type {IncomingMessage} from 'node:http';
 import type {Duplex} from 'node:stream';
 import {
 	hostIdSchema, peerMessageSchema, type EntryHost, type HostId, type PeerMessage,
@@ -49,18 +49,16 @@
 	private constructor(private readonly settings: Settings, private readonly push: EventSink) {}
 
 	/** Handles the WebSocket upgrade requests of an HTTP server. */
-	acceptUpgrades(server: Server): void {
-		server.on('upgrade', (request: IncomingMessage, socket: Duplex, head: Uint8Array) => {
-			const peer = hostIdSchema.safeParse(request.headers[hostHeader]);
-			if (request.url !== peerPath || !peer.success || !hasToken(request, this.settings.peerToken)) {
-				this.push({type: 'call/refused', at: readClock(), kind: 'unauthorized'});
-				socket.end('HTTP/1.1 401 Unauthorized\r\n\r\n');
-				return;
-			}
+	acceptUpgrade(request: IncomingMessage, socket: Duplex, head: Uint8Array): void {
+		const peer = hostIdSchema.safeParse(request.headers[hostHeader]);
+		if (request.url !== peerPath || !peer.success || !hasToken(request, this.settings.peerToken)) {
+			this.push({type: 'call/refused', at: readClock(), kind: 'unauthorized'});
+			socket.end('HTTP/1.1 401 Unauthorized\r\n\r\n');
+			return;
+		}
 
-			this.server.handleUpgrade(request, socket, Buffer.from(head), link => {
-				this.receiveMessages(link, peer.data);
-			});
+		this.server.handleUpgrade(request, socket, Buffer.from(head), link => {
+			this.receiveMessages(link, peer.data);
 		});
 	}
 
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -2,13 +2,16 @@
 import {
 	availabilityZoneSchema, defaultJobLeaseMs, defaultLogRetentionMs, hostIdSchema, maximumJobLeaseMs, routingPolicies, socketAddressSchema, type AvailabilityZone, type EntryHost, type HostId,
 } from '@rhubarblever/core';
+import type {ClientLimits} from '@rhubarblever/core/scheduler';
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
+import {defaultBodyTimeoutMs, defaultMaxRequestsAhead} from './clients/client-limits.js';
 
 const peerPattern = /^([\w.-]+)=([\w.-]+)@(.+)$/;
 /** A shorter lease could expire before a renewal is written to the log and reaches the worker. */
 const minimumJobLeaseMs = 2000;
 const nonNegativeInteger = z.coerce.number().int().nonnegative();
+const positiveInteger = z.coerce.number().int().positive();
 const minimumLogRetentionMs = 20_000;
 
 /** One setting: its schema, its default as text, and its help text. A setting without a default is required. */
@@ -36,6 +39,15 @@
 	metrics: {schema: z.union([z.literal(''), socketAddressSchema]), fallback: '', help: 'IPv4:port of a StatsD server; empty sends none'},
 	'log-level': {schema: z.enum(['error', 'warn', 'info', 'debug']), fallback: 'info', help: 'Least level of log lines'},
 	'max-body-bytes': {schema: nonNegativeInteger, fallback: '1048576', help: 'Largest body of a request, in bytes'},
+	'max-header-bytes': {schema: positiveInteger, fallback: '16384', help: 'Largest head of a request (its line and headers), in bytes'},
+	'header-timeout-ms': {schema: positiveInteger, fallback: '10000', help: 'Longest time in which the head of a request must arrive, in milliseconds'},
+	'body-timeout-ms': {schema: positiveInteger, fallback: String(defaultBodyTimeoutMs), help: 'Longest time in which the body of a request must arrive, in milliseconds'},
+	'idle-timeout-ms': {schema: positiveInteger, fallback: '60000', help: 'How long a caller\'s connection may be without any traffic, in milliseconds'},
+	'max-requests-ahead': {
+		schema: positiveInteger, fallback: String(defaultMaxRequestsAhead), help: 'Requests in a row that a caller may send on one connection before it has taken the answer before them',
+	},
+	'max-connections': {schema: positiveInteger, fallback: '2000', help: 'Connections of callers; a further one closes the one that has waited longest'},
+	'client-memory-mb': {schema: positiveInteger, fallback: '64', help: 'Memory that connections, requests that are not complete and requests sent ahead may hold together, in MB'},
 	'job-lease-ms': {
 		schema: z.coerce.number().int().min(minimumJobLeaseMs).max(maximumJobLeaseMs),
 		fallback: String(defaultJobLeaseMs),
@@ -59,6 +71,11 @@
 	readonly metrics: SocketAddress | undefined;
 	readonly logLevel: string;
 	readonly maxBodyBytes: number;
+	readonly clientLimits: ClientLimits;
+	readonly bodyTimeoutMs: number;
+	readonly maxRequestsAhead: number;
+	readonly maxConnections: number;
+	readonly clientMemoryMb: number;
 	readonly areInvariantsFatal: boolean;
 	readonly seed: number;
 	readonly jobLeaseMs: number;
@@ -156,6 +173,16 @@
 		metrics: get('metrics') === '' ? undefined : parseSocketAddress(get('metrics')),
 		logLevel: get('log-level'),
 		maxBodyBytes: Number(get('max-body-bytes')),
+		clientLimits: {
+			maxHeaderBytes: Number(get('max-header-bytes')),
+			maxBodyBytes: Number(get('max-body-bytes')),
+			headerTimeoutMs: Number(get('header-timeout-ms')),
+			idleTimeoutMs: Number(get('idle-timeout-ms')),
+		},
+		bodyTimeoutMs: Number(get('body-timeout-ms')),
+		maxRequestsAhead: Number(get('max-requests-ahead')),
+		maxConnections: Number(get('max-connections')),
+		clientMemoryMb: Number(get('client-memory-mb')),
 		areInvariantsFatal: get('invariants') === 'fatal',
 		seed: Number(get('seed')),
 		jobLeaseMs: Number(get('job-lease-ms')),
