--- a/packages/daemon/src/clients/client-connection.ts
+++ b/packages/daemon/src/clients/client-connection.ts
@@ -12,8 +12,9 @@
 	computePhaseDeadline, overdueReasons, type ConnectionPhase, type PhaseLimits,
 } from './connection-phase.js';
 import type {Evictable, EvictionOrder} from './eviction-order.js';
-import {MessageScanner} from './message-scanner.js';
+import {IncomingBytes} from './incoming-bytes.js';
 import type {RefusalReason} from './refusal-counts.js';
+import {SocketWriter, type WriteCallback, type WriteChunk} from './socket-writer.js';
 import type {TurnTaker} from './turn-queue.js';
 
 /** Estimate of the memory that an open connection takes without any request. */
@@ -26,7 +27,6 @@
 /** What the Node.js stream interface passes for an error, or for none. */
 // eslint-disable-next-line @typescript-eslint/no-restricted-types
 type StreamError = Error | null;
-type WriteCallback = (error?: Error) => void;
 
 /** A request and its answer. */
 type Exchange = {
@@ -58,13 +58,10 @@
 	private phaseDeadline = Number.POSITIVE_INFINITY;
 	/** When the client must have sent another byte of a body. */
 	private byteDeadline = Number.POSITIVE_INFINITY;
-	/** When the client must have taken what is being written; undefined while nothing is. */
-	private writeDeadline: number | undefined;
-	private readonly held: Uint8Array[] = [];
-	private heldBytes = 0;
+	private readonly held = IncomingBytes.create();
+	private readonly writer: SocketWriter;
 	private headBytes = 0;
 	private chargedBytes = 0;
-	private scanner = MessageScanner.create();
 	/** Requests in a row that were sent before the answer to the one before was taken. */
 	private requestsAhead = 0;
 	private exchange: Exchange | undefined;
@@ -72,6 +69,7 @@
 	private constructor(private readonly options: ConnectionOptions) {
 		super({decodeStrings: false});
 		const {socket} = options;
+		this.writer = SocketWriter.create(socket, () => this.computeIdleDeadline());
 		socket.on('data', (bytes: Uint8Array) => {
 			this.receive(bytes);
 		});
@@ -118,8 +116,8 @@
 	/** Accounts for the memory that the connection holds now; false if that is over the budget of all clients. */
 	updateCharge(): boolean {
 		const {socket, budget} = this.options;
-		const isUnread = this.heldBytes > 0 || socket.isPaused();
-		const bytes = this.destroyed ? 0 : connectionBytes + this.heldBytes + this.headBytes + (isUnread ? unreadBytes : 0) + (this.exchange?.body?.capacity ?? 0);
+		const isUnread = this.held.size > 0 || socket.isPaused();
+		const bytes = this.destroyed ? 0 : connectionBytes + this.held.size + this.headBytes + (isUnread ? unreadBytes : 0) + (this.exchange?.body?.capacity ?? 0);
 		const change = bytes - this.chargedBytes;
 		this.chargedBytes = bytes;
 		return budget.update(this, change);
@@ -128,7 +126,7 @@
 	/** Closes the connection if one of its deadlines has passed. */
 	tick(now: number): void {
 		this.updateOrder();
-		if (this.writeDeadline !== undefined && now >= this.writeDeadline) {
+		if (this.writer.deadline !== undefined && now >= this.writer.deadline) {
 			this.refuse('answer-not-read');
 		} else if (now >= this.phaseDeadline || (this.phase === 'body' && now >= this.byteDeadline)) {
 			this.refuse(overdueReasons[this.phase]);
@@ -164,29 +162,13 @@
 	}
 
 	// eslint-disable-next-line no-restricted-syntax
-	override _write(chunk: Uint8Array | string, encoding: BufferEncoding, done: WriteCallback): void {
-		this.startWrite();
-		this.options.socket.write(chunk, encoding, error => {
-			this.finishWrite();
-			done(error ?? undefined);
-		});
+	override _write(chunk: WriteChunk['chunk'], encoding: BufferEncoding, done: WriteCallback): void {
+		this.writer.write([{chunk, encoding}], done);
 	}
 
 	// eslint-disable-next-line no-restricted-syntax
-	override _writev(chunks: ReadonlyArray<{chunk: Uint8Array | string; encoding: BufferEncoding}>, done: WriteCallback): void {
-		const {socket} = this.options;
-		this.startWrite();
-		socket.cork();
-		for (const [index, {chunk, encoding}] of chunks.entries()) {
-			socket.write(chunk, encoding, index < chunks.length - 1
-				? undefined
-				: error => {
-					this.finishWrite();
-					done(error ?? undefined);
-				});
-		}
-
-		socket.uncork();
+	override _writev(chunks: readonly WriteChunk[], done: WriteCallback): void {
+		this.writer.write(chunks, done);
 	}
 
 	/** The last answer has been sent: waits for the client to close, so that a reset does not overtake the answer. */
@@ -215,9 +197,8 @@
 			return;
 		}
 
-		this.byteDeadline = readSteadyClock() + this.options.getLimits().idleTimeoutMs;
-		this.held.push(bytes);
-		this.heldBytes += bytes.length;
+		this.byteDeadline = this.computeIdleDeadline();
+		this.held.add(bytes);
 		this.sendHeld();
 	}
 
@@ -231,13 +212,13 @@
 
 	/** Lets the HTTP server have what it may read now. */
 	private sendHeld(): void {
-		while (this.heldBytes > 0 && !this.destroyed && !this.writableEnded) {
-			const length = this.countNextBytes(this.held[0]!);
-			if (length === 0) {
+		while (this.held.size > 0 && !this.destroyed && !this.writableEnded) {
+			const bytes = this.takeNextBytes();
+			if (!bytes) {
 				break;
 			}
 
-			const isTaken = this.push(this.takeHeld(length));
+			const isTaken = this.push(bytes);
 			if (this.phase === 'upgraded' && !isTaken) {
 				this.options.socket.pause();
 			}
@@ -248,62 +229,50 @@
 		this.updateFlow();
 	}
 
-	/** How many of the given bytes belong to the present request; 0 if it has been read as a whole and is not answered yet. */
-	private countNextBytes(bytes: Uint8Array): number {
+	/** Takes bytes of the present request, or of the next one; undefined if the present one has been read as a whole and is not answered yet. */
+	private takeNextBytes(): Uint8Array | undefined {
 		if (this.phase === 'upgraded') {
-			return bytes.length;
+			return this.held.takeAtMost(this.held.size);
 		}
 
 		const {exchange} = this;
 		if (!exchange) {
-			return this.countHeadBytes(bytes);
+			return this.takeHeadBytes();
 		}
 
-		if (exchange.request.complete) {
-			return 0;
+		if (exchange.request.complete || exchange.remainingBytes === 0) {
+			return undefined;
 		}
 
 		if (exchange.remainingBytes === undefined) {
-			return this.scanner.findEnd(bytes);
+			return this.held.takeToEmptyLine();
 		}
 
-		const length = Math.min(exchange.remainingBytes, bytes.length);
-		exchange.remainingBytes -= length;
-		return length;
+		const bytes = this.held.takeAtMost(exchange.remainingBytes);
+		exchange.remainingBytes -= bytes.length;
+		return bytes;
 	}
 
-	private countHeadBytes(bytes: Uint8Array): number {
+	/** Undefined if the head is too large, which has been answered then. */
+	private takeHeadBytes(): Uint8Array | undefined {
 		if (this.phase === 'idle') {
 			this.setPhase('head');
 			this.headBytes = 0;
-			this.scanner = MessageScanner.create();
+			this.held.startMessage();
 		}
 
-		const length = this.scanner.findEnd(bytes);
-		this.headBytes += length;
+		const bytes = this.held.takeToEmptyLine();
+		this.headBytes += bytes.length;
 		if (this.headBytes <= this.options.getLimits().maxHeaderBytes) {
-			return length;
+			return bytes;
 		}
 
 		this.refuseHead('header-too-large', '431 Request Header Fields Too Large');
-		return 0;
-	}
-
-	private takeHeld(length: number): Uint8Array {
-		const first = this.held[0]!;
-		this.heldBytes -= length;
-		if (length === first.length) {
-			this.held.shift();
-			return first;
-		}
-
-		this.held[0] = first.subarray(length);
-		return first.subarray(0, length);
+		return undefined;
 	}
 
 	private dropHeld(): void {
-		this.held.length = 0;
-		this.heldBytes = 0;
+		this.held.clear();
 		this.options.socket.resume();
 	}
 
@@ -328,8 +297,8 @@
 		}
 
 		this.setPhase('idle');
-		this.requestsAhead = this.heldBytes > 0 ? this.requestsAhead + 1 : 0;
-		if (this.heldBytes > 0) {
+		this.requestsAhead = this.held.size > 0 ? this.requestsAhead + 1 : 0;
+		if (this.held.size > 0) {
 			this.options.budget.turns.add(this);
 		}
 	}
@@ -345,7 +314,7 @@
 			this.dropHeld();
 		}
 
-		if (this.heldBytes > 0) {
+		if (this.held.size > 0) {
 			socket.pause();
 		} else if (this.phase !== 'upgraded') {
 			socket.resume();
@@ -370,7 +339,7 @@
 	/** A request that is carried out is not evicted, unless its client sends ahead or does not take the answer. */
 	private updateOrder(): void {
 		const {budget, order} = this.options;
-		const isBusy = this.phase === 'upgraded' || (this.phase === 'work' && this.heldBytes === 0 && this.writeDeadline === undefined);
+		const isBusy = this.phase === 'upgraded' || (this.phase === 'work' && this.held.size === 0 && this.writer.deadline === undefined);
 		if (isBusy || this.destroyed) {
 			budget.order.remove(this);
 			order.remove(this);
@@ -380,11 +349,7 @@
 		}
 	}
 
-	private startWrite(): void {
-		this.writeDeadline = readSteadyClock() + this.options.getLimits().idleTimeoutMs;
-	}
-
-	private finishWrite(): void {
-		this.writeDeadline = undefined;
+	private computeIdleDeadline(): number {
+		return readSteadyClock() + this.options.getLimits().idleTimeoutMs;
 	}
 }
