--- a/packages/core/src/scheduler/leases.ts
+++ b/packages/core/src/scheduler/leases.ts
@@ -89,5 +89,5 @@
 		...describeMachineOf(state, worker),
 	});
 	noteWorkerLost(state, worker, false);
-	clearWorker(state, worker, kept);
+	clearWorker(state, worker, 'lease-lapsed', kept);
 }
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -6,7 +6,7 @@
 import {addEffect, noteDecision} from './logging.js';
 import {noResources} from './resources.js';
 import {
-	getNeed, getTarget, isOverloaded, requestStop, returnExcessTasks, returnTask,
+	getNeed, getTarget, isOverloaded, requestStop, returnExcessTasks, returnTask, type ReturnReason,
 } from './tasks.js';
 import {
 	lateStartMs, never, registryGraceMs, stopRetryMs,
@@ -139,7 +139,7 @@
 	passAcknowledgements(state, worker);
 	// These tasks stay assigned until the new incarnation has confirmed a stop.
 	const unreported = listUnreportedTasks(worker);
-	clearWorker(state, worker, new Set(unreported));
+	clearWorker(state, worker, 'worker-restarted', new Set(unreported));
 	worker.bornAt = bornAt;
 	worker.restarts++;
 	state.workerRestarts.set(worker.id, worker.restarts);
@@ -198,7 +198,7 @@
 		late.isRuledOut = false;
 	}
 
-	clearWorker(state, worker);
+	clearWorker(state, worker, 'worker-gone');
 	worker.isListed = false;
 	worker.clock = undefined;
 	worker.leaseExpiresAt = 0;
@@ -240,10 +240,10 @@
 }
 
 /** Returns all tasks of a worker on which nothing runs any more, apart from those in `kept`, to the waiting tasks. */
-export function clearWorker(state: SchedulerState, worker: Worker, kept: ReadonlySet<Task> = new Set()): void {
+export function clearWorker(state: SchedulerState, worker: Worker, reason: ReturnReason, kept: ReadonlySet<Task> = new Set()): void {
 	for (const task of worker.tasks.values()) {
 		if (!kept.has(task)) {
-			returnTask(state, task);
+			returnTask(state, task, reason);
 		}
 	}
 
--- a/packages/core/src/scheduler/reports.ts
+++ b/packages/core/src/scheduler/reports.ts
@@ -72,7 +72,7 @@
 		const {isLongRunning} = task.step.definition;
 		noteFailure(state, worker, job.definition.jobId, 'run failed');
 		noteFailedOn(task, worker);
-		returnTask(state, task);
+		returnTask(state, task, 'run-ended');
 		task.failures += isLongRunning ? 0 : 1;
 		if (!isLongRunning && task.failures >= getMaxAttempts(state, job) && !job.isCancelled) {
 			finishJob(state, job, 'failed');
@@ -85,7 +85,7 @@
 };
 
 function returnEnded(state: SchedulerState, _worker: Worker, task: Task): void {
-	returnTask(state, task);
+	returnTask(state, task, 'run-ended');
 }
 
 function readEnd(state: SchedulerState, worker: Worker, row: EndedRow): void {
@@ -173,7 +173,7 @@
 
 		if (task.conclusiveAfter < sentAt) {
 			noteDecision(state, 'run-absent', {task: task.name, run: task.run, workerId: worker.id});
-			returnTask(state, task);
+			returnTask(state, task, 'run-absent');
 			steps.add(task.step);
 		} else if (task.status === 'placed' && task.unansweredAt <= sentAt) {
 			// The start has not been carried out, but still may be.
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -144,7 +144,7 @@
 type StartHandler = (state: SchedulerState, worker: Worker, task: Task) => void;
 
 function returnRefused(state: SchedulerState, _worker: Worker, task: Task): void {
-	returnWithGang(state, task);
+	returnWithGang(state, task, 'start-refused');
 }
 
 const startHandlers: Readonly<Record<StartOutcome, StartHandler>> = {
@@ -158,29 +158,29 @@
 	'stale-run': returnRefused,
 	late: returnRefused,
 	'no-room'(state, worker, task) {
-		returnWithGang(state, task);
+		returnWithGang(state, task, 'start-refused');
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + refusalPauseMs);
 	},
 	'no-ticket'(state, worker, task) {
 		dropTicket(state, task.step, worker);
-		returnWithGang(state, task);
+		returnWithGang(state, task, 'start-refused');
 	},
 	invalid(state, worker, task) {
 		noteFailedOn(task, worker);
-		returnWithGang(state, task);
+		returnWithGang(state, task, 'start-refused');
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + refusalPauseMs);
 	},
 	unhealthy(state, worker, task) {
-		returnWithGang(state, task);
+		returnWithGang(state, task, 'start-refused');
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + unhealthyPauseMs);
 	},
 	'other-life'(state, worker, task) {
-		returnTask(state, task);
+		returnTask(state, task, 'start-refused');
 		dropIncarnation(state, worker);
 		stopGang(state, task.step);
 	},
 	'not-sent'(state, worker, task) {
-		returnWithGang(state, task);
+		returnWithGang(state, task, 'start-refused');
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + unhealthyPauseMs);
 	},
 	unknown(state, worker, task) {
--- a/packages/core/src/scheduler/tasks.ts
+++ b/packages/core/src/scheduler/tasks.ts
@@ -1,6 +1,6 @@
 /** Changes of a task's status. They also keep the open steps, the workers' used capacity and the jobs to be stored up to date. */
 import {updateAssignedUse} from './account-use.js';
-import {addEffect} from './logging.js';
+import {addEffect, noteDecision} from './logging.js';
 import {ensureTask, hasWaitingTasks} from './occurrences.js';
 import {isJobOpen} from './phases.js';
 import {addResources, doesFit, noResources} from './resources.js';
@@ -155,8 +155,12 @@
 	}
 }
 
+/** Why a task is returned: what ended its run, or kept it from beginning. */
+export type ReturnReason = 'start-refused' | 'run-ended' | 'run-absent' | 'worker-restarted' | 'worker-gone' | 'lease-lapsed' | 'not-started' | 'gang-ended';
+
 /** Returns a task to the waiting ones. Call it only if its run has certainly ended without a result. */
-export function returnTask(state: SchedulerState, task: Task): void {
+export function returnTask(state: SchedulerState, task: Task, reason: ReturnReason): void {
+	noteReturn(state, task, reason);
 	detachTask(state, task);
 	task.status = 'waiting';
 	task.isSent = false;
@@ -166,9 +170,29 @@
 	markChanged(state, task);
 }
 
+/** Logs the return of a task whose start was sent: from then on the task may start elsewhere. */
+function noteReturn(state: SchedulerState, task: Task, reason: ReturnReason): void {
+	const {worker} = task;
+	if (!worker || !task.isSent) {
+		return;
+	}
+
+	noteDecision(state, 'task-returned', {
+		task: task.name,
+		run: task.run,
+		workerId: worker.id,
+		bornAt: worker.bornAt,
+		reason,
+		sentMsAgo: Math.round(state.now - task.sentAt),
+		heardMsAgo: Math.round(state.now - worker.lastAnswerAt),
+		isReported: task.isReported,
+		isUnanswered: task.unansweredAt !== never,
+	});
+}
+
 /** Returns a task whose start was not sent or was refused, and with it its whole gang: the members only run together. */
-export function returnWithGang(state: SchedulerState, task: Task): void {
-	returnTask(state, task);
+export function returnWithGang(state: SchedulerState, task: Task, reason: ReturnReason = 'not-started'): void {
+	returnTask(state, task, reason);
 	stopGang(state, task.step);
 }
 
@@ -231,7 +255,7 @@
 
 	for (const member of tasks) {
 		if (member.status === 'placed' && !member.isSent) {
-			returnTask(state, member);
+			returnTask(state, member, 'gang-ended');
 		} else if (member.status !== 'stopping') {
 			// Another stop would undo the confirmation of the first one.
 			requestStop(state, member);
--- a/packages/daemon/src/scheduler/effect-runner.ts
+++ b/packages/daemon/src/scheduler/effect-runner.ts
@@ -171,7 +171,7 @@
 		this.recordCall('start', outcome, startedAt);
 		// Logged for every outcome of a start, also if the run was not started; `outcome` tells which.
 		this.options.log.note('task-started', {
-			task: effect.task, run: effect.run, workerId: effect.worker.id, outcome, tookMs: Math.round(readSteadyClock() - startedAt),
+			task: effect.task, run: effect.run, workerId: effect.worker.id, bornAt: effect.worker.bornAt, outcome, clockMs, tookMs: Math.round(readSteadyClock() - startedAt),
 		});
 		const {worker, task, run, token} = effect;
 		this.options.pushEvent({
@@ -186,7 +186,7 @@
 		const {worker, task, run, token} = effect;
 		// Logged for every outcome of a stop, also if the run may not have stopped; `outcome` tells which.
 		this.options.log.note('task-stopped', {
-			task, run, workerId: worker.id, outcome,
+			task, run, workerId: worker.id, bornAt: worker.bornAt, outcome, tookMs: Math.round(readSteadyClock() - startedAt),
 		});
 		this.options.pushEvent({
 			type: 'stop/ended', workerId: worker.id, bornAt: worker.bornAt, task, run, outcome, token,
