--- a/packages/core/src/scheduler/testing/hand-driven.ts
+++ b/packages/core/src/scheduler/testing/hand-driven.ts
@@ -63,7 +63,7 @@
 }
 
 type PollAnswerChanges = {
-	readonly running?: readonly RunningRow[]; readonly ended?: readonly EndedRow[]; readonly sentAt?: number;
+	readonly running?: readonly RunningRow[]; readonly ended?: readonly EndedRow[]; readonly sentAt?: number; readonly clockMs?: number;
 	readonly bornAt?: number; readonly answerBornAt?: number | undefined; readonly token?: number; readonly outcome?: PollOutcome; readonly isExtra?: boolean;
 };
 
--- a/packages/core/src/scheduler/testing/model-effects.ts
+++ b/packages/core/src/scheduler/testing/model-effects.ts
@@ -74,7 +74,7 @@
 
 	private callWorker(host: ModelHost, workerId: string, execute: (worker: ModelWorker) => EventBody, unknown: EventBody): void {
 		const worker = this.options.workers.find(({entry}) => entry.id === workerId)!;
-		this.options.calls.call(host, () => worker.isUp && !worker.isCut ? execute(worker) : unknown, unknown);
+		this.options.calls.call(host, () => worker.isUp && !worker.isCut ? execute(worker) : undefined, unknown);
 	}
 
 	private callStart(host: ModelHost, effect: EffectOf<'worker/start'>): void {
@@ -114,7 +114,9 @@
 	}
 
 	private callPoll(host: ModelHost, effect: EffectOf<'worker/poll'>): void {
-		const {checks, time} = this.options;
+		const {checks, getFaults, time} = this.options;
+		const {untoldBirthPercent = 0} = getFaults();
+		const isBirthUntold = untoldBirthPercent > 0 && time.draw(1, percentAll) <= untoldBirthPercent;
 		const base = {
 			type: 'poll/ended' as const, workerId: effect.worker.id, bornAt: effect.worker.bornAt, sentAt: time.now, isExtra: effect.isExtra,
 			clockMs: undefined, answerBornAt: undefined, running: [], ended: [],
@@ -124,7 +126,7 @@
 			const lists = worker.poll({...effect, token: computeWorkerToken(effect.token, effect.worker), ackedEnd: effect.acknowledgedEnd}, time.now);
 			return lists
 				? {
-					...base, outcome: 'held', clockMs: worker.readClock(time.now), answerBornAt: worker.bornAt, ...lists,
+					...base, outcome: 'held', clockMs: worker.readClock(time.now), answerBornAt: isBirthUntold ? undefined : worker.bornAt, ...lists,
 				}
 				: {...base, outcome: 'fenced'};
 		}, {...base, outcome: 'unknown'});
--- a/packages/core/src/scheduler/testing/model-faults.ts
+++ b/packages/core/src/scheduler/testing/model-faults.ts
@@ -4,10 +4,17 @@
 import type {ModelTime} from './model-time.js';
 
 const answerTimeoutMs = 600;
+const heldCallStepMs = 20;
 const percentAll = 100;
 
 /** The percentage of answers that are lost and of calls that are carried out late, the interval of crashes of hosts and workers, and that at which a worker's capacity changes. */
-export type ModelFaults = {readonly lostPercent: number; readonly delayedPercent: number; readonly crashEveryMs: number; readonly capacityEveryMs?: number};
+export type ModelFaults = {
+	readonly lostPercent: number; readonly delayedPercent: number; readonly crashEveryMs: number; readonly capacityEveryMs?: number;
+	/** The percentage of lists of runs that do not tell the birth of the process. */
+	readonly untoldBirthPercent?: number;
+	/** A call to a worker that is down reaches its next process if that is there before the call times out. */
+	readonly areCallsHeld?: boolean;
+};
 
 export const noFaults: ModelFaults = {lostPercent: 0, delayedPercent: 0, crashEveryMs: Number.POSITIVE_INFINITY};
 
@@ -32,8 +39,8 @@
 
 	private constructor(private readonly options: ModelCallsOptions) {}
 
-	/** Executes a call after one delay and answers after another; the execution may be late, and the answer may be lost. */
-	call(host: ModelHost, execute: () => EventBody, unknown: EventBody): void {
+	/** Executes a call after one delay and answers after another; the execution may be late, and the answer may be lost. `execute` returns undefined if nobody is there. */
+	call(host: ModelHost, execute: () => EventBody | undefined, unknown: EventBody): void {
 		const {time, getFaults} = this.options;
 		const {lostPercent, delayedPercent} = getFaults();
 		const dice = time.draw(1, percentAll);
@@ -48,8 +55,25 @@
 		const {incarnation} = host;
 		time.schedule(time.draw(1, 10), () => {
 			const event = execute();
-			if (dice <= delayedPercent + lostPercent) {
+			if (event === undefined && this.options.getFaults().areCallsHeld) {
+				this.hold(host, execute, unknown, time.now + answerTimeoutMs);
+			} else if (dice <= delayedPercent + lostPercent) {
 				this.answer(host, answerTimeoutMs, unknown, incarnation);
+			} else {
+				this.answer(host, time.draw(1, 10), event ?? unknown, incarnation);
+			}
+		});
+	}
+
+	/** Repeats a call that reached nobody until it times out. */
+	private hold(host: ModelHost, execute: () => EventBody | undefined, unknown: EventBody, until: number): void {
+		const {time} = this.options;
+		const {incarnation} = host;
+		time.schedule(heldCallStepMs, () => {
+			const isOver = time.now >= until || !host.isUp || host.incarnation !== incarnation;
+			const event = isOver ? unknown : execute();
+			if (event === undefined) {
+				this.hold(host, execute, unknown, until);
 			} else {
 				this.answer(host, time.draw(1, 10), event, incarnation);
 			}
