A crowd closes connections that its host is closing, instead of resetting them

Cause: a reset of a socket whose shutdown is pending fails with EINVAL, and Node marks the handle as closing all the same, so that nothing closes it any more and the process waits for it at its exit for good. The crowd reset its clients just while the host that was stopping closed them. A script of its own shows it each time (reset right after end(): 'reset EINVAL', no close event, no exit).

Change: the crowd uses resetSocket, as the other stand-ins do.

--- a/packages/bench/src/crowds/crowd.ts
+++ b/packages/bench/src/crowds/crowd.ts
@@ -1,6 +1,7 @@
 /** A crowd of clients that ignore the rules of HTTP: each opens a connection, sends what its kind says and stays open. */
 import {connect, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {resetSocket} from '@rhubarblever/stand-ins';
 
 /** Connections are opened in groups, so that the host's queue of new connections does not overflow. */
 const groupSize = 50;
@@ -40,11 +41,11 @@
 
 	private constructor(private readonly options: CrowdOptions) {}
 
-	/** Resets all connections. */
+	/** Resets all connections, or closes those that the host is closing. */
 	close(): void {
 		clearInterval(this.timer);
 		for (const socket of this.sockets) {
-			socket.resetAndDestroy();
+			resetSocket(socket);
 		}
 	}
 
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -11,6 +11,7 @@
 export * from './harness/service-record.js';
 export * from './harness/process-group.js';
 export * from './harness/scripts.js';
+export {resetSocket} from './reset-socket.js';
 export * from './load/arrivals.js';
 export * from './load/load-report.js';
 export * from './load/load-run.js';
