A list of runs that does not tell whose it is counts as no answer

Cause: the birth of the process was optional in a list of runs. A list without one was taken for the known process unless its clock excluded that; after an answer of a new process had been seen, no clock was known and nothing excluded it. A run of the new process counted as reported by the former one. The news of the restart then freed its task at once: start elsewhere, next list shows an unknown run, stop - the order of the users' record.

Change: such a list counts as an unanswered poll, with a log line, and renews no lease.

--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -5,7 +5,6 @@
 import {isConfirmedWithin} from './confirmation.js';
 import {addEffect, noteDecision, noteWarning} from './logging.js';
 import {isFinal} from './phases.js';
-import {findAnsweringIncarnation} from './incarnations.js';
 import {
 	expireLease, extendLease, hasSentTasks, noteFirstAnswer,
 } from './leases.js';
@@ -172,7 +171,7 @@
 		return;
 	}
 
-	if (event.answerBornAt === undefined ? isAnsweredByNext(state, worker, event) : event.answerBornAt !== worker.bornAt) {
+	if (event.answerBornAt !== worker.bornAt) {
 		handleOtherIncarnation(state, worker, event);
 		return;
 	}
@@ -222,18 +221,16 @@
 	}
 }
 
-function isAnsweredByNext(state: SchedulerState, worker: Worker, {clockMs, sentAt}: PollEnded): boolean {
-	return findAnsweringIncarnation(worker, {clockMs, sentAt, at: state.now}) === 'next';
-}
-
-/** When the answer does not tell its birth, only its clock shows another incarnation: a later answer or the registry tells. */
-function handleOtherIncarnation(state: SchedulerState, worker: Worker, {answerBornAt, clockMs}: PollEnded): void {
+/** Lists that do not tell whose they are, or that are older than what is known, count as no answer: taken for the known incarnation, runs of the next one would be lost with it. */
+function handleOtherIncarnation(state: SchedulerState, worker: Worker, event: PollEnded): void {
+	const {answerBornAt, clockMs} = event;
 	if (answerBornAt !== undefined && answerBornAt > worker.bornAt) {
 		restartWorker(state, worker, answerBornAt, clockMs === undefined ? never : state.now - clockMs);
 		return;
 	}
 
-	worker.pollDueAt = state.now + pollRetryMs;
+	noteDecision(state, 'poll-of-unknown-process', {workerId: worker.id, bornAt: worker.bornAt, answerBornAt});
+	handleFailedPoll(state, worker, event);
 }
 
 /**
