A restart that only the registry tells ends no runs before the worker confirms it

Cause: a later birth in the registry ended the known process at once, and freed the tasks that it had reported, though the worker itself still answered with its former birth. Entries may come from another writer.

Change: while runs go on at the known process, a later birth is kept aside and the worker is asked (reported-births.ts). Its answer with that birth, or the end of its lease, makes it true; its answer with the former birth rejects it. Meanwhile the worker gets no new tasks. Log lines worker-birth-reported and worker-birth-rejected.

--- a/packages/core/src/scheduler/leases.ts
+++ b/packages/core/src/scheduler/leases.ts
@@ -7,6 +7,7 @@
 import {
 	leaseHorizonMs, leaseSlackMs, longestGrantMs, maxClockDrift, never, workerLeaseMs,
 } from './timing.js';
+import {hasSentTasks} from './tasks.js';
 import type {SteadyMs} from './types.js';
 import type {SchedulerState, Task, Worker} from './state.js';
 
@@ -54,17 +55,6 @@
 	}
 }
 
-/** True if a run whose start was sent may still be active at the worker. */
-export function hasSentTasks(worker: Worker): boolean {
-	for (const task of worker.tasks.values()) {
-		if (task.isSent) {
-			return true;
-		}
-	}
-
-	return false;
-}
-
 /** All runs of an unreachable worker are over once its lease has expired on every clock: later for those that its next incarnation may have begun. */
 export function expireLease(state: SchedulerState, worker: Worker): void {
 	if (state.now <= getLeaseEnd(worker) || !hasSentTasks(worker)) {
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -71,7 +71,7 @@
 /** True if a worker answers, stays in its pool and runs only what this leader knows. */
 function isSound(worker: Worker): boolean {
 	return worker.isListed && worker.isPolledByLeader && !worker.isDraining && !worker.isReserved
-		&& worker.unknownRuns.size === 0 && worker.failedPolls === 0;
+		&& worker.unknownRuns.size === 0 && worker.failedPolls === 0 && worker.reportedBirth === undefined;
 }
 
 function groupByPool(state: SchedulerState, isCandidate: (worker: Worker) => boolean): Map<PoolName, Worker[]> {
--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -6,12 +6,14 @@
 import {addEffect, noteDecision, noteWarning} from './logging.js';
 import {isFinal} from './phases.js';
 import {
-	expireLease, extendLease, hasSentTasks, noteFirstAnswer,
+	expireLease, extendLease, noteFirstAnswer,
 } from './leases.js';
+import {sendExtraPoll} from './extra-polls.js';
+import {rejectBirth} from './reported-births.js';
 import {dropIncarnation, restartWorker} from './registry.js';
 import {readEnds, readRunning, skipSilence} from './reports.js';
 import {noteAnswerTime} from './call-window.js';
-import {getTarget} from './tasks.js';
+import {getTarget, hasSentTasks} from './tasks.js';
 import {
 	clockRefreshMs, leaseHorizonMs, leaseRenewalThresholdMs, longRunningPollWaitMs, never, pollRetryMs, pollSlackMs, pollWaitMs, retriedPollSlackMs,
 } from './timing.js';
@@ -146,13 +148,6 @@
 	return worker.isPolledByLeader && worker.failedPolls === 0 && !isAcknowledgementDue(worker);
 }
 
-/** Polls immediately, even while another poll waits for a run to end. */
-export function sendExtraPoll(state: SchedulerState, worker: Worker): void {
-	addEffect(state, {
-		type: 'worker/poll', worker: getTarget(worker), token: state.leadership.token, acknowledgedEnd: 0, untilMs: undefined, waitMs: 0, slackMs: pollSlackMs, isExtra: true,
-	});
-}
-
 /** Handles the answer to a poll. */
 export function handlePoll(state: SchedulerState, event: PollEnded): void {
 	const worker = state.workers.get(event.workerId);
@@ -180,6 +175,7 @@
 		noteDecision(state, 'worker-regained', {workerId: worker.id, misses: worker.failedPolls});
 	}
 
+	rejectBirth(state, worker, event.sentAt);
 	skipSilence(state, worker);
 	worker.failedPolls = 0;
 	worker.lastAnswerAt = state.now;
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -4,6 +4,7 @@
 import {noteWorkerLost} from './crashes.js';
 import {getLeaseEnd} from './incarnations.js';
 import {addEffect, noteDecision} from './logging.js';
+import {isBirthCertain, takeCertainEntry} from './reported-births.js';
 import {noResources} from './resources.js';
 import {
 	getNeed, getTarget, isOverloaded, requestStop, returnExcessTasks, returnTask, type ReturnReason,
@@ -37,6 +38,8 @@
 		leavesAt: undefined,
 		isListed: false,
 		unlistAt: undefined,
+		reportedBirth: undefined,
+		rejectedBornAt: 0,
 		isPolledByLeader: false,
 		clock: undefined,
 		leaseExpiresAt: state.leadership.earlierLeasesUntil,
@@ -99,6 +102,11 @@
 function updateWorker(state: SchedulerState, entry: WorkerEntry): void {
 	const worker = ensureWorker(state, entry.id, entry.bornAt);
 	if (worker.bornAt < entry.bornAt) {
+		if (!isBirthCertain(state, worker, entry)) {
+			worker.unlistAt = undefined;
+			return;
+		}
+
 		restartWorker(state, worker, entry.bornAt);
 	} else if (worker.bornAt > entry.bornAt || (entry.sequence ?? worker.sequence) < worker.sequence) {
 		// A reload of the registry may be older than what was read before. It still shows that the registry has the worker.
@@ -161,6 +169,9 @@
 	worker.pausedUntil = 0;
 	worker.quarantinedUntil = 0;
 	worker.failures.length = 0;
+	worker.rejectedBornAt = 0;
+	const {reportedBirth} = worker;
+	worker.reportedBirth = undefined;
 	for (const late of worker.lateStarts) {
 		late.stopDueAt = state.now;
 		late.isRuledOut = false;
@@ -169,6 +180,10 @@
 	for (const task of unreported) {
 		requestStop(state, task);
 	}
+
+	if (reportedBirth?.entry.bornAt === bornAt) {
+		updateWorker(state, reportedBirth.entry);
+	}
 }
 
 /** A new incarnation may be of another kind: until the registry lists it, nothing is known of it that tasks are placed by. */
@@ -251,9 +266,14 @@
 	worker.isPolledByLeader = false;
 }
 
-/** Unlists workers that have been missing from the registry for long enough. */
+/** Unlists workers that have been missing from the registry for long enough, and follows up restarts that only the registry has told. */
 export function tickRegistry(state: SchedulerState): void {
 	for (const worker of state.workers.values()) {
+		const entry = takeCertainEntry(state, worker);
+		if (entry) {
+			restartWorker(state, worker, entry.bornAt);
+		}
+
 		if (worker.isListed && worker.unlistAt !== undefined && state.now >= worker.unlistAt) {
 			worker.isListed = false;
 			worker.unlistAt = undefined;
--- a/packages/core/src/scheduler/tasks.ts
+++ b/packages/core/src/scheduler/tasks.ts
@@ -50,6 +50,17 @@
 	worker.longRunningTasks += task.step.definition.isLongRunning ? sign : 0;
 }
 
+/** True if a run whose start was sent may still be active at the worker. */
+export function hasSentTasks(worker: Worker): boolean {
+	for (const task of worker.tasks.values()) {
+		if (task.isSent) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
 /** True if all steps that a step depends on are done. */
 export function isStepReady(step: StepRun): boolean {
 	return step.definition.dependsOn.every(number => {
--- a/packages/core/src/scheduler/trial-polls.ts
+++ b/packages/core/src/scheduler/trial-polls.ts
@@ -1,5 +1,5 @@
 /** Asks a worker for its runs as soon as a trial there may be over, so that the next suspect can start. */
-import {sendExtraPoll} from './polls.js';
+import {sendExtraPoll} from './extra-polls.js';
 import {hasBegunLately} from './trials.js';
 import type {SchedulerState, Worker} from './state.js';
 
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -3,6 +3,7 @@
 import type {Instant} from '../types/time.js';
 import type {AccountCharge} from './account-use.js';
 import type {OccurrenceSet} from './occurrence-ranges.js';
+import type {ReportedBirth} from './reported-births.js';
 import type {
 	JobDefinition, JobPhase, JobProgress, MachineId, PoolName, Resources, StepDefinition, SteadyMs, TaskCrash, TaskName, WorkerId,
 } from './types.js';
@@ -168,6 +169,10 @@
 	isListed: boolean;
 	/** Set while the registry lacks the worker; at this instant it becomes unlisted. */
 	unlistAt: SteadyMs | undefined;
+	/** A later birth that the registry has told and the worker has not confirmed; it gets no new tasks meanwhile. */
+	reportedBirth: ReportedBirth | undefined;
+	/** The latest reported birth that an answer of the worker has shown to be wrong; 0 for none. */
+	rejectedBornAt: number;
 	/**
 	 * The worker has answered a poll of this leader: it rejects the tokens of earlier leaders, and its runs and run ends were read.
 	 * Reset when another poll has to confirm that.
