The end as done of a run that was given up ends its task

Cause: a start that is carried out late begins a run that the leader has given up. Its end as done was dropped, as it was not that of the latest run, and its number was acknowledged; the task started again.

Change: such an end of a task of an open job that is neither a member of a gang nor long-running ends the task; a later run, if there is one, is stopped when the next list shows it. Log line earlier-run-done.

--- a/packages/core/src/scheduler/occurrences.ts
+++ b/packages/core/src/scheduler/occurrences.ts
@@ -3,6 +3,7 @@
  * those of a large job are built, in the order of their indexes, only when they are about to be placed. Many large jobs may
  * wait that together have more tasks than a host has memory for.
  */
+import type {JobId} from '../types/ids.js';
 import {never} from './timing.js';
 import type {TaskName} from './types.js';
 import type {
@@ -69,6 +70,12 @@
 	return step.tasks[index];
 }
 
+/** The task of a name; undefined if its job is not active, or it has not been built. */
+export function findTask({jobs}: SchedulerState, name: TaskName): Task | undefined {
+	const [jobId, occurrence, step, index] = name.split('.');
+	return jobs.get(jobId as JobId)?.live?.occurrences.get(Number(occurrence))?.steps[Number(step)]?.tasks[Number(index)];
+}
+
 /** Up to `most` waiting tasks of a step, in the order of their indexes. */
 export function listWaitingTasks(step: StepRun, most: number): Task[] {
 	const waiting = step.tasks.filter(({status}) => status === 'waiting').slice(0, most);
--- a/packages/core/src/scheduler/reports.ts
+++ b/packages/core/src/scheduler/reports.ts
@@ -3,6 +3,8 @@
 import {noteAtWork, noteFailure, noteSuccess} from './health.js';
 import {advanceOccurrence, finishJob} from './jobs.js';
 import {addEffect, noteDecision} from './logging.js';
+import {findTask} from './occurrences.js';
+import {isJobOpen} from './phases.js';
 import {getMaxAttempts} from './queues.js';
 import {
 	confirmTask, finishTask, getTarget, noteFailedOn, requestStop, returnTask, stopGang,
@@ -95,6 +97,7 @@
 
 	const task = worker.tasks.get(row.task);
 	if (task?.run !== row.run || !task.isSent) {
+		readEarlierEnd(state, worker, row);
 		return;
 	}
 
@@ -122,6 +125,24 @@
 	}
 }
 
+/** An end as done counts also if its run was given up before: a start that was carried out late may have begun it. A later run is stopped once a list shows it. */
+function readEarlierEnd(state: SchedulerState, worker: Worker, row: EndedRow): void {
+	const task = row.how === 'done' ? findTask(state, row.task) : undefined;
+	if (!task || task.status === 'done' || row.run > task.run || !isJobOpen(task.step.occurrence.job)) {
+		return;
+	}
+
+	const {isGang, isLongRunning} = task.step.definition;
+	if (isGang || isLongRunning) {
+		return;
+	}
+
+	noteDecision(state, 'earlier-run-done', {
+		task: task.name, run: row.run, latestRun: task.run, workerId: worker.id,
+	});
+	endHandlers.done(state, worker, task);
+}
+
 /** How long a run that has just ended was at work; undefined if its start or its end is not known well enough. */
 function measureRun({now}: SchedulerState, {silentMs}: Worker, {startedAt, isStartKnown, unansweredAt}: Task): number | undefined {
 	const ranMs = now - startedAt;
