A task starts nowhere else while an earlier start of it may still be carried out

Cause: a start without an answer may be carried out seconds later, also by the worker's next process. A stop that one process has confirmed rules the run out at that process only; the task was freed for all workers all the same. A start that was on its way when the restart was told was forgotten altogether, and so was every one with a change of the lead.

Change (late-starts.ts): - the start is sent again to the same worker, up to three times, as the same run: a worker that has begun it answers as for the first one. Refusals of a later attempt do not free the task, the run is stopped first; - while a call may still be carried out (15 s), the task may start only at the same worker, and only once its present process cannot begin the earlier run; - starts on their way count from the news of a restart on; a call that was answered, or whose run was listed, is carried out once and binds no more; - a task that is bound is stored as placed at its worker, and a new leader binds stored placements that the worker's first list does not show; - crashes of a worker to which a task was bound tell only slightly against it.

Left: a task that has ended as done, or whose worker was lost with its lease, may still see its late start at a process that restarts within these 15 s.

--- a/packages/core/src/scheduler/crashes.ts
+++ b/packages/core/src/scheduler/crashes.ts
@@ -68,7 +68,8 @@
 	const isCommon = hasCommonCause(state, worker);
 	const isPlain = !isCommon && recent.length === 1 && isPlainlyToBlame(state, worker, recent[0]!);
 	for (const task of lost) {
-		const isRecent = !isCommon && recent.includes(task);
+		// A task that a late start bound to its worker could start nowhere else, however often that worker crashes.
+		const isRecent = !isCommon && recent.includes(task) && !task.wasBound;
 		if (isJobOpen(task.step.occurrence.job) && worker.lastAnswerAt - task.startedAt < clearedAfterMs) {
 			addCrash(state, task, worker, {isConfirmed, blame: isRecent ? (isPlain ? 'sole' : 'shared') : 'slight'});
 		}
--- a/packages/core/src/scheduler/job-progress.ts
+++ b/packages/core/src/scheduler/job-progress.ts
@@ -1,6 +1,7 @@
 /** The progress of a job as the leader stores it: one record, or one and further ones with parts of the rows. */
 import type {JobId} from '../types/ids.js';
 import type {Instant} from '../types/time.js';
+import {findBindingWorker} from './late-starts.js';
 import {noteWarning} from './logging.js';
 import {isFinal} from './phases.js';
 import {
@@ -37,7 +38,7 @@
 	}
 
 	const isInOneRecord = live.rowsPerPart === undefined;
-	const rows = isInOneRecord ? listRows(live, listTasks(live)) : [];
+	const rows = isInOneRecord ? listRows(state, live, listTasks(live)) : [];
 	const hasParts = !isInOneRecord || live.finishedOccurrences.size > maxListedOccurrences || !doRowsFit(rows, state.settings.maxRecordBytes);
 	const isWhole = isInOneRecord || isFinal(live.phase);
 	live.rowsPerPart = hasParts ? live.rowsPerPart ?? computeRowsPerPart(state.settings) : undefined;
@@ -48,7 +49,7 @@
 		finishedAt: live.finishedAt,
 		...(hasParts && {rowsPerPart: live.rowsPerPart}),
 	};
-	const changed = listChangedParts(live, stored, isWhole);
+	const changed = listChangedParts(state, live, {stored, isWhole});
 	live.changedTasks.clear();
 	return createStoredProgress(state, job, progress, changed);
 }
@@ -73,7 +74,7 @@
 }
 
 /** `isWhole`: all parts are listed, whether they have changed or not. */
-function listChangedParts(live: LiveJob, stored: ReadonlySet<PartName>, isWhole: boolean): ChangedParts {
+function listChangedParts(state: SchedulerState, live: LiveJob, {stored, isWhole}: {readonly stored: ReadonlySet<PartName>; readonly isWhole: boolean}): ChangedParts {
 	const changed = listEmptyParts(isWhole ? stored : []);
 	const {rowsPerPart} = live;
 	if (rowsPerPart === undefined) {
@@ -81,7 +82,7 @@
 	}
 
 	for (const [part, position] of findParts(isWhole ? listTasks(live) : live.changedTasks, rowsPerPart)) {
-		const rows = listRowsOfPart(live, position, rowsPerPart);
+		const rows = listRowsOfPart(state, live, {position, rowsPerPart});
 		if (rows.length > 0 || stored.has(part)) {
 			changed.set(part, rows);
 		}
@@ -95,9 +96,9 @@
 }
 
 /** None if the occurrence has ended. */
-function listRowsOfPart(live: LiveJob, position: PartPosition, rowsPerPart: number): ProgressRow[] {
+function listRowsOfPart(state: SchedulerState, live: LiveJob, {position, rowsPerPart}: {readonly position: PartPosition; readonly rowsPerPart: number}): ProgressRow[] {
 	const {occurrence} = position;
-	return live.occurrences.get(occurrence.number) === occurrence ? listRows(live, listTasksOfPart(position, rowsPerPart)) : [];
+	return live.occurrences.get(occurrence.number) === occurrence ? listRows(state, live, listTasksOfPart(position, rowsPerPart)) : [];
 }
 
 function * listTasks({occurrences}: LiveJob): Iterable<Task> {
@@ -113,28 +114,30 @@
 	return isFinal(phase) ? worker !== undefined : run > 0 || status === 'done';
 }
 
-function listRows(live: LiveJob, tasks: Iterable<Task>): ProgressRow[] {
+function listRows(state: SchedulerState, live: LiveJob, tasks: Iterable<Task>): ProgressRow[] {
 	const rows: ProgressRow[] = [];
 	for (const task of tasks) {
 		if (hasRow(live, task)) {
-			rows.push(createRow(task));
+			rows.push(createRow(state, task));
 		}
 	}
 
 	return rows;
 }
 
-function createRow(task: Task): ProgressRow {
+/** A waiting task that is bound to a worker by a late start is stored as placed there: a new leader asks that worker first. */
+function createRow(state: SchedulerState, task: Task): ProgressRow {
 	const {step} = task;
+	const worker = task.worker ?? (task.status === 'waiting' ? findBindingWorker(state, task) : undefined);
 	return {
 		occurrence: step.occurrence.number,
 		step: step.number,
 		index: task.index,
-		status: task.worker ? 'placed' : (task.status === 'done' ? 'done' : 'waiting'),
+		status: worker ? 'placed' : (task.status === 'done' ? 'done' : 'waiting'),
 		run: task.run,
 		failures: task.failures,
-		workerId: task.worker?.id ?? '',
-		workerBornAt: task.worker?.bornAt ?? 0,
+		workerId: worker?.id ?? '',
+		workerBornAt: worker?.bornAt ?? 0,
 		checkpoint: task.status === 'done' ? '' : task.checkpoint,
 		...(task.crashes.length > 0 && task.status !== 'done' && {crashes: task.crashes}),
 	};
--- a/packages/core/src/scheduler/machine-state.ts
+++ b/packages/core/src/scheduler/machine-state.ts
@@ -45,7 +45,7 @@
 };
 
 /** What keeps a worker from taking a task. `ticket`: the advice service gave it none; `advice`: the service has not answered for it yet; `trial`: a task that may crash its worker starts apart from others. */
-export type PlacementLimit = 'room' | 'spread' | 'suspect' | 'rack' | 'ticket' | 'advice' | 'trial';
+export type PlacementLimit = 'room' | 'spread' | 'suspect' | 'rack' | 'ticket' | 'advice' | 'trial' | 'late-start';
 
 /** How many workers each limit kept from taking a task. */
 export type RefusedWorkers = Partial<Record<PlacementLimit, number>>;
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -6,6 +6,7 @@
 	addStepWork, addWaitingWork, clearWaiting, getDemand, noteUsableWorkers,
 } from './demand.js';
 import {isQuarantined, isProbeDue} from './health.js';
+import {isBoundByLateStart} from './late-starts.js';
 import {buildTask, countUnbuilt} from './occurrences.js';
 import {getPoolOfJob, hasAccounts} from './queues.js';
 import {clearQuotas, countAdmitted, noteHeldBack} from './quotas.js';
@@ -178,8 +179,8 @@
 			break;
 		}
 
-		const isTrial = isTrialNeeded(state, task);
-		if (isFull && !isTrial) {
+		const isLimited = isTrialNeeded(state, task) || isBoundByLateStart(state, task);
+		if (isFull && !isLimited) {
 			continue;
 		}
 
@@ -193,9 +194,9 @@
 		}
 
 		refused = choice.refused;
-		hasRefused ||= !isTrial;
-		// Apart from suspects, the tasks of a step differ only in how long they have waited for their rack.
-		isFull ||= !isTrial && refused.rack === undefined;
+		hasRefused ||= !isLimited;
+		// Apart from suspects and those bound to a worker, the tasks of a step differ only in how long they have waited for their rack.
+		isFull ||= !isLimited && refused.rack === undefined;
 	}
 
 	return {placed, refused};
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -13,7 +13,9 @@
 	lateStartMs, never, registryGraceMs, stopRetryMs,
 } from './timing.js';
 import type {SteadyMs, WorkerEntry, WorkerId} from './types.js';
-import type {SchedulerState, Task, Worker} from './state.js';
+import type {
+	LateStart, SchedulerState, Task, Worker,
+} from './state.js';
 
 /** Returns a known worker, or adds one with empty attributes; `updateWorkers` fills them in if the registry lists it. */
 export function ensureWorker(state: SchedulerState, id: WorkerId, bornAt: number): Worker {
@@ -172,8 +174,13 @@
 	worker.rejectedBornAt = 0;
 	const {reportedBirth} = worker;
 	worker.reportedBirth = undefined;
+	for (const task of unreported) {
+		noteLateStart(state, worker, task);
+	}
+
 	for (const late of worker.lateStarts) {
-		late.stopDueAt = state.now;
+		// The others are stopped below.
+		late.stopDueAt = worker.tasks.get(late.task)?.run === late.run ? never : state.now;
 		late.isRuledOut = false;
 	}
 
@@ -229,13 +236,15 @@
 		return;
 	}
 
-	worker.lateStarts.push({
-		task: task.name, run: task.run, need: getNeed(task), forgetAt: state.now + lateStartMs, stopDueAt: never, charge: getCharge(task),
-	});
+	const late: LateStart = {
+		task: task.name, run: task.run, need: getNeed(task), openCalls: 1, forgetAt: state.now + lateStartMs, stopDueAt: never, charge: getCharge(task),
+	};
+	worker.lateStarts.push(late);
+	task.lateStarts = [...task.lateStarts.filter(({late: {forgetAt}}) => forgetAt > state.now), {worker, late}];
 	noteUncertainWorker(state, worker);
 }
 
-/** Sends stops for late starts to the worker's new incarnation until it has confirmed them. */
+/** Sends stops for late starts whose task is not assigned to the worker any more until it has confirmed them. */
 export function tickLateStarts(state: SchedulerState, worker: Worker): void {
 	if (worker.lateStarts.length === 0) {
 		return;
@@ -245,7 +254,7 @@
 	state.needsPlacement ||= lateStarts.length < worker.lateStarts.length;
 	worker.lateStarts = lateStarts;
 	for (const late of worker.lateStarts) {
-		if (late.stopDueAt <= state.now && worker.address !== '') {
+		if (late.stopDueAt <= state.now && worker.isListed && worker.address !== '') {
 			late.stopDueAt = state.now + stopRetryMs;
 			addEffect(state, {
 				type: 'worker/stop', worker: getTarget(worker), task: late.task, run: late.run, token: state.leadership.token,
--- a/packages/core/src/scheduler/reports.ts
+++ b/packages/core/src/scheduler/reports.ts
@@ -1,11 +1,13 @@
 /** Reads what workers report of their runs: which ended and how, which go on, and which are gone. */
 import {noteUncertainWorker} from './account-use.js';
+import {queueStart} from './call-window.js';
 import {noteAtWork, noteFailure, noteSuccess} from './health.js';
 import {advanceOccurrence, finishJob} from './jobs.js';
 import {addEffect, noteDecision} from './logging.js';
 import {findTask} from './occurrences.js';
 import {isJobOpen} from './phases.js';
 import {getMaxAttempts} from './queues.js';
+import {noteLateStart} from './registry.js';
 import {
 	confirmTask, finishTask, getTarget, noteFailedOn, requestStop, returnTask, stopGang,
 } from './tasks.js';
@@ -21,6 +23,8 @@
 	SchedulerState, StepRun, Task, Worker,
 } from './state.js';
 
+/** A start that stays without an answer is sent so often; then the run is stopped. */
+const maxStartAttempts = 3;
 /** Workers list at most this many run ends per answer; a list of this length may be incomplete. */
 const maxListedEnds = 500;
 
@@ -193,13 +197,18 @@
 		}
 
 		if (task.conclusiveAfter < sentAt) {
+			noteUnansweredBefore(state, worker, task);
 			noteDecision(state, 'run-absent', {task: task.name, run: task.run, workerId: worker.id});
 			returnTask(state, task, 'run-absent');
 			steps.add(task.step);
 		} else if (task.status === 'placed' && task.unansweredAt <= sentAt) {
 			// The start has not been carried out, but still may be.
-			requestStop(state, task);
-			steps.add(task.step);
+			if (task.startAttempts < maxStartAttempts) {
+				retryStart(state, task);
+			} else {
+				requestStop(state, task);
+				steps.add(task.step);
+			}
 		}
 	}
 
@@ -208,6 +217,20 @@
 	}
 }
 
+/** Whether a former leader's start of a restored task was answered is not stored. */
+function noteUnansweredBefore(state: SchedulerState, worker: Worker, task: Task): void {
+	if (!task.isStartKnown && !task.isReported && isJobOpen(task.step.occurrence.job)) {
+		noteLateStart(state, worker, task);
+	}
+}
+
+/** Has a start sent again: a worker that has begun the run answers as for the first one. */
+function retryStart(state: SchedulerState, task: Task): void {
+	task.isRepeatDue = true;
+	task.unansweredAt = never;
+	queueStart(state, task, task.run);
+}
+
 function stopUnknownRun(state: SchedulerState, worker: Worker, row: RunningRow): void {
 	worker.unknownRuns.set(row.task, {run: row.run, reportedAt: state.now});
 	noteUncertainWorker(state, worker);
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -4,6 +4,7 @@
 import {dropTicket, findTicket, getTicketState} from './advice.js';
 import {isConfirmedWithin} from './confirmation.js';
 import {findAnsweringIncarnation} from './incarnations.js';
+import {canStillBegin, noteAnsweredStart, noteRepeatedStart} from './late-starts.js';
 import {extendLease} from './leases.js';
 import {sendExtraPoll} from './extra-polls.js';
 import {noteNextIncarnation} from './polls.js';
@@ -18,14 +19,16 @@
 } from './call-window.js';
 import {hasAccounts} from './queues.js';
 import {
-	confirmTask, getTarget, isOverloaded, noteFailedOn, requestStop, returnTask, returnWithGang, stopGang,
+	confirmTask, getTarget, isOverloaded, noteFailedOn, requestStop, returnTask, returnWithGang, stopGang, type ReturnReason,
 } from './tasks.js';
 import {
 	never, startReportMs, stopRetryMs, unconfirmedLimitMs,
 } from './timing.js';
 import {compareClass, compareUrgency, computeUrgency} from './urgency.js';
 import type {SchedulerEvent, StartOutcome} from './events.js';
-import type {SchedulerState, Task, Worker} from './state.js';
+import type {
+	SchedulerState, StepRun, Task, Worker,
+} from './state.js';
 
 type StartEnded = Extract<SchedulerEvent, {type: 'start/ended'}>;
 type StopEnded = Extract<SchedulerEvent, {type: 'stop/ended'}>;
@@ -100,23 +103,25 @@
 /** Sends a start, unless its placement is no longer valid; returns whether it was sent. */
 function sendStart(state: SchedulerState, task: Task, run: number): boolean {
 	const {worker} = task;
-	if (!worker || task.run !== run || task.status !== 'placed' || task.isSent) {
-		return false;
-	}
-
-	if (!canStillStart(state, task, worker)) {
-		returnWithGang(state, task);
+	if (!worker || task.run !== run || task.status !== 'placed' || task.isSent !== task.isRepeatDue) {
 		return false;
 	}
 
 	// A start renews the worker's lease, which a leader may only do as long as its successor would wait for.
-	const untilMs = isConfirmedWithin(state, unconfirmedLimitMs) ? extendLease(state, worker) : undefined;
+	const untilMs = canStillStart(state, task, worker) && isConfirmedWithin(state, unconfirmedLimitMs) ? extendLease(state, worker) : undefined;
 	if (untilMs === undefined) {
-		returnWithGang(state, task);
+		returnUnsent(state, worker, task);
 		return false;
 	}
 
+	if (task.isRepeatDue) {
+		noteRepeatedStart(worker, task);
+	}
+
 	task.isSent = true;
+	task.isRepeatDue = false;
+	task.startAttempts++;
+	task.conclusiveAfter = never;
 	task.sentAt = state.now;
 	state.startedWorkers.add(worker.id);
 	task.startedAt = state.now;
@@ -136,16 +141,36 @@
 	return true;
 }
 
-/** True if what the placement was decided by still holds: the job, the worker, its capacity, the account's cap or the ticket may have changed while the placement was being stored. */
-function canStillStart(state: SchedulerState, {step}: Task, worker: Worker): boolean {
-	const isAllowed = isUsable(state, worker) || (step.definition.isLongRunning && isUsableOrSetAside(state, worker));
+/** True if a start may be sent: the job, the worker, its capacity, the account's cap or the ticket may have changed while the placement was being stored, or since the first attempt. */
+function canStillStart(state: SchedulerState, task: Task, worker: Worker): boolean {
+	const {step} = task;
+	const isAllowed = task.isRepeatDue ? isRepeatable(worker) : isUsableFor(state, step, worker);
 	return isJobOpen(step.occurrence.job) && isAllowed && !isOverloaded(worker) && isWithinQuota(state, step) && getTicketState(state, step, worker) === 'good';
 }
 
+function isUsableFor(state: SchedulerState, {definition}: StepRun, worker: Worker): boolean {
+	return isUsable(state, worker) || (definition.isLongRunning && isUsableOrSetAside(state, worker));
+}
+
+/** True if a worker that may have carried a start out already may be sent it again. */
+function isRepeatable(worker: Worker): boolean {
+	return worker.isPolledByLeader && worker.failedPolls === 0 && !worker.isDraining && worker.reportedBirth === undefined;
+}
+
+/** Returns a task whose start was not sent, or was refused. If an earlier attempt may still be carried out, the run is stopped first. */
+function returnUnsent(state: SchedulerState, worker: Worker, task: Task, reason: ReturnReason = 'not-started'): void {
+	if (canStillBegin(worker, task)) {
+		requestStop(state, task);
+		stopGang(state, task.step);
+	} else {
+		returnWithGang(state, task, reason);
+	}
+}
+
 type StartHandler = (state: SchedulerState, worker: Worker, task: Task) => void;
 
-function returnRefused(state: SchedulerState, _worker: Worker, task: Task): void {
-	returnWithGang(state, task, 'start-refused');
+function returnRefused(state: SchedulerState, worker: Worker, task: Task): void {
+	returnUnsent(state, worker, task, 'start-refused');
 }
 
 const startHandlers: Readonly<Record<StartOutcome, StartHandler>> = {
@@ -159,20 +184,20 @@
 	'stale-run': returnRefused,
 	late: returnRefused,
 	'no-room'(state, worker, task) {
-		returnWithGang(state, task, 'start-refused');
+		returnRefused(state, worker, task);
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + refusalPauseMs);
 	},
 	'no-ticket'(state, worker, task) {
 		dropTicket(state, task.step, worker);
-		returnWithGang(state, task, 'start-refused');
+		returnRefused(state, worker, task);
 	},
 	invalid(state, worker, task) {
 		noteFailedOn(task, worker);
-		returnWithGang(state, task, 'start-refused');
+		returnRefused(state, worker, task);
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + refusalPauseMs);
 	},
 	unhealthy(state, worker, task) {
-		returnWithGang(state, task, 'start-refused');
+		returnRefused(state, worker, task);
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + unhealthyPauseMs);
 	},
 	'other-life'(state, worker, task) {
@@ -181,7 +206,7 @@
 		stopGang(state, task.step);
 	},
 	'not-sent'(state, worker, task) {
-		returnWithGang(state, task, 'start-refused');
+		returnRefused(state, worker, task);
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + unhealthyPauseMs);
 	},
 	unknown(state, worker, task) {
@@ -201,6 +226,10 @@
 	closeStart(state, event.task, event.run, event.outcome !== 'unknown');
 	const worker = state.workers.get(event.workerId);
 	const task = worker?.tasks.get(event.task);
+	if (worker && event.outcome !== 'unknown') {
+		noteAnsweredStart(state, worker, event);
+	}
+
 	if (worker?.bornAt !== event.bornAt || task?.run !== event.run) {
 		return;
 	}
--- a/packages/core/src/scheduler/tasks.ts
+++ b/packages/core/src/scheduler/tasks.ts
@@ -1,5 +1,6 @@
 /** Changes of a task's status. They also keep the open steps, the workers' used capacity and the jobs to be stored up to date. */
 import {updateAssignedUse} from './account-use.js';
+import {isBoundByLateStart, resolveLateStart} from './late-starts.js';
 import {addEffect, noteDecision} from './logging.js';
 import {ensureTask, hasWaitingTasks} from './occurrences.js';
 import {isJobOpen} from './phases.js';
@@ -92,14 +93,6 @@
 	updateAssignedUse(state, task, 1);
 }
 
-/** A start whose run the worker has reported has been carried out. */
-function markReportedStart({lateStarts}: Worker, task: Task): void {
-	const late = task.isReported ? lateStarts.find(start => start.task === task.name && start.run === task.run) : undefined;
-	if (late) {
-		late.isRuledOut = true;
-	}
-}
-
 /** Removes a task from its worker and releases its capacity. */
 export function detachTask(state: SchedulerState, task: Task): void {
 	const {worker} = task;
@@ -110,7 +103,7 @@
 	worker.tasks.delete(task.name);
 	addUse(worker, task, -1);
 	updateAssignedUse(state, task, -1);
-	markReportedStart(worker, task);
+	resolveLateStart(state, worker, task);
 	task.worker = undefined;
 	task.step.occurrence.assignedTasks--;
 	if (worker.tasks.size === 0) {
@@ -138,6 +131,9 @@
 	task.run = run;
 	task.isSent = false;
 	task.isReported = false;
+	task.wasBound = isBoundByLateStart(state, task);
+	task.startAttempts = 0;
+	task.isRepeatDue = false;
 	task.unansweredAt = never;
 	task.conclusiveAfter = never;
 	task.percent = 0;
@@ -231,6 +227,7 @@
 	}
 
 	task.status = 'stopping';
+	task.isRepeatDue = false;
 	task.conclusiveAfter = never;
 	task.stopDueAt = state.now + stopRetryMs;
 	addEffect(state, {
--- a/packages/core/src/scheduler/testing/restart-storm.ts
+++ b/packages/core/src/scheduler/testing/restart-storm.ts
@@ -11,10 +11,11 @@
 const longMs = 12_000;
 const longEvery = 4;
 const maxCrashes = 3;
+const endedPhases: ReadonlySet<string | undefined> = new Set(['completed', 'failed']);
 /** Intervals of the workers' reports to the registry, by seed. */
 const reportMs = [0, 300, 1500] as const;
 
-/** Violated invariants, and jobs that are not shown as completed at the end. */
+/** Violated invariants, and jobs that have not ended at the end. Some are given up, as their tasks lose one worker after the other. */
 export type StormResult = {readonly violations: readonly string[]; readonly unfinished: readonly number[]; readonly events: readonly string[]};
 
 /** Runs the model; the seed also determines which faults come beside the restarts. */
@@ -38,7 +39,7 @@
 
 	fleet.faults = noFaults;
 	fleet.run(settleMs);
-	const unfinished = Array.from({length: jobs}, (_, index) => index + 1).filter(number => fleet.getPhase(createJob(number, []).jobId) !== 'completed');
+	const unfinished = Array.from({length: jobs}, (_, index) => index + 1).filter(number => !endedPhases.has(fleet.getPhase(createJob(number, []).jobId)));
 	return {violations: fleet.violations, unfinished, events: fleet.events};
 }
 
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -27,6 +27,13 @@
 	isReported: boolean;
 	/** When the start of the latest run was sent by this leader. */
 	sentAt: SteadyMs;
+	/** An earlier start that might still be carried out kept the latest run from being placed on any other worker. */
+	wasBound: boolean;
+	/** How often the start of the latest run was sent, and whether it is to be sent again. */
+	startAttempts: number;
+	isRepeatDue: boolean;
+	/** Starts without an answer, and the workers that may still carry them out; also some for which it is too late by now. */
+	lateStarts: ReadonlyArray<{readonly worker: Worker; readonly late: LateStart}>;
 	/** When the answer to its start was found to be lost; `never` while none was. */
 	unansweredAt: SteadyMs;
 	/** A poll sent after this instant is conclusive: if it does not list the run, the run is gone. */
@@ -138,8 +145,10 @@
 	readonly task: TaskName;
 	readonly run: number;
 	readonly need: Resources;
-	readonly forgetAt: SteadyMs;
-	/** When a stop is sent to the worker's new incarnation; `never` as long as there is none, and once it has confirmed the stop. */
+	/** Calls that may still be carried out: the start may have been sent again. */
+	openCalls: number;
+	forgetAt: SteadyMs;
+	/** When a stop is sent; `never` as long as the task itself is assigned to the worker, and once the worker has confirmed the stop. */
 	stopDueAt: SteadyMs;
 	/** What the run would count against the account of its job. */
 	readonly charge?: AccountCharge | undefined;
--- a/packages/core/src/scheduler/worker-choice.ts
+++ b/packages/core/src/scheduler/worker-choice.ts
@@ -1,6 +1,7 @@
 /** Chooses the worker for a task: which may take it, and which of them is best. */
 import {getTicketState, requestAdvice} from './advice.js';
 import {countProbeRunsLeft, isSuspect} from './health.js';
+import {canStartBesideLate} from './late-starts.js';
 import {addResources, doesFit} from './resources.js';
 import {getFree, getNeed, getStepNeed} from './tasks.js';
 import {canJoin} from './trials.js';
@@ -106,6 +107,10 @@
 /** The first limit, other than tickets, that keeps a worker from taking a task. */
 function findLimit(state: SchedulerState, task: Task, {worker, capacity, rack}: Candidate): PlacementLimit | undefined {
 	const {definition} = task.step;
+	if (!canStartBesideLate(state, task, worker)) {
+		return 'late-start';
+	}
+
 	if (!doesFit(getStepNeed(definition), capacity.free)) {
 		return 'room';
 	}
