--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -169,11 +169,32 @@
 	return Math.ceil(computeDominantShare(needed, machine) / usableShare);
 }
 
-function computeNeed(state: SchedulerState, pool: PoolName): Resources {
+type NeedPart = 'forArrivals' | 'forWaiting' | 'forLongRunning';
+
+/** What the need of a pool consists of, apart from the expected rise of its rate. */
+function listNeeds(state: SchedulerState, pool: PoolName): Record<NeedPart, Resources> {
 	const {rate, waitingWork, waitingLongRunning} = getDemand(state, pool);
-	let needed = addResources(sumLongRunning(state, pool), waitingLongRunning);
-	needed = addResources(needed, rate, headroom);
-	return addResources(needed, waitingWork, 1 / backlogClearMs);
+	return {
+		forArrivals: computeMultiple(rate, headroom),
+		forWaiting: computeMultiple(waitingWork, 1 / backlogClearMs),
+		forLongRunning: addResources(sumLongRunning(state, pool), waitingLongRunning),
+	};
+}
+
+function computeNeed(state: SchedulerState, pool: PoolName): Resources {
+	const {forArrivals, forWaiting, forLongRunning} = listNeeds(state, pool);
+	return addResources(addResources(forLongRunning, forArrivals), forWaiting);
+}
+
+/** For the log: machines that each part of a pool's need would take by itself. */
+export function describeNeed(state: SchedulerState, pool: PoolName, machine: Resources): Record<NeedPart | 'forRise', number> {
+	const {forArrivals, forWaiting, forLongRunning} = listNeeds(state, pool);
+	return {
+		forArrivals: countMachines(forArrivals, machine),
+		forRise: countMachines(computeExpectedRise(getDemand(state, pool)), machine),
+		forWaiting: countMachines(forWaiting, machine),
+		forLongRunning: countMachines(forLongRunning, machine),
+	};
 }
 
 /** The expected rise of the rate until machines that are requested now have joined. */
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -1,6 +1,6 @@
 /** Moves machines between pools according to demand: pools that lack machines get spare ones first, and idle ones go back to the spare pool. */
 import {isConfirmedWithin} from './confirmation.js';
-import {getDemand, updateDemand} from './demand.js';
+import {describeNeed, getDemand, updateDemand} from './demand.js';
 import {isQuarantined} from './health.js';
 import {noteDecision} from './logging.js';
 import {canOrder, canTakeOrder, orderMove} from './machine-orders.js';
@@ -8,7 +8,7 @@
 	computeOfferedShare, findWorker, getWorkerOf, hasNoWorker, isBusy,
 } from './machine-workers.js';
 import {noResources} from './resources.js';
-import type {PoolName} from './types.js';
+import type {PoolName, Resources} from './types.js';
 import type {Machine, SchedulerState} from './state.js';
 
 const moveIntervalMs = 150;
@@ -104,10 +104,20 @@
 	surplus: number;
 };
 
+/** The capacity of the largest machine. */
+function findMachineSize({machines}: SchedulerState): Resources {
+	let size = noResources;
+	for (const {entry: {capacity}} of machines.values()) {
+		size = capacity.cpu > size.cpu ? capacity : size;
+	}
+
+	return size;
+}
+
 function updateBalances(state: SchedulerState, spare: PoolName): PoolBalance[] {
 	const present = new Map<PoolName, number>();
 	const incoming = new Map<PoolName, number>();
-	let size = noResources;
+	const size = findMachineSize(state);
 	for (const machine of state.machines.values()) {
 		const {entry, order} = machine;
 		const pool = order?.type === 'move' ? order.pool : entry.pool;
@@ -116,7 +126,6 @@
 		}
 
 		present.set(pool, (present.get(pool) ?? 0) + (isUnavailable(machine) || isUnusable(state, machine) ? 0 : computeOfferedShare(machine, getWorkerOf(state, machine))));
-		size = entry.capacity.cpu > size.cpu ? entry.capacity : size;
 	}
 
 	return (state.config?.pools ?? []).filter(pool => pool.name !== spare && !pool.isSpare).map(({name}) => {
@@ -141,16 +150,30 @@
 	}
 
 	state.shortageLoggedAt = state.now;
+	const idle = countIdle(state);
+	const idleInPools = [...idle].map(([pool, machines]) => `${pool} ${machines}`).join(', ');
 	for (const {name, missing} of pools) {
 		const {machines, waitingTasks, refused} = getDemand(state, name);
 		if (missing > 0 || waitingTasks > 0) {
 			noteDecision(state, 'pool-short', {
-				pool: name, needed: Math.ceil(machines), missing, waitingTasks, ...refused,
+				pool: name, needed: Math.ceil(machines), missing, waitingTasks, ...describeNeed(state, name, findMachineSize(state)), idleInPools, ...refused,
 			});
 		}
 	}
 }
 
+/** Machines of each pool that could be given another order and whose workers have no tasks. */
+function countIdle(state: SchedulerState): Map<PoolName, number> {
+	const idle = new Map<PoolName, number>();
+	for (const machine of state.machines.values()) {
+		if (isMovable(state, machine) && (hasNoWorker(state, machine) || isIdle(state, machine, 0))) {
+			idle.set(machine.entry.pool, (idle.get(machine.entry.pool) ?? 0) + 1);
+		}
+	}
+
+	return idle;
+}
+
 /** Zones in which at least half of the workers do not answer; machines there are not moved to other pools. */
 function listUnreachableZones(state: SchedulerState): Set<string> {
 	const listed = new Map<string, number>();
