Test of late reads: the follower computes no demand before it takes the lead

The case of a takeover passed on the code before, as the test had let the follower update its demand.

--- a/packages/core/src/scheduler/arrival-gaps.test.ts
+++ b/packages/core/src/scheduler/arrival-gaps.test.ts
@@ -50,10 +50,10 @@
 		this.host.dispatch({type: 'intake/read', records, completeAt: this.host.now});
 	}
 
-	/** Lets a follower that reads what arrives take the lead; jobs go on arriving while it does not read. */
+	/** Lets a follower that has read what arrived take the lead; jobs go on arriving while it does not read. */
 	takeLead(): void {
 		const {host} = this;
-		host.dispatch({type: 'intake/read', records: [], completeAt: host.now});
+		this.read();
 		const readAt = host.now;
 		host.takeLeadership();
 		this.unread += Math.floor((host.now - readAt) / stepMs);
@@ -101,7 +101,6 @@
 	/** Guards against a new leader that takes what it did not read as a follower for a burst. */
 	it('is about the same if a new leader reads the jobs of the last second at once', () => {
 		const load = ArrivingLoad.create();
-		load.run(settledMs, stepMs);
 		load.takeLead();
 		load.host.tick(stepMs);
 		load.read();
