Keep idle machines while the stream of jobs cannot be read

Cause: a disturbance takes the stream of jobs away and leaves the leader's ledger. When the jobs came the pool had some 15 workers that could be used, for 2.1 s.

Now no idle machine goes to the spare pool while the stream of jobs was not read to its end for 2 s, and for 4 s after; before that, time in which no read of the whole stream is known does not count as idle. On a store that is only slow machines still go. Logged: arrivals-unseen, arrivals-seen, and the usable machines in pool-short.

Tests: outage-moves.test, two new ones red before, a third guards the slow store. ModelLeader reads the stream of jobs with each tick, as a leader does; absent-reserved.test reads it too, as its host gives away no machine otherwise.

--- a/packages/core/src/scheduler/absent-reserved.test.ts
+++ b/packages/core/src/scheduler/absent-reserved.test.ts
@@ -36,6 +36,7 @@
 		handle(host.tick(3000));
 		areWorkersSilent = true;
 		for (const end = host.now + untilReservedMs; findReserved() === undefined && host.now < end;) {
+			handle(host.dispatch({type: 'intake/read', records: [], completeAt: host.now}));
 			handle(host.tick());
 		}
 
--- a/packages/core/src/scheduler/moves.ts
+++ b/packages/core/src/scheduler/moves.ts
@@ -8,6 +8,7 @@
 	computeOfferedShare, findWorker, getWorkerOf, hasNoWorker, isBusy,
 } from './machine-workers.js';
 import {noResources} from './resources.js';
+import {never} from './timing.js';
 import type {PoolName} from './types.js';
 import type {Machine, SchedulerState} from './state.js';
 
@@ -15,10 +16,12 @@
 /** A leader that is new, or that the store did not answer until now, has not seen any arrivals yet; for this long it moves no machine to the spare pool. */
 const warmUpMs = 4000;
 const shortageLogIntervalMs = 1000;
-/** A store that has confirmed no append sent within this time is away rather than slow. */
+/** A store that has confirmed no append sent within this time, or a stream of jobs not read to its end by a read sent within it, is away rather than slow. */
 const storeOutageMs = 2000;
 /** The machine of a worker without tasks for this long may go to the spare pool. */
 const idleBeforeSpareMs = 1500;
+/** For this long after a read of the whole stream of jobs, another one is on its way. */
+const intakeReadMs = 600;
 /** Machines that a pool keeps even without work. */
 const minMachines = 3;
 /** Machines beyond its present need that a pool does not give to others. */
@@ -27,8 +30,8 @@
 
 /** Orders the moves that are due. */
 export function tickMoves(state: SchedulerState): void {
-	if (!isConfirmedWithin(state, storeOutageMs)) {
-		// No job is accepted while the store does not answer: idle machines do not show that there is no load.
+	noteArrivalsSeen(state);
+	if (!state.areArrivalsSeen) {
 		state.spareNotBefore = state.now + warmUpMs;
 	}
 
@@ -59,6 +62,21 @@
 	reportMoves(state, firstOrder);
 }
 
+/**
+ * Notes and logs whether this leader can see which jobs come. While the store does not answer, or its stream of jobs alone,
+ * no job is accepted or none is read: idle machines do not show that there is no load.
+ */
+function noteArrivalsSeen(state: SchedulerState): void {
+	const intakeAgeMs = state.now - state.intakeCompleteAt;
+	const areSeen = isConfirmedWithin(state, storeOutageMs) && intakeAgeMs < storeOutageMs;
+	if (areSeen !== state.areArrivalsSeen) {
+		state.areArrivalsSeen = areSeen;
+		noteDecision(state, areSeen ? 'arrivals-seen' : 'arrivals-unseen', {
+			intakeAgeMs: Math.round(intakeAgeMs), confirmedAgeMs: Math.round(state.now - state.leadership.confirmedAt),
+		});
+	}
+}
+
 function fillPools(state: SchedulerState, pools: readonly PoolBalance[], spare: PoolName): void {
 	const unreachableZones = listUnreachableZones(state);
 	for (const pool of pools.toSorted((a, b) => b.missing - a.missing)) {
@@ -142,10 +160,10 @@
 
 	state.shortageLoggedAt = state.now;
 	for (const {name, missing} of pools) {
-		const {machines, waitingTasks, refused} = getDemand(state, name);
+		const {machines, waitingTasks, refused, usableMachines} = getDemand(state, name);
 		if (missing > 0 || waitingTasks > 0) {
 			noteDecision(state, 'pool-short', {
-				pool: name, needed: Math.ceil(machines), missing, waitingTasks, ...refused,
+				pool: name, needed: Math.ceil(machines), missing, usable: Math.floor(usableMachines), waitingTasks, ...refused,
 			});
 		}
 	}
@@ -178,14 +196,14 @@
 	const movable = [...state.machines.values()].filter(machine =>
 		isMovable(state, machine) && machine.entry.pool !== pool.name && !unreachableZones.has(machine.entry.availabilityZone));
 	for (const machine of movable.filter(({entry}) => entry.pool === spare)) {
-		if (hasNoWorker(state, machine) || isIdle(state, machine, 0)) {
+		if (hasNoWorker(state, machine) || isIdle(state, machine)) {
 			moveToPool(state, machine, pool);
 		}
 	}
 
 	for (const machine of movable.filter(({entry}) => entry.pool !== spare)) {
 		const donor = pools.find(({name}) => name === machine.entry.pool);
-		if (donor && donor.lendable > 0 && !donor.isWaiting && isIdle(state, machine, 0) && moveToPool(state, machine, pool)) {
+		if (donor && donor.lendable > 0 && !donor.isWaiting && isIdle(state, machine) && moveToPool(state, machine, pool)) {
 			donor.lendable--;
 			donor.surplus--;
 		}
@@ -202,10 +220,15 @@
 	return true;
 }
 
-function isIdle(state: SchedulerState, machine: Machine, sinceMs: number): boolean {
+function isIdle(state: SchedulerState, machine: Machine): boolean {
 	const worker = findWorker(state, machine);
-	return worker !== undefined && worker.isListed && worker.isPolledByLeader && !worker.isDraining && !isBusy(worker)
-		&& state.now - worker.idleSince >= sinceMs;
+	return worker !== undefined && worker.isListed && worker.isPolledByLeader && !worker.isDraining && !isBusy(worker);
+}
+
+/** How long a machine's worker has been seen without tasks. Time in which no job could be seen does not count. */
+function getIdleMs(state: SchedulerState, machine: Machine): number {
+	const seenUntil = Math.min(state.now, state.intakeCompleteAt + intakeReadMs);
+	return seenUntil - (findWorker(state, machine)?.idleSince ?? never);
 }
 
 function moveIdleToSpare(state: SchedulerState, pool: PoolBalance, spare: PoolName): void {
@@ -218,7 +241,7 @@
 			return;
 		}
 
-		if (machine.entry.pool === pool.name && isMovable(state, machine) && isIdle(state, machine, idleBeforeSpareMs)) {
+		if (machine.entry.pool === pool.name && isMovable(state, machine) && isIdle(state, machine) && getIdleMs(state, machine) >= idleBeforeSpareMs) {
 			reserveAndMove(state, machine, spare);
 			pool.surplus--;
 		}
--- a/packages/core/src/scheduler/outage-moves.test.ts
+++ b/packages/core/src/scheduler/outage-moves.test.ts
@@ -45,6 +45,40 @@
 		expect(leader.listOrderedMachines().length).toEqual(2);
 	});
 
+	/** Guards against a leader that takes jobs which it cannot see for jobs that do not come, because its own ledger answers. */
+	it('stay available while the stream of jobs is away, and for some seconds after', () => {
+		const leader = createIdleLeader();
+		leader.isIntakeAway = true;
+		leader.run(4000);
+		leader.isIntakeAway = false;
+		leader.run(2000);
+		expect(leader.listOrderedMachines()).toEqual([]);
+		leader.run(3000);
+		expect(leader.listOrderedMachines().length).toEqual(2);
+	});
+
+	/** Guards against the same in the first seconds, in which the stream does not count as away yet. */
+	it('do not count as idle for longer while no job can be seen', () => {
+		const leader = createIdleLeader();
+		leader.run(400);
+		leader.isIntakeAway = true;
+		leader.run(10_000);
+		expect(leader.listOrderedMachines()).toEqual([]);
+	});
+
+	/** Guards against machines that stay on for good beside a store whose reads are slow. */
+	it('go to the spare pool although the stream of jobs is read to its end only now and then', () => {
+		const leader = createIdleLeader();
+		for (let index = 0; index < 10; index++) {
+			leader.isIntakeAway = true;
+			leader.run(1700);
+			leader.isIntakeAway = false;
+			leader.run(100);
+		}
+
+		expect(leader.listOrderedMachines().length).toEqual(2);
+	});
+
 	/** Guards against machines that stay on for good beside a store that is slow but answers. */
 	it('go to the spare pool although the store takes long to confirm each append', () => {
 		const leader = createIdleLeader();
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -201,6 +201,8 @@
 	drainsDueAt: SteadyMs;
 	/** Until then no machine goes to the spare pool. */
 	spareNotBefore: SteadyMs;
+	/** This leader's store answers, and the stream of jobs was read to its end lately. */
+	areArrivalsSeen: boolean;
 	/** When a shortage of machines was last logged. */
 	shortageLoggedAt: SteadyMs;
 	retentionDueAt: SteadyMs;
@@ -266,6 +268,7 @@
 		movesDueAt: 0,
 		drainsDueAt: 0,
 		spareNotBefore: 0,
+		areArrivalsSeen: true,
 		shortageLoggedAt: 0,
 		retentionDueAt: 0,
 		shorteningDueAt: 0,
--- a/packages/core/src/scheduler/testing/model-leader.ts
+++ b/packages/core/src/scheduler/testing/model-leader.ts
@@ -67,6 +67,8 @@
 	/** Starts are carried out, but their answers are lost. */
 	areStartAnswersLost = false;
 	isStoreUnresponsive = false;
+	/** The stream of jobs is out of reach, though the ledger may answer. */
+	isIntakeAway = false;
 	/** How long the store takes to confirm an append. */
 	commitDelayMs = answerMs;
 	/** Runs continue even though the workers confirm their stops. */
@@ -109,6 +111,7 @@
 
 			if (this.now >= this.nextTickAt) {
 				this.nextTickAt = this.now + tickMs;
+				this.readIntake();
 				this.push({type: 'clock/ticked'});
 			}
 		}
@@ -163,6 +166,13 @@
 		return this.logs.filter(({event}) => event === name).map(({fields}) => fields);
 	}
 
+	/** Reads the stream of jobs to its end; no other host adds any. */
+	private readIntake(): void {
+		if (!this.isIntakeAway && !this.isStoreUnresponsive) {
+			this.push({type: 'intake/read', records: [], completeAt: this.now});
+		}
+	}
+
 	private answer(body: EventBody, afterMs = answerMs): void {
 		this.scheduledEvents.push({at: this.now + afterMs, body});
 	}
