Placement leaves out the workers that have no room for any waiting step

Cause: a worker's free capacity was computed anew for each step, though after the first steps most workers are full.

Now a pass leaves out the workers that lack what the least of the pool's steps needs, and looks again only when it has placed something. The order of steps, the choice of workers and the counts of refused pairs are the same, except that a full worker without a step's label counts under 'room' in pool-short.

--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -10,7 +10,7 @@
 import {getPoolOfJob, hasAccounts} from './queues.js';
 import {clearQuotas, countAdmitted, noteHeldBack} from './quotas.js';
 import {orderByShare} from './shares.js';
-import {placeTask} from './tasks.js';
+import {getStepNeed, hasRoomFor, placeTask} from './tasks.js';
 import {compareUrgency, computeUrgency, type Urgency} from './urgency.js';
 import {
 	canHost, chooseWorker, hasLabel, listFreeCapacities, takeCapacity, type FreeCapacity,
@@ -18,7 +18,7 @@
 import {
 	isTrialNeeded, noteTrial, planTrials,
 } from './trials.js';
-import type {PoolName} from './types.js';
+import type {PoolName, Resources} from './types.js';
 import type {
 	RefusedWorkers, SchedulerState, StepRun, Task, Worker,
 } from './state.js';
@@ -46,9 +46,16 @@
 	const setAside = groupByPool(state, worker => isUsableOrSetAside(state, worker) && isProbeDue(state, worker));
 	planTrials(state, usable, canHost);
 	const sorted = sortSteps(state);
+	const least = findLeastNeeds(state, sorted);
+	const withRoom = new Map(usable);
 	for (const {step} of hasAccounts(state) ? orderByShare(state, sorted) : sorted) {
 		const pool = getPoolOfJob(state, step.occurrence.job);
-		placeStep(state, step, pool, {usable: usable.get(pool) ?? [], setAside: setAside.get(pool) ?? []});
+		const workers = withRoom.get(pool) ?? [];
+		const full = (usable.get(pool)?.length ?? 0) - workers.length;
+		const isChanged = placeStep(state, step, pool, {usable: workers, full, setAside: setAside.get(pool) ?? []});
+		if (isChanged || full === 0) {
+			withRoom.set(pool, workers.filter(worker => hasRoomFor(least.get(pool)!, worker)));
+		}
 	}
 
 	for (const [pool, workers] of usable) {
@@ -95,13 +102,28 @@
 	return [...state.openSteps].map(step => computeUrgency(state, step)).toSorted(compareUrgency);
 }
 
-type PoolWorkers = {readonly usable: readonly Worker[]; readonly setAside: readonly Worker[]};
+/** The least that a step of each pool needs, for each resource by itself: a worker without it has no room for any of them. */
+function findLeastNeeds(state: SchedulerState, steps: readonly Urgency[]): Map<PoolName, Resources> {
+	const least = new Map<PoolName, Resources>();
+	for (const {step} of steps) {
+		const pool = getPoolOfJob(state, step.occurrence.job);
+		const need = getStepNeed(step.definition);
+		const former = least.get(pool) ?? need;
+		least.set(pool, {cpu: Math.min(former.cpu, need.cpu), memoryMb: Math.min(former.memoryMb, need.memoryMb), gpu: Math.min(former.gpu, need.gpu)});
+	}
+
+	return least;
+}
 
-function placeStep(state: SchedulerState, step: StepRun, pool: PoolName, {usable, setAside}: PoolWorkers): void {
+/** The usable workers that may have room, the number of those that have none, and the workers that were set aside. */
+type PoolWorkers = {readonly usable: readonly Worker[]; readonly full: number; readonly setAside: readonly Worker[]};
+
+/** Places what fits of a step; returns whether it placed any task. */
+function placeStep(state: SchedulerState, step: StepRun, pool: PoolName, {usable, full, setAside}: PoolWorkers): boolean {
 	const waiting = step.tasks.filter(task => task.status === 'waiting' && !isHeldBack(state, task));
 	const count = waiting.length + countUnbuilt(step);
 	if (count === 0) {
-		return;
+		return false;
 	}
 
 	const limit = countAdmitted(state, step);
@@ -110,7 +132,7 @@
 	}
 
 	if (limit === 0 || (step.definition.isGang && limit < count)) {
-		return;
+		return false;
 	}
 
 	const candidates = usable.filter(worker => hasLabel(step, worker) && canReportEnds(step, worker));
@@ -118,9 +140,11 @@
 	const {placed, refused} = place(state, {step, waiting, limit}, listFreeCapacities(state, step, candidates));
 	const left = Math.min(count, limit) - placed;
 	if (left > 0) {
-		addWaitingWork(state, pool, step, {tasks: left, workers: candidates.length, refused});
+		addWaitingWork(state, pool, step, {tasks: left, workers: candidates.length + full, refused});
 		placeAsProbe(state, step, setAside);
 	}
+
+	return placed > 0;
 }
 
 /** Places long-running tasks that no other worker takes, one each, on workers that were set aside: they may be well again, and the tasks do not end by themselves however long they wait. */
--- a/packages/core/src/scheduler/tasks.ts
+++ b/packages/core/src/scheduler/tasks.ts
@@ -40,6 +40,11 @@
 	return free;
 }
 
+/** False if a worker certainly has no room for a need. Starts meant for its former incarnation may take some of the rest. */
+export function hasRoomFor(need: Resources, {capacity, used}: Worker): boolean {
+	return need.cpu <= capacity.cpu - used.cpu && need.memoryMb <= capacity.memoryMb - used.memoryMb && need.gpu <= capacity.gpu - used.gpu;
+}
+
 /** True if a worker's tasks have reserved more than its capacity, which may have shrunk since. */
 export function isOverloaded(worker: Worker): boolean {
 	return !doesFit(noResources, getFree(worker));
