A worker whose machine is moved or in upkeep stays known while calls to it may come late

Cause: an order that is done removed the machine's worker, and with it its unanswered starts and acknowledgements. If a process came back under the id, the leader took it for a new worker: it stopped no late start, reserved nothing for one, let acknowledgements hide the ends of its tasks, and gave its calls the fencing token of the calls before, which so were not refused.

Change: the worker stays, unlisted, while such a call may be carried out (15 s, as for workers that leave the registry); its next birth counts as a restart.

--- a/packages/core/src/scheduler/machine-orders.ts
+++ b/packages/core/src/scheduler/machine-orders.ts
@@ -1,6 +1,7 @@
 /** Orders to the platform to move a machine or to start its upkeep: one at a time per machine, repeated until the outcome is known. */
 import {isConfirmedWithin} from './confirmation.js';
 import {getLeaseEnd} from './incarnations.js';
+import {hasLateCalls} from './late-calls.js';
 import {addEffect, noteDecision} from './logging.js';
 import {hasNoWorker, isBusy, listWorkers} from './machine-workers.js';
 import {getReturnAt, returnSlackMs} from './machines.js';
@@ -235,14 +236,17 @@
 	};
 }
 
-/** Releases the machine's workers. The processes that the order was decided for have ended; any others started after the machine returned. */
+/** Releases the machine's workers. The processes that the order was decided for have ended; any others started after the machine returned. Those that calls may still reach stay known: a process under the same id may carry them out. */
 function releaseWorkers(state: SchedulerState, machine: Machine, order: MachineOrder): void {
 	for (const worker of listWorkers(state, machine)) {
 		worker.isReserved = false;
 		if (order.polledWorkers.has(worker.id)) {
 			worker.isListed = false;
 			worker.leaseExpiresAt = 0;
-			state.workers.delete(worker.id);
+			if (!hasLateCalls(state, worker)) {
+				state.workers.delete(worker.id);
+			}
+
 			state.endedWorkers.set(worker.id, worker.bornAt);
 		}
 	}
--- a/packages/core/src/scheduler/testing/model-leader.ts
+++ b/packages/core/src/scheduler/testing/model-leader.ts
@@ -54,6 +54,8 @@
 	readonly orders: MachineOrderEffect[] = [];
 	/** Records appended to the ledger. */
 	readonly records: LedgerRecord[] = [];
+	/** Stops sent to workers. */
+	readonly stops: Array<Extract<SchedulerEffect, {type: 'worker/stop'}>> = [];
 	/** Wave reports sent to the platform. */
 	readonly reports: Array<Extract<SchedulerEffect, {type: 'wave/report'}>> = [];
 	readonly logs: Array<{readonly event: string; readonly fields: LogFields}> = [];
@@ -189,6 +191,7 @@
 
 			case 'worker/stop': {
 				const {worker, task, run} = effect;
+				this.stops.push(effect);
 				this.running.set(worker.id, (this.running.get(worker.id) ?? []).filter(row => this.isStopIgnored || row.task !== task));
 				this.answer({
 					type: 'stop/ended', workerId: worker.id, bornAt: worker.bornAt, task, run, outcome: 'stopped',
