The test of released workers loses its start instead of only the answer

Since a run that its worker has reported leaves no late start if its start was sent once: it was carried out. The test had such a run, and its first case went red for that.

--- a/packages/core/src/scheduler/released-workers.test.ts
+++ b/packages/core/src/scheduler/released-workers.test.ts
@@ -13,7 +13,7 @@
 	leader.listMachines([createMachineEntry('m1', {workerId: 'w1'})]);
 	leader.listWorkers(createWorkerEntry('w1', 'm1'));
 	leader.run(50);
-	leader.areStartAnswersLost = true;
+	leader.areStartsLost = true;
 	const job = createJob(1, [createStep({count: 1})]);
 	leader.push({type: 'intake/read', records: [{type: 'job', job}]});
 	leader.run(100);
--- a/packages/core/src/scheduler/testing/model-leader.ts
+++ b/packages/core/src/scheduler/testing/model-leader.ts
@@ -68,6 +68,8 @@
 	readonly pollDelaysMs = new Map<string, number>();
 	/** Starts are carried out, but their answers are lost. */
 	areStartAnswersLost = false;
+	/** Starts are neither carried out nor answered. */
+	areStartsLost = false;
 	isStoreUnresponsive = false;
 	/** How long the store takes to confirm an append. */
 	commitDelayMs = answerMs;
@@ -180,11 +182,15 @@
 
 			case 'worker/start': {
 				const {worker, task, run} = effect;
-				this.running.set(worker.id, [...this.running.get(worker.id) ?? [], {
-					task, run, checkpoint: '', percent: 100, reading: 0,
-				}]);
+				const isUnanswered = this.areStartAnswersLost || this.areStartsLost;
+				if (!this.areStartsLost) {
+					this.running.set(worker.id, [...this.running.get(worker.id) ?? [], {
+						task, run, checkpoint: '', percent: 100, reading: 0,
+					}]);
+				}
+
 				this.answer({
-					type: 'start/ended', workerId: worker.id, bornAt: worker.bornAt, task, run, outcome: this.areStartAnswersLost ? 'unknown' : 'started', clockMs: this.areStartAnswersLost ? undefined : this.now,
+					type: 'start/ended', workerId: worker.id, bornAt: worker.bornAt, task, run, outcome: isUnanswered ? 'unknown' : 'started', clockMs: isUnanswered ? undefined : this.now,
 				});
 				break;
 			}
