--- a/packages/core/src/scheduler/late-orders.test.ts
+++ b/packages/core/src/scheduler/late-orders.test.ts
@@ -1,4 +1,4 @@
-/** TWICE: orders of testing/process-orders.ts, found by its generator and shortened, that still have a task run on two workers; KNOWN-RED.txt describes them. */
+/** TWICE: orders of testing/process-orders.ts, found by its generator and shortened, that once had a task run on two workers. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {runDrawnOrder, type DrawnOrder} from './testing/process-orders.js';
