The end of a task is not acknowledged while a start of it may still be carried out

A start is not answered, the task runs at the same worker and ends, the end is acknowledged; the worker restarts, and its next process begins the first attempt.

Cause: nothing can keep that process from it. But an end that was never acknowledged was not taken note of.

Change: the end as done of a task with an unanswered start is stored, and completes its job, as before; it is acknowledged only when the start can't be carried out any more (15 s at most).

Evidence: acknowledgements.test.ts, red without the calls in reports.ts.

What remains: a new leader does not know which ends are kept.

--- a/packages/core/src/scheduler/reports.ts
+++ b/packages/core/src/scheduler/reports.ts
@@ -1,6 +1,6 @@
 /** Reads what workers report of their runs: which ended and how, which go on, and which are gone. */
 import {noteUncertainWorker} from './account-use.js';
-import {noteHiddenEnd} from './acknowledgements.js';
+import {keepEnd, noteHiddenEnd} from './acknowledgements.js';
 import {queueStart} from './call-window.js';
 import {noteAtWork, noteFailure, noteSuccess} from './health.js';
 import {advanceOccurrence, finishJob} from './jobs.js';
@@ -125,7 +125,9 @@
 	}
 
 	endHandlers[row.how](state, worker, task);
-	if (!hasResult) {
+	if (hasResult) {
+		keepEnd(state, worker, task, row.number);
+	} else {
 		stopGang(state, task.step);
 	}
 }
@@ -146,6 +148,7 @@
 		task: task.name, run: row.run, latestRun: task.run, workerId: worker.id,
 	});
 	endHandlers.done(state, worker, task);
+	keepEnd(state, worker, task, row.number);
 }
 
 /** How long a run that has just ended was at work; undefined if its start or its end is not known well enough. */
