Restarts of workers are counted anew with each term

The record of restarts had an entry for each id that ever restarted, for as long as the host's process lasted. It raises the fencing token of calls within a term; the token of a later term is higher than all of a former one, so the record is cleared when a term begins. Within a term it still grows with the ids that restart in it: a lower token for a known process would end the lead.

Evidence: acknowledgements.test.ts, red without the change.

--- a/packages/core/src/scheduler/acknowledgements.test.ts
+++ b/packages/core/src/scheduler/acknowledgements.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {
-	createWorker, HandDrivenHost, listStarts, type EffectOf,
+	createConfig, createProgress, createWorker, HandDrivenHost, listStarts, type EffectOf,
 } from './testing/hand-driven.js';
 import {createJob, createStep} from './testing/model-jobs.js';
 import {computeWorkerToken} from './incarnations.js';
@@ -184,6 +184,18 @@
 		expect(new Set(tokens).size).toEqual(3);
 	});
 
+	/** Guards against a record of restarts that grows as long as the host's process lasts. */
+	it('are told from those of a later term by its token alone: the restarts are counted anew', () => {
+		const host = restartAtAcknowledgement();
+		const before = listPolls(host.effects).at(-1)!;
+		host.dispatch({
+			type: 'commit/ended', outcome: 'fenced', sequence: 0, token: host.token,
+		});
+		host.takeLeadership([createProgress(5, createJob(9, []), [])], createConfig({}, 2));
+		expect(host.state.workerRestarts.size).toEqual(0);
+		expect(computeWorkerToken(host.token, {restarts: 0}) > computeWorkerToken(before.token, before.worker)).toEqual(true);
+	});
+
 	/** Guards against a leader that gives up because the new process refuses its own earlier calls. */
 	it('do not end the lead when the new process refuses them', () => {
 		const host = restartAtAcknowledgement();
--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -126,6 +126,8 @@
 	state.pendingActions = [];
 	state.callWindow = createCallWindow();
 	state.workers.clear();
+	// The token of this term is higher than that of any call before.
+	state.workerRestarts.clear();
 	clearAccountUse(state);
 	state.machines.clear();
 	// Orders of the former leader count as own ones, sent now: the next leader must know of them too.
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -148,7 +148,7 @@
 	/** Steps with tasks that may start. */
 	readonly openSteps: Set<StepRun>;
 	readonly workers: Map<WorkerId, Worker>;
-	/** How many restarts of each worker this process has seen; kept while a worker is gone. */
+	/** How many restarts of each worker this leader has seen in its term; kept while a worker is gone. */
 	readonly workerRestarts: Map<WorkerId, number>;
 	/** Workers that starts were sent to since due polls were last looked for. */
 	readonly startedWorkers: Set<WorkerId>;
