--- /dev/null
+++ b/packages/core/src/scheduler/mixed-storm.test.ts
@@ -0,0 +1,17 @@
+/** TWICE: workers and hosts end again and again, beside calls without an answer and tasks of all kinds. */
+import process from 'node:process';
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {runMixedStorm} from './testing/mixed-storm.js';
+
+const firstSeed = Number(process.env.SEED ?? 1);
+const seeds = Number(process.env.RUNS ?? 40);
+
+describe('workers and hosts that end again and again', () => {
+	it('run no task twice, and every job to its end', () => {
+		for (let seed = firstSeed; seed < firstSeed + seeds; seed++) {
+			const {violations, unfinished} = runMixedStorm(seed);
+			expect({seed, violations, unfinished}).toEqual({seed, violations: [], unfinished: []});
+		}
+	});
+});
--- a/packages/core/src/scheduler/testing/model-checks.ts
+++ b/packages/core/src/scheduler/testing/model-checks.ts
@@ -12,6 +12,9 @@
 /** The share of a cap that may be in use, as the platform grants it. */
 const quotaOverage = 1.1;
 
+/** How long a member of a gang waits for the others. */
+const gangTimeoutMs = 2000;
+
 export type ModelChecksOptions = {readonly time: ModelTime; readonly store: ModelStore; readonly hosts: readonly ModelHost[]; readonly workers: readonly ModelWorker[]};
 
 export class ModelChecks {
@@ -83,7 +86,7 @@
 		}
 	}
 
-	/** Lets the members of a gang that are started whole end together: none of them works before the last one has started. */
+	/** Lets the members of a gang that is started whole end together: none of them works before the last one has started, and without that they end as `alone`. */
 	syncGang(task: string, run: number): void {
 		const step = this.findStep(task);
 		if (!step.isGang) {
@@ -92,9 +95,10 @@
 
 		const prefix = task.slice(0, task.lastIndexOf('.') + 1);
 		const members = this.options.workers.filter(({isUp}) => isUp).flatMap(({runs}) => [...runs.values()]).filter(member => member.task.startsWith(prefix) && member.run === run);
-		const endsAt = members.length === step.count ? this.options.time.now + step.estimateMs : Number.POSITIVE_INFINITY;
+		const isWhole = members.length === step.count;
 		for (const member of members) {
-			member.endsAt = endsAt;
+			member.endsAt = this.options.time.now + (isWhole ? step.estimateMs : gangTimeoutMs);
+			member.isAlone = !isWhole;
 		}
 	}
 
--- a/packages/core/src/scheduler/testing/model-worker.ts
+++ b/packages/core/src/scheduler/testing/model-worker.ts
@@ -7,7 +7,7 @@
 	EndedRow, Resources, RunEnd, RunningRow, WorkerEntry,
 } from '../types.js';
 
-export type ModelRun = {readonly task: string; readonly run: number; readonly need: Resources; readonly startedAt: number; endsAt: number; readonly end: RunEnd};
+export type ModelRun = {readonly task: string; readonly run: number; readonly need: Resources; readonly startedAt: number; endsAt: number; readonly end: RunEnd; /** A member of a gang that waits for the others. */ isAlone?: boolean};
 
 const maxLeaseMs = 10_000;
 const fullPercent = 100;
@@ -171,7 +171,7 @@
 			if (isExpired) {
 				this.endRun(run.task, 'lapsed');
 			} else if (now >= run.endsAt) {
-				this.endRun(run.task, run.end);
+				this.endRun(run.task, run.isAlone ? 'alone' : run.end);
 				done.push(run);
 			}
 		}
