--- a/packages/core/src/scheduler/reports.ts
+++ b/packages/core/src/scheduler/reports.ts
@@ -1,5 +1,6 @@
 /** Reads what workers report of their runs: which ended and how, which go on, and which are gone. */
 import {noteUncertainWorker} from './account-use.js';
+import {keepEnd, noteHiddenEnd} from './acknowledgements.js';
 import {queueStart} from './call-window.js';
 import {noteAtWork, noteFailure, noteSuccess} from './health.js';
 import {advanceOccurrence, finishJob} from './jobs.js';
@@ -124,7 +125,9 @@
 	}
 
 	endHandlers[row.how](state, worker, task);
-	if (!hasResult) {
+	if (hasResult) {
+		keepEnd(state, worker, task, row.number);
+	} else {
 		stopGang(state, task.step);
 	}
 }
@@ -145,6 +148,7 @@
 		task: task.name, run: row.run, latestRun: task.run, workerId: worker.id,
 	});
 	endHandlers.done(state, worker, task);
+	keepEnd(state, worker, task, row.number);
 }
 
 /** How long a run that has just ended was at work; undefined if its start or its end is not known well enough. */
@@ -198,6 +202,10 @@
 
 		if (task.conclusiveAfter < sentAt) {
 			noteUnansweredBefore(state, worker, task);
+			if (task.isReported && task.status === 'running') {
+				noteHiddenEnd(state, worker);
+			}
+
 			noteDecision(state, 'run-absent', {task: task.name, run: task.run, workerId: worker.id});
 			returnTask(state, task, 'run-absent');
 			steps.add(task.step);
