A leader asks a silent stream of jobs again every 300 ms

Now the leader's reader sends a read without waiting every 300 ms beside one that hangs, once the stream counts as out of reach. Other hosts and streams do not, so that the store is not asked by all hosts several times a second.

Test: stream-reader.test; its second test shows that a reader that is not urgent, as all were, sends no such read.

--- a/packages/daemon/src/scheduler/stream-reader.ts
+++ b/packages/daemon/src/scheduler/stream-reader.ts
@@ -6,6 +6,8 @@
 
 const retryMs = 200;
 const retryReloadMs = 400;
+/** A read of an urgent stream that the store leaves unanswered is sent again this often beside it. */
+const probeMs = 300;
 /** A reader that is not enabled looks again after this time even if nothing wakes it. */
 const disabledCheckMs = 1000;
 
@@ -24,6 +26,8 @@
 	readonly pauseMs: () => number;
 	/** While false, the stream is not read; it is loaded again afterwards. Call `wake` when this changes. */
 	readonly isEnabled: () => boolean;
+	/** While true, the return of a store that was out of reach is noticed at once rather than by the next continuous read. */
+	readonly isUrgent: () => boolean;
 	readonly log: DecisionLog;
 };
 
@@ -150,7 +154,8 @@
 	private async read(from: number): Promise<number> {
 		const {generation} = this;
 		const requested = readMoment();
-		const outcome = await this.store.read(this.options.stream, from, this.options.waitMs());
+		const stopProbing = this.startProbing();
+		const outcome = await this.store.read(this.options.stream, from, this.options.waitMs()).finally(stopProbing);
 		this.setReachable(outcome.type !== 'unavailable');
 		if (outcome.type === 'unavailable') {
 			return retryMs;
@@ -171,6 +176,22 @@
 		return this.options.pauseMs();
 	}
 
+	/** Until the returned function is called, a store that is out of reach is asked again and again: it may be back while an earlier read still hangs. */
+	private startProbing(): () => void {
+		if (this.isReachable || !this.options.isUrgent()) {
+			return () => undefined;
+		}
+
+		const timer = setInterval(() => {
+			if (this.view.nextOffset !== undefined) {
+				void this.readAtOnce(this.view.nextOffset);
+			}
+		}, probeMs);
+		return () => {
+			clearInterval(timer);
+		};
+	}
+
 	/** A failed read changes nothing: the continuous reads judge whether the store is reachable. */
 	private async readAtOnce(from: number): Promise<void> {
 		const {generation} = this;
--- a/packages/daemon/src/scheduler/stream-readers.ts
+++ b/packages/daemon/src/scheduler/stream-readers.ts
@@ -30,8 +30,8 @@
 export function createStreamReaders({
 	ports: {store, codec}, log, events, intakeTimes, configTimes, capacityShortfall, isLeader,
 }: StreamReadersOptions): StreamReaders {
-	const createReader = (stream: string, handlers: StreamReaderHandlers, options: Partial<Pick<StreamReaderOptions, 'waitMs' | 'pauseMs' | 'isEnabled'>>) => StreamReader.create(store, {
-		stream, waitMs: () => readWaitMs, pauseMs: () => 0, isEnabled: () => true, log, ...options,
+	const createReader = (stream: string, handlers: StreamReaderHandlers, options: Partial<Pick<StreamReaderOptions, 'waitMs' | 'pauseMs' | 'isEnabled' | 'isUrgent'>>) => StreamReader.create(store, {
+		stream, waitMs: () => readWaitMs, pauseMs: () => 0, isEnabled: () => true, isUrgent: () => false, log, ...options,
 	}, handlers);
 	const readers: StreamReaders = {
 		operator: createReader(codec.operatorStream, {
@@ -51,7 +51,7 @@
 			handleRead(records) {
 				events.applyIntakeRecords(records, readers.intake.view.completeAt);
 			},
-		}, {waitMs: () => intakeTimes.waitMs, pauseMs: () => isLeader() ? 0 : intakeTimes.pauseMs}),
+		}, {waitMs: () => intakeTimes.waitMs, pauseMs: () => isLeader() ? 0 : intakeTimes.pauseMs, isUrgent: isLeader}),
 		ledger: createReader(ledgerStream, {
 			handleLoaded(records, nextOffset) {
 				events.applyLedgerRecords('ledger/loaded', records, nextOffset);
