Each answer of the store is a sample of its own in the rate of arrivals

With a turn that began after a lull started slower: the jobs of its first 150 ms counted as if they had come over the whole time since the last answer, as a read that waits for records is answered by the first of them.

Change: what was read before is sampled before the next answer counts, so that only the first job counts over the lull.

Red before: one case of arrival-gaps.test.ts (2 machines asked for at the first update of a burst after a lull, 6 if the store answers all along).

--- a/packages/core/src/scheduler/arrival-gaps.test.ts
+++ b/packages/core/src/scheduler/arrival-gaps.test.ts
@@ -80,6 +80,26 @@
 	return Math.max(...load.run(settledMs, stepMs));
 }
 
+/** The need at the first update of a burst, after a lull of 3.5 s in which the store told at this interval that nothing had arrived. */
+function findNeedAfterLull(readIntervalMs: number): number {
+	const load = ArrivingLoad.create();
+	load.takeLead();
+	load.read();
+	for (let spentMs = stepMs; spentMs <= 3500; spentMs += stepMs) {
+		load.host.tick(stepMs);
+		if (spentMs % readIntervalMs === 0) {
+			load.read();
+		}
+
+		if (spentMs % updateMs === 0) {
+			load.update();
+		}
+	}
+
+	load.takeNeeds();
+	return load.run(updateMs, stepMs)[0] ?? 0;
+}
+
 describe('demand for machines, if jobs arrive at a constant rate', () => {
 	it('is somewhat more than what they use, if they are read one by one', () => {
 		expect(findUsualNeed()).toBeGreaterThanOrEqual(8);
@@ -120,6 +140,12 @@
 		expect(Math.max(...needs, ...load.run(settledMs, stepMs))).toBeLessThanOrEqual(before * 1.3);
 	});
 
+	/** Guards against a burst whose first jobs count as if they had come over the whole lull: a read that waits for records is answered by the first of them. */
+	it('rises as fast in a burst that ends a lull in which the store had nothing to answer', () => {
+		expect(findNeedAfterLull(stepMs)).toBeGreaterThanOrEqual(3);
+		expect(findNeedAfterLull(900)).toBeGreaterThanOrEqual(findNeedAfterLull(stepMs) * 0.7);
+	});
+
 	it('falls soon after the last arrival', () => {
 		const load = ArrivingLoad.create();
 		load.takeLead();
--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -16,7 +16,9 @@
 import {estimateMeanMs} from './run-times.js';
 import {getStepNeed} from './tasks.js';
 import {countTrialMachines} from './trials.js';
-import type {PoolName, Resources, StepDefinition} from './types.js';
+import type {
+	PoolName, Resources, SteadyMs, StepDefinition,
+} from './types.js';
 import type {
 	Job, PlacementLimit, PoolDemand, RefusedWorkers, SchedulerState, StepRun, Worker,
 } from './state.js';
@@ -43,7 +45,7 @@
 	let demand = state.demand.get(pool);
 	if (!demand) {
 		demand = {
-			waitingTasks: 0, waitingWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrivedWork: noResources, rate: noResources, slowRate: noResources, updatedAt: state.now, sampledUntil: Math.max(state.intakeReadAt, state.now - longestUnreadMs), machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0, leavingWithoutRoom: 0,
+			waitingTasks: 0, waitingWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrivedWork: noResources, rate: noResources, slowRate: noResources, updatedAt: state.now, sampledUntil: findUnreadSince(state), machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0, leavingWithoutRoom: 0,
 		};
 		state.demand.set(pool, demand);
 	}
@@ -63,11 +65,8 @@
 	const step = job.definition.steps[number];
 	if (step && !step.isLongRunning) {
 		const demand = getDemand(state, getPoolOfJob(state, job));
-		if (!hasArrivals(demand)) {
-			// What is read now has arrived since the last answer: until then nothing had.
-			updateRate(state, demand);
-		}
-
+		// What is read now has arrived since the last answer; each answer is a sample of its own.
+		updateRate(demand, findUnreadSince(state));
 		demand.arrivedWork = addResources(demand.arrivedWork, getStepNeed(step), tasks * estimateMeanMs(state, job, number));
 	}
 }
@@ -152,7 +151,7 @@
 		return demand;
 	}
 
-	updateRate(state, demand);
+	updateRate(demand, hasArrivals(demand) ? state.now : findUnreadSince(state));
 	demand.updatedAt = state.now;
 	const needed = computeNeed(state, pool);
 	const workersForSpread = demand.waitingTasks > 0 ? countWorkersForSpread(state, pool) : 0;
@@ -167,12 +166,16 @@
 	return cpu > 0 || memoryMb > 0 || gpu > 0;
 }
 
+/** What has arrived since then may not be read yet. */
+function findUnreadSince({intakeReadAt, now}: SchedulerState): SteadyMs {
+	return Math.max(intakeReadAt, now - longestUnreadMs);
+}
+
 /**
  * Updates the averages of the rate by what has arrived since the last sample. A slow store, or a takeover, lets the jobs of
  * a second be read at once: they arrived over the whole time since the answer before, and until an answer comes it is not known whether any do.
  */
-function updateRate(state: SchedulerState, demand: PoolDemand): void {
-	const until = hasArrivals(demand) ? state.now : Math.max(state.intakeReadAt, state.now - longestUnreadMs);
+function updateRate(demand: PoolDemand, until: SteadyMs): void {
 	const spanMs = until - demand.sampledUntil;
 	if (spanMs <= 0) {
 		return;
