--- a/packages/core/src/scheduler/demand.ts
+++ b/packages/core/src/scheduler/demand.ts
@@ -16,19 +16,14 @@
 import {estimateMeanMs} from './run-times.js';
 import {getStepNeed} from './tasks.js';
 import {countTrialMachines} from './trials.js';
-import type {
-	PoolName, Resources, SteadyMs, StepDefinition,
-} from './types.js';
+import type {PoolName, Resources, StepDefinition} from './types.js';
 import type {
 	Job, PlacementLimit, PoolDemand, RefusedWorkers, SchedulerState, StepRun, Worker,
 } from './state.js';
 
-/** Weights of the latest `weightIntervalMs` in the fast and in the slow moving average of the rate; their difference shows a rise. */
+/** Weights, per update, of the latest sample in the fast and in the slow moving average of the rate; their difference shows a rise. */
 const fastWeight = 0.35;
 const slowWeight = 0.09;
-const weightIntervalMs = 150;
-/** A leader is told once a second that nothing has arrived. Without an answer of the store for this long, nothing is assumed to arrive. */
-const longestUnreadMs = 1500;
 /** Share of this difference added to the demand, as a rise is assumed to continue for about as long as a machine takes to join. */
 const trendFactor = 0.8;
 /** Factor on the averaged rate that leaves capacity for random peaks. */
@@ -45,7 +40,7 @@
 	let demand = state.demand.get(pool);
 	if (!demand) {
 		demand = {
-			waitingTasks: 0, waitingWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrivedWork: noResources, rate: noResources, slowRate: noResources, updatedAt: state.now, sampledUntil: findUnreadSince(state), machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0, leavingWithoutRoom: 0,
+			waitingTasks: 0, waitingWork: noResources, waitingLongRunning: noResources, refused: {}, unplaceable: noResources, unplaceableSpread: 0, usableMachines: 0, hasIdleWorker: false, arrivedWork: noResources, rate: noResources, slowRate: noResources, updatedAt: state.now, machines: 0, missing: 0, peakMachines: 0, peakUntil: 0, replacementUntil: 0, leavingWithoutRoom: 0,
 		};
 		state.demand.set(pool, demand);
 	}
@@ -65,8 +60,6 @@
 	const step = job.definition.steps[number];
 	if (step && !step.isLongRunning) {
 		const demand = getDemand(state, getPoolOfJob(state, job));
-		// What is read now has arrived since the last answer; each answer is a sample of its own.
-		updateRate(demand, findUnreadSince(state));
 		demand.arrivedWork = addResources(demand.arrivedWork, getStepNeed(step), tasks * estimateMeanMs(state, job, number));
 	}
 }
@@ -151,7 +144,10 @@
 		return demand;
 	}
 
-	updateRate(demand, hasArrivals(demand) ? state.now : findUnreadSince(state));
+	const latestRate = computeMultiple(demand.arrivedWork, 1 / elapsedMs);
+	demand.rate = addResources(computeMultiple(demand.rate, 1 - fastWeight), latestRate, fastWeight);
+	demand.slowRate = addResources(computeMultiple(demand.slowRate, 1 - slowWeight), latestRate, slowWeight);
+	demand.arrivedWork = noResources;
 	demand.updatedAt = state.now;
 	const needed = computeNeed(state, pool);
 	const workersForSpread = demand.waitingTasks > 0 ? countWorkersForSpread(state, pool) : 0;
@@ -162,41 +158,6 @@
 	return demand;
 }
 
-function hasArrivals({arrivedWork: {cpu, memoryMb, gpu}}: PoolDemand): boolean {
-	return cpu > 0 || memoryMb > 0 || gpu > 0;
-}
-
-/** What has arrived since then may not be read yet. */
-function findUnreadSince({intakeReadAt, now}: SchedulerState): SteadyMs {
-	return Math.max(intakeReadAt, now - longestUnreadMs);
-}
-
-/**
- * Updates the averages of the rate by what has arrived since the last sample. A slow store, or a takeover, lets the jobs of
- * a second be read at once: they arrived over the whole time since the answer before, and until an answer comes it is not known whether any do.
- */
-function updateRate(demand: PoolDemand, until: SteadyMs): void {
-	const spanMs = until - demand.sampledUntil;
-	if (spanMs <= 0) {
-		return;
-	}
-
-	const latestRate = computeMultiple(demand.arrivedWork, 1 / spanMs);
-	demand.rate = computeAverage(demand.rate, latestRate, computeWeight(fastWeight, spanMs));
-	demand.slowRate = computeAverage(demand.slowRate, latestRate, computeWeight(slowWeight, spanMs));
-	demand.arrivedWork = noResources;
-	demand.sampledUntil = until;
-}
-
-/** The weight of a sample of some time, given that of one of `weightIntervalMs`. */
-function computeWeight(weight: number, spanMs: number): number {
-	return 1 - ((1 - weight) ** (spanMs / weightIntervalMs));
-}
-
-function computeAverage(average: Resources, sample: Resources, weight: number): Resources {
-	return addResources(computeMultiple(average, 1 - weight), sample, weight);
-}
-
 function updatePeak(state: SchedulerState, demand: PoolDemand, machines: number): void {
 	if (machines >= demand.peakMachines || state.now >= demand.peakUntil) {
 		demand.peakMachines = machines;
--- a/packages/core/src/scheduler/machine-state.ts
+++ b/packages/core/src/scheduler/machine-state.ts
@@ -65,13 +65,11 @@
 	hasIdleWorker: boolean;
 	/** How many workers each limit of placement kept from taking a waiting task; summed over steps. */
 	refused: RefusedWorkers;
-	/** Work of the short tasks that was read since the last sample of the rate: resources times milliseconds. */
+	/** Work of the short tasks that arrived since the last update: resources times milliseconds. */
 	arrivedWork: Resources;
 	/** Fast and slow moving averages of the arrival rate: the resources that the arriving work keeps busy. */
 	rate: Resources;
 	slowRate: Resources;
-	/** The samples of the rate cover the arrivals until then. */
-	sampledUntil: SteadyMs;
 	updatedAt: SteadyMs;
 	/** Machines needed now; how many of them the pool neither has nor is about to get; the highest need of the last seconds. */
 	machines: number;
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -95,8 +95,6 @@
 		}
 
 		state.intakeCompleteAt = Math.max(state.intakeCompleteAt, completeAt ?? state.intakeCompleteAt);
-		// Only now: the records have arrived since the answer before.
-		state.intakeReadAt = state.now;
 	},
 	'ledger/loaded': loadLedger,
 	'ledger/read': readLedger,
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -134,8 +134,6 @@
 	readonly jobs: Map<JobId, Job>;
 	/** All jobs and cancel requests that were stored before this instant have been read. */
 	intakeCompleteAt: SteadyMs;
-	/** When the store last answered with what is new in the intake, or that nothing is. */
-	intakeReadAt: SteadyMs;
 	/** Jobs whose cancel request was read before the job itself. */
 	readonly earlyCancels: Set<JobId>;
 	/** Progress of jobs that have not been read yet. */
@@ -221,7 +219,6 @@
 		config: undefined,
 		jobs: new Map(),
 		intakeCompleteAt: Number.NEGATIVE_INFINITY,
-		intakeReadAt: Number.NEGATIVE_INFINITY,
 		earlyCancels: new Set(),
 		earlyProgress: new Map(),
 		progressParts: new Map(),
