--- a/packages/core/src/scheduler/call-window.ts
+++ b/packages/core/src/scheduler/call-window.ts
@@ -59,6 +59,11 @@
 	callWindow.unansweredStarts.set(formatKey(task.name, run), now);
 }
 
+/** True while a start of the task's latest run has no answer yet. */
+export function hasOpenStart({callWindow}: SchedulerState, {name, run}: Task): boolean {
+	return callWindow.unansweredStarts.has(formatKey(name, run));
+}
+
 /** Adds a stored placement to those whose starts are to be sent. */
 export function queueStart({callWindow}: SchedulerState, task: Task, run: number): void {
 	callWindow.waitingStarts.push({task, run});
--- a/packages/core/src/scheduler/crashes.ts
+++ b/packages/core/src/scheduler/crashes.ts
@@ -16,7 +16,7 @@
 import {isJobOpen} from './phases.js';
 import {getPoolOfJob} from './queues.js';
 import {markChanged} from './tasks.js';
-import {never, plainBlameMs} from './timing.js';
+import {lateStartMs, never, plainBlameMs} from './timing.js';
 import {hasBegunLately, isOnTrial} from './trials.js';
 import type {SteadyMs, TaskCrash} from './types.js';
 import type {
@@ -70,6 +70,11 @@
 	for (const task of lost) {
 		// A task that a late start bound to its worker could start nowhere else, however often that worker crashes.
 		const isRecent = !isCommon && recent.includes(task) && !task.wasBound;
+		if (task.wasBound && !task.step.definition.isLongRunning) {
+			// It starts where it is bound no more, and the next loss tells whether it is to blame.
+			task.heldBackUntil = Math.max(task.heldBackUntil, state.now + lateStartMs);
+		}
+
 		if (isJobOpen(task.step.occurrence.job) && worker.lastAnswerAt - task.startedAt < clearedAfterMs) {
 			addCrash(state, task, worker, {isConfirmed, blame: isRecent ? (isPlain ? 'sole' : 'shared') : 'slight'});
 		}
--- a/packages/core/src/scheduler/extra-polls.ts
+++ b/packages/core/src/scheduler/extra-polls.ts
@@ -4,9 +4,9 @@
 import {pollSlackMs} from './timing.js';
 import type {SchedulerState, Worker} from './state.js';
 
-/** Polls immediately, even while another poll waits for a run to end; without `address` where the worker is known to be. */
-export function sendExtraPoll(state: SchedulerState, worker: Worker, address: string = worker.address): void {
+/** Polls immediately, even while another poll waits for a run to end. */
+export function sendExtraPoll(state: SchedulerState, worker: Worker): void {
 	addEffect(state, {
-		type: 'worker/poll', worker: {...getTarget(worker), address}, token: state.leadership.token, acknowledgedEnd: 0, untilMs: undefined, waitMs: 0, slackMs: pollSlackMs, isExtra: true,
+		type: 'worker/poll', worker: getTarget(worker), token: state.leadership.token, acknowledgedEnd: 0, untilMs: undefined, waitMs: 0, slackMs: pollSlackMs, isExtra: true,
 	});
 }
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -6,7 +6,7 @@
 	addStepWork, addWaitingWork, clearWaiting, getDemand, noteUsableWorkers,
 } from './demand.js';
 import {isQuarantined, isProbeDue} from './health.js';
-import {isBoundByLateStart} from './late-starts.js';
+import {findBindingWorker, isBoundByLateStart} from './late-starts.js';
 import {buildTask, countUnbuilt} from './occurrences.js';
 import {getPoolOfJob, hasAccounts} from './queues.js';
 import {clearQuotas, countAdmitted, noteHeldBack} from './quotas.js';
@@ -191,6 +191,17 @@
 	}
 }
 
+/** The capacities of the workers to choose from: for a task that is bound to a worker, that one alone. */
+function listCapacitiesFor(state: SchedulerState, task: Task, capacities: ReadonlyMap<Worker, FreeCapacity>): ReadonlyMap<Worker, FreeCapacity> {
+	const worker = findBindingWorker(state, task);
+	if (!worker) {
+		return capacities;
+	}
+
+	const capacity = capacities.get(worker);
+	return new Map(capacity ? [[worker, capacity]] : []);
+}
+
 /** Places up to `limit` of the tasks. */
 function placeEach(state: SchedulerState, tasks: PlaceableTasks, capacities: ReadonlyMap<Worker, FreeCapacity>): Placement {
 	const {limit} = tasks;
@@ -208,7 +219,7 @@
 			continue;
 		}
 
-		const choice = chooseWorker(state, task, capacities);
+		const choice = chooseWorker(state, task, listCapacitiesFor(state, task, capacities));
 		if (choice.worker) {
 			takeCapacity(capacities, choice.worker, task);
 			noteTrial(state, task, choice.worker);
--- a/packages/core/src/scheduler/reported-births.ts
+++ b/packages/core/src/scheduler/reported-births.ts
@@ -37,6 +37,8 @@
 	noteDecision(state, 'worker-birth-reported', {
 		workerId: worker.id, bornAt: worker.bornAt, reportedBornAt: entry.bornAt, tasks: worker.tasks.size,
 	});
+	// A worker that only stored placements have named so far.
+	worker.address ||= entry.address;
 	worker.reportedBirth = {entry, since: state.now, askDueAt: state.now + askIntervalMs};
 	sendExtraPoll(state, worker);
 	return false;
@@ -52,7 +54,7 @@
 	}
 }
 
-/** Asks again where no answer came: then also at the address of the entry, as a restarted worker may have another one. Returns the entry once nothing is left that its birth could end. */
+/** Asks again where no answer came. Returns the entry once nothing is left that its birth could end. */
 export function takeCertainEntry(state: SchedulerState, worker: Worker): WorkerEntry | undefined {
 	const {reportedBirth} = worker;
 	if (!reportedBirth) {
@@ -65,7 +67,7 @@
 
 	if (state.now >= reportedBirth.askDueAt) {
 		reportedBirth.askDueAt = state.now + askIntervalMs;
-		sendExtraPoll(state, worker, worker.failedPolls > 0 ? reportedBirth.entry.address : worker.address);
+		sendExtraPoll(state, worker);
 	}
 
 	return undefined;
--- a/packages/core/src/scheduler/reports.ts
+++ b/packages/core/src/scheduler/reports.ts
@@ -1,7 +1,7 @@
 /** Reads what workers report of their runs: which ended and how, which go on, and which are gone. */
 import {noteUncertainWorker} from './account-use.js';
 import {keepEnd, noteHiddenEnd} from './acknowledgements.js';
-import {queueStart} from './call-window.js';
+import {hasOpenStart, queueStart} from './call-window.js';
 import {noteAtWork, noteFailure, noteSuccess} from './health.js';
 import {advanceOccurrence, finishJob} from './jobs.js';
 import {addEffect, noteDecision} from './logging.js';
@@ -132,7 +132,7 @@
 	}
 }
 
-/** An end as done counts also if its run was given up before: a start that was carried out late may have begun it. A later run is stopped once a list shows it. */
+/** An end as done counts also if its run was given up before: a start that was carried out late may have begun it. A later run is stopped. */
 function readEarlierEnd(state: SchedulerState, worker: Worker, row: EndedRow): void {
 	const task = row.how === 'done' ? findTask(state, row.task) : undefined;
 	if (!task || task.status === 'done' || row.run > task.run || !isJobOpen(task.step.occurrence.job)) {
@@ -147,6 +147,11 @@
 	noteDecision(state, 'earlier-run-done', {
 		task: task.name, run: row.run, latestRun: task.run, workerId: worker.id,
 	});
+	if (task.worker && task.isSent) {
+		noteUnansweredBefore(state, task.worker, task);
+		stopUnknownRun(state, task.worker, {task: task.name, run: task.run});
+	}
+
 	endHandlers.done(state, worker, task);
 	keepEnd(state, worker, task, row.number);
 }
@@ -225,9 +230,10 @@
 	}
 }
 
-/** Whether a former leader's start of a restored task was answered is not stored. */
+/** Notes a start that may still be carried out though a list lacks its run: one that has no answer yet, or one of a former leader, of which it is not stored whether it was answered. */
 function noteUnansweredBefore(state: SchedulerState, worker: Worker, task: Task): void {
-	if (!task.isStartKnown && !task.isReported && isJobOpen(task.step.occurrence.job)) {
+	const mayComeLate = !task.isStartKnown && isJobOpen(task.step.occurrence.job) && !worker.isDraining;
+	if (!task.isReported && (mayComeLate || hasOpenStart(state, task))) {
 		noteLateStart(state, worker, task);
 	}
 }
@@ -239,7 +245,7 @@
 	queueStart(state, task, task.run);
 }
 
-function stopUnknownRun(state: SchedulerState, worker: Worker, row: RunningRow): void {
+function stopUnknownRun(state: SchedulerState, worker: Worker, row: Pick<RunningRow, 'task' | 'run'>): void {
 	worker.unknownRuns.set(row.task, {run: row.run, reportedAt: state.now});
 	noteUncertainWorker(state, worker);
 	worker.pollDueAt = state.now + pollRetryMs;
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -115,7 +115,7 @@
 	}
 
 	if (task.isRepeatDue) {
-		noteRepeatedStart(worker, task);
+		noteRepeatedStart(state, worker, task);
 	}
 
 	task.isSent = true;
@@ -159,6 +159,11 @@
 
 /** Returns a task whose start was not sent, or was refused. If an earlier attempt may still be carried out, the run is stopped first. */
 function returnUnsent(state: SchedulerState, worker: Worker, task: Task, reason: ReturnReason = 'not-started'): void {
+	if (task.status === 'running') {
+		// A list has shown that an earlier attempt was carried out.
+		return;
+	}
+
 	if (canStillBegin(worker, task)) {
 		requestStop(state, task);
 		stopGang(state, task.step);
