Revert "A process that hides the end of a run gets no more tasks whose end must be known"

slow-to-report.test.ts was red with it ("is stopped, and the task started again, if the worker does not report the run"): there the only worker lists a run once, then neither the run nor an end, and was left without tasks for good. A worker that loses a run without an end must stay of use; what would be needed is a bound on how long it gets no tasks.

--- a/packages/core/src/scheduler/acknowledgements.test.ts
+++ b/packages/core/src/scheduler/acknowledgements.test.ts
@@ -135,28 +135,6 @@
 		expect(listStarts([...host.submit(createJob(2, [createStep({count: 1})])), ...host.tick(1000)])).toEqual([]);
 	});
 
-	/** Guards against the same after a change of the lead: the new leader knows of no acknowledgement, but of a run whose end the process does not list. */
-	it('is given none either once an end has been missed, until it lists one', () => {
-		const host = HandDrivenHost.create();
-		host.takeLeadership();
-		host.addWorkers('w1');
-		const [start] = listStarts(host.submit(createJob(1, [createStep({count: 1})])));
-		host.answerStart(start!);
-		const row = {
-			task: start!.task, run: start!.run, checkpoint: '', percent: 1, reading: undefined,
-		};
-		host.now += 100;
-		host.answerPoll('w1', {running: [row]});
-		host.now += 100;
-		expect(listStarts([...host.answerPoll('w1'), ...host.tick(1000)])).toEqual([]);
-		const effects = host.answerPoll('w1', {
-			ended: [{
-				number: 2, task: start!.task, run: start!.run, how: 'stopped', checkpoint: '',
-			}],
-		});
-		expect(listStarts([...effects, ...host.answerPoll('w1'), ...host.tick(1000)]).map(({run}) => run)).toEqual([2]);
-	});
-
 	/** Guards against a worker without use: tasks that last never end as done. */
 	it('runs tasks that last, and others once it has listed an end', () => {
 		const host = restartAtAcknowledgement();
--- a/packages/core/src/scheduler/acknowledgements.ts
+++ b/packages/core/src/scheduler/acknowledgements.ts
@@ -109,14 +109,6 @@
 	worker.hiddenEnds = isOpen ? {upTo: unansweredAck.upTo, settledAt: never} : undefined;
 }
 
-/**
- * Handles a run that an incarnation has shown and that it lists neither as running nor as ended: an acknowledgement hides its
- * end, and may hide the next ones. It may be one of an earlier leader, of which this one knows nothing.
- */
-export function noteHiddenEnd({now}: SchedulerState, worker: Worker): void {
-	worker.hiddenEnds ??= {upTo: never, settledAt: now};
-}
-
 /** Reads from the listed run ends whether the incarnation lists all that are to come: one has a higher number than was acknowledged, or a lower one is listed although no acknowledgement can come any more. */
 export function readHiddenEnds(worker: Worker, sentAt: SteadyMs, ended: readonly EndedRow[]): void {
 	const {hiddenEnds} = worker;
--- a/packages/core/src/scheduler/reports.ts
+++ b/packages/core/src/scheduler/reports.ts
@@ -1,6 +1,6 @@
 /** Reads what workers report of their runs: which ended and how, which go on, and which are gone. */
 import {noteUncertainWorker} from './account-use.js';
-import {keepEnd, noteHiddenEnd} from './acknowledgements.js';
+import {keepEnd} from './acknowledgements.js';
 import {queueStart} from './call-window.js';
 import {noteAtWork, noteFailure, noteSuccess} from './health.js';
 import {advanceOccurrence, finishJob} from './jobs.js';
@@ -202,10 +202,6 @@
 
 		if (task.conclusiveAfter < sentAt) {
 			noteUnansweredBefore(state, worker, task);
-			if (task.isReported && task.status === 'running') {
-				noteHiddenEnd(state, worker);
-			}
-
 			noteDecision(state, 'run-absent', {task: task.name, run: task.run, workerId: worker.id});
 			returnTask(state, task, 'run-absent');
 			steps.add(task.step);
