Revert "The end of a task is not acknowledged while a start of it may still be carried out"

Cause: ends that wait to be acknowledged count as read but not stored, and a worker with such ends is not polled until its lease runs short.

This reverts.

--- a/packages/core/src/scheduler/acknowledgements.ts
+++ b/packages/core/src/scheduler/acknowledgements.ts
@@ -7,12 +7,9 @@
 import {lateStartMs, never} from './timing.js';
 import type {EndedRow, SteadyMs} from './types.js';
 import type {
-	SchedulerState, StepRun, Task, Worker,
+	SchedulerState, StepRun, Worker,
 } from './state.js';
 
-/** A run end that is not acknowledged before an instant, by its number and the birth of its incarnation. */
-export type KeptEnd = {readonly number: number; readonly bornAt: number; readonly until: SteadyMs};
-
 /** A worker's process takes longer than this to end and start again. */
 const minRestartMs = 100;
 
@@ -21,41 +18,6 @@
 	return lastAckedEnd < lastStoredEnd;
 }
 
-/**
- * Keeps the end of a task that is done from being acknowledged while an unanswered start of it may still be carried out. If the
- * process ends meanwhile, nobody has taken note of the end, and a run that the next process then begins is the only one.
- */
-export function keepEnd({now}: SchedulerState, worker: Worker, task: Task, number: number): void {
-	const until = Math.max(0, ...task.lateStarts.map(({late}) => late.forgetAt));
-	if (until > now) {
-		worker.keptEnds = [...worker.keptEnds, {number, bornAt: worker.bornAt, until}];
-	}
-}
-
-/** Notes that the effects of a worker's run ends are stored: those before the first one that is kept may be acknowledged. */
-export function noteStoredEnds(worker: Worker, upTo: number): void {
-	const firstKept = Math.min(...worker.keptEnds.filter(({bornAt}) => bornAt === worker.bornAt).map(({number}) => number));
-	worker.lastStoredEnd = Math.max(worker.lastStoredEnd, Math.min(upTo, worker.lastReadEnd, firstKept - 1));
-}
-
-/** Has run ends acknowledged that need not be kept any more. */
-export function tickKeptEnds(state: SchedulerState): void {
-	for (const worker of state.workers.values()) {
-		if (worker.keptEnds.length === 0) {
-			continue;
-		}
-
-		const kept = worker.keptEnds.filter(({bornAt, until}) => bornAt === worker.bornAt && until > state.now);
-		if (kept.length < worker.keptEnds.length) {
-			worker.keptEnds = kept;
-			// All that was read up to now is stored with the next commit.
-			state.pendingActions.push({
-				type: 'acknowledge-ends', worker, bornAt: worker.bornAt, upTo: worker.lastReadEnd,
-			});
-		}
-	}
-}
-
 /** The number to acknowledge with a poll that is sent now; 0 for none. */
 export function chooseAcknowledgement({now}: SchedulerState, worker: Worker): number {
 	const isAlive = worker.isPolledByLeader && worker.failedPolls === 0 && now - worker.lastAnswerAt <= minRestartMs;
--- a/packages/core/src/scheduler/commits.ts
+++ b/packages/core/src/scheduler/commits.ts
@@ -1,5 +1,4 @@
 /** Appends the leader's changes to the ledger in batches, and carries out the actions that depend on them once they are stored. */
-import {noteStoredEnds} from './acknowledgements.js';
 import {storeJobProgress} from './job-progress.js';
 import {dropLiveJobIfEnded} from './jobs.js';
 import {addEffect} from './logging.js';
@@ -132,7 +131,7 @@
 	},
 	'acknowledge-ends'(_state, {worker, bornAt, upTo}) {
 		if (worker.bornAt === bornAt) {
-			noteStoredEnds(worker, upTo);
+			worker.lastStoredEnd = Math.max(worker.lastStoredEnd, Math.min(upTo, worker.lastReadEnd));
 		}
 	},
 	order(state, {machine}) {
--- a/packages/core/src/scheduler/reduce.ts
+++ b/packages/core/src/scheduler/reduce.ts
@@ -1,5 +1,4 @@
 /** The scheduler's reducer: applies one event to the state and returns effects. Its monotonic time never goes back. */
-import {tickKeptEnds} from './acknowledgements.js';
 import {handleAdvice} from './advice.js';
 import {handleCommit, tickCommits} from './commits.js';
 import {checkSuspension} from './confirmation.js';
@@ -63,7 +62,6 @@
 		tickJobs(state);
 		tickQuotas(state);
 		tickStops(state);
-		tickKeptEnds(state);
 		tickTrialPolls(state);
 		tickRegistry(state);
 		tickMachineList(state);
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -51,7 +51,6 @@
 		leaseUntilMs: 0,
 		lastReadEnd: 0,
 		lastStoredEnd: 0,
-		keptEnds: [],
 		lastAckedEnd: 0,
 		sentAck: 0,
 		unansweredAck: undefined,
--- a/packages/core/src/scheduler/reports.ts
+++ b/packages/core/src/scheduler/reports.ts
@@ -1,6 +1,5 @@
 /** Reads what workers report of their runs: which ended and how, which go on, and which are gone. */
 import {noteUncertainWorker} from './account-use.js';
-import {keepEnd} from './acknowledgements.js';
 import {hasOpenStart, queueStart} from './call-window.js';
 import {noteAtWork, noteFailure, noteSuccess} from './health.js';
 import {advanceOccurrence, finishJob} from './jobs.js';
@@ -125,9 +124,7 @@
 	}
 
 	endHandlers[row.how](state, worker, task);
-	if (hasResult) {
-		keepEnd(state, worker, task, row.number);
-	} else {
+	if (!hasResult) {
 		stopGang(state, task.step);
 	}
 }
@@ -153,7 +150,6 @@
 	}
 
 	endHandlers.done(state, worker, task);
-	keepEnd(state, worker, task, row.number);
 }
 
 /** How long a run that has just ended was at work; undefined if its start or its end is not known well enough. */
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -2,7 +2,6 @@
 import type {JobId} from '../types/ids.js';
 import type {Instant} from '../types/time.js';
 import type {AccountCharge} from './account-use.js';
-import type {KeptEnd} from './acknowledgements.js';
 import type {OccurrenceSet} from './occurrence-ranges.js';
 import type {ReportedBirth} from './reported-births.js';
 import type {
@@ -202,10 +201,7 @@
 	leaseUntilMs: number;
 	/** Highest numbers of the run ends that were read, whose effects were stored, and whose acknowledgement the worker has answered. */
 	lastReadEnd: number;
-	/** Up to this number they may be acknowledged. */
 	lastStoredEnd: number;
-	/** Ends that are not acknowledged yet although they may be stored. */
-	keptEnds: readonly KeptEnd[];
 	lastAckedEnd: number;
 	/** The number that the pending poll acknowledges; 0 for none. */
 	sentAck: number;
