A task that is bound to a worker does not count as waiting for room

Cause: two tasks of another pool, each bound to a worker by a start without an answer, counted as waiting for room (log of: 'pool-short' with 2 waiting tasks and 21 idle machines, while the next pool lacked 61). A pool with waiting tasks lends no machine.

Change: bound tasks do not count among those that wait for room.

Evidence: late-starts.test.ts, fourth test.

--- a/packages/core/src/scheduler/late-starts.test.ts
+++ b/packages/core/src/scheduler/late-starts.test.ts
@@ -82,4 +82,18 @@
 		const effects = [...host.answerStart(again!, 'no-room'), ...host.tick(tickMs)];
 		expect([listStarts(effects), effects.some(({type}) => type === 'worker/stop')]).toEqual([[], true]);
 	});
+
+	/** Guards against a pool that keeps its idle machines for a task that could not start on any of them. */
+	it('leaves its task out of those that wait for room', () => {
+		const {host, start} = sendStart();
+		let latest: Start | undefined = start;
+		for (let attempt = 0; attempt < attempts; attempt++) {
+			[latest] = listStarts(loseStart(host, latest ?? start));
+		}
+
+		host.state.workers.get(start.worker.id)!.pausedUntil = host.now + lateStartMs;
+		passTime(host, 1000);
+		const [task] = [...host.state.jobs.values()][0]!.live!.occurrences.get(0)!.steps[0]!.tasks;
+		expect([task!.status, [...host.state.demand.values()].map(({waitingTasks}) => waitingTasks)]).toEqual(['waiting', [0]]);
+	});
 });
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -139,7 +139,9 @@
 	const candidates = usable.filter(worker => hasLabel(step, worker) && canReportEnds(step, worker));
 	const place = step.definition.isGang ? placeGang : placeEach;
 	const {placed, refused} = place(state, {step, waiting, limit}, listFreeCapacities(state, step, candidates));
-	const left = Math.min(count, limit) - placed;
+	// A task that is bound to a worker does not wait for room: other machines would not help it.
+	const bound = waiting.filter(task => task.status === 'waiting' && isBoundByLateStart(state, task)).length;
+	const left = Math.min(count, limit) - placed - bound;
 	if (left > 0) {
 		addWaitingWork(state, pool, step, {tasks: left, workers: candidates.length + full, refused});
 		placeAsProbe(state, step, setAside);
