--- a/packages/core/src/scheduler/lease-handover.known-red.test.ts
+++ b/packages/core/src/scheduler/lease-handover.known-red.test.ts
@@ -1,7 +1,8 @@
 /** TWICE: the successor of a leader waits for leases that a worker's process took from calls that were meant for its former one. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {LeadChange, type LeadEnd} from './testing/lead-change.js';
+import type {LeadEnd} from './testing/host-pair.js';
+import {LeadChange} from './testing/lead-change.js';
 import {createJob, createStep} from './testing/model-jobs.js';
 import type {WorkerCall} from './testing/worker-process.js';
 
--- a/packages/core/src/scheduler/lease-handover.test.ts
+++ b/packages/core/src/scheduler/lease-handover.test.ts
@@ -1,7 +1,8 @@
 /** LOST and TWICE: runs start elsewhere as soon after a change of the lead as their leases allow, and no sooner. lease-handover.known-red.test.ts has the cases that fail. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {LeadChange, type LeadEnd, type SeenRun} from './testing/lead-change.js';
+import type {LeadEnd} from './testing/host-pair.js';
+import {LeadChange, type SeenRun} from './testing/lead-change.js';
 import {createJob, createStep} from './testing/model-jobs.js';
 import {
 	leaseHorizonMs, leaseSlackMs, longestGrantMs, suspicionMs,
--- a/packages/core/src/scheduler/testing/lead-change.ts
+++ b/packages/core/src/scheduler/testing/lead-change.ts
@@ -3,35 +3,25 @@
  * leases as PROTOCOL.md says, on clocks that are 2% slow. The test says which processes end and begin, which workers are cut
  * off, and which calls are kept back until it has the process that is there then carry them out.
  */
-import type {SchedulerEffect} from '../effects.js';
 import {maxClockDrift} from '../timing.js';
 import type {JobDefinition} from '../types.js';
-import {
-	createConfig, createWorker, HandDrivenHost, type EffectOf, type EventBody,
-} from './hand-driven.js';
-import {ModelStore} from './model-store.js';
+import {createWorker, type EffectOf, type EventBody} from './hand-driven.js';
+import {HostPair, type LeadEnd, type PairedHost} from './host-pair.js';
 import {
 	createAnswer, isWorkerCall, WorkerProcess, type ProcessRun, type WorkerCall,
 } from './worker-process.js';
 
-const tickMs = 25;
 const registryMs = 60;
-const storeMs = 3;
 const networkMs = 2;
 const heldStepMs = 5;
 const callTimeoutMs = 400;
 const stopMs = 100;
-const successorSequence = 100_000;
-
-/** How the first host's lead ends. */
-export type LeadEnd = 'released' | 'died';
 
 /** A run as the worker had it; `endedAt` is absent while it goes on. */
 export type SeenRun = {readonly task: string; readonly run: number; readonly workerId: string; readonly beganAt: number; endedAt?: number};
 
-type RigHost = {readonly host: HandDrivenHost; readEnd: number; isUp: boolean; handled: number};
-type RigWorker = {readonly id: string; process: WorkerProcess | undefined; reportedBirth: number; isListed: boolean; isCut: boolean};
-type SentCall = {readonly call: WorkerCall; readonly from: RigHost; readonly sentAt: number; readonly timeoutAt: number};
+type RigWorker = {readonly id: string; process: WorkerProcess | undefined; reportedBirth: number; isCut: boolean};
+type SentCall = {readonly call: WorkerCall; readonly from: PairedHost; readonly sentAt: number; readonly timeoutAt: number};
 
 export class LeadChange {
 	static create(): LeadChange {
@@ -42,9 +32,7 @@
 	readonly runs: SeenRun[] = [];
 	/** Runs that began while another one of their task was at work. */
 	readonly doubles: string[] = [];
-	private readonly store = ModelStore.create();
-	private readonly former = createHost('former', 1);
-	private readonly successor = createHost('successor', successorSequence);
+	private readonly hosts: HostPair;
 	private readonly workers = new Map<string, RigWorker>();
 	private readonly keptBack: WorkerCall[] = [];
 	private readonly runMs = new Map<string, number>();
@@ -52,24 +40,23 @@
 	private isKeptBack: ((call: WorkerCall) => boolean) | undefined;
 
 	private constructor() {
-		this.dispatch(this.former, {type: 'config/read', config: createConfig()});
-		this.dispatch(this.former, {type: 'ledger/loaded', entries: [], nextOffset: 0});
-		this.scheduleEvery(tickMs, () => {
-			this.dispatchAll({type: 'clock/ticked'});
-		});
-		this.scheduleEvery(registryMs, () => {
-			const workers = [...this.workers.values()].filter(({isListed}) => isListed).map(({id, reportedBirth}) => createWorker(id, {bornAt: reportedBirth}));
-			this.dispatchAll({type: 'workers/listed', workers, isReloaded: false});
+		this.hosts = HostPair.create({
+			getNow: () => this.now,
+			schedule: (inMs, act) => {
+				this.schedule(inMs, act);
+			},
+			handle: (from, effect) => {
+				if (isWorkerCall(effect)) {
+					this.sendCall(from, effect);
+				}
+			},
 		});
-		this.runUntil(tickMs * 4);
-		this.dispatch(this.successor, {type: 'config/read', config: createConfig()});
-		this.dispatch(this.successor, {type: 'ledger/loaded', entries: [...this.store.ledger], nextOffset: this.store.ledger.length});
-		this.successor.readEnd = this.store.ledger.length;
+		this.passRegistry();
 	}
 
 	/** True once the second host leads. */
 	get isHandedOver(): boolean {
-		return this.successor.host.state.leadership.role === 'leader';
+		return this.hosts.isHandedOver;
 	}
 
 	runUntil(until: number): void {
@@ -89,14 +76,14 @@
 
 	submit(job: JobDefinition, runMs: number): void {
 		this.runMs.set(job.jobId, runMs);
-		this.dispatchAll({type: 'intake/read', records: [{type: 'job', job}]});
+		this.hosts.dispatchAll({type: 'intake/read', records: [{type: 'job', job}]});
 	}
 
-	/** Adds a worker, or lists it from now on. */
+	/** Adds a worker, which the registry lists from now on. */
 	addWorker(id: string): void {
 		const process = this.createProcess(id);
 		this.workers.set(id, {
-			id, process, reportedBirth: process.bornAt, isListed: true, isCut: false,
+			id, process, reportedBirth: process.bornAt, isCut: false,
 		});
 	}
 
@@ -142,11 +129,7 @@
 
 	/** Ends the first host's lead. */
 	endLead(how: LeadEnd): void {
-		if (how === 'released') {
-			this.dispatch(this.former, {type: 'stop/requested'});
-		} else {
-			this.former.isUp = false;
-		}
+		this.hosts.endLead(how);
 	}
 
 	private createProcess(id: string): WorkerProcess {
@@ -184,68 +167,15 @@
 		this.queue.push({at: this.now + inMs, act});
 	}
 
-	private scheduleEvery(everyMs: number, act: () => void): void {
-		this.schedule(everyMs, () => {
-			act();
-			this.scheduleEvery(everyMs, act);
+	private passRegistry(): void {
+		const workers = [...this.workers.values()].map(({id, reportedBirth}) => createWorker(id, {bornAt: reportedBirth}));
+		this.hosts.dispatchAll({type: 'workers/listed', workers, isReloaded: false});
+		this.schedule(registryMs, () => {
+			this.passRegistry();
 		});
 	}
 
-	private dispatchAll(body: EventBody): void {
-		this.dispatch(this.former, body);
-		this.dispatch(this.successor, body);
-	}
-
-	private dispatch(to: RigHost, body: EventBody): void {
-		if (!to.isUp) {
-			return;
-		}
-
-		to.host.now = this.now;
-		to.host.dispatch(body);
-		const {effects} = to.host;
-		while (to.handled < effects.length) {
-			this.handle(to, effects[to.handled++]!);
-		}
-	}
-
-	private handle(from: RigHost, effect: SchedulerEffect): void {
-		if (effect.type === 'ledger/claim') {
-			const {at, token, sequence, holder} = effect;
-			this.schedule(storeMs, () => {
-				const outcome = this.store.claim(at, token, sequence, holder);
-				this.dispatch(from, {type: 'claim/ended', outcome, claimedAt: at});
-				this.passRecords();
-			});
-		} else if (effect.type === 'ledger/commit') {
-			const {token, sequence, records} = effect;
-			this.schedule(storeMs, () => {
-				const outcome = this.store.append(token, sequence, records);
-				this.dispatch(from, {
-					type: 'commit/ended', outcome, sequence, token,
-				});
-				this.passRecords();
-			});
-		} else if (isWorkerCall(effect)) {
-			this.sendCall(from, effect);
-		}
-	}
-
-	/** Has the second host read the records that are new. */
-	private passRecords(): void {
-		this.schedule(storeMs, () => {
-			const {successor, store: {ledger}} = this;
-			if (this.isHandedOver || successor.readEnd >= ledger.length) {
-				return;
-			}
-
-			const entries = ledger.slice(successor.readEnd);
-			successor.readEnd = ledger.length;
-			this.dispatch(successor, {type: 'ledger/read', entries, nextOffset: ledger.length});
-		});
-	}
-
-	private sendCall(from: RigHost, call: WorkerCall): void {
+	private sendCall(from: PairedHost, call: WorkerCall): void {
 		const timeoutMs = call.type === 'worker/poll' ? call.waitMs + call.slackMs : callTimeoutMs;
 		const sent: SentCall = {
 			call, from, sentAt: this.now, timeoutAt: this.now + timeoutMs,
@@ -307,21 +237,13 @@
 		}
 
 		this.schedule(networkMs, () => {
-			this.dispatch(sent.from, answer);
+			this.hosts.dispatch(sent.from, answer);
 		});
 	}
 
 	private scheduleUnknown({call, from, sentAt, timeoutAt}: SentCall): void {
 		this.schedule(Math.max(1, timeoutAt - this.now), () => {
-			this.dispatch(from, createAnswer(call, sentAt, 'unknown'));
+			this.hosts.dispatch(from, createAnswer(call, sentAt, 'unknown'));
 		});
 	}
 }
-
-function createHost(holder: string, firstSequence: number): RigHost {
-	const host = HandDrivenHost.create({holder, firstSequence});
-	host.isConfirmingAppends = false;
-	return {
-		host, readEnd: 0, isUp: true, handled: 0,
-	};
-}
--- a/packages/core/src/scheduler/testing/worker-process.ts
+++ b/packages/core/src/scheduler/testing/worker-process.ts
@@ -15,7 +15,7 @@
 	readonly clockRate: number;
 	getRunMs(task: string): number;
 	/** How long a stop takes. */
-	drawStopMs(): number;
+	drawStopMs(run: ProcessRun): number;
 	noteBegun(process: WorkerProcess, run: ProcessRun): void;
 	noteEnded(process: WorkerProcess, run: ProcessRun, how: EndedRow['how']): void;
 	/** A run that ended as done was acknowledged while the lease lasted. */
@@ -136,7 +136,7 @@
 		const active = this.runs.get(task);
 		if (active?.run === run && active.how === 'done') {
 			active.how = 'stopped';
-			active.endsAt = Math.min(active.endsAt, now + this.options.drawStopMs());
+			active.endsAt = Math.min(active.endsAt, now + this.options.drawStopMs(active));
 		}
 	}
 
