Log which leases may be long, what a new leader waits for, and calls that bring no list

For a task that ran twice after a change of the lead, logs could not tell - the bound up to which a new leader takes earlier leases for granted (`lead-taken`: earlierLeasesMs, isReleased), - that the former leader knew of a longer one: nothing told when the bound of calls meant for a former process is set (`long-lease-possible`), nor what a release does not hand over (`lead-released`: longLeases), - which call may have given that lease: only starts were logged, without the expiry asked for, and at most 40 a second. Now `task-started` tells untilMs, `poll-not-held` each poll without an answer or answered by another process, `worker-restarted` and `worker-restart-seen` the latest expiry asked for, - which process a lapsed lease belongs to (`lease-lapsed`: bornAt, restarts).

--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -5,6 +5,7 @@
 	addEffect, describeError, noteDecision, noteWarning,
 } from './logging.js';
 import {computeEarlierLeaseEnd} from './earlier-leases.js';
+import {describeLongLeases} from './leases.js';
 import {resetLoad} from './load-view.js';
 import {isFinal} from './phases.js';
 import {
@@ -120,6 +121,7 @@
 	leadership.nextSequence = state.settings.firstSequence + 1;
 	leadership.nextCommitNumber = 1;
 	leadership.commit = undefined;
+	const {isReleased} = leadership;
 	leadership.isReleased = false;
 	leadership.commitNotBefore = 0;
 	leadership.heartbeatDueAt = state.now + leaderHeartbeatMs;
@@ -154,7 +156,9 @@
 		restoreWave(state, wave);
 	}
 
-	noteDecision(state, 'lead-taken', {token, jobs: state.liveJobs.size, workers: state.workers.size});
+	noteDecision(state, 'lead-taken', {
+		token, jobs: state.liveJobs.size, workers: state.workers.size, isReleased, earlierLeasesMs: Math.round(leadership.earlierLeasesUntil - state.now),
+	});
 }
 
 /** One job whose stored progress cannot be read must not keep a new leader from the others. */
@@ -234,7 +238,7 @@
 		return;
 	}
 
-	noteDecision(state, 'lead-released', {token: leadership.token});
+	noteDecision(state, 'lead-released', {token: leadership.token, longLeases: describeLongLeases(state)});
 	addRelease(state);
 	leadership.role = 'retired';
 	deactivateJobs(state);
--- a/packages/core/src/scheduler/leases.ts
+++ b/packages/core/src/scheduler/leases.ts
@@ -1,7 +1,7 @@
 /** Leases of workers: until when their runs may go on without hearing from a leader, also if another incarnation than the known one has carried out its calls. */
 import {noteWorkerLost} from './crashes.js';
 import {getLeaseEnd} from './incarnations.js';
-import {noteWarning} from './logging.js';
+import {noteDecision, noteWarning} from './logging.js';
 import {describeMachineOf} from './machine-evidence.js';
 import {clearWorker, listUnreportedTasks} from './registry.js';
 import {
@@ -44,10 +44,13 @@
 }
 
 /** From its first answer on, an incarnation refuses calls meant for its former one, which have a lower fencing token. */
-export function noteFirstAnswer(state: SchedulerState, worker: Worker): void {
+export function noteFirstAnswer(state: SchedulerState, worker: Worker, clockMs: number | undefined): void {
 	if (worker.hasFormerLeases) {
 		worker.hasFormerLeases = false;
 		worker.formerCallsUntil = Math.max(worker.formerCallsUntil, computeLongestLeaseEnd(state, state.now));
+		noteDecision(state, 'long-lease-possible', {
+			workerId: worker.id, bornAt: worker.bornAt, clockMs, lastsMs: Math.round(worker.formerCallsUntil - state.now), tasks: worker.tasks.size,
+		});
 	}
 
 	if (worker.hiddenEnds?.settledAt === never) {
@@ -72,6 +75,8 @@
 
 	noteWarning(state, 'lease-lapsed', {
 		workerId: worker.id,
+		bornAt: worker.bornAt,
+		restarts: worker.restarts,
 		tasks: worker.tasks.size,
 		keptTasks: kept.size,
 		silentMs: Math.round(state.now - worker.lastAnswerAt),
@@ -81,3 +86,15 @@
 	noteWorkerLost(state, worker, false);
 	clearWorker(state, worker, 'lease-lapsed', kept);
 }
+
+/** Longer lists would make the line too long for a large fleet. */
+const maxDescribedLeases = 50;
+
+/** Workers with runs whose lease may be one that was meant for the former process, with how long it may still last, for the log: a successor does not know of it. */
+export function describeLongLeases({workers, now}: SchedulerState): string {
+	return [...workers.values()]
+		.filter(worker => hasSentTasks(worker) && (worker.hasFormerLeases || worker.formerCallsUntil > now))
+		.slice(0, maxDescribedLeases)
+		.map(({id, hasFormerLeases, formerCallsUntil}) => `${id}:${hasFormerLeases ? 'unbounded' : Math.round(formerCallsUntil - now)}`)
+		.join(' ');
+}
--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -180,7 +180,7 @@
 	worker.failedPolls = 0;
 	worker.lastAnswerAt = state.now;
 	worker.isPolledByLeader = true;
-	noteFirstAnswer(state, worker);
+	noteFirstAnswer(state, worker, event.clockMs);
 	readAcknowledged(worker, event);
 	worker.pollDueAt = state.now;
 	if (event.clockMs !== undefined) {
@@ -235,7 +235,7 @@
  */
 export function noteNextIncarnation(state: SchedulerState, worker: Worker, clockMs: number | undefined): void {
 	noteDecision(state, 'worker-restart-seen', {
-		workerId: worker.id, bornAt: worker.bornAt, clockMs, formerClockMs: worker.clock?.workerMs, tasks: worker.tasks.size,
+		workerId: worker.id, bornAt: worker.bornAt, clockMs, formerClockMs: worker.clock?.workerMs, leaseUntilMs: worker.leaseUntilMs, tasks: worker.tasks.size,
 	});
 	worker.clock = undefined;
 	worker.isPolledByLeader = false;
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -143,7 +143,13 @@
 /** Handles a new incarnation of a worker, which was born by `bornBy` on this host's clock: the runs of the previous one are gone, except that unreported starts may reach the new one. */
 export function restartWorker(state: SchedulerState, worker: Worker, bornAt: number, bornBy: SteadyMs = never): void {
 	noteDecision(state, 'worker-restarted', {
-		workerId: worker.id, bornAt, formerBornAt: worker.bornAt, tasks: worker.tasks.size,
+		workerId: worker.id,
+		bornAt,
+		formerBornAt: worker.bornAt,
+		tasks: worker.tasks.size,
+		unreported: listUnreportedTasks(worker).length,
+		leaseUntilMs: worker.leaseUntilMs,
+		leaseCallMsAgo: worker.leaseCallAt === Number.NEGATIVE_INFINITY ? undefined : Math.round(state.now - worker.leaseCallAt),
 	});
 	noteWorkerLost(state, worker, true, bornBy);
 	passAcknowledgements(state, worker);
--- a/packages/daemon/src/scheduler/effect-runner.ts
+++ b/packages/daemon/src/scheduler/effect-runner.ts
@@ -171,7 +171,7 @@
 		this.recordCall('start', outcome, startedAt);
 		// Logged for every outcome of a start, also if the run was not started; `outcome` tells which.
 		this.options.log.note('task-started', {
-			task: effect.task, run: effect.run, workerId: effect.worker.id, bornAt: effect.worker.bornAt, outcome, clockMs, tookMs: Math.round(readSteadyClock() - startedAt),
+			task: effect.task, run: effect.run, workerId: effect.worker.id, bornAt: effect.worker.bornAt, outcome, clockMs, untilMs: effect.untilMs, tookMs: Math.round(readSteadyClock() - startedAt),
 		});
 		const {worker, task, run, token} = effect;
 		this.options.pushEvent({
@@ -198,6 +198,20 @@
 		const answer = await this.options.ports.workers.poll(effect);
 		this.recordCall('hold', answer.outcome, sentAt);
 		const {worker} = effect;
+		if (answer.outcome !== 'held' || answer.bornAt !== worker.bornAt) {
+			// It may have renewed the lease of another process than the one it was meant for.
+			this.options.log.note('poll-not-held', {
+				workerId: worker.id,
+				bornAt: worker.bornAt,
+				answerBornAt: answer.bornAt,
+				outcome: answer.outcome,
+				clockMs: answer.clockMs,
+				untilMs: effect.untilMs,
+				isExtra: effect.isExtra,
+				tookMs: Math.round(readSteadyClock() - sentAt),
+			});
+		}
+
 		if (answer.fault !== undefined) {
 			this.options.log.warn('poll-unreadable', {workerId: worker.id, fault: answer.fault});
 		}
