--- a/packages/core/src/scheduler/lease-handover.known-red.test.ts
+++ b/packages/core/src/scheduler/lease-handover.known-red.test.ts
@@ -1,4 +1,4 @@
-/** TWICE: the successor of a leader waits for leases that a worker's process took from calls that were meant for its former one. */
+/** TWICE: the successor of a leader reckons with what a worker's process did on calls that were meant for its former one. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import type {LeadEnd} from './testing/host-pair.js';
@@ -62,7 +62,7 @@
 }
 
 for (const how of ['released', 'died'] as const satisfies LeadEnd[]) {
-	describe(`a run on a worker that has restarted and is cut off, after its leader has ${how === 'died' ? 'died' : 'released the lead'}, starts nowhere else while it may be at work`, () => {
+	describe(`a run on a worker that restarts beside a change of the lead (${how}) starts nowhere else while it may be at work`, () => {
 		/** Guards against a successor that doesn't know what the former leader did: a poll for the former process gave the present one the longest lease that workers accept. */
 		it('if a poll for the former process came before the first answer of the present one', () => {
 			const rig = createRig();
@@ -114,5 +114,25 @@
 			rig.runUntil(17_500);
 			checkRestart(rig);
 		});
+
+		/** Guards against a successor that takes a restart for the end of a run whose start its predecessor had sent twice: the next process carries the other call out. */
+		it('if its start was sent twice, and the next process carried out the first call', () => {
+			const rig = createRig();
+			rig.runUntil(15_000);
+			rig.keepNextBack(isStart);
+			rig.submit(job, runMs);
+			rig.runUntil(15_600);
+			rig.endLead(how);
+			rig.addWorker('w2');
+			rig.runUntil(17_500);
+			expect(rig.runs.map(({workerId}) => workerId)).toEqual(['w1']);
+			rig.crashWorker('w1');
+			rig.runUntil(17_800);
+			rig.restartWorker('w1');
+			rig.reportWorker('w1');
+			rig.runUntil(endAt);
+			expect(rig.runs.length).toBeGreaterThan(1);
+			expect(rig.doubles).toEqual([]);
+		});
 	});
 }
