--- a/packages/core/src/scheduler/lease-handover.test.ts
+++ b/packages/core/src/scheduler/lease-handover.test.ts
@@ -92,3 +92,35 @@
 		});
 	});
 }
+
+for (const how of ['released', 'died'] as const satisfies LeadEnd[]) {
+	describe(`a long-running task that starts while a restarted worker holds the longest lease, and whose leader has ${how === 'died' ? 'died' : 'released the lead'}`, () => {
+		/** Guards against long-running tasks on workers whose leases outlast the time that they may be without a run, while others have room. */
+		it('runs again in time after its worker has crashed', () => {
+			const rig = LeadChange.create();
+			rig.addWorker('w1');
+			rig.runUntil(goneAt - 5000);
+			rig.submit(createJob(2, [createStep({count: 1, estimateMs: runMs})]), runMs);
+			rig.runUntil(goneAt - 1000);
+			rig.keepNextBack(call => call.type === 'worker/poll' && call.untilMs !== undefined);
+			rig.addWorker('w2');
+			rig.runUntil(goneAt);
+			rig.crashWorker('w1');
+			rig.runUntil(goneAt + 600);
+			rig.restartWorker('w1');
+			rig.reportWorker('w1');
+			rig.runUntil(goneAt + 800);
+			const job = createJob(1, [createStep({count: 1, estimateMs: runMs, isLongRunning: true})]);
+			rig.submit(job, runMs);
+			rig.runUntil(goneAt + 1300);
+			const listRuns = () => rig.runs.filter(({task}) => task.startsWith(job.jobId));
+			const [first] = listRuns();
+			rig.endLead(how);
+			rig.crashWorker(first!.workerId);
+			rig.runUntil(endAt);
+			expect(listRuns().length).toEqual(2);
+			expect(listRuns()[1]!.beganAt - first!.endedAt!).toBeLessThanOrEqual(restartLimitMs);
+			expect(rig.doubles).toEqual([]);
+		});
+	});
+}
--- a/packages/core/src/scheduler/testing/lead-change.ts
+++ b/packages/core/src/scheduler/testing/lead-change.ts
@@ -160,7 +160,7 @@
 	}
 
 	private noteEnded(workerId: string, {task, run}: ProcessRun): void {
-		this.runs.find(seen => seen.workerId === workerId && seen.task === task && seen.run === run)!.endedAt = this.now;
+		this.runs.findLast(seen => seen.workerId === workerId && seen.task === task && seen.run === run)!.endedAt = this.now;
 	}
 
 	private schedule(inMs: number, act: () => void): void {
