A leader tells its successor of leases that may outlast the requested ones, and of starts without an answer

What callers saw: two runs of one task on two workers (TWICE) after a change of the lead, while workers restarted under their ids and were cut off.

Cause: a worker's next process carries out calls that were meant for the former one. Their expiry may lie far ahead on its clock, so it holds the longest lease that workers accept, 10 s, in place of 3.5 s; all its runs inherit that. The leader that saw the restart knew the bound. Its successor waited 6.6 s after a release, 8.1 s after the last record of a leader that died, and started the tasks elsewhere; nor did it know that a process which answers it for the first time may hold such a lease from calls of its predecessor.

Change: lease records carry the open leases: workers whose leases may be longer, with the time left, and tasks whose start is not confirmed. They go out with a release, with each heartbeat and each 400 ms beside other changes. Placements stored after the latest such record count as unconfirmed, as do all if there is none (earlier versions). A successor - waits for the longer leases it was told of, - takes confirmed starts for reported ones, - binds unconfirmed ones to their worker for 15 s from the last record, and frees a long-running one after the longest lease, - counts on the longest lease at each first answer of a worker, unless its process was told to have carried out a start of its own. Long-running tasks go first where a successor would not wait longer than it does anyway (8.1 s), so that both rules hold: no run twice, no task that lasts without a run for 9 s. If no other worker has room they start there all the same. The bound after a restart is the longest lease from the first answer; it was 15 s with unanswered starts, which bind their tasks by themselves.

Tests that changed: handover.test compares the release without the new field; takeover-leases.test and one of quotas.test let the former leader tell its open leases, as leaders do now (without them a leader of an earlier version is meant, whose starts are all in doubt); late-start-paths' first known failure passes and moved to its test file.

--- a/packages/core/src/scheduler/commits.ts
+++ b/packages/core/src/scheduler/commits.ts
@@ -3,6 +3,7 @@
 import {dropLiveJobIfEnded} from './jobs.js';
 import {addEffect} from './logging.js';
 import {listRecentOrders, sendStoredOrder} from './machine-orders.js';
+import {listOpenLeases} from './open-leases.js';
 import {isFinal} from './phases.js';
 import {listPartNames} from './progress-parts.js';
 import {queueStart} from './call-window.js';
@@ -112,8 +113,13 @@
 	}
 
 	// The other records may be too large for the store: an append without any record would confirm nothing.
-	if (state.dirtyJobs.size === 0) {
-		records.push({type: 'lease', lease: {holder: settings.holder, token: leadership.token, isReleased: false}});
+	if (state.dirtyJobs.size === 0 || state.now >= leadership.openLeasesDueAt) {
+		leadership.openLeasesDueAt = state.now + leaderHeartbeatMs;
+		records.push({
+			type: 'lease', lease: {
+				holder: settings.holder, token: leadership.token, isReleased: false, openLeases: listOpenLeases(state),
+			},
+		});
 	}
 
 	return records;
--- a/packages/core/src/scheduler/earlier-leases.ts
+++ b/packages/core/src/scheduler/earlier-leases.ts
@@ -5,17 +5,11 @@
  * claim of its successor in the ledger, and a host reads each of them after its sending. The horizon therefore counts from the
  * latest record that a host has read before its own claim, whichever of the earlier leaders wrote it.
  */
-import {
-	leaseHorizonMs, leaseSlackMs, longestGrantMs, suspicionMs,
-} from './timing.js';
+import {earlierLeaseMs, releasedLeaseMs} from './lease-bounds.js';
+import {suspicionMs} from './timing.js';
 import type {LeaseRecord, SteadyMs} from './types.js';
 import type {SchedulerState} from './state.js';
 
-/** A leader notices a suspension of its host only from `suspicionMs` on. */
-const earlierLeaseMs = leaseHorizonMs + suspicionMs + leaseSlackMs;
-/** A leader grants nothing once it has sent its release. */
-const releasedLeaseMs = longestGrantMs + suspicionMs + leaseSlackMs;
-
 /** A full read shows only the latest lease record: earlier leaders may have been active until now. */
 export function noteLedgerLoaded({leadership, now}: SchedulerState): void {
 	leadership.formerLeasesUntil = now + earlierLeaseMs;
@@ -37,6 +31,11 @@
 	return Math.max(leadership.formerLeasesUntil, getLatestLeaderEnd(leadership));
 }
 
+/** Until when earlier leaders may have sent calls to workers. Valid at the same time; a leader that is cut off from the ledger is not counted. */
+export function computeEarlierCallEnd({ledgerEnd, lastRecordAt}: SchedulerState['leadership']): SteadyMs {
+	return ledgerEnd === 0 ? Number.NEGATIVE_INFINITY : lastRecordAt + suspicionMs;
+}
+
 function getLatestLeaderEnd({isReleased, lastRecordAt}: SchedulerState['leadership']): SteadyMs {
 	return lastRecordAt + (isReleased ? releasedLeaseMs : earlierLeaseMs);
 }
--- a/packages/core/src/scheduler/handover.test.ts
+++ b/packages/core/src/scheduler/handover.test.ts
@@ -62,7 +62,7 @@
 	/** Guards against a backlog that grows for as long as a weak host leads: it is never silent, so no other host claims. */
 	it('hands over if it is weak', () => {
 		const leader = overload(weak, 30);
-		expect(listReleases(leader)).toEqual([{
+		expect(listReleases(leader).map(({openLeases: _openLeases, ...release}) => release)).toEqual([{
 			holder: 'h', token: 1, isReleased: true, capacityShortfall: weak,
 		}]);
 		expect(leader.state.leadership.role).toEqual('follower');
--- a/packages/core/src/scheduler/job-restore.ts
+++ b/packages/core/src/scheduler/job-restore.ts
@@ -1,7 +1,8 @@
 /** Restores the tasks of a job from its stored progress, when a host takes the leadership. */
 import {hasOccurrence} from './occurrence-ranges.js';
 import {ensureTask, getOccurrence} from './occurrences.js';
-import {ensureWorker} from './registry.js';
+import {isStartConfirmed} from './open-leases.js';
+import {ensureWorker, noteLateStart} from './registry.js';
 import {attachTask} from './tasks.js';
 import {never} from './timing.js';
 import type {ProgressRow} from './types.js';
@@ -66,6 +67,11 @@
 		task.isResumed = row.checkpoint !== '';
 		// No poll of this leadership term was sent before this instant, so any poll of this term shows whether the run exists.
 		task.conclusiveAfter = state.leadership.leaderSince;
-		attachTask(state, ensureWorker(state, row.workerId, row.workerBornAt), task);
+		const worker = ensureWorker(state, row.workerId, row.workerBornAt);
+		attachTask(state, worker, task);
+		task.isReported = worker.bornAt === row.workerBornAt && isStartConfirmed(state, task);
+		if (!task.isReported) {
+			noteLateStart(state, worker, task, state.leadership.earlierCallsUntil);
+		}
 	}
 }
--- a/packages/core/src/scheduler/late-start-paths.known-red.test.ts
+++ b/packages/core/src/scheduler/late-start-paths.known-red.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {
-	createProgress, createRow, createWorker, HandDrivenHost, listLogEvents, listStarts, type EffectOf,
+	createWorker, HandDrivenHost, listLogEvents, listStarts, type EffectOf,
 } from './testing/hand-driven.js';
 import {createJob, createStep} from './testing/model-jobs.js';
 import type {SchedulerEffect} from './effects.js';
@@ -53,29 +53,6 @@
 const places = (starts: Start[]) => starts.map(({worker, run}) => `${worker.id}#${run}`);
 
 describe('a start that may still be carried out', () => {
-	/** Guards against a task that starts elsewhere after a takeover, while the start of the former leader may still be carried out. */
-	it('a restored start binds its task after the lease of a silent worker has lapsed', () => {
-		const host = HandDrivenHost.create();
-		const job = createJob(1, [createStep({count: 1, estimateMs: 9000})]);
-		host.submit(job);
-		host.takeLeadership([createProgress(0, job, [createRow({})])]);
-		const since = host.now;
-		host.dispatch({type: 'workers/listed', workers: [createWorker('w2')], isReloaded: true});
-		host.now++;
-		host.answerPoll('w2');
-		const effects: SchedulerEffect[] = [];
-		let at = 0;
-		while (host.now < since + 14_000 && at === 0) {
-			const latest = [...host.tick(tickMs)];
-			host.now++;
-			latest.push(...host.answerPoll('w2'));
-			effects.push(...latest);
-			at = listStarts(latest).length > 0 ? host.now - since : 0;
-		}
-
-		expect({starts: places(listStarts(effects)), at}).toEqual({starts: [], at: 0});
-	});
-
 	/** Guards against a worker that is crashed on and on by a task whose start it never answers. */
 	it('a task that ends its worker before the start is answered is given up', () => {
 		const host = create('w1', 'w2', 'w3', 'w4');
--- a/packages/core/src/scheduler/late-start-paths.test.ts
+++ b/packages/core/src/scheduler/late-start-paths.test.ts
@@ -236,4 +236,27 @@
 		const addresses = effects.filter(effect => effect.type === 'worker/poll').filter(({worker}) => worker.id === 'w1').map(({worker}) => worker.address);
 		expect([...new Set(addresses)]).toEqual(['10.0.0.1:80']);
 	});
+
+	/** Guards against a task that starts elsewhere after a takeover, while the start of the former leader may still be carried out. */
+	it('a restored start binds its task after the lease of a silent worker has lapsed', () => {
+		const host = HandDrivenHost.create();
+		const job = createJob(1, [createStep({count: 1, estimateMs: 9000})]);
+		host.submit(job);
+		host.takeLeadership([createProgress(0, job, [createRow({})])]);
+		const since = host.now;
+		host.dispatch({type: 'workers/listed', workers: [createWorker('w2')], isReloaded: true});
+		host.now++;
+		host.answerPoll('w2');
+		const effects: SchedulerEffect[] = [];
+		let at = 0;
+		while (host.now < since + 14_000 && at === 0) {
+			const latest = [...host.tick(tickMs)];
+			host.now++;
+			latest.push(...host.answerPoll('w2'));
+			effects.push(...latest);
+			at = listStarts(latest).length > 0 ? host.now - since : 0;
+		}
+
+		expect({starts: places(listStarts(effects)), at}).toEqual({starts: [], at: 0});
+	});
 });
--- a/packages/core/src/scheduler/leadership.ts
+++ b/packages/core/src/scheduler/leadership.ts
@@ -4,9 +4,9 @@
 import {
 	addEffect, describeError, noteDecision, noteWarning,
 } from './logging.js';
-import {computeEarlierLeaseEnd} from './earlier-leases.js';
-import {describeLongLeases} from './leases.js';
+import {computeEarlierCallEnd, computeEarlierLeaseEnd} from './earlier-leases.js';
 import {resetLoad} from './load-view.js';
+import {describeOpenLeases, listOpenLeases} from './open-leases.js';
 import {isFinal} from './phases.js';
 import {
 	claimRetryMs, claimJitterMs, handoverClaimDelayMs, leaderSilenceAtStartMs, leaderSilenceMs, leaderHeartbeatMs, never, shortfallClaimDelayMs,
@@ -115,6 +115,7 @@
 	leadership.role = 'leader';
 	leadership.isHandingOver = false;
 	leadership.earlierLeasesUntil = computeEarlierLeaseEnd(state);
+	leadership.earlierCallsUntil = computeEarlierCallEnd(leadership);
 	leadership.token = token;
 	leadership.leaderSince = state.now;
 	leadership.confirmedAt = sentAt;
@@ -125,6 +126,7 @@
 	leadership.isReleased = false;
 	leadership.commitNotBefore = 0;
 	leadership.heartbeatDueAt = state.now + leaderHeartbeatMs;
+	leadership.openLeasesDueAt = state.now;
 	state.pendingActions = [];
 	state.callWindow = createCallWindow();
 	state.workers.clear();
@@ -157,7 +159,7 @@
 	}
 
 	noteDecision(state, 'lead-taken', {
-		token, jobs: state.liveJobs.size, workers: state.workers.size, isReleased, earlierLeasesMs: Math.round(leadership.earlierLeasesUntil - state.now),
+		token, jobs: state.liveJobs.size, workers: state.workers.size, isReleased, earlierLeasesMs: Math.round(leadership.earlierLeasesUntil - state.now), areOpenLeasesKnown: leadership.openLeases !== undefined,
 	});
 }
 
@@ -218,7 +220,7 @@
 		sequence: leadership.nextSequence++,
 		records: [{
 			type: 'lease', lease: {
-				holder, token, isReleased: true, ...(capacityShortfall !== undefined && {capacityShortfall}),
+				holder, token, isReleased: true, ...(capacityShortfall !== undefined && {capacityShortfall}), openLeases: listOpenLeases(state),
 			},
 		}],
 	});
@@ -238,7 +240,7 @@
 		return;
 	}
 
-	noteDecision(state, 'lead-released', {token: leadership.token, longLeases: describeLongLeases(state)});
+	noteDecision(state, 'lead-released', {token: leadership.token, openLeases: describeOpenLeases(listOpenLeases(state))});
 	addRelease(state);
 	leadership.role = 'retired';
 	deactivateJobs(state);
--- a/packages/core/src/scheduler/leases.ts
+++ b/packages/core/src/scheduler/leases.ts
@@ -1,6 +1,7 @@
 /** Leases of workers: until when their runs may go on without hearing from a leader, also if another incarnation than the known one has carried out its calls. */
 import {noteWorkerLost} from './crashes.js';
 import {getLeaseEnd} from './incarnations.js';
+import {addLongestLease} from './lease-bounds.js';
 import {noteDecision, noteWarning} from './logging.js';
 import {describeMachineOf} from './machine-evidence.js';
 import {clearWorker, listUnreportedTasks} from './registry.js';
@@ -8,7 +9,6 @@
 	leaseHorizonMs, leaseSlackMs, longestGrantMs, maxClockDrift, never, workerLeaseMs,
 } from './timing.js';
 import {hasSentTasks} from './tasks.js';
-import type {SteadyMs} from './types.js';
 import type {SchedulerState, Task, Worker} from './state.js';
 
 /**
@@ -36,26 +36,34 @@
 }
 
 /**
- * Upper bound of a lease that an incarnation was granted at `grantedAt` by a call meant for its former one: as long as workers
- * accept, as the expiry lies far ahead on its younger clock.
+ * From its first answer on, an incarnation refuses calls meant for its former one, and those of earlier leaders: they have a
+ * lower fencing token.
  */
-function computeLongestLeaseEnd({settings}: SchedulerState, grantedAt: SteadyMs): SteadyMs {
-	return grantedAt + (settings.maxLeaseMs / (1 - maxClockDrift)) + leaseSlackMs;
+export function noteFirstAnswer(state: SchedulerState, worker: Worker, clockMs: number | undefined): void {
+	if (worker.hasFormerLeases && !isVouchedFor(worker)) {
+		worker.formerCallsUntil = addLongestLease(state, state.now);
+		noteLongLease(state, worker, clockMs);
+	}
+
+	worker.hasFormerLeases = false;
+
+	if (worker.hiddenEnds?.settledAt === never) {
+		worker.hiddenEnds.settledAt = state.now;
+	}
 }
 
-/** From its first answer on, an incarnation refuses calls meant for its former one, which have a lower fencing token. */
-export function noteFirstAnswer(state: SchedulerState, worker: Worker, clockMs: number | undefined): void {
-	if (worker.hasFormerLeases) {
-		worker.hasFormerLeases = false;
-		worker.formerCallsUntil = Math.max(worker.formerCallsUntil, computeLongestLeaseEnd(state, state.now));
+function noteLongLease(state: SchedulerState, worker: Worker, clockMs: number | undefined): void {
+	// After a change of the lead all idle workers are in doubt.
+	if (worker.restarts > 0 || worker.tasks.size > 0) {
 		noteDecision(state, 'long-lease-possible', {
 			workerId: worker.id, bornAt: worker.bornAt, clockMs, lastsMs: Math.round(worker.formerCallsUntil - state.now), tasks: worker.tasks.size,
 		});
 	}
+}
 
-	if (worker.hiddenEnds?.settledAt === never) {
-		worker.hiddenEnds.settledAt = state.now;
-	}
+/** True if an earlier leader has told that the worker's process carried out a start of its own, and no call of that leader was meant for another process since. */
+function isVouchedFor(worker: Worker): boolean {
+	return worker.restarts === 0 && worker.tasks.size > 0 && listUnreportedTasks(worker).length === 0;
 }
 
 /** All runs of an unreachable worker are over once its lease has expired on every clock: later for those that its next incarnation may have begun. */
@@ -68,7 +76,7 @@
 		return;
 	}
 
-	const kept = state.now <= computeLongestLeaseEnd(state, worker.leaseCallAt) ? new Set(listUnreportedTasks(worker)) : new Set<Task>();
+	const kept = state.now <= addLongestLease(state, worker.leaseCallAt) ? new Set(listUnreportedTasks(worker)) : new Set<Task>();
 	if (kept.size > 0 && kept.size === worker.tasks.size) {
 		return;
 	}
@@ -86,15 +94,3 @@
 	noteWorkerLost(state, worker, false);
 	clearWorker(state, worker, 'lease-lapsed', kept);
 }
-
-/** Longer lists would make the line too long for a large fleet. */
-const maxDescribedLeases = 50;
-
-/** Workers with runs whose lease may be one that was meant for the former process, with how long it may still last, for the log: a successor does not know of it. */
-export function describeLongLeases({workers, now}: SchedulerState): string {
-	return [...workers.values()]
-		.filter(worker => hasSentTasks(worker) && (worker.hasFormerLeases || worker.formerCallsUntil > now))
-		.slice(0, maxDescribedLeases)
-		.map(({id, hasFormerLeases, formerCallsUntil}) => `${id}:${hasFormerLeases ? 'unbounded' : Math.round(formerCallsUntil - now)}`)
-		.join(' ');
-}
--- a/packages/core/src/scheduler/ledger-records.ts
+++ b/packages/core/src/scheduler/ledger-records.ts
@@ -5,6 +5,7 @@
 } from './leadership.js';
 import {applyLoad, noteLease} from './load-view.js';
 import {addEffect, describeError, noteWarning} from './logging.js';
+import {dropOpenLeases, noteOpenLeases, noteStoredProgress} from './open-leases.js';
 import {applyPart} from './progress-parts.js';
 import {dropFinishedRemovals, dropProgress} from './retention.js';
 import type {LedgerEntry, SchedulerEvent} from './events.js';
@@ -45,6 +46,10 @@
 		applyRecord(state, entry);
 	}
 
+	if (event.type === 'ledger/loaded') {
+		dropOpenLeases(state);
+	}
+
 	confirmOwnClaim(state, event.entries);
 
 	leadership.ledgerEnd = event.nextOffset;
@@ -71,6 +76,7 @@
 		const {leadership, settings, now} = state;
 		noteLease(state, lease);
 		noteLeaseRecord(state, lease);
+		noteOpenLeases(state, lease);
 		leadership.isReleased = lease.isReleased;
 		leadership.claimNotBefore = now + computeClaimDelay(settings);
 		if (lease.capacityShortfall !== undefined) {
@@ -78,6 +84,7 @@
 		}
 	},
 	progress(state, {jobId, progress}) {
+		noteStoredProgress(state, jobId);
 		const job = state.jobs.get(jobId);
 		if (job) {
 			job.progress = progress;
@@ -90,6 +97,7 @@
 		dropProgress(state, jobId);
 	},
 	'progress-part'(state, record) {
+		noteStoredProgress(state, record.jobId);
 		applyPart(state, record.jobId, record.part, record);
 	},
 	'progress-part-removed'(state, {jobId, part}) {
--- a/packages/core/src/scheduler/placement.ts
+++ b/packages/core/src/scheduler/placement.ts
@@ -8,6 +8,7 @@
 import {isQuarantined, isProbeDue} from './health.js';
 import {findBindingWorker, isBoundByLateStart} from './late-starts.js';
 import {buildTask, countUnbuilt} from './occurrences.js';
+import {hasTooLongLease} from './open-leases.js';
 import {getPoolOfJob, hasAccounts} from './queues.js';
 import {clearQuotas, countAdmitted, noteHeldBack} from './quotas.js';
 import {orderByShare} from './shares.js';
@@ -137,8 +138,7 @@
 	}
 
 	const candidates = usable.filter(worker => hasLabel(step, worker) && canReportEnds(step, worker));
-	const place = step.definition.isGang ? placeGang : placeEach;
-	const {placed, refused} = place(state, {step, waiting, limit}, listFreeCapacities(state, step, candidates));
+	const {placed, refused} = placeOnCandidates(state, {step, waiting, limit}, candidates);
 	// A task that is bound to a worker does not wait for room: other machines would not help it.
 	const bound = waiting.filter(task => task.status === 'waiting' && isBoundByLateStart(state, task)).length;
 	const left = Math.min(count, limit) - placed - bound;
@@ -150,6 +150,21 @@
 	return placed > 0;
 }
 
+/** Places tasks on the workers that may take them; long-running ones first where a successor would not wait too long for the end of their leases. */
+function placeOnCandidates(state: SchedulerState, tasks: PlaceableTasks, candidates: readonly Worker[]): Placement {
+	const {step, limit} = tasks;
+	const place = step.definition.isGang ? placeGang : placeEach;
+	const preferred = step.definition.isLongRunning ? candidates.filter(worker => !hasTooLongLease(state, worker)) : candidates;
+	const first = place(state, tasks, listFreeCapacities(state, step, preferred));
+	if (preferred.length === candidates.length || first.placed >= limit) {
+		return first;
+	}
+
+	const waiting = tasks.waiting.filter(({status}) => status === 'waiting');
+	const second = place(state, {step, waiting, limit: limit - first.placed}, listFreeCapacities(state, step, candidates));
+	return {placed: first.placed + second.placed, refused: second.refused};
+}
+
 /** Places long-running tasks that no other worker takes, one each, on workers that were set aside: they may be well again, and the tasks do not end by themselves however long they wait. */
 function placeAsProbe(state: SchedulerState, step: StepRun, setAside: readonly Worker[]): void {
 	if (!step.definition.isLongRunning || step.definition.isGang) {
--- a/packages/core/src/scheduler/quotas.test.ts
+++ b/packages/core/src/scheduler/quotas.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {
-	createConfig, createProgress, createRow, createWorker, HandDrivenHost, listLogEvents, listStarts,
+	createConfig, createLease, createProgress, createRow, createWorker, HandDrivenHost, listLogEvents, listStarts,
 } from './testing/hand-driven.js';
 import {createJob, createStep, poolName} from './testing/model-fleet.js';
 import {describeQuotaExcess} from './quotas.js';
@@ -112,7 +112,7 @@
 		host.submit(job);
 		host.submit(createAccountJob(2, {count: 4}));
 		const loadedAt = host.now;
-		host.takeLeadership([createProgress(0, job, [0, 1, 2].map(index => createRow({index, workerId: 'silent'})))], createAccountConfig(tasksOfCap));
+		host.takeLeadership([createProgress(0, job, [0, 1, 2].map(index => createRow({index, workerId: 'silent'})))], createAccountConfig(tasksOfCap), createLease('former', 1));
 		host.addWorkers('w1', 'w2', 'w3', 'w4');
 		const first = listStarts(host.tick(100));
 		expect(first.length).toEqual(1);
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -4,6 +4,7 @@
 import {noteWorkerLost} from './crashes.js';
 import {getLeaseEnd} from './incarnations.js';
 import {addEffect, noteDecision} from './logging.js';
+import {getOpenLeaseEnd} from './open-leases.js';
 import {isBirthCertain, takeCertainEntry} from './reported-births.js';
 import {noResources} from './resources.js';
 import {
@@ -45,9 +46,9 @@
 		isPolledByLeader: false,
 		clock: undefined,
 		leaseExpiresAt: state.leadership.earlierLeasesUntil,
-		leaseCallAt: Number.NEGATIVE_INFINITY,
-		hasFormerLeases: false,
-		formerCallsUntil: 0,
+		leaseCallAt: state.leadership.earlierCallsUntil,
+		hasFormerLeases: state.now - state.leadership.earlierCallsUntil < lateStartMs,
+		formerCallsUntil: getOpenLeaseEnd(state, id),
 		leaseUntilMs: 0,
 		lastReadEnd: 0,
 		lastStoredEnd: 0,
@@ -161,7 +162,7 @@
 	state.workerRestarts.set(worker.id, worker.restarts);
 	clearAttributes(worker);
 	worker.clock = undefined;
-	worker.hasFormerLeases = state.now - worker.leaseCallAt < lateStartMs;
+	worker.hasFormerLeases ||= state.now - worker.leaseCallAt < lateStartMs;
 	worker.leaseCallAt = Number.NEGATIVE_INFINITY;
 	worker.leaseExpiresAt = 0;
 	// Keeps the unreported tasks assigned while a late start may still be carried out.
@@ -236,14 +237,14 @@
 	worker.lastAckedEnd = 0;
 }
 
-/** Records a start that may still be carried out. */
-export function noteLateStart(state: SchedulerState, worker: Worker, task: Task): void {
+/** Records a start that was sent by `sentBy` and may still be carried out. */
+export function noteLateStart(state: SchedulerState, worker: Worker, task: Task, sentBy: SteadyMs = state.now): void {
 	if (worker.lateStarts.some(late => late.task === task.name && late.run === task.run)) {
 		return;
 	}
 
 	const late: LateStart = {
-		task: task.name, run: task.run, need: getNeed(task), openCalls: 1, forgetAt: state.now + lateStartMs, stopDueAt: never, charge: getCharge(task),
+		task: task.name, run: task.run, need: getNeed(task), openCalls: 1, forgetAt: sentBy + lateStartMs, stopDueAt: never, charge: getCharge(task),
 	};
 	worker.lateStarts.push(late);
 	task.lateStarts = [...task.lateStarts.filter(({late: {forgetAt}}) => forgetAt > state.now), {worker, late}];
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -9,6 +9,7 @@
 import type {ArrivalBucket} from './shares.js';
 import {createLoadState, type LoadState} from './load-view.js';
 import type {Machine, Wave, PoolDemand} from './machine-state.js';
+import type {EarlierOpenLeases} from './open-leases.js';
 import type {ProgressParts} from './progress-parts.js';
 import type {
 	AccountName, FencingToken, FleetConfig, JobProgress, LedgerRecord, MachineId, PoolName, RunTimesRecord, SteadyMs, WaveNumber, WaveProgress, WorkerId,
@@ -103,6 +104,10 @@
 	formerLeasesUntil: SteadyMs;
 	/** The same for all leaders before this host's present term. */
 	earlierLeasesUntil: SteadyMs;
+	/** What an earlier leader has told of its calls to workers; undefined if it is not known. */
+	openLeases: EarlierOpenLeases | undefined;
+	/** Until when earlier leaders may have sent calls to workers; `-Infinity` if there were none. */
+	earlierCallsUntil: SteadyMs;
 	hasLoadedLedger: boolean;
 	/** Records followed after the full read of the ledger: a leader has been active since. */
 	hasReadUpdates: boolean;
@@ -119,6 +124,8 @@
 	commitNotBefore: SteadyMs;
 	/** When a heartbeat record is due if there is nothing else to append. */
 	heartbeatDueAt: SteadyMs;
+	/** When the next append has to tell of open leases. */
+	openLeasesDueAt: SteadyMs;
 	/** When a claim whose outcome is unknown may be sent again. */
 	retryClaimAt: SteadyMs | undefined;
 };
@@ -234,7 +241,7 @@
 		accountUse: createAccountUse(),
 		arrivalBuckets: new Map(),
 		leadership: {
-			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, isSilenceUnknown: false, claimNotBefore: 0, configuredAt: 0, isReleased: false, latestHandover: undefined, isHandingOver: false, readToken: 0, formerLeasesUntil: 0, earlierLeasesUntil: 0, hasLoadedLedger: false, hasReadUpdates: false, leaderSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, nextCommitNumber: 0, commit: undefined, meanCommitMs: 0, commitNotBefore: 0, heartbeatDueAt: 0, retryClaimAt: undefined,
+			role: 'follower', token: 0, ledgerEnd: 0, lastRecordAt: 0, isSilenceUnknown: false, claimNotBefore: 0, configuredAt: 0, isReleased: false, latestHandover: undefined, isHandingOver: false, readToken: 0, formerLeasesUntil: 0, earlierLeasesUntil: 0, openLeases: undefined, earlierCallsUntil: Number.NEGATIVE_INFINITY, hasLoadedLedger: false, hasReadUpdates: false, leaderSince: 0, confirmedAt: 0, claim: undefined, nextSequence: 0, nextCommitNumber: 0, commit: undefined, meanCommitMs: 0, commitNotBefore: 0, heartbeatDueAt: 0, openLeasesDueAt: 0, retryClaimAt: undefined,
 		},
 		dirtyJobs: new Set(),
 		removedJobs: new Set(),
--- a/packages/core/src/scheduler/takeover-leases.test.ts
+++ b/packages/core/src/scheduler/takeover-leases.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {
-	createConfig, createProgress, createRow, createWorker, HandDrivenHost, listStarts, type EventBody,
+	createConfig, createLease, createProgress, createRow, createWorker, HandDrivenHost, listStarts, type EventBody,
 } from './testing/hand-driven.js';
 import {createJob, createStep} from './testing/model-jobs.js';
 
@@ -16,8 +16,8 @@
 const job = createJob(1, [createStep({count: 1, isLongRunning: true})]);
 const task = `${job.jobId}.0.0.0`;
 
-function createLease(offset: number, isReleased: boolean): EventBody {
-	return {type: 'ledger/read', entries: [{offset, record: {type: 'lease', lease: {holder: 'former', token: 1, isReleased}}}], nextOffset: offset + 1};
+function createLeaseRead(offset: number, isReleased: boolean): EventBody {
+	return {type: 'ledger/read', entries: [{offset, record: {type: 'lease', lease: createLease('former', 1, isReleased)}}], nextOffset: offset + 1};
 }
 
 /** A host that follows a leader; the task runs on worker w1. Returns with the former leader's latest record appended just now, and not read yet. */
@@ -28,7 +28,7 @@
 	host.dispatch({type: 'ledger/loaded', entries: [createProgress(1, job, [createRow()])], nextOffset: 2});
 	for (let offset = 2; offset < 2 + firstRecords; offset++) {
 		host.tick(heartbeatMs);
-		host.dispatch(createLease(offset, false));
+		host.dispatch(createLeaseRead(offset, false));
 	}
 
 	host.tick(heartbeatMs - callMs);
@@ -66,7 +66,7 @@
 		const host = createFollower();
 		const endedAt = host.now;
 		host.tick(callMs);
-		host.dispatch(createLease(2 + firstRecords, false));
+		host.dispatch(createLeaseRead(2 + firstRecords, false));
 		expect(runUntilRestart(host) - endedAt).toBeLessThanOrEqual(restartLimitMs);
 	});
 
@@ -75,7 +75,7 @@
 		const host = createFollower();
 		const endedAt = host.now;
 		host.tick(callMs);
-		host.dispatch(createLease(2 + firstRecords, true));
+		host.dispatch(createLeaseRead(2 + firstRecords, true));
 		expect(runUntilRestart(host) - endedAt).toBeLessThanOrEqual(restartLimitMs);
 	});
 });
--- a/packages/core/src/scheduler/testing/hand-driven.ts
+++ b/packages/core/src/scheduler/testing/hand-driven.ts
@@ -9,7 +9,7 @@
 	PollOutcome, LedgerEntry, SchedulerEvent, StartOutcome,
 } from '../events.js';
 import type {
-	EndedRow, FleetConfig, JobDefinition, JobProgress, ProgressRow, Queue, RunningRow, WorkerEntry,
+	EndedRow, FleetConfig, JobDefinition, JobProgress, LeaseRecord, ProgressRow, Queue, RunningRow, WorkerEntry,
 } from '../types.js';
 import {modelSettings} from './model-settings.js';
 import {modelConfig, poolName} from './model-fleet.js';
@@ -51,6 +51,13 @@
 	};
 }
 
+/** The lease record of a leader whose workers all hold the leases that it requested, and have answered all starts. */
+export function createLease(holder: string, token: number, isReleased = false): LeaseRecord {
+	return {
+		holder, token, isReleased, openLeases: {workers: [], unconfirmedTasks: []},
+	};
+}
+
 /** A ledger entry with the progress of a job that is running unless `phase` says otherwise. */
 export function createProgress(offset: number, {jobId}: JobDefinition, rows: readonly ProgressRow[], phase: JobProgress['phase'] = 'running'): LedgerEntry {
 	return {
@@ -119,11 +126,15 @@
 		return effects;
 	}
 
-	/** Reads the whole ledger, waits until the host claims the leadership because the ledger was silent, and grants the claim. */
-	takeLeadership(entries: readonly LedgerEntry[] = [], config = createConfig()): SchedulerEffect[] {
+	/** Reads the whole ledger, and after it a lease record of the former leader, if given; waits until the host claims the leadership because the ledger was silent, and grants the claim. */
+	takeLeadership(entries: readonly LedgerEntry[] = [], config = createConfig(), lease?: LeaseRecord): SchedulerEffect[] {
 		const nextOffset = (entries.at(-1)?.offset ?? -1) + 1;
 		this.dispatch({type: 'config/read', config});
 		this.dispatch({type: 'ledger/loaded', entries, nextOffset});
+		if (lease) {
+			this.dispatch({type: 'ledger/read', entries: [{offset: nextOffset, record: {type: 'lease', lease}}], nextOffset: nextOffset + 1});
+		}
+
 		const claim = [...this.dispatch({type: 'clock/ticked'}), ...this.tick(silenceMs)].find(effect => effect.type === 'ledger/claim');
 		return this.dispatch({type: 'claim/ended', outcome: 'granted', claimedAt: claim!.at});
 	}
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -261,6 +261,16 @@
 	readonly isReleased: boolean;
 	/** Given if the holder gives up leadership because it cannot keep up: how far it falls short of the capacity that a leader needs. */
 	readonly capacityShortfall?: number | undefined;
+	/** Absent in claims, and in records of earlier versions: then any lease may be open. */
+	readonly openLeases?: OpenLeases | undefined;
+};
+
+/** What a successor must know of the leader's calls to workers. */
+export type OpenLeases = {
+	/** Workers whose runs may go on beyond the leases that leaders request. `leaseMs` counts from the sending of the record: hosts share no clock. */
+	readonly workers: ReadonlyArray<{readonly workerId: WorkerId; readonly leaseMs: number}>;
+	/** Placed tasks whose start may not have been carried out, or by another process than the placement names. */
+	readonly unconfirmedTasks: readonly TaskName[];
 };
 
 export type WaveProgress = {
--- a/packages/daemon/src/scheduler/record-schemas.ts
+++ b/packages/daemon/src/scheduler/record-schemas.ts
@@ -27,8 +27,13 @@
 /** Holds at most as many jobs as one host writes in a record. */
 export const refusalsSchema = z.tuple([z.number(), z.array(z.string().min(1)).max(maxRefusedJobs), z.array(amount).max(maxRefusedJobs)]);
 
+const openLeases = z.looseObject({
+	workers: z.array(z.looseObject({workerId: z.string(), leaseMs: amount})),
+	unconfirmedTasks: z.array(z.string()),
+});
+
 export const leaseSchema = z.looseObject({
-	holder: z.string(), token: count, isReleased: z.boolean(), capacityShortfall: z.number().min(0).max(1).optional(),
+	holder: z.string(), token: count, isReleased: z.boolean(), capacityShortfall: z.number().min(0).max(1).optional(), openLeases: openLeases.optional(),
 });
 
 export const loadSchema = z.looseObject({
