Calls meant for former processes of a worker outlive its next restarts and gaps in the registry

Cause: whether a call meant for an earlier process may still renew a lease was asked of the calls to the process just before alone, and a worker that left the registry for 100 ms after a restart was forgotten with it.

Change: until when such calls may be carried out belongs to the worker's id (formerCallsOpenUntil): restarts extend it, and a worker is kept while it lasts. removeGoneWorkers asks hasLateCalls in place of a copy of it.

--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -3,6 +3,7 @@
 import {passAcknowledgements, noteUnansweredAcknowledgement} from './acknowledgements.js';
 import {noteWorkerLost} from './crashes.js';
 import {getLeaseEnd} from './incarnations.js';
+import {hasLateCalls} from './late-calls.js';
 import {addEffect, noteDecision} from './logging.js';
 import {getOpenLeaseEnd} from './open-leases.js';
 import {isBirthCertain, takeCertainEntry} from './reported-births.js';
@@ -47,7 +48,8 @@
 		clock: undefined,
 		leaseExpiresAt: state.leadership.earlierLeasesUntil,
 		leaseCallAt: state.leadership.earlierCallsUntil,
-		hasFormerLeases: state.now - state.leadership.earlierCallsUntil < lateStartMs,
+		formerCallsOpenUntil: state.leadership.earlierCallsUntil + lateStartMs,
+		hasFormerLeases: state.now < state.leadership.earlierCallsUntil + lateStartMs,
 		formerCallsUntil: getOpenLeaseEnd(state, id),
 		leaseUntilMs: 0,
 		lastReadEnd: 0,
@@ -162,7 +164,8 @@
 	state.workerRestarts.set(worker.id, worker.restarts);
 	clearAttributes(worker);
 	worker.clock = undefined;
-	worker.hasFormerLeases ||= state.now - worker.leaseCallAt < lateStartMs;
+	worker.formerCallsOpenUntil = Math.max(worker.formerCallsOpenUntil, worker.leaseCallAt + lateStartMs);
+	worker.hasFormerLeases = state.now < worker.formerCallsOpenUntil;
 	worker.leaseCallAt = Number.NEGATIVE_INFINITY;
 	worker.leaseExpiresAt = 0;
 	// Keeps the unreported tasks assigned while a late start may still be carried out.
@@ -301,8 +304,7 @@
 /** Removes workers that are unlisted and hold no tasks or leases. One with late calls is kept: its next incarnation may carry them out. */
 export function removeGoneWorkers(state: SchedulerState): void {
 	for (const worker of state.workers.values()) {
-		const hasLateCalls = worker.lateStarts.length > 0 || (worker.unansweredAck?.forgetAt ?? 0) > state.now || worker.leaseCallAt + lateStartMs > state.now;
-		if (!worker.isListed && worker.tasks.size === 0 && !hasLateCalls && !worker.isPollPending && state.now > getLeaseEnd(worker)) {
+		if (!worker.isListed && worker.tasks.size === 0 && !hasLateCalls(state, worker) && !worker.isPollPending && state.now > getLeaseEnd(worker)) {
 			state.workers.delete(worker.id);
 		}
 	}
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -193,7 +193,9 @@
 	leaseExpiresAt: SteadyMs;
 	/** When a call that renews the lease was last sent, or found to be unanswered: until then the next incarnation may have carried it out. */
 	leaseCallAt: SteadyMs;
-	/** Calls meant for the former incarnation may renew the lease of this one until it has carried out a later call. */
+	/** Until when calls that renew the lease and were meant for former incarnations may be carried out, by whichever there is. */
+	formerCallsOpenUntil: SteadyMs;
+	/** Calls meant for a former incarnation may renew the lease of this one until it has carried out a later call. */
 	hasFormerLeases: boolean;
 	/** Until when runs may go on that calls meant for the former incarnation began, or whose lease they renewed. */
 	formerCallsUntil: SteadyMs;
