The end of each call that may renew a lease counts, not the loss of some

Cause: when a call that renews a lease was last on its way was noted for some outcomes alone: not for a poll that failed after the worker's clock had been dropped or another poll had failed, nor for a start that was answered, or whose task had been returned meanwhile.

Change: noted with the end of each poll that carried an expiry and of each start that was sent.

--- a/packages/core/src/scheduler/polls.ts
+++ b/packages/core/src/scheduler/polls.ts
@@ -127,6 +127,9 @@
 	worker.isPollPending = true;
 	worker.pollSentAt = state.now;
 	worker.sentAck = chooseAcknowledgement(state, worker);
+	// The lease of a worker that may be unreachable is not renewed: its tasks can only move elsewhere after it has expired.
+	const untilMs = worker.failedPolls === 0 ? extendLease(state, worker) : undefined;
+	worker.isLeasePollPending = untilMs !== undefined;
 	const hasWork = hasSentTasks(worker);
 	const hasLongRunningTasks = hasWork && worker.longRunningTasks > 0;
 	addEffect(state, {
@@ -134,8 +137,7 @@
 		worker: getTarget(worker),
 		token: state.leadership.token,
 		acknowledgedEnd: worker.sentAck,
-		// The lease of a worker that may be unreachable is not renewed: its tasks can only move elsewhere after it has expired.
-		untilMs: worker.failedPolls === 0 ? extendLease(state, worker) : undefined,
+		untilMs,
 		isExtra: false,
 		// A worker that is only slow to answer is heard before its lease lapses.
 		slackMs: worker.failedPolls === 0 ? pollSlackMs : retriedPollSlackMs,
@@ -195,9 +197,10 @@
 
 function handleFailedPoll(state: SchedulerState, worker: Worker, event: PollEnded): void {
 	worker.silentSince = worker.failedPolls === 0 ? state.now : worker.silentSince;
-	if (worker.failedPolls === 0 && worker.clock) {
-		// The poll may have renewed the lease.
+	if (!event.isExtra && worker.isLeasePollPending) {
+		// The next incarnation may have carried it out just now.
 		worker.leaseCallAt = state.now;
+		worker.isLeasePollPending = false;
 	}
 
 	worker.failedPolls++;
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -59,6 +59,7 @@
 		unansweredAck: undefined,
 		hiddenEnds: undefined,
 		isPollPending: false,
+		isLeasePollPending: false,
 		pollSentAt: 0,
 		pollDueAt: 0,
 		lastAnswerAt: state.now,
@@ -175,6 +176,7 @@
 	worker.lastStoredEnd = 0;
 	worker.lastAckedEnd = 0;
 	worker.isPollPending = false;
+	worker.isLeasePollPending = false;
 	worker.pollDueAt = 0;
 	worker.failedPolls = 0;
 	worker.isReserved = false;
--- a/packages/core/src/scheduler/starts.ts
+++ b/packages/core/src/scheduler/starts.ts
@@ -216,7 +216,6 @@
 	},
 	unknown(state, worker, task) {
 		worker.pausedUntil = Math.max(worker.pausedUntil, state.now + refusalPauseMs);
-		worker.leaseCallAt = state.now;
 		noteLateStart(state, worker, task);
 		// The start may have been carried out, or may still be: the worker's report decides, or else a confirmed stop rules the run out.
 		if (task.status === 'placed') {
@@ -235,7 +234,16 @@
 		noteAnsweredStart(state, worker, event);
 	}
 
-	if (worker?.bornAt !== event.bornAt || task?.run !== event.run) {
+	if (worker?.bornAt !== event.bornAt) {
+		return;
+	}
+
+	if (event.outcome !== 'not-sent') {
+		// The next incarnation may have carried it out just now.
+		worker.leaseCallAt = state.now;
+	}
+
+	if (task?.run !== event.run) {
 		return;
 	}
 
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -212,6 +212,8 @@
 	/** The incarnation may have been told to forget run ends up to this number: they may come without being listed. No such call can reach it after `settledAt`. */
 	hiddenEnds: {readonly upTo: number; settledAt: SteadyMs} | undefined;
 	isPollPending: boolean;
+	/** The pending poll renews the lease of whichever incarnation carries it out. */
+	isLeasePollPending: boolean;
 	/** When its latest poll was sent, apart from extra ones. */
 	pollSentAt: SteadyMs;
 	pollDueAt: SteadyMs;
