--- a/packages/core/src/scheduler/former-leases.known-red.test.ts
+++ b/packages/core/src/scheduler/former-leases.known-red.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {
-	tickMs, longestLeaseMs, job, createLeader, showNextProcess, waitForStartElsewhere,
+	tickMs, longestLeaseMs, job, createLeader, answerAsNextProcess, waitForStartElsewhere,
 } from './testing/former-process.js';
 import {listStarts} from './testing/hand-driven.js';
 
@@ -13,7 +13,7 @@
 		const [start] = listStarts([...host.submit(job), ...host.tick(tickMs)]);
 		host.tick(400);
 		host.answerStart(start!, 'unknown');
-		showNextProcess(host, 1);
+		answerAsNextProcess(host, 1);
 		const sentAgoMs = 6000;
 		const carriedOutAt = host.now + sentAgoMs;
 		expect(waitForStartElsewhere(host, 2, start!.task) - carriedOutAt).toBeGreaterThanOrEqual(longestLeaseMs);
--- a/packages/core/src/scheduler/former-leases.test.ts
+++ b/packages/core/src/scheduler/former-leases.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {
-	tickMs, youngClockMs, pollTimeoutMs, extraPollTimeoutMs, longestLeaseMs, job, earlierJob, cutOff, createRunning, createLeader, list, answerAs, skipPollOfFirstProcess, showNextProcess, startTaskAt, waitForStartElsewhere,
+	tickMs, youngClockMs, pollTimeoutMs, extraPollTimeoutMs, longestLeaseMs, job, earlierJob, cutOff, createRunning, createLeader, list, answerAs, skipPollOfFirstProcess, answerAsNextProcess, startTaskAt, waitForStartElsewhere,
 } from './testing/former-process.js';
 import {createWorker, HandDrivenHost, listStarts} from './testing/hand-driven.js';
 
@@ -11,7 +11,7 @@
 	it('keeps its run for the longest lease if its worker has restarted twice', () => {
 		const host = createLeader();
 		const lostAt = skipPollOfFirstProcess(host);
-		showNextProcess(host, 1);
+		answerAsNextProcess(host, 1);
 		list(host, [createWorker('w1', {bornAt: 3})]);
 		host.tick(100);
 		// The lost poll reaches process 3 just before the first call that was meant for it.
@@ -25,7 +25,7 @@
 	it('keeps its run for the longest lease if its worker was not listed for a while', () => {
 		const host = createLeader();
 		const lostAt = skipPollOfFirstProcess(host);
-		showNextProcess(host, 1);
+		answerAsNextProcess(host, 1);
 		list(host, []);
 		host.answerPoll('w1', {bornAt: 2, outcome: 'unknown', answerBornAt: undefined});
 		host.tick(100);
--- a/packages/core/src/scheduler/testing/former-process.ts
+++ b/packages/core/src/scheduler/testing/former-process.ts
@@ -70,7 +70,7 @@
 }
 
 /** A poll shows that the known process, `bornAt`, has been followed by the next one. */
-export function showNextProcess(host: HandDrivenHost, bornAt: number): void {
+export function answerAsNextProcess(host: HandDrivenHost, bornAt: number): void {
 	host.tick(500);
 	host.answerPoll('w1', {bornAt, answerBornAt: bornAt + 1, clockMs: youngClockMs});
 	expect(host.state.workers.get('w1')!.bornAt).toEqual(bornAt + 1);
