--- a/packages/core/src/scheduler/acknowledgements.ts
+++ b/packages/core/src/scheduler/acknowledgements.ts
@@ -42,18 +42,6 @@
 	};
 }
 
-/** The highest number of the acknowledgements that may still be carried out; 0 for none. */
-export function getUnansweredNumber({sentAck, unansweredAck}: Worker, now: SteadyMs): number {
-	return Math.max(sentAck, unansweredAck && unansweredAck.forgetAt > now ? unansweredAck.upTo : 0);
-}
-
-/** The acknowledgement of an earlier leader that a worker may still carry out. */
-export function createEarlierAcknowledgement({now, leadership: {earlierCallsUntil}}: SchedulerState, upTo: number): Worker['unansweredAck'] {
-	return upTo === 0 ? undefined : {
-		upTo, noticedAt: now, forgetAt: earlierCallsUntil + lateStartMs, isOutstanding: false,
-	};
-}
-
 /** Reads from an answer of the known incarnation which acknowledgements it has carried out. */
 export function readAcknowledged(worker: Worker, {isExtra, sentAt, ended}: {readonly isExtra: boolean; readonly sentAt: SteadyMs; readonly ended: readonly EndedRow[]}): void {
 	if (!isExtra) {
--- a/packages/core/src/scheduler/open-leases.ts
+++ b/packages/core/src/scheduler/open-leases.ts
@@ -6,7 +6,6 @@
  * all if there is none, as with a leader of an earlier version.
  */
 import type {JobId} from '../types/ids.js';
-import {getUnansweredNumber} from './acknowledgements.js';
 import {earlierLeaseMs, releasedLeaseMs} from './lease-bounds.js';
 import {isFinal} from './phases.js';
 import type {
@@ -20,8 +19,6 @@
 	/** Until when runs may go on at workers whose leases may be longer than requested. */
 	readonly leasesUntil: ReadonlyMap<WorkerId, SteadyMs>;
 	readonly unconfirmedTasks: ReadonlySet<TaskName>;
-	/** The highest number that an acknowledgement without an answer names, by worker. */
-	readonly acknowledgements: ReadonlyMap<WorkerId, number>;
 	/** Jobs whose progress has been stored since. */
 	readonly changedJobs: Set<JobId>;
 };
@@ -53,7 +50,7 @@
 		}
 	}
 
-	return {workers, unconfirmedTasks, acknowledgements: listAcknowledgements(state)};
+	return {workers, unconfirmedTasks};
 }
 
 /** Stored placements of a job that this leader has not read are not known to it. */
@@ -77,10 +74,6 @@
 	return [...assigned, ...lateStarts.filter(({forgetAt}) => forgetAt > now).map(({task}) => task)];
 }
 
-function listAcknowledgements({workers, now}: SchedulerState): OpenLeases['acknowledgements'] {
-	return [...workers.values()].map(worker => ({workerId: worker.id, upTo: getUnansweredNumber(worker, now)})).filter(({upTo}) => upTo > 0);
-}
-
 /** The workers with long leases, for the log. */
 export function describeOpenLeases(openLeases: OpenLeases | undefined): string {
 	if (!openLeases) {
@@ -98,7 +91,6 @@
 			readAt: now,
 			leasesUntil: new Map(openLeases.workers.map(({workerId, leaseMs}) => [workerId, now + leaseMs])),
 			unconfirmedTasks: new Set(openLeases.unconfirmedTasks),
-			acknowledgements: new Map(openLeases.acknowledgements.map(({workerId, upTo}) => [workerId, upTo])),
 			changedJobs: new Set(),
 		};
 	}
@@ -131,8 +123,3 @@
 export function getOpenLeaseEnd({leadership: {openLeases}}: SchedulerState, workerId: WorkerId): SteadyMs {
 	return openLeases?.leasesUntil.get(workerId) ?? 0;
 }
-
-/** The highest number that an acknowledgement of an earlier leader without an answer names; 0 for none. */
-export function getOpenAcknowledgement({leadership: {openLeases}}: SchedulerState, workerId: WorkerId): number {
-	return openLeases?.acknowledgements.get(workerId) ?? 0;
-}
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -1,11 +1,11 @@
 /** The workers that a leader knows, from the registry and from stored progress. */
 import {getCharge, noteUncertainWorker} from './account-use.js';
-import {createEarlierAcknowledgement, passAcknowledgements, noteUnansweredAcknowledgement} from './acknowledgements.js';
+import {passAcknowledgements, noteUnansweredAcknowledgement} from './acknowledgements.js';
 import {noteWorkerLost} from './crashes.js';
 import {getLeaseEnd} from './incarnations.js';
 import {hasLateCalls} from './late-calls.js';
 import {addEffect, noteDecision} from './logging.js';
-import {getOpenAcknowledgement, getOpenLeaseEnd} from './open-leases.js';
+import {getOpenLeaseEnd} from './open-leases.js';
 import {isBirthCertain, takeCertainEntry} from './reported-births.js';
 import {noResources} from './resources.js';
 import {
@@ -56,7 +56,7 @@
 		lastStoredEnd: 0,
 		lastAckedEnd: 0,
 		sentAck: 0,
-		unansweredAck: createEarlierAcknowledgement(state, getOpenAcknowledgement(state, id)),
+		unansweredAck: undefined,
 		hiddenEnds: undefined,
 		isPollPending: false,
 		isLeasePollPending: false,
--- a/packages/core/src/scheduler/testing/hand-driven.ts
+++ b/packages/core/src/scheduler/testing/hand-driven.ts
@@ -54,7 +54,7 @@
 /** The lease record of a leader whose workers all hold the leases that it requested, and have answered all starts. */
 export function createLease(holder: string, token: number, isReleased = false): LeaseRecord {
 	return {
-		holder, token, isReleased, openLeases: {workers: [], unconfirmedTasks: [], acknowledgements: []},
+		holder, token, isReleased, openLeases: {workers: [], unconfirmedTasks: []},
 	};
 }
 
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -271,8 +271,6 @@
 	readonly workers: ReadonlyArray<{readonly workerId: WorkerId; readonly leaseMs: number}>;
 	/** Placed tasks whose start may not have been carried out, or by another process than the placement names. */
 	readonly unconfirmedTasks: readonly TaskName[];
-	/** Workers with acknowledgements of run ends that have no answer, and the highest number that one names. */
-	readonly acknowledgements: ReadonlyArray<{readonly workerId: WorkerId; readonly upTo: number}>;
 };
 
 export type WaveProgress = {
--- a/packages/daemon/src/scheduler/record-schemas.ts
+++ b/packages/daemon/src/scheduler/record-schemas.ts
@@ -30,7 +30,6 @@
 const openLeases = z.looseObject({
 	workers: z.array(z.looseObject({workerId: z.string(), leaseMs: amount})),
 	unconfirmedTasks: z.array(z.string()),
-	acknowledgements: z.array(z.looseObject({workerId: z.string(), upTo: count})),
 });
 
 export const leaseSchema = z.looseObject({
