A start in doubt does not put the job's other tasks, or its worker's other runs, in doubt

A long-running task without a run for 10,850 ms, 9,000 at most are allowed.

Cause: one row that was stored after the latest lease record made all starts of its job count as unconfirmed; one unconfirmed start at a worker made the leases of all its runs count as the longest.

Change: a placement that is as it was at the lease record is confirmed as it was then; one confirmed start vouches for its worker's process, which refuses calls for former ones since then. Names of tasks go into the record once.

--- a/packages/core/src/scheduler/job-restore.ts
+++ b/packages/core/src/scheduler/job-restore.ts
@@ -69,7 +69,7 @@
 		task.conclusiveAfter = state.leadership.leaderSince;
 		const worker = ensureWorker(state, row.workerId, row.workerBornAt);
 		attachTask(state, worker, task);
-		task.isReported = worker.bornAt === row.workerBornAt && isStartConfirmed(state, task);
+		task.isReported = worker.bornAt === row.workerBornAt && isStartConfirmed(state, task, row);
 		if (!task.isReported) {
 			noteLateStart(state, worker, task, state.leadership.earlierCallsUntil);
 		}
--- a/packages/core/src/scheduler/leases.ts
+++ b/packages/core/src/scheduler/leases.ts
@@ -61,9 +61,9 @@
 	}
 }
 
-/** True if an earlier leader has told that the worker's process carried out a start of its own, and no call of that leader was meant for another process since. */
-function isVouchedFor(worker: Worker): boolean {
-	return worker.restarts === 0 && worker.tasks.size > 0 && listUnreportedTasks(worker).length === 0;
+/** True if an earlier leader has told that the worker's process carried out a start of its own: since then it has refused calls that were meant for former ones. */
+function isVouchedFor({restarts, tasks}: Worker): boolean {
+	return restarts === 0 && [...tasks.values()].some(({isReported}) => isReported);
 }
 
 /** All runs of an unreachable worker are over once its lease has expired on every clock: later for those that its next incarnation may have begun. */
--- a/packages/core/src/scheduler/open-leases.ts
+++ b/packages/core/src/scheduler/open-leases.ts
@@ -8,8 +8,9 @@
 import type {JobId} from '../types/ids.js';
 import {earlierLeaseMs, releasedLeaseMs} from './lease-bounds.js';
 import {isFinal} from './phases.js';
+import {formatRowKey, listProgressRows, type ProgressParts} from './progress-parts.js';
 import type {
-	LeaseRecord, OpenLeases, SteadyMs, TaskName, WorkerId,
+	JobProgress, LeaseRecord, OpenLeases, ProgressRow, SteadyMs, TaskName, WorkerId,
 } from './types.js';
 import type {SchedulerState, Task, Worker} from './state.js';
 
@@ -19,10 +20,13 @@
 	/** Until when runs may go on at workers whose leases may be longer than requested. */
 	readonly leasesUntil: ReadonlyMap<WorkerId, SteadyMs>;
 	readonly unconfirmedTasks: ReadonlySet<TaskName>;
-	/** Jobs whose progress has been stored since. */
-	readonly changedJobs: Set<JobId>;
+	/** Jobs whose progress has been stored since, with what it was before. */
+	readonly changedJobs: Map<JobId, FormerProgress>;
 };
 
+/** The progress of a job when the open leases were read. Its rows are looked at only when a task of the job is restored. */
+type FormerProgress = {readonly progress: JobProgress | undefined; readonly parts: ProgressParts | undefined; rows: ReadonlyMap<string, ProgressRow> | undefined};
+
 /** With more unconfirmed tasks than this a leader tells nothing: the record must stay small. */
 const maxUnconfirmedTasks = 2000;
 /** With more changed jobs than this the open leases are of no use any more. */
@@ -36,7 +40,7 @@
 		return undefined;
 	}
 
-	const unconfirmedTasks = [...state.workers.values()].flatMap(worker => listUnconfirmed(state, worker));
+	const unconfirmedTasks = [...new Set([...state.workers.values()].flatMap(worker => listUnconfirmed(state, worker)))];
 	if (unconfirmedTasks.length > maxUnconfirmedTasks) {
 		return undefined;
 	}
@@ -91,15 +95,21 @@
 			readAt: now,
 			leasesUntil: new Map(openLeases.workers.map(({workerId, leaseMs}) => [workerId, now + leaseMs])),
 			unconfirmedTasks: new Set(openLeases.unconfirmedTasks),
-			changedJobs: new Set(),
+			changedJobs: new Map(),
 		};
 	}
 }
 
-/** Must run for each record of a job's progress that is read. */
-export function noteStoredProgress({leadership}: SchedulerState, jobId: JobId): void {
-	const changed = leadership.openLeases?.changedJobs.add(jobId);
-	if (changed && changed.size > maxChangedJobs) {
+/** Must run for each record of a job's progress that is read, before it is applied. */
+export function noteStoredProgress({leadership, jobs, earlyProgress, progressParts}: SchedulerState, jobId: JobId): void {
+	const changed = leadership.openLeases?.changedJobs;
+	if (!changed || changed.has(jobId)) {
+		return;
+	}
+
+	const parts = progressParts.get(jobId);
+	changed.set(jobId, {progress: jobs.get(jobId)?.progress ?? earlyProgress.get(jobId), parts: parts && new Map(parts), rows: undefined});
+	if (changed.size > maxChangedJobs) {
 		leadership.openLeases = undefined;
 	}
 }
@@ -109,9 +119,22 @@
 	leadership.openLeases = undefined;
 }
 
-/** True if an earlier leader has told that the latest start of a placed task was carried out by the process that the placement names. */
-export function isStartConfirmed({leadership: {openLeases}}: SchedulerState, {name, step}: Task): boolean {
-	return openLeases !== undefined && !openLeases.changedJobs.has(step.occurrence.job.definition.jobId) && !openLeases.unconfirmedTasks.has(name);
+/** True if an earlier leader has told that the start of a placed task was carried out by the process that its stored row names. */
+export function isStartConfirmed({leadership: {openLeases}}: SchedulerState, {name, step}: Task, row: ProgressRow): boolean {
+	if (!openLeases || openLeases.unconfirmedTasks.has(name)) {
+		return false;
+	}
+
+	const {jobId} = step.occurrence.job.definition;
+	const former = openLeases.changedJobs.get(jobId);
+	return !former || hasSamePlacement(former, row);
+}
+
+/** True if a task was already placed as its row tells: another row of the job may have changed. */
+function hasSamePlacement(former: FormerProgress, {occurrence, step, index, run, workerId, workerBornAt}: ProgressRow): boolean {
+	former.rows ??= new Map(listProgressRows(former.progress, former.parts).map(row => [formatRowKey(row), row]));
+	const known = former.rows.get(formatRowKey({occurrence, step, index}));
+	return known?.status === 'placed' && known.run === run && known.workerId === workerId && known.workerBornAt === workerBornAt;
 }
 
 /** True if a successor that finds the worker silent would wait too long for the end of a run there: a long-running task may not be without a run for that long. */
--- a/packages/core/src/scheduler/progress-parts.ts
+++ b/packages/core/src/scheduler/progress-parts.ts
@@ -78,14 +78,23 @@
 
 /** All stored rows of a job. The rows of a part go before those of the job's own record, which may have been stored earlier. */
 export function listStoredRows({progressParts}: SchedulerState, jobId: JobId, progress: JobProgress | undefined): ProgressRow[] {
-	const parts = progressParts.get(jobId);
+	return listProgressRows(progress, progressParts.get(jobId));
+}
+
+/** Identifies the row of a task within its job. */
+export function formatRowKey({occurrence, step, index}: Pick<ProgressRow, 'occurrence' | 'step' | 'index'>): string {
+	return `${occurrence}.${step}.${index}`;
+}
+
+/** The rows of a job's own record and of its parts. */
+export function listProgressRows(progress: JobProgress | undefined, parts: ProgressParts | undefined): ProgressRow[] {
 	if (!parts) {
 		return [...progress?.rows ?? []];
 	}
 
 	const rows = new Map<string, ProgressRow>();
 	for (const row of [...progress?.rows ?? [], ...[...parts.values()].flatMap(part => part.rows)]) {
-		rows.set(`${row.occurrence}.${row.step}.${row.index}`, row);
+		rows.set(formatRowKey(row), row);
 	}
 
 	return [...rows.values()];
