--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -9,7 +9,7 @@
 import {isBirthCertain, takeCertainEntry} from './reported-births.js';
 import {noResources} from './resources.js';
 import {
-	getNeed, getTarget, isOverloaded, requestStop, returnExcessTasks, returnTask, type ReturnReason,
+	getNeed, getTarget, isOverloaded, markChanged, requestStop, returnExcessTasks, returnTask, type ReturnReason,
 } from './tasks.js';
 import {
 	lateStartMs, never, registryGraceMs, stopRetryMs,
@@ -188,6 +188,8 @@
 	worker.reportedBirth = undefined;
 	for (const task of unreported) {
 		noteLateStart(state, worker, task);
+		// Its stored row names the former incarnation.
+		markChanged(state, task);
 	}
 
 	for (const late of worker.lateStarts) {
