The bound on leases meant for former processes is called longLeaseUntil

formerCallsUntil stood beside formerCallsOpenUntil: the one bounds leases, the other when calls may still be carried out. No change of logic.

--- a/packages/core/src/scheduler/incarnations.ts
+++ b/packages/core/src/scheduler/incarnations.ts
@@ -52,6 +52,6 @@
 }
 
 /** When certainly no lease of the worker's known incarnation lasts any longer. */
-export function getLeaseEnd({leaseExpiresAt, formerCallsUntil}: Worker): SteadyMs {
-	return Math.max(leaseExpiresAt, formerCallsUntil);
+export function getLeaseEnd({leaseExpiresAt, longLeaseUntil}: Worker): SteadyMs {
+	return Math.max(leaseExpiresAt, longLeaseUntil);
 }
--- a/packages/core/src/scheduler/leases.ts
+++ b/packages/core/src/scheduler/leases.ts
@@ -41,7 +41,7 @@
  */
 export function noteFirstAnswer(state: SchedulerState, worker: Worker, clockMs: number | undefined): void {
 	if (worker.hasFormerLeases && !isVouchedFor(worker)) {
-		worker.formerCallsUntil = addLongestLease(state, state.now);
+		worker.longLeaseUntil = addLongestLease(state, state.now);
 		noteLongLease(state, worker, clockMs);
 	}
 
@@ -56,7 +56,7 @@
 	// After a change of the lead all idle workers are in doubt.
 	if (worker.restarts > 0 || worker.tasks.size > 0) {
 		noteDecision(state, 'long-lease-possible', {
-			workerId: worker.id, bornAt: worker.bornAt, clockMs, lastsMs: Math.round(worker.formerCallsUntil - state.now), tasks: worker.tasks.size,
+			workerId: worker.id, bornAt: worker.bornAt, clockMs, lastsMs: Math.round(worker.longLeaseUntil - state.now), tasks: worker.tasks.size,
 		});
 	}
 }
--- a/packages/core/src/scheduler/mixed-storm.test.ts
+++ b/packages/core/src/scheduler/mixed-storm.test.ts
@@ -19,7 +19,7 @@
 		}
 	});
 
-	/** Guards against a leader that takes the clock of a worker's next process for that of the former one. */
+	/** Guards against rules about clocks that hold only if each process's clock begins at 0. */
 	it('run no task twice with clocks that begin at any value', () => {
 		for (let seed = firstSeed; seed < firstSeed + anyClockSeeds; seed++) {
 			const {violations, unfinished} = runMixedStorm(seed, {faults: {hasAnyClocks: true}});
--- a/packages/core/src/scheduler/open-leases.ts
+++ b/packages/core/src/scheduler/open-leases.ts
@@ -66,7 +66,7 @@
 function listLeaseEnds(state: SchedulerState): ReadonlyMap<WorkerId, SteadyMs> {
 	const ends = new Map(state.leadership.openLeases?.leasesUntil);
 	for (const worker of state.workers.values()) {
-		ends.set(worker.id, worker.formerCallsUntil);
+		ends.set(worker.id, worker.longLeaseUntil);
 	}
 
 	return ends;
@@ -138,8 +138,8 @@
 }
 
 /** True if a successor that finds the worker silent would wait too long for the end of a run there: a long-running task may not be without a run for that long. */
-export function hasTooLongLease({now}: SchedulerState, {formerCallsUntil}: Worker): boolean {
-	return formerCallsUntil > now + earlierLeaseMs;
+export function hasTooLongLease({now}: SchedulerState, {longLeaseUntil}: Worker): boolean {
+	return longLeaseUntil > now + earlierLeaseMs;
 }
 
 /** Until when runs may go on at a worker, as an earlier leader has told; 0 if it has told nothing. */
--- a/packages/core/src/scheduler/registry.ts
+++ b/packages/core/src/scheduler/registry.ts
@@ -50,7 +50,7 @@
 		leaseCallAt: state.leadership.earlierCallsUntil,
 		formerCallsOpenUntil: state.leadership.earlierCallsUntil + lateStartMs,
 		hasFormerLeases: state.now < state.leadership.earlierCallsUntil + lateStartMs,
-		formerCallsUntil: getOpenLeaseEnd(state, id),
+		longLeaseUntil: getOpenLeaseEnd(state, id),
 		leaseUntilMs: 0,
 		lastReadEnd: 0,
 		lastStoredEnd: 0,
@@ -170,7 +170,7 @@
 	worker.leaseCallAt = Number.NEGATIVE_INFINITY;
 	worker.leaseExpiresAt = 0;
 	// Keeps the unreported tasks assigned while a late start may still be carried out.
-	worker.formerCallsUntil = unreported.length > 0 ? state.now + lateStartMs : 0;
+	worker.longLeaseUntil = unreported.length > 0 ? state.now + lateStartMs : 0;
 	worker.leaseUntilMs = 0;
 	worker.lastReadEnd = 0;
 	worker.lastStoredEnd = 0;
@@ -238,7 +238,7 @@
 	worker.isListed = false;
 	worker.clock = undefined;
 	worker.leaseExpiresAt = 0;
-	worker.formerCallsUntil = 0;
+	worker.longLeaseUntil = 0;
 	worker.lastReadEnd = 0;
 	worker.lastStoredEnd = 0;
 	worker.lastAckedEnd = 0;
--- a/packages/core/src/scheduler/work-state.ts
+++ b/packages/core/src/scheduler/work-state.ts
@@ -198,7 +198,7 @@
 	/** Calls meant for a former incarnation may renew the lease of this one until it has carried out a later call. */
 	hasFormerLeases: boolean;
 	/** Until when runs may go on that calls meant for the former incarnation began, or whose lease they renewed. */
-	formerCallsUntil: SteadyMs;
+	longLeaseUntil: SteadyMs;
 	/** Expiry of the latest lease requested, on the worker's clock. */
 	leaseUntilMs: number;
 	/** Highest numbers of the run ends that were read, whose effects were stored, and whose acknowledgement the worker has answered. */
