--- a/packages/core/src/scheduler/confirmed-starts.test.ts
+++ b/packages/core/src/scheduler/confirmed-starts.test.ts
@@ -108,7 +108,8 @@
 			const rows = [createRow(), createRow({index: 1, workerId: 'w3'})];
 			const host = createFollower([createProgress(1, lasting, rows), createProgress(2, short, [createRow()])]);
 			host.tick(100);
-			host.dispatch(createLeaseRead(10, {holder: 'former', token: 1, isReleased: false, openLeases: {workers: [], unconfirmedTasks: isUnconfirmed ? [shortTask] : []},
+			host.dispatch(createLeaseRead(10, {
+				holder: 'former', token: 1, isReleased: false, openLeases: {workers: [], unconfirmedTasks: isUnconfirmed ? [shortTask] : []},
 			}));
 			takeLead(host);
 			host.dispatch({type: 'workers/listed', workers: [createWorker('w1'), createWorker('w2'), createWorker('w3')], isReloaded: true});
