A new leader notes open starts of its predecessor only where it needs them

Cause, by reading: each restored task whose start was not confirmed became a late start for 15 s, thousands on a large fleet after a takeover; placement looks at all late starts of uncertain workers each time, and the next lease records named them all.

Change: late starts are noted where the former leader has named an open start, and when the lease of a silent worker lapses. A lease record names 500 open starts at most, some 14 KB (2,000 before): all hosts read it each 400 ms.

--- a/packages/core/src/scheduler/job-restore.ts
+++ b/packages/core/src/scheduler/job-restore.ts
@@ -1,7 +1,7 @@
 /** Restores the tasks of a job from its stored progress, when a host takes the leadership. */
 import {hasOccurrence} from './occurrence-ranges.js';
 import {ensureTask, getOccurrence} from './occurrences.js';
-import {isStartConfirmed} from './open-leases.js';
+import {isStartConfirmed, isStartOpen} from './open-leases.js';
 import {ensureWorker, noteLateStart} from './registry.js';
 import {attachTask} from './tasks.js';
 import {never} from './timing.js';
@@ -70,7 +70,7 @@
 		const worker = ensureWorker(state, row.workerId, row.workerBornAt);
 		attachTask(state, worker, task);
 		task.isReported = worker.bornAt === row.workerBornAt && isStartConfirmed(state, task, row);
-		if (!task.isReported) {
+		if (isStartOpen(state, task)) {
 			noteLateStart(state, worker, task, state.leadership.earlierCallsUntil);
 		}
 	}
--- a/packages/core/src/scheduler/leases.ts
+++ b/packages/core/src/scheduler/leases.ts
@@ -4,7 +4,7 @@
 import {addLongestLease} from './lease-bounds.js';
 import {noteDecision, noteWarning} from './logging.js';
 import {describeMachineOf} from './machine-evidence.js';
-import {clearWorker, listUnreportedTasks} from './registry.js';
+import {clearWorker, listUnreportedTasks, noteLateStart} from './registry.js';
 import {
 	leaseHorizonMs, leaseSlackMs, longestGrantMs, maxClockDrift, never, workerLeaseMs,
 } from './timing.js';
@@ -92,5 +92,15 @@
 		...describeMachineOf(state, worker),
 	});
 	noteWorkerLost(state, worker, false);
+	noteEarlierStarts(state, worker, kept);
 	clearWorker(state, worker, 'lease-lapsed', kept);
 }
+
+/** Starts of an earlier leader that are not known to have been answered may still be carried out. They are noted only here: a new leader may restore very many. */
+function noteEarlierStarts(state: SchedulerState, worker: Worker, kept: ReadonlySet<Task>): void {
+	for (const task of listUnreportedTasks(worker)) {
+		if (!task.isStartKnown && !kept.has(task)) {
+			noteLateStart(state, worker, task, state.leadership.earlierCallsUntil);
+		}
+	}
+}
--- a/packages/core/src/scheduler/open-leases.ts
+++ b/packages/core/src/scheduler/open-leases.ts
@@ -28,7 +28,7 @@
 type FormerProgress = {readonly progress: JobProgress | undefined; readonly parts: ProgressParts | undefined; rows: ReadonlyMap<string, ProgressRow> | undefined};
 
 /** With more unconfirmed tasks than this a leader tells nothing: the record must stay small. */
-const maxUnconfirmedTasks = 2000;
+const maxUnconfirmedTasks = 500;
 /** With more changed jobs than this the open leases are of no use any more. */
 const maxChangedJobs = 20_000;
 /** Longer lists would make a log line too long for a large fleet. */
@@ -142,6 +142,11 @@
 	return longLeaseUntil > now + earlierLeaseMs;
 }
 
+/** True if an earlier leader has told that a start of the task is open: it may have been sent more than once. */
+export function isStartOpen({leadership: {openLeases}}: SchedulerState, {name}: Task): boolean {
+	return openLeases?.unconfirmedTasks.has(name) === true;
+}
+
 /** Until when runs may go on at a worker, as an earlier leader has told; 0 if it has told nothing. */
 export function getOpenLeaseEnd({leadership: {openLeases}}: SchedulerState, workerId: WorkerId): SteadyMs {
 	return openLeases?.leasesUntil.get(workerId) ?? 0;
