--- a/packages/core/src/scheduler/leases.ts
+++ b/packages/core/src/scheduler/leases.ts
@@ -40,7 +40,7 @@
  * lower fencing token.
  */
 export function noteFirstAnswer(state: SchedulerState, worker: Worker, clockMs: number | undefined): void {
-	if (worker.hasFormerLeases && !isVouchedFor(worker)) {
+	if (worker.hasFormerLeases && !hasConfirmedRun(worker)) {
 		worker.longLeaseUntil = addLongestLease(state, state.now);
 		noteLongLease(state, worker, clockMs);
 	}
@@ -62,7 +62,7 @@
 }
 
 /** True if an earlier leader has told that the worker's process carried out a start of its own: since then it has refused calls that were meant for former ones. */
-function isVouchedFor({restarts, tasks}: Worker): boolean {
+function hasConfirmedRun({restarts, tasks}: Worker): boolean {
 	return restarts === 0 && [...tasks.values()].some(({isReported}) => isReported);
 }
 
--- a/packages/core/src/scheduler/open-leases.ts
+++ b/packages/core/src/scheduler/open-leases.ts
@@ -16,7 +16,6 @@
 
 /** The open leases that a host has read last, and what was stored since. */
 export type EarlierOpenLeases = {
-	readonly readAt: SteadyMs;
 	/** Until when runs may go on at workers whose leases may be longer than requested. */
 	readonly leasesUntil: ReadonlyMap<WorkerId, SteadyMs>;
 	readonly unconfirmedTasks: ReadonlySet<TaskName>;
@@ -92,7 +91,6 @@
 export function noteOpenLeases({leadership, settings, now}: SchedulerState, {holder, openLeases}: LeaseRecord): void {
 	if (openLeases && holder !== settings.holder) {
 		leadership.openLeases = {
-			readAt: now,
 			leasesUntil: new Map(openLeases.workers.map(({workerId, leaseMs}) => [workerId, now + leaseMs])),
 			unconfirmedTasks: new Set(openLeases.unconfirmedTasks),
 			changedJobs: new Map(),
